Lay out the workspace and the contract between its modules

Cause: nothing stood yet. The model, the events and actions of the core and the signatures of its parts come first, so that the parts can be built side by side. The parts behind the signatures are the simplest that run.

--- /dev/null
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/action/Action.java
@@ -0,0 +1,25 @@
+package org.tarragonarch.core.action;
+
+/** Something that the node asks its shell to do. */
+public sealed interface Action
+        permits SendTask,
+                StopTask,
+                ProbeEndpoint,
+                AnswerComplete,
+                AnswerProblem,
+                AnswerFromPeer,
+                AnswerSameAs,
+                ForgetAnswer,
+                WriteClaims,
+                ReadClaims,
+                ReleaseClaim,
+                AskPeerAnswer,
+                GivePeerAnswer,
+                SendReport,
+                ReadVmList,
+                ReadConfigurationRow,
+                LoadConfiguration,
+                ConfigurationInForce,
+                PhaseChanged,
+                WakeAt,
+                Note {}
--- /dev/null
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/action/AnswerComplete.java
@@ -0,0 +1,10 @@
+package org.tarragonarch.core.action;
+
+import org.tarragonarch.model.id.SubmissionId;
+
+/**
+ * Answer the caller with every task's result.
+ *
+ * @param submission the submission
+ */
+public record AnswerComplete(SubmissionId submission) implements Action {}
--- /dev/null
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/action/AnswerProblem.java
@@ -0,0 +1,12 @@
+package org.tarragonarch.core.action;
+
+import org.tarragonarch.model.id.SubmissionId;
+import org.tarragonarch.model.outcome.Problem;
+
+/**
+ * Answer the caller with a problem and no result.
+ *
+ * @param submission the submission
+ * @param problem why, which fixes the outcome
+ */
+public record AnswerProblem(SubmissionId submission, Problem problem) implements Action {}
--- /dev/null
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/action/AnswerSameAs.java
@@ -0,0 +1,11 @@
+package org.tarragonarch.core.action;
+
+import org.tarragonarch.model.id.SubmissionId;
+
+/**
+ * Answer the caller with the complete results of another submission of this node under the same key.
+ *
+ * @param submission the submission that came later
+ * @param original the submission that ran
+ */
+public record AnswerSameAs(SubmissionId submission, SubmissionId original) implements Action {}
--- /dev/null
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/action/ReadVmList.java
@@ -0,0 +1,4 @@
+package org.tarragonarch.core.action;
+
+/** Read the platform's list of VMs, and report {@code VmListRead} or {@code PlatformFailed}. */
+public record ReadVmList() implements Action {}
--- /dev/null
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/action/SendTask.java
@@ -0,0 +1,18 @@
+package org.tarragonarch.core.action;
+
+import java.time.Duration;
+import org.tarragonarch.model.id.Address;
+import org.tarragonarch.model.id.EndpointId;
+import org.tarragonarch.model.id.TaskId;
+
+/**
+ * Send a task to an endpoint, once, and report one {@code TaskEnded} for it.
+ *
+ * @param task the task
+ * @param attempt the attempt's number, from 1
+ * @param endpoint the endpoint
+ * @param address where the endpoint listens
+ * @param timeAllowed how long until the submission's deadline
+ */
+public record SendTask(TaskId task, int attempt, EndpointId endpoint, Address address, Duration timeAllowed)
+        implements Action {}
--- /dev/null
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/event/ClaimsWritten.java
@@ -0,0 +1,11 @@
+package org.tarragonarch.core.event;
+
+import com.google.common.collect.ImmutableList;
+
+/**
+ * A batch of claims was written and the reply came.
+ *
+ * @param batch the batch's number
+ * @param results one result for each claim of the batch
+ */
+public record ClaimsWritten(long batch, ImmutableList<ClaimResult> results) implements Event {}
--- /dev/null
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/event/PeerReported.java
@@ -0,0 +1,10 @@
+package org.tarragonarch.core.event;
+
+import org.tarragonarch.model.report.PeerReport;
+
+/**
+ * A report came from another node.
+ *
+ * @param report the report
+ */
+public record PeerReported(PeerReport report) implements Event {}
--- /dev/null
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/package-info.java
@@ -0,0 +1,2 @@
+/** The core module. */
+package org.tarragonarch.core;
--- /dev/null
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placement/package-info.java
@@ -0,0 +1,2 @@
+/** Which endpoint a task is sent to. */
+package org.tarragonarch.core.placement;
--- /dev/null
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/queue/package-info.java
@@ -0,0 +1,2 @@
+/** The order in which waiting jobs get their next task started. */
+package org.tarragonarch.core.queue;
--- /dev/null
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/runtime/package-info.java
@@ -0,0 +1,2 @@
+/** How long tasks of a kind take, learnt from those that ended. */
+package org.tarragonarch.core.runtime;
--- /dev/null
+++ b/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/package-info.java
@@ -0,0 +1,2 @@
+/** The ctl module. */
+package org.tarragonarch.ctl;
--- /dev/null
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/package-info.java
@@ -0,0 +1,2 @@
+/** The entry module. */
+package org.tarragonarch.entry;
--- /dev/null
+++ b/tarragonarch-model/src/main/java/org/tarragonarch/model/id/Address.java
@@ -0,0 +1,40 @@
+package org.tarragonarch.model.id;
+
+import static com.google.common.base.Preconditions.checkArgument;
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import com.google.common.net.HostAndPort;
+import com.google.common.net.InetAddresses;
+
+/**
+ * Where a process listens: an IP number and a port, never a host name.
+ *
+ * @param ip the IP number as text
+ * @param port the port, 1 to 65535
+ */
+public record Address(String ip, int port) {
+    private static final int MAX_PORT = 65_535;
+
+    /** Checks that the host is an IP number and the port in range. */
+    public Address {
+        checkNotNull(ip, "ip");
+        checkArgument(InetAddresses.isInetAddress(ip), "'%s' is not an IP number", ip);
+        checkArgument(port >= 1 && port <= MAX_PORT, "port %s is not between 1 and %s", port, MAX_PORT);
+    }
+
+    /**
+     * Reads {@code ip:port}.
+     *
+     * @throws IllegalArgumentException if the text is not an IP number and a port
+     */
+    public static Address parse(String text) {
+        HostAndPort parsed = HostAndPort.fromString(text);
+        checkArgument(parsed.hasPort(), "'%s' has no port", text);
+        return new Address(parsed.getHost(), parsed.getPort());
+    }
+
+    @Override
+    public String toString() {
+        return HostAndPort.fromParts(ip, port).toString();
+    }
+}
--- /dev/null
+++ b/tarragonarch-model/src/main/java/org/tarragonarch/model/id/ConfigurationVersion.java
@@ -0,0 +1,43 @@
+package org.tarragonarch.model.id;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+/**
+ * Numbers the configurations that were accepted, upwards without gaps.
+ *
+ * @param value the number; 0 means that no configuration was accepted yet
+ */
+public record ConfigurationVersion(long value) implements Comparable<ConfigurationVersion> {
+    /** Stands for no accepted configuration. */
+    public static final ConfigurationVersion NONE = new ConfigurationVersion(0);
+
+    /** Checks the number. */
+    public ConfigurationVersion {
+        checkArgument(value >= 0, "version %s is negative", value);
+    }
+
+    /** Returns the version with this number. */
+    public static ConfigurationVersion of(long value) {
+        return new ConfigurationVersion(value);
+    }
+
+    /** Returns whether this version was accepted after the other. */
+    public boolean newerThan(ConfigurationVersion other) {
+        return value > other.value;
+    }
+
+    /** Returns the version that follows. */
+    public ConfigurationVersion next() {
+        return new ConfigurationVersion(value + 1);
+    }
+
+    @Override
+    public int compareTo(ConfigurationVersion other) {
+        return Long.compare(value, other.value);
+    }
+
+    @Override
+    public String toString() {
+        return Long.toString(value);
+    }
+}
--- /dev/null
+++ b/tarragonarch-model/src/main/java/org/tarragonarch/model/id/EndpointId.java
@@ -0,0 +1,32 @@
+package org.tarragonarch.model.id;
+
+/**
+ * The name of one endpoint, as the platform lists its VM.
+ *
+ * @param value the name; see {@link Names} for what it may hold
+ */
+public record EndpointId(String value) implements Comparable<EndpointId> {
+    /** Checks the name. */
+    public EndpointId {
+        Names.check("EndpointId", value);
+    }
+
+    /**
+     * Returns the value type of a name.
+     *
+     * @throws IllegalArgumentException if the name is malformed
+     */
+    public static EndpointId of(String value) {
+        return new EndpointId(value);
+    }
+
+    @Override
+    public int compareTo(EndpointId other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/tarragonarch-model/src/main/java/org/tarragonarch/model/id/FailureDomain.java
@@ -0,0 +1,32 @@
+package org.tarragonarch.model.id;
+
+/**
+ * The name of a failure domain, such as {@code hobart}.
+ *
+ * @param value the name; see {@link Names} for what it may hold
+ */
+public record FailureDomain(String value) implements Comparable<FailureDomain> {
+    /** Checks the name. */
+    public FailureDomain {
+        Names.check("FailureDomain", value);
+    }
+
+    /**
+     * Returns the value type of a name.
+     *
+     * @throws IllegalArgumentException if the name is malformed
+     */
+    public static FailureDomain of(String value) {
+        return new FailureDomain(value);
+    }
+
+    @Override
+    public int compareTo(FailureDomain other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/tarragonarch-model/src/main/java/org/tarragonarch/model/id/Names.java
@@ -0,0 +1,23 @@
+package org.tarragonarch.model.id;
+
+import static com.google.common.base.Preconditions.checkArgument;
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import java.util.regex.Pattern;
+
+/** The rule that all names follow: 1 to 64 of lower-case letters, digits, dots and dashes, a letter or digit first. */
+public final class Names {
+    private static final Pattern NAME = Pattern.compile("[a-z0-9][a-z0-9.-]{0,63}");
+
+    private Names() {}
+
+    /** Returns whether the text may serve as a name. */
+    public static boolean wellFormed(String value) {
+        return NAME.matcher(value).matches();
+    }
+
+    static void check(String type, String value) {
+        checkNotNull(value, "%s is null", type);
+        checkArgument(wellFormed(value), "%s '%s' is not 1 to 64 of a-z, 0-9, '.' and '-'", type, value);
+    }
+}
--- /dev/null
+++ b/tarragonarch-model/src/main/java/org/tarragonarch/model/id/ServiceName.java
@@ -0,0 +1,32 @@
+package org.tarragonarch.model.id;
+
+/**
+ * The name of a service that operators have configured.
+ *
+ * @param value the name; see {@link Names} for what it may hold
+ */
+public record ServiceName(String value) implements Comparable<ServiceName> {
+    /** Checks the name. */
+    public ServiceName {
+        Names.check("ServiceName", value);
+    }
+
+    /**
+     * Returns the value type of a name.
+     *
+     * @throws IllegalArgumentException if the name is malformed
+     */
+    public static ServiceName of(String value) {
+        return new ServiceName(value);
+    }
+
+    @Override
+    public int compareTo(ServiceName other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/tarragonarch-model/src/main/java/org/tarragonarch/model/id/SubmissionId.java
@@ -0,0 +1,41 @@
+package org.tarragonarch.model.id;
+
+import static com.google.common.base.Preconditions.checkArgument;
+import static com.google.common.base.Preconditions.checkNotNull;
+
+/**
+ * Identifies one submission: a request or a job that arrived at one run of one node.
+ *
+ * <p>The incarnation is part of the id, so an answer for an earlier run of a node never matches a submission of this
+ * run.
+ *
+ * @param node the node that owns the submission
+ * @param incarnation the run of that node
+ * @param sequence the submission's number within the run
+ */
+public record SubmissionId(NodeId node, Incarnation incarnation, long sequence) {
+    /** Checks the parts. */
+    public SubmissionId {
+        checkNotNull(node, "node");
+        checkNotNull(incarnation, "incarnation");
+        checkArgument(sequence >= 0, "sequence %s is negative", sequence);
+    }
+
+    /**
+     * Reads the text form back.
+     *
+     * @throws IllegalArgumentException if the text is not an id
+     */
+    public static SubmissionId parse(String text) {
+        String[] parts = text.split("_", -1);
+        checkArgument(parts.length == 3, "'%s' is not a submission id", text);
+        return new SubmissionId(
+                NodeId.of(parts[0]), Incarnation.of(Long.parseLong(parts[1])), Long.parseLong(parts[2]));
+    }
+
+    /** Returns the text form, {@code node_incarnation_sequence}. */
+    @Override
+    public String toString() {
+        return node + "_" + incarnation + "_" + sequence;
+    }
+}
--- /dev/null
+++ b/tarragonarch-model/src/main/java/org/tarragonarch/model/id/TaskId.java
@@ -0,0 +1,35 @@
+package org.tarragonarch.model.id;
+
+import static com.google.common.base.Preconditions.checkArgument;
+import static com.google.common.base.Preconditions.checkNotNull;
+
+/**
+ * Identifies one task of a submission.
+ *
+ * @param submission the submission that the task belongs to
+ * @param index the task's place in the submission, from 0
+ */
+public record TaskId(SubmissionId submission, int index) {
+    /** Checks the parts. */
+    public TaskId {
+        checkNotNull(submission, "submission");
+        checkArgument(index >= 0, "index %s is negative", index);
+    }
+
+    /**
+     * Reads the text form back.
+     *
+     * @throws IllegalArgumentException if the text is not an id
+     */
+    public static TaskId parse(String text) {
+        int end = text.lastIndexOf('_');
+        checkArgument(end > 0, "'%s' is not a task id", text);
+        return new TaskId(SubmissionId.parse(text.substring(0, end)), Integer.parseInt(text.substring(end + 1)));
+    }
+
+    /** Returns the text form, {@code node_incarnation_sequence_index}. */
+    @Override
+    public String toString() {
+        return submission + "_" + index;
+    }
+}
--- /dev/null
+++ b/tarragonarch-model/src/main/java/org/tarragonarch/model/id/package-info.java
@@ -0,0 +1,2 @@
+/** Value types for the names and numbers by which things are known. */
+package org.tarragonarch.model.id;
--- /dev/null
+++ b/tarragonarch-model/src/main/java/org/tarragonarch/model/report/PeerReport.java
@@ -0,0 +1,51 @@
+package org.tarragonarch.model.report;
+
+import static com.google.common.base.Preconditions.checkArgument;
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import org.tarragonarch.model.id.ConfigurationVersion;
+import org.tarragonarch.model.id.EndpointId;
+import org.tarragonarch.model.id.FailureDomain;
+import org.tarragonarch.model.id.Incarnation;
+import org.tarragonarch.model.id.NodeId;
+
+/**
+ * The one periodic message from node to node; it doubles as a heartbeat.
+ *
+ * @param from the reporting node
+ * @param incarnation the run of that node
+ * @param sequence the report's number within the run, so that one that arrives late is dropped
+ * @param domain where the node stands
+ * @param phase how far the node is on its way
+ * @param configuration the version in force on the node
+ * @param loads in-flight counts; only those that changed since the last report unless {@code full}
+ * @param full whether endpoints missing from {@code loads} have nothing in flight
+ * @param leaving endpoints that the node knows to be leaving
+ * @param quarantined endpoints that the node has put in quarantine
+ */
+public record PeerReport(
+        NodeId from,
+        Incarnation incarnation,
+        long sequence,
+        FailureDomain domain,
+        NodePhase phase,
+        ConfigurationVersion configuration,
+        ImmutableList<EndpointLoad> loads,
+        boolean full,
+        ImmutableSet<EndpointId> leaving,
+        ImmutableSet<EndpointId> quarantined) {
+    /** Checks the parts. */
+    public PeerReport {
+        checkNotNull(from, "from");
+        checkNotNull(incarnation, "incarnation");
+        checkArgument(sequence >= 0, "sequence %s is negative", sequence);
+        checkNotNull(domain, "domain");
+        checkNotNull(phase, "phase");
+        checkNotNull(configuration, "configuration");
+        checkNotNull(loads, "loads");
+        checkNotNull(leaving, "leaving");
+        checkNotNull(quarantined, "quarantined");
+    }
+}
--- /dev/null
+++ b/tarragonarch-model/src/main/java/org/tarragonarch/model/report/package-info.java
@@ -0,0 +1,2 @@
+/** What entry nodes tell each other. */
+package org.tarragonarch.model.report;
--- /dev/null
+++ b/tarragonarch-model/src/main/java/org/tarragonarch/model/service/CallerDefinition.java
@@ -0,0 +1,23 @@
+package org.tarragonarch.model.service;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import org.tarragonarch.model.id.CallerName;
+import org.tarragonarch.model.id.ContentDigest;
+import org.tarragonarch.model.id.TeamName;
+
+/**
+ * A caller that may use services.
+ *
+ * @param name the caller's name
+ * @param team the team whose quota its work counts against
+ * @param tokenDigest the SHA-256 digest of the caller's token; the token itself is nowhere kept
+ */
+public record CallerDefinition(CallerName name, TeamName team, ContentDigest tokenDigest) {
+    /** Checks the parts. */
+    public CallerDefinition {
+        checkNotNull(name, "name");
+        checkNotNull(team, "team");
+        checkNotNull(tokenDigest, "tokenDigest");
+    }
+}
--- /dev/null
+++ b/tarragonarch-model/src/main/java/org/tarragonarch/model/service/Favour.java
@@ -0,0 +1,46 @@
+package org.tarragonarch.model.service;
+
+/** The measure that a service favours where response time and messages pull apart. */
+public enum Favour {
+    /** Callers wait at a page: spend messages to answer sooner. */
+    RESPONSE_TIME("response-time") {
+        @Override
+        public boolean stopsStartedTasks() {
+            return true;
+        }
+
+        @Override
+        public int refusedSendsBeforeWaiting() {
+            return 2;
+        }
+    },
+    /** Every message costs capacity: wait rather than send one that may be refused. */
+    FEW_MESSAGES("few-messages") {
+        @Override
+        public boolean stopsStartedTasks() {
+            return false;
+        }
+
+        @Override
+        public int refusedSendsBeforeWaiting() {
+            return 1;
+        }
+    };
+
+    private final String word;
+
+    Favour(String word) {
+        this.word = word;
+    }
+
+    /** Returns the word that stands for this in settings. */
+    public String word() {
+        return word;
+    }
+
+    /** Returns whether a started task of a cancelled submission is worth a stop message. */
+    public abstract boolean stopsStartedTasks();
+
+    /** Returns how many busy refusals in a row a task may meet before it waits for a slot known to be free. */
+    public abstract int refusedSendsBeforeWaiting();
+}
--- /dev/null
+++ b/tarragonarch-model/src/main/java/org/tarragonarch/model/service/ServiceCatalog.java
@@ -0,0 +1,55 @@
+package org.tarragonarch.model.service;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import com.google.common.collect.ImmutableMap;
+import java.util.Optional;
+import org.tarragonarch.model.id.CallerName;
+import org.tarragonarch.model.id.ConfigurationVersion;
+import org.tarragonarch.model.id.ContentDigest;
+import org.tarragonarch.model.id.OperatorName;
+import org.tarragonarch.model.id.ServiceName;
+import org.tarragonarch.model.id.TeamName;
+
+/**
+ * One accepted configuration, whole and immutable.
+ *
+ * @param version the number under which it was accepted
+ * @param digest the digest of its canonical text
+ * @param services the services by name
+ * @param teams the teams by name
+ * @param callers the callers by name
+ * @param operators the operators by name
+ */
+public record ServiceCatalog(
+        ConfigurationVersion version,
+        ContentDigest digest,
+        ImmutableMap<ServiceName, ServiceDefinition> services,
+        ImmutableMap<TeamName, TeamDefinition> teams,
+        ImmutableMap<CallerName, CallerDefinition> callers,
+        ImmutableMap<OperatorName, OperatorDefinition> operators) {
+    /** Checks the parts. */
+    public ServiceCatalog {
+        checkNotNull(version, "version");
+        checkNotNull(digest, "digest");
+        checkNotNull(services, "services");
+        checkNotNull(teams, "teams");
+        checkNotNull(callers, "callers");
+        checkNotNull(operators, "operators");
+    }
+
+    /** Returns the service with this name, if there is one. */
+    public Optional<ServiceDefinition> service(ServiceName name) {
+        return Optional.ofNullable(services.get(name));
+    }
+
+    /** Returns the caller with this name, if there is one. */
+    public Optional<CallerDefinition> caller(CallerName name) {
+        return Optional.ofNullable(callers.get(name));
+    }
+
+    /** Returns the team with this name, if there is one. */
+    public Optional<TeamDefinition> team(TeamName name) {
+        return Optional.ofNullable(teams.get(name));
+    }
+}
--- /dev/null
+++ b/tarragonarch-platform/src/main/java/org/tarragonarch/platform/package-info.java
@@ -0,0 +1,2 @@
+/** The platform module. */
+package org.tarragonarch.platform;
--- /dev/null
+++ b/tarragonarch-settings/src/main/java/org/tarragonarch/settings/package-info.java
@@ -0,0 +1,2 @@
+/** The settings module. */
+package org.tarragonarch.settings;
--- /dev/null
+++ b/tarragonarch-standin/src/main/java/org/tarragonarch/standin/package-info.java
@@ -0,0 +1,2 @@
+/** The standin module. */
+package org.tarragonarch.standin;
--- /dev/null
+++ b/tarragonarch-wire/src/main/java/org/tarragonarch/wire/package-info.java
@@ -0,0 +1,2 @@
+/** The wire module. */
+package org.tarragonarch.wire;
