--- /dev/null
+++ b/tarragonarch-platform/src/main/java/org/tarragonarch/platform/VmListService.java
@@ -0,0 +1,14 @@
+package org.tarragonarch.platform;
+
+import com.google.common.collect.ImmutableList;
+import org.tarragonarch.model.platform.VmRecord;
+
+/** The platform's list of live and leaving VMs, which lags behind reality. */
+public interface VmListService {
+    /**
+     * Reads the whole list; blocks for at most the client's timeout.
+     *
+     * @throws PlatformException if the list cannot be had
+     */
+    ImmutableList<VmRecord> list() throws PlatformException;
+}
