Decide the way of a submission in the pure core

Cause: the core was a stub. Now a submission is admitted, its key claimed if its kind is not idempotent, its tasks queued, sent and judged, and its one answer given; expiry, cancel and drain follow the task states.

A task that waits for a retry still counts as maybe-run: without that, a retry that met its deadline in the queue would have been answered not-run, falsely.

--- /dev/null
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/admission/AdmissionControl.java
@@ -0,0 +1,155 @@
+package org.tarragonarch.core.admission;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import com.google.common.math.LongMath;
+import java.math.RoundingMode;
+import java.time.Duration;
+import java.util.Optional;
+import org.tarragonarch.core.endpoint.EndpointDirectory;
+import org.tarragonarch.core.event.SubmissionArrived;
+import org.tarragonarch.core.event.TaskShape;
+import org.tarragonarch.core.queue.JobQueue;
+import org.tarragonarch.core.runtime.RunTimeEstimator;
+import org.tarragonarch.core.submission.ComeBack;
+import org.tarragonarch.core.submission.Dispatcher;
+import org.tarragonarch.core.submission.Submission;
+import org.tarragonarch.model.id.ServiceName;
+import org.tarragonarch.model.id.SubmissionId;
+import org.tarragonarch.model.outcome.Problem;
+import org.tarragonarch.model.outcome.ProblemCode;
+import org.tarragonarch.model.outcome.Step;
+import org.tarragonarch.model.report.NodePhase;
+import org.tarragonarch.model.service.CallerDefinition;
+import org.tarragonarch.model.service.KindDefinition;
+import org.tarragonarch.model.service.ServiceCatalog;
+import org.tarragonarch.model.service.ServiceDefinition;
+import org.tarragonarch.model.service.TeamDefinition;
+
+/**
+ * Decides at the door whether a submission is taken, so that what can never run, or not in time, is refused at once.
+ *
+ * <p>Not safe for use by several threads. A decision takes time linear in the submission's tasks.
+ */
+public final class AdmissionControl {
+    private static final String CALLER = "caller";
+
+    private final Dispatcher dispatcher;
+    private final EndpointDirectory endpoints;
+    private final RunTimeEstimator runTimes;
+
+    private AdmissionControl(Dispatcher dispatcher, EndpointDirectory endpoints, RunTimeEstimator runTimes) {
+        this.dispatcher = checkNotNull(dispatcher, "dispatcher");
+        this.endpoints = checkNotNull(endpoints, "endpoints");
+        this.runTimes = checkNotNull(runTimes, "runTimes");
+    }
+
+    /** Returns an admission control that looks at the load of this dispatcher. */
+    public static AdmissionControl create(
+            Dispatcher dispatcher, EndpointDirectory endpoints, RunTimeEstimator runTimes) {
+        return new AdmissionControl(dispatcher, endpoints, runTimes);
+    }
+
+    /** Decides upon one submission. */
+    public AdmissionDecision decide(
+            SubmissionArrived arrived, NodePhase phase, Optional<ServiceCatalog> inForce, long nowNanos) {
+        if (inForce.isEmpty()) {
+            return refuseForNow(ProblemCode.NOT_READY, "this node has no configuration yet");
+        }
+        if (!phase.takesWork()) {
+            ProblemCode code = phase == NodePhase.STARTING ? ProblemCode.NOT_READY : ProblemCode.DRAINING;
+            return refuseForNow(code, "this node is " + phase.word());
+        }
+        ServiceCatalog catalog = inForce.get();
+        Optional<ServiceDefinition> service = catalog.service(arrived.service());
+        if (service.isEmpty()) {
+            return refuse(ProblemCode.UNKNOWN_SERVICE, "there is no service " + arrived.service());
+        }
+        Optional<CallerDefinition> caller = catalog.caller(arrived.caller())
+                .filter(known -> service.get().callers().contains(known.name()));
+        if (caller.isEmpty()) {
+            return refuse(ProblemCode.FORBIDDEN, arrived.caller() + " may not call " + arrived.service());
+        }
+        Optional<KindDefinition> kind = service.get().kind(arrived.kind());
+        if (kind.isEmpty()) {
+            return refuse(ProblemCode.UNKNOWN_KIND, arrived.service() + " accepts no kind " + arrived.kind());
+        }
+        TeamDefinition team = catalog.team(caller.get().team()).orElseThrow();
+        Submission submission = Submission.create(arrived, service.get(), kind.get(), team, nowNanos);
+        return checkLimits(submission).<AdmissionDecision>map(Refused::new).orElseGet(() -> checkLoad(submission));
+    }
+
+    private Optional<Problem> checkLimits(Submission submission) {
+        KindDefinition kind = submission.kind();
+        int tasks = submission.arrived().tasks().size();
+        if (tasks > kind.maxTasks()) {
+            return overLimit(tasks + " tasks are over max-tasks " + kind.maxTasks() + " of kind " + kind.name());
+        }
+        int queueBound = submission.service().maxQueuedTasks();
+        if (tasks > queueBound) {
+            return overLimit(tasks + " tasks are over max-queued-tasks " + queueBound + " and could never wait");
+        }
+        for (TaskShape task : submission.arrived().tasks()) {
+            if (task.bodyBytes() > kind.maxBodyBytes()) {
+                return overLimit("a task of " + task.bodyBytes() + " bytes is over max-body-bytes "
+                        + kind.maxBodyBytes() + " of kind " + kind.name());
+            }
+        }
+        return Optional.empty();
+    }
+
+    private static Optional<Problem> overLimit(String detail) {
+        return Optional.of(Problem.of(ProblemCode.OVER_LIMIT, Step.ADMIT, CALLER, detail));
+    }
+
+    private AdmissionDecision checkLoad(Submission submission) {
+        ServiceName service = submission.service().name();
+        if (!endpoints.usable(service)) {
+            return refuseForNow(ProblemCode.NO_ENDPOINT, "no endpoint of " + service + " can be reached");
+        }
+        if (queueFull(submission)) {
+            return refuseUntilDrained(submission, ProblemCode.QUEUE_FULL, "the queue of " + service + " is full");
+        }
+        if (wouldMissDeadline(submission)) {
+            return refuseUntilDrained(
+                    submission, ProblemCode.WOULD_MISS_DEADLINE, "the wait for a slot would pass the deadline");
+        }
+        return new Admitted(submission);
+    }
+
+    private boolean queueFull(Submission submission) {
+        JobQueue<SubmissionId> queue =
+                dispatcher.lane(submission.service().name()).queue();
+        int bound = submission.service().maxQueuedTasks();
+        return queue.queuedTasks() + submission.arrived().tasks().size() > bound;
+    }
+
+    // Estimates are often wrong before anything was learnt; with an empty queue the submission is the way to learn.
+    private boolean wouldMissDeadline(Submission submission) {
+        ServiceName service = submission.service().name();
+        Duration wait = dispatcher.expectedWait(service, submission.team());
+        if (wait.isZero()) {
+            return false;
+        }
+        int slots = Math.max(1, endpoints.slots(service));
+        long rounds = LongMath.divide(submission.arrived().tasks().size(), slots, RoundingMode.CEILING);
+        long runNanos = runTimes.expectedNanos(
+                service, submission.kind().name(), submission.kind().expectedRunTime());
+        long needed = wait.toNanos() + rounds * runNanos;
+        return needed > submission.deadlineNanos() - submission.arrivedNanos();
+    }
+
+    private Refused refuseUntilDrained(Submission submission, ProblemCode code, String detail) {
+        Duration wait = dispatcher.comeBackAfter(submission.service().name(), submission.team());
+        return new Refused(Problem.of(code, Step.ADMIT, CALLER, detail).withRetryAfter(wait));
+    }
+
+    private static Refused refuseForNow(ProblemCode code, String detail) {
+        return new Refused(
+                Problem.of(code, Step.ADMIT, CALLER, detail).withRetryAfter(ComeBack.within(Duration.ofSeconds(1))));
+    }
+
+    private static Refused refuse(ProblemCode code, String detail) {
+        return new Refused(Problem.of(code, Step.ADMIT, CALLER, detail));
+    }
+}
--- /dev/null
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/claim/KeyBook.java
@@ -0,0 +1,350 @@
+package org.tarragonarch.core.claim;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import com.google.common.collect.ImmutableList;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.tarragonarch.core.action.ActionSink;
+import org.tarragonarch.core.action.AskPeerAnswer;
+import org.tarragonarch.core.action.ForgetAnswer;
+import org.tarragonarch.core.action.GivePeerAnswer;
+import org.tarragonarch.core.action.Note;
+import org.tarragonarch.core.action.NoteEvent;
+import org.tarragonarch.core.action.ReleaseClaim;
+import org.tarragonarch.core.event.ClaimResult;
+import org.tarragonarch.core.event.PeerAnswer;
+import org.tarragonarch.core.event.PeerAnswerArrived;
+import org.tarragonarch.core.event.PeerAnswerAsked;
+import org.tarragonarch.core.node.NodeIdentity;
+import org.tarragonarch.core.node.NodePolicy;
+import org.tarragonarch.core.submission.ComeBack;
+import org.tarragonarch.core.submission.Dispatcher;
+import org.tarragonarch.core.submission.EndListener;
+import org.tarragonarch.core.submission.Stage;
+import org.tarragonarch.core.submission.Submission;
+import org.tarragonarch.model.id.ClaimKey;
+import org.tarragonarch.model.id.ClaimToken;
+import org.tarragonarch.model.id.NodeId;
+import org.tarragonarch.model.outcome.Problem;
+import org.tarragonarch.model.outcome.ProblemCode;
+import org.tarragonarch.model.outcome.Step;
+import org.tarragonarch.model.platform.Claim;
+
+/**
+ * Sees to it that submissions under one key run at most once between them.
+ *
+ * <p>On one node, a second submission joins the first or gets its answer again. Between nodes, a claim in the table
+ * service decides before the first task starts; the loser asks the winner for its answer. A kind declared idempotent
+ * needs no claim: running it on two nodes does no harm, and so it lives through an outage of the store. Not safe for
+ * use by several threads.
+ */
+public final class KeyBook implements EndListener {
+    private static final String TABLE_SERVICE = "table service";
+    /** How many released claims are remembered while their deletion may still be on its way. */
+    private static final int MAX_RELEASED = 10_000;
+
+    private final NodeIdentity self;
+    private final Duration claimTimeout;
+    private final Map<ClaimKey, KeyEntry> entries = new HashMap<>();
+    private final Deque<Submission> claiming = new ArrayDeque<>();
+    private final Map<NodeId, Set<Submission>> asking = new HashMap<>();
+    private final Set<ClaimToken> released = new LinkedHashSet<>();
+    private final ClaimBatcher batcher = new ClaimBatcher();
+    private final KeptAnswers kept;
+    private Dispatcher dispatcher;
+
+    private KeyBook(NodeIdentity self, NodePolicy policy) {
+        this.self = checkNotNull(self, "self");
+        this.claimTimeout = policy.claimTimeout();
+        this.kept = new KeptAnswers(policy.keptAnswer().toNanos(), policy.maxKeptAnswers());
+    }
+
+    /** Returns a book without keys; {@link #connect} must follow. */
+    public static KeyBook create(NodeIdentity self, NodePolicy policy) {
+        return new KeyBook(self, policy);
+    }
+
+    /** Connects the dispatcher, which in turn reports ends to this book. */
+    public void connect(Dispatcher connected) {
+        dispatcher = connected;
+    }
+
+    /** Sets how many nodes write claims to the same table service. */
+    public void writers(int count) {
+        batcher.writers(count);
+    }
+
+    /** Takes in a submission with a key, which was taken and has no answer yet. */
+    public void arrived(Submission submission, long nowNanos, ActionSink sink) {
+        ClaimKey key = submission.claimKey().orElseThrow();
+        KeyEntry entry = entries.get(key);
+        if (entry == null || (entry.answered() && entry.notRun())) {
+            begin(key, submission, nowNanos, sink);
+        } else if (!entry.claim().content().equals(submission.arrived().content())) {
+            dispatcher.end(submission, Optional.of(keyReused(key)), nowNanos, sink);
+        } else if (!entry.answered()) {
+            submission.stage(Stage.JOINED);
+            entry.joined().add(submission);
+        } else {
+            answerLike(entry, submission, nowNanos, sink);
+        }
+    }
+
+    /** Returns whether other submissions wait for the answer of this one. */
+    public boolean awaited(Submission submission) {
+        KeyEntry entry = submission.claimKey().map(entries::get).orElse(null);
+        return entry != null
+                && entry.holder() == submission
+                && !(entry.joined().isEmpty() && entry.questions().isEmpty());
+    }
+
+    @Override
+    public void ended(Submission submission, Optional<Problem> problem, long nowNanos, ActionSink sink) {
+        asking.values().forEach(waiting -> waiting.remove(submission));
+        KeyEntry entry = submission.claimKey().map(entries::get).orElse(null);
+        if (entry == null || entry.holder() != submission) {
+            return;
+        }
+        entry.answer(problem);
+        if (entry.notRun() && entry.claimAsked() && !batcher.withdraw(entry.claim())) {
+            // The caller may send it again, to any node: the claim must not stand in the way.
+            release(entry.claim(), sink);
+        }
+        kept.keep(entry, nowNanos);
+        ImmutableList.copyOf(entry.joined()).forEach(joined -> answerLike(entry, joined, nowNanos, sink));
+        entry.questions().forEach(question -> give(question, entry, sink));
+        entry.joined().clear();
+        entry.questions().clear();
+    }
+
+    /** Takes in what became of a batch of claims, written or read back. */
+    public void settled(long batch, ImmutableList<ClaimResult> results, long nowNanos, ActionSink sink) {
+        if (batcher.settled(batch).isPresent()) {
+            results.forEach(result -> settle(result, nowNanos, sink));
+        }
+    }
+
+    /** Takes in that a batch of claims had no reply. */
+    public void uncertain(long batch, boolean mayHaveApplied, long nowNanos, ActionSink sink) {
+        for (Claim unwritten : batcher.uncertain(batch, mayHaveApplied, nowNanos, sink)) {
+            claimant(unwritten).ifPresent(submission -> unavailable(submission, nowNanos, sink));
+        }
+    }
+
+    /** Takes in a peer's question for the answer under a key. */
+    public void asked(PeerAnswerAsked asked, ActionSink sink) {
+        PeerQuestion question = new PeerQuestion(asked.peer(), asked.question());
+        KeyEntry entry = entries.get(asked.key());
+        if (entry == null) {
+            sink.emit(new GivePeerAnswer(
+                    asked.peer(), asked.question(), PeerAnswer.NOT_TO_BE_HAD, Optional.empty(), Optional.empty()));
+        } else if (entry.answered()) {
+            give(question, entry, sink);
+        } else {
+            entry.questions().add(question);
+        }
+    }
+
+    /** Takes in the answer of the node that holds a key. */
+    public void peerAnswered(Submission waiting, PeerAnswerArrived arrived, long nowNanos, ActionSink sink) {
+        if (waiting.stage() != Stage.ASKING_HOLDER) {
+            return;
+        }
+        switch (arrived.outcome()) {
+            case COMPLETE -> dispatcher.endFromPeer(waiting, nowNanos, sink);
+            case PROBLEM -> dispatcher.end(waiting, arrived.problem(), nowNanos, sink);
+            case NOT_TO_BE_HAD -> heldElsewhere(waiting, "the node that holds the key gives no answer", nowNanos, sink);
+            default -> throw new AssertionError(arrived.outcome());
+        }
+    }
+
+    /**
+     * Gives up on answers from a node that fell silent.
+     *
+     * <p>A frozen holder keeps its connections open, so nothing else would tell its askers before their deadlines.
+     */
+    public void silent(NodeId holder, long nowNanos, ActionSink sink) {
+        Set<Submission> waiting = asking.getOrDefault(holder, Set.of());
+        for (Submission submission : ImmutableList.copyOf(waiting)) {
+            heldElsewhere(submission, "the node that holds the key fell silent", nowNanos, sink);
+        }
+    }
+
+    /** Writes the claims that wait, gives up on those that took too long, and forgets old answers. */
+    public void timePassed(long nowNanos, ActionSink sink) {
+        while (!claiming.isEmpty() && claimOver(claiming.peek(), nowNanos)) {
+            Submission oldest = claiming.remove();
+            if (oldest.stage() == Stage.CLAIMING) {
+                unavailable(oldest, nowNanos, sink);
+            }
+        }
+        batcher.timePassed(nowNanos, sink);
+        Optional<KeyEntry> old = kept.forget(nowNanos);
+        while (old.isPresent()) {
+            forget(old.get(), sink);
+            old = kept.forget(nowNanos);
+        }
+    }
+
+    /** Returns when {@link #timePassed} is next due. */
+    public long nextWakeNanos() {
+        long claimEnd = claiming.isEmpty() ? Long.MAX_VALUE : claiming.peek().arrivedNanos() + claimTimeout.toNanos();
+        return Math.min(claimEnd, Math.min(batcher.nextWakeNanos(), kept.nextWakeNanos()));
+    }
+
+    private boolean claimOver(Submission submission, long nowNanos) {
+        return submission.stage() != Stage.CLAIMING || submission.arrivedNanos() + claimTimeout.toNanos() <= nowNanos;
+    }
+
+    private void begin(ClaimKey key, Submission submission, long nowNanos, ActionSink sink) {
+        ClaimToken token = new ClaimToken(submission.id().toString());
+        Claim claim = new Claim(
+                key,
+                token,
+                self.node(),
+                self.incarnation(),
+                submission.arrived().content());
+        KeyEntry entry = new KeyEntry(submission, claim);
+        entries.put(key, entry);
+        if (submission.kind().idempotent()) {
+            dispatcher.dispatch(submission);
+            return;
+        }
+        submission.stage(Stage.CLAIMING);
+        if (batcher.storeOut()) {
+            unavailable(submission, nowNanos, sink);
+            return;
+        }
+        claiming.add(submission);
+        entry.askClaim();
+        batcher.add(claim);
+        batcher.timePassed(nowNanos, sink);
+    }
+
+    private void settle(ClaimResult result, long nowNanos, ActionSink sink) {
+        Optional<Submission> claimant = claimant(result.wanted());
+        if (claimant.isEmpty()) {
+            if (result.won()) {
+                // The submission ended while its claim was being written: nothing ran, so the key goes free again.
+                release(result.wanted(), sink);
+            }
+            return;
+        }
+        Submission submission = claimant.get();
+        if (result.won()) {
+            dispatcher.dispatch(submission);
+        } else if (result.standing().isEmpty()) {
+            unavailable(submission, nowNanos, sink);
+        } else {
+            lost(submission, result.wanted(), result.standing().get(), nowNanos, sink);
+        }
+    }
+
+    private void lost(Submission submission, Claim wanted, Claim standing, long nowNanos, ActionSink sink) {
+        if (released.contains(standing.token())) {
+            // An earlier submission of this run ended not-run and its claim's deletion is still on its way.
+            release(standing, sink);
+            batcher.add(wanted);
+            return;
+        }
+        sink.emit(Note.of(NoteEvent.CLAIM_LOST, Step.CLAIM, standing.node().value(), "key", wanted.key()));
+        if (!standing.content().equals(wanted.content())) {
+            dispatcher.end(submission, Optional.of(keyReused(wanted.key())), nowNanos, sink);
+        } else if (standing.node().equals(self.node())) {
+            heldElsewhere(submission, "an earlier run of this node held the key", nowNanos, sink);
+        } else {
+            askHolder(submission, wanted.key(), standing.node(), sink);
+        }
+    }
+
+    private void askHolder(Submission submission, ClaimKey key, NodeId holder, ActionSink sink) {
+        KeyEntry entry = entries.remove(key);
+        ask(submission, key, holder, sink);
+        entry.joined().forEach(joined -> ask(joined, key, holder, sink));
+        for (PeerQuestion question : entry.questions()) {
+            sink.emit(new GivePeerAnswer(
+                    question.peer(),
+                    question.question(),
+                    PeerAnswer.NOT_TO_BE_HAD,
+                    Optional.empty(),
+                    Optional.empty()));
+        }
+    }
+
+    private void ask(Submission submission, ClaimKey key, NodeId holder, ActionSink sink) {
+        submission.stage(Stage.ASKING_HOLDER);
+        asking.computeIfAbsent(holder, node -> new LinkedHashSet<>()).add(submission);
+        sink.emit(new AskPeerAnswer(holder, submission.id(), key));
+    }
+
+    // The submission that wants this claim, if it still waits for it.
+    private Optional<Submission> claimant(Claim claim) {
+        return Optional.ofNullable(entries.get(claim.key()))
+                .filter(entry -> entry.claim().token().equals(claim.token()) && !entry.answered())
+                .map(KeyEntry::holder)
+                .filter(holder -> holder.stage() == Stage.CLAIMING);
+    }
+
+    private void answerLike(KeyEntry entry, Submission submission, long nowNanos, ActionSink sink) {
+        if (entry.complete()) {
+            dispatcher.endSameAs(submission, entry.holder().id(), nowNanos, sink);
+        } else {
+            dispatcher.end(submission, entry.problem(), nowNanos, sink);
+        }
+    }
+
+    private static void give(PeerQuestion question, KeyEntry entry, ActionSink sink) {
+        PeerAnswer answer = entry.complete() ? PeerAnswer.COMPLETE : PeerAnswer.PROBLEM;
+        sink.emit(new GivePeerAnswer(
+                question.peer(),
+                question.question(),
+                answer,
+                entry.complete() ? Optional.of(entry.holder().id()) : Optional.empty(),
+                entry.problem()));
+    }
+
+    private void release(Claim claim, ActionSink sink) {
+        released.add(claim.token());
+        if (released.size() > MAX_RELEASED) {
+            released.remove(released.iterator().next());
+        }
+        sink.emit(new ReleaseClaim(claim));
+    }
+
+    private void forget(KeyEntry entry, ActionSink sink) {
+        entries.remove(entry.claim().key(), entry);
+        if (entry.complete()) {
+            sink.emit(new ForgetAnswer(entry.holder().id()));
+        }
+    }
+
+    private void unavailable(Submission submission, long nowNanos, ActionSink sink) {
+        Problem problem = Problem.of(
+                        ProblemCode.CLAIM_UNAVAILABLE,
+                        Step.CLAIM,
+                        TABLE_SERVICE,
+                        "the idempotency key could not be claimed")
+                .withRetryAfter(ComeBack.within(claimTimeout));
+        dispatcher.end(submission, Optional.of(problem), nowNanos, sink);
+    }
+
+    private void heldElsewhere(Submission submission, String detail, long nowNanos, ActionSink sink) {
+        Problem problem = Problem.of(ProblemCode.HELD_ELSEWHERE, Step.CLAIM, TABLE_SERVICE, detail);
+        dispatcher.end(submission, Optional.of(problem), nowNanos, sink);
+    }
+
+    private static Problem keyReused(ClaimKey key) {
+        return Problem.of(
+                ProblemCode.KEY_REUSED,
+                Step.CLAIM,
+                "caller",
+                "the idempotency key " + key.key() + " came before with other content");
+    }
+}
--- /dev/null
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/submission/Dispatcher.java
@@ -0,0 +1,365 @@
+package org.tarragonarch.core.submission;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.tarragonarch.core.action.Action;
+import org.tarragonarch.core.action.ActionSink;
+import org.tarragonarch.core.action.AnswerComplete;
+import org.tarragonarch.core.action.AnswerFromPeer;
+import org.tarragonarch.core.action.AnswerProblem;
+import org.tarragonarch.core.action.AnswerSameAs;
+import org.tarragonarch.core.action.Note;
+import org.tarragonarch.core.action.NoteEvent;
+import org.tarragonarch.core.action.SendTask;
+import org.tarragonarch.core.action.StopTask;
+import org.tarragonarch.core.endpoint.Endpoint;
+import org.tarragonarch.core.endpoint.EndpointDirectory;
+import org.tarragonarch.core.event.SendResult;
+import org.tarragonarch.core.event.TaskEnded;
+import org.tarragonarch.core.quota.TeamQuotas;
+import org.tarragonarch.core.runtime.RunTimeEstimator;
+import org.tarragonarch.core.status.QueueStatus;
+import org.tarragonarch.model.id.ServiceName;
+import org.tarragonarch.model.id.SubmissionId;
+import org.tarragonarch.model.id.TaskId;
+import org.tarragonarch.model.outcome.Problem;
+import org.tarragonarch.model.outcome.ProblemCode;
+import org.tarragonarch.model.outcome.Step;
+import org.tarragonarch.model.service.TeamDefinition;
+
+/**
+ * Starts waiting tasks, takes in their ends, and gives every submission its one answer.
+ *
+ * <p>This is where a task's start is decided, and the only place that says not-run of a submission that was taken: it
+ * says so from the task states alone. Not safe for use by several threads.
+ */
+public final class Dispatcher {
+    /** A stop message is sent only if a task is expected to run at least this much longer. */
+    private static final long WORTH_STOPPING_NANOS = Duration.ofMillis(50).toNanos();
+
+    private final SubmissionTable submissions;
+    private final EndpointDirectory endpoints;
+    private final TeamQuotas quotas;
+    private final RunTimeEstimator runTimes;
+    private final EndListener endListener;
+    private final Map<ServiceName, ServiceLane> lanes = new HashMap<>();
+    private final Map<TaskId, InFlightTask> inFlight = new HashMap<>();
+    private final Set<ServiceName> changed = new LinkedHashSet<>();
+    private final RetryBudget retryBudget = new RetryBudget();
+    private int sharers = 1;
+
+    private Dispatcher(
+            SubmissionTable submissions,
+            EndpointDirectory endpoints,
+            TeamQuotas quotas,
+            RunTimeEstimator runTimes,
+            EndListener endListener) {
+        this.submissions = submissions;
+        this.endpoints = endpoints;
+        this.quotas = quotas;
+        this.runTimes = runTimes;
+        this.endListener = endListener;
+    }
+
+    /** Returns a dispatcher with nothing waiting. */
+    public static Dispatcher create(
+            SubmissionTable submissions,
+            EndpointDirectory endpoints,
+            TeamQuotas quotas,
+            RunTimeEstimator runTimes,
+            EndListener endListener) {
+        return new Dispatcher(submissions, endpoints, quotas, runTimes, endListener);
+    }
+
+    /** Returns the lane of a service. */
+    public ServiceLane lane(ServiceName service) {
+        return lanes.computeIfAbsent(service, ServiceLane::new);
+    }
+
+    /** Sets among how many nodes of the failure domain a service's running tasks are shared. */
+    public void sharers(int count) {
+        sharers = Math.max(1, count);
+    }
+
+    /** Queues every task of a submission. */
+    public void dispatch(Submission submission) {
+        submission.stage(Stage.DISPATCHED);
+        queue(submission, submission.tasks().size());
+    }
+
+    /** Marks every service for another look, because endpoints or shares may have changed. */
+    public void everythingChanged() {
+        changed.addAll(lanes.keySet());
+    }
+
+    /** Starts waiting tasks of the services marked for a look, as far as slots and quotas go. */
+    public void startWaiting(long nowNanos, ActionSink sink) {
+        for (ServiceName service : ImmutableList.copyOf(changed)) {
+            ServiceLane lane = lane(service);
+            while (startNext(lane, nowNanos, sink)) {
+                // Each round starts one task.
+            }
+        }
+        changed.clear();
+    }
+
+    /** Takes in the end of a sent task. */
+    public void taskEnded(TaskEnded ended, long nowNanos, ActionSink sink) {
+        InFlightTask flight = inFlight.get(ended.task());
+        if (flight == null || flight.attempt() != ended.attempt()) {
+            // A second or late end must not touch the task: its answer may be another attempt's.
+            sink.emit(Note.of(
+                    NoteEvent.LATE_ANSWER_DROPPED,
+                    Step.COLLECT,
+                    ended.endpoint().value(),
+                    "task",
+                    ended.task()));
+            return;
+        }
+        inFlight.remove(ended.task());
+        release(flight, ended, nowNanos, sink);
+        submissions
+                .find(ended.task().submission())
+                .ifPresent(submission -> judge(submission, ended, flight, nowNanos, sink));
+    }
+
+    /**
+     * Gives a submission its one answer and drops what has not started; one that was answered before is left alone.
+     *
+     * @param problem why it has no results; empty if every task succeeded
+     */
+    public void end(Submission submission, Optional<Problem> problem, long nowNanos, ActionSink sink) {
+        Action answer = problem.<Action>map(why -> new AnswerProblem(submission.id(), why))
+                .orElseGet(() -> new AnswerComplete(submission.id()));
+        close(submission, answer, problem, nowNanos, sink);
+    }
+
+    /** Answers a submission with the complete results of another one of this node under the same key. */
+    public void endSameAs(Submission submission, SubmissionId original, long nowNanos, ActionSink sink) {
+        close(submission, new AnswerSameAs(submission.id(), original), Optional.empty(), nowNanos, sink);
+    }
+
+    /** Answers a submission with the complete results that the holder of its key gave. */
+    public void endFromPeer(Submission submission, long nowNanos, ActionSink sink) {
+        close(submission, new AnswerFromPeer(submission.id()), Optional.empty(), nowNanos, sink);
+    }
+
+    /** Ends every submission whose deadline has passed. */
+    public void expire(long nowNanos, ActionSink sink) {
+        Optional<Submission> expired = submissions.expired(nowNanos);
+        while (expired.isPresent()) {
+            Submission submission = expired.get();
+            ProblemCode code = submission.stage().expired(submission.mayHaveRun());
+            end(submission, Optional.of(giveUp(submission, code, "the deadline passed")), nowNanos, sink);
+            expired = submissions.expired(nowNanos);
+        }
+    }
+
+    /** Returns the problem of a submission that is given up on, with a time to come back where that may help. */
+    public Problem giveUp(Submission submission, ProblemCode code, String detail) {
+        Step step = submission.mayHaveRun() ? Step.RUN : submission.stage().step();
+        Problem problem = Problem.of(code, step, peers(submission), detail);
+        if (!code.worthReturning()) {
+            return problem;
+        }
+        return problem.withRetryAfter(comeBackAfter(submission.service().name(), submission.team()));
+    }
+
+    /** Returns how long a new task of a team would wait for a slot, by what is known of run times. */
+    public Duration expectedWait(ServiceName service, TeamDefinition team) {
+        long slotNanos = lane(service).queue().expectedNanosAhead(team.name(), team.weight());
+        return Duration.ofNanos(slotNanos / Math.max(1, endpoints.slots(service)));
+    }
+
+    /** Returns after how long a team's caller should come back to a service: the present wait, within bounds. */
+    public Duration comeBackAfter(ServiceName service, TeamDefinition team) {
+        return ComeBack.within(expectedWait(service, team));
+    }
+
+    /** Returns how many tasks were sent and have not ended. */
+    public int inFlight() {
+        return inFlight.size();
+    }
+
+    /** Returns a line for each team that waits or runs at a service. */
+    public ImmutableList<QueueStatus> status(ImmutableSet<TeamDefinition> teams) {
+        return lanes.values().stream()
+                .flatMap(lane -> teams.stream().map(team -> lane.status(team.name())))
+                .filter(line -> line.queuedTasks() + line.runningTasks() > 0)
+                .collect(ImmutableList.toImmutableList());
+    }
+
+    private void close(
+            Submission submission, Action answer, Optional<Problem> problem, long nowNanos, ActionSink sink) {
+        if (!submissions.remove(submission)) {
+            return;
+        }
+        lane(submission.service().name()).queue().remove(submission.id());
+        submission.tasks().forEach(task -> dropOrStop(submission, task, nowNanos, sink));
+        changed.add(submission.service().name());
+        sink.emit(answer);
+        endListener.ended(submission, problem, nowNanos, sink);
+    }
+
+    private void queue(Submission submission, int tasks) {
+        ServiceName service = submission.service().name();
+        TeamDefinition team = submission.team();
+        lane(service).queue().add(submission.id(), team.name(), team.weight(), tasks, expectedNanos(submission));
+        changed.add(service);
+    }
+
+    private long expectedNanos(Submission submission) {
+        return runTimes.expectedNanos(
+                submission.service().name(),
+                submission.kind().name(),
+                submission.kind().expectedRunTime());
+    }
+
+    private boolean startNext(ServiceLane lane, long nowNanos, ActionSink sink) {
+        Optional<SubmissionId> next = lane.queue().next(quotas::mayStart);
+        if (next.isEmpty()) {
+            return false;
+        }
+        Submission submission = submissions.find(next.get()).orElseThrow();
+        if (submission.deadlineNanos() <= nowNanos) {
+            // A node that was paused wakes with queued tasks whose time is over; starting one now would run work that
+            // its caller has given up on.
+            end(submission, Optional.of(expiredInQueue(submission)), nowNanos, sink);
+            return true;
+        }
+        if (lane.running() >= shareOf(submission)) {
+            return false;
+        }
+        Task task = submission.nextQueued().orElseThrow();
+        Optional<Endpoint> endpoint = reserve(submission, task, nowNanos);
+        endpoint.ifPresent(reserved -> send(submission, task, reserved, nowNanos, sink));
+        return endpoint.isPresent();
+    }
+
+    private Problem expiredInQueue(Submission submission) {
+        return giveUp(submission, submission.stage().expired(submission.mayHaveRun()), "the deadline passed");
+    }
+
+    private int shareOf(Submission submission) {
+        return Math.max(1, submission.service().maxRunningTasks() / sharers);
+    }
+
+    // Endpoints that failed the task are avoided, but one of them is better than none.
+    private Optional<Endpoint> reserve(Submission submission, Task task, long nowNanos) {
+        ServiceName service = submission.service().name();
+        Optional<Endpoint> fresh =
+                endpoints.reserve(service, submission.service().favours(), task.avoid(), nowNanos);
+        if (fresh.isPresent() || task.avoid().isEmpty()) {
+            return fresh;
+        }
+        return endpoints.reserve(service, submission.service().favours(), Set.of(), nowNanos);
+    }
+
+    private void send(Submission submission, Task task, Endpoint endpoint, long nowNanos, ActionSink sink) {
+        ServiceLane lane = lane(submission.service().name());
+        task.send();
+        lane.queue().taskStarted(submission.id());
+        lane.started(submission.team().name());
+        quotas.started(submission.team().name());
+        inFlight.put(
+                task.id(),
+                new InFlightTask(
+                        submission.service().name(),
+                        submission.kind().name(),
+                        submission.team().name(),
+                        endpoint,
+                        task.attempt(),
+                        nowNanos));
+        Duration allowed = Duration.ofNanos(submission.deadlineNanos() - nowNanos);
+        sink.emit(new SendTask(task.id(), task.attempt(), endpoint.id(), endpoint.address(), allowed));
+    }
+
+    private void release(InFlightTask flight, TaskEnded ended, long nowNanos, ActionSink sink) {
+        long runNanos = nowNanos - flight.sentNanos();
+        lane(flight.service()).ended(flight.team());
+        quotas.ended(flight.team());
+        endpoints.ended(ended, flight.service(), flight.kind(), runNanos, nowNanos, sink);
+        if (ended.result() == SendResult.SUCCEEDED) {
+            runTimes.observe(flight.service(), flight.kind(), runNanos);
+            retryBudget.succeeded();
+        }
+        // A freed team share may let tasks of another service start too.
+        everythingChanged();
+    }
+
+    private void judge(Submission submission, TaskEnded ended, InFlightTask flight, long nowNanos, ActionSink sink) {
+        Task task = submission.task(ended.task().index());
+        switch (ended.result()) {
+            case SUCCEEDED -> {
+                task.end(TaskState.SUCCEEDED);
+                if (submission.allSucceeded()) {
+                    end(submission, Optional.empty(), nowNanos, sink);
+                }
+            }
+            case TASK_FAILED -> {
+                task.end(TaskState.FAILED);
+                end(submission, Optional.of(problem(ProblemCode.TASK_FAILED, Step.RUN, ended)), nowNanos, sink);
+            }
+            case REFUSED_BUSY, REFUSED_DRAINING, CONNECT_FAILED -> {
+                String refusal = ended.result().name();
+                sink.emit(Note.of(
+                        NoteEvent.SEND_REFUSED, Step.SEND, ended.endpoint().value(), "refusal", refusal));
+                task.requeue(ended.endpoint());
+                queue(submission, 1);
+            }
+            case LOST -> lost(submission, task, ended, nowNanos, sink);
+            default -> throw new AssertionError(ended.result());
+        }
+    }
+
+    private void lost(Submission submission, Task task, TaskEnded ended, long nowNanos, ActionSink sink) {
+        boolean mayRetry =
+                submission.arrived().form().mayRetry(submission.kind().idempotent());
+        if (mayRetry && nowNanos < submission.deadlineNanos()) {
+            if (retryBudget.spend()) {
+                sink.emit(Note.of(
+                        NoteEvent.TASK_RETRIED, Step.SEND, ended.endpoint().value(), "task", task.id()));
+                task.requeueAfterLoss(ended.endpoint());
+                queue(submission, 1);
+                return;
+            }
+            sink.emit(Note.of(
+                    NoteEvent.RETRY_BUDGET_EMPTY, Step.SEND, ended.endpoint().value()));
+        }
+        task.end(TaskState.LOST);
+        ProblemCode code =
+                nowNanos < submission.deadlineNanos() ? ProblemCode.ANSWER_LOST : ProblemCode.DEADLINE_PASSED;
+        end(submission, Optional.of(problem(code, Step.COLLECT, ended)), nowNanos, sink);
+    }
+
+    private static Problem problem(ProblemCode code, Step step, TaskEnded ended) {
+        return Problem.of(code, step, ended.endpoint().value(), ended.detail()).withTask(ended.task());
+    }
+
+    private String peers(Submission submission) {
+        return submission.tasks().stream()
+                .map(task -> inFlight.get(task.id()))
+                .filter(flight -> flight != null)
+                .map(flight -> flight.endpoint().id().value())
+                .findFirst()
+                .orElse("caller");
+    }
+
+    private void dropOrStop(Submission submission, Task task, long nowNanos, ActionSink sink) {
+        if (task.state() == TaskState.QUEUED) {
+            task.end(TaskState.DROPPED);
+        } else if (task.state() == TaskState.SENT) {
+            InFlightTask flight = inFlight.get(task.id());
+            boolean sendStop = submission.service().favours().stopsStartedTasks()
+                    && flight.sentNanos() + expectedNanos(submission) - nowNanos >= WORTH_STOPPING_NANOS;
+            Endpoint endpoint = flight.endpoint();
+            sink.emit(new StopTask(task.id(), flight.attempt(), endpoint.id(), endpoint.address(), sendStop));
+        }
+    }
+}
--- /dev/null
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/submission/ServiceLane.java
@@ -0,0 +1,46 @@
+package org.tarragonarch.core.submission;
+
+import com.google.common.collect.HashMultiset;
+import com.google.common.collect.Multiset;
+import org.tarragonarch.core.queue.JobQueue;
+import org.tarragonarch.core.status.QueueStatus;
+import org.tarragonarch.model.id.ServiceName;
+import org.tarragonarch.model.id.SubmissionId;
+import org.tarragonarch.model.id.TeamName;
+
+/**
+ * One service's waiting tasks and the count of those that run.
+ *
+ * <p>Not safe for use by several threads.
+ */
+public final class ServiceLane {
+    private final ServiceName service;
+    private final JobQueue<SubmissionId> queue = JobQueue.create();
+    private final Multiset<TeamName> running = HashMultiset.create();
+
+    ServiceLane(ServiceName service) {
+        this.service = service;
+    }
+
+    /** Returns the waiting tasks. */
+    public JobQueue<SubmissionId> queue() {
+        return queue;
+    }
+
+    /** Returns how many tasks of the service run from this node. */
+    public int running() {
+        return running.size();
+    }
+
+    void started(TeamName team) {
+        running.add(team);
+    }
+
+    void ended(TeamName team) {
+        running.remove(team);
+    }
+
+    QueueStatus status(TeamName team) {
+        return new QueueStatus(service, team, queue.queuedTasks(team), running.count(team));
+    }
+}
--- /dev/null
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/submission/Submission.java
@@ -0,0 +1,129 @@
+package org.tarragonarch.core.submission;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import com.google.common.collect.ImmutableList;
+import java.util.Optional;
+import java.util.stream.IntStream;
+import org.tarragonarch.core.event.SubmissionArrived;
+import org.tarragonarch.model.id.ClaimKey;
+import org.tarragonarch.model.id.SubmissionId;
+import org.tarragonarch.model.id.TaskId;
+import org.tarragonarch.model.service.KindDefinition;
+import org.tarragonarch.model.service.ServiceDefinition;
+import org.tarragonarch.model.service.TeamDefinition;
+
+/**
+ * One submission from arrival to its answer, with the definitions that were in force when it was taken.
+ *
+ * <p>Not safe for use by several threads.
+ */
+public final class Submission {
+    private final SubmissionArrived arrived;
+    private final ServiceDefinition service;
+    private final KindDefinition kind;
+    private final TeamDefinition team;
+    private final long arrivedNanos;
+    private final long deadlineNanos;
+    private final ImmutableList<Task> tasks;
+    private Stage stage = Stage.DISPATCHED;
+
+    private Submission(
+            SubmissionArrived arrived,
+            ServiceDefinition service,
+            KindDefinition kind,
+            TeamDefinition team,
+            long nowNanos) {
+        this.arrived = checkNotNull(arrived, "arrived");
+        this.service = checkNotNull(service, "service");
+        this.kind = checkNotNull(kind, "kind");
+        this.team = checkNotNull(team, "team");
+        this.arrivedNanos = nowNanos;
+        long allowed = arrived.timeAllowed().orElse(kind.deadline()).toNanos();
+        this.deadlineNanos = nowNanos + Math.min(allowed, kind.deadline().toNanos());
+        this.tasks = IntStream.range(0, arrived.tasks().size())
+                .mapToObj(index -> new Task(new TaskId(arrived.id(), index)))
+                .collect(ImmutableList.toImmutableList());
+    }
+
+    /** Returns a submission that was just taken. */
+    public static Submission create(
+            SubmissionArrived arrived,
+            ServiceDefinition service,
+            KindDefinition kind,
+            TeamDefinition team,
+            long nowNanos) {
+        return new Submission(arrived, service, kind, team, nowNanos);
+    }
+
+    /** Returns the submission's id. */
+    public SubmissionId id() {
+        return arrived.id();
+    }
+
+    /** Returns what arrived. */
+    public SubmissionArrived arrived() {
+        return arrived;
+    }
+
+    /** Returns the service as defined when the submission was taken. */
+    public ServiceDefinition service() {
+        return service;
+    }
+
+    /** Returns the kind as defined when the submission was taken. */
+    public KindDefinition kind() {
+        return kind;
+    }
+
+    /** Returns the team that the work counts against. */
+    public TeamDefinition team() {
+        return team;
+    }
+
+    /** Returns when the submission arrived. */
+    public long arrivedNanos() {
+        return arrivedNanos;
+    }
+
+    /** Returns when the submission is given up on. */
+    public long deadlineNanos() {
+        return deadlineNanos;
+    }
+
+    /** Returns the scoped key, if the caller gave one. */
+    public Optional<ClaimKey> claimKey() {
+        return arrived.key().map(key -> new ClaimKey(service.name(), arrived.caller(), key));
+    }
+
+    /** Returns how far the submission is. */
+    public Stage stage() {
+        return stage;
+    }
+
+    /** Moves the submission to another stage. */
+    public void stage(Stage next) {
+        stage = next;
+    }
+
+    /** Returns whether any task may have run, so that the submission can no longer be called not-run. */
+    public boolean mayHaveRun() {
+        return tasks.stream().anyMatch(Task::mayHaveRun);
+    }
+
+    ImmutableList<Task> tasks() {
+        return tasks;
+    }
+
+    Task task(int index) {
+        return tasks.get(index);
+    }
+
+    Optional<Task> nextQueued() {
+        return tasks.stream().filter(task -> task.state() == TaskState.QUEUED).findFirst();
+    }
+
+    boolean allSucceeded() {
+        return tasks.stream().allMatch(task -> task.state() == TaskState.SUCCEEDED);
+    }
+}
