--- /dev/null
+++ b/tarragonarch-platform/src/main/java/org/tarragonarch/platform/ChangeJson.java
@@ -0,0 +1,68 @@
+package org.tarragonarch.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.time.DateTimeException;
+import java.time.Instant;
+import org.tarragonarch.model.id.ChangeId;
+import org.tarragonarch.model.id.ConfigurationVersion;
+import org.tarragonarch.model.id.ContentDigest;
+import org.tarragonarch.model.id.OperatorName;
+import org.tarragonarch.model.platform.ConfigurationRow;
+
+/** The configuration row and audit records as values of rows. */
+final class ChangeJson {
+    private ChangeJson() {}
+
+    static ObjectNode writeRow(ConfigurationRow row) {
+        return JsonNodeFactory.instance
+                .objectNode()
+                .put("version", row.version().value())
+                .put("digest", row.digest().hex())
+                .put("change", row.change().value())
+                .put("operator", row.operator().value())
+                .put("when", row.when().toString());
+    }
+
+    static ObjectNode writeRecord(AuditRecord record) {
+        return writeRow(rowOf(record)).put("from", record.from().value()).put("summary", record.summary());
+    }
+
+    /** Throws {@link IllegalArgumentException} if the value is no configuration row. */
+    static ConfigurationRow readRow(JsonNode json) {
+        return new ConfigurationRow(
+                ConfigurationVersion.of(JsonFields.number(json, "version")),
+                new ContentDigest(JsonFields.text(json, "digest")),
+                new ChangeId(JsonFields.text(json, "change")),
+                OperatorName.of(JsonFields.text(json, "operator")),
+                instant(JsonFields.text(json, "when")));
+    }
+
+    /** Throws {@link IllegalArgumentException} if the value is no audit record. */
+    static AuditRecord readRecord(JsonNode json) {
+        ConfigurationRow row = readRow(json);
+        return new AuditRecord(
+                row.version(),
+                ConfigurationVersion.of(JsonFields.number(json, "from")),
+                row.digest(),
+                row.change(),
+                row.operator(),
+                row.when(),
+                JsonFields.text(json, "summary"));
+    }
+
+    /** Returns the configuration row that the change puts in place. */
+    static ConfigurationRow rowOf(AuditRecord record) {
+        return new ConfigurationRow(
+                record.version(), record.digest(), record.change(), record.operator(), record.when());
+    }
+
+    private static Instant instant(String text) {
+        try {
+            return Instant.parse(text);
+        } catch (DateTimeException e) {
+            throw new IllegalArgumentException("'" + text + "' is no time", e);
+        }
+    }
+}
--- /dev/null
+++ b/tarragonarch-platform/src/main/java/org/tarragonarch/platform/PlatformPart.java
@@ -0,0 +1,18 @@
+package org.tarragonarch.platform;
+
+/** The parts of the platform that a call may go to. */
+enum PlatformPart {
+    TABLES("table service"),
+    OBJECTS("object store"),
+    VMS("VM list");
+
+    private final String word;
+
+    PlatformPart(String word) {
+        this.word = word;
+    }
+
+    String word() {
+        return word;
+    }
+}
--- /dev/null
+++ b/tarragonarch-standin/src/main/java/org/tarragonarch/standin/http/HttpReply.java
@@ -0,0 +1,47 @@
+package org.tarragonarch.standin.http;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.google.common.collect.ImmutableMap;
+
+/**
+ * An answer to a request.
+ *
+ * @param status the status code
+ * @param headers headers besides the length
+ * @param body the body; not copied
+ */
+public record HttpReply(int status, ImmutableMap<String, String> headers, byte[] body) {
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final byte[] NO_BODY = {};
+
+    /** Returns an answer with a JSON body. */
+    public static HttpReply json(int status, JsonNode body) {
+        try {
+            return new HttpReply(
+                    status, ImmutableMap.of("Content-Type", "application/json"), MAPPER.writeValueAsBytes(body));
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException("a JSON tree cannot be written", e);
+        }
+    }
+
+    /** Returns an answer with a JSON object that only says what was wrong. */
+    public static HttpReply error(int status, String detail) {
+        return json(status, MAPPER.createObjectNode().put("detail", detail));
+    }
+
+    /** Returns an answer without a body. */
+    public static HttpReply empty(int status) {
+        return new HttpReply(status, ImmutableMap.of(), NO_BODY);
+    }
+
+    /** Returns this answer with one more header. */
+    public HttpReply with(String name, String value) {
+        ImmutableMap<String, String> more = ImmutableMap.<String, String>builder()
+                .putAll(headers)
+                .put(name, value)
+                .buildOrThrow();
+        return new HttpReply(status, more, body);
+    }
+}
--- /dev/null
+++ b/tarragonarch-standin/src/main/java/org/tarragonarch/standin/platform/package-info.java
@@ -0,0 +1,2 @@
+/** The stand-in for the platform: tables, objects and the list of VMs in memory, with switches for faults. */
+package org.tarragonarch.standin.platform;
