--- /dev/null
+++ b/tarragonarch-standin/src/main/java/org/tarragonarch/standin/explore/FakeEndpoint.java
@@ -0,0 +1,130 @@
+package org.tarragonarch.standin.explore;
+
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import org.tarragonarch.core.action.SendTask;
+import org.tarragonarch.core.event.SendResult;
+import org.tarragonarch.model.id.TaskId;
+
+/** An endpoint with slots, a few faults, and a line in the ledger for each start. */
+public final class FakeEndpoint {
+    private static final long FAIL_NANOS = 1_000_000;
+
+    private final String name;
+    private final int slots;
+    private final VirtualTime time;
+    private final PromiseChecker checker;
+    private final Map<TaskId, Reply> running = new LinkedHashMap<>();
+    private final Map<String, Integer> sendsWhileLeaving = new HashMap<>();
+    private EndpointFault fault = EndpointFault.NONE;
+    private boolean alive = true;
+    private boolean draining;
+    private long drainingSinceNanos = Long.MAX_VALUE;
+
+    FakeEndpoint(String name, int slots, VirtualTime time, PromiseChecker checker) {
+        this.name = name;
+        this.slots = slots;
+        this.time = time;
+        this.checker = checker;
+    }
+
+    /** Returns the endpoint's name. */
+    public String name() {
+        return name;
+    }
+
+    int slots() {
+        return slots;
+    }
+
+    boolean alive() {
+        return alive;
+    }
+
+    boolean draining() {
+        return draining;
+    }
+
+    /** Makes the endpoint do this wrong from now on. */
+    public void fault(EndpointFault next) {
+        fault = next;
+    }
+
+    /** Starts to leave: finishes what runs and refuses the rest. */
+    public void drain() {
+        draining = true;
+        drainingSinceNanos = time.nowNanos();
+    }
+
+    /** Ends the endpoint at once; what runs is lost. */
+    public void kill() {
+        alive = false;
+        Map<TaskId, Reply> cut = new LinkedHashMap<>(running);
+        running.clear();
+        cut.values().forEach(reply -> reply.end(SendResult.LOST, false));
+    }
+
+    /** Starts again after a kill or a drain, empty and well. */
+    public void restart() {
+        alive = true;
+        draining = false;
+        drainingSinceNanos = Long.MAX_VALUE;
+        fault = EndpointFault.NONE;
+        sendsWhileLeaving.clear();
+    }
+
+    /** Counts a send by a node that should know by now that this endpoint is leaving. */
+    int lateSend(String node, long graceNanos) {
+        if (!draining || time.nowNanos() < drainingSinceNanos + graceNanos) {
+            return 0;
+        }
+        return sendsWhileLeaving.merge(node, 1, Integer::sum);
+    }
+
+    /** Takes in a task; the reply is called once, unless the endpoint hangs. */
+    void receive(SendTask send, long runNanos, Reply reply) {
+        if (!alive) {
+            reply.end(SendResult.CONNECT_FAILED, false);
+        } else if (draining) {
+            reply.end(SendResult.REFUSED_DRAINING, true);
+        } else if (running.size() >= slots) {
+            reply.end(SendResult.REFUSED_BUSY, false);
+        } else {
+            checker.started(send.task(), send.attempt(), name);
+            running.put(send.task(), reply);
+            long nanos = fault == EndpointFault.FAILS_ALL ? FAIL_NANOS : runNanos;
+            time.after(nanos, () -> finish(send.task(), reply));
+        }
+    }
+
+    /** Stops a task whose result nobody wants. */
+    void stop(TaskId task) {
+        Reply reply = running.remove(task);
+        if (reply != null) {
+            reply.end(SendResult.LOST, false);
+        }
+    }
+
+    private void finish(TaskId task, Reply reply) {
+        if (running.get(task) != reply || fault == EndpointFault.HANGS) {
+            return;
+        }
+        running.remove(task);
+        switch (fault) {
+            case FAILS_ALL -> reply.end(SendResult.TASK_FAILED, draining);
+            case CUTS_ANSWER_SHORT -> reply.end(SendResult.LOST, draining);
+            default -> {
+                checker.succeeded(task);
+                reply.end(SendResult.SUCCEEDED, draining);
+            }
+        }
+    }
+
+    /** Takes the endpoint's answer to one task. */
+    @FunctionalInterface
+    interface Reply {
+        /** Takes the end of the exchange, as the endpoint sees it. */
+        void end(SendResult result, boolean leaving);
+    }
+}
--- /dev/null
+++ b/tarragonarch-standin/src/main/java/org/tarragonarch/standin/explore/FakeNode.java
@@ -0,0 +1,203 @@
+package org.tarragonarch.standin.explore;
+
+import com.google.common.collect.ImmutableList;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.tarragonarch.core.action.Action;
+import org.tarragonarch.core.action.AnswerComplete;
+import org.tarragonarch.core.action.AnswerFromPeer;
+import org.tarragonarch.core.action.AnswerProblem;
+import org.tarragonarch.core.action.AnswerSameAs;
+import org.tarragonarch.core.action.AskPeerAnswer;
+import org.tarragonarch.core.action.ConfigurationInForce;
+import org.tarragonarch.core.action.GivePeerAnswer;
+import org.tarragonarch.core.action.LoadConfiguration;
+import org.tarragonarch.core.action.Note;
+import org.tarragonarch.core.action.NoteEvent;
+import org.tarragonarch.core.action.PhaseChanged;
+import org.tarragonarch.core.action.ProbeEndpoint;
+import org.tarragonarch.core.action.ReadClaims;
+import org.tarragonarch.core.action.ReadConfigurationRow;
+import org.tarragonarch.core.action.ReadVmList;
+import org.tarragonarch.core.action.ReleaseClaim;
+import org.tarragonarch.core.action.SendReport;
+import org.tarragonarch.core.action.SendTask;
+import org.tarragonarch.core.action.StopTask;
+import org.tarragonarch.core.action.WakeAt;
+import org.tarragonarch.core.action.WriteClaims;
+import org.tarragonarch.core.event.Event;
+import org.tarragonarch.core.event.TimePassed;
+import org.tarragonarch.core.node.EntryNode;
+import org.tarragonarch.core.node.NodeIdentity;
+import org.tarragonarch.core.node.NodePolicy;
+import org.tarragonarch.core.status.NodeStatus;
+import org.tarragonarch.model.report.NodePhase;
+import org.tarragonarch.model.service.ServiceCatalog;
+
+/** One run of one node: the real core, with a shell of fakes around it. */
+public final class FakeNode {
+    private final NodeIdentity identity;
+    private final World world;
+    private final EntryNode core;
+    private final Deque<Event> held = new ArrayDeque<>();
+    private final Map<NoteEvent, Integer> notes = new HashMap<>();
+    private Optional<ServiceCatalog> catalog = Optional.empty();
+    private NodePhase phase = NodePhase.STARTING;
+    private boolean alive = true;
+    private boolean frozen;
+    private long thawedNanos;
+    private long wakeNanos;
+    private long nextSubmission;
+
+    FakeNode(NodeIdentity identity, NodePolicy policy, long seed, World world) {
+        this.identity = identity;
+        this.world = world;
+        this.core = EntryNode.create(identity, policy, seed);
+    }
+
+    NodeIdentity identity() {
+        return identity;
+    }
+
+    /** Returns the node's name. */
+    public String name() {
+        return identity.node().value();
+    }
+
+    /** Returns whether this run goes on. */
+    public boolean alive() {
+        return alive;
+    }
+
+    /** Returns the phase. */
+    public NodePhase phase() {
+        return phase;
+    }
+
+    /** Returns the configuration in force. */
+    public Optional<ServiceCatalog> catalog() {
+        return catalog;
+    }
+
+    /** Returns a snapshot of the core. */
+    public NodeStatus status() {
+        return core.status();
+    }
+
+    /** Returns how often something was noted. */
+    public int noted(NoteEvent event) {
+        return notes.getOrDefault(event, 0);
+    }
+
+    boolean frozen() {
+        return frozen;
+    }
+
+    long thawedNanos() {
+        return thawedNanos;
+    }
+
+    long nextSubmission() {
+        return nextSubmission++;
+    }
+
+    void kill() {
+        alive = false;
+    }
+
+    void freeze() {
+        frozen = true;
+    }
+
+    void thaw() {
+        frozen = false;
+        thawedNanos = world.time().nowNanos();
+        while (!held.isEmpty() && alive) {
+            handle(held.remove());
+        }
+        deliver(new TimePassed());
+    }
+
+    /** Hands an event to the core, now, or on waking if the node is frozen. */
+    void deliver(Event event) {
+        if (!alive) {
+            return;
+        }
+        if (frozen) {
+            held.add(event);
+        } else {
+            handle(event);
+        }
+    }
+
+    private void handle(Event event) {
+        List<Action> actions = new ArrayList<>();
+        core.handle(world.time().nowNanos(), event, actions::add);
+        ImmutableList.copyOf(actions).forEach(this::act);
+    }
+
+    private void act(Action action) {
+        if (action instanceof AnswerProblem answer) {
+            world.answered(this, answer.submission(), Optional.of(answer.problem()));
+        } else if (action instanceof AnswerComplete answer) {
+            world.answered(this, answer.submission(), Optional.empty());
+        } else if (action instanceof AnswerSameAs answer) {
+            world.answered(this, answer.submission(), Optional.empty());
+        } else if (action instanceof AnswerFromPeer answer) {
+            world.answered(this, answer.submission(), Optional.empty());
+        } else if (action instanceof WakeAt wake) {
+            wakeNanos = wake.nanos();
+            world.time().at(wake.nanos(), () -> wake(wake.nanos()));
+        } else if (action instanceof Note note) {
+            notes.merge(note.event(), 1, Integer::sum);
+        } else if (action instanceof PhaseChanged changed) {
+            phase = changed.phase();
+            alive = alive && phase != NodePhase.LEFT;
+        } else if (action instanceof ConfigurationInForce inForce) {
+            catalog = Optional.of(inForce.catalog());
+            world.inForce(this, inForce.catalog());
+        } else {
+            actOutside(action);
+        }
+    }
+
+    private void actOutside(Action action) {
+        Shell shell = world.shell();
+        if (action instanceof SendTask send) {
+            shell.send(this, send);
+        } else if (action instanceof StopTask stop) {
+            shell.stop(this, stop);
+        } else if (action instanceof ProbeEndpoint probe) {
+            shell.probe(this, probe);
+        } else if (action instanceof WriteClaims write) {
+            shell.writeClaims(this, write);
+        } else if (action instanceof ReadClaims read) {
+            shell.readClaims(this, read);
+        } else if (action instanceof ReleaseClaim release) {
+            shell.release(this, release);
+        } else if (action instanceof AskPeerAnswer ask) {
+            shell.ask(this, ask);
+        } else if (action instanceof GivePeerAnswer give) {
+            shell.give(this, give);
+        } else if (action instanceof SendReport report) {
+            shell.report(this, report);
+        } else if (action instanceof ReadVmList) {
+            shell.readVmList(this);
+        } else if (action instanceof ReadConfigurationRow) {
+            shell.readRow(this);
+        } else if (action instanceof LoadConfiguration load) {
+            shell.load(this, load);
+        }
+    }
+
+    private void wake(long planned) {
+        if (planned == wakeNanos && !frozen) {
+            deliver(new TimePassed());
+        }
+    }
+}
--- /dev/null
+++ b/tarragonarch-standin/src/main/java/org/tarragonarch/standin/explore/FakePlatform.java
@@ -0,0 +1,146 @@
+package org.tarragonarch.standin.explore;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.function.Consumer;
+import org.tarragonarch.core.event.ClaimResult;
+import org.tarragonarch.model.id.ClaimKey;
+import org.tarragonarch.model.id.ConfigurationVersion;
+import org.tarragonarch.model.platform.Claim;
+import org.tarragonarch.model.platform.ConfigurationRow;
+import org.tarragonarch.model.platform.VmRecord;
+import org.tarragonarch.model.service.ServiceCatalog;
+
+/** The platform's table service, object store and VM list, in memory, with the faults that the brief names. */
+public final class FakePlatform {
+    private static final long LEAST_WRITE_NANOS = 2_000_000;
+    private static final int WRITE_SPREAD_NANOS = 6_000_000;
+    private static final int LATE_WRITE_SPREAD_NANOS = 2_000_000_000;
+    private static final long TIMEOUT_NANOS = 500_000_000;
+
+    private final VirtualTime time;
+    private final Random random;
+    private final Map<ClaimKey, Claim> claims = new HashMap<>();
+    private final Map<ConfigurationVersion, ServiceCatalog> objects = new HashMap<>();
+    private final Map<String, VmRecord> vms = new LinkedHashMap<>();
+    private final List<ConfigurationRow> rows = new ArrayList<>();
+    private boolean out;
+    private double replyLostShare;
+    private double staleReadShare;
+    private long listLagNanos;
+
+    FakePlatform(VirtualTime time, Random random) {
+        this.time = time;
+        this.random = random;
+    }
+
+    /** Takes the whole platform out, or brings it back. */
+    public void out(boolean isOut) {
+        out = isOut;
+    }
+
+    /** Sets the share of writes that take effect, soon or late, although their reply is lost. */
+    public void replyLostShare(double share) {
+        replyLostShare = share;
+    }
+
+    /** Sets the share of reads of the configuration row that give an older row. */
+    public void staleReadShare(double share) {
+        staleReadShare = share;
+    }
+
+    /** Sets how long a change of the VM list takes to be seen. */
+    public void listLag(long nanos) {
+        listLagNanos = nanos;
+    }
+
+    /** Puts a VM on the list, or changes its line, once the lag is over. */
+    public void list(VmRecord vm) {
+        time.after(listLagNanos, () -> vms.put(vm.name(), vm));
+    }
+
+    /** Takes a VM off the list, once the lag is over. */
+    public void unlist(String name) {
+        time.after(listLagNanos, () -> vms.remove(name));
+    }
+
+    /** Accepts a configuration. */
+    public void accept(ConfigurationRow row, ServiceCatalog catalog) {
+        rows.add(row);
+        objects.put(catalog.version(), catalog);
+    }
+
+    /** Returns the version accepted last. */
+    public ConfigurationVersion newest() {
+        return rows.isEmpty()
+                ? ConfigurationVersion.NONE
+                : rows.get(rows.size() - 1).version();
+    }
+
+    boolean isOut() {
+        return out;
+    }
+
+    long timeoutNanos() {
+        return TIMEOUT_NANOS;
+    }
+
+    ImmutableList<VmRecord> vms() {
+        return ImmutableList.copyOf(vms.values());
+    }
+
+    Optional<ConfigurationRow> row() {
+        if (rows.isEmpty()) {
+            return Optional.empty();
+        }
+        boolean stale = random.nextDouble() < staleReadShare;
+        return Optional.of(rows.get(stale ? random.nextInt(rows.size()) : rows.size() - 1));
+    }
+
+    Optional<ServiceCatalog> object(ConfigurationVersion version) {
+        return Optional.ofNullable(objects.get(version));
+    }
+
+    /** Writes claims; {@code done} gets nothing where the reply is lost. */
+    void insertIfAbsent(List<Claim> wanted, Consumer<Optional<ImmutableList<ClaimResult>>> done) {
+        boolean lost = random.nextDouble() < replyLostShare;
+        long applied = LEAST_WRITE_NANOS + random.nextInt(WRITE_SPREAD_NANOS);
+        if (lost && random.nextBoolean()) {
+            // The write is held up somewhere and takes effect after its sender has given up on it.
+            applied = TIMEOUT_NANOS + random.nextInt(LATE_WRITE_SPREAD_NANOS);
+        }
+        time.after(applied, () -> {
+            wanted.forEach(claim -> claims.putIfAbsent(claim.key(), claim));
+            if (!lost) {
+                done.accept(Optional.of(standing(wanted)));
+            }
+        });
+        if (lost) {
+            time.after(TIMEOUT_NANOS, () -> done.accept(Optional.empty()));
+        }
+    }
+
+    ImmutableList<ClaimResult> standing(List<Claim> wanted) {
+        return wanted.stream()
+                .map(claim -> new ClaimResult(claim, Optional.ofNullable(claims.get(claim.key()))))
+                .collect(ImmutableList.toImmutableList());
+    }
+
+    void release(Claim claim) {
+        Claim standing = claims.get(claim.key());
+        if (standing != null && standing.token().equals(claim.token())) {
+            claims.remove(claim.key());
+        }
+    }
+
+    ImmutableMap<ClaimKey, Claim> claims() {
+        return ImmutableMap.copyOf(claims);
+    }
+}
--- /dev/null
+++ b/tarragonarch-standin/src/main/java/org/tarragonarch/standin/explore/SampleCatalog.java
@@ -0,0 +1,61 @@
+package org.tarragonarch.standin.explore;
+
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Map;
+import org.tarragonarch.model.id.CallerName;
+import org.tarragonarch.model.id.ConfigurationVersion;
+import org.tarragonarch.model.id.ContentDigest;
+import org.tarragonarch.model.id.KindName;
+import org.tarragonarch.model.id.ServiceName;
+import org.tarragonarch.model.id.TeamName;
+import org.tarragonarch.model.service.CallerDefinition;
+import org.tarragonarch.model.service.Favour;
+import org.tarragonarch.model.service.KindDefinition;
+import org.tarragonarch.model.service.ServiceCatalog;
+import org.tarragonarch.model.service.ServiceDefinition;
+import org.tarragonarch.model.service.TeamDefinition;
+
+/** The small configuration that the explorer and the scenarios run with. */
+public final class SampleCatalog {
+    /** The one service. */
+    public static final ServiceName SERVICE = ServiceName.of("proof-board");
+    /** A kind that may run more than once. */
+    public static final KindName IDEMPOTENT = KindName.of("spelling");
+    /** A kind that must run at most once. */
+    public static final KindName ONCE = KindName.of("word-count");
+    /** The one caller. */
+    public static final CallerName CALLER = CallerName.of("upload-page");
+    /** How long a submission may take when it states no time. */
+    public static final Duration DEADLINE = Duration.ofSeconds(5);
+
+    private static final TeamName TEAM = TeamName.of("proofreaders");
+    private static final int MANY = 1_000;
+
+    private SampleCatalog() {}
+
+    /** Returns the configuration as accepted under this version. */
+    public static ServiceCatalog version(long version) {
+        ServiceDefinition service = new ServiceDefinition(
+                SERVICE,
+                version % 2 == 0 ? Favour.FEW_MESSAGES : Favour.RESPONSE_TIME,
+                ImmutableMap.of(IDEMPOTENT, kind(IDEMPOTENT, true), ONCE, kind(ONCE, false)),
+                ImmutableSet.of(CALLER),
+                MANY,
+                MANY);
+        byte[] text = ("version " + version).getBytes(StandardCharsets.UTF_8);
+        return new ServiceCatalog(
+                ConfigurationVersion.of(version),
+                ContentDigest.of(text),
+                ImmutableMap.copyOf(Map.of(SERVICE, service)),
+                ImmutableMap.of(TEAM, new TeamDefinition(TEAM, 1, MANY)),
+                ImmutableMap.of(CALLER, new CallerDefinition(CALLER, TEAM, ContentDigest.of(text))),
+                ImmutableMap.of());
+    }
+
+    private static KindDefinition kind(KindName name, boolean idempotent) {
+        return new KindDefinition(name, idempotent, 110, 1 << 20, DEADLINE, Duration.ofMillis(200));
+    }
+}
