Judge endpoints, place by slot shares, and queue fairly behind the fixed interfaces

Endpoints leave by list, own answer, peer's new word or operator; only a probe or another address brings one back that said it leaves. A list that misses more than half of a domain is doubted. Failures are judged by likelihood ratio against how often the kind fails at all other endpoints, so three failures convict where the kind works elsewhere and none does where it fails everywhere; at most a third of a domain is out for failures. Unreachable endpoints go out at once and come back by probe. Placement uses an index of free slots by rank; the slots of an endpoint are dealt to the domain's nodes by rendezvous rank. The queue is start-time fair between teams and least work first within one. Quota shares add up to the quota: some nodes get none when it is below their number.

Ruled out: a failure count against a fixed bound (blames all endpoints for one bad kind); following a peer's quarantine without bound (one broken node would stop its domain).

--- /dev/null
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/endpoint/DomainPool.java
@@ -0,0 +1,81 @@
+package org.tarragonarch.core.endpoint;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import org.tarragonarch.core.placement.EndpointSlots;
+import org.tarragonarch.core.placement.PlacementStrategy;
+import org.tarragonarch.core.placement.SlotPool;
+import org.tarragonarch.model.id.EndpointId;
+import org.tarragonarch.model.service.Favour;
+
+/** The endpoints of one service in one failure domain, counted by condition. */
+final class DomainPool {
+    private final Map<EndpointRecord, Counted> members = new HashMap<>();
+    private final SlotPool ready;
+    private int open;
+    private int openSlots;
+    private int quarantined;
+
+    DomainPool(PlacementStrategy strategy) {
+        ready = SlotPool.create(strategy);
+    }
+
+    /** Adds an endpoint, or takes in whatever changed of it. */
+    void update(EndpointRecord endpoint, long nowNanos) {
+        Counted now = Counted.of(endpoint);
+        count(members.put(endpoint, now), -1);
+        count(now, 1);
+        if (endpoint.mayGetTask(nowNanos)) {
+            ready.put(endpoint.slots());
+        } else {
+            ready.remove(endpoint.slots());
+        }
+    }
+
+    void remove(EndpointRecord endpoint) {
+        count(members.remove(endpoint), -1);
+        ready.remove(endpoint.slots());
+    }
+
+    /** Returns how many endpoints may get work at all, full or not. */
+    int open() {
+        return open;
+    }
+
+    /** Returns the slots of the open endpoints. */
+    int openSlots() {
+        return openSlots;
+    }
+
+    /**
+     * Returns whether one more may go into quarantine.
+     *
+     * <p>Guards against a fault that shows at many endpoints but is none of theirs, a bad kind or a broken network,
+     * putting out a whole failure domain: most endpoints stay, whatever is believed of them.
+     */
+    boolean sparesOne() {
+        int most = Math.max(1, members.size() / HealthPolicy.ENDPOINTS_PER_QUARANTINE);
+        return quarantined < most && open > 1;
+    }
+
+    Optional<EndpointSlots> choose(Favour favour, Set<EndpointId> avoid, Random random) {
+        return ready.choose(favour, avoid, random);
+    }
+
+    private void count(Counted counted, int sign) {
+        if (counted != null) {
+            open += counted.open ? sign : 0;
+            openSlots += counted.open ? sign * counted.slots : 0;
+            quarantined += counted.quarantined ? sign : 0;
+        }
+    }
+
+    private record Counted(boolean open, int slots, boolean quarantined) {
+        static Counted of(EndpointRecord endpoint) {
+            return new Counted(endpoint.condition().open(), endpoint.slots().slots(), endpoint.countsAsQuarantined());
+        }
+    }
+}
--- /dev/null
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/endpoint/EndpointRecord.java
@@ -0,0 +1,288 @@
+package org.tarragonarch.core.endpoint;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.tarragonarch.core.placement.EndpointSlots;
+import org.tarragonarch.model.id.EndpointId;
+import org.tarragonarch.model.platform.VmRecord;
+import org.tarragonarch.model.platform.VmState;
+
+/** What a node knows of one endpoint. */
+final class EndpointRecord {
+    static final long NEVER = Long.MAX_VALUE;
+
+    private final EndpointId id;
+    private final EndpointSlots slots;
+    private final Backoff busyWait = new Backoff(HealthPolicy.FIRST_BUSY_NANOS, 2, HealthPolicy.LONGEST_BUSY_NANOS);
+    private final Backoff unreachableWait = new Backoff(
+            HealthPolicy.FIRST_UNREACHABLE_NANOS,
+            HealthPolicy.UNREACHABLE_GROWTH,
+            HealthPolicy.LONGEST_UNREACHABLE_NANOS);
+    private final Backoff quarantineWait = new Backoff(
+            HealthPolicy.FIRST_QUARANTINE_NANOS, HealthPolicy.QUARANTINE_GROWTH, HealthPolicy.LONGEST_QUARANTINE_NANOS);
+    private final Map<FailureJudge.Kind, KindTally> tallies = new HashMap<>();
+
+    private VmRecord vm;
+    private boolean listed = true;
+    private boolean drained;
+    private boolean leaving;
+    private boolean unreachable;
+    private boolean convicted;
+    private boolean onTrialAfterConviction;
+    private long convictedUntilNanos;
+    private int peersConvicting;
+    private boolean outByPeers;
+    private int trialsLeft;
+    private double evidence;
+    private long trustedSinceNanos;
+    private long unreachableSinceNanos;
+    private long busyUntilNanos;
+    private long wakeNanos = NEVER;
+    private String why = "list";
+
+    EndpointRecord(EndpointId id, VmRecord vm) {
+        this.id = id;
+        this.vm = vm;
+        this.slots = EndpointSlots.create(id);
+    }
+
+    EndpointId id() {
+        return id;
+    }
+
+    VmRecord vm() {
+        return vm;
+    }
+
+    EndpointSlots slots() {
+        return slots;
+    }
+
+    KindTally tally(FailureJudge.Kind kind) {
+        return tallies.computeIfAbsent(kind, key -> new KindTally());
+    }
+
+    /** Takes in the list's line; another address means another machine, of which nothing is known yet. */
+    void listed(VmRecord line) {
+        boolean another = !line.address().equals(vm.address());
+        vm = line;
+        listed = true;
+        if (another) {
+            leaving = false;
+            unreachable = false;
+            convicted = false;
+            onTrialAfterConviction = false;
+            trialsLeft = 0;
+            evidence = 0;
+            tallies.clear();
+            unreachableWait.reset();
+            quarantineWait.reset();
+            why = "list";
+        }
+    }
+
+    void unlisted() {
+        listed = false;
+        why = "missing from the list";
+    }
+
+    boolean isListed() {
+        return listed;
+    }
+
+    void drained(boolean out) {
+        drained = out;
+    }
+
+    boolean isDrained() {
+        return drained;
+    }
+
+    void leaving(boolean now, String reason) {
+        leaving = now;
+        why = reason;
+    }
+
+    boolean isLeaving() {
+        return leaving;
+    }
+
+    /** Notes that no connection to it came about; returns how long to wait before it is probed. */
+    long unreachable(long nowNanos) {
+        unreachableSinceNanos = unreachable ? unreachableSinceNanos : nowNanos;
+        unreachable = true;
+        why = "unreachable";
+        return unreachableWait.next();
+    }
+
+    boolean isUnreachable() {
+        return unreachable;
+    }
+
+    /** Ends that it is unreachable; one task must succeed before it gets more than one at a time. */
+    void reachable() {
+        unreachable = false;
+        trialsLeft = Math.max(trialsLeft, 1);
+    }
+
+    /** Puts it in quarantine, for longer each time. */
+    void convict(long nowNanos, String reason) {
+        if (trialsLeft == 0 && nowNanos - trustedSinceNanos > HealthPolicy.FORGIVEN_AFTER_NANOS) {
+            quarantineWait.reset();
+        }
+        convicted = true;
+        onTrialAfterConviction = false;
+        convictedUntilNanos = nowNanos + quarantineWait.next();
+        why = reason;
+    }
+
+    boolean isConvicted() {
+        return convicted;
+    }
+
+    long convictedUntilNanos() {
+        return convictedUntilNanos;
+    }
+
+    /** Returns whether this node's own judgement keeps it from full work, which its peers should know. */
+    boolean isUnderConviction() {
+        return convicted || onTrialAfterConviction;
+    }
+
+    void startTrial() {
+        convicted = false;
+        onTrialAfterConviction = true;
+        evidence = 0;
+        trialsLeft = HealthPolicy.TRIAL_TASKS;
+        why = "on trial";
+    }
+
+    /** Returns whether what is known is enough for quarantine; on trial one failure that is its own fault is. */
+    boolean isConvictable() {
+        double needed = onTrialAfterConviction ? HealthPolicy.CONVICTION_ON_TRIAL : HealthPolicy.CONVICTION;
+        return !convicted && evidence >= needed;
+    }
+
+    /** Takes in a success; returns whether it ended the trial. */
+    boolean succeeded(long nowNanos) {
+        unreachableWait.reset();
+        if (trialsLeft == 0) {
+            return false;
+        }
+        trialsLeft--;
+        if (trialsLeft > 0) {
+            return false;
+        }
+        trustedSinceNanos = nowNanos;
+        onTrialAfterConviction = false;
+        why = "trial passed";
+        return true;
+    }
+
+    void peersConvicting(int delta) {
+        peersConvicting += delta;
+    }
+
+    boolean isConvictedByPeers() {
+        return peersConvicting > 0;
+    }
+
+    /** Lets it have one task at a time until some succeed. */
+    void suspect() {
+        evidence = Math.max(evidence, HealthPolicy.SUSPICION);
+    }
+
+    void outByPeers(boolean out) {
+        outByPeers = out;
+        if (out) {
+            why = "a peer's quarantine";
+        } else {
+            trialsLeft = Math.max(trialsLeft, 1);
+        }
+    }
+
+    boolean isOutByPeers() {
+        return outByPeers;
+    }
+
+    /** Returns whether it is out or on trial for failing tasks, so that a trial's end cannot break the bound. */
+    boolean countsAsQuarantined() {
+        return isUnderConviction() || outByPeers;
+    }
+
+    void addEvidence(double added) {
+        evidence = Math.max(0, evidence + added);
+    }
+
+    double evidence() {
+        return evidence;
+    }
+
+    /** Takes in that it refused a task; refusals of tasks that were sent together count as one. */
+    void busy(long nowNanos) {
+        if (nowNanos >= busyUntilNanos) {
+            busyUntilNanos = nowNanos + busyWait.next();
+        }
+    }
+
+    /** One of this node's own tasks there ended, so a slot is free whoever held the others. */
+    void slotSeenFree() {
+        busyUntilNanos = 0;
+        busyWait.reset();
+    }
+
+    long busyUntilNanos() {
+        return busyUntilNanos;
+    }
+
+    long wakeNanos() {
+        return wakeNanos;
+    }
+
+    void wakeNanos(long nanos) {
+        wakeNanos = nanos;
+    }
+
+    String why() {
+        return drained ? "operator" : why;
+    }
+
+    Condition condition() {
+        if (drained) {
+            return Condition.DRAINED;
+        }
+        if (!listed) {
+            return Condition.UNLISTED;
+        }
+        if (leaving) {
+            return Condition.LEAVING;
+        }
+        if (unreachable) {
+            return Condition.UNREACHABLE;
+        }
+        if (convicted || outByPeers) {
+            return Condition.QUARANTINED;
+        }
+        return trialsLeft > 0 || evidence >= HealthPolicy.SUSPICION ? Condition.ON_TRIAL : Condition.LIVE;
+    }
+
+    /** Returns whether to keep it although a doubted list misses it: it works, or may be cut off for a while. */
+    boolean isWorthKeeping(long nowNanos) {
+        boolean longUnreachable =
+                unreachable && nowNanos - unreachableSinceNanos > HealthPolicy.LONGEST_UNREACHABLE_KEPT_NANOS;
+        return !leaving && !longUnreachable;
+    }
+
+    /** Returns whether only an answer to a probe can bring it back. */
+    boolean needsProbe() {
+        boolean listedAsLive = listed && !drained && vm.state() == VmState.LIVE;
+        return listedAsLive && (leaving || unreachable || convicted);
+    }
+
+    /** Returns whether one more task may go there now, as far as its condition says. */
+    boolean mayGetTask(long nowNanos) {
+        Condition condition = condition();
+        return nowNanos >= busyUntilNanos
+                && (condition == Condition.LIVE || condition == Condition.ON_TRIAL && slots.ownInFlight() == 0);
+    }
+}
--- /dev/null
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/endpoint/PeerViews.java
@@ -0,0 +1,112 @@
+package org.tarragonarch.core.endpoint;
+
+import com.google.common.collect.ImmutableSet;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.Map;
+import java.util.Set;
+import org.tarragonarch.model.id.EndpointId;
+import org.tarragonarch.model.id.FailureDomain;
+import org.tarragonarch.model.id.NodeId;
+import org.tarragonarch.model.report.EndpointLoad;
+import org.tarragonarch.model.report.PeerReport;
+
+/** What each peer last reported of endpoints; every change is passed on, so that no sum is ever made anew. */
+final class PeerViews {
+    private final Map<NodeId, View> views = new HashMap<>();
+
+    /** Takes in a report; costs time in proportion to what it names. */
+    void reported(PeerReport report, long nowNanos, Listener listener) {
+        View view = views.computeIfAbsent(report.from(), key -> new View(report.domain()));
+        view.heardNanos = nowNanos;
+        if (report.full()) {
+            Set<EndpointId> named = new HashSet<>();
+            report.loads().forEach(load -> named.add(load.endpoint()));
+            ImmutableSet.copyOf(view.loads.keySet()).stream()
+                    .filter(endpoint -> !named.contains(endpoint))
+                    .forEach(endpoint -> setLoad(view, endpoint, 0, listener));
+        }
+        for (EndpointLoad load : report.loads()) {
+            setLoad(view, load.endpoint(), load.inFlight(), listener);
+        }
+        for (EndpointId endpoint : report.leaving()) {
+            // Only a new word counts: a peer that has not asked the endpoint again repeats what it heard long ago.
+            if (!view.leaving.contains(endpoint)) {
+                listener.leavingSaid(endpoint, report.from());
+            }
+        }
+        view.leaving = report.leaving();
+        setQuarantined(view, report.quarantined(), listener);
+    }
+
+    /** Drops what nodes of a failure domain reported that are not alive any more, and all that is too old. */
+    void keep(FailureDomain domain, Set<NodeId> alive, long heardSinceNanos, Listener listener) {
+        Iterator<Map.Entry<NodeId, View>> each = views.entrySet().iterator();
+        while (each.hasNext()) {
+            Map.Entry<NodeId, View> entry = each.next();
+            View view = entry.getValue();
+            boolean gone = view.domain.equals(domain) && !alive.contains(entry.getKey());
+            if (gone || view.heardNanos < heardSinceNanos) {
+                each.remove();
+                ImmutableSet.copyOf(view.loads.keySet()).forEach(endpoint -> setLoad(view, endpoint, 0, listener));
+                setQuarantined(view, ImmutableSet.of(), listener);
+            }
+        }
+    }
+
+    /** Returns what all peers together have in flight at an endpoint. */
+    int inFlight(EndpointId endpoint) {
+        return views.values().stream()
+                .mapToInt(view -> view.loads.getOrDefault(endpoint, 0))
+                .sum();
+    }
+
+    /** Returns the peers that hold an endpoint in quarantine. */
+    ImmutableSet<NodeId> quarantining(EndpointId endpoint) {
+        return views.entrySet().stream()
+                .filter(entry -> entry.getValue().quarantined.contains(endpoint))
+                .map(Map.Entry::getKey)
+                .collect(ImmutableSet.toImmutableSet());
+    }
+
+    private void setLoad(View view, EndpointId endpoint, int inFlight, Listener listener) {
+        Integer before = inFlight == 0 ? view.loads.remove(endpoint) : view.loads.put(endpoint, inFlight);
+        int delta = inFlight - (before == null ? 0 : before);
+        if (delta != 0) {
+            listener.loadChanged(endpoint, delta);
+        }
+    }
+
+    private void setQuarantined(View view, ImmutableSet<EndpointId> quarantined, Listener listener) {
+        ImmutableSet<EndpointId> before = view.quarantined;
+        view.quarantined = quarantined;
+        quarantined.stream()
+                .filter(endpoint -> !before.contains(endpoint))
+                .forEach(endpoint -> listener.quarantineChanged(endpoint, 1));
+        before.stream()
+                .filter(endpoint -> !quarantined.contains(endpoint))
+                .forEach(endpoint -> listener.quarantineChanged(endpoint, -1));
+    }
+
+    /** Hears of each change. */
+    interface Listener {
+        void loadChanged(EndpointId endpoint, int delta);
+
+        void leavingSaid(EndpointId endpoint, NodeId peer);
+
+        void quarantineChanged(EndpointId endpoint, int delta);
+    }
+
+    private static final class View {
+        private final FailureDomain domain;
+        private final Map<EndpointId, Integer> loads = new HashMap<>();
+        private ImmutableSet<EndpointId> leaving = ImmutableSet.of();
+        private ImmutableSet<EndpointId> quarantined = ImmutableSet.of();
+        private long heardNanos;
+
+        View(FailureDomain domain) {
+            this.domain = domain;
+        }
+    }
+}
--- /dev/null
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placement/EndpointSlots.java
@@ -0,0 +1,85 @@
+package org.tarragonarch.core.placement;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+import static com.google.common.base.Preconditions.checkState;
+
+import org.tarragonarch.model.id.EndpointId;
+
+/**
+ * The slots of one endpoint as one node sees them: what it uses itself, and what its peers last reported.
+ *
+ * <p>Compared by identity. Whoever changes one tells each {@link SlotPool} that holds it by {@link SlotPool#put}.
+ */
+public final class EndpointSlots {
+    private final EndpointId endpoint;
+    private int slots;
+    private int homeSlots;
+    private int ownInFlight;
+    private int peersInFlight;
+
+    private EndpointSlots(EndpointId endpoint) {
+        this.endpoint = checkNotNull(endpoint, "endpoint");
+    }
+
+    /** Returns an endpoint of which nothing is known to be in use. */
+    public static EndpointSlots create(EndpointId endpoint) {
+        return new EndpointSlots(endpoint);
+    }
+
+    /** Returns the endpoint. */
+    public EndpointId endpoint() {
+        return endpoint;
+    }
+
+    /**
+     * Sets how many slots there are.
+     *
+     * @param all all slots of the endpoint
+     * @param home those among them whose home is this node
+     */
+    public void resize(int all, int home) {
+        slots = all;
+        homeSlots = home;
+    }
+
+    /** Returns all slots of the endpoint. */
+    public int slots() {
+        return slots;
+    }
+
+    /** Returns tasks of this node in flight at the endpoint. */
+    public int ownInFlight() {
+        return ownInFlight;
+    }
+
+    /** Counts a task of this node that is sent. */
+    public void taken() {
+        ownInFlight++;
+    }
+
+    /** Counts a task of this node that ended. */
+    public void givenBack() {
+        checkState(ownInFlight > 0, "no task in flight at %s", endpoint);
+        ownInFlight--;
+    }
+
+    /** Takes in a change of what peers report in flight. */
+    public void peersChanged(int delta) {
+        peersInFlight += delta;
+    }
+
+    /** Returns whether this node by itself leaves a slot free. */
+    boolean ownFree() {
+        return ownInFlight < slots;
+    }
+
+    /** Returns the slots not in use by this node or, as last reported, by peers; below 0 where reports lag. */
+    public int estimatedFree() {
+        return slots - ownInFlight - peersInFlight;
+    }
+
+    /** Returns whether a slot whose home is this node is free of this node's own tasks. */
+    boolean homeFree() {
+        return ownInFlight < homeSlots;
+    }
+}
--- /dev/null
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placement/PlacementStrategy.java
@@ -0,0 +1,72 @@
+package org.tarragonarch.core.placement;
+
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import org.tarragonarch.model.id.EndpointId;
+import org.tarragonarch.model.service.Favour;
+
+/** The ways to choose among the endpoints of a pool. {@code docs/design/placement.md} has their figures. */
+public enum PlacementStrategy {
+    /** Any endpoint that this node does not fill by itself. */
+    RANDOM {
+        @Override
+        int rank(EndpointSlots endpoint) {
+            return 0;
+        }
+
+        @Override
+        Optional<EndpointSlots> choose(SlotPool pool, Favour favour, Set<EndpointId> avoid, Random random) {
+            return pool.all().highest(0, avoid, random);
+        }
+    },
+    /** Of two random endpoints the one with fewer tasks of this node. */
+    TWO_CHOICES {
+        @Override
+        int rank(EndpointSlots endpoint) {
+            return 0;
+        }
+
+        @Override
+        Optional<EndpointSlots> choose(SlotPool pool, Favour favour, Set<EndpointId> avoid, Random random) {
+            Optional<EndpointSlots> first = pool.all().highest(0, avoid, random);
+            Optional<EndpointSlots> second = pool.all().highest(0, avoid, random);
+            return first.map(one -> one.ownInFlight() <= second.get().ownInFlight() ? one : second.get());
+        }
+    },
+    /** The endpoint with most slots free by this node's count and its peers' last reports. */
+    LEAST_LOADED {
+        @Override
+        int rank(EndpointSlots endpoint) {
+            return endpoint.estimatedFree();
+        }
+
+        @Override
+        Optional<EndpointSlots> choose(SlotPool pool, Favour favour, Set<EndpointId> avoid, Random random) {
+            return pool.all().highest(1, avoid, random);
+        }
+    },
+    /**
+     * A slot whose home is this node; failing that, one that seems idle, with as many left over as the favour asks.
+     *
+     * <p>Peers keep to their own slots while those last, so a choice among the own ones is seldom refused however old
+     * the peers' reports are.
+     */
+    SLOT_SHARES {
+        @Override
+        int rank(EndpointSlots endpoint) {
+            return endpoint.estimatedFree();
+        }
+
+        @Override
+        Optional<EndpointSlots> choose(SlotPool pool, Favour favour, Set<EndpointId> avoid, Random random) {
+            Optional<EndpointSlots> own = pool.home().highest(1, avoid, random);
+            return own.isPresent() ? own : pool.all().highest(1 + favour.slotsLeftWhenBorrowing(), avoid, random);
+        }
+    };
+
+    /** Returns where an endpoint stands in the pool's index; a higher one is preferred. */
+    abstract int rank(EndpointSlots endpoint);
+
+    abstract Optional<EndpointSlots> choose(SlotPool pool, Favour favour, Set<EndpointId> avoid, Random random);
+}
--- /dev/null
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/queue/TeamQueue.java
@@ -0,0 +1,91 @@
+package org.tarragonarch.core.queue;
+
+import java.util.Comparator;
+import java.util.TreeSet;
+import org.tarragonarch.model.id.TeamName;
+
+/** The waiting jobs of one team, the one with the least work left first, and the team's virtual time. */
+final class TeamQueue<J> {
+    private final TeamName team;
+    private final TreeSet<WaitingJob<J>> jobs =
+            new TreeSet<>(Comparator.comparingLong(WaitingJob<J>::nanosLeft).thenComparingLong(WaitingJob::sequence));
+    /** Work by the binary order of magnitude of the job's work, so that a sum up to a size needs no walk over jobs. */
+    private final long[] nanosByMagnitude = new long[Long.SIZE + 1];
+
+    private int weight = 1;
+    private int tasks;
+    private long nanos;
+    private double virtualNanos;
+
+    TeamQueue(TeamName team) {
+        this.team = team;
+    }
+
+    TeamName team() {
+        return team;
+    }
+
+    int weight() {
+        return weight;
+    }
+
+    void weigh(int newWeight) {
+        weight = newWeight;
+    }
+
+    int tasks() {
+        return tasks;
+    }
+
+    long nanos() {
+        return nanos;
+    }
+
+    double virtualNanos() {
+        return virtualNanos;
+    }
+
+    WaitingJob<J> first() {
+        return jobs.first();
+    }
+
+    /** Moves the team on to a virtual time that the queue has passed, so that idle time earns no credit. */
+    void catchUp(double virtualNow) {
+        virtualNanos = Math.max(virtualNanos, virtualNow);
+    }
+
+    void charge(long expectedNanos) {
+        virtualNanos += (double) expectedNanos / weight;
+    }
+
+    void change(WaitingJob<J> job, int addedTasks, long expectedNanos) {
+        if (job.tasks() > 0) {
+            jobs.remove(job);
+            count(job, -1);
+        }
+        job.change(addedTasks, expectedNanos);
+        if (job.tasks() > 0) {
+            jobs.add(job);
+            count(job, 1);
+        }
+    }
+
+    /** Returns the work of jobs of at most this much work, to within a factor of two. */
+    long nanosUpTo(long jobNanos) {
+        long sum = 0;
+        for (int magnitude = 0; magnitude <= magnitude(jobNanos); magnitude++) {
+            sum += nanosByMagnitude[magnitude];
+        }
+        return sum;
+    }
+
+    private void count(WaitingJob<J> job, int sign) {
+        tasks += sign * job.tasks();
+        nanos += sign * job.nanosLeft();
+        nanosByMagnitude[magnitude(job.nanosLeft())] += sign * job.nanosLeft();
+    }
+
+    private static int magnitude(long value) {
+        return Long.SIZE - Long.numberOfLeadingZeros(value);
+    }
+}
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/runtime/RunTimeEstimator.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/runtime/RunTimeEstimator.java
@@ -9,12 +9,15 @@
 /**
  * Learns how long tasks of a kind run, since what callers declare is often far from the truth.
  *
- * <p>Not safe for use by several threads. Each call takes constant time.
+ * <p>The estimate is a decaying mean. What is declared counts as one observation before the first, as a half after it,
+ * as a third after the second and so on, so a declaration that is wrong by ten times is within a factor of two of the
+ * truth after a few tasks. Not safe for use by several threads. Each call takes constant time.
  */
 public final class RunTimeEstimator {
-    private static final double NEWEST_SHARE = 0.05;
+    /** The least part that a new run time has in the mean, so that the last fifty or so tasks decide. */
+    private static final double LEAST_PART = 0.02;
 
-    private final Map<Kind, Double> meanNanos = new HashMap<>();
+    private final Map<Kind, Mean> means = new HashMap<>();
 
     private RunTimeEstimator() {}
 
@@ -25,15 +28,29 @@
 
     /** Takes in the run time of a task that succeeded. */
     public void observe(ServiceName service, KindName kind, long nanos) {
-        meanNanos.merge(new Kind(service, kind), (double) nanos, (old, newest) -> old + NEWEST_SHARE * (newest - old));
+        means.computeIfAbsent(new Kind(service, kind), key -> new Mean()).add(nanos);
     }
 
     /** Returns the expected run time of a task of a kind, in nanoseconds; the prior where nothing was learnt. */
     public long expectedNanos(ServiceName service, KindName kind, Duration prior) {
-        return meanNanos
-                .getOrDefault(new Kind(service, kind), (double) prior.toNanos())
-                .longValue();
+        Mean mean = means.get(new Kind(service, kind));
+        return mean == null ? prior.toNanos() : mean.with(prior.toNanos());
     }
 
     private record Kind(ServiceName service, KindName kind) {}
+
+    private static final class Mean {
+        private long count;
+        private double nanos;
+
+        void add(long observed) {
+            count++;
+            nanos += Math.max(LEAST_PART, 1.0 / count) * (observed - nanos);
+        }
+
+        long with(long prior) {
+            double priorPart = 1.0 / (1 + count);
+            return (long) ((priorPart * prior + count * nanos) / (priorPart + count));
+        }
+    }
 }
--- /dev/null
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/endpoint/EndpointDirectoryHealthTest.java
@@ -0,0 +1,196 @@
+package org.tarragonarch.core.endpoint;
+
+import static org.tarragonarch.core.endpoint.DirectoryFixture.HOBART;
+import static org.tarragonarch.core.endpoint.DirectoryFixture.KIND;
+import static org.tarragonarch.core.endpoint.DirectoryFixture.LAUNCESTON;
+import static org.tarragonarch.core.endpoint.DirectoryFixture.PEER;
+import static org.tarragonarch.core.endpoint.DirectoryFixture.SERVICE;
+import static org.tarragonarch.core.endpoint.DirectoryFixture.endpoint;
+import static org.tarragonarch.core.endpoint.DirectoryFixture.vms;
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import java.time.Duration;
+import java.util.Collections;
+import java.util.List;
+import java.util.Optional;
+import org.tarragonarch.core.action.NoteEvent;
+import org.tarragonarch.core.action.ProbeEndpoint;
+import org.tarragonarch.core.event.SendResult;
+import org.tarragonarch.model.id.EndpointId;
+import org.tarragonarch.model.id.KindName;
+import org.tarragonarch.model.platform.VmRecord;
+import org.tarragonarch.model.service.Favour;
+import org.testng.annotations.Test;
+
+public class EndpointDirectoryHealthTest {
+    private final EndpointId broken = endpoint(1);
+
+    private SendResult failsAtBroken(EndpointId endpoint) {
+        return endpoint.equals(broken) ? SendResult.TASK_FAILED : SendResult.SUCCEEDED;
+    }
+
+    private DirectoryFixture withTenEndpoints() {
+        DirectoryFixture fixture = new DirectoryFixture();
+        fixture.list(vms(1, 10, HOBART));
+        return fixture;
+    }
+
+    private DirectoryFixture withBrokenOneOut() {
+        DirectoryFixture fixture = withTenEndpoints();
+        fixture.run(500, KIND, this::failsAtBroken);
+        assertEquals(fixture.directory.quarantined(), ImmutableSet.of(broken));
+        return fixture;
+    }
+
+    @Test
+    public void testEnded_endpointThatFailsEveryTask() {
+        // One worker of ten lost its model files and fails every task in a millisecond. It always has free slots, so it
+        // draws ever more tasks, and callers see a tenth or more of their jobs fail until somebody takes it out.
+        DirectoryFixture fixture = withTenEndpoints();
+        List<EndpointId> used = fixture.run(500, KIND, this::failsAtBroken);
+        assertEquals(Collections.frequency(used, broken), 3);
+        assertEquals(fixture.directory.quarantined(), ImmutableSet.of(broken));
+        assertEquals(fixture.notes(NoteEvent.ENDPOINT_QUARANTINED), 1);
+    }
+
+    @Test
+    public void testEnded_kindThatFailsEverywhere() {
+        // A new kind is set up wrong and fails at every worker, while the old kind works. Blaming the workers would put
+        // out the whole failure domain and with it the old kind.
+        DirectoryFixture fixture = withTenEndpoints();
+        KindName bad = KindName.of("bad");
+        for (int i = 0; i < 300; i++) {
+            fixture.run(1, KIND, endpoint -> SendResult.SUCCEEDED);
+            fixture.run(1, bad, endpoint -> SendResult.TASK_FAILED);
+        }
+        assertEquals(fixture.directory.quarantined(), ImmutableSet.of());
+        assertEquals(fixture.directory.slots(SERVICE), 80);
+    }
+
+    @Test
+    public void testEnded_onlyEndpointIsNeverPutOut() {
+        DirectoryFixture fixture = new DirectoryFixture();
+        fixture.list(vms(1, 1, HOBART));
+        fixture.run(50, KIND, this::failsAtBroken);
+        assertTrue(fixture.directory.usable(SERVICE));
+        assertTrue(fixture.reserve().isPresent());
+        assertFalse(fixture.reserve().isPresent(), "under suspicion it gets one task at a time");
+    }
+
+    @Test
+    public void testProbeEnded_readmitsByTrialOneTaskAtATime() {
+        DirectoryFixture fixture = withBrokenOneOut();
+        fixture.pass(Duration.ofSeconds(16));
+        assertEquals(fixture.probes(), 1);
+        fixture.probed(broken, true, false);
+        long trials = fixture.fill(Favour.RESPONSE_TIME).stream()
+                .filter(broken::equals)
+                .count();
+        assertEquals(trials, 1);
+        fixture.end(broken, SendResult.SUCCEEDED);
+        for (int i = 0; i < 2; i++) {
+            assertEquals(fixture.reserve(), Optional.of(broken));
+            fixture.end(broken, SendResult.SUCCEEDED);
+        }
+        assertEquals(fixture.directory.quarantined(), ImmutableSet.of());
+        assertEquals(fixture.fill(Favour.RESPONSE_TIME).size(), 8);
+        assertEquals(fixture.notes(NoteEvent.ENDPOINT_READMITTED), 1);
+    }
+
+    @Test
+    public void testProbeEnded_brokenEndpointThatAnswersProbesFailsOneTrialOnly() {
+        // The broken worker answers its health address well. Each trial costs a caller a failed job, so one failure
+        // ends the trial and the next one comes much later.
+        DirectoryFixture fixture = withBrokenOneOut();
+        fixture.pass(Duration.ofSeconds(16));
+        fixture.probed(broken, true, false);
+        List<EndpointId> used = fixture.run(500, KIND, this::failsAtBroken);
+        assertEquals(Collections.frequency(used, broken), 1);
+        fixture.pass(Duration.ofSeconds(50));
+        assertEquals(fixture.probes(), 1);
+        fixture.pass(Duration.ofSeconds(12));
+        assertEquals(fixture.probes(), 2);
+    }
+
+    @Test
+    public void testPeerReported_quarantineOfAPeerCounts() {
+        DirectoryFixture fixture = withTenEndpoints();
+        fixture.report(PEER, ImmutableList.of(), ImmutableSet.of(), ImmutableSet.of(broken));
+        assertFalse(fixture.fill(Favour.RESPONSE_TIME).contains(broken));
+        assertEquals(fixture.directory.quarantined(), ImmutableSet.of(), "a peer's word is not passed on as its own");
+        fixture.report(PEER, ImmutableList.of(), ImmutableSet.of(), ImmutableSet.of());
+        assertEquals(fixture.fill(Favour.RESPONSE_TIME), List.of(broken));
+    }
+
+    @Test
+    public void testPeerReported_peerThatBlamesAllPutsOutAThird() {
+        // A peer's own network is broken and every task of it is lost, so it blames all workers. The others must not
+        // stop for it.
+        DirectoryFixture fixture = withTenEndpoints();
+        ImmutableSet.Builder<EndpointId> all = ImmutableSet.builder();
+        for (int number = 1; number <= 10; number++) {
+            all.add(endpoint(number));
+        }
+        fixture.report(PEER, ImmutableList.of(), ImmutableSet.of(), all.build());
+        assertEquals(fixture.directory.slots(SERVICE), 56);
+    }
+
+    @Test
+    public void testEnded_connectFailurePutsOutAtOnceUntilProbed() {
+        DirectoryFixture fixture = withTenEndpoints();
+        fixture.fill(Favour.RESPONSE_TIME);
+        fixture.end(broken, SendResult.CONNECT_FAILED);
+        assertFalse(fixture.reserve().isPresent());
+        fixture.pass(Duration.ofSeconds(1));
+        assertEquals(fixture.probes(), 1);
+        fixture.probed(broken, false, false);
+        fixture.pass(Duration.ofMillis(900));
+        assertEquals(fixture.probes(), 1);
+        fixture.pass(Duration.ofSeconds(1));
+        assertEquals(fixture.probes(), 2);
+        fixture.probed(broken, true, false);
+        assertEquals(fixture.directory.quarantined(), ImmutableSet.of());
+        assertEquals(fixture.health(broken), "live");
+    }
+
+    @Test
+    public void testTimePassed_lostProbeIsSentAgain() {
+        DirectoryFixture fixture = withTenEndpoints();
+        fixture.reserve();
+        EndpointId used = fixture.directory.loads().get(0).endpoint();
+        fixture.end(used, SendResult.CONNECT_FAILED);
+        fixture.pass(Duration.ofSeconds(7));
+        assertEquals(fixture.probes(), 2);
+    }
+
+    @Test
+    public void testReserve_spillsIntoNoDomainThatIsCutOff() {
+        // The link to launceston is cut while hobart is full. Two tasks find it out; the third must wait for a slot in
+        // hobart rather than lose time at the next worker of launceston.
+        DirectoryFixture fixture = new DirectoryFixture();
+        ImmutableList<VmRecord> both = ImmutableList.<VmRecord>builder()
+                .addAll(vms(1, 1, HOBART))
+                .addAll(vms(2, 11, LAUNCESTON))
+                .build();
+        fixture.list(both);
+        for (int i = 0; i < 8; i++) {
+            assertEquals(fixture.reserve(), Optional.of(broken));
+        }
+        for (int i = 0; i < 2; i++) {
+            fixture.end(fixture.reserve().get(), SendResult.CONNECT_FAILED);
+        }
+        assertFalse(fixture.reserve().isPresent());
+        fixture.pass(Duration.ofSeconds(1));
+        EndpointId probed = fixture.actions.stream()
+                .filter(ProbeEndpoint.class::isInstance)
+                .map(action -> ((ProbeEndpoint) action).endpoint())
+                .findFirst()
+                .get();
+        fixture.probed(probed, true, false);
+        assertTrue(fixture.reserve().isPresent());
+    }
+}
--- /dev/null
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/endpoint/EndpointDirectoryLeavingTest.java
@@ -0,0 +1,135 @@
+package org.tarragonarch.core.endpoint;
+
+import static org.tarragonarch.core.endpoint.DirectoryFixture.HOBART;
+import static org.tarragonarch.core.endpoint.DirectoryFixture.PEER;
+import static org.tarragonarch.core.endpoint.DirectoryFixture.endpoint;
+import static org.tarragonarch.core.endpoint.DirectoryFixture.vm;
+import static org.tarragonarch.core.endpoint.DirectoryFixture.vms;
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import java.time.Duration;
+import java.util.List;
+import org.tarragonarch.core.action.NoteEvent;
+import org.tarragonarch.core.event.SendResult;
+import org.tarragonarch.model.id.EndpointId;
+import org.tarragonarch.model.platform.VmRecord;
+import org.tarragonarch.model.platform.VmRole;
+import org.tarragonarch.model.platform.VmState;
+import org.tarragonarch.model.service.Favour;
+import org.testng.annotations.Test;
+
+public class EndpointDirectoryLeavingTest {
+    private final DirectoryFixture fixture = new DirectoryFixture();
+    private final EndpointId first = endpoint(1);
+
+    @Test
+    public void testReserve_afterEndpointSaidItLeaves() {
+        // A worker is about to be replaced and says so with an answer. The platform's list lags and calls it live for
+        // another minute. Without care the next list would bring it back, and its last tasks would be cut off.
+        DirectoryFixture leaving = new DirectoryFixture();
+        leaving.list(vms(1, 2, HOBART));
+        List<EndpointId> before = leaving.fill(Favour.RESPONSE_TIME);
+        assertTrue(before.contains(first));
+        leaving.endSayingThatItLeaves(first);
+        leaving.list(vms(1, 2, HOBART));
+        assertEquals(leaving.directory.leaving(), ImmutableSet.of(first));
+        assertFalse(leaving.reserve().isPresent());
+        assertEquals(leaving.notes(NoteEvent.ENDPOINT_LEAVING), 1);
+    }
+
+    @Test
+    public void testReserve_afterDrainingRefusalUntilProbeSaysLive() {
+        // A worker's process is restarted in place: it refuses as draining, then serves again under its old address.
+        // The list never changes, so only asking the worker itself tells that it is back.
+        DirectoryFixture restarted = new DirectoryFixture();
+        restarted.list(vms(1, 1, HOBART));
+        restarted.reserve();
+        restarted.end(first, SendResult.REFUSED_DRAINING);
+        assertFalse(restarted.reserve().isPresent());
+        restarted.pass(Duration.ofSeconds(16));
+        assertEquals(restarted.probes(), 1);
+        restarted.probed(first, true, true);
+        assertFalse(restarted.reserve().isPresent());
+        restarted.pass(Duration.ofSeconds(16));
+        restarted.probed(first, true, false);
+        assertEquals(restarted.reserve().get(), first);
+    }
+
+    @Test
+    public void testListed_leavingEndpointWithAnotherAddress() {
+        DirectoryFixture replaced = new DirectoryFixture();
+        replaced.list(ImmutableList.of(vm(1, HOBART, VmState.LEAVING, 8)));
+        assertFalse(replaced.reserve().isPresent());
+        replaced.list(vms(1, 1, HOBART));
+        assertFalse(replaced.reserve().isPresent());
+        VmRecord old = vm(1, HOBART, VmState.LIVE, 8);
+        replaced.list(ImmutableList.of(new VmRecord(
+                old.name(),
+                VmRole.ENDPOINT,
+                HOBART,
+                vm(77, HOBART, VmState.LIVE, 8).address(),
+                VmState.LIVE,
+                old.services(),
+                8)));
+        assertEquals(replaced.reserve().get(), first);
+    }
+
+    @Test
+    public void testPeerReported_leavingCountsOnceForEachTimeThePeerLearns() {
+        // A peer hears that a worker leaves and repeats it in every report. This node asks the worker, which is back.
+        // The peer's old word must not take it out again.
+        DirectoryFixture told = new DirectoryFixture();
+        told.list(vms(1, 1, HOBART));
+        told.report(PEER, ImmutableList.of(), ImmutableSet.of(first), ImmutableSet.of());
+        assertFalse(told.reserve().isPresent());
+        told.pass(Duration.ofSeconds(16));
+        told.probed(first, true, false);
+        told.report(PEER, ImmutableList.of(), ImmutableSet.of(first), ImmutableSet.of());
+        assertTrue(told.reserve().isPresent());
+    }
+
+    @Test
+    public void testDrain_holdsForAnEndpointThatIsListedLater() {
+        DirectoryFixture drained = new DirectoryFixture();
+        drained.directory.drain(first, true, drained.nowNanos, drained.actions::add);
+        drained.list(vms(1, 1, HOBART));
+        assertFalse(drained.reserve().isPresent());
+        assertEquals(drained.health(first), "drained");
+        assertFalse(drained.directory.usable(DirectoryFixture.SERVICE));
+        drained.directory.drain(first, false, drained.nowNanos, drained.actions::add);
+        assertTrue(drained.reserve().isPresent());
+    }
+
+    @Test
+    public void testListed_missingEndpointKeepsItsRunningTasks() {
+        DirectoryFixture missing = new DirectoryFixture();
+        missing.list(vms(1, 4, HOBART));
+        missing.fill(Favour.RESPONSE_TIME);
+        missing.list(vms(2, 4, HOBART));
+        missing.end(first, SendResult.SUCCEEDED);
+        assertFalse(missing.reserve().isPresent());
+        assertEquals(missing.directory.loads().get(0).inFlight(), 7);
+        for (int i = 0; i < 7; i++) {
+            missing.end(first, SendResult.SUCCEEDED);
+        }
+        assertEquals(missing.health(first), "unknown");
+        assertEquals(missing.notes(NoteEvent.ENDPOINT_GONE), 1);
+    }
+
+    @Test
+    public void testListed_emptyOrShrunkenListKeepsWhatWorks() {
+        // The platform has a fault and gives an empty list, then one with two of ten workers. All ten still serve.
+        // Believing it would stop the whole failure domain.
+        fixture.list(vms(1, 10, HOBART));
+        fixture.list(ImmutableList.of());
+        assertEquals(fixture.directory.slots(DirectoryFixture.SERVICE), 80);
+        fixture.list(vms(9, 10, HOBART));
+        assertEquals(fixture.directory.slots(DirectoryFixture.SERVICE), 80);
+        fixture.list(vms(2, 10, HOBART));
+        assertEquals(fixture.directory.slots(DirectoryFixture.SERVICE), 72);
+    }
+}
--- /dev/null
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/endpoint/EndpointDirectoryPlacementTest.java
@@ -0,0 +1,132 @@
+package org.tarragonarch.core.endpoint;
+
+import static org.tarragonarch.core.endpoint.DirectoryFixture.HOBART;
+import static org.tarragonarch.core.endpoint.DirectoryFixture.LAUNCESTON;
+import static org.tarragonarch.core.endpoint.DirectoryFixture.PEER;
+import static org.tarragonarch.core.endpoint.DirectoryFixture.SELF;
+import static org.tarragonarch.core.endpoint.DirectoryFixture.SERVICE;
+import static org.tarragonarch.core.endpoint.DirectoryFixture.endpoint;
+import static org.tarragonarch.core.endpoint.DirectoryFixture.vms;
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import java.time.Duration;
+import java.util.Collections;
+import java.util.HashSet;
+import java.util.List;
+import org.tarragonarch.core.event.SendResult;
+import org.tarragonarch.model.id.EndpointId;
+import org.tarragonarch.model.platform.VmRecord;
+import org.tarragonarch.model.report.EndpointLoad;
+import org.tarragonarch.model.service.Favour;
+import org.testng.annotations.Test;
+
+public class EndpointDirectoryPlacementTest {
+    private static ImmutableList<VmRecord> hobartAndLaunceston() {
+        return ImmutableList.<VmRecord>builder()
+                .addAll(vms(1, 1, HOBART))
+                .addAll(vms(2, 2, LAUNCESTON))
+                .build();
+    }
+
+    private static DirectoryFixture withAPeer() {
+        DirectoryFixture fixture = new DirectoryFixture();
+        fixture.directory.aliveNodes(ImmutableSet.of(SELF, PEER), fixture.nowNanos, fixture.actions::add);
+        fixture.list(vms(1, 10, HOBART));
+        return fixture;
+    }
+
+    @Test
+    public void testReserve_spreadsOverEndpoints() {
+        DirectoryFixture fixture = withAPeer();
+        assertEquals(fixture.directory.slots(SERVICE), 40);
+        HashSet<EndpointId> used = new HashSet<>();
+        for (int i = 0; i < 10; i++) {
+            used.add(fixture.reserve().get());
+        }
+        assertEquals(used.size(), 10);
+    }
+
+    @Test
+    public void testReserve_borrowsIdleSlotsByFavour() {
+        assertEquals(withAPeer().fill(Favour.RESPONSE_TIME).size(), 80);
+        assertEquals(withAPeer().fill(Favour.FEW_MESSAGES).size(), 70);
+    }
+
+    @Test
+    public void testReserve_leavesSlotsThatPeersReport() {
+        DirectoryFixture fixture = withAPeer();
+        ImmutableList.Builder<EndpointLoad> loads = ImmutableList.builder();
+        for (int number = 1; number <= 10; number++) {
+            loads.add(new EndpointLoad(endpoint(number), 3));
+        }
+        fixture.report(PEER, loads.build(), ImmutableSet.of(), ImmutableSet.of());
+        assertEquals(fixture.fill(Favour.RESPONSE_TIME).size(), 50);
+        fixture.directory.aliveNodes(ImmutableSet.of(SELF), fixture.nowNanos, fixture.actions::add);
+        assertEquals(fixture.fill(Favour.RESPONSE_TIME).size(), 30, "a dead peer's tasks do not count for ever");
+    }
+
+    @Test
+    public void testReserve_avoidsWhatFailedTheTask() {
+        DirectoryFixture fixture = new DirectoryFixture();
+        fixture.list(vms(1, 2, HOBART));
+        for (int i = 0; i < 8; i++) {
+            assertEquals(fixture.reserve(Favour.RESPONSE_TIME, endpoint(1)).get(), endpoint(2));
+        }
+        assertFalse(fixture.reserve(Favour.RESPONSE_TIME, endpoint(1)).isPresent());
+    }
+
+    @Test
+    public void testEnded_busyEndpointRestsAndIsTriedAgain() {
+        DirectoryFixture fixture = new DirectoryFixture();
+        fixture.list(vms(1, 1, HOBART));
+        fixture.reserve();
+        fixture.end(endpoint(1), SendResult.REFUSED_BUSY);
+        assertFalse(fixture.reserve().isPresent());
+        fixture.pass(Duration.ofMillis(11));
+        assertTrue(fixture.reserve().isPresent());
+        fixture.end(endpoint(1), SendResult.REFUSED_BUSY);
+        fixture.pass(Duration.ofMillis(11));
+        assertFalse(fixture.reserve().isPresent(), "the second rest is longer");
+        fixture.pass(Duration.ofMillis(10));
+        assertTrue(fixture.reserve().isPresent());
+    }
+
+    @Test
+    public void testReserve_ownDomainBeforeOthers() {
+        DirectoryFixture fixture = new DirectoryFixture();
+        fixture.list(hobartAndLaunceston());
+        List<EndpointId> used = fixture.fill(Favour.RESPONSE_TIME);
+        assertEquals(used.subList(0, 8), Collections.nCopies(8, endpoint(1)));
+        assertEquals(used.size(), 16);
+    }
+
+    @Test
+    public void testReserve_fewMessagesSpillsOnlyWhenOwnDomainIsGone() {
+        DirectoryFixture fixture = new DirectoryFixture();
+        fixture.list(hobartAndLaunceston());
+        assertFalse(fixture.fill(Favour.FEW_MESSAGES).contains(endpoint(2)));
+        fixture.end(endpoint(1), SendResult.CONNECT_FAILED);
+        assertTrue(fixture.fill(Favour.FEW_MESSAGES).contains(endpoint(2)));
+    }
+
+    @Test
+    public void testReserve_refusedSpillPausesForTheWholeDomain() {
+        DirectoryFixture fixture = new DirectoryFixture();
+        fixture.list(ImmutableList.<VmRecord>builder()
+                .addAll(vms(1, 1, HOBART))
+                .addAll(vms(2, 9, LAUNCESTON))
+                .build());
+        for (int i = 0; i < 8; i++) {
+            fixture.reserve();
+        }
+        EndpointId spilled = fixture.reserve().get();
+        fixture.end(spilled, SendResult.REFUSED_BUSY);
+        assertFalse(fixture.reserve().isPresent());
+        fixture.pass(Duration.ofMillis(51));
+        assertTrue(fixture.reserve().isPresent());
+    }
+}
--- a/tarragonarch-model/src/main/java/org/tarragonarch/model/service/Favour.java
+++ b/tarragonarch-model/src/main/java/org/tarragonarch/model/service/Favour.java
@@ -13,6 +13,16 @@
         public int refusedSendsBeforeWaiting() {
             return 2;
         }
+
+        @Override
+        public boolean spillsWhenFull() {
+            return true;
+        }
+
+        @Override
+        public int slotsLeftWhenBorrowing() {
+            return 0;
+        }
     },
     /** Every message costs capacity: wait rather than send one that may be refused. */
     FEW_MESSAGES("few-messages") {
@@ -25,6 +35,16 @@
         public int refusedSendsBeforeWaiting() {
             return 1;
         }
+
+        @Override
+        public boolean spillsWhenFull() {
+            return false;
+        }
+
+        @Override
+        public int slotsLeftWhenBorrowing() {
+            return 1;
+        }
     };
 
     private final String word;
@@ -43,4 +63,10 @@
 
     /** Returns how many busy refusals in a row a task may meet before it waits for a slot known to be free. */
     public abstract int refusedSendsBeforeWaiting();
+
+    /** Returns whether a task goes to another failure domain while the own one is full, rather than wait. */
+    public abstract boolean spillsWhenFull();
+
+    /** Returns how many slots of an endpoint must seem free beyond the one that a node borrows from its peers. */
+    public abstract int slotsLeftWhenBorrowing();
 }
