Add the stand-in endpoint, and test the platform's client under each fault

The endpoint refuses by its slots, keeps a ledger of starts and waits for its last answers to leave before it closes its port: Netty closes the channels before it runs queued writes, so an answer given at the very end of draining would have been lost.

--- /dev/null
+++ b/tarragonarch-standin/src/main/java/org/tarragonarch/standin/endpoint/FaultSwitches.java
@@ -0,0 +1,38 @@
+package org.tarragonarch.standin.endpoint;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CopyOnWriteArrayList;
+import org.tarragonarch.standin.http.HttpExchange;
+
+/** The faults that are switched on at an endpoint. */
+final class FaultSwitches {
+    private final List<Fault> faults = new CopyOnWriteArrayList<>();
+
+    void switchOn(String name, HttpExchange exchange) {
+        faults.add(new Fault(
+                FaultType.of(name),
+                exchange.query("kind"),
+                exchange.query("ms").map(Long::parseLong).orElse(0L),
+                exchange.query("count").map(Integer::parseInt).orElse(Integer.MAX_VALUE)));
+    }
+
+    void clear() {
+        faults.clear();
+    }
+
+    /** Returns the fault that strikes a task whose request was read. */
+    Optional<Fault> striking(String kind) {
+        return faults.stream()
+                .filter(fault -> fault.type() != FaultType.CLOSE_BEFORE_READ)
+                .filter(fault -> fault.strikes(kind))
+                .findFirst();
+    }
+
+    /** Returns whether a connection is to be closed at a request's head. */
+    boolean closeUnread() {
+        return faults.stream()
+                .filter(fault -> fault.type() == FaultType.CLOSE_BEFORE_READ)
+                .anyMatch(fault -> fault.strikes(""));
+    }
+}
--- /dev/null
+++ b/tarragonarch-standin/src/main/java/org/tarragonarch/standin/endpoint/Ledger.java
@@ -0,0 +1,53 @@
+package org.tarragonarch.standin.endpoint;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+/** What an endpoint started and refused: the evidence on which tests rest their verdicts. */
+final class Ledger {
+    private final List<Start> starts = new ArrayList<>();
+    private final Set<String> tasks = new HashSet<>();
+    private int refusedBusy;
+    private int refusedDraining;
+    private int uselessStops;
+
+    synchronized Start start(String task, int attempt, String kind) {
+        Start start = new Start(task, attempt, kind);
+        starts.add(start);
+        tasks.add(task);
+        return start;
+    }
+
+    synchronized void refuseBusy() {
+        refusedBusy++;
+    }
+
+    synchronized void refuseDraining() {
+        refusedDraining++;
+    }
+
+    synchronized void stopNothing() {
+        uselessStops++;
+    }
+
+    /** Returns the counts, and each start where these are wanted. */
+    synchronized ObjectNode json(boolean withStarts) {
+        ObjectNode json = JsonNodeFactory.instance
+                .objectNode()
+                .put("started", starts.size())
+                .put("distinct-tasks", tasks.size())
+                .put("refused-busy", refusedBusy)
+                .put("refused-draining", refusedDraining)
+                .put("useless-stops", uselessStops);
+        if (withStarts) {
+            ArrayNode entries = json.putArray("starts");
+            starts.forEach(start -> entries.add(start.json()));
+        }
+        return json;
+    }
+}
--- /dev/null
+++ b/tarragonarch-standin/src/main/java/org/tarragonarch/standin/endpoint/RunningTask.java
@@ -0,0 +1,68 @@
+package org.tarragonarch.standin.endpoint;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.tarragonarch.standin.http.HttpExchange;
+import org.tarragonarch.standin.http.HttpReply;
+
+/** A task that holds a slot, and the way its answer is to go wrong. */
+final class RunningTask {
+    private static final int OK = 200;
+    private static final int FAILED = 500;
+    private static final String TASK_ID = "Task-Id";
+
+    private final String id;
+    private final HttpExchange exchange;
+    private final Optional<Fault> fault;
+    private final Start start;
+    private final AtomicBoolean ended = new AtomicBoolean();
+
+    RunningTask(String id, HttpExchange exchange, Optional<Fault> fault, Start start) {
+        this.id = id;
+        this.exchange = exchange;
+        this.fault = fault;
+        this.start = start;
+    }
+
+    String id() {
+        return id;
+    }
+
+    /** Notes that the result is no longer wanted. */
+    void stop() {
+        start.stop();
+    }
+
+    /** Returns whether this call was the one that ended the task. */
+    boolean end() {
+        if (!ended.compareAndSet(false, true)) {
+            return false;
+        }
+        start.end();
+        return true;
+    }
+
+    void succeed(JsonNode result, Decoration decoration) {
+        FaultType type = fault.map(Fault::type).orElse(null);
+        boolean wrongId = type == FaultType.WRONG_ID;
+        HttpReply reply = decoration.apply(HttpReply.json(OK, result).with(TASK_ID, wrongId ? id + "0" : id));
+        if (type == FaultType.CUT_SHORT) {
+            exchange.replyCutShort(reply);
+        } else if (type == FaultType.ANSWER_LATE) {
+            exchange.after(fault.get().milliseconds(), () -> exchange.reply(reply));
+        } else if (type != FaultType.CLOSE_AFTER_READ) {
+            exchange.reply(reply);
+        }
+    }
+
+    void fail(String detail, Decoration decoration) {
+        exchange.reply(decoration.apply(HttpReply.error(FAILED, detail).with(TASK_ID, id)));
+    }
+
+    /** Adds to an answer what the endpoint's state asks for. */
+    @FunctionalInterface
+    interface Decoration {
+        HttpReply apply(HttpReply reply);
+    }
+}
--- /dev/null
+++ b/tarragonarch-standin/src/main/java/org/tarragonarch/standin/endpoint/StandInEndpoint.java
@@ -0,0 +1,241 @@
+package org.tarragonarch.standin.endpoint;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.tarragonarch.model.id.Address;
+import org.tarragonarch.model.platform.VmRecord;
+import org.tarragonarch.model.platform.VmRole;
+import org.tarragonarch.model.platform.VmState;
+import org.tarragonarch.standin.http.HttpExchange;
+import org.tarragonarch.standin.http.HttpReply;
+import org.tarragonarch.standin.http.HttpServer;
+
+/**
+ * An endpoint that speaks docs/ENDPOINT-PROTOCOL.md, runs small tasks and fails on demand.
+ *
+ * <p>Safe for use by many threads. A running task holds a slot but no thread, so that the number of connections is not
+ * bounded by threads.
+ */
+public final class StandInEndpoint implements AutoCloseable {
+    private static final int OK = 200;
+    private static final int NO_CONTENT = 204;
+    private static final int NOT_FOUND = 404;
+    private static final int UNPROCESSABLE = 422;
+    private static final int UNAVAILABLE = 503;
+    private static final long LAST_ANSWERS_MILLIS = 5_000;
+    private static final String TASK_ID = "Task-Id";
+    private static final String NOT_STARTED = "Task-Not-Started";
+
+    private final EndpointOptions options;
+    private final Ledger ledger = new Ledger();
+    private final FaultSwitches faults = new FaultSwitches();
+    private final ScheduledExecutorService clock = Executors.newSingleThreadScheduledExecutor(StandInEndpoint::daemon);
+    private final Map<String, RunningTask> running = new HashMap<>();
+    private final Optional<Registration> registration;
+    private final HttpServer server;
+    private boolean draining;
+
+    private StandInEndpoint(EndpointOptions options) {
+        this.options = options;
+        this.registration = options.platform()
+                .map(platform -> new Registration(platform, options.id().value()));
+        this.server = HttpServer.start(options.ip(), options.port(), this::handle, faults::closeUnread);
+    }
+
+    /** Starts an endpoint and registers it with the platform, if there is one. */
+    public static StandInEndpoint start(EndpointOptions options) {
+        StandInEndpoint endpoint = new StandInEndpoint(options);
+        endpoint.registration.ifPresent(platform -> platform.register(endpoint.line()));
+        return endpoint;
+    }
+
+    /** Returns where the endpoint listens. */
+    public Address address() {
+        return server.address();
+    }
+
+    /** Leaves in good order: refuses new tasks, waits until the running ones have ended, then closes. */
+    public void drain() throws InterruptedException {
+        long deadline = System.nanoTime() + options.linger().toNanos();
+        synchronized (this) {
+            draining = true;
+        }
+        registration.ifPresent(Registration::leaving);
+        synchronized (this) {
+            while (!running.isEmpty() || deadline - System.nanoTime() > 0) {
+                long left = TimeUnit.NANOSECONDS.toMillis(deadline - System.nanoTime());
+                wait(Math.max(1, left));
+            }
+        }
+        registration.ifPresent(Registration::gone);
+        server.awaitAnswered(LAST_ANSWERS_MILLIS);
+        close();
+    }
+
+    @Override
+    public void close() {
+        clock.shutdownNow();
+        server.close();
+        registration.ifPresent(Registration::close);
+    }
+
+    private VmRecord line() {
+        return new VmRecord(
+                options.id().value(),
+                VmRole.ENDPOINT,
+                options.domain(),
+                server.address(),
+                VmState.LIVE,
+                options.services(),
+                options.slots());
+    }
+
+    private void handle(HttpExchange exchange) {
+        String path = exchange.path();
+        if (path.equals("/tasks") && exchange.method().equals("POST")) {
+            takeTask(exchange);
+        } else if (path.startsWith("/tasks/") && exchange.method().equals("DELETE")) {
+            stopTask(exchange, path.substring("/tasks/".length()));
+        } else if (path.equals("/health")) {
+            String state = isDraining() ? "draining" : "live";
+            exchange.reply(decorate(
+                    HttpReply.json(OK, JsonNodeFactory.instance.objectNode().put("state", state))));
+        } else if (path.equals("/ledger")) {
+            exchange.reply(
+                    HttpReply.json(OK, ledger.json(exchange.query("summary").isEmpty())));
+        } else if (path.startsWith("/faults")) {
+            switchFault(exchange, path.substring(path.lastIndexOf('/') + 1));
+        } else {
+            exchange.reply(HttpReply.empty(NOT_FOUND));
+        }
+    }
+
+    private void takeTask(HttpExchange exchange) {
+        String id = required(exchange, TASK_ID);
+        String kindName = required(exchange, "Task-Kind");
+        int attempt = exchange.header("Task-Attempt").map(Integer::parseInt).orElse(1);
+        JsonNode input;
+        JsonNode result;
+        long millis;
+        try {
+            TaskKind kind = TaskKind.of(kindName);
+            input = exchange.json();
+            result = kind.result(input);
+            millis = kind.runTimeMillis(input);
+        } catch (IllegalArgumentException e) {
+            ledger.start(id, attempt, kindName).end();
+            exchange.reply(decorate(HttpReply.error(UNPROCESSABLE, String.valueOf(e.getMessage()))
+                    .with(TASK_ID, id)));
+            return;
+        }
+        Optional<Fault> fault = faults.striking(kindName);
+        Optional<RunningTask> started = begin(id, exchange, fault, attempt, kindName);
+        started.ifPresent(task -> run(task, fault.map(Fault::type), exchange, result, millis));
+    }
+
+    /** Takes a slot for the task, or says why not. */
+    private synchronized Optional<RunningTask> begin(
+            String id, HttpExchange exchange, Optional<Fault> fault, int attempt, String kind) {
+        if (draining) {
+            ledger.refuseDraining();
+            exchange.reply(refusal(id, "draining"));
+            return Optional.empty();
+        }
+        boolean pretendBusy = fault.filter(one -> one.type() == FaultType.BUSY).isPresent();
+        if (pretendBusy || running.size() >= options.slots()) {
+            ledger.refuseBusy();
+            exchange.reply(refusal(id, "busy"));
+            return Optional.empty();
+        }
+        RunningTask task = new RunningTask(id, exchange, fault, ledger.start(id, attempt, kind));
+        // A second start of a task that still runs is for the ledger to show; it holds a slot of its own.
+        running.put(running.containsKey(id) ? id + "/" + System.nanoTime() : id, task);
+        return Optional.of(task);
+    }
+
+    private HttpReply refusal(String id, String why) {
+        return decorate(HttpReply.error(UNAVAILABLE, why).with(TASK_ID, id).with(NOT_STARTED, why));
+    }
+
+    private void run(
+            RunningTask task, Optional<FaultType> fault, HttpExchange exchange, JsonNode result, long runTimeMillis) {
+        if (fault.filter(type -> type == FaultType.HANG).isPresent()) {
+            return;
+        }
+        if (fault.filter(type -> type == FaultType.FAIL_ALL).isPresent()) {
+            finish(task, () -> task.fail("told to fail", this::decorate));
+            return;
+        }
+        if (fault.filter(type -> type == FaultType.CLOSE_AFTER_READ).isPresent()) {
+            exchange.close();
+        }
+        clock.schedule(
+                () -> finish(task, () -> task.succeed(result, this::decorate)), runTimeMillis, TimeUnit.MILLISECONDS);
+    }
+
+    /** Ends the task and frees its slot before the answer leaves, so that the slot is free when the answer is read. */
+    private void finish(RunningTask task, Runnable answer) {
+        if (!task.end()) {
+            return;
+        }
+        synchronized (this) {
+            running.values().remove(task);
+            notifyAll();
+        }
+        answer.run();
+    }
+
+    private void stopTask(HttpExchange exchange, String id) {
+        RunningTask task;
+        synchronized (this) {
+            task = running.get(id);
+        }
+        if (task == null) {
+            ledger.stopNothing();
+            exchange.reply(HttpReply.empty(NOT_FOUND));
+            return;
+        }
+        task.stop();
+        finish(task, () -> task.fail("stopped as asked", this::decorate));
+        exchange.reply(decorate(HttpReply.empty(NO_CONTENT)));
+    }
+
+    private void switchFault(HttpExchange exchange, String name) {
+        if (exchange.method().equals("DELETE")) {
+            faults.clear();
+        } else if (name.equals("refuse-connections")) {
+            long millis = exchange.query("ms").map(Long::parseLong).orElse(0L);
+            exchange.reply(HttpReply.empty(NO_CONTENT));
+            clock.execute(server::refuseConnections);
+            clock.schedule(server::listenAgain, millis, TimeUnit.MILLISECONDS);
+            return;
+        } else {
+            faults.switchOn(name, exchange);
+        }
+        exchange.reply(HttpReply.empty(NO_CONTENT));
+    }
+
+    private HttpReply decorate(HttpReply reply) {
+        return isDraining() ? reply.with("Endpoint-State", "draining").with("Connection", "close") : reply;
+    }
+
+    private synchronized boolean isDraining() {
+        return draining;
+    }
+
+    private static String required(HttpExchange exchange, String header) {
+        return exchange.header(header).orElseThrow(() -> new IllegalArgumentException("header " + header + " missing"));
+    }
+
+    private static Thread daemon(Runnable work) {
+        Thread thread = new Thread(work, "standin-clock");
+        thread.setDaemon(true);
+        return thread;
+    }
+}
--- /dev/null
+++ b/tarragonarch-standin/src/main/java/org/tarragonarch/standin/endpoint/Start.java
@@ -0,0 +1,39 @@
+package org.tarragonarch.standin.endpoint;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+
+/** One start of a task, as the ledger keeps it. */
+final class Start {
+    private final String task;
+    private final int attempt;
+    private final String kind;
+    private final long startedMillis = System.currentTimeMillis();
+    private Long endedMillis;
+    private int stops;
+
+    Start(String task, int attempt, String kind) {
+        this.task = task;
+        this.attempt = attempt;
+        this.kind = kind;
+    }
+
+    synchronized void end() {
+        endedMillis = System.currentTimeMillis();
+    }
+
+    synchronized void stop() {
+        stops++;
+    }
+
+    synchronized ObjectNode json() {
+        return JsonNodeFactory.instance
+                .objectNode()
+                .put("task", task)
+                .put("attempt", attempt)
+                .put("kind", kind)
+                .put("started-ms", startedMillis)
+                .put("ended-ms", endedMillis)
+                .put("stops", stops);
+    }
+}
--- a/tarragonarch-standin/src/main/java/org/tarragonarch/standin/http/ExchangeOpener.java
+++ b/tarragonarch-standin/src/main/java/org/tarragonarch/standin/http/ExchangeOpener.java
@@ -12,14 +12,16 @@
     private static final int BAD_REQUEST = 400;
 
     private final HttpHandler handler;
+    private final OpenExchanges open;
 
-    ExchangeOpener(HttpHandler handler) {
+    ExchangeOpener(HttpHandler handler, OpenExchanges open) {
         this.handler = handler;
+        this.open = open;
     }
 
     @Override
     protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
-        HttpExchange exchange = new HttpExchange(context.channel(), request);
+        HttpExchange exchange = new HttpExchange(context.channel(), request, open);
         try {
             handler.handle(exchange);
         } catch (IllegalArgumentException e) {
--- a/tarragonarch-standin/src/main/java/org/tarragonarch/standin/http/HttpExchange.java
+++ b/tarragonarch-standin/src/main/java/org/tarragonarch/standin/http/HttpExchange.java
@@ -5,6 +5,7 @@
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -30,14 +31,18 @@
     private final HttpHeaders headers;
     private final byte[] body;
     private final boolean keepAlive;
+    private final OpenExchanges open;
 
-    HttpExchange(Channel channel, FullHttpRequest request) {
+    HttpExchange(Channel channel, FullHttpRequest request, OpenExchanges open) {
         this.channel = channel;
         this.method = request.method().name();
         this.target = new QueryStringDecoder(request.uri());
         this.headers = request.headers();
         this.body = ByteBufUtil.getBytes(request.content());
         this.keepAlive = HttpUtil.isKeepAlive(request);
+        this.open = open;
+        open.add(this);
+        channel.closeFuture().addListener(closed -> open.remove(this));
     }
 
     /** Returns the method, in capitals. */
@@ -87,16 +92,12 @@
         channel.eventLoop().schedule(action, milliseconds, TimeUnit.MILLISECONDS);
     }
 
-    /** Runs something when the connection is closed, or at once if it is. */
-    public void onClose(Runnable action) {
-        channel.closeFuture().addListener(closed -> action.run());
-    }
-
     /** Answers. */
     public void reply(HttpReply reply) {
         boolean lasting = keepAlive && !"close".equals(reply.headers().get("Connection"));
         FullHttpResponse response = response(reply);
-        var written = channel.writeAndFlush(response);
+        ChannelFuture written = channel.writeAndFlush(response);
+        written.addListener(done -> open.remove(this));
         if (!lasting) {
             written.addListener(ChannelFutureListener.CLOSE);
         }
--- a/tarragonarch-standin/src/main/java/org/tarragonarch/standin/http/HttpServer.java
+++ b/tarragonarch-standin/src/main/java/org/tarragonarch/standin/http/HttpServer.java
@@ -30,6 +30,7 @@
     private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
     private final HttpHandler handler;
     private final BooleanSupplier closeUnread;
+    private final OpenExchanges open = new OpenExchanges();
     private Channel listening;
     private Address address;
 
@@ -70,6 +71,11 @@
         }
     }
 
+    /** Waits until the answers to all requests read so far have left; returns whether that came true in time. */
+    public boolean awaitAnswered(long milliseconds) throws InterruptedException {
+        return open.awaitNone(milliseconds);
+    }
+
     @Override
     public void close() {
         threads.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
@@ -101,6 +107,6 @@
                 .addLast(new HttpServerCodec())
                 .addLast(new UnreadCloser(closeUnread))
                 .addLast(new HttpObjectAggregator(MAX_BODY_BYTES))
-                .addLast(new ExchangeOpener(handler));
+                .addLast(new ExchangeOpener(handler, open));
     }
 }
--- /dev/null
+++ b/tarragonarch-standin/src/test/java/org/tarragonarch/standin/platform/ConfigurationStoreTest.java
@@ -0,0 +1,180 @@
+package org.tarragonarch.standin.platform;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import org.tarragonarch.model.id.ChangeId;
+import org.tarragonarch.model.id.ConfigurationVersion;
+import org.tarragonarch.model.id.ContentDigest;
+import org.tarragonarch.model.id.OperatorName;
+import org.tarragonarch.model.platform.ConfigurationRow;
+import org.tarragonarch.platform.AuditRecord;
+import org.tarragonarch.platform.ConfigurationConflictException;
+import org.tarragonarch.platform.ConfigurationStore;
+import org.tarragonarch.platform.PlatformClient;
+import org.tarragonarch.platform.PlatformException;
+import org.tarragonarch.standin.StandInControl;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+public final class ConfigurationStoreTest {
+    private static final Duration TIMEOUT = Duration.ofMillis(300);
+
+    private StandInPlatform platform;
+    private StandInControl control;
+    private PlatformClient client;
+    private ConfigurationStore store;
+
+    @BeforeMethod
+    public void start() {
+        platform = StandInPlatform.start("127.0.0.1", 0);
+        control = StandInControl.of(platform.address());
+        client = PlatformClient.create(platform.address(), TIMEOUT);
+        store = client.configurationStore();
+    }
+
+    @AfterMethod
+    public void stop() {
+        client.close();
+        platform.close();
+    }
+
+    @Test
+    public void testAccept_rowObjectAndAudit() throws Exception {
+        assertTrue(store.row().isEmpty());
+
+        ConfigurationRow first = accept(0, "ann", "{}");
+        ConfigurationRow second = accept(1, "ben", "{\"teams\":{}}");
+
+        assertEquals(store.row().orElseThrow(), second);
+        assertEquals(new String(store.load(first.digest()), StandardCharsets.UTF_8), "{}");
+        assertEquals(store.history(5), List.of(record(1, "ben", "{\"teams\":{}}"), record(0, "ann", "{}")));
+        assertEquals(store.history(1).size(), 1);
+    }
+
+    @Test
+    public void testAccept_racingOperatorIsTold() throws Exception {
+        // Two operators change version 0 at once, and a third has built on the winner before the loser's write arrives.
+        // The loser must learn who won, not who is newest.
+        accept(0, "ann", "{}");
+        accept(1, "cid", "{\"services\":{}}");
+
+        ConfigurationConflictException conflict =
+                expectThrows(ConfigurationConflictException.class, () -> accept(0, "ben", "{\"teams\":{}}"));
+
+        assertEquals(conflict.accepted().operator(), OperatorName.of("ann"));
+        assertEquals(store.row().orElseThrow().version(), ConfigurationVersion.of(2));
+    }
+
+    @Test
+    public void testAccept_replyLostIsSettledByChange() throws Exception {
+        // The transaction takes effect and its reply is lost. The operator must hear that the change was accepted, and
+        // the audit trail must hold it once.
+        control.fault("reply-lost?part=tables&count=1");
+
+        ConfigurationRow accepted = accept(0, "ann", "{}");
+
+        assertEquals(store.row().orElseThrow(), accepted);
+        assertEquals(store.history(5).size(), 1);
+    }
+
+    @Test
+    public void testAccept_replyLostAndReadStale() throws Exception {
+        // The reply is lost, and the reading that shall settle it still shows the old row. Were that taken as "not
+        // accepted", the operator would be told a false refusal; sending the same transaction again finds the truth.
+        accept(0, "ann", "{}");
+        control.fault("stale?table=configuration&key=current");
+        control.fault("reply-lost?part=tables&count=1");
+
+        ConfigurationRow accepted = accept(1, "ben", "{\"teams\":{}}");
+
+        control.clearFaults();
+        assertEquals(store.row().orElseThrow(), accepted);
+        assertEquals(store.history(5).size(), 2);
+    }
+
+    @Test
+    public void testAccept_staleReadBeforeFirstTry() throws Exception {
+        // A reading shows no row yet although version 1 stands, so that the insertion fails. The operator's change of
+        // version 0 has lost against ann's and must be told so.
+        control.fault("stale?table=configuration&key=current");
+        accept(0, "ann", "{}");
+
+        ConfigurationConflictException conflict =
+                expectThrows(ConfigurationConflictException.class, () -> accept(0, "ben", "{\"teams\":{}}"));
+
+        assertEquals(conflict.accepted().operator(), OperatorName.of("ann"));
+    }
+
+    @Test
+    public void testAccept_objectStoreOutChangesNothing() throws Exception {
+        control.fault("out?part=objects");
+
+        PlatformException out = expectThrows(PlatformException.class, () -> accept(0, "ann", "{}"));
+
+        assertFalse(out.mayHaveApplied());
+        assertEquals(out.peer(), "object store");
+        assertTrue(store.row().isEmpty());
+    }
+
+    @Test
+    public void testAccept_objectReplyLostIsStoredAgain() throws Exception {
+        control.fault("reply-lost?part=objects&count=1");
+
+        ConfigurationRow accepted = accept(0, "ann", "{}");
+
+        assertEquals(store.row().orElseThrow(), accepted);
+    }
+
+    @Test
+    public void testAccept_replyLostAndNoReadingIsSaidToBeOpen() throws Exception {
+        // The transaction's reply is lost, and from then on the table service does not answer: nobody can say whether
+        // the change was accepted, and the error must say just that.
+        accept(0, "ann", "{}");
+        control.fault("slow?part=tables&ms=0&count=1");
+        control.fault("cut?part=tables");
+
+        PlatformException open = expectThrows(PlatformException.class, () -> accept(1, "ben", "{\"teams\":{}}"));
+
+        assertTrue(open.mayHaveApplied());
+    }
+
+    @Test
+    public void testAccept_firstReadingFailsChangesNothing() throws Exception {
+        control.fault("silent?part=tables&count=1");
+
+        PlatformException failed = expectThrows(PlatformException.class, () -> accept(0, "ann", "{}"));
+
+        assertFalse(failed.mayHaveApplied());
+        assertTrue(store.row().isEmpty());
+    }
+
+    @Test
+    public void testLoad_unknownObject() {
+        expectThrows(PlatformException.class, () -> store.load(ContentDigest.of(new byte[] {1})));
+    }
+
+    private ConfigurationRow accept(long from, String operator, String text)
+            throws ConfigurationConflictException, PlatformException {
+        return store.accept(record(from, operator, text), text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    private static AuditRecord record(long from, String operator, String text) {
+        ConfigurationVersion replaced = ConfigurationVersion.of(from);
+        return new AuditRecord(
+                replaced.next(),
+                replaced,
+                ContentDigest.of(text.getBytes(StandardCharsets.UTF_8)),
+                new ChangeId("change-of-" + operator),
+                OperatorName.of(operator),
+                Instant.parse("2026-12-02T20:00:00Z"),
+                "a change by " + operator);
+    }
+}
