--- /dev/null
+++ b/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/admin/AdminAnswer.java
@@ -0,0 +1,30 @@
+package org.tarragonarch.ctl.admin;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import java.util.Optional;
+import org.tarragonarch.model.id.Address;
+
+/**
+ * What one of several nodes answered: a value, or why there is none.
+ *
+ * @param node the administration address asked
+ * @param value the answer
+ * @param failure why there is no answer
+ */
+public record AdminAnswer<T>(Address node, Optional<T> value, Optional<AdminException> failure) {
+    /** Checks the parts. */
+    public AdminAnswer {
+        checkNotNull(node, "node");
+        checkNotNull(value, "value");
+        checkNotNull(failure, "failure");
+    }
+
+    static <T> AdminAnswer<T> of(Address node, T value) {
+        return new AdminAnswer<>(node, Optional.of(value), Optional.empty());
+    }
+
+    static <T> AdminAnswer<T> failed(Address node, AdminException failure) {
+        return new AdminAnswer<>(node, Optional.empty(), Optional.of(failure));
+    }
+}
--- /dev/null
+++ b/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/admin/AdminException.java
@@ -0,0 +1,51 @@
+package org.tarragonarch.ctl.admin;
+
+import org.tarragonarch.model.id.Address;
+import org.tarragonarch.model.outcome.Step;
+import org.tarragonarch.model.outcome.StepException;
+
+/** A call to a node's administration API had no usable result. */
+public final class AdminException extends StepException {
+    /** The status of an error that arose before or without an HTTP answer. */
+    public static final int NO_STATUS = 0;
+
+    private static final long serialVersionUID = 1L;
+    private static final int CONFLICT = 409;
+    private static final int FIRST_SERVER_ERROR = 500;
+
+    private final int status;
+
+    private AdminException(Step step, String peer, String message, int status, Throwable cause) {
+        super(step, peer, message, cause);
+        this.status = status;
+    }
+
+    static AdminException noAnswer(Address node, Throwable cause) {
+        String message = "no answer from " + node + ": " + cause.getMessage();
+        return new AdminException(Step.PEER, node.toString(), message, NO_STATUS, cause);
+    }
+
+    static AdminException refused(Address node, int status, String detail) {
+        return new AdminException(Step.PEER, node.toString(), detail + " (status " + status + ")", status, null);
+    }
+
+    static AdminException unreadable(Address node, String problem) {
+        String message = "the answer of " + node + " cannot be read: " + problem;
+        return new AdminException(Step.PEER, node.toString(), message, NO_STATUS, null);
+    }
+
+    /** Returns the HTTP status, or {@link #NO_STATUS}. */
+    public int status() {
+        return status;
+    }
+
+    /** Returns whether another change was accepted first. */
+    public boolean conflict() {
+        return status == CONFLICT;
+    }
+
+    /** Returns whether the node's answer leaves open if it did what was asked, so that another node may be asked. */
+    public boolean undecided() {
+        return status == NO_STATUS || status >= FIRST_SERVER_ERROR;
+    }
+}
--- /dev/null
+++ b/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/admin/JsonReader.java
@@ -0,0 +1,60 @@
+package org.tarragonarch.ctl.admin;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.google.common.collect.ImmutableList;
+import org.tarragonarch.model.id.Address;
+
+/** Reads the fields of an answer's object; a missing or wrong one is told with the node and the field. */
+final class JsonReader {
+    private final Address node;
+    private final JsonNode object;
+
+    JsonReader(Address node, JsonNode object) {
+        this.node = node;
+        this.object = object;
+    }
+
+    String text(String field) throws AdminException {
+        JsonNode found = object.path(field);
+        if (!found.isTextual()) {
+            throw wrong(field, "a text");
+        }
+        return found.textValue();
+    }
+
+    long number(String field) throws AdminException {
+        JsonNode found = object.path(field);
+        if (!found.isIntegralNumber()) {
+            throw wrong(field, "a whole number");
+        }
+        return found.longValue();
+    }
+
+    boolean bool(String field) throws AdminException {
+        JsonNode found = object.path(field);
+        if (!found.isBoolean()) {
+            throw wrong(field, "true or false");
+        }
+        return found.booleanValue();
+    }
+
+    <T> ImmutableList<T> list(String field, ItemReader<T> reader) throws AdminException {
+        JsonNode found = object.path(field);
+        if (!found.isArray()) {
+            throw wrong(field, "a list");
+        }
+        return items(node, found, reader);
+    }
+
+    static <T> ImmutableList<T> items(Address node, JsonNode list, ItemReader<T> reader) throws AdminException {
+        ImmutableList.Builder<T> items = ImmutableList.builder();
+        for (JsonNode item : list) {
+            items.add(reader.read(new JsonReader(node, item)));
+        }
+        return items.build();
+    }
+
+    AdminException wrong(String field, String due) {
+        return AdminException.unreadable(node, "'" + field + "' is missing or not " + due);
+    }
+}
--- /dev/null
+++ b/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/admin/package-info.java
@@ -0,0 +1,2 @@
+/** A client of the nodes' administration API. */
+package org.tarragonarch.ctl.admin;
--- /dev/null
+++ b/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/change/AdminGateway.java
@@ -0,0 +1,74 @@
+package org.tarragonarch.ctl.change;
+
+import com.google.common.collect.ImmutableList;
+import java.util.Comparator;
+import org.tarragonarch.ctl.admin.AdminAnswer;
+import org.tarragonarch.ctl.admin.AdminCall;
+import org.tarragonarch.ctl.admin.AdminClient;
+import org.tarragonarch.ctl.admin.AdminException;
+import org.tarragonarch.ctl.admin.AdminNodes;
+import org.tarragonarch.ctl.admin.ChangeRequest;
+import org.tarragonarch.ctl.admin.ConfigurationView;
+import org.tarragonarch.model.id.ConfigurationVersion;
+import org.tarragonarch.platform.AuditRecord;
+
+/** Reaches the accepted configurations through the administration API of whichever node answers. */
+public final class AdminGateway implements ConfigurationGateway {
+    private final AdminNodes nodes;
+
+    /** Creates a gateway over these nodes, which the caller closes. */
+    public AdminGateway(AdminNodes nodes) {
+        this.nodes = nodes;
+    }
+
+    @Override
+    public ConfigurationView newest() throws AdminException {
+        ImmutableList<AdminAnswer<ConfigurationView>> answers = nodes.askAll(AdminClient::configuration);
+        // A node that is cut off may still hold an older version, so the newest of all answers counts.
+        return answers.stream()
+                .flatMap(answer -> answer.value().stream())
+                .max(Comparator.comparing(ConfigurationView::version))
+                .orElseThrow(() -> answers.get(0).failure().orElseThrow());
+    }
+
+    @Override
+    public ConfigurationView at(ConfigurationVersion version) throws AdminException {
+        return first(client -> client.configuration(version));
+    }
+
+    /**
+     * Asks one node after the other until one decides. The change keeps its mark, by which a node that is asked second
+     * sees that the first had it accepted already although the reply was lost.
+     */
+    @Override
+    public ConfigurationVersion accept(ChangeRequest change) throws ChangeConflictException, AdminException {
+        try {
+            return first(client -> client.accept(change));
+        } catch (AdminException e) {
+            if (e.conflict()) {
+                throw new ChangeConflictException(e.peer(), e.getMessage());
+            }
+            throw e;
+        }
+    }
+
+    @Override
+    public ImmutableList<AuditRecord> audit(int limit) throws AdminException {
+        return first(client -> client.audit(limit));
+    }
+
+    private <T> T first(AdminCall<T> call) throws AdminException {
+        AdminException last = null;
+        for (AdminClient client : nodes.clients()) {
+            try {
+                return call.ask(client);
+            } catch (AdminException e) {
+                if (!e.undecided()) {
+                    throw e;
+                }
+                last = e;
+            }
+        }
+        throw last;
+    }
+}
--- /dev/null
+++ b/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/change/ChangeMaker.java
@@ -0,0 +1,55 @@
+package org.tarragonarch.ctl.change;
+
+import java.util.Optional;
+import java.util.UUID;
+import org.tarragonarch.ctl.admin.ChangeRequest;
+import org.tarragonarch.ctl.admin.ConfigurationView;
+import org.tarragonarch.model.id.ChangeId;
+import org.tarragonarch.model.id.ConfigurationVersion;
+import org.tarragonarch.model.outcome.StepException;
+import org.tarragonarch.model.service.ServiceCatalog;
+import org.tarragonarch.settings.CatalogDifference;
+import org.tarragonarch.settings.CatalogReader;
+import org.tarragonarch.settings.SettingsException;
+
+/** Compares a configuration with the accepted one and has the change accepted. */
+public final class ChangeMaker {
+    private final ConfigurationGateway gateway;
+
+    /** Creates one that works through this gateway. */
+    public ChangeMaker(ConfigurationGateway gateway) {
+        this.gateway = gateway;
+    }
+
+    /**
+     * Returns what accepting this configuration would change.
+     *
+     * @param canonical the configuration's canonical text
+     * @param catalog what it defines
+     * @throws StepException if the accepted configuration cannot be had
+     */
+    public PlannedChange plan(byte[] canonical, ServiceCatalog catalog) throws StepException {
+        ConfigurationView accepted = gateway.newest();
+        CatalogDifference difference = CatalogDifference.between(catalogOf(accepted), catalog);
+        return new PlannedChange(accepted.version(), difference, canonical);
+    }
+
+    /**
+     * Has a planned change accepted.
+     *
+     * @param summary what the audit trail says of it
+     * @return the new version
+     * @throws ChangeConflictException if another change was accepted since it was planned
+     * @throws StepException if it was refused, or it cannot be said whether it was accepted
+     */
+    public ConfigurationVersion make(PlannedChange planned, String summary) throws StepException {
+        ChangeId mark = new ChangeId(UUID.randomUUID().toString());
+        return gateway.accept(new ChangeRequest(planned.from(), mark, summary, planned.canonical()));
+    }
+
+    private static Optional<ServiceCatalog> catalogOf(ConfigurationView view) throws SettingsException {
+        return view.version().equals(ConfigurationVersion.NONE)
+                ? Optional.empty()
+                : Optional.of(CatalogReader.read(view.version(), view.canonical()));
+    }
+}
--- /dev/null
+++ b/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/change/StoreGateway.java
@@ -0,0 +1,78 @@
+package org.tarragonarch.ctl.change;
+
+import com.google.common.collect.ImmutableList;
+import java.time.Clock;
+import java.util.Optional;
+import org.tarragonarch.ctl.admin.ChangeRequest;
+import org.tarragonarch.ctl.admin.ConfigurationView;
+import org.tarragonarch.model.id.ConfigurationVersion;
+import org.tarragonarch.model.id.ContentDigest;
+import org.tarragonarch.model.id.OperatorName;
+import org.tarragonarch.model.platform.ConfigurationRow;
+import org.tarragonarch.platform.AuditRecord;
+import org.tarragonarch.platform.ConfigurationConflictException;
+import org.tarragonarch.platform.ConfigurationStore;
+import org.tarragonarch.platform.PlatformException;
+
+/** Reaches the accepted configurations straight at the platform, for the first one and where no node answers. */
+public final class StoreGateway implements ConfigurationGateway {
+    private static final int SEARCHED_RECORDS = 10_000;
+
+    private final ConfigurationStore store;
+    private final OperatorName operator;
+    private final Clock clock;
+
+    /**
+     * Creates a gateway.
+     *
+     * @param store the platform's configurations
+     * @param operator the name that the audit trail shows
+     * @param clock the time that the audit trail shows
+     */
+    public StoreGateway(ConfigurationStore store, OperatorName operator, Clock clock) {
+        this.store = store;
+        this.operator = operator;
+        this.clock = clock;
+    }
+
+    @Override
+    public ConfigurationView newest() throws PlatformException {
+        Optional<ConfigurationRow> row = store.row();
+        return row.isEmpty()
+                ? new ConfigurationView(ConfigurationVersion.NONE, new byte[0])
+                : new ConfigurationView(
+                        row.get().version(), store.load(row.get().digest()));
+    }
+
+    @Override
+    public ConfigurationView at(ConfigurationVersion version) throws PlatformException {
+        for (AuditRecord record : store.history(SEARCHED_RECORDS)) {
+            if (record.version().equals(version)) {
+                return new ConfigurationView(version, store.load(record.digest()));
+            }
+        }
+        throw new PlatformException("table service", "version " + version + " was never accepted", false, null);
+    }
+
+    @Override
+    public ConfigurationVersion accept(ChangeRequest change) throws ChangeConflictException, PlatformException {
+        AuditRecord record = new AuditRecord(
+                change.from().next(),
+                change.from(),
+                ContentDigest.of(change.canonical()),
+                change.change(),
+                operator,
+                clock.instant(),
+                change.summary());
+        try {
+            return store.accept(record, change.canonical()).version();
+        } catch (ConfigurationConflictException e) {
+            throw new ChangeConflictException(e.peer(), e.getMessage());
+        }
+    }
+
+    @Override
+    public ImmutableList<AuditRecord> audit(int limit) throws PlatformException {
+        return store.history(limit);
+    }
+}
