--- a/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/change/DomainRollout.java
+++ b/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/change/DomainRollout.java
@@ -13,10 +13,7 @@
  * @param unreachable the nodes that cannot be reached
  */
 public record DomainRollout(
-        String domain,
-        ImmutableList<String> inForce,
-        ImmutableList<String> notYet,
-        ImmutableList<String> unreachable) {
+        String domain, ImmutableList<String> inForce, ImmutableList<String> notYet, ImmutableList<String> unreachable) {
     /** Checks the parts. */
     public DomainRollout {
         checkNotNull(domain, "domain");
--- a/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/change/Rollout.java
+++ b/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/change/Rollout.java
@@ -41,9 +41,10 @@
     public static Rollout of(ConfigurationVersion version, List<AdminAnswer<NodeView>> answers) {
         Map<String, Sighting> sightings = new TreeMap<>();
         for (AdminAnswer<NodeView> answer : answers) {
-            answer.value().ifPresent(view -> view.peers().stream()
-                    .filter(peer -> !peer.phase().equals(LEFT))
-                    .forEach(peer -> sightings.merge(peer.node(), Sighting.of(peer), Sighting::better)));
+            answer.value()
+                    .ifPresent(view -> view.peers().stream()
+                            .filter(peer -> !peer.phase().equals(LEFT))
+                            .forEach(peer -> sightings.merge(peer.node(), Sighting.of(peer), Sighting::better)));
         }
         for (AdminAnswer<NodeView> answer : answers) {
             answer.value().ifPresent(view -> sightings.put(view.node(), Sighting.of(view)));
@@ -70,9 +71,9 @@
     }
 
     private static ImmutableList<DomainRollout> domains(ConfigurationVersion version, Map<String, Sighting> sightings) {
-        ImmutableSortedSet<String> names =
-                sightings.values().stream().map(Sighting::domain).collect(ImmutableSortedSet.toImmutableSortedSet(
-                        Comparator.naturalOrder()));
+        ImmutableSortedSet<String> names = sightings.values().stream()
+                .map(Sighting::domain)
+                .collect(ImmutableSortedSet.toImmutableSortedSet(Comparator.naturalOrder()));
         return names.stream()
                 .map(name -> new DomainRollout(
                         name,
--- /dev/null
+++ b/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/command/AuditCommand.java
@@ -0,0 +1,45 @@
+package org.tarragonarch.ctl.command;
+
+import org.tarragonarch.ctl.ExitCode;
+import org.tarragonarch.ctl.output.Table;
+import org.tarragonarch.platform.AuditRecord;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+/** Prints the audit trail whole. */
+@Command(
+        name = "audit",
+        description = "Prints the audit trail whole, the newest change first: version, the one it replaced, change id,"
+                + " digest, operator.")
+final class AuditCommand extends ConnectedCommand {
+    @Option(
+            names = {"-n", "--limit"},
+            paramLabel = "N",
+            defaultValue = "20",
+            description = "The most changes listed; ${DEFAULT-VALUE} unless stated.")
+    private int limit;
+
+    @Option(names = "--by", paramLabel = "OPERATOR", description = "Only the changes of this operator.")
+    private String by;
+
+    @Override
+    public Integer call() throws Exception {
+        return withGateway(connection(), gateway -> {
+            Table table = Table.of("version", "from", "when", "operator", "change", "digest", "summary");
+            for (AuditRecord record : gateway.audit(limit)) {
+                if (by == null || by.equals(record.operator().value())) {
+                    table.row(
+                            record.version().value(),
+                            record.from().value(),
+                            record.when(),
+                            record.operator(),
+                            record.change(),
+                            record.digest(),
+                            record.summary());
+                }
+            }
+            output().table(table, "no such change");
+            return ExitCode.OK.number();
+        });
+    }
+}
--- /dev/null
+++ b/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/command/RollbackCommand.java
@@ -0,0 +1,46 @@
+package org.tarragonarch.ctl.command;
+
+import org.tarragonarch.ctl.ExitCode;
+import org.tarragonarch.ctl.admin.ConfigurationView;
+import org.tarragonarch.ctl.change.ChangeMaker;
+import org.tarragonarch.ctl.change.ConfigurationGateway;
+import org.tarragonarch.ctl.change.PlannedChange;
+import org.tarragonarch.ctl.connection.Connection;
+import org.tarragonarch.model.id.ConfigurationVersion;
+import org.tarragonarch.model.service.ServiceCatalog;
+import org.tarragonarch.settings.CatalogReader;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Parameters;
+
+/** Makes an earlier configuration the newest again. */
+@Command(
+        name = "rollback",
+        description =
+                "Makes what an earlier version said the configuration again, as a new version; versions only go up.")
+final class RollbackCommand extends ChangeCommand {
+    @Parameters(paramLabel = "VERSION", description = "The version to go back to; see 'tarragonctl history'.")
+    private ConfigurationVersion target;
+
+    @Override
+    public Integer call() throws Exception {
+        Connection connection = connection();
+        return withGateway(connection, gateway -> rollBack(connection, gateway));
+    }
+
+    private int rollBack(Connection connection, ConfigurationGateway gateway) throws Exception {
+        ConfigurationView earlier = gateway.at(target);
+        ServiceCatalog catalog = CatalogReader.read(target, earlier.canonical());
+        ChangeMaker maker = new ChangeMaker(gateway);
+        PlannedChange planned = maker.plan(earlier.canonical(), catalog);
+        if (planned.difference().isEmpty()) {
+            output().note("nothing to change: version " + planned.from() + " says the same as version " + target);
+            return ExitCode.OK.number();
+        }
+        if (!output().json()) {
+            DifferenceTable.print(planned.difference(), output());
+        }
+        String summary =
+                "rolled back to version " + target + ": " + planned.difference().summary();
+        return make(connection, maker, planned, summary);
+    }
+}
--- /dev/null
+++ b/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/command/SubmissionCommand.java
@@ -0,0 +1,136 @@
+package org.tarragonarch.ctl.command;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.Optional;
+import org.tarragonarch.ctl.ExitCode;
+import org.tarragonarch.ctl.connection.Connection;
+import org.tarragonarch.ctl.output.Output;
+import org.tarragonarch.ctl.submit.CallerAnswer;
+import org.tarragonarch.ctl.submit.CallerClient;
+import org.tarragonarch.ctl.submit.Submission;
+import org.tarragonarch.model.id.Address;
+import org.tarragonarch.model.id.KindName;
+import org.tarragonarch.model.id.ServiceName;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+
+/** A command that submits something and prints its answer. */
+abstract class SubmissionCommand extends ConnectedCommand {
+    static final JsonMapper MAPPER = JsonMapper.builder().build();
+
+    private static final String FILE_MARK = "@";
+
+    @Parameters(index = "0", paramLabel = "SERVICE", description = "The service.")
+    private ServiceName service;
+
+    @Parameters(index = "1", paramLabel = "KIND", description = "The kind of request.")
+    private KindName kind;
+
+    @Option(
+            names = "--caller",
+            paramLabel = "IP:PORT",
+            description = "Caller address of a node; without it, caller-address of the --settings file.")
+    private Address callerAddress;
+
+    @Option(
+            names = "--caller-token-file",
+            paramLabel = "FILE",
+            description = "File that holds the caller's token; without it, caller-token-file of the --settings file or"
+                    + " the environment variable TARRAGONCTL_CALLER_TOKEN.")
+    private Path callerTokenFile;
+
+    @Option(
+            names = "--idempotency-key",
+            paramLabel = "KEY",
+            description = "Makes sending it again harmless: the same key and content is one submission.")
+    private String idempotencyKey;
+
+    @Option(names = "--time-allowed", paramLabel = "DURATION", description = "When to give up on it, such as 5s.")
+    private Duration timeAllowed;
+
+    @Option(names = "--request-id", paramLabel = "TEXT", description = "Your own mark, which the answer repeats.")
+    private String requestId;
+
+    @Override
+    public Integer call() throws Exception {
+        Connection connection = connection();
+        Submission submission = new Submission(
+                service,
+                form(),
+                kind,
+                body(),
+                Optional.ofNullable(idempotencyKey),
+                Optional.ofNullable(timeAllowed),
+                Optional.ofNullable(requestId));
+        CallerClient client = new CallerClient(address(connection), token(connection), connection.timeout());
+        CallerAnswer answer = client.submit(submission);
+        tell(answer);
+        return answer.complete() ? ExitCode.OK.number() : ExitCode.FAILED.number();
+    }
+
+    /** Returns the resource that takes the submission. */
+    abstract String form();
+
+    /** Returns the message. */
+    abstract JsonNode body();
+
+    /** Reads a JSON value that is given as text, or as {@code @FILE}. */
+    final JsonNode json(String argument) {
+        try {
+            String text = argument.startsWith(FILE_MARK)
+                    ? Files.readString(Path.of(argument.substring(FILE_MARK.length())))
+                    : argument;
+            return MAPPER.readTree(text);
+        } catch (JsonProcessingException e) {
+            throw usage("the input is not JSON: " + e.getOriginalMessage());
+        } catch (IOException e) {
+            throw usage("the input cannot be read: " + e);
+        }
+    }
+
+    private Address address(Connection connection) {
+        return Optional.ofNullable(callerAddress)
+                .or(connection::callerAddress)
+                .orElseThrow(() ->
+                        usage("no caller address: give --caller IP:PORT, or caller-address in a --settings file"));
+    }
+
+    private String token(Connection connection) throws IOException {
+        if (callerTokenFile != null) {
+            return Files.readString(callerTokenFile).strip();
+        }
+        return connection
+                .callerToken()
+                .orElseThrow(() -> usage("no caller token: give --caller-token-file FILE, caller-token-file in a"
+                        + " --settings file, or the environment variable TARRAGONCTL_CALLER_TOKEN"));
+    }
+
+    private void tell(CallerAnswer answer) {
+        Output output = output();
+        if (output.json()) {
+            output.value(answer.body());
+            return;
+        }
+        output.line("outcome " + answer.text("outcome") + " (status " + answer.status() + "), submission "
+                + answer.text("id"));
+        if (answer.complete()) {
+            JsonNode results = answer.body().path("results");
+            results.forEach(result -> output.line(result.toString()));
+            if (results.isMissingNode()) {
+                output.line(answer.body().path("result").toString());
+            }
+            return;
+        }
+        output.line(answer.text("title") + ": " + answer.text("detail"));
+        output.line("code " + answer.text("code") + ", step " + answer.text("step") + ", peer " + answer.text("peer"));
+        if (answer.body().has("retry-after-ms")) {
+            output.line("come back in " + answer.text("retry-after-ms") + " ms");
+        }
+    }
+}
--- /dev/null
+++ b/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/command/SubmitJobCommand.java
@@ -0,0 +1,35 @@
+package org.tarragonarch.ctl.command;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+/** Tries one job. */
+@Command(name = "job", description = "Submits one job of several tasks, which is answered whole.")
+final class SubmitJobCommand extends SubmissionCommand {
+    @Option(
+            names = "--inputs",
+            paramLabel = "JSON",
+            required = true,
+            description = "The tasks' inputs: a JSON list with one value for each task, or @FILE that holds one.")
+    private String inputs;
+
+    @Override
+    String form() {
+        return "jobs";
+    }
+
+    @Override
+    JsonNode body() {
+        JsonNode list = json(inputs);
+        if (!list.isArray()) {
+            throw usage("--inputs is not a JSON list");
+        }
+        ObjectNode body = MAPPER.createObjectNode();
+        ArrayNode tasks = body.putArray("tasks");
+        list.forEach(input -> tasks.addObject().set("input", input));
+        return body;
+    }
+}
--- /dev/null
+++ b/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/command/TarragonCtl.java
@@ -0,0 +1,52 @@
+package org.tarragonarch.ctl.command;
+
+import org.tarragonarch.ctl.VersionProvider;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.ParameterException;
+import picocli.CommandLine.ScopeType;
+import picocli.CommandLine.Spec;
+
+/** The operator program itself, which only holds the commands. */
+@Command(
+        name = "tarragonctl",
+        description = "Checks, applies and undoes configurations of tarragonarch, and looks after its nodes.",
+        mixinStandardHelpOptions = true,
+        versionProvider = VersionProvider.class,
+        scope = ScopeType.INHERIT,
+        sortOptions = false,
+        exitCodeListHeading = "Exit status:%n",
+        exitCodeList = {
+            "0:all that was asked for was done",
+            "1:failed; the message names the step and the peer",
+            "2:wrong usage, or mistakes in settings or configuration files",
+            "3:conflict: another operator's change was accepted first",
+            "4:accepted, but not in force everywhere in the time allowed"
+        },
+        subcommands = {
+            CheckCommand.class,
+            DiffCommand.class,
+            ApplyCommand.class,
+            HistoryCommand.class,
+            AuditCommand.class,
+            RollbackCommand.class,
+            StatusCommand.class,
+            NodesCommand.class,
+            EndpointsCommand.class,
+            QueuesCommand.class,
+            QuotasCommand.class,
+            DrainCommand.class,
+            UndrainCommand.class,
+            SubmitCommand.class,
+            TokenCommand.class,
+            CompletionCommand.class
+        })
+public final class TarragonCtl implements Runnable {
+    @Spec
+    private CommandSpec command;
+
+    @Override
+    public void run() {
+        throw new ParameterException(command.commandLine(), "name a command");
+    }
+}
--- a/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/connection/Connection.java
+++ b/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/connection/Connection.java
@@ -41,6 +41,7 @@
     /** Returns a text without the tokens. */
     @Override
     public String toString() {
-        return "Connection[admin " + adminAddresses + ", platform " + platformAddress + ", caller " + callerAddress + "]";
+        return "Connection[admin " + adminAddresses + ", platform " + platformAddress + ", caller " + callerAddress
+                + "]";
     }
 }
--- a/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/connection/ConnectionOptions.java
+++ b/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/connection/ConnectionOptions.java
@@ -51,7 +51,8 @@
     @Option(
             names = "--token-file",
             paramLabel = "FILE",
-            description = "File that holds your operator token; without it, the environment variable TARRAGONCTL_TOKEN.")
+            description =
+                    "File that holds your operator token; without it, the environment variable TARRAGONCTL_TOKEN.")
     private Path tokenFile;
 
     @Option(
