--- a/tarragonarch-standin/src/main/java/org/tarragonarch/standin/explore/FakeNode.java
+++ b/tarragonarch-standin/src/main/java/org/tarragonarch/standin/explore/FakeNode.java
@@ -69,6 +69,11 @@
         return identity.node().value();
     }
 
+    /** Returns the name of this run of the node. */
+    String run() {
+        return name() + "#" + identity.incarnation();
+    }
+
     /** Returns whether this run goes on. */
     public boolean alive() {
         return alive;
--- a/tarragonarch-standin/src/main/java/org/tarragonarch/standin/explore/FakePlatform.java
+++ b/tarragonarch-standin/src/main/java/org/tarragonarch/standin/explore/FakePlatform.java
@@ -35,6 +35,7 @@
     private double replyLostShare;
     private double staleReadShare;
     private long listLagNanos;
+    private long listSeenNanos;
 
     FakePlatform(VirtualTime time, Random random) {
         this.time = time;
@@ -63,12 +64,18 @@
 
     /** Puts a VM on the list, or changes its line, once the lag is over. */
     public void list(VmRecord vm) {
-        time.after(listLagNanos, () -> vms.put(vm.name(), vm));
+        changeList(() -> vms.put(vm.name(), vm));
     }
 
     /** Takes a VM off the list, once the lag is over. */
     public void unlist(String name) {
-        time.after(listLagNanos, () -> vms.remove(name));
+        changeList(() -> vms.remove(name));
+    }
+
+    // The list lags but never goes back: changes are seen in the order in which they were made.
+    private void changeList(Runnable change) {
+        listSeenNanos = Math.max(listSeenNanos, time.nowNanos() + listLagNanos);
+        time.at(listSeenNanos, change);
     }
 
     /** Accepts a configuration. */
