Let nodes talk by typed frames over TCP

The seam between nodes: six frames behind one sealed interface, MessagePack within bounds, hellos checked at both ends, one outgoing connection a peer.

Ruled out: a table of endpoint numbers at both ends (2 bytes a name less, out of step after a lost frame); run and node in each frame (in the hello instead).

Fuzz: 200,000 mutated frames of a fixed seed end in a frame or in MalformedFrameException, in nothing else.

--- /dev/null
+++ b/tarragonarch-wire/src/main/java/org/tarragonarch/wire/Frame.java
@@ -0,0 +1,5 @@
+package org.tarragonarch.wire;
+
+/** One message from node to node. */
+public sealed interface Frame
+        permits Hello, ReportFrame, AnswerAsked, AnswerGiven, ConfigurationAsked, ConfigurationGiven {}
--- /dev/null
+++ b/tarragonarch-wire/src/main/java/org/tarragonarch/wire/FrameCodec.java
@@ -0,0 +1,53 @@
+package org.tarragonarch.wire;
+
+import java.util.Optional;
+
+/** Turns frames into bytes and back; the length in front of a frame is the connection's business. */
+public final class FrameCodec {
+    /** The most bytes a frame may have; a longer one is neither sent nor read. */
+    public static final int MAX_FRAME_BYTES = 4 * 1024 * 1024;
+
+    /** The bytes of the length in front of each frame. */
+    public static final int LENGTH_BYTES = 4;
+
+    private FrameCodec() {}
+
+    /** Returns the bytes of a frame, of whatever length. */
+    public static byte[] encode(Frame frame) {
+        FrameWriter writer = new FrameWriter();
+        if (frame instanceof Hello hello) {
+            HelloCodec.write(writer.writeInt(FrameType.HELLO.number()), hello);
+        } else if (frame instanceof ReportFrame report) {
+            ReportCodec.write(writer.writeInt(FrameType.REPORT.number()), report.report());
+        } else if (frame instanceof AnswerAsked asked) {
+            AnswerCodec.writeAsked(writer.writeInt(FrameType.ANSWER_ASKED.number()), asked);
+        } else if (frame instanceof AnswerGiven given) {
+            AnswerCodec.writeGiven(writer.writeInt(FrameType.ANSWER_GIVEN.number()), given);
+        } else if (frame instanceof ConfigurationAsked asked) {
+            writer.writeInt(FrameType.CONFIGURATION_ASKED.number())
+                    .writeLong(asked.version().value());
+        } else if (frame instanceof ConfigurationGiven given) {
+            ConfigurationCodec.write(writer.writeInt(FrameType.CONFIGURATION_GIVEN.number()), given);
+        }
+        return writer.toByteArray();
+    }
+
+    /**
+     * Reads a frame back.
+     *
+     * @param peer whom the bytes came from, for the error
+     * @param sender the hello of the connection the bytes came by; empty while there was none
+     * @param bytes one whole frame and nothing else
+     * @throws MalformedFrameException if the bytes are not exactly one frame
+     */
+    public static Frame decode(String peer, Optional<Hello> sender, byte[] bytes) throws MalformedFrameException {
+        FrameReader reader = new FrameReader(peer, bytes);
+        try {
+            Frame frame = FrameType.readFrom(reader).read(reader, sender);
+            reader.end();
+            return frame;
+        } catch (IllegalArgumentException e) {
+            throw reader.malformed("a value out of its range: " + e.getMessage(), e);
+        }
+    }
+}
--- /dev/null
+++ b/tarragonarch-wire/src/main/java/org/tarragonarch/wire/PeerConnection.java
@@ -0,0 +1,189 @@
+package org.tarragonarch.wire;
+
+import com.google.common.flogger.FluentLogger;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.DecoderException;
+import io.netty.handler.timeout.IdleState;
+import io.netty.handler.timeout.IdleStateEvent;
+import java.util.Optional;
+import org.tarragonarch.model.id.Incarnation;
+import org.tarragonarch.model.id.NodeId;
+
+/**
+ * One end of one connection: says hello, checks the other's hello, then passes frames both ways.
+ *
+ * <p>Whatever is wrong with what the other end sends closes this connection, with one line in the log, and nothing
+ * else. An end that has nothing to say repeats its hello, so that a peer that is frozen, or whose machine vanished
+ * without closing anything, shows by saying nothing at all and is let go of.
+ */
+final class PeerConnection extends SimpleChannelInboundHandler<ByteBuf> {
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
+    private final Hello own;
+    private final Optional<NodeId> expected;
+    private final PeerRegistry registry;
+    private final PeerListener listener;
+    private final ConnectionOwner owner;
+    private final FrameQueue queue;
+    private ChannelHandlerContext context;
+    private Optional<Hello> hello = Optional.empty();
+
+    /**
+     * Creates the end of a connection.
+     *
+     * @param own what this end says of itself
+     * @param expected the node that was called; empty for an incoming connection
+     * @param owner learns when the connection opens and closes
+     */
+    PeerConnection(
+            Hello own,
+            Optional<NodeId> expected,
+            PeerRegistry registry,
+            PeerListener listener,
+            ConnectionOwner owner,
+            FrameQueue queue) {
+        this.own = own;
+        this.expected = expected;
+        this.registry = registry;
+        this.listener = listener;
+        this.owner = owner;
+        this.queue = queue;
+    }
+
+    Optional<NodeId> expected() {
+        return expected;
+    }
+
+    Optional<Hello> hello() {
+        return hello;
+    }
+
+    boolean isOf(Incarnation run) {
+        return hello.filter(known -> known.incarnation().equals(run)).isPresent();
+    }
+
+    /** Returns whether a frame may still be sent; false from the moment of closing on. */
+    boolean isOpen() {
+        return context.channel().isOpen();
+    }
+
+    /** Sends a frame as soon as the other end takes it; the connection must be open. */
+    void send(EncodedFrame frame) {
+        queue.offer(frame).forEach(this::giveBack);
+        flush();
+    }
+
+    /** Closes the connection and says why in the log. */
+    void close(String reason) {
+        if (context.channel().isOpen()) {
+            LOGGER.atWarning().log(
+                    "peer-connection-closed step=peer peer=%s remote=%s reason=\"%s\"",
+                    name(), context.channel().remoteAddress(), reason);
+        }
+        context.close();
+    }
+
+    @Override
+    public void handlerAdded(ChannelHandlerContext added) {
+        context = added;
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext active) {
+        sayHello();
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext from, ByteBuf message) {
+        if (!from.channel().isOpen()) {
+            return;
+        }
+        try {
+            take(FrameCodec.decode(name(), hello, ByteBufUtil.getBytes(message)));
+        } catch (MalformedFrameException e) {
+            close(e.getMessage());
+        }
+    }
+
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext changed) {
+        flush();
+    }
+
+    @Override
+    public void userEventTriggered(ChannelHandlerContext idle, Object event) {
+        if (event instanceof IdleStateEvent state && state.state() == IdleState.READER_IDLE) {
+            close("silent");
+        } else if (event instanceof IdleStateEvent) {
+            sayHello();
+        }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext inactive) {
+        registry.closed(this);
+        queue.drain().forEach(this::giveBack);
+        owner.closed(this);
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext failed, Throwable cause) {
+        String kind = cause instanceof DecoderException ? "unreadable: " : "broken: ";
+        close(kind + cause.getMessage());
+    }
+
+    private void take(Frame frame) throws MalformedFrameException {
+        if (frame instanceof Hello said) {
+            takeHello(said);
+        } else if (hello.isEmpty()) {
+            throw new MalformedFrameException(name(), "a frame before the hello");
+        } else {
+            listener.received(hello.get().node(), hello.get().incarnation(), frame);
+        }
+    }
+
+    private void takeHello(Hello said) throws MalformedFrameException {
+        if (hello.isPresent()) {
+            if (!hello.get().equals(said)) {
+                throw new MalformedFrameException(name(), "a hello of another node or run: " + said);
+            }
+            return;
+        }
+        Optional<String> refusal = registry.admit(this, said);
+        if (refusal.isPresent()) {
+            close("the other end " + refusal.get());
+            return;
+        }
+        hello = Optional.of(said);
+        owner.opened(this);
+    }
+
+    private void sayHello() {
+        context.writeAndFlush(Unpooled.wrappedBuffer(FrameCodec.encode(own)));
+    }
+
+    private void flush() {
+        boolean written = false;
+        while (context.channel().isWritable() && !queue.isEmpty()) {
+            context.write(Unpooled.wrappedBuffer(queue.poll().orElseThrow().bytes()));
+            written = true;
+        }
+        if (written) {
+            context.flush();
+        }
+    }
+
+    private void giveBack(EncodedFrame frame) {
+        if (!frame.expendable() && hello.isPresent()) {
+            listener.undelivered(hello.get().node(), frame.frame());
+        }
+    }
+
+    private String name() {
+        return hello.map(Hello::node).or(() -> expected).map(NodeId::value).orElse("unknown");
+    }
+}
--- /dev/null
+++ b/tarragonarch-wire/src/main/java/org/tarragonarch/wire/PeerNetwork.java
@@ -0,0 +1,262 @@
+package org.tarragonarch.wire;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.flogger.FluentLogger;
+import com.google.common.net.InetAddresses;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.netty.handler.codec.LengthFieldPrepender;
+import io.netty.handler.timeout.IdleStateHandler;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import io.netty.util.concurrent.EventExecutor;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.TimeUnit;
+import org.tarragonarch.model.id.Address;
+import org.tarragonarch.model.id.Incarnation;
+import org.tarragonarch.model.id.NodeId;
+import org.tarragonarch.model.outcome.Step;
+import org.tarragonarch.model.outcome.StepException;
+
+/**
+ * The connections of one node with the others: one listening port, and one outgoing connection for each peer that there
+ * is something to send to.
+ *
+ * <p>Safe for use by any thread. Everything happens on one thread of its own; no method blocks but {@link #start} and
+ * {@link #close}.
+ */
+public final class PeerNetwork implements AutoCloseable {
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+    private static final int HELLOS_PER_IDLE_TIMEOUT = 3;
+    private static final Duration CLOSE_TIMEOUT = Duration.ofSeconds(2);
+
+    private final Hello own;
+    private final PeerListener listener;
+    private final PeerNetworkSettings settings;
+    private final PeerRegistry registry;
+    private final NioEventLoopGroup group = new NioEventLoopGroup(1, new DefaultThreadFactory("peer-network", true));
+    private final EventExecutor thread = group.next();
+    private final ChannelGroup incoming = new DefaultChannelGroup(thread);
+    private final Map<NodeId, PeerLink> links = new HashMap<>();
+    private Channel server;
+
+    private PeerNetwork(Hello own, PeerListener listener, PeerNetworkSettings settings) {
+        this.own = own;
+        this.listener = listener;
+        this.settings = settings;
+        this.registry = new PeerRegistry(own);
+    }
+
+    /**
+     * Starts to listen.
+     *
+     * @param bind where to listen
+     * @param own who this node is
+     * @param listener takes what comes from peers
+     * @throws StepException if the address cannot be listened at
+     */
+    public static PeerNetwork start(Address bind, Hello own, PeerListener listener) throws StepException {
+        return start(socketAddress(bind), own, listener, PeerNetworkSettings.DEFAULT);
+    }
+
+    /**
+     * Starts to listen, with other times and bounds, and at a port of the system's choice if the address names port 0.
+     *
+     * @throws StepException if the address cannot be listened at
+     */
+    public static PeerNetwork start(
+            InetSocketAddress bind, Hello own, PeerListener listener, PeerNetworkSettings settings)
+            throws StepException {
+        PeerNetwork network = new PeerNetwork(own, listener, settings);
+        try {
+            network.listen(bind);
+            return network;
+        } catch (StepException e) {
+            network.close();
+            throw e;
+        }
+    }
+
+    /** Returns where this node listens. */
+    public Address address() {
+        InetSocketAddress bound = (InetSocketAddress) server.localAddress();
+        return new Address(InetAddresses.toAddrString(bound.getAddress()), bound.getPort());
+    }
+
+    /**
+     * Sends a frame to whatever run of the peer listens at the address.
+     *
+     * <p>What answers a peer's frame goes by {@link #reply} instead.
+     */
+    public void send(NodeId peer, Address address, Frame frame) {
+        execute(() ->
+                encoded(peer, frame).ifPresent(encoded -> link(peer, address).send(encoded)));
+    }
+
+    /**
+     * Sends a frame to one run of the peer, by any connection that is open with it, and to no other run.
+     *
+     * <p>Needs no address, so a node that is not yet on the platform's list gets its answer by the connection that its
+     * question came by.
+     */
+    public void reply(NodeId peer, Incarnation run, Frame frame) {
+        execute(() -> encoded(peer, frame)
+                .ifPresent(encoded -> registry.find(peer, run)
+                        .ifPresentOrElse(connection -> connection.send(encoded), () -> giveBack(peer, encoded))));
+    }
+
+    /**
+     * Closes every connection and stops listening; what was handed in before and the peers take at once still leaves.
+     */
+    @Override
+    public void close() {
+        if (!group.isShuttingDown()) {
+            thread.submit(() -> {}).awaitUninterruptibly(CLOSE_TIMEOUT.toMillis());
+        }
+        group.shutdownGracefully(0, CLOSE_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS)
+                .awaitUninterruptibly(CLOSE_TIMEOUT.toMillis());
+    }
+
+    FrameQueue newQueue() {
+        return new FrameQueue(settings.maxQueuedFrames(), settings.maxQueuedBytes());
+    }
+
+    ChannelFuture connect(NodeId peer, Address address, ConnectionOwner owner) {
+        return new Bootstrap()
+                .group(group)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int)
+                        settings.connectTimeout().toMillis())
+                .handler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        addHandlers(channel, Optional.of(peer), owner);
+                    }
+                })
+                .connect(socketAddress(address));
+    }
+
+    void schedule(Duration wait, Runnable task) {
+        thread.schedule(task, wait.toMillis(), TimeUnit.MILLISECONDS);
+    }
+
+    void giveBack(NodeId peer, EncodedFrame frame) {
+        if (!frame.expendable()) {
+            listener.undelivered(peer, frame.frame());
+        }
+    }
+
+    private void listen(InetSocketAddress bind) throws StepException {
+        ChannelFuture bound = new ServerBootstrap()
+                .group(group)
+                .channel(NioServerSocketChannel.class)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        accept(channel);
+                    }
+                })
+                .bind(bind)
+                .awaitUninterruptibly();
+        if (!bound.isSuccess()) {
+            throw new StepException(Step.LIFECYCLE, bind.toString(), "cannot listen at " + bind, bound.cause());
+        }
+        server = bound.channel();
+        long sweep = settings.unusedTimeout().toMillis();
+        thread.scheduleAtFixedRate(this::retireUnused, sweep, sweep, TimeUnit.MILLISECONDS);
+    }
+
+    private void accept(Channel channel) {
+        if (incoming.size() >= settings.maxConnections()) {
+            LOGGER.atWarning().log("peer-connection-refused step=peer remote=%s reason=\"too many\"", channel);
+            channel.close();
+            return;
+        }
+        incoming.add(channel);
+        addHandlers(channel, Optional.empty(), IncomingOwner.INSTANCE);
+    }
+
+    private void addHandlers(Channel channel, Optional<NodeId> expected, ConnectionOwner owner) {
+        long idle = settings.idleTimeout().toMillis();
+        channel.pipeline()
+                .addLast(new IdleStateHandler(idle, idle / HELLOS_PER_IDLE_TIMEOUT, 0, TimeUnit.MILLISECONDS))
+                .addLast(new LengthFieldBasedFrameDecoder(
+                        FrameCodec.MAX_FRAME_BYTES, 0, FrameCodec.LENGTH_BYTES, 0, FrameCodec.LENGTH_BYTES))
+                .addLast(new LengthFieldPrepender(FrameCodec.LENGTH_BYTES))
+                .addLast(new PeerConnection(own, expected, registry, listener, owner, newQueue()));
+    }
+
+    private Optional<EncodedFrame> encoded(NodeId peer, Frame frame) {
+        EncodedFrame encoded = EncodedFrame.of(frame);
+        if (encoded.bytes().length <= FrameCodec.MAX_FRAME_BYTES) {
+            return Optional.of(encoded);
+        }
+        LOGGER.atWarning().log(
+                "peer-frame-too-long step=peer peer=%s bytes=%d most=%d",
+                peer, encoded.bytes().length, FrameCodec.MAX_FRAME_BYTES);
+        giveBack(peer, encoded);
+        return Optional.empty();
+    }
+
+    private PeerLink link(NodeId peer, Address address) {
+        PeerLink known = links.get(peer);
+        if (known != null && known.address().equals(address)) {
+            return known;
+        }
+        if (known != null) {
+            known.retire("the peer moved to " + address);
+        }
+        PeerLink link = new PeerLink(peer, address, this, settings);
+        links.put(peer, link);
+        return link;
+    }
+
+    private void retireUnused() {
+        long now = System.nanoTime();
+        for (PeerLink link : ImmutableList.copyOf(links.values())) {
+            if (link.unused(now)) {
+                links.remove(link.peer());
+                link.retire("unused");
+            }
+        }
+    }
+
+    private void execute(Runnable task) {
+        try {
+            thread.execute(task);
+        } catch (RejectedExecutionException e) {
+            LOGGER.atFine().log("peer-frame-after-close step=peer");
+        }
+    }
+
+    private static InetSocketAddress socketAddress(Address address) {
+        return new InetSocketAddress(InetAddresses.forString(address.ip()), address.port());
+    }
+
+    /** An incoming connection belongs to nobody: the other end opens it again when it needs it. */
+    private enum IncomingOwner implements ConnectionOwner {
+        INSTANCE;
+
+        @Override
+        public void opened(PeerConnection connection) {}
+
+        @Override
+        public void closed(PeerConnection connection) {}
+    }
+}
--- /dev/null
+++ b/tarragonarch-wire/src/main/java/org/tarragonarch/wire/PeerRegistry.java
@@ -0,0 +1,58 @@
+package org.tarragonarch.wire;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.LinkedHashMultimap;
+import com.google.common.collect.SetMultimap;
+import java.util.Optional;
+import org.tarragonarch.model.id.Incarnation;
+import org.tarragonarch.model.id.NodeId;
+
+/**
+ * Which connections are open to which run of which node; used by the network's thread alone.
+ *
+ * <p>Guards against a node that was restarted on its old address, or whose name moved to another VM while the first
+ * process still runs: a connection with an earlier run is refused or closed at both ends, so no frame meant for one run
+ * reaches another.
+ */
+final class PeerRegistry {
+    private final Hello own;
+    private final PeerRuns runs = new PeerRuns();
+    private final SetMultimap<NodeId, PeerConnection> open = LinkedHashMultimap.create();
+
+    PeerRegistry(Hello own) {
+        this.own = own;
+    }
+
+    /** Takes in the first hello of a connection; returns why the connection is refused, if it is. */
+    Optional<String> admit(PeerConnection connection, Hello hello) {
+        if (hello.node().equals(own.node())) {
+            return Optional.of("speaks in the name of this node");
+        }
+        if (connection.expected().filter(name -> !name.equals(hello.node())).isPresent()) {
+            return Optional.of(
+                    "is " + hello.node() + " where " + connection.expected().get() + " was expected");
+        }
+        if (!runs.met(hello.node(), hello.incarnation())) {
+            return Optional.of("is run " + hello.incarnation() + " where run "
+                    + runs.latest(hello.node()).orElseThrow() + " was met");
+        }
+        for (PeerConnection earlier : ImmutableList.copyOf(open.get(hello.node()))) {
+            if (!earlier.isOf(hello.incarnation())) {
+                earlier.close("a later run was met");
+            }
+        }
+        open.put(hello.node(), connection);
+        return Optional.empty();
+    }
+
+    /** Returns an open connection with exactly this run, if there is one. */
+    Optional<PeerConnection> find(NodeId peer, Incarnation run) {
+        return open.get(peer).stream()
+                .filter(connection -> connection.isOf(run))
+                .findFirst();
+    }
+
+    void closed(PeerConnection connection) {
+        connection.hello().ifPresent(hello -> open.remove(hello.node(), connection));
+    }
+}
--- /dev/null
+++ b/tarragonarch-wire/src/test/java/org/tarragonarch/wire/FrameCodecTest.java
@@ -0,0 +1,138 @@
+package org.tarragonarch.wire;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertThrows;
+import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.hash.Hashing;
+import com.google.common.io.BaseEncoding;
+import com.google.common.primitives.Bytes;
+import java.util.Arrays;
+import java.util.Optional;
+import java.util.Random;
+import java.util.stream.IntStream;
+import org.tarragonarch.model.outcome.ProblemCode;
+import org.tarragonarch.model.outcome.Step;
+import org.tarragonarch.model.report.EndpointLoad;
+import org.tarragonarch.model.report.NodePhase;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+public final class FrameCodecTest {
+    @DataProvider
+    public Object[] frames() {
+        return Samples.every().toArray();
+    }
+
+    @Test(dataProvider = "frames")
+    public void testDecode_givesBackWhatWasEncoded(Frame frame) throws Exception {
+        assertEquals(FrameCodec.decode("peer", Samples.sender(), FrameCodec.encode(frame)), frame);
+    }
+
+    @Test(dataProvider = "frames")
+    public void testDecode_everyFrameCutShortIsRefused(Frame frame) {
+        byte[] whole = FrameCodec.encode(frame);
+        for (int length = 0; length < whole.length; length++) {
+            byte[] part = Arrays.copyOf(whole, length);
+            assertThrows(MalformedFrameException.class, () -> FrameCodec.decode("peer", Samples.sender(), part));
+        }
+    }
+
+    @Test(dataProvider = "frames")
+    public void testDecode_trailingBytesAreRefused(Frame frame) {
+        byte[] longer = Bytes.concat(FrameCodec.encode(frame), new byte[] {0});
+        assertThrows(MalformedFrameException.class, () -> FrameCodec.decode("peer", Samples.sender(), longer));
+    }
+
+    @Test
+    public void testDecode_reportBeforeHelloIsRefused() {
+        byte[] report = FrameCodec.encode(Samples.reportFrame(Samples.HOBART, 1));
+        assertThrows(MalformedFrameException.class, () -> FrameCodec.decode("peer", Optional.empty(), report));
+    }
+
+    /**
+     * A node of the next version joins during an upgrade, its hello laid out otherwise behind the version. What is
+     * seen is an error about some name or length; the version must be named instead, so that the operator knows.
+     */
+    @Test
+    public void testDecode_otherVersionIsNamedWhateverFollowsIt() {
+        byte[] hello = new FrameWriter()
+                .writeInt(FrameType.HELLO.number())
+                .writeInt(0x7A66)
+                .writeInt(2)
+                .writeBoolean(true)
+                .toByteArray();
+        MalformedFrameException refusal =
+                expectThrows(MalformedFrameException.class, () -> FrameCodec.decode("peer", Optional.empty(), hello));
+        assertTrue(refusal.getMessage().contains("protocol version 2 instead of 1"), refusal.getMessage());
+    }
+
+    /**
+     * A peer gone wrong sends ten bytes that announce a string of two gigabytes. A reader that allocates as told
+     * ends the process for want of memory; with the bound it costs one connection.
+     */
+    @Test
+    public void testDecode_announcedLengthIsNotAllocated() {
+        byte[] huge = BaseEncoding.base16().decode("01CD7A6601DB7FFFFFFF");
+        MalformedFrameException refusal =
+                expectThrows(MalformedFrameException.class, () -> FrameCodec.decode("peer", Optional.empty(), huge));
+        assertTrue(refusal.getMessage().contains("0 bytes left"), refusal.getMessage());
+    }
+
+    @Test
+    public void testDecode_randomBytesNeverEscapeAsAnotherError() {
+        Random random = new Random(20261202);
+        ImmutableList<byte[]> seeds =
+                Samples.every().stream().map(FrameCodec::encode).collect(ImmutableList.toImmutableList());
+        int refused = 0;
+        for (int round = 0; round < 200_000; round++) {
+            byte[] bytes = mutated(seeds.get(random.nextInt(seeds.size())), random);
+            try {
+                FrameCodec.decode("peer", Samples.sender(), bytes);
+            } catch (MalformedFrameException e) {
+                refused++;
+            }
+        }
+        assertTrue(refused > 100_000, "only " + refused + " refused: the mutations reach nothing");
+    }
+
+    /**
+     * Enum constants travel as their place in the enum, so one put in the middle is read by older nodes as another
+     * phase or code. Any change here needs a new {@link Hello#PROTOCOL_VERSION}.
+     */
+    @Test
+    public void testLayout_isThatOfProtocolVersionOne() {
+        byte[] all = Samples.every().stream().map(FrameCodec::encode).reduce(new byte[0], Bytes::concat);
+        String enums = Arrays.toString(NodePhase.values())
+                + Arrays.toString(ProblemCode.values())
+                + Arrays.toString(Step.values())
+                + Arrays.toString(AnswerOutcome.values());
+        assertEquals(Hello.PROTOCOL_VERSION, 1);
+        assertEquals(
+                Hashing.sha256().hashBytes(all).toString(),
+                "1c757d89aeeec0e219fa88edb0793e383de1568ea58f3d7012bb92df91f72e7b");
+        assertEquals(
+                Hashing.sha256().hashUnencodedChars(enums).toString(),
+                "d7bf93fb0e73fad5d08c09c04a96e128d160922f5df5bd90a3b9c4242422a5f9");
+    }
+
+    @Test
+    public void testEncode_namesAlikeCostLittle() {
+        ImmutableList<EndpointLoad> loads = IntStream.range(0, 110)
+                .mapToObj(i -> Samples.load(String.format("hobart-worker-%03d", i), i % 8))
+                .collect(ImmutableList.toImmutableList());
+        int length = FrameCodec.encode(new ReportFrame(Samples.report(Samples.HOBART, 1_000, loads))).length;
+        assertTrue(length < 110 * 5, length + " bytes");
+    }
+
+    private static byte[] mutated(byte[] source, Random random) {
+        byte[] bytes = Arrays.copyOf(source, Math.max(1, source.length + random.nextInt(5) - 2));
+        int changes = 1 + random.nextInt(4);
+        for (int i = 0; i < changes; i++) {
+            bytes[random.nextInt(bytes.length)] = (byte) random.nextInt(256);
+        }
+        return bytes;
+    }
+}
--- /dev/null
+++ b/tarragonarch-wire/src/test/java/org/tarragonarch/wire/PeerNetworkTest.java
@@ -0,0 +1,268 @@
+package org.tarragonarch.wire;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import com.google.common.collect.ImmutableList;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import org.tarragonarch.model.id.Address;
+import org.tarragonarch.model.id.Incarnation;
+import org.tarragonarch.model.id.NodeId;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+public final class PeerNetworkTest {
+    private static final NodeId HOBART = NodeId.of("hobart-1");
+    private static final NodeId DEVONPORT = NodeId.of("devonport-1");
+    private static final PeerNetworkSettings QUICK = new PeerNetworkSettings(
+            Duration.ofSeconds(1),
+            Duration.ofMillis(1200),
+            Duration.ofSeconds(60),
+            Duration.ofMillis(20),
+            Duration.ofMillis(100),
+            16,
+            2_000_000,
+            64);
+
+    private final List<PeerNetwork> networks = new ArrayList<>();
+    private RecordingListener hobart;
+    private RecordingListener devonport;
+
+    @BeforeMethod
+    public void createListeners() {
+        hobart = new RecordingListener();
+        devonport = new RecordingListener();
+    }
+
+    @AfterMethod
+    public void closeNetworks() {
+        networks.forEach(PeerNetwork::close);
+        networks.clear();
+    }
+
+    @Test
+    public void testSend_arrivesWithNameAndRun() throws Exception {
+        PeerNetwork from = start("hobart-1", 7, hobart);
+        PeerNetwork to = start("devonport-1", 1, devonport);
+        from.send(DEVONPORT, to.address(), Samples.question(3));
+        assertEquals(
+                devonport.awaitReceived(),
+                new RecordingListener.Received(HOBART, Incarnation.of(7), Samples.question(3)));
+    }
+
+    @Test
+    public void testReply_goesByTheConnectionOfTheQuestion() throws Exception {
+        PeerNetwork from = start("hobart-1", 7, hobart);
+        PeerNetwork to = start("devonport-1", 1, devonport);
+        from.send(DEVONPORT, to.address(), Samples.question(3));
+        RecordingListener.Received asked = devonport.awaitReceived();
+        AnswerGiven answer = AnswerGiven.complete(3, Payload.of(new byte[1_000_000]));
+        to.reply(asked.peer(), asked.run(), answer);
+        assertEquals(hobart.awaitReceived().frame(), answer);
+    }
+
+    /**
+     * A node asks another for a kept answer, is killed and started again at its address, and asks its first question
+     * under the same number. The answer to the first run's question must not reach the second run, whose caller would
+     * get another caller's results.
+     */
+    @Test
+    public void testReply_neverReachesALaterRun() throws Exception {
+        PeerNetwork to = start("devonport-1", 1, devonport);
+        PeerNetwork first = start("hobart-1", 7, hobart);
+        first.send(DEVONPORT, to.address(), Samples.question(3));
+        devonport.awaitReceived();
+        Address address = first.address();
+        first.close();
+        PeerNetwork second = startAt(address, "hobart-1", 8, hobart);
+        second.send(DEVONPORT, to.address(), Samples.question(3));
+        assertEquals(devonport.awaitReceived().run(), Incarnation.of(8));
+        AnswerGiven late = AnswerGiven.complete(3, Samples.text("\"of the first run\""));
+        AnswerGiven right = AnswerGiven.complete(3, Samples.text("\"of the second run\""));
+        to.reply(HOBART, Incarnation.of(7), late);
+        to.reply(HOBART, Incarnation.of(8), right);
+        assertEquals(hobart.awaitReceived().frame(), right);
+        assertEquals(devonport.awaitUndelivered(), late);
+    }
+
+    @Test
+    public void testSend_findsTheNextRunAtTheSameAddress() throws Exception {
+        PeerNetwork from = start("hobart-1", 7, hobart);
+        PeerNetwork to = start("devonport-1", 1, devonport);
+        from.send(DEVONPORT, to.address(), Samples.question(1));
+        devonport.awaitReceived();
+        Address address = to.address();
+        to.close();
+        RecordingListener restarted = new RecordingListener();
+        startAt(address, "devonport-1", 2, restarted);
+        sendUntilReceived(from, address, restarted);
+    }
+
+    /**
+     * A VM is replaced, but its first process was only frozen and wakes. Both speak under one name; what the woken one
+     * says is old, and what is meant for the new one must not go to it.
+     */
+    @Test
+    public void testHello_earlierRunIsRefusedAtBothEnds() throws Exception {
+        PeerNetwork network = start("hobart-1", 7, hobart);
+        try (RawPeer current = RawPeer.connect(network.address()).say(Samples.hello("devonport-1", 5));
+                RawPeer woken = RawPeer.connect(network.address());
+                ServerSocket wokenServer = RawPeer.listen()) {
+            current.say(Samples.question(1));
+            hobart.awaitReceived();
+            woken.say(Samples.hello("devonport-1", 4)).say(Samples.question(2));
+            woken.hellosBeforeClose();
+            network.send(DEVONPORT, RawPeer.addressOf(wokenServer), Samples.question(3));
+            try (RawPeer called = RawPeer.accept(wokenServer).say(Samples.hello("devonport-1", 4))) {
+                called.hellosBeforeClose();
+            }
+            assertEquals(hobart.awaitUndelivered(), Samples.question(3));
+            assertTrue(hobart.receivedNothing());
+        }
+    }
+
+    @Test
+    public void testHello_laterRunClosesTheEarlierOnesConnection() throws Exception {
+        PeerNetwork network = start("hobart-1", 7, hobart);
+        try (RawPeer earlier = RawPeer.connect(network.address()).say(Samples.hello("devonport-1", 5));
+                RawPeer later = RawPeer.connect(network.address())) {
+            earlier.say(Samples.question(1));
+            hobart.awaitReceived();
+            later.say(Samples.hello("devonport-1", 6));
+            assertTrue(earlier.hellosBeforeClose() >= 1);
+        }
+    }
+
+    /**
+     * The platform's list lags: a VM was replaced and its address given to another node. A frame for the node that is
+     * gone must not reach the one that now listens there.
+     */
+    @Test
+    public void testSend_addressOfAnotherNodeGetsNothing() throws Exception {
+        PeerNetwork from = start("hobart-1", 7, hobart);
+        PeerNetwork other = start("launceston-1", 1, devonport);
+        from.send(DEVONPORT, other.address(), Samples.question(3));
+        assertEquals(hobart.awaitUndelivered(), Samples.question(3));
+        assertTrue(devonport.receivedNothing());
+    }
+
+    @Test
+    public void testSend_refusedConnectionGivesBackAtOnce() throws Exception {
+        PeerNetwork from = start("hobart-1", 7, hobart);
+        Address nobody;
+        try (ServerSocket closed = RawPeer.listen()) {
+            nobody = RawPeer.addressOf(closed);
+        }
+        from.send(DEVONPORT, nobody, Samples.question(3));
+        assertEquals(hobart.awaitUndelivered(), Samples.question(3));
+    }
+
+    @Test
+    public void testSend_tooLongFrameIsGivenBack() throws Exception {
+        PeerNetwork from = start("hobart-1", 7, hobart);
+        AnswerGiven tooLong = AnswerGiven.complete(1, Payload.of(new byte[FrameCodec.MAX_FRAME_BYTES]));
+        from.send(DEVONPORT, new Address("127.0.0.1", 1), tooLong);
+        assertEquals(hobart.awaitUndelivered(), tooLong);
+    }
+
+    /**
+     * A peer is frozen in the middle of a frame. Its connection stays open and says nothing more; without a bound the
+     * half frame and whatever waits for the peer would be kept for good.
+     */
+    @Test
+    public void testIdle_halfFrameThenSilenceIsClosed() throws Exception {
+        PeerNetwork network = start("hobart-1", 7, hobart);
+        try (RawPeer peer = RawPeer.connect(network.address())) {
+            peer.say(Samples.hello("devonport-1", 5)).write(100, new byte[40]);
+            assertTrue(peer.hellosBeforeClose() >= 1);
+        }
+        assertTrue(hobart.receivedNothing());
+    }
+
+    /** A peer whose machine vanished closes nothing: the link must notice by its silence and connect anew. */
+    @Test
+    public void testIdle_silentPeerIsCalledAgain() throws Exception {
+        PeerNetwork network = start("hobart-1", 7, hobart);
+        try (ServerSocket server = RawPeer.listen()) {
+            Address address = RawPeer.addressOf(server);
+            network.send(DEVONPORT, address, Samples.question(1));
+            try (RawPeer silent = RawPeer.accept(server).say(Samples.hello("devonport-1", 5))) {
+                assertEquals(silent.read(), Samples.hello("hobart-1", 7));
+                assertEquals(silent.read(), Samples.question(1));
+                silent.hellosBeforeClose();
+            }
+            network.send(DEVONPORT, address, Samples.question(2));
+            try (RawPeer again = RawPeer.accept(server).say(Samples.hello("devonport-1", 5))) {
+                assertEquals(again.read(), Samples.hello("hobart-1", 7));
+                assertEquals(again.read(), Samples.question(2));
+            }
+        }
+    }
+
+    @Test
+    public void testIdle_nodesWithNothingToSayStayConnected() throws Exception {
+        PeerNetwork from = start("hobart-1", 7, hobart);
+        try (ServerSocket server = RawPeer.listen()) {
+            from.send(DEVONPORT, RawPeer.addressOf(server), Samples.question(1));
+            try (RawPeer peer = RawPeer.accept(server).say(Samples.hello("devonport-1", 5))) {
+                assertEquals(peer.read(), Samples.hello("hobart-1", 7));
+                assertEquals(peer.read(), Samples.question(1));
+                for (int i = 0; i < 6; i++) {
+                    assertEquals(peer.read(), Samples.hello("hobart-1", 7));
+                    peer.say(Samples.hello("devonport-1", 5));
+                }
+            }
+        }
+    }
+
+    @Test
+    public void testBadBytes_costOnlyTheirConnection() throws Exception {
+        PeerNetwork network = start("hobart-1", 7, hobart);
+        Hello hello = Samples.hello("devonport-1", 5);
+        Hello otherVersion = new Hello(2, hello.node(), hello.incarnation(), hello.domain());
+        try (RawPeer good = RawPeer.connect(network.address()).say(hello);
+                RawPeer overLong = RawPeer.connect(network.address()).say(hello).write(FrameCodec.MAX_FRAME_BYTES + 1);
+                RawPeer negative = RawPeer.connect(network.address()).say(hello).write(-5);
+                RawPeer garbage = RawPeer.connect(network.address()).say(hello).write(3, (byte) 1, (byte) 2, (byte) 3);
+                RawPeer unnamed = RawPeer.connect(network.address()).say(Samples.question(1));
+                RawPeer renamed = RawPeer.connect(network.address()).say(hello).say(Samples.hello("launceston-1", 1));
+                RawPeer version = RawPeer.connect(network.address()).say(otherVersion)) {
+            for (RawPeer bad : ImmutableList.of(overLong, negative, garbage, unnamed, renamed, version)) {
+                bad.hellosBeforeClose();
+            }
+            good.say(Samples.question(2));
+            assertEquals(hobart.awaitReceived().frame(), Samples.question(2));
+        }
+    }
+
+    private PeerNetwork start(String node, long run, PeerListener listener) throws Exception {
+        return start(
+                new InetSocketAddress(InetAddress.getByAddress(new byte[] {127, 0, 0, 1}), 0), node, run, listener);
+    }
+
+    private PeerNetwork startAt(Address address, String node, long run, PeerListener listener) throws Exception {
+        return start(new InetSocketAddress(address.ip(), address.port()), node, run, listener);
+    }
+
+    private PeerNetwork start(InetSocketAddress bind, String node, long run, PeerListener listener) throws Exception {
+        PeerNetwork network = PeerNetwork.start(bind, Samples.hello(node, run), listener, QUICK);
+        networks.add(network);
+        return network;
+    }
+
+    /** The first sends may go down the connection to the run that is gone. */
+    private static void sendUntilReceived(PeerNetwork from, Address address, RecordingListener to) throws Exception {
+        long deadline = System.nanoTime() + Duration.ofSeconds(10).toNanos();
+        while (to.receivedNothing()) {
+            assertTrue(System.nanoTime() < deadline, "the next run was not found");
+            from.send(DEVONPORT, address, Samples.question(2));
+            Thread.sleep(10);
+        }
+    }
+}
--- /dev/null
+++ b/tarragonarch-wire/src/test/java/org/tarragonarch/wire/RawPeer.java
@@ -0,0 +1,92 @@
+package org.tarragonarch.wire;
+
+import static org.testng.Assert.assertTrue;
+
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.util.Optional;
+import org.tarragonarch.model.id.Address;
+
+/** The other end of a connection as a bare socket, which may break every rule. */
+final class RawPeer implements AutoCloseable {
+    private static final int BOUND_MILLIS = 10_000;
+
+    private final Socket socket;
+    private final DataInputStream in;
+    private final DataOutputStream out;
+
+    private RawPeer(Socket socket) throws IOException {
+        this.socket = socket;
+        socket.setSoTimeout(BOUND_MILLIS);
+        in = new DataInputStream(socket.getInputStream());
+        out = new DataOutputStream(socket.getOutputStream());
+    }
+
+    static RawPeer connect(Address address) throws IOException {
+        return new RawPeer(new Socket(address.ip(), address.port()));
+    }
+
+    static RawPeer accept(ServerSocket server) throws IOException {
+        server.setSoTimeout(BOUND_MILLIS);
+        return new RawPeer(server.accept());
+    }
+
+    static ServerSocket listen() throws IOException {
+        return new ServerSocket(0, 50, InetAddress.getByAddress(new byte[] {127, 0, 0, 1}));
+    }
+
+    static Address addressOf(ServerSocket server) {
+        return new Address("127.0.0.1", server.getLocalPort());
+    }
+
+    RawPeer say(Frame frame) throws IOException {
+        byte[] bytes = FrameCodec.encode(frame);
+        out.writeInt(bytes.length);
+        out.write(bytes);
+        return this;
+    }
+
+    RawPeer write(int announced, byte... bytes) throws IOException {
+        out.writeInt(announced);
+        out.write(bytes);
+        return this;
+    }
+
+    Frame read() throws Exception {
+        byte[] bytes = new byte[in.readInt()];
+        in.readFully(bytes);
+        return FrameCodec.decode("raw", Optional.of(Samples.HOBART), bytes);
+    }
+
+    /** Waits until the other end closes the connection; returns how many hellos came, and fails on any other frame. */
+    int hellosBeforeClose() throws Exception {
+        int hellos = 0;
+        Optional<Frame> next = readUnlessClosed();
+        while (next.isPresent()) {
+            assertTrue(next.get() instanceof Hello, "received " + next.get());
+            hellos++;
+            next = readUnlessClosed();
+        }
+        return hellos;
+    }
+
+    @Override
+    public void close() throws IOException {
+        socket.close();
+    }
+
+    private Optional<Frame> readUnlessClosed() throws Exception {
+        try {
+            return Optional.of(read());
+        } catch (SocketTimeoutException e) {
+            throw e;
+        } catch (IOException e) {
+            return Optional.empty();
+        }
+    }
+}
