Add the load driver

Wasted messages come from the endpoints' ledgers, and the rise of the nodes' own counters is printed beside them.

--- /dev/null
+++ b/tarragonarch-standin/src/main/java/org/tarragonarch/standin/load/Counters.java
@@ -0,0 +1,96 @@
+package org.tarragonarch.standin.load;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.base.Splitter;
+import com.google.common.flogger.FluentLogger;
+import java.io.IOException;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import okhttp3.OkHttpClient;
+import okhttp3.Request;
+import okhttp3.Response;
+import org.tarragonarch.model.id.Address;
+
+/** Sums of the counters of all nodes and of the ledgers of all endpoints, at one time. */
+final class Counters {
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final String OWN_PREFIX = "tarragonarch";
+
+    private final Map<String, Double> nodes = new TreeMap<>();
+    private final Map<String, Double> endpoints = new TreeMap<>();
+
+    private Counters() {}
+
+    /** Reads all that can be reached; what cannot is logged and left out. */
+    static Counters read(OkHttpClient client, LoadOptions options) {
+        Counters counters = new Counters();
+        for (Address admin : options.admins()) {
+            fetch(client, "http://" + admin + "/metrics").ifPresent(counters::addMetrics);
+        }
+        for (Address endpoint : options.endpoints()) {
+            fetch(client, "http://" + endpoint + "/ledger?summary=true").ifPresent(counters::addLedger);
+        }
+        return counters;
+    }
+
+    /** Returns by how much each counter rose since an earlier reading, and the wasted messages by the ledgers. */
+    ObjectNode since(Counters earlier) {
+        ObjectNode json = JsonNodeFactory.instance.objectNode();
+        putRise(json.putObject("nodes"), nodes, earlier.nodes);
+        ObjectNode ledgers = json.putObject("endpoints");
+        putRise(ledgers, endpoints, earlier.endpoints);
+        double useful = ledgers.path("distinct-tasks").asDouble();
+        double repeated = ledgers.path("started").asDouble() - useful;
+        double refused = ledgers.path("refused-busy").asDouble()
+                + ledgers.path("refused-draining").asDouble();
+        double wasted = repeated + refused + ledgers.path("useless-stops").asDouble();
+        if (useful > 0) {
+            json.put("wasted-messages-per-useful-start", wasted / useful);
+        }
+        return json;
+    }
+
+    private static void putRise(ObjectNode json, Map<String, Double> now, Map<String, Double> before) {
+        now.forEach((name, value) -> {
+            double rise = value - before.getOrDefault(name, 0.0);
+            if (rise != 0) {
+                json.put(name, rise);
+            }
+        });
+    }
+
+    private void addMetrics(String text) {
+        for (String line : Splitter.on('\n').split(text)) {
+            int end = line.lastIndexOf(' ');
+            if (line.startsWith(OWN_PREFIX) && end > 0) {
+                nodes.merge(line.substring(0, end), Double.parseDouble(line.substring(end + 1)), Double::sum);
+            }
+        }
+    }
+
+    private void addLedger(String text) {
+        try {
+            JsonNode ledger = MAPPER.readTree(text);
+            for (Map.Entry<String, JsonNode> field : ledger.properties()) {
+                endpoints.merge(field.getKey(), field.getValue().asDouble(), Double::sum);
+            }
+        } catch (IOException e) {
+            LOGGER.atWarning().log("a ledger is no JSON: %s", e.getMessage());
+        }
+    }
+
+    private static Optional<String> fetch(OkHttpClient client, String url) {
+        try (Response response =
+                client.newCall(new Request.Builder().url(url).build()).execute()) {
+            return response.isSuccessful() ? Optional.of(response.body().string()) : Optional.empty();
+        } catch (IOException e) {
+            LOGGER.atWarning().log("%s cannot be read: %s", url, e.getMessage());
+            return Optional.empty();
+        }
+    }
+}
--- /dev/null
+++ b/tarragonarch-standin/src/main/java/org/tarragonarch/standin/load/JobCall.java
@@ -0,0 +1,146 @@
+package org.tarragonarch.standin.load;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.collect.ImmutableSet;
+import java.io.IOException;
+import java.util.Optional;
+import okhttp3.MediaType;
+import okhttp3.Request;
+import okhttp3.RequestBody;
+import org.tarragonarch.model.id.Address;
+import org.tarragonarch.model.outcome.Outcome;
+
+/** One submission on its way: writes the message, and checks that the answer is whole and its own. */
+final class JobCall {
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final MediaType JSON = MediaType.get("application/json");
+    private static final int OK = 200;
+    private static final ImmutableSet<String> PROBLEM_OUTCOMES =
+            ImmutableSet.of(Outcome.FAILED.word(), Outcome.NOT_RUN.word(), Outcome.UNKNOWN.word());
+
+    private final LoadOptions options;
+    private final Address node;
+    private final String requestId;
+    private final Optional<String> key;
+    private final JobPlan plan;
+
+    JobCall(LoadOptions options, Address node, String requestId, Optional<String> key, JobPlan plan) {
+        this.options = options;
+        this.node = node;
+        this.requestId = requestId;
+        this.key = key;
+        this.plan = plan;
+    }
+
+    JobPlan plan() {
+        return plan;
+    }
+
+    Request submission() {
+        String path = plan.single() ? "/requests/" : "/jobs/";
+        Request.Builder request = authorized("/v1/services/" + options.service() + path + options.kind());
+        request.header("Time-Allowed-Ms", Long.toString(options.patience().toMillis()));
+        request.header("Request-Id", requestId);
+        key.ifPresent(value -> request.header("Idempotency-Key", value));
+        return request.post(RequestBody.create(body(), JSON)).build();
+    }
+
+    Request cancellation() {
+        return authorized("/v1/submissions/" + requestId).delete().build();
+    }
+
+    /** Checks an answer against the submission. */
+    Verdict check(int status, String outcome, byte[] body) {
+        JsonNode answer;
+        try {
+            answer = MAPPER.readTree(body);
+        } catch (IOException e) {
+            return Verdict.wrong("status " + status + " with a body that is no JSON");
+        }
+        String said = answer.path("outcome").asText();
+        if (!said.equals(outcome)) {
+            return Verdict.wrong("outcome '" + outcome + "' in the header, '" + said + "' in the body");
+        }
+        return status == OK ? checkResults(answer, said) : checkProblem(answer, said);
+    }
+
+    private Verdict checkResults(JsonNode answer, String outcome) {
+        if (!outcome.equals(Outcome.COMPLETE.word())) {
+            return Verdict.wrong("status 200 with outcome '" + outcome + "'");
+        }
+        if (plan.single()) {
+            return checkResult(answer.path("result"), 0).orElse(Verdict.sound(outcome));
+        }
+        JsonNode results = answer.path("results");
+        if (results.size() != plan.runTimesMillis().size()) {
+            return Verdict.wrong(
+                    results.size() + " results for " + plan.runTimesMillis().size() + " tasks");
+        }
+        for (int i = 0; i < results.size(); i++) {
+            Optional<Verdict> wrong = checkResult(results.get(i), i);
+            if (wrong.isPresent()) {
+                return wrong.get();
+            }
+        }
+        return Verdict.sound(outcome);
+    }
+
+    private Optional<Verdict> checkResult(JsonNode result, int index) {
+        String expected = tag(index);
+        String found = result.path("tag").asText();
+        return found.equals(expected)
+                ? Optional.empty()
+                : Optional.of(Verdict.wrong("result of '" + found + "' given for '" + expected + "'"));
+    }
+
+    private Verdict checkProblem(JsonNode answer, String outcome) {
+        if (!PROBLEM_OUTCOMES.contains(outcome)) {
+            return Verdict.wrong("a problem with outcome '" + outcome + "'");
+        }
+        if (answer.has("results") || answer.has("result")) {
+            return Verdict.wrong("a problem that carries results");
+        }
+        String echoed = answer.path("request-id").asText(requestId);
+        return echoed.equals(requestId)
+                ? Verdict.sound(outcome)
+                : Verdict.wrong("problem of '" + echoed + "' given for '" + requestId + "'");
+    }
+
+    private Request.Builder authorized(String path) {
+        return new Request.Builder().url("http://" + node + path).header("Authorization", "Bearer " + options.token());
+    }
+
+    private byte[] body() {
+        ObjectNode message = MAPPER.createObjectNode();
+        if (plan.single()) {
+            writeTask(message, 0);
+        } else {
+            ArrayNode tasks = message.putArray("tasks");
+            for (int i = 0; i < plan.runTimesMillis().size(); i++) {
+                writeTask(tasks.addObject(), i);
+            }
+        }
+        try {
+            return MAPPER.writeValueAsBytes(message);
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException("a JSON tree cannot be written", e);
+        }
+    }
+
+    private void writeTask(ObjectNode task, int index) {
+        int millis = plan.runTimesMillis().get(index);
+        task.putObject("input").put("ms", millis).put("tag", tag(index));
+        long declared = Math.round(millis * options.declaredFactor());
+        if (declared > 0) {
+            task.put("expected-run-time", declared + "ms");
+        }
+    }
+
+    private String tag(int index) {
+        return requestId + "/" + index;
+    }
+}
