--- /dev/null
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/body/BodyStore.java
@@ -0,0 +1,113 @@
+package org.tarragonarch.entry.body;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+import com.google.common.collect.ImmutableList;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentMap;
+import java.util.concurrent.atomic.AtomicLong;
+import org.tarragonarch.model.id.SubmissionId;
+import org.tarragonarch.model.id.TaskId;
+
+/**
+ * The inputs and results of the submissions of this node, by id.
+ *
+ * <p>Safe for use by several threads; no operation blocks. The arrays handed in are kept, not copied, and must not be
+ * changed afterwards.
+ *
+ * <p>Bound: a submission is taken only while the bytes kept are below the limit. Results are kept whatever the sum, as
+ * their tasks have run already; what they add is bounded by the tasks in flight times the largest answer that the
+ * endpoint client accepts, and it counts against the next submission.
+ */
+public final class BodyStore {
+    private final long maxBytes;
+    private final AtomicLong bytes = new AtomicLong();
+    private final ConcurrentMap<SubmissionId, Bodies> bodies = new ConcurrentHashMap<>();
+
+    private BodyStore(long maxBytes) {
+        this.maxBytes = maxBytes;
+    }
+
+    /**
+     * Returns an empty store.
+     *
+     * @param maxBytes the sum of bytes up to which submissions are taken; positive
+     */
+    public static BodyStore create(long maxBytes) {
+        checkArgument(maxBytes > 0, "maxBytes %s is not positive", maxBytes);
+        return new BodyStore(maxBytes);
+    }
+
+    /**
+     * Keeps the inputs of a new submission, if there is room.
+     *
+     * @param submission an id that was not kept before
+     * @param inputs one for each task
+     * @return whether they were kept
+     */
+    public boolean keep(SubmissionId submission, ImmutableList<byte[]> inputs) {
+        long size = size(inputs);
+        if (bytes.addAndGet(size) > maxBytes) {
+            bytes.addAndGet(-size);
+            return false;
+        }
+        bodies.put(submission, new Bodies(inputs, size));
+        return true;
+    }
+
+    /** Returns the input of a task, if its submission is still kept. */
+    public Optional<byte[]> input(TaskId task) {
+        return find(task.submission()).flatMap(kept -> kept.input(task.index()));
+    }
+
+    /** Keeps the result of a task; passed over if its submission is no longer kept. */
+    public void keepResult(TaskId task, byte[] result) {
+        find(task.submission()).ifPresent(kept -> bytes.addAndGet(kept.putResult(task.index(), result)));
+    }
+
+    /** Keeps the results that another node gave for a submission that waits here. */
+    public void keepResults(SubmissionId submission, ImmutableList<byte[]> results) {
+        find(submission).ifPresent(kept -> bytes.addAndGet(kept.putResults(results)));
+    }
+
+    /** Returns every result of a submission in the order of its tasks; empty unless all are there. */
+    public Optional<ImmutableList<byte[]>> results(SubmissionId submission) {
+        return find(submission).flatMap(Bodies::results);
+    }
+
+    /** Drops the inputs of a submission that was answered but keeps its results for a second caller. */
+    public void dropInputs(SubmissionId submission) {
+        find(submission).ifPresent(kept -> bytes.addAndGet(-kept.dropInputs()));
+    }
+
+    /** Drops all that is kept for a submission. */
+    public void drop(SubmissionId submission) {
+        Bodies dropped = bodies.remove(submission);
+        if (dropped != null) {
+            bytes.addAndGet(-dropped.close());
+        }
+    }
+
+    /** Returns the sum of the bytes kept. */
+    public long bytes() {
+        return bytes.get();
+    }
+
+    /** Returns how many submissions have bodies here. */
+    public int submissions() {
+        return bodies.size();
+    }
+
+    private Optional<Bodies> find(SubmissionId submission) {
+        return Optional.ofNullable(bodies.get(submission));
+    }
+
+    static long size(Iterable<byte[]> parts) {
+        long size = 0;
+        for (byte[] part : parts) {
+            size += part.length;
+        }
+        return size;
+    }
+}
--- /dev/null
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/http/BearerToken.java
@@ -0,0 +1,23 @@
+package org.tarragonarch.entry.http;
+
+import io.jooby.Context;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import org.tarragonarch.model.id.ContentDigest;
+
+/** Reads the bearer token of a request as its digest; the token itself goes no further. */
+public final class BearerToken {
+    private static final String SCHEME = "Bearer ";
+
+    private BearerToken() {}
+
+    /** Returns the SHA-256 digest of the token in the {@code Authorization} header, if there is one. */
+    public static Optional<ContentDigest> digest(Context context) {
+        String header = context.header("Authorization").value("");
+        if (!header.regionMatches(true, 0, SCHEME, 0, SCHEME.length())) {
+            return Optional.empty();
+        }
+        byte[] token = header.substring(SCHEME.length()).trim().getBytes(StandardCharsets.UTF_8);
+        return Optional.of(ContentDigest.of(token));
+    }
+}
--- /dev/null
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/http/ConnectionLimiter.java
@@ -0,0 +1,32 @@
+package org.tarragonarch.entry.http;
+
+import io.netty.channel.ChannelHandler.Sharable;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** Closes a connection that comes when there are enough; one for all connections of a port. */
+@Sharable
+final class ConnectionLimiter extends ChannelInboundHandlerAdapter {
+    private final int maxConnections;
+    private final HttpEvents events;
+    private final AtomicInteger open = new AtomicInteger();
+
+    ConnectionLimiter(int maxConnections, HttpEvents events) {
+        this.maxConnections = maxConnections;
+        this.events = events;
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext context) {
+        int now = open.incrementAndGet();
+        context.channel().closeFuture().addListener(closed -> events.connectionsChanged(open.decrementAndGet()));
+        events.connectionsChanged(now);
+        if (now > maxConnections) {
+            events.cut(CutCause.TOO_MANY_CONNECTIONS, Remotes.of(context.channel()));
+            context.close();
+            return;
+        }
+        context.fireChannelActive();
+    }
+}
--- /dev/null
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/http/package-info.java
@@ -0,0 +1,2 @@
+/** The HTTP server that both APIs stand on, with its limits. */
+package org.tarragonarch.entry.http;
--- /dev/null
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/log/package-info.java
@@ -0,0 +1,2 @@
+/** The log: one event a line. */
+package org.tarragonarch.entry.log;
--- /dev/null
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/metrics/package-info.java
@@ -0,0 +1,2 @@
+/** The figures that a scraper reads. */
+package org.tarragonarch.entry.metrics;
