--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/body/Bodies.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/body/Bodies.java
@@ -2,9 +2,13 @@
 
 import com.google.common.collect.ImmutableList;
 import java.util.Optional;
+import org.tarragonarch.model.id.KindName;
+import org.tarragonarch.model.id.ServiceName;
 
 /** The bodies of one submission; every method that changes what is kept returns by how many bytes. */
 final class Bodies {
+    private final ServiceName service;
+    private final KindName kind;
     private final int tasks;
     private ImmutableList<byte[]> inputs;
     private byte[][] results;
@@ -12,15 +16,19 @@
     private long resultBytes;
     private boolean closed;
 
-    Bodies(ImmutableList<byte[]> inputs, long inputBytes) {
+    Bodies(SubmissionContent content, long inputBytes) {
+        this.service = content.service();
+        this.kind = content.kind();
+        this.inputs = content.inputs();
         this.tasks = inputs.size();
-        this.inputs = inputs;
         this.inputBytes = inputBytes;
         this.results = new byte[tasks][];
     }
 
-    synchronized Optional<byte[]> input(int index) {
-        return index < inputs.size() ? Optional.of(inputs.get(index)) : Optional.empty();
+    synchronized Optional<TaskContent> task(int index) {
+        return index < inputs.size()
+                ? Optional.of(new TaskContent(service, kind, inputs.get(index)))
+                : Optional.empty();
     }
 
     synchronized long putResult(int index, byte[] result) {
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/body/BodyStore.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/body/BodyStore.java
@@ -40,25 +40,25 @@
     }
 
     /**
-     * Keeps the inputs of a new submission, if there is room.
+     * Keeps the content of a new submission, if there is room.
      *
      * @param submission an id that was not kept before
-     * @param inputs one for each task
-     * @return whether they were kept
+     * @param content what it asks for
+     * @return whether it was kept
      */
-    public boolean keep(SubmissionId submission, ImmutableList<byte[]> inputs) {
-        long size = size(inputs);
+    public boolean keep(SubmissionId submission, SubmissionContent content) {
+        long size = size(content.inputs());
         if (bytes.addAndGet(size) > maxBytes) {
             bytes.addAndGet(-size);
             return false;
         }
-        bodies.put(submission, new Bodies(inputs, size));
+        bodies.put(submission, new Bodies(content, size));
         return true;
     }
 
-    /** Returns the input of a task, if its submission is still kept. */
-    public Optional<byte[]> input(TaskId task) {
-        return find(task.submission()).flatMap(kept -> kept.input(task.index()));
+    /** Returns what a task asks for, if its submission is still kept. */
+    public Optional<TaskContent> task(TaskId task) {
+        return find(task.submission()).flatMap(kept -> kept.task(task.index()));
     }
 
     /** Keeps the result of a task; passed over if its submission is no longer kept. */
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/caller/SubmissionBodyReader.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/caller/SubmissionBodyReader.java
@@ -14,6 +14,7 @@
 import java.util.Set;
 import org.tarragonarch.core.event.SubmissionForm;
 import org.tarragonarch.core.event.TaskShape;
+import org.tarragonarch.settings.DurationText;
 
 /**
  * Reads the body of a submission.
@@ -49,7 +50,8 @@
             return read;
         } catch (JsonProcessingException e) {
             throw new MalformedException("not JSON: " + e.getOriginalMessage() + " at line "
-                    + e.getLocation().getLineNr() + ", column " + e.getLocation().getColumnNr());
+                    + e.getLocation().getLineNr() + ", column "
+                    + e.getLocation().getColumnNr());
         } catch (IOException e) {
             throw new MalformedException("not JSON in UTF-8: " + e.getMessage());
         }
@@ -127,9 +129,11 @@
 
     private static Duration runTime(JsonParser parser, String where) throws IOException, MalformedException {
         String text = parser.currentToken() == JsonToken.VALUE_STRING ? parser.getText() : "";
-        return DurationText.parse(text)
-                .orElseThrow(() -> new MalformedException(
-                        EXPECTED_RUN_TIME + " of " + where + " is not a time with a unit such as \"200ms\""));
+        try {
+            return DurationText.parse(text);
+        } catch (IllegalArgumentException e) {
+            throw new MalformedException(EXPECTED_RUN_TIME + " of " + where + ": " + e.getMessage());
+        }
     }
 
     private static void expect(JsonToken found, JsonToken wanted, String otherwise) throws MalformedException {
--- /dev/null
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/endpoint/AnswerReader.java
@@ -0,0 +1,113 @@
+package org.tarragonarch.entry.endpoint;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.util.Optional;
+import okhttp3.Response;
+import okhttp3.ResponseBody;
+import org.tarragonarch.core.event.SendResult;
+import org.tarragonarch.model.id.TaskId;
+
+/**
+ * Says what an endpoint's answer makes certain of a task.
+ *
+ * <p>Only an answer that is whole, of a known status and marked with the task's own id proves anything. All else leaves
+ * open whether the task ran: a wrong "not started" would let it start twice, and a wrong "succeeded" would hand one
+ * caller the result of another.
+ */
+final class AnswerReader {
+    private static final String CLOSE = "close";
+    private static final int MAX_DETAIL = 300;
+
+    private final JsonFactory factory = new JsonFactory();
+    private final ObjectMapper mapper = new ObjectMapper();
+    private final long maxBytes;
+
+    /** Creates a reader that takes results of up to so many bytes. */
+    AnswerReader(long maxBytes) {
+        this.maxBytes = maxBytes;
+    }
+
+    /** Reads the answer to its end; blocks while it arrives. */
+    EndpointAnswer read(TaskId task, Response response) {
+        boolean leaving = leaving(response);
+        try {
+            return classify(task, response, wholeBody(response), leaving);
+        } catch (IOException e) {
+            return lost(leaving, "the answer was cut short: " + e.getMessage());
+        }
+    }
+
+    private EndpointAnswer classify(TaskId task, Response response, byte[] body, boolean leaving) {
+        String id = response.header(EndpointProtocol.TASK_ID);
+        if (!task.toString().equals(id)) {
+            return lost(leaving, id == null ? "the answer names no task" : "the answer is for task " + id);
+        }
+        return switch (response.code()) {
+            case EndpointProtocol.SUCCEEDED ->
+                isJson(body) ? EndpointAnswer.succeeded(leaving, body) : lost(leaving, "the result is not JSON");
+            case EndpointProtocol.TASK_REJECTED, EndpointProtocol.TASK_BROKE ->
+                detail(body)
+                        .map(detail -> EndpointAnswer.of(SendResult.TASK_FAILED, leaving, detail))
+                        .orElseGet(() -> lost(leaving, "status " + response.code() + " without a detail"));
+            case EndpointProtocol.NOT_STARTED -> notStarted(response, leaving);
+            default -> lost(leaving, "status " + response.code() + " is not part of the protocol");
+        };
+    }
+
+    private static EndpointAnswer notStarted(Response response, boolean leaving) {
+        String why = response.header(EndpointProtocol.TASK_NOT_STARTED, "");
+        return switch (why) {
+            case EndpointProtocol.BUSY -> EndpointAnswer.of(SendResult.REFUSED_BUSY, leaving, "all slots are in use");
+            case EndpointProtocol.DRAINING ->
+                EndpointAnswer.of(SendResult.REFUSED_DRAINING, true, "the endpoint is leaving");
+            default -> lost(leaving, "status 503 does not say that the task was not started");
+        };
+    }
+
+    private byte[] wholeBody(Response response) throws IOException {
+        ResponseBody body = response.body();
+        long length = body.contentLength();
+        if (length < 0) {
+            throw new IOException("no length was stated, so nobody can tell whether it is whole");
+        }
+        if (length > maxBytes) {
+            throw new IOException(length + " bytes are more than the " + maxBytes + " that are taken");
+        }
+        return body.source().readByteArray(length);
+    }
+
+    private boolean isJson(byte[] body) {
+        try (JsonParser parser = factory.createParser(body)) {
+            if (parser.nextToken() == null) {
+                return false;
+            }
+            parser.skipChildren();
+            return parser.nextToken() == null;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    private Optional<String> detail(byte[] body) {
+        try {
+            JsonNode detail = mapper.readTree(body).path("detail");
+            return Optional.ofNullable(detail.textValue())
+                    .map(text -> text.length() > MAX_DETAIL ? text.substring(0, MAX_DETAIL) : text);
+        } catch (IOException e) {
+            return Optional.empty();
+        }
+    }
+
+    private static boolean leaving(Response response) {
+        return EndpointProtocol.DRAINING.equals(response.header(EndpointProtocol.ENDPOINT_STATE))
+                || CLOSE.equalsIgnoreCase(response.header("Connection"));
+    }
+
+    private static EndpointAnswer lost(boolean leaving, String detail) {
+        return EndpointAnswer.of(SendResult.LOST, leaving, detail);
+    }
+}
--- /dev/null
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/endpoint/SendTracker.java
@@ -0,0 +1,24 @@
+package org.tarragonarch.entry.endpoint;
+
+import okhttp3.Call;
+import okhttp3.EventListener;
+
+/**
+ * Knows whether any byte of a request may have left.
+ *
+ * <p>OkHttp tells of the start of the headers before it writes the first byte. A call that fails without that event had
+ * no connection, so its task certainly did not start. Once the event has come, nothing that fails later proves that the
+ * endpoint saw nothing: not a reset, nor a broken pipe on a connection that was reused from the pool.
+ */
+final class SendTracker extends EventListener {
+    private volatile boolean mayHaveLeft;
+
+    @Override
+    public void requestHeadersStart(Call call) {
+        mayHaveLeft = true;
+    }
+
+    boolean mayHaveLeft() {
+        return mayHaveLeft;
+    }
+}
--- /dev/null
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/log/LineFormatter.java
@@ -0,0 +1,43 @@
+package org.tarragonarch.entry.log;
+
+import com.google.common.base.Throwables;
+import java.time.temporal.ChronoUnit;
+import java.util.Locale;
+import java.util.logging.Formatter;
+import java.util.logging.LogRecord;
+
+/** Writes each record as one line: time, level, node, then the record's own {@code key=value} pairs. */
+final class LineFormatter extends Formatter {
+    private static final String OWN_LINE = "event=";
+
+    private final String node;
+
+    LineFormatter(String node) {
+        this.node = node;
+    }
+
+    @Override
+    public String format(LogRecord record) {
+        StringBuilder line = new StringBuilder();
+        line.append("time=").append(record.getInstant().truncatedTo(ChronoUnit.MILLIS));
+        line.append(" level=").append(record.getLevel().getName().toLowerCase(Locale.ROOT));
+        line.append(" node=").append(node).append(' ');
+        appendMessage(line, record);
+        if (record.getThrown() != null) {
+            line.append(" trace=");
+            LogLine.appendValue(line, Throwables.getStackTraceAsString(record.getThrown()));
+        }
+        return line.append('\n').toString();
+    }
+
+    private void appendMessage(StringBuilder line, LogRecord record) {
+        String message = formatMessage(record);
+        if (message.startsWith(OWN_LINE)) {
+            line.append(message.replace('\n', ' '));
+            return;
+        }
+        line.append("event=library-message step=lifecycle peer=").append(record.getLoggerName());
+        line.append(" message=");
+        LogLine.appendValue(line, message);
+    }
+}
--- /dev/null
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/metrics/NodeMetrics.java
@@ -0,0 +1,181 @@
+package org.tarragonarch.entry.metrics;
+
+import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.Gauge;
+import io.micrometer.core.instrument.Timer;
+import io.micrometer.core.instrument.binder.jvm.JvmGcMetrics;
+import io.micrometer.core.instrument.binder.jvm.JvmMemoryMetrics;
+import io.micrometer.core.instrument.binder.system.ProcessorMetrics;
+import io.micrometer.core.instrument.binder.system.UptimeMetrics;
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import java.time.Duration;
+import java.util.Locale;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Supplier;
+import org.tarragonarch.core.action.Note;
+import org.tarragonarch.core.event.SendResult;
+import org.tarragonarch.core.event.SubmissionForm;
+import org.tarragonarch.entry.http.CutCause;
+import org.tarragonarch.entry.http.HttpEvents;
+import org.tarragonarch.entry.log.NoteLog;
+import org.tarragonarch.model.id.NodeId;
+
+/** The figures of one node; docs/METRICS.md says what each means. Safe for use by several threads. */
+public final class NodeMetrics implements AutoCloseable {
+    private static final String PREFIX = "tarragonarch.";
+    private static final Duration SHORTEST_RESPONSE = Duration.ofMillis(1);
+    private static final Duration LONGEST_RESPONSE = Duration.ofSeconds(60);
+
+    private final PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+    private final JvmGcMetrics garbageCollection = new JvmGcMetrics();
+    private final StatusGauges status = new StatusGauges(registry);
+
+    private NodeMetrics(NodeId node) {
+        registry.config().commonTags("node", node.value());
+        new JvmMemoryMetrics().bindTo(registry);
+        new ProcessorMetrics().bindTo(registry);
+        new UptimeMetrics().bindTo(registry);
+        garbageCollection.bindTo(registry);
+        for (WasteKind kind : WasteKind.values()) {
+            waste(kind);
+        }
+    }
+
+    /** Returns the figures of a node that has just started. */
+    public static NodeMetrics create(NodeId node) {
+        return new NodeMetrics(node);
+    }
+
+    /** Counts one answer to a caller and its response time. */
+    public void answered(SubmissionForm form, String outcome, String code, Duration responseTime) {
+        Timer.builder(PREFIX + "response.time")
+                .description("Time from the last byte of a submission to its answer")
+                .tag("form", form.name().toLowerCase(Locale.ROOT))
+                .tag("outcome", outcome)
+                .publishPercentileHistogram()
+                .minimumExpectedValue(SHORTEST_RESPONSE)
+                .maximumExpectedValue(LONGEST_RESPONSE)
+                .register(registry)
+                .record(responseTime);
+        Counter.builder(PREFIX + "answers")
+                .description("Answers to callers")
+                .tag("outcome", outcome)
+                .tag("code", code)
+                .register(registry)
+                .increment();
+    }
+
+    /** Counts the end of one send of a task. */
+    public void sendEnded(SendResult result) {
+        count("task.sends", "Sends of tasks to endpoints, by how they ended", "result", word(result));
+        if (result == SendResult.REFUSED_BUSY || result == SendResult.REFUSED_DRAINING) {
+            wasted(WasteKind.REFUSED_SEND);
+        }
+    }
+
+    /** Counts one message that did nothing towards a result. */
+    public void wasted(WasteKind kind) {
+        waste(kind).increment();
+    }
+
+    /** Counts one note of the core. */
+    public void noted(Note note) {
+        count("notes", "Events that the core noted", "event", NoteLog.word(note));
+    }
+
+    /** Counts one request whose token was missing, unknown or not enough. */
+    public void unauthenticated(String port) {
+        count("authentication.failures", "Requests without a token that allows them", "port", port);
+    }
+
+    /** Counts one call to the platform. */
+    public void platformCalled(String call, boolean failed, Duration time) {
+        Timer.builder(PREFIX + "platform.call.time")
+                .description("Time of calls to the platform")
+                .tag("call", call)
+                .tag("result", failed ? "failed" : "ok")
+                .register(registry)
+                .record(time);
+    }
+
+    /** Counts bytes of frames sent to or received from other nodes. */
+    public void peerBytes(String direction, long bytes) {
+        Counter.builder(PREFIX + "peer.traffic")
+                .description("Bytes of frames between nodes")
+                .baseUnit("bytes")
+                .tag("direction", direction)
+                .register(registry)
+                .increment(bytes);
+    }
+
+    /** Shows a figure that is read when a scraper asks. */
+    public void gauge(String name, String unit, String description, Supplier<Number> value) {
+        Gauge.builder(PREFIX + name, value)
+                .description(description)
+                .baseUnit(unit)
+                .strongReference(true)
+                .register(registry);
+    }
+
+    /** Returns what hears of the connections and cuts of one port. */
+    public HttpEvents httpEvents(String port) {
+        AtomicInteger open = new AtomicInteger();
+        Gauge.builder(PREFIX + "http.connections", open, AtomicInteger::get)
+                .description("Open connections")
+                .tag("port", port)
+                .strongReference(true)
+                .register(registry);
+        return new HttpEvents() {
+            @Override
+            public void connectionsChanged(int now) {
+                open.set(now);
+            }
+
+            @Override
+            public void cut(CutCause cause, String remote) {
+                Counter.builder(PREFIX + "http.cuts")
+                        .description("Connections and requests that a limit cut")
+                        .tag("port", port)
+                        .tag("cause", cause.word())
+                        .register(registry)
+                        .increment();
+            }
+        };
+    }
+
+    /** Returns the gauges that are set from a snapshot of the core. */
+    public StatusGauges status() {
+        return status;
+    }
+
+    /** Returns all figures as Prometheus text. */
+    public String scrape() {
+        return registry.scrape();
+    }
+
+    @Override
+    public void close() {
+        garbageCollection.close();
+        registry.close();
+    }
+
+    private Counter waste(WasteKind kind) {
+        return Counter.builder(PREFIX + "wasted.messages")
+                .description("Messages that did nothing towards a result")
+                .tag("kind", kind.word())
+                .register(registry);
+    }
+
+    private void count(String name, String description, String tag, String value) {
+        Counter.builder(PREFIX + name)
+                .description(description)
+                .tag(tag, value)
+                .register(registry)
+                .increment();
+    }
+
+    private static String word(Enum<?> value) {
+        return value.name().toLowerCase(Locale.ROOT).replace('_', '-');
+    }
+}
