--- /dev/null
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/DaemonCommand.java
@@ -0,0 +1,73 @@
+package org.tarragonarch.entry;
+
+import java.net.BindException;
+import java.nio.file.Path;
+import java.util.Optional;
+import java.util.concurrent.Callable;
+import java.util.logging.Level;
+import org.tarragonarch.entry.log.LogSetup;
+import org.tarragonarch.entry.settings.NodeSettings;
+import org.tarragonarch.model.outcome.StepException;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.ParameterException;
+import picocli.CommandLine.Spec;
+
+/** Runs an entry node until it is told to leave. */
+@Command(
+        name = "tarragonarch",
+        mixinStandardHelpOptions = true,
+        versionProvider = VersionProvider.class,
+        subcommands = CheckCommand.class,
+        description = {
+            "Runs an entry node: takes requests and jobs from callers and places their tasks on endpoints.",
+            "SIGTERM makes it drain: it finishes what it has and then exits with 0."
+        },
+        exitCodeListHeading = "%nExit codes:%n",
+        exitCodeList = {
+            "0:the node has left as it was asked to",
+            "1:the node failed",
+            "2:the command line or the settings cannot be used; no port was opened",
+            "3:one of the node's ports is taken"
+        })
+final class DaemonCommand implements Callable<Integer> {
+    @Spec
+    private CommandSpec spec;
+
+    @Option(names = "--settings", paramLabel = "FILE", description = "The node's settings, JSON with comments.")
+    private Path settings;
+
+    @Override
+    public Integer call() throws InterruptedException {
+        if (settings == null) {
+            throw new ParameterException(spec.commandLine(), "Missing required option: '--settings=FILE'");
+        }
+        Optional<NodeSettings> read =
+                SettingsOption.read(settings, spec.commandLine().getErr());
+        return read.isPresent() ? run(read.get()) : ExitCode.USAGE;
+    }
+
+    private int run(NodeSettings node) throws InterruptedException {
+        LogSetup.install(node.node(), Level.INFO);
+        Daemon daemon;
+        try {
+            daemon = Daemon.start(node);
+        } catch (StepException e) {
+            spec.commandLine().getErr().println("tarragonarch: " + e.peer() + ": " + e.getMessage());
+            return e.getCause() instanceof BindException ? ExitCode.PORT_TAKEN : ExitCode.FAILURE;
+        }
+        Thread hook = new Thread(() -> leaveAndExit(daemon), "leave");
+        Runtime.getRuntime().addShutdownHook(hook);
+        daemon.awaitLeft();
+        return ExitCode.OK;
+    }
+
+    // A process that ends by a signal reports the signal as its exit code. A drain that ended well must report 0, so
+    // the
+    // process is ended here; the hook is the last one of consequence.
+    private static void leaveAndExit(Daemon daemon) {
+        boolean left = daemon.leave("the process was told to end");
+        Runtime.getRuntime().halt(left ? ExitCode.OK : ExitCode.FAILURE);
+    }
+}
--- /dev/null
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/admin/AdminApi.java
@@ -0,0 +1,351 @@
+package org.tarragonarch.entry.admin;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.flogger.FluentLogger;
+import com.google.common.util.concurrent.ThreadFactoryBuilder;
+import io.jooby.Context;
+import io.jooby.ExecutionMode;
+import io.jooby.Jooby;
+import io.jooby.StatusCode;
+import java.time.Clock;
+import java.util.Optional;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.ThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import org.tarragonarch.core.event.DrainRequested;
+import org.tarragonarch.core.event.EndpointDrainRequested;
+import org.tarragonarch.core.status.NodeStatus;
+import org.tarragonarch.entry.catalog.CatalogInForce;
+import org.tarragonarch.entry.catalog.ConfigurationTexts;
+import org.tarragonarch.entry.control.ControlLoop;
+import org.tarragonarch.entry.control.NodeCore;
+import org.tarragonarch.entry.control.Readiness;
+import org.tarragonarch.entry.http.BearerToken;
+import org.tarragonarch.entry.http.Exchange;
+import org.tarragonarch.entry.http.ProblemJson;
+import org.tarragonarch.entry.log.LogLine;
+import org.tarragonarch.entry.metrics.NodeMetrics;
+import org.tarragonarch.model.id.EndpointId;
+import org.tarragonarch.model.id.Names;
+import org.tarragonarch.model.outcome.Step;
+import org.tarragonarch.model.service.OperatorDefinition;
+import org.tarragonarch.model.service.ServiceCatalog;
+import org.tarragonarch.platform.ConfigurationStore;
+
+/**
+ * The API of operators, on a port apart from the callers'.
+ *
+ * <p>Handlers run on the event loops and never block: snapshots are asked of the control thread, and calls to the
+ * platform run on threads of their own.
+ */
+public final class AdminApi implements AutoCloseable {
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+    private static final String PORT = "admin";
+    private static final String OPERATOR = "operator";
+    private static final String JSON = "application/json";
+    private static final String PROMETHEUS = "text/plain; version=0.0.4; charset=utf-8";
+    private static final int THREADS = 2;
+    private static final int QUEUE = 32;
+    private static final long SNAPSHOT_TIMEOUT_MILLIS = 1_000;
+
+    private final ControlLoop control;
+    private final CatalogInForce catalog;
+    private final ConfigurationTexts texts;
+    private final Readiness readiness;
+    private final NodeMetrics metrics;
+    private final ConfigurationChanges changes;
+    private final ThreadPoolExecutor threads = new ThreadPoolExecutor(
+            THREADS,
+            THREADS,
+            1,
+            TimeUnit.MINUTES,
+            new ArrayBlockingQueue<>(QUEUE),
+            new ThreadFactoryBuilder()
+                    .setNameFormat("admin-call-%d")
+                    .setDaemon(true)
+                    .build());
+
+    private AdminApi(
+            ControlLoop control,
+            CatalogInForce catalog,
+            ConfigurationTexts texts,
+            Readiness readiness,
+            NodeMetrics metrics,
+            ConfigurationStore store) {
+        this.control = checkNotNull(control, "control");
+        this.catalog = checkNotNull(catalog, "catalog");
+        this.texts = checkNotNull(texts, "texts");
+        this.readiness = checkNotNull(readiness, "readiness");
+        this.metrics = checkNotNull(metrics, "metrics");
+        this.changes = new ConfigurationChanges(store, Clock.systemUTC());
+    }
+
+    /** Returns the API of a node. */
+    public static AdminApi create(
+            ControlLoop control,
+            CatalogInForce catalog,
+            ConfigurationTexts texts,
+            Readiness readiness,
+            NodeMetrics metrics,
+            ConfigurationStore store) {
+        return new AdminApi(control, catalog, texts, readiness, metrics, store);
+    }
+
+    /** Returns the application that serves this API. */
+    public Jooby application() {
+        Jooby application = new Jooby();
+        application.setExecutionMode(ExecutionMode.EVENT_LOOP);
+        application.get("/health/live", context -> send(context, StatusCode.OK, JSON, "{\"state\":\"live\"}"));
+        application.get("/health/ready", this::ready);
+        application.get("/metrics", this::scrape);
+        application.get("/admin/status", context -> snapshot(context, StatusJson::status));
+        application.get("/admin/endpoints", context -> snapshot(context, StatusJson::endpoints));
+        application.get("/admin/nodes", context -> snapshot(context, StatusJson::nodes));
+        application.get("/admin/queues", context -> snapshot(context, StatusJson::queues));
+        application.get("/admin/quotas", context -> snapshot(context, StatusJson::quotas));
+        application.get("/admin/configuration", this::configuration);
+        application.post("/admin/configuration", this::apply);
+        application.get("/admin/audit", this::audit);
+        application.post("/admin/drain", this::drain);
+        application.post("/admin/endpoints/{id}/drain", context -> drainEndpoint(context, true));
+        application.delete("/admin/endpoints/{id}/drain", context -> drainEndpoint(context, false));
+        application.error(this::failed);
+        return application;
+    }
+
+    @Override
+    public void close() {
+        threads.shutdownNow();
+    }
+
+    private Context ready(Context context) {
+        StatusCode status = readiness.ready() ? StatusCode.OK : StatusCode.SERVICE_UNAVAILABLE;
+        return send(context, status, JSON, "{\"phase\":\"" + readiness.phase().word() + "\"}");
+    }
+
+    private Context scrape(Context context) {
+        askStatus()
+                .whenCompleteAsync(
+                        (status, failure) -> {
+                            if (status != null) {
+                                metrics.status().show(status);
+                            }
+                            String text = metrics.scrape();
+                            respond(context, () -> send(context, StatusCode.OK, PROMETHEUS, text));
+                        },
+                        threads);
+        return context;
+    }
+
+    private Context snapshot(Context context, Function<NodeStatus, ObjectNode> json) throws AdminException {
+        authenticate(context);
+        askStatus()
+                .whenComplete((status, failure) -> respond(context, () -> {
+                    if (status == null) {
+                        problem(
+                                context,
+                                new AdminException(new AdminProblem(
+                                        AdminProblem.UNAVAILABLE,
+                                        "control-busy",
+                                        Step.LIFECYCLE,
+                                        "control",
+                                        "the control thread did not answer in time")));
+                    } else {
+                        send(context, json.apply(status));
+                    }
+                }));
+        return context;
+    }
+
+    private CompletableFuture<NodeStatus> askStatus() {
+        return control.ask(NodeCore::status).orTimeout(SNAPSHOT_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private Context configuration(Context context) throws AdminException {
+        authenticate(context);
+        Optional<ServiceCatalog> now = catalog.catalog();
+        Optional<byte[]> text = now.flatMap(texts::find);
+        if (text.isEmpty()) {
+            throw new AdminException(new AdminProblem(
+                    AdminProblem.NOT_FOUND,
+                    "no-configuration",
+                    Step.CONFIGURE,
+                    "node",
+                    "no configuration is in force here"));
+        }
+        return send(context, ChangeJsonWriter.configuration(now.get(), text.get()));
+    }
+
+    private Context apply(Context context) throws AdminException {
+        OperatorDefinition operator = changer(context);
+        byte[] canonical = Exchange.of(context).body();
+        ChangeParameters parameters = ChangeParameters.of(context);
+        return later(
+                context,
+                () -> changes.accept(
+                        operator.name(), parameters.from(), parameters.change(), parameters.summary(), canonical));
+    }
+
+    private Context audit(Context context) throws AdminException {
+        authenticate(context);
+        int limit = ChangeParameters.limit(context);
+        return later(context, () -> changes.history(limit));
+    }
+
+    private Context drain(Context context) throws AdminException {
+        OperatorDefinition operator = changer(context);
+        LOG.atInfo().log(
+                "%s", LogLine.of("drain-asked", Step.LIFECYCLE, operator.name().value()));
+        control.post(new DrainRequested("operator " + operator.name()));
+        return send(context, StatusCode.ACCEPTED, JSON, "{\"draining\":true}");
+    }
+
+    private Context drainEndpoint(Context context, boolean out) throws AdminException {
+        OperatorDefinition operator = changer(context);
+        String id = context.path("id").value();
+        if (!Names.wellFormed(id)) {
+            throw new AdminException(new AdminProblem(
+                    AdminProblem.NOT_FOUND, "unknown-endpoint", Step.LIFECYCLE, OPERATOR, "no such endpoint"));
+        }
+        EndpointId endpoint = EndpointId.of(id);
+        LOG.atInfo().log(
+                "%s",
+                LogLine.of(
+                                "endpoint-drain-asked",
+                                Step.LIFECYCLE,
+                                operator.name().value())
+                        .with("endpoint", endpoint)
+                        .with("out", out));
+        control.ask(core -> known(core.status(), endpoint))
+                .whenComplete((known, failure) -> respond(context, () -> drainKnown(context, endpoint, out, known)));
+        return context;
+    }
+
+    private void drainKnown(Context context, EndpointId endpoint, boolean out, Boolean known) {
+        if (!Boolean.TRUE.equals(known)) {
+            problem(
+                    context,
+                    new AdminException(new AdminProblem(
+                            AdminProblem.NOT_FOUND,
+                            "unknown-endpoint",
+                            Step.LIFECYCLE,
+                            OPERATOR,
+                            "this node knows no endpoint " + endpoint)));
+            return;
+        }
+        control.post(new EndpointDrainRequested(endpoint, out));
+        send(context, StatusCode.ACCEPTED, JSON, "{\"endpoint\":\"" + endpoint + "\",\"out\":" + out + "}");
+    }
+
+    private static boolean known(NodeStatus status, EndpointId endpoint) {
+        return status.endpoints().stream().anyMatch(row -> row.endpoint().equals(endpoint));
+    }
+
+    private OperatorDefinition authenticate(Context context) throws AdminException {
+        Optional<OperatorDefinition> operator = BearerToken.digest(context).flatMap(catalog::operator);
+        if (operator.isEmpty()) {
+            refused("operator-unauthenticated", Exchange.of(context).remote());
+            throw new AdminException(new AdminProblem(
+                    AdminProblem.UNAUTHENTICATED,
+                    "unauthenticated",
+                    Step.AUTHENTICATE,
+                    OPERATOR,
+                    "the request carries no bearer token of a known operator"));
+        }
+        return operator.get();
+    }
+
+    private OperatorDefinition changer(Context context) throws AdminException {
+        OperatorDefinition operator = authenticate(context);
+        if (!operator.role().mayChange()) {
+            refused("operator-forbidden", operator.name().value());
+            throw new AdminException(new AdminProblem(
+                    AdminProblem.FORBIDDEN,
+                    "forbidden",
+                    Step.AUTHENTICATE,
+                    OPERATOR,
+                    "operator " + operator.name() + " may look but not change"));
+        }
+        return operator;
+    }
+
+    private void refused(String event, String peer) {
+        metrics.unauthenticated(PORT);
+        LOG.atWarning().atMostEvery(1, TimeUnit.SECONDS).log("%s", LogLine.of(event, Step.AUTHENTICATE, peer));
+    }
+
+    private Context later(Context context, AdminCall call) throws AdminException {
+        try {
+            threads.execute(() -> answer(context, call));
+        } catch (RejectedExecutionException e) {
+            throw new AdminException(new AdminProblem(
+                    AdminProblem.UNAVAILABLE, "busy", Step.PLATFORM, "platform", "too many calls wait already"));
+        }
+        return context;
+    }
+
+    private void answer(Context context, AdminCall call) {
+        try {
+            ObjectNode json = call.call();
+            respond(context, () -> send(context, json));
+        } catch (AdminException e) {
+            respond(context, () -> problem(context, e));
+        } catch (RuntimeException e) {
+            respond(context, () -> fault(context, e));
+        }
+    }
+
+    private void failed(Context context, Throwable cause, StatusCode status) {
+        if (cause instanceof AdminException refusal) {
+            problem(context, refusal);
+        } else if (status.value() < StatusCode.SERVER_ERROR_CODE) {
+            problem(
+                    context,
+                    new AdminException(new AdminProblem(
+                            status.value(), "no-such-resource", Step.READ, OPERATOR, "no such resource or method")));
+        } else {
+            fault(context, cause);
+        }
+    }
+
+    private void fault(Context context, Throwable cause) {
+        LOG.atSevere().withCause(cause).log("%s", LogLine.of("handler-failed", Step.READ, OPERATOR));
+        problem(
+                context,
+                new AdminException(new AdminProblem(
+                        AdminProblem.FAULT, "fault", Step.READ, "node", "the node failed; its log says why")));
+    }
+
+    private static void problem(Context context, AdminException e) {
+        if (e.status() == AdminProblem.UNAUTHENTICATED) {
+            context.setResponseHeader("WWW-Authenticate", "Bearer");
+        }
+        context.setResponseCode(StatusCode.valueOf(e.status()));
+        context.setResponseType(ProblemJson.MEDIA_TYPE);
+        context.send(ProblemJson.bytes(e.json()));
+    }
+
+    private static Context send(Context context, ObjectNode json) {
+        context.setResponseType(JSON);
+        return context.send(ProblemJson.bytes(json));
+    }
+
+    private static Context send(Context context, StatusCode status, String type, String text) {
+        context.setResponseCode(status);
+        context.setResponseType(type);
+        return context.send(text);
+    }
+
+    private static void respond(Context context, Runnable answer) {
+        Exchange.of(context).respond(answer);
+    }
+
+    private interface AdminCall {
+        ObjectNode call() throws AdminException;
+    }
+}
--- /dev/null
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/admin/ChangeParameters.java
@@ -0,0 +1,61 @@
+package org.tarragonarch.entry.admin;
+
+import io.jooby.Context;
+import org.tarragonarch.model.id.ChangeId;
+import org.tarragonarch.model.id.ConfigurationVersion;
+import org.tarragonarch.model.outcome.Step;
+
+/**
+ * What the query of a change says.
+ *
+ * @param from the version that the change starts from
+ * @param change the change's unique mark
+ * @param summary what changes, in words
+ */
+record ChangeParameters(ConfigurationVersion from, ChangeId change, String summary) {
+    private static final int MAX_TEXT = 500;
+    private static final int DEFAULT_LIMIT = 20;
+    private static final int MAX_LIMIT = 1_000;
+
+    static ChangeParameters of(Context context) throws AdminException {
+        long from = number(context, "from", -1);
+        if (from < 0) {
+            throw bad("'from' must name the version that the change starts from");
+        }
+        String change = text(context, "change");
+        if (change.isEmpty()) {
+            throw bad("'change' must be a unique mark of the change");
+        }
+        return new ChangeParameters(ConfigurationVersion.of(from), new ChangeId(change), text(context, "summary"));
+    }
+
+    static int limit(Context context) throws AdminException {
+        long limit = number(context, "limit", DEFAULT_LIMIT);
+        if (limit < 1 || limit > MAX_LIMIT) {
+            throw bad("'limit' is not from 1 to " + MAX_LIMIT);
+        }
+        return (int) limit;
+    }
+
+    private static long number(Context context, String name, long standard) throws AdminException {
+        String text = context.query(name).value("");
+        try {
+            return text.isEmpty() ? standard : Long.parseLong(text);
+        } catch (NumberFormatException e) {
+            throw bad("'" + name + "' is not a whole number");
+        }
+    }
+
+    private static String text(Context context, String name) throws AdminException {
+        String text = context.query(name).value("");
+        if (text.length() > MAX_TEXT) {
+            throw bad("'" + name + "' is longer than " + MAX_TEXT + " characters");
+        }
+        return text;
+    }
+
+    private static AdminException bad(String detail) {
+        return new AdminException(
+                new AdminProblem(AdminProblem.BAD_REQUEST, "malformed", Step.READ, "operator", detail));
+    }
+}
--- /dev/null
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/caller/AnswerSender.java
@@ -0,0 +1,181 @@
+package org.tarragonarch.entry.caller;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.collect.ImmutableList;
+import com.google.common.flogger.FluentLogger;
+import io.jooby.Context;
+import io.jooby.StatusCode;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.TimeUnit;
+import org.tarragonarch.core.action.AnswerComplete;
+import org.tarragonarch.core.action.AnswerFromPeer;
+import org.tarragonarch.core.action.AnswerProblem;
+import org.tarragonarch.core.action.AnswerSameAs;
+import org.tarragonarch.core.action.ForgetAnswer;
+import org.tarragonarch.entry.body.BodyStore;
+import org.tarragonarch.entry.http.Exchange;
+import org.tarragonarch.entry.http.ProblemIds;
+import org.tarragonarch.entry.http.ProblemJson;
+import org.tarragonarch.entry.log.LogLine;
+import org.tarragonarch.entry.metrics.NodeMetrics;
+import org.tarragonarch.model.id.SubmissionId;
+import org.tarragonarch.model.outcome.Outcome;
+import org.tarragonarch.model.outcome.Problem;
+import org.tarragonarch.model.outcome.ProblemCode;
+import org.tarragonarch.model.outcome.Step;
+
+/**
+ * Gives callers their one answer, whole and with its length.
+ *
+ * <p>Called on the control thread; the answers are put together and sent on the event loops of their connections.
+ */
+public final class AnswerSender {
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+    private static final String NO_CODE = "none";
+
+    private final PendingAnswers pending;
+    private final BodyStore bodies;
+    private final NodeMetrics metrics;
+
+    AnswerSender(PendingAnswers pending, BodyStore bodies, NodeMetrics metrics) {
+        this.pending = pending;
+        this.bodies = bodies;
+        this.metrics = metrics;
+    }
+
+    /** Answers with the results of the submission's own tasks. */
+    public void answerComplete(AnswerComplete action) {
+        SubmissionId id = action.submission();
+        Optional<PendingAnswer> waiting = pending.take(id);
+        waiting.ifPresent(caller -> complete(id, caller, bodies.results(id)));
+        if (waiting.map(PendingAnswer::keyed).orElse(false)) {
+            bodies.dropInputs(id);
+        } else {
+            bodies.drop(id);
+        }
+    }
+
+    /** Answers with the results of another submission of this node. */
+    public void answerSameAs(AnswerSameAs action) {
+        answerOnce(action.submission(), bodies.results(action.original()));
+    }
+
+    /** Answers with the results that a peer gave. */
+    public void answerFromPeer(AnswerFromPeer action) {
+        answerOnce(action.submission(), bodies.results(action.submission()));
+    }
+
+    /** Answers with a problem. */
+    public void answerProblem(AnswerProblem action) {
+        pending.take(action.submission())
+                .ifPresent(caller -> onLoop(caller, () -> problem(action.submission(), caller, action.problem())));
+        bodies.drop(action.submission());
+    }
+
+    /** Drops the results that were kept for a second caller. */
+    public void forget(ForgetAnswer action) {
+        bodies.drop(action.submission());
+    }
+
+    /** Refuses a message that was never handed to the core; called on the event loop of its connection. */
+    void refuse(Context context, int status, Problem problem, ProblemIds ids) {
+        write(context, status, problem, ids);
+        count(problem);
+    }
+
+    private void answerOnce(SubmissionId id, Optional<ImmutableList<byte[]>> results) {
+        pending.take(id).ifPresent(caller -> complete(id, caller, results));
+        bodies.drop(id);
+    }
+
+    private void complete(SubmissionId id, PendingAnswer caller, Optional<ImmutableList<byte[]>> results) {
+        if (results.isEmpty()) {
+            // The core counts on results that are not here: a fault of the shell. The tasks did run, so nothing better
+            // than "unknown" may be said.
+            LOG.atSevere().log(
+                    "%s", LogLine.of("results-missing", Step.COLLECT, "shell").with("id", id));
+            onLoop(caller, () -> problem(id, caller, resultsMissing()));
+            return;
+        }
+        onLoop(caller, () -> {
+            Context context = caller.context();
+            headers(context, Outcome.COMPLETE, Optional.of(id.toString()), caller.requestId());
+            context.setResponseType("application/json");
+            context.send(CompleteJson.bytes(caller.form(), id, results.get()));
+            metrics.answered(caller.form(), Outcome.COMPLETE.word(), NO_CODE, responseTime(caller));
+        });
+    }
+
+    private void problem(SubmissionId id, PendingAnswer caller, Problem problem) {
+        write(
+                caller.context(),
+                problem.code().status(),
+                problem,
+                new ProblemIds(Optional.of(id.toString()), caller.requestId()));
+        metrics.answered(
+                caller.form(), problem.code().outcome().word(), problem.code().word(), responseTime(caller));
+        LOG.atInfo()
+                .per(problem.code())
+                .atMostEvery(1, TimeUnit.SECONDS)
+                .log(
+                        "%s",
+                        LogLine.of("problem-answered", problem.step(), problem.peer())
+                                .with("id", id)
+                                .with("request-id", caller.requestId().orElse(""))
+                                .with("caller", caller.caller())
+                                .with("outcome", problem.code().outcome().word())
+                                .with("code", problem.code().word())
+                                .with("detail", problem.detail()));
+    }
+
+    private void count(Problem problem) {
+        metrics.refused(problem.code().word());
+        LOG.atInfo()
+                .per(problem.code())
+                .atMostEvery(1, TimeUnit.SECONDS)
+                .log(
+                        "%s",
+                        LogLine.of("request-refused", problem.step(), problem.peer())
+                                .with("code", problem.code().word())
+                                .with("detail", problem.detail()));
+    }
+
+    private static void write(Context context, int status, Problem problem, ProblemIds ids) {
+        ObjectNode json = ProblemJson.of(status, problem, ids);
+        headers(context, problem.code().outcome(), ids.submission(), ids.request());
+        problem.retryAfter()
+                .ifPresent(wait -> context.setResponseHeader("Retry-After", ProblemJson.retryAfterSeconds(wait)));
+        if (problem.code() == ProblemCode.UNAUTHENTICATED) {
+            context.setResponseHeader("WWW-Authenticate", "Bearer");
+        }
+        context.setResponseCode(StatusCode.valueOf(status));
+        context.setResponseType(ProblemJson.MEDIA_TYPE);
+        context.send(ProblemJson.bytes(json));
+    }
+
+    private static void headers(
+            Context context, Outcome outcome, Optional<String> submission, Optional<String> requestId) {
+        context.setResponseHeader("Outcome", outcome.word());
+        submission.ifPresent(id -> context.setResponseHeader("Submission-Id", id));
+        requestId.ifPresent(text -> context.setResponseHeader("Request-Id", text));
+    }
+
+    private static Problem resultsMissing() {
+        return Problem.of(ProblemCode.ANSWER_LOST, Step.COLLECT, "shell", "the results were lost within the node");
+    }
+
+    private static Duration responseTime(PendingAnswer caller) {
+        return Duration.ofNanos(System.nanoTime() - caller.arrivedNanos());
+    }
+
+    private static void onLoop(PendingAnswer caller, Runnable answer) {
+        try {
+            Exchange.of(caller.context()).respond(answer);
+        } catch (RejectedExecutionException e) {
+            // The server has stopped, and with it every connection: nobody is left to answer.
+            LOG.atInfo().log("%s", LogLine.of("answer-undeliverable", Step.LIFECYCLE, "caller"));
+        }
+    }
+}
--- /dev/null
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/caller/CallerApi.java
@@ -0,0 +1,262 @@
+package org.tarragonarch.entry.caller;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import com.google.common.collect.ImmutableSet;
+import com.google.common.flogger.FluentLogger;
+import com.google.common.hash.Hasher;
+import com.google.common.hash.Hashing;
+import io.jooby.Context;
+import io.jooby.ExecutionMode;
+import io.jooby.Jooby;
+import io.jooby.StatusCode;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Optional;
+import org.tarragonarch.core.event.CancelCause;
+import org.tarragonarch.core.event.CancelRequested;
+import org.tarragonarch.core.event.SubmissionArrived;
+import org.tarragonarch.core.event.SubmissionForm;
+import org.tarragonarch.core.node.NodeIdentity;
+import org.tarragonarch.entry.body.BodyStore;
+import org.tarragonarch.entry.body.SubmissionContent;
+import org.tarragonarch.entry.catalog.CatalogInForce;
+import org.tarragonarch.entry.control.EventSink;
+import org.tarragonarch.entry.control.Readiness;
+import org.tarragonarch.entry.http.BearerToken;
+import org.tarragonarch.entry.http.Exchange;
+import org.tarragonarch.entry.http.ProblemIds;
+import org.tarragonarch.entry.log.LogLine;
+import org.tarragonarch.entry.metrics.NodeMetrics;
+import org.tarragonarch.model.id.CallerName;
+import org.tarragonarch.model.id.ContentDigest;
+import org.tarragonarch.model.id.KindName;
+import org.tarragonarch.model.id.Names;
+import org.tarragonarch.model.id.ServiceName;
+import org.tarragonarch.model.id.SubmissionId;
+import org.tarragonarch.model.outcome.Problem;
+import org.tarragonarch.model.outcome.ProblemCode;
+import org.tarragonarch.model.outcome.Step;
+import org.tarragonarch.model.service.CallerDefinition;
+
+/**
+ * The API of callers.
+ *
+ * <p>Handlers run on the event loops and never block. The shell itself answers {@code not-run} only to what it never
+ * hands to the core; every submission that the core has seen is answered as the core says.
+ */
+public final class CallerApi {
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+    private static final int MAX_TASKS = 10_000;
+    private static final Duration COME_BACK = Duration.ofSeconds(1);
+    private static final String CALLER = "caller";
+    private static final String HANDED_IN = "handed-in";
+
+    private final NodeIdentity identity;
+    private final CatalogInForce catalog;
+    private final Readiness readiness;
+    private final BodyStore bodies;
+    private final EventSink events;
+    private final NodeMetrics metrics;
+    private final PendingAnswers pending = new PendingAnswers();
+    private final AnswerSender answers;
+    private final SubmissionBodyReader reader = new SubmissionBodyReader(MAX_TASKS);
+    private final Object arrival = new Object();
+    private long lastSequence;
+
+    private CallerApi(
+            NodeIdentity identity,
+            CatalogInForce catalog,
+            Readiness readiness,
+            BodyStore bodies,
+            EventSink events,
+            NodeMetrics metrics) {
+        this.identity = checkNotNull(identity, "identity");
+        this.catalog = checkNotNull(catalog, "catalog");
+        this.readiness = checkNotNull(readiness, "readiness");
+        this.bodies = checkNotNull(bodies, "bodies");
+        this.events = checkNotNull(events, "events");
+        this.metrics = checkNotNull(metrics, "metrics");
+        this.answers = new AnswerSender(pending, bodies, metrics);
+    }
+
+    /**
+     * Returns the API of a node.
+     *
+     * @param identity names the submissions
+     * @param catalog says whose token it is
+     * @param readiness says whether the balancer should send requests here
+     * @param bodies takes the inputs
+     * @param events takes the submissions
+     * @param metrics counts the answers
+     */
+    public static CallerApi create(
+            NodeIdentity identity,
+            CatalogInForce catalog,
+            Readiness readiness,
+            BodyStore bodies,
+            EventSink events,
+            NodeMetrics metrics) {
+        return new CallerApi(identity, catalog, readiness, bodies, events, metrics);
+    }
+
+    /** Returns what carries out the core's answers. */
+    public AnswerSender answers() {
+        return answers;
+    }
+
+    /** Returns how many callers wait for an answer. */
+    public int waiting() {
+        return pending.size();
+    }
+
+    /** Returns the application that serves this API. */
+    public Jooby application() {
+        Jooby application = new Jooby();
+        application.setExecutionMode(ExecutionMode.EVENT_LOOP);
+        application.post("/v1/services/{service}/requests/{kind}", context -> submit(context, SubmissionForm.REQUEST));
+        application.post("/v1/services/{service}/jobs/{kind}", context -> submit(context, SubmissionForm.JOB));
+        application.delete("/v1/submissions/{requestId}", this::cancel);
+        application.get("/ready", this::ready);
+        application.error(this::refuseUnrouted);
+        return application;
+    }
+
+    private Context submit(Context context, SubmissionForm form) {
+        Optional<String> requestId = Optional.empty();
+        try {
+            requestId = SubmissionHeaders.requestId(context);
+            CallerDefinition caller = authenticate(context);
+            SubmissionHeaders headers = SubmissionHeaders.of(context);
+            byte[] raw = Exchange.of(context).body();
+            SubmissionBody body = reader.read(form, raw);
+            SubmissionContent content = new SubmissionContent(service(context), kind(context), body.inputs());
+            arrive(context, form, caller, headers, content, body, raw);
+        } catch (MalformedException e) {
+            refuse(context, Problem.of(ProblemCode.MALFORMED, e.step(), e.peer(), e.getMessage()), requestId);
+        } catch (RefusedException e) {
+            refuse(context, e.problem(), requestId);
+        }
+        return context;
+    }
+
+    private void arrive(
+            Context context,
+            SubmissionForm form,
+            CallerDefinition caller,
+            SubmissionHeaders headers,
+            SubmissionContent content,
+            SubmissionBody body,
+            byte[] raw)
+            throws RefusedException {
+        PendingAnswer waiting = new PendingAnswer(
+                context, form, caller.name(), headers.requestId(), headers.key().isPresent(), System.nanoTime());
+        SubmissionId id;
+        ContentDigest digest = digest(form, content.kind(), raw);
+        synchronized (arrival) {
+            // Ids must reach the core in their order, so the id is made and handed in under one lock.
+            id = new SubmissionId(identity.node(), identity.incarnation(), ++lastSequence);
+            if (!bodies.keep(id, content)) {
+                throw new RefusedException(Problem.of(
+                                ProblemCode.QUEUE_FULL, Step.ADMIT, CALLER, "the node holds as many bodies as it may")
+                        .withRetryAfter(COME_BACK));
+            }
+            context.setAttribute(HANDED_IN, id);
+            pending.add(id, waiting);
+            events.post(new SubmissionArrived(
+                    id,
+                    form,
+                    caller.name(),
+                    content.service(),
+                    content.kind(),
+                    headers.key(),
+                    digest,
+                    body.shapes(),
+                    headers.timeAllowed()));
+        }
+        Exchange.of(context).onHangUp(() -> events.post(new CancelRequested(id, CancelCause.HANG_UP)));
+    }
+
+    private Context cancel(Context context) {
+        try {
+            CallerName caller = authenticate(context).name();
+            ImmutableSet<SubmissionId> found =
+                    pending.find(caller, context.path("requestId").value());
+            found.forEach(id -> events.post(new CancelRequested(id, CancelCause.CALLER)));
+            // The submission's own answer says what came of it; this one only says whether there was one to cancel.
+            context.setResponseCode(found.isEmpty() ? StatusCode.NOT_FOUND : StatusCode.ACCEPTED);
+            context.setResponseType("application/json");
+            context.send("{\"cancelling\":" + found.size() + "}");
+        } catch (RefusedException e) {
+            refuse(context, e.problem(), Optional.empty());
+        }
+        return context;
+    }
+
+    private Context ready(Context context) {
+        context.setResponseCode(readiness.ready() ? StatusCode.OK : StatusCode.SERVICE_UNAVAILABLE);
+        context.setResponseType("application/json");
+        return context.send("{\"phase\":\"" + readiness.phase().word() + "\"}");
+    }
+
+    private void refuseUnrouted(Context context, Throwable cause, StatusCode status) {
+        if (status.value() < StatusCode.SERVER_ERROR_CODE) {
+            Problem problem = Problem.of(ProblemCode.MALFORMED, Step.READ, CALLER, "no such resource or method");
+            answers.refuse(context, status.value(), problem, ProblemIds.NONE);
+            return;
+        }
+        LOG.atSevere().withCause(cause).log("%s", LogLine.of("handler-failed", Step.READ, CALLER));
+        if (context.getAttribute(HANDED_IN) == null) {
+            Problem problem = Problem.of(ProblemCode.MALFORMED, Step.READ, CALLER, "the node failed to read it");
+            answers.refuse(context, status.value(), problem, ProblemIds.NONE);
+        }
+        // Otherwise the core has the submission and will answer it: "not run" may no longer be said here.
+    }
+
+    private CallerDefinition authenticate(Context context) throws RefusedException {
+        if (catalog.catalog().isEmpty()) {
+            throw new RefusedException(
+                    Problem.of(ProblemCode.NOT_READY, Step.CONFIGURE, CALLER, "the node has no configuration yet")
+                            .withRetryAfter(COME_BACK));
+        }
+        Optional<CallerDefinition> caller = BearerToken.digest(context).flatMap(catalog::caller);
+        if (caller.isEmpty()) {
+            metrics.unauthenticated(CALLER);
+            throw new RefusedException(Problem.of(
+                    ProblemCode.UNAUTHENTICATED,
+                    Step.AUTHENTICATE,
+                    CALLER,
+                    "the request carries no bearer token of a known caller"));
+        }
+        return caller.get();
+    }
+
+    private void refuse(Context context, Problem problem, Optional<String> requestId) {
+        answers.refuse(context, problem.code().status(), problem, new ProblemIds(Optional.empty(), requestId));
+    }
+
+    private static ServiceName service(Context context) throws RefusedException {
+        String name = context.path("service").value();
+        if (!Names.wellFormed(name)) {
+            throw new RefusedException(
+                    Problem.of(ProblemCode.UNKNOWN_SERVICE, Step.ADMIT, CALLER, "there is no service of this name"));
+        }
+        return ServiceName.of(name);
+    }
+
+    private static KindName kind(Context context) throws RefusedException {
+        String name = context.path("kind").value();
+        if (!Names.wellFormed(name)) {
+            throw new RefusedException(
+                    Problem.of(ProblemCode.UNKNOWN_KIND, Step.ADMIT, CALLER, "there is no kind of this name"));
+        }
+        return KindName.of(name);
+    }
+
+    private static ContentDigest digest(SubmissionForm form, KindName kind, byte[] raw) {
+        Hasher hasher = Hashing.sha256().newHasher();
+        hasher.putString(form.name(), StandardCharsets.UTF_8).putByte((byte) 0);
+        hasher.putString(kind.value(), StandardCharsets.UTF_8).putByte((byte) 0);
+        return new ContentDigest(hasher.putBytes(raw).hash().toString());
+    }
+}
--- /dev/null
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/caller/RefusedException.java
@@ -0,0 +1,20 @@
+package org.tarragonarch.entry.caller;
+
+import org.tarragonarch.model.outcome.Problem;
+import org.tarragonarch.model.outcome.StepException;
+
+/** A message is refused before the core sees it. */
+final class RefusedException extends StepException {
+    private static final long serialVersionUID = 1L;
+
+    private final transient Problem problem;
+
+    RefusedException(Problem problem) {
+        super(problem.step(), problem.peer(), problem.detail());
+        this.problem = problem;
+    }
+
+    Problem problem() {
+        return problem;
+    }
+}
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/control/ControlLoop.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/control/ControlLoop.java
@@ -134,7 +134,8 @@
             wakeAtNanos = wake.nanos();
             return;
         }
-        sink.emit(action);
+        // A fault in carrying out one action must not cut short the decision that gave it.
+        runGuarded(() -> sink.emit(action));
     }
 
     // A fault in one decision must not end the thread: every other submission of the node hangs on it. The submission
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/control/Readiness.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/control/Readiness.java
@@ -1,5 +1,7 @@
 package org.tarragonarch.entry.control;
 
+import com.google.common.util.concurrent.Uninterruptibles;
+import java.time.Duration;
 import java.util.concurrent.CountDownLatch;
 import org.tarragonarch.model.report.NodePhase;
 
@@ -33,6 +35,11 @@
         return phase == NodePhase.SERVING;
     }
 
+    /** Waits until the node has left, for so long at most; returns whether it has. */
+    public boolean awaitLeft(Duration bound) {
+        return Uninterruptibles.awaitUninterruptibly(left, bound);
+    }
+
     /** Waits until the node has left. */
     public void awaitLeft() throws InterruptedException {
         left.await();
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/http/Exchange.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/http/Exchange.java
@@ -2,7 +2,6 @@
 
 import io.jooby.Context;
 import io.netty.channel.Channel;
-import java.util.concurrent.Executor;
 
 /**
  * One request on one connection, from its last byte to its answer.
@@ -42,9 +41,19 @@
         return Remotes.of(channel);
     }
 
-    /** Returns what runs tasks on the connection's event loop, in order. */
-    public Executor executor() {
-        return channel.eventLoop();
+    /**
+     * Sends the answer on the connection's event loop; may be called from any thread.
+     *
+     * @param answer puts the answer together and hands it to the context
+     * @throws java.util.concurrent.RejectedExecutionException if the server has stopped
+     */
+    public void respond(Runnable answer) {
+        channel.eventLoop().execute(() -> {
+            ended = true;
+            answer.run();
+            // The context flushes by itself only while a request is being read.
+            channel.flush();
+        });
     }
 
     /** Sets what is done if the client hangs up before its answer; done at once if it has already. */
@@ -55,10 +64,6 @@
         }
     }
 
-    void answered() {
-        ended = true;
-    }
-
     void clientGone() {
         if (!ended && hangUp != NOTHING) {
             ended = true;
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/log/LogSetup.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/log/LogSetup.java
@@ -3,7 +3,6 @@
 import java.util.logging.ConsoleHandler;
 import java.util.logging.Handler;
 import java.util.logging.Level;
-import java.util.logging.LogManager;
 import java.util.logging.Logger;
 import org.tarragonarch.model.id.NodeId;
 
@@ -13,11 +12,13 @@
 
     /** Sets the process's log up; called once, before the first line. */
     public static void install(NodeId node, Level level) {
-        LogManager.getLogManager().reset();
+        Logger root = Logger.getLogger("");
+        for (Handler standard : root.getHandlers()) {
+            root.removeHandler(standard);
+        }
         Handler handler = new ConsoleHandler();
         handler.setFormatter(new LineFormatter(node.value()));
         handler.setLevel(level);
-        Logger root = Logger.getLogger("");
         root.setLevel(level);
         root.addHandler(handler);
     }
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/metrics/NodeMetrics.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/metrics/NodeMetrics.java
@@ -66,6 +66,11 @@
                 .increment();
     }
 
+    /** Counts one message that was refused before the core saw it. */
+    public void refused(String code) {
+        count("refusals", "Messages refused before they became submissions", "code", code);
+    }
+
     /** Counts the end of one send of a task. */
     public void sendEnded(SendResult result) {
         count("task.sends", "Sends of tasks to endpoints, by how they ended", "result", word(result));
