Test the operator program against hand-written nodes

A removal no longer lists the keys that go with it, mistakes of usage print one line in place of the whole help, and a missing folder is called missing.

--- a/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/CtlMain.java
+++ b/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/CtlMain.java
@@ -40,6 +40,7 @@
                 .registerConverter(ServiceName.class, converter(ServiceName::of))
                 .registerConverter(ConfigurationVersion.class, converter(CtlMain::version))
                 .setCaseInsensitiveEnumValuesAllowed(true)
+                .setParameterExceptionHandler(new UsageHandler())
                 .setExecutionExceptionHandler(new FailureHandler());
     }
 
--- /dev/null
+++ b/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/UsageHandler.java
@@ -0,0 +1,20 @@
+package org.tarragonarch.ctl;
+
+import java.io.PrintWriter;
+import picocli.CommandLine;
+import picocli.CommandLine.IParameterExceptionHandler;
+import picocli.CommandLine.ParameterException;
+import picocli.CommandLine.UnmatchedArgumentException;
+
+/** Tells a mistake of usage in one line, with the way to the help; the whole help would hide the message. */
+final class UsageHandler implements IParameterExceptionHandler {
+    @Override
+    public int handleParseException(ParameterException mistake, String[] arguments) {
+        CommandLine command = mistake.getCommandLine();
+        PrintWriter err = command.getErr();
+        err.println(mistake.getMessage());
+        UnmatchedArgumentException.printSuggestions(mistake, err);
+        err.println("See '" + command.getCommandSpec().qualifiedName() + " --help'.");
+        return ExitCode.USAGE.number();
+    }
+}
--- a/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/command/ApplyCommand.java
+++ b/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/command/ApplyCommand.java
@@ -53,6 +53,7 @@
             return tellNoChange(planned);
         }
         if (!output().json()) {
+            output().line("against version " + planned.from() + ":");
             DifferenceTable.print(planned.difference(), output());
         }
         return make(
--- a/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/command/AuditCommand.java
+++ b/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/command/AuditCommand.java
@@ -1,5 +1,6 @@
 package org.tarragonarch.ctl.command;
 
+import java.time.temporal.ChronoUnit;
 import org.tarragonarch.ctl.ExitCode;
 import org.tarragonarch.ctl.output.Table;
 import org.tarragonarch.platform.AuditRecord;
@@ -31,7 +32,7 @@
                     table.row(
                             record.version().value(),
                             record.from().value(),
-                            record.when(),
+                            record.when().truncatedTo(ChronoUnit.MILLIS),
                             record.operator(),
                             record.change(),
                             record.digest(),
--- a/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/command/HistoryCommand.java
+++ b/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/command/HistoryCommand.java
@@ -1,5 +1,6 @@
 package org.tarragonarch.ctl.command;
 
+import java.time.temporal.ChronoUnit;
 import org.tarragonarch.ctl.ExitCode;
 import org.tarragonarch.ctl.output.Table;
 import org.tarragonarch.platform.AuditRecord;
@@ -21,7 +22,11 @@
         return withGateway(connection(), gateway -> {
             Table table = Table.of("version", "when", "operator", "summary");
             for (AuditRecord record : gateway.audit(limit)) {
-                table.row(record.version().value(), record.when(), record.operator(), record.summary());
+                table.row(
+                        record.version().value(),
+                        record.when().truncatedTo(ChronoUnit.SECONDS),
+                        record.operator(),
+                        record.summary());
             }
             output().table(table, "no configuration was accepted yet");
             return ExitCode.OK.number();
--- a/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/command/RollbackCommand.java
+++ b/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/command/RollbackCommand.java
@@ -37,6 +37,7 @@
             return ExitCode.OK.number();
         }
         if (!output().json()) {
+            output().line("against version " + planned.from() + ":");
             DifferenceTable.print(planned.difference(), output());
         }
         String summary =
--- /dev/null
+++ b/tarragonarch-ctl/src/test/java/org/tarragonarch/ctl/CtlMainTest.java
@@ -0,0 +1,221 @@
+package org.tarragonarch.ctl;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import com.google.common.io.MoreFiles;
+import com.google.common.io.RecursiveDeleteOption;
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.io.StringWriter;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.tarragonarch.model.id.ContentDigest;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+public final class CtlMainTest {
+    private static final String CONFIGURATION = """
+            { "teams": { "proofreaders": { "max-running-tasks": 200 } },
+              "operators": { "ann": { "role": "changer", "token-sha256": "%s" } } }
+            """.formatted("a".repeat(64));
+    private static final String CHANGE = "{ \"teams\": { \"proofreaders\": { \"max-running-tasks\": 20 } } }";
+
+    private FakeSystem system;
+    private FakeNode hobart;
+    private FakeNode devonport;
+    private Path home;
+    private Path folder;
+    private StringWriter out;
+    private StringWriter err;
+
+    @BeforeMethod
+    public void startNodes() throws IOException {
+        system = new FakeSystem();
+        hobart = new FakeNode(system, "hobart-1");
+        devonport = new FakeNode(system, "devonport-1");
+        home = Files.createTempDirectory("tarragonctl");
+        folder = Files.createDirectory(home.resolve("configuration"));
+        Files.writeString(folder.resolve("00-base.jsonc"), CONFIGURATION);
+        Files.writeString(home.resolve("ann.token"), FakeSystem.TOKEN + "\n");
+        writeSettings("ann.token");
+    }
+
+    @AfterMethod(alwaysRun = true)
+    public void stopNodes() throws IOException {
+        hobart.close();
+        devonport.close();
+        MoreFiles.deleteRecursively(home, RecursiveDeleteOption.ALLOW_INSECURE);
+    }
+
+    @Test
+    public void testCheck_namesMistakes() throws IOException {
+        Files.writeString(folder.resolve("10-market.jsonc"), "{ \"team\": {} }");
+        assertEquals(run("check", folder.toString()), ExitCode.USAGE.number());
+        assertTrue(err().contains("10-market.jsonc:1: team: is not a known key; did you mean 'teams'?"), err());
+        assertEquals(run("check", folder.toString(), "-o", "json"), ExitCode.USAGE.number());
+        assertTrue(out().contains("\"suggestion\" : \"teams\""), out());
+    }
+
+    @Test
+    public void testApply_waitsUntilInForceEverywhere() {
+        devonport.looksUntilAdopted.set(2);
+        assertEquals(connected("apply", folder.toString()), ExitCode.OK.number());
+        assertTrue(out().contains("accepted as version 1, in place of version 0"), out());
+        assertTrue(err().contains("version 1 in force: devonport 0/1, hobart 1/1"), err());
+        assertTrue(out().contains("devonport  in force         1      1"), out());
+    }
+
+    @Test
+    public void testApply_notInForceEverywhereInTime() {
+        devonport.looksUntilAdopted.set(Integer.MAX_VALUE);
+        assertEquals(connected("apply", folder.toString(), "--wait", "300ms"), ExitCode.NOT_IN_FORCE.number());
+        assertTrue(out().contains("devonport  not yet          0      1  an older version on devonport-1"), out());
+    }
+
+    @Test
+    public void testApply_sameAgainChangesNothing() {
+        connected("apply", folder.toString());
+        assertEquals(connected("apply", folder.toString()), ExitCode.OK.number());
+        assertTrue(out().contains("nothing to change: version 1 says the same"), out());
+        assertEquals(system.newest(), 1);
+    }
+
+    /**
+     * Ben's change is accepted while ann's nodes still show the version before it. Ann's change rests on that version,
+     * so she must be told that nothing was changed, and whose change stands; ben's must not be undone.
+     */
+    @Test
+    public void testApply_conflict() throws IOException {
+        connected("apply", folder.toString());
+        system.accept(1, "bens", "ben's change", CONFIGURATION);
+        hobart.looksUntilAdopted.set(Integer.MAX_VALUE);
+        devonport.looksUntilAdopted.set(Integer.MAX_VALUE);
+        Files.writeString(folder.resolve("10-less.jsonc"), CHANGE);
+        assertEquals(connected("apply", folder.toString()), ExitCode.CONFLICT.number());
+        assertTrue(err().contains("version 2 by ben was accepted first"), err());
+        assertEquals(system.newest(), 2);
+    }
+
+    @Test
+    public void testApply_fromAnotherVersion() throws IOException {
+        connected("apply", folder.toString());
+        Files.writeString(folder.resolve("10-less.jsonc"), CHANGE);
+        assertEquals(connected("apply", folder.toString(), "--from", "0"), ExitCode.CONFLICT.number());
+        assertEquals(system.newest(), 1);
+    }
+
+    /**
+     * The first node has the change accepted and dies before it replies. The operator would see a failure although the
+     * change is in force, or, if it were sent anew, a conflict with herself. It is sent to the next node with the same
+     * mark, by which it is known again.
+     */
+    @Test
+    public void testApply_replyLost() {
+        hobart.repliesToLose.set(1);
+        assertEquals(connected("apply", folder.toString()), ExitCode.OK.number());
+        assertEquals(system.newest(), 1);
+    }
+
+    @Test
+    public void testRollback_isANewVersion() throws IOException {
+        connected("apply", folder.toString());
+        Files.writeString(folder.resolve("10-less.jsonc"), CHANGE);
+        connected("apply", folder.toString());
+        assertEquals(connected("rollback", "1"), ExitCode.OK.number());
+        assertTrue(out().contains("max-running-tasks: 20 -> 200"), out());
+        assertEquals(system.text(3), system.text(1));
+        connected("history");
+        assertTrue(out().contains("ann       rolled back to version 1: changed team proofreaders"), out());
+    }
+
+    @Test
+    public void testStatus_oneNodeDown() {
+        devonport.close();
+        assertEquals(connected("status"), ExitCode.FAILED.number());
+        assertTrue(out().contains("hobart-1  hobart  serving"), out());
+        assertTrue(err().contains("no answer from " + devonport.address()), err());
+    }
+
+    @Test
+    public void testStatus_wrongTokenIsNotPrinted() throws IOException {
+        Files.writeString(home.resolve("wrong.token"), "another-secret");
+        writeSettings("wrong.token");
+        assertEquals(connected("status"), ExitCode.FAILED.number());
+        assertTrue(err().contains("nobody holds this token (status 401)"), err());
+        assertFalse(err().contains("another-secret"), err());
+    }
+
+    @Test
+    public void testDrainEndpoint_onEveryNode() {
+        assertEquals(connected("drain", "endpoint", "w1"), ExitCode.OK.number());
+        assertTrue(hobart.drained.contains("w1") && devonport.drained.contains("w1"));
+        connected("endpoints", "--not-live");
+        assertTrue(out().contains("w1        hobart  hobart-1     drained      8          2"), out());
+        assertEquals(connected("undrain", "endpoint", "w1"), ExitCode.OK.number());
+        assertTrue(hobart.drained.isEmpty() && devonport.drained.isEmpty());
+    }
+
+    @Test
+    public void testSubmit_printsOutcome() {
+        assertEquals(
+                connected("submit", "job", "proof-board", "word-count", "--inputs", "[\"one two\"]"),
+                ExitCode.OK.number());
+        assertTrue(out().contains("outcome complete (status 200), submission s1"), out());
+        assertEquals(
+                connected("submit", "request", "no-board", "word-count", "--input", "1"), ExitCode.FAILED.number());
+        assertTrue(out().contains("outcome not-run (status 404)"), out());
+    }
+
+    @Test
+    public void testToken_digestIsOfToken() {
+        run("token");
+        String[] cells = out().lines().skip(1).findFirst().orElseThrow().split(" +");
+        assertEquals(
+                cells[1],
+                ContentDigest.of(cells[0].getBytes(StandardCharsets.UTF_8)).hex());
+    }
+
+    @Test
+    public void testUsage_exitsWithTwo() {
+        assertEquals(run("status"), ExitCode.USAGE.number());
+        assertEquals(run("status", "--admin", "localhost:1"), ExitCode.USAGE.number());
+        assertEquals(run("aply"), ExitCode.USAGE.number());
+        assertEquals(run("--help"), ExitCode.OK.number());
+        assertTrue(out().contains("4   accepted, but not in force everywhere"), out());
+    }
+
+    private void writeSettings(String tokenFile) throws IOException {
+        Files.writeString(home.resolve("ctl.jsonc"), """
+                { "admin-addresses": ["%s", "%s"], "token-file": "%s",
+                  "caller-address": "%s", "caller-token-file": "ann.token" }
+                """.formatted(
+                        hobart.address(), devonport.address(), tokenFile, hobart.address()));
+    }
+
+    private int connected(String... arguments) {
+        List<String> all = new ArrayList<>(List.of(arguments));
+        all.add("--settings");
+        all.add(home.resolve("ctl.jsonc").toString());
+        return run(all.toArray(String[]::new));
+    }
+
+    private int run(String... arguments) {
+        out = new StringWriter();
+        err = new StringWriter();
+        return CtlMain.run(new PrintWriter(out, true), new PrintWriter(err, true), arguments);
+    }
+
+    private String out() {
+        return out.toString();
+    }
+
+    private String err() {
+        return err.toString();
+    }
+}
--- /dev/null
+++ b/tarragonarch-ctl/src/test/java/org/tarragonarch/ctl/change/RolloutTest.java
@@ -0,0 +1,100 @@
+package org.tarragonarch.ctl.change;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import com.google.common.collect.ImmutableList;
+import java.util.List;
+import java.util.Optional;
+import org.tarragonarch.ctl.admin.AdminAnswer;
+import org.tarragonarch.ctl.admin.NodeView;
+import org.tarragonarch.ctl.admin.PeerView;
+import org.tarragonarch.model.id.Address;
+import org.tarragonarch.model.id.ConfigurationVersion;
+import org.testng.annotations.Test;
+
+public final class RolloutTest {
+    private static final ConfigurationVersion NEW = ConfigurationVersion.of(7);
+    private static final ConfigurationVersion OLD = ConfigurationVersion.of(6);
+
+    @Test
+    public void testOf_peersCountWhereNotAsked() {
+        Rollout rollout = rollout(node("hobart-1", NEW, peer("hobart-2", true, NEW), peer("devonport-1", true, NEW)));
+        assertTrue(rollout.complete());
+        assertEquals(rollout.progress(), "devonport 1/1, hobart 2/2");
+    }
+
+    /**
+     * A node's own answer shows the new version in force while a peer still tells the version of its last report: the
+     * operator would wait for something that has long happened.
+     */
+    @Test
+    public void testOf_ownWordGoesBeforePeers() {
+        assertTrue(rollout(node("hobart-1", NEW, peer("hobart-2", true, OLD)), node("hobart-2", NEW))
+                .complete());
+    }
+
+    /**
+     * Devonport is cut off: its nodes have the old version, and the last report that hobart had of it still says so.
+     * The operator must read that devonport cannot be reached, not that it lags, and not that all is done.
+     */
+    @Test
+    public void testOf_domainCutOff() {
+        Rollout rollout = rollout(node("hobart-1", NEW, peer("devonport-1", false, OLD)));
+        assertFalse(rollout.complete());
+        DomainRollout devonport = rollout.domains().get(0);
+        assertEquals(devonport.state(), RolloutState.CANNOT_BE_REACHED);
+        assertEquals(devonport.missing(), "no word from devonport-1");
+        assertEquals(rollout.domains().get(1).state(), RolloutState.IN_FORCE);
+    }
+
+    @Test
+    public void testOf_anyPeerThatHearsItCounts() {
+        Rollout rollout = rollout(
+                node("hobart-1", NEW, peer("devonport-1", false, OLD)),
+                node("hobart-2", NEW, peer("devonport-1", true, OLD)));
+        assertEquals(rollout.domains().get(0).state(), RolloutState.NOT_YET);
+        assertEquals(rollout.domains().get(0).missing(), "an older version on devonport-1");
+    }
+
+    @Test
+    public void testOf_laterVersionIsInForceToo() {
+        assertTrue(rollout(node("hobart-1", NEW.next())).complete());
+    }
+
+    @Test
+    public void testOf_noAnswerIsNotComplete() {
+        assertFalse(Rollout.of(NEW, List.of()).complete());
+    }
+
+    private static Rollout rollout(NodeView... views) {
+        return Rollout.of(
+                NEW,
+                ImmutableList.copyOf(views).stream()
+                        .map(view ->
+                                new AdminAnswer<>(new Address("127.0.0.1", 1), Optional.of(view), Optional.empty()))
+                        .toList());
+    }
+
+    private static NodeView node(String name, ConfigurationVersion version, PeerView... peers) {
+        return new NodeView(
+                name,
+                domain(name),
+                "serving",
+                version,
+                0,
+                ImmutableList.of(),
+                ImmutableList.copyOf(peers),
+                ImmutableList.of(),
+                ImmutableList.of());
+    }
+
+    private static PeerView peer(String name, boolean alive, ConfigurationVersion version) {
+        return new PeerView(name, domain(name), alive, "serving", version);
+    }
+
+    private static String domain(String node) {
+        return node.substring(0, node.indexOf('-'));
+    }
+}
--- a/tarragonarch-settings/src/main/java/org/tarragonarch/settings/CatalogDifference.java
+++ b/tarragonarch-settings/src/main/java/org/tarragonarch/settings/CatalogDifference.java
@@ -60,6 +60,9 @@
         }
         ChangeVerb verb =
                 before.isEmpty() ? ChangeVerb.ADDED : after.isEmpty() ? ChangeVerb.REMOVED : ChangeVerb.CHANGED;
+        if (verb == ChangeVerb.REMOVED) {
+            return Optional.of(new DefinitionChange(verb, definition, ImmutableList.of()));
+        }
         Map<String, String> old = before.orElse(ImmutableSortedMap.of());
         Map<String, String> now = after.orElse(ImmutableSortedMap.of());
         ImmutableList.Builder<String> details = ImmutableList.builder();
--- a/tarragonarch-settings/src/main/java/org/tarragonarch/settings/ConfigurationFolder.java
+++ b/tarragonarch-settings/src/main/java/org/tarragonarch/settings/ConfigurationFolder.java
@@ -4,6 +4,7 @@
 import com.google.common.collect.ImmutableMap;
 import java.io.IOException;
 import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
 import java.util.stream.Stream;
 import org.tarragonarch.model.id.ConfigurationVersion;
@@ -51,6 +52,9 @@
                 mistakes.add(place, "folder", "holds no file whose name ends in .json or .jsonc");
             }
             return files;
+        } catch (NoSuchFileException e) {
+            mistakes.add(place, "folder", "does not exist");
+            return ImmutableList.of();
         } catch (IOException e) {
             mistakes.add(place, "folder", "cannot be read: " + e);
             return ImmutableList.of();
