--- a/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/admin/AdminClient.java
+++ b/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/admin/AdminClient.java
@@ -40,7 +40,14 @@
      * @throws AdminException if there is no usable answer
      */
     public ConfigurationView configuration() throws AdminException {
-        return AdminJson.configuration(address, get("admin", "configuration"));
+        try {
+            return AdminJson.configuration(address, get("admin", "configuration"));
+        } catch (AdminException e) {
+            if (e.notFound()) {
+                return ConfigurationView.NONE;
+            }
+            throw e;
+        }
     }
 
     /**
--- a/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/admin/AdminException.java
+++ b/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/admin/AdminException.java
@@ -10,6 +10,7 @@
     public static final int NO_STATUS = 0;
 
     private static final long serialVersionUID = 1L;
+    private static final int NOT_FOUND = 404;
     private static final int CONFLICT = 409;
     private static final int FIRST_SERVER_ERROR = 500;
 
@@ -39,6 +40,11 @@
         return status;
     }
 
+    /** Returns whether the node has not what was asked for. */
+    public boolean notFound() {
+        return status == NOT_FOUND;
+    }
+
     /** Returns whether another change was accepted first. */
     public boolean conflict() {
         return status == CONFLICT;
--- a/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/admin/ConfigurationView.java
+++ b/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/admin/ConfigurationView.java
@@ -11,6 +11,9 @@
  * @param canonical its canonical text; callers must not change it
  */
 public record ConfigurationView(ConfigurationVersion version, byte[] canonical) {
+    /** Stands for no accepted configuration. */
+    public static final ConfigurationView NONE = new ConfigurationView(ConfigurationVersion.NONE, new byte[0]);
+
     /** Checks the parts. */
     public ConfigurationView {
         checkNotNull(version, "version");
--- a/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/change/ChangeMaker.java
+++ b/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/change/ChangeMaker.java
@@ -1,5 +1,6 @@
 package org.tarragonarch.ctl.change;
 
+import com.google.common.base.Ascii;
 import java.util.Optional;
 import java.util.UUID;
 import org.tarragonarch.ctl.admin.ChangeRequest;
@@ -14,6 +15,9 @@
 
 /** Compares a configuration with the accepted one and has the change accepted. */
 public final class ChangeMaker {
+    /** The longest summary that nodes take. */
+    private static final int MAX_SUMMARY = 500;
+
     private final ConfigurationGateway gateway;
 
     /** Creates one that works through this gateway. */
@@ -37,14 +41,15 @@
     /**
      * Has a planned change accepted.
      *
-     * @param summary what the audit trail says of it
+     * @param summary what the audit trail says of it; cut where it is too long
      * @return the new version
      * @throws ChangeConflictException if another change was accepted since it was planned
      * @throws StepException if it was refused, or it cannot be said whether it was accepted
      */
     public ConfigurationVersion make(PlannedChange planned, String summary) throws StepException {
         ChangeId mark = new ChangeId(UUID.randomUUID().toString());
-        return gateway.accept(new ChangeRequest(planned.from(), mark, summary, planned.canonical()));
+        String cut = Ascii.truncate(summary, MAX_SUMMARY, "...");
+        return gateway.accept(new ChangeRequest(planned.from(), mark, cut, planned.canonical()));
     }
 
     private static Optional<ServiceCatalog> catalogOf(ConfigurationView view) throws SettingsException {
--- a/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/change/StoreGateway.java
+++ b/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/change/StoreGateway.java
@@ -39,7 +39,7 @@
     public ConfigurationView newest() throws PlatformException {
         Optional<ConfigurationRow> row = store.row();
         return row.isEmpty()
-                ? new ConfigurationView(ConfigurationVersion.NONE, new byte[0])
+                ? ConfigurationView.NONE
                 : new ConfigurationView(
                         row.get().version(), store.load(row.get().digest()));
     }
--- a/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/command/AuditCommand.java
+++ b/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/command/AuditCommand.java
@@ -5,6 +5,7 @@
 import org.tarragonarch.ctl.output.Table;
 import org.tarragonarch.platform.AuditRecord;
 import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Option;
 
 /** Prints the audit trail whole. */
@@ -13,12 +14,8 @@
         description = "Prints the audit trail whole, the newest change first: version, the one it replaced, change id,"
                 + " digest, operator.")
 final class AuditCommand extends ConnectedCommand {
-    @Option(
-            names = {"-n", "--limit"},
-            paramLabel = "N",
-            defaultValue = "20",
-            description = "The most changes listed; ${DEFAULT-VALUE} unless stated.")
-    private int limit;
+    @Mixin
+    private LimitOption limit;
 
     @Option(names = "--by", paramLabel = "OPERATOR", description = "Only the changes of this operator.")
     private String by;
@@ -27,7 +24,7 @@
     public Integer call() throws Exception {
         return withGateway(connection(), gateway -> {
             Table table = Table.of("version", "from", "when", "operator", "change", "digest", "summary");
-            for (AuditRecord record : gateway.audit(limit)) {
+            for (AuditRecord record : gateway.audit(limit.limit())) {
                 if (by == null || by.equals(record.operator().value())) {
                     table.row(
                             record.version().value(),
