Prove the promises against killed, frozen and leaving processes

Eight tests start the platform, endpoints and entry nodes as processes of their own and judge by the endpoints' ledgers together with the callers' answers: an endpoint killed in mid-task, a node killed or frozen with its keyed submission pushed again elsewhere, a claim's reply lost, one key at two nodes at once, the platform out, a node and an endpoint ended under load.

The ledger now carries the caller's own tag: task ids differ from node to node, so they alone could not show that one submission started on two.

--- a/tarragonarch-standin/src/main/java/org/tarragonarch/standin/endpoint/Ledger.java
+++ b/tarragonarch-standin/src/main/java/org/tarragonarch/standin/endpoint/Ledger.java
@@ -16,11 +16,9 @@
     private int refusedDraining;
     private int uselessStops;
 
-    synchronized Start start(String task, int attempt, String kind) {
-        Start start = new Start(task, attempt, kind);
+    synchronized void add(Start start) {
         starts.add(start);
-        tasks.add(task);
-        return start;
+        tasks.add(start.task());
     }
 
     synchronized void refuseBusy() {
--- a/tarragonarch-standin/src/main/java/org/tarragonarch/standin/endpoint/StandInEndpoint.java
+++ b/tarragonarch-standin/src/main/java/org/tarragonarch/standin/endpoint/StandInEndpoint.java
@@ -120,28 +120,32 @@
         String id = required(exchange, TASK_ID);
         String kindName = required(exchange, "Task-Kind");
         int attempt = exchange.header("Task-Attempt").map(Integer::parseInt).orElse(1);
-        JsonNode input;
+        String tag = "";
         JsonNode result;
         long millis;
         try {
             TaskKind kind = TaskKind.of(kindName);
-            input = exchange.json();
+            JsonNode input = exchange.json();
+            tag = input.path("tag").asText("");
             result = kind.result(input);
             millis = kind.runTimeMillis(input);
         } catch (IllegalArgumentException e) {
-            ledger.start(id, attempt, kindName).end();
+            Start start = new Start(id, attempt, kindName, tag);
+            ledger.add(start);
+            start.end();
             exchange.reply(decorate(HttpReply.error(UNPROCESSABLE, String.valueOf(e.getMessage()))
                     .with(TASK_ID, id)));
             return;
         }
         Optional<Fault> fault = faults.striking(kindName);
-        Optional<RunningTask> started = begin(id, exchange, fault, attempt, kindName);
+        Start start = new Start(id, attempt, kindName, tag);
+        Optional<RunningTask> started = begin(id, exchange, fault, start);
         started.ifPresent(task -> run(task, fault.map(Fault::type), exchange, result, millis));
     }
 
     /** Takes a slot for the task, or says why not. */
     private synchronized Optional<RunningTask> begin(
-            String id, HttpExchange exchange, Optional<Fault> fault, int attempt, String kind) {
+            String id, HttpExchange exchange, Optional<Fault> fault, Start start) {
         if (draining) {
             ledger.refuseDraining();
             exchange.reply(refusal(id, "draining"));
@@ -153,7 +157,8 @@
             exchange.reply(refusal(id, "busy"));
             return Optional.empty();
         }
-        RunningTask task = new RunningTask(id, exchange, fault, ledger.start(id, attempt, kind));
+        RunningTask task = new RunningTask(id, exchange, fault, start);
+        ledger.add(start);
         // A second start of a task that still runs is for the ledger to show; it holds a slot of its own.
         running.put(running.containsKey(id) ? id + "/" + System.nanoTime() : id, task);
         return Optional.of(task);
--- a/tarragonarch-standin/src/main/java/org/tarragonarch/standin/endpoint/Start.java
+++ b/tarragonarch-standin/src/main/java/org/tarragonarch/standin/endpoint/Start.java
@@ -8,14 +8,20 @@
     private final String task;
     private final int attempt;
     private final String kind;
+    private final String tag;
     private final long startedMillis = System.currentTimeMillis();
     private Long endedMillis;
     private int stops;
 
-    Start(String task, int attempt, String kind) {
+    Start(String task, int attempt, String kind, String tag) {
         this.task = task;
         this.attempt = attempt;
         this.kind = kind;
+        this.tag = tag;
+    }
+
+    String task() {
+        return task;
     }
 
     synchronized void end() {
@@ -32,6 +38,7 @@
                 .put("task", task)
                 .put("attempt", attempt)
                 .put("kind", kind)
+                .put("tag", tag)
                 .put("started-ms", startedMillis)
                 .put("ended-ms", endedMillis)
                 .put("stops", stops);
--- a/tarragonarch-standin/src/test/java/org/tarragonarch/standin/StandInControl.java
+++ b/tarragonarch-standin/src/test/java/org/tarragonarch/standin/StandInControl.java
@@ -10,7 +10,7 @@
 import java.time.Duration;
 import org.tarragonarch.model.id.Address;
 
-/** Throws the switches of a stand-in and reads its ledger. */
+/** Throws the switches of a stand-in, reads its ledger, and reads what a node's administration address shows. */
 public final class StandInControl {
     private static final Duration TIMEOUT = Duration.ofSeconds(5);
     private static final int FIRST_ERROR = 300;
@@ -44,6 +44,13 @@
         return mapper.readTree(send(request(path).GET()).body());
     }
 
+    /** Reads from an administration address with an operator's token. */
+    public JsonNode get(String path, String token) throws Exception {
+        return mapper.readTree(
+                send(request(path).header("Authorization", "Bearer " + token).GET())
+                        .body());
+    }
+
     private HttpRequest.Builder request(String path) {
         return HttpRequest.newBuilder(URI.create("http://" + address + path)).timeout(TIMEOUT);
     }
--- /dev/null
+++ b/tarragonarch-standin/src/test/java/org/tarragonarch/standin/process/Caller.java
@@ -0,0 +1,89 @@
+package org.tarragonarch.standin.process;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+
+/** A caller of the proof-board service. */
+final class Caller {
+    static final String TOKEN = "token-of-upload-page";
+    static final String SERVICE = "proof-board";
+    /** Idempotent: answers a domain's availability after a while. */
+    static final String IDEMPOTENT = "availability";
+    /** Not idempotent: sleeps and gives its input back. */
+    static final String ONCE = "sleep";
+
+    private static final Duration TIMEOUT = Duration.ofSeconds(20);
+
+    private final HttpClient client =
+            HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+    private final ObjectMapper mapper = new ObjectMapper();
+
+    /** Submits a request that takes some time and carries a tag for the ledger; the key may be null. */
+    CompletableFuture<CallerAnswer> request(NodeProcess node, String kind, String tag, int millis, String key) {
+        ObjectNode message = mapper.createObjectNode();
+        message.set("input", input(tag, millis));
+        return submit(node, "requests/" + kind, message, key);
+    }
+
+    /** Submits a job of equal tasks, tagged with their number. */
+    CompletableFuture<CallerAnswer> job(NodeProcess node, String kind, String tag, int tasks, int millis) {
+        ObjectNode message = mapper.createObjectNode();
+        ArrayNode array = message.putArray("tasks");
+        for (int i = 0; i < tasks; i++) {
+            array.addObject().set("input", input(tag + "-" + i, millis));
+        }
+        return submit(node, "jobs/" + kind, message, null);
+    }
+
+    boolean ready(NodeProcess node) throws IOException, InterruptedException {
+        HttpRequest request =
+                HttpRequest.newBuilder(uri(node, "/ready")).timeout(TIMEOUT).build();
+        return client.send(request, HttpResponse.BodyHandlers.discarding()).statusCode() == 200;
+    }
+
+    private ObjectNode input(String tag, int millis) {
+        return mapper.createObjectNode()
+                .put("tag", tag)
+                .put("ms", millis)
+                .put("run-time-ms", millis)
+                .put("domain", "proofreading.example");
+    }
+
+    private CompletableFuture<CallerAnswer> submit(NodeProcess node, String path, ObjectNode message, String key) {
+        HttpRequest.Builder request = HttpRequest.newBuilder(uri(node, "/v1/services/" + SERVICE + "/" + path))
+                .timeout(TIMEOUT)
+                .header("Authorization", "Bearer " + TOKEN)
+                .header("Content-Type", "application/json")
+                .POST(HttpRequest.BodyPublishers.ofString(message.toString()));
+        if (key != null) {
+            request.header("Idempotency-Key", key);
+        }
+        return client.sendAsync(request.build(), HttpResponse.BodyHandlers.ofByteArray())
+                .thenApply(this::answer);
+    }
+
+    private CallerAnswer answer(HttpResponse<byte[]> response) {
+        try {
+            return new CallerAnswer(
+                    response.statusCode(),
+                    response.headers().firstValue("Outcome").orElse(""),
+                    response.headers().firstValue("Retry-After").orElse(""),
+                    mapper.readTree(response.body()));
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private static URI uri(NodeProcess node, String path) {
+        return URI.create("http://" + node.caller() + path);
+    }
+}
--- /dev/null
+++ b/tarragonarch-standin/src/test/java/org/tarragonarch/standin/process/GracefulShutdownTest.java
@@ -0,0 +1,98 @@
+package org.tarragonarch.standin.process;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.testng.annotations.Test;
+
+public final class GracefulShutdownTest {
+    private static final Duration EXIT = Duration.ofSeconds(20);
+    private static final long WAIT_MILLIS = 15_000;
+    private static final int REQUESTS = 150;
+    private static final long GAP_MILLIS = 20;
+    private static final int TELL_AT = 50;
+    private static final int SIGTERM_EXIT = 143;
+
+    @Test
+    public void testNode_terminatedUnderLoad() throws Exception {
+        // The platform replaces an entry VM in the middle of the day. Its balancer asks each node whether it is ready
+        // and sends nothing more to one that is not. No author may see anything of it: every request gets its result.
+        try (ProcessCluster cluster = ProcessCluster.start(2, 2, 8)) {
+            List<CompletableFuture<CallerAnswer>> answers = new ArrayList<>();
+            for (int i = 0; i < REQUESTS; i++) {
+                if (i == TELL_AT) {
+                    cluster.node(0).process().terminate();
+                }
+                NodeProcess chosen = cluster.node(i % 2 == 0 && ready(cluster, 0) ? 0 : 1);
+                answers.add(cluster.caller().request(chosen, Caller.ONCE, "upload-" + i, 100, null));
+                Thread.sleep(GAP_MILLIS);
+            }
+
+            assertAllComplete(answers);
+            assertEquals(cluster.node(0).process().awaitExit(EXIT), 0);
+            assertEquals(ProcessCluster.startsByTag(cluster.starts()).size(), REQUESTS);
+            assertEquals(cluster.starts().size(), REQUESTS);
+        }
+    }
+
+    @Test
+    public void testEndpoint_terminatedUnderLoadWhileTheListIsFrozen() throws Exception {
+        // A worker is told to leave while the platform's list stands still, so that only the worker's own answers tell
+        // the nodes. What runs on it must end well, and after two seconds nothing new may reach it.
+        try (ProcessCluster cluster = ProcessCluster.start(2, 2, 8)) {
+            cluster.platform().fault("vms-frozen");
+            List<CompletableFuture<CallerAnswer>> answers = new ArrayList<>();
+            JsonNode lastLedger = null;
+            long toldMillis = 0;
+            for (int i = 0; i < REQUESTS; i++) {
+                if (i == TELL_AT) {
+                    toldMillis = System.currentTimeMillis();
+                    cluster.endpoint(0).process().terminate();
+                }
+                answers.add(cluster.caller().request(cluster.node(i % 2), Caller.ONCE, "upload-" + i, 100, null));
+                lastLedger = ledger(cluster.endpoint(0), lastLedger);
+                Thread.sleep(GAP_MILLIS);
+            }
+
+            assertAllComplete(answers);
+            assertEquals(cluster.endpoint(0).process().awaitExit(EXIT), SIGTERM_EXIT);
+            for (JsonNode start : lastLedger.path("starts")) {
+                assertTrue(start.path("started-ms").asLong() <= toldMillis + 2_000, start.toString());
+            }
+            List<JsonNode> starts = cluster.starts();
+            lastLedger.path("starts").forEach(starts::add);
+            assertEquals(starts.size(), REQUESTS);
+            assertEquals(ProcessCluster.startsByTag(starts).size(), REQUESTS);
+        }
+    }
+
+    private static void assertAllComplete(List<CompletableFuture<CallerAnswer>> answers) throws Exception {
+        for (int i = 0; i < answers.size(); i++) {
+            CallerAnswer answer = answers.get(i).get(WAIT_MILLIS, TimeUnit.MILLISECONDS);
+            assertTrue(answer.complete(), "request " + i + ": " + answer);
+            assertEquals(answer.body().path("result").path("tag").asText(), "upload-" + i);
+        }
+    }
+
+    private static boolean ready(ProcessCluster cluster, int node) {
+        try {
+            return cluster.caller().ready(cluster.node(node));
+        } catch (Exception e) {
+            return false;
+        }
+    }
+
+    private static JsonNode ledger(EndpointProcess endpoint, JsonNode before) {
+        try {
+            return endpoint.control().get("/ledger");
+        } catch (Exception e) {
+            return before;
+        }
+    }
+}
--- /dev/null
+++ b/tarragonarch-standin/src/test/java/org/tarragonarch/standin/process/KeyedSubmissionTest.java
@@ -0,0 +1,170 @@
+package org.tarragonarch.standin.process;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+public final class KeyedSubmissionTest {
+    private static final long WAIT_MILLIS = 15_000;
+
+    private ProcessCluster cluster;
+
+    @BeforeMethod
+    public void start() throws Exception {
+        cluster = ProcessCluster.start(2, 1, 2);
+    }
+
+    @AfterMethod(alwaysRun = true)
+    public void stop() throws Exception {
+        if (cluster != null) {
+            cluster.close();
+        }
+    }
+
+    @Test
+    public void testKey_nodeKilledAndSubmittedAgainElsewhere() throws Exception {
+        // A renewal is running when the node that took it dies. The desk sees a broken connection and pushes the
+        // renewal again through another node. The customer must not be charged twice: the second node must not run it,
+        // and it may not say "not run" either, since the first one may have.
+        CompletableFuture<CallerAnswer> first = renewal(0, "renewal", 3_000);
+        cluster.awaitStarts(1);
+        cluster.node(0).process().kill();
+        assertFalse(answered(first), "the killed node cannot have answered");
+
+        CallerAnswer second = renewal(1, "renewal", 3_000).get(WAIT_MILLIS, TimeUnit.MILLISECONDS);
+
+        assertEquals(second.outcome(), "unknown", second.toString());
+        assertEquals(starts("renewal"), 1);
+    }
+
+    @Test
+    public void testKey_holderFrozenWithWorkQueuedThenAwake() throws Exception {
+        // Two long tasks fill every slot, so a renewal waits in the first node's queue with its key claimed. The node
+        // freezes; the desk hears nothing and pushes the renewal again through the second node. Then the first node
+        // wakes, unaware of the time that passed, and goes on with its queue. The renewal may start once at most.
+        CompletableFuture<CallerAnswer> filling = cluster.caller().job(cluster.node(0), Caller.ONCE, "long", 2, 4_000);
+        cluster.awaitStarts(2);
+        CompletableFuture<CallerAnswer> first = renewal(0, "renewal", 50);
+        awaitClaim("renewal");
+        cluster.node(0).process().freeze();
+        CallerAnswer second;
+        try {
+            second = renewal(1, "renewal", 50).get(WAIT_MILLIS, TimeUnit.MILLISECONDS);
+        } finally {
+            cluster.node(0).process().thaw();
+        }
+        CallerAnswer woken = first.get(WAIT_MILLIS, TimeUnit.MILLISECONDS);
+        filling.get(WAIT_MILLIS, TimeUnit.MILLISECONDS);
+
+        int starts = starts("renewal");
+        assertTrue(starts <= 1, cluster.starts().toString());
+        if (second.outcome().equals("not-run") || woken.outcome().equals("not-run")) {
+            assertEquals(starts, 0, "said not to have run: " + second + woken);
+        }
+        assertEquals(second.outcome(), "unknown", second.toString());
+        assertEquals(woken.complete(), starts == 1, woken.toString());
+    }
+
+    @Test
+    public void testKey_replyOfClaimLost() throws Exception {
+        // The claim is written and the connection breaks before the reply. The key stands under the node's own token,
+        // so the node may run the renewal, once; a second push must get the same answer and no second start.
+        cluster.platform().fault("reply-lost?part=tables&count=1");
+
+        CallerAnswer first = renewal(0, "renewal", 50).get(WAIT_MILLIS, TimeUnit.MILLISECONDS);
+        CallerAnswer again = renewal(0, "renewal", 50).get(WAIT_MILLIS, TimeUnit.MILLISECONDS);
+
+        assertTrue(first.complete(), first.toString());
+        assertEquals(again.body().path("result"), first.body().path("result"));
+        assertEquals(starts("renewal"), 1);
+    }
+
+    @Test
+    public void testKey_sameInstantAtTwoNodesWhileRepliesAreLost() throws Exception {
+        // A desk's gateway pushes each of many renewals to two nodes at the same instant, while some replies of the
+        // table service are lost. Each renewal may start once at most, and a node that says "not run" must be right:
+        // the renewal of a key of which both nodes say so must not have started.
+        cluster.platform().fault("reply-lost?part=tables&count=4");
+        List<List<CompletableFuture<CallerAnswer>>> pairs = new ArrayList<>();
+        for (int i = 0; i < 20; i++) {
+            pairs.add(List.of(renewal(0, "pair-" + i, 20), renewal(1, "pair-" + i, 20)));
+        }
+
+        for (int i = 0; i < pairs.size(); i++) {
+            CallerAnswer one = pairs.get(i).get(0).get(WAIT_MILLIS, TimeUnit.MILLISECONDS);
+            CallerAnswer other = pairs.get(i).get(1).get(WAIT_MILLIS, TimeUnit.MILLISECONDS);
+            int starts = starts("pair-" + i);
+            assertTrue(starts <= 1, "pair-" + i + " started " + starts + " times");
+            boolean complete = one.complete() || other.complete();
+            assertTrue(!complete || starts == 1, "complete without a start: " + one + other);
+            boolean bothNotRun =
+                    one.outcome().equals("not-run") && other.outcome().equals("not-run");
+            assertTrue(!bothNotRun || starts == 0, "not run, says the node: " + one + other);
+        }
+    }
+
+    @Test
+    public void testKey_platformOut() throws Exception {
+        // The platform is out for a while. Authors' checks go on, since nothing of them needs it; a renewal, which the
+        // platform must keep from running twice, is refused at once with a time to come back, and really does not run.
+        cluster.platform().fault("out");
+
+        CallerAnswer unkeyed = cluster.caller()
+                .request(cluster.node(0), Caller.ONCE, "unkeyed", 20, null)
+                .get(WAIT_MILLIS, TimeUnit.MILLISECONDS);
+        CallerAnswer idempotent = cluster.caller()
+                .request(cluster.node(0), Caller.IDEMPOTENT, "check", 20, "key-check")
+                .get(WAIT_MILLIS, TimeUnit.MILLISECONDS);
+        CallerAnswer refused = renewal(0, "renewal", 20).get(WAIT_MILLIS, TimeUnit.MILLISECONDS);
+
+        assertTrue(unkeyed.complete(), unkeyed.toString());
+        assertTrue(idempotent.complete(), idempotent.toString());
+        assertEquals(refused.outcome(), "not-run", refused.toString());
+        assertFalse(refused.retryAfter().isEmpty(), refused.toString());
+        assertEquals(starts("renewal"), 0);
+
+        cluster.platform().clearFaults();
+        Await.until(
+                "the renewal goes through",
+                ProcessCluster.DEADLINE,
+                () -> renewal(0, "renewal", 20)
+                        .get(WAIT_MILLIS, TimeUnit.MILLISECONDS)
+                        .complete());
+        assertEquals(starts("renewal"), 1);
+    }
+
+    private CompletableFuture<CallerAnswer> renewal(int node, String tag, int millis) {
+        return cluster.caller().request(cluster.node(node), Caller.ONCE, tag, millis, "key-" + tag);
+    }
+
+    private void awaitClaim(String tag) throws InterruptedException {
+        Await.until("the key is claimed", ProcessCluster.DEADLINE, () -> {
+            for (JsonNode row : cluster.platform().get("/tables/claims/rows").path("rows")) {
+                if (row.path("key").asText().endsWith("/key-" + tag)) {
+                    return true;
+                }
+            }
+            return false;
+        });
+    }
+
+    private int starts(String tag) {
+        Map<String, Integer> counts = ProcessCluster.startsByTag(cluster.starts());
+        return counts.getOrDefault(tag, 0);
+    }
+
+    private static boolean answered(CompletableFuture<CallerAnswer> answer) throws InterruptedException {
+        Await.until("the connection breaks", ProcessCluster.DEADLINE, answer::isDone);
+        return !answer.isCompletedExceptionally();
+    }
+}
--- /dev/null
+++ b/tarragonarch-standin/src/test/java/org/tarragonarch/standin/process/Ports.java
@@ -0,0 +1,25 @@
+package org.tarragonarch.standin.process;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.util.HashSet;
+import java.util.Set;
+import org.tarragonarch.model.id.Address;
+
+/** Finds ports that are free at this moment and were not given out before. */
+final class Ports {
+    private static final String LOOPBACK = "127.0.0.1";
+
+    private final Set<Integer> given = new HashSet<>();
+
+    Address next() throws IOException {
+        while (true) {
+            try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(LOOPBACK))) {
+                if (given.add(socket.getLocalPort())) {
+                    return new Address(LOOPBACK, socket.getLocalPort());
+                }
+            }
+        }
+    }
+}
