--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/admin/AdminApi.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/admin/AdminApi.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.google.common.flogger.FluentLogger;
 import com.google.common.util.concurrent.ThreadFactoryBuilder;
@@ -30,6 +31,7 @@
 import org.tarragonarch.entry.http.ProblemJson;
 import org.tarragonarch.entry.log.LogLine;
 import org.tarragonarch.entry.metrics.NodeMetrics;
+import org.tarragonarch.model.id.ConfigurationVersion;
 import org.tarragonarch.model.id.EndpointId;
 import org.tarragonarch.model.id.Names;
 import org.tarragonarch.model.outcome.Step;
@@ -168,17 +170,19 @@
 
     private Context configuration(Context context) throws AdminException {
         authenticate(context);
-        Optional<ServiceCatalog> now = catalog.catalog();
-        Optional<byte[]> text = now.flatMap(texts::find);
-        if (text.isEmpty()) {
-            throw new AdminException(new AdminProblem(
-                    AdminProblem.NOT_FOUND,
-                    "no-configuration",
-                    Step.CONFIGURE,
-                    "node",
-                    "no configuration is in force here"));
+        Optional<ConfigurationVersion> wanted = ChangeParameters.version(context);
+        ServiceCatalog now = catalog.catalog().orElseThrow();
+        if (wanted.isPresent() && !wanted.get().equals(now.version())) {
+            return later(context, () -> changes.load(wanted.get()));
         }
-        return send(context, ChangeJsonWriter.configuration(now.get(), text.get()));
+        byte[] canonical = texts.find(now)
+                .orElseThrow(() -> new AdminException(new AdminProblem(
+                        AdminProblem.UNAVAILABLE,
+                        "text-missing",
+                        Step.CONFIGURE,
+                        "node",
+                        "the text of the configuration in force is not here")));
+        return send(context, ChangeJsonWriter.configuration(now.version(), now.digest(), canonical));
     }
 
     private Context apply(Context context) throws AdminException {
@@ -247,6 +251,14 @@
     }
 
     private OperatorDefinition authenticate(Context context) throws AdminException {
+        if (catalog.catalog().isEmpty()) {
+            throw new AdminException(new AdminProblem(
+                    AdminProblem.UNAVAILABLE,
+                    "not-ready",
+                    Step.CONFIGURE,
+                    "node",
+                    "no configuration is in force here, so no operator is known"));
+        }
         Optional<OperatorDefinition> operator = BearerToken.digest(context).flatMap(catalog::operator);
         if (operator.isEmpty()) {
             refused("operator-unauthenticated", Exchange.of(context).remote());
@@ -291,7 +303,7 @@
 
     private void answer(Context context, AdminCall call) {
         try {
-            ObjectNode json = call.call();
+            JsonNode json = call.call();
             respond(context, () -> send(context, json));
         } catch (AdminException e) {
             respond(context, () -> problem(context, e));
@@ -330,7 +342,7 @@
         context.send(ProblemJson.bytes(e.json()));
     }
 
-    private static Context send(Context context, ObjectNode json) {
+    private static Context send(Context context, JsonNode json) {
         context.setResponseType(JSON);
         return context.send(ProblemJson.bytes(json));
     }
@@ -346,6 +358,6 @@
     }
 
     private interface AdminCall {
-        ObjectNode call() throws AdminException;
+        JsonNode call() throws AdminException;
     }
 }
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/admin/ChangeJsonWriter.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/admin/ChangeJsonWriter.java
@@ -1,23 +1,25 @@
 package org.tarragonarch.entry.admin;
 
+import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.google.common.collect.ImmutableList;
 import java.nio.charset.StandardCharsets;
+import org.tarragonarch.model.id.ConfigurationVersion;
+import org.tarragonarch.model.id.ContentDigest;
 import org.tarragonarch.model.platform.ConfigurationRow;
-import org.tarragonarch.model.service.ServiceCatalog;
 import org.tarragonarch.platform.AuditRecord;
 
 /** Writes configurations and their changes as JSON. */
 final class ChangeJsonWriter {
     private ChangeJsonWriter() {}
 
-    static ObjectNode configuration(ServiceCatalog catalog, byte[] canonical) {
+    static ObjectNode configuration(ConfigurationVersion version, ContentDigest digest, byte[] canonical) {
         return JsonNodeFactory.instance
                 .objectNode()
-                .put("version", catalog.version().value())
-                .put("digest", catalog.digest().hex())
-                .put("text", new String(canonical, StandardCharsets.UTF_8));
+                .put("version", version.value())
+                .put("digest", digest.hex())
+                .put("canonical", new String(canonical, StandardCharsets.UTF_8));
     }
 
     static ObjectNode row(ConfigurationRow row) {
@@ -30,10 +32,9 @@
                 .put("when", row.when().toString());
     }
 
-    static ObjectNode history(ImmutableList<AuditRecord> records) {
-        ObjectNode json = JsonNodeFactory.instance.objectNode();
-        records.forEach(record -> json.withArray("changes").add(change(record)));
-        json.withArray("changes");
+    static ArrayNode history(ImmutableList<AuditRecord> records) {
+        ArrayNode json = JsonNodeFactory.instance.arrayNode();
+        records.forEach(record -> json.add(change(record)));
         return json;
     }
 
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/admin/ChangeParameters.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/admin/ChangeParameters.java
@@ -1,6 +1,7 @@
 package org.tarragonarch.entry.admin;
 
 import io.jooby.Context;
+import java.util.Optional;
 import org.tarragonarch.model.id.ChangeId;
 import org.tarragonarch.model.id.ConfigurationVersion;
 import org.tarragonarch.model.outcome.Step;
@@ -29,6 +30,15 @@
         return new ChangeParameters(ConfigurationVersion.of(from), new ChangeId(change), text(context, "summary"));
     }
 
+    /** Reads the version that a look at an earlier configuration names. */
+    static Optional<ConfigurationVersion> version(Context context) throws AdminException {
+        long version = number(context, "version", 0);
+        if (version < 0) {
+            throw bad("'version' is negative");
+        }
+        return version == 0 ? Optional.empty() : Optional.of(ConfigurationVersion.of(version));
+    }
+
     static int limit(Context context) throws AdminException {
         long limit = number(context, "limit", DEFAULT_LIMIT);
         if (limit < 1 || limit > MAX_LIMIT) {
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/admin/ConfigurationChanges.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/admin/ConfigurationChanges.java
@@ -1,9 +1,11 @@
 package org.tarragonarch.entry.admin;
 
+import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.google.common.collect.ImmutableList;
 import com.google.common.flogger.FluentLogger;
 import java.time.Clock;
+import java.util.Optional;
 import org.tarragonarch.entry.log.LogLine;
 import org.tarragonarch.model.id.ChangeId;
 import org.tarragonarch.model.id.ConfigurationVersion;
@@ -23,6 +25,8 @@
 final class ConfigurationChanges {
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
 
+    private static final int HISTORY = 1_000;
+
     private final ConfigurationStore store;
     private final Clock clock;
 
@@ -58,7 +62,7 @@
         }
     }
 
-    ObjectNode history(int limit) throws AdminException {
+    ArrayNode history(int limit) throws AdminException {
         try {
             return ChangeJsonWriter.history(store.history(limit));
         } catch (PlatformException e) {
@@ -66,6 +70,27 @@
         }
     }
 
+    /** Loads an earlier configuration, which the audit trail names, for a look or a way back. */
+    ObjectNode load(ConfigurationVersion version) throws AdminException {
+        try {
+            Optional<AuditRecord> found = store.history(HISTORY).stream()
+                    .filter(record -> record.version().equals(version))
+                    .findFirst();
+            if (found.isEmpty()) {
+                throw new AdminException(new AdminProblem(
+                        AdminProblem.NOT_FOUND,
+                        "unknown-version",
+                        Step.CONFIGURE,
+                        "table service",
+                        "version " + version + " is not among the last " + HISTORY + " changes"));
+            }
+            ContentDigest digest = found.get().digest();
+            return ChangeJsonWriter.configuration(version, digest, store.load(digest));
+        } catch (PlatformException e) {
+            throw unavailable(e, "platform-unavailable");
+        }
+    }
+
     private static void check(ConfigurationVersion version, byte[] canonical) throws AdminException {
         try {
             CatalogReader.read(version, canonical);
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/caller/SubmissionBodyReader.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/caller/SubmissionBodyReader.java
@@ -49,7 +49,7 @@
             }
             return read;
         } catch (JsonProcessingException e) {
-            throw new MalformedException("not JSON: " + e.getOriginalMessage() + " at line "
+            throw new MalformedException("not JSON: " + reason(e) + " at line "
                     + e.getLocation().getLineNr() + ", column "
                     + e.getLocation().getColumnNr());
         } catch (IOException e) {
@@ -57,6 +57,13 @@
         }
     }
 
+    // Jackson's own message goes on about where its source is, which a caller cannot use.
+    private static String reason(JsonProcessingException e) {
+        String message = e.getOriginalMessage();
+        int aside = message.indexOf(" (start marker");
+        return aside < 0 ? message : message.substring(0, aside);
+    }
+
     private SubmissionBody readRequest(JsonParser parser, byte[] body) throws IOException, MalformedException {
         parser.nextToken();
         Collector collector = new Collector();
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/http/ProblemJson.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/http/ProblemJson.java
@@ -1,6 +1,7 @@
 package org.tarragonarch.entry.http;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
@@ -41,8 +42,8 @@
         return Long.toString(Math.max(1, (wait.toMillis() + MILLIS_PER_SECOND - 1) / MILLIS_PER_SECOND));
     }
 
-    /** Returns the UTF-8 text of an object. */
-    public static byte[] bytes(ObjectNode json) {
+    /** Returns the UTF-8 text of a tree. */
+    public static byte[] bytes(JsonNode json) {
         try {
             return MAPPER.writeValueAsBytes(json);
         } catch (JsonProcessingException e) {
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/log/LineFormatter.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/log/LineFormatter.java
@@ -5,10 +5,15 @@
 import java.util.Locale;
 import java.util.logging.Formatter;
 import java.util.logging.LogRecord;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 /** Writes each record as one line: time, level, node, then the record's own {@code key=value} pairs. */
 final class LineFormatter extends Formatter {
     private static final String OWN_LINE = "event=";
+    // What Flogger adds to a rate-limited line; only the number of lines left out is of use to a reader.
+    private static final Pattern CONTEXT = Pattern.compile(" \\[CONTEXT (.*) \\]$");
+    private static final Pattern SKIPPED = Pattern.compile("skipped=\"?(\\d+)");
 
     private final String node;
 
@@ -31,7 +36,7 @@
     }
 
     private void appendMessage(StringBuilder line, LogRecord record) {
-        String message = formatMessage(record);
+        String message = withoutContext(record.getMessage());
         if (message.startsWith(OWN_LINE)) {
             line.append(message.replace('\n', ' '));
             return;
@@ -40,4 +45,14 @@
         line.append(" message=");
         LogLine.appendValue(line, message);
     }
+
+    private static String withoutContext(String message) {
+        Matcher context = CONTEXT.matcher(message);
+        if (!context.find()) {
+            return message;
+        }
+        Matcher skipped = SKIPPED.matcher(context.group(1));
+        String text = message.substring(0, context.start());
+        return skipped.find() ? text + " skipped=" + skipped.group(1) : text;
+    }
 }
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/settings/NodeLimits.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/settings/NodeLimits.java
@@ -16,9 +16,9 @@
  * @param platformTimeout the longest that a call to the platform may take
  */
 public record NodeLimits(HttpLimits http, EndpointLimits endpoints, long maxBodyBytes, Duration platformTimeout) {
-    /** Suits a node with 256 MB of heap. */
+    /** Suits a node with a heap of 160 MB, of which bodies may fill a third. */
     public static final NodeLimits DEFAULT =
-            new NodeLimits(HttpLimits.DEFAULT, EndpointLimits.DEFAULT, 96L << 20, Duration.ofSeconds(2));
+            new NodeLimits(HttpLimits.DEFAULT, EndpointLimits.DEFAULT, 48L << 20, Duration.ofSeconds(2));
 
     /** Checks the parts. */
     public NodeLimits {
