Keep the log alive while the node drains

Cause: calling a static method of the log manager's subclass initializes LogManager itself, which reads the property that names the subclass before it is set. Seen: no line after phase=draining on SIGTERM; now finishing, left and stopped are there.

--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/EntryMain.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/EntryMain.java
@@ -1,6 +1,6 @@
 package org.tarragonarch.entry;
 
-import org.tarragonarch.entry.log.LastingLogManager;
+import org.tarragonarch.entry.log.LogSetup;
 import picocli.CommandLine;
 
 /** Starts the daemon {@code tarragonarch}. */
@@ -10,7 +10,7 @@
     /** Runs the command line and ends the process with its exit code. */
     public static void main(String[] args) {
         // Before anything else, as the first logger fixes the log manager.
-        LastingLogManager.install();
+        LogSetup.prepare();
         System.exit(commandLine().execute(args));
     }
 
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/log/LastingLogManager.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/log/LastingLogManager.java
@@ -9,16 +9,9 @@
  * begins to drain: the log would fall silent before the lines that say whether the drain went well.
  */
 public final class LastingLogManager extends LogManager {
-    private static final String PROPERTY = "java.util.logging.manager";
-
     /** Creates the manager; called by the logging system. */
     public LastingLogManager() {}
 
-    /** Makes this the process's log manager; has an effect only before the first logger is made. */
-    public static void install() {
-        System.setProperty(PROPERTY, LastingLogManager.class.getName());
-    }
-
     @Override
     public void reset() {
         // Called by the shutdown hook; see above.
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/log/LogSetup.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/log/LogSetup.java
@@ -8,8 +8,19 @@
 
 /** Sends the log to standard error, one event a line. */
 public final class LogSetup {
+    private static final String MANAGER_PROPERTY = "java.util.logging.manager";
+
     private LogSetup() {}
 
+    /**
+     * Makes {@link LastingLogManager} the process's log manager; has an effect only before the first logger is made.
+     *
+     * <p>Stands here as a call to that class would initialize its superclass, which reads the property only once.
+     */
+    public static void prepare() {
+        System.setProperty(MANAGER_PROPERTY, LastingLogManager.class.getName());
+    }
+
     /** Sets the process's log up; called once, before the first line. */
     public static void install(NodeId node, Level level) {
         Logger root = Logger.getLogger("");
