Count a silent address as not in force, and show each endpoint once

A trial against real nodes showed the fault: the first configuration was applied while one node still started. It knew no operator and answered 401, no peer had heard of it, and the roll-out was told as complete after the others. An address that does not answer now keeps the roll-out incomplete; an address of a VM that is gone has to leave the settings, which is the safer of the two mistakes.

Endpoints are shown once for each health that nodes see, not once for each node; the audit summary names the keys of a changed definition.

--- a/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/change/Rollout.java
+++ b/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/change/Rollout.java
@@ -56,18 +56,25 @@
         return new Rollout(version, domains(version, sightings), silent);
     }
 
-    /** Returns whether every node known has the version in force, and at least one is known. */
+    /**
+     * Returns whether the version is in force everywhere, as far as can be known: every address that was asked
+     * answered, and every node known has the version.
+     *
+     * <p>An address that does not answer may be that of a node that no peer has heard of yet; it would be missed.
+     */
     public boolean complete() {
-        return !domains.isEmpty() && domains.stream().allMatch(domain -> domain.state() == RolloutState.IN_FORCE);
+        return silent.isEmpty()
+                && !domains.isEmpty()
+                && domains.stream().allMatch(domain -> domain.state() == RolloutState.IN_FORCE);
     }
 
     /** Returns one line of progress, such as {@code hobart 2/2, devonport 0/1}. */
     public String progress() {
-        return domains.isEmpty()
-                ? "no node answers"
-                : domains.stream()
-                        .map(domain -> domain.domain() + " " + domain.inForce().size() + "/" + domain.nodes())
-                        .collect(Collectors.joining(", "));
+        String reached = domains.stream()
+                .map(domain -> domain.domain() + " " + domain.inForce().size() + "/" + domain.nodes())
+                .collect(Collectors.joining(", "));
+        String missing = silent.isEmpty() ? "" : "no answer from " + silent.size() + " address(es)";
+        return reached.isEmpty() || missing.isEmpty() ? reached + missing : reached + ", " + missing;
     }
 
     private static ImmutableList<DomainRollout> domains(ConfigurationVersion version, Map<String, Sighting> sightings) {
--- a/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/command/EndpointDrainWork.java
+++ b/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/command/EndpointDrainWork.java
@@ -23,7 +23,7 @@
 
     int run(AdminNodes nodes, Output output) {
         ImmutableList<AdminAnswer<String>> answers = nodes.askAll(this::ask);
-        Table table = Table.of("node", "answer");
+        Table table = Table.of("address", "answer");
         for (AdminAnswer<String> answer : answers) {
             String words = answer.value()
                     .orElseGet(() -> answer.failure().orElseThrow().getMessage());
--- a/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/command/EndpointsCommand.java
+++ b/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/command/EndpointsCommand.java
@@ -1,18 +1,22 @@
 package org.tarragonarch.ctl.command;
 
 import com.google.common.collect.ImmutableList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
 import org.tarragonarch.ctl.admin.EndpointView;
 import org.tarragonarch.ctl.admin.NodeView;
 import org.tarragonarch.ctl.output.Table;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 
-/** Shows the endpoints as each node sees them. */
+/** Shows the endpoints, one line for each health that nodes see. */
 @Command(
         name = "endpoints",
-        description =
-                "Shows the endpoints as each node asked sees them: health and why, slots, and the node's own tasks"
-                        + " in flight there.")
+        description = "Shows the endpoints: health and why, slots, and the tasks in flight of the nodes that see it so."
+                + " An endpoint that nodes see differently has several lines.")
 final class EndpointsCommand extends NodeTableCommand {
     @Option(names = "--not-live", description = "Only endpoints that get no work, and why.")
     private boolean notLive;
@@ -22,21 +26,12 @@
 
     @Override
     Table table(ImmutableList<NodeView> views) {
-        Table table = Table.of("endpoint", "domain", "seen-by", "health", "slots", "in-flight", "why");
-        for (NodeView view : views) {
-            for (EndpointView endpoint : view.endpoints()) {
-                if (shown(endpoint)) {
-                    table.row(
-                            endpoint.endpoint(),
-                            endpoint.domain(),
-                            view.node(),
-                            endpoint.health(),
-                            endpoint.slots(),
-                            endpoint.inFlight(),
-                            endpoint.why());
-                }
-            }
-        }
+        Map<String, List<Sighting>> sightings = views.stream()
+                .flatMap(view -> view.endpoints().stream().map(endpoint -> new Sighting(view.node(), endpoint)))
+                .filter(sighting -> shown(sighting.endpoint()))
+                .collect(Collectors.groupingBy(Sighting::key, TreeMap::new, Collectors.toList()));
+        Table table = Table.of("endpoint", "domain", "health", "slots", "in-flight", "seen-by", "why");
+        sightings.values().forEach(same -> row(table, same, views.size()));
         return table;
     }
 
@@ -49,4 +44,28 @@
         boolean inDomain = domain == null || domain.equals(endpoint.domain());
         return inDomain && !(notLive && endpoint.live());
     }
+
+    private static void row(Table table, Collection<Sighting> same, int nodes) {
+        EndpointView endpoint = same.iterator().next().endpoint();
+        String seenBy = same.size() == nodes
+                ? "all " + nodes
+                : same.stream().map(Sighting::node).collect(Collectors.joining(" "));
+        table.row(
+                endpoint.endpoint(),
+                endpoint.domain(),
+                endpoint.health(),
+                endpoint.slots(),
+                same.stream()
+                        .mapToLong(sighting -> sighting.endpoint().inFlight())
+                        .sum(),
+                seenBy,
+                endpoint.why());
+    }
+
+    /** One node's view of one endpoint. */
+    private record Sighting(String node, EndpointView endpoint) {
+        String key() {
+            return endpoint.endpoint() + " " + endpoint.health() + " " + endpoint.why();
+        }
+    }
 }
--- a/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/command/RollbackCommand.java
+++ b/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/command/RollbackCommand.java
@@ -42,6 +42,8 @@
         }
         String summary =
                 "rolled back to version " + target + ": " + planned.difference().summary();
-        return make(connection, maker, planned, summary);
+        int status = make(connection, maker, planned, summary);
+        output().note("Your folder may still say what was undone: mend it before it is applied again.");
+        return status;
     }
 }
--- a/tarragonarch-settings/src/main/java/org/tarragonarch/settings/CatalogDifference.java
+++ b/tarragonarch-settings/src/main/java/org/tarragonarch/settings/CatalogDifference.java
@@ -46,9 +46,7 @@
         if (isEmpty()) {
             return "no change";
         }
-        return changes.stream()
-                .map(change -> change.verb().word() + " " + change.definition())
-                .collect(Collectors.joining(", "));
+        return changes.stream().map(DefinitionChange::summary).collect(Collectors.joining(", "));
     }
 
     private static Optional<DefinitionChange> compare(
--- a/tarragonarch-settings/src/main/java/org/tarragonarch/settings/DefinitionChange.java
+++ b/tarragonarch-settings/src/main/java/org/tarragonarch/settings/DefinitionChange.java
@@ -3,6 +3,7 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import com.google.common.collect.ImmutableList;
+import java.util.stream.Collectors;
 
 /**
  * What a change of the configuration does to one definition.
@@ -19,4 +20,13 @@
         checkNotNull(definition, "definition");
         checkNotNull(details, "details");
     }
+
+    /** Returns the change in a few words, such as {@code changed service proof-board (max-running-tasks)}. */
+    public String summary() {
+        String keys = details.stream()
+                .map(detail -> detail.substring(0, detail.indexOf(':')))
+                .collect(Collectors.joining(", "));
+        String concerned = verb.word() + " " + definition;
+        return verb == ChangeVerb.CHANGED ? concerned + " (" + keys + ")" : concerned;
+    }
 }
