--- a/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/change/Rollout.java
+++ b/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/change/Rollout.java
@@ -57,24 +57,24 @@
     }
 
     /**
-     * Returns whether every node known has the version in force, at least one is known, and every address answered.
+     * Returns whether the version is in force everywhere, as far as can be known: every address that was asked
+     * answered, and every node known has the version.
      *
-     * <p>An address that does not answer may be all that is known of a failure domain: a node that has just started
-     * is in no peer's view yet, and to leave it out would say that the version is in force where it is not.
+     * <p>An address that does not answer may be that of a node that no peer has heard of yet; it would be missed.
      */
     public boolean complete() {
-        return !domains.isEmpty()
-                && silent.isEmpty()
+        return silent.isEmpty()
+                && !domains.isEmpty()
                 && domains.stream().allMatch(domain -> domain.state() == RolloutState.IN_FORCE);
     }
 
     /** Returns one line of progress, such as {@code hobart 2/2, devonport 0/1}. */
     public String progress() {
-        return domains.isEmpty()
-                ? "no node answers"
-                : domains.stream()
-                        .map(domain -> domain.domain() + " " + domain.inForce().size() + "/" + domain.nodes())
-                        .collect(Collectors.joining(", "));
+        String reached = domains.stream()
+                .map(domain -> domain.domain() + " " + domain.inForce().size() + "/" + domain.nodes())
+                .collect(Collectors.joining(", "));
+        String missing = silent.isEmpty() ? "" : "no answer from " + silent.size() + " address(es)";
+        return reached.isEmpty() || missing.isEmpty() ? reached + missing : reached + ", " + missing;
     }
 
     private static ImmutableList<DomainRollout> domains(ConfigurationVersion version, Map<String, Sighting> sightings) {
