--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/Daemon.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/Daemon.java
@@ -26,6 +26,8 @@
 import org.tarragonarch.core.action.WakeAt;
 import org.tarragonarch.core.action.WriteClaims;
 import org.tarragonarch.core.event.DrainRequested;
+import org.tarragonarch.core.event.Event;
+import org.tarragonarch.core.event.VmListRead;
 import org.tarragonarch.core.node.EntryNode;
 import org.tarragonarch.core.node.NodeIdentity;
 import org.tarragonarch.entry.admin.AdminApi;
@@ -92,11 +94,16 @@
                 settings.node().value(),
                 settings.limits().platformTimeout());
         ConfigurationLoader loader = ConfigurationLoader.create(texts);
-        this.platformShell = PlatformShell.create(
-                platform.claimStore(), platform.configurationStore(), platform.vmList(), loader, control, metrics);
         this.endpoints = EndpointClient.create(
                 bodies, control, metrics, settings.limits().endpoints());
         this.peers = PeerShell.create(identity, bodies, catalog, texts, loader, control, metrics);
+        this.platformShell = PlatformShell.create(
+                platform.claimStore(),
+                platform.configurationStore(),
+                platform.vmList(),
+                loader,
+                this::platformAnswered,
+                metrics);
         this.callerApi = CallerApi.create(identity, catalog, readiness, bodies, control, metrics);
         this.adminApi = AdminApi.create(control, catalog, texts, readiness, metrics, platform.configurationStore());
         this.callerServer = ApiServer.create(
@@ -153,12 +160,21 @@
                 .drainDelay()
                 .plus(settings.policy().drainDeadline())
                 .plus(LEAVING_MARGIN);
-        boolean left = readiness.awaitLeft(bound);
+        boolean left = readiness.awaitLeft(bound) && lastAnswersOut();
         LOG.atInfo().log("%s", LogLine.of("stopped", Step.LIFECYCLE, "node").with("left", left));
         close();
         return left;
     }
 
+    private boolean lastAnswersOut() {
+        try {
+            return callerServer.awaitAnswered(settings.limits().http().sendTimeout());
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return false;
+        }
+    }
+
     private void openPorts() throws StepException {
         peers.open();
         callerServer.serve(callerApi.application());
@@ -191,6 +207,13 @@
                 .build();
     }
 
+    private void platformAnswered(Event event) {
+        if (event instanceof VmListRead list) {
+            peers.learn(list.vms());
+        }
+        control.post(event);
+    }
+
     private void loadConfiguration(LoadConfiguration action) {
         if (action.peer().isPresent()) {
             peers.loadConfiguration(action);
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/body/BodyStore.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/body/BodyStore.java
@@ -89,6 +89,11 @@
         }
     }
 
+    /** Returns whether anything is kept for a submission, as is so until it is answered. */
+    public boolean holds(SubmissionId submission) {
+        return bodies.containsKey(submission);
+    }
+
     /** Returns the sum of the bytes kept. */
     public long bytes() {
         return bytes.get();
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/caller/AnswerSender.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/caller/AnswerSender.java
@@ -15,6 +15,7 @@
 import org.tarragonarch.core.action.AnswerSameAs;
 import org.tarragonarch.core.action.ForgetAnswer;
 import org.tarragonarch.entry.body.BodyStore;
+import org.tarragonarch.entry.control.Readiness;
 import org.tarragonarch.entry.http.Exchange;
 import org.tarragonarch.entry.http.ProblemIds;
 import org.tarragonarch.entry.http.ProblemJson;
@@ -36,11 +37,13 @@
     private static final String NO_CODE = "none";
 
     private final PendingAnswers pending;
+    private final Readiness readiness;
     private final BodyStore bodies;
     private final NodeMetrics metrics;
 
-    AnswerSender(PendingAnswers pending, BodyStore bodies, NodeMetrics metrics) {
+    AnswerSender(PendingAnswers pending, Readiness readiness, BodyStore bodies, NodeMetrics metrics) {
         this.pending = pending;
+        this.readiness = readiness;
         this.bodies = bodies;
         this.metrics = metrics;
     }
@@ -142,7 +145,7 @@
                                 .with("detail", problem.detail()));
     }
 
-    private static void write(Context context, int status, Problem problem, ProblemIds ids) {
+    private void write(Context context, int status, Problem problem, ProblemIds ids) {
         ObjectNode json = ProblemJson.of(status, problem, ids);
         headers(context, problem.code().outcome(), ids.submission(), ids.request());
         problem.retryAfter()
@@ -155,9 +158,12 @@
         context.send(ProblemJson.bytes(json));
     }
 
-    private static void headers(
-            Context context, Outcome outcome, Optional<String> submission, Optional<String> requestId) {
+    private void headers(Context context, Outcome outcome, Optional<String> submission, Optional<String> requestId) {
         context.setResponseHeader("Outcome", outcome.word());
+        if (readiness.leaving()) {
+            // A connection kept open would be cut in the end, perhaps just as its next request is on the way.
+            context.setResponseHeader("Connection", "close");
+        }
         submission.ifPresent(id -> context.setResponseHeader("Submission-Id", id));
         requestId.ifPresent(text -> context.setResponseHeader("Request-Id", text));
     }
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/caller/CallerApi.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/caller/CallerApi.java
@@ -77,7 +77,7 @@
         this.bodies = checkNotNull(bodies, "bodies");
         this.events = checkNotNull(events, "events");
         this.metrics = checkNotNull(metrics, "metrics");
-        this.answers = new AnswerSender(pending, bodies, metrics);
+        this.answers = new AnswerSender(pending, readiness, bodies, metrics);
     }
 
     /**
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/caller/SubmissionBodyReader.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/caller/SubmissionBodyReader.java
@@ -8,12 +8,12 @@
 import com.google.common.collect.ImmutableList;
 import java.io.IOException;
 import java.time.Duration;
-import java.util.Arrays;
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
 import org.tarragonarch.core.event.SubmissionForm;
 import org.tarragonarch.core.event.TaskShape;
+import org.tarragonarch.entry.body.JsonSlices;
 import org.tarragonarch.settings.DurationText;
 
 /**
@@ -53,7 +53,7 @@
                     + e.getLocation().getLineNr() + ", column "
                     + e.getLocation().getColumnNr());
         } catch (IOException e) {
-            throw new MalformedException("not JSON in UTF-8: " + e.getMessage());
+            throw new MalformedException("not JSON: " + e.getMessage());
         }
     }
 
@@ -109,7 +109,7 @@
                 throw unexpected(field, repeated, where, INPUT + "' and '" + EXPECTED_RUN_TIME);
             }
             if (field.equals(INPUT)) {
-                input = slice(parser, body);
+                input = JsonSlices.current(parser, body);
             } else {
                 runTime = Optional.of(runTime(parser, where));
             }
@@ -120,20 +120,6 @@
         collector.add(input, runTime);
     }
 
-    private static byte[] slice(JsonParser parser, byte[] body) throws IOException, MalformedException {
-        long start = parser.currentTokenLocation().getByteOffset();
-        if (start < 0) {
-            throw new MalformedException("the message is not in UTF-8");
-        }
-        if (parser.currentToken().isStructStart()) {
-            parser.skipChildren();
-        } else {
-            parser.finishToken();
-        }
-        long end = parser.currentLocation().getByteOffset();
-        return Arrays.copyOfRange(body, (int) start, (int) end);
-    }
-
     private static Duration runTime(JsonParser parser, String where) throws IOException, MalformedException {
         String text = parser.currentToken() == JsonToken.VALUE_STRING ? parser.getText() : "";
         try {
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/control/Readiness.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/control/Readiness.java
@@ -35,6 +35,12 @@
         return phase == NodePhase.SERVING;
     }
 
+    /** Returns whether the node is on its way out. */
+    public boolean leaving() {
+        NodePhase now = phase;
+        return now != NodePhase.STARTING && now != NodePhase.SERVING;
+    }
+
     /** Waits until the node has left, for so long at most; returns whether it has. */
     public boolean awaitLeft(Duration bound) {
         return Uninterruptibles.awaitUninterruptibly(left, bound);
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/http/ApiServer.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/http/ApiServer.java
@@ -19,6 +19,7 @@
 import io.netty.handler.timeout.WriteTimeoutHandler;
 import io.netty.util.concurrent.DefaultThreadFactory;
 import java.net.InetSocketAddress;
+import java.time.Duration;
 import java.util.concurrent.TimeUnit;
 import org.tarragonarch.model.id.Address;
 import org.tarragonarch.model.outcome.Step;
@@ -39,6 +40,7 @@
     private final InetSocketAddress address;
     private final HttpLimits limits;
     private final HttpEvents events;
+    private final ExchangeCount exchanges = new ExchangeCount();
     private final EventLoopGroup acceptor;
     private final EventLoopGroup workers;
     private Channel listener;
@@ -108,6 +110,18 @@
         return ((InetSocketAddress) listener.localAddress()).getPort();
     }
 
+    /**
+     * Waits until every request that was taken has its whole answer.
+     *
+     * <p>A node that has left has decided every answer, but the last ones may still be on their way out; the process
+     * must not end before they are.
+     *
+     * @return whether all are answered; false if the bound passed first
+     */
+    public boolean awaitAnswered(Duration bound) throws InterruptedException {
+        return exchanges.awaitNone(bound);
+    }
+
     private void build(SocketChannel channel, Jooby application, ConnectionLimiter limiter) {
         ConnectionTimer timer = new ConnectionTimer(limits, events);
         channel.pipeline()
@@ -117,7 +131,7 @@
                 .addLast(new HttpServerCodec(MAX_LINE_BYTES, limits.maxHeaderBytes(), MAX_CHUNK_BYTES))
                 .addLast(new HttpServerKeepAliveHandler())
                 .addLast(new RequestAggregator(limits.maxRequestBytes(), timer, events))
-                .addLast(new RequestGate(timer, events))
+                .addLast(new RequestGate(timer, events, exchanges))
                 .addLast(new RouterHandler(application));
     }
 
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/http/RequestGate.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/http/RequestGate.java
@@ -25,12 +25,14 @@
 
     private final ConnectionTimer timer;
     private final HttpEvents events;
+    private final ExchangeCount exchanges;
     private final Deque<FullHttpRequest> waiting = new ArrayDeque<>();
     private boolean running;
 
-    RequestGate(ConnectionTimer timer, HttpEvents events) {
+    RequestGate(ConnectionTimer timer, HttpEvents events, ExchangeCount exchanges) {
         this.timer = timer;
         this.events = events;
+        this.exchanges = exchanges;
     }
 
     @Override
@@ -57,6 +59,7 @@
     public void channelInactive(ChannelHandlerContext context) {
         waiting.forEach(FullHttpRequest::release);
         waiting.clear();
+        leave();
         context.fireChannelInactive();
     }
 
@@ -70,6 +73,7 @@
 
     private void start(ChannelHandlerContext context, FullHttpRequest request) {
         running = true;
+        exchanges.begin();
         timer.requestReceived();
         if (request.decoderResult().isFailure()) {
             refuse(context, request);
@@ -92,14 +96,32 @@
     }
 
     private void finish(ChannelHandlerContext context) {
-        running = false;
+        leave();
         timer.answered();
         FullHttpRequest next = waiting.poll();
-        if (next != null) {
-            context.executor().execute(() -> start(context, next));
-            running = true;
+        if (next == null) {
+            context.channel().config().setAutoRead(true);
             return;
         }
-        context.channel().config().setAutoRead(true);
+        // Not at once, as a long row of waiting requests would deepen the stack with each.
+        running = true;
+        exchanges.begin();
+        context.executor().execute(() -> startWaiting(context, next));
+    }
+
+    private void startWaiting(ChannelHandlerContext context, FullHttpRequest request) {
+        leave();
+        if (context.channel().isActive()) {
+            start(context, request);
+        } else {
+            request.release();
+        }
+    }
+
+    private void leave() {
+        if (running) {
+            running = false;
+            exchanges.end();
+        }
     }
 }
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/metrics/NodeMetrics.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/metrics/NodeMetrics.java
@@ -104,16 +104,6 @@
                 .record(time);
     }
 
-    /** Counts bytes of frames sent to or received from other nodes. */
-    public void peerBytes(String direction, long bytes) {
-        Counter.builder(PREFIX + "peer.traffic")
-                .description("Bytes of frames between nodes")
-                .baseUnit("bytes")
-                .tag("direction", direction)
-                .register(registry)
-                .increment(bytes);
-    }
-
     /** Shows a figure that is read when a scraper asks. */
     public void gauge(String name, String unit, String description, Supplier<Number> value) {
         Gauge.builder(PREFIX + name, value)
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/peer/PeerShell.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/peer/PeerShell.java
@@ -1,28 +1,102 @@
 package org.tarragonarch.entry.peer;
 
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.util.concurrent.ThreadFactoryBuilder;
+import java.io.IOException;
+import java.time.Duration;
 import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentMap;
+import java.util.concurrent.Executors;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
 import org.tarragonarch.core.action.AskPeerAnswer;
 import org.tarragonarch.core.action.GivePeerAnswer;
 import org.tarragonarch.core.action.LoadConfiguration;
 import org.tarragonarch.core.action.SendReport;
 import org.tarragonarch.core.event.PeerAnswer;
 import org.tarragonarch.core.event.PeerAnswerArrived;
+import org.tarragonarch.core.event.PeerAnswerAsked;
+import org.tarragonarch.core.event.PeerReported;
 import org.tarragonarch.core.node.NodeIdentity;
 import org.tarragonarch.entry.body.BodyStore;
+import org.tarragonarch.entry.body.JsonSlices;
 import org.tarragonarch.entry.catalog.CatalogInForce;
 import org.tarragonarch.entry.catalog.ConfigurationTexts;
 import org.tarragonarch.entry.control.EventSink;
 import org.tarragonarch.entry.metrics.NodeMetrics;
+import org.tarragonarch.entry.metrics.WasteKind;
 import org.tarragonarch.entry.platform.ConfigurationLoader;
+import org.tarragonarch.model.id.Address;
+import org.tarragonarch.model.id.ContentDigest;
+import org.tarragonarch.model.id.Incarnation;
+import org.tarragonarch.model.id.NodeId;
+import org.tarragonarch.model.outcome.Problem;
+import org.tarragonarch.model.outcome.StepException;
+import org.tarragonarch.model.platform.VmRecord;
+import org.tarragonarch.model.platform.VmRole;
+import org.tarragonarch.model.service.ServiceCatalog;
+import org.tarragonarch.wire.AnswerAsked;
+import org.tarragonarch.wire.AnswerGiven;
+import org.tarragonarch.wire.AnswerOutcome;
+import org.tarragonarch.wire.ConfigurationAsked;
+import org.tarragonarch.wire.ConfigurationGiven;
+import org.tarragonarch.wire.Frame;
+import org.tarragonarch.wire.FrameCodec;
+import org.tarragonarch.wire.Hello;
+import org.tarragonarch.wire.Payload;
+import org.tarragonarch.wire.PeerListener;
+import org.tarragonarch.wire.PeerNetwork;
+import org.tarragonarch.wire.ReportFrame;
+
+/**
+ * Talks to other entry nodes for the core. No method blocks but {@link #open} and {@link #close}.
+ *
+ * <p>A question whose connection breaks after it left is neither answered nor given back. So open questions are put
+ * again at intervals: a holder that still knows the question passes the repeat over, and one that was restarted says
+ * that it knows nothing of the key.
+ */
+public final class PeerShell implements PeerListener, AutoCloseable {
+    // A little below the longest frame, for the frame's other fields.
+    private static final int MAX_RESULT_BYTES = FrameCodec.MAX_FRAME_BYTES - 1_024;
+    private static final Duration ASK_AGAIN = Duration.ofSeconds(2);
 
-/** Talks to other entry nodes for the core. Not joined to the wire yet: every question comes to nothing. */
-public final class PeerShell implements AutoCloseable {
+    private final NodeIdentity identity;
+    private final BodyStore bodies;
+    private final CatalogInForce catalog;
+    private final ConfigurationTexts texts;
     private final ConfigurationLoader loader;
     private final EventSink events;
+    private final NodeMetrics metrics;
+    private final AskedQuestions asked = new AskedQuestions();
+    private final ReceivedQuestions received = new ReceivedQuestions();
+    private final ConfigurationQuestions configurations = new ConfigurationQuestions();
+    private final ConcurrentMap<NodeId, Address> addresses = new ConcurrentHashMap<>();
+    private final ScheduledExecutorService worker =
+            Executors.newSingleThreadScheduledExecutor(new ThreadFactoryBuilder()
+                    .setNameFormat("peer-work")
+                    .setDaemon(true)
+                    .build());
+    private volatile PeerNetwork network;
 
-    private PeerShell(ConfigurationLoader loader, EventSink events) {
-        this.loader = loader;
-        this.events = events;
+    private PeerShell(
+            NodeIdentity identity,
+            BodyStore bodies,
+            CatalogInForce catalog,
+            ConfigurationTexts texts,
+            ConfigurationLoader loader,
+            EventSink events,
+            NodeMetrics metrics) {
+        this.identity = checkNotNull(identity, "identity");
+        this.bodies = checkNotNull(bodies, "bodies");
+        this.catalog = checkNotNull(catalog, "catalog");
+        this.texts = checkNotNull(texts, "texts");
+        this.loader = checkNotNull(loader, "loader");
+        this.events = checkNotNull(events, "events");
+        this.metrics = checkNotNull(metrics, "metrics");
     }
 
     /** Returns a shell that does not listen yet. */
@@ -34,28 +108,198 @@
             ConfigurationLoader loader,
             EventSink events,
             NodeMetrics metrics) {
-        return new PeerShell(loader, events);
+        return new PeerShell(identity, bodies, catalog, texts, loader, events, metrics);
     }
 
-    /** Takes hold of the peer port. */
-    public void open() {}
+    /**
+     * Takes hold of the peer port.
+     *
+     * @throws StepException if it cannot be had
+     */
+    public void open() throws StepException {
+        Hello own = Hello.of(identity.node(), identity.incarnation(), identity.domain());
+        network = PeerNetwork.start(identity.peerAddress(), own, this);
+        worker.scheduleWithFixedDelay(
+                this::askAgain, ASK_AGAIN.toMillis(), ASK_AGAIN.toMillis(), TimeUnit.MILLISECONDS);
+    }
+
+    /** Takes in where the platform lists other nodes; one that is gone from the list keeps its last address. */
+    public void learn(Iterable<VmRecord> vms) {
+        for (VmRecord vm : vms) {
+            if (vm.role() == VmRole.ENTRY) {
+                addresses.put(NodeId.of(vm.name()), vm.address());
+            }
+        }
+    }
 
     /** Sends a report. */
-    public void sendReport(SendReport action) {}
+    public void sendReport(SendReport action) {
+        metrics.wasted(WasteKind.REPORT);
+        network.send(action.peer(), action.address(), new ReportFrame(action.report()));
+    }
 
     /** Asks the node that holds a key for its answer. */
     public void askAnswer(AskPeerAnswer action) {
-        events.post(new PeerAnswerArrived(action.waiting(), PeerAnswer.NOT_TO_BE_HAD, Optional.empty()));
+        long question = asked.add(action.peer(), action.waiting(), action.key());
+        ask(question, action.peer(), new AnswerAsked(question, action.key()));
     }
 
     /** Gives a peer the answer that it asked for. */
-    public void giveAnswer(GivePeerAnswer action) {}
+    public void giveAnswer(GivePeerAnswer action) {
+        // The results are looked up now, as the core may let go of them next; they are put together elsewhere.
+        Optional<ImmutableList<byte[]>> results = action.submission().flatMap(bodies::results);
+        received.take(action.question())
+                .ifPresent(question -> work(() ->
+                        network.reply(question.peer(), question.run(), answer(action, results, question.question()))));
+    }
 
-    /** Loads a configuration from a peer. */
+    /** Asks a peer for a configuration. */
     public void loadConfiguration(LoadConfiguration action) {
-        events.post(loader.failed(action.version(), action.peer().toString(), "peers cannot be asked yet"));
+        NodeId peer = action.peer().orElseThrow();
+        configurations
+                .add(peer, action, System.nanoTime())
+                .ifPresent(earlier -> configurationFailed(earlier, "another version was asked for meanwhile"));
+        Address address = addresses.get(peer);
+        if (address == null) {
+            configurations
+                    .take(peer)
+                    .ifPresent(wanted -> configurationFailed(wanted, "the peer's address is not known"));
+            return;
+        }
+        network.send(peer, address, new ConfigurationAsked(action.version()));
+    }
+
+    @Override
+    public void received(NodeId peer, Incarnation run, Frame frame) {
+        if (frame instanceof ReportFrame report) {
+            events.post(new PeerReported(report.report()));
+        } else if (frame instanceof AnswerAsked question) {
+            answerAsked(peer, run, question);
+        } else if (frame instanceof AnswerGiven given) {
+            asked.take(given.question(), peer).ifPresent(question -> answerGiven(question, given));
+        } else if (frame instanceof ConfigurationAsked question) {
+            network.reply(peer, run, configuration(question));
+        } else if (frame instanceof ConfigurationGiven given) {
+            configurations.take(peer).ifPresent(wanted -> work(() -> configurationGiven(peer, wanted, given)));
+        }
     }
 
     @Override
-    public void close() {}
+    public void undelivered(NodeId peer, Frame frame) {
+        if (frame instanceof AnswerAsked question) {
+            asked.take(question.question(), peer).ifPresent(this::notToBeHad);
+        } else if (frame instanceof ConfigurationAsked) {
+            configurations.take(peer).ifPresent(wanted -> configurationFailed(wanted, "the peer cannot be reached"));
+        }
+    }
+
+    @Override
+    public void close() {
+        worker.shutdownNow();
+        if (network != null) {
+            network.close();
+        }
+    }
+
+    private void ask(long question, NodeId peer, AnswerAsked frame) {
+        Address address = addresses.get(peer);
+        if (address == null) {
+            asked.take(question, peer).ifPresent(this::notToBeHad);
+            return;
+        }
+        network.send(peer, address, frame);
+    }
+
+    private void askAgain() {
+        asked.open().forEach((question, open) -> {
+            if (bodies.holds(open.waiting())) {
+                ask(question, open.peer(), new AnswerAsked(question, open.key()));
+            } else {
+                // The core has answered it meanwhile, by its deadline for instance.
+                asked.take(question, open.peer());
+            }
+        });
+        configurations
+                .takeOlder(System.nanoTime() - ASK_AGAIN.toNanos())
+                .forEach(wanted -> configurationFailed(wanted, "the peer gave no answer in time"));
+    }
+
+    private void answerAsked(NodeId peer, Incarnation run, AnswerAsked question) {
+        received.add(new ReceivedQuestions.Received(peer, run, question.question()))
+                .ifPresent(number -> events.post(new PeerAnswerAsked(peer, number, question.key())));
+    }
+
+    private static AnswerGiven answer(GivePeerAnswer action, Optional<ImmutableList<byte[]>> results, long question) {
+        return switch (action.answer()) {
+            case COMPLETE ->
+                results.map(JsonSlices::join)
+                        .filter(array -> array.length <= MAX_RESULT_BYTES)
+                        .map(array -> AnswerGiven.complete(question, Payload.of(array)))
+                        .orElseGet(() -> AnswerGiven.notToBeHad(question));
+            case PROBLEM -> AnswerGiven.problem(question, action.problem().orElseThrow());
+            default -> AnswerGiven.notToBeHad(question);
+        };
+    }
+
+    private void answerGiven(AskedQuestions.Asked question, AnswerGiven given) {
+        if (given.outcome() == AnswerOutcome.COMPLETE) {
+            work(() -> completeGiven(question, given.results().orElseThrow()));
+        } else {
+            PeerAnswer outcome =
+                    given.outcome() == AnswerOutcome.PROBLEM ? PeerAnswer.PROBLEM : PeerAnswer.NOT_TO_BE_HAD;
+            arrived(question, outcome, given.problem());
+        }
+    }
+
+    private void completeGiven(AskedQuestions.Asked question, Payload results) {
+        try {
+            bodies.keepResults(question.waiting(), JsonSlices.split(results.bytes()));
+        } catch (IOException e) {
+            notToBeHad(question);
+            return;
+        }
+        boolean whole = bodies.results(question.waiting()).isPresent();
+        arrived(question, whole ? PeerAnswer.COMPLETE : PeerAnswer.NOT_TO_BE_HAD, Optional.empty());
+    }
+
+    private void notToBeHad(AskedQuestions.Asked question) {
+        arrived(question, PeerAnswer.NOT_TO_BE_HAD, Optional.empty());
+    }
+
+    private void arrived(AskedQuestions.Asked question, PeerAnswer outcome, Optional<Problem> problem) {
+        events.post(new PeerAnswerArrived(question.waiting(), outcome, problem));
+    }
+
+    private ConfigurationGiven configuration(ConfigurationAsked question) {
+        Optional<ServiceCatalog> now =
+                catalog.catalog().filter(known -> !question.version().newerThan(known.version()));
+        return now.flatMap(known -> texts.find(known)
+                        .map(text -> ConfigurationGiven.of(known.version(), known.digest(), Payload.of(text))))
+                .orElseGet(() -> ConfigurationGiven.none(question.version()));
+    }
+
+    private void configurationGiven(NodeId peer, LoadConfiguration wanted, ConfigurationGiven given) {
+        if (given.canonicalText().isEmpty()) {
+            configurationFailed(wanted, "the peer has no such version");
+            return;
+        }
+        boolean same = given.version().equals(wanted.version());
+        Optional<ContentDigest> due = same && wanted.digest().isPresent() ? wanted.digest() : given.digest();
+        byte[] text = given.canonicalText().get().bytes();
+        events.post(loader.load(given.version(), due, text, peer.toString()));
+    }
+
+    private void configurationFailed(LoadConfiguration wanted, String detail) {
+        String peer = wanted.peer().map(NodeId::toString).orElse("");
+        events.post(loader.failed(wanted.version(), peer, detail));
+    }
+
+    private void work(Runnable task) {
+        try {
+            worker.execute(task);
+        } catch (RejectedExecutionException e) {
+            // The node has stopped; nobody waits for what came.
+            return;
+        }
+    }
 }
