Hold back pipelined requests before the aggregator

Cause: the aggregator answers an oversized request by itself; behind the gate-less codec that answer could overtake the one to a request sent before it on the same connection. Now every part of a request waits in the gate.

--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/http/ApiServer.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/http/ApiServer.java
@@ -130,9 +130,9 @@
                 .addLast(timer)
                 .addLast(new HttpServerCodec(MAX_LINE_BYTES, limits.maxHeaderBytes(), MAX_CHUNK_BYTES))
                 .addLast(new HttpServerKeepAliveHandler())
-                .addLast(new RequestAggregator(limits.maxRequestBytes(), timer, events))
                 .addLast(new RequestGate(timer, events, exchanges))
-                .addLast(new RouterHandler(application));
+                .addLast(new RequestAggregator(limits.maxRequestBytes(), events))
+                .addLast(new RouterHandler(application, events));
     }
 
     @Override
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/http/RequestAggregator.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/http/RequestAggregator.java
@@ -6,7 +6,6 @@
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.LastHttpContent;
 import org.tarragonarch.model.outcome.ProblemCode;
 
 /**
@@ -17,30 +16,16 @@
  * the answer that says why.
  */
 final class RequestAggregator extends HttpObjectAggregator {
-    private final ConnectionTimer timer;
     private final HttpEvents events;
-    private boolean oversizedAnswered;
 
-    RequestAggregator(int maxBytes, ConnectionTimer timer, HttpEvents events) {
+    RequestAggregator(int maxBytes, HttpEvents events) {
         super(maxBytes);
-        this.timer = timer;
         this.events = events;
     }
 
-    @Override
-    public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
-        boolean last = message instanceof LastHttpContent;
-        super.channelRead(context, message);
-        if (last && oversizedAnswered) {
-            oversizedAnswered = false;
-            timer.answered();
-        }
-    }
-
     @Override
     protected void handleOversizedMessage(ChannelHandlerContext context, HttpMessage oversized) {
         events.cut(CutCause.BODY_TOO_LARGE, Remotes.of(context.channel()));
-        oversizedAnswered = true;
         context.writeAndFlush(tooLarge());
     }
 
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/http/RequestGate.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/http/RequestGate.java
@@ -4,30 +4,32 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPromise;
-import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.TooLongHttpHeaderException;
-import io.netty.handler.codec.http.TooLongHttpLineException;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.timeout.WriteTimeoutException;
+import io.netty.util.ReferenceCountUtil;
 import java.util.ArrayDeque;
 import java.util.Deque;
-import org.tarragonarch.model.outcome.ProblemCode;
 
 /**
  * Lets one request of a connection through at a time.
  *
  * <p>A client may send its next request before the answer to the last (HTTP pipelining), and the answers here become
- * ready in any order. Were both let through, the client would take the second request's answer for the first's. The
- * next request waits until the answer before it has left, and meanwhile nothing more is read.
+ * ready in any order. Were both let through, the client would take the second request's answer for the first's. So
+ * whatever follows a request waits until the request's answer has left, and meanwhile nothing more is read. Stands
+ * before the aggregator, whose own answers to oversized requests must keep the order too.
  */
 final class RequestGate extends ChannelDuplexHandler {
-    private static final int HEADERS_TOO_LARGE = 431;
-
     private final ConnectionTimer timer;
     private final HttpEvents events;
     private final ExchangeCount exchanges;
-    private final Deque<FullHttpRequest> waiting = new ArrayDeque<>();
-    private boolean running;
+    private final Deque<Object> waiting = new ArrayDeque<>();
+    private boolean underWay;
+    private boolean received;
+    private boolean answered;
+    private boolean draining;
 
     RequestGate(ConnectionTimer timer, HttpEvents events, ExchangeCount exchanges) {
         this.timer = timer;
@@ -37,29 +39,31 @@
 
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
-        FullHttpRequest request = (FullHttpRequest) message;
-        if (running) {
-            waiting.add(request);
-            context.channel().config().setAutoRead(false);
-            return;
-        }
-        start(context, request);
+        waiting.add(message);
+        drain(context);
     }
 
     @Override
     public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
         ChannelPromise observed = promise.unvoid();
-        if (message instanceof FullHttpResponse) {
-            observed.addListener((ChannelFutureListener) sent -> finish(context));
+        if (message instanceof FullHttpResponse response
+                && response.status().codeClass() != HttpStatusClass.INFORMATIONAL) {
+            observed.addListener((ChannelFutureListener) sent -> {
+                answered = true;
+                finishIfDone(context);
+            });
         }
         context.write(message, observed);
     }
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
-        waiting.forEach(FullHttpRequest::release);
+        waiting.forEach(ReferenceCountUtil::release);
         waiting.clear();
-        leave();
+        if (underWay) {
+            underWay = false;
+            exchanges.end();
+        }
         context.fireChannelInactive();
     }
 
@@ -71,57 +75,43 @@
         context.close();
     }
 
-    private void start(ChannelHandlerContext context, FullHttpRequest request) {
-        running = true;
-        exchanges.begin();
-        timer.requestReceived();
-        if (request.decoderResult().isFailure()) {
-            refuse(context, request);
+    // Answers that are ready at once end their request within the loop; the flag keeps a long row of them from nesting.
+    private void drain(ChannelHandlerContext context) {
+        if (draining) {
             return;
         }
-        context.fireChannelRead(request);
-    }
-
-    private void refuse(ChannelHandlerContext context, FullHttpRequest request) {
-        Throwable cause = request.decoderResult().cause();
-        request.release();
-        boolean tooLong = cause instanceof TooLongHttpHeaderException || cause instanceof TooLongHttpLineException;
-        events.cut(tooLong ? CutCause.HEADERS_TOO_LARGE : CutCause.NOT_HTTP, Remotes.of(context.channel()));
-        FullHttpResponse response = tooLong
-                ? EarlyProblem.response(
-                        HEADERS_TOO_LARGE, ProblemCode.OVER_LIMIT, "the request's line or headers are too large")
-                : EarlyProblem.response(
-                        ProblemCode.MALFORMED.status(), ProblemCode.MALFORMED, "the message is not HTTP/1.1");
-        context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
-    }
-
-    private void finish(ChannelHandlerContext context) {
-        leave();
-        timer.answered();
-        FullHttpRequest next = waiting.poll();
-        if (next == null) {
-            context.channel().config().setAutoRead(true);
-            return;
+        draining = true;
+        while (!waiting.isEmpty() && !(underWay && received)) {
+            letThrough(context, waiting.poll());
         }
-        // Not at once, as a long row of waiting requests would deepen the stack with each.
-        running = true;
-        exchanges.begin();
-        context.executor().execute(() -> startWaiting(context, next));
+        draining = false;
+        context.channel().config().setAutoRead(waiting.isEmpty());
     }
 
-    private void startWaiting(ChannelHandlerContext context, FullHttpRequest request) {
-        leave();
-        if (context.channel().isActive()) {
-            start(context, request);
-        } else {
-            request.release();
+    private void letThrough(ChannelHandlerContext context, Object message) {
+        if (message instanceof HttpRequest) {
+            underWay = true;
+            received = false;
+            answered = false;
+            exchanges.begin();
+        }
+        boolean last = message instanceof LastHttpContent;
+        if (last) {
+            received = true;
+            timer.requestReceived();
+        }
+        context.fireChannelRead(message);
+        if (last) {
+            finishIfDone(context);
         }
     }
 
-    private void leave() {
-        if (running) {
-            running = false;
+    private void finishIfDone(ChannelHandlerContext context) {
+        if (underWay && received && answered) {
+            underWay = false;
             exchanges.end();
+            timer.answered();
+            drain(context);
         }
     }
 }
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/http/RouterHandler.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/http/RouterHandler.java
@@ -3,9 +3,14 @@
 import io.jooby.Router;
 import io.jooby.internal.netty.NettyContext;
 import io.netty.buffer.ByteBufUtil;
+import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
+import io.netty.handler.codec.http.TooLongHttpLineException;
+import org.tarragonarch.model.outcome.ProblemCode;
 
 /**
  * Hands each whole request to the router.
@@ -16,16 +21,24 @@
 final class RouterHandler extends ChannelInboundHandlerAdapter {
     private static final int RESPONSE_BUFFER_BYTES = 16 << 10;
 
+    private static final int HEADERS_TOO_LARGE = 431;
+
     private final Router router;
+    private final HttpEvents events;
     private Exchange current;
 
-    RouterHandler(Router router) {
+    RouterHandler(Router router, HttpEvents events) {
         this.router = router;
+        this.events = events;
     }
 
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
         FullHttpRequest request = (FullHttpRequest) message;
+        if (request.decoderResult().isFailure()) {
+            refuse(context, request);
+            return;
+        }
         byte[] body;
         try {
             body = ByteBufUtil.getBytes(request.content());
@@ -47,6 +60,19 @@
         context.fireChannelInactive();
     }
 
+    private void refuse(ChannelHandlerContext context, FullHttpRequest request) {
+        Throwable cause = request.decoderResult().cause();
+        request.release();
+        boolean tooLong = cause instanceof TooLongHttpHeaderException || cause instanceof TooLongHttpLineException;
+        events.cut(tooLong ? CutCause.HEADERS_TOO_LARGE : CutCause.NOT_HTTP, Remotes.of(context.channel()));
+        FullHttpResponse response = tooLong
+                ? EarlyProblem.response(
+                        HEADERS_TOO_LARGE, ProblemCode.OVER_LIMIT, "the request's line or headers are too large")
+                : EarlyProblem.response(
+                        ProblemCode.MALFORMED.status(), ProblemCode.MALFORMED, "the message is not HTTP/1.1");
+        context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+    }
+
     private static String path(FullHttpRequest request) {
         String uri = request.uri();
         int query = uri.indexOf('?');
