--- a/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/admin/AdminJson.java
+++ b/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/admin/AdminJson.java
@@ -33,7 +33,7 @@
     static ConfigurationView configuration(Address address, JsonNode answer) throws AdminException {
         JsonReader json = new JsonReader(address, answer);
         ConfigurationVersion version = ConfigurationVersion.of(json.number("version"));
-        byte[] canonical = json.text("text").getBytes(StandardCharsets.UTF_8);
+        byte[] canonical = json.text("canonical").getBytes(StandardCharsets.UTF_8);
         // A text that does not match its digest would be applied whole by a rollback.
         if (!ContentDigest.of(canonical).hex().equals(json.text("digest"))) {
             throw AdminException.unreadable(address, "the text of version " + version + " does not match its digest");
@@ -46,7 +46,10 @@
     }
 
     static ImmutableList<AuditRecord> audit(Address address, JsonNode answer) throws AdminException {
-        return new JsonReader(address, answer).list("changes", AdminJson::auditRecord);
+        if (!answer.isArray()) {
+            throw AdminException.unreadable(address, "the audit trail is not a list");
+        }
+        return JsonReader.items(address, answer, AdminJson::auditRecord);
     }
 
     private static AuditRecord auditRecord(JsonReader json) throws AdminException {
--- a/tarragonarch-ctl/src/test/java/org/tarragonarch/ctl/FakeNode.java
+++ b/tarragonarch-ctl/src/test/java/org/tarragonarch/ctl/FakeNode.java
@@ -65,7 +65,7 @@
         } else if (called.equals("POST /admin/configuration")) {
             accept(exchange);
         } else if (called.equals("GET /admin/audit")) {
-            reply(exchange, 200, audit());
+            replyText(exchange, 200, audit().toString());
         } else if (path.endsWith("/drain")) {
             drain(exchange, path.split("/")[3]);
         } else {
@@ -105,14 +105,13 @@
         ObjectNode answer = MAPPER.createObjectNode().put("version", version);
         if (version > 0) {
             answer.put("digest", system.records().get(version - 1).digest().hex());
-            answer.put("text", system.text(version));
+            answer.put("canonical", system.text(version));
         }
         return answer;
     }
 
-    private ObjectNode audit() {
-        ObjectNode answer = MAPPER.createObjectNode();
-        ArrayNode audit = answer.putArray("changes");
+    private ArrayNode audit() {
+        ArrayNode audit = MAPPER.createArrayNode();
         system.records()
                 .forEach(record -> audit.insertObject(0)
                         .put("version", record.version().value())
@@ -122,7 +121,7 @@
                         .put("operator", record.operator().value())
                         .put("when", record.when().toString())
                         .put("summary", record.summary()));
-        return answer;
+        return audit;
     }
 
     private void accept(HttpExchange exchange) throws IOException {
