--- a/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/FailureHandler.java
+++ b/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/FailureHandler.java
@@ -1,7 +1,6 @@
 package org.tarragonarch.ctl;
 
 import java.io.PrintWriter;
-import org.tarragonarch.ctl.admin.AdminException;
 import org.tarragonarch.ctl.change.ChangeConflictException;
 import org.tarragonarch.model.outcome.StepException;
 import org.tarragonarch.settings.SettingsException;
@@ -29,10 +28,6 @@
         if (failure instanceof StepException step) {
             err.println(
                     "failed: " + failure.getMessage() + " [step " + step.step().word() + ", peer " + step.peer() + "]");
-            if (failure instanceof AdminException refusal && refusal.unauthenticated()) {
-                err.println("A node without a configuration knows no operator: the first configuration is applied with"
-                        + " --platform IP:PORT --operator NAME.");
-            }
             return ExitCode.FAILED.number();
         }
         throw failure;
--- a/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/admin/AdminException.java
+++ b/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/admin/AdminException.java
@@ -10,7 +10,6 @@
     public static final int NO_STATUS = 0;
 
     private static final long serialVersionUID = 1L;
-    private static final int UNAUTHENTICATED = 401;
     private static final int NOT_FOUND = 404;
     private static final int CONFLICT = 409;
     private static final int FIRST_SERVER_ERROR = 500;
@@ -41,11 +40,6 @@
         return status;
     }
 
-    /** Returns whether the node knows no operator with the token. */
-    public boolean unauthenticated() {
-        return status == UNAUTHENTICATED;
-    }
-
     /** Returns whether the node has not what was asked for. */
     public boolean notFound() {
         return status == NOT_FOUND;
--- a/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/command/ApplyCommand.java
+++ b/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/command/ApplyCommand.java
@@ -16,7 +16,10 @@
 /** Makes a folder the configuration. */
 @Command(
         name = "apply",
-        description = "Makes a folder the configuration, and waits until it is in force in every failure domain.")
+        description = "Makes a folder the configuration, and waits until it is in force in every failure domain.",
+        footer =
+                "A node without a configuration knows no operator, so the first one goes straight to the platform: give"
+                        + " --platform and --operator.")
 final class ApplyCommand extends ChangeCommand {
     @Mixin
     private FolderArgument folder;
--- a/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/command/NodeTableCommand.java
+++ b/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/command/NodeTableCommand.java
@@ -24,7 +24,8 @@
                 .map(AdminException::getMessage)
                 .forEach(output()::note);
         if (views.isEmpty()) {
-            throw answers.get(0).failure().orElseThrow();
+            output().note("failed: none of the nodes asked gave an answer");
+            return ExitCode.FAILED.number();
         }
         output().table(table(views), sentenceIfEmpty());
         return views.size() == answers.size() ? ExitCode.OK.number() : ExitCode.FAILED.number();
