--- /dev/null
+++ b/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/policy/Measures.java
@@ -0,0 +1,87 @@
+package org.tarragonarch.benchmark.policy;
+
+import com.google.common.collect.HashMultiset;
+import com.google.common.collect.Multiset;
+import java.util.HashMap;
+import java.util.Map;
+import org.HdrHistogram.Histogram;
+import org.tarragonarch.model.id.TeamName;
+
+/** The two measures of {@code docs/MEASURES.md} and what else a run counts. */
+final class Measures {
+    private static final double RATIO_UNIT = 1000;
+
+    private final Histogram ratio = new Histogram(1, 100_000_000L, 3);
+    final Multiset<Waste> waste = HashMultiset.create();
+    private final Map<TeamName, Double> offeredNanos = new HashMap<>();
+    private final Map<TeamName, Double> servedNanos = new HashMap<>();
+    long usefulStarts;
+    long jobsOffered;
+    long jobsRefused;
+    long jobsLate;
+    long tasksFailed;
+    long lastFailureNanos;
+    double slotNanos;
+
+    /** Messages that started no task. */
+    enum Waste {
+        /** A task sent to an endpoint that had no free slot. */
+        REFUSED_SEND,
+        /** A question after an endpoint's health. */
+        PROBE,
+        /** A report to a peer. */
+        REPORT,
+        /** A stop message for a task that had ended. */
+        VAIN_STOP
+    }
+
+    void offered(Job job) {
+        jobsOffered++;
+        offeredNanos.merge(job.team, (double) job.workNanos(), Double::sum);
+    }
+
+    void complete(Job job, double responseOverIdeal) {
+        ratio.recordValue((long) (responseOverIdeal * RATIO_UNIT));
+        servedNanos.merge(job.team, (double) job.workNanos(), Double::sum);
+    }
+
+    double ratioAt(double percentile) {
+        return ratio.getValueAtPercentile(percentile) / RATIO_UNIT;
+    }
+
+    double perStart(Waste kind) {
+        return (double) waste.count(kind) / Math.max(1, usefulStarts);
+    }
+
+    double wastePerStart() {
+        return (double) waste.size() / Math.max(1, usefulStarts);
+    }
+
+    /** Returns the work of jobs answered in time over all that the slots could do. */
+    double goodput() {
+        return servedNanos.values().stream().mapToDouble(Double::doubleValue).sum() / slotNanos;
+    }
+
+    /** Returns what a team was served over all that the slots could do. */
+    double served(TeamName team) {
+        return servedNanos.getOrDefault(team, 0.0) / slotNanos;
+    }
+
+    double offered(TeamName team) {
+        return offeredNanos.getOrDefault(team, 0.0) / slotNanos;
+    }
+
+    void add(Measures other) {
+        ratio.add(other.ratio);
+        waste.addAll(other.waste);
+        other.offeredNanos.forEach((team, nanos) -> offeredNanos.merge(team, nanos, Double::sum));
+        other.servedNanos.forEach((team, nanos) -> servedNanos.merge(team, nanos, Double::sum));
+        usefulStarts += other.usefulStarts;
+        jobsOffered += other.jobsOffered;
+        jobsRefused += other.jobsRefused;
+        jobsLate += other.jobsLate;
+        tasksFailed = Math.max(tasksFailed, other.tasksFailed);
+        lastFailureNanos = Math.max(lastFailureNanos, other.lastFailureNanos);
+        slotNanos += other.slotNanos;
+    }
+}
--- /dev/null
+++ b/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/policy/NodeModel.java
@@ -0,0 +1,241 @@
+package org.tarragonarch.benchmark.policy;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import org.tarragonarch.benchmark.policy.Measures.Waste;
+import org.tarragonarch.core.action.Action;
+import org.tarragonarch.core.action.Note;
+import org.tarragonarch.core.action.NoteEvent;
+import org.tarragonarch.core.action.ProbeEndpoint;
+import org.tarragonarch.core.endpoint.Endpoint;
+import org.tarragonarch.core.endpoint.EndpointDirectory;
+import org.tarragonarch.core.event.ProbeEnded;
+import org.tarragonarch.core.event.SendResult;
+import org.tarragonarch.core.event.TaskEnded;
+import org.tarragonarch.core.runtime.RunTimeEstimator;
+import org.tarragonarch.model.id.ConfigurationVersion;
+import org.tarragonarch.model.id.FailureDomain;
+import org.tarragonarch.model.id.Incarnation;
+import org.tarragonarch.model.id.NodeId;
+import org.tarragonarch.model.id.ServiceName;
+import org.tarragonarch.model.id.SubmissionId;
+import org.tarragonarch.model.id.TaskId;
+import org.tarragonarch.model.platform.VmRecord;
+import org.tarragonarch.model.report.NodePhase;
+import org.tarragonarch.model.report.PeerReport;
+
+/** The decisions of one node: its directory, queue and estimator, without the rest of a node. */
+final class NodeModel {
+    static final ServiceName SERVICE = ServiceName.of("proof-board");
+    static final long DEADLINE_NANOS = 10_000_000_000L;
+    private static final int MOST_QUEUED = 5000;
+    private static final long PROBE_NANOS = 1_000_000;
+
+    final NodeId id;
+    final int domain;
+    final List<NodeModel> peers = new ArrayList<>();
+    final Set<Job> jobs = new LinkedHashSet<>();
+    private final PolicyRun run;
+    private final VirtualTime time;
+    private final EndpointDirectory directory;
+    private final RunTimeEstimator estimator = RunTimeEstimator.create();
+    private final WorkQueue queue;
+    private final TaskId anyTask;
+    private final FailureDomain domainName;
+    private long sequence;
+    private long frozenUntilNanos;
+    private long wakeNanos = Long.MAX_VALUE;
+    private boolean reportDue;
+
+    NodeModel(NodeId id, int domain, PolicyRun run, long seed) {
+        this.id = id;
+        this.domain = domain;
+        this.run = run;
+        this.time = run.time;
+        this.domainName = PolicyRun.domainName(domain);
+        this.directory = EndpointDirectory.create(id, domainName, new Random(seed), run.policy.placement());
+        this.queue = new WorkQueue(run.policy.fairQueue());
+        this.anyTask = new TaskId(new SubmissionId(id, Incarnation.of(1), 0), 0);
+    }
+
+    void freeze(long nanos) {
+        frozenUntilNanos = time.nowNanos() + nanos;
+    }
+
+    boolean isFrozen() {
+        return time.nowNanos() < frozenUntilNanos;
+    }
+
+    void listed(ImmutableList<VmRecord> vms) {
+        handle(() -> directory.listed(vms, time.nowNanos(), this::act));
+    }
+
+    void alive(ImmutableSet<NodeId> nodes) {
+        handle(() -> directory.aliveNodes(nodes, time.nowNanos(), this::act));
+    }
+
+    /** Takes a job in, or refuses it if its expected wait passes its deadline. */
+    void arrive(Job job) {
+        handle(() -> {
+            long expected = estimator.expectedNanos(SERVICE, job.kind, job.declared);
+            long work = expected * job.runNanos.length;
+            double wait = (double) (queue.nanosAhead(job, work) + work) / Math.max(1, directory.slots(SERVICE));
+            if (wait > DEADLINE_NANOS || queue.tasks() + job.runNanos.length > MOST_QUEUED) {
+                run.refused(job);
+                return;
+            }
+            jobs.add(job);
+            queue.add(job, job.runNanos.length, expected);
+            time.at(job.arrivedNanos + DEADLINE_NANOS, () -> handle(() -> giveUp(job)));
+        });
+    }
+
+    /** Ends a job without an answer in time; its started tasks run on. */
+    private void giveUp(Job job) {
+        if (jobs.remove(job)) {
+            job.ended = true;
+            queue.remove(job);
+            run.late(job);
+        }
+    }
+
+    void cancel(Job job) {
+        handle(() -> {
+            if (!jobs.remove(job)) {
+                return;
+            }
+            job.ended = true;
+            queue.remove(job);
+            if (run.shape.favour().stopsStartedTasks()) {
+                job.sent.forEach((task, endpoint) -> stop(job, task, endpoint));
+            }
+        });
+    }
+
+    private void stop(Job job, int task, EndpointModel endpoint) {
+        long oneWay = run.shape.oneWayNanos(domain, endpoint.domain);
+        time.after(oneWay, () -> {
+            if (endpoint.stop(job, task)) {
+                time.after(oneWay, () -> handle(() -> ended(job, task, endpoint, SendResult.SUCCEEDED)));
+            } else {
+                run.measures.waste.add(Waste.VAIN_STOP);
+            }
+        });
+    }
+
+    /** Sends every peer of the failure domain what is in flight. */
+    void report() {
+        if (isFrozen()) {
+            return;
+        }
+        PeerReport report = new PeerReport(
+                id,
+                Incarnation.of(1),
+                sequence++,
+                domainName,
+                NodePhase.SERVING,
+                ConfigurationVersion.of(1),
+                directory.loads(),
+                true,
+                directory.leaving(),
+                directory.quarantined());
+        for (NodeModel peer : peers) {
+            run.measures.waste.add(Waste.REPORT);
+            time.after(run.shape.oneWayNanos(domain, domain), () -> peer.hear(report));
+        }
+    }
+
+    private void hear(PeerReport report) {
+        handle(() -> directory.peerReported(report, time.nowNanos(), this::act));
+    }
+
+    /** Runs a handler now, or when the node moves again, and then starts what can be started. */
+    private void handle(Runnable handler) {
+        if (isFrozen()) {
+            time.at(frozenUntilNanos, () -> handle(handler));
+            return;
+        }
+        handler.run();
+        startTasks();
+        if (reportDue) {
+            reportDue = false;
+            report();
+        }
+        if (directory.nextWakeNanos() < wakeNanos) {
+            wakeNanos = directory.nextWakeNanos();
+            time.at(wakeNanos, () -> handle(this::wake));
+        }
+    }
+
+    private void wake() {
+        wakeNanos = Long.MAX_VALUE;
+        directory.timePassed(time.nowNanos(), this::act);
+    }
+
+    private void startTasks() {
+        for (Optional<Job> next = queue.next(); next.isPresent(); next = queue.next()) {
+            Optional<Endpoint> endpoint =
+                    directory.reserve(SERVICE, run.shape.favour(), ImmutableSet.of(), time.nowNanos());
+            if (endpoint.isEmpty()) {
+                return;
+            }
+            queue.started(next.get());
+            send(next.get(), run.endpoints.get(endpoint.get().id()));
+        }
+    }
+
+    private void send(Job job, EndpointModel endpoint) {
+        int task = job.waiting.remove();
+        job.sent.put(task, endpoint);
+        long oneWay = run.shape.oneWayNanos(domain, endpoint.domain);
+        time.after(
+                oneWay,
+                () -> endpoint.arrive(
+                        job,
+                        task,
+                        result -> time.after(oneWay, () -> handle(() -> ended(job, task, endpoint, result)))));
+    }
+
+    private void ended(Job job, int task, EndpointModel endpoint, SendResult result) {
+        job.sent.remove(task);
+        TaskEnded ended = new TaskEnded(anyTask, 1, endpoint.id, result, false, "");
+        directory.ended(ended, SERVICE, job.kind, job.runNanos[task], time.nowNanos(), this::act);
+        if (result == SendResult.REFUSED_BUSY) {
+            run.measures.waste.add(Waste.REFUSED_SEND);
+            if (!job.ended) {
+                job.waiting.addFirst(task);
+                queue.addBack(job, estimator.expectedNanos(SERVICE, job.kind, job.declared));
+            }
+            return;
+        }
+        run.measures.usefulStarts++;
+        if (result == SendResult.TASK_FAILED) {
+            run.failedTask();
+            jobs.remove(job);
+            job.ended = true;
+            queue.remove(job);
+            return;
+        }
+        estimator.observe(SERVICE, job.kind, job.runNanos[task]);
+        job.tasksLeft--;
+        if (job.tasksLeft == 0 && jobs.remove(job)) {
+            run.complete(this, job);
+        }
+    }
+
+    private void act(Action action) {
+        if (action instanceof ProbeEndpoint probe) {
+            run.measures.waste.add(Waste.PROBE);
+            ProbeEnded answer = new ProbeEnded(probe.endpoint(), true, false);
+            time.after(PROBE_NANOS, () -> handle(() -> directory.probeEnded(answer, time.nowNanos(), this::act)));
+        } else if (action instanceof Note note && note.event() == NoteEvent.ENDPOINT_QUARANTINED) {
+            reportDue = true;
+        }
+    }
+}
