--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/endpoint/DomainPool.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/endpoint/DomainPool.java
@@ -61,8 +61,8 @@
         return quarantined < most && open > 1;
     }
 
-    Optional<EndpointSlots> choose(Favour favour, Set<EndpointId> avoid, Random random) {
-        return ready.choose(favour, avoid, random);
+    Optional<EndpointSlots> choose(Favour favour, boolean mayRisk, Set<EndpointId> avoid, Random random) {
+        return ready.choose(favour, mayRisk, avoid, random);
     }
 
     private void count(Counted counted, int sign) {
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/endpoint/EndpointDirectory.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/endpoint/EndpointDirectory.java
@@ -174,6 +174,7 @@
             return;
         }
         endpoint.slots().givenBack();
+        pools.counted(service, ended.result());
         if (ended.endpointLeaving() || ended.result() == SendResult.REFUSED_DRAINING) {
             leaves(endpoint, "its own answer", nowNanos, sink);
         }
@@ -210,6 +211,9 @@
 
     /** Does what is due: probes, and the end of waits after a refusal. */
     public void timePassed(long nowNanos, ActionSink sink) {
+        if (pools.riskAgainNanos() <= nowNanos) {
+            pools.riskedAgain();
+        }
         for (Optional<EndpointRecord> due = wakes.pollDue(nowNanos); due.isPresent(); due = wakes.pollDue(nowNanos)) {
             EndpointRecord endpoint = due.get();
             if (records.get(endpoint.id()) != endpoint) {
@@ -224,7 +228,7 @@
 
     /** Returns when {@link #timePassed} is next worth calling; {@code Long.MAX_VALUE} for never. */
     public long nextWakeNanos() {
-        return wakes.nextNanos();
+        return Math.min(wakes.nextNanos(), pools.riskAgainNanos());
     }
 
     /** Returns whether any endpoint of the service may get work, now or once a slot is free. */
@@ -335,6 +339,7 @@
             long nowNanos,
             ActionSink sink) {
         endpoint.slotSeenFree();
+        endpoint.slots().vacated();
         judge.add(endpoint, service, kind, failed);
         if (!failed && endpoint.succeeded(nowNanos)) {
             note(NoteEvent.ENDPOINT_READMITTED, endpoint.id(), endpoint.why(), sink);
@@ -348,6 +353,7 @@
     }
 
     private void refusedBusy(EndpointRecord endpoint, long nowNanos) {
+        endpoint.slots().full();
         endpoint.busy(nowNanos);
         wakes.add(endpoint.busyUntilNanos(), endpoint);
         if (!pools.inOwnDomain(endpoint)) {
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/endpoint/EndpointPools.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/endpoint/EndpointPools.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
+import org.tarragonarch.core.event.SendResult;
 import org.tarragonarch.core.placement.EndpointSlots;
 import org.tarragonarch.core.placement.PlacementStrategy;
 import org.tarragonarch.model.id.EndpointId;
@@ -22,6 +23,7 @@
     private final PlacementStrategy strategy;
     private final Map<ServiceName, ServicePools> services = new HashMap<>();
     private final Map<FailureDomain, DomainReach> reaches = new HashMap<>();
+    private long riskAgainNanos = Long.MAX_VALUE;
 
     EndpointPools(FailureDomain own, Random random, PlacementStrategy strategy) {
         this.own = own;
@@ -52,13 +54,42 @@
         if (pools == null) {
             return Optional.empty();
         }
-        Optional<EndpointSlots> chosen = pools.own().choose(favour, avoid, random);
-        if (chosen.isEmpty() && (favour.spillsWhenFull() || pools.own().open() == 0)) {
-            return chooseElsewhere(pools, favour, avoid, nowNanos);
+        boolean mayRisk = pools.refusals().allows(favour, nowNanos);
+        Optional<EndpointSlots> chosen = pools.own().choose(favour, mayRisk, avoid, random);
+        if (chosen.isEmpty()
+                && mayRisk
+                && (favour.spillsWhenFull() || pools.own().open() == 0)) {
+            chosen = chooseElsewhere(pools, favour, avoid, nowNanos);
+        }
+        if (chosen.isEmpty() && !mayRisk) {
+            riskAgainNanos = Math.min(riskAgainNanos, pools.refusals().nextNanos(favour));
+        }
+        if (chosen.isPresent()) {
+            pools.favours(favour);
         }
         return chosen;
     }
 
+    /** Counts a send towards the bound on refused ones. */
+    void counted(ServiceName service, SendResult result) {
+        ServicePools pools = services.computeIfAbsent(service, key -> new ServicePools(strategy));
+        if (result == SendResult.REFUSED_BUSY) {
+            pools.refusals().refused();
+        } else if (result.started() != SendResult.Started.NO) {
+            pools.refusals().started(pools.favour());
+        }
+    }
+
+    /** Returns when a task that was not worth a risk may be; {@code Long.MAX_VALUE} if none waits for it. */
+    long riskAgainNanos() {
+        return riskAgainNanos;
+    }
+
+    /** Forgets that a task waits, because it is tried again now. */
+    void riskedAgain() {
+        riskAgainNanos = Long.MAX_VALUE;
+    }
+
     /** Returns the slots of open endpoints that all nodes of the own failure domain may use together. */
     int openSlots(ServiceName service) {
         ServicePools pools = services.get(service);
@@ -85,7 +116,7 @@
         Collections.shuffle(domains, random);
         for (FailureDomain domain : domains) {
             if (reach(domain).open(nowNanos)) {
-                Optional<EndpointSlots> chosen = pools.other(domain).choose(favour, avoid, random);
+                Optional<EndpointSlots> chosen = pools.other(domain).choose(favour, true, avoid, random);
                 if (chosen.isPresent()) {
                     return chosen;
                 }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placement/EndpointSlots.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placement/EndpointSlots.java
@@ -16,6 +16,7 @@
     private int homeSlots;
     private int ownInFlight;
     private int peersInFlight;
+    private int vacated;
 
     private EndpointSlots(EndpointId endpoint) {
         this.endpoint = checkNotNull(endpoint, "endpoint");
@@ -55,6 +56,7 @@
     /** Counts a task of this node that is sent. */
     public void taken() {
         ownInFlight++;
+        vacated = Math.max(0, vacated - 1);
     }
 
     /** Counts a task of this node that ended. */
@@ -63,6 +65,16 @@
         ownInFlight--;
     }
 
+    /** Takes in that a task of this node left a slot, which is free unless a peer has taken it since. */
+    public void vacated() {
+        vacated++;
+    }
+
+    /** Takes in that no slot is free. */
+    public void full() {
+        vacated = 0;
+    }
+
     /** Takes in a change of what peers report in flight. */
     public void peersChanged(int delta) {
         peersInFlight += delta;
@@ -78,6 +90,11 @@
         return slots - ownInFlight - peersInFlight;
     }
 
+    /** Returns whether this node left a slot and has not used it since. */
+    boolean hasVacated() {
+        return vacated > 0;
+    }
+
     /** Returns whether a slot whose home is this node is free of this node's own tasks. */
     boolean homeFree() {
         return ownInFlight < homeSlots;
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placement/PlacementStrategy.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placement/PlacementStrategy.java
@@ -16,8 +16,9 @@
         }
 
         @Override
-        Optional<EndpointSlots> choose(SlotPool pool, Favour favour, Set<EndpointId> avoid, Random random) {
-            return pool.all().highest(0, avoid, random);
+        Optional<EndpointSlots> choose(
+                SlotPool pool, Favour favour, boolean mayRisk, Set<EndpointId> avoid, Random random) {
+            return sureOrAny(pool, mayRisk).highest(Integer.MIN_VALUE, avoid, random);
         }
     },
     /** Of two random endpoints the one with fewer tasks of this node. */
@@ -28,9 +29,10 @@
         }
 
         @Override
-        Optional<EndpointSlots> choose(SlotPool pool, Favour favour, Set<EndpointId> avoid, Random random) {
-            Optional<EndpointSlots> first = pool.all().highest(0, avoid, random);
-            Optional<EndpointSlots> second = pool.all().highest(0, avoid, random);
+        Optional<EndpointSlots> choose(
+                SlotPool pool, Favour favour, boolean mayRisk, Set<EndpointId> avoid, Random random) {
+            Optional<EndpointSlots> first = sureOrAny(pool, mayRisk).highest(Integer.MIN_VALUE, avoid, random);
+            Optional<EndpointSlots> second = sureOrAny(pool, mayRisk).highest(Integer.MIN_VALUE, avoid, random);
             return first.map(one -> one.ownInFlight() <= second.get().ownInFlight() ? one : second.get());
         }
     },
@@ -42,8 +44,9 @@
         }
 
         @Override
-        Optional<EndpointSlots> choose(SlotPool pool, Favour favour, Set<EndpointId> avoid, Random random) {
-            return pool.all().highest(1, avoid, random);
+        Optional<EndpointSlots> choose(
+                SlotPool pool, Favour favour, boolean mayRisk, Set<EndpointId> avoid, Random random) {
+            return sureOrAny(pool, mayRisk).highest(1, avoid, random);
         }
     },
     /**
@@ -59,14 +62,24 @@
         }
 
         @Override
-        Optional<EndpointSlots> choose(SlotPool pool, Favour favour, Set<EndpointId> avoid, Random random) {
+        Optional<EndpointSlots> choose(
+                SlotPool pool, Favour favour, boolean mayRisk, Set<EndpointId> avoid, Random random) {
             Optional<EndpointSlots> own = pool.home().highest(1, avoid, random);
-            return own.isPresent() ? own : pool.all().highest(1 + favour.slotsLeftWhenBorrowing(), avoid, random);
+            if (own.isPresent() || !mayRisk) {
+                return own;
+            }
+            return pool.all().highest(1 + favour.slotsLeftWhenBorrowing(), avoid, random);
         }
     };
 
     /** Returns where an endpoint stands in the pool's index; a higher one is preferred. */
     abstract int rank(EndpointSlots endpoint);
 
-    abstract Optional<EndpointSlots> choose(SlotPool pool, Favour favour, Set<EndpointId> avoid, Random random);
+    abstract Optional<EndpointSlots> choose(
+            SlotPool pool, Favour favour, boolean mayRisk, Set<EndpointId> avoid, Random random);
+
+    /** Returns the endpoints to choose among: without risk only those at which this node left a slot. */
+    private static FreeSlotIndex sureOrAny(SlotPool pool, boolean mayRisk) {
+        return mayRisk ? pool.all() : pool.vacated();
+    }
 }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placement/SlotPool.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placement/SlotPool.java
@@ -17,6 +17,7 @@
     private final PlacementStrategy strategy;
     private final FreeSlotIndex all = new FreeSlotIndex();
     private final FreeSlotIndex home = new FreeSlotIndex();
+    private final FreeSlotIndex vacated = new FreeSlotIndex();
 
     private SlotPool(PlacementStrategy strategy) {
         this.strategy = checkNotNull(strategy, "strategy");
@@ -35,22 +36,24 @@
         }
         int rank = strategy.rank(endpoint);
         all.put(endpoint, rank);
-        if (endpoint.homeFree()) {
-            home.put(endpoint, rank);
-        } else {
-            home.remove(endpoint);
-        }
+        putIf(endpoint.homeFree(), home, endpoint, rank);
+        putIf(endpoint.hasVacated(), vacated, endpoint, rank);
     }
 
     /** Takes an endpoint out, if it is in. */
     public void remove(EndpointSlots endpoint) {
         all.remove(endpoint);
         home.remove(endpoint);
+        vacated.remove(endpoint);
     }
 
-    /** Returns the endpoint that the strategy prefers, or nothing if it would rather wait. */
-    public Optional<EndpointSlots> choose(Favour favour, Set<EndpointId> avoid, Random random) {
-        return strategy.choose(this, favour, avoid, random);
+    /**
+     * Returns the endpoint that the strategy prefers, or nothing if it would rather wait.
+     *
+     * @param mayRisk whether a send is worth making that may well be refused
+     */
+    public Optional<EndpointSlots> choose(Favour favour, boolean mayRisk, Set<EndpointId> avoid, Random random) {
+        return strategy.choose(this, favour, mayRisk, avoid, random);
     }
 
     FreeSlotIndex all() {
@@ -60,4 +63,16 @@
     FreeSlotIndex home() {
         return home;
     }
+
+    FreeSlotIndex vacated() {
+        return vacated;
+    }
+
+    private static void putIf(boolean belongs, FreeSlotIndex index, EndpointSlots endpoint, int rank) {
+        if (belongs) {
+            index.put(endpoint, rank);
+        } else {
+            index.remove(endpoint);
+        }
+    }
 }
--- a/tarragonarch-model/src/main/java/org/tarragonarch/model/service/Favour.java
+++ b/tarragonarch-model/src/main/java/org/tarragonarch/model/service/Favour.java
@@ -23,6 +23,11 @@
         public int slotsLeftWhenBorrowing() {
             return 0;
         }
+
+        @Override
+        public double refusedSendsPerStart() {
+            return 0.25;
+        }
     },
     /** Every message costs capacity: wait rather than send one that may be refused. */
     FEW_MESSAGES("few-messages") {
@@ -45,6 +50,11 @@
         public int slotsLeftWhenBorrowing() {
             return 1;
         }
+
+        @Override
+        public double refusedSendsPerStart() {
+            return 0.02;
+        }
     };
 
     private final String word;
@@ -69,4 +79,7 @@
 
     /** Returns how many slots of an endpoint must seem free beyond the one that a node borrows from its peers. */
     public abstract int slotsLeftWhenBorrowing();
+
+    /** Returns how many sends may be refused for each task that starts, before sends that may be refused stop. */
+    public abstract double refusedSendsPerStart();
 }
