--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/submission/Dispatcher.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/submission/Dispatcher.java
@@ -98,7 +98,12 @@
         changed.addAll(lanes.keySet());
     }
 
-    /** Starts waiting tasks of the services marked for a look, as far as slots and quotas go. */
+    /**
+     * Starts waiting tasks of the services marked for a look, as far as slots and quotas go.
+     *
+     * <p>{@link #expire} must have run at the same time: a node that was paused wakes with queued tasks whose time is
+     * over, and starting one would run work that its caller has given up on.
+     */
     public void startWaiting(long nowNanos, ActionSink sink) {
         for (ServiceName service : ImmutableList.copyOf(changed)) {
             ServiceLane lane = lane(service);
@@ -227,12 +232,6 @@
             return false;
         }
         Submission submission = submissions.find(next.get()).orElseThrow();
-        if (submission.deadlineNanos() <= nowNanos) {
-            // A node that was paused wakes with queued tasks whose time is over; starting one now would run work that
-            // its caller has given up on.
-            end(submission, Optional.of(expiredInQueue(submission)), nowNanos, sink);
-            return true;
-        }
         if (lane.running() >= shareOf(submission)) {
             return false;
         }
@@ -242,10 +241,6 @@
         return endpoint.isPresent();
     }
 
-    private Problem expiredInQueue(Submission submission) {
-        return giveUp(submission, submission.stage().expired(submission.mayHaveRun()), "the deadline passed");
-    }
-
     private int shareOf(Submission submission) {
         return Math.max(1, submission.service().maxRunningTasks() / sharers);
     }
--- a/tarragonarch-standin/src/main/java/org/tarragonarch/standin/explore/Explorer.java
+++ b/tarragonarch-standin/src/main/java/org/tarragonarch/standin/explore/Explorer.java
@@ -73,7 +73,8 @@
             return Optional.empty();
         } catch (Violation violation) {
             return Optional.of(violation.getMessage());
-        } catch (IllegalStateException | IllegalArgumentException | NullPointerException bug) {
+        } catch (RuntimeException bug) {
+            // Whatever a decision throws would end a node's control thread.
             return Optional.of("no decision fails: " + bug + " in " + bug.getStackTrace()[0]);
         } finally {
             steps += world.time().steps();
--- a/tarragonarch-standin/src/main/java/org/tarragonarch/standin/explore/Shell.java
+++ b/tarragonarch-standin/src/main/java/org/tarragonarch/standin/explore/Shell.java
@@ -41,6 +41,8 @@
 final class Shell {
     private static final long CONNECT_TIMEOUT_NANOS = 300_000_000;
     private static final int RELEASE_SPREAD_NANOS = 1_000_000_000;
+    private static final int ENDS_PER_REPEATED_END = 20;
+    private static final int REPEAT_SPREAD_NANOS = 200_000_000;
     private static final String PLATFORM = World.PLATFORM;
 
     private final World world;
@@ -90,13 +92,18 @@
             if (result == SendResult.REFUSED_DRAINING && !node.frozen()) {
                 world.endpoint(send.endpoint().value()).heardRefusal(node.run());
             }
-            node.deliver(new TaskEnded(
+            TaskEnded event = new TaskEnded(
                     send.task(),
                     send.attempt(),
                     send.endpoint(),
                     result,
                     leaving,
-                    result.name().toLowerCase(Locale.ROOT)));
+                    result.name().toLowerCase(Locale.ROOT));
+            node.deliver(event);
+            if (world.random().nextInt(ENDS_PER_REPEATED_END) == 0) {
+                // A shell that reports an end twice must not confuse a later attempt with it.
+                time.after(world.random().nextInt(REPEAT_SPREAD_NANOS), () -> node.deliver(event));
+            }
         }
     }
 
