Leave other teams their part of a full queue; refuse at once where a quota gives no part

Cause: the queue's bound counted all teams together, so one team that sends more than it holds shut the others out; and a team whose quota is below the number of nodes got no share on some of them, where its jobs would have waited until their deadline. Over the bound a team may hold its fair part by weight; without a share the answer is over-quota at once with a time to come back. The estimate of the wait counts the team's share, not only the slots.

--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/admission/AdmissionControl.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/admission/AdmissionControl.java
@@ -10,6 +10,7 @@
 import org.tarragonarch.core.event.SubmissionArrived;
 import org.tarragonarch.core.event.TaskShape;
 import org.tarragonarch.core.queue.JobQueue;
+import org.tarragonarch.core.quota.TeamQuotas;
 import org.tarragonarch.core.runtime.RunTimeEstimator;
 import org.tarragonarch.core.submission.ComeBack;
 import org.tarragonarch.core.submission.Dispatcher;
@@ -36,18 +37,21 @@
 
     private final Dispatcher dispatcher;
     private final EndpointDirectory endpoints;
+    private final TeamQuotas quotas;
     private final RunTimeEstimator runTimes;
 
-    private AdmissionControl(Dispatcher dispatcher, EndpointDirectory endpoints, RunTimeEstimator runTimes) {
+    private AdmissionControl(
+            Dispatcher dispatcher, EndpointDirectory endpoints, TeamQuotas quotas, RunTimeEstimator runTimes) {
         this.dispatcher = checkNotNull(dispatcher, "dispatcher");
         this.endpoints = checkNotNull(endpoints, "endpoints");
+        this.quotas = checkNotNull(quotas, "quotas");
         this.runTimes = checkNotNull(runTimes, "runTimes");
     }
 
     /** Returns an admission control that looks at the load of this dispatcher. */
     public static AdmissionControl create(
-            Dispatcher dispatcher, EndpointDirectory endpoints, RunTimeEstimator runTimes) {
-        return new AdmissionControl(dispatcher, endpoints, runTimes);
+            Dispatcher dispatcher, EndpointDirectory endpoints, TeamQuotas quotas, RunTimeEstimator runTimes) {
+        return new AdmissionControl(dispatcher, endpoints, quotas, runTimes);
     }
 
     /** Decides upon one submission. */
@@ -107,6 +111,12 @@
         if (!endpoints.usable(service)) {
             return refuseForNow(ProblemCode.NO_ENDPOINT, "no endpoint of " + service + " can be reached");
         }
+        if (quotas.share(submission.team().name()) == 0) {
+            return refuseUntilDrained(
+                    submission,
+                    ProblemCode.OVER_QUOTA,
+                    "the quota of " + submission.team().name() + " gives this node no part; another node may have one");
+        }
         if (queueFull(submission)) {
             return refuseUntilDrained(submission, ProblemCode.QUEUE_FULL, "the queue of " + service + " is full");
         }
@@ -117,11 +127,16 @@
         return new Admitted(submission);
     }
 
+    // A team that fills the queue must not shut the others out: over the bound, each team may still hold its fair part.
+    // The bound is passed by less than as much again, since no team's part is more than the whole.
     private boolean queueFull(Submission submission) {
         JobQueue<SubmissionId> queue =
                 dispatcher.lane(submission.service().name()).queue();
+        TeamDefinition team = submission.team();
         int bound = submission.service().maxQueuedTasks();
-        return queue.queuedTasks() + submission.arrived().tasks().size() > bound;
+        int tasks = submission.arrived().tasks().size();
+        boolean overBound = queue.queuedTasks() + tasks > bound;
+        return overBound && queue.queuedTasks(team.name()) + tasks > queue.fairPart(team.name(), team.weight(), bound);
     }
 
     // Estimates are often wrong before anything was learnt; with an empty queue the submission is the way to learn.
@@ -131,7 +146,7 @@
         if (wait.isZero()) {
             return false;
         }
-        int slots = Math.max(1, endpoints.slots(service));
+        int slots = dispatcher.slotsFor(service, submission.team());
         long rounds = LongMath.divide(submission.arrived().tasks().size(), slots, RoundingMode.CEILING);
         long runNanos = runTimes.expectedNanos(
                 service, submission.kind().name(), submission.kind().expectedRunTime());
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/node/EntryNode.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/node/EntryNode.java
@@ -100,7 +100,7 @@
         RunTimeEstimator runTimes = RunTimeEstimator.create();
         this.dispatcher = Dispatcher.create(submissions, endpoints, quotas, runTimes, keys);
         this.keys.connect(dispatcher);
-        this.admission = AdmissionControl.create(dispatcher, endpoints, runTimes);
+        this.admission = AdmissionControl.create(dispatcher, endpoints, quotas, runTimes);
         this.lifecycle = Lifecycle.create(policy);
     }
 
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/queue/JobQueue.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/queue/JobQueue.java
@@ -119,6 +119,16 @@
         return queue == null ? 0 : queue.tasks();
     }
 
+    /**
+     * Returns how many of so many waiting tasks are a team's part by weight, among the teams that wait and itself.
+     *
+     * @param bound the tasks that may wait in all
+     */
+    public int fairPart(TeamName team, int weight, int bound) {
+        long others = queuedTasks(team) > 0 ? waitingWeight - weight : waitingWeight;
+        return Math.toIntExact((long) bound * weight / (others + weight));
+    }
+
     /** Returns the expected run time of all that waits ahead of a new job of a team, in nanoseconds of one slot. */
     public long expectedNanosAhead(TeamName team, int weight) {
         return expectedNanosAhead(team, weight, Long.MAX_VALUE);
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/submission/Dispatcher.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/submission/Dispatcher.java
@@ -179,7 +179,12 @@
     /** Returns how long a new task of a team would wait for a slot, by what is known of run times. */
     public Duration expectedWait(ServiceName service, TeamDefinition team) {
         long slotNanos = lane(service).queue().expectedNanosAhead(team.name(), team.weight());
-        return Duration.ofNanos(slotNanos / Math.max(1, endpoints.slots(service)));
+        return Duration.ofNanos(slotNanos / slotsFor(service, team));
+    }
+
+    /** Returns how many tasks of a team can run from this node at once at a service, by slots and quota; at least 1. */
+    public int slotsFor(ServiceName service, TeamDefinition team) {
+        return Math.max(1, Math.min(endpoints.slots(service), quotas.share(team.name())));
     }
 
     /** Returns after how long a team's caller should come back to a service: the present wait, within bounds. */
--- /dev/null
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/node/NodeFixture.java
@@ -0,0 +1,177 @@
+package org.tarragonarch.core.node;
+
+import static org.testng.Assert.assertEquals;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.IntStream;
+import org.tarragonarch.core.action.Action;
+import org.tarragonarch.core.action.AnswerProblem;
+import org.tarragonarch.core.action.SendTask;
+import org.tarragonarch.core.event.ConfigurationLoaded;
+import org.tarragonarch.core.event.Event;
+import org.tarragonarch.core.event.SendResult;
+import org.tarragonarch.core.event.SubmissionArrived;
+import org.tarragonarch.core.event.SubmissionForm;
+import org.tarragonarch.core.event.TaskEnded;
+import org.tarragonarch.core.event.TaskShape;
+import org.tarragonarch.core.event.TimePassed;
+import org.tarragonarch.core.event.VmListRead;
+import org.tarragonarch.model.id.Address;
+import org.tarragonarch.model.id.CallerName;
+import org.tarragonarch.model.id.ConfigurationVersion;
+import org.tarragonarch.model.id.ContentDigest;
+import org.tarragonarch.model.id.FailureDomain;
+import org.tarragonarch.model.id.IdempotencyKey;
+import org.tarragonarch.model.id.Incarnation;
+import org.tarragonarch.model.id.KindName;
+import org.tarragonarch.model.id.NodeId;
+import org.tarragonarch.model.id.ServiceName;
+import org.tarragonarch.model.id.SubmissionId;
+import org.tarragonarch.model.id.TeamName;
+import org.tarragonarch.model.outcome.Problem;
+import org.tarragonarch.model.platform.VmRecord;
+import org.tarragonarch.model.platform.VmRole;
+import org.tarragonarch.model.platform.VmState;
+import org.tarragonarch.model.service.CallerDefinition;
+import org.tarragonarch.model.service.Favour;
+import org.tarragonarch.model.service.KindDefinition;
+import org.tarragonarch.model.service.ServiceCatalog;
+import org.tarragonarch.model.service.ServiceDefinition;
+import org.tarragonarch.model.service.TeamDefinition;
+
+/** One serving node with one endpoint, on a clock that the test moves. */
+public final class NodeFixture {
+    public static final KindName ONCE = KindName.of("word-count");
+    public static final KindName IDEMPOTENT = KindName.of("spelling");
+    public static final Duration DEADLINE = Duration.ofSeconds(10);
+
+    private static final ServiceName SERVICE = ServiceName.of("proof-board");
+    private static final int MAX_TASKS = 110;
+    private static final int MAX_BODY_BYTES = 1_000;
+    private static final ContentDigest DIGEST = ContentDigest.of("text".getBytes(StandardCharsets.UTF_8));
+
+    private final EntryNode node;
+    private final List<Action> actions = new ArrayList<>();
+    private long nowNanos = 1;
+    private long sequence;
+
+    private NodeFixture(int slots, int maxQueuedTasks) {
+        NodeIdentity identity = new NodeIdentity(
+                NodeId.of("hobart-1"), Incarnation.of(1), FailureDomain.of("hobart"), new Address("127.0.0.1", 1));
+        this.node = EntryNode.create(identity, NodePolicy.DEFAULT, 7);
+        hand(new TimePassed());
+        hand(new VmListRead(ImmutableList.of(endpoint(slots))));
+        hand(new ConfigurationLoaded(catalog(maxQueuedTasks), "test"));
+        actions.clear();
+    }
+
+    static NodeFixture serving(int slots) {
+        return new NodeFixture(slots, 200);
+    }
+
+    static NodeFixture serving(int slots, int maxQueuedTasks) {
+        return new NodeFixture(slots, maxQueuedTasks);
+    }
+
+    private static VmRecord endpoint(int slots) {
+        return new VmRecord(
+                "hobart-w1",
+                VmRole.ENDPOINT,
+                FailureDomain.of("hobart"),
+                new Address("127.0.0.1", 2),
+                VmState.LIVE,
+                ImmutableSet.of(SERVICE),
+                slots);
+    }
+
+    private static ServiceCatalog catalog(int maxQueuedTasks) {
+        ImmutableMap.Builder<TeamName, TeamDefinition> teams = ImmutableMap.builder();
+        ImmutableMap.Builder<CallerName, CallerDefinition> callers = ImmutableMap.builder();
+        for (String name : List.of("authors", "members")) {
+            TeamName team = TeamName.of(name);
+            teams.put(team, new TeamDefinition(team, 1, 1_000));
+            callers.put(CallerName.of(name), new CallerDefinition(CallerName.of(name), team, DIGEST));
+        }
+        ServiceDefinition service = new ServiceDefinition(
+                SERVICE,
+                Favour.RESPONSE_TIME,
+                ImmutableMap.of(ONCE, kind(ONCE, false), IDEMPOTENT, kind(IDEMPOTENT, true)),
+                ImmutableSet.of(CallerName.of("authors"), CallerName.of("members")),
+                1_000,
+                maxQueuedTasks);
+        return new ServiceCatalog(
+                ConfigurationVersion.of(1),
+                DIGEST,
+                ImmutableMap.of(SERVICE, service),
+                teams.build(),
+                callers.build(),
+                ImmutableMap.of());
+    }
+
+    private static KindDefinition kind(KindName name, boolean idempotent) {
+        return new KindDefinition(name, idempotent, MAX_TASKS, MAX_BODY_BYTES, DEADLINE, Duration.ofMillis(100));
+    }
+
+    void hand(Event event) {
+        node.handle(nowNanos, event, actions::add);
+    }
+
+    void pass(Duration time) {
+        nowNanos += time.toNanos();
+        hand(new TimePassed());
+    }
+
+    SubmissionId submit(SubmissionForm form, KindName kind, int tasks) {
+        return submit("authors", form, kind, tasks, Optional.empty());
+    }
+
+    SubmissionId submitKeyed(KindName kind, String key) {
+        return submit("authors", SubmissionForm.JOB, kind, 1, Optional.of(key));
+    }
+
+    SubmissionId submit(String caller, SubmissionForm form, KindName kind, int tasks, Optional<String> key) {
+        SubmissionId id = new SubmissionId(NodeId.of("hobart-1"), Incarnation.of(1), sequence++);
+        hand(new SubmissionArrived(
+                id,
+                form,
+                CallerName.of(caller),
+                SERVICE,
+                kind,
+                key.map(IdempotencyKey::new),
+                DIGEST,
+                IntStream.range(0, tasks)
+                        .mapToObj(index -> new TaskShape(10, Optional.empty()))
+                        .collect(ImmutableList.toImmutableList()),
+                Optional.empty()));
+        return id;
+    }
+
+    void end(SendTask send, SendResult result) {
+        hand(new TaskEnded(send.task(), send.attempt(), send.endpoint(), result, false, "test"));
+    }
+
+    <A extends Action> List<A> all(Class<A> type) {
+        return actions.stream().filter(type::isInstance).map(type::cast).toList();
+    }
+
+    <A extends Action> A last(Class<A> type) {
+        List<A> found = all(type);
+        return found.get(found.size() - 1);
+    }
+
+    Problem problemOf(SubmissionId submission) {
+        List<Problem> found = all(AnswerProblem.class).stream()
+                .filter(answer -> answer.submission().equals(submission))
+                .map(AnswerProblem::problem)
+                .toList();
+        assertEquals(found.size(), 1, "answers of " + submission);
+        return found.get(0);
+    }
+}
