--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/caller/SubmissionBodyReader.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/caller/SubmissionBodyReader.java
@@ -78,7 +78,7 @@
         while (parser.nextToken() == JsonToken.FIELD_NAME) {
             String field = parser.currentName();
             if (!field.equals(TASKS) || seen) {
-                throw unexpected(field, seen, "the message", TASKS);
+                throw unexpected(field, field.equals(TASKS), "the message", TASKS);
             }
             seen = true;
             expect(parser.nextToken(), JsonToken.START_ARRAY, "'tasks' is not an array");
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/log/LineFormatter.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/log/LineFormatter.java
@@ -11,6 +11,7 @@
 /** Writes each record as one line: time, level, node, then the record's own {@code key=value} pairs. */
 final class LineFormatter extends Formatter {
     private static final String OWN_LINE = "event=";
+    private static final Pattern BARE_EVENT = Pattern.compile("^[a-z-]+ step=");
     // What Flogger adds to a rate-limited line; only the number of lines left out is of use to a reader.
     private static final Pattern CONTEXT = Pattern.compile(" \\[CONTEXT (.*) \\]$");
     private static final Pattern SKIPPED = Pattern.compile("skipped=\"?(\\d+)");
@@ -41,6 +42,10 @@
             line.append(message.replace('\n', ' '));
             return;
         }
+        if (BARE_EVENT.matcher(message).find()) {
+            line.append(OWN_LINE).append(message.replace('\n', ' '));
+            return;
+        }
         line.append("event=library-message step=lifecycle peer=").append(record.getLoggerName());
         line.append(" message=");
         LogLine.appendValue(line, message);
