--- a/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/admin/AdminJson.java
+++ b/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/admin/AdminJson.java
@@ -33,9 +33,6 @@
     static ConfigurationView configuration(Address address, JsonNode answer) throws AdminException {
         JsonReader json = new JsonReader(address, answer);
         ConfigurationVersion version = ConfigurationVersion.of(json.number("version"));
-        if (version.equals(ConfigurationVersion.NONE)) {
-            return new ConfigurationView(version, new byte[0]);
-        }
         byte[] canonical = json.text("canonical").getBytes(StandardCharsets.UTF_8);
         // A text that does not match its digest would be applied whole by a rollback.
         if (!ContentDigest.of(canonical).hex().equals(json.text("digest"))) {
@@ -49,6 +46,9 @@
     }
 
     static ImmutableList<AuditRecord> audit(Address address, JsonNode answer) throws AdminException {
+        if (!answer.isArray()) {
+            throw AdminException.unreadable(address, "the audit trail is not a list");
+        }
         return JsonReader.items(address, answer, AdminJson::auditRecord);
     }
 
--- a/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/command/RollbackCommand.java
+++ b/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/command/RollbackCommand.java
@@ -37,10 +37,13 @@
             return ExitCode.OK.number();
         }
         if (!output().json()) {
+            output().line("against version " + planned.from() + ":");
             DifferenceTable.print(planned.difference(), output());
         }
         String summary =
                 "rolled back to version " + target + ": " + planned.difference().summary();
-        return make(connection, maker, planned, summary);
+        int status = make(connection, maker, planned, summary);
+        output().note("Your folder may still say what was undone: mend it before it is applied again.");
+        return status;
     }
 }
--- a/tarragonarch-settings/src/main/java/org/tarragonarch/settings/CatalogDifference.java
+++ b/tarragonarch-settings/src/main/java/org/tarragonarch/settings/CatalogDifference.java
@@ -46,9 +46,7 @@
         if (isEmpty()) {
             return "no change";
         }
-        return changes.stream()
-                .map(change -> change.verb().word() + " " + change.definition())
-                .collect(Collectors.joining(", "));
+        return changes.stream().map(DefinitionChange::summary).collect(Collectors.joining(", "));
     }
 
     private static Optional<DefinitionChange> compare(
@@ -60,6 +58,9 @@
         }
         ChangeVerb verb =
                 before.isEmpty() ? ChangeVerb.ADDED : after.isEmpty() ? ChangeVerb.REMOVED : ChangeVerb.CHANGED;
+        if (verb == ChangeVerb.REMOVED) {
+            return Optional.of(new DefinitionChange(verb, definition, ImmutableList.of()));
+        }
         Map<String, String> old = before.orElse(ImmutableSortedMap.of());
         Map<String, String> now = after.orElse(ImmutableSortedMap.of());
         ImmutableList.Builder<String> details = ImmutableList.builder();
