--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/log/LineFormatter.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/log/LineFormatter.java
@@ -14,7 +14,7 @@
     private static final Pattern BARE_EVENT = Pattern.compile("^[a-z-]+ step=");
     // What Flogger adds to a rate-limited line; only the number of lines left out is of use to a reader.
     private static final Pattern CONTEXT = Pattern.compile(" \\[CONTEXT (.*) \\]$");
-    private static final Pattern SKIPPED = Pattern.compile("skipped=\"?(\\d+)");
+    private static final Pattern SKIPPED = Pattern.compile("skipped[=:] ?\"?(\\d+)");
 
     private final String node;
 
--- /dev/null
+++ b/tarragonarch-entry/src/test/java/org/tarragonarch/entry/body/BodyStoreTest.java
@@ -0,0 +1,60 @@
+package org.tarragonarch.entry.body;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import com.google.common.collect.ImmutableList;
+import org.tarragonarch.model.id.Incarnation;
+import org.tarragonarch.model.id.KindName;
+import org.tarragonarch.model.id.NodeId;
+import org.tarragonarch.model.id.ServiceName;
+import org.tarragonarch.model.id.SubmissionId;
+import org.tarragonarch.model.id.TaskId;
+import org.testng.annotations.Test;
+
+public final class BodyStoreTest {
+    private static final SubmissionId FIRST = new SubmissionId(NodeId.of("n"), Incarnation.of(1), 1);
+    private static final SubmissionId SECOND = new SubmissionId(NodeId.of("n"), Incarnation.of(1), 2);
+
+    private final BodyStore store = BodyStore.create(10);
+
+    @Test
+    public void testBytes_comeBackToNothing() {
+        assertTrue(store.keep(FIRST, content(4, 3)));
+        assertFalse(store.keep(SECOND, content(4)));
+        assertEquals(store.bytes(), 7);
+        store.keepResult(new TaskId(FIRST, 0), new byte[20]);
+        assertEquals(store.bytes(), 27);
+        assertTrue(store.results(FIRST).isEmpty());
+        store.keepResult(new TaskId(FIRST, 1), new byte[1]);
+        assertEquals(store.results(FIRST).orElseThrow().size(), 2);
+        store.dropInputs(FIRST);
+        assertEquals(store.bytes(), 21);
+        store.drop(FIRST);
+        store.drop(FIRST);
+        store.keepResult(new TaskId(FIRST, 0), new byte[5]);
+        assertEquals(store.bytes(), 0);
+        assertTrue(store.keep(SECOND, content(4)));
+        store.drop(SECOND);
+        assertEquals(store.bytes(), 0);
+    }
+
+    // A second answer for a task, from whatever cause, must not change what a caller gets.
+    @Test
+    public void testKeepResult_firstStands() {
+        store.keep(FIRST, content(1));
+        store.keepResult(new TaskId(FIRST, 0), new byte[] {1});
+        store.keepResult(new TaskId(FIRST, 0), new byte[] {2});
+        assertEquals(store.results(FIRST).orElseThrow().get(0), new byte[] {1});
+        store.drop(FIRST);
+    }
+
+    private static SubmissionContent content(int... sizes) {
+        ImmutableList.Builder<byte[]> inputs = ImmutableList.builder();
+        for (int size : sizes) {
+            inputs.add(new byte[size]);
+        }
+        return new SubmissionContent(ServiceName.of("s"), KindName.of("k"), inputs.build());
+    }
+}
