--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/log/NoteLog.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/log/NoteLog.java
@@ -7,6 +7,7 @@
 import java.util.Locale;
 import java.util.concurrent.TimeUnit;
 import org.tarragonarch.core.action.Note;
+import org.tarragonarch.core.action.NoteEvent;
 
 /**
  * Writes the core's notes to the log.
@@ -31,12 +32,12 @@
                 .atMostEvery(1, TimeUnit.SECONDS)
                 .log(
                         "%s",
-                        lazy(() ->
-                                LogLine.of(word(note), note.step(), note.peer()).with(note.fields())));
+                        lazy(() -> LogLine.of(word(note.event()), note.step(), note.peer())
+                                .with(note.fields())));
     }
 
     /** Returns the word that stands for a note's event in the log and in the metrics. */
-    public static String word(Note note) {
-        return note.event().name().toLowerCase(Locale.ROOT).replace('_', '-');
+    public static String word(NoteEvent event) {
+        return event.name().toLowerCase(Locale.ROOT).replace('_', '-');
     }
 }
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/metrics/NodeMetrics.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/metrics/NodeMetrics.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Supplier;
 import org.tarragonarch.core.action.Note;
+import org.tarragonarch.core.action.NoteEvent;
 import org.tarragonarch.core.event.SendResult;
 import org.tarragonarch.core.event.SubmissionForm;
 import org.tarragonarch.entry.http.CutCause;
@@ -37,9 +38,7 @@
         new ProcessorMetrics().bindTo(registry);
         new UptimeMetrics().bindTo(registry);
         garbageCollection.bindTo(registry);
-        for (WasteKind kind : WasteKind.values()) {
-            waste(kind);
-        }
+        startAtZero();
     }
 
     /** Returns the figures of a node that has just started. */
@@ -47,6 +46,19 @@
         return new NodeMetrics(node);
     }
 
+    // A counter that first appears with its first event shows a scraper no increase, so no alert would see that event.
+    private void startAtZero() {
+        for (WasteKind kind : WasteKind.values()) {
+            waste(kind);
+        }
+        for (SendResult result : SendResult.values()) {
+            sends(result);
+        }
+        for (NoteEvent event : NoteEvent.values()) {
+            notes(event);
+        }
+    }
+
     /** Counts one answer to a caller and its response time. */
     public void answered(SubmissionForm form, String outcome, String code, Duration responseTime) {
         Timer.builder(PREFIX + "response.time")
@@ -68,12 +80,13 @@
 
     /** Counts one message that was refused before the core saw it. */
     public void refused(String code) {
-        count("refusals", "Messages refused before they became submissions", "code", code);
+        counter("refusals", "Messages refused before they became submissions", "code", code)
+                .increment();
     }
 
     /** Counts the end of one send of a task. */
     public void sendEnded(SendResult result) {
-        count("task.sends", "Sends of tasks to endpoints, by how they ended", "result", word(result));
+        sends(result).increment();
         if (result == SendResult.REFUSED_BUSY || result == SendResult.REFUSED_DRAINING) {
             wasted(WasteKind.REFUSED_SEND);
         }
@@ -86,12 +99,12 @@
 
     /** Counts one note of the core. */
     public void noted(Note note) {
-        count("notes", "Events that the core noted", "event", NoteLog.word(note));
+        notes(note.event()).increment();
     }
 
     /** Counts one request whose token was missing, unknown or not enough. */
     public void unauthenticated(String port) {
-        count("authentication.failures", "Requests without a token that allows them", "port", port);
+        authenticationFailures(port).increment();
     }
 
     /** Counts one call to the platform. */
@@ -115,6 +128,10 @@
 
     /** Returns what hears of the connections and cuts of one port. */
     public HttpEvents httpEvents(String port) {
+        authenticationFailures(port);
+        for (CutCause cause : CutCause.values()) {
+            cuts(port, cause);
+        }
         AtomicInteger open = new AtomicInteger();
         Gauge.builder(PREFIX + "http.connections", open, AtomicInteger::get)
                 .description("Open connections")
@@ -129,12 +146,7 @@
 
             @Override
             public void cut(CutCause cause, String remote) {
-                Counter.builder(PREFIX + "http.cuts")
-                        .description("Connections and requests that a limit cut")
-                        .tag("port", port)
-                        .tag("cause", cause.word())
-                        .register(registry)
-                        .increment();
+                cuts(port, cause).increment();
             }
         };
     }
@@ -156,18 +168,34 @@
     }
 
     private Counter waste(WasteKind kind) {
-        return Counter.builder(PREFIX + "wasted.messages")
-                .description("Messages that did nothing towards a result")
-                .tag("kind", kind.word())
-                .register(registry);
+        return counter("wasted.messages", "Messages that did nothing towards a result", "kind", kind.word());
     }
 
-    private void count(String name, String description, String tag, String value) {
-        Counter.builder(PREFIX + name)
+    private Counter sends(SendResult result) {
+        return counter("task.sends", "Sends of tasks to endpoints, by how they ended", "result", word(result));
+    }
+
+    private Counter notes(NoteEvent event) {
+        return counter("notes", "Events that the core noted", "event", NoteLog.word(event));
+    }
+
+    private Counter authenticationFailures(String port) {
+        return counter("authentication.failures", "Requests without a token that allows them", "port", port);
+    }
+
+    private Counter counter(String name, String description, String tag, String value) {
+        return Counter.builder(PREFIX + name)
                 .description(description)
                 .tag(tag, value)
-                .register(registry)
-                .increment();
+                .register(registry);
+    }
+
+    private Counter cuts(String port, CutCause cause) {
+        return Counter.builder(PREFIX + "http.cuts")
+                .description("Connections and requests that a limit cut")
+                .tag("port", port)
+                .tag("cause", cause.word())
+                .register(registry);
     }
 
     private static String word(Enum<?> value) {
