Say after a failed change whether it stands, does not, or cannot be told

A trial with the store out ended in 'the object store answered 503', which left the operator to guess. The node's problem code tells a change that certainly was not accepted; a reply lost at every node is told as unsettled, with the change's mark.

--- a/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/FailureHandler.java
+++ b/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/FailureHandler.java
@@ -2,6 +2,7 @@
 
 import java.io.PrintWriter;
 import org.tarragonarch.ctl.change.ChangeConflictException;
+import org.tarragonarch.ctl.change.UnsettledChangeException;
 import org.tarragonarch.model.outcome.StepException;
 import org.tarragonarch.settings.SettingsException;
 import picocli.CommandLine;
@@ -25,6 +26,11 @@
                             + " look with 'tarragonctl diff', and apply again.");
             return ExitCode.CONFLICT.number();
         }
+        if (failure instanceof UnsettledChangeException) {
+            err.println(failure.getMessage());
+            err.println("Look for it with 'tarragonctl audit'. If it is not there, apply again: it is not made twice.");
+            return ExitCode.FAILED.number();
+        }
         if (failure instanceof StepException step) {
             err.println(
                     "failed: " + failure.getMessage() + " [step " + step.step().word() + ", peer " + step.peer() + "]");
--- a/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/admin/AdminException.java
+++ b/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/admin/AdminException.java
@@ -1,5 +1,6 @@
 package org.tarragonarch.ctl.admin;
 
+import java.net.ConnectException;
 import org.tarragonarch.model.id.Address;
 import org.tarragonarch.model.outcome.Step;
 import org.tarragonarch.model.outcome.StepException;
@@ -14,25 +15,30 @@
     private static final int CONFLICT = 409;
     private static final int FIRST_SERVER_ERROR = 500;
 
+    /** The code of a node that certainly did not have a change accepted, as the platform did not serve it. */
+    private static final String PLATFORM_UNAVAILABLE = "platform-unavailable";
+
     private final int status;
+    private final String code;
 
-    private AdminException(Step step, String peer, String message, int status, Throwable cause) {
+    private AdminException(Step step, String peer, String message, int status, String code, Throwable cause) {
         super(step, peer, message, cause);
         this.status = status;
+        this.code = code;
     }
 
     static AdminException noAnswer(Address node, Throwable cause) {
         String message = "no answer from " + node + ": " + cause.getMessage();
-        return new AdminException(Step.PEER, node.toString(), message, NO_STATUS, cause);
+        return new AdminException(Step.PEER, node.toString(), message, NO_STATUS, "", cause);
     }
 
-    static AdminException refused(Address node, int status, String detail) {
-        return new AdminException(Step.PEER, node.toString(), detail + " (status " + status + ")", status, null);
+    static AdminException refused(Address node, int status, String code, String detail) {
+        return new AdminException(Step.PEER, node.toString(), detail + " (status " + status + ")", status, code, null);
     }
 
     static AdminException unreadable(Address node, String problem) {
         String message = "the answer of " + node + " cannot be read: " + problem;
-        return new AdminException(Step.PEER, node.toString(), message, NO_STATUS, null);
+        return new AdminException(Step.PEER, node.toString(), message, NO_STATUS, "", null);
     }
 
     /** Returns the HTTP status, or {@link #NO_STATUS}. */
@@ -50,6 +56,12 @@
         return status == CONFLICT;
     }
 
+    /** Returns whether what was asked may have been done all the same. */
+    public boolean mayHaveApplied() {
+        boolean neverSent = getCause() instanceof ConnectException;
+        return undecided() && !neverSent && !code.equals(PLATFORM_UNAVAILABLE);
+    }
+
     /** Returns whether the node's answer leaves open if it did what was asked, so that another node may be asked. */
     public boolean undecided() {
         return status == NO_STATUS || status >= FIRST_SERVER_ERROR;
--- a/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/admin/AdminHttp.java
+++ b/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/admin/AdminHttp.java
@@ -61,7 +61,8 @@
             if (response.isSuccessful()) {
                 return body;
             }
-            throw AdminException.refused(node, response.code(), detail(node, response, body));
+            throw AdminException.refused(
+                    node, response.code(), body.path("code").asText(""), detail(node, response, body));
         } catch (JsonProcessingException e) {
             throw AdminException.unreadable(node, e.getOriginalMessage());
         } catch (IOException e) {
--- a/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/change/AdminGateway.java
+++ b/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/change/AdminGateway.java
@@ -10,6 +10,7 @@
 import org.tarragonarch.ctl.admin.ChangeRequest;
 import org.tarragonarch.ctl.admin.ConfigurationView;
 import org.tarragonarch.model.id.ConfigurationVersion;
+import org.tarragonarch.model.outcome.StepException;
 import org.tarragonarch.platform.AuditRecord;
 
 /** Reaches the accepted configurations through the administration API of whichever node answers. */
@@ -41,15 +42,24 @@
      * sees that the first had it accepted already although the reply was lost.
      */
     @Override
-    public ConfigurationVersion accept(ChangeRequest change) throws ChangeConflictException, AdminException {
-        try {
-            return first(client -> client.accept(change));
-        } catch (AdminException e) {
-            if (e.conflict()) {
-                throw new ChangeConflictException(e.peer(), e.getMessage());
+    public ConfigurationVersion accept(ChangeRequest change) throws StepException {
+        AdminException last = null;
+        boolean mayHaveApplied = false;
+        for (AdminClient client : nodes.clients()) {
+            try {
+                return client.accept(change);
+            } catch (AdminException e) {
+                if (e.conflict()) {
+                    throw new ChangeConflictException(e.peer(), e.getMessage());
+                }
+                last = e;
+                mayHaveApplied |= e.mayHaveApplied();
+                if (!e.undecided()) {
+                    break;
+                }
             }
-            throw e;
         }
+        throw mayHaveApplied ? new UnsettledChangeException(change.change(), last) : last;
     }
 
     @Override
--- a/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/change/ChangeMaker.java
+++ b/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/change/ChangeMaker.java
@@ -44,7 +44,8 @@
      * @param summary what the audit trail says of it; cut where it is too long
      * @return the new version
      * @throws ChangeConflictException if another change was accepted since it was planned
-     * @throws StepException if it was refused, or it cannot be said whether it was accepted
+     * @throws UnsettledChangeException if it cannot be said whether it was accepted
+     * @throws StepException if it certainly was not accepted
      */
     public ConfigurationVersion make(PlannedChange planned, String summary) throws StepException {
         ChangeId mark = new ChangeId(UUID.randomUUID().toString());
--- a/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/change/ConfigurationGateway.java
+++ b/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/change/ConfigurationGateway.java
@@ -28,9 +28,10 @@
      *
      * @return the version under which it was accepted
      * @throws ChangeConflictException if another change was accepted first
-     * @throws StepException if it was refused, or it cannot be said whether it was accepted
+     * @throws UnsettledChangeException if it cannot be said whether it was accepted
+     * @throws StepException if it certainly was not accepted
      */
-    ConfigurationVersion accept(ChangeRequest change) throws ChangeConflictException, StepException;
+    ConfigurationVersion accept(ChangeRequest change) throws StepException;
 
     /**
      * Reads the audit trail, the newest change first.
--- a/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/change/StoreGateway.java
+++ b/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/change/StoreGateway.java
@@ -8,6 +8,7 @@
 import org.tarragonarch.model.id.ConfigurationVersion;
 import org.tarragonarch.model.id.ContentDigest;
 import org.tarragonarch.model.id.OperatorName;
+import org.tarragonarch.model.outcome.StepException;
 import org.tarragonarch.model.platform.ConfigurationRow;
 import org.tarragonarch.platform.AuditRecord;
 import org.tarragonarch.platform.ConfigurationConflictException;
@@ -55,7 +56,7 @@
     }
 
     @Override
-    public ConfigurationVersion accept(ChangeRequest change) throws ChangeConflictException, PlatformException {
+    public ConfigurationVersion accept(ChangeRequest change) throws StepException {
         AuditRecord record = new AuditRecord(
                 change.from().next(),
                 change.from(),
@@ -68,6 +69,8 @@
             return store.accept(record, change.canonical()).version();
         } catch (ConfigurationConflictException e) {
             throw new ChangeConflictException(e.peer(), e.getMessage());
+        } catch (PlatformException e) {
+            throw e.mayHaveApplied() ? new UnsettledChangeException(change.change(), e) : e;
         }
     }
 
--- a/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/command/ChangeCommand.java
+++ b/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/command/ChangeCommand.java
@@ -5,14 +5,17 @@
 import java.time.Duration;
 import org.tarragonarch.ctl.ExitCode;
 import org.tarragonarch.ctl.admin.AdminNodes;
+import org.tarragonarch.ctl.change.ChangeConflictException;
 import org.tarragonarch.ctl.change.ChangeMaker;
 import org.tarragonarch.ctl.change.DomainRollout;
 import org.tarragonarch.ctl.change.PlannedChange;
 import org.tarragonarch.ctl.change.Rollout;
 import org.tarragonarch.ctl.change.RolloutWatch;
+import org.tarragonarch.ctl.change.UnsettledChangeException;
 import org.tarragonarch.ctl.connection.Connection;
 import org.tarragonarch.ctl.output.Table;
 import org.tarragonarch.model.id.ConfigurationVersion;
+import org.tarragonarch.model.outcome.StepException;
 import picocli.CommandLine.Mixin;
 
 /** A command that changes the configuration and waits until the change is in force everywhere. */
@@ -25,7 +28,7 @@
 
     /** Has the change accepted, waits, and prints how far it came. */
     final int make(Connection connection, ChangeMaker maker, PlannedChange planned, String summary) throws Exception {
-        ConfigurationVersion version = maker.make(planned, summary);
+        ConfigurationVersion version = accepted(maker, planned, summary);
         if (!output().json()) {
             output().line("accepted as version " + version + ", in place of version " + planned.from());
         }
@@ -41,6 +44,18 @@
         }
     }
 
+    private ConfigurationVersion accepted(ChangeMaker maker, PlannedChange planned, String summary)
+            throws StepException {
+        try {
+            return maker.make(planned, summary);
+        } catch (ChangeConflictException | UnsettledChangeException e) {
+            throw e;
+        } catch (StepException e) {
+            output().note("not accepted; nothing was changed");
+            throw e;
+        }
+    }
+
     private int tellUnwatched(ConfigurationVersion version, PlannedChange planned) {
         if (output().json()) {
             output().value(json(version, planned));
--- a/tarragonarch-ctl/src/test/java/org/tarragonarch/ctl/CtlMainTest.java
+++ b/tarragonarch-ctl/src/test/java/org/tarragonarch/ctl/CtlMainTest.java
@@ -122,6 +122,31 @@
         assertEquals(system.newest(), 1);
     }
 
+    /**
+     * Every node goes away before it replies. Ann must not read that nothing was changed, since the change stands; she
+     * is told its mark and finds it in the audit trail.
+     */
+    @Test
+    public void testApply_everyReplyLost() {
+        hobart.repliesToLose.set(1);
+        devonport.repliesToLose.set(1);
+        assertEquals(connected("apply", folder.toString()), ExitCode.FAILED.number());
+        String change = system.records().get(0).change().value();
+        assertTrue(err().contains("it cannot be said yet whether change " + change + " was accepted"), err());
+        assertFalse(err().contains("nothing was changed"), err());
+        connected("audit");
+        assertTrue(out().contains(change), out());
+    }
+
+    /** The platform's store is out, as each node says: the change certainly was not accepted. */
+    @Test
+    public void testApply_storeOut() {
+        system.storeOut = true;
+        assertEquals(connected("apply", folder.toString()), ExitCode.FAILED.number());
+        assertTrue(err().contains("not accepted; nothing was changed"), err());
+        assertEquals(system.newest(), 0);
+    }
+
     @Test
     public void testRollback_isANewVersion() throws IOException {
         connected("apply", folder.toString());
--- a/tarragonarch-ctl/src/test/java/org/tarragonarch/ctl/FakeNode.java
+++ b/tarragonarch-ctl/src/test/java/org/tarragonarch/ctl/FakeNode.java
@@ -125,6 +125,10 @@
     }
 
     private void accept(HttpExchange exchange) throws IOException {
+        if (system.storeOut) {
+            reply(exchange, 503, MAPPER.createObjectNode().put("code", "platform-unavailable"));
+            return;
+        }
         Map<String, String> query = query(exchange);
         String text = new String(exchange.getRequestBody().readAllBytes(), StandardCharsets.UTF_8);
         int version =
--- a/tarragonarch-ctl/src/test/java/org/tarragonarch/ctl/FakeSystem.java
+++ b/tarragonarch-ctl/src/test/java/org/tarragonarch/ctl/FakeSystem.java
@@ -13,6 +13,9 @@
 final class FakeSystem {
     static final String TOKEN = "a-secret-token";
 
+    /** Whether no change can be accepted. */
+    volatile boolean storeOut;
+
     private final List<AuditRecord> records = new ArrayList<>();
     private final List<String> texts = new ArrayList<>();
 
