--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/node/EntryNode.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/node/EntryNode.java
@@ -93,7 +93,8 @@
         this.identity = checkNotNull(identity, "identity");
         this.policy = checkNotNull(policy, "policy");
         this.configuration = ConfigurationKeeper.create(policy);
-        this.endpoints = EndpointDirectory.create(identity.node(), identity.domain(), new Random(seed));
+        this.endpoints =
+                EndpointDirectory.create(identity.node(), identity.domain(), new Random(seed), policy.placement());
         this.peers = PeerDirectory.create(identity, policy);
         this.quotas = TeamQuotas.create(this::quotaOf);
         this.keys = KeyBook.create(identity, policy);
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/node/NodePolicy.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/node/NodePolicy.java
@@ -1,8 +1,10 @@
 package org.tarragonarch.core.node;
 
 import static com.google.common.base.Preconditions.checkArgument;
+import static com.google.common.base.Preconditions.checkNotNull;
 
 import java.time.Duration;
+import org.tarragonarch.core.placement.PlacementStrategy;
 
 /**
  * The times and bounds that a node works by; every one has a default that suits the sizes of the brief.
@@ -16,6 +18,7 @@
  * @param maxKeptAnswers the most answers kept
  * @param drainDelay how long a leaving node still takes work, while the balancer learns of it
  * @param drainDeadline how long a leaving node works at what it has before it cuts the rest
+ * @param placement how endpoints are chosen; the others than the default are for comparison
  */
 public record NodePolicy(
         Duration vmListInterval,
@@ -26,7 +29,8 @@
         Duration keptAnswer,
         int maxKeptAnswers,
         Duration drainDelay,
-        Duration drainDeadline) {
+        Duration drainDeadline,
+        PlacementStrategy placement) {
     /** The policy that a node has when its settings name no other. */
     public static final NodePolicy DEFAULT = new NodePolicy(
             Duration.ofSeconds(2),
@@ -37,7 +41,8 @@
             Duration.ofMinutes(5),
             10_000,
             Duration.ofSeconds(3),
-            Duration.ofSeconds(30));
+            Duration.ofSeconds(30),
+            PlacementStrategy.SLOT_SHARES);
 
     /** Checks that every time is positive. */
     public NodePolicy {
@@ -50,6 +55,7 @@
         checkArgument(maxKeptAnswers >= 0, "max-kept-answers %s is negative", maxKeptAnswers);
         checkArgument(!drainDelay.isNegative(), "drain-delay is negative");
         checkPositive("drain-deadline", drainDeadline);
+        checkNotNull(placement, "placement");
     }
 
     private static void checkPositive(String name, Duration duration) {
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placement/PlacementStrategy.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placement/PlacementStrategy.java
@@ -1,5 +1,6 @@
 package org.tarragonarch.core.placement;
 
+import com.google.common.base.Ascii;
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
@@ -72,6 +73,11 @@
         }
     };
 
+    /** Returns the word that stands for this in settings. */
+    public String word() {
+        return Ascii.toLowerCase(name()).replace('_', '-');
+    }
+
     /** Returns where an endpoint stands in the pool's index; a higher one is preferred. */
     abstract int rank(EndpointSlots endpoint);
 
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/settings/NodeSettingsReader.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/settings/NodeSettingsReader.java
@@ -1,11 +1,13 @@
 package org.tarragonarch.entry.settings;
 
+import com.google.common.collect.ImmutableList;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.Optional;
 import org.tarragonarch.core.node.NodePolicy;
+import org.tarragonarch.core.placement.PlacementStrategy;
 import org.tarragonarch.entry.endpoint.EndpointLimits;
 import org.tarragonarch.entry.http.HttpLimits;
 import org.tarragonarch.model.id.FailureDomain;
@@ -88,7 +90,12 @@
                 positive(policy, "kept-answer", standard.keptAnswer()),
                 policy.integer("max-kept-answers", 0, Integer.MAX_VALUE, standard.maxKeptAnswers()),
                 policy.duration("drain-delay", standard.drainDelay()),
-                positive(policy, "drain-deadline", standard.drainDeadline()));
+                positive(policy, "drain-deadline", standard.drainDeadline()),
+                policy.choice(
+                        "placement",
+                        ImmutableList.copyOf(PlacementStrategy.values()),
+                        PlacementStrategy::word,
+                        Optional.of(standard.placement())));
         policy.finish();
         return read;
     }
