--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/action/Action.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/action/Action.java
@@ -13,6 +13,7 @@
                 WriteClaims,
                 ReadClaims,
                 ReleaseClaim,
+                SweepClaims,
                 AskPeerAnswer,
                 GivePeerAnswer,
                 SendReport,
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/claim/KeyBook.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/claim/KeyBook.java
@@ -3,6 +3,7 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.primitives.Longs;
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -10,6 +11,7 @@
 import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Random;
 import java.util.Set;
 import org.tarragonarch.core.action.ActionSink;
 import org.tarragonarch.core.action.AskPeerAnswer;
@@ -58,17 +60,19 @@
     private final Set<ClaimToken> released = new LinkedHashSet<>();
     private final ClaimBatcher batcher = new ClaimBatcher();
     private final KeptAnswers kept;
+    private final ClaimSweeper sweeper;
     private Dispatcher dispatcher;
 
-    private KeyBook(NodeIdentity self, NodePolicy policy) {
+    private KeyBook(NodeIdentity self, NodePolicy policy, Random random) {
         this.self = checkNotNull(self, "self");
         this.claimTimeout = policy.claimTimeout();
+        this.sweeper = new ClaimSweeper(random);
         this.kept = new KeptAnswers(policy.keptAnswer().toNanos(), policy.maxKeptAnswers());
     }
 
     /** Returns a book without keys; {@link #connect} must follow. */
-    public static KeyBook create(NodeIdentity self, NodePolicy policy) {
-        return new KeyBook(self, policy);
+    public static KeyBook create(NodeIdentity self, NodePolicy policy, Random random) {
+        return new KeyBook(self, policy, random);
     }
 
     /** Connects the dispatcher, which in turn reports ends to this book. */
@@ -186,6 +190,7 @@
             }
         }
         batcher.timePassed(nowNanos, sink);
+        sweeper.timePassed(nowNanos, sink);
         Optional<KeyEntry> old = kept.forget(nowNanos);
         while (old.isPresent()) {
             forget(old.get(), sink);
@@ -196,7 +201,7 @@
     /** Returns when {@link #timePassed} is next due. */
     public long nextWakeNanos() {
         long claimEnd = claiming.isEmpty() ? Long.MAX_VALUE : claiming.peek().arrivedNanos() + claimTimeout.toNanos();
-        return Math.min(claimEnd, Math.min(batcher.nextWakeNanos(), kept.nextWakeNanos()));
+        return Longs.min(claimEnd, batcher.nextWakeNanos(), kept.nextWakeNanos(), sweeper.nextWakeNanos());
     }
 
     private boolean claimOver(Submission submission, long nowNanos) {
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/node/EntryNode.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/node/EntryNode.java
@@ -7,7 +7,6 @@
 import com.google.common.collect.Sets;
 import com.google.common.primitives.Longs;
 import java.util.Optional;
-import java.util.Random;
 import org.tarragonarch.core.action.ActionSink;
 import org.tarragonarch.core.action.AnswerProblem;
 import org.tarragonarch.core.action.Note;
@@ -92,12 +91,12 @@
     private EntryNode(NodeIdentity identity, NodePolicy policy, long seed) {
         this.identity = checkNotNull(identity, "identity");
         this.policy = checkNotNull(policy, "policy");
+        Random random = new Random(seed);
         this.configuration = ConfigurationKeeper.create(policy);
-        this.endpoints =
-                EndpointDirectory.create(identity.node(), identity.domain(), new Random(seed), policy.placement());
+        this.endpoints = EndpointDirectory.create(identity.node(), identity.domain(), random, policy.placement());
         this.peers = PeerDirectory.create(identity, policy);
         this.quotas = TeamQuotas.create(this::quotaOf);
-        this.keys = KeyBook.create(identity, policy);
+        this.keys = KeyBook.create(identity, policy, random);
         RunTimeEstimator runTimes = RunTimeEstimator.create();
         this.dispatcher = Dispatcher.create(submissions, endpoints, quotas, runTimes, keys);
         this.keys.connect(dispatcher);
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/node/EntryNodeTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/node/EntryNodeTest.java
@@ -15,6 +15,7 @@
 import org.tarragonarch.core.action.ReadClaims;
 import org.tarragonarch.core.action.ReleaseClaim;
 import org.tarragonarch.core.action.SendTask;
+import org.tarragonarch.core.action.SweepClaims;
 import org.tarragonarch.core.action.WriteClaims;
 import org.tarragonarch.core.event.CancelCause;
 import org.tarragonarch.core.event.CancelRequested;
@@ -205,6 +206,14 @@
                 node.last(WriteClaims.class).claims().get(0));
     }
 
+    /** Claims that nobody deletes would fill the table within weeks; each node has the old ones deleted now and then. */
+    @Test
+    public void testSweep_oldClaimsOnly() {
+        NodeFixture node = NodeFixture.serving(8);
+        node.pass(Duration.ofHours(4));
+        assertEquals(node.all(SweepClaims.class), List.of(new SweepClaims(Duration.ofHours(24))));
+    }
+
     /**
      * A caller loses its connection after its renewal was sent, and comes back with the same key. The renewal runs on
      * and the caller gets its answer; without a key nobody could ask for it.
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/Daemon.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/Daemon.java
@@ -23,6 +23,7 @@
 import org.tarragonarch.core.action.SendReport;
 import org.tarragonarch.core.action.SendTask;
 import org.tarragonarch.core.action.StopTask;
+import org.tarragonarch.core.action.SweepClaims;
 import org.tarragonarch.core.action.WakeAt;
 import org.tarragonarch.core.action.WriteClaims;
 import org.tarragonarch.core.event.DrainRequested;
@@ -194,6 +195,7 @@
                 .on(WriteClaims.class, platformShell::writeClaims)
                 .on(ReadClaims.class, platformShell::readClaims)
                 .on(ReleaseClaim.class, platformShell::releaseClaim)
+                .on(SweepClaims.class, platformShell::sweepClaims)
                 .on(ReadVmList.class, platformShell::readVmList)
                 .on(ReadConfigurationRow.class, platformShell::readConfigurationRow)
                 .on(LoadConfiguration.class, this::loadConfiguration)
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/platform/PlatformShell.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/platform/PlatformShell.java
@@ -20,6 +20,7 @@
 import org.tarragonarch.core.action.ReadConfigurationRow;
 import org.tarragonarch.core.action.ReadVmList;
 import org.tarragonarch.core.action.ReleaseClaim;
+import org.tarragonarch.core.action.SweepClaims;
 import org.tarragonarch.core.action.WriteClaims;
 import org.tarragonarch.core.event.ClaimResult;
 import org.tarragonarch.core.event.ClaimsRead;
@@ -123,6 +124,11 @@
                 failure -> {});
     }
 
+    /** Deletes old claims, if that can be done now; another node sweeps too. */
+    public void sweepClaims(SweepClaims action) {
+        run(claimLane, "sweep-claims", () -> claims.sweep(action.olderThan()), swept -> {}, failure -> {});
+    }
+
     /** Reads the list of VMs. */
     public void readVmList(ReadVmList action) {
         call(
