Know the peers and keep the configuration

PeerDirectory: alive is who is heard, whatever the list says; earlier runs and late reports are dropped; an own pause makes no peer silent; full mesh in the domain, 2 senders x 2 receivers between each pair of domains by rendezvous hashing; deltas numbered without gaps, a full report after 8; rounds at 250 ms while loads change, at a third of peerSilence when idle, and within 6,000 B/s.

ConfigurationKeeper: only higher versions whose digest does not contradict the row; a peer's newer version makes the row be read at once, and the peer be asked when the store fails, is slower than 0.5 s or gives a stale row; failing sources are left alone for 0.25 s doubling to 4 s.

Ruled out: deltas against the last full report (as long as a full one within a few rounds, since tasks end in under a second).

--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/action/NoteEvent.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/action/NoteEvent.java
@@ -26,6 +26,8 @@
     PEER_SILENT,
     /** A report from an earlier run of a peer, or out of order, was dropped. */
     STALE_REPORT_DROPPED,
+    /** A report of a peer was lost, so that its loads may be partly old until its next full one. */
+    REPORT_GAP,
     /** An older configuration than the one in force was offered and refused. */
     OLD_CONFIGURATION_REFUSED,
     /** A read from the platform failed. */
--- /dev/null
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/configuration/Source.java
@@ -0,0 +1,51 @@
+package org.tarragonarch.core.configuration;
+
+import java.time.Duration;
+import java.util.Optional;
+import org.tarragonarch.model.id.NodeId;
+
+/** One place that a configuration can be had from, and when it may be asked next. */
+final class Source {
+    private static final Duration FIRST_BACKOFF = Duration.ofMillis(250);
+    private static final Duration MAX_BACKOFF = Duration.ofSeconds(4);
+
+    private final Optional<NodeId> peer;
+    private Duration backoff = FIRST_BACKOFF;
+    private long usableFromNanos = Long.MIN_VALUE;
+
+    private Source(Optional<NodeId> peer) {
+        this.peer = peer;
+    }
+
+    static Source store() {
+        return new Source(Optional.empty());
+    }
+
+    static Source peer(NodeId peer) {
+        return new Source(Optional.of(peer));
+    }
+
+    /** Returns the peer; empty for the object store. */
+    Optional<NodeId> peer() {
+        return peer;
+    }
+
+    boolean usable(long nowNanos) {
+        return nowNanos >= usableFromNanos;
+    }
+
+    long usableFromNanos() {
+        return usableFromNanos;
+    }
+
+    void failed(long nowNanos) {
+        usableFromNanos = nowNanos + backoff.toNanos();
+        Duration doubled = backoff.multipliedBy(2);
+        backoff = doubled.compareTo(MAX_BACKOFF) < 0 ? doubled : MAX_BACKOFF;
+    }
+
+    void worked() {
+        backoff = FIRST_BACKOFF;
+        usableFromNanos = Long.MIN_VALUE;
+    }
+}
--- /dev/null
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/membership/LoadNews.java
@@ -0,0 +1,15 @@
+package org.tarragonarch.core.membership;
+
+import com.google.common.collect.ImmutableList;
+import org.tarragonarch.model.report.EndpointLoad;
+
+/**
+ * What one report tells of loads.
+ *
+ * @param loads the loads named
+ * @param full whether endpoints that are not named have nothing in flight
+ */
+record LoadNews(ImmutableList<EndpointLoad> loads, boolean full) {
+    /** Tells nothing, and takes nothing back. */
+    static final LoadNews NONE = new LoadNews(ImmutableList.of(), false);
+}
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/membership/PeerDirectory.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/membership/PeerDirectory.java
@@ -1,25 +1,58 @@
 package org.tarragonarch.core.membership;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
+import java.time.Duration;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.function.Supplier;
 import org.tarragonarch.core.action.ActionSink;
+import org.tarragonarch.core.action.Note;
+import org.tarragonarch.core.action.NoteEvent;
 import org.tarragonarch.core.node.NodeIdentity;
 import org.tarragonarch.core.node.NodePolicy;
 import org.tarragonarch.core.status.PeerStatus;
+import org.tarragonarch.model.id.Names;
 import org.tarragonarch.model.id.NodeId;
+import org.tarragonarch.model.outcome.Step;
 import org.tarragonarch.model.platform.VmRecord;
+import org.tarragonarch.model.platform.VmRole;
 import org.tarragonarch.model.report.PeerReport;
 
 /**
  * The other nodes: which are alive, and when each gets its next report.
  *
+ * <p>A peer is alive while it is heard, whatever the platform's list says: the list lags, and may be out. The list says
+ * only where a peer listens, and that it exists.
+ *
  * <p>Not safe for use by several threads.
  */
 public final class PeerDirectory {
+    /** The most peers kept; whoever comes beyond them is not heard. */
+    private static final int MAX_PEERS = 2_048;
+
+    /** How long a peer that is neither listed nor heard is kept; it may only be cut off and still use its share. */
+    private static final Duration FORGET_AFTER = Duration.ofMinutes(1);
+
     private final NodeIdentity self;
+    private final long silenceNanos;
+    private final PauseDetector pause;
+    private final LinkChoice linkChoice;
+    private final Reporter reporter;
+    private final Map<NodeId, Peer> peers = new TreeMap<>();
+    private ImmutableSet<NodeId> aliveInDomain;
+    private int sharers = 1;
+    private long nextCheckNanos = Long.MAX_VALUE;
 
     private PeerDirectory(NodeIdentity self, NodePolicy policy) {
         this.self = self;
+        this.silenceNanos = policy.peerSilence().toNanos();
+        this.pause = new PauseDetector(policy);
+        this.linkChoice = new LinkChoice(self.node(), self.domain());
+        this.reporter = new Reporter(self, new ReportPacer(policy));
+        this.aliveInDomain = ImmutableSet.of(self.node());
     }
 
     /** Returns a directory that knows no peer. */
@@ -28,27 +61,80 @@
     }
 
     /** Takes in the platform's list. */
-    public void listed(ImmutableList<VmRecord> vms, long nowNanos, ActionSink sink) {}
+    public void listed(ImmutableList<VmRecord> vms, long nowNanos, ActionSink sink) {
+        peers.values().forEach(Peer::unlisted);
+        for (VmRecord vm : vms) {
+            if (vm.role() == VmRole.ENTRY && Names.wellFormed(vm.name())) {
+                NodeId node = NodeId.of(vm.name());
+                find(node, () -> new Peer(node, vm.domain(), nowNanos)).ifPresent(peer -> peer.listed(vm, nowNanos));
+            }
+        }
+        peers.values()
+                .removeIf(peer -> !peer.listed()
+                        && !peer.alive()
+                        && nowNanos - pause.since(peer.lastSignNanos()) > FORGET_AFTER.toNanos());
+        changed(nowNanos);
+    }
 
     /** Takes in a report; returns whether it is news, and not from an earlier run or out of order. */
     public boolean heard(PeerReport report, long nowNanos, ActionSink sink) {
-        return false;
+        Optional<Peer> found = find(report.from(), () -> new Peer(report.from(), report.domain(), nowNanos));
+        if (found.isEmpty() || found.get().isOld(report)) {
+            sink.emit(Note.of(
+                    NoteEvent.STALE_REPORT_DROPPED,
+                    Step.PEER,
+                    report.from().value(),
+                    "run",
+                    report.incarnation() + "/" + report.sequence()));
+            return false;
+        }
+        Peer peer = found.get();
+        boolean wasAlive = peer.alive();
+        boolean tookWork = peer.takesWork();
+        boolean wasBehind = peer.behind();
+        peer.heard(report, nowNanos);
+        if (!wasAlive) {
+            note(NoteEvent.PEER_ALIVE, peer, sink);
+        }
+        if (peer.behind() && !wasBehind) {
+            note(NoteEvent.REPORT_GAP, peer, sink);
+        }
+        nextCheckNanos = Math.min(nextCheckNanos, nowNanos + silenceNanos);
+        if (!wasAlive || tookWork != peer.takesWork()) {
+            changed(nowNanos);
+        }
+        return true;
     }
 
-    /** Notes peers that fell silent and sends the reports that are due. */
-    public void timePassed(long nowNanos, ReportSource source, ActionSink sink) {}
+    /** Notes peers that fell silent and sends the reports that are due; costs next to nothing when nothing is due. */
+    public void timePassed(long nowNanos, ReportSource source, ActionSink sink) {
+        if (pause.called(nowNanos)) {
+            // Peers have dropped what they knew of a node that they did not hear.
+            peers.values().forEach(peer -> peer.stream().startOver());
+        }
+        if (nowNanos >= nextCheckNanos) {
+            checkSilence(nowNanos, sink);
+        }
+        reporter.timePassed(peers, nowNanos, source, sink);
+    }
 
-    /** Sends every peer a report now, because something must be known at once. */
-    public void reportNow(long nowNanos, ReportSource source, ActionSink sink) {}
+    /**
+     * Sends every peer a report now, if what must be known at once has changed since the last one.
+     *
+     * <p>Called for each answer of an endpoint that is leaving, thousands a second; only the first brings news.
+     */
+    public void reportNow(long nowNanos, ReportSource source, ActionSink sink) {
+        reporter.reportNow(peers, nowNanos, source, sink);
+    }
 
     /** Returns when {@link #timePassed} is next due. */
     public long nextWakeNanos() {
-        return Long.MAX_VALUE;
+        return Math.min(nextCheckNanos, reporter.nextRoundNanos());
     }
 
     /** Returns the nodes of the own failure domain that are alive and take work, this one among them. */
     public ImmutableSet<NodeId> aliveInDomain() {
-        return ImmutableSet.of(self.node());
+        return aliveInDomain;
     }
 
     /**
@@ -58,11 +144,75 @@
      * uses its share.
      */
     public int sharers() {
-        return 1;
+        return sharers;
     }
 
     /** Returns a line for each peer. */
     public ImmutableList<PeerStatus> status() {
-        return ImmutableList.of();
+        return peers.values().stream().map(Peer::status).collect(ImmutableList.toImmutableList());
+    }
+
+    private Optional<Peer> find(NodeId node, Supplier<Peer> create) {
+        if (node.equals(self.node())) {
+            return Optional.empty();
+        }
+        Peer known = peers.get(node);
+        if (known == null && peers.size() < MAX_PEERS) {
+            known = create.get();
+            peers.put(node, known);
+        }
+        return Optional.ofNullable(known);
+    }
+
+    private void checkSilence(long nowNanos, ActionSink sink) {
+        nextCheckNanos = Long.MAX_VALUE;
+        for (Peer peer : peers.values()) {
+            if (peer.alive()) {
+                long due = pause.since(peer.heardNanos()) + silenceNanos;
+                if (nowNanos >= due) {
+                    peer.silent();
+                    note(NoteEvent.PEER_SILENT, peer, sink);
+                } else {
+                    nextCheckNanos = Math.min(nextCheckNanos, due);
+                }
+            }
+        }
+        changed(nowNanos);
+    }
+
+    private void changed(long nowNanos) {
+        ImmutableSet.Builder<NodeId> workers = ImmutableSet.builder();
+        ImmutableSet.Builder<NodeId> alive = ImmutableSet.builder();
+        workers.add(self.node());
+        alive.add(self.node());
+        int inDomain = 1;
+        for (Peer peer : peers.values()) {
+            if (peer.domain().equals(self.domain())) {
+                inDomain++;
+                if (peer.alive()) {
+                    alive.add(peer.node());
+                }
+                if (peer.takesWork()) {
+                    workers.add(peer.node());
+                }
+            }
+        }
+        sharers = inDomain;
+        aliveInDomain = workers.build();
+        reporter.links(linkChoice.choose(reachable(), alive.build()), nowNanos);
+    }
+
+    private ImmutableList<Peer> reachable() {
+        return peers.values().stream()
+                .filter(peer -> peer.address().isPresent())
+                .collect(ImmutableList.toImmutableList());
+    }
+
+    private static void note(NoteEvent event, Peer peer, ActionSink sink) {
+        sink.emit(new Note(
+                event,
+                Step.PEER,
+                peer.node().value(),
+                ImmutableMap.of("domain", peer.domain().value())));
     }
 }
--- /dev/null
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/membership/Reporter.java
@@ -0,0 +1,134 @@
+package org.tarragonarch.core.membership;
+
+import static java.util.Comparator.comparingLong;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
+import java.time.Duration;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import org.tarragonarch.core.action.ActionSink;
+import org.tarragonarch.core.action.SendReport;
+import org.tarragonarch.core.node.NodeIdentity;
+import org.tarragonarch.model.id.EndpointId;
+import org.tarragonarch.model.id.NodeId;
+import org.tarragonarch.model.report.EndpointLoad;
+import org.tarragonarch.model.report.PeerReport;
+
+/** Sends the reports, in rounds: one to each linked peer. */
+final class Reporter {
+    /** The least time between two looks for urgent news, so that a burst of asking costs little. */
+    private static final long URGENT_GAP_NANOS = Duration.ofMillis(50).toNanos();
+
+    private final NodeIdentity self;
+    private final ReportPacer pacer;
+    private ImmutableSet<NodeId> links = ImmutableSet.of();
+    private Optional<Urgent> reported = Optional.empty();
+    private ImmutableMap<EndpointId, Integer> loadsBefore = ImmutableMap.of();
+    private long nextRoundNanos = Long.MAX_VALUE;
+    private long nextUrgentNanos = Long.MAX_VALUE;
+    private long urgentLookNanos = Long.MIN_VALUE;
+
+    Reporter(NodeIdentity self, ReportPacer pacer) {
+        this.self = self;
+        this.pacer = pacer;
+    }
+
+    /** Returns when something may next be due. */
+    long nextRoundNanos() {
+        return Math.min(nextRoundNanos, nextUrgentNanos);
+    }
+
+    /** Takes in the peers that get reports from now on; a new one gets its first at once. */
+    void links(ImmutableSet<NodeId> now, long nowNanos) {
+        if (!links.containsAll(now)) {
+            nextRoundNanos = nowNanos;
+        }
+        links = now;
+        if (links.isEmpty()) {
+            nextRoundNanos = Long.MAX_VALUE;
+            nextUrgentNanos = Long.MAX_VALUE;
+        }
+    }
+
+    void timePassed(Map<NodeId, Peer> peers, long nowNanos, ReportSource source, ActionSink sink) {
+        if (links.isEmpty()) {
+            return;
+        }
+        boolean newPhase =
+                reported.filter(last -> last.phase() != source.phase()).isPresent();
+        if (nowNanos >= nextRoundNanos || newPhase) {
+            round(peers, Urgent.of(source), nowNanos, source, sink);
+        } else if (nowNanos >= nextUrgentNanos) {
+            reportNow(peers, nowNanos, source, sink);
+        }
+    }
+
+    /** Sends a round if there is urgent news; asked again within the gap, looks once more at its end. */
+    void reportNow(Map<NodeId, Peer> peers, long nowNanos, ReportSource source, ActionSink sink) {
+        if (links.isEmpty()) {
+            return;
+        }
+        if (urgentLookNanos != Long.MIN_VALUE && nowNanos - urgentLookNanos < URGENT_GAP_NANOS) {
+            nextUrgentNanos = urgentLookNanos + URGENT_GAP_NANOS;
+            return;
+        }
+        urgentLookNanos = nowNanos;
+        nextUrgentNanos = Long.MAX_VALUE;
+        Urgent urgent = Urgent.of(source);
+        if (!reported.equals(Optional.of(urgent))) {
+            round(peers, urgent, nowNanos, source, sink);
+        }
+    }
+
+    private void round(Map<NodeId, Peer> peers, Urgent urgent, long nowNanos, ReportSource source, ActionSink sink) {
+        ImmutableMap<EndpointId, Integer> loads = source.loads().stream()
+                .collect(ImmutableMap.toImmutableMap(EndpointLoad::endpoint, EndpointLoad::inFlight));
+        pacer.timePassed(nowNanos);
+        long bytes = 0;
+        for (Peer peer : longestUntoldFirst(peers)) {
+            bytes += report(peer, urgent, loads, nowNanos, sink);
+        }
+        nextRoundNanos = nowNanos + pacer.untilNextRound(!loads.equals(loadsBefore), bytes);
+        loadsBefore = loads;
+        reported = Optional.of(urgent);
+    }
+
+    private ImmutableList<Peer> longestUntoldFirst(Map<NodeId, Peer> peers) {
+        return links.stream()
+                .map(peers::get)
+                .filter(Objects::nonNull)
+                .sorted(comparingLong(peer -> peer.stream().loadsToldNanos()))
+                .collect(ImmutableList.toImmutableList());
+    }
+
+    private long report(
+            Peer peer, Urgent urgent, ImmutableMap<EndpointId, Integer> loads, long nowNanos, ActionSink sink) {
+        int always = urgent.leaving().size() + urgent.quarantined().size();
+        LoadNews news = LoadNews.NONE;
+        if (peer.domain().equals(self.domain())) {
+            LoadNews wanted = peer.stream().news(loads);
+            if (pacer.affords(ReportPacer.cost(always + wanted.loads().size()))) {
+                news = wanted;
+                peer.stream().told(wanted, nowNanos);
+            }
+        }
+        long cost = ReportPacer.cost(always + news.loads().size());
+        pacer.spend(cost);
+        PeerReport report = new PeerReport(
+                self.node(),
+                self.incarnation(),
+                peer.stream().nextSequence(),
+                self.domain(),
+                urgent.phase(),
+                urgent.configuration(),
+                news.loads(),
+                news.full(),
+                urgent.leaving(),
+                urgent.quarantined());
+        sink.emit(new SendReport(peer.node(), peer.address().orElseThrow(), report));
+        return cost;
+    }
+}
--- /dev/null
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/membership/Urgent.java
@@ -0,0 +1,17 @@
+package org.tarragonarch.core.membership;
+
+import com.google.common.collect.ImmutableSet;
+import org.tarragonarch.model.id.ConfigurationVersion;
+import org.tarragonarch.model.id.EndpointId;
+import org.tarragonarch.model.report.NodePhase;
+
+/** The part of a report that peers need at once when it changes; every report holds it whole. */
+record Urgent(
+        NodePhase phase,
+        ConfigurationVersion configuration,
+        ImmutableSet<EndpointId> leaving,
+        ImmutableSet<EndpointId> quarantined) {
+    static Urgent of(ReportSource source) {
+        return new Urgent(source.phase(), source.configuration(), source.leaving(), source.quarantined());
+    }
+}
--- /dev/null
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/configuration/ConfigurationKeeperTest.java
@@ -0,0 +1,301 @@
+package org.tarragonarch.core.configuration;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.tarragonarch.core.action.Action;
+import org.tarragonarch.core.action.ConfigurationInForce;
+import org.tarragonarch.core.action.LoadConfiguration;
+import org.tarragonarch.core.action.Note;
+import org.tarragonarch.core.action.NoteEvent;
+import org.tarragonarch.core.action.ReadConfigurationRow;
+import org.tarragonarch.core.event.ConfigurationLoadFailed;
+import org.tarragonarch.core.event.ConfigurationLoaded;
+import org.tarragonarch.core.node.NodePolicy;
+import org.tarragonarch.model.id.ChangeId;
+import org.tarragonarch.model.id.ConfigurationVersion;
+import org.tarragonarch.model.id.ContentDigest;
+import org.tarragonarch.model.id.NodeId;
+import org.tarragonarch.model.id.OperatorName;
+import org.tarragonarch.model.platform.ConfigurationRow;
+import org.tarragonarch.model.service.ServiceCatalog;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+public final class ConfigurationKeeperTest {
+    private static final NodeId PEER = NodeId.of("hobart-2");
+    private static final NodeId OTHER_PEER = NodeId.of("hobart-3");
+
+    private ConfigurationKeeper keeper;
+    private List<Action> actions;
+
+    @BeforeMethod
+    public void createKeeper() {
+        keeper = ConfigurationKeeper.create(NodePolicy.DEFAULT);
+        actions = new ArrayList<>();
+    }
+
+    @Test
+    public void testTimePassed_readsTheRowAtTheInterval() {
+        run(0, 10_000);
+        assertEquals(take(ReadConfigurationRow.class).size(), 6);
+    }
+
+    @Test
+    public void testRowRead_newerVersionIsLoadedFromStoreWithItsDigest() {
+        rowRead(0, 3);
+        assertEquals(take(LoadConfiguration.class), ImmutableList.of(fromStore(3)));
+        assertTrue(loaded(10, 3, "store"));
+        assertEquals(keeper.version(), version(3));
+        assertEquals(take(ConfigurationInForce.class).size(), 1);
+    }
+
+    /**
+     * The table service fails over to a copy that lags, and a read gives a row of an hour ago. The operator sees the
+     * change he made go back on some nodes, unless nodes take higher versions only.
+     */
+    @Test
+    public void testRowRead_staleRowIsRefusedAndNoted() {
+        adopt(5);
+        rowRead(2_000, 4);
+        keeper.rowRead(Optional.empty(), millis(4_000), actions::add);
+        assertEquals(take(LoadConfiguration.class), ImmutableList.of());
+        assertEquals(notes(NoteEvent.OLD_CONFIGURATION_REFUSED), 2);
+        assertEquals(keeper.version(), version(5));
+    }
+
+    /** A load of an old version takes seconds; meanwhile a newer one came from a peer. The late one must not win. */
+    @Test
+    public void testLoaded_lateOldVersionIsRefused() {
+        rowRead(0, 4);
+        run(0, 2_100);
+        keeper.rowFailed(millis(2_110), actions::add);
+        peerHas(2_200, PEER, 5);
+        assertTrue(loaded(2_300, 5, "hobart-2"));
+        assertFalse(loaded(2_400, 4, "store"));
+        assertEquals(keeper.version(), version(5));
+        assertEquals(notes(NoteEvent.OLD_CONFIGURATION_REFUSED), 1);
+    }
+
+    /** A peer holds a text under a version whose row has another digest: the row decides, another source is asked. */
+    @Test
+    public void testLoaded_textThatContradictsTheRowIsRefused() {
+        rowRead(0, 4);
+        take(LoadConfiguration.class);
+        peerHas(10, PEER, 4);
+        keeper.loadFailed(new ConfigurationLoadFailed(version(4), "store", "out"), millis(20), actions::add);
+        assertEquals(take(LoadConfiguration.class), ImmutableList.of(fromPeer(PEER, 4, Optional.of(digest(4)))));
+        ServiceCatalog wrong = catalog(4, digest(99));
+        assertFalse(keeper.loaded(new ConfigurationLoaded(wrong, "hobart-2"), millis(30), actions::add));
+        assertEquals(keeper.version(), ConfigurationVersion.NONE);
+        run(40, 300);
+        assertEquals(take(LoadConfiguration.class), ImmutableList.of(fromStore(4)));
+    }
+
+    /** A change is in force on one node of the domain; the others must not wait for their next read. */
+    @Test
+    public void testPeerHas_newerVersionMakesTheRowBeReadAtOnce() {
+        adopt(3);
+        rowRead(100, 3);
+        take(Action.class);
+        peerHas(200, PEER, 4);
+        assertEquals(take(ReadConfigurationRow.class).size(), 1);
+        peerHas(210, OTHER_PEER, 4);
+        assertEquals(take(ReadConfigurationRow.class).size(), 0);
+        rowRead(220, 4);
+        assertEquals(take(LoadConfiguration.class), ImmutableList.of(fromStore(4)));
+    }
+
+    /** The store is out for an hour; a domain that can still reach it tells of a newer version. */
+    @Test
+    public void testPeerHas_peerIsAskedAtOnceWhileTheStoreIsOut() {
+        adopt(3);
+        keeper.rowFailed(millis(100), actions::add);
+        peerHas(200, PEER, 4);
+        assertEquals(take(LoadConfiguration.class), ImmutableList.of(fromPeer(PEER, 4, Optional.empty())));
+        assertTrue(loaded(210, 4, "hobart-2"));
+    }
+
+    @Test
+    public void testPeerHas_peerIsAskedWhenTheRowIsStale() {
+        adopt(3);
+        peerHas(200, PEER, 4);
+        rowRead(210, 3);
+        assertEquals(take(LoadConfiguration.class), ImmutableList.of(fromPeer(PEER, 4, Optional.empty())));
+    }
+
+    /** The store does not refuse but hangs: half a second is waited, not the client's whole time-out. */
+    @Test
+    public void testPeerHas_peerIsAskedWhenTheRowTakesTooLong() {
+        adopt(3);
+        peerHas(200, PEER, 4);
+        run(200, 690);
+        assertEquals(take(LoadConfiguration.class), ImmutableList.of());
+        run(700, 700);
+        assertEquals(take(LoadConfiguration.class), ImmutableList.of(fromPeer(PEER, 4, Optional.empty())));
+    }
+
+    @Test
+    public void testLoadFailed_goesOnToTheNextSourceAndComesBackLater() {
+        rowRead(0, 4);
+        peerHas(0, PEER, 4);
+        peerHas(0, OTHER_PEER, 4);
+        failAll(0, 3);
+        assertEquals(
+                take(LoadConfiguration.class),
+                ImmutableList.of(
+                        fromStore(4),
+                        fromPeer(PEER, 4, Optional.of(digest(4))),
+                        fromPeer(OTHER_PEER, 4, Optional.of(digest(4)))));
+        run(10, 240);
+        assertEquals(take(LoadConfiguration.class), ImmutableList.of());
+        run(250, 250);
+        assertEquals(take(LoadConfiguration.class), ImmutableList.of(fromStore(4)));
+    }
+
+    /** Store and peers answer nothing at all for ten minutes: what is asked of them must not grow to a storm. */
+    @Test
+    public void testTimePassed_outageCostsFewMessages() {
+        adopt(3);
+        rowRead(0, 4);
+        peerHas(0, PEER, 4);
+        for (int second = 0; second < 600; second++) {
+            run(second * 1_000, second * 1_000 + 990);
+            keeper.loadFailed(
+                    new ConfigurationLoadFailed(version(4), "any", "out"), millis(second * 1_000 + 995), actions::add);
+        }
+        int loads = take(LoadConfiguration.class).size();
+        assertTrue(loads < 400, loads + " loads in ten minutes");
+        assertTrue(loads > 200, loads + " loads in ten minutes: it gave up");
+        assertEquals(keeper.version(), version(3));
+    }
+
+    @Test
+    public void testLoad_withoutAnyAnswerIsGivenUpForTheNextSource() {
+        rowRead(0, 4);
+        peerHas(0, PEER, 4);
+        take(LoadConfiguration.class);
+        run(10, 1_990);
+        assertEquals(take(LoadConfiguration.class), ImmutableList.of());
+        run(2_000, 2_000);
+        assertEquals(take(LoadConfiguration.class), ImmutableList.of(fromPeer(PEER, 4, Optional.of(digest(4)))));
+    }
+
+    /** A node starts while the store is out and no peer is to be heard: it has nothing, and must not invent it. */
+    @Test
+    public void testInForce_nodeWithNeitherStoreNorPeersHasNone() {
+        for (int poll = 0; poll < 30; poll++) {
+            run(poll * 2_000, poll * 2_000 + 1_990);
+            keeper.rowFailed(millis(poll * 2_000 + 1_995), actions::add);
+        }
+        assertEquals(keeper.inForce(), Optional.empty());
+        assertEquals(keeper.version(), ConfigurationVersion.NONE);
+        assertEquals(take(LoadConfiguration.class), ImmutableList.of());
+    }
+
+    @Test
+    public void testInForce_isKeptWhileBothAreOut() {
+        adopt(7);
+        for (int poll = 1; poll < 30; poll++) {
+            run(poll * 2_000, poll * 2_000 + 1_990);
+            keeper.rowFailed(millis(poll * 2_000 + 1_995), actions::add);
+        }
+        assertEquals(keeper.version(), version(7));
+    }
+
+    /** Two changes follow each other while the first is still being loaded: the second is loaded next, unasked. */
+    @Test
+    public void testRowRead_versionSeenDuringALoadIsLoadedNext() {
+        rowRead(0, 4);
+        rowRead(5, 5);
+        assertTrue(loaded(10, 4, "store"));
+        assertEquals(take(LoadConfiguration.class), ImmutableList.of(fromStore(4), fromStore(5)));
+        assertTrue(loaded(20, 5, "store"));
+    }
+
+    private void adopt(long number) {
+        rowRead(0, number);
+        loaded(0, number, "store");
+        actions.clear();
+    }
+
+    private void failAll(long millis, int times) {
+        for (int i = 0; i < times; i++) {
+            keeper.loadFailed(new ConfigurationLoadFailed(version(4), "any", "out"), millis(millis), actions::add);
+        }
+    }
+
+    private void rowRead(long millis, long number) {
+        ConfigurationRow row = new ConfigurationRow(
+                version(number),
+                digest(number),
+                new ChangeId("change-" + number),
+                OperatorName.of("ann"),
+                Instant.ofEpochSecond(number));
+        keeper.rowRead(Optional.of(row), millis(millis), actions::add);
+    }
+
+    private void peerHas(long millis, NodeId peer, long number) {
+        keeper.peerHas(peer, version(number), millis(millis), actions::add);
+    }
+
+    private boolean loaded(long millis, long number, String source) {
+        ConfigurationLoaded event = new ConfigurationLoaded(catalog(number, digest(number)), source);
+        return keeper.loaded(event, millis(millis), actions::add);
+    }
+
+    private void run(long fromMillis, long toMillis) {
+        for (long now = fromMillis; now <= toMillis; now += 10) {
+            if (millis(now) >= keeper.nextWakeNanos()) {
+                keeper.timePassed(millis(now), actions::add);
+            }
+        }
+    }
+
+    private <T extends Action> ImmutableList<T> take(Class<T> type) {
+        ImmutableList<T> taken =
+                actions.stream().filter(type::isInstance).map(type::cast).collect(ImmutableList.toImmutableList());
+        actions.removeAll(taken);
+        return taken;
+    }
+
+    private long notes(NoteEvent event) {
+        return actions.stream()
+                .filter(action -> action instanceof Note note && note.event() == event)
+                .count();
+    }
+
+    private static LoadConfiguration fromStore(long number) {
+        return new LoadConfiguration(version(number), Optional.of(digest(number)), Optional.empty());
+    }
+
+    private static LoadConfiguration fromPeer(NodeId peer, long number, Optional<ContentDigest> digest) {
+        return new LoadConfiguration(version(number), digest, Optional.of(peer));
+    }
+
+    private static ServiceCatalog catalog(long number, ContentDigest digest) {
+        return new ServiceCatalog(
+                version(number), digest, ImmutableMap.of(), ImmutableMap.of(), ImmutableMap.of(), ImmutableMap.of());
+    }
+
+    private static ContentDigest digest(long number) {
+        return ContentDigest.of(Long.toString(number).getBytes(StandardCharsets.UTF_8));
+    }
+
+    private static ConfigurationVersion version(long number) {
+        return ConfigurationVersion.of(number);
+    }
+
+    private static long millis(long millis) {
+        return Duration.ofMillis(millis).toNanos();
+    }
+}
--- /dev/null
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/membership/ReporterTest.java
@@ -0,0 +1,205 @@
+package org.tarragonarch.core.membership;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.Iterables;
+import java.util.Map;
+import java.util.Random;
+import java.util.TreeMap;
+import org.tarragonarch.core.action.SendReport;
+import org.tarragonarch.model.id.EndpointId;
+import org.tarragonarch.model.platform.VmRecord;
+import org.tarragonarch.model.report.NodePhase;
+import org.tarragonarch.model.report.PeerReport;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+public final class ReporterTest {
+    private FakeNode self;
+    private FakeNode other;
+
+    @BeforeMethod
+    public void createNodes() {
+        self = new FakeNode("hobart-1", "hobart", 5);
+        other = new FakeNode("hobart-2", "hobart", 3);
+        self.listed(0, self.vm(), other.vm());
+    }
+
+    @Test
+    public void testTimePassed_newPeerGetsAFullReportAtOnce() {
+        self.loads.put(EndpointId.of("w-1"), 2);
+        self.timePassed(0);
+        SendReport sent = Iterables.getOnlyElement(self.takeSent());
+        assertTrue(sent.report().full());
+        assertEquals(sent.report().sequence(), 1);
+        assertEquals(sent.report().loads(), self.loads());
+    }
+
+    @Test
+    public void testTimePassed_idleNodeReportsThreeTimesWithinSilence() {
+        self.run(0, 20_000);
+        assertEquals(self.takeSent().size(), 30, 1);
+    }
+
+    @Test
+    public void testTimePassed_busyNodeReportsAtTheInterval() {
+        for (int second = 0; second < 20; second++) {
+            for (int part = 0; part < 10; part++) {
+                self.loads.put(EndpointId.of("w-1"), part + 1);
+                self.run(second * 1_000 + part * 100, second * 1_000 + part * 100 + 90);
+            }
+        }
+        assertEquals(self.takeSent().size(), 80, 4);
+    }
+
+    /**
+     * An endpoint says that it is leaving, and every answer of its running tasks says so again. The first must reach
+     * the peers at once; the rest must cost no message.
+     */
+    @Test
+    public void testReportNow_sendsOnceForOneNews() {
+        self.timePassed(0);
+        self.takeSent();
+        self.leaving = ImmutableSet.of(EndpointId.of("w-1"));
+        for (int millis = 100; millis < 300; millis++) {
+            self.reportNow(millis);
+        }
+        assertEquals(self.takeSent().size(), 1);
+    }
+
+    @Test
+    public void testReportNow_newsWithinTheGapGoesAtItsEnd() {
+        self.timePassed(0);
+        self.reportNow(100);
+        self.takeSent();
+        self.leaving = ImmutableSet.of(EndpointId.of("w-1"));
+        self.reportNow(110);
+        assertEquals(self.takeSent(), ImmutableList.of());
+        self.run(120, 150);
+        assertEquals(Iterables.getOnlyElement(self.takeSent()).report().leaving(), self.leaving);
+    }
+
+    @Test
+    public void testTimePassed_newPhaseGoesAtOnce() {
+        self.timePassed(0);
+        self.takeSent();
+        self.phase = NodePhase.FINISHING;
+        self.timePassed(10);
+        assertEquals(Iterables.getOnlyElement(self.takeSent()).report().phase(), NodePhase.FINISHING);
+    }
+
+    @Test
+    public void testTimePassed_restartedPeerGetsAFullReport() {
+        self.heard(0, other.report(1));
+        self.run(0, 3_000);
+        assertFalse(Iterables.getLast(self.takeSent()).report().full());
+        self.heard(3_000, new FakeNode("hobart-2", "hobart", 4).report(1));
+        self.run(3_010, 4_000);
+        assertTrue(self.takeSent().get(0).report().full());
+    }
+
+    /** Random loads over 200 reports: what the peer puts together from deltas is what the node has. */
+    @Test
+    public void testDeltas_addUpToTheLoads() {
+        Random random = new Random(11);
+        Map<EndpointId, Integer> picture = new TreeMap<>();
+        int deltas = 0;
+        for (int i = 0; i < 200; i++) {
+            changeLoads(random);
+            self.run(i * 300, i * 300 + 290);
+            for (SendReport sent : self.takeSent()) {
+                deltas += sent.report().full() ? 0 : 1;
+                apply(sent.report(), picture);
+                assertEquals(picture, self.loads, "after step " + i);
+            }
+        }
+        assertTrue(deltas > 50, "only " + deltas + " deltas");
+    }
+
+    /** One report in three is lost: the picture is whole again with each full report. */
+    @Test
+    public void testDeltas_lossIsMadeGoodByTheNextFullReport() {
+        Random random = new Random(12);
+        Map<EndpointId, Integer> picture = new TreeMap<>();
+        int fulls = 0;
+        for (int i = 0; i < 200; i++) {
+            changeLoads(random);
+            self.run(i * 300, i * 300 + 290);
+            for (SendReport sent : self.takeSent()) {
+                if (random.nextInt(3) != 0) {
+                    apply(sent.report(), picture);
+                    if (sent.report().full()) {
+                        fulls++;
+                        assertEquals(picture, self.loads, "after step " + i);
+                    }
+                }
+            }
+        }
+        assertTrue(fulls >= 10, "only " + fulls + " full reports");
+    }
+
+    /**
+     * A domain of 30 nodes and 110 endpoints under full load: told everything every time, a node would send 90 KB/s. By
+     * its own estimate it keeps to its rate, every peer hears it often enough, and every peer is told loads.
+     */
+    @Test
+    public void testTimePassed_manyPeersAndEndpointsStayWithinTheRate() {
+        VmRecord[] vms = new VmRecord[31];
+        for (int i = 0; i < vms.length; i++) {
+            vms[i] = FakeNode.vm("hobart-" + (i + 1), "hobart");
+        }
+        self.listed(0, vms);
+        Random random = new Random(13);
+        long cost = 0;
+        Map<String, Long> heardMillis = new TreeMap<>();
+        Map<String, Long> toldMillis = new TreeMap<>();
+        for (long millis = 0; millis < 60_000; millis += 50) {
+            for (int i = 0; i < 30; i++) {
+                self.loads.put(EndpointId.of(String.format("w-%03d", random.nextInt(110))), 1 + random.nextInt(3));
+            }
+            self.run(millis, millis + 40);
+            for (SendReport sent : self.takeSent()) {
+                cost += ReportPacer.cost(sent.report().loads().size());
+                long before = heardMillis.getOrDefault(sent.peer().value(), 0L);
+                assertTrue(millis - before <= 750, "silent from " + before + " to " + millis);
+                heardMillis.put(sent.peer().value(), millis);
+                if (!sent.report().loads().isEmpty()) {
+                    long told = toldMillis.getOrDefault(sent.peer().value(), 0L);
+                    assertTrue(millis - told <= 10_000, "not told loads from " + told + " to " + millis);
+                    toldMillis.put(sent.peer().value(), millis);
+                }
+            }
+        }
+        assertTrue(cost / 60 <= ReportPacer.BYTES_PER_SECOND * 1.05, cost / 60 + " bytes a second");
+        assertEquals(toldMillis.size(), 30);
+    }
+
+    private void changeLoads(Random random) {
+        for (int i = 0; i < 2; i++) {
+            EndpointId endpoint = EndpointId.of("w-" + random.nextInt(10));
+            int inFlight = random.nextInt(4);
+            if (inFlight == 0) {
+                self.loads.remove(endpoint);
+            } else {
+                self.loads.put(endpoint, inFlight);
+            }
+        }
+    }
+
+    private static void apply(PeerReport report, Map<EndpointId, Integer> picture) {
+        if (report.full()) {
+            picture.clear();
+        }
+        report.loads().forEach(load -> {
+            if (load.inFlight() == 0) {
+                picture.remove(load.endpoint());
+            } else {
+                picture.put(load.endpoint(), load.inFlight());
+            }
+        });
+    }
+}
--- a/tarragonarch-wire/src/test/java/org/tarragonarch/wire/PeerNetworkTest.java
+++ b/tarragonarch-wire/src/test/java/org/tarragonarch/wire/PeerNetworkTest.java
@@ -20,15 +20,8 @@
 public final class PeerNetworkTest {
     private static final NodeId HOBART = NodeId.of("hobart-1");
     private static final NodeId DEVONPORT = NodeId.of("devonport-1");
-    private static final PeerNetworkSettings QUICK = new PeerNetworkSettings(
-            Duration.ofSeconds(1),
-            Duration.ofMillis(1200),
-            Duration.ofSeconds(60),
-            Duration.ofMillis(20),
-            Duration.ofMillis(100),
-            16,
-            2_000_000,
-            64);
+    private static final Duration PATIENT = Duration.ofSeconds(60);
+    private static final Duration QUICK = Duration.ofMillis(1200);
 
     private final List<PeerNetwork> networks = new ArrayList<>();
     private RecordingListener hobart;
@@ -177,7 +170,7 @@
      */
     @Test
     public void testIdle_halfFrameThenSilenceIsClosed() throws Exception {
-        PeerNetwork network = start("hobart-1", 7, hobart);
+        PeerNetwork network = start("hobart-1", 7, hobart, QUICK);
         try (RawPeer peer = RawPeer.connect(network.address())) {
             peer.say(Samples.hello("devonport-1", 5)).write(100, new byte[40]);
             assertTrue(peer.hellosBeforeClose() >= 1);
@@ -188,7 +181,7 @@
     /** A peer whose machine vanished closes nothing: the link must notice by its silence and connect anew. */
     @Test
     public void testIdle_silentPeerIsCalledAgain() throws Exception {
-        PeerNetwork network = start("hobart-1", 7, hobart);
+        PeerNetwork network = start("hobart-1", 7, hobart, QUICK);
         try (ServerSocket server = RawPeer.listen()) {
             Address address = RawPeer.addressOf(server);
             network.send(DEVONPORT, address, Samples.question(1));
@@ -207,7 +200,7 @@
 
     @Test
     public void testIdle_nodesWithNothingToSayStayConnected() throws Exception {
-        PeerNetwork from = start("hobart-1", 7, hobart);
+        PeerNetwork from = start("hobart-1", 7, hobart, QUICK);
         try (ServerSocket server = RawPeer.listen()) {
             from.send(DEVONPORT, RawPeer.addressOf(server), Samples.question(1));
             try (RawPeer peer = RawPeer.accept(server).say(Samples.hello("devonport-1", 5))) {
@@ -242,16 +235,30 @@
     }
 
     private PeerNetwork start(String node, long run, PeerListener listener) throws Exception {
-        return start(
-                new InetSocketAddress(InetAddress.getByAddress(new byte[] {127, 0, 0, 1}), 0), node, run, listener);
+        return start(node, run, listener, PATIENT);
+    }
+
+    private PeerNetwork start(String node, long run, PeerListener listener, Duration idle) throws Exception {
+        InetAddress loopback = InetAddress.getByAddress(new byte[] {127, 0, 0, 1});
+        return start(new InetSocketAddress(loopback, 0), Samples.hello(node, run), listener, idle);
     }
 
     private PeerNetwork startAt(Address address, String node, long run, PeerListener listener) throws Exception {
-        return start(new InetSocketAddress(address.ip(), address.port()), node, run, listener);
+        return start(new InetSocketAddress(address.ip(), address.port()), Samples.hello(node, run), listener, PATIENT);
     }
 
-    private PeerNetwork start(InetSocketAddress bind, String node, long run, PeerListener listener) throws Exception {
-        PeerNetwork network = PeerNetwork.start(bind, Samples.hello(node, run), listener, QUICK);
+    private PeerNetwork start(InetSocketAddress bind, Hello hello, PeerListener listener, Duration idle)
+            throws Exception {
+        PeerNetworkSettings settings = new PeerNetworkSettings(
+                Duration.ofSeconds(1),
+                idle,
+                Duration.ofSeconds(60),
+                Duration.ofMillis(20),
+                Duration.ofMillis(100),
+                16,
+                2_000_000,
+                64);
+        PeerNetwork network = PeerNetwork.start(bind, hello, listener, settings);
         networks.add(network);
         return network;
     }
--- a/tarragonarch-wire/src/test/java/org/tarragonarch/wire/RawPeer.java
+++ b/tarragonarch-wire/src/test/java/org/tarragonarch/wire/RawPeer.java
@@ -9,6 +9,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
+import java.time.Duration;
 import java.util.Optional;
 import org.tarragonarch.model.id.Address;
 
@@ -66,9 +67,11 @@
     /** Waits until the other end closes the connection; returns how many hellos came, and fails on any other frame. */
     int hellosBeforeClose() throws Exception {
         int hellos = 0;
+        long deadline = System.nanoTime() + Duration.ofMillis(BOUND_MILLIS).toNanos();
         Optional<Frame> next = readUnlessClosed();
         while (next.isPresent()) {
             assertTrue(next.get() instanceof Hello, "received " + next.get());
+            assertTrue(System.nanoTime() < deadline, "not closed");
             hellos++;
             next = readUnlessClosed();
         }
