--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/node/EntryNode.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/node/EntryNode.java
@@ -7,6 +7,7 @@
 import com.google.common.collect.Sets;
 import com.google.common.primitives.Longs;
 import java.util.Optional;
+import java.util.Random;
 import org.tarragonarch.core.action.ActionSink;
 import org.tarragonarch.core.action.AnswerProblem;
 import org.tarragonarch.core.action.Note;
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/node/EntryNodeTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/node/EntryNodeTest.java
@@ -206,7 +206,7 @@
                 node.last(WriteClaims.class).claims().get(0));
     }
 
-    /** Claims that nobody deletes would fill the table within weeks; each node has the old ones deleted now and then. */
+    /** Claims that nobody deletes would fill the table within weeks; each node has old ones deleted now and then. */
     @Test
     public void testSweep_oldClaimsOnly() {
         NodeFixture node = NodeFixture.serving(8);
