--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/node/EntryNode.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/node/EntryNode.java
@@ -92,15 +92,16 @@
     private EntryNode(NodeIdentity identity, NodePolicy policy, long seed) {
         this.identity = checkNotNull(identity, "identity");
         this.policy = checkNotNull(policy, "policy");
+        Random random = new Random(seed);
         this.configuration = ConfigurationKeeper.create(policy);
-        this.endpoints = EndpointDirectory.create(identity.node(), identity.domain(), new Random(seed));
+        this.endpoints = EndpointDirectory.create(identity.node(), identity.domain(), random, policy.placement());
         this.peers = PeerDirectory.create(identity, policy);
         this.quotas = TeamQuotas.create(this::quotaOf);
-        this.keys = KeyBook.create(identity, policy);
+        this.keys = KeyBook.create(identity, policy, random);
         RunTimeEstimator runTimes = RunTimeEstimator.create();
         this.dispatcher = Dispatcher.create(submissions, endpoints, quotas, runTimes, keys);
         this.keys.connect(dispatcher);
-        this.admission = AdmissionControl.create(dispatcher, endpoints, runTimes);
+        this.admission = AdmissionControl.create(dispatcher, endpoints, quotas, runTimes);
         this.lifecycle = Lifecycle.create(policy);
     }
 
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placement/PlacementStrategy.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placement/PlacementStrategy.java
@@ -1,5 +1,6 @@
 package org.tarragonarch.core.placement;
 
+import com.google.common.base.Ascii;
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
@@ -16,8 +17,9 @@
         }
 
         @Override
-        Optional<EndpointSlots> choose(SlotPool pool, Favour favour, Set<EndpointId> avoid, Random random) {
-            return pool.all().highest(0, avoid, random);
+        Optional<EndpointSlots> choose(
+                SlotPool pool, Favour favour, boolean mayRisk, Set<EndpointId> avoid, Random random) {
+            return sureOrAny(pool, mayRisk).highest(Integer.MIN_VALUE, avoid, random);
         }
     },
     /** Of two random endpoints the one with fewer tasks of this node. */
@@ -28,9 +30,10 @@
         }
 
         @Override
-        Optional<EndpointSlots> choose(SlotPool pool, Favour favour, Set<EndpointId> avoid, Random random) {
-            Optional<EndpointSlots> first = pool.all().highest(0, avoid, random);
-            Optional<EndpointSlots> second = pool.all().highest(0, avoid, random);
+        Optional<EndpointSlots> choose(
+                SlotPool pool, Favour favour, boolean mayRisk, Set<EndpointId> avoid, Random random) {
+            Optional<EndpointSlots> first = sureOrAny(pool, mayRisk).highest(Integer.MIN_VALUE, avoid, random);
+            Optional<EndpointSlots> second = sureOrAny(pool, mayRisk).highest(Integer.MIN_VALUE, avoid, random);
             return first.map(one -> one.ownInFlight() <= second.get().ownInFlight() ? one : second.get());
         }
     },
@@ -42,8 +45,9 @@
         }
 
         @Override
-        Optional<EndpointSlots> choose(SlotPool pool, Favour favour, Set<EndpointId> avoid, Random random) {
-            return pool.all().highest(1, avoid, random);
+        Optional<EndpointSlots> choose(
+                SlotPool pool, Favour favour, boolean mayRisk, Set<EndpointId> avoid, Random random) {
+            return sureOrAny(pool, mayRisk).highest(1, avoid, random);
         }
     },
     /**
@@ -59,14 +63,29 @@
         }
 
         @Override
-        Optional<EndpointSlots> choose(SlotPool pool, Favour favour, Set<EndpointId> avoid, Random random) {
+        Optional<EndpointSlots> choose(
+                SlotPool pool, Favour favour, boolean mayRisk, Set<EndpointId> avoid, Random random) {
             Optional<EndpointSlots> own = pool.home().highest(1, avoid, random);
-            return own.isPresent() ? own : pool.all().highest(1 + favour.slotsLeftWhenBorrowing(), avoid, random);
+            if (own.isPresent() || !mayRisk) {
+                return own;
+            }
+            return pool.all().highest(1 + favour.slotsLeftWhenBorrowing(), avoid, random);
         }
     };
 
+    /** Returns the word that stands for this in settings. */
+    public String word() {
+        return Ascii.toLowerCase(name()).replace('_', '-');
+    }
+
     /** Returns where an endpoint stands in the pool's index; a higher one is preferred. */
     abstract int rank(EndpointSlots endpoint);
 
-    abstract Optional<EndpointSlots> choose(SlotPool pool, Favour favour, Set<EndpointId> avoid, Random random);
+    abstract Optional<EndpointSlots> choose(
+            SlotPool pool, Favour favour, boolean mayRisk, Set<EndpointId> avoid, Random random);
+
+    /** Returns the endpoints to choose among: without risk only those at which this node left a slot. */
+    private static FreeSlotIndex sureOrAny(SlotPool pool, boolean mayRisk) {
+        return mayRisk ? pool.all() : pool.vacated();
+    }
 }
--- a/tarragonarch-standin/src/main/java/org/tarragonarch/standin/explore/Shell.java
+++ b/tarragonarch-standin/src/main/java/org/tarragonarch/standin/explore/Shell.java
@@ -41,6 +41,8 @@
 final class Shell {
     private static final long CONNECT_TIMEOUT_NANOS = 300_000_000;
     private static final int RELEASE_SPREAD_NANOS = 1_000_000_000;
+    private static final int ENDS_PER_REPEATED_END = 20;
+    private static final int REPEAT_SPREAD_NANOS = 200_000_000;
     private static final String PLATFORM = World.PLATFORM;
 
     private final World world;
@@ -57,7 +59,7 @@
     void send(FakeNode node, SendTask send) {
         String endpoint = send.endpoint().value();
         AtomicBoolean ended = new AtomicBoolean();
-        world.checkLateSend(node, endpoint);
+        world.checkLateSend(node, endpoint, send.address());
         time.after(send.timeAllowed().toNanos(), () -> end(node, send, SendResult.LOST, false, ended));
         if (!network.open(node.name(), endpoint) || !network.open(endpoint, node.name())) {
             sendOverCut(node, send, ended);
@@ -87,13 +89,21 @@
 
     private void end(FakeNode node, SendTask send, SendResult result, boolean leaving, AtomicBoolean ended) {
         if (!ended.getAndSet(true)) {
-            node.deliver(new TaskEnded(
+            if (result == SendResult.REFUSED_DRAINING && !node.frozen()) {
+                world.endpoint(send.endpoint().value()).heardRefusal(node.run());
+            }
+            TaskEnded event = new TaskEnded(
                     send.task(),
                     send.attempt(),
                     send.endpoint(),
                     result,
                     leaving,
-                    result.name().toLowerCase(Locale.ROOT)));
+                    result.name().toLowerCase(Locale.ROOT));
+            node.deliver(event);
+            if (world.random().nextInt(ENDS_PER_REPEATED_END) == 0) {
+                // A shell that reports an end twice must not confuse a later attempt with it.
+                time.after(world.random().nextInt(REPEAT_SPREAD_NANOS), () -> node.deliver(event));
+            }
         }
     }
 
@@ -110,7 +120,7 @@
         long delay = open ? 2 * network.delayNanos() : CONNECT_TIMEOUT_NANOS;
         time.after(delay, () -> {
             FakeEndpoint endpoint = world.endpoint(name);
-            boolean answered = open && endpoint.alive();
+            boolean answered = open && endpoint.listensAt(probe.address());
             node.deliver(new ProbeEnded(
                     probe.endpoint(), answered && !endpoint.draining(), answered && endpoint.draining()));
         });
