Let go of answered exchanges in the stand-ins, and sum the nodes' counters

Cause: each request left a listener on its connection's close, which held the request for as long as the connection lasted.

--- a/tarragonarch-standin/src/main/java/org/tarragonarch/standin/http/ExchangeOpener.java
+++ b/tarragonarch-standin/src/main/java/org/tarragonarch/standin/http/ExchangeOpener.java
@@ -13,6 +13,7 @@
 
     private final HttpHandler handler;
     private final OpenExchanges open;
+    private HttpExchange newest;
 
     ExchangeOpener(HttpHandler handler, OpenExchanges open) {
         this.handler = handler;
@@ -22,6 +23,7 @@
     @Override
     protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
         HttpExchange exchange = new HttpExchange(context.channel(), request, open);
+        newest = exchange;
         try {
             handler.handle(exchange);
         } catch (IllegalArgumentException e) {
@@ -29,6 +31,15 @@
         }
     }
 
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        // Callers send one request at a time on a connection, so only the newest can be without an answer.
+        if (newest != null) {
+            open.remove(newest);
+        }
+        context.fireChannelInactive();
+    }
+
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
         if (!(cause instanceof IOException)) {
--- a/tarragonarch-standin/src/main/java/org/tarragonarch/standin/http/HttpExchange.java
+++ b/tarragonarch-standin/src/main/java/org/tarragonarch/standin/http/HttpExchange.java
@@ -42,7 +42,6 @@
         this.keepAlive = HttpUtil.isKeepAlive(request);
         this.open = open;
         open.add(this);
-        channel.closeFuture().addListener(closed -> open.remove(this));
     }
 
     /** Returns the method, in capitals. */
--- a/tarragonarch-standin/src/main/java/org/tarragonarch/standin/load/Counters.java
+++ b/tarragonarch-standin/src/main/java/org/tarragonarch/standin/load/Counters.java
@@ -10,6 +10,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import okhttp3.OkHttpClient;
 import okhttp3.Request;
 import okhttp3.Response;
@@ -19,7 +21,10 @@
 final class Counters {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
     private static final ObjectMapper MAPPER = new ObjectMapper();
-    private static final String OWN_PREFIX = "tarragonarch";
+    /** A counter of a node in the scraper's text: its name, its labels and its value. */
+    private static final Pattern COUNTER = Pattern.compile("(tarragonarch_\\w+_total)(\\{[^}]*})? (\\S+)");
+
+    private static final Pattern NODE_LABEL = Pattern.compile("(?<=\\{)node=\"[^\"]*\",?|,node=\"[^\"]*\"");
 
     private final Map<String, Double> nodes = new TreeMap<>();
     private final Map<String, Double> endpoints = new TreeMap<>();
@@ -66,9 +71,11 @@
 
     private void addMetrics(String text) {
         for (String line : Splitter.on('\n').split(text)) {
-            int end = line.lastIndexOf(' ');
-            if (line.startsWith(OWN_PREFIX) && end > 0) {
-                nodes.merge(line.substring(0, end), Double.parseDouble(line.substring(end + 1)), Double::sum);
+            Matcher counter = COUNTER.matcher(line);
+            if (counter.matches()) {
+                String labels = counter.group(2) == null ? "" : counter.group(2);
+                String name = counter.group(1) + NODE_LABEL.matcher(labels).replaceAll("");
+                nodes.merge(name, Double.parseDouble(counter.group(3)), Double::sum);
             }
         }
     }
--- a/tarragonarch-standin/src/main/java/org/tarragonarch/standin/load/LoadResult.java
+++ b/tarragonarch-standin/src/main/java/org/tarragonarch/standin/load/LoadResult.java
@@ -27,13 +27,15 @@
     private int answered;
     private int heldBack;
     private int refusalsWithoutTime;
+    private long sentWorkMillis;
     private long completeWorkMillis;
     private long workMillisWhileArriving;
     private int completeTasks;
     private boolean arriving = true;
 
-    synchronized void sent() {
+    synchronized void sent(JobPlan plan) {
         sent++;
+        sentWorkMillis += plan.workMillis();
     }
 
     /** Notes a submission that the driver itself did not send since too many were open. */
@@ -100,6 +102,7 @@
         putQuantiles(json.putObject("not-run-ms"), refusalMicros, MICROS_PER_MILLI);
         json.put("refusals-without-retry-after", refusalsWithoutTime);
         if (slots > 0) {
+            json.put("offered-share", sentWorkMillis / (slots * 1000.0 * arrivalSeconds));
             json.put("useful-share-while-arriving", workMillisWhileArriving / (slots * 1000.0 * arrivalSeconds));
             json.put("useful-share-in-all", completeWorkMillis / (slots * 1000.0 * totalSeconds));
         }
--- a/tarragonarch-standin/src/main/java/org/tarragonarch/standin/load/LoadRun.java
+++ b/tarragonarch-standin/src/main/java/org/tarragonarch/standin/load/LoadRun.java
@@ -127,7 +127,7 @@
                 keyed ? Optional.of("key-" + requestId) : Optional.empty(),
                 plan);
         open.add(call);
-        result.sent();
+        result.sent(plan);
         client.newCall(call.submission()).enqueue(new Answer(call, due));
     }
 
