--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/Daemon.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/Daemon.java
@@ -1,7 +1,10 @@
 package org.tarragonarch.entry;
 
 import com.google.common.flogger.FluentLogger;
+import java.io.IOException;
+import java.nio.file.Path;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.tarragonarch.core.action.AnswerComplete;
 import org.tarragonarch.core.action.AnswerFromPeer;
@@ -28,7 +31,6 @@
 import org.tarragonarch.core.event.DrainRequested;
 import org.tarragonarch.core.event.Event;
 import org.tarragonarch.core.event.VmListRead;
-import org.tarragonarch.core.node.EntryNode;
 import org.tarragonarch.core.node.NodeIdentity;
 import org.tarragonarch.entry.admin.AdminApi;
 import org.tarragonarch.entry.body.BodyStore;
@@ -51,6 +53,8 @@
 import org.tarragonarch.entry.platform.ConfigurationLoader;
 import org.tarragonarch.entry.platform.PlatformShell;
 import org.tarragonarch.entry.settings.NodeSettings;
+import org.tarragonarch.entry.trace.TraceHeader;
+import org.tarragonarch.entry.trace.TraceWriter;
 import org.tarragonarch.model.id.Incarnation;
 import org.tarragonarch.model.outcome.Step;
 import org.tarragonarch.model.outcome.StepException;
@@ -64,6 +68,7 @@
     private static final Duration LEAVING_MARGIN = Duration.ofSeconds(5);
 
     private final NodeSettings settings;
+    private final Optional<TraceWriter> trace;
     private final NodeIdentity identity;
     private final NodeMetrics metrics;
     private final Readiness readiness = Readiness.create();
@@ -80,15 +85,14 @@
     private final ApiServer callerServer;
     private final ApiServer adminServer;
 
-    private Daemon(NodeSettings settings, long startMillis) {
+    private Daemon(NodeSettings settings, TraceHeader header, Optional<TraceWriter> trace) {
         this.settings = settings;
-        this.identity = new NodeIdentity(
-                settings.node(), Incarnation.of(startMillis), settings.domain(), settings.peerAddress());
+        this.trace = trace;
+        this.identity = header.identity();
         this.metrics = NodeMetrics.create(settings.node());
         this.bodies = BodyStore.create(settings.limits().maxBodyBytes());
-        long seed = startMillis ^ settings.node().value().hashCode();
-        EntryNode node = EntryNode.create(identity, settings.policy(), seed);
-        this.control = ControlLoop.create(NodeCore.of(node), EventRecorder.NONE);
+        this.control =
+                ControlLoop.create(NodeCore.of(header.newNode()), trace.isPresent() ? trace.get() : EventRecorder.NONE);
         this.platform = PlatformClient.create(
                 settings.platformAddress(),
                 settings.node().value(),
@@ -127,7 +131,8 @@
      */
     static Daemon start(NodeSettings settings) throws StepException {
         long started = System.nanoTime();
-        Daemon daemon = new Daemon(settings, System.currentTimeMillis());
+        TraceHeader header = header(settings, System.currentTimeMillis());
+        Daemon daemon = new Daemon(settings, header, startTrace(settings, header));
         try {
             daemon.openPorts();
         } catch (StepException e) {
@@ -148,6 +153,25 @@
         return daemon;
     }
 
+    private static TraceHeader header(NodeSettings settings, long startMillis) {
+        NodeIdentity identity = new NodeIdentity(
+                settings.node(), Incarnation.of(startMillis), settings.domain(), settings.peerAddress());
+        long seed = startMillis ^ settings.node().value().hashCode();
+        return new TraceHeader(identity, settings.policy(), seed);
+    }
+
+    private static Optional<TraceWriter> startTrace(NodeSettings settings, TraceHeader header) throws StepException {
+        if (settings.traceFile().isEmpty()) {
+            return Optional.empty();
+        }
+        Path file = settings.traceFile().get();
+        try {
+            return Optional.of(TraceWriter.start(file, header));
+        } catch (IOException e) {
+            throw new StepException(Step.LIFECYCLE, file.toString(), "the trace cannot be written: " + e, e);
+        }
+    }
+
     /** Waits until the node has left. */
     void awaitLeft() throws InterruptedException {
         readiness.awaitLeft();
@@ -259,6 +283,7 @@
         callerServer.stop();
         adminServer.stop();
         control.stop();
+        trace.ifPresent(TraceWriter::close);
         peers.close();
         endpoints.close();
         platformShell.close();
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/DaemonCommand.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/DaemonCommand.java
@@ -19,7 +19,7 @@
         name = "tarragonarch",
         mixinStandardHelpOptions = true,
         versionProvider = VersionProvider.class,
-        subcommands = CheckCommand.class,
+        subcommands = {CheckCommand.class, ReplayCommand.class},
         description = {
             "Runs an entry node: takes requests and jobs from callers and places their tasks on endpoints.",
             "SIGTERM makes it drain: it finishes what it has and then exits with 0."
