--- a/tarragonarch-entry/src/test/java/org/tarragonarch/entry/trace/TraceReplayTest.java
+++ b/tarragonarch-entry/src/test/java/org/tarragonarch/entry/trace/TraceReplayTest.java
@@ -161,7 +161,7 @@
         return ImmutableList.of(
                 new TimePassed(),
                 new ConfigurationRowRead(Optional.of(new ConfigurationRow(
-                        VERSION, DIGEST, new ChangeId("c"), OperatorName.of("ann"), Instant.EPOCH))),
+                        VERSION, catalog().digest(), new ChangeId("c"), OperatorName.of("ann"), Instant.EPOCH))),
                 new ConfigurationLoadFailed(VERSION, "object store", "out"),
                 new ConfigurationLoaded(catalog(), "object store"),
                 new VmListRead(ImmutableList.of(new VmRecord(
