--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/Daemon.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/Daemon.java
@@ -66,6 +66,7 @@
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
     private static final int CALLER_THREADS = 2;
     private static final int ADMIN_THREADS = 1;
+    private static final int ADMIN_CONNECTIONS = 128;
     private static final Duration LEAVING_MARGIN = Duration.ofSeconds(5);
 
     private final NodeSettings settings;
@@ -119,7 +120,7 @@
                 CALLER_THREADS);
         this.adminServer = ApiServer.create(
                 ApiServer.socketAddress(settings.adminAddress()),
-                HttpLimits.DEFAULT,
+                HttpLimits.DEFAULT.withMaxConnections(ADMIN_CONNECTIONS),
                 metrics.httpEvents("admin"),
                 "admin",
                 ADMIN_THREADS);
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/caller/SubmissionHeaders.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/caller/SubmissionHeaders.java
@@ -3,6 +3,7 @@
 import com.google.common.base.CharMatcher;
 import io.jooby.Context;
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 import org.tarragonarch.model.id.IdempotencyKey;
 
@@ -62,7 +63,11 @@
         return !text.isEmpty() && text.length() <= MAX_REQUEST_ID && VISIBLE.matchesAllOf(text);
     }
 
-    private static Optional<String> header(Context context, String name) {
-        return context.header(name).toOptional();
+    private static Optional<String> header(Context context, String name) throws MalformedException {
+        List<String> values = context.header(name).toList();
+        if (values.size() > 1) {
+            throw new MalformedException(name + " stands " + values.size() + " times");
+        }
+        return values.stream().findFirst();
     }
 }
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/http/ApiServer.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/http/ApiServer.java
@@ -130,7 +130,7 @@
                 .addLast(timer)
                 .addLast(new HttpServerCodec(MAX_LINE_BYTES, limits.maxHeaderBytes(), MAX_CHUNK_BYTES))
                 .addLast(new HttpServerKeepAliveHandler())
-                .addLast(new RequestGate(timer, events, exchanges))
+                .addLast(new RequestGate(timer, exchanges))
                 .addLast(new RequestAggregator(limits.maxRequestBytes(), events))
                 .addLast(new RouterHandler(application, events));
     }
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/http/BearerToken.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/http/BearerToken.java
@@ -2,6 +2,7 @@
 
 import io.jooby.Context;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.Optional;
 import org.tarragonarch.model.id.ContentDigest;
 
@@ -11,9 +12,10 @@
 
     private BearerToken() {}
 
-    /** Returns the SHA-256 digest of the token in the {@code Authorization} header, if there is one. */
+    /** Returns the SHA-256 digest of the token in the {@code Authorization} header, if there is exactly one. */
     public static Optional<ContentDigest> digest(Context context) {
-        String header = context.header("Authorization").value("");
+        List<String> headers = context.header("Authorization").toList();
+        String header = headers.size() == 1 ? headers.get(0) : "";
         if (!header.regionMatches(true, 0, SCHEME, 0, SCHEME.length())) {
             return Optional.empty();
         }
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/http/Exchange.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/http/Exchange.java
@@ -1,7 +1,10 @@
 package org.tarragonarch.entry.http;
 
+import com.google.common.flogger.FluentLogger;
 import io.jooby.Context;
 import io.netty.channel.Channel;
+import org.tarragonarch.entry.log.LogLine;
+import org.tarragonarch.model.outcome.Step;
 
 /**
  * One request on one connection, from its last byte to its answer.
@@ -9,6 +12,7 @@
  * <p>Its callbacks run on the connection's event loop.
  */
 public final class Exchange {
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
     private static final String ATTRIBUTE = Exchange.class.getName();
     private static final Runnable NOTHING = () -> {};
 
@@ -50,12 +54,24 @@
     public void respond(Runnable answer) {
         channel.eventLoop().execute(() -> {
             ended = true;
-            answer.run();
+            runOrClose(answer);
             // The context flushes by itself only while a request is being read.
             channel.flush();
         });
     }
 
+    // A client whose answer cannot be written must learn that none will come; a broken connection leaves it open
+    // whether
+    // its submission ran, which is true.
+    private void runOrClose(Runnable answer) {
+        try {
+            answer.run();
+        } catch (RuntimeException e) {
+            LOG.atSevere().withCause(e).log("%s", LogLine.of("answer-failed", Step.READ, remote()));
+            channel.close();
+        }
+    }
+
     /** Sets what is done if the client hangs up before its answer; done at once if it has already. */
     public void onHangUp(Runnable action) {
         hangUp = action;
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/http/HttpLimits.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/http/HttpLimits.java
@@ -35,6 +35,11 @@
         checkPositive("send-timeout", sendTimeout);
     }
 
+    /** Returns these limits with another number of connections. */
+    public HttpLimits withMaxConnections(int connections) {
+        return new HttpLimits(maxRequestBytes, maxHeaderBytes, connections, idleTimeout, receiveTimeout, sendTimeout);
+    }
+
     private static void checkPositive(String name, Duration duration) {
         checkArgument(!duration.isNegative() && !duration.isZero(), "%s is not positive", name);
     }
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/http/RequestGate.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/http/RequestGate.java
@@ -8,7 +8,6 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.LastHttpContent;
-import io.netty.handler.timeout.WriteTimeoutException;
 import io.netty.util.ReferenceCountUtil;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -23,7 +22,6 @@
  */
 final class RequestGate extends ChannelDuplexHandler {
     private final ConnectionTimer timer;
-    private final HttpEvents events;
     private final ExchangeCount exchanges;
     private final Deque<Object> waiting = new ArrayDeque<>();
     private boolean underWay;
@@ -31,9 +29,8 @@
     private boolean answered;
     private boolean draining;
 
-    RequestGate(ConnectionTimer timer, HttpEvents events, ExchangeCount exchanges) {
+    RequestGate(ConnectionTimer timer, ExchangeCount exchanges) {
         this.timer = timer;
-        this.events = events;
         this.exchanges = exchanges;
     }
 
@@ -67,14 +64,6 @@
         context.fireChannelInactive();
     }
 
-    @Override
-    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-        if (cause instanceof WriteTimeoutException) {
-            events.cut(CutCause.SLOW_READER, Remotes.of(context.channel()));
-        }
-        context.close();
-    }
-
     // Answers that are ready at once end their request within the loop; the flag keeps a long row of them from nesting.
     private void drain(ChannelHandlerContext context) {
         if (draining) {
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/http/RouterHandler.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/http/RouterHandler.java
@@ -1,5 +1,6 @@
 package org.tarragonarch.entry.http;
 
+import com.google.common.flogger.FluentLogger;
 import io.jooby.Router;
 import io.jooby.internal.netty.NettyContext;
 import io.netty.buffer.ByteBufUtil;
@@ -10,7 +11,12 @@
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
+import io.netty.handler.timeout.WriteTimeoutException;
+import java.io.IOException;
+import java.util.concurrent.TimeUnit;
+import org.tarragonarch.entry.log.LogLine;
 import org.tarragonarch.model.outcome.ProblemCode;
+import org.tarragonarch.model.outcome.Step;
 
 /**
  * Hands each whole request to the router.
@@ -19,6 +25,7 @@
  * seconds, and a client that hangs up meanwhile must not leak a pooled buffer.
  */
 final class RouterHandler extends ChannelInboundHandlerAdapter {
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
     private static final int RESPONSE_BUFFER_BYTES = 16 << 10;
 
     private static final int HEADERS_TOO_LARGE = 431;
@@ -60,6 +67,18 @@
         context.fireChannelInactive();
     }
 
+    // The last handler of the pipeline, so whatever failed before it ends here.
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        if (cause instanceof WriteTimeoutException) {
+            events.cut(CutCause.SLOW_READER, Remotes.of(context.channel()));
+        } else if (!(cause instanceof IOException)) {
+            LOG.atWarning().withCause(cause).atMostEvery(1, TimeUnit.SECONDS).log(
+                    "%s", LogLine.of("connection-failed", Step.READ, Remotes.of(context.channel())));
+        }
+        context.close();
+    }
+
     private void refuse(ChannelHandlerContext context, FullHttpRequest request) {
         Throwable cause = request.decoderResult().cause();
         request.release();
--- a/tarragonarch-entry/src/test/java/org/tarragonarch/entry/caller/CallerLimitsTest.java
+++ b/tarragonarch-entry/src/test/java/org/tarragonarch/entry/caller/CallerLimitsTest.java
@@ -4,13 +4,16 @@
 import static org.testng.Assert.assertTrue;
 
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import org.tarragonarch.core.action.AnswerComplete;
 import org.tarragonarch.core.action.AnswerProblem;
 import org.tarragonarch.core.event.SubmissionArrived;
 import org.tarragonarch.entry.Eventually;
 import org.tarragonarch.entry.http.HttpLimits;
+import org.tarragonarch.model.id.TaskId;
 import org.tarragonarch.model.outcome.Problem;
 import org.tarragonarch.model.outcome.ProblemCode;
 import org.tarragonarch.model.outcome.Step;
@@ -154,6 +157,23 @@
                 429);
     }
 
+    // A caller that stops reading in the middle of a large answer must not hold the answer's memory for ever.
+    @Test
+    public void testSlowReader() throws Exception {
+        byte[] large = ("\"" + "x".repeat(30 << 20) + "\"").getBytes(StandardCharsets.UTF_8);
+        core = new FakeCore((arrived, sink) -> {
+            fixture.bodies.keepResult(new TaskId(arrived.id(), 0), large);
+            sink.emit(new AnswerComplete(arrived.id()));
+        });
+        fixture = CallerFixture.start(core, limits(LONG, LONG, SHORT), 1 << 20);
+        try (RawClient client = fixture.connect()) {
+            client.send(RawClient.post(REQUESTS, "{\"input\":1}"));
+            assertCut("slow-reader");
+        }
+        Eventually.check(
+                "the connection is closed", () -> fixture.metrics.scrape().contains("port=\"caller\"} 0.0"));
+    }
+
     // A caller sends a small request and at once a huge one on the same connection. The huge one can be answered before
     // it is read; were it so, the caller would take that answer for the small one's.
     @Test
