--- a/tarragonarch-entry/src/test/java/org/tarragonarch/entry/trace/TraceReplayTest.java
+++ b/tarragonarch-entry/src/test/java/org/tarragonarch/entry/trace/TraceReplayTest.java
@@ -162,8 +162,8 @@
                 new TimePassed(),
                 new ConfigurationRowRead(Optional.of(new ConfigurationRow(
                         VERSION, catalog().digest(), new ChangeId("c"), OperatorName.of("ann"), Instant.EPOCH))),
-                new ConfigurationLoadFailed(VERSION, "object store", "out"),
                 new ConfigurationLoaded(catalog(), "object store"),
+                new ConfigurationLoadFailed(VERSION, "object store", "out"),
                 new VmListRead(ImmutableList.of(new VmRecord(
                         ENDPOINT.value(),
                         VmRole.ENDPOINT,
