Write scenarios in a small language on the explorer's world

DESIGN section 7: virtual time, faults by name, submissions and streams of them, expected outcomes, versions in force, phases, notes and peers. It drives the explorer's World, so every promise is checked at every step besides.

--- /dev/null
+++ b/tarragonarch-standin/src/main/java/org/tarragonarch/standin/scenario/ScenarioMain.java
@@ -0,0 +1,50 @@
+package org.tarragonarch.standin.scenario;
+
+import com.google.common.collect.ImmutableList;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.Callable;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Parameters;
+
+/** Runs scenario files from the command line. */
+@Command(
+        name = "scenario",
+        mixinStandardHelpOptions = true,
+        description = "Runs scenarios against the core and says what did not come as expected.",
+        exitCodeListHeading = "Exit codes:%n",
+        exitCodeList = {"0:all came as expected", "1:something did not", "2:usage, or a file that cannot be read"})
+public final class ScenarioMain implements Callable<Integer> {
+    private static final int UNREADABLE = 2;
+
+    @Parameters(arity = "1..*", paramLabel = "FILE", description = "The scenarios.")
+    private List<Path> files;
+
+    private ScenarioMain() {}
+
+    /** Runs the program. */
+    public static void main(String[] arguments) {
+        System.exit(new CommandLine(new ScenarioMain()).execute(arguments));
+    }
+
+    @Override
+    public Integer call() {
+        boolean asExpected = true;
+        for (Path file : files) {
+            try {
+                ImmutableList<String> failures =
+                        ScenarioParser.parse(Files.readString(file)).run();
+                System.out.println(file + (failures.isEmpty() ? ": as expected" : ":"));
+                failures.forEach(failure -> System.out.println("  " + failure));
+                asExpected &= failures.isEmpty();
+            } catch (ScenarioSyntaxException | IOException e) {
+                System.err.println(file + ": " + e.getMessage());
+                return UNREADABLE;
+            }
+        }
+        return asExpected ? 0 : 1;
+    }
+}
--- /dev/null
+++ b/tarragonarch-standin/src/main/java/org/tarragonarch/standin/scenario/ScenarioParser.java
@@ -0,0 +1,102 @@
+package org.tarragonarch.standin.scenario;
+
+import com.google.common.base.CharMatcher;
+import com.google.common.base.Splitter;
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+
+/**
+ * Reads scenarios: one statement a line; what stands behind {@code #} is a comment.
+ *
+ * <pre>
+ * seed 7
+ * nodes hobart 2, launceston 1
+ * endpoints hobart 2 slots 8, launceston 1 slots 8
+ * at 0ms    submit j1 job tasks 6 runtime 200ms to hobart-1
+ * at 50ms   kill endpoint hobart-w1
+ * at 80ms   cut hobart platform
+ * expect    j1 unknown before 400ms
+ * expect at 3s configuration 1 on all
+ * </pre>
+ */
+public final class ScenarioParser {
+    private static final Splitter GROUPS = Splitter.on(',');
+    private static final int DEFAULT_SLOTS = 8;
+
+    private final ImmutableMap.Builder<String, Integer> nodes = ImmutableMap.builder();
+    private final ImmutableMap.Builder<String, EndpointGroup> endpoints = ImmutableMap.builder();
+    private final ImmutableList.Builder<Step> steps = ImmutableList.builder();
+    private final ImmutableList.Builder<Expectation> expectations = ImmutableList.builder();
+    private long seed = 1;
+
+    private ScenarioParser() {}
+
+    /**
+     * Reads a scenario.
+     *
+     * @throws ScenarioSyntaxException if a line is no statement; names the line
+     */
+    public static Scenario parse(String text) throws ScenarioSyntaxException {
+        ScenarioParser parser = new ScenarioParser();
+        int number = 0;
+        for (String line : Splitter.on('\n').split(text)) {
+            number++;
+            int comment = line.indexOf('#');
+            parser.line(number, comment < 0 ? line : line.substring(0, comment));
+        }
+        return new Scenario(
+                parser.seed,
+                parser.nodes.buildOrThrow(),
+                parser.endpoints.buildOrThrow(),
+                parser.steps.build(),
+                parser.expectations.build());
+    }
+
+    private void line(int number, String text) throws ScenarioSyntaxException {
+        Words words = new Words(number, text);
+        if (words.isEmpty()) {
+            return;
+        }
+        String statement = words.take();
+        switch (statement) {
+            case "seed" -> seed = words.takeNumber();
+            case "nodes" -> nodeGroups(number, text);
+            case "endpoints" -> endpointGroups(number, text);
+            case "at" -> {
+                steps.addAll(StepParser.parse(words));
+                words.end();
+            }
+            case "expect" -> {
+                String shown =
+                        "line " + number + ": " + CharMatcher.whitespace().trimAndCollapseFrom(text, ' ');
+                expectations.add(ExpectationParser.parse(shown, words));
+                words.end();
+            }
+            default -> throw words.wrong("'" + statement + "' opens no statement");
+        }
+    }
+
+    private void nodeGroups(int number, String text) throws ScenarioSyntaxException {
+        for (Words words : groups(number, text, "nodes")) {
+            nodes.put(words.take(), words.takeNumber());
+            words.end();
+        }
+    }
+
+    private void endpointGroups(int number, String text) throws ScenarioSyntaxException {
+        for (Words words : groups(number, text, "endpoints")) {
+            String domain = words.take();
+            int count = words.takeNumber();
+            int slots = words.takeIf("slots") ? words.takeNumber() : DEFAULT_SLOTS;
+            endpoints.put(domain, new EndpointGroup(count, slots));
+            words.end();
+        }
+    }
+
+    private static ImmutableList<Words> groups(int number, String text, String statement) {
+        String groups = text.substring(text.indexOf(statement) + statement.length());
+        return GROUPS.splitToStream(groups)
+                .map(group -> new Words(number, group))
+                .collect(ImmutableList.toImmutableList());
+    }
+}
--- /dev/null
+++ b/tarragonarch-standin/src/main/java/org/tarragonarch/standin/scenario/ScenarioRun.java
@@ -0,0 +1,127 @@
+package org.tarragonarch.standin.scenario;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.LinkedHashMultimap;
+import com.google.common.collect.Multimaps;
+import com.google.common.collect.SetMultimap;
+import java.util.Collection;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.tarragonarch.model.id.TaskId;
+import org.tarragonarch.model.report.NodePhase;
+import org.tarragonarch.standin.explore.FakeNode;
+import org.tarragonarch.standin.explore.Ledger;
+import org.tarragonarch.standin.explore.Sent;
+import org.tarragonarch.standin.explore.World;
+
+/** One run of a scenario: the world, and the names that the scenario gave. */
+public final class ScenarioRun {
+    private final World world;
+    private final long startNanos;
+    private final SetMultimap<String, String> domains = LinkedHashMultimap.create();
+    private final SetMultimap<String, Sent> submissions = LinkedHashMultimap.create();
+    private int balanced;
+
+    ScenarioRun(World world) {
+        this.world = world;
+        this.startNanos = world.time().nowNanos();
+    }
+
+    World world() {
+        return world;
+    }
+
+    /** Plans something for a time since the start of the scenario. */
+    void at(long nanos, Runnable effect) {
+        world.time().at(startNanos + nanos, effect);
+    }
+
+    /** Returns a time of the world as the time since the start of the scenario. */
+    long sinceStart(long worldNanos) {
+        return worldNanos - startNanos;
+    }
+
+    void start(Map<String, Integer> nodes, Map<String, EndpointGroup> endpoints) {
+        world.acceptConfiguration();
+        endpoints.forEach((domain, group) -> {
+            for (int number = 1; number <= group.count(); number++) {
+                String name = domain + "-w" + number;
+                domains.put(domain, name);
+                world.startEndpoint(name, domain, group.slots());
+            }
+        });
+        nodes.forEach((domain, count) -> {
+            for (int number = 1; number <= count; number++) {
+                startNode(domain + "-" + number);
+            }
+        });
+    }
+
+    void startNode(String name) {
+        String domain = name.substring(0, name.lastIndexOf('-'));
+        domains.put(domain, name);
+        world.startNode(name, domain);
+    }
+
+    /** Returns the nodes and endpoints of a domain, or the one thing of this name. */
+    ImmutableList<String> members(String name) {
+        return domains.containsKey(name) ? ImmutableList.copyOf(domains.get(name)) : ImmutableList.of(name);
+    }
+
+    /** Returns the nodes of a domain, the one node of this name, or all nodes. */
+    ImmutableList<FakeNode> nodes(String name) {
+        ImmutableList<FakeNode> found = world.nodes().stream()
+                .filter(node -> name.equals("all") || members(name).contains(node.name()))
+                .collect(ImmutableList.toImmutableList());
+        checkArgument(!found.isEmpty(), "there is no node or domain '%s'", name);
+        return found;
+    }
+
+    /** Does something with each pair of two things, which may be domains. */
+    void forEachPair(String one, String other, PairEffect effect) {
+        for (String first : members(one)) {
+            for (String second : members(other)) {
+                effect.apply(first, second);
+            }
+        }
+    }
+
+    /** Returns the node that the balancer picks: those that are ready in turn, or the one that is named. */
+    Optional<String> balance(String name) {
+        ImmutableList<FakeNode> ready = nodes(name).stream()
+                .filter(node -> node.alive() && node.phase() == NodePhase.SERVING)
+                .collect(ImmutableList.toImmutableList());
+        if (!domains.containsKey(name) && !name.equals("all")) {
+            return Optional.of(name);
+        }
+        return ready.isEmpty()
+                ? Optional.empty()
+                : Optional.of(ready.get(balanced++ % ready.size()).name());
+    }
+
+    void sent(String name, Sent sent) {
+        submissions.put(name, sent);
+    }
+
+    Collection<Sent> submissions(String name) {
+        return Multimaps.asMap(submissions).getOrDefault(name, Set.of());
+    }
+
+    /** Returns every start of a task of a submission. */
+    ImmutableList<Ledger.Start> starts(Sent sent) {
+        ImmutableList.Builder<Ledger.Start> starts = ImmutableList.builder();
+        for (int index = 0; index < sent.submission().tasks().size(); index++) {
+            starts.addAll(world.ledger().starts(new TaskId(sent.submission().id(), index)));
+        }
+        return starts.build();
+    }
+
+    /** Something done with two things. */
+    @FunctionalInterface
+    interface PairEffect {
+        void apply(String one, String other);
+    }
+}
--- /dev/null
+++ b/tarragonarch-standin/src/test/java/org/tarragonarch/standin/scenario/ScenarioTest.java
@@ -0,0 +1,76 @@
+package org.tarragonarch.standin.scenario;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.io.Resources;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.stream.Stream;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+public final class ScenarioTest {
+    private static final String HOBART = "nodes hobart 1\nendpoints hobart 1 slots 8\n";
+
+    /** Each file of the folder is a scenario; its story stands at its top. */
+    @DataProvider
+    public Object[] scenarios() throws Exception {
+        Path folder = Path.of(Resources.getResource("scenarios").toURI());
+        try (Stream<Path> files = Files.list(folder)) {
+            return files.sorted().toArray();
+        }
+    }
+
+    @Test(dataProvider = "scenarios")
+    public void testRun_comesAsExpected(Path file) throws Exception {
+        ImmutableList<String> failures =
+                ScenarioParser.parse(Files.readString(file)).run();
+        assertEquals(String.join("\n", failures), "", file.getFileName().toString());
+    }
+
+    @Test
+    public void testRun_sameScenarioSameRun() throws Exception {
+        String text = HOBART + "at 5s submit j1 job tasks 3 to hobart-1\nexpect j1 complete before 1s";
+        assertEquals(
+                ScenarioParser.parse(text).run(), ScenarioParser.parse(text).run());
+    }
+
+    @Test
+    public void testRun_saysWhatDidNotCome() throws Exception {
+        ImmutableList<String> failures = ScenarioParser.parse(HOBART
+                        + "at 5s submit j1 job tasks 3 runtime 200ms to hobart-1\n"
+                        + "at 5100ms kill endpoint hobart-w1\n"
+                        + "expect j1 complete\n"
+                        + "expect j2 complete\n"
+                        + "expect at 1s phase left on all\n"
+                        + "expect no start on hobart after 4s\n")
+                .run();
+        assertEquals(failures.size(), 4, failures.toString());
+        assertTrue(failures.get(1).contains("expect j1 complete: hobart-1_1_0 is unknown with answer-lost"));
+    }
+
+    @DataProvider
+    public Object[][] wrongLines() {
+        return new Object[][] {
+            {"at 5s explode node hobart-1", "'explode' is nothing that happens"},
+            {"at soon kill node hobart-1", "'soon' is no time"},
+            {"expect j1 fine", "'fine' is no outcome"},
+            {"at 5s submit j1 job tasks 3 to", "the line ends too early"},
+            {"nodes hobart many", "'many' is no number"},
+            {"expect no task starts", "'twice' is missing"},
+            {"at 5s kill node hobart-1 twice", "'twice' is too much"},
+            {"whenever", "opens no statement"},
+        };
+    }
+
+    @Test(dataProvider = "wrongLines")
+    public void testParse_namesTheLineAndTheMistake(String line, String mistake) {
+        ScenarioSyntaxException wrong =
+                expectThrows(ScenarioSyntaxException.class, () -> ScenarioParser.parse("seed 1\n\n" + line));
+        assertTrue(wrong.getMessage().startsWith("line 3: "), wrong.getMessage());
+        assertTrue(wrong.getMessage().contains(mistake), wrong.getMessage());
+    }
+}
