--- a/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/policy/Measures.java
+++ b/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/policy/Measures.java
@@ -22,6 +22,7 @@
     long tasksFailed;
     long lastFailureNanos;
     double slotNanos;
+    double busyNanos;
 
     /** Messages that started no task. */
     enum Waste {
@@ -40,8 +41,11 @@
         offeredNanos.merge(job.team, (double) job.workNanos(), Double::sum);
     }
 
-    void complete(Job job, double responseOverIdeal) {
+    void answered(double responseOverIdeal) {
         ratio.recordValue((long) (responseOverIdeal * RATIO_UNIT));
+    }
+
+    void served(Job job) {
         servedNanos.merge(job.team, (double) job.workNanos(), Double::sum);
     }
 
@@ -62,6 +66,11 @@
         return servedNanos.values().stream().mapToDouble(Double::doubleValue).sum() / slotNanos;
     }
 
+    /** Returns the part of the time that slots ran something, wanted or not. */
+    double busy() {
+        return busyNanos / slotNanos;
+    }
+
     /** Returns what a team was served over all that the slots could do. */
     double served(TeamName team) {
         return servedNanos.getOrDefault(team, 0.0) / slotNanos;
@@ -83,5 +92,6 @@
         tasksFailed = Math.max(tasksFailed, other.tasksFailed);
         lastFailureNanos = Math.max(lastFailureNanos, other.lastFailureNanos);
         slotNanos += other.slotNanos;
+        busyNanos += other.busyNanos;
     }
 }
--- a/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/policy/PolicyRun.java
+++ b/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/policy/PolicyRun.java
@@ -83,8 +83,20 @@
         double ideal = job.slowestNanos() + shape.unavoidableNanos();
         boolean ownedByFrozen = scenario.fault() == Scenario.Fault.FROZEN_NODE && node == nodes.get(0);
         if (counts(job) && !ownedByFrozen) {
-            measures.complete(job, response / ideal);
+            measures.answered(response / ideal);
         }
+        if (inWindow()) {
+            measures.served(job);
+        }
+    }
+
+    /** Counts work that a slot has done, whether or not anybody still waits for it. */
+    void slotRan(long nanos) {
+        measures.busyNanos += inWindow() ? nanos : 0;
+    }
+
+    private boolean inWindow() {
+        return time.nowNanos() >= WARM_UP_NANOS && time.nowNanos() < endNanos;
     }
 
     private boolean counts(Job job) {
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/endpoint/EndpointDirectory.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/endpoint/EndpointDirectory.java
@@ -347,9 +347,10 @@
         if (!failed && endpoint.succeeded(nowNanos)) {
             note(NoteEvent.ENDPOINT_READMITTED, endpoint.id(), endpoint.why(), sink);
         }
+        boolean elsewhere = !pools.inOwnDomain(endpoint);
         boolean mayBeOut = endpoint.countsAsQuarantined() || pools.spareOne(endpoint);
-        if (failed && endpoint.isConvictable() && mayBeOut) {
-            endpoint.convict(nowNanos, "fails what others do not fail");
+        if (failed && endpoint.isConvictable(elsewhere) && mayBeOut) {
+            endpoint.convict(elsewhere, nowNanos, "fails what others do not fail");
             note(NoteEvent.ENDPOINT_QUARANTINED, endpoint.id(), endpoint.why(), sink);
             schedule(endpoint, endpoint.convictedUntilNanos());
         }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/endpoint/EndpointRecord.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/endpoint/EndpointRecord.java
@@ -128,13 +128,14 @@
     }
 
     /** Puts it in quarantine, for longer each time. */
-    void convict(long nowNanos, String reason) {
+    void convict(boolean elsewhere, long nowNanos, String reason) {
         if (trialsLeft == 0 && nowNanos - trustedSinceNanos > HealthPolicy.FORGIVEN_AFTER_NANOS) {
             quarantineWait.reset();
         }
         convicted = true;
         onTrialAfterConviction = false;
-        convictedUntilNanos = nowNanos + quarantineWait.next();
+        long factor = elsewhere ? HealthPolicy.QUARANTINE_FACTOR_ELSEWHERE : 1;
+        convictedUntilNanos = nowNanos + factor * quarantineWait.next();
         why = reason;
     }
 
@@ -160,9 +161,9 @@
     }
 
     /** Returns whether what is known is enough for quarantine; on trial one failure that is its own fault is. */
-    boolean isConvictable() {
-        double needed = onTrialAfterConviction ? HealthPolicy.CONVICTION_ON_TRIAL : HealthPolicy.CONVICTION;
-        return !convicted && evidence >= needed;
+    boolean isConvictable(boolean elsewhere) {
+        double needed = elsewhere ? HealthPolicy.CONVICTION_ELSEWHERE : HealthPolicy.CONVICTION;
+        return !convicted && evidence >= (onTrialAfterConviction ? HealthPolicy.CONVICTION_ON_TRIAL : needed);
     }
 
     /** Takes in a success; returns whether it ended the trial. */
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/endpoint/HealthPolicy.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/endpoint/HealthPolicy.java
@@ -14,6 +14,8 @@
     static final double REMEMBERED_TASKS = 200;
     /** The logarithm of the likelihood ratio at which an endpoint is taken for broken: odds of ten thousand to one. */
     static final double CONVICTION = Math.log(10_000);
+    /** The same for an endpoint of another failure domain, which this node can do without: one thousand to one. */
+    static final double CONVICTION_ELSEWHERE = Math.log(1_000);
     /** The same for an endpoint that was broken before. */
     static final double CONVICTION_ON_TRIAL = Math.log(10);
     /** The part of a conviction from which an endpoint gets one task at a time. */
@@ -22,9 +24,12 @@
     static final int ENDPOINTS_PER_QUARANTINE = 3;
 
     /** The first wait of a convicted endpoint before it is probed; each next one is longer by the growth. */
-    static final long FIRST_QUARANTINE_NANOS = Duration.ofSeconds(15).toNanos();
+    static final long FIRST_QUARANTINE_NANOS = Duration.ofSeconds(30).toNanos();
 
     static final long QUARANTINE_GROWTH = 4;
+    /** How many times as long an endpoint of another failure domain waits, whose own nodes try it first. */
+    static final long QUARANTINE_FACTOR_ELSEWHERE = 4;
+
     static final long LONGEST_QUARANTINE_NANOS = Duration.ofMinutes(15).toNanos();
     /** How long an endpoint works well before its earlier convictions are forgotten. */
     static final long FORGIVEN_AFTER_NANOS = Duration.ofMinutes(10).toNanos();
