Bound how much later work may pass a waiting job

Cause: within a team the job with the least work left always came first. Ruled out: a full queue, a lost slot, a quota. A job's place is now the work its team had started when it came, plus four times its own work left: a smaller job passes it by four times the difference at most.

--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/queue/JobQueue.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/queue/JobQueue.java
@@ -17,7 +17,8 @@
  *
  * <p>Between teams it is start-time fair queueing by weight: each team has a virtual time, which a started task moves
  * on by its expected run time over the team's weight, and the team that is furthest behind comes next. Within a team
- * the job with the least expected work left comes next, since a job is answered by its last task.
+ * the job with the least expected work left comes next, since a job is answered by its last task; a larger job is
+ * passed by a bounded amount of work only.
  *
  * <p>Not safe for use by several threads. A change costs time by the logarithm of the number of jobs and teams;
  * {@link #next} looks at one team more than are held back.
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/queue/TeamQueue.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/queue/TeamQueue.java
@@ -4,17 +4,22 @@
 import java.util.TreeSet;
 import org.tarragonarch.model.id.TeamName;
 
-/** The waiting jobs of one team, the one with the least work left first, and the team's virtual time. */
+/**
+ * The waiting jobs of one team, and the team's virtual time.
+ *
+ * <p>A job with less work left comes before one with more, but passes it only for a while: see {@link WaitingJob}.
+ */
 final class TeamQueue<J> {
     private final TeamName team;
     private final TreeSet<WaitingJob<J>> jobs =
-            new TreeSet<>(Comparator.comparingLong(WaitingJob<J>::nanosLeft).thenComparingLong(WaitingJob::sequence));
+            new TreeSet<>(Comparator.comparingLong(WaitingJob<J>::place).thenComparingLong(WaitingJob::sequence));
     /** Work by the binary order of magnitude of the job's work, so that a sum up to a size needs no walk over jobs. */
     private final long[] nanosByMagnitude = new long[Long.SIZE + 1];
 
     private int weight = 1;
     private int tasks;
     private long nanos;
+    private long startedNanos;
     private double virtualNanos;
 
     TeamQueue(TeamName team) {
@@ -54,7 +59,13 @@
         virtualNanos = Math.max(virtualNanos, virtualNow);
     }
 
+    /** Returns the expected work of all tasks that the team has started: the clock by which its jobs grow old. */
+    long startedNanos() {
+        return startedNanos;
+    }
+
     void charge(long expectedNanos) {
+        startedNanos += expectedNanos;
         virtualNanos += (double) expectedNanos / weight;
     }
 
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/queue/WaitingJob.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/queue/WaitingJob.java
@@ -1,17 +1,28 @@
 package org.tarragonarch.core.queue;
 
-/** The waiting tasks of one job. */
+/** The waiting tasks of one job, and its place among the jobs of its team. */
 final class WaitingJob<J> {
+    /**
+     * How much later work may pass a job, as a multiple of the work by which the later job is smaller.
+     *
+     * <p>Without a bound the smallest job always comes first, and under steady load a job that is larger, or was only
+     * thought to be when run times were not learnt yet, is passed until its deadline.
+     */
+    private static final long PASSING_FACTOR = 4;
+
     private final J job;
     private final TeamQueue<J> queue;
     private final long sequence;
+    private final long arrivedAtWork;
     private int tasks;
     private long expectedNanos;
 
+    /** Creates a job without tasks that arrives now, by the work that its team has started. */
     WaitingJob(J job, TeamQueue<J> queue, long sequence) {
         this.job = job;
         this.queue = queue;
         this.sequence = sequence;
+        this.arrivedAtWork = queue.startedNanos();
     }
 
     J job() {
@@ -39,6 +50,11 @@
         return tasks * expectedNanos;
     }
 
+    /** Returns the job's place: the job with the least comes first. */
+    long place() {
+        return arrivedAtWork + PASSING_FACTOR * nanosLeft();
+    }
+
     void change(int addedTasks, long newExpectedNanos) {
         tasks += addedTasks;
         expectedNanos = newExpectedNanos;
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/queue/JobQueueTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/queue/JobQueueTest.java
@@ -36,6 +36,26 @@
         assertEquals(jobs.queuedTasks(), 9);
     }
 
+    /**
+     * A job queued before run times were learnt is thought to be twice as long as those after it. Under steady load a
+     * newer, smaller job is always there, and the old one waited until its deadline while all others were answered.
+     */
+    @Test
+    public void testNext_largerJobIsNotPassedForEver() {
+        JobQueue<String> jobs = JobQueue.create();
+        jobs.add("old", PRESS, 1, 3, 200 * MILLI);
+        jobs.add("new-0", PRESS, 1, 3, 100 * MILLI);
+        int passed = 0;
+        String next = start(jobs);
+        while (!next.equals("old") && passed < 1_000) {
+            passed++;
+            jobs.add("new-" + passed, PRESS, 1, 1, 100 * MILLI);
+            next = start(jobs);
+        }
+        // Three tasks were there with it, and four times (600 - 100) ms is the work of 20 more.
+        assertTrue(passed <= 23, passed + " tasks passed it");
+    }
+
     @Test
     public void testNext_teamsByWeight() {
         // One team pushes ten thousand tasks at once. Another team's few jobs must not wait behind them, and of a full
