--- a/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/policy/PolicyComparison.java
+++ b/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/policy/PolicyComparison.java
@@ -73,7 +73,7 @@
     public Integer call() {
         for (UserShape shape : shapes) {
             for (Scenario scenario : SCENARIOS) {
-                if (scenario.name().equals(only)) {
+                if (scenario.name().contains(only)) {
                     compare(shape, scenario);
                 }
             }
