--- /dev/null
+++ b/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/admin/AdminException.java
@@ -0,0 +1,70 @@
+package org.tarragonarch.ctl.admin;
+
+import java.net.ConnectException;
+import org.tarragonarch.model.id.Address;
+import org.tarragonarch.model.outcome.Step;
+import org.tarragonarch.model.outcome.StepException;
+
+/** A call to a node's administration API had no usable result. */
+public final class AdminException extends StepException {
+    /** The status of an error that arose before or without an HTTP answer. */
+    public static final int NO_STATUS = 0;
+
+    private static final long serialVersionUID = 1L;
+    private static final int NOT_FOUND = 404;
+    private static final int CONFLICT = 409;
+    private static final int FIRST_SERVER_ERROR = 500;
+
+    /** The code of a node that certainly did not have a change accepted, as the platform did not serve it. */
+    private static final String PLATFORM_UNAVAILABLE = "platform-unavailable";
+
+    private final int status;
+    private final String code;
+
+    private AdminException(Step step, String peer, String message, int status, String code, Throwable cause) {
+        super(step, peer, message, cause);
+        this.status = status;
+        this.code = code;
+    }
+
+    static AdminException noAnswer(Address node, Throwable cause) {
+        String message = "no answer from " + node + ": " + cause.getMessage();
+        return new AdminException(Step.PEER, node.toString(), message, NO_STATUS, "", cause);
+    }
+
+    static AdminException refused(Address node, int status, String code, String detail) {
+        return new AdminException(Step.PEER, node.toString(), detail + " (status " + status + ")", status, code, null);
+    }
+
+    /** Returns the error of an answer that cannot be read. */
+    public static AdminException unreadable(Address node, String problem) {
+        String message = "the answer of " + node + " cannot be read: " + problem;
+        return new AdminException(Step.PEER, node.toString(), message, NO_STATUS, "", null);
+    }
+
+    /** Returns the HTTP status, or {@link #NO_STATUS}. */
+    public int status() {
+        return status;
+    }
+
+    /** Returns whether the node has not what was asked for. */
+    public boolean notFound() {
+        return status == NOT_FOUND;
+    }
+
+    /** Returns whether another change was accepted first. */
+    public boolean conflict() {
+        return status == CONFLICT;
+    }
+
+    /** Returns whether what was asked may have been done all the same. */
+    public boolean mayHaveApplied() {
+        boolean neverSent = getCause() instanceof ConnectException;
+        return undecided() && !neverSent && !code.equals(PLATFORM_UNAVAILABLE);
+    }
+
+    /** Returns whether the node's answer leaves open if it did what was asked, so that another node may be asked. */
+    public boolean undecided() {
+        return status == NO_STATUS || status >= FIRST_SERVER_ERROR;
+    }
+}
