--- /dev/null
+++ b/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/decision/package-info.java
@@ -0,0 +1,2 @@
+/** The processor time and memory of one decision, by JMH and by measuring the heap. */
+package org.tarragonarch.benchmark.decision;
