Ask a kept connection whether it is closed before a task is written to it

Cause: OkHttp looks at a kept connection only after ten idle seconds. When a worker closes its connections (it dies and is replaced, or restarts its listener), each connection kept to it swallowed one request, which was answered 'unknown' though no one had read it. Seen first in EndpointFaultTest: after refuse-connections, 7 of its 10 cases ended with 'unexpected end of stream'.

Ruled out: a race with the closing itself (the test waits until connections are refused before it sends); OkHttp's retryOnConnectionFailure (it also repeats what may have been read); evicting the whole pool (it takes other endpoints' connections along); a read with a timeout of 1 ms before each request (1 ms on every task).

Change: sockets belong to channels, and a network interceptor, which runs before the request's first byte, makes one read that does not wait. A closed connection fails the call before anything has left, so the endpoint client and the platform's client take another one. What closes between the check and the write still ends as a lost answer.

--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/endpoint/EndpointClient.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/endpoint/EndpointClient.java
@@ -38,6 +38,8 @@
 import org.tarragonarch.entry.metrics.WasteKind;
 import org.tarragonarch.model.id.Address;
 import org.tarragonarch.model.id.TaskId;
+import org.tarragonarch.platform.connection.ClosedConnectionCheck;
+import org.tarragonarch.platform.connection.ClosedConnectionException;
 
 /**
  * Sends tasks to endpoints, each once, and reports exactly one {@code TaskEnded} for each send.
@@ -65,7 +67,7 @@
         this.events = checkNotNull(events, "events");
         this.metrics = checkNotNull(metrics, "metrics");
         this.reader = new AnswerReader(limits.maxResultBytes());
-        this.http = new OkHttpClient.Builder()
+        this.http = ClosedConnectionCheck.addTo(new OkHttpClient.Builder())
                 .dispatcher(dispatcher(limits.maxExchanges()))
                 .connectionPool(
                         new ConnectionPool(limits.maxIdleConnections(), KEEP_IDLE.toMillis(), TimeUnit.MILLISECONDS))
@@ -101,14 +103,23 @@
             end(action, EndpointAnswer.of(SendResult.CONNECT_FAILED, false, "the task's body is gone"));
             return;
         }
+        send(action, content.get(), System.nanoTime() + action.timeAllowed().toNanos());
+    }
+
+    private void send(SendTask action, TaskContent content, long deadlineNanos) {
         SendTracker tracker = new SendTracker();
-        Call call = http.newCall(request(action, content.get(), tracker));
-        call.timeout().timeout(Math.max(1, action.timeAllowed().toNanos()), TimeUnit.NANOSECONDS);
+        Call call = http.newCall(request(action, content, tracker));
+        call.timeout().timeout(Math.max(1, deadlineNanos - System.nanoTime()), TimeUnit.NANOSECONDS);
         Send send = new Send(action.task(), action.attempt());
         running.put(send, call);
         enqueue(call, (response, failure) -> {
             running.remove(send);
-            end(action, response != null ? answered(action.task(), response) : failed(tracker, failure));
+            if (failure instanceof ClosedConnectionException) {
+                // No byte has left. Each such failure takes a kept connection away, so that a new one is opened soon.
+                send(action, content, deadlineNanos);
+            } else {
+                end(action, response != null ? answered(action.task(), response) : failed(tracker, failure));
+            }
         });
     }
 
--- a/tarragonarch-platform/src/main/java/org/tarragonarch/platform/PlatformHttp.java
+++ b/tarragonarch-platform/src/main/java/org/tarragonarch/platform/PlatformHttp.java
@@ -8,7 +8,6 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
-import okhttp3.Call;
 import okhttp3.ConnectionPool;
 import okhttp3.HttpUrl;
 import okhttp3.MediaType;
@@ -18,6 +17,8 @@
 import okhttp3.RequestBody;
 import okhttp3.Response;
 import org.tarragonarch.model.id.Address;
+import org.tarragonarch.platform.connection.ClosedConnectionCheck;
+import org.tarragonarch.platform.connection.ClosedConnectionException;
 
 /** Sends calls to the platform and says of each failed write whether it may have taken effect. */
 final class PlatformHttp implements AutoCloseable {
@@ -48,7 +49,7 @@
                 .build();
         this.name = name;
         // OkHttp's own retry would send a write again whose first copy may have taken effect.
-        this.client = new OkHttpClient.Builder()
+        this.client = ClosedConnectionCheck.addTo(new OkHttpClient.Builder())
                 .retryOnConnectionFailure(false)
                 .followRedirects(false)
                 .proxy(Proxy.NO_PROXY)
@@ -112,8 +113,8 @@
         if (!name.isEmpty()) {
             builder.header(CLIENT_NAME, name);
         }
-        Call call = client.newCall(builder.build());
-        try (Response response = call.execute()) {
+        Request request = builder.build();
+        try (Response response = execute(request)) {
             byte[] body = response.body().bytes();
             PlatformReply reply = new PlatformReply(part, write, response.code(), body, mapper);
             check(reply, response.header(NOT_APPLIED) != null);
@@ -123,6 +124,18 @@
         }
     }
 
+    /** Executes a call, on a new connection where the platform has closed the kept ones. */
+    private Response execute(Request request) throws IOException {
+        for (int tries = 0; tries < IDLE_CONNECTIONS; tries++) {
+            try {
+                return client.newCall(request).execute();
+            } catch (ClosedConnectionException e) {
+                // No byte has left, so the next try is no second sending.
+            }
+        }
+        return client.newCall(request).execute();
+    }
+
     private static void check(PlatformReply reply, boolean notApplied) throws PlatformException {
         if (reply.status() < FIRST_SERVER_ERROR) {
             return;
