--- a/tarragonarch-standin/src/test/java/org/tarragonarch/standin/process/Caller.java
+++ b/tarragonarch-standin/src/test/java/org/tarragonarch/standin/process/Caller.java
@@ -31,7 +31,15 @@
     CompletableFuture<CallerAnswer> request(NodeProcess node, String kind, String tag, int millis, String key) {
         ObjectNode message = mapper.createObjectNode();
         message.set("input", input(tag, millis));
-        return submit(node, "requests/" + kind, message, key);
+        return submit(node, "requests/" + kind, message, key, TIMEOUT);
+    }
+
+    /** Submits a request without a key that must be answered within some time. */
+    CompletableFuture<CallerAnswer> urgent(
+            NodeProcess node, String kind, String tag, int millis, Duration timeAllowed) {
+        ObjectNode message = mapper.createObjectNode();
+        message.set("input", input(tag, millis));
+        return submit(node, "requests/" + kind, message, null, timeAllowed);
     }
 
     /** Submits a job of equal tasks, tagged with their number. */
@@ -41,7 +49,7 @@
         for (int i = 0; i < tasks; i++) {
             array.addObject().set("input", input(tag + "-" + i, millis));
         }
-        return submit(node, "jobs/" + kind, message, null);
+        return submit(node, "jobs/" + kind, message, null, TIMEOUT);
     }
 
     boolean ready(NodeProcess node) throws IOException, InterruptedException {
@@ -58,11 +66,13 @@
                 .put("domain", "proofreading.example");
     }
 
-    private CompletableFuture<CallerAnswer> submit(NodeProcess node, String path, ObjectNode message, String key) {
+    private CompletableFuture<CallerAnswer> submit(
+            NodeProcess node, String path, ObjectNode message, String key, Duration timeAllowed) {
         HttpRequest.Builder request = HttpRequest.newBuilder(uri(node, "/v1/services/" + SERVICE + "/" + path))
                 .timeout(TIMEOUT)
                 .header("Authorization", "Bearer " + TOKEN)
                 .header("Content-Type", "application/json")
+                .header("Time-Allowed-Ms", Long.toString(timeAllowed.toMillis()))
                 .POST(HttpRequest.BodyPublishers.ofString(message.toString()));
         if (key != null) {
             request.header("Idempotency-Key", key);
--- a/tarragonarch-standin/src/test/java/org/tarragonarch/standin/process/KeyedSubmissionTest.java
+++ b/tarragonarch-standin/src/test/java/org/tarragonarch/standin/process/KeyedSubmissionTest.java
@@ -75,6 +75,53 @@
         assertEquals(woken.complete(), starts == 1, woken.toString());
     }
 
+    @Test
+    public void testKey_nodeRestartedOnItsOldAddress() throws Exception {
+        // The node that runs a renewal dies and is started again at once on its old address. The desk pushes the
+        // renewal
+        // again and meets the new run, which remembers nothing but finds the claim of the run before. It must neither
+        // run the renewal nor say that it was not run, and other renewals go on.
+        CompletableFuture<CallerAnswer> first = renewal(0, "renewal", 1_000);
+        cluster.awaitStarts(1);
+        cluster.node(0).process().kill();
+        assertFalse(answered(first), "the killed node cannot have answered");
+        cluster.restartNode(0);
+
+        CallerAnswer again = renewal(0, "renewal", 1_000).get(WAIT_MILLIS, TimeUnit.MILLISECONDS);
+        assertEquals(again.outcome(), "unknown", again.toString());
+        Await.until(
+                "other renewals go on",
+                ProcessCluster.DEADLINE,
+                () -> renewal(0, "other", 20)
+                        .get(WAIT_MILLIS, TimeUnit.MILLISECONDS)
+                        .complete());
+
+        assertEquals(starts("renewal"), 1);
+        assertEquals(starts("other"), 1);
+    }
+
+    @Test
+    public void testKey_tableServiceSlowerThanItsTimeout() throws Exception {
+        // The table service takes longer for each call than a node waits. The claim may have been written or not, and
+        // the reads that would tell have no reply either, so the renewal is refused. Then it must not have run, and
+        // once the table service is itself again, the renewal goes through.
+        cluster.platform().fault("slow?part=tables&ms=1500");
+
+        CallerAnswer refused = renewal(0, "renewal", 20).get(WAIT_MILLIS, TimeUnit.MILLISECONDS);
+
+        assertEquals(refused.outcome(), "not-run", refused.toString());
+        assertFalse(refused.retryAfter().isEmpty(), refused.toString());
+        assertEquals(starts("renewal"), 0);
+        cluster.platform().clearFaults();
+        Await.until(
+                "the renewal goes through",
+                ProcessCluster.DEADLINE,
+                () -> renewal(0, "renewal", 20)
+                        .get(WAIT_MILLIS, TimeUnit.MILLISECONDS)
+                        .complete());
+        assertEquals(starts("renewal"), 1);
+    }
+
     @Test
     public void testKey_replyOfClaimLost() throws Exception {
         // The claim is written and the connection breaks before the reply. The key stands under the node's own token,
--- a/tarragonarch-standin/src/test/java/org/tarragonarch/standin/process/ProcessCluster.java
+++ b/tarragonarch-standin/src/test/java/org/tarragonarch/standin/process/ProcessCluster.java
@@ -76,6 +76,17 @@
         return endpoints.get(index);
     }
 
+    /** Starts a node again on its old addresses after its process has ended, and waits until it is ready. */
+    void restartNode(int index) throws Exception {
+        NodeProcess old = nodes.get(index);
+        JvmProcess process = launchNode(old.name());
+        NodeProcess restarted = new NodeProcess(old.name(), process, old.caller(), old.admin());
+        if (!ready(restarted, TRIES)) {
+            throw new AssertionError(old.name() + " cannot be started again: " + process.output());
+        }
+        nodes.set(index, restarted);
+    }
+
     StandInControl platform() {
         return platform;
     }
@@ -204,9 +215,8 @@
         Address callerAddress = ports.next();
         Address adminAddress = ports.next();
         Address peerAddress = ports.next();
-        Path settings = folder.resolve(name + ".json");
         Files.writeString(
-                settings, """
+                settings(name), """
                 { "node": "%s", "domain": "%s", "caller-address": "%s", "admin-address": "%s",
                   "peer-address": "%s", "platform-address": "%s",
                   "policy": { "vm-list-interval": "200ms", "configuration-interval": "500ms", "drain-delay": "500ms" },
@@ -215,9 +225,16 @@
         VmRecord vm = new VmRecord(
                 name, VmRole.ENTRY, FailureDomain.of(DOMAIN), peerAddress, VmState.LIVE, ImmutableSet.of(), 0);
         platform.post("/vms", VmRecordJson.write(vm).toString());
-        JvmProcess process =
-                launchMain(name, "org.tarragonarch.entry.EntryMain", List.of("--settings", settings.toString()));
-        return new NodeProcess(name, process, callerAddress, adminAddress);
+        return new NodeProcess(name, launchNode(name), callerAddress, adminAddress);
+    }
+
+    private JvmProcess launchNode(String name) throws IOException {
+        List<String> arguments = List.of("--settings", settings(name).toString());
+        return launchMain(name, "org.tarragonarch.entry.EntryMain", arguments);
+    }
+
+    private Path settings(String nodeName) {
+        return folder.resolve(nodeName + ".json");
     }
 
     /** Nodes read the list now and then: a job that needs every slot must not come before they know them. */
