--- a/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/policy/NodeModel.java
+++ b/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/policy/NodeModel.java
@@ -86,8 +86,7 @@
             long expected = estimator.expectedNanos(SERVICE, job.kind, job.declared);
             long work = expected * job.runNanos.length;
             double wait = (double) (queue.nanosAhead(job, work) + work) / Math.max(1, directory.slots(SERVICE));
-            if (wait > DEADLINE_NANOS / 2
-                    || queue.tasks() + job.runNanos.length > MOST_QUEUED) {
+            if (wait > DEADLINE_NANOS / 2 || queue.tasks() + job.runNanos.length > MOST_QUEUED) {
                 run.refused(job);
                 return;
             }
