Share team quotas and service limits by the same deal, with names

Cause: the quota's remainder was given to nobody because only a number of nodes was known, so a quota below the number of nodes gave no node a share; and a service's limit was cut by its own rule, which let every node run at least one and so passed a small limit. Both are now dealt by SharedLimits over the named nodes of the domain: the sum is the limit exactly.

--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/admission/AdmissionControl.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/admission/AdmissionControl.java
@@ -10,7 +10,6 @@
 import org.tarragonarch.core.event.SubmissionArrived;
 import org.tarragonarch.core.event.TaskShape;
 import org.tarragonarch.core.queue.JobQueue;
-import org.tarragonarch.core.quota.TeamQuotas;
 import org.tarragonarch.core.runtime.RunTimeEstimator;
 import org.tarragonarch.core.submission.ComeBack;
 import org.tarragonarch.core.submission.Dispatcher;
@@ -37,21 +36,18 @@
 
     private final Dispatcher dispatcher;
     private final EndpointDirectory endpoints;
-    private final TeamQuotas quotas;
     private final RunTimeEstimator runTimes;
 
-    private AdmissionControl(
-            Dispatcher dispatcher, EndpointDirectory endpoints, TeamQuotas quotas, RunTimeEstimator runTimes) {
+    private AdmissionControl(Dispatcher dispatcher, EndpointDirectory endpoints, RunTimeEstimator runTimes) {
         this.dispatcher = checkNotNull(dispatcher, "dispatcher");
         this.endpoints = checkNotNull(endpoints, "endpoints");
-        this.quotas = checkNotNull(quotas, "quotas");
         this.runTimes = checkNotNull(runTimes, "runTimes");
     }
 
     /** Returns an admission control that looks at the load of this dispatcher. */
     public static AdmissionControl create(
-            Dispatcher dispatcher, EndpointDirectory endpoints, TeamQuotas quotas, RunTimeEstimator runTimes) {
-        return new AdmissionControl(dispatcher, endpoints, quotas, runTimes);
+            Dispatcher dispatcher, EndpointDirectory endpoints, RunTimeEstimator runTimes) {
+        return new AdmissionControl(dispatcher, endpoints, runTimes);
     }
 
     /** Decides upon one submission. */
@@ -111,11 +107,12 @@
         if (!endpoints.usable(service)) {
             return refuseForNow(ProblemCode.NO_ENDPOINT, "no endpoint of " + service + " can be reached");
         }
-        if (quotas.share(submission.team().name()) == 0) {
+        if (dispatcher.limitFor(service, submission.team()) == 0) {
             return refuseUntilDrained(
                     submission,
                     ProblemCode.OVER_QUOTA,
-                    "the quota of " + submission.team().name() + " gives this node no part; another node may have one");
+                    "the limits of " + submission.team().name() + " and " + service
+                            + " give this node no part; another node may have one");
         }
         if (queueFull(submission)) {
             return refuseUntilDrained(submission, ProblemCode.QUEUE_FULL, "the queue of " + service + " is full");
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/membership/PeerDirectory.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/membership/PeerDirectory.java
@@ -43,7 +43,7 @@
     private final Reporter reporter;
     private final Map<NodeId, Peer> peers = new TreeMap<>();
     private ImmutableSet<NodeId> aliveInDomain;
-    private int sharers = 1;
+    private ImmutableSet<NodeId> sharers;
     private long nextCheckNanos = Long.MAX_VALUE;
 
     private PeerDirectory(NodeIdentity self, NodePolicy policy) {
@@ -53,6 +53,7 @@
         this.linkChoice = new LinkChoice(self.node(), self.domain());
         this.reporter = new Reporter(self, new ReportPacer(policy));
         this.aliveInDomain = ImmutableSet.of(self.node());
+        this.sharers = aliveInDomain;
     }
 
     /** Returns a directory that knows no peer. */
@@ -138,12 +139,12 @@
     }
 
     /**
-     * Returns among how many nodes a quota of the own failure domain must be shared.
+     * Returns the nodes among which a quota of the own failure domain must be shared, this one among them.
      *
-     * <p>Counts every node that the list names or that was heard, also silent ones: a node that is only cut off still
+     * <p>Holds every node that the list names or that was heard, also silent ones: a node that is only cut off still
      * uses its share.
      */
-    public int sharers() {
+    public ImmutableSet<NodeId> sharers() {
         return sharers;
     }
 
@@ -185,10 +186,11 @@
         ImmutableSet.Builder<NodeId> alive = ImmutableSet.builder();
         workers.add(self.node());
         alive.add(self.node());
-        int inDomain = 1;
+        ImmutableSet.Builder<NodeId> inDomain = ImmutableSet.builder();
+        inDomain.add(self.node());
         for (Peer peer : peers.values()) {
             if (peer.domain().equals(self.domain())) {
-                inDomain++;
+                inDomain.add(peer.node());
                 if (peer.alive()) {
                     alive.add(peer.node());
                 }
@@ -197,7 +199,7 @@
                 }
             }
         }
-        sharers = inDomain;
+        sharers = inDomain.build();
         aliveInDomain = workers.build();
         reporter.links(linkChoice.choose(reachable(), alive.build()), nowNanos);
     }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/node/EntryNode.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/node/EntryNode.java
@@ -45,16 +45,18 @@
 import org.tarragonarch.core.lifecycle.Lifecycle;
 import org.tarragonarch.core.membership.PeerDirectory;
 import org.tarragonarch.core.membership.ReportSource;
-import org.tarragonarch.core.quota.TeamQuotas;
+import org.tarragonarch.core.quota.SharedLimits;
 import org.tarragonarch.core.runtime.RunTimeEstimator;
 import org.tarragonarch.core.status.NodeStatus;
 import org.tarragonarch.core.status.QueueStatus;
+import org.tarragonarch.core.status.QuotaStatus;
 import org.tarragonarch.core.submission.Dispatcher;
 import org.tarragonarch.core.submission.Submission;
 import org.tarragonarch.core.submission.SubmissionTable;
 import org.tarragonarch.model.id.ConfigurationVersion;
 import org.tarragonarch.model.id.EndpointId;
 import org.tarragonarch.model.id.NodeId;
+import org.tarragonarch.model.id.ServiceName;
 import org.tarragonarch.model.id.TeamName;
 import org.tarragonarch.model.outcome.Problem;
 import org.tarragonarch.model.outcome.ProblemCode;
@@ -63,6 +65,7 @@
 import org.tarragonarch.model.report.EndpointLoad;
 import org.tarragonarch.model.report.NodePhase;
 import org.tarragonarch.model.report.PeerReport;
+import org.tarragonarch.model.service.ServiceDefinition;
 import org.tarragonarch.model.service.TeamDefinition;
 
 /**
@@ -77,7 +80,8 @@
     private final ConfigurationKeeper configuration;
     private final EndpointDirectory endpoints;
     private final PeerDirectory peers;
-    private final TeamQuotas quotas;
+    private final SharedLimits<TeamName> quotas;
+    private final SharedLimits<ServiceName> services;
     private final SubmissionTable submissions = SubmissionTable.create();
     private final KeyBook keys;
     private final Dispatcher dispatcher;
@@ -96,12 +100,13 @@
         this.configuration = ConfigurationKeeper.create(policy);
         this.endpoints = EndpointDirectory.create(identity.node(), identity.domain(), random, policy.placement());
         this.peers = PeerDirectory.create(identity, policy);
-        this.quotas = TeamQuotas.create(this::quotaOf);
+        this.quotas = SharedLimits.create(identity.node(), this::quotaOf);
+        this.services = SharedLimits.create(identity.node(), this::limitOf);
         this.keys = KeyBook.create(identity, policy, random);
         RunTimeEstimator runTimes = RunTimeEstimator.create();
-        this.dispatcher = Dispatcher.create(submissions, endpoints, quotas, runTimes, keys);
+        this.dispatcher = Dispatcher.create(submissions, endpoints, quotas, services, runTimes, keys);
         this.keys.connect(dispatcher);
-        this.admission = AdmissionControl.create(dispatcher, endpoints, quotas, runTimes);
+        this.admission = AdmissionControl.create(dispatcher, endpoints, runTimes);
         this.lifecycle = Lifecycle.create(policy);
     }
 
@@ -146,7 +151,7 @@
                 endpoints.status(),
                 peers.status(),
                 queueStatus(),
-                quotas.status());
+                quotaStatus());
     }
 
     private void decide(Event event, long nowNanos, ActionSink sink) {
@@ -285,8 +290,8 @@
             endpoints.aliveNodes(now, nowNanos, sink);
             Sets.difference(before, now).forEach(gone -> keys.silent(gone, nowNanos, sink));
         }
-        quotas.nodes(peers.sharers());
-        dispatcher.sharers(peers.sharers());
+        quotas.sharers(peers.sharers());
+        services.sharers(peers.sharers());
     }
 
     private void equip(ActionSink sink) {
@@ -342,6 +347,20 @@
                 .orElse(1);
     }
 
+    private int limitOf(ServiceName service) {
+        return configuration
+                .inForce()
+                .flatMap(catalog -> catalog.service(service))
+                .map(ServiceDefinition::maxRunningTasks)
+                .orElse(1);
+    }
+
+    private ImmutableList<QuotaStatus> quotaStatus() {
+        return quotas.uses().stream()
+                .map(use -> new QuotaStatus(use.key(), use.running(), use.share(), use.limit()))
+                .collect(ImmutableList.toImmutableList());
+    }
+
     private ImmutableList<QueueStatus> queueStatus() {
         return configuration
                 .inForce()
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/submission/Dispatcher.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/submission/Dispatcher.java
@@ -22,12 +22,13 @@
 import org.tarragonarch.core.endpoint.EndpointDirectory;
 import org.tarragonarch.core.event.SendResult;
 import org.tarragonarch.core.event.TaskEnded;
-import org.tarragonarch.core.quota.TeamQuotas;
+import org.tarragonarch.core.quota.SharedLimits;
 import org.tarragonarch.core.runtime.RunTimeEstimator;
 import org.tarragonarch.core.status.QueueStatus;
 import org.tarragonarch.model.id.ServiceName;
 import org.tarragonarch.model.id.SubmissionId;
 import org.tarragonarch.model.id.TaskId;
+import org.tarragonarch.model.id.TeamName;
 import org.tarragonarch.model.outcome.Problem;
 import org.tarragonarch.model.outcome.ProblemCode;
 import org.tarragonarch.model.outcome.Step;
@@ -45,24 +46,26 @@
 
     private final SubmissionTable submissions;
     private final EndpointDirectory endpoints;
-    private final TeamQuotas quotas;
+    private final SharedLimits<TeamName> quotas;
+    private final SharedLimits<ServiceName> services;
     private final RunTimeEstimator runTimes;
     private final EndListener endListener;
     private final Map<ServiceName, ServiceLane> lanes = new HashMap<>();
     private final Map<TaskId, InFlightTask> inFlight = new HashMap<>();
     private final Set<ServiceName> changed = new LinkedHashSet<>();
     private final RetryBudget retryBudget = new RetryBudget();
-    private int sharers = 1;
 
     private Dispatcher(
             SubmissionTable submissions,
             EndpointDirectory endpoints,
-            TeamQuotas quotas,
+            SharedLimits<TeamName> quotas,
+            SharedLimits<ServiceName> services,
             RunTimeEstimator runTimes,
             EndListener endListener) {
         this.submissions = submissions;
         this.endpoints = endpoints;
         this.quotas = quotas;
+        this.services = services;
         this.runTimes = runTimes;
         this.endListener = endListener;
     }
@@ -71,10 +74,11 @@
     public static Dispatcher create(
             SubmissionTable submissions,
             EndpointDirectory endpoints,
-            TeamQuotas quotas,
+            SharedLimits<TeamName> quotas,
+            SharedLimits<ServiceName> services,
             RunTimeEstimator runTimes,
             EndListener endListener) {
-        return new Dispatcher(submissions, endpoints, quotas, runTimes, endListener);
+        return new Dispatcher(submissions, endpoints, quotas, services, runTimes, endListener);
     }
 
     /** Returns the lane of a service. */
@@ -82,11 +86,6 @@
         return lanes.computeIfAbsent(service, ServiceLane::new);
     }
 
-    /** Sets among how many nodes of the failure domain a service's running tasks are shared. */
-    public void sharers(int count) {
-        sharers = Math.max(1, count);
-    }
-
     /** Queues every task of a submission. */
     public void dispatch(Submission submission) {
         submission.stage(Stage.DISPATCHED);
@@ -182,9 +181,14 @@
         return Duration.ofNanos(slotNanos / slotsFor(service, team));
     }
 
-    /** Returns how many tasks of a team can run from this node at once at a service, by slots and quota; at least 1. */
+    /** Returns how many tasks of a team can run from this node at once at a service; at least 1. */
     public int slotsFor(ServiceName service, TeamDefinition team) {
-        return Math.max(1, Math.min(endpoints.slots(service), quotas.share(team.name())));
+        return Math.max(1, Math.min(endpoints.slots(service), limitFor(service, team)));
+    }
+
+    /** Returns how many tasks of a team the limits let run from this node at once at a service; may be 0. */
+    public int limitFor(ServiceName service, TeamDefinition team) {
+        return Math.min(quotas.share(team.name()), services.share(service));
     }
 
     /** Returns after how long a team's caller should come back to a service: the present wait, within bounds. */
@@ -237,7 +241,7 @@
             return false;
         }
         Submission submission = submissions.find(next.get()).orElseThrow();
-        if (lane.running() >= shareOf(submission)) {
+        if (!services.mayStart(submission.service().name())) {
             return false;
         }
         Task task = submission.nextQueued().orElseThrow();
@@ -246,10 +250,6 @@
         return endpoint.isPresent();
     }
 
-    private int shareOf(Submission submission) {
-        return Math.max(1, submission.service().maxRunningTasks() / sharers);
-    }
-
     // Endpoints that failed the task are avoided, but one of them is better than none.
     private Optional<Endpoint> reserve(Submission submission, Task task, long nowNanos) {
         ServiceName service = submission.service().name();
@@ -267,6 +267,7 @@
         lane.queue().taskStarted(submission.id());
         lane.started(submission.team().name());
         quotas.started(submission.team().name());
+        services.started(submission.service().name());
         inFlight.put(
                 task.id(),
                 new InFlightTask(
@@ -284,6 +285,7 @@
         long runNanos = nowNanos - flight.sentNanos();
         lane(flight.service()).ended(flight.team());
         quotas.ended(flight.team());
+        services.ended(flight.service());
         endpoints.ended(ended, flight.service(), flight.kind(), runNanos, nowNanos, sink);
         if (ended.result() == SendResult.SUCCEEDED) {
             runTimes.observe(flight.service(), flight.kind(), runNanos);
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/submission/ServiceLane.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/submission/ServiceLane.java
@@ -27,11 +27,6 @@
         return queue;
     }
 
-    /** Returns how many tasks of the service run from this node. */
-    public int running() {
-        return running.size();
-    }
-
     void started(TeamName team) {
         running.add(team);
     }
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/membership/PeerDirectoryTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/membership/PeerDirectoryTest.java
@@ -34,7 +34,7 @@
     public void testAliveInDomain_listedPeerThatWasNeverHeardIsNotAlive() {
         self.listed(0, self.vm(), other.vm());
         assertEquals(self.directory.aliveInDomain(), ImmutableSet.of(SELF));
-        assertEquals(self.directory.sharers(), 2);
+        assertEquals(self.directory.sharers().size(), 2);
     }
 
     /** A node has started and the list does not know it yet, or is out: it uses endpoints all the same. */
@@ -42,7 +42,7 @@
     public void testAliveInDomain_unlistedPeerThatIsHeardIsAlive() {
         assertTrue(self.heard(0, other.report(1)));
         assertEquals(self.directory.aliveInDomain(), ImmutableSet.of(SELF, OTHER));
-        assertEquals(self.directory.sharers(), 2);
+        assertEquals(self.directory.sharers().size(), 2);
         assertEquals(self.noted(NoteEvent.PEER_ALIVE), ImmutableList.of("hobart-2"));
     }
 
@@ -55,7 +55,7 @@
         self.run(2_000, 2_000);
         assertEquals(self.directory.aliveInDomain(), ImmutableSet.of(SELF));
         assertEquals(self.noted(NoteEvent.PEER_SILENT), ImmutableList.of("hobart-2"));
-        assertEquals(self.directory.sharers(), 2);
+        assertEquals(self.directory.sharers().size(), 2);
     }
 
     /**
@@ -102,7 +102,7 @@
     @Test
     public void testHeard_ownNameIsNoPeer() {
         assertFalse(self.heard(0, new FakeNode("hobart-1", "hobart", 4).report(1)));
-        assertEquals(self.directory.sharers(), 1);
+        assertEquals(self.directory.sharers().size(), 1);
     }
 
     @Test
@@ -114,7 +114,7 @@
         other.phase = NodePhase.FINISHING;
         self.heard(20, other.report(3));
         assertEquals(self.directory.aliveInDomain(), ImmutableSet.of(SELF));
-        assertEquals(self.directory.sharers(), 2);
+        assertEquals(self.directory.sharers().size(), 2);
     }
 
     @Test
@@ -123,7 +123,7 @@
         self.listed(0, self.vm(), far.vm());
         self.heard(0, far.report(1));
         assertEquals(self.directory.aliveInDomain(), ImmutableSet.of(SELF));
-        assertEquals(self.directory.sharers(), 1);
+        assertEquals(self.directory.sharers().size(), 1);
         assertTrue(Iterables.getOnlyElement(self.directory.status()).alive());
     }
 
@@ -132,9 +132,9 @@
         self.listed(0, self.vm(), other.vm());
         self.listed(2_000, self.vm());
         self.listed(59_000, self.vm());
-        assertEquals(self.directory.sharers(), 2);
+        assertEquals(self.directory.sharers().size(), 2);
         self.listed(62_000, self.vm());
-        assertEquals(self.directory.sharers(), 1);
+        assertEquals(self.directory.sharers().size(), 1);
     }
 
     @Test
