--- a/tarragonarch-standin/src/main/java/org/tarragonarch/standin/load/Counters.java
+++ b/tarragonarch-standin/src/main/java/org/tarragonarch/standin/load/Counters.java
@@ -26,6 +26,8 @@
 
     private static final Pattern NODE_LABEL = Pattern.compile("(?<=\\{)node=\"[^\"]*\",?|,node=\"[^\"]*\"");
 
+    private static final String WASTED = "tarragonarch_wasted_messages_total";
+
     private final Map<String, Double> nodes = new TreeMap<>();
     private final Map<String, Double> endpoints = new TreeMap<>();
 
@@ -43,21 +45,38 @@
         return counters;
     }
 
-    /** Returns by how much each counter rose since an earlier reading, and the wasted messages by the ledgers. */
+    /** Returns by how much each counter rose since an earlier reading, and what was wasted for each useful start. */
     ObjectNode since(Counters earlier) {
         ObjectNode json = JsonNodeFactory.instance.objectNode();
-        putRise(json.putObject("nodes"), nodes, earlier.nodes);
+        ObjectNode counted = json.putObject("nodes");
+        putRise(counted, nodes, earlier.nodes);
         ObjectNode ledgers = json.putObject("endpoints");
         putRise(ledgers, endpoints, earlier.endpoints);
         double useful = ledgers.path("distinct-tasks").asDouble();
+        if (useful > 0) {
+            json.put("wasted-per-useful-start-by-ledgers", wasted(ledgers, useful) / useful);
+            json.put("wasted-per-useful-start-by-nodes", wasted(counted) / useful);
+        }
+        return json;
+    }
+
+    /** Returns the messages that the endpoints saw and that no useful start came of; reports are not among them. */
+    private static double wasted(ObjectNode ledgers, double useful) {
         double repeated = ledgers.path("started").asDouble() - useful;
         double refused = ledgers.path("refused-busy").asDouble()
                 + ledgers.path("refused-draining").asDouble();
-        double wasted = repeated + refused + ledgers.path("useless-stops").asDouble();
-        if (useful > 0) {
-            json.put("wasted-messages-per-useful-start", wasted / useful);
+        return repeated + refused + ledgers.path("useless-stops").asDouble();
+    }
+
+    /** Returns the messages that the nodes themselves count as wasted, reports and probes among them. */
+    private static double wasted(ObjectNode counted) {
+        double sum = 0;
+        for (Map.Entry<String, JsonNode> counter : counted.properties()) {
+            if (counter.getKey().startsWith(WASTED)) {
+                sum += counter.getValue().asDouble();
+            }
         }
-        return json;
+        return sum;
     }
 
     private static void putRise(ObjectNode json, Map<String, Double> now, Map<String, Double> before) {
--- a/tarragonarch-standin/src/test/java/org/tarragonarch/standin/process/EndpointFaultTest.java
+++ b/tarragonarch-standin/src/test/java/org/tarragonarch/standin/process/EndpointFaultTest.java
@@ -121,6 +121,34 @@
         assertEquals(starts("late"), 1);
     }
 
+    @Test
+    public void testOnce_endpointsFrozenThenAwake() throws Exception {
+        // Every worker freezes with its connections open. The author whose count was sent to one is told "unknown" when
+        // the time is over. When the workers wake they read what was sent to them; the count may then start, once,
+        // and its answer is nobody's.
+        CallerAnswer unknown;
+        for (int i = 0; i < ENDPOINTS; i++) {
+            cluster.endpoint(i).process().freeze();
+        }
+        try {
+            unknown = cluster.caller()
+                    .urgent(cluster.node(0), Caller.ONCE, "frozen", 10, Duration.ofMillis(400))
+                    .get(WAIT_MILLIS, TimeUnit.MILLISECONDS);
+        } finally {
+            for (int i = 0; i < ENDPOINTS; i++) {
+                cluster.endpoint(i).process().thaw();
+            }
+        }
+
+        assertEquals(unknown.outcome(), "unknown", unknown.toString());
+        for (int i = 0; i < 20; i++) {
+            CallerAnswer next = request(Caller.ONCE, "after-" + i);
+            assertTrue(next.complete(), next.toString());
+            assertEquals(next.body().path("result").path("tag").asText(), "after-" + i);
+        }
+        assertTrue(starts("frozen") <= 1);
+    }
+
     @Test
     public void testJob_oneLostTaskWithholdsTheOthers() throws Exception {
         // One task of a style check loses its answer. The member may not see the other parts as if they were the whole,
