Write the log on a thread of its own

Cause: a write to standard error blocks once whoever reads the log stops reading, and the control thread logs the core's notes. Now lines that find the queue full are left out and counted. Ruled out: raising the pipe's buffer, which is bounded too.

--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/DaemonCommand.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/DaemonCommand.java
@@ -49,15 +49,16 @@
     }
 
     private int run(NodeSettings node) throws InterruptedException {
-        LogSetup.install(node.node(), Level.INFO);
+        LogSetup log = LogSetup.install(node.node(), Level.INFO);
         Daemon daemon;
         try {
             daemon = Daemon.start(node);
         } catch (StepException e) {
+            log.finish();
             spec.commandLine().getErr().println("tarragonarch: " + e.peer() + ": " + e.getMessage());
             return e.getCause() instanceof BindException ? ExitCode.PORT_TAKEN : ExitCode.FAILURE;
         }
-        Thread hook = new Thread(() -> leaveAndExit(daemon), "leave");
+        Thread hook = new Thread(() -> leaveAndExit(daemon, log), "leave");
         Runtime.getRuntime().addShutdownHook(hook);
         daemon.awaitLeft();
         return ExitCode.OK;
@@ -66,8 +67,9 @@
     // A process that ends by a signal reports the signal as its exit code. A drain that ended well must report 0, so
     // the
     // process is ended here; the hook is the last one of consequence.
-    private static void leaveAndExit(Daemon daemon) {
+    private static void leaveAndExit(Daemon daemon, LogSetup log) {
         boolean left = daemon.leave("the process was told to end");
+        log.finish();
         Runtime.getRuntime().halt(left ? ExitCode.OK : ExitCode.FAILURE);
     }
 }
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/log/LogSetup.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/log/LogSetup.java
@@ -1,6 +1,6 @@
 package org.tarragonarch.entry.log;
 
-import java.util.logging.ConsoleHandler;
+import java.time.Duration;
 import java.util.logging.Handler;
 import java.util.logging.Level;
 import java.util.logging.Logger;
@@ -9,8 +9,14 @@
 /** Sends the log to standard error, one event a line. */
 public final class LogSetup {
     private static final String MANAGER_PROPERTY = "java.util.logging.manager";
+    private static final int QUEUED_LINES = 4_096;
+    private static final Duration DRAIN_BOUND = Duration.ofSeconds(1);
 
-    private LogSetup() {}
+    private final QueueHandler handler;
+
+    private LogSetup(QueueHandler handler) {
+        this.handler = handler;
+    }
 
     /**
      * Makes {@link LastingLogManager} the process's log manager; has an effect only before the first logger is made.
@@ -22,15 +28,20 @@
     }
 
     /** Sets the process's log up; called once, before the first line. */
-    public static void install(NodeId node, Level level) {
+    public static LogSetup install(NodeId node, Level level) {
         Logger root = Logger.getLogger("");
         for (Handler standard : root.getHandlers()) {
             root.removeHandler(standard);
         }
-        Handler handler = new ConsoleHandler();
-        handler.setFormatter(new LineFormatter(node.value()));
+        QueueHandler handler = QueueHandler.start(System.err, new LineFormatter(node.value()), QUEUED_LINES);
         handler.setLevel(level);
         root.setLevel(level);
         root.addHandler(handler);
+        return new LogSetup(handler);
+    }
+
+    /** Waits a bounded time until all lines so far are written; called before the process ends. */
+    public void finish() {
+        handler.drain(DRAIN_BOUND);
     }
 }
