--- a/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/command/ConnectedCommand.java
+++ b/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/command/ConnectedCommand.java
@@ -54,9 +54,14 @@
         return AdminNodes.create(connection, timeout);
     }
 
-    /** Works on the accepted configurations, through nodes, or the platform where the command line names it. */
+    /**
+     * Works on the accepted configurations: through nodes, or straight at the platform where the command line names it
+     * or no node is known.
+     */
     final int withGateway(Connection connection, GatewayWork work) throws Exception {
-        if (!connectionOptions.platformNamed()) {
+        boolean onlyPlatformKnown = connection.adminAddresses().isEmpty()
+                && connection.platformAddress().isPresent();
+        if (!connectionOptions.platformNamed() && !onlyPlatformKnown) {
             try (AdminNodes nodes = nodes(connection)) {
                 return work.run(new AdminGateway(nodes));
             }
@@ -64,7 +69,8 @@
         Address platform = connection.platformAddress().orElseThrow();
         OperatorName operator = connection
                 .operator()
-                .orElseThrow(() -> usage("--platform needs --operator NAME, which the audit trail will show"));
+                .orElseThrow(() -> usage(
+                        "a change straight at the platform needs --operator NAME, which the audit trail will show"));
         try (PlatformClient client = PlatformClient.create(platform, connection.timeout())) {
             return work.run(new StoreGateway(client.configurationStore(), operator, Clock.systemUTC()));
         }
