--- a/tarragonarch-standin/src/main/java/org/tarragonarch/standin/explore/FakeNode.java
+++ b/tarragonarch-standin/src/main/java/org/tarragonarch/standin/explore/FakeNode.java
@@ -34,8 +34,9 @@
 import org.tarragonarch.core.event.TimePassed;
 import org.tarragonarch.core.node.EntryNode;
 import org.tarragonarch.core.node.NodeIdentity;
-import org.tarragonarch.core.node.NodePolicy;
 import org.tarragonarch.core.status.NodeStatus;
+import org.tarragonarch.entry.control.EventRecorder;
+import org.tarragonarch.entry.trace.TraceHeader;
 import org.tarragonarch.model.report.NodePhase;
 import org.tarragonarch.model.service.ServiceCatalog;
 
@@ -43,6 +44,7 @@
 public final class FakeNode {
     private final NodeIdentity identity;
     private final World world;
+    private final EventRecorder recorder;
     private final EntryNode core;
     private final Deque<Event> held = new ArrayDeque<>();
     private final Map<NoteEvent, Integer> notes = new HashMap<>();
@@ -54,10 +56,11 @@
     private long wakeNanos;
     private long nextSubmission;
 
-    FakeNode(NodeIdentity identity, NodePolicy policy, long seed, World world) {
-        this.identity = identity;
+    FakeNode(TraceHeader made, EventRecorder recorder, World world) {
+        this.identity = made.identity();
         this.world = world;
-        this.core = EntryNode.create(identity, policy, seed);
+        this.recorder = recorder;
+        this.core = made.newNode();
     }
 
     NodeIdentity identity() {
@@ -142,6 +145,7 @@
 
     private void handle(Event event) {
         List<Action> actions = new ArrayList<>();
+        recorder.record(world.time().nowNanos(), event);
         core.handle(world.time().nowNanos(), event, actions::add);
         ImmutableList.copyOf(actions).forEach(this::act);
     }
--- a/tarragonarch-standin/src/main/java/org/tarragonarch/standin/explore/World.java
+++ b/tarragonarch-standin/src/main/java/org/tarragonarch/standin/explore/World.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.function.Function;
 import java.util.stream.IntStream;
 import org.tarragonarch.core.event.CancelCause;
 import org.tarragonarch.core.event.CancelRequested;
@@ -20,6 +21,8 @@
 import org.tarragonarch.core.event.TimePassed;
 import org.tarragonarch.core.node.NodeIdentity;
 import org.tarragonarch.core.node.NodePolicy;
+import org.tarragonarch.entry.control.EventRecorder;
+import org.tarragonarch.entry.trace.TraceHeader;
 import org.tarragonarch.model.id.Address;
 import org.tarragonarch.model.id.ChangeId;
 import org.tarragonarch.model.id.ContentDigest;
@@ -70,6 +73,7 @@
     private final Map<String, FakeEndpoint> endpoints = new LinkedHashMap<>();
     private final Map<String, VmRecord> records = new HashMap<>();
     private final Map<SubmissionId, Long> runNanos = new HashMap<>();
+    private Function<TraceHeader, EventRecorder> recorders = made -> EventRecorder.NONE;
     private int nextPort = 1;
     private long nextIncarnation = 1;
 
@@ -87,6 +91,11 @@
         return new World(seed, policy);
     }
 
+    /** Records every run of a node that starts from now on, each by a recorder of its own. */
+    public void record(Function<TraceHeader, EventRecorder> each) {
+        recorders = each;
+    }
+
     /** Returns the clock. */
     public VirtualTime time() {
         return time;
@@ -126,7 +135,8 @@
         platform.list(vm);
         NodeIdentity identity = new NodeIdentity(
                 NodeId.of(name), Incarnation.of(nextIncarnation++), FailureDomain.of(domain), vm.address());
-        FakeNode node = new FakeNode(identity, policy, random.nextLong(), this);
+        TraceHeader made = new TraceHeader(identity, policy, random.nextLong());
+        FakeNode node = new FakeNode(made, recorders.apply(made), this);
         nodes.put(name, node);
         time.after(0, () -> node.deliver(new TimePassed()));
     }
--- a/tarragonarch-standin/src/main/java/org/tarragonarch/standin/scenario/ExpectationParser.java
+++ b/tarragonarch-standin/src/main/java/org/tarragonarch/standin/scenario/ExpectationParser.java
@@ -1,14 +1,11 @@
 package org.tarragonarch.standin.scenario;
 
+import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
-import java.util.Collection;
 import java.util.Optional;
 import org.tarragonarch.core.action.NoteEvent;
 import org.tarragonarch.model.id.ConfigurationVersion;
 import org.tarragonarch.model.report.NodePhase;
-import org.tarragonarch.standin.explore.FakeNode;
-import org.tarragonarch.standin.explore.Ledger;
-import org.tarragonarch.standin.explore.Sent;
 
 /** Reads what stands behind {@code expect}. */
 final class ExpectationParser {
@@ -54,20 +51,10 @@
         String name = words.take();
         long after = words.takeNanosAfter("after").orElse(0L);
         Optional<Long> before = words.takeNanosAfter("before");
-        return run -> {
-            for (Sent sent : run.world().sent()) {
-                for (Ledger.Start start : run.starts(sent)) {
-                    long nanos = run.sinceStart(start.nanos());
-                    if (run.members(name).contains(start.endpoint())
-                            && nanos > after
-                            && nanos < before.orElse(Long.MAX_VALUE)) {
-                        return Optional.of(sent.submission().id() + " started on " + start.endpoint() + " at "
-                                + nanos / 1_000_000 + "ms");
-                    }
-                }
-            }
-            return Optional.empty();
-        };
+        return run -> run.starts(name).stream()
+                .filter(start -> start.nanos() > after && start.nanos() < before.orElse(Long.MAX_VALUE))
+                .findFirst()
+                .map(start -> start.task() + " started on " + start.endpoint() + " at " + millis(start.nanos()));
     }
 
     private static Expectation.Check configuration(Words words) throws ScenarioSyntaxException {
@@ -75,7 +62,7 @@
         words.takeOnly("on");
         String name = words.take();
         return run -> first(run.nodes(name), node -> {
-            ConfigurationVersion found = node.status().configuration();
+            ConfigurationVersion found = node.configuration();
             return found.equals(version) ? Optional.empty() : Optional.of("has " + found);
         });
     }
@@ -109,8 +96,7 @@
         words.takeOnly("on");
         String name = words.take();
         return run -> first(run.nodes(name), node -> {
-            long found =
-                    node.status().peers().stream().filter(peer -> peer.alive()).count();
+            int found = node.peersAlive();
             return found == count ? Optional.empty() : Optional.of("sees " + found);
         });
     }
@@ -128,40 +114,33 @@
         long sentAfter = words.takeNanosAfter("sent-after").orElse(0L);
         long sentBefore = words.takeNanosAfter("sent-before").orElse(Long.MAX_VALUE);
         return run -> {
-            Collection<Sent> named = run.submissions(name);
+            ImmutableList<ObservedSubmission> named = run.submissions(name);
             if (named.isEmpty()) {
                 return Optional.of("was not sent");
             }
             return named.stream()
-                    .filter(sent -> run.sinceStart(sent.sentNanos()) >= sentAfter
-                            && run.sinceStart(sent.sentNanos()) < sentBefore)
-                    .flatMap(sent -> wrong(run, sent, outcome, code, before).stream())
+                    .filter(sent -> sent.sentNanos() >= sentAfter && sent.sentNanos() < sentBefore)
+                    .flatMap(sent -> wrong(sent, outcome, code, before).stream())
                     .findFirst();
         };
     }
 
     private static Optional<String> wrong(
-            ScenarioRun run, Sent sent, String outcome, Optional<String> code, Optional<Long> before) {
-        String found = sent.outcome()
-                + sent.problem()
-                        .map(why -> " with " + why.code().word() + ": " + why.detail())
-                        .orElse("");
-        String where = sent.submission().id() + " is " + found;
-        if (!sent.outcome().equals(outcome)) {
-            return Optional.of(where);
+            ObservedSubmission sent, String outcome, Optional<String> code, Optional<Long> before) {
+        if (!sent.outcome().equals(outcome) || !sent.code().equals(code.orElse(sent.code()))) {
+            return Optional.of(sent.toString());
         }
-        String codeFound = sent.problem().map(why -> why.code().word()).orElse("");
-        if (code.isPresent() && !code.get().equals(codeFound)) {
-            return Optional.of(where);
-        }
-        long answered = run.sinceStart(sent.answeredNanos());
-        return before.isPresent() && answered >= before.get()
-                ? Optional.of(where + " only at " + answered / 1_000_000 + "ms")
+        return sent.answeredNanos() >= before.orElse(Long.MAX_VALUE)
+                ? Optional.of(sent + " only at " + millis(sent.answeredNanos()))
                 : Optional.empty();
     }
 
-    private static Optional<String> first(Iterable<FakeNode> nodes, NodeCheck check) {
-        for (FakeNode node : nodes) {
+    private static String millis(long nanos) {
+        return nanos / 1_000_000 + "ms";
+    }
+
+    private static Optional<String> first(Iterable<Observed.ObservedNode> nodes, NodeCheck check) {
+        for (Observed.ObservedNode node : nodes) {
             Optional<String> wrong = check.wrong(node);
             if (wrong.isPresent()) {
                 return Optional.of(node.name() + " " + wrong.get());
@@ -173,6 +152,6 @@
     /** Checks one node. */
     @FunctionalInterface
     private interface NodeCheck {
-        Optional<String> wrong(FakeNode node);
+        Optional<String> wrong(Observed.ObservedNode node);
     }
 }
--- a/tarragonarch-standin/src/main/java/org/tarragonarch/standin/scenario/Scenario.java
+++ b/tarragonarch-standin/src/main/java/org/tarragonarch/standin/scenario/Scenario.java
@@ -1,17 +1,30 @@
 package org.tarragonarch.standin.scenario;
 
+import static java.util.Comparator.comparingLong;
+import static java.util.stream.Collectors.toCollection;
+
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Path;
 import java.time.Duration;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.List;
+import java.util.Optional;
 import org.tarragonarch.core.node.NodePolicy;
+import org.tarragonarch.entry.trace.TraceReplay;
 import org.tarragonarch.standin.explore.Violation;
 import org.tarragonarch.standin.explore.World;
 
 /**
  * A scenario, read and ready to run; each run is the same.
  *
+ * <p>A scenario either makes its own world or replays one node's trace; of a trace only the expectations count.
+ *
+ * @param trace the trace to replay, if it does
  * @param seed the seed of every random choice
  * @param nodes how many nodes each domain has; they are named {@code domain-1} and so on
  * @param endpoints the endpoints of each domain; they are named {@code domain-w1} and so on
@@ -19,6 +32,7 @@
  * @param expectations what must come of it
  */
 public record Scenario(
+        Optional<Path> trace,
         long seed,
         ImmutableMap<String, Integer> nodes,
         ImmutableMap<String, EndpointGroup> endpoints,
@@ -26,9 +40,55 @@
         ImmutableList<Expectation> expectations) {
     private static final long SETTLE_NANOS = Duration.ofSeconds(10).toNanos();
 
-    /** Runs the scenario; returns what did not come as expected, and a broken promise if there is one. */
-    public ImmutableList<String> run() {
-        ScenarioRun run = new ScenarioRun(World.create(seed, NodePolicy.DEFAULT));
+    /**
+     * Runs the scenario; returns what did not come as expected, and a broken promise if there is one.
+     *
+     * @throws IOException if its trace cannot be read
+     */
+    public ImmutableList<String> run() throws IOException {
+        return trace.isPresent() ? replay(trace.get()) : runWorld(World.create(seed, NodePolicy.DEFAULT));
+    }
+
+    /**
+     * Runs the scenario and records each run of each of its nodes; a trace is only replayed.
+     *
+     * @param folder takes the traces, by the node's name and incarnation
+     * @throws IOException if a trace cannot be read or written
+     */
+    public ImmutableList<String> runRecorded(Path folder) throws IOException {
+        if (trace.isPresent()) {
+            return run();
+        }
+        World world = World.create(seed, NodePolicy.DEFAULT);
+        try (TraceFolder traces = new TraceFolder(folder)) {
+            world.record(traces::start);
+            return runWorld(world);
+        } catch (UncheckedIOException e) {
+            throw e.getCause();
+        }
+    }
+
+    private ImmutableList<String> replay(Path file) throws IOException {
+        TraceRun run = new TraceRun();
+        List<String> failures = new ArrayList<>();
+        Deque<Expectation> timed = expectations.stream()
+                .filter(expectation -> expectation.atNanos().isPresent())
+                .sorted(comparingLong(expectation -> expectation.atNanos().get()))
+                .collect(toCollection(ArrayDeque::new));
+        TraceReplay.run(file, (line, action) -> {
+            long nanos = run.sinceStart(line.nanos());
+            while (!timed.isEmpty() && timed.peek().atNanos().get() < nanos) {
+                check(timed.remove(), run, failures);
+            }
+            run.acted(line, action);
+        });
+        timed.forEach(expectation -> check(expectation, run, failures));
+        checkAtEnd(run, failures);
+        return ImmutableList.copyOf(failures);
+    }
+
+    private ImmutableList<String> runWorld(World world) {
+        ScenarioRun run = new ScenarioRun(world);
         List<String> failures = new ArrayList<>();
         run.start(nodes, endpoints);
         steps.forEach(step -> run.at(step.nanos(), () -> step.effect().accept(run)));
@@ -36,15 +96,19 @@
             expectation.atNanos().ifPresent(nanos -> run.at(nanos, () -> check(expectation, run, failures)));
         }
         try {
-            run.world().runUntil(lastNanos() + SETTLE_NANOS);
+            world.runUntil(lastNanos() + SETTLE_NANOS);
         } catch (Violation violation) {
             failures.add(violation.getMessage());
             return ImmutableList.copyOf(failures);
         }
+        checkAtEnd(run, failures);
+        return ImmutableList.copyOf(failures);
+    }
+
+    private void checkAtEnd(Observed observed, List<String> failures) {
         expectations.stream()
                 .filter(expectation -> expectation.atNanos().isEmpty())
-                .forEach(expectation -> check(expectation, run, failures));
-        return ImmutableList.copyOf(failures);
+                .forEach(expectation -> check(expectation, observed, failures));
     }
 
     private long lastNanos() {
@@ -56,7 +120,7 @@
         return Math.max(step, expectation);
     }
 
-    private static void check(Expectation expectation, ScenarioRun run, List<String> failures) {
-        expectation.check().failure(run).ifPresent(what -> failures.add(expectation.text() + ": " + what));
+    private static void check(Expectation expectation, Observed observed, List<String> failures) {
+        expectation.check().failure(observed).ifPresent(what -> failures.add(expectation.text() + ": " + what));
     }
 }
--- a/tarragonarch-standin/src/main/java/org/tarragonarch/standin/scenario/ScenarioMain.java
+++ b/tarragonarch-standin/src/main/java/org/tarragonarch/standin/scenario/ScenarioMain.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.Callable;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
 
 /** Runs scenario files from the command line. */
@@ -23,6 +24,9 @@
     @Parameters(arity = "1..*", paramLabel = "FILE", description = "The scenarios.")
     private List<Path> files;
 
+    @Option(names = "--record", paramLabel = "FOLDER", description = "Record a trace of each run of each node.")
+    private Path traces;
+
     private ScenarioMain() {}
 
     /** Runs the program. */
@@ -35,8 +39,9 @@
         boolean asExpected = true;
         for (Path file : files) {
             try {
-                ImmutableList<String> failures =
-                        ScenarioParser.parse(Files.readString(file)).run();
+                Scenario scenario = ScenarioParser.parse(
+                        Files.readString(file), file.toAbsolutePath().getParent());
+                ImmutableList<String> failures = traces == null ? scenario.run() : scenario.runRecorded(traces);
                 System.out.println(file + (failures.isEmpty() ? ": as expected" : ":"));
                 failures.forEach(failure -> System.out.println("  " + failure));
                 asExpected &= failures.isEmpty();
--- a/tarragonarch-standin/src/main/java/org/tarragonarch/standin/scenario/ScenarioParser.java
+++ b/tarragonarch-standin/src/main/java/org/tarragonarch/standin/scenario/ScenarioParser.java
@@ -4,6 +4,8 @@
 import com.google.common.base.Splitter;
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import java.nio.file.Path;
+import java.util.Optional;
 
 /**
  * Reads scenarios: one statement a line; what stands behind {@code #} is a comment.
@@ -18,6 +20,9 @@
  * expect    j1 unknown before 400ms
  * expect at 3s configuration 1 on all
  * </pre>
+ *
+ * <p>A scenario that opens with {@code trace FILE} replays what a node recorded; its submissions go by their ids, and
+ * {@code every} stands for all of them.
  */
 public final class ScenarioParser {
     private static final Splitter GROUPS = Splitter.on(',');
@@ -27,17 +32,22 @@
     private final ImmutableMap.Builder<String, EndpointGroup> endpoints = ImmutableMap.builder();
     private final ImmutableList.Builder<Step> steps = ImmutableList.builder();
     private final ImmutableList.Builder<Expectation> expectations = ImmutableList.builder();
+    private final Path folder;
+    private Optional<Path> trace = Optional.empty();
     private long seed = 1;
 
-    private ScenarioParser() {}
+    private ScenarioParser(Path folder) {
+        this.folder = folder;
+    }
 
     /**
      * Reads a scenario.
      *
+     * @param folder the folder against which the file of a trace is taken
      * @throws ScenarioSyntaxException if a line is no statement; names the line
      */
-    public static Scenario parse(String text) throws ScenarioSyntaxException {
-        ScenarioParser parser = new ScenarioParser();
+    public static Scenario parse(String text, Path folder) throws ScenarioSyntaxException {
+        ScenarioParser parser = new ScenarioParser(folder);
         int number = 0;
         for (String line : Splitter.on('\n').split(text)) {
             number++;
@@ -45,6 +55,7 @@
             parser.line(number, comment < 0 ? line : line.substring(0, comment));
         }
         return new Scenario(
+                parser.trace,
                 parser.seed,
                 parser.nodes.buildOrThrow(),
                 parser.endpoints.buildOrThrow(),
@@ -59,6 +70,7 @@
         }
         String statement = words.take();
         switch (statement) {
+            case "trace" -> trace = Optional.of(folder.resolve(words.take()));
             case "seed" -> seed = words.takeNumber();
             case "nodes" -> nodeGroups(number, text);
             case "endpoints" -> endpointGroups(number, text);
--- a/tarragonarch-standin/src/main/java/org/tarragonarch/standin/scenario/ScenarioRun.java
+++ b/tarragonarch-standin/src/main/java/org/tarragonarch/standin/scenario/ScenarioRun.java
@@ -4,12 +4,13 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.LinkedHashMultimap;
-import com.google.common.collect.Multimaps;
 import com.google.common.collect.SetMultimap;
-import java.util.Collection;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.tarragonarch.core.action.NoteEvent;
+import org.tarragonarch.core.status.PeerStatus;
+import org.tarragonarch.model.id.ConfigurationVersion;
 import org.tarragonarch.model.id.TaskId;
 import org.tarragonarch.model.report.NodePhase;
 import org.tarragonarch.standin.explore.FakeNode;
@@ -18,7 +19,7 @@
 import org.tarragonarch.standin.explore.World;
 
 /** One run of a scenario: the world, and the names that the scenario gave. */
-public final class ScenarioRun {
+public final class ScenarioRun implements Observed {
     private final World world;
     private final long startNanos;
     private final SetMultimap<String, String> domains = LinkedHashMultimap.create();
@@ -39,11 +40,6 @@
         world.time().at(startNanos + nanos, effect);
     }
 
-    /** Returns a time of the world as the time since the start of the scenario. */
-    long sinceStart(long worldNanos) {
-        return worldNanos - startNanos;
-    }
-
     void start(Map<String, Integer> nodes, Map<String, EndpointGroup> endpoints) {
         world.acceptConfiguration();
         endpoints.forEach((domain, group) -> {
@@ -72,7 +68,7 @@
     }
 
     /** Returns the nodes of a domain, the one node of this name, or all nodes. */
-    ImmutableList<FakeNode> nodes(String name) {
+    private ImmutableList<FakeNode> fakes(String name) {
         ImmutableList<FakeNode> found = world.nodes().stream()
                 .filter(node -> name.equals("all") || members(name).contains(node.name()))
                 .collect(ImmutableList.toImmutableList());
@@ -91,7 +87,7 @@
 
     /** Returns the node that the balancer picks: those that are ready in turn, or the one that is named. */
     Optional<String> balance(String name) {
-        ImmutableList<FakeNode> ready = nodes(name).stream()
+        ImmutableList<FakeNode> ready = fakes(name).stream()
                 .filter(node -> node.alive() && node.phase() == NodePhase.SERVING)
                 .collect(ImmutableList.toImmutableList());
         if (!domains.containsKey(name) && !name.equals("all")) {
@@ -106,19 +102,74 @@
         submissions.put(name, sent);
     }
 
-    Collection<Sent> submissions(String name) {
-        return Multimaps.asMap(submissions).getOrDefault(name, Set.of());
+    /** Returns what was sent under this name. */
+    Set<Sent> sent(String name) {
+        return submissions.get(name);
+    }
+
+    @Override
+    public ImmutableList<ObservedSubmission> submissions(String name) {
+        return sent(name).stream()
+                .map(sent -> new ObservedSubmission(
+                        sent.submission().id(),
+                        sent.sentNanos() - startNanos,
+                        sent.outcome(),
+                        sent.problem(),
+                        sent.answeredNanos() - startNanos))
+                .collect(ImmutableList.toImmutableList());
+    }
+
+    @Override
+    public ImmutableList<ObservedNode> nodes(String name) {
+        return fakes(name).stream().map(NodeView::new).collect(ImmutableList.toImmutableList());
     }
 
-    /** Returns every start of a task of a submission. */
-    ImmutableList<Ledger.Start> starts(Sent sent) {
-        ImmutableList.Builder<Ledger.Start> starts = ImmutableList.builder();
-        for (int index = 0; index < sent.submission().tasks().size(); index++) {
-            starts.addAll(world.ledger().starts(new TaskId(sent.submission().id(), index)));
+    @Override
+    public ImmutableList<ObservedStart> starts(String name) {
+        ImmutableList<String> endpoints = members(name);
+        ImmutableList.Builder<ObservedStart> starts = ImmutableList.builder();
+        for (Sent sent : world.sent()) {
+            for (int index = 0; index < sent.submission().tasks().size(); index++) {
+                TaskId task = new TaskId(sent.submission().id(), index);
+                for (Ledger.Start start : world.ledger().starts(task)) {
+                    if (endpoints.contains(start.endpoint())) {
+                        starts.add(new ObservedStart(task.toString(), start.endpoint(), start.nanos() - startNanos));
+                    }
+                }
+            }
         }
         return starts.build();
     }
 
+    /** One node as it stands. */
+    private record NodeView(FakeNode node) implements ObservedNode {
+        @Override
+        public String name() {
+            return node.name();
+        }
+
+        @Override
+        public ConfigurationVersion configuration() {
+            return node.status().configuration();
+        }
+
+        @Override
+        public NodePhase phase() {
+            return node.phase();
+        }
+
+        @Override
+        public int noted(NoteEvent event) {
+            return node.noted(event);
+        }
+
+        @Override
+        public int peersAlive() {
+            return Math.toIntExact(
+                    node.status().peers().stream().filter(PeerStatus::alive).count());
+        }
+    }
+
     /** Something done with two things. */
     @FunctionalInterface
     interface PairEffect {
--- a/tarragonarch-standin/src/main/java/org/tarragonarch/standin/scenario/StepParser.java
+++ b/tarragonarch-standin/src/main/java/org/tarragonarch/standin/scenario/StepParser.java
@@ -72,7 +72,7 @@
     }
 
     private static Consumer<ScenarioRun> cancel(String name, CancelCause cause) {
-        return run -> run.submissions(name).forEach(sent -> run.world().cancel(sent, cause));
+        return run -> run.sent(name).forEach(sent -> run.world().cancel(sent, cause));
     }
 
     private static Consumer<ScenarioRun> cut(Words words) throws ScenarioSyntaxException {
--- a/tarragonarch-standin/src/test/java/org/tarragonarch/standin/scenario/ScenarioTest.java
+++ b/tarragonarch-standin/src/test/java/org/tarragonarch/standin/scenario/ScenarioTest.java
@@ -30,7 +30,7 @@
     @Test(dataProvider = "scenarios")
     public void testRun_comesAsExpected(Path file) throws Exception {
         ImmutableList<String> failures =
-                ScenarioParser.parse(Files.readString(file)).run();
+                ScenarioParser.parse(Files.readString(file), file.getParent()).run();
         String name = file.getFileName().toString();
         if (isKnownRed(name)) {
             assertNotEquals(failures, ImmutableList.of(), name + " is green: take it off " + KNOWN_RED);
@@ -49,13 +49,12 @@
     @Test
     public void testRun_sameScenarioSameRun() throws Exception {
         String text = HOBART + "at 5s submit j1 job tasks 3 to hobart-1\nexpect j1 complete before 1s";
-        assertEquals(
-                ScenarioParser.parse(text).run(), ScenarioParser.parse(text).run());
+        assertEquals(parse(text).run(), parse(text).run());
     }
 
     @Test
     public void testRun_saysWhatDidNotCome() throws Exception {
-        ImmutableList<String> failures = ScenarioParser.parse(HOBART
+        ImmutableList<String> failures = parse(HOBART
                         + "at 5s submit j1 job tasks 3 runtime 200ms to hobart-1\n"
                         + "at 5100ms kill endpoint hobart-w1\n"
                         + "expect j1 complete\n"
@@ -83,9 +82,12 @@
 
     @Test(dataProvider = "wrongLines")
     public void testParse_namesTheLineAndTheMistake(String line, String mistake) {
-        ScenarioSyntaxException wrong =
-                expectThrows(ScenarioSyntaxException.class, () -> ScenarioParser.parse("seed 1\n\n" + line));
+        ScenarioSyntaxException wrong = expectThrows(ScenarioSyntaxException.class, () -> parse("seed 1\n\n" + line));
         assertTrue(wrong.getMessage().startsWith("line 3: "), wrong.getMessage());
         assertTrue(wrong.getMessage().contains(mistake), wrong.getMessage());
     }
+
+    private static Scenario parse(String text) throws ScenarioSyntaxException {
+        return ScenarioParser.parse(text, Path.of("."));
+    }
 }
