Report once a second, and to other failure domains every third time

Now a node reports every second to its own domain and every third round to others; news (phase, configuration, leaving, quarantine) still goes to all at once. A peer counts as silent after 3 s, one of another domain after 9 s. The membership tests keep their own times (250 ms, 2 s) and their assertions.

--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/membership/PeerDirectory.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/membership/PeerDirectory.java
@@ -100,7 +100,7 @@
         if (peer.behind() && !wasBehind) {
             note(NoteEvent.REPORT_GAP, peer, sink);
         }
-        nextCheckNanos = Math.min(nextCheckNanos, nowNanos + silenceNanos);
+        nextCheckNanos = Math.min(nextCheckNanos, nowNanos + silenceNanos(peer));
         if (!wasAlive || tookWork != peer.takesWork()) {
             changed(nowNanos);
         }
@@ -169,7 +169,7 @@
         nextCheckNanos = Long.MAX_VALUE;
         for (Peer peer : peers.values()) {
             if (peer.alive()) {
-                long due = pause.since(peer.heardNanos()) + silenceNanos;
+                long due = pause.since(peer.heardNanos()) + silenceNanos(peer);
                 if (nowNanos >= due) {
                     peer.silent();
                     note(NoteEvent.PEER_SILENT, peer, sink);
@@ -181,6 +181,10 @@
         changed(nowNanos);
     }
 
+    private long silenceNanos(Peer peer) {
+        return peer.domain().equals(self.domain()) ? silenceNanos : silenceNanos * Reporter.ROUNDS_PER_FAR_REPORT;
+    }
+
     private void changed(long nowNanos) {
         ImmutableSet.Builder<NodeId> workers = ImmutableSet.builder();
         ImmutableSet.Builder<NodeId> alive = ImmutableSet.builder();
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/membership/Reporter.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/membership/Reporter.java
@@ -17,16 +17,25 @@
 import org.tarragonarch.model.report.EndpointLoad;
 import org.tarragonarch.model.report.PeerReport;
 
-/** Sends the reports, in rounds: one to each linked peer. */
+/**
+ * Sends the reports, in rounds: one to each linked peer.
+ *
+ * <p>Peers of other failure domains learn nothing from a report but that this node lives, and what is urgent goes to
+ * them at once; so without urgent news they are left out of most rounds.
+ */
 final class Reporter {
     /** The least time between two looks for urgent news, so that a burst of asking costs little. */
     private static final long URGENT_GAP_NANOS = Duration.ofMillis(50).toNanos();
 
+    /** Of so many rounds without urgent news, one also goes to peers of other failure domains. */
+    static final int ROUNDS_PER_FAR_REPORT = 3;
+
     private final NodeIdentity self;
     private final ReportPacer pacer;
     private ImmutableSet<NodeId> links = ImmutableSet.of();
     private Optional<Urgent> reported = Optional.empty();
     private ImmutableMap<EndpointId, Integer> loadsBefore = ImmutableMap.of();
+    private int roundsUntilFar;
     private long nextRoundNanos = Long.MAX_VALUE;
     private long nextUrgentNanos = Long.MAX_VALUE;
     private long urgentLookNanos = Long.MIN_VALUE;
@@ -44,6 +53,7 @@
     /** Takes in the peers that get reports from now on; a new one gets its first at once. */
     void links(ImmutableSet<NodeId> now, long nowNanos) {
         if (!links.containsAll(now)) {
+            roundsUntilFar = 0;
             nextRoundNanos = nowNanos;
         }
         links = now;
@@ -87,9 +97,13 @@
         ImmutableMap<EndpointId, Integer> loads = source.loads().stream()
                 .collect(ImmutableMap.toImmutableMap(EndpointLoad::endpoint, EndpointLoad::inFlight));
         pacer.timePassed(nowNanos);
+        boolean far = roundsUntilFar == 0 || !reported.equals(Optional.of(urgent));
+        roundsUntilFar = far ? ROUNDS_PER_FAR_REPORT - 1 : roundsUntilFar - 1;
         long bytes = 0;
         for (Peer peer : longestUntoldFirst(peers)) {
-            bytes += report(peer, urgent, loads, nowNanos, sink);
+            if (far || peer.domain().equals(self.domain())) {
+                bytes += report(peer, urgent, loads, nowNanos, sink);
+            }
         }
         nextRoundNanos = nowNanos + pacer.untilNextRound(!loads.equals(loadsBefore), bytes);
         loadsBefore = loads;
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/node/NodePolicy.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/node/NodePolicy.java
@@ -12,7 +12,8 @@
  * @param vmListInterval how often the platform's list of VMs is read
  * @param configurationInterval how often the configuration row is read
  * @param reportInterval how often peers get a report while work goes on
- * @param peerSilence how long a peer may be silent before it counts as gone
+ * @param peerSilence how long a peer of the own failure domain may be silent before it counts as gone; one of another
+ *     domain may be so three times as long
  * @param claimTimeout how long a submission waits for its key to be claimed
  * @param keptAnswer how long the answer of a keyed submission is kept for a second one
  * @param maxKeptAnswers the most answers kept
@@ -35,8 +36,8 @@
     public static final NodePolicy DEFAULT = new NodePolicy(
             Duration.ofSeconds(2),
             Duration.ofSeconds(2),
-            Duration.ofMillis(250),
-            Duration.ofSeconds(2),
+            Duration.ofSeconds(1),
+            Duration.ofSeconds(3),
             Duration.ofSeconds(2),
             Duration.ofMinutes(5),
             10_000,
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/membership/FakeNode.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/membership/FakeNode.java
@@ -27,6 +27,19 @@
 
 /** A node that is nothing but a directory of peers and what it has to report. */
 final class FakeNode implements ReportSource {
+    /** Stated here so that the tests' times stay what they are when the defaults change. */
+    private static final NodePolicy POLICY = new NodePolicy(
+            NodePolicy.DEFAULT.vmListInterval(),
+            NodePolicy.DEFAULT.configurationInterval(),
+            Duration.ofMillis(250),
+            Duration.ofSeconds(2),
+            NodePolicy.DEFAULT.claimTimeout(),
+            NodePolicy.DEFAULT.keptAnswer(),
+            NodePolicy.DEFAULT.maxKeptAnswers(),
+            NodePolicy.DEFAULT.drainDelay(),
+            NodePolicy.DEFAULT.drainDeadline(),
+            NodePolicy.DEFAULT.placement());
+
     final NodeIdentity identity;
     final PeerDirectory directory;
     final List<Action> actions = new ArrayList<>();
@@ -38,7 +51,7 @@
     FakeNode(String name, String domain, long run) {
         identity = new NodeIdentity(
                 NodeId.of(name), Incarnation.of(run), FailureDomain.of(domain), new Address("127.0.0.1", 8301));
-        directory = PeerDirectory.create(identity, NodePolicy.DEFAULT);
+        directory = PeerDirectory.create(identity, POLICY);
     }
 
     static long millis(long millis) {
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/membership/ReporterTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/membership/ReporterTest.java
@@ -56,6 +56,28 @@
         assertEquals(self.takeSent().size(), 80, 4);
     }
 
+    @Test
+    public void testTimePassed_otherDomainGetsEveryThirdRound() {
+        FakeNode far = new FakeNode("devonport-1", "devonport", 3);
+        FakeNode near = new FakeNode("hobart-1", "hobart", 5);
+        near.listed(0, near.vm(), far.vm());
+        near.run(0, 20_000);
+        assertEquals(near.takeSent().size(), 10, 1);
+    }
+
+    /** A leaving endpoint or a new configuration is news that other domains must not wait three rounds for. */
+    @Test
+    public void testReportNow_newsGoesToOtherDomainsAtOnce() {
+        FakeNode far = new FakeNode("devonport-1", "devonport", 3);
+        FakeNode near = new FakeNode("hobart-1", "hobart", 5);
+        near.listed(0, near.vm(), far.vm());
+        near.timePassed(0);
+        near.takeSent();
+        near.leaving = ImmutableSet.of(EndpointId.of("w-1"));
+        near.reportNow(100);
+        assertEquals(near.takeSent().size(), 1);
+    }
+
     /**
      * An endpoint says that it is leaving, and every answer of its running tasks says so again. The first must reach
      * the peers at once; the rest must cost no message.
