--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/endpoint/EndpointDirectory.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/endpoint/EndpointDirectory.java
@@ -50,7 +50,6 @@
  */
 public final class EndpointDirectory {
     private final NodeId self;
-    private final FailureDomain own;
     private final Random random;
     private final EndpointPools pools;
     private final Map<EndpointId, EndpointRecord> records = new LinkedHashMap<>();
