--- a/tarragonarch-wire/src/test/java/org/tarragonarch/wire/ReportCostMeasurement.java
+++ b/tarragonarch-wire/src/test/java/org/tarragonarch/wire/ReportCostMeasurement.java
@@ -60,6 +60,50 @@
         }
     }
 
+    /** Nineteen domains of seven nodes, idle: what each node of one domain sends within and between domains. */
+    @Test
+    public void measureLinksBetweenDomains() {
+        ImmutableList.Builder<VmRecord> vms = ImmutableList.builder();
+        for (int domain = 0; domain < 19; domain++) {
+            for (int node = 0; node < 7; node++) {
+                vms.add(vm("d" + domain + "-" + node, FailureDomain.of("d" + domain)));
+            }
+        }
+        for (int node = 0; node < 7; node++) {
+            FailureDomain own = FailureDomain.of("d0");
+            NodeId self = NodeId.of("d0-" + node);
+            PeerDirectory directory =
+                    PeerDirectory.create(new NodeIdentity(self, Incarnation.of(5), own, ADDRESS), NodePolicy.DEFAULT);
+            directory.listed(vms.build(), 0, action -> {});
+            for (int peer = 0; peer < 7; peer++) {
+                hearOnce(directory, NodeId.of("d0-" + peer), own);
+            }
+            BusySource source = new BusySource(1, 1);
+            long[] totals = new long[2];
+            for (long millis = 0; millis < 1_900; millis += STEP_MILLIS) {
+                long now = Duration.ofMillis(millis).toNanos();
+                directory.timePassed(now, source, action -> {
+                    if (action instanceof SendReport send) {
+                        totals[0]++;
+                        totals[1] += FrameCodec.encode(new ReportFrame(send.report())).length
+                                + FrameCodec.LENGTH_BYTES
+                                + HEADERS;
+                    }
+                });
+            }
+            print("links node=%s reports/s=%.1f with-headers=%.0f", self, totals[0] / 1.9, totals[1] / 1.9);
+        }
+    }
+
+    private static void hearOnce(PeerDirectory directory, NodeId peer, FailureDomain domain) {
+        Hello hello = Hello.of(peer, Incarnation.of(1), domain);
+        directory.heard(Samples.report(hello, 1, ImmutableList.of()), 0, action -> {});
+    }
+
+    private static VmRecord vm(String name, FailureDomain domain) {
+        return new VmRecord(name, VmRole.ENTRY, domain, ADDRESS, VmState.LIVE, ImmutableSet.of(), 0);
+    }
+
     /** The whole way through sockets: 500 reports a second, paced, both ends in this process. */
     @Test
     public void measureSockets() throws Exception {
@@ -145,7 +189,7 @@
                 PeerDirectory.create(new NodeIdentity(self, run, domain, ADDRESS), NodePolicy.DEFAULT);
         ImmutableList.Builder<VmRecord> vms = ImmutableList.builder();
         for (int i = 0; i <= peers; i++) {
-            vms.add(new VmRecord("hobart-" + i, VmRole.ENTRY, domain, ADDRESS, VmState.LIVE, ImmutableSet.of(), 0));
+            vms.add(vm("hobart-" + i, domain));
         }
         directory.listed(vms.build(), 0, action -> {});
         return directory;
