Let a peer fall silent also where nobody is reported to

A node whose only peer was heard but never listed has nobody to report to and was called every 2 s only. Each gap was over the bound of a pause, so the peer got another 2 s each time and was alive for good: testTimePassed_onlyPeerIsUnlistedAndFallsSilent failed so before. The check of silence now asks to be called every third of peerSilence while a peer is alive, which is what the pause detector counts on.

--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/membership/PeerDirectory.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/membership/PeerDirectory.java
@@ -3,6 +3,7 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
+import com.google.common.primitives.Longs;
 import java.time.Duration;
 import java.util.Map;
 import java.util.Optional;
@@ -99,7 +100,7 @@
         if (peer.behind() && !wasBehind) {
             note(NoteEvent.REPORT_GAP, peer, sink);
         }
-        nextCheckNanos = Math.min(nextCheckNanos, nowNanos + silenceNanos);
+        nextCheckNanos = Math.min(nextCheckNanos, nowNanos + pause.callNanos());
         if (!wasAlive || tookWork != peer.takesWork()) {
             changed(nowNanos);
         }
@@ -166,18 +167,22 @@
 
     private void checkSilence(long nowNanos, ActionSink sink) {
         nextCheckNanos = Long.MAX_VALUE;
+        boolean fell = false;
         for (Peer peer : peers.values()) {
             if (peer.alive()) {
                 long due = pause.since(peer.heardNanos()) + silenceNanos;
                 if (nowNanos >= due) {
                     peer.silent();
+                    fell = true;
                     note(NoteEvent.PEER_SILENT, peer, sink);
                 } else {
-                    nextCheckNanos = Math.min(nextCheckNanos, due);
+                    nextCheckNanos = Longs.min(nextCheckNanos, due, nowNanos + pause.callNanos());
                 }
             }
         }
-        changed(nowNanos);
+        if (fell) {
+            changed(nowNanos);
+        }
     }
 
     private void changed(long nowNanos) {
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/membership/PeerDirectoryTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/membership/PeerDirectoryTest.java
@@ -58,6 +58,18 @@
         assertEquals(self.directory.sharers(), 2);
     }
 
+    /**
+     * A peer that no list has named reports and dies. The node has nobody to report to and so is called seldom; it must
+     * not take that for a pause of its own, time and again, and share the endpoints with the dead for good.
+     */
+    @Test
+    public void testTimePassed_onlyPeerIsUnlistedAndFallsSilent() {
+        self.heard(0, other.report(1));
+        self.timePassed(0);
+        self.run(0, 2_100);
+        assertEquals(self.directory.aliveInDomain(), ImmutableSet.of(SELF));
+    }
+
     /**
      * A node is stopped for ten seconds and woken, by its host or by SIGSTOP. Its peers' reports wait in sockets, so
      * by the clock all are silent. Without a guard it would take every slot of the domain for its own and send far more
