--- /dev/null
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/admin/AdminAnswers.java
@@ -0,0 +1,52 @@
+package org.tarragonarch.entry.admin;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.google.common.flogger.FluentLogger;
+import io.jooby.Context;
+import io.jooby.StatusCode;
+import org.tarragonarch.entry.http.Exchange;
+import org.tarragonarch.entry.http.ProblemJson;
+import org.tarragonarch.entry.log.LogLine;
+import org.tarragonarch.model.outcome.Step;
+
+/** Writes the answers of the administration API; all but {@link #respond} are called on the event loop. */
+final class AdminAnswers {
+    static final String JSON = "application/json";
+
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+
+    private AdminAnswers() {}
+
+    /** Answers from another thread than the event loop. */
+    static void respond(Context context, Runnable answer) {
+        Exchange.of(context).respond(answer);
+    }
+
+    static Context send(Context context, JsonNode json) {
+        context.setResponseType(JSON);
+        return context.send(ProblemJson.bytes(json));
+    }
+
+    static Context send(Context context, StatusCode status, String type, String text) {
+        context.setResponseCode(status);
+        context.setResponseType(type);
+        return context.send(text);
+    }
+
+    static void problem(Context context, AdminException e) {
+        if (e.status() == AdminProblem.UNAUTHENTICATED) {
+            context.setResponseHeader("WWW-Authenticate", "Bearer");
+        }
+        context.setResponseCode(StatusCode.valueOf(e.status()));
+        context.setResponseType(ProblemJson.MEDIA_TYPE);
+        context.send(ProblemJson.bytes(e.json()));
+    }
+
+    static void fault(Context context, Throwable cause) {
+        LOG.atSevere().withCause(cause).log("%s", LogLine.of("handler-failed", Step.READ, "operator"));
+        problem(
+                context,
+                new AdminException(new AdminProblem(
+                        AdminProblem.FAULT, "fault", Step.READ, "node", "the node failed; its log says why")));
+    }
+}
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/admin/AdminApi.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/admin/AdminApi.java
@@ -26,9 +26,7 @@
 import org.tarragonarch.entry.control.ControlLoop;
 import org.tarragonarch.entry.control.NodeCore;
 import org.tarragonarch.entry.control.Readiness;
-import org.tarragonarch.entry.http.BearerToken;
 import org.tarragonarch.entry.http.Exchange;
-import org.tarragonarch.entry.http.ProblemJson;
 import org.tarragonarch.entry.log.LogLine;
 import org.tarragonarch.entry.metrics.NodeMetrics;
 import org.tarragonarch.model.id.ConfigurationVersion;
@@ -47,9 +45,7 @@
  */
 public final class AdminApi implements AutoCloseable {
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
-    private static final String PORT = "admin";
     private static final String OPERATOR = "operator";
-    private static final String JSON = "application/json";
     private static final String PROMETHEUS = "text/plain; version=0.0.4; charset=utf-8";
     private static final int THREADS = 2;
     private static final int QUEUE = 32;
@@ -60,6 +56,7 @@
     private final ConfigurationTexts texts;
     private final Readiness readiness;
     private final NodeMetrics metrics;
+    private final OperatorCheck operators;
     private final ConfigurationChanges changes;
     private final ThreadPoolExecutor threads = new ThreadPoolExecutor(
             THREADS,
@@ -84,6 +81,7 @@
         this.texts = checkNotNull(texts, "texts");
         this.readiness = checkNotNull(readiness, "readiness");
         this.metrics = checkNotNull(metrics, "metrics");
+        this.operators = new OperatorCheck(catalog, metrics);
         this.changes = new ConfigurationChanges(store, Clock.systemUTC());
     }
 
@@ -102,7 +100,9 @@
     public Jooby application() {
         Jooby application = new Jooby();
         application.setExecutionMode(ExecutionMode.EVENT_LOOP);
-        application.get("/health/live", context -> send(context, StatusCode.OK, JSON, "{\"state\":\"live\"}"));
+        application.get(
+                "/health/live",
+                context -> AdminAnswers.send(context, StatusCode.OK, AdminAnswers.JSON, "{\"state\":\"live\"}"));
         application.get("/health/ready", this::ready);
         application.get("/metrics", this::scrape);
         application.get("/admin/status", context -> snapshot(context, StatusJson::status));
@@ -127,7 +127,11 @@
 
     private Context ready(Context context) {
         StatusCode status = readiness.ready() ? StatusCode.OK : StatusCode.SERVICE_UNAVAILABLE;
-        return send(context, status, JSON, "{\"phase\":\"" + readiness.phase().word() + "\"}");
+        return AdminAnswers.send(
+                context,
+                status,
+                AdminAnswers.JSON,
+                "{\"phase\":\"" + readiness.phase().word() + "\"}");
     }
 
     private Context scrape(Context context) {
@@ -138,18 +142,19 @@
                                 metrics.status().show(status);
                             }
                             String text = metrics.scrape();
-                            respond(context, () -> send(context, StatusCode.OK, PROMETHEUS, text));
+                            AdminAnswers.respond(
+                                    context, () -> AdminAnswers.send(context, StatusCode.OK, PROMETHEUS, text));
                         },
                         threads);
         return context;
     }
 
     private Context snapshot(Context context, Function<NodeStatus, ObjectNode> json) throws AdminException {
-        authenticate(context);
+        operators.reader(context);
         askStatus()
-                .whenComplete((status, failure) -> respond(context, () -> {
+                .whenComplete((status, failure) -> AdminAnswers.respond(context, () -> {
                     if (status == null) {
-                        problem(
+                        AdminAnswers.problem(
                                 context,
                                 new AdminException(new AdminProblem(
                                         AdminProblem.UNAVAILABLE,
@@ -158,7 +163,7 @@
                                         "control",
                                         "the control thread did not answer in time")));
                     } else {
-                        send(context, json.apply(status));
+                        AdminAnswers.send(context, json.apply(status));
                     }
                 }));
         return context;
@@ -169,7 +174,7 @@
     }
 
     private Context configuration(Context context) throws AdminException {
-        authenticate(context);
+        operators.reader(context);
         Optional<ConfigurationVersion> wanted = ChangeParameters.version(context);
         ServiceCatalog now = catalog.catalog().orElseThrow();
         if (wanted.isPresent() && !wanted.get().equals(now.version())) {
@@ -182,11 +187,11 @@
                         Step.CONFIGURE,
                         "node",
                         "the text of the configuration in force is not here")));
-        return send(context, ChangeJsonWriter.configuration(now.version(), now.digest(), canonical));
+        return AdminAnswers.send(context, ChangeJsonWriter.configuration(now.version(), now.digest(), canonical));
     }
 
     private Context apply(Context context) throws AdminException {
-        OperatorDefinition operator = changer(context);
+        OperatorDefinition operator = operators.changer(context);
         byte[] canonical = Exchange.of(context).body();
         ChangeParameters parameters = ChangeParameters.of(context);
         return later(
@@ -196,21 +201,21 @@
     }
 
     private Context audit(Context context) throws AdminException {
-        authenticate(context);
+        operators.reader(context);
         int limit = ChangeParameters.limit(context);
         return later(context, () -> changes.history(limit));
     }
 
     private Context drain(Context context) throws AdminException {
-        OperatorDefinition operator = changer(context);
+        OperatorDefinition operator = operators.changer(context);
         LOG.atInfo().log(
                 "%s", LogLine.of("drain-asked", Step.LIFECYCLE, operator.name().value()));
         control.post(new DrainRequested("operator " + operator.name()));
-        return send(context, StatusCode.ACCEPTED, JSON, "{\"draining\":true}");
+        return AdminAnswers.send(context, StatusCode.ACCEPTED, AdminAnswers.JSON, "{\"draining\":true}");
     }
 
     private Context drainEndpoint(Context context, boolean out) throws AdminException {
-        OperatorDefinition operator = changer(context);
+        OperatorDefinition operator = operators.changer(context);
         String id = context.path("id").value();
         if (!Names.wellFormed(id)) {
             throw new AdminException(new AdminProblem(
@@ -226,13 +231,14 @@
                         .with("endpoint", endpoint)
                         .with("out", out));
         control.ask(core -> known(core.status(), endpoint))
-                .whenComplete((known, failure) -> respond(context, () -> drainKnown(context, endpoint, out, known)));
+                .whenComplete((known, failure) ->
+                        AdminAnswers.respond(context, () -> drainKnown(context, endpoint, out, known)));
         return context;
     }
 
     private void drainKnown(Context context, EndpointId endpoint, boolean out, Boolean known) {
         if (!Boolean.TRUE.equals(known)) {
-            problem(
+            AdminAnswers.problem(
                     context,
                     new AdminException(new AdminProblem(
                             AdminProblem.NOT_FOUND,
@@ -243,54 +249,17 @@
             return;
         }
         control.post(new EndpointDrainRequested(endpoint, out));
-        send(context, StatusCode.ACCEPTED, JSON, "{\"endpoint\":\"" + endpoint + "\",\"out\":" + out + "}");
+        AdminAnswers.send(
+                context,
+                StatusCode.ACCEPTED,
+                AdminAnswers.JSON,
+                "{\"endpoint\":\"" + endpoint + "\",\"out\":" + out + "}");
     }
 
     private static boolean known(NodeStatus status, EndpointId endpoint) {
         return status.endpoints().stream().anyMatch(row -> row.endpoint().equals(endpoint));
     }
 
-    private OperatorDefinition authenticate(Context context) throws AdminException {
-        if (catalog.catalog().isEmpty()) {
-            throw new AdminException(new AdminProblem(
-                    AdminProblem.UNAVAILABLE,
-                    "not-ready",
-                    Step.CONFIGURE,
-                    "node",
-                    "no configuration is in force here, so no operator is known"));
-        }
-        Optional<OperatorDefinition> operator = BearerToken.digest(context).flatMap(catalog::operator);
-        if (operator.isEmpty()) {
-            refused("operator-unauthenticated", Exchange.of(context).remote());
-            throw new AdminException(new AdminProblem(
-                    AdminProblem.UNAUTHENTICATED,
-                    "unauthenticated",
-                    Step.AUTHENTICATE,
-                    OPERATOR,
-                    "the request carries no bearer token of a known operator"));
-        }
-        return operator.get();
-    }
-
-    private OperatorDefinition changer(Context context) throws AdminException {
-        OperatorDefinition operator = authenticate(context);
-        if (!operator.role().mayChange()) {
-            refused("operator-forbidden", operator.name().value());
-            throw new AdminException(new AdminProblem(
-                    AdminProblem.FORBIDDEN,
-                    "forbidden",
-                    Step.AUTHENTICATE,
-                    OPERATOR,
-                    "operator " + operator.name() + " may look but not change"));
-        }
-        return operator;
-    }
-
-    private void refused(String event, String peer) {
-        metrics.unauthenticated(PORT);
-        LOG.atWarning().atMostEvery(1, TimeUnit.SECONDS).log("%s", LogLine.of(event, Step.AUTHENTICATE, peer));
-    }
-
     private Context later(Context context, AdminCall call) throws AdminException {
         try {
             threads.execute(() -> answer(context, call));
@@ -304,57 +273,25 @@
     private void answer(Context context, AdminCall call) {
         try {
             JsonNode json = call.call();
-            respond(context, () -> send(context, json));
+            AdminAnswers.respond(context, () -> AdminAnswers.send(context, json));
         } catch (AdminException e) {
-            respond(context, () -> problem(context, e));
+            AdminAnswers.respond(context, () -> AdminAnswers.problem(context, e));
         } catch (RuntimeException e) {
-            respond(context, () -> fault(context, e));
+            AdminAnswers.respond(context, () -> AdminAnswers.fault(context, e));
         }
     }
 
     private void failed(Context context, Throwable cause, StatusCode status) {
         if (cause instanceof AdminException refusal) {
-            problem(context, refusal);
+            AdminAnswers.problem(context, refusal);
         } else if (status.value() < StatusCode.SERVER_ERROR_CODE) {
-            problem(
+            AdminAnswers.problem(
                     context,
                     new AdminException(new AdminProblem(
                             status.value(), "no-such-resource", Step.READ, OPERATOR, "no such resource or method")));
         } else {
-            fault(context, cause);
-        }
-    }
-
-    private void fault(Context context, Throwable cause) {
-        LOG.atSevere().withCause(cause).log("%s", LogLine.of("handler-failed", Step.READ, OPERATOR));
-        problem(
-                context,
-                new AdminException(new AdminProblem(
-                        AdminProblem.FAULT, "fault", Step.READ, "node", "the node failed; its log says why")));
-    }
-
-    private static void problem(Context context, AdminException e) {
-        if (e.status() == AdminProblem.UNAUTHENTICATED) {
-            context.setResponseHeader("WWW-Authenticate", "Bearer");
+            AdminAnswers.fault(context, cause);
         }
-        context.setResponseCode(StatusCode.valueOf(e.status()));
-        context.setResponseType(ProblemJson.MEDIA_TYPE);
-        context.send(ProblemJson.bytes(e.json()));
-    }
-
-    private static Context send(Context context, JsonNode json) {
-        context.setResponseType(JSON);
-        return context.send(ProblemJson.bytes(json));
-    }
-
-    private static Context send(Context context, StatusCode status, String type, String text) {
-        context.setResponseCode(status);
-        context.setResponseType(type);
-        return context.send(text);
-    }
-
-    private static void respond(Context context, Runnable answer) {
-        Exchange.of(context).respond(answer);
     }
 
     private interface AdminCall {
