--- a/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/admin/AdminException.java
+++ b/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/admin/AdminException.java
@@ -1,5 +1,6 @@
 package org.tarragonarch.ctl.admin;
 
+import com.google.common.collect.ImmutableSet;
 import java.net.ConnectException;
 import org.tarragonarch.model.id.Address;
 import org.tarragonarch.model.outcome.Step;
@@ -15,8 +16,8 @@
     private static final int CONFLICT = 409;
     private static final int FIRST_SERVER_ERROR = 500;
 
-    /** The code of a node that certainly did not have a change accepted, as the platform did not serve it. */
-    private static final String PLATFORM_UNAVAILABLE = "platform-unavailable";
+    /** The codes of a node that certainly did not do what was asked, although another might. */
+    private static final ImmutableSet<String> NOT_DONE = ImmutableSet.of("platform-unavailable", "not-ready", "busy");
 
     private final int status;
     private final String code;
@@ -60,7 +61,7 @@
     /** Returns whether what was asked may have been done all the same. */
     public boolean mayHaveApplied() {
         boolean neverSent = getCause() instanceof ConnectException;
-        return undecided() && !neverSent && !code.equals(PLATFORM_UNAVAILABLE);
+        return undecided() && !neverSent && !NOT_DONE.contains(code);
     }
 
     /** Returns whether the node's answer leaves open if it did what was asked, so that another node may be asked. */
