--- a/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/command/ConnectedCommand.java
+++ b/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/command/ConnectedCommand.java
@@ -14,6 +14,7 @@
 import org.tarragonarch.model.id.OperatorName;
 import org.tarragonarch.platform.PlatformClient;
 import org.tarragonarch.settings.SettingsException;
+import picocli.CommandLine;
 import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.ParameterException;
@@ -76,6 +77,10 @@
         }
     }
 
+    final CommandLine commandLine() {
+        return command.commandLine();
+    }
+
     final ParameterException usage(String message) {
         return new ParameterException(command.commandLine(), message);
     }
--- a/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/command/SubmissionCommand.java
+++ b/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/command/SubmissionCommand.java
@@ -5,11 +5,13 @@
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import java.io.IOException;
 import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.Optional;
 import org.tarragonarch.ctl.ExitCode;
 import org.tarragonarch.ctl.connection.Connection;
+import org.tarragonarch.ctl.connection.TokenFile;
 import org.tarragonarch.ctl.output.Output;
 import org.tarragonarch.ctl.submit.CallerAnswer;
 import org.tarragonarch.ctl.submit.CallerClient;
@@ -87,6 +89,8 @@
                     ? Files.readString(Path.of(argument.substring(FILE_MARK.length())))
                     : argument;
             return MAPPER.readTree(text);
+        } catch (NoSuchFileException e) {
+            throw usage("the input file " + e.getFile() + " does not exist");
         } catch (JsonProcessingException e) {
             throw usage("the input is not JSON: " + e.getOriginalMessage());
         } catch (IOException e) {
@@ -101,9 +105,9 @@
                         usage("no caller address: give --caller IP:PORT, or caller-address in a --settings file"));
     }
 
-    private String token(Connection connection) throws IOException {
+    private String token(Connection connection) {
         if (callerTokenFile != null) {
-            return Files.readString(callerTokenFile).strip();
+            return TokenFile.read(callerTokenFile, commandLine());
         }
         return connection
                 .callerToken()
--- a/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/connection/ConnectionOptions.java
+++ b/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/connection/ConnectionOptions.java
@@ -1,8 +1,6 @@
 package org.tarragonarch.ctl.connection;
 
 import com.google.common.collect.ImmutableList;
-import java.io.IOException;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.List;
@@ -97,19 +95,7 @@
         if (fromOption.isEmpty() && fromEnvironment != null && !fromEnvironment.isBlank()) {
             return Optional.of(fromEnvironment.strip());
         }
-        return fromOption.or(() -> fromSettings).map(this::readToken);
-    }
-
-    private String readToken(Path file) {
-        try {
-            String token = Files.readString(file).strip();
-            if (token.isEmpty()) {
-                throw usage("the token file " + file + " is empty");
-            }
-            return token;
-        } catch (IOException e) {
-            throw usage("the token file cannot be read: " + e);
-        }
+        return fromOption.or(() -> fromSettings).map(file -> TokenFile.read(file, command.commandLine()));
     }
 
     private ParameterException usage(String message) {
--- a/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/connection/ConnectionSettings.java
+++ b/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/connection/ConnectionSettings.java
@@ -3,6 +3,7 @@
 import com.google.common.collect.ImmutableList;
 import java.io.IOException;
 import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.Optional;
@@ -61,6 +62,9 @@
     private static byte[] readFile(Path file, MistakeCollector mistakes) {
         try {
             return Files.readAllBytes(file);
+        } catch (NoSuchFileException e) {
+            mistakes.add(new Place(file.toString(), 1), "file", "does not exist");
+            return new byte[0];
         } catch (IOException e) {
             mistakes.add(new Place(file.toString(), 1), "file", "cannot be read: " + e);
             return new byte[0];
--- /dev/null
+++ b/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/connection/TokenFile.java
@@ -0,0 +1,34 @@
+package org.tarragonarch.ctl.connection;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
+import java.nio.file.Path;
+import picocli.CommandLine;
+import picocli.CommandLine.ParameterException;
+
+/** A file that holds one secret token. */
+public final class TokenFile {
+    private TokenFile() {}
+
+    /**
+     * Returns the token, without the white space around it.
+     *
+     * @param file the file
+     * @param command the command that needs the token
+     * @throws ParameterException if there is no token to be read; the message never holds any of the file
+     */
+    public static String read(Path file, CommandLine command) {
+        try {
+            String token = Files.readString(file).strip();
+            if (token.isEmpty()) {
+                throw new ParameterException(command, "the token file " + file + " is empty");
+            }
+            return token;
+        } catch (NoSuchFileException e) {
+            throw new ParameterException(command, "the token file " + file + " does not exist", e);
+        } catch (IOException e) {
+            throw new ParameterException(command, "the token file " + file + " cannot be read: " + e, e);
+        }
+    }
+}
--- a/tarragonarch-ctl/src/test/java/org/tarragonarch/ctl/CtlMainTest.java
+++ b/tarragonarch-ctl/src/test/java/org/tarragonarch/ctl/CtlMainTest.java
@@ -213,6 +213,18 @@
         Files.delete(inputs);
     }
 
+    @Test
+    public void testSubmit_filesThatAreNotThere() {
+        String[] submit = {"submit", "request", "proof-board", "word-count", "--input", "@none.json"};
+        assertEquals(connected(submit), ExitCode.USAGE.number());
+        assertTrue(err().startsWith("the input file none.json does not exist"), err());
+        submit = new String[] {
+            "submit", "request", "proof-board", "word-count", "--input", "1", "--caller-token-file", "none.token"
+        };
+        assertEquals(connected(submit), ExitCode.USAGE.number());
+        assertTrue(err().startsWith("the token file none.token does not exist"), err());
+    }
+
     @Test
     public void testToken_digestIsOfToken() {
         run("token");
