Judge no endpoint by a task that this node stopped

Cause: every end went to the judgement of its endpoint, also those of tasks that the node itself had let go of. Such an end now gives the slot back and no more.

--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/endpoint/EndpointDirectory.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/endpoint/EndpointDirectory.java
@@ -61,9 +61,8 @@
 
     private EndpointDirectory(NodeId self, FailureDomain own, Random random, PlacementStrategy strategy) {
         this.self = checkNotNull(self, "self");
-        this.own = checkNotNull(own, "own");
         this.random = checkNotNull(random, "random");
-        this.pools = new EndpointPools(own, random, checkNotNull(strategy, "strategy"));
+        this.pools = new EndpointPools(checkNotNull(own, "own"), random, checkNotNull(strategy, "strategy"));
         this.alive = ImmutableSet.of(self);
     }
 
@@ -195,6 +194,24 @@
         refresh(endpoint, nowNanos);
     }
 
+    /**
+     * Gives a reserved slot back without judging the endpoint, because this node let go of the task.
+     *
+     * <p>A stopped task ends as failed or lost through no fault of its endpoint; judged by it, a wave of cancels would
+     * put healthy endpoints into quarantine.
+     */
+    public void endedAfterStop(TaskEnded ended, long nowNanos, ActionSink sink) {
+        EndpointRecord endpoint = records.get(ended.endpoint());
+        if (endpoint == null) {
+            return;
+        }
+        endpoint.slots().givenBack();
+        if (ended.endpointLeaving()) {
+            leaves(endpoint, "its own answer", nowNanos, sink);
+        }
+        refresh(endpoint, nowNanos);
+    }
+
     /** Takes in the end of a probe. */
     public void probeEnded(ProbeEnded ended, long nowNanos, ActionSink sink) {
         EndpointRecord endpoint = records.get(ended.endpoint());
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/submission/Dispatcher.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/submission/Dispatcher.java
@@ -276,7 +276,8 @@
                         submission.team().name(),
                         endpoint,
                         task.attempt(),
-                        nowNanos));
+                        nowNanos,
+                        false));
         Duration allowed = Duration.ofNanos(submission.deadlineNanos() - nowNanos);
         sink.emit(new SendTask(task.id(), task.attempt(), endpoint.id(), endpoint.address(), allowed));
     }
@@ -286,8 +287,12 @@
         lane(flight.service()).ended(flight.team());
         quotas.ended(flight.team());
         services.ended(flight.service());
-        endpoints.ended(ended, flight.service(), flight.kind(), runNanos, nowNanos, sink);
-        if (ended.result() == SendResult.SUCCEEDED) {
+        if (flight.stopped()) {
+            endpoints.endedAfterStop(ended, nowNanos, sink);
+        } else {
+            endpoints.ended(ended, flight.service(), flight.kind(), runNanos, nowNanos, sink);
+        }
+        if (ended.result() == SendResult.SUCCEEDED && !flight.stopped()) {
             runTimes.observe(flight.service(), flight.kind(), runNanos);
             retryBudget.succeeded();
         }
@@ -361,6 +366,7 @@
             boolean sendStop = submission.service().favours().stopsStartedTasks()
                     && flight.sentNanos() + expectedNanos(submission) - nowNanos >= WORTH_STOPPING_NANOS;
             Endpoint endpoint = flight.endpoint();
+            inFlight.put(task.id(), flight.stop());
             sink.emit(new StopTask(task.id(), flight.attempt(), endpoint.id(), endpoint.address(), sendStop));
         }
     }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/submission/InFlightTask.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/submission/InFlightTask.java
@@ -14,6 +14,17 @@
  * @param endpoint where it was sent
  * @param attempt which attempt it is
  * @param sentNanos when it was sent
+ * @param stopped whether this node let go of it, so that its end says nothing of the endpoint
  */
 record InFlightTask(
-        ServiceName service, KindName kind, TeamName team, Endpoint endpoint, int attempt, long sentNanos) {}
+        ServiceName service,
+        KindName kind,
+        TeamName team,
+        Endpoint endpoint,
+        int attempt,
+        long sentNanos,
+        boolean stopped) {
+    InFlightTask stop() {
+        return new InFlightTask(service, kind, team, endpoint, attempt, sentNanos, true);
+    }
+}
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/node/EntryNodeTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/node/EntryNodeTest.java
@@ -11,6 +11,8 @@
 import org.tarragonarch.core.action.AnswerComplete;
 import org.tarragonarch.core.action.AnswerProblem;
 import org.tarragonarch.core.action.AnswerSameAs;
+import org.tarragonarch.core.action.Note;
+import org.tarragonarch.core.action.NoteEvent;
 import org.tarragonarch.core.action.PhaseChanged;
 import org.tarragonarch.core.action.ReadClaims;
 import org.tarragonarch.core.action.ReleaseClaim;
@@ -134,6 +136,24 @@
                 .noneMatch(answer -> answer.submission().equals(taken)));
     }
 
+    /**
+     * A wave of authors gives up: their running tasks are stopped and end as failed or lost. The worker did nothing
+     * wrong, and must not be put into quarantine for it while others wait.
+     */
+    @Test
+    public void testCancelWave_putsNoEndpointIntoQuarantine() {
+        NodeFixture node = NodeFixture.serving(8);
+        for (int wave = 0; wave < 10; wave++) {
+            SubmissionId job = node.submit(SubmissionForm.JOB, NodeFixture.ONCE, 2);
+            List<SendTask> sends = node.all(SendTask.class);
+            node.hand(new CancelRequested(job, CancelCause.CALLER));
+            node.end(sends.get(sends.size() - 1), SendResult.TASK_FAILED);
+            node.end(sends.get(sends.size() - 2), SendResult.LOST);
+        }
+        assertTrue(node.all(Note.class).stream().noneMatch(note -> note.event() == NoteEvent.ENDPOINT_QUARANTINED));
+        assertEquals(node.all(SendTask.class).size(), 20);
+    }
+
     @Test
     public void testAdmission_jobThatCanNeverRun() {
         NodeFixture node = NodeFixture.serving(8);
