--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/endpoint/EndpointDirectory.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/endpoint/EndpointDirectory.java
@@ -61,9 +61,8 @@
 
     private EndpointDirectory(NodeId self, FailureDomain own, Random random, PlacementStrategy strategy) {
         this.self = checkNotNull(self, "self");
-        this.own = checkNotNull(own, "own");
         this.random = checkNotNull(random, "random");
-        this.pools = new EndpointPools(own, random, checkNotNull(strategy, "strategy"));
+        this.pools = new EndpointPools(checkNotNull(own, "own"), random, checkNotNull(strategy, "strategy"));
         this.alive = ImmutableSet.of(self);
     }
 
