Find missing endpoints in a class of its own; see the cancel wave fail first

The cancel wave's test now has two endpoints, since the only one is never quarantined, and was seen failing with stopped tasks judged as before.

--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/endpoint/EndpointDirectory.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/endpoint/EndpointDirectory.java
@@ -6,10 +6,8 @@
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
 import com.google.common.collect.Sets;
-import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
@@ -85,8 +83,7 @@
     /**
      * Takes in the platform's list.
      *
-     * <p>Guards against a list that the platform gives half or empty after a fault of its own: it shows as most of a
-     * failure domain missing at once. Such endpoints are kept for as long as they can be reached.
+     * <p>An endpoint that it does not name is dropped, unless the list is doubtful: see {@link MissingEndpoints}.
      */
     public void listed(ImmutableList<VmRecord> vms, long nowNanos, ActionSink sink) {
         peers.forgetBefore(nowNanos - HealthPolicy.PEER_VIEW_NANOS, peerChanges(nowNanos, sink));
@@ -98,14 +95,11 @@
                 takeLine(id, vm, nowNanos, sink);
             }
         }
-        Map<FailureDomain, List<EndpointRecord>> known = new LinkedHashMap<>();
-        for (EndpointRecord endpoint : records.values()) {
-            if (endpoint.isListed()) {
-                known.computeIfAbsent(endpoint.vm().domain(), key -> new ArrayList<>())
-                        .add(endpoint);
-            }
+        for (EndpointRecord endpoint : MissingEndpoints.of(records.values(), named, nowNanos)) {
+            endpoint.unlisted();
+            note(NoteEvent.ENDPOINT_GONE, endpoint.id(), "list", sink);
+            refresh(endpoint, nowNanos);
         }
-        known.values().forEach(ofDomain -> dropMissing(ofDomain, named, nowNanos, sink));
         // Only with the whole list taken in is it known how many endpoints can be spared.
         ImmutableList.copyOf(records.values()).forEach(endpoint -> followPeers(endpoint, nowNanos, sink));
     }
@@ -332,22 +326,6 @@
         refresh(endpoint, nowNanos);
     }
 
-    private void dropMissing(List<EndpointRecord> ofDomain, Set<EndpointId> named, long nowNanos, ActionSink sink) {
-        List<EndpointRecord> missing = ofDomain.stream()
-                .filter(endpoint -> !named.contains(endpoint.id()))
-                .toList();
-        boolean doubted = named.isEmpty()
-                || missing.size() >= HealthPolicy.MISSING_WHEN_DOUBTED && missing.size() * 2 > ofDomain.size();
-        for (EndpointRecord endpoint : missing) {
-            if (doubted && endpoint.isWorthKeeping(nowNanos)) {
-                continue;
-            }
-            endpoint.unlisted();
-            note(NoteEvent.ENDPOINT_GONE, endpoint.id(), "list", sink);
-            refresh(endpoint, nowNanos);
-        }
-    }
-
     private Endpoint take(EndpointRecord endpoint, long nowNanos) {
         endpoint.slots().taken();
         refresh(endpoint, nowNanos);
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/node/EntryNodeTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/node/EntryNodeTest.java
@@ -142,7 +142,7 @@
      */
     @Test
     public void testCancelWave_putsNoEndpointIntoQuarantine() {
-        NodeFixture node = NodeFixture.serving(8);
+        NodeFixture node = NodeFixture.servingWithTwoEndpoints(8);
         for (int wave = 0; wave < 10; wave++) {
             SubmissionId job = node.submit(SubmissionForm.JOB, NodeFixture.ONCE, 2);
             List<SendTask> sends = node.all(SendTask.class);
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/node/NodeFixture.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/node/NodeFixture.java
@@ -46,7 +46,7 @@
 import org.tarragonarch.model.service.ServiceDefinition;
 import org.tarragonarch.model.service.TeamDefinition;
 
-/** One serving node with one endpoint, on a clock that the test moves. */
+/** One serving node with an endpoint or two, on a clock that the test moves. */
 public final class NodeFixture {
     public static final KindName ONCE = KindName.of("word-count");
     public static final KindName IDEMPOTENT = KindName.of("spelling");
@@ -62,30 +62,36 @@
     private long nowNanos = 1;
     private long sequence;
 
-    private NodeFixture(int slots, int maxQueuedTasks) {
+    private NodeFixture(int slots, int maxQueuedTasks, int endpoints) {
         NodeIdentity identity = new NodeIdentity(
                 NodeId.of("hobart-1"), Incarnation.of(1), FailureDomain.of("hobart"), new Address("127.0.0.1", 1));
         this.node = EntryNode.create(identity, NodePolicy.DEFAULT, 7);
         hand(new TimePassed());
-        hand(new VmListRead(ImmutableList.of(endpoint(slots))));
+        hand(new VmListRead(IntStream.rangeClosed(1, endpoints)
+                .mapToObj(number -> endpoint(number, slots))
+                .collect(ImmutableList.toImmutableList())));
         hand(new ConfigurationLoaded(catalog(maxQueuedTasks), "test"));
         actions.clear();
     }
 
     static NodeFixture serving(int slots) {
-        return new NodeFixture(slots, 200);
+        return new NodeFixture(slots, 200, 1);
+    }
+
+    static NodeFixture servingWithTwoEndpoints(int slots) {
+        return new NodeFixture(slots, 200, 2);
     }
 
     static NodeFixture serving(int slots, int maxQueuedTasks) {
-        return new NodeFixture(slots, maxQueuedTasks);
+        return new NodeFixture(slots, maxQueuedTasks, 1);
     }
 
-    private static VmRecord endpoint(int slots) {
+    private static VmRecord endpoint(int number, int slots) {
         return new VmRecord(
-                "hobart-w1",
+                "hobart-w" + number,
                 VmRole.ENDPOINT,
                 FailureDomain.of("hobart"),
-                new Address("127.0.0.1", 2),
+                new Address("127.0.0.1", 1 + number),
                 VmState.LIVE,
                 ImmutableSet.of(SERVICE),
                 slots);
