--- a/tarragonarch-standin/src/test/java/org/tarragonarch/standin/process/KeyedSubmissionTest.java
+++ b/tarragonarch-standin/src/test/java/org/tarragonarch/standin/process/KeyedSubmissionTest.java
@@ -10,21 +10,34 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import org.testng.annotations.AfterClass;
 import org.testng.annotations.AfterMethod;
-import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.BeforeClass;
 import org.testng.annotations.Test;
 
 public final class KeyedSubmissionTest {
     private static final long WAIT_MILLIS = 15_000;
 
+    private static final int NODES = 2;
+
     private ProcessCluster cluster;
 
-    @BeforeMethod
+    @BeforeClass
     public void start() throws Exception {
-        cluster = ProcessCluster.start(2, 1, 2);
+        cluster = ProcessCluster.start(NODES, 1, 2);
+    }
+
+    @AfterMethod
+    public void mend() throws Exception {
+        cluster.platform().clearFaults();
+        for (int i = 0; i < NODES; i++) {
+            if (!cluster.node(i).process().alive()) {
+                cluster.restartNode(i);
+            }
+        }
     }
 
-    @AfterMethod(alwaysRun = true)
+    @AfterClass(alwaysRun = true)
     public void stop() throws Exception {
         if (cluster != null) {
             cluster.close();
@@ -36,15 +49,15 @@
         // A renewal is running when the node that took it dies. The desk sees a broken connection and pushes the
         // renewal again through another node. The customer must not be charged twice: the second node must not run it,
         // and it may not say "not run" either, since the first one may have.
-        CompletableFuture<CallerAnswer> first = renewal(0, "renewal", 3_000);
-        cluster.awaitStarts(1);
+        CompletableFuture<CallerAnswer> first = renewal(0, "renewal-killed", 3_000);
+        cluster.awaitStarted("renewal-killed");
         cluster.node(0).process().kill();
         assertFalse(answered(first), "the killed node cannot have answered");
 
-        CallerAnswer second = renewal(1, "renewal", 3_000).get(WAIT_MILLIS, TimeUnit.MILLISECONDS);
+        CallerAnswer second = renewal(1, "renewal-killed", 3_000).get(WAIT_MILLIS, TimeUnit.MILLISECONDS);
 
         assertEquals(second.outcome(), "unknown", second.toString());
-        assertEquals(starts("renewal"), 1);
+        assertEquals(starts("renewal-killed"), 1);
     }
 
     @Test
@@ -53,20 +66,20 @@
         // freezes; the desk hears nothing and pushes the renewal again through the second node. Then the first node
         // wakes, unaware of the time that passed, and goes on with its queue. The renewal may start once at most.
         CompletableFuture<CallerAnswer> filling = cluster.caller().job(cluster.node(0), Caller.ONCE, "long", 2, 4_000);
-        cluster.awaitStarts(2);
-        CompletableFuture<CallerAnswer> first = renewal(0, "renewal", 50);
-        awaitClaim("renewal");
+        cluster.awaitStarted("long-0", "long-1");
+        CompletableFuture<CallerAnswer> first = renewal(0, "renewal-frozen", 50);
+        awaitClaim("renewal-frozen");
         cluster.node(0).process().freeze();
         CallerAnswer second;
         try {
-            second = renewal(1, "renewal", 50).get(WAIT_MILLIS, TimeUnit.MILLISECONDS);
+            second = renewal(1, "renewal-frozen", 50).get(WAIT_MILLIS, TimeUnit.MILLISECONDS);
         } finally {
             cluster.node(0).process().thaw();
         }
         CallerAnswer woken = first.get(WAIT_MILLIS, TimeUnit.MILLISECONDS);
         filling.get(WAIT_MILLIS, TimeUnit.MILLISECONDS);
 
-        int starts = starts("renewal");
+        int starts = starts("renewal-frozen");
         assertTrue(starts <= 1, cluster.starts().toString());
         if (second.outcome().equals("not-run") || woken.outcome().equals("not-run")) {
             assertEquals(starts, 0, "said not to have run: " + second + woken);
@@ -81,23 +94,23 @@
         // renewal
         // again and meets the new run, which remembers nothing but finds the claim of the run before. It must neither
         // run the renewal nor say that it was not run, and other renewals go on.
-        CompletableFuture<CallerAnswer> first = renewal(0, "renewal", 1_000);
-        cluster.awaitStarts(1);
+        CompletableFuture<CallerAnswer> first = renewal(0, "renewal-restarted", 1_000);
+        cluster.awaitStarted("renewal-restarted");
         cluster.node(0).process().kill();
         assertFalse(answered(first), "the killed node cannot have answered");
         cluster.restartNode(0);
 
-        CallerAnswer again = renewal(0, "renewal", 1_000).get(WAIT_MILLIS, TimeUnit.MILLISECONDS);
+        CallerAnswer again = renewal(0, "renewal-restarted", 1_000).get(WAIT_MILLIS, TimeUnit.MILLISECONDS);
         assertEquals(again.outcome(), "unknown", again.toString());
         Await.until(
                 "other renewals go on",
                 ProcessCluster.DEADLINE,
-                () -> renewal(0, "other", 20)
+                () -> renewal(0, "other-restarted", 20)
                         .get(WAIT_MILLIS, TimeUnit.MILLISECONDS)
                         .complete());
 
-        assertEquals(starts("renewal"), 1);
-        assertEquals(starts("other"), 1);
+        assertEquals(starts("renewal-restarted"), 1);
+        assertEquals(starts("other-restarted"), 1);
     }
 
     @Test
@@ -107,19 +120,19 @@
         // once the table service is itself again, the renewal goes through.
         cluster.platform().fault("slow?part=tables&ms=1500");
 
-        CallerAnswer refused = renewal(0, "renewal", 20).get(WAIT_MILLIS, TimeUnit.MILLISECONDS);
+        CallerAnswer refused = renewal(0, "renewal-slow", 20).get(WAIT_MILLIS, TimeUnit.MILLISECONDS);
 
         assertEquals(refused.outcome(), "not-run", refused.toString());
         assertFalse(refused.retryAfter().isEmpty(), refused.toString());
-        assertEquals(starts("renewal"), 0);
+        assertEquals(starts("renewal-slow"), 0);
         cluster.platform().clearFaults();
         Await.until(
                 "the renewal goes through",
                 ProcessCluster.DEADLINE,
-                () -> renewal(0, "renewal", 20)
+                () -> renewal(0, "renewal-slow", 20)
                         .get(WAIT_MILLIS, TimeUnit.MILLISECONDS)
                         .complete());
-        assertEquals(starts("renewal"), 1);
+        assertEquals(starts("renewal-slow"), 1);
     }
 
     @Test
@@ -128,12 +141,12 @@
         // so the node may run the renewal, once; a second push must get the same answer and no second start.
         cluster.platform().fault("reply-lost?part=tables&count=1");
 
-        CallerAnswer first = renewal(0, "renewal", 50).get(WAIT_MILLIS, TimeUnit.MILLISECONDS);
-        CallerAnswer again = renewal(0, "renewal", 50).get(WAIT_MILLIS, TimeUnit.MILLISECONDS);
+        CallerAnswer first = renewal(0, "renewal-lost", 50).get(WAIT_MILLIS, TimeUnit.MILLISECONDS);
+        CallerAnswer again = renewal(0, "renewal-lost", 50).get(WAIT_MILLIS, TimeUnit.MILLISECONDS);
 
         assertTrue(first.complete(), first.toString());
         assertEquals(again.body().path("result"), first.body().path("result"));
-        assertEquals(starts("renewal"), 1);
+        assertEquals(starts("renewal-lost"), 1);
     }
 
     @Test
@@ -172,22 +185,22 @@
         CallerAnswer idempotent = cluster.caller()
                 .request(cluster.node(0), Caller.IDEMPOTENT, "check", 20, "key-check")
                 .get(WAIT_MILLIS, TimeUnit.MILLISECONDS);
-        CallerAnswer refused = renewal(0, "renewal", 20).get(WAIT_MILLIS, TimeUnit.MILLISECONDS);
+        CallerAnswer refused = renewal(0, "renewal-out", 20).get(WAIT_MILLIS, TimeUnit.MILLISECONDS);
 
         assertTrue(unkeyed.complete(), unkeyed.toString());
         assertTrue(idempotent.complete(), idempotent.toString());
         assertEquals(refused.outcome(), "not-run", refused.toString());
         assertFalse(refused.retryAfter().isEmpty(), refused.toString());
-        assertEquals(starts("renewal"), 0);
+        assertEquals(starts("renewal-out"), 0);
 
         cluster.platform().clearFaults();
         Await.until(
                 "the renewal goes through",
                 ProcessCluster.DEADLINE,
-                () -> renewal(0, "renewal", 20)
+                () -> renewal(0, "renewal-out", 20)
                         .get(WAIT_MILLIS, TimeUnit.MILLISECONDS)
                         .complete());
-        assertEquals(starts("renewal"), 1);
+        assertEquals(starts("renewal-out"), 1);
     }
 
     private CompletableFuture<CallerAnswer> renewal(int node, String tag, int millis) {
--- a/tarragonarch-standin/src/test/java/org/tarragonarch/standin/process/ProcessCluster.java
+++ b/tarragonarch-standin/src/test/java/org/tarragonarch/standin/process/ProcessCluster.java
@@ -76,7 +76,7 @@
         return endpoints.get(index);
     }
 
-    /** Starts a node again on its old addresses after its process has ended, and waits until it is ready. */
+    /** Starts a node again on its old addresses after its process has ended, and waits until it is ready for work. */
     void restartNode(int index) throws Exception {
         NodeProcess old = nodes.get(index);
         JvmProcess process = launchNode(old.name());
@@ -85,6 +85,7 @@
             throw new AssertionError(old.name() + " cannot be started again: " + process.output());
         }
         nodes.set(index, restarted);
+        awaitEndpointsKnown();
     }
 
     StandInControl platform() {
@@ -111,6 +112,14 @@
         return starts;
     }
 
+    void awaitStarted(String... tags) throws InterruptedException {
+        List<String> wanted = List.of(tags);
+        Await.until(
+                wanted + " started",
+                DEADLINE,
+                () -> startsByTag(starts()).keySet().containsAll(wanted));
+    }
+
     void awaitStarts(int count) throws InterruptedException {
         Await.until(count + " starts", DEADLINE, () -> starts().size() >= count);
     }
