--- a/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/command/EndpointsCommand.java
+++ b/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/command/EndpointsCommand.java
@@ -45,9 +45,10 @@
         return inDomain && !(notLive && endpoint.live());
     }
 
-    private static void row(Table table, Collection<Sighting> same, int nodes) {
+    private void row(Table table, Collection<Sighting> same, int nodes) {
         EndpointView endpoint = same.iterator().next().endpoint();
-        String seenBy = same.size() == nodes
+        // A program needs the names also where all see the same; a person does not.
+        String seenBy = same.size() == nodes && !output().json()
                 ? "all " + nodes
                 : same.stream().map(Sighting::node).collect(Collectors.joining(" "));
         table.row(
--- a/tarragonarch-wire/src/main/java/org/tarragonarch/wire/PeerNetwork.java
+++ b/tarragonarch-wire/src/main/java/org/tarragonarch/wire/PeerNetwork.java
@@ -175,7 +175,11 @@
                 .bind(bind)
                 .awaitUninterruptibly();
         if (!bound.isSuccess()) {
-            throw new StepException(Step.LIFECYCLE, bind.toString(), "cannot listen at " + bind, bound.cause());
+            throw new StepException(
+                    Step.LIFECYCLE,
+                    bind.toString(),
+                    "cannot listen: " + bound.cause().getMessage(),
+                    bound.cause());
         }
         server = bound.channel();
         long sweep = settings.unusedTimeout().toMillis();
