--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/endpoint/EndpointDirectory.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/endpoint/EndpointDirectory.java
@@ -5,10 +5,9 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
-import java.util.ArrayList;
+import com.google.common.collect.Sets;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
@@ -49,7 +48,6 @@
  */
 public final class EndpointDirectory {
     private final NodeId self;
-    private final FailureDomain own;
     private final Random random;
     private final EndpointPools pools;
     private final Map<EndpointId, EndpointRecord> records = new LinkedHashMap<>();
@@ -61,9 +59,8 @@
 
     private EndpointDirectory(NodeId self, FailureDomain own, Random random, PlacementStrategy strategy) {
         this.self = checkNotNull(self, "self");
-        this.own = checkNotNull(own, "own");
         this.random = checkNotNull(random, "random");
-        this.pools = new EndpointPools(own, random, checkNotNull(strategy, "strategy"));
+        this.pools = new EndpointPools(checkNotNull(own, "own"), random, checkNotNull(strategy, "strategy"));
         this.alive = ImmutableSet.of(self);
     }
 
@@ -86,11 +83,10 @@
     /**
      * Takes in the platform's list.
      *
-     * <p>Guards against a list that the platform gives half or empty after a fault of its own: it shows as most of a
-     * failure domain missing at once. Such endpoints are kept for as long as they can be reached.
+     * <p>An endpoint that it does not name is dropped, unless the list is doubtful: see {@link MissingEndpoints}.
      */
     public void listed(ImmutableList<VmRecord> vms, long nowNanos, ActionSink sink) {
-        peers.keep(own, alive, nowNanos - HealthPolicy.PEER_VIEW_NANOS, peerChanges(nowNanos, sink));
+        peers.forgetBefore(nowNanos - HealthPolicy.PEER_VIEW_NANOS, peerChanges(nowNanos, sink));
         Set<EndpointId> named = new HashSet<>();
         for (VmRecord vm : vms) {
             if (vm.role() == VmRole.ENDPOINT) {
@@ -99,14 +95,13 @@
                 takeLine(id, vm, nowNanos, sink);
             }
         }
-        Map<FailureDomain, List<EndpointRecord>> known = new LinkedHashMap<>();
-        for (EndpointRecord endpoint : records.values()) {
-            if (endpoint.isListed()) {
-                known.computeIfAbsent(endpoint.vm().domain(), key -> new ArrayList<>())
-                        .add(endpoint);
-            }
+        for (EndpointRecord endpoint : MissingEndpoints.of(records.values(), named, nowNanos)) {
+            endpoint.unlisted();
+            note(NoteEvent.ENDPOINT_GONE, endpoint.id(), "list", sink);
+            refresh(endpoint, nowNanos);
         }
-        known.values().forEach(ofDomain -> dropMissing(ofDomain, named, nowNanos, sink));
+        // Only with the whole list taken in is it known how many endpoints can be spared.
+        ImmutableList.copyOf(records.values()).forEach(endpoint -> followPeers(endpoint, nowNanos, sink));
     }
 
     /** Takes in the nodes of the own failure domain that are alive, this one among them. */
@@ -116,8 +111,9 @@
         if (withSelf.equals(alive)) {
             return;
         }
+        ImmutableSet<NodeId> before = alive;
         alive = withSelf;
-        peers.keep(own, alive, nowNanos - HealthPolicy.PEER_VIEW_NANOS, peerChanges(nowNanos, sink));
+        Sets.difference(before, alive).forEach(node -> peers.forget(node, peerChanges(nowNanos, sink)));
         for (EndpointRecord endpoint : ImmutableList.copyOf(records.values())) {
             resize(endpoint);
             refresh(endpoint, nowNanos);
@@ -192,6 +188,24 @@
         refresh(endpoint, nowNanos);
     }
 
+    /**
+     * Gives a reserved slot back without judging the endpoint, because this node let go of the task.
+     *
+     * <p>A stopped task ends as failed or lost through no fault of its endpoint; judged by it, a wave of cancels would
+     * put healthy endpoints into quarantine.
+     */
+    public void endedAfterStop(TaskEnded ended, long nowNanos, ActionSink sink) {
+        EndpointRecord endpoint = records.get(ended.endpoint());
+        if (endpoint == null) {
+            return;
+        }
+        endpoint.slots().givenBack();
+        if (ended.endpointLeaving()) {
+            leaves(endpoint, "its own answer", nowNanos, sink);
+        }
+        refresh(endpoint, nowNanos);
+    }
+
     /** Takes in the end of a probe. */
     public void probeEnded(ProbeEnded ended, long nowNanos, ActionSink sink) {
         EndpointRecord endpoint = records.get(ended.endpoint());
@@ -310,23 +324,6 @@
         }
         resize(endpoint);
         refresh(endpoint, nowNanos);
-        followPeers(endpoint, nowNanos, sink);
-    }
-
-    private void dropMissing(List<EndpointRecord> ofDomain, Set<EndpointId> named, long nowNanos, ActionSink sink) {
-        List<EndpointRecord> missing = ofDomain.stream()
-                .filter(endpoint -> !named.contains(endpoint.id()))
-                .toList();
-        boolean doubted = named.isEmpty()
-                || missing.size() >= HealthPolicy.MISSING_WHEN_DOUBTED && missing.size() * 2 > ofDomain.size();
-        for (EndpointRecord endpoint : missing) {
-            if (doubted && endpoint.isWorthKeeping(nowNanos)) {
-                continue;
-            }
-            endpoint.unlisted();
-            note(NoteEvent.ENDPOINT_GONE, endpoint.id(), "list", sink);
-            refresh(endpoint, nowNanos);
-        }
     }
 
     private Endpoint take(EndpointRecord endpoint, long nowNanos) {
