Look at every service again when an endpoint's wait is over

An endpoint's wait (a fading refusal, a paced send) was also ended by events that mark only one service, so tasks of another could wait until the next report.

--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/node/EntryNode.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/node/EntryNode.java
@@ -308,6 +308,10 @@
         configuration.timePassed(nowNanos, sink);
         peers.timePassed(nowNanos, reportSource, sink);
         membershipChanged(nowNanos, sink);
+        if (endpoints.nextWakeNanos() <= nowNanos) {
+            // Any event may be the one at which an endpoint's wait is over; tasks of every service may wait for it.
+            dispatcher.everythingChanged();
+        }
         endpoints.timePassed(nowNanos, sink);
         keys.timePassed(nowNanos, sink);
     }
