Refuse at once what can no longer finish; keep configurations compressed

Single-round jobs are not judged: the mean says little of one task.

Compressed it is 26,104 bytes, 1.0 KB/s. The object store now keeps the text compressed.

--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/admission/AdmissionControl.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/admission/AdmissionControl.java
@@ -117,9 +117,9 @@
         if (queueFull(submission)) {
             return refuseUntilDrained(submission, ProblemCode.QUEUE_FULL, "the queue of " + service + " is full");
         }
-        if (wouldMissDeadline(submission)) {
+        if (dispatcher.cannotFinish(submission, submission.arrivedNanos()) || wouldMissDeadline(submission)) {
             return refuseUntilDrained(
-                    submission, ProblemCode.WOULD_MISS_DEADLINE, "the wait for a slot would pass the deadline");
+                    submission, ProblemCode.WOULD_MISS_DEADLINE, "the wait for slots would pass the deadline");
         }
         return new Admitted(submission);
     }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/endpoint/EndpointDirectory.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/endpoint/EndpointDirectory.java
@@ -260,6 +260,11 @@
         return open == 0 ? 0 : Math.max(1, open / alive.size());
     }
 
+    /** Returns how many slots all nodes of the failure domain may use together for the service. */
+    public int slotsOfAllNodes(ServiceName service) {
+        return pools.openSlots(service);
+    }
+
     /** Returns how many tasks of this node are in flight at each endpoint, where that is not 0. */
     public ImmutableList<EndpointLoad> loads() {
         return records.values().stream()
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/runtime/RunTimeEstimator.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/runtime/RunTimeEstimator.java
@@ -14,6 +14,9 @@
  * truth after a few tasks. Not safe for use by several threads. Each call takes constant time.
  */
 public final class RunTimeEstimator {
+    /** After so many tasks what was learnt weighs enough to refuse work by it. */
+    private static final int ENOUGH_TASKS = 10;
+
     /** The least part that a new run time has in the mean, so that the last fifty or so tasks decide. */
     private static final double LEAST_PART = 0.02;
 
@@ -37,6 +40,12 @@
         return mean == null ? prior.toNanos() : mean.with(prior.toNanos());
     }
 
+    /** Returns whether enough tasks of a kind have ended for the expectation to rest on them. */
+    public boolean learnt(ServiceName service, KindName kind) {
+        Mean mean = means.get(new Kind(service, kind));
+        return mean != null && mean.count >= ENOUGH_TASKS;
+    }
+
     private record Kind(ServiceName service, KindName kind) {}
 
     private static final class Mean {
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/submission/Dispatcher.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/submission/Dispatcher.java
@@ -196,6 +196,23 @@
         return ComeBack.within(expectedWait(service, team));
     }
 
+    /**
+     * Returns whether a submission would miss its deadline even if it had every slot of the failure domain to itself.
+     *
+     * <p>Such a job, once started, takes slots from others and is answered unknown all the same. The mean of many run
+     * times tells well how long a job takes that needs each slot more than once, and little of a single task; so only
+     * the former is judged, and only by run times that were learnt.
+     */
+    public boolean cannotFinish(Submission submission, long nowNanos) {
+        ServiceName service = submission.service().name();
+        int tasks = submission.tasks().size();
+        int slots = Math.max(1, endpoints.slotsOfAllNodes(service));
+        if (tasks <= slots || !runTimes.learnt(service, submission.kind().name())) {
+            return false;
+        }
+        return expectedNanos(submission) * tasks / slots > submission.deadlineNanos() - nowNanos;
+    }
+
     /** Returns how many tasks were sent and have not ended. */
     public int inFlight() {
         return inFlight.size();
@@ -244,6 +261,12 @@
         if (!services.mayStart(submission.service().name())) {
             return false;
         }
+        if (!submission.mayHaveRun() && cannotFinish(submission, nowNanos)) {
+            Problem problem = giveUp(
+                    submission, ProblemCode.WOULD_MISS_DEADLINE, "its tasks can no longer all run before the deadline");
+            end(submission, Optional.of(problem), nowNanos, sink);
+            return true;
+        }
         Task task = submission.nextQueued().orElseThrow();
         Optional<Endpoint> endpoint = reserve(submission, task, nowNanos);
         endpoint.ifPresent(reserved -> send(submission, task, reserved, nowNanos, sink));
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/node/EntryNodeTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/node/EntryNodeTest.java
@@ -154,6 +154,41 @@
         assertEquals(node.all(SendTask.class).size(), 20);
     }
 
+    /**
+     * Two jobs that each need the slots for most of their time come at once. Once the first has run, the second can no
+     * longer finish; started all the same, it would take the slots from others and be answered unknown. It is told at
+     * once that it did not run. A third one that cannot finish even alone is refused at the door.
+     */
+    @Test
+    public void testJob_thatCanNoLongerFinishIsNotStarted() {
+        NodeFixture node = NodeFixture.serving(2);
+        teachRunTime(node, Duration.ofMillis(1_500));
+        SubmissionId first = node.submit(SubmissionForm.JOB, NodeFixture.ONCE, 8);
+        SubmissionId second = node.submit(SubmissionForm.JOB, NodeFixture.ONCE, 8);
+        for (int round = 0; round < 4; round++) {
+            node.pass(Duration.ofMillis(1_500));
+            List<SendTask> sends = node.all(SendTask.class);
+            node.end(sends.get(sends.size() - 2), SendResult.SUCCEEDED);
+            node.end(sends.get(sends.size() - 1), SendResult.SUCCEEDED);
+        }
+        assertEquals(node.last(AnswerComplete.class).submission(), first);
+        assertEquals(node.problemOf(second).code(), ProblemCode.WOULD_MISS_DEADLINE);
+        assertTrue(node.problemOf(second).retryAfter().isPresent());
+        assertEquals(
+                node.problemOf(node.submit(SubmissionForm.JOB, NodeFixture.ONCE, 16))
+                        .code(),
+                ProblemCode.WOULD_MISS_DEADLINE);
+    }
+
+    private static void teachRunTime(NodeFixture node, Duration runTime) {
+        for (int round = 0; round < 10; round++) {
+            node.submit(SubmissionForm.REQUEST, NodeFixture.ONCE, 1);
+            SendTask send = node.last(SendTask.class);
+            node.pass(runTime);
+            node.end(send, SendResult.SUCCEEDED);
+        }
+    }
+
     @Test
     public void testAdmission_jobThatCanNeverRun() {
         NodeFixture node = NodeFixture.serving(8);
--- a/tarragonarch-model/src/main/java/org/tarragonarch/model/service/Favour.java
+++ b/tarragonarch-model/src/main/java/org/tarragonarch/model/service/Favour.java
@@ -9,11 +9,6 @@
             return true;
         }
 
-        @Override
-        public int refusedSendsBeforeWaiting() {
-            return 2;
-        }
-
         @Override
         public boolean spillsWhenFull() {
             return true;
@@ -36,11 +31,6 @@
             return false;
         }
 
-        @Override
-        public int refusedSendsBeforeWaiting() {
-            return 1;
-        }
-
         @Override
         public boolean spillsWhenFull() {
             return false;
@@ -71,9 +61,6 @@
     /** Returns whether a started task of a cancelled submission is worth a stop message. */
     public abstract boolean stopsStartedTasks();
 
-    /** Returns how many busy refusals in a row a task may meet before it waits for a slot known to be free. */
-    public abstract int refusedSendsBeforeWaiting();
-
     /** Returns whether a task goes to another failure domain while the own one is full, rather than wait. */
     public abstract boolean spillsWhenFull();
 
--- a/tarragonarch-platform/src/main/java/org/tarragonarch/platform/HttpConfigurationStore.java
+++ b/tarragonarch-platform/src/main/java/org/tarragonarch/platform/HttpConfigurationStore.java
@@ -5,6 +5,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.google.common.base.Strings;
 import com.google.common.collect.ImmutableList;
+import java.io.IOException;
 import java.util.Optional;
 import okhttp3.HttpUrl;
 import org.tarragonarch.model.id.ConfigurationVersion;
@@ -20,6 +21,7 @@
     private static final String ROW = "current";
     private static final String AUDIT = "audit";
     private static final String OBJECT_PREFIX = "configuration-";
+    private static final String OBJECT_SUFFIX = ".gz";
     private static final int VERSION_DIGITS = 19;
 
     /** How often the transaction is sent: once, again after a lost reply, and again after a stale read. */
@@ -42,10 +44,16 @@
         if (reply.status() != PlatformHttp.OK) {
             throw reply.unexpected();
         }
-        if (!ContentDigest.of(reply.body()).equals(digest)) {
+        byte[] text;
+        try {
+            text = CompressedText.unpack(reply.body());
+        } catch (IOException e) {
+            throw reply.unusable("the object is no compressed text", e);
+        }
+        if (!ContentDigest.of(text).equals(digest)) {
             throw reply.unusable("the object does not have the digest " + digest, null);
         }
-        return reply.body();
+        return text;
     }
 
     @Override
@@ -91,7 +99,7 @@
     }
 
     private PlatformReply putObject(ContentDigest digest, byte[] canonical) throws PlatformException {
-        return http.putIfAbsent(PlatformPart.OBJECTS, objectUrl(digest), canonical);
+        return http.putIfAbsent(PlatformPart.OBJECTS, objectUrl(digest), CompressedText.pack(canonical));
     }
 
     private PlatformReply putObjectAgain(ContentDigest digest, byte[] canonical) throws PlatformException {
@@ -242,7 +250,7 @@
     }
 
     private HttpUrl objectUrl(ContentDigest digest) {
-        return http.url("objects", OBJECT_PREFIX + digest);
+        return http.url("objects", OBJECT_PREFIX + digest + OBJECT_SUFFIX);
     }
 
     /** The configuration row with the version by which the table service counts its writes. */
