--- a/tarragonarch-wire/src/test/java/org/tarragonarch/wire/ReportCostMeasurement.java
+++ b/tarragonarch-wire/src/test/java/org/tarragonarch/wire/ReportCostMeasurement.java
@@ -52,7 +52,7 @@
     @Test
     public void measureRoundsOfADomain() throws Exception {
         for (int round = 0; round < 2; round++) {
-            for (int peers : new int[] {3, 30}) {
+            for (int peers : new int[] {3, 7, 30}) {
                 for (int endpoints : new int[] {10, 30, 110}) {
                     measureDomain(peers, endpoints, round > 0);
                 }
