--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/admin/ConfigurationChanges.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/admin/ConfigurationChanges.java
@@ -14,6 +14,7 @@
 import org.tarragonarch.model.outcome.Step;
 import org.tarragonarch.model.platform.ConfigurationRow;
 import org.tarragonarch.platform.AuditRecord;
+import org.tarragonarch.platform.ChangeJson;
 import org.tarragonarch.platform.ConfigurationConflictException;
 import org.tarragonarch.platform.ConfigurationStore;
 import org.tarragonarch.platform.PlatformException;
@@ -49,7 +50,7 @@
                             .with("version", row.version())
                             .with("change", change)
                             .with("summary", summary));
-            return ChangeJsonWriter.row(row);
+            return ChangeJson.writeRow(row);
         } catch (ConfigurationConflictException e) {
             LOG.atInfo().log(
                     "%s",
@@ -108,7 +109,7 @@
         AdminProblem problem =
                 new AdminProblem(AdminProblem.CONFLICT, "configuration-conflict", e.step(), e.peer(), e.getMessage());
         ObjectNode json = problem.json();
-        json.set("accepted", ChangeJsonWriter.row(e.accepted()));
+        json.set("accepted", ChangeJson.writeRow(e.accepted()));
         return new AdminException(problem, json);
     }
 
--- a/tarragonarch-platform/src/main/java/org/tarragonarch/platform/ChangeJson.java
+++ b/tarragonarch-platform/src/main/java/org/tarragonarch/platform/ChangeJson.java
@@ -11,11 +11,12 @@
 import org.tarragonarch.model.id.OperatorName;
 import org.tarragonarch.model.platform.ConfigurationRow;
 
-/** The configuration row and audit records as values of rows. */
-final class ChangeJson {
+/** The configuration row and audit records as JSON: in rows of the table service, and in the administration API. */
+public final class ChangeJson {
     private ChangeJson() {}
 
-    static ObjectNode writeRow(ConfigurationRow row) {
+    /** Returns a configuration row as JSON. */
+    public static ObjectNode writeRow(ConfigurationRow row) {
         return JsonNodeFactory.instance
                 .objectNode()
                 .put("version", row.version().value())
@@ -25,7 +26,8 @@
                 .put("when", row.when().toString());
     }
 
-    static ObjectNode writeRecord(AuditRecord record) {
+    /** Returns an audit record as JSON. */
+    public static ObjectNode writeRecord(AuditRecord record) {
         return writeRow(rowOf(record)).put("from", record.from().value()).put("summary", record.summary());
     }
 
