Let a node under load use every slot of idle peers

Cause: a borrowing node leaves two (response time) or three (few messages) slots of each endpoint to its peers, whatever they do. With all callers at one of three nodes and 75% of the slots wanted, jobs were refused or timed out while slots stood empty. Ruled out: the pace of risky sends, since none was refused. While peers report less than a tenth of the slots in use, nothing is left over.

--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/endpoint/DomainPool.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/endpoint/DomainPool.java
@@ -7,11 +7,15 @@
 
 /** The endpoints of one service in one failure domain, counted by condition. */
 final class DomainPool {
+    /** Peers count as idle while they use less than this part of the slots: one in ten. */
+    private static final int IDLE_PART = 10;
+
     private final Map<EndpointRecord, Counted> members = new HashMap<>();
     private final SlotPool ready;
     private int open;
     private int openSlots;
     private int quarantined;
+    private int peersInFlight;
 
     DomainPool(PlacementStrategy strategy) {
         ready = SlotPool.create(strategy);
@@ -55,6 +59,16 @@
         return quarantined < most && open > 1;
     }
 
+    /**
+     * Returns whether peers use next to nothing here, as they last reported.
+     *
+     * <p>Then the slots that are otherwise left to them would stay empty while this node's work waits: one node alone
+     * under load, because the balancer or the callers prefer it, could never fill the failure domain.
+     */
+    boolean peersIdle() {
+        return peersInFlight * IDLE_PART < openSlots;
+    }
+
     /** Returns the slots of the endpoints that may get a task now. */
     SlotPool ready() {
         return ready;
@@ -65,12 +79,17 @@
             open += counted.open ? sign : 0;
             openSlots += counted.open ? sign * counted.slots : 0;
             quarantined += counted.quarantined ? sign : 0;
+            peersInFlight += sign * counted.peersInFlight;
         }
     }
 
-    private record Counted(boolean open, int slots, boolean quarantined) {
+    private record Counted(boolean open, int slots, boolean quarantined, int peersInFlight) {
         static Counted of(EndpointRecord endpoint) {
-            return new Counted(endpoint.condition().open(), endpoint.slots().slots(), endpoint.countsAsQuarantined());
+            return new Counted(
+                    endpoint.condition().open(),
+                    endpoint.slots().slots(),
+                    endpoint.countsAsQuarantined(),
+                    endpoint.slots().peersInFlight());
         }
     }
 }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/endpoint/EndpointPools.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/endpoint/EndpointPools.java
@@ -54,7 +54,7 @@
         if (pools == null) {
             return Optional.empty();
         }
-        int slotsLeft = favour.slotsLeftWhenBorrowing();
+        int slotsLeft = pools.own().peersIdle() ? 0 : favour.slotsLeftWhenBorrowing();
         Optional<EndpointSlots> chosen = pools.own().ready().choose(favour, slotsLeft, avoid, random, nowNanos);
         if (chosen.isEmpty() && (favour.spillsWhenFull() || pools.own().open() == 0)) {
             chosen = chooseElsewhere(pools, favour, avoid, nowNanos);
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placement/EndpointSlots.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placement/EndpointSlots.java
@@ -92,6 +92,11 @@
         peersInFlight += delta;
     }
 
+    /** Returns the tasks of peers in flight at the endpoint, as they last reported. */
+    public int peersInFlight() {
+        return peersInFlight;
+    }
+
     /** Returns whether a slot is free by what this node did and met itself, whatever peers report. */
     boolean ownFree() {
         return ownInFlight + othersSeen < slots;
