--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/endpoint/DomainPool.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/endpoint/DomainPool.java
@@ -1,5 +1,6 @@
 package org.tarragonarch.core.endpoint;
 
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
 import org.tarragonarch.core.placement.PlacementStrategy;
@@ -7,25 +8,32 @@
 
 /** The endpoints of one service in one failure domain, counted by condition. */
 final class DomainPool {
-    /** Peers count as idle while they use less than this part of the slots: one in ten. */
+    /** Peers count as idle while they use less than this part of the slots, one in ten, */
     private static final int IDLE_PART = 10;
 
+    /** and have done so for this long: work comes in bursts, so one report of next to nothing says little. */
+    private static final long IDLE_NANOS = Duration.ofSeconds(3).toNanos();
+
     private final Map<EndpointRecord, Counted> members = new HashMap<>();
     private final SlotPool ready;
     private int open;
     private int openSlots;
     private int quarantined;
     private int peersInFlight;
+    private long peersBusyNanos = Long.MIN_VALUE;
 
     DomainPool(PlacementStrategy strategy) {
         ready = SlotPool.create(strategy);
     }
 
     /** Adds an endpoint, or takes in whatever changed of it. */
-    void update(EndpointRecord endpoint) {
+    void update(EndpointRecord endpoint, long nowNanos) {
         Counted now = Counted.of(endpoint);
         count(members.put(endpoint, now), -1);
         count(now, 1);
+        if (peersBusyNanos == Long.MIN_VALUE || peersInFlight * IDLE_PART >= openSlots) {
+            peersBusyNanos = nowNanos;
+        }
         if (endpoint.mayGetTask()) {
             ready.put(endpoint.slots());
         } else {
@@ -65,8 +73,8 @@
      * <p>Then the slots that are otherwise left to them would stay empty while this node's work waits: one node alone
      * under load, because the balancer or the callers prefer it, could never fill the failure domain.
      */
-    boolean peersIdle() {
-        return peersInFlight * IDLE_PART < openSlots;
+    boolean peersIdle(long nowNanos) {
+        return peersBusyNanos != Long.MIN_VALUE && nowNanos - peersBusyNanos >= IDLE_NANOS;
     }
 
     /** Returns the slots of the endpoints that may get a task now. */
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/endpoint/EndpointDirectory.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/endpoint/EndpointDirectory.java
@@ -479,7 +479,7 @@
             records.remove(endpoint.id());
             return;
         }
-        pools.update(endpoint);
+        pools.update(endpoint, nowNanos);
         if (endpoint.needsProbe() && endpoint.wakeNanos() == EndpointRecord.NEVER) {
             schedule(endpoint, nowNanos + HealthPolicy.LEAVING_PROBE_NANOS);
         }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/endpoint/EndpointPools.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/endpoint/EndpointPools.java
@@ -36,9 +36,9 @@
     }
 
     /** Adds an endpoint, or takes in whatever changed of it. */
-    void update(EndpointRecord endpoint) {
+    void update(EndpointRecord endpoint, long nowNanos) {
         for (ServiceName service : endpoint.vm().services()) {
-            pool(service, endpoint).update(endpoint);
+            pool(service, endpoint).update(endpoint, nowNanos);
         }
     }
 
@@ -54,7 +54,7 @@
         if (pools == null) {
             return Optional.empty();
         }
-        int slotsLeft = pools.own().peersIdle() ? 0 : favour.slotsLeftWhenBorrowing();
+        int slotsLeft = pools.own().peersIdle(nowNanos) ? 0 : favour.slotsLeftWhenBorrowing();
         Optional<EndpointSlots> chosen = pools.own().ready().choose(favour, slotsLeft, avoid, random, nowNanos);
         if (chosen.isEmpty() && (favour.spillsWhenFull() || pools.own().open() == 0)) {
             chosen = chooseElsewhere(pools, favour, avoid, nowNanos);
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/endpoint/EndpointDirectoryPlacementTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/endpoint/EndpointDirectoryPlacementTest.java
@@ -60,8 +60,18 @@
     /** All callers go to one node while its peer is idle: what is left to the peer would stay empty. */
     @Test
     public void testReserve_takesAllSlotsOfIdlePeers() {
-        assertEquals(withAPeer().fill(Favour.RESPONSE_TIME).size(), 80);
-        assertEquals(withAPeer().fill(Favour.FEW_MESSAGES).size(), 80);
+        for (Favour favour : Favour.values()) {
+            DirectoryFixture fixture = withAPeer();
+            fixture.nowNanos += Duration.ofSeconds(3).toNanos();
+            assertEquals(fixture.fill(favour).size(), 80);
+        }
+    }
+
+    /** A peer's work comes in bursts: that it had none in its last report does not say that it has none now. */
+    @Test
+    public void testReserve_leavesSlotsToPeersThatWereBusyOfLate() {
+        assertEquals(withAPeer().fill(Favour.RESPONSE_TIME).size(), 60);
+        assertEquals(withAPeer().fill(Favour.FEW_MESSAGES).size(), 50);
     }
 
     private static DirectoryFixture withABusyPeer() {
