--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/action/NoteEvent.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/action/NoteEvent.java
@@ -36,10 +36,8 @@
     CLAIM_REPLY_LOST,
     /** A claim was lost to another node. */
     CLAIM_LOST,
-    /** This node slept past its leases and dropped what rested on them. */
+    /** This node was paused for long; what it knew of its peers and told them starts over. */
     SLEPT_PAST_LEASE,
-    /** A quota lease was taken, changed or lost. */
-    QUOTA_LEASE_CHANGED,
     /** The drain deadline passed and what was in flight was cut. */
     DRAIN_CUT_SHORT
 }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/membership/PeerDirectory.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/membership/PeerDirectory.java
@@ -111,6 +111,8 @@
     /** Notes peers that fell silent and sends the reports that are due; costs next to nothing when nothing is due. */
     public void timePassed(long nowNanos, ReportSource source, ActionSink sink) {
         if (pause.called(nowNanos)) {
+            sink.emit(Note.of(
+                    NoteEvent.SLEPT_PAST_LEASE, Step.LIFECYCLE, self.node().value()));
             // Peers have dropped what they knew of a node that they did not hear.
             peers.values().forEach(peer -> peer.stream().startOver());
         }
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/membership/PeerDirectoryTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/membership/PeerDirectoryTest.java
@@ -81,6 +81,7 @@
         self.heard(0, other.report(1));
         self.run(0, 500);
         self.timePassed(10_500);
+        assertEquals(self.noted(NoteEvent.SLEPT_PAST_LEASE), ImmutableList.of("hobart-1"));
         assertEquals(self.directory.aliveInDomain(), ImmutableSet.of(SELF, OTHER));
         self.run(10_510, 12_490);
         assertEquals(self.directory.aliveInDomain(), ImmutableSet.of(SELF, OTHER));
