Count no try over a cut link as work for a leaving endpoint

Nothing arrives, and the refusal that would tell the node cannot either; the checker counted before it looked at the link.

--- a/tarragonarch-standin/src/main/java/org/tarragonarch/standin/explore/Shell.java
+++ b/tarragonarch-standin/src/main/java/org/tarragonarch/standin/explore/Shell.java
@@ -59,12 +59,12 @@
     void send(FakeNode node, SendTask send) {
         String endpoint = send.endpoint().value();
         AtomicBoolean ended = new AtomicBoolean();
-        world.checkLateSend(node, endpoint, send.address());
         time.after(send.timeAllowed().toNanos(), () -> end(node, send, SendResult.LOST, false, ended));
         if (!network.open(node.name(), endpoint) || !network.open(endpoint, node.name())) {
             sendOverCut(node, send, ended);
             return;
         }
+        world.checkLateSend(node, endpoint, send.address());
         time.after(
                 network.delayNanos(),
                 () -> world.endpoint(endpoint).receive(send, world.runNanos(send.task()), (result, leaving) -> {
--- a/tarragonarch-standin/src/test/java/org/tarragonarch/standin/explore/ExplorerTest.java
+++ b/tarragonarch-standin/src/test/java/org/tarragonarch/standin/explore/ExplorerTest.java
@@ -4,6 +4,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import org.testng.annotations.Test;
 
 public final class ExplorerTest {
@@ -24,6 +25,15 @@
         assertEquals(findings, List.of());
     }
 
+    /**
+     * A node is cut off from an endpoint that leaves, and keeps trying to connect. Nothing of it arrives, so the
+     * endpoint gets no new work; the checker counted the tries as contacts.
+     */
+    @Test
+    public void testRun_triesOverACutLinkAreNoWork() {
+        assertEquals(new Explorer().run(20_644), Optional.empty());
+    }
+
     @Test
     public void testRun_sameSeedSameRun() {
         Explorer first = new Explorer();
