--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/node/EntryNodeTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/node/EntryNodeTest.java
@@ -26,6 +26,8 @@
 import org.tarragonarch.core.event.ClaimsUncertain;
 import org.tarragonarch.core.event.ClaimsWritten;
 import org.tarragonarch.core.event.DrainRequested;
+import org.tarragonarch.core.event.PlatformFailed;
+import org.tarragonarch.core.event.PlatformPart;
 import org.tarragonarch.core.event.SendResult;
 import org.tarragonarch.core.event.SubmissionForm;
 import org.tarragonarch.model.id.SubmissionId;
@@ -121,6 +123,19 @@
         assertEquals(node.last(SendTask.class), second);
     }
 
+    /**
+     * A task was refused as busy and waits for the endpoint's rest to be over. Just then something else happens, which
+     * takes the place of the wake-up; the task must not wait for the next event after that, long after.
+     */
+    @Test
+    public void testRefused_waitThatEndsWithAnotherEvent() {
+        NodeFixture node = NodeFixture.serving(1);
+        node.submit(SubmissionForm.JOB, NodeFixture.ONCE, 1);
+        node.end(node.last(SendTask.class), SendResult.REFUSED_BUSY);
+        node.passUntil(Duration.ofSeconds(1), new PlatformFailed(PlatformPart.VM_LIST, "out"));
+        assertEquals(node.all(SendTask.class).size(), 2);
+    }
+
     /**
      * One team sends more than the queue holds. The other team's authors would be refused although they use nothing:
      * over the bound, a team below its fair part of the queue is still taken.
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/node/NodeFixture.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/node/NodeFixture.java
@@ -130,8 +130,13 @@
     }
 
     void pass(Duration time) {
+        passUntil(time, new TimePassed());
+    }
+
+    /** Lets time pass until an event comes, without a wake-up in between. */
+    void passUntil(Duration time, Event event) {
         nowNanos += time.toNanos();
-        hand(new TimePassed());
+        hand(event);
     }
 
     SubmissionId submit(SubmissionForm form, KindName kind, int tasks) {
--- a/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/submit/CallerClient.java
+++ b/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/submit/CallerClient.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import java.io.IOException;
+import java.net.ConnectException;
 import java.net.Proxy;
 import java.time.Duration;
 import okhttp3.HttpUrl;
@@ -57,7 +58,7 @@
             return new CallerAnswer(response.code(), json);
         } catch (JsonProcessingException e) {
             throw new StepException(Step.READ, node.toString(), "the answer of " + node + " is not JSON", e);
-        } catch (java.net.ConnectException e) {
+        } catch (ConnectException e) {
             throw new StepException(Step.SEND, node.toString(), "not run: " + e.getMessage(), e);
         } catch (IOException e) {
             String message = "no answer, so it may have run: " + e.getMessage();
--- a/tarragonarch-entry/src/test/java/org/tarragonarch/entry/caller/RawClient.java
+++ b/tarragonarch-entry/src/test/java/org/tarragonarch/entry/caller/RawClient.java
@@ -5,6 +5,7 @@
 import java.io.InputStream;
 import java.io.UncheckedIOException;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 
 /** An HTTP client over one plain socket, which may send what it likes when it likes. */
@@ -71,7 +72,7 @@
     boolean closedByServer() {
         try {
             return in.read() < 0;
-        } catch (java.net.SocketTimeoutException e) {
+        } catch (SocketTimeoutException e) {
             return false;
         } catch (IOException e) {
             return true;
--- a/tarragonarch-standin/src/main/java/org/tarragonarch/standin/explore/Explorer.java
+++ b/tarragonarch-standin/src/main/java/org/tarragonarch/standin/explore/Explorer.java
@@ -79,9 +79,7 @@
         } finally {
             steps += world.time().steps();
             starts += world.ledger().size();
-            for (Sent sent : world.sent()) {
-                submissions += sent.submission().tasks().isEmpty() ? 0 : 1;
-            }
+            submissions += world.sent().size();
         }
     }
 
--- a/tarragonarch-standin/src/main/java/org/tarragonarch/standin/explore/PromiseChecker.java
+++ b/tarragonarch-standin/src/main/java/org/tarragonarch/standin/explore/PromiseChecker.java
@@ -1,5 +1,7 @@
 package org.tarragonarch.standin.explore;
 
+import java.util.Collection;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
@@ -31,9 +33,9 @@
         sent.put(submission.submission().id(), submission);
     }
 
-    /** Returns every submission that was sent. */
-    public Iterable<Sent> all() {
-        return sent.values();
+    /** Returns every submission that was sent, as a view. */
+    public Collection<Sent> all() {
+        return Collections.unmodifiableCollection(sent.values());
     }
 
     void started(TaskId task, int attempt, String endpoint) {
--- a/tarragonarch-standin/src/main/java/org/tarragonarch/standin/explore/World.java
+++ b/tarragonarch-standin/src/main/java/org/tarragonarch/standin/explore/World.java
@@ -5,6 +5,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -116,8 +117,8 @@
         return ledger;
     }
 
-    /** Returns every submission sent. */
-    public Iterable<Sent> sent() {
+    /** Returns every submission sent, as a view. */
+    public Collection<Sent> sent() {
         return checker.all();
     }
 
