--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/admission/AdmissionControl.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/admission/AdmissionControl.java
@@ -10,10 +10,10 @@
 import org.tarragonarch.core.event.SubmissionArrived;
 import org.tarragonarch.core.event.TaskShape;
 import org.tarragonarch.core.queue.JobQueue;
-import org.tarragonarch.core.runtime.RunTimeEstimator;
 import org.tarragonarch.core.submission.ComeBack;
-import org.tarragonarch.core.submission.Dispatcher;
+import org.tarragonarch.core.submission.ServiceLanes;
 import org.tarragonarch.core.submission.Submission;
+import org.tarragonarch.core.submission.WaitEstimates;
 import org.tarragonarch.model.id.ServiceName;
 import org.tarragonarch.model.id.SubmissionId;
 import org.tarragonarch.model.outcome.Problem;
@@ -34,20 +34,19 @@
 public final class AdmissionControl {
     private static final String CALLER = "caller";
 
-    private final Dispatcher dispatcher;
+    private final ServiceLanes lanes;
+    private final WaitEstimates estimates;
     private final EndpointDirectory endpoints;
-    private final RunTimeEstimator runTimes;
 
-    private AdmissionControl(Dispatcher dispatcher, EndpointDirectory endpoints, RunTimeEstimator runTimes) {
-        this.dispatcher = checkNotNull(dispatcher, "dispatcher");
+    private AdmissionControl(ServiceLanes lanes, WaitEstimates estimates, EndpointDirectory endpoints) {
+        this.lanes = checkNotNull(lanes, "lanes");
+        this.estimates = checkNotNull(estimates, "estimates");
         this.endpoints = checkNotNull(endpoints, "endpoints");
-        this.runTimes = checkNotNull(runTimes, "runTimes");
     }
 
-    /** Returns an admission control that looks at the load of this dispatcher. */
-    public static AdmissionControl create(
-            Dispatcher dispatcher, EndpointDirectory endpoints, RunTimeEstimator runTimes) {
-        return new AdmissionControl(dispatcher, endpoints, runTimes);
+    /** Returns an admission control that looks at these queues and estimates. */
+    public static AdmissionControl create(ServiceLanes lanes, WaitEstimates estimates, EndpointDirectory endpoints) {
+        return new AdmissionControl(lanes, estimates, endpoints);
     }
 
     /** Decides upon one submission. */
@@ -107,7 +106,7 @@
         if (!endpoints.usable(service)) {
             return refuseForNow(ProblemCode.NO_ENDPOINT, "no endpoint of " + service + " can be reached");
         }
-        if (dispatcher.limitFor(service, submission.team()) == 0) {
+        if (estimates.limitFor(service, submission.team()) == 0) {
             return refuseUntilDrained(
                     submission,
                     ProblemCode.OVER_QUOTA,
@@ -117,7 +116,7 @@
         if (queueFull(submission)) {
             return refuseUntilDrained(submission, ProblemCode.QUEUE_FULL, "the queue of " + service + " is full");
         }
-        if (dispatcher.cannotFinish(submission, submission.arrivedNanos()) || wouldMissDeadline(submission)) {
+        if (estimates.cannotFinish(submission, submission.arrivedNanos()) || wouldMissDeadline(submission)) {
             return refuseUntilDrained(
                     submission, ProblemCode.WOULD_MISS_DEADLINE, "the wait for slots would pass the deadline");
         }
@@ -127,8 +126,7 @@
     // A team that fills the queue must not shut the others out: over the bound, each team may still hold its fair part.
     // The bound is passed by less than as much again, since no team's part is more than the whole.
     private boolean queueFull(Submission submission) {
-        JobQueue<SubmissionId> queue =
-                dispatcher.lane(submission.service().name()).queue();
+        JobQueue<SubmissionId> queue = lanes.of(submission.service().name()).queue();
         TeamDefinition team = submission.team();
         int bound = submission.service().maxQueuedTasks();
         int tasks = submission.arrived().tasks().size();
@@ -139,20 +137,19 @@
     // Estimates are often wrong before anything was learnt; with an empty queue the submission is the way to learn.
     private boolean wouldMissDeadline(Submission submission) {
         ServiceName service = submission.service().name();
-        Duration wait = dispatcher.expectedWait(service, submission.team());
+        Duration wait = estimates.expectedWait(service, submission.team());
         if (wait.isZero()) {
             return false;
         }
-        int slots = dispatcher.slotsFor(service, submission.team());
+        int slots = estimates.slotsFor(service, submission.team());
         long rounds = LongMath.divide(submission.arrived().tasks().size(), slots, RoundingMode.CEILING);
-        long runNanos = runTimes.expectedNanos(
-                service, submission.kind().name(), submission.kind().expectedRunTime());
+        long runNanos = estimates.expectedNanos(submission);
         long needed = wait.toNanos() + rounds * runNanos;
         return needed > submission.deadlineNanos() - submission.arrivedNanos();
     }
 
     private Refused refuseUntilDrained(Submission submission, ProblemCode code, String detail) {
-        Duration wait = dispatcher.comeBackAfter(submission.service().name(), submission.team());
+        Duration wait = estimates.comeBackAfter(submission.service().name(), submission.team());
         return new Refused(Problem.of(code, Step.ADMIT, CALLER, detail).withRetryAfter(wait));
     }
 
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/node/EntryNode.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/node/EntryNode.java
@@ -51,8 +51,10 @@
 import org.tarragonarch.core.status.QueueStatus;
 import org.tarragonarch.core.status.QuotaStatus;
 import org.tarragonarch.core.submission.Dispatcher;
+import org.tarragonarch.core.submission.ServiceLanes;
 import org.tarragonarch.core.submission.Submission;
 import org.tarragonarch.core.submission.SubmissionTable;
+import org.tarragonarch.core.submission.WaitEstimates;
 import org.tarragonarch.model.id.ConfigurationVersion;
 import org.tarragonarch.model.id.EndpointId;
 import org.tarragonarch.model.id.NodeId;
@@ -83,6 +85,7 @@
     private final SharedLimits<TeamName> quotas;
     private final SharedLimits<ServiceName> services;
     private final SubmissionTable submissions = SubmissionTable.create();
+    private final ServiceLanes lanes = ServiceLanes.create();
     private final KeyBook keys;
     private final Dispatcher dispatcher;
     private final AdmissionControl admission;
@@ -104,9 +107,10 @@
         this.services = SharedLimits.create(identity.node(), this::limitOf);
         this.keys = KeyBook.create(identity, policy, random);
         RunTimeEstimator runTimes = RunTimeEstimator.create();
-        this.dispatcher = Dispatcher.create(submissions, endpoints, quotas, services, runTimes, keys);
+        WaitEstimates estimates = WaitEstimates.create(lanes, endpoints, quotas, services, runTimes);
+        this.dispatcher = Dispatcher.create(submissions, lanes, estimates, endpoints, quotas, services, runTimes, keys);
         this.keys.connect(dispatcher);
-        this.admission = AdmissionControl.create(dispatcher, endpoints, runTimes);
+        this.admission = AdmissionControl.create(lanes, estimates, endpoints);
         this.lifecycle = Lifecycle.create(policy);
     }
 
@@ -368,8 +372,7 @@
     private ImmutableList<QueueStatus> queueStatus() {
         return configuration
                 .inForce()
-                .map(catalog ->
-                        dispatcher.status(ImmutableSet.copyOf(catalog.teams().values())))
+                .map(catalog -> lanes.status(ImmutableSet.copyOf(catalog.teams().values())))
                 .orElse(ImmutableList.of());
     }
 
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/submission/Dispatcher.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/submission/Dispatcher.java
@@ -1,7 +1,6 @@
 package org.tarragonarch.core.submission;
 
 import com.google.common.collect.ImmutableList;
-import com.google.common.collect.ImmutableSet;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
@@ -24,7 +23,6 @@
 import org.tarragonarch.core.event.TaskEnded;
 import org.tarragonarch.core.quota.SharedLimits;
 import org.tarragonarch.core.runtime.RunTimeEstimator;
-import org.tarragonarch.core.status.QueueStatus;
 import org.tarragonarch.model.id.ServiceName;
 import org.tarragonarch.model.id.SubmissionId;
 import org.tarragonarch.model.id.TaskId;
@@ -50,19 +48,24 @@
     private final SharedLimits<ServiceName> services;
     private final RunTimeEstimator runTimes;
     private final EndListener endListener;
-    private final Map<ServiceName, ServiceLane> lanes = new HashMap<>();
+    private final ServiceLanes lanes;
+    private final WaitEstimates estimates;
     private final Map<TaskId, InFlightTask> inFlight = new HashMap<>();
     private final Set<ServiceName> changed = new LinkedHashSet<>();
     private final RetryBudget retryBudget = new RetryBudget();
 
     private Dispatcher(
             SubmissionTable submissions,
+            ServiceLanes lanes,
+            WaitEstimates estimates,
             EndpointDirectory endpoints,
             SharedLimits<TeamName> quotas,
             SharedLimits<ServiceName> services,
             RunTimeEstimator runTimes,
             EndListener endListener) {
         this.submissions = submissions;
+        this.lanes = lanes;
+        this.estimates = estimates;
         this.endpoints = endpoints;
         this.quotas = quotas;
         this.services = services;
@@ -73,17 +76,14 @@
     /** Returns a dispatcher with nothing waiting. */
     public static Dispatcher create(
             SubmissionTable submissions,
+            ServiceLanes lanes,
+            WaitEstimates estimates,
             EndpointDirectory endpoints,
             SharedLimits<TeamName> quotas,
             SharedLimits<ServiceName> services,
             RunTimeEstimator runTimes,
             EndListener endListener) {
-        return new Dispatcher(submissions, endpoints, quotas, services, runTimes, endListener);
-    }
-
-    /** Returns the lane of a service. */
-    public ServiceLane lane(ServiceName service) {
-        return lanes.computeIfAbsent(service, ServiceLane::new);
+        return new Dispatcher(submissions, lanes, estimates, endpoints, quotas, services, runTimes, endListener);
     }
 
     /** Queues every task of a submission. */
@@ -94,7 +94,7 @@
 
     /** Marks every service for another look, because endpoints or shares may have changed. */
     public void everythingChanged() {
-        changed.addAll(lanes.keySet());
+        changed.addAll(lanes.services());
     }
 
     /**
@@ -105,7 +105,7 @@
      */
     public void startWaiting(long nowNanos, ActionSink sink) {
         for (ServiceName service : ImmutableList.copyOf(changed)) {
-            ServiceLane lane = lane(service);
+            ServiceLane lane = lanes.of(service);
             while (startNext(lane, nowNanos, sink)) {
                 // Each round starts one task.
             }
@@ -172,45 +172,8 @@
         if (!code.worthReturning()) {
             return problem;
         }
-        return problem.withRetryAfter(comeBackAfter(submission.service().name(), submission.team()));
-    }
-
-    /** Returns how long a new task of a team would wait for a slot, by what is known of run times. */
-    public Duration expectedWait(ServiceName service, TeamDefinition team) {
-        long slotNanos = lane(service).queue().expectedNanosAhead(team.name(), team.weight());
-        return Duration.ofNanos(slotNanos / slotsFor(service, team));
-    }
-
-    /** Returns how many tasks of a team can run from this node at once at a service; at least 1. */
-    public int slotsFor(ServiceName service, TeamDefinition team) {
-        return Math.max(1, Math.min(endpoints.slots(service), limitFor(service, team)));
-    }
-
-    /** Returns how many tasks of a team the limits let run from this node at once at a service; may be 0. */
-    public int limitFor(ServiceName service, TeamDefinition team) {
-        return Math.min(quotas.share(team.name()), services.share(service));
-    }
-
-    /** Returns after how long a team's caller should come back to a service: the present wait, within bounds. */
-    public Duration comeBackAfter(ServiceName service, TeamDefinition team) {
-        return ComeBack.within(expectedWait(service, team));
-    }
-
-    /**
-     * Returns whether a submission would miss its deadline even if it had every slot of the failure domain to itself.
-     *
-     * <p>Such a job, once started, takes slots from others and is answered unknown all the same. The mean of many run
-     * times tells well how long a job takes that needs each slot more than once, and little of a single task; so only
-     * the former is judged, and only by run times that were learnt.
-     */
-    public boolean cannotFinish(Submission submission, long nowNanos) {
-        ServiceName service = submission.service().name();
-        int tasks = submission.tasks().size();
-        int slots = Math.max(1, endpoints.slotsOfAllNodes(service));
-        if (tasks <= slots || !runTimes.learnt(service, submission.kind().name())) {
-            return false;
-        }
-        return expectedNanos(submission) * tasks / slots > submission.deadlineNanos() - nowNanos;
+        return problem.withRetryAfter(
+                estimates.comeBackAfter(submission.service().name(), submission.team()));
     }
 
     /** Returns how many tasks were sent and have not ended. */
@@ -218,20 +181,12 @@
         return inFlight.size();
     }
 
-    /** Returns a line for each team that waits or runs at a service. */
-    public ImmutableList<QueueStatus> status(ImmutableSet<TeamDefinition> teams) {
-        return lanes.values().stream()
-                .flatMap(lane -> teams.stream().map(team -> lane.status(team.name())))
-                .filter(line -> line.queuedTasks() + line.runningTasks() > 0)
-                .collect(ImmutableList.toImmutableList());
-    }
-
     private void close(
             Submission submission, Action answer, Optional<Problem> problem, long nowNanos, ActionSink sink) {
         if (!submissions.remove(submission)) {
             return;
         }
-        lane(submission.service().name()).queue().remove(submission.id());
+        lanes.of(submission.service().name()).queue().remove(submission.id());
         submission.tasks().forEach(task -> dropOrStop(submission, task, nowNanos, sink));
         changed.add(submission.service().name());
         sink.emit(answer);
@@ -241,17 +196,12 @@
     private void queue(Submission submission, int tasks) {
         ServiceName service = submission.service().name();
         TeamDefinition team = submission.team();
-        lane(service).queue().add(submission.id(), team.name(), team.weight(), tasks, expectedNanos(submission));
+        lanes.of(service)
+                .queue()
+                .add(submission.id(), team.name(), team.weight(), tasks, estimates.expectedNanos(submission));
         changed.add(service);
     }
 
-    private long expectedNanos(Submission submission) {
-        return runTimes.expectedNanos(
-                submission.service().name(),
-                submission.kind().name(),
-                submission.kind().expectedRunTime());
-    }
-
     private boolean startNext(ServiceLane lane, long nowNanos, ActionSink sink) {
         Optional<SubmissionId> next = lane.queue().next(quotas::mayStart);
         if (next.isEmpty()) {
@@ -261,7 +211,7 @@
         if (!services.mayStart(submission.service().name())) {
             return false;
         }
-        if (!submission.mayHaveRun() && cannotFinish(submission, nowNanos)) {
+        if (!submission.mayHaveRun() && estimates.cannotFinish(submission, nowNanos)) {
             Problem problem = giveUp(
                     submission, ProblemCode.WOULD_MISS_DEADLINE, "its tasks can no longer all run before the deadline");
             end(submission, Optional.of(problem), nowNanos, sink);
@@ -285,7 +235,7 @@
     }
 
     private void send(Submission submission, Task task, Endpoint endpoint, long nowNanos, ActionSink sink) {
-        ServiceLane lane = lane(submission.service().name());
+        ServiceLane lane = lanes.of(submission.service().name());
         task.send();
         lane.queue().taskStarted(submission.id());
         lane.started(submission.team().name());
@@ -307,7 +257,7 @@
 
     private void release(InFlightTask flight, TaskEnded ended, long nowNanos, ActionSink sink) {
         long runNanos = nowNanos - flight.sentNanos();
-        lane(flight.service()).ended(flight.team());
+        lanes.of(flight.service()).ended(flight.team());
         quotas.ended(flight.team());
         services.ended(flight.service());
         if (flight.stopped()) {
@@ -387,7 +337,7 @@
         } else if (task.state() == TaskState.SENT) {
             InFlightTask flight = inFlight.get(task.id());
             boolean sendStop = submission.service().favours().stopsStartedTasks()
-                    && flight.sentNanos() + expectedNanos(submission) - nowNanos >= WORTH_STOPPING_NANOS;
+                    && flight.sentNanos() + estimates.expectedNanos(submission) - nowNanos >= WORTH_STOPPING_NANOS;
             Endpoint endpoint = flight.endpoint();
             inFlight.put(task.id(), flight.stop());
             sink.emit(new StopTask(task.id(), flight.attempt(), endpoint.id(), endpoint.address(), sendStop));
