Let idempotent work that was lost run again under its key

Cause: a kept answer was given again whatever it was, so a spelling pass whose worker died stayed unknown for five minutes to a caller that did just what it should: send it again. A kind declared idempotent may run again unless it is complete; a word count keeps its answer.

--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/claim/KeyBook.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/claim/KeyBook.java
@@ -89,7 +89,7 @@
     public void arrived(Submission submission, long nowNanos, ActionSink sink) {
         ClaimKey key = submission.claimKey().orElseThrow();
         KeyEntry entry = entries.get(key);
-        if (entry == null || (entry.answered() && entry.notRun())) {
+        if (entry == null || mayRunAgain(entry)) {
             begin(key, submission, nowNanos, sink);
         } else if (!entry.claim().content().equals(submission.arrived().content())) {
             dispatcher.end(submission, Optional.of(keyReused(key)), nowNanos, sink);
@@ -208,6 +208,13 @@
         return submission.stage() != Stage.CLAIMING || submission.arrivedNanos() + claimTimeout.toNanos() <= nowNanos;
     }
 
+    // What did not run may; and work of an idempotent kind that failed or got lost does no harm by running once more,
+    // while its caller would read the same failure for as long as the answer is kept.
+    private static boolean mayRunAgain(KeyEntry entry) {
+        boolean harmless = entry.holder().kind().idempotent() && !entry.complete();
+        return entry.answered() && (entry.notRun() || harmless);
+    }
+
     private void begin(ClaimKey key, Submission submission, long nowNanos, ActionSink sink) {
         ClaimToken token = new ClaimToken(submission.id().toString());
         Claim claim = new Claim(
@@ -263,7 +270,7 @@
         if (!standing.content().equals(wanted.content())) {
             dispatcher.end(submission, Optional.of(keyReused(wanted.key())), nowNanos, sink);
         } else if (standing.node().equals(self.node())) {
-            heldElsewhere(submission, "an earlier run of this node held the key", nowNanos, sink);
+            heldElsewhere(submission, "this node held the key before and has no answer for it", nowNanos, sink);
         } else {
             askHolder(submission, wanted.key(), standing.node(), sink);
         }
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/node/EntryNodeTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/node/EntryNodeTest.java
@@ -225,6 +225,26 @@
                 node.all(AnswerSameAs.class), List.of(new AnswerSameAs(joined, first), new AnswerSameAs(late, first)));
     }
 
+    /**
+     * A worker dies under a spelling pass; its job is answered unknown. The author's page sends it again under the same
+     * key. A pass may run twice, so it must run, and not be answered unknown for as long as answers are kept; a word
+     * count, which may not, keeps its answer.
+     */
+    @Test
+    public void testKey_lostWorkRunsAgainOnlyIfIdempotent() {
+        NodeFixture node = NodeFixture.serving(8);
+        node.submitKeyed(NodeFixture.IDEMPOTENT, "pass");
+        node.end(node.last(SendTask.class), SendResult.LOST);
+        node.submitKeyed(NodeFixture.IDEMPOTENT, "pass");
+        assertEquals(node.all(SendTask.class).size(), 2);
+        node.submitKeyed(NodeFixture.ONCE, "count");
+        win(node);
+        node.end(node.last(SendTask.class), SendResult.LOST);
+        SubmissionId again = node.submitKeyed(NodeFixture.ONCE, "count");
+        assertEquals(node.problemOf(again).code(), ProblemCode.ANSWER_LOST);
+        assertEquals(node.all(SendTask.class).size(), 3);
+    }
+
     /**
      * The write that claims a key takes effect but its reply is lost. Writing again would find the own row and take
      * it for another node's; the rows are read back instead, and the job runs once.
