Keep of an answered submission only what a second one needs

Cause: the entry of each key held on to its submission for the five minutes that answers are kept, tasks and all, and so did the heap of deadlines until the deadline.

--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/claim/KeyBook.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/claim/KeyBook.java
@@ -89,7 +89,7 @@
     public void arrived(Submission submission, long nowNanos, ActionSink sink) {
         ClaimKey key = submission.claimKey().orElseThrow();
         KeyEntry entry = entries.get(key);
-        if (entry == null || mayRunAgain(entry)) {
+        if (entry == null || entry.mayRunAgain()) {
             begin(key, submission, nowNanos, sink);
         } else if (!entry.claim().content().equals(submission.arrived().content())) {
             dispatcher.end(submission, Optional.of(keyReused(key)), nowNanos, sink);
@@ -105,7 +105,7 @@
     public boolean awaited(Submission submission) {
         KeyEntry entry = submission.claimKey().map(entries::get).orElse(null);
         return entry != null
-                && entry.holder() == submission
+                && entry.isRunBy(submission)
                 && !(entry.joined().isEmpty() && entry.questions().isEmpty());
     }
 
@@ -113,7 +113,7 @@
     public void ended(Submission submission, Optional<Problem> problem, long nowNanos, ActionSink sink) {
         asking.values().forEach(waiting -> waiting.remove(submission));
         KeyEntry entry = submission.claimKey().map(entries::get).orElse(null);
-        if (entry == null || entry.holder() != submission) {
+        if (entry == null || !entry.isRunBy(submission)) {
             return;
         }
         entry.answer(problem);
@@ -208,13 +208,6 @@
         return submission.stage() != Stage.CLAIMING || submission.arrivedNanos() + claimTimeout.toNanos() <= nowNanos;
     }
 
-    // What did not run may; and work of an idempotent kind that failed or got lost does no harm by running once more,
-    // while its caller would read the same failure for as long as the answer is kept.
-    private static boolean mayRunAgain(KeyEntry entry) {
-        boolean harmless = entry.holder().kind().idempotent() && !entry.complete();
-        return entry.answered() && (entry.notRun() || harmless);
-    }
-
     private void begin(ClaimKey key, Submission submission, long nowNanos, ActionSink sink) {
         ClaimToken token = new ClaimToken(submission.id().toString());
         Claim claim = new Claim(
@@ -299,14 +292,14 @@
     // The submission that wants this claim, if it still waits for it.
     private Optional<Submission> claimant(Claim claim) {
         return Optional.ofNullable(entries.get(claim.key()))
-                .filter(entry -> entry.claim().token().equals(claim.token()) && !entry.answered())
-                .map(KeyEntry::holder)
+                .filter(entry -> entry.claim().token().equals(claim.token()))
+                .flatMap(KeyEntry::running)
                 .filter(holder -> holder.stage() == Stage.CLAIMING);
     }
 
     private void answerLike(KeyEntry entry, Submission submission, long nowNanos, ActionSink sink) {
         if (entry.complete()) {
-            dispatcher.endSameAs(submission, entry.holder().id(), nowNanos, sink);
+            dispatcher.endSameAs(submission, entry.holderId(), nowNanos, sink);
         } else {
             dispatcher.end(submission, entry.problem(), nowNanos, sink);
         }
@@ -318,7 +311,7 @@
                 question.peer(),
                 question.question(),
                 answer,
-                entry.complete() ? Optional.of(entry.holder().id()) : Optional.empty(),
+                entry.complete() ? Optional.of(entry.holderId()) : Optional.empty(),
                 entry.problem()));
     }
 
@@ -333,7 +326,7 @@
     private void forget(KeyEntry entry, ActionSink sink) {
         entries.remove(entry.claim().key(), entry);
         if (entry.complete()) {
-            sink.emit(new ForgetAnswer(entry.holder().id()));
+            sink.emit(new ForgetAnswer(entry.holderId()));
         }
     }
 
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/claim/KeyEntry.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/claim/KeyEntry.java
@@ -4,27 +4,54 @@
 import java.util.List;
 import java.util.Optional;
 import org.tarragonarch.core.submission.Submission;
+import org.tarragonarch.model.id.SubmissionId;
 import org.tarragonarch.model.outcome.Outcome;
 import org.tarragonarch.model.outcome.Problem;
 import org.tarragonarch.model.platform.Claim;
 
 /** What this node knows under one key: the submission that runs for it, its answer, and who else waits for that. */
 final class KeyEntry {
-    private final Submission holder;
+    private final SubmissionId holderId;
+    private final boolean idempotent;
     private final Claim claim;
     private final List<Submission> joined = new ArrayList<>();
     private final List<PeerQuestion> questions = new ArrayList<>();
+    // Let go of with the answer: a job of 110 tasks holds some 17 KB, and thousands of answers are kept.
+    private Optional<Submission> running;
     private boolean claimAsked;
     private boolean answered;
     private Optional<Problem> problem = Optional.empty();
 
     KeyEntry(Submission holder, Claim claim) {
-        this.holder = holder;
+        this.holderId = holder.id();
+        this.idempotent = holder.kind().idempotent();
+        this.running = Optional.of(holder);
         this.claim = claim;
     }
 
-    Submission holder() {
-        return holder;
+    /** Returns the submission that runs for the key. */
+    SubmissionId holderId() {
+        return holderId;
+    }
+
+    /** Returns the submission that runs for the key, until it is answered. */
+    Optional<Submission> running() {
+        return running;
+    }
+
+    /** Returns whether this submission runs for the key and is not answered yet. */
+    boolean isRunBy(Submission submission) {
+        return running.filter(holder -> holder == submission).isPresent();
+    }
+
+    /**
+     * Returns whether a submission under the key may run although one was answered.
+     *
+     * <p>What did not run may; and work of an idempotent kind that failed or got lost does no harm by running once
+     * more, while its caller would read the same failure for as long as the answer is kept.
+     */
+    boolean mayRunAgain() {
+        return answered && (notRun() || (idempotent && problem.isPresent()));
     }
 
     Claim claim() {
@@ -51,6 +78,7 @@
     void answer(Optional<Problem> why) {
         answered = true;
         problem = why;
+        running = Optional.empty();
     }
 
     boolean answered() {
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/submission/SubmissionTable.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/submission/SubmissionTable.java
@@ -17,8 +17,7 @@
  */
 public final class SubmissionTable {
     private final Map<SubmissionId, Submission> open = new HashMap<>();
-    private final PriorityQueue<Submission> byDeadline =
-            new PriorityQueue<>(Comparator.comparingLong(Submission::deadlineNanos));
+    private final PriorityQueue<Deadline> byDeadline = new PriorityQueue<>(Comparator.comparingLong(Deadline::nanos));
 
     private SubmissionTable() {}
 
@@ -30,7 +29,7 @@
     /** Takes in a submission that has no answer yet. */
     public void add(Submission submission) {
         checkState(open.put(submission.id(), submission) == null, "%s was taken in before", submission.id());
-        byDeadline.add(submission);
+        byDeadline.add(new Deadline(submission.deadlineNanos(), submission.id()));
     }
 
     /** Returns the submission with this id if it has no answer yet. */
@@ -56,19 +55,24 @@
     /** Returns a submission whose deadline has passed, the earliest first. */
     public Optional<Submission> expired(long nowNanos) {
         dropAnswered();
-        return Optional.ofNullable(byDeadline.peek()).filter(first -> first.deadlineNanos() <= nowNanos);
+        return Optional.ofNullable(byDeadline.peek())
+                .filter(first -> first.nanos() <= nowNanos)
+                .map(first -> open.get(first.submission()));
     }
 
     /** Returns the earliest deadline; {@code Long.MAX_VALUE} for none. */
     public long nextDeadlineNanos() {
         dropAnswered();
-        return byDeadline.isEmpty() ? Long.MAX_VALUE : byDeadline.peek().deadlineNanos();
+        return byDeadline.isEmpty() ? Long.MAX_VALUE : byDeadline.peek().nanos();
     }
 
-    // An answered submission stays in the heap until it comes to the top: taking it out at once would cost a scan.
+    // The deadline of an answered submission stays until it comes to the top: taking it out at once would cost a scan.
+    // So the heap holds ids, and no submission beyond its answer.
     private void dropAnswered() {
-        while (!byDeadline.isEmpty() && !open.containsKey(byDeadline.peek().id())) {
+        while (!byDeadline.isEmpty() && !open.containsKey(byDeadline.peek().submission())) {
             byDeadline.remove();
         }
     }
+
+    private record Deadline(long nanos, SubmissionId submission) {}
 }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/submission/Task.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/submission/Task.java
@@ -2,15 +2,14 @@
 
 import static com.google.common.base.Preconditions.checkState;
 
-import java.util.HashSet;
-import java.util.Set;
+import com.google.common.collect.ImmutableSet;
 import org.tarragonarch.model.id.EndpointId;
 import org.tarragonarch.model.id.TaskId;
 
 /** One task of a submission and how far it has come. */
 final class Task {
     private final TaskId id;
-    private final Set<EndpointId> avoid = new HashSet<>();
+    private ImmutableSet<EndpointId> avoid = ImmutableSet.of();
     private TaskState state = TaskState.QUEUED;
     private int attempt;
     private boolean lostBefore;
@@ -33,7 +32,7 @@
     }
 
     /** Returns the endpoints that refused or lost this task. */
-    Set<EndpointId> avoid() {
+    ImmutableSet<EndpointId> avoid() {
         return avoid;
     }
 
@@ -56,7 +55,7 @@
     void requeue(EndpointId failedAt) {
         checkState(state == TaskState.SENT, "task %s is %s and was not sent", id, state);
         state = TaskState.QUEUED;
-        avoid.add(failedAt);
+        avoid = ImmutableSet.<EndpointId>builder().addAll(avoid).add(failedAt).build();
     }
 
     /** Puts the task back for a retry although its newest attempt may have run. */
