Let kept results make room for new work

Cause: results kept for a second caller under a key counted against the bound of bodies for five minutes, so a node whose callers use keys and get large results refused everyone as queue-full although nothing ran: 90 MB are 30 results of 10 KB a second. The oldest kept results now go first; a second caller who comes for them is told unknown, and never not-run, since the tasks did run.

--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/body/BodyStore.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/body/BodyStore.java
@@ -4,7 +4,9 @@
 
 import com.google.common.collect.ImmutableList;
 import java.util.Optional;
+import java.util.Queue;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.ConcurrentMap;
 import java.util.concurrent.atomic.AtomicLong;
 import org.tarragonarch.model.id.SubmissionId;
@@ -18,12 +20,14 @@
  *
  * <p>Bound: a submission is taken only while the bytes kept are below the limit. Results are kept whatever the sum, as
  * their tasks have run already; what they add is bounded by the tasks in flight times the largest answer that the
- * endpoint client accepts, and it counts against the next submission.
+ * endpoint client accepts, and it counts against the next submission. Results that are only kept for a second caller
+ * make room for new work, the oldest first: without that, minutes of kept results would have the node refuse everyone.
  */
 public final class BodyStore {
     private final long maxBytes;
     private final AtomicLong bytes = new AtomicLong();
     private final ConcurrentMap<SubmissionId, Bodies> bodies = new ConcurrentHashMap<>();
+    private final Queue<SubmissionId> answered = new ConcurrentLinkedQueue<>();
 
     private BodyStore(long maxBytes) {
         this.maxBytes = maxBytes;
@@ -48,7 +52,7 @@
      */
     public boolean keep(SubmissionId submission, SubmissionContent content) {
         long size = size(content.inputs());
-        if (bytes.addAndGet(size) > maxBytes) {
+        if (bytes.addAndGet(size) > maxBytes && !madeRoom()) {
             bytes.addAndGet(-size);
             return false;
         }
@@ -79,6 +83,11 @@
     /** Drops the inputs of a submission that was answered but keeps its results for a second caller. */
     public void dropInputs(SubmissionId submission) {
         find(submission).ifPresent(kept -> bytes.addAndGet(-kept.dropInputs()));
+        answered.add(submission);
+        // Answers are forgotten in the order in which they were given, so what is gone stands in front.
+        while (!answered.isEmpty() && !holds(answered.peek())) {
+            answered.poll();
+        }
     }
 
     /** Drops all that is kept for a submission. */
@@ -104,6 +113,17 @@
         return bodies.size();
     }
 
+    private boolean madeRoom() {
+        while (bytes.get() > maxBytes) {
+            SubmissionId oldest = answered.poll();
+            if (oldest == null) {
+                return false;
+            }
+            drop(oldest);
+        }
+        return true;
+    }
+
     private Optional<Bodies> find(SubmissionId submission) {
         return Optional.ofNullable(bodies.get(submission));
     }
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/caller/AnswerSender.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/caller/AnswerSender.java
@@ -95,9 +95,10 @@
 
     private void complete(SubmissionId id, PendingAnswer caller, Optional<ImmutableList<byte[]>> results) {
         if (results.isEmpty()) {
-            // The core counts on results that are not here: a fault of the shell. The tasks did run, so nothing better
-            // than "unknown" may be said.
-            LOG.atSevere().log(
+            // Kept results were let go of to make room for new work. The tasks did run, so nothing better than
+            // "unknown"
+            // may be said to a second caller.
+            LOG.atWarning().atMostEvery(1, TimeUnit.SECONDS).log(
                     "%s", LogLine.of("results-missing", Step.COLLECT, "shell").with("id", id));
             onLoop(caller, () -> problem(id, caller, resultsMissing()));
             return;
@@ -169,7 +170,11 @@
     }
 
     private static Problem resultsMissing() {
-        return Problem.of(ProblemCode.ANSWER_LOST, Step.COLLECT, "shell", "the results were lost within the node");
+        return Problem.of(
+                ProblemCode.ANSWER_LOST,
+                Step.COLLECT,
+                "shell",
+                "the tasks ran, and the node no longer keeps their results");
     }
 
     private static Duration responseTime(PendingAnswer caller) {
--- a/tarragonarch-entry/src/test/java/org/tarragonarch/entry/body/BodyStoreTest.java
+++ b/tarragonarch-entry/src/test/java/org/tarragonarch/entry/body/BodyStoreTest.java
@@ -50,6 +50,22 @@
         store.drop(FIRST);
     }
 
+    /**
+     * Callers with keys got large results, which are kept for minutes. New callers were refused for as long, although
+     * nothing ran. The oldest kept results go; those of a submission that is not answered yet never do.
+     */
+    @Test
+    public void testKeep_answeredResultsMakeRoom() {
+        BodyStore full = BodyStore.create(10);
+        full.keep(FIRST, content(1));
+        full.keepResult(new TaskId(FIRST, 0), new byte[12]);
+        assertFalse(full.keep(SECOND, content(4)), "not answered yet");
+        full.dropInputs(FIRST);
+        assertTrue(full.keep(SECOND, content(4)));
+        assertFalse(full.holds(FIRST));
+        assertEquals(full.bytes(), 4);
+    }
+
     private static SubmissionContent content(int... sizes) {
         ImmutableList.Builder<byte[]> inputs = ImmutableList.builder();
         for (int size : sizes) {
