Never let a node sleep past a deadline because a part names a past time

News came within the reporter's gap, and a new phase (the end of the drain delay) started a round before the gap ended; the look due at its end stayed due. The core asks to be woken only when the earliest time changes, so it named the same past time again, asked for nothing, and every deadline waited for the next event. Ruled out, by the times each part named: the deadline heap, the lifecycle, the claims. Both are mended: a round leaves no look due, and a past time counts as a moment from now, so that no part can do this again.

--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/membership/Reporter.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/membership/Reporter.java
@@ -108,6 +108,8 @@
         nextRoundNanos = nowNanos + pacer.untilNextRound(!loads.equals(loadsBefore), bytes);
         loadsBefore = loads;
         reported = Optional.of(urgent);
+        // The round told all there is, also what a look at the end of the gap would have found.
+        nextUrgentNanos = Long.MAX_VALUE;
     }
 
     private ImmutableList<Peer> longestUntoldFirst(Map<NodeId, Peer> peers) {
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/node/EntryNode.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/node/EntryNode.java
@@ -77,6 +77,8 @@
  * events at the same times always give the same actions. Not safe for use by several threads.
  */
 public final class EntryNode {
+    private static final long LEAST_WAKE_NANOS = 1_000_000;
+
     private final NodeIdentity identity;
     private final NodePolicy policy;
     private final ConfigurationKeeper configuration;
@@ -140,7 +142,7 @@
         timePassed(nowNanos, sink);
         dispatcher.startWaiting(nowNanos, sink);
         leaveWhenDone(nowNanos, sink);
-        wake(sink);
+        wake(nowNanos, sink);
     }
 
     /** Returns a snapshot for the administration API; costs time in proportion to what it shows. */
@@ -332,7 +334,14 @@
         lifecycle.timePassed(submissions.size() == 0, nowNanos, sink);
     }
 
-    private void wake(ActionSink sink) {
+    /**
+     * Asks to be woken when the next thing is due.
+     *
+     * <p>Guards against a part that names a time already past and goes on to name it: the same time would not be asked
+     * for again, and every deadline would wait for whatever event comes next. So a past time counts as a moment from
+     * now, which differs each time.
+     */
+    private void wake(long nowNanos, ActionSink sink) {
         long next = Longs.min(
                 nextVmListNanos,
                 configuration.nextWakeNanos(),
@@ -341,9 +350,10 @@
                 keys.nextWakeNanos(),
                 submissions.nextDeadlineNanos(),
                 lifecycle.nextWakeNanos());
-        if (next != wakeNanos) {
-            wakeNanos = next;
-            sink.emit(new WakeAt(next));
+        long wake = next > nowNanos ? next : nowNanos + LEAST_WAKE_NANOS;
+        if (wake != wakeNanos) {
+            wakeNanos = wake;
+            sink.emit(new WakeAt(wake));
         }
     }
 
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/membership/ReporterTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/membership/ReporterTest.java
@@ -56,6 +56,21 @@
         assertEquals(self.takeSent().size(), 80, 4);
     }
 
+    /**
+     * News comes within the gap after a look, and a new phase starts a round of its own before the gap ends. The round
+     * has told the news, so nothing may stay due; else the node is told to wake at a time already past.
+     */
+    @Test
+    public void testTimePassed_roundLeavesNoLookDue() {
+        self.timePassed(0);
+        self.reportNow(100);
+        self.leaving = ImmutableSet.of(EndpointId.of("w-1"));
+        self.reportNow(110);
+        self.phase = NodePhase.FINISHING;
+        self.timePassed(150);
+        assertTrue(self.directory.nextWakeNanos() > FakeNode.millis(150));
+    }
+
     @Test
     public void testTimePassed_otherDomainGetsEveryThirdRound() {
         FakeNode far = new FakeNode("devonport-1", "devonport", 3);
--- a/tarragonarch-standin/src/test/java/org/tarragonarch/standin/explore/ExplorerTest.java
+++ b/tarragonarch-standin/src/test/java/org/tarragonarch/standin/explore/ExplorerTest.java
@@ -34,6 +34,16 @@
         assertEquals(new Explorer().run(20_644), Optional.empty());
     }
 
+    /**
+     * A node that leaves has news for its peers just when its drain delay ends. A caller whose deadline passed a moment
+     * later was answered 0.8 s late: the reporter went on to name a time already past, the node was not woken again,
+     * and the deadline waited for the next event.
+     */
+    @Test
+    public void testRun_deadlineOfALeavingNode() {
+        assertEquals(new Explorer().run(84_215), Optional.empty());
+    }
+
     @Test
     public void testRun_sameSeedSameRun() {
         Explorer first = new Explorer();
