Judge a job's wait by the work that it does not pass

Cause: admission counted the whole backlog of the team as ahead of every job, though smaller jobs pass larger ones.

--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/admission/AdmissionControl.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/admission/AdmissionControl.java
@@ -137,7 +137,7 @@
     // Estimates are often wrong before anything was learnt; with an empty queue the submission is the way to learn.
     private boolean wouldMissDeadline(Submission submission) {
         ServiceName service = submission.service().name();
-        Duration wait = estimates.expectedWait(service, submission.team());
+        Duration wait = estimates.expectedWait(submission);
         if (wait.isZero()) {
             return false;
         }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/submission/WaitEstimates.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/submission/WaitEstimates.java
@@ -59,6 +59,15 @@
         return Duration.ofNanos(slotNanos / slotsFor(service, team));
     }
 
+    /** Returns how long a submission would wait for its first slot, behind the work that it does not pass. */
+    public Duration expectedWait(Submission submission) {
+        ServiceName service = submission.service().name();
+        TeamDefinition team = submission.team();
+        long jobNanos = expectedNanos(submission) * submission.tasks().size();
+        long slotNanos = lanes.of(service).queue().expectedNanosAhead(team.name(), team.weight(), jobNanos);
+        return Duration.ofNanos(slotNanos / slotsFor(service, team));
+    }
+
     /** Returns after how long a team's caller should come back to a service: the present wait, within bounds. */
     public Duration comeBackAfter(ServiceName service, TeamDefinition team) {
         return ComeBack.within(expectedWait(service, team));
