Drop what nothing reads, and build a peer's empty answer in one place

Found by reading the whole change once more; no behaviour changes and no test was touched. The answer 'not to be had' was built twice in KeyBook, and the wait of a submission and of a team by two bodies in WaitEstimates. Each end of a submission walked the askers of every holder, also where it had asked none; the dispatcher scanned a job's tasks at each start before a check of constant cost. Gone, unread: Dispatcher.inFlight, EndpointRecord.isDrained, FakePlatform.claims, Sent.hungUp and a parameter of judge.

--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/claim/KeyBook.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/claim/KeyBook.java
@@ -111,7 +111,9 @@
 
     @Override
     public void ended(Submission submission, Optional<Problem> problem, long nowNanos, ActionSink sink) {
-        asking.values().forEach(waiting -> waiting.remove(submission));
+        if (submission.stage() == Stage.ASKING_HOLDER) {
+            asking.values().forEach(waiting -> waiting.remove(submission));
+        }
         KeyEntry entry = submission.claimKey().map(entries::get).orElse(null);
         if (entry == null || !entry.isRunBy(submission)) {
             return;
@@ -147,8 +149,7 @@
         PeerQuestion question = new PeerQuestion(asked.peer(), asked.question());
         KeyEntry entry = entries.get(asked.key());
         if (entry == null) {
-            sink.emit(new GivePeerAnswer(
-                    asked.peer(), asked.question(), PeerAnswer.NOT_TO_BE_HAD, Optional.empty(), Optional.empty()));
+            giveNothing(question, sink);
         } else if (entry.answered()) {
             give(question, entry, sink);
         } else {
@@ -273,14 +274,7 @@
         KeyEntry entry = entries.remove(key);
         ask(submission, key, holder, sink);
         entry.joined().forEach(joined -> ask(joined, key, holder, sink));
-        for (PeerQuestion question : entry.questions()) {
-            sink.emit(new GivePeerAnswer(
-                    question.peer(),
-                    question.question(),
-                    PeerAnswer.NOT_TO_BE_HAD,
-                    Optional.empty(),
-                    Optional.empty()));
-        }
+        entry.questions().forEach(question -> giveNothing(question, sink));
     }
 
     private void ask(Submission submission, ClaimKey key, NodeId holder, ActionSink sink) {
@@ -305,6 +299,11 @@
         }
     }
 
+    private static void giveNothing(PeerQuestion question, ActionSink sink) {
+        sink.emit(new GivePeerAnswer(
+                question.peer(), question.question(), PeerAnswer.NOT_TO_BE_HAD, Optional.empty(), Optional.empty()));
+    }
+
     private static void give(PeerQuestion question, KeyEntry entry, ActionSink sink) {
         PeerAnswer answer = entry.complete() ? PeerAnswer.COMPLETE : PeerAnswer.PROBLEM;
         sink.emit(new GivePeerAnswer(
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/endpoint/EndpointRecord.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/endpoint/EndpointRecord.java
@@ -96,10 +96,6 @@
         drained = out;
     }
 
-    boolean isDrained() {
-        return drained;
-    }
-
     void leaving(boolean now, String reason) {
         leaving = now;
         why = reason;
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/submission/Dispatcher.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/submission/Dispatcher.java
@@ -128,9 +128,7 @@
         }
         inFlight.remove(ended.task());
         release(flight, ended, nowNanos, sink);
-        submissions
-                .find(ended.task().submission())
-                .ifPresent(submission -> judge(submission, ended, flight, nowNanos, sink));
+        submissions.find(ended.task().submission()).ifPresent(submission -> judge(submission, ended, nowNanos, sink));
     }
 
     /**
@@ -176,11 +174,6 @@
                 estimates.comeBackAfter(submission.service().name(), submission.team()));
     }
 
-    /** Returns how many tasks were sent and have not ended. */
-    public int inFlight() {
-        return inFlight.size();
-    }
-
     private void close(
             Submission submission, Action answer, Optional<Problem> problem, long nowNanos, ActionSink sink) {
         if (!submissions.remove(submission)) {
@@ -211,7 +204,7 @@
         if (!services.mayStart(submission.service().name())) {
             return false;
         }
-        if (!submission.mayHaveRun() && estimates.cannotFinish(submission, nowNanos)) {
+        if (estimates.cannotFinish(submission, nowNanos) && !submission.mayHaveRun()) {
             Problem problem = giveUp(
                     submission, ProblemCode.WOULD_MISS_DEADLINE, "its tasks can no longer all run before the deadline");
             end(submission, Optional.of(problem), nowNanos, sink);
@@ -273,7 +266,7 @@
         everythingChanged();
     }
 
-    private void judge(Submission submission, TaskEnded ended, InFlightTask flight, long nowNanos, ActionSink sink) {
+    private void judge(Submission submission, TaskEnded ended, long nowNanos, ActionSink sink) {
         Task task = submission.task(ended.task().index());
         switch (ended.result()) {
             case SUCCEEDED -> {
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/submission/WaitEstimates.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/submission/WaitEstimates.java
@@ -53,24 +53,20 @@
                 submission.kind().expectedRunTime());
     }
 
-    /** Returns how long a new task of a team would wait for a slot. */
-    public Duration expectedWait(ServiceName service, TeamDefinition team) {
-        long slotNanos = lanes.of(service).queue().expectedNanosAhead(team.name(), team.weight());
-        return Duration.ofNanos(slotNanos / slotsFor(service, team));
-    }
-
     /** Returns how long a submission would wait for its first slot, behind the work that it does not pass. */
     public Duration expectedWait(Submission submission) {
-        ServiceName service = submission.service().name();
-        TeamDefinition team = submission.team();
         long jobNanos = expectedNanos(submission) * submission.tasks().size();
-        long slotNanos = lanes.of(service).queue().expectedNanosAhead(team.name(), team.weight(), jobNanos);
-        return Duration.ofNanos(slotNanos / slotsFor(service, team));
+        return expectedWait(submission.service().name(), submission.team(), jobNanos);
     }
 
-    /** Returns after how long a team's caller should come back to a service: the present wait, within bounds. */
+    /** Returns after how long a team's caller should come back to a service: the wait behind all, within bounds. */
     public Duration comeBackAfter(ServiceName service, TeamDefinition team) {
-        return ComeBack.within(expectedWait(service, team));
+        return ComeBack.within(expectedWait(service, team, Long.MAX_VALUE));
+    }
+
+    private Duration expectedWait(ServiceName service, TeamDefinition team, long jobNanos) {
+        long slotNanos = lanes.of(service).queue().expectedNanosAhead(team.name(), team.weight(), jobNanos);
+        return Duration.ofNanos(slotNanos / slotsFor(service, team));
     }
 
     /** Returns how many tasks of a team can run from this node at once at a service; at least 1. */
--- a/tarragonarch-standin/src/main/java/org/tarragonarch/standin/explore/FakePlatform.java
+++ b/tarragonarch-standin/src/main/java/org/tarragonarch/standin/explore/FakePlatform.java
@@ -1,7 +1,6 @@
 package org.tarragonarch.standin.explore;
 
 import com.google.common.collect.ImmutableList;
-import com.google.common.collect.ImmutableMap;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -146,8 +145,4 @@
             claims.remove(claim.key());
         }
     }
-
-    ImmutableMap<ClaimKey, Claim> claims() {
-        return ImmutableMap.copyOf(claims);
-    }
 }
--- a/tarragonarch-standin/src/main/java/org/tarragonarch/standin/explore/Sent.java
+++ b/tarragonarch-standin/src/main/java/org/tarragonarch/standin/explore/Sent.java
@@ -13,7 +13,6 @@
     private final long deadlineNanos;
     private Optional<Problem> problem = Optional.empty();
     private long answeredNanos = -1;
-    private boolean hungUp;
 
     Sent(SubmissionArrived submission, boolean idempotent, long sentNanos, long deadlineNanos) {
         this.submission = submission;
@@ -50,14 +49,6 @@
         answeredNanos = nowNanos;
     }
 
-    void hangUp() {
-        hungUp = true;
-    }
-
-    boolean hungUp() {
-        return hungUp;
-    }
-
     /** Returns whether the caller was answered. */
     public boolean answered() {
         return answeredNanos >= 0;
--- a/tarragonarch-standin/src/main/java/org/tarragonarch/standin/explore/World.java
+++ b/tarragonarch-standin/src/main/java/org/tarragonarch/standin/explore/World.java
@@ -291,9 +291,6 @@
 
     /** Cancels a submission, or hangs up on it. */
     public void cancel(Sent sent, CancelCause cause) {
-        if (cause == CancelCause.HANG_UP) {
-            sent.hangUp();
-        }
         ownerOf(sent.submission().id())
                 .ifPresent(node ->
                         node.deliver(new CancelRequested(sent.submission().id(), cause)));
