--- /dev/null
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/handover/Holders.java
@@ -0,0 +1,22 @@
+package org.tarragonarch.core.handover;
+
+import com.google.common.collect.ImmutableList;
+import org.tarragonarch.core.shard.ShardHolder;
+import org.tarragonarch.model.id.NodeId;
+import org.tarragonarch.model.task.JobId;
+import org.tarragonarch.model.task.Offer;
+
+/** The holders of shards as a job's node reaches them: itself, or a peer over a connection. */
+public interface Holders {
+    /** Returns the holders that can be heard, the one of this node's own failure domain first, then the roomiest. */
+    ImmutableList<ShardHolder> inOrder();
+
+    /** Offers a job to the holder of a shard. */
+    void offer(ShardHolder holder, Offer offer);
+
+    /** Withdraws a job from a holder. */
+    void withdraw(ShardHolder holder, JobId job);
+
+    /** Returns this node's name, under which it offers. */
+    NodeId own();
+}
--- /dev/null
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/handover/JobDesk.java
@@ -0,0 +1,268 @@
+package org.tarragonarch.core.handover;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import com.google.common.collect.ImmutableList;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.tarragonarch.core.shard.ShardHolder;
+import org.tarragonarch.model.id.NodeId;
+import org.tarragonarch.model.task.JobId;
+import org.tarragonarch.model.task.JobOutcome;
+import org.tarragonarch.model.task.JobProgress;
+import org.tarragonarch.model.task.JobReply;
+import org.tarragonarch.model.task.JobRequest;
+import org.tarragonarch.model.task.JobService;
+import org.tarragonarch.model.task.QueueDefinition;
+import org.tarragonarch.model.task.Timers;
+import org.tarragonarch.model.task.Verdict;
+
+/**
+ * Takes jobs from clients, hands each to one holder at a time, and answers it once.
+ *
+ * <p>A job is answered by the node that has its client's connection. If its holder is lost, it goes to the next holder
+ * of the same shard, who finds what still runs; to another shard only when those runs are certainly over.
+ */
+public final class JobDesk {
+    /** An answer that leaves this long before the deadline still reaches the client, in milliseconds. */
+    private static final long ANSWER_TRAVEL_MILLIS = 10;
+
+    /** How long a job waits for any holder at all: a takeover takes less. In milliseconds. */
+    private static final long HOLDER_WAIT_MILLIS = 500;
+
+    /** When to come back if no shard has a holder, in milliseconds. */
+    private static final long NO_HOLDER_RETRY_MILLIS = 1_000;
+
+    private final Holders holders;
+    private final Timers timers;
+    private final long runsLastMillis;
+    private final Map<JobId, OpenJob> open = new LinkedHashMap<>();
+    private final AnsweredJobs answered = new AnsweredJobs();
+    private boolean closed;
+
+    /**
+     * Creates a desk without jobs.
+     *
+     * @param runsLastMillis how long what runs may go on after its holder was last heard, in milliseconds
+     */
+    public JobDesk(Holders holders, Timers timers, long runsLastMillis) {
+        this.holders = checkNotNull(holders, "holders");
+        this.timers = checkNotNull(timers, "timers");
+        this.runsLastMillis = runsLastMillis;
+    }
+
+    /** Takes a job; see {@link JobService#submit}. */
+    public JobService.Submission submit(
+            QueueDefinition queue, JobRequest request, long deadlineMillis, Consumer<JobReply> client) {
+        Optional<JobReply> given = answered.find(request.id());
+        if (given.isPresent()) {
+            client.accept(given.get());
+            return () -> {};
+        }
+        OpenJob known = open.get(request.id());
+        if (known == null && closed) {
+            client.accept(JobReply.refused(NO_HOLDER_RETRY_MILLIS));
+            return () -> {};
+        }
+        if (known == null) {
+            known = take(queue, request, deadlineMillis, client);
+        } else {
+            known.join(client);
+        }
+        OpenJob job = known;
+        return () -> left(job, client);
+    }
+
+    /** Cancels a job; returns whether it was open here or answered lately as cancelled. */
+    public boolean cancel(JobId id) {
+        OpenJob job = open.get(id);
+        if (job == null) {
+            return answered.find(id)
+                    .filter(reply -> reply.outcome() == JobOutcome.CANCELLED)
+                    .isPresent();
+        }
+        withdraw(job);
+        answer(job, JobReply.of(JobOutcome.CANCELLED));
+        return true;
+    }
+
+    /** Takes a holder's verdict; one of a holder that no longer has the job is dropped. */
+    public void settled(NodeId from, JobId id, Verdict verdict, long retryMillis) {
+        OpenJob job = open.get(id);
+        if (job == null || !job.isWith(from)) {
+            return;
+        }
+        switch (verdict) {
+            case DONE -> answer(job, JobReply.of(JobOutcome.DONE));
+            case FAILED -> answer(job, JobReply.of(JobOutcome.FAILED));
+            case DECLINED -> {
+                job.declined(retryMillis);
+                place(job);
+            }
+            case TOO_LATE -> answer(job, JobReply.of(JobOutcome.GIVEN_UP));
+            case HOLD_LOST -> holderLost(job);
+            default -> throw new AssertionError(verdict);
+        }
+    }
+
+    /** Takes back an offer that certainly never left. */
+    public void notOffered(NodeId to, JobId id) {
+        OpenJob job = open.get(id);
+        if (job != null && job.isWith(to)) {
+            job.notOffered();
+            place(job);
+        }
+    }
+
+    /** Notes that a node cannot be heard any more. */
+    public void nodeLost(NodeId node) {
+        for (OpenJob job : ImmutableList.copyOf(open.values())) {
+            if (job.isWith(node)) {
+                holderLost(job);
+            }
+        }
+    }
+
+    /** Looks for holders for the jobs that have none; to be called whenever holders change. */
+    public void holdersChanged() {
+        for (OpenJob job : ImmutableList.copyOf(open.values())) {
+            if (job.holder().isEmpty()) {
+                place(job);
+            }
+        }
+    }
+
+    /** Refuses every new job from now on, because this node is about to stop. */
+    public void takeNothingNew() {
+        closed = true;
+    }
+
+    /** Returns whether new jobs are refused. */
+    public boolean closed() {
+        return closed;
+    }
+
+    /**
+     * Answers every open job, because this node stops now.
+     *
+     * <p>A connection that breaks without an answer leaves its client to guess; this one tells it that the job is given
+     * up. What runs is stopped by its holder.
+     */
+    public void giveUpAll() {
+        ImmutableList.copyOf(open.values()).forEach(this::giveUp);
+    }
+
+    /** Returns whether any job has no holder. */
+    public boolean seeking() {
+        for (OpenJob job : open.values()) {
+            if (job.holder().isEmpty()) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Returns how many jobs are not answered. */
+    public int openJobs() {
+        return open.size();
+    }
+
+    /** Returns how many jobs of the queue no holder has taken. */
+    public long waiting(String queue) {
+        return open.values().stream()
+                .filter(job -> job.queue().name().equals(queue) && job.holder().isEmpty())
+                .count();
+    }
+
+    /** Returns what is known of a job. */
+    public Optional<JobProgress> progress(JobId id) {
+        OpenJob job = open.get(id);
+        if (job != null) {
+            return Optional.of(job.holder().isPresent() ? JobProgress.RUNNING : JobProgress.QUEUED);
+        }
+        return answered.find(id)
+                .map(reply -> JobProgress.valueOf(reply.outcome().name()));
+    }
+
+    private OpenJob take(QueueDefinition queue, JobRequest request, long deadlineMillis, Consumer<JobReply> client) {
+        long now = timers.nowMillis();
+        OpenJob job = new OpenJob(request, queue, now, now + deadlineMillis);
+        job.join(client);
+        open.put(job.id(), job);
+        timers.after(Math.max(0, deadlineMillis - ANSWER_TRAVEL_MILLIS), () -> giveUp(job));
+        timers.after(HOLDER_WAIT_MILLIS, () -> refuseIfUnheld(job));
+        place(job);
+        return job;
+    }
+
+    private void place(OpenJob job) {
+        long now = timers.nowMillis();
+        boolean anyAllowedLater = false;
+        for (ShardHolder candidate : holders.inOrder()) {
+            if (job.mayGoTo(candidate, now, runsLastMillis)) {
+                job.offeredTo(candidate);
+                holders.offer(candidate, job.offer(holders.own(), now));
+                return;
+            }
+            anyAllowedLater |= job.mayHaveRun();
+        }
+        if (job.wasDeclined() && !anyAllowedLater) {
+            refuse(job, job.soonestRetryMillis());
+        }
+    }
+
+    private void placeIfUnheld(OpenJob job) {
+        if (isOpen(job) && job.holder().isEmpty()) {
+            place(job);
+        }
+    }
+
+    private void refuseIfUnheld(OpenJob job) {
+        if (isOpen(job) && job.holder().isEmpty() && !job.mayHaveRun()) {
+            refuse(job, NO_HOLDER_RETRY_MILLIS);
+        }
+    }
+
+    /** Gives the only answer that is true: it has not run, or it may have. */
+    private void refuse(OpenJob job, long retryMillis) {
+        answer(job, job.mayHaveRun() ? JobReply.of(JobOutcome.GIVEN_UP) : JobReply.refused(retryMillis));
+    }
+
+    private void holderLost(OpenJob job) {
+        job.holderLost(timers.nowMillis());
+        timers.after(runsLastMillis, () -> placeIfUnheld(job));
+        place(job);
+    }
+
+    private void giveUp(OpenJob job) {
+        if (!isOpen(job)) {
+            return;
+        }
+        boolean offered = job.holder().isPresent();
+        withdraw(job);
+        answer(job, offered || job.mayHaveRun() ? JobReply.of(JobOutcome.GIVEN_UP) : JobReply.refused(0));
+    }
+
+    private void left(OpenJob job, Consumer<JobReply> client) {
+        if (isOpen(job) && job.leave(client)) {
+            withdraw(job);
+            open.remove(job.id());
+        }
+    }
+
+    private void withdraw(OpenJob job) {
+        job.holder().ifPresent(holder -> holders.withdraw(holder, job.id()));
+    }
+
+    private void answer(OpenJob job, JobReply reply) {
+        open.remove(job.id());
+        answered.add(job.id(), reply);
+        job.answer(reply);
+    }
+
+    private boolean isOpen(OpenJob job) {
+        return open.get(job.id()) == job;
+    }
+}
--- /dev/null
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/handover/OpenJob.java
@@ -0,0 +1,130 @@
+package org.tarragonarch.core.handover;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.tarragonarch.core.shard.ShardHolder;
+import org.tarragonarch.model.id.FailureDomain;
+import org.tarragonarch.model.id.NodeId;
+import org.tarragonarch.model.task.JobId;
+import org.tarragonarch.model.task.JobReply;
+import org.tarragonarch.model.task.JobRequest;
+import org.tarragonarch.model.task.Offer;
+import org.tarragonarch.model.task.QueueDefinition;
+
+/** A job whose client waits at this node. */
+final class OpenJob {
+    private final JobRequest request;
+    private final QueueDefinition queue;
+    private final long arrivedAtMillis;
+    private final long deadlineAtMillis;
+    private final List<Consumer<JobReply>> clients = new ArrayList<>();
+    private final Set<FailureDomain> declinedBy = new HashSet<>();
+    private Optional<ShardHolder> holder = Optional.empty();
+    private Optional<ShardHolder> lostHolder = Optional.empty();
+    private boolean mayHaveRun;
+    private long lostAtMillis;
+    private long soonestRetryMillis = Long.MAX_VALUE;
+
+    OpenJob(JobRequest request, QueueDefinition queue, long arrivedAtMillis, long deadlineAtMillis) {
+        this.request = request;
+        this.queue = queue;
+        this.arrivedAtMillis = arrivedAtMillis;
+        this.deadlineAtMillis = deadlineAtMillis;
+    }
+
+    JobId id() {
+        return request.id();
+    }
+
+    QueueDefinition queue() {
+        return queue;
+    }
+
+    long deadlineAtMillis() {
+        return deadlineAtMillis;
+    }
+
+    long ageMillis(long nowMillis) {
+        return nowMillis - arrivedAtMillis;
+    }
+
+    Offer offer(NodeId own, long nowMillis) {
+        return new Offer(request, queue, own, ageMillis(nowMillis), deadlineAtMillis - nowMillis, mayHaveRun);
+    }
+
+    void join(Consumer<JobReply> client) {
+        clients.add(client);
+    }
+
+    /** Takes a client away; returns whether none is left. */
+    boolean leave(Consumer<JobReply> client) {
+        clients.remove(client);
+        return clients.isEmpty();
+    }
+
+    void answer(JobReply reply) {
+        clients.forEach(client -> client.accept(reply));
+        clients.clear();
+    }
+
+    Optional<ShardHolder> holder() {
+        return holder;
+    }
+
+    boolean isWith(NodeId node) {
+        return holder.filter(current -> current.node().equals(node)).isPresent();
+    }
+
+    void offeredTo(ShardHolder next) {
+        holder = Optional.of(next);
+    }
+
+    /** The holder is gone, and with it the knowledge of what ran. */
+    void holderLost(long nowMillis) {
+        mayHaveRun = true;
+        lostAtMillis = nowMillis;
+        lostHolder = holder;
+        holder = Optional.empty();
+    }
+
+    /** The offer certainly never reached the holder. */
+    void notOffered() {
+        holder = Optional.empty();
+    }
+
+    void declined(long retryMillis) {
+        holder.ifPresent(by -> declinedBy.add(by.held().domain()));
+        holder = Optional.empty();
+        soonestRetryMillis = Math.min(soonestRetryMillis, retryMillis);
+    }
+
+    boolean mayHaveRun() {
+        return mayHaveRun;
+    }
+
+    /** Returns whether the job may go to the shard now, given how long a lost holder's runs may last. */
+    boolean mayGoTo(ShardHolder candidate, long nowMillis, long runsLastMillis) {
+        if (declinedBy.contains(candidate.held().domain())) {
+            return false;
+        }
+        if (!mayHaveRun || nowMillis >= lostAtMillis + runsLastMillis) {
+            return true;
+        }
+        return lostHolder
+                .filter(lost -> lost.held().domain().equals(candidate.held().domain())
+                        && lost.held().token().compareTo(candidate.held().token()) < 0)
+                .isPresent();
+    }
+
+    boolean wasDeclined() {
+        return !declinedBy.isEmpty();
+    }
+
+    long soonestRetryMillis() {
+        return soonestRetryMillis;
+    }
+}
--- /dev/null
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/EndingJobs.java
@@ -0,0 +1,49 @@
+package org.tarragonarch.core.placing;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.tarragonarch.model.task.JobId;
+import org.tarragonarch.model.task.Offer;
+
+/**
+ * Jobs that are over while runs of theirs still take room.
+ *
+ * <p>Guards against a job that is sent again while its first runs are being stopped: its tasks would run twice. Such an
+ * offer waits here until the last run is gone.
+ */
+final class EndingJobs {
+    private final Map<JobId, PlacedJob> ending = new HashMap<>();
+    private final Map<JobId, Deferred> deferred = new HashMap<>();
+
+    void add(PlacedJob job) {
+        if (job.holdsRoom()) {
+            ending.put(job.id(), job);
+        }
+    }
+
+    /** Keeps the offer if its job is still ending; returns whether it was kept. */
+    boolean defer(Offer offer, long nowMillis) {
+        JobId id = offer.job().id();
+        if (!ending.containsKey(id)) {
+            return false;
+        }
+        deferred.put(id, new Deferred(offer, nowMillis));
+        return true;
+    }
+
+    /** Forgets the job if nothing of it takes room; returns the offer that waited for that. */
+    Optional<Deferred> removeIfOver(PlacedJob job) {
+        if (job.holdsRoom() || !ending.remove(job.id(), job)) {
+            return Optional.empty();
+        }
+        return Optional.ofNullable(deferred.remove(job.id()));
+    }
+
+    /** An offer and when it began to wait. */
+    record Deferred(Offer offer, long sinceMillis) {
+        Offer offerAt(long nowMillis) {
+            return offer.later(nowMillis - sinceMillis);
+        }
+    }
+}
--- /dev/null
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/EndpointEvents.java
@@ -0,0 +1,24 @@
+package org.tarragonarch.core.placing;
+
+import org.tarragonarch.model.task.EndKind;
+
+/** What a held endpoint tells the placer. */
+interface EndpointEvents {
+    /** A run ended; its room is free. */
+    void ended(HeldEndpoint endpoint, Reservation reservation, EndKind kind);
+
+    /** A run was refused or never left; its room is free, and the task may start anywhere. */
+    void refused(HeldEndpoint endpoint, Reservation reservation);
+
+    /** A run was refused because a later one was there before; the task needs a higher number. */
+    void refusedAsOld(HeldEndpoint endpoint, Reservation reservation);
+
+    /** No endpoint can read the order. */
+    void unreadable(HeldEndpoint endpoint, Reservation reservation);
+
+    /** The endpoint can take tasks that it could not take before. */
+    void usable(HeldEndpoint endpoint);
+
+    /** The endpoint obeys a higher token. */
+    void outranked(HeldEndpoint endpoint);
+}
--- /dev/null
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/HeldEndpoint.java
@@ -0,0 +1,380 @@
+package org.tarragonarch.core.placing;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.Set;
+import org.tarragonarch.model.task.EndKind;
+import org.tarragonarch.model.task.EndpointEntry;
+import org.tarragonarch.model.task.EndpointOrders;
+import org.tarragonarch.model.task.FencingToken;
+import org.tarragonarch.model.task.HoldAnswer;
+import org.tarragonarch.model.task.HoldOrder;
+import org.tarragonarch.model.task.OrderAnswer;
+import org.tarragonarch.model.task.OrderResult;
+import org.tarragonarch.model.task.Resources;
+import org.tarragonarch.model.task.StartOrder;
+import org.tarragonarch.model.task.TaskEnd;
+import org.tarragonarch.model.task.TaskName;
+import org.tarragonarch.model.task.TaskRun;
+import org.tarragonarch.model.task.Timers;
+
+/**
+ * One endpoint under this node's token: what runs there, what room is left, and the lease of all that runs.
+ *
+ * <p>The endpoint arbitrates: it obeys no token lower than the highest it has seen, and lists all that runs. So the
+ * first look under a new token shuts out every earlier holder and shows what they left behind, which is stopped before
+ * anything is started. From then on room is counted here, and is given back only when the endpoint listed the end, or
+ * when the lease of the run has certainly run out.
+ */
+final class HeldEndpoint {
+    private static final long FIRST_RETRY_MILLIS = 40;
+    private static final long LONGEST_RETRY_MILLIS = 640;
+
+    /** Ends are noted with the next look; an endpoint that fell idle is looked at once more after this while. */
+    private static final long IDLE_NOTE_MILLIS = 500;
+
+    /** An endpoint that refuses as unwell is left alone this long: a few times the run time of a short task. */
+    private static final long UNWELL_REST_MILLIS = 250;
+
+    private final EndpointOrders orders;
+    private final Timers timers;
+    private final PlacingSettings settings;
+    private final FencingToken token;
+    private final EndpointEvents events;
+    private final EndpointHealth health = new EndpointHealth();
+    private final EndpointClock clock = new EndpointClock();
+    private final Map<TaskName, Reservation> reservations = new HashMap<>();
+    private final Set<TaskRun> strangers = new HashSet<>();
+    private EndpointEntry entry;
+    private Resources used = Resources.NONE;
+    private Resources free;
+    private long acknowledgedEnd;
+    private long notedEnd;
+    private boolean read;
+    private boolean silent;
+    private boolean closed;
+    private boolean retired;
+    private boolean lookUnderWay;
+    private boolean idleNotePlanned;
+    private long retryMillis = FIRST_RETRY_MILLIS;
+    private long leaseOverAtMillis;
+
+    HeldEndpoint(
+            EndpointEntry entry,
+            FencingToken token,
+            PlacingSettings settings,
+            EndpointOrders orders,
+            Timers timers,
+            EndpointEvents events) {
+        this.entry = entry;
+        this.token = token;
+        this.settings = settings;
+        this.orders = orders;
+        this.timers = timers;
+        this.events = events;
+        this.free = entry.capacity();
+    }
+
+    /** Takes the first look. */
+    void open() {
+        look();
+    }
+
+    /** Gives no more orders; what runs is left to its lease. */
+    void close() {
+        closed = true;
+    }
+
+    EndpointEntry entry() {
+        return entry;
+    }
+
+    /** Takes in a later entry of the same life. */
+    void update(EndpointEntry later) {
+        entry = later;
+        retired = false;
+        free = entry.capacity().minus(used);
+    }
+
+    /** The list no longer shows the endpoint: what runs there may end, and nothing is started. */
+    void retire() {
+        retired = true;
+    }
+
+    Resources free() {
+        return free;
+    }
+
+    int runs() {
+        return reservations.size();
+    }
+
+    /** Returns whether the first look was answered, so that everything that runs there is known. */
+    boolean known() {
+        return read && strangers.isEmpty();
+    }
+
+    boolean takes(Resources need, long nowMillis) {
+        return known()
+                && !silent
+                && !closed
+                && !retired
+                && !entry.draining()
+                && need.fitsInto(free)
+                && !health.resting(nowMillis)
+                && !(health.onTrial() && !reservations.isEmpty());
+    }
+
+    /** Starts a run; the endpoint must take it. */
+    void start(PlacedTask task, TaskRun run, Resources need) {
+        long now = timers.nowMillis();
+        Reservation reservation = new Reservation(task, run, need, now);
+        reservations.put(run.task(), reservation);
+        task.placed(this, reservation);
+        used = used.plus(need);
+        free = entry.capacity().minus(used);
+        StartOrder order = new StartOrder(token, run, task.job().specification(), leaseUntil(now));
+        orders.start(entry, order, answer -> startAnswered(reservation, answer));
+        if (!lookUnderWay) {
+            look();
+        }
+    }
+
+    /** Stops a run, which stays reserved until its end is certain. */
+    void stop(Reservation reservation) {
+        if (reservation.wanted()) {
+            reservation.stopping();
+            sendStop(reservation, false);
+        }
+    }
+
+    void badRun() {
+        health.bad(timers.nowMillis());
+    }
+
+    void goodRun() {
+        health.good();
+    }
+
+    private void startAnswered(Reservation reservation, OrderAnswer answer) {
+        long now = timers.nowMillis();
+        if (closed || !reserved(reservation)) {
+            return;
+        }
+        clock.answered(answer.clockMillis(), now);
+        switch (answer.result()) {
+            case DONE -> reservation.running(now);
+            case UNKNOWN -> startUnanswered(reservation);
+            case OUTRANKED -> events.outranked(this);
+            case OTHER_LIFE -> lifeOver();
+            case OLD_RUN -> {
+                release(reservation);
+                events.refusedAsOld(this, reservation);
+            }
+            case UNREADABLE -> {
+                release(reservation);
+                events.unreadable(this, reservation);
+            }
+            default -> startRefused(reservation, answer.result(), now);
+        }
+    }
+
+    private void startRefused(Reservation reservation, OrderResult result, long now) {
+        if (result == OrderResult.NOT_SENT) {
+            suspect();
+        } else if (result != OrderResult.TOO_LATE) {
+            health.rest(now, UNWELL_REST_MILLIS);
+        }
+        release(reservation);
+        events.refused(this, reservation);
+    }
+
+    /**
+     * Guards against an order that is carried out seconds after it was sent: the task would run twice, or over the
+     * endpoint's room. It shows as a start without an answer. The run is stopped, which the endpoint remembers, and its
+     * room stays reserved until the stop was answered or the order's own time is over.
+     */
+    private void startUnanswered(Reservation reservation) {
+        if (reservation.is(Reservation.State.STARTING)) {
+            reservation.stopping();
+            sendStop(reservation, true);
+            suspect();
+        }
+    }
+
+    /** Starts nothing more here until a look was answered. */
+    private void suspect() {
+        silent = true;
+        lookIfNeeded();
+    }
+
+    private void sendStop(Reservation reservation, boolean fresh) {
+        orders.stop(entry, token, reservation.run(), fresh, answer -> stopAnswered(reservation, answer));
+    }
+
+    private void stopAnswered(Reservation reservation, OrderAnswer answer) {
+        if (closed || !reserved(reservation)) {
+            return;
+        }
+        long now = timers.nowMillis();
+        clock.answered(answer.clockMillis(), now);
+        switch (answer.result()) {
+            case DONE, OLD_RUN -> {
+                reservation.stopped(now + settings.stopTime());
+                timers.after(settings.stopTime() + 1, this::lookIfNeeded);
+            }
+            case OUTRANKED -> events.outranked(this);
+            case OTHER_LIFE -> lifeOver();
+            default ->
+                timers.after(FIRST_RETRY_MILLIS * 2, () -> {
+                    if (!closed && reserved(reservation)) {
+                        sendStop(reservation, true);
+                    }
+                });
+        }
+    }
+
+    private void lookIfNeeded() {
+        if (!closed && !lookUnderWay) {
+            look();
+        }
+    }
+
+    private void look() {
+        long now = timers.nowMillis();
+        boolean extend = read && !silent && !reservations.isEmpty();
+        OptionalLong until = extend ? OptionalLong.of(leaseUntil(now)) : OptionalLong.empty();
+        long wait = extend ? settings.holdWait() : 0;
+        long noting = acknowledgedEnd;
+        lookUnderWay = true;
+        orders.hold(entry, new HoldOrder(token, noting, until, wait), answer -> lookAnswered(answer, now, noting));
+    }
+
+    private void lookAnswered(HoldAnswer answer, long sentAtMillis, long noted) {
+        lookUnderWay = false;
+        if (closed) {
+            return;
+        }
+        long now = timers.nowMillis();
+        clock.answered(answer.clockMillis(), now);
+        switch (answer.result()) {
+            case DONE -> {
+                notedEnd = Math.max(notedEnd, noted);
+                takeLists(answer, sentAtMillis);
+                lookAgain();
+            }
+            case OUTRANKED -> events.outranked(this);
+            case OTHER_LIFE -> lifeOver();
+            default -> lookUnanswered(now);
+        }
+    }
+
+    private void takeLists(HoldAnswer answer, long sentAtMillis) {
+        ImmutableSet<TaskRun> running = ImmutableSet.copyOf(answer.running());
+        for (TaskEnd end : answer.ended()) {
+            if (end.number() > acknowledgedEnd) {
+                acknowledgedEnd = end.number();
+                strangers.remove(end.run());
+                endListed(end);
+            }
+        }
+        for (Reservation reservation : ImmutableList.copyOf(reservations.values())) {
+            if (running.contains(reservation.run())) {
+                reservation.running(timers.nowMillis());
+            } else if (reservation.overIfAbsentAt(sentAtMillis)) {
+                release(reservation);
+                events.ended(this, reservation, EndKind.LAPSED);
+            }
+        }
+        takeStrangers(running);
+        boolean becameUsable = silent || !read;
+        silent = false;
+        read = true;
+        retryMillis = FIRST_RETRY_MILLIS;
+        if (becameUsable || strangers.isEmpty()) {
+            events.usable(this);
+        }
+    }
+
+    private void endListed(TaskEnd end) {
+        Reservation reservation = reservations.get(end.run().task());
+        if (reservation != null && reservation.run().equals(end.run())) {
+            release(reservation);
+            events.ended(this, reservation, end.kind());
+        }
+    }
+
+    /** Stops what an earlier holder left running; until it is gone, the room it takes is unknown. */
+    private void takeStrangers(ImmutableSet<TaskRun> running) {
+        strangers.retainAll(running);
+        for (TaskRun run : running) {
+            Reservation own = reservations.get(run.task());
+            boolean known = own != null && own.run().equals(run);
+            if (!known && strangers.add(run)) {
+                orders.stop(entry, token, run, false, answer -> strangerStopped(run, answer));
+            }
+        }
+    }
+
+    private void strangerStopped(TaskRun run, OrderAnswer answer) {
+        if (!closed && answer.result() != OrderResult.DONE) {
+            strangers.remove(run);
+        }
+        timers.after(settings.stopTime(), this::lookIfNeeded);
+    }
+
+    private void lookAgain() {
+        if (!reservations.isEmpty()) {
+            look();
+        } else if (strangers.isEmpty() && notedEnd < acknowledgedEnd && !idleNotePlanned) {
+            idleNotePlanned = true;
+            timers.after(IDLE_NOTE_MILLIS, () -> {
+                idleNotePlanned = false;
+                if (notedEnd < acknowledgedEnd) {
+                    lookIfNeeded();
+                }
+            });
+        }
+    }
+
+    private void lookUnanswered(long now) {
+        silent = true;
+        if (!reservations.isEmpty() && now >= leaseOverAtMillis) {
+            releaseAll(EndKind.LAPSED);
+        }
+        timers.after(retryMillis, this::lookIfNeeded);
+        retryMillis = Math.min(LONGEST_RETRY_MILLIS, retryMillis * 2);
+    }
+
+    private void lifeOver() {
+        closed = true;
+        releaseAll(EndKind.LAPSED);
+    }
+
+    private void releaseAll(EndKind kind) {
+        for (Reservation reservation : ImmutableList.copyOf(reservations.values())) {
+            release(reservation);
+            events.ended(this, reservation, kind);
+        }
+    }
+
+    private long leaseUntil(long now) {
+        leaseOverAtMillis = Math.max(leaseOverAtMillis, now + settings.certainLapse());
+        return clock.at(now) + settings.lease();
+    }
+
+    private boolean reserved(Reservation reservation) {
+        return reservations.get(reservation.run().task()) == reservation;
+    }
+
+    private void release(Reservation reservation) {
+        if (reservations.remove(reservation.run().task(), reservation)) {
+            used = used.minus(reservation.room());
+            free = entry.capacity().minus(used);
+        }
+    }
+}
--- /dev/null
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/JobLine.java
@@ -0,0 +1,47 @@
+package org.tarragonarch.core.placing;
+
+import com.google.common.collect.ImmutableList;
+import java.util.Comparator;
+import java.util.TreeSet;
+
+/**
+ * The jobs that have tasks to start, the most urgent first.
+ *
+ * <p>Urgent is what must start first to be in time: the time by which its answer counts in full, less its run time. A
+ * job that is partly started stays in its place, so it is finished rather than left behind by newer ones.
+ */
+final class JobLine {
+    private static final Comparator<PlacedJob> BY_LATEST_START = Comparator.comparingLong(JobLine::latestStart)
+            .thenComparing(job -> job.id().value());
+
+    private final TreeSet<PlacedJob> jobs = new TreeSet<>(BY_LATEST_START);
+
+    void add(PlacedJob job) {
+        jobs.add(job);
+    }
+
+    void remove(PlacedJob job) {
+        jobs.remove(job);
+    }
+
+    ImmutableList<PlacedJob> inOrder() {
+        return ImmutableList.copyOf(jobs);
+    }
+
+    boolean isEmpty() {
+        return jobs.isEmpty();
+    }
+
+    /** Returns the work that waits, in thousandths of a core times milliseconds. */
+    long waitingWork() {
+        long work = 0;
+        for (PlacedJob job : jobs) {
+            work += job.waitingMilliCoreMillis();
+        }
+        return work;
+    }
+
+    private static long latestStart(PlacedJob job) {
+        return job.times().inTimeMillis() - job.expectedRunMillis();
+    }
+}
--- /dev/null
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacedJob.java
@@ -0,0 +1,137 @@
+package org.tarragonarch.core.placing;
+
+import com.google.common.collect.ImmutableList;
+import org.tarragonarch.model.id.NodeId;
+import org.tarragonarch.model.task.JobId;
+import org.tarragonarch.model.task.Offer;
+import org.tarragonarch.model.task.QueueDefinition;
+import org.tarragonarch.model.task.Resources;
+import org.tarragonarch.model.task.TaskName;
+import org.tarragonarch.model.task.TaskRun;
+import org.tarragonarch.model.task.TaskStep;
+
+/** A job that this holder took, from its offer to its verdict. */
+final class PlacedJob {
+    private final Offer offer;
+    private final ImmutableList<PlacedTask> tasks;
+    private final long expectedRunMillis;
+    private final JobTimes times;
+    private NodeId asker;
+    private int unfinished;
+    private boolean over;
+    private int lastRun;
+
+    PlacedJob(Offer offer, int firstRun, long expectedRunMillis, JobTimes times) {
+        this.offer = offer;
+        this.asker = offer.asker();
+        this.expectedRunMillis = expectedRunMillis;
+        this.times = times;
+        TaskStep step = offer.job().step();
+        ImmutableList.Builder<PlacedTask> builder = ImmutableList.builderWithExpectedSize(step.count());
+        for (int index = 0; index < step.count(); index++) {
+            builder.add(new PlacedTask(this, TaskName.of(id(), 0, index), firstRun));
+        }
+        this.tasks = builder.build();
+        this.unfinished = step.count();
+    }
+
+    JobId id() {
+        return offer.job().id();
+    }
+
+    String specification() {
+        return offer.job().specification();
+    }
+
+    QueueDefinition queue() {
+        return offer.queue();
+    }
+
+    TaskStep step() {
+        return offer.job().step();
+    }
+
+    Resources need() {
+        return step().perTask();
+    }
+
+    ImmutableList<PlacedTask> tasks() {
+        return tasks;
+    }
+
+    JobTimes times() {
+        return times;
+    }
+
+    /** Returns the run time that the estimate of this job's tasks and experience lead to expect. */
+    long expectedRunMillis() {
+        return expectedRunMillis;
+    }
+
+    NodeId asker() {
+        return asker;
+    }
+
+    /** The client sent the job again, by another node. */
+    void askedBy(NodeId later) {
+        asker = later;
+    }
+
+    boolean over() {
+        return over;
+    }
+
+    /** Ends the job; nothing of it is started any more, and what runs is stopped. */
+    void end() {
+        over = true;
+        for (PlacedTask task : tasks) {
+            task.stop();
+        }
+    }
+
+    /** Returns whether any task of the job was ever started by this holder. */
+    boolean everStarted() {
+        return lastRun() > 0;
+    }
+
+    /** Returns whether a run of the job still takes room somewhere. */
+    boolean holdsRoom() {
+        for (PlacedTask task : tasks) {
+            if (task.reservation().isPresent()) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Returns the highest number of a run of any task. */
+    int lastRun() {
+        return lastRun;
+    }
+
+    /** Notes the number of a run that is about to be started. */
+    void started(TaskRun run) {
+        lastRun = Math.max(lastRun, run.run());
+    }
+
+    /** Notes that a task is done; returns whether it was the last. */
+    boolean finished(PlacedTask task) {
+        task.finished();
+        unfinished--;
+        return unfinished == 0;
+    }
+
+    long waitingMilliCoreMillis() {
+        return waitingTasks() * need().milliCores() * expectedRunMillis;
+    }
+
+    private long waitingTasks() {
+        long waiting = 0;
+        for (PlacedTask task : tasks) {
+            if (task.waiting()) {
+                waiting++;
+            }
+        }
+        return waiting;
+    }
+}
--- /dev/null
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacedTask.java
@@ -0,0 +1,91 @@
+package org.tarragonarch.core.placing;
+
+import java.util.Optional;
+import org.tarragonarch.model.id.EndpointId;
+import org.tarragonarch.model.task.TaskName;
+import org.tarragonarch.model.task.TaskRun;
+
+/** One task of a job on its way from waiting to its end. */
+final class PlacedTask {
+    /** Room for the numbers that an earlier holder may have used since the offer was made. */
+    private static final int OLD_RUN_SKIP = 16;
+
+    private final PlacedJob job;
+    private final TaskName name;
+    private int nextRun;
+    private int failures;
+    private boolean done;
+    private Optional<HeldEndpoint> at = Optional.empty();
+    private Optional<Reservation> reservation = Optional.empty();
+    private Optional<EndpointId> failedAt = Optional.empty();
+
+    PlacedTask(PlacedJob job, TaskName name, int firstRun) {
+        this.job = job;
+        this.name = name;
+        this.nextRun = firstRun;
+    }
+
+    PlacedJob job() {
+        return job;
+    }
+
+    boolean done() {
+        return done;
+    }
+
+    boolean waiting() {
+        return !done && reservation.isEmpty();
+    }
+
+    int failures() {
+        return failures;
+    }
+
+    boolean failedAt(EndpointId endpoint) {
+        return failedAt.isPresent() && failedAt.get().equals(endpoint);
+    }
+
+    TaskRun takeRun() {
+        TaskRun run = new TaskRun(name, nextRun++);
+        job.started(run);
+        return run;
+    }
+
+    void skipOldRuns() {
+        nextRun += OLD_RUN_SKIP;
+    }
+
+    void placed(HeldEndpoint endpoint, Reservation placed) {
+        at = Optional.of(endpoint);
+        reservation = Optional.of(placed);
+    }
+
+    boolean holds(Reservation candidate) {
+        return reservation.filter(placed -> placed == candidate).isPresent();
+    }
+
+    void back() {
+        at = Optional.empty();
+        reservation = Optional.empty();
+    }
+
+    void failed(EndpointId endpoint) {
+        failures++;
+        failedAt = Optional.of(endpoint);
+        back();
+    }
+
+    void finished() {
+        done = true;
+        back();
+    }
+
+    /** Stops the run if there is one. */
+    void stop() {
+        at.ifPresent(endpoint -> endpoint.stop(reservation.orElseThrow()));
+    }
+
+    Optional<Reservation> reservation() {
+        return reservation;
+    }
+}
--- /dev/null
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/Placer.java
@@ -0,0 +1,434 @@
+package org.tarragonarch.core.placing;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import com.google.common.collect.ImmutableList;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.tarragonarch.model.id.EndpointId;
+import org.tarragonarch.model.id.NodeId;
+import org.tarragonarch.model.task.EndKind;
+import org.tarragonarch.model.task.EndpointEntry;
+import org.tarragonarch.model.task.EndpointOrders;
+import org.tarragonarch.model.task.FencingToken;
+import org.tarragonarch.model.task.JobId;
+import org.tarragonarch.model.task.Offer;
+import org.tarragonarch.model.task.Resources;
+import org.tarragonarch.model.task.Timers;
+import org.tarragonarch.model.task.Verdict;
+
+/**
+ * Places the tasks of jobs on the endpoints of one shard, for as long as this node holds it.
+ *
+ * <p>One thread calls every method, and every reply of the ports comes on it.
+ */
+public final class Placer {
+    /** When to come back to a shard without endpoints: about what a takeover or a restart takes. */
+    private static final long IMPOSSIBLE_RETRY_MILLIS = 1_000;
+
+    /** How often a job that waits for earlier runs to end is looked at: a fraction of the time that a stop takes. */
+    private static final long RECHECK_MILLIS = 10;
+
+    private final FencingToken token;
+    private final PlacingSettings settings;
+    private final EndpointOrders orders;
+    private final Timers timers;
+    private final PlacerListener listener;
+    private final RunTimes runTimes;
+    private final Events events = new Events();
+    private final Map<EndpointId, HeldEndpoint> endpoints = new LinkedHashMap<>();
+    private final Map<JobId, PlacedJob> jobs = new HashMap<>();
+    private final JobLine line = new JobLine();
+    private final long openedAtMillis;
+    private final EndingJobs ending = new EndingJobs();
+    private final List<Offer> unsure = new ArrayList<>();
+    private boolean fillPlanned;
+    private boolean closed;
+
+    /**
+     * Creates the placer of a shard.
+     *
+     * @param token the token under which this node holds the shard's endpoints
+     * @param runTimes what is known of run times; outlives this hold
+     */
+    public Placer(
+            FencingToken token,
+            PlacingSettings settings,
+            EndpointOrders orders,
+            Timers timers,
+            PlacerListener listener,
+            RunTimes runTimes) {
+        this.token = checkNotNull(token, "token");
+        this.settings = checkNotNull(settings, "settings");
+        this.orders = checkNotNull(orders, "orders");
+        this.timers = checkNotNull(timers, "timers");
+        this.listener = checkNotNull(listener, "listener");
+        this.runTimes = checkNotNull(runTimes, "runTimes");
+        this.openedAtMillis = timers.nowMillis();
+    }
+
+    /** Returns the token under which this node holds the shard. */
+    public FencingToken token() {
+        return token;
+    }
+
+    /** Takes in the list of the shard's endpoints. */
+    public void update(Collection<EndpointEntry> listed) {
+        Set<EndpointId> ids = new HashSet<>();
+        for (EndpointEntry entry : listed) {
+            ids.add(entry.id());
+            HeldEndpoint known = endpoints.get(entry.id());
+            if (known == null) {
+                HeldEndpoint added = new HeldEndpoint(entry, token, settings, orders, timers, events);
+                endpoints.put(entry.id(), added);
+                added.open();
+            } else {
+                known.update(entry);
+            }
+        }
+        endpoints.entrySet().removeIf(known -> !ids.contains(known.getKey()) && forget(known.getValue()));
+        planFill();
+    }
+
+    /**
+     * Takes a job, or declines it at once.
+     *
+     * <p>A job that is known already was sent again by its client; it goes on, and its new asker gets the verdict.
+     */
+    public void offer(Offer offer) {
+        PlacedJob known = jobs.get(offer.job().id());
+        if (known != null) {
+            known.askedBy(offer.asker());
+            return;
+        }
+        if (ending.defer(offer, timers.nowMillis())) {
+            return;
+        }
+        if (offer.repeated() && !earlierRunsOver()) {
+            wait(offer);
+            return;
+        }
+        take(offer, 1);
+    }
+
+    /** Ends a job whose client has left or cancelled it; nothing is said of it any more. */
+    public void withdraw(NodeId asker, JobId id) {
+        PlacedJob job = jobs.get(id);
+        if (job != null && job.asker().equals(asker)) {
+            end(job);
+            planFill();
+        }
+    }
+
+    /**
+     * Ends every job of a node that is gone.
+     *
+     * <p>Guards against a job that its client sends again, to another node, while it still runs here: the node's death
+     * breaks the client's connection, and the client comes back after its pause.
+     */
+    public void askerGone(NodeId asker) {
+        for (PlacedJob job : ImmutableList.copyOf(jobs.values())) {
+            if (job.asker().equals(asker)) {
+                end(job);
+            }
+        }
+        planFill();
+    }
+
+    /** Lets go of the shard. What runs is left to the next holder, or to its lease. */
+    public void close() {
+        if (closed) {
+            return;
+        }
+        closed = true;
+        endpoints.values().forEach(HeldEndpoint::close);
+        for (PlacedJob job : ImmutableList.copyOf(jobs.values())) {
+            jobs.remove(job.id());
+            listener.settled(job.asker(), job.id(), Verdict.HOLD_LOST, 0);
+        }
+        for (Offer offer : ImmutableList.copyOf(unsure)) {
+            listener.settled(offer.asker(), offer.job().id(), Verdict.HOLD_LOST, 0);
+        }
+        unsure.clear();
+    }
+
+    /** Returns the processor time that is free on endpoints that take tasks, in thousandths of a core. */
+    public long freeMilliCores() {
+        long now = timers.nowMillis();
+        long free = 0;
+        for (HeldEndpoint endpoint : endpoints.values()) {
+            if (endpoint.takes(Resources.NONE, now)) {
+                free += endpoint.free().milliCores();
+            }
+        }
+        return free;
+    }
+
+    /** Returns how many jobs are here that are not settled. */
+    public int openJobs() {
+        return jobs.size();
+    }
+
+    /** Returns how many endpoints are known and take tasks now. */
+    public int usableEndpoints() {
+        long now = timers.nowMillis();
+        int usable = 0;
+        for (HeldEndpoint endpoint : endpoints.values()) {
+            if (endpoint.takes(Resources.NONE, now)) {
+                usable++;
+            }
+        }
+        return usable;
+    }
+
+    /**
+     * Guards against a task that runs twice after the shard changed hands: the earlier holder's runs show on the
+     * endpoints' lists, and are over when each list was read and cleared, or when their lease has certainly run out.
+     */
+    private boolean earlierRunsOver() {
+        if (timers.nowMillis() >= openedAtMillis + settings.certainLapse()) {
+            return true;
+        }
+        for (HeldEndpoint endpoint : endpoints.values()) {
+            if (!endpoint.known()) {
+                return false;
+            }
+        }
+        return !endpoints.isEmpty();
+    }
+
+    private void wait(Offer offer) {
+        long since = timers.nowMillis();
+        unsure.add(offer);
+        timers.after(RECHECK_MILLIS, () -> {
+            if (unsure.remove(offer) && !closed) {
+                offer(offer.later(timers.nowMillis() - since));
+            }
+        });
+    }
+
+    private void take(Offer offer, int firstRun) {
+        long now = timers.nowMillis();
+        long expected =
+                runTimes.expectedMillis(offer.queue().name(), offer.job().step().estimateMillis());
+        PlacedJob job = new PlacedJob(offer, firstRun, expected, JobTimes.of(offer, expected, now));
+        Optional<Long> retry = retryIfHopeless(job, now);
+        if (retry.isPresent()) {
+            listener.settled(offer.asker(), job.id(), Verdict.DECLINED, retry.get());
+            return;
+        }
+        jobs.put(job.id(), job);
+        line.add(job);
+        fill();
+    }
+
+    /** Returns when to come back if the job cannot be in time here. */
+    private Optional<Long> retryIfHopeless(PlacedJob job, long now) {
+        long capacity = 0;
+        long places = 0;
+        long freePlaces = 0;
+        for (HeldEndpoint endpoint : endpoints.values()) {
+            if (!endpoint.takes(Resources.NONE, now)
+                    || !endpoint.entry().service().equals(job.queue().service())) {
+                continue;
+            }
+            long perTask = Math.max(1, job.need().milliCores());
+            capacity += endpoint.entry().capacity().milliCores();
+            places += endpoint.entry().capacity().milliCores() / perTask;
+            freePlaces += job.need().fitsInto(endpoint.free()) ? endpoint.free().milliCores() / perTask : 0;
+        }
+        if (places == 0) {
+            return Optional.of(IMPOSSIBLE_RETRY_MILLIS);
+        }
+        long missing = Math.max(0, job.step().count() - freePlaces);
+        long ahead = line.waitingWork() + missing * job.need().milliCores() * job.expectedRunMillis();
+        long wait = missing == 0 && line.isEmpty() ? 0 : ahead / capacity;
+        long end = now + wait + job.expectedRunMillis();
+        return end > Math.min(job.times().inTimeMillis(), job.times().deadlineMillis())
+                ? Optional.of(wait)
+                : Optional.empty();
+    }
+
+    private boolean forget(HeldEndpoint endpoint) {
+        endpoint.retire();
+        if (endpoint.runs() == 0) {
+            endpoint.close();
+            return true;
+        }
+        return false;
+    }
+
+    private void planFill() {
+        if (!fillPlanned && !closed) {
+            fillPlanned = true;
+            timers.after(0, this::fill);
+        }
+    }
+
+    private void fill() {
+        fillPlanned = false;
+        if (closed) {
+            return;
+        }
+        long now = timers.nowMillis();
+        long roomiest = roomiestMilliCores(now);
+        for (PlacedJob job : line.inOrder()) {
+            if (job.over()) {
+                continue;
+            }
+            if (now + job.expectedRunMillis() / 2 > job.times().lastUseMillis()) {
+                settle(job, job.everStarted() ? Verdict.TOO_LATE : Verdict.DECLINED);
+            } else if (job.need().milliCores() <= roomiest) {
+                if (startWaiting(job, now)) {
+                    line.remove(job);
+                }
+                roomiest = roomiestMilliCores(now);
+            }
+        }
+    }
+
+    /** Returns the most processor time that one endpoint has free; most of a long line needs no closer look. */
+    private long roomiestMilliCores(long now) {
+        long most = 0;
+        for (HeldEndpoint endpoint : endpoints.values()) {
+            if (endpoint.takes(Resources.NONE, now)) {
+                most = Math.max(most, endpoint.free().milliCores());
+            }
+        }
+        return most;
+    }
+
+    /** Starts what fits; returns whether nothing of the job waits any more. */
+    private boolean startWaiting(PlacedJob job, long now) {
+        for (PlacedTask task : job.tasks()) {
+            if (!task.waiting()) {
+                continue;
+            }
+            Optional<HeldEndpoint> endpoint = EndpointChoice.choose(endpoints.values(), task, now);
+            if (endpoint.isEmpty()) {
+                return false;
+            }
+            endpoint.get().start(task, task.takeRun(), job.need());
+        }
+        return true;
+    }
+
+    private void settle(PlacedJob job, Verdict verdict) {
+        end(job);
+        listener.settled(job.asker(), job.id(), verdict, 0);
+    }
+
+    private void end(PlacedJob job) {
+        jobs.remove(job.id());
+        line.remove(job);
+        job.end();
+        ending.add(job);
+    }
+
+    private void roomGone(PlacedJob job) {
+        if (job.over()) {
+            ending.removeIfOver(job)
+                    .ifPresent(deferred -> take(deferred.offerAt(timers.nowMillis()), job.lastRun() + 1));
+        }
+        planFill();
+    }
+
+    /** Takes what endpoints tell. */
+    private final class Events implements EndpointEvents {
+        @Override
+        public void ended(HeldEndpoint endpoint, Reservation reservation, EndKind kind) {
+            PlacedTask task = reservation.task();
+            PlacedJob job = task.job();
+            if (kind.ownEnd()) {
+                judge(endpoint, kind);
+            }
+            if (!task.holds(reservation)) {
+                return;
+            }
+            if (job.over()) {
+                task.back();
+            } else if (kind == EndKind.DONE) {
+                long ran = timers.nowMillis() - reservation.startedAtMillis();
+                runTimes.ran(job.queue().name(), job.step().estimateMillis(), ran);
+                if (job.finished(task)) {
+                    settle(job, Verdict.DONE);
+                }
+            } else if (kind.countsAsAttempt()) {
+                task.failed(endpoint.entry().id());
+                again(job, task);
+            } else {
+                task.back();
+                again(job, task);
+            }
+            roomGone(job);
+        }
+
+        @Override
+        public void refused(HeldEndpoint endpoint, Reservation reservation) {
+            takeBack(reservation);
+        }
+
+        @Override
+        public void refusedAsOld(HeldEndpoint endpoint, Reservation reservation) {
+            reservation.task().skipOldRuns();
+            takeBack(reservation);
+        }
+
+        @Override
+        public void unreadable(HeldEndpoint endpoint, Reservation reservation) {
+            PlacedJob job = reservation.task().job();
+            reservation.task().back();
+            if (!job.over()) {
+                settle(job, Verdict.FAILED);
+            }
+            roomGone(job);
+        }
+
+        @Override
+        public void usable(HeldEndpoint endpoint) {
+            planFill();
+        }
+
+        @Override
+        public void outranked(HeldEndpoint endpoint) {
+            if (!closed) {
+                close();
+                listener.outranked();
+            }
+        }
+
+        private void judge(HeldEndpoint endpoint, EndKind kind) {
+            if (kind == EndKind.DONE) {
+                endpoint.goodRun();
+            } else {
+                endpoint.badRun();
+            }
+        }
+
+        private void takeBack(Reservation reservation) {
+            PlacedTask task = reservation.task();
+            if (task.holds(reservation)) {
+                task.back();
+                if (!task.job().over()) {
+                    line.add(task.job());
+                }
+                roomGone(task.job());
+            }
+        }
+
+        private void again(PlacedJob job, PlacedTask task) {
+            if (task.failures() >= job.queue().attempts()) {
+                settle(job, Verdict.FAILED);
+            } else {
+                line.add(job);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacerListener.java
@@ -0,0 +1,19 @@
+package org.tarragonarch.core.placing;
+
+import org.tarragonarch.model.id.NodeId;
+import org.tarragonarch.model.task.JobId;
+import org.tarragonarch.model.task.Verdict;
+
+/** Learns what becomes of jobs and of the hold itself. */
+public interface PlacerListener {
+    /**
+     * A job is settled.
+     *
+     * @param asker the node to tell
+     * @param retryMillis when there should be room again, in milliseconds; 0 unless the job was declined
+     */
+    void settled(NodeId asker, JobId job, Verdict verdict, long retryMillis);
+
+    /** An endpoint obeys a higher token: another node holds the shard, and this one has let go of it. */
+    void outranked();
+}
--- /dev/null
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/Reservation.java
@@ -0,0 +1,82 @@
+package org.tarragonarch.core.placing;
+
+import org.tarragonarch.model.task.Resources;
+import org.tarragonarch.model.task.TaskRun;
+
+/**
+ * The room that one run takes on one endpoint, from before the order to start it leaves until it is certain that it
+ * neither runs nor will.
+ */
+final class Reservation {
+    /** How far the run is known to have got. */
+    enum State {
+        /** The order to start has left and is not answered. */
+        STARTING,
+        /** The endpoint said that it runs. */
+        RUNNING,
+        /** It shall not run on; the order to stop has left, or waits to be sent again. */
+        STOPPING,
+        /** The endpoint answered the stop: the run ends soon, or is refused if its start arrives later. */
+        STOPPED
+    }
+
+    private final PlacedTask task;
+    private final TaskRun run;
+    private final Resources room;
+    private final long startedAtMillis;
+    private State state = State.STARTING;
+    private long settledAtMillis = Long.MAX_VALUE;
+
+    Reservation(PlacedTask task, TaskRun run, Resources room, long startedAtMillis) {
+        this.task = task;
+        this.run = run;
+        this.room = room;
+        this.startedAtMillis = startedAtMillis;
+    }
+
+    PlacedTask task() {
+        return task;
+    }
+
+    TaskRun run() {
+        return run;
+    }
+
+    Resources room() {
+        return room;
+    }
+
+    long startedAtMillis() {
+        return startedAtMillis;
+    }
+
+    boolean is(State expected) {
+        return state == expected;
+    }
+
+    boolean wanted() {
+        return state == State.STARTING || state == State.RUNNING;
+    }
+
+    void running(long nowMillis) {
+        if (state == State.STARTING) {
+            state = State.RUNNING;
+            settledAtMillis = nowMillis;
+        }
+    }
+
+    void stopping() {
+        state = State.STOPPING;
+        settledAtMillis = Long.MAX_VALUE;
+    }
+
+    void stopped(long goneAtMillis) {
+        state = State.STOPPED;
+        settledAtMillis = goneAtMillis;
+    }
+
+    /** Returns whether a look that was sent at this time and does not show the run proves that it is over. */
+    boolean overIfAbsentAt(long lookSentAtMillis) {
+        return settledAtMillis < lookSentAtMillis;
+    }
+}
--- /dev/null
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/EndpointList.java
@@ -0,0 +1,104 @@
+package org.tarragonarch.core.shard;
+
+import com.google.common.collect.ImmutableList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import org.tarragonarch.model.id.EndpointId;
+import org.tarragonarch.model.id.FailureDomain;
+import org.tarragonarch.model.task.EndpointEntry;
+
+/**
+ * The endpoints that the platform lists.
+ *
+ * <p>Guards against entries that lapse because the platform's store was away, while their endpoints live: they show as
+ * deleted right after it is back, and return within {@value #RETURN_MILLIS} ms. Until that time is over a deleted entry
+ * is kept; what is still missing then is gone.
+ */
+public final class EndpointList {
+    /** The platform promises two seconds; the rest is for the way of the news. */
+    private static final long RETURN_MILLIS = 2_500;
+
+    private final Map<EndpointId, EndpointEntry> entries = new HashMap<>();
+    private final Map<EndpointId, Long> missingUntil = new HashMap<>();
+    private boolean storeAway;
+    private long storeBackAtMillis = Long.MIN_VALUE / 2;
+
+    /** Creates an empty list. */
+    public EndpointList() {}
+
+    /** Returns whether nothing is listed. */
+    public boolean isEmpty() {
+        return entries.isEmpty();
+    }
+
+    /** Takes in an entry; returns whether it says anything new. */
+    public boolean listed(EndpointEntry entry) {
+        missingUntil.remove(entry.id());
+        return !entry.equals(entries.put(entry.id(), entry));
+    }
+
+    /** Takes in that an entry is no longer there; returns whether that changes anything now. */
+    public boolean unlisted(EndpointId id, long nowMillis) {
+        if (storeAway || nowMillis - storeBackAtMillis < RETURN_MILLIS) {
+            missingUntil.putIfAbsent(id, Math.max(nowMillis, storeBackAtMillis) + RETURN_MILLIS);
+            return false;
+        }
+        return entries.remove(id) != null;
+    }
+
+    /** Takes in the whole list; returns whether anything changed. */
+    public boolean replaced(Iterable<EndpointEntry> all, long nowMillis) {
+        boolean changed = false;
+        Set<EndpointId> missing = new HashSet<>(entries.keySet());
+        for (EndpointEntry entry : all) {
+            changed |= listed(entry);
+            missing.remove(entry.id());
+        }
+        for (EndpointId id : missing) {
+            changed |= unlisted(id, nowMillis);
+        }
+        return changed;
+    }
+
+    /** Notes that the store cannot be read. */
+    public void storeLost() {
+        storeAway = true;
+    }
+
+    /** Notes that the store can be read again. */
+    public void storeBack(long nowMillis) {
+        if (storeAway) {
+            storeAway = false;
+            storeBackAtMillis = nowMillis;
+        }
+    }
+
+    /** Removes what has been missing for too long; returns whether anything was removed. */
+    public boolean expire(long nowMillis) {
+        if (storeAway) {
+            return false;
+        }
+        boolean changed = false;
+        for (Map.Entry<EndpointId, Long> missing : ImmutableList.copyOf(missingUntil.entrySet())) {
+            if (nowMillis >= missing.getValue()) {
+                missingUntil.remove(missing.getKey());
+                changed |= entries.remove(missing.getKey()) != null;
+            }
+        }
+        return changed;
+    }
+
+    /** Returns the endpoints of one failure domain. */
+    public ImmutableList<EndpointEntry> of(FailureDomain domain) {
+        return entries.values().stream()
+                .filter(entry -> entry.domain().equals(domain))
+                .collect(ImmutableList.toImmutableList());
+    }
+
+    /** Returns every endpoint. */
+    public ImmutableList<EndpointEntry> all() {
+        return ImmutableList.copyOf(entries.values());
+    }
+}
--- /dev/null
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/PeerBook.java
@@ -0,0 +1,109 @@
+package org.tarragonarch.core.shard;
+
+import com.google.common.collect.ImmutableList;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.tarragonarch.model.id.FailureDomain;
+import org.tarragonarch.model.id.NodeId;
+import org.tarragonarch.model.report.HeldShard;
+import org.tarragonarch.model.report.NodeStatus;
+
+/** What the peers last said of themselves, and which of them can be heard. */
+public final class PeerBook {
+    /**
+     * How long a peer may say nothing before it counts as gone, in milliseconds.
+     *
+     * <p>Peers speak every {@link #STATUS_PERIOD_MILLIS}; three missed in a row and some slack for a slow VM. Shorter
+     * takes shards from nodes that merely pause for a collection of garbage; longer leaves callers waiting.
+     */
+    public static final long SILENCE_MILLIS = 700;
+
+    /** How often a node tells its status when nothing changes, in milliseconds. */
+    public static final long STATUS_PERIOD_MILLIS = 200;
+
+    private final Map<NodeId, Heard> peers = new TreeMap<>();
+
+    /** Creates a book that knows nobody. */
+    public PeerBook() {}
+
+    /** Takes in a status; returns whether the peer was not there before. */
+    public boolean heard(NodeStatus status, long nowMillis) {
+        Heard before = peers.put(status.node(), new Heard(status, nowMillis, true));
+        return before == null || !before.present();
+    }
+
+    /** Notes that the last connection with the peer broke; returns whether it was there before. */
+    public boolean lost(NodeId peer) {
+        Heard known = peers.get(peer);
+        if (known == null || !known.present()) {
+            return false;
+        }
+        peers.put(peer, known.gone());
+        return true;
+    }
+
+    /** Returns the peers that have been silent for too long, and takes them for gone from now on. */
+    public ImmutableList<NodeId> expire(long nowMillis) {
+        ImmutableList.Builder<NodeId> silent = ImmutableList.builder();
+        for (Heard heard : ImmutableList.copyOf(peers.values())) {
+            if (heard.present() && nowMillis - heard.atMillis() > SILENCE_MILLIS) {
+                peers.put(heard.status().node(), heard.gone());
+                silent.add(heard.status().node());
+            }
+        }
+        return silent.build();
+    }
+
+    /** Returns the last status of every peer that is there. */
+    public ImmutableList<NodeStatus> present() {
+        ImmutableList.Builder<NodeStatus> present = ImmutableList.builder();
+        for (Heard heard : peers.values()) {
+            if (heard.present()) {
+                present.add(heard.status());
+            }
+        }
+        return present.build();
+    }
+
+    /** Returns the last status of every peer ever heard, there or not. */
+    public ImmutableList<NodeStatus> known() {
+        return peers.values().stream().map(Heard::status).collect(ImmutableList.toImmutableList());
+    }
+
+    /** Returns the highest term under which any peer said that it held the shard. */
+    public long highestTerm(FailureDomain shard) {
+        long highest = 0;
+        for (Heard heard : peers.values()) {
+            highest = Math.max(
+                    highest, heard.held(shard).map(held -> held.token().term()).orElse(0L));
+        }
+        return highest;
+    }
+
+    /** Returns the peer that holds the shard under the highest token, of those that are there. */
+    public Optional<ShardHolder> holder(FailureDomain shard) {
+        Optional<ShardHolder> best = Optional.empty();
+        for (Heard heard : peers.values()) {
+            Optional<HeldShard> held = heard.present() ? heard.held(shard) : Optional.empty();
+            if (held.isPresent()
+                    && best.filter(known -> known.beats(held.get())).isEmpty()) {
+                best = Optional.of(new ShardHolder(heard.status().node(), held.get()));
+            }
+        }
+        return best;
+    }
+
+    /** What was last heard of one peer, and when. */
+    private record Heard(NodeStatus status, long atMillis, boolean present) {
+        Heard gone() {
+            return new Heard(status, atMillis, false);
+        }
+
+        Optional<HeldShard> held(FailureDomain shard) {
+            return status.shards().stream()
+                    .filter(held -> held.domain().equals(shard))
+                    .findFirst();
+        }
+    }
+}
--- /dev/null
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/Succession.java
@@ -0,0 +1,146 @@
+package org.tarragonarch.core.shard;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.tarragonarch.model.id.FailureDomain;
+import org.tarragonarch.model.id.NodeId;
+import org.tarragonarch.model.report.NodeStatus;
+import org.tarragonarch.model.task.FencingToken;
+
+/**
+ * Decides which shards this node holds.
+ *
+ * <p>No agreement is needed for safety: the endpoints obey the highest token alone. This only keeps nodes from taking
+ * shards from one another. A shard stays with its holder while that can be heard. When it is gone, the first node of
+ * the shard's own failure domain by name claims it under a higher term; a node of another domain does so only when no
+ * node of that domain has been heard for {@value #FOREIGN_CLAIM_MILLIS} ms.
+ */
+public final class Succession {
+    /**
+     * A domain that is cut off goes on by itself, and must not lose its endpoints to the outside as soon as the cut
+     * heals; a domain whose nodes are restarting needs about a second.
+     */
+    private static final long FOREIGN_CLAIM_MILLIS = 3_000;
+
+    /**
+     * Two nodes that cannot hear each other but reach the same endpoints would take them from one another for ever. The
+     * one that was outranked keeps away from the shard this long.
+     */
+    private static final long OUTRANKED_PAUSE_MILLIS = 3_000;
+
+    /** The unit of the clock that terms are taken from, so that a restarted node's term is above its earlier ones. */
+    private static final long TERM_UNIT_MILLIS = 100;
+
+    /**
+     * How many terms to skip when endpoints have seen a higher one than any that was heard of: two seconds of clock
+     * difference a try.
+     */
+    private static final long UNHEARD_TERM_SKIP = 20;
+
+    private final NodeId own;
+    private final FailureDomain ownDomain;
+    private final String ownIp;
+    private final PeerBook peers;
+    private final Map<FailureDomain, FencingToken> held = new HashMap<>();
+    private final Map<FailureDomain, Long> lastTerm = new HashMap<>();
+    private final Map<FailureDomain, Long> keepAwayUntil = new HashMap<>();
+    private final Map<FailureDomain, Long> withoutHolderSince = new HashMap<>();
+
+    /** Creates the succession of a node that holds nothing. */
+    public Succession(NodeId own, FailureDomain ownDomain, String ownIp, PeerBook peers) {
+        this.own = own;
+        this.ownDomain = ownDomain;
+        this.ownIp = ownIp;
+        this.peers = peers;
+    }
+
+    /** Returns the token under which this node holds the shard, if it does. */
+    public Optional<FencingToken> held(FailureDomain shard) {
+        return Optional.ofNullable(held.get(shard));
+    }
+
+    /**
+     * Returns whether this node should claim the shard now.
+     *
+     * @param nowMillis the steady clock
+     */
+    public boolean shouldClaim(FailureDomain shard, long nowMillis) {
+        if (held.containsKey(shard)) {
+            return false;
+        }
+        if (peers.holder(shard).isPresent()) {
+            withoutHolderSince.remove(shard);
+            return false;
+        }
+        long since = withoutHolderSince.computeIfAbsent(shard, unused -> nowMillis);
+        boolean patient = ownDomain.equals(shard) || nowMillis - since >= FOREIGN_CLAIM_MILLIS;
+        return patient && nowMillis >= keepAwayUntil.getOrDefault(shard, Long.MIN_VALUE) && firstInLine(shard);
+    }
+
+    /** Returns whether this node holds the shard but should let go of it for another. */
+    public boolean shouldResign(FailureDomain shard) {
+        FencingToken token = held.get(shard);
+        if (token == null) {
+            return false;
+        }
+        boolean outranked = peers.holder(shard)
+                .filter(other -> other.held().token().compareTo(token) > 0)
+                .isPresent();
+        return outranked || !ownDomain.equals(shard) && homeNodePresent(shard);
+    }
+
+    /**
+     * Takes the shard under a token above all that were heard of.
+     *
+     * @param wallMillis the time of day
+     */
+    public FencingToken claim(FailureDomain shard, long wallMillis) {
+        long heard = Math.max(peers.highestTerm(shard), lastTerm.getOrDefault(shard, 0L));
+        long term = Math.max(heard + 1, wallMillis / TERM_UNIT_MILLIS % Integer.MAX_VALUE);
+        FencingToken token = FencingToken.of(term, ownIp);
+        held.put(shard, token);
+        lastTerm.put(shard, term);
+        return token;
+    }
+
+    /** Lets go of the shard. */
+    public void resign(FailureDomain shard) {
+        held.remove(shard);
+    }
+
+    /** Notes that the shard's endpoints obey a higher token than this node's. */
+    public void outranked(FailureDomain shard, long nowMillis) {
+        held.remove(shard);
+        lastTerm.merge(shard, UNHEARD_TERM_SKIP, Long::sum);
+        if (peers.holder(shard).isEmpty() && firstInLine(shard) && othersPresent()) {
+            return;
+        }
+        keepAwayUntil.put(shard, nowMillis + OUTRANKED_PAUSE_MILLIS);
+    }
+
+    private boolean othersPresent() {
+        return !peers.present().isEmpty();
+    }
+
+    private boolean firstInLine(FailureDomain shard) {
+        boolean ownIsHome = ownDomain.equals(shard);
+        for (NodeStatus peer : peers.present()) {
+            boolean peerIsHome = peer.domain().equals(shard);
+            boolean before = peerIsHome == ownIsHome ? peer.node().compareTo(own) < 0 : peerIsHome;
+            if (!peer.leaving() && before) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private boolean homeNodePresent(FailureDomain shard) {
+        for (NodeStatus peer : peers.present()) {
+            if (peer.domain().equals(shard) && !peer.leaving()) {
+                return true;
+            }
+        }
+        return false;
+    }
+}
--- /dev/null
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ClusterMain.java
@@ -0,0 +1,70 @@
+package org.tarragonarch.entry.cluster;
+
+import java.nio.file.Path;
+import java.util.concurrent.CountDownLatch;
+import org.tarragonarch.model.outcome.StepException;
+
+/** Starts a node on the users' platform. */
+public final class ClusterMain {
+    /** The exit code of wrong settings, as of wrong arguments. */
+    private static final int EXIT_USAGE = 2;
+
+    /** The exit code of an address that cannot be listened at. */
+    private static final int EXIT_START = 3;
+
+    private ClusterMain() {}
+
+    /**
+     * Runs a node until it is told to stop.
+     *
+     * @param arguments the path of the settings file
+     */
+    public static void main(String[] arguments) {
+        if (arguments.length != 1) {
+            System.err.println("usage: ClusterMain SETTINGS-FILE");
+            System.exit(EXIT_USAGE);
+        }
+        ClusterSettings settings = readOrExit(Path.of(arguments[0]));
+        DecisionLog log = new DecisionLog(settings.node().value(), System.out);
+        log.start();
+        ClusterNode node = new ClusterNode(settings, log);
+        try {
+            node.start();
+        } catch (StepException e) {
+            System.err.println(e.step().word() + " " + e.peer() + ": " + e.getMessage());
+            System.exit(EXIT_START);
+        }
+        HangUpSignal.handle(() -> reload(Path.of(arguments[0]), settings, log));
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> leaveAndWait(node), "leave"));
+    }
+
+    /** Checks the settings that were changed; all of them take effect with the next start. */
+    private static void reload(Path file, ClusterSettings before, DecisionLog log) {
+        try {
+            boolean same = ClusterSettings.read(file).equals(before);
+            log.line("settings-read-again", "same", same);
+        } catch (StepException e) {
+            log.line("settings-unreadable", "reason", e.getMessage());
+        }
+    }
+
+    /** Keeps the process alive while the node leaves; the node ends it. */
+    private static void leaveAndWait(ClusterNode node) {
+        node.leave();
+        try {
+            new CountDownLatch(1).await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private static ClusterSettings readOrExit(Path file) {
+        try {
+            return ClusterSettings.read(file);
+        } catch (StepException e) {
+            System.err.println(e.step().word() + " " + e.peer() + ": " + e.getMessage());
+            System.exit(EXIT_USAGE);
+            throw new AssertionError("not reached", e);
+        }
+    }
+}
--- /dev/null
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ClusterNode.java
@@ -0,0 +1,454 @@
+package org.tarragonarch.entry.cluster;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import io.netty.channel.Channel;
+import io.netty.channel.EventLoop;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.tarragonarch.adapter.ClientDoor;
+import org.tarragonarch.adapter.EndpointBody;
+import org.tarragonarch.adapter.EndpointClient;
+import org.tarragonarch.adapter.PlatformNames;
+import org.tarragonarch.adapter.StoreClient;
+import org.tarragonarch.adapter.UnreadableBodyException;
+import org.tarragonarch.core.follow.TableFollower;
+import org.tarragonarch.core.follow.TableListener;
+import org.tarragonarch.core.handover.JobDesk;
+import org.tarragonarch.core.placing.PlacingSettings;
+import org.tarragonarch.core.shard.EndpointList;
+import org.tarragonarch.core.shard.PeerBook;
+import org.tarragonarch.core.shard.ShardEvents;
+import org.tarragonarch.core.shard.ShardKeeper;
+import org.tarragonarch.core.shard.Succession;
+import org.tarragonarch.model.id.Address;
+import org.tarragonarch.model.id.ConfigurationVersion;
+import org.tarragonarch.model.id.EndpointId;
+import org.tarragonarch.model.id.FailureDomain;
+import org.tarragonarch.model.id.Incarnation;
+import org.tarragonarch.model.id.NodeId;
+import org.tarragonarch.model.outcome.StepException;
+import org.tarragonarch.model.report.NodeStatus;
+import org.tarragonarch.model.store.RowStore;
+import org.tarragonarch.model.store.StoreRow;
+import org.tarragonarch.model.store.StoreTable;
+import org.tarragonarch.model.task.EndpointEntry;
+import org.tarragonarch.model.task.FencingToken;
+import org.tarragonarch.model.task.JobId;
+import org.tarragonarch.model.task.Offer;
+import org.tarragonarch.model.task.Verdict;
+import org.tarragonarch.wire.ConfigurationAsked;
+import org.tarragonarch.wire.EndpointsAsked;
+import org.tarragonarch.wire.Hello;
+import org.tarragonarch.wire.JobSettled;
+import org.tarragonarch.wire.PeerNetwork;
+import org.tarragonarch.wire.PeerNetworkSettings;
+import org.tarragonarch.wire.StatusFrame;
+
+/**
+ * One node on the users' platform.
+ *
+ * <p>Everything runs on one event loop: it reads and writes every connection, and it is the thread that decides. So
+ * nothing here needs a lock, and a request costs no hand-over between threads.
+ */
+final class ClusterNode implements PeerCalls, ShardEvents {
+    /** How often shards, peers and endpoints are reviewed, in milliseconds; half the time between statuses. */
+    private static final long REVIEW_MILLIS = PeerBook.STATUS_PERIOD_MILLIS / 2;
+
+    /**
+     * How long a node looks for its peers before it claims anything, in milliseconds: a write, a read and a connection
+     * take some 50, and nodes start within 300 of one another.
+     */
+    private static final long DISCOVERY_MILLIS = 600;
+
+    /**
+     * How often the list of endpoints is read, in milliseconds. Every endpoint writes its entry every 1.5 s, so hearing
+     * of each change at once would cost each node some 20 calls a second; an endpoint that drains must get nothing new
+     * 2 s after it said so.
+     */
+    private static final long LIST_PERIOD_MILLIS = 900;
+
+    /** The balancer asks once a second and drops a node after two misses. */
+    private static final long BALANCER_NOTICE_MILLIS = 2_300;
+
+    /**
+     * How long a leaving node still takes jobs after the balancer has noticed, in milliseconds. Every answer of a
+     * leaving node closes its connection, so after this hardly any client is left that would be refused.
+     */
+    private static final long OPEN_CONNECTIONS_MILLIS = 500;
+
+    /** How long before it would be killed a leaving node answers what is still open, in milliseconds. */
+    private static final long LAST_ANSWERS_MILLIS = 500;
+
+    /** Connections between nodes: statuses come five times a second, so silence shows before this. */
+    private static final PeerNetworkSettings PEER_NETWORK = new PeerNetworkSettings(
+            Duration.ofMillis(400),
+            Duration.ofMillis(PeerBook.SILENCE_MILLIS + 300),
+            Duration.ofSeconds(60),
+            Duration.ofMillis(50),
+            Duration.ofMillis(400),
+            4_096,
+            8 * 1024 * 1024,
+            1_024);
+
+    private final ClusterSettings settings;
+    private final DecisionLog log;
+    private final NioEventLoopGroup group = new NioEventLoopGroup(1, new DefaultThreadFactory("node"));
+    private final EventLoop loop = group.next();
+    private final LoopTimers timers = new LoopTimers(loop);
+    private final PeerBook book = new PeerBook();
+    private final EndpointList endpoints = new EndpointList();
+    private final ConfigurationInForce configuration;
+    private final PeerExchange exchange;
+    private final ShardKeeper keeper;
+    private final JobDesk desk;
+    private final CancelRounds cancels;
+    private final NodeDirectory directory;
+    private final RowStore store;
+    private final List<Channel> doors = new ArrayList<>();
+    private final long startedAtMillis;
+    private PeerNetwork network;
+    private long statusSentAtMillis;
+    private boolean leaving;
+
+    ClusterNode(ClusterSettings settings, DecisionLog log) {
+        this.settings = settings;
+        this.log = log;
+        this.startedAtMillis = timers.nowMillis();
+        this.configuration = new ConfigurationInForce(log);
+        this.exchange = new PeerExchange(book, this);
+        PlacingSettings placing = PlacingSettings.of(settings.leaseMillis(), settings.stopMillis());
+        Succession succession = new Succession(settings.node(), settings.domain(), settings.ip(), book);
+        this.keeper = new ShardKeeper(
+                settings.domains(),
+                succession,
+                endpoints,
+                placing,
+                new EndpointClient(loop),
+                timers,
+                System::currentTimeMillis,
+                this);
+        this.desk = new JobDesk(new NodeHolders(settings, book, keeper, exchange), timers, placing.certainLapse());
+        this.cancels = new CancelRounds(timers);
+        this.store = new StoreClient(loop, settings.storeAddress());
+        this.directory = new NodeDirectory(store, timers, settings.node(), settings.peerAddress(), this::located, log);
+    }
+
+    /** Opens everything, the doors for clients last. */
+    void start() throws StepException {
+        Incarnation run = Incarnation.of(System.currentTimeMillis());
+        network = PeerNetwork.startOn(
+                group,
+                settings.peerAddress(),
+                Hello.of(settings.node(), run, settings.domain()),
+                exchange,
+                PEER_NETWORK);
+        exchange.use(network);
+        NodeJobs jobs = new NodeJobs(configuration, desk, exchange, cancels, timers, log, this::ready, () -> leaving);
+        doors.add(ClientDoor.openForReadiness(group, settings.readinessAddress(), jobs));
+        doors.add(ClientDoor.openForClients(group, settings.clientAddress(), jobs));
+        Address pages = new Address(settings.ip(), settings.metricsPort());
+        doors.add(ClientDoor.openForPages(group, pages, ImmutableMap.of("/metrics", this::metrics)));
+        loop.execute(this::begin);
+        log.line("node-started", "domain", settings.domain(), "run", run);
+    }
+
+    /** Leaves: not ready at once, shards handed over, jobs finished, and out before the process would be killed. */
+    void leave() {
+        loop.execute(() -> {
+            if (leaving) {
+                return;
+            }
+            leaving = true;
+            log.line(
+                    "node-leaving",
+                    "open-jobs",
+                    desk.openJobs(),
+                    "shards",
+                    keeper.held().size());
+            keeper.resignAll();
+            sendStatus();
+            awaitEmpty(timers.nowMillis());
+        });
+    }
+
+    private void awaitEmpty(long since) {
+        long waited = timers.nowMillis() - since;
+        if (waited >= BALANCER_NOTICE_MILLIS + OPEN_CONNECTIONS_MILLIS) {
+            desk.takeNothingNew();
+        }
+        boolean idle = desk.closed() && desk.openJobs() == 0;
+        if (idle || waited >= settings.shutdownMillis() - LAST_ANSWERS_MILLIS) {
+            log.line("node-stopped", "open-jobs", desk.openJobs(), "after-ms", waited);
+            desk.giveUpAll();
+            timers.after(REVIEW_MILLIS, () -> Runtime.getRuntime().halt(0));
+        } else {
+            timers.after(REVIEW_MILLIS / 2, () -> awaitEmpty(since));
+        }
+    }
+
+    private boolean ready() {
+        return !leaving && configuration.version() > 0 && anyHolder();
+    }
+
+    private boolean anyHolder() {
+        return settings.domains().stream()
+                .anyMatch(shard ->
+                        keeper.placer(shard).isPresent() || book.holder(shard).isPresent());
+    }
+
+    private void begin() {
+        directory.start();
+        new TableFollower(store, StoreTable.OPERATOR, timers, new ConfigurationRows(), 0).start();
+        new TableFollower(store, StoreTable.ENDPOINTS, timers, new EndpointRows(), LIST_PERIOD_MILLIS).start();
+        review();
+    }
+
+    private void review() {
+        long now = timers.nowMillis();
+        for (NodeId silent : book.expire(now)) {
+            lost(silent, "silent");
+        }
+        if (endpoints.expire(now)) {
+            keeper.endpointsChanged();
+        }
+        if (!leaving && now - startedAtMillis >= DISCOVERY_MILLIS && keeper.review()) {
+            holdersChanged();
+        }
+        if (now - statusSentAtMillis >= PeerBook.STATUS_PERIOD_MILLIS) {
+            sendStatus();
+        }
+        timers.after(REVIEW_MILLIS, this::review);
+    }
+
+    private void holdersChanged() {
+        sendStatus();
+        desk.holdersChanged();
+    }
+
+    private void sendStatus() {
+        statusSentAtMillis = timers.nowMillis();
+        exchange.sendToAll(new StatusFrame(new NodeStatus(
+                settings.node(),
+                settings.domain(),
+                settings.peerAddress(),
+                leaving,
+                configuration.version(),
+                keeper.held())));
+    }
+
+    private void located(NodeId node, Address address) {
+        exchange.located(node, address);
+        sendStatus();
+    }
+
+    private String metrics() {
+        return "tarragonarch_open_jobs " + desk.openJobs() + "\n" + "tarragonarch_log_lines_dropped_total "
+                + log.droppedLines() + "\n";
+    }
+
+    @Override
+    public void status(NodeStatus status) {
+        long now = timers.nowMillis();
+        boolean joined = book.heard(status, now);
+        if (joined) {
+            log.line("peer-joined", "peer", status.node(), "domain", status.domain());
+            sendStatus();
+        }
+        if (status.configurationVersion() > configuration.version()) {
+            ConfigurationVersion wanted = ConfigurationVersion.of(status.configurationVersion());
+            exchange.send(status.node(), new ConfigurationAsked(wanted));
+        }
+        if (endpoints.isEmpty() && joined) {
+            exchange.send(status.node(), new EndpointsAsked());
+        }
+        if (!leaving && now - startedAtMillis >= DISCOVERY_MILLIS && keeper.review()) {
+            sendStatus();
+        }
+        if (desk.seeking()) {
+            desk.holdersChanged();
+        }
+    }
+
+    @Override
+    public void lost(NodeId peer, String reason) {
+        log.line("peer-lost", "peer", peer, "reason", reason);
+        keeper.nodeLost(peer);
+        desk.nodeLost(peer);
+        if (!leaving && keeper.review()) {
+            holdersChanged();
+        }
+    }
+
+    @Override
+    public void offered(FailureDomain shard, Offer offer) {
+        keeper.placer(shard)
+                .ifPresentOrElse(
+                        placer -> placer.offer(offer),
+                        () -> settled(offer.asker(), offer.job().id(), Verdict.HOLD_LOST, 0));
+    }
+
+    @Override
+    public void notOffered(NodeId peer, JobId job) {
+        desk.notOffered(peer, job);
+    }
+
+    @Override
+    public void verdictCame(NodeId holder, JobId job, Verdict verdict, long retryMillis) {
+        desk.settled(holder, job, verdict, retryMillis);
+    }
+
+    @Override
+    public void settled(NodeId asker, JobId job, Verdict verdict, long retryMillis) {
+        if (asker.equals(settings.node())) {
+            desk.settled(asker, job, verdict, retryMillis);
+        } else {
+            exchange.answer(asker, new JobSettled(job, verdict, retryMillis));
+        }
+    }
+
+    @Override
+    public void withdrawn(NodeId peer, FailureDomain shard, JobId job) {
+        keeper.placer(shard).ifPresent(placer -> placer.withdraw(peer, job));
+    }
+
+    @Override
+    public boolean cancelled(JobId job) {
+        return desk.cancel(job);
+    }
+
+    @Override
+    public void cancelAnswered(JobId job, boolean known) {
+        cancels.answered(job, known);
+    }
+
+    @Override
+    public byte[] configurationText() {
+        return configuration.text();
+    }
+
+    @Override
+    public long configurationVersion() {
+        return configuration.version();
+    }
+
+    @Override
+    public void configurationGiven(NodeId peer, byte[] text) {
+        configuration.offered(text, peer.value());
+    }
+
+    @Override
+    public ImmutableList<EndpointEntry> endpoints() {
+        return endpoints.all();
+    }
+
+    @Override
+    public void endpointsGiven(ImmutableList<EndpointEntry> given) {
+        if (endpoints.isEmpty()) {
+            given.forEach(endpoints::listed);
+            keeper.endpointsChanged();
+        }
+    }
+
+    @Override
+    public void claimed(FailureDomain shard, FencingToken token) {
+        log.line(
+                "shard-claimed",
+                "shard",
+                shard,
+                "token",
+                token,
+                "endpoints",
+                endpoints.of(shard).size());
+    }
+
+    @Override
+    public void resigned(FailureDomain shard, FencingToken token) {
+        log.line("shard-resigned", "shard", shard, "token", token);
+    }
+
+    @Override
+    public void outranked(FailureDomain shard, FencingToken token) {
+        log.line("shard-outranked", "shard", shard, "token", token);
+        holdersChanged();
+    }
+
+    /** Takes the operators' rows. */
+    private final class ConfigurationRows implements TableListener {
+        @Override
+        public void replaced(ImmutableList<StoreRow> rows) {
+            changed(rows);
+        }
+
+        @Override
+        public void changed(ImmutableList<StoreRow> rows) {
+            for (StoreRow row : rows) {
+                if (row.key().equals(PlatformNames.CONFIGURATION_ROW)
+                        && !row.deleted()
+                        && configuration.offered(row.value(), "store")) {
+                    sendStatus();
+                }
+            }
+        }
+
+        @Override
+        public void lost() {
+            log.line("store-lost", "table", StoreTable.OPERATOR);
+        }
+
+        @Override
+        public void regained(long awayMillis) {
+            log.line("store-regained", "table", StoreTable.OPERATOR, "away-ms", awayMillis);
+        }
+    }
+
+    /** Takes the endpoints' rows. */
+    private final class EndpointRows implements TableListener {
+        @Override
+        public void replaced(ImmutableList<StoreRow> rows) {
+            ImmutableList.Builder<EndpointEntry> entries = ImmutableList.builder();
+            rows.forEach(row -> read(row).ifPresent(entries::add));
+            if (endpoints.replaced(entries.build(), timers.nowMillis())) {
+                keeper.endpointsChanged();
+            }
+        }
+
+        @Override
+        public void changed(ImmutableList<StoreRow> rows) {
+            boolean changed = false;
+            for (StoreRow row : rows) {
+                changed |= row.deleted()
+                        ? endpoints.unlisted(EndpointId.of(row.key()), timers.nowMillis())
+                        : read(row).filter(endpoints::listed).isPresent();
+            }
+            if (changed) {
+                keeper.endpointsChanged();
+            }
+        }
+
+        @Override
+        public void lost() {
+            endpoints.storeLost();
+            log.line("store-lost", "table", StoreTable.ENDPOINTS);
+        }
+
+        @Override
+        public void regained(long awayMillis) {
+            endpoints.storeBack(timers.nowMillis());
+            log.line("store-regained", "table", StoreTable.ENDPOINTS, "away-ms", awayMillis);
+        }
+
+        private Optional<EndpointEntry> read(StoreRow row) {
+            try {
+                return Optional.of(EndpointBody.read(row.key(), row.value()));
+            } catch (UnreadableBodyException e) {
+                log.line("endpoint-row-unreadable", "endpoint", row.key(), "reason", e.getMessage());
+                return Optional.empty();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ClusterSettings.java
@@ -0,0 +1,150 @@
+package org.tarragonarch.entry.cluster;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.tarragonarch.model.id.Address;
+import org.tarragonarch.model.id.FailureDomain;
+import org.tarragonarch.model.id.NodeId;
+import org.tarragonarch.model.outcome.Step;
+import org.tarragonarch.model.outcome.StepException;
+
+/**
+ * The settings of one node, from a file of JSON with comments.
+ *
+ * @param node this node's name
+ * @param domain the failure domain it stands in
+ * @param domains every failure domain
+ * @param ip this VM's address
+ * @param peerPort where it takes frames of its peers; the same port on every VM
+ * @param metricsPort where it serves its metrics
+ * @param clientAddress where clients are sent
+ * @param readinessAddress where the balancer asks
+ * @param seedIps VMs that may know the others, for when the store is away
+ * @param storeAddress the platform's store
+ * @param leaseMillis the longest lease that endpoints give
+ * @param stopMillis the longest that a stop takes on an endpoint
+ * @param shutdownMillis how long the process may take to end after it was asked to
+ */
+record ClusterSettings(
+        NodeId node,
+        FailureDomain domain,
+        ImmutableSet<FailureDomain> domains,
+        String ip,
+        int peerPort,
+        int metricsPort,
+        Address clientAddress,
+        Address readinessAddress,
+        ImmutableList<String> seedIps,
+        Address storeAddress,
+        long leaseMillis,
+        long stopMillis,
+        long shutdownMillis) {
+    private static final long MILLIS_PER_SECOND = 1_000;
+
+    Address peerAddress() {
+        return new Address(ip, peerPort);
+    }
+
+    /**
+     * Reads a settings file.
+     *
+     * @throws StepException if it cannot be read, or a value is missing or malformed
+     */
+    static ClusterSettings read(Path file) throws StepException {
+        Reader reader = new Reader();
+        try (JsonParser parser =
+                new JsonFactory().enable(JsonParser.Feature.ALLOW_COMMENTS).createParser(Files.readAllBytes(file))) {
+            reader.read(parser);
+            return reader.settings();
+        } catch (IOException e) {
+            throw new StepException(Step.LIFECYCLE, file.toString(), "unreadable settings: " + e.getMessage(), e);
+        } catch (IllegalArgumentException | NullPointerException e) {
+            throw new StepException(Step.LIFECYCLE, file.toString(), "wrong settings: " + e.getMessage(), e);
+        }
+    }
+
+    /** Collects the values of a file; an unknown key is an error, since it is most likely misspelt. */
+    private static final class Reader {
+        private String node = "";
+        private String domain = "";
+        private final ImmutableSet.Builder<FailureDomain> domains = ImmutableSet.builder();
+        private String ip = "";
+        private int peerPort;
+        private int metricsPort;
+        private String clientAddress = "";
+        private String readinessAddress = "";
+        private final ImmutableList.Builder<String> seedIps = ImmutableList.builder();
+        private String storeAddress = "";
+        private long leaseMillis;
+        private long stopMillis;
+        private long shutdownSeconds;
+
+        void read(JsonParser parser) throws IOException {
+            if (parser.nextToken() != JsonToken.START_OBJECT) {
+                throw new IOException("not an object");
+            }
+            while (parser.nextToken() != JsonToken.END_OBJECT) {
+                String key = parser.currentName();
+                parser.nextToken();
+                member(key, parser);
+            }
+        }
+
+        private void member(String key, JsonParser parser) throws IOException {
+            switch (key) {
+                case "node" -> node = parser.getText();
+                case "failure-domain" -> domain = parser.getText();
+                case "failure-domains" -> {
+                    while (parser.nextToken() != JsonToken.END_ARRAY) {
+                        domains.add(FailureDomain.of(parser.getText()));
+                    }
+                }
+                case "ip" -> ip = parser.getText();
+                case "peer-port" -> peerPort = parser.getIntValue();
+                case "metrics-port" -> metricsPort = parser.getIntValue();
+                case "client-address" -> clientAddress = parser.getText();
+                case "readiness-address" -> readinessAddress = parser.getText();
+                case "seed-addresses" -> {
+                    while (parser.nextToken() != JsonToken.END_ARRAY) {
+                        seedIps.add(Address.parse(parser.getText()).ip());
+                    }
+                }
+                case "store-address" -> storeAddress = parser.getText();
+                case "lease-millis" -> leaseMillis = parser.getLongValue();
+                case "stop-millis" -> stopMillis = parser.getLongValue();
+                case "shutdown-seconds" -> shutdownSeconds = parser.getLongValue();
+                default -> throw new IOException("unknown key '" + key + "'");
+            }
+        }
+
+        ClusterSettings settings() {
+            return new ClusterSettings(
+                    NodeId.of(node),
+                    FailureDomain.of(domain),
+                    domains.build(),
+                    ip,
+                    peerPort,
+                    metricsPort,
+                    Address.parse(clientAddress),
+                    Address.parse(readinessAddress),
+                    seedIps.build(),
+                    Address.parse(storeAddress),
+                    positive("lease-millis", leaseMillis),
+                    positive("stop-millis", stopMillis),
+                    positive("shutdown-seconds", shutdownSeconds) * MILLIS_PER_SECOND);
+        }
+
+        private static long positive(String key, long value) {
+            if (value <= 0) {
+                throw new IllegalArgumentException("'" + key + "' is missing or not positive");
+            }
+            return value;
+        }
+    }
+}
--- /dev/null
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/NodeJobs.java
@@ -0,0 +1,109 @@
+package org.tarragonarch.entry.cluster;
+
+import java.util.Optional;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import org.tarragonarch.core.handover.JobDesk;
+import org.tarragonarch.model.task.JobId;
+import org.tarragonarch.model.task.JobProgress;
+import org.tarragonarch.model.task.JobReply;
+import org.tarragonarch.model.task.JobRequest;
+import org.tarragonarch.model.task.JobService;
+import org.tarragonarch.model.task.QueueCatalog;
+import org.tarragonarch.model.task.QueueDefinition;
+import org.tarragonarch.model.task.Timers;
+import org.tarragonarch.wire.CancelAsked;
+
+/** What the doors for clients and the balancer ask of this node. */
+final class NodeJobs implements JobService {
+    private final ConfigurationInForce configuration;
+    private final JobDesk desk;
+    private final PeerExchange exchange;
+    private final CancelRounds cancels;
+    private final Timers timers;
+    private final DecisionLog log;
+    private final BooleanSupplier ready;
+    private final BooleanSupplier leaving;
+
+    NodeJobs(
+            ConfigurationInForce configuration,
+            JobDesk desk,
+            PeerExchange exchange,
+            CancelRounds cancels,
+            Timers timers,
+            DecisionLog log,
+            BooleanSupplier ready,
+            BooleanSupplier leaving) {
+        this.configuration = configuration;
+        this.desk = desk;
+        this.exchange = exchange;
+        this.cancels = cancels;
+        this.timers = timers;
+        this.log = log;
+        this.ready = ready;
+        this.leaving = leaving;
+    }
+
+    @Override
+    public Optional<QueueCatalog> catalog() {
+        return configuration.catalog();
+    }
+
+    @Override
+    public Submission submit(QueueDefinition queue, JobRequest job, long deadlineMillis, Consumer<JobReply> reply) {
+        long arrived = timers.nowMillis();
+        return desk.submit(queue, job, deadlineMillis, answer -> {
+            log.line(
+                    "job-answered",
+                    "job",
+                    job.id(),
+                    "queue",
+                    queue.name(),
+                    "outcome",
+                    answer.outcome(),
+                    "tasks",
+                    job.step().count(),
+                    "estimate-ms",
+                    job.step().estimateMillis(),
+                    "after-ms",
+                    timers.nowMillis() - arrived,
+                    "deadline-ms",
+                    deadlineMillis,
+                    "configuration",
+                    configuration.version());
+            reply.accept(answer);
+        });
+    }
+
+    @Override
+    public void cancel(JobId job, Consumer<Boolean> known) {
+        boolean here = desk.cancel(job);
+        log.line("job-cancelled", "job", job, "here", here);
+        if (here) {
+            known.accept(true);
+            return;
+        }
+        int asked = exchange.sendToPresent(new CancelAsked(job));
+        cancels.begin(job, asked, known);
+    }
+
+    @Override
+    public Optional<JobProgress> progress(JobId job) {
+        return desk.progress(job);
+    }
+
+    @Override
+    public long waiting(QueueDefinition queue) {
+        return desk.waiting(queue.name());
+    }
+
+    @Override
+    public boolean ready() {
+        return ready.getAsBoolean();
+    }
+
+    @Override
+    public boolean leaving() {
+        return leaving.getAsBoolean();
+    }
+}
--- /dev/null
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/PeerExchange.java
@@ -0,0 +1,126 @@
+package org.tarragonarch.entry.cluster;
+
+import com.google.common.collect.ImmutableList;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.tarragonarch.core.shard.PeerBook;
+import org.tarragonarch.model.id.Address;
+import org.tarragonarch.model.id.ConfigurationVersion;
+import org.tarragonarch.model.id.ContentDigest;
+import org.tarragonarch.model.id.Incarnation;
+import org.tarragonarch.model.id.NodeId;
+import org.tarragonarch.model.report.NodeStatus;
+import org.tarragonarch.wire.CancelAnswered;
+import org.tarragonarch.wire.CancelAsked;
+import org.tarragonarch.wire.ConfigurationAsked;
+import org.tarragonarch.wire.ConfigurationGiven;
+import org.tarragonarch.wire.EndpointsAsked;
+import org.tarragonarch.wire.EndpointsGiven;
+import org.tarragonarch.wire.Frame;
+import org.tarragonarch.wire.JobOffered;
+import org.tarragonarch.wire.JobSettled;
+import org.tarragonarch.wire.JobWithdrawn;
+import org.tarragonarch.wire.Payload;
+import org.tarragonarch.wire.PeerListener;
+import org.tarragonarch.wire.PeerNetwork;
+import org.tarragonarch.wire.StatusFrame;
+
+/** Frames to and from the peers; turns each that comes into a call of the node. */
+final class PeerExchange implements PeerListener {
+    private final PeerBook book;
+    private final PeerCalls calls;
+    private final Map<NodeId, Address> addresses = new HashMap<>();
+    private final Map<NodeId, Incarnation> runs = new HashMap<>();
+    private PeerNetwork network;
+
+    PeerExchange(PeerBook book, PeerCalls calls) {
+        this.book = book;
+        this.calls = calls;
+    }
+
+    void use(PeerNetwork started) {
+        network = started;
+    }
+
+    /** Learns where a node is said to be, from the store. */
+    void located(NodeId node, Address address) {
+        addresses.putIfAbsent(node, address);
+    }
+
+    /** Sends to every node that was ever heard or located; what cannot be delivered is dropped. */
+    void sendToAll(Frame frame) {
+        addresses.forEach((node, address) -> network.send(node, address, frame));
+    }
+
+    /** Sends to the peers that are there; returns how many they are. */
+    int sendToPresent(Frame frame) {
+        ImmutableList<NodeStatus> present = book.present();
+        present.forEach(peer -> send(peer.node(), frame));
+        return present.size();
+    }
+
+    void send(NodeId node, Frame frame) {
+        Address address = addresses.get(node);
+        if (address == null) {
+            undelivered(node, frame);
+            return;
+        }
+        network.send(node, address, frame);
+    }
+
+    /** Answers the run of a node that was heard last. */
+    void answer(NodeId node, Frame frame) {
+        Optional.ofNullable(runs.get(node)).ifPresent(run -> network.reply(node, run, frame));
+    }
+
+    @Override
+    public void received(NodeId peer, Incarnation run, Frame frame) {
+        runs.put(peer, run);
+        if (frame instanceof StatusFrame status) {
+            addresses.put(peer, status.status().address());
+            calls.status(status.status());
+        } else if (frame instanceof JobOffered offered) {
+            calls.offered(offered.shard(), offered.offer());
+        } else if (frame instanceof JobSettled settled) {
+            calls.verdictCame(peer, settled.job(), settled.verdict(), settled.retryMillis());
+        } else if (frame instanceof JobWithdrawn withdrawn) {
+            calls.withdrawn(peer, withdrawn.shard(), withdrawn.job());
+        } else if (frame instanceof CancelAsked asked) {
+            network.reply(peer, run, new CancelAnswered(asked.job(), calls.cancelled(asked.job())));
+        } else if (frame instanceof CancelAnswered answered) {
+            calls.cancelAnswered(answered.job(), answered.known());
+        } else if (frame instanceof ConfigurationAsked) {
+            network.reply(peer, run, configuration());
+        } else if (frame instanceof ConfigurationGiven given) {
+            given.canonicalText().ifPresent(text -> calls.configurationGiven(peer, text.bytes()));
+        } else if (frame instanceof EndpointsAsked) {
+            network.reply(peer, run, new EndpointsGiven(calls.endpoints()));
+        } else if (frame instanceof EndpointsGiven given) {
+            calls.endpointsGiven(given.endpoints());
+        }
+    }
+
+    @Override
+    public void undelivered(NodeId peer, Frame frame) {
+        if (frame instanceof JobOffered offered) {
+            calls.notOffered(peer, offered.offer().job().id());
+        }
+    }
+
+    @Override
+    public void disconnected(NodeId peer, Incarnation run) {
+        if (run.equals(runs.get(peer)) && book.lost(peer)) {
+            calls.lost(peer, "disconnected");
+        }
+    }
+
+    private ConfigurationGiven configuration() {
+        byte[] text = calls.configurationText();
+        ConfigurationVersion version = ConfigurationVersion.of(calls.configurationVersion());
+        if (text.length == 0) {
+            return ConfigurationGiven.none(version);
+        }
+        return ConfigurationGiven.of(version, ContentDigest.of(text), Payload.of(text));
+    }
+}
--- /dev/null
+++ b/tarragonarch-model/src/main/java/org/tarragonarch/model/report/NodeStatus.java
@@ -0,0 +1,34 @@
+package org.tarragonarch.model.report;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import com.google.common.collect.ImmutableList;
+import org.tarragonarch.model.id.Address;
+import org.tarragonarch.model.id.FailureDomain;
+import org.tarragonarch.model.id.NodeId;
+
+/**
+ * What a node tells its peers of itself, a few times a second; doubles as its heartbeat.
+ *
+ * @param node the node
+ * @param domain where it stands
+ * @param address where it takes frames
+ * @param leaving whether it is shutting down
+ * @param configurationVersion the version in force there, 0 for none
+ * @param shards the shards that it holds
+ */
+public record NodeStatus(
+        NodeId node,
+        FailureDomain domain,
+        Address address,
+        boolean leaving,
+        long configurationVersion,
+        ImmutableList<HeldShard> shards) {
+    /** Checks the parts. */
+    public NodeStatus {
+        checkNotNull(node, "node");
+        checkNotNull(domain, "domain");
+        checkNotNull(address, "address");
+        checkNotNull(shards, "shards");
+    }
+}
--- /dev/null
+++ b/tarragonarch-model/src/main/java/org/tarragonarch/model/store/RowPage.java
@@ -0,0 +1,18 @@
+package org.tarragonarch.model.store;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import com.google.common.collect.ImmutableList;
+
+/**
+ * Rows as the store gave them.
+ *
+ * @param rows the rows
+ * @param version the store's version that they are as of; following goes on from there
+ */
+public record RowPage(ImmutableList<StoreRow> rows, long version) {
+    /** Checks the parts. */
+    public RowPage {
+        checkNotNull(rows, "rows");
+    }
+}
--- /dev/null
+++ b/tarragonarch-model/src/main/java/org/tarragonarch/model/task/EndKind.java
@@ -0,0 +1,33 @@
+package org.tarragonarch.model.task;
+
+/** How a run ended. */
+public enum EndKind {
+    /** It did its work. */
+    DONE(false, true),
+    /** It failed, by its own fault or the endpoint's. */
+    FAILED(true, true),
+    /** It was stopped by an order. */
+    STOPPED(false, false),
+    /** The endpoint's lease ran out under it. */
+    LAPSED(false, false),
+    /** Another member of its group ended, or it waited too long for the others. */
+    GROUP_BROKEN(false, false);
+
+    private final boolean countsAsAttempt;
+    private final boolean ownEnd;
+
+    EndKind(boolean countsAsAttempt, boolean ownEnd) {
+        this.countsAsAttempt = countsAsAttempt;
+        this.ownEnd = ownEnd;
+    }
+
+    /** Returns whether the end uses up one of the task's attempts. */
+    public boolean countsAsAttempt() {
+        return countsAsAttempt;
+    }
+
+    /** Returns whether the work itself came to an end, rather than being taken away. */
+    public boolean ownEnd() {
+        return ownEnd;
+    }
+}
--- /dev/null
+++ b/tarragonarch-model/src/main/java/org/tarragonarch/model/task/EndpointOrders.java
@@ -0,0 +1,20 @@
+package org.tarragonarch.model.task;
+
+import java.util.function.Consumer;
+
+/**
+ * The orders that a node gives to endpoints.
+ *
+ * <p>Each call returns at once; its reply comes exactly once, later, on the thread that called, also when the endpoint
+ * stays silent ({@link OrderResult#UNKNOWN}).
+ */
+public interface EndpointOrders {
+    /** Looks at an endpoint, and extends its lease if the order says so. */
+    void hold(EndpointEntry endpoint, HoldOrder order, Consumer<HoldAnswer> reply);
+
+    /** Starts a run. */
+    void start(EndpointEntry endpoint, StartOrder order, Consumer<OrderAnswer> reply);
+
+    /** Stops a run, on a connection of its own if {@code fresh}: the one used last may be silent for good. */
+    void stop(EndpointEntry endpoint, FencingToken token, TaskRun run, boolean fresh, Consumer<OrderAnswer> reply);
+}
--- /dev/null
+++ b/tarragonarch-model/src/main/java/org/tarragonarch/model/task/HoldAnswer.java
@@ -0,0 +1,30 @@
+package org.tarragonarch.model.task;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import com.google.common.collect.ImmutableList;
+import java.util.OptionalLong;
+
+/**
+ * The answer to a {@link HoldOrder}.
+ *
+ * @param result what became of it; the lists are empty unless it was carried out
+ * @param clockMillis the endpoint's clock as it answered
+ * @param running what runs
+ * @param ended the ends that were not yet taken note of, in order
+ */
+public record HoldAnswer(
+        OrderResult result, OptionalLong clockMillis, ImmutableList<TaskRun> running, ImmutableList<TaskEnd> ended) {
+    /** Checks the parts. */
+    public HoldAnswer {
+        checkNotNull(result, "result");
+        checkNotNull(clockMillis, "clockMillis");
+        checkNotNull(running, "running");
+        checkNotNull(ended, "ended");
+    }
+
+    /** Returns the answer of an endpoint that did not carry the order out. */
+    public static HoldAnswer failed(OrderResult result) {
+        return new HoldAnswer(result, OptionalLong.empty(), ImmutableList.of(), ImmutableList.of());
+    }
+}
--- /dev/null
+++ b/tarragonarch-model/src/main/java/org/tarragonarch/model/task/JobId.java
@@ -0,0 +1,29 @@
+package org.tarragonarch.model.task;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+import java.util.regex.Pattern;
+
+/**
+ * The name that a client chose for its job; the same name sent again means the same job.
+ *
+ * @param value 16 hexadecimal digits
+ */
+public record JobId(String value) {
+    private static final Pattern FORM = Pattern.compile("[0-9a-fA-F]{16}");
+
+    /** Checks the form. */
+    public JobId {
+        checkArgument(wellFormed(value), "'%s' is not 16 hexadecimal digits", value);
+    }
+
+    /** Returns whether the text may serve as the name of a job. */
+    public static boolean wellFormed(String value) {
+        return FORM.matcher(value).matches();
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/tarragonarch-model/src/main/java/org/tarragonarch/model/task/OrderResult.java
@@ -0,0 +1,25 @@
+package org.tarragonarch.model.task;
+
+/** What an endpoint said to an order, or that it said nothing. */
+public enum OrderResult {
+    /** Carried out, now or before. */
+    DONE,
+    /** Refused: a higher token was seen. */
+    OUTRANKED,
+    /** Refused: that run, or a later one, was stopped or has ended there. */
+    OLD_RUN,
+    /** Refused: the order came after its own time. */
+    TOO_LATE,
+    /** Refused: the task does not fit. */
+    NO_ROOM,
+    /** Refused by an endpoint that is unwell or leaving; it has done nothing. */
+    UNWELL,
+    /** Refused: another life of the endpoint answers at this address, so the one meant is over. */
+    OTHER_LIFE,
+    /** Refused as something that nobody could carry out. */
+    UNREADABLE,
+    /** The connection was refused: certainly nothing was done. */
+    NOT_SENT,
+    /** No answer: it may have been carried out, and may be yet. */
+    UNKNOWN
+}
--- /dev/null
+++ b/tarragonarch-model/src/main/java/org/tarragonarch/model/task/TaskName.java
@@ -0,0 +1,25 @@
+package org.tarragonarch.model.task;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+/**
+ * Names one task on an endpoint: the job, its occurrence, the step and the position within the step.
+ *
+ * @param text the four parts joined by dots, as endpoints list it
+ */
+public record TaskName(String text) {
+    /** Checks that there is a name. */
+    public TaskName {
+        checkNotNull(text, "text");
+    }
+
+    /** Returns the name of a task of a job that runs once. */
+    public static TaskName of(JobId job, int step, int index) {
+        return new TaskName(job.value() + ".0." + step + "." + index);
+    }
+
+    @Override
+    public String toString() {
+        return text;
+    }
+}
--- /dev/null
+++ b/tarragonarch-model/src/main/java/org/tarragonarch/model/task/Verdict.java
@@ -0,0 +1,15 @@
+package org.tarragonarch.model.task;
+
+/** What a holder says of a job that it was offered. */
+public enum Verdict {
+    /** All tasks have ended well. */
+    DONE,
+    /** A task has used up its attempts. */
+    FAILED,
+    /** Not taken: no task was started, and no task will be. */
+    DECLINED,
+    /** Given up because its answer would come too late to be of use; whatever ran is stopped. */
+    TOO_LATE,
+    /** Its holder lets go of the shard; whatever runs is left to the next holder, or to its lease. */
+    HOLD_LOST
+}
--- a/tarragonarch-wire/src/main/java/org/tarragonarch/wire/EncodedFrame.java
+++ b/tarragonarch-wire/src/main/java/org/tarragonarch/wire/EncodedFrame.java
@@ -8,6 +8,6 @@
 
     /** Returns whether the frame may be lost without harm, because a later one says the same anew. */
     boolean expendable() {
-        return frame instanceof ReportFrame;
+        return frame instanceof ReportFrame || frame instanceof StatusFrame;
     }
 }
--- /dev/null
+++ b/tarragonarch-wire/src/main/java/org/tarragonarch/wire/EndpointsCodec.java
@@ -0,0 +1,43 @@
+package org.tarragonarch.wire;
+
+import com.google.common.collect.ImmutableList;
+import org.tarragonarch.model.id.Address;
+import org.tarragonarch.model.id.EndpointId;
+import org.tarragonarch.model.id.FailureDomain;
+import org.tarragonarch.model.task.EndpointEntry;
+import org.tarragonarch.model.task.Resources;
+
+/** Reads and writes the body of an {@link EndpointsGiven}. */
+final class EndpointsCodec {
+    private EndpointsCodec() {}
+
+    static void write(FrameWriter writer, EndpointsGiven given) {
+        writer.writeCount(given.endpoints().size());
+        for (EndpointEntry entry : given.endpoints()) {
+            writer.writeText(entry.id().value())
+                    .writeText(entry.service())
+                    .writeText(entry.address().ip())
+                    .writeInt(entry.address().port())
+                    .writeText(entry.domain().value())
+                    .writeBoolean(entry.draining())
+                    .writeLong(entry.capacity().milliCores())
+                    .writeLong(entry.capacity().memoryMb())
+                    .writeLong(entry.capacity().accelerators());
+        }
+    }
+
+    static EndpointsGiven read(FrameReader reader) throws MalformedFrameException {
+        int count = reader.readCount();
+        ImmutableList.Builder<EndpointEntry> entries = ImmutableList.builder();
+        for (int i = 0; i < count; i++) {
+            EndpointId id = EndpointId.of(reader.readText());
+            String service = reader.readText();
+            Address address = new Address(reader.readText(), reader.readInt());
+            FailureDomain domain = FailureDomain.of(reader.readText());
+            boolean draining = reader.readBoolean();
+            Resources capacity = new Resources(reader.readLong(), reader.readLong(), reader.readLong());
+            entries.add(new EndpointEntry(id, service, address, domain, draining, capacity));
+        }
+        return new EndpointsGiven(entries.build());
+    }
+}
--- a/tarragonarch-wire/src/main/java/org/tarragonarch/wire/FrameCodec.java
+++ b/tarragonarch-wire/src/main/java/org/tarragonarch/wire/FrameCodec.java
@@ -28,10 +28,40 @@
                     .writeLong(asked.version().value());
         } else if (frame instanceof ConfigurationGiven given) {
             ConfigurationCodec.write(writer.writeInt(FrameType.CONFIGURATION_GIVEN.number()), given);
+        } else {
+            encodePlacing(writer, frame);
         }
         return writer.toByteArray();
     }
 
+    private static void encodePlacing(FrameWriter writer, Frame frame) {
+        if (frame instanceof StatusFrame status) {
+            StatusCodec.write(writer.writeInt(FrameType.STATUS.number()), status.status());
+        } else if (frame instanceof JobOffered offered) {
+            OfferCodec.write(writer.writeInt(FrameType.JOB_OFFERED.number()), offered);
+        } else if (frame instanceof JobSettled settled) {
+            writer.writeInt(FrameType.JOB_SETTLED.number())
+                    .writeText(settled.job().value())
+                    .writeEnum(settled.verdict())
+                    .writeLong(settled.retryMillis());
+        } else if (frame instanceof JobWithdrawn withdrawn) {
+            writer.writeInt(FrameType.JOB_WITHDRAWN.number())
+                    .writeText(withdrawn.shard().value())
+                    .writeText(withdrawn.job().value());
+        } else if (frame instanceof CancelAsked asked) {
+            writer.writeInt(FrameType.CANCEL_ASKED.number())
+                    .writeText(asked.job().value());
+        } else if (frame instanceof CancelAnswered answered) {
+            writer.writeInt(FrameType.CANCEL_ANSWERED.number())
+                    .writeText(answered.job().value())
+                    .writeBoolean(answered.known());
+        } else if (frame instanceof EndpointsAsked) {
+            writer.writeInt(FrameType.ENDPOINTS_ASKED.number());
+        } else if (frame instanceof EndpointsGiven given) {
+            EndpointsCodec.write(writer.writeInt(FrameType.ENDPOINTS_GIVEN.number()), given);
+        }
+    }
+
     /**
      * Reads a frame back.
      *
--- a/tarragonarch-wire/src/main/java/org/tarragonarch/wire/FrameType.java
+++ b/tarragonarch-wire/src/main/java/org/tarragonarch/wire/FrameType.java
@@ -2,6 +2,9 @@
 
 import java.util.Optional;
 import org.tarragonarch.model.id.ConfigurationVersion;
+import org.tarragonarch.model.id.FailureDomain;
+import org.tarragonarch.model.task.JobId;
+import org.tarragonarch.model.task.Verdict;
 
 /** The kinds of frame, each with its number on the wire and the way its body is read. */
 enum FrameType {
@@ -41,6 +44,58 @@
         Frame read(FrameReader reader, Optional<Hello> sender) throws MalformedFrameException {
             return ConfigurationCodec.read(reader);
         }
+    },
+    STATUS(7) {
+        @Override
+        Frame read(FrameReader reader, Optional<Hello> sender) throws MalformedFrameException {
+            return new StatusFrame(StatusCodec.read(reader));
+        }
+    },
+    JOB_OFFERED(8) {
+        @Override
+        Frame read(FrameReader reader, Optional<Hello> sender) throws MalformedFrameException {
+            return OfferCodec.read(reader);
+        }
+    },
+    JOB_SETTLED(9) {
+        @Override
+        Frame read(FrameReader reader, Optional<Hello> sender) throws MalformedFrameException {
+            JobId job = new JobId(reader.readText());
+            Verdict verdict = reader.readEnum(Verdict.class);
+            return new JobSettled(job, verdict, reader.readLong());
+        }
+    },
+    JOB_WITHDRAWN(10) {
+        @Override
+        Frame read(FrameReader reader, Optional<Hello> sender) throws MalformedFrameException {
+            FailureDomain shard = FailureDomain.of(reader.readText());
+            return new JobWithdrawn(shard, new JobId(reader.readText()));
+        }
+    },
+    CANCEL_ASKED(11) {
+        @Override
+        Frame read(FrameReader reader, Optional<Hello> sender) throws MalformedFrameException {
+            return new CancelAsked(new JobId(reader.readText()));
+        }
+    },
+    CANCEL_ANSWERED(12) {
+        @Override
+        Frame read(FrameReader reader, Optional<Hello> sender) throws MalformedFrameException {
+            JobId job = new JobId(reader.readText());
+            return new CancelAnswered(job, reader.readBoolean());
+        }
+    },
+    ENDPOINTS_ASKED(13) {
+        @Override
+        Frame read(FrameReader reader, Optional<Hello> sender) throws MalformedFrameException {
+            return new EndpointsAsked();
+        }
+    },
+    ENDPOINTS_GIVEN(14) {
+        @Override
+        Frame read(FrameReader reader, Optional<Hello> sender) throws MalformedFrameException {
+            return EndpointsCodec.read(reader);
+        }
     };
 
     private final int number;
--- /dev/null
+++ b/tarragonarch-wire/src/main/java/org/tarragonarch/wire/OfferCodec.java
@@ -0,0 +1,80 @@
+package org.tarragonarch.wire;
+
+import org.tarragonarch.model.id.FailureDomain;
+import org.tarragonarch.model.id.NodeId;
+import org.tarragonarch.model.task.JobId;
+import org.tarragonarch.model.task.JobRequest;
+import org.tarragonarch.model.task.Offer;
+import org.tarragonarch.model.task.QueueDefinition;
+import org.tarragonarch.model.task.Resources;
+import org.tarragonarch.model.task.TaskStep;
+
+/** Reads and writes the body of a {@link JobOffered}. */
+final class OfferCodec {
+    /** Fractions travel as whole thousandths. */
+    private static final double THOUSANDTHS = 1_000;
+
+    private OfferCodec() {}
+
+    static void write(FrameWriter writer, JobOffered offered) {
+        Offer offer = offered.offer();
+        writer.writeText(offered.shard().value())
+                .writeText(offer.asker().value())
+                .writeLong(offer.ageMillis())
+                .writeLong(offer.deadlineMillis())
+                .writeBoolean(offer.repeated());
+        writeJob(writer, offer.job());
+        writeQueue(writer, offer.queue());
+    }
+
+    static JobOffered read(FrameReader reader) throws MalformedFrameException {
+        FailureDomain shard = FailureDomain.of(reader.readText());
+        NodeId asker = NodeId.of(reader.readText());
+        long age = reader.readLong();
+        long deadline = reader.readLong();
+        boolean repeated = reader.readBoolean();
+        JobRequest job = readJob(reader);
+        return new JobOffered(shard, new Offer(job, readQueue(reader), asker, age, deadline, repeated));
+    }
+
+    private static void writeJob(FrameWriter writer, JobRequest job) {
+        TaskStep step = job.step();
+        writer.writeText(job.id().value())
+                .writeText(job.specification())
+                .writeInt(step.count())
+                .writeLong(step.perTask().milliCores())
+                .writeLong(step.perTask().memoryMb())
+                .writeLong(step.perTask().accelerators())
+                .writeLong(step.estimateMillis());
+    }
+
+    private static JobRequest readJob(FrameReader reader) throws MalformedFrameException {
+        JobId id = new JobId(reader.readText());
+        String specification = reader.readText();
+        int count = reader.readInt();
+        Resources perTask = new Resources(reader.readLong(), reader.readLong(), reader.readLong());
+        return new JobRequest(id, specification, new TaskStep(count, perTask, reader.readLong()));
+    }
+
+    private static void writeQueue(FrameWriter writer, QueueDefinition queue) {
+        writer.writeText(queue.name())
+                .writeText(queue.host())
+                .writeText(queue.prefix())
+                .writeText(queue.service())
+                .writeInt(queue.priority())
+                .writeInt(queue.attempts())
+                .writeLong(Math.round(queue.stretch() * THOUSANDTHS))
+                .writeLong(queue.objectiveMillis());
+    }
+
+    private static QueueDefinition readQueue(FrameReader reader) throws MalformedFrameException {
+        String name = reader.readText();
+        String host = reader.readText();
+        String prefix = reader.readText();
+        String service = reader.readText();
+        int priority = reader.readInt();
+        int attempts = reader.readInt();
+        double stretch = reader.readLong() / THOUSANDTHS;
+        return new QueueDefinition(name, host, prefix, service, priority, attempts, stretch, reader.readLong());
+    }
+}
--- a/tarragonarch-wire/src/main/java/org/tarragonarch/wire/PeerConnection.java
+++ b/tarragonarch-wire/src/main/java/org/tarragonarch/wire/PeerConnection.java
@@ -125,9 +125,13 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext inactive) {
-        registry.closed(this);
+        boolean last = registry.closed(this);
         queue.drain().forEach(this::giveBack);
         owner.closed(this);
+        if (last) {
+            Hello said = hello.orElseThrow();
+            listener.disconnected(said.node(), said.incarnation());
+        }
     }
 
     @Override
--- a/tarragonarch-wire/src/main/java/org/tarragonarch/wire/PeerListener.java
+++ b/tarragonarch-wire/src/main/java/org/tarragonarch/wire/PeerListener.java
@@ -20,4 +20,7 @@
      * given back nor known to have arrived; the sender needs a time-out for it.
      */
     default void undelivered(NodeId peer, Frame frame) {}
+
+    /** Notes that the last connection with a run of the peer has closed. */
+    default void disconnected(NodeId peer, Incarnation run) {}
 }
--- a/tarragonarch-wire/src/main/java/org/tarragonarch/wire/PeerNetwork.java
+++ b/tarragonarch-wire/src/main/java/org/tarragonarch/wire/PeerNetwork.java
@@ -9,6 +9,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
 import io.netty.channel.group.ChannelGroup;
 import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.nio.NioEventLoopGroup;
@@ -48,13 +49,19 @@
     private final PeerListener listener;
     private final PeerNetworkSettings settings;
     private final PeerRegistry registry;
-    private final NioEventLoopGroup group = new NioEventLoopGroup(1, new DefaultThreadFactory("peer-network", true));
-    private final EventExecutor thread = group.next();
-    private final ChannelGroup incoming = new DefaultChannelGroup(thread);
+    private final EventLoopGroup group;
+    private final boolean ownGroup;
+    private final EventExecutor thread;
+    private final ChannelGroup incoming;
     private final Map<NodeId, PeerLink> links = new HashMap<>();
     private Channel server;
 
-    private PeerNetwork(Hello own, PeerListener listener, PeerNetworkSettings settings) {
+    private PeerNetwork(
+            EventLoopGroup group, boolean ownGroup, Hello own, PeerListener listener, PeerNetworkSettings settings) {
+        this.group = group;
+        this.ownGroup = ownGroup;
+        this.thread = group.next();
+        this.incoming = new DefaultChannelGroup(thread);
         this.own = own;
         this.listener = listener;
         this.settings = settings;
@@ -81,7 +88,23 @@
     public static PeerNetwork start(
             InetSocketAddress bind, Hello own, PeerListener listener, PeerNetworkSettings settings)
             throws StepException {
-        PeerNetwork network = new PeerNetwork(own, listener, settings);
+        EventLoopGroup group = new NioEventLoopGroup(1, new DefaultThreadFactory("peer-network", true));
+        return listen(new PeerNetwork(group, true, own, listener, settings), bind);
+    }
+
+    /**
+     * Starts to listen on a thread that serves other connections too.
+     *
+     * @param group a group of one thread, on which the listener is called; it outlives this network
+     * @throws StepException if the address cannot be listened at
+     */
+    public static PeerNetwork startOn(
+            EventLoopGroup group, Address bind, Hello own, PeerListener listener, PeerNetworkSettings settings)
+            throws StepException {
+        return listen(new PeerNetwork(group, false, own, listener, settings), socketAddress(bind));
+    }
+
+    private static PeerNetwork listen(PeerNetwork network, InetSocketAddress bind) throws StepException {
         try {
             network.listen(bind);
             return network;
@@ -124,6 +147,14 @@
      */
     @Override
     public void close() {
+        if (!ownGroup) {
+            thread.execute(() -> {
+                incoming.close();
+                ImmutableList.copyOf(links.values()).forEach(link -> link.retire("closed"));
+                server.close();
+            });
+            return;
+        }
         if (!group.isShuttingDown()) {
             thread.submit(() -> {}).awaitUninterruptibly(CLOSE_TIMEOUT.toMillis());
         }
--- a/tarragonarch-wire/src/main/java/org/tarragonarch/wire/PeerRegistry.java
+++ b/tarragonarch-wire/src/main/java/org/tarragonarch/wire/PeerRegistry.java
@@ -52,7 +52,11 @@
                 .findFirst();
     }
 
-    void closed(PeerConnection connection) {
-        connection.hello().ifPresent(hello -> open.remove(hello.node(), connection));
+    /** Takes a connection out; returns whether it was the last one with its run of the peer. */
+    boolean closed(PeerConnection connection) {
+        Optional<Hello> hello = connection.hello();
+        return hello.isPresent()
+                && open.remove(hello.get().node(), connection)
+                && find(hello.get().node(), hello.get().incarnation()).isEmpty();
     }
 }
--- /dev/null
+++ b/tarragonarch-wire/src/main/java/org/tarragonarch/wire/StatusCodec.java
@@ -0,0 +1,45 @@
+package org.tarragonarch.wire;
+
+import com.google.common.collect.ImmutableList;
+import org.tarragonarch.model.id.Address;
+import org.tarragonarch.model.id.FailureDomain;
+import org.tarragonarch.model.id.NodeId;
+import org.tarragonarch.model.report.HeldShard;
+import org.tarragonarch.model.report.NodeStatus;
+import org.tarragonarch.model.task.FencingToken;
+
+/** Reads and writes the body of a {@link StatusFrame}. */
+final class StatusCodec {
+    private StatusCodec() {}
+
+    static void write(FrameWriter writer, NodeStatus status) {
+        writer.writeText(status.node().value())
+                .writeText(status.domain().value())
+                .writeText(status.address().ip())
+                .writeInt(status.address().port())
+                .writeBoolean(status.leaving())
+                .writeLong(status.configurationVersion())
+                .writeCount(status.shards().size());
+        for (HeldShard shard : status.shards()) {
+            writer.writeText(shard.domain().value())
+                    .writeLong(shard.token().value())
+                    .writeLong(shard.freeMilliCores());
+        }
+    }
+
+    static NodeStatus read(FrameReader reader) throws MalformedFrameException {
+        NodeId node = NodeId.of(reader.readText());
+        FailureDomain domain = FailureDomain.of(reader.readText());
+        Address address = new Address(reader.readText(), reader.readInt());
+        boolean leaving = reader.readBoolean();
+        long version = reader.readLong();
+        int count = reader.readCount();
+        ImmutableList.Builder<HeldShard> shards = ImmutableList.builder();
+        for (int i = 0; i < count; i++) {
+            FailureDomain shard = FailureDomain.of(reader.readText());
+            FencingToken token = new FencingToken(reader.readLong());
+            shards.add(new HeldShard(shard, token, reader.readLong()));
+        }
+        return new NodeStatus(node, domain, address, leaving, version, shards.build());
+    }
+}
