--- /dev/null
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/FakeEndpoint.java
@@ -0,0 +1,147 @@
+package org.tarragonarch.core.placing;
+
+import com.google.common.collect.ImmutableList;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import org.tarragonarch.model.task.EndKind;
+import org.tarragonarch.model.task.FencingToken;
+import org.tarragonarch.model.task.HoldAnswer;
+import org.tarragonarch.model.task.HoldOrder;
+import org.tarragonarch.model.task.OrderAnswer;
+import org.tarragonarch.model.task.OrderResult;
+import org.tarragonarch.model.task.StartOrder;
+import org.tarragonarch.model.task.TaskEnd;
+import org.tarragonarch.model.task.TaskName;
+import org.tarragonarch.model.task.TaskRun;
+
+/** One endpoint as its protocol describes it: it obeys the highest token, keeps runs under a lease and lists ends. */
+final class FakeEndpoint {
+    private static final long LONGEST_LEASE_MILLIS = 1_000;
+    private static final long STOP_MILLIS = 30;
+
+    private final VirtualTimers timers;
+    private final Ledger ledger;
+    private final long capacity;
+    private final Map<TaskRun, Long> running = new LinkedHashMap<>();
+    private final Map<TaskName, Integer> overUpTo = new HashMap<>();
+    private final List<TaskEnd> ends = new ArrayList<>();
+    private final List<Runnable> waitingLooks = new ArrayList<>();
+    private long token;
+    private long lastEnd;
+    private long leaseUntil;
+    EndKind outcome = EndKind.DONE;
+    long runMillis = 60;
+    boolean dead;
+
+    FakeEndpoint(VirtualTimers timers, Ledger ledger, long capacity) {
+        this.timers = timers;
+        this.ledger = ledger;
+        this.capacity = capacity;
+    }
+
+    long clock() {
+        return timers.nowMillis() + 77_000;
+    }
+
+    int running() {
+        return running.size();
+    }
+
+    OrderAnswer start(StartOrder order, long milliCores) {
+        OrderResult result = startResult(order);
+        if (result == OrderResult.DONE && !running.containsKey(order.run())) {
+            extend(order.leaseUntilMillis());
+            running.put(order.run(), milliCores);
+            ledger.started(order.run().task(), this);
+            ledger.checkRoom(
+                    running.values().stream().mapToLong(Long::longValue).sum(), capacity);
+            timers.after(runMillis, () -> end(order.run(), outcome));
+        }
+        return answer(result);
+    }
+
+    OrderAnswer stop(FencingToken by, TaskRun run) {
+        if (by.value() < token) {
+            return answer(OrderResult.OUTRANKED);
+        }
+        overUpTo.merge(run.task(), run.run(), Math::max);
+        timers.after(STOP_MILLIS, () -> end(run, EndKind.STOPPED));
+        return answer(OrderResult.DONE);
+    }
+
+    /** Answers at once, or as soon as there is an end or the wait is over. */
+    void hold(HoldOrder order, java.util.function.Consumer<HoldAnswer> reply) {
+        if (order.token().value() < token) {
+            reply.accept(HoldAnswer.failed(OrderResult.OUTRANKED));
+            return;
+        }
+        token = order.token().value();
+        ends.removeIf(end -> end.number() <= order.acknowledgedEnd());
+        order.leaseUntilMillis().ifPresent(this::extend);
+        if (!ends.isEmpty() || order.waitMillis() == 0) {
+            reply.accept(lists());
+            return;
+        }
+        boolean[] answered = {false};
+        Runnable answer = () -> {
+            if (!answered[0]) {
+                answered[0] = true;
+                reply.accept(lists());
+            }
+        };
+        waitingLooks.add(answer);
+        timers.after(order.waitMillis(), answer);
+    }
+
+    private OrderResult startResult(StartOrder order) {
+        if (order.token().value() < token) {
+            return OrderResult.OUTRANKED;
+        }
+        token = order.token().value();
+        if (order.leaseUntilMillis() <= clock()) {
+            return OrderResult.TOO_LATE;
+        }
+        boolean old = order.run().run() <= overUpTo.getOrDefault(order.run().task(), 0);
+        return old ? OrderResult.OLD_RUN : OrderResult.DONE;
+    }
+
+    private void extend(long until) {
+        leaseUntil = Math.max(leaseUntil, Math.min(until, clock() + LONGEST_LEASE_MILLIS));
+        timers.after(leaseUntil - clock(), this::lapseIfOver);
+    }
+
+    private void lapseIfOver() {
+        if (clock() >= leaseUntil) {
+            ImmutableList.copyOf(running.keySet()).forEach(run -> end(run, EndKind.LAPSED));
+        }
+    }
+
+    private void end(TaskRun run, EndKind kind) {
+        if (running.remove(run) == null) {
+            return;
+        }
+        ledger.ended(run.task(), this);
+        overUpTo.merge(run.task(), run.run(), Math::max);
+        lastEnd++;
+        ends.add(new TaskEnd(lastEnd, run, kind));
+        List<Runnable> looks = new ArrayList<>(waitingLooks);
+        waitingLooks.clear();
+        looks.forEach(Runnable::run);
+    }
+
+    private HoldAnswer lists() {
+        return new HoldAnswer(
+                OrderResult.DONE,
+                OptionalLong.of(clock()),
+                ImmutableList.copyOf(running.keySet()),
+                ImmutableList.copyOf(ends));
+    }
+
+    private OrderAnswer answer(OrderResult result) {
+        return new OrderAnswer(result, OptionalLong.of(clock()));
+    }
+}
--- /dev/null
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/FakeOrders.java
@@ -0,0 +1,112 @@
+package org.tarragonarch.core.placing;
+
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.tarragonarch.model.id.EndpointId;
+import org.tarragonarch.model.task.EndpointEntry;
+import org.tarragonarch.model.task.EndpointOrders;
+import org.tarragonarch.model.task.FencingToken;
+import org.tarragonarch.model.task.HoldAnswer;
+import org.tarragonarch.model.task.HoldOrder;
+import org.tarragonarch.model.task.OrderAnswer;
+import org.tarragonarch.model.task.OrderResult;
+import org.tarragonarch.model.task.StartOrder;
+import org.tarragonarch.model.task.TaskRun;
+
+/** The way to a handful of endpoints, with faults on it. */
+final class FakeOrders implements EndpointOrders {
+    /** What becomes of an order on its way. */
+    enum Way {
+        /** It arrives, and so does its answer. */
+        CLEAR,
+        /** Nothing arrives. */
+        CUT,
+        /** It arrives, and its answer is lost. */
+        ANSWER_LOST,
+        /** It arrives three seconds later, and its answer is lost. */
+        LATE
+    }
+
+    private static final long WAY_MILLIS = 1;
+    private static final long LATE_MILLIS = 3_000;
+    private static final long TIMEOUT_MILLIS = 200;
+
+    final Map<EndpointId, FakeEndpoint> endpoints = new LinkedHashMap<>();
+    final Map<EndpointId, Way> ways = new HashMap<>();
+    Supplier<Way> startWay = () -> Way.CLEAR;
+    private final VirtualTimers timers;
+    private final long milliCores;
+
+    FakeOrders(VirtualTimers timers, long milliCores) {
+        this.timers = timers;
+        this.milliCores = milliCores;
+    }
+
+    @Override
+    public void hold(EndpointEntry entry, HoldOrder order, Consumer<HoldAnswer> reply) {
+        Once<HoldAnswer> once = new Once<>(reply);
+        timers.after(order.waitMillis() + TIMEOUT_MILLIS, () -> once.give(HoldAnswer.failed(OrderResult.UNKNOWN)));
+        if (way(entry) == Way.CLEAR) {
+            timers.after(
+                    WAY_MILLIS,
+                    () -> endpoints.get(entry.id()).hold(order, answer -> {
+                        if (way(entry) == Way.CLEAR) {
+                            timers.after(WAY_MILLIS, () -> once.give(answer));
+                        }
+                    }));
+        }
+    }
+
+    @Override
+    public void start(EndpointEntry entry, StartOrder order, Consumer<OrderAnswer> reply) {
+        Way drawn = way(entry) == Way.CLEAR ? startWay.get() : way(entry);
+        send(drawn, () -> endpoints.get(entry.id()).start(order, milliCores), reply);
+    }
+
+    @Override
+    public void stop(EndpointEntry entry, FencingToken token, TaskRun run, boolean fresh, Consumer<OrderAnswer> reply) {
+        send(way(entry), () -> endpoints.get(entry.id()).stop(token, run), reply);
+    }
+
+    private Way way(EndpointEntry entry) {
+        return ways.getOrDefault(entry.id(), Way.CLEAR);
+    }
+
+    private void send(Way way, Supplier<OrderAnswer> order, Consumer<OrderAnswer> reply) {
+        Once<OrderAnswer> once = new Once<>(reply);
+        timers.after(TIMEOUT_MILLIS, () -> once.give(OrderAnswer.of(OrderResult.UNKNOWN)));
+        switch (way) {
+            case CLEAR ->
+                timers.after(WAY_MILLIS, () -> {
+                    OrderAnswer answer = order.get();
+                    timers.after(WAY_MILLIS, () -> once.give(answer));
+                });
+            case ANSWER_LOST -> timers.after(WAY_MILLIS, order::get);
+            case LATE -> timers.after(LATE_MILLIS, order::get);
+            case CUT -> {
+                // Nothing arrives.
+            }
+            default -> throw new AssertionError(way);
+        }
+    }
+
+    /** Gives the first answer alone. */
+    private static final class Once<T> {
+        private final Consumer<T> reply;
+        private boolean given;
+
+        Once(Consumer<T> reply) {
+            this.reply = reply;
+        }
+
+        void give(T answer) {
+            if (!given) {
+                given = true;
+                reply.accept(answer);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/PlacerFixture.java
@@ -0,0 +1,86 @@
+package org.tarragonarch.core.placing;
+
+import com.google.common.collect.ImmutableList;
+import java.util.ArrayList;
+import java.util.List;
+import org.tarragonarch.model.id.Address;
+import org.tarragonarch.model.id.EndpointId;
+import org.tarragonarch.model.id.FailureDomain;
+import org.tarragonarch.model.id.NodeId;
+import org.tarragonarch.model.task.EndpointEntry;
+import org.tarragonarch.model.task.FencingToken;
+import org.tarragonarch.model.task.JobId;
+import org.tarragonarch.model.task.JobRequest;
+import org.tarragonarch.model.task.Offer;
+import org.tarragonarch.model.task.QueueDefinition;
+import org.tarragonarch.model.task.Resources;
+import org.tarragonarch.model.task.TaskStep;
+import org.tarragonarch.model.task.Verdict;
+
+/** A placer with endpoints of 16 cores, for tasks of 7 cores and 60 ms: two of them fit on one endpoint. */
+final class PlacerFixture {
+    static final NodeId ASKER = NodeId.of("asker-1");
+    static final long TASK_MILLI_CORES = 7_000;
+
+    private static final Resources CAPACITY = new Resources(16_000, 32_768, 0);
+
+    final VirtualTimers timers = new VirtualTimers();
+    final Ledger ledger = new Ledger();
+    final FakeOrders orders = new FakeOrders(timers, TASK_MILLI_CORES);
+    final List<String> verdicts = new ArrayList<>();
+    final List<EndpointEntry> entries = new ArrayList<>();
+    int outranked;
+
+    PlacerFixture(int endpoints) {
+        for (int i = 1; i <= endpoints; i++) {
+            EndpointId id = EndpointId.of("w-" + i);
+            orders.endpoints.put(id, new FakeEndpoint(timers, ledger, CAPACITY.milliCores()));
+            entries.add(new EndpointEntry(
+                    id, "board", new Address("10.0.0." + i, 80), FailureDomain.of("hobart"), false, CAPACITY));
+        }
+    }
+
+    FakeEndpoint endpoint(int number) {
+        return orders.endpoints.get(EndpointId.of("w-" + number));
+    }
+
+    void way(int number, FakeOrders.Way way) {
+        orders.ways.put(EndpointId.of("w-" + number), way);
+    }
+
+    Placer placer(long term) {
+        Placer placer = new Placer(
+                FencingToken.of(term, "10.1.0.1"),
+                PlacingSettings.of(1_000, 50),
+                orders,
+                timers,
+                new PlacerListener() {
+                    @Override
+                    public void settled(NodeId asker, JobId job, Verdict verdict, long retryMillis) {
+                        verdicts.add(asker + " " + job.value().charAt(15) + " " + verdict);
+                    }
+
+                    @Override
+                    public void outranked() {
+                        outranked++;
+                    }
+                },
+                new RunTimes());
+        placer.update(ImmutableList.copyOf(entries));
+        return placer;
+    }
+
+    static JobId id(int number) {
+        return new JobId(String.format("%016x", number));
+    }
+
+    static Offer offer(int number, int tasks) {
+        return offer(number, tasks, 60, ASKER, false);
+    }
+
+    static Offer offer(int number, int tasks, long estimateMillis, NodeId asker, boolean repeated) {
+        QueueDefinition queue = new QueueDefinition("checks", "h", "/p/", "board", 0, 3, 1.6, 60);
+        TaskStep step = new TaskStep(tasks, new Resources(TASK_MILLI_CORES, 64, 0), estimateMillis);
+        return new Offer(new JobRequest(id(number), "x", step), queue, asker, 0, 3_000, repeated);
+    }
+}
--- /dev/null
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/PlacerTest.java
@@ -0,0 +1,179 @@
+package org.tarragonarch.core.placing;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import com.google.common.collect.ImmutableList;
+import org.tarragonarch.model.id.NodeId;
+import org.tarragonarch.model.task.EndKind;
+import org.testng.annotations.Test;
+
+/** One holder and its endpoints, on virtual time. */
+public final class PlacerTest {
+    @Test
+    public void testOffer_room() {
+        PlacerFixture fixture = new PlacerFixture(2);
+        Placer placer = fixture.placer(1);
+        fixture.timers.pass(20);
+        placer.offer(PlacerFixture.offer(1, 4));
+        fixture.timers.pass(100);
+        assertEquals(fixture.verdicts, ImmutableList.of("asker-1 1 DONE"));
+        assertEquals(fixture.ledger.starts(), 4);
+        assertEquals(fixture.ledger.broken(), ImmutableList.of());
+    }
+
+    @Test
+    public void testOffer_moreTasksThanRoomGoInWaves() {
+        PlacerFixture fixture = new PlacerFixture(1);
+        Placer placer = fixture.placer(1);
+        fixture.timers.pass(20);
+        placer.offer(PlacerFixture.offer(1, 3));
+        fixture.timers.pass(200);
+        assertEquals(fixture.verdicts, ImmutableList.of("asker-1 1 DONE"));
+        assertEquals(fixture.ledger.broken(), ImmutableList.of());
+    }
+
+    /**
+     * Ten callers come at once where two fit in time. Those that cannot be in time are told so at once, before anything
+     * of them was started, so that they may go elsewhere; nobody waits for a refusal.
+     */
+    @Test
+    public void testOffer_hopelessIsDeclinedAtOnce() {
+        PlacerFixture fixture = new PlacerFixture(1);
+        Placer placer = fixture.placer(1);
+        fixture.timers.pass(20);
+        for (int job = 1; job <= 10; job++) {
+            placer.offer(PlacerFixture.offer(job, 2));
+        }
+        long declined = fixture.verdicts.stream()
+                .filter(verdict -> verdict.endsWith("DECLINED"))
+                .count();
+        assertTrue(declined >= 6, fixture.verdicts.toString());
+        fixture.timers.pass(1_000);
+        assertEquals(fixture.verdicts.size(), 10);
+        assertEquals(fixture.ledger.starts(), (10 - declined) * 2);
+    }
+
+    /**
+     * A user's check is run twice at the same moment, because an order went missing on the way and was given to another
+     * endpoint, while the first one arrived three seconds later and was carried out all the same.
+     */
+    @Test
+    public void testOffer_orderCarriedOutLate() {
+        PlacerFixture fixture = new PlacerFixture(2);
+        Placer placer = fixture.placer(1);
+        fixture.timers.pass(20);
+        int[] sent = {0};
+        fixture.orders.startWay = () -> sent[0]++ == 0 ? FakeOrders.Way.LATE : FakeOrders.Way.CLEAR;
+        fixture.endpoint(1).runMillis = 4_000;
+        fixture.endpoint(2).runMillis = 4_000;
+        placer.offer(PlacerFixture.offer(1, 1, 900, PlacerFixture.ASKER, false));
+        fixture.timers.pass(6_000);
+        assertEquals(fixture.verdicts, ImmutableList.of("asker-1 1 DONE"));
+        assertEquals(fixture.ledger.starts(), 1);
+        assertEquals(fixture.ledger.broken(), ImmutableList.of());
+    }
+
+    /**
+     * An endpoint is cut off and runs on. Its tasks must not be started elsewhere until its lease has certainly run
+     * out; then they must, or the user waits for nothing.
+     */
+    @Test
+    public void testOffer_endpointCutOff() {
+        PlacerFixture fixture = new PlacerFixture(2);
+        fixture.endpoint(1).runMillis = 2_000;
+        fixture.endpoint(2).runMillis = 500;
+        Placer placer = fixture.placer(1);
+        fixture.timers.pass(20);
+        placer.offer(PlacerFixture.offer(1, 1, 2_000, PlacerFixture.ASKER, false));
+        fixture.timers.pass(100);
+        int first = fixture.endpoint(1).running() > 0 ? 1 : 2;
+        fixture.way(first, FakeOrders.Way.CUT);
+        fixture.timers.pass(2_500);
+        assertEquals(fixture.ledger.broken(), ImmutableList.of());
+        assertEquals(fixture.verdicts, ImmutableList.of("asker-1 1 DONE"));
+    }
+
+    /**
+     * A node that held the endpoints dies with work on them; the next holder would overfill them, because it knows
+     * nothing of that work. It reads the lists first, stops what it finds, and only then starts anything.
+     */
+    @Test
+    public void testClaim_earlierHolderLeftRuns() {
+        PlacerFixture fixture = new PlacerFixture(1);
+        fixture.endpoint(1).runMillis = 900;
+        Placer before = fixture.placer(1);
+        fixture.timers.pass(20);
+        before.offer(PlacerFixture.offer(1, 2, 900, PlacerFixture.ASKER, false));
+        fixture.timers.pass(50);
+        Placer next = fixture.placer(2);
+        next.offer(PlacerFixture.offer(1, 2, 900, PlacerFixture.ASKER, true));
+        fixture.timers.pass(3_000);
+        assertEquals(fixture.outranked, 1);
+        assertEquals(fixture.ledger.broken(), ImmutableList.of());
+        assertTrue(fixture.verdicts.contains("asker-1 1 DONE"), fixture.verdicts.toString());
+    }
+
+    /** A client hangs up and sends its job again at once: the second must wait until the first's runs are gone. */
+    @Test
+    public void testOffer_againWhileItsRunsAreStopped() {
+        PlacerFixture fixture = new PlacerFixture(2);
+        Placer placer = fixture.placer(1);
+        fixture.timers.pass(20);
+        placer.offer(PlacerFixture.offer(1, 2));
+        fixture.timers.pass(10);
+        placer.withdraw(PlacerFixture.ASKER, PlacerFixture.id(1));
+        placer.offer(PlacerFixture.offer(1, 2, 60, NodeId.of("asker-2"), false));
+        fixture.timers.pass(500);
+        assertEquals(fixture.verdicts, ImmutableList.of("asker-2 1 DONE"));
+        assertEquals(fixture.ledger.broken(), ImmutableList.of());
+    }
+
+    /** One endpoint fails all it starts, at once; it looks idle and must not swallow every job's attempts. */
+    @Test
+    public void testOffer_endpointThatFailsAll() {
+        PlacerFixture fixture = new PlacerFixture(3);
+        fixture.endpoint(1).outcome = EndKind.FAILED;
+        fixture.endpoint(1).runMillis = 5;
+        Placer placer = fixture.placer(1);
+        fixture.timers.pass(20);
+        for (int job = 1; job <= 9; job++) {
+            placer.offer(PlacerFixture.offer(job, 1));
+            fixture.timers.pass(150);
+        }
+        long done = fixture.verdicts.stream()
+                .filter(verdict -> verdict.endsWith("DONE"))
+                .count();
+        assertEquals(done, 9, fixture.verdicts.toString());
+        assertTrue(fixture.ledger.starts() <= 13, "starts " + fixture.ledger.starts());
+    }
+
+    /** A job whose tasks fail wherever they run is answered as failed after its attempts, and not tried for ever. */
+    @Test
+    public void testOffer_hopelessWork() {
+        PlacerFixture fixture = new PlacerFixture(2);
+        fixture.endpoint(1).outcome = EndKind.FAILED;
+        fixture.endpoint(2).outcome = EndKind.FAILED;
+        Placer placer = fixture.placer(1);
+        fixture.timers.pass(20);
+        placer.offer(PlacerFixture.offer(1, 1));
+        fixture.timers.pass(3_000);
+        assertEquals(fixture.verdicts, ImmutableList.of("asker-1 1 FAILED"));
+        assertEquals(fixture.ledger.starts(), 3);
+    }
+
+    /** The node with the client's connection dies: its job is stopped, for the client sends it again elsewhere. */
+    @Test
+    public void testAskerGone() {
+        PlacerFixture fixture = new PlacerFixture(1);
+        fixture.endpoint(1).runMillis = 900;
+        Placer placer = fixture.placer(1);
+        fixture.timers.pass(20);
+        placer.offer(PlacerFixture.offer(1, 2, 900, PlacerFixture.ASKER, false));
+        fixture.timers.pass(20);
+        placer.askerGone(PlacerFixture.ASKER);
+        fixture.timers.pass(100);
+        assertEquals(fixture.endpoint(1).running(), 0);
+        assertEquals(fixture.verdicts, ImmutableList.of());
+    }
+}
--- /dev/null
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/VirtualTimers.java
@@ -0,0 +1,38 @@
+package org.tarragonarch.core.placing;
+
+import java.util.Comparator;
+import java.util.PriorityQueue;
+import org.tarragonarch.model.task.Timers;
+
+/** Time that a test moves by hand; calls come in the order of their times, and of their making at the same time. */
+public final class VirtualTimers implements Timers {
+    private final PriorityQueue<Call> calls =
+            new PriorityQueue<>(Comparator.comparingLong(Call::at).thenComparingLong(Call::number));
+    private long now = 1_000;
+    private long made;
+
+    @Override
+    public long nowMillis() {
+        return now;
+    }
+
+    @Override
+    public Handle after(long millis, Runnable task) {
+        Call call = new Call(now + Math.max(0, millis), made++, task);
+        calls.add(call);
+        return () -> calls.remove(call);
+    }
+
+    /** Moves time on, making every call that falls due. */
+    public void pass(long millis) {
+        long until = now + millis;
+        while (!calls.isEmpty() && calls.peek().at() <= until) {
+            Call next = calls.poll();
+            now = next.at();
+            next.task().run();
+        }
+        now = until;
+    }
+
+    private record Call(long at, long number, Runnable task) {}
+}
