--- /dev/null
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/follow/TableFollowerTest.java
@@ -0,0 +1,126 @@
+package org.tarragonarch.core.follow;
+
+import static org.testng.Assert.assertEquals;
+
+import com.google.common.collect.ImmutableList;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.tarragonarch.core.placing.VirtualTimers;
+import org.tarragonarch.model.store.RowPage;
+import org.tarragonarch.model.store.RowStore;
+import org.tarragonarch.model.store.StoreResult;
+import org.tarragonarch.model.store.StoreRow;
+import org.tarragonarch.model.store.StoreTable;
+import org.testng.annotations.Test;
+
+/** Following a table whose store answers as a script says. */
+public final class TableFollowerTest {
+    private final VirtualTimers timers = new VirtualTimers();
+    private final Deque<RowStore.Reply> script = new ArrayDeque<>();
+    private final List<String> seen = new ArrayList<>();
+
+    private static RowStore.Reply page(long version, String... keys) {
+        ImmutableList.Builder<StoreRow> rows = ImmutableList.builder();
+        for (String key : keys) {
+            rows.add(new StoreRow(key, new byte[0], false));
+        }
+        return new RowStore.Reply(StoreResult.DONE, Optional.of(new RowPage(rows.build(), version)));
+    }
+
+    private void run(RowStore.Reply... replies) {
+        script.addAll(List.of(replies));
+        new TableFollower(new ScriptedStore(), StoreTable.OPERATOR, timers, new Notes(), 0).start();
+        timers.pass(10_000);
+    }
+
+    @Test
+    public void testFollow_changes() {
+        TableFollowerTest test = new TableFollowerTest();
+        test.run(page(5, "a"), page(7, "b"), page(8));
+        assertEquals(
+                test.seen, ImmutableList.of("read", "replaced [a]", "follow 5", "changed [b]", "follow 7", "follow 8"));
+    }
+
+    /** The store forgets its history: what was missed is read whole, or a configuration would never be heard of. */
+    @Test
+    public void testFollow_historyGone() {
+        TableFollowerTest test = new TableFollowerTest();
+        test.run(page(5, "a"), RowStore.Reply.of(StoreResult.HISTORY_GONE), page(90, "b"));
+        assertEquals(
+                test.seen, ImmutableList.of("read", "replaced [a]", "follow 5", "read", "replaced [b]", "follow 90"));
+    }
+
+    /** The store is away for a while: it is asked again and again, from where the follower stood. */
+    @Test
+    public void testFollow_outage() {
+        TableFollowerTest test = new TableFollowerTest();
+        RowStore.Reply silence = RowStore.Reply.of(StoreResult.UNKNOWN);
+        test.run(page(5, "a"), silence, silence, page(6, "b"));
+        assertEquals(
+                test.seen,
+                ImmutableList.of(
+                        "read",
+                        "replaced [a]",
+                        "follow 5",
+                        "lost",
+                        "follow 5",
+                        "follow 5",
+                        "regained after 600",
+                        "changed [b]",
+                        "follow 6"));
+    }
+
+    /** Answers as the script says, and not at all when it is over. */
+    private final class ScriptedStore implements RowStore {
+        @Override
+        public void read(StoreTable table, Consumer<Reply> reply) {
+            seen.add("read");
+            answer(reply);
+        }
+
+        @Override
+        public void follow(StoreTable table, long afterVersion, Consumer<Reply> reply) {
+            seen.add("follow " + afterVersion);
+            answer(reply);
+        }
+
+        @Override
+        public void put(StoreTable table, String key, byte[] value, Consumer<Reply> reply) {
+            throw new AssertionError("a follower writes nothing");
+        }
+
+        private void answer(Consumer<Reply> reply) {
+            if (!script.isEmpty()) {
+                Reply next = script.poll();
+                timers.after(0, () -> reply.accept(next));
+            }
+        }
+    }
+
+    /** Notes what a listener is told. */
+    private final class Notes implements TableListener {
+        @Override
+        public void replaced(ImmutableList<StoreRow> rows) {
+            seen.add("replaced " + rows.stream().map(StoreRow::key).toList());
+        }
+
+        @Override
+        public void changed(ImmutableList<StoreRow> rows) {
+            seen.add("changed " + rows.stream().map(StoreRow::key).toList());
+        }
+
+        @Override
+        public void lost() {
+            seen.add("lost");
+        }
+
+        @Override
+        public void regained(long awayMillis) {
+            seen.add("regained after " + awayMillis);
+        }
+    }
+}
--- /dev/null
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/handover/FakeHolders.java
@@ -0,0 +1,47 @@
+package org.tarragonarch.core.handover;
+
+import com.google.common.collect.ImmutableList;
+import java.util.ArrayList;
+import java.util.List;
+import org.tarragonarch.core.shard.ShardHolder;
+import org.tarragonarch.model.id.FailureDomain;
+import org.tarragonarch.model.id.NodeId;
+import org.tarragonarch.model.report.HeldShard;
+import org.tarragonarch.model.task.FencingToken;
+import org.tarragonarch.model.task.JobId;
+import org.tarragonarch.model.task.Offer;
+
+/** Holders that note what they are asked. */
+final class FakeHolders implements Holders {
+    static final NodeId OWN = NodeId.of("own");
+
+    final List<ShardHolder> holders = new ArrayList<>();
+    final List<String> asked = new ArrayList<>();
+
+    ShardHolder add(String node, String shard, long term) {
+        HeldShard held = new HeldShard(FailureDomain.of(shard), FencingToken.of(term, "10.0.0.1"), 1_000);
+        ShardHolder holder = new ShardHolder(NodeId.of(node), held);
+        holders.add(holder);
+        return holder;
+    }
+
+    @Override
+    public ImmutableList<ShardHolder> inOrder() {
+        return ImmutableList.copyOf(holders);
+    }
+
+    @Override
+    public void offer(ShardHolder holder, Offer offer) {
+        asked.add("offer " + holder.node() + (offer.repeated() ? " again" : ""));
+    }
+
+    @Override
+    public void withdraw(ShardHolder holder, JobId job) {
+        asked.add("withdraw " + holder.node());
+    }
+
+    @Override
+    public NodeId own() {
+        return OWN;
+    }
+}
--- /dev/null
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/handover/JobDeskTest.java
@@ -0,0 +1,197 @@
+package org.tarragonarch.core.handover;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import com.google.common.collect.ImmutableList;
+import java.util.ArrayList;
+import java.util.List;
+import org.tarragonarch.core.placing.VirtualTimers;
+import org.tarragonarch.core.shard.ShardHolder;
+import org.tarragonarch.model.id.NodeId;
+import org.tarragonarch.model.task.JobId;
+import org.tarragonarch.model.task.JobRequest;
+import org.tarragonarch.model.task.JobService;
+import org.tarragonarch.model.task.QueueDefinition;
+import org.tarragonarch.model.task.Resources;
+import org.tarragonarch.model.task.TaskStep;
+import org.tarragonarch.model.task.Verdict;
+import org.testng.annotations.Test;
+
+/** The jobs of one node's clients, with holders that come and go. */
+public final class JobDeskTest {
+    private static final JobId JOB = new JobId("00000000000000aa");
+    private static final QueueDefinition QUEUE = new QueueDefinition("q", "h", "/p/", "s", 0, 3, 1.6, 60);
+
+    private final VirtualTimers timers = new VirtualTimers();
+    private final FakeHolders holders = new FakeHolders();
+    private final JobDesk desk = new JobDesk(holders, timers, 1_050);
+    private final List<String> replies = new ArrayList<>();
+
+    private JobService.Submission submit(long deadlineMillis) {
+        TaskStep step = new TaskStep(2, new Resources(7_000, 64, 0), 60);
+        return desk.submit(
+                QUEUE,
+                new JobRequest(JOB, "x", step),
+                deadlineMillis,
+                reply -> replies.add(reply.outcome() + (reply.retryMillis() > 0 ? " " + reply.retryMillis() : "")));
+    }
+
+    private static JobDeskTest fresh() {
+        return new JobDeskTest();
+    }
+
+    @Test
+    public void testSubmit_done() {
+        JobDeskTest test = fresh();
+        test.holders.add("a", "hobart", 1);
+        test.submit(2_000);
+        test.desk.settled(NodeId.of("a"), JOB, Verdict.DONE, 0);
+        assertEquals(test.replies, ImmutableList.of("DONE"));
+        assertEquals(test.desk.openJobs(), 0);
+    }
+
+    /** Every shard declines: the client learns at once, with the soonest time at which there should be room. */
+    @Test
+    public void testSubmit_declinedByAll() {
+        JobDeskTest test = fresh();
+        test.holders.add("a", "hobart", 1);
+        test.holders.add("b", "launceston", 1);
+        test.submit(2_000);
+        test.desk.settled(NodeId.of("a"), JOB, Verdict.DECLINED, 300);
+        test.desk.settled(NodeId.of("b"), JOB, Verdict.DECLINED, 200);
+        assertEquals(test.holders.asked, ImmutableList.of("offer a", "offer b"));
+        assertEquals(test.replies, ImmutableList.of("REFUSED 200"));
+    }
+
+    /**
+     * A holder dies with a job under way. Another shard would run its tasks while the old runs still go on; so only the
+     * next holder of the same shard, who sees them, gets it until they are certainly over.
+     */
+    @Test
+    public void testNodeLost_sameShardFirst() {
+        JobDeskTest test = fresh();
+        ShardHolder lost = test.holders.add("a", "hobart", 1);
+        test.holders.add("b", "launceston", 1);
+        test.submit(4_000);
+        test.holders.holders.remove(lost);
+        test.desk.nodeLost(NodeId.of("a"));
+        assertEquals(test.holders.asked, ImmutableList.of("offer a"));
+        test.holders.add("c", "hobart", 2);
+        test.desk.holdersChanged();
+        assertEquals(test.holders.asked, ImmutableList.of("offer a", "offer c again"));
+    }
+
+    /** The lost holder's shard finds no successor: when its runs are over the job goes to another shard. */
+    @Test
+    public void testNodeLost_noSuccessor() {
+        JobDeskTest test = fresh();
+        ShardHolder lost = test.holders.add("a", "hobart", 1);
+        test.submit(4_000);
+        test.holders.holders.remove(lost);
+        test.holders.add("b", "launceston", 1);
+        test.desk.nodeLost(NodeId.of("a"));
+        test.timers.pass(1_000);
+        assertEquals(test.holders.asked, ImmutableList.of("offer a"));
+        test.timers.pass(100);
+        assertEquals(test.holders.asked, ImmutableList.of("offer a", "offer b again"));
+    }
+
+    /** A job that may have run is never said to be refused: its client would believe that nothing of it happened. */
+    @Test
+    public void testDeadline_afterHolderLost() {
+        JobDeskTest test = fresh();
+        ShardHolder lost = test.holders.add("a", "hobart", 1);
+        test.submit(800);
+        test.holders.holders.remove(lost);
+        test.desk.nodeLost(NodeId.of("a"));
+        test.timers.pass(1_000);
+        assertEquals(test.replies, ImmutableList.of("GIVEN_UP"));
+    }
+
+    /** Nobody holds anything: the truth is that the job has not run, and it is told long before the deadline. */
+    @Test
+    public void testSubmit_noHolder() {
+        JobDeskTest test = fresh();
+        test.submit(4_000);
+        test.timers.pass(600);
+        assertEquals(test.replies, ImmutableList.of("REFUSED 1000"));
+    }
+
+    @Test
+    public void testNotOffered_nextHolder() {
+        JobDeskTest test = fresh();
+        ShardHolder unreachable = test.holders.add("a", "hobart", 1);
+        test.submit(2_000);
+        test.holders.holders.remove(unreachable);
+        test.holders.add("b", "launceston", 1);
+        test.desk.notOffered(NodeId.of("a"), JOB);
+        assertEquals(test.holders.asked, ImmutableList.of("offer a", "offer b"));
+    }
+
+    /** The same job arrives a second time, after its answer: it gets the same answer and is not run again. */
+    @Test
+    public void testSubmit_againAfterItsAnswer() {
+        JobDeskTest test = fresh();
+        test.holders.add("a", "hobart", 1);
+        test.submit(2_000);
+        test.desk.settled(NodeId.of("a"), JOB, Verdict.DONE, 0);
+        test.submit(2_000);
+        assertEquals(test.replies, ImmutableList.of("DONE", "DONE"));
+        assertEquals(test.holders.asked, ImmutableList.of("offer a"));
+    }
+
+    @Test
+    public void testClientLeft_withdraws() {
+        JobDeskTest test = fresh();
+        test.holders.add("a", "hobart", 1);
+        test.submit(2_000).clientLeft();
+        assertEquals(test.holders.asked, ImmutableList.of("offer a", "withdraw a"));
+        assertEquals(test.desk.openJobs(), 0);
+    }
+
+    /** A verdict of a holder that lost the job comes late and must not answer for the one that has it now. */
+    @Test
+    public void testSettled_byFormerHolder() {
+        JobDeskTest test = fresh();
+        ShardHolder lost = test.holders.add("a", "hobart", 1);
+        test.submit(4_000);
+        test.holders.holders.remove(lost);
+        test.holders.add("c", "hobart", 2);
+        test.desk.nodeLost(NodeId.of("a"));
+        test.desk.settled(NodeId.of("a"), JOB, Verdict.DONE, 0);
+        assertEquals(test.replies, ImmutableList.of());
+    }
+
+    @Test
+    public void testCancel() {
+        JobDeskTest test = fresh();
+        test.holders.add("a", "hobart", 1);
+        test.submit(2_000);
+        assertTrue(test.desk.cancel(JOB));
+        assertFalse(test.desk.cancel(new JobId("00000000000000bb")));
+        assertEquals(test.replies, ImmutableList.of("CANCELLED"));
+        assertEquals(test.holders.asked, ImmutableList.of("offer a", "withdraw a"));
+    }
+
+    /**
+     * Operators stop a node while clients keep using their open connections to it. A job that came late was cut off
+     * without an answer when the process ended; now it is refused, and what is still open is told that it is given up.
+     */
+    @Test
+    public void testGiveUpAll_leavingNode() {
+        JobDeskTest test = fresh();
+        test.holders.add("a", "hobart", 1);
+        test.submit(4_000);
+        test.desk.takeNothingNew();
+        TaskStep step = new TaskStep(1, new Resources(7_000, 64, 0), 60);
+        test.desk.submit(
+                QUEUE,
+                new JobRequest(new JobId("00000000000000cc"), "x", step),
+                2_000,
+                reply -> test.replies.add("late " + reply.outcome()));
+        test.desk.giveUpAll();
+        assertEquals(test.replies, ImmutableList.of("late REFUSED", "GIVEN_UP"));
+    }
+}
--- /dev/null
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/shard/EndpointListTest.java
@@ -0,0 +1,58 @@
+package org.tarragonarch.core.shard;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import com.google.common.collect.ImmutableList;
+import org.tarragonarch.model.id.Address;
+import org.tarragonarch.model.id.EndpointId;
+import org.tarragonarch.model.id.FailureDomain;
+import org.tarragonarch.model.task.EndpointEntry;
+import org.tarragonarch.model.task.Resources;
+import org.testng.annotations.Test;
+
+/** The list of endpoints through outages of the store. */
+public final class EndpointListTest {
+    private static final FailureDomain HOBART = FailureDomain.of("hobart");
+
+    private static EndpointEntry entry(String id) {
+        return new EndpointEntry(
+                EndpointId.of(id), "s", new Address("10.0.0.1", 80), HOBART, false, new Resources(16_000, 0, 0));
+    }
+
+    @Test
+    public void testUnlisted_calm() {
+        EndpointList list = new EndpointList();
+        list.listed(entry("w"));
+        assertTrue(list.unlisted(EndpointId.of("w"), 100));
+        assertTrue(list.isEmpty());
+    }
+
+    /**
+     * The store was away, and every endpoint's entry lapsed meanwhile. They are deleted as it comes back and written
+     * anew within two seconds; without the wait every node would have nowhere to send its work.
+     */
+    @Test
+    public void testUnlisted_afterOutage() {
+        EndpointList list = new EndpointList();
+        list.listed(entry("back"));
+        list.listed(entry("gone"));
+        list.storeLost();
+        list.storeBack(10_000);
+        assertFalse(list.unlisted(EndpointId.of("back"), 10_010));
+        assertFalse(list.unlisted(EndpointId.of("gone"), 10_010));
+        list.listed(entry("back"));
+        assertFalse(list.expire(12_000));
+        assertEquals(list.of(HOBART).size(), 2);
+        assertTrue(list.expire(12_600));
+        assertEquals(list.of(HOBART), ImmutableList.of(entry("back")));
+    }
+
+    @Test
+    public void testListed_sameAgainIsNoChange() {
+        EndpointList list = new EndpointList();
+        assertTrue(list.listed(entry("w")));
+        assertFalse(list.listed(entry("w")));
+    }
+}
--- /dev/null
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/shard/SuccessionTest.java
@@ -0,0 +1,110 @@
+package org.tarragonarch.core.shard;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import com.google.common.collect.ImmutableList;
+import org.tarragonarch.model.id.Address;
+import org.tarragonarch.model.id.FailureDomain;
+import org.tarragonarch.model.id.NodeId;
+import org.tarragonarch.model.report.HeldShard;
+import org.tarragonarch.model.report.NodeStatus;
+import org.tarragonarch.model.task.FencingToken;
+import org.testng.annotations.Test;
+
+/** Who holds a shard when nodes come, go and cannot hear each other. */
+public final class SuccessionTest {
+    private static final FailureDomain HOBART = FailureDomain.of("hobart");
+    private static final FailureDomain LAUNCESTON = FailureDomain.of("launceston");
+
+    private static Succession succession(String node, FailureDomain domain, PeerBook book) {
+        return new Succession(NodeId.of(node), domain, "10.0.0.5", book);
+    }
+
+    private static NodeStatus status(String node, FailureDomain domain, boolean leaving, HeldShard... held) {
+        Address address = new Address("10.0.0.9", 7_000);
+        return new NodeStatus(NodeId.of(node), domain, address, leaving, 1, ImmutableList.copyOf(held));
+    }
+
+    private static HeldShard held(FailureDomain shard, long term) {
+        return new HeldShard(shard, FencingToken.of(term, "10.0.0.9"), 0);
+    }
+
+    @Test
+    public void testShouldClaim_firstOfItsDomain() {
+        PeerBook book = new PeerBook();
+        book.heard(status("b", HOBART, false), 0);
+        assertTrue(succession("a", HOBART, book).shouldClaim(HOBART, 0));
+        assertFalse(succession("c", HOBART, book).shouldClaim(HOBART, 0));
+    }
+
+    @Test
+    public void testShouldClaim_leavingNodeIsPassedOver() {
+        PeerBook book = new PeerBook();
+        book.heard(status("b", HOBART, true), 0);
+        assertTrue(succession("c", HOBART, book).shouldClaim(HOBART, 0));
+    }
+
+    /** A domain is cut off and goes on by itself; nodes outside must not take its endpoints the moment they miss it. */
+    @Test
+    public void testShouldClaim_otherDomainWaits() {
+        PeerBook book = new PeerBook();
+        Succession outside = succession("a", HOBART, book);
+        assertFalse(outside.shouldClaim(LAUNCESTON, 0));
+        assertFalse(outside.shouldClaim(LAUNCESTON, 2_900));
+        assertTrue(outside.shouldClaim(LAUNCESTON, 3_000));
+    }
+
+    @Test
+    public void testShouldClaim_holderDies() {
+        PeerBook book = new PeerBook();
+        Succession next = succession("b", HOBART, book);
+        book.heard(status("a", HOBART, false, held(HOBART, 7)), 0);
+        assertFalse(next.shouldClaim(HOBART, 100));
+        book.lost(NodeId.of("a"));
+        assertTrue(next.shouldClaim(HOBART, 200));
+        assertEquals(next.claim(HOBART, 0).term(), 8);
+    }
+
+    @Test
+    public void testExpire_silentPeer() {
+        PeerBook book = new PeerBook();
+        book.heard(status("a", HOBART, false, held(HOBART, 7)), 0);
+        assertEquals(book.expire(PeerBook.SILENCE_MILLIS), ImmutableList.of());
+        assertEquals(book.expire(PeerBook.SILENCE_MILLIS + 1), ImmutableList.of(NodeId.of("a")));
+        assertTrue(book.holder(HOBART).isEmpty());
+    }
+
+    /** A node of another domain kept a shard while its own nodes were away; they take it back when they are there. */
+    @Test
+    public void testShouldResign_homeNodeIsBack() {
+        PeerBook book = new PeerBook();
+        Succession outside = succession("a", HOBART, book);
+        outside.claim(LAUNCESTON, 0);
+        assertFalse(outside.shouldResign(LAUNCESTON));
+        book.heard(status("l", LAUNCESTON, false), 0);
+        assertTrue(outside.shouldResign(LAUNCESTON));
+    }
+
+    /** Two nodes that do not hear each other would take the endpoints from one another for ever. */
+    @Test
+    public void testOutranked_keepsAway() {
+        PeerBook book = new PeerBook();
+        Succession alone = succession("a", HOBART, book);
+        alone.claim(HOBART, 0);
+        alone.outranked(HOBART, 1_000);
+        assertFalse(alone.shouldClaim(HOBART, 3_900));
+        assertTrue(alone.shouldClaim(HOBART, 4_000));
+    }
+
+    /** A restarted node remembers nothing; its tokens must still be above those of its earlier life. */
+    @Test
+    public void testClaim_termFollowsTheTimeOfDay() {
+        Succession before = succession("a", HOBART, new PeerBook());
+        Succession after = succession("a", HOBART, new PeerBook());
+        FencingToken first = before.claim(HOBART, 1_700_000_000_000L);
+        FencingToken second = after.claim(HOBART, 1_700_000_000_500L);
+        assertTrue(second.compareTo(first) > 0);
+    }
+}
--- /dev/null
+++ b/tarragonarch-entry/src/test/java/org/tarragonarch/entry/cluster/PeerExchangeTest.java
@@ -0,0 +1,120 @@
+package org.tarragonarch.entry.cluster;
+
+import static org.testng.Assert.assertEquals;
+
+import com.google.common.collect.ImmutableList;
+import java.util.ArrayList;
+import java.util.List;
+import org.tarragonarch.core.shard.PeerBook;
+import org.tarragonarch.model.id.FailureDomain;
+import org.tarragonarch.model.id.Incarnation;
+import org.tarragonarch.model.id.NodeId;
+import org.tarragonarch.model.report.NodeStatus;
+import org.tarragonarch.model.task.EndpointEntry;
+import org.tarragonarch.model.task.JobId;
+import org.tarragonarch.model.task.Offer;
+import org.tarragonarch.model.task.Verdict;
+import org.tarragonarch.wire.JobSettled;
+import org.tarragonarch.wire.JobWithdrawn;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Frames of peers, each turned into the one call that it stands for. */
+public final class PeerExchangeTest {
+    private static final NodeId PEER = NodeId.of("peer");
+    private static final JobId JOB = new JobId("00000000000000aa");
+
+    private final List<String> calls = new ArrayList<>();
+    private final PeerExchange exchange = new PeerExchange(new PeerBook(), new Notes());
+
+    @BeforeMethod
+    public void forget() {
+        calls.clear();
+    }
+
+    /**
+     * Every answer was late and the nodes used half a core each while hardly anything was asked of them: a verdict that
+     * came from a holder was passed on like one that had been reached here, that is back to the holder, which sent it
+     * back again. A verdict that comes ends at the desk.
+     */
+    @Test
+    public void testReceived_verdictIsForThisNode() {
+        exchange.received(PEER, Incarnation.of(1), new JobSettled(JOB, Verdict.DONE, 0));
+        assertEquals(calls, ImmutableList.of("verdict of peer DONE"));
+    }
+
+    @Test
+    public void testReceived_withdrawal() {
+        exchange.received(PEER, Incarnation.of(1), new JobWithdrawn(FailureDomain.of("hobart"), JOB));
+        assertEquals(calls, ImmutableList.of("withdrawn by peer"));
+    }
+
+    /** Notes the calls. */
+    private final class Notes implements PeerCalls {
+        @Override
+        public void status(NodeStatus status) {
+            calls.add("status");
+        }
+
+        @Override
+        public void lost(NodeId peer, String reason) {
+            calls.add("lost");
+        }
+
+        @Override
+        public void offered(FailureDomain shard, Offer offer) {
+            calls.add("offered");
+        }
+
+        @Override
+        public void notOffered(NodeId peer, JobId job) {
+            calls.add("not offered");
+        }
+
+        @Override
+        public void verdictCame(NodeId holder, JobId job, Verdict verdict, long retryMillis) {
+            calls.add("verdict of " + holder + " " + verdict);
+        }
+
+        @Override
+        public void withdrawn(NodeId peer, FailureDomain shard, JobId job) {
+            calls.add("withdrawn by " + peer);
+        }
+
+        @Override
+        public boolean cancelled(JobId job) {
+            calls.add("cancelled");
+            return false;
+        }
+
+        @Override
+        public void cancelAnswered(JobId job, boolean known) {
+            calls.add("cancel answered");
+        }
+
+        @Override
+        public byte[] configurationText() {
+            return new byte[0];
+        }
+
+        @Override
+        public long configurationVersion() {
+            return 0;
+        }
+
+        @Override
+        public void configurationGiven(NodeId peer, byte[] text) {
+            calls.add("configuration");
+        }
+
+        @Override
+        public ImmutableList<EndpointEntry> endpoints() {
+            return ImmutableList.of();
+        }
+
+        @Override
+        public void endpointsGiven(ImmutableList<EndpointEntry> endpoints) {
+            calls.add("endpoints");
+        }
+    }
+}
--- a/tarragonarch-wire/src/test/java/org/tarragonarch/wire/FrameCodecTest.java
+++ b/tarragonarch-wire/src/test/java/org/tarragonarch/wire/FrameCodecTest.java
@@ -6,6 +6,7 @@
 import static org.testng.Assert.expectThrows;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.Iterables;
 import com.google.common.hash.Hashing;
 import com.google.common.io.BaseEncoding;
 import com.google.common.primitives.Bytes;
@@ -23,7 +24,7 @@
 public final class FrameCodecTest {
     @DataProvider
     public Object[] frames() {
-        return Samples.every().toArray();
+        return Iterables.toArray(Iterables.concat(Samples.every(), PlacingSamples.every()), Frame.class);
     }
 
     @Test(dataProvider = "frames")
--- /dev/null
+++ b/tarragonarch-wire/src/test/java/org/tarragonarch/wire/PlacingSamples.java
@@ -0,0 +1,53 @@
+package org.tarragonarch.wire;
+
+import com.google.common.collect.ImmutableList;
+import org.tarragonarch.model.id.Address;
+import org.tarragonarch.model.id.EndpointId;
+import org.tarragonarch.model.id.FailureDomain;
+import org.tarragonarch.model.id.NodeId;
+import org.tarragonarch.model.report.HeldShard;
+import org.tarragonarch.model.report.NodeStatus;
+import org.tarragonarch.model.task.EndpointEntry;
+import org.tarragonarch.model.task.FencingToken;
+import org.tarragonarch.model.task.JobId;
+import org.tarragonarch.model.task.JobRequest;
+import org.tarragonarch.model.task.Offer;
+import org.tarragonarch.model.task.QueueDefinition;
+import org.tarragonarch.model.task.Resources;
+import org.tarragonarch.model.task.TaskStep;
+import org.tarragonarch.model.task.Verdict;
+
+/** Frames of the hand-over of jobs, one of each kind and of each shape that matters. */
+final class PlacingSamples {
+    private static final FailureDomain SHARD = FailureDomain.of("hobart");
+    private static final NodeId NODE = NodeId.of("front-hobart-1");
+    private static final JobId JOB = new JobId("5c0e7a21d94b36f8");
+    private static final Address ADDRESS = new Address("10.1.0.13", 7_720);
+
+    private PlacingSamples() {}
+
+    static ImmutableList<Frame> every() {
+        HeldShard held = new HeldShard(SHARD, new FencingToken((1L << 53) + 1), 176_000);
+        NodeStatus holding = new NodeStatus(NODE, SHARD, ADDRESS, false, 12, ImmutableList.of(held));
+        NodeStatus leaving = new NodeStatus(NODE, SHARD, ADDRESS, true, 0, ImmutableList.of());
+        Resources capacity = new Resources(16_000, 32_768, 1);
+        EndpointEntry entry = new EndpointEntry(EndpointId.of("i-1"), "board", ADDRESS, SHARD, true, capacity);
+        return ImmutableList.of(
+                new StatusFrame(holding),
+                new StatusFrame(leaving),
+                new JobOffered(SHARD, offer()),
+                new JobSettled(JOB, Verdict.DECLINED, 250),
+                new JobWithdrawn(SHARD, JOB),
+                new CancelAsked(JOB),
+                new CancelAnswered(JOB, true),
+                new EndpointsAsked(),
+                new EndpointsGiven(ImmutableList.of()),
+                new EndpointsGiven(ImmutableList.of(entry)));
+    }
+
+    private static Offer offer() {
+        QueueDefinition queue = new QueueDefinition("q", "h", "/p/", "board", 2, 4, 1.6, 60);
+        TaskStep step = new TaskStep(8, new Resources(6_800, 64, 0), 0);
+        return new Offer(new JobRequest(JOB, "\u2013 text", step), queue, NODE, 3, 1_500, true);
+    }
+}
