--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/HeldEndpoint.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/HeldEndpoint.java
@@ -118,6 +118,19 @@
         return read && strangers.isEmpty();
     }
 
+    /** Returns whether any look was ever answered. */
+    boolean answered() {
+        return read;
+    }
+
+    /**
+     * Returns whether the endpoint will most likely take tasks within moments, because its first look is under way or
+     * what an earlier holder left there is being stopped.
+     */
+    boolean opening() {
+        return !closed && !retired && !entry.draining() && !silent && !known();
+    }
+
     boolean takes(Resources need, long nowMillis) {
         return known()
                 && !silent
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/Placer.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/Placer.java
@@ -33,6 +33,9 @@
     /** When to come back to a shard without endpoints: about what a takeover or a restart takes. */
     private static final long IMPOSSIBLE_RETRY_MILLIS = 1_000;
 
+    /** How long endpoints may be silent before a node takes them for out of its reach: three looks. */
+    private static final long REACH_MILLIS = 600;
+
     /** How often a job that waits for earlier runs to end is looked at: a fraction of the time that a stop takes. */
     private static final long RECHECK_MILLIS = 10;
 
@@ -229,20 +232,41 @@
         fill();
     }
 
-    /** Returns when to come back if the job cannot be in time here. */
+    /** Returns whether no endpoint has answered although this node has asked them for long enough. */
+    public boolean outOfReach() {
+        if (timers.nowMillis() - openedAtMillis < REACH_MILLIS) {
+            return false;
+        }
+        for (HeldEndpoint endpoint : endpoints.values()) {
+            if (endpoint.answered()) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /**
+     * Returns when to come back if the job cannot be in time here.
+     *
+     * <p>An endpoint that is just being opened counts as room that is taken: right after a takeover or a restart every
+     * endpoint is, for some 50 ms, and a job that waits that long is mostly still in time.
+     */
     private Optional<Long> retryIfHopeless(PlacedJob job, long now) {
         long capacity = 0;
         long places = 0;
         long freePlaces = 0;
         for (HeldEndpoint endpoint : endpoints.values()) {
-            if (!endpoint.takes(Resources.NONE, now)
+            boolean usable = endpoint.takes(Resources.NONE, now);
+            if (!usable && !endpoint.opening()
                     || !endpoint.entry().service().equals(job.queue().service())) {
                 continue;
             }
             long perTask = Math.max(1, job.need().milliCores());
             capacity += endpoint.entry().capacity().milliCores();
             places += endpoint.entry().capacity().milliCores() / perTask;
-            freePlaces += job.need().fitsInto(endpoint.free()) ? endpoint.free().milliCores() / perTask : 0;
+            freePlaces += usable && job.need().fitsInto(endpoint.free())
+                    ? endpoint.free().milliCores() / perTask
+                    : 0;
         }
         if (places == 0) {
             return Optional.of(IMPOSSIBLE_RETRY_MILLIS);
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/PeerBook.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/PeerBook.java
@@ -81,11 +81,22 @@
         return highest;
     }
 
-    /** Returns the peer that holds the shard under the highest token, of those that are there. */
+    /**
+     * Returns the peer that holds the shard, of those that are there.
+     *
+     * <p>Right after a cut has healed there may be two: a node of the shard's own failure domain goes before one of
+     * another, and then the higher token.
+     */
     public Optional<ShardHolder> holder(FailureDomain shard) {
+        Optional<ShardHolder> home = highest(shard, true);
+        return home.isPresent() ? home : highest(shard, false);
+    }
+
+    private Optional<ShardHolder> highest(FailureDomain shard, boolean home) {
         Optional<ShardHolder> best = Optional.empty();
         for (Heard heard : peers.values()) {
-            Optional<HeldShard> held = heard.present() ? heard.held(shard) : Optional.empty();
+            boolean counts = heard.present() && heard.status().domain().equals(shard) == home;
+            Optional<HeldShard> held = counts ? heard.held(shard) : Optional.empty();
             if (held.isPresent()
                     && best.filter(known -> known.beats(held.get())).isEmpty()) {
                 best = Optional.of(new ShardHolder(heard.status().node(), held.get()));
@@ -94,6 +105,12 @@
         return best;
     }
 
+    /** Returns whether the peer, as last heard, stands in the failure domain. */
+    public boolean standsIn(NodeId peer, FailureDomain domain) {
+        Heard heard = peers.get(peer);
+        return heard != null && heard.status().domain().equals(domain);
+    }
+
     /** What was last heard of one peer, and when. */
     private record Heard(NodeStatus status, long atMillis, boolean present) {
         Heard gone() {
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/ShardKeeper.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/ShardKeeper.java
@@ -66,6 +66,10 @@
             if (succession.shouldResign(shard)) {
                 resign(shard);
                 changed = true;
+            } else if (outOfReach(shard)) {
+                resign(shard);
+                succession.unreachable(shard, timers.nowMillis());
+                changed = true;
             } else if (!endpoints.isEmpty() && succession.shouldClaim(shard, timers.nowMillis())) {
                 claim(shard);
                 changed = true;
@@ -103,6 +107,11 @@
         return held.build();
     }
 
+    private boolean outOfReach(FailureDomain shard) {
+        Placer placer = placers.get(shard);
+        return placer != null && !succession.isHome(shard) && placer.outOfReach();
+    }
+
     private void claim(FailureDomain shard) {
         FencingToken token = succession.claim(shard, wallMillis.getAsLong());
         RunTimes known = runTimes.computeIfAbsent(shard, unused -> new RunTimes());
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/Succession.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/Succession.java
@@ -60,6 +60,11 @@
         return Optional.ofNullable(held.get(shard));
     }
 
+    /** Returns whether the shard is that of this node's own failure domain. */
+    public boolean isHome(FailureDomain shard) {
+        return ownDomain.equals(shard);
+    }
+
     /**
      * Returns whether this node should claim the shard now.
      *
@@ -78,16 +83,35 @@
         return patient && nowMillis >= keepAwayUntil.getOrDefault(shard, Long.MIN_VALUE) && firstInLine(shard);
     }
 
-    /** Returns whether this node holds the shard but should let go of it for another. */
+    /**
+     * Returns whether this node holds the shard but should let go of it for another.
+     *
+     * <p>A node of the shard's own failure domain does not yield to one of another: that one claimed the shard while
+     * the domain was cut off, and lets go of it as soon as it hears this node.
+     */
     public boolean shouldResign(FailureDomain shard) {
         FencingToken token = held.get(shard);
         if (token == null) {
             return false;
         }
-        boolean outranked = peers.holder(shard)
+        if (!ownDomain.equals(shard) && homeNodePresent(shard)) {
+            return true;
+        }
+        return peers.holder(shard)
                 .filter(other -> other.held().token().compareTo(token) > 0)
+                .filter(other -> !ownDomain.equals(shard) || peers.standsIn(other.node(), shard))
                 .isPresent();
-        return outranked || !ownDomain.equals(shard) && homeNodePresent(shard);
+    }
+
+    /**
+     * Lets go of a shard none of whose endpoints can be reached from here, and keeps away from it for a while.
+     *
+     * <p>Guards against taking the endpoints of a domain that is cut off and goes on by itself: the orders of the node
+     * outside would arrive as the cut heals, and stop all that runs there.
+     */
+    public void unreachable(FailureDomain shard, long nowMillis) {
+        held.remove(shard);
+        keepAwayUntil.put(shard, nowMillis + OUTRANKED_PAUSE_MILLIS);
     }
 
     /**
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/PlacerTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/PlacerTest.java
@@ -176,4 +176,32 @@
         assertEquals(fixture.endpoint(1).running(), 0);
         assertEquals(fixture.verdicts, ImmutableList.of());
     }
+
+    /**
+     * Right after all nodes lost power every endpoint has to be read first. Jobs that came in those 50 ms were refused,
+     * at every shard, although the room was about to be known.
+     */
+    @Test
+    public void testOffer_whileEndpointsAreBeingOpened() {
+        PlacerFixture fixture = new PlacerFixture(2);
+        Placer placer = fixture.placer(1);
+        placer.offer(PlacerFixture.offer(1, 2));
+        fixture.timers.pass(200);
+        assertEquals(fixture.verdicts, ImmutableList.of("asker-1 1 DONE"));
+    }
+
+    @Test
+    public void testOutOfReach() {
+        PlacerFixture fixture = new PlacerFixture(2);
+        fixture.way(1, FakeOrders.Way.CUT);
+        fixture.way(2, FakeOrders.Way.CUT);
+        Placer placer = fixture.placer(1);
+        fixture.timers.pass(500);
+        assertEquals(placer.outOfReach(), false);
+        fixture.timers.pass(200);
+        assertEquals(placer.outOfReach(), true);
+        fixture.way(2, FakeOrders.Way.CLEAR);
+        fixture.timers.pass(1_500);
+        assertEquals(placer.outOfReach(), false);
+    }
 }
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/shard/SuccessionTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/shard/SuccessionTest.java
@@ -107,4 +107,45 @@
         FencingToken second = after.claim(HOBART, 1_700_000_000_500L);
         assertTrue(second.compareTo(first) > 0);
     }
+
+    /**
+     * A domain was cut off for six seconds and went on by itself, while a node outside claimed its shard in vain. As
+     * the cut healed, the domain's own holder gave way to the higher token, and everything that ran there was stopped.
+     */
+    @Test
+    public void testShouldResign_homeHolderKeepsItsShardAfterACut() {
+        PeerBook book = new PeerBook();
+        Succession home = succession("l", LAUNCESTON, book);
+        home.claim(LAUNCESTON, 0);
+        book.heard(status("a", HOBART, false, held(LAUNCESTON, 99)), 0);
+        assertFalse(home.shouldResign(LAUNCESTON));
+    }
+
+    @Test
+    public void testShouldResign_homeHolderYieldsToAnotherOfItsDomain() {
+        PeerBook book = new PeerBook();
+        Succession home = succession("l", LAUNCESTON, book);
+        home.claim(LAUNCESTON, 0);
+        book.heard(status("m", LAUNCESTON, false, held(LAUNCESTON, 99)), 0);
+        assertTrue(home.shouldResign(LAUNCESTON));
+    }
+
+    @Test
+    public void testHolder_homeBeforeHigherToken() {
+        PeerBook book = new PeerBook();
+        book.heard(status("l", LAUNCESTON, false, held(LAUNCESTON, 3)), 0);
+        book.heard(status("a", HOBART, false, held(LAUNCESTON, 99)), 0);
+        assertEquals(book.holder(LAUNCESTON).orElseThrow().node(), NodeId.of("l"));
+    }
+
+    @Test
+    public void testUnreachable_keepsAway() {
+        PeerBook book = new PeerBook();
+        Succession outside = succession("a", HOBART, book);
+        assertFalse(outside.shouldClaim(LAUNCESTON, 0));
+        outside.claim(LAUNCESTON, 0);
+        outside.unreachable(LAUNCESTON, 4_000);
+        assertFalse(outside.shouldClaim(LAUNCESTON, 6_900));
+        assertTrue(outside.shouldClaim(LAUNCESTON, 7_000));
+    }
 }
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ClusterNode.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ClusterNode.java
@@ -60,10 +60,13 @@
     private static final long REVIEW_MILLIS = PeerBook.STATUS_PERIOD_MILLIS / 2;
 
     /**
-     * How long a node looks for its peers before it claims anything, in milliseconds: a write, a read and a connection
-     * take some 50, and nodes start within 300 of one another.
+     * How long a node that knows where its peers are waits to hear them before it claims anything, in milliseconds: a
+     * connection and the statuses over it take some 50 on a node that has just started.
      */
-    private static final long DISCOVERY_MILLIS = 600;
+    private static final long DISCOVERY_MILLIS = 200;
+
+    /** How long a node tries to learn where its peers are; with the store away it then goes on alone. */
+    private static final long LONGEST_DISCOVERY_MILLIS = 1_500;
 
     /**
      * How often the list of endpoints is read, in milliseconds. Every endpoint writes its entry every 1.5 s, so hearing
@@ -216,7 +219,7 @@
         if (endpoints.expire(now)) {
             keeper.endpointsChanged();
         }
-        if (!leaving && now - startedAtMillis >= DISCOVERY_MILLIS && keeper.review()) {
+        if (!leaving && discovered(now) && keeper.review()) {
             holdersChanged();
         }
         if (now - statusSentAtMillis >= PeerBook.STATUS_PERIOD_MILLIS) {
@@ -225,6 +228,11 @@
         timers.after(REVIEW_MILLIS, this::review);
     }
 
+    private boolean discovered(long now) {
+        boolean heard = directory.complete() && now - directory.completeAtMillis() >= DISCOVERY_MILLIS;
+        return heard || now - startedAtMillis >= LONGEST_DISCOVERY_MILLIS;
+    }
+
     private void holdersChanged() {
         sendStatus();
         desk.holdersChanged();
@@ -266,7 +274,7 @@
         if (endpoints.isEmpty() && joined) {
             exchange.send(status.node(), new EndpointsAsked());
         }
-        if (!leaving && now - startedAtMillis >= DISCOVERY_MILLIS && keeper.review()) {
+        if (!leaving && discovered(now) && keeper.review()) {
             sendStatus();
         }
         if (desk.seeking()) {
@@ -279,7 +287,7 @@
         log.line("peer-lost", "peer", peer, "reason", reason);
         keeper.nodeLost(peer);
         desk.nodeLost(peer);
-        if (!leaving && keeper.review()) {
+        if (!leaving && discovered(timers.nowMillis()) && keeper.review()) {
             holdersChanged();
         }
     }
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/NodeDirectory.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/NodeDirectory.java
@@ -26,6 +26,7 @@
     private final BiConsumer<NodeId, Address> located;
     private final DecisionLog log;
     private boolean read;
+    private long completeAtMillis;
 
     NodeDirectory(
             RowStore store,
@@ -58,6 +59,11 @@
         return read;
     }
 
+    /** Returns when the others were read; meaningful once they were. */
+    long completeAtMillis() {
+        return completeAtMillis;
+    }
+
     private void readAll() {
         store.read(StoreTable.NODES, reply -> {
             if (reply.result() != StoreResult.DONE) {
@@ -65,6 +71,7 @@
                 return;
             }
             read = true;
+            completeAtMillis = timers.nowMillis();
             reply.page().orElseThrow().rows().forEach(this::locate);
         });
     }
