Let jobs that can still be in time go before those that cannot

The line was ordered by the latest start alone, so jobs that were late already stood before all others and made each of them late in turn; and waits were reckoned in cores, though 16 cores hold two tasks of 6.8 and no third of one.

Change: a job that cannot be in time goes behind those that can; waits are reckoned in places, without what is overdue.

--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/JobLine.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/JobLine.java
@@ -11,7 +11,7 @@
  * job that is partly started stays in its place, so it is finished rather than left behind by newer ones.
  */
 final class JobLine {
-    private static final Comparator<PlacedJob> BY_LATEST_START = Comparator.comparingLong(JobLine::latestStart)
+    private static final Comparator<PlacedJob> BY_LATEST_START = Comparator.comparingLong(PlacedJob::latestStartMillis)
             .thenComparing(job -> job.id().value());
 
     private final TreeSet<PlacedJob> jobs = new TreeSet<>(BY_LATEST_START);
@@ -32,16 +32,12 @@
         return jobs.isEmpty();
     }
 
-    /** Returns the work that waits, in thousandths of a core times milliseconds. */
-    long waitingWork() {
+    /** Returns the run times of the waiting tasks that a new job has to let pass, added up. */
+    long waitingTaskMillis(long nowMillis) {
         long work = 0;
         for (PlacedJob job : jobs) {
-            work += job.waitingMilliCoreMillis();
+            work += job.overdueAt(nowMillis) ? 0 : job.waitingTaskMillis();
         }
         return work;
     }
-
-    private static long latestStart(PlacedJob job) {
-        return job.times().inTimeMillis() - job.expectedRunMillis();
-    }
 }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacedJob.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacedJob.java
@@ -12,6 +12,9 @@
 
 /** A job that this holder took, from its offer to its verdict. */
 final class PlacedJob {
+    /** The part of an expected run time by which it may be wrong before a job is taken for overdue. */
+    private static final int ESTIMATE_SLACK_PARTS = 4;
+
     private final Offer offer;
     private final ImmutableList<PlacedTask> tasks;
     private final long expectedRunMillis;
@@ -121,8 +124,30 @@
         return unfinished == 0;
     }
 
-    long waitingMilliCoreMillis() {
-        return waitingTasks() * need().milliCores() * expectedRunMillis;
+    /** Returns the run times of the tasks that wait, added up. */
+    long waitingTaskMillis() {
+        return waitingTasks() * expectedRunMillis;
+    }
+
+    /** Returns when the last task has to start if the answer is to be in time. */
+    long latestStartMillis() {
+        return times.inTimeMillis() - expectedRunMillis;
+    }
+
+    /**
+     * Returns whether the answer will not be in time even if all starts now.
+     *
+     * <p>Such a job goes behind those that still can be. In the order of urgency it would stand before them, so that in
+     * a burst each job would wait for one that is late already, and come late itself. Estimates are off by a third or
+     * so, which is why a job counts as overdue only somewhat after its time.
+     */
+    boolean overdueAt(long nowMillis) {
+        return nowMillis > latestStartMillis() + expectedRunMillis / ESTIMATE_SLACK_PARTS;
+    }
+
+    /** Returns whether an answer would most likely come when it is of no use any more. */
+    boolean hopelessAt(long nowMillis) {
+        return !over && nowMillis + expectedRunMillis / 2 > times.lastUseMillis();
     }
 
     private long waitingTasks() {
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/Placer.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/Placer.java
@@ -252,7 +252,6 @@
      * endpoint is, for some 50 ms, and a job that waits that long is mostly still in time.
      */
     private Optional<Long> retryIfHopeless(PlacedJob job, long now) {
-        long capacity = 0;
         long places = 0;
         long freePlaces = 0;
         for (HeldEndpoint endpoint : endpoints.values()) {
@@ -262,7 +261,6 @@
                 continue;
             }
             long perTask = Math.max(1, job.need().milliCores());
-            capacity += endpoint.entry().capacity().milliCores();
             places += endpoint.entry().capacity().milliCores() / perTask;
             freePlaces += usable && job.need().fitsInto(endpoint.free())
                     ? endpoint.free().milliCores() / perTask
@@ -272,8 +270,8 @@
             return Optional.of(IMPOSSIBLE_RETRY_MILLIS);
         }
         long missing = Math.max(0, job.step().count() - freePlaces);
-        long ahead = line.waitingWork() + missing * job.need().milliCores() * job.expectedRunMillis();
-        long wait = missing == 0 && line.isEmpty() ? 0 : ahead / capacity;
+        long ahead = line.waitingTaskMillis(now) + missing * job.expectedRunMillis();
+        long wait = missing == 0 && line.isEmpty() ? 0 : ahead / places;
         long end = now + wait + job.expectedRunMillis();
         return end > Math.min(job.times().inTimeMillis(), job.times().deadlineMillis())
                 ? Optional.of(wait)
@@ -302,20 +300,24 @@
             return;
         }
         long now = timers.nowMillis();
-        long roomiest = roomiestMilliCores(now);
+        List<PlacedJob> overdue = new ArrayList<>();
         for (PlacedJob job : line.inOrder()) {
-            if (job.over()) {
-                continue;
-            }
-            if (now + job.expectedRunMillis() / 2 > job.times().lastUseMillis()) {
+            if (job.hopelessAt(now)) {
                 settle(job, job.everStarted() ? Verdict.TOO_LATE : Verdict.DECLINED);
-            } else if (job.need().milliCores() <= roomiest) {
-                if (startWaiting(job, now)) {
-                    line.remove(job);
-                }
-                roomiest = roomiestMilliCores(now);
+            } else if (job.overdueAt(now)) {
+                overdue.add(job);
+            } else {
+                startIfRoom(job, now);
             }
         }
+        overdue.forEach(job -> startIfRoom(job, now));
+    }
+
+    private void startIfRoom(PlacedJob job, long now) {
+        boolean room = !job.over() && job.need().milliCores() <= roomiestMilliCores(now);
+        if (room && startWaiting(job, now)) {
+            line.remove(job);
+        }
     }
 
     /** Returns the most processor time that one endpoint has free; most of a long line needs no closer look. */
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/PlacerTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/PlacerTest.java
@@ -204,4 +204,25 @@
         fixture.timers.pass(1_500);
         assertEquals(placer.outOfReach(), false);
     }
+
+    /**
+     * The pattern of a burst: more jobs at once than there is room for in time. By urgency alone the oldest, already
+     * late, went first, and each newer one came late in its turn: 60 of 300 in such seconds. A job that can still be in
+     * time now goes before one that cannot, and the late one follows.
+     */
+    @Test
+    public void testOffer_overdueGoesBehindWhatCanBeInTime() {
+        PlacerFixture fixture = new PlacerFixture(1);
+        fixture.endpoint(1).runMillis = 300;
+        Placer placer = fixture.placer(1);
+        fixture.timers.pass(20);
+        placer.offer(PlacerFixture.offer(1, 2, 300, PlacerFixture.ASKER, false));
+        placer.offer(PlacerFixture.offer(2, 2, 100, PlacerFixture.ASKER, false));
+        fixture.timers.pass(290);
+        placer.offer(PlacerFixture.offer(3, 2, 150, PlacerFixture.ASKER, false));
+        fixture.endpoint(1).runMillis = 100;
+        fixture.timers.pass(1_000);
+        ImmutableList<String> inTimeFirst = ImmutableList.of("asker-1 1 DONE", "asker-1 3 DONE", "asker-1 2 DONE");
+        assertEquals(fixture.verdicts, inTimeFirst);
+    }
 }
