--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacedJob.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacedJob.java
@@ -139,10 +139,11 @@
      *
      * <p>Such a job goes behind those that still can be. In the order of urgency it would stand before them, so that in
      * a burst each job would wait for one that is late already, and come late itself. Estimates are off by a third or
-     * so, which is why a job counts as overdue only somewhat after its time.
+     * so, which is why a job counts as overdue only somewhat after its time. A job that is partly started is finished:
+     * what is left of it costs little against what it has taken.
      */
     boolean overdueAt(long nowMillis) {
-        return nowMillis > latestStartMillis() + expectedRunMillis / ESTIMATE_SLACK_PARTS;
+        return !everStarted() && nowMillis > latestStartMillis() + expectedRunMillis / ESTIMATE_SLACK_PARTS;
     }
 
     /** Returns whether an answer would most likely come when it is of no use any more. */
