Log why a job was declined and which run ended badly; counters and histograms

Cause: an on-call engineer who had a job's id learnt that it was refused, and nothing of the inputs that decided it.

Change: one line at the holder for each declined job (wait, expected run, time left, places, free places, jobs before it) and for each run that ended badly; the answer's line names the holder; a served job still costs one line. Answers by outcome as histograms, declined jobs, bad runs, open jobs and dropped lines on the metrics port.

--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/handover/JobDesk.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/handover/JobDesk.java
@@ -259,7 +259,7 @@
     private void answer(OpenJob job, JobReply reply) {
         open.remove(job.id());
         answered.add(job.id(), reply);
-        job.answer(reply);
+        job.answer(reply.by(job.lastHolder()));
     }
 
     private boolean isOpen(OpenJob job) {
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/handover/OpenJob.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/handover/OpenJob.java
@@ -25,6 +25,7 @@
     private final Set<FailureDomain> declinedBy = new HashSet<>();
     private Optional<ShardHolder> holder = Optional.empty();
     private Optional<ShardHolder> lostHolder = Optional.empty();
+    private Optional<NodeId> lastHolder = Optional.empty();
     private boolean mayHaveRun;
     private long lostAtMillis;
     private long soonestRetryMillis = Long.MAX_VALUE;
@@ -81,6 +82,12 @@
 
     void offeredTo(ShardHolder next) {
         holder = Optional.of(next);
+        lastHolder = Optional.of(next.node());
+    }
+
+    /** Returns the node that the job was last offered to. */
+    Optional<NodeId> lastHolder() {
+        return lastHolder;
     }
 
     /** The holder is gone, and with it the knowledge of what ran. */
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/JobLine.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/JobLine.java
@@ -28,6 +28,10 @@
         return ImmutableList.copyOf(jobs);
     }
 
+    int size() {
+        return jobs.size();
+    }
+
     boolean isEmpty() {
         return jobs.isEmpty();
     }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/Placer.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/Placer.java
@@ -228,9 +228,11 @@
         long expected =
                 runTimes.expectedMillis(offer.queue().name(), offer.job().step().estimateMillis());
         PlacedJob job = new PlacedJob(offer, firstRun, expected, JobTimes.of(offer, expected, now));
-        Optional<Long> retry = retryIfHopeless(job, now);
-        if (retry.isPresent()) {
-            listener.settled(offer.asker(), job.id(), Verdict.DECLINED, retry.get());
+        Outlook outlook = outlook(job, now);
+        if (!outlook.inTime()) {
+            listener.declined(offer.asker(), job.id(), outlook);
+            long retry = outlook.places() == 0 ? IMPOSSIBLE_RETRY_MILLIS : outlook.waitMillis();
+            listener.settled(offer.asker(), job.id(), Verdict.DECLINED, retry);
             return;
         }
         jobs.put(job.id(), job);
@@ -252,12 +254,12 @@
     }
 
     /**
-     * Returns when to come back if the job cannot be in time here.
+     * Returns what to expect of a job that would be taken now.
      *
      * <p>An endpoint that is just being opened counts as room that is taken: right after a takeover or a restart every
      * endpoint is, for some 50 ms, and a job that waits that long is mostly still in time.
      */
-    private Optional<Long> retryIfHopeless(PlacedJob job, long now) {
+    private Outlook outlook(PlacedJob job, long now) {
         long places = 0;
         long freePlaces = 0;
         for (HeldEndpoint endpoint : endpoints.values()) {
@@ -272,16 +274,11 @@
                     ? endpoint.free().milliCores() / perTask
                     : 0;
         }
-        if (places == 0) {
-            return Optional.of(IMPOSSIBLE_RETRY_MILLIS);
-        }
         long missing = Math.max(0, job.step().count() - freePlaces);
         long ahead = line.waitingTaskMillis(now) + missing * job.expectedRunMillis();
-        long wait = missing == 0 && line.isEmpty() ? 0 : ahead / places;
-        long end = now + wait + job.expectedRunMillis();
-        return end > Math.min(job.times().inTimeMillis(), job.times().deadlineMillis())
-                ? Optional.of(wait)
-                : Optional.empty();
+        long wait = places == 0 || missing == 0 && line.isEmpty() ? 0 : ahead / places;
+        long inTimeWithin = Math.min(job.times().inTimeMillis(), job.times().deadlineMillis()) - now;
+        return new Outlook(wait, job.expectedRunMillis(), inTimeWithin, places, freePlaces, line.size());
     }
 
     private boolean forget(HeldEndpoint endpoint) {
@@ -381,6 +378,9 @@
             if (kind.ownEnd()) {
                 judge(endpoint, kind);
             }
+            if (kind != EndKind.DONE && !job.over()) {
+                listener.runEndedBadly(reservation.run(), endpoint.entry().id(), kind);
+            }
             if (!task.holds(reservation)) {
                 return;
             }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacerListener.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacerListener.java
@@ -1,7 +1,10 @@
 package org.tarragonarch.core.placing;
 
+import org.tarragonarch.model.id.EndpointId;
 import org.tarragonarch.model.id.NodeId;
+import org.tarragonarch.model.task.EndKind;
 import org.tarragonarch.model.task.JobId;
+import org.tarragonarch.model.task.TaskRun;
 import org.tarragonarch.model.task.Verdict;
 
 /** Learns what becomes of jobs and of the hold itself. */
@@ -14,6 +17,12 @@
      */
     void settled(NodeId asker, JobId job, Verdict verdict, long retryMillis);
 
+    /** A job is declined, and why. */
+    void declined(NodeId asker, JobId job, Outlook outlook);
+
+    /** A run ended without having done its work. */
+    void runEndedBadly(TaskRun run, EndpointId endpoint, EndKind kind);
+
     /** An endpoint obeys a higher token: another node holds the shard, and this one has let go of it. */
     void outranked();
 }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/ShardEvents.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/ShardEvents.java
@@ -1,9 +1,13 @@
 package org.tarragonarch.core.shard;
 
+import org.tarragonarch.core.placing.Outlook;
+import org.tarragonarch.model.id.EndpointId;
 import org.tarragonarch.model.id.FailureDomain;
 import org.tarragonarch.model.id.NodeId;
+import org.tarragonarch.model.task.EndKind;
 import org.tarragonarch.model.task.FencingToken;
 import org.tarragonarch.model.task.JobId;
+import org.tarragonarch.model.task.TaskRun;
 import org.tarragonarch.model.task.Verdict;
 
 /** Learns what happens to the shards of a node and to the jobs placed there. */
@@ -19,4 +23,10 @@
 
     /** A job is settled; see {@link org.tarragonarch.core.placing.PlacerListener#settled}. */
     void settled(NodeId asker, JobId job, Verdict verdict, long retryMillis);
+
+    /** A job is declined, and why. */
+    void declined(FailureDomain shard, NodeId asker, JobId job, Outlook outlook);
+
+    /** A run ended without having done its work. */
+    void runEndedBadly(FailureDomain shard, TaskRun run, EndpointId endpoint, EndKind kind);
 }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/ShardKeeper.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/ShardKeeper.java
@@ -8,16 +8,20 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.LongSupplier;
+import org.tarragonarch.core.placing.Outlook;
 import org.tarragonarch.core.placing.Placer;
 import org.tarragonarch.core.placing.PlacerListener;
 import org.tarragonarch.core.placing.PlacingSettings;
 import org.tarragonarch.core.placing.RunTimes;
+import org.tarragonarch.model.id.EndpointId;
 import org.tarragonarch.model.id.FailureDomain;
 import org.tarragonarch.model.id.NodeId;
 import org.tarragonarch.model.report.HeldShard;
+import org.tarragonarch.model.task.EndKind;
 import org.tarragonarch.model.task.EndpointOrders;
 import org.tarragonarch.model.task.FencingToken;
 import org.tarragonarch.model.task.JobId;
+import org.tarragonarch.model.task.TaskRun;
 import org.tarragonarch.model.task.Timers;
 import org.tarragonarch.model.task.Verdict;
 
@@ -150,6 +154,16 @@
             events.settled(asker, job, verdict, retryMillis);
         }
 
+        @Override
+        public void declined(NodeId asker, JobId job, Outlook outlook) {
+            events.declined(shard, asker, job, outlook);
+        }
+
+        @Override
+        public void runEndedBadly(TaskRun run, EndpointId endpoint, EndKind kind) {
+            events.runEndedBadly(shard, run, endpoint, kind);
+        }
+
         @Override
         public void outranked() {
             succession.outranked(shard, timers.nowMillis());
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/PlacerFixture.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/PlacerFixture.java
@@ -7,6 +7,7 @@
 import org.tarragonarch.model.id.EndpointId;
 import org.tarragonarch.model.id.FailureDomain;
 import org.tarragonarch.model.id.NodeId;
+import org.tarragonarch.model.task.EndKind;
 import org.tarragonarch.model.task.EndpointEntry;
 import org.tarragonarch.model.task.FencingToken;
 import org.tarragonarch.model.task.JobId;
@@ -14,6 +15,7 @@
 import org.tarragonarch.model.task.Offer;
 import org.tarragonarch.model.task.QueueDefinition;
 import org.tarragonarch.model.task.Resources;
+import org.tarragonarch.model.task.TaskRun;
 import org.tarragonarch.model.task.TaskStep;
 import org.tarragonarch.model.task.Verdict;
 
@@ -29,6 +31,8 @@
     final FakeOrders orders = new FakeOrders(timers, TASK_MILLI_CORES);
     final List<String> verdicts = new ArrayList<>();
     final List<EndpointEntry> entries = new ArrayList<>();
+    final List<Outlook> outlooks = new ArrayList<>();
+    final List<EndKind> badEnds = new ArrayList<>();
     int outranked;
 
     PlacerFixture(int endpoints) {
@@ -60,6 +64,16 @@
                         verdicts.add(asker + " " + job.value().charAt(15) + " " + verdict);
                     }
 
+                    @Override
+                    public void declined(NodeId asker, JobId job, Outlook outlook) {
+                        outlooks.add(outlook);
+                    }
+
+                    @Override
+                    public void runEndedBadly(TaskRun run, EndpointId endpoint, EndKind kind) {
+                        badEnds.add(kind);
+                    }
+
                     @Override
                     public void outranked() {
                         outranked++;
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/PlacerTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/PlacerTest.java
@@ -49,6 +49,8 @@
                 .filter(verdict -> verdict.endsWith("DECLINED"))
                 .count();
         assertTrue(declined >= 6, fixture.verdicts.toString());
+        assertEquals(fixture.outlooks.size(), declined);
+        assertEquals(fixture.outlooks.get(0).places(), 2);
         fixture.timers.pass(1_000);
         assertEquals(fixture.verdicts.size(), 10);
         assertEquals(fixture.ledger.starts(), (10 - declined) * 2);
@@ -160,6 +162,7 @@
         fixture.timers.pass(3_000);
         assertEquals(fixture.verdicts, ImmutableList.of("asker-1 1 FAILED"));
         assertEquals(fixture.ledger.starts(), 3);
+        assertEquals(fixture.badEnds, ImmutableList.of(EndKind.FAILED, EndKind.FAILED, EndKind.FAILED));
     }
 
     /** The node with the client's connection dies: its job is stopped, for the client sends it again elsewhere. */
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ClusterNode.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ClusterNode.java
@@ -9,16 +9,12 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Optional;
 import org.tarragonarch.adapter.ClientDoor;
-import org.tarragonarch.adapter.EndpointBody;
 import org.tarragonarch.adapter.EndpointClient;
-import org.tarragonarch.adapter.PlatformNames;
 import org.tarragonarch.adapter.StoreClient;
-import org.tarragonarch.adapter.UnreadableBodyException;
 import org.tarragonarch.core.follow.TableFollower;
-import org.tarragonarch.core.follow.TableListener;
 import org.tarragonarch.core.handover.JobDesk;
+import org.tarragonarch.core.placing.Outlook;
 import org.tarragonarch.core.placing.PlacingSettings;
 import org.tarragonarch.core.shard.EndpointList;
 import org.tarragonarch.core.shard.PeerBook;
@@ -34,12 +30,13 @@
 import org.tarragonarch.model.outcome.StepException;
 import org.tarragonarch.model.report.NodeStatus;
 import org.tarragonarch.model.store.RowStore;
-import org.tarragonarch.model.store.StoreRow;
 import org.tarragonarch.model.store.StoreTable;
+import org.tarragonarch.model.task.EndKind;
 import org.tarragonarch.model.task.EndpointEntry;
 import org.tarragonarch.model.task.FencingToken;
 import org.tarragonarch.model.task.JobId;
 import org.tarragonarch.model.task.Offer;
+import org.tarragonarch.model.task.TaskRun;
 import org.tarragonarch.model.task.Verdict;
 import org.tarragonarch.wire.ConfigurationAsked;
 import org.tarragonarch.wire.EndpointsAsked;
@@ -110,6 +107,7 @@
     private final ShardKeeper keeper;
     private final JobDesk desk;
     private final CancelRounds cancels;
+    private final NodeMeters meters;
     private final NodeDirectory directory;
     private final RowStore store;
     private final List<Channel> doors = new ArrayList<>();
@@ -124,6 +122,7 @@
         this.startedAtMillis = timers.nowMillis();
         this.configuration = new ConfigurationInForce(log);
         this.exchange = new PeerExchange(book, this);
+        this.meters = new NodeMeters(this::openJobs, log::droppedLines);
         PlacingSettings placing = PlacingSettings.of(settings.leaseMillis(), settings.stopMillis());
         Succession succession = new Succession(settings.node(), settings.domain(), settings.ip(), book);
         this.keeper = new ShardKeeper(
@@ -151,11 +150,12 @@
                 exchange,
                 PEER_NETWORK);
         exchange.use(network);
-        NodeJobs jobs = new NodeJobs(configuration, desk, exchange, cancels, timers, log, this::ready, () -> leaving);
+        NodeJobs jobs =
+                new NodeJobs(configuration, desk, exchange, cancels, timers, log, meters, this::ready, () -> leaving);
         doors.add(ClientDoor.openForReadiness(group, settings.readinessAddress(), jobs));
         doors.add(ClientDoor.openForClients(group, settings.clientAddress(), jobs));
         Address pages = new Address(settings.ip(), settings.metricsPort());
-        doors.add(ClientDoor.openForPages(group, pages, ImmutableMap.of("/metrics", this::metrics)));
+        doors.add(ClientDoor.openForPages(group, pages, ImmutableMap.of("/metrics", meters::scrape)));
         loop.execute(this::begin);
         log.line("node-started", "domain", settings.domain(), "run", run);
     }
@@ -194,6 +194,10 @@
         }
     }
 
+    private int openJobs() {
+        return desk.openJobs();
+    }
+
     private boolean ready() {
         return !leaving && configuration.version() > 0 && anyHolder();
     }
@@ -206,8 +210,10 @@
 
     private void begin() {
         directory.start();
-        new TableFollower(store, StoreTable.OPERATOR, timers, new ConfigurationRows(), 0).start();
-        new TableFollower(store, StoreTable.ENDPOINTS, timers, new EndpointRows(), LIST_PERIOD_MILLIS).start();
+        ConfigurationRows configurationRows = new ConfigurationRows(configuration, this::sendStatus, log);
+        EndpointRows endpointRows = new EndpointRows(endpoints, keeper::endpointsChanged, timers, log);
+        new TableFollower(store, StoreTable.OPERATOR, timers, configurationRows, 0).start();
+        new TableFollower(store, StoreTable.ENDPOINTS, timers, endpointRows, LIST_PERIOD_MILLIS).start();
         review();
     }
 
@@ -320,6 +326,48 @@
         }
     }
 
+    @Override
+    public void declined(FailureDomain shard, NodeId asker, JobId job, Outlook outlook) {
+        meters.declined();
+        log.line(
+                "job-declined",
+                "job",
+                job,
+                "shard",
+                shard,
+                "asker",
+                asker,
+                "wait-ms",
+                outlook.waitMillis(),
+                "expected-run-ms",
+                outlook.expectedRunMillis(),
+                "in-time-within-ms",
+                outlook.inTimeWithinMillis(),
+                "places",
+                outlook.places(),
+                "free-places",
+                outlook.freePlaces(),
+                "waiting-jobs",
+                outlook.waitingJobs());
+    }
+
+    @Override
+    public void runEndedBadly(FailureDomain shard, TaskRun run, EndpointId endpoint, EndKind kind) {
+        meters.runEndedBadly(kind);
+        log.line(
+                "run-ended-badly",
+                "task",
+                run.task(),
+                "run",
+                run.run(),
+                "endpoint",
+                endpoint,
+                "shard",
+                shard,
+                "how",
+                kind);
+    }
+
     @Override
     public void withdrawn(NodeId peer, FailureDomain shard, JobId job) {
         keeper.placer(shard).ifPresent(placer -> placer.withdraw(peer, job));
@@ -385,79 +433,4 @@
         log.line("shard-outranked", "shard", shard, "token", token);
         holdersChanged();
     }
-
-    /** Takes the operators' rows. */
-    private final class ConfigurationRows implements TableListener {
-        @Override
-        public void replaced(ImmutableList<StoreRow> rows) {
-            changed(rows);
-        }
-
-        @Override
-        public void changed(ImmutableList<StoreRow> rows) {
-            for (StoreRow row : rows) {
-                if (row.key().equals(PlatformNames.CONFIGURATION_ROW)
-                        && !row.deleted()
-                        && configuration.offered(row.value(), "store")) {
-                    sendStatus();
-                }
-            }
-        }
-
-        @Override
-        public void lost() {
-            log.line("store-lost", "table", StoreTable.OPERATOR);
-        }
-
-        @Override
-        public void regained(long awayMillis) {
-            log.line("store-regained", "table", StoreTable.OPERATOR, "away-ms", awayMillis);
-        }
-    }
-
-    /** Takes the endpoints' rows. */
-    private final class EndpointRows implements TableListener {
-        @Override
-        public void replaced(ImmutableList<StoreRow> rows) {
-            ImmutableList.Builder<EndpointEntry> entries = ImmutableList.builder();
-            rows.forEach(row -> read(row).ifPresent(entries::add));
-            if (endpoints.replaced(entries.build(), timers.nowMillis())) {
-                keeper.endpointsChanged();
-            }
-        }
-
-        @Override
-        public void changed(ImmutableList<StoreRow> rows) {
-            boolean changed = false;
-            for (StoreRow row : rows) {
-                changed |= row.deleted()
-                        ? endpoints.unlisted(EndpointId.of(row.key()), timers.nowMillis())
-                        : read(row).filter(endpoints::listed).isPresent();
-            }
-            if (changed) {
-                keeper.endpointsChanged();
-            }
-        }
-
-        @Override
-        public void lost() {
-            endpoints.storeLost();
-            log.line("store-lost", "table", StoreTable.ENDPOINTS);
-        }
-
-        @Override
-        public void regained(long awayMillis) {
-            endpoints.storeBack(timers.nowMillis());
-            log.line("store-regained", "table", StoreTable.ENDPOINTS, "away-ms", awayMillis);
-        }
-
-        private Optional<EndpointEntry> read(StoreRow row) {
-            try {
-                return Optional.of(EndpointBody.read(row.key(), row.value()));
-            } catch (UnreadableBodyException e) {
-                log.line("endpoint-row-unreadable", "endpoint", row.key(), "reason", e.getMessage());
-                return Optional.empty();
-            }
-        }
-    }
 }
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/NodeJobs.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/NodeJobs.java
@@ -22,6 +22,7 @@
     private final CancelRounds cancels;
     private final Timers timers;
     private final DecisionLog log;
+    private final NodeMeters meters;
     private final BooleanSupplier ready;
     private final BooleanSupplier leaving;
 
@@ -32,6 +33,7 @@
             CancelRounds cancels,
             Timers timers,
             DecisionLog log,
+            NodeMeters meters,
             BooleanSupplier ready,
             BooleanSupplier leaving) {
         this.configuration = configuration;
@@ -40,6 +42,7 @@
         this.cancels = cancels;
         this.timers = timers;
         this.log = log;
+        this.meters = meters;
         this.ready = ready;
         this.leaving = leaving;
     }
@@ -53,6 +56,8 @@
     public Submission submit(QueueDefinition queue, JobRequest job, long deadlineMillis, Consumer<JobReply> reply) {
         long arrived = timers.nowMillis();
         return desk.submit(queue, job, deadlineMillis, answer -> {
+            long tookMillis = timers.nowMillis() - arrived;
+            meters.answered(answer.outcome(), tookMillis);
             log.line(
                     "job-answered",
                     "job",
--- /dev/null
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/NodeMeters.java
@@ -0,0 +1,78 @@
+package org.tarragonarch.entry.cluster;
+
+import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.FunctionCounter;
+import io.micrometer.core.instrument.Gauge;
+import io.micrometer.core.instrument.Timer;
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import java.time.Duration;
+import java.util.EnumMap;
+import java.util.Locale;
+import java.util.Map;
+import java.util.function.IntSupplier;
+import java.util.function.LongSupplier;
+import org.tarragonarch.model.task.EndKind;
+import org.tarragonarch.model.task.JobOutcome;
+
+/** The counters and histograms of a node on the users' platform; docs/OPERATIONS.md says what each is for. */
+final class NodeMeters {
+    /** The bounds of the histogram of answers: around the objectives of the users' queues, 150 ms to 4 s. */
+    private static final Duration[] ANSWER_BOUNDS = {
+        Duration.ofMillis(25),
+        Duration.ofMillis(50),
+        Duration.ofMillis(100),
+        Duration.ofMillis(200),
+        Duration.ofMillis(400),
+        Duration.ofMillis(800),
+        Duration.ofMillis(1_600),
+        Duration.ofMillis(3_200)
+    };
+
+    private final PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+    private final Map<JobOutcome, Timer> answers = new EnumMap<>(JobOutcome.class);
+    private final Map<EndKind, Counter> badRuns = new EnumMap<>(EndKind.class);
+    private final Counter declined =
+            Counter.builder("tarragonarch.jobs.declined").register(registry);
+
+    NodeMeters(IntSupplier openJobs, LongSupplier droppedLines) {
+        for (JobOutcome outcome : JobOutcome.values()) {
+            answers.put(
+                    outcome,
+                    Timer.builder("tarragonarch.jobs.answered")
+                            .tag("outcome", word(outcome))
+                            .serviceLevelObjectives(ANSWER_BOUNDS)
+                            .register(registry));
+        }
+        for (EndKind kind : EndKind.values()) {
+            badRuns.put(
+                    kind,
+                    Counter.builder("tarragonarch.runs.ended.badly")
+                            .tag("how", word(kind))
+                            .register(registry));
+        }
+        Gauge.builder("tarragonarch.jobs.open", openJobs::getAsInt).register(registry);
+        FunctionCounter.builder("tarragonarch.log.lines.dropped", droppedLines, LongSupplier::getAsLong)
+                .register(registry);
+    }
+
+    void answered(JobOutcome outcome, long tookMillis) {
+        answers.get(outcome).record(Duration.ofMillis(tookMillis));
+    }
+
+    void declined() {
+        declined.increment();
+    }
+
+    void runEndedBadly(EndKind kind) {
+        badRuns.get(kind).increment();
+    }
+
+    String scrape() {
+        return registry.scrape();
+    }
+
+    private static String word(Enum<?> value) {
+        return value.name().toLowerCase(Locale.ROOT).replace('_', '-');
+    }
+}
