Log a job that is declined after it waited, and the holder of each answer

Tried and thrown away: offers by whichever connection is open with the peer, on the guess that those 400 ms were a connection waiting to be opened again.

--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/Placer.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/Placer.java
@@ -306,7 +306,7 @@
         List<PlacedJob> overdue = new ArrayList<>();
         for (PlacedJob job : line.inOrder()) {
             if (job.hopelessAt(now)) {
-                settle(job, job.everStarted() ? Verdict.TOO_LATE : Verdict.DECLINED);
+                giveUp(job, now);
             } else if (job.overdueAt(now)) {
                 overdue.add(job);
             } else {
@@ -316,6 +316,16 @@
         overdue.forEach(job -> startIfRoom(job, now));
     }
 
+    /** Gives up a job whose answer would come too late; what never started is declined, for that is the truth. */
+    private void giveUp(PlacedJob job, long now) {
+        if (job.everStarted()) {
+            settle(job, Verdict.TOO_LATE);
+        } else {
+            listener.declined(job.asker(), job.id(), outlook(job, now));
+            settle(job, Verdict.DECLINED);
+        }
+    }
+
     private void startIfRoom(PlacedJob job, long now) {
         boolean room = !job.over() && job.need().milliCores() <= roomiestMilliCores(now);
         if (room && startWaiting(job, now)) {
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/NodeJobs.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/NodeJobs.java
@@ -4,6 +4,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.tarragonarch.core.handover.JobDesk;
+import org.tarragonarch.model.id.NodeId;
 import org.tarragonarch.model.task.JobId;
 import org.tarragonarch.model.task.JobProgress;
 import org.tarragonarch.model.task.JobReply;
@@ -71,7 +72,9 @@
                     "estimate-ms",
                     job.step().estimateMillis(),
                     "after-ms",
-                    timers.nowMillis() - arrived,
+                    tookMillis,
+                    "holder",
+                    answer.holder().map(NodeId::value).orElse("none"),
                     "deadline-ms",
                     deadlineMillis,
                     "configuration",
