--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ClusterNode.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ClusterNode.java
@@ -9,6 +9,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import org.tarragonarch.adapter.ClientDoor;
 import org.tarragonarch.adapter.EndpointClient;
 import org.tarragonarch.adapter.StoreClient;
@@ -179,6 +180,11 @@
         });
     }
 
+    /** Ends at once and without a word, as a killed process would; the process itself goes on. */
+    void abort() {
+        group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).awaitUninterruptibly();
+    }
+
     private void awaitEmpty(long since) {
         long waited = timers.nowMillis() - since;
         if (waited >= BALANCER_NOTICE_MILLIS + OPEN_CONNECTIONS_MILLIS) {
--- /dev/null
+++ b/tarragonarch-entry/src/test/java/org/tarragonarch/entry/cluster/WholePathTest.java
@@ -0,0 +1,162 @@
+package org.tarragonarch.entry.cluster;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import org.tarragonarch.adapter.standin.StandInEndpoint;
+import org.tarragonarch.adapter.standin.StandInStore;
+import org.tarragonarch.model.outcome.StepException;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Real nodes on real sockets, with stand-ins for the store and the endpoints: the whole way of a job. */
+public final class WholePathTest {
+    private static final Duration PATIENCE = Duration.ofSeconds(30);
+    private static final String QUEUES = """
+            {"Version":%d,"Routes":[{"Name":"q","Host":"127.0.0.1","Prefix":"/%s/","Service":"board",
+             "Attempts":3,"Stretch":1.6,"SloMs":5000}]}
+            """;
+    private static final String JOB = """
+            {"Spec":"s","BestEffort":true,"Steps":[{"Count":4,"Cpu":7000,"MemMb":64,"EstMs":60}]}
+            """;
+
+    private final HttpClient client = HttpClient.newHttpClient();
+    private final List<ClusterNode> nodes = new ArrayList<>();
+    private final List<StandInEndpoint> endpoints = new ArrayList<>();
+    private StandInStore store;
+
+    @BeforeMethod
+    public void startPlatform() throws IOException {
+        store = new StandInStore();
+        for (int i = 1; i <= 2; i++) {
+            StandInEndpoint endpoint = new StandInEndpoint();
+            endpoints.add(endpoint);
+            store.register("i-" + i, endpoint.entry("board", "hobart"));
+        }
+    }
+
+    @AfterMethod
+    public void stopAll() {
+        nodes.forEach(ClusterNode::abort);
+        endpoints.forEach(StandInEndpoint::close);
+        store.close();
+        nodes.clear();
+        endpoints.clear();
+    }
+
+    @Test
+    public void testJob_answeredWhole() throws Exception {
+        ClusterSettings node = startNode("n1");
+        assertEquals(status(post(node, "a", 1)), 503, "no configuration yet");
+        store.configure(QUEUES.formatted(3, "a"));
+        awaitReady(node);
+        HttpResponse<String> answer = post(node, "a", 2);
+        assertEquals(answer.statusCode() + answer.body(), "200{\"State\":\"done\"}");
+        assertEquals(starts(), 4);
+        assertEquals(status(post(node, "unknown", 3)), 404);
+    }
+
+    /** A queue is added and another dropped: both are in force on every node without a restart. */
+    @Test
+    public void testConfiguration_changes() throws Exception {
+        store.configure(QUEUES.formatted(3, "a"));
+        ClusterSettings node = startNode("n1");
+        awaitReady(node);
+        store.configure(QUEUES.formatted(9, "b"));
+        awaitStatus(node, "b", 200);
+        assertEquals(status(post(node, "a", 77)), 404);
+    }
+
+    /**
+     * The node that holds the endpoints is killed. Users of the other node saw nothing but refusals until someone took
+     * the endpoints over; that takes well under two seconds, without the store.
+     */
+    @Test
+    public void testHolderKilled_otherNodeServes() throws Exception {
+        store.configure(QUEUES.formatted(3, "a"));
+        ClusterSettings first = startNode("n1");
+        awaitReady(first);
+        ClusterSettings second = startNode("n2");
+        awaitReady(second);
+        awaitStatus(second, "a", 200);
+        store.away(true);
+        nodes.remove(0).abort();
+        awaitStatus(second, "a", 200);
+    }
+
+    private ClusterSettings startNode(String name) throws IOException, StepException {
+        Path file = Files.createTempFile(name, ".jsonc");
+        try {
+            Files.writeString(
+                    file, """
+                    { "node": "%s", "failure-domain": "hobart", "failure-domains": ["hobart"], "ip": "127.0.0.1",
+                      "peer-port": %d, "metrics-port": %d, "client-address": "127.0.0.1:%d",
+                      "readiness-address": "127.0.0.1:%d", "store-address": "%s",
+                      "lease-millis": 1000, "stop-millis": 50, "shutdown-seconds": 6 }
+                    """.formatted(name, freePort(), freePort(), freePort(), freePort(), store.address()));
+            ClusterSettings settings = ClusterSettings.read(file);
+            ClusterNode node = new ClusterNode(settings, new DecisionLog(name, System.err));
+            nodes.add(node);
+            node.start();
+            return settings;
+        } finally {
+            Files.delete(file);
+        }
+    }
+
+    private HttpResponse<String> post(ClusterSettings node, String queue, int job) throws Exception {
+        URI uri = URI.create("http://" + node.clientAddress() + "/" + queue + "/" + String.format("%016x", job));
+        HttpRequest request = HttpRequest.newBuilder(uri)
+                .header("X-Deadline-Ms", "4000")
+                .timeout(PATIENCE)
+                .POST(HttpRequest.BodyPublishers.ofString(JOB))
+                .build();
+        return client.send(request, HttpResponse.BodyHandlers.ofString());
+    }
+
+    private static int status(HttpResponse<String> answer) {
+        return answer.statusCode();
+    }
+
+    private int starts() {
+        return endpoints.stream().mapToInt(StandInEndpoint::starts).sum();
+    }
+
+    private void awaitReady(ClusterSettings node) throws Exception {
+        HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + node.readinessAddress() + "/readyz"))
+                .build();
+        long until = System.nanoTime() + PATIENCE.toNanos();
+        while (client.send(request, HttpResponse.BodyHandlers.ofString()).statusCode() != 200) {
+            assertTrue(System.nanoTime() < until, "the node is not ready");
+            Thread.sleep(10);
+        }
+    }
+
+    /** Sends new jobs until one gets the status, as clients come back after a refusal. */
+    private void awaitStatus(ClusterSettings node, String queue, int wanted) throws Exception {
+        long until = System.nanoTime() + PATIENCE.toNanos();
+        int job = 1_000;
+        while (status(post(node, queue, job++)) != wanted) {
+            assertTrue(System.nanoTime() < until, "no answer " + wanted);
+            Thread.sleep(10);
+        }
+    }
+
+    private static int freePort() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0)) {
+            return socket.getLocalPort();
+        }
+    }
+}
