--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/EndingJobs.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/EndingJobs.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import org.tarragonarch.model.id.NodeId;
 import org.tarragonarch.model.task.JobId;
 import org.tarragonarch.model.task.Offer;
 
@@ -32,6 +33,19 @@
         return true;
     }
 
+    /** Forgets an offer that waits. */
+    void withdraw(NodeId asker, JobId id) {
+        Deferred waiting = deferred.get(id);
+        if (waiting != null && waiting.offer().asker().equals(asker)) {
+            deferred.remove(id);
+        }
+    }
+
+    /** Forgets every waiting offer of a node. */
+    void askerGone(NodeId asker) {
+        deferred.values().removeIf(waiting -> waiting.offer().asker().equals(asker));
+    }
+
     /** Forgets the job if nothing of it takes room; returns the offer that waited for that. */
     Optional<Deferred> removeIfOver(PlacedJob job) {
         if (job.holdsRoom() || !ending.remove(job.id(), job)) {
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/Placer.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/Placer.java
@@ -121,8 +121,14 @@
         take(offer, 1);
     }
 
-    /** Ends a job whose client has left or cancelled it; nothing is said of it any more. */
+    /**
+     * Ends a job whose client has left or cancelled it; nothing is said of it any more.
+     *
+     * <p>Also where the job still waits for earlier runs to end: it would be started for nobody.
+     */
     public void withdraw(NodeId asker, JobId id) {
+        unsure.removeIf(offer -> offer.asker().equals(asker) && offer.job().id().equals(id));
+        ending.withdraw(asker, id);
         PlacedJob job = jobs.get(id);
         if (job != null && job.asker().equals(asker)) {
             end(job);
@@ -137,6 +143,8 @@
      * breaks the client's connection, and the client comes back after its pause.
      */
     public void askerGone(NodeId asker) {
+        unsure.removeIf(offer -> offer.asker().equals(asker));
+        ending.askerGone(asker);
         for (PlacedJob job : ImmutableList.copyOf(jobs.values())) {
             if (job.asker().equals(asker)) {
                 end(job);
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/PlacerTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/PlacerTest.java
@@ -250,4 +250,40 @@
         assertEquals(fixture.verdicts, ImmutableList.of("asker-1 1 DONE"));
         assertEquals(fixture.ledger.broken(), ImmutableList.of());
     }
+
+    /**
+     * A client hangs up while its job waits at a new holder for the runs of the earlier one to end. The job was started
+     * all the same, for nobody, once those were gone.
+     */
+    @Test
+    public void testWithdraw_whileItWaitsForEarlierRuns() {
+        PlacerFixture fixture = new PlacerFixture(1);
+        Placer placer = fixture.placer(1);
+        placer.offer(PlacerFixture.offer(1, 1, 60, PlacerFixture.ASKER, true));
+        placer.offer(PlacerFixture.offer(2, 1, 60, PlacerFixture.ASKER, true));
+        placer.withdraw(PlacerFixture.ASKER, PlacerFixture.id(1));
+        fixture.timers.pass(500);
+        assertEquals(fixture.verdicts, ImmutableList.of("asker-1 2 DONE"));
+        assertEquals(fixture.ledger.starts(), 1);
+    }
+
+    /** The same while it waits for its own first runs to be stopped, and when its node is lost. */
+    @Test
+    public void testWithdraw_whileItsFirstRunsAreStopped() {
+        PlacerFixture fixture = new PlacerFixture(2);
+        Placer placer = fixture.placer(1);
+        fixture.timers.pass(20);
+        placer.offer(PlacerFixture.offer(1, 1));
+        placer.offer(PlacerFixture.offer(2, 1));
+        fixture.timers.pass(10);
+        placer.withdraw(PlacerFixture.ASKER, PlacerFixture.id(1));
+        placer.withdraw(PlacerFixture.ASKER, PlacerFixture.id(2));
+        placer.offer(PlacerFixture.offer(1, 1));
+        placer.withdraw(PlacerFixture.ASKER, PlacerFixture.id(1));
+        placer.offer(PlacerFixture.offer(2, 1, 60, NodeId.of("asker-2"), false));
+        placer.askerGone(NodeId.of("asker-2"));
+        fixture.timers.pass(500);
+        assertEquals(fixture.verdicts, ImmutableList.of());
+        assertEquals(fixture.ledger.starts(), 2);
+    }
 }
