--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/Placer.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/Placer.java
@@ -188,23 +188,6 @@
         return free;
     }
 
-    /** Returns how many jobs are here that are not settled. */
-    public int openJobs() {
-        return jobs.size();
-    }
-
-    /** Returns how many endpoints are known and take tasks now. */
-    public int usableEndpoints() {
-        long now = timers.nowMillis();
-        int usable = 0;
-        for (HeldEndpoint endpoint : endpoints.values()) {
-            if (endpoint.takes(Resources.NONE, now)) {
-                usable++;
-            }
-        }
-        return usable;
-    }
-
     /**
      * Guards against a task that runs twice after the shard changed hands: the earlier holder's runs show on the
      * endpoints' lists, and are over when each list was read and cleared, or when their lease has certainly run out.
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/PeerBook.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/PeerBook.java
@@ -66,11 +66,6 @@
         return present.build();
     }
 
-    /** Returns the last status of every peer ever heard, there or not. */
-    public ImmutableList<NodeStatus> known() {
-        return peers.values().stream().map(Heard::status).collect(ImmutableList.toImmutableList());
-    }
-
     /** Returns the highest term under which any peer said that it held the shard. */
     public long highestTerm(FailureDomain shard) {
         long highest = 0;
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/FakeEndpoint.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/FakeEndpoint.java
@@ -35,7 +35,6 @@
     private long leaseUntil;
     EndKind outcome = EndKind.DONE;
     long runMillis = 60;
-    boolean dead;
 
     FakeEndpoint(VirtualTimers timers, Ledger ledger, long capacity) {
         this.timers = timers;
