Let entries of other writers name no endpoint, and all others hold

By reading: a key that no endpoint has ended the chain of calls that follows the table (its name was read outside of what may fail), one value that is not base 64 made the whole page unreadable, an object where a text is expected was read as its bracket and its members as the entry's, an unknown state counted as ready, and a row written over kept its earlier endpoint.

--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/EndpointList.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/EndpointList.java
@@ -48,6 +48,17 @@
         return entries.remove(id) != null;
     }
 
+    /**
+     * Takes in that something else stands where an entry stood; returns whether there was one.
+     *
+     * <p>Guards against an entry that another writer wrote over: what it says now is not the endpoint's word, so the
+     * endpoint gets nothing new until its next heartbeat has put its own entry back.
+     */
+    public boolean overwritten(EndpointId id) {
+        missingUntil.remove(id);
+        return entries.remove(id) != null;
+    }
+
     /** Takes in the whole list; returns whether anything changed. */
     public boolean replaced(Iterable<EndpointEntry> all, long nowMillis) {
         boolean changed = false;
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ClusterNode.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ClusterNode.java
@@ -227,7 +227,7 @@
     private void begin() {
         directory.start();
         ConfigurationRows configurationRows = new ConfigurationRows(configuration, this::sendStatus, log);
-        EndpointRows endpointRows = new EndpointRows(endpoints, keeper::endpointsChanged, timers, log);
+        EndpointRows endpointRows = new EndpointRows(endpoints, keeper::endpointsChanged, timers, log, meters);
         new TableFollower(store, StoreTable.OPERATOR, timers, configurationRows, 0).start();
         new TableFollower(store, StoreTable.ENDPOINTS, timers, endpointRows, LIST_PERIOD_MILLIS).start();
         review();
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/EndpointRows.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/EndpointRows.java
@@ -19,8 +19,10 @@
     private final Runnable listChanged;
     private final Timers timers;
     private final DecisionLog log;
+    private final NodeMeters meters;
 
-    EndpointRows(EndpointList endpoints, Runnable listChanged, Timers timers, DecisionLog log) {
+    EndpointRows(EndpointList endpoints, Runnable listChanged, Timers timers, DecisionLog log, NodeMeters meters) {
+        this.meters = meters;
         this.endpoints = endpoints;
         this.listChanged = listChanged;
         this.timers = timers;
@@ -40,15 +42,25 @@
     public void changed(ImmutableList<StoreRow> rows) {
         boolean changed = false;
         for (StoreRow row : rows) {
-            changed |= row.deleted()
-                    ? endpoints.unlisted(EndpointId.of(row.key()), timers.nowMillis())
-                    : read(row).filter(endpoints::listed).isPresent();
+            changed |= changed(row);
         }
         if (changed) {
             listChanged.run();
         }
     }
 
+    private boolean changed(StoreRow row) {
+        Optional<EndpointId> id = id(row);
+        if (id.isEmpty()) {
+            return false;
+        }
+        if (row.deleted()) {
+            return endpoints.unlisted(id.get(), timers.nowMillis());
+        }
+        Optional<EndpointEntry> entry = read(row);
+        return entry.isPresent() ? endpoints.listed(entry.get()) : endpoints.overwritten(id.get());
+    }
+
     @Override
     public void lost() {
         endpoints.storeLost();
@@ -65,8 +77,22 @@
         try {
             return Optional.of(EndpointBody.read(row.key(), row.value()));
         } catch (UnreadableBodyException e) {
-            log.line(NodeEvent.ENDPOINT_ROW_UNREADABLE, "endpoint", row.key(), "reason", e.getMessage());
+            unreadable(row, e);
+            return Optional.empty();
+        }
+    }
+
+    private Optional<EndpointId> id(StoreRow row) {
+        try {
+            return Optional.of(EndpointBody.readId(row.key()));
+        } catch (UnreadableBodyException e) {
+            unreadable(row, e);
             return Optional.empty();
         }
     }
+
+    private void unreadable(StoreRow row, UnreadableBodyException why) {
+        meters.endpointRowUnreadable();
+        log.line(NodeEvent.ENDPOINT_ROW_UNREADABLE, "endpoint", row.key(), "reason", why.getMessage());
+    }
 }
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/NodeMeters.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/NodeMeters.java
@@ -34,6 +34,8 @@
     private final Map<EndKind, Counter> badRuns = new EnumMap<>(EndKind.class);
     private final Counter declined =
             Counter.builder("tarragonarch.jobs.declined").register(registry);
+    private final Counter unreadableEndpointRows =
+            Counter.builder("tarragonarch.endpoint.rows.unreadable").register(registry);
 
     NodeMeters(IntSupplier openJobs, LongSupplier droppedLines) {
         for (JobOutcome outcome : JobOutcome.values()) {
@@ -64,6 +66,10 @@
         declined.increment();
     }
 
+    void endpointRowUnreadable() {
+        unreadableEndpointRows.increment();
+    }
+
     void runEndedBadly(EndKind kind) {
         badRuns.get(kind).increment();
     }
--- /dev/null
+++ b/tarragonarch-entry/src/test/java/org/tarragonarch/entry/cluster/EndpointRowsTest.java
@@ -0,0 +1,93 @@
+package org.tarragonarch.entry.cluster;
+
+import static org.testng.Assert.assertEquals;
+
+import com.google.common.collect.ImmutableList;
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import org.tarragonarch.core.shard.EndpointList;
+import org.tarragonarch.model.id.EndpointId;
+import org.tarragonarch.model.store.StoreRow;
+import org.tarragonarch.model.task.EndpointEntry;
+import org.tarragonarch.model.task.Timers;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Rows of the endpoints' table, some of them not by endpoints. */
+public final class EndpointRowsTest {
+    private static final String GOOD = "{\"Service\":\"s\",\"Addr\":\"10.0.0.9:8080\",\"Zone\":\"hobart\","
+            + "\"State\":\"ready\",\"Capacity\":{\"Cpu\":16000,\"MemMb\":32768}}";
+
+    private EndpointList endpoints;
+    private EndpointRows rows;
+    private NodeMeters meters;
+    private int changes;
+
+    @BeforeMethod
+    public void create() {
+        endpoints = new EndpointList();
+        DecisionLog log = new DecisionLog("n", new PrintStream(new ByteArrayOutputStream()));
+        meters = new NodeMeters(() -> 0, () -> 0);
+        changes = 0;
+        rows = new EndpointRows(endpoints, () -> changes++, new StoppedTimers(), log, meters);
+    }
+
+    private static StoreRow row(String key, String value) {
+        return new StoreRow(key, value.getBytes(StandardCharsets.UTF_8), false);
+    }
+
+    private static StoreRow deleted(String key) {
+        return new StoreRow(key, new byte[0], true);
+    }
+
+    private ImmutableList<String> listed() {
+        return endpoints.all().stream()
+                .map(EndpointEntry::id)
+                .map(EndpointId::value)
+                .sorted()
+                .collect(ImmutableList.toImmutableList());
+    }
+
+    /**
+     * Another program's row came and went under a key that no endpoint has. The node stopped following the list at that
+     * moment, for the key was read outside of what may fail, and sent work to endpoints that had long left.
+     */
+    @Test
+    public void testChanged_foreignKey() {
+        rows.changed(ImmutableList.of(row("Not An Id", "x"), row("w-1", GOOD)));
+        rows.changed(ImmutableList.of(deleted("Not An Id"), row("w-2", GOOD)));
+        assertEquals(listed(), ImmutableList.of("w-1", "w-2"));
+    }
+
+    /** An endpoint's entry is written over by another program: it gets nothing new until its next heartbeat. */
+    @Test
+    public void testChanged_writtenOver() {
+        rows.changed(ImmutableList.of(row("w-1", GOOD), row("w-2", GOOD)));
+        rows.changed(ImmutableList.of(row("w-1", GOOD.replace("ready", "resting"))));
+        assertEquals(listed(), ImmutableList.of("w-2"));
+        rows.changed(ImmutableList.of(row("w-1", GOOD)));
+        assertEquals(listed(), ImmutableList.of("w-1", "w-2"));
+        assertEquals(changes, 3);
+        assertEquals(meters.scrape().contains("tarragonarch_endpoint_rows_unreadable_total 1.0"), true);
+    }
+
+    @Test
+    public void testReplaced_foreignRowsAreLeftOut() {
+        rows.replaced(ImmutableList.of(row("", GOOD), row("w-1", GOOD), row("w-2", "\u0000"), row("w-3", "{}")));
+        assertEquals(listed(), ImmutableList.of("w-1"));
+    }
+
+    /** Time that stands still. */
+    private static final class StoppedTimers implements Timers {
+        @Override
+        public long nowMillis() {
+            return 0;
+        }
+
+        @Override
+        public Handle after(long millis, Runnable task) {
+            return () -> {};
+        }
+    }
+}
