--- /dev/null
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/Coordinator.java
@@ -0,0 +1,244 @@
+package org.tarragonarch.core.cluster;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import java.util.function.LongSupplier;
+import org.tarragonarch.core.handover.JobDesk;
+import org.tarragonarch.core.placing.Outlook;
+import org.tarragonarch.core.placing.PlacingSettings;
+import org.tarragonarch.core.shard.EndpointList;
+import org.tarragonarch.core.shard.Heartbeats;
+import org.tarragonarch.core.shard.PeerBook;
+import org.tarragonarch.core.shard.ShardEvents;
+import org.tarragonarch.core.shard.ShardKeeper;
+import org.tarragonarch.core.shard.ShardPools;
+import org.tarragonarch.core.shard.Succession;
+import org.tarragonarch.model.id.EndpointId;
+import org.tarragonarch.model.id.FailureDomain;
+import org.tarragonarch.model.id.NodeId;
+import org.tarragonarch.model.report.NodeStatus;
+import org.tarragonarch.model.task.EndKind;
+import org.tarragonarch.model.task.EndpointOrders;
+import org.tarragonarch.model.task.FencingToken;
+import org.tarragonarch.model.task.JobId;
+import org.tarragonarch.model.task.Offer;
+import org.tarragonarch.model.task.TaskRun;
+import org.tarragonarch.model.task.Timers;
+import org.tarragonarch.model.task.Verdict;
+
+/**
+ * What one node does among its peers: holds shards, hands its clients' jobs to holders, and says how it is.
+ *
+ * <p>One thread calls every method. Nothing here reads a clock or a socket: time, peers and endpoints are ports.
+ */
+public final class Coordinator implements ShardEvents {
+    private final Member self;
+    private final Timers timers;
+    private final PeerSender sender;
+    private final ShardEvents log;
+    private final PeerBook book = new PeerBook();
+    private final EndpointList endpoints;
+    private final Heartbeats heartbeats;
+    private final ShardKeeper keeper;
+    private final JobDesk desk;
+    private boolean leaving;
+    private long configurationVersion;
+
+    /**
+     * Creates a node that knows nobody and holds nothing.
+     *
+     * @param ip this VM's address, which makes its tokens unlike those of others
+     * @param endpoints the endpoints that the platform lists; whoever changes it says so
+     * @param wallMillis the time of day, for terms that rise over restarts
+     * @param log hears what happens to shards and on them; never of settled jobs
+     */
+    public Coordinator(
+            Member self,
+            String ip,
+            ShardPools pools,
+            EndpointList endpoints,
+            PlacingSettings placing,
+            EndpointOrders orders,
+            PeerSender sender,
+            Timers timers,
+            LongSupplier wallMillis,
+            ShardEvents log) {
+        this.self = checkNotNull(self, "self");
+        this.endpoints = checkNotNull(endpoints, "endpoints");
+        this.sender = checkNotNull(sender, "sender");
+        this.timers = checkNotNull(timers, "timers");
+        this.log = checkNotNull(log, "log");
+        Succession succession = new Succession(self.node(), self.domain(), ip, self.milliCores(), book, pools);
+        this.keeper = new ShardKeeper(pools, succession, endpoints, placing, orders, timers, wallMillis, this);
+        this.heartbeats = new Heartbeats(book, pools.shards());
+        KnownHolders holders = new KnownHolders(self, book, keeper, heartbeats, sender, timers);
+        this.desk = new JobDesk(holders, timers, placing.certainLapse());
+    }
+
+    /** Returns what is known of the peers. */
+    public PeerBook book() {
+        return book;
+    }
+
+    /** Returns the jobs of this node's clients. */
+    public JobDesk desk() {
+        return desk;
+    }
+
+    /** Returns how many shards this node holds. */
+    public int heldShards() {
+        return keeper.heldShards().size();
+    }
+
+    /** Returns whether any shard has a holder that can be heard, so that jobs have somewhere to go. */
+    public boolean anyHolder() {
+        return !keeper.heldShards().isEmpty() || !book.holders().isEmpty();
+    }
+
+    /**
+     * Reviews shards, runs and peers; to be called every half {@link PeerBook#STATUS_PERIOD_MILLIS}.
+     *
+     * @param mayClaim whether this node knows enough of its peers to take shards
+     */
+    public void review(boolean mayClaim) {
+        long now = timers.nowMillis();
+        if (endpoints.expire(now)) {
+            endpointsChanged();
+        }
+        keeper.reviewRuns();
+        if (mayClaim) {
+            reviewShards();
+        }
+        if (heartbeats.review(keeper.heldShards(), now)) {
+            sendStatus();
+        }
+        tell(heartbeats.due(now));
+    }
+
+    /** Claims and lets go of shards as the peers that are there ask for. */
+    public void reviewShards() {
+        if (!leaving && keeper.review()) {
+            holdersChanged();
+        }
+    }
+
+    /** Passes the list of endpoints on to the shards held here. */
+    public void endpointsChanged() {
+        keeper.endpointsChanged();
+    }
+
+    /** Takes in a peer's status; returns whether the peer was not there before. */
+    public boolean heard(NodeStatus status) {
+        boolean joined = book.heard(status, timers.nowMillis());
+        if (joined) {
+            sender.status(status.node(), status());
+        }
+        return joined;
+    }
+
+    /** Looks for holders for the jobs that have none, after peers were heard. */
+    public void placeSeeking() {
+        if (desk.seeking()) {
+            desk.holdersChanged();
+        }
+    }
+
+    /** Takes in that a peer, which the book takes for gone, cannot be heard any more. */
+    public void lost(NodeId peer) {
+        keeper.nodeLost(peer);
+        desk.nodeLost(peer);
+    }
+
+    /** Takes a job that a peer offers. */
+    public void offered(Offer offer) {
+        keeper.placer()
+                .ifPresentOrElse(
+                        placer -> placer.offer(offer),
+                        () -> settled(offer.asker(), offer.job().id(), Verdict.HOLD_LOST, 0));
+    }
+
+    /** Ends a job that a peer withdraws. */
+    public void withdrawn(NodeId asker, JobId job) {
+        keeper.placer().ifPresent(placer -> placer.withdraw(asker, job));
+    }
+
+    /** Lets go of every shard and takes none any more, because this node is about to stop. */
+    public void leave() {
+        leaving = true;
+        keeper.resignAll();
+        sendStatus();
+    }
+
+    /** Notes which version of the configuration is in force here, and tells everybody. */
+    public void configured(long version) {
+        configurationVersion = version;
+        sendStatus();
+    }
+
+    /** Returns this node's status. */
+    public NodeStatus status() {
+        return new NodeStatus(
+                self.node(),
+                self.domain(),
+                self.address(),
+                self.milliCores(),
+                leaving,
+                heartbeats.seeking(),
+                configurationVersion,
+                keeper.held());
+    }
+
+    private void holdersChanged() {
+        sendStatus();
+        desk.holdersChanged();
+    }
+
+    private void tell(Heartbeats.Audience audience) {
+        if (audience == Heartbeats.Audience.ALL) {
+            sendStatus();
+        } else if (audience == Heartbeats.Audience.CLOSE) {
+            NodeStatus status = status();
+            heartbeats.close().forEach(peer -> sender.status(peer, status));
+        }
+    }
+
+    private void sendStatus() {
+        heartbeats.toldAll(timers.nowMillis());
+        sender.statusToAll(status());
+    }
+
+    @Override
+    public void settled(NodeId asker, JobId job, Verdict verdict, long retryMillis) {
+        if (asker.equals(self.node())) {
+            desk.settled(asker, job, verdict, retryMillis);
+        } else {
+            sender.settled(asker, job, verdict, retryMillis);
+        }
+    }
+
+    @Override
+    public void claimed(FailureDomain shard, FencingToken token, int shardEndpoints) {
+        log.claimed(shard, token, shardEndpoints);
+    }
+
+    @Override
+    public void resigned(FailureDomain shard, FencingToken token) {
+        log.resigned(shard, token);
+    }
+
+    @Override
+    public void outranked(FailureDomain shard, FencingToken token) {
+        log.outranked(shard, token);
+        holdersChanged();
+    }
+
+    @Override
+    public void declined(NodeId asker, JobId job, Outlook outlook) {
+        log.declined(asker, job, outlook);
+    }
+
+    @Override
+    public void runEndedBadly(FailureDomain shard, TaskRun run, EndpointId endpoint, EndKind kind) {
+        log.runEndedBadly(shard, run, endpoint, kind);
+    }
+}
--- /dev/null
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/KnownHolders.java
@@ -0,0 +1,77 @@
+package org.tarragonarch.core.cluster;
+
+import com.google.common.collect.ImmutableList;
+import java.util.Comparator;
+import org.tarragonarch.core.handover.Holder;
+import org.tarragonarch.core.handover.Holders;
+import org.tarragonarch.core.shard.Heartbeats;
+import org.tarragonarch.core.shard.PeerBook;
+import org.tarragonarch.core.shard.ShardKeeper;
+import org.tarragonarch.model.id.NodeId;
+import org.tarragonarch.model.report.HeldShard;
+import org.tarragonarch.model.task.JobId;
+import org.tarragonarch.model.task.Offer;
+import org.tarragonarch.model.task.Timers;
+
+/** The holders of shards as this node reaches them. */
+final class KnownHolders implements Holders {
+    private final Member self;
+    private final PeerBook book;
+    private final ShardKeeper keeper;
+    private final Heartbeats heartbeats;
+    private final PeerSender sender;
+    private final Timers timers;
+
+    KnownHolders(
+            Member self, PeerBook book, ShardKeeper keeper, Heartbeats heartbeats, PeerSender sender, Timers timers) {
+        this.self = self;
+        this.book = book;
+        this.keeper = keeper;
+        this.heartbeats = heartbeats;
+        this.sender = sender;
+        this.timers = timers;
+    }
+
+    @Override
+    public NodeId own() {
+        return self.node();
+    }
+
+    @Override
+    public ImmutableList<Holder> inOrder() {
+        ImmutableList.Builder<Holder> holders = ImmutableList.builder();
+        ImmutableList<HeldShard> held = keeper.held();
+        if (!held.isEmpty()) {
+            holders.add(new Holder(own(), held));
+        }
+        book.holders().stream()
+                .map(status -> new Holder(status.node(), status.shards()))
+                .forEach(holders::add);
+        Comparator<Holder> ownDomainFirst = Comparator.comparing(holder -> !holder.holds(self.domain()));
+        Comparator<Holder> roomiestFirst = Comparator.comparing(holder -> -holder.freeMilliCores());
+        return ImmutableList.sortedCopyOf(ownDomainFirst.thenComparing(roomiestFirst), holders.build());
+    }
+
+    @Override
+    public boolean moreExpected() {
+        return heartbeats.holderExpected(timers.nowMillis());
+    }
+
+    @Override
+    public void offer(Holder holder, Offer offer) {
+        if (!holder.node().equals(own())) {
+            sender.offer(holder.node(), offer);
+            return;
+        }
+        keeper.placer().ifPresent(placer -> placer.offer(offer));
+    }
+
+    @Override
+    public void withdraw(Holder holder, JobId job) {
+        if (!holder.node().equals(own())) {
+            sender.withdraw(holder.node(), job);
+            return;
+        }
+        keeper.placer().ifPresent(placer -> placer.withdraw(own(), job));
+    }
+}
--- /dev/null
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/PeerSender.java
@@ -0,0 +1,25 @@
+package org.tarragonarch.core.cluster;
+
+import org.tarragonarch.model.id.NodeId;
+import org.tarragonarch.model.report.NodeStatus;
+import org.tarragonarch.model.task.JobId;
+import org.tarragonarch.model.task.Offer;
+import org.tarragonarch.model.task.Verdict;
+
+/** The way to the other nodes; each message arrives once or not at all. */
+public interface PeerSender {
+    /** Tells one node this node's status. */
+    void status(NodeId to, NodeStatus status);
+
+    /** Tells every node that was ever heard of, since it may be back. */
+    void statusToAll(NodeStatus status);
+
+    /** Offers a job to a holder. */
+    void offer(NodeId to, Offer offer);
+
+    /** Takes an offer back. */
+    void withdraw(NodeId to, JobId job);
+
+    /** Tells the node that offered a job what became of it. */
+    void settled(NodeId to, JobId job, Verdict verdict, long retryMillis);
+}
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/handover/Holders.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/handover/Holders.java
@@ -1,24 +1,23 @@
 package org.tarragonarch.core.handover;
 
 import com.google.common.collect.ImmutableList;
-import org.tarragonarch.core.shard.ShardHolder;
 import org.tarragonarch.model.id.NodeId;
 import org.tarragonarch.model.task.JobId;
 import org.tarragonarch.model.task.Offer;
 
 /** The holders of shards as a job's node reaches them: itself, or a peer over a connection. */
 public interface Holders {
-    /** Returns the holders that can be heard, the one of this node's own failure domain first, then the roomiest. */
-    ImmutableList<ShardHolder> inOrder();
+    /** Returns the holders that can be heard, that of this node's own failure domain first, then the roomiest. */
+    ImmutableList<Holder> inOrder();
 
     /** Returns whether a shard without a holder should have one within moments. */
     boolean moreExpected();
 
-    /** Offers a job to the holder of a shard. */
-    void offer(ShardHolder holder, Offer offer);
+    /** Offers a job to a holder. */
+    void offer(Holder holder, Offer offer);
 
     /** Withdraws a job from a holder. */
-    void withdraw(ShardHolder holder, JobId job);
+    void withdraw(Holder holder, JobId job);
 
     /** Returns this node's name, under which it offers. */
     NodeId own();
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/handover/JobDesk.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/handover/JobDesk.java
@@ -7,7 +7,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
-import org.tarragonarch.core.shard.ShardHolder;
 import org.tarragonarch.model.id.NodeId;
 import org.tarragonarch.model.task.JobId;
 import org.tarragonarch.model.task.JobOutcome;
@@ -23,7 +22,7 @@
  * Takes jobs from clients, hands each to one holder at a time, and answers it once.
  *
  * <p>A job is answered by the node that has its client's connection. If its holder is lost, it goes to the next holder
- * of the same shard, who finds what still runs; to another shard only when those runs are certainly over.
+ * of the same shards, who finds what still runs; to any other only when those runs are certainly over.
  */
 public final class JobDesk {
     /** An answer that leaves this long before the deadline still reaches the client, in milliseconds. */
@@ -207,10 +206,10 @@
     private void place(OpenJob job) {
         long now = timers.nowMillis();
         boolean anyAllowedLater = false;
-        for (ShardHolder candidate : holders.inOrder()) {
+        for (Holder candidate : holders.inOrder()) {
             if (job.mayGoTo(candidate, now, runsLastMillis)) {
                 job.offeredTo(candidate);
-                holders.offer(candidate, job.offer(holders.own(), now));
+                holders.offer(candidate, job.offer(holders.own(), now, runsLastMillis));
                 return;
             }
             anyAllowedLater |= job.mayGoLater(candidate);
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/handover/OpenJob.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/handover/OpenJob.java
@@ -6,8 +6,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
-import org.tarragonarch.core.shard.ShardHolder;
-import org.tarragonarch.model.id.FailureDomain;
 import org.tarragonarch.model.id.NodeId;
 import org.tarragonarch.model.task.JobId;
 import org.tarragonarch.model.task.JobReply;
@@ -22,9 +20,9 @@
     private final long arrivedAtMillis;
     private final long deadlineAtMillis;
     private final List<Consumer<JobReply>> clients = new ArrayList<>();
-    private final Set<FailureDomain> declinedBy = new HashSet<>();
-    private Optional<ShardHolder> holder = Optional.empty();
-    private Optional<ShardHolder> lostHolder = Optional.empty();
+    private final Set<NodeId> declinedBy = new HashSet<>();
+    private Optional<Holder> holder = Optional.empty();
+    private Optional<Holder> lostHolder = Optional.empty();
     private Optional<NodeId> lastHolder = Optional.empty();
     private boolean mayHaveRun;
     private long lostAtMillis;
@@ -53,8 +51,14 @@
         return nowMillis - arrivedAtMillis;
     }
 
-    Offer offer(NodeId own, long nowMillis) {
-        return new Offer(request, queue, own, ageMillis(nowMillis), deadlineAtMillis - nowMillis, mayHaveRun);
+    /**
+     * Returns the offer of this job.
+     *
+     * @param runsLastMillis how long what a lost holder started may run on
+     */
+    Offer offer(NodeId own, long nowMillis, long runsLastMillis) {
+        long earlierRuns = mayHaveRun ? Math.max(0, lostAtMillis + runsLastMillis - nowMillis) : 0;
+        return new Offer(request, queue, own, ageMillis(nowMillis), deadlineAtMillis - nowMillis, earlierRuns);
     }
 
     void join(Consumer<JobReply> client) {
@@ -72,7 +76,7 @@
         clients.clear();
     }
 
-    Optional<ShardHolder> holder() {
+    Optional<Holder> holder() {
         return holder;
     }
 
@@ -80,7 +84,7 @@
         return holder.filter(current -> current.node().equals(node)).isPresent();
     }
 
-    void offeredTo(ShardHolder next) {
+    void offeredTo(Holder next) {
         holder = Optional.of(next);
         lastHolder = Optional.of(next.node());
     }
@@ -109,7 +113,7 @@
     }
 
     void declined(long retryMillis) {
-        holder.ifPresent(by -> declinedBy.add(by.held().domain()));
+        holder.ifPresent(by -> declinedBy.add(by.node()));
         holder = Optional.empty();
         soonestRetryMillis = Math.min(soonestRetryMillis, retryMillis);
     }
@@ -118,23 +122,20 @@
         return mayHaveRun;
     }
 
-    /** Returns whether the job may go to the shard now, given how long a lost holder's runs may last. */
-    boolean mayGoTo(ShardHolder candidate, long nowMillis, long runsLastMillis) {
-        if (declinedBy.contains(candidate.held().domain())) {
+    /** Returns whether the job may go to the holder now, given how long a lost holder's runs may last. */
+    boolean mayGoTo(Holder candidate, long nowMillis, long runsLastMillis) {
+        if (declinedBy.contains(candidate.node())) {
             return false;
         }
         if (!mayHaveRun || nowMillis >= lostAtMillis + runsLastMillis) {
             return true;
         }
-        return lostHolder
-                .filter(lost -> lost.held().domain().equals(candidate.held().domain())
-                        && lost.held().token().compareTo(candidate.held().token()) < 0)
-                .isPresent();
+        return lostHolder.filter(candidate::succeeds).isPresent();
     }
 
-    /** Returns whether the job may go to the shard at some time, though not now. */
-    boolean mayGoLater(ShardHolder candidate) {
-        return mayHaveRun && !declinedBy.contains(candidate.held().domain());
+    /** Returns whether the job may go to the holder at some time, though not now. */
+    boolean mayGoLater(Holder candidate) {
+        return mayHaveRun && !declinedBy.contains(candidate.node());
     }
 
     boolean wasDeclined() {
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/EndpointChoice.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/EndpointChoice.java
@@ -1,6 +1,5 @@
 package org.tarragonarch.core.placing;
 
-import java.util.Collection;
 import java.util.Optional;
 import org.tarragonarch.model.task.Resources;
 
@@ -13,7 +12,7 @@
 final class EndpointChoice {
     private EndpointChoice() {}
 
-    static Optional<HeldEndpoint> choose(Collection<HeldEndpoint> endpoints, PlacedTask task, long nowMillis) {
+    static Optional<HeldEndpoint> choose(Iterable<HeldEndpoint> endpoints, PlacedTask task, long nowMillis) {
         PlacedJob job = task.job();
         Resources need = job.need();
         HeldEndpoint best = null;
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/HeldEndpoint.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/HeldEndpoint.java
@@ -92,6 +92,18 @@
         closed = true;
     }
 
+    /**
+     * Gives no more orders, and takes what runs for over when its lease has certainly run out.
+     *
+     * <p>Guards against a task that runs twice: its endpoint may have another holder now, who knows nothing of it, and
+     * until the lease is over or that holder has stopped it, it goes on.
+     */
+    void abandon() {
+        closed = true;
+        long left = Math.max(0, leaseOverAtMillis - timers.nowMillis());
+        timers.after(left, () -> releaseAll(EndKind.LAPSED));
+    }
+
     EndpointEntry entry() {
         return entry;
     }
@@ -394,16 +406,35 @@
             Reservation own = reservations.get(run.task());
             boolean known = own != null && own.run().equals(run);
             if (!known && strangers.add(run)) {
-                orders.stop(entry, token, run, delivery(false), answer -> strangerStopped(run, answer));
+                stopStranger(run, false);
             }
         }
     }
 
+    private void stopStranger(TaskRun run, boolean fresh) {
+        if (!closed && strangers.contains(run)) {
+            orders.stop(entry, token, run, delivery(fresh), answer -> strangerStopped(run, answer));
+        }
+    }
+
+    /**
+     * A run that the endpoint says it does not know is over. After any other answer, or none, the next look tells:
+     * taken for over while it runs, it would be renewed with whatever is started here, for as long as that goes on.
+     */
     private void strangerStopped(TaskRun run, OrderAnswer answer) {
-        if (!closed && answer.result() != OrderResult.DONE) {
-            strangers.remove(run);
+        if (closed || !strangers.contains(run)) {
+            return;
+        }
+        switch (answer.result()) {
+            case DONE -> timers.after(settings.stopTime(), this::lookIfNeeded);
+            case OLD_RUN -> {
+                strangers.remove(run);
+                lookIfNeeded();
+            }
+            case OUTRANKED -> events.outranked(this);
+            case OTHER_LIFE -> lifeOver();
+            default -> timers.after(FIRST_RETRY_MILLIS, () -> stopStranger(run, true));
         }
-        timers.after(settings.stopTime(), this::lookIfNeeded);
     }
 
     private void lookAgain() {
--- /dev/null
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacedShard.java
@@ -0,0 +1,103 @@
+package org.tarragonarch.core.placing;
+
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Set;
+import org.tarragonarch.model.id.EndpointId;
+import org.tarragonarch.model.task.EndpointEntry;
+import org.tarragonarch.model.task.EndpointOrders;
+import org.tarragonarch.model.task.FencingToken;
+import org.tarragonarch.model.task.Resources;
+import org.tarragonarch.model.task.Timers;
+
+/** The endpoints of one failure domain under this node's token. */
+final class PlacedShard {
+    /** How long endpoints may be silent before a node takes them for out of its reach: three looks. */
+    private static final long REACH_MILLIS = 600;
+
+    private final FencingToken token;
+    private final PlacingSettings settings;
+    private final EndpointOrders orders;
+    private final Timers timers;
+    private final EndpointEvents events;
+    private final long openedAtMillis;
+    private final Map<EndpointId, HeldEndpoint> endpoints = new LinkedHashMap<>();
+
+    PlacedShard(
+            FencingToken token, PlacingSettings settings, EndpointOrders orders, Timers timers, EndpointEvents events) {
+        this.token = token;
+        this.settings = settings;
+        this.orders = orders;
+        this.timers = timers;
+        this.events = events;
+        this.openedAtMillis = timers.nowMillis();
+    }
+
+    FencingToken token() {
+        return token;
+    }
+
+    Collection<HeldEndpoint> endpoints() {
+        return endpoints.values();
+    }
+
+    /** Takes in the list of the endpoints that stand there. */
+    void update(Collection<EndpointEntry> listed) {
+        Set<EndpointId> ids = new HashSet<>();
+        for (EndpointEntry entry : listed) {
+            ids.add(entry.id());
+            HeldEndpoint known = endpoints.get(entry.id());
+            if (known == null) {
+                HeldEndpoint added = new HeldEndpoint(entry, token, settings, orders, timers, events);
+                endpoints.put(entry.id(), added);
+                added.open();
+            } else {
+                known.update(entry);
+            }
+        }
+        endpoints.entrySet().removeIf(known -> !ids.contains(known.getKey()) && forget(known.getValue()));
+    }
+
+    /** Gives no more orders; what runs is left to the next holder, or to its lease. */
+    void close() {
+        endpoints.values().forEach(HeldEndpoint::close);
+    }
+
+    /** Gives no more orders, and takes what runs for over when its lease has certainly run out. */
+    void abandon() {
+        endpoints.values().forEach(HeldEndpoint::abandon);
+    }
+
+    /** Returns whether no endpoint has answered although this node has asked them for long enough. */
+    boolean outOfReach() {
+        if (timers.nowMillis() - openedAtMillis < REACH_MILLIS) {
+            return false;
+        }
+        for (HeldEndpoint endpoint : endpoints.values()) {
+            if (endpoint.answered()) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /** Returns the processor time that is free on the endpoints that take tasks, in thousandths of a core. */
+    long freeMilliCores() {
+        long now = timers.nowMillis();
+        return endpoints.values().stream()
+                .filter(endpoint -> endpoint.takes(Resources.NONE, now))
+                .mapToLong(endpoint -> endpoint.free().milliCores())
+                .sum();
+    }
+
+    private static boolean forget(HeldEndpoint endpoint) {
+        endpoint.retire();
+        if (endpoint.runs() == 0) {
+            endpoint.close();
+            return true;
+        }
+        return false;
+    }
+}
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/Placer.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/Placer.java
@@ -1,19 +1,22 @@
 package org.tarragonarch.core.placing;
 
 import static com.google.common.base.Preconditions.checkNotNull;
+import static com.google.common.base.Preconditions.checkState;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.Iterables;
+import com.google.common.collect.Streams;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.stream.LongStream;
-import org.tarragonarch.model.id.EndpointId;
+import org.tarragonarch.model.id.FailureDomain;
 import org.tarragonarch.model.id.NodeId;
 import org.tarragonarch.model.task.EndKind;
 import org.tarragonarch.model.task.EndpointEntry;
@@ -26,7 +29,7 @@
 import org.tarragonarch.model.task.Verdict;
 
 /**
- * Places the tasks of jobs on the endpoints of one shard, for as long as this node holds it.
+ * Places the tasks of jobs on the endpoints of the shards that this node holds, as one pool.
  *
  * <p>One thread calls every method, and every reply of the ports comes on it.
  */
@@ -34,73 +37,84 @@
     /** When to come back to a shard without endpoints: about what a takeover or a restart takes. */
     private static final long IMPOSSIBLE_RETRY_MILLIS = 1_000;
 
-    /** How long endpoints may be silent before a node takes them for out of its reach: three looks. */
-    private static final long REACH_MILLIS = 600;
-
     /** How often a job that waits for earlier runs to end is looked at: a fraction of the time that a stop takes. */
     private static final long RECHECK_MILLIS = 10;
 
-    private final FencingToken token;
     private final PlacingSettings settings;
     private final EndpointOrders orders;
     private final Timers timers;
     private final PlacerListener listener;
     private final RunTimes runTimes;
     private final Events events = new Events();
-    private final Map<EndpointId, HeldEndpoint> endpoints = new LinkedHashMap<>();
+    private final Map<FailureDomain, PlacedShard> shards = new LinkedHashMap<>();
     private final Map<JobId, PlacedJob> jobs = new HashMap<>();
     private final JobLine line = new JobLine();
-    private final long openedAtMillis;
     private final EndingJobs ending = new EndingJobs();
     private final List<Offer> unsure = new ArrayList<>();
     private boolean fillPlanned;
     private boolean closed;
 
     /**
-     * Creates the placer of a shard.
+     * Creates a placer that holds no shard yet.
      *
-     * @param token the token under which this node holds the shard's endpoints
-     * @param runTimes what is known of run times; outlives this hold
+     * @param runTimes what is known of run times; outlives this placer
      */
     public Placer(
-            FencingToken token,
             PlacingSettings settings,
             EndpointOrders orders,
             Timers timers,
             PlacerListener listener,
             RunTimes runTimes) {
-        this.token = checkNotNull(token, "token");
         this.settings = checkNotNull(settings, "settings");
         this.orders = checkNotNull(orders, "orders");
         this.timers = checkNotNull(timers, "timers");
         this.listener = checkNotNull(listener, "listener");
         this.runTimes = checkNotNull(runTimes, "runTimes");
-        this.openedAtMillis = timers.nowMillis();
     }
 
-    /** Returns the token under which this node holds the shard. */
-    public FencingToken token() {
-        return token;
+    /**
+     * Adds a shard.
+     *
+     * @param token the token under which this node holds the shard's endpoints
+     */
+    public void open(FailureDomain shard, FencingToken token, Collection<EndpointEntry> listed) {
+        checkState(!closed && !shards.containsKey(shard), "%s is open", shard);
+        shards.put(shard, new PlacedShard(token, settings, orders, timers, events));
+        update(shard, listed);
     }
 
-    /** Takes in the list of the shard's endpoints. */
-    public void update(Collection<EndpointEntry> listed) {
-        Set<EndpointId> ids = new HashSet<>();
-        for (EndpointEntry entry : listed) {
-            ids.add(entry.id());
-            HeldEndpoint known = endpoints.get(entry.id());
-            if (known == null) {
-                HeldEndpoint added = new HeldEndpoint(entry, token, settings, orders, timers, events);
-                endpoints.put(entry.id(), added);
-                added.open();
-            } else {
-                known.update(entry);
-            }
-        }
-        endpoints.entrySet().removeIf(known -> !ids.contains(known.getKey()) && forget(known.getValue()));
+    /** Returns the token under which this node holds the shard, if it does. */
+    public Optional<FencingToken> token(FailureDomain shard) {
+        return Optional.ofNullable(shards.get(shard)).map(PlacedShard::token);
+    }
+
+    /** Returns the shards that are held. */
+    public ImmutableSet<FailureDomain> shards() {
+        return ImmutableSet.copyOf(shards.keySet());
+    }
+
+    /** Takes in the list of a shard's endpoints. */
+    public void update(FailureDomain shard, Collection<EndpointEntry> listed) {
+        shards.get(shard).update(listed);
         planFill();
     }
 
+    /**
+     * Lets go of one shard. What runs there is not renewed any more, and starts elsewhere when its lease has certainly
+     * run out; without another shard the whole placer closes, and its jobs are given back.
+     */
+    public void letGo(FailureDomain shard) {
+        if (shards.keySet().equals(Set.of(shard))) {
+            close();
+            return;
+        }
+        PlacedShard gone = shards.remove(shard);
+        if (gone != null) {
+            gone.abandon();
+            planFill();
+        }
+    }
+
     /**
      * Takes a job, or declines it at once.
      *
@@ -115,7 +129,7 @@
         if (ending.defer(offer, timers.nowMillis())) {
             return;
         }
-        if (offer.repeated() && !earlierRunsOver()) {
+        if (offer.earlierRunsMillis() > 0 && !allKnown()) {
             wait(offer);
             return;
         }
@@ -156,17 +170,18 @@
 
     /** Looks for runs that stand still; to be called a few times a second. */
     public void review() {
-        endpoints.values().forEach(HeldEndpoint::restartStuck);
+        endpoints().forEach(HeldEndpoint::restartStuck);
         planFill();
     }
 
-    /** Lets go of the shard. What runs is left to the next holder, or to its lease. */
+    /** Lets go of every shard. What runs is left to the next holder, or to its lease. */
     public void close() {
         if (closed) {
             return;
         }
         closed = true;
-        endpoints.values().forEach(HeldEndpoint::close);
+        shards.values().forEach(PlacedShard::close);
+        shards.clear();
         for (PlacedJob job : ImmutableList.copyOf(jobs.values())) {
             jobs.remove(job.id());
             listener.settled(job.asker(), job.id(), Verdict.HOLD_LOST, 0);
@@ -177,25 +192,29 @@
         unsure.clear();
     }
 
-    /** Returns the processor time that is free on endpoints that take tasks, in thousandths of a core. */
-    public long freeMilliCores() {
-        return freeRoom(timers.nowMillis()).sum();
+    /** Returns the processor time that is free in a shard on endpoints that take tasks, in thousandths of a core. */
+    public long freeMilliCores(FailureDomain shard) {
+        PlacedShard held = shards.get(shard);
+        return held == null ? 0 : held.freeMilliCores();
+    }
+
+    /** Returns whether no endpoint of the shard has answered although this node has asked them for long enough. */
+    public boolean outOfReach(FailureDomain shard) {
+        PlacedShard held = shards.get(shard);
+        return held != null && held.outOfReach();
     }
 
     /**
-     * Guards against a task that runs twice after the shard changed hands: the earlier holder's runs show on the
-     * endpoints' lists, and are over when each list was read and cleared, or when their lease has certainly run out.
+     * Guards against a task that runs twice after its shard changed hands: the lost holder's runs show on the
+     * endpoints' lists, and are over when each list was read under this holder's token and cleared. How long this
+     * holder has had the shard says nothing: while a domain was cut off, the other may have gone on there.
      */
-    private boolean earlierRunsOver() {
-        if (timers.nowMillis() >= openedAtMillis + settings.certainLapse()) {
-            return true;
-        }
-        for (HeldEndpoint endpoint : endpoints.values()) {
-            if (!endpoint.known()) {
-                return false;
-            }
-        }
-        return !endpoints.isEmpty();
+    private boolean allKnown() {
+        return Iterables.all(endpoints(), HeldEndpoint::known);
+    }
+
+    private Iterable<HeldEndpoint> endpoints() {
+        return Iterables.concat(Iterables.transform(shards.values(), PlacedShard::endpoints));
     }
 
     private void wait(Offer offer) {
@@ -225,19 +244,6 @@
         fill();
     }
 
-    /** Returns whether no endpoint has answered although this node has asked them for long enough. */
-    public boolean outOfReach() {
-        if (timers.nowMillis() - openedAtMillis < REACH_MILLIS) {
-            return false;
-        }
-        for (HeldEndpoint endpoint : endpoints.values()) {
-            if (endpoint.answered()) {
-                return false;
-            }
-        }
-        return true;
-    }
-
     /**
      * Returns what to expect of a job that would be taken now.
      *
@@ -248,7 +254,7 @@
         long places = 0;
         long freePlaces = 0;
         long openingPlaces = 0;
-        for (HeldEndpoint endpoint : endpoints.values()) {
+        for (HeldEndpoint endpoint : endpoints()) {
             boolean usable = endpoint.takes(Resources.NONE, now);
             if (!usable && !endpoint.opening()
                     || !endpoint.entry().service().equals(job.queue().service())) {
@@ -273,15 +279,6 @@
                 wait, expectedRun, inTimeWithin, deadlineWithin, places, freePlaces, line.size(), roomForAll);
     }
 
-    private boolean forget(HeldEndpoint endpoint) {
-        endpoint.retire();
-        if (endpoint.runs() == 0) {
-            endpoint.close();
-            return true;
-        }
-        return false;
-    }
-
     private void planFill() {
         if (!fillPlanned && !closed) {
             fillPlanned = true;
@@ -343,7 +340,7 @@
 
     /** Returns the processor time that is free on each endpoint that takes tasks, in thousandths of a core. */
     private LongStream freeRoom(long now) {
-        return endpoints.values().stream()
+        return Streams.stream(endpoints())
                 .filter(endpoint -> endpoint.takes(Resources.NONE, now))
                 .mapToLong(endpoint -> endpoint.free().milliCores());
     }
@@ -354,7 +351,7 @@
             if (!task.waiting()) {
                 continue;
             }
-            Optional<HeldEndpoint> endpoint = EndpointChoice.choose(endpoints.values(), task, now);
+            Optional<HeldEndpoint> endpoint = EndpointChoice.choose(endpoints(), task, now);
             if (endpoint.isEmpty()) {
                 return false;
             }
@@ -387,13 +384,17 @@
     private final class Events implements EndpointEvents {
         @Override
         public void ended(HeldEndpoint endpoint, Reservation reservation, EndKind kind) {
+            if (closed) {
+                return;
+            }
             PlacedTask task = reservation.task();
             PlacedJob job = task.job();
             if (kind.ownEnd()) {
                 judge(endpoint, kind);
             }
             if (kind != EndKind.DONE && !job.over()) {
-                listener.runEndedBadly(reservation.run(), endpoint.entry().id(), kind);
+                EndpointEntry entry = endpoint.entry();
+                listener.runEndedBadly(entry.domain(), reservation.run(), entry.id(), kind);
             }
             if (!task.holds(reservation)) {
                 return;
@@ -444,10 +445,11 @@
 
         @Override
         public void outranked(HeldEndpoint endpoint) {
-            if (!closed) {
-                close();
-                listener.outranked();
-            }
+            FailureDomain shard = endpoint.entry().domain();
+            token(shard).ifPresent(token -> {
+                letGo(shard);
+                listener.outranked(shard, token);
+            });
         }
 
         private void judge(HeldEndpoint endpoint, EndKind kind) {
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacerListener.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacerListener.java
@@ -1,8 +1,10 @@
 package org.tarragonarch.core.placing;
 
 import org.tarragonarch.model.id.EndpointId;
+import org.tarragonarch.model.id.FailureDomain;
 import org.tarragonarch.model.id.NodeId;
 import org.tarragonarch.model.task.EndKind;
+import org.tarragonarch.model.task.FencingToken;
 import org.tarragonarch.model.task.JobId;
 import org.tarragonarch.model.task.TaskRun;
 import org.tarragonarch.model.task.Verdict;
@@ -21,8 +23,8 @@
     void declined(NodeId asker, JobId job, Outlook outlook);
 
     /** A run ended without having done its work. */
-    void runEndedBadly(TaskRun run, EndpointId endpoint, EndKind kind);
+    void runEndedBadly(FailureDomain shard, TaskRun run, EndpointId endpoint, EndKind kind);
 
-    /** An endpoint obeys a higher token: another node holds the shard, and this one has let go of it. */
-    void outranked();
+    /** An endpoint obeys a higher token: another node holds its shard, and this one has let go of it. */
+    void outranked(FailureDomain shard, FencingToken token);
 }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/EndpointList.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/EndpointList.java
@@ -108,6 +108,15 @@
                 .collect(ImmutableList.toImmutableList());
     }
 
+    /** Returns how many endpoints there are in these failure domains together. */
+    public int countIn(Set<FailureDomain> domains) {
+        int count = 0;
+        for (EndpointEntry entry : entries.values()) {
+            count += domains.contains(entry.domain()) ? 1 : 0;
+        }
+        return count;
+    }
+
     /** Returns every endpoint. */
     public ImmutableList<EndpointEntry> all() {
         return ImmutableList.copyOf(entries.values());
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/PeerBook.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/PeerBook.java
@@ -110,6 +110,24 @@
         return home.isPresent() ? home : highest(shard, false);
     }
 
+    /** Returns the peers that hold shards, each with those that no other peer holds with better right. */
+    public ImmutableList<NodeStatus> holders() {
+        ImmutableList.Builder<NodeStatus> holders = ImmutableList.builder();
+        for (NodeStatus status : present()) {
+            ImmutableList<HeldShard> held = status.shards().stream()
+                    .filter(shard -> isHolder(status.node(), shard.domain()))
+                    .collect(ImmutableList.toImmutableList());
+            if (!held.isEmpty()) {
+                holders.add(status.holding(held));
+            }
+        }
+        return holders.build();
+    }
+
+    private boolean isHolder(NodeId node, FailureDomain shard) {
+        return holder(shard).filter(holder -> holder.node().equals(node)).isPresent();
+    }
+
     private Optional<ShardHolder> highest(FailureDomain shard, boolean home) {
         Optional<ShardHolder> best = Optional.empty();
         for (Heard heard : peers.values()) {
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/ShardEvents.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/ShardEvents.java
@@ -12,8 +12,8 @@
 
 /** Learns what happens to the shards of a node and to the jobs placed there. */
 public interface ShardEvents {
-    /** The node took a shard. */
-    void claimed(FailureDomain shard, FencingToken token);
+    /** The node took a shard with so many endpoints. */
+    void claimed(FailureDomain shard, FencingToken token, int endpoints);
 
     /** The node let go of a shard of its own accord. */
     void resigned(FailureDomain shard, FencingToken token);
@@ -25,7 +25,7 @@
     void settled(NodeId asker, JobId job, Verdict verdict, long retryMillis);
 
     /** A job is declined, and why. */
-    void declined(FailureDomain shard, NodeId asker, JobId job, Outlook outlook);
+    void declined(NodeId asker, JobId job, Outlook outlook);
 
     /** A run ended without having done its work. */
     void runEndedBadly(FailureDomain shard, TaskRun run, EndpointId endpoint, EndKind kind);
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/ShardKeeper.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/ShardKeeper.java
@@ -4,8 +4,6 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
-import java.util.HashMap;
-import java.util.Map;
 import java.util.Optional;
 import java.util.function.LongSupplier;
 import org.tarragonarch.core.placing.Outlook;
@@ -25,9 +23,9 @@
 import org.tarragonarch.model.task.Timers;
 import org.tarragonarch.model.task.Verdict;
 
-/** The shards that this node holds, each with its placer, from claim to resignation. */
+/** The shards that this node holds, with the placer for all of them, from claim to resignation. */
 public final class ShardKeeper {
-    private final ImmutableSet<FailureDomain> shards;
+    private final ShardPools pools;
     private final Succession succession;
     private final EndpointList endpoints;
     private final PlacingSettings settings;
@@ -35,17 +33,18 @@
     private final Timers timers;
     private final LongSupplier wallMillis;
     private final ShardEvents events;
-    private final Map<FailureDomain, Placer> placers = new HashMap<>();
-    private final Map<FailureDomain, RunTimes> runTimes = new HashMap<>();
+    private final Relay relay = new Relay();
+    private final RunTimes runTimes = new RunTimes();
+    private Optional<Placer> placer = Optional.empty();
 
     /**
      * Creates a keeper that holds nothing.
      *
-     * @param shards all failure domains with endpoints
+     * @param pools all shards, and which of them go together
      * @param wallMillis the time of day, for terms that rise over restarts
      */
     public ShardKeeper(
-            ImmutableSet<FailureDomain> shards,
+            ShardPools pools,
             Succession succession,
             EndpointList endpoints,
             PlacingSettings settings,
@@ -53,7 +52,7 @@
             Timers timers,
             LongSupplier wallMillis,
             ShardEvents events) {
-        this.shards = checkNotNull(shards, "shards");
+        this.pools = checkNotNull(pools, "pools");
         this.succession = checkNotNull(succession, "succession");
         this.endpoints = checkNotNull(endpoints, "endpoints");
         this.settings = checkNotNull(settings, "settings");
@@ -65,8 +64,9 @@
 
     /** Claims what has no holder and lets go of what another should hold; returns whether anything changed. */
     public boolean review() {
+        pools.review();
         boolean changed = false;
-        for (FailureDomain shard : shards) {
+        for (FailureDomain shard : pools.shards()) {
             if (succession.shouldResign(shard, timers.nowMillis())) {
                 resign(shard);
                 changed = true;
@@ -82,78 +82,79 @@
         return changed;
     }
 
-    /** Lets the placers look after what runs; to be called a few times a second. */
+    /** Lets the placer look after what runs; to be called a few times a second. */
     public void reviewRuns() {
-        placers.values().forEach(Placer::review);
+        placer.ifPresent(Placer::review);
     }
 
     /** Lets go of every shard, because this node leaves. */
     public void resignAll() {
-        for (FailureDomain shard : ImmutableList.copyOf(placers.keySet())) {
-            resign(shard);
-        }
+        heldShards().forEach(this::resign);
     }
 
-    /** Passes the list of endpoints on to the placers. */
+    /** Passes the list of endpoints on to the placer. */
     public void endpointsChanged() {
-        placers.forEach((shard, placer) -> placer.update(endpoints.of(shard)));
+        heldShards().forEach(shard -> placer.orElseThrow().update(shard, endpoints.of(shard)));
     }
 
     /** Ends the jobs of a node that is gone. */
     public void nodeLost(NodeId node) {
-        placers.values().forEach(placer -> placer.askerGone(node));
+        placer.ifPresent(current -> current.askerGone(node));
     }
 
-    /** Returns the placer of a shard that this node holds. */
-    public Optional<Placer> placer(FailureDomain shard) {
-        return Optional.ofNullable(placers.get(shard));
+    /** Returns the placer of the shards that this node holds, if it holds any. */
+    public Optional<Placer> placer() {
+        return placer.filter(current -> !current.shards().isEmpty());
     }
 
     /** Returns which shards this node holds. */
     public ImmutableSet<FailureDomain> heldShards() {
-        return ImmutableSet.copyOf(placers.keySet());
+        return placer.map(Placer::shards).orElse(ImmutableSet.of());
     }
 
     /** Returns the shards that this node holds, as it tells its peers. */
     public ImmutableList<HeldShard> held() {
         ImmutableList.Builder<HeldShard> held = ImmutableList.builder();
-        placers.forEach((shard, placer) -> held.add(new HeldShard(shard, placer.token(), placer.freeMilliCores())));
+        placer.ifPresent(current -> current.shards().forEach(shard -> held.add(held(current, shard))));
         return held.build();
     }
 
+    private static HeldShard held(Placer placer, FailureDomain shard) {
+        return new HeldShard(shard, placer.token(shard).orElseThrow(), placer.freeMilliCores(shard));
+    }
+
     private boolean outOfReach(FailureDomain shard) {
-        Placer placer = placers.get(shard);
-        return placer != null && !succession.isHome(shard) && placer.outOfReach();
+        return !succession.isHome(shard)
+                && placer.filter(current -> current.outOfReach(shard)).isPresent();
     }
 
     private void claim(FailureDomain shard) {
         FencingToken token = succession.claim(shard, wallMillis.getAsLong());
-        RunTimes known = runTimes.computeIfAbsent(shard, unused -> new RunTimes());
-        Placer placer = new Placer(token, settings, orders, timers, new Relay(shard, token), known);
-        placers.put(shard, placer);
-        placer.update(endpoints.of(shard));
-        events.claimed(shard, token);
+        if (placer.isEmpty()) {
+            placer = Optional.of(new Placer(settings, orders, timers, relay, runTimes));
+        }
+        placer.get().open(shard, token, endpoints.of(shard));
+        events.claimed(shard, token, endpoints.of(shard).size());
     }
 
     private void resign(FailureDomain shard) {
         succession.resign(shard);
-        Placer placer = placers.remove(shard);
-        if (placer != null) {
-            events.resigned(shard, placer.token());
-            placer.close();
-        }
+        placer.flatMap(current -> current.token(shard)).ifPresent(token -> {
+            events.resigned(shard, token);
+            letGo(shard);
+        });
     }
 
-    /** Passes on what one placer says. */
-    private final class Relay implements PlacerListener {
-        private final FailureDomain shard;
-        private final FencingToken token;
-
-        Relay(FailureDomain shard, FencingToken token) {
-            this.shard = shard;
-            this.token = token;
+    private void letGo(FailureDomain shard) {
+        Placer current = placer.orElseThrow();
+        if (current.shards().size() <= 1) {
+            placer = Optional.empty();
         }
+        current.letGo(shard);
+    }
 
+    /** Passes on what the placer says. */
+    private final class Relay implements PlacerListener {
         @Override
         public void settled(NodeId asker, JobId job, Verdict verdict, long retryMillis) {
             events.settled(asker, job, verdict, retryMillis);
@@ -161,18 +162,20 @@
 
         @Override
         public void declined(NodeId asker, JobId job, Outlook outlook) {
-            events.declined(shard, asker, job, outlook);
+            events.declined(asker, job, outlook);
         }
 
         @Override
-        public void runEndedBadly(TaskRun run, EndpointId endpoint, EndKind kind) {
+        public void runEndedBadly(FailureDomain shard, TaskRun run, EndpointId endpoint, EndKind kind) {
             events.runEndedBadly(shard, run, endpoint, kind);
         }
 
         @Override
-        public void outranked() {
+        public void outranked(FailureDomain shard, FencingToken token) {
             succession.outranked(shard, timers.nowMillis());
-            placers.remove(shard);
+            if (heldShards().isEmpty()) {
+                placer = Optional.empty();
+            }
             events.outranked(shard, token);
         }
     }
--- /dev/null
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/ShardPools.java
@@ -0,0 +1,71 @@
+package org.tarragonarch.core.shard;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.ImmutableSetMultimap;
+import com.google.common.collect.Multimaps;
+import java.util.HashSet;
+import java.util.Set;
+import org.tarragonarch.model.id.FailureDomain;
+import org.tarragonarch.model.id.Region;
+
+/**
+ * Which shards one node holds together.
+ *
+ * <p>The shards of a region's failure domains are one pool while its endpoints are few. A job of eight tasks needs
+ * eight places at once: at five places in six taken, a domain of twenty places has them in one moment of eight, four
+ * such domains together nearly always. Endpoints of other domains of the region are a millisecond away. A region with
+ * many endpoints has a pool in each domain, since there one node could not place for all of them, and a domain alone is
+ * large enough to even out.
+ */
+public final class ShardPools {
+    /**
+     * With more endpoints than this a region's domains are pools of their own. Three times the endpoints of the regions
+     * that one holder was measured on, where it used a fifth of a core.
+     */
+    private static final int MOST_POOLED = 96;
+
+    /** A region that was taken apart is one pool again with no more than this; between the two nothing changes. */
+    private static final int POOLED_AGAIN = 80;
+
+    private final ImmutableMap<FailureDomain, Region> regions;
+    private final ImmutableSetMultimap<Region, FailureDomain> domains;
+    private final EndpointList endpoints;
+    private final Set<Region> apart = new HashSet<>();
+
+    /**
+     * Creates the pools of a cluster.
+     *
+     * @param regions every failure domain with the region it lies in
+     */
+    public ShardPools(ImmutableMap<FailureDomain, Region> regions, EndpointList endpoints) {
+        this.regions = checkNotNull(regions, "regions");
+        this.endpoints = checkNotNull(endpoints, "endpoints");
+        this.domains = ImmutableSetMultimap.copyOf(Multimaps.forMap(regions)).inverse();
+    }
+
+    /** Returns every failure domain; each has one shard, the endpoints that stand there. */
+    public ImmutableSet<FailureDomain> shards() {
+        return regions.keySet();
+    }
+
+    /** Takes in how many endpoints there are now. */
+    public void review() {
+        for (Region region : domains.keySet()) {
+            int listed = endpoints.countIn(domains.get(region));
+            if (listed > MOST_POOLED) {
+                apart.add(region);
+            } else if (listed <= POOLED_AGAIN) {
+                apart.remove(region);
+            }
+        }
+    }
+
+    /** Returns the shards that should have the same holder as this one, and it. */
+    public ImmutableSet<FailureDomain> poolOf(FailureDomain shard) {
+        Region region = regions.get(shard);
+        return region == null || apart.contains(region) ? ImmutableSet.of(shard) : domains.get(region);
+    }
+}
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/Succession.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/Succession.java
@@ -1,5 +1,6 @@
 package org.tarragonarch.core.shard;
 
+import com.google.common.collect.ImmutableSet;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -12,10 +13,10 @@
  * Decides which shards this node holds.
  *
  * <p>No agreement is needed for safety: the endpoints obey the highest token alone. This only keeps nodes from taking
- * shards from one another. A shard stays with its holder while that can be heard. When it is gone, the node of the
- * shard's own failure domain with the most processor time, of several the first by name, claims it under a higher term;
- * a node of another domain does so only when no node of that domain has been heard for {@value #FOREIGN_CLAIM_MILLIS}
- * ms.
+ * shards from one another. A shard stays with its holder while that can be heard. When it is gone, the first in line of
+ * the nodes in the domains of the shard's pool claims it under a higher term: the one that holds most of that pool,
+ * then the one with the most processor time, then the first by name. A shard none of whose domain's nodes can be heard
+ * may be cut off rather than without a holder; it is claimed only after {@value #FOREIGN_CLAIM_MILLIS} ms.
  */
 public final class Succession {
     /**
@@ -31,17 +32,17 @@
     private static final long OUTRANKED_PAUSE_MILLIS = 3_000;
 
     /**
-     * A holder hands its shard to a node of the same domain that has at least this many times its processor time.
+     * A holder hands its shards to a node of the same pool that has at least this many times its processor time.
      *
-     * <p>A holder works for all endpoints of its domain. On a third of a core it falls behind in a burst that a core
+     * <p>A holder works for all endpoints of its pool. On a third of a core it falls behind in a burst that a core
      * and a half carry easily, and every caller of the domain waits. Less than twice is not worth a takeover, which
      * stops what runs.
      */
     private static final int MUCH_STRONGER = 2;
 
     /**
-     * How long the stronger node must have been there: long enough to have the list of endpoints and warm code, in
-     * milliseconds.
+     * How long a node must have been there before a holder lets go in its favour, in milliseconds: long enough to have
+     * the list of endpoints and warm code.
      */
     private static final long SETTLED_MILLIS = 2_000;
 
@@ -59,6 +60,7 @@
     private final String ownIp;
     private final int ownMilliCores;
     private final PeerBook peers;
+    private final ShardPools pools;
     private final Map<FailureDomain, FencingToken> held = new HashMap<>();
     private final Map<FailureDomain, Long> lastTerm = new HashMap<>();
     private final Map<FailureDomain, Long> keepAwayUntil = new HashMap<>();
@@ -70,12 +72,14 @@
      *
      * @param ownMilliCores the processor time that this node may use, in thousandths of a core
      */
-    public Succession(NodeId own, FailureDomain ownDomain, String ownIp, int ownMilliCores, PeerBook peers) {
+    public Succession(
+            NodeId own, FailureDomain ownDomain, String ownIp, int ownMilliCores, PeerBook peers, ShardPools pools) {
         this.own = own;
         this.ownDomain = ownDomain;
         this.ownIp = ownIp;
         this.ownMilliCores = ownMilliCores;
         this.peers = peers;
+        this.pools = pools;
     }
 
     /** Returns the token under which this node holds the shard, if it does. */
@@ -102,17 +106,14 @@
             return false;
         }
         long since = withoutHolderSince.computeIfAbsent(shard, unused -> nowMillis);
-        boolean patient = ownDomain.equals(shard) || nowMillis - since >= FOREIGN_CLAIM_MILLIS;
+        boolean certain = isHome(shard) || pools.poolOf(shard).contains(ownDomain) && homeNodePresent(shard);
+        boolean patient = certain || nowMillis - since >= FOREIGN_CLAIM_MILLIS;
         return patient && nowMillis >= keepAwayUntil.getOrDefault(shard, Long.MIN_VALUE) && firstInLine(shard);
     }
 
     /**
      * Returns whether this node holds the shard but should let go of it for another.
      *
-     * <p>A node of the shard's own failure domain does not yield to one of another: that one claimed the shard while
-     * the domain was cut off, and lets go of it as soon as it hears this node. It does yield to a much stronger one of
-     * its own domain, which takes the shard as soon as it hears that nobody holds it.
-     *
      * @param nowMillis the steady clock
      */
     public boolean shouldResign(FailureDomain shard, long nowMillis) {
@@ -120,16 +121,54 @@
         if (token == null) {
             return false;
         }
-        if (!ownDomain.equals(shard) && homeNodePresent(shard)) {
-            return true;
+        ImmutableSet<FailureDomain> pool = pools.poolOf(shard);
+        return yieldsToOtherHolder(shard, token)
+                || !pool.contains(ownDomain) && anyPresentIn(pool)
+                || pool.contains(ownDomain) && yieldsToCandidate(pool, nowMillis - SETTLED_MILLIS);
+    }
+
+    /**
+     * Returns whether another node that holds the shard too is to keep it.
+     *
+     * <p>A node of the shard's own failure domain does not yield to one of another: that one claimed the shard while
+     * the domain was cut off, and lets go of it as soon as it hears this node. Otherwise the higher token stays.
+     */
+    private boolean yieldsToOtherHolder(FailureDomain shard, FencingToken token) {
+        Optional<ShardHolder> other = peers.holder(shard);
+        if (other.isEmpty()) {
+            return false;
+        }
+        boolean otherIsHome = peers.standsIn(other.get().node(), shard);
+        if (otherIsHome != isHome(shard)) {
+            return otherIsHome;
         }
-        if (ownDomain.equals(shard) && muchStrongerPresent(nowMillis - SETTLED_MILLIS)) {
+        return other.get().held().token().compareTo(token) > 0;
+    }
+
+    /** Returns whether the pool would be better held by a node that has been there for a while. */
+    private boolean yieldsToCandidate(ImmutableSet<FailureDomain> pool, long sinceMillis) {
+        for (NodeStatus peer : peers.presentSince(sinceMillis)) {
+            if (pool.contains(peer.domain()) && !peer.leaving() && yieldsTo(peer, pool)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /**
+     * Returns whether a node of the pool should have what this one holds of it: because it is much stronger, or because
+     * it holds more of the pool already, as when a domain that was cut off went on by itself and can be reached again.
+     */
+    private boolean yieldsTo(NodeStatus peer, ImmutableSet<FailureDomain> pool) {
+        if (peer.milliCores() >= MUCH_STRONGER * ownMilliCores) {
             return true;
         }
-        return peers.holder(shard)
-                .filter(other -> other.held().token().compareTo(token) > 0)
-                .filter(other -> !ownDomain.equals(shard) || peers.standsIn(other.node(), shard))
-                .isPresent();
+        if (ownMilliCores >= MUCH_STRONGER * peer.milliCores()) {
+            return false;
+        }
+        long theirs = heldOf(pool, peer);
+        long ours = ownHeldOf(pool);
+        return theirs > ours || theirs == ours && theirs > 0 && peer.node().compareTo(own) < 0;
     }
 
     /**
@@ -186,37 +225,48 @@
     }
 
     private boolean firstInLine(FailureDomain shard) {
-        boolean ownIsHome = ownDomain.equals(shard);
+        ImmutableSet<FailureDomain> pool = pools.poolOf(shard);
         for (NodeStatus peer : peers.present()) {
-            boolean peerIsHome = peer.domain().equals(shard);
-            boolean before = peerIsHome == ownIsHome ? goesBefore(peer) : peerIsHome;
-            if (!peer.leaving() && before) {
+            if (!peer.leaving() && goesBefore(peer, pool)) {
                 return false;
             }
         }
         return true;
     }
 
-    private boolean goesBefore(NodeStatus peer) {
+    private boolean goesBefore(NodeStatus peer, ImmutableSet<FailureDomain> pool) {
+        boolean peerIsNear = pool.contains(peer.domain());
+        if (peerIsNear != pool.contains(ownDomain)) {
+            return peerIsNear;
+        }
+        long theirs = heldOf(pool, peer);
+        long ours = ownHeldOf(pool);
+        if (theirs != ours) {
+            return theirs > ours;
+        }
         if (peer.milliCores() != ownMilliCores) {
             return peer.milliCores() > ownMilliCores;
         }
         return peer.node().compareTo(own) < 0;
     }
 
-    private boolean muchStrongerPresent(long sinceMillis) {
-        for (NodeStatus peer : peers.presentSince(sinceMillis)) {
-            boolean candidate = peer.domain().equals(ownDomain) && !peer.leaving();
-            if (candidate && peer.milliCores() >= MUCH_STRONGER * ownMilliCores) {
-                return true;
-            }
-        }
-        return false;
+    private static long heldOf(ImmutableSet<FailureDomain> pool, NodeStatus peer) {
+        return peer.shards().stream()
+                .filter(shard -> pool.contains(shard.domain()))
+                .count();
+    }
+
+    private long ownHeldOf(ImmutableSet<FailureDomain> pool) {
+        return held.keySet().stream().filter(pool::contains).count();
     }
 
     private boolean homeNodePresent(FailureDomain shard) {
+        return anyPresentIn(ImmutableSet.of(shard));
+    }
+
+    private boolean anyPresentIn(ImmutableSet<FailureDomain> domains) {
         for (NodeStatus peer : peers.present()) {
-            if (peer.domain().equals(shard) && !peer.leaving()) {
+            if (domains.contains(peer.domain()) && !peer.leaving()) {
                 return true;
             }
         }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/submission/Dispatcher.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/submission/Dispatcher.java
@@ -39,8 +39,8 @@
  * says so from the task states alone. Not safe for use by several threads.
  */
 public final class Dispatcher {
-    /** A stop message is sent only if a task is expected to run at least this much longer. */
-    private static final long WORTH_STOPPING_NANOS = Duration.ofMillis(50).toNanos();
+    /** A task this near to its expected end is left to end by itself: that takes hardly longer than a stop message. */
+    private static final long NEARLY_DONE_NANOS = Duration.ofMillis(50).toNanos();
 
     private final SubmissionTable submissions;
     private final EndpointDirectory endpoints;
@@ -324,13 +324,24 @@
                 .orElse("caller");
     }
 
+    /**
+     * Returns whether a task most likely ends by itself at about this moment.
+     *
+     * <p>One that has overrun its expectation by more may run on for long. It was once taken for nearly done, and its
+     * place stayed taken for as long as it ran.
+     */
+    private boolean nearlyDone(Submission submission, InFlightTask flight, long nowNanos) {
+        long untilExpectedEnd = flight.sentNanos() + estimates.expectedNanos(submission) - nowNanos;
+        return Math.abs(untilExpectedEnd) < NEARLY_DONE_NANOS;
+    }
+
     private void dropOrStop(Submission submission, Task task, long nowNanos, ActionSink sink) {
         if (task.state() == TaskState.QUEUED) {
             task.end(TaskState.DROPPED);
         } else if (task.state() == TaskState.SENT) {
             InFlightTask flight = inFlight.get(task.id());
-            boolean sendStop = submission.service().favours().stopsStartedTasks()
-                    && flight.sentNanos() + estimates.expectedNanos(submission) - nowNanos >= WORTH_STOPPING_NANOS;
+            boolean sendStop =
+                    submission.service().favours().stopsStartedTasks() && !nearlyDone(submission, flight, nowNanos);
             Endpoint endpoint = flight.endpoint();
             inFlight.put(task.id(), flight.stop());
             sink.emit(new StopTask(task.id(), flight.attempt(), endpoint.id(), endpoint.address(), sendStop));
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/node/EntryNodeTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/node/EntryNodeTest.java
@@ -17,6 +17,7 @@
 import org.tarragonarch.core.action.ReadClaims;
 import org.tarragonarch.core.action.ReleaseClaim;
 import org.tarragonarch.core.action.SendTask;
+import org.tarragonarch.core.action.StopTask;
 import org.tarragonarch.core.action.SweepClaims;
 import org.tarragonarch.core.action.WriteClaims;
 import org.tarragonarch.core.event.CancelCause;
@@ -65,6 +66,21 @@
         assertEquals(node.all(SendTask.class).size(), 1);
     }
 
+    /**
+     * A worker dies under a job of long tasks, whose other tasks run on elsewhere for nobody. They had run longer than
+     * such tasks are expected to, so they were taken for nearly done and not stopped: the next caller waited for their
+     * room until they ended, six seconds later.
+     */
+    @Test
+    public void testJob_tasksThatOverrunAreStoppedAfterALoss() {
+        NodeFixture node = NodeFixture.serving(2);
+        node.submit(SubmissionForm.JOB, NodeFixture.ONCE, 2);
+        List<SendTask> sends = node.all(SendTask.class);
+        node.pass(Duration.ofSeconds(1));
+        node.end(sends.get(0), SendResult.LOST);
+        assertTrue(node.last(StopTask.class).sendStop());
+    }
+
     @Test
     public void testRequest_idempotentIsTriedAgain() {
         NodeFixture node = NodeFixture.serving(8);
--- /dev/null
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/shard/PooledSuccessionTest.java
@@ -0,0 +1,133 @@
+package org.tarragonarch.core.shard;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import org.tarragonarch.model.id.Address;
+import org.tarragonarch.model.id.FailureDomain;
+import org.tarragonarch.model.id.NodeId;
+import org.tarragonarch.model.id.Region;
+import org.tarragonarch.model.report.HeldShard;
+import org.tarragonarch.model.report.NodeStatus;
+import org.tarragonarch.model.task.FencingToken;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Who holds the shards of a region that is one pool, when nodes die and domains are cut off. */
+public final class PooledSuccessionTest {
+    private static final FailureDomain HOBART = FailureDomain.of("hobart");
+    private static final FailureDomain LAUNCESTON = FailureDomain.of("launceston");
+    private static final Region SOUTH = Region.of("south");
+    private static final ShardPools POOLS =
+            new ShardPools(ImmutableMap.of(HOBART, SOUTH, LAUNCESTON, SOUTH), new EndpointList());
+    private static final int CORES = 750;
+
+    private PeerBook book;
+
+    @BeforeMethod
+    public void create() {
+        book = new PeerBook();
+    }
+
+    private Succession succession(String node, FailureDomain domain) {
+        return new Succession(NodeId.of(node), domain, "10.0.0.5", CORES, book, POOLS);
+    }
+
+    private void heard(String node, FailureDomain domain, int milliCores, long nowMillis, HeldShard... held) {
+        Address address = new Address("10.0.0.9", 7_000);
+        NodeStatus status = new NodeStatus(
+                NodeId.of(node), domain, address, milliCores, false, false, 1, ImmutableList.copyOf(held));
+        book.heard(status, nowMillis);
+    }
+
+    private static HeldShard held(FailureDomain shard, long term) {
+        return new HeldShard(shard, FencingToken.of(term, "10.0.0.9"), 0);
+    }
+
+    /** The holder of everything dies: the next in line takes every shard whose domain it hears, at once. */
+    @Test
+    public void testShouldClaim_wholePool() {
+        heard("l", LAUNCESTON, CORES, 0);
+        Succession first = succession("a", HOBART);
+        assertTrue(first.shouldClaim(HOBART, 0));
+        first.claim(HOBART, 0);
+        assertTrue(first.shouldClaim(LAUNCESTON, 0));
+        heard("a", HOBART, CORES, 0, held(HOBART, 1));
+        assertFalse(succession("l", LAUNCESTON).shouldClaim(LAUNCESTON, 0));
+    }
+
+    /** A domain nobody hears may be cut off and going on by itself; its endpoints are not taken from it at once. */
+    @Test
+    public void testShouldClaim_silentDomainWaits() {
+        Succession alone = succession("a", HOBART);
+        assertTrue(alone.shouldClaim(HOBART, 0));
+        assertFalse(alone.shouldClaim(LAUNCESTON, 0));
+        assertTrue(alone.shouldClaim(LAUNCESTON, 3_000));
+    }
+
+    /** Whoever holds most of a pool gets the rest of it, also if another would be first by name. */
+    @Test
+    public void testShouldClaim_holderOfMostGoesFirst() {
+        heard("z", LAUNCESTON, CORES, 0, held(LAUNCESTON, 4));
+        assertFalse(succession("a", HOBART).shouldClaim(HOBART, 0));
+    }
+
+    /**
+     * A domain was cut off and went on by itself. When it can be heard again, both it and the pool's holder have its
+     * shard: the holder outside lets go at once, and what runs in the domain goes on.
+     */
+    @Test
+    public void testShouldResign_domainHasGoneOnByItself() {
+        Succession outside = succession("a", HOBART);
+        outside.claim(HOBART, 0);
+        outside.claim(LAUNCESTON, 9_000);
+        heard("l", LAUNCESTON, CORES, 0, held(LAUNCESTON, 2));
+        assertTrue(outside.shouldResign(LAUNCESTON, 0));
+        assertFalse(outside.shouldResign(HOBART, 0));
+    }
+
+    /** Two seconds later the domain's shard goes back into the pool, where jobs of all domains share the room. */
+    @Test
+    public void testShouldResign_cutOffDomainJoinsThePoolAgain() {
+        Succession inside = succession("l", LAUNCESTON);
+        inside.claim(LAUNCESTON, 0);
+        heard("a", HOBART, CORES, 10_000, held(HOBART, 7));
+        assertFalse(inside.shouldResign(LAUNCESTON, 11_900));
+        assertTrue(inside.shouldResign(LAUNCESTON, 12_000));
+    }
+
+    /** Of two that hold as much, the first by name keeps it; both letting go would leave the pool without a holder. */
+    @Test
+    public void testShouldResign_equalParts() {
+        Succession first = succession("a", HOBART);
+        first.claim(HOBART, 0);
+        heard("l", LAUNCESTON, CORES, 0, held(LAUNCESTON, 7));
+        assertFalse(first.shouldResign(HOBART, 5_000));
+    }
+
+    @Test
+    public void testShouldResign_weakHolderOfMostYieldsToTheStrong() {
+        Succession weak = succession("a", HOBART);
+        weak.claim(HOBART, 0);
+        weak.claim(LAUNCESTON, 0);
+        heard("l", LAUNCESTON, 2 * CORES, 0);
+        assertTrue(weak.shouldResign(HOBART, 2_000));
+        Succession strong = new Succession(NodeId.of("l"), LAUNCESTON, "10.0.0.6", 2 * CORES, new PeerBook(), POOLS);
+        strong.claim(LAUNCESTON, 0);
+        assertFalse(strong.shouldResign(LAUNCESTON, 2_000));
+    }
+
+    @Test
+    public void testHolders_eachWithWhatItHoldsByRight() {
+        heard("a", HOBART, CORES, 0, held(HOBART, 7), held(LAUNCESTON, 9));
+        heard("l", LAUNCESTON, CORES, 0, held(LAUNCESTON, 2));
+        assertEquals(
+                book.holders().stream()
+                        .map(status -> status.node() + " " + status.shards().size())
+                        .toList(),
+                ImmutableList.of("a 1", "l 1"));
+    }
+}
--- a/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/explain/Sentences.java
+++ b/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/explain/Sentences.java
@@ -34,9 +34,8 @@
     }
 
     private static String declined(LogEntry entry) {
-        return "did not take it for shard %s: %d of %d places free, %d job(s) waiting, so %d ms to wait and %d to run"
+        return "did not take it: %d of %d places free, %d job(s) waiting, so %d ms to wait and %d to run"
                         .formatted(
-                                entry.text("shard"),
                                 entry.number("free-places"),
                                 entry.number("places"),
                                 entry.number("waiting-jobs"),
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ClassRehearsal.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ClassRehearsal.java
@@ -74,7 +74,7 @@
 
     private static String settings(List<Integer> ports) {
         return """
-                { "node": "rehearsal", "failure-domain": "a", "failure-domains": ["a"], "ip": "127.0.0.1",
+                { "node": "rehearsal", "failure-domain": "a", "failure-domains": {"a": "b"}, "ip": "127.0.0.1",
                   "peer-port": %d, "metrics-port": %d, "client-address": "127.0.0.1:%d",
                   "readiness-address": "127.0.0.1:%d", "store-address": "127.0.0.1:%d",
                   "processor-share": 1.0, "processor-speed": 1,
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ClusterNode.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ClusterNode.java
@@ -13,20 +13,15 @@
 import org.tarragonarch.adapter.ClientDoor;
 import org.tarragonarch.adapter.EndpointClient;
 import org.tarragonarch.adapter.StoreClient;
+import org.tarragonarch.core.cluster.Coordinator;
 import org.tarragonarch.core.follow.TableFollower;
 import org.tarragonarch.core.handover.JobDesk;
-import org.tarragonarch.core.placing.Outlook;
 import org.tarragonarch.core.placing.PlacingSettings;
 import org.tarragonarch.core.shard.EndpointList;
-import org.tarragonarch.core.shard.Heartbeats;
 import org.tarragonarch.core.shard.PeerBook;
-import org.tarragonarch.core.shard.ShardEvents;
-import org.tarragonarch.core.shard.ShardKeeper;
-import org.tarragonarch.core.shard.Succession;
+import org.tarragonarch.core.shard.ShardPools;
 import org.tarragonarch.model.id.Address;
 import org.tarragonarch.model.id.ConfigurationVersion;
-import org.tarragonarch.model.id.EndpointId;
-import org.tarragonarch.model.id.FailureDomain;
 import org.tarragonarch.model.id.Incarnation;
 import org.tarragonarch.model.id.NodeId;
 import org.tarragonarch.model.log.NodeEvent;
@@ -35,21 +30,17 @@
 import org.tarragonarch.model.report.NodeStatus;
 import org.tarragonarch.model.store.RowStore;
 import org.tarragonarch.model.store.StoreTable;
-import org.tarragonarch.model.task.EndKind;
 import org.tarragonarch.model.task.EndpointEntry;
-import org.tarragonarch.model.task.FencingToken;
 import org.tarragonarch.model.task.JobId;
 import org.tarragonarch.model.task.Offer;
-import org.tarragonarch.model.task.TaskRun;
 import org.tarragonarch.model.task.Verdict;
+import org.tarragonarch.wire.CancelAsked;
 import org.tarragonarch.wire.ConfigurationAsked;
 import org.tarragonarch.wire.EndpointsAsked;
 import org.tarragonarch.wire.Hello;
-import org.tarragonarch.wire.JobSettled;
 import org.tarragonarch.wire.NodesAsked;
 import org.tarragonarch.wire.PeerNetwork;
 import org.tarragonarch.wire.PeerNetworkSettings;
-import org.tarragonarch.wire.StatusFrame;
 
 /**
  * One node on the users' platform.
@@ -57,7 +48,7 @@
  * <p>Everything runs on one event loop: it reads and writes every connection, and it is the thread that decides. So
  * nothing here needs a lock, and a request costs no hand-over between threads.
  */
-final class ClusterNode implements PeerCalls, ShardEvents {
+final class ClusterNode implements PeerCalls {
     /** How often shards, peers and endpoints are reviewed, in milliseconds; half the time between statuses. */
     private static final long REVIEW_MILLIS = PeerBook.STATUS_PERIOD_MILLIS / 2;
 
@@ -105,16 +96,12 @@
     private final NioEventLoopGroup group = new NioEventLoopGroup(1, new DefaultThreadFactory("node"));
     private final EventLoop loop = group.next();
     private final LoopTimers timers = new LoopTimers(loop);
-    private final PeerBook book = new PeerBook();
     private final EndpointList endpoints = new EndpointList();
     private final ConfigurationInForce configuration;
-    private final Heartbeats heartbeats;
-    private final PeerExchange exchange;
-    private final ShardKeeper keeper;
-    private final JobDesk desk;
-    private final CancelRounds cancels;
+    private final PeerExchange exchange = new PeerExchange(this);
+    private final CancelRounds cancels = new CancelRounds(timers);
     private final NodeMeters meters;
-    private final ShardLog shardLog;
+    private final Coordinator coordinator;
     private final NodeDirectory directory;
     private final RowStore store;
     private final List<Channel> doors = new ArrayList<>();
@@ -127,26 +114,18 @@
         this.log = log;
         this.startedAtMillis = timers.nowMillis();
         this.configuration = new ConfigurationInForce(log);
-        this.heartbeats = new Heartbeats(book, settings.domains());
-        this.exchange = new PeerExchange(book, this);
         this.meters = new NodeMeters(this::openJobs, log::droppedLines);
-        this.shardLog = new ShardLog(log, meters);
-        PlacingSettings placing = PlacingSettings.of(settings.leaseMillis(), settings.stopMillis());
-        Succession succession =
-                new Succession(settings.node(), settings.domain(), settings.ip(), settings.milliCores(), book);
-        this.keeper = new ShardKeeper(
-                settings.domains(),
-                succession,
+        this.coordinator = new Coordinator(
+                settings.member(),
+                settings.ip(),
+                new ShardPools(settings.regions(), endpoints),
                 endpoints,
-                placing,
+                PlacingSettings.of(settings.leaseMillis(), settings.stopMillis()),
                 new EndpointClient(loop),
+                exchange,
                 timers,
                 System::currentTimeMillis,
-                this);
-        NodeHolders holders =
-                new NodeHolders(settings, book, keeper, exchange, () -> heartbeats.holderExpected(timers.nowMillis()));
-        this.desk = new JobDesk(holders, timers, placing.certainLapse());
-        this.cancels = new CancelRounds(timers);
+                new ShardLog(log, meters));
         this.store = new StoreClient(loop, settings.storeAddress());
         this.directory = new NodeDirectory(store, timers, settings.node(), settings.peerAddress(), this::located, log);
     }
@@ -161,8 +140,16 @@
                 exchange,
                 PEER_NETWORK);
         exchange.use(network);
-        NodeJobs jobs =
-                new NodeJobs(configuration, desk, exchange, cancels, timers, log, meters, this::ready, () -> leaving);
+        NodeJobs jobs = new NodeJobs(
+                configuration,
+                coordinator.desk(),
+                this::askCancel,
+                cancels,
+                timers,
+                log,
+                meters,
+                this::ready,
+                () -> leaving);
         doors.add(ClientDoor.openForReadiness(group, settings.readinessAddress(), jobs));
         doors.add(ClientDoor.openForClients(group, settings.clientAddress(), jobs));
         Address pages = new Address(settings.ip(), settings.metricsPort());
@@ -178,14 +165,8 @@
                 return;
             }
             leaving = true;
-            log.line(
-                    NodeEvent.NODE_LEAVING,
-                    "open-jobs",
-                    desk.openJobs(),
-                    "shards",
-                    keeper.heldShards().size());
-            keeper.resignAll();
-            sendStatus();
+            log.line(NodeEvent.NODE_LEAVING, "open-jobs", openJobs(), "shards", coordinator.heldShards());
+            coordinator.leave();
             awaitEmpty(timers.nowMillis());
         });
     }
@@ -196,6 +177,7 @@
     }
 
     private void awaitEmpty(long since) {
+        JobDesk desk = coordinator.desk();
         long waited = timers.nowMillis() - since;
         if (waited >= BALANCER_NOTICE_MILLIS + OPEN_CONNECTIONS_MILLIS) {
             desk.takeNothingNew();
@@ -211,97 +193,74 @@
     }
 
     private int openJobs() {
-        return desk.openJobs();
+        return coordinator.desk().openJobs();
     }
 
     private boolean ready() {
-        return !leaving && configuration.version() > 0 && anyHolder();
-    }
-
-    private boolean anyHolder() {
-        return settings.domains().stream()
-                .anyMatch(shard ->
-                        keeper.placer(shard).isPresent() || book.holder(shard).isPresent());
+        return !leaving && configuration.version() > 0 && coordinator.anyHolder();
     }
 
     private void begin() {
         directory.start();
-        ConfigurationRows configurationRows = new ConfigurationRows(configuration, this::sendStatus, log);
-        EndpointRows endpointRows = new EndpointRows(endpoints, keeper::endpointsChanged, timers, log, meters);
+        ConfigurationRows configurationRows = new ConfigurationRows(configuration, this::configured, log);
+        EndpointRows endpointRows = new EndpointRows(endpoints, coordinator::endpointsChanged, timers, log, meters);
         new TableFollower(store, StoreTable.OPERATOR, timers, configurationRows, 0).start();
         new TableFollower(store, StoreTable.ENDPOINTS, timers, endpointRows, LIST_PERIOD_MILLIS).start();
         review();
     }
 
+    private void configured() {
+        coordinator.configured(configuration.version());
+    }
+
     private void review() {
         long now = timers.nowMillis();
-        for (NodeId silent : book.expire(now)) {
+        for (NodeId silent : coordinator.book().expire(now)) {
             lost(silent, "silent");
         }
-        if (endpoints.expire(now)) {
-            keeper.endpointsChanged();
-        }
-        keeper.reviewRuns();
-        if (!leaving && discovered(now) && keeper.review()) {
-            holdersChanged();
-        }
-        if (heartbeats.review(keeper.heldShards(), now)) {
-            sendStatus();
-        }
-        tell(heartbeats.due(now));
+        coordinator.review(discovered());
         timers.after(REVIEW_MILLIS, this::review);
     }
 
-    private boolean discovered(long now) {
+    private boolean discovered() {
+        long now = timers.nowMillis();
         if (directory.complete()) {
-            return exchange.allLocatedHeard() || now - directory.completeAtMillis() >= DISCOVERY_MILLIS;
+            boolean allHeard = exchange.allLocatedAmong(coordinator.book().present());
+            return allHeard || now - directory.completeAtMillis() >= DISCOVERY_MILLIS;
         }
         return now - startedAtMillis >= LONGEST_DISCOVERY_MILLIS;
     }
 
-    private void holdersChanged() {
-        sendStatus();
-        desk.holdersChanged();
-    }
-
-    private void tell(Heartbeats.Audience audience) {
-        if (audience == Heartbeats.Audience.ALL) {
-            sendStatus();
-        } else if (audience == Heartbeats.Audience.CLOSE) {
-            StatusFrame status = status();
-            heartbeats.close().forEach(peer -> exchange.send(peer, status));
+    private void reviewShards() {
+        if (discovered()) {
+            coordinator.reviewShards();
         }
     }
 
-    private void sendStatus() {
-        heartbeats.toldAll(timers.nowMillis());
-        exchange.sendToAll(status());
+    private void located(NodeId node, Address address) {
+        exchange.located(node, address);
+        exchange.status(node, coordinator.status());
     }
 
-    private StatusFrame status() {
-        return new StatusFrame(new NodeStatus(
-                settings.node(),
-                settings.domain(),
-                settings.peerAddress(),
-                settings.milliCores(),
-                leaving,
-                heartbeats.seeking(),
-                configuration.version(),
-                keeper.held()));
+    /** Asks every peer that is there whether it has a job to cancel; returns how many they are. */
+    private int askCancel(JobId job) {
+        ImmutableList<NodeStatus> present = coordinator.book().present();
+        present.forEach(peer -> exchange.send(peer.node(), new CancelAsked(job)));
+        return present.size();
     }
 
-    private void located(NodeId node, Address address) {
-        exchange.located(node, address);
-        exchange.send(node, status());
+    private void lost(NodeId peer, String reason) {
+        log.line(NodeEvent.PEER_LOST, "peer", peer, "reason", reason);
+        exchange.disconnect(peer, "the peer was lost");
+        coordinator.lost(peer);
+        reviewShards();
     }
 
     @Override
     public void status(NodeStatus status) {
-        long now = timers.nowMillis();
-        boolean joined = book.heard(status, now);
+        boolean joined = coordinator.heard(status);
         if (joined) {
             log.line(NodeEvent.PEER_JOINED, "peer", status.node(), "domain", status.domain());
-            exchange.send(status.node(), status());
         }
         if (status.configurationVersion() > configuration.version()) {
             ConfigurationVersion wanted = ConfigurationVersion.of(status.configurationVersion());
@@ -313,70 +272,40 @@
         if (!directory.complete() && joined) {
             exchange.send(status.node(), new NodesAsked());
         }
-        if (!leaving && discovered(now) && keeper.review()) {
-            sendStatus();
-        }
-        if (desk.seeking()) {
-            desk.holdersChanged();
-        }
+        reviewShards();
+        coordinator.placeSeeking();
     }
 
     @Override
-    public void lost(NodeId peer, String reason) {
-        log.line(NodeEvent.PEER_LOST, "peer", peer, "reason", reason);
-        exchange.disconnect(peer, "the peer was lost");
-        keeper.nodeLost(peer);
-        desk.nodeLost(peer);
-        if (!leaving && discovered(timers.nowMillis()) && keeper.review()) {
-            holdersChanged();
+    public void disconnected(NodeId peer) {
+        if (coordinator.book().lost(peer)) {
+            lost(peer, "disconnected");
         }
     }
 
     @Override
-    public void offered(FailureDomain shard, Offer offer) {
-        keeper.placer(shard)
-                .ifPresentOrElse(
-                        placer -> placer.offer(offer),
-                        () -> settled(offer.asker(), offer.job().id(), Verdict.HOLD_LOST, 0));
+    public void offered(Offer offer) {
+        coordinator.offered(offer);
     }
 
     @Override
     public void notOffered(NodeId peer, JobId job) {
-        desk.notOffered(peer, job);
+        coordinator.desk().notOffered(peer, job);
     }
 
     @Override
     public void verdictCame(NodeId holder, JobId job, Verdict verdict, long retryMillis) {
-        desk.settled(holder, job, verdict, retryMillis);
-    }
-
-    @Override
-    public void settled(NodeId asker, JobId job, Verdict verdict, long retryMillis) {
-        if (asker.equals(settings.node())) {
-            desk.settled(asker, job, verdict, retryMillis);
-        } else {
-            exchange.answer(asker, new JobSettled(job, verdict, retryMillis));
-        }
-    }
-
-    @Override
-    public void declined(FailureDomain shard, NodeId asker, JobId job, Outlook outlook) {
-        shardLog.declined(shard, asker, job, outlook);
-    }
-
-    @Override
-    public void runEndedBadly(FailureDomain shard, TaskRun run, EndpointId endpoint, EndKind kind) {
-        shardLog.runEndedBadly(shard, run, endpoint, kind);
+        coordinator.desk().settled(holder, job, verdict, retryMillis);
     }
 
     @Override
-    public void withdrawn(NodeId peer, FailureDomain shard, JobId job) {
-        keeper.placer(shard).ifPresent(placer -> placer.withdraw(peer, job));
+    public void withdrawn(NodeId peer, JobId job) {
+        coordinator.withdrawn(peer, job);
     }
 
     @Override
     public boolean cancelled(JobId job) {
-        return desk.cancel(job);
+        return coordinator.desk().cancel(job);
     }
 
     @Override
@@ -396,7 +325,9 @@
 
     @Override
     public void configurationGiven(NodeId peer, byte[] text) {
-        configuration.offered(text, peer.value());
+        if (configuration.offered(text, peer.value())) {
+            configured();
+        }
     }
 
     @Override
@@ -408,7 +339,7 @@
     public void endpointsGiven(ImmutableList<EndpointEntry> given) {
         if (endpoints.isEmpty()) {
             given.forEach(endpoints::listed);
-            keeper.endpointsChanged();
+            coordinator.endpointsChanged();
         }
     }
 
@@ -416,20 +347,4 @@
     public void nodesGiven(ImmutableList<NodeLocation> nodes) {
         directory.learned(nodes);
     }
-
-    @Override
-    public void claimed(FailureDomain shard, FencingToken token) {
-        shardLog.claimed(shard, token, endpoints.of(shard).size());
-    }
-
-    @Override
-    public void resigned(FailureDomain shard, FencingToken token) {
-        shardLog.resigned(shard, token);
-    }
-
-    @Override
-    public void outranked(FailureDomain shard, FencingToken token) {
-        shardLog.outranked(shard, token);
-        holdersChanged();
-    }
 }
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ClusterSettings.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ClusterSettings.java
@@ -5,13 +5,15 @@
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
-import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.ImmutableMap;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import org.tarragonarch.core.cluster.Member;
 import org.tarragonarch.model.id.Address;
 import org.tarragonarch.model.id.FailureDomain;
 import org.tarragonarch.model.id.NodeId;
+import org.tarragonarch.model.id.Region;
 import org.tarragonarch.model.outcome.Step;
 import org.tarragonarch.model.outcome.StepException;
 
@@ -20,7 +22,7 @@
  *
  * @param node this node's name
  * @param domain the failure domain it stands in
- * @param domains every failure domain
+ * @param regions every failure domain, and the region it lies in
  * @param ip this VM's address
  * @param processorShare which part of a core the process may use
  * @param processorSpeed how many times as fast as an ordinary core that core is
@@ -36,7 +38,7 @@
 record ClusterSettings(
         NodeId node,
         FailureDomain domain,
-        ImmutableSet<FailureDomain> domains,
+        ImmutableMap<FailureDomain, Region> regions,
         String ip,
         double processorShare,
         double processorSpeed,
@@ -56,6 +58,11 @@
         return (int) Math.max(1, Math.round(processorShare * processorSpeed * MILLI_CORES_PER_CORE));
     }
 
+    /** Returns who this node is among its peers. */
+    Member member() {
+        return new Member(node, domain, peerAddress(), milliCores());
+    }
+
     Address peerAddress() {
         return new Address(ip, peerPort);
     }
@@ -82,7 +89,7 @@
     private static final class Reader {
         private String node = "";
         private String domain = "";
-        private final ImmutableSet.Builder<FailureDomain> domains = ImmutableSet.builder();
+        private final ImmutableMap.Builder<FailureDomain, Region> regions = ImmutableMap.builder();
         private String ip = "";
         private double processorShare;
         private double processorSpeed;
@@ -111,8 +118,9 @@
                 case "node" -> node = parser.getText();
                 case "failure-domain" -> domain = parser.getText();
                 case "failure-domains" -> {
-                    while (parser.nextToken() != JsonToken.END_ARRAY) {
-                        domains.add(FailureDomain.of(parser.getText()));
+                    while (parser.nextToken() != JsonToken.END_OBJECT) {
+                        FailureDomain name = FailureDomain.of(parser.currentName());
+                        regions.put(name, Region.of(parser.nextTextValue()));
                     }
                 }
                 case "ip" -> ip = parser.getText();
@@ -134,7 +142,7 @@
             return new ClusterSettings(
                     NodeId.of(node),
                     FailureDomain.of(domain),
-                    domains.build(),
+                    regions.buildOrThrow(),
                     ip,
                     positive("processor-share", processorShare),
                     positive("processor-speed", processorSpeed),
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/NodeJobs.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/NodeJobs.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.function.ToIntFunction;
 import org.tarragonarch.core.handover.JobDesk;
 import org.tarragonarch.model.id.NodeId;
 import org.tarragonarch.model.log.NodeEvent;
@@ -14,13 +15,12 @@
 import org.tarragonarch.model.task.QueueCatalog;
 import org.tarragonarch.model.task.QueueDefinition;
 import org.tarragonarch.model.task.Timers;
-import org.tarragonarch.wire.CancelAsked;
 
 /** What the doors for clients and the balancer ask of this node. */
 final class NodeJobs implements JobService {
     private final ConfigurationInForce configuration;
     private final JobDesk desk;
-    private final PeerExchange exchange;
+    private final ToIntFunction<JobId> askPeersToCancel;
     private final CancelRounds cancels;
     private final Timers timers;
     private final DecisionLog log;
@@ -31,7 +31,7 @@
     NodeJobs(
             ConfigurationInForce configuration,
             JobDesk desk,
-            PeerExchange exchange,
+            ToIntFunction<JobId> askPeersToCancel,
             CancelRounds cancels,
             Timers timers,
             DecisionLog log,
@@ -40,7 +40,7 @@
             BooleanSupplier leaving) {
         this.configuration = configuration;
         this.desk = desk;
-        this.exchange = exchange;
+        this.askPeersToCancel = askPeersToCancel;
         this.cancels = cancels;
         this.timers = timers;
         this.log = log;
@@ -92,8 +92,7 @@
             known.accept(true);
             return;
         }
-        int asked = exchange.sendToPresent(new CancelAsked(job));
-        cancels.begin(job, asked, known);
+        cancels.begin(job, askPeersToCancel.applyAsInt(job), known);
     }
 
     @Override
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/PeerCalls.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/PeerCalls.java
@@ -1,7 +1,6 @@
 package org.tarragonarch.entry.cluster;
 
 import com.google.common.collect.ImmutableList;
-import org.tarragonarch.model.id.FailureDomain;
 import org.tarragonarch.model.id.NodeId;
 import org.tarragonarch.model.report.NodeLocation;
 import org.tarragonarch.model.report.NodeStatus;
@@ -14,16 +13,17 @@
 interface PeerCalls {
     void status(NodeStatus status);
 
-    void lost(NodeId peer, String reason);
+    /** The last connection with the run of a peer that was heard last is closed. */
+    void disconnected(NodeId peer);
 
-    void offered(FailureDomain shard, Offer offer);
+    void offered(Offer offer);
 
     void notOffered(NodeId peer, JobId job);
 
     /** A holder gave its verdict on a job of this node's. */
     void verdictCame(NodeId holder, JobId job, Verdict verdict, long retryMillis);
 
-    void withdrawn(NodeId peer, FailureDomain shard, JobId job);
+    void withdrawn(NodeId peer, JobId job);
 
     boolean cancelled(JobId job);
 
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/PeerExchange.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/PeerExchange.java
@@ -4,7 +4,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
-import org.tarragonarch.core.shard.PeerBook;
+import org.tarragonarch.core.cluster.PeerSender;
 import org.tarragonarch.model.id.Address;
 import org.tarragonarch.model.id.ConfigurationVersion;
 import org.tarragonarch.model.id.ContentDigest;
@@ -12,6 +12,9 @@
 import org.tarragonarch.model.id.NodeId;
 import org.tarragonarch.model.report.NodeLocation;
 import org.tarragonarch.model.report.NodeStatus;
+import org.tarragonarch.model.task.JobId;
+import org.tarragonarch.model.task.Offer;
+import org.tarragonarch.model.task.Verdict;
 import org.tarragonarch.wire.CancelAnswered;
 import org.tarragonarch.wire.CancelAsked;
 import org.tarragonarch.wire.ConfigurationAsked;
@@ -30,15 +33,13 @@
 import org.tarragonarch.wire.StatusFrame;
 
 /** Frames to and from the peers; turns each that comes into a call of the node. */
-final class PeerExchange implements PeerListener {
-    private final PeerBook book;
+final class PeerExchange implements PeerListener, PeerSender {
     private final PeerCalls calls;
     private final Map<NodeId, Address> addresses = new HashMap<>();
     private final Map<NodeId, Incarnation> runs = new HashMap<>();
     private PeerNetwork network;
 
-    PeerExchange(PeerBook book, PeerCalls calls) {
-        this.book = book;
+    PeerExchange(PeerCalls calls) {
         this.calls = calls;
     }
 
@@ -52,20 +53,13 @@
     }
 
     /** Sends to every node that was ever heard or located; what cannot be delivered is dropped. */
-    void sendToAll(Frame frame) {
+    private void sendToAll(Frame frame) {
         addresses.forEach((node, address) -> network.send(node, address, frame));
     }
 
-    /** Sends to the peers that are there; returns how many they are. */
-    int sendToPresent(Frame frame) {
-        ImmutableList<NodeStatus> present = book.present();
-        present.forEach(peer -> send(peer.node(), frame));
-        return present.size();
-    }
-
-    /** Returns whether every node that is known of is there. */
-    boolean allLocatedHeard() {
-        long present = book.present().stream()
+    /** Returns whether each node that is known of is one of these. */
+    boolean allLocatedAmong(ImmutableList<NodeStatus> heard) {
+        long present = heard.stream()
                 .filter(peer -> addresses.containsKey(peer.node()))
                 .count();
         return present == addresses.size();
@@ -85,8 +79,33 @@
         network.send(node, address, frame);
     }
 
+    @Override
+    public void status(NodeId to, NodeStatus status) {
+        send(to, new StatusFrame(status));
+    }
+
+    @Override
+    public void statusToAll(NodeStatus status) {
+        sendToAll(new StatusFrame(status));
+    }
+
+    @Override
+    public void offer(NodeId to, Offer offer) {
+        send(to, new JobOffered(offer));
+    }
+
+    @Override
+    public void withdraw(NodeId to, JobId job) {
+        send(to, new JobWithdrawn(job));
+    }
+
+    @Override
+    public void settled(NodeId to, JobId job, Verdict verdict, long retryMillis) {
+        answer(to, new JobSettled(job, verdict, retryMillis));
+    }
+
     /** Answers the run of a node that was heard last. */
-    void answer(NodeId node, Frame frame) {
+    private void answer(NodeId node, Frame frame) {
         Optional.ofNullable(runs.get(node)).ifPresent(run -> network.reply(node, run, frame));
     }
 
@@ -97,11 +116,11 @@
             addresses.put(peer, status.status().address());
             calls.status(status.status());
         } else if (frame instanceof JobOffered offered) {
-            calls.offered(offered.shard(), offered.offer());
+            calls.offered(offered.offer());
         } else if (frame instanceof JobSettled settled) {
             calls.verdictCame(peer, settled.job(), settled.verdict(), settled.retryMillis());
         } else if (frame instanceof JobWithdrawn withdrawn) {
-            calls.withdrawn(peer, withdrawn.shard(), withdrawn.job());
+            calls.withdrawn(peer, withdrawn.job());
         } else if (frame instanceof CancelAsked asked) {
             network.reply(peer, run, new CancelAnswered(asked.job(), calls.cancelled(asked.job())));
         } else if (frame instanceof CancelAnswered answered) {
@@ -130,8 +149,8 @@
 
     @Override
     public void disconnected(NodeId peer, Incarnation run) {
-        if (run.equals(runs.get(peer)) && book.lost(peer)) {
-            calls.lost(peer, "disconnected");
+        if (run.equals(runs.get(peer))) {
+            calls.disconnected(peer);
         }
     }
 
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ShardLog.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ShardLog.java
@@ -1,6 +1,7 @@
 package org.tarragonarch.entry.cluster;
 
 import org.tarragonarch.core.placing.Outlook;
+import org.tarragonarch.core.shard.ShardEvents;
 import org.tarragonarch.model.id.EndpointId;
 import org.tarragonarch.model.id.FailureDomain;
 import org.tarragonarch.model.id.NodeId;
@@ -9,9 +10,10 @@
 import org.tarragonarch.model.task.FencingToken;
 import org.tarragonarch.model.task.JobId;
 import org.tarragonarch.model.task.TaskRun;
+import org.tarragonarch.model.task.Verdict;
 
 /** Writes and counts what happens on the shards that this node holds; docs/OPERATIONS.md explains each line. */
-final class ShardLog {
+final class ShardLog implements ShardEvents {
     private final DecisionLog log;
     private final NodeMeters meters;
 
@@ -20,14 +22,18 @@
         this.meters = meters;
     }
 
-    void declined(FailureDomain shard, NodeId asker, JobId job, Outlook outlook) {
+    @Override
+    public void settled(NodeId asker, JobId job, Verdict verdict, long retryMillis) {
+        // The node with the client's connection logs the answer.
+    }
+
+    @Override
+    public void declined(NodeId asker, JobId job, Outlook outlook) {
         meters.declined();
         log.line(
                 NodeEvent.JOB_DECLINED,
                 "job",
                 job,
-                "shard",
-                shard,
                 "asker",
                 asker,
                 "wait-ms",
@@ -46,7 +52,8 @@
                 outlook.waitingJobs());
     }
 
-    void runEndedBadly(FailureDomain shard, TaskRun run, EndpointId endpoint, EndKind kind) {
+    @Override
+    public void runEndedBadly(FailureDomain shard, TaskRun run, EndpointId endpoint, EndKind kind) {
         meters.runEndedBadly(kind);
         log.line(
                 NodeEvent.RUN_ENDED_BADLY,
@@ -62,15 +69,18 @@
                 kind);
     }
 
-    void claimed(FailureDomain shard, FencingToken token, int endpoints) {
+    @Override
+    public void claimed(FailureDomain shard, FencingToken token, int endpoints) {
         log.line(NodeEvent.SHARD_CLAIMED, "shard", shard, "token", token, "endpoints", endpoints);
     }
 
-    void resigned(FailureDomain shard, FencingToken token) {
+    @Override
+    public void resigned(FailureDomain shard, FencingToken token) {
         log.line(NodeEvent.SHARD_RESIGNED, "shard", shard, "token", token);
     }
 
-    void outranked(FailureDomain shard, FencingToken token) {
+    @Override
+    public void outranked(FailureDomain shard, FencingToken token) {
         log.line(NodeEvent.SHARD_OUTRANKED, "shard", shard, "token", token);
     }
 }
--- a/tarragonarch-model/src/main/java/org/tarragonarch/model/report/NodeStatus.java
+++ b/tarragonarch-model/src/main/java/org/tarragonarch/model/report/NodeStatus.java
@@ -37,4 +37,9 @@
         checkArgument(milliCores > 0, "milliCores %s is not positive", milliCores);
         checkNotNull(shards, "shards");
     }
+
+    /** Returns the same status with these shards. */
+    public NodeStatus holding(ImmutableList<HeldShard> held) {
+        return new NodeStatus(node, domain, address, milliCores, leaving, seeking, configurationVersion, held);
+    }
 }
--- a/tarragonarch-wire/src/main/java/org/tarragonarch/wire/FrameCodec.java
+++ b/tarragonarch-wire/src/main/java/org/tarragonarch/wire/FrameCodec.java
@@ -46,7 +46,6 @@
                     .writeLong(settled.retryMillis());
         } else if (frame instanceof JobWithdrawn withdrawn) {
             writer.writeInt(FrameType.JOB_WITHDRAWN.number())
-                    .writeText(withdrawn.shard().value())
                     .writeText(withdrawn.job().value());
         } else if (frame instanceof CancelAsked asked) {
             writer.writeInt(FrameType.CANCEL_ASKED.number())
--- a/tarragonarch-wire/src/main/java/org/tarragonarch/wire/FrameType.java
+++ b/tarragonarch-wire/src/main/java/org/tarragonarch/wire/FrameType.java
@@ -2,7 +2,6 @@
 
 import java.util.Optional;
 import org.tarragonarch.model.id.ConfigurationVersion;
-import org.tarragonarch.model.id.FailureDomain;
 import org.tarragonarch.model.task.JobId;
 import org.tarragonarch.model.task.Verdict;
 
@@ -68,8 +67,7 @@
     JOB_WITHDRAWN(10) {
         @Override
         Frame read(FrameReader reader, Optional<Hello> sender) throws MalformedFrameException {
-            FailureDomain shard = FailureDomain.of(reader.readText());
-            return new JobWithdrawn(shard, new JobId(reader.readText()));
+            return new JobWithdrawn(new JobId(reader.readText()));
         }
     },
     CANCEL_ASKED(11) {
--- a/tarragonarch-wire/src/main/java/org/tarragonarch/wire/OfferCodec.java
+++ b/tarragonarch-wire/src/main/java/org/tarragonarch/wire/OfferCodec.java
@@ -1,6 +1,5 @@
 package org.tarragonarch.wire;
 
-import org.tarragonarch.model.id.FailureDomain;
 import org.tarragonarch.model.id.NodeId;
 import org.tarragonarch.model.task.JobId;
 import org.tarragonarch.model.task.JobRequest;
@@ -18,23 +17,21 @@
 
     static void write(FrameWriter writer, JobOffered offered) {
         Offer offer = offered.offer();
-        writer.writeText(offered.shard().value())
-                .writeText(offer.asker().value())
+        writer.writeText(offer.asker().value())
                 .writeLong(offer.ageMillis())
                 .writeLong(offer.deadlineMillis())
-                .writeBoolean(offer.repeated());
+                .writeLong(offer.earlierRunsMillis());
         writeJob(writer, offer.job());
         writeQueue(writer, offer.queue());
     }
 
     static JobOffered read(FrameReader reader) throws MalformedFrameException {
-        FailureDomain shard = FailureDomain.of(reader.readText());
         NodeId asker = NodeId.of(reader.readText());
         long age = reader.readLong();
         long deadline = reader.readLong();
-        boolean repeated = reader.readBoolean();
+        long earlierRuns = reader.readLong();
         JobRequest job = readJob(reader);
-        return new JobOffered(shard, new Offer(job, readQueue(reader), asker, age, deadline, repeated));
+        return new JobOffered(new Offer(job, readQueue(reader), asker, age, deadline, earlierRuns));
     }
 
     private static void writeJob(FrameWriter writer, JobRequest job) {
