Bring a node that was started to its first job sooner

From logs and a list of loaded classes: the rehearsal of the build served no job, so all of that code was read from the libraries in the first second; three libraries each searched 60 archives for a logging library; the start class itself was not in the archive; the first hash code of an id bootstraps method handles (18 ms on an idle machine); and the first in line waited for the slowest of eight to be heard.

--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/EndpointList.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/EndpointList.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 import org.tarragonarch.model.id.EndpointId;
 import org.tarragonarch.model.id.FailureDomain;
@@ -36,7 +37,7 @@
     /** Takes in an entry; returns whether it says anything new. */
     public boolean listed(EndpointEntry entry) {
         missingUntil.remove(entry.id());
-        return !entry.equals(entries.put(entry.id(), entry));
+        return !Objects.equals(entries.put(entry.id(), entry), entry);
     }
 
     /** Takes in that an entry is no longer there; returns whether that changes anything now. */
--- /dev/null
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/DiscoveryTest.java
@@ -0,0 +1,53 @@
+package org.tarragonarch.core.cluster;
+
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import org.tarragonarch.model.id.Address;
+import org.tarragonarch.model.id.FailureDomain;
+import org.tarragonarch.model.id.NodeId;
+import org.tarragonarch.model.report.NodeStatus;
+import org.testng.annotations.Test;
+
+/** When a node that has just started may take shards. */
+public final class DiscoveryTest {
+    private static final NodeId A = NodeId.of("a");
+    private static final NodeId B = NodeId.of("b");
+    private static final NodeId C = NodeId.of("c");
+
+    private static NodeStatus status(NodeId node, boolean seeking) {
+        Address address = new Address("10.0.0.9", 7_000);
+        return new NodeStatus(node, FailureDomain.of("hobart"), address, 750, false, seeking, 1, ImmutableList.of());
+    }
+
+    @Test
+    public void testEnoughHeard_everybody() {
+        ImmutableList<NodeStatus> both = ImmutableList.of(status(A, false), status(C, true));
+        assertTrue(Discovery.enoughHeard(B, ImmutableSet.of(A, C), both));
+        assertTrue(Discovery.enoughHeard(B, ImmutableSet.of(), ImmutableList.of()));
+    }
+
+    /**
+     * All nodes were without power, and one of eight comes up 200 ms after the rest. Callers waited for it, although
+     * the seven had told each other long before that nobody had a holder.
+     */
+    @Test
+    public void testEnoughHeard_oneIsSlow() {
+        ImmutableSet<NodeId> located = ImmutableSet.of(B, C);
+        assertTrue(Discovery.enoughHeard(A, located, ImmutableList.of(status(B, true))));
+        assertFalse(Discovery.enoughHeard(A, located, ImmutableList.of()));
+    }
+
+    /** One node alone was restarted: whoever it hears first has a holder, and it must hear that holder too. */
+    @Test
+    public void testEnoughHeard_othersHaveAHolder() {
+        assertFalse(Discovery.enoughHeard(A, ImmutableSet.of(B, C), ImmutableList.of(status(B, false))));
+    }
+
+    @Test
+    public void testEnoughHeard_anotherGoesFirst() {
+        assertFalse(Discovery.enoughHeard(B, ImmutableSet.of(A, C), ImmutableList.of(status(C, true))));
+    }
+}
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ClassRehearsal.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ClassRehearsal.java
@@ -1,5 +1,6 @@
 package org.tarragonarch.entry.cluster;
 
+import io.netty.channel.nio.NioEventLoopGroup;
 import java.io.IOException;
 import java.io.OutputStream;
 import java.net.InetSocketAddress;
@@ -10,19 +11,27 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
+import org.tarragonarch.adapter.RehearsalPlatform;
+import org.tarragonarch.model.id.Address;
 import org.tarragonarch.model.outcome.StepException;
 
 /**
- * Starts a node on this machine alone and ends it again, so that the build can write an archive of the classes that a
- * node loads.
+ * Starts two nodes on this machine, lets them serve some jobs and ends them again, so that the build can write an
+ * archive of the classes that a node loads until it has answered its first job.
  *
  * <p>A start from that archive takes about half the processor time of one without, which is what a restarted node's
- * clients wait for.
+ * clients wait for. What the rehearsal leaves out is read from the libraries at the worst moment, when a node that has
+ * just been started is asked for everything at once.
  */
 public final class ClassRehearsal {
-    private static final long RUN_MILLIS = 1_500;
-    private static final int PORTS = 5;
+    /** Two nodes find each other and claim the one shard within some 500 ms; the rest is for the jobs. */
+    private static final long SETTLE_MILLIS = 1_000;
+
+    private static final int JOBS = 40;
+    private static final int PORTS_A_NODE = 4;
     private static final String HOST = "127.0.0.1";
+    private static final String PREFIX = "/q/";
 
     private ClassRehearsal() {}
 
@@ -32,36 +41,58 @@
      * @param arguments none
      */
     public static void main(String[] arguments) throws IOException, StepException, InterruptedException {
+        LibraryLoggers.choose();
+        List<Integer> ports = freePorts(1 + 2 * PORTS_A_NODE);
+        Address platform = new Address(HOST, ports.get(0));
+        RehearsalPlatform.open(new NioEventLoopGroup(1), platform, PREFIX);
+        ClusterSettings first = start("rehearsal-1", platform, ports.subList(1, 1 + PORTS_A_NODE));
+        ClusterSettings second = start("rehearsal-2", platform, ports.subList(1 + PORTS_A_NODE, 1 + 2 * PORTS_A_NODE));
+        Thread.sleep(SETTLE_MILLIS);
+        for (int job = 0; job < JOBS; job++) {
+            ask((job % 2 == 0 ? first : second).clientAddress(), submission(job));
+        }
+        ask(first.clientAddress(), request("GET " + PREFIX, ""));
+        ask(first.readinessAddress(), request("GET /readyz", ""));
+        System.exit(0);
+    }
+
+    private static ClusterSettings start(String name, Address platform, List<Integer> ports)
+            throws IOException, StepException {
         Path file = Files.createTempFile("node", ".jsonc");
         try {
-            Files.writeString(file, settings(freePorts()));
+            Files.writeString(file, settings(name, platform, ports));
             ClusterSettings settings = ClusterSettings.read(file);
-            DecisionLog log = new DecisionLog(settings.node().value(), System.err);
-            log.start();
-            ClusterNode node = new ClusterNode(settings, log);
-            node.start();
-            ask(settings.clientAddress().port());
-            ask(settings.readinessAddress().port());
-            Thread.sleep(RUN_MILLIS);
+            ClusterMain.start(file, settings, System.err);
+            return settings;
         } finally {
             Files.deleteIfExists(file);
         }
-        System.exit(0);
     }
 
-    private static void ask(int port) throws IOException {
+    private static String submission(int job) {
+        return request(String.format(Locale.ROOT, "POST %s%016x", PREFIX, job), RehearsalPlatform.job());
+    }
+
+    private static String request(String methodAndPath, String body) {
+        return methodAndPath + " HTTP/1.1\r\nHost: " + HOST
+                + "\r\nX-Deadline-Ms: 2000\r\nContent-Type: application/json\r\nContent-Length: " + body.length()
+                + "\r\nConnection: close\r\n\r\n" + body;
+    }
+
+    private static void ask(Address address, String request) throws IOException {
         try (Socket socket = new Socket()) {
-            socket.connect(new InetSocketAddress(HOST, port));
+            socket.connect(new InetSocketAddress(address.ip(), address.port()));
             OutputStream out = socket.getOutputStream();
-            out.write("GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
-            socket.getInputStream().readAllBytes();
+            out.write(request.getBytes(StandardCharsets.US_ASCII));
+            String answer = new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+            System.err.println(answer.lines().findFirst().orElse("no answer"));
         }
     }
 
-    private static List<Integer> freePorts() throws IOException {
+    private static List<Integer> freePorts(int count) throws IOException {
         List<ServerSocket> held = new ArrayList<>();
         List<Integer> ports = new ArrayList<>();
-        for (int i = 0; i < PORTS; i++) {
+        for (int i = 0; i < count; i++) {
             ServerSocket socket = new ServerSocket(0);
             held.add(socket);
             ports.add(socket.getLocalPort());
@@ -72,13 +103,13 @@
         return ports;
     }
 
-    private static String settings(List<Integer> ports) {
+    private static String settings(String name, Address platform, List<Integer> ports) {
         return """
-                { "node": "rehearsal", "failure-domain": "a", "failure-domains": {"a": "b"}, "ip": "127.0.0.1",
+                { "node": "%s", "failure-domain": "a", "failure-domains": { "a": "b" }, "ip": "127.0.0.1",
                   "peer-port": %d, "metrics-port": %d, "client-address": "127.0.0.1:%d",
-                  "readiness-address": "127.0.0.1:%d", "store-address": "127.0.0.1:%d",
+                  "readiness-address": "127.0.0.1:%d", "store-address": "%s",
                   "processor-share": 1.0, "processor-speed": 1,
                   "lease-millis": 1000, "stop-millis": 50, "shutdown-seconds": 6 }
-                """.formatted(ports.toArray());
+                """.formatted(name, ports.get(0), ports.get(1), ports.get(2), ports.get(3), platform);
     }
 }
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ClusterMain.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ClusterMain.java
@@ -1,5 +1,6 @@
 package org.tarragonarch.entry.cluster;
 
+import java.io.PrintStream;
 import java.nio.file.Path;
 import java.util.concurrent.CountDownLatch;
 import org.tarragonarch.model.log.NodeEvent;
@@ -25,18 +26,30 @@
             System.err.println("usage: ClusterMain SETTINGS-FILE");
             System.exit(EXIT_USAGE);
         }
-        ClusterSettings settings = readOrExit(Path.of(arguments[0]));
-        DecisionLog log = new DecisionLog(settings.node().value(), System.out);
-        log.start();
-        ClusterNode node = new ClusterNode(settings, log);
+        LibraryLoggers.choose();
+        Path file = Path.of(arguments[0]);
+        ClusterSettings settings = readOrExit(file);
         try {
-            node.start();
+            ClusterNode node = start(file, settings, System.out);
+            Runtime.getRuntime().addShutdownHook(new Thread(() -> leaveAndWait(node), "leave"));
         } catch (StepException e) {
             System.err.println(e.step().word() + " " + e.peer() + ": " + e.getMessage());
             System.exit(EXIT_START);
         }
-        HangUpSignal.handle(() -> reload(Path.of(arguments[0]), settings, log));
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> leaveAndWait(node), "leave"));
+    }
+
+    /**
+     * Starts a node of this process.
+     *
+     * @throws StepException if an address cannot be listened at
+     */
+    static ClusterNode start(Path file, ClusterSettings settings, PrintStream out) throws StepException {
+        DecisionLog log = new DecisionLog(settings.node().value(), out);
+        log.start();
+        ClusterNode node = new ClusterNode(settings, log);
+        node.start();
+        HangUpSignal.handle(() -> reload(file, settings, log));
+        return node;
     }
 
     /** Checks the settings that were changed; all of them take effect with the next start. */
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ClusterNode.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ClusterNode.java
@@ -14,6 +14,7 @@
 import org.tarragonarch.adapter.EndpointClient;
 import org.tarragonarch.adapter.StoreClient;
 import org.tarragonarch.core.cluster.Coordinator;
+import org.tarragonarch.core.cluster.Discovery;
 import org.tarragonarch.core.follow.TableFollower;
 import org.tarragonarch.core.handover.JobDesk;
 import org.tarragonarch.core.placing.PlacingSettings;
@@ -225,8 +226,11 @@
     private boolean discovered() {
         long now = timers.nowMillis();
         if (directory.complete()) {
-            boolean allHeard = exchange.allLocatedAmong(coordinator.book().present());
-            return allHeard || now - directory.completeAtMillis() >= DISCOVERY_MILLIS;
+            return now - directory.completeAtMillis() >= DISCOVERY_MILLIS
+                    || Discovery.enoughHeard(
+                            settings.node(),
+                            exchange.located(),
+                            coordinator.book().present());
         }
         return now - startedAtMillis >= LONGEST_DISCOVERY_MILLIS;
     }
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/PeerExchange.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/PeerExchange.java
@@ -1,6 +1,7 @@
 package org.tarragonarch.entry.cluster;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -57,12 +58,9 @@
         addresses.forEach((node, address) -> network.send(node, address, frame));
     }
 
-    /** Returns whether each node that is known of is one of these. */
-    boolean allLocatedAmong(ImmutableList<NodeStatus> heard) {
-        long present = heard.stream()
-                .filter(peer -> addresses.containsKey(peer.node()))
-                .count();
-        return present == addresses.size();
+    /** Returns every other node that is known of. */
+    ImmutableSet<NodeId> located() {
+        return ImmutableSet.copyOf(addresses.keySet());
     }
 
     /** Closes what connections there are with a peer that cannot be heard. */
--- a/tarragonarch-model/src/main/java/org/tarragonarch/model/id/Address.java
+++ b/tarragonarch-model/src/main/java/org/tarragonarch/model/id/Address.java
@@ -33,6 +33,16 @@
         return new Address(parsed.getHost(), parsed.getPort());
     }
 
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof Address that && port == that.port && ip.equals(that.ip);
+    }
+
+    @Override
+    public int hashCode() {
+        return 31 * ip.hashCode() + port;
+    }
+
     @Override
     public String toString() {
         return HostAndPort.fromParts(ip, port).toString();
--- a/tarragonarch-model/src/main/java/org/tarragonarch/model/id/EndpointId.java
+++ b/tarragonarch-model/src/main/java/org/tarragonarch/model/id/EndpointId.java
@@ -25,6 +25,16 @@
         return value.compareTo(other.value);
     }
 
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof EndpointId that && value.equals(that.value);
+    }
+
+    @Override
+    public int hashCode() {
+        return value.hashCode();
+    }
+
     @Override
     public String toString() {
         return value;
--- a/tarragonarch-model/src/main/java/org/tarragonarch/model/id/FailureDomain.java
+++ b/tarragonarch-model/src/main/java/org/tarragonarch/model/id/FailureDomain.java
@@ -25,6 +25,16 @@
         return value.compareTo(other.value);
     }
 
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof FailureDomain that && value.equals(that.value);
+    }
+
+    @Override
+    public int hashCode() {
+        return value.hashCode();
+    }
+
     @Override
     public String toString() {
         return value;
--- a/tarragonarch-model/src/main/java/org/tarragonarch/model/id/NodeId.java
+++ b/tarragonarch-model/src/main/java/org/tarragonarch/model/id/NodeId.java
@@ -25,6 +25,16 @@
         return value.compareTo(other.value);
     }
 
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof NodeId that && value.equals(that.value);
+    }
+
+    @Override
+    public int hashCode() {
+        return value.hashCode();
+    }
+
     @Override
     public String toString() {
         return value;
--- a/tarragonarch-model/src/main/java/org/tarragonarch/model/id/Region.java
+++ b/tarragonarch-model/src/main/java/org/tarragonarch/model/id/Region.java
@@ -25,6 +25,16 @@
         return value.compareTo(other.value);
     }
 
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof Region that && value.equals(that.value);
+    }
+
+    @Override
+    public int hashCode() {
+        return value.hashCode();
+    }
+
     @Override
     public String toString() {
         return value;
--- a/tarragonarch-model/src/main/java/org/tarragonarch/model/task/JobId.java
+++ b/tarragonarch-model/src/main/java/org/tarragonarch/model/task/JobId.java
@@ -22,6 +22,16 @@
         return FORM.matcher(value).matches();
     }
 
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof JobId that && value.equals(that.value);
+    }
+
+    @Override
+    public int hashCode() {
+        return value.hashCode();
+    }
+
     @Override
     public String toString() {
         return value;
--- a/tarragonarch-model/src/main/java/org/tarragonarch/model/task/TaskName.java
+++ b/tarragonarch-model/src/main/java/org/tarragonarch/model/task/TaskName.java
@@ -18,6 +18,16 @@
         return new TaskName(job.value() + ".0." + step + "." + index);
     }
 
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof TaskName that && text.equals(that.text);
+    }
+
+    @Override
+    public int hashCode() {
+        return text.hashCode();
+    }
+
     @Override
     public String toString() {
         return text;
--- a/tarragonarch-model/src/main/java/org/tarragonarch/model/task/TaskRun.java
+++ b/tarragonarch-model/src/main/java/org/tarragonarch/model/task/TaskRun.java
@@ -16,6 +16,16 @@
         checkArgument(run >= 1, "run %s is below 1", run);
     }
 
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof TaskRun that && run == that.run && task.equals(that.task);
+    }
+
+    @Override
+    public int hashCode() {
+        return 31 * task.hashCode() + run;
+    }
+
     @Override
     public String toString() {
         return task + "#" + run;
