--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ClassRehearsal.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ClassRehearsal.java
@@ -11,7 +11,6 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Locale;
 import org.tarragonarch.adapter.RehearsalPlatform;
 import org.tarragonarch.model.id.Address;
 import org.tarragonarch.model.outcome.StepException;
@@ -49,10 +48,10 @@
         ClusterSettings second = start("rehearsal-2", platform, ports.subList(1 + PORTS_A_NODE, 1 + 2 * PORTS_A_NODE));
         Thread.sleep(SETTLE_MILLIS);
         for (int job = 0; job < JOBS; job++) {
-            ask((job % 2 == 0 ? first : second).clientAddress(), submission(job));
+            ask((job % 2 == 0 ? first : second).clientAddress(), RehearsalPlatform.submission(HOST, PREFIX, job));
         }
-        ask(first.clientAddress(), request("GET " + PREFIX, ""));
-        ask(first.readinessAddress(), request("GET /readyz", ""));
+        ask(first.clientAddress(), question(PREFIX));
+        ask(first.readinessAddress(), question("/readyz"));
         System.exit(0);
     }
 
@@ -69,14 +68,8 @@
         }
     }
 
-    private static String submission(int job) {
-        return request(String.format(Locale.ROOT, "POST %s%016x", PREFIX, job), RehearsalPlatform.job());
-    }
-
-    private static String request(String methodAndPath, String body) {
-        return methodAndPath + " HTTP/1.1\r\nHost: " + HOST
-                + "\r\nX-Deadline-Ms: 2000\r\nContent-Type: application/json\r\nContent-Length: " + body.length()
-                + "\r\nConnection: close\r\n\r\n" + body;
+    private static String question(String path) {
+        return "GET " + path + " HTTP/1.1\r\nHost: " + HOST + "\r\nConnection: close\r\n\r\n";
     }
 
     private static void ask(Address address, String request) throws IOException {
