Take a job again only where all its earlier runs can be seen

A domain had gone on by itself; the pool's holder outside had claimed its shard in vain under a higher token, outranked it by a look that arrived as the cut healed, was offered its jobs, and had let go of the shard by then, since the domain had a holder. All that it still held was known, so it started at once what still ran in the domain. Change: an offer names the shards on which earlier runs may be; a holder takes it at once only if it holds these and has read their endpoints, else when those runs are certainly over. Test: PlacerHandOverTest#testOffer_earlierRunsInAShardThatWasLetGo, seen to fail without the change.

--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/handover/Holder.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/handover/Holder.java
@@ -3,6 +3,7 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
 import org.tarragonarch.model.id.FailureDomain;
 import org.tarragonarch.model.id.NodeId;
 import org.tarragonarch.model.report.HeldShard;
@@ -20,6 +21,11 @@
         checkNotNull(shards, "shards");
     }
 
+    /** Returns the failure domains whose endpoints it holds. */
+    public ImmutableSet<FailureDomain> domains() {
+        return shards.stream().map(HeldShard::domain).collect(ImmutableSet.toImmutableSet());
+    }
+
     /** Returns whether it holds the endpoints of the failure domain. */
     public boolean holds(FailureDomain domain) {
         return shards.stream().anyMatch(held -> held.domain().equals(domain));
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/handover/OpenJob.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/handover/OpenJob.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import org.tarragonarch.model.id.NodeId;
+import org.tarragonarch.model.task.EarlierRuns;
 import org.tarragonarch.model.task.JobId;
 import org.tarragonarch.model.task.JobReply;
 import org.tarragonarch.model.task.JobRequest;
@@ -57,7 +58,10 @@
      * @param runsLastMillis how long what a lost holder started may run on
      */
     Offer offer(NodeId own, long nowMillis, long runsLastMillis) {
-        long earlierRuns = mayHaveRun ? Math.max(0, lostAtMillis + runsLastMillis - nowMillis) : 0;
+        EarlierRuns earlierRuns = lostHolder
+                .filter(lost -> lostAtMillis + runsLastMillis > nowMillis)
+                .map(lost -> new EarlierRuns(lostAtMillis + runsLastMillis - nowMillis, lost.domains()))
+                .orElse(EarlierRuns.NONE);
         return new Offer(request, queue, own, ageMillis(nowMillis), deadlineAtMillis - nowMillis, earlierRuns);
     }
 
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacedShard.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacedShard.java
@@ -70,6 +70,11 @@
         endpoints.values().forEach(HeldEndpoint::abandon);
     }
 
+    /** Returns whether everything that runs on the endpoints is known. */
+    boolean known() {
+        return endpoints.values().stream().allMatch(HeldEndpoint::known);
+    }
+
     /** Returns whether no endpoint has answered although this node has asked them for long enough. */
     boolean outOfReach() {
         if (timers.nowMillis() - openedAtMillis < REACH_MILLIS) {
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/Placer.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/Placer.java
@@ -129,7 +129,7 @@
         if (ending.defer(offer, timers.nowMillis())) {
             return;
         }
-        if (offer.earlierRunsMillis() > 0 && !allKnown()) {
+        if (!offer.earlierRuns().over() && !allKnown(offer.earlierRuns().shards())) {
             wait(offer);
             return;
         }
@@ -207,10 +207,12 @@
     /**
      * Guards against a task that runs twice after its shard changed hands: the lost holder's runs show on the
      * endpoints' lists, and are over when each list was read under this holder's token and cleared. How long this
-     * holder has had the shard says nothing: while a domain was cut off, the other may have gone on there.
+     * holder has had the shard says nothing: while a domain was cut off, the other may have gone on there. Nor does
+     * what it holds now if the shard is not part of it, as when it has let go of it since the job was offered.
      */
-    private boolean allKnown() {
-        return Iterables.all(endpoints(), HeldEndpoint::known);
+    private boolean allKnown(Set<FailureDomain> wanted) {
+        return shards.keySet().containsAll(wanted)
+                && wanted.stream().allMatch(shard -> shards.get(shard).known());
     }
 
     private Iterable<HeldEndpoint> endpoints() {
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/handover/FakeHolders.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/handover/FakeHolders.java
@@ -38,7 +38,9 @@
     @Override
     public void offer(Holder holder, Offer offer) {
         asked.add("offer " + holder.node()
-                + (offer.earlierRunsMillis() > 0 ? " over in " + offer.earlierRunsMillis() : ""));
+                + (offer.earlierRuns().over()
+                        ? ""
+                        : " over in " + offer.earlierRuns().lastMillis()));
     }
 
     @Override
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/PlacerFixture.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/PlacerFixture.java
@@ -1,12 +1,14 @@
 package org.tarragonarch.core.placing;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
 import java.util.ArrayList;
 import java.util.List;
 import org.tarragonarch.model.id.Address;
 import org.tarragonarch.model.id.EndpointId;
 import org.tarragonarch.model.id.FailureDomain;
 import org.tarragonarch.model.id.NodeId;
+import org.tarragonarch.model.task.EarlierRuns;
 import org.tarragonarch.model.task.EndKind;
 import org.tarragonarch.model.task.EndpointEntry;
 import org.tarragonarch.model.task.FencingToken;
@@ -26,8 +28,8 @@
     static final FailureDomain SHARD = FailureDomain.of("hobart");
     static final FailureDomain SECOND_SHARD = FailureDomain.of("launceston");
 
-    /** How long an earlier holder's runs may last when its loss has just been noticed. */
-    private static final long EARLIER_RUNS_MILLIS = 1_050;
+    /** What an earlier holder's runs are when its loss has just been noticed. */
+    private static final EarlierRuns EARLIER = new EarlierRuns(1_050, ImmutableSet.of(SHARD));
 
     private static final Resources CAPACITY = new Resources(16_000, 32_768, 0);
 
@@ -127,6 +129,6 @@
         QueueDefinition queue = new QueueDefinition("checks", "h", "/p/", "board", 0, 3, 1.6, 60);
         TaskStep step = new TaskStep(tasks, new Resources(TASK_MILLI_CORES, 64, 0), estimateMillis);
         return new Offer(
-                new JobRequest(id(number), "x", step), queue, asker, 0, 3_000, repeated ? EARLIER_RUNS_MILLIS : 0);
+                new JobRequest(id(number), "x", step), queue, asker, 0, 3_000, repeated ? EARLIER : EarlierRuns.NONE);
     }
 }
--- /dev/null
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/PlacerHandOverTest.java
@@ -0,0 +1,127 @@
+package org.tarragonarch.core.placing;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import com.google.common.collect.ImmutableList;
+import org.testng.annotations.Test;
+
+/** Holders whose shards come and go, one at a time or all at once. */
+public final class PlacerHandOverTest {
+    /**
+     * A job needs five places at once, and each of two domains has four. Held by one node they are one pool: the job
+     * runs in one wave, where each domain alone would have needed two and come late.
+     */
+    @Test
+    public void testOpen_twoShardsAreOnePool() {
+        PlacerFixture fixture = new PlacerFixture(4);
+        Placer placer = fixture.pooled(1, 2);
+        fixture.timers.pass(20);
+        placer.offer(PlacerFixture.offer(1, 5));
+        fixture.timers.pass(90);
+        assertEquals(fixture.verdicts, ImmutableList.of("asker-1 1 DONE"));
+        assertEquals(fixture.ledger.broken(), ImmutableList.of());
+    }
+
+    /**
+     * One of two domains goes to another holder while a job has tasks in both. Those of the domain that is gone start
+     * elsewhere, and only when their lease has certainly run out; the caller still gets one whole answer.
+     */
+    @Test
+    public void testLetGo_tasksOfTheShardStartElsewhereAfterTheirLease() {
+        PlacerFixture fixture = new PlacerFixture(2);
+        fixture.endpoint(1).runMillis = 900;
+        fixture.endpoint(2).runMillis = 900;
+        Placer placer = fixture.pooled(1, 2);
+        fixture.timers.pass(20);
+        placer.offer(PlacerFixture.offer(1, 4, 900, PlacerFixture.ASKER, false));
+        fixture.timers.pass(20);
+        placer.letGo(PlacerFixture.SECOND_SHARD);
+        fixture.timers.pass(1_000);
+        assertEquals(fixture.verdicts, ImmutableList.of());
+        fixture.timers.pass(1_900);
+        assertEquals(fixture.verdicts, ImmutableList.of("asker-1 1 DONE"));
+        assertEquals(fixture.ledger.broken(), ImmutableList.of());
+    }
+
+    /** The last shard goes: every job is given back to the node that asked, who offers it to the next holder. */
+    @Test
+    public void testLetGo_lastShardGivesJobsBack() {
+        PlacerFixture fixture = new PlacerFixture(2);
+        Placer placer = fixture.pooled(1, 2);
+        fixture.timers.pass(20);
+        placer.offer(PlacerFixture.offer(1, 1));
+        placer.letGo(PlacerFixture.SECOND_SHARD);
+        placer.letGo(PlacerFixture.SHARD);
+        assertEquals(fixture.verdicts, ImmutableList.of("asker-1 1 HOLD_LOST"));
+        fixture.timers.pass(3_000);
+        assertEquals(fixture.verdicts, ImmutableList.of("asker-1 1 HOLD_LOST"));
+    }
+
+    /**
+     * A domain was cut off, and another node went on there under a lower token than the one that this holder had
+     * claimed before and could not use. After the cut a job is given back by that node and offered here while its tasks
+     * still run there. They would have run twice, for this holder had had the shard for long enough.
+     */
+    @Test
+    public void testOffer_earlierRunsOnAnEndpointThatWasOutOfReach() {
+        PlacerFixture fixture = new PlacerFixture(2);
+        fixture.endpoint(1).runMillis = 900;
+        fixture.endpoint(2).runMillis = 900;
+        fixture.way(2, FakeOrders.Way.CUT);
+        Placer holder = fixture.placer(2);
+        fixture.timers.pass(5_000);
+        fixture.way(2, FakeOrders.Way.CLEAR);
+        Placer earlier = fixture.onlyEndpoint(2, 1);
+        fixture.timers.pass(5);
+        earlier.offer(PlacerFixture.offer(1, 1, 900, PlacerFixture.ASKER, false));
+        fixture.timers.pass(5);
+        assertEquals(fixture.endpoint(2).running(), 1);
+        holder.offer(PlacerFixture.offer(1, 1, 900, PlacerFixture.ASKER, true));
+        fixture.timers.pass(3_000);
+        assertTrue(fixture.verdicts.contains("asker-1 1 DONE"), fixture.verdicts.toString());
+        assertEquals(fixture.ledger.broken(), ImmutableList.of());
+    }
+
+    /**
+     * A domain went on by itself while it was cut off. In the moment in which it is heard again another holder outranks
+     * it, is offered its jobs, and lets go of the shard, since the domain has a holder of its own. All that it still
+     * holds is known, but the job's tasks run where it holds nothing: they would run twice.
+     */
+    @Test
+    public void testOffer_earlierRunsInAShardThatWasLetGo() {
+        PlacerFixture fixture = new PlacerFixture(2);
+        fixture.endpoint(1).runMillis = 300;
+        fixture.endpoint(2).runMillis = 300;
+        Placer inside = fixture.onlyEndpoint(1, 1);
+        fixture.timers.pass(10);
+        inside.offer(PlacerFixture.offer(1, 1, 300, PlacerFixture.ASKER, false));
+        Placer outside = fixture.pooled(2, 2);
+        outside.letGo(PlacerFixture.SHARD);
+        fixture.timers.pass(5);
+        outside.offer(PlacerFixture.offer(1, 1, 300, PlacerFixture.ASKER, true));
+        fixture.timers.pass(2_000);
+        assertTrue(fixture.verdicts.contains("asker-1 1 DONE"), fixture.verdicts.toString());
+        assertEquals(fixture.ledger.broken(), ImmutableList.of());
+    }
+
+    /** The stop of a run that an earlier holder left gets no answer: it is sent again, and nothing starts before. */
+    @Test
+    public void testClaim_stopOfAnEarlierRunIsLost() {
+        PlacerFixture fixture = new PlacerFixture(1);
+        fixture.endpoint(1).runMillis = 5_000;
+        Placer before = fixture.placer(1);
+        fixture.timers.pass(20);
+        before.offer(PlacerFixture.offer(1, 2, 900, PlacerFixture.ASKER, false));
+        fixture.timers.pass(50);
+        int[] stops = {0};
+        fixture.orders.stopWay = () -> stops[0]++ < 2 ? FakeOrders.Way.CUT : FakeOrders.Way.CLEAR;
+        Placer next = fixture.placer(2);
+        fixture.endpoint(1).runMillis = 60;
+        next.offer(PlacerFixture.offer(2, 2));
+        fixture.timers.pass(400);
+        assertTrue(fixture.verdicts.contains("asker-1 2 DONE"), fixture.verdicts.toString());
+        assertEquals(fixture.ledger.broken(), ImmutableList.of());
+        assertEquals(stops[0], 4);
+    }
+}
--- a/tarragonarch-model/src/main/java/org/tarragonarch/model/task/Offer.java
+++ b/tarragonarch-model/src/main/java/org/tarragonarch/model/task/Offer.java
@@ -1,6 +1,5 @@
 package org.tarragonarch.model.task;
 
-import static com.google.common.base.Preconditions.checkArgument;
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import org.tarragonarch.model.id.NodeId;
@@ -13,7 +12,7 @@
  * @param asker the node that has the client's connection
  * @param ageMillis how long ago the job reached that node
  * @param deadlineMillis how long the client still waits
- * @param earlierRunsMillis how long tasks of it may still run that a lost holder started, 0 if none can
+ * @param earlierRuns what may still run of it that a lost holder started
  */
 public record Offer(
         JobRequest job,
@@ -21,18 +20,17 @@
         NodeId asker,
         long ageMillis,
         long deadlineMillis,
-        long earlierRunsMillis) {
+        EarlierRuns earlierRuns) {
     /** Checks the parts. */
     public Offer {
         checkNotNull(job, "job");
         checkNotNull(queue, "queue");
         checkNotNull(asker, "asker");
-        checkArgument(earlierRunsMillis >= 0, "earlierRunsMillis %s is negative", earlierRunsMillis);
+        checkNotNull(earlierRuns, "earlierRuns");
     }
 
     /** Returns the same offer after a wait on this holder's side. */
     public Offer later(long millis) {
-        long earlierRuns = Math.max(0, earlierRunsMillis - millis);
-        return new Offer(job, queue, asker, ageMillis + millis, deadlineMillis - millis, earlierRuns);
+        return new Offer(job, queue, asker, ageMillis + millis, deadlineMillis - millis, earlierRuns.after(millis));
     }
 }
--- a/tarragonarch-wire/src/main/java/org/tarragonarch/wire/OfferCodec.java
+++ b/tarragonarch-wire/src/main/java/org/tarragonarch/wire/OfferCodec.java
@@ -1,6 +1,9 @@
 package org.tarragonarch.wire;
 
+import com.google.common.collect.ImmutableSet;
+import org.tarragonarch.model.id.FailureDomain;
 import org.tarragonarch.model.id.NodeId;
+import org.tarragonarch.model.task.EarlierRuns;
 import org.tarragonarch.model.task.JobId;
 import org.tarragonarch.model.task.JobRequest;
 import org.tarragonarch.model.task.Offer;
@@ -20,7 +23,9 @@
         writer.writeText(offer.asker().value())
                 .writeLong(offer.ageMillis())
                 .writeLong(offer.deadlineMillis())
-                .writeLong(offer.earlierRunsMillis());
+                .writeLong(offer.earlierRuns().lastMillis())
+                .writeCount(offer.earlierRuns().shards().size());
+        offer.earlierRuns().shards().forEach(shard -> writer.writeText(shard.value()));
         writeJob(writer, offer.job());
         writeQueue(writer, offer.queue());
     }
@@ -29,11 +34,21 @@
         NodeId asker = NodeId.of(reader.readText());
         long age = reader.readLong();
         long deadline = reader.readLong();
-        long earlierRuns = reader.readLong();
+        EarlierRuns earlierRuns = readEarlierRuns(reader);
         JobRequest job = readJob(reader);
         return new JobOffered(new Offer(job, readQueue(reader), asker, age, deadline, earlierRuns));
     }
 
+    private static EarlierRuns readEarlierRuns(FrameReader reader) throws MalformedFrameException {
+        long lastMillis = reader.readLong();
+        int count = reader.readCount();
+        ImmutableSet.Builder<FailureDomain> shards = ImmutableSet.builder();
+        for (int i = 0; i < count; i++) {
+            shards.add(FailureDomain.of(reader.readText()));
+        }
+        return new EarlierRuns(lastMillis, shards.build());
+    }
+
     private static void writeJob(FrameWriter writer, JobRequest job) {
         TaskStep step = job.step();
         writer.writeText(job.id().value())
--- a/tarragonarch-wire/src/test/java/org/tarragonarch/wire/PlacingSamples.java
+++ b/tarragonarch-wire/src/test/java/org/tarragonarch/wire/PlacingSamples.java
@@ -1,6 +1,7 @@
 package org.tarragonarch.wire;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
 import org.tarragonarch.model.id.Address;
 import org.tarragonarch.model.id.EndpointId;
 import org.tarragonarch.model.id.FailureDomain;
@@ -8,6 +9,7 @@
 import org.tarragonarch.model.report.HeldShard;
 import org.tarragonarch.model.report.NodeLocation;
 import org.tarragonarch.model.report.NodeStatus;
+import org.tarragonarch.model.task.EarlierRuns;
 import org.tarragonarch.model.task.EndpointEntry;
 import org.tarragonarch.model.task.FencingToken;
 import org.tarragonarch.model.task.JobId;
@@ -51,6 +53,7 @@
     private static Offer offer() {
         QueueDefinition queue = new QueueDefinition("q", "h", "/p/", "board", 2, 4, 1.6, 60);
         TaskStep step = new TaskStep(8, new Resources(6_800, 64, 0), 0);
-        return new Offer(new JobRequest(JOB, "\u2013 text", step), queue, NODE, 3, 1_500, 1_050);
+        EarlierRuns earlier = new EarlierRuns(1_050, ImmutableSet.of(SHARD));
+        return new Offer(new JobRequest(JOB, "\u2013 text", step), queue, NODE, 3, 1_500, earlier);
     }
 }
