--- /dev/null
+++ b/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/Cluster.java
@@ -0,0 +1,154 @@
+package org.tarragonarch.benchmark.experiment;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.tarragonarch.benchmark.time.VirtualTime;
+import org.tarragonarch.core.shard.EndpointList;
+import org.tarragonarch.model.id.Address;
+import org.tarragonarch.model.id.EndpointId;
+import org.tarragonarch.model.id.FailureDomain;
+import org.tarragonarch.model.id.NodeId;
+import org.tarragonarch.model.id.Region;
+import org.tarragonarch.model.task.EndpointEntry;
+import org.tarragonarch.model.task.EndpointOrders;
+import org.tarragonarch.model.task.Resources;
+
+/** Every node and endpoint of a run, and the network between them. */
+final class Cluster {
+    static final String SERVICE = "s";
+
+    private static final Region REGION = Region.of("r");
+    private static final long MEMORY_MB = 131_072;
+    private static final int ENDPOINT_PORT = 80;
+    private static final int LARGE_EVERY = 3;
+
+    private final VirtualTime time;
+    private final LoadShape shape;
+    private final ImmutableMap<FailureDomain, Region> regions;
+    private final EndpointList listed = new EndpointList();
+    private final Map<EndpointId, ModelEndpoint> endpoints = new LinkedHashMap<>();
+    private final Map<NodeId, ModelNode> nodes = new LinkedHashMap<>();
+
+    Cluster(VirtualTime time, LoadShape shape, ModelEndpoint.RunDurations durations) {
+        this.time = time;
+        this.shape = shape;
+        ImmutableMap.Builder<FailureDomain, Region> all = ImmutableMap.builder();
+        for (int domain = 0; domain < shape.domains(); domain++) {
+            all.put(domain(domain), REGION);
+        }
+        this.regions = all.buildOrThrow();
+        for (int domain = 0; domain < shape.domains(); domain++) {
+            for (int number = 0; number < shape.endpointsPerDomain(); number++) {
+                addEndpoint(domain, number, durations);
+            }
+        }
+    }
+
+    private void addEndpoint(int domain, int number, ModelEndpoint.RunDurations durations) {
+        long milliCores = number % LARGE_EVERY == LARGE_EVERY - 1
+                ? shape.endpointMilliCores() * 3 / 2
+                : shape.endpointMilliCores();
+        EndpointEntry entry = new EndpointEntry(
+                EndpointId.of("w-" + domain + "-" + number),
+                SERVICE,
+                new Address("10.9." + domain + "." + (number + 1), ENDPOINT_PORT),
+                domain(domain),
+                false,
+                new Resources(milliCores, MEMORY_MB, 0));
+        double speed = shape.speeds().get(endpoints.size() % shape.speeds().size());
+        endpoints.put(entry.id(), new ModelEndpoint(time, entry, domain, speed, durations));
+        listed.listed(entry);
+    }
+
+    FailureDomain domain(int number) {
+        return FailureDomain.of("d" + number);
+    }
+
+    ImmutableMap<FailureDomain, Region> regions() {
+        return regions;
+    }
+
+    EndpointList listed() {
+        return listed;
+    }
+
+    EndpointOrders orders(ExperimentTimers timers, int domain) {
+        return new ModelOrders(time, timers, shape, domain, endpoints);
+    }
+
+    ImmutableList<ModelEndpoint> endpoints() {
+        return ImmutableList.copyOf(endpoints.values());
+    }
+
+    void startAll() {
+        for (int domain = 0; domain < shape.domains(); domain++) {
+            for (int number = 1; number <= shape.nodesPerDomain(); number++) {
+                start(domain, number);
+            }
+        }
+    }
+
+    private void start(int domain, int number) {
+        ModelNode node = new ModelNode(this, time, domain, number);
+        nodes.put(node.id(), node);
+        node.start();
+    }
+
+    /** Ends every node at once; they are back after a while. */
+    void powerOff(long forMillis) {
+        nodes.values().forEach(ModelNode::kill);
+        time.after(TimeUnit.MILLISECONDS.toNanos(forMillis + shape.startMillis()), this::startAll);
+    }
+
+    /** Kills the node that holds most; its connections break at once, and it is back after a while. */
+    void killHolder(long forMillis) {
+        ModelNode holder = living().stream()
+                .reduce((first, second) ->
+                        second.coordinator().heldShards() > first.coordinator().heldShards() ? second : first)
+                .orElseThrow();
+        holder.kill();
+        living().forEach(node -> node.peerGone(holder.id()));
+        String[] parts = holder.id().value().split("-");
+        time.after(
+                TimeUnit.MILLISECONDS.toNanos(forMillis + shape.startMillis()),
+                () -> start(Integer.parseInt(parts[1]), Integer.parseInt(parts[2])));
+    }
+
+    /** Returns the node that a client reaches: by its number one of its own domain, or else any that lives. */
+    Optional<ModelNode> nodeFor(int domain, int client) {
+        List<ModelNode> near =
+                living().stream().filter(node -> node.domain() == domain).toList();
+        List<ModelNode> reached = near.isEmpty() ? living() : near;
+        return reached.isEmpty() ? Optional.empty() : Optional.of(reached.get(client % reached.size()));
+    }
+
+    ImmutableList<NodeId> everyOther(NodeId own) {
+        return nodes.keySet().stream().filter(node -> !node.equals(own)).collect(ImmutableList.toImmutableList());
+    }
+
+    /** Brings something to a node; returns whether that node lives as it leaves. */
+    boolean deliver(ModelNode from, NodeId to, Consumer<ModelNode> arrival) {
+        ModelNode receiver = nodes.get(to);
+        if (receiver == null || !receiver.alive()) {
+            return false;
+        }
+        long micros = shape.latencyMicros(from.domain(), receiver.domain());
+        time.after(TimeUnit.MICROSECONDS.toNanos(micros), () -> {
+            if (receiver.alive()) {
+                arrival.accept(receiver);
+            }
+        });
+        return true;
+    }
+
+    private List<ModelNode> living() {
+        return new ArrayList<>(nodes.values().stream().filter(ModelNode::alive).toList());
+    }
+}
--- /dev/null
+++ b/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/Disturbance.java
@@ -0,0 +1,15 @@
+package org.tarragonarch.benchmark.experiment;
+
+/**
+ * Something that happens once in a run.
+ *
+ * @param kind what it is
+ * @param atMillis when it begins
+ * @param forMillis how long it lasts
+ * @param factor how strong it is, where its kind says so
+ */
+public record Disturbance(DisturbanceKind kind, long atMillis, long forMillis, double factor) {
+    boolean during(long millis) {
+        return millis >= atMillis && millis < atMillis + forMillis;
+    }
+}
--- /dev/null
+++ b/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/DisturbanceKind.java
@@ -0,0 +1,17 @@
+package org.tarragonarch.benchmark.experiment;
+
+/** What can happen to a cluster in the middle of a run. */
+public enum DisturbanceKind {
+    /** Jobs come {@code factor} times as fast. */
+    BURST,
+    /** Every node loses power for the time, and then takes the load's start time. */
+    POWER_OFF,
+    /** The node that holds most shards is killed, and starts again after the time. */
+    HOLDER_KILLED,
+    /** Tasks stand still on the part {@code factor} of all endpoints. */
+    ENDPOINTS_HANG,
+    /** The part {@code factor} of all endpoints fails whatever it starts. */
+    ENDPOINTS_FAIL,
+    /** The part {@code factor} of all endpoints is six times as slow. */
+    ENDPOINTS_SLOW
+}
--- /dev/null
+++ b/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/Experiment.java
@@ -0,0 +1,182 @@
+package org.tarragonarch.benchmark.experiment;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.tarragonarch.benchmark.time.VirtualTime;
+import org.tarragonarch.model.task.JobReply;
+import org.tarragonarch.model.task.QueueDefinition;
+import org.tarragonarch.model.task.TaskName;
+
+/** One run of a load with one seed. */
+public final class Experiment {
+    /** Nodes find each other and claim before the first job. */
+    private static final long LEAD_MILLIS = 2_000;
+
+    /** The last jobs are answered after the last was sent. */
+    private static final long TAIL_MILLIS = 6_000;
+
+    /** How soon a client that reached no node tries again. */
+    private static final long RECONNECT_MILLIS = 100;
+
+    private static final int ATTEMPTS = 3;
+
+    /** A job counts its fixed part and a part by its work, and no more than some times the mean; the users' rule. */
+    private static final double FIXED_WORTH = 0.3;
+
+    private static final double MOST_WORTH = 4;
+
+    private final LoadShape shape;
+    private final long seed;
+    private final VirtualTime time = new VirtualTime();
+    private final Map<String, DrawnJob> jobs = new HashMap<>();
+    private final Map<DrawnJob, Fate> fates = new HashMap<>();
+    private final Cluster cluster;
+
+    private Experiment(LoadShape shape, long seed) {
+        this.shape = shape;
+        this.seed = seed;
+        this.cluster = new Cluster(time, shape, new Durations());
+    }
+
+    /** Plays a load. */
+    public static ExperimentResult run(LoadShape shape, long seed) {
+        return new Experiment(shape, seed).play();
+    }
+
+    private ExperimentResult play() {
+        List<DrawnJob> drawn = new JobSource(shape, seed).draw();
+        drawn.forEach(job -> jobs.put(job.request().id().value(), job));
+        cluster.startAll();
+        for (DrawnJob job : drawn) {
+            at(job.sentAtMillis(), () -> send(job));
+        }
+        shape.disturbances().forEach(this::plan);
+        time.runUntil(TimeUnit.MILLISECONDS.toNanos(LEAD_MILLIS + shape.lengthMillis() + TAIL_MILLIS));
+        return result(drawn);
+    }
+
+    private void at(long millis, Runnable happening) {
+        time.at(TimeUnit.MILLISECONDS.toNanos(LEAD_MILLIS + millis), happening);
+    }
+
+    private void send(DrawnJob job) {
+        Optional<ModelNode> node = cluster.nodeFor(job.domain(), job.client());
+        long waited = sinceSentMillis(job);
+        if (node.isEmpty()) {
+            if (waited < job.deadlineMillis()) {
+                time.after(TimeUnit.MILLISECONDS.toNanos(RECONNECT_MILLIS), () -> send(job));
+            }
+            return;
+        }
+        long left = Math.max(1, job.deadlineMillis() - waited);
+        node.get().coordinator().desk().submit(queue(job.kind()), job.request(), left, reply -> answered(job, reply));
+    }
+
+    private void answered(DrawnJob job, JobReply reply) {
+        Fate fate =
+                switch (reply.outcome()) {
+                    case DONE -> Fate.answeredAfter(sinceSentMillis(job), job.aimMillis());
+                    case REFUSED -> Fate.REFUSED;
+                    case FAILED, GIVEN_UP, CANCELLED -> Fate.FAILED;
+                };
+        fates.put(job, fate);
+    }
+
+    private long sinceSentMillis(DrawnJob job) {
+        return TimeUnit.NANOSECONDS.toMillis(time.nowNanos()) - LEAD_MILLIS - job.sentAtMillis();
+    }
+
+    private QueueDefinition queue(JobKind kind) {
+        return new QueueDefinition(
+                kind.name(),
+                "h",
+                "/" + kind.name() + "/",
+                Cluster.SERVICE,
+                kind.priority(),
+                ATTEMPTS,
+                shape.stretch(),
+                kind.objectiveMillis());
+    }
+
+    private void plan(Disturbance disturbance) {
+        switch (disturbance.kind()) {
+            case BURST -> {
+                // Part of how jobs are drawn.
+            }
+            case POWER_OFF -> at(disturbance.atMillis(), () -> cluster.powerOff(disturbance.forMillis()));
+            case HOLDER_KILLED -> at(disturbance.atMillis(), () -> cluster.killHolder(disturbance.forMillis()));
+            case ENDPOINTS_HANG -> during(disturbance, ModelEndpoint::hang);
+            case ENDPOINTS_FAIL -> during(disturbance, ModelEndpoint::fail);
+            case ENDPOINTS_SLOW -> during(disturbance, (endpoint, begins) -> endpoint.slowDown(begins ? 1 / 6.0 : 6));
+            default -> throw new AssertionError(disturbance.kind());
+        }
+    }
+
+    private void during(Disturbance disturbance, Change change) {
+        List<ModelEndpoint> endpoints = cluster.endpoints();
+        int count = (int) Math.ceil(disturbance.factor() * endpoints.size());
+        int step = Math.max(1, endpoints.size() / count);
+        for (int i = 0; i < count; i++) {
+            ModelEndpoint endpoint = endpoints.get(i * step);
+            at(disturbance.atMillis(), () -> change.apply(endpoint, true));
+            at(disturbance.atMillis() + disturbance.forMillis(), () -> change.apply(endpoint, false));
+        }
+    }
+
+    private ExperimentResult result(List<DrawnJob> drawn) {
+        Map<JobKind, Double> meanWork = new HashMap<>();
+        for (JobKind kind : shape.kinds()) {
+            meanWork.put(
+                    kind,
+                    drawn.stream()
+                            .filter(job -> job.kind().equals(kind))
+                            .mapToDouble(DrawnJob::work)
+                            .average()
+                            .orElse(1));
+        }
+        List<Experience> experiences = new ArrayList<>();
+        for (DrawnJob job : drawn) {
+            double size = job.work() / meanWork.get(job.kind());
+            double worth = job.kind().worth() * Math.min(MOST_WORTH, FIXED_WORTH + (1 - FIXED_WORTH) * size);
+            experiences.add(new Experience(job, fates.getOrDefault(job, Fate.LOST), worth));
+        }
+        double milliCores = cluster.endpoints().stream()
+                .mapToDouble(endpoint -> endpoint.entry().capacity().milliCores())
+                .sum();
+        double speed = shape.speeds().stream()
+                .mapToDouble(Double::doubleValue)
+                .average()
+                .orElse(1);
+        int overfilled =
+                cluster.endpoints().stream().mapToInt(ModelEndpoint::overfilled).sum();
+        return new ExperimentResult(experiences, new FluidBound(shape, milliCores * speed).of(experiences), overfilled);
+    }
+
+    /** Something that begins or ends at one endpoint. */
+    @FunctionalInterface
+    private interface Change {
+        void apply(ModelEndpoint endpoint, boolean begins);
+    }
+
+    /** Tells endpoints how long the tasks of this run's jobs take. */
+    private final class Durations implements ModelEndpoint.RunDurations {
+        @Override
+        public double runMillis(TaskName task) {
+            String[] parts = task.text().split("\\.");
+            return jobs.get(parts[0]).runMillis(Integer.parseInt(parts[parts.length - 1]));
+        }
+
+        @Override
+        public long milliCores(TaskName task) {
+            return jobs.get(task.text().split("\\.")[0])
+                    .request()
+                    .step()
+                    .perTask()
+                    .milliCores();
+        }
+    }
+}
--- /dev/null
+++ b/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/ExperimentCommand.java
@@ -0,0 +1,130 @@
+package org.tarragonarch.benchmark.experiment;
+
+import com.google.common.base.Strings;
+import com.google.common.collect.ImmutableList;
+import java.io.PrintWriter;
+import java.nio.charset.Charset;
+import java.nio.file.Path;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Callable;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.LongStream;
+import org.tarragonarch.model.outcome.StepException;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+
+/** Plays loads with several seeds and prints what each kind of job, domain and moment earned. */
+@Command(
+        name = "experiment",
+        mixinStandardHelpOptions = true,
+        description = "Plays a load against the nodes' own decisions on virtual time.")
+public final class ExperimentCommand implements Callable<Integer> {
+    private static final int EXIT_USAGE = 2;
+
+    @Parameters(
+            arity = "1..*",
+            paramLabel = "SHAPE",
+            description = "Files of load shapes, or names of some that come with the program: pool, crowded, outage.")
+    private List<String> shapes;
+
+    @Option(names = "--seeds", defaultValue = "6", description = "How many runs of each, with seeds from 1.")
+    private int seeds;
+
+    @Option(names = "--rate", description = "Jobs a second in place of the shape's own.")
+    private Double rate;
+
+    private final PrintWriter out = new PrintWriter(System.out, true, Charset.defaultCharset());
+
+    /** Runs the command line. */
+    public static void main(String[] arguments) {
+        System.exit(new CommandLine(new ExperimentCommand()).execute(arguments));
+    }
+
+    @Override
+    public Integer call() {
+        for (String name : shapes) {
+            try {
+                LoadShape shape = name.contains(".") ? LoadShapes.read(Path.of(name)) : LoadShapes.named(name);
+                print(name, play(rate == null ? shape : shape.withJobsPerSecond(rate)));
+            } catch (StepException e) {
+                System.err.println(e.peer() + ": " + e.getMessage());
+                return EXIT_USAGE;
+            }
+        }
+        return 0;
+    }
+
+    private ImmutableList<ExperimentResult> play(LoadShape shape) {
+        AtomicInteger played = new AtomicInteger();
+        return LongStream.rangeClosed(1, seeds)
+                .parallel()
+                .mapToObj(seed -> {
+                    ExperimentResult result = Experiment.run(shape, seed);
+                    System.err.printf("%d of %d played%n", played.incrementAndGet(), seeds);
+                    return result;
+                })
+                .collect(ImmutableList.toImmutableList());
+    }
+
+    private void print(String name, ImmutableList<ExperimentResult> results) {
+        out.printf(
+                "%n%s, %d seeds, %d jobs in the first%n",
+                name, results.size(), results.get(0).jobs());
+        Map<String, double[]> rows = new LinkedHashMap<>();
+        rows.put(
+                "earned", results.stream().mapToDouble(ExperimentResult::earned).toArray());
+        rows.put(
+                "at most", results.stream().mapToDouble(ExperimentResult::bound).toArray());
+        for (String kind : results.get(0).byKind().keySet()) {
+            rows.put(
+                    kind,
+                    results.stream()
+                            .mapToDouble(each -> each.byKind().get(kind))
+                            .toArray());
+            rows.put(
+                    kind + ", widest",
+                    results.stream().mapToDouble(each -> each.widest(kind)).toArray());
+        }
+        for (String domain : results.get(0).byDomain().keySet()) {
+            rows.put(
+                    domain,
+                    results.stream()
+                            .mapToDouble(each -> each.byDomain().get(domain))
+                            .toArray());
+        }
+        for (String window : results.get(0).byWindow().keySet()) {
+            rows.put(
+                    "from " + window,
+                    results.stream()
+                            .mapToDouble(each -> each.byWindow().getOrDefault(window, 1.0))
+                            .toArray());
+        }
+        for (Fate fate : Fate.values()) {
+            rows.put(
+                    fate.name(),
+                    results.stream()
+                            .mapToDouble(each -> (double) each.count(fate) / each.jobs())
+                            .toArray());
+        }
+        rows.forEach(this::printRow);
+        out.printf(
+                "overfilled %d times%n",
+                results.stream().mapToInt(ExperimentResult::overfilled).sum());
+    }
+
+    private void printRow(String name, double[] values) {
+        double sum = 0;
+        double least = Double.MAX_VALUE;
+        double most = -Double.MAX_VALUE;
+        for (double value : values) {
+            sum += value;
+            least = Math.min(least, value);
+            most = Math.max(most, value);
+        }
+        out.printf("%s %.3f  (%.3f to %.3f)%n", Strings.padEnd(name, 24, ' '), sum / values.length, least, most);
+    }
+}
--- /dev/null
+++ b/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/JobSource.java
@@ -0,0 +1,60 @@
+package org.tarragonarch.benchmark.experiment;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+
+/** Draws the jobs of a run: the same for the same seed, whatever the nodes do. */
+final class JobSource {
+    private static final int CLIENTS_PER_DOMAIN = 10;
+    private static final double MILLIS = 1_000;
+
+    private final LoadShape shape;
+    private final SplittableRandom random;
+
+    JobSource(LoadShape shape, long seed) {
+        this.shape = shape;
+        this.random = new SplittableRandom(seed);
+    }
+
+    List<DrawnJob> draw() {
+        List<DrawnJob> jobs = new ArrayList<>();
+        double at = 0;
+        while (true) {
+            double rate = shape.jobsPerSecond() * shape.burstAt(Math.round(at));
+            at += -Math.log(1 - random.nextDouble()) / rate * MILLIS;
+            if (at >= shape.lengthMillis()) {
+                return jobs;
+            }
+            jobs.add(job(jobs.size() + 1, Math.round(at)));
+        }
+    }
+
+    private DrawnJob job(long number, long atMillis) {
+        JobKind kind =
+                shape.kinds().get(pick(shape.kinds().stream().map(JobKind::part).toList()));
+        int domain = pick(shape.domainWeights());
+        double mean = kind.runMillis().draw(random);
+        double[] runs = new double[kind.width().drawWhole(random)];
+        for (int task = 0; task < runs.length; task++) {
+            double factor = 1 + kind.uneven() * random.nextGaussian();
+            runs[task] = Math.max(1, mean * Math.max(0.2, factor));
+        }
+        long estimate = Math.max(1, Math.round(mean * Math.exp(kind.estimateError() * random.nextGaussian())));
+        long milliCores = Math.round(kind.milliCores().draw(random));
+        int client = random.nextInt(CLIENTS_PER_DOMAIN);
+        return new DrawnJob(number, kind, domain, client, atMillis, shape.stretch(), milliCores, runs, estimate);
+    }
+
+    private int pick(List<Double> weights) {
+        double left = random.nextDouble()
+                * weights.stream().mapToDouble(Double::doubleValue).sum();
+        for (int i = 0; i < weights.size() - 1; i++) {
+            left -= weights.get(i);
+            if (left < 0) {
+                return i;
+            }
+        }
+        return weights.size() - 1;
+    }
+}
--- /dev/null
+++ b/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/ModelEndpoint.java
@@ -0,0 +1,206 @@
+package org.tarragonarch.benchmark.experiment;
+
+import com.google.common.collect.ImmutableList;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.tarragonarch.benchmark.time.VirtualTime;
+import org.tarragonarch.model.task.EndKind;
+import org.tarragonarch.model.task.EndpointEntry;
+import org.tarragonarch.model.task.FencingToken;
+import org.tarragonarch.model.task.HoldAnswer;
+import org.tarragonarch.model.task.HoldOrder;
+import org.tarragonarch.model.task.OrderAnswer;
+import org.tarragonarch.model.task.OrderResult;
+import org.tarragonarch.model.task.StartOrder;
+import org.tarragonarch.model.task.TaskEnd;
+import org.tarragonarch.model.task.TaskName;
+import org.tarragonarch.model.task.TaskRun;
+
+/** An endpoint: it obeys the highest token, keeps runs under a lease, lists ends, and may be slow or unwell. */
+final class ModelEndpoint {
+    private static final long LEASE_MILLIS = 1_000;
+
+    /** A stop takes up to 50 ms by the users' figures; most take about half of it. */
+    private static final long STOP_MILLIS = 25;
+
+    private static final double FAILING_RUN_MILLIS = 5;
+
+    private final VirtualTime time;
+    private final EndpointEntry entry;
+    private final int domain;
+    private final RunDurations durations;
+    private final Map<TaskRun, Long> running = new LinkedHashMap<>();
+    private final Map<TaskName, Integer> overUpTo = new HashMap<>();
+    private final List<TaskEnd> ends = new ArrayList<>();
+    private final List<Runnable> waitingLooks = new ArrayList<>();
+    private double speed;
+    private boolean hanging;
+    private boolean failing;
+    private long token;
+    private long lastEnd;
+    private long leaseUntil;
+    private long usedMilliCores;
+    private int overfilled;
+
+    ModelEndpoint(VirtualTime time, EndpointEntry entry, int domain, double speed, RunDurations durations) {
+        this.time = time;
+        this.entry = entry;
+        this.domain = domain;
+        this.speed = speed;
+        this.durations = durations;
+    }
+
+    EndpointEntry entry() {
+        return entry;
+    }
+
+    int domain() {
+        return domain;
+    }
+
+    /** Returns how often it was given more than it has room for. */
+    int overfilled() {
+        return overfilled;
+    }
+
+    void hang(boolean hangs) {
+        hanging = hangs;
+    }
+
+    void fail(boolean fails) {
+        failing = fails;
+    }
+
+    void slowDown(double factor) {
+        speed *= factor;
+    }
+
+    OrderAnswer start(StartOrder order) {
+        OrderResult result = startResult(order);
+        if (result == OrderResult.DONE && !running.containsKey(order.run())) {
+            extend(order.leaseUntilMillis());
+            long milliCores = durations.milliCores(order.run().task());
+            running.put(order.run(), milliCores);
+            usedMilliCores += milliCores;
+            if (usedMilliCores > entry.capacity().milliCores()) {
+                overfilled++;
+            }
+            begin(order.run());
+        }
+        return answer(result);
+    }
+
+    private void begin(TaskRun run) {
+        if (hanging) {
+            return;
+        }
+        double millis = failing ? FAILING_RUN_MILLIS : durations.runMillis(run.task()) / speed;
+        EndKind kind = failing ? EndKind.FAILED : EndKind.DONE;
+        after(millis, () -> end(run, kind));
+    }
+
+    OrderAnswer stop(FencingToken by, TaskRun run) {
+        if (by.value() < token) {
+            return answer(OrderResult.OUTRANKED);
+        }
+        overUpTo.merge(run.task(), run.run(), Math::max);
+        after(STOP_MILLIS, () -> end(run, EndKind.STOPPED));
+        return answer(OrderResult.DONE);
+    }
+
+    /** Answers at once, or as soon as there is an end or the wait is over. */
+    void hold(HoldOrder order, Consumer<HoldAnswer> reply) {
+        if (order.token().value() < token) {
+            reply.accept(HoldAnswer.failed(OrderResult.OUTRANKED));
+            return;
+        }
+        token = order.token().value();
+        ends.removeIf(end -> end.number() <= order.acknowledgedEnd());
+        order.leaseUntilMillis().ifPresent(this::extend);
+        if (!ends.isEmpty() || order.waitMillis() == 0) {
+            reply.accept(lists());
+            return;
+        }
+        boolean[] answered = {false};
+        Runnable answer = () -> {
+            if (!answered[0]) {
+                answered[0] = true;
+                reply.accept(lists());
+            }
+        };
+        waitingLooks.add(answer);
+        after(order.waitMillis(), answer);
+    }
+
+    private OrderResult startResult(StartOrder order) {
+        if (order.token().value() < token) {
+            return OrderResult.OUTRANKED;
+        }
+        token = order.token().value();
+        if (order.leaseUntilMillis() <= clock()) {
+            return OrderResult.TOO_LATE;
+        }
+        boolean old = order.run().run() <= overUpTo.getOrDefault(order.run().task(), 0);
+        return old ? OrderResult.OLD_RUN : OrderResult.DONE;
+    }
+
+    private void extend(long until) {
+        leaseUntil = Math.max(leaseUntil, Math.min(until, clock() + LEASE_MILLIS));
+        after(leaseUntil - clock(), this::lapseIfOver);
+    }
+
+    private void lapseIfOver() {
+        if (clock() >= leaseUntil) {
+            ImmutableList.copyOf(running.keySet()).forEach(run -> end(run, EndKind.LAPSED));
+        }
+    }
+
+    private void end(TaskRun run, EndKind kind) {
+        Long milliCores = running.remove(run);
+        if (milliCores == null) {
+            return;
+        }
+        usedMilliCores -= milliCores;
+        overUpTo.merge(run.task(), run.run(), Math::max);
+        lastEnd++;
+        ends.add(new TaskEnd(lastEnd, run, kind));
+        List<Runnable> looks = new ArrayList<>(waitingLooks);
+        waitingLooks.clear();
+        looks.forEach(Runnable::run);
+    }
+
+    private HoldAnswer lists() {
+        return new HoldAnswer(
+                OrderResult.DONE,
+                OptionalLong.of(clock()),
+                ImmutableList.copyOf(running.keySet()),
+                ImmutableList.copyOf(ends));
+    }
+
+    private OrderAnswer answer(OrderResult result) {
+        return new OrderAnswer(result, OptionalLong.of(clock()));
+    }
+
+    private long clock() {
+        return TimeUnit.NANOSECONDS.toMillis(time.nowNanos());
+    }
+
+    private void after(double millis, Runnable task) {
+        time.after(Math.round(millis * TimeUnit.MILLISECONDS.toNanos(1)), task);
+    }
+
+    /** What nobody but the endpoint knows of a task. */
+    interface RunDurations {
+        /** Returns how long it runs at ordinary speed. */
+        double runMillis(TaskName task);
+
+        /** Returns what it takes. */
+        long milliCores(TaskName task);
+    }
+}
--- /dev/null
+++ b/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/ModelNode.java
@@ -0,0 +1,172 @@
+package org.tarragonarch.benchmark.experiment;
+
+import java.util.concurrent.TimeUnit;
+import org.tarragonarch.benchmark.time.VirtualTime;
+import org.tarragonarch.core.cluster.Coordinator;
+import org.tarragonarch.core.cluster.Member;
+import org.tarragonarch.core.cluster.PeerSender;
+import org.tarragonarch.core.placing.Outlook;
+import org.tarragonarch.core.placing.PlacingSettings;
+import org.tarragonarch.core.shard.PeerBook;
+import org.tarragonarch.core.shard.ShardEvents;
+import org.tarragonarch.core.shard.ShardPools;
+import org.tarragonarch.model.id.Address;
+import org.tarragonarch.model.id.EndpointId;
+import org.tarragonarch.model.id.FailureDomain;
+import org.tarragonarch.model.id.NodeId;
+import org.tarragonarch.model.report.NodeStatus;
+import org.tarragonarch.model.task.EndKind;
+import org.tarragonarch.model.task.FencingToken;
+import org.tarragonarch.model.task.JobId;
+import org.tarragonarch.model.task.Offer;
+import org.tarragonarch.model.task.TaskRun;
+import org.tarragonarch.model.task.Verdict;
+
+/** One life of a node: the node's own decisions, with modelled ways to its peers and to the endpoints. */
+final class ModelNode implements PeerSender, ShardEvents {
+    private static final int MILLI_CORES = 750;
+    private static final int PEER_PORT = 7_000;
+    private static final PlacingSettings PLACING = PlacingSettings.of(1_000, 50);
+
+    /** How long a node that has just started listens for its peers before it takes shards. */
+    private static final long DISCOVERY_MILLIS = 200;
+
+    private final NodeId id;
+    private final int domain;
+    private final Cluster cluster;
+    private final ExperimentTimers timers;
+    private final Coordinator coordinator;
+    private final long startedAtMillis;
+
+    ModelNode(Cluster cluster, VirtualTime time, int domain, int number) {
+        this.cluster = cluster;
+        this.domain = domain;
+        this.id = NodeId.of("node-" + domain + "-" + number);
+        this.timers = new ExperimentTimers(time);
+        this.startedAtMillis = timers.nowMillis();
+        String ip = "10." + domain + ".0." + number;
+        Member self = new Member(id, cluster.domain(domain), new Address(ip, PEER_PORT), MILLI_CORES);
+        this.coordinator = new Coordinator(
+                self,
+                ip,
+                new ShardPools(cluster.regions(), cluster.listed()),
+                cluster.listed(),
+                PLACING,
+                cluster.orders(timers, domain),
+                this,
+                timers,
+                () -> TimeUnit.NANOSECONDS.toMillis(time.nowNanos()) + TimeUnit.HOURS.toMillis(1),
+                this);
+    }
+
+    NodeId id() {
+        return id;
+    }
+
+    int domain() {
+        return domain;
+    }
+
+    Coordinator coordinator() {
+        return coordinator;
+    }
+
+    boolean alive() {
+        return !timers.stopped();
+    }
+
+    void start() {
+        coordinator.configured(1);
+        review();
+    }
+
+    void kill() {
+        timers.stop();
+    }
+
+    /** Learns that a peer's connections broke. */
+    void peerGone(NodeId peer) {
+        if (alive() && coordinator.book().lost(peer)) {
+            lost(peer);
+        }
+    }
+
+    private void review() {
+        coordinator.book().expire(timers.nowMillis()).forEach(this::lost);
+        coordinator.review(settled());
+        timers.after(PeerBook.STATUS_PERIOD_MILLIS / 2, this::review);
+    }
+
+    private boolean settled() {
+        return timers.nowMillis() - startedAtMillis >= DISCOVERY_MILLIS;
+    }
+
+    private void lost(NodeId peer) {
+        coordinator.lost(peer);
+        reviewShards();
+    }
+
+    private void reviewShards() {
+        if (settled()) {
+            coordinator.reviewShards();
+        }
+    }
+
+    void heard(NodeStatus status) {
+        coordinator.heard(status);
+        reviewShards();
+        coordinator.placeSeeking();
+    }
+
+    @Override
+    public void status(NodeId to, NodeStatus status) {
+        cluster.deliver(this, to, peer -> peer.heard(status));
+    }
+
+    @Override
+    public void statusToAll(NodeStatus status) {
+        cluster.everyOther(id).forEach(peer -> status(peer, status));
+    }
+
+    @Override
+    public void offer(NodeId to, Offer offer) {
+        if (!cluster.deliver(this, to, peer -> peer.coordinator.offered(offer))) {
+            timers.after(0, () -> coordinator.desk().notOffered(to, offer.job().id()));
+        }
+    }
+
+    @Override
+    public void withdraw(NodeId to, JobId job) {
+        cluster.deliver(this, to, peer -> peer.coordinator.withdrawn(id, job));
+    }
+
+    @Override
+    public void settled(NodeId to, JobId job, Verdict verdict, long retryMillis) {
+        cluster.deliver(this, to, peer -> peer.coordinator.desk().settled(id, job, verdict, retryMillis));
+    }
+
+    @Override
+    public void claimed(FailureDomain shard, FencingToken token, int endpoints) {
+        // Seen in who serves what.
+    }
+
+    @Override
+    public void resigned(FailureDomain shard, FencingToken token) {
+        // Seen in who serves what.
+    }
+
+    @Override
+    public void outranked(FailureDomain shard, FencingToken token) {
+        // Seen in who serves what.
+    }
+
+    @Override
+    public void declined(NodeId asker, JobId job, Outlook outlook) {
+        // Counted by the answer.
+    }
+
+    @Override
+    public void runEndedBadly(FailureDomain shard, TaskRun run, EndpointId endpoint, EndKind kind) {
+        // Counted by the answer.
+    }
+}
--- a/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/policy/EndpointModel.java
+++ b/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/policy/EndpointModel.java
@@ -3,6 +3,7 @@
 import java.util.HashSet;
 import java.util.Set;
 import java.util.function.Consumer;
+import org.tarragonarch.benchmark.time.VirtualTime;
 import org.tarragonarch.core.event.SendResult;
 import org.tarragonarch.model.id.EndpointId;
 
--- a/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/policy/NodeModel.java
+++ b/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/policy/NodeModel.java
@@ -9,6 +9,7 @@
 import java.util.Random;
 import java.util.Set;
 import org.tarragonarch.benchmark.policy.Measures.Waste;
+import org.tarragonarch.benchmark.time.VirtualTime;
 import org.tarragonarch.core.action.Action;
 import org.tarragonarch.core.action.Note;
 import org.tarragonarch.core.action.NoteEvent;
--- a/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/policy/PolicyRun.java
+++ b/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/policy/PolicyRun.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import org.tarragonarch.benchmark.time.VirtualTime;
 import org.tarragonarch.model.id.Address;
 import org.tarragonarch.model.id.EndpointId;
 import org.tarragonarch.model.id.FailureDomain;
--- /dev/null
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/Forecast.java
@@ -0,0 +1,55 @@
+package org.tarragonarch.core.placing;
+
+import org.tarragonarch.model.task.Resources;
+
+/** Says what to expect of a job that would be taken now. */
+final class Forecast {
+    private final Iterable<HeldEndpoint> endpoints;
+    private final JobLine line;
+
+    Forecast(Iterable<HeldEndpoint> endpoints, JobLine line) {
+        this.endpoints = endpoints;
+        this.line = line;
+    }
+
+    /**
+     * Returns what to expect of a job.
+     *
+     * <p>An endpoint that is just being opened counts as room that is taken: right after a takeover or a restart every
+     * endpoint is, for some 50 ms, and a job that waits that long is mostly still in time.
+     */
+    Outlook of(PlacedJob job, long now) {
+        long places = 0;
+        long freePlaces = 0;
+        long openingPlaces = 0;
+        for (HeldEndpoint endpoint : endpoints) {
+            boolean usable = endpoint.takes(Resources.NONE, now);
+            if (!usable && !endpoint.opening()
+                    || !endpoint.entry().service().equals(job.queue().service())) {
+                continue;
+            }
+            long perTask = Math.max(1, job.need().milliCores());
+            long whole = endpoint.entry().capacity().milliCores() / perTask;
+            places += whole;
+            openingPlaces += usable ? 0 : whole;
+            freePlaces += usable && job.need().fitsInto(endpoint.free())
+                    ? endpoint.free().milliCores() / perTask
+                    : 0;
+        }
+        long missing = Math.max(0, job.step().count() - freePlaces);
+        long ahead = line.waitingTaskMillis(now) + missing * job.expectedRunMillis();
+        long wait = places == 0 || missing == 0 && line.isEmpty() ? 0 : ahead / places;
+        long deadlineWithin = job.times().deadlineMillis() - now;
+        long inTimeWithin = Math.min(job.times().inTimeMillis() - now, deadlineWithin);
+        boolean roomForAll = line.waitingTasks() + job.step().count() <= freePlaces + openingPlaces;
+        return new Outlook(
+                wait,
+                job.expectedRunMillis(),
+                inTimeWithin,
+                deadlineWithin,
+                places,
+                freePlaces,
+                line.size(),
+                roomForAll);
+    }
+}
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/HeldEndpoint.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/HeldEndpoint.java
@@ -1,12 +1,9 @@
 package org.tarragonarch.core.placing;
 
-import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
-import java.util.HashMap;
-import java.util.HashSet;
-import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.Set;
+import java.util.function.Consumer;
 import org.tarragonarch.model.task.Delivery;
 import org.tarragonarch.model.task.EndKind;
 import org.tarragonarch.model.task.EndpointEntry;
@@ -14,12 +11,12 @@
 import org.tarragonarch.model.task.FencingToken;
 import org.tarragonarch.model.task.HoldAnswer;
 import org.tarragonarch.model.task.HoldOrder;
+import org.tarragonarch.model.task.JobId;
 import org.tarragonarch.model.task.OrderAnswer;
 import org.tarragonarch.model.task.OrderResult;
 import org.tarragonarch.model.task.Resources;
 import org.tarragonarch.model.task.StartOrder;
 import org.tarragonarch.model.task.TaskEnd;
-import org.tarragonarch.model.task.TaskName;
 import org.tarragonarch.model.task.TaskRun;
 import org.tarragonarch.model.task.Timers;
 
@@ -50,11 +47,9 @@
     private final EndpointEvents events;
     private final EndpointHealth health = new EndpointHealth();
     private final EndpointClock clock = new EndpointClock();
-    private final Map<TaskName, Reservation> reservations = new HashMap<>();
-    private final Set<TaskRun> strangers = new HashSet<>();
+    private final ReservedRoom room;
+    private final FoundRuns found;
     private EndpointEntry entry;
-    private Resources used = Resources.NONE;
-    private Resources free;
     private long acknowledgedEnd;
     private long notedEnd;
     private boolean read;
@@ -79,7 +74,8 @@
         this.orders = orders;
         this.timers = timers;
         this.events = events;
-        this.free = entry.capacity();
+        this.room = new ReservedRoom(entry.capacity());
+        this.found = new FoundRuns(timers, settings.stopTime(), new FoundHost());
     }
 
     /** Takes the first look. */
@@ -112,7 +108,7 @@
     void update(EndpointEntry later) {
         entry = later;
         retired = false;
-        free = entry.capacity().minus(used);
+        room.resize(entry.capacity());
     }
 
     /** The list no longer shows the endpoint: what runs there may end, and nothing is started. */
@@ -121,16 +117,48 @@
     }
 
     Resources free() {
-        return free;
+        return room.free();
     }
 
     int runs() {
-        return reservations.size();
+        return room.runs();
     }
 
     /** Returns whether the first look was answered, so that everything that runs there is known. */
     boolean known() {
-        return read && strangers.isEmpty();
+        return read && found.isEmpty();
+    }
+
+    /** Returns whether no run of the job can be here but those that may be taken over. */
+    boolean readyFor(JobId job) {
+        return read && !found.anyStopping(job);
+    }
+
+    /** Lets a job take over what an earlier holder started of it here. */
+    void takeOver(PlacedJob job) {
+        for (PlacedTask task : job.tasks()) {
+            if (found.isDoneBefore(task.name()) && task.waiting()) {
+                job.finished(task);
+            }
+        }
+        for (TaskRun run : found.freeOf(job.id())) {
+            job.task(run.task()).filter(PlacedTask::waiting).ifPresent(task -> takeOver(task, run));
+        }
+        if (!room.isEmpty()) {
+            lookIfNeeded();
+        }
+    }
+
+    private void takeOver(PlacedTask task, TaskRun run) {
+        found.remove(run);
+        task.takenOver(run);
+        Reservation reservation = Reservation.takenOver(task, run, task.job().need(), timers.nowMillis());
+        reserve(reservation);
+    }
+
+    private void reserve(Reservation reservation) {
+        room.reserve(reservation);
+        reservation.task().placed(this, reservation);
     }
 
     /** Returns whether any look was ever answered. */
@@ -152,19 +180,16 @@
                 && !closed
                 && !retired
                 && !entry.draining()
-                && need.fitsInto(free)
+                && need.fitsInto(room.free())
                 && !health.resting(nowMillis)
-                && !(health.onTrial() && !reservations.isEmpty());
+                && !(health.onTrial() && !room.isEmpty());
     }
 
     /** Starts a run; the endpoint must take it. */
     void start(PlacedTask task, TaskRun run, Resources need) {
         long now = timers.nowMillis();
         Reservation reservation = new Reservation(task, run, need, now);
-        reservations.put(run.task(), reservation);
-        task.placed(this, reservation);
-        used = used.plus(need);
-        free = entry.capacity().minus(used);
+        reserve(reservation);
         StartOrder order = new StartOrder(token, run, task.job().specification(), leaseUntil(now));
         orders.start(entry, order, delivery(false), answer -> startAnswered(reservation, answer));
         if (!lookUnderWay) {
@@ -188,7 +213,7 @@
      */
     void restartStuck() {
         long now = timers.nowMillis();
-        for (Reservation reservation : ImmutableList.copyOf(reservations.values())) {
+        for (Reservation reservation : room.all()) {
             long limit = reservation.task().job().longestRunMillis();
             boolean stuck = reservation.wanted() && now - reservation.startedAtMillis() > limit;
             if (stuck && reservation.task().restart()) {
@@ -207,7 +232,7 @@
 
     private void startAnswered(Reservation reservation, OrderAnswer answer) {
         long now = timers.nowMillis();
-        if (closed || !reserved(reservation)) {
+        if (closed || !room.contains(reservation)) {
             return;
         }
         clock.answered(answer.clockMillis(), now);
@@ -217,11 +242,11 @@
             case OUTRANKED -> events.outranked(this);
             case OTHER_LIFE -> lifeOver();
             case OLD_RUN -> {
-                release(reservation);
+                room.release(reservation);
                 events.refusedAsOld(this, reservation);
             }
             case UNREADABLE -> {
-                release(reservation);
+                room.release(reservation);
                 events.unreadable(this, reservation);
             }
             default -> startRefused(reservation, answer.result(), now);
@@ -234,7 +259,7 @@
         } else if (result != OrderResult.TOO_LATE) {
             health.rest(now, UNWELL_REST_MILLIS);
         }
-        release(reservation);
+        room.release(reservation);
         events.refused(this, reservation);
     }
 
@@ -251,7 +276,7 @@
     }
 
     private void stopIfStarting(Reservation reservation) {
-        if (reserved(reservation) && reservation.is(Reservation.State.STARTING)) {
+        if (room.contains(reservation) && reservation.is(Reservation.State.STARTING)) {
             reservation.stopping();
             sendStop(reservation, true);
             suspect();
@@ -294,20 +319,18 @@
     }
 
     private void stopAnswered(Reservation reservation, OrderAnswer answer) {
-        if (closed || !reserved(reservation)) {
+        if (closed || !room.contains(reservation)) {
             return;
         }
         long now = timers.nowMillis();
         clock.answered(answer.clockMillis(), now);
         switch (answer.result()) {
-            case DONE, OLD_RUN -> {
-                stopTaken(reservation, now);
-            }
+            case DONE, OLD_RUN -> stopTaken(reservation, now);
             case OUTRANKED -> events.outranked(this);
             case OTHER_LIFE -> lifeOver();
             default ->
                 timers.after(FIRST_RETRY_MILLIS * 2, () -> {
-                    if (!closed && reserved(reservation)) {
+                    if (!closed && room.contains(reservation)) {
                         sendStop(reservation, true);
                     }
                 });
@@ -336,7 +359,7 @@
 
     private void look() {
         long now = timers.nowMillis();
-        boolean extend = read && !silent && !reservations.isEmpty();
+        boolean extend = read && !silent && !room.isEmpty();
         OptionalLong until = extend ? OptionalLong.of(leaseUntil(now)) : OptionalLong.empty();
         long wait = extend ? settings.holdWait() : 0;
         long noting = acknowledgedEnd;
@@ -369,78 +392,48 @@
         for (TaskEnd end : answer.ended()) {
             if (end.number() > acknowledgedEnd) {
                 acknowledgedEnd = end.number();
-                strangers.remove(end.run());
+                found.remove(end.run());
                 endListed(end);
             }
         }
-        for (Reservation reservation : ImmutableList.copyOf(reservations.values())) {
+        for (Reservation reservation : room.all()) {
             if (running.contains(reservation.run())) {
                 reservation.running(timers.nowMillis());
             } else if (reservation.overIfAbsentAt(sentAtMillis)) {
-                release(reservation);
+                room.release(reservation);
                 events.ended(this, reservation, EndKind.LAPSED);
             }
         }
-        takeStrangers(running);
+        takeFound(running);
         boolean becameUsable = silent || !read;
         silent = false;
         read = true;
         retryMillis = 0;
-        if (becameUsable || strangers.isEmpty()) {
+        if (becameUsable || found.isEmpty()) {
             events.usable(this);
         }
     }
 
     private void endListed(TaskEnd end) {
-        Reservation reservation = reservations.get(end.run().task());
-        if (reservation != null && reservation.run().equals(end.run())) {
-            release(reservation);
-            events.ended(this, reservation, end.kind());
-        }
-    }
-
-    /** Stops what an earlier holder left running; until it is gone, the room it takes is unknown. */
-    private void takeStrangers(ImmutableSet<TaskRun> running) {
-        strangers.retainAll(running);
-        for (TaskRun run : running) {
-            Reservation own = reservations.get(run.task());
-            boolean known = own != null && own.run().equals(run);
-            if (!known && strangers.add(run)) {
-                stopStranger(run, false);
-            }
-        }
-    }
-
-    private void stopStranger(TaskRun run, boolean fresh) {
-        if (!closed && strangers.contains(run)) {
-            orders.stop(entry, token, run, delivery(fresh), answer -> strangerStopped(run, answer));
+        Optional<Reservation> reservation = room.of(end.run());
+        if (reservation.isPresent()) {
+            room.release(reservation.get());
+            events.ended(this, reservation.get(), end.kind());
+        } else if (!read && end.kind() == EndKind.DONE) {
+            found.doneBefore(end.run().task());
         }
     }
 
-    /**
-     * A run that the endpoint says it does not know is over. After any other answer, or none, the next look tells:
-     * taken for over while it runs, it would be renewed with whatever is started here, for as long as that goes on.
-     */
-    private void strangerStopped(TaskRun run, OrderAnswer answer) {
-        if (closed || !strangers.contains(run)) {
-            return;
-        }
-        switch (answer.result()) {
-            case DONE -> timers.after(settings.stopTime(), this::lookIfNeeded);
-            case OLD_RUN -> {
-                strangers.remove(run);
-                lookIfNeeded();
-            }
-            case OUTRANKED -> events.outranked(this);
-            case OTHER_LIFE -> lifeOver();
-            default -> timers.after(FIRST_RETRY_MILLIS, () -> stopStranger(run, true));
-        }
+    private void takeFound(ImmutableSet<TaskRun> running) {
+        ImmutableSet<TaskRun> unknown =
+                running.stream().filter(run -> room.of(run).isEmpty()).collect(ImmutableSet.toImmutableSet());
+        found.listed(unknown, !read);
     }
 
     private void lookAgain() {
-        if (!reservations.isEmpty()) {
+        if (!room.isEmpty()) {
             look();
-        } else if (strangers.isEmpty() && notedEnd < acknowledgedEnd && !idleNotePlanned) {
+        } else if (found.isEmpty() && notedEnd < acknowledgedEnd && !idleNotePlanned) {
             idleNotePlanned = true;
             timers.after(IDLE_NOTE_MILLIS, () -> {
                 idleNotePlanned = false;
@@ -453,7 +446,7 @@
 
     private void lookUnanswered(long now) {
         silent = true;
-        if (!reservations.isEmpty() && now >= leaseOverAtMillis) {
+        if (!room.isEmpty() && now >= leaseOverAtMillis) {
             releaseAll(EndKind.LAPSED);
         }
         timers.after(retryMillis, this::lookIfNeeded);
@@ -466,8 +459,8 @@
     }
 
     private void releaseAll(EndKind kind) {
-        for (Reservation reservation : ImmutableList.copyOf(reservations.values())) {
-            release(reservation);
+        for (Reservation reservation : room.all()) {
+            room.release(reservation);
             events.ended(this, reservation, kind);
         }
     }
@@ -477,14 +470,31 @@
         return clock.at(now) + settings.lease();
     }
 
-    private boolean reserved(Reservation reservation) {
-        return reservations.get(reservation.run().task()) == reservation;
-    }
+    /** What this endpoint does for the runs that were found on it. */
+    private final class FoundHost implements FoundRuns.Host {
+        @Override
+        public boolean closed() {
+            return closed;
+        }
+
+        @Override
+        public void stop(TaskRun run, boolean fresh, Consumer<OrderAnswer> reply) {
+            orders.stop(entry, token, run, delivery(fresh), reply);
+        }
+
+        @Override
+        public void lookIfNeeded() {
+            HeldEndpoint.this.lookIfNeeded();
+        }
+
+        @Override
+        public void outranked() {
+            events.outranked(HeldEndpoint.this);
+        }
 
-    private void release(Reservation reservation) {
-        if (reservations.remove(reservation.run().task(), reservation)) {
-            used = used.minus(reservation.room());
-            free = entry.capacity().minus(used);
+        @Override
+        public void lifeOver() {
+            HeldEndpoint.this.lifeOver();
         }
     }
 }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacedJob.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacedJob.java
@@ -1,6 +1,7 @@
 package org.tarragonarch.core.placing;
 
 import com.google.common.collect.ImmutableList;
+import java.util.Optional;
 import org.tarragonarch.model.id.NodeId;
 import org.tarragonarch.model.task.JobId;
 import org.tarragonarch.model.task.Offer;
@@ -71,6 +72,11 @@
         return tasks;
     }
 
+    /** Returns the task of a name, if the job has one. */
+    Optional<PlacedTask> task(TaskName name) {
+        return tasks.stream().filter(task -> task.name().equals(name)).findFirst();
+    }
+
     JobTimes times() {
         return times;
     }
@@ -138,6 +144,16 @@
         return unfinished == 0;
     }
 
+    /** Returns whether some of the job was done or is under way as it comes in. */
+    boolean begunBefore() {
+        return everStarted() || unfinished < tasks.size();
+    }
+
+    /** Returns whether every task is done. */
+    boolean allFinished() {
+        return unfinished == 0;
+    }
+
     /** Returns the run times of the tasks that wait, added up. */
     long waitingTaskMillis() {
         return waitingTasks() * expectedRunMillis;
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacedShard.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacedShard.java
@@ -9,6 +9,7 @@
 import org.tarragonarch.model.task.EndpointEntry;
 import org.tarragonarch.model.task.EndpointOrders;
 import org.tarragonarch.model.task.FencingToken;
+import org.tarragonarch.model.task.JobId;
 import org.tarragonarch.model.task.Resources;
 import org.tarragonarch.model.task.Timers;
 
@@ -70,9 +71,9 @@
         endpoints.values().forEach(HeldEndpoint::abandon);
     }
 
-    /** Returns whether everything that runs on the endpoints is known. */
-    boolean known() {
-        return endpoints.values().stream().allMatch(HeldEndpoint::known);
+    /** Returns whether no run of the job can be on any of the endpoints but those that may be taken over. */
+    boolean readyFor(JobId job) {
+        return endpoints.values().stream().allMatch(endpoint -> endpoint.readyFor(job));
     }
 
     /** Returns whether no endpoint has answered although this node has asked them for long enough. */
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacedTask.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacedTask.java
@@ -52,6 +52,16 @@
         return run;
     }
 
+    /** Notes that a run of an earlier holder goes on as this task's. */
+    void takenOver(TaskRun run) {
+        nextRun = Math.max(nextRun, run.run() + 1);
+        job.started(run);
+    }
+
+    TaskName name() {
+        return name;
+    }
+
     void skipOldRuns() {
         nextRun += OLD_RUN_SKIP;
     }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/Placer.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/Placer.java
@@ -49,6 +49,7 @@
     private final Map<FailureDomain, PlacedShard> shards = new LinkedHashMap<>();
     private final Map<JobId, PlacedJob> jobs = new HashMap<>();
     private final JobLine line = new JobLine();
+    private final Forecast forecast = new Forecast(endpoints(), line);
     private final EndingJobs ending = new EndingJobs();
     private final List<Offer> unsure = new ArrayList<>();
     private boolean fillPlanned;
@@ -129,7 +130,7 @@
         if (ending.defer(offer, timers.nowMillis())) {
             return;
         }
-        if (!offer.earlierRuns().over() && !allKnown(offer.earlierRuns().shards())) {
+        if (!offer.earlierRuns().over() && !readyFor(offer)) {
             wait(offer);
             return;
         }
@@ -210,9 +211,11 @@
      * holder has had the shard says nothing: while a domain was cut off, the other may have gone on there. Nor does
      * what it holds now if the shard is not part of it, as when it has let go of it since the job was offered.
      */
-    private boolean allKnown(Set<FailureDomain> wanted) {
+    private boolean readyFor(Offer offer) {
+        Set<FailureDomain> wanted = offer.earlierRuns().shards();
+        JobId job = offer.job().id();
         return shards.keySet().containsAll(wanted)
-                && wanted.stream().allMatch(shard -> shards.get(shard).known());
+                && wanted.stream().allMatch(shard -> shards.get(shard).readyFor(job));
     }
 
     private Iterable<HeldEndpoint> endpoints() {
@@ -234,7 +237,14 @@
         long expected =
                 runTimes.expectedMillis(offer.queue().name(), offer.job().step().estimateMillis());
         PlacedJob job = new PlacedJob(offer, firstRun, expected, JobTimes.of(offer, expected, now));
-        Outlook outlook = outlook(job, now);
+        if (!offer.earlierRuns().over()) {
+            endpoints().forEach(endpoint -> endpoint.takeOver(job));
+        }
+        if (job.begunBefore()) {
+            goOn(job);
+            return;
+        }
+        Outlook outlook = forecast.of(job, now);
         if (!outlook.worthTaking()) {
             listener.declined(offer.asker(), job.id(), outlook);
             long retry = outlook.places() == 0 ? IMPOSSIBLE_RETRY_MILLIS : outlook.waitMillis();
@@ -247,38 +257,19 @@
     }
 
     /**
-     * Returns what to expect of a job that would be taken now.
+     * Goes on with a job of which an earlier holder's runs were taken over; it is finished, however late.
      *
-     * <p>An endpoint that is just being opened counts as room that is taken: right after a takeover or a restart every
-     * endpoint is, for some 50 ms, and a job that waits that long is mostly still in time.
+     * <p>Buys what a holder's loss would throw away otherwise: all that runs on its endpoints, some 75 tasks on the
+     * pools measured, most of whose callers would be answered late.
      */
-    private Outlook outlook(PlacedJob job, long now) {
-        long places = 0;
-        long freePlaces = 0;
-        long openingPlaces = 0;
-        for (HeldEndpoint endpoint : endpoints()) {
-            boolean usable = endpoint.takes(Resources.NONE, now);
-            if (!usable && !endpoint.opening()
-                    || !endpoint.entry().service().equals(job.queue().service())) {
-                continue;
-            }
-            long perTask = Math.max(1, job.need().milliCores());
-            long whole = endpoint.entry().capacity().milliCores() / perTask;
-            places += whole;
-            openingPlaces += usable ? 0 : whole;
-            freePlaces += usable && job.need().fitsInto(endpoint.free())
-                    ? endpoint.free().milliCores() / perTask
-                    : 0;
-        }
-        long missing = Math.max(0, job.step().count() - freePlaces);
-        long ahead = line.waitingTaskMillis(now) + missing * job.expectedRunMillis();
-        long wait = places == 0 || missing == 0 && line.isEmpty() ? 0 : ahead / places;
-        long deadlineWithin = job.times().deadlineMillis() - now;
-        long inTimeWithin = Math.min(job.times().inTimeMillis() - now, deadlineWithin);
-        long expectedRun = job.expectedRunMillis();
-        boolean roomForAll = line.waitingTasks() + job.step().count() <= freePlaces + openingPlaces;
-        return new Outlook(
-                wait, expectedRun, inTimeWithin, deadlineWithin, places, freePlaces, line.size(), roomForAll);
+    private void goOn(PlacedJob job) {
+        jobs.put(job.id(), job);
+        if (job.allFinished()) {
+            settle(job, Verdict.DONE);
+            return;
+        }
+        line.add(job);
+        planFill();
     }
 
     private void planFill() {
@@ -315,7 +306,7 @@
         if (job.everStarted()) {
             settle(job, Verdict.TOO_LATE);
         } else {
-            listener.declined(job.asker(), job.id(), outlook(job, now));
+            listener.declined(job.asker(), job.id(), forecast.of(job, now));
             settle(job, Verdict.DECLINED);
         }
     }
@@ -404,8 +395,7 @@
             if (job.over()) {
                 task.back();
             } else if (kind == EndKind.DONE) {
-                long ran = timers.nowMillis() - reservation.startedAtMillis();
-                runTimes.ran(job.queue().name(), job.step().estimateMillis(), ran);
+                learn(reservation);
                 if (job.finished(task)) {
                     settle(job, Verdict.DONE);
                 }
@@ -454,6 +444,15 @@
             });
         }
 
+        /** Learns from a run whose start was seen. */
+        private void learn(Reservation reservation) {
+            if (!reservation.takenOver()) {
+                PlacedJob job = reservation.task().job();
+                long ran = timers.nowMillis() - reservation.startedAtMillis();
+                runTimes.ran(job.queue().name(), job.step().estimateMillis(), ran);
+            }
+        }
+
         private void judge(HeldEndpoint endpoint, EndKind kind) {
             if (kind == EndKind.DONE) {
                 endpoint.goodRun();
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/Reservation.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/Reservation.java
@@ -27,6 +27,7 @@
     private State state = State.STARTING;
     private long settledAtMillis = Long.MAX_VALUE;
     private boolean seen;
+    private boolean takenOver;
 
     Reservation(PlacedTask task, TaskRun run, Resources room, long startedAtMillis) {
         this.task = task;
@@ -35,10 +36,23 @@
         this.startedAtMillis = startedAtMillis;
     }
 
+    /** Returns the room of a run that an earlier holder started, and that is there. */
+    static Reservation takenOver(PlacedTask task, TaskRun run, Resources room, long nowMillis) {
+        Reservation reservation = new Reservation(task, run, room, nowMillis);
+        reservation.takenOver = true;
+        reservation.running(nowMillis);
+        return reservation;
+    }
+
     PlacedTask task() {
         return task;
     }
 
+    /** Returns whether an earlier holder started the run, so that it is not known when. */
+    boolean takenOver() {
+        return takenOver;
+    }
+
     TaskRun run() {
         return run;
     }
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/PlacerHandOverTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/PlacerHandOverTest.java
@@ -124,4 +124,62 @@
         assertEquals(fixture.ledger.broken(), ImmutableList.of());
         assertEquals(stops[0], 4);
     }
+
+    /**
+     * The node that holds every endpoint is stopped for an update, a second into a large job. All its runs were stopped
+     * by the next holder and started anew, and the caller was answered late. The next holder goes on with them.
+     */
+    @Test
+    public void testClaim_runsAreTakenOver() {
+        PlacerFixture fixture = new PlacerFixture(2);
+        fixture.endpoint(1).runMillis = 900;
+        fixture.endpoint(2).runMillis = 900;
+        Placer before = fixture.placer(1);
+        fixture.timers.pass(20);
+        before.offer(PlacerFixture.offer(1, 4, 900, PlacerFixture.ASKER, false));
+        fixture.timers.pass(500);
+        Placer next = fixture.placer(2);
+        next.offer(PlacerFixture.offer(1, 4, 900, PlacerFixture.ASKER, true));
+        fixture.timers.pass(450);
+        assertTrue(fixture.verdicts.contains("asker-1 1 DONE"), fixture.verdicts.toString());
+        assertEquals(fixture.ledger.starts(), 4);
+        assertEquals(fixture.ledger.broken(), ImmutableList.of());
+    }
+
+    /** Part of the job has ended by then: what is not known to have ended is started again, and only that. */
+    @Test
+    public void testClaim_runsThatEndedMeanwhileAreNotStartedAgain() {
+        PlacerFixture fixture = new PlacerFixture(2);
+        fixture.endpoint(1).runMillis = 500;
+        fixture.endpoint(2).runMillis = 900;
+        Placer before = fixture.placer(1);
+        fixture.timers.pass(20);
+        before.offer(PlacerFixture.offer(1, 4, 900, PlacerFixture.ASKER, false));
+        fixture.timers.pass(400);
+        before.close();
+        fixture.timers.pass(150);
+        Placer next = fixture.placer(2);
+        next.offer(PlacerFixture.offer(1, 4, 900, PlacerFixture.ASKER, true));
+        fixture.timers.pass(400);
+        assertTrue(fixture.verdicts.contains("asker-1 1 DONE"), fixture.verdicts.toString());
+        assertEquals(fixture.ledger.starts(), 4);
+        assertEquals(fixture.ledger.broken(), ImmutableList.of());
+    }
+
+    /** Nobody asks for the job any more: its runs are stopped soon, and their room goes to others. */
+    @Test
+    public void testClaim_runsThatNobodyAsksFor() {
+        PlacerFixture fixture = new PlacerFixture(1);
+        fixture.endpoint(1).runMillis = 5_000;
+        Placer before = fixture.placer(1);
+        fixture.timers.pass(20);
+        before.offer(PlacerFixture.offer(1, 2, 900, PlacerFixture.ASKER, false));
+        fixture.timers.pass(50);
+        Placer next = fixture.placer(2);
+        fixture.endpoint(1).runMillis = 60;
+        next.offer(PlacerFixture.offer(2, 2));
+        fixture.timers.pass(250);
+        assertTrue(fixture.verdicts.contains("asker-1 2 DONE"), fixture.verdicts.toString());
+        assertEquals(fixture.ledger.broken(), ImmutableList.of());
+    }
 }
--- a/tarragonarch-model/src/main/java/org/tarragonarch/model/task/TaskName.java
+++ b/tarragonarch-model/src/main/java/org/tarragonarch/model/task/TaskName.java
@@ -18,6 +18,11 @@
         return new TaskName(job.value() + ".0." + step + "." + index);
     }
 
+    /** Returns whether the task is one of the job. */
+    public boolean isOf(JobId job) {
+        return text.startsWith(job.value() + ".");
+    }
+
     @Override
     public boolean equals(Object other) {
         return other instanceof TaskName that && text.equals(that.text);
