Judge an endpoint by the odds of what it does

One good run started the count of bad ones again, so an endpoint on which half of the tasks stand still never rested. Change: evidence for and against, as logarithms of likelihood ratios; a run that stands still weighs more than one that fails, since jobs that can never be done fail on sound endpoints too.

--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/EndpointHealth.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/EndpointHealth.java
@@ -3,32 +3,51 @@
 /**
  * Judges one endpoint by what becomes of its runs.
  *
- * <p>Guards against an endpoint that fails whatever it starts, or lets it stand still: it looks idle, so without this
- * it would draw most of the load. It shows by runs that end badly one after the other. After
- * {@value #BAD_RUNS_IN_A_ROW} of them the endpoint rests, longer each time, and then gets one run as a trial.
+ * <p>Guards against an endpoint that fails what it starts, or lets it stand still, all of it or some: it looks idle, so
+ * without this it would draw most of the load. It shows by bad ends that are too many for the good ones between them.
+ * Then the endpoint rests, longer each time, and gets one run as a trial.
  */
 final class EndpointHealth {
-    /** Jobs that can never be done are a few in a hundred, so three bad ends in a row are hardly ever theirs. */
-    private static final int BAD_RUNS_IN_A_ROW = 3;
+    /**
+     * Evidence at which the endpoint rests: what it does must be some thousand times as likely of an unwell one, which
+     * spoils half of its runs, as of a sound one. The figures below are natural logarithms of such ratios.
+     */
+    private static final double ENOUGH = 6.8;
+
+    /** Of a failed run; jobs that can never be done make one in twenty fail on sound endpoints at the worst. */
+    private static final double FAILED = 2.3;
+
+    /** Of a run that stood still; on sound endpoints one in a thousand overruns its estimate by as much. */
+    private static final double STOOD_STILL = 6.2;
+
+    /** Of a good run, which speaks for the endpoint. If it took back everything, one in two could fail for ever. */
+    private static final double GOOD = 0.64;
 
     private static final long FIRST_REST_MILLIS = 1_000;
     private static final long LONGEST_REST_MILLIS = 8_000;
 
-    private int badInARow;
+    private double evidence;
     private long restMillis = FIRST_REST_MILLIS;
     private long restUntilMillis = Long.MIN_VALUE;
+    private boolean onTrial;
 
     void good() {
-        badInARow = 0;
-        restMillis = FIRST_REST_MILLIS;
+        if (onTrial) {
+            onTrial = false;
+            evidence = ENOUGH / 2;
+        }
+        evidence = Math.max(0, evidence - GOOD);
+        if (evidence == 0) {
+            restMillis = FIRST_REST_MILLIS;
+        }
     }
 
-    void bad(long nowMillis) {
-        badInARow++;
-        if (badInARow >= BAD_RUNS_IN_A_ROW && nowMillis >= restUntilMillis) {
-            restUntilMillis = nowMillis + restMillis;
-            restMillis = Math.min(LONGEST_REST_MILLIS, restMillis * 2);
-        }
+    void failed(long nowMillis) {
+        bad(nowMillis, FAILED);
+    }
+
+    void stoodStill(long nowMillis) {
+        bad(nowMillis, STOOD_STILL);
     }
 
     void rest(long nowMillis, long millis) {
@@ -41,6 +60,15 @@
 
     /** Returns whether only a single run may be tried. */
     boolean onTrial() {
-        return badInARow >= BAD_RUNS_IN_A_ROW;
+        return onTrial;
+    }
+
+    private void bad(long nowMillis, double weight) {
+        evidence += weight;
+        if (evidence >= ENOUGH && nowMillis >= restUntilMillis) {
+            onTrial = true;
+            restUntilMillis = nowMillis + restMillis;
+            restMillis = Math.min(LONGEST_REST_MILLIS, restMillis * 2);
+        }
     }
 }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/HeldEndpoint.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/HeldEndpoint.java
@@ -116,12 +116,12 @@
         retired = true;
     }
 
-    Resources free() {
-        return room.free();
+    ReservedRoom room() {
+        return room;
     }
 
-    int runs() {
-        return room.runs();
+    Resources free() {
+        return room.free();
     }
 
     /** Returns whether the first look was answered, so that everything that runs there is known. */
@@ -217,13 +217,13 @@
             long limit = reservation.task().job().longestRunMillis();
             boolean stuck = reservation.wanted() && now - reservation.startedAtMillis() > limit;
             if (stuck && reservation.task().restart()) {
-                health.bad(now);
+                health.stoodStill(now);
             }
         }
     }
 
     void badRun() {
-        health.bad(timers.nowMillis());
+        health.failed(timers.nowMillis());
     }
 
     void goodRun() {
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacedShard.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacedShard.java
@@ -100,7 +100,7 @@
 
     private static boolean forget(HeldEndpoint endpoint) {
         endpoint.retire();
-        if (endpoint.runs() == 0) {
+        if (endpoint.room().isEmpty()) {
             endpoint.close();
             return true;
         }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/ReservedRoom.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/ReservedRoom.java
@@ -34,10 +34,6 @@
         return reservations.isEmpty();
     }
 
-    int runs() {
-        return reservations.size();
-    }
-
     /** Returns the reservations as they are now; they may be released meanwhile. */
     ImmutableList<Reservation> all() {
         return ImmutableList.copyOf(reservations.values());
