Look only at endpoints of services that the configuration names

Cause: users' pages say that an entry may name a service that is not there; by reading, a holder looked at such an endpoint as at any other. Test: EndpointListTest#testOf_serviceThatIsNotThere.

--- a/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/Cluster.java
+++ b/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/Cluster.java
@@ -18,12 +18,11 @@
 import org.tarragonarch.model.id.Region;
 import org.tarragonarch.model.task.EndpointEntry;
 import org.tarragonarch.model.task.EndpointOrders;
+import org.tarragonarch.model.task.QueueCatalog;
 import org.tarragonarch.model.task.Resources;
 
 /** Every node and endpoint of a run, and the network between them. */
 final class Cluster {
-    static final String SERVICE = "s";
-
     private static final Region REGION = Region.of("r");
     private static final long MEMORY_MB = 131_072;
     private static final int ENDPOINT_PORT = 80;
@@ -57,7 +56,7 @@
                 : shape.endpointMilliCores();
         EndpointEntry entry = new EndpointEntry(
                 EndpointId.of("w-" + domain + "-" + number),
-                SERVICE,
+                JobKind.SERVICE,
                 new Address("10.9." + domain + "." + (number + 1), ENDPOINT_PORT),
                 domain(domain),
                 false,
@@ -75,6 +74,12 @@
         return regions;
     }
 
+    QueueCatalog catalog() {
+        return QueueCatalog.of(
+                1,
+                shape.kinds().stream().map(kind -> kind.queue(shape.stretch())).toList());
+    }
+
     EndpointList listed() {
         return listed;
     }
--- a/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/Experiment.java
+++ b/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/Experiment.java
@@ -8,7 +8,6 @@
 import java.util.concurrent.TimeUnit;
 import org.tarragonarch.benchmark.time.VirtualTime;
 import org.tarragonarch.model.task.JobReply;
-import org.tarragonarch.model.task.QueueDefinition;
 import org.tarragonarch.model.task.TaskName;
 
 /** One run of a load with one seed. */
@@ -22,8 +21,6 @@
     /** How soon a client that reached no node tries again. */
     private static final long RECONNECT_MILLIS = 100;
 
-    private static final int ATTEMPTS = 3;
-
     /** A job counts its fixed part and a part by its work, and no more than some times the mean; the users' rule. */
     private static final double FIXED_WORTH = 0.3;
 
@@ -73,7 +70,10 @@
             return;
         }
         long left = Math.max(1, job.deadlineMillis() - waited);
-        node.get().coordinator().desk().submit(queue(job.kind()), job.request(), left, reply -> answered(job, reply));
+        node.get()
+                .coordinator()
+                .desk()
+                .submit(job.kind().queue(shape.stretch()), job.request(), left, reply -> answered(job, reply));
     }
 
     private void answered(DrawnJob job, JobReply reply) {
@@ -90,18 +90,6 @@
         return TimeUnit.NANOSECONDS.toMillis(time.nowNanos()) - LEAD_MILLIS - job.sentAtMillis();
     }
 
-    private QueueDefinition queue(JobKind kind) {
-        return new QueueDefinition(
-                kind.name(),
-                "h",
-                "/" + kind.name() + "/",
-                Cluster.SERVICE,
-                kind.priority(),
-                ATTEMPTS,
-                shape.stretch(),
-                kind.objectiveMillis());
-    }
-
     private void plan(Disturbance disturbance) {
         switch (disturbance.kind()) {
             case BURST -> {
--- a/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/JobKind.java
+++ b/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/JobKind.java
@@ -1,5 +1,7 @@
 package org.tarragonarch.benchmark.experiment;
 
+import org.tarragonarch.model.task.QueueDefinition;
+
 /**
  * One kind of job in a load.
  *
@@ -26,4 +28,13 @@
         double estimateError,
         long objectiveMillis,
         long deadlineMillis,
-        double worth) {}
+        double worth) {
+    /** The one service of a modelled cluster. */
+    static final String SERVICE = "s";
+
+    private static final int ATTEMPTS = 3;
+
+    QueueDefinition queue(double stretch) {
+        return new QueueDefinition(name, "h", "/" + name + "/", SERVICE, priority, ATTEMPTS, stretch, objectiveMillis);
+    }
+}
--- a/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/ModelNode.java
+++ b/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/ModelNode.java
@@ -76,7 +76,7 @@
     }
 
     void start() {
-        coordinator.configured(1);
+        coordinator.configured(cluster.catalog());
         review();
     }
 
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/Coordinator.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/Coordinator.java
@@ -22,6 +22,7 @@
 import org.tarragonarch.model.task.FencingToken;
 import org.tarragonarch.model.task.JobId;
 import org.tarragonarch.model.task.Offer;
+import org.tarragonarch.model.task.QueueCatalog;
 import org.tarragonarch.model.task.TaskRun;
 import org.tarragonarch.model.task.Timers;
 import org.tarragonarch.model.task.Verdict;
@@ -169,9 +170,11 @@
         sendStatus();
     }
 
-    /** Notes which version of the configuration is in force here, and tells everybody. */
-    public void configured(long version) {
-        configurationVersion = version;
+    /** Takes in the configuration that is in force here, and tells everybody its version. */
+    public void configured(QueueCatalog catalog) {
+        configurationVersion = catalog.version();
+        endpoints.served(catalog.services());
+        endpointsChanged();
         sendStatus();
     }
 
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/EndpointList.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/EndpointList.java
@@ -1,6 +1,7 @@
 package org.tarragonarch.core.shard;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
@@ -23,6 +24,7 @@
 
     private final Map<EndpointId, EndpointEntry> entries = new HashMap<>();
     private final Map<EndpointId, Long> missingUntil = new HashMap<>();
+    private ImmutableSet<String> services = ImmutableSet.of();
     private boolean storeAway;
     private long storeBackAtMillis = Long.MIN_VALUE / 2;
 
@@ -102,10 +104,20 @@
         return changed;
     }
 
-    /** Returns the endpoints of one failure domain. */
+    /**
+     * Takes in which services there are.
+     *
+     * <p>Guards against entries of another writer that name a service which nobody knows: such an endpoint would get no
+     * task, but it would be looked at ten times a second.
+     */
+    public void served(ImmutableSet<String> known) {
+        services = known;
+    }
+
+    /** Returns the endpoints of one failure domain that work for a service that there is. */
     public ImmutableList<EndpointEntry> of(FailureDomain domain) {
         return entries.values().stream()
-                .filter(entry -> entry.domain().equals(domain))
+                .filter(entry -> entry.domain().equals(domain) && services.contains(entry.service()))
                 .collect(ImmutableList.toImmutableList());
     }
 
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/shard/EndpointListTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/shard/EndpointListTest.java
@@ -5,6 +5,7 @@
 import static org.testng.Assert.assertTrue;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
 import org.tarragonarch.model.id.Address;
 import org.tarragonarch.model.id.EndpointId;
 import org.tarragonarch.model.id.FailureDomain;
@@ -16,14 +17,24 @@
 public final class EndpointListTest {
     private static final FailureDomain HOBART = FailureDomain.of("hobart");
 
+    private static EndpointList list() {
+        EndpointList list = new EndpointList();
+        list.served(ImmutableSet.of("s"));
+        return list;
+    }
+
     private static EndpointEntry entry(String id) {
+        return entry(id, "s");
+    }
+
+    private static EndpointEntry entry(String id, String service) {
         return new EndpointEntry(
-                EndpointId.of(id), "s", new Address("10.0.0.1", 80), HOBART, false, new Resources(16_000, 0, 0));
+                EndpointId.of(id), service, new Address("10.0.0.1", 80), HOBART, false, new Resources(16_000, 0, 0));
     }
 
     @Test
     public void testUnlisted_calm() {
-        EndpointList list = new EndpointList();
+        EndpointList list = list();
         list.listed(entry("w"));
         assertTrue(list.unlisted(EndpointId.of("w"), 100));
         assertTrue(list.isEmpty());
@@ -35,7 +46,7 @@
      */
     @Test
     public void testUnlisted_afterOutage() {
-        EndpointList list = new EndpointList();
+        EndpointList list = list();
         list.listed(entry("back"));
         list.listed(entry("gone"));
         list.storeLost();
@@ -55,4 +66,15 @@
         assertTrue(list.listed(entry("w")));
         assertFalse(list.listed(entry("w")));
     }
+
+    /** Another program's entry names a service that nobody configured; it gets no orders until somebody does. */
+    @Test
+    public void testOf_serviceThatIsNotThere() {
+        EndpointList list = list();
+        list.listed(entry("w"));
+        list.listed(entry("foreign", "elsewhere"));
+        assertEquals(list.of(HOBART), ImmutableList.of(entry("w")));
+        list.served(ImmutableSet.of("s", "elsewhere"));
+        assertEquals(list.of(HOBART).size(), 2);
+    }
 }
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ClusterNode.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ClusterNode.java
@@ -211,7 +211,7 @@
     }
 
     private void configured() {
-        coordinator.configured(configuration.version());
+        configuration.catalog().ifPresent(coordinator::configured);
     }
 
     private void review() {
--- a/tarragonarch-model/src/main/java/org/tarragonarch/model/task/QueueCatalog.java
+++ b/tarragonarch-model/src/main/java/org/tarragonarch/model/task/QueueCatalog.java
@@ -5,6 +5,7 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableListMultimap;
+import com.google.common.collect.ImmutableSet;
 import com.google.common.collect.Multimaps;
 import java.util.Comparator;
 import java.util.Optional;
@@ -38,6 +39,11 @@
         return version;
     }
 
+    /** Returns the services that queues send their tasks to. */
+    public ImmutableSet<String> services() {
+        return byHost.values().stream().map(QueueDefinition::service).collect(ImmutableSet.toImmutableSet());
+    }
+
     /** Returns the queue with the longest prefix that the path begins with. */
     public Optional<QueueDefinition> find(String host, String path) {
         checkNotNull(path, "path");
