--- a/tarragonarch-entry/src/test/java/org/tarragonarch/entry/cluster/WholePathTest.java
+++ b/tarragonarch-entry/src/test/java/org/tarragonarch/entry/cluster/WholePathTest.java
@@ -24,6 +24,7 @@
 /** Real nodes on real sockets, with stand-ins for the store and the endpoints: the whole way of a job. */
 public final class WholePathTest {
     private static final Duration PATIENCE = Duration.ofSeconds(30);
+    private static final int PORTS_A_NODE = 4;
     private static final String QUEUES = """
             {"Version":%d,"Routes":[{"Name":"q","Host":"127.0.0.1","Prefix":"/%s/","Service":"board",
              "Attempts":3,"Stretch":1.6,"SloMs":5000}]}
@@ -98,6 +99,7 @@
 
     private ClusterSettings startNode(String name) throws IOException, StepException {
         Path file = Files.createTempFile(name, ".jsonc");
+        List<Integer> ports = freePorts(PORTS_A_NODE);
         try {
             Files.writeString(
                     file, """
@@ -107,7 +109,7 @@
                       "readiness-address": "127.0.0.1:%d", "store-address": "%s",
                       "processor-share": 1.0, "processor-speed": 1,
                       "lease-millis": 1000, "stop-millis": 50, "shutdown-seconds": 6 }
-                    """.formatted(name, freePort(), freePort(), freePort(), freePort(), store.address()));
+                    """.formatted(name, ports.get(0), ports.get(1), ports.get(2), ports.get(3), store.address()));
             ClusterSettings settings = ClusterSettings.read(file);
             ClusterNode node = new ClusterNode(settings, new DecisionLog(name, System.err));
             nodes.add(node);
@@ -156,9 +158,19 @@
         }
     }
 
-    private static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0)) {
-            return socket.getLocalPort();
+    /**
+     * Returns ports that are free, each another one. All are held until the last is found: one that is given back at
+     * once may be found again, and a node then cannot listen at its second address.
+     */
+    private static List<Integer> freePorts(int count) throws IOException {
+        List<ServerSocket> held = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            held.add(new ServerSocket(0));
+        }
+        List<Integer> ports = held.stream().map(ServerSocket::getLocalPort).toList();
+        for (ServerSocket socket : held) {
+            socket.close();
         }
+        return ports;
     }
 }
