--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacedJob.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacedJob.java
@@ -17,10 +17,11 @@
     private static final int ESTIMATE_SLACK_PARTS = 4;
 
     /**
-     * Times that are spread by 40% around estimates that are wrong by as much stay below three times what is expected
-     * in all but one of a thousand runs; slow endpoints take a quarter longer.
+     * At three times what is expected one large job in a hundred had a task stopped that was merely long, with no sick
+     * endpoint anywhere, and came late for it; at four hardly any. A task that does stand still is found a third later.
+     * Experiments with and without sick endpoints, 12 seeds each: 0.865 to 0.871 and 0.969 to 0.971 of all worth.
      */
-    private static final int STUCK_MULTIPLE = 3;
+    private static final int STUCK_MULTIPLE = 4;
 
     /** Covers the way of orders and looks, which matters for tasks of some 20 ms. */
     private static final long STUCK_SLACK_MILLIS = 100;
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/ShardPools.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/ShardPools.java
@@ -22,8 +22,8 @@
  */
 public final class ShardPools {
     /**
-     * With more endpoints than this a region's domains are pools of their own. Three times the endpoints of the regions
-     * that one holder was measured on, where it used a fifth of a core.
+     * With more endpoints than this a region's domains are pools of their own. Three times the endpoints of the region
+     * that a holder was measured on, where it used 0.095 of a core at 350 task starts a second.
      */
     private static final int MOST_POOLED = 96;
 
