Take a job again only where all shards of its pool are held and read

A run was on an endpoint of one domain, started by one holder, and another holder started the same task in another domain 170 ms later. Of such a holder its peers know only the shards that nobody else has with better right, so a job was offered again to one that did not hold the shard on which it ran. Change: the earlier runs of a job may be on every shard of the pools that its lost holder had part in. Test: JobDeskTest#testNodeLost_holderHadMoreThanWasKnown.

--- a/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/LoadShape.java
+++ b/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/LoadShape.java
@@ -70,25 +70,6 @@
                 disturbances);
     }
 
-    /** Returns the same load with other disturbances. */
-    public LoadShape with(List<Disturbance> others) {
-        return new LoadShape(
-                domains,
-                nodesPerDomain,
-                endpointsPerDomain,
-                endpointMilliCores,
-                speeds,
-                insideMicros,
-                betweenMicros,
-                startMillis,
-                jobsPerSecond,
-                domainWeights,
-                stretch,
-                lengthMillis,
-                kinds,
-                others);
-    }
-
     long latencyMicros(int domain, int otherDomain) {
         return domain == otherDomain ? insideMicros : betweenMicros;
     }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/Coordinator.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/Coordinator.java
@@ -72,7 +72,7 @@
         Succession succession = new Succession(self.node(), self.domain(), ip, self.milliCores(), book, pools);
         this.keeper = new ShardKeeper(pools, succession, endpoints, placing, orders, timers, wallMillis, this);
         this.heartbeats = new Heartbeats(book, pools.shards());
-        KnownHolders holders = new KnownHolders(self, book, keeper, heartbeats, sender, timers);
+        KnownHolders holders = new KnownHolders(self, book, pools, keeper, heartbeats, sender, timers);
         this.desk = new JobDesk(holders, timers, placing.certainLapse());
     }
 
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/KnownHolders.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/KnownHolders.java
@@ -1,12 +1,15 @@
 package org.tarragonarch.core.cluster;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
 import java.util.Comparator;
 import org.tarragonarch.core.handover.Holder;
 import org.tarragonarch.core.handover.Holders;
 import org.tarragonarch.core.shard.Heartbeats;
 import org.tarragonarch.core.shard.PeerBook;
 import org.tarragonarch.core.shard.ShardKeeper;
+import org.tarragonarch.core.shard.ShardPools;
+import org.tarragonarch.model.id.FailureDomain;
 import org.tarragonarch.model.id.NodeId;
 import org.tarragonarch.model.report.HeldShard;
 import org.tarragonarch.model.task.JobId;
@@ -17,15 +20,23 @@
 final class KnownHolders implements Holders {
     private final Member self;
     private final PeerBook book;
+    private final ShardPools pools;
     private final ShardKeeper keeper;
     private final Heartbeats heartbeats;
     private final PeerSender sender;
     private final Timers timers;
 
     KnownHolders(
-            Member self, PeerBook book, ShardKeeper keeper, Heartbeats heartbeats, PeerSender sender, Timers timers) {
+            Member self,
+            PeerBook book,
+            ShardPools pools,
+            ShardKeeper keeper,
+            Heartbeats heartbeats,
+            PeerSender sender,
+            Timers timers) {
         this.self = self;
         this.book = book;
+        this.pools = pools;
         this.keeper = keeper;
         this.heartbeats = heartbeats;
         this.sender = sender;
@@ -52,6 +63,20 @@
         return ImmutableList.sortedCopyOf(ownDomainFirst.thenComparing(roomiestFirst), holders.build());
     }
 
+    /**
+     * Returns all shards of the pools that the holder had part in.
+     *
+     * <p>Guards against a job whose tasks run twice when two nodes have claimed the same shards, as can happen while
+     * all come back from a loss of power: of what such a holder has, its peers know only what nobody else has with
+     * better right, and what it takes or gets back a moment before it gives up they may not know at all.
+     */
+    @Override
+    public ImmutableSet<FailureDomain> reach(Holder lost) {
+        ImmutableSet.Builder<FailureDomain> reach = ImmutableSet.builder();
+        lost.domains().forEach(shard -> reach.add(shard).addAll(pools.poolOf(shard)));
+        return reach.build();
+    }
+
     @Override
     public boolean moreExpected() {
         return heartbeats.holderExpected(timers.nowMillis());
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/handover/Holders.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/handover/Holders.java
@@ -1,6 +1,8 @@
 package org.tarragonarch.core.handover;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import org.tarragonarch.model.id.FailureDomain;
 import org.tarragonarch.model.id.NodeId;
 import org.tarragonarch.model.task.JobId;
 import org.tarragonarch.model.task.Offer;
@@ -10,6 +12,12 @@
     /** Returns the holders that can be heard, that of this node's own failure domain first, then the roomiest. */
     ImmutableList<Holder> inOrder();
 
+    /**
+     * Returns the shards on whose endpoints a lost holder's runs may be: those that it was known to hold when a job was
+     * offered to it, and those that it may have taken since.
+     */
+    ImmutableSet<FailureDomain> reach(Holder lost);
+
     /** Returns whether a shard without a holder should have one within moments. */
     boolean moreExpected();
 
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/handover/JobDesk.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/handover/JobDesk.java
@@ -3,10 +3,12 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
+import org.tarragonarch.model.id.FailureDomain;
 import org.tarragonarch.model.id.NodeId;
 import org.tarragonarch.model.task.JobId;
 import org.tarragonarch.model.task.JobOutcome;
@@ -238,7 +240,8 @@
     }
 
     private void holderLost(OpenJob job) {
-        job.holderLost(timers.nowMillis());
+        ImmutableSet<FailureDomain> reach = job.holder().map(holders::reach).orElse(ImmutableSet.of());
+        job.holderLost(reach, timers.nowMillis());
         timers.after(runsLastMillis, () -> placeIfUnheld(job));
         place(job);
     }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/handover/OpenJob.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/handover/OpenJob.java
@@ -1,11 +1,13 @@
 package org.tarragonarch.core.handover;
 
+import com.google.common.collect.ImmutableSet;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import org.tarragonarch.model.id.FailureDomain;
 import org.tarragonarch.model.id.NodeId;
 import org.tarragonarch.model.task.EarlierRuns;
 import org.tarragonarch.model.task.JobId;
@@ -25,6 +27,7 @@
     private Optional<Holder> holder = Optional.empty();
     private Optional<Holder> lostHolder = Optional.empty();
     private Optional<NodeId> lastHolder = Optional.empty();
+    private ImmutableSet<FailureDomain> lostReach = ImmutableSet.of();
     private boolean mayHaveRun;
     private long lostAtMillis;
     private long soonestRetryMillis = Long.MAX_VALUE;
@@ -60,7 +63,7 @@
     Offer offer(NodeId own, long nowMillis, long runsLastMillis) {
         EarlierRuns earlierRuns = lostHolder
                 .filter(lost -> lostAtMillis + runsLastMillis > nowMillis)
-                .map(lost -> new EarlierRuns(lostAtMillis + runsLastMillis - nowMillis, lost.domains()))
+                .map(lost -> new EarlierRuns(lostAtMillis + runsLastMillis - nowMillis, lostReach))
                 .orElse(EarlierRuns.NONE);
         return new Offer(request, queue, own, ageMillis(nowMillis), deadlineAtMillis - nowMillis, earlierRuns);
     }
@@ -102,8 +105,11 @@
      * The holder is gone, and with it the knowledge of what ran.
      *
      * <p>Whoever declined the job before may have room by the time its runs are certainly over.
+     *
+     * @param reach the shards on which its runs may be
      */
-    void holderLost(long nowMillis) {
+    void holderLost(ImmutableSet<FailureDomain> reach, long nowMillis) {
+        lostReach = reach;
         declinedBy.clear();
         mayHaveRun = true;
         lostAtMillis = nowMillis;
@@ -134,7 +140,8 @@
         if (!mayHaveRun || nowMillis >= lostAtMillis + runsLastMillis) {
             return true;
         }
-        return lostHolder.filter(candidate::succeeds).isPresent();
+        return candidate.domains().containsAll(lostReach)
+                && lostHolder.filter(candidate::succeeds).isPresent();
     }
 
     /** Returns whether the job may go to the holder at some time, though not now. */
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/handover/FakeHolders.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/handover/FakeHolders.java
@@ -1,6 +1,7 @@
 package org.tarragonarch.core.handover;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
 import java.util.ArrayList;
 import java.util.List;
 import org.tarragonarch.model.id.FailureDomain;
@@ -15,6 +16,7 @@
     static final NodeId OWN = NodeId.of("own");
 
     final List<Holder> holders = new ArrayList<>();
+    final List<FailureDomain> taken = new ArrayList<>();
     boolean moreExpected;
     final List<String> asked = new ArrayList<>();
 
@@ -30,6 +32,14 @@
         return ImmutableList.copyOf(holders);
     }
 
+    @Override
+    public ImmutableSet<FailureDomain> reach(Holder lost) {
+        return ImmutableSet.<FailureDomain>builder()
+                .addAll(lost.domains())
+                .addAll(taken)
+                .build();
+    }
+
     @Override
     public boolean moreExpected() {
         return moreExpected;
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/handover/JobDeskTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/handover/JobDeskTest.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.tarragonarch.core.placing.VirtualTimers;
+import org.tarragonarch.model.id.FailureDomain;
 import org.tarragonarch.model.id.NodeId;
 import org.tarragonarch.model.task.JobId;
 import org.tarragonarch.model.task.JobRequest;
@@ -111,6 +112,25 @@
         assertEquals(test.holders.asked, ImmutableList.of("offer a", "offer c over in 1050"));
     }
 
+    /**
+     * All nodes come back from a loss of power, and two of them claim the same shards for a moment. A holder that was
+     * known for one of them gives up with runs in another. Whoever has taken over the first cannot see those runs; the
+     * job's tasks would run twice if it began at once.
+     */
+    @Test
+    public void testNodeLost_holderHadMoreThanWasKnown() {
+        JobDeskTest test = fresh();
+        Holder lost = test.holders.add("a", "hobart", 1);
+        test.submit(4_000);
+        test.holders.taken.add(FailureDomain.of("launceston"));
+        test.holders.holders.remove(lost);
+        test.holders.add("c", "hobart", 2);
+        test.desk.settled(NodeId.of("a"), JOB, Verdict.HOLD_LOST, 0);
+        assertEquals(test.holders.asked, ImmutableList.of("offer a"));
+        test.timers.pass(1_100);
+        assertEquals(test.holders.asked, ImmutableList.of("offer a", "offer c"));
+    }
+
     /** The lost holder's shard finds no successor: when its runs are over the job goes to another shard. */
     @Test
     public void testNodeLost_noSuccessor() {
