Take a job again only under the highest tokens that were ever heard of

By reading: a holder that is outranked and claims once more goes on with its jobs under a newer token than that under which they were offered to it; when it is lost, one with a token between the two passes for its successor, and does not know yet that it is outranked on endpoints where nothing of its own runs. Change: whoever takes a lost holder's job early must have every shard of the pool under the highest token ever heard of. Tests: JobDeskTest#testNodeLost_holderHadClaimedOnceMore, PooledSuccessionTest#testIsHighest_ofAllThatWereEverHeard.

--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/Coordinator.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/Coordinator.java
@@ -221,6 +221,7 @@
 
     @Override
     public void claimed(FailureDomain shard, FencingToken token, int shardEndpoints) {
+        book.claimed(shard, token);
         log.claimed(shard, token, shardEndpoints);
     }
 
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/KnownHolders.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/KnownHolders.java
@@ -77,6 +77,22 @@
         return reach.build();
     }
 
+    /**
+     * {@inheritDoc}
+     *
+     * <p>Guards against a job whose tasks run twice while two nodes take the same shards from each other. A holder that
+     * was outranked and has claimed once more goes on with its jobs; one that it outranks does not know it yet on
+     * endpoints where nothing of its own runs, and the token of the lost holder as it was when the job was offered to
+     * it is too old to tell.
+     */
+    @Override
+    public boolean hasNewest(Holder holder, ImmutableSet<FailureDomain> shards) {
+        return holder.domains().containsAll(shards)
+                && holder.shards().stream()
+                        .filter(held -> shards.contains(held.domain()))
+                        .allMatch(held -> book.isHighest(held.domain(), held.token()));
+    }
+
     @Override
     public boolean moreExpected() {
         return heartbeats.holderExpected(timers.nowMillis());
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/handover/JobDesk.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/handover/JobDesk.java
@@ -209,7 +209,7 @@
         long now = timers.nowMillis();
         boolean anyAllowedLater = false;
         for (Holder candidate : holders.inOrder()) {
-            if (job.mayGoTo(candidate, now, runsLastMillis)) {
+            if (job.mayGoTo(candidate, holders, now, runsLastMillis)) {
                 job.offeredTo(candidate);
                 holders.offer(candidate, job.offer(holders.own(), now, runsLastMillis));
                 return;
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/handover/OpenJob.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/handover/OpenJob.java
@@ -133,14 +133,14 @@
     }
 
     /** Returns whether the job may go to the holder now, given how long a lost holder's runs may last. */
-    boolean mayGoTo(Holder candidate, long nowMillis, long runsLastMillis) {
+    boolean mayGoTo(Holder candidate, Holders holders, long nowMillis, long runsLastMillis) {
         if (declinedBy.contains(candidate.node())) {
             return false;
         }
         if (!mayHaveRun || nowMillis >= lostAtMillis + runsLastMillis) {
             return true;
         }
-        return candidate.domains().containsAll(lostReach)
+        return holders.hasNewest(candidate, lostReach)
                 && lostHolder.filter(candidate::succeeds).isPresent();
     }
 
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/PeerBook.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/PeerBook.java
@@ -1,6 +1,7 @@
 package org.tarragonarch.core.shard;
 
 import com.google.common.collect.ImmutableList;
+import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
@@ -9,6 +10,7 @@
 import org.tarragonarch.model.id.NodeId;
 import org.tarragonarch.model.report.HeldShard;
 import org.tarragonarch.model.report.NodeStatus;
+import org.tarragonarch.model.task.FencingToken;
 
 /** What the peers last said of themselves, and which of them can be heard. */
 public final class PeerBook {
@@ -30,6 +32,7 @@
     public static final long DISTANT_SILENCE_MILLIS = 3 * DISTANT_PERIOD_MILLIS + 500;
 
     private final Map<NodeId, Heard> peers = new TreeMap<>();
+    private final Map<FailureDomain, FencingToken> highestTokens = new HashMap<>();
     private Optional<ImmutableList<NodeStatus>> holders = Optional.empty();
     private boolean allSpeakOften;
     private long allSpeakOftenSinceMillis;
@@ -42,10 +45,22 @@
         Heard before = peers.get(status.node());
         boolean joined = before == null || !before.present();
         holders = Optional.empty();
+        status.shards().forEach(held -> claimed(held.domain(), held.token()));
         peers.put(status.node(), new Heard(status, nowMillis, joined ? nowMillis : before.sinceMillis(), true));
         return joined;
     }
 
+    /** Notes that a node, a peer or this one, has claimed a shard under a token. */
+    public void claimed(FailureDomain shard, FencingToken token) {
+        highestTokens.merge(shard, token, (first, second) -> first.compareTo(second) >= 0 ? first : second);
+    }
+
+    /** Returns whether nobody was ever heard to have claimed the shard under a higher token. */
+    public boolean isHighest(FailureDomain shard, FencingToken token) {
+        FencingToken highest = highestTokens.get(shard);
+        return highest == null || token.compareTo(highest) >= 0;
+    }
+
     /** Notes that the last connection with the peer broke; returns whether it was there before. */
     public boolean lost(NodeId peer) {
         Heard known = peers.get(peer);
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/handover/FakeHolders.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/handover/FakeHolders.java
@@ -3,7 +3,9 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import org.tarragonarch.model.id.FailureDomain;
 import org.tarragonarch.model.id.NodeId;
 import org.tarragonarch.model.report.HeldShard;
@@ -17,6 +19,7 @@
 
     final List<Holder> holders = new ArrayList<>();
     final List<FailureDomain> taken = new ArrayList<>();
+    final Map<FailureDomain, Long> highestTerms = new HashMap<>();
     boolean moreExpected;
     final List<String> asked = new ArrayList<>();
 
@@ -40,6 +43,13 @@
                 .build();
     }
 
+    @Override
+    public boolean hasNewest(Holder holder, ImmutableSet<FailureDomain> shards) {
+        return holder.domains().containsAll(shards)
+                && holder.shards().stream()
+                        .allMatch(held -> held.token().term() >= highestTerms.getOrDefault(held.domain(), 0L));
+    }
+
     @Override
     public boolean moreExpected() {
         return moreExpected;
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/handover/JobDeskTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/handover/JobDeskTest.java
@@ -131,6 +131,25 @@
         assertEquals(test.holders.asked, ImmutableList.of("offer a", "offer c"));
     }
 
+    /**
+     * A cut heals, and two nodes take a shard from each other. The one that has the job was outranked, has claimed once
+     * more and started the job there when it is lost. The other one's token is above that under which the job was
+     * offered and below the new one: it does not see that run, and would start the task a second time.
+     */
+    @Test
+    public void testNodeLost_holderHadClaimedOnceMore() {
+        JobDeskTest test = fresh();
+        Holder lost = test.holders.add("a", "hobart", 1);
+        test.submit(4_000);
+        test.holders.holders.remove(lost);
+        test.holders.add("b", "hobart", 2);
+        test.holders.highestTerms.put(FailureDomain.of("hobart"), 3L);
+        test.desk.nodeLost(NodeId.of("a"));
+        assertEquals(test.holders.asked, ImmutableList.of("offer a"));
+        test.timers.pass(1_100);
+        assertEquals(test.holders.asked, ImmutableList.of("offer a", "offer b"));
+    }
+
     /** The lost holder's shard finds no successor: when its runs are over the job goes to another shard. */
     @Test
     public void testNodeLost_noSuccessor() {
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/shard/PooledSuccessionTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/shard/PooledSuccessionTest.java
@@ -130,4 +130,14 @@
                         .toList(),
                 ImmutableList.of("a 1", "l 1"));
     }
+
+    /** What a node once claimed counts also when it has let go, for its runs may be there still. */
+    @Test
+    public void testIsHighest_ofAllThatWereEverHeard() {
+        heard("a", HOBART, CORES, 0, held(HOBART, 7));
+        heard("a", HOBART, CORES, 100);
+        assertFalse(book.isHighest(HOBART, FencingToken.of(6, "10.0.0.9")));
+        assertTrue(book.isHighest(HOBART, FencingToken.of(7, "10.0.0.9")));
+        assertTrue(book.isHighest(LAUNCESTON, FencingToken.of(1, "10.0.0.9")));
+    }
 }
