Take a job again only where the list of endpoints can be taken for whole

A cut-off domain's endpoints cannot reach the store, so their entries lapse outside and come back one by one. The holder outside had read every endpoint on its list and began a job that ran on one that was not on it yet.

--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/Placer.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/Placer.java
@@ -14,6 +14,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.tarragonarch.model.id.FailureDomain;
 import org.tarragonarch.model.id.NodeId;
 import org.tarragonarch.model.task.EndKind;
@@ -42,6 +43,7 @@
     private final Timers timers;
     private final PlacerListener listener;
     private final RunTimes runTimes;
+    private final Predicate<FailureDomain> wholeList;
     private final Events events = new Events();
     private final Map<FailureDomain, PlacedShard> shards = new LinkedHashMap<>();
     private final Map<JobId, PlacedJob> jobs = new HashMap<>();
@@ -56,18 +58,21 @@
      * Creates a placer that holds no shard yet.
      *
      * @param runTimes what is known of run times; outlives this placer
+     * @param wholeList tells whether a shard's list of endpoints can be taken for whole
      */
     public Placer(
             PlacingSettings settings,
             EndpointOrders orders,
             Timers timers,
             PlacerListener listener,
-            RunTimes runTimes) {
+            RunTimes runTimes,
+            Predicate<FailureDomain> wholeList) {
         this.settings = checkNotNull(settings, "settings");
         this.orders = checkNotNull(orders, "orders");
         this.timers = checkNotNull(timers, "timers");
         this.listener = checkNotNull(listener, "listener");
         this.runTimes = checkNotNull(runTimes, "runTimes");
+        this.wholeList = checkNotNull(wholeList, "wholeList");
     }
 
     /**
@@ -212,6 +217,7 @@
         Set<FailureDomain> wanted = offer.earlierRuns().shards();
         JobId job = offer.job().id();
         return shards.keySet().containsAll(wanted)
+                && wanted.stream().allMatch(wholeList)
                 && wanted.stream().allMatch(shard -> shards.get(shard).readyFor(job));
     }
 
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/EndpointList.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/EndpointList.java
@@ -89,6 +89,11 @@
         }
     }
 
+    /** Returns whether the store could be read for at least this long. */
+    boolean storeHeardFor(long millis, long nowMillis) {
+        return !storeAway && nowMillis - storeBackAtMillis >= millis;
+    }
+
     /** Removes what has been missing for too long; returns whether anything was removed. */
     public boolean expire(long nowMillis) {
         if (storeAway) {
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/ShardKeeper.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/ShardKeeper.java
@@ -39,6 +39,7 @@
     private final Timers timers;
     private final LongSupplier wallMillis;
     private final ShardEvents events;
+    private final SteadyLists steadyLists;
     private final Relay relay = new Relay();
     private final RunTimes runTimes = new RunTimes();
     private Optional<Placer> placer = Optional.empty();
@@ -68,6 +69,7 @@
         this.timers = checkNotNull(timers, "timers");
         this.wallMillis = checkNotNull(wallMillis, "wallMillis");
         this.events = checkNotNull(events, "events");
+        this.steadyLists = new SteadyLists(endpoints);
     }
 
     /** Claims what has no holder and lets go of what another should hold; returns whether anything changed. */
@@ -102,6 +104,7 @@
 
     /** Passes the list of endpoints on to the placer. */
     public void endpointsChanged() {
+        steadyLists.update(pools.shards(), timers.nowMillis());
         heldShards().forEach(shard -> placer.orElseThrow().update(shard, endpoints.of(shard)));
     }
 
@@ -155,13 +158,17 @@
     private void claim(FailureDomain shard) {
         FencingToken token = succession.claim(shard, wallMillis.getAsLong());
         if (placer.isEmpty()) {
-            placer = Optional.of(new Placer(settings, orders, timers, relay, runTimes));
+            placer = Optional.of(new Placer(settings, orders, timers, relay, runTimes, this::isSteady));
         }
         placer.get().open(shard, token, endpoints.of(shard));
         heldChanged();
         events.claimed(shard, token, endpoints.of(shard).size());
     }
 
+    private boolean isSteady(FailureDomain shard) {
+        return steadyLists.isSteady(shard, timers.nowMillis());
+    }
+
     private void resign(FailureDomain shard) {
         succession.resign(shard);
         placer.flatMap(current -> current.token(shard)).ifPresent(token -> {
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/PlacerFixture.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/PlacerFixture.java
@@ -41,6 +41,7 @@
     final List<Outlook> outlooks = new ArrayList<>();
     final List<EndKind> badEnds = new ArrayList<>();
     int outranked;
+    boolean listsWhole = true;
 
     PlacerFixture(int endpoints) {
         for (int i = 1; i <= endpoints; i++) {
@@ -114,7 +115,7 @@
                 outranked++;
             }
         };
-        return new Placer(PlacingSettings.of(1_000, 50), orders, timers, listener, new RunTimes());
+        return new Placer(PlacingSettings.of(1_000, 50), orders, timers, listener, new RunTimes(), shard -> listsWhole);
     }
 
     static JobId id(int number) {
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/PlacerHandOverTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/PlacerHandOverTest.java
@@ -182,4 +182,27 @@
         assertTrue(fixture.verdicts.contains("asker-1 2 DONE"), fixture.verdicts.toString());
         assertEquals(fixture.ledger.broken(), ImmutableList.of());
     }
+
+    /**
+     * A domain was cut off, and its endpoints fell off the list outside. The cut heals: the holder outside gets the
+     * domain's job while the one endpoint on which it runs is not yet back on its list. Having read all others it began
+     * the job at once, and its tasks ran twice.
+     */
+    @Test
+    public void testOffer_earlierRunsOnAnEndpointThatIsNotListed() {
+        PlacerFixture fixture = new PlacerFixture(2);
+        fixture.endpoint(1).runMillis = 400;
+        fixture.endpoint(2).runMillis = 400;
+        Placer inside = fixture.onlyEndpoint(1, 1);
+        fixture.timers.pass(10);
+        inside.offer(PlacerFixture.offer(1, 1, 400, PlacerFixture.ASKER, false));
+        fixture.timers.pass(5);
+        fixture.listsWhole = false;
+        Placer outside = fixture.onlyEndpoint(2, 2);
+        fixture.timers.pass(5);
+        outside.offer(PlacerFixture.offer(1, 1, 400, PlacerFixture.ASKER, true));
+        fixture.timers.pass(2_500);
+        assertTrue(fixture.verdicts.contains("asker-1 1 DONE"), fixture.verdicts.toString());
+        assertEquals(fixture.ledger.broken(), ImmutableList.of());
+    }
 }
