Look for free ports, and for the end of a job, in one place each

Cause: a last reading of the change. The rehearsal before a start and the test of the whole path each had the same search for free ports, and the job asked twice in its own words whether all its tasks are done. Change: the test calls the rehearsal's search, which keeps the test's explanation; finished() calls allFinished(). Behaviour and assertions are unchanged.

--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacedJob.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacedJob.java
@@ -142,7 +142,7 @@
     boolean finished(PlacedTask task) {
         task.finished();
         unfinished--;
-        return unfinished == 0;
+        return allFinished();
     }
 
     /** Returns whether some of the job was done or is under way as it comes in. */
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ClassRehearsal.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ClassRehearsal.java
@@ -82,14 +82,16 @@
         }
     }
 
-    private static List<Integer> freePorts(int count) throws IOException {
+    /**
+     * Returns ports that are free, each another one. All are held until the last is found: one that is given back at
+     * once may be found again, and a node then cannot listen at its second address.
+     */
+    static List<Integer> freePorts(int count) throws IOException {
         List<ServerSocket> held = new ArrayList<>();
-        List<Integer> ports = new ArrayList<>();
         for (int i = 0; i < count; i++) {
-            ServerSocket socket = new ServerSocket(0);
-            held.add(socket);
-            ports.add(socket.getLocalPort());
+            held.add(new ServerSocket(0));
         }
+        List<Integer> ports = held.stream().map(ServerSocket::getLocalPort).toList();
         for (ServerSocket socket : held) {
             socket.close();
         }
--- a/tarragonarch-entry/src/test/java/org/tarragonarch/entry/cluster/WholePathTest.java
+++ b/tarragonarch-entry/src/test/java/org/tarragonarch/entry/cluster/WholePathTest.java
@@ -4,7 +4,6 @@
 import static org.testng.Assert.assertTrue;
 
 import java.io.IOException;
-import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -99,7 +98,7 @@
 
     private ClusterSettings startNode(String name) throws IOException, StepException {
         Path file = Files.createTempFile(name, ".jsonc");
-        List<Integer> ports = freePorts(PORTS_A_NODE);
+        List<Integer> ports = ClassRehearsal.freePorts(PORTS_A_NODE);
         try {
             Files.writeString(
                     file, """
@@ -157,20 +156,4 @@
             Thread.sleep(10);
         }
     }
-
-    /**
-     * Returns ports that are free, each another one. All are held until the last is found: one that is given back at
-     * once may be found again, and a node then cannot listen at its second address.
-     */
-    private static List<Integer> freePorts(int count) throws IOException {
-        List<ServerSocket> held = new ArrayList<>();
-        for (int i = 0; i < count; i++) {
-            held.add(new ServerSocket(0));
-        }
-        List<Integer> ports = held.stream().map(ServerSocket::getLocalPort).toList();
-        for (ServerSocket socket : held) {
-            socket.close();
-        }
-        return ports;
-    }
 }
