Show in logs and metrics how old a node's configuration is, and which calls to the store failed

Cause: of the three hypotheses on changes that came late after an outage, the nodes' own logs could tell none from another. No line said when a call to the store went out or how long it waited, none how old the configuration was, and a request that was refused for an unknown queue left no line at all.

Gauges for version and age, and for the age of each table's last answer. tarragonarchctl explain names unknown-queue as a cause. Nothing is decided otherwise.

The expected calls of TableFollowerTest.testFollow_outage name the failed call besides.

--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/follow/TableFollower.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/follow/TableFollower.java
@@ -30,6 +30,8 @@
     private long pauseMillis = FIRST_PAUSE_MILLIS;
     private boolean away;
     private long awaySinceMillis;
+    private long calledAtMillis;
+    private long answeredAtMillis;
 
     /**
      * Creates a follower that has not begun.
@@ -46,7 +48,13 @@
 
     /** Begins with reading the whole table. */
     public void start() {
+        answeredAtMillis = timers.nowMillis();
+        readAll();
+    }
+
+    private void readAll() {
         version = -1;
+        calledAtMillis = timers.nowMillis();
         store.read(table, this::readAnswered);
     }
 
@@ -59,18 +67,20 @@
     }
 
     private void follow() {
+        calledAtMillis = timers.nowMillis();
         store.follow(table, version, this::followAnswered);
     }
 
     private void readAnswered(RowStore.Reply reply) {
         if (reply.result() != StoreResult.DONE) {
-            failed();
+            failed(reply.result());
             return;
         }
         succeeded();
         RowPage page = reply.page().orElseThrow();
         version = page.version();
         listener.replaced(page.rows());
+        listener.current();
         followLater();
     }
 
@@ -83,30 +93,36 @@
                 if (!page.rows().isEmpty()) {
                     listener.changed(page.rows());
                 }
+                listener.current();
                 followLater();
             }
-            case HISTORY_GONE -> start();
-            default -> failed();
+            case HISTORY_GONE -> readAll();
+            default -> failed(reply.result());
         }
     }
 
     private void succeeded() {
         pauseMillis = FIRST_PAUSE_MILLIS;
+        answeredAtMillis = timers.nowMillis();
         if (away) {
             away = false;
             listener.regained(timers.nowMillis() - awaySinceMillis);
         }
     }
 
-    private void failed() {
-        if (!away) {
+    private void failed(StoreResult result) {
+        long now = timers.nowMillis();
+        FailedCall call = new FailedCall(result, now - calledAtMillis, now - answeredAtMillis);
+        if (away) {
+            listener.stillLost(call);
+        } else {
             away = true;
-            awaySinceMillis = timers.nowMillis();
-            listener.lost();
+            awaySinceMillis = now;
+            listener.lost(call);
         }
         timers.after(pauseMillis, () -> {
             if (version < 0) {
-                start();
+                readAll();
             } else {
                 follow();
             }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/follow/TableListener.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/follow/TableListener.java
@@ -11,8 +11,14 @@
     /** Rows that were written or deleted, in order. */
     void changed(ImmutableList<StoreRow> rows);
 
+    /** The store has answered, and every row that it had has been handed over: what is known is as of now. */
+    void current();
+
     /** The store cannot be read; what is known grows old from now on. */
-    void lost();
+    void lost(FailedCall call);
+
+    /** Another call has failed since the store was lost. */
+    void stillLost(FailedCall call);
 
     /** The store can be read again. */
     void regained(long awayMillis);
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/follow/TableFollowerTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/follow/TableFollowerTest.java
@@ -68,6 +68,7 @@
                         "follow 5",
                         "lost",
                         "follow 5",
+                        "still lost after 200",
                         "follow 5",
                         "regained after 600",
                         "changed [b]",
@@ -114,10 +115,20 @@
         }
 
         @Override
-        public void lost() {
+        public void current() {
+            // Told after each answer; the calls that follow show as much.
+        }
+
+        @Override
+        public void lost(FailedCall call) {
             seen.add("lost");
         }
 
+        @Override
+        public void stillLost(FailedCall call) {
+            seen.add("still lost after " + call.sinceAnswerMillis());
+        }
+
         @Override
         public void regained(long awayMillis) {
             seen.add("regained after " + awayMillis);
--- a/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/explain/Cause.java
+++ b/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/explain/Cause.java
@@ -8,6 +8,8 @@
     SERVED("every task ended well"),
     /** Its client took it back. */
     CANCELLED("its client cancelled it"),
+    /** The node that was asked knew no queue of that name. */
+    UNKNOWN_QUEUE("the configuration of the node that was asked had no such queue; compare its version and age"),
     /** The node or the link to the holder that had it was lost. */
     HOLDER_LOST("the holder that had the job was lost, and nobody can say what of it ran"),
     /** Every run that failed did so on one endpoint. */
--- a/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/explain/JobStory.java
+++ b/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/explain/JobStory.java
@@ -67,6 +67,9 @@
 
     /** Returns why the job ended as it did. */
     Cause cause() {
+        if (answer.isEmpty() && !of(NodeEvent.QUEUE_UNKNOWN).isEmpty()) {
+            return Cause.UNKNOWN_QUEUE;
+        }
         if (answer.isEmpty()) {
             return nodeStopped() ? Cause.NODE_STOPPED : Cause.NOT_LOGGED;
         }
--- a/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/explain/Sentences.java
+++ b/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/explain/Sentences.java
@@ -13,6 +13,14 @@
                 entry.text("here").equals("true")
                         ? "cancelled the job for its client"
                         : "passed the client's cancelling on to its peers";
+            case QUEUE_UNKNOWN ->
+                "knew no queue for %s%s; configuration %s from %s, confirmed %s ms before"
+                        .formatted(
+                                entry.text("host"),
+                                entry.text("path"),
+                                entry.text("configuration"),
+                                entry.text("source"),
+                                entry.text("configuration-age-ms"));
             case PEER_LOST ->
                 "lost " + entry.text("peer")
                         + (entry.text("reason").equals("silent")
--- a/tarragonarch-ctl/src/test/java/org/tarragonarch/ctl/explain/ExplanationTest.java
+++ b/tarragonarch-ctl/src/test/java/org/tarragonarch/ctl/explain/ExplanationTest.java
@@ -38,6 +38,12 @@
             "holder":"front-launceston-1","deadline-ms":2669,"configuration":12}
             """;
 
+    private static final String UNKNOWN_QUEUE = """
+            {"time":"2026-05-04T12:00:14.318Z","node":"front-espoo-a-3","event":"queue-unknown",\
+            "job":"15789369e5db4e3d","host":"a.example","path":"/q/15789369e5db4e3d","configuration":9,\
+            "configuration-age-ms":10297,"source":"store"}
+            """;
+
     private static Explanation explain(String job, String... logs) throws IOException {
         LogFiles files = new LogFiles();
         for (String log : logs) {
@@ -101,6 +107,20 @@
         assertEquals(explanation.lines().get(1), "cause: node-stopped, " + Cause.NODE_STOPPED.meaning());
     }
 
+    /**
+     * A caller got 404 for a queue that an operator had added two seconds before. The line of the node that refused
+     * shows an older version, and that nobody had confirmed it for ten seconds.
+     */
+    @Test
+    public void testLines_queueUnknownToAnOldConfiguration() throws IOException {
+        Explanation explanation = explain("15789369e5db4e3d", UNKNOWN_QUEUE);
+        assertEquals(explanation.lines().get(1), "cause: unknown-queue, " + Cause.UNKNOWN_QUEUE.meaning());
+        assertEquals(
+                explanation.lines().get(2),
+                "  2026-05-04T12:00:14.318Z front-espoo-a-3 knew no queue for a.example/q/15789369e5db4e3d;"
+                        + " configuration 9 from store, confirmed 10297 ms before");
+    }
+
     @Test
     public void testLines_unknownJob() throws IOException {
         Explanation explanation = explain("0000000000000000", REFUSED);
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ClusterNode.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ClusterNode.java
@@ -114,8 +114,9 @@
         this.settings = settings;
         this.log = log;
         this.startedAtMillis = timers.nowMillis();
-        this.configuration = new ConfigurationInForce(log);
+        this.configuration = new ConfigurationInForce(timers, log);
         this.meters = new NodeMeters(this::openJobs, log::droppedLines);
+        meters.watchConfiguration(configuration);
         this.coordinator = new Coordinator(
                 settings.member(),
                 settings.ip(),
@@ -203,13 +204,19 @@
 
     private void begin() {
         directory.start();
-        ConfigurationRows configurationRows = new ConfigurationRows(configuration, this::configured, log);
-        EndpointRows endpointRows = new EndpointRows(endpoints, coordinator::endpointsChanged, timers, log, meters);
+        ConfigurationRows configurationRows =
+                new ConfigurationRows(configuration, this::configured, storeLog(StoreTable.OPERATOR));
+        EndpointRows endpointRows = new EndpointRows(
+                endpoints, coordinator::endpointsChanged, timers, log, meters, storeLog(StoreTable.ENDPOINTS));
         new TableFollower(store, StoreTable.OPERATOR, timers, configurationRows, 0).start();
         new TableFollower(store, StoreTable.ENDPOINTS, timers, endpointRows, LIST_PERIOD_MILLIS).start();
         review();
     }
 
+    private StoreLog storeLog(StoreTable table) {
+        return new StoreLog(table, timers, log, meters);
+    }
+
     private void configured() {
         configuration.catalog().ifPresent(coordinator::configured);
     }
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ConfigurationRows.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ConfigurationRows.java
@@ -2,18 +2,17 @@
 
 import com.google.common.collect.ImmutableList;
 import org.tarragonarch.adapter.PlatformNames;
+import org.tarragonarch.core.follow.FailedCall;
 import org.tarragonarch.core.follow.TableListener;
-import org.tarragonarch.model.log.NodeEvent;
 import org.tarragonarch.model.store.StoreRow;
-import org.tarragonarch.model.store.StoreTable;
 
 /** Takes the operators' rows of the store: the configuration is one of them. */
 final class ConfigurationRows implements TableListener {
     private final ConfigurationInForce configuration;
     private final Runnable changed;
-    private final DecisionLog log;
+    private final StoreLog log;
 
-    ConfigurationRows(ConfigurationInForce configuration, Runnable changed, DecisionLog log) {
+    ConfigurationRows(ConfigurationInForce configuration, Runnable changed, StoreLog log) {
         this.configuration = configuration;
         this.changed = changed;
         this.log = log;
@@ -35,12 +34,23 @@
     }
 
     @Override
-    public void lost() {
-        log.line(NodeEvent.STORE_LOST, "table", StoreTable.OPERATOR);
+    public void current() {
+        configuration.confirmed();
+        log.answered();
+    }
+
+    @Override
+    public void lost(FailedCall call) {
+        log.lost(call);
+    }
+
+    @Override
+    public void stillLost(FailedCall call) {
+        log.stillLost(call);
     }
 
     @Override
     public void regained(long awayMillis) {
-        log.line(NodeEvent.STORE_REGAINED, "table", StoreTable.OPERATOR, "away-ms", awayMillis);
+        log.regained(awayMillis);
     }
 }
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/EndpointRows.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/EndpointRows.java
@@ -4,12 +4,12 @@
 import java.util.Optional;
 import org.tarragonarch.adapter.EndpointBody;
 import org.tarragonarch.adapter.UnreadableBodyException;
+import org.tarragonarch.core.follow.FailedCall;
 import org.tarragonarch.core.follow.TableListener;
 import org.tarragonarch.core.shard.EndpointList;
 import org.tarragonarch.model.id.EndpointId;
 import org.tarragonarch.model.log.NodeEvent;
 import org.tarragonarch.model.store.StoreRow;
-import org.tarragonarch.model.store.StoreTable;
 import org.tarragonarch.model.task.EndpointEntry;
 import org.tarragonarch.model.task.Timers;
 
@@ -20,8 +20,16 @@
     private final Timers timers;
     private final DecisionLog log;
     private final NodeMeters meters;
+    private final StoreLog storeLog;
 
-    EndpointRows(EndpointList endpoints, Runnable listChanged, Timers timers, DecisionLog log, NodeMeters meters) {
+    EndpointRows(
+            EndpointList endpoints,
+            Runnable listChanged,
+            Timers timers,
+            DecisionLog log,
+            NodeMeters meters,
+            StoreLog storeLog) {
+        this.storeLog = storeLog;
         this.meters = meters;
         this.endpoints = endpoints;
         this.listChanged = listChanged;
@@ -62,15 +70,25 @@
     }
 
     @Override
-    public void lost() {
+    public void current() {
+        storeLog.answered();
+    }
+
+    @Override
+    public void lost(FailedCall call) {
         endpoints.storeLost();
-        log.line(NodeEvent.STORE_LOST, "table", StoreTable.ENDPOINTS);
+        storeLog.lost(call);
+    }
+
+    @Override
+    public void stillLost(FailedCall call) {
+        storeLog.stillLost(call);
     }
 
     @Override
     public void regained(long awayMillis) {
         endpoints.storeBack(timers.nowMillis());
-        log.line(NodeEvent.STORE_REGAINED, "table", StoreTable.ENDPOINTS, "away-ms", awayMillis);
+        storeLog.regained(awayMillis);
     }
 
     private Optional<EndpointEntry> read(StoreRow row) {
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/NodeJobs.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/NodeJobs.java
@@ -1,5 +1,6 @@
 package org.tarragonarch.entry.cluster;
 
+import com.google.common.base.Ascii;
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
@@ -12,12 +13,15 @@
 import org.tarragonarch.model.task.JobReply;
 import org.tarragonarch.model.task.JobRequest;
 import org.tarragonarch.model.task.JobService;
-import org.tarragonarch.model.task.QueueCatalog;
 import org.tarragonarch.model.task.QueueDefinition;
+import org.tarragonarch.model.task.QueueLookup;
 import org.tarragonarch.model.task.Timers;
 
 /** What the doors for clients and the balancer ask of this node. */
 final class NodeJobs implements JobService {
+    /** What is logged at most of a path or host, in characters: a client may send any. */
+    private static final int LOGGED_LENGTH = 128;
+
     private final ConfigurationInForce configuration;
     private final JobDesk desk;
     private final ToIntFunction<JobId> askPeersToCancel;
@@ -50,8 +54,30 @@
     }
 
     @Override
-    public Optional<QueueCatalog> catalog() {
-        return configuration.catalog();
+    public QueueLookup find(String host, String path) {
+        QueueLookup lookup = configuration.find(host, path);
+        if (lookup.result() == QueueLookup.Result.UNKNOWN) {
+            meters.queueUnknown();
+            log.line(
+                    NodeEvent.QUEUE_UNKNOWN,
+                    "job",
+                    logged(path.substring(path.lastIndexOf('/') + 1)),
+                    "host",
+                    logged(host),
+                    "path",
+                    logged(path),
+                    "configuration",
+                    configuration.version(),
+                    "configuration-age-ms",
+                    configuration.loggedAge(),
+                    "source",
+                    configuration.source());
+        }
+        return lookup;
+    }
+
+    private static String logged(String text) {
+        return Ascii.truncate(text, LOGGED_LENGTH, "...");
     }
 
     @Override
@@ -79,7 +105,9 @@
                     "deadline-ms",
                     deadlineMillis,
                     "configuration",
-                    configuration.version());
+                    configuration.version(),
+                    "configuration-age-ms",
+                    configuration.loggedAge());
             reply.accept(answer);
         });
     }
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/NodeMeters.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/NodeMeters.java
@@ -3,6 +3,7 @@
 import io.micrometer.core.instrument.Counter;
 import io.micrometer.core.instrument.FunctionCounter;
 import io.micrometer.core.instrument.Gauge;
+import io.micrometer.core.instrument.TimeGauge;
 import io.micrometer.core.instrument.Timer;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
@@ -10,8 +11,11 @@
 import java.util.EnumMap;
 import java.util.Locale;
 import java.util.Map;
+import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
 import java.util.function.IntSupplier;
 import java.util.function.LongSupplier;
+import org.tarragonarch.model.store.StoreTable;
 import org.tarragonarch.model.task.EndKind;
 import org.tarragonarch.model.task.JobOutcome;
 
@@ -32,6 +36,9 @@
     private final PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
     private final Map<JobOutcome, Timer> answers = new EnumMap<>(JobOutcome.class);
     private final Map<EndKind, Counter> badRuns = new EnumMap<>(EndKind.class);
+    private final Map<StoreTable, Counter> failedStoreCalls = new EnumMap<>(StoreTable.class);
+    private final Counter unknownQueues =
+            Counter.builder("tarragonarch.queues.unknown").register(registry);
     private final Counter declined =
             Counter.builder("tarragonarch.jobs.declined").register(registry);
     private final Counter unreadableEndpointRows =
@@ -58,6 +65,40 @@
                 .register(registry);
     }
 
+    /** Shows of a table of the store how long ago it last answered, and counts its calls that fail. */
+    void watchStore(StoreTable table, LongSupplier sinceAnswerMillis) {
+        failedStoreCalls.put(
+                table,
+                Counter.builder("tarragonarch.store.calls.failed")
+                        .tag("table", word(table))
+                        .register(registry));
+        TimeGauge.builder("tarragonarch.store.answer.age", sinceAnswerMillis::getAsLong, TimeUnit.MILLISECONDS)
+                .tag("table", word(table))
+                .register(registry);
+    }
+
+    /** Shows the version of the configuration, and how long ago the store last confirmed it. */
+    void watchConfiguration(ConfigurationInForce configuration) {
+        Gauge.builder("tarragonarch.configuration.version", configuration::version)
+                .register(registry);
+        TimeGauge.builder("tarragonarch.configuration.age", () -> age(configuration), TimeUnit.MILLISECONDS)
+                .register(registry);
+    }
+
+    /** Returns the age in milliseconds; not a number where it was never confirmed. */
+    private static double age(ConfigurationInForce configuration) {
+        OptionalLong age = configuration.ageMillis();
+        return age.isPresent() ? age.getAsLong() : Double.NaN;
+    }
+
+    void storeCallFailed(StoreTable table) {
+        failedStoreCalls.get(table).increment();
+    }
+
+    void queueUnknown() {
+        unknownQueues.increment();
+    }
+
     void answered(JobOutcome outcome, long tookMillis) {
         answers.get(outcome).record(Duration.ofMillis(tookMillis));
     }
--- /dev/null
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/StoreLog.java
@@ -0,0 +1,60 @@
+package org.tarragonarch.entry.cluster;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import org.tarragonarch.core.follow.FailedCall;
+import org.tarragonarch.model.log.NodeEvent;
+import org.tarragonarch.model.store.StoreTable;
+import org.tarragonarch.model.task.Timers;
+
+/** What the log and the metrics show of one table of the store: when it last answered, and each call that failed. */
+final class StoreLog {
+    private final StoreTable table;
+    private final Timers timers;
+    private final DecisionLog log;
+    private final NodeMeters meters;
+    private long answeredAtMillis;
+
+    StoreLog(StoreTable table, Timers timers, DecisionLog log, NodeMeters meters) {
+        this.table = checkNotNull(table, "table");
+        this.timers = checkNotNull(timers, "timers");
+        this.log = checkNotNull(log, "log");
+        this.meters = checkNotNull(meters, "meters");
+        this.answeredAtMillis = timers.nowMillis();
+        meters.watchStore(table, this::sinceAnswerMillis);
+    }
+
+    void answered() {
+        answeredAtMillis = timers.nowMillis();
+    }
+
+    void lost(FailedCall call) {
+        failed(NodeEvent.STORE_LOST, call);
+    }
+
+    void stillLost(FailedCall call) {
+        failed(NodeEvent.STORE_CALL_FAILED, call);
+    }
+
+    void regained(long awayMillis) {
+        log.line(NodeEvent.STORE_REGAINED, "table", table, "away-ms", awayMillis);
+    }
+
+    private void failed(NodeEvent event, FailedCall call) {
+        meters.storeCallFailed(table);
+        log.line(
+                event,
+                "table",
+                table,
+                "result",
+                call.result(),
+                "took-ms",
+                call.tookMillis(),
+                "since-answer-ms",
+                call.sinceAnswerMillis());
+    }
+
+    private long sinceAnswerMillis() {
+        return timers.nowMillis() - answeredAtMillis;
+    }
+}
--- a/tarragonarch-model/src/main/java/org/tarragonarch/model/log/NodeEvent.java
+++ b/tarragonarch-model/src/main/java/org/tarragonarch/model/log/NodeEvent.java
@@ -10,6 +10,8 @@
     JOB_ANSWERED,
     /** A client cancelled its job. */
     JOB_CANCELLED,
+    /** A client named a queue that the configuration in force does not have. */
+    QUEUE_UNKNOWN,
     /** A holder did not take a job, or gave it back unstarted. */
     JOB_DECLINED,
     /** A run did not do its work. */
@@ -26,6 +28,8 @@
     PEER_LOST,
     /** A table of the platform's store cannot be read. */
     STORE_LOST,
+    /** Another call for a table that cannot be read has failed. */
+    STORE_CALL_FAILED,
     /** The table can be read again. */
     STORE_REGAINED,
     /** A configuration is in force at this node. */
--- a/tarragonarch-model/src/main/java/org/tarragonarch/model/task/JobService.java
+++ b/tarragonarch-model/src/main/java/org/tarragonarch/model/task/JobService.java
@@ -5,8 +5,8 @@
 
 /** What a door for clients needs of the node behind it; called on the control thread alone. */
 public interface JobService {
-    /** Returns the queues in force, or empty while no configuration is known. */
-    Optional<QueueCatalog> catalog();
+    /** Returns what is known of the queue that a request names by its host and path. */
+    QueueLookup find(String host, String path);
 
     /**
      * Hands in a job; the reply comes once, on the same thread.
