--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/follow/TableFollower.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/follow/TableFollower.java
@@ -21,6 +21,9 @@
     /** Three calls every 0.8 s from each of 2,000 nodes are what the store carries when it comes back. */
     private static final long LONGEST_PAUSE_MILLIS = 800;
 
+    /** How long the store may keep a follower waiting; short enough that a connection gone silent shows soon. */
+    private static final long WAIT_MILLIS = 4_000;
+
     private final RowStore store;
     private final StoreTable table;
     private final Timers timers;
@@ -68,7 +71,7 @@
 
     private void follow() {
         calledAtMillis = timers.nowMillis();
-        store.follow(table, version, this::followAnswered);
+        store.follow(table, version, WAIT_MILLIS, this::followAnswered);
     }
 
     private void readAnswered(RowStore.Reply reply) {
--- /dev/null
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/follow/StoreOutageTest.java
@@ -0,0 +1,176 @@
+package org.tarragonarch.core.follow;
+
+import static org.testng.Assert.assertTrue;
+
+import com.google.common.collect.ImmutableList;
+import java.util.HashMap;
+import java.util.Map;
+import org.tarragonarch.core.placing.VirtualTimers;
+import org.tarragonarch.model.store.StoreRow;
+import org.tarragonarch.model.store.StoreTable;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/**
+ * How soon a change is heard of that is made right after the store was away.
+ *
+ * <p>Operators are promised that a change is in force within 2 s of its confirmation; after a failure of the store
+ * nodes have 3 s from its end.
+ */
+public final class StoreOutageTest {
+    private static final long IN_FORCE_MILLIS = 2_000;
+    private static final long SETTLED_MILLIS = 3_000;
+
+    /** Longer than any call of a follower takes, so that what is heard at all is heard by then. */
+    private static final long LONG_AFTER_MILLIS = 20_000;
+
+    /** How often the list of endpoints is read. */
+    private static final long PERIOD_MILLIS = 900;
+
+    /**
+     * Users were refused with "no such queue" although the queue had been added two seconds before. The store had been
+     * silent for six seconds and back for three; every node had made its call for changes again while it was silent,
+     * and was still waiting for the answer. Nodes heard of the change when that call had used up its five seconds. A
+     * call that waits at a store that is well, and one that a silent store swallowed, looked the same.
+     */
+    @Test
+    public void testFollow_changeRightAfterSilence() {
+        Outage outage = new Outage(0);
+        outage.passTo(4_000);
+        outage.change("version 9");
+        outage.passTo(5_100);
+        outage.store.fail(FailingStore.Failure.SILENT);
+        outage.passTo(11_250);
+        outage.store.fail(FailingStore.Failure.NONE);
+        outage.passTo(12_030);
+        outage.change("version 21");
+        outage.passTo(30_000);
+        outage.assertHeardBy("version 21", 11_250 + SETTLED_MILLIS);
+    }
+
+    /**
+     * The same for an endpoint that says that it leaves: for 4.5 s after the store's return nodes went on starting
+     * tasks on it, since the call for the list of endpoints was one that waits, too.
+     */
+    @Test
+    public void testPeriodicFollow_changeRightAfterSilence() {
+        Outage outage = new Outage(PERIOD_MILLIS);
+        outage.passTo(4_000);
+        outage.change("an endpoint's heartbeat");
+        outage.passTo(5_100);
+        outage.store.fail(FailingStore.Failure.SILENT);
+        outage.passTo(11_250);
+        outage.store.fail(FailingStore.Failure.NONE);
+        outage.passTo(11_500);
+        outage.change("an endpoint leaves");
+        outage.passTo(30_000);
+        outage.assertHeardBy("an endpoint leaves", 11_250 + SETTLED_MILLIS);
+    }
+
+    /** Ways to fail, and the pause between two calls of the follower. */
+    @DataProvider
+    public Object[][] failures() {
+        return new Object[][] {
+            {FailingStore.Failure.SILENT, 0L},
+            {FailingStore.Failure.SILENT, PERIOD_MILLIS},
+            {FailingStore.Failure.BUSY, 0L},
+            {FailingStore.Failure.BUSY, PERIOD_MILLIS},
+            {FailingStore.Failure.RESET, 0L},
+            {FailingStore.Failure.RESET, PERIOD_MILLIS},
+        };
+    }
+
+    /** The same at any moment, of any length, and with the change made at any moment around the store's return. */
+    @Test(dataProvider = "failures")
+    public void testFollow_anyOutage(FailingStore.Failure how, long periodMillis) {
+        for (long begin = 5_000; begin < 6_000; begin += 70) {
+            for (long length = 50; length < 9_000; length += 130) {
+                for (long change : new long[] {10, 400, 1_100, 2_500}) {
+                    Outage outage = new Outage(periodMillis);
+                    outage.passTo(begin);
+                    outage.store.fail(how);
+                    outage.passTo(begin + length);
+                    outage.store.fail(FailingStore.Failure.NONE);
+                    outage.passTo(begin + length + change);
+                    outage.change("news");
+                    outage.passTo(begin + length + change + LONG_AFTER_MILLIS);
+                    outage.assertHeardBy("news", begin + length + Math.max(SETTLED_MILLIS, change + IN_FORCE_MILLIS));
+                }
+            }
+        }
+    }
+
+    /** Connections go silent for good without a reset, while new ones work; the store itself is never away. */
+    @Test
+    public void testFollow_connectionsGoSilent() {
+        for (long moment = 5_000; moment < 10_000; moment += 30) {
+            Outage outage = new Outage(0);
+            outage.passTo(moment);
+            outage.store.forgetWaiting();
+            outage.passTo(moment + 200);
+            outage.change("news");
+            outage.passTo(moment + LONG_AFTER_MILLIS);
+            outage.assertHeardBy("news", moment + SETTLED_MILLIS);
+        }
+    }
+
+    /** One follower at one store, from time 0. */
+    private static final class Outage implements TableListener {
+        private final VirtualTimers timers = new VirtualTimers();
+        private final FailingStore store = new FailingStore(timers);
+        private final Map<String, Long> heard = new HashMap<>();
+        private final long beganAtMillis = timers.nowMillis();
+
+        Outage(long periodMillis) {
+            store.write("first");
+            new TableFollower(store, StoreTable.OPERATOR, timers, this, periodMillis).start();
+        }
+
+        void passTo(long millis) {
+            timers.pass(millis - now());
+        }
+
+        void change(String key) {
+            store.write(key);
+        }
+
+        void assertHeardBy(String key, long millis) {
+            Long at = heard.get(key);
+            assertTrue(at != null && at <= millis, key + " heard at " + at + ", to be heard by " + millis);
+        }
+
+        private long now() {
+            return timers.nowMillis() - beganAtMillis;
+        }
+
+        @Override
+        public void replaced(ImmutableList<StoreRow> rows) {
+            changed(rows);
+        }
+
+        @Override
+        public void changed(ImmutableList<StoreRow> rows) {
+            rows.forEach(row -> heard.putIfAbsent(row.key(), now()));
+        }
+
+        @Override
+        public void current() {
+            // What was heard is all that matters here.
+        }
+
+        @Override
+        public void lost(FailedCall call) {
+            // What was heard is all that matters here.
+        }
+
+        @Override
+        public void stillLost(FailedCall call) {
+            // What was heard is all that matters here.
+        }
+
+        @Override
+        public void regained(long awayMillis) {
+            // What was heard is all that matters here.
+        }
+    }
+}
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/follow/TableFollowerTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/follow/TableFollowerTest.java
@@ -84,7 +84,7 @@
         }
 
         @Override
-        public void follow(StoreTable table, long afterVersion, Consumer<Reply> reply) {
+        public void follow(StoreTable table, long afterVersion, long waitMillis, Consumer<Reply> reply) {
             seen.add("follow " + afterVersion);
             answer(reply);
         }
--- /dev/null
+++ b/tarragonarch-entry/src/test/java/org/tarragonarch/entry/cluster/ConfigurationInForceTest.java
@@ -0,0 +1,100 @@
+package org.tarragonarch.entry.cluster;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import org.tarragonarch.model.task.QueueLookup;
+import org.tarragonarch.model.task.Timers;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** What a node says of queues while its configuration is confirmed, and while it may be out of date. */
+public final class ConfigurationInForceTest {
+    /** How soon after its confirmation a change must be in force. */
+    private static final long IN_FORCE_MILLIS = 2_000;
+
+    private SettableTimers timers;
+    private ConfigurationInForce configuration;
+
+    @BeforeMethod
+    public void create() {
+        timers = new SettableTimers();
+        DecisionLog log = new DecisionLog("n", new PrintStream(new ByteArrayOutputStream()));
+        configuration = new ConfigurationInForce(timers, log);
+    }
+
+    private static byte[] version(int version, String prefix) {
+        String json = "{\"Version\":" + version + ",\"Routes\":[{\"Name\":\"q\",\"Host\":\"h\",\"Prefix\":\"/" + prefix
+                + "/\",\"Service\":\"s\",\"Attempts\":1,\"Stretch\":1.6,\"SloMs\":500}]}";
+        return json.getBytes(StandardCharsets.UTF_8);
+    }
+
+    private QueueLookup.Result find(String prefix) {
+        return configuration.find("h", "/" + prefix + "/0123456789abcdef").result();
+    }
+
+    @Test
+    public void testFind_confirmed() {
+        assertEquals(find("a"), QueueLookup.Result.UNCERTAIN);
+        configuration.offered(version(3, "a"), "store");
+        configuration.confirmed();
+        timers.now += IN_FORCE_MILLIS - 1;
+        assertEquals(find("a"), QueueLookup.Result.FOUND);
+        assertEquals(find("b"), QueueLookup.Result.UNKNOWN);
+    }
+
+    /**
+     * The store was silent and an operator added a queue right after its return. Nodes that had not heard the store for
+     * longer than a change may take refused the queue's users with "no such queue", which sends them away for good. A
+     * node that cannot know says so, and its clients ask again; what it knows it goes on serving.
+     */
+    @Test
+    public void testFind_outOfDate() {
+        configuration.offered(version(3, "a"), "store");
+        configuration.confirmed();
+        timers.now += IN_FORCE_MILLIS + 1;
+        assertEquals(find("b"), QueueLookup.Result.UNCERTAIN);
+        assertEquals(find("a"), QueueLookup.Result.FOUND);
+        configuration.confirmed();
+        assertEquals(find("b"), QueueLookup.Result.UNKNOWN);
+    }
+
+    /**
+     * A node starts while the store cannot be reached and is given a configuration by a peer, which may be cut off
+     * itself and have an old one. It serves by it, but has no right to say that a queue does not exist.
+     */
+    @Test
+    public void testFind_knownFromAPeerAlone() {
+        configuration.offered(version(3, "a"), "hobart-2");
+        assertEquals(find("a"), QueueLookup.Result.FOUND);
+        assertEquals(find("b"), QueueLookup.Result.UNCERTAIN);
+    }
+
+    @Test
+    public void testOffered_olderVersionIsNotTaken() {
+        assertTrue(configuration.offered(version(9, "b"), "store"));
+        assertFalse(configuration.offered(version(3, "a"), "hobart-2"));
+        assertFalse(configuration.offered("{\"Version\":".getBytes(StandardCharsets.UTF_8), "store"));
+        assertEquals(configuration.version(), 9);
+        assertEquals(configuration.source(), "store");
+    }
+
+    /** Time that a test sets. */
+    private static final class SettableTimers implements Timers {
+        private long now = 1_000;
+
+        @Override
+        public long nowMillis() {
+            return now;
+        }
+
+        @Override
+        public Handle after(long millis, Runnable task) {
+            return () -> {};
+        }
+    }
+}
--- a/tarragonarch-model/src/main/java/org/tarragonarch/model/store/RowStore.java
+++ b/tarragonarch-model/src/main/java/org/tarragonarch/model/store/RowStore.java
@@ -8,8 +8,12 @@
     /** Reads a whole table as of one moment. */
     void read(StoreTable table, Consumer<Reply> reply);
 
-    /** Waits for changes after a version, for as long as the store allows. */
-    void follow(StoreTable table, long afterVersion, Consumer<Reply> reply);
+    /**
+     * Reads the changes after a version.
+     *
+     * @param waitMillis how long the store may wait for the first one, in milliseconds; 0 to be answered at once
+     */
+    void follow(StoreTable table, long afterVersion, long waitMillis, Consumer<Reply> reply);
 
     /** Writes a row whatever it held before. */
     void put(StoreTable table, String key, byte[] value, Consumer<Reply> reply);
