Bound how long a swallowed call to the store goes unnoticed, and what is said meanwhile

After an outage every node was deaf until then, to configurations and to the list of endpoints alike; and a node refused queues by a configuration whose age nobody kept.

Change: - A follower lets the store wait for half of the time in which a change must be in force (1 s of 2 s, in place of 4 s), so that an answer every second shows that the store has the call. - After a call that failed the next ones do not wait, until one is answered, and the pause counts from the call's start: a store that is back is heard within 1 s. - The list of endpoints is asked for once in 0.9 s and answered at once; its calls never waited for anything but an outage. - 'No such queue' is said only while the configuration was confirmed within the bound; else 503 with a time to come back. What is known is served on, whatever its age.

--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/follow/TableFollower.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/follow/TableFollower.java
@@ -13,22 +13,28 @@
  *
  * <p>When the store forgets its history, the table is read whole again; when it does not answer, the same call is made
  * again after a growing pause.
+ *
+ * <p>Guards against a call that a silent store, or a connection that has gone silent, swallowed: it looks the same as
+ * one that waits at a store that is well, and whatever changes meanwhile is not heard of. Two things bound how long
+ * that goes unnoticed. The store has to answer within {@link FollowPace#waitMillis} even if nothing has changed. And
+ * after a call that failed the next ones do not wait at all, until one is answered: a store that is back shows so by
+ * the first call that reaches it, at the latest when the call before has timed out.
  */
 public final class TableFollower {
-    /** Short against the two seconds in which a new configuration has to be in force. */
+    /**
+     * From a call that failed to the next one, in milliseconds; short against the two seconds in which a new
+     * configuration has to be in force. A call that has taken longer than this is followed by the next at once.
+     */
     private static final long FIRST_PAUSE_MILLIS = 200;
 
     /** Three calls every 0.8 s from each of 2,000 nodes are what the store carries when it comes back. */
     private static final long LONGEST_PAUSE_MILLIS = 800;
 
-    /** How long the store may keep a follower waiting; short enough that a connection gone silent shows soon. */
-    private static final long WAIT_MILLIS = 4_000;
-
     private final RowStore store;
     private final StoreTable table;
     private final Timers timers;
     private final TableListener listener;
-    private final long periodMillis;
+    private final FollowPace pace;
     private long version = -1;
     private long pauseMillis = FIRST_PAUSE_MILLIS;
     private boolean away;
@@ -36,17 +42,13 @@
     private long calledAtMillis;
     private long answeredAtMillis;
 
-    /**
-     * Creates a follower that has not begun.
-     *
-     * @param periodMillis the pause between two calls, in milliseconds; 0 to hear of each change at once
-     */
-    public TableFollower(RowStore store, StoreTable table, Timers timers, TableListener listener, long periodMillis) {
+    /** Creates a follower that has not begun. */
+    public TableFollower(RowStore store, StoreTable table, Timers timers, TableListener listener, FollowPace pace) {
         this.store = checkNotNull(store, "store");
         this.table = checkNotNull(table, "table");
         this.timers = checkNotNull(timers, "timers");
         this.listener = checkNotNull(listener, "listener");
-        this.periodMillis = periodMillis;
+        this.pace = checkNotNull(pace, "pace");
     }
 
     /** Begins with reading the whole table. */
@@ -62,16 +64,16 @@
     }
 
     private void followLater() {
-        if (periodMillis == 0) {
+        if (pace.periodMillis() == 0) {
             follow();
         } else {
-            timers.after(periodMillis, this::follow);
+            timers.after(pace.periodMillis(), this::follow);
         }
     }
 
     private void follow() {
         calledAtMillis = timers.nowMillis();
-        store.follow(table, version, WAIT_MILLIS, this::followAnswered);
+        store.follow(table, version, away ? 0 : pace.waitMillis(), this::followAnswered);
     }
 
     private void readAnswered(RowStore.Reply reply) {
@@ -123,7 +125,7 @@
             awaySinceMillis = now;
             listener.lost(call);
         }
-        timers.after(pauseMillis, () -> {
+        timers.after(Math.max(0, pauseMillis - call.tookMillis()), () -> {
             if (version < 0) {
                 readAll();
             } else {
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/follow/StoreOutageTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/follow/StoreOutageTest.java
@@ -24,6 +24,9 @@
     /** Longer than any call of a follower takes, so that what is heard at all is heard by then. */
     private static final long LONG_AFTER_MILLIS = 20_000;
 
+    /** How long a call for the configuration waits: half of the time in which a change must be in force. */
+    private static final long WAIT_MILLIS = IN_FORCE_MILLIS / 2;
+
     /** How often the list of endpoints is read. */
     private static final long PERIOD_MILLIS = 900;
 
@@ -123,7 +126,8 @@
 
         Outage(long periodMillis) {
             store.write("first");
-            new TableFollower(store, StoreTable.OPERATOR, timers, this, periodMillis).start();
+            FollowPace pace = periodMillis == 0 ? FollowPace.waiting(WAIT_MILLIS) : FollowPace.every(periodMillis);
+            new TableFollower(store, StoreTable.OPERATOR, timers, this, pace).start();
         }
 
         void passTo(long millis) {
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/follow/TableFollowerTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/follow/TableFollowerTest.java
@@ -33,7 +33,8 @@
 
     private void run(RowStore.Reply... replies) {
         script.addAll(List.of(replies));
-        new TableFollower(new ScriptedStore(), StoreTable.OPERATOR, timers, new Notes(), 0).start();
+        new TableFollower(new ScriptedStore(), StoreTable.OPERATOR, timers, new Notes(), FollowPace.waiting(1_000))
+                .start();
         timers.pass(10_000);
     }
 
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ClusterNode.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ClusterNode.java
@@ -15,6 +15,7 @@
 import org.tarragonarch.adapter.StoreClient;
 import org.tarragonarch.core.cluster.Coordinator;
 import org.tarragonarch.core.cluster.Discovery;
+import org.tarragonarch.core.follow.FollowPace;
 import org.tarragonarch.core.follow.TableFollower;
 import org.tarragonarch.core.handover.JobDesk;
 import org.tarragonarch.core.placing.PlacingSettings;
@@ -69,6 +70,13 @@
      */
     private static final long LIST_PERIOD_MILLIS = 900;
 
+    /**
+     * How often the store says that there is no newer configuration, within the time in which a change must be in
+     * force. With two, at 2 s, a call waits for 1 s: it costs 0.75 calls a second more than one of 4 s, and a
+     * configuration that is confirmed is never older than that time.
+     */
+    private static final int CONFIRMATIONS_PER_BOUND = 2;
+
     /** The balancer asks once a second and drops a node after two misses. */
     private static final long BALANCER_NOTICE_MILLIS = 2_300;
 
@@ -114,7 +122,8 @@
         this.settings = settings;
         this.log = log;
         this.startedAtMillis = timers.nowMillis();
-        this.configuration = new ConfigurationInForce(timers, log);
+        this.configuration =
+                new ConfigurationInForce(settings.configurationMillis(), timers, System::currentTimeMillis, log);
         this.meters = new NodeMeters(this::openJobs, log::droppedLines);
         meters.watchConfiguration(configuration);
         this.coordinator = new Coordinator(
@@ -208,8 +217,10 @@
                 new ConfigurationRows(configuration, this::configured, storeLog(StoreTable.OPERATOR));
         EndpointRows endpointRows = new EndpointRows(
                 endpoints, coordinator::endpointsChanged, timers, log, meters, storeLog(StoreTable.ENDPOINTS));
-        new TableFollower(store, StoreTable.OPERATOR, timers, configurationRows, 0).start();
-        new TableFollower(store, StoreTable.ENDPOINTS, timers, endpointRows, LIST_PERIOD_MILLIS).start();
+        FollowPace configurationPace = FollowPace.waiting(settings.configurationMillis() / CONFIRMATIONS_PER_BOUND);
+        new TableFollower(store, StoreTable.OPERATOR, timers, configurationRows, configurationPace).start();
+        new TableFollower(store, StoreTable.ENDPOINTS, timers, endpointRows, FollowPace.every(LIST_PERIOD_MILLIS))
+                .start();
         review();
     }
 
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ClusterSettings.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ClusterSettings.java
@@ -33,6 +33,7 @@
  * @param storeAddress the platform's store
  * @param leaseMillis the longest lease that endpoints give
  * @param stopMillis the longest that a stop takes on an endpoint
+ * @param configurationMillis how soon after its confirmation a change of the configuration must be in force
  * @param shutdownMillis how long the process may take to end after it was asked to
  */
 record ClusterSettings(
@@ -49,7 +50,11 @@
         Address storeAddress,
         long leaseMillis,
         long stopMillis,
+        long configurationMillis,
         long shutdownMillis) {
+    /** What operators are promised where the settings say nothing else. */
+    private static final long DEFAULT_CONFIGURATION_MILLIS = 2_000;
+
     private static final long MILLIS_PER_SECOND = 1_000;
     private static final int MILLI_CORES_PER_CORE = 1_000;
 
@@ -100,6 +105,7 @@
         private String storeAddress = "";
         private long leaseMillis;
         private long stopMillis;
+        private long configurationMillis = DEFAULT_CONFIGURATION_MILLIS;
         private long shutdownSeconds;
 
         void read(JsonParser parser) throws IOException {
@@ -133,6 +139,7 @@
                 case "store-address" -> storeAddress = parser.getText();
                 case "lease-millis" -> leaseMillis = parser.getLongValue();
                 case "stop-millis" -> stopMillis = parser.getLongValue();
+                case "configuration-millis" -> configurationMillis = parser.getLongValue();
                 case "shutdown-seconds" -> shutdownSeconds = parser.getLongValue();
                 default -> throw new IOException("unknown key '" + key + "'");
             }
@@ -153,6 +160,7 @@
                     Address.parse(storeAddress),
                     positive("lease-millis", leaseMillis),
                     positive("stop-millis", stopMillis),
+                    positive("configuration-millis", configurationMillis),
                     positive("shutdown-seconds", shutdownSeconds) * MILLIS_PER_SECOND);
         }
 
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ConfigurationInForce.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ConfigurationInForce.java
@@ -2,10 +2,12 @@
 
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.function.LongSupplier;
 import org.tarragonarch.adapter.ConfigurationBody;
 import org.tarragonarch.adapter.UnreadableBodyException;
 import org.tarragonarch.model.log.NodeEvent;
 import org.tarragonarch.model.task.QueueCatalog;
+import org.tarragonarch.model.task.QueueDefinition;
 import org.tarragonarch.model.task.QueueLookup;
 import org.tarragonarch.model.task.Timers;
 
@@ -13,15 +15,26 @@
 final class ConfigurationInForce {
     private static final String NO_SOURCE = "none";
 
+    private final long boundMillis;
     private final Timers timers;
+    private final LongSupplier wallMillis;
     private final DecisionLog log;
     private Optional<QueueCatalog> catalog = Optional.empty();
     private byte[] text = new byte[0];
     private String source = NO_SOURCE;
     private OptionalLong confirmedAtMillis = OptionalLong.empty();
+    private long confirmedAtWallMillis;
 
-    ConfigurationInForce(Timers timers, DecisionLog log) {
+    /**
+     * Creates one without a configuration.
+     *
+     * @param boundMillis how soon a change must be in force, so how old a confirmation may be
+     * @param wallMillis the time of day, which shows that the VM was suspended
+     */
+    ConfigurationInForce(long boundMillis, Timers timers, LongSupplier wallMillis, DecisionLog log) {
+        this.boundMillis = boundMillis;
         this.timers = timers;
+        this.wallMillis = wallMillis;
         this.log = log;
     }
 
@@ -38,12 +51,26 @@
         return catalog.map(QueueCatalog::version).orElse(0L);
     }
 
-    /** Returns what is known of the queue that a request names. */
+    /**
+     * Returns what is known of the queue that a request names.
+     *
+     * <p>Guards against "no such queue" for a queue that was added while this node could not hear of it: the store was
+     * away, the way to it cut, this process or its VM paused, or the configuration came from a peer that may be cut off
+     * itself. Such an answer is final, and the client goes away. Nobody was promised that a change is in force sooner
+     * than the bound, so a confirmation younger than that vouches for the answer. A queue that is known is served
+     * whatever the age, as a failure domain that is cut off has to.
+     */
     QueueLookup find(String host, String path) {
-        if (catalog.isEmpty()) {
-            return QueueLookup.uncertain();
+        Optional<QueueDefinition> queue = catalog.flatMap(known -> known.find(host, path));
+        if (queue.isPresent()) {
+            return QueueLookup.found(queue.get());
         }
-        return catalog.get().find(host, path).map(QueueLookup::found).orElseGet(QueueLookup::unknown);
+        return isCurrent() ? QueueLookup.unknown() : QueueLookup.uncertain();
+    }
+
+    private boolean isCurrent() {
+        OptionalLong age = ageMillis();
+        return catalog.isPresent() && age.isPresent() && age.getAsLong() <= boundMillis;
     }
 
     /** Returns where the version in force came from: the store, or the name of a peer. */
@@ -54,13 +81,22 @@
     /** Notes that the store has no newer version now. */
     void confirmed() {
         confirmedAtMillis = OptionalLong.of(timers.nowMillis());
+        confirmedAtWallMillis = wallMillis.getAsLong();
     }
 
-    /** Returns how long ago the store last showed that there was no newer version; empty if it never did. */
+    /**
+     * Returns how long ago the store last showed that there was no newer version; empty if it never did.
+     *
+     * <p>The steady clock stands still while a VM is suspended, and the time of day may be set; the longer of the two
+     * times is never too short, and too long only until the next confirmation.
+     */
     OptionalLong ageMillis() {
-        return confirmedAtMillis.isPresent()
-                ? OptionalLong.of(timers.nowMillis() - confirmedAtMillis.getAsLong())
-                : OptionalLong.empty();
+        if (confirmedAtMillis.isEmpty()) {
+            return OptionalLong.empty();
+        }
+        long steady = timers.nowMillis() - confirmedAtMillis.getAsLong();
+        long wall = wallMillis.getAsLong() - confirmedAtWallMillis;
+        return OptionalLong.of(Math.max(steady, wall));
     }
 
     /** Returns the age as it stands in the log. */
--- a/tarragonarch-entry/src/test/java/org/tarragonarch/entry/cluster/ConfigurationInForceTest.java
+++ b/tarragonarch-entry/src/test/java/org/tarragonarch/entry/cluster/ConfigurationInForceTest.java
@@ -24,7 +24,7 @@
     public void create() {
         timers = new SettableTimers();
         DecisionLog log = new DecisionLog("n", new PrintStream(new ByteArrayOutputStream()));
-        configuration = new ConfigurationInForce(timers, log);
+        configuration = new ConfigurationInForce(IN_FORCE_MILLIS, timers, () -> timers.wall, log);
     }
 
     private static byte[] version(int version, String prefix) {
@@ -74,6 +74,22 @@
         assertEquals(find("b"), QueueLookup.Result.UNCERTAIN);
     }
 
+    /**
+     * A VM is suspended for five seconds, which its steady clock does not count, and an operator adds a queue
+     * meanwhile. Right after it went on the node refused the queue's users by a configuration that seemed fresh.
+     */
+    @Test
+    public void testFind_afterSuspension() {
+        configuration.offered(version(3, "a"), "store");
+        configuration.confirmed();
+        timers.wall += 5_000;
+        assertEquals(find("b"), QueueLookup.Result.UNCERTAIN);
+        configuration.confirmed();
+        assertEquals(find("b"), QueueLookup.Result.UNKNOWN);
+        timers.wall -= 60_000;
+        assertEquals(find("b"), QueueLookup.Result.UNKNOWN, "a clock that is set back makes nothing older");
+    }
+
     @Test
     public void testOffered_olderVersionIsNotTaken() {
         assertTrue(configuration.offered(version(9, "b"), "store"));
@@ -86,6 +102,7 @@
     /** Time that a test sets. */
     private static final class SettableTimers implements Timers {
         private long now = 1_000;
+        private long wall = 1_000_000;
 
         @Override
         public long nowMillis() {
