Follow a table read in pages from the version of its first page

Cause: the version of the last page stood for all, so that a row written between two pages was on neither and in no later answer; the node held the old row until its next start. Change: the first page's version; rows written meanwhile come once more, which changes nothing.

--- a/tarragonarch-model/src/main/java/org/tarragonarch/model/store/RowPage.java
+++ b/tarragonarch-model/src/main/java/org/tarragonarch/model/store/RowPage.java
@@ -15,4 +15,14 @@
     public RowPage {
         checkNotNull(rows, "rows");
     }
+
+    /** Returns the rows of this page and then those of a later one, as of this page's version. */
+    public RowPage followedBy(RowPage later) {
+        return new RowPage(
+                ImmutableList.<StoreRow>builder()
+                        .addAll(rows)
+                        .addAll(later.rows)
+                        .build(),
+                version);
+    }
 }
