Go on following a table whose rows the code behind the follower broke on

Cause: an exception of the listener ended the chain of calls without a word; the node kept the configuration, or the list of endpoints, that it had. TableFollowerTest.testFollow_listenerBreaks.

--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/follow/TableFollower.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/follow/TableFollower.java
@@ -2,9 +2,11 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import com.google.common.collect.ImmutableList;
 import org.tarragonarch.model.store.RowPage;
 import org.tarragonarch.model.store.RowStore;
 import org.tarragonarch.model.store.StoreResult;
+import org.tarragonarch.model.store.StoreRow;
 import org.tarragonarch.model.store.StoreTable;
 import org.tarragonarch.model.task.Timers;
 
@@ -81,31 +83,48 @@
             failed(reply.result());
             return;
         }
-        succeeded();
         RowPage page = reply.page().orElseThrow();
-        version = page.version();
-        listener.replaced(page.rows());
-        listener.current();
-        followLater();
+        take(page.version(), () -> listener.replaced(page.rows()));
     }
 
     private void followAnswered(RowStore.Reply reply) {
         switch (reply.result()) {
             case DONE -> {
-                succeeded();
                 RowPage page = reply.page().orElseThrow();
-                version = Math.max(version, page.version());
-                if (!page.rows().isEmpty()) {
-                    listener.changed(page.rows());
-                }
-                listener.current();
-                followLater();
+                take(Math.max(version, page.version()), () -> handOver(page.rows()));
             }
             case HISTORY_GONE -> readAll();
             default -> failed(reply.result());
         }
     }
 
+    private void handOver(ImmutableList<StoreRow> changed) {
+        if (!changed.isEmpty()) {
+            listener.changed(changed);
+        }
+    }
+
+    /**
+     * Takes in an answer and goes on.
+     *
+     * <p>Guards against rows that the listener breaks on: no further call would be made, and the node would keep what
+     * it knew until its next start, without a word. The table is read whole again instead, and until that is taken
+     * nothing counts as current.
+     */
+    private void take(long asOf, Runnable handOver) {
+        succeeded();
+        try {
+            handOver.run();
+        } catch (RuntimeException e) {
+            listener.unusable(e);
+            timers.after(LONGEST_PAUSE_MILLIS, this::readAll);
+            return;
+        }
+        version = asOf;
+        listener.current();
+        followLater();
+    }
+
     private void succeeded() {
         pauseMillis = FIRST_PAUSE_MILLIS;
         answeredAtMillis = timers.nowMillis();
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/follow/TableListener.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/follow/TableListener.java
@@ -14,6 +14,9 @@
     /** The store has answered, and every row that it had has been handed over: what is known is as of now. */
     void current();
 
+    /** What the store answered could not be taken; the table is read whole again. */
+    void unusable(RuntimeException why);
+
     /** The store cannot be read; what is known grows old from now on. */
     void lost(FailedCall call);
 
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/follow/StoreOutageTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/follow/StoreOutageTest.java
@@ -162,6 +162,11 @@
             // What was heard is all that matters here.
         }
 
+        @Override
+        public void unusable(RuntimeException why) {
+            throw new AssertionError("no row is wrong here", why);
+        }
+
         @Override
         public void lost(FailedCall call) {
             // What was heard is all that matters here.
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/follow/TableFollowerTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/follow/TableFollowerTest.java
@@ -19,6 +19,9 @@
 
 /** Following a table whose store answers as a script says. */
 public final class TableFollowerTest {
+    /** The key of a row that the listener breaks on. */
+    private static final String BREAKING = "!";
+
     private final VirtualTimers timers = new VirtualTimers();
     private final Deque<RowStore.Reply> script = new ArrayDeque<>();
     private final List<String> seen = new ArrayList<>();
@@ -76,6 +79,27 @@
                         "follow 6"));
     }
 
+    /**
+     * A row was such that the code behind the follower broke on it. The follower made no further call, and the node
+     * kept the configuration that it had until it was started again.
+     */
+    @Test
+    public void testFollow_listenerBreaks() {
+        TableFollowerTest test = new TableFollowerTest();
+        test.run(page(5, "a"), page(7, BREAKING), page(8, "b"));
+        assertEquals(
+                test.seen,
+                ImmutableList.of(
+                        "read",
+                        "replaced [a]",
+                        "follow 5",
+                        "changed [!]",
+                        "unusable: broken",
+                        "read",
+                        "replaced [b]",
+                        "follow 8"));
+    }
+
     /** Answers as the script says, and not at all when it is over. */
     private final class ScriptedStore implements RowStore {
         @Override
@@ -113,6 +137,9 @@
         @Override
         public void changed(ImmutableList<StoreRow> rows) {
             seen.add("changed " + rows.stream().map(StoreRow::key).toList());
+            if (rows.get(0).key().equals(BREAKING)) {
+                throw new IllegalStateException("broken");
+            }
         }
 
         @Override
@@ -120,6 +147,11 @@
             // Told after each answer; the calls that follow show as much.
         }
 
+        @Override
+        public void unusable(RuntimeException why) {
+            seen.add("unusable: " + why.getMessage());
+        }
+
         @Override
         public void lost(FailedCall call) {
             seen.add("lost");
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ConfigurationRows.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ConfigurationRows.java
@@ -39,6 +39,11 @@
         log.answered();
     }
 
+    @Override
+    public void unusable(RuntimeException why) {
+        log.unusable(why);
+    }
+
     @Override
     public void lost(FailedCall call) {
         log.lost(call);
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/EndpointRows.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/EndpointRows.java
@@ -74,6 +74,11 @@
         storeLog.answered();
     }
 
+    @Override
+    public void unusable(RuntimeException why) {
+        storeLog.unusable(why);
+    }
+
     @Override
     public void lost(FailedCall call) {
         endpoints.storeLost();
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/StoreLog.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/StoreLog.java
@@ -28,6 +28,10 @@
         answeredAtMillis = timers.nowMillis();
     }
 
+    void unusable(RuntimeException why) {
+        log.line(NodeEvent.STORE_ROWS_UNUSABLE, "table", table, "reason", why);
+    }
+
     void lost(FailedCall call) {
         failed(NodeEvent.STORE_LOST, call);
     }
--- a/tarragonarch-model/src/main/java/org/tarragonarch/model/log/NodeEvent.java
+++ b/tarragonarch-model/src/main/java/org/tarragonarch/model/log/NodeEvent.java
@@ -28,6 +28,8 @@
     PEER_LOST,
     /** A table of the platform's store cannot be read. */
     STORE_LOST,
+    /** The rows that a table's call brought could not be taken; the table is read whole again. */
+    STORE_ROWS_UNUSABLE,
     /** Another call for a table that cannot be read has failed. */
     STORE_CALL_FAILED,
     /** The table can be read again. */
