--- a/tarragonarch-entry/src/test/java/org/tarragonarch/entry/cluster/WholePathTest.java
+++ b/tarragonarch-entry/src/test/java/org/tarragonarch/entry/cluster/WholePathTest.java
@@ -79,6 +79,27 @@
         assertEquals(status(post(node, "a", 77)), 404);
     }
 
+    /**
+     * The store is silent, and an operator replaces a queue by another at the moment of its return. Users of the new
+     * queue were told for seconds that there is none, which no client asks about twice. They are told to come back
+     * instead, the queue that is known is served meanwhile, and after the return the new one is.
+     */
+    @Test
+    public void testConfiguration_changesAsASilentStoreComesBack() throws Exception {
+        store.configure(QUEUES.formatted(3, "a"));
+        ClusterSettings node = startNode("n1");
+        awaitReady(node);
+        awaitStatus(node, "b", 404);
+        store.silent(true);
+        awaitStatus(node, "b", 503);
+        assertEquals(status(post(node, "a", 2)), 200);
+        store.configure(QUEUES.formatted(9, "b"));
+        assertEquals(status(post(node, "b", 3)), 503);
+        store.silent(false);
+        awaitStatus(node, "b", 200);
+        awaitStatus(node, "a", 404);
+    }
+
     /**
      * The node that holds the endpoints is killed. Users of the other node saw nothing but refusals until someone took
      * the endpoints over; that takes well under two seconds, without the store.
