--- a/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/Experiment.java
+++ b/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/Experiment.java
@@ -1,6 +1,5 @@
 package org.tarragonarch.benchmark.experiment;
 
-import com.google.common.collect.ImmutableMultiset;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -133,12 +132,16 @@
             double worth = job.kind().worth() * Math.min(MOST_WORTH, FIXED_WORTH + (1 - FIXED_WORTH) * size);
             experiences.add(new Experience(job, fates.getOrDefault(job, Fate.LOST), worth));
         }
-        ImmutableMultiset<EndpointClass> endpoints = cluster.endpoints().stream()
-                .map(ModelEndpoint::endpointClass)
-                .collect(ImmutableMultiset.toImmutableMultiset());
+        double milliCores = cluster.endpoints().stream()
+                .mapToDouble(endpoint -> endpoint.entry().capacity().milliCores())
+                .sum();
+        double speed = shape.speeds().stream()
+                .mapToDouble(Double::doubleValue)
+                .average()
+                .orElse(1);
         int overfilled =
                 cluster.endpoints().stream().mapToInt(ModelEndpoint::overfilled).sum();
-        return new ExperimentResult(experiences, () -> PriceBound.of(shape, endpoints, experiences), overfilled);
+        return new ExperimentResult(experiences, new FluidBound(shape, milliCores * speed).of(experiences), overfilled);
     }
 
     /** Something that begins or ends at one endpoint. */
--- a/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/ExperimentCommand.java
+++ b/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/ExperimentCommand.java
@@ -78,8 +78,7 @@
         rows.put(
                 "earned", results.stream().mapToDouble(ExperimentResult::earned).toArray());
         rows.put(
-                "at most",
-                results.parallelStream().mapToDouble(ExperimentResult::bound).toArray());
+                "at most", results.stream().mapToDouble(ExperimentResult::bound).toArray());
         for (String kind : results.get(0).byKind().keySet()) {
             rows.put(
                     kind,
--- a/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/ExperimentResult.java
+++ b/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/ExperimentResult.java
@@ -5,7 +5,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.function.DoubleSupplier;
 import java.util.function.Function;
 import java.util.function.Predicate;
 
@@ -18,10 +17,10 @@
     private static final double LARGEST_PART = 0.9;
 
     private final ImmutableList<Experience> experiences;
-    private final DoubleSupplier bound;
+    private final double bound;
     private final int overfilled;
 
-    ExperimentResult(List<Experience> experiences, DoubleSupplier bound, int overfilled) {
+    ExperimentResult(List<Experience> experiences, double bound, int overfilled) {
         this.experiences = ImmutableList.copyOf(experiences);
         this.bound = bound;
         this.overfilled = overfilled;
@@ -32,9 +31,9 @@
         return part(each -> true);
     }
 
-    /** Returns the part of all worth that no scheduler could have exceeded; finding it takes seconds. */
+    /** Returns the part of all worth that no scheduler could have exceeded. */
     public double bound() {
-        return bound.getAsDouble();
+        return bound;
     }
 
     /** Returns how often an endpoint was given more than it has room for. */
--- a/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/Fate.java
+++ b/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/Fate.java
@@ -15,8 +15,7 @@
     /** No answer: no node could be reached, or the one that had it was lost. */
     LOST(0);
 
-    /** How many times its aim an answer may take to count as late. */
-    static final int LATE_MULTIPLE = 3;
+    private static final int LATE_MULTIPLE = 3;
 
     private final double credit;
 
--- a/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/ModelEndpoint.java
+++ b/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/ModelEndpoint.java
@@ -39,7 +39,6 @@
     private final Map<TaskName, Integer> overUpTo = new HashMap<>();
     private final List<TaskEnd> ends = new ArrayList<>();
     private final List<Runnable> waitingLooks = new ArrayList<>();
-    private final EndpointClass endpointClass;
     private double speed;
     private boolean hanging;
     private boolean failing;
@@ -54,7 +53,6 @@
         this.entry = entry;
         this.domain = domain;
         this.speed = speed;
-        this.endpointClass = new EndpointClass(entry.capacity().milliCores(), speed);
         this.durations = durations;
     }
 
@@ -66,11 +64,6 @@
         return domain;
     }
 
-    /** Returns what it is like while nothing disturbs it. */
-    EndpointClass endpointClass() {
-        return endpointClass;
-    }
-
     /** Returns how often it was given more than it has room for. */
     int overfilled() {
         return overfilled;
