Log what befalls a table of the store in one place

Both listeners passed five calls each on to a log of their own; the calls' common part is now the class that both extend. Nothing else changes.

--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ClusterNode.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ClusterNode.java
@@ -214,9 +214,8 @@
     private void begin() {
         directory.start();
         ConfigurationRows configurationRows =
-                new ConfigurationRows(configuration, this::configured, storeLog(StoreTable.OPERATOR));
-        EndpointRows endpointRows = new EndpointRows(
-                endpoints, coordinator::endpointsChanged, timers, log, meters, storeLog(StoreTable.ENDPOINTS));
+                new ConfigurationRows(configuration, this::configured, timers, log, meters);
+        EndpointRows endpointRows = new EndpointRows(endpoints, coordinator::endpointsChanged, timers, log, meters);
         FollowPace configurationPace = FollowPace.waiting(settings.configurationMillis() / CONFIRMATIONS_PER_BOUND);
         new TableFollower(store, StoreTable.OPERATOR, timers, configurationRows, configurationPace).start();
         new TableFollower(store, StoreTable.ENDPOINTS, timers, endpointRows, FollowPace.every(LIST_PERIOD_MILLIS))
@@ -224,10 +223,6 @@
         review();
     }
 
-    private StoreLog storeLog(StoreTable table) {
-        return new StoreLog(table, timers, log, meters);
-    }
-
     private void configured() {
         configuration.catalog().ifPresent(coordinator::configured);
     }
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ConfigurationRows.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ConfigurationRows.java
@@ -2,20 +2,24 @@
 
 import com.google.common.collect.ImmutableList;
 import org.tarragonarch.adapter.PlatformNames;
-import org.tarragonarch.core.follow.FailedCall;
-import org.tarragonarch.core.follow.TableListener;
 import org.tarragonarch.model.store.StoreRow;
+import org.tarragonarch.model.store.StoreTable;
+import org.tarragonarch.model.task.Timers;
 
 /** Takes the operators' rows of the store: the configuration is one of them. */
-final class ConfigurationRows implements TableListener {
+final class ConfigurationRows extends LoggedTable {
     private final ConfigurationInForce configuration;
-    private final Runnable changed;
-    private final StoreLog log;
-
-    ConfigurationRows(ConfigurationInForce configuration, Runnable changed, StoreLog log) {
+    private final Runnable newVersion;
+
+    ConfigurationRows(
+            ConfigurationInForce configuration,
+            Runnable newVersion,
+            Timers timers,
+            DecisionLog log,
+            NodeMeters meters) {
+        super(StoreTable.OPERATOR, timers, log, meters);
         this.configuration = configuration;
-        this.changed = changed;
-        this.log = log;
+        this.newVersion = newVersion;
     }
 
     @Override
@@ -28,34 +32,14 @@
         for (StoreRow row : rows) {
             boolean holdsConfiguration = row.key().equals(PlatformNames.CONFIGURATION_ROW) && !row.deleted();
             if (holdsConfiguration && configuration.offered(row.value(), "store")) {
-                changed.run();
+                newVersion.run();
             }
         }
     }
 
     @Override
     public void current() {
+        super.current();
         configuration.confirmed();
-        log.answered();
-    }
-
-    @Override
-    public void unusable(RuntimeException why) {
-        log.unusable(why);
-    }
-
-    @Override
-    public void lost(FailedCall call) {
-        log.lost(call);
-    }
-
-    @Override
-    public void stillLost(FailedCall call) {
-        log.stillLost(call);
-    }
-
-    @Override
-    public void regained(long awayMillis) {
-        log.regained(awayMillis);
     }
 }
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/EndpointRows.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/EndpointRows.java
@@ -5,31 +5,24 @@
 import org.tarragonarch.adapter.EndpointBody;
 import org.tarragonarch.adapter.UnreadableBodyException;
 import org.tarragonarch.core.follow.FailedCall;
-import org.tarragonarch.core.follow.TableListener;
 import org.tarragonarch.core.shard.EndpointList;
 import org.tarragonarch.model.id.EndpointId;
 import org.tarragonarch.model.log.NodeEvent;
 import org.tarragonarch.model.store.StoreRow;
+import org.tarragonarch.model.store.StoreTable;
 import org.tarragonarch.model.task.EndpointEntry;
 import org.tarragonarch.model.task.Timers;
 
 /** Takes the endpoints' rows of the store into the list; a row that cannot be read is left out and logged. */
-final class EndpointRows implements TableListener {
+final class EndpointRows extends LoggedTable {
     private final EndpointList endpoints;
     private final Runnable listChanged;
     private final Timers timers;
     private final DecisionLog log;
     private final NodeMeters meters;
-    private final StoreLog storeLog;
 
-    EndpointRows(
-            EndpointList endpoints,
-            Runnable listChanged,
-            Timers timers,
-            DecisionLog log,
-            NodeMeters meters,
-            StoreLog storeLog) {
-        this.storeLog = storeLog;
+    EndpointRows(EndpointList endpoints, Runnable listChanged, Timers timers, DecisionLog log, NodeMeters meters) {
+        super(StoreTable.ENDPOINTS, timers, log, meters);
         this.meters = meters;
         this.endpoints = endpoints;
         this.listChanged = listChanged;
@@ -69,31 +62,16 @@
         return entry.isPresent() ? endpoints.listed(entry.get()) : endpoints.overwritten(id.get());
     }
 
-    @Override
-    public void current() {
-        storeLog.answered();
-    }
-
-    @Override
-    public void unusable(RuntimeException why) {
-        storeLog.unusable(why);
-    }
-
     @Override
     public void lost(FailedCall call) {
         endpoints.storeLost();
-        storeLog.lost(call);
-    }
-
-    @Override
-    public void stillLost(FailedCall call) {
-        storeLog.stillLost(call);
+        super.lost(call);
     }
 
     @Override
     public void regained(long awayMillis) {
         endpoints.storeBack(timers.nowMillis());
-        storeLog.regained(awayMillis);
+        super.regained(awayMillis);
     }
 
     private Optional<EndpointEntry> read(StoreRow row) {
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/StoreLog.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/LoggedTable.java
@@ -3,19 +3,23 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import org.tarragonarch.core.follow.FailedCall;
+import org.tarragonarch.core.follow.TableListener;
 import org.tarragonarch.model.log.NodeEvent;
 import org.tarragonarch.model.store.StoreTable;
 import org.tarragonarch.model.task.Timers;
 
-/** What the log and the metrics show of one table of the store: when it last answered, and each call that failed. */
-final class StoreLog {
+/**
+ * A table of the store whose failures show in the log and the metrics: when it last answered, and each call that
+ * failed.
+ */
+abstract class LoggedTable implements TableListener {
     private final StoreTable table;
     private final Timers timers;
     private final DecisionLog log;
     private final NodeMeters meters;
     private long answeredAtMillis;
 
-    StoreLog(StoreTable table, Timers timers, DecisionLog log, NodeMeters meters) {
+    LoggedTable(StoreTable table, Timers timers, DecisionLog log, NodeMeters meters) {
         this.table = checkNotNull(table, "table");
         this.timers = checkNotNull(timers, "timers");
         this.log = checkNotNull(log, "log");
@@ -24,23 +28,28 @@
         meters.watchStore(table, this::sinceAnswerMillis);
     }
 
-    void answered() {
+    @Override
+    public void current() {
         answeredAtMillis = timers.nowMillis();
     }
 
-    void unusable(RuntimeException why) {
+    @Override
+    public void unusable(RuntimeException why) {
         log.line(NodeEvent.STORE_ROWS_UNUSABLE, "table", table, "reason", why);
     }
 
-    void lost(FailedCall call) {
+    @Override
+    public void lost(FailedCall call) {
         failed(NodeEvent.STORE_LOST, call);
     }
 
-    void stillLost(FailedCall call) {
+    @Override
+    public void stillLost(FailedCall call) {
         failed(NodeEvent.STORE_CALL_FAILED, call);
     }
 
-    void regained(long awayMillis) {
+    @Override
+    public void regained(long awayMillis) {
         log.line(NodeEvent.STORE_REGAINED, "table", table, "away-ms", awayMillis);
     }
 
--- a/tarragonarch-entry/src/test/java/org/tarragonarch/entry/cluster/EndpointRowsTest.java
+++ b/tarragonarch-entry/src/test/java/org/tarragonarch/entry/cluster/EndpointRowsTest.java
@@ -9,7 +9,6 @@
 import org.tarragonarch.core.shard.EndpointList;
 import org.tarragonarch.model.id.EndpointId;
 import org.tarragonarch.model.store.StoreRow;
-import org.tarragonarch.model.store.StoreTable;
 import org.tarragonarch.model.task.EndpointEntry;
 import org.tarragonarch.model.task.Timers;
 import org.testng.annotations.BeforeMethod;
@@ -31,9 +30,7 @@
         DecisionLog log = new DecisionLog("n", new PrintStream(new ByteArrayOutputStream()));
         meters = new NodeMeters(() -> 0, () -> 0);
         changes = 0;
-        Timers timers = new StoppedTimers();
-        StoreLog storeLog = new StoreLog(StoreTable.ENDPOINTS, timers, log, meters);
-        rows = new EndpointRows(endpoints, () -> changes++, timers, log, meters, storeLog);
+        rows = new EndpointRows(endpoints, () -> changes++, new StoppedTimers(), log, meters);
     }
 
     private static StoreRow row(String key, String value) {
