--- a/tarragonarch-entry/src/test/java/org/tarragonarch/entry/cluster/ConfigurationInForceTest.java
+++ b/tarragonarch-entry/src/test/java/org/tarragonarch/entry/cluster/ConfigurationInForceTest.java
@@ -8,7 +8,6 @@
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
 import org.tarragonarch.model.task.QueueLookup;
-import org.tarragonarch.model.task.Timers;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
@@ -18,13 +17,15 @@
     private static final long IN_FORCE_MILLIS = 2_000;
 
     private SettableTimers timers;
+    private long wall;
     private ConfigurationInForce configuration;
 
     @BeforeMethod
     public void create() {
         timers = new SettableTimers();
+        wall = 1_000_000;
         DecisionLog log = new DecisionLog("n", new PrintStream(new ByteArrayOutputStream()));
-        configuration = new ConfigurationInForce(IN_FORCE_MILLIS, timers, () -> timers.wall, log);
+        configuration = new ConfigurationInForce(IN_FORCE_MILLIS, timers, () -> wall, log);
     }
 
     private static byte[] version(int version, String prefix) {
@@ -42,7 +43,7 @@
         assertEquals(find("a"), QueueLookup.Result.UNCERTAIN);
         configuration.offered(version(3, "a"), "store");
         configuration.confirmed();
-        timers.now += IN_FORCE_MILLIS - 1;
+        timers.pass(IN_FORCE_MILLIS - 1);
         assertEquals(find("a"), QueueLookup.Result.FOUND);
         assertEquals(find("b"), QueueLookup.Result.UNKNOWN);
     }
@@ -56,7 +57,7 @@
     public void testFind_outOfDate() {
         configuration.offered(version(3, "a"), "store");
         configuration.confirmed();
-        timers.now += IN_FORCE_MILLIS + 1;
+        timers.pass(IN_FORCE_MILLIS + 1);
         assertEquals(find("b"), QueueLookup.Result.UNCERTAIN);
         assertEquals(find("a"), QueueLookup.Result.FOUND);
         configuration.confirmed();
@@ -82,11 +83,11 @@
     public void testFind_afterSuspension() {
         configuration.offered(version(3, "a"), "store");
         configuration.confirmed();
-        timers.wall += 5_000;
+        wall += 5_000;
         assertEquals(find("b"), QueueLookup.Result.UNCERTAIN);
         configuration.confirmed();
         assertEquals(find("b"), QueueLookup.Result.UNKNOWN);
-        timers.wall -= 60_000;
+        wall -= 60_000;
         assertEquals(find("b"), QueueLookup.Result.UNKNOWN, "a clock that is set back makes nothing older");
     }
 
@@ -98,20 +99,4 @@
         assertEquals(configuration.version(), 9);
         assertEquals(configuration.source(), "store");
     }
-
-    /** Time that a test sets. */
-    private static final class SettableTimers implements Timers {
-        private long now = 1_000;
-        private long wall = 1_000_000;
-
-        @Override
-        public long nowMillis() {
-            return now;
-        }
-
-        @Override
-        public Handle after(long millis, Runnable task) {
-            return () -> {};
-        }
-    }
 }
--- a/tarragonarch-entry/src/test/java/org/tarragonarch/entry/cluster/EndpointRowsTest.java
+++ b/tarragonarch-entry/src/test/java/org/tarragonarch/entry/cluster/EndpointRowsTest.java
@@ -10,7 +10,6 @@
 import org.tarragonarch.model.id.EndpointId;
 import org.tarragonarch.model.store.StoreRow;
 import org.tarragonarch.model.task.EndpointEntry;
-import org.tarragonarch.model.task.Timers;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
@@ -30,7 +29,7 @@
         DecisionLog log = new DecisionLog("n", new PrintStream(new ByteArrayOutputStream()));
         meters = new NodeMeters(() -> 0, () -> 0);
         changes = 0;
-        rows = new EndpointRows(endpoints, () -> changes++, new StoppedTimers(), log, meters);
+        rows = new EndpointRows(endpoints, () -> changes++, new SettableTimers(), log, meters);
     }
 
     private static StoreRow row(String key, String value) {
@@ -77,17 +76,4 @@
         rows.replaced(ImmutableList.of(row("", GOOD), row("w-1", GOOD), row("w-2", "\u0000"), row("w-3", "{}")));
         assertEquals(listed(), ImmutableList.of("w-1"));
     }
-
-    /** Time that stands still. */
-    private static final class StoppedTimers implements Timers {
-        @Override
-        public long nowMillis() {
-            return 0;
-        }
-
-        @Override
-        public Handle after(long millis, Runnable task) {
-            return () -> {};
-        }
-    }
 }
--- /dev/null
+++ b/tarragonarch-entry/src/test/java/org/tarragonarch/entry/cluster/NodeMetersTest.java
@@ -0,0 +1,45 @@
+package org.tarragonarch.entry.cluster;
+
+import static org.testng.Assert.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import org.tarragonarch.core.follow.FailedCall;
+import org.tarragonarch.model.store.StoreResult;
+import org.testng.annotations.Test;
+
+/** What an on-call engineer sees of a node that cannot hear the store. */
+public final class NodeMetersTest {
+    private static final byte[] CONFIGURATION = "{\"Version\":9}".getBytes(StandardCharsets.UTF_8);
+
+    private final SettableTimers timers = new SettableTimers();
+    private final DecisionLog log = new DecisionLog("n", new PrintStream(new ByteArrayOutputStream()));
+    private final NodeMeters meters = new NodeMeters(() -> 0, () -> 0);
+
+    private void assertShows(String line) {
+        assertTrue(meters.scrape().lines().anyMatch(line::equals), line + " is not in " + meters.scrape());
+    }
+
+    /**
+     * The store is silent for five seconds, and a change is not in force. From the metrics alone it can be told that
+     * the node has version 9, that nobody has confirmed it for five seconds, and that its calls fail.
+     */
+    @Test
+    public void testScrape_storeSilent() {
+        ConfigurationInForce configuration = new ConfigurationInForce(2_000, timers, timers::nowMillis, log);
+        meters.watchConfiguration(configuration);
+        ConfigurationRows rows = new ConfigurationRows(configuration, () -> {}, timers, log, meters);
+        assertShows("tarragonarch_configuration_version 0.0");
+        assertShows("tarragonarch_configuration_age_seconds NaN");
+        configuration.offered(CONFIGURATION, "store");
+        rows.current();
+        timers.pass(5_000);
+        rows.lost(new FailedCall(StoreResult.UNKNOWN, 2_000, 5_000));
+        rows.stillLost(new FailedCall(StoreResult.UNKNOWN, 1_000, 5_000));
+        assertShows("tarragonarch_configuration_version 9.0");
+        assertShows("tarragonarch_configuration_age_seconds 5.0");
+        assertShows("tarragonarch_store_answer_age_seconds{table=\"operator\"} 5.0");
+        assertShows("tarragonarch_store_calls_failed_total{table=\"operator\"} 2.0");
+    }
+}
