--- a/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/explain/Sentences.java
+++ b/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/explain/Sentences.java
@@ -14,10 +14,11 @@
                         ? "cancelled the job for its client"
                         : "passed the client's cancelling on to its peers";
             case QUEUE_UNKNOWN ->
-                "knew no queue for %s%s; configuration %s from %s, confirmed %s ms before"
+                "knew no queue for %s%s and said %s; configuration %s from %s, confirmed %s ms before"
                         .formatted(
                                 entry.text("host"),
                                 entry.text("path"),
+                                entry.text("result").equals("UNCERTAIN") ? "to come back" : "that there is none",
                                 entry.text("configuration"),
                                 entry.text("source"),
                                 entry.text("configuration-age-ms"));
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/NodeJobs.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/NodeJobs.java
@@ -56,10 +56,12 @@
     @Override
     public QueueLookup find(String host, String path) {
         QueueLookup lookup = configuration.find(host, path);
-        if (lookup.result() == QueueLookup.Result.UNKNOWN) {
-            meters.queueUnknown();
+        if (lookup.queue().isEmpty()) {
+            meters.queueNotFound(lookup.result());
             log.line(
                     NodeEvent.QUEUE_UNKNOWN,
+                    "result",
+                    lookup.result(),
                     "job",
                     logged(path.substring(path.lastIndexOf('/') + 1)),
                     "host",
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/NodeMeters.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/NodeMeters.java
@@ -9,6 +9,7 @@
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import java.time.Duration;
 import java.util.EnumMap;
+import java.util.EnumSet;
 import java.util.Locale;
 import java.util.Map;
 import java.util.OptionalLong;
@@ -18,6 +19,7 @@
 import org.tarragonarch.model.store.StoreTable;
 import org.tarragonarch.model.task.EndKind;
 import org.tarragonarch.model.task.JobOutcome;
+import org.tarragonarch.model.task.QueueLookup;
 
 /** The counters and histograms of a node on the users' platform; docs/OPERATIONS.md says what each is for. */
 final class NodeMeters {
@@ -37,8 +39,7 @@
     private final Map<JobOutcome, Timer> answers = new EnumMap<>(JobOutcome.class);
     private final Map<EndKind, Counter> badRuns = new EnumMap<>(EndKind.class);
     private final Map<StoreTable, Counter> failedStoreCalls = new EnumMap<>(StoreTable.class);
-    private final Counter unknownQueues =
-            Counter.builder("tarragonarch.queues.unknown").register(registry);
+    private final Map<QueueLookup.Result, Counter> queuesNotFound = new EnumMap<>(QueueLookup.Result.class);
     private final Counter declined =
             Counter.builder("tarragonarch.jobs.declined").register(registry);
     private final Counter unreadableEndpointRows =
@@ -60,6 +61,13 @@
                             .tag("how", word(kind))
                             .register(registry));
         }
+        for (QueueLookup.Result result : EnumSet.complementOf(EnumSet.of(QueueLookup.Result.FOUND))) {
+            queuesNotFound.put(
+                    result,
+                    Counter.builder("tarragonarch.queues.not.found")
+                            .tag("result", word(result))
+                            .register(registry));
+        }
         Gauge.builder("tarragonarch.jobs.open", openJobs::getAsInt).register(registry);
         FunctionCounter.builder("tarragonarch.log.lines.dropped", droppedLines, LongSupplier::getAsLong)
                 .register(registry);
@@ -95,8 +103,8 @@
         failedStoreCalls.get(table).increment();
     }
 
-    void queueUnknown() {
-        unknownQueues.increment();
+    void queueNotFound(QueueLookup.Result result) {
+        queuesNotFound.get(result).increment();
     }
 
     void answered(JobOutcome outcome, long tookMillis) {
--- a/tarragonarch-model/src/main/java/org/tarragonarch/model/log/NodeEvent.java
+++ b/tarragonarch-model/src/main/java/org/tarragonarch/model/log/NodeEvent.java
@@ -10,7 +10,7 @@
     JOB_ANSWERED,
     /** A client cancelled its job. */
     JOB_CANCELLED,
-    /** A client named a queue that the configuration in force does not have. */
+    /** A client named a queue that the configuration in force does not have; it was refused, or told to come back. */
     QUEUE_UNKNOWN,
     /** A holder did not take a job, or gave it back unstarted. */
     JOB_DECLINED,
