Confirm the configuration as of when a call left, and hold the soak's nodes to what they say of queues

Cause: the age of the configuration counted from when an answer came. One that was held up on the way, by a cut or a suspended VM, seemed to be news. Change: an answer confirms as of the moment at which its call left, and of the end of its wait if it waited in vain. Two waits have to fit into the bound then: 0.89 s in place of 1 s.

The soak swallows calls to the store and changes the configuration as it comes back; it asks every node for the newest queue, and no node may say that there is none 3 s after it was added, under whatever fault.

--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/follow/TableFollower.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/follow/TableFollower.java
@@ -42,6 +42,7 @@
     private boolean away;
     private long awaySinceMillis;
     private long calledAtMillis;
+    private long waitMillis;
     private long answeredAtMillis;
 
     /** Creates a follower that has not begun. */
@@ -75,7 +76,8 @@
 
     private void follow() {
         calledAtMillis = timers.nowMillis();
-        store.follow(table, version, away ? 0 : pace.waitMillis(), this::followAnswered);
+        waitMillis = away ? 0 : pace.waitMillis();
+        store.follow(table, version, waitMillis, this::followAnswered);
     }
 
     private void readAnswered(RowStore.Reply reply) {
@@ -84,20 +86,32 @@
             return;
         }
         RowPage page = reply.page().orElseThrow();
-        take(page.version(), () -> listener.replaced(page.rows()));
+        take(page.version(), calledAtMillis, () -> listener.replaced(page.rows()));
     }
 
     private void followAnswered(RowStore.Reply reply) {
         switch (reply.result()) {
             case DONE -> {
                 RowPage page = reply.page().orElseThrow();
-                take(Math.max(version, page.version()), () -> handOver(page.rows()));
+                take(Math.max(version, page.version()), asOf(page), () -> handOver(page.rows()));
             }
             case HISTORY_GONE -> readAll();
             default -> failed(reply.result());
         }
     }
 
+    /**
+     * Returns as of when an answer certainly tells all: a call that waited in vain waited to its end.
+     *
+     * <p>Guards against an answer that was held up on the way and seems to be news of now: of any other, no more is
+     * known than that it was written after the call had left.
+     */
+    private long asOf(RowPage page) {
+        long waitedUntil = calledAtMillis + waitMillis;
+        boolean waitedInVain = page.rows().isEmpty() && timers.nowMillis() >= waitedUntil;
+        return waitedInVain ? waitedUntil : calledAtMillis;
+    }
+
     private void handOver(ImmutableList<StoreRow> changed) {
         if (!changed.isEmpty()) {
             listener.changed(changed);
@@ -111,7 +125,7 @@
      * it knew until its next start, without a word. The table is read whole again instead, and until that is taken
      * nothing counts as current.
      */
-    private void take(long asOf, Runnable handOver) {
+    private void take(long newVersion, long asOf, Runnable handOver) {
         succeeded();
         try {
             handOver.run();
@@ -120,8 +134,8 @@
             timers.after(LONGEST_PAUSE_MILLIS, this::readAll);
             return;
         }
-        version = asOf;
-        listener.current();
+        version = newVersion;
+        listener.current(asOf);
         followLater();
     }
 
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/follow/TableListener.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/follow/TableListener.java
@@ -11,8 +11,12 @@
     /** Rows that were written or deleted, in order. */
     void changed(ImmutableList<StoreRow> rows);
 
-    /** The store has answered, and every row that it had has been handed over: what is known is as of now. */
-    void current();
+    /**
+     * The store has answered, and every row that it had has been handed over.
+     *
+     * @param asOfMillis the latest moment, on the steady clock, as of which that certainly is all there is to know
+     */
+    void current(long asOfMillis);
 
     /** What the store answered could not be taken; the table is read whole again. */
     void unusable(RuntimeException why);
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/follow/StoreOutageTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/follow/StoreOutageTest.java
@@ -24,8 +24,8 @@
     /** Longer than any call of a follower takes, so that what is heard at all is heard by then. */
     private static final long LONG_AFTER_MILLIS = 20_000;
 
-    /** How long a call for the configuration waits: half of the time in which a change must be in force. */
-    private static final long WAIT_MILLIS = IN_FORCE_MILLIS / 2;
+    /** How long a call for the configuration waits: two waits fit into the time in which a change must be in force. */
+    private static final long WAIT_MILLIS = 890;
 
     /** How often the list of endpoints is read. */
     private static final long PERIOD_MILLIS = 900;
@@ -158,7 +158,7 @@
         }
 
         @Override
-        public void current() {
+        public void current(long asOfMillis) {
             // What was heard is all that matters here.
         }
 
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/follow/TableFollowerTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/follow/TableFollowerTest.java
@@ -19,12 +19,17 @@
 
 /** Following a table whose store answers as a script says. */
 public final class TableFollowerTest {
+    /** Where virtual time begins. */
+    private static final long BEGIN_MILLIS = new VirtualTimers().nowMillis();
+
     /** The key of a row that the listener breaks on. */
     private static final String BREAKING = "!";
 
     private final VirtualTimers timers = new VirtualTimers();
     private final Deque<RowStore.Reply> script = new ArrayDeque<>();
     private final List<String> seen = new ArrayList<>();
+    private final List<Long> asOf = new ArrayList<>();
+    private long answerAfterMillis;
 
     private static RowStore.Reply page(long version, String... keys) {
         ImmutableList.Builder<StoreRow> rows = ImmutableList.builder();
@@ -79,6 +84,18 @@
                         "follow 6"));
     }
 
+    /**
+     * An answer was held up on the way by a cut, and what it said seemed to be news of the moment at which it came. A
+     * call that waited in vain tells all up to the end of its wait; any other answer no more than when its call left.
+     */
+    @Test
+    public void testCurrent_answerHeldUp() {
+        TableFollowerTest test = new TableFollowerTest();
+        test.answerAfterMillis = 1_700;
+        test.run(page(5, "a"), page(5), page(7, "b"));
+        assertEquals(test.asOf, ImmutableList.of(0L, 1_700L + 1_000, 3_400L));
+    }
+
     /**
      * A row was such that the code behind the follower broke on it. The follower made no further call, and the node
      * kept the configuration that it had until it was started again.
@@ -122,7 +139,7 @@
         private void answer(Consumer<Reply> reply) {
             if (!script.isEmpty()) {
                 Reply next = script.poll();
-                timers.after(0, () -> reply.accept(next));
+                timers.after(answerAfterMillis, () -> reply.accept(next));
             }
         }
     }
@@ -143,8 +160,8 @@
         }
 
         @Override
-        public void current() {
-            // Told after each answer; the calls that follow show as much.
+        public void current(long asOfMillis) {
+            asOf.add(asOfMillis - BEGIN_MILLIS);
         }
 
         @Override
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ClusterNode.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ClusterNode.java
@@ -72,10 +72,11 @@
 
     /**
      * How often the store says that there is no newer configuration, within the time in which a change must be in
-     * force. With two, at 2 s, a call waits for 1 s: it costs 0.75 calls a second more than one of 4 s, and a
-     * configuration that is confirmed is never older than that time.
+     * force. Right after a change a node knows no more than that of the call before, so two waits and their answers
+     * have to fit: with 2.25, at 2 s, a call waits for 0.89 s. It costs some 0.9 calls a second more than a wait of 4
+     * s.
      */
-    private static final int CONFIRMATIONS_PER_BOUND = 2;
+    private static final double CONFIRMATIONS_PER_BOUND = 2.25;
 
     /** The balancer asks once a second and drops a node after two misses. */
     private static final long BALANCER_NOTICE_MILLIS = 2_300;
@@ -216,7 +217,8 @@
         ConfigurationRows configurationRows =
                 new ConfigurationRows(configuration, this::configured, timers, log, meters);
         EndpointRows endpointRows = new EndpointRows(endpoints, coordinator::endpointsChanged, timers, log, meters);
-        FollowPace configurationPace = FollowPace.waiting(settings.configurationMillis() / CONFIRMATIONS_PER_BOUND);
+        FollowPace configurationPace =
+                FollowPace.waiting(Math.round(settings.configurationMillis() / CONFIRMATIONS_PER_BOUND));
         new TableFollower(store, StoreTable.OPERATOR, timers, configurationRows, configurationPace).start();
         new TableFollower(store, StoreTable.ENDPOINTS, timers, endpointRows, FollowPace.every(LIST_PERIOD_MILLIS))
                 .start();
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ClusterSettings.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ClusterSettings.java
@@ -55,6 +55,9 @@
     /** What operators are promised where the settings say nothing else. */
     private static final long DEFAULT_CONFIGURATION_MILLIS = 2_000;
 
+    /** Some ten round trips to the store; within less a call could not wait. */
+    private static final long LEAST_CONFIGURATION_MILLIS = 100;
+
     private static final long MILLIS_PER_SECOND = 1_000;
     private static final int MILLI_CORES_PER_CORE = 1_000;
 
@@ -160,10 +163,15 @@
                     Address.parse(storeAddress),
                     positive("lease-millis", leaseMillis),
                     positive("stop-millis", stopMillis),
-                    positive("configuration-millis", configurationMillis),
+                    atLeast(LEAST_CONFIGURATION_MILLIS, "configuration-millis", configurationMillis),
                     positive("shutdown-seconds", shutdownSeconds) * MILLIS_PER_SECOND);
         }
 
+        private static long atLeast(long least, String key, long value) {
+            checkArgument(value >= least, "'%s' is below %s", key, least);
+            return value;
+        }
+
         private static long positive(String key, long value) {
             checkArgument(value > 0, "'%s' is missing or not positive", key);
             return value;
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ConfigurationInForce.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ConfigurationInForce.java
@@ -78,10 +78,10 @@
         return source;
     }
 
-    /** Notes that the store has no newer version now. */
-    void confirmed() {
-        confirmedAtMillis = OptionalLong.of(timers.nowMillis());
-        confirmedAtWallMillis = wallMillis.getAsLong();
+    /** Notes that the store had no newer version at a moment of the steady clock. */
+    void confirmed(long asOfMillis) {
+        confirmedAtMillis = OptionalLong.of(asOfMillis);
+        confirmedAtWallMillis = wallMillis.getAsLong() - (timers.nowMillis() - asOfMillis);
     }
 
     /**
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ConfigurationRows.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ConfigurationRows.java
@@ -38,8 +38,8 @@
     }
 
     @Override
-    public void current() {
-        super.current();
-        configuration.confirmed();
+    public void current(long asOfMillis) {
+        super.current(asOfMillis);
+        configuration.confirmed(asOfMillis);
     }
 }
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/LoggedTable.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/LoggedTable.java
@@ -29,7 +29,7 @@
     }
 
     @Override
-    public void current() {
+    public void current(long asOfMillis) {
         answeredAtMillis = timers.nowMillis();
     }
 
--- a/tarragonarch-entry/src/test/java/org/tarragonarch/entry/cluster/ConfigurationInForceTest.java
+++ b/tarragonarch-entry/src/test/java/org/tarragonarch/entry/cluster/ConfigurationInForceTest.java
@@ -42,7 +42,7 @@
     public void testFind_confirmed() {
         assertEquals(find("a"), QueueLookup.Result.UNCERTAIN);
         configuration.offered(version(3, "a"), "store");
-        configuration.confirmed();
+        configuration.confirmed(timers.nowMillis());
         timers.pass(IN_FORCE_MILLIS - 1);
         assertEquals(find("a"), QueueLookup.Result.FOUND);
         assertEquals(find("b"), QueueLookup.Result.UNKNOWN);
@@ -56,11 +56,11 @@
     @Test
     public void testFind_outOfDate() {
         configuration.offered(version(3, "a"), "store");
-        configuration.confirmed();
+        configuration.confirmed(timers.nowMillis());
         timers.pass(IN_FORCE_MILLIS + 1);
         assertEquals(find("b"), QueueLookup.Result.UNCERTAIN);
         assertEquals(find("a"), QueueLookup.Result.FOUND);
-        configuration.confirmed();
+        configuration.confirmed(timers.nowMillis());
         assertEquals(find("b"), QueueLookup.Result.UNKNOWN);
     }
 
@@ -82,10 +82,10 @@
     @Test
     public void testFind_afterSuspension() {
         configuration.offered(version(3, "a"), "store");
-        configuration.confirmed();
+        configuration.confirmed(timers.nowMillis());
         wall += 5_000;
         assertEquals(find("b"), QueueLookup.Result.UNCERTAIN);
-        configuration.confirmed();
+        configuration.confirmed(timers.nowMillis());
         assertEquals(find("b"), QueueLookup.Result.UNKNOWN);
         wall -= 60_000;
         assertEquals(find("b"), QueueLookup.Result.UNKNOWN, "a clock that is set back makes nothing older");
--- a/tarragonarch-entry/src/test/java/org/tarragonarch/entry/cluster/NodeMetersTest.java
+++ b/tarragonarch-entry/src/test/java/org/tarragonarch/entry/cluster/NodeMetersTest.java
@@ -33,7 +33,7 @@
         assertShows("tarragonarch_configuration_version 0.0");
         assertShows("tarragonarch_configuration_age_seconds NaN");
         configuration.offered(CONFIGURATION, "store");
-        rows.current();
+        rows.current(timers.nowMillis());
         timers.pass(5_000);
         rows.lost(new FailedCall(StoreResult.UNKNOWN, 2_000, 5_000));
         rows.stillLost(new FailedCall(StoreResult.UNKNOWN, 1_000, 5_000));
--- a/tarragonarch-entry/src/test/java/org/tarragonarch/entry/cluster/WholePathTest.java
+++ b/tarragonarch-entry/src/test/java/org/tarragonarch/entry/cluster/WholePathTest.java
@@ -2,6 +2,7 @@
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.fail;
 
 import java.io.IOException;
 import java.net.URI;
@@ -117,6 +118,20 @@
         awaitStatus(second, "a", 200);
     }
 
+    @Test
+    public void testSettings_configurationMillisTooShort() throws IOException {
+        Path file = Files.createTempFile("settings", ".jsonc");
+        Files.writeString(file, "{ \"configuration-millis\": 99 }");
+        try {
+            ClusterSettings.read(file);
+            fail("99 ms leave no time for a call that waits");
+        } catch (StepException e) {
+            assertTrue(e.getMessage().contains("wrong settings"), e.getMessage());
+        } finally {
+            Files.delete(file);
+        }
+    }
+
     private ClusterSettings startNode(String name) throws IOException, StepException {
         Path file = Files.createTempFile(name, ".jsonc");
         List<Integer> ports = ClassRehearsal.freePorts(PORTS_A_NODE);
--- a/tarragonarch-standin/src/test/java/org/tarragonarch/standin/soak/Fault.java
+++ b/tarragonarch-standin/src/test/java/org/tarragonarch/standin/soak/Fault.java
@@ -64,6 +64,19 @@
             cluster.store().away(false);
         }
     },
+    /** The store takes calls and never answers them; the configuration changes as it comes back. */
+    STORE_SILENT {
+        @Override
+        void begin(SoakCluster cluster, int target) {
+            cluster.store().silent(true);
+        }
+
+        @Override
+        void end(SoakCluster cluster, int target) {
+            cluster.store().silent(false);
+            cluster.changeConfiguration();
+        }
+    },
     /** One node's way to the store goes silent. */
     STORE_SILENT_FOR_ONE {
         @Override
--- a/tarragonarch-standin/src/test/java/org/tarragonarch/standin/soak/SoakCluster.java
+++ b/tarragonarch-standin/src/test/java/org/tarragonarch/standin/soak/SoakCluster.java
@@ -6,6 +6,8 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.tarragonarch.adapter.standin.StandInEndpoint;
 import org.tarragonarch.adapter.standin.StandInStore;
 import org.tarragonarch.standin.process.JvmProcess;
@@ -26,6 +28,7 @@
     private final List<NodePorts> ports = new ArrayList<>();
     private final List<JvmProcess> nodes = new ArrayList<>();
     private final Thread cleanUp = new Thread(this::killAllNodes);
+    private final List<AddedQueue> added = new ArrayList<>();
     private int version = FIRST_VERSION;
     private int lives;
 
@@ -102,6 +105,7 @@
     /** Ends every fault, and starts what is not running. */
     void heal() throws IOException, InterruptedException {
         store.away(false);
+        store.silent(false);
         storeLinks.forEach(link -> link.mode(FaultyLink.Mode.CLEAR));
         endpointLinks.forEach(link -> link.mode(FaultyLink.Mode.CLEAR));
         endpoints.forEach(endpoint -> endpoint.late(0));
@@ -122,13 +126,26 @@
         register(index);
     }
 
-    /** Puts another version of the configuration in force, with the same queue. */
+    /** Puts another version of the configuration in force, with one queue more. */
     synchronized void changeConfiguration() {
         version += 2;
-        store.configure("""
-                {"Version":%d,"Routes":[{"Name":"q","Host":"127.0.0.1","Prefix":"%s","Service":"board",
-                 "Attempts":3,"Stretch":1.6,"SloMs":200}]}
-                """.formatted(version, QUEUE));
+        String prefix = "/added-" + version + "/";
+        String routes = Stream.concat(Stream.of(QUEUE, prefix), added.stream().map(AddedQueue::prefix))
+                .map(SoakCluster::route)
+                .collect(Collectors.joining(","));
+        store.configure("{\"Version\":" + version + ",\"Routes\":[" + routes + "]}");
+        added.add(new AddedQueue(prefix, StandInEndpoint.clock()));
+    }
+
+    /** Returns the queue that was added last. */
+    synchronized AddedQueue newestQueue() {
+        return added.get(added.size() - 1);
+    }
+
+    private static String route(String prefix) {
+        return """
+                {"Name":"q","Host":"127.0.0.1","Prefix":"%s","Service":"board",
+                 "Attempts":3,"Stretch":1.6,"SloMs":200}""".formatted(prefix);
     }
 
     /** Returns what a node wrote. */
@@ -191,6 +208,13 @@
         return Integer.parseInt(address.substring(address.indexOf(':') + 1));
     }
 
+    /**
+     * A queue that a change of the configuration added.
+     *
+     * @param addedAtMillis when the store had taken it, on this machine's steady clock
+     */
+    record AddedQueue(String prefix, long addedAtMillis) {}
+
     /** The ports of one node. */
     private record NodePorts(int peers, int metrics, int client, int readiness) {
         static NodePorts free() throws IOException {
--- a/tarragonarch-standin/src/test/java/org/tarragonarch/standin/soak/SoakRun.java
+++ b/tarragonarch-standin/src/test/java/org/tarragonarch/standin/soak/SoakRun.java
@@ -45,13 +45,20 @@
         try (SoakCluster cluster = new SoakCluster(folder, options.nodes(), options.endpoints())) {
             awaitDoors(cluster);
             startClients(cluster);
+            QueueWatcher watcher = new QueueWatcher(cluster);
+            start(watcher, "queue-watcher");
             List<String> broken = new ArrayList<>();
             awaitServed(broken, "at the start");
             carryOut(cluster, SoakPlan.of(seed, options.faults(), options.millis(), options.nodes()));
             cluster.heal();
             awaitDoors(cluster);
             awaitServed(broken, "after the last fault");
+            watcher.end();
             endClients();
+            broken.addAll(watcher.broken());
+            if (watcher.answers() == 0) {
+                broken.add("no node said anything of its queues");
+            }
             List<SentJob> jobs =
                     clients.stream().flatMap(client -> client.jobs().stream()).toList();
             broken.addAll(SoakChecks.broken(
@@ -91,13 +98,17 @@
         for (int i = 0; i < options.clients(); i++) {
             SoakClient client = new SoakClient(cluster, i, seed);
             clients.add(client);
-            Thread thread = new Thread(client, "client-" + i);
-            thread.setDaemon(true);
-            threads.add(thread);
-            thread.start();
+            start(client, "client-" + i);
         }
     }
 
+    private void start(Runnable part, String name) {
+        Thread thread = new Thread(part, name);
+        thread.setDaemon(true);
+        threads.add(thread);
+        thread.start();
+    }
+
     /** Every client has to have another job done from now on. */
     private void awaitServed(List<String> broken, String when) throws InterruptedException {
         long from = StandInEndpoint.clock();
