--- a/tarragonarch-standin/src/test/java/org/tarragonarch/standin/soak/SoakTest.java
+++ b/tarragonarch-standin/src/test/java/org/tarragonarch/standin/soak/SoakTest.java
@@ -11,7 +11,7 @@
     /** Seeds that cover every kind of fault between them, and each seed that ever failed, with its cause. */
     @DataProvider
     public static Object[][] seeds() {
-        return new Object[][] {{1L}, {2L}};
+        return new Object[][] {{1L}, {2L}, {4L}};
     }
 
     /**
