--- a/tarragonarch-standin/src/test/java/org/tarragonarch/standin/soak/QueueWatcher.java
+++ b/tarragonarch-standin/src/test/java/org/tarragonarch/standin/soak/QueueWatcher.java
@@ -43,6 +43,13 @@
         return answers;
     }
 
+    /** Waits until the queue that was added last has been due for as long as one round of all nodes takes. */
+    void awaitLastQueueDue() throws InterruptedException {
+        long round = cluster.nodeCount() * (PATIENCE.toMillis() + PAUSE_MILLIS);
+        long until = cluster.newestQueue().addedAtMillis() + IN_FORCE_MILLIS + round;
+        Thread.sleep(Math.max(0, until - StandInEndpoint.clock()));
+    }
+
     /** Asks nothing more. */
     void end() {
         ended = true;
--- a/tarragonarch-standin/src/test/java/org/tarragonarch/standin/soak/SoakCluster.java
+++ b/tarragonarch-standin/src/test/java/org/tarragonarch/standin/soak/SoakCluster.java
@@ -1,11 +1,14 @@
 package org.tarragonarch.standin.soak;
 
 import java.io.IOException;
+import java.net.BindException;
 import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Random;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.tarragonarch.adapter.standin.StandInEndpoint;
@@ -217,14 +220,30 @@
 
     /** The ports of one node. */
     private record NodePorts(int peers, int metrics, int client, int readiness) {
+        /**
+         * Below the ports that the system gives to outgoing connections: one of those may take a port while its node is
+         * down, and the node then cannot come back.
+         */
+        private static final int FIRST_PORT = 20_000;
+
+        private static final int PORTS = 12_000;
+
+        private static final AtomicInteger NEXT = new AtomicInteger(new Random().nextInt(PORTS));
+
         static NodePorts free() throws IOException {
-            try (ServerSocket peers = new ServerSocket(0);
-                    ServerSocket metrics = new ServerSocket(0);
-                    ServerSocket client = new ServerSocket(0);
-                    ServerSocket readiness = new ServerSocket(0)) {
-                return new NodePorts(
-                        peers.getLocalPort(), metrics.getLocalPort(), client.getLocalPort(), readiness.getLocalPort());
+            return new NodePorts(freePort(), freePort(), freePort(), freePort());
+        }
+
+        private static int freePort() throws IOException {
+            for (int tries = 0; tries < PORTS; tries++) {
+                int port = FIRST_PORT + NEXT.getAndIncrement() % PORTS;
+                try (ServerSocket unused = new ServerSocket(port)) {
+                    return port;
+                } catch (BindException e) {
+                    // Somebody else listens there; the next one may be free.
+                }
             }
+            throw new IOException("no port is free from " + FIRST_PORT + " on");
         }
     }
 }
--- a/tarragonarch-standin/src/test/java/org/tarragonarch/standin/soak/SoakRun.java
+++ b/tarragonarch-standin/src/test/java/org/tarragonarch/standin/soak/SoakRun.java
@@ -53,6 +53,7 @@
             cluster.heal();
             awaitDoors(cluster);
             awaitServed(broken, "after the last fault");
+            watcher.awaitLastQueueDue();
             watcher.end();
             endClients();
             broken.addAll(watcher.broken());
