--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/follow/FailingStore.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/follow/FailingStore.java
@@ -38,7 +38,7 @@
         NONE,
         /** They are taken and never answered, and those that wait here are forgotten. */
         SILENT,
-        /** They are turned away at once. */
+        /** They are turned away at once, and those that wait here are forgotten without a word. */
         BUSY,
         /** Their connections are reset, also of those that wait here. */
         RESET
@@ -47,7 +47,7 @@
     /** Fails from now on, or no longer. */
     void fail(Failure how) {
         failure = how;
-        if (how == Failure.SILENT) {
+        if (how == Failure.SILENT || how == Failure.BUSY) {
             forgetWaiting();
         } else if (how == Failure.RESET) {
             ImmutableList<Call> cut = ImmutableList.copyOf(underWay);
