--- a/tarragonarch-standin/src/test/java/org/tarragonarch/standin/soak/SoakCluster.java
+++ b/tarragonarch-standin/src/test/java/org/tarragonarch/standin/soak/SoakCluster.java
@@ -22,6 +22,7 @@
     private static final String NODE_MAIN = "org.tarragonarch.entry.cluster.ClusterMain";
     private static final String[] DOMAINS = {"hobart", "launceston"};
     private static final int FIRST_VERSION = 3;
+    private static final int FIRST_ADDRESS = 11;
 
     private final Path folder;
     private final StandInStore store = new StandInStore();
@@ -184,12 +185,20 @@
         return DOMAINS[number % DOMAINS.length];
     }
 
+    /**
+     * Returns a node's own address. A token is unique by its term and its holder's address: two nodes on one address
+     * that claim within the same tenth of a second have the same token, and an endpoint runs tasks for both.
+     */
+    private static String address(int node) {
+        return "127.0.0." + (FIRST_ADDRESS + node);
+    }
+
     private JvmProcess launch(int node) throws IOException {
         Path file = folder.resolve("node-" + node + ".jsonc");
         NodePorts own = ports.get(node);
         Files.writeString(file, """
                 { "node": "n%02d", "failure-domain": "%s", "failure-domains": {"%s": "r", "%s": "r"},
-                  "ip": "127.0.0.1",
+                  "ip": "%s",
                   "processor-share": 1.0, "processor-speed": 1,
                   "peer-port": %d, "metrics-port": %d, "client-address": "127.0.0.1:%d",
                   "readiness-address": "127.0.0.1:%d", "store-address": "%s",
@@ -199,6 +208,7 @@
                         domain(node),
                         DOMAINS[0],
                         DOMAINS[1],
+                        address(node),
                         own.peers(),
                         own.metrics(),
                         own.client(),
