--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/follow/FailingStore.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/follow/FailingStore.java
@@ -15,7 +15,7 @@
 /** A store of one table on virtual time that can fail in several ways and come back. */
 final class FailingStore implements RowStore {
     /** From a call to its answer, at a store that is well. */
-    static final long ANSWER_MILLIS = 10;
+    private static final long ANSWER_MILLIS = 10;
 
     /** How long a caller waits beyond what it lets the store wait, as the client of the store does. */
     private static final long CALLER_PATIENCE_MILLIS = 1_000;
@@ -26,7 +26,6 @@
     private final List<Long> versions = new ArrayList<>();
     private Failure failure = Failure.NONE;
     private long version;
-    private int calls;
 
     FailingStore(VirtualTimers timers) {
         this.timers = timers;
@@ -69,11 +68,6 @@
         ImmutableList.copyOf(underWay).forEach(this::answerIfNews);
     }
 
-    /** Returns how many calls were made. */
-    int calls() {
-        return calls;
-    }
-
     @Override
     public void read(StoreTable table, Consumer<Reply> reply) {
         take(new Call(0, true, reply), 0);
@@ -90,7 +84,6 @@
     }
 
     private void take(Call call, long waitMillis) {
-        calls++;
         timers.after(waitMillis + CALLER_PATIENCE_MILLIS, () -> call.end(Reply.of(StoreResult.UNKNOWN)));
         switch (failure) {
             case NONE -> {
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/follow/StoreOutageTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/follow/StoreOutageTest.java
@@ -41,10 +41,7 @@
         Outage outage = new Outage(0);
         outage.passTo(4_000);
         outage.change("version 9");
-        outage.passTo(5_100);
-        outage.store.fail(FailingStore.Failure.SILENT);
-        outage.passTo(11_250);
-        outage.store.fail(FailingStore.Failure.NONE);
+        outage.fail(FailingStore.Failure.SILENT, 5_100, 11_250);
         outage.passTo(12_030);
         outage.change("version 21");
         outage.passTo(30_000);
@@ -60,10 +57,7 @@
         Outage outage = new Outage(PERIOD_MILLIS);
         outage.passTo(4_000);
         outage.change("an endpoint's heartbeat");
-        outage.passTo(5_100);
-        outage.store.fail(FailingStore.Failure.SILENT);
-        outage.passTo(11_250);
-        outage.store.fail(FailingStore.Failure.NONE);
+        outage.fail(FailingStore.Failure.SILENT, 5_100, 11_250);
         outage.passTo(11_500);
         outage.change("an endpoint leaves");
         outage.passTo(30_000);
@@ -90,10 +84,7 @@
             for (long length = 50; length < 9_000; length += 130) {
                 for (long change : new long[] {10, 400, 1_100, 2_500}) {
                     Outage outage = new Outage(periodMillis);
-                    outage.passTo(begin);
-                    outage.store.fail(how);
-                    outage.passTo(begin + length);
-                    outage.store.fail(FailingStore.Failure.NONE);
+                    outage.fail(how, begin, begin + length);
                     outage.passTo(begin + length + change);
                     outage.change("news");
                     outage.passTo(begin + length + change + LONG_AFTER_MILLIS);
@@ -134,6 +125,14 @@
             timers.pass(millis - now());
         }
 
+        /** Lets the store fail from a time to another, which it is then. */
+        void fail(FailingStore.Failure how, long fromMillis, long toMillis) {
+            passTo(fromMillis);
+            store.fail(how);
+            passTo(toMillis);
+            store.fail(FailingStore.Failure.NONE);
+        }
+
         void change(String key) {
             store.write(key);
         }
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ConfigurationInForce.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ConfigurationInForce.java
@@ -25,7 +25,7 @@
     private Optional<QueueCatalog> catalog = Optional.empty();
     private byte[] text = new byte[0];
     private String source = NO_SOURCE;
-    private boolean storesIsUnreadable;
+    private boolean storedIsUnreadable;
     private OptionalLong confirmedAtMillis = OptionalLong.empty();
     private long confirmedAtWallMillis;
 
@@ -88,7 +88,7 @@
      * <p>One that this node cannot read may have queues that the version in force has not, and confirms nothing.
      */
     void confirmed(long asOfMillis) {
-        if (storesIsUnreadable) {
+        if (storedIsUnreadable) {
             return;
         }
         confirmedAtMillis = OptionalLong.of(asOfMillis);
@@ -112,7 +112,8 @@
 
     /** Returns the age as it stands in the log. */
     Object loggedAge() {
-        return ageMillis().isPresent() ? ageMillis().getAsLong() : "unconfirmed";
+        OptionalLong age = ageMillis();
+        return age.isPresent() ? age.getAsLong() : "unconfirmed";
     }
 
     /** Takes a configuration if it is newer; returns whether it was. */
@@ -122,10 +123,10 @@
             read = ConfigurationBody.read(candidate);
         } catch (UnreadableBodyException e) {
             log.line(NodeEvent.CONFIGURATION_UNREADABLE, "source", from, "reason", e.getMessage());
-            storesIsUnreadable |= from.equals(STORE);
+            storedIsUnreadable = storedIsUnreadable || from.equals(STORE);
             return false;
         }
-        storesIsUnreadable &= !from.equals(STORE);
+        storedIsUnreadable = storedIsUnreadable && !from.equals(STORE);
         if (read.version() <= version()) {
             return false;
         }
--- a/tarragonarch-standin/src/test/java/org/tarragonarch/standin/process/JvmProcess.java
+++ b/tarragonarch-standin/src/test/java/org/tarragonarch/standin/process/JvmProcess.java
@@ -83,7 +83,7 @@
         signal("CONT");
     }
 
-    /** Sends a signal; one that has ended by itself meanwhile, as overlapping faults bring about, needs none. */
+    /** Sends a signal; a process that has ended by itself meanwhile, as overlapping faults bring about, needs none. */
     private void signal(String name) throws IOException, InterruptedException {
         Process kill = new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start();
         if (kill.waitFor() != 0 && process.isAlive()) {
