--- a/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/Cluster.java
+++ b/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/Cluster.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.tarragonarch.benchmark.time.VirtualTime;
@@ -138,6 +139,12 @@
         return nodes.keySet().stream().filter(node -> !node.equals(own)).collect(ImmutableList.toImmutableList());
     }
 
+    ImmutableList<NodeId> everyOther(NodeId own, Set<FailureDomain> domains) {
+        return everyOther(own).stream()
+                .filter(node -> domains.contains(domain(nodes.get(node).domain())))
+                .collect(ImmutableList.toImmutableList());
+    }
+
     /** Brings something to a node; returns whether that node lives as it leaves. */
     boolean deliver(ModelNode from, NodeId to, Consumer<ModelNode> arrival) {
         ModelNode receiver = nodes.get(to);
--- a/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/ModelNode.java
+++ b/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/ModelNode.java
@@ -1,19 +1,20 @@
 package org.tarragonarch.benchmark.experiment;
 
+import com.google.common.collect.ImmutableSet;
 import java.util.concurrent.TimeUnit;
 import org.tarragonarch.benchmark.time.VirtualTime;
 import org.tarragonarch.core.cluster.Coordinator;
-import org.tarragonarch.core.cluster.Member;
 import org.tarragonarch.core.cluster.PeerSender;
 import org.tarragonarch.core.placing.Outlook;
 import org.tarragonarch.core.placing.PlacingSettings;
 import org.tarragonarch.core.shard.PeerBook;
-import org.tarragonarch.core.shard.ShardEvents;
+import org.tarragonarch.core.shard.ShardObserver;
 import org.tarragonarch.core.shard.ShardPools;
 import org.tarragonarch.model.id.Address;
 import org.tarragonarch.model.id.EndpointId;
 import org.tarragonarch.model.id.FailureDomain;
 import org.tarragonarch.model.id.NodeId;
+import org.tarragonarch.model.report.Member;
 import org.tarragonarch.model.report.NodeStatus;
 import org.tarragonarch.model.task.EndKind;
 import org.tarragonarch.model.task.FencingToken;
@@ -23,7 +24,7 @@
 import org.tarragonarch.model.task.Verdict;
 
 /** One life of a node: the node's own decisions, with modelled ways to its peers and to the endpoints. */
-final class ModelNode implements PeerSender, ShardEvents {
+final class ModelNode implements PeerSender, ShardObserver {
     private static final int MILLI_CORES = 750;
     private static final int PEER_PORT = 7_000;
     private static final PlacingSettings PLACING = PlacingSettings.of(1_000, 50);
@@ -128,6 +129,11 @@
         cluster.everyOther(id).forEach(peer -> status(peer, status));
     }
 
+    @Override
+    public void statusToDomains(ImmutableSet<FailureDomain> domains, NodeStatus status) {
+        cluster.everyOther(id, domains).forEach(peer -> status(peer, status));
+    }
+
     @Override
     public void offer(NodeId to, Offer offer) {
         if (!cluster.deliver(this, to, peer -> peer.coordinator.offered(offer))) {
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/Coordinator.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/Coordinator.java
@@ -2,6 +2,8 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
 import java.util.function.LongSupplier;
 import org.tarragonarch.core.handover.JobDesk;
 import org.tarragonarch.core.placing.Outlook;
@@ -11,11 +13,13 @@
 import org.tarragonarch.core.shard.PeerBook;
 import org.tarragonarch.core.shard.ShardEvents;
 import org.tarragonarch.core.shard.ShardKeeper;
+import org.tarragonarch.core.shard.ShardObserver;
 import org.tarragonarch.core.shard.ShardPools;
 import org.tarragonarch.core.shard.Succession;
 import org.tarragonarch.model.id.EndpointId;
 import org.tarragonarch.model.id.FailureDomain;
 import org.tarragonarch.model.id.NodeId;
+import org.tarragonarch.model.report.Member;
 import org.tarragonarch.model.report.NodeStatus;
 import org.tarragonarch.model.task.EndKind;
 import org.tarragonarch.model.task.EndpointOrders;
@@ -36,12 +40,13 @@
     private final Member self;
     private final Timers timers;
     private final PeerSender sender;
-    private final ShardEvents log;
+    private final ShardObserver log;
     private final PeerBook book = new PeerBook();
     private final EndpointList endpoints;
     private final Heartbeats heartbeats;
     private final ShardKeeper keeper;
     private final JobDesk desk;
+    private ImmutableSet<FailureDomain> neighbours;
     private boolean leaving;
     private long configurationVersion;
 
@@ -51,7 +56,7 @@
      * @param ip this VM's address, which makes its tokens unlike those of others
      * @param endpoints the endpoints that the platform lists; whoever changes it says so
      * @param wallMillis the time of day, for terms that rise over restarts
-     * @param log hears what happens to shards and on them; never of settled jobs
+     * @param log hears what happens to shards and on them
      */
     public Coordinator(
             Member self,
@@ -63,7 +68,7 @@
             PeerSender sender,
             Timers timers,
             LongSupplier wallMillis,
-            ShardEvents log) {
+            ShardObserver log) {
         this.self = checkNotNull(self, "self");
         this.endpoints = checkNotNull(endpoints, "endpoints");
         this.sender = checkNotNull(sender, "sender");
@@ -71,7 +76,8 @@
         this.log = checkNotNull(log, "log");
         Succession succession = new Succession(self.node(), self.domain(), ip, self.milliCores(), book, pools);
         this.keeper = new ShardKeeper(pools, succession, endpoints, placing, orders, timers, wallMillis, this);
-        this.heartbeats = new Heartbeats(book, pools.shards());
+        this.heartbeats = new Heartbeats(book, pools, self.domain());
+        this.neighbours = heartbeats.neighbours();
         KnownHolders holders = new KnownHolders(self, book, pools, keeper, heartbeats, sender, timers);
         this.desk = new JobDesk(holders, timers, placing.certainLapse());
     }
@@ -91,6 +97,18 @@
         return keeper.heldShards().size();
     }
 
+    /** Returns the failure domains whose nodes may succeed this one as a holder, or this one them. */
+    public ImmutableSet<FailureDomain> neighbours() {
+        return heartbeats.neighbours();
+    }
+
+    /** Returns the last status of every neighbour that can be heard. */
+    public ImmutableList<NodeStatus> presentNeighbours() {
+        return book.present().stream()
+                .filter(peer -> neighbours().contains(peer.domain()))
+                .collect(ImmutableList.toImmutableList());
+    }
+
     /** Returns whether any shard has a holder that can be heard, so that jobs have somewhere to go. */
     public boolean anyHolder() {
         return !keeper.heldShards().isEmpty() || !book.holders().isEmpty();
@@ -110,12 +128,17 @@
         if (mayClaim) {
             reviewShards();
         }
-        if (heartbeats.review(keeper.heldShards(), now)) {
-            sendStatus();
-        }
+        reviewHeartbeats();
         tell(heartbeats.due(now));
     }
 
+    /** Tells neighbours at once if this node has just begun to miss a holder. */
+    private void reviewHeartbeats() {
+        if (heartbeats.review(keeper.heldShards(), timers.nowMillis())) {
+            tell(heartbeats.audience());
+        }
+    }
+
     /** Claims and lets go of shards as the peers that are there ask for. */
     public void reviewShards() {
         if (!leaving && keeper.review()) {
@@ -123,9 +146,13 @@
         }
     }
 
-    /** Passes the list of endpoints on to the shards held here. */
+    /** Passes the list of endpoints on to the shards held here, and greets the neighbours that it shows. */
     public void endpointsChanged() {
         keeper.endpointsChanged();
+        if (!neighbours.equals(heartbeats.neighbours())) {
+            neighbours = heartbeats.neighbours();
+            tell(heartbeats.audience());
+        }
     }
 
     /** Takes in a peer's status; returns whether the peer was not there before. */
@@ -134,6 +161,7 @@
         if (joined) {
             sender.status(status.node(), status());
         }
+        reviewHeartbeats();
         return joined;
     }
 
@@ -155,7 +183,7 @@
         keeper.placer()
                 .ifPresentOrElse(
                         placer -> placer.offer(offer),
-                        () -> settled(offer.asker(), offer.job().id(), Verdict.HOLD_LOST, 0));
+                        () -> settled(offer.asker(), offer.job().id(), Verdict.RETURNED, 0));
     }
 
     /** Ends a job that a peer withdraws. */
@@ -166,8 +194,8 @@
     /** Lets go of every shard and takes none any more, because this node is about to stop. */
     public void leave() {
         leaving = true;
+        tell(heartbeats.audience());
         keeper.resignAll();
-        sendStatus();
     }
 
     /** Takes in the configuration that is in force here, and tells everybody its version. */
@@ -175,7 +203,7 @@
         configurationVersion = catalog.version();
         endpoints.served(catalog.services());
         endpointsChanged();
-        sendStatus();
+        tell(heartbeats.audience());
     }
 
     /** Returns this node's status. */
@@ -192,22 +220,31 @@
     }
 
     private void holdersChanged() {
-        sendStatus();
+        reviewHeartbeats();
+        tell(Heartbeats.Audience.ALL);
         desk.holdersChanged();
     }
 
     private void tell(Heartbeats.Audience audience) {
-        if (audience == Heartbeats.Audience.ALL) {
-            sendStatus();
-        } else if (audience == Heartbeats.Audience.CLOSE) {
-            NodeStatus status = status();
-            heartbeats.close().forEach(peer -> sender.status(peer, status));
+        if (audience == Heartbeats.Audience.NOBODY) {
+            return;
+        }
+        heartbeats.told(audience, timers.nowMillis());
+        NodeStatus status = status();
+        switch (audience) {
+            case CLOSE -> heartbeats.close().forEach(peer -> sender.status(peer, status));
+            case NEIGHBOURS -> {
+                sender.statusToDomains(neighbours(), status);
+                heartbeats.closeOutside(neighbours()).forEach(peer -> sender.status(peer, status));
+            }
+            case ALL -> sender.statusToAll(status);
+            default -> throw new AssertionError(audience);
         }
     }
 
-    private void sendStatus() {
-        heartbeats.toldAll(timers.nowMillis());
-        sender.statusToAll(status());
+    @Override
+    public void releasedAll() {
+        tell(Heartbeats.Audience.ALL);
     }
 
     @Override
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/Discovery.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/Discovery.java
@@ -2,34 +2,39 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
-import java.util.Set;
+import java.util.Comparator;
 import org.tarragonarch.model.id.NodeId;
+import org.tarragonarch.model.report.Member;
 import org.tarragonarch.model.report.NodeStatus;
 
-/** Decides whether a node that has just started has heard enough of its peers to take shards. */
+/** Decides whether a node that has just started has heard enough of its neighbours to take shards. */
 public final class Discovery {
+    private static final Comparator<Member> FIRST_IN_LINE =
+            Comparator.comparing((Member member) -> -member.milliCores()).thenComparing(Member::node);
+
     private Discovery() {}
 
     /**
      * Returns whether no holder can be missed by what was heard so far.
      *
      * <p>When every node starts at once, after a loss of power, the slowest to come up decides when all have been
-     * heard; callers wait for that. A peer that misses a holder itself proves that there is none that it hears, so the
-     * first by name of all that are known of need not wait for the rest. It is the one that the others wait for.
+     * heard; callers wait for that. A neighbour that misses a holder itself proves that there is none that it hears, so
+     * the first in line of all that are known of need not wait for the rest. It is the one that the others wait for.
      *
-     * @param located every other node that is known of
-     * @param present the last status of each peer that can be heard
+     * @param located every other node of the pool that is known of
+     * @param present the last status of each node of the pool that can be heard
      */
-    public static boolean enoughHeard(NodeId own, ImmutableSet<NodeId> located, ImmutableList<NodeStatus> present) {
+    public static boolean enoughHeard(Member own, ImmutableList<Member> located, ImmutableList<NodeStatus> present) {
         ImmutableSet<NodeId> heard = present.stream().map(NodeStatus::node).collect(ImmutableSet.toImmutableSet());
-        if (heard.containsAll(located)) {
+        if (located.stream().map(Member::node).allMatch(heard::contains)) {
             return true;
         }
         boolean nobodyHasAHolder = !present.isEmpty() && present.stream().allMatch(NodeStatus::seeking);
-        return nobodyHasAHolder && firstByName(own, located);
+        return nobodyHasAHolder && firstInLine(own, located);
     }
 
-    private static boolean firstByName(NodeId own, Set<NodeId> located) {
-        return located.stream().allMatch(other -> own.compareTo(other) < 0);
+    /** Returns whether this node is the one with the most processor time, and of several the first by name. */
+    private static boolean firstInLine(Member own, ImmutableList<Member> located) {
+        return located.stream().noneMatch(other -> FIRST_IN_LINE.compare(other, own) < 0);
     }
 }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/KnownHolders.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/KnownHolders.java
@@ -12,6 +12,7 @@
 import org.tarragonarch.model.id.FailureDomain;
 import org.tarragonarch.model.id.NodeId;
 import org.tarragonarch.model.report.HeldShard;
+import org.tarragonarch.model.report.Member;
 import org.tarragonarch.model.task.JobId;
 import org.tarragonarch.model.task.Offer;
 import org.tarragonarch.model.task.Timers;
@@ -98,6 +99,11 @@
         return heartbeats.holderExpected(timers.nowMillis());
     }
 
+    @Override
+    public boolean noneToBeExpected() {
+        return book.lostAllAtOnce() && keeper.heldShards().isEmpty();
+    }
+
     @Override
     public void offer(Holder holder, Offer offer) {
         if (!holder.node().equals(own())) {
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/PeerSender.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/PeerSender.java
@@ -1,5 +1,7 @@
 package org.tarragonarch.core.cluster;
 
+import com.google.common.collect.ImmutableSet;
+import org.tarragonarch.model.id.FailureDomain;
 import org.tarragonarch.model.id.NodeId;
 import org.tarragonarch.model.report.NodeStatus;
 import org.tarragonarch.model.task.JobId;
@@ -14,6 +16,9 @@
     /** Tells every node that was ever heard of, since it may be back. */
     void statusToAll(NodeStatus status);
 
+    /** Tells every node of these failure domains that was ever heard of. */
+    void statusToDomains(ImmutableSet<FailureDomain> domains, NodeStatus status);
+
     /** Offers a job to a holder. */
     void offer(NodeId to, Offer offer);
 
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/handover/Holders.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/handover/Holders.java
@@ -27,6 +27,9 @@
     /** Returns whether a shard without a holder should have one within moments. */
     boolean moreExpected();
 
+    /** Returns whether this node has no holder and cannot have one soon, because it hears nobody. */
+    boolean noneToBeExpected();
+
     /** Offers a job to a holder. */
     void offer(Holder holder, Offer offer);
 
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/handover/JobDesk.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/handover/JobDesk.java
@@ -104,6 +104,7 @@
             }
             case TOO_LATE -> answer(job, JobReply.of(JobOutcome.GIVEN_UP));
             case HOLD_LOST -> holderLost(job);
+            case RETURNED -> returned(job);
             default -> throw new AssertionError(verdict);
         }
     }
@@ -130,6 +131,7 @@
     public void holdersChanged() {
         for (OpenJob job : ImmutableList.copyOf(open.values())) {
             if (job.holder().isEmpty()) {
+                job.holdersChanged();
                 place(job);
             }
         }
@@ -216,6 +218,10 @@
             }
             anyAllowedLater |= job.mayGoLater(candidate);
         }
+        if (!job.mayHaveRun() && holders.noneToBeExpected()) {
+            refuse(job, NO_HOLDER_RETRY_MILLIS);
+            return;
+        }
         boolean mayWait = holders.moreExpected() && job.ageMillis(now) < HOLDER_WAIT_MILLIS;
         if (job.wasDeclined() && !anyAllowedLater && !mayWait) {
             refuse(job, job.soonestRetryMillis());
@@ -246,6 +252,21 @@
         place(job);
     }
 
+    /**
+     * Takes back a job of which its holder has started nothing.
+     *
+     * <p>Where an earlier holder may have, it is treated like any other job of a lost holder: which of the two verdicts
+     * of this one came last cannot be told if its connection broke in between.
+     */
+    private void returned(OpenJob job) {
+        if (job.mayHaveRun()) {
+            holderLost(job);
+            return;
+        }
+        job.returned();
+        place(job);
+    }
+
     private void giveUp(OpenJob job) {
         if (!isOpen(job)) {
             return;
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/handover/OpenJob.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/handover/OpenJob.java
@@ -27,6 +27,7 @@
     private Optional<Holder> holder = Optional.empty();
     private Optional<Holder> lostHolder = Optional.empty();
     private Optional<NodeId> lastHolder = Optional.empty();
+    private Optional<NodeId> returnedBy = Optional.empty();
     private ImmutableSet<FailureDomain> lostReach = ImmutableSet.of();
     private boolean mayHaveRun;
     private long lostAtMillis;
@@ -122,6 +123,22 @@
         holder = Optional.empty();
     }
 
+    /**
+     * The holder gave the job back without having started any of it.
+     *
+     * <p>It gets the job again only after holders have changed: until it is heard that it lets go of its shards, it
+     * looks like the holder that it was.
+     */
+    void returned() {
+        returnedBy = holder.map(Holder::node);
+        holder = Optional.empty();
+    }
+
+    /** Notes that there may be other holders than before. */
+    void holdersChanged() {
+        returnedBy = Optional.empty();
+    }
+
     void declined(long retryMillis) {
         holder.ifPresent(by -> declinedBy.add(by.node()));
         holder = Optional.empty();
@@ -134,7 +151,7 @@
 
     /** Returns whether the job may go to the holder now, given how long a lost holder's runs may last. */
     boolean mayGoTo(Holder candidate, Holders holders, long nowMillis, long runsLastMillis) {
-        if (declinedBy.contains(candidate.node())) {
+        if (declinedBy.contains(candidate.node()) || isReturnedBy(candidate)) {
             return false;
         }
         if (!mayHaveRun || nowMillis >= lostAtMillis + runsLastMillis) {
@@ -146,7 +163,11 @@
 
     /** Returns whether the job may go to the holder at some time, though not now. */
     boolean mayGoLater(Holder candidate) {
-        return mayHaveRun && !declinedBy.contains(candidate.node());
+        return (mayHaveRun || isReturnedBy(candidate)) && !declinedBy.contains(candidate.node());
+    }
+
+    private boolean isReturnedBy(Holder candidate) {
+        return returnedBy.filter(candidate.node()::equals).isPresent();
     }
 
     boolean wasDeclined() {
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/EndingJobs.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/EndingJobs.java
@@ -1,5 +1,6 @@
 package org.tarragonarch.core.placing;
 
+import com.google.common.collect.ImmutableList;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -46,6 +47,14 @@
         deferred.values().removeIf(waiting -> waiting.offer().asker().equals(asker));
     }
 
+    /** Forgets every waiting offer, and returns them. */
+    ImmutableList<Offer> removeDeferred() {
+        ImmutableList<Offer> offers =
+                deferred.values().stream().map(Deferred::offer).collect(ImmutableList.toImmutableList());
+        deferred.clear();
+        return offers;
+    }
+
     /** Forgets the job if nothing of it takes room; returns the offer that waited for that. */
     Optional<Deferred> removeIfOver(PlacedJob job) {
         if (job.holdsRoom() || !ending.remove(job.id(), job)) {
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/EndpointEvents.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/EndpointEvents.java
@@ -16,6 +16,9 @@
     /** No endpoint can read the order. */
     void unreadable(HeldEndpoint endpoint, Reservation reservation);
 
+    /** The endpoint was read for the first time: what earlier holders left there is known. */
+    void firstListed(HeldEndpoint endpoint);
+
     /** The endpoint can take tasks that it could not take before. */
     void usable(HeldEndpoint endpoint);
 
--- /dev/null
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/EndpointHost.java
@@ -0,0 +1,13 @@
+package org.tarragonarch.core.placing;
+
+/** What every part that calls an endpoint asks of it, and tells it. */
+interface EndpointHost {
+    /** Returns whether the endpoint gets no calls any more. */
+    boolean closed();
+
+    /** The endpoint obeys another holder. */
+    void outranked();
+
+    /** Another life answers at the endpoint's address. */
+    void lifeOver();
+}
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/FoundRuns.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/FoundRuns.java
@@ -15,18 +15,15 @@
 /**
  * The runs that a new holder finds on one endpoint, left there by an earlier one.
  *
- * <p>Each may be taken over by its job, if that is offered here soon; after that it is stopped. Until it is either
- * taken over or gone, the room that it takes is not known.
+ * <p>Each may be adopted by its job, if that is offered here soon; after that it is stopped. Until it is either
+ * adopted or gone, the room that it takes is not known.
  */
 final class FoundRuns {
     /**
      * How long what an earlier holder left running waits for its job to be offered here. Nodes learn of a holder within
-     * some 10 ms of its claim and offer at once; a node that is slowed down six times needs six times that.
+     * a few milliseconds and offer at once; a holder that has just started needs longer to read all their offers.
      */
-    private static final long TAKE_OVER_MILLIS = 80;
-
-    /** The pause before a stop that got no answer is sent again; as that of looks. */
-    private static final long STOP_AGAIN_MILLIS = 40;
+    private static final long ADOPTION_MILLIS = 120;
 
     private final Timers timers;
     private final long stopMillis;
@@ -47,20 +44,20 @@
     /**
      * Takes in what runs that nobody here started.
      *
-     * <p>Only what the first look shows may be taken over. What shows later is a run that was given up here, and its
+     * <p>Only what the first list shows may be adopted. What shows later is a run that was given up here, and its
      * task may have been started elsewhere.
      */
-    void listed(Set<TaskRun> running, boolean firstLook) {
+    void listed(Set<TaskRun> running, boolean firstList) {
         runs.keySet().retainAll(running);
         for (TaskRun run : running) {
-            if (firstLook) {
+            if (firstList) {
                 runs.put(run, State.FREE);
             } else if (!runs.containsKey(run)) {
                 stop(run);
             }
         }
-        if (firstLook) {
-            timers.after(TAKE_OVER_MILLIS, this::stopUnclaimed);
+        if (firstList) {
+            timers.after(ADOPTION_MILLIS, this::stopUnclaimed);
         }
     }
 
@@ -69,6 +66,11 @@
         doneBefore.add(task);
     }
 
+    /** Returns whether nothing is left here that a job could adopt. */
+    boolean nothingToAdopt() {
+        return runs.isEmpty() && doneBefore.isEmpty();
+    }
+
     boolean isDoneBefore(TaskName task) {
         return doneBefore.contains(task);
     }
@@ -80,18 +82,23 @@
 
     /** Returns whether a run of the job is being stopped. */
     boolean anyStopping(JobId job) {
-        return runs.entrySet().stream()
-                .anyMatch(each -> each.getValue() == State.STOPPING
-                        && each.getKey().task().isOf(job));
+        for (Map.Entry<TaskRun, State> each : runs.entrySet()) {
+            if (each.getValue() == State.STOPPING && each.getKey().task().isOf(job)) {
+                return true;
+            }
+        }
+        return false;
     }
 
-    /** Returns the runs of a job that may still be taken over. */
+    /** Returns the runs of a job that may still be adopted. */
     ImmutableSet<TaskRun> freeOf(JobId job) {
-        return runs.entrySet().stream()
-                .filter(each ->
-                        each.getValue() == State.FREE && each.getKey().task().isOf(job))
-                .map(Map.Entry::getKey)
-                .collect(ImmutableSet.toImmutableSet());
+        ImmutableSet.Builder<TaskRun> free = ImmutableSet.builder();
+        for (Map.Entry<TaskRun, State> each : runs.entrySet()) {
+            if (each.getValue() == State.FREE && each.getKey().task().isOf(job)) {
+                free.add(each.getKey());
+            }
+        }
+        return free.build();
     }
 
     private void stopUnclaimed() {
@@ -113,7 +120,7 @@
     }
 
     /**
-     * A run that the endpoint says it does not know is over. After any other answer, or none, the next look tells:
+     * A run that the endpoint says it does not know is over. After any other answer, or none, the next list tells:
      * taken for over while it runs, it would be renewed with whatever is started here, for as long as that goes on.
      */
     private void stopAnswered(TaskRun run, OrderAnswer answer) {
@@ -121,38 +128,29 @@
             return;
         }
         switch (answer.result()) {
-            case DONE -> timers.after(stopMillis, host::lookIfNeeded);
+            case DONE -> timers.after(stopMillis, host::pollIfIdle);
             case OLD_RUN -> {
                 runs.remove(run);
-                host.lookIfNeeded();
+                host.pollIfIdle();
             }
             case OUTRANKED -> host.outranked();
             case OTHER_LIFE -> host.lifeOver();
-            default -> timers.after(STOP_AGAIN_MILLIS, () -> sendStop(run, true));
+            default -> timers.after(RunListPoller.FIRST_RETRY_MILLIS, () -> sendStop(run, true));
         }
     }
 
-    /** Whether a run may be taken over. */
+    /** Whether a run may be adopted. */
     private enum State {
         FREE,
         STOPPING
     }
 
     /** The endpoint on which the runs are. */
-    interface Host {
-        /** Returns whether no orders are given to it any more. */
-        boolean closed();
-
+    interface Host extends EndpointHost {
         /** Orders it to stop a run. */
         void stop(TaskRun run, boolean fresh, Consumer<OrderAnswer> reply);
 
-        /** Looks at it, unless a look is under way. */
-        void lookIfNeeded();
-
-        /** Another holder has it. */
-        void outranked();
-
-        /** Another life answers at its address. */
-        void lifeOver();
+        /** Calls it unless a call is under way. */
+        void pollIfIdle();
     }
 }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/HeldEndpoint.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/HeldEndpoint.java
@@ -2,20 +2,14 @@
 
 import com.google.common.collect.ImmutableSet;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.function.Consumer;
-import org.tarragonarch.model.task.Delivery;
 import org.tarragonarch.model.task.EndKind;
 import org.tarragonarch.model.task.EndpointEntry;
 import org.tarragonarch.model.task.EndpointOrders;
 import org.tarragonarch.model.task.FencingToken;
-import org.tarragonarch.model.task.HoldAnswer;
-import org.tarragonarch.model.task.HoldOrder;
 import org.tarragonarch.model.task.JobId;
 import org.tarragonarch.model.task.OrderAnswer;
-import org.tarragonarch.model.task.OrderResult;
 import org.tarragonarch.model.task.Resources;
-import org.tarragonarch.model.task.StartOrder;
 import org.tarragonarch.model.task.TaskEnd;
 import org.tarragonarch.model.task.TaskRun;
 import org.tarragonarch.model.task.Timers;
@@ -24,42 +18,20 @@
  * One endpoint under this node's token: what runs there, what room is left, and the lease of all that runs.
  *
  * <p>The endpoint arbitrates: it obeys no token lower than the highest it has seen, and lists all that runs. So the
- * first look under a new token shuts out every earlier holder and shows what they left behind, which is stopped before
- * anything is started. From then on room is counted here, and is given back only when the endpoint listed the end, or
- * when the lease of the run has certainly run out.
+ * first call under a new token shuts out every earlier holder and shows what they left behind, which is adopted by its
+ * jobs or stopped before anything is started. From then on room is counted here, and is given back only when the
+ * endpoint listed the end, or when the lease of the run has certainly run out.
  */
 final class HeldEndpoint {
-    /** The pause after the second look in a row without an answer; after the first the next one leaves at once. */
-    private static final long FIRST_RETRY_MILLIS = 40;
-
-    private static final long LONGEST_RETRY_MILLIS = 640;
-
-    /** Ends are noted with the next look; an endpoint that fell idle is looked at once more after this while. */
-    private static final long IDLE_NOTE_MILLIS = 500;
-
-    /** An endpoint that refuses as unwell is left alone this long: a few times the run time of a short task. */
-    private static final long UNWELL_REST_MILLIS = 250;
-
-    private final EndpointOrders orders;
-    private final Timers timers;
-    private final PlacingSettings settings;
-    private final FencingToken token;
+    private final EndpointLink link;
     private final EndpointEvents events;
     private final EndpointHealth health = new EndpointHealth();
-    private final EndpointClock clock = new EndpointClock();
     private final ReservedRoom room;
     private final FoundRuns found;
-    private EndpointEntry entry;
-    private long acknowledgedEnd;
-    private long notedEnd;
-    private boolean read;
-    private boolean silent;
+    private final RunListPoller poller;
+    private final RunOrders orders;
     private boolean closed;
     private boolean retired;
-    private boolean lookUnderWay;
-    private boolean idleNotePlanned;
-    private long retryMillis;
-    private long leaseOverAtMillis;
 
     HeldEndpoint(
             EndpointEntry entry,
@@ -68,19 +40,18 @@
             EndpointOrders orders,
             Timers timers,
             EndpointEvents events) {
-        this.entry = entry;
-        this.token = token;
-        this.settings = settings;
-        this.orders = orders;
-        this.timers = timers;
+        this.link = new EndpointLink(entry, token, settings, orders, timers);
         this.events = events;
         this.room = new ReservedRoom(entry.capacity());
-        this.found = new FoundRuns(timers, settings.stopTime(), new FoundHost());
+        Host host = new Host();
+        this.found = new FoundRuns(timers, settings.stopTime(), host);
+        this.poller = new RunListPoller(link, host);
+        this.orders = new RunOrders(link, room, poller, host);
     }
 
-    /** Takes the first look. */
+    /** Reads the lists for the first time. */
     void open() {
-        look();
+        poller.pollIfIdle();
     }
 
     /** Gives no more orders; what runs is left to its lease. */
@@ -96,22 +67,22 @@
      */
     void abandon() {
         closed = true;
-        long left = Math.max(0, leaseOverAtMillis - timers.nowMillis());
-        timers.after(left, () -> releaseAll(EndKind.LAPSED));
+        long left = Math.max(0, link.leaseOverAtMillis() - link.nowMillis());
+        link.timers().after(left, () -> releaseAll(EndKind.LAPSED));
     }
 
     EndpointEntry entry() {
-        return entry;
+        return link.entry();
     }
 
     /** Takes in a later entry of the same life. */
     void update(EndpointEntry later) {
-        entry = later;
+        link.update(later);
         retired = false;
-        room.resize(entry.capacity());
+        room.resize(later.capacity());
     }
 
-    /** The list no longer shows the endpoint: what runs there may end, and nothing is started. */
+    /** The platform no longer lists the endpoint: what runs there may end, and nothing is started. */
     void retire() {
         retired = true;
     }
@@ -124,85 +95,72 @@
         return room.free();
     }
 
-    /** Returns whether the first look was answered, so that everything that runs there is known. */
+    /** Returns whether everything that runs there is known. */
     boolean known() {
-        return read && found.isEmpty();
+        return poller.read() && found.isEmpty();
     }
 
-    /** Returns whether no run of the job can be here but those that may be taken over. */
+    /** Returns whether no run of the job can be here but those that may be adopted. */
     boolean readyFor(JobId job) {
-        return read && !found.anyStopping(job);
+        return poller.read() && !found.anyStopping(job);
     }
 
-    /** Lets a job take over what an earlier holder started of it here. */
-    void takeOver(PlacedJob job) {
+    /** Lets a job adopt what an earlier holder started of it here. */
+    void adopt(PlacedJob job) {
+        if (found.nothingToAdopt()) {
+            return;
+        }
         for (PlacedTask task : job.tasks()) {
-            if (found.isDoneBefore(task.name()) && task.waiting()) {
+            if (found.isDoneBefore(task.name()) && task.isUnresolved()) {
                 job.finished(task);
             }
         }
         for (TaskRun run : found.freeOf(job.id())) {
-            job.task(run.task()).filter(PlacedTask::waiting).ifPresent(task -> takeOver(task, run));
+            job.task(run.task()).filter(PlacedTask::isUnresolved).ifPresent(task -> adopt(task, run));
         }
         if (!room.isEmpty()) {
-            lookIfNeeded();
+            poller.pollIfIdle();
         }
     }
 
-    private void takeOver(PlacedTask task, TaskRun run) {
+    private void adopt(PlacedTask task, TaskRun run) {
         found.remove(run);
-        task.takenOver(run);
-        Reservation reservation = Reservation.takenOver(task, run, task.job().need(), timers.nowMillis());
-        reserve(reservation);
+        task.adopted(run);
+        orders.reserve(Reservation.adopted(task, run, task.job().need(), link.nowMillis()));
     }
 
-    private void reserve(Reservation reservation) {
-        room.reserve(reservation);
-        reservation.task().placed(this, reservation);
-    }
-
-    /** Returns whether any look was ever answered. */
+    /** Returns whether the endpoint has ever answered. */
     boolean answered() {
-        return read;
+        return poller.read();
     }
 
     /**
-     * Returns whether the endpoint will most likely take tasks within moments, because its first look is under way or
-     * what an earlier holder left there is being stopped.
+     * Returns whether the endpoint will most likely take tasks within moments, because its first answer is due or what
+     * an earlier holder left there is being stopped.
      */
     boolean opening() {
-        return !closed && !retired && !entry.draining() && !silent && !known();
+        return !closed && !retired && !entry().draining() && !poller.silent() && !known();
     }
 
     boolean takes(Resources need, long nowMillis) {
         return need.fitsInto(room.free())
                 && known()
-                && !silent
+                && !poller.silent()
                 && !closed
                 && !retired
-                && !entry.draining()
+                && !entry().draining()
                 && !health.resting(nowMillis)
                 && !(health.onTrial() && !room.isEmpty());
     }
 
     /** Starts a run; the endpoint must take it. */
     void start(PlacedTask task, TaskRun run, Resources need) {
-        long now = timers.nowMillis();
-        Reservation reservation = new Reservation(task, run, need, now);
-        reserve(reservation);
-        StartOrder order = new StartOrder(token, run, task.job().specification(), leaseUntil(now));
-        orders.start(entry, order, delivery(false), answer -> startAnswered(reservation, answer));
-        if (!lookUnderWay) {
-            look();
-        }
+        orders.start(task, run, need);
     }
 
     /** Stops a run, which stays reserved until its end is certain. */
     void stop(Reservation reservation) {
-        if (reservation.wanted()) {
-            reservation.stopping();
-            sendStop(reservation, false);
-        }
+        orders.stop(reservation);
     }
 
     /**
@@ -212,7 +170,7 @@
      * keep a job until its client leaves. Where the work itself is long, the second run is left alone.
      */
     void restartStuck() {
-        long now = timers.nowMillis();
+        long now = link.nowMillis();
         for (Reservation reservation : room.all()) {
             long limit = reservation.task().job().longestRunMillis();
             boolean stuck = reservation.wanted() && now - reservation.startedAtMillis() > limit;
@@ -223,278 +181,122 @@
     }
 
     void badRun() {
-        health.failed(timers.nowMillis());
+        health.failed(link.nowMillis());
     }
 
     void goodRun() {
         health.good();
     }
 
-    private void startAnswered(Reservation reservation, OrderAnswer answer) {
-        long now = timers.nowMillis();
-        if (closed || !room.contains(reservation)) {
-            return;
-        }
-        clock.answered(answer.clockMillis(), now);
-        switch (answer.result()) {
-            case DONE -> reservation.running(now);
-            case UNKNOWN -> startUnanswered(reservation);
-            case OUTRANKED -> events.outranked(this);
-            case OTHER_LIFE -> lifeOver();
-            case OLD_RUN -> {
-                room.release(reservation);
-                events.refusedAsOld(this, reservation);
-            }
-            case UNREADABLE -> {
-                room.release(reservation);
-                events.unreadable(this, reservation);
+    private void endOthers(ImmutableSet<TaskRun> running, long sentAtMillis) {
+        for (Reservation reservation : room.all()) {
+            if (running.contains(reservation.run())) {
+                reservation.running(link.nowMillis());
+            } else if (reservation.overIfAbsentAt(sentAtMillis)) {
+                release(reservation, EndKind.LAPSED);
             }
-            default -> startRefused(reservation, answer.result(), now);
-        }
-    }
-
-    private void startRefused(Reservation reservation, OrderResult result, long now) {
-        if (result == OrderResult.NOT_SENT) {
-            suspect();
-        } else if (result != OrderResult.TOO_LATE) {
-            health.rest(now, UNWELL_REST_MILLIS);
         }
-        room.release(reservation);
-        events.refused(this, reservation);
     }
 
-    /**
-     * Guards against an order that is carried out seconds after it was sent: the task would run twice, or over the
-     * endpoint's room. It shows as a start without an answer. A look tells whether only the answer was lost; if the run
-     * is not there it is stopped, which the endpoint remembers, and its room stays reserved until the stop was answered
-     * or the order's own time is over.
-     */
-    private void startUnanswered(Reservation reservation) {
-        if (reservation.is(Reservation.State.STARTING)) {
-            lookAside(() -> stopIfStarting(reservation));
-        }
+    private ImmutableSet<TaskRun> withoutReservation(ImmutableSet<TaskRun> running) {
+        return running.stream().filter(run -> room.of(run).isEmpty()).collect(ImmutableSet.toImmutableSet());
     }
 
-    private void stopIfStarting(Reservation reservation) {
-        if (room.contains(reservation) && reservation.is(Reservation.State.STARTING)) {
-            reservation.stopping();
-            sendStop(reservation, true);
-            suspect();
-        }
-    }
-
-    /**
-     * Takes one look beside the one that is under way, on a connection of its own, and then goes on.
-     *
-     * <p>That the endpoint obeys another holder or is another life is left to the next order, which learns it too.
-     *
-     * @param then what to do with what is known afterwards, also if the look got no answer
-     */
-    private void lookAside(Runnable then) {
-        long sentAtMillis = timers.nowMillis();
-        HoldOrder order = new HoldOrder(token, acknowledgedEnd, OptionalLong.empty(), 0);
-        orders.hold(entry, order, delivery(true), answer -> {
-            if (closed) {
-                return;
-            }
-            if (answer.result() == OrderResult.DONE) {
-                takeLists(answer, sentAtMillis);
-            }
-            then.run();
-        });
-    }
-
-    private Delivery delivery(boolean fresh) {
-        return new Delivery(settings.answerTime(), fresh);
+    private void lifeOver() {
+        closed = true;
+        releaseAll(EndKind.LAPSED);
     }
 
-    /** Starts nothing more here until a look was answered. */
-    private void suspect() {
-        silent = true;
-        lookIfNeeded();
+    private void releaseAll(EndKind kind) {
+        room.all().forEach(reservation -> release(reservation, kind));
     }
 
-    private void sendStop(Reservation reservation, boolean fresh) {
-        orders.stop(entry, token, reservation.run(), delivery(fresh), answer -> stopAnswered(reservation, answer));
+    private void release(Reservation reservation, EndKind kind) {
+        room.release(reservation);
+        events.ended(this, reservation, kind);
     }
 
-    private void stopAnswered(Reservation reservation, OrderAnswer answer) {
-        if (closed || !room.contains(reservation)) {
-            return;
-        }
-        long now = timers.nowMillis();
-        clock.answered(answer.clockMillis(), now);
-        switch (answer.result()) {
-            case DONE, OLD_RUN -> stopTaken(reservation, now);
-            case OUTRANKED -> events.outranked(this);
-            case OTHER_LIFE -> lifeOver();
-            default ->
-                timers.after(FIRST_RETRY_MILLIS * 2, () -> {
-                    if (!closed && room.contains(reservation)) {
-                        sendStop(reservation, true);
-                    }
-                });
+    /** What this endpoint does for its parts. */
+    private final class Host implements RunListPoller.Host, RunOrders.Host, FoundRuns.Host {
+        @Override
+        public boolean closed() {
+            return closed;
         }
-    }
 
-    /**
-     * The endpoint has taken the stop: a run that never was there will not be, so the next look that does not show it
-     * proves it; one that was takes a while to end.
-     */
-    private void stopTaken(Reservation reservation, long now) {
-        if (reservation.seen()) {
-            reservation.stopped(now + settings.stopTime());
-            timers.after(settings.stopTime() + 1, this::lookIfNeeded);
-        } else {
-            reservation.stopped(now);
-            timers.after(1, () -> lookAside(() -> timers.after(settings.stopTime(), this::lookIfNeeded)));
+        @Override
+        public boolean anyReserved() {
+            return !room.isEmpty();
         }
-    }
 
-    private void lookIfNeeded() {
-        if (!closed && !lookUnderWay) {
-            look();
+        @Override
+        public boolean anyRecovered() {
+            return !found.isEmpty();
         }
-    }
-
-    private void look() {
-        long now = timers.nowMillis();
-        boolean extend = read && !silent && !room.isEmpty();
-        OptionalLong until = extend ? OptionalLong.of(leaseUntil(now)) : OptionalLong.empty();
-        long wait = extend ? settings.holdWait() : 0;
-        long noting = acknowledgedEnd;
-        lookUnderWay = true;
-        HoldOrder order = new HoldOrder(token, noting, until, wait);
-        orders.hold(entry, order, delivery(silent), answer -> lookAnswered(answer, now, noting));
-    }
 
-    private void lookAnswered(HoldAnswer answer, long sentAtMillis, long noted) {
-        lookUnderWay = false;
-        if (closed) {
-            return;
-        }
-        long now = timers.nowMillis();
-        clock.answered(answer.clockMillis(), now);
-        switch (answer.result()) {
-            case DONE -> {
-                notedEnd = Math.max(notedEnd, noted);
-                takeLists(answer, sentAtMillis);
-                lookAgain();
+        @Override
+        public void ended(TaskEnd end, boolean firstList) {
+            found.remove(end.run());
+            Optional<Reservation> reservation = room.of(end.run());
+            if (reservation.isPresent()) {
+                release(reservation.get(), end.kind());
+            } else if (firstList && end.kind() == EndKind.DONE) {
+                found.doneBefore(end.run().task());
             }
-            case OUTRANKED -> events.outranked(this);
-            case OTHER_LIFE -> lifeOver();
-            default -> lookUnanswered(now);
         }
-    }
 
-    private void takeLists(HoldAnswer answer, long sentAtMillis) {
-        ImmutableSet<TaskRun> running = ImmutableSet.copyOf(answer.running());
-        for (TaskEnd end : answer.ended()) {
-            if (end.number() > acknowledgedEnd) {
-                acknowledgedEnd = end.number();
-                found.remove(end.run());
-                endListed(end);
+        @Override
+        public void listed(Iterable<TaskRun> listed, long sentAtMillis, boolean firstList, boolean wasSilent) {
+            ImmutableSet<TaskRun> running = ImmutableSet.copyOf(listed);
+            endOthers(running, sentAtMillis);
+            found.listed(withoutReservation(running), firstList);
+            if (firstList) {
+                events.firstListed(HeldEndpoint.this);
             }
-        }
-        for (Reservation reservation : room.all()) {
-            if (running.contains(reservation.run())) {
-                reservation.running(timers.nowMillis());
-            } else if (reservation.overIfAbsentAt(sentAtMillis)) {
-                room.release(reservation);
-                events.ended(this, reservation, EndKind.LAPSED);
+            if (wasSilent || firstList || found.isEmpty()) {
+                events.usable(HeldEndpoint.this);
             }
         }
-        takeFound(running);
-        boolean becameUsable = silent || !read;
-        silent = false;
-        read = true;
-        retryMillis = 0;
-        if (becameUsable || found.isEmpty()) {
-            events.usable(this);
-        }
-    }
-
-    private void endListed(TaskEnd end) {
-        Optional<Reservation> reservation = room.of(end.run());
-        if (reservation.isPresent()) {
-            room.release(reservation.get());
-            events.ended(this, reservation.get(), end.kind());
-        } else if (!read && end.kind() == EndKind.DONE) {
-            found.doneBefore(end.run().task());
-        }
-    }
-
-    private void takeFound(ImmutableSet<TaskRun> running) {
-        ImmutableSet<TaskRun> unknown =
-                running.stream().filter(run -> room.of(run).isEmpty()).collect(ImmutableSet.toImmutableSet());
-        found.listed(unknown, !read);
-    }
 
-    private void lookAgain() {
-        if (!room.isEmpty()) {
-            look();
-        } else if (found.isEmpty() && notedEnd < acknowledgedEnd && !idleNotePlanned) {
-            idleNotePlanned = true;
-            timers.after(IDLE_NOTE_MILLIS, () -> {
-                idleNotePlanned = false;
-                if (notedEnd < acknowledgedEnd) {
-                    lookIfNeeded();
-                }
-            });
+        @Override
+        public void unanswered() {
+            if (!room.isEmpty() && link.nowMillis() >= link.leaseOverAtMillis()) {
+                releaseAll(EndKind.LAPSED);
+            }
         }
-    }
 
-    private void lookUnanswered(long now) {
-        silent = true;
-        if (!room.isEmpty() && now >= leaseOverAtMillis) {
-            releaseAll(EndKind.LAPSED);
+        @Override
+        public void outranked() {
+            events.outranked(HeldEndpoint.this);
         }
-        timers.after(retryMillis, this::lookIfNeeded);
-        retryMillis = Math.max(FIRST_RETRY_MILLIS, Math.min(LONGEST_RETRY_MILLIS, retryMillis * 2));
-    }
-
-    private void lifeOver() {
-        closed = true;
-        releaseAll(EndKind.LAPSED);
-    }
 
-    private void releaseAll(EndKind kind) {
-        for (Reservation reservation : room.all()) {
-            room.release(reservation);
-            events.ended(this, reservation, kind);
+        @Override
+        public void lifeOver() {
+            HeldEndpoint.this.lifeOver();
         }
-    }
-
-    private long leaseUntil(long now) {
-        leaseOverAtMillis = Math.max(leaseOverAtMillis, now + settings.certainLapse());
-        return clock.at(now) + settings.lease();
-    }
 
-    /** What this endpoint does for the runs that were found on it. */
-    private final class FoundHost implements FoundRuns.Host {
         @Override
-        public boolean closed() {
-            return closed;
+        public HeldEndpoint endpoint() {
+            return HeldEndpoint.this;
         }
 
         @Override
-        public void stop(TaskRun run, boolean fresh, Consumer<OrderAnswer> reply) {
-            orders.stop(entry, token, run, delivery(fresh), reply);
+        public EndpointEvents events() {
+            return events;
         }
 
         @Override
-        public void lookIfNeeded() {
-            HeldEndpoint.this.lookIfNeeded();
+        public void rest(long millis) {
+            health.rest(link.nowMillis(), millis);
         }
 
         @Override
-        public void outranked() {
-            events.outranked(HeldEndpoint.this);
+        public void stop(TaskRun run, boolean fresh, Consumer<OrderAnswer> reply) {
+            link.stop(run, fresh, reply);
         }
 
         @Override
-        public void lifeOver() {
-            HeldEndpoint.this.lifeOver();
+        public void pollIfIdle() {
+            poller.pollIfIdle();
         }
     }
 }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacedJob.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacedJob.java
@@ -145,6 +145,26 @@
         return allFinished();
     }
 
+    /** Notes that any task may have a run of an earlier holder under way. */
+    void awaitEarlierRuns() {
+        tasks.forEach(PlacedTask::unresolved);
+    }
+
+    /** Returns whether a task may have a run of an earlier holder under way that was not found yet. */
+    boolean awaitsEarlierRuns() {
+        for (PlacedTask task : tasks) {
+            if (task.isUnresolved()) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Notes that no earlier run is under way but those that were adopted. */
+    void earlierRunsResolved() {
+        tasks.forEach(PlacedTask::resolved);
+    }
+
     /** Returns whether some of the job was done or is under way as it comes in. */
     boolean begunBefore() {
         return everStarted() || unfinished < tasks.size();
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacedTask.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacedTask.java
@@ -16,6 +16,7 @@
     private int failures;
     private boolean done;
     private boolean restarted;
+    private boolean unresolved;
     private Optional<HeldEndpoint> at = Optional.empty();
     private Optional<Reservation> reservation = Optional.empty();
     private Optional<EndpointId> failedAt = Optional.empty();
@@ -35,7 +36,22 @@
     }
 
     boolean waiting() {
-        return !done && reservation.isEmpty();
+        return !done && !unresolved && reservation.isEmpty();
+    }
+
+    /** Notes that a run of an earlier holder may be under way somewhere, so that the task must not start. */
+    void unresolved() {
+        unresolved = true;
+    }
+
+    /** Returns whether a run of an earlier holder may be under way on an endpoint that was not read yet. */
+    boolean isUnresolved() {
+        return unresolved;
+    }
+
+    /** Notes that no run of an earlier holder is under way, but one that this task has adopted. */
+    void resolved() {
+        unresolved = false;
     }
 
     int failures() {
@@ -53,7 +69,8 @@
     }
 
     /** Notes that a run of an earlier holder goes on as this task's. */
-    void takenOver(TaskRun run) {
+    void adopted(TaskRun run) {
+        unresolved = false;
         nextRun = Math.max(nextRun, run.run() + 1);
         job.started(run);
     }
@@ -87,6 +104,7 @@
     }
 
     void finished() {
+        unresolved = false;
         done = true;
         back();
     }
--- /dev/null
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RecoveringJobs.java
@@ -0,0 +1,94 @@
+package org.tarragonarch.core.placing;
+
+import com.google.common.collect.ImmutableList;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.tarragonarch.model.task.JobId;
+import org.tarragonarch.model.task.Offer;
+import org.tarragonarch.model.task.Timers;
+
+/**
+ * Jobs of which runs of an earlier holder may be under way that were not found yet.
+ *
+ * <p>Their runs are adopted one by one, as the endpoints are read. Buys what a holder's loss would throw away
+ * otherwise: all that runs on its endpoints. A task whose run was not found starts only when it cannot run anywhere, so
+ * an endpoint that does not answer delays the tasks that may be there and no others.
+ */
+final class RecoveringJobs {
+    /** How often the jobs are checked: a fraction of the time that a stop takes. */
+    private static final long CHECK_MILLIS = 10;
+
+    private final HeldShards shards;
+    private final Timers timers;
+    private final Consumer<PlacedJob> recovered;
+    private final Map<JobId, Recovery> recoveries = new LinkedHashMap<>();
+    private boolean checkPlanned;
+
+    /**
+     * Creates the recovery of a placer's jobs.
+     *
+     * @param recovered goes on with a job none of whose runs is unknown any more
+     */
+    RecoveringJobs(HeldShards shards, Timers timers, Consumer<PlacedJob> recovered) {
+        this.shards = shards;
+        this.timers = timers;
+        this.recovered = recovered;
+    }
+
+    /** Takes a job, and lets it adopt what was found of it already. */
+    void add(PlacedJob job, Offer offer) {
+        job.awaitEarlierRuns();
+        recoveries.put(job.id(), new Recovery(job, offer, timers.nowMillis()));
+        shards.endpoints().forEach(endpoint -> endpoint.adopt(job));
+        check(job);
+        planCheck();
+    }
+
+    /** Lets the jobs adopt what was found on an endpoint that was just read for the first time. */
+    void adoptFrom(HeldEndpoint endpoint) {
+        jobs().forEach(endpoint::adopt);
+    }
+
+    /** Forgets a job that is over. */
+    void remove(PlacedJob job) {
+        recoveries.remove(job.id());
+    }
+
+    private void planCheck() {
+        if (!checkPlanned && !recoveries.isEmpty()) {
+            checkPlanned = true;
+            timers.after(CHECK_MILLIS, this::checkAll);
+        }
+    }
+
+    private void checkAll() {
+        checkPlanned = false;
+        jobs().forEach(this::check);
+        planCheck();
+    }
+
+    private void check(PlacedJob job) {
+        Recovery recovery = recoveries.get(job.id());
+        if (recovery != null && isResolved(recovery)) {
+            recoveries.remove(job.id());
+            job.earlierRunsResolved();
+            recovered.accept(job);
+        }
+    }
+
+    private boolean isResolved(Recovery recovery) {
+        PlacedJob job = recovery.job();
+        Offer offer = recovery.offer().later(timers.nowMillis() - recovery.sinceMillis());
+        return !job.awaitsEarlierRuns()
+                || offer.earlierRuns().over()
+                || shards.readyFor(job.id(), offer.earlierRuns().shards());
+    }
+
+    private ImmutableList<PlacedJob> jobs() {
+        return recoveries.values().stream().map(Recovery::job).collect(ImmutableList.toImmutableList());
+    }
+
+    /** A job, its offer, and when that came in. */
+    private record Recovery(PlacedJob job, Offer offer, long sinceMillis) {}
+}
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/Reservation.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/Reservation.java
@@ -27,7 +27,7 @@
     private State state = State.STARTING;
     private long settledAtMillis = Long.MAX_VALUE;
     private boolean seen;
-    private boolean takenOver;
+    private boolean adopted;
 
     Reservation(PlacedTask task, TaskRun run, Resources room, long startedAtMillis) {
         this.task = task;
@@ -37,9 +37,9 @@
     }
 
     /** Returns the room of a run that an earlier holder started, and that is there. */
-    static Reservation takenOver(PlacedTask task, TaskRun run, Resources room, long nowMillis) {
+    static Reservation adopted(PlacedTask task, TaskRun run, Resources room, long nowMillis) {
         Reservation reservation = new Reservation(task, run, room, nowMillis);
-        reservation.takenOver = true;
+        reservation.adopted = true;
         reservation.running(nowMillis);
         return reservation;
     }
@@ -49,8 +49,8 @@
     }
 
     /** Returns whether an earlier holder started the run, so that it is not known when. */
-    boolean takenOver() {
-        return takenOver;
+    boolean adopted() {
+        return adopted;
     }
 
     TaskRun run() {
@@ -96,8 +96,8 @@
         settledAtMillis = goneAtMillis;
     }
 
-    /** Returns whether a look that was sent at this time and does not show the run proves that it is over. */
-    boolean overIfAbsentAt(long lookSentAtMillis) {
-        return settledAtMillis < lookSentAtMillis;
+    /** Returns whether a call that was sent at this time and does not show the run proves that it is over. */
+    boolean overIfAbsentAt(long sentAtMillis) {
+        return settledAtMillis < sentAtMillis;
     }
 }
--- /dev/null
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RunOrders.java
@@ -0,0 +1,150 @@
+package org.tarragonarch.core.placing;
+
+import org.tarragonarch.model.task.OrderAnswer;
+import org.tarragonarch.model.task.OrderResult;
+import org.tarragonarch.model.task.Resources;
+import org.tarragonarch.model.task.TaskRun;
+
+/** Starts and stops runs on one endpoint, and keeps their room until it is certain that they are gone. */
+final class RunOrders {
+    /** The pause before a stop that got no answer is sent again. */
+    private static final long STOP_RETRY_MILLIS = 2 * RunListPoller.FIRST_RETRY_MILLIS;
+
+    /** An endpoint that refuses as unwell is left alone this long: a few times the run time of a short task. */
+    private static final long UNWELL_REST_MILLIS = 250;
+
+    private final EndpointLink link;
+    private final ReservedRoom room;
+    private final RunListPoller poller;
+    private final Host host;
+
+    RunOrders(EndpointLink link, ReservedRoom room, RunListPoller poller, Host host) {
+        this.link = link;
+        this.room = room;
+        this.poller = poller;
+        this.host = host;
+    }
+
+    /** Starts a run, whose room is reserved from now on. */
+    void start(PlacedTask task, TaskRun run, Resources need) {
+        Reservation reservation = new Reservation(task, run, need, link.nowMillis());
+        reserve(reservation);
+        link.start(run, task.job().specification(), answer -> startAnswered(reservation, answer));
+        poller.pollIfIdle();
+    }
+
+    /** Reserves the room of a run. */
+    void reserve(Reservation reservation) {
+        room.reserve(reservation);
+        reservation.task().placed(host.endpoint(), reservation);
+    }
+
+    /** Stops a run, which stays reserved until its end is certain. */
+    void stop(Reservation reservation) {
+        if (reservation.wanted()) {
+            reservation.stopping();
+            sendStop(reservation, false);
+        }
+    }
+
+    private void startAnswered(Reservation reservation, OrderAnswer answer) {
+        if (host.closed() || !room.contains(reservation)) {
+            return;
+        }
+        switch (answer.result()) {
+            case DONE -> reservation.running(link.nowMillis());
+            case UNKNOWN -> startUnanswered(reservation);
+            case OUTRANKED -> host.outranked();
+            case OTHER_LIFE -> host.lifeOver();
+            case OLD_RUN -> {
+                room.release(reservation);
+                host.events().refusedAsOld(host.endpoint(), reservation);
+            }
+            case UNREADABLE -> {
+                room.release(reservation);
+                host.events().unreadable(host.endpoint(), reservation);
+            }
+            default -> startRefused(reservation, answer.result());
+        }
+    }
+
+    private void startRefused(Reservation reservation, OrderResult result) {
+        if (result == OrderResult.NOT_SENT) {
+            poller.suspect();
+        } else if (result != OrderResult.TOO_LATE) {
+            host.rest(UNWELL_REST_MILLIS);
+        }
+        room.release(reservation);
+        host.events().refused(host.endpoint(), reservation);
+    }
+
+    /**
+     * Guards against an order that is carried out seconds after it was sent: the task would run twice, or over the
+     * endpoint's room. It shows as a start without an answer. The list tells whether only the answer was lost; if the
+     * run is not there it is stopped, which the endpoint remembers, and its room stays reserved until the stop was
+     * answered or the order's own time is over.
+     */
+    private void startUnanswered(Reservation reservation) {
+        if (reservation.is(Reservation.State.STARTING)) {
+            poller.readAside(() -> stopIfStarting(reservation));
+        }
+    }
+
+    private void stopIfStarting(Reservation reservation) {
+        if (room.contains(reservation) && reservation.is(Reservation.State.STARTING)) {
+            reservation.stopping();
+            sendStop(reservation, true);
+            poller.suspect();
+        }
+    }
+
+    private void sendStop(Reservation reservation, boolean fresh) {
+        link.stop(reservation.run(), fresh, answer -> stopAnswered(reservation, answer));
+    }
+
+    private void stopAnswered(Reservation reservation, OrderAnswer answer) {
+        if (host.closed() || !room.contains(reservation)) {
+            return;
+        }
+        switch (answer.result()) {
+            case DONE, OLD_RUN -> stopTaken(reservation);
+            case OUTRANKED -> host.outranked();
+            case OTHER_LIFE -> host.lifeOver();
+            default -> link.timers().after(STOP_RETRY_MILLIS, () -> stopAgain(reservation));
+        }
+    }
+
+    private void stopAgain(Reservation reservation) {
+        if (!host.closed() && room.contains(reservation)) {
+            sendStop(reservation, true);
+        }
+    }
+
+    /**
+     * The endpoint has taken the stop: a run that never was there will not be, so the next list that does not show it
+     * proves it; one that was takes a while to end.
+     */
+    private void stopTaken(Reservation reservation) {
+        long now = link.nowMillis();
+        long stopMillis = link.settings().stopTime();
+        if (reservation.seen()) {
+            reservation.stopped(now + stopMillis);
+            link.timers().after(stopMillis + 1, poller::pollIfIdle);
+        } else {
+            reservation.stopped(now);
+            link.timers().after(1, () -> poller.readAside(() -> link.timers().after(stopMillis, poller::pollIfIdle)));
+        }
+    }
+
+    /** The endpoint that the orders are for. */
+    interface Host extends EndpointHost {
+        /** Returns the endpoint itself. */
+        HeldEndpoint endpoint();
+
+        /** Returns who is told what becomes of runs. */
+        EndpointEvents events();
+
+        /** Starts nothing there for a while. */
+        void rest(long millis);
+    }
+}
--- /dev/null
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RunResults.java
@@ -0,0 +1,151 @@
+package org.tarragonarch.core.placing;
+
+import org.tarragonarch.model.id.FailureDomain;
+import org.tarragonarch.model.task.EndKind;
+import org.tarragonarch.model.task.EndpointEntry;
+import org.tarragonarch.model.task.Timers;
+import org.tarragonarch.model.task.Verdict;
+
+/** Takes in what endpoints say of runs: judges the endpoint, learns run times, and decides what its task does next. */
+final class RunResults implements EndpointEvents {
+    private final JobLine line;
+    private final RunTimes runTimes;
+    private final Timers timers;
+    private final PlacerListener listener;
+    private final Host host;
+
+    RunResults(JobLine line, RunTimes runTimes, Timers timers, PlacerListener listener, Host host) {
+        this.line = line;
+        this.runTimes = runTimes;
+        this.timers = timers;
+        this.listener = listener;
+        this.host = host;
+    }
+
+    @Override
+    public void ended(HeldEndpoint endpoint, Reservation reservation, EndKind kind) {
+        if (host.closed()) {
+            return;
+        }
+        PlacedTask task = reservation.task();
+        PlacedJob job = task.job();
+        if (kind.ownEnd()) {
+            judge(endpoint, kind);
+        }
+        if (kind != EndKind.DONE && !job.over()) {
+            EndpointEntry entry = endpoint.entry();
+            listener.runEndedBadly(entry.domain(), reservation.run(), entry.id(), kind);
+        }
+        if (!task.holds(reservation)) {
+            return;
+        }
+        if (job.over()) {
+            task.back();
+        } else if (kind == EndKind.DONE) {
+            learn(reservation);
+            if (job.finished(task)) {
+                host.settle(job, Verdict.DONE);
+            }
+        } else if (kind.countsAsAttempt()) {
+            task.failed(endpoint.entry().id());
+            again(job, task);
+        } else {
+            task.back();
+            again(job, task);
+        }
+        host.roomReleased(job);
+    }
+
+    @Override
+    public void refused(HeldEndpoint endpoint, Reservation reservation) {
+        takeBack(reservation);
+    }
+
+    @Override
+    public void refusedAsOld(HeldEndpoint endpoint, Reservation reservation) {
+        reservation.task().skipOldRuns();
+        takeBack(reservation);
+    }
+
+    @Override
+    public void unreadable(HeldEndpoint endpoint, Reservation reservation) {
+        PlacedJob job = reservation.task().job();
+        reservation.task().back();
+        if (!job.over()) {
+            host.settle(job, Verdict.FAILED);
+        }
+        host.roomReleased(job);
+    }
+
+    @Override
+    public void firstListed(HeldEndpoint endpoint) {
+        host.firstListed(endpoint);
+    }
+
+    @Override
+    public void usable(HeldEndpoint endpoint) {
+        host.roomFound();
+    }
+
+    @Override
+    public void outranked(HeldEndpoint endpoint) {
+        host.outranked(endpoint.entry().domain());
+    }
+
+    /** Learns from a run whose start was seen. */
+    private void learn(Reservation reservation) {
+        if (!reservation.adopted()) {
+            PlacedJob job = reservation.task().job();
+            long ran = timers.nowMillis() - reservation.startedAtMillis();
+            runTimes.ran(job.queue().name(), job.step().estimateMillis(), ran);
+        }
+    }
+
+    private void judge(HeldEndpoint endpoint, EndKind kind) {
+        if (kind == EndKind.DONE) {
+            endpoint.goodRun();
+        } else {
+            endpoint.badRun();
+        }
+    }
+
+    private void takeBack(Reservation reservation) {
+        PlacedTask task = reservation.task();
+        if (task.holds(reservation)) {
+            task.back();
+            if (!task.job().over()) {
+                line.add(task.job());
+            }
+            host.roomReleased(task.job());
+        }
+    }
+
+    private void again(PlacedJob job, PlacedTask task) {
+        if (task.failures() >= job.queue().attempts()) {
+            host.settle(job, Verdict.FAILED);
+        } else {
+            line.add(job);
+        }
+    }
+
+    /** The placer whose runs these are. */
+    interface Host {
+        /** Returns whether every job was given back. */
+        boolean closed();
+
+        /** Ends a job with a verdict. */
+        void settle(PlacedJob job, Verdict verdict);
+
+        /** A run of the job takes no room any more. */
+        void roomReleased(PlacedJob job);
+
+        /** An endpoint can take tasks that it could not take before. */
+        void roomFound();
+
+        /** An endpoint was read for the first time. */
+        void firstListed(HeldEndpoint endpoint);
+
+        /** The endpoints of a shard obey another holder. */
+        void outranked(FailureDomain shard);
+    }
+}
--- /dev/null
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/TaskStarter.java
@@ -0,0 +1,88 @@
+package org.tarragonarch.core.placing;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.tarragonarch.model.task.Timers;
+
+/** Starts the tasks of pending jobs wherever there is room, the most urgent job first. */
+final class TaskStarter {
+    private final HeldShards shards;
+    private final JobLine line;
+    private final Timers timers;
+    private final Consumer<PlacedJob> giveUp;
+    private boolean planned;
+
+    /**
+     * Creates the starter of a placer.
+     *
+     * @param giveUp ends a job whose answer would come too late
+     */
+    TaskStarter(HeldShards shards, JobLine line, Timers timers, Consumer<PlacedJob> giveUp) {
+        this.shards = shards;
+        this.line = line;
+        this.timers = timers;
+        this.giveUp = giveUp;
+    }
+
+    /** Starts what fits once the events at hand are taken in. */
+    void planStart() {
+        if (!planned) {
+            planned = true;
+            timers.after(0, this::startPending);
+        }
+    }
+
+    /** Starts what fits now. */
+    void startPending() {
+        planned = false;
+        long now = timers.nowMillis();
+        long roomiest = shards.roomiestMilliCores(now);
+        List<PlacedJob> overdue = new ArrayList<>();
+        for (PlacedJob job : line.inOrder()) {
+            if (job.hopelessAt(now)) {
+                giveUp.accept(job);
+            } else if (job.overdueAt(now)) {
+                overdue.add(job);
+            } else {
+                roomiest = startIfRoom(job, now, roomiest);
+            }
+        }
+        for (PlacedJob job : overdue) {
+            roomiest = startIfRoom(job, now, roomiest);
+        }
+    }
+
+    /**
+     * Starts what fits of a job.
+     *
+     * @param roomiest the most processor time that one endpoint has free; most of a long queue needs no closer check
+     * @return the same after what was started
+     */
+    private long startIfRoom(PlacedJob job, long now, long roomiest) {
+        if (job.over() || job.need().milliCores() > roomiest) {
+            return roomiest;
+        }
+        long waitingBefore = job.waitingTasks();
+        if (startWaiting(job, now)) {
+            line.remove(job);
+        }
+        return job.waitingTasks() == waitingBefore ? roomiest : shards.roomiestMilliCores(now);
+    }
+
+    /** Starts what fits; returns whether nothing of the job waits any more. */
+    private boolean startWaiting(PlacedJob job, long now) {
+        for (PlacedTask task : job.tasks()) {
+            if (!task.waiting()) {
+                continue;
+            }
+            Optional<HeldEndpoint> endpoint = EndpointChoice.choose(shards.endpoints(), task, now);
+            if (endpoint.isEmpty()) {
+                return false;
+            }
+            endpoint.get().start(task, task.takeRun(), job.need());
+        }
+        return true;
+    }
+}
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/Heartbeats.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/Heartbeats.java
@@ -12,52 +12,59 @@
 /**
  * Decides whom this node tells its status, and how often.
  *
- * <p>Jobs pass between a holder and everybody else, so these have to miss each other within a second. Two nodes that
- * hold nothing have nothing to do with each other until a holder is lost. So a node speaks to holders, and a holder to
- * everybody, every {@value PeerBook#STATUS_PERIOD_MILLIS} ms, and all others hear it every
- * {@value PeerBook#DISTANT_PERIOD_MILLIS} ms. Among 32 nodes with three holders that is 1,300 statuses a second in all
- * in place of 5,000, and it grows with the number of holders times that of nodes.
+ * <p>Jobs pass between a holder and everybody else, so these have to miss each other within a second: a holder speaks
+ * to every node, and every node to the holders, every {@value PeerBook#STATUS_PERIOD_MILLIS} ms. Nodes that hold
+ * nothing matter to each other only where they may be the next holder, within the domains of one pool; they hear each
+ * other every {@value PeerBook#DISTANT_PERIOD_MILLIS} ms. So what a node sends grows with the number of holders and
+ * with the size of its pool, and not with that of the cluster; at a start it connects to its neighbours alone.
  *
- * <p>A node that misses the holder of any shard says so in its status: it speaks to everybody often, and everybody to
- * it, until the next holder is known. So a holder and its successor may die at the same moment, and the one after them
- * is still found within a second.
+ * <p>A node that misses the holder of a shard of its own pool says so in its status: it speaks to its neighbours often,
+ * and they to it, until the next holder is known. So a holder and its successor may die at the same moment, and the one
+ * after them is still found within a second.
  */
 public final class Heartbeats {
     /** How long a shard may take to get its next holder: 0.2 s as a rule, a second where every node starts cold. */
     private static final long TAKEOVER_MILLIS = 1_000;
 
     private final PeerBook book;
-    private final ImmutableSet<FailureDomain> shards;
+    private final ShardPools pools;
+    private final FailureDomain ownDomain;
     private boolean holding;
     private boolean seeking;
     private long seekingSinceMillis;
     private long closeToldAtMillis = Long.MIN_VALUE / 2;
-    private long allToldAtMillis = Long.MIN_VALUE / 2;
+    private long neighboursToldAtMillis = Long.MIN_VALUE / 2;
 
     /** Creates the plan of a node that has told nobody anything. */
-    public Heartbeats(PeerBook book, ImmutableSet<FailureDomain> shards) {
+    public Heartbeats(PeerBook book, ShardPools pools, FailureDomain ownDomain) {
         this.book = checkNotNull(book, "book");
-        this.shards = checkNotNull(shards, "shards");
+        this.pools = checkNotNull(pools, "pools");
+        this.ownDomain = checkNotNull(ownDomain, "ownDomain");
+    }
+
+    /** Returns the failure domains whose nodes may succeed this node as a holder, or this node them. */
+    public ImmutableSet<FailureDomain> neighbours() {
+        return pools.neighbours(ownDomain);
     }
 
     /**
-     * Takes in which shards this node holds, and looks which have no holder.
+     * Takes in which shards this node holds, and which of its pool have no holder.
      *
      * @return whether peers have to be told at once, because this node has just begun to miss a holder
      */
     public boolean review(Set<FailureDomain> held, long nowMillis) {
         boolean soughtBefore = seeking;
         holding = !held.isEmpty();
-        seeking = shards.stream()
+        seeking = neighbours().stream()
                 .anyMatch(shard -> !held.contains(shard) && book.holder(shard).isEmpty());
         if (seeking && !soughtBefore) {
             seekingSinceMillis = nowMillis;
         }
-        book.expectOften(holding || seeking, nowMillis);
+        book.expectFrom(neighbours(), holding, holding || seeking, nowMillis);
         return seeking && !soughtBefore;
     }
 
-    /** Returns whether this node misses the holder of a shard. */
+    /** Returns whether this node misses the holder of a shard of its pool. */
     public boolean seeking() {
         return seeking;
     }
@@ -69,22 +76,30 @@
 
     /** Returns who is due to hear this node's status now; whoever calls this tells them. */
     public Audience due(long nowMillis) {
-        boolean often = holding || seeking;
-        if (nowMillis - allToldAtMillis >= (often ? PeerBook.STATUS_PERIOD_MILLIS : PeerBook.DISTANT_PERIOD_MILLIS)) {
-            toldAll(nowMillis);
-            return Audience.ALL;
+        long period = holding || seeking ? PeerBook.STATUS_PERIOD_MILLIS : PeerBook.DISTANT_PERIOD_MILLIS;
+        if (nowMillis - neighboursToldAtMillis >= period) {
+            Audience audience = audience();
+            told(audience, nowMillis);
+            return audience;
         }
         if (nowMillis - closeToldAtMillis >= PeerBook.STATUS_PERIOD_MILLIS) {
-            closeToldAtMillis = nowMillis;
+            told(Audience.CLOSE, nowMillis);
             return Audience.CLOSE;
         }
         return Audience.NOBODY;
     }
 
-    /** Notes that everybody was told. */
-    public void toldAll(long nowMillis) {
-        allToldAtMillis = nowMillis;
+    /** Returns who has to hear of a change of this node's status. */
+    public Audience audience() {
+        return holding ? Audience.ALL : Audience.NEIGHBOURS;
+    }
+
+    /** Notes who was told. */
+    public void told(Audience audience, long nowMillis) {
         closeToldAtMillis = nowMillis;
+        if (audience != Audience.CLOSE) {
+            neighboursToldAtMillis = nowMillis;
+        }
     }
 
     /** Returns the peers that need to hear this node often: holders, and nodes that miss one. */
@@ -95,12 +110,21 @@
                 .collect(ImmutableList.toImmutableList());
     }
 
+    /** Returns the peers that need to hear this node often and do not stand in these failure domains. */
+    public ImmutableList<NodeId> closeOutside(ImmutableSet<FailureDomain> domains) {
+        return close().stream()
+                .filter(peer -> domains.stream().noneMatch(domain -> book.standsIn(peer, domain)))
+                .collect(ImmutableList.toImmutableList());
+    }
+
     /** Who is due to hear a status. */
     public enum Audience {
         /** Nobody yet. */
         NOBODY,
         /** Those that need to hear this node often. */
         CLOSE,
+        /** Those, and every node of the own pool. */
+        NEIGHBOURS,
         /** Every node that was ever heard of, since it may be back. */
         ALL
     }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/PeerBook.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/PeerBook.java
@@ -1,9 +1,11 @@
 package org.tarragonarch.core.shard;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.TreeMap;
 import java.util.function.Predicate;
 import org.tarragonarch.model.id.FailureDomain;
@@ -31,11 +33,22 @@
     /** How long a peer that speaks seldom may say nothing, in milliseconds; three missed in a row and some slack. */
     public static final long DISTANT_SILENCE_MILLIS = 3 * DISTANT_PERIOD_MILLIS + 500;
 
+    /**
+     * Peers that were last heard within this time of each other fell silent together: what lies between two heartbeats
+     * of a peer that speaks seldom, and the time after which silence counts.
+     */
+    private static final long AT_ONCE_MILLIS = DISTANT_PERIOD_MILLIS + SILENCE_MILLIS;
+
+    /** So many peers do not fail together by chance. */
+    private static final int SEVERAL = 3;
+
     private final Map<NodeId, Heard> peers = new TreeMap<>();
     private final Map<FailureDomain, FencingToken> highestTokens = new HashMap<>();
     private Optional<ImmutableList<NodeStatus>> holders = Optional.empty();
-    private boolean allSpeakOften;
-    private long allSpeakOftenSinceMillis;
+    private ImmutableSet<FailureDomain> neighbours = ImmutableSet.of();
+    private boolean allSpeak = true;
+    private boolean neighboursSpeakOften;
+    private long oftenSinceMillis;
 
     /** Creates a book that knows nobody. */
     public PeerBook() {}
@@ -73,16 +86,22 @@
     }
 
     /**
-     * Notes whether every peer should speak often to this node.
+     * Notes who should speak to this node, and how often.
+     *
+     * <p>From the moment on when a peer should speak often it has {@link #SILENCE_MILLIS} to be heard, as it may have
+     * been silent for longer than that with good reason.
      *
-     * <p>From the moment on when that begins a peer has {@link #SILENCE_MILLIS} to be heard, as it may have been silent
-     * for longer than that with good reason.
+     * @param domains the failure domains whose nodes always speak to this one
+     * @param all whether all other nodes do too, as to a holder
+     * @param often whether those that speak should do so often
      */
-    void expectOften(boolean often, long nowMillis) {
-        if (often && !allSpeakOften) {
-            allSpeakOftenSinceMillis = nowMillis;
+    void expectFrom(ImmutableSet<FailureDomain> domains, boolean all, boolean often, long nowMillis) {
+        if (often && !neighboursSpeakOften || all && !allSpeak) {
+            oftenSinceMillis = nowMillis;
         }
-        allSpeakOften = often;
+        neighbours = domains;
+        allSpeak = all;
+        neighboursSpeakOften = often;
     }
 
     /** Returns the peers that have been silent for too long, and takes them for gone from now on. */
@@ -91,13 +110,42 @@
         for (Heard heard : ImmutableList.copyOf(peers.values())) {
             if (heard.present() && silent(heard, nowMillis)) {
                 peers.put(heard.status().node(), heard.gone());
-                silent.add(heard.status().node());
                 holders = Optional.empty();
+                if (shouldSpeak(heard.status())) {
+                    silent.add(heard.status().node());
+                }
             }
         }
         return silent.build();
     }
 
+    /**
+     * Returns whether every peer fell silent at about the same moment.
+     *
+     * <p>Several nodes hardly ever fail together, and one that is cut off loses sight of them all: most likely they go
+     * on without this one.
+     */
+    public boolean lostAllAtOnce() {
+        return present().isEmpty() && lostLast(lost -> true) >= SEVERAL;
+    }
+
+    /** Returns whether a node of the failure domain is among those that fell silent last, at about the same moment. */
+    public boolean lostLastIn(FailureDomain domain) {
+        return lostLast(lost -> lost.status().domain().equals(domain)) > 0;
+    }
+
+    /** Counts those of the peers that are gone which were heard last. */
+    private long lostLast(Predicate<Heard> wanted) {
+        OptionalLong lastHeard = peers.values().stream()
+                .filter(heard -> !heard.present())
+                .mapToLong(Heard::atMillis)
+                .max();
+        return peers.values().stream()
+                .filter(heard -> !heard.present() && heard.atMillis() >= lastHeard.orElseThrow() - AT_ONCE_MILLIS)
+                .filter(wanted)
+                .count();
+    }
+
     /** Returns the last status of every peer that is there. */
     public ImmutableList<NodeStatus> present() {
         return statuses(heard -> true);
@@ -180,12 +228,17 @@
         if (!heard.status().shards().isEmpty()) {
             return nowMillis - heard.atMillis() > SILENCE_MILLIS;
         }
-        if (allSpeakOften) {
-            return nowMillis - Math.max(heard.atMillis(), allSpeakOftenSinceMillis) > SILENCE_MILLIS;
+        if (neighboursSpeakOften && shouldSpeak(heard.status())) {
+            return nowMillis - Math.max(heard.atMillis(), oftenSinceMillis) > SILENCE_MILLIS;
         }
         return nowMillis - heard.atMillis() > DISTANT_SILENCE_MILLIS;
     }
 
+    /** Returns whether the peer should speak to this node, so that its silence means something. */
+    private boolean shouldSpeak(NodeStatus peer) {
+        return allSpeak || !peer.shards().isEmpty() || neighbours.contains(peer.domain());
+    }
+
     private ImmutableList<NodeStatus> statuses(Predicate<Heard> wanted) {
         ImmutableList.Builder<NodeStatus> statuses = ImmutableList.builder();
         for (Heard heard : peers.values()) {
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/ShardKeeper.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/ShardKeeper.java
@@ -182,6 +182,7 @@
         Placer current = placer.orElseThrow();
         if (current.shards().size() <= 1) {
             placer = Optional.empty();
+            events.releasedAll();
         }
         current.letGo(shard);
     }
--- /dev/null
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/ShardObserver.java
@@ -0,0 +1,28 @@
+package org.tarragonarch.core.shard;
+
+import org.tarragonarch.core.placing.Outlook;
+import org.tarragonarch.model.id.EndpointId;
+import org.tarragonarch.model.id.FailureDomain;
+import org.tarragonarch.model.id.NodeId;
+import org.tarragonarch.model.task.EndKind;
+import org.tarragonarch.model.task.FencingToken;
+import org.tarragonarch.model.task.JobId;
+import org.tarragonarch.model.task.TaskRun;
+
+/** Observes what happens to the shards of a node and on them, and decides nothing. */
+public interface ShardObserver {
+    /** The node took a shard with so many endpoints. */
+    void claimed(FailureDomain shard, FencingToken token, int endpoints);
+
+    /** The node let go of a shard of its own accord. */
+    void resigned(FailureDomain shard, FencingToken token);
+
+    /** The endpoints of a shard obey another node. */
+    void outranked(FailureDomain shard, FencingToken token);
+
+    /** A job is declined, and why. */
+    void declined(NodeId asker, JobId job, Outlook outlook);
+
+    /** A run ended without having done its work. */
+    void runEndedBadly(FailureDomain shard, TaskRun run, EndpointId endpoint, EndKind kind);
+}
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/ShardPools.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/ShardPools.java
@@ -68,4 +68,13 @@
         Region region = regions.get(shard);
         return region == null || apart.contains(region) ? ImmutableSet.of(shard) : domains.get(region);
     }
+
+    /**
+     * Returns the failure domains whose nodes may succeed each other as a holder, for a node of one of them.
+     *
+     * <p>Before any endpoint is known it cannot be told which domains go together; the own one does in any case.
+     */
+    public ImmutableSet<FailureDomain> neighbours(FailureDomain domain) {
+        return endpoints.isEmpty() ? ImmutableSet.of(domain) : poolOf(domain);
+    }
 }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/Succession.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/Succession.java
@@ -17,7 +17,9 @@
  * shards from one another. A shard stays with its holder while that can be heard. When it is gone, the first in line of
  * the nodes in the domains of the shard's pool claims it under a higher term: the one that holds most of that pool,
  * then the one with the most processor time, then the first by name. A shard none of whose domain's nodes can be heard
- * may be cut off rather than without a holder; it is claimed only after {@value #FOREIGN_CLAIM_MILLIS} ms.
+ * may be cut off rather than without a holder; it is claimed only after {@value #FOREIGN_CLAIM_MILLIS} ms, by a node
+ * that holds another. A node that hears nobody may be cut off itself, and claims only after
+ * {@value #ISOLATED_CLAIM_MILLIS} ms what the others may still hold.
  */
 public final class Succession {
     /**
@@ -26,6 +28,15 @@
      */
     private static final long FOREIGN_CLAIM_MILLIS = 3_000;
 
+    /**
+     * How long a node that lost all its peers at once claims nothing that one of them may hold, in milliseconds.
+     *
+     * <p>Guards against one node that is cut off, still reaches the endpoints, and takes them from the holder that
+     * serves everybody else. It shows as silence of all peers at once. Peers that were killed are heard again within a
+     * second or two; those that are gone for good are given up after this.
+     */
+    private static final long ISOLATED_CLAIM_MILLIS = PeerBook.DISTANT_SILENCE_MILLIS;
+
     /**
      * Two nodes that cannot hear each other but reach the same endpoints would take them from one another for ever. The
      * one that was outranked keeps away from the shard this long.
@@ -107,9 +118,37 @@
             return false;
         }
         long since = withoutHolderSince.computeIfAbsent(shard, unused -> nowMillis);
+        return nowMillis - since >= patienceMillis(shard)
+                && nowMillis >= keepAwayUntil.getOrDefault(shard, Long.MIN_VALUE)
+                && mayBeNext(shard)
+                && firstInLine(shard);
+    }
+
+    /** Returns whether this node most likely cannot be heard by its peers, while they go on. */
+    public boolean isolated() {
+        return peers.lostAllAtOnce();
+    }
+
+    /** Returns for how long a shard must have had no holder before this node claims it. */
+    private long patienceMillis(FailureDomain shard) {
+        boolean alone = isHome(shard) && !peers.lostLastIn(shard);
+        if (isolated() && !alone) {
+            return ISOLATED_CLAIM_MILLIS;
+        }
         boolean certain = isHome(shard) || pools.poolOf(shard).contains(ownDomain) && homeNodePresent(shard);
-        boolean patient = certain || nowMillis - since >= FOREIGN_CLAIM_MILLIS;
-        return patient && nowMillis >= keepAwayUntil.getOrDefault(shard, Long.MIN_VALUE) && firstInLine(shard);
+        return certain ? 0 : FOREIGN_CLAIM_MILLIS;
+    }
+
+    /**
+     * Returns whether this node knows enough of its rivals to claim the shard.
+     *
+     * <p>Outside the shard's pool only holders are heard by everybody; others would claim it without knowing of each
+     * other. Where nobody holds anything, everybody speaks to its neighbours at least.
+     */
+    private boolean mayBeNext(FailureDomain shard) {
+        return pools.poolOf(shard).contains(ownDomain)
+                || !held.isEmpty()
+                || peers.holders().isEmpty();
     }
 
     /**
@@ -240,6 +279,9 @@
         if (peerIsNear != pool.contains(ownDomain)) {
             return peerIsNear;
         }
+        if (!peerIsNear && peer.shards().isEmpty() != held.isEmpty()) {
+            return held.isEmpty();
+        }
         long theirs = heldOf(pool, peer);
         long ours = ownHeldOf(pool);
         if (theirs != ours) {
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/DiscoveryTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/DiscoveryTest.java
@@ -4,10 +4,10 @@
 import static org.testng.Assert.assertTrue;
 
 import com.google.common.collect.ImmutableList;
-import com.google.common.collect.ImmutableSet;
 import org.tarragonarch.model.id.Address;
 import org.tarragonarch.model.id.FailureDomain;
 import org.tarragonarch.model.id.NodeId;
+import org.tarragonarch.model.report.Member;
 import org.tarragonarch.model.report.NodeStatus;
 import org.testng.annotations.Test;
 
@@ -22,11 +22,15 @@
         return new NodeStatus(node, FailureDomain.of("hobart"), address, 750, false, seeking, 1, ImmutableList.of());
     }
 
+    private static Member member(NodeId node) {
+        return new Member(node, FailureDomain.of("hobart"), new Address("10.0.0.9", 7_000), 750);
+    }
+
     @Test
     public void testEnoughHeard_everybody() {
         ImmutableList<NodeStatus> both = ImmutableList.of(status(A, false), status(C, true));
-        assertTrue(Discovery.enoughHeard(B, ImmutableSet.of(A, C), both));
-        assertTrue(Discovery.enoughHeard(B, ImmutableSet.of(), ImmutableList.of()));
+        assertTrue(Discovery.enoughHeard(member(B), ImmutableList.of(member(A), member(C)), both));
+        assertTrue(Discovery.enoughHeard(member(B), ImmutableList.of(), ImmutableList.of()));
     }
 
     /**
@@ -35,19 +39,30 @@
      */
     @Test
     public void testEnoughHeard_oneIsSlow() {
-        ImmutableSet<NodeId> located = ImmutableSet.of(B, C);
-        assertTrue(Discovery.enoughHeard(A, located, ImmutableList.of(status(B, true))));
-        assertFalse(Discovery.enoughHeard(A, located, ImmutableList.of()));
+        ImmutableList<Member> located = ImmutableList.of(member(B), member(C));
+        assertTrue(Discovery.enoughHeard(member(A), located, ImmutableList.of(status(B, true))));
+        assertFalse(Discovery.enoughHeard(member(A), located, ImmutableList.of()));
     }
 
     /** One node alone was restarted: whoever it hears first has a holder, and it must hear that holder too. */
     @Test
     public void testEnoughHeard_othersHaveAHolder() {
-        assertFalse(Discovery.enoughHeard(A, ImmutableSet.of(B, C), ImmutableList.of(status(B, false))));
+        assertFalse(Discovery.enoughHeard(
+                member(A), ImmutableList.of(member(B), member(C)), ImmutableList.of(status(B, false))));
     }
 
     @Test
     public void testEnoughHeard_anotherGoesFirst() {
-        assertFalse(Discovery.enoughHeard(B, ImmutableSet.of(A, C), ImmutableList.of(status(C, true))));
+        assertFalse(Discovery.enoughHeard(
+                member(B), ImmutableList.of(member(A), member(C)), ImmutableList.of(status(C, true))));
+    }
+
+    /** The first by name is a small VM; it leaves the start to the large one, which holds the shard in the end. */
+    @Test
+    public void testEnoughHeard_strongerNodeGoesFirst() {
+        Member strong = new Member(C, FailureDomain.of("hobart"), new Address("10.0.0.9", 7_000), 1_500);
+        ImmutableList<NodeStatus> seeking = ImmutableList.of(status(B, true));
+        assertFalse(Discovery.enoughHeard(member(A), ImmutableList.of(member(B), strong), seeking));
+        assertTrue(Discovery.enoughHeard(strong, ImmutableList.of(member(A), member(B)), seeking));
     }
 }
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/handover/FakeHolders.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/handover/FakeHolders.java
@@ -21,6 +21,7 @@
     final List<FailureDomain> taken = new ArrayList<>();
     final Map<FailureDomain, Long> highestTerms = new HashMap<>();
     boolean moreExpected;
+    boolean noneToBeExpected;
     final List<String> asked = new ArrayList<>();
 
     Holder add(String node, String shard, long term) {
@@ -55,6 +56,11 @@
         return moreExpected;
     }
 
+    @Override
+    public boolean noneToBeExpected() {
+        return noneToBeExpected;
+    }
+
     @Override
     public void offer(Holder holder, Offer offer) {
         asked.add("offer " + holder.node()
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/handover/JobDeskTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/handover/JobDeskTest.java
@@ -184,6 +184,46 @@
         assertEquals(test.replies, ImmutableList.of("GIVEN_UP"));
     }
 
+    /**
+     * A holder is stopped for an update and gives a job back that it has not started. Nothing of it can run, so it goes
+     * to another holder at once; the one that gave it back looks like a holder until its next status is heard.
+     */
+    @Test
+    public void testSettled_returnedJobGoesToAnotherHolderAtOnce() {
+        JobDeskTest test = fresh();
+        test.holders.add("a", "hobart", 1);
+        test.holders.add("b", "launceston", 1);
+        test.submit(4_000);
+        test.desk.settled(NodeId.of("a"), JOB, Verdict.RETURNED, 0);
+        assertEquals(test.holders.asked, ImmutableList.of("offer a", "offer b"));
+    }
+
+    /** No other holder takes it: it waits for the next holder of its domain, and is told the truth if none comes. */
+    @Test
+    public void testSettled_returnedJobWaitsForTheNextHolder() {
+        JobDeskTest test = fresh();
+        Holder leaving = test.holders.add("a", "hobart", 1);
+        test.holders.add("b", "launceston", 1);
+        test.submit(4_000);
+        test.desk.settled(NodeId.of("a"), JOB, Verdict.RETURNED, 0);
+        test.desk.settled(NodeId.of("b"), JOB, Verdict.DECLINED, 300);
+        test.holders.holders.remove(leaving);
+        test.holders.add("c", "hobart", 2);
+        test.desk.holdersChanged();
+        assertEquals(test.holders.asked, ImmutableList.of("offer a", "offer b", "offer c"));
+        test.desk.settled(NodeId.of("c"), JOB, Verdict.DECLINED, 200);
+        assertEquals(test.replies, ImmutableList.of("REFUSED 200"));
+    }
+
+    /** The node is cut off from every other: no holder will be heard, so its callers are told at once to come back. */
+    @Test
+    public void testSubmit_nodeThatHearsNobodyRefusesAtOnce() {
+        JobDeskTest test = fresh();
+        test.holders.noneToBeExpected = true;
+        test.submit(4_000);
+        assertEquals(test.replies, ImmutableList.of("REFUSED 1000"));
+    }
+
     /** A job that may have run is never said to be refused: its client would believe that nothing of it happened. */
     @Test
     public void testDeadline_afterHolderLost() {
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/PlacerHandOverTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/PlacerHandOverTest.java
@@ -205,4 +205,79 @@
         assertTrue(fixture.verdicts.contains("asker-1 1 DONE"), fixture.verdicts.toString());
         assertEquals(fixture.ledger.broken(), ImmutableList.of());
     }
+
+    /**
+     * A node is stopped for an update while one worker of its domain has just crashed and is still on the list. The
+     * next holder waited for that worker's list before it went on with any job; 80 ms later it stopped the runs it had
+     * found on all others, and every job of the domain was late or lost. What was found goes on at once.
+     */
+    @Test
+    public void testClaim_runsAreAdoptedWhileAnEndpointIsSilent() {
+        PlacerFixture fixture = new PlacerFixture(3);
+        fixture.endpoint(1).runMillis = 900;
+        fixture.endpoint(2).runMillis = 900;
+        Placer before = fixture.placer(1);
+        fixture.timers.pass(20);
+        before.offer(PlacerFixture.offer(1, 4, 900, PlacerFixture.ASKER, false));
+        fixture.timers.pass(500);
+        fixture.way(3, FakeOrders.Way.CUT);
+        Placer next = fixture.placer(2);
+        next.offer(PlacerFixture.offer(1, 4, 900, PlacerFixture.ASKER, true));
+        fixture.timers.pass(450);
+        assertTrue(fixture.verdicts.contains("asker-1 1 DONE"), fixture.verdicts.toString());
+        assertEquals(fixture.ledger.starts(), 4);
+        assertEquals(fixture.ledger.broken(), ImmutableList.of());
+    }
+
+    /**
+     * The silent worker itself runs half of the job. The half that was found goes on; the other may still run there,
+     * so it is started again only when its lease is certainly over.
+     */
+    @Test
+    public void testClaim_tasksOnASilentEndpointWaitForTheirLease() {
+        PlacerFixture fixture = new PlacerFixture(2);
+        fixture.endpoint(1).runMillis = 900;
+        fixture.endpoint(2).runMillis = 5_000;
+        Placer before = fixture.placer(1);
+        fixture.timers.pass(20);
+        before.offer(PlacerFixture.offer(1, 4, 900, PlacerFixture.ASKER, false));
+        fixture.timers.pass(500);
+        fixture.way(2, FakeOrders.Way.CUT);
+        Placer next = fixture.placer(2);
+        next.offer(PlacerFixture.offer(1, 4, 900, PlacerFixture.ASKER, true));
+        fixture.timers.pass(2_100);
+        assertTrue(fixture.verdicts.contains("asker-1 1 DONE"), fixture.verdicts.toString());
+        assertEquals(fixture.ledger.starts(), 6);
+        assertEquals(fixture.ledger.broken(), ImmutableList.of());
+    }
+
+    /**
+     * A holder is stopped for an update in a burst. Of the jobs that it gives back some have never started; taken for
+     * jobs that may have run, they could go to no other domain for a second, and most of their callers were told that
+     * their work may have been done.
+     */
+    @Test
+    public void testLetGo_jobsThatNeverStartedAreReturned() {
+        PlacerFixture fixture = new PlacerFixture(1);
+        Placer placer = fixture.placer(1);
+        fixture.timers.pass(20);
+        placer.offer(PlacerFixture.offer(1, 2));
+        placer.offer(PlacerFixture.offer(2, 2));
+        fixture.timers.pass(5);
+        placer.letGo(PlacerFixture.SHARD);
+        assertTrue(fixture.verdicts.contains("asker-1 1 HOLD_LOST"), fixture.verdicts.toString());
+        assertTrue(fixture.verdicts.contains("asker-1 2 RETURNED"), fixture.verdicts.toString());
+    }
+
+    /** A job whose earlier runs are not traced yet is given back as one that may run. */
+    @Test
+    public void testLetGo_jobWithEarlierRunsMayRun() {
+        PlacerFixture fixture = new PlacerFixture(1);
+        fixture.way(1, FakeOrders.Way.CUT);
+        Placer placer = fixture.placer(1);
+        placer.offer(PlacerFixture.offer(1, 1, 60, PlacerFixture.ASKER, true));
+        fixture.timers.pass(20);
+        placer.letGo(PlacerFixture.SHARD);
+        assertEquals(fixture.verdicts, ImmutableList.of("asker-1 1 HOLD_LOST"));
+    }
 }
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/shard/HeartbeatsTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/shard/HeartbeatsTest.java
@@ -5,11 +5,13 @@
 import static org.testng.Assert.assertTrue;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
 import org.tarragonarch.core.shard.Heartbeats.Audience;
 import org.tarragonarch.model.id.Address;
 import org.tarragonarch.model.id.FailureDomain;
 import org.tarragonarch.model.id.NodeId;
+import org.tarragonarch.model.id.Region;
 import org.tarragonarch.model.report.HeldShard;
 import org.tarragonarch.model.report.NodeStatus;
 import org.tarragonarch.model.task.FencingToken;
@@ -19,8 +21,15 @@
 /** Who speaks to whom how often, and when silence means that a peer is gone. */
 public final class HeartbeatsTest {
     private static final FailureDomain HOBART = FailureDomain.of("hobart");
+    private static final FailureDomain LAUNCESTON = FailureDomain.of("launceston");
     private static final ImmutableSet<FailureDomain> SHARDS = ImmutableSet.of(HOBART);
+
+    /** Two regions, so that each domain is a pool of its own. */
+    private static final ShardPools POOLS = new ShardPools(
+            ImmutableMap.of(HOBART, Region.of("south"), LAUNCESTON, Region.of("north")), new EndpointList());
+
     private static final NodeId HOLDER = NodeId.of("holder");
+    private static final NodeId OTHER_HOLDER = NodeId.of("other-holder");
     private static final NodeId SUCCESSOR = NodeId.of("a");
 
     private PeerBook book;
@@ -29,7 +38,7 @@
     @BeforeMethod
     public void create() {
         book = new PeerBook();
-        heartbeats = new Heartbeats(book, SHARDS);
+        heartbeats = new Heartbeats(book, POOLS, HOBART);
     }
 
     private static NodeStatus status(NodeId node, boolean seeking, HeldShard... held) {
@@ -46,11 +55,11 @@
         book.heard(holder(), 0);
         book.heard(status(SUCCESSOR, false), 0);
         heartbeats.review(ImmutableSet.of(), 0);
-        assertEquals(heartbeats.due(0), Audience.ALL);
+        assertEquals(heartbeats.due(0), Audience.NEIGHBOURS);
         assertEquals(heartbeats.due(100), Audience.NOBODY);
         assertEquals(heartbeats.due(200), Audience.CLOSE);
         assertEquals(heartbeats.close(), ImmutableList.of(HOLDER));
-        assertEquals(heartbeats.due(2_000), Audience.ALL);
+        assertEquals(heartbeats.due(2_000), Audience.NEIGHBOURS);
     }
 
     @Test
@@ -99,4 +108,51 @@
         heartbeats.review(SHARDS, 1_900);
         assertEquals(book.expire(2_000), ImmutableList.of());
     }
+
+    /**
+     * Many nodes come back from a loss of power at once, most on a third of a core. When each greeted all others,
+     * the first second of every node went into connections, and callers waited. A node that misses a holder tells the
+     * nodes of its own pool, and holders wherever they are.
+     */
+    @Test
+    public void testDue_nodeThatMissesAHolderTellsItsPoolAlone() {
+        book.heard(status(SUCCESSOR, true), 0);
+        book.heard(holderOf(LAUNCESTON), 0);
+        heartbeats.review(ImmutableSet.of(), 0);
+        assertTrue(heartbeats.seeking());
+        assertEquals(heartbeats.due(0), Audience.NEIGHBOURS);
+        assertEquals(heartbeats.due(200), Audience.NEIGHBOURS);
+        assertEquals(heartbeats.neighbours(), ImmutableSet.of(HOBART));
+        assertEquals(heartbeats.closeOutside(heartbeats.neighbours()), ImmutableList.of(OTHER_HOLDER));
+    }
+
+    /** Another pool without a holder is no matter of this node: its next holder tells everybody. */
+    @Test
+    public void testReview_onlyTheOwnPoolIsMissed() {
+        book.heard(holder(), 0);
+        assertFalse(heartbeats.review(ImmutableSet.of(), 0));
+        assertFalse(heartbeats.seeking());
+    }
+
+    /** A node of another pool has let go of its shard, and has no reason to speak to this one any more. */
+    @Test
+    public void testExpire_nodeThatOwesNoStatusIsNotReported() {
+        book.heard(holder(), 0);
+        book.heard(holderOf(LAUNCESTON), 0);
+        heartbeats.review(ImmutableSet.of(), 0);
+        book.heard(statusIn(LAUNCESTON), 100);
+        book.heard(holder(), 6_000);
+        assertEquals(book.expire(6_601), ImmutableList.of());
+        assertEquals(book.present().size(), 1);
+    }
+
+    private static NodeStatus holderOf(FailureDomain domain) {
+        HeldShard held = new HeldShard(domain, FencingToken.of(7, "10.0.0.8"), 0);
+        return statusIn(domain, held);
+    }
+
+    private static NodeStatus statusIn(FailureDomain domain, HeldShard... held) {
+        Address address = new Address("10.0.0.8", 7_000);
+        return new NodeStatus(OTHER_HOLDER, domain, address, 750, false, false, 1, ImmutableList.copyOf(held));
+    }
 }
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/shard/SuccessionTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/shard/SuccessionTest.java
@@ -215,4 +215,71 @@
         assertFalse(one.shouldClaim(HOBART, 1_100));
         assertTrue(one.shouldClaim(HOBART, 4_050));
     }
+
+    /**
+     * One node is cut off from all others and still reaches the endpoints. It missed the holder of every shard, claimed
+     * them all, and for two seconds most callers of a cluster that was otherwise well were refused.
+     */
+    @Test
+    public void testShouldClaim_nodeThatLostAllPeersAtOnceWaits() {
+        PeerBook book = new PeerBook();
+        Succession cutOff = succession("a", HOBART, book);
+        book.heard(status("h", HOBART, false, held(HOBART, 7)), 1_000);
+        book.heard(status("l", LAUNCESTON, false, held(LAUNCESTON, 7)), 1_000);
+        book.heard(status("m", LAUNCESTON, false), 0);
+        assertFalse(cutOff.shouldClaim(HOBART, 1_000));
+        assertFalse(cutOff.shouldClaim(LAUNCESTON, 1_000));
+        book.expire(8_000);
+        assertTrue(cutOff.isolated());
+        assertFalse(cutOff.shouldClaim(HOBART, 8_000));
+        assertFalse(cutOff.shouldClaim(LAUNCESTON, 8_000));
+        assertFalse(cutOff.shouldClaim(LAUNCESTON, 14_400));
+        assertTrue(cutOff.shouldClaim(HOBART, 14_500));
+        assertTrue(cutOff.shouldClaim(LAUNCESTON, 14_500));
+    }
+
+    /** The only node of its domain is cut off with it, and its endpoints too: nobody else can serve that domain. */
+    @Test
+    public void testShouldClaim_onlyNodeOfADomainThatIsCutOff() {
+        PeerBook book = new PeerBook();
+        Succession only = succession("a", HOBART, book);
+        book.heard(status("l", LAUNCESTON, false, held(LAUNCESTON, 7), held(HOBART, 7)), 0);
+        book.heard(status("m", LAUNCESTON, false), 0);
+        book.heard(status("n", LAUNCESTON, false), 0);
+        book.expire(7_000);
+        assertTrue(only.shouldClaim(HOBART, 7_000));
+        assertFalse(only.shouldClaim(LAUNCESTON, 11_000));
+    }
+
+    /** One peer after the other is lost: the last node is not cut off, and goes on for all. */
+    @Test
+    public void testShouldClaim_peersLostOneByOne() {
+        PeerBook book = new PeerBook();
+        Succession last = succession("a", HOBART, book);
+        book.heard(status("h", HOBART, false, held(HOBART, 7)), 20_000);
+        book.heard(status("l", LAUNCESTON, false), 10_000);
+        book.heard(status("m", LAUNCESTON, false), 0);
+        book.expire(30_000);
+        assertFalse(last.isolated());
+        assertTrue(last.shouldClaim(HOBART, 30_000));
+    }
+
+    /**
+     * A whole domain is lost. Nodes of other domains that hold nothing do not hear each other; each would take itself
+     * for the first in line. A holder is heard by all of them, and claims.
+     */
+    @Test
+    public void testShouldClaim_foreignShardIsForHolders() {
+        PeerBook book = new PeerBook();
+        Succession outside = succession("a", HOBART, book);
+        book.heard(status("h", HOBART, false, held(HOBART, 7)), 0);
+        assertFalse(outside.shouldClaim(LAUNCESTON, 0));
+        assertFalse(outside.shouldClaim(LAUNCESTON, 3_000));
+        PeerBook holdersBook = new PeerBook();
+        Succession holder = succession("h", HOBART, holdersBook);
+        holder.claim(HOBART, 0);
+        holdersBook.heard(status("a", HOBART, false), 0);
+        assertFalse(holder.shouldClaim(LAUNCESTON, 0));
+        assertTrue(holder.shouldClaim(LAUNCESTON, 3_000));
+    }
 }
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ClusterNode.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ClusterNode.java
@@ -28,7 +28,7 @@
 import org.tarragonarch.model.id.NodeId;
 import org.tarragonarch.model.log.NodeEvent;
 import org.tarragonarch.model.outcome.StepException;
-import org.tarragonarch.model.report.NodeLocation;
+import org.tarragonarch.model.report.Member;
 import org.tarragonarch.model.report.NodeStatus;
 import org.tarragonarch.model.store.RowStore;
 import org.tarragonarch.model.store.StoreTable;
@@ -118,6 +118,7 @@
     private final long startedAtMillis;
     private PeerNetwork network;
     private boolean leaving;
+    private long directoryReadAtMillis;
 
     ClusterNode(ClusterSettings settings, DecisionLog log) {
         this.settings = settings;
@@ -139,7 +140,7 @@
                 System::currentTimeMillis,
                 new ShardLog(log, meters));
         this.store = new StoreClient(loop, settings.storeAddress());
-        this.directory = new NodeDirectory(store, timers, settings.node(), settings.peerAddress(), this::located, log);
+        this.directory = new NodeDirectory(store, timers, settings.member(), this::located, log);
     }
 
     /** Opens everything, the doors for clients last. */
@@ -235,17 +236,25 @@
             lost(silent, "silent");
         }
         coordinator.review(discovered());
+        refreshDirectory(now);
         timers.after(REVIEW_MILLIS, this::review);
     }
 
+    private void refreshDirectory(long now) {
+        if (coordinator.heldShards() > 0 && now - directoryReadAtMillis >= PeerBook.DISTANT_PERIOD_MILLIS) {
+            directoryReadAtMillis = now;
+            directory.refresh();
+        }
+    }
+
     private boolean discovered() {
         long now = timers.nowMillis();
         if (directory.complete()) {
             return now - directory.completeAtMillis() >= DISCOVERY_MILLIS
                     || Discovery.enoughHeard(
-                            settings.node(),
-                            exchange.located(),
-                            coordinator.book().present());
+                            settings.member(),
+                            exchange.locatedIn(coordinator.neighbours()),
+                            coordinator.presentNeighbours());
         }
         return now - startedAtMillis >= LONGEST_DISCOVERY_MILLIS;
     }
@@ -256,16 +265,19 @@
         }
     }
 
-    private void located(NodeId node, Address address) {
-        exchange.located(node, address);
-        exchange.status(node, coordinator.status());
+    /** Greets a neighbour that was read of; all other nodes hear this one when it holds a shard. */
+    private void located(Member member) {
+        exchange.located(member);
+        if (coordinator.neighbours().contains(member.domain())) {
+            exchange.status(member.node(), coordinator.status());
+        }
     }
 
-    /** Asks every peer that is there whether it has a job to cancel; returns how many they are. */
+    /** Asks every node that is known of whether it has a job to cancel; returns how many they are. */
     private int askCancel(JobId job) {
-        ImmutableList<NodeStatus> present = coordinator.book().present();
-        present.forEach(peer -> exchange.send(peer.node(), new CancelAsked(job)));
-        return present.size();
+        ImmutableList<Member> located = exchange.located();
+        located.forEach(peer -> exchange.send(peer.node(), new CancelAsked(job)));
+        return located.size();
     }
 
     private void lost(NodeId peer, String reason) {
@@ -363,7 +375,7 @@
     }
 
     @Override
-    public void nodesGiven(ImmutableList<NodeLocation> nodes) {
+    public void nodesGiven(ImmutableList<Member> nodes) {
         directory.learned(nodes);
     }
 }
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ClusterSettings.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ClusterSettings.java
@@ -9,13 +9,13 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import org.tarragonarch.core.cluster.Member;
 import org.tarragonarch.model.id.Address;
 import org.tarragonarch.model.id.FailureDomain;
 import org.tarragonarch.model.id.NodeId;
 import org.tarragonarch.model.id.Region;
 import org.tarragonarch.model.outcome.Step;
 import org.tarragonarch.model.outcome.StepException;
+import org.tarragonarch.model.report.Member;
 
 /**
  * The settings of one node, from a file of JSON with comments.
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/NodeDirectory.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/NodeDirectory.java
@@ -1,12 +1,18 @@
 package org.tarragonarch.entry.cluster;
 
+import static com.google.common.base.Preconditions.checkArgument;
+
+import com.google.common.base.Joiner;
+import com.google.common.base.Splitter;
 import com.google.common.collect.ImmutableList;
 import java.nio.charset.StandardCharsets;
-import java.util.function.BiConsumer;
+import java.util.List;
+import java.util.function.Consumer;
 import org.tarragonarch.model.id.Address;
+import org.tarragonarch.model.id.FailureDomain;
 import org.tarragonarch.model.id.NodeId;
 import org.tarragonarch.model.log.NodeEvent;
-import org.tarragonarch.model.report.NodeLocation;
+import org.tarragonarch.model.report.Member;
 import org.tarragonarch.model.store.RowStore;
 import org.tarragonarch.model.store.StoreResult;
 import org.tarragonarch.model.store.StoreRow;
@@ -24,27 +30,24 @@
 final class NodeDirectory {
     private static final long RETRY_MILLIS = 250;
 
+    /** Separates the parts of a row's value: address, processor time in thousandths of a core, failure domain. */
+    private static final char SEPARATOR = ' ';
+
+    private static final int PARTS = 3;
+
     private final RowStore store;
     private final Timers timers;
-    private final NodeId own;
-    private final Address address;
-    private final BiConsumer<NodeId, Address> located;
+    private final Member own;
+    private final Consumer<Member> located;
     private final DecisionLog log;
     private boolean written;
     private boolean complete;
     private long completeAtMillis;
 
-    NodeDirectory(
-            RowStore store,
-            Timers timers,
-            NodeId own,
-            Address address,
-            BiConsumer<NodeId, Address> located,
-            DecisionLog log) {
+    NodeDirectory(RowStore store, Timers timers, Member own, Consumer<Member> located, DecisionLog log) {
         this.store = store;
         this.timers = timers;
         this.own = own;
-        this.address = address;
         this.located = located;
         this.log = log;
     }
@@ -55,8 +58,7 @@
     }
 
     private void writeOwn() {
-        byte[] value = address.toString().getBytes(StandardCharsets.US_ASCII);
-        store.put(StoreTable.NODES, own.value(), value, reply -> {
+        store.put(StoreTable.NODES, own.node().value(), row(own), reply -> {
             if (reply.result() == StoreResult.DONE) {
                 written = true;
                 readAll();
@@ -82,10 +84,8 @@
      * <p>Guards against two nodes of a domain that start while the store is away: each is found by those that run, none
      * finds the other, and both hold the domain's endpoints against each other.
      */
-    void learned(ImmutableList<NodeLocation> nodes) {
-        nodes.stream()
-                .filter(location -> !location.node().equals(own))
-                .forEach(location -> located.accept(location.node(), location.address()));
+    void learned(ImmutableList<Member> nodes) {
+        nodes.forEach(this::locate);
         nowComplete();
     }
 
@@ -112,15 +112,50 @@
         });
     }
 
-    private void locate(StoreRow row) {
-        if (row.key().equals(own.value())) {
-            return;
+    /**
+     * Reads the rows once more.
+     *
+     * <p>A holder speaks to every node. Those that started after it are known to their neighbours and, by this, to the
+     * holders of other pools.
+     */
+    void refresh() {
+        if (complete) {
+            store.read(
+                    StoreTable.NODES,
+                    reply -> reply.page().ifPresent(page -> page.rows().forEach(this::locate)));
         }
+    }
+
+    private void locate(StoreRow row) {
         try {
-            Address at = Address.parse(new String(row.value(), StandardCharsets.US_ASCII));
-            located.accept(NodeId.of(row.key()), at);
+            locate(member(row));
         } catch (IllegalArgumentException e) {
             log.line(NodeEvent.NODE_ROW_UNREADABLE, "key", row.key(), "reason", e.getMessage());
         }
     }
+
+    private void locate(Member member) {
+        if (!member.node().equals(own.node())) {
+            located.accept(member);
+        }
+    }
+
+    private static byte[] row(Member member) {
+        String text = Joiner.on(SEPARATOR).join(member.address(), member.milliCores(), member.domain());
+        return text.getBytes(StandardCharsets.UTF_8);
+    }
+
+    /**
+     * Reads a row.
+     *
+     * @throws IllegalArgumentException if a part is missing or cannot be read
+     */
+    private static Member member(StoreRow row) {
+        String text = new String(row.value(), StandardCharsets.UTF_8);
+        List<String> parts = Splitter.on(SEPARATOR).limit(PARTS).splitToList(text);
+        checkArgument(parts.size() == PARTS, "'%s' does not have %s parts", text, PARTS);
+        Address address = Address.parse(parts.get(0));
+        int milliCores = Integer.parseInt(parts.get(1));
+        return new Member(NodeId.of(row.key()), FailureDomain.of(parts.get(2)), address, milliCores);
+    }
 }
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/PeerCalls.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/PeerCalls.java
@@ -2,7 +2,7 @@
 
 import com.google.common.collect.ImmutableList;
 import org.tarragonarch.model.id.NodeId;
-import org.tarragonarch.model.report.NodeLocation;
+import org.tarragonarch.model.report.Member;
 import org.tarragonarch.model.report.NodeStatus;
 import org.tarragonarch.model.task.EndpointEntry;
 import org.tarragonarch.model.task.JobId;
@@ -40,5 +40,5 @@
     void endpointsGiven(ImmutableList<EndpointEntry> endpoints);
 
     /** A peer said where it knows nodes to be. */
-    void nodesGiven(ImmutableList<NodeLocation> nodes);
+    void nodesGiven(ImmutableList<Member> nodes);
 }
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/PeerExchange.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/PeerExchange.java
@@ -6,12 +6,12 @@
 import java.util.Map;
 import java.util.Optional;
 import org.tarragonarch.core.cluster.PeerSender;
-import org.tarragonarch.model.id.Address;
 import org.tarragonarch.model.id.ConfigurationVersion;
 import org.tarragonarch.model.id.ContentDigest;
+import org.tarragonarch.model.id.FailureDomain;
 import org.tarragonarch.model.id.Incarnation;
 import org.tarragonarch.model.id.NodeId;
-import org.tarragonarch.model.report.NodeLocation;
+import org.tarragonarch.model.report.Member;
 import org.tarragonarch.model.report.NodeStatus;
 import org.tarragonarch.model.task.JobId;
 import org.tarragonarch.model.task.Offer;
@@ -36,7 +36,7 @@
 /** Frames to and from the peers; turns each that comes into a call of the node. */
 final class PeerExchange implements PeerListener, PeerSender {
     private final PeerCalls calls;
-    private final Map<NodeId, Address> addresses = new HashMap<>();
+    private final Map<NodeId, Member> members = new HashMap<>();
     private final Map<NodeId, Incarnation> runs = new HashMap<>();
     private PeerNetwork network;
 
@@ -49,18 +49,20 @@
     }
 
     /** Learns where a node is said to be, from the store. */
-    void located(NodeId node, Address address) {
-        addresses.putIfAbsent(node, address);
+    void located(Member member) {
+        members.putIfAbsent(member.node(), member);
     }
 
-    /** Sends to every node that was ever heard or located; what cannot be delivered is dropped. */
-    private void sendToAll(Frame frame) {
-        addresses.forEach((node, address) -> network.send(node, address, frame));
+    /** Returns every other node that is known of. */
+    ImmutableList<Member> located() {
+        return ImmutableList.copyOf(members.values());
     }
 
-    /** Returns every other node that is known of. */
-    ImmutableSet<NodeId> located() {
-        return ImmutableSet.copyOf(addresses.keySet());
+    /** Returns every other node of these failure domains that is known of. */
+    ImmutableList<Member> locatedIn(ImmutableSet<FailureDomain> domains) {
+        return members.values().stream()
+                .filter(member -> domains.contains(member.domain()))
+                .collect(ImmutableList.toImmutableList());
     }
 
     /** Closes what connections there are with a peer that cannot be heard. */
@@ -69,12 +71,12 @@
     }
 
     void send(NodeId node, Frame frame) {
-        Address address = addresses.get(node);
-        if (address == null) {
+        Member member = members.get(node);
+        if (member == null) {
             undelivered(node, frame);
             return;
         }
-        network.send(node, address, frame);
+        network.send(node, member.address(), frame);
     }
 
     @Override
@@ -84,7 +86,12 @@
 
     @Override
     public void statusToAll(NodeStatus status) {
-        sendToAll(new StatusFrame(status));
+        network.sendToAll(members.values(), new StatusFrame(status));
+    }
+
+    @Override
+    public void statusToDomains(ImmutableSet<FailureDomain> domains, NodeStatus status) {
+        network.sendToAll(locatedIn(domains), new StatusFrame(status));
     }
 
     @Override
@@ -111,7 +118,7 @@
     public void received(NodeId peer, Incarnation run, Frame frame) {
         runs.put(peer, run);
         if (frame instanceof StatusFrame status) {
-            addresses.put(peer, status.status().address());
+            members.put(peer, status.status().member());
             calls.status(status.status());
         } else if (frame instanceof JobOffered offered) {
             calls.offered(offered.offer());
@@ -132,7 +139,7 @@
         } else if (frame instanceof EndpointsGiven given) {
             calls.endpointsGiven(given.endpoints());
         } else if (frame instanceof NodesAsked) {
-            network.reply(peer, run, new NodesGiven(locations()));
+            network.reply(peer, run, new NodesGiven(located()));
         } else if (frame instanceof NodesGiven given) {
             calls.nodesGiven(given.nodes());
         }
@@ -152,12 +159,6 @@
         }
     }
 
-    private ImmutableList<NodeLocation> locations() {
-        return addresses.entrySet().stream()
-                .map(known -> new NodeLocation(known.getKey(), known.getValue()))
-                .collect(ImmutableList.toImmutableList());
-    }
-
     private ConfigurationGiven configuration() {
         byte[] text = calls.configurationText();
         ConfigurationVersion version = ConfigurationVersion.of(calls.configurationVersion());
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ShardLog.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ShardLog.java
@@ -1,7 +1,7 @@
 package org.tarragonarch.entry.cluster;
 
 import org.tarragonarch.core.placing.Outlook;
-import org.tarragonarch.core.shard.ShardEvents;
+import org.tarragonarch.core.shard.ShardObserver;
 import org.tarragonarch.model.id.EndpointId;
 import org.tarragonarch.model.id.FailureDomain;
 import org.tarragonarch.model.id.NodeId;
@@ -10,10 +10,9 @@
 import org.tarragonarch.model.task.FencingToken;
 import org.tarragonarch.model.task.JobId;
 import org.tarragonarch.model.task.TaskRun;
-import org.tarragonarch.model.task.Verdict;
 
 /** Writes and counts what happens on the shards that this node holds; docs/OPERATIONS.md explains each line. */
-final class ShardLog implements ShardEvents {
+final class ShardLog implements ShardObserver {
     private final DecisionLog log;
     private final NodeMeters meters;
 
@@ -22,11 +21,6 @@
         this.meters = meters;
     }
 
-    @Override
-    public void settled(NodeId asker, JobId job, Verdict verdict, long retryMillis) {
-        // The node with the client's connection logs the answer.
-    }
-
     @Override
     public void declined(NodeId asker, JobId job, Outlook outlook) {
         meters.declined();
--- a/tarragonarch-entry/src/test/java/org/tarragonarch/entry/cluster/PeerExchangeTest.java
+++ b/tarragonarch-entry/src/test/java/org/tarragonarch/entry/cluster/PeerExchangeTest.java
@@ -7,7 +7,7 @@
 import java.util.List;
 import org.tarragonarch.model.id.Incarnation;
 import org.tarragonarch.model.id.NodeId;
-import org.tarragonarch.model.report.NodeLocation;
+import org.tarragonarch.model.report.Member;
 import org.tarragonarch.model.report.NodeStatus;
 import org.tarragonarch.model.task.EndpointEntry;
 import org.tarragonarch.model.task.JobId;
@@ -117,7 +117,7 @@
         }
 
         @Override
-        public void nodesGiven(ImmutableList<NodeLocation> nodes) {
+        public void nodesGiven(ImmutableList<Member> nodes) {
             calls.add("nodes " + nodes);
         }
     }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/Member.java
+++ b/tarragonarch-model/src/main/java/org/tarragonarch/model/report/Member.java
@@ -1,4 +1,4 @@
-package org.tarragonarch.core.cluster;
+package org.tarragonarch.model.report;
 
 import static com.google.common.base.Preconditions.checkArgument;
 import static com.google.common.base.Preconditions.checkNotNull;
--- a/tarragonarch-model/src/main/java/org/tarragonarch/model/report/NodeStatus.java
+++ b/tarragonarch-model/src/main/java/org/tarragonarch/model/report/NodeStatus.java
@@ -38,6 +38,11 @@
         checkNotNull(shards, "shards");
     }
 
+    /** Returns who the node is. */
+    public Member member() {
+        return new Member(node, domain, address, milliCores);
+    }
+
     /** Returns the same status with these shards. */
     public NodeStatus holding(ImmutableList<HeldShard> held) {
         return new NodeStatus(node, domain, address, milliCores, leaving, seeking, configurationVersion, held);
--- a/tarragonarch-model/src/main/java/org/tarragonarch/model/task/TaskName.java
+++ b/tarragonarch-model/src/main/java/org/tarragonarch/model/task/TaskName.java
@@ -20,7 +20,8 @@
 
     /** Returns whether the task is one of the job. */
     public boolean isOf(JobId job) {
-        return text.startsWith(job.value() + ".");
+        int idLength = job.value().length();
+        return text.length() > idLength && text.charAt(idLength) == '.' && text.startsWith(job.value());
     }
 
     @Override
--- a/tarragonarch-model/src/main/java/org/tarragonarch/model/task/Verdict.java
+++ b/tarragonarch-model/src/main/java/org/tarragonarch/model/task/Verdict.java
@@ -11,5 +11,7 @@
     /** Given up because its answer would come too late to be of use; whatever ran is stopped. */
     TOO_LATE,
     /** Its holder lets go of the shard; whatever runs is left to the next holder, or to its lease. */
-    HOLD_LOST
+    HOLD_LOST,
+    /** Its holder lets go of the shard and has started nothing of it. */
+    RETURNED
 }
--- a/tarragonarch-wire/src/main/java/org/tarragonarch/wire/NodesCodec.java
+++ b/tarragonarch-wire/src/main/java/org/tarragonarch/wire/NodesCodec.java
@@ -1,9 +1,7 @@
 package org.tarragonarch.wire;
 
 import com.google.common.collect.ImmutableList;
-import org.tarragonarch.model.id.Address;
-import org.tarragonarch.model.id.NodeId;
-import org.tarragonarch.model.report.NodeLocation;
+import org.tarragonarch.model.report.Member;
 
 /** Reads and writes the body of a {@link NodesGiven}. */
 final class NodesCodec {
@@ -11,19 +9,14 @@
 
     static void write(FrameWriter writer, NodesGiven given) {
         writer.writeCount(given.nodes().size());
-        for (NodeLocation location : given.nodes()) {
-            writer.writeText(location.node().value())
-                    .writeText(location.address().ip())
-                    .writeInt(location.address().port());
-        }
+        given.nodes().forEach(member -> MemberCodec.write(writer, member));
     }
 
     static NodesGiven read(FrameReader reader) throws MalformedFrameException {
         int count = reader.readCount();
-        ImmutableList.Builder<NodeLocation> nodes = ImmutableList.builder();
+        ImmutableList.Builder<Member> nodes = ImmutableList.builder();
         for (int i = 0; i < count; i++) {
-            NodeId node = NodeId.of(reader.readText());
-            nodes.add(new NodeLocation(node, new Address(reader.readText(), reader.readInt())));
+            nodes.add(MemberCodec.read(reader));
         }
         return new NodesGiven(nodes.build());
     }
--- a/tarragonarch-wire/src/main/java/org/tarragonarch/wire/PeerNetwork.java
+++ b/tarragonarch-wire/src/main/java/org/tarragonarch/wire/PeerNetwork.java
@@ -32,6 +32,7 @@
 import org.tarragonarch.model.id.NodeId;
 import org.tarragonarch.model.outcome.Step;
 import org.tarragonarch.model.outcome.StepException;
+import org.tarragonarch.model.report.Member;
 
 /**
  * The connections of one node with the others: one listening port, and one outgoing connection for each peer that there
@@ -126,8 +127,16 @@
      * <p>What answers a peer's frame goes by {@link #reply} instead.
      */
     public void send(NodeId peer, Address address, Frame frame) {
-        execute(() ->
-                encoded(peer, frame).ifPresent(encoded -> link(peer, address).send(encoded)));
+        execute(() -> sendEncoded(peer, address, EncodedFrame.of(frame)));
+    }
+
+    /** Sends one frame to many peers; it is encoded once. */
+    public void sendToAll(Iterable<Member> peers, Frame frame) {
+        ImmutableList<Member> receivers = ImmutableList.copyOf(peers);
+        execute(() -> {
+            EncodedFrame encoded = EncodedFrame.of(frame);
+            receivers.forEach(peer -> sendEncoded(peer.node(), peer.address(), encoded));
+        });
     }
 
     /**
@@ -137,9 +146,13 @@
      * question came by.
      */
     public void reply(NodeId peer, Incarnation run, Frame frame) {
-        execute(() -> encoded(peer, frame)
-                .ifPresent(encoded -> registry.find(peer, run)
-                        .ifPresentOrElse(connection -> connection.send(encoded), () -> giveBack(peer, encoded))));
+        execute(() -> {
+            EncodedFrame encoded = EncodedFrame.of(frame);
+            if (fits(peer, encoded)) {
+                registry.find(peer, run)
+                        .ifPresentOrElse(connection -> connection.send(encoded), () -> giveBack(peer, encoded));
+            }
+        });
     }
 
     /**
@@ -247,16 +260,22 @@
                 .addLast(new PeerConnection(own, expected, registry, listener, owner, newQueue()));
     }
 
-    private Optional<EncodedFrame> encoded(NodeId peer, Frame frame) {
-        EncodedFrame encoded = EncodedFrame.of(frame);
+    private void sendEncoded(NodeId peer, Address address, EncodedFrame encoded) {
+        if (fits(peer, encoded)) {
+            link(peer, address).send(encoded);
+        }
+    }
+
+    /** Returns whether a frame may leave; one that is too long is given back. */
+    private boolean fits(NodeId peer, EncodedFrame encoded) {
         if (encoded.bytes().length <= FrameCodec.MAX_FRAME_BYTES) {
-            return Optional.of(encoded);
+            return true;
         }
         LOGGER.atWarning().log(
                 "peer-frame-too-long step=peer peer=%s bytes=%d most=%d",
                 peer, encoded.bytes().length, FrameCodec.MAX_FRAME_BYTES);
         giveBack(peer, encoded);
-        return Optional.empty();
+        return false;
     }
 
     private PeerLink link(NodeId peer, Address address) {
--- a/tarragonarch-wire/src/main/java/org/tarragonarch/wire/StatusCodec.java
+++ b/tarragonarch-wire/src/main/java/org/tarragonarch/wire/StatusCodec.java
@@ -1,10 +1,9 @@
 package org.tarragonarch.wire;
 
 import com.google.common.collect.ImmutableList;
-import org.tarragonarch.model.id.Address;
 import org.tarragonarch.model.id.FailureDomain;
-import org.tarragonarch.model.id.NodeId;
 import org.tarragonarch.model.report.HeldShard;
+import org.tarragonarch.model.report.Member;
 import org.tarragonarch.model.report.NodeStatus;
 import org.tarragonarch.model.task.FencingToken;
 
@@ -13,12 +12,8 @@
     private StatusCodec() {}
 
     static void write(FrameWriter writer, NodeStatus status) {
-        writer.writeText(status.node().value())
-                .writeText(status.domain().value())
-                .writeText(status.address().ip())
-                .writeInt(status.address().port())
-                .writeInt(status.milliCores())
-                .writeBoolean(status.leaving())
+        MemberCodec.write(writer, status.member());
+        writer.writeBoolean(status.leaving())
                 .writeBoolean(status.seeking())
                 .writeLong(status.configurationVersion())
                 .writeCount(status.shards().size());
@@ -30,10 +25,7 @@
     }
 
     static NodeStatus read(FrameReader reader) throws MalformedFrameException {
-        NodeId node = NodeId.of(reader.readText());
-        FailureDomain domain = FailureDomain.of(reader.readText());
-        Address address = new Address(reader.readText(), reader.readInt());
-        int milliCores = reader.readInt();
+        Member member = MemberCodec.read(reader);
         boolean leaving = reader.readBoolean();
         boolean seeking = reader.readBoolean();
         long version = reader.readLong();
@@ -44,6 +36,14 @@
             FencingToken token = new FencingToken(reader.readLong());
             shards.add(new HeldShard(shard, token, reader.readLong()));
         }
-        return new NodeStatus(node, domain, address, milliCores, leaving, seeking, version, shards.build());
+        return new NodeStatus(
+                member.node(),
+                member.domain(),
+                member.address(),
+                member.milliCores(),
+                leaving,
+                seeking,
+                version,
+                shards.build());
     }
 }
--- a/tarragonarch-wire/src/test/java/org/tarragonarch/wire/FrameCodecTest.java
+++ b/tarragonarch-wire/src/test/java/org/tarragonarch/wire/FrameCodecTest.java
@@ -18,6 +18,7 @@
 import org.tarragonarch.model.outcome.Step;
 import org.tarragonarch.model.report.EndpointLoad;
 import org.tarragonarch.model.report.NodePhase;
+import org.tarragonarch.model.task.Verdict;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -62,12 +63,12 @@
         byte[] hello = new FrameWriter()
                 .writeInt(FrameType.HELLO.number())
                 .writeInt(0x7A66)
-                .writeInt(3)
+                .writeInt(4)
                 .writeBoolean(true)
                 .toByteArray();
         MalformedFrameException refusal =
                 expectThrows(MalformedFrameException.class, () -> FrameCodec.decode("peer", Optional.empty(), hello));
-        assertTrue(refusal.getMessage().contains("protocol version 3 instead of 2"), refusal.getMessage());
+        assertTrue(refusal.getMessage().contains("protocol version 4 instead of 3"), refusal.getMessage());
     }
 
     /**
@@ -76,7 +77,7 @@
      */
     @Test
     public void testDecode_announcedLengthIsNotAllocated() {
-        byte[] huge = BaseEncoding.base16().decode("01CD7A6602DB7FFFFFFF");
+        byte[] huge = BaseEncoding.base16().decode("01CD7A6603DB7FFFFFFF");
         MalformedFrameException refusal =
                 expectThrows(MalformedFrameException.class, () -> FrameCodec.decode("peer", Optional.empty(), huge));
         assertTrue(refusal.getMessage().contains("0 bytes left"), refusal.getMessage());
@@ -104,19 +105,20 @@
      * phase or code. Any change here needs a new {@link Hello#PROTOCOL_VERSION}.
      */
     @Test
-    public void testLayout_isThatOfProtocolVersionTwo() {
+    public void testLayout_isThatOfProtocolVersionThree() {
         byte[] all = Samples.every().stream().map(FrameCodec::encode).reduce(new byte[0], Bytes::concat);
         String enums = Arrays.toString(NodePhase.values())
                 + Arrays.toString(ProblemCode.values())
                 + Arrays.toString(Step.values())
-                + Arrays.toString(AnswerOutcome.values());
-        assertEquals(Hello.PROTOCOL_VERSION, 2);
+                + Arrays.toString(AnswerOutcome.values())
+                + Arrays.toString(Verdict.values());
+        assertEquals(Hello.PROTOCOL_VERSION, 3);
         assertEquals(
                 Hashing.sha256().hashBytes(all).toString(),
-                "87cb215295a4af6f4a708fda592d68d68105abd06337c18077749190e93256c0");
+                "96edcc57a7897981aa752119ff8c2446eb402428d13d951808ccfb310b36967d");
         assertEquals(
                 Hashing.sha256().hashUnencodedChars(enums).toString(),
-                "d7bf93fb0e73fad5d08c09c04a96e128d160922f5df5bd90a3b9c4242422a5f9");
+                "3c35a7fb79b5c6b3a0acaa304f30e227084d0988eb1c0a09d64b92e008b5053d");
     }
 
     @Test
--- a/tarragonarch-wire/src/test/java/org/tarragonarch/wire/PlacingSamples.java
+++ b/tarragonarch-wire/src/test/java/org/tarragonarch/wire/PlacingSamples.java
@@ -7,7 +7,7 @@
 import org.tarragonarch.model.id.FailureDomain;
 import org.tarragonarch.model.id.NodeId;
 import org.tarragonarch.model.report.HeldShard;
-import org.tarragonarch.model.report.NodeLocation;
+import org.tarragonarch.model.report.Member;
 import org.tarragonarch.model.report.NodeStatus;
 import org.tarragonarch.model.task.EarlierRuns;
 import org.tarragonarch.model.task.EndpointEntry;
@@ -47,7 +47,7 @@
                 new EndpointsGiven(ImmutableList.of()),
                 new EndpointsGiven(ImmutableList.of(entry)),
                 new NodesAsked(),
-                new NodesGiven(ImmutableList.of(new NodeLocation(NODE, ADDRESS))));
+                new NodesGiven(ImmutableList.of(new Member(NODE, FailureDomain.of("hobart"), ADDRESS, 360))));
     }
 
     private static Offer offer() {
