Read the list of endpoints often only where it is used: at holders and their successors

A node that holds nothing has no use for it. Change: holders, the next in line of each pool, and nodes that miss a holder read each 0.9 s, all others each 3.6 s (less than the 4.5 s after which entries lapse, so such an outage is noticed). A shard is claimed only by a list no older than 1.8 s, or when the store is away.

--- a/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/Cluster.java
+++ b/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/Cluster.java
@@ -29,6 +29,9 @@
     private static final int ENDPOINT_PORT = 80;
     private static final int LARGE_EVERY = 3;
 
+    /** How long a node that was told to stop still takes jobs from its clients, in milliseconds. */
+    private static final long LEAVING_MILLIS = 2_800;
+
     private final VirtualTime time;
     private final LoadShape shape;
     private final ImmutableMap<FailureDomain, Region> regions;
@@ -115,22 +118,59 @@
 
     /** Kills the node that holds most; its connections break at once, and it is back after a while. */
     void killHolder(long forMillis) {
-        ModelNode holder = living().stream()
+        end(holder(), forMillis);
+    }
+
+    /** Tells the node that holds most to stop, as an update does; it ends once the balancer sends it nothing more. */
+    void stopHolder(long forMillis) {
+        ModelNode holder = holder();
+        holder.coordinator().leave();
+        after(LEAVING_MILLIS, () -> end(holder, forMillis));
+    }
+
+    /** Lets the node that holds most stand still; what was sent to it meanwhile arrives when it goes on. */
+    void freezeHolder(long forMillis) {
+        ModelNode holder = holder();
+        holder.freeze();
+        after(forMillis, holder::thaw);
+    }
+
+    /** Cuts one node that holds nothing off from all others; it reaches endpoints and its clients. */
+    void cutOffOne(long forMillis) {
+        ModelNode node = living().stream()
+                .filter(each -> each.coordinator().heldShards() == 0)
+                .findFirst()
+                .orElseThrow();
+        node.cutOff(true);
+        after(forMillis, () -> node.cutOff(false));
+    }
+
+    private ModelNode holder() {
+        return living().stream()
                 .reduce((first, second) ->
                         second.coordinator().heldShards() > first.coordinator().heldShards() ? second : first)
                 .orElseThrow();
-        holder.kill();
-        living().forEach(node -> node.peerGone(holder.id()));
-        String[] parts = holder.id().value().split("-");
-        time.after(
-                TimeUnit.MILLISECONDS.toNanos(forMillis + shape.startMillis()),
-                () -> start(Integer.parseInt(parts[1]), Integer.parseInt(parts[2])));
+    }
+
+    private void end(ModelNode node, long forMillis) {
+        if (!node.alive()) {
+            return;
+        }
+        node.kill();
+        living().forEach(each -> each.peerGone(node.id()));
+        String[] parts = node.id().value().split("-");
+        after(forMillis + shape.startMillis(), () -> start(Integer.parseInt(parts[1]), Integer.parseInt(parts[2])));
+    }
+
+    private void after(long millis, Runnable happening) {
+        time.after(TimeUnit.MILLISECONDS.toNanos(millis), happening);
     }
 
     /** Returns the node that a client reaches: by its number one of its own domain, or else any that lives. */
     Optional<ModelNode> nodeFor(int domain, int client) {
-        List<ModelNode> near =
-                living().stream().filter(node -> node.domain() == domain).toList();
+        List<ModelNode> near = living().stream()
+                .filter(node -> node.domain() == domain && node.inRotation())
+                .toList();
         List<ModelNode> reached = near.isEmpty() ? living() : near;
         return reached.isEmpty() ? Optional.empty() : Optional.of(reached.get(client % reached.size()));
     }
@@ -151,10 +191,13 @@
         if (receiver == null || !receiver.alive()) {
             return false;
         }
+        if (from.isCutOff() || receiver.isCutOff()) {
+            return true;
+        }
         long micros = shape.latencyMicros(from.domain(), receiver.domain());
         time.after(TimeUnit.MICROSECONDS.toNanos(micros), () -> {
             if (receiver.alive()) {
-                arrival.accept(receiver);
+                receiver.timers().whenAwake(() -> arrival.accept(receiver));
             }
         });
         return true;
--- a/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/DisturbanceKind.java
+++ b/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/DisturbanceKind.java
@@ -8,6 +8,12 @@
     POWER_OFF,
     /** The node that holds most shards is killed, and starts again after the time. */
     HOLDER_KILLED,
+    /** The node that holds most shards is told to stop, and starts again after the time. */
+    HOLDER_STOPPED,
+    /** The node that holds most shards stands still for the time, and then goes on. */
+    HOLDER_FROZEN,
+    /** One node that holds nothing hears no other for the time, and reaches all endpoints. */
+    NODE_CUT_OFF,
     /** Tasks stand still on the part {@code factor} of all endpoints. */
     ENDPOINTS_HANG,
     /** The part {@code factor} of all endpoints fails whatever it starts. */
--- a/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/Experiment.java
+++ b/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/Experiment.java
@@ -97,6 +97,9 @@
             }
             case POWER_OFF -> at(disturbance.atMillis(), () -> cluster.powerOff(disturbance.forMillis()));
             case HOLDER_KILLED -> at(disturbance.atMillis(), () -> cluster.killHolder(disturbance.forMillis()));
+            case HOLDER_STOPPED -> at(disturbance.atMillis(), () -> cluster.stopHolder(disturbance.forMillis()));
+            case HOLDER_FROZEN -> at(disturbance.atMillis(), () -> cluster.freezeHolder(disturbance.forMillis()));
+            case NODE_CUT_OFF -> at(disturbance.atMillis(), () -> cluster.cutOffOne(disturbance.forMillis()));
             case ENDPOINTS_HANG -> during(disturbance, ModelEndpoint::hang);
             case ENDPOINTS_FAIL -> during(disturbance, ModelEndpoint::fail);
             case ENDPOINTS_SLOW -> during(disturbance, (endpoint, begins) -> endpoint.slowDown(begins ? 1 / 6.0 : 6));
--- a/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/ExperimentTimers.java
+++ b/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/ExperimentTimers.java
@@ -1,5 +1,8 @@
 package org.tarragonarch.benchmark.experiment;
 
+import com.google.common.collect.ImmutableList;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.tarragonarch.benchmark.time.VirtualTime;
 import org.tarragonarch.model.task.Timers;
@@ -10,7 +13,9 @@
     private static final long OFFSET_MILLIS = 1_000;
 
     private final VirtualTime time;
+    private final List<Runnable> asleep = new ArrayList<>();
     private boolean stopped;
+    private boolean frozen;
 
     ExperimentTimers(VirtualTime time) {
         this.time = time;
@@ -25,13 +30,34 @@
     public Handle after(long millis, Runnable task) {
         boolean[] cancelled = {false};
         time.after(TimeUnit.MILLISECONDS.toNanos(Math.max(0, millis)), () -> {
-            if (!cancelled[0] && !stopped) {
-                task.run();
+            if (!cancelled[0]) {
+                whenAwake(task);
             }
         });
         return () -> cancelled[0] = true;
     }
 
+    /** Runs something of the process, at once or when it goes on; never if it was ended. */
+    void whenAwake(Runnable task) {
+        if (frozen) {
+            asleep.add(task);
+        } else if (!stopped) {
+            task.run();
+        }
+    }
+
+    void freeze() {
+        frozen = true;
+    }
+
+    /** Goes on, with all that came due meanwhile, in its order. */
+    void thaw() {
+        frozen = false;
+        List<Runnable> due = ImmutableList.copyOf(asleep);
+        asleep.clear();
+        due.forEach(this::whenAwake);
+    }
+
     void stop() {
         stopped = true;
     }
--- a/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/ModelNode.java
+++ b/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/ModelNode.java
@@ -38,6 +38,7 @@
     private final ExperimentTimers timers;
     private final Coordinator coordinator;
     private final long startedAtMillis;
+    private boolean cutOff;
 
     ModelNode(Cluster cluster, VirtualTime time, int domain, int number) {
         this.cluster = cluster;
@@ -85,6 +86,31 @@
         timers.stop();
     }
 
+    ExperimentTimers timers() {
+        return timers;
+    }
+
+    void freeze() {
+        timers.freeze();
+    }
+
+    void thaw() {
+        timers.thaw();
+    }
+
+    void cutOff(boolean now) {
+        cutOff = now;
+    }
+
+    boolean isCutOff() {
+        return cutOff;
+    }
+
+    /** Returns whether the balancer sends clients here. */
+    boolean inRotation() {
+        return !coordinator.status().leaving();
+    }
+
     /** Learns that a peer's connections broke. */
     void peerGone(NodeId peer) {
         if (alive() && coordinator.book().lost(peer)) {
--- a/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/ModelOrders.java
+++ b/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/ModelOrders.java
@@ -71,7 +71,7 @@
     private void travelBack(ModelEndpoint endpoint, Runnable arrival) {
         travel(endpoint, () -> {
             if (!timers.stopped()) {
-                arrival.run();
+                timers.whenAwake(arrival);
             }
         });
     }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/Coordinator.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/Coordinator.java
@@ -44,6 +44,7 @@
     private final PeerBook book = new PeerBook();
     private final EndpointList endpoints;
     private final Heartbeats heartbeats;
+    private final Succession succession;
     private final ShardKeeper keeper;
     private final JobDesk desk;
     private ImmutableSet<FailureDomain> neighbours;
@@ -74,7 +75,7 @@
         this.sender = checkNotNull(sender, "sender");
         this.timers = checkNotNull(timers, "timers");
         this.log = checkNotNull(log, "log");
-        Succession succession = new Succession(self.node(), self.domain(), ip, self.milliCores(), book, pools);
+        this.succession = new Succession(self.node(), self.domain(), ip, self.milliCores(), book, pools);
         this.keeper = new ShardKeeper(pools, succession, endpoints, placing, orders, timers, wallMillis, this);
         this.heartbeats = new Heartbeats(book, pools, self.domain());
         this.neighbours = heartbeats.neighbours();
@@ -97,6 +98,14 @@
         return keeper.heldShards().size();
     }
 
+    /**
+     * Returns whether this node needs the list of endpoints up to date: because it holds a shard, would be the next to,
+     * or misses a holder.
+     */
+    public boolean needsEndpoints() {
+        return !keeper.heldShards().isEmpty() || heartbeats.seeking() || succession.isSuccessor(self.domain());
+    }
+
     /** Returns the failure domains whose nodes may succeed this one as a holder, or this one them. */
     public ImmutableSet<FailureDomain> neighbours() {
         return heartbeats.neighbours();
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/follow/TableFollower.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/follow/TableFollower.java
@@ -3,6 +3,7 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import com.google.common.collect.ImmutableList;
+import java.util.Optional;
 import org.tarragonarch.model.store.RowPage;
 import org.tarragonarch.model.store.RowStore;
 import org.tarragonarch.model.store.StoreResult;
@@ -36,7 +37,8 @@
     private final StoreTable table;
     private final Timers timers;
     private final TableListener listener;
-    private final FollowPace pace;
+    private FollowPace pace;
+    private Optional<Timers.Handle> nextCall = Optional.empty();
     private long version = -1;
     private long pauseMillis = FIRST_PAUSE_MILLIS;
     private boolean away;
@@ -60,6 +62,22 @@
         readAll();
     }
 
+    /**
+     * Changes the pace; a call that would be due already under the new one is made at once.
+     *
+     * <p>For a reader that needs the table up to date at some times only.
+     */
+    public void changePace(FollowPace next) {
+        if (next.equals(pace)) {
+            return;
+        }
+        pace = next;
+        if (nextCall.isPresent()) {
+            nextCall.get().cancel();
+            followLater();
+        }
+    }
+
     private void readAll() {
         version = -1;
         calledAtMillis = timers.nowMillis();
@@ -67,14 +85,16 @@
     }
 
     private void followLater() {
-        if (pace.periodMillis() == 0) {
+        long dueInMillis = answeredAtMillis + pace.periodMillis() - timers.nowMillis();
+        if (dueInMillis <= 0) {
             follow();
         } else {
-            timers.after(pace.periodMillis(), this::follow);
+            nextCall = Optional.of(timers.after(dueInMillis, this::follow));
         }
     }
 
     private void follow() {
+        nextCall = Optional.empty();
         calledAtMillis = timers.nowMillis();
         waitMillis = away ? 0 : pace.waitMillis();
         store.follow(table, version, waitMillis, this::followAnswered);
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/EndpointList.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/EndpointList.java
@@ -6,6 +6,7 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Objects;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.tarragonarch.model.id.EndpointId;
 import org.tarragonarch.model.id.FailureDomain;
@@ -22,11 +23,18 @@
     /** The platform promises two seconds; the rest is for the way of the news. */
     private static final long RETURN_MILLIS = 2_500;
 
+    /**
+     * The oldest list by which a shard is taken: two readings of a node that needs it, and less than the two seconds in
+     * which an endpoint that leaves has to be left.
+     */
+    private static final long FRESH_MILLIS = 1_800;
+
     private final Map<EndpointId, EndpointEntry> entries = new HashMap<>();
     private final Map<EndpointId, Long> missingUntil = new HashMap<>();
     private ImmutableSet<String> services = ImmutableSet.of();
     private boolean storeAway;
     private long storeBackAtMillis = Long.MIN_VALUE / 2;
+    private OptionalLong currentAsOfMillis = OptionalLong.empty();
 
     /** Creates an empty list. */
     public EndpointList() {}
@@ -89,6 +97,21 @@
         }
     }
 
+    /** Notes as of when the list is all that the store has. */
+    public void currentAsOf(long millis) {
+        currentAsOfMillis = OptionalLong.of(millis);
+    }
+
+    /**
+     * Returns whether the list is new enough to start tasks by, or is all that can be had.
+     *
+     * <p>Guards against a node that reads the list seldom, takes a shard, and starts tasks on an endpoint that said a
+     * while ago that it leaves.
+     */
+    boolean isFresh(long nowMillis) {
+        return storeAway || currentAsOfMillis.isEmpty() || nowMillis - currentAsOfMillis.getAsLong() <= FRESH_MILLIS;
+    }
+
     /** Returns whether the store could be read for at least this long. */
     boolean storeHeardFor(long millis, long nowMillis) {
         return !storeAway && nowMillis - storeBackAtMillis >= millis;
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/ShardKeeper.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/ShardKeeper.java
@@ -84,7 +84,7 @@
                 resign(shard);
                 succession.unreachable(shard, timers.nowMillis());
                 changed = true;
-            } else if (!endpoints.isEmpty() && succession.shouldClaim(shard, timers.nowMillis())) {
+            } else if (succession.shouldClaim(shard, timers.nowMillis()) && listUsable()) {
                 claim(shard);
                 changed = true;
             }
@@ -92,6 +92,10 @@
         return changed;
     }
 
+    private boolean listUsable() {
+        return !endpoints.isEmpty() && endpoints.isFresh(timers.nowMillis());
+    }
+
     /** Lets the placer look after what runs; to be called a few times a second. */
     public void reviewRuns() {
         placer.ifPresent(Placer::review);
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/Succession.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/Succession.java
@@ -264,14 +264,21 @@
         return !peers.present().isEmpty();
     }
 
+    /** Returns whether this node would be the next holder of the shard if the present one were lost. */
+    public boolean isSuccessor(FailureDomain shard) {
+        int holders = peers.holder(shard).isPresent() ? 1 : 0;
+        return goingBefore(shard) <= holders;
+    }
+
     private boolean firstInLine(FailureDomain shard) {
+        return goingBefore(shard) == 0;
+    }
+
+    private long goingBefore(FailureDomain shard) {
         ImmutableSet<FailureDomain> pool = pools.poolOf(shard);
-        for (NodeStatus peer : peers.present()) {
-            if (!peer.leaving() && goesBefore(peer, pool)) {
-                return false;
-            }
-        }
-        return true;
+        return peers.present().stream()
+                .filter(peer -> !peer.leaving() && goesBefore(peer, pool))
+                .count();
     }
 
     private boolean goesBefore(NodeStatus peer, ImmutableSet<FailureDomain> pool) {
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/follow/TableFollowerTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/follow/TableFollowerTest.java
@@ -54,6 +54,29 @@
                 test.seen, ImmutableList.of("read", "replaced [a]", "follow 5", "changed [b]", "follow 7", "follow 8"));
     }
 
+    /**
+     * A node that reads the list of endpoints seldom loses its holder and has to take the shard: the list is read at
+     * once, and not when the long pause is over.
+     */
+    @Test
+    public void testChangePace_overdueCallIsMadeAtOnce() {
+        TableFollowerTest test = new TableFollowerTest();
+        test.script.addAll(List.of(page(5, "a"), page(6, "b"), page(7, "c")));
+        TableFollower follower = new TableFollower(
+                test.new ScriptedStore(), StoreTable.ENDPOINTS, test.timers, test.new Notes(), FollowPace.every(3_600));
+        follower.start();
+        test.timers.pass(1_000);
+        assertEquals(test.seen, ImmutableList.of("read", "replaced [a]"));
+        follower.changePace(FollowPace.every(900));
+        test.timers.pass(10);
+        assertEquals(test.seen, ImmutableList.of("read", "replaced [a]", "follow 5", "changed [b]"));
+        follower.changePace(FollowPace.every(3_600));
+        test.timers.pass(3_500);
+        assertEquals(test.seen.size(), 4);
+        test.timers.pass(200);
+        assertEquals(test.seen.size(), 6);
+    }
+
     /** The store forgets its history: what was missed is read whole, or a configuration would never be heard of. */
     @Test
     public void testFollow_historyGone() {
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/shard/EndpointListTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/shard/EndpointListTest.java
@@ -77,4 +77,19 @@
         list.served(ImmutableSet.of("s", "elsewhere"));
         assertEquals(list.of(HOBART).size(), 2);
     }
+
+    /**
+     * A node that holds nothing reads the list every few seconds. An endpoint said meanwhile that it leaves; the node
+     * took its shard and started tasks there. It waits for the list to be read, unless the store cannot be.
+     */
+    @Test
+    public void testIsFresh() {
+        EndpointList list = list();
+        assertTrue(list.isFresh(0), "nothing else can be had");
+        list.currentAsOf(1_000);
+        assertTrue(list.isFresh(2_800));
+        assertFalse(list.isFresh(2_801));
+        list.storeLost();
+        assertTrue(list.isFresh(9_000));
+    }
 }
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/shard/SuccessionTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/shard/SuccessionTest.java
@@ -282,4 +282,13 @@
         assertFalse(holder.shouldClaim(LAUNCESTON, 0));
         assertTrue(holder.shouldClaim(LAUNCESTON, 3_000));
     }
+
+    @Test
+    public void testIsSuccessor_firstAfterTheHolder() {
+        PeerBook book = new PeerBook();
+        book.heard(status("h", HOBART, false, held(HOBART, 7)), 0);
+        book.heard(status("c", HOBART, false), 0);
+        assertTrue(succession("b", HOBART, book).isSuccessor(HOBART));
+        assertFalse(succession("d", HOBART, book).isSuccessor(HOBART));
+    }
 }
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ClusterNode.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ClusterNode.java
@@ -64,11 +64,17 @@
     private static final long LONGEST_DISCOVERY_MILLIS = 1_500;
 
     /**
-     * How often the list of endpoints is read, in milliseconds. Every endpoint writes its entry every 1.5 s, so hearing
-     * of each change at once would cost each node some 20 calls a second; an endpoint that drains must get nothing new
-     * 2 s after it said so.
+     * How a node that holds a shard, or would be the next to, reads the list of endpoints. Every endpoint writes its
+     * entry every 1.5 s, so hearing of each change at once would cost a call for every heartbeat of every endpoint; an
+     * endpoint that drains must get nothing new 2 s after it said so.
      */
-    private static final long LIST_PERIOD_MILLIS = 900;
+    private static final FollowPace LIST_PACE = FollowPace.every(900);
+
+    /**
+     * How every other node reads the list. Entries lapse after three heartbeats, 4.5 s, so an outage of the store in
+     * which they do is noticed, and they are kept.
+     */
+    private static final FollowPace SELDOM_LIST_PACE = FollowPace.every(3_600);
 
     /**
      * How often the store says that there is no newer configuration, within the time in which a change must be in
@@ -117,6 +123,7 @@
     private final List<Channel> doors = new ArrayList<>();
     private final long startedAtMillis;
     private PeerNetwork network;
+    private TableFollower endpointFollower;
     private boolean leaving;
     private long directoryReadAtMillis;
 
@@ -221,8 +228,8 @@
         FollowPace configurationPace =
                 FollowPace.waiting(Math.round(settings.configurationMillis() / CONFIRMATIONS_PER_BOUND));
         new TableFollower(store, StoreTable.OPERATOR, timers, configurationRows, configurationPace).start();
-        new TableFollower(store, StoreTable.ENDPOINTS, timers, endpointRows, FollowPace.every(LIST_PERIOD_MILLIS))
-                .start();
+        endpointFollower = new TableFollower(store, StoreTable.ENDPOINTS, timers, endpointRows, LIST_PACE);
+        endpointFollower.start();
         review();
     }
 
@@ -237,9 +244,14 @@
         }
         coordinator.review(discovered());
         refreshDirectory(now);
+        paceEndpointList();
         timers.after(REVIEW_MILLIS, this::review);
     }
 
+    private void paceEndpointList() {
+        endpointFollower.changePace(coordinator.needsEndpoints() ? LIST_PACE : SELDOM_LIST_PACE);
+    }
+
     private void refreshDirectory(long now) {
         if (coordinator.heldShards() > 0 && now - directoryReadAtMillis >= PeerBook.DISTANT_PERIOD_MILLIS) {
             directoryReadAtMillis = now;
@@ -284,6 +296,7 @@
         log.line(NodeEvent.PEER_LOST, "peer", peer, "reason", reason);
         exchange.disconnect(peer, "the peer was lost");
         coordinator.lost(peer);
+        paceEndpointList();
         reviewShards();
     }
 
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/EndpointRows.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/EndpointRows.java
@@ -62,6 +62,12 @@
         return entry.isPresent() ? endpoints.listed(entry.get()) : endpoints.overwritten(id.get());
     }
 
+    @Override
+    public void current(long asOfMillis) {
+        endpoints.currentAsOf(asOfMillis);
+        super.current(asOfMillis);
+    }
+
     @Override
     public void lost(FailedCall call) {
         endpoints.storeLost();
