--- a/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/decision/Decisions.java
+++ b/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/decision/Decisions.java
@@ -22,7 +22,7 @@
 import org.tarragonarch.model.platform.VmRecord;
 import org.tarragonarch.model.platform.VmRole;
 import org.tarragonarch.model.platform.VmState;
-import org.tarragonarch.model.service.Favour;
+import org.tarragonarch.model.service.ServiceObjective;
 
 /** A node's directory and queue at a given size, kept at that size while tasks are placed. */
 final class Decisions {
@@ -72,7 +72,7 @@
     }
 
     private Optional<Endpoint> reserve() {
-        return directory.reserve(SERVICE, Favour.RESPONSE_TIME, ImmutableSet.of(), nowNanos);
+        return directory.reserve(SERVICE, ServiceObjective.RESPONSE_TIME, ImmutableSet.of(), nowNanos);
     }
 
     private void addJob() {
--- a/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/Experience.java
+++ b/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/Experience.java
@@ -7,7 +7,7 @@
  * @param fate what became of it
  * @param worth what it counts if answered in time
  */
-record Experience(DrawnJob job, Fate fate, double worth) {
+record Experience(DrawnJob job, JobResult fate, double worth) {
     double earned() {
         return worth * fate.credit();
     }
--- a/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/Experiment.java
+++ b/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/Experiment.java
@@ -30,7 +30,7 @@
     private final long seed;
     private final VirtualTime time = new VirtualTime();
     private final Map<String, DrawnJob> jobs = new HashMap<>();
-    private final Map<DrawnJob, Fate> fates = new HashMap<>();
+    private final Map<DrawnJob, JobResult> fates = new HashMap<>();
     private final Cluster cluster;
 
     private Experiment(LoadShape shape, long seed) {
@@ -72,16 +72,16 @@
         long left = Math.max(1, job.deadlineMillis() - waited);
         node.get()
                 .coordinator()
-                .desk()
+                .router()
                 .submit(job.kind().queue(shape.stretch()), job.request(), left, reply -> answered(job, reply));
     }
 
     private void answered(DrawnJob job, JobReply reply) {
-        Fate fate =
+        JobResult fate =
                 switch (reply.outcome()) {
-                    case DONE -> Fate.answeredAfter(sinceSentMillis(job), job.aimMillis());
-                    case REFUSED -> Fate.REFUSED;
-                    case FAILED, GIVEN_UP, CANCELLED -> Fate.FAILED;
+                    case DONE -> JobResult.answeredAfter(sinceSentMillis(job), job.aimMillis());
+                    case REFUSED -> JobResult.REFUSED;
+                    case FAILED, GIVEN_UP, CANCELLED -> JobResult.FAILED;
                 };
         fates.put(job, fate);
     }
@@ -133,7 +133,7 @@
         for (DrawnJob job : drawn) {
             double size = job.work() / meanWork.get(job.kind());
             double worth = job.kind().worth() * Math.min(MOST_WORTH, FIXED_WORTH + (1 - FIXED_WORTH) * size);
-            experiences.add(new Experience(job, fates.getOrDefault(job, Fate.LOST), worth));
+            experiences.add(new Experience(job, fates.getOrDefault(job, JobResult.LOST), worth));
         }
         double milliCores = cluster.endpoints().stream()
                 .mapToDouble(endpoint -> endpoint.entry().capacity().milliCores())
--- a/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/ExperimentCommand.java
+++ b/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/ExperimentCommand.java
@@ -103,7 +103,7 @@
                             .mapToDouble(each -> each.byWindow().getOrDefault(window, 1.0))
                             .toArray());
         }
-        for (Fate fate : Fate.values()) {
+        for (JobResult fate : JobResult.values()) {
             rows.put(
                     fate.name(),
                     results.stream()
--- a/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/ExperimentResult.java
+++ b/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/ExperimentResult.java
@@ -47,7 +47,7 @@
     }
 
     /** Returns how many jobs met a fate. */
-    public long count(Fate fate) {
+    public long count(JobResult fate) {
         return experiences.stream().filter(each -> each.fate() == fate).count();
     }
 
--- a/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/Fate.java
+++ b/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/JobResult.java
@@ -1,7 +1,7 @@
 package org.tarragonarch.benchmark.experiment;
 
 /** What became of a job, as its caller sees it. */
-public enum Fate {
+public enum JobResult {
     /** Answered whole within its aim. */
     IN_TIME(1),
     /** Answered whole within three times its aim. */
@@ -19,7 +19,7 @@
 
     private final double credit;
 
-    Fate(double credit) {
+    JobResult(double credit) {
         this.credit = credit;
     }
 
@@ -28,7 +28,7 @@
         return credit;
     }
 
-    static Fate answeredAfter(double millis, double aimMillis) {
+    static JobResult answeredAfter(double millis, double aimMillis) {
         if (millis <= aimMillis) {
             return IN_TIME;
         }
--- a/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/ModelEndpoint.java
+++ b/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/ModelEndpoint.java
@@ -38,7 +38,7 @@
     private final Map<TaskRun, Long> running = new LinkedHashMap<>();
     private final Map<TaskName, Integer> overUpTo = new HashMap<>();
     private final List<TaskEnd> ends = new ArrayList<>();
-    private final List<Runnable> waitingLooks = new ArrayList<>();
+    private final List<Runnable> waitingHolds = new ArrayList<>();
     private double speed;
     private boolean hanging;
     private boolean failing;
@@ -107,7 +107,7 @@
 
     OrderAnswer stop(FencingToken by, TaskRun run) {
         if (by.value() < token) {
-            return answer(OrderResult.OUTRANKED);
+            return answer(OrderResult.FENCED);
         }
         overUpTo.merge(run.task(), run.run(), Math::max);
         after(STOP_MILLIS, () -> end(run, EndKind.STOPPED));
@@ -117,7 +117,7 @@
     /** Answers at once, or as soon as there is an end or the wait is over. */
     void hold(HoldOrder order, Consumer<HoldAnswer> reply) {
         if (order.token().value() < token) {
-            reply.accept(HoldAnswer.failed(OrderResult.OUTRANKED));
+            reply.accept(HoldAnswer.failed(OrderResult.FENCED));
             return;
         }
         token = order.token().value();
@@ -134,13 +134,13 @@
                 reply.accept(lists());
             }
         };
-        waitingLooks.add(answer);
+        waitingHolds.add(answer);
         after(order.waitMillis(), answer);
     }
 
     private OrderResult startResult(StartOrder order) {
         if (order.token().value() < token) {
-            return OrderResult.OUTRANKED;
+            return OrderResult.FENCED;
         }
         token = order.token().value();
         if (order.leaseUntilMillis() <= clock()) {
@@ -170,9 +170,9 @@
         overUpTo.merge(run.task(), run.run(), Math::max);
         lastEnd++;
         ends.add(new TaskEnd(lastEnd, run, kind));
-        List<Runnable> looks = new ArrayList<>(waitingLooks);
-        waitingLooks.clear();
-        looks.forEach(Runnable::run);
+        List<Runnable> holds = new ArrayList<>(waitingHolds);
+        waitingHolds.clear();
+        holds.forEach(Runnable::run);
     }
 
     private HoldAnswer lists() {
--- a/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/ModelNode.java
+++ b/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/ModelNode.java
@@ -5,9 +5,9 @@
 import org.tarragonarch.benchmark.time.VirtualTime;
 import org.tarragonarch.core.cluster.Coordinator;
 import org.tarragonarch.core.cluster.PeerSender;
-import org.tarragonarch.core.placing.Outlook;
+import org.tarragonarch.core.placing.CompletionEstimate;
 import org.tarragonarch.core.placing.PlacingSettings;
-import org.tarragonarch.core.shard.PeerBook;
+import org.tarragonarch.core.shard.PeerTable;
 import org.tarragonarch.core.shard.ShardObserver;
 import org.tarragonarch.core.shard.ShardPools;
 import org.tarragonarch.model.id.Address;
@@ -113,15 +113,15 @@
 
     /** Learns that a peer's connections broke. */
     void peerGone(NodeId peer) {
-        if (alive() && coordinator.book().lost(peer)) {
+        if (alive() && coordinator.peers().lost(peer)) {
             lost(peer);
         }
     }
 
     private void review() {
-        coordinator.book().expire(timers.nowMillis()).forEach(this::lost);
+        coordinator.peers().expire(timers.nowMillis()).forEach(this::lost);
         coordinator.review(settled());
-        timers.after(PeerBook.STATUS_PERIOD_MILLIS / 2, this::review);
+        timers.after(PeerTable.STATUS_PERIOD_MILLIS / 2, this::review);
     }
 
     private boolean settled() {
@@ -142,7 +142,7 @@
     void heard(NodeStatus status) {
         coordinator.heard(status);
         reviewShards();
-        coordinator.placeSeeking();
+        coordinator.routeWaiting();
     }
 
     @Override
@@ -163,7 +163,8 @@
     @Override
     public void offer(NodeId to, Offer offer) {
         if (!cluster.deliver(this, to, peer -> peer.coordinator.offered(offer))) {
-            timers.after(0, () -> coordinator.desk().notOffered(to, offer.job().id()));
+            timers.after(
+                    0, () -> coordinator.router().notOffered(to, offer.job().id()));
         }
     }
 
@@ -174,7 +175,7 @@
 
     @Override
     public void settled(NodeId to, JobId job, Verdict verdict, long retryMillis) {
-        cluster.deliver(this, to, peer -> peer.coordinator.desk().settled(id, job, verdict, retryMillis));
+        cluster.deliver(this, to, peer -> peer.coordinator.router().settled(id, job, verdict, retryMillis));
     }
 
     @Override
@@ -188,12 +189,12 @@
     }
 
     @Override
-    public void outranked(FailureDomain shard, FencingToken token) {
+    public void fenced(FailureDomain shard, FencingToken token) {
         // Seen in who serves what.
     }
 
     @Override
-    public void declined(NodeId asker, JobId job, Outlook outlook) {
+    public void declined(NodeId origin, JobId job, CompletionEstimate estimate) {
         // Counted by the answer.
     }
 
--- a/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/policy/UserShape.java
+++ b/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/policy/UserShape.java
@@ -1,28 +1,28 @@
 package org.tarragonarch.benchmark.policy;
 
-import org.tarragonarch.model.service.Favour;
+import org.tarragonarch.model.service.ServiceObjective;
 
 /** The two users' latencies and tastes, as the brief gives them. */
 enum UserShape {
     /** Derwent Pages: authors wait at the upload page. */
-    DERWENT(3_000_000, 1_000_000, Favour.RESPONSE_TIME),
+    DERWENT(3_000_000, 1_000_000, ServiceObjective.RESPONSE_TIME),
     /** Kivilahti: every message costs capacity of its gateway. */
-    KIVILAHTI(1_000_000, 1_500_000, Favour.FEW_MESSAGES);
+    KIVILAHTI(1_000_000, 1_500_000, ServiceObjective.FEW_MESSAGES);
 
     /** One way inside a failure domain; the brief says only that a round trip is under a millisecond. */
     private static final long INSIDE_NANOS = 250_000;
 
     private final long clientNanos;
     private final long betweenDomainsNanos;
-    private final Favour favour;
+    private final ServiceObjective favour;
 
-    UserShape(long clientNanos, long betweenDomainsNanos, Favour favour) {
+    UserShape(long clientNanos, long betweenDomainsNanos, ServiceObjective favour) {
         this.clientNanos = clientNanos;
         this.betweenDomainsNanos = betweenDomainsNanos;
         this.favour = favour;
     }
 
-    Favour favour() {
+    ServiceObjective favour() {
         return favour;
     }
 
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/claim/KeyBook.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/claim/IdempotencyKeys.java
@@ -47,7 +47,7 @@
  * needs no claim: running it on two nodes does no harm, and so it lives through an outage of the store. Not safe for
  * use by several threads.
  */
-public final class KeyBook implements EndListener {
+public final class IdempotencyKeys implements EndListener {
     private static final String TABLE_SERVICE = "table service";
     /** How many released claims are remembered while their deletion may still be on its way. */
     private static final int MAX_RELEASED = 10_000;
@@ -63,7 +63,7 @@
     private final ClaimSweeper sweeper;
     private Dispatcher dispatcher;
 
-    private KeyBook(NodeIdentity self, NodePolicy policy, Random random) {
+    private IdempotencyKeys(NodeIdentity self, NodePolicy policy, Random random) {
         this.self = checkNotNull(self, "self");
         this.claimTimeout = policy.claimTimeout();
         this.sweeper = new ClaimSweeper(random);
@@ -71,8 +71,8 @@
     }
 
     /** Returns a book without keys; {@link #connect} must follow. */
-    public static KeyBook create(NodeIdentity self, NodePolicy policy, Random random) {
-        return new KeyBook(self, policy, random);
+    public static IdempotencyKeys create(NodeIdentity self, NodePolicy policy, Random random) {
+        return new IdempotencyKeys(self, policy, random);
     }
 
     /** Connects the dispatcher, which in turn reports ends to this book. */
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/Coordinator.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/Coordinator.java
@@ -5,17 +5,17 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
 import java.util.function.LongSupplier;
-import org.tarragonarch.core.handover.JobDesk;
-import org.tarragonarch.core.placing.Outlook;
+import org.tarragonarch.core.placing.CompletionEstimate;
 import org.tarragonarch.core.placing.PlacingSettings;
+import org.tarragonarch.core.routing.JobRouter;
 import org.tarragonarch.core.shard.EndpointList;
 import org.tarragonarch.core.shard.Heartbeats;
-import org.tarragonarch.core.shard.PeerBook;
+import org.tarragonarch.core.shard.HolderElection;
+import org.tarragonarch.core.shard.PeerTable;
 import org.tarragonarch.core.shard.ShardEvents;
-import org.tarragonarch.core.shard.ShardKeeper;
 import org.tarragonarch.core.shard.ShardObserver;
+import org.tarragonarch.core.shard.ShardOwnership;
 import org.tarragonarch.core.shard.ShardPools;
-import org.tarragonarch.core.shard.Succession;
 import org.tarragonarch.model.id.EndpointId;
 import org.tarragonarch.model.id.FailureDomain;
 import org.tarragonarch.model.id.NodeId;
@@ -41,12 +41,12 @@
     private final Timers timers;
     private final PeerSender sender;
     private final ShardObserver log;
-    private final PeerBook book = new PeerBook();
+    private final PeerTable peers = new PeerTable();
     private final EndpointList endpoints;
     private final Heartbeats heartbeats;
-    private final Succession succession;
-    private final ShardKeeper keeper;
-    private final JobDesk desk;
+    private final HolderElection election;
+    private final ShardOwnership ownership;
+    private final JobRouter router;
     private ImmutableSet<FailureDomain> neighbours;
     private boolean leaving;
     private long configurationVersion;
@@ -75,27 +75,27 @@
         this.sender = checkNotNull(sender, "sender");
         this.timers = checkNotNull(timers, "timers");
         this.log = checkNotNull(log, "log");
-        this.succession = new Succession(self.node(), self.domain(), ip, self.milliCores(), book, pools);
-        this.keeper = new ShardKeeper(pools, succession, endpoints, placing, orders, timers, wallMillis, this);
-        this.heartbeats = new Heartbeats(book, pools, self.domain());
+        this.election = new HolderElection(self.node(), self.domain(), ip, self.milliCores(), peers, pools);
+        this.ownership = new ShardOwnership(pools, election, endpoints, placing, orders, timers, wallMillis, this);
+        this.heartbeats = new Heartbeats(peers, pools, self.domain());
         this.neighbours = heartbeats.neighbours();
-        KnownHolders holders = new KnownHolders(self, book, pools, keeper, heartbeats, sender, timers);
-        this.desk = new JobDesk(holders, timers, placing.certainLapse());
+        KnownHolders holders = new KnownHolders(self, peers, pools, ownership, heartbeats, sender, timers);
+        this.router = new JobRouter(holders, timers, placing.certainLapse());
     }
 
     /** Returns what is known of the peers. */
-    public PeerBook book() {
-        return book;
+    public PeerTable peers() {
+        return peers;
     }
 
     /** Returns the jobs of this node's clients. */
-    public JobDesk desk() {
-        return desk;
+    public JobRouter router() {
+        return router;
     }
 
     /** Returns how many shards this node holds. */
     public int heldShards() {
-        return keeper.heldShards().size();
+        return ownership.heldShards().size();
     }
 
     /**
@@ -103,7 +103,7 @@
      * or misses a holder.
      */
     public boolean needsEndpoints() {
-        return !keeper.heldShards().isEmpty() || heartbeats.seeking() || succession.isSuccessor(self.domain());
+        return !ownership.heldShards().isEmpty() || heartbeats.withoutHolder() || election.isSuccessor(self.domain());
     }
 
     /** Returns the failure domains whose nodes may succeed this one as a holder, or this one them. */
@@ -113,18 +113,18 @@
 
     /** Returns the last status of every neighbour that can be heard. */
     public ImmutableList<NodeStatus> presentNeighbours() {
-        return book.present().stream()
+        return peers.present().stream()
                 .filter(peer -> neighbours().contains(peer.domain()))
                 .collect(ImmutableList.toImmutableList());
     }
 
     /** Returns whether any shard has a holder that can be heard, so that jobs have somewhere to go. */
     public boolean anyHolder() {
-        return !keeper.heldShards().isEmpty() || !book.holders().isEmpty();
+        return !ownership.heldShards().isEmpty() || !peers.holders().isEmpty();
     }
 
     /**
-     * Reviews shards, runs and peers; to be called every half {@link PeerBook#STATUS_PERIOD_MILLIS}.
+     * Reviews shards, runs and peers; to be called every half {@link PeerTable#STATUS_PERIOD_MILLIS}.
      *
      * @param mayClaim whether this node knows enough of its peers to take shards
      */
@@ -133,7 +133,7 @@
         if (endpoints.expire(now)) {
             endpointsChanged();
         }
-        keeper.reviewRuns();
+        ownership.reviewRuns();
         if (mayClaim) {
             reviewShards();
         }
@@ -143,21 +143,21 @@
 
     /** Tells neighbours at once if this node has just begun to miss a holder. */
     private void reviewHeartbeats() {
-        if (heartbeats.review(keeper.heldShards(), timers.nowMillis())) {
+        if (heartbeats.review(ownership.heldShards(), timers.nowMillis())) {
             tell(heartbeats.audience());
         }
     }
 
-    /** Claims and lets go of shards as the peers that are there ask for. */
+    /** Claims and releases shards as the peers that are there ask for. */
     public void reviewShards() {
-        if (!leaving && keeper.review()) {
+        if (!leaving && ownership.review()) {
             holdersChanged();
         }
     }
 
     /** Passes the list of endpoints on to the shards held here, and greets the neighbours that it shows. */
     public void endpointsChanged() {
-        keeper.endpointsChanged();
+        ownership.endpointsChanged();
         if (!neighbours.equals(heartbeats.neighbours())) {
             neighbours = heartbeats.neighbours();
             tell(heartbeats.audience());
@@ -166,7 +166,7 @@
 
     /** Takes in a peer's status; returns whether the peer was not there before. */
     public boolean heard(NodeStatus status) {
-        boolean joined = book.heard(status, timers.nowMillis());
+        boolean joined = peers.heard(status, timers.nowMillis());
         if (joined) {
             sender.status(status.node(), status());
         }
@@ -175,36 +175,37 @@
     }
 
     /** Looks for holders for the jobs that have none, after peers were heard. */
-    public void placeSeeking() {
-        if (desk.seeking()) {
-            desk.holdersChanged();
+    public void routeWaiting() {
+        if (router.withoutHolder()) {
+            router.holdersChanged();
         }
     }
 
     /** Takes in that a peer, which the book takes for gone, cannot be heard any more. */
     public void lost(NodeId peer) {
-        keeper.nodeLost(peer);
-        desk.nodeLost(peer);
+        ownership.nodeLost(peer);
+        router.nodeLost(peer);
     }
 
     /** Takes a job that a peer offers. */
     public void offered(Offer offer) {
-        keeper.placer()
+        ownership
+                .placer()
                 .ifPresentOrElse(
                         placer -> placer.offer(offer),
-                        () -> settled(offer.asker(), offer.job().id(), Verdict.RETURNED, 0));
+                        () -> settled(offer.origin(), offer.job().id(), Verdict.RETURNED, 0));
     }
 
     /** Ends a job that a peer withdraws. */
-    public void withdrawn(NodeId asker, JobId job) {
-        keeper.placer().ifPresent(placer -> placer.withdraw(asker, job));
+    public void withdrawn(NodeId origin, JobId job) {
+        ownership.placer().ifPresent(placer -> placer.withdraw(origin, job));
     }
 
-    /** Lets go of every shard and takes none any more, because this node is about to stop. */
+    /** Releases every shard and takes none any more, because this node is about to stop. */
     public void leave() {
         leaving = true;
         tell(heartbeats.audience());
-        keeper.resignAll();
+        ownership.resignAll();
     }
 
     /** Takes in the configuration that is in force here, and tells everybody its version. */
@@ -223,15 +224,15 @@
                 self.address(),
                 self.milliCores(),
                 leaving,
-                heartbeats.seeking(),
+                heartbeats.withoutHolder(),
                 configurationVersion,
-                keeper.held());
+                ownership.held());
     }
 
     private void holdersChanged() {
         reviewHeartbeats();
         tell(Heartbeats.Audience.ALL);
-        desk.holdersChanged();
+        router.holdersChanged();
     }
 
     private void tell(Heartbeats.Audience audience) {
@@ -257,17 +258,17 @@
     }
 
     @Override
-    public void settled(NodeId asker, JobId job, Verdict verdict, long retryMillis) {
-        if (asker.equals(self.node())) {
-            desk.settled(asker, job, verdict, retryMillis);
+    public void settled(NodeId origin, JobId job, Verdict verdict, long retryMillis) {
+        if (origin.equals(self.node())) {
+            router.settled(origin, job, verdict, retryMillis);
         } else {
-            sender.settled(asker, job, verdict, retryMillis);
+            sender.settled(origin, job, verdict, retryMillis);
         }
     }
 
     @Override
     public void claimed(FailureDomain shard, FencingToken token, int shardEndpoints) {
-        book.claimed(shard, token);
+        peers.claimed(shard, token);
         log.claimed(shard, token, shardEndpoints);
     }
 
@@ -277,14 +278,14 @@
     }
 
     @Override
-    public void outranked(FailureDomain shard, FencingToken token) {
-        log.outranked(shard, token);
+    public void fenced(FailureDomain shard, FencingToken token) {
+        log.fenced(shard, token);
         holdersChanged();
     }
 
     @Override
-    public void declined(NodeId asker, JobId job, Outlook outlook) {
-        log.declined(asker, job, outlook);
+    public void declined(NodeId origin, JobId job, CompletionEstimate estimate) {
+        log.declined(origin, job, estimate);
     }
 
     @Override
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/Discovery.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/Discovery.java
@@ -24,12 +24,12 @@
      * @param located every other node of the pool that is known of
      * @param present the last status of each node of the pool that can be heard
      */
-    public static boolean enoughHeard(Member own, ImmutableList<Member> located, ImmutableList<NodeStatus> present) {
+    public static boolean enoughReceived(Member own, ImmutableList<Member> located, ImmutableList<NodeStatus> present) {
         ImmutableSet<NodeId> heard = present.stream().map(NodeStatus::node).collect(ImmutableSet.toImmutableSet());
         if (located.stream().map(Member::node).allMatch(heard::contains)) {
             return true;
         }
-        boolean nobodyHasAHolder = !present.isEmpty() && present.stream().allMatch(NodeStatus::seeking);
+        boolean nobodyHasAHolder = !present.isEmpty() && present.stream().allMatch(NodeStatus::withoutHolder);
         return nobodyHasAHolder && firstInLine(own, located);
     }
 
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/KnownHolders.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/KnownHolders.java
@@ -3,11 +3,11 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
 import java.util.Comparator;
-import org.tarragonarch.core.handover.Holder;
-import org.tarragonarch.core.handover.Holders;
+import org.tarragonarch.core.routing.Holder;
+import org.tarragonarch.core.routing.Holders;
 import org.tarragonarch.core.shard.Heartbeats;
-import org.tarragonarch.core.shard.PeerBook;
-import org.tarragonarch.core.shard.ShardKeeper;
+import org.tarragonarch.core.shard.PeerTable;
+import org.tarragonarch.core.shard.ShardOwnership;
 import org.tarragonarch.core.shard.ShardPools;
 import org.tarragonarch.model.id.FailureDomain;
 import org.tarragonarch.model.id.NodeId;
@@ -20,25 +20,25 @@
 /** The holders of shards as this node reaches them. */
 final class KnownHolders implements Holders {
     private final Member self;
-    private final PeerBook book;
+    private final PeerTable peers;
     private final ShardPools pools;
-    private final ShardKeeper keeper;
+    private final ShardOwnership ownership;
     private final Heartbeats heartbeats;
     private final PeerSender sender;
     private final Timers timers;
 
     KnownHolders(
             Member self,
-            PeerBook book,
+            PeerTable peers,
             ShardPools pools,
-            ShardKeeper keeper,
+            ShardOwnership ownership,
             Heartbeats heartbeats,
             PeerSender sender,
             Timers timers) {
         this.self = self;
-        this.book = book;
+        this.peers = peers;
         this.pools = pools;
-        this.keeper = keeper;
+        this.ownership = ownership;
         this.heartbeats = heartbeats;
         this.sender = sender;
         this.timers = timers;
@@ -52,11 +52,11 @@
     @Override
     public ImmutableList<Holder> inOrder() {
         ImmutableList.Builder<Holder> holders = ImmutableList.builder();
-        ImmutableList<HeldShard> held = keeper.held();
+        ImmutableList<HeldShard> held = ownership.held();
         if (!held.isEmpty()) {
             holders.add(new Holder(own(), held));
         }
-        book.holders().stream()
+        peers.holders().stream()
                 .map(status -> new Holder(status.node(), status.shards()))
                 .forEach(holders::add);
         Comparator<Holder> ownDomainFirst = Comparator.comparing(holder -> !holder.holds(self.domain()));
@@ -82,7 +82,7 @@
      * {@inheritDoc}
      *
      * <p>Guards against a job whose tasks run twice while two nodes take the same shards from each other. A holder that
-     * was outranked and has claimed once more goes on with its jobs; one that it outranks does not know it yet on
+     * was fenced and has claimed once more goes on with its jobs; one that it outranks does not know it yet on
      * endpoints where nothing of its own runs, and the token of the lost holder as it was when the job was offered to
      * it is too old to tell.
      */
@@ -91,7 +91,7 @@
         return holder.domains().containsAll(shards)
                 && holder.shards().stream()
                         .filter(held -> shards.contains(held.domain()))
-                        .allMatch(held -> book.isHighest(held.domain(), held.token()));
+                        .allMatch(held -> peers.isHighest(held.domain(), held.token()));
     }
 
     @Override
@@ -101,7 +101,7 @@
 
     @Override
     public boolean noneToBeExpected() {
-        return book.lostAllAtOnce() && keeper.heldShards().isEmpty();
+        return peers.lostAllAtOnce() && ownership.heldShards().isEmpty();
     }
 
     @Override
@@ -110,7 +110,7 @@
             sender.offer(holder.node(), offer);
             return;
         }
-        keeper.placer().ifPresent(placer -> placer.offer(offer));
+        ownership.placer().ifPresent(placer -> placer.offer(offer));
     }
 
     @Override
@@ -119,6 +119,6 @@
             sender.withdraw(holder.node(), job);
             return;
         }
-        keeper.placer().ifPresent(placer -> placer.withdraw(own(), job));
+        ownership.placer().ifPresent(placer -> placer.withdraw(own(), job));
     }
 }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/configuration/ConfigurationKeeper.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/configuration/ConfigurationReplica.java
@@ -29,7 +29,7 @@
  *
  * <p>Not safe for use by several threads.
  */
-public final class ConfigurationKeeper {
+public final class ConfigurationReplica {
     private static final long LOAD_PATIENCE_NANOS = Duration.ofSeconds(2).toNanos();
 
     private final RowWatch row;
@@ -40,13 +40,13 @@
     private long newsNanos = Long.MIN_VALUE;
     private long retryNanos = Long.MAX_VALUE;
 
-    private ConfigurationKeeper(NodePolicy policy) {
+    private ConfigurationReplica(NodePolicy policy) {
         this.row = new RowWatch(policy.configurationInterval());
     }
 
     /** Returns a keeper that has no configuration. */
-    public static ConfigurationKeeper create(NodePolicy policy) {
-        return new ConfigurationKeeper(policy);
+    public static ConfigurationReplica create(NodePolicy policy) {
+        return new ConfigurationReplica(policy);
     }
 
     /** Takes in a read of the row, which may be stale. */
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/endpoint/EndpointDirectory.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/endpoint/EndpointDirectory.java
@@ -34,7 +34,7 @@
 import org.tarragonarch.model.platform.VmState;
 import org.tarragonarch.model.report.EndpointLoad;
 import org.tarragonarch.model.report.PeerReport;
-import org.tarragonarch.model.service.Favour;
+import org.tarragonarch.model.service.ServiceObjective;
 
 /**
  * Every endpoint that the node knows, with its load and health, and the choice among them.
@@ -150,7 +150,8 @@
      * @param avoid endpoints that already failed this task
      * @return the endpoint, or nothing if none should get a task now
      */
-    public Optional<Endpoint> reserve(ServiceName service, Favour favour, Set<EndpointId> avoid, long nowNanos) {
+    public Optional<Endpoint> reserve(
+            ServiceName service, ServiceObjective favour, Set<EndpointId> avoid, long nowNanos) {
         return pools.choose(service, favour, avoid, nowNanos)
                 .map(slots -> take(records.get(slots.endpoint()), nowNanos));
     }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/endpoint/EndpointPools.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/endpoint/EndpointPools.java
@@ -14,7 +14,7 @@
 import org.tarragonarch.model.id.EndpointId;
 import org.tarragonarch.model.id.FailureDomain;
 import org.tarragonarch.model.id.ServiceName;
-import org.tarragonarch.model.service.Favour;
+import org.tarragonarch.model.service.ServiceObjective;
 
 /** The endpoints of each service by failure domain, and the choice between failure domains. */
 final class EndpointPools {
@@ -49,7 +49,7 @@
     }
 
     /** Returns where the next task goes: in the own failure domain, or elsewhere if the favour lets it spill. */
-    Optional<EndpointSlots> choose(ServiceName service, Favour favour, Set<EndpointId> avoid, long nowNanos) {
+    Optional<EndpointSlots> choose(ServiceName service, ServiceObjective favour, Set<EndpointId> avoid, long nowNanos) {
         ServicePools pools = services.get(service);
         if (pools == null) {
             return Optional.empty();
@@ -105,7 +105,7 @@
     }
 
     private Optional<EndpointSlots> chooseElsewhere(
-            ServicePools pools, Favour favour, Set<EndpointId> avoid, long nowNanos) {
+            ServicePools pools, ServiceObjective favour, Set<EndpointId> avoid, long nowNanos) {
         List<FailureDomain> domains = new ArrayList<>(pools.others().keySet());
         Collections.shuffle(domains, random);
         for (FailureDomain domain : domains) {
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placement/SendPace.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placement/SendPace.java
@@ -1,7 +1,7 @@
 package org.tarragonarch.core.placement;
 
 import java.time.Duration;
-import org.tarragonarch.model.service.Favour;
+import org.tarragonarch.model.service.ServiceObjective;
 
 /**
  * Spaces out the sends to one failure domain that may well be refused.
@@ -28,7 +28,7 @@
         nextNanos = nowNanos + (long) gapNanos;
     }
 
-    void started(Favour favour) {
+    void started(ServiceObjective favour) {
         double borne = favour.refusedPartOfRiskySends();
         gapNanos = Math.max(LEAST_GAP_NANOS, gapNanos * Math.pow(GROWTH, -borne / (1 - borne)));
     }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placement/SlotPool.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placement/SlotPool.java
@@ -6,7 +6,7 @@
 import java.util.Random;
 import java.util.Set;
 import org.tarragonarch.model.id.EndpointId;
-import org.tarragonarch.model.service.Favour;
+import org.tarragonarch.model.service.ServiceObjective;
 
 /**
  * The endpoints of one service in one failure domain that may get a task now.
@@ -18,7 +18,7 @@
     private final FreeSlotIndex all = new FreeSlotIndex();
     private final FreeSlotIndex sure = new FreeSlotIndex();
     private final SendPace pace = new SendPace();
-    private Favour lastFavour = Favour.FEW_MESSAGES;
+    private ServiceObjective lastFavour = ServiceObjective.FEW_MESSAGES;
 
     private SlotPool(PlacementStrategy strategy) {
         this.strategy = checkNotNull(strategy, "strategy");
@@ -56,7 +56,7 @@
      * @param slotsLeft how many slots must seem free beyond one whose home is not this node
      */
     public Optional<EndpointSlots> choose(
-            Favour favour, int slotsLeft, Set<EndpointId> avoid, Random random, long nowNanos) {
+            ServiceObjective favour, int slotsLeft, Set<EndpointId> avoid, Random random, long nowNanos) {
         lastFavour = favour;
         Optional<EndpointSlots> chosen = strategy.choose(this, slotsLeft, mayRisk(nowNanos), avoid, random);
         if (chosen.isPresent() && !strategy.isSure(chosen.get())) {
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/EndingJobs.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/CancellingJobs.java
@@ -14,20 +14,20 @@
  * <p>Guards against a job that is sent again while its first runs are being stopped: its tasks would run twice. Such an
  * offer waits here until the last run is gone.
  */
-final class EndingJobs {
-    private final Map<JobId, PlacedJob> ending = new HashMap<>();
+final class CancellingJobs {
+    private final Map<JobId, PlacedJob> cancelling = new HashMap<>();
     private final Map<JobId, Deferred> deferred = new HashMap<>();
 
     void add(PlacedJob job) {
         if (job.holdsRoom()) {
-            ending.put(job.id(), job);
+            cancelling.put(job.id(), job);
         }
     }
 
     /** Keeps the offer if its job is still ending; returns whether it was kept. */
     boolean defer(Offer offer, long nowMillis) {
         JobId id = offer.job().id();
-        if (!ending.containsKey(id)) {
+        if (!cancelling.containsKey(id)) {
             return false;
         }
         deferred.put(id, new Deferred(offer, nowMillis));
@@ -35,16 +35,16 @@
     }
 
     /** Forgets an offer that waits. */
-    void withdraw(NodeId asker, JobId id) {
+    void withdraw(NodeId origin, JobId id) {
         Deferred waiting = deferred.get(id);
-        if (waiting != null && waiting.offer().asker().equals(asker)) {
+        if (waiting != null && waiting.offer().origin().equals(origin)) {
             deferred.remove(id);
         }
     }
 
     /** Forgets every waiting offer of a node. */
-    void askerGone(NodeId asker) {
-        deferred.values().removeIf(waiting -> waiting.offer().asker().equals(asker));
+    void originLost(NodeId origin) {
+        deferred.values().removeIf(waiting -> waiting.offer().origin().equals(origin));
     }
 
     /** Forgets every waiting offer, and returns them. */
@@ -57,7 +57,7 @@
 
     /** Forgets the job if nothing of it takes room; returns the offer that waited for that. */
     Optional<Deferred> removeIfOver(PlacedJob job) {
-        if (job.holdsRoom() || !ending.remove(job.id(), job)) {
+        if (job.holdsRoom() || !cancelling.remove(job.id(), job)) {
             return Optional.empty();
         }
         return Optional.ofNullable(deferred.remove(job.id()));
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/Outlook.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/CompletionEstimate.java
@@ -14,7 +14,7 @@
  * @param roomForAll whether there is room for it and for all that wait, now or as soon as the endpoints that are just
  *     being opened are known
  */
-public record Outlook(
+public record CompletionEstimate(
         long waitMillis,
         long expectedRunMillis,
         long inTimeWithinMillis,
@@ -28,10 +28,9 @@
      *
      * <p>Under load only what should be answered in time is: work on the rest would make others late. Where there is
      * room for everything that waits, a late answer is still better than none. That is how it is in the seconds after
-     * all nodes were without power, when jobs have waited for a holder and every endpoint is idle: by the first rule
-     * alone 120 of 190 were refused there, with nine places in ten free.
+     * all nodes were without power, when jobs have waited for a holder and every endpoint is idle.
      */
-    boolean worthTaking() {
+    boolean isAdmissible() {
         boolean inTime = waitMillis + expectedRunMillis <= inTimeWithinMillis;
         boolean lateWithoutHarm = roomForAll && expectedRunMillis <= deadlineWithinMillis;
         return places > 0 && (inTime || lateWithoutHarm);
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/Forecast.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/CompletionEstimator.java
@@ -3,13 +3,13 @@
 import org.tarragonarch.model.task.Resources;
 
 /** Says what to expect of a job that would be taken now. */
-final class Forecast {
+final class CompletionEstimator {
     private final Iterable<HeldEndpoint> endpoints;
-    private final JobLine line;
+    private final PendingJobs pending;
 
-    Forecast(Iterable<HeldEndpoint> endpoints, JobLine line) {
+    CompletionEstimator(Iterable<HeldEndpoint> endpoints, PendingJobs pending) {
         this.endpoints = endpoints;
-        this.line = line;
+        this.pending = pending;
     }
 
     /**
@@ -18,7 +18,7 @@
      * <p>An endpoint that is just being opened counts as room that is taken: right after a takeover or a restart every
      * endpoint is, for some 50 ms, and a job that waits that long is mostly still in time.
      */
-    Outlook of(PlacedJob job, long now) {
+    CompletionEstimate of(PlacedJob job, long now) {
         long places = 0;
         long freePlaces = 0;
         long openingPlaces = 0;
@@ -37,19 +37,19 @@
                     : 0;
         }
         long missing = Math.max(0, job.step().count() - freePlaces);
-        long ahead = line.waitingTaskMillis(now) + missing * job.expectedRunMillis();
-        long wait = places == 0 || missing == 0 && line.isEmpty() ? 0 : ahead / places;
+        long ahead = pending.waitingTaskMillis(now) + missing * job.expectedRunMillis();
+        long wait = places == 0 || missing == 0 && pending.isEmpty() ? 0 : ahead / places;
         long deadlineWithin = job.times().deadlineMillis() - now;
         long inTimeWithin = Math.min(job.times().inTimeMillis() - now, deadlineWithin);
-        boolean roomForAll = line.waitingTasks() + job.step().count() <= freePlaces + openingPlaces;
-        return new Outlook(
+        boolean roomForAll = pending.waitingTasks() + job.step().count() <= freePlaces + openingPlaces;
+        return new CompletionEstimate(
                 wait,
                 job.expectedRunMillis(),
                 inTimeWithin,
                 deadlineWithin,
                 places,
                 freePlaces,
-                line.size(),
+                pending.size(),
                 roomForAll);
     }
 }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/EndpointChoice.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/EndpointChoice.java
@@ -6,8 +6,8 @@
 /**
  * Chooses the endpoint for a task: of those that take it, the one that is left with the least room.
  *
- * <p>Tasks of 5 to 10 cores on endpoints of 16 or 24 pack in twos and threes; filling the fullest first keeps whole
- * endpoints free for the large ones, which would otherwise wait while every endpoint is half empty.
+ * <p>Filling the fullest first keeps whole endpoints free for the largest tasks, which would otherwise wait while every
+ * endpoint is half empty.
  */
 final class EndpointChoice {
     private EndpointChoice() {}
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/EndpointEvents.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/EndpointEvents.java
@@ -23,5 +23,5 @@
     void usable(HeldEndpoint endpoint);
 
     /** The endpoint obeys a higher token. */
-    void outranked(HeldEndpoint endpoint);
+    void fenced(HeldEndpoint endpoint);
 }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/EndpointHost.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/EndpointHost.java
@@ -6,7 +6,7 @@
     boolean closed();
 
     /** The endpoint obeys another holder. */
-    void outranked();
+    void fenced();
 
     /** Another life answers at the endpoint's address. */
     void lifeOver();
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/HeldEndpoint.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/HeldEndpoint.java
@@ -27,7 +27,7 @@
     private final EndpointEvents events;
     private final EndpointHealth health = new EndpointHealth();
     private final ReservedRoom room;
-    private final FoundRuns found;
+    private final RecoveredRuns recovered;
     private final RunListPoller poller;
     private final RunOrders orders;
     private boolean closed;
@@ -44,7 +44,7 @@
         this.events = events;
         this.room = new ReservedRoom(entry.capacity());
         Host host = new Host();
-        this.found = new FoundRuns(timers, settings.stopTime(), host);
+        this.recovered = new RecoveredRuns(timers, settings.stopTime(), host);
         this.poller = new RunListPoller(link, host);
         this.orders = new RunOrders(link, room, poller, host);
     }
@@ -97,25 +97,25 @@
 
     /** Returns whether everything that runs there is known. */
     boolean known() {
-        return poller.read() && found.isEmpty();
+        return poller.read() && recovered.isEmpty();
     }
 
     /** Returns whether no run of the job can be here but those that may be adopted. */
     boolean readyFor(JobId job) {
-        return poller.read() && !found.anyStopping(job);
+        return poller.read() && !recovered.anyStopping(job);
     }
 
     /** Lets a job adopt what an earlier holder started of it here. */
     void adopt(PlacedJob job) {
-        if (found.nothingToAdopt()) {
+        if (recovered.nothingToAdopt()) {
             return;
         }
         for (PlacedTask task : job.tasks()) {
-            if (found.isDoneBefore(task.name()) && task.isUnresolved()) {
+            if (recovered.isDoneBefore(task.name()) && task.isUnresolved()) {
                 job.finished(task);
             }
         }
-        for (TaskRun run : found.freeOf(job.id())) {
+        for (TaskRun run : recovered.freeOf(job.id())) {
             job.task(run.task()).filter(PlacedTask::isUnresolved).ifPresent(task -> adopt(task, run));
         }
         if (!room.isEmpty()) {
@@ -124,7 +124,7 @@
     }
 
     private void adopt(PlacedTask task, TaskRun run) {
-        found.remove(run);
+        recovered.remove(run);
         task.adopted(run);
         orders.reserve(Reservation.adopted(task, run, task.job().need(), link.nowMillis()));
     }
@@ -217,7 +217,7 @@
     }
 
     /** What this endpoint does for its parts. */
-    private final class Host implements RunListPoller.Host, RunOrders.Host, FoundRuns.Host {
+    private final class Host implements RunListPoller.Host, RunOrders.Host, RecoveredRuns.Host {
         @Override
         public boolean closed() {
             return closed;
@@ -230,17 +230,17 @@
 
         @Override
         public boolean anyRecovered() {
-            return !found.isEmpty();
+            return !recovered.isEmpty();
         }
 
         @Override
         public void ended(TaskEnd end, boolean firstList) {
-            found.remove(end.run());
+            recovered.remove(end.run());
             Optional<Reservation> reservation = room.of(end.run());
             if (reservation.isPresent()) {
                 release(reservation.get(), end.kind());
             } else if (firstList && end.kind() == EndKind.DONE) {
-                found.doneBefore(end.run().task());
+                recovered.doneBefore(end.run().task());
             }
         }
 
@@ -248,11 +248,11 @@
         public void listed(Iterable<TaskRun> listed, long sentAtMillis, boolean firstList, boolean wasSilent) {
             ImmutableSet<TaskRun> running = ImmutableSet.copyOf(listed);
             endOthers(running, sentAtMillis);
-            found.listed(withoutReservation(running), firstList);
+            recovered.listed(withoutReservation(running), firstList);
             if (firstList) {
                 events.firstListed(HeldEndpoint.this);
             }
-            if (wasSilent || firstList || found.isEmpty()) {
+            if (wasSilent || firstList || recovered.isEmpty()) {
                 events.usable(HeldEndpoint.this);
             }
         }
@@ -265,8 +265,8 @@
         }
 
         @Override
-        public void outranked() {
-            events.outranked(HeldEndpoint.this);
+        public void fenced() {
+            events.fenced(HeldEndpoint.this);
         }
 
         @Override
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/HeldShards.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/HeldShards.java
@@ -69,7 +69,7 @@
      * <p>Guards against a task that runs twice after its shard changed hands: the lost holder's runs show on the
      * endpoints' lists, and are over when each list was read under this holder's token and cleared. How long this
      * holder has had the shard says nothing: while a domain was cut off, the other may have gone on there. Nor does
-     * what it holds now if the shard is not part of it, as when it has let go of it since the job was offered.
+     * what it holds now if the shard is not part of it, as when it has released it since the job was offered.
      */
     boolean readyFor(JobId job, Set<FailureDomain> wanted) {
         return shards.keySet().containsAll(wanted)
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/JobLine.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PendingJobs.java
@@ -10,7 +10,7 @@
  * <p>Urgent is what must start first to be in time: the time by which its answer counts in full, less its run time. A
  * job that is partly started stays in its place, so it is finished rather than left behind by newer ones.
  */
-final class JobLine {
+final class PendingJobs {
     private static final Comparator<PlacedJob> BY_LATEST_START = Comparator.comparingLong(PlacedJob::latestStartMillis)
             .thenComparing(job -> job.id().value());
 
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacedJob.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacedJob.java
@@ -16,28 +16,24 @@
     /** The part of an expected run time by which it may be wrong before a job is taken for overdue. */
     private static final int ESTIMATE_SLACK_PARTS = 4;
 
-    /**
-     * At three times what is expected one large job in a hundred had a task stopped that was merely long, with no sick
-     * endpoint anywhere, and came late for it; at four hardly any. A task that does stand still is found a third later.
-     * Experiments with and without sick endpoints, 12 seeds each: 0.865 to 0.871 and 0.969 to 0.971 of all worth.
-     */
+    /** A smaller multiple stops tasks that are merely long; a larger one finds those that stand still later. */
     private static final int STUCK_MULTIPLE = 4;
 
-    /** Covers the way of orders and looks, which matters for tasks of some 20 ms. */
+    /** Covers the round trips of orders and polls, which matter for the shortest tasks. */
     private static final long STUCK_SLACK_MILLIS = 100;
 
     private final Offer offer;
     private final ImmutableList<PlacedTask> tasks;
     private final long expectedRunMillis;
     private final JobTimes times;
-    private NodeId asker;
+    private NodeId origin;
     private int unfinished;
     private boolean over;
     private int lastRun;
 
     PlacedJob(Offer offer, int firstRun, long expectedRunMillis, JobTimes times) {
         this.offer = offer;
-        this.asker = offer.asker();
+        this.origin = offer.origin();
         this.expectedRunMillis = expectedRunMillis;
         this.times = times;
         TaskStep step = offer.job().step();
@@ -92,13 +88,13 @@
         return STUCK_MULTIPLE * expectedRunMillis + STUCK_SLACK_MILLIS;
     }
 
-    NodeId asker() {
-        return asker;
+    NodeId origin() {
+        return origin;
     }
 
     /** The client sent the job again, by another node. */
-    void askedBy(NodeId later) {
-        asker = later;
+    void movedTo(NodeId later) {
+        origin = later;
     }
 
     boolean over() {
@@ -203,7 +199,7 @@
      * <p>A job that was started is worth finishing until its client leaves, however late: its caller still gets the
      * whole answer, and not the word that it may have run.
      */
-    boolean hopelessAt(long nowMillis) {
+    boolean isPastUseAt(long nowMillis) {
         long lastUse = everStarted() ? times.deadlineMillis() : times.lastUseMillis();
         return !over && nowMillis + expectedRunMillis / 2 > lastUse;
     }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacedShard.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacedShard.java
@@ -15,7 +15,7 @@
 
 /** The endpoints of one failure domain under this node's token. */
 final class PlacedShard {
-    /** How long endpoints may be silent before a node takes them for out of its reach: three looks. */
+    /** How long endpoints may be silent before a node takes them to be unreachable: three polls. */
     private static final long REACH_MILLIS = 600;
 
     private final FencingToken token;
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/Placer.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/Placer.java
@@ -37,9 +37,9 @@
     private final RunTimes runTimes;
     private final HeldShards shards;
     private final Map<JobId, PlacedJob> jobs = new HashMap<>();
-    private final JobLine line = new JobLine();
-    private final Forecast forecast;
-    private final EndingJobs ending = new EndingJobs();
+    private final PendingJobs pending = new PendingJobs();
+    private final CompletionEstimator estimator;
+    private final CancellingJobs cancelling = new CancellingJobs();
     private final RecoveringJobs recovering;
     private final TaskStarter starter;
     private final RunResults results;
@@ -64,10 +64,10 @@
         this.listener = checkNotNull(listener, "listener");
         this.runTimes = checkNotNull(runTimes, "runTimes");
         this.shards = new HeldShards(checkNotNull(wholeList, "wholeList"));
-        this.forecast = new Forecast(shards.endpoints(), line);
+        this.estimator = new CompletionEstimator(shards.endpoints(), pending);
         this.recovering = new RecoveringJobs(shards, timers, this::resume);
-        this.starter = new TaskStarter(shards, line, timers, this::giveUp);
-        this.results = new RunResults(line, runTimes, timers, listener, new Results());
+        this.starter = new TaskStarter(shards, pending, timers, this::giveUp);
+        this.results = new RunResults(pending, runTimes, timers, listener, new Results());
     }
 
     /**
@@ -98,10 +98,10 @@
     }
 
     /**
-     * Lets go of one shard. What runs there is not renewed any more, and starts elsewhere when its lease has certainly
+     * Releases one shard. What runs there is not renewed any more, and starts elsewhere when its lease has certainly
      * run out; without another shard the whole placer closes, and its jobs are given back.
      */
-    public void letGo(FailureDomain shard) {
+    public void release(FailureDomain shard) {
         if (shards.domains().equals(Set.of(shard))) {
             close();
             return;
@@ -115,24 +115,25 @@
     /**
      * Takes a job, or declines it at once.
      *
-     * <p>A job that is known already was sent again by its client; it goes on, and its new asker gets the verdict.
+     * <p>A job that is known already was sent again by its client; it goes on, and the node that offers it now gets the
+     * verdict.
      */
     public void offer(Offer offer) {
         PlacedJob known = jobs.get(offer.job().id());
         if (known != null) {
-            known.askedBy(offer.asker());
+            known.movedTo(offer.origin());
             return;
         }
-        if (!ending.defer(offer, timers.nowMillis())) {
+        if (!cancelling.defer(offer, timers.nowMillis())) {
             take(offer, 1);
         }
     }
 
     /** Ends a job whose client has left or cancelled it; nothing is said of it any more. */
-    public void withdraw(NodeId asker, JobId id) {
-        ending.withdraw(asker, id);
+    public void withdraw(NodeId origin, JobId id) {
+        cancelling.withdraw(origin, id);
         PlacedJob job = jobs.get(id);
-        if (job != null && job.asker().equals(asker)) {
+        if (job != null && job.origin().equals(origin)) {
             end(job);
             starter.planStart();
         }
@@ -144,10 +145,10 @@
      * <p>Guards against a job that its client sends again, to another node, while it still runs here: the node's death
      * breaks the client's connection, and the client comes back after its pause.
      */
-    public void askerGone(NodeId asker) {
-        ending.askerGone(asker);
+    public void originLost(NodeId origin) {
+        cancelling.originLost(origin);
         for (PlacedJob job : ImmutableList.copyOf(jobs.values())) {
-            if (job.asker().equals(asker)) {
+            if (job.origin().equals(origin)) {
                 end(job);
             }
         }
@@ -161,7 +162,7 @@
     }
 
     /**
-     * Lets go of every shard. What runs is left to the next holder, or to its lease.
+     * Releases every shard. What runs is left to the next holder, or to its lease.
      *
      * <p>A job of which nothing was started is given back as such: it may go anywhere at once, and its client may be
      * told that it has not run.
@@ -176,10 +177,10 @@
         givenBack.forEach(this::forget);
         for (PlacedJob job : givenBack) {
             boolean mayRun = job.everStarted() || job.awaitsEarlierRuns();
-            listener.settled(job.asker(), job.id(), mayRun ? Verdict.HOLD_LOST : Verdict.RETURNED, 0);
+            listener.settled(job.origin(), job.id(), mayRun ? Verdict.HOLD_LOST : Verdict.RETURNED, 0);
         }
-        for (Offer offer : ending.removeDeferred()) {
-            listener.settled(offer.asker(), offer.job().id(), Verdict.HOLD_LOST, 0);
+        for (Offer offer : cancelling.removeDeferred()) {
+            listener.settled(offer.origin(), offer.job().id(), Verdict.HOLD_LOST, 0);
         }
     }
 
@@ -207,15 +208,15 @@
     }
 
     private void admit(PlacedJob job) {
-        Outlook outlook = forecast.of(job, timers.nowMillis());
-        if (!outlook.worthTaking()) {
-            listener.declined(job.asker(), job.id(), outlook);
-            long retry = outlook.places() == 0 ? IMPOSSIBLE_RETRY_MILLIS : outlook.waitMillis();
-            listener.settled(job.asker(), job.id(), Verdict.DECLINED, retry);
+        CompletionEstimate estimate = estimator.of(job, timers.nowMillis());
+        if (!estimate.isAdmissible()) {
+            listener.declined(job.origin(), job.id(), estimate);
+            long retry = estimate.places() == 0 ? IMPOSSIBLE_RETRY_MILLIS : estimate.waitMillis();
+            listener.settled(job.origin(), job.id(), Verdict.DECLINED, retry);
             return;
         }
         jobs.put(job.id(), job);
-        line.add(job);
+        pending.add(job);
         starter.startPending();
     }
 
@@ -224,7 +225,7 @@
         if (job.allFinished()) {
             settle(job, Verdict.DONE);
         } else if (job.begunBefore()) {
-            line.add(job);
+            pending.add(job);
             starter.planStart();
         } else {
             jobs.remove(job.id());
@@ -237,26 +238,26 @@
         if (job.everStarted()) {
             settle(job, Verdict.TOO_LATE);
         } else {
-            listener.declined(job.asker(), job.id(), forecast.of(job, timers.nowMillis()));
+            listener.declined(job.origin(), job.id(), estimator.of(job, timers.nowMillis()));
             settle(job, Verdict.DECLINED);
         }
     }
 
     private void settle(PlacedJob job, Verdict verdict) {
         end(job);
-        listener.settled(job.asker(), job.id(), verdict, 0);
+        listener.settled(job.origin(), job.id(), verdict, 0);
     }
 
     private void end(PlacedJob job) {
         forget(job);
         job.end();
-        ending.add(job);
+        cancelling.add(job);
     }
 
     private void forget(PlacedJob job) {
         jobs.remove(job.id());
         recovering.remove(job);
-        line.remove(job);
+        pending.remove(job);
     }
 
     /** What becomes of jobs by the ends of their runs. */
@@ -273,7 +274,8 @@
 
         @Override
         public void roomReleased(PlacedJob job) {
-            ending.removeIfOver(job)
+            cancelling
+                    .removeIfOver(job)
                     .ifPresent(deferred -> take(deferred.offerAt(timers.nowMillis()), job.lastRun() + 1));
             starter.planStart();
         }
@@ -289,10 +291,10 @@
         }
 
         @Override
-        public void outranked(FailureDomain shard) {
+        public void fenced(FailureDomain shard) {
             token(shard).ifPresent(token -> {
-                letGo(shard);
-                listener.outranked(shard, token);
+                release(shard);
+                listener.fenced(shard, token);
             });
         }
     }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacerListener.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacerListener.java
@@ -14,17 +14,17 @@
     /**
      * A job is settled.
      *
-     * @param asker the node to tell
+     * @param origin the node to tell
      * @param retryMillis when there should be room again, in milliseconds; 0 unless the job was declined
      */
-    void settled(NodeId asker, JobId job, Verdict verdict, long retryMillis);
+    void settled(NodeId origin, JobId job, Verdict verdict, long retryMillis);
 
     /** A job is declined, and why. */
-    void declined(NodeId asker, JobId job, Outlook outlook);
+    void declined(NodeId origin, JobId job, CompletionEstimate estimate);
 
     /** A run ended without having done its work. */
     void runEndedBadly(FailureDomain shard, TaskRun run, EndpointId endpoint, EndKind kind);
 
-    /** An endpoint obeys a higher token: another node holds its shard, and this one has let go of it. */
-    void outranked(FailureDomain shard, FencingToken token);
+    /** An endpoint obeys a higher token: another node holds its shard, and this one has released it. */
+    void fenced(FailureDomain shard, FencingToken token);
 }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacingSettings.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacingSettings.java
@@ -6,8 +6,8 @@
  * The times by which a holder works with its endpoints, all in milliseconds.
  *
  * @param lease how long what runs on an endpoint goes on without a renewal; the longest that endpoints allow
- * @param holdWait how long an endpoint may keep a look waiting for an end; a tenth of the lease, since the ends that a
- *     lost look would have told of are seen only after this and {@code answerTime}
+ * @param holdWait how long an endpoint may keep a poll waiting for an end; a tenth of the lease, since the ends that a
+ *     lost poll would have listed are seen only after this and {@code answerTime}
  * @param stopTime the longest that a stop takes on an endpoint
  * @param answerTime how long the answer to an order may take before it counts as lost
  */
@@ -18,13 +18,12 @@
     /** Covers the way of an order and rounding. */
     private static final long CERTAINTY_MARGIN_MILLIS = 30;
 
-    /** How many looks fit into a lease. */
+    /** How many polls fit into a lease. */
     private static final int LOOKS_PER_LEASE = 10;
 
     /**
-     * Endpoints answer within 1 to 5 ms, and a node that is slowed down six times sees it within 30. Where 3% of all
-     * orders were lost for some seconds, 200 ms made one in ten of the jobs of 60 ms late or lost, since each has some
-     * sixteen orders; what is taken for lost too early costs one more look.
+     * Endpoints answer within a few milliseconds, and a node that is slowed down sees it within some tens. What is
+     * taken for lost too early costs one more poll; too late, a short task is late for it.
      */
     private static final long ANSWER_MILLIS = 50;
 
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/FoundRuns.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RecoveredRuns.java
@@ -18,7 +18,7 @@
  * <p>Each may be adopted by its job, if that is offered here soon; after that it is stopped. Until it is either
  * adopted or gone, the room that it takes is not known.
  */
-final class FoundRuns {
+final class RecoveredRuns {
     /**
      * How long what an earlier holder left running waits for its job to be offered here. Nodes learn of a holder within
      * a few milliseconds and offer at once; a holder that has just started needs longer to read all their offers.
@@ -31,7 +31,7 @@
     private final Map<TaskRun, State> runs = new HashMap<>();
     private final Set<TaskName> doneBefore = new HashSet<>();
 
-    FoundRuns(Timers timers, long stopMillis, Host host) {
+    RecoveredRuns(Timers timers, long stopMillis, Host host) {
         this.timers = timers;
         this.stopMillis = stopMillis;
         this.host = host;
@@ -133,7 +133,7 @@
                 runs.remove(run);
                 host.pollIfIdle();
             }
-            case OUTRANKED -> host.outranked();
+            case FENCED -> host.fenced();
             case OTHER_LIFE -> host.lifeOver();
             default -> timers.after(RunListPoller.FIRST_RETRY_MILLIS, () -> sendStop(run, true));
         }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RunListPoller.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RunListPoller.java
@@ -100,7 +100,7 @@
                 takeLists(answer, sentAtMillis);
                 pollAgain();
             }
-            case OUTRANKED -> host.outranked();
+            case FENCED -> host.fenced();
             case OTHER_LIFE -> host.lifeOver();
             default -> unanswered();
         }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RunOrders.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RunOrders.java
@@ -54,7 +54,7 @@
         switch (answer.result()) {
             case DONE -> reservation.running(link.nowMillis());
             case UNKNOWN -> startUnanswered(reservation);
-            case OUTRANKED -> host.outranked();
+            case FENCED -> host.fenced();
             case OTHER_LIFE -> host.lifeOver();
             case OLD_RUN -> {
                 room.release(reservation);
@@ -108,7 +108,7 @@
         }
         switch (answer.result()) {
             case DONE, OLD_RUN -> stopTaken(reservation);
-            case OUTRANKED -> host.outranked();
+            case FENCED -> host.fenced();
             case OTHER_LIFE -> host.lifeOver();
             default -> link.timers().after(STOP_RETRY_MILLIS, () -> stopAgain(reservation));
         }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RunResults.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RunResults.java
@@ -8,14 +8,14 @@
 
 /** Takes in what endpoints say of runs: judges the endpoint, learns run times, and decides what its task does next. */
 final class RunResults implements EndpointEvents {
-    private final JobLine line;
+    private final PendingJobs pending;
     private final RunTimes runTimes;
     private final Timers timers;
     private final PlacerListener listener;
     private final Host host;
 
-    RunResults(JobLine line, RunTimes runTimes, Timers timers, PlacerListener listener, Host host) {
-        this.line = line;
+    RunResults(PendingJobs pending, RunTimes runTimes, Timers timers, PlacerListener listener, Host host) {
+        this.pending = pending;
         this.runTimes = runTimes;
         this.timers = timers;
         this.listener = listener;
@@ -88,8 +88,8 @@
     }
 
     @Override
-    public void outranked(HeldEndpoint endpoint) {
-        host.outranked(endpoint.entry().domain());
+    public void fenced(HeldEndpoint endpoint) {
+        host.fenced(endpoint.entry().domain());
     }
 
     /** Learns from a run whose start was seen. */
@@ -114,7 +114,7 @@
         if (task.holds(reservation)) {
             task.back();
             if (!task.job().over()) {
-                line.add(task.job());
+                pending.add(task.job());
             }
             host.roomReleased(task.job());
         }
@@ -124,7 +124,7 @@
         if (task.failures() >= job.queue().attempts()) {
             host.settle(job, Verdict.FAILED);
         } else {
-            line.add(job);
+            pending.add(job);
         }
     }
 
@@ -146,6 +146,6 @@
         void firstListed(HeldEndpoint endpoint);
 
         /** The endpoints of a shard obey another holder. */
-        void outranked(FailureDomain shard);
+        void fenced(FailureDomain shard);
     }
 }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/TaskStarter.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/TaskStarter.java
@@ -9,7 +9,7 @@
 /** Starts the tasks of pending jobs wherever there is room, the most urgent job first. */
 final class TaskStarter {
     private final HeldShards shards;
-    private final JobLine line;
+    private final PendingJobs pending;
     private final Timers timers;
     private final Consumer<PlacedJob> giveUp;
     private boolean planned;
@@ -19,9 +19,9 @@
      *
      * @param giveUp ends a job whose answer would come too late
      */
-    TaskStarter(HeldShards shards, JobLine line, Timers timers, Consumer<PlacedJob> giveUp) {
+    TaskStarter(HeldShards shards, PendingJobs pending, Timers timers, Consumer<PlacedJob> giveUp) {
         this.shards = shards;
-        this.line = line;
+        this.pending = pending;
         this.timers = timers;
         this.giveUp = giveUp;
     }
@@ -40,8 +40,8 @@
         long now = timers.nowMillis();
         long roomiest = shards.roomiestMilliCores(now);
         List<PlacedJob> overdue = new ArrayList<>();
-        for (PlacedJob job : line.inOrder()) {
-            if (job.hopelessAt(now)) {
+        for (PlacedJob job : pending.inOrder()) {
+            if (job.isPastUseAt(now)) {
                 giveUp.accept(job);
             } else if (job.overdueAt(now)) {
                 overdue.add(job);
@@ -66,7 +66,7 @@
         }
         long waitingBefore = job.waitingTasks();
         if (startWaiting(job, now)) {
-            line.remove(job);
+            pending.remove(job);
         }
         return job.waitingTasks() == waitingBefore ? roomiest : shards.roomiestMilliCores(now);
     }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/handover/AnsweredJobs.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/routing/AnsweredJobs.java
@@ -1,4 +1,4 @@
-package org.tarragonarch.core.handover;
+package org.tarragonarch.core.routing;
 
 import java.util.LinkedHashMap;
 import java.util.Map;
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/handover/Holder.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/routing/Holder.java
@@ -1,4 +1,4 @@
-package org.tarragonarch.core.handover;
+package org.tarragonarch.core.routing;
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/handover/JobDesk.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/routing/JobRouter.java
@@ -1,4 +1,4 @@
-package org.tarragonarch.core.handover;
+package org.tarragonarch.core.routing;
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
@@ -26,7 +26,7 @@
  * <p>A job is answered by the node that has its client's connection. If its holder is lost, it goes to the next holder
  * of the same shards, who finds what still runs; to any other only when those runs are certainly over.
  */
-public final class JobDesk {
+public final class JobRouter {
     /** An answer that leaves this long before the deadline still reaches the client, in milliseconds. */
     private static final long ANSWER_TRAVEL_MILLIS = 10;
 
@@ -44,11 +44,11 @@
     private boolean closed;
 
     /**
-     * Creates a desk without jobs.
+     * Creates a router without jobs.
      *
      * @param runsLastMillis how long what runs may go on after its holder was last heard, in milliseconds
      */
-    public JobDesk(Holders holders, Timers timers, long runsLastMillis) {
+    public JobRouter(Holders holders, Timers timers, long runsLastMillis) {
         this.holders = checkNotNull(holders, "holders");
         this.timers = checkNotNull(timers, "timers");
         this.runsLastMillis = runsLastMillis;
@@ -158,7 +158,7 @@
     }
 
     /** Returns whether any job has no holder. */
-    public boolean seeking() {
+    public boolean withoutHolder() {
         for (OpenJob job : open.values()) {
             if (job.holder().isEmpty()) {
                 return true;
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/handover/OpenJob.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/routing/OpenJob.java
@@ -1,4 +1,4 @@
-package org.tarragonarch.core.handover;
+package org.tarragonarch.core.routing;
 
 import com.google.common.collect.ImmutableSet;
 import java.util.ArrayList;
@@ -126,7 +126,7 @@
     /**
      * The holder gave the job back without having started any of it.
      *
-     * <p>It gets the job again only after holders have changed: until it is heard that it lets go of its shards, it
+     * <p>It gets the job again only after holders have changed: until it is heard that it releases its shards, it
      * looks like the holder that it was.
      */
     void returned() {
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/Heartbeats.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/Heartbeats.java
@@ -13,9 +13,9 @@
  * Decides whom this node tells its status, and how often.
  *
  * <p>Jobs pass between a holder and everybody else, so these have to miss each other within a second: a holder speaks
- * to every node, and every node to the holders, every {@value PeerBook#STATUS_PERIOD_MILLIS} ms. Nodes that hold
+ * to every node, and every node to the holders, every {@value PeerTable#STATUS_PERIOD_MILLIS} ms. Nodes that hold
  * nothing matter to each other only where they may be the next holder, within the domains of one pool; they hear each
- * other every {@value PeerBook#DISTANT_PERIOD_MILLIS} ms. So what a node sends grows with the number of holders and
+ * other every {@value PeerTable#DISTANT_PERIOD_MILLIS} ms. So what a node sends grows with the number of holders and
  * with the size of its pool, and not with that of the cluster; at a start it connects to its neighbours alone.
  *
  * <p>A node that misses the holder of a shard of its own pool says so in its status: it speaks to its neighbours often,
@@ -26,18 +26,18 @@
     /** How long a shard may take to get its next holder: 0.2 s as a rule, a second where every node starts cold. */
     private static final long TAKEOVER_MILLIS = 1_000;
 
-    private final PeerBook book;
+    private final PeerTable peers;
     private final ShardPools pools;
     private final FailureDomain ownDomain;
     private boolean holding;
-    private boolean seeking;
-    private long seekingSinceMillis;
-    private long closeToldAtMillis = Long.MIN_VALUE / 2;
-    private long neighboursToldAtMillis = Long.MIN_VALUE / 2;
+    private boolean withoutHolder;
+    private long withoutHolderSinceMillis;
+    private long closeSentAtMillis = Long.MIN_VALUE / 2;
+    private long neighboursSentAtMillis = Long.MIN_VALUE / 2;
 
     /** Creates the plan of a node that has told nobody anything. */
-    public Heartbeats(PeerBook book, ShardPools pools, FailureDomain ownDomain) {
-        this.book = checkNotNull(book, "book");
+    public Heartbeats(PeerTable peers, ShardPools pools, FailureDomain ownDomain) {
+        this.peers = checkNotNull(peers, "book");
         this.pools = checkNotNull(pools, "pools");
         this.ownDomain = checkNotNull(ownDomain, "ownDomain");
     }
@@ -53,36 +53,36 @@
      * @return whether peers have to be told at once, because this node has just begun to miss a holder
      */
     public boolean review(Set<FailureDomain> held, long nowMillis) {
-        boolean soughtBefore = seeking;
+        boolean soughtBefore = withoutHolder;
         holding = !held.isEmpty();
-        seeking = neighbours().stream()
-                .anyMatch(shard -> !held.contains(shard) && book.holder(shard).isEmpty());
-        if (seeking && !soughtBefore) {
-            seekingSinceMillis = nowMillis;
+        withoutHolder = neighbours().stream()
+                .anyMatch(shard -> !held.contains(shard) && peers.holder(shard).isEmpty());
+        if (withoutHolder && !soughtBefore) {
+            withoutHolderSinceMillis = nowMillis;
         }
-        book.expectFrom(neighbours(), holding, holding || seeking, nowMillis);
-        return seeking && !soughtBefore;
+        peers.expectFrom(neighbours(), holding, holding || withoutHolder, nowMillis);
+        return withoutHolder && !soughtBefore;
     }
 
     /** Returns whether this node misses the holder of a shard of its pool. */
-    public boolean seeking() {
-        return seeking;
+    public boolean withoutHolder() {
+        return withoutHolder;
     }
 
     /** Returns whether a shard has lately lost its holder and should have the next one within moments. */
     public boolean holderExpected(long nowMillis) {
-        return seeking && nowMillis - seekingSinceMillis < TAKEOVER_MILLIS;
+        return withoutHolder && nowMillis - withoutHolderSinceMillis < TAKEOVER_MILLIS;
     }
 
     /** Returns who is due to hear this node's status now; whoever calls this tells them. */
     public Audience due(long nowMillis) {
-        long period = holding || seeking ? PeerBook.STATUS_PERIOD_MILLIS : PeerBook.DISTANT_PERIOD_MILLIS;
-        if (nowMillis - neighboursToldAtMillis >= period) {
+        long period = holding || withoutHolder ? PeerTable.STATUS_PERIOD_MILLIS : PeerTable.DISTANT_PERIOD_MILLIS;
+        if (nowMillis - neighboursSentAtMillis >= period) {
             Audience audience = audience();
             told(audience, nowMillis);
             return audience;
         }
-        if (nowMillis - closeToldAtMillis >= PeerBook.STATUS_PERIOD_MILLIS) {
+        if (nowMillis - closeSentAtMillis >= PeerTable.STATUS_PERIOD_MILLIS) {
             told(Audience.CLOSE, nowMillis);
             return Audience.CLOSE;
         }
@@ -96,16 +96,16 @@
 
     /** Notes who was told. */
     public void told(Audience audience, long nowMillis) {
-        closeToldAtMillis = nowMillis;
+        closeSentAtMillis = nowMillis;
         if (audience != Audience.CLOSE) {
-            neighboursToldAtMillis = nowMillis;
+            neighboursSentAtMillis = nowMillis;
         }
     }
 
     /** Returns the peers that need to hear this node often: holders, and nodes that miss one. */
     public ImmutableList<NodeId> close() {
-        return book.present().stream()
-                .filter(peer -> !peer.shards().isEmpty() || peer.seeking())
+        return peers.present().stream()
+                .filter(peer -> !peer.shards().isEmpty() || peer.withoutHolder())
                 .map(NodeStatus::node)
                 .collect(ImmutableList.toImmutableList());
     }
@@ -113,7 +113,7 @@
     /** Returns the peers that need to hear this node often and do not stand in these failure domains. */
     public ImmutableList<NodeId> closeOutside(ImmutableSet<FailureDomain> domains) {
         return close().stream()
-                .filter(peer -> domains.stream().noneMatch(domain -> book.standsIn(peer, domain)))
+                .filter(peer -> domains.stream().noneMatch(domain -> peers.standsIn(peer, domain)))
                 .collect(ImmutableList.toImmutableList());
     }
 
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/Succession.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/HolderElection.java
@@ -21,7 +21,7 @@
  * that holds another. A node that hears nobody may be cut off itself, and claims only after
  * {@value #ISOLATED_CLAIM_MILLIS} ms what the others may still hold.
  */
-public final class Succession {
+public final class HolderElection {
     /**
      * A domain that is cut off goes on by itself, and must not lose its endpoints to the outside as soon as the cut
      * heals; a domain whose nodes are restarting needs about a second.
@@ -35,13 +35,13 @@
      * serves everybody else. It shows as silence of all peers at once. Peers that were killed are heard again within a
      * second or two; those that are gone for good are given up after this.
      */
-    private static final long ISOLATED_CLAIM_MILLIS = PeerBook.DISTANT_SILENCE_MILLIS;
+    private static final long ISOLATED_CLAIM_MILLIS = PeerTable.DISTANT_SILENCE_MILLIS;
 
     /**
      * Two nodes that cannot hear each other but reach the same endpoints would take them from one another for ever. The
-     * one that was outranked keeps away from the shard this long.
+     * one that was fenced keeps away from the shard this long.
      */
-    private static final long OUTRANKED_PAUSE_MILLIS = 3_000;
+    private static final long FENCED_PAUSE_MILLIS = 3_000;
 
     /**
      * A holder hands its shards to a node of the same pool that has at least this many times its processor time.
@@ -53,8 +53,8 @@
     private static final int MUCH_STRONGER = 2;
 
     /**
-     * How long a node must have been there before a holder lets go in its favour, in milliseconds: long enough to have
-     * the list of endpoints and warm code.
+     * How long a stronger node must have been there before a holder releases its shards to it, in milliseconds: long
+     * enough to have the list of endpoints and warm code.
      */
     private static final long SETTLED_MILLIS = 2_000;
 
@@ -71,21 +71,21 @@
     private final FailureDomain ownDomain;
     private final String ownIp;
     private final int ownMilliCores;
-    private final PeerBook peers;
+    private final PeerTable peers;
     private final ShardPools pools;
     private final Map<FailureDomain, FencingToken> held = new HashMap<>();
     private final Map<FailureDomain, Long> lastTerm = new HashMap<>();
     private final Map<FailureDomain, Long> keepAwayUntil = new HashMap<>();
     private final Map<FailureDomain, Long> withoutHolderSince = new HashMap<>();
-    private final Map<FailureDomain, Long> outrankedAt = new HashMap<>();
+    private final Map<FailureDomain, Long> fencedAt = new HashMap<>();
 
     /**
      * Creates the succession of a node that holds nothing.
      *
      * @param ownMilliCores the processor time that this node may use, in thousandths of a core
      */
-    public Succession(
-            NodeId own, FailureDomain ownDomain, String ownIp, int ownMilliCores, PeerBook peers, ShardPools pools) {
+    public HolderElection(
+            NodeId own, FailureDomain ownDomain, String ownIp, int ownMilliCores, PeerTable peers, ShardPools pools) {
         this.own = own;
         this.ownDomain = ownDomain;
         this.ownIp = ownIp;
@@ -152,7 +152,7 @@
     }
 
     /**
-     * Returns whether this node holds the shard but should let go of it for another.
+     * Returns whether this node holds the shard but should release it to another.
      *
      * @param nowMillis the steady clock
      */
@@ -171,7 +171,7 @@
      * Returns whether another node that holds the shard too is to keep it.
      *
      * <p>A node of the shard's own failure domain does not yield to one of another: that one claimed the shard while
-     * the domain was cut off, and lets go of it as soon as it hears this node. Otherwise the higher token stays.
+     * the domain was cut off, and releases it as soon as it hears this node. Otherwise the higher token stays.
      */
     private boolean yieldsToOtherHolder(FailureDomain shard, FencingToken token) {
         Optional<ShardHolder> other = peers.holder(shard);
@@ -212,14 +212,14 @@
     }
 
     /**
-     * Lets go of a shard none of whose endpoints can be reached from here, and keeps away from it for a while.
+     * Releases a shard none of whose endpoints can be reached from here, and keeps away from it for a while.
      *
      * <p>Guards against taking the endpoints of a domain that is cut off and goes on by itself: the orders of the node
      * outside would arrive as the cut heals, and stop all that runs there.
      */
     public void unreachable(FailureDomain shard, long nowMillis) {
         held.remove(shard);
-        keepAwayUntil.put(shard, nowMillis + OUTRANKED_PAUSE_MILLIS);
+        keepAwayUntil.put(shard, nowMillis + FENCED_PAUSE_MILLIS);
     }
 
     /**
@@ -236,7 +236,7 @@
         return token;
     }
 
-    /** Lets go of the shard. */
+    /** Releases the shard. */
     public void resign(FailureDomain shard) {
         held.remove(shard);
     }
@@ -245,19 +245,19 @@
      * Notes that the shard's endpoints obey a higher token than this node's.
      *
      * <p>The first in line claims once more at once: the other token may be that of a holder that is gone, or of a node
-     * that yields as soon as it hears this one. Outranked a second time within {@value #OUTRANKED_PAUSE_MILLIS} ms it
+     * that yields as soon as it hears this one. Outranked a second time within {@value #FENCED_PAUSE_MILLIS} ms it
      * keeps away, since the other is a living node that it does not hear; they would take the shard from each other
      * some twenty times a second, and nothing would be served.
      */
-    public void outranked(FailureDomain shard, long nowMillis) {
+    public void fenced(FailureDomain shard, long nowMillis) {
         held.remove(shard);
         lastTerm.merge(shard, UNHEARD_TERM_SKIP, Long::sum);
-        Long before = outrankedAt.put(shard, nowMillis);
-        boolean again = before != null && nowMillis - before < OUTRANKED_PAUSE_MILLIS;
+        Long before = fencedAt.put(shard, nowMillis);
+        boolean again = before != null && nowMillis - before < FENCED_PAUSE_MILLIS;
         if (!again && peers.holder(shard).isEmpty() && firstInLine(shard) && othersPresent()) {
             return;
         }
-        keepAwayUntil.put(shard, nowMillis + OUTRANKED_PAUSE_MILLIS);
+        keepAwayUntil.put(shard, nowMillis + FENCED_PAUSE_MILLIS);
     }
 
     private boolean othersPresent() {
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/PeerBook.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/PeerTable.java
@@ -15,7 +15,7 @@
 import org.tarragonarch.model.task.FencingToken;
 
 /** What the peers last said of themselves, and which of them can be heard. */
-public final class PeerBook {
+public final class PeerTable {
     /**
      * How long a peer that speaks often may say nothing before it counts as gone, in milliseconds.
      *
@@ -42,7 +42,7 @@
     /** So many peers do not fail together by chance. */
     private static final int SEVERAL = 3;
 
-    private final Map<NodeId, Heard> peers = new TreeMap<>();
+    private final Map<NodeId, LastStatus> peers = new TreeMap<>();
     private final Map<FailureDomain, FencingToken> highestTokens = new HashMap<>();
     private Optional<ImmutableList<NodeStatus>> holders = Optional.empty();
     private ImmutableSet<FailureDomain> neighbours = ImmutableSet.of();
@@ -51,15 +51,15 @@
     private long oftenSinceMillis;
 
     /** Creates a book that knows nobody. */
-    public PeerBook() {}
+    public PeerTable() {}
 
     /** Takes in a status; returns whether the peer was not there before. */
     public boolean heard(NodeStatus status, long nowMillis) {
-        Heard before = peers.get(status.node());
+        LastStatus before = peers.get(status.node());
         boolean joined = before == null || !before.present();
         holders = Optional.empty();
         status.shards().forEach(held -> claimed(held.domain(), held.token()));
-        peers.put(status.node(), new Heard(status, nowMillis, joined ? nowMillis : before.sinceMillis(), true));
+        peers.put(status.node(), new LastStatus(status, nowMillis, joined ? nowMillis : before.sinceMillis(), true));
         return joined;
     }
 
@@ -76,7 +76,7 @@
 
     /** Notes that the last connection with the peer broke; returns whether it was there before. */
     public boolean lost(NodeId peer) {
-        Heard known = peers.get(peer);
+        LastStatus known = peers.get(peer);
         if (known == null || !known.present()) {
             return false;
         }
@@ -107,7 +107,7 @@
     /** Returns the peers that have been silent for too long, and takes them for gone from now on. */
     public ImmutableList<NodeId> expire(long nowMillis) {
         ImmutableList.Builder<NodeId> silent = ImmutableList.builder();
-        for (Heard heard : ImmutableList.copyOf(peers.values())) {
+        for (LastStatus heard : ImmutableList.copyOf(peers.values())) {
             if (heard.present() && silent(heard, nowMillis)) {
                 peers.put(heard.status().node(), heard.gone());
                 holders = Optional.empty();
@@ -135,13 +135,13 @@
     }
 
     /** Counts those of the peers that are gone which were heard last. */
-    private long lostLast(Predicate<Heard> wanted) {
-        OptionalLong lastHeard = peers.values().stream()
+    private long lostLast(Predicate<LastStatus> wanted) {
+        OptionalLong lastReceived = peers.values().stream()
                 .filter(heard -> !heard.present())
-                .mapToLong(Heard::atMillis)
+                .mapToLong(LastStatus::atMillis)
                 .max();
         return peers.values().stream()
-                .filter(heard -> !heard.present() && heard.atMillis() >= lastHeard.orElseThrow() - AT_ONCE_MILLIS)
+                .filter(heard -> !heard.present() && heard.atMillis() >= lastReceived.orElseThrow() - AT_ONCE_MILLIS)
                 .filter(wanted)
                 .count();
     }
@@ -159,7 +159,7 @@
     /** Returns the highest term under which any peer said that it held the shard. */
     public long highestTerm(FailureDomain shard) {
         long highest = 0;
-        for (Heard heard : peers.values()) {
+        for (LastStatus heard : peers.values()) {
             highest = Math.max(
                     highest, heard.held(shard).map(held -> held.token().term()).orElse(0L));
         }
@@ -204,7 +204,7 @@
 
     private Optional<ShardHolder> highest(FailureDomain shard, boolean home) {
         Optional<ShardHolder> best = Optional.empty();
-        for (Heard heard : peers.values()) {
+        for (LastStatus heard : peers.values()) {
             boolean mayHold = heard.present() && !heard.status().shards().isEmpty();
             if (!mayHold || heard.status().domain().equals(shard) != home) {
                 continue;
@@ -220,11 +220,11 @@
 
     /** Returns whether the peer, as last heard, stands in the failure domain. */
     public boolean standsIn(NodeId peer, FailureDomain domain) {
-        Heard heard = peers.get(peer);
+        LastStatus heard = peers.get(peer);
         return heard != null && heard.status().domain().equals(domain);
     }
 
-    private boolean silent(Heard heard, long nowMillis) {
+    private boolean silent(LastStatus heard, long nowMillis) {
         if (!heard.status().shards().isEmpty()) {
             return nowMillis - heard.atMillis() > SILENCE_MILLIS;
         }
@@ -239,9 +239,9 @@
         return allSpeak || !peer.shards().isEmpty() || neighbours.contains(peer.domain());
     }
 
-    private ImmutableList<NodeStatus> statuses(Predicate<Heard> wanted) {
+    private ImmutableList<NodeStatus> statuses(Predicate<LastStatus> wanted) {
         ImmutableList.Builder<NodeStatus> statuses = ImmutableList.builder();
-        for (Heard heard : peers.values()) {
+        for (LastStatus heard : peers.values()) {
             if (heard.present() && wanted.test(heard)) {
                 statuses.add(heard.status());
             }
@@ -255,9 +255,9 @@
      * @param atMillis when it was last heard
      * @param sinceMillis since when it has been there without a break
      */
-    private record Heard(NodeStatus status, long atMillis, long sinceMillis, boolean present) {
-        Heard gone() {
-            return new Heard(status, atMillis, sinceMillis, false);
+    private record LastStatus(NodeStatus status, long atMillis, long sinceMillis, boolean present) {
+        LastStatus gone() {
+            return new LastStatus(status, atMillis, sinceMillis, false);
         }
 
         Optional<HeldShard> held(FailureDomain shard) {
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/ShardObserver.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/ShardObserver.java
@@ -1,6 +1,6 @@
 package org.tarragonarch.core.shard;
 
-import org.tarragonarch.core.placing.Outlook;
+import org.tarragonarch.core.placing.CompletionEstimate;
 import org.tarragonarch.model.id.EndpointId;
 import org.tarragonarch.model.id.FailureDomain;
 import org.tarragonarch.model.id.NodeId;
@@ -14,14 +14,14 @@
     /** The node took a shard with so many endpoints. */
     void claimed(FailureDomain shard, FencingToken token, int endpoints);
 
-    /** The node let go of a shard of its own accord. */
+    /** The node released a shard of its own accord. */
     void resigned(FailureDomain shard, FencingToken token);
 
     /** The endpoints of a shard obey another node. */
-    void outranked(FailureDomain shard, FencingToken token);
+    void fenced(FailureDomain shard, FencingToken token);
 
     /** A job is declined, and why. */
-    void declined(NodeId asker, JobId job, Outlook outlook);
+    void declined(NodeId origin, JobId job, CompletionEstimate estimate);
 
     /** A run ended without having done its work. */
     void runEndedBadly(FailureDomain shard, TaskRun run, EndpointId endpoint, EndKind kind);
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/ShardKeeper.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/ShardOwnership.java
@@ -6,7 +6,7 @@
 import com.google.common.collect.ImmutableSet;
 import java.util.Optional;
 import java.util.function.LongSupplier;
-import org.tarragonarch.core.placing.Outlook;
+import org.tarragonarch.core.placing.CompletionEstimate;
 import org.tarragonarch.core.placing.Placer;
 import org.tarragonarch.core.placing.PlacerListener;
 import org.tarragonarch.core.placing.PlacingSettings;
@@ -24,7 +24,7 @@
 import org.tarragonarch.model.task.Verdict;
 
 /** The shards that this node holds, with the placer for all of them, from claim to resignation. */
-public final class ShardKeeper {
+public final class ShardOwnership {
     /**
      * How long the free room of the shards held here is not added up anew: it is asked for with every job, and only
      * tells which of several holders goes first. Peers tell theirs ten times less often.
@@ -32,7 +32,7 @@
     private static final long HELD_FOR_MILLIS = 20;
 
     private final ShardPools pools;
-    private final Succession succession;
+    private final HolderElection election;
     private final EndpointList endpoints;
     private final PlacingSettings settings;
     private final EndpointOrders orders;
@@ -52,9 +52,9 @@
      * @param pools all shards, and which of them go together
      * @param wallMillis the time of day, for terms that rise over restarts
      */
-    public ShardKeeper(
+    public ShardOwnership(
             ShardPools pools,
-            Succession succession,
+            HolderElection election,
             EndpointList endpoints,
             PlacingSettings settings,
             EndpointOrders orders,
@@ -62,7 +62,7 @@
             LongSupplier wallMillis,
             ShardEvents events) {
         this.pools = checkNotNull(pools, "pools");
-        this.succession = checkNotNull(succession, "succession");
+        this.election = checkNotNull(election, "succession");
         this.endpoints = checkNotNull(endpoints, "endpoints");
         this.settings = checkNotNull(settings, "settings");
         this.orders = checkNotNull(orders, "orders");
@@ -72,19 +72,19 @@
         this.steadyLists = new SteadyLists(endpoints);
     }
 
-    /** Claims what has no holder and lets go of what another should hold; returns whether anything changed. */
+    /** Claims what has no holder and releases what another should hold; returns whether anything changed. */
     public boolean review() {
         pools.review();
         boolean changed = false;
         for (FailureDomain shard : pools.shards()) {
-            if (succession.shouldResign(shard, timers.nowMillis())) {
+            if (election.shouldResign(shard, timers.nowMillis())) {
                 resign(shard);
                 changed = true;
             } else if (outOfReach(shard)) {
                 resign(shard);
-                succession.unreachable(shard, timers.nowMillis());
+                election.unreachable(shard, timers.nowMillis());
                 changed = true;
-            } else if (succession.shouldClaim(shard, timers.nowMillis()) && listUsable()) {
+            } else if (election.shouldClaim(shard, timers.nowMillis()) && listUsable()) {
                 claim(shard);
                 changed = true;
             }
@@ -101,7 +101,7 @@
         placer.ifPresent(Placer::review);
     }
 
-    /** Lets go of every shard, because this node leaves. */
+    /** Releases every shard, because this node leaves. */
     public void resignAll() {
         heldShards().forEach(this::resign);
     }
@@ -114,7 +114,7 @@
 
     /** Ends the jobs of a node that is gone. */
     public void nodeLost(NodeId node) {
-        placer.ifPresent(current -> current.askerGone(node));
+        placer.ifPresent(current -> current.originLost(node));
     }
 
     /** Returns the placer of the shards that this node holds, if it holds any. */
@@ -155,12 +155,12 @@
     }
 
     private boolean outOfReach(FailureDomain shard) {
-        return !succession.isHome(shard)
+        return !election.isHome(shard)
                 && placer.filter(current -> current.outOfReach(shard)).isPresent();
     }
 
     private void claim(FailureDomain shard) {
-        FencingToken token = succession.claim(shard, wallMillis.getAsLong());
+        FencingToken token = election.claim(shard, wallMillis.getAsLong());
         if (placer.isEmpty()) {
             placer = Optional.of(new Placer(settings, orders, timers, relay, runTimes, this::isSteady));
         }
@@ -174,33 +174,33 @@
     }
 
     private void resign(FailureDomain shard) {
-        succession.resign(shard);
+        election.resign(shard);
         placer.flatMap(current -> current.token(shard)).ifPresent(token -> {
             events.resigned(shard, token);
-            letGo(shard);
+            release(shard);
         });
     }
 
-    private void letGo(FailureDomain shard) {
+    private void release(FailureDomain shard) {
         heldChanged();
         Placer current = placer.orElseThrow();
         if (current.shards().size() <= 1) {
             placer = Optional.empty();
             events.releasedAll();
         }
-        current.letGo(shard);
+        current.release(shard);
     }
 
     /** Passes on what the placer says. */
     private final class Relay implements PlacerListener {
         @Override
-        public void settled(NodeId asker, JobId job, Verdict verdict, long retryMillis) {
-            events.settled(asker, job, verdict, retryMillis);
+        public void settled(NodeId origin, JobId job, Verdict verdict, long retryMillis) {
+            events.settled(origin, job, verdict, retryMillis);
         }
 
         @Override
-        public void declined(NodeId asker, JobId job, Outlook outlook) {
-            events.declined(asker, job, outlook);
+        public void declined(NodeId origin, JobId job, CompletionEstimate estimate) {
+            events.declined(origin, job, estimate);
         }
 
         @Override
@@ -209,13 +209,13 @@
         }
 
         @Override
-        public void outranked(FailureDomain shard, FencingToken token) {
+        public void fenced(FailureDomain shard, FencingToken token) {
             heldChanged();
-            succession.outranked(shard, timers.nowMillis());
+            election.fenced(shard, timers.nowMillis());
             if (heldShards().isEmpty()) {
                 placer = Optional.empty();
             }
-            events.outranked(shard, token);
+            events.fenced(shard, token);
         }
     }
 }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/ShardPools.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/ShardPools.java
@@ -21,10 +21,7 @@
  * large enough to even out.
  */
 public final class ShardPools {
-    /**
-     * With more endpoints than this a region's domains are pools of their own. Three times the endpoints of the region
-     * that a holder was measured on, where it used 0.095 of a core at 350 task starts a second.
-     */
+    /** With more endpoints than this a region's domains are pools of their own, since one node places for a pool. */
     private static final int MOST_POOLED = 96;
 
     /** A region that was taken apart is one pool again with no more than this; between the two nothing changes. */
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/DiscoveryTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/DiscoveryTest.java
@@ -17,9 +17,10 @@
     private static final NodeId B = NodeId.of("b");
     private static final NodeId C = NodeId.of("c");
 
-    private static NodeStatus status(NodeId node, boolean seeking) {
+    private static NodeStatus status(NodeId node, boolean withoutHolder) {
         Address address = new Address("10.0.0.9", 7_000);
-        return new NodeStatus(node, FailureDomain.of("hobart"), address, 750, false, seeking, 1, ImmutableList.of());
+        return new NodeStatus(
+                node, FailureDomain.of("hobart"), address, 750, false, withoutHolder, 1, ImmutableList.of());
     }
 
     private static Member member(NodeId node) {
@@ -29,8 +30,8 @@
     @Test
     public void testEnoughHeard_everybody() {
         ImmutableList<NodeStatus> both = ImmutableList.of(status(A, false), status(C, true));
-        assertTrue(Discovery.enoughHeard(member(B), ImmutableList.of(member(A), member(C)), both));
-        assertTrue(Discovery.enoughHeard(member(B), ImmutableList.of(), ImmutableList.of()));
+        assertTrue(Discovery.enoughReceived(member(B), ImmutableList.of(member(A), member(C)), both));
+        assertTrue(Discovery.enoughReceived(member(B), ImmutableList.of(), ImmutableList.of()));
     }
 
     /**
@@ -40,20 +41,20 @@
     @Test
     public void testEnoughHeard_oneIsSlow() {
         ImmutableList<Member> located = ImmutableList.of(member(B), member(C));
-        assertTrue(Discovery.enoughHeard(member(A), located, ImmutableList.of(status(B, true))));
-        assertFalse(Discovery.enoughHeard(member(A), located, ImmutableList.of()));
+        assertTrue(Discovery.enoughReceived(member(A), located, ImmutableList.of(status(B, true))));
+        assertFalse(Discovery.enoughReceived(member(A), located, ImmutableList.of()));
     }
 
     /** One node alone was restarted: whoever it hears first has a holder, and it must hear that holder too. */
     @Test
     public void testEnoughHeard_othersHaveAHolder() {
-        assertFalse(Discovery.enoughHeard(
+        assertFalse(Discovery.enoughReceived(
                 member(A), ImmutableList.of(member(B), member(C)), ImmutableList.of(status(B, false))));
     }
 
     @Test
     public void testEnoughHeard_anotherGoesFirst() {
-        assertFalse(Discovery.enoughHeard(
+        assertFalse(Discovery.enoughReceived(
                 member(B), ImmutableList.of(member(A), member(C)), ImmutableList.of(status(C, true))));
     }
 
@@ -61,8 +62,8 @@
     @Test
     public void testEnoughHeard_strongerNodeGoesFirst() {
         Member strong = new Member(C, FailureDomain.of("hobart"), new Address("10.0.0.9", 7_000), 1_500);
-        ImmutableList<NodeStatus> seeking = ImmutableList.of(status(B, true));
-        assertFalse(Discovery.enoughHeard(member(A), ImmutableList.of(member(B), strong), seeking));
-        assertTrue(Discovery.enoughHeard(strong, ImmutableList.of(member(A), member(B)), seeking));
+        ImmutableList<NodeStatus> withoutHolder = ImmutableList.of(status(B, true));
+        assertFalse(Discovery.enoughReceived(member(A), ImmutableList.of(member(B), strong), withoutHolder));
+        assertTrue(Discovery.enoughReceived(strong, ImmutableList.of(member(A), member(B)), withoutHolder));
     }
 }
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/configuration/ConfigurationKeeperTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/configuration/ConfigurationReplicaTest.java
@@ -31,16 +31,16 @@
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
-public final class ConfigurationKeeperTest {
+public final class ConfigurationReplicaTest {
     private static final NodeId PEER = NodeId.of("hobart-2");
     private static final NodeId OTHER_PEER = NodeId.of("hobart-3");
 
-    private ConfigurationKeeper keeper;
+    private ConfigurationReplica keeper;
     private List<Action> actions;
 
     @BeforeMethod
     public void createKeeper() {
-        keeper = ConfigurationKeeper.create(NodePolicy.DEFAULT);
+        keeper = ConfigurationReplica.create(NodePolicy.DEFAULT);
         actions = new ArrayList<>();
     }
 
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/endpoint/DirectoryFixture.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/endpoint/DirectoryFixture.java
@@ -32,7 +32,7 @@
 import org.tarragonarch.model.report.EndpointLoad;
 import org.tarragonarch.model.report.NodePhase;
 import org.tarragonarch.model.report.PeerReport;
-import org.tarragonarch.model.service.Favour;
+import org.tarragonarch.model.service.ServiceObjective;
 
 /** A directory of node {@code hobart-1} on virtual time, and short ways to tell it things. */
 final class DirectoryFixture {
@@ -81,12 +81,12 @@
         nowNanos = end;
     }
 
-    Optional<EndpointId> reserve(Favour favour, EndpointId... avoid) {
+    Optional<EndpointId> reserve(ServiceObjective favour, EndpointId... avoid) {
         return directory.reserve(SERVICE, favour, Set.of(avoid), nowNanos).map(Endpoint::id);
     }
 
     Optional<EndpointId> reserve() {
-        return reserve(Favour.RESPONSE_TIME);
+        return reserve(ServiceObjective.RESPONSE_TIME);
     }
 
     void end(EndpointId endpoint, SendResult result, KindName kind) {
@@ -140,7 +140,7 @@
     }
 
     /** Reserves until nothing more is to be had, a millisecond apart, and returns where. */
-    List<EndpointId> fill(Favour favour) {
+    List<EndpointId> fill(ServiceObjective favour) {
         List<EndpointId> used = new ArrayList<>();
         for (Optional<EndpointId> next = reserve(favour); next.isPresent(); next = reserve(favour)) {
             used.add(next.get());
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/endpoint/EndpointDirectoryHealthTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/endpoint/EndpointDirectoryHealthTest.java
@@ -24,7 +24,7 @@
 import org.tarragonarch.model.id.EndpointId;
 import org.tarragonarch.model.id.KindName;
 import org.tarragonarch.model.platform.VmRecord;
-import org.tarragonarch.model.service.Favour;
+import org.tarragonarch.model.service.ServiceObjective;
 import org.testng.annotations.Test;
 
 public class EndpointDirectoryHealthTest {
@@ -88,7 +88,7 @@
         fixture.pass(Duration.ofSeconds(31));
         assertEquals(fixture.probes(), 1);
         fixture.probed(broken, true, false);
-        long trials = fixture.fill(Favour.RESPONSE_TIME).stream()
+        long trials = fixture.fill(ServiceObjective.RESPONSE_TIME).stream()
                 .filter(broken::equals)
                 .count();
         assertEquals(trials, 1);
@@ -98,7 +98,7 @@
             fixture.end(broken, SendResult.SUCCEEDED);
         }
         assertEquals(fixture.directory.quarantined(), ImmutableSet.of());
-        assertEquals(fixture.fill(Favour.RESPONSE_TIME).size(), 8);
+        assertEquals(fixture.fill(ServiceObjective.RESPONSE_TIME).size(), 8);
         assertEquals(fixture.notes(NoteEvent.ENDPOINT_READMITTED), 1);
     }
 
@@ -121,10 +121,10 @@
     public void testPeerReported_quarantineOfAPeerCounts() {
         DirectoryFixture fixture = withTenEndpoints();
         fixture.report(PEER, ImmutableList.of(), ImmutableSet.of(), ImmutableSet.of(broken));
-        assertFalse(fixture.fill(Favour.RESPONSE_TIME).contains(broken));
+        assertFalse(fixture.fill(ServiceObjective.RESPONSE_TIME).contains(broken));
         assertEquals(fixture.directory.quarantined(), ImmutableSet.of(), "a peer's word is not passed on as its own");
         fixture.report(PEER, ImmutableList.of(), ImmutableSet.of(), ImmutableSet.of());
-        assertEquals(fixture.fill(Favour.RESPONSE_TIME), List.of(broken));
+        assertEquals(fixture.fill(ServiceObjective.RESPONSE_TIME), List.of(broken));
     }
 
     @Test
@@ -143,7 +143,7 @@
     @Test
     public void testEnded_connectFailurePutsOutAtOnceUntilProbed() {
         DirectoryFixture fixture = withTenEndpoints();
-        fixture.fill(Favour.RESPONSE_TIME);
+        fixture.fill(ServiceObjective.RESPONSE_TIME);
         fixture.end(broken, SendResult.CONNECT_FAILED);
         assertFalse(fixture.reserve().isPresent());
         fixture.pass(Duration.ofSeconds(1));
@@ -173,7 +173,7 @@
         DirectoryFixture fixture = new DirectoryFixture();
         fixture.report(PEER, ImmutableList.of(), ImmutableSet.of(), ImmutableSet.of(broken));
         fixture.list(vms(1, 10, HOBART));
-        assertFalse(fixture.fill(Favour.RESPONSE_TIME).contains(broken));
+        assertFalse(fixture.fill(ServiceObjective.RESPONSE_TIME).contains(broken));
     }
 
     @Test
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/endpoint/EndpointDirectoryLeavingTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/endpoint/EndpointDirectoryLeavingTest.java
@@ -19,7 +19,7 @@
 import org.tarragonarch.model.platform.VmRecord;
 import org.tarragonarch.model.platform.VmRole;
 import org.tarragonarch.model.platform.VmState;
-import org.tarragonarch.model.service.Favour;
+import org.tarragonarch.model.service.ServiceObjective;
 import org.testng.annotations.Test;
 
 public class EndpointDirectoryLeavingTest {
@@ -32,7 +32,7 @@
         // another minute. Without care the next list would bring it back, and its last tasks would be cut off.
         DirectoryFixture leaving = new DirectoryFixture();
         leaving.list(vms(1, 2, HOBART));
-        List<EndpointId> before = leaving.fill(Favour.RESPONSE_TIME);
+        List<EndpointId> before = leaving.fill(ServiceObjective.RESPONSE_TIME);
         assertTrue(before.contains(first));
         leaving.endSayingThatItLeaves(first);
         leaving.list(vms(1, 2, HOBART));
@@ -108,7 +108,7 @@
     public void testListed_missingEndpointKeepsItsRunningTasks() {
         DirectoryFixture missing = new DirectoryFixture();
         missing.list(vms(1, 4, HOBART));
-        missing.fill(Favour.RESPONSE_TIME);
+        missing.fill(ServiceObjective.RESPONSE_TIME);
         missing.list(vms(2, 4, HOBART));
         missing.end(first, SendResult.SUCCEEDED);
         assertFalse(missing.reserve().isPresent());
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/endpoint/EndpointDirectoryPlacementTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/endpoint/EndpointDirectoryPlacementTest.java
@@ -22,7 +22,7 @@
 import org.tarragonarch.model.id.EndpointId;
 import org.tarragonarch.model.platform.VmRecord;
 import org.tarragonarch.model.report.EndpointLoad;
-import org.tarragonarch.model.service.Favour;
+import org.tarragonarch.model.service.ServiceObjective;
 import org.testng.annotations.Test;
 
 public class EndpointDirectoryPlacementTest {
@@ -53,14 +53,14 @@
 
     @Test
     public void testReserve_borrowsFreeSlotsByFavour() {
-        assertEquals(withABusyPeer().fill(Favour.RESPONSE_TIME).size(), 50);
-        assertEquals(withABusyPeer().fill(Favour.FEW_MESSAGES).size(), 40);
+        assertEquals(withABusyPeer().fill(ServiceObjective.RESPONSE_TIME).size(), 50);
+        assertEquals(withABusyPeer().fill(ServiceObjective.FEW_MESSAGES).size(), 40);
     }
 
     /** All callers go to one node while its peer is idle: what is left to the peer would stay empty. */
     @Test
     public void testReserve_takesAllSlotsOfIdlePeers() {
-        for (Favour favour : Favour.values()) {
+        for (ServiceObjective favour : ServiceObjective.values()) {
             DirectoryFixture fixture = withAPeer();
             fixture.nowNanos += Duration.ofSeconds(3).toNanos();
             assertEquals(fixture.fill(favour).size(), 80);
@@ -70,8 +70,8 @@
     /** A peer's work comes in bursts: that it had none in its last report does not say that it has none now. */
     @Test
     public void testReserve_leavesSlotsToPeersThatWereBusyOfLate() {
-        assertEquals(withAPeer().fill(Favour.RESPONSE_TIME).size(), 60);
-        assertEquals(withAPeer().fill(Favour.FEW_MESSAGES).size(), 50);
+        assertEquals(withAPeer().fill(ServiceObjective.RESPONSE_TIME).size(), 60);
+        assertEquals(withAPeer().fill(ServiceObjective.FEW_MESSAGES).size(), 50);
     }
 
     private static DirectoryFixture withABusyPeer() {
@@ -92,9 +92,10 @@
             loads.add(new EndpointLoad(endpoint(number), 3));
         }
         fixture.report(PEER, loads.build(), ImmutableSet.of(), ImmutableSet.of());
-        assertEquals(fixture.fill(Favour.RESPONSE_TIME).size(), 40);
+        assertEquals(fixture.fill(ServiceObjective.RESPONSE_TIME).size(), 40);
         fixture.directory.aliveNodes(ImmutableSet.of(SELF), fixture.nowNanos, fixture.actions::add);
-        assertEquals(fixture.fill(Favour.RESPONSE_TIME).size(), 40, "a dead peer's tasks do not count for ever");
+        assertEquals(
+                fixture.fill(ServiceObjective.RESPONSE_TIME).size(), 40, "a dead peer's tasks do not count for ever");
     }
 
     @Test
@@ -102,9 +103,10 @@
         DirectoryFixture fixture = new DirectoryFixture();
         fixture.list(vms(1, 2, HOBART));
         for (int i = 0; i < 8; i++) {
-            assertEquals(fixture.reserve(Favour.RESPONSE_TIME, endpoint(1)).get(), endpoint(2));
+            assertEquals(
+                    fixture.reserve(ServiceObjective.RESPONSE_TIME, endpoint(1)).get(), endpoint(2));
         }
-        assertFalse(fixture.reserve(Favour.RESPONSE_TIME, endpoint(1)).isPresent());
+        assertFalse(fixture.reserve(ServiceObjective.RESPONSE_TIME, endpoint(1)).isPresent());
     }
 
     @Test
@@ -135,7 +137,7 @@
     public void testReserve_ownDomainBeforeOthers() {
         DirectoryFixture fixture = new DirectoryFixture();
         fixture.list(hobartAndLaunceston());
-        List<EndpointId> used = fixture.fill(Favour.RESPONSE_TIME);
+        List<EndpointId> used = fixture.fill(ServiceObjective.RESPONSE_TIME);
         assertEquals(used.subList(0, 8), Collections.nCopies(8, endpoint(1)));
         assertEquals(used.size(), 14);
     }
@@ -144,9 +146,9 @@
     public void testReserve_fewMessagesSpillsOnlyWhenOwnDomainIsGone() {
         DirectoryFixture fixture = new DirectoryFixture();
         fixture.list(hobartAndLaunceston());
-        assertFalse(fixture.fill(Favour.FEW_MESSAGES).contains(endpoint(2)));
+        assertFalse(fixture.fill(ServiceObjective.FEW_MESSAGES).contains(endpoint(2)));
         fixture.end(endpoint(1), SendResult.CONNECT_FAILED);
-        assertTrue(fixture.fill(Favour.FEW_MESSAGES).contains(endpoint(2)));
+        assertTrue(fixture.fill(ServiceObjective.FEW_MESSAGES).contains(endpoint(2)));
     }
 
     @Test
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/node/NodeFixture.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/node/NodeFixture.java
@@ -40,10 +40,10 @@
 import org.tarragonarch.model.platform.VmRole;
 import org.tarragonarch.model.platform.VmState;
 import org.tarragonarch.model.service.CallerDefinition;
-import org.tarragonarch.model.service.Favour;
 import org.tarragonarch.model.service.KindDefinition;
 import org.tarragonarch.model.service.ServiceCatalog;
 import org.tarragonarch.model.service.ServiceDefinition;
+import org.tarragonarch.model.service.ServiceObjective;
 import org.tarragonarch.model.service.TeamDefinition;
 
 /** One serving node with an endpoint or two, on a clock that the test moves. */
@@ -108,7 +108,7 @@
         }
         ServiceDefinition service = new ServiceDefinition(
                 SERVICE,
-                Favour.RESPONSE_TIME,
+                ServiceObjective.RESPONSE_TIME,
                 ImmutableMap.of(ONCE, kind(ONCE, false), IDEMPOTENT, kind(IDEMPOTENT, true)),
                 ImmutableSet.of(CallerName.of("authors"), CallerName.of("members")),
                 1_000,
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/FakeEndpoint.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/FakeEndpoint.java
@@ -29,7 +29,7 @@
     private final Map<TaskRun, Long> running = new LinkedHashMap<>();
     private final Map<TaskName, Integer> overUpTo = new HashMap<>();
     private final List<TaskEnd> ends = new ArrayList<>();
-    private final List<Runnable> waitingLooks = new ArrayList<>();
+    private final List<Runnable> waitingHolds = new ArrayList<>();
     private long token;
     private long lastEnd;
     private long leaseUntil;
@@ -65,7 +65,7 @@
 
     OrderAnswer stop(FencingToken by, TaskRun run) {
         if (by.value() < token) {
-            return answer(OrderResult.OUTRANKED);
+            return answer(OrderResult.FENCED);
         }
         overUpTo.merge(run.task(), run.run(), Math::max);
         timers.after(STOP_MILLIS, () -> end(run, EndKind.STOPPED));
@@ -75,7 +75,7 @@
     /** Answers at once, or as soon as there is an end or the wait is over. */
     void hold(HoldOrder order, java.util.function.Consumer<HoldAnswer> reply) {
         if (order.token().value() < token) {
-            reply.accept(HoldAnswer.failed(OrderResult.OUTRANKED));
+            reply.accept(HoldAnswer.failed(OrderResult.FENCED));
             return;
         }
         token = order.token().value();
@@ -92,13 +92,13 @@
                 reply.accept(lists());
             }
         };
-        waitingLooks.add(answer);
+        waitingHolds.add(answer);
         timers.after(order.waitMillis(), answer);
     }
 
     private OrderResult startResult(StartOrder order) {
         if (order.token().value() < token) {
-            return OrderResult.OUTRANKED;
+            return OrderResult.FENCED;
         }
         token = order.token().value();
         if (order.leaseUntilMillis() <= clock()) {
@@ -127,9 +127,9 @@
         overUpTo.merge(run.task(), run.run(), Math::max);
         lastEnd++;
         ends.add(new TaskEnd(lastEnd, run, kind));
-        List<Runnable> looks = new ArrayList<>(waitingLooks);
-        waitingLooks.clear();
-        looks.forEach(Runnable::run);
+        List<Runnable> holds = new ArrayList<>(waitingHolds);
+        waitingHolds.clear();
+        holds.forEach(Runnable::run);
     }
 
     private HoldAnswer lists() {
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/FakeOrders.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/FakeOrders.java
@@ -37,7 +37,7 @@
     final Map<EndpointId, FakeEndpoint> endpoints = new LinkedHashMap<>();
     final Map<EndpointId, Way> ways = new HashMap<>();
     Supplier<Way> startWay = () -> Way.CLEAR;
-    Supplier<Way> lookWay = () -> Way.CLEAR;
+    Supplier<Way> holdWay = () -> Way.CLEAR;
     Supplier<Way> stopWay = () -> Way.CLEAR;
     private final VirtualTimers timers;
     private final long milliCores;
@@ -52,7 +52,7 @@
         Once<HoldAnswer> once = new Once<>(reply);
         long patience = order.waitMillis() + delivery.answerWithinMillis();
         timers.after(patience, () -> once.give(HoldAnswer.failed(OrderResult.UNKNOWN)));
-        Way drawn = way(entry) == Way.CLEAR ? lookWay.get() : way(entry);
+        Way drawn = way(entry) == Way.CLEAR ? holdWay.get() : way(entry);
         if (drawn == Way.CLEAR) {
             timers.after(
                     WAY_MILLIS,
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/PlacerChaosTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/PlacerChaosTest.java
@@ -36,7 +36,7 @@
             switch (random.nextInt(10)) {
                 case 0 -> fixture.way(1 + random.nextInt(4), drawCut(random));
                 case 3 -> placer.review();
-                case 1 -> placer.withdraw(PlacerFixture.ASKER, PlacerFixture.id(job));
+                case 1 -> placer.withdraw(PlacerFixture.ORIGIN, PlacerFixture.id(job));
                 case 2 -> {
                     if (random.nextInt(8) == 0) {
                         placer = fixture.placer(++term);
@@ -44,7 +44,7 @@
                 }
                 default ->
                     placer.offer(PlacerFixture.offer(
-                            job, 1 + random.nextInt(4), 60, PlacerFixture.ASKER, fixture.ledger.starts() > 0));
+                            job, 1 + random.nextInt(4), 60, PlacerFixture.ORIGIN, fixture.ledger.starts() > 0));
             }
             fixture.endpoint(1 + random.nextInt(4)).runMillis = 20 + random.nextInt(600);
             fixture.timers.pass(random.nextInt(60));
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/PlacerFixture.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/PlacerFixture.java
@@ -23,7 +23,7 @@
 
 /** A placer with endpoints of 16 cores, for tasks of 7 cores and 60 ms: two of them fit on one endpoint. */
 final class PlacerFixture {
-    static final NodeId ASKER = NodeId.of("asker-1");
+    static final NodeId ORIGIN = NodeId.of("origin-1");
     static final long TASK_MILLI_CORES = 7_000;
     static final FailureDomain SHARD = FailureDomain.of("hobart");
     static final FailureDomain SECOND_SHARD = FailureDomain.of("launceston");
@@ -38,9 +38,9 @@
     final FakeOrders orders = new FakeOrders(timers, TASK_MILLI_CORES);
     final List<String> verdicts = new ArrayList<>();
     final List<EndpointEntry> entries = new ArrayList<>();
-    final List<Outlook> outlooks = new ArrayList<>();
+    final List<CompletionEstimate> estimates = new ArrayList<>();
     final List<EndKind> badEnds = new ArrayList<>();
-    int outranked;
+    int fenced;
     boolean listsWhole = true;
 
     PlacerFixture(int endpoints) {
@@ -96,13 +96,13 @@
     private Placer empty() {
         PlacerListener listener = new PlacerListener() {
             @Override
-            public void settled(NodeId asker, JobId job, Verdict verdict, long retryMillis) {
-                verdicts.add(asker + " " + job.value().charAt(15) + " " + verdict);
+            public void settled(NodeId origin, JobId job, Verdict verdict, long retryMillis) {
+                verdicts.add(origin + " " + job.value().charAt(15) + " " + verdict);
             }
 
             @Override
-            public void declined(NodeId asker, JobId job, Outlook outlook) {
-                outlooks.add(outlook);
+            public void declined(NodeId origin, JobId job, CompletionEstimate estimate) {
+                estimates.add(estimate);
             }
 
             @Override
@@ -111,8 +111,8 @@
             }
 
             @Override
-            public void outranked(FailureDomain shard, FencingToken token) {
-                outranked++;
+            public void fenced(FailureDomain shard, FencingToken token) {
+                fenced++;
             }
         };
         return new Placer(PlacingSettings.of(1_000, 50), orders, timers, listener, new RunTimes(), shard -> listsWhole);
@@ -123,13 +123,13 @@
     }
 
     static Offer offer(int number, int tasks) {
-        return offer(number, tasks, 60, ASKER, false);
+        return offer(number, tasks, 60, ORIGIN, false);
     }
 
-    static Offer offer(int number, int tasks, long estimateMillis, NodeId asker, boolean repeated) {
+    static Offer offer(int number, int tasks, long estimateMillis, NodeId origin, boolean repeated) {
         QueueDefinition queue = new QueueDefinition("checks", "h", "/p/", "board", 0, 3, 1.6, 60);
         TaskStep step = new TaskStep(tasks, new Resources(TASK_MILLI_CORES, 64, 0), estimateMillis);
         return new Offer(
-                new JobRequest(id(number), "x", step), queue, asker, 0, 3_000, repeated ? EARLIER : EarlierRuns.NONE);
+                new JobRequest(id(number), "x", step), queue, origin, 0, 3_000, repeated ? EARLIER : EarlierRuns.NONE);
     }
 }
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/PlacerHandOverTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/PlacerHandOverTest.java
@@ -19,7 +19,7 @@
         fixture.timers.pass(20);
         placer.offer(PlacerFixture.offer(1, 5));
         fixture.timers.pass(90);
-        assertEquals(fixture.verdicts, ImmutableList.of("asker-1 1 DONE"));
+        assertEquals(fixture.verdicts, ImmutableList.of("origin-1 1 DONE"));
         assertEquals(fixture.ledger.broken(), ImmutableList.of());
     }
 
@@ -28,34 +28,34 @@
      * elsewhere, and only when their lease has certainly run out; the caller still gets one whole answer.
      */
     @Test
-    public void testLetGo_tasksOfTheShardStartElsewhereAfterTheirLease() {
+    public void testRelease_tasksOfTheShardStartElsewhereAfterTheirLease() {
         PlacerFixture fixture = new PlacerFixture(2);
         fixture.endpoint(1).runMillis = 900;
         fixture.endpoint(2).runMillis = 900;
         Placer placer = fixture.pooled(1, 2);
         fixture.timers.pass(20);
-        placer.offer(PlacerFixture.offer(1, 4, 900, PlacerFixture.ASKER, false));
+        placer.offer(PlacerFixture.offer(1, 4, 900, PlacerFixture.ORIGIN, false));
         fixture.timers.pass(20);
-        placer.letGo(PlacerFixture.SECOND_SHARD);
+        placer.release(PlacerFixture.SECOND_SHARD);
         fixture.timers.pass(1_000);
         assertEquals(fixture.verdicts, ImmutableList.of());
         fixture.timers.pass(1_900);
-        assertEquals(fixture.verdicts, ImmutableList.of("asker-1 1 DONE"));
+        assertEquals(fixture.verdicts, ImmutableList.of("origin-1 1 DONE"));
         assertEquals(fixture.ledger.broken(), ImmutableList.of());
     }
 
     /** The last shard goes: every job is given back to the node that asked, who offers it to the next holder. */
     @Test
-    public void testLetGo_lastShardGivesJobsBack() {
+    public void testRelease_lastShardGivesJobsBack() {
         PlacerFixture fixture = new PlacerFixture(2);
         Placer placer = fixture.pooled(1, 2);
         fixture.timers.pass(20);
         placer.offer(PlacerFixture.offer(1, 1));
-        placer.letGo(PlacerFixture.SECOND_SHARD);
-        placer.letGo(PlacerFixture.SHARD);
-        assertEquals(fixture.verdicts, ImmutableList.of("asker-1 1 HOLD_LOST"));
+        placer.release(PlacerFixture.SECOND_SHARD);
+        placer.release(PlacerFixture.SHARD);
+        assertEquals(fixture.verdicts, ImmutableList.of("origin-1 1 HOLD_LOST"));
         fixture.timers.pass(3_000);
-        assertEquals(fixture.verdicts, ImmutableList.of("asker-1 1 HOLD_LOST"));
+        assertEquals(fixture.verdicts, ImmutableList.of("origin-1 1 HOLD_LOST"));
     }
 
     /**
@@ -74,18 +74,18 @@
         fixture.way(2, FakeOrders.Way.CLEAR);
         Placer earlier = fixture.onlyEndpoint(2, 1);
         fixture.timers.pass(5);
-        earlier.offer(PlacerFixture.offer(1, 1, 900, PlacerFixture.ASKER, false));
+        earlier.offer(PlacerFixture.offer(1, 1, 900, PlacerFixture.ORIGIN, false));
         fixture.timers.pass(5);
         assertEquals(fixture.endpoint(2).running(), 1);
-        holder.offer(PlacerFixture.offer(1, 1, 900, PlacerFixture.ASKER, true));
+        holder.offer(PlacerFixture.offer(1, 1, 900, PlacerFixture.ORIGIN, true));
         fixture.timers.pass(3_000);
-        assertTrue(fixture.verdicts.contains("asker-1 1 DONE"), fixture.verdicts.toString());
+        assertTrue(fixture.verdicts.contains("origin-1 1 DONE"), fixture.verdicts.toString());
         assertEquals(fixture.ledger.broken(), ImmutableList.of());
     }
 
     /**
      * A domain went on by itself while it was cut off. In the moment in which it is heard again another holder outranks
-     * it, is offered its jobs, and lets go of the shard, since the domain has a holder of its own. All that it still
+     * it, is offered its jobs, and releases the shard, since the domain has a holder of its own. All that it still
      * holds is known, but the job's tasks run where it holds nothing: they would run twice.
      */
     @Test
@@ -95,13 +95,13 @@
         fixture.endpoint(2).runMillis = 300;
         Placer inside = fixture.onlyEndpoint(1, 1);
         fixture.timers.pass(10);
-        inside.offer(PlacerFixture.offer(1, 1, 300, PlacerFixture.ASKER, false));
+        inside.offer(PlacerFixture.offer(1, 1, 300, PlacerFixture.ORIGIN, false));
         Placer outside = fixture.pooled(2, 2);
-        outside.letGo(PlacerFixture.SHARD);
+        outside.release(PlacerFixture.SHARD);
         fixture.timers.pass(5);
-        outside.offer(PlacerFixture.offer(1, 1, 300, PlacerFixture.ASKER, true));
+        outside.offer(PlacerFixture.offer(1, 1, 300, PlacerFixture.ORIGIN, true));
         fixture.timers.pass(2_000);
-        assertTrue(fixture.verdicts.contains("asker-1 1 DONE"), fixture.verdicts.toString());
+        assertTrue(fixture.verdicts.contains("origin-1 1 DONE"), fixture.verdicts.toString());
         assertEquals(fixture.ledger.broken(), ImmutableList.of());
     }
 
@@ -112,7 +112,7 @@
         fixture.endpoint(1).runMillis = 5_000;
         Placer before = fixture.placer(1);
         fixture.timers.pass(20);
-        before.offer(PlacerFixture.offer(1, 2, 900, PlacerFixture.ASKER, false));
+        before.offer(PlacerFixture.offer(1, 2, 900, PlacerFixture.ORIGIN, false));
         fixture.timers.pass(50);
         int[] stops = {0};
         fixture.orders.stopWay = () -> stops[0]++ < 2 ? FakeOrders.Way.CUT : FakeOrders.Way.CLEAR;
@@ -120,7 +120,7 @@
         fixture.endpoint(1).runMillis = 60;
         next.offer(PlacerFixture.offer(2, 2));
         fixture.timers.pass(400);
-        assertTrue(fixture.verdicts.contains("asker-1 2 DONE"), fixture.verdicts.toString());
+        assertTrue(fixture.verdicts.contains("origin-1 2 DONE"), fixture.verdicts.toString());
         assertEquals(fixture.ledger.broken(), ImmutableList.of());
         assertEquals(stops[0], 4);
     }
@@ -136,12 +136,12 @@
         fixture.endpoint(2).runMillis = 900;
         Placer before = fixture.placer(1);
         fixture.timers.pass(20);
-        before.offer(PlacerFixture.offer(1, 4, 900, PlacerFixture.ASKER, false));
+        before.offer(PlacerFixture.offer(1, 4, 900, PlacerFixture.ORIGIN, false));
         fixture.timers.pass(500);
         Placer next = fixture.placer(2);
-        next.offer(PlacerFixture.offer(1, 4, 900, PlacerFixture.ASKER, true));
+        next.offer(PlacerFixture.offer(1, 4, 900, PlacerFixture.ORIGIN, true));
         fixture.timers.pass(450);
-        assertTrue(fixture.verdicts.contains("asker-1 1 DONE"), fixture.verdicts.toString());
+        assertTrue(fixture.verdicts.contains("origin-1 1 DONE"), fixture.verdicts.toString());
         assertEquals(fixture.ledger.starts(), 4);
         assertEquals(fixture.ledger.broken(), ImmutableList.of());
     }
@@ -154,14 +154,14 @@
         fixture.endpoint(2).runMillis = 900;
         Placer before = fixture.placer(1);
         fixture.timers.pass(20);
-        before.offer(PlacerFixture.offer(1, 4, 900, PlacerFixture.ASKER, false));
+        before.offer(PlacerFixture.offer(1, 4, 900, PlacerFixture.ORIGIN, false));
         fixture.timers.pass(400);
         before.close();
         fixture.timers.pass(150);
         Placer next = fixture.placer(2);
-        next.offer(PlacerFixture.offer(1, 4, 900, PlacerFixture.ASKER, true));
+        next.offer(PlacerFixture.offer(1, 4, 900, PlacerFixture.ORIGIN, true));
         fixture.timers.pass(400);
-        assertTrue(fixture.verdicts.contains("asker-1 1 DONE"), fixture.verdicts.toString());
+        assertTrue(fixture.verdicts.contains("origin-1 1 DONE"), fixture.verdicts.toString());
         assertEquals(fixture.ledger.starts(), 4);
         assertEquals(fixture.ledger.broken(), ImmutableList.of());
     }
@@ -173,13 +173,13 @@
         fixture.endpoint(1).runMillis = 5_000;
         Placer before = fixture.placer(1);
         fixture.timers.pass(20);
-        before.offer(PlacerFixture.offer(1, 2, 900, PlacerFixture.ASKER, false));
+        before.offer(PlacerFixture.offer(1, 2, 900, PlacerFixture.ORIGIN, false));
         fixture.timers.pass(50);
         Placer next = fixture.placer(2);
         fixture.endpoint(1).runMillis = 60;
         next.offer(PlacerFixture.offer(2, 2));
         fixture.timers.pass(250);
-        assertTrue(fixture.verdicts.contains("asker-1 2 DONE"), fixture.verdicts.toString());
+        assertTrue(fixture.verdicts.contains("origin-1 2 DONE"), fixture.verdicts.toString());
         assertEquals(fixture.ledger.broken(), ImmutableList.of());
     }
 
@@ -195,14 +195,14 @@
         fixture.endpoint(2).runMillis = 400;
         Placer inside = fixture.onlyEndpoint(1, 1);
         fixture.timers.pass(10);
-        inside.offer(PlacerFixture.offer(1, 1, 400, PlacerFixture.ASKER, false));
+        inside.offer(PlacerFixture.offer(1, 1, 400, PlacerFixture.ORIGIN, false));
         fixture.timers.pass(5);
         fixture.listsWhole = false;
         Placer outside = fixture.onlyEndpoint(2, 2);
         fixture.timers.pass(5);
-        outside.offer(PlacerFixture.offer(1, 1, 400, PlacerFixture.ASKER, true));
+        outside.offer(PlacerFixture.offer(1, 1, 400, PlacerFixture.ORIGIN, true));
         fixture.timers.pass(2_500);
-        assertTrue(fixture.verdicts.contains("asker-1 1 DONE"), fixture.verdicts.toString());
+        assertTrue(fixture.verdicts.contains("origin-1 1 DONE"), fixture.verdicts.toString());
         assertEquals(fixture.ledger.broken(), ImmutableList.of());
     }
 
@@ -218,13 +218,13 @@
         fixture.endpoint(2).runMillis = 900;
         Placer before = fixture.placer(1);
         fixture.timers.pass(20);
-        before.offer(PlacerFixture.offer(1, 4, 900, PlacerFixture.ASKER, false));
+        before.offer(PlacerFixture.offer(1, 4, 900, PlacerFixture.ORIGIN, false));
         fixture.timers.pass(500);
         fixture.way(3, FakeOrders.Way.CUT);
         Placer next = fixture.placer(2);
-        next.offer(PlacerFixture.offer(1, 4, 900, PlacerFixture.ASKER, true));
+        next.offer(PlacerFixture.offer(1, 4, 900, PlacerFixture.ORIGIN, true));
         fixture.timers.pass(450);
-        assertTrue(fixture.verdicts.contains("asker-1 1 DONE"), fixture.verdicts.toString());
+        assertTrue(fixture.verdicts.contains("origin-1 1 DONE"), fixture.verdicts.toString());
         assertEquals(fixture.ledger.starts(), 4);
         assertEquals(fixture.ledger.broken(), ImmutableList.of());
     }
@@ -240,13 +240,13 @@
         fixture.endpoint(2).runMillis = 5_000;
         Placer before = fixture.placer(1);
         fixture.timers.pass(20);
-        before.offer(PlacerFixture.offer(1, 4, 900, PlacerFixture.ASKER, false));
+        before.offer(PlacerFixture.offer(1, 4, 900, PlacerFixture.ORIGIN, false));
         fixture.timers.pass(500);
         fixture.way(2, FakeOrders.Way.CUT);
         Placer next = fixture.placer(2);
-        next.offer(PlacerFixture.offer(1, 4, 900, PlacerFixture.ASKER, true));
+        next.offer(PlacerFixture.offer(1, 4, 900, PlacerFixture.ORIGIN, true));
         fixture.timers.pass(2_100);
-        assertTrue(fixture.verdicts.contains("asker-1 1 DONE"), fixture.verdicts.toString());
+        assertTrue(fixture.verdicts.contains("origin-1 1 DONE"), fixture.verdicts.toString());
         assertEquals(fixture.ledger.starts(), 6);
         assertEquals(fixture.ledger.broken(), ImmutableList.of());
     }
@@ -257,27 +257,27 @@
      * their work may have been done.
      */
     @Test
-    public void testLetGo_jobsThatNeverStartedAreReturned() {
+    public void testRelease_jobsThatNeverStartedAreReturned() {
         PlacerFixture fixture = new PlacerFixture(1);
         Placer placer = fixture.placer(1);
         fixture.timers.pass(20);
         placer.offer(PlacerFixture.offer(1, 2));
         placer.offer(PlacerFixture.offer(2, 2));
         fixture.timers.pass(5);
-        placer.letGo(PlacerFixture.SHARD);
-        assertTrue(fixture.verdicts.contains("asker-1 1 HOLD_LOST"), fixture.verdicts.toString());
-        assertTrue(fixture.verdicts.contains("asker-1 2 RETURNED"), fixture.verdicts.toString());
+        placer.release(PlacerFixture.SHARD);
+        assertTrue(fixture.verdicts.contains("origin-1 1 HOLD_LOST"), fixture.verdicts.toString());
+        assertTrue(fixture.verdicts.contains("origin-1 2 RETURNED"), fixture.verdicts.toString());
     }
 
     /** A job whose earlier runs are not traced yet is given back as one that may run. */
     @Test
-    public void testLetGo_jobWithEarlierRunsMayRun() {
+    public void testRelease_jobWithEarlierRunsMayRun() {
         PlacerFixture fixture = new PlacerFixture(1);
         fixture.way(1, FakeOrders.Way.CUT);
         Placer placer = fixture.placer(1);
-        placer.offer(PlacerFixture.offer(1, 1, 60, PlacerFixture.ASKER, true));
+        placer.offer(PlacerFixture.offer(1, 1, 60, PlacerFixture.ORIGIN, true));
         fixture.timers.pass(20);
-        placer.letGo(PlacerFixture.SHARD);
-        assertEquals(fixture.verdicts, ImmutableList.of("asker-1 1 HOLD_LOST"));
+        placer.release(PlacerFixture.SHARD);
+        assertEquals(fixture.verdicts, ImmutableList.of("origin-1 1 HOLD_LOST"));
     }
 }
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/PlacerTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/PlacerTest.java
@@ -17,7 +17,7 @@
         fixture.timers.pass(20);
         placer.offer(PlacerFixture.offer(1, 4));
         fixture.timers.pass(100);
-        assertEquals(fixture.verdicts, ImmutableList.of("asker-1 1 DONE"));
+        assertEquals(fixture.verdicts, ImmutableList.of("origin-1 1 DONE"));
         assertEquals(fixture.ledger.starts(), 4);
         assertEquals(fixture.ledger.broken(), ImmutableList.of());
     }
@@ -29,7 +29,7 @@
         fixture.timers.pass(20);
         placer.offer(PlacerFixture.offer(1, 3));
         fixture.timers.pass(200);
-        assertEquals(fixture.verdicts, ImmutableList.of("asker-1 1 DONE"));
+        assertEquals(fixture.verdicts, ImmutableList.of("origin-1 1 DONE"));
         assertEquals(fixture.ledger.broken(), ImmutableList.of());
     }
 
@@ -49,8 +49,8 @@
                 .filter(verdict -> verdict.endsWith("DECLINED"))
                 .count();
         assertTrue(declined >= 6, fixture.verdicts.toString());
-        assertEquals(fixture.outlooks.size(), declined);
-        assertEquals(fixture.outlooks.get(0).places(), 2);
+        assertEquals(fixture.estimates.size(), declined);
+        assertEquals(fixture.estimates.get(0).places(), 2);
         fixture.timers.pass(1_000);
         assertEquals(fixture.verdicts.size(), 10);
         assertEquals(fixture.ledger.starts(), (10 - declined) * 2);
@@ -69,9 +69,9 @@
         fixture.orders.startWay = () -> sent[0]++ == 0 ? FakeOrders.Way.LATE : FakeOrders.Way.CLEAR;
         fixture.endpoint(1).runMillis = 4_000;
         fixture.endpoint(2).runMillis = 4_000;
-        placer.offer(PlacerFixture.offer(1, 1, 900, PlacerFixture.ASKER, false));
+        placer.offer(PlacerFixture.offer(1, 1, 900, PlacerFixture.ORIGIN, false));
         fixture.timers.pass(6_000);
-        assertEquals(fixture.verdicts, ImmutableList.of("asker-1 1 DONE"));
+        assertEquals(fixture.verdicts, ImmutableList.of("origin-1 1 DONE"));
         assertEquals(fixture.ledger.starts(), 1);
         assertEquals(fixture.ledger.broken(), ImmutableList.of());
     }
@@ -87,13 +87,13 @@
         fixture.endpoint(2).runMillis = 500;
         Placer placer = fixture.placer(1);
         fixture.timers.pass(20);
-        placer.offer(PlacerFixture.offer(1, 1, 2_000, PlacerFixture.ASKER, false));
+        placer.offer(PlacerFixture.offer(1, 1, 2_000, PlacerFixture.ORIGIN, false));
         fixture.timers.pass(100);
         int first = fixture.endpoint(1).running() > 0 ? 1 : 2;
         fixture.way(first, FakeOrders.Way.CUT);
         fixture.timers.pass(2_500);
         assertEquals(fixture.ledger.broken(), ImmutableList.of());
-        assertEquals(fixture.verdicts, ImmutableList.of("asker-1 1 DONE"));
+        assertEquals(fixture.verdicts, ImmutableList.of("origin-1 1 DONE"));
     }
 
     /**
@@ -106,14 +106,14 @@
         fixture.endpoint(1).runMillis = 900;
         Placer before = fixture.placer(1);
         fixture.timers.pass(20);
-        before.offer(PlacerFixture.offer(1, 2, 900, PlacerFixture.ASKER, false));
+        before.offer(PlacerFixture.offer(1, 2, 900, PlacerFixture.ORIGIN, false));
         fixture.timers.pass(50);
         Placer next = fixture.placer(2);
-        next.offer(PlacerFixture.offer(1, 2, 900, PlacerFixture.ASKER, true));
+        next.offer(PlacerFixture.offer(1, 2, 900, PlacerFixture.ORIGIN, true));
         fixture.timers.pass(3_000);
-        assertEquals(fixture.outranked, 1);
+        assertEquals(fixture.fenced, 1);
         assertEquals(fixture.ledger.broken(), ImmutableList.of());
-        assertTrue(fixture.verdicts.contains("asker-1 1 DONE"), fixture.verdicts.toString());
+        assertTrue(fixture.verdicts.contains("origin-1 1 DONE"), fixture.verdicts.toString());
     }
 
     /** A client hangs up and sends its job again at once: the second must wait until the first's runs are gone. */
@@ -124,10 +124,10 @@
         fixture.timers.pass(20);
         placer.offer(PlacerFixture.offer(1, 2));
         fixture.timers.pass(10);
-        placer.withdraw(PlacerFixture.ASKER, PlacerFixture.id(1));
-        placer.offer(PlacerFixture.offer(1, 2, 60, NodeId.of("asker-2"), false));
+        placer.withdraw(PlacerFixture.ORIGIN, PlacerFixture.id(1));
+        placer.offer(PlacerFixture.offer(1, 2, 60, NodeId.of("origin-2"), false));
         fixture.timers.pass(500);
-        assertEquals(fixture.verdicts, ImmutableList.of("asker-2 1 DONE"));
+        assertEquals(fixture.verdicts, ImmutableList.of("origin-2 1 DONE"));
         assertEquals(fixture.ledger.broken(), ImmutableList.of());
     }
 
@@ -160,7 +160,7 @@
         fixture.timers.pass(20);
         placer.offer(PlacerFixture.offer(1, 1));
         fixture.timers.pass(3_000);
-        assertEquals(fixture.verdicts, ImmutableList.of("asker-1 1 FAILED"));
+        assertEquals(fixture.verdicts, ImmutableList.of("origin-1 1 FAILED"));
         assertEquals(fixture.ledger.starts(), 3);
         assertEquals(fixture.badEnds, ImmutableList.of(EndKind.FAILED, EndKind.FAILED, EndKind.FAILED));
     }
@@ -172,9 +172,9 @@
         fixture.endpoint(1).runMillis = 900;
         Placer placer = fixture.placer(1);
         fixture.timers.pass(20);
-        placer.offer(PlacerFixture.offer(1, 2, 900, PlacerFixture.ASKER, false));
+        placer.offer(PlacerFixture.offer(1, 2, 900, PlacerFixture.ORIGIN, false));
         fixture.timers.pass(20);
-        placer.askerGone(PlacerFixture.ASKER);
+        placer.originLost(PlacerFixture.ORIGIN);
         fixture.timers.pass(100);
         assertEquals(fixture.endpoint(1).running(), 0);
         assertEquals(fixture.verdicts, ImmutableList.of());
@@ -190,7 +190,7 @@
         Placer placer = fixture.placer(1);
         placer.offer(PlacerFixture.offer(1, 2));
         fixture.timers.pass(200);
-        assertEquals(fixture.verdicts, ImmutableList.of("asker-1 1 DONE"));
+        assertEquals(fixture.verdicts, ImmutableList.of("origin-1 1 DONE"));
     }
 
     @Test
@@ -219,13 +219,13 @@
         fixture.endpoint(1).runMillis = 300;
         Placer placer = fixture.placer(1);
         fixture.timers.pass(20);
-        placer.offer(PlacerFixture.offer(1, 2, 300, PlacerFixture.ASKER, false));
-        placer.offer(PlacerFixture.offer(2, 2, 100, PlacerFixture.ASKER, false));
+        placer.offer(PlacerFixture.offer(1, 2, 300, PlacerFixture.ORIGIN, false));
+        placer.offer(PlacerFixture.offer(2, 2, 100, PlacerFixture.ORIGIN, false));
         fixture.timers.pass(290);
-        placer.offer(PlacerFixture.offer(3, 2, 150, PlacerFixture.ASKER, false));
+        placer.offer(PlacerFixture.offer(3, 2, 150, PlacerFixture.ORIGIN, false));
         fixture.endpoint(1).runMillis = 100;
         fixture.timers.pass(1_000);
-        ImmutableList<String> inTimeFirst = ImmutableList.of("asker-1 1 DONE", "asker-1 3 DONE", "asker-1 2 DONE");
+        ImmutableList<String> inTimeFirst = ImmutableList.of("origin-1 1 DONE", "origin-1 3 DONE", "origin-1 2 DONE");
         assertEquals(fixture.verdicts, inTimeFirst);
     }
 
@@ -247,7 +247,7 @@
         fixture.timers.pass(350);
         placer.review();
         fixture.timers.pass(200);
-        assertEquals(fixture.verdicts, ImmutableList.of("asker-1 1 DONE"));
+        assertEquals(fixture.verdicts, ImmutableList.of("origin-1 1 DONE"));
         assertEquals(fixture.ledger.broken(), ImmutableList.of());
     }
 
@@ -259,11 +259,11 @@
     public void testWithdraw_whileItWaitsForEarlierRuns() {
         PlacerFixture fixture = new PlacerFixture(1);
         Placer placer = fixture.placer(1);
-        placer.offer(PlacerFixture.offer(1, 1, 60, PlacerFixture.ASKER, true));
-        placer.offer(PlacerFixture.offer(2, 1, 60, PlacerFixture.ASKER, true));
-        placer.withdraw(PlacerFixture.ASKER, PlacerFixture.id(1));
+        placer.offer(PlacerFixture.offer(1, 1, 60, PlacerFixture.ORIGIN, true));
+        placer.offer(PlacerFixture.offer(2, 1, 60, PlacerFixture.ORIGIN, true));
+        placer.withdraw(PlacerFixture.ORIGIN, PlacerFixture.id(1));
         fixture.timers.pass(500);
-        assertEquals(fixture.verdicts, ImmutableList.of("asker-1 2 DONE"));
+        assertEquals(fixture.verdicts, ImmutableList.of("origin-1 2 DONE"));
         assertEquals(fixture.ledger.starts(), 1);
     }
 
@@ -276,12 +276,12 @@
         placer.offer(PlacerFixture.offer(1, 1));
         placer.offer(PlacerFixture.offer(2, 1));
         fixture.timers.pass(10);
-        placer.withdraw(PlacerFixture.ASKER, PlacerFixture.id(1));
-        placer.withdraw(PlacerFixture.ASKER, PlacerFixture.id(2));
+        placer.withdraw(PlacerFixture.ORIGIN, PlacerFixture.id(1));
+        placer.withdraw(PlacerFixture.ORIGIN, PlacerFixture.id(2));
         placer.offer(PlacerFixture.offer(1, 1));
-        placer.withdraw(PlacerFixture.ASKER, PlacerFixture.id(1));
-        placer.offer(PlacerFixture.offer(2, 1, 60, NodeId.of("asker-2"), false));
-        placer.askerGone(NodeId.of("asker-2"));
+        placer.withdraw(PlacerFixture.ORIGIN, PlacerFixture.id(1));
+        placer.offer(PlacerFixture.offer(2, 1, 60, NodeId.of("origin-2"), false));
+        placer.originLost(NodeId.of("origin-2"));
         fixture.timers.pass(500);
         assertEquals(fixture.verdicts, ImmutableList.of());
         assertEquals(fixture.ledger.starts(), 2);
@@ -297,10 +297,10 @@
         Placer placer = fixture.placer(1);
         fixture.timers.pass(20);
         int[] looks = {0};
-        fixture.orders.lookWay = () -> looks[0]++ == 0 ? FakeOrders.Way.CUT : FakeOrders.Way.CLEAR;
+        fixture.orders.holdWay = () -> looks[0]++ == 0 ? FakeOrders.Way.CUT : FakeOrders.Way.CLEAR;
         placer.offer(PlacerFixture.offer(1, 1));
         fixture.timers.pass(155);
-        assertEquals(fixture.verdicts, ImmutableList.of("asker-1 1 DONE"));
+        assertEquals(fixture.verdicts, ImmutableList.of("origin-1 1 DONE"));
         assertEquals(fixture.ledger.broken(), ImmutableList.of());
     }
 
@@ -314,7 +314,7 @@
         fixture.orders.startWay = () -> sent[0]++ == 0 ? FakeOrders.Way.LATE : FakeOrders.Way.CLEAR;
         placer.offer(PlacerFixture.offer(1, 1));
         fixture.timers.pass(150);
-        assertEquals(fixture.verdicts, ImmutableList.of("asker-1 1 DONE"));
+        assertEquals(fixture.verdicts, ImmutableList.of("origin-1 1 DONE"));
         fixture.timers.pass(5_000);
         assertEquals(fixture.ledger.starts(), 1);
         assertEquals(fixture.ledger.broken(), ImmutableList.of());
@@ -329,9 +329,9 @@
         Placer placer = fixture.placer(1);
         fixture.timers.pass(20);
         fixture.orders.startWay = () -> FakeOrders.Way.ANSWER_LOST;
-        placer.offer(PlacerFixture.offer(1, 2, 200, PlacerFixture.ASKER, false));
+        placer.offer(PlacerFixture.offer(1, 2, 200, PlacerFixture.ORIGIN, false));
         fixture.timers.pass(250);
-        assertEquals(fixture.verdicts, ImmutableList.of("asker-1 1 DONE"));
+        assertEquals(fixture.verdicts, ImmutableList.of("origin-1 1 DONE"));
         assertEquals(fixture.ledger.starts(), 2);
         assertEquals(fixture.badEnds, ImmutableList.of());
     }
@@ -348,7 +348,7 @@
         fixture.timers.pass(20);
         placer.offer(PlacerFixture.offer(1, 3));
         fixture.timers.pass(1_200);
-        assertEquals(fixture.verdicts, ImmutableList.of("asker-1 1 DONE"));
+        assertEquals(fixture.verdicts, ImmutableList.of("origin-1 1 DONE"));
     }
 
     /**
@@ -362,7 +362,7 @@
         fixture.timers.pass(20);
         placer.offer(PlacerFixture.offer(1, 2).later(500));
         fixture.timers.pass(100);
-        assertEquals(fixture.verdicts, ImmutableList.of("asker-1 1 DONE"));
+        assertEquals(fixture.verdicts, ImmutableList.of("origin-1 1 DONE"));
     }
 
     /** The same in the moment in which the holder claims, and its endpoints are still being opened. */
@@ -374,7 +374,7 @@
         placer.offer(PlacerFixture.offer(2, 2).later(500));
         placer.offer(PlacerFixture.offer(3, 2).later(500));
         fixture.timers.pass(200);
-        assertEquals(fixture.verdicts, ImmutableList.of("asker-1 3 DECLINED", "asker-1 1 DONE", "asker-1 2 DONE"));
+        assertEquals(fixture.verdicts, ImmutableList.of("origin-1 3 DECLINED", "origin-1 1 DONE", "origin-1 2 DONE"));
     }
 
     /** The same while others wait: their answers can still be in time, so the late one must not take their room. */
@@ -385,6 +385,6 @@
         fixture.timers.pass(20);
         placer.offer(PlacerFixture.offer(1, 2));
         placer.offer(PlacerFixture.offer(2, 2).later(500));
-        assertEquals(fixture.verdicts, ImmutableList.of("asker-1 2 DECLINED"));
+        assertEquals(fixture.verdicts, ImmutableList.of("origin-1 2 DECLINED"));
     }
 }
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/handover/FakeHolders.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/routing/FakeHolders.java
@@ -1,4 +1,4 @@
-package org.tarragonarch.core.handover;
+package org.tarragonarch.core.routing;
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/handover/JobDeskTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/routing/JobRouterTest.java
@@ -1,4 +1,4 @@
-package org.tarragonarch.core.handover;
+package org.tarragonarch.core.routing;
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
@@ -20,47 +20,47 @@
 import org.testng.annotations.Test;
 
 /** The jobs of one node's clients, with holders that come and go. */
-public final class JobDeskTest {
+public final class JobRouterTest {
     private static final JobId JOB = new JobId("00000000000000aa");
     private static final QueueDefinition QUEUE = new QueueDefinition("q", "h", "/p/", "s", 0, 3, 1.6, 60);
 
     private final VirtualTimers timers = new VirtualTimers();
     private final FakeHolders holders = new FakeHolders();
-    private final JobDesk desk = new JobDesk(holders, timers, 1_050);
+    private final JobRouter router = new JobRouter(holders, timers, 1_050);
     private final List<String> replies = new ArrayList<>();
 
     private JobService.Submission submit(long deadlineMillis) {
         TaskStep step = new TaskStep(2, new Resources(7_000, 64, 0), 60);
-        return desk.submit(
+        return router.submit(
                 QUEUE,
                 new JobRequest(JOB, "x", step),
                 deadlineMillis,
                 reply -> replies.add(reply.outcome() + (reply.retryMillis() > 0 ? " " + reply.retryMillis() : "")));
     }
 
-    private static JobDeskTest fresh() {
-        return new JobDeskTest();
+    private static JobRouterTest fresh() {
+        return new JobRouterTest();
     }
 
     @Test
     public void testSubmit_done() {
-        JobDeskTest test = fresh();
+        JobRouterTest test = fresh();
         test.holders.add("a", "hobart", 1);
         test.submit(2_000);
-        test.desk.settled(NodeId.of("a"), JOB, Verdict.DONE, 0);
+        test.router.settled(NodeId.of("a"), JOB, Verdict.DONE, 0);
         assertEquals(test.replies, ImmutableList.of("DONE"));
-        assertEquals(test.desk.openJobs(), 0);
+        assertEquals(test.router.openJobs(), 0);
     }
 
     /** Every shard declines: the client learns at once, with the soonest time at which there should be room. */
     @Test
     public void testSubmit_declinedByAll() {
-        JobDeskTest test = fresh();
+        JobRouterTest test = fresh();
         test.holders.add("a", "hobart", 1);
         test.holders.add("b", "launceston", 1);
         test.submit(2_000);
-        test.desk.settled(NodeId.of("a"), JOB, Verdict.DECLINED, 300);
-        test.desk.settled(NodeId.of("b"), JOB, Verdict.DECLINED, 200);
+        test.router.settled(NodeId.of("a"), JOB, Verdict.DECLINED, 300);
+        test.router.settled(NodeId.of("b"), JOB, Verdict.DECLINED, 200);
         assertEquals(test.holders.asked, ImmutableList.of("offer a", "offer b"));
         assertEquals(test.replies, ImmutableList.of("REFUSED 200"));
     }
@@ -71,25 +71,25 @@
      */
     @Test
     public void testSubmit_declinedWhileAHolderIsExpected() {
-        JobDeskTest test = fresh();
+        JobRouterTest test = fresh();
         test.holders.moreExpected = true;
         test.holders.add("a", "hobart", 1);
         test.submit(4_000);
-        test.desk.settled(NodeId.of("a"), JOB, Verdict.DECLINED, 300);
+        test.router.settled(NodeId.of("a"), JOB, Verdict.DECLINED, 300);
         assertEquals(test.replies, ImmutableList.of());
         test.holders.add("b", "launceston", 1);
-        test.desk.holdersChanged();
+        test.router.holdersChanged();
         assertEquals(test.holders.asked, ImmutableList.of("offer a", "offer b"));
     }
 
     /** The same, and nobody comes: the client is told when the first holder should have room, and not held for long. */
     @Test
     public void testSubmit_declinedAndTheExpectedHolderDoesNotCome() {
-        JobDeskTest test = fresh();
+        JobRouterTest test = fresh();
         test.holders.moreExpected = true;
         test.holders.add("a", "hobart", 1);
         test.submit(4_000);
-        test.desk.settled(NodeId.of("a"), JOB, Verdict.DECLINED, 300);
+        test.router.settled(NodeId.of("a"), JOB, Verdict.DECLINED, 300);
         test.timers.pass(501);
         assertEquals(test.replies, ImmutableList.of("REFUSED 300"));
     }
@@ -100,15 +100,15 @@
      */
     @Test
     public void testNodeLost_sameShardFirst() {
-        JobDeskTest test = fresh();
+        JobRouterTest test = fresh();
         Holder lost = test.holders.add("a", "hobart", 1);
         test.holders.add("b", "launceston", 1);
         test.submit(4_000);
         test.holders.holders.remove(lost);
-        test.desk.nodeLost(NodeId.of("a"));
+        test.router.nodeLost(NodeId.of("a"));
         assertEquals(test.holders.asked, ImmutableList.of("offer a"));
         test.holders.add("c", "hobart", 2);
-        test.desk.holdersChanged();
+        test.router.holdersChanged();
         assertEquals(test.holders.asked, ImmutableList.of("offer a", "offer c over in 1050"));
     }
 
@@ -119,32 +119,32 @@
      */
     @Test
     public void testNodeLost_holderHadMoreThanWasKnown() {
-        JobDeskTest test = fresh();
+        JobRouterTest test = fresh();
         Holder lost = test.holders.add("a", "hobart", 1);
         test.submit(4_000);
         test.holders.taken.add(FailureDomain.of("launceston"));
         test.holders.holders.remove(lost);
         test.holders.add("c", "hobart", 2);
-        test.desk.settled(NodeId.of("a"), JOB, Verdict.HOLD_LOST, 0);
+        test.router.settled(NodeId.of("a"), JOB, Verdict.HOLD_LOST, 0);
         assertEquals(test.holders.asked, ImmutableList.of("offer a"));
         test.timers.pass(1_100);
         assertEquals(test.holders.asked, ImmutableList.of("offer a", "offer c"));
     }
 
     /**
-     * A cut heals, and two nodes take a shard from each other. The one that has the job was outranked, has claimed once
+     * A cut heals, and two nodes take a shard from each other. The one that has the job was fenced, has claimed once
      * more and started the job there when it is lost. The other one's token is above that under which the job was
      * offered and below the new one: it does not see that run, and would start the task a second time.
      */
     @Test
     public void testNodeLost_holderHadClaimedOnceMore() {
-        JobDeskTest test = fresh();
+        JobRouterTest test = fresh();
         Holder lost = test.holders.add("a", "hobart", 1);
         test.submit(4_000);
         test.holders.holders.remove(lost);
         test.holders.add("b", "hobart", 2);
         test.holders.highestTerms.put(FailureDomain.of("hobart"), 3L);
-        test.desk.nodeLost(NodeId.of("a"));
+        test.router.nodeLost(NodeId.of("a"));
         assertEquals(test.holders.asked, ImmutableList.of("offer a"));
         test.timers.pass(1_100);
         assertEquals(test.holders.asked, ImmutableList.of("offer a", "offer b"));
@@ -153,12 +153,12 @@
     /** The lost holder's shard finds no successor: when its runs are over the job goes to another shard. */
     @Test
     public void testNodeLost_noSuccessor() {
-        JobDeskTest test = fresh();
+        JobRouterTest test = fresh();
         Holder lost = test.holders.add("a", "hobart", 1);
         test.submit(4_000);
         test.holders.holders.remove(lost);
         test.holders.add("b", "launceston", 1);
-        test.desk.nodeLost(NodeId.of("a"));
+        test.router.nodeLost(NodeId.of("a"));
         test.timers.pass(1_000);
         assertEquals(test.holders.asked, ImmutableList.of("offer a"));
         test.timers.pass(100);
@@ -171,16 +171,16 @@
      */
     @Test
     public void testNodeLost_thoseThatDeclinedAreAskedAgain() {
-        JobDeskTest test = fresh();
+        JobRouterTest test = fresh();
         test.holders.add("a", "hobart", 1);
         Holder lost = test.holders.add("b", "launceston", 1);
         test.submit(4_000);
-        test.desk.settled(NodeId.of("a"), JOB, Verdict.DECLINED, 300);
+        test.router.settled(NodeId.of("a"), JOB, Verdict.DECLINED, 300);
         test.holders.holders.remove(lost);
-        test.desk.nodeLost(NodeId.of("b"));
+        test.router.nodeLost(NodeId.of("b"));
         test.timers.pass(1_100);
         assertEquals(test.holders.asked, ImmutableList.of("offer a", "offer b", "offer a"));
-        test.desk.settled(NodeId.of("a"), JOB, Verdict.DECLINED, 300);
+        test.router.settled(NodeId.of("a"), JOB, Verdict.DECLINED, 300);
         assertEquals(test.replies, ImmutableList.of("GIVEN_UP"));
     }
 
@@ -190,35 +190,35 @@
      */
     @Test
     public void testSettled_returnedJobGoesToAnotherHolderAtOnce() {
-        JobDeskTest test = fresh();
+        JobRouterTest test = fresh();
         test.holders.add("a", "hobart", 1);
         test.holders.add("b", "launceston", 1);
         test.submit(4_000);
-        test.desk.settled(NodeId.of("a"), JOB, Verdict.RETURNED, 0);
+        test.router.settled(NodeId.of("a"), JOB, Verdict.RETURNED, 0);
         assertEquals(test.holders.asked, ImmutableList.of("offer a", "offer b"));
     }
 
     /** No other holder takes it: it waits for the next holder of its domain, and is told the truth if none comes. */
     @Test
     public void testSettled_returnedJobWaitsForTheNextHolder() {
-        JobDeskTest test = fresh();
+        JobRouterTest test = fresh();
         Holder leaving = test.holders.add("a", "hobart", 1);
         test.holders.add("b", "launceston", 1);
         test.submit(4_000);
-        test.desk.settled(NodeId.of("a"), JOB, Verdict.RETURNED, 0);
-        test.desk.settled(NodeId.of("b"), JOB, Verdict.DECLINED, 300);
+        test.router.settled(NodeId.of("a"), JOB, Verdict.RETURNED, 0);
+        test.router.settled(NodeId.of("b"), JOB, Verdict.DECLINED, 300);
         test.holders.holders.remove(leaving);
         test.holders.add("c", "hobart", 2);
-        test.desk.holdersChanged();
+        test.router.holdersChanged();
         assertEquals(test.holders.asked, ImmutableList.of("offer a", "offer b", "offer c"));
-        test.desk.settled(NodeId.of("c"), JOB, Verdict.DECLINED, 200);
+        test.router.settled(NodeId.of("c"), JOB, Verdict.DECLINED, 200);
         assertEquals(test.replies, ImmutableList.of("REFUSED 200"));
     }
 
     /** The node is cut off from every other: no holder will be heard, so its callers are told at once to come back. */
     @Test
     public void testSubmit_nodeThatHearsNobodyRefusesAtOnce() {
-        JobDeskTest test = fresh();
+        JobRouterTest test = fresh();
         test.holders.noneToBeExpected = true;
         test.submit(4_000);
         assertEquals(test.replies, ImmutableList.of("REFUSED 1000"));
@@ -227,11 +227,11 @@
     /** A job that may have run is never said to be refused: its client would believe that nothing of it happened. */
     @Test
     public void testDeadline_afterHolderLost() {
-        JobDeskTest test = fresh();
+        JobRouterTest test = fresh();
         Holder lost = test.holders.add("a", "hobart", 1);
         test.submit(800);
         test.holders.holders.remove(lost);
-        test.desk.nodeLost(NodeId.of("a"));
+        test.router.nodeLost(NodeId.of("a"));
         test.timers.pass(1_000);
         assertEquals(test.replies, ImmutableList.of("GIVEN_UP"));
     }
@@ -239,7 +239,7 @@
     /** Nobody holds anything: the truth is that the job has not run, and it is told long before the deadline. */
     @Test
     public void testSubmit_noHolder() {
-        JobDeskTest test = fresh();
+        JobRouterTest test = fresh();
         test.submit(4_000);
         test.timers.pass(600);
         assertEquals(test.replies, ImmutableList.of("REFUSED 1000"));
@@ -247,22 +247,22 @@
 
     @Test
     public void testNotOffered_nextHolder() {
-        JobDeskTest test = fresh();
+        JobRouterTest test = fresh();
         Holder unreachable = test.holders.add("a", "hobart", 1);
         test.submit(2_000);
         test.holders.holders.remove(unreachable);
         test.holders.add("b", "launceston", 1);
-        test.desk.notOffered(NodeId.of("a"), JOB);
+        test.router.notOffered(NodeId.of("a"), JOB);
         assertEquals(test.holders.asked, ImmutableList.of("offer a", "offer b"));
     }
 
     /** The same job arrives a second time, after its answer: it gets the same answer and is not run again. */
     @Test
     public void testSubmit_againAfterItsAnswer() {
-        JobDeskTest test = fresh();
+        JobRouterTest test = fresh();
         test.holders.add("a", "hobart", 1);
         test.submit(2_000);
-        test.desk.settled(NodeId.of("a"), JOB, Verdict.DONE, 0);
+        test.router.settled(NodeId.of("a"), JOB, Verdict.DONE, 0);
         test.submit(2_000);
         assertEquals(test.replies, ImmutableList.of("DONE", "DONE"));
         assertEquals(test.holders.asked, ImmutableList.of("offer a"));
@@ -270,33 +270,33 @@
 
     @Test
     public void testClientLeft_withdraws() {
-        JobDeskTest test = fresh();
+        JobRouterTest test = fresh();
         test.holders.add("a", "hobart", 1);
         test.submit(2_000).clientLeft();
         assertEquals(test.holders.asked, ImmutableList.of("offer a", "withdraw a"));
-        assertEquals(test.desk.openJobs(), 0);
+        assertEquals(test.router.openJobs(), 0);
     }
 
     /** A verdict of a holder that lost the job comes late and must not answer for the one that has it now. */
     @Test
     public void testSettled_byFormerHolder() {
-        JobDeskTest test = fresh();
+        JobRouterTest test = fresh();
         Holder lost = test.holders.add("a", "hobart", 1);
         test.submit(4_000);
         test.holders.holders.remove(lost);
         test.holders.add("c", "hobart", 2);
-        test.desk.nodeLost(NodeId.of("a"));
-        test.desk.settled(NodeId.of("a"), JOB, Verdict.DONE, 0);
+        test.router.nodeLost(NodeId.of("a"));
+        test.router.settled(NodeId.of("a"), JOB, Verdict.DONE, 0);
         assertEquals(test.replies, ImmutableList.of());
     }
 
     @Test
     public void testCancel() {
-        JobDeskTest test = fresh();
+        JobRouterTest test = fresh();
         test.holders.add("a", "hobart", 1);
         test.submit(2_000);
-        assertTrue(test.desk.cancel(JOB));
-        assertFalse(test.desk.cancel(new JobId("00000000000000bb")));
+        assertTrue(test.router.cancel(JOB));
+        assertFalse(test.router.cancel(new JobId("00000000000000bb")));
         assertEquals(test.replies, ImmutableList.of("CANCELLED"));
         assertEquals(test.holders.asked, ImmutableList.of("offer a", "withdraw a"));
     }
@@ -307,17 +307,17 @@
      */
     @Test
     public void testGiveUpAll_leavingNode() {
-        JobDeskTest test = fresh();
+        JobRouterTest test = fresh();
         test.holders.add("a", "hobart", 1);
         test.submit(4_000);
-        test.desk.takeNothingNew();
+        test.router.takeNothingNew();
         TaskStep step = new TaskStep(1, new Resources(7_000, 64, 0), 60);
-        test.desk.submit(
+        test.router.submit(
                 QUEUE,
                 new JobRequest(new JobId("00000000000000cc"), "x", step),
                 2_000,
                 reply -> test.replies.add("late " + reply.outcome()));
-        test.desk.giveUpAll();
+        test.router.giveUpAll();
         assertEquals(test.replies, ImmutableList.of("late REFUSED", "GIVEN_UP"));
     }
 }
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/shard/HeartbeatsTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/shard/HeartbeatsTest.java
@@ -32,18 +32,18 @@
     private static final NodeId OTHER_HOLDER = NodeId.of("other-holder");
     private static final NodeId SUCCESSOR = NodeId.of("a");
 
-    private PeerBook book;
+    private PeerTable peers;
     private Heartbeats heartbeats;
 
     @BeforeMethod
     public void create() {
-        book = new PeerBook();
-        heartbeats = new Heartbeats(book, POOLS, HOBART);
+        peers = new PeerTable();
+        heartbeats = new Heartbeats(peers, POOLS, HOBART);
     }
 
-    private static NodeStatus status(NodeId node, boolean seeking, HeldShard... held) {
+    private static NodeStatus status(NodeId node, boolean withoutHolder, HeldShard... held) {
         Address address = new Address("10.0.0.9", 7_000);
-        return new NodeStatus(node, HOBART, address, 750, false, seeking, 1, ImmutableList.copyOf(held));
+        return new NodeStatus(node, HOBART, address, 750, false, withoutHolder, 1, ImmutableList.copyOf(held));
     }
 
     private static NodeStatus holder() {
@@ -52,8 +52,8 @@
 
     @Test
     public void testDue_holdersOftenOthersSeldom() {
-        book.heard(holder(), 0);
-        book.heard(status(SUCCESSOR, false), 0);
+        peers.heard(holder(), 0);
+        peers.heard(status(SUCCESSOR, false), 0);
         heartbeats.review(ImmutableSet.of(), 0);
         assertEquals(heartbeats.due(0), Audience.NEIGHBOURS);
         assertEquals(heartbeats.due(100), Audience.NOBODY);
@@ -71,15 +71,15 @@
 
     @Test
     public void testClose_peerThatMissesAHolder() {
-        book.heard(status(SUCCESSOR, true), 0);
+        peers.heard(status(SUCCESSOR, true), 0);
         assertEquals(heartbeats.close(), ImmutableList.of(SUCCESSOR));
     }
 
     @Test
     public void testExpire_nodesThatHoldNothingSpeakSeldom() {
-        book.heard(status(SUCCESSOR, false), 0);
-        assertEquals(book.expire(PeerBook.DISTANT_SILENCE_MILLIS), ImmutableList.of());
-        assertEquals(book.expire(PeerBook.DISTANT_SILENCE_MILLIS + 1), ImmutableList.of(SUCCESSOR));
+        peers.heard(status(SUCCESSOR, false), 0);
+        assertEquals(peers.expire(PeerTable.DISTANT_SILENCE_MILLIS), ImmutableList.of());
+        assertEquals(peers.expire(PeerTable.DISTANT_SILENCE_MILLIS + 1), ImmutableList.of(SUCCESSOR));
     }
 
     /**
@@ -88,25 +88,25 @@
      */
     @Test
     public void testExpire_holderAndSuccessorAreLost() {
-        book.heard(holder(), 0);
-        book.heard(status(SUCCESSOR, false), 0);
+        peers.heard(holder(), 0);
+        peers.heard(status(SUCCESSOR, false), 0);
         heartbeats.review(ImmutableSet.of(), 0);
-        assertFalse(heartbeats.seeking());
-        assertEquals(book.expire(701), ImmutableList.of(HOLDER));
+        assertFalse(heartbeats.withoutHolder());
+        assertEquals(peers.expire(701), ImmutableList.of(HOLDER));
         assertTrue(heartbeats.review(ImmutableSet.of(), 701), "has to be told at once");
-        assertEquals(book.expire(1_401), ImmutableList.of());
-        assertEquals(book.expire(1_402), ImmutableList.of(SUCCESSOR));
+        assertEquals(peers.expire(1_401), ImmutableList.of());
+        assertEquals(peers.expire(1_402), ImmutableList.of(SUCCESSOR));
     }
 
     /** A node that has just become the holder has heard most peers a second ago; they are not gone for that. */
     @Test
     public void testExpire_newHolderGivesItsPeersTime() {
-        book.heard(holder(), 0);
-        book.heard(status(SUCCESSOR, false), 0);
+        peers.heard(holder(), 0);
+        peers.heard(status(SUCCESSOR, false), 0);
         heartbeats.review(ImmutableSet.of(), 0);
-        book.lost(HOLDER);
+        peers.lost(HOLDER);
         heartbeats.review(SHARDS, 1_900);
-        assertEquals(book.expire(2_000), ImmutableList.of());
+        assertEquals(peers.expire(2_000), ImmutableList.of());
     }
 
     /**
@@ -116,10 +116,10 @@
      */
     @Test
     public void testDue_nodeThatMissesAHolderTellsItsPoolAlone() {
-        book.heard(status(SUCCESSOR, true), 0);
-        book.heard(holderOf(LAUNCESTON), 0);
+        peers.heard(status(SUCCESSOR, true), 0);
+        peers.heard(holderOf(LAUNCESTON), 0);
         heartbeats.review(ImmutableSet.of(), 0);
-        assertTrue(heartbeats.seeking());
+        assertTrue(heartbeats.withoutHolder());
         assertEquals(heartbeats.due(0), Audience.NEIGHBOURS);
         assertEquals(heartbeats.due(200), Audience.NEIGHBOURS);
         assertEquals(heartbeats.neighbours(), ImmutableSet.of(HOBART));
@@ -129,21 +129,21 @@
     /** Another pool without a holder is no matter of this node: its next holder tells everybody. */
     @Test
     public void testReview_onlyTheOwnPoolIsMissed() {
-        book.heard(holder(), 0);
+        peers.heard(holder(), 0);
         assertFalse(heartbeats.review(ImmutableSet.of(), 0));
-        assertFalse(heartbeats.seeking());
+        assertFalse(heartbeats.withoutHolder());
     }
 
     /** A node of another pool has let go of its shard, and has no reason to speak to this one any more. */
     @Test
     public void testExpire_nodeThatOwesNoStatusIsNotReported() {
-        book.heard(holder(), 0);
-        book.heard(holderOf(LAUNCESTON), 0);
+        peers.heard(holder(), 0);
+        peers.heard(holderOf(LAUNCESTON), 0);
         heartbeats.review(ImmutableSet.of(), 0);
-        book.heard(statusIn(LAUNCESTON), 100);
-        book.heard(holder(), 6_000);
-        assertEquals(book.expire(6_601), ImmutableList.of());
-        assertEquals(book.present().size(), 1);
+        peers.heard(statusIn(LAUNCESTON), 100);
+        peers.heard(holder(), 6_000);
+        assertEquals(peers.expire(6_601), ImmutableList.of());
+        assertEquals(peers.present().size(), 1);
     }
 
     private static NodeStatus holderOf(FailureDomain domain) {
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/shard/SuccessionTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/shard/HolderElectionTest.java
@@ -16,7 +16,7 @@
 import org.testng.annotations.Test;
 
 /** Who holds a shard when nodes come, go and cannot hear each other. */
-public final class SuccessionTest {
+public final class HolderElectionTest {
     private static final FailureDomain HOBART = FailureDomain.of("hobart");
     private static final FailureDomain LAUNCESTON = FailureDomain.of("launceston");
 
@@ -27,8 +27,8 @@
     private static final int CORES = 360;
     private static final int STRONG = 1_500;
 
-    private static Succession succession(String node, FailureDomain domain, PeerBook book) {
-        return new Succession(NodeId.of(node), domain, "10.0.0.5", CORES, book, APART);
+    private static HolderElection election(String node, FailureDomain domain, PeerTable peers) {
+        return new HolderElection(NodeId.of(node), domain, "10.0.0.5", CORES, peers, APART);
     }
 
     private static NodeStatus status(String node, FailureDomain domain, boolean leaving, HeldShard... held) {
@@ -47,24 +47,24 @@
 
     @Test
     public void testShouldClaim_firstOfItsDomain() {
-        PeerBook book = new PeerBook();
-        book.heard(status("b", HOBART, false), 0);
-        assertTrue(succession("a", HOBART, book).shouldClaim(HOBART, 0));
-        assertFalse(succession("c", HOBART, book).shouldClaim(HOBART, 0));
+        PeerTable peers = new PeerTable();
+        peers.heard(status("b", HOBART, false), 0);
+        assertTrue(election("a", HOBART, peers).shouldClaim(HOBART, 0));
+        assertFalse(election("c", HOBART, peers).shouldClaim(HOBART, 0));
     }
 
     @Test
     public void testShouldClaim_leavingNodeIsPassedOver() {
-        PeerBook book = new PeerBook();
-        book.heard(status("b", HOBART, true), 0);
-        assertTrue(succession("c", HOBART, book).shouldClaim(HOBART, 0));
+        PeerTable peers = new PeerTable();
+        peers.heard(status("b", HOBART, true), 0);
+        assertTrue(election("c", HOBART, peers).shouldClaim(HOBART, 0));
     }
 
     /** A domain is cut off and goes on by itself; nodes outside must not take its endpoints the moment they miss it. */
     @Test
     public void testShouldClaim_otherDomainWaits() {
-        PeerBook book = new PeerBook();
-        Succession outside = succession("a", HOBART, book);
+        PeerTable peers = new PeerTable();
+        HolderElection outside = election("a", HOBART, peers);
         assertFalse(outside.shouldClaim(LAUNCESTON, 0));
         assertFalse(outside.shouldClaim(LAUNCESTON, 2_900));
         assertTrue(outside.shouldClaim(LAUNCESTON, 3_000));
@@ -72,42 +72,42 @@
 
     @Test
     public void testShouldClaim_holderDies() {
-        PeerBook book = new PeerBook();
-        Succession next = succession("b", HOBART, book);
-        book.heard(status("a", HOBART, false, held(HOBART, 7)), 0);
+        PeerTable peers = new PeerTable();
+        HolderElection next = election("b", HOBART, peers);
+        peers.heard(status("a", HOBART, false, held(HOBART, 7)), 0);
         assertFalse(next.shouldClaim(HOBART, 100));
-        book.lost(NodeId.of("a"));
+        peers.lost(NodeId.of("a"));
         assertTrue(next.shouldClaim(HOBART, 200));
         assertEquals(next.claim(HOBART, 0).term(), 8);
     }
 
     @Test
     public void testExpire_silentPeer() {
-        PeerBook book = new PeerBook();
-        book.heard(status("a", HOBART, false, held(HOBART, 7)), 0);
-        assertEquals(book.expire(PeerBook.SILENCE_MILLIS), ImmutableList.of());
-        assertEquals(book.expire(PeerBook.SILENCE_MILLIS + 1), ImmutableList.of(NodeId.of("a")));
-        assertTrue(book.holder(HOBART).isEmpty());
+        PeerTable peers = new PeerTable();
+        peers.heard(status("a", HOBART, false, held(HOBART, 7)), 0);
+        assertEquals(peers.expire(PeerTable.SILENCE_MILLIS), ImmutableList.of());
+        assertEquals(peers.expire(PeerTable.SILENCE_MILLIS + 1), ImmutableList.of(NodeId.of("a")));
+        assertTrue(peers.holder(HOBART).isEmpty());
     }
 
     /** A node of another domain kept a shard while its own nodes were away; they take it back when they are there. */
     @Test
     public void testShouldResign_homeNodeIsBack() {
-        PeerBook book = new PeerBook();
-        Succession outside = succession("a", HOBART, book);
+        PeerTable peers = new PeerTable();
+        HolderElection outside = election("a", HOBART, peers);
         outside.claim(LAUNCESTON, 0);
         assertFalse(outside.shouldResign(LAUNCESTON, 0));
-        book.heard(status("l", LAUNCESTON, false), 0);
+        peers.heard(status("l", LAUNCESTON, false), 0);
         assertTrue(outside.shouldResign(LAUNCESTON, 0));
     }
 
     /** Two nodes that do not hear each other would take the endpoints from one another for ever. */
     @Test
-    public void testOutranked_keepsAway() {
-        PeerBook book = new PeerBook();
-        Succession alone = succession("a", HOBART, book);
+    public void testFenced_keepsAway() {
+        PeerTable peers = new PeerTable();
+        HolderElection alone = election("a", HOBART, peers);
         alone.claim(HOBART, 0);
-        alone.outranked(HOBART, 1_000);
+        alone.fenced(HOBART, 1_000);
         assertFalse(alone.shouldClaim(HOBART, 3_900));
         assertTrue(alone.shouldClaim(HOBART, 4_000));
     }
@@ -115,8 +115,8 @@
     /** A restarted node remembers nothing; its tokens must still be above those of its earlier life. */
     @Test
     public void testClaim_termFollowsTheTimeOfDay() {
-        Succession before = succession("a", HOBART, new PeerBook());
-        Succession after = succession("a", HOBART, new PeerBook());
+        HolderElection before = election("a", HOBART, new PeerTable());
+        HolderElection after = election("a", HOBART, new PeerTable());
         FencingToken first = before.claim(HOBART, 1_700_000_000_000L);
         FencingToken second = after.claim(HOBART, 1_700_000_000_500L);
         assertTrue(second.compareTo(first) > 0);
@@ -128,34 +128,34 @@
      */
     @Test
     public void testShouldResign_homeHolderKeepsItsShardAfterACut() {
-        PeerBook book = new PeerBook();
-        Succession home = succession("l", LAUNCESTON, book);
+        PeerTable peers = new PeerTable();
+        HolderElection home = election("l", LAUNCESTON, peers);
         home.claim(LAUNCESTON, 0);
-        book.heard(status("a", HOBART, false, held(LAUNCESTON, 99)), 0);
+        peers.heard(status("a", HOBART, false, held(LAUNCESTON, 99)), 0);
         assertFalse(home.shouldResign(LAUNCESTON, 0));
     }
 
     @Test
     public void testShouldResign_homeHolderYieldsToAnotherOfItsDomain() {
-        PeerBook book = new PeerBook();
-        Succession home = succession("l", LAUNCESTON, book);
+        PeerTable peers = new PeerTable();
+        HolderElection home = election("l", LAUNCESTON, peers);
         home.claim(LAUNCESTON, 0);
-        book.heard(status("m", LAUNCESTON, false, held(LAUNCESTON, 99)), 0);
+        peers.heard(status("m", LAUNCESTON, false, held(LAUNCESTON, 99)), 0);
         assertTrue(home.shouldResign(LAUNCESTON, 0));
     }
 
     @Test
     public void testHolder_homeBeforeHigherToken() {
-        PeerBook book = new PeerBook();
-        book.heard(status("l", LAUNCESTON, false, held(LAUNCESTON, 3)), 0);
-        book.heard(status("a", HOBART, false, held(LAUNCESTON, 99)), 0);
-        assertEquals(book.holder(LAUNCESTON).orElseThrow().node(), NodeId.of("l"));
+        PeerTable peers = new PeerTable();
+        peers.heard(status("l", LAUNCESTON, false, held(LAUNCESTON, 3)), 0);
+        peers.heard(status("a", HOBART, false, held(LAUNCESTON, 99)), 0);
+        assertEquals(peers.holder(LAUNCESTON).orElseThrow().node(), NodeId.of("l"));
     }
 
     @Test
     public void testUnreachable_keepsAway() {
-        PeerBook book = new PeerBook();
-        Succession outside = succession("a", HOBART, book);
+        PeerTable peers = new PeerTable();
+        HolderElection outside = election("a", HOBART, peers);
         assertFalse(outside.shouldClaim(LAUNCESTON, 0));
         outside.claim(LAUNCESTON, 0);
         outside.unreachable(LAUNCESTON, 4_000);
@@ -169,49 +169,50 @@
      */
     @Test
     public void testShouldClaim_strongestOfItsDomain() {
-        PeerBook book = new PeerBook();
-        book.heard(strong("z", HOBART, false), 0);
-        assertFalse(succession("a", HOBART, book).shouldClaim(HOBART, 0));
-        Succession strongest = new Succession(NodeId.of("z"), HOBART, "10.0.0.6", STRONG, new PeerBook(), APART);
+        PeerTable peers = new PeerTable();
+        peers.heard(strong("z", HOBART, false), 0);
+        assertFalse(election("a", HOBART, peers).shouldClaim(HOBART, 0));
+        HolderElection strongest =
+                new HolderElection(NodeId.of("z"), HOBART, "10.0.0.6", STRONG, new PeerTable(), APART);
         assertTrue(strongest.shouldClaim(HOBART, 0));
     }
 
     /** Both large VMs were restarted, and a small one took the shard meanwhile; it hands it back once they are warm. */
     @Test
     public void testShouldResign_muchStrongerNodeIsBack() {
-        PeerBook book = new PeerBook();
-        Succession small = succession("a", HOBART, book);
+        PeerTable peers = new PeerTable();
+        HolderElection small = election("a", HOBART, peers);
         small.claim(HOBART, 0);
-        book.heard(strong("z", HOBART, false), 1_000);
-        book.heard(strong("z", HOBART, false), 2_900);
+        peers.heard(strong("z", HOBART, false), 1_000);
+        peers.heard(strong("z", HOBART, false), 2_900);
         assertFalse(small.shouldResign(HOBART, 2_900));
         assertTrue(small.shouldResign(HOBART, 3_000));
     }
 
     @Test
     public void testShouldResign_strongerNodeLeavesOrIsElsewhere() {
-        PeerBook book = new PeerBook();
-        Succession small = succession("a", HOBART, book);
+        PeerTable peers = new PeerTable();
+        HolderElection small = election("a", HOBART, peers);
         small.claim(HOBART, 0);
-        book.heard(strong("y", LAUNCESTON, false), 0);
-        book.heard(strong("z", HOBART, true), 0);
+        peers.heard(strong("y", LAUNCESTON, false), 0);
+        peers.heard(strong("z", HOBART, true), 0);
         assertFalse(small.shouldResign(HOBART, 5_000));
     }
 
     /**
      * Two restarted nodes of a domain hear a third and not each other, for the store is away. Each took itself for the
-     * first in line and claimed at once whenever it was outranked, twenty times a second; no caller was served.
+     * first in line and claimed at once whenever it was fenced, twenty times a second; no caller was served.
      */
     @Test
-    public void testOutranked_twoThatDoNotHearEachOther() {
-        PeerBook book = new PeerBook();
-        book.heard(status("z", HOBART, false), 0);
-        Succession one = succession("a", HOBART, book);
+    public void testFenced_twoThatDoNotHearEachOther() {
+        PeerTable peers = new PeerTable();
+        peers.heard(status("z", HOBART, false), 0);
+        HolderElection one = election("a", HOBART, peers);
         one.claim(HOBART, 0);
-        one.outranked(HOBART, 1_000);
+        one.fenced(HOBART, 1_000);
         assertTrue(one.shouldClaim(HOBART, 1_000));
         one.claim(HOBART, 0);
-        one.outranked(HOBART, 1_050);
+        one.fenced(HOBART, 1_050);
         assertFalse(one.shouldClaim(HOBART, 1_100));
         assertTrue(one.shouldClaim(HOBART, 4_050));
     }
@@ -222,14 +223,14 @@
      */
     @Test
     public void testShouldClaim_nodeThatLostAllPeersAtOnceWaits() {
-        PeerBook book = new PeerBook();
-        Succession cutOff = succession("a", HOBART, book);
-        book.heard(status("h", HOBART, false, held(HOBART, 7)), 1_000);
-        book.heard(status("l", LAUNCESTON, false, held(LAUNCESTON, 7)), 1_000);
-        book.heard(status("m", LAUNCESTON, false), 0);
+        PeerTable peers = new PeerTable();
+        HolderElection cutOff = election("a", HOBART, peers);
+        peers.heard(status("h", HOBART, false, held(HOBART, 7)), 1_000);
+        peers.heard(status("l", LAUNCESTON, false, held(LAUNCESTON, 7)), 1_000);
+        peers.heard(status("m", LAUNCESTON, false), 0);
         assertFalse(cutOff.shouldClaim(HOBART, 1_000));
         assertFalse(cutOff.shouldClaim(LAUNCESTON, 1_000));
-        book.expire(8_000);
+        peers.expire(8_000);
         assertTrue(cutOff.isolated());
         assertFalse(cutOff.shouldClaim(HOBART, 8_000));
         assertFalse(cutOff.shouldClaim(LAUNCESTON, 8_000));
@@ -241,12 +242,12 @@
     /** The only node of its domain is cut off with it, and its endpoints too: nobody else can serve that domain. */
     @Test
     public void testShouldClaim_onlyNodeOfADomainThatIsCutOff() {
-        PeerBook book = new PeerBook();
-        Succession only = succession("a", HOBART, book);
-        book.heard(status("l", LAUNCESTON, false, held(LAUNCESTON, 7), held(HOBART, 7)), 0);
-        book.heard(status("m", LAUNCESTON, false), 0);
-        book.heard(status("n", LAUNCESTON, false), 0);
-        book.expire(7_000);
+        PeerTable peers = new PeerTable();
+        HolderElection only = election("a", HOBART, peers);
+        peers.heard(status("l", LAUNCESTON, false, held(LAUNCESTON, 7), held(HOBART, 7)), 0);
+        peers.heard(status("m", LAUNCESTON, false), 0);
+        peers.heard(status("n", LAUNCESTON, false), 0);
+        peers.expire(7_000);
         assertTrue(only.shouldClaim(HOBART, 7_000));
         assertFalse(only.shouldClaim(LAUNCESTON, 11_000));
     }
@@ -254,12 +255,12 @@
     /** One peer after the other is lost: the last node is not cut off, and goes on for all. */
     @Test
     public void testShouldClaim_peersLostOneByOne() {
-        PeerBook book = new PeerBook();
-        Succession last = succession("a", HOBART, book);
-        book.heard(status("h", HOBART, false, held(HOBART, 7)), 20_000);
-        book.heard(status("l", LAUNCESTON, false), 10_000);
-        book.heard(status("m", LAUNCESTON, false), 0);
-        book.expire(30_000);
+        PeerTable peers = new PeerTable();
+        HolderElection last = election("a", HOBART, peers);
+        peers.heard(status("h", HOBART, false, held(HOBART, 7)), 20_000);
+        peers.heard(status("l", LAUNCESTON, false), 10_000);
+        peers.heard(status("m", LAUNCESTON, false), 0);
+        peers.expire(30_000);
         assertFalse(last.isolated());
         assertTrue(last.shouldClaim(HOBART, 30_000));
     }
@@ -270,13 +271,13 @@
      */
     @Test
     public void testShouldClaim_foreignShardIsForHolders() {
-        PeerBook book = new PeerBook();
-        Succession outside = succession("a", HOBART, book);
-        book.heard(status("h", HOBART, false, held(HOBART, 7)), 0);
+        PeerTable peers = new PeerTable();
+        HolderElection outside = election("a", HOBART, peers);
+        peers.heard(status("h", HOBART, false, held(HOBART, 7)), 0);
         assertFalse(outside.shouldClaim(LAUNCESTON, 0));
         assertFalse(outside.shouldClaim(LAUNCESTON, 3_000));
-        PeerBook holdersBook = new PeerBook();
-        Succession holder = succession("h", HOBART, holdersBook);
+        PeerTable holdersBook = new PeerTable();
+        HolderElection holder = election("h", HOBART, holdersBook);
         holder.claim(HOBART, 0);
         holdersBook.heard(status("a", HOBART, false), 0);
         assertFalse(holder.shouldClaim(LAUNCESTON, 0));
@@ -285,10 +286,10 @@
 
     @Test
     public void testIsSuccessor_firstAfterTheHolder() {
-        PeerBook book = new PeerBook();
-        book.heard(status("h", HOBART, false, held(HOBART, 7)), 0);
-        book.heard(status("c", HOBART, false), 0);
-        assertTrue(succession("b", HOBART, book).isSuccessor(HOBART));
-        assertFalse(succession("d", HOBART, book).isSuccessor(HOBART));
+        PeerTable peers = new PeerTable();
+        peers.heard(status("h", HOBART, false, held(HOBART, 7)), 0);
+        peers.heard(status("c", HOBART, false), 0);
+        assertTrue(election("b", HOBART, peers).isSuccessor(HOBART));
+        assertFalse(election("d", HOBART, peers).isSuccessor(HOBART));
     }
 }
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/shard/PooledSuccessionTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/shard/PooledHolderElectionTest.java
@@ -17,7 +17,7 @@
 import org.testng.annotations.Test;
 
 /** Who holds the shards of a region that is one pool, when nodes die and domains are cut off. */
-public final class PooledSuccessionTest {
+public final class PooledHolderElectionTest {
     private static final FailureDomain HOBART = FailureDomain.of("hobart");
     private static final FailureDomain LAUNCESTON = FailureDomain.of("launceston");
     private static final Region SOUTH = Region.of("south");
@@ -25,22 +25,22 @@
             new ShardPools(ImmutableMap.of(HOBART, SOUTH, LAUNCESTON, SOUTH), new EndpointList());
     private static final int CORES = 750;
 
-    private PeerBook book;
+    private PeerTable peers;
 
     @BeforeMethod
     public void create() {
-        book = new PeerBook();
+        peers = new PeerTable();
     }
 
-    private Succession succession(String node, FailureDomain domain) {
-        return new Succession(NodeId.of(node), domain, "10.0.0.5", CORES, book, POOLS);
+    private HolderElection election(String node, FailureDomain domain) {
+        return new HolderElection(NodeId.of(node), domain, "10.0.0.5", CORES, peers, POOLS);
     }
 
     private void heard(String node, FailureDomain domain, int milliCores, long nowMillis, HeldShard... held) {
         Address address = new Address("10.0.0.9", 7_000);
         NodeStatus status = new NodeStatus(
                 NodeId.of(node), domain, address, milliCores, false, false, 1, ImmutableList.copyOf(held));
-        book.heard(status, nowMillis);
+        peers.heard(status, nowMillis);
     }
 
     private static HeldShard held(FailureDomain shard, long term) {
@@ -51,18 +51,18 @@
     @Test
     public void testShouldClaim_wholePool() {
         heard("l", LAUNCESTON, CORES, 0);
-        Succession first = succession("a", HOBART);
+        HolderElection first = election("a", HOBART);
         assertTrue(first.shouldClaim(HOBART, 0));
         first.claim(HOBART, 0);
         assertTrue(first.shouldClaim(LAUNCESTON, 0));
         heard("a", HOBART, CORES, 0, held(HOBART, 1));
-        assertFalse(succession("l", LAUNCESTON).shouldClaim(LAUNCESTON, 0));
+        assertFalse(election("l", LAUNCESTON).shouldClaim(LAUNCESTON, 0));
     }
 
     /** A domain nobody hears may be cut off and going on by itself; its endpoints are not taken from it at once. */
     @Test
     public void testShouldClaim_silentDomainWaits() {
-        Succession alone = succession("a", HOBART);
+        HolderElection alone = election("a", HOBART);
         assertTrue(alone.shouldClaim(HOBART, 0));
         assertFalse(alone.shouldClaim(LAUNCESTON, 0));
         assertTrue(alone.shouldClaim(LAUNCESTON, 3_000));
@@ -72,7 +72,7 @@
     @Test
     public void testShouldClaim_holderOfMostGoesFirst() {
         heard("z", LAUNCESTON, CORES, 0, held(LAUNCESTON, 4));
-        assertFalse(succession("a", HOBART).shouldClaim(HOBART, 0));
+        assertFalse(election("a", HOBART).shouldClaim(HOBART, 0));
     }
 
     /**
@@ -81,7 +81,7 @@
      */
     @Test
     public void testShouldResign_domainHasGoneOnByItself() {
-        Succession outside = succession("a", HOBART);
+        HolderElection outside = election("a", HOBART);
         outside.claim(HOBART, 0);
         outside.claim(LAUNCESTON, 9_000);
         heard("l", LAUNCESTON, CORES, 0, held(LAUNCESTON, 2));
@@ -92,7 +92,7 @@
     /** Two seconds later the domain's shard goes back into the pool, where jobs of all domains share the room. */
     @Test
     public void testShouldResign_cutOffDomainJoinsThePoolAgain() {
-        Succession inside = succession("l", LAUNCESTON);
+        HolderElection inside = election("l", LAUNCESTON);
         inside.claim(LAUNCESTON, 0);
         heard("a", HOBART, CORES, 10_000, held(HOBART, 7));
         assertFalse(inside.shouldResign(LAUNCESTON, 11_900));
@@ -102,7 +102,7 @@
     /** Of two that hold as much, the first by name keeps it; both letting go would leave the pool without a holder. */
     @Test
     public void testShouldResign_equalParts() {
-        Succession first = succession("a", HOBART);
+        HolderElection first = election("a", HOBART);
         first.claim(HOBART, 0);
         heard("l", LAUNCESTON, CORES, 0, held(LAUNCESTON, 7));
         assertFalse(first.shouldResign(HOBART, 5_000));
@@ -110,12 +110,13 @@
 
     @Test
     public void testShouldResign_weakHolderOfMostYieldsToTheStrong() {
-        Succession weak = succession("a", HOBART);
+        HolderElection weak = election("a", HOBART);
         weak.claim(HOBART, 0);
         weak.claim(LAUNCESTON, 0);
         heard("l", LAUNCESTON, 2 * CORES, 0);
         assertTrue(weak.shouldResign(HOBART, 2_000));
-        Succession strong = new Succession(NodeId.of("l"), LAUNCESTON, "10.0.0.6", 2 * CORES, new PeerBook(), POOLS);
+        HolderElection strong =
+                new HolderElection(NodeId.of("l"), LAUNCESTON, "10.0.0.6", 2 * CORES, new PeerTable(), POOLS);
         strong.claim(LAUNCESTON, 0);
         assertFalse(strong.shouldResign(LAUNCESTON, 2_000));
     }
@@ -125,7 +126,7 @@
         heard("a", HOBART, CORES, 0, held(HOBART, 7), held(LAUNCESTON, 9));
         heard("l", LAUNCESTON, CORES, 0, held(LAUNCESTON, 2));
         assertEquals(
-                book.holders().stream()
+                peers.holders().stream()
                         .map(status -> status.node() + " " + status.shards().size())
                         .toList(),
                 ImmutableList.of("a 1", "l 1"));
@@ -136,8 +137,8 @@
     public void testIsHighest_ofAllThatWereEverHeard() {
         heard("a", HOBART, CORES, 0, held(HOBART, 7));
         heard("a", HOBART, CORES, 100);
-        assertFalse(book.isHighest(HOBART, FencingToken.of(6, "10.0.0.9")));
-        assertTrue(book.isHighest(HOBART, FencingToken.of(7, "10.0.0.9")));
-        assertTrue(book.isHighest(LAUNCESTON, FencingToken.of(1, "10.0.0.9")));
+        assertFalse(peers.isHighest(HOBART, FencingToken.of(6, "10.0.0.9")));
+        assertTrue(peers.isHighest(HOBART, FencingToken.of(7, "10.0.0.9")));
+        assertTrue(peers.isHighest(LAUNCESTON, FencingToken.of(1, "10.0.0.9")));
     }
 }
--- a/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/explain/JobStory.java
+++ b/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/explain/JobStory.java
@@ -131,8 +131,8 @@
     /** Returns whether a node that is known to have had the job ended after it was last heard of. */
     private boolean nodeStopped() {
         ImmutableSet<String> askers = own.stream()
-                .map(entry -> entry.text("asker"))
-                .filter(asker -> !asker.isEmpty())
+                .map(entry -> entry.text("origin"))
+                .filter(origin -> !origin.isEmpty())
                 .collect(ImmutableSet.toImmutableSet());
         Instant last =
                 own.isEmpty() ? Instant.MAX : own.get(own.size() - 1).time().minus(CLOCK_SLACK);
--- a/tarragonarch-ctl/src/test/java/org/tarragonarch/ctl/explain/ExplanationTest.java
+++ b/tarragonarch-ctl/src/test/java/org/tarragonarch/ctl/explain/ExplanationTest.java
@@ -12,10 +12,10 @@
 public final class ExplanationTest {
     private static final String REFUSED = """
             {"time":"2026-05-04T12:00:06.409Z","node":"front-hobart-1","event":"job-declined","job":"535f8b75492e838d",\
-            "shard":"hobart","asker":"front-launceston-2","wait-ms":143,"expected-run-ms":34,"in-time-within-ms":-223,\
+            "shard":"hobart","origin":"front-launceston-2","wait-ms":143,"expected-run-ms":34,"in-time-within-ms":-223,\
             "places":25,"free-places":0,"waiting-jobs":11}
             {"time":"2026-05-04T12:00:06.061Z","node":"front-launceston-1","event":"job-declined",\
-            "job":"535f8b75492e838d","shard":"launceston","asker":"front-launceston-2","wait-ms":172,\
+            "job":"535f8b75492e838d","shard":"launceston","origin":"front-launceston-2","wait-ms":172,\
             "expected-run-ms":34,"in-time-within-ms":114,"places":26,"free-places":0,"waiting-jobs":13}
             {"time":"2026-05-04T12:00:06.411Z","node":"front-launceston-2","event":"job-answered",\
             "job":"535f8b75492e838d","queue":"board","outcome":"REFUSED","tasks":5,"estimate-ms":17,"after-ms":350,\
