--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ClassRehearsal.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ArchiveWarmUp.java
@@ -11,7 +11,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-import org.tarragonarch.adapter.RehearsalPlatform;
+import org.tarragonarch.adapter.WarmUpPlatform;
 import org.tarragonarch.model.id.Address;
 import org.tarragonarch.model.outcome.StepException;
 
@@ -20,10 +20,10 @@
  * archive of the classes that a node loads until it has answered its first job.
  *
  * <p>A start from that archive takes about half the processor time of one without, which is what a restarted node's
- * clients wait for. What the rehearsal leaves out is read from the libraries at the worst moment, when a node that has
+ * clients wait for. What the warm-up leaves out is read from the libraries at the worst moment, when a node that has
  * just been started is asked for everything at once.
  */
-public final class ClassRehearsal {
+public final class ArchiveWarmUp {
     /** Two nodes find each other and claim the one shard within some 500 ms; the rest is for the jobs. */
     private static final long SETTLE_MILLIS = 1_000;
 
@@ -32,10 +32,10 @@
     private static final String HOST = "127.0.0.1";
     private static final String PREFIX = "/q/";
 
-    private ClassRehearsal() {}
+    private ArchiveWarmUp() {}
 
     /**
-     * Runs the rehearsal.
+     * Runs the warm-up.
      *
      * @param arguments none
      */
@@ -43,12 +43,12 @@
         LibraryLoggers.choose();
         List<Integer> ports = freePorts(1 + 2 * PORTS_A_NODE);
         Address platform = new Address(HOST, ports.get(0));
-        RehearsalPlatform.open(new NioEventLoopGroup(1), platform, PREFIX);
-        ClusterSettings first = start("rehearsal-1", platform, ports.subList(1, 1 + PORTS_A_NODE));
-        ClusterSettings second = start("rehearsal-2", platform, ports.subList(1 + PORTS_A_NODE, 1 + 2 * PORTS_A_NODE));
+        WarmUpPlatform.open(new NioEventLoopGroup(1), platform, PREFIX);
+        ClusterSettings first = start("warm-up-1", platform, ports.subList(1, 1 + PORTS_A_NODE));
+        ClusterSettings second = start("warm-up-2", platform, ports.subList(1 + PORTS_A_NODE, 1 + 2 * PORTS_A_NODE));
         Thread.sleep(SETTLE_MILLIS);
         for (int job = 0; job < JOBS; job++) {
-            ask((job % 2 == 0 ? first : second).clientAddress(), RehearsalPlatform.submission(HOST, PREFIX, job));
+            ask((job % 2 == 0 ? first : second).clientAddress(), WarmUpPlatform.submission(HOST, PREFIX, job));
         }
         ask(first.clientAddress(), question(PREFIX));
         ask(first.readinessAddress(), question("/readyz"));
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ClusterMain.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ClusterMain.java
@@ -48,7 +48,7 @@
         log.start();
         ClusterNode node = new ClusterNode(settings, log);
         node.start();
-        HangUpSignal.handle(() -> reload(file, settings, log));
+        ReloadSignal.handle(() -> reload(file, settings, log));
         return node;
     }
 
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ClusterNode.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ClusterNode.java
@@ -10,17 +10,17 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
-import org.tarragonarch.adapter.ClientDoor;
+import org.tarragonarch.adapter.ClientServer;
 import org.tarragonarch.adapter.EndpointClient;
 import org.tarragonarch.adapter.StoreClient;
 import org.tarragonarch.core.cluster.Coordinator;
 import org.tarragonarch.core.cluster.Discovery;
 import org.tarragonarch.core.follow.FollowPace;
 import org.tarragonarch.core.follow.TableFollower;
-import org.tarragonarch.core.handover.JobDesk;
 import org.tarragonarch.core.placing.PlacingSettings;
+import org.tarragonarch.core.routing.JobRouter;
 import org.tarragonarch.core.shard.EndpointList;
-import org.tarragonarch.core.shard.PeerBook;
+import org.tarragonarch.core.shard.PeerTable;
 import org.tarragonarch.core.shard.ShardPools;
 import org.tarragonarch.model.id.Address;
 import org.tarragonarch.model.id.ConfigurationVersion;
@@ -52,7 +52,7 @@
  */
 final class ClusterNode implements PeerCalls {
     /** How often shards, peers and endpoints are reviewed, in milliseconds; half the time between statuses. */
-    private static final long REVIEW_MILLIS = PeerBook.STATUS_PERIOD_MILLIS / 2;
+    private static final long REVIEW_MILLIS = PeerTable.STATUS_PERIOD_MILLIS / 2;
 
     /**
      * How long a node that knows where its peers are waits to hear them all before it claims anything, in milliseconds:
@@ -99,7 +99,7 @@
     /** Connections between nodes: a peer that is silent is missed, and its connections closed, before their timeout. */
     private static final PeerNetworkSettings PEER_NETWORK = new PeerNetworkSettings(
             Duration.ofMillis(400),
-            Duration.ofMillis(PeerBook.DISTANT_SILENCE_MILLIS + 300),
+            Duration.ofMillis(PeerTable.DISTANT_SILENCE_MILLIS + 300),
             Duration.ofSeconds(60),
             Duration.ofMillis(50),
             Duration.ofMillis(400),
@@ -162,7 +162,7 @@
         exchange.use(network);
         NodeJobs jobs = new NodeJobs(
                 configuration,
-                coordinator.desk(),
+                coordinator.router(),
                 this::askCancel,
                 cancels,
                 timers,
@@ -170,10 +170,10 @@
                 meters,
                 this::ready,
                 () -> leaving);
-        doors.add(ClientDoor.openForReadiness(group, settings.readinessAddress(), jobs));
-        doors.add(ClientDoor.openForClients(group, settings.clientAddress(), jobs));
+        doors.add(ClientServer.openForReadiness(group, settings.readinessAddress(), jobs));
+        doors.add(ClientServer.openForClients(group, settings.clientAddress(), jobs));
         Address pages = new Address(settings.ip(), settings.metricsPort());
-        doors.add(ClientDoor.openForPages(group, pages, ImmutableMap.of("/metrics", meters::scrape)));
+        doors.add(ClientServer.openForPages(group, pages, ImmutableMap.of("/metrics", meters::scrape)));
         loop.execute(this::begin);
         log.line(NodeEvent.NODE_STARTED, "domain", settings.domain(), "run", run);
     }
@@ -197,15 +197,15 @@
     }
 
     private void awaitEmpty(long since) {
-        JobDesk desk = coordinator.desk();
+        JobRouter router = coordinator.router();
         long waited = timers.nowMillis() - since;
         if (waited >= BALANCER_NOTICE_MILLIS + OPEN_CONNECTIONS_MILLIS) {
-            desk.takeNothingNew();
+            router.takeNothingNew();
         }
-        boolean idle = desk.closed() && desk.openJobs() == 0;
+        boolean idle = router.closed() && router.openJobs() == 0;
         if (idle || waited >= settings.shutdownMillis() - LAST_ANSWERS_MILLIS) {
-            log.line(NodeEvent.NODE_STOPPED, "open-jobs", desk.openJobs(), "after-ms", waited);
-            desk.giveUpAll();
+            log.line(NodeEvent.NODE_STOPPED, "open-jobs", router.openJobs(), "after-ms", waited);
+            router.giveUpAll();
             timers.after(REVIEW_MILLIS, () -> Runtime.getRuntime().halt(0));
         } else {
             timers.after(REVIEW_MILLIS / 2, () -> awaitEmpty(since));
@@ -213,7 +213,7 @@
     }
 
     private int openJobs() {
-        return coordinator.desk().openJobs();
+        return coordinator.router().openJobs();
     }
 
     private boolean ready() {
@@ -239,7 +239,7 @@
 
     private void review() {
         long now = timers.nowMillis();
-        for (NodeId silent : coordinator.book().expire(now)) {
+        for (NodeId silent : coordinator.peers().expire(now)) {
             lost(silent, "silent");
         }
         coordinator.review(discovered());
@@ -253,7 +253,7 @@
     }
 
     private void refreshDirectory(long now) {
-        if (coordinator.heldShards() > 0 && now - directoryReadAtMillis >= PeerBook.DISTANT_PERIOD_MILLIS) {
+        if (coordinator.heldShards() > 0 && now - directoryReadAtMillis >= PeerTable.DISTANT_PERIOD_MILLIS) {
             directoryReadAtMillis = now;
             directory.refresh();
         }
@@ -263,7 +263,7 @@
         long now = timers.nowMillis();
         if (directory.complete()) {
             return now - directory.completeAtMillis() >= DISCOVERY_MILLIS
-                    || Discovery.enoughHeard(
+                    || Discovery.enoughReceived(
                             settings.member(),
                             exchange.locatedIn(coordinator.neighbours()),
                             coordinator.presentNeighbours());
@@ -317,12 +317,12 @@
             exchange.send(status.node(), new NodesAsked());
         }
         reviewShards();
-        coordinator.placeSeeking();
+        coordinator.routeWaiting();
     }
 
     @Override
     public void disconnected(NodeId peer) {
-        if (coordinator.book().lost(peer)) {
+        if (coordinator.peers().lost(peer)) {
             lost(peer, "disconnected");
         }
     }
@@ -334,12 +334,12 @@
 
     @Override
     public void notOffered(NodeId peer, JobId job) {
-        coordinator.desk().notOffered(peer, job);
+        coordinator.router().notOffered(peer, job);
     }
 
     @Override
     public void verdictCame(NodeId holder, JobId job, Verdict verdict, long retryMillis) {
-        coordinator.desk().settled(holder, job, verdict, retryMillis);
+        coordinator.router().settled(holder, job, verdict, retryMillis);
     }
 
     @Override
@@ -349,7 +349,7 @@
 
     @Override
     public boolean cancelled(JobId job) {
-        return coordinator.desk().cancel(job);
+        return coordinator.router().cancel(job);
     }
 
     @Override
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/NodeJobs.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/NodeJobs.java
@@ -5,7 +5,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.ToIntFunction;
-import org.tarragonarch.core.handover.JobDesk;
+import org.tarragonarch.core.routing.JobRouter;
 import org.tarragonarch.model.id.NodeId;
 import org.tarragonarch.model.log.NodeEvent;
 import org.tarragonarch.model.task.JobId;
@@ -23,7 +23,7 @@
     private static final int LOGGED_LENGTH = 128;
 
     private final ConfigurationInForce configuration;
-    private final JobDesk desk;
+    private final JobRouter router;
     private final ToIntFunction<JobId> askPeersToCancel;
     private final CancelRounds cancels;
     private final Timers timers;
@@ -34,7 +34,7 @@
 
     NodeJobs(
             ConfigurationInForce configuration,
-            JobDesk desk,
+            JobRouter router,
             ToIntFunction<JobId> askPeersToCancel,
             CancelRounds cancels,
             Timers timers,
@@ -43,7 +43,7 @@
             BooleanSupplier ready,
             BooleanSupplier leaving) {
         this.configuration = configuration;
-        this.desk = desk;
+        this.router = router;
         this.askPeersToCancel = askPeersToCancel;
         this.cancels = cancels;
         this.timers = timers;
@@ -85,7 +85,7 @@
     @Override
     public Submission submit(QueueDefinition queue, JobRequest job, long deadlineMillis, Consumer<JobReply> reply) {
         long arrived = timers.nowMillis();
-        return desk.submit(queue, job, deadlineMillis, answer -> {
+        return router.submit(queue, job, deadlineMillis, answer -> {
             long tookMillis = timers.nowMillis() - arrived;
             meters.answered(answer.outcome(), tookMillis);
             log.line(
@@ -116,7 +116,7 @@
 
     @Override
     public void cancel(JobId job, Consumer<Boolean> known) {
-        boolean here = desk.cancel(job);
+        boolean here = router.cancel(job);
         log.line(NodeEvent.JOB_CANCELLED, "job", job, "here", here);
         if (here) {
             known.accept(true);
@@ -127,12 +127,12 @@
 
     @Override
     public Optional<JobProgress> progress(JobId job) {
-        return desk.progress(job);
+        return router.progress(job);
     }
 
     @Override
     public long waiting(QueueDefinition queue) {
-        return desk.waiting(queue.name());
+        return router.waiting(queue.name());
     }
 
     @Override
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/HangUpSignal.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ReloadSignal.java
@@ -10,8 +10,8 @@
  * signals is internal to the JDK and is therefore used by name alone: where it is missing, the process keeps the
  * virtual machine's behaviour.
  */
-final class HangUpSignal {
-    private HangUpSignal() {}
+final class ReloadSignal {
+    private ReloadSignal() {}
 
     static void handle(Runnable task) {
         try {
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ShardLog.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ShardLog.java
@@ -1,6 +1,6 @@
 package org.tarragonarch.entry.cluster;
 
-import org.tarragonarch.core.placing.Outlook;
+import org.tarragonarch.core.placing.CompletionEstimate;
 import org.tarragonarch.core.shard.ShardObserver;
 import org.tarragonarch.model.id.EndpointId;
 import org.tarragonarch.model.id.FailureDomain;
@@ -22,28 +22,28 @@
     }
 
     @Override
-    public void declined(NodeId asker, JobId job, Outlook outlook) {
+    public void declined(NodeId origin, JobId job, CompletionEstimate estimate) {
         meters.declined();
         log.line(
                 NodeEvent.JOB_DECLINED,
                 "job",
                 job,
-                "asker",
-                asker,
+                "origin",
+                origin,
                 "wait-ms",
-                outlook.waitMillis(),
+                estimate.waitMillis(),
                 "expected-run-ms",
-                outlook.expectedRunMillis(),
+                estimate.expectedRunMillis(),
                 "in-time-within-ms",
-                outlook.inTimeWithinMillis(),
+                estimate.inTimeWithinMillis(),
                 "deadline-within-ms",
-                outlook.deadlineWithinMillis(),
+                estimate.deadlineWithinMillis(),
                 "places",
-                outlook.places(),
+                estimate.places(),
                 "free-places",
-                outlook.freePlaces(),
+                estimate.freePlaces(),
                 "waiting-jobs",
-                outlook.waitingJobs());
+                estimate.waitingJobs());
     }
 
     @Override
@@ -74,7 +74,7 @@
     }
 
     @Override
-    public void outranked(FailureDomain shard, FencingToken token) {
-        log.line(NodeEvent.SHARD_OUTRANKED, "shard", shard, "token", token);
+    public void fenced(FailureDomain shard, FencingToken token) {
+        log.line(NodeEvent.SHARD_FENCED, "shard", shard, "token", token);
     }
 }
--- a/tarragonarch-entry/src/test/java/org/tarragonarch/entry/cluster/PeerExchangeTest.java
+++ b/tarragonarch-entry/src/test/java/org/tarragonarch/entry/cluster/PeerExchangeTest.java
@@ -34,7 +34,7 @@
     /**
      * Every answer was late and the nodes used half a core each while hardly anything was asked of them: a verdict that
      * came from a holder was passed on like one that had been reached here, that is back to the holder, which sent it
-     * back again. A verdict that comes ends at the desk.
+     * back again. A verdict that comes ends at the router.
      */
     @Test
     public void testReceived_verdictIsForThisNode() {
--- a/tarragonarch-entry/src/test/java/org/tarragonarch/entry/cluster/WholePathTest.java
+++ b/tarragonarch-entry/src/test/java/org/tarragonarch/entry/cluster/WholePathTest.java
@@ -134,7 +134,7 @@
 
     private ClusterSettings startNode(String name) throws IOException, StepException {
         Path file = Files.createTempFile(name, ".jsonc");
-        List<Integer> ports = ClassRehearsal.freePorts(PORTS_A_NODE);
+        List<Integer> ports = ArchiveWarmUp.freePorts(PORTS_A_NODE);
         try {
             Files.writeString(
                     file, """
--- a/tarragonarch-model/src/main/java/org/tarragonarch/model/log/NodeEvent.java
+++ b/tarragonarch-model/src/main/java/org/tarragonarch/model/log/NodeEvent.java
@@ -18,10 +18,10 @@
     RUN_ENDED_BADLY,
     /** This node holds a shard from now on. */
     SHARD_CLAIMED,
-    /** This node lets go of a shard. */
+    /** This node releases a shard. */
     SHARD_RESIGNED,
     /** The endpoints of a shard obey another holder. */
-    SHARD_OUTRANKED,
+    SHARD_FENCED,
     /** A peer can be heard. */
     PEER_JOINED,
     /** A peer cannot be heard any more. */
--- a/tarragonarch-model/src/main/java/org/tarragonarch/model/report/NodeStatus.java
+++ b/tarragonarch-model/src/main/java/org/tarragonarch/model/report/NodeStatus.java
@@ -16,7 +16,7 @@
  * @param address where it takes frames
  * @param milliCores the processor time that it may use, in thousandths of a core
  * @param leaving whether it is shutting down
- * @param seeking whether it misses the holder of a shard and wants to hear every peer often
+ * @param withoutHolder whether it misses the holder of a shard and wants to hear every peer often
  * @param configurationVersion the version in force there, 0 for none
  * @param shards the shards that it holds
  */
@@ -26,7 +26,7 @@
         Address address,
         int milliCores,
         boolean leaving,
-        boolean seeking,
+        boolean withoutHolder,
         long configurationVersion,
         ImmutableList<HeldShard> shards) {
     /** Checks the parts. */
@@ -45,6 +45,6 @@
 
     /** Returns the same status with these shards. */
     public NodeStatus holding(ImmutableList<HeldShard> held) {
-        return new NodeStatus(node, domain, address, milliCores, leaving, seeking, configurationVersion, held);
+        return new NodeStatus(node, domain, address, milliCores, leaving, withoutHolder, configurationVersion, held);
     }
 }
--- a/tarragonarch-model/src/main/java/org/tarragonarch/model/service/ServiceDefinition.java
+++ b/tarragonarch-model/src/main/java/org/tarragonarch/model/service/ServiceDefinition.java
@@ -22,7 +22,7 @@
  */
 public record ServiceDefinition(
         ServiceName name,
-        Favour favours,
+        ServiceObjective favours,
         ImmutableMap<KindName, KindDefinition> kinds,
         ImmutableSet<CallerName> callers,
         int maxRunningTasks,
--- a/tarragonarch-model/src/main/java/org/tarragonarch/model/service/Favour.java
+++ b/tarragonarch-model/src/main/java/org/tarragonarch/model/service/ServiceObjective.java
@@ -1,7 +1,7 @@
 package org.tarragonarch.model.service;
 
 /** The measure that a service favours where response time and messages pull apart. */
-public enum Favour {
+public enum ServiceObjective {
     /** Callers wait at a page: spend messages to answer sooner. */
     RESPONSE_TIME("response-time") {
         @Override
@@ -49,7 +49,7 @@
 
     private final String word;
 
-    Favour(String word) {
+    ServiceObjective(String word) {
         this.word = word;
     }
 
--- a/tarragonarch-model/src/main/java/org/tarragonarch/model/task/HoldOrder.java
+++ b/tarragonarch-model/src/main/java/org/tarragonarch/model/task/HoldOrder.java
@@ -9,7 +9,7 @@
  *
  * @param token the holder's token
  * @param acknowledgedEnd the number of the last end that was taken note of, 0 for none
- * @param leaseUntilMillis until when what runs may go on, on the endpoint's clock; empty to only look
+ * @param leaseUntilMillis until when what runs may go on, on the endpoint's clock; empty to only read the lists
  * @param waitMillis how long the endpoint may wait for an end before it answers
  */
 public record HoldOrder(FencingToken token, long acknowledgedEnd, OptionalLong leaseUntilMillis, long waitMillis) {
--- a/tarragonarch-model/src/main/java/org/tarragonarch/model/task/Offer.java
+++ b/tarragonarch-model/src/main/java/org/tarragonarch/model/task/Offer.java
@@ -9,7 +9,7 @@
  *
  * @param job the job
  * @param queue the queue that it came by
- * @param asker the node that has the client's connection
+ * @param origin the node that has the client's connection
  * @param ageMillis how long ago the job reached that node
  * @param deadlineMillis how long the client still waits
  * @param earlierRuns what may still run of it that a lost holder started
@@ -17,7 +17,7 @@
 public record Offer(
         JobRequest job,
         QueueDefinition queue,
-        NodeId asker,
+        NodeId origin,
         long ageMillis,
         long deadlineMillis,
         EarlierRuns earlierRuns) {
@@ -25,12 +25,12 @@
     public Offer {
         checkNotNull(job, "job");
         checkNotNull(queue, "queue");
-        checkNotNull(asker, "asker");
+        checkNotNull(origin, "origin");
         checkNotNull(earlierRuns, "earlierRuns");
     }
 
     /** Returns the same offer after a wait on this holder's side. */
     public Offer later(long millis) {
-        return new Offer(job, queue, asker, ageMillis + millis, deadlineMillis - millis, earlierRuns.after(millis));
+        return new Offer(job, queue, origin, ageMillis + millis, deadlineMillis - millis, earlierRuns.after(millis));
     }
 }
--- a/tarragonarch-model/src/main/java/org/tarragonarch/model/task/OrderResult.java
+++ b/tarragonarch-model/src/main/java/org/tarragonarch/model/task/OrderResult.java
@@ -5,7 +5,7 @@
     /** Carried out, now or before. */
     DONE,
     /** Refused: a higher token was seen. */
-    OUTRANKED,
+    FENCED,
     /** Refused: that run, or a later one, was stopped or has ended there. */
     OLD_RUN,
     /** Refused: the order came after its own time. */
--- a/tarragonarch-model/src/main/java/org/tarragonarch/model/task/Verdict.java
+++ b/tarragonarch-model/src/main/java/org/tarragonarch/model/task/Verdict.java
@@ -10,8 +10,8 @@
     DECLINED,
     /** Given up because its answer would come too late to be of use; whatever ran is stopped. */
     TOO_LATE,
-    /** Its holder lets go of the shard; whatever runs is left to the next holder, or to its lease. */
+    /** Its holder releases the shard; whatever runs is left to the next holder, or to its lease. */
     HOLD_LOST,
-    /** Its holder lets go of the shard and has started nothing of it. */
+    /** Its holder releases the shard and has started nothing of it. */
     RETURNED
 }
--- a/tarragonarch-settings/src/main/java/org/tarragonarch/settings/CatalogBuilder.java
+++ b/tarragonarch-settings/src/main/java/org/tarragonarch/settings/CatalogBuilder.java
@@ -15,12 +15,12 @@
 import org.tarragonarch.model.id.ServiceName;
 import org.tarragonarch.model.id.TeamName;
 import org.tarragonarch.model.service.CallerDefinition;
-import org.tarragonarch.model.service.Favour;
 import org.tarragonarch.model.service.KindDefinition;
 import org.tarragonarch.model.service.OperatorDefinition;
 import org.tarragonarch.model.service.OperatorRole;
 import org.tarragonarch.model.service.ServiceCatalog;
 import org.tarragonarch.model.service.ServiceDefinition;
+import org.tarragonarch.model.service.ServiceObjective;
 import org.tarragonarch.model.service.TeamDefinition;
 
 /** Builds the catalog that a merged configuration defines, recording every mistake in ranges, words and references. */
@@ -130,8 +130,11 @@
         ImmutableMap.Builder<ServiceName, ServiceDefinition> services = ImmutableMap.builder();
         root.objects("services").forEach((text, settings) -> {
             ServiceName name = ServiceName.of(text);
-            Favour favours = settings.choice(
-                    "favours", ImmutableList.copyOf(Favour.values()), Favour::word, Optional.of(Favour.RESPONSE_TIME));
+            ServiceObjective favours = settings.choice(
+                    "favours",
+                    ImmutableList.copyOf(ServiceObjective.values()),
+                    ServiceObjective::word,
+                    Optional.of(ServiceObjective.RESPONSE_TIME));
             ImmutableSet<CallerName> allowed = allowedCallers(settings, callers);
             int running = settings.integer("max-running-tasks", 1, MAX_TASKS);
             int queued = settings.integer("max-queued-tasks", 0, MAX_TASKS, DEFAULT_MAX_QUEUED_TASKS);
--- a/tarragonarch-standin/src/main/java/org/tarragonarch/standin/explore/SampleCatalog.java
+++ b/tarragonarch-standin/src/main/java/org/tarragonarch/standin/explore/SampleCatalog.java
@@ -12,10 +12,10 @@
 import org.tarragonarch.model.id.ServiceName;
 import org.tarragonarch.model.id.TeamName;
 import org.tarragonarch.model.service.CallerDefinition;
-import org.tarragonarch.model.service.Favour;
 import org.tarragonarch.model.service.KindDefinition;
 import org.tarragonarch.model.service.ServiceCatalog;
 import org.tarragonarch.model.service.ServiceDefinition;
+import org.tarragonarch.model.service.ServiceObjective;
 import org.tarragonarch.model.service.TeamDefinition;
 
 /** The small configuration that the explorer and the scenarios run with. */
@@ -40,7 +40,7 @@
     public static ServiceCatalog version(long version) {
         ServiceDefinition service = new ServiceDefinition(
                 SERVICE,
-                version % 2 == 0 ? Favour.FEW_MESSAGES : Favour.RESPONSE_TIME,
+                version % 2 == 0 ? ServiceObjective.FEW_MESSAGES : ServiceObjective.RESPONSE_TIME,
                 ImmutableMap.of(IDEMPOTENT, kind(IDEMPOTENT, true), ONCE, kind(ONCE, false)),
                 ImmutableSet.of(CALLER),
                 MANY,
--- a/tarragonarch-wire/src/main/java/org/tarragonarch/wire/OfferCodec.java
+++ b/tarragonarch-wire/src/main/java/org/tarragonarch/wire/OfferCodec.java
@@ -20,7 +20,7 @@
 
     static void write(FrameWriter writer, JobOffered offered) {
         Offer offer = offered.offer();
-        writer.writeText(offer.asker().value())
+        writer.writeText(offer.origin().value())
                 .writeLong(offer.ageMillis())
                 .writeLong(offer.deadlineMillis())
                 .writeLong(offer.earlierRuns().lastMillis())
@@ -31,12 +31,12 @@
     }
 
     static JobOffered read(FrameReader reader) throws MalformedFrameException {
-        NodeId asker = NodeId.of(reader.readText());
+        NodeId origin = NodeId.of(reader.readText());
         long age = reader.readLong();
         long deadline = reader.readLong();
         EarlierRuns earlierRuns = readEarlierRuns(reader);
         JobRequest job = readJob(reader);
-        return new JobOffered(new Offer(job, readQueue(reader), asker, age, deadline, earlierRuns));
+        return new JobOffered(new Offer(job, readQueue(reader), origin, age, deadline, earlierRuns));
     }
 
     private static EarlierRuns readEarlierRuns(FrameReader reader) throws MalformedFrameException {
--- a/tarragonarch-wire/src/main/java/org/tarragonarch/wire/StatusCodec.java
+++ b/tarragonarch-wire/src/main/java/org/tarragonarch/wire/StatusCodec.java
@@ -14,7 +14,7 @@
     static void write(FrameWriter writer, NodeStatus status) {
         MemberCodec.write(writer, status.member());
         writer.writeBoolean(status.leaving())
-                .writeBoolean(status.seeking())
+                .writeBoolean(status.withoutHolder())
                 .writeLong(status.configurationVersion())
                 .writeCount(status.shards().size());
         for (HeldShard shard : status.shards()) {
@@ -27,7 +27,7 @@
     static NodeStatus read(FrameReader reader) throws MalformedFrameException {
         Member member = MemberCodec.read(reader);
         boolean leaving = reader.readBoolean();
-        boolean seeking = reader.readBoolean();
+        boolean withoutHolder = reader.readBoolean();
         long version = reader.readLong();
         int count = reader.readCount();
         ImmutableList.Builder<HeldShard> shards = ImmutableList.builder();
@@ -42,7 +42,7 @@
                 member.address(),
                 member.milliCores(),
                 leaving,
-                seeking,
+                withoutHolder,
                 version,
                 shards.build());
     }
