--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/HolderElection.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/HolderElection.java
@@ -6,7 +6,6 @@
 import java.util.Optional;
 import org.tarragonarch.model.id.FailureDomain;
 import org.tarragonarch.model.id.NodeId;
-import org.tarragonarch.model.report.HeldShard;
 import org.tarragonarch.model.report.NodeStatus;
 import org.tarragonarch.model.task.FencingToken;
 
@@ -43,15 +42,6 @@
      */
     private static final long FENCED_PAUSE_MILLIS = 3_000;
 
-    /**
-     * A holder hands its shards to a node of the same pool that has at least this many times its processor time.
-     *
-     * <p>A holder works for all endpoints of its pool. On a third of a core it falls behind in a burst that a core
-     * and a half carry easily, and every caller of the domain waits. Less than twice is not worth a takeover, which
-     * stops what runs.
-     */
-    private static final int MUCH_STRONGER = 2;
-
     /**
      * How long a stronger node must have been there before a holder releases its shards to it, in milliseconds: long
      * enough to have the list of endpoints and warm code.
@@ -67,10 +57,9 @@
      */
     private static final long UNHEARD_TERM_SKIP = 20;
 
-    private final NodeId own;
     private final FailureDomain ownDomain;
     private final String ownIp;
-    private final int ownMilliCores;
+    private final CandidateRanking ranking;
     private final PeerTable peers;
     private final ShardPools pools;
     private final Map<FailureDomain, FencingToken> held = new HashMap<>();
@@ -80,18 +69,17 @@
     private final Map<FailureDomain, Long> fencedAt = new HashMap<>();
 
     /**
-     * Creates the succession of a node that holds nothing.
+     * Creates the election as seen by a node that holds nothing.
      *
      * @param ownMilliCores the processor time that this node may use, in thousandths of a core
      */
     public HolderElection(
             NodeId own, FailureDomain ownDomain, String ownIp, int ownMilliCores, PeerTable peers, ShardPools pools) {
-        this.own = own;
         this.ownDomain = ownDomain;
         this.ownIp = ownIp;
-        this.ownMilliCores = ownMilliCores;
         this.peers = peers;
         this.pools = pools;
+        this.ranking = new CandidateRanking(own, ownDomain, ownMilliCores, held.keySet(), peers, pools);
     }
 
     /** Returns the token under which this node holds the shard, if it does. */
@@ -121,7 +109,7 @@
         return nowMillis - since >= patienceMillis(shard)
                 && nowMillis >= keepAwayUntil.getOrDefault(shard, Long.MIN_VALUE)
                 && mayBeNext(shard)
-                && firstInLine(shard);
+                && ranking.isFirst(shard);
     }
 
     /** Returns whether this node most likely cannot be heard by its peers, while they go on. */
@@ -188,29 +176,13 @@
     /** Returns whether the pool would be better held by a node that has been there for a while. */
     private boolean yieldsToCandidate(ImmutableSet<FailureDomain> pool, long sinceMillis) {
         for (NodeStatus peer : peers.presentSince(sinceMillis)) {
-            if (pool.contains(peer.domain()) && !peer.leaving() && yieldsTo(peer, pool)) {
+            if (pool.contains(peer.domain()) && !peer.leaving() && ranking.yieldsTo(peer, pool)) {
                 return true;
             }
         }
         return false;
     }
 
-    /**
-     * Returns whether a node of the pool should have what this one holds of it: because it is much stronger, or because
-     * it holds more of the pool already, as when a domain that was cut off went on by itself and can be reached again.
-     */
-    private boolean yieldsTo(NodeStatus peer, ImmutableSet<FailureDomain> pool) {
-        if (peer.milliCores() >= MUCH_STRONGER * ownMilliCores) {
-            return true;
-        }
-        if (ownMilliCores >= MUCH_STRONGER * peer.milliCores()) {
-            return false;
-        }
-        long theirs = heldOf(pool, peer);
-        long ours = ownHeldOf(pool);
-        return theirs > ours || theirs == ours && theirs > 0 && peer.node().compareTo(own) < 0;
-    }
-
     /**
      * Releases a shard none of whose endpoints can be reached from here, and keeps away from it for a while.
      *
@@ -254,7 +226,7 @@
         lastTerm.merge(shard, UNHEARD_TERM_SKIP, Long::sum);
         Long before = fencedAt.put(shard, nowMillis);
         boolean again = before != null && nowMillis - before < FENCED_PAUSE_MILLIS;
-        if (!again && peers.holder(shard).isEmpty() && firstInLine(shard) && othersPresent()) {
+        if (!again && peers.holder(shard).isEmpty() && ranking.isFirst(shard) && othersPresent()) {
             return;
         }
         keepAwayUntil.put(shard, nowMillis + FENCED_PAUSE_MILLIS);
@@ -267,53 +239,7 @@
     /** Returns whether this node would be the next holder of the shard if the present one were lost. */
     public boolean isSuccessor(FailureDomain shard) {
         int holders = peers.holder(shard).isPresent() ? 1 : 0;
-        return goingBefore(shard) <= holders;
-    }
-
-    private boolean firstInLine(FailureDomain shard) {
-        return goingBefore(shard) == 0;
-    }
-
-    private long goingBefore(FailureDomain shard) {
-        ImmutableSet<FailureDomain> pool = pools.poolOf(shard);
-        return peers.present().stream()
-                .filter(peer -> !peer.leaving() && goesBefore(peer, pool))
-                .count();
-    }
-
-    private boolean goesBefore(NodeStatus peer, ImmutableSet<FailureDomain> pool) {
-        boolean peerIsNear = pool.contains(peer.domain());
-        if (peerIsNear != pool.contains(ownDomain)) {
-            return peerIsNear;
-        }
-        if (!peerIsNear && peer.shards().isEmpty() != held.isEmpty()) {
-            return held.isEmpty();
-        }
-        long theirs = heldOf(pool, peer);
-        long ours = ownHeldOf(pool);
-        if (theirs != ours) {
-            return theirs > ours;
-        }
-        if (peer.milliCores() != ownMilliCores) {
-            return peer.milliCores() > ownMilliCores;
-        }
-        return peer.node().compareTo(own) < 0;
-    }
-
-    private static long heldOf(ImmutableSet<FailureDomain> pool, NodeStatus peer) {
-        long count = 0;
-        for (HeldShard shard : peer.shards()) {
-            count += pool.contains(shard.domain()) ? 1 : 0;
-        }
-        return count;
-    }
-
-    private long ownHeldOf(ImmutableSet<FailureDomain> pool) {
-        long count = 0;
-        for (FailureDomain shard : held.keySet()) {
-            count += pool.contains(shard) ? 1 : 0;
-        }
-        return count;
+        return ranking.goingBefore(shard) <= holders;
     }
 
     private boolean homeNodePresent(FailureDomain shard) {
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ClusterNode.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ClusterNode.java
@@ -6,7 +6,6 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.util.concurrent.DefaultThreadFactory;
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
@@ -18,7 +17,6 @@
 import org.tarragonarch.core.follow.FollowPace;
 import org.tarragonarch.core.follow.TableFollower;
 import org.tarragonarch.core.placing.PlacingSettings;
-import org.tarragonarch.core.routing.JobRouter;
 import org.tarragonarch.core.shard.EndpointList;
 import org.tarragonarch.core.shard.PeerTable;
 import org.tarragonarch.core.shard.ShardPools;
@@ -41,8 +39,6 @@
 import org.tarragonarch.wire.EndpointsAsked;
 import org.tarragonarch.wire.Hello;
 import org.tarragonarch.wire.NodesAsked;
-import org.tarragonarch.wire.PeerNetwork;
-import org.tarragonarch.wire.PeerNetworkSettings;
 
 /**
  * One node on the users' platform.
@@ -63,19 +59,6 @@
     /** How long a node tries to learn where its peers are; with the store away it then goes on alone. */
     private static final long LONGEST_DISCOVERY_MILLIS = 1_500;
 
-    /**
-     * How a node that holds a shard, or would be the next to, reads the list of endpoints. Every endpoint writes its
-     * entry every 1.5 s, so hearing of each change at once would cost a call for every heartbeat of every endpoint; an
-     * endpoint that drains must get nothing new 2 s after it said so.
-     */
-    private static final FollowPace LIST_PACE = FollowPace.every(900);
-
-    /**
-     * How every other node reads the list. Entries lapse after three heartbeats, 4.5 s, so an outage of the store in
-     * which they do is noticed, and they are kept.
-     */
-    private static final FollowPace SELDOM_LIST_PACE = FollowPace.every(3_600);
-
     /**
      * How often the store says that there is no newer configuration, within the time in which a change must be in
      * force. Right after a change a node knows no more than that of the call before, so two waits and their answers
@@ -84,29 +67,6 @@
      */
     private static final double CONFIRMATIONS_PER_BOUND = 2.25;
 
-    /** The balancer asks once a second and drops a node after two misses. */
-    private static final long BALANCER_NOTICE_MILLIS = 2_300;
-
-    /**
-     * How long a leaving node still takes jobs after the balancer has noticed, in milliseconds. Every answer of a
-     * leaving node closes its connection, so after this hardly any client is left that would be refused.
-     */
-    private static final long OPEN_CONNECTIONS_MILLIS = 500;
-
-    /** How long before it would be killed a leaving node answers what is still open, in milliseconds. */
-    private static final long LAST_ANSWERS_MILLIS = 500;
-
-    /** Connections between nodes: a peer that is silent is missed, and its connections closed, before their timeout. */
-    private static final PeerNetworkSettings PEER_NETWORK = new PeerNetworkSettings(
-            Duration.ofMillis(400),
-            Duration.ofMillis(PeerTable.DISTANT_SILENCE_MILLIS + 300),
-            Duration.ofSeconds(60),
-            Duration.ofMillis(50),
-            Duration.ofMillis(400),
-            4_096,
-            8 * 1024 * 1024,
-            1_024);
-
     private final ClusterSettings settings;
     private final DecisionLog log;
     private final NioEventLoopGroup group = new NioEventLoopGroup(1, new DefaultThreadFactory("node"));
@@ -119,11 +79,10 @@
     private final NodeMeters meters;
     private final Coordinator coordinator;
     private final NodeDirectory directory;
+    private final EndpointRows endpointRows;
     private final RowStore store;
-    private final List<Channel> doors = new ArrayList<>();
+    private final List<Channel> servers = new ArrayList<>();
     private final long startedAtMillis;
-    private PeerNetwork network;
-    private TableFollower endpointFollower;
     private boolean leaving;
     private long directoryReadAtMillis;
 
@@ -147,19 +106,14 @@
                 System::currentTimeMillis,
                 new ShardLog(log, meters));
         this.store = new StoreClient(loop, settings.storeAddress());
+        this.endpointRows = new EndpointRows(endpoints, coordinator::endpointsChanged, timers, log, meters);
         this.directory = new NodeDirectory(store, timers, settings.member(), this::located, log);
     }
 
-    /** Opens everything, the doors for clients last. */
+    /** Opens everything, the servers for clients last. */
     void start() throws StepException {
         Incarnation run = Incarnation.of(System.currentTimeMillis());
-        network = PeerNetwork.startOn(
-                group,
-                settings.peerAddress(),
-                Hello.of(settings.node(), run, settings.domain()),
-                exchange,
-                PEER_NETWORK);
-        exchange.use(network);
+        exchange.open(group, settings.peerAddress(), Hello.of(settings.node(), run, settings.domain()));
         NodeJobs jobs = new NodeJobs(
                 configuration,
                 coordinator.router(),
@@ -170,10 +124,10 @@
                 meters,
                 this::ready,
                 () -> leaving);
-        doors.add(ClientServer.openForReadiness(group, settings.readinessAddress(), jobs));
-        doors.add(ClientServer.openForClients(group, settings.clientAddress(), jobs));
+        servers.add(ClientServer.openForReadiness(group, settings.readinessAddress(), jobs));
+        servers.add(ClientServer.openForClients(group, settings.clientAddress(), jobs));
         Address pages = new Address(settings.ip(), settings.metricsPort());
-        doors.add(ClientServer.openForPages(group, pages, ImmutableMap.of("/metrics", meters::scrape)));
+        servers.add(ClientServer.openForPages(group, pages, ImmutableMap.of("/metrics", meters::scrape)));
         loop.execute(this::begin);
         log.line(NodeEvent.NODE_STARTED, "domain", settings.domain(), "run", run);
     }
@@ -187,7 +141,7 @@
             leaving = true;
             log.line(NodeEvent.NODE_LEAVING, "open-jobs", openJobs(), "shards", coordinator.heldShards());
             coordinator.leave();
-            awaitEmpty(timers.nowMillis());
+            new Departure(coordinator.router(), timers, log, settings.shutdownMillis()).begin();
         });
     }
 
@@ -196,22 +150,6 @@
         group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).awaitUninterruptibly();
     }
 
-    private void awaitEmpty(long since) {
-        JobRouter router = coordinator.router();
-        long waited = timers.nowMillis() - since;
-        if (waited >= BALANCER_NOTICE_MILLIS + OPEN_CONNECTIONS_MILLIS) {
-            router.takeNothingNew();
-        }
-        boolean idle = router.closed() && router.openJobs() == 0;
-        if (idle || waited >= settings.shutdownMillis() - LAST_ANSWERS_MILLIS) {
-            log.line(NodeEvent.NODE_STOPPED, "open-jobs", router.openJobs(), "after-ms", waited);
-            router.giveUpAll();
-            timers.after(REVIEW_MILLIS, () -> Runtime.getRuntime().halt(0));
-        } else {
-            timers.after(REVIEW_MILLIS / 2, () -> awaitEmpty(since));
-        }
-    }
-
     private int openJobs() {
         return coordinator.router().openJobs();
     }
@@ -224,12 +162,10 @@
         directory.start();
         ConfigurationRows configurationRows =
                 new ConfigurationRows(configuration, this::configured, timers, log, meters);
-        EndpointRows endpointRows = new EndpointRows(endpoints, coordinator::endpointsChanged, timers, log, meters);
         FollowPace configurationPace =
                 FollowPace.waiting(Math.round(settings.configurationMillis() / CONFIRMATIONS_PER_BOUND));
         new TableFollower(store, StoreTable.OPERATOR, timers, configurationRows, configurationPace).start();
-        endpointFollower = new TableFollower(store, StoreTable.ENDPOINTS, timers, endpointRows, LIST_PACE);
-        endpointFollower.start();
+        endpointRows.follow(store);
         review();
     }
 
@@ -244,14 +180,10 @@
         }
         coordinator.review(discovered());
         refreshDirectory(now);
-        paceEndpointList();
+        endpointRows.readOften(coordinator.needsEndpoints());
         timers.after(REVIEW_MILLIS, this::review);
     }
 
-    private void paceEndpointList() {
-        endpointFollower.changePace(coordinator.needsEndpoints() ? LIST_PACE : SELDOM_LIST_PACE);
-    }
-
     private void refreshDirectory(long now) {
         if (coordinator.heldShards() > 0 && now - directoryReadAtMillis >= PeerTable.DISTANT_PERIOD_MILLIS) {
             directoryReadAtMillis = now;
@@ -296,7 +228,7 @@
         log.line(NodeEvent.PEER_LOST, "peer", peer, "reason", reason);
         exchange.disconnect(peer, "the peer was lost");
         coordinator.lost(peer);
-        paceEndpointList();
+        endpointRows.readOften(coordinator.needsEndpoints());
         reviewShards();
     }
 
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/EndpointRows.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/EndpointRows.java
@@ -5,9 +5,12 @@
 import org.tarragonarch.adapter.EndpointBody;
 import org.tarragonarch.adapter.UnreadableBodyException;
 import org.tarragonarch.core.follow.FailedCall;
+import org.tarragonarch.core.follow.FollowPace;
+import org.tarragonarch.core.follow.TableFollower;
 import org.tarragonarch.core.shard.EndpointList;
 import org.tarragonarch.model.id.EndpointId;
 import org.tarragonarch.model.log.NodeEvent;
+import org.tarragonarch.model.store.RowStore;
 import org.tarragonarch.model.store.StoreRow;
 import org.tarragonarch.model.store.StoreTable;
 import org.tarragonarch.model.task.EndpointEntry;
@@ -15,11 +18,25 @@
 
 /** Takes the endpoints' rows of the store into the list; a row that cannot be read is left out and logged. */
 final class EndpointRows extends LoggedTable {
+    /**
+     * How a node that holds a shard, or would be the next to, reads the list of endpoints. Every endpoint writes its
+     * entry every 1.5 s, so hearing of each change at once would cost a call for every heartbeat of every endpoint; an
+     * endpoint that drains must get nothing new 2 s after it said so.
+     */
+    private static final FollowPace LIST_PACE = FollowPace.every(900);
+
+    /**
+     * How every other node reads the list. Entries lapse after three heartbeats, 4.5 s, so an outage of the store in
+     * which they do is noticed, and they are kept.
+     */
+    private static final FollowPace SELDOM_LIST_PACE = FollowPace.every(3_600);
+
     private final EndpointList endpoints;
     private final Runnable listChanged;
     private final Timers timers;
     private final DecisionLog log;
     private final NodeMeters meters;
+    private Optional<TableFollower> follower = Optional.empty();
 
     EndpointRows(EndpointList endpoints, Runnable listChanged, Timers timers, DecisionLog log, NodeMeters meters) {
         super(StoreTable.ENDPOINTS, timers, log, meters);
@@ -30,6 +47,22 @@
         this.log = log;
     }
 
+    /** Begins to read the rows. */
+    void follow(RowStore store) {
+        TableFollower started = new TableFollower(store, StoreTable.ENDPOINTS, timers, this, LIST_PACE);
+        follower = Optional.of(started);
+        started.start();
+    }
+
+    /**
+     * Says whether the rows are to be read often.
+     *
+     * @param often whether the node needs them up to date, because it holds a shard or may soon
+     */
+    void readOften(boolean often) {
+        follower.ifPresent(started -> started.changePace(often ? LIST_PACE : SELDOM_LIST_PACE));
+    }
+
     @Override
     public void replaced(ImmutableList<StoreRow> rows) {
         ImmutableList.Builder<EndpointEntry> entries = ImmutableList.builder();
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/PeerExchange.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/PeerExchange.java
@@ -2,15 +2,20 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
+import io.netty.channel.EventLoopGroup;
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
 import org.tarragonarch.core.cluster.PeerSender;
+import org.tarragonarch.core.shard.PeerTable;
+import org.tarragonarch.model.id.Address;
 import org.tarragonarch.model.id.ConfigurationVersion;
 import org.tarragonarch.model.id.ContentDigest;
 import org.tarragonarch.model.id.FailureDomain;
 import org.tarragonarch.model.id.Incarnation;
 import org.tarragonarch.model.id.NodeId;
+import org.tarragonarch.model.outcome.StepException;
 import org.tarragonarch.model.report.Member;
 import org.tarragonarch.model.report.NodeStatus;
 import org.tarragonarch.model.task.JobId;
@@ -23,6 +28,7 @@
 import org.tarragonarch.wire.EndpointsAsked;
 import org.tarragonarch.wire.EndpointsGiven;
 import org.tarragonarch.wire.Frame;
+import org.tarragonarch.wire.Hello;
 import org.tarragonarch.wire.JobOffered;
 import org.tarragonarch.wire.JobSettled;
 import org.tarragonarch.wire.JobWithdrawn;
@@ -31,10 +37,22 @@
 import org.tarragonarch.wire.Payload;
 import org.tarragonarch.wire.PeerListener;
 import org.tarragonarch.wire.PeerNetwork;
+import org.tarragonarch.wire.PeerNetworkSettings;
 import org.tarragonarch.wire.StatusFrame;
 
 /** Frames to and from the peers; turns each that comes into a call of the node. */
 final class PeerExchange implements PeerListener, PeerSender {
+    /** Connections between nodes: a peer that is silent is missed, and its connections closed, before their timeout. */
+    private static final PeerNetworkSettings NETWORK = new PeerNetworkSettings(
+            Duration.ofMillis(400),
+            Duration.ofMillis(PeerTable.DISTANT_SILENCE_MILLIS + 300),
+            Duration.ofSeconds(60),
+            Duration.ofMillis(50),
+            Duration.ofMillis(400),
+            4_096,
+            8 * 1024 * 1024,
+            1_024);
+
     private final PeerCalls calls;
     private final Map<NodeId, Member> members = new HashMap<>();
     private final Map<NodeId, Incarnation> runs = new HashMap<>();
@@ -44,8 +62,14 @@
         this.calls = calls;
     }
 
-    void use(PeerNetwork started) {
-        network = started;
+    /**
+     * Begins to listen for peers.
+     *
+     * @param group a group of one thread, on which every call is made
+     * @throws StepException if the address cannot be listened at
+     */
+    void open(EventLoopGroup group, Address address, Hello own) throws StepException {
+        network = PeerNetwork.startOn(group, address, own, this, NETWORK);
     }
 
     /** Learns where a node is said to be, from the store. */
