--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/Discovery.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/Discovery.java
@@ -12,8 +12,30 @@
     private static final Comparator<Member> FIRST_IN_LINE =
             Comparator.comparing((Member member) -> -member.milliCores()).thenComparing(Member::node);
 
+    /**
+     * How long a node that knows where its neighbours are waits to hear them all before it claims anything, in
+     * milliseconds: a connection and the statuses over it take some 50 on a node that has just started. Some may be
+     * gone for good.
+     */
+    private static final long FIRST_PATIENCE_MILLIS = 200;
+
+    /**
+     * The same for a node that is not first in line: as long again, for the one that is to be heard. Two that claim
+     * within moments of each other take the endpoints from one another, and all that one of them started starts anew.
+     */
+    private static final long OTHERS_PATIENCE_MILLIS = 2 * FIRST_PATIENCE_MILLIS;
+
     private Discovery() {}
 
+    /**
+     * Returns how long a node waits to hear its neighbours once it knows where they are, in milliseconds.
+     *
+     * @param located every other node of the pool that is known of
+     */
+    public static long patienceMillis(Member own, ImmutableList<Member> located) {
+        return firstInLine(own, located) ? FIRST_PATIENCE_MILLIS : OTHERS_PATIENCE_MILLIS;
+    }
+
     /**
      * Returns whether no holder can be missed by what was heard so far.
      *
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/HeldEndpoint.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/HeldEndpoint.java
@@ -1,6 +1,7 @@
 package org.tarragonarch.core.placing;
 
 import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.Sets;
 import java.util.Optional;
 import java.util.function.Consumer;
 import org.tarragonarch.model.task.EndKind;
@@ -180,12 +181,13 @@
         }
     }
 
-    void badRun() {
-        health.failed(link.nowMillis());
-    }
-
-    void goodRun() {
-        health.good();
+    /** Takes in whether a run ended well. */
+    void judge(boolean good) {
+        if (good) {
+            health.good();
+        } else {
+            health.failed(link.nowMillis());
+        }
     }
 
     private void endOthers(ImmutableSet<TaskRun> running, long sentAtMillis) {
@@ -198,10 +200,6 @@
         }
     }
 
-    private ImmutableSet<TaskRun> withoutReservation(ImmutableSet<TaskRun> running) {
-        return running.stream().filter(run -> room.of(run).isEmpty()).collect(ImmutableSet.toImmutableSet());
-    }
-
     private void lifeOver() {
         closed = true;
         releaseAll(EndKind.LAPSED);
@@ -248,7 +246,7 @@
         public void listed(Iterable<TaskRun> listed, long sentAtMillis, boolean firstList, boolean wasSilent) {
             ImmutableSet<TaskRun> running = ImmutableSet.copyOf(listed);
             endOthers(running, sentAtMillis);
-            recovered.listed(withoutReservation(running), firstList);
+            recovered.listed(Sets.filter(running, run -> room.of(run).isEmpty()), firstList);
             if (firstList) {
                 events.firstListed(HeldEndpoint.this);
             }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/Placer.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/Placer.java
@@ -195,10 +195,9 @@
     }
 
     private void take(Offer offer, int firstRun) {
-        long now = timers.nowMillis();
         long expected =
                 runTimes.expectedMillis(offer.queue().name(), offer.job().step().estimateMillis());
-        PlacedJob job = new PlacedJob(offer, firstRun, expected, JobTimes.of(offer, expected, now));
+        PlacedJob job = new PlacedJob(offer, firstRun, expected, JobTimes.of(offer, expected, timers.nowMillis()));
         if (offer.earlierRuns().over()) {
             admit(job);
             return;
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RunResults.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RunResults.java
@@ -30,7 +30,7 @@
         PlacedTask task = reservation.task();
         PlacedJob job = task.job();
         if (kind.ownEnd()) {
-            judge(endpoint, kind);
+            endpoint.judge(kind == EndKind.DONE);
         }
         if (kind != EndKind.DONE && !job.over()) {
             EndpointEntry entry = endpoint.entry();
@@ -101,14 +101,6 @@
         }
     }
 
-    private void judge(HeldEndpoint endpoint, EndKind kind) {
-        if (kind == EndKind.DONE) {
-            endpoint.goodRun();
-        } else {
-            endpoint.badRun();
-        }
-    }
-
     private void takeBack(Reservation reservation) {
         PlacedTask task = reservation.task();
         if (task.holds(reservation)) {
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/ShardOwnership.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/ShardOwnership.java
@@ -108,6 +108,7 @@
 
     /** Passes the list of endpoints on to the placer. */
     public void endpointsChanged() {
+        pools.review();
         steadyLists.update(pools.shards(), timers.nowMillis());
         heldShards().forEach(shard -> placer.orElseThrow().update(shard, endpoints.of(shard)));
     }
--- /dev/null
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/CoordinatorTest.java
@@ -0,0 +1,216 @@
+package org.tarragonarch.core.cluster;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+import org.tarragonarch.core.placing.CompletionEstimate;
+import org.tarragonarch.core.placing.PlacingSettings;
+import org.tarragonarch.core.placing.VirtualTimers;
+import org.tarragonarch.core.shard.EndpointList;
+import org.tarragonarch.core.shard.ShardObserver;
+import org.tarragonarch.core.shard.ShardPools;
+import org.tarragonarch.model.id.Address;
+import org.tarragonarch.model.id.EndpointId;
+import org.tarragonarch.model.id.FailureDomain;
+import org.tarragonarch.model.id.NodeId;
+import org.tarragonarch.model.id.Region;
+import org.tarragonarch.model.report.Member;
+import org.tarragonarch.model.report.NodeStatus;
+import org.tarragonarch.model.task.Delivery;
+import org.tarragonarch.model.task.EarlierRuns;
+import org.tarragonarch.model.task.EndKind;
+import org.tarragonarch.model.task.EndpointEntry;
+import org.tarragonarch.model.task.EndpointOrders;
+import org.tarragonarch.model.task.FencingToken;
+import org.tarragonarch.model.task.HoldAnswer;
+import org.tarragonarch.model.task.HoldOrder;
+import org.tarragonarch.model.task.JobId;
+import org.tarragonarch.model.task.JobRequest;
+import org.tarragonarch.model.task.Offer;
+import org.tarragonarch.model.task.OrderAnswer;
+import org.tarragonarch.model.task.QueueCatalog;
+import org.tarragonarch.model.task.QueueDefinition;
+import org.tarragonarch.model.task.Resources;
+import org.tarragonarch.model.task.StartOrder;
+import org.tarragonarch.model.task.TaskRun;
+import org.tarragonarch.model.task.TaskStep;
+import org.tarragonarch.model.task.Verdict;
+import org.testng.annotations.Test;
+
+/** Whom one node speaks to, and in which order, as its surroundings change. */
+public final class CoordinatorTest {
+    private static final FailureDomain HOBART = FailureDomain.of("hobart");
+    private static final FailureDomain LAUNCESTON = FailureDomain.of("launceston");
+    private static final int MANY_ENDPOINTS = 120;
+
+    private final VirtualTimers timers = new VirtualTimers();
+    private final EndpointList endpoints = new EndpointList();
+    private final List<String> sent = new ArrayList<>();
+    private final Coordinator coordinator = coordinator();
+
+    private Coordinator coordinator() {
+        ImmutableMap<FailureDomain, Region> regions =
+                ImmutableMap.of(HOBART, Region.of("south"), LAUNCESTON, Region.of("south"));
+        Member self = new Member(NodeId.of("a"), HOBART, new Address("10.0.0.1", 7_000), 360);
+        return new Coordinator(
+                self,
+                "10.0.0.1",
+                new ShardPools(regions, endpoints),
+                endpoints,
+                PlacingSettings.of(1_000, 50),
+                new SilentEndpoints(),
+                new NotedSender(),
+                timers,
+                () -> 0,
+                new Unobserved());
+    }
+
+    private void listEndpoints(int count) {
+        QueueDefinition queue = new QueueDefinition("checks", "h", "/p/", "board", 0, 3, 1.6, 60);
+        coordinator.configured(QueueCatalog.of(1, ImmutableList.of(queue)));
+        for (int i = 0; i < count; i++) {
+            FailureDomain domain = i % 2 == 0 ? HOBART : LAUNCESTON;
+            endpoints.listed(new EndpointEntry(
+                    EndpointId.of("w-" + i),
+                    "board",
+                    new Address("10.0.1.1", 80),
+                    domain,
+                    false,
+                    new Resources(1, 1, 0)));
+        }
+        coordinator.endpointsChanged();
+    }
+
+    /**
+     * All nodes come back from a loss of power and read some hundred endpoints at once. For a moment each took its
+     * whole region for one pool and greeted every node of it, which took a small core most of its first second.
+     */
+    @Test
+    public void testEndpointsChanged_onlyThePoolIsGreeted() {
+        CoordinatorTest test = new CoordinatorTest();
+        test.listEndpoints(MANY_ENDPOINTS);
+        test.coordinator.review(false);
+        assertTrue(test.sent.contains("status to [hobart]"), test.sent.toString());
+        assertEquals(ImmutableSet.copyOf(test.sent), ImmutableSet.of("status to [hobart]"));
+    }
+
+    /** Few endpoints: the region is one pool, and the nodes of its other domains are greeted once that is known. */
+    @Test
+    public void testEndpointsChanged_pooledRegionIsGreeted() {
+        CoordinatorTest test = new CoordinatorTest();
+        test.listEndpoints(10);
+        assertTrue(test.sent.contains("status to [hobart, launceston]"), test.sent.toString());
+    }
+
+    /**
+     * A holder is told to stop. Its jobs went back before its peers knew that it holds nothing any more; they offered
+     * them to it again, to and fro, until its next status.
+     */
+    @Test
+    public void testLeave_statusGoesBeforeTheJobs() {
+        CoordinatorTest test = new CoordinatorTest();
+        test.listEndpoints(10);
+        test.coordinator.review(true);
+        assertEquals(test.coordinator.heldShards(), 1);
+        test.coordinator.offered(offerOf("b"));
+        test.sent.clear();
+        test.coordinator.leave();
+        assertEquals(test.coordinator.heldShards(), 0);
+        int verdict = test.sent.indexOf("RETURNED to b");
+        assertTrue(verdict > 0, test.sent.toString());
+        assertEquals(test.sent.get(verdict - 1), "status to all, 0 shards, leaving");
+    }
+
+    private static Offer offerOf(String origin) {
+        QueueDefinition queue = new QueueDefinition("checks", "h", "/p/", "board", 0, 3, 1.6, 60);
+        TaskStep step = new TaskStep(1, new Resources(1, 1, 0), 60);
+        JobRequest job = new JobRequest(new JobId("00000000000000aa"), "x", step);
+        return new Offer(job, queue, NodeId.of(origin), 0, 3_000, EarlierRuns.NONE);
+    }
+
+    /** Notes what is sent. */
+    private final class NotedSender implements PeerSender {
+        @Override
+        public void status(NodeId to, NodeStatus status) {
+            sent.add("status to " + to);
+        }
+
+        @Override
+        public void statusToAll(NodeStatus status) {
+            sent.add("status to all, " + status.shards().size() + " shards" + (status.leaving() ? ", leaving" : ""));
+        }
+
+        @Override
+        public void statusToDomains(ImmutableSet<FailureDomain> domains, NodeStatus status) {
+            sent.add("status to " + domains);
+        }
+
+        @Override
+        public void offer(NodeId to, Offer offer) {
+            sent.add("offer to " + to);
+        }
+
+        @Override
+        public void withdraw(NodeId to, JobId job) {
+            sent.add("withdrawal to " + to);
+        }
+
+        @Override
+        public void settled(NodeId to, JobId job, Verdict verdict, long retryMillis) {
+            sent.add(verdict + " to " + to);
+        }
+    }
+
+    /** Endpoints that answer nothing. */
+    private static final class SilentEndpoints implements EndpointOrders {
+        @Override
+        public void hold(EndpointEntry entry, HoldOrder order, Delivery delivery, Consumer<HoldAnswer> reply) {
+            // No answer comes.
+        }
+
+        @Override
+        public void start(EndpointEntry entry, StartOrder order, Delivery delivery, Consumer<OrderAnswer> reply) {
+            // No answer comes.
+        }
+
+        @Override
+        public void stop(
+                EndpointEntry entry, FencingToken token, TaskRun run, Delivery delivery, Consumer<OrderAnswer> reply) {
+            // No answer comes.
+        }
+    }
+
+    /** Observes nothing. */
+    private static final class Unobserved implements ShardObserver {
+        @Override
+        public void claimed(FailureDomain shard, FencingToken token, int endpoints) {
+            // Not of interest here.
+        }
+
+        @Override
+        public void resigned(FailureDomain shard, FencingToken token) {
+            // Not of interest here.
+        }
+
+        @Override
+        public void fenced(FailureDomain shard, FencingToken token) {
+            // Not of interest here.
+        }
+
+        @Override
+        public void declined(NodeId origin, JobId job, CompletionEstimate estimate) {
+            // Not of interest here.
+        }
+
+        @Override
+        public void runEndedBadly(FailureDomain shard, TaskRun run, EndpointId endpoint, EndKind kind) {
+            // Not of interest here.
+        }
+    }
+}
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/DiscoveryTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/DiscoveryTest.java
@@ -66,4 +66,15 @@
         assertFalse(Discovery.enoughReceived(member(A), ImmutableList.of(member(B), strong), withoutHolder));
         assertTrue(Discovery.enoughReceived(strong, ImmutableList.of(member(A), member(B)), withoutHolder));
     }
+
+    /**
+     * All nodes were without power. The second in line came up first, waited its time and claimed; the first in line
+     * claimed 40 ms later, and each took the endpoints from the other. The second waits for the first a while longer.
+     */
+    @Test
+    public void testPatience_firstInLineGoesFirst() {
+        long first = Discovery.patienceMillis(member(A), ImmutableList.of(member(B), member(C)));
+        long second = Discovery.patienceMillis(member(B), ImmutableList.of(member(A), member(C)));
+        assertTrue(second > first, second + " is not above " + first);
+    }
 }
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ClusterNode.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ClusterNode.java
@@ -50,12 +50,6 @@
     /** How often shards, peers and endpoints are reviewed, in milliseconds; half the time between statuses. */
     private static final long REVIEW_MILLIS = PeerTable.STATUS_PERIOD_MILLIS / 2;
 
-    /**
-     * How long a node that knows where its peers are waits to hear them all before it claims anything, in milliseconds:
-     * a connection and the statuses over it take some 50 on a node that has just started. Some may be gone for good.
-     */
-    private static final long DISCOVERY_MILLIS = 200;
-
     /** How long a node tries to learn where its peers are; with the store away it then goes on alone. */
     private static final long LONGEST_DISCOVERY_MILLIS = 1_500;
 
@@ -194,11 +188,10 @@
     private boolean discovered() {
         long now = timers.nowMillis();
         if (directory.complete()) {
-            return now - directory.completeAtMillis() >= DISCOVERY_MILLIS
-                    || Discovery.enoughReceived(
-                            settings.member(),
-                            exchange.locatedIn(coordinator.neighbours()),
-                            coordinator.presentNeighbours());
+            Member own = settings.member();
+            ImmutableList<Member> located = exchange.locatedIn(coordinator.neighbours());
+            return now - directory.completeAtMillis() >= Discovery.patienceMillis(own, located)
+                    || Discovery.enoughReceived(own, located, coordinator.presentNeighbours());
         }
         return now - startedAtMillis >= LONGEST_DISCOVERY_MILLIS;
     }
