Keep the sums over pending jobs up to date, and stop filling when nothing fits

Cause: each job that came and each run that ended added up the whole queue task by task. Sums are kept as tasks change; a pass ends as soon as the smallest need finds no room; whether jobs are still of use is checked at most every 5 ms.

--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacedJob.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacedJob.java
@@ -27,7 +27,9 @@
     private final long expectedRunMillis;
     private final JobTimes times;
     private NodeId origin;
+    private Optional<PendingJobs> queue = Optional.empty();
     private int unfinished;
+    private int waitingTasks;
     private boolean over;
     private int lastRun;
 
@@ -43,6 +45,7 @@
         }
         this.tasks = builder.build();
         this.unfinished = step.count();
+        this.waitingTasks = step.count();
     }
 
     JobId id() {
@@ -173,7 +176,7 @@
 
     /** Returns the run times of the tasks that wait, added up. */
     long waitingTaskMillis() {
-        return waitingTasks() * expectedRunMillis;
+        return waitingTasks * expectedRunMillis;
     }
 
     /** Returns when the last task has to start if the answer is to be in time. */
@@ -205,13 +208,18 @@
     }
 
     /** Returns how many tasks wait to be started. */
-    long waitingTasks() {
-        long waiting = 0;
-        for (PlacedTask task : tasks) {
-            if (task.waiting()) {
-                waiting++;
-            }
-        }
-        return waiting;
+    int waitingTasks() {
+        return waitingTasks;
+    }
+
+    /** Takes in that so many tasks more, or less, wait to be started. */
+    void waitingChanged(int by) {
+        waitingTasks += by;
+        queue.ifPresent(pending -> pending.waitingChanged(this, by));
+    }
+
+    /** Notes which queue the job waits in, if any. */
+    void queuedIn(Optional<PendingJobs> pending) {
+        queue = pending;
     }
 }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacedTask.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacedTask.java
@@ -41,7 +41,7 @@
 
     /** Notes that a run of an earlier holder may be under way somewhere, so that the task must not start. */
     void unresolved() {
-        unresolved = true;
+        change(() -> unresolved = true);
     }
 
     /** Returns whether a run of an earlier holder may be under way on an endpoint that was not read yet. */
@@ -51,7 +51,16 @@
 
     /** Notes that no run of an earlier holder is under way, but one that this task has adopted. */
     void resolved() {
-        unresolved = false;
+        change(() -> unresolved = false);
+    }
+
+    /** Changes the task, and tells its job if it waits now and did not before, or the other way round. */
+    private void change(Runnable change) {
+        boolean waitedBefore = waiting();
+        change.run();
+        if (waiting() != waitedBefore) {
+            job.waitingChanged(waitedBefore ? -1 : 1);
+        }
     }
 
     int failures() {
@@ -70,7 +79,7 @@
 
     /** Notes that a run of an earlier holder goes on as this task's. */
     void adopted(TaskRun run) {
-        unresolved = false;
+        change(() -> unresolved = false);
         nextRun = Math.max(nextRun, run.run() + 1);
         job.started(run);
     }
@@ -85,7 +94,7 @@
 
     void placed(HeldEndpoint endpoint, Reservation placed) {
         at = Optional.of(endpoint);
-        reservation = Optional.of(placed);
+        change(() -> reservation = Optional.of(placed));
     }
 
     boolean holds(Reservation candidate) {
@@ -94,7 +103,7 @@
 
     void back() {
         at = Optional.empty();
-        reservation = Optional.empty();
+        change(() -> reservation = Optional.empty());
     }
 
     void failed(EndpointId endpoint) {
@@ -104,8 +113,8 @@
     }
 
     void finished() {
+        change(() -> done = true);
         unresolved = false;
-        done = true;
         back();
     }
 
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/TaskStarter.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/TaskStarter.java
@@ -8,11 +8,18 @@
 
 /** Starts the tasks of pending jobs wherever there is room, the most urgent job first. */
 final class TaskStarter {
+    /**
+     * How often every pending job is checked for whether it is still of use, in milliseconds. Ends come far more often
+     * in a burst, and the queue is long then.
+     */
+    private static final long EXPIRY_MILLIS = 5;
+
     private final HeldShards shards;
     private final PendingJobs pending;
     private final Timers timers;
     private final Consumer<PlacedJob> giveUp;
     private boolean planned;
+    private long expiredAtMillis = Long.MIN_VALUE / 2;
 
     /**
      * Creates the starter of a placer.
@@ -38,16 +45,34 @@
     void startPending() {
         planned = false;
         long now = timers.nowMillis();
-        long roomiest = shards.roomiestMilliCores(now);
-        List<PlacedJob> overdue = new ArrayList<>();
+        if (now - expiredAtMillis >= EXPIRY_MILLIS) {
+            expiredAtMillis = now;
+            giveUpPastUse(now);
+        }
+        startInOrder(now);
+    }
+
+    private void giveUpPastUse(long now) {
         for (PlacedJob job : pending.inOrder()) {
             if (job.isPastUseAt(now)) {
                 giveUp.accept(job);
-            } else if (job.overdueAt(now)) {
+            }
+        }
+    }
+
+    /** Starts what can be in time first, and then what cannot; ends as soon as there is room for no job at all. */
+    private void startInOrder(long now) {
+        long roomiest = shards.roomiestMilliCores(now);
+        List<PlacedJob> overdue = new ArrayList<>();
+        Optional<PlacedJob> next = pending.first();
+        while (next.isPresent() && pending.anyFitsInto(roomiest)) {
+            PlacedJob job = next.get();
+            if (job.overdueAt(now)) {
                 overdue.add(job);
             } else {
                 roomiest = startIfRoom(job, now, roomiest);
             }
+            next = pending.after(job);
         }
         for (PlacedJob job : overdue) {
             roomiest = startIfRoom(job, now, roomiest);
@@ -64,7 +89,7 @@
         if (job.over() || job.need().milliCores() > roomiest) {
             return roomiest;
         }
-        long waitingBefore = job.waitingTasks();
+        int waitingBefore = job.waitingTasks();
         if (startWaiting(job, now)) {
             pending.remove(job);
         }
