--- a/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/ModelNode.java
+++ b/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/ModelNode.java
@@ -139,15 +139,15 @@
         }
     }
 
-    void heard(NodeStatus status) {
-        coordinator.heard(status);
+    void received(NodeStatus status) {
+        coordinator.received(status);
         reviewShards();
         coordinator.routeWaiting();
     }
 
     @Override
     public void status(NodeId to, NodeStatus status) {
-        cluster.deliver(this, to, peer -> peer.heard(status));
+        cluster.deliver(this, to, peer -> peer.received(status));
     }
 
     @Override
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/claim/IdempotencyKeys.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/claim/IdempotencyKeys.java
@@ -70,7 +70,7 @@
         this.kept = new KeptAnswers(policy.keptAnswer().toNanos(), policy.maxKeptAnswers());
     }
 
-    /** Returns a book without keys; {@link #connect} must follow. */
+    /** Returns a table without keys; {@link #connect} must follow. */
     public static IdempotencyKeys create(NodeIdentity self, NodePolicy policy, Random random) {
         return new IdempotencyKeys(self, policy, random);
     }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/Coordinator.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/Coordinator.java
@@ -165,8 +165,8 @@
     }
 
     /** Takes in a peer's status; returns whether the peer was not there before. */
-    public boolean heard(NodeStatus status) {
-        boolean joined = peers.heard(status, timers.nowMillis());
+    public boolean received(NodeStatus status) {
+        boolean joined = peers.received(status, timers.nowMillis());
         if (joined) {
             sender.status(status.node(), status());
         }
@@ -239,7 +239,7 @@
         if (audience == Heartbeats.Audience.NOBODY) {
             return;
         }
-        heartbeats.told(audience, timers.nowMillis());
+        heartbeats.sent(audience, timers.nowMillis());
         NodeStatus status = status();
         switch (audience) {
             case CLOSE -> heartbeats.close().forEach(peer -> sender.status(peer, status));
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/EndpointHealth.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/EndpointHealth.java
@@ -14,10 +14,10 @@
      */
     private static final double ENOUGH = 6.8;
 
-    /** Of a failed run; jobs that can never be done make one in twenty fail on sound endpoints at the worst. */
+    /** Of a failed run; jobs that can never be done fail on sound endpoints too. */
     private static final double FAILED = 2.3;
 
-    /** Of a run that stood still; on sound endpoints one in a thousand overruns its estimate by as much. */
+    /** Of a run that stood still; on sound endpoints hardly any overruns its estimate by as much. */
     private static final double STOOD_STILL = 6.2;
 
     /** Of a good run, which speaks for the endpoint. If it took back everything, one in two could fail for ever. */
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/EndpointList.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/EndpointList.java
@@ -113,7 +113,7 @@
     }
 
     /** Returns whether the store could be read for at least this long. */
-    boolean storeHeardFor(long millis, long nowMillis) {
+    boolean storeReadableFor(long millis, long nowMillis) {
         return !storeAway && nowMillis - storeBackAtMillis >= millis;
     }
 
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/Heartbeats.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/Heartbeats.java
@@ -35,7 +35,7 @@
     private long closeSentAtMillis = Long.MIN_VALUE / 2;
     private long neighboursSentAtMillis = Long.MIN_VALUE / 2;
 
-    /** Creates the plan of a node that has told nobody anything. */
+    /** Creates the plan of a node that has sent nothing yet. */
     public Heartbeats(PeerTable peers, ShardPools pools, FailureDomain ownDomain) {
         this.peers = checkNotNull(peers, "book");
         this.pools = checkNotNull(pools, "pools");
@@ -53,15 +53,15 @@
      * @return whether peers have to be told at once, because this node has just begun to miss a holder
      */
     public boolean review(Set<FailureDomain> held, long nowMillis) {
-        boolean soughtBefore = withoutHolder;
+        boolean withoutBefore = withoutHolder;
         holding = !held.isEmpty();
         withoutHolder = neighbours().stream()
                 .anyMatch(shard -> !held.contains(shard) && peers.holder(shard).isEmpty());
-        if (withoutHolder && !soughtBefore) {
+        if (withoutHolder && !withoutBefore) {
             withoutHolderSinceMillis = nowMillis;
         }
         peers.expectFrom(neighbours(), holding, holding || withoutHolder, nowMillis);
-        return withoutHolder && !soughtBefore;
+        return withoutHolder && !withoutBefore;
     }
 
     /** Returns whether this node misses the holder of a shard of its pool. */
@@ -79,11 +79,11 @@
         long period = holding || withoutHolder ? PeerTable.STATUS_PERIOD_MILLIS : PeerTable.DISTANT_PERIOD_MILLIS;
         if (nowMillis - neighboursSentAtMillis >= period) {
             Audience audience = audience();
-            told(audience, nowMillis);
+            sent(audience, nowMillis);
             return audience;
         }
         if (nowMillis - closeSentAtMillis >= PeerTable.STATUS_PERIOD_MILLIS) {
-            told(Audience.CLOSE, nowMillis);
+            sent(Audience.CLOSE, nowMillis);
             return Audience.CLOSE;
         }
         return Audience.NOBODY;
@@ -94,8 +94,8 @@
         return holding ? Audience.ALL : Audience.NEIGHBOURS;
     }
 
-    /** Notes who was told. */
-    public void told(Audience audience, long nowMillis) {
+    /** Notes who was sent the status. */
+    public void sent(Audience audience, long nowMillis) {
         closeSentAtMillis = nowMillis;
         if (audience != Audience.CLOSE) {
             neighboursSentAtMillis = nowMillis;
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/PeerTable.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/PeerTable.java
@@ -50,11 +50,11 @@
     private boolean neighboursSpeakOften;
     private long oftenSinceMillis;
 
-    /** Creates a book that knows nobody. */
+    /** Creates a table that knows nobody. */
     public PeerTable() {}
 
     /** Takes in a status; returns whether the peer was not there before. */
-    public boolean heard(NodeStatus status, long nowMillis) {
+    public boolean received(NodeStatus status, long nowMillis) {
         LastStatus before = peers.get(status.node());
         boolean joined = before == null || !before.present();
         holders = Optional.empty();
@@ -107,12 +107,12 @@
     /** Returns the peers that have been silent for too long, and takes them for gone from now on. */
     public ImmutableList<NodeId> expire(long nowMillis) {
         ImmutableList.Builder<NodeId> silent = ImmutableList.builder();
-        for (LastStatus heard : ImmutableList.copyOf(peers.values())) {
-            if (heard.present() && silent(heard, nowMillis)) {
-                peers.put(heard.status().node(), heard.gone());
+        for (LastStatus last : ImmutableList.copyOf(peers.values())) {
+            if (last.present() && silent(last, nowMillis)) {
+                peers.put(last.status().node(), last.gone());
                 holders = Optional.empty();
-                if (shouldSpeak(heard.status())) {
-                    silent.add(heard.status().node());
+                if (shouldSpeak(last.status())) {
+                    silent.add(last.status().node());
                 }
             }
         }
@@ -137,31 +137,31 @@
     /** Counts those of the peers that are gone which were heard last. */
     private long lostLast(Predicate<LastStatus> wanted) {
         OptionalLong lastReceived = peers.values().stream()
-                .filter(heard -> !heard.present())
+                .filter(last -> !last.present())
                 .mapToLong(LastStatus::atMillis)
                 .max();
         return peers.values().stream()
-                .filter(heard -> !heard.present() && heard.atMillis() >= lastReceived.orElseThrow() - AT_ONCE_MILLIS)
+                .filter(last -> !last.present() && last.atMillis() >= lastReceived.orElseThrow() - AT_ONCE_MILLIS)
                 .filter(wanted)
                 .count();
     }
 
     /** Returns the last status of every peer that is there. */
     public ImmutableList<NodeStatus> present() {
-        return statuses(heard -> true);
+        return statuses(last -> true);
     }
 
     /** Returns the last status of every peer that has been there since this time or longer, on the steady clock. */
     public ImmutableList<NodeStatus> presentSince(long sinceMillis) {
-        return statuses(heard -> heard.sinceMillis() <= sinceMillis);
+        return statuses(last -> last.sinceMillis() <= sinceMillis);
     }
 
     /** Returns the highest term under which any peer said that it held the shard. */
     public long highestTerm(FailureDomain shard) {
         long highest = 0;
-        for (LastStatus heard : peers.values()) {
+        for (LastStatus last : peers.values()) {
             highest = Math.max(
-                    highest, heard.held(shard).map(held -> held.token().term()).orElse(0L));
+                    highest, last.held(shard).map(held -> held.token().term()).orElse(0L));
         }
         return highest;
     }
@@ -204,15 +204,15 @@
 
     private Optional<ShardHolder> highest(FailureDomain shard, boolean home) {
         Optional<ShardHolder> best = Optional.empty();
-        for (LastStatus heard : peers.values()) {
-            boolean mayHold = heard.present() && !heard.status().shards().isEmpty();
-            if (!mayHold || heard.status().domain().equals(shard) != home) {
+        for (LastStatus last : peers.values()) {
+            boolean mayHold = last.present() && !last.status().shards().isEmpty();
+            if (!mayHold || last.status().domain().equals(shard) != home) {
                 continue;
             }
-            Optional<HeldShard> held = heard.held(shard);
+            Optional<HeldShard> held = last.held(shard);
             if (held.isPresent()
                     && best.filter(known -> known.beats(held.get())).isEmpty()) {
-                best = Optional.of(new ShardHolder(heard.status().node(), held.get()));
+                best = Optional.of(new ShardHolder(last.status().node(), held.get()));
             }
         }
         return best;
@@ -220,18 +220,18 @@
 
     /** Returns whether the peer, as last heard, stands in the failure domain. */
     public boolean standsIn(NodeId peer, FailureDomain domain) {
-        LastStatus heard = peers.get(peer);
-        return heard != null && heard.status().domain().equals(domain);
+        LastStatus last = peers.get(peer);
+        return last != null && last.status().domain().equals(domain);
     }
 
-    private boolean silent(LastStatus heard, long nowMillis) {
-        if (!heard.status().shards().isEmpty()) {
-            return nowMillis - heard.atMillis() > SILENCE_MILLIS;
+    private boolean silent(LastStatus last, long nowMillis) {
+        if (!last.status().shards().isEmpty()) {
+            return nowMillis - last.atMillis() > SILENCE_MILLIS;
         }
-        if (neighboursSpeakOften && shouldSpeak(heard.status())) {
-            return nowMillis - Math.max(heard.atMillis(), oftenSinceMillis) > SILENCE_MILLIS;
+        if (neighboursSpeakOften && shouldSpeak(last.status())) {
+            return nowMillis - Math.max(last.atMillis(), oftenSinceMillis) > SILENCE_MILLIS;
         }
-        return nowMillis - heard.atMillis() > DISTANT_SILENCE_MILLIS;
+        return nowMillis - last.atMillis() > DISTANT_SILENCE_MILLIS;
     }
 
     /** Returns whether the peer should speak to this node, so that its silence means something. */
@@ -241,9 +241,9 @@
 
     private ImmutableList<NodeStatus> statuses(Predicate<LastStatus> wanted) {
         ImmutableList.Builder<NodeStatus> statuses = ImmutableList.builder();
-        for (LastStatus heard : peers.values()) {
-            if (heard.present() && wanted.test(heard)) {
-                statuses.add(heard.status());
+        for (LastStatus last : peers.values()) {
+            if (last.present() && wanted.test(last)) {
+                statuses.add(last.status());
             }
         }
         return statuses.build();
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/ShardPools.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/ShardPools.java
@@ -14,11 +14,10 @@
 /**
  * Which shards one node holds together.
  *
- * <p>The shards of a region's failure domains are one pool while its endpoints are few. A job of eight tasks needs
- * eight places at once: at five places in six taken, a domain of twenty places has them in one moment of eight, four
- * such domains together nearly always. Endpoints of other domains of the region are a millisecond away. A region with
- * many endpoints has a pool in each domain, since there one node could not place for all of them, and a domain alone is
- * large enough to even out.
+ * <p>The shards of a region's failure domains are one pool while its endpoints are few. A wide job needs many places at
+ * once, which a small domain under load hardly ever has free, and several such domains together nearly always do.
+ * Endpoints of other domains of the region are near. A region with many endpoints has a pool in each domain, since one
+ * node could not place for all of them, and a domain alone is large enough to even out.
  */
 public final class ShardPools {
     /** With more endpoints than this a region's domains are pools of their own, since one node places for a pool. */
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/SteadyLists.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/SteadyLists.java
@@ -47,6 +47,6 @@
         return changed != null
                 && nowMillis - changed >= STEADY_MILLIS
                 && !listed.get(shard).isEmpty()
-                && endpoints.storeHeardFor(STEADY_MILLIS, nowMillis);
+                && endpoints.storeReadableFor(STEADY_MILLIS, nowMillis);
     }
 }
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/shard/HeartbeatsTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/shard/HeartbeatsTest.java
@@ -52,8 +52,8 @@
 
     @Test
     public void testDue_holdersOftenOthersSeldom() {
-        peers.heard(holder(), 0);
-        peers.heard(status(SUCCESSOR, false), 0);
+        peers.received(holder(), 0);
+        peers.received(status(SUCCESSOR, false), 0);
         heartbeats.review(ImmutableSet.of(), 0);
         assertEquals(heartbeats.due(0), Audience.NEIGHBOURS);
         assertEquals(heartbeats.due(100), Audience.NOBODY);
@@ -71,13 +71,13 @@
 
     @Test
     public void testClose_peerThatMissesAHolder() {
-        peers.heard(status(SUCCESSOR, true), 0);
+        peers.received(status(SUCCESSOR, true), 0);
         assertEquals(heartbeats.close(), ImmutableList.of(SUCCESSOR));
     }
 
     @Test
     public void testExpire_nodesThatHoldNothingSpeakSeldom() {
-        peers.heard(status(SUCCESSOR, false), 0);
+        peers.received(status(SUCCESSOR, false), 0);
         assertEquals(peers.expire(PeerTable.DISTANT_SILENCE_MILLIS), ImmutableList.of());
         assertEquals(peers.expire(PeerTable.DISTANT_SILENCE_MILLIS + 1), ImmutableList.of(SUCCESSOR));
     }
@@ -88,8 +88,8 @@
      */
     @Test
     public void testExpire_holderAndSuccessorAreLost() {
-        peers.heard(holder(), 0);
-        peers.heard(status(SUCCESSOR, false), 0);
+        peers.received(holder(), 0);
+        peers.received(status(SUCCESSOR, false), 0);
         heartbeats.review(ImmutableSet.of(), 0);
         assertFalse(heartbeats.withoutHolder());
         assertEquals(peers.expire(701), ImmutableList.of(HOLDER));
@@ -101,8 +101,8 @@
     /** A node that has just become the holder has heard most peers a second ago; they are not gone for that. */
     @Test
     public void testExpire_newHolderGivesItsPeersTime() {
-        peers.heard(holder(), 0);
-        peers.heard(status(SUCCESSOR, false), 0);
+        peers.received(holder(), 0);
+        peers.received(status(SUCCESSOR, false), 0);
         heartbeats.review(ImmutableSet.of(), 0);
         peers.lost(HOLDER);
         heartbeats.review(SHARDS, 1_900);
@@ -116,8 +116,8 @@
      */
     @Test
     public void testDue_nodeThatMissesAHolderTellsItsPoolAlone() {
-        peers.heard(status(SUCCESSOR, true), 0);
-        peers.heard(holderOf(LAUNCESTON), 0);
+        peers.received(status(SUCCESSOR, true), 0);
+        peers.received(holderOf(LAUNCESTON), 0);
         heartbeats.review(ImmutableSet.of(), 0);
         assertTrue(heartbeats.withoutHolder());
         assertEquals(heartbeats.due(0), Audience.NEIGHBOURS);
@@ -129,7 +129,7 @@
     /** Another pool without a holder is no matter of this node: its next holder tells everybody. */
     @Test
     public void testReview_onlyTheOwnPoolIsMissed() {
-        peers.heard(holder(), 0);
+        peers.received(holder(), 0);
         assertFalse(heartbeats.review(ImmutableSet.of(), 0));
         assertFalse(heartbeats.withoutHolder());
     }
@@ -137,11 +137,11 @@
     /** A node of another pool has let go of its shard, and has no reason to speak to this one any more. */
     @Test
     public void testExpire_nodeThatOwesNoStatusIsNotReported() {
-        peers.heard(holder(), 0);
-        peers.heard(holderOf(LAUNCESTON), 0);
+        peers.received(holder(), 0);
+        peers.received(holderOf(LAUNCESTON), 0);
         heartbeats.review(ImmutableSet.of(), 0);
-        peers.heard(statusIn(LAUNCESTON), 100);
-        peers.heard(holder(), 6_000);
+        peers.received(statusIn(LAUNCESTON), 100);
+        peers.received(holder(), 6_000);
         assertEquals(peers.expire(6_601), ImmutableList.of());
         assertEquals(peers.present().size(), 1);
     }
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/shard/HolderElectionTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/shard/HolderElectionTest.java
@@ -48,7 +48,7 @@
     @Test
     public void testShouldClaim_firstOfItsDomain() {
         PeerTable peers = new PeerTable();
-        peers.heard(status("b", HOBART, false), 0);
+        peers.received(status("b", HOBART, false), 0);
         assertTrue(election("a", HOBART, peers).shouldClaim(HOBART, 0));
         assertFalse(election("c", HOBART, peers).shouldClaim(HOBART, 0));
     }
@@ -56,7 +56,7 @@
     @Test
     public void testShouldClaim_leavingNodeIsPassedOver() {
         PeerTable peers = new PeerTable();
-        peers.heard(status("b", HOBART, true), 0);
+        peers.received(status("b", HOBART, true), 0);
         assertTrue(election("c", HOBART, peers).shouldClaim(HOBART, 0));
     }
 
@@ -74,7 +74,7 @@
     public void testShouldClaim_holderDies() {
         PeerTable peers = new PeerTable();
         HolderElection next = election("b", HOBART, peers);
-        peers.heard(status("a", HOBART, false, held(HOBART, 7)), 0);
+        peers.received(status("a", HOBART, false, held(HOBART, 7)), 0);
         assertFalse(next.shouldClaim(HOBART, 100));
         peers.lost(NodeId.of("a"));
         assertTrue(next.shouldClaim(HOBART, 200));
@@ -84,7 +84,7 @@
     @Test
     public void testExpire_silentPeer() {
         PeerTable peers = new PeerTable();
-        peers.heard(status("a", HOBART, false, held(HOBART, 7)), 0);
+        peers.received(status("a", HOBART, false, held(HOBART, 7)), 0);
         assertEquals(peers.expire(PeerTable.SILENCE_MILLIS), ImmutableList.of());
         assertEquals(peers.expire(PeerTable.SILENCE_MILLIS + 1), ImmutableList.of(NodeId.of("a")));
         assertTrue(peers.holder(HOBART).isEmpty());
@@ -97,7 +97,7 @@
         HolderElection outside = election("a", HOBART, peers);
         outside.claim(LAUNCESTON, 0);
         assertFalse(outside.shouldResign(LAUNCESTON, 0));
-        peers.heard(status("l", LAUNCESTON, false), 0);
+        peers.received(status("l", LAUNCESTON, false), 0);
         assertTrue(outside.shouldResign(LAUNCESTON, 0));
     }
 
@@ -131,7 +131,7 @@
         PeerTable peers = new PeerTable();
         HolderElection home = election("l", LAUNCESTON, peers);
         home.claim(LAUNCESTON, 0);
-        peers.heard(status("a", HOBART, false, held(LAUNCESTON, 99)), 0);
+        peers.received(status("a", HOBART, false, held(LAUNCESTON, 99)), 0);
         assertFalse(home.shouldResign(LAUNCESTON, 0));
     }
 
@@ -140,15 +140,15 @@
         PeerTable peers = new PeerTable();
         HolderElection home = election("l", LAUNCESTON, peers);
         home.claim(LAUNCESTON, 0);
-        peers.heard(status("m", LAUNCESTON, false, held(LAUNCESTON, 99)), 0);
+        peers.received(status("m", LAUNCESTON, false, held(LAUNCESTON, 99)), 0);
         assertTrue(home.shouldResign(LAUNCESTON, 0));
     }
 
     @Test
     public void testHolder_homeBeforeHigherToken() {
         PeerTable peers = new PeerTable();
-        peers.heard(status("l", LAUNCESTON, false, held(LAUNCESTON, 3)), 0);
-        peers.heard(status("a", HOBART, false, held(LAUNCESTON, 99)), 0);
+        peers.received(status("l", LAUNCESTON, false, held(LAUNCESTON, 3)), 0);
+        peers.received(status("a", HOBART, false, held(LAUNCESTON, 99)), 0);
         assertEquals(peers.holder(LAUNCESTON).orElseThrow().node(), NodeId.of("l"));
     }
 
@@ -170,7 +170,7 @@
     @Test
     public void testShouldClaim_strongestOfItsDomain() {
         PeerTable peers = new PeerTable();
-        peers.heard(strong("z", HOBART, false), 0);
+        peers.received(strong("z", HOBART, false), 0);
         assertFalse(election("a", HOBART, peers).shouldClaim(HOBART, 0));
         HolderElection strongest =
                 new HolderElection(NodeId.of("z"), HOBART, "10.0.0.6", STRONG, new PeerTable(), APART);
@@ -183,8 +183,8 @@
         PeerTable peers = new PeerTable();
         HolderElection small = election("a", HOBART, peers);
         small.claim(HOBART, 0);
-        peers.heard(strong("z", HOBART, false), 1_000);
-        peers.heard(strong("z", HOBART, false), 2_900);
+        peers.received(strong("z", HOBART, false), 1_000);
+        peers.received(strong("z", HOBART, false), 2_900);
         assertFalse(small.shouldResign(HOBART, 2_900));
         assertTrue(small.shouldResign(HOBART, 3_000));
     }
@@ -194,8 +194,8 @@
         PeerTable peers = new PeerTable();
         HolderElection small = election("a", HOBART, peers);
         small.claim(HOBART, 0);
-        peers.heard(strong("y", LAUNCESTON, false), 0);
-        peers.heard(strong("z", HOBART, true), 0);
+        peers.received(strong("y", LAUNCESTON, false), 0);
+        peers.received(strong("z", HOBART, true), 0);
         assertFalse(small.shouldResign(HOBART, 5_000));
     }
 
@@ -206,7 +206,7 @@
     @Test
     public void testFenced_twoThatDoNotHearEachOther() {
         PeerTable peers = new PeerTable();
-        peers.heard(status("z", HOBART, false), 0);
+        peers.received(status("z", HOBART, false), 0);
         HolderElection one = election("a", HOBART, peers);
         one.claim(HOBART, 0);
         one.fenced(HOBART, 1_000);
@@ -225,9 +225,9 @@
     public void testShouldClaim_nodeThatLostAllPeersAtOnceWaits() {
         PeerTable peers = new PeerTable();
         HolderElection cutOff = election("a", HOBART, peers);
-        peers.heard(status("h", HOBART, false, held(HOBART, 7)), 1_000);
-        peers.heard(status("l", LAUNCESTON, false, held(LAUNCESTON, 7)), 1_000);
-        peers.heard(status("m", LAUNCESTON, false), 0);
+        peers.received(status("h", HOBART, false, held(HOBART, 7)), 1_000);
+        peers.received(status("l", LAUNCESTON, false, held(LAUNCESTON, 7)), 1_000);
+        peers.received(status("m", LAUNCESTON, false), 0);
         assertFalse(cutOff.shouldClaim(HOBART, 1_000));
         assertFalse(cutOff.shouldClaim(LAUNCESTON, 1_000));
         peers.expire(8_000);
@@ -244,9 +244,9 @@
     public void testShouldClaim_onlyNodeOfADomainThatIsCutOff() {
         PeerTable peers = new PeerTable();
         HolderElection only = election("a", HOBART, peers);
-        peers.heard(status("l", LAUNCESTON, false, held(LAUNCESTON, 7), held(HOBART, 7)), 0);
-        peers.heard(status("m", LAUNCESTON, false), 0);
-        peers.heard(status("n", LAUNCESTON, false), 0);
+        peers.received(status("l", LAUNCESTON, false, held(LAUNCESTON, 7), held(HOBART, 7)), 0);
+        peers.received(status("m", LAUNCESTON, false), 0);
+        peers.received(status("n", LAUNCESTON, false), 0);
         peers.expire(7_000);
         assertTrue(only.shouldClaim(HOBART, 7_000));
         assertFalse(only.shouldClaim(LAUNCESTON, 11_000));
@@ -257,9 +257,9 @@
     public void testShouldClaim_peersLostOneByOne() {
         PeerTable peers = new PeerTable();
         HolderElection last = election("a", HOBART, peers);
-        peers.heard(status("h", HOBART, false, held(HOBART, 7)), 20_000);
-        peers.heard(status("l", LAUNCESTON, false), 10_000);
-        peers.heard(status("m", LAUNCESTON, false), 0);
+        peers.received(status("h", HOBART, false, held(HOBART, 7)), 20_000);
+        peers.received(status("l", LAUNCESTON, false), 10_000);
+        peers.received(status("m", LAUNCESTON, false), 0);
         peers.expire(30_000);
         assertFalse(last.isolated());
         assertTrue(last.shouldClaim(HOBART, 30_000));
@@ -273,13 +273,13 @@
     public void testShouldClaim_foreignShardIsForHolders() {
         PeerTable peers = new PeerTable();
         HolderElection outside = election("a", HOBART, peers);
-        peers.heard(status("h", HOBART, false, held(HOBART, 7)), 0);
+        peers.received(status("h", HOBART, false, held(HOBART, 7)), 0);
         assertFalse(outside.shouldClaim(LAUNCESTON, 0));
         assertFalse(outside.shouldClaim(LAUNCESTON, 3_000));
-        PeerTable holdersBook = new PeerTable();
-        HolderElection holder = election("h", HOBART, holdersBook);
+        PeerTable holdersPeers = new PeerTable();
+        HolderElection holder = election("h", HOBART, holdersPeers);
         holder.claim(HOBART, 0);
-        holdersBook.heard(status("a", HOBART, false), 0);
+        holdersPeers.received(status("a", HOBART, false), 0);
         assertFalse(holder.shouldClaim(LAUNCESTON, 0));
         assertTrue(holder.shouldClaim(LAUNCESTON, 3_000));
     }
@@ -287,8 +287,8 @@
     @Test
     public void testIsSuccessor_firstAfterTheHolder() {
         PeerTable peers = new PeerTable();
-        peers.heard(status("h", HOBART, false, held(HOBART, 7)), 0);
-        peers.heard(status("c", HOBART, false), 0);
+        peers.received(status("h", HOBART, false, held(HOBART, 7)), 0);
+        peers.received(status("c", HOBART, false), 0);
         assertTrue(election("b", HOBART, peers).isSuccessor(HOBART));
         assertFalse(election("d", HOBART, peers).isSuccessor(HOBART));
     }
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/shard/PooledHolderElectionTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/shard/PooledHolderElectionTest.java
@@ -36,11 +36,11 @@
         return new HolderElection(NodeId.of(node), domain, "10.0.0.5", CORES, peers, POOLS);
     }
 
-    private void heard(String node, FailureDomain domain, int milliCores, long nowMillis, HeldShard... held) {
+    private void received(String node, FailureDomain domain, int milliCores, long nowMillis, HeldShard... held) {
         Address address = new Address("10.0.0.9", 7_000);
         NodeStatus status = new NodeStatus(
                 NodeId.of(node), domain, address, milliCores, false, false, 1, ImmutableList.copyOf(held));
-        peers.heard(status, nowMillis);
+        peers.received(status, nowMillis);
     }
 
     private static HeldShard held(FailureDomain shard, long term) {
@@ -50,12 +50,12 @@
     /** The holder of everything dies: the next in line takes every shard whose domain it hears, at once. */
     @Test
     public void testShouldClaim_wholePool() {
-        heard("l", LAUNCESTON, CORES, 0);
+        received("l", LAUNCESTON, CORES, 0);
         HolderElection first = election("a", HOBART);
         assertTrue(first.shouldClaim(HOBART, 0));
         first.claim(HOBART, 0);
         assertTrue(first.shouldClaim(LAUNCESTON, 0));
-        heard("a", HOBART, CORES, 0, held(HOBART, 1));
+        received("a", HOBART, CORES, 0, held(HOBART, 1));
         assertFalse(election("l", LAUNCESTON).shouldClaim(LAUNCESTON, 0));
     }
 
@@ -71,7 +71,7 @@
     /** Whoever holds most of a pool gets the rest of it, also if another would be first by name. */
     @Test
     public void testShouldClaim_holderOfMostGoesFirst() {
-        heard("z", LAUNCESTON, CORES, 0, held(LAUNCESTON, 4));
+        received("z", LAUNCESTON, CORES, 0, held(LAUNCESTON, 4));
         assertFalse(election("a", HOBART).shouldClaim(HOBART, 0));
     }
 
@@ -84,7 +84,7 @@
         HolderElection outside = election("a", HOBART);
         outside.claim(HOBART, 0);
         outside.claim(LAUNCESTON, 9_000);
-        heard("l", LAUNCESTON, CORES, 0, held(LAUNCESTON, 2));
+        received("l", LAUNCESTON, CORES, 0, held(LAUNCESTON, 2));
         assertTrue(outside.shouldResign(LAUNCESTON, 0));
         assertFalse(outside.shouldResign(HOBART, 0));
     }
@@ -94,7 +94,7 @@
     public void testShouldResign_cutOffDomainJoinsThePoolAgain() {
         HolderElection inside = election("l", LAUNCESTON);
         inside.claim(LAUNCESTON, 0);
-        heard("a", HOBART, CORES, 10_000, held(HOBART, 7));
+        received("a", HOBART, CORES, 10_000, held(HOBART, 7));
         assertFalse(inside.shouldResign(LAUNCESTON, 11_900));
         assertTrue(inside.shouldResign(LAUNCESTON, 12_000));
     }
@@ -104,7 +104,7 @@
     public void testShouldResign_equalParts() {
         HolderElection first = election("a", HOBART);
         first.claim(HOBART, 0);
-        heard("l", LAUNCESTON, CORES, 0, held(LAUNCESTON, 7));
+        received("l", LAUNCESTON, CORES, 0, held(LAUNCESTON, 7));
         assertFalse(first.shouldResign(HOBART, 5_000));
     }
 
@@ -113,7 +113,7 @@
         HolderElection weak = election("a", HOBART);
         weak.claim(HOBART, 0);
         weak.claim(LAUNCESTON, 0);
-        heard("l", LAUNCESTON, 2 * CORES, 0);
+        received("l", LAUNCESTON, 2 * CORES, 0);
         assertTrue(weak.shouldResign(HOBART, 2_000));
         HolderElection strong =
                 new HolderElection(NodeId.of("l"), LAUNCESTON, "10.0.0.6", 2 * CORES, new PeerTable(), POOLS);
@@ -123,8 +123,8 @@
 
     @Test
     public void testHolders_eachWithWhatItHoldsByRight() {
-        heard("a", HOBART, CORES, 0, held(HOBART, 7), held(LAUNCESTON, 9));
-        heard("l", LAUNCESTON, CORES, 0, held(LAUNCESTON, 2));
+        received("a", HOBART, CORES, 0, held(HOBART, 7), held(LAUNCESTON, 9));
+        received("l", LAUNCESTON, CORES, 0, held(LAUNCESTON, 2));
         assertEquals(
                 peers.holders().stream()
                         .map(status -> status.node() + " " + status.shards().size())
@@ -135,8 +135,8 @@
     /** What a node once claimed counts also when it has let go, for its runs may be there still. */
     @Test
     public void testIsHighest_ofAllThatWereEverHeard() {
-        heard("a", HOBART, CORES, 0, held(HOBART, 7));
-        heard("a", HOBART, CORES, 100);
+        received("a", HOBART, CORES, 0, held(HOBART, 7));
+        received("a", HOBART, CORES, 100);
         assertFalse(peers.isHighest(HOBART, FencingToken.of(6, "10.0.0.9")));
         assertTrue(peers.isHighest(HOBART, FencingToken.of(7, "10.0.0.9")));
         assertTrue(peers.isHighest(LAUNCESTON, FencingToken.of(1, "10.0.0.9")));
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ClusterNode.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ClusterNode.java
@@ -56,8 +56,7 @@
     /**
      * How often the store says that there is no newer configuration, within the time in which a change must be in
      * force. Right after a change a node knows no more than that of the call before, so two waits and their answers
-     * have to fit. At 2 s a call waits for 0.89 s; that is 0.7 calls a second a node more than with a wait of 4 s, and
-     * a node that was deaf hears of a change some 2.5 s sooner.
+     * have to fit.
      */
     private static final double CONFIRMATIONS_PER_BOUND = 2.25;
 
@@ -227,7 +226,7 @@
 
     @Override
     public void status(NodeStatus status) {
-        boolean joined = coordinator.heard(status);
+        boolean joined = coordinator.received(status);
         if (joined) {
             log.line(NodeEvent.PEER_JOINED, "peer", status.node(), "domain", status.domain());
         }
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/LineRate.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/LineRate.java
@@ -11,7 +11,7 @@
  * are always written; the next line of the kind that is written says how many were not.
  */
 final class LineRate {
-    /** Some three times what the busiest node of the deployments tried writes of its most frequent kind. */
+    /** Well above what a busy node writes of its most frequent kind. */
     private static final int LINES_PER_SECOND = 200;
 
     private static final long SECOND_MILLIS = 1_000;
