--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RecoveringJobs.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RecoveringJobs.java
@@ -11,9 +11,9 @@
 /**
  * Jobs of which runs of an earlier holder may be under way that were not found yet.
  *
- * <p>Their runs are adopted one by one, as the endpoints are read, so that a change of holder costs nothing of what runs.
- * A task whose run was not found starts only when it cannot run anywhere: an endpoint that does not answer delays the
- * tasks that may be there and no others.
+ * <p>Their runs are adopted one by one, as the endpoints are read, so that a change of holder costs nothing of what
+ * runs. A task whose run was not found starts only when it cannot run anywhere: an endpoint that does not answer delays
+ * the tasks that may be there and no others.
  */
 final class RecoveringJobs {
     /** How often the jobs are checked: a fraction of the time that a stop takes. */
