--- a/tarragonarch-benchmark/src/test/java/org/tarragonarch/benchmark/experiment/HeavyLoadTest.java
+++ b/tarragonarch-benchmark/src/test/java/org/tarragonarch/benchmark/experiment/HeavyLoadTest.java
@@ -100,6 +100,28 @@
         assertAtLeast(mean(results, each -> each.between(24_500, 30_000)), 0.93, "after the outage");
     }
 
+    /**
+     * The pattern of an update that stops holders in turn, in five domains with a pool each. Such a stop is planned,
+     * and its holder hands everything over: nobody is served worse for it.
+     */
+    @Test
+    public void testRolling_plannedStopsCostNothing() throws StepException {
+        ImmutableList<ExperimentResult> results = play(LoadShapes.named("rolling"));
+        assertAtLeast(mean(results, each -> each.between(3_500, 8_000)), 0.98, "around the planned stops");
+        assertEquals(mean(results, ExperimentResult::overfilled), 0.0);
+    }
+
+    /**
+     * The pattern of one node of thirty that is cut off from all others and reaches the endpoints. It took the shards
+     * of its domain from their holder; now nobody but its own clients may be served worse.
+     */
+    @Test
+    public void testRolling_nodeThatIsCutOffTakesNothing() throws StepException {
+        ImmutableList<ExperimentResult> results = play(LoadShapes.named("rolling"));
+        double ownClients = 1 / 30.0;
+        assertAtLeast(mean(results, each -> each.between(20_000, 22_000)), 1 - ownClients, "beside the cut");
+    }
+
     /** No user has a cluster like this: two domains far apart in size and rate, and one kind of job. */
     @Test
     public void testOtherShape() throws StepException {
