Refuse a returned job that no holder takes within half a second

Cause, by reading: only the first half second after its arrival was watched; a job that came back later waited for its deadline where no other holder was. JobRouterTest failed before: no reply after 510 ms.

--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/routing/JobRouter.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/routing/JobRouter.java
@@ -114,7 +114,7 @@
         OpenJob job = open.get(id);
         if (job != null && job.isWith(to)) {
             job.notOffered();
-            place(job);
+            placeOrRefuse(job);
         }
     }
 
@@ -195,8 +195,7 @@
         job.join(client);
         open.put(job.id(), job);
         timers.after(Math.max(0, deadlineMillis - ANSWER_TRAVEL_MILLIS), () -> giveUp(job));
-        timers.after(HOLDER_WAIT_MILLIS, () -> refuseIfUnheld(job));
-        place(job);
+        placeOrRefuse(job);
         return job;
     }
 
@@ -264,6 +263,12 @@
             return;
         }
         job.returned();
+        placeOrRefuse(job);
+    }
+
+    /** Looks for a holder, and refuses the job unless it has one soon. */
+    private void placeOrRefuse(OpenJob job) {
+        timers.after(HOLDER_WAIT_MILLIS, () -> refuseIfUnheld(job));
         place(job);
     }
 
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/routing/JobRouterTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/routing/JobRouterTest.java
@@ -215,6 +215,22 @@
         assertEquals(test.replies, ImmutableList.of("REFUSED 200"));
     }
 
+    /**
+     * The only holder is stopped and gives a job back that has waited for a second, and no other holder comes. Its
+     * caller was kept until its deadline, three seconds later, for an answer that was known.
+     */
+    @Test
+    public void testSettled_returnedJobIsRefusedIfNobodyTakesIt() {
+        JobRouterTest test = fresh();
+        Holder leaving = test.holders.add("a", "hobart", 1);
+        test.submit(4_000);
+        test.timers.pass(1_000);
+        test.router.settled(NodeId.of("a"), JOB, Verdict.RETURNED, 0);
+        test.holders.holders.remove(leaving);
+        test.timers.pass(510);
+        assertEquals(test.replies, ImmutableList.of("REFUSED 1000"));
+    }
+
     /** The node is cut off from every other: no holder will be heard, so its callers are told at once to come back. */
     @Test
     public void testSubmit_nodeThatHearsNobodyRefusesAtOnce() {
