--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ClusterNode.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ClusterNode.java
@@ -13,7 +13,6 @@
 import org.tarragonarch.adapter.EndpointClient;
 import org.tarragonarch.adapter.StoreClient;
 import org.tarragonarch.core.cluster.Coordinator;
-import org.tarragonarch.core.cluster.Discovery;
 import org.tarragonarch.core.follow.FollowPace;
 import org.tarragonarch.core.follow.TableFollower;
 import org.tarragonarch.core.placing.PlacingSettings;
@@ -50,9 +49,6 @@
     /** How often shards, peers and endpoints are reviewed, in milliseconds; half the time between statuses. */
     private static final long REVIEW_MILLIS = PeerTable.STATUS_PERIOD_MILLIS / 2;
 
-    /** How long a node tries to learn where its peers are; with the store away it then goes on alone. */
-    private static final long LONGEST_DISCOVERY_MILLIS = 1_500;
-
     /**
      * How often the store says that there is no newer configuration, within the time in which a change must be in
      * force. Right after a change a node knows no more than that of the call before, so two waits and their answers
@@ -71,18 +67,15 @@
     private final CancelRounds cancels = new CancelRounds(timers);
     private final NodeMeters meters;
     private final Coordinator coordinator;
-    private final NodeDirectory directory;
+    private final Neighbourhood neighbourhood;
     private final EndpointRows endpointRows;
     private final RowStore store;
     private final List<Channel> servers = new ArrayList<>();
-    private final long startedAtMillis;
     private boolean leaving;
-    private long directoryReadAtMillis;
 
     ClusterNode(ClusterSettings settings, DecisionLog log) {
         this.settings = settings;
         this.log = log;
-        this.startedAtMillis = timers.nowMillis();
         this.configuration =
                 new ConfigurationInForce(settings.configurationMillis(), timers, System::currentTimeMillis, log);
         this.meters = new NodeMeters(this::openJobs, log::droppedLines);
@@ -100,7 +93,7 @@
                 new ShardLog(log, meters));
         this.store = new StoreClient(loop, settings.storeAddress());
         this.endpointRows = new EndpointRows(endpoints, coordinator::endpointsChanged, timers, log, meters);
-        this.directory = new NodeDirectory(store, timers, settings.member(), this::located, log);
+        this.neighbourhood = new Neighbourhood(settings.member(), store, exchange, coordinator, timers, log);
     }
 
     /** Opens everything, the servers for clients last. */
@@ -152,7 +145,7 @@
     }
 
     private void begin() {
-        directory.start();
+        neighbourhood.find();
         ConfigurationRows configurationRows =
                 new ConfigurationRows(configuration, this::configured, timers, log, meters);
         FollowPace configurationPace =
@@ -171,44 +164,18 @@
         for (NodeId silent : coordinator.peers().expire(now)) {
             lost(silent, "silent");
         }
-        coordinator.review(discovered());
-        refreshDirectory(now);
+        coordinator.review(neighbourhood.isKnown());
+        neighbourhood.refresh();
         endpointRows.readOften(coordinator.needsEndpoints());
         timers.after(REVIEW_MILLIS, this::review);
     }
 
-    private void refreshDirectory(long now) {
-        if (coordinator.heldShards() > 0 && now - directoryReadAtMillis >= PeerTable.DISTANT_PERIOD_MILLIS) {
-            directoryReadAtMillis = now;
-            directory.refresh();
-        }
-    }
-
-    private boolean discovered() {
-        long now = timers.nowMillis();
-        if (directory.complete()) {
-            Member own = settings.member();
-            ImmutableList<Member> located = exchange.locatedIn(coordinator.neighbours());
-            return now - directory.completeAtMillis() >= Discovery.patienceMillis(own, located)
-                    || Discovery.enoughReceived(own, located, coordinator.presentNeighbours());
-        }
-        return now - startedAtMillis >= LONGEST_DISCOVERY_MILLIS;
-    }
-
     private void reviewShards() {
-        if (discovered()) {
+        if (neighbourhood.isKnown()) {
             coordinator.reviewShards();
         }
     }
 
-    /** Greets a neighbour that was read of; all other nodes hear this one when it holds a shard. */
-    private void located(Member member) {
-        exchange.located(member);
-        if (coordinator.neighbours().contains(member.domain())) {
-            exchange.status(member.node(), coordinator.status());
-        }
-    }
-
     /** Asks every node that is known of whether it has a job to cancel; returns how many they are. */
     private int askCancel(JobId job) {
         ImmutableList<Member> located = exchange.located();
@@ -237,7 +204,7 @@
         if (endpoints.isEmpty() && joined) {
             exchange.send(status.node(), new EndpointsAsked());
         }
-        if (!directory.complete() && joined) {
+        if (!neighbourhood.isLocated() && joined) {
             exchange.send(status.node(), new NodesAsked());
         }
         reviewShards();
@@ -313,6 +280,6 @@
 
     @Override
     public void nodesGiven(ImmutableList<Member> nodes) {
-        directory.learned(nodes);
+        neighbourhood.learned(nodes);
     }
 }
