Count only peers that fell silent when a node asks whether it is cut off itself

Peers whose processes are killed end their connections; a node that is left alone by that took itself for cut off and would have waited 6.5 s. By reading; HolderElectionTest holds it.

--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/Heartbeats.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/Heartbeats.java
@@ -37,7 +37,7 @@
 
     /** Creates the plan of a node that has sent nothing yet. */
     public Heartbeats(PeerTable peers, ShardPools pools, FailureDomain ownDomain) {
-        this.peers = checkNotNull(peers, "book");
+        this.peers = checkNotNull(peers, "peers");
         this.pools = checkNotNull(pools, "pools");
         this.ownDomain = checkNotNull(ownDomain, "ownDomain");
     }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/PeerTable.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/PeerTable.java
@@ -59,7 +59,9 @@
         boolean joined = before == null || !before.present();
         holders = Optional.empty();
         status.shards().forEach(held -> claimed(held.domain(), held.token()));
-        peers.put(status.node(), new LastStatus(status, nowMillis, joined ? nowMillis : before.sinceMillis(), true));
+        peers.put(
+                status.node(),
+                new LastStatus(status, nowMillis, joined ? nowMillis : before.sinceMillis(), true, false));
         return joined;
     }
 
@@ -80,7 +82,7 @@
         if (known == null || !known.present()) {
             return false;
         }
-        peers.put(peer, known.gone());
+        peers.put(peer, known.gone(false));
         holders = Optional.empty();
         return true;
     }
@@ -109,7 +111,7 @@
         ImmutableList.Builder<NodeId> silent = ImmutableList.builder();
         for (LastStatus last : ImmutableList.copyOf(peers.values())) {
             if (last.present() && silent(last, nowMillis)) {
-                peers.put(last.status().node(), last.gone());
+                peers.put(last.status().node(), last.gone(true));
                 holders = Optional.empty();
                 if (shouldSpeak(last.status())) {
                     silent.add(last.status().node());
@@ -123,7 +125,7 @@
      * Returns whether every peer fell silent at about the same moment.
      *
      * <p>Several nodes hardly ever fail together, and one that is cut off loses sight of them all: most likely they go
-     * on without this one.
+     * on without this one. Peers whose connections ended are not counted; a process that is killed shows so.
      */
     public boolean lostAllAtOnce() {
         return present().isEmpty() && lostLast(lost -> true) >= SEVERAL;
@@ -137,11 +139,11 @@
     /** Counts those of the peers that are gone which were heard last. */
     private long lostLast(Predicate<LastStatus> wanted) {
         OptionalLong lastReceived = peers.values().stream()
-                .filter(last -> !last.present())
+                .filter(LastStatus::fellSilent)
                 .mapToLong(LastStatus::atMillis)
                 .max();
         return peers.values().stream()
-                .filter(last -> !last.present() && last.atMillis() >= lastReceived.orElseThrow() - AT_ONCE_MILLIS)
+                .filter(last -> last.fellSilent() && last.atMillis() >= lastReceived.orElseThrow() - AT_ONCE_MILLIS)
                 .filter(wanted)
                 .count();
     }
@@ -254,10 +256,12 @@
      *
      * @param atMillis when it was last heard
      * @param sinceMillis since when it has been there without a break
+     * @param present whether it can be heard
+     * @param fellSilent whether it was lost by its silence, and not by the end of its connections
      */
-    private record LastStatus(NodeStatus status, long atMillis, long sinceMillis, boolean present) {
-        LastStatus gone() {
-            return new LastStatus(status, atMillis, sinceMillis, false);
+    private record LastStatus(NodeStatus status, long atMillis, long sinceMillis, boolean present, boolean fellSilent) {
+        LastStatus gone(boolean silent) {
+            return new LastStatus(status, atMillis, sinceMillis, false, silent);
         }
 
         Optional<HeldShard> held(FailureDomain shard) {
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/shard/HolderElectionTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/shard/HolderElectionTest.java
@@ -6,6 +6,7 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import java.util.List;
 import org.tarragonarch.model.id.Address;
 import org.tarragonarch.model.id.FailureDomain;
 import org.tarragonarch.model.id.NodeId;
@@ -239,6 +240,21 @@
         assertTrue(cutOff.shouldClaim(LAUNCESTON, 14_500));
     }
 
+    /** All processes but one are killed: their connections end at once, and the one that is left goes on for all. */
+    @Test
+    public void testShouldClaim_allPeersKilledAtOnce() {
+        PeerTable peers = new PeerTable();
+        HolderElection left = election("a", HOBART, peers);
+        for (String name : List.of("b", "c", "d", "e")) {
+            peers.received(status(name, HOBART, false), 0);
+        }
+        peers.received(status("h", HOBART, false, held(HOBART, 7)), 0);
+        for (String name : List.of("b", "c", "d", "e", "h")) {
+            peers.lost(NodeId.of(name));
+        }
+        assertTrue(left.shouldClaim(HOBART, 10));
+    }
+
     /** The only node of its domain is cut off with it, and its endpoints too: nobody else can serve that domain. */
     @Test
     public void testShouldClaim_onlyNodeOfADomainThatIsCutOff() {
