--- a/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/ModelNode.java
+++ b/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/ModelNode.java
@@ -5,26 +5,21 @@
 import org.tarragonarch.benchmark.time.VirtualTime;
 import org.tarragonarch.core.cluster.Coordinator;
 import org.tarragonarch.core.cluster.PeerSender;
-import org.tarragonarch.core.placing.CompletionEstimate;
 import org.tarragonarch.core.placing.PlacingSettings;
 import org.tarragonarch.core.shard.PeerTable;
 import org.tarragonarch.core.shard.ShardObserver;
 import org.tarragonarch.core.shard.ShardPools;
 import org.tarragonarch.model.id.Address;
-import org.tarragonarch.model.id.EndpointId;
 import org.tarragonarch.model.id.FailureDomain;
 import org.tarragonarch.model.id.NodeId;
 import org.tarragonarch.model.report.Member;
 import org.tarragonarch.model.report.NodeStatus;
-import org.tarragonarch.model.task.EndKind;
-import org.tarragonarch.model.task.FencingToken;
 import org.tarragonarch.model.task.JobId;
 import org.tarragonarch.model.task.Offer;
-import org.tarragonarch.model.task.TaskRun;
 import org.tarragonarch.model.task.Verdict;
 
 /** One life of a node: the node's own decisions, with modelled ways to its peers and to the endpoints. */
-final class ModelNode implements PeerSender, ShardObserver {
+final class ModelNode implements PeerSender {
     private static final int MILLI_CORES = 750;
     private static final int PEER_PORT = 7_000;
     private static final PlacingSettings PLACING = PlacingSettings.of(1_000, 50);
@@ -58,7 +53,7 @@
                 this,
                 timers,
                 () -> TimeUnit.NANOSECONDS.toMillis(time.nowNanos()) + TimeUnit.HOURS.toMillis(1),
-                this);
+                new ShardObserver() {});
     }
 
     NodeId id() {
@@ -177,29 +172,4 @@
     public void settled(NodeId to, JobId job, Verdict verdict, long retryMillis) {
         cluster.deliver(this, to, peer -> peer.coordinator.router().settled(id, job, verdict, retryMillis));
     }
-
-    @Override
-    public void claimed(FailureDomain shard, FencingToken token, int endpoints) {
-        // Seen in who serves what.
-    }
-
-    @Override
-    public void resigned(FailureDomain shard, FencingToken token) {
-        // Seen in who serves what.
-    }
-
-    @Override
-    public void fenced(FailureDomain shard, FencingToken token) {
-        // Seen in who serves what.
-    }
-
-    @Override
-    public void declined(NodeId origin, JobId job, CompletionEstimate estimate) {
-        // Counted by the answer.
-    }
-
-    @Override
-    public void runEndedBadly(FailureDomain shard, TaskRun run, EndpointId endpoint, EndKind kind) {
-        // Counted by the answer.
-    }
 }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/ShardObserver.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/ShardObserver.java
@@ -9,20 +9,24 @@
 import org.tarragonarch.model.task.JobId;
 import org.tarragonarch.model.task.TaskRun;
 
-/** Observes what happens to the shards of a node and on them, and decides nothing. */
+/**
+ * Observes what happens to the shards of a node and on them, and decides nothing.
+ *
+ * <p>Every method does nothing unless it is overridden.
+ */
 public interface ShardObserver {
     /** The node took a shard with so many endpoints. */
-    void claimed(FailureDomain shard, FencingToken token, int endpoints);
+    default void claimed(FailureDomain shard, FencingToken token, int endpoints) {}
 
     /** The node released a shard of its own accord. */
-    void resigned(FailureDomain shard, FencingToken token);
+    default void resigned(FailureDomain shard, FencingToken token) {}
 
     /** The endpoints of a shard obey another node. */
-    void fenced(FailureDomain shard, FencingToken token);
+    default void fenced(FailureDomain shard, FencingToken token) {}
 
     /** A job is declined, and why. */
-    void declined(NodeId origin, JobId job, CompletionEstimate estimate);
+    default void declined(NodeId origin, JobId job, CompletionEstimate estimate) {}
 
     /** A run ended without having done its work. */
-    void runEndedBadly(FailureDomain shard, TaskRun run, EndpointId endpoint, EndKind kind);
+    default void runEndedBadly(FailureDomain shard, TaskRun run, EndpointId endpoint, EndKind kind) {}
 }
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/CoordinatorTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/CoordinatorTest.java
@@ -9,7 +9,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Consumer;
-import org.tarragonarch.core.placing.CompletionEstimate;
 import org.tarragonarch.core.placing.PlacingSettings;
 import org.tarragonarch.core.placing.VirtualTimers;
 import org.tarragonarch.core.shard.EndpointList;
@@ -24,7 +23,6 @@
 import org.tarragonarch.model.report.NodeStatus;
 import org.tarragonarch.model.task.Delivery;
 import org.tarragonarch.model.task.EarlierRuns;
-import org.tarragonarch.model.task.EndKind;
 import org.tarragonarch.model.task.EndpointEntry;
 import org.tarragonarch.model.task.EndpointOrders;
 import org.tarragonarch.model.task.FencingToken;
@@ -68,7 +66,7 @@
                 new NotedSender(),
                 timers,
                 () -> 0,
-                new Unobserved());
+                new ShardObserver() {});
     }
 
     private void listEndpoints(int count) {
@@ -185,32 +183,4 @@
             // No answer comes.
         }
     }
-
-    /** Observes nothing. */
-    private static final class Unobserved implements ShardObserver {
-        @Override
-        public void claimed(FailureDomain shard, FencingToken token, int endpoints) {
-            // Not of interest here.
-        }
-
-        @Override
-        public void resigned(FailureDomain shard, FencingToken token) {
-            // Not of interest here.
-        }
-
-        @Override
-        public void fenced(FailureDomain shard, FencingToken token) {
-            // Not of interest here.
-        }
-
-        @Override
-        public void declined(NodeId origin, JobId job, CompletionEstimate estimate) {
-            // Not of interest here.
-        }
-
-        @Override
-        public void runEndedBadly(FailureDomain shard, TaskRun run, EndpointId endpoint, EndKind kind) {
-            // Not of interest here.
-        }
-    }
 }
