--- a/tarragonarch-wire/src/test/java/org/tarragonarch/wire/PeerNetworkTest.java
+++ b/tarragonarch-wire/src/test/java/org/tarragonarch/wire/PeerNetworkTest.java
@@ -109,7 +109,7 @@
                 ServerSocket wokenServer = RawPeer.listen()) {
             current.say(Samples.question(1));
             hobart.awaitReceived();
-            woken.say(Samples.hello("devonport-1", 4)).say(Samples.question(2));
+            woken.say(Samples.hello("devonport-1", 4), Samples.question(2));
             woken.hellosBeforeClose();
             network.send(DEVONPORT, RawPeer.addressOf(wokenServer), Samples.question(3));
             try (RawPeer called = RawPeer.accept(wokenServer).say(Samples.hello("devonport-1", 4))) {
--- a/tarragonarch-wire/src/test/java/org/tarragonarch/wire/RawPeer.java
+++ b/tarragonarch-wire/src/test/java/org/tarragonarch/wire/RawPeer.java
@@ -2,6 +2,7 @@
 
 import static org.testng.Assert.assertTrue;
 
+import java.io.ByteArrayOutputStream;
 import java.io.DataInputStream;
 import java.io.DataOutputStream;
 import java.io.IOException;
@@ -45,10 +46,19 @@
         return new Address("127.0.0.1", server.getLocalPort());
     }
 
-    RawPeer say(Frame frame) throws IOException {
-        byte[] bytes = FrameCodec.encode(frame);
-        out.writeInt(bytes.length);
-        out.write(bytes);
+    /**
+     * Says frames one after the other, in one write: the other end may close the connection at the first of them, and a
+     * write after that fails.
+     */
+    RawPeer say(Frame... frames) throws IOException {
+        ByteArrayOutputStream together = new ByteArrayOutputStream();
+        DataOutputStream frameWriter = new DataOutputStream(together);
+        for (Frame frame : frames) {
+            byte[] bytes = FrameCodec.encode(frame);
+            frameWriter.writeInt(bytes.length);
+            frameWriter.write(bytes);
+        }
+        out.write(together.toByteArray());
         return this;
     }
 
