Read the change once more: one record for a waiting offer, one status for one change of holders

- RecoveringJobs and CancellingJobs each kept an offer and when it came, with the same sum: WaitingOffer.
- A change of holders sent a node's status twice where it had also just begun to miss one; the second goes to everybody, so the first is left out.
- A holder greeted its neighbours every 2 s as it read the nodes' table again, though its heartbeats reach every located node five times a second.
- PlacedJob had a field and a method called queue that meant two things; the field is pending.
The frames left out repeat what others say within 200 ms.

--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/Coordinator.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/Coordinator.java
@@ -181,7 +181,7 @@
         }
     }
 
-    /** Takes in that a peer, which the book takes for gone, cannot be heard any more. */
+    /** Takes in that a peer, which the table takes for gone, cannot be heard any more. */
     public void lost(NodeId peer) {
         ownership.nodeLost(peer);
         router.nodeLost(peer);
@@ -230,7 +230,7 @@
     }
 
     private void holdersChanged() {
-        reviewHeartbeats();
+        heartbeats.review(ownership.heldShards(), timers.nowMillis());
         tell(Heartbeats.Audience.ALL);
         router.holdersChanged();
     }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/CancellingJobs.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/CancellingJobs.java
@@ -16,7 +16,7 @@
  */
 final class CancellingJobs {
     private final Map<JobId, PlacedJob> cancelling = new HashMap<>();
-    private final Map<JobId, Deferred> deferred = new HashMap<>();
+    private final Map<JobId, WaitingOffer> deferred = new HashMap<>();
 
     void add(PlacedJob job) {
         if (job.holdsRoom()) {
@@ -30,13 +30,13 @@
         if (!cancelling.containsKey(id)) {
             return false;
         }
-        deferred.put(id, new Deferred(offer, nowMillis));
+        deferred.put(id, new WaitingOffer(offer, nowMillis));
         return true;
     }
 
     /** Forgets an offer that waits. */
     void withdraw(NodeId origin, JobId id) {
-        Deferred waiting = deferred.get(id);
+        WaitingOffer waiting = deferred.get(id);
         if (waiting != null && waiting.offer().origin().equals(origin)) {
             deferred.remove(id);
         }
@@ -50,23 +50,16 @@
     /** Forgets every waiting offer, and returns them. */
     ImmutableList<Offer> removeDeferred() {
         ImmutableList<Offer> offers =
-                deferred.values().stream().map(Deferred::offer).collect(ImmutableList.toImmutableList());
+                deferred.values().stream().map(WaitingOffer::offer).collect(ImmutableList.toImmutableList());
         deferred.clear();
         return offers;
     }
 
     /** Forgets the job if nothing of it takes room; returns the offer that waited for that. */
-    Optional<Deferred> removeIfOver(PlacedJob job) {
+    Optional<WaitingOffer> removeIfOver(PlacedJob job) {
         if (job.holdsRoom() || !cancelling.remove(job.id(), job)) {
             return Optional.empty();
         }
         return Optional.ofNullable(deferred.remove(job.id()));
     }
-
-    /** An offer and when it began to wait. */
-    record Deferred(Offer offer, long sinceMillis) {
-        Offer offerAt(long nowMillis) {
-            return offer.later(nowMillis - sinceMillis);
-        }
-    }
 }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PendingJobs.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PendingJobs.java
@@ -29,7 +29,7 @@
             needs.add(job.need().milliCores());
             waitingTasks += job.waitingTasks();
             waitingTaskMillis += job.waitingTaskMillis();
-            job.queuedIn(Optional.of(this));
+            job.pendingIn(Optional.of(this));
         }
     }
 
@@ -38,7 +38,7 @@
             needs.remove(job.need().milliCores());
             waitingTasks -= job.waitingTasks();
             waitingTaskMillis -= job.waitingTaskMillis();
-            job.queuedIn(Optional.empty());
+            job.pendingIn(Optional.empty());
         }
     }
 
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacedJob.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacedJob.java
@@ -27,7 +27,7 @@
     private final long expectedRunMillis;
     private final JobTimes times;
     private NodeId origin;
-    private Optional<PendingJobs> queue = Optional.empty();
+    private Optional<PendingJobs> pending = Optional.empty();
     private int unfinished;
     private int waitingTasks;
     private boolean over;
@@ -215,11 +215,11 @@
     /** Takes in that so many tasks more, or less, wait to be started. */
     void waitingChanged(int by) {
         waitingTasks += by;
-        queue.ifPresent(pending -> pending.waitingChanged(this, by));
+        pending.ifPresent(jobs -> jobs.waitingChanged(this, by));
     }
 
-    /** Notes which queue the job waits in, if any. */
-    void queuedIn(Optional<PendingJobs> pending) {
-        queue = pending;
+    /** Notes among which pending jobs this one waits, if it does. */
+    void pendingIn(Optional<PendingJobs> jobs) {
+        pending = jobs;
     }
 }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/Placer.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/Placer.java
@@ -275,7 +275,7 @@
         public void roomReleased(PlacedJob job) {
             cancelling
                     .removeIfOver(job)
-                    .ifPresent(deferred -> take(deferred.offerAt(timers.nowMillis()), job.lastRun() + 1));
+                    .ifPresent(deferred -> take(deferred.at(timers.nowMillis()), job.lastRun() + 1));
             starter.planStart();
         }
 
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RecoveringJobs.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RecoveringJobs.java
@@ -39,7 +39,7 @@
     /** Takes a job, and lets it adopt what was found of it already. */
     void add(PlacedJob job, Offer offer) {
         job.awaitEarlierRuns();
-        recoveries.put(job.id(), new Recovery(job, offer, timers.nowMillis()));
+        recoveries.put(job.id(), new Recovery(job, new WaitingOffer(offer, timers.nowMillis())));
         shards.endpoints().forEach(endpoint -> endpoint.adopt(job));
         check(job);
         planCheck();
@@ -79,7 +79,7 @@
 
     private boolean isResolved(Recovery recovery) {
         PlacedJob job = recovery.job();
-        Offer offer = recovery.offer().later(timers.nowMillis() - recovery.sinceMillis());
+        Offer offer = recovery.offer().at(timers.nowMillis());
         return !job.awaitsEarlierRuns()
                 || offer.earlierRuns().over()
                 || shards.readyFor(job.id(), offer.earlierRuns().shards());
@@ -89,6 +89,6 @@
         return recoveries.values().stream().map(Recovery::job).collect(ImmutableList.toImmutableList());
     }
 
-    /** A job, its offer, and when that came in. */
-    private record Recovery(PlacedJob job, Offer offer, long sinceMillis) {}
+    /** A job and its offer. */
+    private record Recovery(PlacedJob job, WaitingOffer offer) {}
 }
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/Neighbourhood.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/Neighbourhood.java
@@ -71,10 +71,10 @@
         }
     }
 
-    /** Greets a neighbour that was read of; all other nodes hear this one when it holds a shard. */
+    /** Greets a neighbour that was read of; once this node holds a shard its heartbeats reach every located node. */
     private void located(Member member) {
         exchange.located(member);
-        if (coordinator.neighbours().contains(member.domain())) {
+        if (coordinator.heldShards() == 0 && coordinator.neighbours().contains(member.domain())) {
             exchange.status(member.node(), coordinator.status());
         }
     }
