--- a/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/Cluster.java
+++ b/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/Cluster.java
@@ -64,7 +64,8 @@
                 new Address("10.9." + domain + "." + (number + 1), ENDPOINT_PORT),
                 domain(domain),
                 false,
-                new Resources(milliCores, MEMORY_MB, 0));
+                new Resources(milliCores, MEMORY_MB, 0),
+                false);
         double speed = shape.speeds().get(endpoints.size() % shape.speeds().size());
         endpoints.put(entry.id(), new ModelEndpoint(time, entry, domain, speed, durations));
         listed.listed(entry);
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/Coordinator.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/Coordinator.java
@@ -4,6 +4,7 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.Sets;
 import java.util.function.LongSupplier;
 import org.tarragonarch.core.placing.CompletionEstimate;
 import org.tarragonarch.core.placing.PlacingSettings;
@@ -19,6 +20,7 @@
 import org.tarragonarch.model.id.EndpointId;
 import org.tarragonarch.model.id.FailureDomain;
 import org.tarragonarch.model.id.NodeId;
+import org.tarragonarch.model.report.DrainedDomains;
 import org.tarragonarch.model.report.Member;
 import org.tarragonarch.model.report.NodeStatus;
 import org.tarragonarch.model.task.EndKind;
@@ -50,6 +52,7 @@
     private ImmutableSet<FailureDomain> neighbours;
     private boolean leaving;
     private long configurationVersion;
+    private DrainedDomains drained = DrainedDomains.UNREAD;
 
     /**
      * Creates a node that knows nobody and holds nothing.
@@ -79,7 +82,8 @@
         this.ownership = new ShardOwnership(pools, election, endpoints, placing, orders, timers, wallMillis, this);
         this.heartbeats = new Heartbeats(peers, pools, self.domain());
         this.neighbours = heartbeats.neighbours();
-        KnownHolders holders = new KnownHolders(self, peers, pools, ownership, heartbeats, sender, timers);
+        KnownHolders holders = new KnownHolders(
+                self, peers, pools, ownership, heartbeats, sender, timers, domain -> drained.contains(domain));
         this.router = new JobRouter(holders, timers, placing.certainLapse());
     }
 
@@ -170,6 +174,7 @@
         if (joined) {
             sender.status(status.node(), status());
         }
+        drained(status.drained(), status.node().value());
         reviewHeartbeats();
         return joined;
     }
@@ -216,6 +221,36 @@
         tell(heartbeats.audience());
     }
 
+    /**
+     * Takes in which failure domains are drained, unless what is known was read later.
+     *
+     * <p>Guards against a drain that is undone by an older reading: the store's answers may be stale after it has lost
+     * its history, and a peer that cannot reach the store tells what it knew before.
+     *
+     * @param source who read it, for the log
+     */
+    public void drained(DrainedDomains reading, String source) {
+        if (!reading.isNewerThan(drained)) {
+            return;
+        }
+        DrainedDomains before = drained;
+        drained = reading;
+        if (reading.domains().equals(before.domains())) {
+            return;
+        }
+        Sets.symmetricDifference(before.domains(), reading.domains())
+                .forEach(domain -> log.drainChanged(domain, reading.contains(domain), reading.version(), source));
+        endpoints.drained(reading.domains());
+        endpointsChanged();
+        tell(heartbeats.audience());
+        router.holdersChanged();
+    }
+
+    /** Returns which failure domains are drained, as far as this node knows. */
+    public DrainedDomains drained() {
+        return drained;
+    }
+
     /** Returns this node's status. */
     public NodeStatus status() {
         return new NodeStatus(
@@ -226,6 +261,7 @@
                 leaving,
                 heartbeats.withoutHolder(),
                 configurationVersion,
+                drained,
                 ownership.held());
     }
 
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/KnownHolders.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/KnownHolders.java
@@ -3,6 +3,7 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
 import java.util.Comparator;
+import java.util.function.Predicate;
 import org.tarragonarch.core.routing.Holder;
 import org.tarragonarch.core.routing.Holders;
 import org.tarragonarch.core.shard.Heartbeats;
@@ -26,7 +27,13 @@
     private final Heartbeats heartbeats;
     private final PeerSender sender;
     private final Timers timers;
+    private final Predicate<FailureDomain> isDrained;
 
+    /**
+     * Creates the holders as seen by one node.
+     *
+     * @param isDrained tells whether operators have drained a failure domain
+     */
     KnownHolders(
             Member self,
             PeerTable peers,
@@ -34,7 +41,8 @@
             ShardOwnership ownership,
             Heartbeats heartbeats,
             PeerSender sender,
-            Timers timers) {
+            Timers timers,
+            Predicate<FailureDomain> isDrained) {
         this.self = self;
         this.peers = peers;
         this.pools = pools;
@@ -42,6 +50,7 @@
         this.heartbeats = heartbeats;
         this.sender = sender;
         this.timers = timers;
+        this.isDrained = isDrained;
     }
 
     @Override
@@ -59,9 +68,12 @@
         peers.holders().stream()
                 .map(status -> new Holder(status.node(), status.shards()))
                 .forEach(holders::add);
+        Comparator<Holder> drainedLast =
+                Comparator.comparing(holder -> holder.domains().stream().allMatch(isDrained));
         Comparator<Holder> ownDomainFirst = Comparator.comparing(holder -> !holder.holds(self.domain()));
         Comparator<Holder> roomiestFirst = Comparator.comparing(holder -> -holder.freeMilliCores());
-        return ImmutableList.sortedCopyOf(ownDomainFirst.thenComparing(roomiestFirst), holders.build());
+        return ImmutableList.sortedCopyOf(
+                drainedLast.thenComparing(ownDomainFirst).thenComparing(roomiestFirst), holders.build());
     }
 
     /**
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/follow/TableFollower.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/follow/TableFollower.java
@@ -2,12 +2,10 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
-import com.google.common.collect.ImmutableList;
 import java.util.Optional;
 import org.tarragonarch.model.store.RowPage;
 import org.tarragonarch.model.store.RowStore;
 import org.tarragonarch.model.store.StoreResult;
-import org.tarragonarch.model.store.StoreRow;
 import org.tarragonarch.model.store.StoreTable;
 import org.tarragonarch.model.task.Timers;
 
@@ -106,14 +104,14 @@
             return;
         }
         RowPage page = reply.page().orElseThrow();
-        take(page.version(), calledAtMillis, () -> listener.replaced(page.rows()));
+        take(page.version(), calledAtMillis, () -> listener.replaced(page));
     }
 
     private void followAnswered(RowStore.Reply reply) {
         switch (reply.result()) {
             case DONE -> {
                 RowPage page = reply.page().orElseThrow();
-                take(Math.max(version, page.version()), asOf(page), () -> handOver(page.rows()));
+                take(Math.max(version, page.version()), asOf(page), () -> handOver(page));
             }
             case HISTORY_GONE -> readAll();
             default -> failed(reply.result());
@@ -132,9 +130,9 @@
         return waitedInVain ? waitedUntil : calledAtMillis;
     }
 
-    private void handOver(ImmutableList<StoreRow> changed) {
-        if (!changed.isEmpty()) {
-            listener.changed(changed);
+    private void handOver(RowPage page) {
+        if (!page.rows().isEmpty()) {
+            listener.changed(page);
         }
     }
 
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/follow/TableListener.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/follow/TableListener.java
@@ -1,15 +1,14 @@
 package org.tarragonarch.core.follow;
 
-import com.google.common.collect.ImmutableList;
-import org.tarragonarch.model.store.StoreRow;
+import org.tarragonarch.model.store.RowPage;
 
 /** Takes what a {@link TableFollower} learns. */
 public interface TableListener {
-    /** The whole table, as it is now. */
-    void replaced(ImmutableList<StoreRow> rows);
+    /** The whole table, as of the page's version. */
+    void replaced(RowPage page);
 
-    /** Rows that were written or deleted, in order. */
-    void changed(ImmutableList<StoreRow> rows);
+    /** Rows that were written or deleted up to the page's version, in order; at least one. */
+    void changed(RowPage page);
 
     /**
      * The store has answered, and every row that it had has been handed over.
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/EndpointChoice.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/EndpointChoice.java
@@ -4,7 +4,7 @@
 import org.tarragonarch.model.task.Resources;
 
 /**
- * Chooses the endpoint for a task: of those that take it, the one that is left with the least room.
+ * Chooses the endpoint for a task: of those that take it, a warm one, and of these the one that has the least room.
  *
  * <p>Filling the fullest first keeps whole endpoints free for the largest tasks, which would otherwise wait while every
  * endpoint is half empty.
@@ -36,6 +36,9 @@
         if (failedBefore != bestFailedBefore) {
             return bestFailedBefore;
         }
+        if (candidate.entry().cold() != best.entry().cold()) {
+            return best.entry().cold();
+        }
         return candidate.free().milliCores() < best.free().milliCores();
     }
 }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/HeldEndpoint.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/HeldEndpoint.java
@@ -154,6 +154,14 @@
                 && !(health.onTrial() && !room.isEmpty());
     }
 
+    /** Returns whether the endpoint, were it idle, could be given a task of the service that needs so much. */
+    boolean canHost(String service, Resources need) {
+        return !retired
+                && !entry().draining()
+                && entry().service().equals(service)
+                && need.fitsInto(entry().capacity());
+    }
+
     /** Starts a run; the endpoint must take it. */
     void start(PlacedTask task, TaskRun run, Resources need) {
         orders.start(task, run, need);
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/HeldShards.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/HeldShards.java
@@ -54,6 +54,16 @@
         shards.clear();
     }
 
+    /** Returns whether any endpoint, were it idle, could be given a task of the job. */
+    boolean canHost(PlacedJob job) {
+        for (HeldEndpoint endpoint : endpoints()) {
+            if (endpoint.canHost(job.queue().service(), job.need())) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /** Returns the most processor time that is free on one endpoint that takes tasks, in thousandths of a core. */
     long roomiestMilliCores(long nowMillis) {
         long roomiest = 0;
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/Placer.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/Placer.java
@@ -67,7 +67,7 @@
         this.estimator = new CompletionEstimator(shards.endpoints(), pending);
         this.recovering = new RecoveringJobs(shards, timers, this::resume);
         this.starter = new TaskStarter(shards, pending, timers, this::giveUp);
-        this.results = new RunResults(pending, runTimes, timers, listener, new Results());
+        this.results = new RunResults(runTimes, timers, listener, new Results());
     }
 
     /**
@@ -94,6 +94,7 @@
     /** Takes in the list of a shard's endpoints. */
     public void update(FailureDomain shard, Collection<EndpointEntry> listed) {
         shards.find(shard).orElseThrow().update(listed);
+        pending.inOrder().forEach(this::evictIfUnplaceable);
         starter.planStart();
     }
 
@@ -179,6 +180,9 @@
             boolean mayRun = job.everStarted() || job.awaitsEarlierRuns();
             listener.settled(job.origin(), job.id(), mayRun ? Verdict.HOLD_LOST : Verdict.RETURNED, 0);
         }
+        for (PlacedJob job : cancelling.removeEvicted()) {
+            listener.settled(job.origin(), job.id(), Verdict.HOLD_LOST, 0);
+        }
         for (Offer offer : cancelling.removeDeferred()) {
             listener.settled(offer.origin(), offer.job().id(), Verdict.HOLD_LOST, 0);
         }
@@ -209,9 +213,7 @@
     private void admit(PlacedJob job) {
         CompletionEstimate estimate = estimator.of(job, timers.nowMillis());
         if (!estimate.isAdmissible()) {
-            listener.declined(job.origin(), job.id(), estimate);
-            long retry = estimate.places() == 0 ? IMPOSSIBLE_RETRY_MILLIS : estimate.waitMillis();
-            listener.settled(job.origin(), job.id(), Verdict.DECLINED, retry);
+            decline(job, estimate);
             return;
         }
         jobs.put(job.id(), job);
@@ -224,7 +226,7 @@
         if (job.allFinished()) {
             settle(job, Verdict.DONE);
         } else if (job.begunBefore()) {
-            pending.add(job);
+            requeue(job);
             starter.planStart();
         } else {
             jobs.remove(job.id());
@@ -232,6 +234,42 @@
         }
     }
 
+    private void requeue(PlacedJob job) {
+        pending.add(job);
+        evictIfUnplaceable(job);
+    }
+
+    /**
+     * Gives a job back if no listed endpoint may take the tasks that wait, however idle it were.
+     *
+     * <p>Guards against a job that waits until its deadline because its failure domain was drained, or every endpoint
+     * that is large enough has shrunk or left. What runs of it is stopped first, so that it may go to any other holder.
+     * While a run of an earlier holder may be under way, the job stays until that is known.
+     */
+    private void evictIfUnplaceable(PlacedJob job) {
+        boolean waits = !job.over() && job.waitingTasks() > 0 && !job.awaitsEarlierRuns();
+        if (!waits || shards.canHost(job)) {
+            return;
+        }
+        if (!job.begunBefore()) {
+            end(job);
+            decline(job, estimator.of(job, timers.nowMillis()));
+            return;
+        }
+        end(job);
+        if (job.holdsRoom()) {
+            cancelling.evict(job);
+        } else {
+            listener.settled(job.origin(), job.id(), Verdict.EVICTED, 0);
+        }
+    }
+
+    private void decline(PlacedJob job, CompletionEstimate estimate) {
+        listener.declined(job.origin(), job.id(), estimate);
+        long retry = estimate.places() == 0 ? IMPOSSIBLE_RETRY_MILLIS : estimate.waitMillis();
+        listener.settled(job.origin(), job.id(), Verdict.DECLINED, retry);
+    }
+
     /** Gives up a job whose answer would come too late; what never started is declined, for that is the truth. */
     private void giveUp(PlacedJob job) {
         if (job.everStarted()) {
@@ -271,8 +309,16 @@
             Placer.this.settle(job, verdict);
         }
 
+        @Override
+        public void requeue(PlacedJob job) {
+            Placer.this.requeue(job);
+        }
+
         @Override
         public void roomReleased(PlacedJob job) {
+            if (cancelling.removeIfEvicted(job)) {
+                listener.settled(job.origin(), job.id(), Verdict.EVICTED, 0);
+            }
             cancelling
                     .removeIfOver(job)
                     .ifPresent(deferred -> take(deferred.at(timers.nowMillis()), job.lastRun() + 1));
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RunResults.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RunResults.java
@@ -8,14 +8,12 @@
 
 /** Takes in what endpoints say of runs: judges the endpoint, learns run times, and decides what its task does next. */
 final class RunResults implements EndpointEvents {
-    private final PendingJobs pending;
     private final RunTimes runTimes;
     private final Timers timers;
     private final PlacerListener listener;
     private final Host host;
 
-    RunResults(PendingJobs pending, RunTimes runTimes, Timers timers, PlacerListener listener, Host host) {
-        this.pending = pending;
+    RunResults(RunTimes runTimes, Timers timers, PlacerListener listener, Host host) {
         this.runTimes = runTimes;
         this.timers = timers;
         this.listener = listener;
@@ -106,7 +104,7 @@
         if (task.holds(reservation)) {
             task.back();
             if (!task.job().over()) {
-                pending.add(task.job());
+                host.requeue(task.job());
             }
             host.roomReleased(task.job());
         }
@@ -116,7 +114,7 @@
         if (task.failures() >= job.queue().attempts()) {
             host.settle(job, Verdict.FAILED);
         } else {
-            pending.add(job);
+            host.requeue(job);
         }
     }
 
@@ -128,6 +126,9 @@
         /** Ends a job with a verdict. */
         void settle(PlacedJob job, Verdict verdict);
 
+        /** A task of the job has to be started again. */
+        void requeue(PlacedJob job);
+
         /** A run of the job takes no room any more. */
         void roomReleased(PlacedJob job);
 
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/routing/Holders.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/routing/Holders.java
@@ -9,7 +9,10 @@
 
 /** The holders of shards as a job's node reaches them: itself, or a peer over a connection. */
 public interface Holders {
-    /** Returns the holders that can be heard, that of this node's own failure domain first, then the roomiest. */
+    /**
+     * Returns the holders that can be heard: that of this node's own failure domain first, then the one with the most
+     * free room; last those all of whose failure domains are drained.
+     */
     ImmutableList<Holder> inOrder();
 
     /**
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/routing/JobRouter.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/routing/JobRouter.java
@@ -105,6 +105,10 @@
             case TOO_LATE -> answer(job, JobReply.of(JobOutcome.GIVEN_UP));
             case HOLD_LOST -> holderLost(job);
             case RETURNED -> returned(job);
+            case EVICTED -> {
+                job.evicted();
+                place(job);
+            }
             default -> throw new AssertionError(verdict);
         }
     }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/routing/OpenJob.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/routing/OpenJob.java
@@ -18,6 +18,8 @@
 
 /** A job whose client waits at this node. */
 final class OpenJob {
+    private static final long LONG_AGO_MILLIS = Long.MIN_VALUE / 2;
+
     private final JobRequest request;
     private final QueueDefinition queue;
     private final long arrivedAtMillis;
@@ -145,6 +147,16 @@
         soonestRetryMillis = Math.min(soonestRetryMillis, retryMillis);
     }
 
+    /** The holder gave the job back after it had stopped what ran; any other may have it at once. */
+    void evicted() {
+        holder.ifPresent(by -> declinedBy.add(by.node()));
+        holder = Optional.empty();
+        lostHolder = Optional.empty();
+        lostReach = ImmutableSet.of();
+        lostAtMillis = LONG_AGO_MILLIS;
+        mayHaveRun = true;
+    }
+
     boolean mayHaveRun() {
         return mayHaveRun;
     }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/EndpointList.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/EndpointList.java
@@ -32,6 +32,7 @@
     private final Map<EndpointId, EndpointEntry> entries = new HashMap<>();
     private final Map<EndpointId, Long> missingUntil = new HashMap<>();
     private ImmutableSet<String> services = ImmutableSet.of();
+    private ImmutableSet<FailureDomain> drained = ImmutableSet.of();
     private boolean storeAway;
     private long storeBackAtMillis = Long.MIN_VALUE / 2;
     private OptionalLong currentAsOfMillis = OptionalLong.empty();
@@ -142,10 +143,17 @@
         services = known;
     }
 
-    /** Returns the endpoints of one failure domain that work for a service that there is. */
+    /** Takes in which failure domains are drained. */
+    public void drained(ImmutableSet<FailureDomain> domains) {
+        drained = domains;
+    }
+
+    /** Returns the endpoints of one failure domain that work for a service that there is; draining if the domain is. */
     public ImmutableList<EndpointEntry> of(FailureDomain domain) {
+        boolean isDrained = drained.contains(domain);
         return entries.values().stream()
                 .filter(entry -> entry.domain().equals(domain) && services.contains(entry.service()))
+                .map(entry -> isDrained ? entry.asDraining() : entry)
                 .collect(ImmutableList.toImmutableList());
     }
 
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/ShardObserver.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/ShardObserver.java
@@ -24,6 +24,14 @@
     /** The endpoints of a shard obey another node. */
     default void fenced(FailureDomain shard, FencingToken token) {}
 
+    /**
+     * A failure domain is drained or taken back into use from now on.
+     *
+     * @param version the version of the store at which that was read
+     * @param source who read it: the store's follower, or a peer
+     */
+    default void drainChanged(FailureDomain domain, boolean isDrained, long version, String source) {}
+
     /** A job is declined, and why. */
     default void declined(NodeId origin, JobId job, CompletionEstimate estimate) {}
 
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/CoordinatorTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/CoordinatorTest.java
@@ -1,6 +1,7 @@
 package org.tarragonarch.core.cluster;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 import com.google.common.collect.ImmutableList;
@@ -19,6 +20,8 @@
 import org.tarragonarch.model.id.FailureDomain;
 import org.tarragonarch.model.id.NodeId;
 import org.tarragonarch.model.id.Region;
+import org.tarragonarch.model.report.DrainedDomains;
+import org.tarragonarch.model.report.HeldShard;
 import org.tarragonarch.model.report.Member;
 import org.tarragonarch.model.report.NodeStatus;
 import org.tarragonarch.model.task.Delivery;
@@ -29,6 +32,8 @@
 import org.tarragonarch.model.task.HoldAnswer;
 import org.tarragonarch.model.task.HoldOrder;
 import org.tarragonarch.model.task.JobId;
+import org.tarragonarch.model.task.JobOutcome;
+import org.tarragonarch.model.task.JobReply;
 import org.tarragonarch.model.task.JobRequest;
 import org.tarragonarch.model.task.Offer;
 import org.tarragonarch.model.task.OrderAnswer;
@@ -80,7 +85,8 @@
                     new Address("10.0.1.1", 80),
                     domain,
                     false,
-                    new Resources(1, 1, 0)));
+                    new Resources(1, 1, 0),
+                    false));
         }
         coordinator.endpointsChanged();
     }
@@ -125,6 +131,105 @@
         assertEquals(test.sent.get(verdict - 1), "status to all, 0 shards, leaving");
     }
 
+    private static DrainedDomains drained(long version, FailureDomain... domains) {
+        return new DrainedDomains(version, ImmutableSet.copyOf(domains));
+    }
+
+    private static NodeStatus peerStatus(DrainedDomains drained) {
+        Address address = new Address("10.0.0.2", 7_000);
+        return new NodeStatus(NodeId.of("b"), HOBART, address, 360, false, false, 1, drained, ImmutableList.of());
+    }
+
+    private boolean takesWork(FailureDomain domain) {
+        return endpoints.of(domain).stream().noneMatch(EndpointEntry::draining);
+    }
+
+    /** Guards against a domain that is drained in the store and goes on taking work at its holder. */
+    @Test
+    public void testDrained_everyEndpointOfTheDomainDrains() {
+        CoordinatorTest test = new CoordinatorTest();
+        test.listEndpoints(10);
+        test.coordinator.drained(drained(7, HOBART), "store");
+        assertFalse(test.takesWork(HOBART));
+        assertTrue(test.takesWork(LAUNCESTON));
+        test.coordinator.drained(drained(9), "store");
+        assertTrue(test.takesWork(HOBART));
+    }
+
+    /** Guards against a drain that a stale answer of the store, or a peer that cannot reach it, undoes. */
+    @Test
+    public void testDrained_olderReadingChangesNothing() {
+        CoordinatorTest test = new CoordinatorTest();
+        test.listEndpoints(10);
+        test.coordinator.drained(drained(7, HOBART), "store");
+        test.coordinator.drained(drained(5), "store");
+        test.coordinator.received(peerStatus(drained(6)));
+        assertFalse(test.takesWork(HOBART));
+    }
+
+    /** Guards against a holder that the store turns away and that never hears of a drain. */
+    @Test
+    public void testDrained_isHeardOfFromAPeer() {
+        CoordinatorTest test = new CoordinatorTest();
+        test.listEndpoints(10);
+        test.coordinator.received(peerStatus(drained(7, HOBART)));
+        assertFalse(test.takesWork(HOBART));
+        assertEquals(test.coordinator.status().drained(), drained(7, HOBART));
+    }
+
+    /** Guards against a peer that cannot reach the store and learns of a drain only with the next heartbeat. */
+    @Test
+    public void testDrained_peersAreToldAtOnce() {
+        CoordinatorTest test = new CoordinatorTest();
+        test.listEndpoints(10);
+        test.sent.clear();
+        test.coordinator.drained(drained(7, HOBART), "store");
+        assertEquals(test.sent, ImmutableList.of("status to [hobart, launceston]"));
+        test.coordinator.drained(drained(8, HOBART), "store");
+        assertEquals(test.sent.size(), 1);
+    }
+
+    /** Guards against an endpoint that is added to a drained domain and takes work. */
+    @Test
+    public void testDrained_laterEndpointsAreDrainedToo() {
+        CoordinatorTest test = new CoordinatorTest();
+        test.coordinator.drained(drained(7, HOBART, LAUNCESTON), "store");
+        test.listEndpoints(10);
+        assertFalse(test.takesWork(HOBART));
+        assertFalse(test.takesWork(LAUNCESTON));
+    }
+
+    /** Guards against a job that waits for room in drained domains: with all of them drained it is refused at once. */
+    @Test
+    public void testDrained_allDomains() {
+        CoordinatorTest test = new CoordinatorTest();
+        test.listEndpoints(10);
+        test.coordinator.review(true);
+        test.timers.pass(4_000);
+        test.coordinator.review(true);
+        assertEquals(test.coordinator.heldShards(), 2);
+        test.coordinator.drained(drained(7, HOBART, LAUNCESTON), "store");
+        List<JobReply> replies = new ArrayList<>();
+        Offer offer = offerOf("a");
+        test.coordinator.router().submit(offer.queue(), offer.job(), 3_000, replies::add);
+        assertEquals(replies.size(), 1);
+        assertEquals(replies.get(0).outcome(), JobOutcome.REFUSED);
+        assertTrue(replies.get(0).retryMillis() > 0, "no time to come back");
+    }
+
+    /** Guards against jobs of a drained domain's clients that go to its own holder first, which declines them all. */
+    @Test
+    public void testDrained_holderOfADrainedDomainIsAskedLast() {
+        CoordinatorTest test = new CoordinatorTest();
+        test.listEndpoints(MANY_ENDPOINTS);
+        test.coordinator.review(true);
+        HeldShard other = new HeldShard(LAUNCESTON, FencingToken.of(1, "10.0.0.2"), 1);
+        test.coordinator.received(peerStatus(drained(7, HOBART)).holding(ImmutableList.of(other)));
+        Offer offer = offerOf("a");
+        test.coordinator.router().submit(offer.queue(), offer.job(), 3_000, reply -> {});
+        assertTrue(test.sent.contains("offer to b"), test.sent.toString());
+    }
+
     private static Offer offerOf(String origin) {
         QueueDefinition queue = new QueueDefinition("checks", "h", "/p/", "board", 0, 3, 1.6, 60);
         TaskStep step = new TaskStep(1, new Resources(1, 1, 0), 60);
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/DiscoveryTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/DiscoveryTest.java
@@ -8,6 +8,7 @@
 import org.tarragonarch.model.id.Address;
 import org.tarragonarch.model.id.FailureDomain;
 import org.tarragonarch.model.id.NodeId;
+import org.tarragonarch.model.report.DrainedDomains;
 import org.tarragonarch.model.report.Member;
 import org.tarragonarch.model.report.NodeStatus;
 import org.testng.annotations.Test;
@@ -21,7 +22,15 @@
     private static NodeStatus status(NodeId node, boolean withoutHolder) {
         Address address = new Address("10.0.0.9", 7_000);
         return new NodeStatus(
-                node, FailureDomain.of("hobart"), address, 750, false, withoutHolder, 1, ImmutableList.of());
+                node,
+                FailureDomain.of("hobart"),
+                address,
+                750,
+                false,
+                withoutHolder,
+                1,
+                DrainedDomains.UNREAD,
+                ImmutableList.of());
     }
 
     private static Member member(NodeId node) {
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/follow/StoreOutageTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/follow/StoreOutageTest.java
@@ -2,11 +2,10 @@
 
 import static org.testng.Assert.assertTrue;
 
-import com.google.common.collect.ImmutableList;
 import java.util.HashMap;
 import java.util.Map;
 import org.tarragonarch.core.placing.VirtualTimers;
-import org.tarragonarch.model.store.StoreRow;
+import org.tarragonarch.model.store.RowPage;
 import org.tarragonarch.model.store.StoreTable;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -147,13 +146,13 @@
         }
 
         @Override
-        public void replaced(ImmutableList<StoreRow> rows) {
-            changed(rows);
+        public void replaced(RowPage page) {
+            changed(page);
         }
 
         @Override
-        public void changed(ImmutableList<StoreRow> rows) {
-            rows.forEach(row -> heard.putIfAbsent(row.key(), now()));
+        public void changed(RowPage page) {
+            page.rows().forEach(row -> heard.putIfAbsent(row.key(), now()));
         }
 
         @Override
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/follow/TableFollowerTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/follow/TableFollowerTest.java
@@ -170,14 +170,14 @@
     /** Notes what a listener is told. */
     private final class Notes implements TableListener {
         @Override
-        public void replaced(ImmutableList<StoreRow> rows) {
-            seen.add("replaced " + rows.stream().map(StoreRow::key).toList());
+        public void replaced(RowPage page) {
+            seen.add("replaced " + page.rows().stream().map(StoreRow::key).toList());
         }
 
         @Override
-        public void changed(ImmutableList<StoreRow> rows) {
-            seen.add("changed " + rows.stream().map(StoreRow::key).toList());
-            if (rows.get(0).key().equals(BREAKING)) {
+        public void changed(RowPage page) {
+            seen.add("changed " + page.rows().stream().map(StoreRow::key).toList());
+            if (page.rows().get(0).key().equals(BREAKING)) {
                 throw new IllegalStateException("broken");
             }
         }
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/FakeEndpoint.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/FakeEndpoint.java
@@ -35,6 +35,7 @@
     private long leaseUntil;
     EndKind outcome = EndKind.DONE;
     long runMillis = 60;
+    private int started;
 
     FakeEndpoint(VirtualTimers timers, Ledger ledger, long capacity) {
         this.timers = timers;
@@ -46,6 +47,11 @@
         return timers.nowMillis() + 77_000;
     }
 
+    /** Returns how many runs were ever started. */
+    int started() {
+        return started;
+    }
+
     int running() {
         return running.size();
     }
@@ -55,6 +61,7 @@
         if (result == OrderResult.DONE && !running.containsKey(order.run())) {
             extend(order.leaseUntilMillis());
             running.put(order.run(), milliCores);
+            started++;
             ledger.started(order.run().task(), this);
             ledger.checkRoom(
                     running.values().stream().mapToLong(Long::longValue).sum(), capacity);
--- /dev/null
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/PlacerDrainTest.java
@@ -0,0 +1,293 @@
+package org.tarragonarch.core.placing;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import com.google.common.collect.ImmutableList;
+import org.tarragonarch.model.id.EndpointId;
+import org.tarragonarch.model.task.EndKind;
+import org.tarragonarch.model.task.EndpointEntry;
+import org.tarragonarch.model.task.Resources;
+import org.testng.annotations.Test;
+
+/** One holder whose endpoints are drained, or change their size, while jobs run and wait. */
+public final class PlacerDrainTest {
+    private static final int LONG_MILLIS = 600;
+
+    private static void drain(PlacerFixture fixture, Placer placer) {
+        placer.update(
+                PlacerFixture.SHARD,
+                fixture.entries.stream().map(EndpointEntry::asDraining).toList());
+    }
+
+    private static void undrain(PlacerFixture fixture, Placer placer) {
+        placer.update(PlacerFixture.SHARD, fixture.entries);
+    }
+
+    private static void resize(PlacerFixture fixture, Placer placer, long milliCores) {
+        placer.update(
+                PlacerFixture.SHARD,
+                fixture.entries.stream()
+                        .map(entry -> PlacerFixture.sized(entry, new Resources(milliCores, 32_768, 0)))
+                        .toList());
+    }
+
+    private static Placer opened(PlacerFixture fixture) {
+        Placer placer = fixture.placer(1);
+        fixture.timers.pass(20);
+        return placer;
+    }
+
+    private static void offerLong(PlacerFixture fixture, Placer placer, int job, int tasks) {
+        placer.offer(PlacerFixture.offer(job, tasks, LONG_MILLIS, PlacerFixture.ORIGIN, false));
+        fixture.timers.pass(5);
+    }
+
+    private static void runLong(PlacerFixture fixture) {
+        fixture.orders.endpoints.values().forEach(endpoint -> endpoint.runMillis = LONG_MILLIS);
+    }
+
+    /** Guards against a drained domain whose running work is thrown away. */
+    @Test
+    public void testDrain_whatRunsIsFinished() {
+        PlacerFixture fixture = new PlacerFixture(1);
+        runLong(fixture);
+        Placer placer = opened(fixture);
+        offerLong(fixture, placer, 1, 2);
+        drain(fixture, placer);
+        fixture.timers.pass(1_000);
+        assertEquals(fixture.verdicts, ImmutableList.of("origin-1 1 DONE"));
+        assertEquals(fixture.ledger.starts(), 2);
+    }
+
+    /** Guards against a job that is taken for a drained domain and waits there until its deadline. */
+    @Test
+    public void testDrain_newJobIsDeclinedAtOnce() {
+        PlacerFixture fixture = new PlacerFixture(2);
+        Placer placer = opened(fixture);
+        drain(fixture, placer);
+        placer.offer(PlacerFixture.offer(1, 1));
+        assertEquals(fixture.verdicts, ImmutableList.of("origin-1 1 DECLINED"));
+    }
+
+    /** Guards against a queue of a hundred jobs that waits in a drained domain while others have room. */
+    @Test
+    public void testDrain_waitingJobsAreGivenBackAtOnce() {
+        PlacerFixture fixture = new PlacerFixture(1);
+        runLong(fixture);
+        Placer placer = opened(fixture);
+        offerLong(fixture, placer, 1, 2);
+        for (int job = 2; job <= 101; job++) {
+            placer.offer(PlacerFixture.patientOffer(job, 1, LONG_MILLIS));
+        }
+        assertEquals(fixture.verdicts, ImmutableList.of());
+        drain(fixture, placer);
+        assertEquals(fixture.verdicts.size(), 100);
+        assertTrue(fixture.verdicts.stream().allMatch(verdict -> verdict.endsWith("DECLINED")));
+        fixture.timers.pass(1_000);
+        assertEquals(fixture.ledger.starts(), 2);
+    }
+
+    /** Guards against a job whose last task cannot start any more and whose others run for nothing. */
+    @Test
+    public void testDrain_partlyStartedJobIsStoppedAndGivenBack() {
+        PlacerFixture fixture = new PlacerFixture(1);
+        runLong(fixture);
+        Placer placer = opened(fixture);
+        offerLong(fixture, placer, 1, 3);
+        drain(fixture, placer);
+        assertEquals(fixture.verdicts, ImmutableList.of());
+        fixture.timers.pass(200);
+        assertEquals(fixture.verdicts, ImmutableList.of("origin-1 1 EVICTED"));
+        assertEquals(fixture.endpoint(1).running(), 0);
+        assertEquals(fixture.ledger.starts(), 2);
+    }
+
+    /** Guards against a job that runs here and elsewhere because its client sent it again while it was given back. */
+    @Test
+    public void testDrain_jobSentAgainWhileItIsStoppedStaysHere() {
+        PlacerFixture fixture = new PlacerFixture(1);
+        runLong(fixture);
+        Placer placer = opened(fixture);
+        offerLong(fixture, placer, 1, 3);
+        drain(fixture, placer);
+        placer.offer(PlacerFixture.offer(1, 3, LONG_MILLIS, PlacerFixture.ORIGIN, false));
+        fixture.timers.pass(200);
+        assertEquals(fixture.verdicts, ImmutableList.of("origin-1 1 DECLINED"));
+    }
+
+    /** Guards against a retry that is started in a drained domain. */
+    @Test
+    public void testDrain_failedTaskIsNotStartedAgain() {
+        PlacerFixture fixture = new PlacerFixture(1);
+        runLong(fixture);
+        fixture.endpoint(1).outcome = EndKind.FAILED;
+        Placer placer = opened(fixture);
+        offerLong(fixture, placer, 1, 1);
+        drain(fixture, placer);
+        fixture.timers.pass(1_000);
+        assertEquals(fixture.verdicts, ImmutableList.of("origin-1 1 EVICTED"));
+        assertEquals(fixture.ledger.starts(), 1);
+    }
+
+    /** Guards against a new holder that adopts the runs of a drained domain and starts the rest of their jobs there. */
+    @Test
+    public void testDrain_nextHolderAdoptsAndStartsNothing() {
+        PlacerFixture fixture = new PlacerFixture(1);
+        runLong(fixture);
+        Placer before = opened(fixture);
+        offerLong(fixture, before, 1, 2);
+        offerLong(fixture, before, 2, 1);
+        before.close();
+        Placer next = fixture.placer(2);
+        drain(fixture, next);
+        fixture.verdicts.clear();
+        next.offer(PlacerFixture.offer(1, 2, LONG_MILLIS, PlacerFixture.ORIGIN, true));
+        next.offer(PlacerFixture.offer(2, 1, LONG_MILLIS, PlacerFixture.ORIGIN, true));
+        fixture.timers.pass(1_500);
+        assertEquals(
+                ImmutableList.sortedCopyOf(fixture.verdicts),
+                ImmutableList.of("origin-1 1 DONE", "origin-1 2 DECLINED"));
+        assertEquals(fixture.ledger.starts(), 2);
+        assertEquals(fixture.ledger.broken(), ImmutableList.of());
+    }
+
+    /** Guards against a pool whose jobs are given back although another domain of it takes work. */
+    @Test
+    public void testDrain_otherDomainOfThePoolTakesTheQueue() {
+        PlacerFixture fixture = new PlacerFixture(2);
+        runLong(fixture);
+        Placer placer = fixture.pooled(1, 2);
+        fixture.timers.pass(20);
+        offerLong(fixture, placer, 1, 4);
+        placer.offer(PlacerFixture.patientOffer(2, 2, LONG_MILLIS));
+        placer.update(
+                PlacerFixture.SHARD, ImmutableList.of(fixture.entries.get(0).asDraining()));
+        fixture.timers.pass(2_000);
+        assertEquals(fixture.verdicts, ImmutableList.of("origin-1 1 DONE", "origin-1 2 DONE"));
+        assertEquals(fixture.endpoint(1).started(), 2);
+        assertEquals(fixture.endpoint(2).started(), 4);
+    }
+
+    /** Guards against a domain that stays empty after it was taken back into use. */
+    @Test
+    public void testUndrain_takesWorkAgain() {
+        PlacerFixture fixture = new PlacerFixture(1);
+        Placer placer = opened(fixture);
+        drain(fixture, placer);
+        undrain(fixture, placer);
+        placer.offer(PlacerFixture.offer(1, 2));
+        fixture.timers.pass(200);
+        assertEquals(fixture.verdicts, ImmutableList.of("origin-1 1 DONE"));
+    }
+
+    /** Guards against short tasks on endpoints that are still slow while warm ones are idle. */
+    @Test
+    public void testUndrain_warmEndpointsGoBeforeColdOnes() {
+        PlacerFixture fixture = new PlacerFixture(2);
+        fixture.entries.set(0, PlacerFixture.cold(fixture.entries.get(0)));
+        Placer placer = opened(fixture);
+        placer.offer(PlacerFixture.offer(1, 2));
+        fixture.timers.pass(200);
+        assertEquals(fixture.endpoint(1).started(), 0);
+        placer.offer(PlacerFixture.offer(2, 4));
+        fixture.timers.pass(200);
+        assertEquals(fixture.endpoint(1).started(), 2);
+    }
+
+    /** Guards against an endpoint that shrinks below what runs: nothing is stopped, and nothing is started over it. */
+    @Test
+    public void testResize_belowWhatRuns() {
+        PlacerFixture fixture = new PlacerFixture(1);
+        runLong(fixture);
+        Placer placer = opened(fixture);
+        offerLong(fixture, placer, 1, 2);
+        resize(fixture, placer, 8_000);
+        placer.offer(PlacerFixture.patientOffer(2, 1, LONG_MILLIS));
+        fixture.timers.pass(400);
+        assertEquals(fixture.endpoint(1).running(), 2);
+        fixture.timers.pass(300);
+        assertEquals(fixture.endpoint(1).running(), 1);
+        fixture.timers.pass(1_000);
+        assertEquals(fixture.verdicts, ImmutableList.of("origin-1 1 DONE", "origin-1 2 DONE"));
+    }
+
+    /** Guards against room of a run that is being stopped and is given away before its end is listed. */
+    @Test
+    public void testResize_whatIsBeingStoppedStillCounts() {
+        PlacerFixture fixture = new PlacerFixture(1);
+        runLong(fixture);
+        Placer placer = opened(fixture);
+        offerLong(fixture, placer, 1, 2);
+        placer.offer(PlacerFixture.patientOffer(2, 1, LONG_MILLIS));
+        placer.withdraw(PlacerFixture.ORIGIN, PlacerFixture.id(1));
+        resize(fixture, placer, 14_000);
+        fixture.timers.pass(10);
+        assertEquals(fixture.ledger.starts(), 2);
+        fixture.timers.pass(60);
+        assertEquals(fixture.ledger.starts(), 3);
+        assertEquals(fixture.ledger.broken(), ImmutableList.of());
+    }
+
+    /** Guards against a start that is under way while its endpoint shrinks: its room counts from when it left. */
+    @Test
+    public void testResize_whileAStartIsUnderWay() {
+        PlacerFixture fixture = new PlacerFixture(1);
+        runLong(fixture);
+        Placer placer = opened(fixture);
+        placer.offer(PlacerFixture.offer(1, 1, LONG_MILLIS, PlacerFixture.ORIGIN, false));
+        resize(fixture, placer, 8_000);
+        placer.offer(PlacerFixture.patientOffer(2, 1, LONG_MILLIS));
+        fixture.timers.pass(300);
+        assertEquals(fixture.endpoint(1).running(), 1);
+    }
+
+    /** Guards against a task that waits until its deadline although no endpoint is large enough for it any more. */
+    @Test
+    public void testResize_taskThatFitsNowhereIsGivenBackAtOnce() {
+        PlacerFixture fixture = new PlacerFixture(1);
+        runLong(fixture);
+        Placer placer = opened(fixture);
+        offerLong(fixture, placer, 1, 2);
+        placer.offer(PlacerFixture.patientOffer(2, 1, LONG_MILLIS));
+        resize(fixture, placer, 6_000);
+        assertEquals(fixture.verdicts, ImmutableList.of("origin-1 2 DECLINED"));
+        fixture.timers.pass(1_000);
+        assertEquals(fixture.verdicts, ImmutableList.of("origin-1 2 DECLINED", "origin-1 1 DONE"));
+    }
+
+    /** Guards against room that came back and is not used until the next end. */
+    @Test
+    public void testResize_roomThatGrowsIsUsedAtOnce() {
+        PlacerFixture fixture = new PlacerFixture(1);
+        runLong(fixture);
+        Placer placer = opened(fixture);
+        resize(fixture, placer, 8_000);
+        offerLong(fixture, placer, 1, 1);
+        placer.offer(PlacerFixture.patientOffer(2, 1, LONG_MILLIS));
+        fixture.timers.pass(20);
+        assertEquals(fixture.endpoint(1).running(), 1);
+        resize(fixture, placer, 16_000);
+        fixture.timers.pass(5);
+        assertEquals(fixture.endpoint(1).running(), 2);
+    }
+
+    /** Guards against a next holder that fills an endpoint which shrank to the size that it had before. */
+    @Test
+    public void testResize_nextHolderStartsByTheNewSize() {
+        PlacerFixture fixture = new PlacerFixture(1);
+        runLong(fixture);
+        Placer before = opened(fixture);
+        offerLong(fixture, before, 1, 1);
+        before.close();
+        Resources shrunk = new Resources(8_000, 32_768, 0);
+        fixture.entries.set(0, PlacerFixture.sized(fixture.entries.get(0), shrunk));
+        Placer next = fixture.placer(2);
+        next.offer(PlacerFixture.offer(1, 1, LONG_MILLIS, PlacerFixture.ORIGIN, true));
+        next.offer(PlacerFixture.patientOffer(2, 1, LONG_MILLIS));
+        fixture.timers.pass(300);
+        assertEquals(fixture.endpoint(1).running(), 1);
+        assertEquals(next.freeMilliCores(PlacerFixture.SHARD), 1_000);
+        assertEquals(fixture.entries.get(0).id(), EndpointId.of("w-1"));
+    }
+}
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/PlacerFixture.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/PlacerFixture.java
@@ -31,6 +31,8 @@
     /** What an earlier holder's runs are when its loss has just been noticed. */
     private static final EarlierRuns EARLIER = new EarlierRuns(1_050, ImmutableSet.of(SHARD));
 
+    private static final long PATIENCE_MILLIS = 60_000;
+
     private static final Resources CAPACITY = new Resources(16_000, 32_768, 0);
 
     final VirtualTimers timers = new VirtualTimers();
@@ -47,7 +49,7 @@
         for (int i = 1; i <= endpoints; i++) {
             EndpointId id = EndpointId.of("w-" + i);
             orders.endpoints.put(id, new FakeEndpoint(timers, ledger, CAPACITY.milliCores()));
-            entries.add(new EndpointEntry(id, "board", new Address("10.0.0." + i, 80), SHARD, false, CAPACITY));
+            entries.add(new EndpointEntry(id, "board", new Address("10.0.0." + i, 80), SHARD, false, CAPACITY, false));
         }
     }
 
@@ -90,7 +92,25 @@
 
     private static EndpointEntry inSecondShard(EndpointEntry entry) {
         return new EndpointEntry(
-                entry.id(), entry.service(), entry.address(), SECOND_SHARD, entry.draining(), entry.capacity());
+                entry.id(),
+                entry.service(),
+                entry.address(),
+                SECOND_SHARD,
+                entry.draining(),
+                entry.capacity(),
+                entry.cold());
+    }
+
+    /** Returns the entry of an endpoint that has another size now. */
+    static EndpointEntry sized(EndpointEntry entry, Resources capacity) {
+        return new EndpointEntry(
+                entry.id(), entry.service(), entry.address(), entry.domain(), entry.draining(), capacity, entry.cold());
+    }
+
+    /** Returns the entry of an endpoint that has just started. */
+    static EndpointEntry cold(EndpointEntry entry) {
+        return new EndpointEntry(
+                entry.id(), entry.service(), entry.address(), entry.domain(), entry.draining(), entry.capacity(), true);
     }
 
     private Placer empty() {
@@ -126,6 +146,14 @@
         return offer(number, tasks, 60, ORIGIN, false);
     }
 
+    /** Returns a job that may wait a minute for its answer. */
+    static Offer patientOffer(int number, int tasks, long estimateMillis) {
+        QueueDefinition queue = new QueueDefinition("checks", "h", "/p/", "board", 0, 3, 1.6, PATIENCE_MILLIS);
+        TaskStep step = new TaskStep(tasks, new Resources(TASK_MILLI_CORES, 64, 0), estimateMillis);
+        JobRequest job = new JobRequest(id(number), "x", step);
+        return new Offer(job, queue, ORIGIN, 0, PATIENCE_MILLIS, EarlierRuns.NONE);
+    }
+
     static Offer offer(int number, int tasks, long estimateMillis, NodeId origin, boolean repeated) {
         QueueDefinition queue = new QueueDefinition("checks", "h", "/p/", "board", 0, 3, 1.6, 60);
         TaskStep step = new TaskStep(tasks, new Resources(TASK_MILLI_CORES, 64, 0), estimateMillis);
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/routing/JobRouterTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/routing/JobRouterTest.java
@@ -65,6 +65,29 @@
         assertEquals(test.replies, ImmutableList.of("REFUSED 200"));
     }
 
+    /** Guards against a job of a drained domain that waits for runs which its holder has stopped already. */
+    @Test
+    public void testSettled_evictedJobGoesElsewhereAtOnce() {
+        JobRouterTest test = fresh();
+        test.holders.add("a", "hobart", 1);
+        test.holders.add("b", "launceston", 1);
+        test.submit(2_000);
+        test.router.settled(NodeId.of("a"), JOB, Verdict.EVICTED, 0);
+        assertEquals(test.holders.asked, ImmutableList.of("offer a", "offer b"));
+        test.router.settled(NodeId.of("b"), JOB, Verdict.DONE, 0);
+        assertEquals(test.replies, ImmutableList.of("DONE"));
+    }
+
+    /** Guards against "has not run" for a job that ran in a drained domain before nobody else took it. */
+    @Test
+    public void testSettled_evictedJobThatNobodyTakesMayHaveRun() {
+        JobRouterTest test = fresh();
+        test.holders.add("a", "hobart", 1);
+        test.submit(2_000);
+        test.router.settled(NodeId.of("a"), JOB, Verdict.EVICTED, 0);
+        assertEquals(test.replies, ImmutableList.of("GIVEN_UP"));
+    }
+
     /**
      * Every node starts at once. The first holder is offered the jobs of three domains and declines most of them; they
      * were refused on the spot, while the other two holders came 150 ms later and found nothing to do.
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/shard/EndpointListTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/shard/EndpointListTest.java
@@ -29,7 +29,13 @@
 
     private static EndpointEntry entry(String id, String service) {
         return new EndpointEntry(
-                EndpointId.of(id), service, new Address("10.0.0.1", 80), HOBART, false, new Resources(16_000, 0, 0));
+                EndpointId.of(id),
+                service,
+                new Address("10.0.0.1", 80),
+                HOBART,
+                false,
+                new Resources(16_000, 0, 0),
+                false);
     }
 
     @Test
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/shard/HeartbeatsTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/shard/HeartbeatsTest.java
@@ -12,6 +12,7 @@
 import org.tarragonarch.model.id.FailureDomain;
 import org.tarragonarch.model.id.NodeId;
 import org.tarragonarch.model.id.Region;
+import org.tarragonarch.model.report.DrainedDomains;
 import org.tarragonarch.model.report.HeldShard;
 import org.tarragonarch.model.report.NodeStatus;
 import org.tarragonarch.model.task.FencingToken;
@@ -43,7 +44,8 @@
 
     private static NodeStatus status(NodeId node, boolean withoutHolder, HeldShard... held) {
         Address address = new Address("10.0.0.9", 7_000);
-        return new NodeStatus(node, HOBART, address, 750, false, withoutHolder, 1, ImmutableList.copyOf(held));
+        return new NodeStatus(
+                node, HOBART, address, 750, false, withoutHolder, 1, DrainedDomains.UNREAD, ImmutableList.copyOf(held));
     }
 
     private static NodeStatus holder() {
@@ -153,6 +155,7 @@
 
     private static NodeStatus statusIn(FailureDomain domain, HeldShard... held) {
         Address address = new Address("10.0.0.8", 7_000);
-        return new NodeStatus(OTHER_HOLDER, domain, address, 750, false, false, 1, ImmutableList.copyOf(held));
+        return new NodeStatus(
+                OTHER_HOLDER, domain, address, 750, false, false, 1, DrainedDomains.UNREAD, ImmutableList.copyOf(held));
     }
 }
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/shard/HolderElectionTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/shard/HolderElectionTest.java
@@ -11,6 +11,7 @@
 import org.tarragonarch.model.id.FailureDomain;
 import org.tarragonarch.model.id.NodeId;
 import org.tarragonarch.model.id.Region;
+import org.tarragonarch.model.report.DrainedDomains;
 import org.tarragonarch.model.report.HeldShard;
 import org.tarragonarch.model.report.NodeStatus;
 import org.tarragonarch.model.task.FencingToken;
@@ -34,12 +35,22 @@
 
     private static NodeStatus status(String node, FailureDomain domain, boolean leaving, HeldShard... held) {
         Address address = new Address("10.0.0.9", 7_000);
-        return new NodeStatus(NodeId.of(node), domain, address, CORES, leaving, false, 1, ImmutableList.copyOf(held));
+        return new NodeStatus(
+                NodeId.of(node),
+                domain,
+                address,
+                CORES,
+                leaving,
+                false,
+                1,
+                DrainedDomains.UNREAD,
+                ImmutableList.copyOf(held));
     }
 
     private static NodeStatus strong(String node, FailureDomain domain, boolean leaving) {
         Address address = new Address("10.0.0.9", 7_000);
-        return new NodeStatus(NodeId.of(node), domain, address, STRONG, leaving, false, 1, ImmutableList.of());
+        return new NodeStatus(
+                NodeId.of(node), domain, address, STRONG, leaving, false, 1, DrainedDomains.UNREAD, ImmutableList.of());
     }
 
     private static HeldShard held(FailureDomain shard, long term) {
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/shard/PooledHolderElectionTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/shard/PooledHolderElectionTest.java
@@ -10,6 +10,7 @@
 import org.tarragonarch.model.id.FailureDomain;
 import org.tarragonarch.model.id.NodeId;
 import org.tarragonarch.model.id.Region;
+import org.tarragonarch.model.report.DrainedDomains;
 import org.tarragonarch.model.report.HeldShard;
 import org.tarragonarch.model.report.NodeStatus;
 import org.tarragonarch.model.task.FencingToken;
@@ -39,7 +40,15 @@
     private void received(String node, FailureDomain domain, int milliCores, long nowMillis, HeldShard... held) {
         Address address = new Address("10.0.0.9", 7_000);
         NodeStatus status = new NodeStatus(
-                NodeId.of(node), domain, address, milliCores, false, false, 1, ImmutableList.copyOf(held));
+                NodeId.of(node),
+                domain,
+                address,
+                milliCores,
+                false,
+                false,
+                1,
+                DrainedDomains.UNREAD,
+                ImmutableList.copyOf(held));
         peers.received(status, nowMillis);
     }
 
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/shard/ShardPoolsTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/shard/ShardPoolsTest.java
@@ -28,7 +28,7 @@
             FailureDomain domain = i % 2 == 0 ? HOBART : LAUNCESTON;
             Resources capacity = new Resources(16_000, 32_768, 0);
             endpoints.listed(new EndpointEntry(
-                    EndpointId.of("w-" + i), "s", new Address("10.0.0.1", 80), domain, false, capacity));
+                    EndpointId.of("w-" + i), "s", new Address("10.0.0.1", 80), domain, false, capacity, false));
         }
         pools.review();
     }
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/shard/SteadyListsTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/shard/SteadyListsTest.java
@@ -18,7 +18,7 @@
 
     private static EndpointEntry entry(String id) {
         Resources capacity = new Resources(16_000, 0, 0);
-        return new EndpointEntry(EndpointId.of(id), "s", new Address("10.0.0.1", 80), HOBART, false, capacity);
+        return new EndpointEntry(EndpointId.of(id), "s", new Address("10.0.0.1", 80), HOBART, false, capacity, false);
     }
 
     /** A domain was cut off for ten seconds; outside its list is empty, and then comes back one by one. */
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ClusterNode.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ClusterNode.java
@@ -91,6 +91,7 @@
                 timers,
                 System::currentTimeMillis,
                 new ShardLog(log, meters));
+        meters.watchDrainedDomains(() -> coordinator.drained().domains().size());
         this.store = new StoreClient(loop, settings.storeAddress());
         this.endpointRows = new EndpointRows(endpoints, coordinator::endpointsChanged, timers, log, meters);
         this.neighbourhood = new Neighbourhood(settings.member(), store, exchange, coordinator, timers, log);
@@ -146,11 +147,16 @@
 
     private void begin() {
         neighbourhood.find();
-        ConfigurationRows configurationRows =
-                new ConfigurationRows(configuration, this::configured, timers, log, meters);
+        OperatorRows operatorRows = new OperatorRows(
+                configuration,
+                this::configured,
+                reading -> coordinator.drained(reading, ConfigurationInForce.STORE),
+                timers,
+                log,
+                meters);
         FollowPace configurationPace =
                 FollowPace.waiting(Math.round(settings.configurationMillis() / CONFIRMATIONS_PER_BOUND));
-        new TableFollower(store, StoreTable.OPERATOR, timers, configurationRows, configurationPace).start();
+        new TableFollower(store, StoreTable.OPERATOR, timers, operatorRows, configurationPace).start();
         endpointRows.follow(store);
         review();
     }
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/EndpointRows.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/EndpointRows.java
@@ -10,6 +10,7 @@
 import org.tarragonarch.core.shard.EndpointList;
 import org.tarragonarch.model.id.EndpointId;
 import org.tarragonarch.model.log.NodeEvent;
+import org.tarragonarch.model.store.RowPage;
 import org.tarragonarch.model.store.RowStore;
 import org.tarragonarch.model.store.StoreRow;
 import org.tarragonarch.model.store.StoreTable;
@@ -64,18 +65,18 @@
     }
 
     @Override
-    public void replaced(ImmutableList<StoreRow> rows) {
+    public void replaced(RowPage page) {
         ImmutableList.Builder<EndpointEntry> entries = ImmutableList.builder();
-        rows.forEach(row -> read(row).ifPresent(entries::add));
+        page.rows().forEach(row -> read(row).ifPresent(entries::add));
         if (endpoints.replaced(entries.build(), timers.nowMillis())) {
             listChanged.run();
         }
     }
 
     @Override
-    public void changed(ImmutableList<StoreRow> rows) {
+    public void changed(RowPage page) {
         boolean changed = false;
-        for (StoreRow row : rows) {
+        for (StoreRow row : page.rows()) {
             changed |= changed(row);
         }
         if (changed) {
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/NodeMeters.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/NodeMeters.java
@@ -93,6 +93,11 @@
                 .register(registry);
     }
 
+    /** Shows how many failure domains are drained, as far as the node knows. */
+    void watchDrainedDomains(IntSupplier drainedDomains) {
+        Gauge.builder("tarragonarch.domains.drained", drainedDomains::getAsInt).register(registry);
+    }
+
     /** Returns the age in milliseconds; not a number where it was never confirmed. */
     private static double age(ConfigurationInForce configuration) {
         OptionalLong age = configuration.ageMillis();
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/OperatorRows.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/OperatorRows.java
@@ -1,36 +1,88 @@
 package org.tarragonarch.entry.cluster;
 
 import com.google.common.collect.ImmutableList;
-import org.tarragonarch.adapter.PlatformNames;
+import com.google.common.collect.ImmutableSet;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.tarragonarch.adapter.OperatorKeys;
+import org.tarragonarch.adapter.UnreadableBodyException;
+import org.tarragonarch.model.id.FailureDomain;
+import org.tarragonarch.model.log.NodeEvent;
+import org.tarragonarch.model.report.DrainedDomains;
+import org.tarragonarch.model.store.RowPage;
 import org.tarragonarch.model.store.StoreRow;
 import org.tarragonarch.model.store.StoreTable;
 import org.tarragonarch.model.task.Timers;
 
-/** Takes the operators' rows of the store: the configuration is one of them. */
-final class ConfigurationRows extends LoggedTable {
+/**
+ * Takes the operators' rows of the store: the configuration, and the failure domains that are drained.
+ *
+ * <p>Of one page the drained domains are handed on first, so that a node that has just started places nothing by the
+ * configuration in a domain that was drained before.
+ */
+final class OperatorRows extends LoggedTable {
     private final ConfigurationInForce configuration;
     private final Runnable newVersion;
+    private final Consumer<DrainedDomains> drainedDomains;
+    private final DecisionLog log;
+    private final Set<FailureDomain> drained = new HashSet<>();
 
-    ConfigurationRows(
+    /**
+     * Creates the reader of a table that was not read yet.
+     *
+     * @param newVersion called once a later configuration is in force
+     * @param drainedDomains takes which failure domains are drained, after each page
+     */
+    OperatorRows(
             ConfigurationInForce configuration,
             Runnable newVersion,
+            Consumer<DrainedDomains> drainedDomains,
             Timers timers,
             DecisionLog log,
             NodeMeters meters) {
         super(StoreTable.OPERATOR, timers, log, meters);
         this.configuration = configuration;
         this.newVersion = newVersion;
+        this.drainedDomains = drainedDomains;
+        this.log = log;
     }
 
     @Override
-    public void replaced(ImmutableList<StoreRow> rows) {
-        changed(rows);
+    public void replaced(RowPage page) {
+        drained.clear();
+        changed(page);
     }
 
     @Override
-    public void changed(ImmutableList<StoreRow> rows) {
+    public void changed(RowPage page) {
+        page.rows().forEach(this::takeDrain);
+        drainedDomains.accept(new DrainedDomains(page.version(), ImmutableSet.copyOf(drained)));
+        takeConfiguration(page.rows());
+    }
+
+    private void takeDrain(StoreRow row) {
+        Optional<FailureDomain> domain = readDrain(row);
+        if (domain.isPresent() && row.deleted()) {
+            drained.remove(domain.get());
+        } else {
+            domain.ifPresent(drained::add);
+        }
+    }
+
+    private Optional<FailureDomain> readDrain(StoreRow row) {
+        try {
+            return OperatorKeys.drainedDomain(row.key());
+        } catch (UnreadableBodyException e) {
+            log.line(NodeEvent.DRAIN_ROW_UNREADABLE, "key", row.key(), "reason", e.getMessage());
+            return Optional.empty();
+        }
+    }
+
+    private void takeConfiguration(ImmutableList<StoreRow> rows) {
         for (StoreRow row : rows) {
-            boolean holdsConfiguration = row.key().equals(PlatformNames.CONFIGURATION_ROW) && !row.deleted();
+            boolean holdsConfiguration = OperatorKeys.isConfiguration(row.key()) && !row.deleted();
             if (holdsConfiguration && configuration.offered(row.value(), ConfigurationInForce.STORE)) {
                 newVersion.run();
             }
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ShardLog.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ShardLog.java
@@ -63,6 +63,12 @@
                 kind);
     }
 
+    @Override
+    public void drainChanged(FailureDomain domain, boolean isDrained, long version, String source) {
+        NodeEvent event = isDrained ? NodeEvent.DOMAIN_DRAINED : NodeEvent.DOMAIN_UNDRAINED;
+        log.line(event, "domain", domain, "store-version", version, "source", source);
+    }
+
     @Override
     public void claimed(FailureDomain shard, FencingToken token, int endpoints) {
         log.line(NodeEvent.SHARD_CLAIMED, "shard", shard, "token", token, "endpoints", endpoints);
--- a/tarragonarch-entry/src/test/java/org/tarragonarch/entry/cluster/EndpointRowsTest.java
+++ b/tarragonarch-entry/src/test/java/org/tarragonarch/entry/cluster/EndpointRowsTest.java
@@ -8,6 +8,7 @@
 import java.nio.charset.StandardCharsets;
 import org.tarragonarch.core.shard.EndpointList;
 import org.tarragonarch.model.id.EndpointId;
+import org.tarragonarch.model.store.RowPage;
 import org.tarragonarch.model.store.StoreRow;
 import org.tarragonarch.model.task.EndpointEntry;
 import org.testng.annotations.BeforeMethod;
@@ -40,6 +41,10 @@
         return new StoreRow(key, new byte[0], true);
     }
 
+    private static RowPage page(StoreRow... rows) {
+        return new RowPage(ImmutableList.copyOf(rows), 1);
+    }
+
     private ImmutableList<String> listed() {
         return endpoints.all().stream()
                 .map(EndpointEntry::id)
@@ -54,18 +59,18 @@
      */
     @Test
     public void testChanged_foreignKey() {
-        rows.changed(ImmutableList.of(row("Not An Id", "x"), row("w-1", GOOD)));
-        rows.changed(ImmutableList.of(deleted("Not An Id"), row("w-2", GOOD)));
+        rows.changed(page(row("Not An Id", "x"), row("w-1", GOOD)));
+        rows.changed(page(deleted("Not An Id"), row("w-2", GOOD)));
         assertEquals(listed(), ImmutableList.of("w-1", "w-2"));
     }
 
     /** An endpoint's entry is written over by another program: it gets nothing new until its next heartbeat. */
     @Test
     public void testChanged_writtenOver() {
-        rows.changed(ImmutableList.of(row("w-1", GOOD), row("w-2", GOOD)));
-        rows.changed(ImmutableList.of(row("w-1", GOOD.replace("ready", "resting"))));
+        rows.changed(page(row("w-1", GOOD), row("w-2", GOOD)));
+        rows.changed(page(row("w-1", GOOD.replace("ready", "resting"))));
         assertEquals(listed(), ImmutableList.of("w-2"));
-        rows.changed(ImmutableList.of(row("w-1", GOOD)));
+        rows.changed(page(row("w-1", GOOD)));
         assertEquals(listed(), ImmutableList.of("w-1", "w-2"));
         assertEquals(changes, 3);
         assertEquals(meters.scrape().contains("tarragonarch_endpoint_rows_unreadable_total 1.0"), true);
@@ -73,7 +78,7 @@
 
     @Test
     public void testReplaced_foreignRowsAreLeftOut() {
-        rows.replaced(ImmutableList.of(row("", GOOD), row("w-1", GOOD), row("w-2", "\u0000"), row("w-3", "{}")));
+        rows.replaced(page(row("", GOOD), row("w-1", GOOD), row("w-2", "\u0000"), row("w-3", "{}")));
         assertEquals(listed(), ImmutableList.of("w-1"));
     }
 }
--- a/tarragonarch-entry/src/test/java/org/tarragonarch/entry/cluster/NodeMetersTest.java
+++ b/tarragonarch-entry/src/test/java/org/tarragonarch/entry/cluster/NodeMetersTest.java
@@ -29,7 +29,7 @@
     public void testScrape_storeSilent() {
         ConfigurationInForce configuration = new ConfigurationInForce(2_000, timers, timers::nowMillis, log);
         meters.watchConfiguration(configuration);
-        ConfigurationRows rows = new ConfigurationRows(configuration, () -> {}, timers, log, meters);
+        OperatorRows rows = new OperatorRows(configuration, () -> {}, reading -> {}, timers, log, meters);
         assertShows("tarragonarch_configuration_version 0.0");
         assertShows("tarragonarch_configuration_age_seconds NaN");
         configuration.offered(CONFIGURATION, "store");
--- /dev/null
+++ b/tarragonarch-entry/src/test/java/org/tarragonarch/entry/cluster/OperatorRowsTest.java
@@ -0,0 +1,93 @@
+package org.tarragonarch.entry.cluster;
+
+import static org.testng.Assert.assertEquals;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import org.tarragonarch.model.id.FailureDomain;
+import org.tarragonarch.model.report.DrainedDomains;
+import org.tarragonarch.model.store.RowPage;
+import org.tarragonarch.model.store.StoreRow;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** What a node makes of the rows that operators write. */
+@Test(singleThreaded = true)
+public final class OperatorRowsTest {
+    private static final FailureDomain HOBART = FailureDomain.of("hobart");
+    private static final FailureDomain LAUNCESTON = FailureDomain.of("launceston");
+    private static final String CONFIGURATION = "{\"Version\":9,\"Routes\":[]}";
+
+    private final SettableTimers timers = new SettableTimers();
+    private List<String> told;
+    private OperatorRows rows;
+
+    @BeforeMethod
+    public void createRows() {
+        told = new ArrayList<>();
+        DecisionLog log = new DecisionLog("n", new PrintStream(new ByteArrayOutputStream()));
+        ConfigurationInForce configuration = new ConfigurationInForce(2_000, timers, timers::nowMillis, log);
+        rows = new OperatorRows(
+                configuration,
+                () -> told.add("configuration " + configuration.version()),
+                reading -> told.add(describe(reading)),
+                timers,
+                log,
+                new NodeMeters(() -> 0, () -> 0));
+    }
+
+    private static String describe(DrainedDomains reading) {
+        return ImmutableSet.copyOf(ImmutableList.sortedCopyOf(reading.domains())) + " at " + reading.version();
+    }
+
+    private static RowPage page(long version, StoreRow... written) {
+        return new RowPage(ImmutableList.copyOf(written), version);
+    }
+
+    private static StoreRow row(String key, String value) {
+        return new StoreRow(key, value.getBytes(StandardCharsets.UTF_8), false);
+    }
+
+    private static StoreRow drain(FailureDomain domain) {
+        return row("evacuate/" + domain, "{}");
+    }
+
+    private static StoreRow undrain(FailureDomain domain) {
+        return new StoreRow("evacuate/" + domain, new byte[0], true);
+    }
+
+    /** Guards against a node that starts in the middle of a drain and places by the configuration first. */
+    @Test
+    public void testReplaced_drainsAreToldBeforeTheConfiguration() {
+        rows.replaced(page(4, row("config", CONFIGURATION), drain(HOBART)));
+        assertEquals(told, ImmutableList.of("[hobart] at 4", "configuration 9"));
+    }
+
+    @Test
+    public void testChanged_twoDrainsThatEndOneAfterTheOther() {
+        rows.changed(page(4, drain(HOBART), drain(LAUNCESTON)));
+        rows.changed(page(6, undrain(HOBART)));
+        rows.changed(page(8, undrain(LAUNCESTON)));
+        assertEquals(told, ImmutableList.of("[hobart, launceston] at 4", "[launceston] at 6", "[] at 8"));
+    }
+
+    /** Guards against a domain that was taken back while the store's history was lost, and stays drained. */
+    @Test
+    public void testReplaced_whatIsNotListedIsNotDrained() {
+        rows.changed(page(4, drain(HOBART)));
+        rows.replaced(page(9, drain(LAUNCESTON)));
+        assertEquals(told, ImmutableList.of("[hobart] at 4", "[launceston] at 9"));
+    }
+
+    /** Guards against a row of another writer that keeps a node from hearing of the operators' other rows. */
+    @Test
+    public void testChanged_unreadableDomainIsLeftOut() {
+        rows.changed(page(4, row("evacuate/Not A Domain!", "{}"), drain(HOBART)));
+        assertEquals(told, ImmutableList.of("[hobart] at 4"));
+    }
+}
--- a/tarragonarch-model/src/main/java/org/tarragonarch/model/log/NodeEvent.java
+++ b/tarragonarch-model/src/main/java/org/tarragonarch/model/log/NodeEvent.java
@@ -38,6 +38,12 @@
     CONFIGURATION_IN_FORCE,
     /** A configuration could not be read, and the one before stays in force. */
     CONFIGURATION_UNREADABLE,
+    /** Operators have drained a failure domain: nothing is started there from now on. */
+    DOMAIN_DRAINED,
+    /** Operators have taken a drained failure domain back into use. */
+    DOMAIN_UNDRAINED,
+    /** A row that drains a failure domain could not be read and was left out. */
+    DRAIN_ROW_UNREADABLE,
     /** An endpoint's row in the store could not be read and was left out. */
     ENDPOINT_ROW_UNREADABLE,
     /** A node's row in the store could not be read and was left out. */
--- a/tarragonarch-model/src/main/java/org/tarragonarch/model/report/NodeStatus.java
+++ b/tarragonarch-model/src/main/java/org/tarragonarch/model/report/NodeStatus.java
@@ -18,6 +18,7 @@
  * @param leaving whether it is shutting down
  * @param withoutHolder whether it misses the holder of a shard and wants to hear every peer often
  * @param configurationVersion the version in force there, 0 for none
+ * @param drained the failure domains that it knows to be drained
  * @param shards the shards that it holds
  */
 public record NodeStatus(
@@ -28,6 +29,7 @@
         boolean leaving,
         boolean withoutHolder,
         long configurationVersion,
+        DrainedDomains drained,
         ImmutableList<HeldShard> shards) {
     /** Checks the parts. */
     public NodeStatus {
@@ -35,6 +37,7 @@
         checkNotNull(domain, "domain");
         checkNotNull(address, "address");
         checkArgument(milliCores > 0, "milliCores %s is not positive", milliCores);
+        checkNotNull(drained, "drained");
         checkNotNull(shards, "shards");
     }
 
@@ -45,6 +48,7 @@
 
     /** Returns the same status with these shards. */
     public NodeStatus holding(ImmutableList<HeldShard> held) {
-        return new NodeStatus(node, domain, address, milliCores, leaving, withoutHolder, configurationVersion, held);
+        return new NodeStatus(
+                node, domain, address, milliCores, leaving, withoutHolder, configurationVersion, drained, held);
     }
 }
--- a/tarragonarch-model/src/main/java/org/tarragonarch/model/task/EndpointEntry.java
+++ b/tarragonarch-model/src/main/java/org/tarragonarch/model/task/EndpointEntry.java
@@ -15,9 +15,16 @@
  * @param domain where it stands
  * @param draining whether it is about to leave and must get nothing new
  * @param capacity what its tasks may take together
+ * @param cold whether it still works more slowly than it will, because it has just started
  */
 public record EndpointEntry(
-        EndpointId id, String service, Address address, FailureDomain domain, boolean draining, Resources capacity) {
+        EndpointId id,
+        String service,
+        Address address,
+        FailureDomain domain,
+        boolean draining,
+        Resources capacity,
+        boolean cold) {
     /** Checks the parts. */
     public EndpointEntry {
         checkNotNull(id, "id");
@@ -26,4 +33,9 @@
         checkNotNull(domain, "domain");
         checkNotNull(capacity, "capacity");
     }
+
+    /** Returns the same entry of an endpoint that must get nothing new. */
+    public EndpointEntry asDraining() {
+        return new EndpointEntry(id, service, address, domain, true, capacity, cold);
+    }
 }
--- a/tarragonarch-model/src/main/java/org/tarragonarch/model/task/Verdict.java
+++ b/tarragonarch-model/src/main/java/org/tarragonarch/model/task/Verdict.java
@@ -13,5 +13,7 @@
     /** Its holder releases the shard; whatever runs is left to the next holder, or to its lease. */
     HOLD_LOST,
     /** Its holder releases the shard and has started nothing of it. */
-    RETURNED
+    RETURNED,
+    /** Given back because none of its holder's endpoints may take the rest of it; whatever ran has been stopped. */
+    EVICTED
 }
--- a/tarragonarch-wire/src/main/java/org/tarragonarch/wire/EndpointsCodec.java
+++ b/tarragonarch-wire/src/main/java/org/tarragonarch/wire/EndpointsCodec.java
@@ -22,7 +22,8 @@
                     .writeBoolean(entry.draining())
                     .writeLong(entry.capacity().milliCores())
                     .writeLong(entry.capacity().memoryMb())
-                    .writeLong(entry.capacity().accelerators());
+                    .writeLong(entry.capacity().accelerators())
+                    .writeBoolean(entry.cold());
         }
     }
 
@@ -36,7 +37,8 @@
             FailureDomain domain = FailureDomain.of(reader.readText());
             boolean draining = reader.readBoolean();
             Resources capacity = new Resources(reader.readLong(), reader.readLong(), reader.readLong());
-            entries.add(new EndpointEntry(id, service, address, domain, draining, capacity));
+            boolean cold = reader.readBoolean();
+            entries.add(new EndpointEntry(id, service, address, domain, draining, capacity, cold));
         }
         return new EndpointsGiven(entries.build());
     }
--- a/tarragonarch-wire/src/main/java/org/tarragonarch/wire/StatusCodec.java
+++ b/tarragonarch-wire/src/main/java/org/tarragonarch/wire/StatusCodec.java
@@ -1,7 +1,9 @@
 package org.tarragonarch.wire;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
 import org.tarragonarch.model.id.FailureDomain;
+import org.tarragonarch.model.report.DrainedDomains;
 import org.tarragonarch.model.report.HeldShard;
 import org.tarragonarch.model.report.Member;
 import org.tarragonarch.model.report.NodeStatus;
@@ -15,8 +17,9 @@
         MemberCodec.write(writer, status.member());
         writer.writeBoolean(status.leaving())
                 .writeBoolean(status.withoutHolder())
-                .writeLong(status.configurationVersion())
-                .writeCount(status.shards().size());
+                .writeLong(status.configurationVersion());
+        writeDrained(writer, status.drained());
+        writer.writeCount(status.shards().size());
         for (HeldShard shard : status.shards()) {
             writer.writeText(shard.domain().value())
                     .writeLong(shard.token().value())
@@ -29,6 +32,7 @@
         boolean leaving = reader.readBoolean();
         boolean withoutHolder = reader.readBoolean();
         long version = reader.readLong();
+        DrainedDomains drained = readDrained(reader);
         int count = reader.readCount();
         ImmutableList.Builder<HeldShard> shards = ImmutableList.builder();
         for (int i = 0; i < count; i++) {
@@ -44,6 +48,22 @@
                 leaving,
                 withoutHolder,
                 version,
+                drained,
                 shards.build());
     }
+
+    private static void writeDrained(FrameWriter writer, DrainedDomains drained) {
+        writer.writeLong(drained.version()).writeCount(drained.domains().size());
+        drained.domains().forEach(domain -> writer.writeText(domain.value()));
+    }
+
+    private static DrainedDomains readDrained(FrameReader reader) throws MalformedFrameException {
+        long version = reader.readLong();
+        int count = reader.readCount();
+        ImmutableSet.Builder<FailureDomain> domains = ImmutableSet.builder();
+        for (int i = 0; i < count; i++) {
+            domains.add(FailureDomain.of(reader.readText()));
+        }
+        return new DrainedDomains(version, domains.build());
+    }
 }
--- a/tarragonarch-wire/src/test/java/org/tarragonarch/wire/FrameCodecTest.java
+++ b/tarragonarch-wire/src/test/java/org/tarragonarch/wire/FrameCodecTest.java
@@ -63,12 +63,12 @@
         byte[] hello = new FrameWriter()
                 .writeInt(FrameType.HELLO.number())
                 .writeInt(0x7A66)
-                .writeInt(4)
+                .writeInt(5)
                 .writeBoolean(true)
                 .toByteArray();
         MalformedFrameException refusal =
                 expectThrows(MalformedFrameException.class, () -> FrameCodec.decode("peer", Optional.empty(), hello));
-        assertTrue(refusal.getMessage().contains("protocol version 4 instead of 3"), refusal.getMessage());
+        assertTrue(refusal.getMessage().contains("protocol version 5 instead of 4"), refusal.getMessage());
     }
 
     /**
@@ -77,7 +77,7 @@
      */
     @Test
     public void testDecode_announcedLengthIsNotAllocated() {
-        byte[] huge = BaseEncoding.base16().decode("01CD7A6603DB7FFFFFFF");
+        byte[] huge = BaseEncoding.base16().decode("01CD7A6604DB7FFFFFFF");
         MalformedFrameException refusal =
                 expectThrows(MalformedFrameException.class, () -> FrameCodec.decode("peer", Optional.empty(), huge));
         assertTrue(refusal.getMessage().contains("0 bytes left"), refusal.getMessage());
@@ -105,20 +105,20 @@
      * phase or code. Any change here needs a new {@link Hello#PROTOCOL_VERSION}.
      */
     @Test
-    public void testLayout_isThatOfProtocolVersionThree() {
+    public void testLayout_isThatOfProtocolVersionFour() {
         byte[] all = Samples.every().stream().map(FrameCodec::encode).reduce(new byte[0], Bytes::concat);
         String enums = Arrays.toString(NodePhase.values())
                 + Arrays.toString(ProblemCode.values())
                 + Arrays.toString(Step.values())
                 + Arrays.toString(AnswerOutcome.values())
                 + Arrays.toString(Verdict.values());
-        assertEquals(Hello.PROTOCOL_VERSION, 3);
+        assertEquals(Hello.PROTOCOL_VERSION, 4);
         assertEquals(
                 Hashing.sha256().hashBytes(all).toString(),
-                "96edcc57a7897981aa752119ff8c2446eb402428d13d951808ccfb310b36967d");
+                "3e5568fb07824d17706aff3e0cd472a71518ae6bafa6eac9bb6f6eacae9b61b5");
         assertEquals(
                 Hashing.sha256().hashUnencodedChars(enums).toString(),
-                "3c35a7fb79b5c6b3a0acaa304f30e227084d0988eb1c0a09d64b92e008b5053d");
+                "195e585deaeebd12597a7b806685ccf7a0d45283e8dde39e329f39bada6f07c8");
     }
 
     @Test
--- a/tarragonarch-wire/src/test/java/org/tarragonarch/wire/PlacingSamples.java
+++ b/tarragonarch-wire/src/test/java/org/tarragonarch/wire/PlacingSamples.java
@@ -6,6 +6,7 @@
 import org.tarragonarch.model.id.EndpointId;
 import org.tarragonarch.model.id.FailureDomain;
 import org.tarragonarch.model.id.NodeId;
+import org.tarragonarch.model.report.DrainedDomains;
 import org.tarragonarch.model.report.HeldShard;
 import org.tarragonarch.model.report.Member;
 import org.tarragonarch.model.report.NodeStatus;
@@ -31,10 +32,13 @@
 
     static ImmutableList<Frame> every() {
         HeldShard held = new HeldShard(SHARD, new FencingToken((1L << 53) + 1), 176_000);
-        NodeStatus holding = new NodeStatus(NODE, SHARD, ADDRESS, 750, false, true, 12, ImmutableList.of(held));
-        NodeStatus leaving = new NodeStatus(NODE, SHARD, ADDRESS, 1_500, true, false, 0, ImmutableList.of());
+        DrainedDomains drained = new DrainedDomains((1L << 40) + 7, ImmutableSet.of(SHARD));
+        NodeStatus holding =
+                new NodeStatus(NODE, SHARD, ADDRESS, 750, false, true, 12, drained, ImmutableList.of(held));
+        NodeStatus leaving =
+                new NodeStatus(NODE, SHARD, ADDRESS, 1_500, true, false, 0, DrainedDomains.UNREAD, ImmutableList.of());
         Resources capacity = new Resources(16_000, 32_768, 1);
-        EndpointEntry entry = new EndpointEntry(EndpointId.of("i-1"), "board", ADDRESS, SHARD, true, capacity);
+        EndpointEntry entry = new EndpointEntry(EndpointId.of("i-1"), "board", ADDRESS, SHARD, true, capacity, true);
         return ImmutableList.of(
                 new StatusFrame(holding),
                 new StatusFrame(leaving),
