--- a/tarragonarch-benchmark/src/test/java/org/tarragonarch/benchmark/experiment/HeavyLoadTest.java
+++ b/tarragonarch-benchmark/src/test/java/org/tarragonarch/benchmark/experiment/HeavyLoadTest.java
@@ -122,6 +122,21 @@
         assertAtLeast(mean(results, each -> each.between(20_000, 22_000)), 1 - ownClients, "beside the cut");
     }
 
+    /**
+     * The pattern of tasks of half an endpoint, a third more of them than fit: the most urgent kind is not given up for
+     * work that could wait.
+     */
+    @Test
+    public void testHalves_urgentJobsAreNotRefusedForWorkThatCanWait() throws StepException {
+        ImmutableList<ExperimentResult> results =
+                play(LoadShapes.named("halves").withJobsPerSecond(620));
+        assertAtLeast(mean(results, ExperimentResult::earned), 0.92, "all");
+        for (String kind : results.get(0).byKind().keySet()) {
+            assertAtLeast(mean(results, each -> each.byKind().get(kind)), 0.84, kind);
+        }
+        assertEquals(mean(results, ExperimentResult::overfilled), 0.0);
+    }
+
     /** No user has a cluster like this: two domains far apart in size and rate, and one kind of job. */
     @Test
     public void testOtherShape() throws StepException {
