Own interface: tarragonctl domain drain and undrain, checked, audited, undone by rollback

The drain of a failure domain now has its verb on the project's own interface too. It is part of the configuration (drained-domains), so it is in force everywhere as any change, stands in the audit trail, and rollback undoes it. Endpoints of a drained domain count as drained by an operator, also those that are listed later; one that was drained by itself stays out when its domain comes back.

Tests: CtlMainTest, EndpointDirectoryLeavingTest, ConfigurationFolderTest.

--- a/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/policy/NodeModel.java
+++ b/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/policy/NodeModel.java
@@ -142,10 +142,10 @@
                 domainName,
                 NodePhase.SERVING,
                 ConfigurationVersion.of(1),
-                directory.loads(),
+                directory.views().loads(),
                 true,
-                directory.leaving(),
-                directory.quarantined());
+                directory.views().leaving(),
+                directory.views().quarantined());
         for (NodeModel peer : peers) {
             run.measures.waste.add(Waste.REPORT);
             time.after(run.shape.oneWayNanos(domain, domain), () -> peer.hear(report));
--- a/tarragonarch-benchmark/src/test/java/org/tarragonarch/benchmark/decision/DecisionsTest.java
+++ b/tarragonarch-benchmark/src/test/java/org/tarragonarch/benchmark/decision/DecisionsTest.java
@@ -13,7 +13,7 @@
         }
         assertEquals(decisions.queue.queuedTasks(), 500, 10);
         assertEquals(
-                decisions.directory.loads().stream()
+                decisions.directory.views().loads().stream()
                         .mapToInt(load -> load.inFlight())
                         .sum(),
                 120);
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/endpoint/EndpointDirectory.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/endpoint/EndpointDirectory.java
@@ -3,7 +3,6 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import com.google.common.collect.ImmutableList;
-import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
 import com.google.common.collect.Sets;
 import java.util.HashSet;
@@ -12,27 +11,21 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
-import java.util.function.Predicate;
 import org.tarragonarch.core.action.ActionSink;
-import org.tarragonarch.core.action.Note;
 import org.tarragonarch.core.action.NoteEvent;
-import org.tarragonarch.core.action.ProbeEndpoint;
 import org.tarragonarch.core.event.ProbeEnded;
 import org.tarragonarch.core.event.SendResult;
 import org.tarragonarch.core.event.TaskEnded;
 import org.tarragonarch.core.placement.PlacementStrategy;
 import org.tarragonarch.core.placement.RendezvousHash;
-import org.tarragonarch.core.status.EndpointStatus;
 import org.tarragonarch.model.id.EndpointId;
 import org.tarragonarch.model.id.FailureDomain;
 import org.tarragonarch.model.id.KindName;
 import org.tarragonarch.model.id.NodeId;
 import org.tarragonarch.model.id.ServiceName;
-import org.tarragonarch.model.outcome.Step;
 import org.tarragonarch.model.platform.VmRecord;
 import org.tarragonarch.model.platform.VmRole;
 import org.tarragonarch.model.platform.VmState;
-import org.tarragonarch.model.report.EndpointLoad;
 import org.tarragonarch.model.report.PeerReport;
 import org.tarragonarch.model.service.ServiceObjective;
 
@@ -48,19 +41,20 @@
  */
 public final class EndpointDirectory {
     private final NodeId self;
-    private final Random random;
     private final EndpointPools pools;
     private final Map<EndpointId, EndpointRecord> records = new LinkedHashMap<>();
-    private final Set<EndpointId> drained = new HashSet<>();
+    private final OperatorDrains drains = new OperatorDrains();
     private final FailureJudge judge = new FailureJudge();
-    private final WakeQueue wakes = new WakeQueue();
     private final PeerViews peers = new PeerViews();
+    private final EndpointViews views = new EndpointViews(records);
+    private final EndpointProbes probes;
     private ImmutableSet<NodeId> alive;
 
     private EndpointDirectory(NodeId self, FailureDomain own, Random random, PlacementStrategy strategy) {
         this.self = checkNotNull(self, "self");
-        this.random = checkNotNull(random, "random");
-        this.pools = new EndpointPools(checkNotNull(own, "own"), random, checkNotNull(strategy, "strategy"));
+        this.pools = new EndpointPools(
+                checkNotNull(own, "own"), checkNotNull(random, "random"), checkNotNull(strategy, "strategy"));
+        this.probes = new EndpointProbes(self, random, pools, peers);
         this.alive = ImmutableSet.of(self);
     }
 
@@ -97,7 +91,7 @@
         }
         for (EndpointRecord endpoint : MissingEndpoints.of(records.values(), named, nowNanos)) {
             endpoint.unlisted();
-            note(NoteEvent.ENDPOINT_GONE, endpoint.id(), "list", sink);
+            EndpointNotes.emit(NoteEvent.ENDPOINT_GONE, endpoint.id(), "list", sink);
             refresh(endpoint, nowNanos);
         }
         // Only with the whole list taken in is it known how many endpoints can be spared.
@@ -129,14 +123,27 @@
 
     /** Takes an endpoint out at an operator's word, or puts it back; holds also if it is listed only later. */
     public void drain(EndpointId endpoint, boolean out, long nowNanos, ActionSink sink) {
-        boolean changed = out ? drained.add(endpoint) : drained.remove(endpoint);
+        drains.setDrained(endpoint, out);
         EndpointRecord record = records.get(endpoint);
-        if (record == null || !changed) {
-            return;
+        if (record != null) {
+            followDrains(record, nowNanos, sink);
+        }
+    }
+
+    /** Takes in which failure domains operators have drained; endpoints there get no task, also if listed later. */
+    public void drainDomains(ImmutableSet<FailureDomain> domains, long nowNanos, ActionSink sink) {
+        drains.setDomains(domains);
+        ImmutableList.copyOf(records.values()).forEach(record -> followDrains(record, nowNanos, sink));
+    }
+
+    private void followDrains(EndpointRecord endpoint, long nowNanos, ActionSink sink) {
+        boolean out = drains.isDrained(endpoint.id(), endpoint.vm().domain());
+        if (out != endpoint.isDrained()) {
+            endpoint.drained(out);
+            EndpointNotes.emit(
+                    out ? NoteEvent.ENDPOINT_LEAVING : NoteEvent.ENDPOINT_READMITTED, endpoint.id(), "operator", sink);
+            refresh(endpoint, nowNanos);
         }
-        record.drained(out);
-        note(out ? NoteEvent.ENDPOINT_LEAVING : NoteEvent.ENDPOINT_READMITTED, endpoint, "operator", sink);
-        refresh(record, nowNanos);
     }
 
     /**
@@ -173,7 +180,7 @@
         endpoint.slots().givenBack();
         pools.counted(service, endpoint, ended.result(), nowNanos);
         if (ended.endpointLeaving() || ended.result() == SendResult.REFUSED_DRAINING) {
-            leaves(endpoint, "its own answer", nowNanos, sink);
+            probes.leaves(endpoint, "its own answer", nowNanos, sink);
         }
         if (ended.result().endpointAnswered()) {
             pools.reach(endpoint).answered();
@@ -182,7 +189,7 @@
             case SUCCEEDED -> ran(endpoint, service, kind, false, nowNanos, sink);
             case TASK_FAILED, LOST -> ran(endpoint, service, kind, true, nowNanos, sink);
             case REFUSED_BUSY -> refusedBusy(endpoint, nowNanos);
-            case CONNECT_FAILED -> unreachable(endpoint, nowNanos, sink);
+            case CONNECT_FAILED -> probes.unreachable(endpoint, nowNanos, sink);
             case REFUSED_DRAINING -> {}
             default -> throw new AssertionError(ended.result());
         }
@@ -202,7 +209,7 @@
         }
         endpoint.slots().givenBack();
         if (ended.endpointLeaving()) {
-            leaves(endpoint, "its own answer", nowNanos, sink);
+            probes.leaves(endpoint, "its own answer", nowNanos, sink);
         }
         refresh(endpoint, nowNanos);
     }
@@ -215,11 +222,11 @@
         }
         endpoint.wakeNanos(EndpointRecord.NEVER);
         if (ended.leaving()) {
-            leaves(endpoint, "its answer to a probe", nowNanos, sink);
+            probes.leaves(endpoint, "its answer to a probe", nowNanos, sink);
         } else if (ended.healthy()) {
-            answeredProbe(endpoint, nowNanos, sink);
+            probes.answered(endpoint, nowNanos, sink);
         } else {
-            unreachable(endpoint, nowNanos, sink);
+            probes.unreachable(endpoint, nowNanos, sink);
         }
         refresh(endpoint, nowNanos);
     }
@@ -229,17 +236,17 @@
         if (pools.riskAgainNanos() <= nowNanos) {
             pools.riskedAgain();
         }
-        for (Optional<EndpointRecord> due = wakes.pollDue(nowNanos); due.isPresent(); due = wakes.pollDue(nowNanos)) {
+        for (Optional<EndpointRecord> due = probes.pollDue(nowNanos); due.isPresent(); due = probes.pollDue(nowNanos)) {
             EndpointRecord endpoint = due.get();
             if (records.get(endpoint.id()) != endpoint) {
                 continue;
             }
             if (endpoint.wakeNanos() <= nowNanos) {
-                probe(endpoint, nowNanos, sink);
+                probes.probe(endpoint, nowNanos, sink);
             }
             if (endpoint.fadesNanos() <= nowNanos) {
                 endpoint.refusalFades(nowNanos);
-                wakes.add(endpoint.fadesNanos(), endpoint);
+                probes.wakeAt(endpoint, endpoint.fadesNanos());
             }
             refresh(endpoint, nowNanos);
         }
@@ -247,7 +254,7 @@
 
     /** Returns when {@link #timePassed} is next worth calling; {@code Long.MAX_VALUE} for never. */
     public long nextWakeNanos() {
-        return Math.min(wakes.nextNanos(), pools.riskAgainNanos());
+        return Math.min(probes.nextNanos(), pools.riskAgainNanos());
     }
 
     /** Returns whether any endpoint of the service may get work, now or once a slot is free. */
@@ -266,59 +273,20 @@
         return pools.openSlots(service);
     }
 
-    /** Returns how many tasks of this node are in flight at each endpoint, where that is not 0. */
-    public ImmutableList<EndpointLoad> loads() {
-        return records.values().stream()
-                .filter(endpoint -> endpoint.slots().ownInFlight() > 0)
-                .map(endpoint ->
-                        new EndpointLoad(endpoint.id(), endpoint.slots().ownInFlight()))
-                .collect(ImmutableList.toImmutableList());
-    }
-
-    /** Returns the endpoints known to be leaving. */
-    public ImmutableSet<EndpointId> leaving() {
-        return idsWhere(EndpointRecord::isLeaving);
-    }
-
-    /**
-     * Returns the endpoints in quarantine, or on trial after it, by this node's own judgement of how tasks ended.
-     *
-     * <p>Endpoints that this node cannot reach are not among them: another node may reach them well.
-     */
-    public ImmutableSet<EndpointId> quarantined() {
-        return idsWhere(EndpointRecord::isUnderConviction);
-    }
-
-    /** Returns a line for each endpoint. */
-    public ImmutableList<EndpointStatus> status() {
-        return records.values().stream()
-                .map(endpoint -> new EndpointStatus(
-                        endpoint.id(),
-                        endpoint.vm().domain(),
-                        endpoint.vm().address(),
-                        endpoint.vm().slots(),
-                        endpoint.slots().ownInFlight(),
-                        endpoint.condition().word(),
-                        endpoint.why()))
-                .collect(ImmutableList.toImmutableList());
-    }
-
-    private ImmutableSet<EndpointId> idsWhere(Predicate<EndpointRecord> condition) {
-        return records.values().stream()
-                .filter(condition)
-                .map(EndpointRecord::id)
-                .collect(ImmutableSet.toImmutableSet());
+    /** Returns what this node knows of its endpoints, as it is at each call. */
+    public EndpointViews views() {
+        return views;
     }
 
     private void takeLine(EndpointId id, VmRecord vm, long nowNanos, ActionSink sink) {
         EndpointRecord endpoint = records.get(id);
         if (endpoint == null) {
             endpoint = new EndpointRecord(id, vm);
-            endpoint.drained(drained.contains(id));
+            endpoint.drained(drains.isDrained(id, vm.domain()));
             endpoint.slots().peersChanged(peers.inFlight(id));
             endpoint.peersConvicting(peers.quarantining(id).size());
             records.put(id, endpoint);
-            note(NoteEvent.ENDPOINT_APPEARED, id, "list", sink);
+            EndpointNotes.emit(NoteEvent.ENDPOINT_APPEARED, id, "list", sink);
         } else if (vm.equals(endpoint.vm()) && endpoint.isListed()) {
             return;
         } else {
@@ -326,7 +294,7 @@
             endpoint.listed(vm);
         }
         if (vm.state() == VmState.LEAVING) {
-            leaves(endpoint, "list", nowNanos, sink);
+            probes.leaves(endpoint, "list", nowNanos, sink);
         }
         resize(endpoint);
         refresh(endpoint, nowNanos);
@@ -348,74 +316,20 @@
         endpoint.slots().vacated();
         judge.add(endpoint, service, kind, failed);
         if (!failed && endpoint.succeeded(nowNanos)) {
-            note(NoteEvent.ENDPOINT_READMITTED, endpoint.id(), endpoint.why(), sink);
+            EndpointNotes.emit(NoteEvent.ENDPOINT_READMITTED, endpoint.id(), endpoint.why(), sink);
         }
         boolean elsewhere = !pools.inOwnDomain(endpoint);
         boolean mayBeOut = endpoint.countsAsQuarantined() || pools.spareOne(endpoint);
         if (failed && endpoint.isConvictable(elsewhere) && mayBeOut) {
             endpoint.convict(elsewhere, nowNanos, "fails what others do not fail");
-            note(NoteEvent.ENDPOINT_QUARANTINED, endpoint.id(), endpoint.why(), sink);
-            schedule(endpoint, endpoint.convictedUntilNanos());
+            EndpointNotes.emit(NoteEvent.ENDPOINT_QUARANTINED, endpoint.id(), endpoint.why(), sink);
+            probes.schedule(endpoint, endpoint.convictedUntilNanos());
         }
     }
 
     private void refusedBusy(EndpointRecord endpoint, long nowNanos) {
         endpoint.busy(nowNanos);
-        wakes.add(endpoint.fadesNanos(), endpoint);
-    }
-
-    private void unreachable(EndpointRecord endpoint, long nowNanos, ActionSink sink) {
-        if (!endpoint.isUnreachable()) {
-            pools.reach(endpoint).unreachable();
-            note(NoteEvent.ENDPOINT_QUARANTINED, endpoint.id(), "unreachable", sink);
-        } else if (endpoint.wakeNanos() != EndpointRecord.NEVER) {
-            return;
-        }
-        long wait = endpoint.unreachable(nowNanos);
-        schedule(endpoint, nowNanos + wait + random.nextLong(1 + wait / HealthPolicy.JITTER_PART));
-    }
-
-    private void leaves(EndpointRecord endpoint, String why, long nowNanos, ActionSink sink) {
-        if (!endpoint.isLeaving()) {
-            note(NoteEvent.ENDPOINT_LEAVING, endpoint.id(), why, sink);
-        }
-        endpoint.leaving(true, why);
-        schedule(endpoint, nowNanos + HealthPolicy.LEAVING_PROBE_NANOS);
-    }
-
-    private void answeredProbe(EndpointRecord endpoint, long nowNanos, ActionSink sink) {
-        pools.reach(endpoint).answered();
-        boolean wasOut = endpoint.isLeaving() || endpoint.isUnreachable();
-        if (endpoint.isLeaving()) {
-            endpoint.leaving(false, "probe");
-        }
-        if (endpoint.isUnreachable()) {
-            endpoint.reachable();
-        }
-        if (endpoint.isConvicted() && nowNanos >= endpoint.convictedUntilNanos()) {
-            endpoint.startTrial();
-        } else if (endpoint.isConvicted()) {
-            schedule(endpoint, endpoint.convictedUntilNanos());
-        } else if (wasOut) {
-            note(NoteEvent.ENDPOINT_READMITTED, endpoint.id(), "probe", sink);
-        }
-    }
-
-    private void probe(EndpointRecord endpoint, long nowNanos, ActionSink sink) {
-        if (!endpoint.needsProbe()) {
-            endpoint.wakeNanos(EndpointRecord.NEVER);
-        } else if (endpoint.isConvicted() && isTriedByPeer(endpoint)) {
-            schedule(endpoint, nowNanos + HealthPolicy.TRIAL_BY_PEER_NANOS);
-        } else {
-            sink.emit(new ProbeEndpoint(endpoint.id(), endpoint.vm().address()));
-            schedule(endpoint, nowNanos + HealthPolicy.PROBE_TIMEOUT_NANOS);
-        }
-    }
-
-    /** Returns whether a peer holds the same endpoint in quarantine and comes first, so that only one tries it. */
-    private boolean isTriedByPeer(EndpointRecord endpoint) {
-        ImmutableSet<NodeId> others = peers.quarantining(endpoint.id());
-        return RendezvousHash.rank(self, others, endpoint.id().value()) > 0;
+        probes.wakeAt(endpoint, endpoint.fadesNanos());
     }
 
     private PeerViews.Listener peerChanges(long nowNanos, ActionSink sink) {
@@ -433,7 +347,7 @@
             public void leavingSaid(EndpointId id, NodeId peer) {
                 EndpointRecord endpoint = records.get(id);
                 if (endpoint != null) {
-                    leaves(endpoint, "peer " + peer, nowNanos, sink);
+                    probes.leaves(endpoint, "peer " + peer, nowNanos, sink);
                     refresh(endpoint, nowNanos);
                 }
             }
@@ -459,7 +373,7 @@
             endpoint.outByPeers(false);
         } else if (pools.spareOne(endpoint)) {
             endpoint.outByPeers(true);
-            note(NoteEvent.ENDPOINT_QUARANTINED, endpoint.id(), endpoint.why(), sink);
+            EndpointNotes.emit(NoteEvent.ENDPOINT_QUARANTINED, endpoint.id(), endpoint.why(), sink);
         } else {
             endpoint.suspect();
         }
@@ -482,16 +396,7 @@
         }
         pools.update(endpoint, nowNanos);
         if (endpoint.needsProbe() && endpoint.wakeNanos() == EndpointRecord.NEVER) {
-            schedule(endpoint, nowNanos + HealthPolicy.LEAVING_PROBE_NANOS);
+            probes.schedule(endpoint, nowNanos + HealthPolicy.LEAVING_PROBE_NANOS);
         }
     }
-
-    private void schedule(EndpointRecord endpoint, long nanos) {
-        endpoint.wakeNanos(nanos);
-        wakes.add(nanos, endpoint);
-    }
-
-    private static void note(NoteEvent event, EndpointId endpoint, String why, ActionSink sink) {
-        sink.emit(new Note(event, Step.SEND, endpoint.value(), ImmutableMap.of("why", why)));
-    }
 }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/endpoint/EndpointRecord.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/endpoint/EndpointRecord.java
@@ -92,6 +92,10 @@
         return listed;
     }
 
+    boolean isDrained() {
+        return drained;
+    }
+
     void drained(boolean out) {
         drained = out;
     }
--- /dev/null
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/endpoint/EndpointViews.java
@@ -0,0 +1,62 @@
+package org.tarragonarch.core.endpoint;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import java.util.Map;
+import java.util.function.Predicate;
+import org.tarragonarch.core.status.EndpointStatus;
+import org.tarragonarch.model.id.EndpointId;
+import org.tarragonarch.model.report.EndpointLoad;
+
+/** What a node knows of its endpoints, as peers and operators are told it. */
+public final class EndpointViews {
+    private final Map<EndpointId, EndpointRecord> records;
+
+    EndpointViews(Map<EndpointId, EndpointRecord> records) {
+        this.records = records;
+    }
+
+    /** Returns how many tasks of this node are in flight at each endpoint, where that is not 0. */
+    public ImmutableList<EndpointLoad> loads() {
+        return records.values().stream()
+                .filter(endpoint -> endpoint.slots().ownInFlight() > 0)
+                .map(endpoint ->
+                        new EndpointLoad(endpoint.id(), endpoint.slots().ownInFlight()))
+                .collect(ImmutableList.toImmutableList());
+    }
+
+    /** Returns the endpoints known to be leaving. */
+    public ImmutableSet<EndpointId> leaving() {
+        return idsWhere(EndpointRecord::isLeaving);
+    }
+
+    /**
+     * Returns the endpoints in quarantine, or on trial after it, by this node's own judgement of how tasks ended.
+     *
+     * <p>Endpoints that this node cannot reach are not among them: another node may reach them well.
+     */
+    public ImmutableSet<EndpointId> quarantined() {
+        return idsWhere(EndpointRecord::isUnderConviction);
+    }
+
+    /** Returns a line for each endpoint. */
+    public ImmutableList<EndpointStatus> status() {
+        return records.values().stream()
+                .map(endpoint -> new EndpointStatus(
+                        endpoint.id(),
+                        endpoint.vm().domain(),
+                        endpoint.vm().address(),
+                        endpoint.vm().slots(),
+                        endpoint.slots().ownInFlight(),
+                        endpoint.condition().word(),
+                        endpoint.why()))
+                .collect(ImmutableList.toImmutableList());
+    }
+
+    private ImmutableSet<EndpointId> idsWhere(Predicate<EndpointRecord> condition) {
+        return records.values().stream()
+                .filter(condition)
+                .map(EndpointRecord::id)
+                .collect(ImmutableSet.toImmutableSet());
+    }
+}
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/node/EntryNode.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/node/EntryNode.java
@@ -154,7 +154,7 @@
                 lifecycle.phase(),
                 configuration.version(),
                 submissions.size(),
-                endpoints.status(),
+                endpoints.views().status(),
                 peers.status(),
                 queueStatus(),
                 quotaStatus());
@@ -193,6 +193,9 @@
             configuration.rowRead(read.row(), nowNanos, sink);
         } else if (event instanceof ConfigurationLoaded loaded) {
             if (configuration.loaded(loaded, nowNanos, sink)) {
+                configuration
+                        .inForce()
+                        .ifPresent(catalog -> endpoints.drainDomains(catalog.drainedDomains(), nowNanos, sink));
                 equip(sink);
                 dispatcher.everythingChanged();
                 peers.reportNow(nowNanos, reportSource, sink);
@@ -400,17 +403,17 @@
 
         @Override
         public ImmutableList<EndpointLoad> loads() {
-            return endpoints.loads();
+            return endpoints.views().loads();
         }
 
         @Override
         public ImmutableSet<EndpointId> leaving() {
-            return endpoints.leaving();
+            return endpoints.views().leaving();
         }
 
         @Override
         public ImmutableSet<EndpointId> quarantined() {
-            return endpoints.quarantined();
+            return endpoints.views().quarantined();
         }
     }
 }
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/configuration/ConfigurationReplicaTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/configuration/ConfigurationReplicaTest.java
@@ -6,6 +6,7 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.time.Instant;
@@ -284,7 +285,13 @@
 
     private static ServiceCatalog catalog(long number, ContentDigest digest) {
         return new ServiceCatalog(
-                version(number), digest, ImmutableMap.of(), ImmutableMap.of(), ImmutableMap.of(), ImmutableMap.of());
+                version(number),
+                digest,
+                ImmutableMap.of(),
+                ImmutableMap.of(),
+                ImmutableMap.of(),
+                ImmutableMap.of(),
+                ImmutableSet.of());
     }
 
     private static ContentDigest digest(long number) {
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/endpoint/DirectoryFixture.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/endpoint/DirectoryFixture.java
@@ -160,7 +160,7 @@
     }
 
     String health(EndpointId endpoint) {
-        return directory.status().stream()
+        return directory.views().status().stream()
                 .filter(line -> line.endpoint().equals(endpoint))
                 .map(line -> line.health())
                 .findFirst()
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/endpoint/EndpointDirectoryHealthTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/endpoint/EndpointDirectoryHealthTest.java
@@ -43,7 +43,7 @@
     private DirectoryFixture withBrokenOneOut() {
         DirectoryFixture fixture = withTenEndpoints();
         fixture.run(500, KIND, this::failsAtBroken);
-        assertEquals(fixture.directory.quarantined(), ImmutableSet.of(broken));
+        assertEquals(fixture.directory.views().quarantined(), ImmutableSet.of(broken));
         return fixture;
     }
 
@@ -54,7 +54,7 @@
         DirectoryFixture fixture = withTenEndpoints();
         List<EndpointId> used = fixture.run(500, KIND, this::failsAtBroken);
         assertEquals(Collections.frequency(used, broken), 3);
-        assertEquals(fixture.directory.quarantined(), ImmutableSet.of(broken));
+        assertEquals(fixture.directory.views().quarantined(), ImmutableSet.of(broken));
         assertEquals(fixture.notes(NoteEvent.ENDPOINT_QUARANTINED), 1);
     }
 
@@ -68,7 +68,7 @@
             fixture.run(1, KIND, endpoint -> SendResult.SUCCEEDED);
             fixture.run(1, bad, endpoint -> SendResult.TASK_FAILED);
         }
-        assertEquals(fixture.directory.quarantined(), ImmutableSet.of());
+        assertEquals(fixture.directory.views().quarantined(), ImmutableSet.of());
         assertEquals(fixture.directory.slots(SERVICE), 80);
     }
 
@@ -97,7 +97,7 @@
             assertEquals(fixture.reserve(), Optional.of(broken));
             fixture.end(broken, SendResult.SUCCEEDED);
         }
-        assertEquals(fixture.directory.quarantined(), ImmutableSet.of());
+        assertEquals(fixture.directory.views().quarantined(), ImmutableSet.of());
         assertEquals(fixture.fill(ServiceObjective.RESPONSE_TIME).size(), 8);
         assertEquals(fixture.notes(NoteEvent.ENDPOINT_READMITTED), 1);
     }
@@ -122,7 +122,10 @@
         DirectoryFixture fixture = withTenEndpoints();
         fixture.report(PEER, ImmutableList.of(), ImmutableSet.of(), ImmutableSet.of(broken));
         assertFalse(fixture.fill(ServiceObjective.RESPONSE_TIME).contains(broken));
-        assertEquals(fixture.directory.quarantined(), ImmutableSet.of(), "a peer's word is not passed on as its own");
+        assertEquals(
+                fixture.directory.views().quarantined(),
+                ImmutableSet.of(),
+                "a peer's word is not passed on as its own");
         fixture.report(PEER, ImmutableList.of(), ImmutableSet.of(), ImmutableSet.of());
         assertEquals(fixture.fill(ServiceObjective.RESPONSE_TIME), List.of(broken));
     }
@@ -154,7 +157,7 @@
         fixture.pass(Duration.ofSeconds(1));
         assertEquals(fixture.probes(), 2);
         fixture.probed(broken, true, false);
-        assertEquals(fixture.directory.quarantined(), ImmutableSet.of());
+        assertEquals(fixture.directory.views().quarantined(), ImmutableSet.of());
         assertEquals(fixture.health(broken), "live");
     }
 
@@ -162,7 +165,7 @@
     public void testTimePassed_lostProbeIsSentAgain() {
         DirectoryFixture fixture = withTenEndpoints();
         fixture.reserve();
-        EndpointId used = fixture.directory.loads().get(0).endpoint();
+        EndpointId used = fixture.directory.views().loads().get(0).endpoint();
         fixture.end(used, SendResult.CONNECT_FAILED);
         fixture.pass(Duration.ofSeconds(7));
         assertEquals(fixture.probes(), 2);
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/endpoint/EndpointDirectoryLeavingTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/endpoint/EndpointDirectoryLeavingTest.java
@@ -36,7 +36,7 @@
         assertTrue(before.contains(first));
         leaving.endSayingThatItLeaves(first);
         leaving.list(vms(1, 2, HOBART));
-        assertEquals(leaving.directory.leaving(), ImmutableSet.of(first));
+        assertEquals(leaving.directory.views().leaving(), ImmutableSet.of(first));
         assertFalse(leaving.reserve().isPresent());
         assertEquals(leaving.notes(NoteEvent.ENDPOINT_LEAVING), 1);
     }
@@ -59,6 +59,30 @@
         assertEquals(restarted.reserve().get(), first);
     }
 
+    /** Guards against a drained failure domain whose endpoints get tasks, also those that are listed later. */
+    @Test
+    public void testDrainDomains_noEndpointOfTheDomainGetsTasks() {
+        DirectoryFixture drained = new DirectoryFixture();
+        drained.list(vms(1, 1, HOBART));
+        drained.directory.drainDomains(ImmutableSet.of(HOBART), drained.nowNanos, drained.actions::add);
+        assertFalse(drained.reserve().isPresent());
+        drained.list(vms(1, 2, HOBART));
+        assertFalse(drained.reserve().isPresent());
+        drained.directory.drainDomains(ImmutableSet.of(), drained.nowNanos, drained.actions::add);
+        assertTrue(drained.reserve().isPresent());
+    }
+
+    /** Guards against an endpoint that an operator drained and that comes back with its failure domain. */
+    @Test
+    public void testDrainDomains_endpointThatIsDrainedByItselfStaysOut() {
+        DirectoryFixture drained = new DirectoryFixture();
+        drained.list(vms(1, 1, HOBART));
+        drained.directory.drain(first, true, drained.nowNanos, drained.actions::add);
+        drained.directory.drainDomains(ImmutableSet.of(HOBART), drained.nowNanos, drained.actions::add);
+        drained.directory.drainDomains(ImmutableSet.of(), drained.nowNanos, drained.actions::add);
+        assertFalse(drained.reserve().isPresent());
+    }
+
     @Test
     public void testListed_leavingEndpointWithAnotherAddress() {
         DirectoryFixture replaced = new DirectoryFixture();
@@ -112,7 +136,7 @@
         missing.list(vms(2, 4, HOBART));
         missing.end(first, SendResult.SUCCEEDED);
         assertFalse(missing.reserve().isPresent());
-        assertEquals(missing.directory.loads().get(0).inFlight(), 7);
+        assertEquals(missing.directory.views().loads().get(0).inFlight(), 7);
         for (int i = 0; i < 7; i++) {
             missing.end(first, SendResult.SUCCEEDED);
         }
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/node/NodeFixture.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/node/NodeFixture.java
@@ -119,7 +119,8 @@
                 ImmutableMap.of(SERVICE, service),
                 teams.build(),
                 callers.build(),
-                ImmutableMap.of());
+                ImmutableMap.of(),
+                ImmutableSet.of());
     }
 
     private static KindDefinition kind(KindName name, boolean idempotent) {
--- a/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/CtlMain.java
+++ b/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/CtlMain.java
@@ -6,6 +6,7 @@
 import org.tarragonarch.model.id.Address;
 import org.tarragonarch.model.id.ConfigurationVersion;
 import org.tarragonarch.model.id.EndpointId;
+import org.tarragonarch.model.id.FailureDomain;
 import org.tarragonarch.model.id.KindName;
 import org.tarragonarch.model.id.OperatorName;
 import org.tarragonarch.model.id.ServiceName;
@@ -35,6 +36,7 @@
                 .registerConverter(Address.class, converter(Address::parse))
                 .registerConverter(Duration.class, converter(DurationText::parse))
                 .registerConverter(EndpointId.class, converter(EndpointId::of))
+                .registerConverter(FailureDomain.class, converter(FailureDomain::of))
                 .registerConverter(KindName.class, converter(KindName::of))
                 .registerConverter(OperatorName.class, converter(OperatorName::of))
                 .registerConverter(ServiceName.class, converter(ServiceName::of))
--- a/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/command/TarragonCtl.java
+++ b/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/command/TarragonCtl.java
@@ -37,6 +37,7 @@
             QuotasCommand.class,
             DrainCommand.class,
             UndrainCommand.class,
+            DomainCommand.class,
             SubmitCommand.class,
             ExplainCommand.class,
             TokenCommand.class,
--- a/tarragonarch-ctl/src/test/java/org/tarragonarch/ctl/CtlMainTest.java
+++ b/tarragonarch-ctl/src/test/java/org/tarragonarch/ctl/CtlMainTest.java
@@ -161,6 +161,37 @@
                 out());
     }
 
+    @Test
+    public void testDomainDrain_isAuditedAndUndoneByRollback() {
+        connected("apply", folder.toString());
+        assertEquals(connected("domain", "drain", "hobart"), ExitCode.OK.number());
+        assertTrue(system.text(2).contains("\"drained-domains\" : [ \"hobart\" ]"), system.text(2));
+        assertEquals(connected("domain", "drain", "hobart"), ExitCode.OK.number());
+        assertEquals(system.newest(), 2);
+        connected("history");
+        assertTrue(out().contains("drained failure domain hobart"), out());
+        assertEquals(connected("rollback", "1"), ExitCode.OK.number());
+        assertEquals(system.text(3), system.text(1));
+    }
+
+    @Test
+    public void testDomainUndrain_leavesTheOthersDrained() {
+        connected("apply", folder.toString());
+        connected("domain", "drain", "launceston");
+        connected("domain", "drain", "hobart");
+        assertEquals(connected("domain", "undrain", "launceston"), ExitCode.OK.number());
+        assertTrue(system.text(4).contains("\"drained-domains\" : [ \"hobart\" ]"), system.text(4));
+        assertEquals(connected("domain", "undrain", "hobart"), ExitCode.OK.number());
+        assertEquals(system.text(5), system.text(1));
+    }
+
+    @Test
+    public void testDomainDrain_wrongNameOrNoConfiguration() {
+        assertEquals(connected("domain", "drain", "Not A Domain"), ExitCode.USAGE.number());
+        assertEquals(connected("domain", "drain", "hobart"), ExitCode.FAILED.number());
+        assertEquals(system.newest(), 0);
+    }
+
     @Test
     public void testStatus_oneNodeDown() {
         devonport.close();
--- a/tarragonarch-entry/src/test/java/org/tarragonarch/entry/caller/CallerFixture.java
+++ b/tarragonarch-entry/src/test/java/org/tarragonarch/entry/caller/CallerFixture.java
@@ -1,6 +1,7 @@
 package org.tarragonarch.entry.caller;
 
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import org.tarragonarch.core.action.Action;
@@ -79,7 +80,8 @@
                 ImmutableMap.of(),
                 ImmutableMap.of(),
                 ImmutableMap.of(name, new CallerDefinition(name, TeamName.of("proofreaders"), digest)),
-                ImmutableMap.of());
+                ImmutableMap.of(),
+                ImmutableSet.of());
     }
 
     RawClient connect() {
--- a/tarragonarch-model/src/main/java/org/tarragonarch/model/service/ServiceCatalog.java
+++ b/tarragonarch-model/src/main/java/org/tarragonarch/model/service/ServiceCatalog.java
@@ -3,10 +3,12 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
 import java.util.Optional;
 import org.tarragonarch.model.id.CallerName;
 import org.tarragonarch.model.id.ConfigurationVersion;
 import org.tarragonarch.model.id.ContentDigest;
+import org.tarragonarch.model.id.FailureDomain;
 import org.tarragonarch.model.id.OperatorName;
 import org.tarragonarch.model.id.ServiceName;
 import org.tarragonarch.model.id.TeamName;
@@ -20,6 +22,7 @@
  * @param teams the teams by name
  * @param callers the callers by name
  * @param operators the operators by name
+ * @param drainedDomains the failure domains in which no task is started
  */
 public record ServiceCatalog(
         ConfigurationVersion version,
@@ -27,7 +30,8 @@
         ImmutableMap<ServiceName, ServiceDefinition> services,
         ImmutableMap<TeamName, TeamDefinition> teams,
         ImmutableMap<CallerName, CallerDefinition> callers,
-        ImmutableMap<OperatorName, OperatorDefinition> operators) {
+        ImmutableMap<OperatorName, OperatorDefinition> operators,
+        ImmutableSet<FailureDomain> drainedDomains) {
     /** Checks the parts. */
     public ServiceCatalog {
         checkNotNull(version, "version");
@@ -36,6 +40,7 @@
         checkNotNull(teams, "teams");
         checkNotNull(callers, "callers");
         checkNotNull(operators, "operators");
+        checkNotNull(drainedDomains, "drainedDomains");
     }
 
     /** Returns the service with this name, if there is one. */
--- a/tarragonarch-settings/src/main/java/org/tarragonarch/settings/CatalogBuilder.java
+++ b/tarragonarch-settings/src/main/java/org/tarragonarch/settings/CatalogBuilder.java
@@ -10,6 +10,7 @@
 import org.tarragonarch.model.id.CallerName;
 import org.tarragonarch.model.id.ConfigurationVersion;
 import org.tarragonarch.model.id.ContentDigest;
+import org.tarragonarch.model.id.FailureDomain;
 import org.tarragonarch.model.id.KindName;
 import org.tarragonarch.model.id.OperatorName;
 import org.tarragonarch.model.id.ServiceName;
@@ -25,6 +26,9 @@
 
 /** Builds the catalog that a merged configuration defines, recording every mistake in ranges, words and references. */
 final class CatalogBuilder {
+    /** The key that lists the failure domains in which no task is started. */
+    static final String DRAINED_DOMAINS = "drained-domains";
+
     static final int MAX_TASKS = 1_000_000;
     static final int MAX_TASKS_PER_JOB = 10_000;
     static final int MAX_WEIGHT = 1_000;
@@ -50,8 +54,21 @@
         ImmutableMap<CallerName, CallerDefinition> callers = callers(teams);
         ImmutableMap<OperatorName, OperatorDefinition> operators = operators();
         ImmutableMap<ServiceName, ServiceDefinition> services = services(callers);
+        ImmutableSet<FailureDomain> drainedDomains = drainedDomains();
         root.finish();
-        return new ServiceCatalog(version, digest, services, teams, callers, operators);
+        return new ServiceCatalog(version, digest, services, teams, callers, operators, drainedDomains);
+    }
+
+    private ImmutableSet<FailureDomain> drainedDomains() {
+        ImmutableSet.Builder<FailureDomain> domains = ImmutableSet.builder();
+        for (String text : root.texts(DRAINED_DOMAINS)) {
+            try {
+                domains.add(FailureDomain.of(text));
+            } catch (IllegalArgumentException e) {
+                root.mistake(DRAINED_DOMAINS, "names '" + text + "', which no failure domain can be called");
+            }
+        }
+        return domains.build();
     }
 
     private ImmutableMap<TeamName, TeamDefinition> teams() {
--- a/tarragonarch-settings/src/main/java/org/tarragonarch/settings/DefinitionFacts.java
+++ b/tarragonarch-settings/src/main/java/org/tarragonarch/settings/DefinitionFacts.java
@@ -34,6 +34,8 @@
                         "operator " + name,
                         ImmutableSortedMap.of(
                                 "role", operator.role().word(), "token-sha256", shortened(operator.tokenDigest()))));
+        catalog.drainedDomains()
+                .forEach(domain -> facts.put("failure domain " + domain, ImmutableSortedMap.of("state", "drained")));
         return facts.buildOrThrow();
     }
 
--- /dev/null
+++ b/tarragonarch-settings/src/main/java/org/tarragonarch/settings/DrainEdit.java
@@ -0,0 +1,68 @@
+package org.tarragonarch.settings;
+
+import com.fasterxml.jackson.databind.node.TextNode;
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSortedSet;
+import java.util.Set;
+import java.util.TreeSet;
+import org.tarragonarch.model.id.FailureDomain;
+import org.tarragonarch.settings.SettingsValue.ListValue;
+import org.tarragonarch.settings.SettingsValue.ObjectValue;
+import org.tarragonarch.settings.SettingsValue.ScalarValue;
+
+/** Changes which failure domains a configuration drains, and nothing else of it. */
+public final class DrainEdit {
+    private DrainEdit() {}
+
+    /**
+     * Returns the configuration with one more failure domain drained.
+     *
+     * @param canonical the canonical text of the configuration
+     * @throws SettingsException if that text has mistakes
+     */
+    public static byte[] drain(byte[] canonical, FailureDomain domain) throws SettingsException {
+        return edit(canonical, domain, true);
+    }
+
+    /**
+     * Returns the configuration with one failure domain less drained.
+     *
+     * @param canonical the canonical text of the configuration
+     * @throws SettingsException if that text has mistakes
+     */
+    public static byte[] undrain(byte[] canonical, FailureDomain domain) throws SettingsException {
+        return edit(canonical, domain, false);
+    }
+
+    private static byte[] edit(byte[] canonical, FailureDomain domain, boolean drain) throws SettingsException {
+        String source = "the accepted configuration";
+        MistakeCollector mistakes = new MistakeCollector();
+        ObjectValue root = new SettingsParser(source, mistakes).parse(canonical);
+        mistakes.throwIfAny(source);
+        Set<String> drained = new TreeSet<>(SettingsObject.of(root, mistakes).texts(CatalogBuilder.DRAINED_DOMAINS));
+        mistakes.throwIfAny(source);
+        if (drain) {
+            drained.add(domain.value());
+        } else {
+            drained.remove(domain.value());
+        }
+        return CanonicalText.of(withDrained(root, ImmutableSortedSet.copyOf(drained)));
+    }
+
+    private static ObjectValue withDrained(ObjectValue root, ImmutableSortedSet<String> drained) {
+        ImmutableMap.Builder<String, SettingsValue> children = ImmutableMap.builder();
+        root.children().forEach((key, value) -> {
+            if (!key.equals(CatalogBuilder.DRAINED_DOMAINS)) {
+                children.put(key, value);
+            }
+        });
+        if (!drained.isEmpty()) {
+            ImmutableList<SettingsValue> items = drained.stream()
+                    .map(name -> new ScalarValue(root.place(), TextNode.valueOf(name)))
+                    .collect(ImmutableList.toImmutableList());
+            children.put(CatalogBuilder.DRAINED_DOMAINS, new ListValue(root.place(), items));
+        }
+        return new ObjectValue(root.place(), children.buildOrThrow());
+    }
+}
--- a/tarragonarch-settings/src/test/java/org/tarragonarch/settings/ConfigurationFolderTest.java
+++ b/tarragonarch-settings/src/test/java/org/tarragonarch/settings/ConfigurationFolderTest.java
@@ -15,6 +15,7 @@
 import java.util.Optional;
 import org.tarragonarch.model.id.CallerName;
 import org.tarragonarch.model.id.ConfigurationVersion;
+import org.tarragonarch.model.id.FailureDomain;
 import org.tarragonarch.model.id.KindName;
 import org.tarragonarch.model.id.ServiceName;
 import org.tarragonarch.model.service.KindDefinition;
@@ -182,6 +183,17 @@
         assertEquals(CatalogDifference.between(Optional.of(after), after).summary(), "no change");
     }
 
+    @Test
+    public void testRead_drainedDomains() throws Exception {
+        ServiceCatalog before = ConfigurationFolder.read(folder).catalog();
+        write("20-later.jsonc", "{ \"drained-domains\": [ \"hobart\" ] }");
+        ServiceCatalog after = ConfigurationFolder.read(folder).catalog();
+        assertEquals(after.drainedDomains(), ImmutableSet.of(FailureDomain.of("hobart")));
+        assertEquals(CatalogDifference.between(Optional.of(before), after).summary(), "added failure domain hobart");
+        write("30-wrong.jsonc", "{ \"drained-domains\": [ \"Not A Domain\" ] }");
+        assertThrows(SettingsException.class, () -> ConfigurationFolder.read(folder));
+    }
+
     private void write(String name, String text) throws IOException {
         Files.writeString(folder.resolve(name), text);
     }
--- a/tarragonarch-standin/src/main/java/org/tarragonarch/standin/explore/SampleCatalog.java
+++ b/tarragonarch-standin/src/main/java/org/tarragonarch/standin/explore/SampleCatalog.java
@@ -52,7 +52,8 @@
                 ImmutableMap.copyOf(Map.of(SERVICE, service)),
                 ImmutableMap.of(TEAM, new TeamDefinition(TEAM, 1, MANY)),
                 ImmutableMap.of(CALLER, new CallerDefinition(CALLER, TEAM, ContentDigest.of(text))),
-                ImmutableMap.of());
+                ImmutableMap.of(),
+                ImmutableSet.of());
     }
 
     private static KindDefinition kind(KindName name, boolean idempotent) {
