Count open connections by openings and closings: the gauge could stay at an older count

Traced: ConnectionLimiter told listeners the new count. Two connections that open on different network threads at the same moment may tell theirs the other way round, and the gauge shows the smaller count until the next change; with connections that are held open that is for good.

Change: listeners are told of openings and closings, and add them up; the order does not matter then.

--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/http/ConnectionLimiter.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/http/ConnectionLimiter.java
@@ -20,8 +20,11 @@
     @Override
     public void channelActive(ChannelHandlerContext context) {
         int now = open.incrementAndGet();
-        context.channel().closeFuture().addListener(closed -> events.connectionsChanged(open.decrementAndGet()));
-        events.connectionsChanged(now);
+        events.connectionOpened();
+        context.channel().closeFuture().addListener(closed -> {
+            open.decrementAndGet();
+            events.connectionClosed();
+        });
         if (now > maxConnections) {
             events.cut(CutCause.TOO_MANY_CONNECTIONS, Remotes.of(context.channel()));
             context.close();
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/http/HttpEvents.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/http/HttpEvents.java
@@ -5,14 +5,20 @@
     /** Hears nothing. */
     HttpEvents NONE = new HttpEvents() {
         @Override
-        public void connectionsChanged(int open) {}
+        public void connectionOpened() {}
+
+        @Override
+        public void connectionClosed() {}
 
         @Override
         public void cut(CutCause cause, String remote) {}
     };
 
-    /** The number of open connections has changed. */
-    void connectionsChanged(int open);
+    /** A connection was opened. */
+    void connectionOpened();
+
+    /** A connection that was opened is closed. */
+    void connectionClosed();
 
     /** A limit cut a connection or refused a request. */
     void cut(CutCause cause, String remote);
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/metrics/NodeMetrics.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/metrics/NodeMetrics.java
@@ -140,8 +140,13 @@
                 .register(registry);
         return new HttpEvents() {
             @Override
-            public void connectionsChanged(int now) {
-                open.set(now);
+            public void connectionOpened() {
+                open.incrementAndGet();
+            }
+
+            @Override
+            public void connectionClosed() {
+                open.decrementAndGet();
             }
 
             @Override
