Give up a task under which endpoints crash, keep it apart until it is cleared, and notice lapsed leases in time

A run that ends because another life of its endpoint answers has ended by a crash (EndKind.CRASHED), unless the endpoint was leaving as planned; so has one that lapsed in the endpoint's silence, once that turns out. A task under which an endpoint has crashed is started alone where it can be, else beside others of its kind, and nothing is put beside it; a run that ends clears it. After two crashes, or four runs lost with their endpoints, its job has failed.

Not done: the count is kept by one holder; the next holder of a job, or one that a job is given back to, begins anew.

--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/EndpointChoice.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/EndpointChoice.java
@@ -23,7 +23,7 @@
                 continue;
             }
             boolean failedBefore = task.failedAt(candidate.entry().id());
-            if (best == null || better(candidate, failedBefore, best, bestFailedBefore)) {
+            if (best == null || better(task, candidate, failedBefore, best, bestFailedBefore)) {
                 best = candidate;
                 bestFailedBefore = failedBefore;
             }
@@ -32,13 +32,37 @@
     }
 
     private static boolean better(
-            HeldEndpoint candidate, boolean failedBefore, HeldEndpoint best, boolean bestFailedBefore) {
+            PlacedTask task,
+            HeldEndpoint candidate,
+            boolean failedBefore,
+            HeldEndpoint best,
+            boolean bestFailedBefore) {
         if (failedBefore != bestFailedBefore) {
             return bestFailedBefore;
         }
+        int exposed = exposure(candidate, task);
+        int exposedAtBest = exposure(best, task);
+        if (exposed != exposedAtBest) {
+            return exposed < exposedAtBest;
+        }
         if (candidate.entry().cold() != best.entry().cold()) {
             return best.entry().cold();
         }
         return candidate.free().milliCores() < best.free().milliCores();
     }
+
+    /**
+     * Returns how much other work is at risk if the task is started there: a task under which an endpoint has crashed
+     * is best alone, next best beside others of its kind.
+     */
+    private static int exposure(HeldEndpoint endpoint, PlacedTask task) {
+        if (endpoint.room().isEmpty()) {
+            return 0;
+        }
+        boolean hostsSuspect = endpoint.hostsSuspect();
+        if (task.isSuspect()) {
+            return hostsSuspect ? 1 : 2;
+        }
+        return hostsSuspect ? 2 : 0;
+    }
 }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/EndpointEvents.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/EndpointEvents.java
@@ -7,6 +7,9 @@
     /** A run ended; its room is free. */
     void ended(HeldEndpoint endpoint, Reservation reservation, EndKind kind);
 
+    /** An endpoint whose silence had ended a run of the task has turned out to have crashed. */
+    void crashed(HeldEndpoint endpoint, PlacedTask task);
+
     /** A run was refused or never left; its room is free, and the task may start anywhere. */
     void refused(HeldEndpoint endpoint, Reservation reservation);
 
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/HeldEndpoint.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/HeldEndpoint.java
@@ -2,6 +2,8 @@
 
 import com.google.common.collect.ImmutableSet;
 import com.google.common.collect.Sets;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
 import org.tarragonarch.model.task.EndKind;
@@ -31,6 +33,7 @@
     private final RecoveredRuns recovered;
     private final RunListPoller poller;
     private final RunOrders orders;
+    private final List<PlacedTask> lapsedInSilence = new ArrayList<>();
     private boolean closed;
     private boolean retired;
 
@@ -130,6 +133,11 @@
         orders.reserve(Reservation.adopted(task, run, task.job().need(), link.nowMillis()));
     }
 
+    /** Returns whether a task runs here under which an endpoint has crashed. */
+    boolean hostsSuspect() {
+        return room.anySuspect();
+    }
+
     /** Returns whether the endpoint has ever answered. */
     boolean answered() {
         return poller.read();
@@ -208,9 +216,28 @@
         }
     }
 
+    /**
+     * Takes in that another life of the endpoint answers.
+     *
+     * <p>One that was leaving has ended as it said, and what ran there is not suspected of having crashed it.
+     */
     private void lifeOver() {
         closed = true;
-        releaseAll(EndKind.LAPSED);
+        boolean leftAsPlanned = retired || entry().draining();
+        releaseAll(leftAsPlanned ? EndKind.LAPSED : EndKind.CRASHED);
+        if (!leftAsPlanned) {
+            lapsedInSilence.forEach(task -> events.crashed(this, task));
+        }
+        lapsedInSilence.clear();
+    }
+
+    /** Releases what runs on a silent endpoint as soon as its lease has certainly run out. */
+    private void lapseIfOver() {
+        boolean isOver = link.nowMillis() >= link.leaseOverAtMillis();
+        if (!closed && poller.silent() && !room.isEmpty() && isOver) {
+            room.all().forEach(reservation -> lapsedInSilence.add(reservation.task()));
+            releaseAll(EndKind.LAPSED);
+        }
     }
 
     private void releaseAll(EndKind kind) {
@@ -253,6 +280,7 @@
         @Override
         public void listed(Iterable<TaskRun> listed, long sentAtMillis, boolean firstList, boolean wasSilent) {
             ImmutableSet<TaskRun> running = ImmutableSet.copyOf(listed);
+            lapsedInSilence.clear();
             endOthers(running, sentAtMillis);
             recovered.listed(Sets.filter(running, run -> room.of(run).isEmpty()), firstList);
             if (firstList) {
@@ -265,8 +293,10 @@
 
         @Override
         public void unanswered() {
-            if (!room.isEmpty() && link.nowMillis() >= link.leaseOverAtMillis()) {
-                releaseAll(EndKind.LAPSED);
+            lapseIfOver();
+            if (!room.isEmpty()) {
+                long left = link.leaseOverAtMillis() - link.nowMillis();
+                link.timers().after(left, HeldEndpoint.this::lapseIfOver);
             }
         }
 
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacedTask.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacedTask.java
@@ -10,10 +10,17 @@
     /** Room for the numbers that an earlier holder may have used since the offer was made. */
     private static final int OLD_RUN_SKIP = 16;
 
+    private static final int CRASHES_TO_GIVE_UP = 2;
+
+    /** Endpoints also vanish because they are cut off, which says little of the task that ran there. */
+    private static final int LOST_RUNS_TO_GIVE_UP = 4;
+
     private final PlacedJob job;
     private final TaskName name;
     private int nextRun;
     private int failures;
+    private int crashes;
+    private int lostRuns;
     private boolean done;
     private boolean restarted;
     private boolean unresolved;
@@ -112,6 +119,27 @@
         back();
     }
 
+    /** Notes that the endpoint of a run was lost: it fell silent, or crashed. */
+    void lostRun() {
+        lostRuns++;
+        back();
+    }
+
+    /** Notes that an endpoint has crashed under a run of the task. */
+    void crashed() {
+        crashes++;
+    }
+
+    /** Returns whether an endpoint has crashed under a run of the task, which may be the cause. */
+    boolean isSuspect() {
+        return crashes > 0;
+    }
+
+    /** Returns whether the task is not to be started again, because endpoints crash or vanish under it. */
+    boolean isCrashing() {
+        return crashes >= CRASHES_TO_GIVE_UP || lostRuns >= LOST_RUNS_TO_GIVE_UP;
+    }
+
     void finished() {
         change(() -> done = true);
         unresolved = false;
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/ReservedRoom.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/ReservedRoom.java
@@ -45,6 +45,16 @@
                 .filter(own -> own.run().equals(run));
     }
 
+    /** Returns whether the room of any task is reserved under which an endpoint has crashed. */
+    boolean anySuspect() {
+        for (Reservation reservation : reservations.values()) {
+            if (reservation.task().isSuspect()) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     boolean contains(Reservation reservation) {
         return reservations.get(reservation.run().task()) == reservation;
     }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RunResults.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RunResults.java
@@ -47,6 +47,13 @@
         } else if (kind.countsAsAttempt()) {
             task.failed(endpoint.entry().id());
             again(job, task);
+        } else if (kind == EndKind.CRASHED) {
+            task.crashed();
+            task.lostRun();
+            again(job, task);
+        } else if (kind == EndKind.LAPSED) {
+            task.lostRun();
+            again(job, task);
         } else {
             task.back();
             again(job, task);
@@ -54,6 +61,15 @@
         host.roomReleased(job);
     }
 
+    @Override
+    public void crashed(HeldEndpoint endpoint, PlacedTask task) {
+        task.crashed();
+        boolean isOpen = !host.closed() && !task.job().over() && !task.done();
+        if (isOpen && task.isCrashing()) {
+            host.settle(task.job(), Verdict.FAILED);
+        }
+    }
+
     @Override
     public void refused(HeldEndpoint endpoint, Reservation reservation) {
         takeBack(reservation);
@@ -111,7 +127,7 @@
     }
 
     private void again(PlacedJob job, PlacedTask task) {
-        if (task.failures() >= job.queue().attempts()) {
+        if (task.failures() >= job.queue().attempts() || task.isCrashing()) {
             host.settle(job, Verdict.FAILED);
         } else {
             host.requeue(job);
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/FakeEndpoint.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/FakeEndpoint.java
@@ -35,6 +35,7 @@
     private long leaseUntil;
     EndKind outcome = EndKind.DONE;
     long runMillis = 60;
+    private boolean isAnotherLife;
     private int started;
 
     FakeEndpoint(VirtualTimers timers, Ledger ledger, long capacity) {
@@ -56,6 +57,16 @@
         return running.size();
     }
 
+    /** Ends all that runs here; from now on another life answers. */
+    void crash() {
+        isAnotherLife = true;
+        running.keySet().forEach(run -> ledger.ended(run.task(), this));
+        running.clear();
+        List<Runnable> holds = new ArrayList<>(waitingHolds);
+        waitingHolds.clear();
+        holds.forEach(Runnable::run);
+    }
+
     OrderAnswer start(StartOrder order, long milliCores) {
         OrderResult result = startResult(order);
         if (result == OrderResult.DONE && !running.containsKey(order.run())) {
@@ -81,8 +92,8 @@
 
     /** Answers at once, or as soon as there is an end or the wait is over. */
     void hold(HoldOrder order, java.util.function.Consumer<HoldAnswer> reply) {
-        if (order.token().value() < token) {
-            reply.accept(HoldAnswer.failed(OrderResult.FENCED));
+        if (isAnotherLife || order.token().value() < token) {
+            reply.accept(HoldAnswer.failed(isAnotherLife ? OrderResult.OTHER_LIFE : OrderResult.FENCED));
             return;
         }
         token = order.token().value();
@@ -96,7 +107,7 @@
         Runnable answer = () -> {
             if (!answered[0]) {
                 answered[0] = true;
-                reply.accept(lists());
+                reply.accept(isAnotherLife ? HoldAnswer.failed(OrderResult.OTHER_LIFE) : lists());
             }
         };
         waitingHolds.add(answer);
@@ -104,6 +115,9 @@
     }
 
     private OrderResult startResult(StartOrder order) {
+        if (isAnotherLife) {
+            return OrderResult.OTHER_LIFE;
+        }
         if (order.token().value() < token) {
             return OrderResult.FENCED;
         }
