See a stalled run by its progress: restart it after 150 ms in place of four times its run time

Cause: on an endpoint on which tasks stand still, a run was given up after four times the expected run time and 100 ms: 3.7 s for a task of 0.9 s, when its caller's objective is long over. Endpoints list with each run how much of its work is done, and that was skipped.

A run of which the lists show no progress for 150 ms, or for a twenty-fifth of the longest run time if that is more, is stopped and started elsewhere, three times at most; the old rule stays for what reports do not show.

--- a/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/ModelEndpoint.java
+++ b/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/ModelEndpoint.java
@@ -17,6 +17,7 @@
 import org.tarragonarch.model.task.HoldOrder;
 import org.tarragonarch.model.task.OrderAnswer;
 import org.tarragonarch.model.task.OrderResult;
+import org.tarragonarch.model.task.RunProgress;
 import org.tarragonarch.model.task.StartOrder;
 import org.tarragonarch.model.task.TaskEnd;
 import org.tarragonarch.model.task.TaskName;
@@ -31,11 +32,15 @@
 
     private static final double FAILING_RUN_MILLIS = 5;
 
+    /** A run that is not over yet is listed with less than everything done. */
+    private static final double MOST_PERCENT_RUNNING = 99;
+
     private final VirtualTime time;
     private final EndpointEntry entry;
     private final int domain;
     private final RunDurations durations;
     private final Map<TaskRun, Long> running = new LinkedHashMap<>();
+    private final Map<TaskRun, Beginning> begun = new HashMap<>();
     private final Map<TaskName, Integer> overUpTo = new HashMap<>();
     private final List<TaskEnd> ends = new ArrayList<>();
     private final List<Runnable> waitingHolds = new ArrayList<>();
@@ -98,10 +103,12 @@
 
     private void begin(TaskRun run) {
         if (hanging) {
+            begun.put(run, new Beginning(time.nowNanos(), Double.POSITIVE_INFINITY));
             return;
         }
         double millis = failing ? FAILING_RUN_MILLIS : durations.runMillis(run.task()) / speed;
         EndKind kind = failing ? EndKind.FAILED : EndKind.DONE;
+        begun.put(run, new Beginning(time.nowNanos(), millis));
         after(millis, () -> end(run, kind));
     }
 
@@ -163,6 +170,7 @@
 
     private void end(TaskRun run, EndKind kind) {
         Long milliCores = running.remove(run);
+        begun.remove(run);
         if (milliCores == null) {
             return;
         }
@@ -175,11 +183,18 @@
         holds.forEach(Runnable::run);
     }
 
+    private RunProgress progress(TaskRun run) {
+        Beginning beginning = begun.get(run);
+        double ran = time.nowNanos() - beginning.atNanos();
+        double whole = beginning.millis() * TimeUnit.MILLISECONDS.toNanos(1);
+        return new RunProgress(run, (int) Math.min(MOST_PERCENT_RUNNING, ran * 100 / whole));
+    }
+
     private HoldAnswer lists() {
         return new HoldAnswer(
                 OrderResult.DONE,
                 OptionalLong.of(clock()),
-                ImmutableList.copyOf(running.keySet()),
+                running.keySet().stream().map(this::progress).collect(ImmutableList.toImmutableList()),
                 ImmutableList.copyOf(ends));
     }
 
@@ -195,6 +210,14 @@
         time.after(Math.round(millis * TimeUnit.MILLISECONDS.toNanos(1)), task);
     }
 
+    /**
+     * When a run began, and how long it takes.
+     *
+     * @param atNanos the time of the beginning
+     * @param millis the whole run time; infinite where tasks stand still
+     */
+    private record Beginning(long atNanos, double millis) {}
+
     /** What nobody but the endpoint knows of a task. */
     interface RunDurations {
         /** Returns how long it runs at ordinary speed. */
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/HeldEndpoint.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/HeldEndpoint.java
@@ -1,6 +1,6 @@
 package org.tarragonarch.core.placing;
 
-import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.Sets;
 import java.util.ArrayList;
 import java.util.List;
@@ -13,6 +13,7 @@
 import org.tarragonarch.model.task.JobId;
 import org.tarragonarch.model.task.OrderAnswer;
 import org.tarragonarch.model.task.Resources;
+import org.tarragonarch.model.task.RunProgress;
 import org.tarragonarch.model.task.TaskEnd;
 import org.tarragonarch.model.task.TaskRun;
 import org.tarragonarch.model.task.Timers;
@@ -28,6 +29,7 @@
 final class HeldEndpoint {
     private final EndpointLink link;
     private final EndpointEvents events;
+    private final ProgressReports progress;
     private final EndpointHealth health = new EndpointHealth();
     private final ReservedRoom room;
     private final RecoveredRuns recovered;
@@ -43,9 +45,11 @@
             PlacingSettings settings,
             EndpointOrders orders,
             Timers timers,
-            EndpointEvents events) {
+            EndpointEvents events,
+            ProgressReports progress) {
         this.link = new EndpointLink(entry, token, settings, orders, timers);
         this.events = events;
+        this.progress = progress;
         this.room = new ReservedRoom(entry.capacity());
         Host host = new Host();
         this.recovered = new RecoveredRuns(timers, settings.stopTime(), host);
@@ -191,12 +195,33 @@
         for (Reservation reservation : room.all()) {
             long limit = reservation.task().job().longestRunMillis();
             boolean stuck = reservation.wanted() && now - reservation.startedAtMillis() > limit;
-            if (stuck && reservation.task().restart()) {
+            if (stuck && reservation.task().restartOverdue()) {
                 health.stoodStill(now);
             }
         }
     }
 
+    /**
+     * Takes in how far a run has got, and gives it up if it shows no progress.
+     *
+     * <p>Guards against an endpoint on which tasks stand still, as {@link #restartStuck} does, but in time for most
+     * callers: the run time of a task is known to a factor only, and its progress to a percent.
+     */
+    private void followProgress(Reservation reservation, int percent, long sentAtMillis) {
+        if (reservation.advancedTo(percent, sentAtMillis)) {
+            progress.advanced();
+            return;
+        }
+        boolean stalls = reservation.withoutProgressMillis(sentAtMillis)
+                >= reservation.task().job().stallMillis();
+        if (stalls
+                && reservation.wanted()
+                && progress.areMeaningful()
+                && reservation.task().restartStalled()) {
+            health.stoodStill(link.nowMillis());
+        }
+    }
+
     /** Takes in whether a run ended well. */
     void judge(boolean good) {
         if (good) {
@@ -206,10 +231,12 @@
         }
     }
 
-    private void endOthers(ImmutableSet<TaskRun> running, long sentAtMillis) {
+    private void endOthers(ImmutableMap<TaskRun, Integer> running, long sentAtMillis) {
         for (Reservation reservation : room.all()) {
-            if (running.contains(reservation.run())) {
+            Integer percent = running.get(reservation.run());
+            if (percent != null) {
                 reservation.running(link.nowMillis());
+                followProgress(reservation, percent, sentAtMillis);
             } else if (reservation.overIfAbsentAt(sentAtMillis)) {
                 release(reservation, EndKind.LAPSED);
             }
@@ -249,6 +276,12 @@
         events.ended(this, reservation, kind);
     }
 
+    private static ImmutableMap<TaskRun, Integer> percentByRun(Iterable<RunProgress> listed) {
+        ImmutableMap.Builder<TaskRun, Integer> percentByRun = ImmutableMap.builder();
+        listed.forEach(each -> percentByRun.put(each.run(), each.percent()));
+        return percentByRun.buildKeepingLast();
+    }
+
     /** What this endpoint does for its parts. */
     private final class Host implements RunListPoller.Host, RunOrders.Host, RecoveredRuns.Host {
         @Override
@@ -278,11 +311,11 @@
         }
 
         @Override
-        public void listed(Iterable<TaskRun> listed, long sentAtMillis, boolean firstList, boolean wasSilent) {
-            ImmutableSet<TaskRun> running = ImmutableSet.copyOf(listed);
+        public void listed(Iterable<RunProgress> listed, long sentAtMillis, boolean firstList, boolean wasSilent) {
+            ImmutableMap<TaskRun, Integer> running = percentByRun(listed);
             lapsedInSilence.clear();
             endOthers(running, sentAtMillis);
-            recovered.listed(Sets.filter(running, run -> room.of(run).isEmpty()), firstList);
+            recovered.listed(Sets.filter(running.keySet(), run -> room.of(run).isEmpty()), firstList);
             if (firstList) {
                 events.firstListed(HeldEndpoint.this);
             }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacedJob.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacedJob.java
@@ -19,6 +19,12 @@
     /** A smaller multiple stops tasks that are merely long; a larger one finds those that stand still later. */
     private static final int STUCK_MULTIPLE = 4;
 
+    /** The part of the longest run time within which a healthy run shows progress; reports are in whole percents. */
+    private static final double PROGRESS_PART = 0.04;
+
+    /** The least time without progress after which a run is taken to stall: two reports apart, and some slack. */
+    private static final long LEAST_STALL_MILLIS = 150;
+
     /** Covers the round trips of orders and polls, which matter for the shortest tasks. */
     private static final long STUCK_SLACK_MILLIS = 100;
 
@@ -91,6 +97,11 @@
         return STUCK_MULTIPLE * expectedRunMillis + STUCK_SLACK_MILLIS;
     }
 
+    /** Returns how long a run may show no progress before it is taken to stall. */
+    long stallMillis() {
+        return Math.max(LEAST_STALL_MILLIS, Math.round(PROGRESS_PART * longestRunMillis()));
+    }
+
     NodeId origin() {
         return origin;
     }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacedShard.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacedShard.java
@@ -23,16 +23,23 @@
     private final EndpointOrders orders;
     private final Timers timers;
     private final EndpointEvents events;
+    private final ProgressReports progress;
     private final long openedAtMillis;
     private final Map<EndpointId, HeldEndpoint> endpoints = new LinkedHashMap<>();
 
     PlacedShard(
-            FencingToken token, PlacingSettings settings, EndpointOrders orders, Timers timers, EndpointEvents events) {
+            FencingToken token,
+            PlacingSettings settings,
+            EndpointOrders orders,
+            Timers timers,
+            EndpointEvents events,
+            ProgressReports progress) {
         this.token = token;
         this.settings = settings;
         this.orders = orders;
         this.timers = timers;
         this.events = events;
+        this.progress = progress;
         this.openedAtMillis = timers.nowMillis();
     }
 
@@ -51,7 +58,7 @@
             ids.add(entry.id());
             HeldEndpoint known = endpoints.get(entry.id());
             if (known == null) {
-                HeldEndpoint added = new HeldEndpoint(entry, token, settings, orders, timers, events);
+                HeldEndpoint added = new HeldEndpoint(entry, token, settings, orders, timers, events, progress);
                 endpoints.put(entry.id(), added);
                 added.open();
             } else {
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacedTask.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacedTask.java
@@ -12,6 +12,8 @@
 
     private static final int CRASHES_TO_GIVE_UP = 2;
 
+    private static final int MOST_STALLED_RUNS = 3;
+
     /** Endpoints also vanish because they are cut off, which says little of the task that ran there. */
     private static final int LOST_RUNS_TO_GIVE_UP = 4;
 
@@ -22,7 +24,7 @@
     private int crashes;
     private int lostRuns;
     private boolean done;
-    private boolean restarted;
+    private int restarts;
     private boolean unresolved;
     private Optional<HeldEndpoint> at = Optional.empty();
     private Optional<Reservation> reservation = Optional.empty();
@@ -146,12 +148,24 @@
         back();
     }
 
-    /** Stops a run that seems to stand still, so that the task starts elsewhere; returns whether it had one to stop. */
-    boolean restart() {
-        if (restarted || at.isEmpty()) {
+    /**
+     * Stops a run that takes far longer than expected, so that the task starts elsewhere; returns whether it had one to
+     * stop. Where the work itself is long, the second run is left alone.
+     */
+    boolean restartOverdue() {
+        return restarts == 0 && restart();
+    }
+
+    /** Stops a run that shows no progress, so that the task starts elsewhere; returns whether it had one to stop. */
+    boolean restartStalled() {
+        return restarts < MOST_STALLED_RUNS && restart();
+    }
+
+    private boolean restart() {
+        if (at.isEmpty()) {
             return false;
         }
-        restarted = true;
+        restarts++;
         failedAt = Optional.of(at.get().entry().id());
         stop();
         return true;
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/Placer.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/Placer.java
@@ -38,6 +38,7 @@
     private final HeldShards shards;
     private final Map<JobId, PlacedJob> jobs = new HashMap<>();
     private final PendingJobs pending = new PendingJobs();
+    private final ProgressReports progress = new ProgressReports();
     private final CompletionEstimator estimator;
     private final CancellingJobs cancelling = new CancellingJobs();
     private final RecoveringJobs recovering;
@@ -77,7 +78,7 @@
      */
     public void open(FailureDomain shard, FencingToken token, Collection<EndpointEntry> listed) {
         checkState(!closed && shards.find(shard).isEmpty(), "%s is open", shard);
-        shards.add(shard, new PlacedShard(token, settings, orders, timers, results));
+        shards.add(shard, new PlacedShard(token, settings, orders, timers, results, progress));
         update(shard, listed);
     }
 
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/Reservation.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/Reservation.java
@@ -28,6 +28,8 @@
     private long settledAtMillis = Long.MAX_VALUE;
     private boolean seen;
     private boolean adopted;
+    private int percent = -1;
+    private long progressedAtMillis;
 
     Reservation(PlacedTask task, TaskRun run, Resources room, long startedAtMillis) {
         this.task = task;
@@ -81,6 +83,26 @@
         }
     }
 
+    /**
+     * Takes in how much of the work is done; returns whether that is more than an earlier list said.
+     *
+     * @param asOfMillis when the list was asked for
+     */
+    boolean advancedTo(int percentDone, long asOfMillis) {
+        boolean isFirst = percent < 0;
+        if (percentDone <= percent) {
+            return false;
+        }
+        percent = percentDone;
+        progressedAtMillis = asOfMillis;
+        return !isFirst;
+    }
+
+    /** Returns for how long lists have shown no progress, in milliseconds. */
+    long withoutProgressMillis(long nowMillis) {
+        return percent < 0 ? 0 : nowMillis - progressedAtMillis;
+    }
+
     /** Returns whether the endpoint ever said that the run was there. */
     boolean seen() {
         return seen;
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RunListPoller.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RunListPoller.java
@@ -2,8 +2,8 @@
 
 import org.tarragonarch.model.task.HoldAnswer;
 import org.tarragonarch.model.task.OrderResult;
+import org.tarragonarch.model.task.RunProgress;
 import org.tarragonarch.model.task.TaskEnd;
-import org.tarragonarch.model.task.TaskRun;
 
 /**
  * Polls one endpoint for what runs and what has ended there.
@@ -166,7 +166,7 @@
          * @param firstList whether the lists were never read before
          * @param wasSilent whether the call before had no answer
          */
-        void listed(Iterable<TaskRun> running, long sentAtMillis, boolean firstList, boolean wasSilent);
+        void listed(Iterable<RunProgress> running, long sentAtMillis, boolean firstList, boolean wasSilent);
 
         /** A call got no answer. */
         void unanswered();
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/FakeEndpoint.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/FakeEndpoint.java
@@ -13,6 +13,7 @@
 import org.tarragonarch.model.task.HoldOrder;
 import org.tarragonarch.model.task.OrderAnswer;
 import org.tarragonarch.model.task.OrderResult;
+import org.tarragonarch.model.task.RunProgress;
 import org.tarragonarch.model.task.StartOrder;
 import org.tarragonarch.model.task.TaskEnd;
 import org.tarragonarch.model.task.TaskName;
@@ -35,6 +36,9 @@
     private long leaseUntil;
     EndKind outcome = EndKind.DONE;
     long runMillis = 60;
+    boolean stalls;
+    boolean reportsNoProgress;
+    private final Map<TaskRun, Long> startedAt = new HashMap<>();
     private boolean isAnotherLife;
     private int started;
 
@@ -73,10 +77,13 @@
             extend(order.leaseUntilMillis());
             running.put(order.run(), milliCores);
             started++;
+            startedAt.put(order.run(), timers.nowMillis());
             ledger.started(order.run().task(), this);
             ledger.checkRoom(
                     running.values().stream().mapToLong(Long::longValue).sum(), capacity);
-            timers.after(runMillis, () -> end(order.run(), outcome));
+            if (!stalls) {
+                timers.after(runMillis, () -> end(order.run(), outcome));
+            }
         }
         return answer(result);
     }
@@ -153,11 +160,16 @@
         holds.forEach(Runnable::run);
     }
 
+    private RunProgress progress(TaskRun run) {
+        long ran = timers.nowMillis() - startedAt.get(run);
+        return new RunProgress(run, stalls || reportsNoProgress ? 0 : (int) Math.min(99, ran * 100 / runMillis));
+    }
+
     private HoldAnswer lists() {
         return new HoldAnswer(
                 OrderResult.DONE,
                 OptionalLong.of(clock()),
-                ImmutableList.copyOf(running.keySet()),
+                running.keySet().stream().map(this::progress).collect(ImmutableList.toImmutableList()),
                 ImmutableList.copyOf(ends));
     }
 
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/PendingJobsTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/PendingJobsTest.java
@@ -61,7 +61,8 @@
                 PlacingSettings.of(1_000, 50),
                 fixture.orders,
                 fixture.timers,
-                null);
+                null,
+                new ProgressReports());
     }
 
     private static void place(PlacedTask task, HeldEndpoint endpoint) {
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/PlacerTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/PlacerTest.java
@@ -251,6 +251,41 @@
         assertEquals(fixture.ledger.broken(), ImmutableList.of());
     }
 
+    /** Guards against a task that stands still for several times its run time, while its progress shows that. */
+    @Test
+    public void testListed_taskWithoutProgressIsStartedElsewhere() {
+        PlacerFixture fixture = new PlacerFixture(4);
+        fixture.orders.endpoints.values().forEach(endpoint -> endpoint.runMillis = 900);
+        Placer placer = fixture.placer(1);
+        fixture.timers.pass(20);
+        for (int job = 1; job <= 3; job++) {
+            placer.offer(PlacerFixture.offer(job, 2, 900, PlacerFixture.ORIGIN, false));
+            fixture.timers.pass(1_000);
+        }
+        fixture.endpoint(1).stalls = true;
+        placer.offer(PlacerFixture.offer(9, 2, 900, PlacerFixture.ORIGIN, false));
+        fixture.timers.pass(1_400);
+        assertEquals(fixture.verdicts.get(3), "origin-1 9 DONE");
+        assertEquals(fixture.ledger.starts(), 10);
+        assertEquals(fixture.ledger.broken(), ImmutableList.of());
+    }
+
+    /** Guards against runs that are stopped because their endpoints report no progress of any run. */
+    @Test
+    public void testListed_progressThatIsNeverReportedMeansNothing() {
+        PlacerFixture fixture = new PlacerFixture(1);
+        fixture.endpoint(1).runMillis = 900;
+        fixture.endpoint(1).reportsNoProgress = true;
+        Placer placer = fixture.placer(1);
+        fixture.timers.pass(20);
+        for (int job = 1; job <= 5; job++) {
+            placer.offer(PlacerFixture.offer(job, 2, 900, PlacerFixture.ORIGIN, false));
+            fixture.timers.pass(1_000);
+        }
+        assertEquals(fixture.ledger.starts(), 10);
+        assertEquals(fixture.verdicts.size(), 5);
+    }
+
     /**
      * A client hangs up while its job waits at a new holder for the runs of the earlier one to end. The job was started
      * all the same, for nobody, once those were gone.
--- a/tarragonarch-model/src/main/java/org/tarragonarch/model/task/HoldAnswer.java
+++ b/tarragonarch-model/src/main/java/org/tarragonarch/model/task/HoldAnswer.java
@@ -14,7 +14,10 @@
  * @param ended the ends that were not yet taken note of, in order
  */
 public record HoldAnswer(
-        OrderResult result, OptionalLong clockMillis, ImmutableList<TaskRun> running, ImmutableList<TaskEnd> ended) {
+        OrderResult result,
+        OptionalLong clockMillis,
+        ImmutableList<RunProgress> running,
+        ImmutableList<TaskEnd> ended) {
     /** Checks the parts. */
     public HoldAnswer {
         checkNotNull(result, "result");
