--- a/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/Cluster.java
+++ b/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/Cluster.java
@@ -129,7 +129,7 @@
         after(LEAVING_MILLIS, () -> end(holder, forMillis));
     }
 
-    /** Lets the node that holds most stand still; what was sent to it meanwhile arrives when it goes on. */
+    /** Pauses the node that holds most; what was sent to it meanwhile arrives when it goes on. */
     void freezeHolder(long forMillis) {
         ModelNode holder = holder();
         holder.freeze();
--- a/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/DisturbanceKind.java
+++ b/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/DisturbanceKind.java
@@ -10,11 +10,11 @@
     HOLDER_KILLED,
     /** The node that holds most shards is told to stop, and starts again after the time. */
     HOLDER_STOPPED,
-    /** The node that holds most shards stands still for the time, and then goes on. */
+    /** The node that holds most shards is paused for the time. */
     HOLDER_FROZEN,
     /** One node that holds nothing hears no other for the time, and reaches all endpoints. */
     NODE_CUT_OFF,
-    /** Tasks stand still on the part {@code factor} of all endpoints. */
+    /** Tasks stall on the part {@code factor} of all endpoints. */
     ENDPOINTS_HANG,
     /** The part {@code factor} of all endpoints fails whatever it starts. */
     ENDPOINTS_FAIL,
--- a/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/ModelEndpoint.java
+++ b/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/ModelEndpoint.java
@@ -23,7 +23,7 @@
 import org.tarragonarch.model.task.TaskName;
 import org.tarragonarch.model.task.TaskRun;
 
-/** An endpoint: it obeys the highest token, keeps runs under a lease, lists ends, and may be slow or unwell. */
+/** An endpoint: it obeys the highest token, keeps runs under a lease, lists ends, and may be slow or unhealthy. */
 final class ModelEndpoint {
     private static final long LEASE_MILLIS = 1_000;
 
@@ -214,7 +214,7 @@
      * When a run began, and how long it takes.
      *
      * @param atNanos the time of the beginning
-     * @param millis the whole run time; infinite where tasks stand still
+     * @param millis the whole run time; infinite where tasks stall
      */
     private record Beginning(long atNanos, double millis) {}
 
--- a/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/policy/Scenario.java
+++ b/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/policy/Scenario.java
@@ -25,7 +25,7 @@
         NONE,
         /** One worker fails every task within a millisecond. */
         BLACK_HOLE,
-        /** One node stands still for ten seconds. */
+        /** One node is paused for ten seconds. */
         FROZEN_NODE,
         /** Half of all jobs that have no answer are cancelled at once. */
         CANCEL_WAVE
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/claim/ClaimBatcher.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/claim/ClaimBatcher.java
@@ -93,7 +93,7 @@
     }
 
     /**
-     * Takes in that no reply came.
+     * Records that no reply came.
      *
      * <p>A write that may have taken effect is settled by reading the rows back, never by writing again: a second
      * write could find its own first one and take it for another node's. Returns the claims that certainly were not
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/claim/ClaimSweeper.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/claim/ClaimSweeper.java
@@ -6,7 +6,7 @@
 import org.tarragonarch.core.action.SweepClaims;
 
 /**
- * Has old claims deleted now and then, so that the table does not grow for ever.
+ * Has old claims deleted now and then, so that the table does not grow indefinitely.
  *
  * <p>A key is protected for {@link #RETENTION}. That is far longer than any deadline a kind may have, so a holder that
  * was paused finds its submission's time over long before another node could claim the key again. Every node sweeps, at
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/claim/IdempotencyKeys.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/claim/IdempotencyKeys.java
@@ -85,7 +85,7 @@
         batcher.writers(count);
     }
 
-    /** Takes in a submission with a key, which was taken and has no answer yet. */
+    /** Records a submission with a key, which was taken and has no answer yet. */
     public void arrived(Submission submission, long nowNanos, ActionSink sink) {
         ClaimKey key = submission.claimKey().orElseThrow();
         KeyEntry entry = entries.get(key);
@@ -130,21 +130,21 @@
         entry.questions().clear();
     }
 
-    /** Takes in what became of a batch of claims, written or read back. */
+    /** Processes what became of a batch of claims, written or read back. */
     public void settled(long batch, ImmutableList<ClaimResult> results, long nowNanos, ActionSink sink) {
         if (batcher.settled(batch).isPresent()) {
             results.forEach(result -> settle(result, nowNanos, sink));
         }
     }
 
-    /** Takes in that a batch of claims had no reply. */
+    /** Records that a batch of claims had no reply. */
     public void uncertain(long batch, boolean mayHaveApplied, long nowNanos, ActionSink sink) {
         for (Claim unwritten : batcher.uncertain(batch, mayHaveApplied, nowNanos, sink)) {
             claimant(unwritten).ifPresent(submission -> unavailable(submission, nowNanos, sink));
         }
     }
 
-    /** Takes in a peer's question for the answer under a key. */
+    /** Records a peer's question for the answer under a key. */
     public void asked(PeerAnswerAsked asked, ActionSink sink) {
         PeerQuestion question = new PeerQuestion(asked.peer(), asked.question());
         KeyEntry entry = entries.get(asked.key());
@@ -157,7 +157,7 @@
         }
     }
 
-    /** Takes in the answer of the node that holds a key. */
+    /** Records the answer of the node that holds a key. */
     public void peerAnswered(Submission waiting, PeerAnswerArrived arrived, long nowNanos, ActionSink sink) {
         if (waiting.stage() != Stage.ASKING_HOLDER) {
             return;
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/Coordinator.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/Coordinator.java
@@ -115,14 +115,14 @@
         return heartbeats.neighbours();
     }
 
-    /** Returns the last status of every neighbour that can be heard. */
+    /** Returns the last status of every reachable neighbour. */
     public ImmutableList<NodeStatus> presentNeighbours() {
         return peers.present().stream()
                 .filter(peer -> neighbours().contains(peer.domain()))
                 .collect(ImmutableList.toImmutableList());
     }
 
-    /** Returns whether any shard has a holder that can be heard, so that jobs have somewhere to go. */
+    /** Returns whether any shard has a reachable holder, so that jobs have somewhere to go. */
     public boolean anyHolder() {
         return !ownership.heldShards().isEmpty() || !peers.holders().isEmpty();
     }
@@ -168,7 +168,7 @@
         }
     }
 
-    /** Takes in a peer's status; returns whether the peer was not there before. */
+    /** Records a peer's status; returns whether the peer was not there before. */
     public boolean received(NodeStatus status) {
         boolean joined = peers.received(status, timers.nowMillis());
         if (joined) {
@@ -186,7 +186,7 @@
         }
     }
 
-    /** Takes in that a peer, which the table takes for gone, cannot be heard any more. */
+    /** Records that a peer, which the table counts as gone, is not reachable any more. */
     public void lost(NodeId peer) {
         ownership.nodeLost(peer);
         router.nodeLost(peer);
@@ -213,7 +213,7 @@
         ownership.resignAll();
     }
 
-    /** Takes in the configuration that is in force here, and tells everybody its version. */
+    /** Applies the configuration that is in force here, and tells everybody its version. */
     public void configured(QueueCatalog catalog) {
         configurationVersion = catalog.version();
         endpoints.served(catalog.services());
@@ -222,7 +222,7 @@
     }
 
     /**
-     * Takes in which failure domains are drained, unless what is known was read later.
+     * Records which failure domains are drained, unless what is known was read later.
      *
      * <p>Guards against a drain that is undone by an older reading: the store's answers may be stale after it has lost
      * its history, and a peer that cannot reach the store tells what it knew before.
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/KnownHolders.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/KnownHolders.java
@@ -71,9 +71,9 @@
         Comparator<Holder> drainedLast =
                 Comparator.comparing(holder -> holder.domains().stream().allMatch(isDrained));
         Comparator<Holder> ownDomainFirst = Comparator.comparing(holder -> !holder.holds(self.domain()));
-        Comparator<Holder> roomiestFirst = Comparator.comparing(holder -> -holder.freeMilliCores());
+        Comparator<Holder> mostFreeFirst = Comparator.comparing(holder -> -holder.freeMilliCores());
         return ImmutableList.sortedCopyOf(
-                drainedLast.thenComparing(ownDomainFirst).thenComparing(roomiestFirst), holders.build());
+                drainedLast.thenComparing(ownDomainFirst).thenComparing(mostFreeFirst), holders.build());
     }
 
     /**
@@ -107,13 +107,13 @@
     }
 
     @Override
-    public boolean moreExpected() {
+    public boolean isHolderExpected() {
         return heartbeats.holderExpected(timers.nowMillis());
     }
 
     @Override
-    public boolean noneToBeExpected() {
-        return peers.lostAllAtOnce() && ownership.heldShards().isEmpty();
+    public boolean isHolderUnreachable() {
+        return peers.isPartitioned() && ownership.heldShards().isEmpty();
     }
 
     @Override
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/configuration/ConfigurationReplica.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/configuration/ConfigurationReplica.java
@@ -49,7 +49,7 @@
         return new ConfigurationReplica(policy);
     }
 
-    /** Takes in a read of the row, which may be stale. */
+    /** Records a read of the row, which may be stale. */
     public void rowRead(Optional<ConfigurationRow> read, long nowNanos, ActionSink sink) {
         row.read(read);
         ConfigurationVersion version = read.map(ConfigurationRow::version).orElse(ConfigurationVersion.NONE);
@@ -59,13 +59,13 @@
         pursue(nowNanos, sink);
     }
 
-    /** Takes in that the row could not be read. */
+    /** Records that the row could not be read. */
     public void rowFailed(long nowNanos, ActionSink sink) {
         row.failed();
         pursue(nowNanos, sink);
     }
 
-    /** Takes in that a peer has a version in force. */
+    /** Records that a peer has a version in force. */
     public void peerHas(NodeId peer, ConfigurationVersion version, long nowNanos, ActionSink sink) {
         if (!version.newerThan(version())) {
             peers.remove(peer);
@@ -78,7 +78,7 @@
         pursue(nowNanos, sink);
     }
 
-    /** Takes in a configuration that was loaded; returns whether it is now in force. */
+    /** Records a configuration that was loaded; returns whether it is now in force. */
     public boolean loaded(ConfigurationLoaded event, long nowNanos, ActionSink sink) {
         ServiceCatalog catalog = event.catalog();
         Optional<Attempt> answered = attempt.filter(asked -> !asked.version().newerThan(catalog.version()));
@@ -96,7 +96,7 @@
         return adopted;
     }
 
-    /** Takes in that a configuration could not be loaded. */
+    /** Records that a configuration could not be loaded. */
     public void loadFailed(ConfigurationLoadFailed event, long nowNanos, ActionSink sink) {
         Optional<Attempt> failed = attempt.filter(asked -> asked.version().equals(event.version()));
         if (failed.isPresent()) {
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/configuration/PeerSources.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/configuration/PeerSources.java
@@ -15,7 +15,7 @@
 
     private final Map<NodeId, Known> known = new LinkedHashMap<>();
 
-    /** Takes in that a peer has a version newer than the own. */
+    /** Records that a peer has a version newer than the own. */
     void has(NodeId peer, ConfigurationVersion version) {
         Known before = known.get(peer);
         if (before != null) {
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/endpoint/DomainReach.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/endpoint/DomainReach.java
@@ -14,7 +14,7 @@
         return unreachableInTurn >= HealthPolicy.UNREACHABLE_WHEN_CUT;
     }
 
-    /** Takes in that an endpoint there answered. */
+    /** Records that an endpoint there answered. */
     void answered() {
         unreachableInTurn = 0;
     }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/endpoint/EndpointDirectory.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/endpoint/EndpointDirectory.java
@@ -75,7 +75,7 @@
     }
 
     /**
-     * Takes in the platform's list.
+     * Updates the endpoints from the platform's list.
      *
      * <p>An endpoint that it does not name is dropped, unless the list is doubtful: see {@link MissingEndpoints}.
      */
@@ -98,7 +98,7 @@
         ImmutableList.copyOf(records.values()).forEach(endpoint -> followPeers(endpoint, nowNanos, sink));
     }
 
-    /** Takes in the nodes of the own failure domain that are alive, this one among them. */
+    /** Records the nodes of the own failure domain that are alive, this one among them. */
     public void aliveNodes(ImmutableSet<NodeId> nowAlive, long nowNanos, ActionSink sink) {
         ImmutableSet<NodeId> withSelf =
                 ImmutableSet.<NodeId>builder().addAll(nowAlive).add(self).build();
@@ -114,7 +114,7 @@
         }
     }
 
-    /** Takes in what a peer reported of loads, leaving endpoints and quarantine. */
+    /** Processes what a peer reported of loads, leaving endpoints and quarantine. */
     public void peerReported(PeerReport report, long nowNanos, ActionSink sink) {
         if (!report.from().equals(self)) {
             peers.reported(report, nowNanos, peerChanges(nowNanos, sink));
@@ -130,7 +130,7 @@
         }
     }
 
-    /** Takes in which failure domains operators have drained; endpoints there get no task, also if listed later. */
+    /** Records which failure domains operators have drained; endpoints there get no task, also if listed later. */
     public void drainDomains(ImmutableSet<FailureDomain> domains, long nowNanos, ActionSink sink) {
         drains.setDomains(domains);
         ImmutableList.copyOf(records.values()).forEach(record -> followDrains(record, nowNanos, sink));
@@ -214,7 +214,7 @@
         refresh(endpoint, nowNanos);
     }
 
-    /** Takes in the end of a probe. */
+    /** Processes the end of a probe. */
     public void probeEnded(ProbeEnded ended, long nowNanos, ActionSink sink) {
         EndpointRecord endpoint = records.get(ended.endpoint());
         if (endpoint == null) {
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/endpoint/EndpointRecord.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/endpoint/EndpointRecord.java
@@ -64,7 +64,7 @@
         return tallies.computeIfAbsent(kind, key -> new KindTally());
     }
 
-    /** Takes in the list's line; another address means another machine, of which nothing is known yet. */
+    /** Records the list's line; another address means another machine, of which nothing is known yet. */
     void listed(VmRecord line) {
         boolean another = !line.address().equals(vm.address());
         vm = line;
@@ -166,7 +166,7 @@
         return !convicted && evidence >= (onTrialAfterConviction ? HealthPolicy.CONVICTION_ON_TRIAL : needed);
     }
 
-    /** Takes in a success; returns whether it ended the trial. */
+    /** Records a success; returns whether it ended the trial. */
     boolean succeeded(long nowNanos) {
         unreachableWait.reset();
         if (trialsLeft == 0) {
@@ -221,7 +221,7 @@
         return evidence;
     }
 
-    /** Takes in that it refused a task as full; refusals of tasks that were sent together count as one. */
+    /** Records that it refused a task as full; refusals of tasks that were sent together count as one. */
     void busy(long nowNanos) {
         slots.full();
         if (fadedSinceRefusal) {
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/endpoint/FailureJudge.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/endpoint/FailureJudge.java
@@ -17,7 +17,7 @@
 final class FailureJudge {
     private final Map<Kind, KindTally> everywhere = new HashMap<>();
 
-    /** Takes in how a task ended at an endpoint. */
+    /** Records how a task ended at an endpoint. */
     void add(EndpointRecord endpoint, ServiceName service, KindName kind, boolean failed) {
         Kind key = new Kind(service, kind);
         KindTally all = everywhere.computeIfAbsent(key, name -> new KindTally());
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/endpoint/OperatorDrains.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/endpoint/OperatorDrains.java
@@ -16,7 +16,7 @@
         return out ? endpoints.add(endpoint) : endpoints.remove(endpoint);
     }
 
-    /** Takes in which failure domains are out of use. */
+    /** Records which failure domains are out of use. */
     void setDomains(ImmutableSet<FailureDomain> drained) {
         domains = drained;
     }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/endpoint/PeerViews.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/endpoint/PeerViews.java
@@ -14,7 +14,7 @@
 final class PeerViews {
     private final Map<NodeId, View> views = new HashMap<>();
 
-    /** Takes in a report; costs time in proportion to what it names. */
+    /** Records a report; costs time in proportion to what it names. */
     void reported(PeerReport report, long nowNanos, Listener listener) {
         View view = views.computeIfAbsent(report.from(), key -> new View());
         view.heardNanos = nowNanos;
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/follow/TableFollower.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/follow/TableFollower.java
@@ -10,7 +10,7 @@
 import org.tarragonarch.model.task.Timers;
 
 /**
- * Reads a table whole, then follows its changes for ever.
+ * Reads a table whole, then follows its changes indefinitely.
  *
  * <p>When the store forgets its history, the table is read whole again; when it does not answer, the same call is made
  * again after a growing pause.
@@ -137,7 +137,7 @@
     }
 
     /**
-     * Takes in an answer and goes on.
+     * Processes an answer and goes on.
      *
      * <p>Guards against rows that the listener breaks on: no further call would be made, and the node would keep what
      * it knew until its next start, without a word. The table is read whole again instead, and until that is taken
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/membership/PauseDetector.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/membership/PauseDetector.java
@@ -28,7 +28,7 @@
         return callNanos;
     }
 
-    /** Takes in a call; returns whether the node slept before it. */
+    /** Records a call; returns whether the node slept before it. */
     boolean called(long nowNanos) {
         boolean slept = lastCallNanos != Long.MIN_VALUE && nowNanos - lastCallNanos > boundNanos;
         lastCallNanos = nowNanos;
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/membership/Peer.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/membership/Peer.java
@@ -106,7 +106,7 @@
         return order < 0 || (order == 0 && report.sequence() <= sequence);
     }
 
-    /** Takes in a report that is not old. */
+    /** Records a report that is not old. */
     void heard(PeerReport report, long nowNanos) {
         boolean newRun = run.filter(report.incarnation()::equals).isEmpty();
         boolean gap = newRun || report.sequence() != sequence + 1;
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/membership/PeerDirectory.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/membership/PeerDirectory.java
@@ -62,7 +62,7 @@
         return new PeerDirectory(self, policy);
     }
 
-    /** Takes in the platform's list. */
+    /** Updates the endpoints from the platform's list. */
     public void listed(ImmutableList<VmRecord> vms, long nowNanos, ActionSink sink) {
         peers.values().forEach(Peer::unlisted);
         for (VmRecord vm : vms) {
@@ -78,7 +78,7 @@
         changed(nowNanos);
     }
 
-    /** Takes in a report; returns whether it is news, and not from an earlier run or out of order. */
+    /** Records a report; returns whether it is news, and not from an earlier run or out of order. */
     public boolean heard(PeerReport report, long nowNanos, ActionSink sink) {
         Optional<Peer> found = find(report.from(), () -> new Peer(report.from(), report.domain(), nowNanos));
         if (found.isEmpty() || found.get().isOld(report)) {
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/membership/ReportPacer.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/membership/ReportPacer.java
@@ -50,7 +50,7 @@
         return Math.min(idleNanos, Math.max(busyNanos, affordable));
     }
 
-    /** Takes in that time has passed. */
+    /** Records that time has passed. */
     void timePassed(long nowNanos) {
         if (creditNanos != Long.MIN_VALUE) {
             long passed = Math.min(nowNanos - creditNanos, Duration.ofSeconds(1).toNanos());
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/membership/Reporter.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/membership/Reporter.java
@@ -50,7 +50,7 @@
         return Math.min(nextRoundNanos, nextUrgentNanos);
     }
 
-    /** Takes in the peers that get reports from now on; a new one gets its first at once. */
+    /** Records the peers that get reports from now on; a new one gets its first at once. */
     void links(ImmutableSet<NodeId> now, long nowNanos) {
         if (!links.containsAll(now)) {
             roundsUntilFar = 0;
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placement/EndpointSlots.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placement/EndpointSlots.java
@@ -66,12 +66,12 @@
         ownInFlight--;
     }
 
-    /** Takes in that a task of this node left a slot, which is free unless a peer has taken it since. */
+    /** Records that a task of this node left a slot, which is free unless a peer has taken it since. */
     public void vacated() {
         vacated++;
     }
 
-    /** Takes in that no slot is free: what this node does not use, others do, whatever they last reported. */
+    /** Records that no slot is free: what this node does not use, others do, whatever they last reported. */
     public void full() {
         vacated = 0;
         othersSeen = Math.max(0, slots - ownInFlight);
@@ -87,7 +87,7 @@
         return othersSeen > 0;
     }
 
-    /** Takes in a change of what peers report in flight. */
+    /** Records a change of what peers report in flight. */
     public void peersChanged(int delta) {
         peersInFlight += delta;
     }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placement/SlotPool.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placement/SlotPool.java
@@ -75,12 +75,12 @@
         return pace.nextNanos();
     }
 
-    /** Takes in that an endpoint started a task. */
+    /** Records that an endpoint started a task. */
     public void started() {
         pace.started(lastFavour);
     }
 
-    /** Takes in that an endpoint, whose slot was given back already, refused a task as full. */
+    /** Records that an endpoint, whose slot was given back already, refused a task as full. */
     public void refused(EndpointSlots endpoint, long nowNanos) {
         if (!strategy.isSure(endpoint)) {
             pace.refused(nowNanos);
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/CompletionEstimator.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/CompletionEstimator.java
@@ -21,17 +21,17 @@
     CompletionEstimate of(PlacedJob job, long now) {
         long places = 0;
         long freePlaces = 0;
-        long openingPlaces = 0;
+        long initializingPlaces = 0;
         for (HeldEndpoint endpoint : endpoints) {
             boolean usable = endpoint.takes(Resources.NONE, now);
-            if (!usable && !endpoint.opening()
+            if (!usable && !endpoint.isInitializing()
                     || !endpoint.entry().service().equals(job.queue().service())) {
                 continue;
             }
             long perTask = Math.max(1, job.need().milliCores());
             long whole = endpoint.entry().capacity().milliCores() / perTask;
             places += whole;
-            openingPlaces += usable ? 0 : whole;
+            initializingPlaces += usable ? 0 : whole;
             freePlaces += usable && job.need().fitsInto(endpoint.free())
                     ? endpoint.free().milliCores() / perTask
                     : 0;
@@ -41,7 +41,7 @@
         long wait = places == 0 || missing == 0 && pending.isEmpty() ? 0 : ahead / places;
         long deadlineWithin = job.times().deadlineMillis() - now;
         long inTimeWithin = Math.min(job.times().inTimeMillis() - now, deadlineWithin);
-        boolean roomForAll = pending.waitingTasks() + job.step().count() <= freePlaces + openingPlaces;
+        boolean roomForAll = pending.waitingTasks() + job.step().count() <= freePlaces + initializingPlaces;
         return new CompletionEstimate(
                 wait,
                 job.expectedRunMillis(),
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/EndpointHealth.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/EndpointHealth.java
@@ -1,74 +1,72 @@
 package org.tarragonarch.core.placing;
 
 /**
- * Judges one endpoint by what becomes of its runs.
+ * Detects an unhealthy endpoint by how its runs end, and ejects it for a while.
  *
- * <p>Guards against an endpoint that fails what it starts, or lets it stand still, all of it or some: it looks idle, so
- * without this it would draw most of the load. It shows by bad ends that are too many for the good ones between them.
- * Then the endpoint rests, longer each time, and gets one run as a trial.
+ * <p>Guards against an endpoint that fails or stalls what it starts: it looks idle, so it would draw most of the load.
+ * Each end adds to or takes from the log-likelihood ratio of an endpoint that spoils half of its runs to a healthy one.
+ * At the threshold the endpoint is ejected, for longer each time, and then gets one run as a trial.
  */
 final class EndpointHealth {
-    /**
-     * Evidence at which the endpoint rests: what it does must be some thousand times as likely of an unwell one, which
-     * spoils half of its runs, as of a sound one. The figures below are natural logarithms of such ratios.
-     */
-    private static final double ENOUGH = 6.8;
+    /** The log-likelihood ratio at which an endpoint is ejected. */
+    private static final double EJECTION_THRESHOLD = 6.8;
 
-    /** Of a failed run; jobs that can never be done fail on sound endpoints too. */
-    private static final double FAILED = 2.3;
+    /** What a failed run adds to the ratio; jobs that can never be done fail on healthy endpoints too. */
+    private static final double FAILURE_WEIGHT = 2.3;
 
-    /** Of a run that stood still; on sound endpoints hardly any overruns its estimate by as much. */
-    private static final double STOOD_STILL = 6.2;
+    /** What a stalled run adds to the ratio; on healthy endpoints hardly any run stalls. */
+    private static final double STALL_WEIGHT = 6.2;
 
-    /** Of a good run, which speaks for the endpoint. If it took back everything, one in two could fail for ever. */
-    private static final double GOOD = 0.64;
+    /** What a successful run takes from the ratio. */
+    private static final double SUCCESS_WEIGHT = 0.64;
 
-    private static final long FIRST_REST_MILLIS = 1_000;
-    private static final long LONGEST_REST_MILLIS = 8_000;
+    private static final long FIRST_EJECTION_MILLIS = 1_000;
+    private static final long LONGEST_EJECTION_MILLIS = 8_000;
 
-    private double evidence;
-    private long restMillis = FIRST_REST_MILLIS;
-    private long restUntilMillis = Long.MIN_VALUE;
+    private double ratio;
+    private long ejectionMillis = FIRST_EJECTION_MILLIS;
+    private long ejectedUntilMillis = Long.MIN_VALUE;
     private boolean onTrial;
 
-    void good() {
+    void recordSuccess() {
         if (onTrial) {
             onTrial = false;
-            evidence = ENOUGH / 2;
+            ratio = EJECTION_THRESHOLD / 2;
         }
-        evidence = Math.max(0, evidence - GOOD);
-        if (evidence == 0) {
-            restMillis = FIRST_REST_MILLIS;
+        ratio = Math.max(0, ratio - SUCCESS_WEIGHT);
+        if (ratio == 0) {
+            ejectionMillis = FIRST_EJECTION_MILLIS;
         }
     }
 
-    void failed(long nowMillis) {
-        bad(nowMillis, FAILED);
+    void recordFailure(long nowMillis) {
+        add(FAILURE_WEIGHT, nowMillis);
     }
 
-    void stoodStill(long nowMillis) {
-        bad(nowMillis, STOOD_STILL);
+    void recordStall(long nowMillis) {
+        add(STALL_WEIGHT, nowMillis);
     }
 
-    void rest(long nowMillis, long millis) {
-        restUntilMillis = Math.max(restUntilMillis, nowMillis + millis);
+    /** Ejects the endpoint for a while, whatever its runs say. */
+    void eject(long nowMillis, long millis) {
+        ejectedUntilMillis = Math.max(ejectedUntilMillis, nowMillis + millis);
     }
 
-    boolean resting(long nowMillis) {
-        return nowMillis < restUntilMillis;
+    boolean isEjected(long nowMillis) {
+        return nowMillis < ejectedUntilMillis;
     }
 
-    /** Returns whether only a single run may be tried. */
-    boolean onTrial() {
+    /** Returns whether the endpoint was ejected and may get a single run to show that it is healthy again. */
+    boolean isOnTrial() {
         return onTrial;
     }
 
-    private void bad(long nowMillis, double weight) {
-        evidence += weight;
-        if (evidence >= ENOUGH && nowMillis >= restUntilMillis) {
+    private void add(double weight, long nowMillis) {
+        ratio += weight;
+        if (ratio >= EJECTION_THRESHOLD && !isEjected(nowMillis)) {
             onTrial = true;
-            restUntilMillis = nowMillis + restMillis;
-            restMillis = Math.min(LONGEST_REST_MILLIS, restMillis * 2);
+            ejectedUntilMillis = nowMillis + ejectionMillis;
+            ejectionMillis = Math.min(LONGEST_EJECTION_MILLIS, ejectionMillis * 2);
         }
     }
 }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/HeldEndpoint.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/HeldEndpoint.java
@@ -83,7 +83,7 @@
         return link.entry();
     }
 
-    /** Takes in a later entry of the same life. */
+    /** Records a later entry of the same life. */
     void update(EndpointEntry later) {
         link.update(later);
         retired = false;
@@ -151,7 +151,7 @@
      * Returns whether the endpoint will most likely take tasks within moments, because its first answer is due or what
      * an earlier holder left there is being stopped.
      */
-    boolean opening() {
+    boolean isInitializing() {
         return !closed && !retired && !entry().draining() && !poller.silent() && !known();
     }
 
@@ -162,8 +162,8 @@
                 && !closed
                 && !retired
                 && !entry().draining()
-                && !health.resting(nowMillis)
-                && !(health.onTrial() && !room.isEmpty());
+                && !health.isEjected(nowMillis)
+                && !(health.isOnTrial() && !room.isEmpty());
     }
 
     /** Returns whether the endpoint, were it idle, could be given a task of the service that needs so much. */
@@ -187,25 +187,25 @@
     /**
      * Gives up runs that take far longer than expected, once a task.
      *
-     * <p>Guards against an endpoint on which tasks stand still while it answers all calls: each of its places would
+     * <p>Guards against an endpoint on which tasks stall while it answers all calls: each of its places would
      * keep a job until its client leaves. Where the work itself is long, the second run is left alone.
      */
-    void restartStuck() {
+    void restartOverdueRuns() {
         long now = link.nowMillis();
         for (Reservation reservation : room.all()) {
             long limit = reservation.task().job().longestRunMillis();
             boolean stuck = reservation.wanted() && now - reservation.startedAtMillis() > limit;
             if (stuck && reservation.task().restartOverdue()) {
-                health.stoodStill(now);
+                health.recordStall(now);
             }
         }
     }
 
     /**
-     * Takes in how far a run has got, and gives it up if it shows no progress.
+     * Records how far a run has got, and stops it if it shows no progress.
      *
-     * <p>Guards against an endpoint on which tasks stand still, as {@link #restartStuck} does, but in time for most
-     * callers: the run time of a task is known to a factor only, and its progress to a percent.
+     * <p>Guards against an endpoint on which tasks stall. {@link #restartOverdueRuns} finds them too, but too late for
+     * most callers: the run time of a task is known to a factor only, its progress to a percent.
      */
     private void followProgress(Reservation reservation, int percent, long sentAtMillis) {
         if (reservation.advancedTo(percent, sentAtMillis)) {
@@ -218,16 +218,16 @@
                 && reservation.wanted()
                 && progress.areMeaningful()
                 && reservation.task().restartStalled()) {
-            health.stoodStill(link.nowMillis());
+            health.recordStall(link.nowMillis());
         }
     }
 
-    /** Takes in whether a run ended well. */
-    void judge(boolean good) {
-        if (good) {
-            health.good();
+    /** Records whether a run succeeded. */
+    void recordOutcome(boolean succeeded) {
+        if (succeeded) {
+            health.recordSuccess();
         } else {
-            health.failed(link.nowMillis());
+            health.recordFailure(link.nowMillis());
         }
     }
 
@@ -244,7 +244,7 @@
     }
 
     /**
-     * Takes in that another life of the endpoint answers.
+     * Records that another life of the endpoint answers.
      *
      * <p>One that was leaving has ended as it said, and what ran there is not suspected of having crashed it.
      */
@@ -354,8 +354,8 @@
         }
 
         @Override
-        public void rest(long millis) {
-            health.rest(link.nowMillis(), millis);
+        public void eject(long millis) {
+            health.eject(link.nowMillis(), millis);
         }
 
         @Override
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/HeldShards.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/HeldShards.java
@@ -65,10 +65,10 @@
     }
 
     /** Returns the most processor time that is free on one endpoint that takes tasks, in thousandths of a core. */
-    long roomiestMilliCores(long nowMillis) {
+    long largestFreeMilliCores(long nowMillis) {
         long roomiest = 0;
         for (PlacedShard shard : shards.values()) {
-            roomiest = Math.max(roomiest, shard.roomiestMilliCores(nowMillis));
+            roomiest = Math.max(roomiest, shard.largestFreeMilliCores(nowMillis));
         }
         return roomiest;
     }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/JobTimes.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/JobTimes.java
@@ -28,7 +28,7 @@
     }
 
     /** Returns the time after which an answer is worth nothing to the client. */
-    long lastUseMillis() {
+    long expiryMillis() {
         return Math.min(lateMillis, deadlineMillis);
     }
 }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PendingJobs.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PendingJobs.java
@@ -50,7 +50,7 @@
         }
     }
 
-    /** Takes in that so many tasks more, or less, of a job in this queue wait. */
+    /** Records that so many tasks more, or less, of a job in this queue wait. */
     void waitingChanged(PlacedJob job, int by) {
         waitingTasks += by;
         addWork(job, by * job.expectedRunMillis());
@@ -124,7 +124,7 @@
             if (job.latestStartMillis() >= nowMillis) {
                 break;
             }
-            work += job.overdueAt(nowMillis) ? job.waitingTaskMillis() : 0;
+            work += job.isOverdue(nowMillis) ? job.waitingTaskMillis() : 0;
         }
         return work;
     }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacedJob.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacedJob.java
@@ -16,7 +16,7 @@
     /** The part of an expected run time by which it may be wrong before a job is taken for overdue. */
     private static final int ESTIMATE_SLACK_PARTS = 4;
 
-    /** A smaller multiple stops tasks that are merely long; a larger one finds those that stand still later. */
+    /** A smaller multiple stops tasks that are merely long; a larger one finds stalled ones later. */
     private static final int STUCK_MULTIPLE = 4;
 
     /** The part of the longest run time within which a healthy run shows progress; reports are in whole percents. */
@@ -92,7 +92,7 @@
         return expectedRunMillis;
     }
 
-    /** Returns the run time beyond which a task is taken to stand still. */
+    /** Returns the run time beyond which a task counts as stalled. */
     long longestRunMillis() {
         return STUCK_MULTIPLE * expectedRunMillis + STUCK_SLACK_MILLIS;
     }
@@ -107,7 +107,7 @@
     }
 
     /** The client sent the job again, by another node. */
-    void movedTo(NodeId later) {
+    void resubmittedThrough(NodeId later) {
         origin = later;
     }
 
@@ -124,7 +124,7 @@
     }
 
     /** Returns whether any task of the job was ever started by this holder. */
-    boolean everStarted() {
+    boolean wasStarted() {
         return lastRun() > 0;
     }
 
@@ -176,8 +176,8 @@
     }
 
     /** Returns whether some of the job was done or is under way as it comes in. */
-    boolean begunBefore() {
-        return everStarted() || unfinished < tasks.size();
+    boolean wasBegun() {
+        return wasStarted() || unfinished < tasks.size();
     }
 
     /** Returns whether every task is done. */
@@ -203,8 +203,8 @@
      * so, which is why a job counts as overdue only somewhat after its time. A job that is partly started is finished:
      * what is left of it costs little against what it has taken.
      */
-    boolean overdueAt(long nowMillis) {
-        return !everStarted() && nowMillis > latestStartMillis() + expectedRunMillis / ESTIMATE_SLACK_PARTS;
+    boolean isOverdue(long nowMillis) {
+        return !wasStarted() && nowMillis > latestStartMillis() + expectedRunMillis / ESTIMATE_SLACK_PARTS;
     }
 
     /**
@@ -213,8 +213,8 @@
      * <p>A job that was started is worth finishing until its client leaves, however late: its caller still gets the
      * whole answer, and not the word that it may have run.
      */
-    boolean isPastUseAt(long nowMillis) {
-        long lastUse = everStarted() ? times.deadlineMillis() : times.lastUseMillis();
+    boolean isExpired(long nowMillis) {
+        long lastUse = wasStarted() ? times.deadlineMillis() : times.expiryMillis();
         return !over && nowMillis + expectedRunMillis / 2 > lastUse;
     }
 
@@ -223,7 +223,7 @@
         return waitingTasks;
     }
 
-    /** Takes in that so many tasks more, or less, wait to be started. */
+    /** Records that so many tasks more, or less, wait to be started. */
     void waitingChanged(int by) {
         waitingTasks += by;
         pending.ifPresent(jobs -> jobs.waitingChanged(this, by));
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacedShard.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacedShard.java
@@ -51,7 +51,7 @@
         return endpoints.values();
     }
 
-    /** Takes in the list of the endpoints that stand there. */
+    /** Updates the endpoints of the domain. */
     void update(Collection<EndpointEntry> listed) {
         Set<EndpointId> ids = new HashSet<>();
         for (EndpointEntry entry : listed) {
@@ -84,7 +84,7 @@
     }
 
     /** Returns whether no endpoint has answered although this node has asked them for long enough. */
-    boolean outOfReach() {
+    boolean isUnreachable() {
         if (timers.nowMillis() - openedAtMillis < REACH_MILLIS) {
             return false;
         }
@@ -107,7 +107,7 @@
     }
 
     /** Returns the most processor time that is free on one endpoint that takes tasks, in thousandths of a core. */
-    long roomiestMilliCores(long now) {
+    long largestFreeMilliCores(long now) {
         long roomiest = 0;
         for (HeldEndpoint endpoint : endpoints.values()) {
             long free = endpoint.free().milliCores();
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/Placer.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/Placer.java
@@ -92,7 +92,7 @@
         return shards.domains();
     }
 
-    /** Takes in the list of a shard's endpoints. */
+    /** Updates the list of a shard's endpoints. */
     public void update(FailureDomain shard, Collection<EndpointEntry> listed) {
         shards.find(shard).orElseThrow().update(listed);
         pending.inOrder().forEach(this::evictIfUnplaceable);
@@ -123,7 +123,7 @@
     public void offer(Offer offer) {
         PlacedJob known = jobs.get(offer.job().id());
         if (known != null) {
-            known.movedTo(offer.origin());
+            known.resubmittedThrough(offer.origin());
             return;
         }
         if (!cancelling.defer(offer, timers.nowMillis())) {
@@ -157,9 +157,9 @@
         starter.planStart();
     }
 
-    /** Looks for runs that stand still; to be called a few times a second. */
+    /** Looks for runs that stall; to be called a few times a second. */
     public void review() {
-        shards.endpoints().forEach(HeldEndpoint::restartStuck);
+        shards.endpoints().forEach(HeldEndpoint::restartOverdueRuns);
         starter.planStart();
     }
 
@@ -178,7 +178,7 @@
         ImmutableList<PlacedJob> givenBack = ImmutableList.copyOf(jobs.values());
         givenBack.forEach(this::forget);
         for (PlacedJob job : givenBack) {
-            boolean mayRun = job.everStarted() || job.awaitsEarlierRuns();
+            boolean mayRun = job.wasStarted() || job.awaitsEarlierRuns();
             listener.settled(job.origin(), job.id(), mayRun ? Verdict.HOLD_LOST : Verdict.RETURNED, 0);
         }
         for (PlacedJob job : cancelling.removeEvicted()) {
@@ -195,8 +195,8 @@
     }
 
     /** Returns whether no endpoint of the shard has answered although this node has asked them for long enough. */
-    public boolean outOfReach(FailureDomain shard) {
-        return shards.find(shard).filter(PlacedShard::outOfReach).isPresent();
+    public boolean isUnreachable(FailureDomain shard) {
+        return shards.find(shard).filter(PlacedShard::isUnreachable).isPresent();
     }
 
     private void take(Offer offer, int firstRun) {
@@ -226,7 +226,7 @@
     private void resume(PlacedJob job) {
         if (job.allFinished()) {
             settle(job, Verdict.DONE);
-        } else if (job.begunBefore()) {
+        } else if (job.wasBegun()) {
             requeue(job);
             starter.planStart();
         } else {
@@ -252,7 +252,7 @@
         if (!waits || shards.canHost(job)) {
             return;
         }
-        if (!job.begunBefore()) {
+        if (!job.wasBegun()) {
             end(job);
             decline(job, estimator.of(job, timers.nowMillis()));
             return;
@@ -273,7 +273,7 @@
 
     /** Gives up a job whose answer would come too late; what never started is declined, for that is the truth. */
     private void giveUp(PlacedJob job) {
-        if (job.everStarted()) {
+        if (job.wasStarted()) {
             settle(job, Verdict.TOO_LATE);
         } else {
             listener.declined(job.origin(), job.id(), estimator.of(job, timers.nowMillis()));
@@ -316,7 +316,7 @@
         }
 
         @Override
-        public void roomReleased(PlacedJob job) {
+        public void capacityReleased(PlacedJob job) {
             if (cancelling.removeIfEvicted(job)) {
                 listener.settled(job.origin(), job.id(), Verdict.EVICTED, 0);
             }
@@ -327,7 +327,7 @@
         }
 
         @Override
-        public void roomFound() {
+        public void capacityFound() {
             starter.planStart();
         }
 
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RecoveredRuns.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RecoveredRuns.java
@@ -42,7 +42,7 @@
     }
 
     /**
-     * Takes in what runs that nobody here started.
+     * Processes what runs that nobody here started.
      *
      * <p>Only what the first list shows may be adopted. What shows later is a run that was given up here, and its
      * task may have been started elsewhere.
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/Reservation.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/Reservation.java
@@ -84,7 +84,7 @@
     }
 
     /**
-     * Takes in how much of the work is done; returns whether that is more than an earlier list said.
+     * Records how much of the work is done; returns whether that is more than an earlier list said.
      *
      * @param asOfMillis when the list was asked for
      */
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/ReservedRoom.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/ReservedRoom.java
@@ -20,7 +20,7 @@
         this.free = capacity;
     }
 
-    /** Takes in that the endpoint has another size now. */
+    /** Records that the endpoint has another size now. */
     void resize(Resources now) {
         capacity = now;
         free = capacity.minus(used);
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RunOrders.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RunOrders.java
@@ -10,8 +10,8 @@
     /** The pause before a stop that got no answer is sent again. */
     private static final long STOP_RETRY_MILLIS = 2 * RunListPoller.FIRST_RETRY_MILLIS;
 
-    /** An endpoint that refuses as unwell is left alone this long: a few times the run time of a short task. */
-    private static final long UNWELL_REST_MILLIS = 250;
+    /** An endpoint that refuses as unhealthy is left alone this long: a few times the run time of a short task. */
+    private static final long UNHEALTHY_EJECTION_MILLIS = 250;
 
     private final EndpointLink link;
     private final ReservedRoom room;
@@ -72,7 +72,7 @@
         if (result == OrderResult.NOT_SENT) {
             poller.suspect();
         } else if (result != OrderResult.TOO_LATE) {
-            host.rest(UNWELL_REST_MILLIS);
+            host.eject(UNHEALTHY_EJECTION_MILLIS);
         }
         room.release(reservation);
         host.events().refused(host.endpoint(), reservation);
@@ -145,6 +145,6 @@
         EndpointEvents events();
 
         /** Starts nothing there for a while. */
-        void rest(long millis);
+        void eject(long millis);
     }
 }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RunResults.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RunResults.java
@@ -6,7 +6,7 @@
 import org.tarragonarch.model.task.Timers;
 import org.tarragonarch.model.task.Verdict;
 
-/** Takes in what endpoints say of runs: judges the endpoint, learns run times, and decides what its task does next. */
+/** Processes what endpoints say of runs: judges the endpoint, learns run times, and decides what its task does next. */
 final class RunResults implements EndpointEvents {
     private final RunTimes runTimes;
     private final Timers timers;
@@ -28,7 +28,7 @@
         PlacedTask task = reservation.task();
         PlacedJob job = task.job();
         if (kind.ownEnd()) {
-            endpoint.judge(kind == EndKind.DONE);
+            endpoint.recordOutcome(kind == EndKind.DONE);
         }
         if (kind != EndKind.DONE && !job.over()) {
             EndpointEntry entry = endpoint.entry();
@@ -46,19 +46,19 @@
             }
         } else if (kind.countsAsAttempt()) {
             task.failed(endpoint.entry().id());
-            again(job, task);
+            retryOrFail(job, task);
         } else if (kind == EndKind.CRASHED) {
             task.crashed();
             task.lostRun();
-            again(job, task);
+            retryOrFail(job, task);
         } else if (kind == EndKind.LAPSED) {
             task.lostRun();
-            again(job, task);
+            retryOrFail(job, task);
         } else {
             task.back();
-            again(job, task);
+            retryOrFail(job, task);
         }
-        host.roomReleased(job);
+        host.capacityReleased(job);
     }
 
     @Override
@@ -72,13 +72,13 @@
 
     @Override
     public void refused(HeldEndpoint endpoint, Reservation reservation) {
-        takeBack(reservation);
+        requeueRefused(reservation);
     }
 
     @Override
     public void refusedAsOld(HeldEndpoint endpoint, Reservation reservation) {
         reservation.task().skipOldRuns();
-        takeBack(reservation);
+        requeueRefused(reservation);
     }
 
     @Override
@@ -88,7 +88,7 @@
         if (!job.over()) {
             host.settle(job, Verdict.FAILED);
         }
-        host.roomReleased(job);
+        host.capacityReleased(job);
     }
 
     @Override
@@ -98,7 +98,7 @@
 
     @Override
     public void usable(HeldEndpoint endpoint) {
-        host.roomFound();
+        host.capacityFound();
     }
 
     @Override
@@ -115,18 +115,18 @@
         }
     }
 
-    private void takeBack(Reservation reservation) {
+    private void requeueRefused(Reservation reservation) {
         PlacedTask task = reservation.task();
         if (task.holds(reservation)) {
             task.back();
             if (!task.job().over()) {
                 host.requeue(task.job());
             }
-            host.roomReleased(task.job());
+            host.capacityReleased(task.job());
         }
     }
 
-    private void again(PlacedJob job, PlacedTask task) {
+    private void retryOrFail(PlacedJob job, PlacedTask task) {
         if (task.failures() >= job.queue().attempts() || task.isCrashing()) {
             host.settle(job, Verdict.FAILED);
         } else {
@@ -146,10 +146,10 @@
         void requeue(PlacedJob job);
 
         /** A run of the job takes no room any more. */
-        void roomReleased(PlacedJob job);
+        void capacityReleased(PlacedJob job);
 
         /** An endpoint can take tasks that it could not take before. */
-        void roomFound();
+        void capacityFound();
 
         /** An endpoint was read for the first time. */
         void firstListed(HeldEndpoint endpoint);
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/TaskStarter.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/TaskStarter.java
@@ -47,14 +47,14 @@
         long now = timers.nowMillis();
         if (now - expiredAtMillis >= EXPIRY_MILLIS) {
             expiredAtMillis = now;
-            giveUpPastUse(now);
+            expirePending(now);
         }
         startInOrder(now);
     }
 
-    private void giveUpPastUse(long now) {
+    private void expirePending(long now) {
         for (PlacedJob job : pending.inOrder()) {
-            if (job.isPastUseAt(now)) {
+            if (job.isExpired(now)) {
                 giveUp.accept(job);
             }
         }
@@ -62,12 +62,12 @@
 
     /** Starts what can be in time first, and then what cannot; ends as soon as there is room for no job at all. */
     private void startInOrder(long now) {
-        long roomiest = shards.roomiestMilliCores(now);
+        long roomiest = shards.largestFreeMilliCores(now);
         List<PlacedJob> overdue = new ArrayList<>();
         Optional<PlacedJob> next = pending.first();
         while (next.isPresent() && pending.anyFitsInto(roomiest)) {
             PlacedJob job = next.get();
-            if (job.overdueAt(now)) {
+            if (job.isOverdue(now)) {
                 overdue.add(job);
             } else {
                 roomiest = startIfRoom(job, now, roomiest);
@@ -93,7 +93,7 @@
         if (startWaiting(job, now)) {
             pending.remove(job);
         }
-        return job.waitingTasks() == waitingBefore ? roomiest : shards.roomiestMilliCores(now);
+        return job.waitingTasks() == waitingBefore ? roomiest : shards.largestFreeMilliCores(now);
     }
 
     /** Starts what fits; returns whether nothing of the job waits any more. */
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/routing/Holders.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/routing/Holders.java
@@ -10,7 +10,7 @@
 /** The holders of shards as a job's node reaches them: itself, or a peer over a connection. */
 public interface Holders {
     /**
-     * Returns the holders that can be heard: that of this node's own failure domain first, then the one with the most
+     * Returns the reachable holders: that of this node's own failure domain first, then the one with the most
      * free room; last those all of whose failure domains are drained.
      */
     ImmutableList<Holder> inOrder();
@@ -28,10 +28,10 @@
     boolean hasNewest(Holder holder, ImmutableSet<FailureDomain> shards);
 
     /** Returns whether a shard without a holder should have one within moments. */
-    boolean moreExpected();
+    boolean isHolderExpected();
 
-    /** Returns whether this node has no holder and cannot have one soon, because it hears nobody. */
-    boolean noneToBeExpected();
+    /** Returns whether this node has no holder and cannot have one soon, because it is partitioned. */
+    boolean isHolderUnreachable();
 
     /** Offers a job to a holder. */
     void offer(Holder holder, Offer offer);
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/routing/JobRouter.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/routing/JobRouter.java
@@ -92,7 +92,7 @@
     /** Takes a holder's verdict; one of a holder that no longer has the job is dropped. */
     public void settled(NodeId from, JobId id, Verdict verdict, long retryMillis) {
         OpenJob job = open.get(id);
-        if (job == null || !job.isWith(from)) {
+        if (job == null || !job.isHeldBy(from)) {
             return;
         }
         switch (verdict) {
@@ -116,16 +116,16 @@
     /** Takes back an offer that certainly never left. */
     public void notOffered(NodeId to, JobId id) {
         OpenJob job = open.get(id);
-        if (job != null && job.isWith(to)) {
+        if (job != null && job.isHeldBy(to)) {
             job.notOffered();
             placeOrRefuse(job);
         }
     }
 
-    /** Notes that a node cannot be heard any more. */
+    /** Notes that a node is not reachable any more. */
     public void nodeLost(NodeId node) {
         for (OpenJob job : ImmutableList.copyOf(open.values())) {
-            if (job.isWith(node)) {
+            if (job.isHeldBy(node)) {
                 holderLost(job);
             }
         }
@@ -142,7 +142,7 @@
     }
 
     /** Refuses every new job from now on, because this node is about to stop. */
-    public void takeNothingNew() {
+    public void refuseNewJobs() {
         closed = true;
     }
 
@@ -214,18 +214,18 @@
         long now = timers.nowMillis();
         boolean anyAllowedLater = false;
         for (Holder candidate : holders.inOrder()) {
-            if (job.mayGoTo(candidate, holders, now, runsLastMillis)) {
+            if (job.mayBeOfferedTo(candidate, holders, now, runsLastMillis)) {
                 job.offeredTo(candidate);
                 holders.offer(candidate, job.offer(holders.own(), now, runsLastMillis));
                 return;
             }
-            anyAllowedLater |= job.mayGoLater(candidate);
+            anyAllowedLater |= job.mayBeOfferedLaterTo(candidate);
         }
-        if (!job.mayHaveRun() && holders.noneToBeExpected()) {
+        if (!job.mayHaveRun() && holders.isHolderUnreachable()) {
             refuse(job, NO_HOLDER_RETRY_MILLIS);
             return;
         }
-        boolean mayWait = holders.moreExpected() && job.ageMillis(now) < HOLDER_WAIT_MILLIS;
+        boolean mayWait = holders.isHolderExpected() && job.ageMillis(now) < HOLDER_WAIT_MILLIS;
         if (job.wasDeclined() && !anyAllowedLater && !mayWait) {
             refuse(job, job.soonestRetryMillis());
         }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/routing/OpenJob.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/routing/OpenJob.java
@@ -90,7 +90,7 @@
         return holder;
     }
 
-    boolean isWith(NodeId node) {
+    boolean isHeldBy(NodeId node) {
         return holder.filter(current -> current.node().equals(node)).isPresent();
     }
 
@@ -162,7 +162,7 @@
     }
 
     /** Returns whether the job may go to the holder now, given how long a lost holder's runs may last. */
-    boolean mayGoTo(Holder candidate, Holders holders, long nowMillis, long runsLastMillis) {
+    boolean mayBeOfferedTo(Holder candidate, Holders holders, long nowMillis, long runsLastMillis) {
         if (declinedBy.contains(candidate.node()) || isReturnedBy(candidate)) {
             return false;
         }
@@ -174,7 +174,7 @@
     }
 
     /** Returns whether the job may go to the holder at some time, though not now. */
-    boolean mayGoLater(Holder candidate) {
+    boolean mayBeOfferedLaterTo(Holder candidate) {
         return (mayHaveRun || isReturnedBy(candidate)) && !declinedBy.contains(candidate.node());
     }
 
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/runtime/RunTimeEstimator.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/runtime/RunTimeEstimator.java
@@ -29,7 +29,7 @@
         return new RunTimeEstimator();
     }
 
-    /** Takes in the run time of a task that succeeded. */
+    /** Records the run time of a task that succeeded. */
     public void observe(ServiceName service, KindName kind, long nanos) {
         means.computeIfAbsent(new Kind(service, kind), key -> new Mean()).add(nanos);
     }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/CandidateRanking.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/CandidateRanking.java
@@ -53,14 +53,14 @@
 
     /** Returns whether nobody goes before this node. */
     boolean isFirst(FailureDomain shard) {
-        return goingBefore(shard) == 0;
+        return higherRanked(shard) == 0;
     }
 
-    /** Returns how many of the peers that can be heard go before this node. */
-    long goingBefore(FailureDomain shard) {
+    /** Returns how many reachable peers rank before this node. */
+    long higherRanked(FailureDomain shard) {
         ImmutableSet<FailureDomain> pool = pools.poolOf(shard);
         return peers.present().stream()
-                .filter(peer -> !peer.leaving() && goesBefore(peer, pool))
+                .filter(peer -> !peer.leaving() && ranksBefore(peer, pool))
                 .count();
     }
 
@@ -80,7 +80,7 @@
         return theirs > ours || theirs == ours && theirs > 0 && peer.node().compareTo(own) < 0;
     }
 
-    private boolean goesBefore(NodeStatus peer, ImmutableSet<FailureDomain> pool) {
+    private boolean ranksBefore(NodeStatus peer, ImmutableSet<FailureDomain> pool) {
         boolean peerIsNear = pool.contains(peer.domain());
         if (peerIsNear != pool.contains(ownDomain)) {
             return peerIsNear;
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/EndpointList.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/EndpointList.java
@@ -45,13 +45,13 @@
         return entries.isEmpty();
     }
 
-    /** Takes in an entry; returns whether it says anything new. */
+    /** Records an entry; returns whether it says anything new. */
     public boolean listed(EndpointEntry entry) {
         missingUntil.remove(entry.id());
         return !Objects.equals(entries.put(entry.id(), entry), entry);
     }
 
-    /** Takes in that an entry is no longer there; returns whether that changes anything now. */
+    /** Records that an entry is no longer there; returns whether that changes anything now. */
     public boolean unlisted(EndpointId id, long nowMillis) {
         if (storeAway || nowMillis - storeBackAtMillis < RETURN_MILLIS) {
             missingUntil.putIfAbsent(id, Math.max(nowMillis, storeBackAtMillis) + RETURN_MILLIS);
@@ -61,7 +61,7 @@
     }
 
     /**
-     * Takes in that something else stands where an entry stood; returns whether there was one.
+     * Records that something else stands where an entry stood; returns whether there was one.
      *
      * <p>Guards against an entry that another writer wrote over: what it says now is not the endpoint's word, so the
      * endpoint gets nothing new until its next heartbeat has put its own entry back.
@@ -71,7 +71,7 @@
         return entries.remove(id) != null;
     }
 
-    /** Takes in the whole list; returns whether anything changed. */
+    /** Replaces the whole list; returns whether anything changed. */
     public boolean replaced(Iterable<EndpointEntry> all, long nowMillis) {
         boolean changed = false;
         Set<EndpointId> missing = new HashSet<>(entries.keySet());
@@ -134,7 +134,7 @@
     }
 
     /**
-     * Takes in which services there are.
+     * Records which services there are.
      *
      * <p>Guards against entries of another writer that name a service which nobody knows: such an endpoint would get no
      * task, but it would be looked at ten times a second.
@@ -143,7 +143,7 @@
         services = known;
     }
 
-    /** Takes in which failure domains are drained. */
+    /** Records which failure domains are drained. */
     public void drained(ImmutableSet<FailureDomain> domains) {
         drained = domains;
     }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/Heartbeats.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/Heartbeats.java
@@ -48,7 +48,7 @@
     }
 
     /**
-     * Takes in which shards this node holds, and which of its pool have no holder.
+     * Records which shards this node holds, and which of its pool have no holder.
      *
      * @return whether peers have to be told at once, because this node has just begun to miss a holder
      */
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/HolderElection.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/HolderElection.java
@@ -12,13 +12,18 @@
 /**
  * Decides which shards this node holds.
  *
- * <p>No agreement is needed for safety: the endpoints obey the highest token alone. This only keeps nodes from taking
- * shards from one another. A shard stays with its holder while that can be heard. When it is gone, the first in line of
- * the nodes in the domains of the shard's pool claims it under a higher term: the one that holds most of that pool,
- * then the one with the most processor time, then the first by name. A shard none of whose domain's nodes can be heard
- * may be cut off rather than without a holder; it is claimed only after {@value #FOREIGN_CLAIM_MILLIS} ms, by a node
- * that holds another. A node that hears nobody may be cut off itself, and claims only after
- * {@value #ISOLATED_CLAIM_MILLIS} ms what the others may still hold.
+ * <p>No agreement is needed for safety, since endpoints obey the highest token alone. The election only keeps nodes
+ * from taking shards from one another:
+ *
+ * <ul>
+ *   <li>A shard stays with its holder while that is reachable.
+ *   <li>A shard without a holder is claimed under a higher term by the highest-ranked candidate of its pool; see {@link
+ *       CandidateRanking}.
+ *   <li>A shard none of whose domain's nodes is reachable may be cut off rather than without a holder. It is claimed
+ *       only       after {@value #FOREIGN_CLAIM_MILLIS} ms, by a node that holds another.
+ *   <li>A node that reaches no peer may be partitioned itself. It claims what the others may still hold only after
+ *       {@value #ISOLATED_CLAIM_MILLIS} ms.
+ * </ul>
  */
 public final class HolderElection {
     /**
@@ -37,8 +42,10 @@
     private static final long ISOLATED_CLAIM_MILLIS = PeerTable.DISTANT_SILENCE_MILLIS;
 
     /**
-     * Two nodes that cannot hear each other but reach the same endpoints would take them from one another for ever. The
-     * one that was fenced keeps away from the shard this long.
+     * How long a node that was fenced backs off from the shard, in milliseconds.
+     *
+     * <p>Guards against two nodes that reach the same endpoints but not each other: they would take the shard from one
+     * another indefinitely.
      */
     private static final long FENCED_PAUSE_MILLIS = 3_000;
 
@@ -64,7 +71,7 @@
     private final ShardPools pools;
     private final Map<FailureDomain, FencingToken> held = new HashMap<>();
     private final Map<FailureDomain, Long> lastTerm = new HashMap<>();
-    private final Map<FailureDomain, Long> keepAwayUntil = new HashMap<>();
+    private final Map<FailureDomain, Long> backoffUntilMillis = new HashMap<>();
     private final Map<FailureDomain, Long> withoutHolderSince = new HashMap<>();
     private final Map<FailureDomain, Long> fencedAt = new HashMap<>();
 
@@ -106,20 +113,20 @@
             return false;
         }
         long since = withoutHolderSince.computeIfAbsent(shard, unused -> nowMillis);
-        return nowMillis - since >= patienceMillis(shard)
-                && nowMillis >= keepAwayUntil.getOrDefault(shard, Long.MIN_VALUE)
-                && mayBeNext(shard)
+        return nowMillis - since >= claimDelayMillis(shard)
+                && nowMillis >= backoffUntilMillis.getOrDefault(shard, Long.MIN_VALUE)
+                && isEligibleCandidate(shard)
                 && ranking.isFirst(shard);
     }
 
-    /** Returns whether this node most likely cannot be heard by its peers, while they go on. */
+    /** Returns whether this node most likely is partitioned from its peers. */
     public boolean isolated() {
-        return peers.lostAllAtOnce();
+        return peers.isPartitioned();
     }
 
     /** Returns for how long a shard must have had no holder before this node claims it. */
-    private long patienceMillis(FailureDomain shard) {
-        boolean alone = isHome(shard) && !peers.lostLastIn(shard);
+    private long claimDelayMillis(FailureDomain shard) {
+        boolean alone = isHome(shard) && !peers.wasLastLostIn(shard);
         if (isolated() && !alone) {
             return ISOLATED_CLAIM_MILLIS;
         }
@@ -133,7 +140,7 @@
      * <p>Outside the shard's pool only holders are heard by everybody; others would claim it without knowing of each
      * other. Where nobody holds anything, everybody speaks to its neighbours at least.
      */
-    private boolean mayBeNext(FailureDomain shard) {
+    private boolean isEligibleCandidate(FailureDomain shard) {
         return pools.poolOf(shard).contains(ownDomain)
                 || !held.isEmpty()
                 || peers.holders().isEmpty();
@@ -184,14 +191,14 @@
     }
 
     /**
-     * Releases a shard none of whose endpoints can be reached from here, and keeps away from it for a while.
+     * Releases a shard none of whose endpoints is reachable, and backs off from it for a while.
      *
      * <p>Guards against taking the endpoints of a domain that is cut off and goes on by itself: the orders of the node
      * outside would arrive as the cut heals, and stop all that runs there.
      */
     public void unreachable(FailureDomain shard, long nowMillis) {
         held.remove(shard);
-        keepAwayUntil.put(shard, nowMillis + FENCED_PAUSE_MILLIS);
+        backoffUntilMillis.put(shard, nowMillis + FENCED_PAUSE_MILLIS);
     }
 
     /**
@@ -216,10 +223,10 @@
     /**
      * Notes that the shard's endpoints obey a higher token than this node's.
      *
-     * <p>The first in line claims once more at once: the other token may be that of a holder that is gone, or of a node
-     * that yields as soon as it hears this one. Outranked a second time within {@value #FENCED_PAUSE_MILLIS} ms it
-     * keeps away, since the other is a living node that it does not hear; they would take the shard from each other
-     * some twenty times a second, and nothing would be served.
+     * <p>The highest-ranked candidate claims once more at once: the other token may be that of a holder that is gone,
+     * or of a node that yields as soon as it hears this one. Outranked a second time within {@value
+     * #FENCED_PAUSE_MILLIS} ms it backs off, since the other is a living node that it does not reach; they would take
+     * the shard from each other some twenty times a second, and nothing would be served.
      */
     public void fenced(FailureDomain shard, long nowMillis) {
         held.remove(shard);
@@ -229,7 +236,7 @@
         if (!again && peers.holder(shard).isEmpty() && ranking.isFirst(shard) && othersPresent()) {
             return;
         }
-        keepAwayUntil.put(shard, nowMillis + FENCED_PAUSE_MILLIS);
+        backoffUntilMillis.put(shard, nowMillis + FENCED_PAUSE_MILLIS);
     }
 
     private boolean othersPresent() {
@@ -239,7 +246,7 @@
     /** Returns whether this node would be the next holder of the shard if the present one were lost. */
     public boolean isSuccessor(FailureDomain shard) {
         int holders = peers.holder(shard).isPresent() ? 1 : 0;
-        return ranking.goingBefore(shard) <= holders;
+        return ranking.higherRanked(shard) <= holders;
     }
 
     private boolean homeNodePresent(FailureDomain shard) {
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/PeerTable.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/PeerTable.java
@@ -14,7 +14,7 @@
 import org.tarragonarch.model.report.NodeStatus;
 import org.tarragonarch.model.task.FencingToken;
 
-/** What the peers last said of themselves, and which of them can be heard. */
+/** What the peers last said of themselves, and which of them are reachable. */
 public final class PeerTable {
     /**
      * How long a peer that speaks often may say nothing before it counts as gone, in milliseconds.
@@ -53,7 +53,7 @@
     /** Creates a table that knows nobody. */
     public PeerTable() {}
 
-    /** Takes in a status; returns whether the peer was not there before. */
+    /** Records a status; returns whether the peer was not there before. */
     public boolean received(NodeStatus status, long nowMillis) {
         LastStatus before = peers.get(status.node());
         boolean joined = before == null || !before.present();
@@ -127,12 +127,12 @@
      * <p>Several nodes hardly ever fail together, and one that is cut off loses sight of them all: most likely they go
      * on without this one. Peers whose connections ended are not counted; a process that is killed shows so.
      */
-    public boolean lostAllAtOnce() {
+    public boolean isPartitioned() {
         return present().isEmpty() && lostLast(lost -> true) >= SEVERAL;
     }
 
     /** Returns whether a node of the failure domain is among those that fell silent last, at about the same moment. */
-    public boolean lostLastIn(FailureDomain domain) {
+    public boolean wasLastLostIn(FailureDomain domain) {
         return lostLast(lost -> lost.status().domain().equals(domain)) > 0;
     }
 
@@ -256,7 +256,7 @@
      *
      * @param atMillis when it was last heard
      * @param sinceMillis since when it has been there without a break
-     * @param present whether it can be heard
+     * @param present whether it is reachable
      * @param fellSilent whether it was lost by its silence, and not by the end of its connections
      */
     private record LastStatus(NodeStatus status, long atMillis, long sinceMillis, boolean present, boolean fellSilent) {
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/ShardOwnership.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/ShardOwnership.java
@@ -80,7 +80,7 @@
             if (election.shouldResign(shard, timers.nowMillis())) {
                 resign(shard);
                 changed = true;
-            } else if (outOfReach(shard)) {
+            } else if (isUnreachable(shard)) {
                 resign(shard);
                 election.unreachable(shard, timers.nowMillis());
                 changed = true;
@@ -155,9 +155,9 @@
         return new HeldShard(shard, placer.token(shard).orElseThrow(), placer.freeMilliCores(shard));
     }
 
-    private boolean outOfReach(FailureDomain shard) {
+    private boolean isUnreachable(FailureDomain shard) {
         return !election.isHome(shard)
-                && placer.filter(current -> current.outOfReach(shard)).isPresent();
+                && placer.filter(current -> current.isUnreachable(shard)).isPresent();
     }
 
     private void claim(FailureDomain shard) {
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/ShardPools.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/ShardPools.java
@@ -47,7 +47,7 @@
         return regions.keySet();
     }
 
-    /** Takes in how many endpoints there are now. */
+    /** Records how many endpoints there are now. */
     public void review() {
         for (Region region : domains.keySet()) {
             int listed = endpoints.countIn(domains.get(region));
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/SteadyLists.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/SteadyLists.java
@@ -31,7 +31,7 @@
         this.endpoints = endpoints;
     }
 
-    /** Takes in the list as it is now. */
+    /** Records the list as it is now. */
     void update(ImmutableSet<FailureDomain> shards, long nowMillis) {
         for (FailureDomain shard : shards) {
             ImmutableSet<EndpointId> now =
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/submission/Dispatcher.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/submission/Dispatcher.java
@@ -110,7 +110,7 @@
         changed.clear();
     }
 
-    /** Takes in the end of a sent task. */
+    /** Processes the end of a sent task. */
     public void taskEnded(TaskEnded ended, long nowNanos, ActionSink sink) {
         InFlightTask flight = inFlight.get(ended.task());
         if (flight == null || flight.attempt() != ended.attempt()) {
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/submission/EndListener.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/submission/EndListener.java
@@ -8,7 +8,7 @@
 @FunctionalInterface
 public interface EndListener {
     /**
-     * Takes in an end.
+     * Records an end.
      *
      * @param submission the submission
      * @param problem why it has no results; empty if it is complete
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/submission/RetryBudget.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/submission/RetryBudget.java
@@ -12,7 +12,7 @@
 
     private double retries = RESERVE;
 
-    /** Takes in a task that succeeded. */
+    /** Records a task that succeeded. */
     void succeeded() {
         retries = Math.min(RESERVE, retries + EARNED_PER_SUCCESS);
     }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/submission/SubmissionTable.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/submission/SubmissionTable.java
@@ -26,7 +26,7 @@
         return new SubmissionTable();
     }
 
-    /** Takes in a submission that has no answer yet. */
+    /** Records a submission that has no answer yet. */
     public void add(Submission submission) {
         checkState(open.put(submission.id(), submission) == null, "%s was taken in before", submission.id());
         byDeadline.add(new Deadline(submission.deadlineNanos(), submission.id()));
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/DiscoveryTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/DiscoveryTest.java
@@ -40,8 +40,8 @@
     @Test
     public void testEnoughHeard_everybody() {
         ImmutableList<NodeStatus> both = ImmutableList.of(status(A, false), status(C, true));
-        assertTrue(Discovery.enoughReceived(member(B), ImmutableList.of(member(A), member(C)), both));
-        assertTrue(Discovery.enoughReceived(member(B), ImmutableList.of(), ImmutableList.of()));
+        assertTrue(Discovery.isComplete(member(B), ImmutableList.of(member(A), member(C)), both));
+        assertTrue(Discovery.isComplete(member(B), ImmutableList.of(), ImmutableList.of()));
     }
 
     /**
@@ -51,20 +51,20 @@
     @Test
     public void testEnoughHeard_oneIsSlow() {
         ImmutableList<Member> located = ImmutableList.of(member(B), member(C));
-        assertTrue(Discovery.enoughReceived(member(A), located, ImmutableList.of(status(B, true))));
-        assertFalse(Discovery.enoughReceived(member(A), located, ImmutableList.of()));
+        assertTrue(Discovery.isComplete(member(A), located, ImmutableList.of(status(B, true))));
+        assertFalse(Discovery.isComplete(member(A), located, ImmutableList.of()));
     }
 
     /** One node alone was restarted: whoever it hears first has a holder, and it must hear that holder too. */
     @Test
     public void testEnoughHeard_othersHaveAHolder() {
-        assertFalse(Discovery.enoughReceived(
+        assertFalse(Discovery.isComplete(
                 member(A), ImmutableList.of(member(B), member(C)), ImmutableList.of(status(B, false))));
     }
 
     @Test
     public void testEnoughHeard_anotherGoesFirst() {
-        assertFalse(Discovery.enoughReceived(
+        assertFalse(Discovery.isComplete(
                 member(B), ImmutableList.of(member(A), member(C)), ImmutableList.of(status(C, true))));
     }
 
@@ -73,8 +73,8 @@
     public void testEnoughHeard_strongerNodeGoesFirst() {
         Member strong = new Member(C, FailureDomain.of("hobart"), new Address("10.0.0.9", 7_000), 1_500);
         ImmutableList<NodeStatus> withoutHolder = ImmutableList.of(status(B, true));
-        assertFalse(Discovery.enoughReceived(member(A), ImmutableList.of(member(B), strong), withoutHolder));
-        assertTrue(Discovery.enoughReceived(strong, ImmutableList.of(member(A), member(B)), withoutHolder));
+        assertFalse(Discovery.isComplete(member(A), ImmutableList.of(member(B), strong), withoutHolder));
+        assertTrue(Discovery.isComplete(strong, ImmutableList.of(member(A), member(B)), withoutHolder));
     }
 
     /**
@@ -86,7 +86,7 @@
     public void testPatience_growsWithTheNodesThatGoBefore() {
         Member large = new Member(C, FailureDomain.of("hobart"), new Address("10.0.0.9", 7_000), 1_500);
         ImmutableList<Member> both = ImmutableList.of(member(A), large);
-        assertEquals(Discovery.patienceMillis(large, ImmutableList.of(member(A), member(B))), 200);
-        assertEquals(Discovery.patienceMillis(member(B), both), 600);
+        assertEquals(Discovery.claimDelayMillis(large, ImmutableList.of(member(A), member(B))), 200);
+        assertEquals(Discovery.claimDelayMillis(member(B), both), 600);
     }
 }
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/EndpointHealthTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/EndpointHealthTest.java
@@ -8,7 +8,7 @@
 
 /** When an endpoint is taken for unwell. */
 public final class EndpointHealthTest {
-    private static final long FIRST_REST_MILLIS = 1_000;
+    private static final long FIRST_EJECTION_MILLIS = 1_000;
 
     /**
      * Every second task stands still on an endpoint. Ten callers in turn waited for nothing: each good run between
@@ -18,9 +18,9 @@
     public void testResting_halfOfTheRunsStandStill() {
         EndpointHealth health = new EndpointHealth();
         int runs = 0;
-        while (!health.resting(0)) {
-            health.good();
-            health.stoodStill(0);
+        while (!health.isEjected(0)) {
+            health.recordSuccess();
+            health.recordStall(0);
             runs += 2;
         }
         assertTrue(runs <= 6, runs + " runs");
@@ -29,13 +29,13 @@
     @Test
     public void testResting_threeFailuresInARow() {
         EndpointHealth health = new EndpointHealth();
-        health.failed(0);
-        health.failed(0);
-        assertFalse(health.resting(0));
-        health.failed(0);
-        assertTrue(health.resting(0));
-        assertFalse(health.resting(FIRST_REST_MILLIS));
-        assertTrue(health.onTrial());
+        health.recordFailure(0);
+        health.recordFailure(0);
+        assertFalse(health.isEjected(0));
+        health.recordFailure(0);
+        assertTrue(health.isEjected(0));
+        assertFalse(health.isEjected(FIRST_EJECTION_MILLIS));
+        assertTrue(health.isOnTrial());
     }
 
     /** Jobs that can never be done come by, one run in twenty: sound endpoints hardly ever rest for them. */
@@ -45,13 +45,13 @@
         for (int seed = 0; seed < 200; seed++) {
             SplittableRandom random = new SplittableRandom(seed);
             EndpointHealth health = new EndpointHealth();
-            for (int run = 0; run < 100 && !health.resting(run); run++) {
+            for (int run = 0; run < 100 && !health.isEjected(run); run++) {
                 if (random.nextInt(20) == 0) {
-                    health.failed(run);
+                    health.recordFailure(run);
                 } else {
-                    health.good();
+                    health.recordSuccess();
                 }
-                rests += health.resting(run) ? 1 : 0;
+                rests += health.isEjected(run) ? 1 : 0;
             }
         }
         assertTrue(rests <= 20, rests + " rests in 20,000 runs");
@@ -61,15 +61,15 @@
     @Test
     public void testOnTrial() {
         EndpointHealth health = new EndpointHealth();
-        health.stoodStill(0);
-        health.stoodStill(0);
-        health.failed(FIRST_REST_MILLIS);
-        assertTrue(health.resting(2 * FIRST_REST_MILLIS));
-        assertFalse(health.resting(3 * FIRST_REST_MILLIS));
-        health.good();
-        assertFalse(health.onTrial());
-        health.stoodStill(4 * FIRST_REST_MILLIS);
-        health.failed(4 * FIRST_REST_MILLIS);
-        assertTrue(health.resting(4 * FIRST_REST_MILLIS));
+        health.recordStall(0);
+        health.recordStall(0);
+        health.recordFailure(FIRST_EJECTION_MILLIS);
+        assertTrue(health.isEjected(2 * FIRST_EJECTION_MILLIS));
+        assertFalse(health.isEjected(3 * FIRST_EJECTION_MILLIS));
+        health.recordSuccess();
+        assertFalse(health.isOnTrial());
+        health.recordStall(4 * FIRST_EJECTION_MILLIS);
+        health.recordFailure(4 * FIRST_EJECTION_MILLIS);
+        assertTrue(health.isEjected(4 * FIRST_EJECTION_MILLIS));
     }
 }
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/PendingJobsTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/PendingJobsTest.java
@@ -78,7 +78,7 @@
         for (PlacedJob job : pending.inOrder()) {
             long waiting = job.tasks().stream().filter(PlacedTask::waiting).count();
             tasks += waiting;
-            millis += job.overdueAt(nowMillis) ? 0 : waiting * EXPECTED_RUN_MILLIS;
+            millis += job.isOverdue(nowMillis) ? 0 : waiting * EXPECTED_RUN_MILLIS;
         }
         assertEquals(pending.waitingTasks(), tasks);
         assertEquals(pending.taskMillisBefore(job(LAST_OF_ALL, 1), nowMillis), millis);
@@ -89,7 +89,7 @@
         long moreUrgent = 0;
         long lessUrgent = 0;
         for (PlacedJob job : pending.inOrder()) {
-            long taskMillis = job.overdueAt(nowMillis) ? 0 : job.waitingTaskMillis();
+            long taskMillis = job.isOverdue(nowMillis) ? 0 : job.waitingTaskMillis();
             if (job.latestStartMillis() / SPAN_MILLIS < candidate.latestStartMillis() / SPAN_MILLIS) {
                 moreUrgent += taskMillis;
             } else {
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/PlacerFixture.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/PlacerFixture.java
@@ -31,7 +31,7 @@
     /** What an earlier holder's runs are when its loss has just been noticed. */
     private static final EarlierRuns EARLIER = new EarlierRuns(1_050, ImmutableSet.of(SHARD));
 
-    private static final long PATIENCE_MILLIS = 60_000;
+    private static final long PATIENT_DEADLINE_MILLIS = 60_000;
 
     private static final Resources CAPACITY = new Resources(16_000, 32_768, 0);
 
@@ -148,10 +148,10 @@
 
     /** Returns a job that may wait a minute for its answer. */
     static Offer patientOffer(int number, int tasks, long estimateMillis) {
-        QueueDefinition queue = new QueueDefinition("checks", "h", "/p/", "board", 0, 3, 1.6, PATIENCE_MILLIS);
+        QueueDefinition queue = new QueueDefinition("checks", "h", "/p/", "board", 0, 3, 1.6, PATIENT_DEADLINE_MILLIS);
         TaskStep step = new TaskStep(tasks, new Resources(TASK_MILLI_CORES, 64, 0), estimateMillis);
         JobRequest job = new JobRequest(id(number), "x", step);
-        return new Offer(job, queue, ORIGIN, 0, PATIENCE_MILLIS, EarlierRuns.NONE);
+        return new Offer(job, queue, ORIGIN, 0, PATIENT_DEADLINE_MILLIS, EarlierRuns.NONE);
     }
 
     static Offer offer(int number, int tasks, long estimateMillis, NodeId origin, boolean repeated) {
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/PlacerTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/PlacerTest.java
@@ -200,12 +200,12 @@
         fixture.way(2, FakeOrders.Way.CUT);
         Placer placer = fixture.placer(1);
         fixture.timers.pass(500);
-        assertEquals(placer.outOfReach(PlacerFixture.SHARD), false);
+        assertEquals(placer.isUnreachable(PlacerFixture.SHARD), false);
         fixture.timers.pass(200);
-        assertEquals(placer.outOfReach(PlacerFixture.SHARD), true);
+        assertEquals(placer.isUnreachable(PlacerFixture.SHARD), true);
         fixture.way(2, FakeOrders.Way.CLEAR);
         fixture.timers.pass(1_500);
-        assertEquals(placer.outOfReach(PlacerFixture.SHARD), false);
+        assertEquals(placer.isUnreachable(PlacerFixture.SHARD), false);
     }
 
     /**
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/routing/FakeHolders.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/routing/FakeHolders.java
@@ -20,8 +20,8 @@
     final List<Holder> holders = new ArrayList<>();
     final List<FailureDomain> taken = new ArrayList<>();
     final Map<FailureDomain, Long> highestTerms = new HashMap<>();
-    boolean moreExpected;
-    boolean noneToBeExpected;
+    boolean isHolderExpected;
+    boolean isHolderUnreachable;
     final List<String> asked = new ArrayList<>();
 
     Holder add(String node, String shard, long term) {
@@ -52,13 +52,13 @@
     }
 
     @Override
-    public boolean moreExpected() {
-        return moreExpected;
+    public boolean isHolderExpected() {
+        return isHolderExpected;
     }
 
     @Override
-    public boolean noneToBeExpected() {
-        return noneToBeExpected;
+    public boolean isHolderUnreachable() {
+        return isHolderUnreachable;
     }
 
     @Override
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/routing/JobRouterTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/routing/JobRouterTest.java
@@ -95,7 +95,7 @@
     @Test
     public void testSubmit_declinedWhileAHolderIsExpected() {
         JobRouterTest test = fresh();
-        test.holders.moreExpected = true;
+        test.holders.isHolderExpected = true;
         test.holders.add("a", "hobart", 1);
         test.submit(4_000);
         test.router.settled(NodeId.of("a"), JOB, Verdict.DECLINED, 300);
@@ -109,7 +109,7 @@
     @Test
     public void testSubmit_declinedAndTheExpectedHolderDoesNotCome() {
         JobRouterTest test = fresh();
-        test.holders.moreExpected = true;
+        test.holders.isHolderExpected = true;
         test.holders.add("a", "hobart", 1);
         test.submit(4_000);
         test.router.settled(NodeId.of("a"), JOB, Verdict.DECLINED, 300);
@@ -258,7 +258,7 @@
     @Test
     public void testSubmit_nodeThatHearsNobodyRefusesAtOnce() {
         JobRouterTest test = fresh();
-        test.holders.noneToBeExpected = true;
+        test.holders.isHolderUnreachable = true;
         test.submit(4_000);
         assertEquals(test.replies, ImmutableList.of("REFUSED 1000"));
     }
@@ -349,7 +349,7 @@
         JobRouterTest test = fresh();
         test.holders.add("a", "hobart", 1);
         test.submit(4_000);
-        test.router.takeNothingNew();
+        test.router.refuseNewJobs();
         TaskStep step = new TaskStep(1, new Resources(7_000, 64, 0), 60);
         test.router.submit(
                 QUEUE,
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/CancelRounds.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/CancelRounds.java
@@ -9,7 +9,7 @@
 /** Cancellations of jobs that this node does not have, while its peers are asked for them. */
 final class CancelRounds {
     /** Peers answer in a few milliseconds; one that has not by then is slow, frozen or gone. */
-    private static final long PATIENCE_MILLIS = 400;
+    private static final long LISTEN_MILLIS = 400;
 
     private final Timers timers;
     private final Map<JobId, Round> rounds = new HashMap<>();
@@ -25,7 +25,7 @@
         }
         Round round = new Round(asked, known);
         rounds.put(job, round);
-        timers.after(PATIENCE_MILLIS, () -> end(job, round, false));
+        timers.after(LISTEN_MILLIS, () -> end(job, round, false));
     }
 
     void answered(JobId job, boolean known) {
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ConfigurationInForce.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ConfigurationInForce.java
@@ -98,7 +98,7 @@
     /**
      * Returns how long ago the store last showed that there was no newer version; empty if it never did.
      *
-     * <p>The steady clock stands still while a VM is suspended, and the time of day may be set; the longer of the two
+     * <p>The steady clock stops while a VM is suspended, and the time of day may be set; the longer of the two
      * times is never too short, and too long only until the next confirmation.
      */
     OptionalLong ageMillis() {
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/Departure.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/Departure.java
@@ -49,7 +49,7 @@
     void begin() {
         long waited = timers.nowMillis() - sinceMillis;
         if (waited >= BALANCER_NOTICE_MILLIS + OPEN_CONNECTIONS_MILLIS) {
-            router.takeNothingNew();
+            router.refuseNewJobs();
         }
         boolean idle = router.closed() && router.openJobs() == 0;
         if (idle || waited >= shutdownMillis - LAST_ANSWERS_MILLIS) {
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/PeerExchange.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/PeerExchange.java
@@ -89,7 +89,7 @@
                 .collect(ImmutableList.toImmutableList());
     }
 
-    /** Closes what connections there are with a peer that cannot be heard. */
+    /** Closes what connections there are with a peer that is not reachable. */
     void disconnect(NodeId node, String reason) {
         network.disconnect(node, reason);
     }
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/control/Readiness.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/control/Readiness.java
@@ -17,7 +17,7 @@
         return new Readiness();
     }
 
-    /** Takes in a new phase. */
+    /** Records a new phase. */
     public void enter(NodePhase next) {
         phase = next;
         if (next == NodePhase.LEFT) {
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/endpoint/EndpointClient.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/endpoint/EndpointClient.java
@@ -211,7 +211,7 @@
         return tracker == null ? EventListener.NONE : tracker;
     }
 
-    // A fault of the reader must not swallow the end of a send: the core would count its slot as used for ever.
+    // A fault of the reader must not swallow the end of a send: the core would count its slot as used indefinitely.
     private EndpointAnswer answered(TaskId task, Response response) {
         try {
             return reader.read(task, response);
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/http/ConnectionTimer.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/http/ConnectionTimer.java
@@ -11,7 +11,7 @@
  * Closes a connection that idles, or that sends a request too slowly or without an end.
  *
  * <p>Stands before the HTTP codec, so that it sees the first byte of a request: a client that sends one header byte a
- * second would otherwise keep its connection for ever. While a request runs there is no time limit here, as its
+ * second would otherwise keep its connection indefinitely. While a request runs there is no time limit here, as its
  * deadline rules it. Used on the connection's event loop only.
  */
 final class ConnectionTimer extends ChannelInboundHandlerAdapter {
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/log/QueueHandler.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/log/QueueHandler.java
@@ -16,7 +16,7 @@
  * Writes log lines on a thread of its own.
  *
  * <p>Whoever reads the log may stop reading, and then a write to its pipe blocks. Were the control thread to write
- * itself, the whole node would stand still for the sake of its log. Here lines that find the queue full are left out,
+ * itself, the whole node would block on its log. Here lines that find the queue full are left out,
  * and the next line that fits is followed by one that says how many.
  */
 final class QueueHandler extends Handler {
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/peer/PeerShell.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/peer/PeerShell.java
@@ -123,7 +123,7 @@
                 this::askAgain, ASK_AGAIN.toMillis(), ASK_AGAIN.toMillis(), TimeUnit.MILLISECONDS);
     }
 
-    /** Takes in where the platform lists other nodes; one that is gone from the list keeps its last address. */
+    /** Records where the platform lists other nodes; one that is gone from the list keeps its last address. */
     public void learn(Iterable<VmRecord> vms) {
         for (VmRecord vm : vms) {
             if (vm.role() == VmRole.ENTRY) {
--- a/tarragonarch-model/src/main/java/org/tarragonarch/model/log/NodeEvent.java
+++ b/tarragonarch-model/src/main/java/org/tarragonarch/model/log/NodeEvent.java
@@ -22,9 +22,9 @@
     SHARD_RESIGNED,
     /** The endpoints of a shard obey another holder. */
     SHARD_FENCED,
-    /** A peer can be heard. */
+    /** A peer is reachable. */
     PEER_JOINED,
-    /** A peer cannot be heard any more. */
+    /** A peer is not reachable any more. */
     PEER_LOST,
     /** A table of the platform's store cannot be read. */
     STORE_LOST,
--- a/tarragonarch-model/src/main/java/org/tarragonarch/model/task/OrderResult.java
+++ b/tarragonarch-model/src/main/java/org/tarragonarch/model/task/OrderResult.java
@@ -12,7 +12,7 @@
     TOO_LATE,
     /** Refused: the task does not fit. */
     NO_ROOM,
-    /** Refused by an endpoint that is unwell or leaving; it has done nothing. */
+    /** Refused by an endpoint that is unhealthy or leaving; it has done nothing. */
     UNWELL,
     /** Refused: another life of the endpoint answers at this address, so the one meant is over. */
     OTHER_LIFE,
--- a/tarragonarch-standin/src/main/java/org/tarragonarch/standin/explore/FakeEndpoint.java
+++ b/tarragonarch-standin/src/main/java/org/tarragonarch/standin/explore/FakeEndpoint.java
@@ -87,7 +87,7 @@
         refused.clear();
     }
 
-    /** Takes in that a node was told by this endpoint itself that it is leaving. */
+    /** Records that a node was told by this endpoint itself that it is leaving. */
     void heardRefusal(String node) {
         if (draining) {
             refused.add(node);
@@ -119,7 +119,7 @@
         return contact.count();
     }
 
-    /** Takes in a task; the reply is called once, unless the endpoint hangs. */
+    /** Records a task; the reply is called once, unless the endpoint hangs. */
     void receive(SendTask send, long runNanos, Reply reply) {
         if (!listensAt(send.address())) {
             reply.end(SendResult.CONNECT_FAILED, false);
--- a/tarragonarch-wire/src/main/java/org/tarragonarch/wire/PeerRegistry.java
+++ b/tarragonarch-wire/src/main/java/org/tarragonarch/wire/PeerRegistry.java
@@ -23,7 +23,7 @@
         this.own = own;
     }
 
-    /** Takes in the first hello of a connection; returns why the connection is refused, if it is. */
+    /** Records the first hello of a connection; returns why the connection is refused, if it is. */
     Optional<String> admit(PeerConnection connection, Hello hello) {
         if (hello.node().equals(own.node())) {
             return Optional.of("speaks in the name of this node");
--- a/tarragonarch-wire/src/main/java/org/tarragonarch/wire/PeerRuns.java
+++ b/tarragonarch-wire/src/main/java/org/tarragonarch/wire/PeerRuns.java
@@ -19,7 +19,7 @@
         }
     };
 
-    /** Takes in a run; returns whether it is the latest known. */
+    /** Records a run; returns whether it is the latest known. */
     boolean met(NodeId node, Incarnation run) {
         return latest.merge(node, run, (known, now) -> known.compareTo(now) > 0 ? known : now)
                 .equals(run);
