In a pool of several domains, claim after a holder's silence only once another peer has spoken since

Cause (traced before, docs/measurements/large.md): a node that is cut off alone misses the holder 0.8 s before its other peers, which speak seldom, so it did not look cut off to itself. It claimed every shard of the pool, the endpoints obeyed it, and the holder backed off from them for 3 s.

A peer that misses a holder speaks at once, so a holder that is really gone is confirmed within a review of it. A node that has received nothing since the holder's last status claims only after the time of an isolated one, unless it is the only one of its domain. Where each domain is a pool of its own nothing changes: jobs have other domains to go to there, and the node goes on serving its clients.

Tests: PooledHolderElectionTest (fails first), HeavyLoadTest#testPartitioned.

--- a/tarragonarch-benchmark/src/test/java/org/tarragonarch/benchmark/experiment/HeavyLoadTest.java
+++ b/tarragonarch-benchmark/src/test/java/org/tarragonarch/benchmark/experiment/HeavyLoadTest.java
@@ -137,6 +137,18 @@
         assertEquals(mean(results, ExperimentResult::overfilled), 0.0);
     }
 
+    /**
+     * The pattern of one node of eight that is cut off from all others in a region that is one pool: it takes nothing
+     * from the holder, so at most twice its own clients' share is served worse.
+     */
+    @Test
+    public void testPartitioned_onePoolStaysWithItsHolder() throws StepException {
+        ImmutableList<ExperimentResult> results = play(LoadShapes.named("partitioned"));
+        double ownClients = 1 / 8.0;
+        assertAtLeast(mean(results, each -> each.between(8_000, 12_000)), 1 - 2 * ownClients, "beside the cut");
+        assertEquals(mean(results, ExperimentResult::overfilled), 0.0);
+    }
+
     /** No user has a cluster like this: two domains far apart in size and rate, and one kind of job. */
     @Test
     public void testOtherShape() throws StepException {
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/HolderElection.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/HolderElection.java
@@ -36,7 +36,8 @@
      * How long a node that lost all its peers at once claims nothing that one of them may hold, in milliseconds.
      *
      * <p>Guards against one node that is cut off, still reaches the endpoints, and takes them from the holder that
-     * serves everybody else. It shows as silence of all peers at once. Peers that were killed are heard again within a
+     * serves everybody else. It shows as silence of all peers at once, and before that of the holder, who speaks most
+     * often. Peers that were killed are heard again within a
      * second or two; those that are gone for good are given up after this.
      */
     private static final long ISOLATED_CLAIM_MILLIS = PeerTable.DISTANT_SILENCE_MILLIS;
@@ -124,10 +125,17 @@
         return peers.isPartitioned();
     }
 
-    /** Returns for how long a shard must have had no holder before this node claims it. */
+    /**
+     * Returns for how long a shard must have had no holder before this node claims it.
+     *
+     * <p>Where a pool spans several domains, the silence of its holder has to be confirmed by another peer: a
+     * partitioned node would take every endpoint from everybody. Where each domain is a pool, jobs have other domains
+     * to go to, and the node goes on serving its own clients.
+     */
     private long claimDelayMillis(FailureDomain shard) {
-        boolean alone = isHome(shard) && !peers.wasLastLostIn(shard);
-        if (isolated() && !alone) {
+        boolean alone = isHome(shard) && !peers.wasLastLostIn(shard) && !homeNodePresent(shard);
+        boolean unconfirmed = pools.poolOf(shard).size() > 1 && peers.isSilenceUnconfirmed();
+        if ((isolated() || unconfirmed) && !alone) {
             return ISOLATED_CLAIM_MILLIS;
         }
         boolean certain = isHome(shard) || pools.poolOf(shard).contains(ownDomain) && homeNodePresent(shard);
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/PeerTable.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/PeerTable.java
@@ -39,6 +39,9 @@
      */
     private static final long AT_ONCE_MILLIS = DISTANT_PERIOD_MILLIS + SILENCE_MILLIS;
 
+    /** A peer that spoke this much later than a silent holder spoke after the moment of a partition. */
+    private static final long CONFIRMATION_MILLIS = 2 * STATUS_PERIOD_MILLIS;
+
     /** So many peers do not fail together by chance. */
     private static final int SEVERAL = 3;
 
@@ -131,6 +134,26 @@
         return present().isEmpty() && lostLast(lost -> true) >= SEVERAL;
     }
 
+    /**
+     * Returns whether no peer has spoken since a holder fell silent.
+     *
+     * <p>A node that is partitioned misses holders first, since these speak most often. Peers that miss the holder too
+     * speak at once, so their word shows that the holder is gone.
+     */
+    public boolean isSilenceUnconfirmed() {
+        OptionalLong holderLastHeard = peers.values().stream()
+                .filter(last -> last.fellSilent() && !last.status().shards().isEmpty())
+                .mapToLong(LastStatus::atMillis)
+                .max();
+        OptionalLong peerLastHeard = peers.values().stream()
+                .filter(LastStatus::present)
+                .mapToLong(LastStatus::atMillis)
+                .max();
+        return holderLastHeard.isPresent()
+                && peerLastHeard.isPresent()
+                && peerLastHeard.getAsLong() <= holderLastHeard.getAsLong() + CONFIRMATION_MILLIS;
+    }
+
     /** Returns whether a node of the failure domain is among those that fell silent last, at about the same moment. */
     public boolean wasLastLostIn(FailureDomain domain) {
         return lostLast(lost -> lost.status().domain().equals(domain)) > 0;
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/shard/PooledHolderElectionTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/shard/PooledHolderElectionTest.java
@@ -68,6 +68,32 @@
         assertFalse(election("l", LAUNCESTON).shouldClaim(LAUNCESTON, 0));
     }
 
+    /**
+     * Guards against a node that is cut off alone and takes the pool in the moment in which it misses only the holder,
+     * who speaks more often than its other peers.
+     */
+    @Test
+    public void testShouldClaim_holderFellSilentAndNobodyElseSpeaks() {
+        received("l", LAUNCESTON, CORES, 900, held(HOBART, 1), held(LAUNCESTON, 1));
+        received("b", HOBART, CORES, 1_000);
+        HolderElection partitioned = election("a", HOBART);
+        peers.expire(1_800);
+        assertFalse(partitioned.shouldClaim(HOBART, 1_800));
+        received("b", HOBART, CORES, 1_850);
+        assertTrue(partitioned.shouldClaim(HOBART, 1_850));
+    }
+
+    /** Guards against a shard without a holder because the only other peer died with the holder. */
+    @Test
+    public void testShouldClaim_peersThatCouldConfirmAreGoneToo() {
+        received("l", LAUNCESTON, CORES, 900, held(HOBART, 1), held(LAUNCESTON, 1));
+        received("b", HOBART, CORES, 1_000);
+        HolderElection left = election("a", HOBART);
+        peers.expire(1_800);
+        peers.lost(NodeId.of("b"));
+        assertTrue(left.shouldClaim(HOBART, 1_900));
+    }
+
     /** A domain nobody hears may be cut off and going on by itself; its endpoints are not taken from it at once. */
     @Test
     public void testShouldClaim_silentDomainWaits() {
