--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/Discovery.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/Discovery.java
@@ -50,11 +50,6 @@
         return nobodyHasAHolder && higherRanked(own, located) == 0;
     }
 
-    /** Returns whether no located node ranks before this one as a holder. */
-    public static boolean isFirst(Member own, ImmutableList<Member> located) {
-        return higherRanked(own, located) == 0;
-    }
-
     /** Counts the nodes that are stronger than this one, or as strong and before it by name. */
     private static long higherRanked(Member own, ImmutableList<Member> located) {
         return located.stream().filter(other -> BY_RANK.compare(other, own) < 0).count();
--- a/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/explain/Cause.java
+++ b/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/explain/Cause.java
@@ -18,10 +18,12 @@
     BAD_WORK("its tasks failed wherever they ran"),
     /** No holder had room in time. */
     NO_ROOM("no holder had room for it in time"),
+    /** Operators had drained the failure domains of the endpoints. */
+    DRAINED("no holder had an endpoint that could take it, and a failure domain was drained"),
     /** No endpoint could be used. */
     NO_ENDPOINTS("no holder had an endpoint that could take it"),
-    /** No holder could be heard. */
-    NO_HOLDER("no holder of any shard could be heard"),
+    /** No holder was reachable. */
+    NO_HOLDER("no holder of any shard was reachable"),
     /** The node stopped with it. */
     NODE_STOPPED("the node with its client's connection ended before the job did"),
     /** It was still being worked on when its client's time was over. */
--- a/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/explain/Explanation.java
+++ b/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/explain/Explanation.java
@@ -38,7 +38,7 @@
         for (EndpointId endpoint : story.badEndpoints()) {
             lines.add("endpoint: " + endpoint);
         }
-        for (LogEntry entry : story.entriesWithLoss()) {
+        for (LogEntry entry : story.entriesWithContext()) {
             lines.add("  " + entry.time() + " " + entry.node() + " " + Sentences.of(entry));
         }
         return lines.build();
@@ -54,7 +54,7 @@
         ArrayNode endpoints = json.putArray("endpoints");
         story.badEndpoints().forEach(endpoint -> endpoints.add(endpoint.value()));
         ArrayNode entries = json.putArray("entries");
-        story.entriesWithLoss().forEach(entry -> entries.add(entry.fields()));
+        story.entriesWithContext().forEach(entry -> entries.add(entry.fields()));
         json.put("lines-passed-over", foreignLines);
         return json;
     }
--- a/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/explain/JobStory.java
+++ b/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/explain/JobStory.java
@@ -53,10 +53,10 @@
         return own;
     }
 
-    /** Returns the entries that tell of the job and those on the loss that explains its outcome, in order. */
-    ImmutableList<LogEntry> entriesWithLoss() {
+    /** Returns the entries that tell of the job and those on the loss or drain that explains its outcome, in order. */
+    ImmutableList<LogEntry> entriesWithContext() {
         return all.stream()
-                .filter(entry -> entry.tellsOf(job) || isLossOfHolder(entry))
+                .filter(entry -> entry.tellsOf(job) || isLossOfHolder(entry) || isDrainInForce(entry))
                 .collect(ImmutableList.toImmutableList());
     }
 
@@ -95,7 +95,10 @@
             return Cause.NO_HOLDER;
         }
         boolean anyPlace = declined.stream().anyMatch(entry -> entry.number("places") > 0);
-        return anyPlace ? Cause.NO_ROOM : Cause.NO_ENDPOINTS;
+        if (anyPlace) {
+            return Cause.NO_ROOM;
+        }
+        return all.stream().anyMatch(this::isDrainInForce) ? Cause.DRAINED : Cause.NO_ENDPOINTS;
     }
 
     private Cause causeOfGivingUp() {
@@ -128,6 +131,24 @@
                 && !entry.time().isAfter(answered.time());
     }
 
+    /** Returns whether the entry says that a domain was drained, at a node that declined the job while it was. */
+    private boolean isDrainInForce(LogEntry entry) {
+        return entry.event() == NodeEvent.DOMAIN_DRAINED
+                && of(NodeEvent.JOB_DECLINED).stream()
+                        .anyMatch(declined -> declined.node().equals(entry.node())
+                                && !declined.time().isBefore(entry.time())
+                                && !isUndrainedBetween(entry, declined.time()));
+    }
+
+    private boolean isUndrainedBetween(LogEntry drained, Instant until) {
+        return all.stream()
+                .anyMatch(entry -> entry.event() == NodeEvent.DOMAIN_UNDRAINED
+                        && entry.node().equals(drained.node())
+                        && entry.text("domain").equals(drained.text("domain"))
+                        && entry.time().isAfter(drained.time())
+                        && entry.time().isBefore(until));
+    }
+
     /** Returns whether a node that is known to have had the job ended after it was last heard of. */
     private boolean nodeStopped() {
         ImmutableSet<String> askers = own.stream()
--- a/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/explain/Sentences.java
+++ b/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/explain/Sentences.java
@@ -22,6 +22,9 @@
                                 entry.text("configuration"),
                                 entry.text("source"),
                                 entry.text("configuration-age-ms"));
+            case DOMAIN_DRAINED ->
+                "heard that failure domain %s is drained, from %s at version %s"
+                        .formatted(entry.text("domain"), entry.text("source"), entry.text("store-version"));
             case PEER_LOST ->
                 "lost " + entry.text("peer")
                         + (entry.text("reason").equals("silent")
--- a/tarragonarch-ctl/src/test/java/org/tarragonarch/ctl/explain/ExplanationTest.java
+++ b/tarragonarch-ctl/src/test/java/org/tarragonarch/ctl/explain/ExplanationTest.java
@@ -38,6 +38,21 @@
             "holder":"front-launceston-1","deadline-ms":2669,"configuration":12}
             """;
 
+    private static final String DRAINED = """
+            {"time":"2026-05-04T12:00:03.101Z","node":"front-hobart-1","event":"domain-drained","domain":"hobart",\
+            "store-version":812,"source":"store"}
+            {"time":"2026-05-04T12:00:03.190Z","node":"front-hobart-1","event":"job-declined",\
+            "job":"77cc0f1d5e2ab904","origin":"front-hobart-2","wait-ms":0,"expected-run-ms":61,\
+            "in-time-within-ms":152,"deadline-within-ms":1510,"places":0,"free-places":0,"waiting-jobs":0}
+            {"time":"2026-05-04T12:00:03.193Z","node":"front-hobart-2","event":"job-answered","job":"77cc0f1d5e2ab904",\
+            "queue":"board","outcome":"REFUSED","tasks":4,"estimate-ms":64,"after-ms":3,"holder":"front-hobart-1",\
+            "deadline-ms":1513,"configuration":12}
+            """;
+    private static final String UNDRAINED = """
+            {"time":"2026-05-04T12:00:03.150Z","node":"front-hobart-1","event":"domain-undrained","domain":"hobart",\
+            "store-version":815,"source":"store"}
+            """;
+
     private static final String UNKNOWN_QUEUE = """
             {"time":"2026-05-04T12:00:14.318Z","node":"front-espoo-a-3","event":"queue-unknown",\
             "result":"UNKNOWN","job":"15789369e5db4e3d","host":"a.example",\
@@ -53,6 +68,21 @@
         return Explanation.of(job, files);
     }
 
+    /** Guards against a refusal in a drained failure domain that looks like a loss of all endpoints. */
+    @Test
+    public void testLines_refusedInADrainedDomain() throws IOException {
+        Explanation explanation = explain("77cc0f1d5e2ab904", DRAINED, HOLDER_LOST);
+        assertEquals(
+                explanation.lines().get(1),
+                "cause: drained, no holder had an endpoint that could take it, and a failure domain was drained");
+        assertEquals(
+                explanation.lines().get(2),
+                "  2026-05-04T12:00:03.101Z front-hobart-1 heard that failure domain hobart is drained, from store at"
+                        + " version 812");
+        Explanation later = explain("77cc0f1d5e2ab904", DRAINED, UNDRAINED);
+        assertFalse(later.lines().get(1).contains("drained"), later.lines().toString());
+    }
+
     /** A caller got 503 in a burst. Two holders had no place free and too many jobs waiting. */
     @Test
     public void testLines_refusedUnderLoad() throws IOException {
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/Neighbourhood.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/Neighbourhood.java
@@ -58,8 +58,8 @@
             return now - startedAtMillis >= LONGEST_DISCOVERY_MILLIS;
         }
         ImmutableList<Member> located = exchange.locatedIn(coordinator.neighbours());
-        return now - directory.completeAtMillis() >= Discovery.patienceMillis(own, located)
-                || Discovery.enoughReceived(own, located, coordinator.presentNeighbours());
+        return now - directory.completeAtMillis() >= Discovery.claimDelayMillis(own, located)
+                || Discovery.isComplete(own, located, coordinator.presentNeighbours());
     }
 
     /** Reads the directory again now and then while this node holds a shard; to be called a few times a second. */
