--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/CompletionEstimator.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/CompletionEstimator.java
@@ -37,7 +37,7 @@
                     : 0;
         }
         long missing = Math.max(0, job.step().count() - freePlaces);
-        long ahead = pending.taskMillisBefore(job, now) + missing * job.expectedRunMillis();
+        long ahead = pending.waitingTaskMillis(now) + missing * job.expectedRunMillis();
         long wait = places == 0 || missing == 0 && pending.isEmpty() ? 0 : ahead / places;
         long deadlineWithin = job.times().deadlineMillis() - now;
         long inTimeWithin = Math.min(job.times().inTimeMillis() - now, deadlineWithin);
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PendingJobs.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PendingJobs.java
@@ -4,7 +4,6 @@
 import com.google.common.collect.TreeMultiset;
 import java.util.Comparator;
 import java.util.Optional;
-import java.util.TreeMap;
 import java.util.TreeSet;
 
 /**
@@ -20,23 +19,16 @@
     private static final Comparator<PlacedJob> BY_LATEST_START = Comparator.comparingLong(PlacedJob::latestStartMillis)
             .thenComparing(job -> job.id().value());
 
-    /** The part of less urgent work that delays a job: such work starts later, but not too late for its own callers. */
-    private static final double LESS_URGENT_WEIGHT = 0.5;
-
-    /** Jobs whose latest starts fall into the same span, in milliseconds, share one sum. */
-    private static final long SPAN_MILLIS = 25;
-
     private final TreeSet<PlacedJob> jobs = new TreeSet<>(BY_LATEST_START);
     private final TreeMultiset<Long> needs = TreeMultiset.create();
     private long waitingTasks;
-    private final TreeMap<Long, Long> taskMillisBySpan = new TreeMap<>();
     private long waitingTaskMillis;
 
     void add(PlacedJob job) {
         if (jobs.add(job)) {
             needs.add(job.need().milliCores());
             waitingTasks += job.waitingTasks();
-            addWork(job, job.waitingTaskMillis());
+            waitingTaskMillis += job.waitingTaskMillis();
             job.pendingIn(Optional.of(this));
         }
     }
@@ -45,24 +37,15 @@
         if (jobs.remove(job)) {
             needs.remove(job.need().milliCores());
             waitingTasks -= job.waitingTasks();
-            addWork(job, -job.waitingTaskMillis());
+            waitingTaskMillis -= job.waitingTaskMillis();
             job.pendingIn(Optional.empty());
         }
     }
 
-    /** Records that so many tasks more, or less, of a job in this queue wait. */
+    /** Takes in that so many tasks more, or less, of a job in this queue wait. */
     void waitingChanged(PlacedJob job, int by) {
         waitingTasks += by;
-        addWork(job, by * job.expectedRunMillis());
-    }
-
-    private void addWork(PlacedJob job, long taskMillis) {
-        waitingTaskMillis += taskMillis;
-        taskMillisBySpan.merge(span(job), taskMillis, (before, added) -> before + added == 0 ? null : before + added);
-    }
-
-    private static long span(PlacedJob job) {
-        return Math.floorDiv(job.latestStartMillis(), SPAN_MILLIS);
+        waitingTaskMillis += by * job.expectedRunMillis();
     }
 
     /** Returns the jobs as they are now; they may be removed meanwhile. */
@@ -98,33 +81,14 @@
         return waitingTasks;
     }
 
-    /**
-     * Returns the work that delays a new job, as the run times of the tasks that wait.
-     *
-     * <p>More urgent work counts in full, less urgent work in part, and overdue work not at all.
-     */
-    long taskMillisBefore(PlacedJob candidate, long nowMillis) {
-        long overdue = overdueTaskMillis(nowMillis);
-        long moreUrgent = Math.max(0, moreUrgentTaskMillis(candidate) - overdue);
-        long lessUrgent = waitingTaskMillis - overdue - moreUrgent;
-        return moreUrgent + Math.round(LESS_URGENT_WEIGHT * lessUrgent);
-    }
-
-    private long moreUrgentTaskMillis(PlacedJob candidate) {
-        long work = 0;
-        for (long taskMillis : taskMillisBySpan.headMap(span(candidate)).values()) {
-            work += taskMillis;
-        }
-        return work;
-    }
-
-    private long overdueTaskMillis(long nowMillis) {
-        long work = 0;
+    /** Returns the run times of the waiting tasks that a new job has to let pass, added up. */
+    long waitingTaskMillis(long nowMillis) {
+        long work = waitingTaskMillis;
         for (PlacedJob job : jobs) {
             if (job.latestStartMillis() >= nowMillis) {
                 break;
             }
-            work += job.isOverdue(nowMillis) ? job.waitingTaskMillis() : 0;
+            work -= job.isOverdue(nowMillis) ? job.waitingTaskMillis() : 0;
         }
         return work;
     }
