Stalled runs have a class of their own; a withdrawal by an earlier node no longer drops a job that is given back

The fault was found in reading the diff: CancellingJobs#withdraw forgot that a job was to be given back whoever withdrew it, so the job's own node would have waited until its client left. PlacerDrainTest holds it (it fails on the code before).

--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/CancellingJobs.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/CancellingJobs.java
@@ -47,9 +47,12 @@
         return true;
     }
 
-    /** Forgets an offer that waits. */
+    /** Forgets an offer that waits, and that a job is to be given back. */
     void withdraw(NodeId origin, JobId id) {
-        evicted.remove(id);
+        PlacedJob job = cancelling.get(id);
+        if (job != null && job.origin().equals(origin)) {
+            evicted.remove(id);
+        }
         WaitingOffer waiting = deferred.get(id);
         if (waiting != null && waiting.offer().origin().equals(origin)) {
             deferred.remove(id);
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/HeldEndpoint.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/HeldEndpoint.java
@@ -29,7 +29,7 @@
 final class HeldEndpoint {
     private final EndpointLink link;
     private final EndpointEvents events;
-    private final ProgressReports progress;
+    private final StallDetector stalls;
     private final EndpointHealth health = new EndpointHealth();
     private final ReservedRoom room;
     private final RecoveredRuns recovered;
@@ -49,8 +49,8 @@
             ProgressReports progress) {
         this.link = new EndpointLink(entry, token, settings, orders, timers);
         this.events = events;
-        this.progress = progress;
         this.room = new ReservedRoom(entry.capacity());
+        this.stalls = new StallDetector(room, health, progress);
         Host host = new Host();
         this.recovered = new RecoveredRuns(timers, settings.stopTime(), host);
         this.poller = new RunListPoller(link, host);
@@ -184,42 +184,9 @@
         orders.stop(reservation);
     }
 
-    /**
-     * Gives up runs that take far longer than expected, once a task.
-     *
-     * <p>Guards against an endpoint on which tasks stall while it answers all calls: each of its places would
-     * keep a job until its client leaves. Where the work itself is long, the second run is left alone.
-     */
+    /** Stops runs that take far longer than expected; see {@link StallDetector}. */
     void restartOverdueRuns() {
-        long now = link.nowMillis();
-        for (Reservation reservation : room.all()) {
-            long limit = reservation.task().job().longestRunMillis();
-            boolean stuck = reservation.wanted() && now - reservation.startedAtMillis() > limit;
-            if (stuck && reservation.task().restartOverdue()) {
-                health.recordStall(now);
-            }
-        }
-    }
-
-    /**
-     * Records how far a run has got, and stops it if it shows no progress.
-     *
-     * <p>Guards against an endpoint on which tasks stall. {@link #restartOverdueRuns} finds them too, but too late for
-     * most callers: the run time of a task is known to a factor only, its progress to a percent.
-     */
-    private void followProgress(Reservation reservation, int percent, long sentAtMillis) {
-        if (reservation.advancedTo(percent, sentAtMillis)) {
-            progress.advanced();
-            return;
-        }
-        boolean stalls = reservation.withoutProgressMillis(sentAtMillis)
-                >= reservation.task().job().stallMillis();
-        if (stalls
-                && reservation.wanted()
-                && progress.areMeaningful()
-                && reservation.task().restartStalled()) {
-            health.recordStall(link.nowMillis());
-        }
+        stalls.restartOverdueRuns(link.nowMillis());
     }
 
     /** Records whether a run succeeded. */
@@ -236,7 +203,7 @@
             Integer percent = running.get(reservation.run());
             if (percent != null) {
                 reservation.running(link.nowMillis());
-                followProgress(reservation, percent, sentAtMillis);
+                stalls.followProgress(reservation, percent, sentAtMillis);
             } else if (reservation.overIfAbsentAt(sentAtMillis)) {
                 release(reservation, EndKind.LAPSED);
             }
--- /dev/null
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/StallDetector.java
@@ -0,0 +1,53 @@
+package org.tarragonarch.core.placing;
+
+/**
+ * Finds the runs that stall on one endpoint, and has their tasks started elsewhere.
+ *
+ * <p>Guards against an endpoint on which tasks stall while it answers all calls: each of its places would keep a job
+ * until its client leaves.
+ */
+final class StallDetector {
+    private final ReservedRoom room;
+    private final EndpointHealth health;
+    private final ProgressReports progress;
+
+    StallDetector(ReservedRoom room, EndpointHealth health, ProgressReports progress) {
+        this.room = room;
+        this.health = health;
+        this.progress = progress;
+    }
+
+    /** Stops runs that take far longer than expected, once a task: where the work is long, the second is left alone. */
+    void restartOverdueRuns(long nowMillis) {
+        for (Reservation reservation : room.all()) {
+            long limit = reservation.task().job().longestRunMillis();
+            boolean isOverdue = reservation.wanted() && nowMillis - reservation.startedAtMillis() > limit;
+            if (isOverdue && reservation.task().restartOverdue()) {
+                health.recordStall(nowMillis);
+            }
+        }
+    }
+
+    /**
+     * Records how far a run has got, and stops it if it shows no progress.
+     *
+     * <p>That finds a stalled run in time for most callers, since the run time of a task is known to a factor only and
+     * its progress to a percent.
+     *
+     * @param asOfMillis when the list was asked for
+     */
+    void followProgress(Reservation reservation, int percent, long asOfMillis) {
+        if (reservation.advancedTo(percent, asOfMillis)) {
+            progress.advanced();
+            return;
+        }
+        boolean isStalled = reservation.withoutProgressMillis(asOfMillis)
+                >= reservation.task().job().stallMillis();
+        if (isStalled
+                && reservation.wanted()
+                && progress.areMeaningful()
+                && reservation.task().restartStalled()) {
+            health.recordStall(asOfMillis);
+        }
+    }
+}
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/PlacerDrainTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/PlacerDrainTest.java
@@ -5,6 +5,7 @@
 
 import com.google.common.collect.ImmutableList;
 import org.tarragonarch.model.id.EndpointId;
+import org.tarragonarch.model.id.NodeId;
 import org.tarragonarch.model.task.EndKind;
 import org.tarragonarch.model.task.EndpointEntry;
 import org.tarragonarch.model.task.Resources;
@@ -116,6 +117,19 @@
         assertEquals(fixture.verdicts, ImmutableList.of("origin-1 1 DECLINED"));
     }
 
+    /** Guards against a job that is never given back because a node that had it before withdraws it. */
+    @Test
+    public void testDrain_withdrawalByAnEarlierNodeChangesNothing() {
+        PlacerFixture fixture = new PlacerFixture(1);
+        runLong(fixture);
+        Placer placer = opened(fixture);
+        offerLong(fixture, placer, 1, 3);
+        drain(fixture, placer);
+        placer.withdraw(NodeId.of("origin-0"), PlacerFixture.id(1));
+        fixture.timers.pass(200);
+        assertEquals(fixture.verdicts, ImmutableList.of("origin-1 1 EVICTED"));
+    }
+
     /** Guards against a retry that is started in a drained domain. */
     @Test
     public void testDrain_failedTaskIsNotStartedAgain() {
