--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/Coordinator.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/Coordinator.java
@@ -179,7 +179,7 @@
         return joined;
     }
 
-    /** Looks for holders for the jobs that have none, after peers were heard. */
+    /** Looks for holders for the jobs that have none, after statuses came. */
     public void routeWaiting() {
         if (router.withoutHolder()) {
             router.holdersChanged();
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/PeerSender.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/PeerSender.java
@@ -13,10 +13,10 @@
     /** Tells one node this node's status. */
     void status(NodeId to, NodeStatus status);
 
-    /** Tells every node that was ever heard of, since it may be back. */
+    /** Tells every node that was ever known, since it may be back. */
     void statusToAll(NodeStatus status);
 
-    /** Tells every node of these failure domains that was ever heard of. */
+    /** Tells every node of these failure domains that was ever known. */
     void statusToDomains(ImmutableSet<FailureDomain> domains, NodeStatus status);
 
     /** Offers a job to a holder. */
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/routing/Holders.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/routing/Holders.java
@@ -22,7 +22,7 @@
     ImmutableSet<FailureDomain> reach(Holder lost);
 
     /**
-     * Returns whether a holder has these shards, each under the highest token that was ever heard of, so that whatever
+     * Returns whether a holder has these shards, each under the highest token that is known, so that whatever
      * runs on their endpoints shows on the lists that it has read.
      */
     boolean hasNewest(Holder holder, ImmutableSet<FailureDomain> shards);
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/routing/JobRouter.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/routing/JobRouter.java
@@ -46,7 +46,7 @@
     /**
      * Creates a router without jobs.
      *
-     * @param runsLastMillis how long what runs may go on after its holder was last heard, in milliseconds
+     * @param runsLastMillis how long what runs may go on after its holder last spoke, in milliseconds
      */
     public JobRouter(Holders holders, Timers timers, long runsLastMillis) {
         this.holders = checkNotNull(holders, "holders");
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/routing/OpenJob.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/routing/OpenJob.java
@@ -128,7 +128,7 @@
     /**
      * The holder gave the job back without having started any of it.
      *
-     * <p>It gets the job again only after holders have changed: until it is heard that it releases its shards, it
+     * <p>It gets the job again only after holders have changed: until it is known that it releases its shards, it
      * looks like the holder that it was.
      */
     void returned() {
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/CandidateRanking.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/CandidateRanking.java
@@ -12,7 +12,7 @@
  *
  * <p>Each node works the order out alone, from what its peers said last. Nodes of the shard's pool go before all
  * others; among these the one that holds most of the pool, then the strongest, then the first by name. Outside the pool
- * holders go first, since they alone are heard by everybody.
+ * holders go first, since they alone speak to everybody.
  */
 final class CandidateRanking {
     /**
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/Heartbeats.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/Heartbeats.java
@@ -125,7 +125,7 @@
         CLOSE,
         /** Those, and every node of the own pool. */
         NEIGHBOURS,
-        /** Every node that was ever heard of, since it may be back. */
+        /** Every node that was ever known, since it may be back. */
         ALL
     }
 }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/HolderElection.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/HolderElection.java
@@ -37,7 +37,7 @@
      *
      * <p>Guards against one node that is cut off, still reaches the endpoints, and takes them from the holder that
      * serves everybody else. It shows as silence of all peers at once, and before that of the holder, who speaks most
-     * often. Peers that were killed are heard again within a
+     * often. Peers that were killed are back within a
      * second or two; those that are gone for good are given up after this.
      */
     private static final long ISOLATED_CLAIM_MILLIS = PeerTable.DISTANT_SILENCE_MILLIS;
@@ -60,10 +60,10 @@
     private static final long TERM_UNIT_MILLIS = 100;
 
     /**
-     * How many terms to skip when endpoints have seen a higher one than any that was heard of: two seconds of clock
+     * How many terms to skip when endpoints have seen a higher one than any that is known: two seconds of clock
      * difference a try.
      */
-    private static final long UNHEARD_TERM_SKIP = 20;
+    private static final long UNKNOWN_TERM_SKIP = 20;
 
     private final FailureDomain ownDomain;
     private final String ownIp;
@@ -145,7 +145,7 @@
     /**
      * Returns whether this node knows enough of its rivals to claim the shard.
      *
-     * <p>Outside the shard's pool only holders are heard by everybody; others would claim it without knowing of each
+     * <p>Outside the shard's pool only holders speak to everybody; others would claim it without knowing of each
      * other. Where nobody holds anything, everybody speaks to its neighbours at least.
      */
     private boolean isEligibleCandidate(FailureDomain shard) {
@@ -210,13 +210,13 @@
     }
 
     /**
-     * Takes the shard under a token above all that were heard of.
+     * Takes the shard under a token above all that are known.
      *
      * @param wallMillis the time of day
      */
     public FencingToken claim(FailureDomain shard, long wallMillis) {
-        long heard = Math.max(peers.highestTerm(shard), lastTerm.getOrDefault(shard, 0L));
-        long term = Math.max(heard + 1, wallMillis / TERM_UNIT_MILLIS % Integer.MAX_VALUE);
+        long known = Math.max(peers.highestTerm(shard), lastTerm.getOrDefault(shard, 0L));
+        long term = Math.max(known + 1, wallMillis / TERM_UNIT_MILLIS % Integer.MAX_VALUE);
         FencingToken token = FencingToken.of(term, ownIp);
         held.put(shard, token);
         lastTerm.put(shard, term);
@@ -238,7 +238,7 @@
      */
     public void fenced(FailureDomain shard, long nowMillis) {
         held.remove(shard);
-        lastTerm.merge(shard, UNHEARD_TERM_SKIP, Long::sum);
+        lastTerm.merge(shard, UNKNOWN_TERM_SKIP, Long::sum);
         Long before = fencedAt.put(shard, nowMillis);
         boolean again = before != null && nowMillis - before < FENCED_PAUSE_MILLIS;
         if (!again && peers.holder(shard).isEmpty() && ranking.isFirst(shard) && othersPresent()) {
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/PeerTable.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/PeerTable.java
@@ -34,8 +34,8 @@
     public static final long DISTANT_SILENCE_MILLIS = 3 * DISTANT_PERIOD_MILLIS + 500;
 
     /**
-     * Peers that were last heard within this time of each other fell silent together: what lies between two heartbeats
-     * of a peer that speaks seldom, and the time after which silence counts.
+     * Peers whose last statuses came within this time of each other fell silent together: what lies between two
+     * heartbeats of a peer that speaks seldom, and the time after which silence counts.
      */
     private static final long AT_ONCE_MILLIS = DISTANT_PERIOD_MILLIS + SILENCE_MILLIS;
 
@@ -73,7 +73,7 @@
         highestTokens.merge(shard, token, (first, second) -> first.compareTo(second) >= 0 ? first : second);
     }
 
-    /** Returns whether nobody was ever heard to have claimed the shard under a higher token. */
+    /** Returns whether no claim of the shard under a higher token is known. */
     public boolean isHighest(FailureDomain shard, FencingToken token) {
         FencingToken highest = highestTokens.get(shard);
         return highest == null || token.compareTo(highest) >= 0;
@@ -93,7 +93,7 @@
     /**
      * Notes who should speak to this node, and how often.
      *
-     * <p>From the moment on when a peer should speak often it has {@link #SILENCE_MILLIS} to be heard, as it may have
+     * <p>From the moment on when a peer should speak often it has {@link #SILENCE_MILLIS} to do so, as it may have
      * been silent for longer than that with good reason.
      *
      * @param domains the failure domains whose nodes always speak to this one
@@ -159,7 +159,7 @@
         return lostLast(lost -> lost.status().domain().equals(domain)) > 0;
     }
 
-    /** Counts those of the peers that are gone which were heard last. */
+    /** Counts the peers that fell silent last. */
     private long lostLast(Predicate<LastStatus> wanted) {
         OptionalLong lastReceived = peers.values().stream()
                 .filter(LastStatus::fellSilent)
@@ -243,7 +243,7 @@
         return best;
     }
 
-    /** Returns whether the peer, as last heard, stands in the failure domain. */
+    /** Returns whether the peer, by its last status, stands in the failure domain. */
     public boolean standsIn(NodeId peer, FailureDomain domain) {
         LastStatus last = peers.get(peer);
         return last != null && last.status().domain().equals(domain);
@@ -275,9 +275,9 @@
     }
 
     /**
-     * What was last heard of one peer.
+     * The last status of one peer.
      *
-     * @param atMillis when it was last heard
+     * @param atMillis when it came
      * @param sinceMillis since when it has been there without a break
      * @param present whether it is reachable
      * @param fellSilent whether it was lost by its silence, and not by the end of its connections
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/Neighbourhood.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/Neighbourhood.java
@@ -8,7 +8,7 @@
 import org.tarragonarch.model.store.RowStore;
 import org.tarragonarch.model.task.Timers;
 
-/** Where the other nodes are, and whether enough of the neighbours have been heard to take shards. */
+/** Where the other nodes are, and whether enough of the neighbours are known to claim shards. */
 final class Neighbourhood {
     /** How long a node tries to learn where its peers are, in milliseconds; with the store away it goes on alone. */
     private static final long LONGEST_DISCOVERY_MILLIS = 1_500;
@@ -51,7 +51,7 @@
         return directory.complete();
     }
 
-    /** Returns whether no holder can be missed by what was heard, or nothing more is to be expected. */
+    /** Returns whether every holder is known, or nothing more is to be expected. */
     boolean isKnown() {
         long now = timers.nowMillis();
         if (!directory.complete()) {
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/PeerCalls.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/PeerCalls.java
@@ -13,7 +13,7 @@
 interface PeerCalls {
     void status(NodeStatus status);
 
-    /** The last connection with the run of a peer that was heard last is closed. */
+    /** The last connection with the run of a peer that spoke last is closed. */
     void disconnected(NodeId peer);
 
     void offered(Offer offer);
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/PeerExchange.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/PeerExchange.java
@@ -133,7 +133,7 @@
         answer(to, new JobSettled(job, verdict, retryMillis));
     }
 
-    /** Answers the run of a node that was heard last. */
+    /** Answers the run of a node that spoke last. */
     private void answer(NodeId node, Frame frame) {
         Optional.ofNullable(runs.get(node)).ifPresent(run -> network.reply(node, run, frame));
     }
