Reading the whole change once more: two things done twice, and comments that an edit had spoiled

No fault in what the nodes decide was found, and nothing of it changes.

Change: - Coordinator: Heartbeats.due notes what it returns as sent, and tell noted it once more.

Left as they are: the set-ups that PlacerHandOverTest, JobRouterTest, HolderElectionTest, PlacerDrainTest, PlacerCrashTest and PooledHolderElectionTest repeat; CancellingJobs, which keeps evicted jobs and waiting offers in two collections though a job is never in both; HolderElection.isolated, a second name for PeerTable.isPartitioned.

--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/Coordinator.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/Coordinator.java
@@ -142,7 +142,7 @@
             reviewShards();
         }
         reviewHeartbeats();
-        tell(heartbeats.due(now));
+        send(heartbeats.due(now));
     }
 
     /** Tells neighbours at once if this node has just begun to miss a holder. */
@@ -271,11 +271,16 @@
         router.holdersChanged();
     }
 
+    /** Sends the status outside its period; the next period begins anew. */
     private void tell(Heartbeats.Audience audience) {
+        heartbeats.sent(audience, timers.nowMillis());
+        send(audience);
+    }
+
+    private void send(Heartbeats.Audience audience) {
         if (audience == Heartbeats.Audience.NOBODY) {
             return;
         }
-        heartbeats.sent(audience, timers.nowMillis());
         NodeStatus status = status();
         switch (audience) {
             case CLOSE -> heartbeats.close().forEach(peer -> sender.status(peer, status));
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/CompletionEstimate.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/CompletionEstimate.java
@@ -27,7 +27,7 @@
      * Returns whether the job is worth taking.
      *
      * <p>Under load only what should be answered in time is: work on the rest would make others late. Where there is
-     * room indefinitelyything that waits, a late answer is still better than none. That is how it is in the seconds
+     * room for everything that waits, a late answer is still better than none. That is how it is in the seconds
      * after all nodes were without power, when jobs have waited for a holder and every endpoint is idle.
      */
     boolean isAdmissible() {
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/Heartbeats.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/Heartbeats.java
@@ -74,7 +74,7 @@
         return withoutHolder && nowMillis - withoutHolderSinceMillis < TAKEOVER_MILLIS;
     }
 
-    /** Returns who is due to hear this node's status now; whoever calls this tells them. */
+    /** Returns who is due to hear this node's status now, noted as sent; whoever calls this tells them. */
     public Audience due(long nowMillis) {
         long period = holding || withoutHolder ? PeerTable.STATUS_PERIOD_MILLIS : PeerTable.DISTANT_PERIOD_MILLIS;
         if (nowMillis - neighboursSentAtMillis >= period) {
@@ -104,16 +104,15 @@
 
     /** Returns the peers that need to hear this node often: holders, and nodes that miss one. */
     public ImmutableList<NodeId> close() {
-        return peers.present().stream()
-                .filter(peer -> !peer.shards().isEmpty() || peer.withoutHolder())
-                .map(NodeStatus::node)
-                .collect(ImmutableList.toImmutableList());
+        return closeOutside(ImmutableSet.of());
     }
 
     /** Returns the peers that need to hear this node often and do not stand in these failure domains. */
     public ImmutableList<NodeId> closeOutside(ImmutableSet<FailureDomain> domains) {
-        return close().stream()
-                .filter(peer -> domains.stream().noneMatch(domain -> peers.standsIn(peer, domain)))
+        return peers.present().stream()
+                .filter(peer -> !peer.shards().isEmpty() || peer.withoutHolder())
+                .filter(peer -> !domains.contains(peer.domain()))
+                .map(NodeStatus::node)
                 .collect(ImmutableList.toImmutableList());
     }
 
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/HolderElection.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/HolderElection.java
@@ -20,7 +20,7 @@
  *   <li>A shard without a holder is claimed under a higher term by the highest-ranked candidate of its pool; see {@link
  *       CandidateRanking}.
  *   <li>A shard none of whose domain's nodes is reachable may be cut off rather than without a holder. It is claimed
- *       only       after {@value #FOREIGN_CLAIM_MILLIS} ms, by a node that holds another.
+ *       only after {@value #FOREIGN_CLAIM_MILLIS} ms, by a node that holds another.
  *   <li>A node that reaches no peer may be partitioned itself. It claims what the others may still hold only after
  *       {@value #ISOLATED_CLAIM_MILLIS} ms.
  * </ul>
@@ -37,8 +37,8 @@
      *
      * <p>Guards against one node that is cut off, still reaches the endpoints, and takes them from the holder that
      * serves everybody else. It shows as silence of all peers at once, and before that of the holder, who speaks most
-     * often. Peers that were killed are back within a
-     * second or two; those that are gone for good are given up after this.
+     * often. Peers that were killed are back within a second or two; those that are gone for good are given up after
+     * this.
      */
     private static final long ISOLATED_CLAIM_MILLIS = PeerTable.DISTANT_SILENCE_MILLIS;
 
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/PeerTable.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/PeerTable.java
@@ -141,14 +141,9 @@
      * speak at once, so their word shows that the holder is gone.
      */
     public boolean isSilenceUnconfirmed() {
-        OptionalLong holderLastHeard = peers.values().stream()
-                .filter(last -> last.fellSilent() && !last.status().shards().isEmpty())
-                .mapToLong(LastStatus::atMillis)
-                .max();
-        OptionalLong peerLastHeard = peers.values().stream()
-                .filter(LastStatus::present)
-                .mapToLong(LastStatus::atMillis)
-                .max();
+        OptionalLong holderLastHeard = lastHeardMillis(
+                last -> last.fellSilent() && !last.status().shards().isEmpty());
+        OptionalLong peerLastHeard = lastHeardMillis(LastStatus::present);
         return holderLastHeard.isPresent()
                 && peerLastHeard.isPresent()
                 && peerLastHeard.getAsLong() <= holderLastHeard.getAsLong() + CONFIRMATION_MILLIS;
@@ -161,16 +156,21 @@
 
     /** Counts the peers that fell silent last. */
     private long lostLast(Predicate<LastStatus> wanted) {
-        OptionalLong lastReceived = peers.values().stream()
-                .filter(LastStatus::fellSilent)
-                .mapToLong(LastStatus::atMillis)
-                .max();
+        OptionalLong lastReceived = lastHeardMillis(LastStatus::fellSilent);
         return peers.values().stream()
                 .filter(last -> last.fellSilent() && last.atMillis() >= lastReceived.orElseThrow() - AT_ONCE_MILLIS)
                 .filter(wanted)
                 .count();
     }
 
+    /** Returns when the last status came from any of these peers, on the steady clock; empty if there is none. */
+    private OptionalLong lastHeardMillis(Predicate<LastStatus> wanted) {
+        return peers.values().stream()
+                .filter(wanted)
+                .mapToLong(LastStatus::atMillis)
+                .max();
+    }
+
     /** Returns the last status of every peer that is there. */
     public ImmutableList<NodeStatus> present() {
         return statuses(last -> true);
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/ShardOwnership.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/ShardOwnership.java
@@ -47,7 +47,7 @@
     private long heldUntilMillis = Long.MIN_VALUE;
 
     /**
-     * Creates a keeper that holds nothing.
+     * Creates the ownership of a node that holds nothing.
      *
      * @param pools all shards, and which of them go together
      * @param wallMillis the time of day, for terms that rise over restarts
@@ -62,7 +62,7 @@
             LongSupplier wallMillis,
             ShardEvents events) {
         this.pools = checkNotNull(pools, "pools");
-        this.election = checkNotNull(election, "succession");
+        this.election = checkNotNull(election, "election");
         this.endpoints = checkNotNull(endpoints, "endpoints");
         this.settings = checkNotNull(settings, "settings");
         this.orders = checkNotNull(orders, "orders");
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ArchiveWarmUp.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ArchiveWarmUp.java
@@ -21,7 +21,7 @@
  *
  * <p>A start from that archive takes about half the processor time of one without, which is what a restarted node's
  * clients wait for. What the warm-up leaves out is read from the libraries at the worst moment, when a node that has
- * just been started is asked indefinitelyything at once.
+ * just been started is asked for everything at once.
  */
 public final class ArchiveWarmUp {
     /** Two nodes find each other and claim the one shard within some 500 ms; the rest is for the jobs. */
