Entry node: one handler for each part in place of a chain of event types

Change: NodeParts connects the parts; SubmissionHandler, ClaimHandler, EndpointHandler, MembershipHandler, ConfigurationHandler and LifecycleHandler each register the event types of their part with EventHandlers; OwnReport is a class of its own. The order of the steps and of the random numbers is the same. A node whose event types are not all handled fails at creation, where an unknown type was ignored before. Conclusion: a new event type is added to the handler of its part.

--- /dev/null
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/node/EndpointHandler.java
@@ -0,0 +1,38 @@
+package org.tarragonarch.core.node;
+
+import org.tarragonarch.core.action.ActionSink;
+import org.tarragonarch.core.event.EndpointDrainRequested;
+import org.tarragonarch.core.event.ProbeEnded;
+
+/** Decides upon the ends of probes and the drains of single endpoints. */
+final class EndpointHandler {
+    private final NodeParts parts;
+
+    EndpointHandler(NodeParts parts) {
+        this.parts = parts;
+    }
+
+    void register(EventHandlers handlers) {
+        handlers.register(ProbeEnded.class, this::probeEnded);
+        handlers.register(EndpointDrainRequested.class, this::drain);
+    }
+
+    void timePassed(long nowNanos, ActionSink sink) {
+        if (parts.endpoints.nextWakeNanos() <= nowNanos) {
+            // Any event may be the one at which an endpoint's wait is over; tasks of every service may wait for it.
+            parts.dispatcher.everythingChanged();
+        }
+        parts.endpoints.timePassed(nowNanos, sink);
+    }
+
+    private void probeEnded(ProbeEnded ended, long nowNanos, ActionSink sink) {
+        parts.endpoints.probeEnded(ended, nowNanos, sink);
+        parts.dispatcher.everythingChanged();
+    }
+
+    private void drain(EndpointDrainRequested drain, long nowNanos, ActionSink sink) {
+        parts.endpoints.drain(drain.endpoint(), drain.out(), nowNanos, sink);
+        parts.dispatcher.everythingChanged();
+        parts.peers.reportNow(nowNanos, parts.reportSource, sink);
+    }
+}
--- /dev/null
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/node/LifecycleHandler.java
@@ -0,0 +1,61 @@
+package org.tarragonarch.core.node;
+
+import java.util.Optional;
+import org.tarragonarch.core.action.ActionSink;
+import org.tarragonarch.core.action.Note;
+import org.tarragonarch.core.action.NoteEvent;
+import org.tarragonarch.core.event.DrainRequested;
+import org.tarragonarch.core.submission.Submission;
+import org.tarragonarch.model.outcome.Problem;
+import org.tarragonarch.model.outcome.ProblemCode;
+import org.tarragonarch.model.outcome.Step;
+
+/** Decides when the node is ready for work, and ends its work when it leaves. */
+final class LifecycleHandler {
+    private final NodeParts parts;
+    private boolean vmListSeen;
+
+    LifecycleHandler(NodeParts parts) {
+        this.parts = parts;
+    }
+
+    void register(EventHandlers handlers) {
+        handlers.register(DrainRequested.class, this::drain);
+    }
+
+    /** Records that the platform's list of VMs was read. */
+    void vmListRead(ActionSink sink) {
+        vmListSeen = true;
+        equip(sink);
+    }
+
+    /** Records that a configuration came into force. */
+    void configurationLoaded(ActionSink sink) {
+        equip(sink);
+    }
+
+    /** Ends what is left of the work when the drain took too long, and leaves when nothing is left. */
+    void leaveWhenDone(long nowNanos, ActionSink sink) {
+        if (parts.lifecycle.mustCut(nowNanos) && parts.submissions.size() > 0) {
+            sink.emit(Note.of(
+                    NoteEvent.DRAIN_CUT_SHORT, Step.LIFECYCLE, "caller", "submissions", parts.submissions.size()));
+            for (Submission submission : parts.submissions.all()) {
+                ProblemCode code = submission.mayHaveRun() ? ProblemCode.SHUT_DOWN : ProblemCode.DRAINING;
+                Problem problem = parts.dispatcher.giveUp(submission, code, "the node stopped");
+                parts.dispatcher.end(submission, Optional.of(problem), nowNanos, sink);
+            }
+        }
+        parts.lifecycle.timePassed(parts.submissions.size() == 0, nowNanos, sink);
+    }
+
+    private void drain(DrainRequested drain, long nowNanos, ActionSink sink) {
+        parts.lifecycle.drain(drain.reason(), nowNanos, sink);
+        parts.peers.reportNow(nowNanos, parts.reportSource, sink);
+    }
+
+    private void equip(ActionSink sink) {
+        if (vmListSeen && parts.configuration.inForce().isPresent()) {
+            parts.lifecycle.equipped(sink);
+        }
+    }
+}
--- /dev/null
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/node/MembershipHandler.java
@@ -0,0 +1,84 @@
+package org.tarragonarch.core.node;
+
+import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.Sets;
+import java.time.Duration;
+import org.tarragonarch.core.action.ActionSink;
+import org.tarragonarch.core.action.ReadVmList;
+import org.tarragonarch.core.event.PeerReported;
+import org.tarragonarch.core.event.VmListRead;
+import org.tarragonarch.model.id.NodeId;
+import org.tarragonarch.model.platform.VmRole;
+import org.tarragonarch.model.report.PeerReport;
+
+/** Decides which nodes and endpoints there are, from the platform's list and the reports of peers. */
+final class MembershipHandler {
+    private final NodeParts parts;
+    private final LifecycleHandler lifecycle;
+    private final Duration vmListInterval;
+    private ImmutableSet<NodeId> alive = ImmutableSet.of();
+    private long nextVmListNanos = Long.MIN_VALUE;
+
+    MembershipHandler(NodeParts parts, LifecycleHandler lifecycle, Duration vmListInterval) {
+        this.parts = parts;
+        this.lifecycle = lifecycle;
+        this.vmListInterval = vmListInterval;
+    }
+
+    void register(EventHandlers handlers) {
+        handlers.register(PeerReported.class, this::peerReported);
+        handlers.register(VmListRead.class, this::vmListRead);
+    }
+
+    /** Asks for the platform's list when that is due. */
+    void readVmListIfDue(long nowNanos, ActionSink sink) {
+        if (nowNanos >= nextVmListNanos) {
+            nextVmListNanos = nowNanos + vmListInterval.toNanos();
+            sink.emit(new ReadVmList());
+        }
+    }
+
+    /** Sends the reports that are due, and gives up on peers that fell silent. */
+    void timePassed(long nowNanos, ActionSink sink) {
+        parts.peers.timePassed(nowNanos, parts.reportSource, sink);
+        membershipChanged(nowNanos, sink);
+    }
+
+    /** Returns when {@link #readVmListIfDue} or {@link #timePassed} is next due. */
+    long nextWakeNanos() {
+        return Math.min(nextVmListNanos, parts.peers.nextWakeNanos());
+    }
+
+    private void peerReported(PeerReported reported, long nowNanos, ActionSink sink) {
+        PeerReport report = reported.report();
+        if (!parts.peers.heard(report, nowNanos, sink)) {
+            return;
+        }
+        parts.endpoints.peerReported(report, nowNanos, sink);
+        parts.configuration.peerHas(report.from(), report.configuration(), nowNanos, sink);
+        membershipChanged(nowNanos, sink);
+        parts.dispatcher.everythingChanged();
+    }
+
+    private void vmListRead(VmListRead read, long nowNanos, ActionSink sink) {
+        parts.peers.listed(read.vms(), nowNanos, sink);
+        parts.endpoints.listed(read.vms(), nowNanos, sink);
+        long nodes = read.vms().stream().filter(vm -> vm.role() == VmRole.ENTRY).count();
+        parts.keys.writers(Math.toIntExact(nodes));
+        membershipChanged(nowNanos, sink);
+        lifecycle.vmListRead(sink);
+        parts.dispatcher.everythingChanged();
+    }
+
+    private void membershipChanged(long nowNanos, ActionSink sink) {
+        ImmutableSet<NodeId> now = parts.peers.aliveInDomain();
+        if (!now.equals(alive)) {
+            ImmutableSet<NodeId> before = alive;
+            alive = now;
+            parts.endpoints.aliveNodes(now, nowNanos, sink);
+            Sets.difference(before, now).forEach(gone -> parts.keys.silent(gone, nowNanos, sink));
+        }
+        parts.quotas.sharers(parts.peers.sharers());
+        parts.services.sharers(parts.peers.sharers());
+    }
+}
