Endpoint directory: records, peers' reports and task results in classes of their own

Change: EndpointRecords keeps records, shares and pools in line; PeerEffects applies peers' reports; TaskResults judges endpoints by their tasks. EndpointDirectory is the interface over them.

--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/endpoint/EndpointDirectory.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/endpoint/EndpointDirectory.java
@@ -6,18 +6,14 @@
 import com.google.common.collect.ImmutableSet;
 import com.google.common.collect.Sets;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 import org.tarragonarch.core.action.ActionSink;
 import org.tarragonarch.core.action.NoteEvent;
 import org.tarragonarch.core.event.ProbeEnded;
-import org.tarragonarch.core.event.SendResult;
 import org.tarragonarch.core.event.TaskEnded;
 import org.tarragonarch.core.placement.PlacementStrategy;
-import org.tarragonarch.core.placement.RendezvousHash;
 import org.tarragonarch.model.id.EndpointId;
 import org.tarragonarch.model.id.FailureDomain;
 import org.tarragonarch.model.id.KindName;
@@ -42,20 +38,23 @@
 public final class EndpointDirectory {
     private final NodeId self;
     private final EndpointPools pools;
-    private final Map<EndpointId, EndpointRecord> records = new LinkedHashMap<>();
+    private final EndpointRecords records;
     private final OperatorDrains drains = new OperatorDrains();
-    private final FailureJudge judge = new FailureJudge();
     private final PeerViews peers = new PeerViews();
-    private final EndpointViews views = new EndpointViews(records);
+    private final PeerEffects peerEffects;
+    private final TaskResults results;
+    private final EndpointViews views;
     private final EndpointProbes probes;
-    private ImmutableSet<NodeId> alive;
 
     private EndpointDirectory(NodeId self, FailureDomain own, Random random, PlacementStrategy strategy) {
         this.self = checkNotNull(self, "self");
         this.pools = new EndpointPools(
                 checkNotNull(own, "own"), checkNotNull(random, "random"), checkNotNull(strategy, "strategy"));
         this.probes = new EndpointProbes(self, random, pools, peers);
-        this.alive = ImmutableSet.of(self);
+        this.records = new EndpointRecords(self, pools, probes);
+        this.peerEffects = new PeerEffects(records, pools, probes);
+        this.results = new TaskResults(pools, probes);
+        this.views = new EndpointViews(records.byId());
     }
 
     /**
@@ -80,7 +79,7 @@
      * <p>An endpoint that it does not name is dropped, unless the list is doubtful: see {@link MissingEndpoints}.
      */
     public void listed(ImmutableList<VmRecord> vms, long nowNanos, ActionSink sink) {
-        peers.forgetBefore(nowNanos - HealthPolicy.PEER_VIEW_NANOS, peerChanges(nowNanos, sink));
+        peers.forgetBefore(nowNanos - HealthPolicy.PEER_VIEW_NANOS, peerEffects.at(nowNanos, sink));
         Set<EndpointId> named = new HashSet<>();
         for (VmRecord vm : vms) {
             if (vm.role() == VmRole.ENDPOINT) {
@@ -89,51 +88,45 @@
                 takeLine(id, vm, nowNanos, sink);
             }
         }
-        for (EndpointRecord endpoint : MissingEndpoints.of(records.values(), named, nowNanos)) {
+        for (EndpointRecord endpoint : MissingEndpoints.of(records.byId().values(), named, nowNanos)) {
             endpoint.unlisted();
             EndpointNotes.emit(NoteEvent.ENDPOINT_GONE, endpoint.id(), "list", sink);
-            refresh(endpoint, nowNanos);
+            records.refresh(endpoint, nowNanos);
         }
         // Only with the whole list taken in is it known how many endpoints can be spared.
-        ImmutableList.copyOf(records.values()).forEach(endpoint -> followPeers(endpoint, nowNanos, sink));
+        records.all().forEach(endpoint -> peerEffects.followPeers(endpoint, nowNanos, sink));
     }
 
     /** Records the nodes of the own failure domain that are alive, this one among them. */
     public void aliveNodes(ImmutableSet<NodeId> nowAlive, long nowNanos, ActionSink sink) {
         ImmutableSet<NodeId> withSelf =
                 ImmutableSet.<NodeId>builder().addAll(nowAlive).add(self).build();
-        if (withSelf.equals(alive)) {
+        if (withSelf.equals(records.alive())) {
             return;
         }
-        ImmutableSet<NodeId> before = alive;
-        alive = withSelf;
-        Sets.difference(before, alive).forEach(node -> peers.forget(node, peerChanges(nowNanos, sink)));
-        for (EndpointRecord endpoint : ImmutableList.copyOf(records.values())) {
-            resize(endpoint);
-            refresh(endpoint, nowNanos);
-        }
+        ImmutableSet<NodeId> before = records.alive();
+        records.alive(withSelf);
+        Sets.difference(before, withSelf).forEach(node -> peers.forget(node, peerEffects.at(nowNanos, sink)));
+        records.resizeAll(nowNanos);
     }
 
     /** Processes what a peer reported of loads, leaving endpoints and quarantine. */
     public void peerReported(PeerReport report, long nowNanos, ActionSink sink) {
         if (!report.from().equals(self)) {
-            peers.reported(report, nowNanos, peerChanges(nowNanos, sink));
+            peers.reported(report, nowNanos, peerEffects.at(nowNanos, sink));
         }
     }
 
     /** Takes an endpoint out at an operator's word, or puts it back; holds also if it is listed only later. */
     public void drain(EndpointId endpoint, boolean out, long nowNanos, ActionSink sink) {
         drains.setDrained(endpoint, out);
-        EndpointRecord record = records.get(endpoint);
-        if (record != null) {
-            followDrains(record, nowNanos, sink);
-        }
+        records.find(endpoint).ifPresent(record -> followDrains(record, nowNanos, sink));
     }
 
     /** Records which failure domains operators have drained; endpoints there get no task, also if listed later. */
     public void drainDomains(ImmutableSet<FailureDomain> domains, long nowNanos, ActionSink sink) {
         drains.setDomains(domains);
-        ImmutableList.copyOf(records.values()).forEach(record -> followDrains(record, nowNanos, sink));
+        records.all().forEach(record -> followDrains(record, nowNanos, sink));
     }
 
     private void followDrains(EndpointRecord endpoint, long nowNanos, ActionSink sink) {
@@ -142,7 +135,7 @@
             endpoint.drained(out);
             EndpointNotes.emit(
                     out ? NoteEvent.ENDPOINT_LEAVING : NoteEvent.ENDPOINT_READMITTED, endpoint.id(), "operator", sink);
-            refresh(endpoint, nowNanos);
+            records.refresh(endpoint, nowNanos);
         }
     }
 
@@ -160,7 +153,7 @@
     public Optional<Endpoint> reserve(
             ServiceName service, ServiceObjective favour, Set<EndpointId> avoid, long nowNanos) {
         return pools.choose(service, favour, avoid, nowNanos)
-                .map(slots -> take(records.get(slots.endpoint()), nowNanos));
+                .map(slots -> take(records.find(slots.endpoint()).orElseThrow(), nowNanos));
     }
 
     /**
@@ -173,27 +166,10 @@
      */
     public void ended(
             TaskEnded ended, ServiceName service, KindName kind, long runNanos, long nowNanos, ActionSink sink) {
-        EndpointRecord endpoint = records.get(ended.endpoint());
-        if (endpoint == null) {
-            return;
-        }
-        endpoint.slots().givenBack();
-        pools.counted(service, endpoint, ended.result(), nowNanos);
-        if (ended.endpointLeaving() || ended.result() == SendResult.REFUSED_DRAINING) {
-            probes.leaves(endpoint, "its own answer", nowNanos, sink);
-        }
-        if (ended.result().endpointAnswered()) {
-            pools.reach(endpoint).answered();
-        }
-        switch (ended.result()) {
-            case SUCCEEDED -> ran(endpoint, service, kind, false, nowNanos, sink);
-            case TASK_FAILED, LOST -> ran(endpoint, service, kind, true, nowNanos, sink);
-            case REFUSED_BUSY -> refusedBusy(endpoint, nowNanos);
-            case CONNECT_FAILED -> probes.unreachable(endpoint, nowNanos, sink);
-            case REFUSED_DRAINING -> {}
-            default -> throw new AssertionError(ended.result());
-        }
-        refresh(endpoint, nowNanos);
+        records.find(ended.endpoint()).ifPresent(endpoint -> {
+            results.ended(endpoint, ended, service, kind, nowNanos, sink);
+            records.refresh(endpoint, nowNanos);
+        });
     }
 
     /**
@@ -203,20 +179,15 @@
      * put healthy endpoints into quarantine.
      */
     public void endedAfterStop(TaskEnded ended, long nowNanos, ActionSink sink) {
-        EndpointRecord endpoint = records.get(ended.endpoint());
-        if (endpoint == null) {
-            return;
-        }
-        endpoint.slots().givenBack();
-        if (ended.endpointLeaving()) {
-            probes.leaves(endpoint, "its own answer", nowNanos, sink);
-        }
-        refresh(endpoint, nowNanos);
+        records.find(ended.endpoint()).ifPresent(endpoint -> {
+            results.endedAfterStop(endpoint, ended, nowNanos, sink);
+            records.refresh(endpoint, nowNanos);
+        });
     }
 
     /** Processes the end of a probe. */
     public void probeEnded(ProbeEnded ended, long nowNanos, ActionSink sink) {
-        EndpointRecord endpoint = records.get(ended.endpoint());
+        EndpointRecord endpoint = records.find(ended.endpoint()).orElse(null);
         if (endpoint == null) {
             return;
         }
@@ -228,7 +199,7 @@
         } else {
             probes.unreachable(endpoint, nowNanos, sink);
         }
-        refresh(endpoint, nowNanos);
+        records.refresh(endpoint, nowNanos);
     }
 
     /** Does what is due: probes, and the end of waits after a refusal. */
@@ -238,7 +209,7 @@
         }
         for (Optional<EndpointRecord> due = probes.pollDue(nowNanos); due.isPresent(); due = probes.pollDue(nowNanos)) {
             EndpointRecord endpoint = due.get();
-            if (records.get(endpoint.id()) != endpoint) {
+            if (!records.contains(endpoint)) {
                 continue;
             }
             if (endpoint.wakeNanos() <= nowNanos) {
@@ -248,7 +219,7 @@
                 endpoint.refusalFades(nowNanos);
                 probes.wakeAt(endpoint, endpoint.fadesNanos());
             }
-            refresh(endpoint, nowNanos);
+            records.refresh(endpoint, nowNanos);
         }
     }
 
@@ -265,7 +236,7 @@
     /** Returns how many slots this node may count on for the service, for estimates of the wait. */
     public int slots(ServiceName service) {
         int open = pools.openSlots(service);
-        return open == 0 ? 0 : Math.max(1, open / alive.size());
+        return open == 0 ? 0 : Math.max(1, open / records.alive().size());
     }
 
     /** Returns how many slots all nodes of the failure domain may use together for the service. */
@@ -279,13 +250,13 @@
     }
 
     private void takeLine(EndpointId id, VmRecord vm, long nowNanos, ActionSink sink) {
-        EndpointRecord endpoint = records.get(id);
+        EndpointRecord endpoint = records.find(id).orElse(null);
         if (endpoint == null) {
             endpoint = new EndpointRecord(id, vm);
             endpoint.drained(drains.isDrained(id, vm.domain()));
             endpoint.slots().peersChanged(peers.inFlight(id));
             endpoint.peersConvicting(peers.quarantining(id).size());
-            records.put(id, endpoint);
+            records.add(endpoint);
             EndpointNotes.emit(NoteEvent.ENDPOINT_APPEARED, id, "list", sink);
         } else if (vm.equals(endpoint.vm()) && endpoint.isListed()) {
             return;
@@ -296,107 +267,13 @@
         if (vm.state() == VmState.LEAVING) {
             probes.leaves(endpoint, "list", nowNanos, sink);
         }
-        resize(endpoint);
-        refresh(endpoint, nowNanos);
+        records.resize(endpoint);
+        records.refresh(endpoint, nowNanos);
     }
 
     private Endpoint take(EndpointRecord endpoint, long nowNanos) {
         endpoint.slots().taken();
-        refresh(endpoint, nowNanos);
+        records.refresh(endpoint, nowNanos);
         return new Endpoint(endpoint.id(), endpoint.vm().address());
     }
-
-    private void ran(
-            EndpointRecord endpoint,
-            ServiceName service,
-            KindName kind,
-            boolean failed,
-            long nowNanos,
-            ActionSink sink) {
-        endpoint.slots().vacated();
-        judge.add(endpoint, service, kind, failed);
-        if (!failed && endpoint.succeeded(nowNanos)) {
-            EndpointNotes.emit(NoteEvent.ENDPOINT_READMITTED, endpoint.id(), endpoint.why(), sink);
-        }
-        boolean elsewhere = !pools.inOwnDomain(endpoint);
-        boolean mayBeOut = endpoint.countsAsQuarantined() || pools.spareOne(endpoint);
-        if (failed && endpoint.isConvictable(elsewhere) && mayBeOut) {
-            endpoint.convict(elsewhere, nowNanos, "fails what others do not fail");
-            EndpointNotes.emit(NoteEvent.ENDPOINT_QUARANTINED, endpoint.id(), endpoint.why(), sink);
-            probes.schedule(endpoint, endpoint.convictedUntilNanos());
-        }
-    }
-
-    private void refusedBusy(EndpointRecord endpoint, long nowNanos) {
-        endpoint.busy(nowNanos);
-        probes.wakeAt(endpoint, endpoint.fadesNanos());
-    }
-
-    private PeerViews.Listener peerChanges(long nowNanos, ActionSink sink) {
-        return new PeerViews.Listener() {
-            @Override
-            public void loadChanged(EndpointId id, int delta) {
-                EndpointRecord endpoint = records.get(id);
-                if (endpoint != null) {
-                    endpoint.slots().peersChanged(delta);
-                    refresh(endpoint, nowNanos);
-                }
-            }
-
-            @Override
-            public void leavingSaid(EndpointId id, NodeId peer) {
-                EndpointRecord endpoint = records.get(id);
-                if (endpoint != null) {
-                    probes.leaves(endpoint, "peer " + peer, nowNanos, sink);
-                    refresh(endpoint, nowNanos);
-                }
-            }
-
-            @Override
-            public void quarantineChanged(EndpointId id, int delta) {
-                EndpointRecord endpoint = records.get(id);
-                if (endpoint != null) {
-                    endpoint.peersConvicting(delta);
-                    followPeers(endpoint, nowNanos, sink);
-                }
-            }
-        };
-    }
-
-    /** Takes the peers' word that an endpoint is broken, before it has failed this node's tasks too. */
-    private void followPeers(EndpointRecord endpoint, long nowNanos, ActionSink sink) {
-        boolean out = endpoint.isConvictedByPeers();
-        if (out == endpoint.isOutByPeers()) {
-            return;
-        }
-        if (!out) {
-            endpoint.outByPeers(false);
-        } else if (pools.spareOne(endpoint)) {
-            endpoint.outByPeers(true);
-            EndpointNotes.emit(NoteEvent.ENDPOINT_QUARANTINED, endpoint.id(), endpoint.why(), sink);
-        } else {
-            endpoint.suspect();
-        }
-        refresh(endpoint, nowNanos);
-    }
-
-    private void resize(EndpointRecord endpoint) {
-        VmRecord vm = endpoint.vm();
-        int rank = RendezvousHash.rank(self, alive, vm.name());
-        int home = RendezvousHash.share(rank, alive.size(), vm.slots());
-        endpoint.slots().resize(vm.slots(), pools.inOwnDomain(endpoint) ? home : 0);
-    }
-
-    /** Brings the pools in line with what changed of an endpoint, and forgets one that is unlisted and idle. */
-    private void refresh(EndpointRecord endpoint, long nowNanos) {
-        if (!endpoint.isListed() && endpoint.slots().ownInFlight() == 0) {
-            pools.remove(endpoint);
-            records.remove(endpoint.id());
-            return;
-        }
-        pools.update(endpoint, nowNanos);
-        if (endpoint.needsProbe() && endpoint.wakeNanos() == EndpointRecord.NEVER) {
-            probes.schedule(endpoint, nowNanos + HealthPolicy.LEAVING_PROBE_NANOS);
-        }
-    }
 }
--- /dev/null
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/endpoint/EndpointRecords.java
@@ -0,0 +1,88 @@
+package org.tarragonarch.core.endpoint;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.tarragonarch.core.placement.RendezvousHash;
+import org.tarragonarch.model.id.EndpointId;
+import org.tarragonarch.model.id.NodeId;
+import org.tarragonarch.model.platform.VmRecord;
+
+/** The records of all known endpoints, with pools, shares and probes kept in line with them. */
+final class EndpointRecords {
+    private final NodeId self;
+    private final EndpointPools pools;
+    private final EndpointProbes probes;
+    private final Map<EndpointId, EndpointRecord> records = new LinkedHashMap<>();
+    private ImmutableSet<NodeId> alive;
+
+    EndpointRecords(NodeId self, EndpointPools pools, EndpointProbes probes) {
+        this.self = self;
+        this.pools = pools;
+        this.probes = probes;
+        this.alive = ImmutableSet.of(self);
+    }
+
+    /** Returns the records by id, as a view. */
+    Map<EndpointId, EndpointRecord> byId() {
+        return records;
+    }
+
+    Optional<EndpointRecord> find(EndpointId id) {
+        return Optional.ofNullable(records.get(id));
+    }
+
+    /** Returns a copy, so that records may go while it is worked through. */
+    ImmutableList<EndpointRecord> all() {
+        return ImmutableList.copyOf(records.values());
+    }
+
+    /** Returns whether the record is still that of its endpoint. */
+    boolean contains(EndpointRecord endpoint) {
+        return records.get(endpoint.id()) == endpoint;
+    }
+
+    void add(EndpointRecord endpoint) {
+        records.put(endpoint.id(), endpoint);
+    }
+
+    /** Returns the nodes of the own failure domain that share the endpoints, this one among them. */
+    ImmutableSet<NodeId> alive() {
+        return alive;
+    }
+
+    void alive(ImmutableSet<NodeId> nowAlive) {
+        alive = nowAlive;
+    }
+
+    /** Sets this node's share of each endpoint anew. */
+    void resizeAll(long nowNanos) {
+        for (EndpointRecord endpoint : all()) {
+            resize(endpoint);
+            refresh(endpoint, nowNanos);
+        }
+    }
+
+    /** Sets how many of the endpoint's slots are this node's share. */
+    void resize(EndpointRecord endpoint) {
+        VmRecord vm = endpoint.vm();
+        int rank = RendezvousHash.rank(self, alive, vm.name());
+        int home = RendezvousHash.share(rank, alive.size(), vm.slots());
+        endpoint.slots().resize(vm.slots(), pools.inOwnDomain(endpoint) ? home : 0);
+    }
+
+    /** Brings the pools in line with what changed of an endpoint, and drops one that is unlisted and idle. */
+    void refresh(EndpointRecord endpoint, long nowNanos) {
+        if (!endpoint.isListed() && endpoint.slots().ownInFlight() == 0) {
+            pools.remove(endpoint);
+            records.remove(endpoint.id());
+            return;
+        }
+        pools.update(endpoint, nowNanos);
+        if (endpoint.needsProbe() && endpoint.wakeNanos() == EndpointRecord.NEVER) {
+            probes.schedule(endpoint, nowNanos + HealthPolicy.LEAVING_PROBE_NANOS);
+        }
+    }
+}
--- /dev/null
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/endpoint/PeerEffects.java
@@ -0,0 +1,65 @@
+package org.tarragonarch.core.endpoint;
+
+import org.tarragonarch.core.action.ActionSink;
+import org.tarragonarch.core.action.NoteEvent;
+import org.tarragonarch.model.id.EndpointId;
+import org.tarragonarch.model.id.NodeId;
+
+/** What the reports of peers change in this node's records: load, leaving endpoints and quarantine. */
+final class PeerEffects {
+    private final EndpointRecords records;
+    private final EndpointPools pools;
+    private final EndpointProbes probes;
+
+    PeerEffects(EndpointRecords records, EndpointPools pools, EndpointProbes probes) {
+        this.records = records;
+        this.pools = pools;
+        this.probes = probes;
+    }
+
+    /** Returns a listener that applies the changes of one event. */
+    PeerViews.Listener at(long nowNanos, ActionSink sink) {
+        return new PeerViews.Listener() {
+            @Override
+            public void loadChanged(EndpointId id, int delta) {
+                records.find(id).ifPresent(endpoint -> {
+                    endpoint.slots().peersChanged(delta);
+                    records.refresh(endpoint, nowNanos);
+                });
+            }
+
+            @Override
+            public void leavingSaid(EndpointId id, NodeId peer) {
+                records.find(id).ifPresent(endpoint -> {
+                    probes.leaves(endpoint, "peer " + peer, nowNanos, sink);
+                    records.refresh(endpoint, nowNanos);
+                });
+            }
+
+            @Override
+            public void quarantineChanged(EndpointId id, int delta) {
+                records.find(id).ifPresent(endpoint -> {
+                    endpoint.peersConvicting(delta);
+                    followPeers(endpoint, nowNanos, sink);
+                });
+            }
+        };
+    }
+
+    /** Quarantines an endpoint that enough peers hold in quarantine, before it has failed this node's tasks too. */
+    void followPeers(EndpointRecord endpoint, long nowNanos, ActionSink sink) {
+        boolean out = endpoint.isConvictedByPeers();
+        if (out == endpoint.isOutByPeers()) {
+            return;
+        }
+        if (!out) {
+            endpoint.outByPeers(false);
+        } else if (pools.spareOne(endpoint)) {
+            endpoint.outByPeers(true);
+            EndpointNotes.emit(NoteEvent.ENDPOINT_QUARANTINED, endpoint.id(), endpoint.why(), sink);
+        } else {
+            endpoint.suspect();
+        }
+        records.refresh(endpoint, nowNanos);
+    }
+}
