Idempotency keys and dispatcher: parts with one job each

Change: ReleasedClaims, HolderQuestions and KeyProblems leave IdempotencyKeys, and PeerQuestion answers itself; InFlightTasks counts and stops sent tasks, TaskFeedback passes on what an end shows.

--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/claim/IdempotencyKeys.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/claim/IdempotencyKeys.java
@@ -8,25 +8,18 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
-import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
-import java.util.Set;
 import org.tarragonarch.core.action.ActionSink;
-import org.tarragonarch.core.action.AskPeerAnswer;
 import org.tarragonarch.core.action.ForgetAnswer;
-import org.tarragonarch.core.action.GivePeerAnswer;
 import org.tarragonarch.core.action.Note;
 import org.tarragonarch.core.action.NoteEvent;
-import org.tarragonarch.core.action.ReleaseClaim;
 import org.tarragonarch.core.event.ClaimResult;
-import org.tarragonarch.core.event.PeerAnswer;
 import org.tarragonarch.core.event.PeerAnswerArrived;
 import org.tarragonarch.core.event.PeerAnswerAsked;
 import org.tarragonarch.core.node.NodeIdentity;
 import org.tarragonarch.core.node.NodePolicy;
-import org.tarragonarch.core.submission.ComeBack;
 import org.tarragonarch.core.submission.Dispatcher;
 import org.tarragonarch.core.submission.EndListener;
 import org.tarragonarch.core.submission.Stage;
@@ -35,7 +28,6 @@
 import org.tarragonarch.model.id.ClaimToken;
 import org.tarragonarch.model.id.NodeId;
 import org.tarragonarch.model.outcome.Problem;
-import org.tarragonarch.model.outcome.ProblemCode;
 import org.tarragonarch.model.outcome.Step;
 import org.tarragonarch.model.platform.Claim;
 
@@ -48,16 +40,12 @@
  * use by several threads.
  */
 public final class IdempotencyKeys implements EndListener {
-    private static final String TABLE_SERVICE = "table service";
-    /** How many released claims are remembered while their deletion may still be on its way. */
-    private static final int MAX_RELEASED = 10_000;
-
     private final NodeIdentity self;
     private final Duration claimTimeout;
     private final Map<ClaimKey, KeyEntry> entries = new HashMap<>();
     private final Deque<Submission> claiming = new ArrayDeque<>();
-    private final Map<NodeId, Set<Submission>> asking = new HashMap<>();
-    private final Set<ClaimToken> released = new LinkedHashSet<>();
+    private final HolderQuestions asking = new HolderQuestions();
+    private final ReleasedClaims released = new ReleasedClaims();
     private final ClaimBatcher batcher = new ClaimBatcher();
     private final KeptAnswers kept;
     private final ClaimSweeper sweeper;
@@ -75,7 +63,7 @@
         return new IdempotencyKeys(self, policy, random);
     }
 
-    /** Connects the dispatcher, which in turn reports ends to this book. */
+    /** Connects the dispatcher, which in turn reports ends to this table. */
     public void connect(Dispatcher connected) {
         dispatcher = connected;
     }
@@ -92,7 +80,7 @@
         if (entry == null || entry.mayRunAgain()) {
             begin(key, submission, nowNanos, sink);
         } else if (!entry.claim().content().equals(submission.arrived().content())) {
-            dispatcher.end(submission, Optional.of(keyReused(key)), nowNanos, sink);
+            dispatcher.end(submission, Optional.of(KeyProblems.keyReused(key)), nowNanos, sink);
         } else if (!entry.answered()) {
             submission.stage(Stage.JOINED);
             entry.joined().add(submission);
@@ -111,9 +99,7 @@
 
     @Override
     public void ended(Submission submission, Optional<Problem> problem, long nowNanos, ActionSink sink) {
-        if (submission.stage() == Stage.ASKING_HOLDER) {
-            asking.values().forEach(waiting -> waiting.remove(submission));
-        }
+        asking.ended(submission);
         KeyEntry entry = submission.claimKey().map(entries::get).orElse(null);
         if (entry == null || !entry.isRunBy(submission)) {
             return;
@@ -121,11 +107,11 @@
         entry.answer(problem);
         if (entry.notRun() && entry.claimAsked() && !batcher.withdraw(entry.claim())) {
             // The caller may send it again, to any node: the claim must not stand in the way.
-            release(entry.claim(), sink);
+            released.release(entry.claim(), sink);
         }
         kept.keep(entry, nowNanos);
         ImmutableList.copyOf(entry.joined()).forEach(joined -> answerLike(entry, joined, nowNanos, sink));
-        entry.questions().forEach(question -> give(question, entry, sink));
+        entry.questions().forEach(question -> question.give(entry, sink));
         entry.joined().clear();
         entry.questions().clear();
     }
@@ -149,9 +135,9 @@
         PeerQuestion question = new PeerQuestion(asked.peer(), asked.question());
         KeyEntry entry = entries.get(asked.key());
         if (entry == null) {
-            giveNothing(question, sink);
+            question.giveNothing(sink);
         } else if (entry.answered()) {
-            give(question, entry, sink);
+            question.give(entry, sink);
         } else {
             entry.questions().add(question);
         }
@@ -176,8 +162,7 @@
      * <p>A frozen holder keeps its connections open, so nothing else would tell its askers before their deadlines.
      */
     public void silent(NodeId holder, long nowNanos, ActionSink sink) {
-        Set<Submission> waiting = asking.getOrDefault(holder, Set.of());
-        for (Submission submission : ImmutableList.copyOf(waiting)) {
+        for (Submission submission : asking.waitingFor(holder)) {
             heldElsewhere(submission, "the node that holds the key fell silent", nowNanos, sink);
         }
     }
@@ -239,7 +224,7 @@
         if (claimant.isEmpty()) {
             if (result.won()) {
                 // The submission ended while its claim was being written: nothing ran, so the key goes free again.
-                release(result.wanted(), sink);
+                released.release(result.wanted(), sink);
             }
             return;
         }
@@ -254,15 +239,15 @@
     }
 
     private void lost(Submission submission, Claim wanted, Claim standing, long nowNanos, ActionSink sink) {
-        if (released.contains(standing.token())) {
+        if (released.contains(standing)) {
             // An earlier submission of this run ended not-run and its claim's deletion is still on its way.
-            release(standing, sink);
+            released.release(standing, sink);
             batcher.add(wanted);
             return;
         }
         sink.emit(Note.of(NoteEvent.CLAIM_LOST, Step.CLAIM, standing.node().value(), "key", wanted.key()));
         if (!standing.content().equals(wanted.content())) {
-            dispatcher.end(submission, Optional.of(keyReused(wanted.key())), nowNanos, sink);
+            dispatcher.end(submission, Optional.of(KeyProblems.keyReused(wanted.key())), nowNanos, sink);
         } else if (standing.node().equals(self.node())) {
             heldElsewhere(submission, "this node held the key before and has no answer for it", nowNanos, sink);
         } else {
@@ -272,15 +257,9 @@
 
     private void askHolder(Submission submission, ClaimKey key, NodeId holder, ActionSink sink) {
         KeyEntry entry = entries.remove(key);
-        ask(submission, key, holder, sink);
-        entry.joined().forEach(joined -> ask(joined, key, holder, sink));
-        entry.questions().forEach(question -> giveNothing(question, sink));
-    }
-
-    private void ask(Submission submission, ClaimKey key, NodeId holder, ActionSink sink) {
-        submission.stage(Stage.ASKING_HOLDER);
-        asking.computeIfAbsent(holder, node -> new LinkedHashSet<>()).add(submission);
-        sink.emit(new AskPeerAnswer(holder, submission.id(), key));
+        asking.ask(submission, key, holder, sink);
+        entry.joined().forEach(joined -> asking.ask(joined, key, holder, sink));
+        entry.questions().forEach(question -> question.giveNothing(sink));
     }
 
     // The submission that wants this claim, if it still waits for it.
@@ -299,29 +278,6 @@
         }
     }
 
-    private static void giveNothing(PeerQuestion question, ActionSink sink) {
-        sink.emit(new GivePeerAnswer(
-                question.peer(), question.question(), PeerAnswer.NOT_TO_BE_HAD, Optional.empty(), Optional.empty()));
-    }
-
-    private static void give(PeerQuestion question, KeyEntry entry, ActionSink sink) {
-        PeerAnswer answer = entry.complete() ? PeerAnswer.COMPLETE : PeerAnswer.PROBLEM;
-        sink.emit(new GivePeerAnswer(
-                question.peer(),
-                question.question(),
-                answer,
-                entry.complete() ? Optional.of(entry.holderId()) : Optional.empty(),
-                entry.problem()));
-    }
-
-    private void release(Claim claim, ActionSink sink) {
-        released.add(claim.token());
-        if (released.size() > MAX_RELEASED) {
-            released.remove(released.iterator().next());
-        }
-        sink.emit(new ReleaseClaim(claim));
-    }
-
     private void forget(KeyEntry entry, ActionSink sink) {
         entries.remove(entry.claim().key(), entry);
         if (entry.complete()) {
@@ -330,25 +286,10 @@
     }
 
     private void unavailable(Submission submission, long nowNanos, ActionSink sink) {
-        Problem problem = Problem.of(
-                        ProblemCode.CLAIM_UNAVAILABLE,
-                        Step.CLAIM,
-                        TABLE_SERVICE,
-                        "the idempotency key could not be claimed")
-                .withRetryAfter(ComeBack.within(claimTimeout));
-        dispatcher.end(submission, Optional.of(problem), nowNanos, sink);
+        dispatcher.end(submission, Optional.of(KeyProblems.unavailable(claimTimeout)), nowNanos, sink);
     }
 
     private void heldElsewhere(Submission submission, String detail, long nowNanos, ActionSink sink) {
-        Problem problem = Problem.of(ProblemCode.HELD_ELSEWHERE, Step.CLAIM, TABLE_SERVICE, detail);
-        dispatcher.end(submission, Optional.of(problem), nowNanos, sink);
-    }
-
-    private static Problem keyReused(ClaimKey key) {
-        return Problem.of(
-                ProblemCode.KEY_REUSED,
-                Step.CLAIM,
-                "caller",
-                "the idempotency key " + key.key() + " came before with other content");
+        dispatcher.end(submission, Optional.of(KeyProblems.heldElsewhere(detail)), nowNanos, sink);
     }
 }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/claim/PeerQuestion.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/claim/PeerQuestion.java
@@ -1,5 +1,9 @@
 package org.tarragonarch.core.claim;
 
+import java.util.Optional;
+import org.tarragonarch.core.action.ActionSink;
+import org.tarragonarch.core.action.GivePeerAnswer;
+import org.tarragonarch.core.event.PeerAnswer;
 import org.tarragonarch.model.id.NodeId;
 
 /**
@@ -8,4 +12,20 @@
  * @param peer the asking node
  * @param question the peer's number for it
  */
-record PeerQuestion(NodeId peer, long question) {}
+record PeerQuestion(NodeId peer, long question) {
+    /** Gives the peer the answer of a key that has one. */
+    void give(KeyEntry entry, ActionSink sink) {
+        PeerAnswer answer = entry.complete() ? PeerAnswer.COMPLETE : PeerAnswer.PROBLEM;
+        sink.emit(new GivePeerAnswer(
+                peer,
+                question,
+                answer,
+                entry.complete() ? Optional.of(entry.holderId()) : Optional.empty(),
+                entry.problem()));
+    }
+
+    /** Says that there is no answer. */
+    void giveNothing(ActionSink sink) {
+        sink.emit(new GivePeerAnswer(peer, question, PeerAnswer.NOT_TO_BE_HAD, Optional.empty(), Optional.empty()));
+    }
+}
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/submission/Dispatcher.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/submission/Dispatcher.java
@@ -2,9 +2,7 @@
 
 import com.google.common.collect.ImmutableList;
 import java.time.Duration;
-import java.util.HashMap;
 import java.util.LinkedHashSet;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import org.tarragonarch.core.action.Action;
@@ -16,16 +14,13 @@
 import org.tarragonarch.core.action.Note;
 import org.tarragonarch.core.action.NoteEvent;
 import org.tarragonarch.core.action.SendTask;
-import org.tarragonarch.core.action.StopTask;
 import org.tarragonarch.core.endpoint.Endpoint;
 import org.tarragonarch.core.endpoint.EndpointDirectory;
-import org.tarragonarch.core.event.SendResult;
 import org.tarragonarch.core.event.TaskEnded;
 import org.tarragonarch.core.quota.SharedLimits;
 import org.tarragonarch.core.runtime.RunTimeEstimator;
 import org.tarragonarch.model.id.ServiceName;
 import org.tarragonarch.model.id.SubmissionId;
-import org.tarragonarch.model.id.TaskId;
 import org.tarragonarch.model.id.TeamName;
 import org.tarragonarch.model.outcome.Problem;
 import org.tarragonarch.model.outcome.ProblemCode;
@@ -33,7 +28,7 @@
 import org.tarragonarch.model.service.TeamDefinition;
 
 /**
- * Starts waiting tasks, takes in their ends, and gives every submission its one answer.
+ * Starts waiting tasks, processes their ends, and gives every submission its one answer.
  *
  * <p>This is where a task's start is decided, and the only place that says not-run of a submission that was taken: it
  * says so from the task states alone. Not safe for use by several threads.
@@ -41,15 +36,13 @@
 public final class Dispatcher {
     private final SubmissionTable submissions;
     private final EndpointDirectory endpoints;
-    private final SharedLimits<TeamName> quotas;
-    private final SharedLimits<ServiceName> services;
-    private final RunTimeEstimator runTimes;
     private final EndListener endListener;
     private final ServiceLanes lanes;
     private final WaitEstimates estimates;
-    private final Map<TaskId, InFlightTask> inFlight = new HashMap<>();
+    private final InFlightTasks inFlight;
     private final Set<ServiceName> changed = new LinkedHashSet<>();
     private final RetryBudget retryBudget = new RetryBudget();
+    private final TaskFeedback feedback;
 
     private Dispatcher(
             SubmissionTable submissions,
@@ -64,9 +57,8 @@
         this.lanes = lanes;
         this.estimates = estimates;
         this.endpoints = endpoints;
-        this.quotas = quotas;
-        this.services = services;
-        this.runTimes = runTimes;
+        this.inFlight = new InFlightTasks(lanes, quotas, services);
+        this.feedback = new TaskFeedback(endpoints, runTimes, retryBudget);
         this.endListener = endListener;
     }
 
@@ -112,8 +104,8 @@
 
     /** Processes the end of a sent task. */
     public void taskEnded(TaskEnded ended, long nowNanos, ActionSink sink) {
-        InFlightTask flight = inFlight.get(ended.task());
-        if (flight == null || flight.attempt() != ended.attempt()) {
+        Optional<InFlightTask> flight = inFlight.end(ended);
+        if (flight.isEmpty()) {
             // A second or late end must not touch the task: its answer may be another attempt's.
             sink.emit(Note.of(
                     NoteEvent.LATE_ANSWER_DROPPED,
@@ -123,8 +115,9 @@
                     ended.task()));
             return;
         }
-        inFlight.remove(ended.task());
-        release(flight, ended, nowNanos, sink);
+        feedback.ended(flight.get(), ended, nowNanos, sink);
+        // A freed team share may let tasks of another service start too.
+        everythingChanged();
         submissions.find(ended.task().submission()).ifPresent(submission -> judge(submission, ended, nowNanos, sink));
     }
 
@@ -163,7 +156,7 @@
     /** Returns the problem of a submission that is given up on, with a time to come back where that may help. */
     public Problem giveUp(Submission submission, ProblemCode code, String detail) {
         Step step = submission.mayHaveRun() ? Step.RUN : submission.stage().step();
-        Problem problem = Problem.of(code, step, peers(submission), detail);
+        Problem problem = Problem.of(code, step, peer(submission), detail);
         if (!code.worthReturning()) {
             return problem;
         }
@@ -193,12 +186,12 @@
     }
 
     private boolean startNext(ServiceLane lane, long nowNanos, ActionSink sink) {
-        Optional<SubmissionId> next = lane.queue().next(quotas::mayStart);
+        Optional<SubmissionId> next = lane.queue().next(team -> inFlight.mayStart(team));
         if (next.isEmpty()) {
             return false;
         }
         Submission submission = submissions.find(next.get()).orElseThrow();
-        if (!services.mayStart(submission.service().name())) {
+        if (!inFlight.mayStart(submission.service().name())) {
             return false;
         }
         if (estimates.cannotFinish(submission, nowNanos) && !submission.mayHaveRun()) {
@@ -225,44 +218,13 @@
     }
 
     private void send(Submission submission, Task task, Endpoint endpoint, long nowNanos, ActionSink sink) {
-        ServiceLane lane = lanes.of(submission.service().name());
         task.send();
-        lane.queue().taskStarted(submission.id());
-        lane.started(submission.team().name());
-        quotas.started(submission.team().name());
-        services.started(submission.service().name());
-        inFlight.put(
-                task.id(),
-                new InFlightTask(
-                        submission.service().name(),
-                        submission.kind().name(),
-                        submission.team().name(),
-                        endpoint,
-                        task.attempt(),
-                        nowNanos,
-                        false));
+        lanes.of(submission.service().name()).queue().taskStarted(submission.id());
+        inFlight.start(submission, task, endpoint, nowNanos);
         Duration allowed = Duration.ofNanos(submission.deadlineNanos() - nowNanos);
         sink.emit(new SendTask(task.id(), task.attempt(), endpoint.id(), endpoint.address(), allowed));
     }
 
-    private void release(InFlightTask flight, TaskEnded ended, long nowNanos, ActionSink sink) {
-        long runNanos = nowNanos - flight.sentNanos();
-        lanes.of(flight.service()).ended(flight.team());
-        quotas.ended(flight.team());
-        services.ended(flight.service());
-        if (flight.stopped()) {
-            endpoints.endedAfterStop(ended, nowNanos, sink);
-        } else {
-            endpoints.ended(ended, flight.service(), flight.kind(), runNanos, nowNanos, sink);
-        }
-        if (ended.result() == SendResult.SUCCEEDED && !flight.stopped()) {
-            runTimes.observe(flight.service(), flight.kind(), runNanos);
-            retryBudget.succeeded();
-        }
-        // A freed team share may let tasks of another service start too.
-        everythingChanged();
-    }
-
     private void judge(Submission submission, TaskEnded ended, long nowNanos, ActionSink sink) {
         Task task = submission.task(ended.task().index());
         switch (ended.result()) {
@@ -312,30 +274,17 @@
         return Problem.of(code, step, ended.endpoint().value(), ended.detail()).withTask(ended.task());
     }
 
-    private String peers(Submission submission) {
-        return submission.tasks().stream()
-                .map(task -> inFlight.get(task.id()))
-                .filter(flight -> flight != null)
-                .map(flight -> flight.endpoint().id().value())
-                .findFirst()
+    private String peer(Submission submission) {
+        return inFlight.endpointOf(submission)
+                .map(endpoint -> endpoint.id().value())
                 .orElse("caller");
     }
 
-    /**
-     * Lets go of a task of a submission that is answered.
-     *
-     * <p>Guards against a started task that runs on for nobody and keeps its slot from the next caller. No estimate of
-     * its end spares the stop: a task that overruns its estimate would keep the slot for as long as it runs.
-     */
     private void dropOrStop(Submission submission, Task task, ActionSink sink) {
         if (task.state() == TaskState.QUEUED) {
             task.end(TaskState.DROPPED);
         } else if (task.state() == TaskState.SENT) {
-            InFlightTask flight = inFlight.get(task.id());
-            boolean sendStop = submission.service().favours().stopsStartedTasks();
-            Endpoint endpoint = flight.endpoint();
-            inFlight.put(task.id(), flight.stop());
-            sink.emit(new StopTask(task.id(), flight.attempt(), endpoint.id(), endpoint.address(), sendStop));
+            inFlight.stop(submission, task, sink);
         }
     }
 }
