Peers: channels and the exchange of configurations in classes of their own

Change: PeerChannels opens Netty's channels; ConfigurationExchange loads configurations from peers and gives them.

--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/peer/PeerShell.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/peer/PeerShell.java
@@ -31,14 +31,12 @@
 import org.tarragonarch.entry.metrics.WasteKind;
 import org.tarragonarch.entry.platform.ConfigurationLoader;
 import org.tarragonarch.model.id.Address;
-import org.tarragonarch.model.id.ContentDigest;
 import org.tarragonarch.model.id.Incarnation;
 import org.tarragonarch.model.id.NodeId;
 import org.tarragonarch.model.outcome.Problem;
 import org.tarragonarch.model.outcome.StepException;
 import org.tarragonarch.model.platform.VmRecord;
 import org.tarragonarch.model.platform.VmRole;
-import org.tarragonarch.model.service.ServiceCatalog;
 import org.tarragonarch.wire.AnswerAsked;
 import org.tarragonarch.wire.AnswerGiven;
 import org.tarragonarch.wire.AnswerOutcome;
@@ -66,14 +64,11 @@
 
     private final NodeIdentity identity;
     private final BodyStore bodies;
-    private final CatalogInForce catalog;
-    private final ConfigurationTexts texts;
-    private final ConfigurationLoader loader;
     private final EventSink events;
     private final NodeMetrics metrics;
     private final AskedQuestions asked = new AskedQuestions();
     private final ReceivedQuestions received = new ReceivedQuestions();
-    private final ConfigurationQuestions configurations = new ConfigurationQuestions();
+    private final ConfigurationExchange configurations;
     private final ConcurrentMap<NodeId, Address> addresses = new ConcurrentHashMap<>();
     private final ScheduledExecutorService worker =
             Executors.newSingleThreadScheduledExecutor(new ThreadFactoryBuilder()
@@ -92,11 +87,9 @@
             NodeMetrics metrics) {
         this.identity = checkNotNull(identity, "identity");
         this.bodies = checkNotNull(bodies, "bodies");
-        this.catalog = checkNotNull(catalog, "catalog");
-        this.texts = checkNotNull(texts, "texts");
-        this.loader = checkNotNull(loader, "loader");
         this.events = checkNotNull(events, "events");
         this.metrics = checkNotNull(metrics, "metrics");
+        this.configurations = new ConfigurationExchange(catalog, texts, loader, events);
     }
 
     /** Returns a shell that does not listen yet. */
@@ -156,14 +149,10 @@
     /** Asks a peer for a configuration. */
     public void loadConfiguration(LoadConfiguration action) {
         NodeId peer = action.peer().orElseThrow();
-        configurations
-                .add(peer, action, System.nanoTime())
-                .ifPresent(earlier -> configurationFailed(earlier, "another version was asked for meanwhile"));
+        configurations.asked(peer, action);
         Address address = addresses.get(peer);
         if (address == null) {
-            configurations
-                    .take(peer)
-                    .ifPresent(wanted -> configurationFailed(wanted, "the peer's address is not known"));
+            configurations.unanswered(peer, "the peer's address is not known");
             return;
         }
         network.send(peer, address, new ConfigurationAsked(action.version()));
@@ -178,9 +167,9 @@
         } else if (frame instanceof AnswerGiven given) {
             asked.take(given.question(), peer).ifPresent(question -> answerGiven(question, given));
         } else if (frame instanceof ConfigurationAsked question) {
-            network.reply(peer, run, configuration(question));
+            network.reply(peer, run, configurations.answer(question));
         } else if (frame instanceof ConfigurationGiven given) {
-            configurations.take(peer).ifPresent(wanted -> work(() -> configurationGiven(peer, wanted, given)));
+            configurations.given(peer, given, this::work);
         }
     }
 
@@ -189,7 +178,7 @@
         if (frame instanceof AnswerAsked question) {
             asked.take(question.question(), peer).ifPresent(this::notToBeHad);
         } else if (frame instanceof ConfigurationAsked) {
-            configurations.take(peer).ifPresent(wanted -> configurationFailed(wanted, "the peer cannot be reached"));
+            configurations.unanswered(peer, "the peer cannot be reached");
         }
     }
 
@@ -219,9 +208,7 @@
                 asked.take(question, open.peer());
             }
         });
-        configurations
-                .takeOlder(System.nanoTime() - ASK_AGAIN.toNanos())
-                .forEach(wanted -> configurationFailed(wanted, "the peer gave no answer in time"));
+        configurations.expire(System.nanoTime() - ASK_AGAIN.toNanos());
     }
 
     private void answerAsked(NodeId peer, Incarnation run, AnswerAsked question) {
@@ -270,30 +257,6 @@
         events.post(new PeerAnswerArrived(question.waiting(), outcome, problem));
     }
 
-    private ConfigurationGiven configuration(ConfigurationAsked question) {
-        Optional<ServiceCatalog> now =
-                catalog.catalog().filter(known -> !question.version().newerThan(known.version()));
-        return now.flatMap(known -> texts.find(known)
-                        .map(text -> ConfigurationGiven.of(known.version(), known.digest(), Payload.of(text))))
-                .orElseGet(() -> ConfigurationGiven.none(question.version()));
-    }
-
-    private void configurationGiven(NodeId peer, LoadConfiguration wanted, ConfigurationGiven given) {
-        if (given.canonicalText().isEmpty()) {
-            configurationFailed(wanted, "the peer has no such version");
-            return;
-        }
-        boolean same = given.version().equals(wanted.version());
-        Optional<ContentDigest> due = same && wanted.digest().isPresent() ? wanted.digest() : given.digest();
-        byte[] text = given.canonicalText().get().bytes();
-        events.post(loader.load(given.version(), due, text, peer.toString()));
-    }
-
-    private void configurationFailed(LoadConfiguration wanted, String detail) {
-        String peer = wanted.peer().map(NodeId::toString).orElse("");
-        events.post(loader.failed(wanted.version(), peer, detail));
-    }
-
     private void work(Runnable task) {
         try {
             worker.execute(task);
--- a/tarragonarch-wire/src/main/java/org/tarragonarch/wire/PeerNetwork.java
+++ b/tarragonarch-wire/src/main/java/org/tarragonarch/wire/PeerNetwork.java
@@ -3,21 +3,12 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.flogger.FluentLogger;
 import com.google.common.net.InetAddresses;
-import io.netty.bootstrap.Bootstrap;
-import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.group.ChannelGroup;
 import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.nio.NioEventLoopGroup;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
-import io.netty.handler.codec.LengthFieldPrepender;
-import io.netty.handler.timeout.IdleStateHandler;
 import io.netty.util.concurrent.DefaultThreadFactory;
 import io.netty.util.concurrent.EventExecutor;
 import java.net.InetSocketAddress;
@@ -43,13 +34,12 @@
  */
 public final class PeerNetwork implements AutoCloseable {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
-    private static final int HELLOS_PER_IDLE_TIMEOUT = 3;
     private static final Duration CLOSE_TIMEOUT = Duration.ofSeconds(2);
 
-    private final Hello own;
     private final PeerListener listener;
     private final PeerNetworkSettings settings;
     private final PeerRegistry registry;
+    private final PeerChannels channels;
     private final EventLoopGroup group;
     private final boolean ownGroup;
     private final EventExecutor thread;
@@ -63,10 +53,10 @@
         this.ownGroup = ownGroup;
         this.thread = group.next();
         this.incoming = new DefaultChannelGroup(thread);
-        this.own = own;
         this.listener = listener;
         this.settings = settings;
         this.registry = new PeerRegistry(own);
+        this.channels = new PeerChannels(group, own, registry, listener, settings);
     }
 
     /**
@@ -186,23 +176,11 @@
     }
 
     FrameQueue newQueue() {
-        return new FrameQueue(settings.maxQueuedFrames(), settings.maxQueuedBytes());
+        return channels.newQueue();
     }
 
     ChannelFuture connect(NodeId peer, Address address, ConnectionOwner owner) {
-        return new Bootstrap()
-                .group(group)
-                .channel(NioSocketChannel.class)
-                .option(ChannelOption.TCP_NODELAY, true)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int)
-                        settings.connectTimeout().toMillis())
-                .handler(new ChannelInitializer<Channel>() {
-                    @Override
-                    protected void initChannel(Channel channel) {
-                        addHandlers(channel, Optional.of(peer), owner);
-                    }
-                })
-                .connect(socketAddress(address));
+        return channels.connect(peer, socketAddress(address), owner);
     }
 
     void schedule(Duration wait, Runnable task) {
@@ -216,18 +194,7 @@
     }
 
     private void listen(InetSocketAddress bind) throws StepException {
-        ChannelFuture bound = new ServerBootstrap()
-                .group(group)
-                .channel(NioServerSocketChannel.class)
-                .childOption(ChannelOption.TCP_NODELAY, true)
-                .childHandler(new ChannelInitializer<Channel>() {
-                    @Override
-                    protected void initChannel(Channel channel) {
-                        accept(channel);
-                    }
-                })
-                .bind(bind)
-                .awaitUninterruptibly();
+        ChannelFuture bound = channels.bind(bind, this::accept).awaitUninterruptibly();
         if (!bound.isSuccess()) {
             throw new StepException(
                     Step.LIFECYCLE,
@@ -247,17 +214,7 @@
             return;
         }
         incoming.add(channel);
-        addHandlers(channel, Optional.empty(), IncomingOwner.INSTANCE);
-    }
-
-    private void addHandlers(Channel channel, Optional<NodeId> expected, ConnectionOwner owner) {
-        long idle = settings.idleTimeout().toMillis();
-        channel.pipeline()
-                .addLast(new IdleStateHandler(idle, idle / HELLOS_PER_IDLE_TIMEOUT, 0, TimeUnit.MILLISECONDS))
-                .addLast(new LengthFieldBasedFrameDecoder(
-                        FrameCodec.MAX_FRAME_BYTES, 0, FrameCodec.LENGTH_BYTES, 0, FrameCodec.LENGTH_BYTES))
-                .addLast(new LengthFieldPrepender(FrameCodec.LENGTH_BYTES))
-                .addLast(new PeerConnection(own, expected, registry, listener, owner, newQueue()));
+        channels.addHandlers(channel, Optional.empty(), IncomingOwner.INSTANCE);
     }
 
     private void sendEncoded(NodeId peer, Address address, EncodedFrame encoded) {
