Explorer: VM records and the promise on leaving endpoints leave World

Change: VmRecords lists VMs, LeavingPromise checks late sends, FakeNode numbers the submissions that it is sent.

--- a/tarragonarch-standin/src/main/java/org/tarragonarch/standin/explore/FakeNode.java
+++ b/tarragonarch-standin/src/main/java/org/tarragonarch/standin/explore/FakeNode.java
@@ -1,6 +1,8 @@
 package org.tarragonarch.standin.explore;
 
 import com.google.common.collect.ImmutableList;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
@@ -8,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.stream.IntStream;
 import org.tarragonarch.core.action.Action;
 import org.tarragonarch.core.action.AnswerComplete;
 import org.tarragonarch.core.action.AnswerFromPeer;
@@ -31,12 +34,19 @@
 import org.tarragonarch.core.action.WakeAt;
 import org.tarragonarch.core.action.WriteClaims;
 import org.tarragonarch.core.event.Event;
+import org.tarragonarch.core.event.SubmissionArrived;
+import org.tarragonarch.core.event.SubmissionForm;
+import org.tarragonarch.core.event.TaskShape;
 import org.tarragonarch.core.event.TimePassed;
 import org.tarragonarch.core.node.EntryNode;
 import org.tarragonarch.core.node.NodeIdentity;
 import org.tarragonarch.core.status.NodeStatus;
 import org.tarragonarch.entry.control.EventRecorder;
 import org.tarragonarch.entry.trace.TraceHeader;
+import org.tarragonarch.model.id.ContentDigest;
+import org.tarragonarch.model.id.IdempotencyKey;
+import org.tarragonarch.model.id.KindName;
+import org.tarragonarch.model.id.SubmissionId;
 import org.tarragonarch.model.report.NodePhase;
 import org.tarragonarch.model.service.ServiceCatalog;
 
@@ -110,8 +120,22 @@
         return thawedNanos;
     }
 
-    long nextSubmission() {
-        return nextSubmission++;
+    /** Returns the next submission that a caller sends to this node. */
+    SubmissionArrived nextArrival(
+            SubmissionForm form, KindName kind, Optional<String> key, int tasks, Optional<Duration> timeAllowed) {
+        byte[] content = (kind + "/" + form + "/" + key + "/" + tasks).getBytes(StandardCharsets.UTF_8);
+        return new SubmissionArrived(
+                new SubmissionId(identity.node(), identity.incarnation(), nextSubmission++),
+                form,
+                SampleCatalog.CALLER,
+                SampleCatalog.SERVICE,
+                kind,
+                key.map(IdempotencyKey::new),
+                ContentDigest.of(content),
+                IntStream.range(0, tasks)
+                        .mapToObj(index -> new TaskShape(100, Optional.empty()))
+                        .collect(ImmutableList.toImmutableList()),
+                timeAllowed);
     }
 
     void kill() {
--- a/tarragonarch-standin/src/main/java/org/tarragonarch/standin/explore/World.java
+++ b/tarragonarch-standin/src/main/java/org/tarragonarch/standin/explore/World.java
@@ -1,8 +1,6 @@
 package org.tarragonarch.standin.explore;
 
 import com.google.common.collect.ImmutableList;
-import com.google.common.collect.ImmutableSet;
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Collection;
@@ -12,13 +10,11 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.function.Function;
-import java.util.stream.IntStream;
 import org.tarragonarch.core.event.CancelCause;
 import org.tarragonarch.core.event.CancelRequested;
 import org.tarragonarch.core.event.DrainRequested;
 import org.tarragonarch.core.event.SubmissionArrived;
 import org.tarragonarch.core.event.SubmissionForm;
-import org.tarragonarch.core.event.TaskShape;
 import org.tarragonarch.core.event.TimePassed;
 import org.tarragonarch.core.node.NodeIdentity;
 import org.tarragonarch.core.node.NodePolicy;
@@ -26,21 +22,16 @@
 import org.tarragonarch.entry.trace.TraceHeader;
 import org.tarragonarch.model.id.Address;
 import org.tarragonarch.model.id.ChangeId;
-import org.tarragonarch.model.id.ContentDigest;
 import org.tarragonarch.model.id.FailureDomain;
-import org.tarragonarch.model.id.IdempotencyKey;
 import org.tarragonarch.model.id.Incarnation;
 import org.tarragonarch.model.id.KindName;
 import org.tarragonarch.model.id.NodeId;
 import org.tarragonarch.model.id.OperatorName;
-import org.tarragonarch.model.id.ServiceName;
 import org.tarragonarch.model.id.SubmissionId;
 import org.tarragonarch.model.id.TaskId;
 import org.tarragonarch.model.outcome.Problem;
 import org.tarragonarch.model.platform.ConfigurationRow;
 import org.tarragonarch.model.platform.VmRecord;
-import org.tarragonarch.model.platform.VmRole;
-import org.tarragonarch.model.platform.VmState;
 import org.tarragonarch.model.service.ServiceCatalog;
 
 /**
@@ -53,13 +44,6 @@
     /** The name by which links to the platform are cut. */
     public static final String PLATFORM = "platform";
 
-    /** How long after an endpoint began to leave a node may still send to it for the first time. */
-    private static final long LEAVING_GRACE_NANOS = Duration.ofSeconds(5).toNanos();
-    /** A node that knew nothing may find out by one contact; a second one breaks the promise. */
-    private static final int LATE_CONTACTS_ALLOWED = 1;
-
-    private static final String LEAVING_PROMISE = "a leaving endpoint gets no new work after a few seconds";
-
     private static final OperatorName OPERATOR = OperatorName.of("ann");
 
     private final Random random;
@@ -67,15 +51,15 @@
     private final Network network;
     private final Ledger ledger = new Ledger();
     private final PromiseChecker checker;
+    private final LeavingPromise leavingPromise;
     private final FakePlatform platform;
     private final Shell shell;
     private final NodePolicy policy;
     private final Map<String, FakeNode> nodes = new LinkedHashMap<>();
     private final Map<String, FakeEndpoint> endpoints = new LinkedHashMap<>();
-    private final Map<String, VmRecord> records = new HashMap<>();
+    private final VmRecords records;
     private final Map<SubmissionId, Long> runNanos = new HashMap<>();
     private Function<TraceHeader, EventRecorder> recorders = made -> EventRecorder.NONE;
-    private int nextPort = 1;
     private long nextIncarnation = 1;
 
     private World(long seed, NodePolicy policy) {
@@ -83,7 +67,9 @@
         this.policy = policy;
         this.network = new Network(random);
         this.checker = new PromiseChecker(time, ledger);
+        this.leavingPromise = new LeavingPromise(checker);
         this.platform = new FakePlatform(time, random);
+        this.records = new VmRecords(platform);
         this.shell = new Shell(this);
     }
 
@@ -132,8 +118,7 @@
 
     /** Starts a node. */
     public void startNode(String name, String domain) {
-        VmRecord vm = records.computeIfAbsent(name, key -> record(name, VmRole.ENTRY, domain, ImmutableSet.of(), 0));
-        platform.list(vm);
+        VmRecord vm = records.listNode(name, domain);
         NodeIdentity identity = new NodeIdentity(
                 NodeId.of(name), Incarnation.of(nextIncarnation++), FailureDomain.of(domain), vm.address());
         TraceHeader made = new TraceHeader(identity, policy, random.nextLong());
@@ -145,15 +130,7 @@
     /** Starts an endpoint. */
     public void startEndpoint(String name, String domain, int slots) {
         endpoints.put(name, new FakeEndpoint(name, slots, time, checker));
-        VmRecord vm = record(name, VmRole.ENDPOINT, domain, ImmutableSet.of(SampleCatalog.SERVICE), slots);
-        endpoints.get(name).listen(vm.address());
-        records.put(name, vm);
-        platform.list(vm);
-    }
-
-    private VmRecord record(String name, VmRole role, String domain, ImmutableSet<ServiceName> services, int slots) {
-        Address address = new Address("127.0.0.1", nextPort++);
-        return new VmRecord(name, role, FailureDomain.of(domain), address, VmState.LIVE, services, slots);
+        endpoints.get(name).listen(records.listEndpoint(name, domain, slots).address());
     }
 
     /** Returns the present run of a node. */
@@ -208,20 +185,15 @@
     /** Makes an endpoint leave, and puts that on the list, which lags. */
     public void drainEndpoint(String name) {
         endpoints.get(name).drain();
-        VmRecord vm = records.get(name);
-        platform.list(new VmRecord(
-                vm.name(), vm.role(), vm.domain(), vm.address(), VmState.LEAVING, vm.services(), vm.slots()));
+        records.listLeaving(name);
     }
 
     /** Starts an endpoint again under its name, on a new address as a replaced VM would be. */
     public void restartEndpoint(String name) {
         VmRecord old = records.get(name);
         endpoints.get(name).restart();
-        VmRecord vm = record(
-                name, VmRole.ENDPOINT, old.domain().value(), ImmutableSet.of(SampleCatalog.SERVICE), old.slots());
+        VmRecord vm = records.listEndpoint(name, old.domain().value(), old.slots());
         endpoints.get(name).listen(vm.address());
-        records.put(name, vm);
-        platform.list(vm);
     }
 
     /** Accepts the next configuration, as an operator's program would. */
@@ -260,22 +232,8 @@
         if (!target.alive()) {
             return Optional.empty();
         }
-        NodeIdentity identity = target.identity();
-        SubmissionId id = new SubmissionId(identity.node(), identity.incarnation(), target.nextSubmission());
-        byte[] content = (kind + "/" + form + "/" + key + "/" + tasks).getBytes(StandardCharsets.UTF_8);
-        SubmissionArrived arrived = new SubmissionArrived(
-                id,
-                form,
-                SampleCatalog.CALLER,
-                SampleCatalog.SERVICE,
-                kind,
-                key.map(IdempotencyKey::new),
-                ContentDigest.of(content),
-                IntStream.range(0, tasks)
-                        .mapToObj(index -> new TaskShape(100, Optional.empty()))
-                        .collect(ImmutableList.toImmutableList()),
-                timeAllowed);
-        runNanos.put(id, taskNanos);
+        SubmissionArrived arrived = target.nextArrival(form, kind, key, tasks, timeAllowed);
+        runNanos.put(arrived.id(), taskNanos);
         Duration allowed = timeAllowed.orElse(SampleCatalog.DEADLINE);
         // The node may be frozen when the submission arrives; its deadline counts from when the node sees it.
         long slack = target.frozen() ? Duration.ofMinutes(1).toNanos() : 0;
@@ -323,16 +281,8 @@
 
     void checkLateSend(FakeNode node, String name, Address address) {
         FakeEndpoint endpoint = endpoints.get(name);
-        if (!endpoint.listensAt(address)) {
-            return;
-        }
-        if (endpoint.sendsAfterRefusal(node.run())) {
-            throw checker.violation(
-                    LEAVING_PROMISE, node.name() + " sent to " + name + " although that refused before");
-        }
-        int contacts = endpoint.lateContacts(node.run(), LEAVING_GRACE_NANOS);
-        if (contacts > LATE_CONTACTS_ALLOWED) {
-            throw checker.violation(LEAVING_PROMISE, node.name() + " sent to " + name + " " + contacts + " times");
+        if (endpoint.listensAt(address)) {
+            leavingPromise.checkSend(node, name, endpoint);
         }
     }
 
