--- a/tarragonarch-benchmark/src/test/java/org/tarragonarch/benchmark/experiment/HeavyLoadTest.java
+++ b/tarragonarch-benchmark/src/test/java/org/tarragonarch/benchmark/experiment/HeavyLoadTest.java
@@ -43,11 +43,7 @@
         assertEquals(first.byWindow(), second.byWindow());
     }
 
-    /**
-     * The pattern of wide urgent jobs: eight places within 150 ms, while each domain alone has some three free. They
-     * earned 0.77 when each domain was held by itself, and wait in their own domain while others have room; 0.93 from
-     * one pool. Nobody pays for it: the widest, the large jobs and the busiest domain earn as much.
-     */
+    /** Guards against wide urgent jobs that wait while other domains have room: 0.77 apart, 0.93 pooled. */
     @Test
     public void testPool_wideUrgentJobsFindRoomAnywhere() throws StepException {
         ImmutableList<ExperimentResult> results = play(LoadShapes.named("pool"));
@@ -62,10 +58,7 @@
         assertEquals(mean(results, ExperimentResult::overfilled), 0.0);
     }
 
-    /**
-     * The pattern of a burst with sick endpoints in it: more work than fits, and endpoints that look free and are not.
-     * No kind, and none of its widest jobs, may be given up for the others.
-     */
+    /** Guards against a kind or the widest jobs given up in a burst with endpoints that only look free. */
     @Test
     public void testCrowded_nobodyStarves() throws StepException {
         ImmutableList<ExperimentResult> results = play(LoadShapes.named("crowded"));
@@ -78,11 +71,7 @@
         assertEquals(mean(results, ExperimentResult::overfilled), 0.0);
     }
 
-    /**
-     * The pattern of updates that stop one node after the other: the holder of everything is gone three times. Two
-     * seconds around it earned 0.84 when the next holder stopped what ran and 0.91 since it goes on with it; what is
-     * left are the jobs whose callers had their connection with the node that died.
-     */
+    /** Guards against a next holder that stops what runs: two seconds around it earned 0.84, then 0.91. */
     @Test
     public void testOutage_holderIsKilled() throws StepException {
         ImmutableList<ExperimentResult> results = play(LoadShapes.named("outage"));
@@ -100,10 +89,7 @@
         assertAtLeast(mean(results, each -> each.between(24_500, 30_000)), 0.93, "after the outage");
     }
 
-    /**
-     * The pattern of an update that stops holders in turn, in five domains with a pool each. Such a stop is planned,
-     * and its holder hands everything over: nobody is served worse for it.
-     */
+    /** Guards against callers served worse while planned stops hand over five domains in turn. */
     @Test
     public void testRolling_plannedStopsCostNothing() throws StepException {
         ImmutableList<ExperimentResult> results = play(LoadShapes.named("rolling"));
@@ -111,10 +97,7 @@
         assertEquals(mean(results, ExperimentResult::overfilled), 0.0);
     }
 
-    /**
-     * The pattern of one node of thirty that is cut off from all others and reaches the endpoints. It took the shards
-     * of its domain from their holder; now nobody but its own clients may be served worse.
-     */
+    /** Guards against one node of thirty that is cut off from its peers and takes its domain's shards. */
     @Test
     public void testRolling_nodeThatIsCutOffTakesNothing() throws StepException {
         ImmutableList<ExperimentResult> results = play(LoadShapes.named("rolling"));
@@ -122,10 +105,7 @@
         assertAtLeast(mean(results, each -> each.between(20_000, 22_000)), 1 - ownClients, "beside the cut");
     }
 
-    /**
-     * The pattern of endpoints that hang, a tenth of them, under tasks of half an endpoint: most of what lands there is
-     * restarted in time for its caller, so at most two thirds of that tenth are lost.
-     */
+    /** Guards against stalled runs on a tenth of the endpoints that are restarted too late: at most 2/3 lost. */
     @Test
     public void testHalves_stalledRunsAreRestartedInTime() throws StepException {
         ImmutableList<ExperimentResult> results = play(LoadShapes.named("halves"));
@@ -134,10 +114,7 @@
         assertEquals(mean(results, ExperimentResult::overfilled), 0.0);
     }
 
-    /**
-     * The pattern of one node of eight that is cut off from all others in a region that is one pool: it takes nothing
-     * from the holder, so at most twice its own clients' share is served worse.
-     */
+    /** Guards against one cut-off node of eight that takes the pool: at most twice its own share is worse. */
     @Test
     public void testPartitioned_onePoolStaysWithItsHolder() throws StepException {
         ImmutableList<ExperimentResult> results = play(LoadShapes.named("partitioned"));
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/CoordinatorTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/CoordinatorTest.java
@@ -91,10 +91,7 @@
         coordinator.endpointsChanged();
     }
 
-    /**
-     * All nodes come back from a loss of power and read some hundred endpoints at once. For a moment each took its
-     * whole region for one pool and greeted every node of it, which took a small core most of its first second.
-     */
+    /** Guards against greetings to a whole region while its endpoints are read after a loss of power. */
     @Test
     public void testEndpointsChanged_onlyThePoolIsGreeted() {
         CoordinatorTest test = new CoordinatorTest();
@@ -112,10 +109,7 @@
         assertTrue(test.sent.contains("status to [hobart, launceston]"), test.sent.toString());
     }
 
-    /**
-     * A holder is told to stop. Its jobs went back before its peers knew that it holds nothing any more; they offered
-     * them to it again, to and fro, until its next status.
-     */
+    /** Guards against jobs of a stopping holder that are offered to it again until its next status. */
     @Test
     public void testLeave_statusGoesBeforeTheJobs() {
         CoordinatorTest test = new CoordinatorTest();
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/DiscoveryTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/DiscoveryTest.java
@@ -44,10 +44,7 @@
         assertTrue(Discovery.isComplete(member(B), ImmutableList.of(), ImmutableList.of()));
     }
 
-    /**
-     * All nodes were without power, and one of eight comes up 200 ms after the rest. Callers waited for it, although
-     * the seven had told each other long before that nobody had a holder.
-     */
+    /** Guards against callers that wait 200 ms for one slow node though the others know that there is no holder. */
     @Test
     public void testEnoughHeard_oneIsSlow() {
         ImmutableList<Member> located = ImmutableList.of(member(B), member(C));
@@ -77,11 +74,7 @@
         assertTrue(Discovery.isComplete(strong, ImmutableList.of(member(A), member(B)), withoutHolder));
     }
 
-    /**
-     * All nodes were without power. Small VMs came up half a second after the large ones, waited their 200 ms, had not
-     * yet read the holder's status, and took the endpoints from it; for two seconds a third of a core placed for a
-     * whole domain, and most of its callers were refused. Whoever is further back in line listens for longer.
-     */
+    /** Guards against a small VM that takes the endpoints before it has read the holder's status. */
     @Test
     public void testPatience_growsWithTheNodesThatGoBefore() {
         Member large = new Member(C, FailureDomain.of("hobart"), new Address("10.0.0.9", 7_000), 1_500);
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/configuration/ConfigurationReplicaTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/configuration/ConfigurationReplicaTest.java
@@ -60,10 +60,7 @@
         assertEquals(take(ConfigurationInForce.class).size(), 1);
     }
 
-    /**
-     * The table service fails over to a copy that lags, and a read gives a row of an hour ago. The operator sees the
-     * change he made go back on some nodes, unless nodes take higher versions only.
-     */
+    /** Guards against a lagging copy of the table service that takes an operator's change back. */
     @Test
     public void testRowRead_staleRowIsRefusedAndNoted() {
         adopt(5);
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/follow/StoreOutageTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/follow/StoreOutageTest.java
@@ -29,12 +29,7 @@
     /** How often the list of endpoints is read. */
     private static final long PERIOD_MILLIS = 900;
 
-    /**
-     * Users were refused with "no such queue" although the queue had been added two seconds before. The store had been
-     * silent for six seconds and back for three; every node had made its call for changes again while it was silent,
-     * and was still waiting for the answer. Nodes heard of the change when that call had used up its five seconds. A
-     * call that waits at a store that is well, and one that a silent store swallowed, looked the same.
-     */
+    /** Guards against a call that a silent store swallowed and that hides changes for five seconds after it. */
     @Test
     public void testFollow_changeRightAfterSilence() {
         Outage outage = new Outage(0);
@@ -47,10 +42,7 @@
         outage.assertHeardBy("version 21", 11_250 + SETTLED_MILLIS);
     }
 
-    /**
-     * The same for an endpoint that says that it leaves: for 4.5 s after the store's return nodes went on starting
-     * tasks on it, since the call for the list of endpoints was one that waits, too.
-     */
+    /** Guards against tasks started on a leaving endpoint for 4.5 s after the return of a silent store. */
     @Test
     public void testPeriodicFollow_changeRightAfterSilence() {
         Outage outage = new Outage(PERIOD_MILLIS);
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/follow/TableFollowerTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/follow/TableFollowerTest.java
@@ -54,10 +54,7 @@
                 test.seen, ImmutableList.of("read", "replaced [a]", "follow 5", "changed [b]", "follow 7", "follow 8"));
     }
 
-    /**
-     * A node that reads the list of endpoints seldom loses its holder and has to take the shard: the list is read at
-     * once, and not when the long pause is over.
-     */
+    /** Guards against a node that takes a shard and reads the endpoints only after its long pause. */
     @Test
     public void testChangePace_overdueCallIsMadeAtOnce() {
         TableFollowerTest test = new TableFollowerTest();
@@ -107,10 +104,7 @@
                         "follow 6"));
     }
 
-    /**
-     * An answer was held up on the way by a cut, and what it said seemed to be news of the moment at which it came. A
-     * call that waited in vain tells all up to the end of its wait; any other answer no more than when its call left.
-     */
+    /** Guards against an answer held up on its way that is taken as valid for the moment of its arrival. */
     @Test
     public void testCurrent_answerHeldUp() {
         TableFollowerTest test = new TableFollowerTest();
@@ -119,10 +113,7 @@
         assertEquals(test.asOf, ImmutableList.of(0L, 1_700L + 1_000, 3_400L));
     }
 
-    /**
-     * A row was such that the code behind the follower broke on it. The follower made no further call, and the node
-     * kept the configuration that it had until it was started again.
-     */
+    /** Guards against a follower that makes no further call after its listener threw. */
     @Test
     public void testFollow_listenerBreaks() {
         TableFollowerTest test = new TableFollowerTest();
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/membership/LinkChoiceTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/membership/LinkChoiceTest.java
@@ -27,10 +27,7 @@
         links.forEach((pair, count) -> assertEquals((int) count, 4, pair));
     }
 
-    /**
-     * A node dies in each of two domains. The other nodes of its own domain notice within seconds; the list names both
-     * for minutes. News must still get from any domain to any other.
-     */
+    /** Guards against two domains without a link while the list still names a dead node in each. */
     @Test
     public void testChoose_oneDeadNodeInEachDomainLeavesALink() {
         for (int dead = 0; dead < 4; dead++) {
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/membership/PeerDirectoryTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/membership/PeerDirectoryTest.java
@@ -26,10 +26,7 @@
         other = new FakeNode("hobart-2", "hobart", 3);
     }
 
-    /**
-     * The platform's list still names a VM that died minutes ago. A node that believes the list leaves the dead node's
-     * share of every endpoint unused.
-     */
+    /** Guards against a dead but listed node whose share of every endpoint stays unused. */
     @Test
     public void testAliveInDomain_listedPeerThatWasNeverHeardIsNotAlive() {
         self.listed(0, self.vm(), other.vm());
@@ -58,10 +55,7 @@
         assertEquals(self.directory.sharers().size(), 2);
     }
 
-    /**
-     * A peer that no list has named reports and dies. The node has nobody to report to and so is called seldom; it must
-     * not take that for a pause of its own, time and again, and share the endpoints with the dead for good.
-     */
+    /** Guards against a node that takes rare calls for pauses of its own and shares with a dead peer for good. */
     @Test
     public void testTimePassed_onlyPeerIsUnlistedAndFallsSilent() {
         self.heard(0, other.report(1));
@@ -70,11 +64,7 @@
         assertEquals(self.directory.aliveInDomain(), ImmutableSet.of(SELF));
     }
 
-    /**
-     * A node is stopped for ten seconds and woken, by its host or by SIGSTOP. Its peers' reports wait in sockets, so
-     * by the clock all are silent. Without a guard it would take every slot of the domain for its own and send far more
-     * than its share until the reports are read.
-     */
+    /** Guards against a node that slept, takes its peers for silent and uses all slots of the domain. */
     @Test
     public void testTimePassed_ownPauseMakesNoPeerSilent() {
         self.listed(0, self.vm(), other.vm());
@@ -89,10 +79,7 @@
         assertEquals(self.noted(NoteEvent.PEER_SILENT), ImmutableList.of("hobart-2"));
     }
 
-    /**
-     * A node is killed and started again on its address. Reports of its first run are still on their way, and tell of
-     * tasks in flight that the second run knows nothing of.
-     */
+    /** Guards against late reports of a killed run that count as tasks in flight of the next. */
     @Test
     public void testHeard_earlierRunIsDroppedAfterALaterOne() {
         FakeNode restarted = new FakeNode("hobart-2", "hobart", 4);
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/membership/ReporterTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/membership/ReporterTest.java
@@ -56,10 +56,7 @@
         assertEquals(self.takeSent().size(), 80, 4);
     }
 
-    /**
-     * News comes within the gap after a look, and a new phase starts a round of its own before the gap ends. The round
-     * has told the news, so nothing may stay due; else the node is told to wake at a time already past.
-     */
+    /** Guards against a wake at a time already past, for news that a round has sent meanwhile. */
     @Test
     public void testTimePassed_roundLeavesNoLookDue() {
         self.timePassed(0);
@@ -93,10 +90,7 @@
         assertEquals(near.takeSent().size(), 1);
     }
 
-    /**
-     * An endpoint says that it is leaving, and every answer of its running tasks says so again. The first must reach
-     * the peers at once; the rest must cost no message.
-     */
+    /** Guards against a message for each answer of a leaving endpoint instead of one for the first. */
     @Test
     public void testReportNow_sendsOnceForOneNews() {
         self.timePassed(0);
@@ -179,10 +173,7 @@
         assertTrue(fulls >= 10, "only " + fulls + " full reports");
     }
 
-    /**
-     * A domain of 30 nodes and 110 endpoints under full load: told everything every time, a node would send 90 KB/s. By
-     * its own estimate it keeps to its rate, every peer hears it often enough, and every peer is told loads.
-     */
+    /** Guards against reports of 90 KB/s in a domain of 30 nodes and 110 endpoints under full load. */
     @Test
     public void testTimePassed_manyPeersAndEndpointsStayWithinTheRate() {
         VmRecord[] vms = new VmRecord[31];
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/node/EntryNodeTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/node/EntryNodeTest.java
@@ -52,10 +52,7 @@
         assertEquals(node.all(AnswerComplete.class), List.of(new AnswerComplete(job)));
     }
 
-    /**
-     * A worker dies in the middle of a word count. The author must not be charged by a second count, so the job is not
-     * placed again: it is answered unknown, at once, and the tasks that have not started never start.
-     */
+    /** Guards against a job that may have run and is run again, or answered late, when an endpoint dies. */
     @Test
     public void testJob_lostAnswerIsUnknownAtOnce() {
         NodeFixture node = NodeFixture.serving(1);
@@ -66,11 +63,7 @@
         assertEquals(node.all(SendTask.class).size(), 1);
     }
 
-    /**
-     * A worker dies under a job of long tasks, whose other tasks run on elsewhere for nobody. They had run longer than
-     * such tasks are expected to, so they were taken for nearly done and not stopped: the next caller waited for their
-     * room until they ended, six seconds later.
-     */
+    /** Guards against overrunning tasks of a failed job that are taken for nearly done and keep their slots. */
     @Test
     public void testJob_tasksThatOverrunAreStoppedAfterALoss() {
         NodeFixture node = NodeFixture.serving(2);
@@ -81,11 +74,7 @@
         assertTrue(node.last(StopTask.class).sendStop());
     }
 
-    /**
-     * The same worker dies at the very moment at which the other tasks were expected to end. They do not end: an
-     * expectation is often false, and a task that was left to end by itself kept its slot for as long as it ran, so
-     * that the next caller got no answer.
-     */
+    /** Guards against tasks of a failed job that are left to run since their expected end is now. */
     @Test
     public void testJob_tasksAtTheirExpectedEndAreStoppedAfterALoss() {
         NodeFixture node = NodeFixture.serving(2);
@@ -107,10 +96,7 @@
         assertEquals(node.last(AnswerComplete.class).submission(), request);
     }
 
-    /**
-     * An idempotent request loses its first answer and waits for a slot to be tried again; its deadline passes there.
-     * The first attempt may have run, so the caller must not read not-run, although the task is queued.
-     */
+    /** Guards against a request answered not-run while it waits for a retry of an attempt that may have run. */
     @Test
     public void testRequest_deadlineWhileWaitingForRetryIsUnknown() {
         NodeFixture node = NodeFixture.serving(1);
@@ -122,10 +108,7 @@
         assertEquals(node.problemOf(request).code().outcome(), Outcome.UNKNOWN);
     }
 
-    /**
-     * All slots are taken and a job waits until its deadline. Nothing of it has left the node, so its caller is told
-     * that it did not run, and when to come back.
-     */
+    /** Guards against a queued job answered unknown, or without a time to come back, at its deadline. */
     @Test
     public void testDeadline_inQueueIsNotRunWithTimeToComeBack() {
         NodeFixture node = NodeFixture.serving(1);
@@ -136,10 +119,7 @@
         assertTrue(node.problemOf(waiting).retryAfter().isPresent());
     }
 
-    /**
-     * An endpoint reports the end of a task twice. The second report must neither free the slot twice nor touch the
-     * task's next attempt, or a task of a job would start again.
-     */
+    /** Guards against a repeated end that frees a slot twice or starts a task of a job again. */
     @Test
     public void testTaskEnded_secondReportIsDropped() {
         NodeFixture node = NodeFixture.serving(1);
@@ -154,10 +134,7 @@
         assertEquals(node.last(SendTask.class), second);
     }
 
-    /**
-     * A task was refused as busy and waits for the endpoint's rest to be over. Just then something else happens, which
-     * takes the place of the wake-up; the task must not wait for the next event after that, long after.
-     */
+    /** Guards against a task refused as busy that waits on since another event replaced its wake-up. */
     @Test
     public void testRefused_waitThatEndsWithAnotherEvent() {
         NodeFixture node = NodeFixture.serving(1);
@@ -167,10 +144,7 @@
         assertEquals(node.all(SendTask.class).size(), 2);
     }
 
-    /**
-     * One team sends more than the queue holds. The other team's authors would be refused although they use nothing:
-     * over the bound, a team below its fair part of the queue is still taken.
-     */
+    /** Guards against one team that fills the queue and has the other teams refused. */
     @Test
     public void testAdmission_fullQueueLeavesOtherTeamsTheirPart() {
         NodeFixture node = NodeFixture.serving(1, 10);
@@ -182,10 +156,7 @@
                 .noneMatch(answer -> answer.submission().equals(taken)));
     }
 
-    /**
-     * A wave of authors gives up: their running tasks are stopped and end as failed or lost. The worker did nothing
-     * wrong, and must not be put into quarantine for it while others wait.
-     */
+    /** Guards against healthy endpoints put into quarantine by a wave of cancels. */
     @Test
     public void testCancelWave_putsNoEndpointIntoQuarantine() {
         NodeFixture node = NodeFixture.servingWithTwoEndpoints(8);
@@ -200,11 +171,7 @@
         assertEquals(node.all(SendTask.class).size(), 20);
     }
 
-    /**
-     * Two jobs that each need the slots for most of their time come at once. Once the first has run, the second can no
-     * longer finish; started all the same, it would take the slots from others and be answered unknown. It is told at
-     * once that it did not run. A third one that cannot finish even alone is refused at the door.
-     */
+    /** Guards against a job that takes slots although it can no longer finish before its deadline. */
     @Test
     public void testJob_thatCanNoLongerFinishIsNotStarted() {
         NodeFixture node = NodeFixture.serving(2);
@@ -256,11 +223,7 @@
                 node.all(AnswerSameAs.class), List.of(new AnswerSameAs(joined, first), new AnswerSameAs(late, first)));
     }
 
-    /**
-     * A worker dies under a spelling pass; its job is answered unknown. The author's page sends it again under the same
-     * key. A pass may run twice, so it must run, and not be answered unknown for as long as answers are kept; a word
-     * count, which may not, keeps its answer.
-     */
+    /** Guards against lost idempotent work that is answered unknown while its key is kept, not run again. */
     @Test
     public void testKey_lostWorkRunsAgainOnlyIfIdempotent() {
         NodeFixture node = NodeFixture.serving(8);
@@ -276,10 +239,7 @@
         assertEquals(node.all(SendTask.class).size(), 3);
     }
 
-    /**
-     * The write that claims a key takes effect but its reply is lost. Writing again would find the own row and take
-     * it for another node's; the rows are read back instead, and the job runs once.
-     */
+    /** Guards against a node's own claim taken for another's after the reply to its write was lost. */
     @Test
     public void testKey_lostReplyIsReadBack() {
         NodeFixture node = NodeFixture.serving(8);
@@ -294,10 +254,7 @@
         assertEquals(node.all(WriteClaims.class).size(), 1);
     }
 
-    /**
-     * The table service is out. A keyed word count cannot be claimed, so it is refused at once as not run and its
-     * claim given back; a spelling pass under a key and a word count without one go on.
-     */
+    /** Guards against work refused during an outage of the table service although it needs no claim. */
     @Test
     public void testKey_storeOutRefusesOnlyWhatNeedsIt() {
         NodeFixture node = NodeFixture.serving(8);
@@ -310,10 +267,7 @@
         assertEquals(node.all(SendTask.class).size(), 2);
     }
 
-    /**
-     * A submission is cancelled while its claim is being written. Nothing ran, so its caller may send it again, to any
-     * node: the claim that arrives late is given back.
-     */
+    /** Guards against a claim written after its submission was cancelled that blocks the key. */
     @Test
     public void testKey_claimWonAfterTheEndIsReleased() {
         NodeFixture node = NodeFixture.serving(8);
@@ -335,10 +289,7 @@
         assertEquals(node.all(SweepClaims.class), List.of(new SweepClaims(Duration.ofHours(24))));
     }
 
-    /**
-     * A caller loses its connection after its renewal was sent, and comes back with the same key. The renewal runs on
-     * and the caller gets its answer; without a key nobody could ask for it.
-     */
+    /** Guards against keyed work stopped as its caller loses the connection, or unkeyed work that runs on. */
     @Test
     public void testHangUp_keyedWorkRunsOn() {
         NodeFixture node = NodeFixture.serving(8);
@@ -350,10 +301,7 @@
         assertEquals(node.last(AnswerSameAs.class), new AnswerSameAs(again, keyed));
     }
 
-    /**
-     * A node is told to leave under load. The balancer still sends to it for a while, and those requests are served;
-     * what is in flight is finished before the process may end.
-     */
+    /** Guards against requests cut off, or refused too early, on a node that is stopped under load. */
     @Test
     public void testDrain_finishesWhatItHas() {
         NodeFixture node = NodeFixture.serving(8);
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/EndpointHealthTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/EndpointHealthTest.java
@@ -10,10 +10,7 @@
 public final class EndpointHealthTest {
     private static final long FIRST_EJECTION_MILLIS = 1_000;
 
-    /**
-     * Every second task stands still on an endpoint. Ten callers in turn waited for nothing: each good run between
-     * two bad ones made up for all before it.
-     */
+    /** Guards against an endpoint on which every second run stalls and that is never ejected. */
     @Test
     public void testResting_halfOfTheRunsStandStill() {
         EndpointHealth health = new EndpointHealth();
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/PlacerHandOverTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/PlacerHandOverTest.java
@@ -8,10 +8,7 @@
 
 /** Holders whose shards come and go, one at a time or all at once. */
 public final class PlacerHandOverTest {
-    /**
-     * A job needs five places at once, and each of two domains has four. Held by one node they are one pool: the job
-     * runs in one wave, where each domain alone would have needed two and come late.
-     */
+    /** Guards against a job of five places that runs in two waves, and late, as each shard has only four. */
     @Test
     public void testOpen_twoShardsAreOnePool() {
         PlacerFixture fixture = new PlacerFixture(4);
@@ -23,10 +20,7 @@
         assertEquals(fixture.ledger.broken(), ImmutableList.of());
     }
 
-    /**
-     * One of two domains goes to another holder while a job has tasks in both. Those of the domain that is gone start
-     * elsewhere, and only when their lease has certainly run out; the caller still gets one whole answer.
-     */
+    /** Guards against tasks of a released shard that start elsewhere before their lease is over. */
     @Test
     public void testRelease_tasksOfTheShardStartElsewhereAfterTheirLease() {
         PlacerFixture fixture = new PlacerFixture(2);
@@ -58,11 +52,7 @@
         assertEquals(fixture.verdicts, ImmutableList.of("origin-1 1 HOLD_LOST"));
     }
 
-    /**
-     * A domain was cut off, and another node went on there under a lower token than the one that this holder had
-     * claimed before and could not use. After the cut a job is given back by that node and offered here while its tasks
-     * still run there. They would have run twice, for this holder had had the shard for long enough.
-     */
+    /** Guards against tasks that run twice on an endpoint that the holder could not reach since it claimed. */
     @Test
     public void testOffer_earlierRunsOnAnEndpointThatWasOutOfReach() {
         PlacerFixture fixture = new PlacerFixture(2);
@@ -83,11 +73,7 @@
         assertEquals(fixture.ledger.broken(), ImmutableList.of());
     }
 
-    /**
-     * A domain went on by itself while it was cut off. In the moment in which it is heard again another holder outranks
-     * it, is offered its jobs, and releases the shard, since the domain has a holder of its own. All that it still
-     * holds is known, but the job's tasks run where it holds nothing: they would run twice.
-     */
+    /** Guards against tasks that run twice since the holder released the shard with the earlier runs. */
     @Test
     public void testOffer_earlierRunsInAShardThatWasLetGo() {
         PlacerFixture fixture = new PlacerFixture(2);
@@ -125,10 +111,7 @@
         assertEquals(stops[0], 4);
     }
 
-    /**
-     * The node that holds every endpoint is stopped for an update, a second into a large job. All its runs were stopped
-     * by the next holder and started anew, and the caller was answered late. The next holder goes on with them.
-     */
+    /** Guards against runs that the next holder stops and starts anew instead of adopting them. */
     @Test
     public void testClaim_runsAreTakenOver() {
         PlacerFixture fixture = new PlacerFixture(2);
@@ -183,11 +166,7 @@
         assertEquals(fixture.ledger.broken(), ImmutableList.of());
     }
 
-    /**
-     * A domain was cut off, and its endpoints fell off the list outside. The cut heals: the holder outside gets the
-     * domain's job while the one endpoint on which it runs is not yet back on its list. Having read all others it began
-     * the job at once, and its tasks ran twice.
-     */
+    /** Guards against tasks that run twice since the endpoint with the earlier runs is not listed yet. */
     @Test
     public void testOffer_earlierRunsOnAnEndpointThatIsNotListed() {
         PlacerFixture fixture = new PlacerFixture(2);
@@ -206,11 +185,7 @@
         assertEquals(fixture.ledger.broken(), ImmutableList.of());
     }
 
-    /**
-     * A node is stopped for an update while one worker of its domain has just crashed and is still on the list. The
-     * next holder waited for that worker's list before it went on with any job; 80 ms later it stopped the runs it had
-     * found on all others, and every job of the domain was late or lost. What was found goes on at once.
-     */
+    /** Guards against runs that are stopped, not adopted, because another endpoint does not answer. */
     @Test
     public void testClaim_runsAreAdoptedWhileAnEndpointIsSilent() {
         PlacerFixture fixture = new PlacerFixture(3);
@@ -229,10 +204,7 @@
         assertEquals(fixture.ledger.broken(), ImmutableList.of());
     }
 
-    /**
-     * The silent worker itself runs half of the job. The half that was found goes on; the other may still run there,
-     * so it is started again only when its lease is certainly over.
-     */
+    /** Guards against tasks on a silent endpoint that start elsewhere before their lease is over. */
     @Test
     public void testClaim_tasksOnASilentEndpointWaitForTheirLease() {
         PlacerFixture fixture = new PlacerFixture(2);
@@ -251,11 +223,7 @@
         assertEquals(fixture.ledger.broken(), ImmutableList.of());
     }
 
-    /**
-     * A holder is stopped for an update in a burst. Of the jobs that it gives back some have never started; taken for
-     * jobs that may have run, they could go to no other domain for a second, and most of their callers were told that
-     * their work may have been done.
-     */
+    /** Guards against jobs that never started and are given back as if they may have run. */
     @Test
     public void testRelease_jobsThatNeverStartedAreReturned() {
         PlacerFixture fixture = new PlacerFixture(1);
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/PlacerTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/PlacerTest.java
@@ -33,10 +33,7 @@
         assertEquals(fixture.ledger.broken(), ImmutableList.of());
     }
 
-    /**
-     * Ten callers come at once where two fit in time. Those that cannot be in time are told so at once, before anything
-     * of them was started, so that they may go elsewhere; nobody waits for a refusal.
-     */
+    /** Guards against jobs that cannot be in time and are declined only after a wait or a start. */
     @Test
     public void testOffer_hopelessIsDeclinedAtOnce() {
         PlacerFixture fixture = new PlacerFixture(1);
@@ -56,10 +53,7 @@
         assertEquals(fixture.ledger.starts(), (10 - declined) * 2);
     }
 
-    /**
-     * A user's check is run twice at the same moment, because an order went missing on the way and was given to another
-     * endpoint, while the first one arrived three seconds later and was carried out all the same.
-     */
+    /** Guards against a task that runs twice since its lost order arrives three seconds later. */
     @Test
     public void testOffer_orderCarriedOutLate() {
         PlacerFixture fixture = new PlacerFixture(2);
@@ -76,10 +70,7 @@
         assertEquals(fixture.ledger.broken(), ImmutableList.of());
     }
 
-    /**
-     * An endpoint is cut off and runs on. Its tasks must not be started elsewhere until its lease has certainly run
-     * out; then they must, or the user waits for nothing.
-     */
+    /** Guards against tasks of a cut-off endpoint that start elsewhere before its lease is over, or never. */
     @Test
     public void testOffer_endpointCutOff() {
         PlacerFixture fixture = new PlacerFixture(2);
@@ -96,10 +87,7 @@
         assertEquals(fixture.verdicts, ImmutableList.of("origin-1 1 DONE"));
     }
 
-    /**
-     * A node that held the endpoints dies with work on them; the next holder would overfill them, because it knows
-     * nothing of that work. It reads the lists first, stops what it finds, and only then starts anything.
-     */
+    /** Guards against endpoints overfilled by a holder that does not know the runs of the earlier one. */
     @Test
     public void testClaim_earlierHolderLeftRuns() {
         PlacerFixture fixture = new PlacerFixture(1);
@@ -180,10 +168,7 @@
         assertEquals(fixture.verdicts, ImmutableList.of());
     }
 
-    /**
-     * Right after all nodes lost power every endpoint has to be read first. Jobs that came in those 50 ms were refused,
-     * at every shard, although the room was about to be known.
-     */
+    /** Guards against jobs refused in the 50 ms in which a new holder reads its endpoints. */
     @Test
     public void testOffer_whileEndpointsAreBeingOpened() {
         PlacerFixture fixture = new PlacerFixture(2);
@@ -208,11 +193,7 @@
         assertEquals(placer.isUnreachable(PlacerFixture.SHARD), false);
     }
 
-    /**
-     * The pattern of a burst: more jobs at once than there is room for in time. By urgency alone the oldest, already
-     * late, went first, and each newer one came late in its turn: 60 of 300 in such seconds. A job that can still be in
-     * time now goes before one that cannot, and the late one follows.
-     */
+    /** Guards against a burst in which jobs already late go first: 60 of 300 were in time. */
     @Test
     public void testOffer_overdueGoesBehindWhatCanBeInTime() {
         PlacerFixture fixture = new PlacerFixture(1);
@@ -229,10 +210,7 @@
         assertEquals(fixture.verdicts, inTimeFirst);
     }
 
-    /**
-     * Tasks stand still on one endpoint that answers every call. A user waited for the deadline and got nothing; now
-     * the task is stopped there and started on another endpoint, while there is still time.
-     */
+    /** Guards against a run that stalls until the deadline on an endpoint that answers every call. */
     @Test
     public void testReview_taskStandsStill() {
         PlacerFixture fixture = new PlacerFixture(2);
@@ -286,10 +264,7 @@
         assertEquals(fixture.verdicts.size(), 5);
     }
 
-    /**
-     * A client hangs up while its job waits at a new holder for the runs of the earlier one to end. The job was started
-     * all the same, for nobody, once those were gone.
-     */
+    /** Guards against a withdrawn job that is started once the runs of an earlier holder are gone. */
     @Test
     public void testWithdraw_whileItWaitsForEarlierRuns() {
         PlacerFixture fixture = new PlacerFixture(1);
@@ -322,10 +297,7 @@
         assertEquals(fixture.ledger.starts(), 2);
     }
 
-    /**
-     * One look in thirty gets no answer. A check of 60 ms was listed as done at once, but the caller heard of it half a
-     * second later, since the lost look held up the news of all that ended on that endpoint.
-     */
+    /** Guards against ends that are learned half a second late since one call for the list got no answer. */
     @Test
     public void testOffer_lookIsLost() {
         PlacerFixture fixture = new PlacerFixture(1);
@@ -371,10 +343,7 @@
         assertEquals(fixture.badEnds, ImmutableList.of());
     }
 
-    /**
-     * Two of a job's three tasks take eight times as long as their estimate said, and the third waits for their room.
-     * Its caller waits three seconds, and was told after half a second that the job was given up.
-     */
+    /** Guards against a started job that is given up as late while its caller still waits. */
     @Test
     public void testOffer_startedJobIsFinishedHoweverLate() {
         PlacerFixture fixture = new PlacerFixture(1);
@@ -386,10 +355,7 @@
         assertEquals(fixture.verdicts, ImmutableList.of("origin-1 1 DONE"));
     }
 
-    /**
-     * All nodes were without power. The first jobs have waited half a second for a holder, too long to be in time, and
-     * were refused while every endpoint was idle. Their callers wait three seconds and get a late answer now.
-     */
+    /** Guards against a late job that is refused while endpoints are idle and its caller still waits. */
     @Test
     public void testOffer_lateWithRoomFree() {
         PlacerFixture fixture = new PlacerFixture(2);
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/RunTimesTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/RunTimesTest.java
@@ -28,10 +28,7 @@
         assertEquals(times.expectedMillis("q", 200), 400, 8.0);
     }
 
-    /**
-     * Jobs with short estimates were refused in a burst while endpoints stood free: the estimates scatter by 40% around
-     * times that scatter by 40% themselves, so an estimate of 30 ms in a queue of 60 ms means some 43.
-     */
+    /** Guards against jobs refused by estimates that scatter by 40%: 30 ms in a queue of 60 ms means 43 ms. */
     @Test
     public void testExpected_scatteredEstimatesLeanToTheMean() {
         RunTimes times = new RunTimes();
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/queue/JobQueueTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/queue/JobQueueTest.java
@@ -36,10 +36,7 @@
         assertEquals(jobs.queuedTasks(), 9);
     }
 
-    /**
-     * A job queued before run times were learnt is thought to be twice as long as those after it. Under steady load a
-     * newer, smaller job is always there, and the old one waited until its deadline while all others were answered.
-     */
+    /** Guards against a job queued with a long estimate that newer, smaller ones pass until its deadline. */
     @Test
     public void testNext_largerJobIsNotPassedForEver() {
         JobQueue<String> jobs = JobQueue.create();
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/routing/JobRouterTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/routing/JobRouterTest.java
@@ -88,10 +88,7 @@
         assertEquals(test.replies, ImmutableList.of("GIVEN_UP"));
     }
 
-    /**
-     * Every node starts at once. The first holder is offered the jobs of three domains and declines most of them; they
-     * were refused on the spot, while the other two holders came 150 ms later and found nothing to do.
-     */
+    /** Guards against jobs refused after the first decline while two more holders come 150 ms later. */
     @Test
     public void testSubmit_declinedWhileAHolderIsExpected() {
         JobRouterTest test = fresh();
@@ -117,10 +114,7 @@
         assertEquals(test.replies, ImmutableList.of("REFUSED 300"));
     }
 
-    /**
-     * A holder dies with a job under way. Another shard would run its tasks while the old runs still go on; so only the
-     * next holder of the same shard, who sees them, gets it until they are certainly over.
-     */
+    /** Guards against a job offered to another shard while its runs may go on in that of the lost holder. */
     @Test
     public void testNodeLost_sameShardFirst() {
         JobRouterTest test = fresh();
@@ -135,11 +129,7 @@
         assertEquals(test.holders.asked, ImmutableList.of("offer a", "offer c over in 1050"));
     }
 
-    /**
-     * All nodes come back from a loss of power, and two of them claim the same shards for a moment. A holder that was
-     * known for one of them gives up with runs in another. Whoever has taken over the first cannot see those runs; the
-     * job's tasks would run twice if it began at once.
-     */
+    /** Guards against tasks that run twice in a shard that the lost holder was not known to hold. */
     @Test
     public void testNodeLost_holderHadMoreThanWasKnown() {
         JobRouterTest test = fresh();
@@ -154,11 +144,7 @@
         assertEquals(test.holders.asked, ImmutableList.of("offer a", "offer c"));
     }
 
-    /**
-     * A cut heals, and two nodes take a shard from each other. The one that has the job was fenced, has claimed once
-     * more and started the job there when it is lost. The other one's token is above that under which the job was
-     * offered and below the new one: it does not see that run, and would start the task a second time.
-     */
+    /** Guards against tasks that run twice since the lost holder had claimed again under a higher token. */
     @Test
     public void testNodeLost_holderHadClaimedOnceMore() {
         JobRouterTest test = fresh();
@@ -188,10 +174,7 @@
         assertEquals(test.holders.asked, ImmutableList.of("offer a", "offer b"));
     }
 
-    /**
-     * A full domain passes a job on to another, and is cut off from it at that moment. By the time the runs over there
-     * are certainly over the own domain has room again, but had declined once, so the caller waited for its deadline.
-     */
+    /** Guards against a job that no holder is offered again since its own domain declined it once. */
     @Test
     public void testNodeLost_thoseThatDeclinedAreAskedAgain() {
         JobRouterTest test = fresh();
@@ -207,10 +190,7 @@
         assertEquals(test.replies, ImmutableList.of("GIVEN_UP"));
     }
 
-    /**
-     * A holder is stopped for an update and gives a job back that it has not started. Nothing of it can run, so it goes
-     * to another holder at once; the one that gave it back looks like a holder until its next status is heard.
-     */
+    /** Guards against a returned job that waits, or goes back to the holder that returned it. */
     @Test
     public void testSettled_returnedJobGoesToAnotherHolderAtOnce() {
         JobRouterTest test = fresh();
@@ -238,10 +218,7 @@
         assertEquals(test.replies, ImmutableList.of("REFUSED 200"));
     }
 
-    /**
-     * The only holder is stopped and gives a job back that has waited for a second, and no other holder comes. Its
-     * caller was kept until its deadline, three seconds later, for an answer that was known.
-     */
+    /** Guards against a returned job without a holder that is kept until its deadline. */
     @Test
     public void testSettled_returnedJobIsRefusedIfNobodyTakesIt() {
         JobRouterTest test = fresh();
@@ -340,10 +317,7 @@
         assertEquals(test.holders.asked, ImmutableList.of("offer a", "withdraw a"));
     }
 
-    /**
-     * Operators stop a node while clients keep using their open connections to it. A job that came late was cut off
-     * without an answer when the process ended; now it is refused, and what is still open is told that it is given up.
-     */
+    /** Guards against jobs of a stopping node that are cut off without an answer. */
     @Test
     public void testGiveUpAll_leavingNode() {
         JobRouterTest test = fresh();
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/shard/EndpointListTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/shard/EndpointListTest.java
@@ -46,10 +46,7 @@
         assertTrue(list.isEmpty());
     }
 
-    /**
-     * The store was away, and every endpoint's entry lapsed meanwhile. They are deleted as it comes back and written
-     * anew within two seconds; without the wait every node would have nowhere to send its work.
-     */
+    /** Guards against endpoints dropped since their entries lapsed while the store was away. */
     @Test
     public void testUnlisted_afterOutage() {
         EndpointList list = list();
@@ -84,10 +81,7 @@
         assertEquals(list.of(HOBART).size(), 2);
     }
 
-    /**
-     * A node that holds nothing reads the list every few seconds. An endpoint said meanwhile that it leaves; the node
-     * took its shard and started tasks there. It waits for the list to be read, unless the store cannot be.
-     */
+    /** Guards against tasks started on a leaving endpoint by a new holder with an old list. */
     @Test
     public void testIsFresh() {
         EndpointList list = list();
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/shard/HeartbeatsTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/shard/HeartbeatsTest.java
@@ -84,10 +84,7 @@
         assertEquals(peers.expire(PeerTable.DISTANT_SILENCE_MILLIS + 1), ImmutableList.of(SUCCESSOR));
     }
 
-    /**
-     * A rack loses power, and with it the holder and the node that is next in line. The others must not wait for the
-     * second for as long as they would if nothing depended on it, or their domain serves nobody for six seconds.
-     */
+    /** Guards against a domain unserved for six seconds since the successor was lost with the holder. */
     @Test
     public void testExpire_holderAndSuccessorAreLost() {
         peers.received(holder(), 0);
@@ -111,11 +108,7 @@
         assertEquals(peers.expire(2_000), ImmutableList.of());
     }
 
-    /**
-     * Many nodes come back from a loss of power at once, most on a third of a core. When each greeted all others,
-     * the first second of every node went into connections, and callers waited. A node that misses a holder tells the
-     * nodes of its own pool, and holders wherever they are.
-     */
+    /** Guards against connections to all nodes that fill the first second of each after a loss of power. */
     @Test
     public void testDue_nodeThatMissesAHolderTellsItsPoolAlone() {
         peers.received(status(SUCCESSOR, true), 0);
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/shard/HolderElectionTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/shard/HolderElectionTest.java
@@ -134,10 +134,7 @@
         assertTrue(second.compareTo(first) > 0);
     }
 
-    /**
-     * A domain was cut off for six seconds and went on by itself, while a node outside claimed its shard in vain. As
-     * the cut healed, the domain's own holder gave way to the higher token, and everything that ran there was stopped.
-     */
+    /** Guards against a domain's own holder that yields to a higher token from outside after a cut. */
     @Test
     public void testShouldResign_homeHolderKeepsItsShardAfterACut() {
         PeerTable peers = new PeerTable();
@@ -175,10 +172,7 @@
         assertTrue(outside.shouldClaim(LAUNCESTON, 7_000));
     }
 
-    /**
-     * A domain has two large VMs and nine small ones. The first by name is small; in a burst it falls behind, and every
-     * caller of the domain waits for it while the large ones idle.
-     */
+    /** Guards against a shard held by a small VM, first by name, while large ones idle. */
     @Test
     public void testShouldClaim_strongestOfItsDomain() {
         PeerTable peers = new PeerTable();
@@ -211,10 +205,7 @@
         assertFalse(small.shouldResign(HOBART, 5_000));
     }
 
-    /**
-     * Two restarted nodes of a domain hear a third and not each other, for the store is away. Each took itself for the
-     * first in line and claimed at once whenever it was fenced, twenty times a second; no caller was served.
-     */
+    /** Guards against two nodes that take a shard from each other twenty times a second. */
     @Test
     public void testFenced_twoThatDoNotHearEachOther() {
         PeerTable peers = new PeerTable();
@@ -229,10 +220,7 @@
         assertTrue(one.shouldClaim(HOBART, 4_050));
     }
 
-    /**
-     * One node is cut off from all others and still reaches the endpoints. It missed the holder of every shard, claimed
-     * them all, and for two seconds most callers of a cluster that was otherwise well were refused.
-     */
+    /** Guards against a cut-off node that claims every shard and has most callers refused. */
     @Test
     public void testShouldClaim_nodeThatLostAllPeersAtOnceWaits() {
         PeerTable peers = new PeerTable();
@@ -292,10 +280,7 @@
         assertTrue(last.shouldClaim(HOBART, 30_000));
     }
 
-    /**
-     * A whole domain is lost. Nodes of other domains that hold nothing do not hear each other; each would take itself
-     * for the first in line. A holder is heard by all of them, and claims.
-     */
+    /** Guards against several nodes that claim a lost domain's shard since they do not know each other. */
     @Test
     public void testShouldClaim_foreignShardIsForHolders() {
         PeerTable peers = new PeerTable();
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/shard/PooledHolderElectionTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/shard/PooledHolderElectionTest.java
@@ -68,10 +68,7 @@
         assertFalse(election("l", LAUNCESTON).shouldClaim(LAUNCESTON, 0));
     }
 
-    /**
-     * Guards against a node that is cut off alone and takes the pool in the moment in which it misses only the holder,
-     * who speaks more often than its other peers.
-     */
+    /** Guards against a cut-off node that takes the pool as soon as it misses only the holder. */
     @Test
     public void testShouldClaim_holderFellSilentAndNobodyElseSpeaks() {
         received("l", LAUNCESTON, CORES, 900, held(HOBART, 1), held(LAUNCESTON, 1));
@@ -110,10 +107,7 @@
         assertFalse(election("a", HOBART).shouldClaim(HOBART, 0));
     }
 
-    /**
-     * A domain was cut off and went on by itself. When it can be heard again, both it and the pool's holder have its
-     * shard: the holder outside lets go at once, and what runs in the domain goes on.
-     */
+    /** Guards against an outside holder that keeps a domain's shard after the cut and stops what runs there. */
     @Test
     public void testShouldResign_domainHasGoneOnByItself() {
         HolderElection outside = election("a", HOBART);
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/shard/ShardPoolsTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/shard/ShardPoolsTest.java
@@ -42,10 +42,7 @@
         assertEquals(test.pools.shards(), ImmutableSet.of(HOBART, LAUNCESTON, ESPOO));
     }
 
-    /**
-     * A region of 96 endpoints gains one and loses one every few seconds. If the pool went apart and together each
-     * time, the holders would hand shards to and fro, and what runs there would be stopped.
-     */
+    /** Guards against a pool that splits and joins each time a region crosses 96 endpoints. */
     @Test
     public void testPoolOf_apartUntilWellBelow() {
         ShardPoolsTest test = new ShardPoolsTest();
--- a/tarragonarch-ctl/src/test/java/org/tarragonarch/ctl/CtlMainTest.java
+++ b/tarragonarch-ctl/src/test/java/org/tarragonarch/ctl/CtlMainTest.java
@@ -86,10 +86,7 @@
         assertEquals(system.newest(), 1);
     }
 
-    /**
-     * Ben's change is accepted while ann's nodes still show the version before it. Ann's change rests on that version,
-     * so she must be told that nothing was changed, and whose change stands; ben's must not be undone.
-     */
+    /** Guards against a change that undoes another operator's, or a conflict that does not name it. */
     @Test
     public void testApply_conflict() throws IOException {
         connected("apply", folder.toString());
@@ -110,11 +107,7 @@
         assertEquals(system.newest(), 1);
     }
 
-    /**
-     * The first node has the change accepted and dies before it replies. The operator would see a failure although the
-     * change is in force, or, if it were sent anew, a conflict with herself. It is sent to the next node with the same
-     * mark, by which it is known again.
-     */
+    /** Guards against a change in force that is reported as failed, or as a conflict when sent anew. */
     @Test
     public void testApply_replyLost() {
         hobart.repliesToLose.set(1);
@@ -122,10 +115,7 @@
         assertEquals(system.newest(), 1);
     }
 
-    /**
-     * Every node goes away before it replies. Ann must not read that nothing was changed, since the change stands; she
-     * is told its mark and finds it in the audit trail.
-     */
+    /** Guards against a change that stands and is reported as not made since every reply was lost. */
     @Test
     public void testApply_everyReplyLost() {
         hobart.repliesToLose.set(1);
@@ -230,10 +220,7 @@
         assertTrue(out().contains("outcome not-run (status 404)"), out());
     }
 
-    /**
-     * The operator names a file of inputs by '@FILE', as the help says, and is told of unmatched arguments. The command
-     * line library had read the file as further arguments before the command saw its name.
-     */
+    /** Guards against a file of inputs that the command line library expands to further arguments. */
     @Test
     public void testSubmit_inputsFromFile() throws IOException {
         Path inputs = Files.createTempFile("inputs", ".json");
--- a/tarragonarch-ctl/src/test/java/org/tarragonarch/ctl/change/RolloutTest.java
+++ b/tarragonarch-ctl/src/test/java/org/tarragonarch/ctl/change/RolloutTest.java
@@ -26,20 +26,14 @@
         assertEquals(rollout.progress(), "devonport 1/1, hobart 2/2");
     }
 
-    /**
-     * A node's own answer shows the new version in force while a peer still tells the version of its last report: the
-     * operator would wait for something that has long happened.
-     */
+    /** Guards against a rollout that waits for a version that the node itself already reports. */
     @Test
     public void testOf_ownWordGoesBeforePeers() {
         assertTrue(rollout(node("hobart-1", NEW, peer("hobart-2", true, OLD)), node("hobart-2", NEW))
                 .complete());
     }
 
-    /**
-     * Devonport is cut off: its nodes have the old version, and the last report that hobart had of it still says so.
-     * The operator must read that devonport cannot be reached, not that it lags, and not that all is done.
-     */
+    /** Guards against a domain that cannot be reached and is reported as lagging, or as done. */
     @Test
     public void testOf_domainCutOff() {
         Rollout rollout = rollout(node("hobart-1", NEW, peer("devonport-1", false, OLD)));
@@ -69,11 +63,7 @@
         assertFalse(Rollout.of(NEW, List.of()).complete());
     }
 
-    /**
-     * Launceston's node has just started, refuses the operator's token because it has no configuration yet, and is in
-     * no peer's view. The operator is told that the version is in force everywhere, and submits to launceston in vain.
-     * The address that did not answer was simply left out of the count.
-     */
+    /** Guards against a change reported as in force everywhere while a node did not answer. */
     @Test
     public void testComplete_addressThatDoesNotAnswer() {
         Address launceston = new Address("127.0.0.1", 2);
--- a/tarragonarch-ctl/src/test/java/org/tarragonarch/ctl/explain/ExplanationTest.java
+++ b/tarragonarch-ctl/src/test/java/org/tarragonarch/ctl/explain/ExplanationTest.java
@@ -105,10 +105,7 @@
         assertEquals(explanation.toJson().path("endpoints").path(0).asText(), "i-1523651cc8");
     }
 
-    /**
-     * A caller got 504 long before its deadline. The node that placed its job fell silent, and the logs of the
-     * answering node alone have to show that.
-     */
+    /** Guards against a 504 before the deadline that the answering node's log does not explain. */
     @Test
     public void testLines_givenUpBecauseTheHolderWasLost() throws IOException {
         Explanation explanation = explain("c675074cee10f9c9", HOLDER_LOST);
@@ -138,10 +135,7 @@
         assertEquals(explanation.lines().get(1), "cause: node-stopped, " + Cause.NODE_STOPPED.meaning());
     }
 
-    /**
-     * A caller got 404 for a queue that an operator had added two seconds before. The line of the node that refused
-     * shows an older version, and that nobody had confirmed it for ten seconds.
-     */
+    /** Guards against a 404 from an outdated configuration that the refusing node's log does not show. */
     @Test
     public void testLines_queueUnknownToAnOldConfiguration() throws IOException {
         Explanation explanation = explain("15789369e5db4e3d", UNKNOWN_QUEUE);
--- a/tarragonarch-entry/src/test/java/org/tarragonarch/entry/body/BodyStoreTest.java
+++ b/tarragonarch-entry/src/test/java/org/tarragonarch/entry/body/BodyStoreTest.java
@@ -50,10 +50,7 @@
         store.drop(FIRST);
     }
 
-    /**
-     * Callers with keys got large results, which are kept for minutes. New callers were refused for as long, although
-     * nothing ran. The oldest kept results go; those of a submission that is not answered yet never do.
-     */
+    /** Guards against callers refused for minutes since kept results fill the store of bodies. */
     @Test
     public void testKeep_answeredResultsMakeRoom() {
         BodyStore full = BodyStore.create(10);
--- a/tarragonarch-entry/src/test/java/org/tarragonarch/entry/cluster/ConfigurationInForceTest.java
+++ b/tarragonarch-entry/src/test/java/org/tarragonarch/entry/cluster/ConfigurationInForceTest.java
@@ -48,11 +48,7 @@
         assertEquals(find("b"), QueueLookup.Result.UNKNOWN);
     }
 
-    /**
-     * The store was silent and an operator added a queue right after its return. Nodes that had not heard the store for
-     * longer than a change may take refused the queue's users with "no such queue", which sends them away for good. A
-     * node that cannot know says so, and its clients ask again; what it knows it goes on serving.
-     */
+    /** Guards against a queue refused as unknown by a node that has not read the store since it was added. */
     @Test
     public void testFind_outOfDate() {
         configuration.offered(version(3, "a"), "store");
@@ -64,10 +60,7 @@
         assertEquals(find("b"), QueueLookup.Result.UNKNOWN);
     }
 
-    /**
-     * A node starts while the store cannot be reached and is given a configuration by a peer, which may be cut off
-     * itself and have an old one. It serves by it, but has no right to say that a queue does not exist.
-     */
+    /** Guards against a queue refused as unknown by a configuration that only a peer has confirmed. */
     @Test
     public void testFind_knownFromAPeerAlone() {
         configuration.offered(version(3, "a"), "hobart-2");
@@ -75,10 +68,7 @@
         assertEquals(find("b"), QueueLookup.Result.UNCERTAIN);
     }
 
-    /**
-     * A VM is suspended for five seconds, which its steady clock does not count, and an operator adds a queue
-     * meanwhile. Right after it went on the node refused the queue's users by a configuration that seemed fresh.
-     */
+    /** Guards against a queue refused as unknown after a suspension that the steady clock does not count. */
     @Test
     public void testFind_afterSuspension() {
         configuration.offered(version(3, "a"), "store");
@@ -91,10 +81,7 @@
         assertEquals(find("b"), QueueLookup.Result.UNKNOWN, "a clock that is set back makes nothing older");
     }
 
-    /**
-     * The store has a version that this node cannot read, and the version before stays in force. Nothing newer could be
-     * read, and yet there is something newer: what is not in the old version may be in the new one.
-     */
+    /** Guards against a queue refused as unknown while a newer version exists that the node cannot read. */
     @Test
     public void testFind_newestIsUnreadable() {
         configuration.offered(version(3, "a"), "store");
--- a/tarragonarch-entry/src/test/java/org/tarragonarch/entry/cluster/DecisionLogTest.java
+++ b/tarragonarch-entry/src/test/java/org/tarragonarch/entry/cluster/DecisionLogTest.java
@@ -34,10 +34,7 @@
                         + "\"peer\":\"a\\\"b c\",\"after-ms\":700,\"known\":true}"));
     }
 
-    /**
-     * Whoever collects the log stops reading, and every request of the node hangs behind a full pipe. The node drops
-     * lines instead, goes on at once, and tells how many are missing as soon as the reader is back.
-     */
+    /** Guards against requests that hang behind a full log pipe, or dropped lines that are not counted. */
     @Test
     public void testLine_readerStandsStill() throws InterruptedException {
         Lines lines = new Lines(2_002);
--- a/tarragonarch-entry/src/test/java/org/tarragonarch/entry/cluster/EndpointRowsTest.java
+++ b/tarragonarch-entry/src/test/java/org/tarragonarch/entry/cluster/EndpointRowsTest.java
@@ -53,10 +53,7 @@
                 .collect(ImmutableList.toImmutableList());
     }
 
-    /**
-     * Another program's row came and went under a key that no endpoint has. The node stopped following the list at that
-     * moment, for the key was read outside of what may fail, and sent work to endpoints that had long left.
-     */
+    /** Guards against a follower that stops at a key that is not that of an endpoint. */
     @Test
     public void testChanged_foreignKey() {
         rows.changed(page(row("Not An Id", "x"), row("w-1", GOOD)));
--- a/tarragonarch-entry/src/test/java/org/tarragonarch/entry/cluster/NodeMetersTest.java
+++ b/tarragonarch-entry/src/test/java/org/tarragonarch/entry/cluster/NodeMetersTest.java
@@ -21,10 +21,7 @@
         assertTrue(meters.scrape().lines().anyMatch(line::equals), line + " is not in " + meters.scrape());
     }
 
-    /**
-     * The store is silent for five seconds, and a change is not in force. From the metrics alone it can be told that
-     * the node has version 9, that nobody has confirmed it for five seconds, and that its calls fail.
-     */
+    /** Guards against metrics that do not show an unconfirmed version and failing calls. */
     @Test
     public void testScrape_storeSilent() {
         ConfigurationInForce configuration = new ConfigurationInForce(2_000, timers, timers::nowMillis, log);
--- a/tarragonarch-entry/src/test/java/org/tarragonarch/entry/cluster/PeerExchangeTest.java
+++ b/tarragonarch-entry/src/test/java/org/tarragonarch/entry/cluster/PeerExchangeTest.java
@@ -31,11 +31,7 @@
         calls.clear();
     }
 
-    /**
-     * Every answer was late and the nodes used half a core each while hardly anything was asked of them: a verdict that
-     * came from a holder was passed on like one that had been reached here, that is back to the holder, which sent it
-     * back again. A verdict that comes ends at the router.
-     */
+    /** Guards against a verdict that router and holder pass to each other without end. */
     @Test
     public void testReceived_verdictIsForThisNode() {
         exchange.received(PEER, Incarnation.of(1), new JobSettled(JOB, Verdict.DONE, 0));
--- a/tarragonarch-entry/src/test/java/org/tarragonarch/entry/cluster/WholePathTest.java
+++ b/tarragonarch-entry/src/test/java/org/tarragonarch/entry/cluster/WholePathTest.java
@@ -80,11 +80,7 @@
         assertEquals(status(post(node, "a", 77)), 404);
     }
 
-    /**
-     * The store is silent, and an operator replaces a queue by another at the moment of its return. Users of the new
-     * queue were told for seconds that there is none, which no client asks about twice. They are told to come back
-     * instead, the queue that is known is served meanwhile, and after the return the new one is.
-     */
+    /** Guards against a queue refused as unknown that was added as a silent store came back. */
     @Test
     public void testConfiguration_changesAsASilentStoreComesBack() throws Exception {
         store.configure(QUEUES.formatted(3, "a"));
@@ -101,10 +97,7 @@
         awaitStatus(node, "a", 404);
     }
 
-    /**
-     * The node that holds the endpoints is killed. Users of the other node saw nothing but refusals until someone took
-     * the endpoints over; that takes well under two seconds, without the store.
-     */
+    /** Guards against callers refused for two seconds or more after the holder was killed. */
     @Test
     public void testHolderKilled_otherNodeServes() throws Exception {
         store.configure(QUEUES.formatted(3, "a"));
--- a/tarragonarch-standin/src/test/java/org/tarragonarch/standin/explore/ExplorerTest.java
+++ b/tarragonarch-standin/src/test/java/org/tarragonarch/standin/explore/ExplorerTest.java
@@ -10,11 +10,7 @@
 public final class ExplorerTest {
     private static final int SEEDS = 1_500;
 
-    /**
-     * Submissions, resubmissions under the same key, cancels, kills, freezes, cuts, drains and platform faults come in
-     * random order; a user would see a task run twice, a false not-run, no answer, or half of one. Each seed is one
-     * such story; the checker compares the endpoints' ledger with every answer after every step.
-     */
+    /** Guards against tasks run twice, false not-run answers and lost answers under random faults. */
     @Test
     public void testRun_noPromiseIsBroken() {
         Explorer explorer = new Explorer();
@@ -25,20 +21,13 @@
         assertEquals(findings, List.of());
     }
 
-    /**
-     * A node is cut off from an endpoint that leaves, and keeps trying to connect. Nothing of it arrives, so the
-     * endpoint gets no new work; the checker counted the tries as contacts.
-     */
+    /** Guards against attempts over a cut link that the checker counts as new work. */
     @Test
     public void testRun_triesOverACutLinkAreNoWork() {
         assertEquals(new Explorer().run(20_644), Optional.empty());
     }
 
-    /**
-     * A node that leaves has news for its peers just when its drain delay ends. A caller whose deadline passed a moment
-     * later was answered 0.8 s late: the reporter went on to name a time already past, the node was not woken again,
-     * and the deadline waited for the next event.
-     */
+    /** Guards against a deadline that waits for the next event since a leaving node names a past wake time. */
     @Test
     public void testRun_deadlineOfALeavingNode() {
         assertEquals(new Explorer().run(84_215), Optional.empty());
--- a/tarragonarch-standin/src/test/java/org/tarragonarch/standin/soak/SoakTest.java
+++ b/tarragonarch-standin/src/test/java/org/tarragonarch/standin/soak/SoakTest.java
@@ -14,11 +14,7 @@
         return new Object[][] {{1L}, {2L}, {4L}};
     }
 
-    /**
-     * Nodes are killed, stopped and paused, links go silent, orders come late, and the store is away, alone and at
-     * once. Whatever clients were told has to be true of what the endpoints did, and everybody is served again at the
-     * end.
-     */
+    /** Guards against answers that are untrue, or callers that are no longer served, after faults that overlap. */
     @Test(dataProvider = "seeds")
     public void testPromises(long seed) throws Exception {
         SoakResult result = new SoakRun(SoakOptions.SHORT, seed).play();
--- a/tarragonarch-wire/src/test/java/org/tarragonarch/wire/FrameCodecTest.java
+++ b/tarragonarch-wire/src/test/java/org/tarragonarch/wire/FrameCodecTest.java
@@ -54,10 +54,7 @@
         assertThrows(MalformedFrameException.class, () -> FrameCodec.decode("peer", Optional.empty(), report));
     }
 
-    /**
-     * A node of the next version joins during an upgrade, its hello laid out otherwise behind the version. What is
-     * seen is an error about some name or length; the version must be named instead, so that the operator knows.
-     */
+    /** Guards against a hello of another version reported as a malformed frame. */
     @Test
     public void testDecode_otherVersionIsNamedWhateverFollowsIt() {
         byte[] hello = new FrameWriter()
@@ -71,10 +68,7 @@
         assertTrue(refusal.getMessage().contains("protocol version 5 instead of 4"), refusal.getMessage());
     }
 
-    /**
-     * A peer gone wrong sends ten bytes that announce a string of two gigabytes. A reader that allocates as told
-     * ends the process for want of memory; with the bound it costs one connection.
-     */
+    /** Guards against two gigabytes allocated for a string that a frame only announces. */
     @Test
     public void testDecode_announcedLengthIsNotAllocated() {
         byte[] huge = BaseEncoding.base16().decode("01CD7A6604DB7FFFFFFF");
@@ -100,10 +94,7 @@
         assertTrue(refused > 100_000, "only " + refused + " refused: the mutations reach nothing");
     }
 
-    /**
-     * Enum constants travel as their place in the enum, so one put in the middle is read by older nodes as another
-     * phase or code. Any change here needs a new {@link Hello#PROTOCOL_VERSION}.
-     */
+    /** Guards against a layout changed under the same {@link Hello#PROTOCOL_VERSION}, as by a new enum constant. */
     @Test
     public void testLayout_isThatOfProtocolVersionFour() {
         byte[] all = Samples.every().stream().map(FrameCodec::encode).reduce(new byte[0], Bytes::concat);
--- a/tarragonarch-wire/src/test/java/org/tarragonarch/wire/PeerNetworkTest.java
+++ b/tarragonarch-wire/src/test/java/org/tarragonarch/wire/PeerNetworkTest.java
@@ -60,11 +60,7 @@
         assertEquals(hobart.awaitReceived().frame(), answer);
     }
 
-    /**
-     * A node asks another for a kept answer, is killed and started again at its address, and asks its first question
-     * under the same number. The answer to the first run's question must not reach the second run, whose caller would
-     * get another caller's results.
-     */
+    /** Guards against an answer to a killed node's question that reaches its next run and another caller. */
     @Test
     public void testReply_neverReachesALaterRun() throws Exception {
         PeerNetwork to = start("devonport-1", 1, devonport);
@@ -97,10 +93,7 @@
         sendUntilReceived(from, address, restarted);
     }
 
-    /**
-     * A VM is replaced, but its first process was only frozen and wakes. Both speak under one name; what the woken one
-     * says is old, and what is meant for the new one must not go to it.
-     */
+    /** Guards against frames exchanged with an earlier run of a replaced VM that wakes. */
     @Test
     public void testHello_earlierRunIsRefusedAtBothEnds() throws Exception {
         PeerNetwork network = start("hobart-1", 7, hobart);
@@ -132,10 +125,7 @@
         }
     }
 
-    /**
-     * The platform's list lags: a VM was replaced and its address given to another node. A frame for the node that is
-     * gone must not reach the one that now listens there.
-     */
+    /** Guards against a frame that reaches another node since its address was given away. */
     @Test
     public void testSend_addressOfAnotherNodeGetsNothing() throws Exception {
         PeerNetwork from = start("hobart-1", 7, hobart);
@@ -164,10 +154,7 @@
         assertEquals(hobart.awaitUndelivered(), tooLong);
     }
 
-    /**
-     * A peer is frozen in the middle of a frame. Its connection stays open and says nothing more; without a bound the
-     * half frame and whatever waits for the peer would be kept for good.
-     */
+    /** Guards against half a frame kept for good from a peer that froze while it sent. */
     @Test
     public void testIdle_halfFrameThenSilenceIsClosed() throws Exception {
         PeerNetwork network = start("hobart-1", 7, hobart, QUICK);
