Cancelling jobs in one collection; one name for a partitioned node

Cause: evicted jobs and waiting offers stood in two collections although a job is never in both; HolderElection.isolated only repeated PeerTable.isPartitioned. Change: CancellingJobs has one map of what follows the last run of a job; isolated is gone, its two assertions ask isPartitioned. At close, jobs of one kind may be reported in another order than before.

--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/CancellingJobs.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/CancellingJobs.java
@@ -2,10 +2,8 @@
 
 import com.google.common.collect.ImmutableList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import org.tarragonarch.model.id.NodeId;
 import org.tarragonarch.model.task.JobId;
 import org.tarragonarch.model.task.Offer;
@@ -18,8 +16,8 @@
  */
 final class CancellingJobs {
     private final Map<JobId, PlacedJob> cancelling = new HashMap<>();
-    private final Map<JobId, WaitingOffer> deferred = new HashMap<>();
-    private final Set<JobId> evicted = new HashSet<>();
+    /** What follows the last run of a job: the offer that waits for it, or none if the job is to be given back. */
+    private final Map<JobId, Optional<WaitingOffer>> afterwards = new HashMap<>();
 
     void add(PlacedJob job) {
         if (job.holdsRoom()) {
@@ -29,7 +27,7 @@
 
     /** Notes that a job which is still ending is to be given back to its origin afterwards. */
     void evict(PlacedJob job) {
-        evicted.add(job.id());
+        afterwards.put(job.id(), Optional.empty());
     }
 
     /**
@@ -42,45 +40,49 @@
         if (!cancelling.containsKey(id)) {
             return false;
         }
-        evicted.remove(id);
-        deferred.put(id, new WaitingOffer(offer, nowMillis));
+        afterwards.put(id, Optional.of(new WaitingOffer(offer, nowMillis)));
         return true;
     }
 
     /** Forgets an offer that waits, and that a job is to be given back. */
     void withdraw(NodeId origin, JobId id) {
-        PlacedJob job = cancelling.get(id);
-        if (job != null && job.origin().equals(origin)) {
-            evicted.remove(id);
-        }
-        WaitingOffer waiting = deferred.get(id);
-        if (waiting != null && waiting.offer().origin().equals(origin)) {
-            deferred.remove(id);
+        Optional<WaitingOffer> next = afterwards.get(id);
+        if (next != null && originOf(id, next).equals(origin)) {
+            afterwards.remove(id);
         }
     }
 
     /** Forgets every waiting offer of a node. */
     void originLost(NodeId origin) {
-        deferred.values().removeIf(waiting -> waiting.offer().origin().equals(origin));
+        afterwards
+                .values()
+                .removeIf(
+                        next -> next.filter(waiting -> waiting.offer().origin().equals(origin))
+                                .isPresent());
     }
 
     /** Forgets every job that was to be given back, and returns them. */
     ImmutableList<PlacedJob> removeEvicted() {
-        ImmutableList<PlacedJob> jobs = evicted.stream().map(cancelling::get).collect(ImmutableList.toImmutableList());
-        evicted.clear();
+        ImmutableList<PlacedJob> jobs = afterwards.entrySet().stream()
+                .filter(entry -> entry.getValue().isEmpty())
+                .map(entry -> cancelling.get(entry.getKey()))
+                .collect(ImmutableList.toImmutableList());
+        afterwards.values().removeIf(Optional::isEmpty);
         return jobs;
     }
 
     /** Returns whether the job, of which nothing takes room any more, was to be given back; it is no longer. */
     boolean removeIfEvicted(PlacedJob job) {
-        return !job.holdsRoom() && cancelling.get(job.id()) == job && evicted.remove(job.id());
+        return !job.holdsRoom() && cancelling.get(job.id()) == job && afterwards.remove(job.id(), Optional.empty());
     }
 
     /** Forgets every waiting offer, and returns them. */
     ImmutableList<Offer> removeDeferred() {
-        ImmutableList<Offer> offers =
-                deferred.values().stream().map(WaitingOffer::offer).collect(ImmutableList.toImmutableList());
-        deferred.clear();
+        ImmutableList<Offer> offers = afterwards.values().stream()
+                .flatMap(Optional::stream)
+                .map(WaitingOffer::offer)
+                .collect(ImmutableList.toImmutableList());
+        afterwards.values().removeIf(Optional::isPresent);
         return offers;
     }
 
@@ -89,6 +91,12 @@
         if (job.holdsRoom() || !cancelling.remove(job.id(), job)) {
             return Optional.empty();
         }
-        return Optional.ofNullable(deferred.remove(job.id()));
+        Optional<WaitingOffer> next = afterwards.remove(job.id());
+        return next == null ? Optional.empty() : next;
+    }
+
+    private NodeId originOf(JobId id, Optional<WaitingOffer> next) {
+        return next.map(waiting -> waiting.offer().origin())
+                .orElseGet(() -> cancelling.get(id).origin());
     }
 }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/HolderElection.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/HolderElection.java
@@ -120,11 +120,6 @@
                 && ranking.isFirst(shard);
     }
 
-    /** Returns whether this node most likely is partitioned from its peers. */
-    public boolean isolated() {
-        return peers.isPartitioned();
-    }
-
     /**
      * Returns for how long a shard must have had no holder before this node claims it.
      *
@@ -135,7 +130,7 @@
     private long claimDelayMillis(FailureDomain shard) {
         boolean alone = isHome(shard) && !peers.wasLastLostIn(shard) && !homeNodePresent(shard);
         boolean unconfirmed = pools.poolOf(shard).size() > 1 && peers.isSilenceUnconfirmed();
-        if ((isolated() || unconfirmed) && !alone) {
+        if ((peers.isPartitioned() || unconfirmed) && !alone) {
             return ISOLATED_CLAIM_MILLIS;
         }
         boolean certain = isHome(shard) || pools.poolOf(shard).contains(ownDomain) && homeNodePresent(shard);
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/shard/HolderElectionTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/shard/HolderElectionTest.java
@@ -231,7 +231,7 @@
         assertFalse(cutOff.shouldClaim(HOBART, 1_000));
         assertFalse(cutOff.shouldClaim(LAUNCESTON, 1_000));
         peers.expire(8_000);
-        assertTrue(cutOff.isolated());
+        assertTrue(peers.isPartitioned());
         assertFalse(cutOff.shouldClaim(HOBART, 8_000));
         assertFalse(cutOff.shouldClaim(LAUNCESTON, 8_000));
         assertFalse(cutOff.shouldClaim(LAUNCESTON, 14_400));
@@ -276,7 +276,7 @@
         peers.received(status("l", LAUNCESTON, false), 10_000);
         peers.received(status("m", LAUNCESTON, false), 0);
         peers.expire(30_000);
-        assertFalse(last.isolated());
+        assertFalse(peers.isPartitioned());
         assertTrue(last.shouldClaim(HOBART, 30_000));
     }
 
