Main code: usual technical terms in comments

Cause: comments used heard, told, speaks, let go of and taken in of processes and records. Comments alone.

--- a/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/Cluster.java
+++ b/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/Cluster.java
@@ -29,7 +29,7 @@
     private static final int ENDPOINT_PORT = 80;
     private static final int LARGE_EVERY = 3;
 
-    /** How long a node that was told to stop still takes jobs from its clients, in milliseconds. */
+    /** How long a node that was asked to stop still takes jobs from its clients, in milliseconds. */
     private static final long LEAVING_MILLIS = 2_800;
 
     private final VirtualTime time;
@@ -122,7 +122,7 @@
         end(holder(), forMillis);
     }
 
-    /** Tells the node that holds most to stop, as an update does; it ends once the balancer sends it nothing more. */
+    /** Asks the node that holds most to stop, as an update does; it ends once the balancer sends it nothing more. */
     void stopHolder(long forMillis) {
         ModelNode holder = holder();
         holder.coordinator().leave();
--- a/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/DisturbanceKind.java
+++ b/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/DisturbanceKind.java
@@ -8,11 +8,11 @@
     POWER_OFF,
     /** The node that holds most shards is killed, and starts again after the time. */
     HOLDER_KILLED,
-    /** The node that holds most shards is told to stop, and starts again after the time. */
+    /** The node that holds most shards is asked to stop, and starts again after the time. */
     HOLDER_STOPPED,
     /** The node that holds most shards is paused for the time. */
     HOLDER_FROZEN,
-    /** One node that holds nothing hears no other for the time, and reaches all endpoints. */
+    /** One node that holds nothing receives nothing from any other for the time, and reaches all endpoints. */
     NODE_CUT_OFF,
     /** Tasks stall on the part {@code factor} of all endpoints. */
     ENDPOINTS_HANG,
--- a/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/DrawnJob.java
+++ b/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/DrawnJob.java
@@ -5,7 +5,7 @@
 import org.tarragonarch.model.task.Resources;
 import org.tarragonarch.model.task.TaskStep;
 
-/** One job as its caller sends it, and what nobody is told: how long each of its tasks really takes. */
+/** One job as its caller sends it, and what no node knows: how long each of its tasks really takes. */
 final class DrawnJob {
     private static final int MEMORY_MB = 64;
 
--- a/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/Experiment.java
+++ b/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/Experiment.java
@@ -153,7 +153,7 @@
         void apply(ModelEndpoint endpoint, boolean begins);
     }
 
-    /** Tells endpoints how long the tasks of this run's jobs take. */
+    /** Sets for endpoints how long the tasks of this run's jobs take. */
     private final class Durations implements ModelEndpoint.RunDurations {
         @Override
         public double runMillis(TaskName task) {
--- a/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/ExperimentTimers.java
+++ b/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/ExperimentTimers.java
@@ -7,7 +7,7 @@
 import org.tarragonarch.benchmark.time.VirtualTime;
 import org.tarragonarch.model.task.Timers;
 
-/** Virtual time as one process sees it; a process that is ended hears of nothing any more. */
+/** Virtual time as one process sees it; a process that is ended gets no further events. */
 final class ExperimentTimers implements Timers {
     /** The clock does not start at zero, as that of a machine does not. */
     private static final long OFFSET_MILLIS = 1_000;
--- a/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/JobKind.java
+++ b/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/JobKind.java
@@ -15,7 +15,7 @@
  * @param estimateError how far the declared run time is off, as the spread of its logarithm
  * @param objectiveMillis what an answer in time may take beyond the stretched run time of the longest task
  * @param deadlineMillis how long callers wait beyond that
- * @param worth what a served job of mean size counts; only for the report, since no node is told
+ * @param worth what a served job of mean size counts; only for the report, which no node knows
  */
 public record JobKind(
         String name,
--- a/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/JobResult.java
+++ b/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/JobResult.java
@@ -8,9 +8,9 @@
     LATE(0.2),
     /** Answered whole, too late to count. */
     TOO_LATE(0),
-    /** Told that nothing of it ran. */
+    /** Answered that nothing of it ran. */
     REFUSED(0),
-    /** Told that it failed, or may have run. */
+    /** Answered that it failed, or may have run. */
     FAILED(0),
     /** No answer: no node could be reached, or the one that had it was lost. */
     LOST(0);
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/action/NoteEvent.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/action/NoteEvent.java
@@ -20,9 +20,9 @@
     ENDPOINT_APPEARED,
     /** An endpoint is gone from the list. */
     ENDPOINT_GONE,
-    /** A peer was heard for the first time or again. */
+    /** A peer reported for the first time or again. */
     PEER_ALIVE,
-    /** A peer was not heard for too long. */
+    /** A peer has not reported for too long. */
     PEER_SILENT,
     /** A report from an earlier run of a peer, or out of order, was dropped. */
     STALE_REPORT_DROPPED,
@@ -36,7 +36,7 @@
     CLAIM_REPLY_LOST,
     /** A claim was lost to another node. */
     CLAIM_LOST,
-    /** This node was paused for long; what it knew of its peers and told them starts over. */
+    /** This node was paused for long; what it knew of its peers and reported to them starts over. */
     SLEPT_PAST_LEASE,
     /** The drain deadline passed and what was in flight was cut. */
     DRAIN_CUT_SHORT
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/claim/KeyEntry.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/claim/KeyEntry.java
@@ -16,7 +16,7 @@
     private final Claim claim;
     private final List<Submission> joined = new ArrayList<>();
     private final List<PeerQuestion> questions = new ArrayList<>();
-    // Let go of with the answer: a job of 110 tasks holds some 17 KB, and thousands of answers are kept.
+    // Released with the answer: a job of 110 tasks holds some 17 KB, and thousands of answers are kept.
     private Optional<Submission> running;
     private boolean claimAsked;
     private boolean answered;
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/KnownHolders.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/KnownHolders.java
@@ -32,7 +32,7 @@
     /**
      * Creates the holders as seen by one node.
      *
-     * @param isDrained tells whether operators have drained a failure domain
+     * @param isDrained returns whether operators have drained a failure domain
      */
     KnownHolders(
             Member self,
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/PeerSender.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/PeerSender.java
@@ -10,13 +10,13 @@
 
 /** The way to the other nodes; each message arrives once or not at all. */
 public interface PeerSender {
-    /** Tells one node this node's status. */
+    /** Sends one node this node's status. */
     void status(NodeId to, NodeStatus status);
 
-    /** Tells every node that was ever known, since it may be back. */
+    /** Sends it to every node that was ever known, since it may be back. */
     void statusToAll(NodeStatus status);
 
-    /** Tells every node of these failure domains that was ever known. */
+    /** Sends it to every node of these failure domains that was ever known. */
     void statusToDomains(ImmutableSet<FailureDomain> domains, NodeStatus status);
 
     /** Offers a job to a holder. */
@@ -25,6 +25,6 @@
     /** Takes an offer back. */
     void withdraw(NodeId to, JobId job);
 
-    /** Tells the node that offered a job what became of it. */
+    /** Notifies the node that offered a job of its verdict. */
     void settled(NodeId to, JobId job, Verdict verdict, long retryMillis);
 }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/package-info.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/package-info.java
@@ -1,2 +1,2 @@
-/** One node among its peers: which shards it holds, whom it tells what, and where its clients' jobs go. */
+/** One node among its peers: which shards it holds, which peers it notifies, and where its clients' jobs go. */
 package org.tarragonarch.core.cluster;
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/endpoint/DomainPool.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/endpoint/DomainPool.java
@@ -26,7 +26,7 @@
         ready = SlotPool.create(strategy);
     }
 
-    /** Adds an endpoint, or takes in whatever changed of it. */
+    /** Adds an endpoint, or updates it. */
     void update(EndpointRecord endpoint, long nowNanos) {
         Counted now = Counted.of(endpoint);
         count(members.put(endpoint, now), -1);
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/endpoint/EndpointDirectory.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/endpoint/EndpointDirectory.java
@@ -93,7 +93,7 @@
             EndpointNotes.emit(NoteEvent.ENDPOINT_GONE, endpoint.id(), "list", sink);
             records.refresh(endpoint, nowNanos);
         }
-        // Only with the whole list taken in is it known how many endpoints can be spared.
+        // Only once the whole list is processed is it known how many endpoints can be spared.
         records.all().forEach(endpoint -> peerEffects.followPeers(endpoint, nowNanos, sink));
     }
 
@@ -117,7 +117,7 @@
         }
     }
 
-    /** Takes an endpoint out at an operator's word, or puts it back; holds also if it is listed only later. */
+    /** Takes an endpoint out of use for an operator, or puts it back; holds also if it is listed only later. */
     public void drain(EndpointId endpoint, boolean out, long nowNanos, ActionSink sink) {
         drains.setDrained(endpoint, out);
         records.find(endpoint).ifPresent(record -> followDrains(record, nowNanos, sink));
@@ -173,7 +173,7 @@
     }
 
     /**
-     * Gives a reserved slot back without judging the endpoint, because this node let go of the task.
+     * Gives a reserved slot back without judging the endpoint, because this node stopped the task.
      *
      * <p>A stopped task ends as failed or lost through no fault of its endpoint; judged by it, a wave of cancels would
      * put healthy endpoints into quarantine.
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/endpoint/EndpointPools.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/endpoint/EndpointPools.java
@@ -35,7 +35,7 @@
         return endpoint.vm().domain().equals(own);
     }
 
-    /** Adds an endpoint, or takes in whatever changed of it. */
+    /** Adds an endpoint, or updates it. */
     void update(EndpointRecord endpoint, long nowNanos) {
         for (ServiceName service : endpoint.vm().services()) {
             pool(service, endpoint).update(endpoint, nowNanos);
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/endpoint/EndpointViews.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/endpoint/EndpointViews.java
@@ -8,7 +8,7 @@
 import org.tarragonarch.model.id.EndpointId;
 import org.tarragonarch.model.report.EndpointLoad;
 
-/** What a node knows of its endpoints, as peers and operators are told it. */
+/** What a node knows of its endpoints, as it is reported to peers and operators. */
 public final class EndpointViews {
     private final Map<EndpointId, EndpointRecord> records;
 
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/endpoint/PeerViews.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/endpoint/PeerViews.java
@@ -29,7 +29,7 @@
             setLoad(view, load.endpoint(), load.inFlight(), listener);
         }
         for (EndpointId endpoint : report.leaving()) {
-            // Only a new word counts: a peer that has not asked the endpoint again repeats what it heard long ago.
+            // Only a new report counts: a peer that has not asked the endpoint again repeats an old answer.
             if (!view.leaving.contains(endpoint)) {
                 listener.leavingSaid(endpoint, report.from());
             }
@@ -90,7 +90,7 @@
                 .forEach(endpoint -> listener.quarantineChanged(endpoint, -1));
     }
 
-    /** Hears of each change. */
+    /** Receives each change. */
     interface Listener {
         void loadChanged(EndpointId endpoint, int delta);
 
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/follow/FollowPace.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/follow/FollowPace.java
@@ -17,7 +17,7 @@
         checkArgument(periodMillis + waitMillis > 0, "a follower has to pause or to wait");
     }
 
-    /** Returns the pace of a follower that hears of each change at once. */
+    /** Returns the pace of a follower that gets each change at once. */
     public static FollowPace waiting(long waitMillis) {
         return new FollowPace(0, waitMillis);
     }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/follow/TableFollower.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/follow/TableFollower.java
@@ -16,7 +16,7 @@
  * again after a growing pause.
  *
  * <p>Guards against a call that a silent store, or a connection that has gone silent, swallowed: it looks the same as
- * one that waits at a store that is well, and whatever changes meanwhile is not heard of. Two things bound how long
+ * one that waits at a store that is well, and whatever changes meanwhile is not seen. Two things bound how long
  * that goes unnoticed. The store has to answer within {@link FollowPace#waitMillis} even if nothing has changed. And
  * after a call that failed the next ones do not wait at all, until one is answered: a store that is back shows so by
  * the first call that reaches it, at the latest when the call before has timed out.
@@ -119,7 +119,7 @@
     }
 
     /**
-     * Returns as of when an answer certainly tells all: a call that waited in vain waited to its end.
+     * Returns as of when an answer is certainly complete: a call that waited in vain waited to its end.
      *
      * <p>Guards against an answer that was held up on the way and seems to be news of now: of any other, no more is
      * known than that it was written after the call had left.
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/lifecycle/Lifecycle.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/lifecycle/Lifecycle.java
@@ -50,7 +50,7 @@
         }
     }
 
-    /** Goes on to the next phase when it is time; {@code idle} tells whether nothing is left to do. */
+    /** Goes on to the next phase when it is time; {@code idle} is whether nothing is left to do. */
     public void timePassed(boolean idle, long nowNanos, ActionSink sink) {
         if (phase == NodePhase.DRAINING && nowNanos >= finishingAt()) {
             enter(NodePhase.FINISHING, "the drain delay is over", sink);
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/membership/LoadNews.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/membership/LoadNews.java
@@ -4,12 +4,12 @@
 import org.tarragonarch.model.report.EndpointLoad;
 
 /**
- * What one report tells of loads.
+ * What one report says of loads.
  *
  * @param loads the loads named
  * @param full whether endpoints that are not named have nothing in flight
  */
 record LoadNews(ImmutableList<EndpointLoad> loads, boolean full) {
-    /** Tells nothing, and takes nothing back. */
+    /** Reports nothing, and takes nothing back. */
     static final LoadNews NONE = new LoadNews(ImmutableList.of(), false);
 }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/membership/PauseDetector.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/membership/PauseDetector.java
@@ -3,7 +3,7 @@
 import org.tarragonarch.core.node.NodePolicy;
 
 /**
- * Tells whether this node itself slept.
+ * Detects whether this node itself slept.
  *
  * <p>Guards against a process that was stopped and woken: its peers' reports wait unread, so by its clock all of them
  * are silent, and it would take every slot of the domain for its own. While a peer is alive the node is called at least
@@ -38,7 +38,7 @@
         return slept;
     }
 
-    /** Returns when a peer last had its chance to be heard: its last sign of life, or the waking if that is later. */
+    /** Returns when a peer last could last have reported: its last sign of life, or the waking if that is later. */
     long since(long lastSignNanos) {
         return Math.max(lastSignNanos, awakeSinceNanos);
     }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/membership/Peer.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/membership/Peer.java
@@ -71,12 +71,12 @@
         return behind;
     }
 
-    /** Returns when the peer was last heard; of no meaning if it never was. */
+    /** Returns when the last report came in; of no meaning if none did. */
     long heardNanos() {
         return heardNanos;
     }
 
-    /** Returns when the peer was last heard or listed. */
+    /** Returns when the peer last reported or was listed. */
     long lastSignNanos() {
         return lastSignNanos;
     }
@@ -112,7 +112,7 @@
         boolean gap = newRun || report.sequence() != sequence + 1;
         behind = !report.full() && (behind || gap);
         if (newRun || !alive) {
-            // It knows nothing of this node yet, or has dropped what it knew while it heard nothing.
+            // It knows nothing of this node yet, or has dropped what it knew while no report came in.
             stream.startOver();
         }
         run = Optional.of(report.incarnation());
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/membership/PeerDirectory.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/membership/PeerDirectory.java
@@ -25,16 +25,16 @@
 /**
  * The other nodes: which are alive, and when each gets its next report.
  *
- * <p>A peer is alive while it is heard, whatever the platform's list says: the list lags, and may be out. The list says
+ * <p>A peer is alive while its reports come in, whatever the platform's list says: the list lags, and may be out. The list says
  * only where a peer listens, and that it exists.
  *
  * <p>Not safe for use by several threads.
  */
 public final class PeerDirectory {
-    /** The most peers kept; whoever comes beyond them is not heard. */
+    /** The most peers kept; reports of others are dropped. */
     private static final int MAX_PEERS = 2_048;
 
-    /** How long a peer that is neither listed nor heard is kept; it may only be cut off and still use its share. */
+    /** How long a peer that is neither listed nor reports is kept; it may only be cut off and still use its share. */
     private static final Duration FORGET_AFTER = Duration.ofMinutes(1);
 
     private final NodeIdentity self;
@@ -144,7 +144,7 @@
     /**
      * Returns the nodes among which a quota of the own failure domain must be shared, this one among them.
      *
-     * <p>Holds every node that the list names or that was heard, also silent ones: a node that is only cut off still
+     * <p>Holds every node that the list names or that has reported, also silent ones: a node that is only cut off still
      * uses its share.
      */
     public ImmutableSet<NodeId> sharers() {
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/membership/ReportPacer.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/membership/ReportPacer.java
@@ -7,7 +7,7 @@
  * How often reports go out and how much they may hold, so that their cost stays within a fixed rate of bytes.
  *
  * <p>The rate is what keeps a domain of many nodes and endpoints within the budget of a node: with more of either,
- * loads are told less often. A report without loads always goes, since silence would mean that the node is gone.
+ * loads are sent less often. A report without loads always goes, since silence would mean that the node is gone.
  */
 final class ReportPacer {
     /** The bytes a second that reports may cost, of the 7 KB/s that all control may cost a node. */
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/membership/ReportStream.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/membership/ReportStream.java
@@ -8,7 +8,7 @@
 import org.tarragonarch.model.report.EndpointLoad;
 
 /**
- * The numbers of the reports to one peer, and the loads it was told, so that a report names only what changed.
+ * The numbers of the reports to one peer, and the loads it was sent, so that a report names only what changed.
  *
  * <p>Reports are numbered without gaps for each peer, so that the peer can tell a lost one by its number. A lost delta
  * leaves some loads old at the peer until the next full report, which comes after {@value #FULL_EVERY} reports with
@@ -29,7 +29,7 @@
         return ++sequence;
     }
 
-    /** Returns when the peer was last told loads. */
+    /** Returns when the peer was last sent loads. */
     long loadsToldNanos() {
         return loadsToldNanos;
     }
@@ -39,7 +39,7 @@
         fullDue = true;
     }
 
-    /** Returns what to tell of the loads, if they are told now; costs time in proportion to the endpoints in use. */
+    /** Returns what to report of the loads, if they are sent now; costs time in proportion to the endpoints in use. */
     LoadNews news(ImmutableMap<EndpointId, Integer> now) {
         if (!fullDue && sinceFull < FULL_EVERY) {
             ImmutableList<EndpointLoad> changes = changes(now);
@@ -52,7 +52,7 @@
         return new LoadNews(all.build(), true);
     }
 
-    /** Takes note that the peer is told this. */
+    /** Records that this is sent to the peer. */
     void told(LoadNews news, long nowNanos) {
         loadsToldNanos = nowNanos;
         fullDue = false;
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/membership/Reporter.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/membership/Reporter.java
@@ -108,7 +108,7 @@
         nextRoundNanos = nowNanos + pacer.untilNextRound(!loads.equals(loadsBefore), bytes);
         loadsBefore = loads;
         reported = Optional.of(urgent);
-        // The round told all there is, also what a look at the end of the gap would have found.
+        // The round sent all there is, also what a look at the end of the gap would have found.
         nextUrgentNanos = Long.MAX_VALUE;
     }
 
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placement/EndpointSlots.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placement/EndpointSlots.java
@@ -8,7 +8,7 @@
 /**
  * The slots of one endpoint as one node sees them: what it uses itself, and what its peers last reported.
  *
- * <p>Compared by identity. Whoever changes one tells each {@link SlotPool} that holds it by {@link SlotPool#put}.
+ * <p>Compared by identity. A change to one is passed to each {@link SlotPool} that holds it by {@link SlotPool#put}.
  */
 public final class EndpointSlots {
     private final EndpointId endpoint;
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placement/SlotPool.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placement/SlotPool.java
@@ -29,7 +29,7 @@
         return new SlotPool(strategy);
     }
 
-    /** Adds an endpoint, or takes in that its load changed; one that this node knows to be full is left out. */
+    /** Adds an endpoint, or updates one whose load changed; one that this node knows to be full is left out. */
     public void put(EndpointSlots endpoint) {
         if (!endpoint.ownFree()) {
             remove(endpoint);
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/quota/SharedLimits.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/quota/SharedLimits.java
@@ -43,7 +43,7 @@
      * Returns limits with nothing running, all of which this node has to itself.
      *
      * @param self this node
-     * @param limit tells the limit of a key in the failure domain
+     * @param limit returns the limit of a key in the failure domain
      */
     public static <K extends Comparable<K>> SharedLimits<K> create(NodeId self, ToIntFunction<K> limit) {
         return new SharedLimits<>(self, limit);
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/status/PeerStatus.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/status/PeerStatus.java
@@ -10,7 +10,7 @@
  *
  * @param node the peer
  * @param domain where it stands
- * @param alive whether it was heard of late
+ * @param alive whether a report from it came in lately
  * @param phase the phase it last reported
  * @param configuration the version it last reported in force
  */
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/submission/ComeBack.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/submission/ComeBack.java
@@ -2,7 +2,7 @@
 
 import java.time.Duration;
 
-/** The bounds within which a caller is told to come back. */
+/** The bounds within which a caller is asked to come back. */
 public final class ComeBack {
     /** Sooner would only meet the same queue. */
     private static final Duration SOONEST = Duration.ofMillis(100);
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/submission/EndListener.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/submission/EndListener.java
@@ -4,7 +4,7 @@
 import org.tarragonarch.core.action.ActionSink;
 import org.tarragonarch.model.outcome.Problem;
 
-/** Hears of every submission that has ended, after its caller was answered. */
+/** Notified of every submission that has ended, after its caller was answered. */
 @FunctionalInterface
 public interface EndListener {
     /**
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/submission/InFlightTask.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/submission/InFlightTask.java
@@ -14,7 +14,7 @@
  * @param endpoint where it was sent
  * @param attempt which attempt it is
  * @param sentNanos when it was sent
- * @param stopped whether this node let go of it, so that its end says nothing of the endpoint
+ * @param stopped whether this node stopped it, so that its end says nothing of the endpoint
  */
 record InFlightTask(
         ServiceName service,
--- a/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/FailureHandler.java
+++ b/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/FailureHandler.java
@@ -9,7 +9,7 @@
 import picocli.CommandLine.IExecutionExceptionHandler;
 import picocli.CommandLine.ParseResult;
 
-/** Tells a person why a command failed, and picks the exit status. */
+/** Reports why a command failed, and picks the exit status. */
 final class FailureHandler implements IExecutionExceptionHandler {
     @Override
     public int handleExecutionException(Exception failure, CommandLine command, ParseResult parsed) throws Exception {
--- a/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/VersionProvider.java
+++ b/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/VersionProvider.java
@@ -3,7 +3,7 @@
 import java.util.Optional;
 import picocli.CommandLine.IVersionProvider;
 
-/** Tells the version of the archive that this class was loaded from. */
+/** Returns the version of the archive that this class was loaded from. */
 public final class VersionProvider implements IVersionProvider {
     @Override
     public String[] getVersion() {
--- a/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/admin/JsonReader.java
+++ b/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/admin/JsonReader.java
@@ -4,7 +4,7 @@
 import com.google.common.collect.ImmutableList;
 import org.tarragonarch.model.id.Address;
 
-/** Reads the fields of an answer's object; a missing or wrong one is told with the node and the field. */
+/** Reads the fields of an answer's object; a missing or wrong one is reported with the node and the field. */
 final class JsonReader {
     private final Address node;
     private final JsonNode object;
--- a/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/admin/NodeView.java
+++ b/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/admin/NodeView.java
@@ -31,7 +31,7 @@
         return endpoints.stream().filter(EndpointView::live).count();
     }
 
-    /** Returns how many peers it heard of late. */
+    /** Returns of how many peers it has lately had reports. */
     public long livePeers() {
         return peers.stream().filter(PeerView::alive).count();
     }
--- a/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/admin/PeerView.java
+++ b/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/admin/PeerView.java
@@ -7,7 +7,7 @@
  *
  * @param node the other node's id
  * @param domain the failure domain it stands in
- * @param alive whether it was heard of late
+ * @param alive whether a report from it came in lately
  * @param phase the phase it last reported
  * @param configuration the version it last reported in force
  */
--- a/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/change/Rollout.java
+++ b/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/change/Rollout.java
@@ -20,7 +20,7 @@
  * How far a version has come in every failure domain, as some nodes tell of themselves and of their peers.
  *
  * <p>What a node says of itself counts over what peers say of it. A node that was not asked, or did not answer, counts
- * as reached if any peer heard of it late; so a few administration addresses show the whole system.
+ * as reached if any peer had a report of it lately; so a few administration addresses show the whole system.
  *
  * @param version the version
  * @param domains the failure domains, by name
@@ -60,7 +60,7 @@
      * Returns whether the version is in force everywhere, as far as can be known: every address that was asked
      * answered, and every node known has the version.
      *
-     * <p>An address that does not answer may be that of a node that no peer has heard of yet; it would be missed.
+     * <p>An address that does not answer may be that of a node that no peer knows yet; it would be missed.
      */
     public boolean complete() {
         return silent.isEmpty()
--- a/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/command/EndpointDrainWork.java
+++ b/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/command/EndpointDrainWork.java
@@ -11,7 +11,7 @@
 import org.tarragonarch.ctl.output.Table;
 import org.tarragonarch.model.id.EndpointId;
 
-/** Asks every node to drain or undrain an endpoint, and tells what each answered. */
+/** Asks every node to drain or undrain an endpoint, and reports what each answered. */
 final class EndpointDrainWork {
     private final EndpointId endpoint;
     private final boolean drain;
--- a/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/explain/Explanation.java
+++ b/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/explain/Explanation.java
@@ -22,7 +22,7 @@
         return new Explanation(JobStory.of(job, logs.entries()), logs.foreignLines());
     }
 
-    /** Returns whether any line tells of the job. */
+    /** Returns whether any line is about the job. */
     public boolean found() {
         return !story.entries().isEmpty();
     }
--- a/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/explain/JobStory.java
+++ b/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/explain/JobStory.java
@@ -149,7 +149,7 @@
                         && entry.time().isBefore(until));
     }
 
-    /** Returns whether a node that is known to have had the job ended after it was last heard of. */
+    /** Returns whether a node that is known to have had the job ended after the last line about it. */
     private boolean nodeStopped() {
         ImmutableSet<String> askers = own.stream()
                 .map(entry -> entry.text("origin"))
--- a/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/explain/LogEntry.java
+++ b/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/explain/LogEntry.java
@@ -16,7 +16,7 @@
  *
  * @param time when it was written, on the node's clock
  * @param node the node that wrote it
- * @param event what it tells of
+ * @param event what it reports
  * @param fields its other fields
  */
 record LogEntry(Instant time, NodeId node, NodeEvent event, JsonNode fields) {
@@ -55,7 +55,7 @@
         return fields.path(field).asLong();
     }
 
-    /** Returns whether the line tells of this job, or of a run of one of its tasks. */
+    /** Returns whether the line is about this job, or of a run of one of its tasks. */
     boolean tellsOf(String job) {
         return text("job").equals(job) || text("task").startsWith(job + ".");
     }
--- a/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/explain/Sentences.java
+++ b/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/explain/Sentences.java
@@ -1,6 +1,6 @@
 package org.tarragonarch.ctl.explain;
 
-/** Says in words what an entry tells. */
+/** Puts an entry into words. */
 final class Sentences {
     private Sentences() {}
 
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/DaemonCommand.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/DaemonCommand.java
@@ -14,7 +14,7 @@
 import picocli.CommandLine.ParameterException;
 import picocli.CommandLine.Spec;
 
-/** Runs an entry node until it is told to leave. */
+/** Runs an entry node until it is asked to leave. */
 @Command(
         name = "tarragonarch",
         mixinStandardHelpOptions = true,
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/SettingsOption.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/SettingsOption.java
@@ -8,7 +8,7 @@
 import org.tarragonarch.entry.settings.NodeSettingsReader;
 import org.tarragonarch.settings.SettingsException;
 
-/** Reads the settings file that the command line names and tells its mistakes. */
+/** Reads the settings file that the command line names and reports its mistakes. */
 final class SettingsOption {
     private SettingsOption() {}
 
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/caller/AnswerSender.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/caller/AnswerSender.java
@@ -95,7 +95,7 @@
 
     private void complete(SubmissionId id, PendingAnswer caller, Optional<ImmutableList<byte[]>> results) {
         if (results.isEmpty()) {
-            // Kept results were let go of to make room for new work. The tasks did run, so nothing better than
+            // Kept results were evicted to make room for new work. The tasks did run, so nothing better than
             // "unknown"
             // may be said to a second caller.
             LOG.atWarning().atMostEvery(1, TimeUnit.SECONDS).log(
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ClusterMain.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ClusterMain.java
@@ -17,7 +17,7 @@
     private ClusterMain() {}
 
     /**
-     * Runs a node until it is told to stop.
+     * Runs a node until it is asked to stop.
      *
      * @param arguments the path of the settings file
      */
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ClusterNode.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ClusterNode.java
@@ -132,7 +132,7 @@
         });
     }
 
-    /** Ends at once and without a word, as a killed process would; the process itself goes on. */
+    /** Ends at once and without notice, as a killed process would; the process itself goes on. */
     void abort() {
         group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).awaitUninterruptibly();
     }
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/Departure.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/Departure.java
@@ -5,7 +5,7 @@
 import org.tarragonarch.model.task.Timers;
 
 /**
- * The last seconds of a node that was told to stop: takes jobs until the balancer sends it no more clients, finishes
+ * The last seconds of a node that was asked to stop: takes jobs until the balancer sends it no more clients, finishes
  * what is open, and ends the process before it would be killed.
  */
 final class Departure {
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/EndpointRows.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/EndpointRows.java
@@ -21,7 +21,7 @@
 final class EndpointRows extends LoggedTable {
     /**
      * How a node that holds a shard, or would be the next to, reads the list of endpoints. Every endpoint writes its
-     * entry every 1.5 s, so hearing of each change at once would cost a call for every heartbeat of every endpoint; an
+     * entry every 1.5 s, so a notification of each change would cost a call for every heartbeat of every endpoint; an
      * endpoint that drains must get nothing new 2 s after it said so.
      */
     private static final FollowPace LIST_PACE = FollowPace.every(900);
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/Neighbourhood.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/Neighbourhood.java
@@ -41,7 +41,7 @@
         directory.start();
     }
 
-    /** Takes in where a peer knows nodes to be. */
+    /** Records where a peer knows nodes to be. */
     void learned(ImmutableList<Member> nodes) {
         directory.learned(nodes);
     }
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/NodeDirectory.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/NodeDirectory.java
@@ -79,7 +79,7 @@
     }
 
     /**
-     * Takes in where a peer knows nodes to be.
+     * Records where a peer knows nodes to be.
      *
      * <p>Guards against two nodes of a domain that start while the store is away: each is found by those that run, none
      * finds the other, and both hold the domain's endpoints against each other.
@@ -115,7 +115,7 @@
     /**
      * Reads the rows once more.
      *
-     * <p>A holder speaks to every node. Those that started after it are known to their neighbours and, by this, to the
+     * <p>A holder sends to every node. Those that started after it are known to their neighbours and, by this, to the
      * holders of other pools.
      */
     void refresh() {
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/endpoint/EndpointClient.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/endpoint/EndpointClient.java
@@ -124,7 +124,7 @@
     }
 
     /**
-     * Lets go of a send whose result is no longer wanted.
+     * Abandons a send whose result is no longer wanted.
      *
      * <p>With a stop message the exchange is broken off once the endpoint has had the message; without one it runs to
      * its end, so that the slot counts as used for as long as it is.
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/endpoint/SendTracker.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/endpoint/SendTracker.java
@@ -6,7 +6,7 @@
 /**
  * Knows whether any byte of a request may have left.
  *
- * <p>OkHttp tells of the start of the headers before it writes the first byte. A call that fails without that event had
+ * <p>OkHttp reports the start of the headers before it writes the first byte. A call that fails without that event had
  * no connection, so its task certainly did not start. Once the event has come, nothing that fails later proves that the
  * endpoint saw nothing: not a reset, nor a broken pipe on a connection that was reused from the pool.
  */
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/http/ApiServer.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/http/ApiServer.java
@@ -58,7 +58,7 @@
      *
      * @param address where to listen; port 0 takes any free port
      * @param limits what clients may take up
-     * @param events hears of connections and cuts
+     * @param events receives connections and cuts
      * @param name names the threads
      * @param threads how many network threads serve the connections
      */
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/http/HttpEvents.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/http/HttpEvents.java
@@ -1,8 +1,8 @@
 package org.tarragonarch.entry.http;
 
-/** Hears of connections and of what the limits cut; called on network threads, so it must not block. */
+/** Receives connections and what the limits cut; called on network threads, so it must not block. */
 public interface HttpEvents {
-    /** Hears nothing. */
+    /** Ignores every event. */
     HttpEvents NONE = new HttpEvents() {
         @Override
         public void connectionOpened() {}
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/log/NoteLog.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/log/NoteLog.java
@@ -13,7 +13,7 @@
  * Writes the core's notes to the log.
  *
  * <p>In a storm each kind of event gets one line a second for each peer, and no more than so many lines in all;
- * the metrics count every one. Were the peers not told apart, the second endpoint to leave within a second would go
+ * the metrics count every one. Were the peers not distinguished, the second endpoint to leave within a second would go
  * unmentioned.
  */
 public final class NoteLog {
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/metrics/NodeMetrics.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/metrics/NodeMetrics.java
@@ -126,7 +126,7 @@
                 .register(registry);
     }
 
-    /** Returns what hears of the connections and cuts of one port. */
+    /** Returns the listener for the connections and cuts of one port. */
     public HttpEvents httpEvents(String port) {
         authenticationFailures(port);
         for (CutCause cause : CutCause.values()) {
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/peer/PeerShell.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/peer/PeerShell.java
@@ -139,7 +139,7 @@
 
     /** Gives a peer the answer that it asked for. */
     public void giveAnswer(GivePeerAnswer action) {
-        // The results are looked up now, as the core may let go of them next; they are put together elsewhere.
+        // The results are looked up now, as the core may evict them next; they are put together elsewhere.
         Optional<ImmutableList<byte[]>> results = action.submission().flatMap(bodies::results);
         received.take(action.question())
                 .ifPresent(question -> work(() ->
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/platform/ConfigurationLoader.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/platform/ConfigurationLoader.java
@@ -30,7 +30,7 @@
     }
 
     /**
-     * Returns the event that tells the core of a text.
+     * Returns the event that hands a text to the core.
      *
      * @param version the version that was asked for
      * @param digest the digest that it must have, where it is known
@@ -51,7 +51,7 @@
         }
     }
 
-    /** Returns the event that tells the core that nothing came, and logs it. */
+    /** Returns the event that reports to the core that nothing came, and logs it. */
     public Event failed(ConfigurationVersion version, String source, String detail) {
         LOG.atWarning().log(
                 "%s",
--- a/tarragonarch-model/src/main/java/org/tarragonarch/model/id/Incarnation.java
+++ b/tarragonarch-model/src/main/java/org/tarragonarch/model/id/Incarnation.java
@@ -3,7 +3,7 @@
 import static com.google.common.base.Preconditions.checkArgument;
 
 /**
- * Tells one run of a node's process from every other run under the same name.
+ * Distinguishes one run of a node's process from every other run under the same name.
  *
  * @param value a number that is higher in each later run of the same node
  */
--- a/tarragonarch-model/src/main/java/org/tarragonarch/model/log/NodeEvent.java
+++ b/tarragonarch-model/src/main/java/org/tarragonarch/model/log/NodeEvent.java
@@ -4,13 +4,13 @@
 import java.util.Locale;
 import java.util.Optional;
 
-/** What a line of a node's log tells of; the word of each is stable, and docs/OPERATIONS.md explains it. */
+/** What a line of a node's log reports; the word of each is stable, and docs/OPERATIONS.md explains it. */
 public enum NodeEvent {
     /** A client was given its job's outcome. */
     JOB_ANSWERED,
     /** A client cancelled its job. */
     JOB_CANCELLED,
-    /** A client named a queue that the configuration in force does not have; it was refused, or told to come back. */
+    /** A client named a queue that the configuration in force does not have; it was refused, or asked to come back. */
     QUEUE_UNKNOWN,
     /** A holder did not take a job, or gave it back unstarted. */
     JOB_DECLINED,
@@ -50,7 +50,7 @@
     NODE_ROW_UNREADABLE,
     /** The node has opened its addresses. */
     NODE_STARTED,
-    /** The node was told to stop. */
+    /** The node was asked to stop. */
     NODE_LEAVING,
     /** The node ends now. */
     NODE_STOPPED,
--- a/tarragonarch-model/src/main/java/org/tarragonarch/model/outcome/package-info.java
+++ b/tarragonarch-model/src/main/java/org/tarragonarch/model/outcome/package-info.java
@@ -1,2 +1,2 @@
-/** What a caller is told: outcomes, problems, and the errors that carry step and peer. */
+/** What a caller gets: outcomes, problems, and the errors that carry step and peer. */
 package org.tarragonarch.model.outcome;
--- a/tarragonarch-model/src/main/java/org/tarragonarch/model/report/NodeStatus.java
+++ b/tarragonarch-model/src/main/java/org/tarragonarch/model/report/NodeStatus.java
@@ -9,7 +9,7 @@
 import org.tarragonarch.model.id.NodeId;
 
 /**
- * What a node tells its peers of itself, a few times a second; doubles as its heartbeat.
+ * What a node reports of itself to its peers, a few times a second; doubles as its heartbeat.
  *
  * @param node the node
  * @param domain where it stands
--- a/tarragonarch-platform/src/main/java/org/tarragonarch/platform/PlatformClient.java
+++ b/tarragonarch-platform/src/main/java/org/tarragonarch/platform/PlatformClient.java
@@ -26,7 +26,7 @@
     }
 
     /**
-     * Creates a client that tells the platform no name.
+     * Creates a client that sends the platform no name.
      *
      * @param address where the platform listens
      * @param timeout the most that one call may take, from connecting to the last byte of the reply
--- a/tarragonarch-settings/src/main/java/org/tarragonarch/settings/Mistake.java
+++ b/tarragonarch-settings/src/main/java/org/tarragonarch/settings/Mistake.java
@@ -5,7 +5,7 @@
 import java.util.Optional;
 
 /**
- * One mistake in a settings file, told so that it can be found and mended.
+ * One mistake in a settings file, reported so that it can be found and mended.
  *
  * @param file the file's name
  * @param line the line, from 1
--- a/tarragonarch-settings/src/main/java/org/tarragonarch/settings/MistakeCollector.java
+++ b/tarragonarch-settings/src/main/java/org/tarragonarch/settings/MistakeCollector.java
@@ -7,7 +7,7 @@
 import java.util.Optional;
 
 /**
- * Collects every mistake of some settings, so that all of them are told at once.
+ * Collects every mistake of some settings, so that all of them are reported at once.
  *
  * <p>Not safe for use by several threads.
  */
--- a/tarragonarch-standin/src/main/java/org/tarragonarch/standin/EndpointMain.java
+++ b/tarragonarch-standin/src/main/java/org/tarragonarch/standin/EndpointMain.java
@@ -18,7 +18,7 @@
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 
-/** Runs stand-in endpoints until the process is told to end, then drains them. */
+/** Runs stand-in endpoints until the process is asked to end, then drains them. */
 @Command(name = "standin-endpoint", mixinStandardHelpOptions = true, description = "Endpoints that run small tasks.")
 public final class EndpointMain implements Callable<Integer> {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
--- a/tarragonarch-standin/src/main/java/org/tarragonarch/standin/endpoint/StandInEndpoint.java
+++ b/tarragonarch-standin/src/main/java/org/tarragonarch/standin/endpoint/StandInEndpoint.java
@@ -17,7 +17,7 @@
 import org.tarragonarch.standin.http.HttpServer;
 
 /**
- * An endpoint that speaks docs/ENDPOINT-PROTOCOL.md, runs small tasks and fails on demand.
+ * An endpoint that implements docs/ENDPOINT-PROTOCOL.md, runs small tasks and fails on demand.
  *
  * <p>Safe for use by many threads. A running task holds a slot but no thread, so that the number of connections is not
  * bounded by threads.
--- a/tarragonarch-standin/src/main/java/org/tarragonarch/standin/explore/FakeEndpoint.java
+++ b/tarragonarch-standin/src/main/java/org/tarragonarch/standin/explore/FakeEndpoint.java
@@ -87,14 +87,14 @@
         refused.clear();
     }
 
-    /** Records that a node was told by this endpoint itself that it is leaving. */
+    /** Records that this endpoint itself has notified a node that it is leaving. */
     void heardRefusal(String node) {
         if (draining) {
             refused.add(node);
         }
     }
 
-    /** Returns whether a node sends although this endpoint itself told it that it is leaving. */
+    /** Returns whether a node sends although this endpoint itself notified it that it is leaving. */
     boolean sendsAfterRefusal(String node) {
         return draining && refused.contains(node);
     }
--- a/tarragonarch-standin/src/main/java/org/tarragonarch/standin/explore/Shell.java
+++ b/tarragonarch-standin/src/main/java/org/tarragonarch/standin/explore/Shell.java
@@ -184,7 +184,7 @@
         }
     }
 
-    /** Breaks the connections of a node that ended: who asked it for an answer is told so. */
+    /** Breaks the connections of a node that ended: nodes that asked it for an answer are notified. */
     void broken(FakeNode holder) {
         for (Question question : questions) {
             if (question.holder() == holder) {
--- a/tarragonarch-standin/src/main/java/org/tarragonarch/standin/load/LoadRun.java
+++ b/tarragonarch-standin/src/main/java/org/tarragonarch/standin/load/LoadRun.java
@@ -205,7 +205,7 @@
         }
     }
 
-    /** Takes the answer to a cancellation, which tells nothing that the submission's own answer does not. */
+    /** Takes the answer to a cancellation, which contains nothing that the submission's own answer does not. */
     private static final class Ignored implements Callback {
         @Override
         public void onResponse(Call http, Response response) {
--- a/tarragonarch-standin/src/main/java/org/tarragonarch/standin/platform/StandInPlatform.java
+++ b/tarragonarch-standin/src/main/java/org/tarragonarch/standin/platform/StandInPlatform.java
@@ -20,7 +20,7 @@
 import org.tarragonarch.standin.http.HttpServer;
 
 /**
- * A platform in memory that speaks docs/PLATFORM-PROTOCOL.md and fails on demand.
+ * A platform in memory that implements docs/PLATFORM-PROTOCOL.md and fails on demand.
  *
  * <p>Safe for use by many threads. Nothing is kept when the process ends.
  */
--- a/tarragonarch-wire/src/main/java/org/tarragonarch/wire/Hello.java
+++ b/tarragonarch-wire/src/main/java/org/tarragonarch/wire/Hello.java
@@ -7,15 +7,15 @@
 import org.tarragonarch.model.id.NodeId;
 
 /**
- * The first frame of each end of a connection: who speaks; repeated whenever an end had nothing else to say for long.
+ * The first frame of each end of a connection: the identity of the sender; repeated whenever an end had nothing else to send for long.
  *
- * @param protocolVersion the version of the protocol that the sender speaks
+ * @param protocolVersion the version of the protocol of the sender
  * @param node the sender
  * @param incarnation this run of the sender
  * @param domain where the sender stands
  */
 public record Hello(int protocolVersion, NodeId node, Incarnation incarnation, FailureDomain domain) implements Frame {
-    /** The version of the protocol that this code speaks; it changes with any change to the layout of a frame. */
+    /** The version of the protocol that this code implements; it changes with any change to the layout of a frame. */
     public static final int PROTOCOL_VERSION = 4;
 
     /** Checks the parts. */
@@ -25,7 +25,7 @@
         checkNotNull(domain, "domain");
     }
 
-    /** Returns the hello of a node that speaks {@link #PROTOCOL_VERSION}. */
+    /** Returns the hello of a node with {@link #PROTOCOL_VERSION}. */
     public static Hello of(NodeId node, Incarnation incarnation, FailureDomain domain) {
         return new Hello(PROTOCOL_VERSION, node, incarnation, domain);
     }
--- a/tarragonarch-wire/src/main/java/org/tarragonarch/wire/HelloCodec.java
+++ b/tarragonarch-wire/src/main/java/org/tarragonarch/wire/HelloCodec.java
@@ -6,7 +6,7 @@
 
 /** Reads and writes the body of a {@link Hello}. */
 final class HelloCodec {
-    /** Opens every hello, so that a stranger's connection is told apart from another version's. */
+    /** Opens every hello, so that a stranger's connection is distinguished from another version's. */
     private static final int MAGIC = 0x7A66;
 
     private HelloCodec() {}
--- a/tarragonarch-wire/src/main/java/org/tarragonarch/wire/NodesGiven.java
+++ b/tarragonarch-wire/src/main/java/org/tarragonarch/wire/NodesGiven.java
@@ -8,7 +8,7 @@
 /**
  * Answers a {@link NodesAsked}.
  *
- * @param nodes every node that the peer has heard of
+ * @param nodes every node that the peer knows
  */
 public record NodesGiven(ImmutableList<Member> nodes) implements Frame {
     /** Checks the part. */
--- a/tarragonarch-wire/src/main/java/org/tarragonarch/wire/PeerConnection.java
+++ b/tarragonarch-wire/src/main/java/org/tarragonarch/wire/PeerConnection.java
@@ -18,7 +18,7 @@
  *
  * <p>Whatever is wrong with what the other end sends closes this connection, with one line in the log, and nothing
  * else. An end that has nothing to say repeats its hello, so that a peer that is frozen, or whose machine vanished
- * without closing anything, shows by saying nothing at all and is let go of.
+ * without closing anything, shows by sending nothing at all and is closed.
  */
 final class PeerConnection extends SimpleChannelInboundHandler<ByteBuf> {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
--- a/tarragonarch-wire/src/main/java/org/tarragonarch/wire/StatusFrame.java
+++ b/tarragonarch-wire/src/main/java/org/tarragonarch/wire/StatusFrame.java
@@ -5,7 +5,7 @@
 import org.tarragonarch.model.report.NodeStatus;
 
 /**
- * Tells a peer how this node stands.
+ * The status of this node, for a peer.
  *
  * @param status the status
  */
