Tails: a run that progresses is not restarted; the spread of run times bounds admission

Cause: every run was stopped at four times its expected time. Where 3% of the tasks run seven times as long, healthy work was thrown away and done again elsewhere. Admission knew the median run time only.

Change: the overdue restart spares a run that has shown progress, where endpoints report any. The limit without progress follows the run's own slowest percent.

--- a/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/ExperimentCommand.java
+++ b/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/ExperimentCommand.java
@@ -28,7 +28,8 @@
     @Parameters(
             arity = "1..*",
             paramLabel = "SHAPE",
-            description = "Files of load shapes, or names of some that come with the program: pool, crowded, outage.")
+            description =
+                    "Files of load shapes, or names of some of the program: pool, crowded, outage, lender, quotes.")
     private List<String> shapes;
 
     @Option(names = "--seeds", defaultValue = "6", description = "How many runs of each, with seeds from 1.")
--- a/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/JobSource.java
+++ b/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/JobSource.java
@@ -33,12 +33,12 @@
     private DrawnJob job(long number, long atMillis) {
         JobKind kind =
                 shape.kinds().get(pick(shape.kinds().stream().map(JobKind::part).toList()));
-        int domain = pick(shape.domainWeights());
+        int domain = pick(shape.domainWeightsAt(atMillis));
         double mean = kind.runMillis().draw(random);
         double[] runs = new double[kind.width().drawWhole(random)];
         for (int task = 0; task < runs.length; task++) {
             double factor = 1 + kind.uneven() * random.nextGaussian();
-            runs[task] = Math.max(1, mean * Math.max(0.2, factor));
+            runs[task] = Math.max(1, mean * Math.max(0.2, factor)) * stragglerFactor();
         }
         long estimate = Math.max(1, Math.round(mean * Math.exp(kind.estimateError() * random.nextGaussian())));
         long milliCores = Math.round(kind.milliCores().draw(random));
@@ -46,6 +46,11 @@
         return new DrawnJob(number, kind, domain, client, atMillis, shape.stretch(), milliCores, runs, estimate);
     }
 
+    private double stragglerFactor() {
+        boolean straggles = shape.stragglerPart() > 0 && random.nextDouble() < shape.stragglerPart();
+        return straggles ? shape.stragglerFactor() : 1;
+    }
+
     private int pick(List<Double> weights) {
         double left = random.nextDouble()
                 * weights.stream().mapToDouble(Double::doubleValue).sum();
--- a/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/LoadShape.java
+++ b/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/LoadShape.java
@@ -23,6 +23,10 @@
  * @param lengthMillis how long jobs come
  * @param kinds the kinds of job
  * @param disturbances what happens meanwhile
+ * @param swing the part by which the rate of each domain rises and falls, one domain after the other
+ * @param swingMillis the time from one peak of a domain's rate to the next; unused without a swing
+ * @param stragglerPart the part of all tasks that run longer than the others of their job
+ * @param stragglerFactor how many times as long they run
  */
 public record LoadShape(
         int domains,
@@ -38,7 +42,11 @@
         double stretch,
         long lengthMillis,
         List<JobKind> kinds,
-        List<Disturbance> disturbances) {
+        List<Disturbance> disturbances,
+        double swing,
+        long swingMillis,
+        double stragglerPart,
+        double stragglerFactor) {
     /** Checks that the parts fit each other. */
     public LoadShape {
         checkArgument(domains >= 1, "domains %s is below 1", domains);
@@ -67,7 +75,24 @@
                 stretch,
                 lengthMillis,
                 kinds,
-                disturbances);
+                disturbances,
+                swing,
+                swingMillis,
+                stragglerPart,
+                stragglerFactor);
+    }
+
+    /** Returns how the rate is divided between the domains at a time. */
+    List<Double> domainWeightsAt(long millis) {
+        if (swing == 0) {
+            return domainWeights;
+        }
+        ImmutableList.Builder<Double> weights = ImmutableList.builder();
+        for (int domain = 0; domain < domains; domain++) {
+            double phase = 2 * Math.PI * ((double) millis / swingMillis + (double) domain / domains);
+            weights.add(domainWeights.get(domain) * (1 + swing * Math.sin(phase)));
+        }
+        return weights.build();
     }
 
     long latencyMicros(int domain, int otherDomain) {
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/CompletionEstimate.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/CompletionEstimate.java
@@ -5,6 +5,7 @@
  *
  * @param waitMillis how long its tasks would wait for room
  * @param expectedRunMillis how long one of its tasks should run
+ * @param slowestRunMillis how long the slowest of its tasks should run
  * @param inTimeWithinMillis how long from now its answer still counts in full, or until its client leaves if that is
  *     sooner
  * @param deadlineWithinMillis how long from now its client waits
@@ -17,6 +18,7 @@
 public record CompletionEstimate(
         long waitMillis,
         long expectedRunMillis,
+        long slowestRunMillis,
         long inTimeWithinMillis,
         long deadlineWithinMillis,
         long places,
@@ -28,10 +30,12 @@
      *
      * <p>Under load only what should be answered in time is: work on the rest would make others late. Where there is
      * room for everything that waits, a late answer is still better than none. That is how it is in the seconds
-     * after all nodes were without power, when jobs have waited for a holder and every endpoint is idle.
+     * after all nodes were without power, when jobs have waited for a holder and every endpoint is idle. A job of which
+     * the slowest task most likely outlasts its client, even if started now, is taken only where there is such room.
      */
     boolean isAdmissible() {
-        boolean inTime = waitMillis + expectedRunMillis <= inTimeWithinMillis;
+        boolean inTime =
+                waitMillis + expectedRunMillis <= inTimeWithinMillis && slowestRunMillis <= deadlineWithinMillis;
         boolean lateWithoutHarm = roomForAll && expectedRunMillis <= deadlineWithinMillis;
         return places > 0 && (inTime || lateWithoutHarm);
     }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/CompletionEstimator.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/CompletionEstimator.java
@@ -45,6 +45,7 @@
         return new CompletionEstimate(
                 wait,
                 job.expectedRunMillis(),
+                job.slowestRunMillis(),
                 inTimeWithin,
                 deadlineWithin,
                 places,
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacedJob.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacedJob.java
@@ -31,6 +31,7 @@
     private final Offer offer;
     private final ImmutableList<PlacedTask> tasks;
     private final long expectedRunMillis;
+    private final double slowestFactor;
     private final JobTimes times;
     private NodeId origin;
     private Optional<PendingJobs> pending = Optional.empty();
@@ -40,9 +41,19 @@
     private int lastRun;
 
     PlacedJob(Offer offer, int firstRun, long expectedRunMillis, JobTimes times) {
+        this(offer, firstRun, expectedRunMillis, 1, times);
+    }
+
+    /**
+     * Creates a job whose tasks are all to be started.
+     *
+     * @param slowestFactor the factor by which its slowest task should exceed the expected run time
+     */
+    PlacedJob(Offer offer, int firstRun, long expectedRunMillis, double slowestFactor, JobTimes times) {
         this.offer = offer;
         this.origin = offer.origin();
         this.expectedRunMillis = expectedRunMillis;
+        this.slowestFactor = slowestFactor;
         this.times = times;
         TaskStep step = offer.job().step();
         ImmutableList.Builder<PlacedTask> builder = ImmutableList.builderWithExpectedSize(step.count());
@@ -92,6 +103,11 @@
         return expectedRunMillis;
     }
 
+    /** Returns the run time to expect of the slowest of this job's tasks. */
+    long slowestRunMillis() {
+        return Math.round(slowestFactor * expectedRunMillis);
+    }
+
     /** Returns the run time beyond which a task counts as stalled. */
     long longestRunMillis() {
         return STUCK_MULTIPLE * expectedRunMillis + STUCK_SLACK_MILLIS;
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/Placer.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/Placer.java
@@ -18,6 +18,7 @@
 import org.tarragonarch.model.task.FencingToken;
 import org.tarragonarch.model.task.JobId;
 import org.tarragonarch.model.task.Offer;
+import org.tarragonarch.model.task.TaskStep;
 import org.tarragonarch.model.task.Timers;
 import org.tarragonarch.model.task.Verdict;
 
@@ -200,9 +201,12 @@
     }
 
     private void take(Offer offer, int firstRun) {
-        long expected =
-                runTimes.expectedMillis(offer.queue().name(), offer.job().step().estimateMillis());
-        PlacedJob job = new PlacedJob(offer, firstRun, expected, JobTimes.of(offer, expected, timers.nowMillis()));
+        String queue = offer.queue().name();
+        TaskStep step = offer.job().step();
+        long expected = runTimes.expectedMillis(queue, step.estimateMillis());
+        double slowest = Math.max(1, runTimes.slowestOf(queue, step.count()));
+        JobTimes times = JobTimes.of(offer, expected, timers.nowMillis());
+        PlacedJob job = new PlacedJob(offer, firstRun, expected, slowest, times);
         if (offer.earlierRuns().over()) {
             admit(job);
             return;
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/QueueTimes.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/QueueTimes.java
@@ -17,6 +17,7 @@
 
     private static final double SMALLEST_VARIANCE = 0.001;
 
+    private final RunTimeSpread spread = new RunTimeSpread();
     private int runs;
     private double meanDeclared;
     private double meanTrue;
@@ -29,7 +30,13 @@
         return Math.max(1, Math.round(runs == 0 ? declaredMillis : Math.exp(expected)));
     }
 
+    /** Returns how far true run times lie from the expected ones. */
+    RunTimeSpread spread() {
+        return spread;
+    }
+
     void ran(long declaredMillis, long ranMillis) {
+        spread.ran(expectedMillis(declaredMillis), ranMillis);
         double declared = Math.log(declaredMillis);
         double ran = Math.log(Math.max(1, ranMillis));
         runs++;
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/Reservation.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/Reservation.java
@@ -30,6 +30,8 @@
     private boolean adopted;
     private int percent = -1;
     private long progressedAtMillis;
+    private boolean advanced;
+    private long slowestPercentMillis;
 
     Reservation(PlacedTask task, TaskRun run, Resources room, long startedAtMillis) {
         this.task = task;
@@ -93,11 +95,26 @@
         if (percentDone <= percent) {
             return false;
         }
+        if (!isFirst) {
+            advanced = true;
+            long perPercent = (asOfMillis - progressedAtMillis) / (percentDone - percent);
+            slowestPercentMillis = Math.max(slowestPercentMillis, perPercent);
+        }
         percent = percentDone;
         progressedAtMillis = asOfMillis;
         return !isFirst;
     }
 
+    /** Returns whether one list has shown more of the work done than another. */
+    boolean advanced() {
+        return advanced;
+    }
+
+    /** Returns the longest that the run took for a percent of its work, in milliseconds; 0 as long as none is known. */
+    long slowestPercentMillis() {
+        return slowestPercentMillis;
+    }
+
     /** Returns for how long lists have shown no progress, in milliseconds. */
     long withoutProgressMillis(long nowMillis) {
         return percent < 0 ? 0 : nowMillis - progressedAtMillis;
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RunTimes.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RunTimes.java
@@ -17,6 +17,11 @@
         return times(queue).expectedMillis(estimateMillis > 0 ? estimateMillis : DEFAULT_ESTIMATE_MILLIS);
     }
 
+    /** Returns the median factor by which the slowest of so many tasks exceeds the expected run time. */
+    double slowestOf(String queue, int tasks) {
+        return times(queue).spread().slowestOf(tasks);
+    }
+
     void ran(String queue, long estimateMillis, long ranMillis) {
         if (estimateMillis > 0) {
             times(queue).ran(estimateMillis, ranMillis);
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/StallDetector.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/StallDetector.java
@@ -7,6 +7,9 @@
  * until its client leaves.
  */
 final class StallDetector {
+    /** A run that takes this many times its slowest percent so far for the next one is taken to stall. */
+    private static final int PACE_MULTIPLE = 3;
+
     private final ReservedRoom room;
     private final EndpointHealth health;
     private final ProgressReports progress;
@@ -17,12 +20,18 @@
         this.progress = progress;
     }
 
-    /** Stops runs that take far longer than expected, once a task: where the work is long, the second is left alone. */
+    /**
+     * Stops runs that take far longer than expected, once a task: where the work is long, the second is left alone.
+     *
+     * <p>A run that shows progress is left to {@link #followProgress}. Guards against stopping healthy work: where
+     * three tasks in a hundred run seven times as long as the others, each of them was stopped at four times.
+     */
     void restartOverdueRuns(long nowMillis) {
         for (Reservation reservation : room.all()) {
             long limit = reservation.task().job().longestRunMillis();
+            boolean showsProgress = progress.areMeaningful() && reservation.advanced();
             boolean isOverdue = reservation.wanted() && nowMillis - reservation.startedAtMillis() > limit;
-            if (isOverdue && reservation.task().restartOverdue()) {
+            if (isOverdue && !showsProgress && reservation.task().restartOverdue()) {
                 health.recordStall(nowMillis);
             }
         }
@@ -41,8 +50,9 @@
             progress.advanced();
             return;
         }
-        boolean isStalled = reservation.withoutProgressMillis(asOfMillis)
-                >= reservation.task().job().stallMillis();
+        long limit =
+                Math.max(reservation.task().job().stallMillis(), PACE_MULTIPLE * reservation.slowestPercentMillis());
+        boolean isStalled = reservation.withoutProgressMillis(asOfMillis) >= limit;
         if (isStalled
                 && reservation.wanted()
                 && progress.areMeaningful()
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/PendingJobsTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/PendingJobsTest.java
@@ -19,7 +19,7 @@
     private static final int STEPS = 20_000;
     private static final long EXPECTED_RUN_MILLIS = 60;
 
-    private static PlacedJob job(int number, int tasks) {
+    static PlacedJob job(int number, int tasks) {
         Offer offer = PlacerFixture.offer(number, tasks);
         return new PlacedJob(offer, 1, EXPECTED_RUN_MILLIS, JobTimes.of(offer, EXPECTED_RUN_MILLIS, 10L * number));
     }
@@ -50,7 +50,7 @@
         }
     }
 
-    private static HeldEndpoint endpoint(PlacerFixture fixture) {
+    static HeldEndpoint endpoint(PlacerFixture fixture) {
         EndpointEntry entry = fixture.entries.get(0);
         return new HeldEndpoint(
                 entry,
