--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/membership/PeerDirectory.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/membership/PeerDirectory.java
@@ -25,8 +25,8 @@
 /**
  * The other nodes: which are alive, and when each gets its next report.
  *
- * <p>A peer is alive while its reports come in, whatever the platform's list says: the list lags, and may be out. The list says
- * only where a peer listens, and that it exists.
+ * <p>A peer is alive while its reports come in, whatever the platform's list says: the list lags, and may be out. The
+ * list says only where a peer listens, and that it exists.
  *
  * <p>Not safe for use by several threads.
  */
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/submission/WaitEstimates.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/submission/WaitEstimates.java
@@ -83,7 +83,7 @@
      * Returns whether a submission would miss its deadline even if it had every slot of the failure domain to itself.
      *
      * <p>Such a job, once started, takes slots from others and is answered unknown all the same. The mean of many run
-     * times predicts well how long a job takes that needs each slot more than once, and little of a single task; so only
+     * times predict well how long a job takes that needs each slot more than once, and little of a single task; so only
      * the former is judged, and only by run times that were learnt.
      */
     public boolean cannotFinish(Submission submission, long nowNanos) {
--- a/tarragonarch-wire/src/main/java/org/tarragonarch/wire/Hello.java
+++ b/tarragonarch-wire/src/main/java/org/tarragonarch/wire/Hello.java
@@ -7,7 +7,8 @@
 import org.tarragonarch.model.id.NodeId;
 
 /**
- * The first frame of each end of a connection: the identity of the sender; repeated whenever an end had nothing else to send for long.
+ * The first frame of each end of a connection: the identity of the sender; repeated whenever an
+ * end had nothing else to send for long.
  *
  * @param protocolVersion the version of the protocol of the sender
  * @param node the sender
