Tests: one set-up for what several tests of holders and routers repeat

Cause: the same lines open a placer, run tasks for a time, offer a job, or build a node's status in many tests. Change: PlacerFixture.running, opened, firstOffer and repeatedOffer; openedWithJob and openedWithTask in the tests of drains and crashes; offered and offeredToTwo in JobRouterTest; ElectionFixture for both election tests.

--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/PlacerCrashTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/PlacerCrashTest.java
@@ -13,13 +13,16 @@
     private static final long LEASE_OVER_MILLIS = 1_500;
 
     private static PlacerFixture fixture(int endpoints) {
-        PlacerFixture fixture = new PlacerFixture(endpoints);
-        fixture.orders.endpoints.values().forEach(endpoint -> endpoint.runMillis = RUN_MILLIS);
-        return fixture;
+        return PlacerFixture.running(endpoints, RUN_MILLIS);
     }
 
     private static Placer opened(PlacerFixture fixture) {
-        Placer placer = fixture.placer(1);
+        return fixture.opened(1);
+    }
+
+    private static Placer openedWithTask(PlacerFixture fixture) {
+        Placer placer = opened(fixture);
+        placer.offer(PlacerFixture.patientOffer(1, 1, RUN_MILLIS));
         fixture.timers.pass(20);
         return placer;
     }
@@ -42,9 +45,7 @@
     @Test
     public void testCrash_taskIsGivenUpAfterTwo() {
         PlacerFixture fixture = fixture(4);
-        Placer placer = opened(fixture);
-        placer.offer(PlacerFixture.patientOffer(1, 1, RUN_MILLIS));
-        fixture.timers.pass(20);
+        openedWithTask(fixture);
         crash(fixture, endpointThatRuns(fixture));
         assertEquals(fixture.verdicts, ImmutableList.of());
         crash(fixture, endpointThatRuns(fixture));
@@ -76,9 +77,7 @@
     @Test
     public void testCrash_othersStayAwayFromASuspect() {
         PlacerFixture fixture = fixture(4);
-        Placer placer = opened(fixture);
-        placer.offer(PlacerFixture.patientOffer(1, 1, RUN_MILLIS));
-        fixture.timers.pass(20);
+        Placer placer = openedWithTask(fixture);
         crash(fixture, endpointThatRuns(fixture));
         int suspect = endpointThatRuns(fixture);
         placer.offer(PlacerFixture.patientOffer(2, 1, RUN_MILLIS));
@@ -90,9 +89,7 @@
     @Test
     public void testCrash_silentEndpointThatIsBackAsAnotherLifeCounts() {
         PlacerFixture fixture = fixture(4);
-        Placer placer = opened(fixture);
-        placer.offer(PlacerFixture.patientOffer(1, 1, RUN_MILLIS));
-        fixture.timers.pass(20);
+        openedWithTask(fixture);
         int silent = endpointThatRuns(fixture);
         fixture.way(silent, FakeOrders.Way.CUT);
         fixture.endpoint(silent).crash();
@@ -109,9 +106,7 @@
     @Test
     public void testCrash_endpointThatLeftAsPlannedDoesNotCount() {
         PlacerFixture fixture = fixture(4);
-        Placer placer = opened(fixture);
-        placer.offer(PlacerFixture.patientOffer(1, 1, RUN_MILLIS));
-        fixture.timers.pass(20);
+        Placer placer = openedWithTask(fixture);
         for (int replaced = 0; replaced < 2; replaced++) {
             int number = endpointThatRuns(fixture);
             EndpointEntry entry = fixture.entries.get(number - 1);
@@ -127,9 +122,7 @@
     @Test
     public void testCrash_taskUnderWhichEndpointsVanishIsGivenUp() {
         PlacerFixture fixture = fixture(6);
-        Placer placer = opened(fixture);
-        placer.offer(PlacerFixture.patientOffer(1, 1, RUN_MILLIS));
-        fixture.timers.pass(20);
+        openedWithTask(fixture);
         for (int vanished = 0; vanished < 4; vanished++) {
             int number = endpointThatRuns(fixture);
             fixture.way(number, FakeOrders.Way.CUT);
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/PlacerDrainTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/PlacerDrainTest.java
@@ -34,27 +34,35 @@
     }
 
     private static Placer opened(PlacerFixture fixture) {
-        Placer placer = fixture.placer(1);
-        fixture.timers.pass(20);
+        return fixture.opened(1);
+    }
+
+    private static Placer openedWithJob(PlacerFixture fixture, int tasks) {
+        Placer placer = opened(fixture);
+        offerLong(fixture, placer, 1, tasks);
         return placer;
     }
 
     private static void offerLong(PlacerFixture fixture, Placer placer, int job, int tasks) {
-        placer.offer(PlacerFixture.offer(job, tasks, LONG_MILLIS, PlacerFixture.ORIGIN, false));
+        placer.offer(PlacerFixture.firstOffer(job, tasks, LONG_MILLIS));
         fixture.timers.pass(5);
     }
 
+    private static PlacerFixture runningLong(int endpoints) {
+        PlacerFixture fixture = new PlacerFixture(endpoints);
+        runLong(fixture);
+        return fixture;
+    }
+
     private static void runLong(PlacerFixture fixture) {
-        fixture.orders.endpoints.values().forEach(endpoint -> endpoint.runMillis = LONG_MILLIS);
+        fixture.runMillis(LONG_MILLIS);
     }
 
     /** Guards against a drained domain whose running work is thrown away. */
     @Test
     public void testDrain_whatRunsIsFinished() {
-        PlacerFixture fixture = new PlacerFixture(1);
-        runLong(fixture);
-        Placer placer = opened(fixture);
-        offerLong(fixture, placer, 1, 2);
+        PlacerFixture fixture = runningLong(1);
+        Placer placer = openedWithJob(fixture, 2);
         drain(fixture, placer);
         fixture.timers.pass(1_000);
         assertEquals(fixture.verdicts, ImmutableList.of("origin-1 1 DONE"));
@@ -74,10 +82,8 @@
     /** Guards against a queue of a hundred jobs that waits in a drained domain while others have room. */
     @Test
     public void testDrain_waitingJobsAreGivenBackAtOnce() {
-        PlacerFixture fixture = new PlacerFixture(1);
-        runLong(fixture);
-        Placer placer = opened(fixture);
-        offerLong(fixture, placer, 1, 2);
+        PlacerFixture fixture = runningLong(1);
+        Placer placer = openedWithJob(fixture, 2);
         for (int job = 2; job <= 101; job++) {
             placer.offer(PlacerFixture.patientOffer(job, 1, LONG_MILLIS));
         }
@@ -92,10 +98,8 @@
     /** Guards against a job whose last task cannot start any more and whose others run for nothing. */
     @Test
     public void testDrain_partlyStartedJobIsStoppedAndGivenBack() {
-        PlacerFixture fixture = new PlacerFixture(1);
-        runLong(fixture);
-        Placer placer = opened(fixture);
-        offerLong(fixture, placer, 1, 3);
+        PlacerFixture fixture = runningLong(1);
+        Placer placer = openedWithJob(fixture, 3);
         drain(fixture, placer);
         assertEquals(fixture.verdicts, ImmutableList.of());
         fixture.timers.pass(200);
@@ -107,12 +111,10 @@
     /** Guards against a job that runs here and elsewhere because its client sent it again while it was given back. */
     @Test
     public void testDrain_jobSentAgainWhileItIsStoppedStaysHere() {
-        PlacerFixture fixture = new PlacerFixture(1);
-        runLong(fixture);
-        Placer placer = opened(fixture);
-        offerLong(fixture, placer, 1, 3);
+        PlacerFixture fixture = runningLong(1);
+        Placer placer = openedWithJob(fixture, 3);
         drain(fixture, placer);
-        placer.offer(PlacerFixture.offer(1, 3, LONG_MILLIS, PlacerFixture.ORIGIN, false));
+        placer.offer(PlacerFixture.firstOffer(1, 3, LONG_MILLIS));
         fixture.timers.pass(200);
         assertEquals(fixture.verdicts, ImmutableList.of("origin-1 1 DECLINED"));
     }
@@ -120,10 +122,8 @@
     /** Guards against a job that is never given back because a node that had it before withdraws it. */
     @Test
     public void testDrain_withdrawalByAnEarlierNodeChangesNothing() {
-        PlacerFixture fixture = new PlacerFixture(1);
-        runLong(fixture);
-        Placer placer = opened(fixture);
-        offerLong(fixture, placer, 1, 3);
+        PlacerFixture fixture = runningLong(1);
+        Placer placer = openedWithJob(fixture, 3);
         drain(fixture, placer);
         placer.withdraw(NodeId.of("origin-0"), PlacerFixture.id(1));
         fixture.timers.pass(200);
@@ -133,8 +133,7 @@
     /** Guards against a retry that is started in a drained domain. */
     @Test
     public void testDrain_failedTaskIsNotStartedAgain() {
-        PlacerFixture fixture = new PlacerFixture(1);
-        runLong(fixture);
+        PlacerFixture fixture = runningLong(1);
         fixture.endpoint(1).outcome = EndKind.FAILED;
         Placer placer = opened(fixture);
         offerLong(fixture, placer, 1, 1);
@@ -147,8 +146,7 @@
     /** Guards against a new holder that adopts the runs of a drained domain and starts the rest of their jobs there. */
     @Test
     public void testDrain_nextHolderAdoptsAndStartsNothing() {
-        PlacerFixture fixture = new PlacerFixture(1);
-        runLong(fixture);
+        PlacerFixture fixture = runningLong(1);
         Placer before = opened(fixture);
         offerLong(fixture, before, 1, 2);
         offerLong(fixture, before, 2, 1);
@@ -156,8 +154,8 @@
         Placer next = fixture.placer(2);
         drain(fixture, next);
         fixture.verdicts.clear();
-        next.offer(PlacerFixture.offer(1, 2, LONG_MILLIS, PlacerFixture.ORIGIN, true));
-        next.offer(PlacerFixture.offer(2, 1, LONG_MILLIS, PlacerFixture.ORIGIN, true));
+        next.offer(PlacerFixture.repeatedOffer(1, 2, LONG_MILLIS));
+        next.offer(PlacerFixture.repeatedOffer(2, 1, LONG_MILLIS));
         fixture.timers.pass(1_500);
         assertEquals(
                 ImmutableList.sortedCopyOf(fixture.verdicts),
@@ -169,8 +167,7 @@
     /** Guards against a pool whose jobs are given back although another domain of it takes work. */
     @Test
     public void testDrain_otherDomainOfThePoolTakesTheQueue() {
-        PlacerFixture fixture = new PlacerFixture(2);
-        runLong(fixture);
+        PlacerFixture fixture = runningLong(2);
         Placer placer = fixture.pooled(1, 2);
         fixture.timers.pass(20);
         offerLong(fixture, placer, 1, 4);
@@ -212,10 +209,8 @@
     /** Guards against an endpoint that shrinks below what runs: nothing is stopped, and nothing is started over it. */
     @Test
     public void testResize_belowWhatRuns() {
-        PlacerFixture fixture = new PlacerFixture(1);
-        runLong(fixture);
-        Placer placer = opened(fixture);
-        offerLong(fixture, placer, 1, 2);
+        PlacerFixture fixture = runningLong(1);
+        Placer placer = openedWithJob(fixture, 2);
         resize(fixture, placer, 8_000);
         placer.offer(PlacerFixture.patientOffer(2, 1, LONG_MILLIS));
         fixture.timers.pass(400);
@@ -229,10 +224,8 @@
     /** Guards against room of a run that is being stopped and is given away before its end is listed. */
     @Test
     public void testResize_whatIsBeingStoppedStillCounts() {
-        PlacerFixture fixture = new PlacerFixture(1);
-        runLong(fixture);
-        Placer placer = opened(fixture);
-        offerLong(fixture, placer, 1, 2);
+        PlacerFixture fixture = runningLong(1);
+        Placer placer = openedWithJob(fixture, 2);
         placer.offer(PlacerFixture.patientOffer(2, 1, LONG_MILLIS));
         placer.withdraw(PlacerFixture.ORIGIN, PlacerFixture.id(1));
         resize(fixture, placer, 14_000);
@@ -246,10 +239,9 @@
     /** Guards against a start that is under way while its endpoint shrinks: its room counts from when it left. */
     @Test
     public void testResize_whileAStartIsUnderWay() {
-        PlacerFixture fixture = new PlacerFixture(1);
-        runLong(fixture);
+        PlacerFixture fixture = runningLong(1);
         Placer placer = opened(fixture);
-        placer.offer(PlacerFixture.offer(1, 1, LONG_MILLIS, PlacerFixture.ORIGIN, false));
+        placer.offer(PlacerFixture.firstOffer(1, 1, LONG_MILLIS));
         resize(fixture, placer, 8_000);
         placer.offer(PlacerFixture.patientOffer(2, 1, LONG_MILLIS));
         fixture.timers.pass(300);
@@ -259,10 +251,8 @@
     /** Guards against a task that waits until its deadline although no endpoint is large enough for it any more. */
     @Test
     public void testResize_taskThatFitsNowhereIsGivenBackAtOnce() {
-        PlacerFixture fixture = new PlacerFixture(1);
-        runLong(fixture);
-        Placer placer = opened(fixture);
-        offerLong(fixture, placer, 1, 2);
+        PlacerFixture fixture = runningLong(1);
+        Placer placer = openedWithJob(fixture, 2);
         placer.offer(PlacerFixture.patientOffer(2, 1, LONG_MILLIS));
         resize(fixture, placer, 6_000);
         assertEquals(fixture.verdicts, ImmutableList.of("origin-1 2 DECLINED"));
@@ -273,8 +263,7 @@
     /** Guards against room that came back and is not used until the next end. */
     @Test
     public void testResize_roomThatGrowsIsUsedAtOnce() {
-        PlacerFixture fixture = new PlacerFixture(1);
-        runLong(fixture);
+        PlacerFixture fixture = runningLong(1);
         Placer placer = opened(fixture);
         resize(fixture, placer, 8_000);
         offerLong(fixture, placer, 1, 1);
@@ -289,15 +278,14 @@
     /** Guards against a next holder that fills an endpoint which shrank to the size that it had before. */
     @Test
     public void testResize_nextHolderStartsByTheNewSize() {
-        PlacerFixture fixture = new PlacerFixture(1);
-        runLong(fixture);
+        PlacerFixture fixture = runningLong(1);
         Placer before = opened(fixture);
         offerLong(fixture, before, 1, 1);
         before.close();
         Resources shrunk = new Resources(8_000, 32_768, 0);
         fixture.entries.set(0, PlacerFixture.sized(fixture.entries.get(0), shrunk));
         Placer next = fixture.placer(2);
-        next.offer(PlacerFixture.offer(1, 1, LONG_MILLIS, PlacerFixture.ORIGIN, true));
+        next.offer(PlacerFixture.repeatedOffer(1, 1, LONG_MILLIS));
         next.offer(PlacerFixture.patientOffer(2, 1, LONG_MILLIS));
         fixture.timers.pass(300);
         assertEquals(fixture.endpoint(1).running(), 1);
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/PlacerFixture.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/PlacerFixture.java
@@ -53,6 +53,18 @@
         }
     }
 
+    /** Returns a fixture whose endpoints run every task for that long. */
+    static PlacerFixture running(int endpoints, long runMillis) {
+        PlacerFixture fixture = new PlacerFixture(endpoints);
+        fixture.runMillis(runMillis);
+        return fixture;
+    }
+
+    /** Lets every endpoint run each task for that long from now on. */
+    void runMillis(long runMillis) {
+        orders.endpoints.values().forEach(endpoint -> endpoint.runMillis = runMillis);
+    }
+
     FakeEndpoint endpoint(int number) {
         return orders.endpoints.get(EndpointId.of("w-" + number));
     }
@@ -68,6 +80,13 @@
         return placer;
     }
 
+    /** Returns a placer that holds all endpoints as one shard and has read their lists. */
+    Placer opened(long term) {
+        Placer placer = placer(term);
+        timers.pass(20);
+        return placer;
+    }
+
     /** Returns a placer that holds the first endpoints as one shard and the rest as a second. */
     Placer pooled(long term, int firstOfSecond) {
         Placer placer = empty();
@@ -143,7 +162,17 @@
     }
 
     static Offer offer(int number, int tasks) {
-        return offer(number, tasks, 60, ORIGIN, false);
+        return firstOffer(number, tasks, 60);
+    }
+
+    /** Returns a job that this node's client sends for the first time. */
+    static Offer firstOffer(int number, int tasks, long estimateMillis) {
+        return offer(number, tasks, estimateMillis, ORIGIN, false);
+    }
+
+    /** Returns a job that an earlier holder had. */
+    static Offer repeatedOffer(int number, int tasks, long estimateMillis) {
+        return offer(number, tasks, estimateMillis, ORIGIN, true);
     }
 
     /** Returns a job that may wait a minute for its answer. */
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/PlacerHandOverTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/PlacerHandOverTest.java
@@ -8,6 +8,13 @@
 
 /** Holders whose shards come and go, one at a time or all at once. */
 public final class PlacerHandOverTest {
+    /** Returns a holder that was offered a job as soon as it had read its endpoints. */
+    private static Placer holderWithJob(PlacerFixture fixture, int tasks) {
+        Placer holder = fixture.opened(1);
+        holder.offer(PlacerFixture.firstOffer(1, tasks, 900));
+        return holder;
+    }
+
     /** Guards against a job of five places that runs in two waves, and late, as each shard has only four. */
     @Test
     public void testOpen_twoShardsAreOnePool() {
@@ -23,12 +30,10 @@
     /** Guards against tasks of a released shard that start elsewhere before their lease is over. */
     @Test
     public void testRelease_tasksOfTheShardStartElsewhereAfterTheirLease() {
-        PlacerFixture fixture = new PlacerFixture(2);
-        fixture.endpoint(1).runMillis = 900;
-        fixture.endpoint(2).runMillis = 900;
+        PlacerFixture fixture = PlacerFixture.running(2, 900);
         Placer placer = fixture.pooled(1, 2);
         fixture.timers.pass(20);
-        placer.offer(PlacerFixture.offer(1, 4, 900, PlacerFixture.ORIGIN, false));
+        placer.offer(PlacerFixture.firstOffer(1, 4, 900));
         fixture.timers.pass(20);
         placer.release(PlacerFixture.SECOND_SHARD);
         fixture.timers.pass(1_000);
@@ -55,19 +60,17 @@
     /** Guards against tasks that run twice on an endpoint that the holder could not reach since it claimed. */
     @Test
     public void testOffer_earlierRunsOnAnEndpointThatWasOutOfReach() {
-        PlacerFixture fixture = new PlacerFixture(2);
-        fixture.endpoint(1).runMillis = 900;
-        fixture.endpoint(2).runMillis = 900;
+        PlacerFixture fixture = PlacerFixture.running(2, 900);
         fixture.way(2, FakeOrders.Way.CUT);
         Placer holder = fixture.placer(2);
         fixture.timers.pass(5_000);
         fixture.way(2, FakeOrders.Way.CLEAR);
         Placer earlier = fixture.onlyEndpoint(2, 1);
         fixture.timers.pass(5);
-        earlier.offer(PlacerFixture.offer(1, 1, 900, PlacerFixture.ORIGIN, false));
+        earlier.offer(PlacerFixture.firstOffer(1, 1, 900));
         fixture.timers.pass(5);
         assertEquals(fixture.endpoint(2).running(), 1);
-        holder.offer(PlacerFixture.offer(1, 1, 900, PlacerFixture.ORIGIN, true));
+        holder.offer(PlacerFixture.repeatedOffer(1, 1, 900));
         fixture.timers.pass(3_000);
         assertTrue(fixture.verdicts.contains("origin-1 1 DONE"), fixture.verdicts.toString());
         assertEquals(fixture.ledger.broken(), ImmutableList.of());
@@ -76,16 +79,14 @@
     /** Guards against tasks that run twice since the holder released the shard with the earlier runs. */
     @Test
     public void testOffer_earlierRunsInAShardThatWasLetGo() {
-        PlacerFixture fixture = new PlacerFixture(2);
-        fixture.endpoint(1).runMillis = 300;
-        fixture.endpoint(2).runMillis = 300;
+        PlacerFixture fixture = PlacerFixture.running(2, 300);
         Placer inside = fixture.onlyEndpoint(1, 1);
         fixture.timers.pass(10);
-        inside.offer(PlacerFixture.offer(1, 1, 300, PlacerFixture.ORIGIN, false));
+        inside.offer(PlacerFixture.firstOffer(1, 1, 300));
         Placer outside = fixture.pooled(2, 2);
         outside.release(PlacerFixture.SHARD);
         fixture.timers.pass(5);
-        outside.offer(PlacerFixture.offer(1, 1, 300, PlacerFixture.ORIGIN, true));
+        outside.offer(PlacerFixture.repeatedOffer(1, 1, 300));
         fixture.timers.pass(2_000);
         assertTrue(fixture.verdicts.contains("origin-1 1 DONE"), fixture.verdicts.toString());
         assertEquals(fixture.ledger.broken(), ImmutableList.of());
@@ -94,11 +95,8 @@
     /** The stop of a run that an earlier holder left gets no answer: it is sent again, and nothing starts before. */
     @Test
     public void testClaim_stopOfAnEarlierRunIsLost() {
-        PlacerFixture fixture = new PlacerFixture(1);
-        fixture.endpoint(1).runMillis = 5_000;
-        Placer before = fixture.placer(1);
-        fixture.timers.pass(20);
-        before.offer(PlacerFixture.offer(1, 2, 900, PlacerFixture.ORIGIN, false));
+        PlacerFixture fixture = PlacerFixture.running(1, 5_000);
+        holderWithJob(fixture, 2);
         fixture.timers.pass(50);
         int[] stops = {0};
         fixture.orders.stopWay = () -> stops[0]++ < 2 ? FakeOrders.Way.CUT : FakeOrders.Way.CLEAR;
@@ -114,15 +112,11 @@
     /** Guards against runs that the next holder stops and starts anew instead of adopting them. */
     @Test
     public void testClaim_runsAreTakenOver() {
-        PlacerFixture fixture = new PlacerFixture(2);
-        fixture.endpoint(1).runMillis = 900;
-        fixture.endpoint(2).runMillis = 900;
-        Placer before = fixture.placer(1);
-        fixture.timers.pass(20);
-        before.offer(PlacerFixture.offer(1, 4, 900, PlacerFixture.ORIGIN, false));
+        PlacerFixture fixture = PlacerFixture.running(2, 900);
+        holderWithJob(fixture, 4);
         fixture.timers.pass(500);
         Placer next = fixture.placer(2);
-        next.offer(PlacerFixture.offer(1, 4, 900, PlacerFixture.ORIGIN, true));
+        next.offer(PlacerFixture.repeatedOffer(1, 4, 900));
         fixture.timers.pass(450);
         assertTrue(fixture.verdicts.contains("origin-1 1 DONE"), fixture.verdicts.toString());
         assertEquals(fixture.ledger.starts(), 4);
@@ -135,14 +129,12 @@
         PlacerFixture fixture = new PlacerFixture(2);
         fixture.endpoint(1).runMillis = 500;
         fixture.endpoint(2).runMillis = 900;
-        Placer before = fixture.placer(1);
-        fixture.timers.pass(20);
-        before.offer(PlacerFixture.offer(1, 4, 900, PlacerFixture.ORIGIN, false));
+        Placer before = holderWithJob(fixture, 4);
         fixture.timers.pass(400);
         before.close();
         fixture.timers.pass(150);
         Placer next = fixture.placer(2);
-        next.offer(PlacerFixture.offer(1, 4, 900, PlacerFixture.ORIGIN, true));
+        next.offer(PlacerFixture.repeatedOffer(1, 4, 900));
         fixture.timers.pass(400);
         assertTrue(fixture.verdicts.contains("origin-1 1 DONE"), fixture.verdicts.toString());
         assertEquals(fixture.ledger.starts(), 4);
@@ -152,11 +144,8 @@
     /** Nobody asks for the job any more: its runs are stopped soon, and their room goes to others. */
     @Test
     public void testClaim_runsThatNobodyAsksFor() {
-        PlacerFixture fixture = new PlacerFixture(1);
-        fixture.endpoint(1).runMillis = 5_000;
-        Placer before = fixture.placer(1);
-        fixture.timers.pass(20);
-        before.offer(PlacerFixture.offer(1, 2, 900, PlacerFixture.ORIGIN, false));
+        PlacerFixture fixture = PlacerFixture.running(1, 5_000);
+        holderWithJob(fixture, 2);
         fixture.timers.pass(50);
         Placer next = fixture.placer(2);
         fixture.endpoint(1).runMillis = 60;
@@ -169,17 +158,15 @@
     /** Guards against tasks that run twice since the endpoint with the earlier runs is not listed yet. */
     @Test
     public void testOffer_earlierRunsOnAnEndpointThatIsNotListed() {
-        PlacerFixture fixture = new PlacerFixture(2);
-        fixture.endpoint(1).runMillis = 400;
-        fixture.endpoint(2).runMillis = 400;
+        PlacerFixture fixture = PlacerFixture.running(2, 400);
         Placer inside = fixture.onlyEndpoint(1, 1);
         fixture.timers.pass(10);
-        inside.offer(PlacerFixture.offer(1, 1, 400, PlacerFixture.ORIGIN, false));
+        inside.offer(PlacerFixture.firstOffer(1, 1, 400));
         fixture.timers.pass(5);
         fixture.listsWhole = false;
         Placer outside = fixture.onlyEndpoint(2, 2);
         fixture.timers.pass(5);
-        outside.offer(PlacerFixture.offer(1, 1, 400, PlacerFixture.ORIGIN, true));
+        outside.offer(PlacerFixture.repeatedOffer(1, 1, 400));
         fixture.timers.pass(2_500);
         assertTrue(fixture.verdicts.contains("origin-1 1 DONE"), fixture.verdicts.toString());
         assertEquals(fixture.ledger.broken(), ImmutableList.of());
@@ -191,13 +178,11 @@
         PlacerFixture fixture = new PlacerFixture(3);
         fixture.endpoint(1).runMillis = 900;
         fixture.endpoint(2).runMillis = 900;
-        Placer before = fixture.placer(1);
-        fixture.timers.pass(20);
-        before.offer(PlacerFixture.offer(1, 4, 900, PlacerFixture.ORIGIN, false));
+        holderWithJob(fixture, 4);
         fixture.timers.pass(500);
         fixture.way(3, FakeOrders.Way.CUT);
         Placer next = fixture.placer(2);
-        next.offer(PlacerFixture.offer(1, 4, 900, PlacerFixture.ORIGIN, true));
+        next.offer(PlacerFixture.repeatedOffer(1, 4, 900));
         fixture.timers.pass(450);
         assertTrue(fixture.verdicts.contains("origin-1 1 DONE"), fixture.verdicts.toString());
         assertEquals(fixture.ledger.starts(), 4);
@@ -210,13 +195,11 @@
         PlacerFixture fixture = new PlacerFixture(2);
         fixture.endpoint(1).runMillis = 900;
         fixture.endpoint(2).runMillis = 5_000;
-        Placer before = fixture.placer(1);
-        fixture.timers.pass(20);
-        before.offer(PlacerFixture.offer(1, 4, 900, PlacerFixture.ORIGIN, false));
+        holderWithJob(fixture, 4);
         fixture.timers.pass(500);
         fixture.way(2, FakeOrders.Way.CUT);
         Placer next = fixture.placer(2);
-        next.offer(PlacerFixture.offer(1, 4, 900, PlacerFixture.ORIGIN, true));
+        next.offer(PlacerFixture.repeatedOffer(1, 4, 900));
         fixture.timers.pass(2_100);
         assertTrue(fixture.verdicts.contains("origin-1 1 DONE"), fixture.verdicts.toString());
         assertEquals(fixture.ledger.starts(), 6);
@@ -227,8 +210,7 @@
     @Test
     public void testRelease_jobsThatNeverStartedAreReturned() {
         PlacerFixture fixture = new PlacerFixture(1);
-        Placer placer = fixture.placer(1);
-        fixture.timers.pass(20);
+        Placer placer = fixture.opened(1);
         placer.offer(PlacerFixture.offer(1, 2));
         placer.offer(PlacerFixture.offer(2, 2));
         fixture.timers.pass(5);
@@ -243,7 +225,7 @@
         PlacerFixture fixture = new PlacerFixture(1);
         fixture.way(1, FakeOrders.Way.CUT);
         Placer placer = fixture.placer(1);
-        placer.offer(PlacerFixture.offer(1, 1, 60, PlacerFixture.ORIGIN, true));
+        placer.offer(PlacerFixture.repeatedOffer(1, 1, 60));
         fixture.timers.pass(20);
         placer.release(PlacerFixture.SHARD);
         assertEquals(fixture.verdicts, ImmutableList.of("origin-1 1 HOLD_LOST"));
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/routing/JobRouterTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/routing/JobRouterTest.java
@@ -42,12 +42,31 @@
         return new JobRouterTest();
     }
 
-    @Test
-    public void testSubmit_done() {
+    /** Returns a node with one holder, which was offered a job. */
+    private static JobRouterTest offered(long deadlineMillis) {
         JobRouterTest test = fresh();
         test.holders.add("a", "hobart", 1);
-        test.submit(2_000);
-        test.router.settled(NodeId.of("a"), JOB, Verdict.DONE, 0);
+        test.submit(deadlineMillis);
+        return test;
+    }
+
+    /** Returns a node with two holders, of which the first was offered a job. */
+    private static JobRouterTest offeredToTwo(long deadlineMillis) {
+        JobRouterTest test = fresh();
+        test.holders.add("a", "hobart", 1);
+        test.holders.add("b", "launceston", 1);
+        test.submit(deadlineMillis);
+        return test;
+    }
+
+    private void settled(String holder, Verdict verdict, long retryMillis) {
+        router.settled(NodeId.of(holder), JOB, verdict, retryMillis);
+    }
+
+    @Test
+    public void testSubmit_done() {
+        JobRouterTest test = offered(2_000);
+        test.settled("a", Verdict.DONE, 0);
         assertEquals(test.replies, ImmutableList.of("DONE"));
         assertEquals(test.router.openJobs(), 0);
     }
@@ -55,12 +74,9 @@
     /** Every shard declines: the client learns at once, with the soonest time at which there should be room. */
     @Test
     public void testSubmit_declinedByAll() {
-        JobRouterTest test = fresh();
-        test.holders.add("a", "hobart", 1);
-        test.holders.add("b", "launceston", 1);
-        test.submit(2_000);
-        test.router.settled(NodeId.of("a"), JOB, Verdict.DECLINED, 300);
-        test.router.settled(NodeId.of("b"), JOB, Verdict.DECLINED, 200);
+        JobRouterTest test = offeredToTwo(2_000);
+        test.settled("a", Verdict.DECLINED, 300);
+        test.settled("b", Verdict.DECLINED, 200);
         assertEquals(test.holders.asked, ImmutableList.of("offer a", "offer b"));
         assertEquals(test.replies, ImmutableList.of("REFUSED 200"));
     }
@@ -68,23 +84,18 @@
     /** Guards against a job of a drained domain that waits for runs which its holder has stopped already. */
     @Test
     public void testSettled_evictedJobGoesElsewhereAtOnce() {
-        JobRouterTest test = fresh();
-        test.holders.add("a", "hobart", 1);
-        test.holders.add("b", "launceston", 1);
-        test.submit(2_000);
-        test.router.settled(NodeId.of("a"), JOB, Verdict.EVICTED, 0);
+        JobRouterTest test = offeredToTwo(2_000);
+        test.settled("a", Verdict.EVICTED, 0);
         assertEquals(test.holders.asked, ImmutableList.of("offer a", "offer b"));
-        test.router.settled(NodeId.of("b"), JOB, Verdict.DONE, 0);
+        test.settled("b", Verdict.DONE, 0);
         assertEquals(test.replies, ImmutableList.of("DONE"));
     }
 
     /** Guards against "has not run" for a job that ran in a drained domain before nobody else took it. */
     @Test
     public void testSettled_evictedJobThatNobodyTakesMayHaveRun() {
-        JobRouterTest test = fresh();
-        test.holders.add("a", "hobart", 1);
-        test.submit(2_000);
-        test.router.settled(NodeId.of("a"), JOB, Verdict.EVICTED, 0);
+        JobRouterTest test = offered(2_000);
+        test.settled("a", Verdict.EVICTED, 0);
         assertEquals(test.replies, ImmutableList.of("GIVEN_UP"));
     }
 
@@ -95,7 +106,7 @@
         test.holders.isHolderExpected = true;
         test.holders.add("a", "hobart", 1);
         test.submit(4_000);
-        test.router.settled(NodeId.of("a"), JOB, Verdict.DECLINED, 300);
+        test.settled("a", Verdict.DECLINED, 300);
         assertEquals(test.replies, ImmutableList.of());
         test.holders.add("b", "launceston", 1);
         test.router.holdersChanged();
@@ -109,7 +120,7 @@
         test.holders.isHolderExpected = true;
         test.holders.add("a", "hobart", 1);
         test.submit(4_000);
-        test.router.settled(NodeId.of("a"), JOB, Verdict.DECLINED, 300);
+        test.settled("a", Verdict.DECLINED, 300);
         test.timers.pass(501);
         assertEquals(test.replies, ImmutableList.of("REFUSED 300"));
     }
@@ -138,7 +149,7 @@
         test.holders.taken.add(FailureDomain.of("launceston"));
         test.holders.holders.remove(lost);
         test.holders.add("c", "hobart", 2);
-        test.router.settled(NodeId.of("a"), JOB, Verdict.HOLD_LOST, 0);
+        test.settled("a", Verdict.HOLD_LOST, 0);
         assertEquals(test.holders.asked, ImmutableList.of("offer a"));
         test.timers.pass(1_100);
         assertEquals(test.holders.asked, ImmutableList.of("offer a", "offer c"));
@@ -181,23 +192,20 @@
         test.holders.add("a", "hobart", 1);
         Holder lost = test.holders.add("b", "launceston", 1);
         test.submit(4_000);
-        test.router.settled(NodeId.of("a"), JOB, Verdict.DECLINED, 300);
+        test.settled("a", Verdict.DECLINED, 300);
         test.holders.holders.remove(lost);
         test.router.nodeLost(NodeId.of("b"));
         test.timers.pass(1_100);
         assertEquals(test.holders.asked, ImmutableList.of("offer a", "offer b", "offer a"));
-        test.router.settled(NodeId.of("a"), JOB, Verdict.DECLINED, 300);
+        test.settled("a", Verdict.DECLINED, 300);
         assertEquals(test.replies, ImmutableList.of("GIVEN_UP"));
     }
 
     /** Guards against a returned job that waits, or goes back to the holder that returned it. */
     @Test
     public void testSettled_returnedJobGoesToAnotherHolderAtOnce() {
-        JobRouterTest test = fresh();
-        test.holders.add("a", "hobart", 1);
-        test.holders.add("b", "launceston", 1);
-        test.submit(4_000);
-        test.router.settled(NodeId.of("a"), JOB, Verdict.RETURNED, 0);
+        JobRouterTest test = offeredToTwo(4_000);
+        test.settled("a", Verdict.RETURNED, 0);
         assertEquals(test.holders.asked, ImmutableList.of("offer a", "offer b"));
     }
 
@@ -208,13 +216,13 @@
         Holder leaving = test.holders.add("a", "hobart", 1);
         test.holders.add("b", "launceston", 1);
         test.submit(4_000);
-        test.router.settled(NodeId.of("a"), JOB, Verdict.RETURNED, 0);
-        test.router.settled(NodeId.of("b"), JOB, Verdict.DECLINED, 300);
+        test.settled("a", Verdict.RETURNED, 0);
+        test.settled("b", Verdict.DECLINED, 300);
         test.holders.holders.remove(leaving);
         test.holders.add("c", "hobart", 2);
         test.router.holdersChanged();
         assertEquals(test.holders.asked, ImmutableList.of("offer a", "offer b", "offer c"));
-        test.router.settled(NodeId.of("c"), JOB, Verdict.DECLINED, 200);
+        test.settled("c", Verdict.DECLINED, 200);
         assertEquals(test.replies, ImmutableList.of("REFUSED 200"));
     }
 
@@ -225,7 +233,7 @@
         Holder leaving = test.holders.add("a", "hobart", 1);
         test.submit(4_000);
         test.timers.pass(1_000);
-        test.router.settled(NodeId.of("a"), JOB, Verdict.RETURNED, 0);
+        test.settled("a", Verdict.RETURNED, 0);
         test.holders.holders.remove(leaving);
         test.timers.pass(510);
         assertEquals(test.replies, ImmutableList.of("REFUSED 1000"));
@@ -275,10 +283,8 @@
     /** The same job arrives a second time, after its answer: it gets the same answer and is not run again. */
     @Test
     public void testSubmit_againAfterItsAnswer() {
-        JobRouterTest test = fresh();
-        test.holders.add("a", "hobart", 1);
-        test.submit(2_000);
-        test.router.settled(NodeId.of("a"), JOB, Verdict.DONE, 0);
+        JobRouterTest test = offered(2_000);
+        test.settled("a", Verdict.DONE, 0);
         test.submit(2_000);
         assertEquals(test.replies, ImmutableList.of("DONE", "DONE"));
         assertEquals(test.holders.asked, ImmutableList.of("offer a"));
@@ -302,15 +308,13 @@
         test.holders.holders.remove(lost);
         test.holders.add("c", "hobart", 2);
         test.router.nodeLost(NodeId.of("a"));
-        test.router.settled(NodeId.of("a"), JOB, Verdict.DONE, 0);
+        test.settled("a", Verdict.DONE, 0);
         assertEquals(test.replies, ImmutableList.of());
     }
 
     @Test
     public void testCancel() {
-        JobRouterTest test = fresh();
-        test.holders.add("a", "hobart", 1);
-        test.submit(2_000);
+        JobRouterTest test = offered(2_000);
         assertTrue(test.router.cancel(JOB));
         assertFalse(test.router.cancel(new JobId("00000000000000bb")));
         assertEquals(test.replies, ImmutableList.of("CANCELLED"));
@@ -320,9 +324,7 @@
     /** Guards against jobs of a stopping node that are cut off without an answer. */
     @Test
     public void testGiveUpAll_leavingNode() {
-        JobRouterTest test = fresh();
-        test.holders.add("a", "hobart", 1);
-        test.submit(4_000);
+        JobRouterTest test = offered(4_000);
         test.router.refuseNewJobs();
         TaskStep step = new TaskStep(1, new Resources(7_000, 64, 0), 60);
         test.router.submit(
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/shard/HolderElectionTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/shard/HolderElectionTest.java
@@ -1,5 +1,8 @@
 package org.tarragonarch.core.shard;
 
+import static org.tarragonarch.core.shard.ElectionFixture.HOBART;
+import static org.tarragonarch.core.shard.ElectionFixture.LAUNCESTON;
+import static org.tarragonarch.core.shard.ElectionFixture.held;
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
@@ -7,11 +10,9 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import java.util.List;
-import org.tarragonarch.model.id.Address;
 import org.tarragonarch.model.id.FailureDomain;
 import org.tarragonarch.model.id.NodeId;
 import org.tarragonarch.model.id.Region;
-import org.tarragonarch.model.report.DrainedDomains;
 import org.tarragonarch.model.report.HeldShard;
 import org.tarragonarch.model.report.NodeStatus;
 import org.tarragonarch.model.task.FencingToken;
@@ -19,9 +20,6 @@
 
 /** Who holds a shard when nodes come, go and cannot hear each other. */
 public final class HolderElectionTest {
-    private static final FailureDomain HOBART = FailureDomain.of("hobart");
-    private static final FailureDomain LAUNCESTON = FailureDomain.of("launceston");
-
     /** Two regions, so that each domain is a pool of its own. */
     private static final ShardPools APART = new ShardPools(
             ImmutableMap.of(HOBART, Region.of("south"), LAUNCESTON, Region.of("north")), new EndpointList());
@@ -34,27 +32,11 @@
     }
 
     private static NodeStatus status(String node, FailureDomain domain, boolean leaving, HeldShard... held) {
-        Address address = new Address("10.0.0.9", 7_000);
-        return new NodeStatus(
-                NodeId.of(node),
-                domain,
-                address,
-                CORES,
-                leaving,
-                false,
-                1,
-                DrainedDomains.UNREAD,
-                ImmutableList.copyOf(held));
+        return ElectionFixture.status(node, domain, CORES, leaving, held);
     }
 
     private static NodeStatus strong(String node, FailureDomain domain, boolean leaving) {
-        Address address = new Address("10.0.0.9", 7_000);
-        return new NodeStatus(
-                NodeId.of(node), domain, address, STRONG, leaving, false, 1, DrainedDomains.UNREAD, ImmutableList.of());
-    }
-
-    private static HeldShard held(FailureDomain shard, long term) {
-        return new HeldShard(shard, FencingToken.of(term, "10.0.0.9"), 0);
+        return ElectionFixture.status(node, domain, STRONG, leaving);
     }
 
     @Test
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/shard/PooledHolderElectionTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/shard/PooledHolderElectionTest.java
@@ -1,26 +1,24 @@
 package org.tarragonarch.core.shard;
 
+import static org.tarragonarch.core.shard.ElectionFixture.HOBART;
+import static org.tarragonarch.core.shard.ElectionFixture.LAUNCESTON;
+import static org.tarragonarch.core.shard.ElectionFixture.held;
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
-import org.tarragonarch.model.id.Address;
 import org.tarragonarch.model.id.FailureDomain;
 import org.tarragonarch.model.id.NodeId;
 import org.tarragonarch.model.id.Region;
-import org.tarragonarch.model.report.DrainedDomains;
 import org.tarragonarch.model.report.HeldShard;
-import org.tarragonarch.model.report.NodeStatus;
 import org.tarragonarch.model.task.FencingToken;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
 /** Who holds the shards of a region that is one pool, when nodes die and domains are cut off. */
 public final class PooledHolderElectionTest {
-    private static final FailureDomain HOBART = FailureDomain.of("hobart");
-    private static final FailureDomain LAUNCESTON = FailureDomain.of("launceston");
     private static final Region SOUTH = Region.of("south");
     private static final ShardPools POOLS =
             new ShardPools(ImmutableMap.of(HOBART, SOUTH, LAUNCESTON, SOUTH), new EndpointList());
@@ -38,22 +36,7 @@
     }
 
     private void received(String node, FailureDomain domain, int milliCores, long nowMillis, HeldShard... held) {
-        Address address = new Address("10.0.0.9", 7_000);
-        NodeStatus status = new NodeStatus(
-                NodeId.of(node),
-                domain,
-                address,
-                milliCores,
-                false,
-                false,
-                1,
-                DrainedDomains.UNREAD,
-                ImmutableList.copyOf(held));
-        peers.received(status, nowMillis);
-    }
-
-    private static HeldShard held(FailureDomain shard, long term) {
-        return new HeldShard(shard, FencingToken.of(term, "10.0.0.9"), 0);
+        peers.received(ElectionFixture.status(node, domain, milliCores, false, held), nowMillis);
     }
 
     /** The holder of everything dies: the next in line takes every shard whose domain it hears, at once. */
