--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/Coordinator.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/Coordinator.java
@@ -18,6 +18,7 @@
 import org.tarragonarch.core.shard.ShardOwnership;
 import org.tarragonarch.core.shard.ShardPools;
 import org.tarragonarch.model.id.EndpointId;
+import org.tarragonarch.model.id.EndpointLife;
 import org.tarragonarch.model.id.FailureDomain;
 import org.tarragonarch.model.id.NodeId;
 import org.tarragonarch.model.report.DrainedDomains;
@@ -333,4 +334,9 @@
     public void runEndedBadly(FailureDomain shard, TaskRun run, EndpointId endpoint, EndKind kind) {
         log.runEndedBadly(shard, run, endpoint, kind);
     }
+
+    @Override
+    public void endpointRestarted(FailureDomain shard, EndpointLife later) {
+        log.endpointRestarted(shard, later);
+    }
 }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/EndpointChoice.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/EndpointChoice.java
@@ -22,7 +22,7 @@
                     || !candidate.entry().service().equals(job.queue().service())) {
                 continue;
             }
-            boolean failedBefore = task.failedAt(candidate.entry().id());
+            boolean failedBefore = task.failedAt(candidate.entry().life());
             if (best == null || better(task, candidate, failedBefore, best, bestFailedBefore)) {
                 best = candidate;
                 bestFailedBefore = failedBefore;
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/EndpointEvents.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/EndpointEvents.java
@@ -10,6 +10,9 @@
     /** An endpoint whose silence had ended a run of the task has turned out to have crashed. */
     void crashed(HeldEndpoint endpoint, PlacedTask task);
 
+    /** The endpoint has restarted under its id; what that ends is told after this. */
+    void restarted(HeldEndpoint endpoint);
+
     /** A run was refused or never left; its room is free, and the task may start anywhere. */
     void refused(HeldEndpoint endpoint, Reservation reservation);
 
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/EndpointLink.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/EndpointLink.java
@@ -2,6 +2,7 @@
 
 import java.util.OptionalLong;
 import java.util.function.Consumer;
+import org.tarragonarch.model.id.EndpointLife;
 import org.tarragonarch.model.task.Delivery;
 import org.tarragonarch.model.task.EndpointEntry;
 import org.tarragonarch.model.task.EndpointOrders;
@@ -23,8 +24,9 @@
     private final PlacingSettings settings;
     private final EndpointOrders orders;
     private final Timers timers;
-    private final EndpointClock clock = new EndpointClock();
+    private EndpointClock clock = new EndpointClock();
     private EndpointEntry entry;
+    private int lifeNumber;
     private long leaseOverAtMillis;
 
     EndpointLink(
@@ -40,8 +42,35 @@
         return entry;
     }
 
+    EndpointLife life() {
+        return entry.life();
+    }
+
+    /** Returns how many incarnations have followed the first; tells whether a call was sent to the present one. */
+    int lifeNumber() {
+        return lifeNumber;
+    }
+
+    /** Records a later entry of the same incarnation. */
     void update(EndpointEntry later) {
+        entry = later.life().hasStart() ? later : later.withLife(entry.life());
+    }
+
+    /** Records when the incarnation started that is called already. */
+    void startedAt(long millis) {
+        entry = entry.withLife(entry.life().startedAt(millis));
+    }
+
+    /** Records that a later incarnation takes the calls from now on; its clock is not known. */
+    void restarted(EndpointEntry later) {
         entry = later;
+        lifeNumber++;
+        clock = new EndpointClock();
+    }
+
+    /** Records the clock that a list of the present incarnation tells. */
+    void clockListed(OptionalLong clockMillis) {
+        clock.answered(clockMillis, timers.nowMillis());
     }
 
     PlacingSettings settings() {
@@ -64,16 +93,28 @@
     /** Starts a run, and extends the lease of all that runs. */
     void start(TaskRun run, String specification, Consumer<OrderAnswer> reply) {
         StartOrder order = new StartOrder(token, run, specification, extendLease());
-        orders.start(entry, order, delivery(false), answer -> answered(answer, reply));
+        int sentTo = lifeNumber;
+        orders.start(entry, order, delivery(false), answer -> {
+            if (sentTo == lifeNumber) {
+                clock.answered(answer.clockMillis(), timers.nowMillis());
+            }
+            reply.accept(answer);
+        });
     }
 
     /**
-     * Stops a run.
+     * Stops a run. An answer to a stop that was sent to an earlier incarnation is dropped: it binds that one alone.
      *
      * @param fresh whether to use a new connection, because those that are open may have gone silent
      */
     void stop(TaskRun run, boolean fresh, Consumer<OrderAnswer> reply) {
-        orders.stop(entry, token, run, delivery(fresh), answer -> answered(answer, reply));
+        int sentTo = lifeNumber;
+        orders.stop(entry, token, run, delivery(fresh), answer -> {
+            if (sentTo == lifeNumber) {
+                clock.answered(answer.clockMillis(), timers.nowMillis());
+                reply.accept(answer);
+            }
+        });
     }
 
     /**
@@ -92,15 +133,7 @@
     }
 
     private void hold(HoldOrder order, boolean fresh, Consumer<HoldAnswer> reply) {
-        orders.hold(entry, order, delivery(fresh), answer -> {
-            clock.answered(answer.clockMillis(), timers.nowMillis());
-            reply.accept(answer);
-        });
-    }
-
-    private void answered(OrderAnswer answer, Consumer<OrderAnswer> reply) {
-        clock.answered(answer.clockMillis(), timers.nowMillis());
-        reply.accept(answer);
+        orders.hold(entry, order, delivery(fresh), reply);
     }
 
     private Delivery delivery(boolean fresh) {
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/HeldEndpoint.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/HeldEndpoint.java
@@ -1,22 +1,14 @@
 package org.tarragonarch.core.placing;
 
 import com.google.common.collect.ImmutableMap;
-import com.google.common.collect.Sets;
-import java.util.ArrayList;
-import java.util.List;
-import java.util.Optional;
-import java.util.function.Consumer;
+import org.tarragonarch.model.id.EndpointLife;
 import org.tarragonarch.model.task.EndKind;
 import org.tarragonarch.model.task.EndpointEntry;
-import org.tarragonarch.model.task.EndpointOrders;
-import org.tarragonarch.model.task.FencingToken;
 import org.tarragonarch.model.task.JobId;
-import org.tarragonarch.model.task.OrderAnswer;
 import org.tarragonarch.model.task.Resources;
 import org.tarragonarch.model.task.RunProgress;
 import org.tarragonarch.model.task.TaskEnd;
 import org.tarragonarch.model.task.TaskRun;
-import org.tarragonarch.model.task.Timers;
 
 /**
  * One endpoint under this node's token: what runs there, what room is left, and the lease of all that runs.
@@ -29,32 +21,38 @@
 final class HeldEndpoint {
     private final EndpointLink link;
     private final EndpointEvents events;
-    private final StallDetector stalls;
-    private final EndpointHealth health = new EndpointHealth();
+    private final ProgressReports progress;
     private final ReservedRoom room;
-    private final RecoveredRuns recovered;
+    private final RunEnds ends;
+    private final ListedRuns listed;
     private final RunListPoller poller;
     private final RunOrders orders;
-    private final List<PlacedTask> lapsedInSilence = new ArrayList<>();
+    private EndpointHealth health;
+    private StallDetector stalls;
     private boolean closed;
     private boolean retired;
 
-    HeldEndpoint(
-            EndpointEntry entry,
-            FencingToken token,
-            PlacingSettings settings,
-            EndpointOrders orders,
-            Timers timers,
-            EndpointEvents events,
-            ProgressReports progress) {
-        this.link = new EndpointLink(entry, token, settings, orders, timers);
+    /**
+     * Creates an endpoint that was not called yet.
+     *
+     * @param unanswered the orders that the shard's endpoints left without an answer
+     */
+    HeldEndpoint(EndpointLink link, EndpointEvents events, ProgressReports progress, UnansweredStarts unanswered) {
+        this.link = link;
         this.events = events;
-        this.room = new ReservedRoom(entry.capacity());
-        this.stalls = new StallDetector(room, health, progress);
+        this.progress = progress;
+        this.room = new ReservedRoom(link.entry().capacity());
         Host host = new Host();
-        this.recovered = new RecoveredRuns(timers, settings.stopTime(), host);
+        this.ends = new RunEnds(link, room, this, events);
         this.poller = new RunListPoller(link, host);
-        this.orders = new RunOrders(link, room, poller, host);
+        this.listed = new ListedRuns(link, room, unanswered, poller, host);
+        this.orders = new RunOrders(link, room, poller, unanswered, host);
+        judgeAnew();
+    }
+
+    private void judgeAnew() {
+        health = new EndpointHealth();
+        stalls = new StallDetector(room, health, progress);
     }
 
     /** Reads the lists for the first time. */
@@ -76,18 +74,37 @@
     void abandon() {
         closed = true;
         long left = Math.max(0, link.leaseOverAtMillis() - link.nowMillis());
-        link.timers().after(left, () -> releaseAll(EndKind.LAPSED));
+        link.timers().after(left, () -> ends.endAll(EndKind.LAPSED));
     }
 
     EndpointEntry entry() {
         return link.entry();
     }
 
-    /** Records a later entry of the same life. */
+    /**
+     * Records an entry that was read later.
+     *
+     * <p>An entry of an earlier incarnation than the lists tell of is dropped, but for whether the endpoint may get
+     * anything new: that is also decided by who drains its failure domain.
+     */
     void update(EndpointEntry later) {
-        link.update(later);
+        if (entry().life().isLaterThan(later.life())) {
+            link.update(entry().withDraining(later.draining()));
+        } else {
+            room.resize(later.capacity());
+            if (later.life().isLaterThan(entry().life())) {
+                restarted(later);
+                poller.pollIfIdle();
+            } else {
+                link.update(later);
+            }
+        }
         retired = false;
-        room.resize(later.capacity());
+    }
+
+    /** Returns whether the endpoint is over and the entry is of a later incarnation. */
+    boolean isSucceededBy(EndpointEntry later) {
+        return closed && later.life().isLaterThan(entry().life());
     }
 
     /** The platform no longer lists the endpoint: what runs there may end, and nothing is started. */
@@ -105,34 +122,23 @@
 
     /** Returns whether everything that runs there is known. */
     boolean known() {
-        return poller.read() && recovered.isEmpty();
+        return poller.read() && listed.allReserved();
     }
 
     /** Returns whether no run of the job can be here but those that may be adopted. */
     boolean readyFor(JobId job) {
-        return poller.read() && !recovered.anyStopping(job);
+        return poller.read() && !listed.recovered().anyStopping(job);
     }
 
     /** Lets a job adopt what an earlier holder started of it here. */
     void adopt(PlacedJob job) {
-        if (recovered.nothingToAdopt()) {
-            return;
-        }
-        for (PlacedTask task : job.tasks()) {
-            if (recovered.isDoneBefore(task.name()) && task.isUnresolved()) {
-                job.finished(task);
-            }
-        }
-        for (TaskRun run : recovered.freeOf(job.id())) {
-            job.task(run.task()).filter(PlacedTask::isUnresolved).ifPresent(task -> adopt(task, run));
-        }
+        listed.recovered().adopt(job, this::adopt);
         if (!room.isEmpty()) {
             poller.pollIfIdle();
         }
     }
 
     private void adopt(PlacedTask task, TaskRun run) {
-        recovered.remove(run);
         task.adopted(run);
         orders.reserve(Reservation.adopted(task, run, task.job().need(), link.nowMillis()));
     }
@@ -144,7 +150,7 @@
 
     /** Returns whether the endpoint has ever answered. */
     boolean answered() {
-        return poller.read();
+        return listed.anyListRead();
     }
 
     /**
@@ -198,106 +204,61 @@
         }
     }
 
-    private void endOthers(ImmutableMap<TaskRun, Integer> running, long sentAtMillis) {
-        for (Reservation reservation : room.all()) {
-            Integer percent = running.get(reservation.run());
-            if (percent != null) {
-                reservation.running(link.nowMillis());
-                stalls.followProgress(reservation, percent, sentAtMillis);
-            } else if (reservation.overIfAbsentAt(sentAtMillis)) {
-                release(reservation, EndKind.LAPSED);
-            }
-        }
+    private boolean leftAsPlanned() {
+        return retired || entry().draining();
     }
 
-    /**
-     * Records that another life of the endpoint answers.
-     *
-     * <p>One that was leaving has ended as it said, and what ran there is not suspected of having crashed it.
-     */
-    private void lifeOver() {
-        closed = true;
-        boolean leftAsPlanned = retired || entry().draining();
-        releaseAll(leftAsPlanned ? EndKind.LAPSED : EndKind.CRASHED);
-        if (!leftAsPlanned) {
-            lapsedInSilence.forEach(task -> events.crashed(this, task));
-        }
-        lapsedInSilence.clear();
-    }
-
-    /** Releases what runs on a silent endpoint as soon as its lease has certainly run out. */
-    private void lapseIfOver() {
-        boolean isOver = link.nowMillis() >= link.leaseOverAtMillis();
-        if (!closed && poller.silent() && !room.isEmpty() && isOver) {
-            room.all().forEach(reservation -> lapsedInSilence.add(reservation.task()));
-            releaseAll(EndKind.LAPSED);
-        }
-    }
-
-    private void releaseAll(EndKind kind) {
-        room.all().forEach(reservation -> release(reservation, kind));
-    }
-
-    private void release(Reservation reservation, EndKind kind) {
-        room.release(reservation);
-        events.ended(this, reservation, kind);
-    }
-
-    private static ImmutableMap<TaskRun, Integer> percentByRun(Iterable<RunProgress> listed) {
-        ImmutableMap.Builder<TaskRun, Integer> percentByRun = ImmutableMap.builder();
-        listed.forEach(each -> percentByRun.put(each.run(), each.percent()));
-        return percentByRun.buildKeepingLast();
+    /** Begins anew with a later incarnation; see {@link RunEnds#restarted} for what ran. */
+    private void restarted(EndpointEntry later) {
+        boolean leftAsPlanned = leftAsPlanned();
+        link.restarted(later);
+        poller.restart();
+        listed.restarted();
+        judgeAnew();
+        events.restarted(this);
+        ends.restarted(leftAsPlanned);
+        orders.stopAgainAfterRestart();
     }
 
     /** What this endpoint does for its parts. */
-    private final class Host implements RunListPoller.Host, RunOrders.Host, RecoveredRuns.Host {
+    private final class Host implements RunListPoller.Host, RunOrders.Host {
         @Override
         public boolean closed() {
             return closed;
         }
 
         @Override
-        public boolean anyReserved() {
-            return !room.isEmpty();
+        public boolean needsPolling() {
+            return !room.isEmpty() || listed.mayStartLate();
         }
 
         @Override
         public boolean anyRecovered() {
-            return !recovered.isEmpty();
+            return !listed.recovered().isEmpty();
         }
 
         @Override
-        public void ended(TaskEnd end, boolean firstList) {
-            recovered.remove(end.run());
-            Optional<Reservation> reservation = room.of(end.run());
-            if (reservation.isPresent()) {
-                release(reservation.get(), end.kind());
-            } else if (firstList && end.kind() == EndKind.DONE) {
-                recovered.doneBefore(end.run().task());
-            }
+        public void ended(TaskEnd end) {
+            listed.ended(end);
+            room.of(end.run()).ifPresent(reservation -> ends.end(reservation, end.kind()));
         }
 
         @Override
-        public void listed(Iterable<RunProgress> listed, long sentAtMillis, boolean firstList, boolean wasSilent) {
-            ImmutableMap<TaskRun, Integer> running = percentByRun(listed);
-            lapsedInSilence.clear();
-            endOthers(running, sentAtMillis);
-            recovered.listed(Sets.filter(running.keySet(), run -> room.of(run).isEmpty()), firstList);
+        public void listed(Iterable<RunProgress> running, long sentAtMillis, boolean firstList, boolean wasSilent) {
+            ImmutableMap<TaskRun, Integer> percentByRun = ListedRuns.percentByRun(running);
+            ends.listed(percentByRun, sentAtMillis, stalls);
+            listed.listed(percentByRun.keySet(), sentAtMillis, firstList);
             if (firstList) {
                 events.firstListed(HeldEndpoint.this);
             }
-            if (wasSilent || firstList || recovered.isEmpty()) {
+            if (wasSilent || firstList || listed.recovered().isEmpty()) {
                 events.usable(HeldEndpoint.this);
             }
         }
 
         @Override
         public void unanswered() {
-            lapseIfOver();
-            if (!room.isEmpty()) {
-                long left = link.leaseOverAtMillis() - link.nowMillis();
-                link.timers().after(left, HeldEndpoint.this::lapseIfOver);
-            }
+            ends.lapseWhile(() -> !closed && poller.silent());
         }
 
         @Override
@@ -307,7 +268,13 @@
 
         @Override
         public void lifeOver() {
-            HeldEndpoint.this.lifeOver();
+            closed = true;
+            ends.lifeOver(leftAsPlanned());
+        }
+
+        @Override
+        public void restarted(EndpointLife later) {
+            HeldEndpoint.this.restarted(entry().withLife(later));
         }
 
         @Override
@@ -324,15 +291,5 @@
         public void eject(long millis) {
             health.eject(link.nowMillis(), millis);
         }
-
-        @Override
-        public void stop(TaskRun run, boolean fresh, Consumer<OrderAnswer> reply) {
-            link.stop(run, fresh, reply);
-        }
-
-        @Override
-        public void pollIfIdle() {
-            poller.pollIfIdle();
-        }
     }
 }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacedShard.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacedShard.java
@@ -26,6 +26,7 @@
     private final ProgressReports progress;
     private final long openedAtMillis;
     private final Map<EndpointId, HeldEndpoint> endpoints = new LinkedHashMap<>();
+    private final UnansweredStarts unanswered = new UnansweredStarts();
 
     PlacedShard(
             FencingToken token,
@@ -57,8 +58,9 @@
         for (EndpointEntry entry : listed) {
             ids.add(entry.id());
             HeldEndpoint known = endpoints.get(entry.id());
-            if (known == null) {
-                HeldEndpoint added = new HeldEndpoint(entry, token, settings, orders, timers, events, progress);
+            if (known == null || known.isSucceededBy(entry)) {
+                EndpointLink link = new EndpointLink(entry, token, settings, orders, timers);
+                HeldEndpoint added = new HeldEndpoint(link, events, progress, unanswered);
                 endpoints.put(entry.id(), added);
                 added.open();
             } else {
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacedTask.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacedTask.java
@@ -1,7 +1,7 @@
 package org.tarragonarch.core.placing;
 
 import java.util.Optional;
-import org.tarragonarch.model.id.EndpointId;
+import org.tarragonarch.model.id.EndpointLife;
 import org.tarragonarch.model.task.TaskName;
 import org.tarragonarch.model.task.TaskRun;
 
@@ -28,7 +28,7 @@
     private boolean unresolved;
     private Optional<HeldEndpoint> at = Optional.empty();
     private Optional<Reservation> reservation = Optional.empty();
-    private Optional<EndpointId> failedAt = Optional.empty();
+    private Optional<EndpointLife> failedAt = Optional.empty();
 
     PlacedTask(PlacedJob job, TaskName name, int firstRun) {
         this.job = job;
@@ -76,7 +76,7 @@
         return failures;
     }
 
-    boolean failedAt(EndpointId endpoint) {
+    boolean failedAt(EndpointLife endpoint) {
         return failedAt.isPresent() && failedAt.get().equals(endpoint);
     }
 
@@ -115,7 +115,7 @@
         change(() -> reservation = Optional.empty());
     }
 
-    void failed(EndpointId endpoint) {
+    void failed(EndpointLife endpoint) {
         failures++;
         failedAt = Optional.of(endpoint);
         back();
@@ -137,9 +137,14 @@
         return crashes > 0;
     }
 
-    /** Returns whether the task is not to be started again, because endpoints crash or vanish under it. */
+    /** Returns whether the task is not to be started again, because endpoints crash under it. */
     boolean isCrashing() {
-        return crashes >= CRASHES_TO_GIVE_UP || lostRuns >= LOST_RUNS_TO_GIVE_UP;
+        return crashes >= CRASHES_TO_GIVE_UP;
+    }
+
+    /** Returns whether so many of its endpoints were lost that it is not to be started again; it may have run. */
+    boolean isLostTooOften() {
+        return lostRuns >= LOST_RUNS_TO_GIVE_UP;
     }
 
     void finished() {
@@ -166,7 +171,7 @@
             return false;
         }
         restarts++;
-        failedAt = Optional.of(at.get().entry().id());
+        failedAt = Optional.of(at.get().entry().life());
         stop();
         return true;
     }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacerListener.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacerListener.java
@@ -1,6 +1,7 @@
 package org.tarragonarch.core.placing;
 
 import org.tarragonarch.model.id.EndpointId;
+import org.tarragonarch.model.id.EndpointLife;
 import org.tarragonarch.model.id.FailureDomain;
 import org.tarragonarch.model.id.NodeId;
 import org.tarragonarch.model.task.EndKind;
@@ -25,6 +26,9 @@
     /** A run ended without having done its work. */
     void runEndedBadly(FailureDomain shard, TaskRun run, EndpointId endpoint, EndKind kind);
 
+    /** An endpoint has restarted under its id; what ran there is over. */
+    void endpointRestarted(FailureDomain shard, EndpointLife later);
+
     /** An endpoint obeys a higher token: another node holds its shard, and this one has released it. */
     void fenced(FailureDomain shard, FencingToken token);
 }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RecoveredRuns.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RecoveredRuns.java
@@ -5,12 +5,11 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
-import java.util.function.Consumer;
+import java.util.function.BiConsumer;
 import org.tarragonarch.model.task.JobId;
 import org.tarragonarch.model.task.OrderAnswer;
 import org.tarragonarch.model.task.TaskName;
 import org.tarragonarch.model.task.TaskRun;
-import org.tarragonarch.model.task.Timers;
 
 /**
  * The runs that a new holder finds on one endpoint, left there by an earlier one.
@@ -25,15 +24,15 @@
      */
     private static final long ADOPTION_MILLIS = 120;
 
-    private final Timers timers;
-    private final long stopMillis;
-    private final Host host;
+    private final EndpointLink link;
+    private final RunListPoller poller;
+    private final EndpointHost host;
     private final Map<TaskRun, State> runs = new HashMap<>();
     private final Set<TaskName> doneBefore = new HashSet<>();
 
-    RecoveredRuns(Timers timers, long stopMillis, Host host) {
-        this.timers = timers;
-        this.stopMillis = stopMillis;
+    RecoveredRuns(EndpointLink link, RunListPoller poller, EndpointHost host) {
+        this.link = link;
+        this.poller = poller;
         this.host = host;
     }
 
@@ -57,7 +56,7 @@
             }
         }
         if (firstList) {
-            timers.after(ADOPTION_MILLIS, this::stopUnclaimed);
+            link.timers().after(ADOPTION_MILLIS, this::stopUnclaimed);
         }
     }
 
@@ -66,13 +65,32 @@
         doneBefore.add(task);
     }
 
-    /** Returns whether nothing is left here that a job could adopt. */
-    boolean nothingToAdopt() {
-        return runs.isEmpty() && doneBefore.isEmpty();
+    /** Forgets everything: the incarnation on which it was found is over. */
+    void clear() {
+        runs.clear();
+        doneBefore.clear();
     }
 
-    boolean isDoneBefore(TaskName task) {
-        return doneBefore.contains(task);
+    /**
+     * Lets a job adopt what an earlier holder started of it here.
+     *
+     * @param adopter takes a run on as its task's
+     */
+    void adopt(PlacedJob job, BiConsumer<PlacedTask, TaskRun> adopter) {
+        if (runs.isEmpty() && doneBefore.isEmpty()) {
+            return;
+        }
+        for (PlacedTask task : job.tasks()) {
+            if (doneBefore.contains(task.name()) && task.isUnresolved()) {
+                job.finished(task);
+            }
+        }
+        for (TaskRun run : freeOf(job.id())) {
+            job.task(run.task()).filter(PlacedTask::isUnresolved).ifPresent(task -> {
+                remove(run);
+                adopter.accept(task, run);
+            });
+        }
     }
 
     /** Notes that a run is over, or is known to somebody now. */
@@ -91,7 +109,7 @@
     }
 
     /** Returns the runs of a job that may still be adopted. */
-    ImmutableSet<TaskRun> freeOf(JobId job) {
+    private ImmutableSet<TaskRun> freeOf(JobId job) {
         ImmutableSet.Builder<TaskRun> free = ImmutableSet.builder();
         for (Map.Entry<TaskRun, State> each : runs.entrySet()) {
             if (each.getValue() == State.FREE && each.getKey().task().isOf(job)) {
@@ -115,7 +133,7 @@
 
     private void sendStop(TaskRun run, boolean fresh) {
         if (!host.closed() && runs.containsKey(run)) {
-            host.stop(run, fresh, answer -> stopAnswered(run, answer));
+            link.stop(run, fresh, answer -> stopAnswered(run, answer));
         }
     }
 
@@ -128,14 +146,14 @@
             return;
         }
         switch (answer.result()) {
-            case DONE -> timers.after(stopMillis, host::pollIfIdle);
+            case DONE -> link.timers().after(link.settings().stopTime(), poller::pollIfIdle);
             case OLD_RUN -> {
                 runs.remove(run);
-                host.pollIfIdle();
+                poller.pollIfIdle();
             }
             case FENCED -> host.fenced();
             case OTHER_LIFE -> host.lifeOver();
-            default -> timers.after(RunListPoller.FIRST_RETRY_MILLIS, () -> sendStop(run, true));
+            default -> link.timers().after(RunListPoller.FIRST_RETRY_MILLIS, () -> sendStop(run, true));
         }
     }
 
@@ -144,13 +162,4 @@
         FREE,
         STOPPING
     }
-
-    /** The endpoint on which the runs are. */
-    interface Host extends EndpointHost {
-        /** Orders it to stop a run. */
-        void stop(TaskRun run, boolean fresh, Consumer<OrderAnswer> reply);
-
-        /** Calls it unless a call is under way. */
-        void pollIfIdle();
-    }
 }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/Reservation.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/Reservation.java
@@ -1,5 +1,6 @@
 package org.tarragonarch.core.placing;
 
+import org.tarragonarch.model.task.EndKind;
 import org.tarragonarch.model.task.Resources;
 import org.tarragonarch.model.task.TaskRun;
 
@@ -27,6 +28,9 @@
     private State state = State.STARTING;
     private long settledAtMillis = Long.MAX_VALUE;
     private boolean seen;
+    private boolean listed;
+    private EndKind endIfAbsent = EndKind.LAPSED;
+    private long carriedOutUntilMillis = Long.MIN_VALUE;
     private boolean adopted;
     private int percent = -1;
     private long progressedAtMillis;
@@ -42,7 +46,7 @@
     static Reservation adopted(PlacedTask task, TaskRun run, Resources room, long nowMillis) {
         Reservation reservation = new Reservation(task, run, room, nowMillis);
         reservation.adopted = true;
-        reservation.running(nowMillis);
+        reservation.listed(nowMillis);
         return reservation;
     }
 
@@ -83,6 +87,39 @@
         }
     }
 
+    /** Records that a list shows the run. */
+    void listed(long nowMillis) {
+        listed = true;
+        endIfAbsent = EndKind.LAPSED;
+        running(nowMillis);
+    }
+
+    /** Returns whether a list of the present incarnation has shown the run, so that it ends with that. */
+    boolean listed() {
+        return listed;
+    }
+
+    /**
+     * Records that another incarnation may carry the order out, until a list or a stop shows what became of it.
+     *
+     * @param kind how the run has ended if its start was answered and it is not there
+     * @param untilMillis until when its lease may last if nobody can be asked
+     */
+    void mayHaveMovedOn(EndKind kind, long untilMillis) {
+        endIfAbsent = seen ? kind : EndKind.LAPSED;
+        carriedOutUntilMillis = untilMillis;
+    }
+
+    /** Returns how the run has ended if it is not there. */
+    EndKind endIfAbsent() {
+        return endIfAbsent;
+    }
+
+    /** Returns whether the run is certainly over by now although nobody could be asked. */
+    boolean isLapsed(long leaseOverAtMillis, long nowMillis) {
+        return nowMillis >= Math.max(leaseOverAtMillis, carriedOutUntilMillis);
+    }
+
     /**
      * Records how much of the work is done; returns whether that is more than an earlier list said.
      *
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RunListPoller.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RunListPoller.java
@@ -1,5 +1,6 @@
 package org.tarragonarch.core.placing;
 
+import org.tarragonarch.model.id.EndpointLife;
 import org.tarragonarch.model.task.HoldAnswer;
 import org.tarragonarch.model.task.OrderResult;
 import org.tarragonarch.model.task.RunProgress;
@@ -45,6 +46,16 @@
         return silent;
     }
 
+    /** Begins anew with a later incarnation, which numbers its ends from 1 and has not been read. */
+    void restart() {
+        listedEnd = 0;
+        acknowledgedEnd = 0;
+        read = false;
+        silent = false;
+        underWay = false;
+        retryMillis = 0;
+    }
+
     /** Calls the endpoint unless a call is under way. */
     void pollIfIdle() {
         if (!host.closed() && !underWay) {
@@ -66,39 +77,43 @@
      * @param then what to do with what is known afterwards, also if there was no answer
      */
     void readAside(Runnable then) {
-        long sentAtMillis = link.nowMillis();
+        Call call = new Call(link.nowMillis(), link.lifeNumber(), listedEnd);
         link.list(listedEnd, true, answer -> {
             if (host.closed()) {
                 return;
             }
-            if (answer.result() == OrderResult.DONE) {
-                takeLists(answer, sentAtMillis);
+            if (answer.result() == OrderResult.DONE && isCurrent(call) && !isStale(answer)) {
+                takeLists(answer, call);
+                pollIfNeeded();
             }
             then.run();
         });
     }
 
     private void poll() {
-        long sentAtMillis = link.nowMillis();
-        long acknowledging = listedEnd;
+        Call call = new Call(link.nowMillis(), link.lifeNumber(), listedEnd);
         underWay = true;
-        if (read && !silent && host.anyReserved()) {
-            link.renew(acknowledging, false, answer -> answered(answer, sentAtMillis, acknowledging));
+        if (read && !silent && host.needsPolling()) {
+            link.renew(listedEnd, false, answer -> answered(answer, call));
         } else {
-            link.list(acknowledging, silent, answer -> answered(answer, sentAtMillis, acknowledging));
+            link.list(listedEnd, silent || !read, answer -> answered(answer, call));
         }
     }
 
-    private void answered(HoldAnswer answer, long sentAtMillis, long acknowledging) {
-        underWay = false;
-        if (host.closed()) {
+    /** Processes the answer; whatever is said to a call that was meant for an earlier incarnation is dropped. */
+    private void answered(HoldAnswer answer, Call call) {
+        if (host.closed() || !isCurrent(call)) {
             return;
         }
+        underWay = false;
         switch (answer.result()) {
             case DONE -> {
-                acknowledgedEnd = Math.max(acknowledgedEnd, acknowledging);
-                takeLists(answer, sentAtMillis);
-                pollAgain();
+                if (isStale(answer)) {
+                    unanswered();
+                } else {
+                    takeLists(answer, call);
+                    pollAgain();
+                }
             }
             case FENCED -> host.fenced();
             case OTHER_LIFE -> host.lifeOver();
@@ -106,11 +121,25 @@
         }
     }
 
-    private void takeLists(HoldAnswer answer, long sentAtMillis) {
+    private boolean isCurrent(Call call) {
+        return call.lifeNumber() == link.lifeNumber();
+    }
+
+    /** Returns whether an incarnation answers that is known to be over. */
+    private boolean isStale(HoldAnswer answer) {
+        return link.life().isLaterThan(link.life().startedAt(answer.startedMillis()));
+    }
+
+    private void takeLists(HoldAnswer answer, Call call) {
+        followStart(answer);
+        if (isCurrent(call)) {
+            acknowledgedEnd = Math.max(acknowledgedEnd, call.acknowledging());
+        }
+        link.clockListed(answer.clockMillis());
         for (TaskEnd end : answer.ended()) {
             if (end.number() > listedEnd) {
                 listedEnd = end.number();
-                host.ended(end, !read);
+                host.ended(end);
             }
         }
         boolean firstList = !read;
@@ -118,11 +147,32 @@
         silent = false;
         read = true;
         retryMillis = 0;
-        host.listed(answer.running(), sentAtMillis, firstList, wasSilent);
+        host.listed(answer.running(), call.sentAtMillis(), firstList, wasSilent);
+    }
+
+    /**
+     * Begins anew if a later incarnation answers. One whose start was unknown so far goes on: nothing proves that it is
+     * another, but its ends may be numbered anew.
+     */
+    private void followStart(HoldAnswer answer) {
+        EndpointLife answering = link.life().startedAt(answer.startedMillis());
+        if (answering.isLaterThan(link.life())) {
+            host.restarted(answering);
+        } else if (answering.hasStart() && !link.life().hasStart()) {
+            link.startedAt(answer.startedMillis());
+            listedEnd = 0;
+            acknowledgedEnd = 0;
+        }
+    }
+
+    private void pollIfNeeded() {
+        if (host.needsPolling()) {
+            pollIfIdle();
+        }
     }
 
     private void pollAgain() {
-        if (host.anyReserved()) {
+        if (host.needsPolling()) {
             poll();
         } else if (!host.anyRecovered() && acknowledgedEnd < listedEnd && !idleAcknowledgementPlanned) {
             idleAcknowledgementPlanned = true;
@@ -144,30 +194,38 @@
         retryMillis = Math.max(FIRST_RETRY_MILLIS, Math.min(LONGEST_RETRY_MILLIS, retryMillis * 2));
     }
 
+    /**
+     * A call to the endpoint.
+     *
+     * @param sentAtMillis when it left
+     * @param lifeNumber which incarnation it was meant for
+     * @param acknowledging the highest number of an end that need not be listed again
+     */
+    private record Call(long sentAtMillis, int lifeNumber, long acknowledging) {}
+
     /** What the lists are read for. */
     interface Host extends EndpointHost {
-        /** Returns whether a run of this holder takes room there. */
-        boolean anyReserved();
+        /** Returns whether a run of this holder takes room there, or an order to start one may yet be carried out. */
+        boolean needsPolling();
 
         /** Returns whether a run of an earlier holder takes room there. */
         boolean anyRecovered();
 
-        /**
-         * A run has ended.
-         *
-         * @param firstList whether the lists were never read before
-         */
-        void ended(TaskEnd end, boolean firstList);
+        /** A run has ended. */
+        void ended(TaskEnd end);
 
         /**
          * The lists were read; their new ends were told before.
          *
          * @param sentAtMillis when the call left; what began later need not show
-         * @param firstList whether the lists were never read before
+         * @param firstList whether the lists of this incarnation were never read before
          * @param wasSilent whether the call before had no answer
          */
         void listed(Iterable<RunProgress> running, long sentAtMillis, boolean firstList, boolean wasSilent);
 
+        /** A later incarnation answers; its lists follow. */
+        void restarted(EndpointLife later);
+
         /** A call got no answer. */
         void unanswered();
     }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RunOrders.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RunOrders.java
@@ -16,12 +16,14 @@
     private final EndpointLink link;
     private final ReservedRoom room;
     private final RunListPoller poller;
+    private final UnansweredStarts unanswered;
     private final Host host;
 
-    RunOrders(EndpointLink link, ReservedRoom room, RunListPoller poller, Host host) {
+    RunOrders(EndpointLink link, ReservedRoom room, RunListPoller poller, UnansweredStarts unanswered, Host host) {
         this.link = link;
         this.room = room;
         this.poller = poller;
+        this.unanswered = unanswered;
         this.host = host;
     }
 
@@ -29,7 +31,9 @@
     void start(PlacedTask task, TaskRun run, Resources need) {
         Reservation reservation = new Reservation(task, run, need, link.nowMillis());
         reserve(reservation);
-        link.start(run, task.job().specification(), answer -> startAnswered(reservation, answer));
+        unanswered.add(link.life().id(), run, link.nowMillis());
+        int sentTo = link.lifeNumber();
+        link.start(run, task.job().specification(), answer -> startAnswered(reservation, answer, sentTo));
         poller.pollIfIdle();
     }
 
@@ -47,10 +51,27 @@
         }
     }
 
-    private void startAnswered(Reservation reservation, OrderAnswer answer) {
+    /** Sends the stops again that an earlier incarnation was sent, which bind the present one no more. */
+    void stopAgainAfterRestart() {
+        for (Reservation reservation : room.all()) {
+            if (!reservation.wanted()) {
+                reservation.stopping();
+                sendStop(reservation, true);
+            }
+        }
+    }
+
+    private void startAnswered(Reservation reservation, OrderAnswer answer, int sentTo) {
+        if (answer.result() != OrderResult.UNKNOWN) {
+            unanswered.answered(link.life().id(), reservation.run());
+        }
         if (host.closed() || !room.contains(reservation)) {
             return;
         }
+        if (sentTo != link.lifeNumber() && answer.result().isRefusal()) {
+            refused(reservation);
+            return;
+        }
         switch (answer.result()) {
             case DONE -> reservation.running(link.nowMillis());
             case UNKNOWN -> startUnanswered(reservation);
@@ -74,6 +95,11 @@
         } else if (result != OrderResult.TOO_LATE) {
             host.eject(UNHEALTHY_EJECTION_MILLIS);
         }
+        refused(reservation);
+    }
+
+    /** The order was not carried out, and will not be. */
+    private void refused(Reservation reservation) {
         room.release(reservation);
         host.events().refused(host.endpoint(), reservation);
     }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RunResults.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RunResults.java
@@ -45,7 +45,7 @@
                 host.settle(job, Verdict.DONE);
             }
         } else if (kind.countsAsAttempt()) {
-            task.failed(endpoint.entry().id());
+            task.failed(endpoint.entry().life());
             retryOrFail(job, task);
         } else if (kind == EndKind.CRASHED) {
             task.crashed();
@@ -70,6 +70,12 @@
         }
     }
 
+    @Override
+    public void restarted(HeldEndpoint endpoint) {
+        EndpointEntry entry = endpoint.entry();
+        listener.endpointRestarted(entry.domain(), entry.life());
+    }
+
     @Override
     public void refused(HeldEndpoint endpoint, Reservation reservation) {
         requeueRefused(reservation);
@@ -129,6 +135,8 @@
     private void retryOrFail(PlacedJob job, PlacedTask task) {
         if (task.failures() >= job.queue().attempts() || task.isCrashing()) {
             host.settle(job, Verdict.FAILED);
+        } else if (task.isLostTooOften()) {
+            host.settle(job, Verdict.TOO_LATE);
         } else {
             host.requeue(job);
         }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/EndpointList.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/EndpointList.java
@@ -31,6 +31,7 @@
 
     private final Map<EndpointId, EndpointEntry> entries = new HashMap<>();
     private final Map<EndpointId, Long> missingUntil = new HashMap<>();
+    private final LatestStarts starts = new LatestStarts();
     private ImmutableSet<String> services = ImmutableSet.of();
     private ImmutableSet<FailureDomain> drained = ImmutableSet.of();
     private boolean storeAway;
@@ -45,8 +46,33 @@
         return entries.isEmpty();
     }
 
-    /** Records an entry; returns whether it says anything new. */
+    /**
+     * Records an entry that the store has; returns whether that changes anything.
+     *
+     * <p>An entry of an earlier incarnation than the latest known is dropped. One without a start, where the endpoint
+     * has told it before, is by another writer.
+     */
     public boolean listed(EndpointEntry entry) {
+        if (starts.lacksStart(entry.life())) {
+            return overwritten(entry.id());
+        }
+        return recordUnlessOver(entry);
+    }
+
+    /**
+     * Records an entry that a peer has given; returns whether that changes anything.
+     *
+     * <p>A peer may not know the start, which says nothing of the endpoint.
+     */
+    public boolean given(EndpointEntry entry) {
+        return !starts.lacksStart(entry.life()) && recordUnlessOver(entry);
+    }
+
+    private boolean recordUnlessOver(EndpointEntry entry) {
+        if (starts.isOver(entry.life())) {
+            return false;
+        }
+        starts.record(entry.life());
         missingUntil.remove(entry.id());
         return !Objects.equals(entries.put(entry.id(), entry), entry);
     }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/ShardObserver.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/ShardObserver.java
@@ -2,6 +2,7 @@
 
 import org.tarragonarch.core.placing.CompletionEstimate;
 import org.tarragonarch.model.id.EndpointId;
+import org.tarragonarch.model.id.EndpointLife;
 import org.tarragonarch.model.id.FailureDomain;
 import org.tarragonarch.model.id.NodeId;
 import org.tarragonarch.model.task.EndKind;
@@ -37,4 +38,7 @@
 
     /** A run ended without having done its work. */
     default void runEndedBadly(FailureDomain shard, TaskRun run, EndpointId endpoint, EndKind kind) {}
+
+    /** An endpoint has restarted under its id; what ran there is over. */
+    default void endpointRestarted(FailureDomain shard, EndpointLife later) {}
 }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/ShardOwnership.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/ShardOwnership.java
@@ -12,6 +12,7 @@
 import org.tarragonarch.core.placing.PlacingSettings;
 import org.tarragonarch.core.placing.RunTimes;
 import org.tarragonarch.model.id.EndpointId;
+import org.tarragonarch.model.id.EndpointLife;
 import org.tarragonarch.model.id.FailureDomain;
 import org.tarragonarch.model.id.NodeId;
 import org.tarragonarch.model.report.HeldShard;
@@ -209,6 +210,11 @@
             events.runEndedBadly(shard, run, endpoint, kind);
         }
 
+        @Override
+        public void endpointRestarted(FailureDomain shard, EndpointLife later) {
+            events.endpointRestarted(shard, later);
+        }
+
         @Override
         public void fenced(FailureDomain shard, FencingToken token) {
             heldChanged();
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/PlacerChaosTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/PlacerChaosTest.java
@@ -53,6 +53,33 @@
         assertEquals(fixture.ledger.broken(), ImmutableList.of());
     }
 
+    /** Guards against runs that are taken for over, or over room, as endpoints restart under their ids. */
+    @Test(dataProvider = "seeds")
+    public void testNoTaskRunsTwice_endpointsRestart(int seed) {
+        Random random = new Random(seed);
+        PlacerFixture fixture = new PlacerFixture(4).tellingStarts();
+        fixture.orders.startWay = () -> drawWay(random);
+        Placer placer = fixture.placer(1);
+        for (int step = 0; step < STEPS; step++) {
+            int number = 1 + random.nextInt(4);
+            switch (random.nextInt(12)) {
+                case 0, 1 -> fixture.endpoint(number).restart();
+                case 2 -> {
+                    fixture.enter(number, fixture.endpoint(number).startedMillis());
+                    placer.update(PlacerFixture.SHARD, fixture.entries);
+                }
+                case 3 -> placer.withdraw(PlacerFixture.ORIGIN, PlacerFixture.id(1 + random.nextInt(15)));
+                default ->
+                    placer.offer(PlacerFixture.offer(
+                            1 + random.nextInt(15), 1 + random.nextInt(4), 60, PlacerFixture.ORIGIN, false));
+            }
+            fixture.endpoint(1 + random.nextInt(4)).runMillis = 20 + random.nextInt(600);
+            fixture.timers.pass(random.nextInt(60));
+        }
+        fixture.timers.pass(20_000);
+        assertEquals(fixture.ledger.broken(), ImmutableList.of());
+    }
+
     private static FakeOrders.Way drawWay(Random random) {
         return switch (random.nextInt(20)) {
             case 0 -> FakeOrders.Way.LATE;
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/PlacerFixture.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/PlacerFixture.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import org.tarragonarch.model.id.Address;
 import org.tarragonarch.model.id.EndpointId;
+import org.tarragonarch.model.id.EndpointLife;
 import org.tarragonarch.model.id.FailureDomain;
 import org.tarragonarch.model.id.NodeId;
 import org.tarragonarch.model.task.EarlierRuns;
@@ -33,6 +34,8 @@
 
     private static final long PATIENT_DEADLINE_MILLIS = 60_000;
 
+    static final long FIRST_START_MILLIS = 1_700_000_000_000L;
+
     private static final Resources CAPACITY = new Resources(16_000, 32_768, 0);
 
     final VirtualTimers timers = new VirtualTimers();
@@ -42,6 +45,7 @@
     final List<EndpointEntry> entries = new ArrayList<>();
     final List<CompletionEstimate> estimates = new ArrayList<>();
     final List<EndKind> badEnds = new ArrayList<>();
+    final List<String> restarted = new ArrayList<>();
     int fenced;
     boolean listsWhole = true;
 
@@ -53,6 +57,21 @@
         }
     }
 
+    /** Lets every endpoint tell when it started, in its entry and its lists. */
+    PlacerFixture tellingStarts() {
+        for (int number = 1; number <= entries.size(); number++) {
+            endpoint(number).tellStart(FIRST_START_MILLIS);
+            enter(number, FIRST_START_MILLIS);
+        }
+        return this;
+    }
+
+    /** Puts the entry of the incarnation that started then in place of an endpoint's entry. */
+    void enter(int number, long startedMillis) {
+        EndpointEntry entry = entries.get(number - 1);
+        entries.set(number - 1, entry.withLife(new EndpointLife(entry.id(), startedMillis)));
+    }
+
     FakeEndpoint endpoint(int number) {
         return orders.endpoints.get(EndpointId.of("w-" + number));
     }
@@ -130,6 +149,11 @@
                 badEnds.add(kind);
             }
 
+            @Override
+            public void endpointRestarted(FailureDomain shard, EndpointLife later) {
+                restarted.add(later.toString());
+            }
+
             @Override
             public void fenced(FailureDomain shard, FencingToken token) {
                 fenced++;
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/shard/EndpointListTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/shard/EndpointListTest.java
@@ -8,6 +8,7 @@
 import com.google.common.collect.ImmutableSet;
 import org.tarragonarch.model.id.Address;
 import org.tarragonarch.model.id.EndpointId;
+import org.tarragonarch.model.id.EndpointLife;
 import org.tarragonarch.model.id.FailureDomain;
 import org.tarragonarch.model.task.EndpointEntry;
 import org.tarragonarch.model.task.Resources;
@@ -73,6 +74,46 @@
         assertFalse(list.listed(entry("w")));
     }
 
+    private static EndpointEntry started(long startedMillis) {
+        return entry("w").withLife(new EndpointLife(EndpointId.of("w"), startedMillis));
+    }
+
+    /** Guards against an entry of an earlier incarnation that is read, or given by a peer, after a later one. */
+    @Test
+    public void testListed_earlierIncarnation() {
+        EndpointList list = list();
+        assertTrue(list.listed(started(2_000)));
+        assertFalse(list.listed(started(1_000)));
+        assertFalse(list.given(started(1_000)));
+        assertFalse(list.replaced(ImmutableList.of(started(1_000)), 100));
+        assertEquals(list.of(HOBART), ImmutableList.of(started(2_000)));
+        assertTrue(list.listed(started(3_000)));
+        assertEquals(list.of(HOBART), ImmutableList.of(started(3_000)));
+    }
+
+    /** Guards against an entry of an earlier incarnation that is read while the later one is not listed. */
+    @Test
+    public void testListed_earlierIncarnationWhileNothingIsListed() {
+        EndpointList list = list();
+        list.listed(started(2_000));
+        list.unlisted(EndpointId.of("w"), 100);
+        assertFalse(list.listed(started(1_000)));
+        assertTrue(list.isEmpty());
+        assertTrue(list.listed(started(2_000)));
+    }
+
+    /** Guards against an entry by another writer, who does not know the start, that is taken for the endpoint's own. */
+    @Test
+    public void testListed_withoutTheStartThatWasKnown() {
+        EndpointList list = list();
+        list.listed(started(2_000));
+        assertTrue(list.listed(entry("w")));
+        assertTrue(list.isEmpty());
+        assertTrue(list.listed(started(2_000)));
+        assertFalse(list.given(entry("w")));
+        assertEquals(list.of(HOBART), ImmutableList.of(started(2_000)));
+    }
+
     /** Another program's entry names a service that nobody configured; it gets no orders until somebody does. */
     @Test
     public void testOf_serviceThatIsNotThere() {
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ClusterNode.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ClusterNode.java
@@ -279,7 +279,7 @@
     @Override
     public void endpointsGiven(ImmutableList<EndpointEntry> given) {
         if (endpoints.isEmpty()) {
-            given.forEach(endpoints::listed);
+            given.forEach(endpoints::given);
             coordinator.endpointsChanged();
         }
     }
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/EndpointRows.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/EndpointRows.java
@@ -67,8 +67,14 @@
     @Override
     public void replaced(RowPage page) {
         ImmutableList.Builder<EndpointEntry> entries = ImmutableList.builder();
-        page.rows().forEach(row -> read(row).ifPresent(entries::add));
-        if (endpoints.replaced(entries.build(), timers.nowMillis())) {
+        boolean changed = false;
+        for (StoreRow row : page.rows()) {
+            Optional<EndpointEntry> entry = read(row);
+            entry.ifPresent(entries::add);
+            changed |= entry.isEmpty() && id(row).map(endpoints::overwritten).orElse(false);
+        }
+        changed |= endpoints.replaced(entries.build(), timers.nowMillis());
+        if (changed) {
             listChanged.run();
         }
     }
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/NodeMeters.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/NodeMeters.java
@@ -42,6 +42,8 @@
     private final Map<QueueLookup.Result, Counter> queuesNotFound = new EnumMap<>(QueueLookup.Result.class);
     private final Counter declined =
             Counter.builder("tarragonarch.jobs.declined").register(registry);
+    private final Counter restartedEndpoints =
+            Counter.builder("tarragonarch.endpoints.restarted").register(registry);
     private final Counter unreadableEndpointRows =
             Counter.builder("tarragonarch.endpoint.rows.unreadable").register(registry);
 
@@ -124,6 +126,10 @@
         unreadableEndpointRows.increment();
     }
 
+    void endpointRestarted() {
+        restartedEndpoints.increment();
+    }
+
     void runEndedBadly(EndKind kind) {
         badRuns.get(kind).increment();
     }
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ShardLog.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ShardLog.java
@@ -3,6 +3,7 @@
 import org.tarragonarch.core.placing.CompletionEstimate;
 import org.tarragonarch.core.shard.ShardObserver;
 import org.tarragonarch.model.id.EndpointId;
+import org.tarragonarch.model.id.EndpointLife;
 import org.tarragonarch.model.id.FailureDomain;
 import org.tarragonarch.model.id.NodeId;
 import org.tarragonarch.model.log.NodeEvent;
@@ -63,6 +64,19 @@
                 kind);
     }
 
+    @Override
+    public void endpointRestarted(FailureDomain shard, EndpointLife later) {
+        meters.endpointRestarted();
+        log.line(
+                NodeEvent.ENDPOINT_RESTARTED,
+                "endpoint",
+                later.id(),
+                "shard",
+                shard,
+                "started-millis",
+                later.startedMillis());
+    }
+
     @Override
     public void drainChanged(FailureDomain domain, boolean isDrained, long version, String source) {
         NodeEvent event = isDrained ? NodeEvent.DOMAIN_DRAINED : NodeEvent.DOMAIN_UNDRAINED;
--- a/tarragonarch-entry/src/test/java/org/tarragonarch/entry/cluster/EndpointRowsTest.java
+++ b/tarragonarch-entry/src/test/java/org/tarragonarch/entry/cluster/EndpointRowsTest.java
@@ -76,6 +76,18 @@
         assertEquals(meters.scrape().contains("tarragonarch_endpoint_rows_unreadable_total 1.0"), true);
     }
 
+    /** Guards against an entry written over, without its start, that stays in use because the list was read whole. */
+    @Test
+    public void testReplaced_writtenOver() {
+        String started = "{\"born\":1700000000000," + GOOD.substring(1);
+        rows.replaced(page(row("w-1", started), row("w-2", GOOD)));
+        rows.replaced(page(row("w-1", GOOD), row("w-2", GOOD)));
+        assertEquals(listed(), ImmutableList.of("w-2"));
+        endpoints.storeLost();
+        rows.replaced(page(row("w-1", started), row("w-2", "{}")));
+        assertEquals(listed(), ImmutableList.of("w-1"));
+    }
+
     @Test
     public void testReplaced_foreignRowsAreLeftOut() {
         rows.replaced(page(row("", GOOD), row("w-1", GOOD), row("w-2", "\u0000"), row("w-3", "{}")));
--- /dev/null
+++ b/tarragonarch-model/src/main/java/org/tarragonarch/model/id/EndpointLife.java
@@ -0,0 +1,46 @@
+package org.tarragonarch.model.id;
+
+import static com.google.common.base.Preconditions.checkArgument;
+import static com.google.common.base.Preconditions.checkNotNull;
+
+/**
+ * One incarnation of an endpoint: what restarts under the same id is another one.
+ *
+ * @param id the endpoint's id
+ * @param startedMillis when it started, in milliseconds since 1970; {@value #UNKNOWN_START} where that was not told
+ */
+public record EndpointLife(EndpointId id, long startedMillis) {
+    /** The start of an incarnation that did not tell it. */
+    public static final long UNKNOWN_START = 0;
+
+    /** Checks the parts. */
+    public EndpointLife {
+        checkNotNull(id, "id");
+        checkArgument(startedMillis >= 0, "startedMillis %s is negative", startedMillis);
+    }
+
+    /** Returns the incarnation of an endpoint that does not tell when it started. */
+    public static EndpointLife ofUnknownStart(EndpointId id) {
+        return new EndpointLife(id, UNKNOWN_START);
+    }
+
+    /** Returns the incarnation of the same endpoint that started then. */
+    public EndpointLife startedAt(long millis) {
+        return new EndpointLife(id, millis);
+    }
+
+    /** Returns whether it is known when it started. */
+    public boolean hasStart() {
+        return startedMillis != UNKNOWN_START;
+    }
+
+    /** Returns whether this incarnation has followed the other; an unknown start proves nothing. */
+    public boolean isLaterThan(EndpointLife other) {
+        return hasStart() && other.hasStart() && startedMillis > other.startedMillis;
+    }
+
+    @Override
+    public String toString() {
+        return hasStart() ? id + "@" + startedMillis : id.value();
+    }
+}
--- a/tarragonarch-model/src/main/java/org/tarragonarch/model/log/NodeEvent.java
+++ b/tarragonarch-model/src/main/java/org/tarragonarch/model/log/NodeEvent.java
@@ -16,6 +16,8 @@
     JOB_DECLINED,
     /** A run did not do its work. */
     RUN_ENDED_BADLY,
+    /** An endpoint has restarted under its id; what ran there is over. */
+    ENDPOINT_RESTARTED,
     /** This node holds a shard from now on. */
     SHARD_CLAIMED,
     /** This node releases a shard. */
--- a/tarragonarch-model/src/main/java/org/tarragonarch/model/task/EndpointEntry.java
+++ b/tarragonarch-model/src/main/java/org/tarragonarch/model/task/EndpointEntry.java
@@ -4,12 +4,13 @@
 
 import org.tarragonarch.model.id.Address;
 import org.tarragonarch.model.id.EndpointId;
+import org.tarragonarch.model.id.EndpointLife;
 import org.tarragonarch.model.id.FailureDomain;
 
 /**
- * What the platform's list says of one life of an endpoint.
+ * What the platform's list says of one incarnation of an endpoint.
  *
- * @param id names this life; after a crash the endpoint has another id
+ * @param life the incarnation that the entry is of; after a crash the endpoint has another start, or another id
  * @param service the service that it works for
  * @param address where it takes orders
  * @param domain where it stands
@@ -18,7 +19,7 @@
  * @param cold whether it still works more slowly than it will, because it has just started
  */
 public record EndpointEntry(
-        EndpointId id,
+        EndpointLife life,
         String service,
         Address address,
         FailureDomain domain,
@@ -27,15 +28,42 @@
         boolean cold) {
     /** Checks the parts. */
     public EndpointEntry {
-        checkNotNull(id, "id");
+        checkNotNull(life, "life");
         checkNotNull(service, "service");
         checkNotNull(address, "address");
         checkNotNull(domain, "domain");
         checkNotNull(capacity, "capacity");
     }
 
+    /** Creates the entry of an endpoint that does not tell when it started. */
+    public EndpointEntry(
+            EndpointId id,
+            String service,
+            Address address,
+            FailureDomain domain,
+            boolean draining,
+            Resources capacity,
+            boolean cold) {
+        this(EndpointLife.ofUnknownStart(id), service, address, domain, draining, capacity, cold);
+    }
+
+    /** Returns the endpoint's id. */
+    public EndpointId id() {
+        return life.id();
+    }
+
     /** Returns the same entry of an endpoint that must get nothing new. */
     public EndpointEntry asDraining() {
-        return new EndpointEntry(id, service, address, domain, true, capacity, cold);
+        return withDraining(true);
+    }
+
+    /** Returns the same entry of an endpoint that must get nothing new, or may again. */
+    public EndpointEntry withDraining(boolean now) {
+        return new EndpointEntry(life, service, address, domain, now, capacity, cold);
+    }
+
+    /** Returns the same entry of another incarnation. */
+    public EndpointEntry withLife(EndpointLife other) {
+        return new EndpointEntry(other, service, address, domain, draining, capacity, cold);
     }
 }
--- a/tarragonarch-model/src/main/java/org/tarragonarch/model/task/HoldAnswer.java
+++ b/tarragonarch-model/src/main/java/org/tarragonarch/model/task/HoldAnswer.java
@@ -4,6 +4,7 @@
 
 import com.google.common.collect.ImmutableList;
 import java.util.OptionalLong;
+import org.tarragonarch.model.id.EndpointLife;
 
 /**
  * The answer to a {@link HoldOrder}.
@@ -12,12 +13,15 @@
  * @param clockMillis the endpoint's clock as it answered
  * @param running what runs
  * @param ended the ends that were not yet taken note of, in order
+ * @param startedMillis when the incarnation that answers started, in milliseconds since 1970;
+ *     {@link EndpointLife#UNKNOWN_START} where that is not told
  */
 public record HoldAnswer(
         OrderResult result,
         OptionalLong clockMillis,
         ImmutableList<RunProgress> running,
-        ImmutableList<TaskEnd> ended) {
+        ImmutableList<TaskEnd> ended,
+        long startedMillis) {
     /** Checks the parts. */
     public HoldAnswer {
         checkNotNull(result, "result");
@@ -26,6 +30,15 @@
         checkNotNull(ended, "ended");
     }
 
+    /** Creates the answer of an endpoint that does not tell when it started. */
+    public HoldAnswer(
+            OrderResult result,
+            OptionalLong clockMillis,
+            ImmutableList<RunProgress> running,
+            ImmutableList<TaskEnd> ended) {
+        this(result, clockMillis, running, ended, EndpointLife.UNKNOWN_START);
+    }
+
     /** Returns the answer of an endpoint that did not carry the order out. */
     public static HoldAnswer failed(OrderResult result) {
         return new HoldAnswer(result, OptionalLong.empty(), ImmutableList.of(), ImmutableList.of());
--- a/tarragonarch-model/src/main/java/org/tarragonarch/model/task/OrderResult.java
+++ b/tarragonarch-model/src/main/java/org/tarragonarch/model/task/OrderResult.java
@@ -21,5 +21,10 @@
     /** The connection was refused: certainly nothing was done. */
     NOT_SENT,
     /** No answer: it may have been carried out, and may be yet. */
-    UNKNOWN
+    UNKNOWN;
+
+    /** Returns whether the order was certainly not carried out, and will not be. */
+    public boolean isRefusal() {
+        return this != DONE && this != UNKNOWN;
+    }
 }
--- a/tarragonarch-standin/src/test/java/org/tarragonarch/standin/soak/Fault.java
+++ b/tarragonarch-standin/src/test/java/org/tarragonarch/standin/soak/Fault.java
@@ -117,6 +117,14 @@
             cluster.restartEndpoint(target);
         }
     },
+    /** An endpoint crashes, and comes back as another incarnation under its id. */
+    ENDPOINT_RESTARTED(FaultyLink.Mode.RESET) {
+        @Override
+        void begin(SoakCluster cluster, int target) throws IOException, InterruptedException {
+            super.begin(cluster, target);
+            cluster.restartEndpointUnderId(target);
+        }
+    },
     /** The operators change the configuration. */
     CONFIGURATION_CHANGED {
         @Override
