Shares of a pool's capacity: weighted max-min by use, admission within the share

Cause: one kind's flood fills the one queue, and jobs of all other kinds are refused or wait behind it. Change: core.share counts use and release rate by share, divides capacity by water-filling and estimates the wait within a share; PendingShares and StartOrder keep one queue for each share. Without shares the order and the estimate are the earlier ones. The experiment tool gets shares and bursts of one kind.

--- a/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/Cluster.java
+++ b/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/Cluster.java
@@ -17,6 +17,7 @@
 import org.tarragonarch.model.id.FailureDomain;
 import org.tarragonarch.model.id.NodeId;
 import org.tarragonarch.model.id.Region;
+import org.tarragonarch.model.share.SharePlan;
 import org.tarragonarch.model.task.EndpointEntry;
 import org.tarragonarch.model.task.EndpointOrders;
 import org.tarragonarch.model.task.QueueCatalog;
@@ -85,6 +86,10 @@
                 shape.kinds().stream().map(kind -> kind.queue(shape.stretch())).toList());
     }
 
+    SharePlan shares() {
+        return SharePlan.of(shape.shares());
+    }
+
     EndpointList listed() {
         return listed;
     }
--- a/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/ExperimentCommand.java
+++ b/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/ExperimentCommand.java
@@ -5,13 +5,16 @@
 import java.io.PrintWriter;
 import java.nio.charset.Charset;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.Callable;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.IntStream;
 import java.util.stream.LongStream;
 import org.tarragonarch.model.outcome.StepException;
+import org.tarragonarch.model.share.ShareSettings;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
@@ -37,6 +40,13 @@
     @Option(names = "--rate", description = "Jobs a second in place of the shape's own.")
     private Double rate;
 
+    @Option(
+            names = "--shares",
+            split = ",",
+            paramLabel = "WEIGHT",
+            description = "Weights of the priorities 0, 1, ... in place of the shape's own shares.")
+    private List<Double> shares = new ArrayList<>();
+
     private final PrintWriter out = new PrintWriter(System.out, true, Charset.defaultCharset());
 
     /** Runs the command line. */
@@ -49,7 +59,7 @@
         for (String name : shapes) {
             try {
                 LoadShape shape = name.contains(".") ? LoadShapes.read(Path.of(name)) : LoadShapes.named(name);
-                print(name, play(rate == null ? shape : shape.withJobsPerSecond(rate)));
+                print(name, play(changed(shape)));
             } catch (StepException e) {
                 System.err.println(e.peer() + ": " + e.getMessage());
                 return EXIT_USAGE;
@@ -58,6 +68,15 @@
         return 0;
     }
 
+    private LoadShape changed(LoadShape shape) {
+        LoadShape rated = rate == null ? shape : shape.withJobsPerSecond(rate);
+        return shares.isEmpty()
+                ? rated
+                : rated.withShares(IntStream.range(0, shares.size())
+                        .mapToObj(priority -> ShareSettings.weighted(priority, shares.get(priority)))
+                        .toList());
+    }
+
     private ImmutableList<ExperimentResult> play(LoadShape shape) {
         AtomicInteger played = new AtomicInteger();
         return LongStream.rangeClosed(1, seeds)
--- a/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/JobSource.java
+++ b/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/JobSource.java
@@ -9,6 +9,9 @@
     private static final int CLIENTS_PER_DOMAIN = 10;
     private static final double MILLIS = 1_000;
 
+    /** A time before any burst. */
+    private static final long BEFORE = -1;
+
     private final LoadShape shape;
     private final SplittableRandom random;
 
@@ -21,7 +24,7 @@
         List<DrawnJob> jobs = new ArrayList<>();
         double at = 0;
         while (true) {
-            double rate = shape.jobsPerSecond() * shape.burstAt(Math.round(at));
+            double rate = shape.jobsPerSecond() * weighted(Math.round(at)) / weighted(BEFORE);
             at += -Math.log(1 - random.nextDouble()) / rate * MILLIS;
             if (at >= shape.lengthMillis()) {
                 return jobs;
@@ -30,9 +33,19 @@
         }
     }
 
+    private double weighted(long millis) {
+        return parts(millis).stream().mapToDouble(Double::doubleValue).sum();
+    }
+
+    /** Returns how many jobs of each kind come at a time, against each other. */
+    private List<Double> parts(long millis) {
+        return shape.kinds().stream()
+                .map(kind -> kind.part() * shape.burstAt(kind, millis))
+                .toList();
+    }
+
     private DrawnJob job(long number, long atMillis) {
-        JobKind kind =
-                shape.kinds().get(pick(shape.kinds().stream().map(JobKind::part).toList()));
+        JobKind kind = shape.kinds().get(pick(parts(atMillis)));
         int domain = pick(shape.domainWeights());
         double mean = kind.runMillis().draw(random);
         double[] runs = new double[kind.width().drawWhole(random)];
--- a/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/LoadShape.java
+++ b/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/LoadShape.java
@@ -5,6 +5,7 @@
 
 import com.google.common.collect.ImmutableList;
 import java.util.List;
+import org.tarragonarch.model.share.ShareSettings;
 
 /**
  * A cluster and the load on it; read from a file of JSON with comments.
@@ -23,6 +24,7 @@
  * @param lengthMillis how long jobs come
  * @param kinds the kinds of job
  * @param disturbances what happens meanwhile
+ * @param shares how holders divide capacity among priorities; left out, there are no shares
  */
 public record LoadShape(
         int domains,
@@ -38,7 +40,8 @@
         double stretch,
         long lengthMillis,
         List<JobKind> kinds,
-        List<Disturbance> disturbances) {
+        List<Disturbance> disturbances,
+        List<ShareSettings> shares) {
     /** Checks that the parts fit each other. */
     public LoadShape {
         checkArgument(domains >= 1, "domains %s is below 1", domains);
@@ -49,10 +52,20 @@
         domainWeights = ImmutableList.copyOf(domainWeights);
         kinds = ImmutableList.copyOf(checkNotNull(kinds, "kinds"));
         disturbances = ImmutableList.copyOf(checkNotNull(disturbances, "disturbances"));
+        shares = shares == null ? ImmutableList.of() : ImmutableList.copyOf(shares);
     }
 
     /** Returns the same cluster under another rate. */
     public LoadShape withJobsPerSecond(double rate) {
+        return with(rate, shares);
+    }
+
+    /** Returns the same cluster under another division of capacity. */
+    public LoadShape withShares(List<ShareSettings> division) {
+        return with(jobsPerSecond, division);
+    }
+
+    private LoadShape with(double rate, List<ShareSettings> division) {
         return new LoadShape(
                 domains,
                 nodesPerDomain,
@@ -67,17 +80,18 @@
                 stretch,
                 lengthMillis,
                 kinds,
-                disturbances);
+                disturbances,
+                division);
     }
 
     long latencyMicros(int domain, int otherDomain) {
         return domain == otherDomain ? insideMicros : betweenMicros;
     }
 
-    /** Returns how many times as fast jobs come at a time. */
-    double burstAt(long millis) {
+    /** Returns how many times as fast jobs of a kind come at a time. */
+    double burstAt(JobKind kind, long millis) {
         return disturbances.stream()
-                .filter(each -> each.kind() == DisturbanceKind.BURST && each.during(millis))
+                .filter(each -> each.kind() == DisturbanceKind.BURST && each.during(millis) && each.isOf(kind.name()))
                 .mapToDouble(Disturbance::factor)
                 .reduce(1, (first, second) -> first * second);
     }
--- a/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/ModelNode.java
+++ b/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/ModelNode.java
@@ -48,7 +48,7 @@
                 ip,
                 new ShardPools(cluster.regions(), cluster.listed()),
                 cluster.listed(),
-                PLACING,
+                PLACING.withShares(cluster.shares()),
                 cluster.orders(timers, domain),
                 this,
                 timers,
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/CompletionEstimate.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/CompletionEstimate.java
@@ -1,5 +1,8 @@
 package org.tarragonarch.core.placing;
 
+import java.util.Optional;
+import org.tarragonarch.core.share.ShareState;
+
 /**
  * What a holder expects of a job as it comes in, and from which inputs.
  *
@@ -13,6 +16,7 @@
  * @param waitingJobs how many jobs wait before it
  * @param roomForAll whether there is room for it and for all that wait, now or as soon as the endpoints that are just
  *     being opened are known
+ * @param share how the share of the job stands, where shares are configured
  */
 public record CompletionEstimate(
         long waitMillis,
@@ -22,7 +26,8 @@
         long places,
         long freePlaces,
         int waitingJobs,
-        boolean roomForAll) {
+        boolean roomForAll,
+        Optional<ShareState> share) {
     /**
      * Returns whether the job is worth taking.
      *
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/CompletionEstimator.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/CompletionEstimator.java
@@ -1,15 +1,21 @@
 package org.tarragonarch.core.placing;
 
+import java.util.Optional;
+import org.tarragonarch.core.share.PoolShares;
+import org.tarragonarch.core.share.ShareAdmission;
+import org.tarragonarch.core.share.ShareState;
 import org.tarragonarch.model.task.Resources;
 
 /** Says what to expect of a job that would be taken now. */
 final class CompletionEstimator {
     private final Iterable<HeldEndpoint> endpoints;
-    private final PendingJobs pending;
+    private final PendingShares pending;
+    private final PoolShares shares;
 
-    CompletionEstimator(Iterable<HeldEndpoint> endpoints, PendingJobs pending) {
+    CompletionEstimator(Iterable<HeldEndpoint> endpoints, PendingShares pending, PoolShares shares) {
         this.endpoints = endpoints;
         this.pending = pending;
+        this.shares = shares;
     }
 
     /**
@@ -36,12 +42,27 @@
                     ? endpoint.free().milliCores() / perTask
                     : 0;
         }
+        PendingJobs own = pending.of(job.share());
+        boolean roomForAll = pending.waitingTasks() + job.step().count() <= freePlaces + initializingPlaces;
         long missing = Math.max(0, job.step().count() - freePlaces);
-        long ahead = pending.waitingTaskMillis(now) + missing * job.expectedRunMillis();
-        long wait = places == 0 || missing == 0 && pending.isEmpty() ? 0 : ahead / places;
+        long ahead = own.waitingTaskMillis(now) + missing * job.expectedRunMillis();
+        long wait = places == 0 || missing == 0 && own.isEmpty() ? 0 : ahead / places;
+        Optional<ShareState> share = Optional.empty();
+        if (shares.plan().isConfigured()) {
+            long perTask = Math.max(1, job.need().milliCores());
+            ShareAdmission admission = shares.admission(job.share(), places * perTask);
+            long wanted = job.step().count() * perTask;
+            long free = Math.min(freePlaces * perTask, admission.belowCeilingMilliCores());
+            PendingJobs.Ahead before = own.ahead(now);
+            wait = places == 0
+                    ? 0
+                    : admission.waitMillis(
+                            before.milliCores(), before.work(), Math.max(0, wanted - free), job.expectedRunMillis());
+            roomForAll &= own.waitingMilliCores() + wanted <= admission.belowCeilingMilliCores();
+            share = Optional.of(admission.state());
+        }
         long deadlineWithin = job.times().deadlineMillis() - now;
         long inTimeWithin = Math.min(job.times().inTimeMillis() - now, deadlineWithin);
-        boolean roomForAll = pending.waitingTasks() + job.step().count() <= freePlaces + initializingPlaces;
         return new CompletionEstimate(
                 wait,
                 job.expectedRunMillis(),
@@ -49,7 +70,8 @@
                 deadlineWithin,
                 places,
                 freePlaces,
-                pending.size(),
-                roomForAll);
+                own.size(),
+                roomForAll,
+                share);
     }
 }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/HeldEndpoint.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/HeldEndpoint.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
+import org.tarragonarch.core.share.ShareTally;
 import org.tarragonarch.model.task.EndKind;
 import org.tarragonarch.model.task.EndpointEntry;
 import org.tarragonarch.model.task.EndpointOrders;
@@ -46,10 +47,11 @@
             EndpointOrders orders,
             Timers timers,
             EndpointEvents events,
-            ProgressReports progress) {
+            ProgressReports progress,
+            ShareTally tally) {
         this.link = new EndpointLink(entry, token, settings, orders, timers);
         this.events = events;
-        this.room = new ReservedRoom(entry.capacity());
+        this.room = new ReservedRoom(entry.capacity(), tally);
         this.stalls = new StallDetector(room, health, progress);
         Host host = new Host();
         this.recovered = new RecoveredRuns(timers, settings.stopTime(), host);
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/HeldShards.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/HeldShards.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Predicate;
+import org.tarragonarch.core.share.ShareTally;
 import org.tarragonarch.model.id.FailureDomain;
 import org.tarragonarch.model.task.FencingToken;
 import org.tarragonarch.model.task.JobId;
@@ -45,6 +46,11 @@
         return Iterables.concat(Iterables.transform(shards.values(), PlacedShard::endpoints));
     }
 
+    /** Returns what runs take, by share, of each shard. */
+    Iterable<ShareTally> tallies() {
+        return Iterables.transform(shards.values(), PlacedShard::tally);
+    }
+
     Optional<PlacedShard> remove(FailureDomain domain) {
         return Optional.ofNullable(shards.remove(domain));
     }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PendingJobs.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PendingJobs.java
@@ -2,7 +2,9 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.TreeMultiset;
+import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.List;
 import java.util.Optional;
 import java.util.TreeSet;
 
@@ -20,32 +22,55 @@
             .thenComparing(job -> job.id().value());
 
     private final TreeSet<PlacedJob> jobs = new TreeSet<>(BY_LATEST_START);
+    private final TreeSet<PlacedJob> begun = new TreeSet<>(BY_LATEST_START);
     private final TreeMultiset<Long> needs = TreeMultiset.create();
     private long waitingTasks;
     private long waitingTaskMillis;
+    private long waitingMilliCores;
+    private long waitingWork;
 
     void add(PlacedJob job) {
         if (jobs.add(job)) {
             needs.add(job.need().milliCores());
-            waitingTasks += job.waitingTasks();
-            waitingTaskMillis += job.waitingTaskMillis();
+            count(job, job.waitingTasks());
             job.pendingIn(Optional.of(this));
+            if (job.wasStarted()) {
+                begun.add(job);
+            }
         }
     }
 
     void remove(PlacedJob job) {
         if (jobs.remove(job)) {
             needs.remove(job.need().milliCores());
-            waitingTasks -= job.waitingTasks();
-            waitingTaskMillis -= job.waitingTaskMillis();
+            count(job, -job.waitingTasks());
             job.pendingIn(Optional.empty());
+            begun.remove(job);
         }
     }
 
     /** Takes in that so many tasks more, or less, of a job in this queue wait. */
     void waitingChanged(PlacedJob job, int by) {
-        waitingTasks += by;
-        waitingTaskMillis += by * job.expectedRunMillis();
+        count(job, by);
+    }
+
+    private void count(PlacedJob job, int tasks) {
+        waitingTasks += tasks;
+        waitingTaskMillis += tasks * job.expectedRunMillis();
+        waitingMilliCores += tasks * job.need().milliCores();
+        waitingWork += tasks * job.need().milliCores() * job.expectedRunMillis();
+    }
+
+    /** Records that some tasks of a job in this queue were started. */
+    void begun(PlacedJob job) {
+        if (jobs.contains(job)) {
+            begun.add(job);
+        }
+    }
+
+    /** Returns the jobs of which something was started, as they are now. */
+    ImmutableList<PlacedJob> begun() {
+        return ImmutableList.copyOf(begun);
     }
 
     /** Returns the jobs as they are now; they may be removed meanwhile. */
@@ -76,6 +101,16 @@
         return !needs.isEmpty() && needs.firstEntry().getElement() <= milliCores;
     }
 
+    /** Returns the least processor time that a task of any job needs, in thousandths of a core; there must be a job. */
+    long smallestNeed() {
+        return needs.firstEntry().getElement();
+    }
+
+    /** Returns the processor time that the waiting tasks need, in thousandths of a core. */
+    long waitingMilliCores() {
+        return waitingMilliCores;
+    }
+
     /** Returns how many tasks wait. */
     long waitingTasks() {
         return waitingTasks;
@@ -84,12 +119,42 @@
     /** Returns the run times of the waiting tasks that a new job has to let pass, added up. */
     long waitingTaskMillis(long nowMillis) {
         long work = waitingTaskMillis;
+        for (PlacedJob job : overdue(nowMillis)) {
+            work -= job.waitingTaskMillis();
+        }
+        return work;
+    }
+
+    /** Returns what the waiting tasks that a new job has to let pass need, and for how long. */
+    Ahead ahead(long nowMillis) {
+        long milliCores = waitingMilliCores;
+        long work = waitingWork;
+        for (PlacedJob job : overdue(nowMillis)) {
+            long need = job.waitingTasks() * job.need().milliCores();
+            milliCores -= need;
+            work -= need * job.expectedRunMillis();
+        }
+        return new Ahead(milliCores, work);
+    }
+
+    private List<PlacedJob> overdue(long nowMillis) {
+        List<PlacedJob> overdue = new ArrayList<>();
         for (PlacedJob job : jobs) {
             if (job.latestStartMillis() >= nowMillis) {
                 break;
             }
-            work -= job.isOverdue(nowMillis) ? job.waitingTaskMillis() : 0;
+            if (job.isOverdue(nowMillis)) {
+                overdue.add(job);
+            }
         }
-        return work;
+        return overdue;
     }
+
+    /**
+     * Waiting tasks, added up.
+     *
+     * @param milliCores the processor time that they need, in thousandths of a core
+     * @param work the same times the expected run time of each in milliseconds
+     */
+    record Ahead(long milliCores, long work) {}
 }
--- /dev/null
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PendingShares.java
@@ -0,0 +1,46 @@
+package org.tarragonarch.core.placing;
+
+import com.google.common.collect.ImmutableList;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import org.tarragonarch.model.share.ShareId;
+
+/** The jobs that have tasks to start, in one order for each share. */
+final class PendingShares {
+    private final Map<ShareId, PendingJobs> byShare = new LinkedHashMap<>();
+
+    void add(PlacedJob job) {
+        of(job.share()).add(job);
+    }
+
+    void remove(PlacedJob job) {
+        of(job.share()).remove(job);
+    }
+
+    /** Returns the jobs of a share. */
+    PendingJobs of(ShareId share) {
+        return byShare.computeIfAbsent(share, unused -> new PendingJobs());
+    }
+
+    /** Returns every share that has had a job, with its jobs. */
+    Collection<Map.Entry<ShareId, PendingJobs>> shares() {
+        return byShare.entrySet();
+    }
+
+    /** Returns the jobs as they are now; they may be removed meanwhile. */
+    ImmutableList<PlacedJob> inOrder() {
+        ImmutableList.Builder<PlacedJob> jobs = ImmutableList.builder();
+        byShare.values().forEach(each -> jobs.addAll(each.inOrder()));
+        return jobs.build();
+    }
+
+    /** Returns how many tasks of all shares wait. */
+    long waitingTasks() {
+        long waiting = 0;
+        for (PendingJobs each : byShare.values()) {
+            waiting += each.waitingTasks();
+        }
+        return waiting;
+    }
+}
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacedJob.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacedJob.java
@@ -3,6 +3,7 @@
 import com.google.common.collect.ImmutableList;
 import java.util.Optional;
 import org.tarragonarch.model.id.NodeId;
+import org.tarragonarch.model.share.ShareId;
 import org.tarragonarch.model.task.JobId;
 import org.tarragonarch.model.task.Offer;
 import org.tarragonarch.model.task.QueueDefinition;
@@ -32,6 +33,7 @@
     private final ImmutableList<PlacedTask> tasks;
     private final long expectedRunMillis;
     private final JobTimes times;
+    private final ShareId share;
     private NodeId origin;
     private Optional<PendingJobs> pending = Optional.empty();
     private int unfinished;
@@ -39,11 +41,12 @@
     private boolean over;
     private int lastRun;
 
-    PlacedJob(Offer offer, int firstRun, long expectedRunMillis, JobTimes times) {
+    PlacedJob(Offer offer, int firstRun, long expectedRunMillis, JobTimes times, ShareId share) {
         this.offer = offer;
         this.origin = offer.origin();
         this.expectedRunMillis = expectedRunMillis;
         this.times = times;
+        this.share = share;
         TaskStep step = offer.job().step();
         ImmutableList.Builder<PlacedTask> builder = ImmutableList.builderWithExpectedSize(step.count());
         for (int index = 0; index < step.count(); index++) {
@@ -66,6 +69,11 @@
         return offer.queue();
     }
 
+    /** Returns the share whose capacity its tasks use. */
+    ShareId share() {
+        return share;
+    }
+
     TaskStep step() {
         return offer.job().step();
     }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacedShard.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacedShard.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Set;
+import org.tarragonarch.core.share.ShareTally;
 import org.tarragonarch.model.id.EndpointId;
 import org.tarragonarch.model.task.EndpointEntry;
 import org.tarragonarch.model.task.EndpointOrders;
@@ -24,6 +25,7 @@
     private final Timers timers;
     private final EndpointEvents events;
     private final ProgressReports progress;
+    private final ShareTally tally = new ShareTally();
     private final long openedAtMillis;
     private final Map<EndpointId, HeldEndpoint> endpoints = new LinkedHashMap<>();
 
@@ -47,6 +49,11 @@
         return token;
     }
 
+    /** Returns what runs on the endpoints take, by share. */
+    ShareTally tally() {
+        return tally;
+    }
+
     Collection<HeldEndpoint> endpoints() {
         return endpoints.values();
     }
@@ -58,7 +65,7 @@
             ids.add(entry.id());
             HeldEndpoint known = endpoints.get(entry.id());
             if (known == null) {
-                HeldEndpoint added = new HeldEndpoint(entry, token, settings, orders, timers, events, progress);
+                HeldEndpoint added = new HeldEndpoint(entry, token, settings, orders, timers, events, progress, tally);
                 endpoints.put(entry.id(), added);
                 added.open();
             } else {
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/Placer.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/Placer.java
@@ -11,8 +11,12 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Predicate;
+import org.tarragonarch.core.share.PoolShares;
+import org.tarragonarch.core.share.ShareState;
 import org.tarragonarch.model.id.FailureDomain;
 import org.tarragonarch.model.id.NodeId;
+import org.tarragonarch.model.share.ShareId;
+import org.tarragonarch.model.share.ShareUse;
 import org.tarragonarch.model.task.EndpointEntry;
 import org.tarragonarch.model.task.EndpointOrders;
 import org.tarragonarch.model.task.FencingToken;
@@ -37,7 +41,9 @@
     private final RunTimes runTimes;
     private final HeldShards shards;
     private final Map<JobId, PlacedJob> jobs = new HashMap<>();
-    private final PendingJobs pending = new PendingJobs();
+    private final PendingShares pending = new PendingShares();
+    private final ShareReview shareReview;
+    private final PoolShares poolShares;
     private final ProgressReports progress = new ProgressReports();
     private final CompletionEstimator estimator;
     private final CancellingJobs cancelling = new CancellingJobs();
@@ -65,9 +71,13 @@
         this.listener = checkNotNull(listener, "listener");
         this.runTimes = checkNotNull(runTimes, "runTimes");
         this.shards = new HeldShards(checkNotNull(wholeList, "wholeList"));
-        this.estimator = new CompletionEstimator(shards.endpoints(), pending);
+        PoolCapacity capacity = new PoolCapacity(shards.endpoints());
+        this.poolShares = new PoolShares(
+                settings.shares(), shards.tallies(), share -> pending.of(share).waitingMilliCores());
+        this.shareReview = new ShareReview(poolShares, capacity, timers, listener);
+        this.estimator = new CompletionEstimator(shards.endpoints(), pending, poolShares);
         this.recovering = new RecoveringJobs(shards, timers, this::resume);
-        this.starter = new TaskStarter(shards, pending, timers, this::giveUp);
+        this.starter = new TaskStarter(shards, pending, poolShares, capacity, timers, this::giveUp);
         this.results = new RunResults(runTimes, timers, listener, new Results());
     }
 
@@ -160,6 +170,7 @@
     /** Looks for runs that stall; to be called a few times a second. */
     public void review() {
         shards.endpoints().forEach(HeldEndpoint::restartOverdueRuns);
+        shareReview.review();
         starter.planStart();
     }
 
@@ -194,6 +205,18 @@
         return shards.find(shard).map(PlacedShard::freeMilliCores).orElse(0L);
     }
 
+    /** Returns how every share stands; none where no shares are configured. */
+    public ImmutableList<ShareState> shareStates() {
+        return shareReview.states();
+    }
+
+    /** Returns what each share has in use in a shard; nothing where no shares are configured. */
+    public ImmutableList<ShareUse> shareUses(FailureDomain shard) {
+        return settings.shares().isConfigured()
+                ? shards.find(shard).map(held -> held.tally().uses()).orElse(ImmutableList.of())
+                : ImmutableList.of();
+    }
+
     /** Returns whether no endpoint of the shard has answered although this node has asked them for long enough. */
     public boolean isUnreachable(FailureDomain shard) {
         return shards.find(shard).filter(PlacedShard::isUnreachable).isPresent();
@@ -202,7 +225,10 @@
     private void take(Offer offer, int firstRun) {
         long expected =
                 runTimes.expectedMillis(offer.queue().name(), offer.job().step().estimateMillis());
-        PlacedJob job = new PlacedJob(offer, firstRun, expected, JobTimes.of(offer, expected, timers.nowMillis()));
+        JobTimes times = JobTimes.of(offer, expected, timers.nowMillis());
+        ShareId share =
+                poolShares.shareOf(offer.queue().service(), offer.queue().priority());
+        PlacedJob job = new PlacedJob(offer, firstRun, expected, times, share);
         if (offer.earlierRuns().over()) {
             admit(job);
             return;
@@ -276,8 +302,11 @@
         if (job.wasStarted()) {
             settle(job, Verdict.TOO_LATE);
         } else {
-            listener.declined(job.origin(), job.id(), estimator.of(job, timers.nowMillis()));
-            settle(job, Verdict.DECLINED);
+            CompletionEstimate estimate = estimator.of(job, timers.nowMillis());
+            listener.declined(job.origin(), job.id(), estimate);
+            end(job);
+            long retry = estimate.share().isPresent() ? estimate.waitMillis() : 0;
+            listener.settled(job.origin(), job.id(), Verdict.DECLINED, retry);
         }
     }
 
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacerListener.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacerListener.java
@@ -1,5 +1,6 @@
 package org.tarragonarch.core.placing;
 
+import org.tarragonarch.core.share.ShareState;
 import org.tarragonarch.model.id.EndpointId;
 import org.tarragonarch.model.id.FailureDomain;
 import org.tarragonarch.model.id.NodeId;
@@ -22,6 +23,9 @@
     /** A job is declined, and why. */
     void declined(NodeId origin, JobId job, CompletionEstimate estimate);
 
+    /** A share wants more than its allotment from now on, or no longer does. */
+    default void shareLimited(ShareState state, boolean isLimited) {}
+
     /** A run ended without having done its work. */
     void runEndedBadly(FailureDomain shard, TaskRun run, EndpointId endpoint, EndKind kind);
 
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacingSettings.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacingSettings.java
@@ -1,17 +1,21 @@
 package org.tarragonarch.core.placing;
 
 import static com.google.common.base.Preconditions.checkArgument;
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import org.tarragonarch.model.share.SharePlan;
 
 /**
- * The times by which a holder works with its endpoints, all in milliseconds.
+ * How a holder works with its endpoints; all times are in milliseconds.
  *
  * @param lease how long what runs on an endpoint goes on without a renewal; the longest that endpoints allow
  * @param holdWait how long an endpoint may keep a poll waiting for an end; a tenth of the lease, since the ends that a
  *     lost poll would have listed are seen only after this and {@code answerTime}
  * @param stopTime the longest that a stop takes on an endpoint
  * @param answerTime how long the answer to an order may take before it counts as lost
+ * @param shares how capacity is divided among priorities
  */
-public record PlacingSettings(long lease, long holdWait, long stopTime, long answerTime) {
+public record PlacingSettings(long lease, long holdWait, long stopTime, long answerTime, SharePlan shares) {
     /** Endpoints' clocks may run slow by two parts in a hundred. */
     private static final double SLOWEST_CLOCK = 1.02;
 
@@ -33,11 +37,17 @@
         checkArgument(holdWait > 0 && holdWait < lease, "holdWait %s is not within the lease", holdWait);
         checkArgument(answerTime > 0, "answerTime %s is not positive", answerTime);
         checkArgument(stopTime > 0, "stopTime %s is not positive", stopTime);
+        checkNotNull(shares, "shares");
+    }
+
+    /** Returns the same settings with another division of capacity. */
+    public PlacingSettings withShares(SharePlan plan) {
+        return new PlacingSettings(lease, holdWait, stopTime, answerTime, plan);
     }
 
     /** Returns the settings for endpoints that allow this lease and take this long to stop a run. */
     public static PlacingSettings of(long lease, long stopTime) {
-        return new PlacingSettings(lease, lease / LOOKS_PER_LEASE, stopTime, ANSWER_MILLIS);
+        return new PlacingSettings(lease, lease / LOOKS_PER_LEASE, stopTime, ANSWER_MILLIS, SharePlan.NONE);
     }
 
     /** Returns how long after an order was sent everything that it extended has certainly ended, if nothing follows. */
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/ReservedRoom.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/ReservedRoom.java
@@ -4,19 +4,27 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import org.tarragonarch.core.share.ShareTally;
 import org.tarragonarch.model.task.Resources;
 import org.tarragonarch.model.task.TaskName;
 import org.tarragonarch.model.task.TaskRun;
 
 /** The room of one endpoint, as far as runs of this holder take it. */
 final class ReservedRoom {
+    private final ShareTally tally;
     private final Map<TaskName, Reservation> reservations = new HashMap<>();
     private Resources capacity;
     private Resources used = Resources.NONE;
     private Resources free;
 
-    ReservedRoom(Resources capacity) {
+    /**
+     * Creates the room of an endpoint on which nothing runs.
+     *
+     * @param tally counts what runs take, by share
+     */
+    ReservedRoom(Resources capacity, ShareTally tally) {
         this.capacity = capacity;
+        this.tally = tally;
         this.free = capacity;
     }
 
@@ -62,12 +70,16 @@
     void reserve(Reservation reservation) {
         reservations.put(reservation.run().task(), reservation);
         used = used.plus(reservation.room());
+        PlacedJob job = reservation.task().job();
+        tally.reserved(job.share(), reservation.room().milliCores(), job.expectedRunMillis());
         free = capacity.minus(used);
     }
 
     void release(Reservation reservation) {
         if (reservations.remove(reservation.run().task(), reservation)) {
             used = used.minus(reservation.room());
+            PlacedJob job = reservation.task().job();
+            tally.released(job.share(), reservation.room().milliCores(), job.expectedRunMillis());
             free = capacity.minus(used);
         }
     }
--- /dev/null
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/share/PoolShares.java
@@ -0,0 +1,132 @@
+package org.tarragonarch.core.share;
+
+import com.google.common.collect.ImmutableList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.ToLongFunction;
+import org.tarragonarch.model.share.ShareId;
+import org.tarragonarch.model.share.SharePlan;
+
+/** The shares of a pool: what each uses and wants, and which starts next. */
+public final class PoolShares {
+    private final SharePlan plan;
+    private final Iterable<ShareTally> tallies;
+    private final ToLongFunction<ShareId> waitingMilliCores;
+    private final Set<ShareId> known = new LinkedHashSet<>();
+
+    /**
+     * Creates the shares of a pool.
+     *
+     * @param tallies what is in use, by failure domain; follows the pool
+     * @param waitingMilliCores what the waiting tasks of a share need, in thousandths of a core
+     */
+    public PoolShares(SharePlan plan, Iterable<ShareTally> tallies, ToLongFunction<ShareId> waitingMilliCores) {
+        this.plan = plan;
+        this.tallies = tallies;
+        this.waitingMilliCores = waitingMilliCores;
+    }
+
+    /** Returns the plan. */
+    public SharePlan plan() {
+        return plan;
+    }
+
+    /** Returns the share of the jobs of a queue. */
+    public ShareId shareOf(String service, int priority) {
+        ShareId share = plan.shareOf(service, priority);
+        if (known.add(share)) {
+            known.addAll(plan.sharesOf(service));
+        }
+        return share;
+    }
+
+    /** Returns the services of which a share was seen. */
+    public Set<String> services() {
+        Set<String> services = new LinkedHashSet<>();
+        known.forEach(share -> services.add(share.service()));
+        return services;
+    }
+
+    /** Returns what a share has in use, in thousandths of a core. */
+    public long usedMilliCores(ShareId share) {
+        long used = 0;
+        for (ShareTally tally : tallies) {
+            used += tally.usedMilliCores(share);
+        }
+        return used;
+    }
+
+    /** Returns the processor time that a share has in use for its weight; the share with the least starts next. */
+    public double usedByWeight(ShareId share) {
+        return usedMilliCores(share) / plan.settingsOf(share).weight();
+    }
+
+    /** Returns whether a share has less in use than its guaranteed fraction of a capacity. */
+    public boolean isBelowGuaranteed(ShareId share, long capacityMilliCores) {
+        double guaranteed = plan.settingsOf(share).guaranteed();
+        return guaranteed > 0 && usedMilliCores(share) < guaranteed * capacityMilliCores;
+    }
+
+    /** Returns whether a share would exceed its ceiling with so much more. */
+    public boolean exceedsCeiling(ShareId share, long moreMilliCores, long capacityMilliCores) {
+        double ceiling = plan.settingsOf(share).ceiling();
+        return ceiling < 1 && usedMilliCores(share) + moreMilliCores > ceiling * capacityMilliCores;
+    }
+
+    /** Returns what every share of a service uses and wants. */
+    public ImmutableList<ShareDemand> demands(String service) {
+        ImmutableList.Builder<ShareDemand> demands = ImmutableList.builder();
+        for (ShareId share : known) {
+            if (share.service().equals(service)) {
+                demands.add(demand(share));
+            }
+        }
+        return demands.build();
+    }
+
+    private ShareDemand demand(ShareId share) {
+        double released = 0;
+        for (ShareTally tally : tallies) {
+            released += tally.releasedPerMilli(share);
+        }
+        long waiting = waitingMilliCores.applyAsLong(share);
+        return new ShareDemand(share, plan.settingsOf(share), usedMilliCores(share), waiting, released);
+    }
+
+    /** Returns the admission of a job of a share. */
+    public ShareAdmission admission(ShareId share, long capacityMilliCores) {
+        ImmutableList<ShareDemand> demands = demands(share.service());
+        int own = 0;
+        while (!demands.get(own).share().equals(share)) {
+            own++;
+        }
+        return new ShareAdmission(capacityMilliCores, demands, own);
+    }
+
+    /** Returns how every share of a service stands in a pool of so much capacity. */
+    public ImmutableList<ShareState> states(String service, long capacityMilliCores) {
+        ImmutableList<ShareDemand> demands = demands(service);
+        ImmutableList.Builder<ShareState> states = ImmutableList.builder();
+        for (int i = 0; i < demands.size(); i++) {
+            states.add(new ShareAdmission(capacityMilliCores, demands, i).state());
+        }
+        return states.build();
+    }
+
+    /** Returns what a share gets of a capacity if every share wants more than there is. */
+    static long part(List<ShareDemand> demands, int index, long capacityMilliCores) {
+        return WaterFilling.divide(
+                capacityMilliCores,
+                demands.stream().map(ShareDemand::insatiable).toList())[index];
+    }
+
+    /** Returns the demands with one share as one that wants all it may have. */
+    static ImmutableList<ShareDemand> withInsatiable(List<ShareDemand> demands, int index) {
+        ImmutableList.Builder<ShareDemand> changed = ImmutableList.builderWithExpectedSize(demands.size());
+        for (int i = 0; i < demands.size(); i++) {
+            changed.add(i == index ? demands.get(i).insatiable() : demands.get(i));
+        }
+        return changed.build();
+    }
+}
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/PendingJobsTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/PendingJobsTest.java
@@ -8,6 +8,8 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
+import org.tarragonarch.core.share.ShareTally;
+import org.tarragonarch.model.share.ShareId;
 import org.tarragonarch.model.task.EndpointEntry;
 import org.tarragonarch.model.task.FencingToken;
 import org.tarragonarch.model.task.Offer;
@@ -21,7 +23,8 @@
 
     private static PlacedJob job(int number, int tasks) {
         Offer offer = PlacerFixture.offer(number, tasks);
-        return new PlacedJob(offer, 1, EXPECTED_RUN_MILLIS, JobTimes.of(offer, EXPECTED_RUN_MILLIS, 10L * number));
+        return new PlacedJob(
+                offer, 1, EXPECTED_RUN_MILLIS, JobTimes.of(offer, EXPECTED_RUN_MILLIS, 10L * number), ShareId.ALL);
     }
 
     /** What is kept up to date step by step is what adding up the whole queue gives, whatever becomes of its tasks. */
@@ -59,7 +62,8 @@
                 fixture.orders,
                 fixture.timers,
                 null,
-                new ProgressReports());
+                new ProgressReports(),
+                new ShareTally());
     }
 
     private static void place(PlacedTask task, HeldEndpoint endpoint) {
--- /dev/null
+++ b/tarragonarch-model/src/main/java/org/tarragonarch/model/share/SharePlan.java
@@ -0,0 +1,75 @@
+package org.tarragonarch.model.share;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** How a node divides the capacity that it holds among priorities; the same for each service. */
+public final class SharePlan {
+    /** No shares: all jobs are in one. */
+    public static final SharePlan NONE = new SharePlan(ImmutableMap.of());
+
+    /** Fractions are written with a few decimals, whose sum may be off by rounding. */
+    private static final double ROUNDING = 1e-9;
+
+    private final ImmutableMap<Integer, ShareSettings> byPriority;
+
+    private SharePlan(ImmutableMap<Integer, ShareSettings> byPriority) {
+        this.byPriority = byPriority;
+    }
+
+    /**
+     * Returns a plan; without any share it is {@link #NONE}.
+     *
+     * @throws IllegalArgumentException if a priority appears twice or the guaranteed fractions add up to more than 1
+     */
+    public static SharePlan of(List<ShareSettings> shares) {
+        if (shares.isEmpty()) {
+            return NONE;
+        }
+        Map<Integer, ShareSettings> byPriority = new HashMap<>();
+        double guaranteed = 0;
+        for (ShareSettings share : shares) {
+            checkArgument(
+                    byPriority.put(share.priority(), share) == null, "priority %s appears twice", share.priority());
+            guaranteed += share.guaranteed();
+            checkArgument(
+                    guaranteed <= 1 + ROUNDING,
+                    "priority " + share.priority() + ": with it the guaranteed fractions add up to %s, over 1",
+                    guaranteed);
+        }
+        return new SharePlan(ImmutableMap.copyOf(byPriority));
+    }
+
+    /** Returns whether capacity is divided at all. */
+    public boolean isConfigured() {
+        return !byPriority.isEmpty();
+    }
+
+    /** Returns whether any share has a guaranteed fraction or a ceiling. */
+    public boolean isBounded() {
+        return byPriority.values().stream().anyMatch(ShareSettings::isBounded);
+    }
+
+    /** Returns the share of the jobs of a queue. */
+    public ShareId shareOf(String service, int priority) {
+        return isConfigured() ? new ShareId(service, priority) : ShareId.ALL;
+    }
+
+    /** Returns every share that the plan names for a service. */
+    public ImmutableList<ShareId> sharesOf(String service) {
+        return byPriority.keySet().stream()
+                .map(priority -> shareOf(service, priority))
+                .collect(ImmutableList.toImmutableList());
+    }
+
+    /** Returns the settings of a share; a priority that is not named has a weight of 1 and no more. */
+    public ShareSettings settingsOf(ShareId share) {
+        ShareSettings named = byPriority.get(share.priority());
+        return named != null ? named : ShareSettings.weighted(share.priority(), ShareSettings.DEFAULT_WEIGHT);
+    }
+}
--- /dev/null
+++ b/tarragonarch-model/src/main/java/org/tarragonarch/model/share/ShareSettings.java
@@ -0,0 +1,39 @@
+package org.tarragonarch.model.share;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+/**
+ * How much of a pool's capacity the queues of one priority may use while others want it too.
+ *
+ * @param priority the priority of the queues
+ * @param weight over 0; capacity that several shares want is divided by weight
+ * @param guaranteed the fraction of the capacity that the share gets before all others, 0 to 1
+ * @param ceiling the fraction of the capacity that the share never exceeds, also of what is idle; over 0, up to 1, and
+ *     not under the guaranteed fraction
+ */
+public record ShareSettings(int priority, double weight, double guaranteed, double ceiling) {
+    /** The settings of a priority that the plan does not name: weight 1, nothing guaranteed, no ceiling. */
+    static final double DEFAULT_WEIGHT = 1;
+
+    /** Checks the parts. */
+    public ShareSettings {
+        check(weight > 0 && Double.isFinite(weight), priority, "weight", weight, "is not over 0");
+        check(guaranteed >= 0 && guaranteed <= 1, priority, "guaranteed", guaranteed, "is not from 0 to 1");
+        check(ceiling > 0 && ceiling <= 1, priority, "ceiling", ceiling, "is not over 0 and up to 1");
+        check(ceiling >= guaranteed, priority, "ceiling", ceiling, "is under guaranteed " + guaranteed);
+    }
+
+    private static void check(boolean holds, int priority, String key, double value, String rule) {
+        checkArgument(holds, "priority %s: %s %s %s", priority, key, value, rule);
+    }
+
+    /** Returns the settings of a weight alone: nothing is guaranteed, and there is no ceiling. */
+    public static ShareSettings weighted(int priority, double weight) {
+        return new ShareSettings(priority, weight, 0, 1);
+    }
+
+    /** Returns whether more than the weight counts. */
+    public boolean isBounded() {
+        return guaranteed > 0 || ceiling < 1;
+    }
+}
