--- a/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/share/MetricsPage.java
+++ b/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/share/MetricsPage.java
@@ -64,7 +64,7 @@
         return new MetricsPage(figures.buildOrThrow());
     }
 
-    /** Returns every figure by priority and name; the names are those of docs/METRICS.md without their beginning. */
+    /** Returns every figure by priority and name; the names are those of docs/OPERATIONS.md without their beginning. */
     public Table<Integer, String, Double> figures() {
         return figures;
     }
