--- a/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/LoadShape.java
+++ b/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/LoadShape.java
@@ -5,6 +5,7 @@
 
 import com.google.common.collect.ImmutableList;
 import java.util.List;
+import org.tarragonarch.model.share.ShareSettings;
 
 /**
  * A cluster and the load on it; read from a file of JSON with comments.
@@ -27,6 +28,7 @@
  * @param swingMillis the time from one peak of a domain's rate to the next; unused without a swing
  * @param stragglerPart the part of all tasks that run longer than the others of their job
  * @param stragglerFactor how many times as long they run
+ * @param shares how holders divide capacity among priorities; left out, there are no shares
  */
 public record LoadShape(
         int domains,
@@ -46,7 +48,8 @@
         double swing,
         long swingMillis,
         double stragglerPart,
-        double stragglerFactor) {
+        double stragglerFactor,
+        List<ShareSettings> shares) {
     /** Checks that the parts fit each other. */
     public LoadShape {
         checkArgument(domains >= 1, "domains %s is below 1", domains);
@@ -57,10 +60,20 @@
         domainWeights = ImmutableList.copyOf(domainWeights);
         kinds = ImmutableList.copyOf(checkNotNull(kinds, "kinds"));
         disturbances = ImmutableList.copyOf(checkNotNull(disturbances, "disturbances"));
+        shares = shares == null ? ImmutableList.of() : ImmutableList.copyOf(shares);
     }
 
     /** Returns the same cluster under another rate. */
     public LoadShape withJobsPerSecond(double rate) {
+        return with(rate, shares);
+    }
+
+    /** Returns the same cluster under another division of capacity. */
+    public LoadShape withShares(List<ShareSettings> division) {
+        return with(jobsPerSecond, division);
+    }
+
+    private LoadShape with(double rate, List<ShareSettings> division) {
         return new LoadShape(
                 domains,
                 nodesPerDomain,
@@ -79,7 +92,8 @@
                 swing,
                 swingMillis,
                 stragglerPart,
-                stragglerFactor);
+                stragglerFactor,
+                division);
     }
 
     /** Returns how the rate is divided between the domains at a time. */
@@ -99,10 +113,10 @@
         return domain == otherDomain ? insideMicros : betweenMicros;
     }
 
-    /** Returns how many times as fast jobs come at a time. */
-    double burstAt(long millis) {
+    /** Returns how many times as fast jobs of a kind come at a time. */
+    double burstAt(JobKind kind, long millis) {
         return disturbances.stream()
-                .filter(each -> each.kind() == DisturbanceKind.BURST && each.during(millis))
+                .filter(each -> each.kind() == DisturbanceKind.BURST && each.during(millis) && each.isOf(kind.name()))
                 .mapToDouble(Disturbance::factor)
                 .reduce(1, (first, second) -> first * second);
     }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/CompletionEstimator.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/CompletionEstimator.java
@@ -1,15 +1,24 @@
 package org.tarragonarch.core.placing;
 
+import java.util.Optional;
+import org.tarragonarch.core.share.JobNeed;
+import org.tarragonarch.core.share.PoolPlaces;
+import org.tarragonarch.core.share.PoolShares;
+import org.tarragonarch.core.share.ShareAdmission;
+import org.tarragonarch.core.share.ShareState;
+import org.tarragonarch.core.share.ShareWait;
 import org.tarragonarch.model.task.Resources;
 
 /** Says what to expect of a job that would be taken now. */
 final class CompletionEstimator {
     private final Iterable<HeldEndpoint> endpoints;
-    private final PendingJobs pending;
+    private final PendingShares pending;
+    private final PoolShares shares;
 
-    CompletionEstimator(Iterable<HeldEndpoint> endpoints, PendingJobs pending) {
+    CompletionEstimator(Iterable<HeldEndpoint> endpoints, PendingShares pending, PoolShares shares) {
         this.endpoints = endpoints;
         this.pending = pending;
+        this.shares = shares;
     }
 
     /**
@@ -22,6 +31,7 @@
         long places = 0;
         long freePlaces = 0;
         long initializingPlaces = 0;
+        long capacity = 0;
         for (HeldEndpoint endpoint : endpoints) {
             boolean usable = endpoint.takes(Resources.NONE, now);
             if (!usable && !endpoint.isInitializing()
@@ -31,17 +41,26 @@
             long perTask = Math.max(1, job.need().milliCores());
             long whole = endpoint.entry().capacity().milliCores() / perTask;
             places += whole;
+            capacity += endpoint.entry().capacity().milliCores();
             initializingPlaces += usable ? 0 : whole;
             freePlaces += usable && job.need().fitsInto(endpoint.free())
                     ? endpoint.free().milliCores() / perTask
                     : 0;
         }
+        PendingJobs own = pending.of(job.share());
+        boolean roomForAll = pending.waitingTasks() + job.step().count() <= freePlaces + initializingPlaces;
         long missing = Math.max(0, job.step().count() - freePlaces);
-        long ahead = pending.waitingTaskMillis(now) + missing * job.expectedRunMillis();
-        long wait = places == 0 || missing == 0 && pending.isEmpty() ? 0 : ahead / places;
+        long ahead = own.waitingTaskMillis(now) + missing * job.expectedRunMillis();
+        long wait = places == 0 || missing == 0 && own.isEmpty() ? 0 : ahead / places;
+        Optional<ShareState> share = Optional.empty();
+        if (shares.plan().isConfigured()) {
+            ShareWait inShare = waitInShare(job, new PoolPlaces(capacity, places, freePlaces), now);
+            wait = inShare.millis();
+            roomForAll &= inShare.fitsBelowCeiling();
+            share = Optional.of(inShare.state());
+        }
         long deadlineWithin = job.times().deadlineMillis() - now;
         long inTimeWithin = Math.min(job.times().inTimeMillis() - now, deadlineWithin);
-        boolean roomForAll = pending.waitingTasks() + job.step().count() <= freePlaces + initializingPlaces;
         return new CompletionEstimate(
                 wait,
                 job.expectedRunMillis(),
@@ -50,7 +69,15 @@
                 deadlineWithin,
                 places,
                 freePlaces,
-                pending.size(),
-                roomForAll);
+                own.size(),
+                roomForAll,
+                share);
+    }
+
+    private ShareWait waitInShare(PlacedJob job, PoolPlaces places, long now) {
+        PendingJobs.Ahead ahead = pending.of(job.share()).ahead(now);
+        ShareAdmission admission = shares.admission(job.share(), places.capacityMilliCores());
+        JobNeed need = new JobNeed(job.step().count(), Math.max(1, job.need().milliCores()), job.expectedRunMillis());
+        return admission.waitFor(need, places, ahead.milliCores(), ahead.work());
     }
 }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/HeldEndpoint.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/HeldEndpoint.java
@@ -1,6 +1,7 @@
 package org.tarragonarch.core.placing;
 
 import com.google.common.collect.ImmutableMap;
+import org.tarragonarch.core.share.ShareTally;
 import org.tarragonarch.model.id.EndpointLife;
 import org.tarragonarch.model.task.EndKind;
 import org.tarragonarch.model.task.EndpointEntry;
@@ -36,12 +37,18 @@
      * Creates an endpoint that was not called yet.
      *
      * @param unanswered the orders that the shard's endpoints left without an answer
+     * @param tally what the shard's endpoints have in use, by share
      */
-    HeldEndpoint(EndpointLink link, EndpointEvents events, ProgressReports progress, UnansweredStarts unanswered) {
+    HeldEndpoint(
+            EndpointLink link,
+            EndpointEvents events,
+            ProgressReports progress,
+            UnansweredStarts unanswered,
+            ShareTally tally) {
         this.link = link;
         this.events = events;
         this.progress = progress;
-        this.room = new ReservedRoom(link.entry().capacity());
+        this.room = new ReservedRoom(link.entry().capacity(), tally);
         Host host = new Host();
         this.ends = new RunEnds(link, room, this, events);
         this.poller = new RunListPoller(link, host);
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacedJob.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacedJob.java
@@ -3,6 +3,7 @@
 import com.google.common.collect.ImmutableList;
 import java.util.Optional;
 import org.tarragonarch.model.id.NodeId;
+import org.tarragonarch.model.share.ShareId;
 import org.tarragonarch.model.task.JobId;
 import org.tarragonarch.model.task.Offer;
 import org.tarragonarch.model.task.QueueDefinition;
@@ -33,6 +34,7 @@
     private final long expectedRunMillis;
     private final double slowestFactor;
     private final JobTimes times;
+    private final ShareId share;
     private NodeId origin;
     private Optional<PendingJobs> pending = Optional.empty();
     private int unfinished;
@@ -40,21 +42,18 @@
     private boolean over;
     private int lastRun;
 
-    PlacedJob(Offer offer, int firstRun, long expectedRunMillis, JobTimes times) {
-        this(offer, firstRun, expectedRunMillis, 1, times);
-    }
-
     /**
      * Creates a job whose tasks are all to be started.
      *
      * @param slowestFactor the factor by which its slowest task should exceed the expected run time
      */
-    PlacedJob(Offer offer, int firstRun, long expectedRunMillis, double slowestFactor, JobTimes times) {
+    PlacedJob(Offer offer, int firstRun, long expectedRunMillis, double slowestFactor, JobTimes times, ShareId share) {
         this.offer = offer;
         this.origin = offer.origin();
         this.expectedRunMillis = expectedRunMillis;
         this.slowestFactor = slowestFactor;
         this.times = times;
+        this.share = share;
         TaskStep step = offer.job().step();
         ImmutableList.Builder<PlacedTask> builder = ImmutableList.builderWithExpectedSize(step.count());
         for (int index = 0; index < step.count(); index++) {
@@ -77,6 +76,11 @@
         return offer.queue();
     }
 
+    /** Returns the share whose capacity its tasks use. */
+    ShareId share() {
+        return share;
+    }
+
     TaskStep step() {
         return offer.job().step();
     }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacedShard.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacedShard.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Set;
+import org.tarragonarch.core.share.ShareTally;
 import org.tarragonarch.model.id.EndpointId;
 import org.tarragonarch.model.task.EndpointEntry;
 import org.tarragonarch.model.task.EndpointOrders;
@@ -24,6 +25,7 @@
     private final Timers timers;
     private final EndpointEvents events;
     private final ProgressReports progress;
+    private final ShareTally tally = new ShareTally();
     private final long openedAtMillis;
     private final Map<EndpointId, HeldEndpoint> endpoints = new LinkedHashMap<>();
     private final UnansweredStarts unanswered = new UnansweredStarts();
@@ -48,6 +50,11 @@
         return token;
     }
 
+    /** Returns what runs on the endpoints take, by share. */
+    ShareTally tally() {
+        return tally;
+    }
+
     Collection<HeldEndpoint> endpoints() {
         return endpoints.values();
     }
@@ -60,7 +67,7 @@
             HeldEndpoint known = endpoints.get(entry.id());
             if (known == null || known.isSucceededBy(entry)) {
                 EndpointLink link = new EndpointLink(entry, token, settings, orders, timers);
-                HeldEndpoint added = new HeldEndpoint(link, events, progress, unanswered);
+                HeldEndpoint added = new HeldEndpoint(link, events, progress, unanswered, tally);
                 endpoints.put(entry.id(), added);
                 added.open();
             } else {
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/ShardOwnership.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/ShardOwnership.java
@@ -11,6 +11,7 @@
 import org.tarragonarch.core.placing.PlacerListener;
 import org.tarragonarch.core.placing.PlacingSettings;
 import org.tarragonarch.core.placing.RunTimes;
+import org.tarragonarch.core.share.ShareState;
 import org.tarragonarch.model.id.EndpointId;
 import org.tarragonarch.model.id.EndpointLife;
 import org.tarragonarch.model.id.FailureDomain;
@@ -153,7 +154,8 @@
     }
 
     private static HeldShard held(Placer placer, FailureDomain shard) {
-        return new HeldShard(shard, placer.token(shard).orElseThrow(), placer.freeMilliCores(shard));
+        return new HeldShard(
+                shard, placer.token(shard).orElseThrow(), placer.freeMilliCores(shard), placer.shareUses(shard));
     }
 
     private boolean isUnreachable(FailureDomain shard) {
@@ -205,6 +207,11 @@
             events.declined(origin, job, estimate);
         }
 
+        @Override
+        public void shareLimited(ShareState state, boolean isLimited) {
+            events.shareLimited(state, isLimited);
+        }
+
         @Override
         public void runEndedBadly(FailureDomain shard, TaskRun run, EndpointId endpoint, EndKind kind) {
             events.runEndedBadly(shard, run, endpoint, kind);
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/StallDetectorTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/StallDetectorTest.java
@@ -2,6 +2,7 @@
 
 import static org.testng.Assert.assertEquals;
 
+import org.tarragonarch.core.share.ShareTally;
 import org.testng.annotations.Test;
 
 /** Which runs are stopped because they take too long or show no progress. */
@@ -79,7 +80,7 @@
         PlacedTask task = PendingJobsTest.job(1, 1).tasks().get(0);
         Reservation reservation =
                 new Reservation(task, task.takeRun(), task.job().need(), 0);
-        ReservedRoom room = new ReservedRoom(fixture.entries.get(0).capacity());
+        ReservedRoom room = new ReservedRoom(fixture.entries.get(0).capacity(), new ShareTally());
         room.reserve(reservation);
         task.placed(endpoint, reservation);
         StallDetector detector = new StallDetector(room, new EndpointHealth(), progress);
--- a/tarragonarch-model/src/main/java/org/tarragonarch/model/log/NodeEvent.java
+++ b/tarragonarch-model/src/main/java/org/tarragonarch/model/log/NodeEvent.java
@@ -18,6 +18,10 @@
     RUN_ENDED_BADLY,
     /** An endpoint has restarted under its id; what ran there is over. */
     ENDPOINT_RESTARTED,
+    /** A share wants more capacity than its allotment from now on; its jobs wait, and are refused at admission. */
+    SHARE_LIMITED,
+    /** A share has all the capacity that it wants again. */
+    SHARE_UNLIMITED,
     /** This node holds a shard from now on. */
     SHARD_CLAIMED,
     /** This node releases a shard. */
