--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/Coordinator.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/Coordinator.java
@@ -84,7 +84,7 @@
         this.neighbours = heartbeats.neighbours();
         KnownHolders holders = new KnownHolders(
                 self, peers, pools, ownership, heartbeats, sender, timers, domain -> drained.contains(domain));
-        this.router = new JobRouter(holders, timers, placing.certainLapse());
+        this.router = new JobRouter(holders, timers, placing.certainLapse(), log);
     }
 
     /** Returns what is known of the peers. */
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/KnownHolders.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/KnownHolders.java
@@ -6,6 +6,7 @@
 import java.util.function.Predicate;
 import org.tarragonarch.core.routing.Holder;
 import org.tarragonarch.core.routing.Holders;
+import org.tarragonarch.core.routing.RoomyHolder;
 import org.tarragonarch.core.shard.Heartbeats;
 import org.tarragonarch.core.shard.PeerTable;
 import org.tarragonarch.core.shard.ShardOwnership;
@@ -28,6 +29,7 @@
     private final PeerSender sender;
     private final Timers timers;
     private final Predicate<FailureDomain> isDrained;
+    private final NeighbourRoom neighbourRoom;
 
     /**
      * Creates the holders as seen by one node.
@@ -51,6 +53,7 @@
         this.sender = sender;
         this.timers = timers;
         this.isDrained = isDrained;
+        this.neighbourRoom = new NeighbourRoom(self.domain(), peers, pools, timers, isDrained);
     }
 
     @Override
@@ -76,6 +79,21 @@
                 drainedLast.thenComparing(ownDomainFirst).thenComparing(mostFreeFirst), holders.build());
     }
 
+    @Override
+    public ImmutableList<RoomyHolder> neighboursWithRoom(long milliCores) {
+        return neighbourRoom.withRoom(milliCores);
+    }
+
+    @Override
+    public void notStartedAtOnce(Holder holder, long milliCores) {
+        neighbourRoom.refused(holder.node(), milliCores);
+    }
+
+    @Override
+    public boolean isOwn(Holder holder) {
+        return holder.holds(self.domain());
+    }
+
     /**
      * Returns all shards of the pools that the holder had part in.
      *
@@ -119,6 +137,7 @@
     @Override
     public void offer(Holder holder, Offer offer) {
         if (!holder.node().equals(own())) {
+            neighbourRoom.offered(holder.node(), offer.job().milliCores());
             sender.offer(holder.node(), offer);
             return;
         }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacedJob.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacedJob.java
@@ -54,6 +54,10 @@
         this.waitingTasks = step.count();
     }
 
+    Offer offer() {
+        return offer;
+    }
+
     JobId id() {
         return offer.job().id();
     }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/Placer.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/Placer.java
@@ -40,6 +40,7 @@
     private final PendingJobs pending = new PendingJobs();
     private final ProgressReports progress = new ProgressReports();
     private final CompletionEstimator estimator;
+    private final OfferAdmission admission = new OfferAdmission(pending);
     private final CancellingJobs cancelling = new CancellingJobs();
     private final RecoveringJobs recovering;
     private final TaskStarter starter;
@@ -213,8 +214,8 @@
 
     private void admit(PlacedJob job) {
         CompletionEstimate estimate = estimator.of(job, timers.nowMillis());
-        if (!estimate.isAdmissible()) {
-            decline(job, estimate);
+        if (!admission.takes(job, estimate, timers.nowMillis())) {
+            refuse(job, estimate);
             return;
         }
         jobs.put(job.id(), job);
@@ -265,6 +266,16 @@
         }
     }
 
+    /** Gives back what is not taken; a job that could have waited is declined, and one that could not is no refusal. */
+    private void refuse(PlacedJob job, CompletionEstimate estimate) {
+        Verdict verdict = job.offer().terms().refusal();
+        if (verdict == Verdict.DECLINED) {
+            decline(job, estimate);
+        } else {
+            listener.settled(job.origin(), job.id(), verdict, 0);
+        }
+    }
+
     private void decline(PlacedJob job, CompletionEstimate estimate) {
         listener.declined(job.origin(), job.id(), estimate);
         long retry = estimate.places() == 0 ? IMPOSSIBLE_RETRY_MILLIS : estimate.waitMillis();
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/routing/Holders.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/routing/Holders.java
@@ -15,6 +15,18 @@
      */
     ImmutableList<Holder> inOrder();
 
+    /**
+     * Returns the holders of other failure domains nearby that have room, by a status that is fresh.
+     *
+     * <p>In a fixed order, so that a choice by a hash is the same at every call.
+     *
+     * @param milliCores how much room, in thousandths of a core
+     */
+    ImmutableList<RoomyHolder> neighboursWithRoom(long milliCores);
+
+    /** Returns whether the holder has the endpoints of this node's own failure domain. */
+    boolean isOwn(Holder holder);
+
     /**
      * Returns the shards on whose endpoints a lost holder's runs may be: those that it was known to hold when a job was
      * offered to it, and those that it may have taken since.
@@ -33,6 +45,13 @@
     /** Returns whether this node has no holder and cannot have one soon, because it is partitioned. */
     boolean isHolderUnreachable();
 
+    /**
+     * Notes that a holder with room by its last status could not start a job at once.
+     *
+     * @param milliCores what the whole job takes, in thousandths of a core
+     */
+    void notStartedAtOnce(Holder holder, long milliCores);
+
     /** Offers a job to a holder. */
     void offer(Holder holder, Offer offer);
 
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/routing/JobRouter.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/routing/JobRouter.java
@@ -4,8 +4,6 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
-import java.util.LinkedHashMap;
-import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
 import org.tarragonarch.model.id.FailureDomain;
@@ -16,6 +14,7 @@
 import org.tarragonarch.model.task.JobReply;
 import org.tarragonarch.model.task.JobRequest;
 import org.tarragonarch.model.task.JobService;
+import org.tarragonarch.model.task.OfferTerms;
 import org.tarragonarch.model.task.QueueDefinition;
 import org.tarragonarch.model.task.Timers;
 import org.tarragonarch.model.task.Verdict;
@@ -39,70 +38,69 @@
     private final Holders holders;
     private final Timers timers;
     private final long runsLastMillis;
-    private final Map<JobId, OpenJob> open = new LinkedHashMap<>();
-    private final AnsweredJobs answered = new AnsweredJobs();
+    private final RoutingObserver observer;
+    private final JobTable jobs = new JobTable();
     private boolean closed;
 
     /**
      * Creates a router without jobs.
      *
      * @param runsLastMillis how long what runs may go on after its holder last spoke, in milliseconds
+     * @param observer hears of jobs that go to other failure domains
      */
-    public JobRouter(Holders holders, Timers timers, long runsLastMillis) {
+    public JobRouter(Holders holders, Timers timers, long runsLastMillis, RoutingObserver observer) {
         this.holders = checkNotNull(holders, "holders");
         this.timers = checkNotNull(timers, "timers");
         this.runsLastMillis = runsLastMillis;
+        this.observer = checkNotNull(observer, "observer");
     }
 
     /** Takes a job; see {@link JobService#submit}. */
     public JobService.Submission submit(
             QueueDefinition queue, JobRequest request, long deadlineMillis, Consumer<JobReply> client) {
-        Optional<JobReply> given = answered.find(request.id());
+        Optional<JobReply> given = jobs.findAnswer(request.id());
         if (given.isPresent()) {
             client.accept(given.get());
             return () -> {};
         }
-        OpenJob known = open.get(request.id());
-        if (known == null && closed) {
+        Optional<OpenJob> known = jobs.find(request.id());
+        if (known.isEmpty() && closed) {
             client.accept(JobReply.refused(NO_HOLDER_RETRY_MILLIS));
             return () -> {};
         }
-        if (known == null) {
-            known = take(queue, request, deadlineMillis, client);
-        } else {
-            known.join(client);
-        }
-        OpenJob job = known;
+        known.ifPresent(job -> job.join(client));
+        OpenJob job = known.orElseGet(() -> take(queue, request, deadlineMillis, client));
         return () -> left(job, client);
     }
 
     /** Cancels a job; returns whether it was open here or answered lately as cancelled. */
     public boolean cancel(JobId id) {
-        OpenJob job = open.get(id);
-        if (job == null) {
-            return answered.find(id)
+        Optional<OpenJob> job = jobs.find(id);
+        if (job.isEmpty()) {
+            return jobs.findAnswer(id)
                     .filter(reply -> reply.outcome() == JobOutcome.CANCELLED)
                     .isPresent();
         }
-        withdraw(job);
-        answer(job, JobReply.of(JobOutcome.CANCELLED));
+        withdraw(job.get());
+        jobs.answer(job.get(), JobReply.of(JobOutcome.CANCELLED));
         return true;
     }
 
     /** Takes a holder's verdict; one of a holder that no longer has the job is dropped. */
     public void settled(NodeId from, JobId id, Verdict verdict, long retryMillis) {
-        OpenJob job = open.get(id);
-        if (job == null || !job.isHeldBy(from)) {
-            return;
-        }
+        jobs.find(id).filter(job -> job.isHeldBy(from)).ifPresent(job -> settled(job, verdict, retryMillis));
+    }
+
+    private void settled(OpenJob job, Verdict verdict, long retryMillis) {
         switch (verdict) {
-            case DONE -> answer(job, JobReply.of(JobOutcome.DONE));
-            case FAILED -> answer(job, JobReply.of(JobOutcome.FAILED));
+            case DONE -> jobs.answer(job, JobReply.of(JobOutcome.DONE));
+            case FAILED -> jobs.answer(job, JobReply.of(JobOutcome.FAILED));
             case DECLINED -> {
                 job.declined(retryMillis);
                 place(job);
             }
-            case TOO_LATE -> answer(job, JobReply.of(JobOutcome.GIVEN_UP));
+            case NOT_AT_ONCE -> notStartedAtOnce(job);
+            case TOO_LATE -> jobs.answer(job, JobReply.of(JobOutcome.GIVEN_UP));
             case HOLD_LOST -> holderLost(job);
             case RETURNED -> returned(job);
             case EVICTED -> {
@@ -115,25 +113,20 @@
 
     /** Takes back an offer that certainly never left. */
     public void notOffered(NodeId to, JobId id) {
-        OpenJob job = open.get(id);
-        if (job != null && job.isHeldBy(to)) {
+        jobs.find(id).filter(job -> job.isHeldBy(to)).ifPresent(job -> {
             job.notOffered();
             placeOrRefuse(job);
-        }
+        });
     }
 
     /** Notes that a node is not reachable any more. */
     public void nodeLost(NodeId node) {
-        for (OpenJob job : ImmutableList.copyOf(open.values())) {
-            if (job.isHeldBy(node)) {
-                holderLost(job);
-            }
-        }
+        jobs.all().stream().filter(job -> job.isHeldBy(node)).forEach(this::holderLost);
     }
 
     /** Looks for holders for the jobs that have none; to be called whenever holders change. */
     public void holdersChanged() {
-        for (OpenJob job : ImmutableList.copyOf(open.values())) {
+        for (OpenJob job : jobs.all()) {
             if (job.holder().isEmpty()) {
                 job.holdersChanged();
                 place(job);
@@ -158,46 +151,34 @@
      * up. What runs is stopped by its holder.
      */
     public void giveUpAll() {
-        ImmutableList.copyOf(open.values()).forEach(this::giveUp);
+        jobs.all().forEach(this::giveUp);
     }
 
     /** Returns whether any job has no holder. */
     public boolean withoutHolder() {
-        for (OpenJob job : open.values()) {
-            if (job.holder().isEmpty()) {
-                return true;
-            }
-        }
-        return false;
+        return jobs.isAnyUnheld();
     }
 
     /** Returns how many jobs are not answered. */
     public int openJobs() {
-        return open.size();
+        return jobs.size();
     }
 
     /** Returns how many jobs of the queue no holder has taken. */
     public long waiting(String queue) {
-        return open.values().stream()
-                .filter(job -> job.queue().name().equals(queue) && job.holder().isEmpty())
-                .count();
+        return jobs.unheld(queue);
     }
 
     /** Returns what is known of a job. */
     public Optional<JobProgress> progress(JobId id) {
-        OpenJob job = open.get(id);
-        if (job != null) {
-            return Optional.of(job.holder().isPresent() ? JobProgress.RUNNING : JobProgress.QUEUED);
-        }
-        return answered.find(id)
-                .map(reply -> JobProgress.valueOf(reply.outcome().name()));
+        return jobs.progress(id);
     }
 
     private OpenJob take(QueueDefinition queue, JobRequest request, long deadlineMillis, Consumer<JobReply> client) {
         long now = timers.nowMillis();
         OpenJob job = new OpenJob(request, queue, now, now + deadlineMillis);
         job.join(client);
-        open.put(job.id(), job);
+        jobs.add(job);
         timers.after(Math.max(0, deadlineMillis - ANSWER_TRAVEL_MILLIS), () -> giveUp(job));
         placeOrRefuse(job);
         return job;
@@ -212,42 +193,60 @@
      */
     private void place(OpenJob job) {
         long now = timers.nowMillis();
+        ImmutableList<Holder> inOrder = holders.inOrder();
+        Optional<Holder> atOnce = job.nextToStartAtOnce(inOrder, holders, now, runsLastMillis);
+        if (atOnce.isPresent()) {
+            offer(job, atOnce.get(), OfferTerms.AT_ONCE);
+            return;
+        }
         boolean anyAllowedLater = false;
-        for (Holder candidate : holders.inOrder()) {
+        for (Holder candidate : inOrder) {
             if (job.mayBeOfferedTo(candidate, holders, now, runsLastMillis)) {
-                job.offeredTo(candidate);
-                holders.offer(candidate, job.offer(holders.own(), now, runsLastMillis));
+                offer(job, candidate, OfferTerms.MAY_WAIT);
                 return;
             }
             anyAllowedLater |= job.mayBeOfferedLaterTo(candidate);
         }
         if (!job.mayHaveRun() && holders.isHolderUnreachable()) {
-            refuse(job, NO_HOLDER_RETRY_MILLIS);
+            jobs.refuse(job, NO_HOLDER_RETRY_MILLIS);
             return;
         }
         boolean mayWait = holders.isHolderExpected() && job.ageMillis(now) < HOLDER_WAIT_MILLIS;
         if (job.wasDeclined() && !anyAllowedLater && !mayWait) {
-            refuse(job, job.soonestRetryMillis());
+            jobs.refuse(job, job.soonestRetryMillis());
+        }
+    }
+
+    private void offer(OpenJob job, Holder to, OfferTerms terms) {
+        boolean toOwnDomain = holders.isOwn(to);
+        if (terms == OfferTerms.AT_ONCE && !toOwnDomain) {
+            observer.movedToNeighbour(job.id(), to.node());
         }
+        job.offeredTo(to);
+        holders.offer(to, job.offer(holders.own(), timers.nowMillis(), runsLastMillis, terms, toOwnDomain));
+    }
+
+    private void notStartedAtOnce(OpenJob job) {
+        job.holder().filter(holder -> !holders.isOwn(holder)).ifPresent(neighbour -> {
+            holders.notStartedAtOnce(neighbour, job.milliCores());
+            observer.backFromNeighbour(job.id(), neighbour.node());
+        });
+        job.notStartedAtOnce();
+        place(job);
     }
 
     private void placeIfUnheld(OpenJob job) {
-        if (isOpen(job) && job.holder().isEmpty()) {
+        if (jobs.isOpen(job) && job.holder().isEmpty()) {
             place(job);
         }
     }
 
     private void refuseIfUnheld(OpenJob job) {
-        if (isOpen(job) && job.holder().isEmpty() && !job.mayHaveRun()) {
-            refuse(job, job.wasDeclined() ? job.soonestRetryMillis() : NO_HOLDER_RETRY_MILLIS);
+        if (jobs.isOpen(job) && job.holder().isEmpty() && !job.mayHaveRun()) {
+            jobs.refuse(job, job.wasDeclined() ? job.soonestRetryMillis() : NO_HOLDER_RETRY_MILLIS);
         }
     }
 
-    /** Gives the only answer that is true: it has not run, or it may have. */
-    private void refuse(OpenJob job, long retryMillis) {
-        answer(job, job.mayHaveRun() ? JobReply.of(JobOutcome.GIVEN_UP) : JobReply.refused(retryMillis));
-    }
-
     private void holderLost(OpenJob job) {
         ImmutableSet<FailureDomain> reach = job.holder().map(holders::reach).orElse(ImmutableSet.of());
         job.holderLost(reach, timers.nowMillis());
@@ -277,32 +276,25 @@
     }
 
     private void giveUp(OpenJob job) {
-        if (!isOpen(job)) {
+        if (!jobs.isOpen(job)) {
             return;
         }
-        boolean offered = job.holder().isPresent();
         withdraw(job);
-        answer(job, offered || job.mayHaveRun() ? JobReply.of(JobOutcome.GIVEN_UP) : JobReply.refused(0));
+        if (job.holder().isPresent()) {
+            jobs.answer(job, JobReply.of(JobOutcome.GIVEN_UP));
+        } else {
+            jobs.refuse(job, 0);
+        }
     }
 
     private void left(OpenJob job, Consumer<JobReply> client) {
-        if (isOpen(job) && job.leave(client)) {
+        if (jobs.isOpen(job) && job.leave(client)) {
             withdraw(job);
-            open.remove(job.id());
+            jobs.remove(job);
         }
     }
 
     private void withdraw(OpenJob job) {
         job.holder().ifPresent(holder -> holders.withdraw(holder, job.id()));
     }
-
-    private void answer(OpenJob job, JobReply reply) {
-        open.remove(job.id());
-        answered.add(job.id(), reply);
-        job.answer(reply.by(job.lastHolder()));
-    }
-
-    private boolean isOpen(OpenJob job) {
-        return open.get(job.id()) == job;
-    }
 }
--- /dev/null
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/routing/JobTable.java
@@ -0,0 +1,86 @@
+package org.tarragonarch.core.routing;
+
+import com.google.common.collect.ImmutableList;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.tarragonarch.model.task.JobId;
+import org.tarragonarch.model.task.JobOutcome;
+import org.tarragonarch.model.task.JobProgress;
+import org.tarragonarch.model.task.JobReply;
+
+/** The jobs of one node's clients: those that are open, and the answers of those that lately were. */
+final class JobTable {
+    private final Map<JobId, OpenJob> open = new LinkedHashMap<>();
+    private final AnsweredJobs answered = new AnsweredJobs();
+
+    void add(OpenJob job) {
+        open.put(job.id(), job);
+    }
+
+    Optional<OpenJob> find(JobId id) {
+        return Optional.ofNullable(open.get(id));
+    }
+
+    /** Returns the answer that the job was given lately. */
+    Optional<JobReply> findAnswer(JobId id) {
+        return answered.find(id);
+    }
+
+    boolean isOpen(OpenJob job) {
+        return open.get(job.id()) == job;
+    }
+
+    /** Returns the open jobs as they are now, in the order in which they came. */
+    ImmutableList<OpenJob> all() {
+        return ImmutableList.copyOf(open.values());
+    }
+
+    /** Answers a job, which is no longer open from now on. */
+    void answer(OpenJob job, JobReply reply) {
+        open.remove(job.id());
+        answered.add(job.id(), reply);
+        job.answer(reply.by(job.lastHolder()));
+    }
+
+    /** Gives the only answer to a job that nobody takes which is true: it has not run, or it may have. */
+    void refuse(OpenJob job, long retryMillis) {
+        answer(job, job.mayHaveRun() ? JobReply.of(JobOutcome.GIVEN_UP) : JobReply.refused(retryMillis));
+    }
+
+    /** Removes a job that nobody waits for any more. */
+    void remove(OpenJob job) {
+        open.remove(job.id());
+    }
+
+    int size() {
+        return open.size();
+    }
+
+    /** Returns whether any job has no holder. */
+    boolean isAnyUnheld() {
+        for (OpenJob job : open.values()) {
+            if (job.holder().isEmpty()) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Returns how many jobs of the queue have no holder. */
+    long unheld(String queue) {
+        return open.values().stream()
+                .filter(job -> job.queue().name().equals(queue) && job.holder().isEmpty())
+                .count();
+    }
+
+    /** Returns what is known of a job. */
+    Optional<JobProgress> progress(JobId id) {
+        OpenJob job = open.get(id);
+        if (job != null) {
+            return Optional.of(job.holder().isPresent() ? JobProgress.RUNNING : JobProgress.QUEUED);
+        }
+        return answered.find(id)
+                .map(reply -> JobProgress.valueOf(reply.outcome().name()));
+    }
+}
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/routing/OpenJob.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/routing/OpenJob.java
@@ -1,5 +1,6 @@
 package org.tarragonarch.core.routing;
 
+import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -14,6 +15,7 @@
 import org.tarragonarch.model.task.JobReply;
 import org.tarragonarch.model.task.JobRequest;
 import org.tarragonarch.model.task.Offer;
+import org.tarragonarch.model.task.OfferTerms;
 import org.tarragonarch.model.task.QueueDefinition;
 
 /** A job whose client waits at this node. */
@@ -31,12 +33,14 @@
     private Optional<NodeId> lastHolder = Optional.empty();
     private Optional<NodeId> returnedBy = Optional.empty();
     private ImmutableSet<FailureDomain> lostReach = ImmutableSet.of();
+    private final AtOnceRounds atOnceRounds;
     private boolean mayHaveRun;
     private long lostAtMillis;
     private long soonestRetryMillis = Long.MAX_VALUE;
 
     OpenJob(JobRequest request, QueueDefinition queue, long arrivedAtMillis, long deadlineAtMillis) {
         this.request = request;
+        this.atOnceRounds = new AtOnceRounds(request);
         this.queue = queue;
         this.arrivedAtMillis = arrivedAtMillis;
         this.deadlineAtMillis = deadlineAtMillis;
@@ -50,6 +54,11 @@
         return queue;
     }
 
+    /** Returns the processor time that the whole job takes while it runs, in thousandths of a core. */
+    long milliCores() {
+        return request.milliCores();
+    }
+
     long deadlineAtMillis() {
         return deadlineAtMillis;
     }
@@ -62,13 +71,41 @@
      * Returns the offer of this job.
      *
      * @param runsLastMillis how long what a lost holder started may run on
+     * @param toOwnDomain whether it goes to the holder of this node's own failure domain
      */
-    Offer offer(NodeId own, long nowMillis, long runsLastMillis) {
+    Offer offer(NodeId own, long nowMillis, long runsLastMillis, OfferTerms terms, boolean toOwnDomain) {
         EarlierRuns earlierRuns = lostHolder
                 .filter(lost -> lostAtMillis + runsLastMillis > nowMillis)
                 .map(lost -> new EarlierRuns(lostAtMillis + runsLastMillis - nowMillis, lostReach))
                 .orElse(EarlierRuns.NONE);
-        return new Offer(request, queue, own, ageMillis(nowMillis), deadlineAtMillis - nowMillis, earlierRuns);
+        return new Offer(
+                request,
+                queue,
+                own,
+                ageMillis(nowMillis),
+                deadlineAtMillis - nowMillis,
+                earlierRuns,
+                terms,
+                toOwnDomain);
+    }
+
+    /**
+     * Returns the holder that should start the job at once before any may let it wait; empty if there is none.
+     *
+     * <p>A job that may have run goes only where its runs are seen. One that is late already loses no time in rounds.
+     */
+    Optional<Holder> nextToStartAtOnce(
+            ImmutableList<Holder> inOrder, Holders holders, long nowMillis, long runsLastMillis) {
+        if (mayHaveRun || isLate(nowMillis)) {
+            return Optional.empty();
+        }
+        return atOnceRounds.next(
+                inOrder, holders, holder -> mayBeOfferedTo(holder, holders, nowMillis, runsLastMillis));
+    }
+
+    private boolean isLate(long nowMillis) {
+        double objective = queue.stretch() * request.step().estimateMillis() + queue.objectiveMillis();
+        return ageMillis(nowMillis) + request.step().estimateMillis() > objective;
     }
 
     void join(Consumer<JobReply> client) {
@@ -141,6 +178,11 @@
         returnedBy = Optional.empty();
     }
 
+    /** The holder could not start the job at once; it may have the job again under other terms. */
+    void notStartedAtOnce() {
+        holder = Optional.empty();
+    }
+
     void declined(long retryMillis) {
         holder.ifPresent(by -> declinedBy.add(by.node()));
         holder = Optional.empty();
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/PeerTable.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/PeerTable.java
@@ -171,6 +171,12 @@
                 .max();
     }
 
+    /** Returns when the peer's last status came, on the steady clock; empty if there is none. */
+    public OptionalLong statusAtMillis(NodeId peer) {
+        LastStatus last = peers.get(peer);
+        return last == null ? OptionalLong.empty() : OptionalLong.of(last.atMillis());
+    }
+
     /** Returns the last status of every peer that is there. */
     public ImmutableList<NodeStatus> present() {
         return statuses(last -> true);
@@ -273,27 +279,4 @@
         }
         return statuses.build();
     }
-
-    /**
-     * The last status of one peer.
-     *
-     * @param atMillis when it came
-     * @param sinceMillis since when it has been there without a break
-     * @param present whether it is reachable
-     * @param fellSilent whether it was lost by its silence, and not by the end of its connections
-     */
-    private record LastStatus(NodeStatus status, long atMillis, long sinceMillis, boolean present, boolean fellSilent) {
-        LastStatus gone(boolean silent) {
-            return new LastStatus(status, atMillis, sinceMillis, false, silent);
-        }
-
-        Optional<HeldShard> held(FailureDomain shard) {
-            for (HeldShard held : status.shards()) {
-                if (held.domain().equals(shard)) {
-                    return Optional.of(held);
-                }
-            }
-            return Optional.empty();
-        }
-    }
 }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/ShardObserver.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/ShardObserver.java
@@ -1,6 +1,7 @@
 package org.tarragonarch.core.shard;
 
 import org.tarragonarch.core.placing.CompletionEstimate;
+import org.tarragonarch.core.routing.RoutingObserver;
 import org.tarragonarch.model.id.EndpointId;
 import org.tarragonarch.model.id.FailureDomain;
 import org.tarragonarch.model.id.NodeId;
@@ -14,7 +15,7 @@
  *
  * <p>Every method does nothing unless it is overridden.
  */
-public interface ShardObserver {
+public interface ShardObserver extends RoutingObserver {
     /** The node took a shard with so many endpoints. */
     default void claimed(FailureDomain shard, FencingToken token, int endpoints) {}
 
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/ShardPools.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/ShardPools.java
@@ -65,6 +65,11 @@
         return region == null || apart.contains(region) ? ImmutableSet.of(shard) : domains.get(region);
     }
 
+    /** Returns whether two failure domains lie in one region, and so near each other. */
+    public boolean areNear(FailureDomain first, FailureDomain second) {
+        return regions.containsKey(first) && regions.get(first).equals(regions.get(second));
+    }
+
     /**
      * Returns the failure domains whose nodes may succeed each other as a holder, for a node of one of them.
      *
--- /dev/null
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/OfferAdmissionTest.java
@@ -0,0 +1,117 @@
+package org.tarragonarch.core.placing;
+
+import static org.testng.Assert.assertEquals;
+
+import com.google.common.collect.ImmutableList;
+import org.tarragonarch.model.task.Offer;
+import org.tarragonarch.model.task.OfferTerms;
+import org.testng.annotations.Test;
+
+/** A holder of four places that is offered jobs to start at once, by its own clients' nodes and by others. */
+public final class OfferAdmissionTest {
+    private final PlacerFixture fixture = new PlacerFixture(2);
+    private final Placer placer = fixture.placer(1);
+
+    private static OfferAdmissionTest opened() {
+        OfferAdmissionTest test = new OfferAdmissionTest();
+        test.fixture.timers.pass(20);
+        return test;
+    }
+
+    private static Offer atOnce(int number, int tasks, boolean fromOwnDomain) {
+        Offer offer = PlacerFixture.offer(number, tasks);
+        return new Offer(
+                offer.job(),
+                offer.queue(),
+                offer.origin(),
+                offer.ageMillis(),
+                offer.deadlineMillis(),
+                offer.earlierRuns(),
+                OfferTerms.AT_ONCE,
+                fromOwnDomain);
+    }
+
+    private void offerAtOnce(int number, int tasks, boolean fromOwnDomain) {
+        placer.offer(atOnce(number, tasks, fromOwnDomain));
+        fixture.timers.pass(5);
+    }
+
+    /** Guards against a decline that operators see as a refusal, and against a job that is half started. */
+    @Test
+    public void testOffer_atOnceWithoutRoomForAllOfIt() {
+        OfferAdmissionTest test = opened();
+        test.offerAtOnce(1, 5, true);
+        assertEquals(test.fixture.verdicts, ImmutableList.of("origin-1 1 NOT_AT_ONCE"));
+        assertEquals(test.fixture.ledger.starts(), 0);
+        assertEquals(test.fixture.estimates, ImmutableList.of());
+    }
+
+    /** Guards against a job that its holder has given back once and that it may not have to wait. */
+    @Test
+    public void testOffer_againUnderOtherTerms() {
+        OfferAdmissionTest test = opened();
+        test.offerAtOnce(1, 5, true);
+        test.placer.offer(PlacerFixture.offer(1, 5));
+        test.fixture.timers.pass(400);
+        assertEquals(test.fixture.verdicts, ImmutableList.of("origin-1 1 NOT_AT_ONCE", "origin-1 1 DONE"));
+    }
+
+    @Test
+    public void testOffer_atOnceWithRoom() {
+        OfferAdmissionTest test = opened();
+        test.offerAtOnce(1, 4, true);
+        assertEquals(test.fixture.ledger.starts(), 4);
+    }
+
+    /** Guards against a neighbour whose idle endpoints take nothing for others. */
+    @Test
+    public void testOffer_ofAnotherDomainWhileIdle() {
+        OfferAdmissionTest test = opened();
+        test.offerAtOnce(1, 4, false);
+        assertEquals(test.fixture.ledger.starts(), 4);
+    }
+
+    /** Load: own clients fill the endpoints and wait. Guards against room that then goes to another domain's client. */
+    @Test
+    public void testOffer_ofAnotherDomainWhileOwnWait() {
+        OfferAdmissionTest test = opened();
+        test.placer.offer(PlacerFixture.offer(1, 3));
+        test.placer.offer(PlacerFixture.offer(2, 2));
+        test.placer.offer(PlacerFixture.offer(3, 2));
+        test.fixture.timers.pass(5);
+        test.offerAtOnce(4, 1, false);
+        assertEquals(test.fixture.verdicts, ImmutableList.of("origin-1 4 NOT_AT_ONCE"));
+    }
+
+    /**
+     * Load: own clients take three places of four every 70 ms. Guards against a neighbour's burst that takes the last
+     * place in the moment in which none of theirs runs.
+     */
+    @Test
+    public void testOffer_ofAnotherDomainLeavesRoomForOwnUse() {
+        OfferAdmissionTest test = opened();
+        for (int i = 0; i < 20; i++) {
+            test.placer.offer(PlacerFixture.offer(0x100 + i, 3));
+            test.fixture.timers.pass(70);
+        }
+        test.fixture.verdicts.clear();
+        test.offerAtOnce(1, 4, false);
+        test.offerAtOnce(2, 2, false);
+        assertEquals(test.fixture.verdicts, ImmutableList.of("origin-1 1 NOT_AT_ONCE"));
+    }
+
+    /**
+     * Guards against a task that runs twice: its client left and sends the job again while the first runs are being
+     * stopped. Were it given back as one that cannot start at once, the next domain would start it.
+     */
+    @Test
+    public void testOffer_atOnceWhileEarlierRunsAreStopped() {
+        OfferAdmissionTest test = opened();
+        test.offerAtOnce(1, 4, true);
+        test.placer.withdraw(PlacerFixture.ORIGIN, PlacerFixture.id(1));
+        test.placer.offer(atOnce(1, 4, true));
+        assertEquals(test.fixture.verdicts, ImmutableList.of());
+        test.fixture.timers.pass(400);
+        assertEquals(test.fixture.verdicts, ImmutableList.of("origin-1 1 DONE"));
+    }
+}
--- /dev/null
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/routing/DomainBalanceTest.java
@@ -0,0 +1,165 @@
+package org.tarragonarch.core.routing;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import com.google.common.collect.HashMultiset;
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.Multiset;
+import java.util.ArrayList;
+import java.util.List;
+import org.tarragonarch.core.placing.VirtualTimers;
+import org.tarragonarch.model.id.NodeId;
+import org.tarragonarch.model.task.JobId;
+import org.tarragonarch.model.task.JobRequest;
+import org.tarragonarch.model.task.QueueDefinition;
+import org.tarragonarch.model.task.Resources;
+import org.tarragonarch.model.task.TaskStep;
+import org.tarragonarch.model.task.Verdict;
+import org.testng.annotations.Test;
+
+/** The order of the holders that a job is offered to where each failure domain has its own: job of 14 cores. */
+public final class DomainBalanceTest {
+    private static final JobId JOB = id(1);
+    private static final QueueDefinition QUEUE = new QueueDefinition("q", "h", "/p/", "s", 0, 3, 1.6, 60);
+    private static final long ROOMY = 1_000_000;
+
+    private final VirtualTimers timers = new VirtualTimers();
+    private final FakeHolders holders = new FakeHolders();
+    private final List<String> observed = new ArrayList<>();
+    private final List<String> replies = new ArrayList<>();
+    private final JobRouter router = new JobRouter(holders, timers, 1_050, new RoutingObserver() {
+        @Override
+        public void movedToNeighbour(JobId job, NodeId holder) {
+            observed.add("moved to " + holder);
+        }
+
+        @Override
+        public void backFromNeighbour(JobId job, NodeId holder) {
+            observed.add("back from " + holder);
+        }
+    });
+
+    private static JobId id(long number) {
+        return new JobId(String.format("%016x", number));
+    }
+
+    private void submit(JobId id) {
+        TaskStep step = new TaskStep(2, new Resources(7_000, 64, 0), 60);
+        router.submit(
+                QUEUE,
+                new JobRequest(id, "x", step),
+                2_000,
+                reply -> replies.add(reply.outcome() + " " + reply.retryMillis()));
+    }
+
+    private void notAtOnce(String... nodes) {
+        for (String node : nodes) {
+            router.settled(NodeId.of(node), JOB, Verdict.NOT_AT_ONCE, 0);
+        }
+    }
+
+    /** Guards against a job that waits in its own domain while another has room, and against its loss in rounds. */
+    @Test
+    public void testSubmit_ownThenTwoOthersThenOwnToWait() {
+        DomainBalanceTest test = new DomainBalanceTest();
+        test.holders.add("a", "hobart", 1);
+        test.holders.addNeighbour("b", "launceston", ROOMY);
+        test.holders.addNeighbour("c", "devonport", ROOMY);
+        test.holders.addNeighbour("d", "burnie", ROOMY);
+        test.submit(JOB);
+        test.notAtOnce("a", "b", "c", "d");
+        assertEquals(test.holders.asked.size(), 4, test.holders.asked.toString());
+        assertEquals(test.holders.asked.get(0), "offer a at once");
+        assertTrue(test.holders.asked.get(1).endsWith("at once")
+                && test.holders.asked.get(2).endsWith("at once"));
+        assertEquals(test.holders.asked.get(3), "offer a");
+        assertEquals(test.observed.size(), 4, test.observed.toString());
+        test.router.settled(NodeId.of("a"), JOB, Verdict.DONE, 0);
+        assertEquals(test.replies, ImmutableList.of("DONE 0"));
+    }
+
+    /** Guards against a round trip that leads to nothing: no other domain has room for the whole job. */
+    @Test
+    public void testSubmit_noRoomElsewhere() {
+        DomainBalanceTest test = new DomainBalanceTest();
+        test.holders.add("a", "hobart", 1);
+        test.holders.addNeighbour("b", "launceston", 13_999);
+        test.submit(JOB);
+        assertEquals(test.holders.asked, ImmutableList.of("offer a"));
+    }
+
+    /** Guards against a decline of an at-once offer that counts as a refusal: every holder may have the job to wait. */
+    @Test
+    public void testSettled_notAtOnceIsNoRefusal() {
+        DomainBalanceTest test = new DomainBalanceTest();
+        test.holders.add("a", "hobart", 1);
+        test.holders.addNeighbour("b", "launceston", ROOMY);
+        test.submit(JOB);
+        test.notAtOnce("a", "b");
+        test.router.settled(NodeId.of("a"), JOB, Verdict.DECLINED, 300);
+        test.router.settled(NodeId.of("b"), JOB, Verdict.DECLINED, 200);
+        assertEquals(test.holders.asked, ImmutableList.of("offer a at once", "offer b at once", "offer a", "offer b"));
+        assertEquals(test.replies, ImmutableList.of("REFUSED 200"));
+        assertEquals(test.observed, ImmutableList.of("moved to b", "back from b"));
+        assertEquals(test.holders.refused, ImmutableList.of("b 14000"));
+    }
+
+    /** Guards against a second run: the holder that was to start the job at once is lost, and may have started it. */
+    @Test
+    public void testNodeLost_atOnceOfferMayHaveStarted() {
+        DomainBalanceTest test = new DomainBalanceTest();
+        test.holders.add("a", "hobart", 1);
+        Holder lost = test.holders.addNeighbour("b", "launceston", ROOMY);
+        test.holders.addNeighbour("c", "devonport", ROOMY);
+        test.holders.neighboursWithRoom.remove(1);
+        test.submit(JOB);
+        test.notAtOnce("a");
+        test.holders.holders.remove(lost);
+        test.router.nodeLost(NodeId.of("b"));
+        test.timers.pass(1_000);
+        assertEquals(test.holders.asked, ImmutableList.of("offer a at once", "offer b at once"));
+        test.timers.pass(100);
+        assertEquals(test.holders.asked, ImmutableList.of("offer a at once", "offer b at once", "offer a"));
+    }
+
+    /** Guards against rounds that make a job later which is late already. */
+    @Test
+    public void testHoldersChanged_lateJobSkipsTheRounds() {
+        DomainBalanceTest test = new DomainBalanceTest();
+        test.submit(JOB);
+        test.timers.pass(97);
+        test.holders.add("a", "hobart", 1);
+        test.holders.addNeighbour("b", "launceston", ROOMY);
+        test.router.holdersChanged();
+        assertEquals(test.holders.asked, ImmutableList.of("offer a"));
+    }
+
+    /** Guards against a domain that takes part in rounds though its holder covers the own domain too. */
+    @Test
+    public void testSubmit_ownDomainIsNotFirst() {
+        DomainBalanceTest test = new DomainBalanceTest();
+        test.holders.addNeighbour("b", "launceston", ROOMY);
+        test.holders.add("a", "hobart", 1);
+        test.submit(JOB);
+        assertEquals(test.holders.asked, ImmutableList.of("offer b"));
+    }
+
+    /** Guards against a herd: nodes that see the same statuses do not all choose the same holder. */
+    @Test
+    public void testSubmit_jobsSpreadOverNeighboursAndPreferTheRoomier() {
+        DomainBalanceTest test = new DomainBalanceTest();
+        test.holders.add("a", "hobart", 1);
+        test.holders.addNeighbour("b", "launceston", ROOMY);
+        test.holders.addNeighbour("c", "devonport", ROOMY);
+        test.holders.addNeighbour("d", "burnie", 2 * ROOMY);
+        for (int job = 1; job <= 300; job++) {
+            test.submit(id(job));
+            test.router.settled(NodeId.of("a"), id(job), Verdict.NOT_AT_ONCE, 0);
+        }
+        Multiset<String> asked = HashMultiset.create(test.holders.asked);
+        assertEquals(asked.count("offer a at once"), 300);
+        assertTrue(asked.count("offer b at once") > 20 && asked.count("offer c at once") > 20, asked.toString());
+        assertTrue(asked.count("offer d at once") > 150, asked.toString());
+    }
+}
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/routing/FakeHolders.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/routing/FakeHolders.java
@@ -12,17 +12,21 @@
 import org.tarragonarch.model.task.FencingToken;
 import org.tarragonarch.model.task.JobId;
 import org.tarragonarch.model.task.Offer;
+import org.tarragonarch.model.task.OfferTerms;
 
 /** Holders that note what they are asked. */
 final class FakeHolders implements Holders {
     static final NodeId OWN = NodeId.of("own");
+    static final FailureDomain OWN_DOMAIN = FailureDomain.of("hobart");
 
     final List<Holder> holders = new ArrayList<>();
     final List<FailureDomain> taken = new ArrayList<>();
     final Map<FailureDomain, Long> highestTerms = new HashMap<>();
     boolean isHolderExpected;
     boolean isHolderUnreachable;
+    final List<RoomyHolder> neighboursWithRoom = new ArrayList<>();
     final List<String> asked = new ArrayList<>();
+    final List<String> refused = new ArrayList<>();
 
     Holder add(String node, String shard, long term) {
         HeldShard held = new HeldShard(FailureDomain.of(shard), FencingToken.of(term, "10.0.0.1"), 1_000);
@@ -36,6 +40,30 @@
         return ImmutableList.copyOf(holders);
     }
 
+    /** Adds the holder of another failure domain that has room. */
+    Holder addNeighbour(String node, String shard, long freeMilliCores) {
+        Holder holder = add(node, shard, 1);
+        neighboursWithRoom.add(new RoomyHolder(holder, freeMilliCores));
+        return holder;
+    }
+
+    @Override
+    public ImmutableList<RoomyHolder> neighboursWithRoom(long milliCores) {
+        return neighboursWithRoom.stream()
+                .filter(neighbour -> neighbour.freeMilliCores() >= milliCores)
+                .collect(ImmutableList.toImmutableList());
+    }
+
+    @Override
+    public void notStartedAtOnce(Holder holder, long milliCores) {
+        refused.add(holder.node() + " " + milliCores);
+    }
+
+    @Override
+    public boolean isOwn(Holder holder) {
+        return holder.holds(OWN_DOMAIN);
+    }
+
     @Override
     public ImmutableSet<FailureDomain> reach(Holder lost) {
         return ImmutableSet.<FailureDomain>builder()
@@ -64,6 +92,7 @@
     @Override
     public void offer(Holder holder, Offer offer) {
         asked.add("offer " + holder.node()
+                + (offer.terms() == OfferTerms.AT_ONCE ? " at once" : "")
                 + (offer.earlierRuns().over()
                         ? ""
                         : " over in " + offer.earlierRuns().lastMillis()));
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/routing/JobRouterTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/routing/JobRouterTest.java
@@ -26,7 +26,7 @@
 
     private final VirtualTimers timers = new VirtualTimers();
     private final FakeHolders holders = new FakeHolders();
-    private final JobRouter router = new JobRouter(holders, timers, 1_050);
+    private final JobRouter router = new JobRouter(holders, timers, 1_050, new RoutingObserver() {});
     private final List<String> replies = new ArrayList<>();
 
     private JobService.Submission submit(long deadlineMillis) {
--- a/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/explain/Sentences.java
+++ b/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/explain/Sentences.java
@@ -8,6 +8,11 @@
         return switch (entry.event()) {
             case JOB_ANSWERED -> answered(entry);
             case JOB_DECLINED -> declined(entry);
+            case JOB_MOVED ->
+                "offered it to %s of another failure domain, as its own could not start it at once"
+                        .formatted(entry.text("holder"));
+            case JOB_MOVED_BACK ->
+                "had it back from %s, which could not start it at once".formatted(entry.text("holder"));
             case RUN_ENDED_BADLY -> badRun(entry);
             case JOB_CANCELLED ->
                 entry.text("here").equals("true")
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/NodeMeters.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/NodeMeters.java
@@ -42,6 +42,9 @@
     private final Map<QueueLookup.Result, Counter> queuesNotFound = new EnumMap<>(QueueLookup.Result.class);
     private final Counter declined =
             Counter.builder("tarragonarch.jobs.declined").register(registry);
+    private final Counter moved = Counter.builder("tarragonarch.jobs.moved").register(registry);
+    private final Counter movedBack =
+            Counter.builder("tarragonarch.jobs.moved.back").register(registry);
     private final Counter unreadableEndpointRows =
             Counter.builder("tarragonarch.endpoint.rows.unreadable").register(registry);
 
@@ -120,6 +123,14 @@
         declined.increment();
     }
 
+    void moved() {
+        moved.increment();
+    }
+
+    void movedBack() {
+        movedBack.increment();
+    }
+
     void endpointRowUnreadable() {
         unreadableEndpointRows.increment();
     }
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ShardLog.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ShardLog.java
@@ -46,6 +46,18 @@
                 estimate.waitingJobs());
     }
 
+    @Override
+    public void movedToNeighbour(JobId job, NodeId holder) {
+        meters.moved();
+        log.line(NodeEvent.JOB_MOVED, "job", job, "holder", holder);
+    }
+
+    @Override
+    public void backFromNeighbour(JobId job, NodeId holder) {
+        meters.movedBack();
+        log.line(NodeEvent.JOB_MOVED_BACK, "job", job, "holder", holder);
+    }
+
     @Override
     public void runEndedBadly(FailureDomain shard, TaskRun run, EndpointId endpoint, EndKind kind) {
         meters.runEndedBadly(kind);
--- a/tarragonarch-model/src/main/java/org/tarragonarch/model/log/NodeEvent.java
+++ b/tarragonarch-model/src/main/java/org/tarragonarch/model/log/NodeEvent.java
@@ -14,6 +14,10 @@
     QUEUE_UNKNOWN,
     /** A holder did not take a job, or gave it back unstarted. */
     JOB_DECLINED,
+    /** A job that its own failure domain could not start at once was offered to the holder of another one. */
+    JOB_MOVED,
+    /** The holder of the other failure domain could not start the job at once either. */
+    JOB_MOVED_BACK,
     /** A run did not do its work. */
     RUN_ENDED_BADLY,
     /** This node holds a shard from now on. */
--- a/tarragonarch-model/src/main/java/org/tarragonarch/model/task/JobRequest.java
+++ b/tarragonarch-model/src/main/java/org/tarragonarch/model/task/JobRequest.java
@@ -24,4 +24,9 @@
         checkNotNull(step, "step");
         checkArgument(step.count() <= MAX_TASKS, "%s tasks are over %s", step.count(), MAX_TASKS);
     }
+
+    /** Returns the processor time that all its tasks take together while they run, in thousandths of a core. */
+    public long milliCores() {
+        return step.count() * step.perTask().milliCores();
+    }
 }
--- a/tarragonarch-model/src/main/java/org/tarragonarch/model/task/Offer.java
+++ b/tarragonarch-model/src/main/java/org/tarragonarch/model/task/Offer.java
@@ -13,6 +13,8 @@
  * @param ageMillis how long ago the job reached that node
  * @param deadlineMillis how long the client still waits
  * @param earlierRuns what may still run of it that a lost holder started
+ * @param terms under which condition the holder takes it
+ * @param fromOwnDomain whether the origin stands in a failure domain whose endpoints the holder has
  */
 public record Offer(
         JobRequest job,
@@ -20,17 +22,39 @@
         NodeId origin,
         long ageMillis,
         long deadlineMillis,
-        EarlierRuns earlierRuns) {
+        EarlierRuns earlierRuns,
+        OfferTerms terms,
+        boolean fromOwnDomain) {
     /** Checks the parts. */
     public Offer {
         checkNotNull(job, "job");
         checkNotNull(queue, "queue");
         checkNotNull(origin, "origin");
         checkNotNull(earlierRuns, "earlierRuns");
+        checkNotNull(terms, "terms");
+    }
+
+    /** Creates an offer of a job that may wait, by a node of the holder's own failure domain. */
+    public Offer(
+            JobRequest job,
+            QueueDefinition queue,
+            NodeId origin,
+            long ageMillis,
+            long deadlineMillis,
+            EarlierRuns earlierRuns) {
+        this(job, queue, origin, ageMillis, deadlineMillis, earlierRuns, OfferTerms.MAY_WAIT, true);
     }
 
     /** Returns the same offer after a wait on this holder's side. */
     public Offer later(long millis) {
-        return new Offer(job, queue, origin, ageMillis + millis, deadlineMillis - millis, earlierRuns.after(millis));
+        return new Offer(
+                job,
+                queue,
+                origin,
+                ageMillis + millis,
+                deadlineMillis - millis,
+                earlierRuns.after(millis),
+                terms,
+                fromOwnDomain);
     }
 }
--- a/tarragonarch-model/src/main/java/org/tarragonarch/model/task/Verdict.java
+++ b/tarragonarch-model/src/main/java/org/tarragonarch/model/task/Verdict.java
@@ -15,5 +15,10 @@
     /** Its holder releases the shard and has started nothing of it. */
     RETURNED,
     /** Given back because none of its holder's endpoints may take the rest of it; whatever ran has been stopped. */
-    EVICTED
+    EVICTED,
+    /**
+     * Not taken because it could not start at once, as its offer asked; no task was started. The job may be offered to
+     * the same holder again under other terms.
+     */
+    NOT_AT_ONCE
 }
--- a/tarragonarch-wire/src/main/java/org/tarragonarch/wire/Hello.java
+++ b/tarragonarch-wire/src/main/java/org/tarragonarch/wire/Hello.java
@@ -16,7 +16,7 @@
  */
 public record Hello(int protocolVersion, NodeId node, Incarnation incarnation, FailureDomain domain) implements Frame {
     /** The version of the protocol that this code speaks; it changes with any change to the layout of a frame. */
-    public static final int PROTOCOL_VERSION = 4;
+    public static final int PROTOCOL_VERSION = 5;
 
     /** Checks the parts. */
     public Hello {
--- a/tarragonarch-wire/src/main/java/org/tarragonarch/wire/OfferCodec.java
+++ b/tarragonarch-wire/src/main/java/org/tarragonarch/wire/OfferCodec.java
@@ -7,6 +7,7 @@
 import org.tarragonarch.model.task.JobId;
 import org.tarragonarch.model.task.JobRequest;
 import org.tarragonarch.model.task.Offer;
+import org.tarragonarch.model.task.OfferTerms;
 import org.tarragonarch.model.task.QueueDefinition;
 import org.tarragonarch.model.task.Resources;
 import org.tarragonarch.model.task.TaskStep;
@@ -26,6 +27,7 @@
                 .writeLong(offer.earlierRuns().lastMillis())
                 .writeCount(offer.earlierRuns().shards().size());
         offer.earlierRuns().shards().forEach(shard -> writer.writeText(shard.value()));
+        writer.writeEnum(offer.terms()).writeBoolean(offer.fromOwnDomain());
         writeJob(writer, offer.job());
         writeQueue(writer, offer.queue());
     }
@@ -35,8 +37,11 @@
         long age = reader.readLong();
         long deadline = reader.readLong();
         EarlierRuns earlierRuns = readEarlierRuns(reader);
+        OfferTerms terms = reader.readEnum(OfferTerms.class);
+        boolean fromOwnDomain = reader.readBoolean();
         JobRequest job = readJob(reader);
-        return new JobOffered(new Offer(job, readQueue(reader), origin, age, deadline, earlierRuns));
+        QueueDefinition queue = readQueue(reader);
+        return new JobOffered(new Offer(job, queue, origin, age, deadline, earlierRuns, terms, fromOwnDomain));
     }
 
     private static EarlierRuns readEarlierRuns(FrameReader reader) throws MalformedFrameException {
--- a/tarragonarch-wire/src/test/java/org/tarragonarch/wire/FrameCodecTest.java
+++ b/tarragonarch-wire/src/test/java/org/tarragonarch/wire/FrameCodecTest.java
@@ -18,6 +18,7 @@
 import org.tarragonarch.model.outcome.Step;
 import org.tarragonarch.model.report.EndpointLoad;
 import org.tarragonarch.model.report.NodePhase;
+import org.tarragonarch.model.task.OfferTerms;
 import org.tarragonarch.model.task.Verdict;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -63,12 +64,12 @@
         byte[] hello = new FrameWriter()
                 .writeInt(FrameType.HELLO.number())
                 .writeInt(0x7A66)
-                .writeInt(5)
+                .writeInt(6)
                 .writeBoolean(true)
                 .toByteArray();
         MalformedFrameException refusal =
                 expectThrows(MalformedFrameException.class, () -> FrameCodec.decode("peer", Optional.empty(), hello));
-        assertTrue(refusal.getMessage().contains("protocol version 5 instead of 4"), refusal.getMessage());
+        assertTrue(refusal.getMessage().contains("protocol version 6 instead of 5"), refusal.getMessage());
     }
 
     /**
@@ -77,7 +78,7 @@
      */
     @Test
     public void testDecode_announcedLengthIsNotAllocated() {
-        byte[] huge = BaseEncoding.base16().decode("01CD7A6604DB7FFFFFFF");
+        byte[] huge = BaseEncoding.base16().decode("01CD7A6605DB7FFFFFFF");
         MalformedFrameException refusal =
                 expectThrows(MalformedFrameException.class, () -> FrameCodec.decode("peer", Optional.empty(), huge));
         assertTrue(refusal.getMessage().contains("0 bytes left"), refusal.getMessage());
@@ -105,20 +106,21 @@
      * phase or code. Any change here needs a new {@link Hello#PROTOCOL_VERSION}.
      */
     @Test
-    public void testLayout_isThatOfProtocolVersionFour() {
+    public void testLayout_isThatOfProtocolVersionFive() {
         byte[] all = Samples.every().stream().map(FrameCodec::encode).reduce(new byte[0], Bytes::concat);
         String enums = Arrays.toString(NodePhase.values())
                 + Arrays.toString(ProblemCode.values())
                 + Arrays.toString(Step.values())
                 + Arrays.toString(AnswerOutcome.values())
-                + Arrays.toString(Verdict.values());
-        assertEquals(Hello.PROTOCOL_VERSION, 4);
+                + Arrays.toString(Verdict.values())
+                + Arrays.toString(OfferTerms.values());
+        assertEquals(Hello.PROTOCOL_VERSION, 5);
         assertEquals(
                 Hashing.sha256().hashBytes(all).toString(),
-                "3e5568fb07824d17706aff3e0cd472a71518ae6bafa6eac9bb6f6eacae9b61b5");
+                "d3d6c7ec65a232af51dfc77038e79f27dd71f84601cfe3b4f1da978a67e63500");
         assertEquals(
                 Hashing.sha256().hashUnencodedChars(enums).toString(),
-                "195e585deaeebd12597a7b806685ccf7a0d45283e8dde39e329f39bada6f07c8");
+                "412647c0098ee69dd2b0211df024fa38d494de1b8d670e00179172a6c49bd5e2");
     }
 
     @Test
--- a/tarragonarch-wire/src/test/java/org/tarragonarch/wire/PlacingSamples.java
+++ b/tarragonarch-wire/src/test/java/org/tarragonarch/wire/PlacingSamples.java
@@ -16,6 +16,7 @@
 import org.tarragonarch.model.task.JobId;
 import org.tarragonarch.model.task.JobRequest;
 import org.tarragonarch.model.task.Offer;
+import org.tarragonarch.model.task.OfferTerms;
 import org.tarragonarch.model.task.QueueDefinition;
 import org.tarragonarch.model.task.Resources;
 import org.tarragonarch.model.task.TaskStep;
@@ -43,6 +44,7 @@
                 new StatusFrame(holding),
                 new StatusFrame(leaving),
                 new JobOffered(offer()),
+                new JobOffered(offerAtOnce()),
                 new JobSettled(JOB, Verdict.DECLINED, 250),
                 new JobWithdrawn(JOB),
                 new CancelAsked(JOB),
@@ -60,4 +62,9 @@
         EarlierRuns earlier = new EarlierRuns(1_050, ImmutableSet.of(SHARD));
         return new Offer(new JobRequest(JOB, "\u2013 text", step), queue, NODE, 3, 1_500, earlier);
     }
+
+    private static Offer offerAtOnce() {
+        Offer offer = offer();
+        return new Offer(offer.job(), offer.queue(), NODE, 0, 1_500, EarlierRuns.NONE, OfferTerms.AT_ONCE, false);
+    }
 }
