Experiment: loads that differ between failure domains, and how often jobs move

Cause: the experiment tool could only speed up all domains together, so nothing showed what balance between them does.

--- a/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/Cluster.java
+++ b/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/Cluster.java
@@ -36,6 +36,7 @@
     private final LoadShape shape;
     private final ImmutableMap<FailureDomain, Region> regions;
     private final EndpointList listed = new EndpointList();
+    private final MoveCount moves = new MoveCount();
     private final Map<EndpointId, ModelEndpoint> endpoints = new LinkedHashMap<>();
     private final Map<NodeId, ModelNode> nodes = new LinkedHashMap<>();
 
@@ -85,6 +86,10 @@
                 shape.kinds().stream().map(kind -> kind.queue(shape.stretch())).toList());
     }
 
+    MoveCount moves() {
+        return moves;
+    }
+
     EndpointList listed() {
         return listed;
     }
--- a/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/Disturbance.java
+++ b/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/Disturbance.java
@@ -1,5 +1,8 @@
 package org.tarragonarch.benchmark.experiment;
 
+import com.google.common.collect.ImmutableList;
+import java.util.List;
+
 /**
  * Something that happens once in a run.
  *
@@ -7,8 +10,14 @@
  * @param atMillis when it begins
  * @param forMillis how long it lasts
  * @param factor how strong it is, where its kind says so
+ * @param domains the numbers of the failure domains that it is about, where its kind says so; may be left out
  */
-public record Disturbance(DisturbanceKind kind, long atMillis, long forMillis, double factor) {
+public record Disturbance(DisturbanceKind kind, long atMillis, long forMillis, double factor, List<Integer> domains) {
+    /** Takes domains that are left out for none. */
+    public Disturbance {
+        domains = domains == null ? ImmutableList.of() : ImmutableList.copyOf(domains);
+    }
+
     boolean during(long millis) {
         return millis >= atMillis && millis < atMillis + forMillis;
     }
--- a/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/DisturbanceKind.java
+++ b/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/DisturbanceKind.java
@@ -4,6 +4,15 @@
 public enum DisturbanceKind {
     /** Jobs come {@code factor} times as fast. */
     BURST,
+    /** Jobs of the clients of {@code domains} come {@code factor} times as fast. */
+    DOMAIN_BURST,
+    /**
+     * The rate of each domain swings by the part {@code factor} of its mean, with the period of the time, each domain
+     * as far behind the one before as makes them even together; it goes on to the end of the run.
+     */
+    DOMAINS_SWING,
+    /** The part {@code factor} of the clients of the first of {@code domains} comes to the second one's nodes. */
+    CLIENTS_MOVE,
     /** Every node loses power for the time, and then takes the load's start time. */
     POWER_OFF,
     /** The node that holds most shards is killed, and starts again after the time. */
--- a/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/Experiment.java
+++ b/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/Experiment.java
@@ -92,7 +92,7 @@
 
     private void plan(Disturbance disturbance) {
         switch (disturbance.kind()) {
-            case BURST -> {
+            case BURST, DOMAIN_BURST, DOMAINS_SWING, CLIENTS_MOVE -> {
                 // Part of how jobs are drawn.
             }
             case POWER_OFF -> at(disturbance.atMillis(), () -> cluster.powerOff(disturbance.forMillis()));
@@ -144,7 +144,8 @@
                 .orElse(1);
         int overfilled =
                 cluster.endpoints().stream().mapToInt(ModelEndpoint::overfilled).sum();
-        return new ExperimentResult(experiences, new FluidBound(shape, milliCores * speed).of(experiences), overfilled);
+        double bound = new FluidBound(shape, milliCores * speed).of(experiences);
+        return new ExperimentResult(experiences, bound, overfilled, cluster.moves());
     }
 
     /** Something that begins or ends at one endpoint. */
--- a/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/ExperimentCommand.java
+++ b/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/ExperimentCommand.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.concurrent.Callable;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.ToIntFunction;
 import java.util.stream.LongStream;
 import org.tarragonarch.model.outcome.StepException;
 import picocli.CommandLine;
@@ -110,12 +111,20 @@
                             .mapToDouble(each -> (double) each.count(fate) / each.jobs())
                             .toArray());
         }
+        rows.put("moved", partOfJobs(results, ExperimentResult::moved));
+        rows.put("moved and given back", partOfJobs(results, ExperimentResult::movedBack));
         rows.forEach(this::printRow);
         out.printf(
                 "overfilled %d times%n",
                 results.stream().mapToInt(ExperimentResult::overfilled).sum());
     }
 
+    private static double[] partOfJobs(ImmutableList<ExperimentResult> results, ToIntFunction<ExperimentResult> count) {
+        return results.stream()
+                .mapToDouble(each -> (double) count.applyAsInt(each) / each.jobs())
+                .toArray();
+    }
+
     private void printRow(String name, double[] values) {
         double sum = 0;
         double least = Double.MAX_VALUE;
--- a/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/ExperimentResult.java
+++ b/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/ExperimentResult.java
@@ -19,11 +19,13 @@
     private final ImmutableList<Experience> experiences;
     private final double bound;
     private final int overfilled;
+    private final MoveCount moves;
 
-    ExperimentResult(List<Experience> experiences, double bound, int overfilled) {
+    ExperimentResult(List<Experience> experiences, double bound, int overfilled, MoveCount moves) {
         this.experiences = ImmutableList.copyOf(experiences);
         this.bound = bound;
         this.overfilled = overfilled;
+        this.moves = moves;
     }
 
     /** Returns the part of all worth that was earned. */
@@ -41,6 +43,16 @@
         return overfilled;
     }
 
+    /** Returns how often a job was offered to another failure domain to start at once. */
+    public int moved() {
+        return moves.moved();
+    }
+
+    /** Returns how often such an offer was not taken. */
+    public int movedBack() {
+        return moves.back();
+    }
+
     /** Returns how many jobs were sent. */
     public int jobs() {
         return experiences.size();
--- a/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/JobSource.java
+++ b/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/JobSource.java
@@ -10,10 +10,12 @@
     private static final double MILLIS = 1_000;
 
     private final LoadShape shape;
+    private final DomainDemand demand;
     private final SplittableRandom random;
 
     JobSource(LoadShape shape, long seed) {
         this.shape = shape;
+        this.demand = new DomainDemand(shape);
         this.random = new SplittableRandom(seed);
     }
 
@@ -21,7 +23,8 @@
         List<DrawnJob> jobs = new ArrayList<>();
         double at = 0;
         while (true) {
-            double rate = shape.jobsPerSecond() * shape.burstAt(Math.round(at));
+            double ofDomains = demand.factorOf(demand.weightsAt(Math.round(at)));
+            double rate = shape.jobsPerSecond() * shape.burstAt(Math.round(at)) * ofDomains;
             at += -Math.log(1 - random.nextDouble()) / rate * MILLIS;
             if (at >= shape.lengthMillis()) {
                 return jobs;
@@ -33,7 +36,7 @@
     private DrawnJob job(long number, long atMillis) {
         JobKind kind =
                 shape.kinds().get(pick(shape.kinds().stream().map(JobKind::part).toList()));
-        int domain = pick(shape.domainWeights());
+        int domain = pick(demand.weightsAt(atMillis));
         double mean = kind.runMillis().draw(random);
         double[] runs = new double[kind.width().drawWhole(random)];
         for (int task = 0; task < runs.length; task++) {
--- a/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/ModelNode.java
+++ b/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/ModelNode.java
@@ -7,7 +7,6 @@
 import org.tarragonarch.core.cluster.PeerSender;
 import org.tarragonarch.core.placing.PlacingSettings;
 import org.tarragonarch.core.shard.PeerTable;
-import org.tarragonarch.core.shard.ShardObserver;
 import org.tarragonarch.core.shard.ShardPools;
 import org.tarragonarch.model.id.Address;
 import org.tarragonarch.model.id.FailureDomain;
@@ -53,7 +52,7 @@
                 this,
                 timers,
                 () -> TimeUnit.NANOSECONDS.toMillis(time.nowNanos()) + TimeUnit.HOURS.toMillis(1),
-                new ShardObserver() {});
+                cluster.moves());
     }
 
     NodeId id() {
--- /dev/null
+++ b/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/MoveCount.java
@@ -0,0 +1,31 @@
+package org.tarragonarch.benchmark.experiment;
+
+import org.tarragonarch.core.shard.ShardObserver;
+import org.tarragonarch.model.id.NodeId;
+import org.tarragonarch.model.task.JobId;
+
+/** Counts the jobs that went to other failure domains, over all nodes of a run. */
+final class MoveCount implements ShardObserver {
+    private int moved;
+    private int back;
+
+    @Override
+    public void movedToNeighbour(JobId job, NodeId holder) {
+        moved++;
+    }
+
+    @Override
+    public void backFromNeighbour(JobId job, NodeId holder) {
+        back++;
+    }
+
+    /** Returns how often a job was offered to another failure domain to start at once. */
+    int moved() {
+        return moved;
+    }
+
+    /** Returns how often such an offer was not taken. */
+    int back() {
+        return back;
+    }
+}
