--- a/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/Cluster.java
+++ b/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/Cluster.java
@@ -37,6 +37,7 @@
     private final LoadShape shape;
     private final ImmutableMap<FailureDomain, Region> regions;
     private final EndpointList listed = new EndpointList();
+    private final MoveCount moves = new MoveCount();
     private final Map<EndpointId, ModelEndpoint> endpoints = new LinkedHashMap<>();
     private final Map<NodeId, ModelNode> nodes = new LinkedHashMap<>();
 
@@ -90,6 +91,10 @@
         return SharePlan.of(shape.shares());
     }
 
+    MoveCount moves() {
+        return moves;
+    }
+
     EndpointList listed() {
         return listed;
     }
--- a/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/Disturbance.java
+++ b/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/Disturbance.java
@@ -1,5 +1,8 @@
 package org.tarragonarch.benchmark.experiment;
 
+import com.google.common.collect.ImmutableList;
+import java.util.List;
+
 /**
  * Something that happens once in a run.
  *
@@ -8,8 +11,15 @@
  * @param forMillis how long it lasts
  * @param factor how strong it is, where its kind says so
  * @param jobs the kind of job that a burst is of; left out, it is of all
+ * @param domains the numbers of the failure domains that it is about, where its kind says so; may be left out
  */
-public record Disturbance(DisturbanceKind kind, long atMillis, long forMillis, double factor, String jobs) {
+public record Disturbance(
+        DisturbanceKind kind, long atMillis, long forMillis, double factor, String jobs, List<Integer> domains) {
+    /** Takes domains that are left out for none. */
+    public Disturbance {
+        domains = domains == null ? ImmutableList.of() : ImmutableList.copyOf(domains);
+    }
+
     boolean isOf(String jobKind) {
         return jobs == null || jobs.equals(jobKind);
     }
--- a/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/JobSource.java
+++ b/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/JobSource.java
@@ -13,10 +13,12 @@
     private static final long BEFORE = -1;
 
     private final LoadShape shape;
+    private final DomainDemand demand;
     private final SplittableRandom random;
 
     JobSource(LoadShape shape, long seed) {
         this.shape = shape;
+        this.demand = new DomainDemand(shape);
         this.random = new SplittableRandom(seed);
     }
 
@@ -24,7 +26,9 @@
         List<DrawnJob> jobs = new ArrayList<>();
         double at = 0;
         while (true) {
-            double rate = shape.jobsPerSecond() * weighted(Math.round(at)) / weighted(BEFORE);
+            long now = Math.round(at);
+            double ofDomains = demand.factorOf(demand.weightsAt(now));
+            double rate = shape.jobsPerSecond() * ofDomains * weighted(now) / weighted(BEFORE);
             at += -Math.log(1 - random.nextDouble()) / rate * MILLIS;
             if (at >= shape.lengthMillis()) {
                 return jobs;
@@ -46,7 +50,7 @@
 
     private DrawnJob job(long number, long atMillis) {
         JobKind kind = shape.kinds().get(pick(parts(atMillis)));
-        int domain = pick(shape.domainWeightsAt(atMillis));
+        int domain = pick(demand.weightsAt(atMillis));
         double mean = kind.runMillis().draw(random);
         double[] runs = new double[kind.width().drawWhole(random)];
         for (int task = 0; task < runs.length; task++) {
--- a/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/LoadShape.java
+++ b/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/LoadShape.java
@@ -24,8 +24,6 @@
  * @param lengthMillis how long jobs come
  * @param kinds the kinds of job
  * @param disturbances what happens meanwhile
- * @param swing the part by which the rate of each domain rises and falls, one domain after the other
- * @param swingMillis the time from one peak of a domain's rate to the next; unused without a swing
  * @param stragglerPart the part of all tasks that run longer than the others of their job
  * @param stragglerFactor how many times as long they run
  * @param shares how holders divide capacity among priorities; left out, there are no shares
@@ -45,8 +43,6 @@
         long lengthMillis,
         List<JobKind> kinds,
         List<Disturbance> disturbances,
-        double swing,
-        long swingMillis,
         double stragglerPart,
         double stragglerFactor,
         List<ShareSettings> shares) {
@@ -89,26 +85,11 @@
                 lengthMillis,
                 kinds,
                 disturbances,
-                swing,
-                swingMillis,
                 stragglerPart,
                 stragglerFactor,
                 division);
     }
 
-    /** Returns how the rate is divided between the domains at a time. */
-    List<Double> domainWeightsAt(long millis) {
-        if (swing == 0) {
-            return domainWeights;
-        }
-        ImmutableList.Builder<Double> weights = ImmutableList.builder();
-        for (int domain = 0; domain < domains; domain++) {
-            double phase = 2 * Math.PI * ((double) millis / swingMillis + (double) domain / domains);
-            weights.add(domainWeights.get(domain) * (1 + swing * Math.sin(phase)));
-        }
-        return weights.build();
-    }
-
     long latencyMicros(int domain, int otherDomain) {
         return domain == otherDomain ? insideMicros : betweenMicros;
     }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacedJob.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacedJob.java
@@ -64,6 +64,10 @@
         this.waitingTasks = step.count();
     }
 
+    Offer offer() {
+        return offer;
+    }
+
     JobId id() {
         return offer.job().id();
     }
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/NodeMeters.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/NodeMeters.java
@@ -50,6 +50,9 @@
             Counter.builder("tarragonarch.jobs.declined").register(registry);
     private final Counter restartedEndpoints =
             Counter.builder("tarragonarch.endpoints.restarted").register(registry);
+    private final Counter moved = Counter.builder("tarragonarch.jobs.moved").register(registry);
+    private final Counter movedBack =
+            Counter.builder("tarragonarch.jobs.moved.back").register(registry);
     private final Counter unreadableEndpointRows =
             Counter.builder("tarragonarch.endpoint.rows.unreadable").register(registry);
 
@@ -141,6 +144,14 @@
         declined.increment();
     }
 
+    void moved() {
+        moved.increment();
+    }
+
+    void movedBack() {
+        movedBack.increment();
+    }
+
     void endpointRowUnreadable() {
         unreadableEndpointRows.increment();
     }
--- a/tarragonarch-wire/src/test/java/org/tarragonarch/wire/FrameCodecTest.java
+++ b/tarragonarch-wire/src/test/java/org/tarragonarch/wire/FrameCodecTest.java
@@ -18,6 +18,7 @@
 import org.tarragonarch.model.outcome.Step;
 import org.tarragonarch.model.report.EndpointLoad;
 import org.tarragonarch.model.report.NodePhase;
+import org.tarragonarch.model.task.OfferTerms;
 import org.tarragonarch.model.task.Verdict;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -102,14 +103,15 @@
                 + Arrays.toString(ProblemCode.values())
                 + Arrays.toString(Step.values())
                 + Arrays.toString(AnswerOutcome.values())
-                + Arrays.toString(Verdict.values());
+                + Arrays.toString(Verdict.values())
+                + Arrays.toString(OfferTerms.values());
         assertEquals(Hello.PROTOCOL_VERSION, 5);
         assertEquals(
                 Hashing.sha256().hashBytes(all).toString(),
                 "d3d6c7ec65a232af51dfc77038e79f27dd71f84601cfe3b4f1da978a67e63500");
         assertEquals(
                 Hashing.sha256().hashUnencodedChars(enums).toString(),
-                "195e585deaeebd12597a7b806685ccf7a0d45283e8dde39e329f39bada6f07c8");
+                "412647c0098ee69dd2b0211df024fa38d494de1b8d670e00179172a6c49bd5e2");
     }
 
     @Test
