--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/CompletionEstimator.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/CompletionEstimator.java
@@ -7,7 +7,6 @@
 import org.tarragonarch.core.share.ShareAdmission;
 import org.tarragonarch.core.share.ShareState;
 import org.tarragonarch.core.share.ShareWait;
-import org.tarragonarch.model.task.Resources;
 
 /** Says what to expect of a job that would be taken now. */
 final class CompletionEstimator {
@@ -28,33 +27,14 @@
      * endpoint is, for some 50 ms, and a job that waits that long is mostly still in time.
      */
     CompletionEstimate of(PlacedJob job, long now) {
-        long places = 0;
-        long freePlaces = 0;
-        long initializingPlaces = 0;
-        long capacity = 0;
-        for (HeldEndpoint endpoint : endpoints) {
-            boolean usable = endpoint.takes(Resources.NONE, now);
-            if (!usable && !endpoint.isInitializing()
-                    || !endpoint.entry().service().equals(job.queue().service())) {
-                continue;
-            }
-            long perTask = Math.max(1, job.need().milliCores());
-            long whole = endpoint.entry().capacity().milliCores() / perTask;
-            places += whole;
-            capacity += endpoint.entry().capacity().milliCores();
-            initializingPlaces += usable ? 0 : whole;
-            freePlaces += usable && job.need().fitsInto(endpoint.free())
-                    ? endpoint.free().milliCores() / perTask
-                    : 0;
-        }
+        CapacityCount capacity = CapacityCount.of(endpoints, job, now);
         PendingJobs own = pending.of(job.share());
-        boolean roomForAll = pending.waitingTasks() + job.step().count() <= freePlaces + initializingPlaces;
-        long missing = Math.max(0, job.step().count() - freePlaces);
-        long ahead = own.waitingTaskMillis(now) + missing * job.expectedRunMillis();
-        long wait = places == 0 || missing == 0 && own.isEmpty() ? 0 : ahead / places;
+        boolean roomForAll =
+                pending.waitingTasks() + job.step().count() <= capacity.freePlaces() + capacity.initializingPlaces();
+        long wait = waitInOrder(job, own, capacity, now);
         Optional<ShareState> share = Optional.empty();
         if (shares.plan().isConfigured()) {
-            ShareWait inShare = waitInShare(job, new PoolPlaces(capacity, places, freePlaces), now);
+            ShareWait inShare = waitInShare(job, own, capacity.pool(), now);
             wait = inShare.millis();
             roomForAll &= inShare.fitsBelowCeiling();
             share = Optional.of(inShare.state());
@@ -67,15 +47,26 @@
                 job.slowestRunMillis(),
                 inTimeWithin,
                 deadlineWithin,
-                places,
-                freePlaces,
+                capacity.places(),
+                capacity.freePlaces(),
                 own.size(),
                 roomForAll,
                 share);
     }
 
-    private ShareWait waitInShare(PlacedJob job, PoolPlaces places, long now) {
-        PendingJobs.Ahead ahead = pending.of(job.share()).ahead(now);
+    /** Returns how long the job's tasks wait for what goes before them in its queue. */
+    private static long waitInOrder(PlacedJob job, PendingJobs own, CapacityCount capacity, long now) {
+        long missing = Math.max(0, job.step().count() - capacity.freePlaces());
+        boolean startsNow = missing == 0 && own.isEmpty();
+        if (capacity.places() == 0 || startsNow) {
+            return 0;
+        }
+        long ahead = own.waitingTaskMillis(now) + missing * job.expectedRunMillis();
+        return (long) (ahead / capacity.weightedPlaces());
+    }
+
+    private ShareWait waitInShare(PlacedJob job, PendingJobs own, PoolPlaces places, long now) {
+        PendingJobs.Ahead ahead = own.ahead(now);
         ShareAdmission admission = shares.admission(job.share(), places.capacityMilliCores());
         JobNeed need = new JobNeed(job.step().count(), Math.max(1, job.need().milliCores()), job.expectedRunMillis());
         return admission.waitFor(need, places, ahead.milliCores(), ahead.work());
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/HeldEndpoint.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/HeldEndpoint.java
@@ -2,6 +2,7 @@
 
 import com.google.common.collect.ImmutableMap;
 import org.tarragonarch.core.share.ShareTally;
+import org.tarragonarch.core.speed.EndpointSpeed;
 import org.tarragonarch.model.id.EndpointLife;
 import org.tarragonarch.model.task.EndKind;
 import org.tarragonarch.model.task.EndpointEntry;
@@ -29,6 +30,7 @@
     private final RunListPoller poller;
     private final RunOrders orders;
     private EndpointHealth health;
+    private EndpointSpeed speed;
     private StallDetector stalls;
     private boolean closed;
     private boolean retired;
@@ -59,7 +61,8 @@
 
     private void judgeAnew() {
         health = new EndpointHealth();
-        stalls = new StallDetector(room, health, progress);
+        speed = new EndpointSpeed();
+        stalls = new StallDetector(room, health, speed, progress);
     }
 
     /** Reads the lists for the first time. */
@@ -119,6 +122,11 @@
         retired = true;
     }
 
+    /** Returns how fast this incarnation of the endpoint is. */
+    EndpointSpeed speed() {
+        return speed;
+    }
+
     ReservedRoom room() {
         return room;
     }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/ShardObserver.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/ShardObserver.java
@@ -41,6 +41,9 @@
     /** A share wants more than its allotment from now on, or no longer does. */
     default void shareLimited(ShareState state, boolean isLimited) {}
 
+    /** An endpoint is clearly faster or slower than before; speeds are multiples of the pool's mean. */
+    default void speedChanged(FailureDomain shard, EndpointId endpoint, double from, double to) {}
+
     /** A run ended without having done its work. */
     default void runEndedBadly(FailureDomain shard, TaskRun run, EndpointId endpoint, EndKind kind) {}
 
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/ShardOwnership.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/ShardOwnership.java
@@ -12,6 +12,7 @@
 import org.tarragonarch.core.placing.PlacingSettings;
 import org.tarragonarch.core.placing.RunTimes;
 import org.tarragonarch.core.share.ShareState;
+import org.tarragonarch.core.speed.SpeedSummary;
 import org.tarragonarch.model.id.EndpointId;
 import org.tarragonarch.model.id.EndpointLife;
 import org.tarragonarch.model.id.FailureDomain;
@@ -125,6 +126,11 @@
         return placer.filter(current -> !current.shards().isEmpty());
     }
 
+    /** Returns how fast the endpoints held here are. */
+    public SpeedSummary speeds() {
+        return placer.map(Placer::speeds).orElse(SpeedSummary.NONE);
+    }
+
     /** Returns which shards this node holds. */
     public ImmutableSet<FailureDomain> heldShards() {
         return placer.map(Placer::shards).orElse(ImmutableSet.of());
@@ -222,6 +228,11 @@
             events.endpointRestarted(shard, later);
         }
 
+        @Override
+        public void speedChanged(FailureDomain shard, EndpointId endpoint, double from, double to) {
+            events.speedChanged(shard, endpoint, from, to);
+        }
+
         @Override
         public void fenced(FailureDomain shard, FencingToken token) {
             heldChanged();
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/PendingJobsTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/PendingJobsTest.java
@@ -54,10 +54,15 @@
     }
 
     static HeldEndpoint endpoint(PlacerFixture fixture) {
-        EndpointEntry entry = fixture.entries.get(0);
+        return endpoint(fixture, 0);
+    }
+
+    static HeldEndpoint endpoint(PlacerFixture fixture, int index) {
+        EndpointEntry entry = fixture.entries.get(index);
         EndpointLink link = new EndpointLink(
                 entry, FencingToken.of(1, "10.0.0.1"), PlacingSettings.of(1_000, 50), fixture.orders, fixture.timers);
-        return new HeldEndpoint(link, null, new ProgressReports(), new UnansweredStarts(), new ShareTally());
+        return new HeldEndpoint(
+                link, new IgnoredEvents(), new ProgressReports(), new UnansweredStarts(), new ShareTally());
     }
 
     private static void place(PlacedTask task, HeldEndpoint endpoint) {
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ClusterNode.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ClusterNode.java
@@ -92,6 +92,7 @@
                 timers,
                 System::currentTimeMillis,
                 new ShardLog(log, meters));
+        meters.watchSpeeds(coordinator::speeds);
         meters.watchDrainedDomains(() -> coordinator.drained().domains().size());
         meters.watchShares(settings.shares(), coordinator::shareStates, coordinator::sharesUsedElsewhere);
         this.store = new StoreClient(loop, settings.storeAddress());
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/NodeMeters.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/NodeMeters.java
@@ -20,6 +20,7 @@
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.tarragonarch.core.share.ShareState;
+import org.tarragonarch.core.speed.SpeedSummary;
 import org.tarragonarch.model.share.ShareId;
 import org.tarragonarch.model.share.SharePlan;
 import org.tarragonarch.model.store.StoreTable;
@@ -122,6 +123,17 @@
         ShareMeters.refused(registry, share.priority()).increment();
     }
 
+    /** Shows how fast the endpoints are that this node holds, relative to their pool. */
+    void watchSpeeds(Supplier<SpeedSummary> speeds) {
+        watchSpeed("slowest", () -> speeds.get().slowest());
+        watchSpeed("mean", () -> speeds.get().mean());
+        watchSpeed("fastest", () -> speeds.get().fastest());
+    }
+
+    private void watchSpeed(String which, Supplier<Number> speed) {
+        Gauge.builder("tarragonarch.endpoints.speed", speed).tag("of", which).register(registry);
+    }
+
     /** Returns the age in milliseconds; not a number where it was never confirmed. */
     private static double age(ConfigurationInForce configuration) {
         OptionalLong age = configuration.ageMillis();
--- a/tarragonarch-entry/src/test/java/org/tarragonarch/entry/cluster/NodeMetersTest.java
+++ b/tarragonarch-entry/src/test/java/org/tarragonarch/entry/cluster/NodeMetersTest.java
@@ -9,6 +9,7 @@
 import java.nio.charset.StandardCharsets;
 import org.tarragonarch.core.follow.FailedCall;
 import org.tarragonarch.core.share.ShareState;
+import org.tarragonarch.core.speed.SpeedSummary;
 import org.tarragonarch.model.share.ShareId;
 import org.tarragonarch.model.share.SharePlan;
 import org.tarragonarch.model.share.ShareSettings;
@@ -27,6 +28,15 @@
         assertTrue(meters.scrape().lines().anyMatch(line::equals), line + " is not in " + meters.scrape());
     }
 
+    /** A job is slow because one endpoint is: the metrics of its holder show that there is one. */
+    @Test
+    public void testScrape_slowEndpoint() {
+        meters.watchSpeeds(() -> new SpeedSummary(0.25, 1.0, 1.75));
+        assertShows("tarragonarch_endpoints_speed{of=\"slowest\"} 0.25");
+        assertShows("tarragonarch_endpoints_speed{of=\"mean\"} 1.0");
+        assertShows("tarragonarch_endpoints_speed{of=\"fastest\"} 1.75");
+    }
+
     /** Guards against an operator who cannot tell which share is full, or what it has of others. */
     @Test
     public void testScrape_shares() {
--- a/tarragonarch-model/src/main/java/org/tarragonarch/model/log/NodeEvent.java
+++ b/tarragonarch-model/src/main/java/org/tarragonarch/model/log/NodeEvent.java
@@ -18,6 +18,8 @@
     JOB_MOVED,
     /** The holder of the other failure domain could not start the job at once either. */
     JOB_MOVED_BACK,
+    /** An endpoint is clearly faster or slower than before, by the run times of its tasks. */
+    ENDPOINT_SPEED_CHANGED,
     /** A run did not do its work. */
     RUN_ENDED_BADLY,
     /** An endpoint has restarted under its id; what ran there is over. */
