Orders without an answer are settled by asking again after a round trip

Cause: after a start without an answer each further call was waited for (50 ms), a stop was sent again 80 ms after that, and a lost last list was made up for by the next ordinary poll.

Change: the stop follows 15 ms after the look at the latest, beside it; the stop and the list that proves the end are sent again after 15, 30, 60 and then each 80 ms by new connections until one is answered. A run still counts as over only when a stop was answered and a list asked for after that does not show it.

Not built: a lease by the run's need, since the endpoint keeps one lease for all that runs.

--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RunOrders.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RunOrders.java
@@ -7,8 +7,14 @@
 
 /** Starts and stops runs on one endpoint, and keeps their room until it is certain that they are gone. */
 final class RunOrders {
-    /** The pause before a stop that got no answer is sent again. */
-    private static final long STOP_RETRY_MILLIS = 2 * RunListPoller.FIRST_RETRY_MILLIS;
+    /**
+     * After how long a poll or stop that settles a run is not waited for any more, and the next is sent beside it: some
+     * round trips. Each is on a connection of its own, and the answer that comes first counts.
+     */
+    private static final long FIRST_RESEND_MILLIS = 15;
+
+    /** The longest pause between two sends, for an endpoint that stays silent. */
+    private static final long LONGEST_RESEND_MILLIS = 80;
 
     /** An endpoint that refuses as unhealthy is left alone this long: a few times the run time of a short task. */
     private static final long UNHEALTHY_EJECTION_MILLIS = 250;
@@ -107,17 +113,19 @@
     /**
      * Guards against an order that is carried out seconds after it was sent: the task would run twice, or over the
      * endpoint's room. It shows as a start without an answer. The list tells whether only the answer was lost; if the
-     * run is not there it is stopped, which the endpoint remembers, and its room stays reserved until the stop was
-     * answered or the order's own time is over.
+     * run is not there, or the list does not come soon, it is stopped, which the endpoint remembers, and its room stays
+     * reserved until the stop was answered or the order's own time is over. Stopped without a look, runs of which only
+     * the answer was lost would have to start again.
      */
     private void startUnanswered(Reservation reservation) {
         if (reservation.is(Reservation.State.STARTING)) {
             poller.readAside(() -> stopIfStarting(reservation));
+            link.timers().after(FIRST_RESEND_MILLIS, () -> stopIfStarting(reservation));
         }
     }
 
     private void stopIfStarting(Reservation reservation) {
-        if (room.contains(reservation) && reservation.is(Reservation.State.STARTING)) {
+        if (isIn(Reservation.State.STARTING, reservation)) {
             reservation.stopping();
             sendStop(reservation, true);
             poller.suspect();
@@ -125,24 +133,38 @@
     }
 
     private void sendStop(Reservation reservation, boolean fresh) {
+        sendStop(reservation, fresh, FIRST_RESEND_MILLIS);
+    }
+
+    private void sendStop(Reservation reservation, boolean fresh, long resendMillis) {
+        int sentTo = link.lifeNumber();
         link.stop(reservation.run(), fresh, answer -> stopAnswered(reservation, answer));
+        link.timers().after(resendMillis, () -> {
+            if (sentTo == link.lifeNumber() && isIn(Reservation.State.STOPPING, reservation)) {
+                sendStop(reservation, true, longer(resendMillis));
+            }
+        });
+    }
+
+    private boolean isIn(Reservation.State state, Reservation reservation) {
+        return !host.closed() && room.contains(reservation) && reservation.is(state);
+    }
+
+    private static long longer(long millis) {
+        return Math.min(LONGEST_RESEND_MILLIS, 2 * millis);
     }
 
     private void stopAnswered(Reservation reservation, OrderAnswer answer) {
-        if (host.closed() || !room.contains(reservation)) {
+        if (!isIn(Reservation.State.STOPPING, reservation)) {
             return;
         }
         switch (answer.result()) {
             case DONE, OLD_RUN -> stopTaken(reservation);
             case FENCED -> host.fenced();
             case OTHER_LIFE -> host.lifeOver();
-            default -> link.timers().after(STOP_RETRY_MILLIS, () -> stopAgain(reservation));
-        }
-    }
-
-    private void stopAgain(Reservation reservation) {
-        if (!host.closed() && room.contains(reservation)) {
-            sendStop(reservation, true);
+            default -> {
+                // It is sent again anyway.
+            }
         }
     }
 
@@ -158,7 +180,14 @@
             link.timers().after(stopMillis + 1, poller::pollIfIdle);
         } else {
             reservation.stopped(now);
-            link.timers().after(1, () -> poller.readAside(() -> link.timers().after(stopMillis, poller::pollIfIdle)));
+            link.timers().after(1, () -> listUntilGone(reservation, FIRST_RESEND_MILLIS));
+        }
+    }
+
+    private void listUntilGone(Reservation reservation, long againMillis) {
+        if (isIn(Reservation.State.STOPPED, reservation)) {
+            poller.readAside(() -> {});
+            link.timers().after(againMillis, () -> listUntilGone(reservation, longer(againMillis)));
         }
     }
 
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/PlacerChaosTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/PlacerChaosTest.java
@@ -53,6 +53,27 @@
         assertEquals(fixture.ledger.broken(), ImmutableList.of());
     }
 
+    /** Guards against a run that is settled by a stop or list of which only a repetition was answered. */
+    @Test(dataProvider = "seeds")
+    public void testNoTaskRunsTwice_stopsAndListsAreLost(int seed) {
+        Random random = new Random(seed);
+        PlacerFixture fixture = new PlacerFixture(4);
+        fixture.orders.startWay = () -> drawWay(random);
+        fixture.orders.stopWay = () -> drawWay(random);
+        fixture.orders.holdWay = () -> drawWay(random);
+        Placer placer = fixture.placer(1);
+        for (int step = 0; step < STEPS; step++) {
+            if (random.nextInt(10) == 0) {
+                placer.withdraw(PlacerFixture.ORIGIN, PlacerFixture.id(1 + random.nextInt(15)));
+            }
+            placer.offer(PlacerFixture.offer(1 + random.nextInt(15), 1 + random.nextInt(4)));
+            fixture.endpoint(1 + random.nextInt(4)).runMillis = 20 + random.nextInt(600);
+            fixture.timers.pass(random.nextInt(60));
+        }
+        fixture.timers.pass(6_000);
+        assertEquals(fixture.ledger.broken(), ImmutableList.of());
+    }
+
     /** Guards against runs that are taken for over, or over room, as endpoints restart under their ids. */
     @Test(dataProvider = "seeds")
     public void testNoTaskRunsTwice_endpointsRestart(int seed) {
