Speed of endpoints: chances in two comments corrected

Cause: two comments gave the chance of a large residual for a spread of 35%, and named 40%.

Change: the figures for 40%, computed and not measured. No behaviour changes.

--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/speed/EndpointSpeed.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/speed/EndpointSpeed.java
@@ -24,10 +24,10 @@
     /** The largest residual that counts, a factor of 2.7. */
     private static final double RESIDUAL_BOUND = 1;
 
-    /** A residual over this is rare by chance, 8% of the runs where run times are off by 40%. */
+    /** Where run times are off by 40%, one run in ten is over this to each side by chance. */
     private static final double LARGE_RESIDUAL = 0.5;
 
-    /** So many large residuals of one sign in a row are taken for a change; by chance it is one run in two thousand. */
+    /** So many large residuals of one sign in a row are taken for a change; by chance some two runs in a thousand are. */
     private static final int CHANGE_STREAK = 3;
 
     private static final double FIRST_CHANGE_GAIN = 0.25;
