--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/speed/EndpointSpeed.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/speed/EndpointSpeed.java
@@ -27,7 +27,7 @@
     /** Where run times are off by 40%, one run in ten is over this to each side by chance. */
     private static final double LARGE_RESIDUAL = 0.5;
 
-    /** So many large residuals of one sign in a row are taken for a change; by chance some two runs in a thousand are. */
+    /** So many large residuals of one sign in a row are taken for a change; by chance two runs in a thousand. */
     private static final int CHANGE_STREAK = 3;
 
     private static final double FIRST_CHANGE_GAIN = 0.25;
