Statuses carry the use of priorities in whole cores

Cause: 19 holders tell all nodes five times a second; some 20 bytes a share were nearly the 7 KB/s that a node may spend. Change: priority and whole cores, some 4 bytes; priorities that use nothing are left out. A wrong share is named as the settings are read.

--- a/tarragonarch-benchmark/src/test/java/org/tarragonarch/benchmark/experiment/HeavyLoadTest.java
+++ b/tarragonarch-benchmark/src/test/java/org/tarragonarch/benchmark/experiment/HeavyLoadTest.java
@@ -148,8 +148,8 @@
     }
 
     /**
-     * The pattern of floods of the long and the short kind on a pool that is nearly full, with shares by weight 4, 2
-     * and 1. Without shares the short kind earned 0.77 and the long one 0.99; with them 0.985 and 0.77, and a third as many
+     * The pattern of floods of the long and the short kind on a pool that is nearly full. Without shares the short kind
+     * earned 0.77 and the long one 0.99; with weights of 4, 2 and 1 they earned 0.985 and 0.77, and a third as many
      * jobs were refused.
      */
     @Test
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/Coordinator.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/Coordinator.java
@@ -26,7 +26,6 @@
 import org.tarragonarch.model.report.DrainedDomains;
 import org.tarragonarch.model.report.Member;
 import org.tarragonarch.model.report.NodeStatus;
-import org.tarragonarch.model.share.ShareId;
 import org.tarragonarch.model.task.EndKind;
 import org.tarragonarch.model.task.EndpointOrders;
 import org.tarragonarch.model.task.FencingToken;
@@ -107,9 +106,9 @@
         return ownership.placer().map(Placer::shareStates).orElse(ImmutableList.of());
     }
 
-    /** Returns what each share has in use in the shards of other holders, by statuses that are not too old. */
-    public ImmutableMap<ShareId, Long> sharesUsedElsewhere() {
-        return usedElsewhere.byShare(timers.nowMillis());
+    /** Returns what each priority has in use in the shards of other holders, by statuses that are not too old. */
+    public ImmutableMap<Integer, Long> sharesUsedElsewhere() {
+        return usedElsewhere.byPriority(timers.nowMillis());
     }
 
     /** Returns how many shards this node holds. */
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/UsedElsewhere.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/UsedElsewhere.java
@@ -5,9 +5,8 @@
 import java.util.Map;
 import org.tarragonarch.model.id.NodeId;
 import org.tarragonarch.model.report.NodeStatus;
-import org.tarragonarch.model.share.ShareId;
 
-/** What each share has in use in the shards of other holders, as their statuses say. */
+/** What each priority has in use in the shards of other holders, as their statuses say. */
 final class UsedElsewhere {
     /** Five status periods of a holder; an older status says nothing of runs that last less than that. */
     private static final long FRESH_MILLIS = 1_000;
@@ -25,15 +24,15 @@
         }
     }
 
-    /** Returns the use by share, in thousandths of a core; holders whose status is too old are left out. */
-    ImmutableMap<ShareId, Long> byShare(long nowMillis) {
+    /** Returns the use by priority, in thousandths of a core; holders whose status is too old are left out. */
+    ImmutableMap<Integer, Long> byPriority(long nowMillis) {
         byHolder.values().removeIf(each -> nowMillis - each.atMillis() > FRESH_MILLIS);
-        Map<ShareId, Long> used = new HashMap<>();
+        Map<Integer, Long> used = new HashMap<>();
         for (Received each : byHolder.values()) {
             each.status()
                     .shards()
-                    .forEach(
-                            shard -> shard.uses().forEach(use -> used.merge(use.share(), use.milliCores(), Long::sum)));
+                    .forEach(shard ->
+                            shard.uses().forEach(use -> used.merge(use.priority(), use.milliCores(), Long::sum)));
         }
         return ImmutableMap.copyOf(used);
     }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/share/ShareTally.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/share/ShareTally.java
@@ -3,6 +3,7 @@
 import com.google.common.collect.ImmutableList;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.TreeMap;
 import org.tarragonarch.model.share.ShareId;
 import org.tarragonarch.model.share.ShareUse;
 
@@ -47,10 +48,16 @@
         return sums == null ? 0 : (double) sums.rate / RATE_UNITS;
     }
 
-    /** Returns what every share that was ever seen here has in use. */
+    /** Returns what each priority has in use, those that have nothing left out. */
     public ImmutableList<ShareUse> uses() {
+        Map<Integer, Long> byPriority = new TreeMap<>();
+        byShare.forEach((share, sums) -> byPriority.merge(share.priority(), sums.milliCores, Long::sum));
         ImmutableList.Builder<ShareUse> uses = ImmutableList.builder();
-        byShare.forEach((share, sums) -> uses.add(new ShareUse(share, sums.milliCores)));
+        byPriority.forEach((priority, milliCores) -> {
+            if (milliCores > 0) {
+                uses.add(new ShareUse(priority, milliCores));
+            }
+        });
         return uses.build();
     }
 
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/NodeMeters.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/NodeMeters.java
@@ -108,7 +108,7 @@
     void watchShares(
             SharePlan plan,
             Supplier<ImmutableList<ShareState>> states,
-            Supplier<ImmutableMap<ShareId, Long>> usedElsewhere) {
+            Supplier<ImmutableMap<Integer, Long>> usedElsewhere) {
         new ShareMeters(registry, states, usedElsewhere).watch(plan);
     }
 
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ShareMeters.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ShareMeters.java
@@ -5,11 +5,9 @@
 import io.micrometer.core.instrument.Counter;
 import io.micrometer.core.instrument.Gauge;
 import io.micrometer.core.instrument.MeterRegistry;
-import java.util.Map;
 import java.util.function.Supplier;
 import java.util.function.ToLongFunction;
 import org.tarragonarch.core.share.ShareState;
-import org.tarragonarch.model.share.ShareId;
 import org.tarragonarch.model.share.SharePlan;
 
 /** The figures of each share; where several services have queues of one priority, their sum. */
@@ -19,12 +17,12 @@
 
     private final MeterRegistry registry;
     private final Supplier<ImmutableList<ShareState>> states;
-    private final Supplier<ImmutableMap<ShareId, Long>> usedElsewhere;
+    private final Supplier<ImmutableMap<Integer, Long>> usedElsewhere;
 
     ShareMeters(
             MeterRegistry registry,
             Supplier<ImmutableList<ShareState>> states,
-            Supplier<ImmutableMap<ShareId, Long>> usedElsewhere) {
+            Supplier<ImmutableMap<Integer, Long>> usedElsewhere) {
         this.registry = registry;
         this.states = states;
         this.usedElsewhere = usedElsewhere;
@@ -66,10 +64,7 @@
     }
 
     private double elsewhere(int priority) {
-        return usedElsewhere.get().entrySet().stream()
-                        .filter(each -> each.getKey().priority() == priority)
-                        .mapToLong(Map.Entry::getValue)
-                        .sum()
-                / MILLI_CORES_PER_CORE;
+        Long used = usedElsewhere.get().get(priority);
+        return used == null ? 0 : used / MILLI_CORES_PER_CORE;
     }
 }
--- a/tarragonarch-entry/src/test/java/org/tarragonarch/entry/cluster/WholePathTest.java
+++ b/tarragonarch-entry/src/test/java/org/tarragonarch/entry/cluster/WholePathTest.java
@@ -2,6 +2,7 @@
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
 import static org.testng.Assert.fail;
 
 import java.io.IOException;
@@ -132,6 +133,19 @@
         }
     }
 
+    /** Guards against a node that starts with a division of capacity that nobody meant. */
+    @Test
+    public void testSettings_wrongShareIsNamed() throws IOException {
+        Path file = Files.createTempFile("settings", ".jsonc");
+        Files.writeString(file, "{ \"shares\": [ { \"priority\": 0, \"weight\": 0 } ] }");
+        try {
+            StepException e = expectThrows(StepException.class, () -> ClusterSettings.read(file));
+            assertTrue(e.getMessage().contains("shares[0]: priority 0: weight 0.0 is not over 0"), e.getMessage());
+        } finally {
+            Files.delete(file);
+        }
+    }
+
     private ClusterSettings startNode(String name) throws IOException, StepException {
         Path file = Files.createTempFile(name, ".jsonc");
         List<Integer> ports = ArchiveWarmUp.freePorts(PORTS_A_NODE);
--- a/tarragonarch-wire/src/main/java/org/tarragonarch/wire/StatusCodec.java
+++ b/tarragonarch-wire/src/main/java/org/tarragonarch/wire/StatusCodec.java
@@ -7,12 +7,13 @@
 import org.tarragonarch.model.report.HeldShard;
 import org.tarragonarch.model.report.Member;
 import org.tarragonarch.model.report.NodeStatus;
-import org.tarragonarch.model.share.ShareId;
 import org.tarragonarch.model.share.ShareUse;
 import org.tarragonarch.model.task.FencingToken;
 
 /** Reads and writes the body of a {@link StatusFrame}. */
 final class StatusCodec {
+    private static final double MILLI_CORES_PER_CORE = 1_000;
+
     private StatusCodec() {}
 
     static void write(FrameWriter writer, NodeStatus status) {
@@ -56,12 +57,11 @@
                 shards.build());
     }
 
+    /** Writes uses in whole cores: holders tell their status to all nodes, and this part is for operators to see. */
     private static void writeUses(FrameWriter writer, ImmutableList<ShareUse> uses) {
         writer.writeCount(uses.size());
         for (ShareUse use : uses) {
-            writer.writeText(use.share().service())
-                    .writeInt(use.share().priority())
-                    .writeLong(use.milliCores());
+            writer.writeInt(use.priority()).writeLong(Math.round(use.milliCores() / MILLI_CORES_PER_CORE));
         }
     }
 
@@ -69,8 +69,8 @@
         int count = reader.readCount();
         ImmutableList.Builder<ShareUse> uses = ImmutableList.builder();
         for (int i = 0; i < count; i++) {
-            ShareId share = new ShareId(reader.readText(), reader.readInt());
-            uses.add(new ShareUse(share, reader.readLong()));
+            int priority = reader.readInt();
+            uses.add(new ShareUse(priority, (long) (reader.readLong() * MILLI_CORES_PER_CORE)));
         }
         return uses.build();
     }
