Start order: compare shares by what the last start changed, pass over jobs that fit nowhere at once

Change: a share's use is taken anew after a job of it was tried; jobs that need more than the largest free room are passed over within the share.

--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/StartOrder.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/StartOrder.java
@@ -22,6 +22,7 @@
     private final PoolCapacity capacity;
     private final long nowMillis;
     private final List<Walk> walks = new ArrayList<>();
+    private Optional<Walk> tried = Optional.empty();
 
     StartOrder(PendingShares pending, PoolShares shares, PoolCapacity capacity, long nowMillis) {
         this.shares = shares;
@@ -35,24 +36,27 @@
     }
 
     /**
-     * Returns the job to try next.
+     * Returns the job to try next, after the one before was tried.
      *
-     * @param roomiest the most processor time that one endpoint has free
+     * @param roomiest the most processor time that one endpoint has free; jobs that need more are passed over
      */
     Optional<PlacedJob> next(long roomiest) {
-        Optional<Walk> inTime = first(roomiest, false);
-        return inTime.isPresent()
-                ? inTime.get().takeInTime()
-                : first(roomiest, true).flatMap(Walk::takeOverdue);
+        tried.ifPresent(Walk::refresh);
+        tried = first(roomiest, false);
+        if (tried.isPresent()) {
+            return Optional.of(tried.get().takeInTime());
+        }
+        tried = first(roomiest, true);
+        return tried.map(Walk::takeOverdue);
     }
 
     private Optional<Walk> first(long roomiest, boolean overdue) {
         Walk best = null;
         for (Walk walk : walks) {
-            if (walk.has(overdue)
-                    && walk.jobs.anyFitsInto(roomiest)
+            if (walk.jobs.anyFitsInto(roomiest)
+                    && walk.has(overdue, roomiest)
                     && mayStart(walk.share, walk.jobs.smallestNeed())
-                    && (best == null || precedes(walk.share, best.share))) {
+                    && (best == null || walk.precedes(best))) {
                 best = walk;
             }
         }
@@ -65,17 +69,6 @@
                 || !shares.exceedsCeiling(share, milliCores, capacity.of(share.service(), nowMillis));
     }
 
-    private boolean precedes(ShareId share, ShareId other) {
-        if (shares.plan().isBounded()) {
-            boolean isOwed = shares.isBelowGuaranteed(share, capacity.of(share.service(), nowMillis));
-            boolean isOtherOwed = shares.isBelowGuaranteed(other, capacity.of(other.service(), nowMillis));
-            if (isOwed != isOtherOwed) {
-                return isOwed;
-            }
-        }
-        return shares.usedByWeight(share) < shares.usedByWeight(other);
-    }
-
     /** Where the pass is in the jobs of one share. */
     private final class Walk {
         private final ShareId share;
@@ -84,6 +77,8 @@
         private final Deque<PlacedJob> begun = new ArrayDeque<>();
         private final Deque<PlacedJob> overdue = new ArrayDeque<>();
         private Optional<PlacedJob> next;
+        private double usedByWeight;
+        private boolean isBelowGuaranteed;
 
         Walk(ShareId share, PendingJobs jobs) {
             this.share = share;
@@ -92,19 +87,34 @@
             if (begunFirst) {
                 begun.addAll(jobs.begun());
             }
+            refresh();
         }
 
-        boolean has(boolean wantsOverdue) {
+        /** Takes in what the share has in use now; during a pass only starts change it. */
+        private void refresh() {
+            usedByWeight = shares.usedByWeight(share);
+            isBelowGuaranteed = shares.plan().isBounded()
+                    && shares.isBelowGuaranteed(share, capacity.of(share.service(), nowMillis));
+        }
+
+        boolean precedes(Walk other) {
+            return isBelowGuaranteed == other.isBelowGuaranteed ? usedByWeight < other.usedByWeight : isBelowGuaranteed;
+        }
+
+        boolean has(boolean wantsOverdue, long roomiest) {
             if (wantsOverdue) {
                 return !overdue.isEmpty();
             }
-            while (next.isPresent() && isPassed(next.get())) {
+            while (next.isPresent() && isPassed(next.get(), roomiest)) {
                 next = jobs.after(next.get());
             }
             return !begun.isEmpty() || next.isPresent();
         }
 
-        private boolean isPassed(PlacedJob job) {
+        private boolean isPassed(PlacedJob job, long roomiest) {
+            if (job.need().milliCores() > roomiest) {
+                return true;
+            }
             if (job.isOverdue(nowMillis)) {
                 overdue.add(job);
                 return true;
@@ -112,17 +122,17 @@
             return begunFirst && job.wasStarted();
         }
 
-        Optional<PlacedJob> takeInTime() {
+        PlacedJob takeInTime() {
             if (!begun.isEmpty()) {
-                return Optional.of(begun.poll());
+                return begun.poll();
             }
-            Optional<PlacedJob> taken = next;
-            next = jobs.after(taken.orElseThrow());
+            PlacedJob taken = next.orElseThrow();
+            next = jobs.after(taken);
             return taken;
         }
 
-        Optional<PlacedJob> takeOverdue() {
-            return Optional.of(overdue.poll());
+        PlacedJob takeOverdue() {
+            return overdue.poll();
         }
     }
 }
