Shares: usual terms for entitlement, backlog and hysteresis; units in Javadoc

Names such as part, insatiable and review(state), and comments that needed a second reading, hid what core.share computes. An entitlement is what a share gets if every share is backlogged, an allotment what it may use now; both words replace the earlier ones in code. The bound for unbounded demand stood in two places and is now one constant. Behaviour is unchanged; the tests of shares and of starts under shares pass.

--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/ShareReview.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/ShareReview.java
@@ -6,7 +6,7 @@
 import org.tarragonarch.core.share.ShareState;
 import org.tarragonarch.model.task.Timers;
 
-/** Looks at how the shares of a pool stand, and tells when one begins or ceases to be limited. */
+/** Reports when a share of a pool becomes limited and when it no longer is. */
 final class ShareReview {
     private final PoolShares shares;
     private final PoolCapacity capacity;
@@ -21,15 +21,15 @@
         this.listener = listener;
     }
 
-    /** Tells of shares whose state has changed; to be called a few times a second. */
+    /** Reports the shares whose state has changed; to be called a few times a second. */
     void review() {
         long now = timers.nowMillis();
         for (ShareState state : states()) {
-            watch.review(state, now).ifPresent(isLimited -> listener.shareLimited(state, isLimited));
+            watch.update(state, now).ifPresent(isLimited -> listener.shareLimited(state, isLimited));
         }
     }
 
-    /** Returns how every share stands; none where no shares are configured. */
+    /** Returns the state of every share; empty where no shares are configured. */
     ImmutableList<ShareState> states() {
         if (!shares.plan().isConfigured()) {
             return ImmutableList.of();
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/share/JobNeed.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/share/JobNeed.java
@@ -1,10 +1,10 @@
 package org.tarragonarch.core.share;
 
 /**
- * What a job that asks for admission needs.
+ * The capacity that a job needs for its admission.
  *
- * @param tasks how many tasks it has
+ * @param tasks the number of its tasks
  * @param milliCoresPerTask the processor time of each, in thousandths of a core, at least 1
- * @param runMillis how long each should run
+ * @param runMillis the expected run time of each, in milliseconds
  */
 public record JobNeed(long tasks, long milliCoresPerTask, long runMillis) {}
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/share/LimitWatch.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/share/LimitWatch.java
@@ -6,45 +6,50 @@
 import org.tarragonarch.model.share.ShareId;
 
 /**
- * Tells when a share begins and ceases to be limited.
+ * Detects when a share becomes limited and when it no longer is, with hysteresis.
  *
- * <p>A share at the edge of its allotment is limited and not by turns with every start. So it begins after it was
- * limited for a while, and ceases after it was not for longer.
+ * <p>Guards against a change that is reported with every start of a share whose use is about its allotment: a state is
+ * reported only after it has lasted.
  */
 public final class LimitWatch {
-    /** Longer than the waves in which the tasks of wide jobs wait. */
-    private static final long BEGINS_AFTER_MILLIS = 300;
+    /** Longer than the tasks of a wide job ordinarily wait for places. */
+    private static final long LIMITED_AFTER_MILLIS = 300;
 
-    private static final long CEASES_AFTER_MILLIS = 1_000;
+    private static final long UNLIMITED_AFTER_MILLIS = 1_000;
 
-    private final Map<ShareId, Watched> byShare = new HashMap<>();
+    private final Map<ShareId, LimitState> byShare = new HashMap<>();
 
-    /** Creates a watch for which no share is limited. */
+    /** Creates a watch in which no share is limited. */
     public LimitWatch() {}
 
-    /** Records how a share stands; returns whether it is limited from now on, if that changed. */
-    public Optional<Boolean> review(ShareState state, long nowMillis) {
-        Watched watched = byShare.computeIfAbsent(state.share(), unused -> new Watched(nowMillis));
-        if (state.isLimited() == watched.limited) {
-            watched.sinceMillis = nowMillis;
+    /**
+     * Records the present state of a share.
+     *
+     * @param nowMillis the time on the steady clock
+     * @return whether the share is limited from now on; empty if that has not changed
+     */
+    public Optional<Boolean> update(ShareState state, long nowMillis) {
+        LimitState reported = byShare.computeIfAbsent(state.share(), unused -> new LimitState(nowMillis));
+        if (state.isLimited() == reported.limited) {
+            reported.unchangedSinceMillis = nowMillis;
             return Optional.empty();
         }
-        long needed = watched.limited ? CEASES_AFTER_MILLIS : BEGINS_AFTER_MILLIS;
-        if (nowMillis - watched.sinceMillis < needed) {
+        long requiredMillis = reported.limited ? UNLIMITED_AFTER_MILLIS : LIMITED_AFTER_MILLIS;
+        if (nowMillis - reported.unchangedSinceMillis < requiredMillis) {
             return Optional.empty();
         }
-        watched.limited = !watched.limited;
-        watched.sinceMillis = nowMillis;
-        return Optional.of(watched.limited);
+        reported.limited = !reported.limited;
+        reported.unchangedSinceMillis = nowMillis;
+        return Optional.of(reported.limited);
     }
 
-    /** What is known of one share. */
-    private static final class Watched {
+    /** The last reported state of one share. */
+    private static final class LimitState {
         private boolean limited;
-        private long sinceMillis;
+        private long unchangedSinceMillis;
 
-        Watched(long sinceMillis) {
-            this.sinceMillis = sinceMillis;
+        LimitState(long unchangedSinceMillis) {
+            this.unchangedSinceMillis = unchangedSinceMillis;
         }
     }
 }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/share/PoolPlaces.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/share/PoolPlaces.java
@@ -1,16 +1,16 @@
 package org.tarragonarch.core.share;
 
 /**
- * The endpoints of a service, as places for tasks of one size.
+ * The capacity of the endpoints of a service in a pool, counted in places for tasks of one size.
  *
- * @param capacityMilliCores their processor time, in thousandths of a core
- * @param places how many tasks of the size they hold
- * @param freePlaces how many of those are free
+ * @param capacityMilliCores the processor time of the endpoints, in thousandths of a core
+ * @param places the number of tasks of that size that they hold
+ * @param freePlaces the number of places that are free now
  */
 public record PoolPlaces(long capacityMilliCores, long places, long freePlaces) {
     /**
-     * Returns the processor time that one task of the size takes up, with its part of what is left over on endpoints
-     * that hold no whole number of such tasks.
+     * Returns the processor time that one task takes up, in thousandths of a core: its own and an equal fraction of
+     * what cannot be used on endpoints whose capacity is no multiple of its size.
      */
     long milliCoresPerPlace() {
         return Math.max(1, capacityMilliCores / Math.max(1, places));
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/share/PoolShares.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/share/PoolShares.java
@@ -8,7 +8,7 @@
 import org.tarragonarch.model.share.ShareId;
 import org.tarragonarch.model.share.SharePlan;
 
-/** The shares of a pool: what each uses and wants, and which starts next. */
+/** The shares of a pool: the capacity that each uses and wants, and their order of starts. */
 public final class PoolShares {
     private final SharePlan plan;
     private final Iterable<ShareTally> tallies;
@@ -18,8 +18,8 @@
     /**
      * Creates the shares of a pool.
      *
-     * @param tallies what is in use, by failure domain; follows the pool
-     * @param waitingMilliCores what the waiting tasks of a share need, in thousandths of a core
+     * @param tallies the capacity in use, one tally for each failure domain of the pool; a live view
+     * @param waitingMilliCores returns the need of the waiting tasks of a share, in thousandths of a core
      */
     public PoolShares(SharePlan plan, Iterable<ShareTally> tallies, ToLongFunction<ShareId> waitingMilliCores) {
         this.plan = plan;
@@ -32,7 +32,7 @@
         return plan;
     }
 
-    /** Returns the share of the jobs of a queue. */
+    /** Returns the share of the jobs of a queue, which {@link #demands} lists from then on. */
     public ShareId shareOf(String service, int priority) {
         ShareId share = plan.shareOf(service, priority);
         if (known.add(share)) {
@@ -41,14 +41,14 @@
         return share;
     }
 
-    /** Returns the services of which a share was seen. */
+    /** Returns the services of all shares that {@link #shareOf} was called for. */
     public Set<String> services() {
         Set<String> services = new LinkedHashSet<>();
         known.forEach(share -> services.add(share.service()));
         return services;
     }
 
-    /** Returns what a share has in use, in thousandths of a core. */
+    /** Returns the processor time that a share has in use, in thousandths of a core. */
     public long usedMilliCores(ShareId share) {
         long used = 0;
         for (ShareTally tally : tallies) {
@@ -57,24 +57,26 @@
         return used;
     }
 
-    /** Returns the processor time that a share has in use for its weight; the share with the least starts next. */
+    /**
+     * Returns the processor time that a share has in use divided by its weight; the share with the least starts next.
+     */
     public double usedByWeight(ShareId share) {
         return usedMilliCores(share) / plan.settingsOf(share).weight();
     }
 
-    /** Returns whether a share has less in use than its guaranteed fraction of a capacity. */
+    /** Returns whether a share has less in use than its guaranteed fraction of the capacity. */
     public boolean isBelowGuaranteed(ShareId share, long capacityMilliCores) {
         double guaranteed = plan.settingsOf(share).guaranteed();
         return guaranteed > 0 && usedMilliCores(share) < guaranteed * capacityMilliCores;
     }
 
-    /** Returns whether a share would exceed its ceiling with so much more. */
-    public boolean exceedsCeiling(ShareId share, long moreMilliCores, long capacityMilliCores) {
+    /** Returns whether a share would exceed its ceiling if it started a task that needs so much. */
+    public boolean exceedsCeiling(ShareId share, long neededMilliCores, long capacityMilliCores) {
         double ceiling = plan.settingsOf(share).ceiling();
-        return ceiling < 1 && usedMilliCores(share) + moreMilliCores > ceiling * capacityMilliCores;
+        return ceiling < 1 && usedMilliCores(share) + neededMilliCores > ceiling * capacityMilliCores;
     }
 
-    /** Returns what every share of a service uses and wants. */
+    /** Returns the demand of every share of a service. */
     public ImmutableList<ShareDemand> demands(String service) {
         ImmutableList.Builder<ShareDemand> demands = ImmutableList.builder();
         for (ShareId share : known) {
@@ -94,17 +96,17 @@
         return new ShareDemand(share, plan.settingsOf(share), usedMilliCores(share), waiting, released);
     }
 
-    /** Returns the admission of a job of a share. */
+    /** Returns the admission of jobs of a share. */
     public ShareAdmission admission(ShareId share, long capacityMilliCores) {
         ImmutableList<ShareDemand> demands = demands(share.service());
-        int own = 0;
-        while (!demands.get(own).share().equals(share)) {
-            own++;
+        int index = 0;
+        while (!demands.get(index).share().equals(share)) {
+            index++;
         }
-        return new ShareAdmission(capacityMilliCores, demands, own);
+        return new ShareAdmission(capacityMilliCores, demands, index);
     }
 
-    /** Returns how every share of a service stands in a pool of so much capacity. */
+    /** Returns the state of every share of a service in a pool of that capacity, in thousandths of a core. */
     public ImmutableList<ShareState> states(String service, long capacityMilliCores) {
         ImmutableList<ShareDemand> demands = demands(service);
         ImmutableList.Builder<ShareState> states = ImmutableList.builder();
@@ -114,18 +116,18 @@
         return states.build();
     }
 
-    /** Returns what a share gets of a capacity if every share wants more than there is. */
-    static long part(List<ShareDemand> demands, int index, long capacityMilliCores) {
+    /** Returns the entitlement of a share: what it gets if every share is backlogged. */
+    static long entitlement(List<ShareDemand> demands, int index, long capacityMilliCores) {
         return WaterFilling.divide(
                 capacityMilliCores,
-                demands.stream().map(ShareDemand::insatiable).toList())[index];
+                demands.stream().map(ShareDemand::backlogged).toList())[index];
     }
 
-    /** Returns the demands with one share as one that wants all it may have. */
-    static ImmutableList<ShareDemand> withInsatiable(List<ShareDemand> demands, int index) {
+    /** Returns the demands with one share backlogged. */
+    static ImmutableList<ShareDemand> withBacklogged(List<ShareDemand> demands, int index) {
         ImmutableList.Builder<ShareDemand> changed = ImmutableList.builderWithExpectedSize(demands.size());
         for (int i = 0; i < demands.size(); i++) {
-            changed.add(i == index ? demands.get(i).insatiable() : demands.get(i));
+            changed.add(i == index ? demands.get(i).backlogged() : demands.get(i));
         }
         return changed.build();
     }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/share/ShareAdmission.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/share/ShareAdmission.java
@@ -1,67 +1,68 @@
 package org.tarragonarch.core.share;
 
-import static com.google.common.base.Preconditions.checkArgument;
+import static com.google.common.base.Preconditions.checkElementIndex;
 
 import java.util.List;
 
 /**
- * How long a job waits for capacity within its share.
+ * Estimates how long a job waits for capacity within its share.
  *
- * <p>Three things may come first, one after the other: runs beyond the share's allotment end; places of any share come
- * free until the share has its allotment; the share's own runs make room for each other. Capacity that is free now is
- * the share's up to its ceiling, since idle capacity is lent.
+ * <p>The wait has up to three phases. While the share uses more than its allotment, its own runs have to end. While it
+ * uses less, it gets the places that runs of any share free, until it reaches its allotment. From then on each of its
+ * tasks takes the place of one of its own runs. Capacity that is free now can be used at once up to the share's
+ * ceiling, since idle capacity is lent.
  */
 public final class ShareAdmission {
-    private static final long UNBOUNDED_MILLI_CORES = Long.MAX_VALUE / 4;
-
     private final long capacityMilliCores;
     private final List<ShareDemand> demands;
-    private final int own;
+    private final int index;
     private final long[] allotted;
 
     /**
-     * Prepares the admission of a job.
+     * Creates the admission of jobs of one share.
      *
      * @param capacityMilliCores the processor time of the pool's endpoints of the service, in thousandths of a core
-     * @param demands every share of the service
-     * @param own the index of the job's share among them
+     * @param demands the demands of all shares of the service
+     * @param index the index of the jobs' share in {@code demands}
      */
-    public ShareAdmission(long capacityMilliCores, List<ShareDemand> demands, int own) {
-        checkArgument(own >= 0 && own < demands.size(), "own %s of %s", own, demands.size());
+    public ShareAdmission(long capacityMilliCores, List<ShareDemand> demands, int index) {
+        checkElementIndex(index, demands.size(), "share");
         this.capacityMilliCores = capacityMilliCores;
         this.demands = demands;
-        this.own = own;
-        this.allotted = WaterFilling.divide(capacityMilliCores, PoolShares.withInsatiable(demands, own));
+        this.index = index;
+        this.allotted = WaterFilling.divide(capacityMilliCores, PoolShares.withBacklogged(demands, index));
     }
 
-    /** Returns how the share of the job stands. */
+    /** Returns the state of the share. */
     public ShareState state() {
-        ShareDemand share = demands.get(own);
+        ShareDemand share = demands.get(index);
         return new ShareState(
                 share.share(),
                 capacityMilliCores,
-                PoolShares.part(demands, own, capacityMilliCores),
-                allotted[own],
+                PoolShares.entitlement(demands, index, capacityMilliCores),
+                allotted[index],
                 share.usedMilliCores(),
                 share.waitingMilliCores());
     }
 
-    /** Returns how much more the share may start before its ceiling, in thousandths of a core. */
+    /** Returns how much more the share may use before it reaches its ceiling, in thousandths of a core. */
     private long belowCeilingMilliCores() {
-        ShareDemand share = demands.get(own);
+        ShareDemand share = demands.get(index);
         double ceiling = share.settings().ceiling();
         return ceiling < 1
                 ? Math.max(0, (long) (ceiling * capacityMilliCores) - share.usedMilliCores())
-                : UNBOUNDED_MILLI_CORES;
+                : ShareDemand.UNBOUNDED_MILLI_CORES;
     }
 
     /**
-     * Returns how long until the last task of a job starts.
+     * Returns the time until the last task of a job starts.
      *
-     * <p>What its tasks, and those of its share that go first, leave over on endpoints counts as needed too.
+     * <p>The capacity that its tasks and those ahead of it leave unusable on endpoints counts as needed too; see
+     * {@link PoolPlaces#milliCoresPerPlace}.
      *
-     * @param aheadMilliCores what the share's tasks need that wait and go first, in thousandths of a core
-     * @param aheadWork the same times the run time of each in milliseconds
+     * @param aheadMilliCores the need of the share's waiting tasks that start before the job, in thousandths of a core
+     * @param aheadWork the sum over these tasks of need times expected run time, in thousandths of a core times
+     *     milliseconds
      */
     public ShareWait waitFor(JobNeed job, PoolPlaces places, long aheadMilliCores, long aheadWork) {
         long perPlace = places.milliCoresPerPlace();
@@ -76,37 +77,40 @@
     }
 
     /**
-     * Returns how long until so much has been started, in milliseconds.
+     * Returns the time until tasks of this need have started, in milliseconds.
      *
-     * @param needed what is to be started, in thousandths of a core
-     * @param work the same times the run time of each task in milliseconds
+     * @param needed the need of the tasks, in thousandths of a core
+     * @param work the sum of need times expected run time, in thousandths of a core times milliseconds
      */
     private long waitMillis(double needed, double work) {
         if (needed <= 0) {
             return 0;
         }
-        ShareDemand share = demands.get(own);
-        long gap = allotted[own] - share.usedMilliCores();
+        ShareDemand share = demands.get(index);
+        long gap = allotted[index] - share.usedMilliCores();
         double wait = gap < 0 ? -gap / Math.max(1, share.releasedPerMilli()) : 0;
-        double rate = gainedPerMilli(gap);
+        double rate = growthPerMilli(gap);
         double gained = rate > 0 ? Math.min(needed, gap) : 0;
         wait += rate > 0 ? gained / rate : 0;
-        return Math.round(wait + work * (needed - gained) / needed / Math.max(1, allotted[own]));
+        return Math.round(wait + work * (needed - gained) / needed / Math.max(1, allotted[index]));
     }
 
-    /** Returns how fast the share grows towards its allotment: what comes free, in parts by how much each lacks. */
-    private double gainedPerMilli(long gap) {
+    /**
+     * Returns the rate at which the share grows towards its allotment, in thousandths of a core per millisecond.
+     * Capacity that runs free is divided among the shares in proportion to how far each is below its allotment.
+     */
+    private double growthPerMilli(long gap) {
         if (gap <= 0) {
             return 0;
         }
         double released = 0;
-        double lacking = 0;
+        double deficits = 0;
         for (int i = 0; i < demands.size(); i++) {
             ShareDemand each = demands.get(i);
             released += each.releasedPerMilli();
-            long lacks = Math.min(allotted[i], each.wantedMilliCores()) - each.usedMilliCores();
-            lacking += i == own ? gap : Math.max(0, lacks);
+            long deficit = Math.min(allotted[i], each.wantedMilliCores()) - each.usedMilliCores();
+            deficits += i == index ? gap : Math.max(0, deficit);
         }
-        return released * gap / lacking;
+        return released * gap / deficits;
     }
 }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/share/ShareState.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/share/ShareState.java
@@ -3,25 +3,25 @@
 import org.tarragonarch.model.share.ShareId;
 
 /**
- * How one share stands in a pool; all values in thousandths of a core.
+ * The state of one share in a pool; all values are in thousandths of a core.
  *
  * @param share the share
  * @param capacityMilliCores the capacity of the pool for the share's service
- * @param partMilliCores what the share gets if every share wants more than there is
- * @param allottedMilliCores what it may use now, while the others that want capacity have theirs
+ * @param entitledMilliCores its entitlement: what it gets if every share is backlogged
+ * @param allottedMilliCores its allotment: what it may use now, given what the others want
  * @param usedMilliCores the processor time of its runs under way
- * @param waitingMilliCores what its waiting tasks need
+ * @param waitingMilliCores the need of its waiting tasks
  */
 public record ShareState(
         ShareId share,
         long capacityMilliCores,
-        long partMilliCores,
+        long entitledMilliCores,
         long allottedMilliCores,
         long usedMilliCores,
         long waitingMilliCores) {
-    /** Returns what the share has in use beyond its part, which others lend it. */
+    /** Returns what the share has in use beyond its entitlement. */
     public long borrowedMilliCores() {
-        return Math.max(0, usedMilliCores - partMilliCores);
+        return Math.max(0, usedMilliCores - entitledMilliCores);
     }
 
     /** Returns whether the share wants more than it may use now. */
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/share/ShareTally.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/share/ShareTally.java
@@ -10,28 +10,30 @@
 /**
  * The processor time that runs under way take on the endpoints of one failure domain, by share.
  *
- * <p>Kept up to date as room is reserved and released, since it is asked for with every start.
+ * <p>It is updated as capacity is reserved and released, so that reading it with every start is cheap.
  */
 public final class ShareTally {
-    /** Rates are kept as whole numbers, so that what a run adds and what it takes away again are the same. */
+    /**
+     * Rates are kept as integers, in millionths of a core per millisecond, so that adding and removing a run cancel.
+     */
     static final long RATE_UNITS = 1_000;
 
     private final Map<ShareId, Sums> byShare = new HashMap<>();
 
-    /** Creates a tally of nothing. */
+    /** Creates an empty tally. */
     public ShareTally() {}
 
     /**
-     * Counts a run.
+     * Adds a run.
      *
-     * @param milliCores what it takes, in thousandths of a core
-     * @param expectedRunMillis how long it should run
+     * @param milliCores the processor time that it takes, in thousandths of a core
+     * @param expectedRunMillis its expected run time, in milliseconds
      */
     public void reserved(ShareId share, long milliCores, long expectedRunMillis) {
         add(share, milliCores, rate(milliCores, expectedRunMillis));
     }
 
-    /** Counts a run no longer; the values are those with which it was counted. */
+    /** Removes a run; the values must be those with which it was added. */
     public void released(ShareId share, long milliCores, long expectedRunMillis) {
         add(share, -milliCores, -rate(milliCores, expectedRunMillis));
     }
@@ -42,13 +44,13 @@
         return sums == null ? 0 : sums.milliCores;
     }
 
-    /** Returns how fast the runs of a share should end, in thousandths of a core a millisecond. */
+    /** Returns the rate at which the runs of a share are expected to end, in thousandths of a core per millisecond. */
     double releasedPerMilli(ShareId share) {
         Sums sums = byShare.get(share);
         return sums == null ? 0 : (double) sums.rate / RATE_UNITS;
     }
 
-    /** Returns what each priority has in use, those that have nothing left out. */
+    /** Returns the use of each priority that has any, in ascending order. */
     public ImmutableList<ShareUse> uses() {
         Map<Integer, Long> byPriority = new TreeMap<>();
         byShare.forEach((share, sums) -> byPriority.merge(share.priority(), sums.milliCores, Long::sum));
@@ -71,7 +73,7 @@
         return milliCores * RATE_UNITS / Math.max(1, expectedRunMillis);
     }
 
-    /** What is kept of one share. */
+    /** The sums over the runs of one share. */
     private static final class Sums {
         private long milliCores;
         private long rate;
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/share/ShareWait.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/share/ShareWait.java
@@ -1,10 +1,10 @@
 package org.tarragonarch.core.share;
 
 /**
- * How long a job waits within its share, and how the share stands.
+ * The expected wait of a job within its share.
  *
- * @param millis how long until its last task starts, in milliseconds
- * @param fitsBelowCeiling whether the share may start the job and all that waits in it without passing its ceiling
- * @param state how the share stands
+ * @param millis the time until its last task starts, in milliseconds
+ * @param fitsBelowCeiling whether the share can start the job and the tasks ahead of it without exceeding its ceiling
+ * @param state the state of the share
  */
 public record ShareWait(long millis, boolean fitsBelowCeiling, ShareState state) {}
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/share/WaterFilling.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/share/WaterFilling.java
@@ -3,28 +3,29 @@
 import java.util.List;
 
 /**
- * Divides a capacity among shares by weighted max-min fairness.
+ * Weighted max-min fair division of a capacity among shares, by progressive filling.
  *
- * <p>Each gets its guaranteed fraction first, as far as it wants it. The rest raises the share that has the least for
- * its weight, until each has what it wants or its ceiling.
+ * <p>Each share gets its guaranteed fraction first, as far as it wants it. The rest goes to the share that has the
+ * least by weight, until each has what it wants or its ceiling.
  */
 final class WaterFilling {
-    /** Halvings of the level: enough for a thousandth of a core of any pool. */
-    private static final int HALVINGS = 48;
+    /** Bisection steps for the level: exact to a thousandth of a core in pools of any size. */
+    private static final int BISECTIONS = 48;
 
     private WaterFilling() {}
 
-    /** Returns what each share gets, in the order of the demands, in thousandths of a core. */
+    /** Returns the allotment of each share, in the order of the demands, in thousandths of a core. */
     static long[] divide(long capacity, List<ShareDemand> demands) {
         double low = 0;
         double high = 0;
         for (ShareDemand demand : demands) {
-            high = Math.max(high, most(capacity, demand) / demand.settings().weight());
+            high = Math.max(
+                    high, upperBound(capacity, demand) / demand.settings().weight());
         }
-        if (sum(capacity, demands, high) > capacity) {
-            for (int i = 0; i < HALVINGS; i++) {
+        if (totalAt(capacity, demands, high) > capacity) {
+            for (int i = 0; i < BISECTIONS; i++) {
                 double level = (low + high) / 2;
-                if (sum(capacity, demands, level) > capacity) {
+                if (totalAt(capacity, demands, level) > capacity) {
                     high = level;
                 } else {
                     low = level;
@@ -35,27 +36,32 @@
         }
         long[] allotted = new long[demands.size()];
         for (int i = 0; i < allotted.length; i++) {
-            allotted[i] = Math.round(at(capacity, demands.get(i), low));
+            allotted[i] = Math.round(allotmentAt(capacity, demands.get(i), low));
         }
         return allotted;
     }
 
-    private static double sum(long capacity, List<ShareDemand> demands, double level) {
+    private static double totalAt(long capacity, List<ShareDemand> demands, double level) {
         double sum = 0;
         for (ShareDemand demand : demands) {
-            sum += at(capacity, demand, level);
+            sum += allotmentAt(capacity, demand, level);
         }
         return sum;
     }
 
-    /** Returns what a share gets at a level: its weight times the level, within its guarantee and what it may have. */
-    private static double at(long capacity, ShareDemand demand, double level) {
-        double most = most(capacity, demand);
-        double guaranteed = Math.min(most, capacity * demand.settings().guaranteed());
-        return Math.max(guaranteed, Math.min(most, level * demand.settings().weight()));
+    /**
+     * Returns the allotment of a share at a level: its weight times the level, within its guarantee and its upper
+     * bound.
+     */
+    private static double allotmentAt(long capacity, ShareDemand demand, double level) {
+        double upperBound = upperBound(capacity, demand);
+        double guaranteed = Math.min(upperBound, capacity * demand.settings().guaranteed());
+        return Math.max(
+                guaranteed, Math.min(upperBound, level * demand.settings().weight()));
     }
 
-    private static double most(long capacity, ShareDemand demand) {
+    /** Returns the most that a share can use: what it wants, up to its ceiling. */
+    private static double upperBound(long capacity, ShareDemand demand) {
         return Math.min(demand.wantedMilliCores(), capacity * demand.settings().ceiling());
     }
 }
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/share/LimitWatchTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/share/LimitWatchTest.java
@@ -11,22 +11,22 @@
         return new ShareState(new ShareId("board", 2), 7_000, 1_000, 1_000, 1_000, isLimited ? 500 : 0);
     }
 
-    /** Guards against two log lines for each start of a share that is at the edge of its allotment. */
+    /** Guards against two log lines for each start of a share whose use is about its allotment. */
     @Test
-    public void testReview_edgeIsNotTold() {
+    public void testUpdate_useAtAllotmentIsNotReported() {
         LimitWatch watch = new LimitWatch();
         for (long now = 0; now < 10_000; now += 100) {
-            assertEquals(watch.review(state(now % 200 == 0), now), Optional.empty());
+            assertEquals(watch.update(state(now % 200 == 0), now), Optional.empty());
         }
     }
 
     @Test
-    public void testReview_beginsAndCeases() {
+    public void testUpdate_limitedThenUnlimited() {
         LimitWatch watch = new LimitWatch();
-        watch.review(state(false), 0);
-        assertEquals(watch.review(state(true), 200), Optional.empty());
-        assertEquals(watch.review(state(true), 300), Optional.of(true));
-        assertEquals(watch.review(state(false), 1_200), Optional.empty());
-        assertEquals(watch.review(state(false), 1_300), Optional.of(false));
+        watch.update(state(false), 0);
+        assertEquals(watch.update(state(true), 200), Optional.empty());
+        assertEquals(watch.update(state(true), 300), Optional.of(true));
+        assertEquals(watch.update(state(false), 1_200), Optional.empty());
+        assertEquals(watch.update(state(false), 1_300), Optional.of(false));
     }
 }
--- a/tarragonarch-model/src/main/java/org/tarragonarch/model/share/ShareId.java
+++ b/tarragonarch-model/src/main/java/org/tarragonarch/model/share/ShareId.java
@@ -12,7 +12,7 @@
     /** The share of all jobs where no shares are configured. */
     public static final ShareId ALL = new ShareId("", 0);
 
-    /** Checks the parts. */
+    /** Checks for null. */
     public ShareId {
         checkNotNull(service, "service");
     }
--- a/tarragonarch-model/src/main/java/org/tarragonarch/model/share/SharePlan.java
+++ b/tarragonarch-model/src/main/java/org/tarragonarch/model/share/SharePlan.java
@@ -9,13 +9,13 @@
 import java.util.List;
 import java.util.Map;
 
-/** How a node divides the capacity that it holds among priorities; the same for each service. */
+/** The settings of all shares of a node, by priority; they apply to each service alike. */
 public final class SharePlan {
-    /** No shares: all jobs are in one. */
+    /** The plan without shares: all jobs belong to {@link ShareId#ALL}. */
     public static final SharePlan NONE = new SharePlan(ImmutableMap.of());
 
-    /** Fractions are written with a few decimals, whose sum may be off by rounding. */
-    private static final double ROUNDING = 1e-9;
+    /** Allowed excess over 1 of a sum of decimal fractions, for rounding in binary floating point. */
+    private static final double ROUNDING_TOLERANCE = 1e-9;
 
     private final ImmutableMap<Integer, ShareSettings> byPriority;
     private final boolean isBounded;
@@ -41,7 +41,7 @@
                     byPriority.put(share.priority(), share) == null, "priority %s appears twice", share.priority());
             guaranteed += share.guaranteed();
             checkArgument(
-                    guaranteed <= 1 + ROUNDING,
+                    guaranteed <= 1 + ROUNDING_TOLERANCE,
                     "priority " + share.priority() + ": with it the guaranteed fractions add up to %s, over 1",
                     guaranteed);
         }
@@ -90,7 +90,7 @@
                 .collect(ImmutableList.toImmutableList());
     }
 
-    /** Returns the settings of a share; a priority that is not named has a weight of 1 and no more. */
+    /** Returns the settings of a share; a priority that the plan does not name has the default weight alone. */
     public ShareSettings settingsOf(ShareId share) {
         ShareSettings named = byPriority.get(share.priority());
         return named != null ? named : ShareSettings.weighted(share.priority(), ShareSettings.DEFAULT_WEIGHT);
--- a/tarragonarch-model/src/main/java/org/tarragonarch/model/share/ShareSettings.java
+++ b/tarragonarch-model/src/main/java/org/tarragonarch/model/share/ShareSettings.java
@@ -12,10 +12,10 @@
  *     not under the guaranteed fraction
  */
 public record ShareSettings(int priority, double weight, double guaranteed, double ceiling) {
-    /** The settings of a priority that the plan does not name: weight 1, nothing guaranteed, no ceiling. */
+    /** The weight of a priority that the plan does not name. */
     static final double DEFAULT_WEIGHT = 1;
 
-    /** Checks the parts. */
+    /** Checks the ranges. */
     public ShareSettings {
         check(weight > 0 && Double.isFinite(weight), priority, "weight", weight, "is not over 0");
         check(guaranteed >= 0 && guaranteed <= 1, priority, "guaranteed", guaranteed, "is not from 0 to 1");
@@ -32,7 +32,7 @@
         return new ShareSettings(priority, weight, 0, 1);
     }
 
-    /** Returns whether more than the weight counts. */
+    /** Returns whether the share has a guaranteed fraction or a ceiling below the whole capacity. */
     public boolean isBounded() {
         return guaranteed > 0 || ceiling < 1;
     }
