Speed of endpoints: methods named for what they do, one job each; units in Javadoc

EndpointSpeed.report() both queried and changed state, and is split into isReportDue() and markReported(); its test checks the query as strictly. ran(...) is record(...) in all four classes that record run times. Comments state what a constant bounds instead of how it came about.

--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/Placer.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/Placer.java
@@ -231,10 +231,10 @@
 
     private void reportSpeed(HeldEndpoint endpoint) {
         EndpointSpeed speed = endpoint.speed();
-        double earlier = speed.reportedSpeed();
-        if (speed.report()) {
+        if (speed.isReportDue()) {
             EndpointEntry entry = endpoint.entry();
-            listener.speedChanged(entry.domain(), entry.id(), earlier, speed.classSpeed());
+            listener.speedChanged(entry.domain(), entry.id(), speed.reportedSpeed(), speed.classSpeed());
+            speed.markReported();
         }
     }
 
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/QueueTimes.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/QueueTimes.java
@@ -35,8 +35,8 @@
         return spread;
     }
 
-    void ran(long declaredMillis, long ranMillis) {
-        spread.ran(expectedMillis(declaredMillis), ranMillis);
+    void record(long declaredMillis, long ranMillis) {
+        spread.record(expectedMillis(declaredMillis), ranMillis);
         double declared = Math.log(declaredMillis);
         double ran = Math.log(Math.max(1, ranMillis));
         runs++;
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/Reservation.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/Reservation.java
@@ -35,7 +35,7 @@
     private int percent = -1;
     private long progressedAtMillis;
     private boolean advanced;
-    private boolean speedLearned;
+    private boolean speedRecorded;
     private long slowestPercentMillis;
 
     Reservation(PlacedTask task, TaskRun run, Resources room, long startedAtMillis) {
@@ -143,13 +143,13 @@
         return !isFirst;
     }
 
-    /** Notes that the endpoint's speed was learned from this run. */
-    void speedLearned() {
-        speedLearned = true;
+    /** Marks the run as recorded in its endpoint's speed. */
+    void markSpeedRecorded() {
+        speedRecorded = true;
     }
 
-    boolean isSpeedLearned() {
-        return speedLearned;
+    boolean isSpeedRecorded() {
+        return speedRecorded;
     }
 
     /** Returns whether one list has shown more of the work done than another. */
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RunEnds.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RunEnds.java
@@ -36,7 +36,7 @@
             if (percent != null) {
                 reservation.listed(link.nowMillis());
                 stalls.followProgress(reservation, percent, sentAtMillis);
-                SpeedLearning.progressed(endpoint.speed(), reservation, percent, link.nowMillis());
+                SpeedLearning.recordProgress(endpoint.speed(), reservation, percent, link.nowMillis());
             } else if (reservation.overIfAbsentAt(sentAtMillis)) {
                 end(reservation, reservation.endIfAbsent());
             }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RunResults.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RunResults.java
@@ -122,8 +122,8 @@
         if (!reservation.adopted()) {
             PlacedJob job = reservation.task().job();
             long ran = timers.nowMillis() - reservation.startedAtMillis();
-            runTimes.ran(job.queue().name(), job.step().estimateMillis(), Math.round(ran * speed.value()));
-            SpeedLearning.ended(speed, reservation, ran);
+            runTimes.record(job.queue().name(), job.step().estimateMillis(), Math.round(ran * speed.value()));
+            SpeedLearning.recordEnd(speed, reservation, ran);
         }
     }
 
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RunTimeSpread.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RunTimeSpread.java
@@ -4,42 +4,43 @@
 import org.HdrHistogram.ShortCountsHistogram;
 
 /**
- * How far the true run times of one queue lie from what was expected: the distribution of their ratio over the most
- * recent runs.
+ * The distribution of the ratio of true to expected run time over the most recent runs of one queue.
  *
- * <p>Two histograms of some 3 KB each alternate: the newer one starts when the older holds a whole window, and takes
- * its place when that holds two. So quantiles always come from one to two windows of runs and follow a change.
+ * <p>Two histograms of about 3 KB each alternate. The newer one starts when the older holds one window, and replaces it
+ * when that holds two, so that quantiles always cover the last one to two windows of runs.
  */
 final class RunTimeSpread {
-    /** Runs that one window holds; a queue of 200 tasks a second fills it in some two seconds. */
+    /** The runs of one window; a queue of 200 tasks per second fills it in 2.5 s. */
     private static final int WINDOW_RUNS = 500;
 
-    /** Fewer runs say too little of the tail; until then every run is taken to need what is expected. */
-    private static final int LEAST_RUNS = 50;
+    /** Fewer runs do not determine the tail; until then the ratio is taken to be 1. */
+    private static final int MIN_RUNS = 50;
 
-    /** Cached quantiles are looked up again after so many runs, since a look-up passes over the whole histogram. */
-    private static final int RUNS_PER_LOOKUP = 32;
+    /** Cached quantiles are computed again after this many runs, since each passes over the whole histogram. */
+    private static final int RUNS_PER_CACHE = 32;
+
+    /** The number of tasks up to which quantiles are cached; wider jobs use that of this many tasks. */
+    private static final int MAX_TASKS = 64;
 
-    private static final int WIDEST_CACHED = 64;
     private static final double THOUSANDTHS = 1_000;
-    private static final long SMALLEST_RATIO = 10;
-    private static final long LARGEST_RATIO = 20_000;
+    private static final long MIN_RATIO_THOUSANDTHS = 10;
+    private static final long MAX_RATIO_THOUSANDTHS = 20_000;
     private static final int SIGNIFICANT_DIGITS = 2;
     private static final double PERCENT = 100;
 
     private ShortCountsHistogram older = histogram();
     private ShortCountsHistogram newer = histogram();
-    private final double[] slowestByWidth = new double[WIDEST_CACHED + 1];
-    private int sinceLookup;
+    private final double[] slowestByTasks = new double[MAX_TASKS + 1];
+    private int runsSinceCleared;
 
     private static ShortCountsHistogram histogram() {
-        return new ShortCountsHistogram(1, LARGEST_RATIO, SIGNIFICANT_DIGITS);
+        return new ShortCountsHistogram(1, MAX_RATIO_THOUSANDTHS, SIGNIFICANT_DIGITS);
     }
 
-    /** Records a run that was expected to take one time and took another. */
-    void ran(long expectedMillis, double ranMillis) {
+    /** Records the expected and the true run time of a run, in milliseconds. */
+    void record(long expectedMillis, double ranMillis) {
         long thousandths = Math.round(THOUSANDTHS * ranMillis / Math.max(1, expectedMillis));
-        long ratio = Math.min(LARGEST_RATIO, Math.max(SMALLEST_RATIO, thousandths));
+        long ratio = Math.min(MAX_RATIO_THOUSANDTHS, Math.max(MIN_RATIO_THOUSANDTHS, thousandths));
         if (older.getTotalCount() >= WINDOW_RUNS) {
             newer.recordValue(ratio);
         }
@@ -50,27 +51,27 @@
             older = newer;
             newer = emptied;
         }
-        sinceLookup++;
-        if (sinceLookup >= RUNS_PER_LOOKUP) {
-            sinceLookup = 0;
-            Arrays.fill(slowestByWidth, 0);
+        runsSinceCleared++;
+        if (runsSinceCleared >= RUNS_PER_CACHE) {
+            runsSinceCleared = 0;
+            Arrays.fill(slowestByTasks, 0);
         }
     }
 
-    /** Returns how many times the expected run time a part of the runs, from 0 to 1, needs at most. */
-    double quantile(double part) {
-        if (older.getTotalCount() < LEAST_RUNS) {
+    /** Returns the ratio of true to expected run time that a fraction of the runs, from 0 to 1, does not exceed. */
+    double quantile(double fraction) {
+        if (older.getTotalCount() < MIN_RUNS) {
             return 1;
         }
-        return older.getValueAtPercentile(part * PERCENT) / THOUSANDTHS;
+        return older.getValueAtPercentile(fraction * PERCENT) / THOUSANDTHS;
     }
 
-    /** Returns the median factor by which the slowest of so many tasks exceeds the expected run time. */
+    /** Returns the median of the largest ratio of true to expected run time among this many tasks. */
     double slowestOf(int tasks) {
-        int width = Math.min(WIDEST_CACHED, Math.max(1, tasks));
-        if (slowestByWidth[width] == 0) {
-            slowestByWidth[width] = quantile(Math.pow(1.0 / 2, 1.0 / width));
+        int bounded = Math.min(MAX_TASKS, Math.max(1, tasks));
+        if (slowestByTasks[bounded] == 0) {
+            slowestByTasks[bounded] = quantile(Math.pow(1.0 / 2, 1.0 / bounded));
         }
-        return slowestByWidth[width];
+        return slowestByTasks[bounded];
     }
 }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RunTimes.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RunTimes.java
@@ -17,14 +17,14 @@
         return times(queue).expectedMillis(estimateMillis > 0 ? estimateMillis : DEFAULT_ESTIMATE_MILLIS);
     }
 
-    /** Returns the median factor by which the slowest of so many tasks exceeds the expected run time. */
+    /** Returns the median of the largest ratio of true to expected run time among this many tasks. */
     double slowestOf(String queue, int tasks) {
         return times(queue).spread().slowestOf(tasks);
     }
 
-    void ran(String queue, long estimateMillis, long ranMillis) {
+    void record(String queue, long estimateMillis, long ranMillis) {
         if (estimateMillis > 0) {
-            times(queue).ran(estimateMillis, ranMillis);
+            times(queue).record(estimateMillis, ranMillis);
         }
     }
 
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/SpeedLearning.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/SpeedLearning.java
@@ -2,45 +2,48 @@
 
 import org.tarragonarch.core.speed.EndpointSpeed;
 
-/** Learns from runs how fast their endpoint is; each run counts once. */
+/** Feeds the run times of an endpoint into its speed estimate; each run counts once. */
 final class SpeedLearning {
-    /** A run this many times as long under way as its endpoint's speed lets expect counts before it ends. */
+    /** A run that takes this many times the run time expected at its endpoint's speed is recorded before it ends. */
     private static final double EARLY_MULTIPLE = 1.5;
 
-    /** Below this many percent the whole run time cannot be told from the progress. */
-    private static final int LEAST_PERCENT = 5;
+    /** The progress, in percent, below which the whole run time cannot be extrapolated. */
+    private static final int MIN_PERCENT = 5;
 
     private static final double WHOLE = 100;
 
     private SpeedLearning() {}
 
     /**
-     * Learns from a run that takes long, by its progress.
+     * Records a run under way that takes long, with the run time extrapolated from its progress.
      *
-     * <p>An endpoint that has turned five times slower is noticed after one and a half run times in place of five.
+     * <p>An endpoint that becomes five times slower is then detected after one and a half run times instead of five.
      */
-    static void progressed(EndpointSpeed speed, Reservation reservation, int percent, long nowMillis) {
+    static void recordProgress(EndpointSpeed speed, Reservation reservation, int percent, long nowMillis) {
         PlacedJob job = reservation.task().job();
         long ran = nowMillis - reservation.startedAtMillis();
         boolean isLong = ran * speed.value() > EARLY_MULTIPLE * job.expectedRunMillis();
-        if (isLong && percent >= LEAST_PERCENT && teaches(reservation)) {
-            reservation.speedLearned();
-            speed.ran(job.expectedRunMillis(), ran * WHOLE / percent);
+        if (isLong && percent >= MIN_PERCENT && isUsable(reservation)) {
+            reservation.markSpeedRecorded();
+            speed.record(job.expectedRunMillis(), ran * WHOLE / percent);
         }
     }
 
-    /** Learns from a run that has done its work. */
-    static void ended(EndpointSpeed speed, Reservation reservation, long ranMillis) {
-        if (teaches(reservation)) {
-            reservation.speedLearned();
-            speed.ran(reservation.task().job().expectedRunMillis(), ranMillis);
+    /** Records a run that has succeeded. */
+    static void recordEnd(EndpointSpeed speed, Reservation reservation, long ranMillis) {
+        if (isUsable(reservation)) {
+            reservation.markSpeedRecorded();
+            speed.record(reservation.task().job().expectedRunMillis(), ranMillis);
         }
     }
 
-    /** A run of unknown start, or without a declared run time to compare with, says nothing. */
-    private static boolean teaches(Reservation reservation) {
+    /**
+     * Returns whether the run may be recorded: its start and a declared run time are known, and it was not recorded
+     * yet.
+     */
+    private static boolean isUsable(Reservation reservation) {
         return !reservation.adopted()
-                && !reservation.isSpeedLearned()
+                && !reservation.isSpeedRecorded()
                 && reservation.task().job().step().estimateMillis() > 0;
     }
 }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/speed/EndpointSpeed.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/speed/EndpointSpeed.java
@@ -1,42 +1,44 @@
 package org.tarragonarch.core.speed;
 
 /**
- * The speed of one incarnation of an endpoint relative to its pool, 1 until runs say otherwise.
+ * The estimated speed of one incarnation of an endpoint relative to the mean of its pool; 1 until runs are recorded.
  *
- * <p>The estimate is a running mean of the logarithm of expected over true run time. No run moves it by more than a
- * bounded step, so a straggler or a wrong estimate says little; several far off to the same side in a row are taken for
- * a sudden change and are followed quickly.
+ * <p>The estimate is an exponentially weighted mean of the logarithm of expected over true run time. The influence of a
+ * single run is bounded, so that a straggler or a wrong run time estimate changes it little. Several large residuals of
+ * one sign in a row are taken for a sudden change, which is followed with a larger gain.
  *
- * <p>Decisions compare classes of speed, 28% wide, and not the estimate itself. Where all endpoints are about alike,
- * they are of the class around 1, and noise in the estimates changes no decision. An endpoint leaves its class only if
- * its estimate is clearly outside.
+ * <p>Decisions compare classes of speed, 28% wide, and not the estimate itself, so that noise in the estimates changes
+ * no decision where all endpoints are about alike. An endpoint leaves its class only if its estimate is clearly outside
+ * (hysteresis).
  */
 public final class EndpointSpeed {
-    private static final double SLOWEST = 0.2;
-    private static final double FASTEST = 3;
+    private static final double MIN_SPEED = 0.2;
+    private static final double MAX_SPEED = 3;
 
-    /** What the prior counts for, in runs. */
+    /** The weight of the prior speed of 1, in runs. */
     private static final int PRIOR_RUNS = 4;
 
-    /** The weight of the newest run; with run times off by 40% the estimate is then off by 7%. */
-    private static final double LEAST_GAIN = 0.06;
+    /** The gain after many runs: where run times are off by 40%, the estimate is off by 7%. */
+    private static final double MIN_GAIN = 0.06;
 
-    /** The largest residual that counts, a factor of 2.7. */
+    /** The bound of a residual in the logarithm, a factor of 2.7. */
     private static final double RESIDUAL_BOUND = 1;
 
-    /** Where run times are off by 40%, one run in ten is over this to each side by chance. */
+    /**
+     * A residual that counts towards a change; where run times are off by 40%, one run in ten exceeds it to each side.
+     */
     private static final double LARGE_RESIDUAL = 0.5;
 
-    /** So many large residuals of one sign in a row are taken for a change; by chance two runs in a thousand. */
+    /** Large residuals of one sign in a row that are taken for a change; by chance, two runs in a thousand are. */
     private static final int CHANGE_STREAK = 3;
 
     private static final double FIRST_CHANGE_GAIN = 0.25;
     private static final double CHANGE_GAIN = 0.4;
 
-    /** The width of a class in the logarithm: the class around 1 reaches from 0.87 to 1.15. */
+    /** The width of a class in the logarithm; the class around 1 extends from 0.87 to 1.15. */
     private static final double CLASS_WIDTH = 0.28;
 
-    /** How far from the middle of its class an estimate has to be to leave it, in the logarithm. */
+    /** The distance from the middle of its class at which an estimate leaves it, in the logarithm. */
     private static final double LEAVING_DISTANCE = 0.2;
 
     private double logarithm;
@@ -46,16 +48,16 @@
     private double classSpeed = 1;
     private double reportedSpeed = 1;
 
-    /** Creates the estimate for an endpoint of which nothing is known. */
+    /** Creates the estimate for an incarnation that has not run anything. */
     public EndpointSpeed() {}
 
     /**
-     * Learns from a run.
+     * Records a run.
      *
-     * @param expectedMillis the run time that was expected at speed 1
-     * @param ranMillis the run time that it took, or takes by its progress
+     * @param expectedMillis its expected run time at speed 1, in milliseconds
+     * @param ranMillis its true run time, or the one extrapolated from its progress, in milliseconds
      */
-    public void ran(double expectedMillis, double ranMillis) {
+    public void record(double expectedMillis, double ranMillis) {
         double observed = Math.log(Math.max(1, expectedMillis) / Math.max(1, ranMillis));
         double residual = observed - logarithm;
         double bounded = Math.max(-RESIDUAL_BOUND, Math.min(RESIDUAL_BOUND, residual));
@@ -75,7 +77,7 @@
     }
 
     private double gain() {
-        double ordinary = Math.max(LEAST_GAIN, 1.0 / (runs + PRIOR_RUNS));
+        double ordinary = Math.max(MIN_GAIN, 1.0 / (runs + PRIOR_RUNS));
         int length = Math.abs(streak);
         if (length < CHANGE_STREAK) {
             return ordinary;
@@ -83,7 +85,7 @@
         return Math.max(ordinary, length == CHANGE_STREAK ? FIRST_CHANGE_GAIN : CHANGE_GAIN);
     }
 
-    /** Changes the unit of the estimate, for an endpoint of which something is known. */
+    /** Adds to the logarithm of the estimate if any run was recorded. */
     void shift(double by) {
         if (isLearned()) {
             moveTo(logarithm + by);
@@ -91,19 +93,19 @@
     }
 
     private void moveTo(double target) {
-        logarithm = Math.max(Math.log(SLOWEST), Math.min(Math.log(FASTEST), target));
+        logarithm = Math.max(Math.log(MIN_SPEED), Math.min(Math.log(MAX_SPEED), target));
         if (Math.abs(logarithm - speedClass * CLASS_WIDTH) > LEAVING_DISTANCE) {
             speedClass = (int) Math.round(logarithm / CLASS_WIDTH);
             classSpeed = Math.exp(speedClass * CLASS_WIDTH);
         }
     }
 
-    /** Returns whether any run was seen. */
+    /** Returns whether any run was recorded. */
     public boolean isLearned() {
         return runs > 0;
     }
 
-    /** Returns the estimate: how many times as fast as the pool's mean the endpoint is. */
+    /** Returns the estimate, as a multiple of the pool's mean speed. */
     public double value() {
         return Math.exp(logarithm);
     }
@@ -117,15 +119,18 @@
         return classSpeed;
     }
 
-    /** Returns the class speed that the last report told, 1 before the first. */
+    /** Returns the class speed at the last report; 1 before the first. */
     public double reportedSpeed() {
         return reportedSpeed;
     }
 
-    /** Notes that the class speed is reported; returns whether it has changed since the last report. */
-    public boolean report() {
-        boolean changed = classSpeed != reportedSpeed;
+    /** Returns whether the class speed has changed since the last report. */
+    public boolean isReportDue() {
+        return classSpeed != reportedSpeed;
+    }
+
+    /** Records that the present class speed was reported. */
+    public void markReported() {
         reportedSpeed = classSpeed;
-        return changed;
     }
 }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/speed/PoolSpeeds.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/speed/PoolSpeeds.java
@@ -3,14 +3,16 @@
 /**
  * Keeps the mean speed of a pool at 1.
  *
- * <p>Run times tell the product of an endpoint's speed and its queue's expected run time only. Without a fixed mean all
- * speeds could rise together while the expected run times fall, or the other way round. The mean is geometric, and no
- * endpoint counts for more than a factor of 1.6, so that a few very slow ones do not change the unit for all others.
+ * <p>Run times determine only the product of an endpoint's speed and its queue's expected run time. Without a fixed
+ * mean all speeds could rise together while the expected run times fall, or the other way round. The mean is geometric,
+ * and the influence of each endpoint is bounded to a factor of 1.6, so that a few very slow ones do not shift the
+ * speeds of all others.
  */
 public final class PoolSpeeds {
-    private static final double LARGEST_LOGARITHM = 0.5;
+    /** The bound of one endpoint's deviation in the logarithm, a factor of 1.6. */
+    private static final double MAX_LOGARITHM = 0.5;
 
-    /** The part of the deviation that one call removes, so that classes do not change all at once. */
+    /** The fraction of the deviation that one call removes, so that classes do not change all at once. */
     private static final double CORRECTION = 0.2;
 
     private PoolSpeeds() {}
@@ -21,7 +23,7 @@
         int count = 0;
         for (EndpointSpeed speed : pool) {
             if (speed.isLearned()) {
-                sum += Math.max(-LARGEST_LOGARITHM, Math.min(LARGEST_LOGARITHM, speed.logarithm()));
+                sum += Math.max(-MAX_LOGARITHM, Math.min(MAX_LOGARITHM, speed.logarithm()));
                 count++;
             }
         }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/speed/SpeedSummary.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/speed/SpeedSummary.java
@@ -1,7 +1,7 @@
 package org.tarragonarch.core.speed;
 
 /**
- * The speeds of the endpoints that a node holds.
+ * Summary statistics of the speeds of the endpoints that a node holds, as multiples of their pool's mean.
  *
  * @param slowest the lowest
  * @param mean the arithmetic mean
@@ -11,7 +11,7 @@
     /** The summary where no endpoint is held. */
     public static final SpeedSummary NONE = new SpeedSummary(1, 1, 1);
 
-    /** Returns the summary of some speeds. */
+    /** Returns the summary of the given speeds; {@link #NONE} without any. */
     public static SpeedSummary of(Iterable<EndpointSpeed> speeds) {
         double slowest = Double.MAX_VALUE;
         double fastest = 0;
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/PlacerSpeedTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/PlacerSpeedTest.java
@@ -152,7 +152,7 @@
             for (HeldEndpoint endpoint : endpoints) {
                 double speed = 0.87 + 0.28 * random.nextDouble();
                 for (int run = 0; run < 100; run++) {
-                    endpoint.speed().ran(NOMINAL_MILLIS, NOMINAL_MILLIS / speed);
+                    endpoint.speed().record(NOMINAL_MILLIS, NOMINAL_MILLIS / speed);
                 }
                 if (random.nextBoolean()) {
                     PlacedTask other = PendingJobsTest.job(1 + trial, 1).tasks().get(0);
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/RunTimeSpreadTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/RunTimeSpreadTest.java
@@ -14,7 +14,7 @@
         Random random = new Random(20261203);
         for (int run = 0; run < count; run++) {
             double factor = random.nextDouble() < slowPart ? slowFactor : 1;
-            spread.ran(EXPECTED_MILLIS, EXPECTED_MILLIS * factor * Math.exp(0.1 * random.nextGaussian()));
+            spread.record(EXPECTED_MILLIS, EXPECTED_MILLIS * factor * Math.exp(0.1 * random.nextGaussian()));
         }
     }
 
@@ -49,7 +49,7 @@
     public void testRan_ratiosOutOfRange() {
         RunTimeSpread spread = new RunTimeSpread();
         for (int run = 0; run < 100; run++) {
-            spread.ran(1, run % 2 == 0 ? 0 : Long.MAX_VALUE);
+            spread.record(1, run % 2 == 0 ? 0 : Long.MAX_VALUE);
         }
         assertTrue(spread.quantile(1) >= 19, "largest " + spread.quantile(1));
     }
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/RunTimesTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/RunTimesTest.java
@@ -22,7 +22,7 @@
         Random random = new Random(1);
         for (int run = 0; run < RUNS; run++) {
             long estimate = 40 + random.nextInt(200);
-            times.ran("q", estimate, estimate * 2);
+            times.record("q", estimate, estimate * 2);
         }
         assertEquals(times.expectedMillis("q", 50), 100, 3.0);
         assertEquals(times.expectedMillis("q", 200), 400, 8.0);
@@ -36,7 +36,7 @@
         for (int run = 0; run < RUNS; run++) {
             double ran = 60 * Math.exp(0.4 * random.nextGaussian());
             double estimate = ran * Math.exp(0.4 * random.nextGaussian());
-            times.ran("q", Math.max(1, Math.round(estimate)), Math.round(ran));
+            times.record("q", Math.max(1, Math.round(estimate)), Math.round(ran));
         }
         long expected = times.expectedMillis("q", 30);
         assertTrue(expected > 36 && expected < 50, "expected " + expected);
@@ -48,7 +48,7 @@
         RunTimes times = new RunTimes();
         Random random = new Random(3);
         for (int run = 0; run < RUNS; run++) {
-            times.ran("q", 10 + random.nextInt(1_000), 95 + random.nextInt(10));
+            times.record("q", 10 + random.nextInt(1_000), 95 + random.nextInt(10));
         }
         assertEquals(times.expectedMillis("q", 1_000), 100, 15.0);
     }
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/speed/EndpointSpeedTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/speed/EndpointSpeedTest.java
@@ -1,6 +1,7 @@
 package org.tarragonarch.core.speed;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 import com.google.common.collect.ImmutableList;
@@ -16,7 +17,7 @@
 
     private void runs(EndpointSpeed speed, int count, double trueSpeed) {
         for (int run = 0; run < count; run++) {
-            speed.ran(EXPECTED_MILLIS, EXPECTED_MILLIS / trueSpeed * Math.exp(SCATTER * random.nextGaussian()));
+            speed.record(EXPECTED_MILLIS, EXPECTED_MILLIS / trueSpeed * Math.exp(SCATTER * random.nextGaussian()));
         }
     }
 
@@ -72,14 +73,14 @@
 
     /** Guards against decisions that change with noise: within 0.87 to 1.15 all endpoints are of one class. */
     @Test
-    public void testClassSpeed_alikeWithinTheBand() {
+    public void testClassSpeed_alikeWithinClass() {
         for (double trueSpeed : new double[] {0.87, 1.0, 1.15}) {
             EndpointSpeed speed = new EndpointSpeed();
             for (int run = 0; run < 200; run++) {
-                speed.ran(EXPECTED_MILLIS, EXPECTED_MILLIS / trueSpeed);
+                speed.record(EXPECTED_MILLIS, EXPECTED_MILLIS / trueSpeed);
             }
             assertEquals(speed.classSpeed(), 1.0);
-            assertEquals(speed.report(), false);
+            assertFalse(speed.isReportDue());
         }
     }
 
