Placing: usual terms for run lists, unanswered starts and the start order

listed, shown, judgeAnew, lapsedInSilence, blame, Walk and others said little, and several comments told a story or needed a second reading. Handlers are now named for what they process (processList, recordListed, markListed), cursors are cursors, and the reason of each constant is one sentence. Reservation.listed no longer means both a query and a change. No method was moved and behaviour is unchanged; the tests of placing, cluster, routing and shard pass.

--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/CapacityCount.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/CapacityCount.java
@@ -4,13 +4,13 @@
 import org.tarragonarch.model.task.Resources;
 
 /**
- * The room that the usable endpoints have for tasks of one job's size; a place is room for one task.
+ * The capacity of the usable endpoints for tasks of one job's size; a place is room for one task.
  *
- * @param places how many they hold
- * @param weightedPlaces the same, each place counted by its endpoint's speed: the work that gets done in one unit of
- *     time
- * @param freePlaces how many are free
- * @param initializingPlaces how many are on endpoints that are just being opened; contained in the others but the free
+ * @param places the number of places
+ * @param weightedPlaces the sum over the places of their endpoint's speed: the work done per unit of time
+ * @param freePlaces the number of free places
+ * @param initializingPlaces the number of places on endpoints that are being opened; included in {@code places} and
+ *     {@code weightedPlaces}, not in {@code freePlaces}
  * @param milliCores the processor time of the endpoints, in thousandths of a core
  */
 record CapacityCount(long places, double weightedPlaces, long freePlaces, long initializingPlaces, long milliCores) {
@@ -40,8 +40,8 @@
         return new CapacityCount(places, weightedPlaces, freePlaces, initializingPlaces, milliCores);
     }
 
-    /** Returns the same as the places of a pool. */
-    PoolPlaces pool() {
+    /** Converts the count. */
+    PoolPlaces toPoolPlaces() {
         return new PoolPlaces(milliCores, places, freePlaces);
     }
 }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/CompletionEstimator.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/CompletionEstimator.java
@@ -34,7 +34,7 @@
         long wait = waitInOrder(job, own, capacity, now);
         Optional<ShareState> share = Optional.empty();
         if (shares.plan().isConfigured()) {
-            ShareWait inShare = waitInShare(job, own, capacity.pool(), now);
+            ShareWait inShare = waitInShare(job, own, capacity.toPoolPlaces(), now);
             wait = inShare.millis();
             roomForAll &= inShare.fitsBelowCeiling();
             share = Optional.of(inShare.state());
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/EndpointChoice.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/EndpointChoice.java
@@ -7,9 +7,9 @@
  * Chooses the endpoint for a task: of those that take it, a warm one, of these one of the fastest class, and of these
  * the one that has the least room.
  *
- * <p>The fastest first gives a task that turns out to be long the most time. Keeping fast endpoints free for tasks that
- * need them earned less at moderate load and made no difference under full load, where all endpoints are in use either
- * way.
+ * <p>Taking the fastest first leaves the most time for a task that turns out to be long. Keeping fast endpoints free
+ * for tasks that need them lowers the total worth of the jobs served at moderate load and makes no difference under
+ * full load, where all endpoints are in use.
  *
  * <p>Filling the fullest first keeps whole endpoints free for the largest tasks, which would otherwise wait while every
  * endpoint is half empty.
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/HeldEndpoint.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/HeldEndpoint.java
@@ -26,7 +26,7 @@
     private final ProgressReports progress;
     private final ReservedRoom room;
     private final RunEnds ends;
-    private final ListedRuns listed;
+    private final ListedRuns listedRuns;
     private final RunListPoller poller;
     private final RunOrders orders;
     private EndpointHealth health;
@@ -54,12 +54,13 @@
         Host host = new Host();
         this.ends = new RunEnds(link, room, this, events);
         this.poller = new RunListPoller(link, host);
-        this.listed = new ListedRuns(link, room, unanswered, poller, host);
+        this.listedRuns = new ListedRuns(link, room, unanswered, poller, host);
         this.orders = new RunOrders(link, room, poller, unanswered, host);
-        judgeAnew();
+        resetEstimates();
     }
 
-    private void judgeAnew() {
+    /** Forgets health, speed and progress, which belong to one incarnation. */
+    private void resetEstimates() {
         health = new EndpointHealth();
         speed = new EndpointSpeed();
         stalls = new StallDetector(room, health, speed, progress);
@@ -137,17 +138,17 @@
 
     /** Returns whether everything that runs there is known. */
     boolean known() {
-        return poller.read() && listed.allReserved();
+        return poller.read() && listedRuns.allReserved();
     }
 
     /** Returns whether no run of the job can be here but those that may be adopted. */
     boolean readyFor(JobId job) {
-        return poller.read() && !listed.recovered().anyStopping(job);
+        return poller.read() && !listedRuns.recovered().anyStopping(job);
     }
 
     /** Lets a job adopt what an earlier holder started of it here. */
     void adopt(PlacedJob job) {
-        listed.recovered().adopt(job, this::adopt);
+        listedRuns.recovered().adopt(job, this::adopt);
         if (!room.isEmpty()) {
             poller.pollIfIdle();
         }
@@ -165,7 +166,7 @@
 
     /** Returns whether the endpoint has ever answered. */
     boolean answered() {
-        return listed.anyListRead();
+        return listedRuns.anyListRead();
     }
 
     /**
@@ -223,13 +224,13 @@
         return retired || entry().draining();
     }
 
-    /** Begins anew with a later incarnation; see {@link RunEnds#restarted} for what ran. */
+    /** Switches to a later incarnation; see {@link RunEnds#restarted} for the runs of the earlier one. */
     private void restarted(EndpointEntry later) {
         boolean leftAsPlanned = leftAsPlanned();
         link.restarted(later);
         poller.restart();
-        listed.restarted();
-        judgeAnew();
+        listedRuns.restarted();
+        resetEstimates();
         events.restarted(this);
         ends.restarted(leftAsPlanned);
         orders.stopAgainAfterRestart();
@@ -244,29 +245,29 @@
 
         @Override
         public boolean needsPolling() {
-            return !room.isEmpty() || listed.mayStartLate();
+            return !room.isEmpty() || listedRuns.mayStartLate();
         }
 
         @Override
         public boolean anyRecovered() {
-            return !listed.recovered().isEmpty();
+            return !listedRuns.recovered().isEmpty();
         }
 
         @Override
         public void ended(TaskEnd end) {
-            listed.ended(end);
+            listedRuns.processEnd(end);
             room.of(end.run()).ifPresent(reservation -> ends.end(reservation, end.kind()));
         }
 
         @Override
-        public void listed(Iterable<RunProgress> running, long sentAtMillis, boolean firstList, boolean wasSilent) {
+        public void listsRead(Iterable<RunProgress> running, long sentAtMillis, boolean firstList, boolean wasSilent) {
             ImmutableMap<TaskRun, Integer> percentByRun = ListedRuns.percentByRun(running);
-            ends.listed(percentByRun, sentAtMillis, stalls);
-            listed.listed(percentByRun.keySet(), sentAtMillis, firstList);
+            ends.processList(percentByRun, sentAtMillis, stalls);
+            listedRuns.processList(percentByRun.keySet(), sentAtMillis, firstList);
             if (firstList) {
                 events.firstListed(HeldEndpoint.this);
             }
-            if (wasSilent || firstList || listed.recovered().isEmpty()) {
+            if (wasSilent || firstList || listedRuns.recovered().isEmpty()) {
                 events.usable(HeldEndpoint.this);
             }
         }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/LateStarts.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/LateStarts.java
@@ -7,10 +7,10 @@
 import org.tarragonarch.model.task.TaskRun;
 
 /**
- * The runs that one incarnation of an endpoint must not start, or must end: their orders went to an earlier one.
+ * The runs that were ordered from an earlier incarnation of an endpoint and that the present one must not run.
  *
- * <p>Each is stopped, which the incarnation remembers. Until all stops were answered and a later list shows none of the
- * runs, nothing else is started there: a run of these may take room.
+ * <p>Each is stopped, which the incarnation remembers. Until all stops are answered and a later list shows none of the
+ * runs, nothing else is started there, because any of them may take room.
  */
 final class LateStarts {
     private static final long UNANSWERED = Long.MAX_VALUE;
@@ -19,7 +19,7 @@
     private final RunListPoller poller;
     private final EndpointHost host;
     private final Map<TaskRun, Long> stoppedAtMillis = new LinkedHashMap<>();
-    private boolean listPlanned;
+    private boolean listScheduled;
 
     LateStarts(EndpointLink link, RunListPoller poller, EndpointHost host) {
         this.link = link;
@@ -27,7 +27,7 @@
         this.host = host;
     }
 
-    /** Stops the runs on an incarnation that was read for the first time. */
+    /** Stops the runs on an incarnation whose lists were read for the first time; replaces those of the one before. */
     void stop(Set<TaskRun> runs) {
         stoppedAtMillis.clear();
         runs.forEach(run -> stoppedAtMillis.put(run, UNANSWERED));
@@ -42,14 +42,14 @@
         return stoppedAtMillis.containsKey(run);
     }
 
-    /** Processes a list: what was stopped before it was asked for and does not show is over for good. */
-    void listed(Set<TaskRun> running, long sentAtMillis) {
+    /** Processes a list: a run that is missing in it and whose stop was answered before it was requested is over. */
+    void processList(Set<TaskRun> running, long sentAtMillis) {
         if (stoppedAtMillis.isEmpty()) {
             return;
         }
         stoppedAtMillis.entrySet().removeIf(run -> run.getValue() < sentAtMillis && !running.contains(run.getKey()));
         if (stoppedAtMillis.values().stream().anyMatch(stopped -> stopped < sentAtMillis)) {
-            planList(link.settings().stopTime());
+            scheduleList(link.settings().stopTime());
         }
     }
 
@@ -66,7 +66,7 @@
         switch (answer.result()) {
             case DONE, OLD_RUN -> {
                 stoppedAtMillis.put(run, link.nowMillis());
-                planList(1);
+                scheduleList(1);
             }
             case FENCED -> host.fenced();
             case OTHER_LIFE -> host.lifeOver();
@@ -74,15 +74,15 @@
         }
     }
 
-    private void planList(long afterMillis) {
-        if (!listPlanned) {
-            listPlanned = true;
-            link.timers().after(afterMillis, this::list);
+    private void scheduleList(long afterMillis) {
+        if (!listScheduled) {
+            listScheduled = true;
+            link.timers().after(afterMillis, this::requestList);
         }
     }
 
-    private void list() {
-        listPlanned = false;
+    private void requestList() {
+        listScheduled = false;
         if (!host.closed() && !stoppedAtMillis.isEmpty()) {
             poller.readAside(() -> {});
         }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/ListedRuns.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/ListedRuns.java
@@ -10,8 +10,8 @@
 import org.tarragonarch.model.task.TaskRun;
 
 /**
- * Tells of each run on an endpoint's lists whose it is: reserved here, left by an earlier holder, or ordered from an
- * earlier incarnation.
+ * Classifies the runs in an endpoint's lists: reserved here, left by an earlier holder, or ordered from an earlier
+ * incarnation.
  */
 final class ListedRuns {
     private final EndpointLink link;
@@ -19,7 +19,7 @@
     private final UnansweredStarts unanswered;
     private final RunListPoller poller;
     private final RecoveredRuns recovered;
-    private final LateStarts late;
+    private final LateStarts lateStarts;
     private boolean anyListRead;
 
     ListedRuns(
@@ -33,10 +33,10 @@
         this.unanswered = unanswered;
         this.poller = poller;
         this.recovered = new RecoveredRuns(link, poller, host);
-        this.late = new LateStarts(link, poller, host);
+        this.lateStarts = new LateStarts(link, poller, host);
     }
 
-    /** Returns what an earlier holder left there. */
+    /** Returns the runs that an earlier holder left there. */
     RecoveredRuns recovered() {
         return recovered;
     }
@@ -46,9 +46,9 @@
         return anyListRead;
     }
 
-    /** Returns whether nothing takes room there but what is reserved. */
+    /** Returns whether all runs there are reserved, so that the free room is known. */
     boolean allReserved() {
-        return recovered.isEmpty() && late.isEmpty();
+        return recovered.isEmpty() && lateStarts.isEmpty();
     }
 
     /** Returns whether an order to start a run may yet be carried out there. */
@@ -56,45 +56,47 @@
         return unanswered.anyAt(link.life().id(), link.nowMillis());
     }
 
-    /** Forgets what was found on an incarnation that is over. */
+    /** Forgets the runs found on an incarnation that is over. */
     void restarted() {
         recovered.clear();
     }
 
     /** Processes the end of a run that is not reserved. */
-    void ended(TaskEnd end) {
+    void processEnd(TaskEnd end) {
         recovered.remove(end.run());
-        unanswered.shown(link.life().id(), end.run());
+        unanswered.recordListed(link.life().id(), end.run());
         if (!anyListRead && end.kind() == EndKind.DONE && room.of(end.run()).isEmpty()) {
             recovered.doneBefore(end.run().task());
         }
     }
 
     /**
-     * Processes what runs.
+     * Processes a list of runs.
      *
-     * <p>Only what the very first list shows may be adopted: once this holder was heard there, earlier ones are shut
-     * out, and what runs on a later incarnation was ordered from here.
+     * <p>Only runs in the very first list may be adopted. After that call the endpoint obeys no earlier holder, and
+     * what runs on a later incarnation was ordered from here.
      *
+     * @param sentAtMillis when the list was requested, on the steady clock
      * @param firstList whether the list is the first of its incarnation
      */
-    void listed(Set<TaskRun> running, long sentAtMillis, boolean firstList) {
+    void processList(Set<TaskRun> running, long sentAtMillis, boolean firstList) {
         if (firstList) {
             readAgainIfReserved();
-            late.stop(ImmutableSet.copyOf(unreserved(unanswered.at(link.life().id(), link.nowMillis()))));
+            lateStarts.stop(
+                    ImmutableSet.copyOf(unreserved(unanswered.at(link.life().id(), link.nowMillis()))));
         } else {
-            late.listed(running, sentAtMillis);
+            lateStarts.processList(running, sentAtMillis);
         }
         if (mayStartLate()) {
-            running.forEach(run -> unanswered.shown(link.life().id(), run));
+            running.forEach(run -> unanswered.recordListed(link.life().id(), run));
         }
-        recovered.listed(Sets.filter(unreserved(running), run -> !late.contains(run)), !anyListRead);
+        recovered.processList(Sets.filter(unreserved(running), run -> !lateStarts.contains(run)), !anyListRead);
         anyListRead = true;
     }
 
     /**
-     * Reads the lists at once after the first of an incarnation: that was asked for before the starts were answered
-     * that it does not show, and proves nothing of them.
+     * Reads the lists again after the first of an incarnation if anything is reserved. The first list may have been
+     * requested before a start was answered, so a run that is missing in it is not proved to be over.
      */
     private void readAgainIfReserved() {
         if (!room.isEmpty()) {
@@ -106,7 +108,7 @@
         return Sets.filter(runs, run -> room.of(run).isEmpty());
     }
 
-    /** Returns how far each listed run has got. */
+    /** Returns the progress of each listed run, in percent. */
     static ImmutableMap<TaskRun, Integer> percentByRun(Iterable<RunProgress> listed) {
         ImmutableMap.Builder<TaskRun, Integer> percentByRun = ImmutableMap.builder();
         listed.forEach(each -> percentByRun.put(each.run(), each.percent()));
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/OfferAdmission.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/OfferAdmission.java
@@ -5,16 +5,14 @@
 /**
  * Decides whether a holder takes a job under the terms of its offer.
  *
- * <p>A job of another failure domain's client starts at once only while none waits here, and only if what own clients
- * have lately asked for stays free. Guards against own clients that wait because a neighbour's burst has filled their
- * endpoints.
+ * <p>A job of another failure domain's client starts at once only while no job waits here, and only if a reserve for
+ * own clients stays free. Guards against own clients that wait because a neighbour's burst has filled their endpoints.
  */
 final class OfferAdmission {
     /**
-     * The span of own use that stays free, in milliseconds: some ten round trips between failure domains.
-     *
-     * <p>Own use counts each start, also of tasks that run shorter than the span. With 200 ms, one status period, 682
-     * of 683 offers were given back when one domain of three got 1.6 times its traffic.
+     * The reserve for own clients, as the time for which it lasts at the recent rate of their jobs: about ten round
+     * trips between failure domains. A reserve for 200 ms, one status period, turns away nearly all jobs of a neighbour
+     * that has 1.6 times its traffic.
      */
     private static final long RESERVE_MILLIS = 20;
 
@@ -25,8 +23,8 @@
         this.pending = pending;
     }
 
-    /** Returns whether the job is taken; what own clients take is counted as their use. */
-    boolean takes(PlacedJob job, CompletionEstimate estimate, long nowMillis) {
+    /** Decides on a job; a job of an own client that is taken is recorded as own use. */
+    boolean admit(PlacedJob job, CompletionEstimate estimate, long nowMillis) {
         Offer offer = job.offer();
         boolean taken = offer.terms().permits(startsAtOnce(offer, estimate, nowMillis), estimate.isAdmissible());
         if (taken && offer.fromOwnDomain()) {
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PendingShares.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PendingShares.java
@@ -6,7 +6,7 @@
 import java.util.Map;
 import org.tarragonarch.model.share.ShareId;
 
-/** The jobs that have tasks to start, in one order for each share. */
+/** The jobs that have tasks to start, in one queue for each share. */
 final class PendingShares {
     private final Map<ShareId, PendingJobs> byShare = new LinkedHashMap<>();
 
@@ -28,7 +28,7 @@
         return byShare.entrySet();
     }
 
-    /** Returns the jobs as they are now; they may be removed meanwhile. */
+    /** Returns a copy of all jobs, so that jobs may be removed while it is iterated. */
     ImmutableList<PlacedJob> inOrder() {
         ImmutableList.Builder<PlacedJob> jobs = ImmutableList.builder();
         byShare.values().forEach(each -> jobs.addAll(each.inOrder()));
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/Placer.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/Placer.java
@@ -212,12 +212,12 @@
         return shards.find(shard).map(PlacedShard::freeMilliCores).orElse(0L);
     }
 
-    /** Returns how every share stands; none where no shares are configured. */
+    /** Returns the state of every share; empty where no shares are configured. */
     public ImmutableList<ShareState> shareStates() {
         return shareReview.states();
     }
 
-    /** Returns what each share has in use in a shard; nothing where no shares are configured. */
+    /** Returns the use of each priority in a shard; empty where no shares are configured. */
     public ImmutableList<ShareUse> shareUses(FailureDomain shard) {
         return settings.shares().isConfigured()
                 ? shards.find(shard).map(held -> held.tally().uses()).orElse(ImmutableList.of())
@@ -238,7 +238,7 @@
         }
     }
 
-    /** Returns how fast the endpoints of all shards are. */
+    /** Returns a summary of the speeds of all endpoints. */
     public SpeedSummary speeds() {
         return SpeedSummary.of(Iterables.transform(shards.endpoints(), HeldEndpoint::speed));
     }
@@ -262,7 +262,7 @@
 
     private void admit(PlacedJob job) {
         CompletionEstimate estimate = estimator.of(job, timers.nowMillis());
-        if (!admission.takes(job, estimate, timers.nowMillis())) {
+        if (!admission.admit(job, estimate, timers.nowMillis())) {
             refuse(job, estimate);
             return;
         }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PoolCapacity.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PoolCapacity.java
@@ -4,10 +4,10 @@
 import java.util.Map;
 import org.tarragonarch.model.task.Resources;
 
-/** The processor time of the endpoints of each service that take tasks, or will within moments. */
+/** The processor time, by service, of the endpoints that take tasks or are being opened. */
 final class PoolCapacity {
-    /** How long a sum stands: it changes as endpoints come and go, and is asked for with every start. */
-    private static final long VALID_MILLIS = 20;
+    /** The time for which a sum is cached: it changes only as endpoints come and go, and is read with every start. */
+    private static final long CACHED_FOR_MILLIS = 20;
 
     private final Iterable<HeldEndpoint> endpoints;
     private final Map<String, Long> byService = new HashMap<>();
@@ -19,7 +19,7 @@
 
     /** Returns the capacity for a service, in thousandths of a core. */
     long of(String service, long nowMillis) {
-        if (nowMillis - countedAtMillis >= VALID_MILLIS) {
+        if (nowMillis - countedAtMillis >= CACHED_FOR_MILLIS) {
             countedAtMillis = nowMillis;
             byService.clear();
             for (HeldEndpoint endpoint : endpoints) {
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RecoveredRuns.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RecoveredRuns.java
@@ -41,12 +41,12 @@
     }
 
     /**
-     * Processes what runs that nobody here started.
+     * Processes the listed runs that were not started here.
      *
-     * <p>Only what the first list shows may be adopted. What shows later is a run that was given up here, and its
-     * task may have been started elsewhere.
+     * <p>Only runs in the first list may be adopted. A run that appears later was given up here, and its task may have
+     * been started elsewhere.
      */
-    void listed(Set<TaskRun> running, boolean firstList) {
+    void processList(Set<TaskRun> running, boolean firstList) {
         runs.keySet().retainAll(running);
         for (TaskRun run : running) {
             if (firstList) {
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/Reservation.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/Reservation.java
@@ -49,7 +49,7 @@
     static Reservation adopted(PlacedTask task, TaskRun run, Resources room, long nowMillis) {
         Reservation reservation = new Reservation(task, run, room, nowMillis);
         reservation.adopted = true;
-        reservation.listed(nowMillis);
+        reservation.markListed(nowMillis);
         return reservation;
     }
 
@@ -91,34 +91,34 @@
     }
 
     /** Records that a list shows the run. */
-    void listed(long nowMillis) {
+    void markListed(long nowMillis) {
         listed = true;
         endIfAbsent = EndKind.LAPSED;
         running(nowMillis);
     }
 
     /** Returns whether a list of the present incarnation has shown the run, so that it ends with that. */
-    boolean listed() {
+    boolean isListed() {
         return listed;
     }
 
     /**
-     * Records that another incarnation may carry the order out, until a list or a stop shows what became of it.
+     * Records that a later incarnation may carry out the order, until a list or the answer to a stop settles it.
      *
-     * @param kind how the run has ended if its start was answered and it is not there
-     * @param untilMillis until when its lease may last if nobody can be asked
+     * @param kind the kind of its end if its start was answered and the run is not listed
+     * @param untilMillis until when its lease may last if the endpoint cannot be reached, on the steady clock
      */
     void mayHaveMovedOn(EndKind kind, long untilMillis) {
         endIfAbsent = seen ? kind : EndKind.LAPSED;
         carriedOutUntilMillis = untilMillis;
     }
 
-    /** Returns how the run has ended if it is not there. */
+    /** Returns the kind of the run's end if it is not listed. */
     EndKind endIfAbsent() {
         return endIfAbsent;
     }
 
-    /** Returns whether the run is certainly over by now although nobody could be asked. */
+    /** Returns whether the run is certainly over although the endpoint cannot be reached. */
     boolean isLapsed(long leaseOverAtMillis, long nowMillis) {
         return nowMillis >= Math.max(leaseOverAtMillis, carriedOutUntilMillis);
     }
@@ -152,12 +152,12 @@
         return speedRecorded;
     }
 
-    /** Returns whether one list has shown more of the work done than another. */
+    /** Returns whether the progress of the run has increased between two lists. */
     boolean advanced() {
         return advanced;
     }
 
-    /** Returns the longest that the run took for a percent of its work, in milliseconds; 0 as long as none is known. */
+    /** Returns the longest time for one percent of the run's work, in milliseconds; 0 while unknown. */
     long slowestPercentMillis() {
         return slowestPercentMillis;
     }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RunEnds.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RunEnds.java
@@ -7,13 +7,13 @@
 import org.tarragonarch.model.task.EndKind;
 import org.tarragonarch.model.task.TaskRun;
 
-/** Ends the reserved runs of one endpoint, also those that are certainly over although no list tells how. */
+/** Ends the reserved runs of one endpoint, including those that are certainly over although no list shows their end. */
 final class RunEnds {
     private final EndpointLink link;
     private final ReservedRoom room;
     private final HeldEndpoint endpoint;
     private final EndpointEvents events;
-    private final List<PlacedTask> lapsedInSilence = new ArrayList<>();
+    private final List<PlacedTask> lapsedUnreachable = new ArrayList<>();
 
     RunEnds(EndpointLink link, ReservedRoom room, HeldEndpoint endpoint, EndpointEvents events) {
         this.link = link;
@@ -22,19 +22,19 @@
         this.events = events;
     }
 
-    /** Ends one run, whose room is free from now on. */
+    /** Ends one run and releases its room. */
     void end(Reservation reservation, EndKind kind) {
         room.release(reservation);
         events.ended(endpoint, reservation, kind);
     }
 
-    /** Ends what a list proves to be over by not showing it, and follows the progress of the rest. */
-    void listed(Map<TaskRun, Integer> percentByRun, long sentAtMillis, StallDetector stalls) {
-        lapsedInSilence.clear();
+    /** Ends the runs that are certainly over because a list does not contain them; follows the progress of the rest. */
+    void processList(Map<TaskRun, Integer> percentByRun, long sentAtMillis, StallDetector stalls) {
+        lapsedUnreachable.clear();
         for (Reservation reservation : room.all()) {
             Integer percent = percentByRun.get(reservation.run());
             if (percent != null) {
-                reservation.listed(link.nowMillis());
+                reservation.markListed(link.nowMillis());
                 stalls.followProgress(reservation, percent, sentAtMillis);
                 SpeedLearning.recordProgress(endpoint.speed(), reservation, percent, link.nowMillis());
             } else if (reservation.overIfAbsentAt(sentAtMillis)) {
@@ -43,7 +43,7 @@
         }
     }
 
-    /** Ends what runs on a silent endpoint as soon as its lease has certainly run out, unless it is heard before. */
+    /** Ends the runs of an unreachable endpoint once their lease has certainly expired, unless it answers before. */
     void lapseWhile(BooleanSupplier isSilent) {
         lapseIfOver(isSilent);
         if (!room.isEmpty()) {
@@ -59,54 +59,55 @@
         for (Reservation reservation : room.all()) {
             if (reservation.isLapsed(link.leaseOverAtMillis(), link.nowMillis())) {
                 if (reservation.seen() && reservation.endIfAbsent() == EndKind.LAPSED) {
-                    lapsedInSilence.add(reservation.task());
+                    lapsedUnreachable.add(reservation.task());
                 }
                 end(reservation, reservation.endIfAbsent());
             }
         }
     }
 
-    /** Ends everything. */
+    /** Ends all runs. */
     void endAll(EndKind kind) {
         room.all().forEach(reservation -> end(reservation, kind));
     }
 
     /**
-     * Ends everything because an endpoint with another id answers.
+     * Ends all runs because an endpoint with another id answers.
      *
-     * <p>One that was leaving has ended as it said, and what ran there is not suspected of having crashed it.
+     * <p>If the endpoint was leaving, its end was planned, and its runs are not suspected of having crashed it.
      */
     void lifeOver(boolean leftAsPlanned) {
-        endAll(kind(leftAsPlanned));
-        blame(leftAsPlanned);
+        endAll(endKind(leftAsPlanned));
+        reportCrash(leftAsPlanned);
     }
 
     /**
-     * Ends what the earlier incarnation has listed. All else may have been ordered after the restart, so the lists of
-     * the present one tell; if it stays silent, the last order to the earlier one has to be carried out and lapse.
+     * Ends the runs that the earlier incarnation has listed. Each other run may have been started by the present
+     * incarnation and is settled by its lists. If those cannot be read, the run is over once an order to the earlier
+     * incarnation can no longer be carried out and the lease has expired.
      */
     void restarted(boolean leftAsPlanned) {
         long untilMillis = link.nowMillis()
                 + UnansweredStarts.CARRIED_OUT_WITHIN_MILLIS
                 + link.settings().certainLapse();
         for (Reservation reservation : room.all()) {
-            if (reservation.listed()) {
-                end(reservation, kind(leftAsPlanned));
+            if (reservation.isListed()) {
+                end(reservation, endKind(leftAsPlanned));
             } else {
-                reservation.mayHaveMovedOn(kind(leftAsPlanned), untilMillis);
+                reservation.mayHaveMovedOn(endKind(leftAsPlanned), untilMillis);
             }
         }
-        blame(leftAsPlanned);
+        reportCrash(leftAsPlanned);
     }
 
-    private void blame(boolean leftAsPlanned) {
+    private void reportCrash(boolean leftAsPlanned) {
         if (!leftAsPlanned) {
-            lapsedInSilence.forEach(task -> events.crashed(endpoint, task));
+            lapsedUnreachable.forEach(task -> events.crashed(endpoint, task));
         }
-        lapsedInSilence.clear();
+        lapsedUnreachable.clear();
     }
 
-    private static EndKind kind(boolean leftAsPlanned) {
+    private static EndKind endKind(boolean leftAsPlanned) {
         return leftAsPlanned ? EndKind.LAPSED : EndKind.CRASHED;
     }
 }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RunListPoller.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RunListPoller.java
@@ -46,7 +46,7 @@
         return silent;
     }
 
-    /** Begins anew with a later incarnation, which numbers its ends from 1 and has not been read. */
+    /** Resets the poller for a later incarnation, which numbers its ends from 1 and has not been read. */
     void restart() {
         listedEnd = 0;
         acknowledgedEnd = 0;
@@ -72,7 +72,8 @@
     /**
      * Reads the lists once beside the call that is under way, on a connection of its own, and then goes on.
      *
-     * <p>That the endpoint obeys another holder or is another life is left to the next order, which learns it too.
+     * <p>An answer that the endpoint obeys another holder, or is another incarnation, is ignored here: the next order
+     * gets it too.
      *
      * @param then what to do with what is known afterwards, also if there was no answer
      */
@@ -147,7 +148,7 @@
         silent = false;
         read = true;
         retryMillis = 0;
-        host.listed(answer.running(), call.sentAtMillis(), firstList, wasSilent);
+        host.listsRead(answer.running(), call.sentAtMillis(), firstList, wasSilent);
     }
 
     /**
@@ -197,7 +198,7 @@
     /**
      * A call to the endpoint.
      *
-     * @param sentAtMillis when it left
+     * @param sentAtMillis when it was sent
      * @param lifeNumber which incarnation it was meant for
      * @param acknowledging the highest number of an end that need not be listed again
      */
@@ -215,13 +216,13 @@
         void ended(TaskEnd end);
 
         /**
-         * The lists were read; their new ends were told before.
+         * The lists were read; {@link #ended} was called before for each new end.
          *
-         * @param sentAtMillis when the call left; what began later need not show
-         * @param firstList whether the lists of this incarnation were never read before
-         * @param wasSilent whether the call before had no answer
+         * @param sentAtMillis when the call was sent; a run that began later may be missing
+         * @param firstList whether these are the first lists of this incarnation
+         * @param wasSilent whether the previous call got no answer
          */
-        void listed(Iterable<RunProgress> running, long sentAtMillis, boolean firstList, boolean wasSilent);
+        void listsRead(Iterable<RunProgress> running, long sentAtMillis, boolean firstList, boolean wasSilent);
 
         /** A later incarnation answers; its lists follow. */
         void restarted(EndpointLife later);
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RunOrders.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RunOrders.java
@@ -8,13 +8,13 @@
 /** Starts and stops runs on one endpoint, and keeps their room until it is certain that they are gone. */
 final class RunOrders {
     /**
-     * After how long a poll or stop that settles a run is not waited for any more, and the next is sent beside it: some
-     * round trips. Each is on a connection of its own, and the answer that comes first counts.
+     * The time after which an unanswered list or stop is sent again without waiting longer for the answer: some round
+     * trips. Each is sent on its own connection, and the first answer counts.
      */
     private static final long FIRST_RESEND_MILLIS = 15;
 
-    /** The longest pause between two sends, for an endpoint that stays silent. */
-    private static final long LONGEST_RESEND_MILLIS = 80;
+    /** The bound of the exponential backoff between two sends. */
+    private static final long MAX_RESEND_MILLIS = 80;
 
     /** An endpoint that refuses as unhealthy is left alone this long: a few times the run time of a short task. */
     private static final long UNHEALTHY_EJECTION_MILLIS = 250;
@@ -57,7 +57,7 @@
         }
     }
 
-    /** Sends the stops again that an earlier incarnation was sent, which bind the present one no more. */
+    /** Sends all stops again, since the present incarnation does not know those sent to an earlier one. */
     void stopAgainAfterRestart() {
         for (Reservation reservation : room.all()) {
             if (!reservation.wanted()) {
@@ -69,7 +69,7 @@
 
     private void startAnswered(Reservation reservation, OrderAnswer answer, int sentTo) {
         if (answer.result() != OrderResult.UNKNOWN) {
-            unanswered.answered(link.life().id(), reservation.run());
+            unanswered.recordAnswered(link.life().id(), reservation.run());
         }
         if (host.closed() || !room.contains(reservation)) {
             return;
@@ -111,11 +111,12 @@
     }
 
     /**
-     * Guards against an order that is carried out seconds after it was sent: the task would run twice, or over the
-     * endpoint's room. It shows as a start without an answer. The list tells whether only the answer was lost; if the
-     * run is not there, or the list does not come soon, it is stopped, which the endpoint remembers, and its room stays
-     * reserved until the stop was answered or the order's own time is over. Stopped without a look, runs of which only
-     * the answer was lost would have to start again.
+     * Settles a start that got no answer. Guards against an order that is carried out seconds after it was sent, so
+     * that the task would run twice, or beyond the endpoint's capacity.
+     *
+     * <p>The list shows whether only the answer was lost. If the run is not in it, or the list does not arrive soon,
+     * the run is stopped, which the endpoint remembers. Its room stays reserved until the stop is answered or the order
+     * has expired. A stop without reading the list first would also end runs of which only the answer was lost.
      */
     private void startUnanswered(Reservation reservation) {
         if (reservation.is(Reservation.State.STARTING)) {
@@ -141,7 +142,7 @@
         link.stop(reservation.run(), fresh, answer -> stopAnswered(reservation, answer));
         link.timers().after(resendMillis, () -> {
             if (sentTo == link.lifeNumber() && isIn(Reservation.State.STOPPING, reservation)) {
-                sendStop(reservation, true, longer(resendMillis));
+                sendStop(reservation, true, backedOff(resendMillis));
             }
         });
     }
@@ -150,8 +151,8 @@
         return !host.closed() && room.contains(reservation) && reservation.is(state);
     }
 
-    private static long longer(long millis) {
-        return Math.min(LONGEST_RESEND_MILLIS, 2 * millis);
+    private static long backedOff(long millis) {
+        return Math.min(MAX_RESEND_MILLIS, 2 * millis);
     }
 
     private void stopAnswered(Reservation reservation, OrderAnswer answer) {
@@ -187,7 +188,7 @@
     private void listUntilGone(Reservation reservation, long againMillis) {
         if (isIn(Reservation.State.STOPPED, reservation)) {
             poller.readAside(() -> {});
-            link.timers().after(againMillis, () -> listUntilGone(reservation, longer(againMillis)));
+            link.timers().after(againMillis, () -> listUntilGone(reservation, backedOff(againMillis)));
         }
     }
 
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/StallDetector.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/StallDetector.java
@@ -27,8 +27,9 @@
     /**
      * Stops runs that take far longer than expected, once a task: where the work is long, the second is left alone.
      *
-     * <p>A run that shows progress is left to {@link #followProgress}. Guards against stopping healthy work: where
-     * three tasks in a hundred run seven times as long as the others, each of them was stopped at four times.
+     * <p>A run that shows progress is left to {@link #followProgress}. Guards against stopping
+     * stragglers that make progress: a task that runs seven times as long as the others exceeds the limit of four
+     * times.
      */
     void restartOverdueRuns(long nowMillis) {
         for (Reservation reservation : room.all()) {
@@ -65,7 +66,7 @@
         }
     }
 
-    /** Returns a limit as it is on an endpoint known to be slow; a fast one gets no shorter limit. */
+    /** Returns a time limit extended for a slow endpoint; a fast one gets no shorter limit. */
     private long atSpeed(long millis) {
         return Math.round(millis / Math.min(1, speed.classSpeed()));
     }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/StartOrder.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/StartOrder.java
@@ -13,16 +13,16 @@
  * The order in which one pass over the pending jobs tries to start them.
  *
  * <p>Jobs that can be in time go before those that cannot. Among the shares that have such a job, one below its
- * guaranteed part comes first, then the one with the least processor time in use for its weight. Within a share jobs go
- * by their latest start; where there are several shares those begun go first, since a share that is passed by others
- * would otherwise hold capacity for many jobs of which none ends.
+ * guaranteed fraction comes first, then the one with the least processor time in use for its weight. Within a share,
+ * jobs are ordered by their latest start. Where shares are configured, jobs that have begun go first within their
+ * share; otherwise a share that gets little capacity would begin many jobs and complete none.
  */
 final class StartOrder {
     private final PoolShares shares;
     private final PoolCapacity capacity;
     private final long nowMillis;
-    private final List<Walk> walks = new ArrayList<>();
-    private Optional<Walk> tried = Optional.empty();
+    private final List<Cursor> cursors = new ArrayList<>();
+    private Optional<Cursor> tried = Optional.empty();
 
     StartOrder(PendingShares pending, PoolShares shares, PoolCapacity capacity, long nowMillis) {
         this.shares = shares;
@@ -30,7 +30,7 @@
         this.nowMillis = nowMillis;
         for (Map.Entry<ShareId, PendingJobs> each : pending.shares()) {
             if (!each.getValue().isEmpty()) {
-                walks.add(new Walk(each.getKey(), each.getValue()));
+                cursors.add(new Cursor(each.getKey(), each.getValue()));
             }
         }
     }
@@ -41,36 +41,36 @@
      * @param roomiest the most processor time that one endpoint has free; jobs that need more are passed over
      */
     Optional<PlacedJob> next(long roomiest) {
-        tried.ifPresent(Walk::refresh);
+        tried.ifPresent(Cursor::refresh);
         tried = first(roomiest, false);
         if (tried.isPresent()) {
             return Optional.of(tried.get().takeInTime());
         }
         tried = first(roomiest, true);
-        return tried.map(Walk::takeOverdue);
+        return tried.map(Cursor::takeOverdue);
     }
 
-    private Optional<Walk> first(long roomiest, boolean overdue) {
-        Walk best = null;
-        for (Walk walk : walks) {
-            if (walk.jobs.anyFitsInto(roomiest)
-                    && walk.has(overdue, roomiest)
-                    && mayStart(walk.share, walk.jobs.smallestNeed())
-                    && (best == null || walk.precedes(best))) {
-                best = walk;
+    private Optional<Cursor> first(long roomiest, boolean overdue) {
+        Cursor best = null;
+        for (Cursor cursor : cursors) {
+            if (cursor.jobs.anyFitsInto(roomiest)
+                    && cursor.has(overdue, roomiest)
+                    && mayStart(cursor.share, cursor.jobs.smallestNeed())
+                    && (best == null || cursor.precedes(best))) {
+                best = cursor;
             }
         }
         return Optional.ofNullable(best);
     }
 
-    /** Returns whether a share stays within its ceiling with so much more. */
+    /** Returns whether a share stays within its ceiling if it starts a task that needs so much. */
     boolean mayStart(ShareId share, long milliCores) {
         return !shares.plan().isBounded()
                 || !shares.exceedsCeiling(share, milliCores, capacity.of(share.service(), nowMillis));
     }
 
-    /** Where the pass is in the jobs of one share. */
-    private final class Walk {
+    /** The position of the pass in the jobs of one share. */
+    private final class Cursor {
         private final ShareId share;
         private final PendingJobs jobs;
         private final boolean begunFirst = shares.plan().isConfigured();
@@ -80,7 +80,7 @@
         private double usedByWeight;
         private boolean isBelowGuaranteed;
 
-        Walk(ShareId share, PendingJobs jobs) {
+        Cursor(ShareId share, PendingJobs jobs) {
             this.share = share;
             this.jobs = jobs;
             this.next = jobs.first();
@@ -90,14 +90,14 @@
             refresh();
         }
 
-        /** Takes in what the share has in use now; during a pass only starts change it. */
+        /** Reads the present use of the share; during a pass only starts change it. */
         private void refresh() {
             usedByWeight = shares.usedByWeight(share);
             isBelowGuaranteed = shares.plan().isBounded()
                     && shares.isBelowGuaranteed(share, capacity.of(share.service(), nowMillis));
         }
 
-        boolean precedes(Walk other) {
+        boolean precedes(Cursor other) {
             return isBelowGuaranteed == other.isBelowGuaranteed ? usedByWeight < other.usedByWeight : isBelowGuaranteed;
         }
 
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/UnansweredStarts.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/UnansweredStarts.java
@@ -10,27 +10,27 @@
 import org.tarragonarch.model.task.TaskRun;
 
 /**
- * The orders to start that the endpoints of one shard have not answered, as long as they may yet be carried out.
+ * The start orders that the endpoints of one shard have not answered, as long as they may yet be carried out.
  *
- * <p>An incarnation that was told to stop such a run refuses its start. One that starts later was not told, and the
- * expiry in the order is on the clock of the earlier one, so it is told again.
+ * <p>An incarnation that has answered a stop of such a run refuses its start. A later incarnation does not know of that
+ * stop, and the expiry in the order is on the clock of the earlier one, so the run has to be stopped there again.
  */
 final class UnansweredStarts {
-    /** Orders without an answer are carried out up to 12 s later; the rest is for the clocks. */
+    /** An order without an answer may be carried out up to 12 s later; 3 s are a margin for differences of clocks. */
     static final long CARRIED_OUT_WITHIN_MILLIS = 15_000;
 
-    /** The most orders that are kept for one endpoint; the oldest give way. An endpoint has room for some tens. */
-    private static final int MOST_PER_ENDPOINT = 128;
+    /** The orders kept for one endpoint, which runs at most some tens of tasks; beyond that the oldest is dropped. */
+    private static final int MAX_PER_ENDPOINT = 128;
 
     private final Map<Order, Sent> orders = new LinkedHashMap<>();
     private final Multiset<EndpointId> counts = HashMultiset.create();
 
-    /** Records an order that leaves now. */
+    /** Records an order that is sent now. */
     void add(EndpointId endpoint, TaskRun run, long nowMillis) {
         expire(nowMillis);
         Order order = new Order(endpoint, run);
         Sent earlier = remove(order);
-        if (counts.count(endpoint) >= MOST_PER_ENDPOINT) {
+        if (counts.count(endpoint) >= MAX_PER_ENDPOINT) {
             orders.keySet().stream()
                     .filter(other -> other.endpoint().equals(endpoint))
                     .findFirst()
@@ -41,7 +41,7 @@
     }
 
     /** Records that an order was answered. */
-    void answered(EndpointId endpoint, TaskRun run) {
+    void recordAnswered(EndpointId endpoint, TaskRun run) {
         Order order = new Order(endpoint, run);
         Sent sent = orders.get(order);
         if (sent != null && sent.times() > 1) {
@@ -51,8 +51,8 @@
         }
     }
 
-    /** Records that a run has shown. Where it was ordered more than once, the other orders may yet be carried out. */
-    void shown(EndpointId endpoint, TaskRun run) {
+    /** Records that a run was listed, or its end. If it was ordered more than once, the other orders remain. */
+    void recordListed(EndpointId endpoint, TaskRun run) {
         Order order = new Order(endpoint, run);
         Sent sent = orders.get(order);
         if (sent != null && sent.times() == 1) {
@@ -96,18 +96,18 @@
     }
 
     /**
-     * An order. The same run is ordered again where a client sends a job again that is over.
+     * An order. The same run is ordered again if a client resubmits a job that is over.
      *
-     * @param endpoint where it went
-     * @param run what is to be started
+     * @param endpoint the endpoint that it was sent to
+     * @param run the run to be started
      */
     private record Order(EndpointId endpoint, TaskRun run) {}
 
     /**
-     * When and how often an order was sent.
+     * The time and the number of unanswered sends of an order.
      *
-     * @param atMillis when it left last
-     * @param times how many of it were not answered
+     * @param atMillis when it was last sent, on the steady clock
+     * @param times the number of sends without an answer
      */
     private record Sent(long atMillis, int times) {}
 }
