Routing between failure domains: ImmediateStartOffers and HolderRoom; units and hysteresis in Javadoc

AtOnceRounds and RoomyHolder did not say what they are, and several comments of the room estimate, the job table and the statuses needed a second reading. Classes are named for what they hold, and record components have units.

--- a/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/MoveCount.java
+++ b/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/MoveCount.java
@@ -15,7 +15,7 @@
     }
 
     @Override
-    public void backFromNeighbour(JobId job, NodeId holder) {
+    public void returnedByNeighbour(JobId job, NodeId holder) {
         back++;
     }
 
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/KnownHolders.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/KnownHolders.java
@@ -5,8 +5,8 @@
 import java.util.Comparator;
 import java.util.function.Predicate;
 import org.tarragonarch.core.routing.Holder;
+import org.tarragonarch.core.routing.HolderRoom;
 import org.tarragonarch.core.routing.Holders;
-import org.tarragonarch.core.routing.RoomyHolder;
 import org.tarragonarch.core.shard.Heartbeats;
 import org.tarragonarch.core.shard.PeerTable;
 import org.tarragonarch.core.shard.ShardOwnership;
@@ -80,7 +80,7 @@
     }
 
     @Override
-    public ImmutableList<RoomyHolder> neighboursWithRoom(long milliCores) {
+    public ImmutableList<HolderRoom> neighboursWithRoom(long milliCores) {
         return neighbourRoom.withRoom(milliCores);
     }
 
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/NeighbourRoom.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/NeighbourRoom.java
@@ -5,7 +5,7 @@
 import java.util.Map;
 import java.util.function.Predicate;
 import org.tarragonarch.core.routing.Holder;
-import org.tarragonarch.core.routing.RoomyHolder;
+import org.tarragonarch.core.routing.HolderRoom;
 import org.tarragonarch.core.shard.PeerTable;
 import org.tarragonarch.core.shard.ShardPools;
 import org.tarragonarch.model.id.FailureDomain;
@@ -15,14 +15,14 @@
 import org.tarragonarch.model.task.Timers;
 
 /**
- * The room that the holders of other failure domains nearby have, by their last statuses and what this node has offered
- * them since.
+ * Estimates the free room of the holders of other failure domains nearby, from their last statuses and what this node
+ * has offered them since.
  *
  * <p>Guards against every job going to the same holder until its next status shows that it is full.
  */
 final class NeighbourRoom {
-    /** A status that is older says too little of the room there is: two periods, so one may be missed. */
-    private static final long FRESH_MILLIS = 2 * PeerTable.STATUS_PERIOD_MILLIS;
+    /** The age up to which a status is used: two periods, so that one status may be lost. */
+    private static final long MAX_STATUS_AGE_MILLIS = 2 * PeerTable.STATUS_PERIOD_MILLIS;
 
     private final FailureDomain ownDomain;
     private final PeerTable peers;
@@ -44,38 +44,43 @@
         this.isDrained = isDrained;
     }
 
-    /** Returns the holders with so much room, in thousandths of a core, by name. */
-    ImmutableList<RoomyHolder> withRoom(long milliCores) {
-        ImmutableList.Builder<RoomyHolder> roomy = ImmutableList.builder();
+    /** Returns the holders with at least this much room, in thousandths of a core. */
+    ImmutableList<HolderRoom> withRoom(long milliCores) {
+        ImmutableList.Builder<HolderRoom> roomy = ImmutableList.builder();
         for (NodeStatus status : peers.holders()) {
             Debit debit = debit(status.node());
-            long free = freeMilliCores(status) - debit.milliCores();
-            if (free >= milliCores && debit.mostMilliCores() >= milliCores && isFresh(status)) {
-                roomy.add(new RoomyHolder(new Holder(status.node(), status.shards()), free));
+            long free = freeMilliCores(status) - debit.offeredMilliCores();
+            if (free >= milliCores && debit.maxJobMilliCores() >= milliCores && isFresh(status)) {
+                roomy.add(new HolderRoom(new Holder(status.node(), status.shards()), free));
             }
         }
         return roomy.build();
     }
 
-    /** Counts room as taken until the holder's next status. */
+    /** Deducts an offered job from the holder's room until its next status. */
     void offered(NodeId holder, long milliCores) {
         Debit debit = debit(holder);
-        debits.put(holder, new Debit(debit.statusAtMillis(), debit.milliCores() + milliCores, debit.mostMilliCores()));
+        debits.put(
+                holder,
+                new Debit(debit.statusAtMillis(), debit.offeredMilliCores() + milliCores, debit.maxJobMilliCores()));
     }
 
-    /** Takes a holder for too full for such a job, or a larger one, until its next status. */
+    /** Excludes a holder for jobs of this size and larger ones until its next status. */
     void refused(NodeId holder, long milliCores) {
         Debit debit = debit(holder);
-        long most = Math.min(debit.mostMilliCores(), milliCores - 1);
-        debits.put(holder, new Debit(debit.statusAtMillis(), debit.milliCores(), most));
+        long most = Math.min(debit.maxJobMilliCores(), milliCores - 1);
+        debits.put(holder, new Debit(debit.statusAtMillis(), debit.offeredMilliCores(), most));
     }
 
     private boolean isFresh(NodeStatus status) {
         long age = timers.nowMillis() - peers.statusAtMillis(status.node()).orElseThrow();
-        return !status.leaving() && age <= FRESH_MILLIS;
+        return !status.leaving() && age <= MAX_STATUS_AGE_MILLIS;
     }
 
-    /** Returns the free room on endpoints nearby that take work; none if it holds this node's own failure domain. */
+    /**
+     * Returns the free processor time in the nearby shards of a holder that are not drained, in thousandths of a core;
+     * 0 if it holds this node's own failure domain.
+     */
     private long freeMilliCores(NodeStatus status) {
         long free = 0;
         for (HeldShard held : status.shards()) {
@@ -95,11 +100,11 @@
     }
 
     /**
-     * What was offered to a holder since a status of it, and what it refused.
+     * The offers to a holder, and its refusals, since its last status.
      *
-     * @param statusAtMillis when that status came, on the steady clock
-     * @param milliCores what was offered, in thousandths of a core
-     * @param mostMilliCores the largest job that it may be offered, in thousandths of a core
+     * @param statusAtMillis when that status was received, on the steady clock
+     * @param offeredMilliCores the processor time of the jobs offered, in thousandths of a core
+     * @param maxJobMilliCores the size of the largest job that it may be offered, in thousandths of a core
      */
-    private record Debit(long statusAtMillis, long milliCores, long mostMilliCores) {}
+    private record Debit(long statusAtMillis, long offeredMilliCores, long maxJobMilliCores) {}
 }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/UsedElsewhere.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/UsedElsewhere.java
@@ -6,10 +6,10 @@
 import org.tarragonarch.model.id.NodeId;
 import org.tarragonarch.model.report.NodeStatus;
 
-/** What each priority has in use in the shards of other holders, as their statuses say. */
+/** The processor time that each priority has in use in the shards of other holders, from their statuses. */
 final class UsedElsewhere {
-    /** Five status periods of a holder; an older status says nothing of runs that last less than that. */
-    private static final long FRESH_MILLIS = 1_000;
+    /** The age up to which a status is used: five status periods of a holder. */
+    private static final long MAX_STATUS_AGE_MILLIS = 1_000;
 
     private final Map<NodeId, Received> byHolder = new HashMap<>();
 
@@ -26,7 +26,7 @@
 
     /** Returns the use by priority, in thousandths of a core; holders whose status is too old are left out. */
     ImmutableMap<Integer, Long> byPriority(long nowMillis) {
-        byHolder.values().removeIf(each -> nowMillis - each.atMillis() > FRESH_MILLIS);
+        byHolder.values().removeIf(each -> nowMillis - each.atMillis() > MAX_STATUS_AGE_MILLIS);
         Map<Integer, Long> used = new HashMap<>();
         for (Received each : byHolder.values()) {
             each.status()
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/routing/HolderRoom.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/routing/HolderRoom.java
@@ -3,15 +3,15 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 /**
- * The holder of another failure domain that has room.
+ * The free room of the holder of another failure domain, as estimated by this node.
  *
  * @param holder the holder
- * @param freeMilliCores its free processor time by its last status, less what this node has offered it since, in
- *     thousandths of a core
+ * @param freeMilliCores the free processor time in its last status, less what this node has offered it since then,
+ *     in thousandths of a core
  */
-public record RoomyHolder(Holder holder, long freeMilliCores) {
-    /** Checks the parts. */
-    public RoomyHolder {
+public record HolderRoom(Holder holder, long freeMilliCores) {
+    /** Checks for null. */
+    public HolderRoom {
         checkNotNull(holder, "holder");
     }
 }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/routing/Holders.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/routing/Holders.java
@@ -22,7 +22,7 @@
      *
      * @param milliCores how much room, in thousandths of a core
      */
-    ImmutableList<RoomyHolder> neighboursWithRoom(long milliCores);
+    ImmutableList<HolderRoom> neighboursWithRoom(long milliCores);
 
     /** Returns whether the holder has the endpoints of this node's own failure domain. */
     boolean isOwn(Holder holder);
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/routing/ImmediateStartOffers.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/routing/ImmediateStartOffers.java
@@ -12,36 +12,36 @@
 import org.tarragonarch.model.task.JobRequest;
 
 /**
- * The holders to which one job is offered to start at once, before any may let it wait: that of its own failure domain,
- * and then a few others that have room.
+ * The sequence of holders to which one job is offered under the terms {@code AT_ONCE}, before any holder may let it
+ * wait: that of its own failure domain, and then a few of other domains that have room.
  *
- * <p>Where no other has room, there are no such rounds, and the job goes to its own domain as it would without them.
+ * <p>Where no other domain has room, the sequence is empty, and the job is offered to its own domain to wait there.
  */
-final class AtOnceRounds {
-    /** Bounds what a job loses in rounds that lead to nothing: each costs a round trip between domains, about 2 ms. */
-    private static final int MOST_NEIGHBOURS = 2;
+final class ImmediateStartOffers {
+    /** The other domains that one job is offered to; each refusal costs a round trip between domains, about 2 ms. */
+    private static final int MAX_NEIGHBOURS = 2;
 
     private final JobRequest job;
     private final Set<NodeId> asked = new HashSet<>();
     private int neighboursAsked;
 
-    AtOnceRounds(JobRequest job) {
+    ImmediateStartOffers(JobRequest job) {
         this.job = job;
     }
 
     /**
-     * Returns the next holder to ask, noted as asked; empty once the job may wait.
+     * Returns the next holder and counts it as asked; empty once the job may wait.
      *
      * @param inOrder the reachable holders in the order in which they are asked
-     * @param mayBeOffered tells whether a holder may have the job now
+     * @param mayBeOffered returns whether the job may be offered to a holder now
      */
     Optional<Holder> next(ImmutableList<Holder> inOrder, Holders holders, Predicate<Holder> mayBeOffered) {
         Optional<Holder> own =
                 inOrder.stream().findFirst().filter(holders::isOwn).filter(mayBeOffered);
-        if (own.isEmpty() || neighboursAsked >= MOST_NEIGHBOURS) {
+        if (own.isEmpty() || neighboursAsked >= MAX_NEIGHBOURS) {
             return Optional.empty();
         }
-        ImmutableList<RoomyHolder> roomy = holders.neighboursWithRoom(job.milliCores()).stream()
+        ImmutableList<HolderRoom> roomy = holders.neighboursWithRoom(job.milliCores()).stream()
                 .filter(neighbour -> !asked.contains(neighbour.holder().node()))
                 .filter(neighbour -> mayBeOffered.test(neighbour.holder()))
                 .collect(ImmutableList.toImmutableList());
@@ -52,23 +52,26 @@
             return own;
         }
         neighboursAsked++;
-        Holder drawn = drawOne(roomy);
-        asked.add(drawn.node());
-        return Optional.of(drawn);
+        Holder chosen = chooseOne(roomy);
+        asked.add(chosen.node());
+        return Optional.of(chosen);
     }
 
-    /** Returns the roomier of two holders that are drawn by the job's id. */
-    private Holder drawOne(ImmutableList<RoomyHolder> roomy) {
+    /**
+     * Returns the one with more room of two holders that are selected by a hash of the job's id (power of two choices),
+     * so that jobs spread over the holders.
+     */
+    private Holder chooseOne(ImmutableList<HolderRoom> roomy) {
         int count = roomy.size();
         HashFunction hash = Hashing.murmur3_128(neighboursAsked);
-        long drawn = hash.hashString(job.id().value(), StandardCharsets.UTF_8).asLong();
-        int first = (int) Long.remainderUnsigned(drawn, count);
+        long hashed = hash.hashString(job.id().value(), StandardCharsets.UTF_8).asLong();
+        int first = (int) Long.remainderUnsigned(hashed, count);
         if (count == 1) {
             return roomy.get(first).holder();
         }
-        int step = 1 + (int) Long.remainderUnsigned(Long.divideUnsigned(drawn, count), count - 1);
-        RoomyHolder one = roomy.get(first);
-        RoomyHolder other = roomy.get((first + step) % count);
+        int step = 1 + (int) Long.remainderUnsigned(Long.divideUnsigned(hashed, count), count - 1);
+        HolderRoom one = roomy.get(first);
+        HolderRoom other = roomy.get((first + step) % count);
         return (other.freeMilliCores() > one.freeMilliCores() ? other : one).holder();
     }
 }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/routing/JobRouter.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/routing/JobRouter.java
@@ -229,7 +229,7 @@
     private void notStartedAtOnce(OpenJob job) {
         job.holder().filter(holder -> !holders.isOwn(holder)).ifPresent(neighbour -> {
             holders.notStartedAtOnce(neighbour, job.milliCores());
-            observer.backFromNeighbour(job.id(), neighbour.node());
+            observer.returnedByNeighbour(job.id(), neighbour.node());
         });
         job.notStartedAtOnce();
         place(job);
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/routing/JobTable.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/routing/JobTable.java
@@ -9,7 +9,7 @@
 import org.tarragonarch.model.task.JobProgress;
 import org.tarragonarch.model.task.JobReply;
 
-/** The jobs of one node's clients: those that are open, and the answers of those that lately were. */
+/** The open jobs of one node's clients, and the recent answers. */
 final class JobTable {
     private final Map<JobId, OpenJob> open = new LinkedHashMap<>();
     private final AnsweredJobs answered = new AnsweredJobs();
@@ -22,7 +22,7 @@
         return Optional.ofNullable(open.get(id));
     }
 
-    /** Returns the answer that the job was given lately. */
+    /** Returns the answer of a job that was recently open. */
     Optional<JobReply> findAnswer(JobId id) {
         return answered.find(id);
     }
@@ -31,24 +31,24 @@
         return open.get(job.id()) == job;
     }
 
-    /** Returns the open jobs as they are now, in the order in which they came. */
+    /** Returns a copy of the open jobs, in order of arrival. */
     ImmutableList<OpenJob> all() {
         return ImmutableList.copyOf(open.values());
     }
 
-    /** Answers a job, which is no longer open from now on. */
+    /** Answers a job and closes it. */
     void answer(OpenJob job, JobReply reply) {
         open.remove(job.id());
         answered.add(job.id(), reply);
         job.answer(reply.by(job.lastHolder()));
     }
 
-    /** Gives the only answer to a job that nobody takes which is true: it has not run, or it may have. */
+    /** Answers a job that no holder takes: as refused if it has certainly not run, otherwise as given up. */
     void refuse(OpenJob job, long retryMillis) {
         answer(job, job.mayHaveRun() ? JobReply.of(JobOutcome.GIVEN_UP) : JobReply.refused(retryMillis));
     }
 
-    /** Removes a job that nobody waits for any more. */
+    /** Removes a job without an answer, because no client waits for it any more. */
     void remove(OpenJob job) {
         open.remove(job.id());
     }
@@ -74,7 +74,7 @@
                 .count();
     }
 
-    /** Returns what is known of a job. */
+    /** Returns the progress of a job; empty if the job is unknown. */
     Optional<JobProgress> progress(JobId id) {
         OpenJob job = open.get(id);
         if (job != null) {
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/routing/OpenJob.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/routing/OpenJob.java
@@ -33,14 +33,14 @@
     private Optional<NodeId> lastHolder = Optional.empty();
     private Optional<NodeId> returnedBy = Optional.empty();
     private ImmutableSet<FailureDomain> lostReach = ImmutableSet.of();
-    private final AtOnceRounds atOnceRounds;
+    private final ImmediateStartOffers atOnceRounds;
     private boolean mayHaveRun;
     private long lostAtMillis;
     private long soonestRetryMillis = Long.MAX_VALUE;
 
     OpenJob(JobRequest request, QueueDefinition queue, long arrivedAtMillis, long deadlineAtMillis) {
         this.request = request;
-        this.atOnceRounds = new AtOnceRounds(request);
+        this.atOnceRounds = new ImmediateStartOffers(request);
         this.queue = queue;
         this.arrivedAtMillis = arrivedAtMillis;
         this.deadlineAtMillis = deadlineAtMillis;
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/LastStatus.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/LastStatus.java
@@ -8,10 +8,11 @@
 /**
  * The last status of one peer.
  *
- * @param atMillis when it came
- * @param sinceMillis since when it has been there without a break
- * @param present whether it is reachable
- * @param fellSilent whether it was lost by its silence, and not by the end of its connections
+ * @param status the status
+ * @param atMillis when it was received, on the steady clock
+ * @param sinceMillis since when the peer has been reachable without a break, on the steady clock
+ * @param present whether the peer is reachable
+ * @param fellSilent whether the peer was lost by a missing status, and not by the end of its connections
  */
 record LastStatus(NodeStatus status, long atMillis, long sinceMillis, boolean present, boolean fellSilent) {
     LastStatus gone(boolean silent) {
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/LatestStarts.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/LatestStarts.java
@@ -6,24 +6,24 @@
 import org.tarragonarch.model.id.EndpointLife;
 
 /**
- * The latest incarnation of each endpoint that an entry told of, also while the endpoint is not listed.
+ * The latest known incarnation of each endpoint, kept also while the endpoint is not listed.
  *
- * <p>Guards against an entry of an earlier incarnation that is read after a later one was listed and dropped.
+ * <p>Guards against an entry of an earlier incarnation that is read after the entry of a later one was removed.
  */
 final class LatestStarts {
-    /** About three times the endpoints of the largest region; what was listed least recently gives way. */
-    private static final int MOST_ENDPOINTS = 8_192;
+    /** About three times the endpoints of the largest region; the least recently accessed entry is dropped. */
+    private static final int MAX_ENDPOINTS = 8_192;
 
     private static final float LOAD_FACTOR = 0.75f;
 
     private final Map<EndpointId, EndpointLife> latest = new LinkedHashMap<>(16, LOAD_FACTOR, true) {
         @Override
         protected boolean removeEldestEntry(Map.Entry<EndpointId, EndpointLife> eldest) {
-            return size() > MOST_ENDPOINTS;
+            return size() > MAX_ENDPOINTS;
         }
     };
 
-    /** Records an incarnation that has told its start. */
+    /** Records an incarnation if its start is known. */
     void record(EndpointLife life) {
         if (life.hasStart()) {
             latest.put(life.id(), life);
@@ -36,7 +36,7 @@
         return known != null && known.isLaterThan(life);
     }
 
-    /** Returns whether the endpoint tells when it starts, and this does not. */
+    /** Returns whether a start of the endpoint is known and this incarnation has none. */
     boolean lacksStart(EndpointLife life) {
         return !life.hasStart() && latest.containsKey(life.id());
     }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/ShardObserver.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/ShardObserver.java
@@ -13,12 +13,12 @@
 import org.tarragonarch.model.task.TaskRun;
 
 /**
- * Observes what happens to the shards of a node and on them, and decides nothing.
+ * Listener for what happens to the shards of a node, for logs and metrics.
  *
  * <p>Every method does nothing unless it is overridden.
  */
 public interface ShardObserver extends RoutingObserver {
-    /** The node took a shard with so many endpoints. */
+    /** The node claimed a shard with this many endpoints. */
     default void claimed(FailureDomain shard, FencingToken token, int endpoints) {}
 
     /** The node released a shard of its own accord. */
@@ -35,10 +35,10 @@
      */
     default void drainChanged(FailureDomain domain, boolean isDrained, long version, String source) {}
 
-    /** A job is declined, and why. */
+    /** A job is declined because of the estimate. */
     default void declined(NodeId origin, JobId job, CompletionEstimate estimate) {}
 
-    /** A share wants more than its allotment from now on, or no longer does. */
+    /** A share becomes limited by its allotment, or no longer is. */
     default void shareLimited(ShareState state, boolean isLimited) {}
 
     /** An endpoint is clearly faster or slower than before; speeds are multiples of the pool's mean. */
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/routing/DomainBalanceTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/routing/DomainBalanceTest.java
@@ -35,7 +35,7 @@
         }
 
         @Override
-        public void backFromNeighbour(JobId job, NodeId holder) {
+        public void returnedByNeighbour(JobId job, NodeId holder) {
             observed.add("back from " + holder);
         }
     });
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/routing/FakeHolders.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/routing/FakeHolders.java
@@ -24,7 +24,7 @@
     final Map<FailureDomain, Long> highestTerms = new HashMap<>();
     boolean isHolderExpected;
     boolean isHolderUnreachable;
-    final List<RoomyHolder> neighboursWithRoom = new ArrayList<>();
+    final List<HolderRoom> neighboursWithRoom = new ArrayList<>();
     final List<String> asked = new ArrayList<>();
     final List<String> refused = new ArrayList<>();
 
@@ -43,12 +43,12 @@
     /** Adds the holder of another failure domain that has room. */
     Holder addNeighbour(String node, String shard, long freeMilliCores) {
         Holder holder = add(node, shard, 1);
-        neighboursWithRoom.add(new RoomyHolder(holder, freeMilliCores));
+        neighboursWithRoom.add(new HolderRoom(holder, freeMilliCores));
         return holder;
     }
 
     @Override
-    public ImmutableList<RoomyHolder> neighboursWithRoom(long milliCores) {
+    public ImmutableList<HolderRoom> neighboursWithRoom(long milliCores) {
         return neighboursWithRoom.stream()
                 .filter(neighbour -> neighbour.freeMilliCores() >= milliCores)
                 .collect(ImmutableList.toImmutableList());
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ShardLog.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ShardLog.java
@@ -85,7 +85,7 @@
     }
 
     @Override
-    public void backFromNeighbour(JobId job, NodeId holder) {
+    public void returnedByNeighbour(JobId job, NodeId holder) {
         meters.movedBack();
         log.line(NodeEvent.JOB_MOVED_BACK, "job", job, "holder", holder);
     }
