--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/Coordinator.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/Coordinator.java
@@ -7,7 +7,6 @@
 import com.google.common.collect.ImmutableSet;
 import com.google.common.collect.Sets;
 import java.util.function.LongSupplier;
-import org.tarragonarch.core.placing.CompletionEstimate;
 import org.tarragonarch.core.placing.Placer;
 import org.tarragonarch.core.placing.PlacingSettings;
 import org.tarragonarch.core.routing.JobRouter;
@@ -15,38 +14,32 @@
 import org.tarragonarch.core.shard.Heartbeats;
 import org.tarragonarch.core.shard.HolderElection;
 import org.tarragonarch.core.shard.PeerTable;
-import org.tarragonarch.core.shard.ShardEvents;
 import org.tarragonarch.core.shard.ShardObserver;
 import org.tarragonarch.core.shard.ShardOwnership;
 import org.tarragonarch.core.shard.ShardPools;
 import org.tarragonarch.core.share.ShareState;
 import org.tarragonarch.core.speed.SpeedSummary;
-import org.tarragonarch.model.id.EndpointId;
-import org.tarragonarch.model.id.EndpointLife;
 import org.tarragonarch.model.id.FailureDomain;
 import org.tarragonarch.model.id.NodeId;
 import org.tarragonarch.model.report.DrainedDomains;
+import org.tarragonarch.model.report.HeldShard;
 import org.tarragonarch.model.report.Member;
 import org.tarragonarch.model.report.NodeStatus;
-import org.tarragonarch.model.task.EndKind;
 import org.tarragonarch.model.task.EndpointOrders;
-import org.tarragonarch.model.task.FencingToken;
 import org.tarragonarch.model.task.JobId;
 import org.tarragonarch.model.task.Offer;
 import org.tarragonarch.model.task.QueueCatalog;
-import org.tarragonarch.model.task.TaskRun;
 import org.tarragonarch.model.task.Timers;
 import org.tarragonarch.model.task.Verdict;
 
 /**
- * What one node does among its peers: holds shards, hands its clients' jobs to holders, and says how it is.
+ * Coordinates one node with its peers: holds shards, offers its clients' jobs to holders, and sends its status.
  *
  * <p>One thread calls every method. Nothing here reads a clock or a socket: time, peers and endpoints are ports.
  */
-public final class Coordinator implements ShardEvents {
+public final class Coordinator {
     private final Member self;
     private final Timers timers;
-    private final PeerSender sender;
     private final ShardObserver log;
     private final PeerTable peers = new PeerTable();
     private final UsedElsewhere usedElsewhere = new UsedElsewhere();
@@ -54,19 +47,18 @@
     private final Heartbeats heartbeats;
     private final HolderElection election;
     private final ShardOwnership ownership;
+    private final StatusSender statusSender;
+    private final HolderEvents events;
     private final JobRouter router;
     private ImmutableSet<FailureDomain> neighbours;
-    private boolean leaving;
-    private long configurationVersion;
-    private DrainedDomains drained = DrainedDomains.UNREAD;
 
     /**
      * Creates a node that knows nobody and holds nothing.
      *
      * @param ip this VM's address, which makes its tokens unlike those of others
-     * @param endpoints the endpoints that the platform lists; whoever changes it says so
+     * @param endpoints the endpoints that the platform lists; changes have to be followed by {@link #endpointsChanged}
      * @param wallMillis the time of day, for terms that rise over restarts
-     * @param log hears what happens to shards and on them
+     * @param log observes what happens to shards and on them
      */
     public Coordinator(
             Member self,
@@ -81,15 +73,25 @@
             ShardObserver log) {
         this.self = checkNotNull(self, "self");
         this.endpoints = checkNotNull(endpoints, "endpoints");
-        this.sender = checkNotNull(sender, "sender");
+        checkNotNull(sender, "sender");
         this.timers = checkNotNull(timers, "timers");
         this.log = checkNotNull(log, "log");
         this.election = new HolderElection(self.node(), self.domain(), ip, self.milliCores(), peers, pools);
-        this.ownership = new ShardOwnership(pools, election, endpoints, placing, orders, timers, wallMillis, this);
         this.heartbeats = new Heartbeats(peers, pools, self.domain());
+        this.statusSender = new StatusSender(self, heartbeats, this::held, sender, timers);
+        this.events =
+                new HolderEvents(self.node(), peers, sender, statusSender, this::router, this::holdersChanged, log);
+        this.ownership = new ShardOwnership(pools, election, endpoints, placing, orders, timers, wallMillis, events);
         this.neighbours = heartbeats.neighbours();
         KnownHolders holders = new KnownHolders(
-                self, peers, pools, ownership, heartbeats, sender, timers, domain -> drained.contains(domain));
+                self,
+                peers,
+                pools,
+                ownership,
+                heartbeats,
+                sender,
+                timers,
+                domain -> drained().contains(domain));
         this.router = new JobRouter(holders, timers, placing.certainLapse(), log);
     }
 
@@ -163,19 +165,19 @@
             reviewShards();
         }
         reviewHeartbeats();
-        send(heartbeats.due(now));
+        statusSender.sendDue();
     }
 
-    /** Tells neighbours at once if this node has just begun to miss a holder. */
+    /** Sends the status at once if this node has just begun to miss a holder. */
     private void reviewHeartbeats() {
         if (heartbeats.review(ownership.heldShards(), timers.nowMillis())) {
-            tell(heartbeats.audience());
+            statusSender.sendNow();
         }
     }
 
     /** Claims and releases shards as the peers that are there ask for. */
     public void reviewShards() {
-        if (!leaving && ownership.review()) {
+        if (!statusSender.leaving() && ownership.review()) {
             holdersChanged();
         }
     }
@@ -185,18 +187,18 @@
         ownership.endpointsChanged();
         if (!neighbours.equals(heartbeats.neighbours())) {
             neighbours = heartbeats.neighbours();
-            tell(heartbeats.audience());
+            statusSender.sendNow();
         }
     }
 
     /** Records a peer's status; returns whether the peer was not there before. */
-    public boolean received(NodeStatus status) {
-        boolean joined = peers.received(status, timers.nowMillis());
-        usedElsewhere.received(status, timers.nowMillis());
+    public boolean received(NodeStatus received) {
+        boolean joined = peers.received(received, timers.nowMillis());
+        usedElsewhere.received(received, timers.nowMillis());
         if (joined) {
-            sender.status(status.node(), status());
+            statusSender.sendTo(received.node());
         }
-        drained(status.drained(), status.node().value());
+        drained(received.drained(), received.node().value());
         reviewHeartbeats();
         return joined;
     }
@@ -220,7 +222,7 @@
                 .placer()
                 .ifPresentOrElse(
                         placer -> placer.offer(offer),
-                        () -> settled(offer.origin(), offer.job().id(), Verdict.RETURNED, 0));
+                        () -> events.settled(offer.origin(), offer.job().id(), Verdict.RETURNED, 0));
     }
 
     /** Ends a job that a peer withdraws. */
@@ -230,17 +232,17 @@
 
     /** Releases every shard and takes none any more, because this node is about to stop. */
     public void leave() {
-        leaving = true;
-        tell(heartbeats.audience());
+        statusSender.leave();
+        statusSender.sendNow();
         ownership.resignAll();
     }
 
-    /** Applies the configuration that is in force here, and tells everybody its version. */
+    /** Applies the configuration that is in force here, and sends its version to the peers. */
     public void configured(QueueCatalog catalog) {
-        configurationVersion = catalog.version();
+        statusSender.configured(catalog.version());
         endpoints.served(catalog.services());
         endpointsChanged();
-        tell(heartbeats.audience());
+        statusSender.sendNow();
     }
 
     /**
@@ -252,11 +254,11 @@
      * @param source who read it, for the log
      */
     public void drained(DrainedDomains reading, String source) {
-        if (!reading.isNewerThan(drained)) {
+        DrainedDomains before = drained();
+        if (!reading.isNewerThan(before)) {
             return;
         }
-        DrainedDomains before = drained;
-        drained = reading;
+        statusSender.drained(reading);
         if (reading.domains().equals(before.domains())) {
             return;
         }
@@ -264,110 +266,27 @@
                 .forEach(domain -> log.drainChanged(domain, reading.contains(domain), reading.version(), source));
         endpoints.drained(reading.domains());
         endpointsChanged();
-        tell(heartbeats.audience());
+        statusSender.sendNow();
         router.holdersChanged();
     }
 
     /** Returns which failure domains are drained, as far as this node knows. */
     public DrainedDomains drained() {
-        return drained;
+        return statusSender.drained();
     }
 
     /** Returns this node's status. */
     public NodeStatus status() {
-        return new NodeStatus(
-                self.node(),
-                self.domain(),
-                self.address(),
-                self.milliCores(),
-                leaving,
-                heartbeats.withoutHolder(),
-                configurationVersion,
-                drained,
-                ownership.held());
+        return statusSender.status();
+    }
+
+    private ImmutableList<HeldShard> held() {
+        return ownership.held();
     }
 
     private void holdersChanged() {
         heartbeats.review(ownership.heldShards(), timers.nowMillis());
-        tell(Heartbeats.Audience.ALL);
+        statusSender.sendNow(Heartbeats.Audience.ALL);
         router.holdersChanged();
     }
-
-    /** Sends the status outside its period; the next period begins anew. */
-    private void tell(Heartbeats.Audience audience) {
-        heartbeats.sent(audience, timers.nowMillis());
-        send(audience);
-    }
-
-    private void send(Heartbeats.Audience audience) {
-        if (audience == Heartbeats.Audience.NOBODY) {
-            return;
-        }
-        NodeStatus status = status();
-        switch (audience) {
-            case CLOSE -> heartbeats.close().forEach(peer -> sender.status(peer, status));
-            case NEIGHBOURS -> {
-                sender.statusToDomains(neighbours(), status);
-                heartbeats.closeOutside(neighbours()).forEach(peer -> sender.status(peer, status));
-            }
-            case ALL -> sender.statusToAll(status);
-            default -> throw new AssertionError(audience);
-        }
-    }
-
-    @Override
-    public void releasedAll() {
-        tell(Heartbeats.Audience.ALL);
-    }
-
-    @Override
-    public void settled(NodeId origin, JobId job, Verdict verdict, long retryMillis) {
-        if (origin.equals(self.node())) {
-            router.settled(origin, job, verdict, retryMillis);
-        } else {
-            sender.settled(origin, job, verdict, retryMillis);
-        }
-    }
-
-    @Override
-    public void claimed(FailureDomain shard, FencingToken token, int shardEndpoints) {
-        peers.claimed(shard, token);
-        log.claimed(shard, token, shardEndpoints);
-    }
-
-    @Override
-    public void resigned(FailureDomain shard, FencingToken token) {
-        log.resigned(shard, token);
-    }
-
-    @Override
-    public void fenced(FailureDomain shard, FencingToken token) {
-        log.fenced(shard, token);
-        holdersChanged();
-    }
-
-    @Override
-    public void declined(NodeId origin, JobId job, CompletionEstimate estimate) {
-        log.declined(origin, job, estimate);
-    }
-
-    @Override
-    public void shareLimited(ShareState state, boolean isLimited) {
-        log.shareLimited(state, isLimited);
-    }
-
-    @Override
-    public void speedChanged(FailureDomain shard, EndpointId endpoint, double from, double to) {
-        log.speedChanged(shard, endpoint, from, to);
-    }
-
-    @Override
-    public void runEndedBadly(FailureDomain shard, TaskRun run, EndpointId endpoint, EndKind kind) {
-        log.runEndedBadly(shard, run, endpoint, kind);
-    }
-
-    @Override
-    public void endpointRestarted(FailureDomain shard, EndpointLife later) {
-        log.endpointRestarted(shard, later);
-    }
 }
--- /dev/null
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/HolderEvents.java
@@ -0,0 +1,73 @@
+package org.tarragonarch.core.cluster;
+
+import java.util.function.Supplier;
+import org.tarragonarch.core.routing.JobRouter;
+import org.tarragonarch.core.shard.ForwardingShardObserver;
+import org.tarragonarch.core.shard.Heartbeats;
+import org.tarragonarch.core.shard.PeerTable;
+import org.tarragonarch.core.shard.ShardEvents;
+import org.tarragonarch.core.shard.ShardObserver;
+import org.tarragonarch.model.id.FailureDomain;
+import org.tarragonarch.model.id.NodeId;
+import org.tarragonarch.model.task.FencingToken;
+import org.tarragonarch.model.task.JobId;
+import org.tarragonarch.model.task.Verdict;
+
+/** Notifies peers, and this node's own router, of what happens to the shards held here; forwards it to the observer. */
+final class HolderEvents extends ForwardingShardObserver implements ShardEvents {
+    private final NodeId self;
+    private final PeerTable peers;
+    private final PeerSender sender;
+    private final StatusSender statusSender;
+    private final Supplier<JobRouter> router;
+    private final Runnable holdersChanged;
+
+    /**
+     * Creates the events of one node.
+     *
+     * @param router returns the router of this node's own jobs
+     * @param holdersChanged is run after this node has lost a shard to another holder
+     */
+    HolderEvents(
+            NodeId self,
+            PeerTable peers,
+            PeerSender sender,
+            StatusSender statusSender,
+            Supplier<JobRouter> router,
+            Runnable holdersChanged,
+            ShardObserver observer) {
+        super(observer);
+        this.self = self;
+        this.peers = peers;
+        this.sender = sender;
+        this.statusSender = statusSender;
+        this.router = router;
+        this.holdersChanged = holdersChanged;
+    }
+
+    @Override
+    public void releasedAll() {
+        statusSender.sendNow(Heartbeats.Audience.ALL);
+    }
+
+    @Override
+    public void settled(NodeId origin, JobId job, Verdict verdict, long retryMillis) {
+        if (origin.equals(self)) {
+            router.get().settled(origin, job, verdict, retryMillis);
+        } else {
+            sender.settled(origin, job, verdict, retryMillis);
+        }
+    }
+
+    @Override
+    public void claimed(FailureDomain shard, FencingToken token, int endpoints) {
+        peers.claimed(shard, token);
+        super.claimed(shard, token, endpoints);
+    }
+
+    @Override
+    public void fenced(FailureDomain shard, FencingToken token) {
+        super.fenced(shard, token);
+        holdersChanged.run();
+    }
+}
--- /dev/null
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/StatusSender.java
@@ -0,0 +1,120 @@
+package org.tarragonarch.core.cluster;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import java.util.function.Supplier;
+import org.tarragonarch.core.shard.Heartbeats;
+import org.tarragonarch.model.id.FailureDomain;
+import org.tarragonarch.model.id.NodeId;
+import org.tarragonarch.model.report.DrainedDomains;
+import org.tarragonarch.model.report.HeldShard;
+import org.tarragonarch.model.report.Member;
+import org.tarragonarch.model.report.NodeStatus;
+import org.tarragonarch.model.task.Timers;
+
+/** Composes this node's status and sends it to the peers that {@link Heartbeats} selects. */
+final class StatusSender {
+    private final Member self;
+    private final Heartbeats heartbeats;
+    private final Supplier<ImmutableList<HeldShard>> held;
+    private final PeerSender sender;
+    private final Timers timers;
+    private boolean leaving;
+    private long configurationVersion;
+    private DrainedDomains drained = DrainedDomains.UNREAD;
+
+    /**
+     * Creates the sender of a node that is not leaving and has read neither a configuration nor drained domains.
+     *
+     * @param held returns the shards that this node holds
+     */
+    StatusSender(
+            Member self,
+            Heartbeats heartbeats,
+            Supplier<ImmutableList<HeldShard>> held,
+            PeerSender sender,
+            Timers timers) {
+        this.self = self;
+        this.heartbeats = heartbeats;
+        this.held = held;
+        this.sender = sender;
+        this.timers = timers;
+    }
+
+    /** Returns whether this node is about to stop. */
+    boolean leaving() {
+        return leaving;
+    }
+
+    /** Sets that this node is about to stop. */
+    void leave() {
+        leaving = true;
+    }
+
+    /** Sets the version of the configuration in force. */
+    void configured(long version) {
+        configurationVersion = version;
+    }
+
+    /** Returns the failure domains that this node knows to be drained. */
+    DrainedDomains drained() {
+        return drained;
+    }
+
+    /** Sets the failure domains that are drained. */
+    void drained(DrainedDomains reading) {
+        drained = reading;
+    }
+
+    /** Returns the status as it is now. */
+    NodeStatus status() {
+        return new NodeStatus(
+                self.node(),
+                self.domain(),
+                self.address(),
+                self.milliCores(),
+                leaving,
+                heartbeats.withoutHolder(),
+                configurationVersion,
+                drained,
+                held.get());
+    }
+
+    /** Sends the status to one peer. */
+    void sendTo(NodeId peer) {
+        sender.status(peer, status());
+    }
+
+    /** Sends the status to the peers to which it is due by now. */
+    void sendDue() {
+        send(heartbeats.due(timers.nowMillis()));
+    }
+
+    /** Sends the status outside its period to the present audience; the next period begins now. */
+    void sendNow() {
+        sendNow(heartbeats.audience());
+    }
+
+    /** Sends the status outside its period; the next period begins now. */
+    void sendNow(Heartbeats.Audience audience) {
+        heartbeats.sent(audience, timers.nowMillis());
+        send(audience);
+    }
+
+    private void send(Heartbeats.Audience audience) {
+        if (audience == Heartbeats.Audience.NOBODY) {
+            return;
+        }
+        NodeStatus status = status();
+        ImmutableSet<FailureDomain> neighbours = heartbeats.neighbours();
+        switch (audience) {
+            case CLOSE -> heartbeats.close().forEach(peer -> sender.status(peer, status));
+            case NEIGHBOURS -> {
+                sender.statusToDomains(neighbours, status);
+                heartbeats.closeOutside(neighbours).forEach(peer -> sender.status(peer, status));
+            }
+            case ALL -> sender.statusToAll(status);
+            default -> throw new AssertionError(audience);
+        }
+    }
+}
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/CoordinatorTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/CoordinatorTest.java
@@ -43,7 +43,6 @@
 import org.tarragonarch.model.task.StartOrder;
 import org.tarragonarch.model.task.TaskRun;
 import org.tarragonarch.model.task.TaskStep;
-import org.tarragonarch.model.task.Verdict;
 import org.testng.annotations.Test;
 
 /** Whom one node speaks to, and in which order, as its surroundings change. */
@@ -68,7 +67,7 @@
                 endpoints,
                 PlacingSettings.of(1_000, 50),
                 new SilentEndpoints(),
-                new NotedSender(),
+                new RecordingPeerSender(sent),
                 timers,
                 () -> 0,
                 new ShardObserver() {});
@@ -231,39 +230,6 @@
         return new Offer(job, queue, NodeId.of(origin), 0, 3_000, EarlierRuns.NONE);
     }
 
-    /** Notes what is sent. */
-    private final class NotedSender implements PeerSender {
-        @Override
-        public void status(NodeId to, NodeStatus status) {
-            sent.add("status to " + to);
-        }
-
-        @Override
-        public void statusToAll(NodeStatus status) {
-            sent.add("status to all, " + status.shards().size() + " shards" + (status.leaving() ? ", leaving" : ""));
-        }
-
-        @Override
-        public void statusToDomains(ImmutableSet<FailureDomain> domains, NodeStatus status) {
-            sent.add("status to " + domains);
-        }
-
-        @Override
-        public void offer(NodeId to, Offer offer) {
-            sent.add("offer to " + to);
-        }
-
-        @Override
-        public void withdraw(NodeId to, JobId job) {
-            sent.add("withdrawal to " + to);
-        }
-
-        @Override
-        public void settled(NodeId to, JobId job, Verdict verdict, long retryMillis) {
-            sent.add(verdict + " to " + to);
-        }
-    }
-
     /** Endpoints that answer nothing. */
     private static final class SilentEndpoints implements EndpointOrders {
         @Override
--- /dev/null
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/RecordingPeerSender.java
@@ -0,0 +1,49 @@
+package org.tarragonarch.core.cluster;
+
+import com.google.common.collect.ImmutableSet;
+import java.util.List;
+import org.tarragonarch.model.id.FailureDomain;
+import org.tarragonarch.model.id.NodeId;
+import org.tarragonarch.model.report.NodeStatus;
+import org.tarragonarch.model.task.JobId;
+import org.tarragonarch.model.task.Offer;
+import org.tarragonarch.model.task.Verdict;
+
+/** A sender that appends a line for each message to a list and delivers nothing. */
+final class RecordingPeerSender implements PeerSender {
+    private final List<String> sent;
+
+    RecordingPeerSender(List<String> sent) {
+        this.sent = sent;
+    }
+
+    @Override
+    public void status(NodeId to, NodeStatus status) {
+        sent.add("status to " + to);
+    }
+
+    @Override
+    public void statusToAll(NodeStatus status) {
+        sent.add("status to all, " + status.shards().size() + " shards" + (status.leaving() ? ", leaving" : ""));
+    }
+
+    @Override
+    public void statusToDomains(ImmutableSet<FailureDomain> domains, NodeStatus status) {
+        sent.add("status to " + domains);
+    }
+
+    @Override
+    public void offer(NodeId to, Offer offer) {
+        sent.add("offer to " + to);
+    }
+
+    @Override
+    public void withdraw(NodeId to, JobId job) {
+        sent.add("withdrawal to " + to);
+    }
+
+    @Override
+    public void settled(NodeId to, JobId job, Verdict verdict, long retryMillis) {
+        sent.add(verdict + " to " + to);
+    }
+}
