Placer split: JobLifecycle takes jobs from their offer to the verdict

The second is now JobLifecycle, whose methods were moved as they were, with its own test of the verdicts at a holder without endpoints and of jobs that may run. Behaviour is unchanged; the tests of placing, shard, cluster and node pass.

--- /dev/null
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/JobLifecycle.java
@@ -0,0 +1,244 @@
+package org.tarragonarch.core.placing;
+
+import com.google.common.collect.ImmutableList;
+import java.util.HashMap;
+import java.util.Map;
+import org.tarragonarch.core.share.PoolShares;
+import org.tarragonarch.model.id.NodeId;
+import org.tarragonarch.model.share.ShareId;
+import org.tarragonarch.model.task.JobId;
+import org.tarragonarch.model.task.Offer;
+import org.tarragonarch.model.task.TaskStep;
+import org.tarragonarch.model.task.Timers;
+import org.tarragonarch.model.task.Verdict;
+
+/** The jobs of one placer, from their offer through admission or recovery to the verdict. */
+final class JobLifecycle {
+    /** When to come back to a shard without endpoints: about what a takeover or a restart takes. */
+    private static final long IMPOSSIBLE_RETRY_MILLIS = 1_000;
+
+    private final HeldShards shards;
+    private final PendingShares pending;
+    private final PoolShares poolShares;
+    private final RunTimes runTimes;
+    private final Timers timers;
+    private final PlacerListener listener;
+    private final Map<JobId, PlacedJob> jobs = new HashMap<>();
+    private final CancellingJobs cancelling = new CancellingJobs();
+    private final CompletionEstimator estimator;
+    private final OfferAdmission admission;
+    private final RecoveringJobs recovering;
+    private final TaskStarter starter;
+
+    JobLifecycle(
+            HeldShards shards,
+            PendingShares pending,
+            PoolShares poolShares,
+            PoolCapacity capacity,
+            RunTimes runTimes,
+            Timers timers,
+            PlacerListener listener) {
+        this.shards = shards;
+        this.pending = pending;
+        this.poolShares = poolShares;
+        this.runTimes = runTimes;
+        this.timers = timers;
+        this.listener = listener;
+        this.estimator = new CompletionEstimator(shards.endpoints(), pending, poolShares);
+        this.admission = new OfferAdmission(pending);
+        this.recovering = new RecoveringJobs(shards, timers, this::resume);
+        this.starter = new TaskStarter(shards, pending, poolShares, capacity, timers, this::giveUp);
+    }
+
+    /** Takes a job, or declines it at once; see {@link Placer#offer}. */
+    void offer(Offer offer) {
+        PlacedJob known = jobs.get(offer.job().id());
+        if (known != null) {
+            known.resubmittedThrough(offer.origin());
+            return;
+        }
+        if (!cancelling.defer(offer, timers.nowMillis())) {
+            take(offer, 1);
+        }
+    }
+
+    /** Ends a job whose client has left or cancelled it. */
+    void withdraw(NodeId origin, JobId id) {
+        cancelling.withdraw(origin, id);
+        PlacedJob job = jobs.get(id);
+        if (job != null && job.origin().equals(origin)) {
+            end(job);
+            starter.planStart();
+        }
+    }
+
+    /** Ends every job of a node that is gone; see {@link Placer#originLost}. */
+    void originLost(NodeId origin) {
+        cancelling.originLost(origin);
+        for (PlacedJob job : ImmutableList.copyOf(jobs.values())) {
+            if (job.origin().equals(origin)) {
+                end(job);
+            }
+        }
+        starter.planStart();
+    }
+
+    /** Gives all jobs back, because this node holds no shard any more; see {@link Placer#close}. */
+    void returnAll() {
+        ImmutableList<PlacedJob> givenBack = ImmutableList.copyOf(jobs.values());
+        givenBack.forEach(this::forget);
+        for (PlacedJob job : givenBack) {
+            boolean mayRun = job.wasStarted() || job.awaitsEarlierRuns();
+            listener.settled(job.origin(), job.id(), mayRun ? Verdict.HOLD_LOST : Verdict.RETURNED, 0);
+        }
+        for (PlacedJob job : cancelling.removeEvicted()) {
+            listener.settled(job.origin(), job.id(), Verdict.HOLD_LOST, 0);
+        }
+        for (Offer offer : cancelling.removeDeferred()) {
+            listener.settled(offer.origin(), offer.job().id(), Verdict.HOLD_LOST, 0);
+        }
+    }
+
+    /** Lets jobs adopt the runs found on an endpoint whose lists were read for the first time. */
+    void adoptFrom(HeldEndpoint endpoint) {
+        recovering.adoptFrom(endpoint);
+    }
+
+    /** Proceeds after a run of the job has released its capacity. */
+    void capacityReleased(PlacedJob job) {
+        if (cancelling.removeIfEvicted(job)) {
+            listener.settled(job.origin(), job.id(), Verdict.EVICTED, 0);
+        }
+        cancelling.removeIfOver(job).ifPresent(deferred -> take(deferred.at(timers.nowMillis()), job.lastRun() + 1));
+        starter.planStart();
+    }
+
+    /** Starts pending tasks once the events at hand are processed. */
+    void planStart() {
+        starter.planStart();
+    }
+
+    private void take(Offer offer, int firstRun) {
+        String queue = offer.queue().name();
+        TaskStep step = offer.job().step();
+        long expected = runTimes.expectedMillis(queue, step.estimateMillis());
+        double slowest = Math.max(1, runTimes.slowestOf(queue, step.count()));
+        JobTimes times = JobTimes.of(offer, expected, timers.nowMillis());
+        ShareId share =
+                poolShares.shareOf(offer.queue().service(), offer.queue().priority());
+        PlacedJob job = new PlacedJob(offer, firstRun, expected, slowest, times, share);
+        if (offer.earlierRuns().over()) {
+            admit(job);
+            return;
+        }
+        jobs.put(job.id(), job);
+        recovering.add(job, offer);
+    }
+
+    private void admit(PlacedJob job) {
+        CompletionEstimate estimate = estimator.of(job, timers.nowMillis());
+        if (!admission.admit(job, estimate, timers.nowMillis())) {
+            refuse(job, estimate);
+            return;
+        }
+        jobs.put(job.id(), job);
+        pending.add(job);
+        starter.startPending();
+    }
+
+    /** Goes on with a job whose earlier runs are known or over; what had begun is finished, however late. */
+    private void resume(PlacedJob job) {
+        if (job.allFinished()) {
+            settle(job, Verdict.DONE);
+        } else if (job.wasBegun()) {
+            requeue(job);
+            starter.planStart();
+        } else {
+            jobs.remove(job.id());
+            admit(job);
+        }
+    }
+
+    /** Returns a job to the pending ones, because a task of it has to be started again. */
+    void requeue(PlacedJob job) {
+        pending.add(job);
+        evictIfUnplaceable(job);
+    }
+
+    /** Gives the pending jobs back that no listed endpoint may take. */
+    void evictUnplaceable() {
+        pending.inOrder().forEach(this::evictIfUnplaceable);
+    }
+
+    /**
+     * Gives a job back if no listed endpoint may take the tasks that wait, however idle it were.
+     *
+     * <p>Guards against a job that waits until its deadline because its failure domain was drained, or every endpoint
+     * that is large enough has shrunk or left. What runs of it is stopped first, so that it may go to any other holder.
+     * While a run of an earlier holder may be under way, the job stays until that is known.
+     */
+    private void evictIfUnplaceable(PlacedJob job) {
+        boolean waits = !job.over() && job.waitingTasks() > 0 && !job.awaitsEarlierRuns();
+        if (!waits || shards.canHost(job)) {
+            return;
+        }
+        if (!job.wasBegun()) {
+            end(job);
+            decline(job, estimator.of(job, timers.nowMillis()));
+            return;
+        }
+        end(job);
+        if (job.holdsRoom()) {
+            cancelling.evict(job);
+        } else {
+            listener.settled(job.origin(), job.id(), Verdict.EVICTED, 0);
+        }
+    }
+
+    /** Gives back what is not taken; a job that could have waited is declined, and one that could not is no refusal. */
+    private void refuse(PlacedJob job, CompletionEstimate estimate) {
+        Verdict verdict = job.offer().terms().refusal();
+        if (verdict == Verdict.DECLINED) {
+            decline(job, estimate);
+        } else {
+            listener.settled(job.origin(), job.id(), verdict, 0);
+        }
+    }
+
+    private void decline(PlacedJob job, CompletionEstimate estimate) {
+        listener.declined(job.origin(), job.id(), estimate);
+        long retry = estimate.places() == 0 ? IMPOSSIBLE_RETRY_MILLIS : estimate.waitMillis();
+        listener.settled(job.origin(), job.id(), Verdict.DECLINED, retry);
+    }
+
+    /** Gives up a job whose answer would come too late; what never started is declined, for that is the truth. */
+    private void giveUp(PlacedJob job) {
+        if (job.wasStarted()) {
+            settle(job, Verdict.TOO_LATE);
+        } else {
+            CompletionEstimate estimate = estimator.of(job, timers.nowMillis());
+            listener.declined(job.origin(), job.id(), estimate);
+            end(job);
+            long retry = estimate.share().isPresent() ? estimate.waitMillis() : 0;
+            listener.settled(job.origin(), job.id(), Verdict.DECLINED, retry);
+        }
+    }
+
+    /** Ends a job with a verdict. */
+    void settle(PlacedJob job, Verdict verdict) {
+        end(job);
+        listener.settled(job.origin(), job.id(), verdict, 0);
+    }
+
+    private void end(PlacedJob job) {
+        forget(job);
+        job.end();
+        cancelling.add(job);
+    }
+
+    private void forget(PlacedJob job) {
+        jobs.remove(job.id());
+        recovering.remove(job);
+        pending.remove(job);
+    }
+}
--- /dev/null
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/JobLifecycleTest.java
@@ -0,0 +1,93 @@
+package org.tarragonarch.core.placing;
+
+import static org.testng.Assert.assertEquals;
+
+import com.google.common.collect.ImmutableList;
+import java.util.ArrayList;
+import java.util.List;
+import org.tarragonarch.core.share.PoolShares;
+import org.tarragonarch.model.id.EndpointId;
+import org.tarragonarch.model.id.EndpointLife;
+import org.tarragonarch.model.id.FailureDomain;
+import org.tarragonarch.model.id.NodeId;
+import org.tarragonarch.model.share.SharePlan;
+import org.tarragonarch.model.task.EndKind;
+import org.tarragonarch.model.task.FencingToken;
+import org.tarragonarch.model.task.JobId;
+import org.tarragonarch.model.task.TaskRun;
+import org.tarragonarch.model.task.Verdict;
+import org.testng.annotations.Test;
+
+/** The verdicts on jobs at a holder without endpoints; {@link PlacerTest} has those with runs. */
+public final class JobLifecycleTest {
+    private final VirtualTimers timers = new VirtualTimers();
+    private final List<String> verdicts = new ArrayList<>();
+    private final JobLifecycle jobs = jobs();
+
+    private JobLifecycle jobs() {
+        HeldShards shards = new HeldShards(shard -> true);
+        PendingShares pending = new PendingShares();
+        PoolShares poolShares = new PoolShares(SharePlan.NONE, shards.tallies(), share -> 0);
+        PoolCapacity capacity = new PoolCapacity(shards.endpoints());
+        return new JobLifecycle(
+                shards, pending, poolShares, capacity, new RunTimes(), timers, new RecordingListener(verdicts));
+    }
+
+    /** Guards against a client that comes back at once, or after the whole objective, when no endpoint is known. */
+    @Test
+    public void testOffer_withoutEndpointsIsDeclined() {
+        JobLifecycleTest test = new JobLifecycleTest();
+        test.jobs.offer(PlacerFixture.offer(1, 2));
+        assertEquals(test.verdicts, ImmutableList.of("declined", "DECLINED, retry after 1000 ms"));
+    }
+
+    /** Guards against a client that gets "not run" while runs of an earlier holder may be under way. */
+    @Test
+    public void testReturnAll_jobThatMayRunIsNotReturned() {
+        JobLifecycleTest test = new JobLifecycleTest();
+        test.jobs.offer(PlacerFixture.repeatedOffer(1, 2, 60));
+        test.jobs.returnAll();
+        assertEquals(test.verdicts, ImmutableList.of("HOLD_LOST, retry after 0 ms"));
+    }
+
+    /** Guards against a verdict on a job whose client has left, or on one of a node that is gone. */
+    @Test
+    public void testWithdraw_nothingIsSaidAfterwards() {
+        JobLifecycleTest test = new JobLifecycleTest();
+        test.jobs.offer(PlacerFixture.repeatedOffer(1, 2, 60));
+        test.jobs.offer(PlacerFixture.repeatedOffer(2, 2, 60));
+        test.jobs.withdraw(PlacerFixture.ORIGIN, PlacerFixture.id(1));
+        test.jobs.originLost(PlacerFixture.ORIGIN);
+        test.jobs.returnAll();
+        test.timers.pass(2_000);
+        assertEquals(test.verdicts, ImmutableList.of());
+    }
+
+    /** Records verdicts. */
+    private record RecordingListener(List<String> verdicts) implements PlacerListener {
+        @Override
+        public void settled(NodeId origin, JobId job, Verdict verdict, long retryMillis) {
+            verdicts.add(verdict + ", retry after " + retryMillis + " ms");
+        }
+
+        @Override
+        public void declined(NodeId origin, JobId job, CompletionEstimate estimate) {
+            verdicts.add("declined");
+        }
+
+        @Override
+        public void runEndedBadly(FailureDomain shard, TaskRun run, EndpointId endpoint, EndKind kind) {
+            verdicts.add("run ended badly");
+        }
+
+        @Override
+        public void endpointRestarted(FailureDomain shard, EndpointLife later) {
+            verdicts.add("endpoint restarted");
+        }
+
+        @Override
+        public void fenced(FailureDomain shard, FencingToken token) {
+            verdicts.add("fenced");
+        }
+    }
+}
