One word for an endpoint's incarnation: EndpointIncarnation in place of EndpointLife

Life and incarnation were two words for one idea. OTHER_LIFE and lifeOver meant another one: that an endpoint with another id answers at the address (status 421); they are OTHER_ENDPOINT and endpointGone now. Only names and comments change.

--- a/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/ModelNode.java
+++ b/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/ModelNode.java
@@ -17,7 +17,7 @@
 import org.tarragonarch.model.task.Offer;
 import org.tarragonarch.model.task.Verdict;
 
-/** One life of a node: the node's own decisions, with modelled ways to its peers and to the endpoints. */
+/** One incarnation of a node: the node's own decisions, with modelled ways to its peers and to the endpoints. */
 final class ModelNode implements PeerSender {
     private static final int MILLI_CORES = 750;
     private static final int PEER_PORT = 7_000;
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/EndpointChoice.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/EndpointChoice.java
@@ -27,7 +27,7 @@
                     || !candidate.entry().service().equals(job.queue().service())) {
                 continue;
             }
-            boolean failedBefore = task.failedAt(candidate.entry().life());
+            boolean failedBefore = task.failedAt(candidate.entry().incarnation());
             if (best == null || better(task, candidate, failedBefore, best, bestFailedBefore)) {
                 best = candidate;
                 bestFailedBefore = failedBefore;
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/EndpointHost.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/EndpointHost.java
@@ -8,6 +8,6 @@
     /** The endpoint obeys another holder. */
     void fenced();
 
-    /** Another life answers at the endpoint's address. */
-    void lifeOver();
+    /** An endpoint with another id answers at this address. */
+    void endpointGone();
 }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/EndpointLink.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/EndpointLink.java
@@ -2,7 +2,7 @@
 
 import java.util.OptionalLong;
 import java.util.function.Consumer;
-import org.tarragonarch.model.id.EndpointLife;
+import org.tarragonarch.model.id.EndpointIncarnation;
 import org.tarragonarch.model.task.Delivery;
 import org.tarragonarch.model.task.EndpointEntry;
 import org.tarragonarch.model.task.EndpointOrders;
@@ -26,7 +26,7 @@
     private final Timers timers;
     private EndpointClock clock = new EndpointClock();
     private EndpointEntry entry;
-    private int lifeNumber;
+    private int incarnationNumber;
     private long leaseOverAtMillis;
 
     EndpointLink(
@@ -42,29 +42,29 @@
         return entry;
     }
 
-    EndpointLife life() {
-        return entry.life();
+    EndpointIncarnation incarnation() {
+        return entry.incarnation();
     }
 
     /** Returns how many incarnations have followed the first; tells whether a call was sent to the present one. */
-    int lifeNumber() {
-        return lifeNumber;
+    int incarnationNumber() {
+        return incarnationNumber;
     }
 
     /** Records a later entry of the same incarnation. */
     void update(EndpointEntry later) {
-        entry = later.life().hasStart() ? later : later.withLife(entry.life());
+        entry = later.incarnation().hasStart() ? later : later.withIncarnation(entry.incarnation());
     }
 
     /** Records when the incarnation started that is called already. */
     void startedAt(long millis) {
-        entry = entry.withLife(entry.life().startedAt(millis));
+        entry = entry.withIncarnation(entry.incarnation().startedAt(millis));
     }
 
     /** Records that a later incarnation takes the calls from now on; its clock is not known. */
     void restarted(EndpointEntry later) {
         entry = later;
-        lifeNumber++;
+        incarnationNumber++;
         clock = new EndpointClock();
     }
 
@@ -93,9 +93,9 @@
     /** Starts a run, and extends the lease of all that runs. */
     void start(TaskRun run, String specification, Consumer<OrderAnswer> reply) {
         StartOrder order = new StartOrder(token, run, specification, extendLease());
-        int sentTo = lifeNumber;
+        int sentTo = incarnationNumber;
         orders.start(entry, order, delivery(false), answer -> {
-            if (sentTo == lifeNumber) {
+            if (sentTo == incarnationNumber) {
                 clock.answered(answer.clockMillis(), timers.nowMillis());
             }
             reply.accept(answer);
@@ -108,9 +108,9 @@
      * @param fresh whether to use a new connection, because those that are open may have gone silent
      */
     void stop(TaskRun run, boolean fresh, Consumer<OrderAnswer> reply) {
-        int sentTo = lifeNumber;
+        int sentTo = incarnationNumber;
         orders.stop(entry, token, run, delivery(fresh), answer -> {
-            if (sentTo == lifeNumber) {
+            if (sentTo == incarnationNumber) {
                 clock.answered(answer.clockMillis(), timers.nowMillis());
                 reply.accept(answer);
             }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/HeldEndpoint.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/HeldEndpoint.java
@@ -3,7 +3,7 @@
 import com.google.common.collect.ImmutableMap;
 import org.tarragonarch.core.share.ShareTally;
 import org.tarragonarch.core.speed.EndpointSpeed;
-import org.tarragonarch.model.id.EndpointLife;
+import org.tarragonarch.model.id.EndpointIncarnation;
 import org.tarragonarch.model.task.EndKind;
 import org.tarragonarch.model.task.EndpointEntry;
 import org.tarragonarch.model.task.JobId;
@@ -99,11 +99,11 @@
      * anything new: that is also decided by who drains its failure domain.
      */
     void update(EndpointEntry later) {
-        if (entry().life().isLaterThan(later.life())) {
+        if (entry().incarnation().isLaterThan(later.incarnation())) {
             link.update(entry().withDraining(later.draining()));
         } else {
             room.resize(later.capacity());
-            if (later.life().isLaterThan(entry().life())) {
+            if (later.incarnation().isLaterThan(entry().incarnation())) {
                 restarted(later);
                 poller.pollIfIdle();
             } else {
@@ -115,7 +115,7 @@
 
     /** Returns whether the endpoint is over and the entry is of a later incarnation. */
     boolean isSucceededBy(EndpointEntry later) {
-        return closed && later.life().isLaterThan(entry().life());
+        return closed && later.incarnation().isLaterThan(entry().incarnation());
     }
 
     /** The platform no longer lists the endpoint: what runs there may end, and nothing is started. */
@@ -283,14 +283,14 @@
         }
 
         @Override
-        public void lifeOver() {
+        public void endpointGone() {
             closed = true;
-            ends.lifeOver(leftAsPlanned());
+            ends.endpointGone(leftAsPlanned());
         }
 
         @Override
-        public void restarted(EndpointLife later) {
-            HeldEndpoint.this.restarted(entry().withLife(later));
+        public void restarted(EndpointIncarnation later) {
+            HeldEndpoint.this.restarted(entry().withIncarnation(later));
         }
 
         @Override
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/LateStarts.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/LateStarts.java
@@ -69,7 +69,7 @@
                 scheduleList(1);
             }
             case FENCED -> host.fenced();
-            case OTHER_LIFE -> host.lifeOver();
+            case OTHER_ENDPOINT -> host.endpointGone();
             default -> link.timers().after(RunListPoller.FIRST_RETRY_MILLIS, () -> sendStop(run, true));
         }
     }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/ListedRuns.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/ListedRuns.java
@@ -53,7 +53,7 @@
 
     /** Returns whether an order to start a run may yet be carried out there. */
     boolean mayStartLate() {
-        return unanswered.anyAt(link.life().id(), link.nowMillis());
+        return unanswered.anyAt(link.incarnation().id(), link.nowMillis());
     }
 
     /** Forgets the runs found on an incarnation that is over. */
@@ -64,7 +64,7 @@
     /** Processes the end of a run that is not reserved. */
     void processEnd(TaskEnd end) {
         recovered.remove(end.run());
-        unanswered.recordListed(link.life().id(), end.run());
+        unanswered.recordListed(link.incarnation().id(), end.run());
         if (!anyListRead && end.kind() == EndKind.DONE && room.of(end.run()).isEmpty()) {
             recovered.doneBefore(end.run().task());
         }
@@ -82,13 +82,13 @@
     void processList(Set<TaskRun> running, long sentAtMillis, boolean firstList) {
         if (firstList) {
             readAgainIfReserved();
-            lateStarts.stop(
-                    ImmutableSet.copyOf(unreserved(unanswered.at(link.life().id(), link.nowMillis()))));
+            lateStarts.stop(ImmutableSet.copyOf(
+                    unreserved(unanswered.at(link.incarnation().id(), link.nowMillis()))));
         } else {
             lateStarts.processList(running, sentAtMillis);
         }
         if (mayStartLate()) {
-            running.forEach(run -> unanswered.recordListed(link.life().id(), run));
+            running.forEach(run -> unanswered.recordListed(link.incarnation().id(), run));
         }
         recovered.processList(Sets.filter(unreserved(running), run -> !lateStarts.contains(run)), !anyListRead);
         anyListRead = true;
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacedTask.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacedTask.java
@@ -1,7 +1,7 @@
 package org.tarragonarch.core.placing;
 
 import java.util.Optional;
-import org.tarragonarch.model.id.EndpointLife;
+import org.tarragonarch.model.id.EndpointIncarnation;
 import org.tarragonarch.model.task.TaskName;
 import org.tarragonarch.model.task.TaskRun;
 
@@ -28,7 +28,7 @@
     private boolean unresolved;
     private Optional<HeldEndpoint> at = Optional.empty();
     private Optional<Reservation> reservation = Optional.empty();
-    private Optional<EndpointLife> failedAt = Optional.empty();
+    private Optional<EndpointIncarnation> failedAt = Optional.empty();
 
     PlacedTask(PlacedJob job, TaskName name, int firstRun) {
         this.job = job;
@@ -76,7 +76,7 @@
         return failures;
     }
 
-    boolean failedAt(EndpointLife endpoint) {
+    boolean failedAt(EndpointIncarnation endpoint) {
         return failedAt.isPresent() && failedAt.get().equals(endpoint);
     }
 
@@ -115,7 +115,7 @@
         change(() -> reservation = Optional.empty());
     }
 
-    void failed(EndpointLife endpoint) {
+    void failed(EndpointIncarnation endpoint) {
         failures++;
         failedAt = Optional.of(endpoint);
         back();
@@ -171,7 +171,7 @@
             return false;
         }
         restarts++;
-        failedAt = Optional.of(at.get().entry().life());
+        failedAt = Optional.of(at.get().entry().incarnation());
         stop();
         return true;
     }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacerListener.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacerListener.java
@@ -2,7 +2,7 @@
 
 import org.tarragonarch.core.share.ShareState;
 import org.tarragonarch.model.id.EndpointId;
-import org.tarragonarch.model.id.EndpointLife;
+import org.tarragonarch.model.id.EndpointIncarnation;
 import org.tarragonarch.model.id.FailureDomain;
 import org.tarragonarch.model.id.NodeId;
 import org.tarragonarch.model.task.EndKind;
@@ -31,7 +31,7 @@
     void runEndedBadly(FailureDomain shard, TaskRun run, EndpointId endpoint, EndKind kind);
 
     /** An endpoint has restarted under its id; what ran there is over. */
-    void endpointRestarted(FailureDomain shard, EndpointLife later);
+    void endpointRestarted(FailureDomain shard, EndpointIncarnation later);
 
     /**
      * An endpoint is of another class of speed than before.
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RecoveredRuns.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RecoveredRuns.java
@@ -152,7 +152,7 @@
                 poller.pollIfIdle();
             }
             case FENCED -> host.fenced();
-            case OTHER_LIFE -> host.lifeOver();
+            case OTHER_ENDPOINT -> host.endpointGone();
             default -> link.timers().after(RunListPoller.FIRST_RETRY_MILLIS, () -> sendStop(run, true));
         }
     }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RunEnds.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RunEnds.java
@@ -76,7 +76,7 @@
      *
      * <p>If the endpoint was leaving, its end was planned, and its runs are not suspected of having crashed it.
      */
-    void lifeOver(boolean leftAsPlanned) {
+    void endpointGone(boolean leftAsPlanned) {
         endAll(endKind(leftAsPlanned));
         reportCrash(leftAsPlanned);
     }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RunListPoller.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RunListPoller.java
@@ -1,6 +1,6 @@
 package org.tarragonarch.core.placing;
 
-import org.tarragonarch.model.id.EndpointLife;
+import org.tarragonarch.model.id.EndpointIncarnation;
 import org.tarragonarch.model.task.HoldAnswer;
 import org.tarragonarch.model.task.OrderResult;
 import org.tarragonarch.model.task.RunProgress;
@@ -78,7 +78,7 @@
      * @param then what to do with what is known afterwards, also if there was no answer
      */
     void readAside(Runnable then) {
-        Call call = new Call(link.nowMillis(), link.lifeNumber(), listedEnd);
+        Call call = new Call(link.nowMillis(), link.incarnationNumber(), listedEnd);
         link.list(listedEnd, true, answer -> {
             if (host.closed()) {
                 return;
@@ -92,7 +92,7 @@
     }
 
     private void poll() {
-        Call call = new Call(link.nowMillis(), link.lifeNumber(), listedEnd);
+        Call call = new Call(link.nowMillis(), link.incarnationNumber(), listedEnd);
         underWay = true;
         if (read && !silent && host.needsPolling()) {
             link.renew(listedEnd, false, answer -> answered(answer, call));
@@ -117,18 +117,18 @@
                 }
             }
             case FENCED -> host.fenced();
-            case OTHER_LIFE -> host.lifeOver();
+            case OTHER_ENDPOINT -> host.endpointGone();
             default -> unanswered();
         }
     }
 
     private boolean isCurrent(Call call) {
-        return call.lifeNumber() == link.lifeNumber();
+        return call.incarnationNumber() == link.incarnationNumber();
     }
 
     /** Returns whether an incarnation answers that is known to be over. */
     private boolean isStale(HoldAnswer answer) {
-        return link.life().isLaterThan(link.life().startedAt(answer.startedMillis()));
+        return link.incarnation().isLaterThan(link.incarnation().startedAt(answer.startedMillis()));
     }
 
     private void takeLists(HoldAnswer answer, Call call) {
@@ -156,10 +156,10 @@
      * another, but its ends may be numbered anew.
      */
     private void followStart(HoldAnswer answer) {
-        EndpointLife answering = link.life().startedAt(answer.startedMillis());
-        if (answering.isLaterThan(link.life())) {
+        EndpointIncarnation answering = link.incarnation().startedAt(answer.startedMillis());
+        if (answering.isLaterThan(link.incarnation())) {
             host.restarted(answering);
-        } else if (answering.hasStart() && !link.life().hasStart()) {
+        } else if (answering.hasStart() && !link.incarnation().hasStart()) {
             link.startedAt(answer.startedMillis());
             listedEnd = 0;
             acknowledgedEnd = 0;
@@ -199,10 +199,10 @@
      * A call to the endpoint.
      *
      * @param sentAtMillis when it was sent
-     * @param lifeNumber which incarnation it was meant for
+     * @param incarnationNumber which incarnation it was meant for
      * @param acknowledging the highest number of an end that need not be listed again
      */
-    private record Call(long sentAtMillis, int lifeNumber, long acknowledging) {}
+    private record Call(long sentAtMillis, int incarnationNumber, long acknowledging) {}
 
     /** What the lists are read for. */
     interface Host extends EndpointHost {
@@ -225,7 +225,7 @@
         void listsRead(Iterable<RunProgress> running, long sentAtMillis, boolean firstList, boolean wasSilent);
 
         /** A later incarnation answers; its lists follow. */
-        void restarted(EndpointLife later);
+        void restarted(EndpointIncarnation later);
 
         /** A call got no answer. */
         void unanswered();
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RunOrders.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RunOrders.java
@@ -37,8 +37,8 @@
     void start(PlacedTask task, TaskRun run, Resources need) {
         Reservation reservation = new Reservation(task, run, need, link.nowMillis());
         reserve(reservation);
-        unanswered.add(link.life().id(), run, link.nowMillis());
-        int sentTo = link.lifeNumber();
+        unanswered.add(link.incarnation().id(), run, link.nowMillis());
+        int sentTo = link.incarnationNumber();
         link.start(run, task.job().specification(), answer -> startAnswered(reservation, answer, sentTo));
         poller.pollIfIdle();
     }
@@ -69,12 +69,12 @@
 
     private void startAnswered(Reservation reservation, OrderAnswer answer, int sentTo) {
         if (answer.result() != OrderResult.UNKNOWN) {
-            unanswered.recordAnswered(link.life().id(), reservation.run());
+            unanswered.recordAnswered(link.incarnation().id(), reservation.run());
         }
         if (host.closed() || !room.contains(reservation)) {
             return;
         }
-        if (sentTo != link.lifeNumber() && answer.result().isRefusal()) {
+        if (sentTo != link.incarnationNumber() && answer.result().isRefusal()) {
             refused(reservation);
             return;
         }
@@ -82,7 +82,7 @@
             case DONE -> reservation.running(link.nowMillis());
             case UNKNOWN -> startUnanswered(reservation);
             case FENCED -> host.fenced();
-            case OTHER_LIFE -> host.lifeOver();
+            case OTHER_ENDPOINT -> host.endpointGone();
             case OLD_RUN -> {
                 room.release(reservation);
                 host.events().refusedAsOld(host.endpoint(), reservation);
@@ -138,10 +138,10 @@
     }
 
     private void sendStop(Reservation reservation, boolean fresh, long resendMillis) {
-        int sentTo = link.lifeNumber();
+        int sentTo = link.incarnationNumber();
         link.stop(reservation.run(), fresh, answer -> stopAnswered(reservation, answer));
         link.timers().after(resendMillis, () -> {
-            if (sentTo == link.lifeNumber() && isIn(Reservation.State.STOPPING, reservation)) {
+            if (sentTo == link.incarnationNumber() && isIn(Reservation.State.STOPPING, reservation)) {
                 sendStop(reservation, true, backedOff(resendMillis));
             }
         });
@@ -162,7 +162,7 @@
         switch (answer.result()) {
             case DONE, OLD_RUN -> stopTaken(reservation);
             case FENCED -> host.fenced();
-            case OTHER_LIFE -> host.lifeOver();
+            case OTHER_ENDPOINT -> host.endpointGone();
             default -> {
                 // It is sent again anyway.
             }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RunResults.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RunResults.java
@@ -46,7 +46,7 @@
                 host.settle(job, Verdict.DONE);
             }
         } else if (kind.countsAsAttempt()) {
-            task.failed(endpoint.entry().life());
+            task.failed(endpoint.entry().incarnation());
             retryOrFail(job, task);
         } else if (kind == EndKind.CRASHED) {
             task.crashed();
@@ -74,7 +74,7 @@
     @Override
     public void restarted(HeldEndpoint endpoint) {
         EndpointEntry entry = endpoint.entry();
-        listener.endpointRestarted(entry.domain(), entry.life());
+        listener.endpointRestarted(entry.domain(), entry.incarnation());
     }
 
     @Override
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/EndpointList.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/EndpointList.java
@@ -53,7 +53,7 @@
      * has told it before, is by another writer.
      */
     public boolean listed(EndpointEntry entry) {
-        if (starts.lacksStart(entry.life())) {
+        if (starts.lacksStart(entry.incarnation())) {
             return overwritten(entry.id());
         }
         return recordUnlessOver(entry);
@@ -65,14 +65,14 @@
      * <p>A peer may not know the start, which says nothing of the endpoint.
      */
     public boolean given(EndpointEntry entry) {
-        return !starts.lacksStart(entry.life()) && recordUnlessOver(entry);
+        return !starts.lacksStart(entry.incarnation()) && recordUnlessOver(entry);
     }
 
     private boolean recordUnlessOver(EndpointEntry entry) {
-        if (starts.isOver(entry.life())) {
+        if (starts.isOver(entry.incarnation())) {
             return false;
         }
-        starts.record(entry.life());
+        starts.record(entry.incarnation());
         missingUntil.remove(entry.id());
         return !Objects.equals(entries.put(entry.id(), entry), entry);
     }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/ForwardingShardObserver.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/ForwardingShardObserver.java
@@ -5,7 +5,7 @@
 import org.tarragonarch.core.placing.CompletionEstimate;
 import org.tarragonarch.core.share.ShareState;
 import org.tarragonarch.model.id.EndpointId;
-import org.tarragonarch.model.id.EndpointLife;
+import org.tarragonarch.model.id.EndpointIncarnation;
 import org.tarragonarch.model.id.FailureDomain;
 import org.tarragonarch.model.id.NodeId;
 import org.tarragonarch.model.task.EndKind;
@@ -63,7 +63,7 @@
     }
 
     @Override
-    public void endpointRestarted(FailureDomain shard, EndpointLife later) {
+    public void endpointRestarted(FailureDomain shard, EndpointIncarnation later) {
         delegate.endpointRestarted(shard, later);
     }
 
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/LatestStarts.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/LatestStarts.java
@@ -3,7 +3,7 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import org.tarragonarch.model.id.EndpointId;
-import org.tarragonarch.model.id.EndpointLife;
+import org.tarragonarch.model.id.EndpointIncarnation;
 
 /**
  * The latest known incarnation of each endpoint, kept also while the endpoint is not listed.
@@ -16,28 +16,28 @@
 
     private static final float LOAD_FACTOR = 0.75f;
 
-    private final Map<EndpointId, EndpointLife> latest = new LinkedHashMap<>(16, LOAD_FACTOR, true) {
+    private final Map<EndpointId, EndpointIncarnation> latest = new LinkedHashMap<>(16, LOAD_FACTOR, true) {
         @Override
-        protected boolean removeEldestEntry(Map.Entry<EndpointId, EndpointLife> eldest) {
+        protected boolean removeEldestEntry(Map.Entry<EndpointId, EndpointIncarnation> eldest) {
             return size() > MAX_ENDPOINTS;
         }
     };
 
     /** Records an incarnation if its start is known. */
-    void record(EndpointLife life) {
-        if (life.hasStart()) {
-            latest.put(life.id(), life);
+    void record(EndpointIncarnation incarnation) {
+        if (incarnation.hasStart()) {
+            latest.put(incarnation.id(), incarnation);
         }
     }
 
     /** Returns whether a later incarnation is known. */
-    boolean isOver(EndpointLife life) {
-        EndpointLife known = latest.get(life.id());
-        return known != null && known.isLaterThan(life);
+    boolean isOver(EndpointIncarnation incarnation) {
+        EndpointIncarnation known = latest.get(incarnation.id());
+        return known != null && known.isLaterThan(incarnation);
     }
 
     /** Returns whether a start of the endpoint is known and this incarnation has none. */
-    boolean lacksStart(EndpointLife life) {
-        return !life.hasStart() && latest.containsKey(life.id());
+    boolean lacksStart(EndpointIncarnation incarnation) {
+        return !incarnation.hasStart() && latest.containsKey(incarnation.id());
     }
 }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/ShardObserver.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/ShardObserver.java
@@ -4,7 +4,7 @@
 import org.tarragonarch.core.routing.RoutingObserver;
 import org.tarragonarch.core.share.ShareState;
 import org.tarragonarch.model.id.EndpointId;
-import org.tarragonarch.model.id.EndpointLife;
+import org.tarragonarch.model.id.EndpointIncarnation;
 import org.tarragonarch.model.id.FailureDomain;
 import org.tarragonarch.model.id.NodeId;
 import org.tarragonarch.model.task.EndKind;
@@ -48,5 +48,5 @@
     default void runEndedBadly(FailureDomain shard, TaskRun run, EndpointId endpoint, EndKind kind) {}
 
     /** An endpoint has restarted under its id; what ran there is over. */
-    default void endpointRestarted(FailureDomain shard, EndpointLife later) {}
+    default void endpointRestarted(FailureDomain shard, EndpointIncarnation later) {}
 }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/ShardOwnership.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/ShardOwnership.java
@@ -14,7 +14,7 @@
 import org.tarragonarch.core.share.ShareState;
 import org.tarragonarch.core.speed.SpeedSummary;
 import org.tarragonarch.model.id.EndpointId;
-import org.tarragonarch.model.id.EndpointLife;
+import org.tarragonarch.model.id.EndpointIncarnation;
 import org.tarragonarch.model.id.FailureDomain;
 import org.tarragonarch.model.id.NodeId;
 import org.tarragonarch.model.report.HeldShard;
@@ -224,7 +224,7 @@
         }
 
         @Override
-        public void endpointRestarted(FailureDomain shard, EndpointLife later) {
+        public void endpointRestarted(FailureDomain shard, EndpointIncarnation later) {
             events.endpointRestarted(shard, later);
         }
 
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/FakeEndpoint.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/FakeEndpoint.java
@@ -44,7 +44,7 @@
     boolean stalls;
     boolean reportsNoProgress;
     private final Map<TaskRun, Long> startedAt = new HashMap<>();
-    private boolean isAnotherLife;
+    private boolean hasOtherId;
     private long clockOffset = 77_000;
     private long startedMillis;
     private int restarts;
@@ -75,9 +75,9 @@
         return ImmutableList.copyOf(running.keySet());
     }
 
-    /** Ends all that runs here; from now on another life answers. */
+    /** Ends all that runs here; from now on an endpoint with another id answers. */
     void crash() {
-        isAnotherLife = true;
+        hasOtherId = true;
         running.keySet().forEach(run -> ledger.ended(run.task(), this));
         running.clear();
         List<Runnable> holds = new ArrayList<>(waitingHolds);
@@ -155,8 +155,8 @@
 
     /** Answers at once, or as soon as there is an end or the wait is over. */
     void hold(HoldOrder order, java.util.function.Consumer<HoldAnswer> reply) {
-        if (isAnotherLife || order.token().value() < token) {
-            reply.accept(HoldAnswer.failed(isAnotherLife ? OrderResult.OTHER_LIFE : OrderResult.FENCED));
+        if (hasOtherId || order.token().value() < token) {
+            reply.accept(HoldAnswer.failed(hasOtherId ? OrderResult.OTHER_ENDPOINT : OrderResult.FENCED));
             return;
         }
         token = order.token().value();
@@ -170,7 +170,7 @@
         Runnable answer = () -> {
             if (!answered[0]) {
                 answered[0] = true;
-                reply.accept(isAnotherLife ? HoldAnswer.failed(OrderResult.OTHER_LIFE) : lists());
+                reply.accept(hasOtherId ? HoldAnswer.failed(OrderResult.OTHER_ENDPOINT) : lists());
             }
         };
         waitingHolds.add(answer);
@@ -178,8 +178,8 @@
     }
 
     private OrderResult startResult(StartOrder order) {
-        if (isAnotherLife) {
-            return OrderResult.OTHER_LIFE;
+        if (hasOtherId) {
+            return OrderResult.OTHER_ENDPOINT;
         }
         if (order.token().value() < token) {
             return OrderResult.FENCED;
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/JobLifecycleTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/JobLifecycleTest.java
@@ -7,7 +7,7 @@
 import java.util.List;
 import org.tarragonarch.core.share.PoolShares;
 import org.tarragonarch.model.id.EndpointId;
-import org.tarragonarch.model.id.EndpointLife;
+import org.tarragonarch.model.id.EndpointIncarnation;
 import org.tarragonarch.model.id.FailureDomain;
 import org.tarragonarch.model.id.NodeId;
 import org.tarragonarch.model.share.SharePlan;
@@ -81,7 +81,7 @@
         }
 
         @Override
-        public void endpointRestarted(FailureDomain shard, EndpointLife later) {
+        public void endpointRestarted(FailureDomain shard, EndpointIncarnation later) {
             verdicts.add("endpoint restarted");
         }
 
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/PlacerCrashTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/PlacerCrashTest.java
@@ -85,7 +85,7 @@
         assertEquals(fixture.endpoint(suspect).running(), 1);
     }
 
-    /** Guards against a crash that shows only as silence until the endpoint is back as another life. */
+    /** Guards against a crash that shows only as silence until the endpoint is back under another id. */
     @Test
     public void testCrash_silentEndpointThatIsBackAsAnotherLifeCounts() {
         PlacerFixture fixture = fixture(4);
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/PlacerFixture.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/PlacerFixture.java
@@ -9,7 +9,7 @@
 import org.tarragonarch.core.share.ShareState;
 import org.tarragonarch.model.id.Address;
 import org.tarragonarch.model.id.EndpointId;
-import org.tarragonarch.model.id.EndpointLife;
+import org.tarragonarch.model.id.EndpointIncarnation;
 import org.tarragonarch.model.id.FailureDomain;
 import org.tarragonarch.model.id.NodeId;
 import org.tarragonarch.model.share.SharePlan;
@@ -88,7 +88,7 @@
     /** Puts the entry of the incarnation that started then in place of an endpoint's entry. */
     void enter(int number, long startedMillis) {
         EndpointEntry entry = entries.get(number - 1);
-        entries.set(number - 1, entry.withLife(new EndpointLife(entry.id(), startedMillis)));
+        entries.set(number - 1, entry.withIncarnation(new EndpointIncarnation(entry.id(), startedMillis)));
     }
 
     FakeEndpoint endpoint(int number) {
@@ -177,7 +177,7 @@
             }
 
             @Override
-            public void endpointRestarted(FailureDomain shard, EndpointLife later) {
+            public void endpointRestarted(FailureDomain shard, EndpointIncarnation later) {
                 restarted.add(later.toString());
             }
 
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/shard/EndpointListTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/shard/EndpointListTest.java
@@ -8,7 +8,7 @@
 import com.google.common.collect.ImmutableSet;
 import org.tarragonarch.model.id.Address;
 import org.tarragonarch.model.id.EndpointId;
-import org.tarragonarch.model.id.EndpointLife;
+import org.tarragonarch.model.id.EndpointIncarnation;
 import org.tarragonarch.model.id.FailureDomain;
 import org.tarragonarch.model.task.EndpointEntry;
 import org.tarragonarch.model.task.Resources;
@@ -72,7 +72,7 @@
     }
 
     private static EndpointEntry started(long startedMillis) {
-        return entry("w").withLife(new EndpointLife(EndpointId.of("w"), startedMillis));
+        return entry("w").withIncarnation(new EndpointIncarnation(EndpointId.of("w"), startedMillis));
     }
 
     /** Guards against an entry of an earlier incarnation that is read, or given by a peer, after a later one. */
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ShardLog.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ShardLog.java
@@ -6,7 +6,7 @@
 import org.tarragonarch.core.shard.ShardObserver;
 import org.tarragonarch.core.share.ShareState;
 import org.tarragonarch.model.id.EndpointId;
-import org.tarragonarch.model.id.EndpointLife;
+import org.tarragonarch.model.id.EndpointIncarnation;
 import org.tarragonarch.model.id.FailureDomain;
 import org.tarragonarch.model.id.NodeId;
 import org.tarragonarch.model.log.NodeEvent;
@@ -108,7 +108,7 @@
     }
 
     @Override
-    public void endpointRestarted(FailureDomain shard, EndpointLife later) {
+    public void endpointRestarted(FailureDomain shard, EndpointIncarnation later) {
         meters.endpointRestarted();
         log.line(
                 NodeEvent.ENDPOINT_RESTARTED,
--- a/tarragonarch-model/src/main/java/org/tarragonarch/model/id/EndpointLife.java
+++ b/tarragonarch-model/src/main/java/org/tarragonarch/model/id/EndpointIncarnation.java
@@ -9,24 +9,24 @@
  * @param id the endpoint's id
  * @param startedMillis when it started, in milliseconds since 1970; {@value #UNKNOWN_START} where that was not told
  */
-public record EndpointLife(EndpointId id, long startedMillis) {
+public record EndpointIncarnation(EndpointId id, long startedMillis) {
     /** The start of an incarnation that did not tell it. */
     public static final long UNKNOWN_START = 0;
 
     /** Checks the parts. */
-    public EndpointLife {
+    public EndpointIncarnation {
         checkNotNull(id, "id");
         checkArgument(startedMillis >= 0, "startedMillis %s is negative", startedMillis);
     }
 
     /** Returns the incarnation of an endpoint that does not tell when it started. */
-    public static EndpointLife ofUnknownStart(EndpointId id) {
-        return new EndpointLife(id, UNKNOWN_START);
+    public static EndpointIncarnation ofUnknownStart(EndpointId id) {
+        return new EndpointIncarnation(id, UNKNOWN_START);
     }
 
     /** Returns the incarnation of the same endpoint that started then. */
-    public EndpointLife startedAt(long millis) {
-        return new EndpointLife(id, millis);
+    public EndpointIncarnation startedAt(long millis) {
+        return new EndpointIncarnation(id, millis);
     }
 
     /** Returns whether it is known when it started. */
@@ -35,7 +35,7 @@
     }
 
     /** Returns whether this incarnation has followed the other; an unknown start proves nothing. */
-    public boolean isLaterThan(EndpointLife other) {
+    public boolean isLaterThan(EndpointIncarnation other) {
         return hasStart() && other.hasStart() && startedMillis > other.startedMillis;
     }
 
--- a/tarragonarch-model/src/main/java/org/tarragonarch/model/task/EndKind.java
+++ b/tarragonarch-model/src/main/java/org/tarragonarch/model/task/EndKind.java
@@ -10,7 +10,7 @@
     STOPPED(false, false),
     /** The endpoint's lease ran out under it. */
     LAPSED(false, false),
-    /** The endpoint that ran it has crashed, and is back as another life. */
+    /** The endpoint that ran it has crashed and restarted. */
     CRASHED(false, false),
     /** Another member of its group ended, or it waited too long for the others. */
     GROUP_BROKEN(false, false);
--- a/tarragonarch-model/src/main/java/org/tarragonarch/model/task/EndpointEntry.java
+++ b/tarragonarch-model/src/main/java/org/tarragonarch/model/task/EndpointEntry.java
@@ -4,13 +4,13 @@
 
 import org.tarragonarch.model.id.Address;
 import org.tarragonarch.model.id.EndpointId;
-import org.tarragonarch.model.id.EndpointLife;
+import org.tarragonarch.model.id.EndpointIncarnation;
 import org.tarragonarch.model.id.FailureDomain;
 
 /**
  * What the platform's list says of one incarnation of an endpoint.
  *
- * @param life the incarnation that the entry is of; after a crash the endpoint has another start, or another id
+ * @param incarnation the incarnation that the entry is of; after a crash the endpoint has another start, or another id
  * @param service the service that it works for
  * @param address where it takes orders
  * @param domain where it stands
@@ -19,7 +19,7 @@
  * @param cold whether it still works more slowly than it will, because it has just started
  */
 public record EndpointEntry(
-        EndpointLife life,
+        EndpointIncarnation incarnation,
         String service,
         Address address,
         FailureDomain domain,
@@ -28,7 +28,7 @@
         boolean cold) {
     /** Checks the parts. */
     public EndpointEntry {
-        checkNotNull(life, "life");
+        checkNotNull(incarnation, "incarnation");
         checkNotNull(service, "service");
         checkNotNull(address, "address");
         checkNotNull(domain, "domain");
@@ -44,12 +44,12 @@
             boolean draining,
             Resources capacity,
             boolean cold) {
-        this(EndpointLife.ofUnknownStart(id), service, address, domain, draining, capacity, cold);
+        this(EndpointIncarnation.ofUnknownStart(id), service, address, domain, draining, capacity, cold);
     }
 
     /** Returns the endpoint's id. */
     public EndpointId id() {
-        return life.id();
+        return incarnation.id();
     }
 
     /** Returns the same entry of an endpoint that must get nothing new. */
@@ -59,11 +59,11 @@
 
     /** Returns the same entry of an endpoint that must get nothing new, or may again. */
     public EndpointEntry withDraining(boolean now) {
-        return new EndpointEntry(life, service, address, domain, now, capacity, cold);
+        return new EndpointEntry(incarnation, service, address, domain, now, capacity, cold);
     }
 
     /** Returns the same entry of another incarnation. */
-    public EndpointEntry withLife(EndpointLife other) {
+    public EndpointEntry withIncarnation(EndpointIncarnation other) {
         return new EndpointEntry(other, service, address, domain, draining, capacity, cold);
     }
 }
--- a/tarragonarch-model/src/main/java/org/tarragonarch/model/task/HoldAnswer.java
+++ b/tarragonarch-model/src/main/java/org/tarragonarch/model/task/HoldAnswer.java
@@ -4,7 +4,7 @@
 
 import com.google.common.collect.ImmutableList;
 import java.util.OptionalLong;
-import org.tarragonarch.model.id.EndpointLife;
+import org.tarragonarch.model.id.EndpointIncarnation;
 
 /**
  * The answer to a {@link HoldOrder}.
@@ -14,7 +14,7 @@
  * @param running what runs
  * @param ended the ends that were not yet taken note of, in order
  * @param startedMillis when the incarnation that answers started, in milliseconds since 1970;
- *     {@link EndpointLife#UNKNOWN_START} where that is not told
+ *     {@link EndpointIncarnation#UNKNOWN_START} where that is not told
  */
 public record HoldAnswer(
         OrderResult result,
@@ -36,7 +36,7 @@
             OptionalLong clockMillis,
             ImmutableList<RunProgress> running,
             ImmutableList<TaskEnd> ended) {
-        this(result, clockMillis, running, ended, EndpointLife.UNKNOWN_START);
+        this(result, clockMillis, running, ended, EndpointIncarnation.UNKNOWN_START);
     }
 
     /** Returns the answer of an endpoint that did not carry the order out. */
--- a/tarragonarch-model/src/main/java/org/tarragonarch/model/task/OrderResult.java
+++ b/tarragonarch-model/src/main/java/org/tarragonarch/model/task/OrderResult.java
@@ -14,8 +14,8 @@
     NO_ROOM,
     /** Refused by an endpoint that is unhealthy or leaving; it has done nothing. */
     UNWELL,
-    /** Refused: another life of the endpoint answers at this address, so the one meant is over. */
-    OTHER_LIFE,
+    /** Refused: an endpoint with another id answers at this address, so the one meant is over. */
+    OTHER_ENDPOINT,
     /** Refused as something that nobody could carry out. */
     UNREADABLE,
     /** The connection was refused: certainly nothing was done. */
--- a/tarragonarch-model/src/main/java/org/tarragonarch/model/task/TaskEnd.java
+++ b/tarragonarch-model/src/main/java/org/tarragonarch/model/task/TaskEnd.java
@@ -5,7 +5,7 @@
 /**
  * The end of a run as its endpoint lists it.
  *
- * @param number counts the ends of this life of the endpoint, from 1 upwards
+ * @param number counts the ends of this incarnation of the endpoint, from 1 upwards
  * @param run the run that ended
  * @param kind how it ended
  */
--- a/tarragonarch-standin/src/test/java/org/tarragonarch/standin/soak/Fault.java
+++ b/tarragonarch-standin/src/test/java/org/tarragonarch/standin/soak/Fault.java
@@ -109,7 +109,7 @@
             cluster.endpoint(target).late(0);
         }
     },
-    /** An endpoint crashes, and comes back as another life. */
+    /** An endpoint crashes, and restarts under another id. */
     ENDPOINT_CRASHED(FaultyLink.Mode.RESET) {
         @Override
         void begin(SoakCluster cluster, int target) throws IOException, InterruptedException {
@@ -117,7 +117,7 @@
             cluster.restartEndpoint(target);
         }
     },
-    /** An endpoint crashes, and comes back as another incarnation under its id. */
+    /** An endpoint crashes, and restarts under its id. */
     ENDPOINT_RESTARTED(FaultyLink.Mode.RESET) {
         @Override
         void begin(SoakCluster cluster, int target) throws IOException, InterruptedException {
--- a/tarragonarch-standin/src/test/java/org/tarragonarch/standin/soak/SoakCluster.java
+++ b/tarragonarch-standin/src/test/java/org/tarragonarch/standin/soak/SoakCluster.java
@@ -121,7 +121,7 @@
         startAllNodes();
     }
 
-    /** Lets an endpoint come back as another life; its last one's entry goes. */
+    /** Lets an endpoint restart under another id; the entry of the earlier id goes. */
     synchronized void restartEndpoint(int endpoint) {
         int index = endpoint % endpoints.size();
         lives++;
--- a/tarragonarch-wire/src/main/java/org/tarragonarch/wire/EndpointsCodec.java
+++ b/tarragonarch-wire/src/main/java/org/tarragonarch/wire/EndpointsCodec.java
@@ -3,7 +3,7 @@
 import com.google.common.collect.ImmutableList;
 import org.tarragonarch.model.id.Address;
 import org.tarragonarch.model.id.EndpointId;
-import org.tarragonarch.model.id.EndpointLife;
+import org.tarragonarch.model.id.EndpointIncarnation;
 import org.tarragonarch.model.id.FailureDomain;
 import org.tarragonarch.model.task.EndpointEntry;
 import org.tarragonarch.model.task.Resources;
@@ -16,7 +16,7 @@
         writer.writeCount(given.endpoints().size());
         for (EndpointEntry entry : given.endpoints()) {
             writer.writeText(entry.id().value())
-                    .writeLong(entry.life().startedMillis())
+                    .writeLong(entry.incarnation().startedMillis())
                     .writeText(entry.service())
                     .writeText(entry.address().ip())
                     .writeInt(entry.address().port())
@@ -33,14 +33,15 @@
         int count = reader.readCount();
         ImmutableList.Builder<EndpointEntry> entries = ImmutableList.builder();
         for (int i = 0; i < count; i++) {
-            EndpointLife life = new EndpointLife(EndpointId.of(reader.readText()), reader.readLong());
+            EndpointIncarnation incarnation =
+                    new EndpointIncarnation(EndpointId.of(reader.readText()), reader.readLong());
             String service = reader.readText();
             Address address = new Address(reader.readText(), reader.readInt());
             FailureDomain domain = FailureDomain.of(reader.readText());
             boolean draining = reader.readBoolean();
             Resources capacity = new Resources(reader.readLong(), reader.readLong(), reader.readLong());
             boolean cold = reader.readBoolean();
-            entries.add(new EndpointEntry(life, service, address, domain, draining, capacity, cold));
+            entries.add(new EndpointEntry(incarnation, service, address, domain, draining, capacity, cold));
         }
         return new EndpointsGiven(entries.build());
     }
--- a/tarragonarch-wire/src/test/java/org/tarragonarch/wire/PlacingSamples.java
+++ b/tarragonarch-wire/src/test/java/org/tarragonarch/wire/PlacingSamples.java
@@ -4,7 +4,7 @@
 import com.google.common.collect.ImmutableSet;
 import org.tarragonarch.model.id.Address;
 import org.tarragonarch.model.id.EndpointId;
-import org.tarragonarch.model.id.EndpointLife;
+import org.tarragonarch.model.id.EndpointIncarnation;
 import org.tarragonarch.model.id.FailureDomain;
 import org.tarragonarch.model.id.NodeId;
 import org.tarragonarch.model.report.DrainedDomains;
@@ -42,8 +42,8 @@
         NodeStatus leaving =
                 new NodeStatus(NODE, SHARD, ADDRESS, 1_500, true, false, 0, DrainedDomains.UNREAD, ImmutableList.of());
         Resources capacity = new Resources(16_000, 32_768, 1);
-        EndpointLife life = new EndpointLife(EndpointId.of("i-1"), 1_700_000_000_123L);
-        EndpointEntry entry = new EndpointEntry(life, "board", ADDRESS, SHARD, true, capacity, true);
+        EndpointIncarnation incarnation = new EndpointIncarnation(EndpointId.of("i-1"), 1_700_000_000_123L);
+        EndpointEntry entry = new EndpointEntry(incarnation, "board", ADDRESS, SHARD, true, capacity, true);
         return ImmutableList.of(
                 new StatusFrame(holding),
                 new StatusFrame(leaving),
