Tests: one set-up for experiments over seeds and for starts that are carried out late

The first are SeedRuns, the second withLateStart. No assertion changed; DomainLoadTest passes, HeavyLoadTest was compiled and not run after this commit.

--- a/tarragonarch-benchmark/src/test/java/org/tarragonarch/benchmark/experiment/DomainLoadTest.java
+++ b/tarragonarch-benchmark/src/test/java/org/tarragonarch/benchmark/experiment/DomainLoadTest.java
@@ -4,8 +4,6 @@
 import static org.testng.Assert.assertTrue;
 
 import com.google.common.collect.ImmutableList;
-import java.util.function.ToDoubleFunction;
-import java.util.stream.LongStream;
 import org.tarragonarch.model.outcome.StepException;
 import org.testng.annotations.Test;
 
@@ -19,47 +17,39 @@
 
     private static ImmutableList<ExperimentResult> play(String shape) throws StepException {
         LoadShape load = LoadShapes.named(shape);
-        return LongStream.rangeClosed(1, SEEDS)
-                .mapToObj(seed -> Experiment.run(load, seed))
-                .collect(ImmutableList.toImmutableList());
-    }
-
-    private static double mean(ImmutableList<ExperimentResult> results, ToDoubleFunction<ExperimentResult> figure) {
-        return results.stream().mapToDouble(figure).average().orElseThrow();
-    }
-
-    private static void assertAtLeast(double found, double least, String what) {
-        assertTrue(found >= least, what + " " + found + " is below " + least);
+        return SeedRuns.run(load, SEEDS);
     }
 
     /** Load: evenly loaded domains with room. Guards against jobs that leave their domain, or are late, for nothing. */
     @Test
     public void testDomainsEven_offersAndResultsAsWithoutBalance() throws StepException {
         ImmutableList<ExperimentResult> results = play("domains-even");
-        assertEquals(mean(results, ExperimentResult::moved), 0.0);
-        assertEquals(mean(results, ExperimentResult::earned), 1.0);
+        assertEquals(SeedRuns.mean(results, ExperimentResult::moved), 0.0);
+        assertEquals(SeedRuns.mean(results, ExperimentResult::earned), 1.0);
     }
 
     /** Load: one domain of three gets 1.6 times its traffic. Guards against jobs that wait while others have room. */
     @Test
     public void testDomainBurst_neighboursHelp() throws StepException {
         ImmutableList<ExperimentResult> results = play("domain-burst");
-        assertAtLeast(mean(results, each -> each.byDomain().get("d0")), 0.988, "the domain with the burst");
-        assertAtLeast(mean(results, ExperimentResult::earned), 0.990, "all");
-        assertEquals(mean(results, ExperimentResult::overfilled), 0.0);
+        SeedRuns.assertAtLeast(
+                SeedRuns.mean(results, each -> each.byDomain().get("d0")), 0.988, "the domain with the burst");
+        SeedRuns.assertAtLeast(SeedRuns.mean(results, ExperimentResult::earned), 0.990, "all");
+        assertEquals(SeedRuns.mean(results, ExperimentResult::overfilled), 0.0);
     }
 
     /** Load: domains whose demand swings out of phase. Guards against work that is late in one while another idles. */
     @Test
     public void testDomainsSwing_neighboursHelp() throws StepException {
-        assertAtLeast(mean(play("domains-swing"), ExperimentResult::earned), 0.9975, "all");
+        SeedRuns.assertAtLeast(SeedRuns.mean(play("domains-swing"), ExperimentResult::earned), 0.9975, "all");
     }
 
     /** Load: clients move to another domain. Guards against a domain that keeps work which others could start. */
     @Test
     public void testClientsMove_neighboursHelp() throws StepException {
         ImmutableList<ExperimentResult> results = play("clients-move");
-        assertAtLeast(mean(results, each -> each.byDomain().get("d1")), 0.998, "the domain that clients come to");
+        SeedRuns.assertAtLeast(
+                SeedRuns.mean(results, each -> each.byDomain().get("d1")), 0.998, "the domain that clients come to");
     }
 
     /**
@@ -69,9 +59,10 @@
     @Test
     public void testDomainsFlooded_thirdDomainServesItsOwn() throws StepException {
         ImmutableList<ExperimentResult> results = play("domains-flooded");
-        assertAtLeast(mean(results, each -> each.byDomain().get("d2")), 0.96, "the domain without a flood");
-        double movesPerJob = mean(results, each -> (double) each.moved() / each.jobs());
+        SeedRuns.assertAtLeast(
+                SeedRuns.mean(results, each -> each.byDomain().get("d2")), 0.96, "the domain without a flood");
+        double movesPerJob = SeedRuns.mean(results, each -> (double) each.moved() / each.jobs());
         assertTrue(movesPerJob < 0.5, "each job is offered to " + movesPerJob + " others");
-        assertEquals(mean(results, ExperimentResult::overfilled), 0.0);
+        assertEquals(SeedRuns.mean(results, ExperimentResult::overfilled), 0.0);
     }
 }
--- a/tarragonarch-benchmark/src/test/java/org/tarragonarch/benchmark/experiment/HeavyLoadTest.java
+++ b/tarragonarch-benchmark/src/test/java/org/tarragonarch/benchmark/experiment/HeavyLoadTest.java
@@ -1,11 +1,8 @@
 package org.tarragonarch.benchmark.experiment;
 
 import static org.testng.Assert.assertEquals;
-import static org.testng.Assert.assertTrue;
 
 import com.google.common.collect.ImmutableList;
-import java.util.function.ToDoubleFunction;
-import java.util.stream.LongStream;
 import org.tarragonarch.model.outcome.StepException;
 import org.tarragonarch.model.share.ShareSettings;
 import org.testng.annotations.Test;
@@ -21,18 +18,7 @@
     private static final int SEEDS = 4;
 
     private static ImmutableList<ExperimentResult> play(LoadShape shape) {
-        return LongStream.rangeClosed(1, SEEDS)
-                .parallel()
-                .mapToObj(seed -> Experiment.run(shape, seed))
-                .collect(ImmutableList.toImmutableList());
-    }
-
-    private static double mean(ImmutableList<ExperimentResult> results, ToDoubleFunction<ExperimentResult> figure) {
-        return results.stream().mapToDouble(figure).average().orElseThrow();
-    }
-
-    private static void assertAtLeast(double found, double least, String what) {
-        assertTrue(found >= least, what + " " + found + " is below " + least);
+        return SeedRuns.run(shape, SEEDS);
     }
 
     @Test
@@ -48,28 +34,30 @@
     @Test
     public void testPool_wideUrgentJobsFindRoomAnywhere() throws StepException {
         ImmutableList<ExperimentResult> results = play(LoadShapes.named("pool"));
-        assertAtLeast(mean(results, ExperimentResult::earned), 0.94, "all");
+        SeedRuns.assertAtLeast(SeedRuns.mean(results, ExperimentResult::earned), 0.94, "all");
         for (String kind : results.get(0).byKind().keySet()) {
-            assertAtLeast(mean(results, each -> each.byKind().get(kind)), 0.88, kind);
-            assertAtLeast(mean(results, each -> each.widest(kind)), 0.85, "the widest of " + kind);
+            SeedRuns.assertAtLeast(SeedRuns.mean(results, each -> each.byKind().get(kind)), 0.88, kind);
+            SeedRuns.assertAtLeast(SeedRuns.mean(results, each -> each.widest(kind)), 0.85, "the widest of " + kind);
         }
         for (String domain : results.get(0).byDomain().keySet()) {
-            assertAtLeast(mean(results, each -> each.byDomain().get(domain)), 0.92, domain);
+            SeedRuns.assertAtLeast(
+                    SeedRuns.mean(results, each -> each.byDomain().get(domain)), 0.92, domain);
         }
-        assertEquals(mean(results, ExperimentResult::overfilled), 0.0);
+        assertEquals(SeedRuns.mean(results, ExperimentResult::overfilled), 0.0);
     }
 
     /** Guards against a kind or the widest jobs given up in a burst with endpoints that only look free. */
     @Test
     public void testCrowded_nobodyStarves() throws StepException {
         ImmutableList<ExperimentResult> results = play(LoadShapes.named("crowded"));
-        assertAtLeast(mean(results, ExperimentResult::earned), 0.82, "all");
+        SeedRuns.assertAtLeast(SeedRuns.mean(results, ExperimentResult::earned), 0.82, "all");
         for (String kind : results.get(0).byKind().keySet()) {
-            double earned = mean(results, each -> each.byKind().get(kind));
-            assertAtLeast(earned, 0.60, kind);
-            assertAtLeast(mean(results, each -> each.widest(kind)), earned / 2, "the widest of " + kind);
+            double earned = SeedRuns.mean(results, each -> each.byKind().get(kind));
+            SeedRuns.assertAtLeast(earned, 0.60, kind);
+            SeedRuns.assertAtLeast(
+                    SeedRuns.mean(results, each -> each.widest(kind)), earned / 2, "the widest of " + kind);
         }
-        assertEquals(mean(results, ExperimentResult::overfilled), 0.0);
+        assertEquals(SeedRuns.mean(results, ExperimentResult::overfilled), 0.0);
     }
 
     /** Guards against a next holder that stops what runs: two seconds around it earned 0.84, then 0.91. */
@@ -77,25 +65,26 @@
     public void testOutage_holderIsKilled() throws StepException {
         ImmutableList<ExperimentResult> results = play(LoadShapes.named("outage"));
         for (long killed : new long[] {6_000, 10_000, 14_000}) {
-            double around = mean(results, each -> each.between(killed - 1_000, killed + 1_000));
-            assertAtLeast(around, 0.86, "around " + killed);
+            double around = SeedRuns.mean(results, each -> each.between(killed - 1_000, killed + 1_000));
+            SeedRuns.assertAtLeast(around, 0.86, "around " + killed);
         }
-        assertEquals(mean(results, ExperimentResult::overfilled), 0.0);
+        assertEquals(SeedRuns.mean(results, ExperimentResult::overfilled), 0.0);
     }
 
     /** All nodes lose power: two seconds after the first is back, callers are served as before. */
     @Test
     public void testOutage_servedAgainAfterPowerIsBack() throws StepException {
         ImmutableList<ExperimentResult> results = play(LoadShapes.named("outage"));
-        assertAtLeast(mean(results, each -> each.between(24_500, 30_000)), 0.93, "after the outage");
+        SeedRuns.assertAtLeast(SeedRuns.mean(results, each -> each.between(24_500, 30_000)), 0.93, "after the outage");
     }
 
     /** Guards against callers served worse while planned stops hand over five domains in turn. */
     @Test
     public void testRolling_plannedStopsCostNothing() throws StepException {
         ImmutableList<ExperimentResult> results = play(LoadShapes.named("rolling"));
-        assertAtLeast(mean(results, each -> each.between(3_500, 8_000)), 0.98, "around the planned stops");
-        assertEquals(mean(results, ExperimentResult::overfilled), 0.0);
+        SeedRuns.assertAtLeast(
+                SeedRuns.mean(results, each -> each.between(3_500, 8_000)), 0.98, "around the planned stops");
+        assertEquals(SeedRuns.mean(results, ExperimentResult::overfilled), 0.0);
     }
 
     /** Guards against one node of thirty that is cut off from its peers and takes its domain's shards. */
@@ -103,7 +92,8 @@
     public void testRolling_nodeThatIsCutOffTakesNothing() throws StepException {
         ImmutableList<ExperimentResult> results = play(LoadShapes.named("rolling"));
         double ownClients = 1 / 30.0;
-        assertAtLeast(mean(results, each -> each.between(20_000, 22_000)), 1 - ownClients, "beside the cut");
+        SeedRuns.assertAtLeast(
+                SeedRuns.mean(results, each -> each.between(20_000, 22_000)), 1 - ownClients, "beside the cut");
     }
 
     /** Guards against stalled runs on a tenth of the endpoints that are restarted too late: at most 2/3 lost. */
@@ -111,8 +101,9 @@
     public void testHalves_stalledRunsAreRestartedInTime() throws StepException {
         ImmutableList<ExperimentResult> results = play(LoadShapes.named("halves"));
         double hanging = 0.1;
-        assertAtLeast(mean(results, each -> each.between(18_000, 20_000)), 1 - hanging * 2 / 3, "as endpoints hang");
-        assertEquals(mean(results, ExperimentResult::overfilled), 0.0);
+        SeedRuns.assertAtLeast(
+                SeedRuns.mean(results, each -> each.between(18_000, 20_000)), 1 - hanging * 2 / 3, "as endpoints hang");
+        assertEquals(SeedRuns.mean(results, ExperimentResult::overfilled), 0.0);
     }
 
     /** Guards against one cut-off node of eight that takes the pool: at most twice its own share is worse. */
@@ -120,8 +111,9 @@
     public void testPartitioned_onePoolStaysWithItsHolder() throws StepException {
         ImmutableList<ExperimentResult> results = play(LoadShapes.named("partitioned"));
         double ownClients = 1 / 8.0;
-        assertAtLeast(mean(results, each -> each.between(8_000, 12_000)), 1 - 2 * ownClients, "beside the cut");
-        assertEquals(mean(results, ExperimentResult::overfilled), 0.0);
+        SeedRuns.assertAtLeast(
+                SeedRuns.mean(results, each -> each.between(8_000, 12_000)), 1 - 2 * ownClients, "beside the cut");
+        assertEquals(SeedRuns.mean(results, ExperimentResult::overfilled), 0.0);
     }
 
     /**
@@ -136,10 +128,10 @@
                 .withShares(ImmutableList.of(
                         ShareSettings.weighted(0, 4), ShareSettings.weighted(1, 2), ShareSettings.weighted(2, 1)));
         ImmutableList<ExperimentResult> results = play(flood);
-        assertAtLeast(mean(results, each -> each.byKind().get("short")), 0.97, "short");
-        assertAtLeast(mean(results, each -> each.byKind().get("middle")), 0.92, "middle");
-        assertAtLeast(mean(results, each -> each.byKind().get("long")), 0.68, "long");
-        assertEquals(mean(results, ExperimentResult::overfilled), 0.0);
+        SeedRuns.assertAtLeast(SeedRuns.mean(results, each -> each.byKind().get("short")), 0.97, "short");
+        SeedRuns.assertAtLeast(SeedRuns.mean(results, each -> each.byKind().get("middle")), 0.92, "middle");
+        SeedRuns.assertAtLeast(SeedRuns.mean(results, each -> each.byKind().get("long")), 0.68, "long");
+        assertEquals(SeedRuns.mean(results, ExperimentResult::overfilled), 0.0);
     }
 
     /**
@@ -149,29 +141,31 @@
     @Test
     public void testQuotes_slowEndpointsAndStragglers() throws StepException {
         ImmutableList<ExperimentResult> results = play(LoadShapes.named("quotes"));
-        assertAtLeast(mean(results, ExperimentResult::earned), 0.93, "all");
-        assertAtLeast(mean(results, each -> each.between(9_000, 13_000)), 0.88, "as endpoints are slow");
-        assertEquals(mean(results, ExperimentResult::overfilled), 0.0);
+        SeedRuns.assertAtLeast(SeedRuns.mean(results, ExperimentResult::earned), 0.93, "all");
+        SeedRuns.assertAtLeast(
+                SeedRuns.mean(results, each -> each.between(9_000, 13_000)), 0.88, "as endpoints are slow");
+        assertEquals(SeedRuns.mean(results, ExperimentResult::overfilled), 0.0);
     }
 
     /** The pattern of three speeds close together and two bursts: learning speeds costs nobody anything. */
     @Test
     public void testLender_nobodyServedWorseForSpeeds() throws StepException {
         ImmutableList<ExperimentResult> results = play(LoadShapes.named("lender"));
-        assertAtLeast(mean(results, ExperimentResult::earned), 0.93, "all");
+        SeedRuns.assertAtLeast(SeedRuns.mean(results, ExperimentResult::earned), 0.93, "all");
         for (String kind : results.get(0).byKind().keySet()) {
-            assertAtLeast(mean(results, each -> each.byKind().get(kind)), 0.86, kind);
+            SeedRuns.assertAtLeast(SeedRuns.mean(results, each -> each.byKind().get(kind)), 0.86, kind);
         }
-        assertEquals(mean(results, ExperimentResult::overfilled), 0.0);
+        assertEquals(SeedRuns.mean(results, ExperimentResult::overfilled), 0.0);
     }
 
     /** No user has a cluster like this: two domains far apart in size and rate, and one kind of job. */
     @Test
     public void testOtherShape() throws StepException {
         ImmutableList<ExperimentResult> results = play(LoadShapes.named("uneven"));
-        assertAtLeast(mean(results, ExperimentResult::earned), 0.95, "all");
+        SeedRuns.assertAtLeast(SeedRuns.mean(results, ExperimentResult::earned), 0.95, "all");
         for (String domain : results.get(0).byDomain().keySet()) {
-            assertAtLeast(mean(results, each -> each.byDomain().get(domain)), 0.93, domain);
+            SeedRuns.assertAtLeast(
+                    SeedRuns.mean(results, each -> each.byDomain().get(domain)), 0.93, domain);
         }
     }
 }
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/PlacerRestartTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/PlacerRestartTest.java
@@ -140,17 +140,23 @@
         assertUnbroken(fixture);
     }
 
+    /** Returns a fixture of two endpoints with one job, whose first start order is carried out late. */
+    private static PlacerFixture withLateStart() {
+        PlacerFixture fixture = fixture(2, 5_000);
+        Placer placer = opened(fixture);
+        int[] starts = {0};
+        fixture.orders.startWay = () -> starts[0]++ == 0 ? FakeOrders.Way.LATE : FakeOrders.Way.CLEAR;
+        placer.offer(PlacerFixture.patientOffer(1, 1, 5_000));
+        return fixture;
+    }
+
     /**
      * Guards against an order that the earlier incarnation left unanswered and the new one carries out: its expiry is
      * on the earlier clock, and the new one starts lower.
      */
     @Test
     public void testRestart_betweenOrderAndAnswer() {
-        PlacerFixture fixture = fixture(2, 5_000);
-        Placer placer = opened(fixture);
-        int[] starts = {0};
-        fixture.orders.startWay = () -> starts[0]++ == 0 ? FakeOrders.Way.LATE : FakeOrders.Way.CLEAR;
-        placer.offer(PlacerFixture.patientOffer(1, 1, 5_000));
+        PlacerFixture fixture = withLateStart();
         fixture.timers.pass(10);
         fixture.endpoint(1).restart();
         fixture.endpoint(2).restart();
@@ -163,11 +169,7 @@
     /** Guards against a late order whose run was settled on the earlier incarnation, unknown to the new one. */
     @Test
     public void testRestart_afterTheUnansweredOrderWasSettled() {
-        PlacerFixture fixture = fixture(2, 5_000);
-        Placer placer = opened(fixture);
-        int[] starts = {0};
-        fixture.orders.startWay = () -> starts[0]++ == 0 ? FakeOrders.Way.LATE : FakeOrders.Way.CLEAR;
-        placer.offer(PlacerFixture.patientOffer(1, 1, 5_000));
+        PlacerFixture fixture = withLateStart();
         fixture.timers.pass(1_000);
         assertEquals(fixture.ledger.starts(), 1);
         fixture.endpoint(1).restart();
