--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/HeldEndpoint.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/HeldEndpoint.java
@@ -23,15 +23,12 @@
 final class HeldEndpoint {
     private final EndpointLink link;
     private final EndpointEvents events;
-    private final ProgressReports progress;
     private final ReservedRoom room;
     private final RunEnds ends;
     private final ListedRuns listedRuns;
     private final RunListPoller poller;
     private final RunOrders orders;
-    private EndpointHealth health;
-    private EndpointSpeed speed;
-    private StallDetector stalls;
+    private final EndpointObservations observations;
     private boolean closed;
     private boolean retired;
 
@@ -49,21 +46,13 @@
             ShareTally tally) {
         this.link = link;
         this.events = events;
-        this.progress = progress;
         this.room = new ReservedRoom(link.entry().capacity(), tally);
         Host host = new Host();
         this.ends = new RunEnds(link, room, this, events);
         this.poller = new RunListPoller(link, host);
         this.listedRuns = new ListedRuns(link, room, unanswered, poller, host);
         this.orders = new RunOrders(link, room, poller, unanswered, host);
-        resetEstimates();
-    }
-
-    /** Forgets health, speed and progress, which belong to one incarnation. */
-    private void resetEstimates() {
-        health = new EndpointHealth();
-        speed = new EndpointSpeed();
-        stalls = new StallDetector(room, health, speed, progress);
+        this.observations = new EndpointObservations(room, progress);
     }
 
     /** Reads the lists for the first time. */
@@ -125,7 +114,7 @@
 
     /** Returns how fast this incarnation of the endpoint is. */
     EndpointSpeed speed() {
-        return speed;
+        return observations.speed();
     }
 
     ReservedRoom room() {
@@ -184,8 +173,8 @@
                 && !closed
                 && !retired
                 && !entry().draining()
-                && !health.isEjected(nowMillis)
-                && !(health.isOnTrial() && !room.isEmpty());
+                && !observations.health().isEjected(nowMillis)
+                && !(observations.health().isOnTrial() && !room.isEmpty());
     }
 
     /** Returns whether the endpoint, were it idle, could be given a task of the service that needs so much. */
@@ -208,16 +197,12 @@
 
     /** Stops runs that take far longer than expected; see {@link StallDetector}. */
     void restartOverdueRuns() {
-        stalls.restartOverdueRuns(link.nowMillis());
+        observations.stalls().restartOverdueRuns(link.nowMillis());
     }
 
     /** Records whether a run succeeded. */
     void recordOutcome(boolean succeeded) {
-        if (succeeded) {
-            health.recordSuccess();
-        } else {
-            health.recordFailure(link.nowMillis());
-        }
+        observations.recordOutcome(succeeded, link.nowMillis());
     }
 
     private boolean leftAsPlanned() {
@@ -230,7 +215,7 @@
         link.restarted(later);
         poller.restart();
         listedRuns.restarted();
-        resetEstimates();
+        observations.reset();
         events.restarted(this);
         ends.restarted(leftAsPlanned);
         orders.stopAgainAfterRestart();
@@ -262,7 +247,7 @@
         @Override
         public void listsRead(Iterable<RunProgress> running, long sentAtMillis, boolean firstList, boolean wasSilent) {
             ImmutableMap<TaskRun, Integer> percentByRun = ListedRuns.percentByRun(running);
-            ends.processList(percentByRun, sentAtMillis, stalls);
+            ends.processList(percentByRun, sentAtMillis, observations.stalls());
             listedRuns.processList(percentByRun.keySet(), sentAtMillis, firstList);
             if (firstList) {
                 events.firstListed(HeldEndpoint.this);
@@ -305,7 +290,7 @@
 
         @Override
         public void eject(long millis) {
-            health.eject(link.nowMillis(), millis);
+            observations.health().eject(link.nowMillis(), millis);
         }
     }
 }
--- /dev/null
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/EndpointObservationsTest.java
@@ -0,0 +1,27 @@
+package org.tarragonarch.core.placing;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import org.tarragonarch.core.share.ShareTally;
+import org.tarragonarch.model.task.Resources;
+import org.testng.annotations.Test;
+
+/** What is forgotten when an endpoint has restarted. */
+public final class EndpointObservationsTest {
+    private static final long NOW_MILLIS = 1_000;
+
+    /** Guards against an incarnation that is ejected, or taken to be slow, for what an earlier one did. */
+    @Test
+    public void testReset_healthAndSpeedStartAnew() {
+        ReservedRoom room = new ReservedRoom(new Resources(16_000, 32_768, 0), new ShareTally());
+        EndpointObservations observations = new EndpointObservations(room, new ProgressReports());
+        observations.health().eject(NOW_MILLIS, 10_000);
+        observations.speed().record(100, 500);
+        assertTrue(observations.health().isEjected(NOW_MILLIS + 1));
+        observations.reset();
+        assertFalse(observations.health().isEjected(NOW_MILLIS + 1));
+        assertEquals(observations.speed().value(), 1.0);
+    }
+}
