Comments: units, states and conditions in place of telling, standing and showing

Doc comments of the incarnation, share, speed and metrics classes described items by figures of speech. They now name units, empty cases and conditions. Only comments change; the tests of core, wire, platform, entry.cluster and ctl.share pass.

--- a/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/DomainDemand.java
+++ b/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/DomainDemand.java
@@ -3,7 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 
-/** How the rate of jobs is divided among failure domains as time passes. */
+/** The division of the rate of jobs among failure domains over time. */
 final class DomainDemand {
     private final LoadShape shape;
     private final double meanWeight;
@@ -13,7 +13,7 @@
         this.meanWeight = sum(shape.domainWeights());
     }
 
-    /** Returns the weight of each domain at a time; their sum differs from the mean one where a burst adds jobs. */
+    /** Returns the weight of each domain at a time in milliseconds; a burst increases their sum. */
     List<Double> weightsAt(long millis) {
         List<Double> weights = new ArrayList<>(shape.domainWeights());
         for (Disturbance each : shape.disturbances()) {
@@ -22,14 +22,14 @@
                 case DOMAINS_SWING -> swing(each, millis, weights);
                 case CLIENTS_MOVE -> move(each, millis, weights);
                 default -> {
-                    // Not about the demand of single domains.
+                    // Does not change the demand of single domains.
                 }
             }
         }
         return weights;
     }
 
-    /** Returns how many times as fast jobs come with these weights as in the mean. */
+    /** Returns the rate of jobs with these weights, as a multiple of the mean rate. */
     double factorOf(List<Double> weights) {
         return sum(weights) / meanWeight;
     }
--- a/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/MoveCount.java
+++ b/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/MoveCount.java
@@ -4,7 +4,7 @@
 import org.tarragonarch.model.id.NodeId;
 import org.tarragonarch.model.task.JobId;
 
-/** Counts the jobs that went to other failure domains, over all nodes of a run. */
+/** Counts offers to other failure domains over all nodes of a run. */
 final class MoveCount implements ShardObserver {
     private int moved;
     private int back;
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/Coordinator.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/Coordinator.java
@@ -105,7 +105,7 @@
         return router;
     }
 
-    /** Returns how every share stands in the shards held here. */
+    /** Returns the state of every share in the shards held here. */
     public ImmutableList<ShareState> shareStates() {
         return ownership.placer().map(Placer::shareStates).orElse(ImmutableList.of());
     }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/CompletionEstimate.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/CompletionEstimate.java
@@ -17,7 +17,7 @@
  * @param waitingJobs how many jobs wait before it
  * @param roomForAll whether there is room for it and for all that wait, now or as soon as the endpoints that are just
  *     being opened are known
- * @param share how the share of the job stands, where shares are configured
+ * @param share the state of the job's share; empty where no shares are configured
  */
 public record CompletionEstimate(
         long waitMillis,
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/EndpointEvents.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/EndpointEvents.java
@@ -10,7 +10,7 @@
     /** An endpoint whose silence had ended a run of the task has turned out to have crashed. */
     void crashed(HeldEndpoint endpoint, PlacedTask task);
 
-    /** The endpoint has restarted under its id; what that ends is told after this. */
+    /** The endpoint has restarted under its id; the ends of its runs follow. */
     void restarted(HeldEndpoint endpoint);
 
     /** A run was refused or never left; its room is free, and the task may start anywhere. */
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/EndpointLink.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/EndpointLink.java
@@ -46,7 +46,9 @@
         return entry.incarnation();
     }
 
-    /** Returns how many incarnations have followed the first; tells whether a call was sent to the present one. */
+    /**
+     * Returns the number of the present incarnation, from 0; a call sent under another number was for an earlier one.
+     */
     int incarnationNumber() {
         return incarnationNumber;
     }
@@ -68,7 +70,7 @@
         clock = new EndpointClock();
     }
 
-    /** Records the clock that a list of the present incarnation tells. */
+    /** Records the clock in a list of the present incarnation; empty if the list has none. */
     void clockListed(OptionalLong clockMillis) {
         clock.answered(clockMillis, timers.nowMillis());
     }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RunListPoller.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RunListPoller.java
@@ -101,7 +101,7 @@
         }
     }
 
-    /** Processes the answer; whatever is said to a call that was meant for an earlier incarnation is dropped. */
+    /** Processes an answer; one to a call that was sent to an earlier incarnation is dropped. */
     private void answered(HoldAnswer answer, Call call) {
         if (host.closed() || !isCurrent(call)) {
             return;
@@ -152,8 +152,8 @@
     }
 
     /**
-     * Begins anew if a later incarnation answers. One whose start was unknown so far goes on: nothing proves that it is
-     * another, but its ends may be numbered anew.
+     * Switches to a later incarnation if one answers. If the start was unknown so far, the incarnation is kept, since
+     * nothing proves that it is another; its ends are read from number 1, in case it is.
      */
     private void followStart(HoldAnswer answer) {
         EndpointIncarnation answering = link.incarnation().startedAt(answer.startedMillis());
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/StallDetector.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/StallDetector.java
@@ -25,11 +25,10 @@
     }
 
     /**
-     * Stops runs that take far longer than expected, once a task: where the work is long, the second is left alone.
+     * Stops runs that take far longer than expected, once for each task: if the second run is as long, so is the work.
      *
-     * <p>A run that shows progress is left to {@link #followProgress}. Guards against stopping
-     * stragglers that make progress: a task that runs seven times as long as the others exceeds the limit of four
-     * times.
+     * <p>A run that has made progress is checked by {@link #followProgress} alone. Guards against stopping stragglers:
+     * a task that runs seven times as long as the others exceeds the limit of four times.
      */
     void restartOverdueRuns(long nowMillis) {
         for (Reservation reservation : room.all()) {
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/routing/JobRouter.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/routing/JobRouter.java
@@ -46,7 +46,7 @@
      * Creates a router without jobs.
      *
      * @param runsLastMillis how long what runs may go on after its holder last spoke, in milliseconds
-     * @param observer hears of jobs that go to other failure domains
+     * @param observer is notified of jobs that are offered to other failure domains
      */
     public JobRouter(Holders holders, Timers timers, long runsLastMillis, RoutingObserver observer) {
         this.holders = checkNotNull(holders, "holders");
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/EndpointList.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/EndpointList.java
@@ -62,7 +62,7 @@
     /**
      * Records an entry that a peer has given; returns whether that changes anything.
      *
-     * <p>A peer may not know the start, which says nothing of the endpoint.
+     * <p>A peer may not know the start, so its entry without one is no evidence of another writer.
      */
     public boolean given(EndpointEntry entry) {
         return !starts.lacksStart(entry.incarnation()) && recordUnlessOver(entry);
--- a/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/command/SharesCommand.java
+++ b/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/command/SharesCommand.java
@@ -13,7 +13,7 @@
 import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Option;
 
-/** Prints how the shares stand at each holder. */
+/** The subcommand that prints the state of the shares at each holder. */
 @Command(
         name = "shares",
         description = "Reads the metrics of nodes on the users' platform and prints the shares of those that have any.")
--- a/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/share/MetricsPage.java
+++ b/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/share/MetricsPage.java
@@ -14,7 +14,7 @@
 import okhttp3.ResponseBody;
 import org.tarragonarch.model.id.Address;
 
-/** The figures of the shares on one node's page of metrics: one row a priority, one column a figure. */
+/** The share metrics of one node, parsed from its Prometheus page: a table by priority and metric. */
 public final class MetricsPage {
     private static final Duration TIMEOUT = Duration.ofSeconds(2);
     private static final Pattern SHARE_LINE =
@@ -29,7 +29,7 @@
     /**
      * Reads the page of a node.
      *
-     * @throws IOException if there is no answer within two seconds, or another than the page
+     * @throws IOException if there is no answer within two seconds, or its status is not 2xx
      */
     public static MetricsPage read(Address node) throws IOException {
         OkHttpClient client = new OkHttpClient.Builder()
@@ -52,7 +52,7 @@
         }
     }
 
-    /** Reads the text of a page; lines of other figures are passed over. */
+    /** Parses a page; lines of other metrics are skipped. */
     static MetricsPage of(String text) {
         ImmutableTable.Builder<Integer, String, Double> figures = ImmutableTable.builder();
         text.lines().forEach(line -> {
@@ -64,7 +64,7 @@
         return new MetricsPage(figures.buildOrThrow());
     }
 
-    /** Returns every figure by priority and name; the names are those of docs/OPERATIONS.md without their beginning. */
+    /** Returns the values by priority and metric name, without the prefix {@code tarragonarch_share_}. */
     public Table<Integer, String, Double> figures() {
         return figures;
     }
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/NodeMeters.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/NodeMeters.java
@@ -110,7 +110,7 @@
         Gauge.builder("tarragonarch.domains.drained", drainedDomains::getAsInt).register(registry);
     }
 
-    /** Shows how the shares of the plan stand; nothing without shares. */
+    /** Registers the gauges of the shares of the plan; none without shares. */
     void watchShares(
             SharePlan plan,
             Supplier<ImmutableList<ShareState>> states,
@@ -123,7 +123,7 @@
         ShareMeters.refused(registry, share.priority()).increment();
     }
 
-    /** Shows how fast the endpoints are that this node holds, relative to their pool. */
+    /** Registers the gauges of the speeds of the endpoints that this node holds, relative to their pool. */
     void watchSpeeds(Supplier<SpeedSummary> speeds) {
         watchSpeed("slowest", () -> speeds.get().slowest());
         watchSpeed("mean", () -> speeds.get().mean());
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ShareMeters.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ShareMeters.java
@@ -10,7 +10,7 @@
 import org.tarragonarch.core.share.ShareState;
 import org.tarragonarch.model.share.SharePlan;
 
-/** The figures of each share; where several services have queues of one priority, their sum. */
+/** The meters of shares, in whole cores and by priority; the services' shares of one priority are summed. */
 final class ShareMeters {
     private static final String TAG = "priority";
     private static final double MILLI_CORES_PER_CORE = 1_000;
@@ -28,7 +28,7 @@
         this.usedElsewhere = usedElsewhere;
     }
 
-    /** Shows every share that the plan names. */
+    /** Registers the gauges of every priority that the plan names. */
     void watch(SharePlan plan) {
         for (int priority : plan.priorities()) {
             gauge("tarragonarch.share.allotted.cores", priority, ShareState::allottedMilliCores);
@@ -42,7 +42,7 @@
         }
     }
 
-    /** Returns the counter of jobs that were refused in a share. */
+    /** Returns the counter of refused jobs of a priority. */
     static Counter refused(MeterRegistry registry, int priority) {
         return Counter.builder("tarragonarch.share.jobs.refused")
                 .tag(TAG, Integer.toString(priority))
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ShareSettingsReader.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ShareSettingsReader.java
@@ -8,7 +8,7 @@
 import org.tarragonarch.model.share.SharePlan;
 import org.tarragonarch.model.share.ShareSettings;
 
-/** Reads the key {@code shares} of a node's settings: a list of objects, one a priority. */
+/** Reads the key {@code shares} of a node's settings: a list with one object for each priority. */
 final class ShareSettingsReader {
     private static final double NO_GUARANTEE = 0;
     private static final double NO_CEILING = 1;
@@ -16,7 +16,7 @@
     private ShareSettingsReader() {}
 
     /**
-     * Reads the list at which the parser stands.
+     * Reads the list whose first token is the parser's current one.
      *
      * @throws IOException if it is malformed, or an entry breaks a rule; the message names the entry
      */
--- a/tarragonarch-model/src/main/java/org/tarragonarch/model/id/EndpointIncarnation.java
+++ b/tarragonarch-model/src/main/java/org/tarragonarch/model/id/EndpointIncarnation.java
@@ -7,10 +7,10 @@
  * One incarnation of an endpoint: what restarts under the same id is another one.
  *
  * @param id the endpoint's id
- * @param startedMillis when it started, in milliseconds since 1970; {@value #UNKNOWN_START} where that was not told
+ * @param startedMillis when it started, in milliseconds since 1970; {@value #UNKNOWN_START} where that is unknown
  */
 public record EndpointIncarnation(EndpointId id, long startedMillis) {
-    /** The start of an incarnation that did not tell it. */
+    /** The start of an incarnation whose entry and lists do not carry it. */
     public static final long UNKNOWN_START = 0;
 
     /** Checks the parts. */
@@ -19,12 +19,12 @@
         checkArgument(startedMillis >= 0, "startedMillis %s is negative", startedMillis);
     }
 
-    /** Returns the incarnation of an endpoint that does not tell when it started. */
+    /** Returns the incarnation of an endpoint whose start is unknown. */
     public static EndpointIncarnation ofUnknownStart(EndpointId id) {
         return new EndpointIncarnation(id, UNKNOWN_START);
     }
 
-    /** Returns the incarnation of the same endpoint that started then. */
+    /** Returns the incarnation of the same endpoint with this start, in milliseconds since 1970. */
     public EndpointIncarnation startedAt(long millis) {
         return new EndpointIncarnation(id, millis);
     }
--- a/tarragonarch-model/src/main/java/org/tarragonarch/model/task/EndpointEntry.java
+++ b/tarragonarch-model/src/main/java/org/tarragonarch/model/task/EndpointEntry.java
@@ -8,7 +8,7 @@
 import org.tarragonarch.model.id.FailureDomain;
 
 /**
- * What the platform's list says of one incarnation of an endpoint.
+ * The entry of one incarnation of an endpoint in the platform's list.
  *
  * @param incarnation the incarnation that the entry is of; after a crash the endpoint has another start, or another id
  * @param service the service that it works for
@@ -35,7 +35,7 @@
         checkNotNull(capacity, "capacity");
     }
 
-    /** Creates the entry of an endpoint that does not tell when it started. */
+    /** Creates the entry of an endpoint whose start is unknown. */
     public EndpointEntry(
             EndpointId id,
             String service,
--- a/tarragonarch-model/src/main/java/org/tarragonarch/model/task/HoldAnswer.java
+++ b/tarragonarch-model/src/main/java/org/tarragonarch/model/task/HoldAnswer.java
@@ -14,7 +14,7 @@
  * @param running what runs
  * @param ended the ends that were not yet taken note of, in order
  * @param startedMillis when the incarnation that answers started, in milliseconds since 1970;
- *     {@link EndpointIncarnation#UNKNOWN_START} where that is not told
+ *     {@link EndpointIncarnation#UNKNOWN_START} where that is unknown
  */
 public record HoldAnswer(
         OrderResult result,
@@ -30,7 +30,7 @@
         checkNotNull(ended, "ended");
     }
 
-    /** Creates the answer of an endpoint that does not tell when it started. */
+    /** Creates the answer of an endpoint whose start is unknown. */
     public HoldAnswer(
             OrderResult result,
             OptionalLong clockMillis,
--- a/tarragonarch-model/src/main/java/org/tarragonarch/model/task/Offer.java
+++ b/tarragonarch-model/src/main/java/org/tarragonarch/model/task/Offer.java
@@ -14,7 +14,7 @@
  * @param deadlineMillis how long the client still waits
  * @param earlierRuns what may still run of it that a lost holder started
  * @param terms under which condition the holder takes it
- * @param fromOwnDomain whether the origin stands in a failure domain whose endpoints the holder has
+ * @param fromOwnDomain whether the origin is in a failure domain whose endpoints the holder has
  */
 public record Offer(
         JobRequest job,
--- a/tarragonarch-model/src/main/java/org/tarragonarch/model/task/OfferTerms.java
+++ b/tarragonarch-model/src/main/java/org/tarragonarch/model/task/OfferTerms.java
@@ -31,7 +31,7 @@
      */
     public abstract boolean permits(boolean startsAtOnce, boolean admissible);
 
-    /** Returns what a holder says of a job that it does not take under these terms. */
+    /** Returns the verdict on a job that a holder does not take under these terms. */
     public Verdict refusal() {
         return refusal;
     }
