Poll an endpoint once at a time after an adoption

Cause: a first list leads to the adoption of runs, which sends the next poll; the end of the same list's processing sent another. Each answer sent one more, so the endpoint was polled twice over for as long as it was busy. Change: the next poll is sent unless one is under way.

--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RunListPoller.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RunListPoller.java
@@ -173,7 +173,8 @@
 
     private void pollAgain() {
         if (host.needsPolling()) {
-            poll();
+            // What the lists led to may have sent the next call already.
+            pollIfIdle();
         } else if (!host.anyRecovered() && acknowledgedEnd < listedEnd && !idleAcknowledgementPlanned) {
             idleAcknowledgementPlanned = true;
             link.timers().after(IDLE_ACKNOWLEDGEMENT_MILLIS, this::acknowledgeIfIdle);
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/PlacerHandOverTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/PlacerHandOverTest.java
@@ -230,4 +230,23 @@
         placer.release(PlacerFixture.SHARD);
         assertEquals(fixture.verdicts, ImmutableList.of("origin-1 1 HOLD_LOST"));
     }
+
+    /** Guards against an endpoint that is polled twice over while it is busy because a run was adopted there. */
+    @Test
+    public void testAdopt_onePollAtATime() {
+        PlacerFixture fixture = PlacerFixture.running(1, 900);
+        Placer before = holderWithJob(fixture, 1);
+        fixture.timers.pass(50);
+        before.close();
+        Placer next = fixture.placer(2);
+        next.offer(PlacerFixture.repeatedOffer(1, 1, 900));
+        fixture.timers.pass(50);
+        int[] polls = {0};
+        fixture.orders.holdWay = () -> {
+            polls[0]++;
+            return FakeOrders.Way.CLEAR;
+        };
+        fixture.timers.pass(500);
+        assertTrue(polls[0] <= 5, polls[0] + " polls that wait 100 ms each");
+    }
 }
