Read ends from number 1 where the store tells the first start

Cause: where endpoints begin to tell their start, one that restarted under its id numbers its ends from 1. That was followed only if a list told the start first. If the entry in the store did, its ends were dropped as known, and done tasks were started again as lapsed. Change: an entry that tells the start for the first time resets the numbers of ends as a list does. Result: PlacerRestartTest.testRestart_firstStartIsToldByTheEntry had no verdict for the job before, and DONE without a lapse now.

--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/HeldEndpoint.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/HeldEndpoint.java
@@ -106,6 +106,9 @@
                 restarted(later);
                 poller.pollIfIdle();
             } else {
+                if (later.life().hasStart() && !entry().life().hasStart()) {
+                    poller.startLearned();
+                }
                 link.update(later);
             }
         }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RunListPoller.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RunListPoller.java
@@ -160,11 +160,16 @@
             host.restarted(answering);
         } else if (answering.hasStart() && !link.life().hasStart()) {
             link.startedAt(answer.startedMillis());
-            listedEnd = 0;
-            acknowledgedEnd = 0;
+            startLearned();
         }
     }
 
+    /** Reads the ends from number 1 again, because an incarnation has told its start that had not told it before. */
+    void startLearned() {
+        listedEnd = 0;
+        acknowledgedEnd = 0;
+    }
+
     private void pollIfNeeded() {
         if (host.needsPolling()) {
             pollIfIdle();
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/PlacerRestartTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/PlacerRestartTest.java
@@ -234,4 +234,25 @@
         fixture.timers.pass(50);
         assertTrue(fixture.verdicts.contains("origin-1 2 DONE"), fixture.verdicts.toString());
     }
+
+    /** Guards against ends that are dropped where endpoints begin to tell their start, and the store tells it first. */
+    @Test
+    public void testRestart_firstStartIsToldByTheEntry() {
+        PlacerFixture fixture = new PlacerFixture(1);
+        Placer placer = opened(fixture);
+        for (int job = 1; job <= 3; job++) {
+            placer.offer(PlacerFixture.offer(job, 2));
+            fixture.timers.pass(100);
+        }
+        fixture.timers.pass(1_000);
+        fixture.endpoint(1).restart();
+        fixture.endpoint(1).tellStart(PlacerFixture.FIRST_START_MILLIS);
+        fixture.enter(1, PlacerFixture.FIRST_START_MILLIS);
+        placer.update(PlacerFixture.SHARD, fixture.entries);
+        placer.offer(PlacerFixture.offer(4, 2));
+        fixture.timers.pass(100);
+        assertEquals(fixture.verdicts.get(3), "origin-1 4 DONE");
+        assertEquals(fixture.badEnds, ImmutableList.of());
+        assertUnbroken(fixture);
+    }
 }
