Take a job at once only below its share's ceiling

Cause: an offer to start at once was judged by free places alone. At the ceiling of its share the job was taken, waited, and went to no other failure domain. Change: there must be room for all that waits, which includes the ceiling. Without shares the other conditions imply it.

--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/OfferAdmission.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/OfferAdmission.java
@@ -36,6 +36,9 @@
     }
 
     private boolean startsAtOnce(Offer offer, CompletionEstimate estimate, long nowMillis) {
+        if (!estimate.roomForAll()) {
+            return false;
+        }
         long left = estimate.freePlaces() - offer.job().step().count();
         if (offer.fromOwnDomain()) {
             return pending.waitingTasks() <= left;
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/OfferAdmissionTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/OfferAdmissionTest.java
@@ -3,6 +3,8 @@
 import static org.testng.Assert.assertEquals;
 
 import com.google.common.collect.ImmutableList;
+import org.tarragonarch.model.share.SharePlan;
+import org.tarragonarch.model.share.ShareSettings;
 import org.tarragonarch.model.task.Offer;
 import org.tarragonarch.model.task.OfferTerms;
 import org.testng.annotations.Test;
@@ -114,4 +116,16 @@
         test.fixture.timers.pass(400);
         assertEquals(test.fixture.verdicts, ImmutableList.of("origin-1 1 DONE"));
     }
+
+    /** Guards against a job that is taken to start at once and then waits at its share's ceiling. */
+    @Test
+    public void testOffer_atOnceBeyondTheCeiling() {
+        PlacerFixture fixture = new PlacerFixture(2);
+        fixture.plan = SharePlan.of(ImmutableList.of(new ShareSettings(0, 1, 0, 0.5)));
+        Placer holder = fixture.opened(1);
+        holder.offer(atOnce(1, 3, true));
+        fixture.timers.pass(5);
+        assertEquals(fixture.verdicts, ImmutableList.of("origin-1 1 NOT_AT_ONCE"));
+        assertEquals(fixture.ledger.starts(), 0);
+    }
 }
