Refuse a task that is larger than its share's ceiling

Cause: the wait for such a task was computed as if a part of it could start. The job was taken, never started, and was declined at its expiry. Change: places count within the ceiling; without any, the job is declined at once with the time to come back of an impossible job. Result: OfferAdmissionTest.testOffer_taskLargerThanTheCeiling had no verdict before, and DECLINED with 1,000 ms now.

--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/CompletionEstimate.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/CompletionEstimate.java
@@ -12,8 +12,8 @@
  * @param inTimeWithinMillis how long from now its answer still counts in full, or until its client leaves if that is
  *     sooner
  * @param deadlineWithinMillis how long from now its client waits
- * @param places how many tasks of its size the usable endpoints hold
- * @param freePlaces how many of those are free
+ * @param places how many tasks of its size the usable endpoints hold, within the ceiling of its share
+ * @param freePlaces how many places of the usable endpoints are free, whatever the ceiling
  * @param waitingJobs how many jobs wait before it
  * @param roomForAll whether there is room for it and for all that wait, now or as soon as the endpoints that are just
  *     being opened are known
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/CompletionEstimator.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/CompletionEstimator.java
@@ -32,10 +32,12 @@
         boolean roomForAll =
                 pending.waitingTasks() + job.step().count() <= capacity.freePlaces() + capacity.initializingPlaces();
         long wait = waitInOrder(job, own, capacity, now);
+        long places = capacity.places();
         Optional<ShareState> share = Optional.empty();
         if (shares.plan().isConfigured()) {
             ShareWait inShare = waitInShare(job, own, capacity.pool(), now);
             wait = inShare.millis();
+            places = inShare.places();
             roomForAll &= inShare.fitsBelowCeiling();
             share = Optional.of(inShare.state());
         }
@@ -47,7 +49,7 @@
                 job.slowestRunMillis(),
                 inTimeWithin,
                 deadlineWithin,
-                capacity.places(),
+                places,
                 capacity.freePlaces(),
                 own.size(),
                 roomForAll,
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/share/ShareAdmission.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/share/ShareAdmission.java
@@ -72,7 +72,13 @@
         double ahead = packing * aheadMilliCores;
         double work = packing * aheadWork + (double) missing * job.runMillis();
         long millis = places.places() == 0 ? 0 : waitMillis(ahead + missing, work);
-        return new ShareWait(millis, ahead + wanted <= belowCeiling, state());
+        return new ShareWait(placesBelowCeiling(job, places), millis, ahead + wanted <= belowCeiling, state());
+    }
+
+    private long placesBelowCeiling(JobNeed job, PoolPlaces places) {
+        double ceiling = demands.get(own).settings().ceiling();
+        long below = (long) (ceiling * capacityMilliCores) / job.milliCoresPerTask();
+        return ceiling < 1 ? Math.min(places.places(), below) : places.places();
     }
 
     /**
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/OfferAdmissionTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/OfferAdmissionTest.java
@@ -128,4 +128,15 @@
         assertEquals(fixture.verdicts, ImmutableList.of("origin-1 1 NOT_AT_ONCE"));
         assertEquals(fixture.ledger.starts(), 0);
     }
+
+    /** Guards against a job that waits for its whole time although its share may not run one task of it. */
+    @Test
+    public void testOffer_taskLargerThanTheCeiling() {
+        PlacerFixture fixture = new PlacerFixture(2);
+        fixture.plan = SharePlan.of(ImmutableList.of(new ShareSettings(0, 1, 0, 0.2)));
+        Placer holder = fixture.opened(1);
+        holder.offer(PlacerFixture.offer(1, 1));
+        assertEquals(fixture.verdicts, ImmutableList.of("origin-1 1 DECLINED"));
+        assertEquals(fixture.settled.get(PlacerFixture.id(1)).retryMillis(), 1_000);
+    }
 }
