Keep the settings of shares that the plan does not name

Cause: SharePlan.settingsOf creates and checks settings for such a share with each call, with texts and boxed numbers. StartOrder asks twice a pass and once more for each job tried, also where no shares are configured. Change: PoolShares keeps them by share. Result: no behaviour changes; the saving was not measured.

--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/share/PoolShares.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/share/PoolShares.java
@@ -1,12 +1,15 @@
 package org.tarragonarch.core.share;
 
 import com.google.common.collect.ImmutableList;
+import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.function.ToLongFunction;
 import org.tarragonarch.model.share.ShareId;
 import org.tarragonarch.model.share.SharePlan;
+import org.tarragonarch.model.share.ShareSettings;
 
 /** The shares of a pool: what each uses and wants, and which starts next. */
 public final class PoolShares {
@@ -14,6 +17,8 @@
     private final Iterable<ShareTally> tallies;
     private final ToLongFunction<ShareId> waitingMilliCores;
     private final Set<ShareId> known = new LinkedHashSet<>();
+    /** Kept because the plan creates the settings of a priority that it does not name with every call. */
+    private final Map<ShareId, ShareSettings> settings = new HashMap<>();
 
     /**
      * Creates the shares of a pool.
@@ -48,6 +53,10 @@
         return services;
     }
 
+    private ShareSettings settingsOf(ShareId share) {
+        return settings.computeIfAbsent(share, plan::settingsOf);
+    }
+
     /** Returns what a share has in use, in thousandths of a core. */
     public long usedMilliCores(ShareId share) {
         long used = 0;
@@ -59,18 +68,18 @@
 
     /** Returns the processor time that a share has in use for its weight; the share with the least starts next. */
     public double usedByWeight(ShareId share) {
-        return usedMilliCores(share) / plan.settingsOf(share).weight();
+        return usedMilliCores(share) / settingsOf(share).weight();
     }
 
     /** Returns whether a share has less in use than its guaranteed fraction of a capacity. */
     public boolean isBelowGuaranteed(ShareId share, long capacityMilliCores) {
-        double guaranteed = plan.settingsOf(share).guaranteed();
+        double guaranteed = settingsOf(share).guaranteed();
         return guaranteed > 0 && usedMilliCores(share) < guaranteed * capacityMilliCores;
     }
 
     /** Returns whether a share would exceed its ceiling with so much more. */
     public boolean exceedsCeiling(ShareId share, long moreMilliCores, long capacityMilliCores) {
-        double ceiling = plan.settingsOf(share).ceiling();
+        double ceiling = settingsOf(share).ceiling();
         return ceiling < 1 && usedMilliCores(share) + moreMilliCores > ceiling * capacityMilliCores;
     }
 
@@ -91,7 +100,7 @@
             released += tally.releasedPerMilli(share);
         }
         long waiting = waitingMilliCores.applyAsLong(share);
-        return new ShareDemand(share, plan.settingsOf(share), usedMilliCores(share), waiting, released);
+        return new ShareDemand(share, settingsOf(share), usedMilliCores(share), waiting, released);
     }
 
     /** Returns the admission of a job of a share. */
