Admission counts speed also within a share; a late at-once decline without a holder left is refused

Cause: found in review. With shares the wait ignored how fast endpoints are. A job that its own holder gave back after half a second, with no holder left, waited until its deadline. The early sign of a slow run trusted endpoints that list a constant progress. Change: the wait within a share is divided by the mean speed of the places; such a job is refused after the usual wait for a holder; a run teaches by its progress only once it has advanced. Result: DomainBalanceTest#testSettled_notAtOnceAndNoHolderLeft had no answer before and REFUSED now; the tests of the core pass.

--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/CapacityCount.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/CapacityCount.java
@@ -40,6 +40,11 @@
         return new CapacityCount(places, weightedPlaces, freePlaces, initializingPlaces, milliCores);
     }
 
+    /** Returns the mean speed of the places; 1 without any. */
+    double meanSpeed() {
+        return places == 0 ? 1 : weightedPlaces / places;
+    }
+
     /** Returns the same as the places of a pool. */
     PoolPlaces pool() {
         return new PoolPlaces(milliCores, places, freePlaces);
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/CompletionEstimator.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/CompletionEstimator.java
@@ -36,7 +36,7 @@
         Optional<ShareState> share = Optional.empty();
         if (shares.plan().isConfigured()) {
             ShareWait inShare = waitInShare(job, own, capacity.pool(), now);
-            wait = inShare.millis();
+            wait = Math.round(inShare.millis() / capacity.meanSpeed());
             places = inShare.places();
             roomForAll &= inShare.fitsBelowCeiling();
             share = Optional.of(inShare.state());
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/SpeedLearning.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/SpeedLearning.java
@@ -23,7 +23,7 @@
         PlacedJob job = reservation.task().job();
         long ran = nowMillis - reservation.startedAtMillis();
         boolean isLong = ran * speed.value() > EARLY_MULTIPLE * job.expectedRunMillis();
-        if (isLong && percent >= LEAST_PERCENT && teaches(reservation)) {
+        if (isLong && percent >= LEAST_PERCENT && reservation.advanced() && teaches(reservation)) {
             reservation.speedLearned();
             speed.ran(job.expectedRunMillis(), ran * WHOLE / percent);
         }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/routing/JobRouter.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/routing/JobRouter.java
@@ -232,6 +232,9 @@
         });
         job.notStartedAtOnce();
         place(job);
+        if (job.holder().isEmpty()) {
+            timers.after(HOLDER_WAIT_MILLIS, () -> refuseIfUnheld(job));
+        }
     }
 
     private void placeIfUnheld(OpenJob job) {
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/routing/DomainBalanceTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/routing/DomainBalanceTest.java
@@ -106,6 +106,21 @@
         assertEquals(test.holders.refused, ImmutableList.of("b 14000"));
     }
 
+    /** Guards against a job that waits until its deadline: its holders are gone as the last one gives it back late. */
+    @Test
+    public void testSettled_notAtOnceAndNoHolderLeft() {
+        DomainBalanceTest test = new DomainBalanceTest();
+        Holder own = test.holders.add("a", "hobart", 1);
+        test.holders.addNeighbour("b", "launceston", ROOMY);
+        test.submit(JOB);
+        test.timers.pass(600);
+        test.holders.holders.clear();
+        test.holders.neighboursWithRoom.clear();
+        test.notAtOnce(own.node().value());
+        test.timers.pass(500);
+        assertEquals(test.replies, ImmutableList.of("REFUSED 1000"));
+    }
+
     /** Guards against a second run: the holder that was to start the job at once is lost, and may have started it. */
     @Test
     public void testNodeLost_atOnceOfferMayHaveStarted() {
