--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/CompletionEstimator.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/CompletionEstimator.java
@@ -35,7 +35,7 @@
         long places = capacity.places();
         Optional<ShareState> share = Optional.empty();
         if (shares.plan().isConfigured()) {
-            ShareWait inShare = waitInShare(job, own, capacity.pool(), now);
+            ShareWait inShare = waitInShare(job, own, capacity.toPoolPlaces(), now);
             wait = Math.round(inShare.millis() / capacity.meanSpeed());
             places = inShare.places();
             roomForAll &= inShare.fitsBelowCeiling();
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/routing/JobRouter.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/routing/JobRouter.java
@@ -228,13 +228,10 @@
     private void notStartedAtOnce(OpenJob job) {
         job.holder().filter(holder -> !holders.isOwn(holder)).ifPresent(neighbour -> {
             holders.notStartedAtOnce(neighbour, job.milliCores());
-            observer.backFromNeighbour(job.id(), neighbour.node());
+            observer.returnedByNeighbour(job.id(), neighbour.node());
         });
         job.notStartedAtOnce();
-        place(job);
-        if (job.holder().isEmpty()) {
-            timers.after(HOLDER_WAIT_MILLIS, () -> refuseIfUnheld(job));
-        }
+        placeOrRefuse(job);
     }
 
     private void placeIfUnheld(OpenJob job) {
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/share/ShareWait.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/share/ShareWait.java
@@ -1,11 +1,11 @@
 package org.tarragonarch.core.share;
 
 /**
- * How long a job waits within its share, and how the share stands.
+ * The expected wait of a job within its share.
  *
- * @param places how many tasks of the job's size the share may have under way; 0 if its ceiling is below one task
- * @param millis how long until its last task starts, in milliseconds
- * @param fitsBelowCeiling whether the share may start the job and all that waits in it without passing its ceiling
- * @param state how the share stands
+ * @param places how many tasks of the job's size the share may run at a time; 0 if its ceiling is below one
+ * @param millis the time until its last task starts, in milliseconds
+ * @param fitsBelowCeiling whether the share can start the job and the tasks ahead of it without exceeding its ceiling
+ * @param state the state of the share
  */
 public record ShareWait(long places, long millis, boolean fitsBelowCeiling, ShareState state) {}
