--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/HeldEndpoint.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/HeldEndpoint.java
@@ -96,6 +96,9 @@
                 restarted(later);
                 poller.pollIfIdle();
             } else {
+                if (later.incarnation().hasStart() && !entry().incarnation().hasStart()) {
+                    poller.startLearned();
+                }
                 link.update(later);
             }
         }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RunListPoller.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RunListPoller.java
@@ -161,11 +161,16 @@
             host.restarted(answering);
         } else if (answering.hasStart() && !link.incarnation().hasStart()) {
             link.startedAt(answer.startedMillis());
-            listedEnd = 0;
-            acknowledgedEnd = 0;
+            startLearned();
         }
     }
 
+    /** Reads the ends from number 1 again, because an incarnation has told its start that had not told it before. */
+    void startLearned() {
+        listedEnd = 0;
+        acknowledgedEnd = 0;
+    }
+
     private void pollIfNeeded() {
         if (host.needsPolling()) {
             pollIfIdle();
@@ -174,7 +179,8 @@
 
     private void pollAgain() {
         if (host.needsPolling()) {
-            poll();
+            // What the lists led to may have sent the next call already.
+            pollIfIdle();
         } else if (!host.anyRecovered() && acknowledgedEnd < listedEnd && !idleAcknowledgementPlanned) {
             idleAcknowledgementPlanned = true;
             link.timers().after(IDLE_ACKNOWLEDGEMENT_MILLIS, this::acknowledgeIfIdle);
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/routing/DomainBalanceTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/routing/DomainBalanceTest.java
@@ -12,6 +12,7 @@
 import org.tarragonarch.model.id.NodeId;
 import org.tarragonarch.model.task.JobId;
 import org.tarragonarch.model.task.JobRequest;
+import org.tarragonarch.model.task.JobService;
 import org.tarragonarch.model.task.QueueDefinition;
 import org.tarragonarch.model.task.Resources;
 import org.tarragonarch.model.task.TaskStep;
@@ -44,9 +45,9 @@
         return new JobId(String.format("%016x", number));
     }
 
-    private void submit(JobId id) {
+    private JobService.Submission submit(JobId id) {
         TaskStep step = new TaskStep(2, new Resources(7_000, 64, 0), 60);
-        router.submit(
+        return router.submit(
                 QUEUE,
                 new JobRequest(id, "x", step),
                 2_000,
@@ -105,6 +106,21 @@
         assertEquals(test.holders.refused, ImmutableList.of("b 14000"));
     }
 
+    /** Guards against a job that waits until its deadline: its holders are gone as the last one gives it back late. */
+    @Test
+    public void testSettled_notAtOnceAndNoHolderLeft() {
+        DomainBalanceTest test = new DomainBalanceTest();
+        Holder own = test.holders.add("a", "hobart", 1);
+        test.holders.addNeighbour("b", "launceston", ROOMY);
+        test.submit(JOB);
+        test.timers.pass(600);
+        test.holders.holders.clear();
+        test.holders.neighboursWithRoom.clear();
+        test.notAtOnce(own.node().value());
+        test.timers.pass(500);
+        assertEquals(test.replies, ImmutableList.of("REFUSED 1000"));
+    }
+
     /** Guards against a second run: the holder that was to start the job at once is lost, and may have started it. */
     @Test
     public void testNodeLost_atOnceOfferMayHaveStarted() {
@@ -162,4 +178,38 @@
         assertTrue(asked.count("offer b at once") > 20 && asked.count("offer c at once") > 20, asked.toString());
         assertTrue(asked.count("offer d at once") > 150, asked.toString());
     }
+
+    /**
+     * Guards against a task that runs twice: its client leaves and sends the job again while the holder next door is
+     * stopping the first runs.
+     */
+    @Test
+    public void testSubmit_againWhileTheNeighbourStopsIt() {
+        DomainBalanceTest test = new DomainBalanceTest();
+        test.holders.add("a", "hobart", 1);
+        test.holders.addNeighbour("b", "launceston", ROOMY);
+        JobService.Submission first = test.submit(JOB);
+        test.notAtOnce("a");
+        first.clientLeft();
+        test.holders.asked.clear();
+        test.submit(JOB);
+        assertEquals(test.holders.asked, ImmutableList.of("offer b"));
+        test.router.settled(NodeId.of("b"), JOB, Verdict.DECLINED, 200);
+        assertEquals(test.holders.asked.size(), 2, test.holders.asked.toString());
+        assertTrue(test.holders.asked.get(1).startsWith("offer a"));
+    }
+
+    /** Guards against the same after the deadline of the first time, which is answered as one that may have run. */
+    @Test
+    public void testSubmit_againAfterItsDeadline() {
+        DomainBalanceTest test = new DomainBalanceTest();
+        test.holders.add("a", "hobart", 1);
+        test.holders.addNeighbour("b", "launceston", ROOMY);
+        test.submit(JOB);
+        test.notAtOnce("a");
+        test.timers.pass(2_000);
+        test.holders.asked.clear();
+        test.submit(JOB);
+        assertEquals(test.holders.asked, ImmutableList.of("offer b"));
+    }
 }
