--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/routing/AnsweredJobs.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/routing/AnsweredJobs.java
@@ -1,8 +1,8 @@
 package org.tarragonarch.core.routing;
 
-import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
+import org.tarragonarch.model.collect.BoundedMaps;
 import org.tarragonarch.model.task.JobId;
 import org.tarragonarch.model.task.JobReply;
 
@@ -15,14 +15,7 @@
 final class AnsweredJobs {
     private static final int MOST = 4_096;
 
-    private final Map<JobId, JobReply> replies = new LinkedHashMap<>() {
-        private static final long serialVersionUID = 1L;
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<JobId, JobReply> eldest) {
-            return size() > MOST;
-        }
-    };
+    private final Map<JobId, JobReply> replies = BoundedMaps.evictingEldest(MOST);
 
     void add(JobId job, JobReply reply) {
         if (reply.outcome().lasting()) {
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/routing/ClosedHolds.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/routing/ClosedHolds.java
@@ -1,8 +1,8 @@
 package org.tarragonarch.core.routing;
 
-import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
+import org.tarragonarch.model.collect.BoundedMaps;
 import org.tarragonarch.model.id.NodeId;
 import org.tarragonarch.model.task.JobId;
 import org.tarragonarch.model.task.Timers;
@@ -16,14 +16,7 @@
     private static final int MOST = 1_024;
 
     private final Timers timers;
-    private final Map<JobId, Hold> holds = new LinkedHashMap<>() {
-        private static final long serialVersionUID = 1L;
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<JobId, Hold> eldest) {
-            return size() > MOST;
-        }
-    };
+    private final Map<JobId, Hold> holds = BoundedMaps.evictingEldest(MOST);
 
     ClosedHolds(Timers timers) {
         this.timers = timers;
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/LatestStarts.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/LatestStarts.java
@@ -1,7 +1,7 @@
 package org.tarragonarch.core.shard;
 
-import java.util.LinkedHashMap;
 import java.util.Map;
+import org.tarragonarch.model.collect.BoundedMaps;
 import org.tarragonarch.model.id.EndpointId;
 import org.tarragonarch.model.id.EndpointIncarnation;
 
@@ -14,14 +14,8 @@
     /** About three times the endpoints of the largest region; the least recently accessed entry is dropped. */
     private static final int MAX_ENDPOINTS = 8_192;
 
-    private static final float LOAD_FACTOR = 0.75f;
-
-    private final Map<EndpointId, EndpointIncarnation> latest = new LinkedHashMap<>(16, LOAD_FACTOR, true) {
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<EndpointId, EndpointIncarnation> eldest) {
-            return size() > MAX_ENDPOINTS;
-        }
-    };
+    private final Map<EndpointId, EndpointIncarnation> latest =
+            BoundedMaps.evictingLeastRecentlyAccessed(MAX_ENDPOINTS);
 
     /** Records an incarnation if its start is known. */
     void record(EndpointIncarnation incarnation) {
--- /dev/null
+++ b/tarragonarch-model/src/main/java/org/tarragonarch/model/collect/package-info.java
@@ -0,0 +1,2 @@
+/** Collections that the libraries in use do not have. */
+package org.tarragonarch.model.collect;
--- a/tarragonarch-wire/src/main/java/org/tarragonarch/wire/PeerRuns.java
+++ b/tarragonarch-wire/src/main/java/org/tarragonarch/wire/PeerRuns.java
@@ -1,8 +1,8 @@
 package org.tarragonarch.wire;
 
-import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
+import org.tarragonarch.model.collect.BoundedMaps;
 import org.tarragonarch.model.id.Incarnation;
 import org.tarragonarch.model.id.NodeId;
 
@@ -10,14 +10,7 @@
 final class PeerRuns {
     private static final int MAX_NODES = 4_096;
 
-    private final Map<NodeId, Incarnation> latest = new LinkedHashMap<>(16, 0.75f, true) {
-        private static final long serialVersionUID = 1L;
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<NodeId, Incarnation> eldest) {
-            return size() > MAX_NODES;
-        }
-    };
+    private final Map<NodeId, Incarnation> latest = BoundedMaps.evictingLeastRecentlyAccessed(MAX_NODES);
 
     /** Records a run; returns whether it is the latest known. */
     boolean met(NodeId node, Incarnation run) {
