One forwarding observer for what a placer reports

Cause: the same five calls were declared by the listener of a placer and by the observer of shards, and forwarded one by one in two classes. Change: PlacementObserver declares them, both extend it, and ForwardingPlacementObserver forwards them for both. In the placer's listener three of the calls do nothing unless overridden, where they had to be implemented before.

--- /dev/null
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacementObserver.java
@@ -0,0 +1,37 @@
+package org.tarragonarch.core.placing;
+
+import org.tarragonarch.core.share.ShareState;
+import org.tarragonarch.model.id.EndpointId;
+import org.tarragonarch.model.id.EndpointIncarnation;
+import org.tarragonarch.model.id.FailureDomain;
+import org.tarragonarch.model.id.NodeId;
+import org.tarragonarch.model.task.EndKind;
+import org.tarragonarch.model.task.JobId;
+import org.tarragonarch.model.task.TaskRun;
+
+/**
+ * Listener for decisions on jobs and for what a holder finds of its endpoints, for logs and metrics.
+ *
+ * <p>Every method does nothing unless it is overridden.
+ */
+public interface PlacementObserver {
+    /** A job is declined because of the estimate. */
+    default void declined(NodeId origin, JobId job, CompletionEstimate estimate) {}
+
+    /** A share becomes limited by its allotment, or no longer is. */
+    default void shareLimited(ShareState state, boolean isLimited) {}
+
+    /**
+     * An endpoint is of another class of speed than before.
+     *
+     * @param from the speed in the middle of its earlier class; 1 is the mean of its pool
+     * @param to the speed in the middle of its class now
+     */
+    default void speedChanged(FailureDomain shard, EndpointId endpoint, double from, double to) {}
+
+    /** A run ended without having done its work. */
+    default void runEndedBadly(FailureDomain shard, TaskRun run, EndpointId endpoint, EndKind kind) {}
+
+    /** An endpoint has restarted under its id; what ran there is over. */
+    default void endpointRestarted(FailureDomain shard, EndpointIncarnation later) {}
+}
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/ForwardingShardObserver.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/ForwardingShardObserver.java
@@ -1,25 +1,19 @@
 package org.tarragonarch.core.shard;
 
-import static com.google.common.base.Preconditions.checkNotNull;
-
-import org.tarragonarch.core.placing.CompletionEstimate;
-import org.tarragonarch.core.share.ShareState;
-import org.tarragonarch.model.id.EndpointId;
-import org.tarragonarch.model.id.EndpointIncarnation;
+import org.tarragonarch.core.placing.ForwardingPlacementObserver;
 import org.tarragonarch.model.id.FailureDomain;
 import org.tarragonarch.model.id.NodeId;
-import org.tarragonarch.model.task.EndKind;
 import org.tarragonarch.model.task.FencingToken;
 import org.tarragonarch.model.task.JobId;
-import org.tarragonarch.model.task.TaskRun;
 
 /** An observer that forwards every call to another one; subclasses override the calls to which they add something. */
-public abstract class ForwardingShardObserver implements ShardObserver {
+public abstract class ForwardingShardObserver extends ForwardingPlacementObserver implements ShardObserver {
     private final ShardObserver delegate;
 
     /** Creates an observer that forwards to the delegate. */
     protected ForwardingShardObserver(ShardObserver delegate) {
-        this.delegate = checkNotNull(delegate, "delegate");
+        super(delegate);
+        this.delegate = delegate;
     }
 
     @Override
@@ -42,31 +36,6 @@
         delegate.drainChanged(domain, isDrained, version, source);
     }
 
-    @Override
-    public void declined(NodeId origin, JobId job, CompletionEstimate estimate) {
-        delegate.declined(origin, job, estimate);
-    }
-
-    @Override
-    public void shareLimited(ShareState state, boolean isLimited) {
-        delegate.shareLimited(state, isLimited);
-    }
-
-    @Override
-    public void speedChanged(FailureDomain shard, EndpointId endpoint, double from, double to) {
-        delegate.speedChanged(shard, endpoint, from, to);
-    }
-
-    @Override
-    public void runEndedBadly(FailureDomain shard, TaskRun run, EndpointId endpoint, EndKind kind) {
-        delegate.runEndedBadly(shard, run, endpoint, kind);
-    }
-
-    @Override
-    public void endpointRestarted(FailureDomain shard, EndpointIncarnation later) {
-        delegate.endpointRestarted(shard, later);
-    }
-
     @Override
     public void movedToNeighbour(JobId job, NodeId holder) {
         delegate.movedToNeighbour(job, holder);
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/ShardOwnership.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/ShardOwnership.java
@@ -6,23 +6,18 @@
 import com.google.common.collect.ImmutableSet;
 import java.util.Optional;
 import java.util.function.LongSupplier;
-import org.tarragonarch.core.placing.CompletionEstimate;
+import org.tarragonarch.core.placing.ForwardingPlacementObserver;
 import org.tarragonarch.core.placing.Placer;
 import org.tarragonarch.core.placing.PlacerListener;
 import org.tarragonarch.core.placing.PlacingSettings;
 import org.tarragonarch.core.placing.RunTimes;
-import org.tarragonarch.core.share.ShareState;
 import org.tarragonarch.core.speed.SpeedSummary;
-import org.tarragonarch.model.id.EndpointId;
-import org.tarragonarch.model.id.EndpointIncarnation;
 import org.tarragonarch.model.id.FailureDomain;
 import org.tarragonarch.model.id.NodeId;
 import org.tarragonarch.model.report.HeldShard;
-import org.tarragonarch.model.task.EndKind;
 import org.tarragonarch.model.task.EndpointOrders;
 import org.tarragonarch.model.task.FencingToken;
 import org.tarragonarch.model.task.JobId;
-import org.tarragonarch.model.task.TaskRun;
 import org.tarragonarch.model.task.Timers;
 import org.tarragonarch.model.task.Verdict;
 
@@ -43,7 +38,7 @@
     private final LongSupplier wallMillis;
     private final ShardEvents events;
     private final SteadyLists steadyLists;
-    private final Relay relay = new Relay();
+    private final Relay relay;
     private final RunTimes runTimes = new RunTimes();
     private Optional<Placer> placer = Optional.empty();
     private ImmutableList<HeldShard> held = ImmutableList.of();
@@ -72,6 +67,7 @@
         this.timers = checkNotNull(timers, "timers");
         this.wallMillis = checkNotNull(wallMillis, "wallMillis");
         this.events = checkNotNull(events, "events");
+        this.relay = new Relay(events);
         this.steadyLists = new SteadyLists(endpoints);
     }
 
@@ -202,35 +198,14 @@
     }
 
     /** Passes on what the placer says. */
-    private final class Relay implements PlacerListener {
-        @Override
-        public void settled(NodeId origin, JobId job, Verdict verdict, long retryMillis) {
-            events.settled(origin, job, verdict, retryMillis);
-        }
-
-        @Override
-        public void declined(NodeId origin, JobId job, CompletionEstimate estimate) {
-            events.declined(origin, job, estimate);
-        }
-
-        @Override
-        public void shareLimited(ShareState state, boolean isLimited) {
-            events.shareLimited(state, isLimited);
+    private final class Relay extends ForwardingPlacementObserver implements PlacerListener {
+        Relay(ShardEvents events) {
+            super(events);
         }
 
         @Override
-        public void runEndedBadly(FailureDomain shard, TaskRun run, EndpointId endpoint, EndKind kind) {
-            events.runEndedBadly(shard, run, endpoint, kind);
-        }
-
-        @Override
-        public void endpointRestarted(FailureDomain shard, EndpointIncarnation later) {
-            events.endpointRestarted(shard, later);
-        }
-
-        @Override
-        public void speedChanged(FailureDomain shard, EndpointId endpoint, double from, double to) {
-            events.speedChanged(shard, endpoint, from, to);
+        public void settled(NodeId origin, JobId job, Verdict verdict, long retryMillis) {
+            events.settled(origin, job, verdict, retryMillis);
         }
 
         @Override
