Log who loses whom, and on what ground a holder goes on with a job of an earlier one

Cause: the report of tasks that run twice cannot be traced with the lines so far. They do not tell whether a holder went on because it had read all lists or because the lease was over, nor that a node offers a job a second time, that its clients have left, or that a holder ended the jobs of a node it misses.

Change: six lines (job-holder-lost, job-offered-again, job-clients-left, job-recovered, job-resubmitted, origin-lost). No decision changes.

--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/ForwardingPlacementObserver.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/ForwardingPlacementObserver.java
@@ -25,6 +25,21 @@
         delegate.declined(origin, job, estimate);
     }
 
+    @Override
+    public void recovered(NodeId origin, JobId job, RecoveryGround ground, long waitedMillis) {
+        delegate.recovered(origin, job, ground, waitedMillis);
+    }
+
+    @Override
+    public void resubmitted(JobId job, NodeId before, NodeId now) {
+        delegate.resubmitted(job, before, now);
+    }
+
+    @Override
+    public void originLost(NodeId origin, int jobs) {
+        delegate.originLost(origin, jobs);
+    }
+
     @Override
     public void shareLimited(ShareState state, boolean isLimited) {
         delegate.shareLimited(state, isLimited);
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/JobLifecycle.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/JobLifecycle.java
@@ -46,7 +46,7 @@
         this.listener = listener;
         this.estimator = new CompletionEstimator(shards.endpoints(), pending, poolShares);
         this.admission = new OfferAdmission(pending);
-        this.recovering = new RecoveringJobs(shards, timers, this::resume);
+        this.recovering = new RecoveringJobs(shards, timers, listener, this::resume);
         this.starter = new TaskStarter(shards, pending, poolShares, capacity, timers, this::giveUp);
     }
 
@@ -54,6 +54,9 @@
     void offer(Offer offer) {
         PlacedJob known = jobs.get(offer.job().id());
         if (known != null) {
+            if (!known.origin().equals(offer.origin())) {
+                listener.resubmitted(known.id(), known.origin(), offer.origin());
+            }
             known.resubmittedThrough(offer.origin());
             return;
         }
@@ -75,11 +78,16 @@
     /** Ends every job of a node that is gone; see {@link Placer#originLost}. */
     void originLost(NodeId origin) {
         cancelling.originLost(origin);
+        int ended = 0;
         for (PlacedJob job : ImmutableList.copyOf(jobs.values())) {
             if (job.origin().equals(origin)) {
                 end(job);
+                ended++;
             }
         }
+        if (ended > 0) {
+            listener.originLost(origin, ended);
+        }
         starter.planStart();
     }
 
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacementObserver.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacementObserver.java
@@ -18,6 +18,20 @@
     /** A job is declined because of the estimate. */
     default void declined(NodeId origin, JobId job, CompletionEstimate estimate) {}
 
+    /**
+     * A job that an earlier holder had goes on, since no run of it is under way but those that were adopted.
+     *
+     * @param ground how that is known
+     * @param waitedMillis how long it has waited here for that
+     */
+    default void recovered(NodeId origin, JobId job, RecoveryGround ground, long waitedMillis) {}
+
+    /** A job that is placed here was sent again by its client, through another node. */
+    default void resubmitted(JobId job, NodeId before, NodeId now) {}
+
+    /** Jobs are ended because the node that had offered them is lost. */
+    default void originLost(NodeId origin, int jobs) {}
+
     /** A share becomes limited by its allotment, or no longer is. */
     default void shareLimited(ShareState state, boolean isLimited) {}
 
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RecoveringJobs.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RecoveringJobs.java
@@ -3,6 +3,7 @@
 import com.google.common.collect.ImmutableList;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.Consumer;
 import org.tarragonarch.model.task.JobId;
 import org.tarragonarch.model.task.Offer;
@@ -21,6 +22,7 @@
 
     private final HeldShards shards;
     private final Timers timers;
+    private final PlacementObserver observer;
     private final Consumer<PlacedJob> recovered;
     private final Map<JobId, Recovery> recoveries = new LinkedHashMap<>();
     private boolean checkPlanned;
@@ -28,11 +30,13 @@
     /**
      * Creates the recovery of a placer's jobs.
      *
+     * @param observer is notified of each job that goes on
      * @param recovered goes on with a job none of whose runs is unknown any more
      */
-    RecoveringJobs(HeldShards shards, Timers timers, Consumer<PlacedJob> recovered) {
+    RecoveringJobs(HeldShards shards, Timers timers, PlacementObserver observer, Consumer<PlacedJob> recovered) {
         this.shards = shards;
         this.timers = timers;
+        this.observer = observer;
         this.recovered = recovered;
     }
 
@@ -70,19 +74,27 @@
 
     private void check(PlacedJob job) {
         Recovery recovery = recoveries.get(job.id());
-        if (recovery != null && isResolved(recovery)) {
+        Optional<RecoveryGround> ground = recovery == null ? Optional.empty() : groundOf(recovery);
+        if (ground.isPresent()) {
             recoveries.remove(job.id());
             job.earlierRunsResolved();
+            long waited = timers.nowMillis() - recovery.offer().sinceMillis();
+            observer.recovered(job.origin(), job.id(), ground.get(), waited);
             recovered.accept(job);
         }
     }
 
-    private boolean isResolved(Recovery recovery) {
+    private Optional<RecoveryGround> groundOf(Recovery recovery) {
         PlacedJob job = recovery.job();
         Offer offer = recovery.offer().at(timers.nowMillis());
-        return !job.awaitsEarlierRuns()
-                || offer.earlierRuns().over()
-                || shards.readyFor(job.id(), offer.earlierRuns().shards());
+        if (!job.awaitsEarlierRuns()) {
+            return Optional.of(RecoveryGround.ALL_FOUND);
+        }
+        if (offer.earlierRuns().over()) {
+            return Optional.of(RecoveryGround.LEASE_OVER);
+        }
+        boolean ready = shards.readyFor(job.id(), offer.earlierRuns().shards());
+        return ready ? Optional.of(RecoveryGround.LISTS_READ) : Optional.empty();
     }
 
     private ImmutableList<PlacedJob> jobs() {
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/routing/OpenJob.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/routing/OpenJob.java
@@ -6,6 +6,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Consumer;
 import org.tarragonarch.model.id.FailureDomain;
@@ -215,6 +216,11 @@
         return mayHaveRun;
     }
 
+    /** Returns how long ago the last holder was lost, in milliseconds; empty if none was. */
+    OptionalLong sinceLossMillis(long nowMillis) {
+        return lostHolder.isPresent() ? OptionalLong.of(nowMillis - lostAtMillis) : OptionalLong.empty();
+    }
+
     /** Returns whether the job may go to the holder now, given how long a lost holder's runs may last. */
     boolean mayBeOfferedTo(Holder candidate, Holders holders, long nowMillis, long runsLastMillis) {
         boolean isKnownElsewhere = hadBefore
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/routing/RoutingObserver.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/routing/RoutingObserver.java
@@ -17,4 +17,17 @@
      * it.
      */
     default void returnedByNeighbour(JobId job, NodeId holder) {}
+
+    /** A job's holder is lost, or has lost its shards, while runs of the job may be under way. */
+    default void holderLost(JobId job, NodeId holder) {}
+
+    /**
+     * A job whose holder was lost is offered again.
+     *
+     * @param sinceLossMillis how long ago the holder was lost
+     */
+    default void offeredAgain(JobId job, NodeId holder, long sinceLossMillis) {}
+
+    /** No client waits for a job any more, so it is withdrawn from its holder. */
+    default void clientsLeft(JobId job, NodeId holder) {}
 }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/ForwardingShardObserver.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/ForwardingShardObserver.java
@@ -45,4 +45,19 @@
     public void returnedByNeighbour(JobId job, NodeId holder) {
         delegate.returnedByNeighbour(job, holder);
     }
+
+    @Override
+    public void holderLost(JobId job, NodeId holder) {
+        delegate.holderLost(job, holder);
+    }
+
+    @Override
+    public void offeredAgain(JobId job, NodeId holder, long sinceLossMillis) {
+        delegate.offeredAgain(job, holder, sinceLossMillis);
+    }
+
+    @Override
+    public void clientsLeft(JobId job, NodeId holder) {
+        delegate.clientsLeft(job, holder);
+    }
 }
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ShardLog.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ShardLog.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.tarragonarch.core.placing.CompletionEstimate;
+import org.tarragonarch.core.placing.RecoveryGround;
 import org.tarragonarch.core.shard.ShardObserver;
 import org.tarragonarch.core.share.ShareState;
 import org.tarragonarch.model.id.EndpointId;
@@ -90,6 +91,36 @@
         log.line(NodeEvent.JOB_MOVED_BACK, "job", job, "holder", holder);
     }
 
+    @Override
+    public void holderLost(JobId job, NodeId holder) {
+        log.line(NodeEvent.JOB_HOLDER_LOST, "job", job, "holder", holder);
+    }
+
+    @Override
+    public void offeredAgain(JobId job, NodeId holder, long sinceLossMillis) {
+        log.line(NodeEvent.JOB_OFFERED_AGAIN, "job", job, "holder", holder, "since-loss-ms", sinceLossMillis);
+    }
+
+    @Override
+    public void clientsLeft(JobId job, NodeId holder) {
+        log.line(NodeEvent.JOB_CLIENTS_LEFT, "job", job, "holder", holder);
+    }
+
+    @Override
+    public void recovered(NodeId origin, JobId job, RecoveryGround ground, long waitedMillis) {
+        log.line(NodeEvent.JOB_RECOVERED, "job", job, "origin", origin, "ground", ground, "waited-ms", waitedMillis);
+    }
+
+    @Override
+    public void resubmitted(JobId job, NodeId before, NodeId now) {
+        log.line(NodeEvent.JOB_RESUBMITTED, "job", job, "before", before, "origin", now);
+    }
+
+    @Override
+    public void originLost(NodeId origin, int jobs) {
+        log.line(NodeEvent.ORIGIN_LOST, "origin", origin, "jobs", jobs);
+    }
+
     @Override
     public void runEndedBadly(FailureDomain shard, TaskRun run, EndpointId endpoint, EndKind kind) {
         meters.runEndedBadly(kind);
--- a/tarragonarch-model/src/main/java/org/tarragonarch/model/log/NodeEvent.java
+++ b/tarragonarch-model/src/main/java/org/tarragonarch/model/log/NodeEvent.java
@@ -18,6 +18,18 @@
     JOB_MOVED,
     /** The holder of the other failure domain could not start the job at once either. */
     JOB_MOVED_BACK,
+    /** A job's holder was lost, or has lost its shards, while runs of the job may be under way. */
+    JOB_HOLDER_LOST,
+    /** A job whose holder was lost was offered again. */
+    JOB_OFFERED_AGAIN,
+    /** No client waits for a job any more; it was withdrawn from its holder. */
+    JOB_CLIENTS_LEFT,
+    /** A holder goes on with a job of an earlier holder, and on what ground. */
+    JOB_RECOVERED,
+    /** A job was sent again by its client, through another node, while it is placed here. */
+    JOB_RESUBMITTED,
+    /** A holder ended the jobs of a node that is lost. */
+    ORIGIN_LOST,
     /** An endpoint is clearly faster or slower than before, by the run times of its tasks. */
     ENDPOINT_SPEED_CHANGED,
     /** A run did not do its work. */
