--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/FakeEndpoint.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/FakeEndpoint.java
@@ -21,7 +21,7 @@
 import org.tarragonarch.model.task.TaskRun;
 
 /** One endpoint as its protocol describes it: it obeys the highest token, keeps runs under a lease and lists ends. */
-final class FakeEndpoint {
+public final class FakeEndpoint {
     private static final long LONGEST_LEASE_MILLIS = 1_000;
     private static final long STOP_MILLIS = 30;
 
@@ -51,12 +51,22 @@
     private long restartedAtMillis = Long.MIN_VALUE / 2;
     private int started;
 
-    FakeEndpoint(VirtualTimers timers, Ledger ledger, long capacity) {
+    /**
+     * Creates an endpoint that runs nothing.
+     *
+     * @param capacity what its tasks may take together, in thousandths of a core
+     */
+    public FakeEndpoint(VirtualTimers timers, Ledger ledger, long capacity) {
         this.timers = timers;
         this.ledger = ledger;
         this.capacity = capacity;
     }
 
+    /** Lets each task that starts from now on run for that long. */
+    public void runsFor(long millis) {
+        runMillis = millis;
+    }
+
     long clock() {
         return timers.nowMillis() + clockOffset;
     }
@@ -66,7 +76,8 @@
         return started;
     }
 
-    int running() {
+    /** Returns how many runs are in progress. */
+    public int running() {
         return running.size();
     }
 
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/Ledger.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/Ledger.java
@@ -7,11 +7,14 @@
 import org.tarragonarch.model.task.TaskName;
 
 /** What the endpoints of a test saw, and which promises that breaks. */
-final class Ledger {
+public final class Ledger {
     private final Map<TaskName, FakeEndpoint> running = new HashMap<>();
     private final List<String> broken = new ArrayList<>();
     private int starts;
 
+    /** Creates a ledger of endpoints that have run nothing. */
+    public Ledger() {}
+
     void started(TaskName task, FakeEndpoint at) {
         starts++;
         if (running.put(task, at) != null) {
@@ -33,7 +36,8 @@
         return starts;
     }
 
-    List<String> broken() {
+    /** Returns the promises that were broken, in order. */
+    public List<String> broken() {
         return broken;
     }
 }
