Tests that show a job running twice where each failure domain is a pool

Four tests fail on the present code. No main code changes.

SeparatePoolsTest runs three coordinators, two endpoints and a ledger on virtual time. Each direction between two nodes is a connection of its own that delivers in order and can break, stall, or refuse to open. The placing fakes are public as far as that needs.

Pass: testClientLeft_withdrawalArrives, and testHolderSilent_nodeSendsNothingMore (the same stall, but the node holds no shard and sends nothing to a holder that it considers lost, so that holder considers it lost too).

--- /dev/null
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/SeparatePoolsTest.java
@@ -0,0 +1,133 @@
+package org.tarragonarch.core.cluster;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import org.tarragonarch.model.task.JobService;
+import org.testng.annotations.Test;
+
+/** A job that another failure domain's holder has, where each domain is a pool of its own, while connections fail. */
+public final class SeparatePoolsTest {
+    private static final int FILLER = 1;
+    private static final int JOB = 2;
+
+    /** After this long a client sends a job again that it got no answer to, in milliseconds. */
+    private static final long CLIENT_PAUSE_MILLIS = 1_300;
+
+    /** Longer than a holder may be silent, in milliseconds. */
+    private static final long SILENT_MILLIS = 900;
+
+    /** Longer than it takes a holder's last frame to be missed and its node to connect again, in milliseconds. */
+    private static final long STALL_MILLIS = 1_300;
+
+    /** Longer than runs of a lost holder may last, in milliseconds. */
+    private static final long OFFERED_AGAIN_MILLIS = 1_300;
+
+    private final SeparatePoolsFixture cluster = new SeparatePoolsFixture();
+    private JobService.Submission job;
+
+    /** Returns a cluster in which a job, sent through a node of the first domain, runs in the second. */
+    private static SeparatePoolsTest placedInOtherDomain(boolean throughHolder) {
+        SeparatePoolsTest test = new SeparatePoolsTest();
+        SeparatePoolsFixture cluster = test.cluster;
+        assertEquals(cluster.hobartHolder.coordinator().heldShards(), 1);
+        assertEquals(cluster.launcestonHolder.coordinator().heldShards(), 1);
+        JobService.Submission filler = cluster.submit(cluster.hobartHolder, FILLER, SeparatePoolsFixture.PLACES);
+        cluster.timers.pass(300);
+        assertEquals(cluster.hobartEndpoint.running(), SeparatePoolsFixture.PLACES);
+        test.job = cluster.submit(throughHolder ? cluster.hobartHolder : cluster.hobartNode, JOB, 1);
+        cluster.timers.pass(100);
+        assertEquals(cluster.launcestonEndpoint.running(), 1);
+        filler.clientLeft();
+        cluster.timers.pass(100);
+        assertEquals(cluster.hobartEndpoint.running(), 0);
+        return test;
+    }
+
+    /** Lets the client send the job again, through the holder of its own domain, after its pause. */
+    private void sendAgain() {
+        sendAgain(cluster.hobartHolder);
+    }
+
+    private void sendAgain(FakeNode node) {
+        cluster.timers.pass(CLIENT_PAUSE_MILLIS);
+        cluster.submit(node, JOB, 1);
+        cluster.timers.pass(500);
+    }
+
+    private void assertNeverTwoRuns() {
+        assertEquals(cluster.ledger.broken().toString(), "[]");
+    }
+
+    /** Guards against a job that goes on after its withdrawal has arrived. */
+    @Test
+    public void testClientLeft_withdrawalArrives() {
+        SeparatePoolsTest test = placedInOtherDomain(false);
+        test.job.clientLeft();
+        test.sendAgain();
+        assertEquals(test.cluster.hobartEndpoint.running(), 1);
+        test.assertNeverTwoRuns();
+    }
+
+    /** Guards against two runs of a job whose withdrawal was written to a connection that broke. */
+    @Test
+    public void testClientLeft_connectionBreaksUnderTheWithdrawal() {
+        SeparatePoolsTest test = placedInOtherDomain(false);
+        test.job.clientLeft();
+        test.cluster.connections.breakConnection(test.cluster.hobartNode.id(), test.cluster.launcestonHolder.id());
+        test.sendAgain();
+        assertTrue(test.cluster.launcestonHolder.reaches(test.cluster.hobartNode));
+        test.assertNeverTwoRuns();
+    }
+
+    /** Guards against two runs after a lost withdrawal where the node has forgotten by then who had the job. */
+    @Test
+    public void testClientLeft_withdrawalIsLostAndTheSameNodeGetsTheJobAgain() {
+        SeparatePoolsTest test = placedInOtherDomain(false);
+        test.job.clientLeft();
+        test.cluster.connections.breakConnection(test.cluster.hobartNode.id(), test.cluster.launcestonHolder.id());
+        test.sendAgain(test.cluster.hobartNode);
+        test.assertNeverTwoRuns();
+    }
+
+    /** Guards against two runs of a job whose withdrawal waited for a connection that could not be opened. */
+    @Test
+    public void testClientLeft_withdrawalIsUndelivered() {
+        SeparatePoolsTest test = placedInOtherDomain(false);
+        test.cluster.connections.breakConnection(test.cluster.hobartNode.id(), test.cluster.launcestonHolder.id());
+        test.cluster.connections.refuse(test.cluster.hobartNode.id(), test.cluster.launcestonHolder.id(), 100);
+        test.job.clientLeft();
+        test.sendAgain();
+        assertTrue(test.cluster.launcestonHolder.reaches(test.cluster.hobartNode));
+        test.assertNeverTwoRuns();
+    }
+
+    /** Guards against a job that goes on at a holder after a node without shards considers that holder silent. */
+    @Test
+    public void testHolderSilent_nodeSendsNothingMore() {
+        SeparatePoolsTest test = placedInOtherDomain(false);
+        FakeNode holder = test.cluster.launcestonHolder;
+        test.cluster.connections.stall(holder.id(), test.cluster.hobartNode.id(), STALL_MILLIS);
+        test.cluster.timers.pass(SILENT_MILLIS);
+        assertFalse(test.cluster.hobartNode.reaches(holder));
+        test.cluster.timers.pass(OFFERED_AGAIN_MILLIS);
+        assertEquals(test.cluster.hobartEndpoint.running(), 1);
+        test.assertNeverTwoRuns();
+    }
+
+    /**
+     * Guards against two runs of a job whose node considers the holder silent, closes its connections and opens a new
+     * one, while the close of the old one that went silent is still on its way.
+     */
+    @Test
+    public void testHolderSilent_nodeIsBackBeforeTheHolderSeesTheLastClose() {
+        SeparatePoolsTest test = placedInOtherDomain(true);
+        FakeNode holder = test.cluster.launcestonHolder;
+        test.cluster.connections.stall(holder.id(), test.cluster.hobartHolder.id(), STALL_MILLIS);
+        test.cluster.timers.pass(SILENT_MILLIS);
+        assertFalse(test.cluster.hobartHolder.reaches(holder));
+        test.cluster.timers.pass(OFFERED_AGAIN_MILLIS);
+        test.assertNeverTwoRuns();
+    }
+}
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/FakeEndpoint.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/FakeEndpoint.java
@@ -21,7 +21,7 @@
 import org.tarragonarch.model.task.TaskRun;
 
 /** One endpoint as its protocol describes it: it obeys the highest token, keeps runs under a lease and lists ends. */
-final class FakeEndpoint {
+public final class FakeEndpoint {
     private static final long LONGEST_LEASE_MILLIS = 1_000;
     private static final long STOP_MILLIS = 30;
 
@@ -51,7 +51,12 @@
     private long restartedAtMillis = Long.MIN_VALUE / 2;
     private int started;
 
-    FakeEndpoint(VirtualTimers timers, Ledger ledger, long capacity) {
+    /**
+     * Creates an idle endpoint.
+     *
+     * @param capacity its processor time, in thousandths of a core
+     */
+    public FakeEndpoint(VirtualTimers timers, Ledger ledger, long capacity) {
         this.timers = timers;
         this.ledger = ledger;
         this.capacity = capacity;
@@ -61,12 +66,18 @@
         return timers.nowMillis() + clockOffset;
     }
 
+    /** Lets every task that starts from now on run for that long. */
+    public void runFor(long millis) {
+        runMillis = millis;
+    }
+
     /** Returns how many runs were ever started. */
     int started() {
         return started;
     }
 
-    int running() {
+    /** Returns how many runs are in progress. */
+    public int running() {
         return running.size();
     }
 
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/FakeOrders.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/FakeOrders.java
@@ -18,7 +18,7 @@
 import org.tarragonarch.model.task.TaskRun;
 
 /** The way to a handful of endpoints, with faults on it. */
-final class FakeOrders implements EndpointOrders {
+public final class FakeOrders implements EndpointOrders {
     /** What becomes of an order on its way. */
     enum Way {
         /** It arrives, and so does its answer. */
@@ -43,11 +43,21 @@
     private final VirtualTimers timers;
     private final long milliCores;
 
-    FakeOrders(VirtualTimers timers, long milliCores) {
+    /**
+     * Creates the way to no endpoint yet.
+     *
+     * @param milliCores the processor time that each task takes, in thousandths of a core
+     */
+    public FakeOrders(VirtualTimers timers, long milliCores) {
         this.timers = timers;
         this.milliCores = milliCores;
     }
 
+    /** Adds an endpoint. */
+    public void add(EndpointId id, FakeEndpoint endpoint) {
+        endpoints.put(id, endpoint);
+    }
+
     @Override
     public void hold(EndpointEntry entry, HoldOrder order, Delivery delivery, Consumer<HoldAnswer> reply) {
         Once<HoldAnswer> once = new Once<>(reply);
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/Ledger.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/Ledger.java
@@ -7,11 +7,14 @@
 import org.tarragonarch.model.task.TaskName;
 
 /** What the endpoints of a test saw, and which promises that breaks. */
-final class Ledger {
+public final class Ledger {
     private final Map<TaskName, FakeEndpoint> running = new HashMap<>();
     private final List<String> broken = new ArrayList<>();
     private int starts;
 
+    /** Creates the ledger of endpoints on which nothing has run. */
+    public Ledger() {}
+
     void started(TaskName task, FakeEndpoint at) {
         starts++;
         if (running.put(task, at) != null) {
@@ -33,7 +36,8 @@
         return starts;
     }
 
-    List<String> broken() {
+    /** Returns what was seen that must not happen. */
+    public List<String> broken() {
         return broken;
     }
 }
