--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/FakeEndpoint.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/FakeEndpoint.java
@@ -52,9 +52,9 @@
     private int started;
 
     /**
-     * Creates an endpoint that runs nothing.
+     * Creates an idle endpoint.
      *
-     * @param capacity what its tasks may take together, in thousandths of a core
+     * @param capacity its processor time, in thousandths of a core
      */
     public FakeEndpoint(VirtualTimers timers, Ledger ledger, long capacity) {
         this.timers = timers;
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/FakeOrders.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/FakeOrders.java
@@ -44,16 +44,16 @@
     private final long milliCores;
 
     /**
-     * Creates the way to no endpoint.
+     * Creates the way to no endpoint yet.
      *
-     * @param milliCores what each task takes, in thousandths of a core
+     * @param milliCores the processor time that each task takes, in thousandths of a core
      */
     public FakeOrders(VirtualTimers timers, long milliCores) {
         this.timers = timers;
         this.milliCores = milliCores;
     }
 
-    /** Adds an endpoint that can be reached. */
+    /** Adds an endpoint. */
     public void add(EndpointId id, FakeEndpoint endpoint) {
         endpoints.put(id, endpoint);
     }
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/Ledger.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/Ledger.java
@@ -12,7 +12,7 @@
     private final List<String> broken = new ArrayList<>();
     private int starts;
 
-    /** Creates a ledger of endpoints that have run nothing. */
+    /** Creates the ledger of endpoints on which nothing has run. */
     public Ledger() {}
 
     void started(TaskName task, FakeEndpoint at) {
@@ -36,7 +36,7 @@
         return starts;
     }
 
-    /** Returns the promises that were broken, in order. */
+    /** Returns what was seen that must not happen. */
     public List<String> broken() {
         return broken;
     }
