Failing tests: frames that outlive the connection they were sent for

The three tests of PeerReconnectTest fail on the present code; no main code is changed. A frame that waits in a PeerLink, for the peer's hello or for the end of the backoff, stays queued when PeerNetwork.disconnect is called, since disconnect closes only connections whose hello was taken. A receiver takes frames of an earlier connection of a run after frames of a later one, so an offer can be taken after its withdrawal.

--- /dev/null
+++ b/tarragonarch-wire/src/test/java/org/tarragonarch/wire/PeerReconnectTest.java
@@ -0,0 +1,128 @@
+package org.tarragonarch.wire;
+
+import static org.testng.Assert.assertEquals;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.time.Duration;
+import java.util.Optional;
+import org.tarragonarch.model.id.Address;
+import org.tarragonarch.model.id.Incarnation;
+import org.tarragonarch.model.id.NodeId;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** What happens to a frame of an earlier connection with a peer once the peer was given up or a later one is open. */
+public final class PeerReconnectTest {
+    private static final NodeId DEVONPORT = NodeId.of("devonport-1");
+    private static final NodeId NEVER_MET = NodeId.of("launceston-1");
+    private static final Hello PEER_HELLO = Samples.hello("devonport-1", 5);
+    private static final JobOffered OFFER = new JobOffered(PlacingSamples.offer());
+    private static final Frame MARKER = Samples.question(1);
+    private static final Frame LATER = Samples.question(2);
+
+    private RecordingListener hobart;
+    private PeerNetwork network;
+
+    @BeforeMethod
+    public void startNetwork() throws Exception {
+        PeerNetworkSettings settings = new PeerNetworkSettings(
+                Duration.ofSeconds(1),
+                Duration.ofSeconds(60),
+                Duration.ofSeconds(60),
+                Duration.ofMillis(500),
+                Duration.ofMillis(500),
+                16,
+                2_000_000,
+                64);
+        InetAddress loopback = InetAddress.getByAddress(new byte[] {127, 0, 0, 1});
+        hobart = new RecordingListener();
+        network = PeerNetwork.start(new InetSocketAddress(loopback, 0), Samples.HOBART, hobart, settings);
+    }
+
+    @AfterMethod
+    public void closeNetwork() {
+        network.close();
+    }
+
+    /** Guards against an offer that starts a job after its sender gave the peer up and offered the job elsewhere. */
+    @Test
+    public void testDisconnect_frameThatWaitsForTheHelloIsGivenBack() throws Exception {
+        try (ServerSocket server = RawPeer.listen()) {
+            Address address = RawPeer.addressOf(server);
+            network.send(DEVONPORT, address, OFFER);
+            try (RawPeer slow = RawPeer.accept(server)) {
+                assertEquals(slow.read(), Samples.HOBART);
+                disconnectAndWait();
+                network.send(DEVONPORT, address, LATER);
+                slow.say(PEER_HELLO);
+                assertEquals(firstFrame(server, slow), LATER);
+            }
+            assertEquals(hobart.awaitUndelivered(), OFFER);
+        }
+    }
+
+    /** Guards against an offer that waits out the backoff and reaches a peer that its sender gave up before. */
+    @Test
+    public void testDisconnect_frameThatWaitsForTheNextAttemptIsGivenBack() throws Exception {
+        try (ServerSocket server = RawPeer.listen()) {
+            Address address = RawPeer.addressOf(server);
+            network.send(DEVONPORT, address, Samples.question(3));
+            RawPeer.accept(server).close();
+            assertEquals(hobart.awaitUndelivered(), Samples.question(3));
+            network.send(DEVONPORT, address, OFFER);
+            disconnectAndWait();
+            network.send(DEVONPORT, address, LATER);
+            try (RawPeer back = RawPeer.accept(server).say(PEER_HELLO)) {
+                assertEquals(firstFrame(server, back), LATER);
+            }
+            assertEquals(hobart.awaitUndelivered(), OFFER);
+        }
+    }
+
+    /** Guards against an offer, delayed on a connection that its sender closed, that is taken after its withdrawal. */
+    @Test
+    public void testReceived_nothingOfAnEarlierConnectionAfterALaterOneOfTheSameRun() throws Exception {
+        JobWithdrawn withdrawn = new JobWithdrawn(OFFER.offer().job().id());
+        try (RawPeer earlier = RawPeer.connect(network.address()).say(PEER_HELLO, MARKER)) {
+            assertEquals(hobart.awaitReceived().frame(), MARKER);
+            try (RawPeer later = RawPeer.connect(network.address()).say(PEER_HELLO, withdrawn)) {
+                assertEquals(hobart.awaitReceived().frame(), withdrawn);
+                // The network closes this connection only after it has read everything that came before its end.
+                earlier.say(OFFER).finish().hellosBeforeClose();
+                later.say(LATER);
+                assertEquals(hobart.awaitReceived().frame(), LATER);
+            }
+        }
+    }
+
+    /**
+     * Gives the peer up and waits until the network's thread has done so: the marker is given back by the task after.
+     * What the disconnecting gives back may come before the marker or after it, and is put back for the test to take.
+     */
+    private void disconnectAndWait() throws Exception {
+        network.disconnect(DEVONPORT, "the peer was lost");
+        network.reply(NEVER_MET, Incarnation.of(1), MARKER);
+        Frame first = hobart.awaitUndelivered();
+        if (!first.equals(MARKER)) {
+            assertEquals(hobart.awaitUndelivered(), MARKER);
+            hobart.undelivered(DEVONPORT, first);
+        }
+    }
+
+    /** Returns the first frame but hellos that comes by this connection or, if it is closed, by the next ones. */
+    private static Frame firstFrame(ServerSocket server, RawPeer connected) throws Exception {
+        Optional<Frame> next = connected.readUnlessClosed();
+        while (next.isPresent() && next.get() instanceof Hello) {
+            next = connected.readUnlessClosed();
+        }
+        if (next.isPresent()) {
+            return next.get();
+        }
+        try (RawPeer following = RawPeer.accept(server).say(PEER_HELLO)) {
+            return firstFrame(server, following);
+        }
+    }
+}
--- a/tarragonarch-wire/src/test/java/org/tarragonarch/wire/PlacingSamples.java
+++ b/tarragonarch-wire/src/test/java/org/tarragonarch/wire/PlacingSamples.java
@@ -60,7 +60,7 @@
                 new NodesGiven(ImmutableList.of(new Member(NODE, FailureDomain.of("hobart"), ADDRESS, 360))));
     }
 
-    private static Offer offer() {
+    static Offer offer() {
         QueueDefinition queue = new QueueDefinition("q", "h", "/p/", "board", 2, 4, 1.6, 60);
         TaskStep step = new TaskStep(8, new Resources(6_800, 64, 0), 0);
         EarlierRuns earlier = new EarlierRuns(1_050, ImmutableSet.of(SHARD));
--- a/tarragonarch-wire/src/test/java/org/tarragonarch/wire/RawPeer.java
+++ b/tarragonarch-wire/src/test/java/org/tarragonarch/wire/RawPeer.java
@@ -68,6 +68,12 @@
         return this;
     }
 
+    /** Closes this end for writing, as the system does behind the last bytes of a closed connection. */
+    RawPeer finish() throws IOException {
+        socket.shutdownOutput();
+        return this;
+    }
+
     Frame read() throws Exception {
         byte[] bytes = new byte[in.readInt()];
         in.readFully(bytes);
@@ -93,7 +99,8 @@
         socket.close();
     }
 
-    private Optional<Frame> readUnlessClosed() throws Exception {
+    /** Returns the next frame, or nothing if the other end has closed the connection. */
+    Optional<Frame> readUnlessClosed() throws Exception {
         try {
             return Optional.of(read());
         } catch (SocketTimeoutException e) {
