Give back what waits for a connection as a peer is disconnected

What callers saw: nothing by itself; a job could start at a holder that its node had given up.

Cause: PeerNetwork.disconnect closed the open connections alone. Offers that waited for a connection (400 ms for an attempt, and up to the idle timeout for the peer's hello) stayed queued, and reached the peer after the node had taken it for lost and offered the job elsewhere.

Why it works: the frames are given back before the loss is acted on further, so nothing is left to send.

--- a/tarragonarch-wire/src/main/java/org/tarragonarch/wire/PeerLink.java
+++ b/tarragonarch-wire/src/main/java/org/tarragonarch/wire/PeerLink.java
@@ -53,10 +53,15 @@
         connectIfNeeded();
     }
 
+    /** Gives back what waits for a connection. */
+    void giveBackWaiting() {
+        waiting.drain().forEach(this::giveBack);
+    }
+
     /** Closes the connection and never opens another. */
     void retire(String reason) {
         retired = true;
-        waiting.drain().forEach(this::giveBack);
+        giveBackWaiting();
         connection.ifPresent(open -> open.close(reason));
     }
 
@@ -102,7 +107,7 @@
 
     private void attemptFailed() {
         attempting = false;
-        waiting.drain().forEach(this::giveBack);
+        giveBackWaiting();
         retryLater();
     }
 
--- a/tarragonarch-wire/src/main/java/org/tarragonarch/wire/PeerNetwork.java
+++ b/tarragonarch-wire/src/main/java/org/tarragonarch/wire/PeerNetwork.java
@@ -146,13 +146,16 @@
     }
 
     /**
-     * Closes every connection with the peer; the next frame opens a new one.
+     * Closes every connection with the peer and gives back what waits for one; the next frame opens a new one.
      *
      * <p>Guards against connections that go silent for good, one way or both, while new ones work: frames would go into
      * them until their idle timeout.
      */
     public void disconnect(NodeId peer, String reason) {
-        execute(() -> registry.all(peer).forEach(connection -> connection.close(reason)));
+        execute(() -> {
+            Optional.ofNullable(links.get(peer)).ifPresent(PeerLink::giveBackWaiting);
+            registry.all(peer).forEach(connection -> connection.close(reason));
+        });
     }
 
     /**
