Read nothing more on a connection once its peer sends on a later one

Cause: several connections of one run of a peer may be open, and each was read to its end. After a reconnect an offer that was unread on the earlier connection was taken after its withdrawal on the later one, and the job ran although its node had withdrawn it.

Evidence: testReceived_nothingOfAnEarlierConnectionAfterALaterOneOfTheSameRun of PeerReconnectTest failed before and passes now; PeerNetworkTest passes.

Why it works: a node sends on one connection at a time, so what is unread on an earlier one is older than the first frame of the later one. The earlier ones are closed at that frame, before it is acted on.

--- a/tarragonarch-wire/src/main/java/org/tarragonarch/wire/PeerConnection.java
+++ b/tarragonarch-wire/src/main/java/org/tarragonarch/wire/PeerConnection.java
@@ -31,6 +31,7 @@
     private final FrameQueue queue;
     private ChannelHandlerContext context;
     private Optional<Hello> hello = Optional.empty();
+    private boolean hasReceived;
 
     /**
      * Creates the end of a connection.
@@ -58,6 +59,11 @@
         return expected;
     }
 
+    /** Returns whether the other end has opened the connection. */
+    boolean isIncoming() {
+        return expected.isEmpty();
+    }
+
     Optional<Hello> hello() {
         return hello;
     }
@@ -146,6 +152,10 @@
         } else if (hello.isEmpty()) {
             throw new MalformedFrameException(name(), "a frame before the hello");
         } else {
+            if (isIncoming() && !hasReceived) {
+                hasReceived = true;
+                registry.closeEarlierIncoming(this);
+            }
             listener.received(hello.get().node(), hello.get().incarnation(), frame);
         }
     }
--- a/tarragonarch-wire/src/main/java/org/tarragonarch/wire/PeerRegistry.java
+++ b/tarragonarch-wire/src/main/java/org/tarragonarch/wire/PeerRegistry.java
@@ -36,7 +36,7 @@
             return Optional.of("is run " + hello.incarnation() + " where run "
                     + runs.latest(hello.node()).orElseThrow() + " was met");
         }
-        for (PeerConnection earlier : ImmutableList.copyOf(open.get(hello.node()))) {
+        for (PeerConnection earlier : all(hello.node())) {
             if (!earlier.isOf(hello.incarnation())) {
                 earlier.close("a later run was met");
             }
@@ -45,6 +45,23 @@
         return Optional.empty();
     }
 
+    /**
+     * Closes the connections that the other end had opened before it began to send on this one.
+     *
+     * <p>Guards against frames out of order: a node sends on one connection at a time, so what is unread on an earlier
+     * one was sent before anything on this one, and may have been taken back since.
+     */
+    void closeEarlierIncoming(PeerConnection connection) {
+        for (PeerConnection other : all(connection.hello().orElseThrow().node())) {
+            if (other == connection) {
+                return;
+            }
+            if (other.isIncoming()) {
+                other.close("the other end sends on a later connection");
+            }
+        }
+    }
+
     /** Returns an open connection with exactly this run, if there is one. */
     Optional<PeerConnection> find(NodeId peer, Incarnation run) {
         return open.get(peer).stream()
