Tell a holder which jobs are still open, first on each connection

What callers saw: a job ran twice at the same time, at holders of two failure domains.

Cause: what a node withdraws or gives to another holder was told once, by a frame that is lost if its connection breaks while the connection the other way stays open, or if it is given back. Neither end takes the other for lost then, and the holder runs the job to its end. The client sends it again 1.3 s later, and where each domain is a pool another holder starts it. In the same way a node that takes a holder for lost, and is back before that one sees the old connections close, offers the job elsewhere 1.05 s later while it runs on.

Change: the first frame on each connection is OpenJobs, the jobs that its node has open there. The holder ends every other job of that node. jobs-not-open in the log tells of it.

Why it works: every connection that loses a frame ends, the next one opens within the period of a status (200 ms), and frames of the earlier one are not read after it. If it cannot be opened, the holder misses the node within 0.8 s. Both are shorter than 1.05 s.

--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/Coordinator.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/Coordinator.java
@@ -225,6 +225,11 @@
                         () -> events.settled(offer.origin(), offer.job().id(), Verdict.RETURNED, 0));
     }
 
+    /** Ends all jobs that a peer has offered but those that it still has open here. */
+    public void openJobs(NodeId origin, ImmutableSet<JobId> open) {
+        ownership.placer().ifPresent(placer -> placer.retain(origin, open));
+    }
+
     /** Ends a job that a peer withdraws. */
     public void withdrawn(NodeId origin, JobId job) {
         ownership.placer().ifPresent(placer -> placer.withdraw(origin, job));
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/CancellingJobs.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/CancellingJobs.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.tarragonarch.model.id.NodeId;
 import org.tarragonarch.model.task.JobId;
 import org.tarragonarch.model.task.Offer;
@@ -61,6 +62,15 @@
                                 .isPresent());
     }
 
+    /** Forgets a node's waiting offers, and that jobs are to be given back to it, but for those still open there. */
+    void retain(NodeId origin, Set<JobId> open) {
+        for (JobId id : ImmutableList.copyOf(afterwards.keySet())) {
+            if (!open.contains(id)) {
+                withdraw(origin, id);
+            }
+        }
+    }
+
     /** Forgets every job that was to be given back, and returns them. */
     ImmutableList<PlacedJob> removeEvicted() {
         ImmutableList<PlacedJob> jobs = afterwards.entrySet().stream()
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/ForwardingPlacementObserver.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/ForwardingPlacementObserver.java
@@ -40,6 +40,11 @@
         delegate.originLost(origin, jobs);
     }
 
+    @Override
+    public void notOpen(NodeId origin, int jobs) {
+        delegate.notOpen(origin, jobs);
+    }
+
     @Override
     public void shareLimited(ShareState state, boolean isLimited) {
         delegate.shareLimited(state, isLimited);
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/JobLifecycle.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/JobLifecycle.java
@@ -1,8 +1,10 @@
 package org.tarragonarch.core.placing;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
 import org.tarragonarch.core.share.PoolShares;
 import org.tarragonarch.model.id.NodeId;
 import org.tarragonarch.model.share.ShareId;
@@ -78,17 +80,31 @@
     /** Ends every job of a node that is gone; see {@link Placer#originLost}. */
     void originLost(NodeId origin) {
         cancelling.originLost(origin);
+        int ended = endAllOf(origin, ImmutableSet.of());
+        if (ended > 0) {
+            listener.originLost(origin, ended);
+        }
+    }
+
+    /** Ends every job of a node but those that it still has open; see {@link Placer#retain}. */
+    void retain(NodeId origin, Set<JobId> open) {
+        cancelling.retain(origin, open);
+        int ended = endAllOf(origin, open);
+        if (ended > 0) {
+            listener.notOpen(origin, ended);
+        }
+    }
+
+    private int endAllOf(NodeId origin, Set<JobId> open) {
         int ended = 0;
         for (PlacedJob job : ImmutableList.copyOf(jobs.values())) {
-            if (job.origin().equals(origin)) {
+            if (job.origin().equals(origin) && !open.contains(job.id())) {
                 end(job);
                 ended++;
             }
         }
-        if (ended > 0) {
-            listener.originLost(origin, ended);
-        }
         starter.planStart();
+        return ended;
     }
 
     /** Gives all jobs back, because this node holds no shard any more; see {@link Placer#close}. */
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/Placer.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/Placer.java
@@ -128,6 +128,16 @@
         jobs.withdraw(origin, id);
     }
 
+    /**
+     * Ends every job that a node has offered but those that it still has open here.
+     *
+     * <p>Guards against a job that runs on after its withdrawal was lost with a connection, or after its node took this
+     * holder for lost: it is offered elsewhere, and its tasks would run twice.
+     */
+    public void retain(NodeId origin, Set<JobId> open) {
+        jobs.retain(origin, open);
+    }
+
     /**
      * Ends every job of a node that is gone.
      *
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/routing/JobRouter.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/routing/JobRouter.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import com.google.common.collect.ImmutableSet;
 import java.util.Optional;
 import java.util.function.Consumer;
 import org.tarragonarch.model.id.NodeId;
@@ -146,6 +147,14 @@
         jobs.all().forEach(this::giveUp);
     }
 
+    /** Returns the jobs that the holder has by what this node has offered, withdrawn and been told. */
+    public ImmutableSet<JobId> openAt(NodeId holder) {
+        return jobs.all().stream()
+                .filter(job -> job.isHeldBy(holder))
+                .map(OpenJob::id)
+                .collect(ImmutableSet.toImmutableSet());
+    }
+
     /** Returns whether any job has no holder. */
     public boolean withoutHolder() {
         return jobs.isAnyUnheld();
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/FakeConnections.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/FakeConnections.java
@@ -153,6 +153,7 @@
             connection = new Connection(direction);
             connections.add(connection);
             connection.open();
+            connection.write(direction.to(), nodes.get(direction.from()).firstFrame(direction.to()));
             frames.forEach(frame -> connection.write(direction.to(), frame));
         }
     }
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/FakeNode.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/FakeNode.java
@@ -108,6 +108,12 @@
         coordinator.routeWaiting();
     }
 
+    /** Returns the frame that goes first on a connection to the peer: the jobs that are open there. */
+    FakeConnections.Frame firstFrame(NodeId peer) {
+        ImmutableSet<JobId> open = coordinator.router().openAt(peer);
+        return new FakeConnections.Frame(receiver -> receiver.coordinator.openJobs(id, open), () -> {});
+    }
+
     @Override
     public void status(NodeId to, NodeStatus status) {
         connections.send(id, to, new FakeConnections.Frame(peer -> peer.received(status), () -> {}));
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ClusterNode.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ClusterNode.java
@@ -2,12 +2,10 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
-import io.netty.channel.Channel;
+import com.google.common.collect.ImmutableSet;
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.util.concurrent.DefaultThreadFactory;
-import java.util.ArrayList;
-import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.tarragonarch.adapter.ClientServer;
 import org.tarragonarch.adapter.EndpointClient;
@@ -70,7 +68,6 @@
     private final Neighbourhood neighbourhood;
     private final EndpointRows endpointRows;
     private final RowStore store;
-    private final List<Channel> servers = new ArrayList<>();
     private boolean leaving;
 
     ClusterNode(ClusterSettings settings, DecisionLog log) {
@@ -114,10 +111,10 @@
                 meters,
                 this::ready,
                 () -> leaving);
-        servers.add(ClientServer.openForReadiness(group, settings.readinessAddress(), jobs));
-        servers.add(ClientServer.openForClients(group, settings.clientAddress(), jobs));
+        ClientServer.openForReadiness(group, settings.readinessAddress(), jobs);
+        ClientServer.openForClients(group, settings.clientAddress(), jobs);
         Address pages = new Address(settings.ip(), settings.metricsPort());
-        servers.add(ClientServer.openForPages(group, pages, ImmutableMap.of("/metrics", meters::scrape)));
+        ClientServer.openForPages(group, pages, ImmutableMap.of("/metrics", meters::scrape));
         loop.execute(this::begin);
         log.line(NodeEvent.NODE_STARTED, "domain", settings.domain(), "run", run);
     }
@@ -169,8 +166,7 @@
     }
 
     private void review() {
-        long now = timers.nowMillis();
-        for (NodeId silent : coordinator.peers().expire(now)) {
+        for (NodeId silent : coordinator.peers().expire(timers.nowMillis())) {
             lost(silent, "silent");
         }
         coordinator.review(neighbourhood.isKnown());
@@ -247,6 +243,16 @@
         coordinator.withdrawn(peer, job);
     }
 
+    @Override
+    public void openJobs(NodeId peer, ImmutableSet<JobId> open) {
+        coordinator.openJobs(peer, open);
+    }
+
+    @Override
+    public ImmutableSet<JobId> openJobsAt(NodeId peer) {
+        return coordinator.router().openAt(peer);
+    }
+
     @Override
     public boolean cancelled(JobId job) {
         return coordinator.router().cancel(job);
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/PeerCalls.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/PeerCalls.java
@@ -1,6 +1,7 @@
 package org.tarragonarch.entry.cluster;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
 import org.tarragonarch.model.id.NodeId;
 import org.tarragonarch.model.report.Member;
 import org.tarragonarch.model.report.NodeStatus;
@@ -25,6 +26,12 @@
 
     void withdrawn(NodeId peer, JobId job);
 
+    /** A peer that has connected says which jobs it has open here. */
+    void openJobs(NodeId peer, ImmutableSet<JobId> open);
+
+    /** Returns the jobs of this node's clients that the peer has. */
+    ImmutableSet<JobId> openJobsAt(NodeId peer);
+
     boolean cancelled(JobId job);
 
     void cancelAnswered(JobId job, boolean known);
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/PeerExchange.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/PeerExchange.java
@@ -34,6 +34,7 @@
 import org.tarragonarch.wire.JobWithdrawn;
 import org.tarragonarch.wire.NodesAsked;
 import org.tarragonarch.wire.NodesGiven;
+import org.tarragonarch.wire.OpenJobs;
 import org.tarragonarch.wire.Payload;
 import org.tarragonarch.wire.PeerListener;
 import org.tarragonarch.wire.PeerNetwork;
@@ -150,6 +151,8 @@
             calls.verdictCame(peer, settled.job(), settled.verdict(), settled.retryMillis());
         } else if (frame instanceof JobWithdrawn withdrawn) {
             calls.withdrawn(peer, withdrawn.job());
+        } else if (frame instanceof OpenJobs open) {
+            calls.openJobs(peer, open.jobs());
         } else if (frame instanceof CancelAsked asked) {
             network.reply(peer, run, new CancelAnswered(asked.job(), calls.cancelled(asked.job())));
         } else if (frame instanceof CancelAnswered answered) {
@@ -169,6 +172,11 @@
         }
     }
 
+    @Override
+    public Optional<Frame> firstFrame(NodeId peer) {
+        return Optional.of(new OpenJobs(calls.openJobsAt(peer)));
+    }
+
     @Override
     public void undelivered(NodeId peer, Frame frame) {
         if (frame instanceof JobOffered offered) {
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ShardLog.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ShardLog.java
@@ -121,6 +121,11 @@
         log.line(NodeEvent.ORIGIN_LOST, "origin", origin, "jobs", jobs);
     }
 
+    @Override
+    public void notOpen(NodeId origin, int jobs) {
+        log.line(NodeEvent.JOBS_NOT_OPEN, "origin", origin, "jobs", jobs);
+    }
+
     @Override
     public void runEndedBadly(FailureDomain shard, TaskRun run, EndpointId endpoint, EndKind kind) {
         meters.runEndedBadly(kind);
--- a/tarragonarch-entry/src/test/java/org/tarragonarch/entry/cluster/PeerExchangeTest.java
+++ b/tarragonarch-entry/src/test/java/org/tarragonarch/entry/cluster/PeerExchangeTest.java
@@ -3,8 +3,10 @@
 import static org.testng.Assert.assertEquals;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import org.tarragonarch.model.id.Incarnation;
 import org.tarragonarch.model.id.NodeId;
 import org.tarragonarch.model.report.Member;
@@ -15,6 +17,7 @@
 import org.tarragonarch.model.task.Verdict;
 import org.tarragonarch.wire.JobSettled;
 import org.tarragonarch.wire.JobWithdrawn;
+import org.tarragonarch.wire.OpenJobs;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
@@ -44,6 +47,19 @@
         assertEquals(calls, ImmutableList.of("withdrawn by peer"));
     }
 
+    /** Guards against a holder that does not learn which of a peer's jobs are still open. */
+    @Test
+    public void testReceived_openJobs() {
+        exchange.received(PEER, Incarnation.of(1), new OpenJobs(ImmutableSet.of(JOB)));
+        assertEquals(calls, ImmutableList.of("open at peer [" + JOB + "]"));
+    }
+
+    /** Guards against a connection on which a holder learns of offers before it learns which jobs are still open. */
+    @Test
+    public void testFirstFrame_openJobs() {
+        assertEquals(exchange.firstFrame(PEER), Optional.of(new OpenJobs(ImmutableSet.of(JOB))));
+    }
+
     /** Notes the calls. */
     private final class Notes implements PeerCalls {
         @Override
@@ -76,6 +92,16 @@
             calls.add("withdrawn by " + peer);
         }
 
+        @Override
+        public void openJobs(NodeId peer, ImmutableSet<JobId> open) {
+            calls.add("open at " + peer + " " + open);
+        }
+
+        @Override
+        public ImmutableSet<JobId> openJobsAt(NodeId peer) {
+            return ImmutableSet.of(JOB);
+        }
+
         @Override
         public boolean cancelled(JobId job) {
             calls.add("cancelled");
--- a/tarragonarch-model/src/main/java/org/tarragonarch/model/log/NodeEvent.java
+++ b/tarragonarch-model/src/main/java/org/tarragonarch/model/log/NodeEvent.java
@@ -30,6 +30,8 @@
     JOB_RESUBMITTED,
     /** A holder ended the jobs of a node that is lost. */
     ORIGIN_LOST,
+    /** A holder ended jobs that their node did not name as it connected again. */
+    JOBS_NOT_OPEN,
     /** An endpoint is clearly faster or slower than before, by the run times of its tasks. */
     ENDPOINT_SPEED_CHANGED,
     /** A run did not do its work. */
--- a/tarragonarch-wire/src/main/java/org/tarragonarch/wire/Frame.java
+++ b/tarragonarch-wire/src/main/java/org/tarragonarch/wire/Frame.java
@@ -17,4 +17,5 @@
                 EndpointsAsked,
                 EndpointsGiven,
                 NodesAsked,
-                NodesGiven {}
+                NodesGiven,
+                OpenJobs {}
--- a/tarragonarch-wire/src/main/java/org/tarragonarch/wire/FrameCodec.java
+++ b/tarragonarch-wire/src/main/java/org/tarragonarch/wire/FrameCodec.java
@@ -62,6 +62,9 @@
             writer.writeInt(FrameType.NODES_ASKED.number());
         } else if (frame instanceof NodesGiven given) {
             NodesCodec.write(writer.writeInt(FrameType.NODES_GIVEN.number()), given);
+        } else if (frame instanceof OpenJobs open) {
+            writer.writeInt(FrameType.OPEN_JOBS.number()).writeCount(open.jobs().size());
+            open.jobs().forEach(job -> writer.writeText(job.value()));
         }
     }
 
--- a/tarragonarch-wire/src/main/java/org/tarragonarch/wire/FrameType.java
+++ b/tarragonarch-wire/src/main/java/org/tarragonarch/wire/FrameType.java
@@ -1,5 +1,6 @@
 package org.tarragonarch.wire;
 
+import com.google.common.collect.ImmutableSet;
 import java.util.Optional;
 import org.tarragonarch.model.id.ConfigurationVersion;
 import org.tarragonarch.model.task.JobId;
@@ -106,6 +107,17 @@
         Frame read(FrameReader reader, Optional<Hello> sender) throws MalformedFrameException {
             return NodesCodec.read(reader);
         }
+    },
+    OPEN_JOBS(17) {
+        @Override
+        Frame read(FrameReader reader, Optional<Hello> sender) throws MalformedFrameException {
+            int count = reader.readCount();
+            ImmutableSet.Builder<JobId> jobs = ImmutableSet.builder();
+            for (int i = 0; i < count; i++) {
+                jobs.add(new JobId(reader.readText()));
+            }
+            return new OpenJobs(jobs.build());
+        }
     };
 
     private final int number;
--- a/tarragonarch-wire/src/main/java/org/tarragonarch/wire/PeerLink.java
+++ b/tarragonarch-wire/src/main/java/org/tarragonarch/wire/PeerLink.java
@@ -79,6 +79,7 @@
             opened.close("the link is no longer wanted");
             return;
         }
+        network.firstFrame(peer).ifPresent(opened::send);
         waiting.drain().forEach(opened::send);
     }
 
--- a/tarragonarch-wire/src/main/java/org/tarragonarch/wire/PeerListener.java
+++ b/tarragonarch-wire/src/main/java/org/tarragonarch/wire/PeerListener.java
@@ -1,5 +1,6 @@
 package org.tarragonarch.wire;
 
+import java.util.Optional;
 import org.tarragonarch.model.id.Incarnation;
 import org.tarragonarch.model.id.NodeId;
 
@@ -21,6 +22,15 @@
      */
     default void undelivered(NodeId peer, Frame frame) {}
 
+    /**
+     * Returns the frame that goes before all others on a connection which this node has opened to the peer.
+     *
+     * <p>Called once for each connection, when the peer has said hello.
+     */
+    default Optional<Frame> firstFrame(NodeId peer) {
+        return Optional.empty();
+    }
+
     /** Notes that the last connection with a run of the peer has closed. */
     default void disconnected(NodeId peer, Incarnation run) {}
 }
--- a/tarragonarch-wire/src/main/java/org/tarragonarch/wire/PeerNetwork.java
+++ b/tarragonarch-wire/src/main/java/org/tarragonarch/wire/PeerNetwork.java
@@ -190,6 +190,10 @@
         thread.schedule(task, wait.toMillis(), TimeUnit.MILLISECONDS);
     }
 
+    Optional<EncodedFrame> firstFrame(NodeId peer) {
+        return listener.firstFrame(peer).map(EncodedFrame::of);
+    }
+
     void giveBack(NodeId peer, EncodedFrame frame) {
         if (!frame.expendable()) {
             listener.undelivered(peer, frame.frame());
--- a/tarragonarch-wire/src/test/java/org/tarragonarch/wire/PlacingSamples.java
+++ b/tarragonarch-wire/src/test/java/org/tarragonarch/wire/PlacingSamples.java
@@ -57,7 +57,9 @@
                 new EndpointsGiven(ImmutableList.of()),
                 new EndpointsGiven(ImmutableList.of(entry)),
                 new NodesAsked(),
-                new NodesGiven(ImmutableList.of(new Member(NODE, FailureDomain.of("hobart"), ADDRESS, 360))));
+                new NodesGiven(ImmutableList.of(new Member(NODE, FailureDomain.of("hobart"), ADDRESS, 360))),
+                new OpenJobs(ImmutableSet.of()),
+                new OpenJobs(ImmutableSet.of(JOB)));
     }
 
     static Offer offer() {
