Take a list of endpoints for whole only if it was read since the claim

What callers saw: a task ran twice at the same time, as its failure domain changed hands just after endpoints had joined.

Cause: a new holder goes on with a job at once if it has read every endpoint on its list and that has not changed for 2 s. A change counted from when it was read, up to 0.9 s or 3.6 s after it was made. An endpoint that the lost holder had read of and started a task on could be missing, and its task was started again.

Change: the list has to be as of the claim or later, and is read at once after a claim. Until then a job waits, or for the lease.

Why it works: the lost holder has started nothing after it was lost, so whatever it knew of was in the store before the claim and shows in a reading after it.

--- a/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/ModelNode.java
+++ b/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/ModelNode.java
@@ -113,6 +113,7 @@
     }
 
     private void review() {
+        cluster.listed().currentAsOf(timers.nowMillis());
         coordinator.peers().expire(timers.nowMillis()).forEach(this::lost);
         coordinator.review(settled());
         timers.after(PeerTable.STATUS_PERIOD_MILLIS / 2, this::review);
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/Coordinator.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/Coordinator.java
@@ -125,12 +125,13 @@
         return ownership.speeds();
     }
 
-    /**
-     * Returns whether this node needs the list of endpoints up to date: because it holds a shard, would be the next to,
-     * or misses a holder.
-     */
-    public boolean needsEndpoints() {
-        return !ownership.heldShards().isEmpty() || heartbeats.withoutHolder() || election.isSuccessor(self.domain());
+    /** Returns how up to date this node needs the list of endpoints. */
+    public EndpointListNeed endpointListNeed() {
+        if (!ownership.isListReadSinceClaims()) {
+            return EndpointListNeed.NOW;
+        }
+        boolean mayHold = ownership.isHolding() || heartbeats.withoutHolder() || election.isSuccessor(self.domain());
+        return mayHold ? EndpointListNeed.OFTEN : EndpointListNeed.SELDOM;
     }
 
     /** Returns the failure domains whose nodes may succeed this one as a holder, or this one them. */
@@ -147,7 +148,7 @@
 
     /** Returns whether any shard has a reachable holder, so that jobs have somewhere to go. */
     public boolean anyHolder() {
-        return !ownership.heldShards().isEmpty() || !peers.holders().isEmpty();
+        return ownership.isHolding() || !peers.holders().isEmpty();
     }
 
     /**
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/follow/TableFollower.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/follow/TableFollower.java
@@ -76,6 +76,14 @@
         }
     }
 
+    /** Asks for changes at once, unless a call is under way. */
+    public void followNow() {
+        if (nextCall.isPresent()) {
+            nextCall.get().cancel();
+            follow();
+        }
+    }
+
     private void readAll() {
         version = -1;
         calledAtMillis = timers.nowMillis();
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/EndpointList.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/EndpointList.java
@@ -139,6 +139,11 @@
         return storeAway || currentAsOfMillis.isEmpty() || nowMillis - currentAsOfMillis.getAsLong() <= FRESH_MILLIS;
     }
 
+    /** Returns whether the list is all that the store had at this time or later, on the steady clock. */
+    public boolean isReadSince(long millis) {
+        return currentAsOfMillis.isPresent() && currentAsOfMillis.getAsLong() >= millis;
+    }
+
     /** Returns whether the store could be read for at least this long. */
     boolean storeReadableFor(long millis, long nowMillis) {
         return !storeAway && nowMillis - storeBackAtMillis >= millis;
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/ShardOwnership.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/ShardOwnership.java
@@ -4,6 +4,8 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
+import java.util.HashMap;
+import java.util.Map;
 import java.util.Optional;
 import java.util.function.LongSupplier;
 import org.tarragonarch.core.placing.ForwardingPlacementObserver;
@@ -40,6 +42,7 @@
     private final SteadyLists steadyLists;
     private final Relay relay;
     private final RunTimes runTimes = new RunTimes();
+    private final Map<FailureDomain, Long> claimedAtMillis = new HashMap<>();
     private Optional<Placer> placer = Optional.empty();
     private ImmutableList<HeldShard> held = ImmutableList.of();
     private long heldUntilMillis = Long.MIN_VALUE;
@@ -122,6 +125,11 @@
         return placer.filter(current -> !current.shards().isEmpty());
     }
 
+    /** Returns whether the list of endpoints was read since each claim. */
+    public boolean isListReadSinceClaims() {
+        return heldShards().stream().allMatch(shard -> endpoints.isReadSince(claimedAtMillis.get(shard)));
+    }
+
     /** Returns how fast the endpoints held here are. */
     public SpeedSummary speeds() {
         return placer.map(Placer::speeds).orElse(SpeedSummary.NONE);
@@ -132,6 +140,11 @@
         return placer.map(Placer::shards).orElse(ImmutableSet.of());
     }
 
+    /** Returns whether this node holds any shard. */
+    public boolean isHolding() {
+        return placer().isPresent();
+    }
+
     /** Returns the shards that this node holds, as it tells its peers, with the room that was free a moment ago. */
     public ImmutableList<HeldShard> held() {
         if (placer().isEmpty()) {
@@ -168,15 +181,22 @@
     private void claim(FailureDomain shard) {
         FencingToken token = election.claim(shard, wallMillis.getAsLong());
         if (placer.isEmpty()) {
-            placer = Optional.of(new Placer(settings, orders, timers, relay, runTimes, this::isSteady));
+            placer = Optional.of(new Placer(settings, orders, timers, relay, runTimes, this::isWhole));
         }
+        claimedAtMillis.put(shard, timers.nowMillis());
         placer.get().open(shard, token, endpoints.of(shard));
         heldChanged();
         events.claimed(shard, token, endpoints.of(shard).size());
     }
 
-    private boolean isSteady(FailureDomain shard) {
-        return steadyLists.isSteady(shard, timers.nowMillis());
+    /**
+     * Returns whether the list has every endpoint on which an earlier holder may have started something.
+     *
+     * <p>That one may have read of an endpoint which has joined since this node's last reading before the claim.
+     */
+    private boolean isWhole(FailureDomain shard) {
+        return steadyLists.isSteady(shard, timers.nowMillis())
+                && endpoints.isReadSince(claimedAtMillis.getOrDefault(shard, Long.MAX_VALUE));
     }
 
     private void resign(FailureDomain shard) {
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ClusterNode.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ClusterNode.java
@@ -171,7 +171,7 @@
         }
         coordinator.review(neighbourhood.isKnown());
         neighbourhood.refresh();
-        endpointRows.readOften(coordinator.needsEndpoints());
+        endpointRows.readAs(coordinator.endpointListNeed());
         timers.after(REVIEW_MILLIS, this::review);
     }
 
@@ -192,8 +192,8 @@
         log.line(NodeEvent.PEER_LOST, "peer", peer, "reason", reason);
         exchange.disconnect(peer, "the peer was lost");
         coordinator.lost(peer);
-        endpointRows.readOften(coordinator.needsEndpoints());
         reviewShards();
+        endpointRows.readAs(coordinator.endpointListNeed());
     }
 
     @Override
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/EndpointRows.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/EndpointRows.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import org.tarragonarch.adapter.EndpointBody;
 import org.tarragonarch.adapter.UnreadableBodyException;
+import org.tarragonarch.core.cluster.EndpointListNeed;
 import org.tarragonarch.core.follow.FailedCall;
 import org.tarragonarch.core.follow.FollowPace;
 import org.tarragonarch.core.follow.TableFollower;
@@ -55,13 +56,14 @@
         started.start();
     }
 
-    /**
-     * Says whether the rows are to be read often.
-     *
-     * @param often whether the node needs them up to date, because it holds a shard or may soon
-     */
-    void readOften(boolean often) {
-        follower.ifPresent(started -> started.changePace(often ? LIST_PACE : SELDOM_LIST_PACE));
+    /** Reads the rows as often as this node needs them; at once, if no call is under way, where it needs them now. */
+    void readAs(EndpointListNeed need) {
+        follower.ifPresent(started -> {
+            started.changePace(need.often() ? LIST_PACE : SELDOM_LIST_PACE);
+            if (need == EndpointListNeed.NOW) {
+                started.followNow();
+            }
+        });
     }
 
     @Override
