Read endpoints that lost their entries before a job of another holder goes on

What callers saw: a task ran twice at the same time, as a holder was lost while endpoints could not write to the store.

Cause: an endpoint that cannot write its heartbeat loses its entry and runs on, and its holder keeps what runs there. The next holder had only those endpoints to read that are listed, so after 2 s without a change it took the list for whole and started again what ran on the missing one.

Change: an endpoint that was dropped without having announced to leave counts as draining for 10 s. A holder reads it and starts nothing there; a job waits until it is read, another endpoint answers at its address, or the lease is over.

Why it works: the earlier holder starts nothing there from its next reading of the list on, and no run outlasts the deadline of its job, which is shorter than 10 s.

--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/HeldEndpoint.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/HeldEndpoint.java
@@ -273,6 +273,7 @@
         @Override
         public void endpointGone() {
             closed = true;
+            listedRuns.endpointGone();
             ends.endpointGone(leftAsPlanned());
         }
 
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/ListedRuns.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/ListedRuns.java
@@ -61,6 +61,12 @@
         recovered.clear();
     }
 
+    /** Notes that another endpoint answers, so that nothing runs. */
+    void endpointGone() {
+        recovered.clear();
+        poller.markRead();
+    }
+
     /** Processes the end of a run that is not reserved. */
     void processEnd(TaskEnd end) {
         recovered.remove(end.run());
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RunListPoller.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RunListPoller.java
@@ -36,11 +36,16 @@
         this.host = host;
     }
 
-    /** Returns whether the lists were ever read. */
+    /** Returns whether it is known what runs there. */
     boolean read() {
         return read;
     }
 
+    /** Notes that it is known without a list what runs: nothing. */
+    void markRead() {
+        read = true;
+    }
+
     /** Returns whether the last call got no answer, so that nothing should be started. */
     boolean silent() {
         return silent;
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/EndpointList.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/EndpointList.java
@@ -31,6 +31,7 @@
 
     private final Map<EndpointId, EndpointEntry> entries = new HashMap<>();
     private final Map<EndpointId, Long> missingUntil = new HashMap<>();
+    private final DepartedEndpoints departed = new DepartedEndpoints();
     private final LatestStarts starts = new LatestStarts();
     private ImmutableSet<String> services = ImmutableSet.of();
     private ImmutableSet<FailureDomain> drained = ImmutableSet.of();
@@ -74,6 +75,7 @@
         }
         starts.record(entry.incarnation());
         missingUntil.remove(entry.id());
+        departed.remove(entry.id());
         return !Objects.equals(entries.put(entry.id(), entry), entry);
     }
 
@@ -83,7 +85,15 @@
             missingUntil.putIfAbsent(id, Math.max(nowMillis, storeBackAtMillis) + RETURN_MILLIS);
             return false;
         }
-        return entries.remove(id) != null;
+        return remove(id, nowMillis);
+    }
+
+    private boolean remove(EndpointId id, long nowMillis) {
+        EndpointEntry removed = entries.remove(id);
+        if (removed != null) {
+            departed.add(removed, nowMillis);
+        }
+        return removed != null;
     }
 
     /**
@@ -149,16 +159,16 @@
         return !storeAway && nowMillis - storeBackAtMillis >= millis;
     }
 
-    /** Removes what has been missing for too long; returns whether anything was removed. */
+    /** Removes what has been missing, or was removed, for too long; returns whether there was anything. */
     public boolean expire(long nowMillis) {
+        boolean changed = departed.expire(nowMillis);
         if (storeAway) {
-            return false;
+            return changed;
         }
-        boolean changed = false;
         for (Map.Entry<EndpointId, Long> missing : ImmutableList.copyOf(missingUntil.entrySet())) {
             if (nowMillis >= missing.getValue()) {
                 missingUntil.remove(missing.getKey());
-                changed |= entries.remove(missing.getKey()) != null;
+                changed |= remove(missing.getKey(), nowMillis);
             }
         }
         return changed;
@@ -179,6 +189,20 @@
         drained = domains;
     }
 
+    /**
+     * Returns the endpoints of one failure domain on which something may run: those that {@link #of} returns, and those
+     * that were removed a short while ago, as draining.
+     */
+    public ImmutableList<EndpointEntry> withDeparted(FailureDomain domain) {
+        return ImmutableList.<EndpointEntry>builder()
+                .addAll(of(domain))
+                .addAll(departed.entries().stream()
+                        .filter(entry -> entry.domain().equals(domain))
+                        .map(EndpointEntry::asDraining)
+                        .iterator())
+                .build();
+    }
+
     /** Returns the endpoints of one failure domain that work for a service that there is; draining if the domain is. */
     public ImmutableList<EndpointEntry> of(FailureDomain domain) {
         boolean isDrained = drained.contains(domain);
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/ShardOwnership.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/ShardOwnership.java
@@ -112,7 +112,7 @@
     public void endpointsChanged() {
         pools.review();
         steadyLists.update(pools.shards(), timers.nowMillis());
-        heldShards().forEach(shard -> placer.orElseThrow().update(shard, endpoints.of(shard)));
+        heldShards().forEach(shard -> placer.orElseThrow().update(shard, endpoints.withDeparted(shard)));
     }
 
     /** Ends the jobs of a node that is gone. */
@@ -184,7 +184,7 @@
             placer = Optional.of(new Placer(settings, orders, timers, relay, runTimes, this::isWhole));
         }
         claimedAtMillis.put(shard, timers.nowMillis());
-        placer.get().open(shard, token, endpoints.of(shard));
+        placer.get().open(shard, token, endpoints.withDeparted(shard));
         heldChanged();
         events.claimed(shard, token, endpoints.of(shard).size());
     }
