--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/CoordinatorTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/CoordinatorTest.java
@@ -124,6 +124,21 @@
         assertEquals(test.sent.get(verdict - 1), "status to all, 0 shards, leaving");
     }
 
+    /** Guards against a holder that goes by a list which was read before it claimed the shard. */
+    @Test
+    public void testEndpointListNeed_claimed() {
+        CoordinatorTest test = new CoordinatorTest();
+        test.listEndpoints(MANY_ENDPOINTS);
+        test.endpoints.currentAsOf(test.timers.nowMillis());
+        assertEquals(test.coordinator.endpointListNeed(), EndpointListNeed.OFTEN);
+        test.timers.pass(100);
+        test.coordinator.review(true);
+        assertEquals(test.coordinator.heldShards(), 1);
+        assertEquals(test.coordinator.endpointListNeed(), EndpointListNeed.NOW);
+        test.endpoints.currentAsOf(test.timers.nowMillis());
+        assertEquals(test.coordinator.endpointListNeed(), EndpointListNeed.OFTEN);
+    }
+
     private static DrainedDomains drained(long version, FailureDomain... domains) {
         return new DrainedDomains(version, ImmutableSet.copyOf(domains));
     }
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/follow/TableFollowerTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/follow/TableFollowerTest.java
@@ -75,6 +75,38 @@
     }
 
     /** The store forgets its history: what was missed is read whole, or a configuration would never be heard of. */
+    /** Guards against a node that has claimed a shard and goes by a list that is up to 0.9 s old. */
+    @Test
+    public void testFollowNow_duringThePause() {
+        TableFollowerTest test = new TableFollowerTest();
+        test.script.addAll(List.of(page(5, "a"), page(6, "b"), page(7, "c")));
+        TableFollower follower = new TableFollower(
+                test.new ScriptedStore(), StoreTable.ENDPOINTS, test.timers, test.new Notes(), FollowPace.every(900));
+        follower.start();
+        test.timers.pass(100);
+        follower.followNow();
+        test.timers.pass(10);
+        assertEquals(test.seen, ImmutableList.of("read", "replaced [a]", "follow 5", "changed [b]"));
+        test.timers.pass(880);
+        assertEquals(test.seen.size(), 4);
+        test.timers.pass(30);
+        assertEquals(test.seen.size(), 6);
+    }
+
+    /** Guards against two calls at a time, of which the later answer may be the older one. */
+    @Test
+    public void testFollowNow_callUnderWay() {
+        TableFollowerTest test = new TableFollowerTest();
+        test.answerAfterMillis = 50;
+        test.script.addAll(List.of(page(5, "a"), page(6, "b")));
+        TableFollower follower = new TableFollower(
+                test.new ScriptedStore(), StoreTable.ENDPOINTS, test.timers, test.new Notes(), FollowPace.every(900));
+        follower.start();
+        follower.followNow();
+        test.timers.pass(100);
+        assertEquals(test.seen, ImmutableList.of("read", "replaced [a]"));
+    }
+
     @Test
     public void testFollow_historyGone() {
         TableFollowerTest test = new TableFollowerTest();
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/shard/EndpointListTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/shard/EndpointListTest.java
@@ -64,6 +64,38 @@
         assertEquals(list.of(HOBART), ImmutableList.of(entry("back")));
     }
 
+    /** Guards against a holder that does not read an endpoint which has lost its entry and runs on. */
+    @Test
+    public void testWithDeparted_removedEntry() {
+        EndpointList list = list();
+        list.listed(entry("w"));
+        list.unlisted(EndpointId.of("w"), 100);
+        assertEquals(list.of(HOBART), ImmutableList.of());
+        assertEquals(list.withDeparted(HOBART), ImmutableList.of(entry("w").asDraining()));
+        assertFalse(list.expire(15_099));
+        assertTrue(list.expire(15_100));
+        assertEquals(list.withDeparted(HOBART), ImmutableList.of());
+    }
+
+    /** Guards against an endpoint that is back and gets nothing, or is held twice. */
+    @Test
+    public void testWithDeparted_listedAgain() {
+        EndpointList list = list();
+        list.listed(entry("w"));
+        list.unlisted(EndpointId.of("w"), 100);
+        list.listed(entry("w"));
+        assertEquals(list.withDeparted(HOBART), ImmutableList.of(entry("w")));
+    }
+
+    /** Guards against jobs that wait for an endpoint which has left as it had announced. */
+    @Test
+    public void testWithDeparted_announced() {
+        EndpointList list = list();
+        list.listed(entry("w").asDraining());
+        list.unlisted(EndpointId.of("w"), 100);
+        assertEquals(list.withDeparted(HOBART), ImmutableList.of());
+    }
+
     @Test
     public void testListed_sameAgainIsNoChange() {
         EndpointList list = new EndpointList();
