--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/SeparatePoolsFixture.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/SeparatePoolsFixture.java
@@ -24,8 +24,8 @@
 import org.tarragonarch.model.task.TaskStep;
 
 /**
- * Two failure domains of one region, each a pool of its own, with one endpoint for two tasks of 3 s in each; two nodes
- * in the first, of which one is its holder, and the holder of the second.
+ * Two failure domains of one region, each a pool of its own, with one endpoint for two tasks of 3 s in each; three
+ * nodes in the first, of which one is its holder and another the next in line, and the holder of the second.
  */
 final class SeparatePoolsFixture {
     static final int PLACES = 2;
@@ -62,6 +62,7 @@
         hobartNode = addNode("a", 1, HOBART, 750);
         hobartHolder = addNode("b", 2, HOBART, 900);
         launcestonHolder = addNode("c", 3, LAUNCESTON, 900);
+        addNode("d", 4, HOBART, 800);
         connections.nodes().forEach(node -> node.start(QueueCatalog.of(1, ImmutableList.of(QUEUE))));
         timers.pass(1_000);
     }
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/SeparatePoolsTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/SeparatePoolsTest.java
@@ -21,6 +21,9 @@
     /** Longer than it takes a holder's last frame to be missed and its node to connect again, in milliseconds. */
     private static final long STALL_MILLIS = 1_300;
 
+    /** Longer than the rest of a test, in milliseconds. */
+    private static final long SILENT_FOR_GOOD_MILLIS = 60_000;
+
     /** Longer than runs of a lost holder may last, in milliseconds. */
     private static final long OFFERED_AGAIN_MILLIS = 1_300;
 
@@ -130,4 +133,23 @@
         test.cluster.timers.pass(OFFERED_AGAIN_MILLIS);
         test.assertNeverTwoRuns();
     }
+
+    /**
+     * Guards against two runs of a job whose node does not hear the holder of its own domain, since one connection has
+     * gone silent for good, while the holder hears the node by a new one.
+     */
+    @Test
+    public void testHolderSilent_holderOfTheOwnDomainHearsTheNode() {
+        SeparatePoolsTest test = new SeparatePoolsTest();
+        SeparatePoolsFixture cluster = test.cluster;
+        test.job = cluster.submit(cluster.hobartNode, JOB, 1);
+        cluster.timers.pass(100);
+        assertEquals(cluster.hobartEndpoint.running(), 1);
+        cluster.connections.stall(cluster.hobartHolder.id(), cluster.hobartNode.id(), SILENT_FOR_GOOD_MILLIS);
+        cluster.timers.pass(SILENT_MILLIS);
+        assertFalse(cluster.hobartNode.reaches(cluster.hobartHolder));
+        cluster.timers.pass(OFFERED_AGAIN_MILLIS);
+        test.assertNeverTwoRuns();
+        assertEquals(cluster.hobartEndpoint.running() + cluster.launcestonEndpoint.running(), 1);
+    }
 }
