--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/FakeNode.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/FakeNode.java
@@ -2,7 +2,6 @@
 
 import com.google.common.collect.ImmutableSet;
 import org.tarragonarch.core.placing.PlacingSettings;
-import org.tarragonarch.core.placing.VirtualTimers;
 import org.tarragonarch.core.shard.EndpointList;
 import org.tarragonarch.core.shard.PeerTable;
 import org.tarragonarch.core.shard.ShardObserver;
@@ -15,6 +14,7 @@
 import org.tarragonarch.model.task.JobId;
 import org.tarragonarch.model.task.Offer;
 import org.tarragonarch.model.task.QueueCatalog;
+import org.tarragonarch.model.task.Timers;
 import org.tarragonarch.model.task.Verdict;
 
 /** A coordinator among others, driven as the real node drives it: reviews, losses of peers and what arrives. */
@@ -24,7 +24,7 @@
 
     private final NodeId id;
     private final FailureDomain domain;
-    private final VirtualTimers timers;
+    private final Timers timers;
     private final FakeConnections connections;
     private final Coordinator coordinator;
     private final long startedAtMillis;
@@ -34,7 +34,7 @@
             ShardPools pools,
             EndpointList endpoints,
             EndpointOrders orders,
-            VirtualTimers timers,
+            Timers timers,
             FakeConnections connections) {
         this.id = self.node();
         this.domain = self.domain();
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/SeparatePoolsFixture.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/SeparatePoolsFixture.java
@@ -49,6 +49,10 @@
     final FakeNode hobartNode;
     final FakeNode hobartHolder;
     final FakeNode launcestonHolder;
+
+    /** Lets the second domain's holder be suspended. */
+    final SuspendableNode launcestonMachine;
+
     private final EndpointList listed = new EndpointList();
     private final FakeOrders orders = new FakeOrders(timers, TASK_MILLI_CORES);
 
@@ -59,9 +63,10 @@
         for (int number = 0; number < OTHER_ENDPOINTS; number++) {
             list("other-" + number, "other", HOBART);
         }
-        hobartNode = addNode("a", 1, HOBART, 750);
-        hobartHolder = addNode("b", 2, HOBART, 900);
-        launcestonHolder = addNode("c", 3, LAUNCESTON, 900);
+        launcestonMachine = new SuspendableNode(timers, orders);
+        hobartNode = addNode("a", 1, HOBART, 750, new SuspendableNode(timers, orders));
+        hobartHolder = addNode("b", 2, HOBART, 900, new SuspendableNode(timers, orders));
+        launcestonHolder = addNode("c", 3, LAUNCESTON, 900, launcestonMachine);
         connections.nodes().forEach(node -> node.start(QueueCatalog.of(1, ImmutableList.of(QUEUE))));
         timers.pass(1_000);
     }
@@ -79,10 +84,10 @@
         listed.listed(new EndpointEntry(EndpointId.of(name), service, address, domain, false, CAPACITY, false));
     }
 
-    private FakeNode addNode(String name, int number, FailureDomain domain, int milliCores) {
+    private FakeNode addNode(String name, int number, FailureDomain domain, int milliCores, SuspendableNode machine) {
         Member self = new Member(NodeId.of(name), domain, new Address("10.0.0." + number, 7_000), milliCores);
         ShardPools pools = new ShardPools(ImmutableMap.of(HOBART, REGION, LAUNCESTON, REGION), listed);
-        FakeNode node = new FakeNode(self, pools, listed, orders, timers, connections);
+        FakeNode node = new FakeNode(self, pools, listed, machine, machine, connections);
         connections.add(node);
         return node;
     }
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/SeparatePoolsTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/SeparatePoolsTest.java
@@ -4,6 +4,7 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
+import com.google.common.collect.ImmutableList;
 import org.tarragonarch.model.task.JobService;
 import org.testng.annotations.Test;
 
@@ -24,6 +25,12 @@
     /** Longer than runs of a lost holder may last, in milliseconds. */
     private static final long OFFERED_AGAIN_MILLIS = 1_300;
 
+    /** Longer than it takes until a job of a holder that fell silent goes elsewhere, in milliseconds. */
+    private static final long SUSPENDED_MILLIS = 2_300;
+
+    /** A holder that has resumed sends a status by then, and is told that its connections are closed. */
+    private static final long NEXT_STATUS_MILLIS = 100;
+
     private final SeparatePoolsFixture cluster = new SeparatePoolsFixture();
     private JobService.Submission job;
 
@@ -130,4 +137,40 @@
         test.cluster.timers.pass(OFFERED_AGAIN_MILLIS);
         test.assertNeverTwoRuns();
     }
+
+    /**
+     * Guards against a task whose lease ran out while its holder was suspended, and which it starts again as it
+     * resumes, before it has seen that the job's node has closed their connections.
+     */
+    @Test
+    public void testHolderSuspended_resumesAfterTheJobWentElsewhere() {
+        SeparatePoolsTest test = placedInOtherDomain(false);
+        FakeNode holder = test.cluster.launcestonHolder;
+        for (FakeNode other : ImmutableList.of(test.cluster.hobartNode, test.cluster.hobartHolder)) {
+            test.cluster.connections.stall(holder.id(), other.id(), SUSPENDED_MILLIS + NEXT_STATUS_MILLIS);
+            test.cluster.connections.stall(other.id(), holder.id(), SUSPENDED_MILLIS + NEXT_STATUS_MILLIS);
+            test.cluster.connections.refuse(other.id(), holder.id(), SUSPENDED_MILLIS);
+        }
+        test.cluster.launcestonMachine.suspend(SUSPENDED_MILLIS);
+        test.cluster.timers.pass(SUSPENDED_MILLIS - 10);
+        assertFalse(test.cluster.hobartNode.reaches(holder));
+        test.assertNeverTwoRuns();
+        assertEquals(test.cluster.hobartEndpoint.running(), 1);
+        test.cluster.timers.pass(1_000);
+        test.assertNeverTwoRuns();
+    }
+
+    /** Guards against a job that waits until its deadline because its offer was lost with the connection. */
+    @Test
+    public void testOffer_connectionBreaksUnderTheOffer() {
+        cluster.submit(cluster.hobartHolder, FILLER, SeparatePoolsFixture.PLACES);
+        cluster.timers.pass(300);
+        cluster.submit(cluster.hobartNode, JOB, 1);
+        // The holder of the own domain has returned the job, and the offer to the other is on its way.
+        cluster.timers.pass(2);
+        cluster.connections.breakConnection(cluster.hobartNode.id(), cluster.launcestonHolder.id());
+        cluster.timers.pass(2_000);
+        assertTrue(cluster.launcestonHolder.reaches(cluster.hobartNode));
+        assertEquals(cluster.launcestonEndpoint.running(), 1);
+    }
 }
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/shard/ListAtHandOverTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/shard/ListAtHandOverTest.java
@@ -149,4 +149,28 @@
         assertEachTaskRanOnceAtATime();
         assertEquals(second.verdicts().size(), 1);
     }
+
+    /** Guards against a task that runs twice because the next holder started after its endpoint had lost its entry. */
+    @Test
+    public void testOffer_nextHolderStartedAfterAnEndpointLostItsEntry() {
+        register(LISTED, LARGE, 6_000);
+        FakeEndpoint dropped = register(UNLISTED, SMALL, 6_000);
+        firstClaims();
+        timers.pass(800);
+        Offer offer = offer(2, 2_000, 0, EarlierRuns.NONE);
+        first.offer(offer);
+        timers.pass(50);
+        assertEquals(dropped.running(), 1);
+        store.remove(UNLISTED);
+        timers.pass(1_000);
+        second = new ListReadingNode("b", store, orders, timers);
+        second.readListAfter(0);
+        timers.pass(10);
+        second.heard(first.status());
+        timers.pass(2_900);
+        assertEquals(dropped.running(), 1);
+        secondTakesOver(offer, 3_960);
+        timers.pass(7_000);
+        assertEachTaskRanOnceAtATime();
+    }
 }
