Count what a lost holder may still renew

What callers saw: a task could run twice for some 50 ms, as a partition separated its holder and its endpoint from the job's node and the next holder.

Cause: what a lost holder started counted as over one lease after the job's node had noticed the loss. The holder renews until it notices the loss of that node itself, up to 0.3 s later: its last status may be a period younger, and each looks for silent peers every 0.1 s. If it is fenced in between, it stops nothing.

--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/routing/JobRouter.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/routing/JobRouter.java
@@ -40,7 +40,8 @@
     /**
      * Creates a router without jobs.
      *
-     * @param runsLastMillis how long what runs may go on after its holder last spoke, in milliseconds
+     * @param runsLastMillis how long what runs may go on after this node has noticed the loss of its holder, which may
+     *     renew it until it notices the loss of this node, in milliseconds
      * @param observer is notified of jobs that are offered to other failure domains
      */
     public JobRouter(Holders holders, Timers timers, long runsLastMillis, RoutingObserver observer) {
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/PeerTable.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/PeerTable.java
@@ -27,6 +27,12 @@
     /** How often a node tells its status to those that need to hear it often, in milliseconds. */
     public static final long STATUS_PERIOD_MILLIS = 200;
 
+    /**
+     * How much later than one of two nodes that have lost each other the other may notice it, in milliseconds: the last
+     * status of one may be a period older than the other's, and each looks for silent peers twice a period.
+     */
+    public static final long DETECTION_SKEW_MILLIS = STATUS_PERIOD_MILLIS + STATUS_PERIOD_MILLIS / 2;
+
     /** How often a node tells its status to all others, in milliseconds; {@link Heartbeats} says who they are. */
     public static final long DISTANT_PERIOD_MILLIS = 2_000;
 
