Take a list for whole only from a node that has read it long enough to know what departed

Cause: which endpoints have departed is known from readings alone. A node that had started after an endpoint lost its entry did not know of it, and took its list for whole 2 s later.

Change: a list counts as whole from 15 s after its first reading, as long as an endpoint counts as departed. Until then jobs of an earlier holder wait for the lease where a run was not found.

--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/DepartedEndpoints.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/DepartedEndpoints.java
@@ -17,7 +17,7 @@
      * How long an endpoint counts as departed. Its holder starts nothing there from its next reading of the list, and
      * no run outlasts the deadline of its job; clients wait less than this.
      */
-    private static final long DEPARTED_MILLIS = 15_000;
+    static final long DEPARTED_MILLIS = 15_000;
 
     private final Map<EndpointId, Departed> departed = new HashMap<>();
 
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/EndpointList.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/EndpointList.java
@@ -38,6 +38,7 @@
     private boolean storeAway;
     private long storeBackAtMillis = Long.MIN_VALUE / 2;
     private OptionalLong currentAsOfMillis = OptionalLong.empty();
+    private long firstAsOfMillis;
 
     /** Creates an empty list. */
     public EndpointList() {}
@@ -136,9 +137,21 @@
 
     /** Notes as of when the list is all that the store has. */
     public void currentAsOf(long millis) {
+        if (currentAsOfMillis.isEmpty()) {
+            firstAsOfMillis = millis;
+        }
         currentAsOfMillis = OptionalLong.of(millis);
     }
 
+    /**
+     * Returns whether every endpoint on which something may run is listed or known to have departed.
+     *
+     * <p>Guards against a node that has started after an endpoint had lost its entry.
+     */
+    boolean isDepartureKnown(long nowMillis) {
+        return currentAsOfMillis.isPresent() && nowMillis - firstAsOfMillis >= DepartedEndpoints.DEPARTED_MILLIS;
+    }
+
     /**
      * Returns whether the list is new enough to start tasks by, or is all that can be had.
      *
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/ShardOwnership.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/ShardOwnership.java
@@ -196,6 +196,7 @@
      */
     private boolean isWhole(FailureDomain shard) {
         return steadyLists.isSteady(shard, timers.nowMillis())
+                && endpoints.isDepartureKnown(timers.nowMillis())
                 && endpoints.isReadSince(claimedAtMillis.getOrDefault(shard, Long.MAX_VALUE));
     }
 
