Start a task whose lease lapsed unnoticed only after its job's node was heard

What callers saw: a task could run twice, as the machine of its holder resumed after a suspension.

Cause: a suspended holder renews nothing, and its steady clock does not count the time. As it resumes, its endpoints list that the leases lapsed, and it started those tasks again at once, although the node of the job had missed it and had offered the job elsewhere. That the node has closed their connections may be seen only later.

--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/Coordinator.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/Coordinator.java
@@ -141,9 +141,7 @@
 
     /** Returns the last status of every reachable neighbour. */
     public ImmutableList<NodeStatus> presentNeighbours() {
-        return peers.present().stream()
-                .filter(peer -> neighbours().contains(peer.domain()))
-                .collect(ImmutableList.toImmutableList());
+        return heartbeats.presentNeighbours();
     }
 
     /** Returns whether any shard has a reachable holder, so that jobs have somewhere to go. */
@@ -161,6 +159,7 @@
         if (endpoints.expire(now)) {
             endpointsChanged();
         }
+        ownership.nodeHeard(self.node());
         ownership.reviewRuns();
         if (mayClaim) {
             reviewShards();
@@ -196,6 +195,7 @@
     public boolean received(NodeStatus received) {
         boolean joined = peers.received(received, timers.nowMillis());
         usedElsewhere.received(received, timers.nowMillis());
+        ownership.nodeHeard(received.node());
         if (joined) {
             statusSender.sendTo(received.node());
         }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/EndpointEvents.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/EndpointEvents.java
@@ -7,6 +7,9 @@
     /** A run ended; its room is free. */
     void ended(HeldEndpoint endpoint, Reservation reservation, EndKind kind);
 
+    /** The endpoint lists that the lease of a run lapsed, which this holder had not noticed; its room is free. */
+    void lapsedUnnoticed(HeldEndpoint endpoint, Reservation reservation);
+
     /** An endpoint whose silence had ended a run of the task has turned out to have crashed. */
     void crashed(HeldEndpoint endpoint, PlacedTask task);
 
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/HeldEndpoint.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/HeldEndpoint.java
@@ -244,7 +244,7 @@
         @Override
         public void ended(TaskEnd end) {
             listedRuns.processEnd(end);
-            room.of(end.run()).ifPresent(reservation -> ends.end(reservation, end.kind()));
+            room.of(end.run()).ifPresent(reservation -> ends.endAsListed(reservation, end.kind()));
         }
 
         @Override
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/JobLifecycle.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/JobLifecycle.java
@@ -3,6 +3,7 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Set;
 import org.tarragonarch.core.share.PoolShares;
@@ -27,6 +28,7 @@
     private final PlacerListener listener;
     private final Map<JobId, PlacedJob> jobs = new HashMap<>();
     private final CancellingJobs cancelling = new CancellingJobs();
+    private final Set<PlacedTask> awaitingOrigin = new LinkedHashSet<>();
     private final CompletionEstimator estimator;
     private final OfferAdmission admission;
     private final RecoveringJobs recovering;
@@ -107,6 +109,30 @@
         return ended;
     }
 
+    /** Keeps a task from starting until the node of its job is heard. */
+    void awaitOrigin(PlacedTask task) {
+        task.unresolved();
+        awaitingOrigin.add(task);
+    }
+
+    /** Lets the tasks start that wait for a node to be heard. */
+    void originHeard(NodeId origin) {
+        if (awaitingOrigin.isEmpty()) {
+            return;
+        }
+        for (PlacedTask task : ImmutableList.copyOf(awaitingOrigin)) {
+            PlacedJob job = task.job();
+            if (job.over()) {
+                awaitingOrigin.remove(task);
+            } else if (job.origin().equals(origin)) {
+                awaitingOrigin.remove(task);
+                task.resolved();
+                requeue(job);
+            }
+        }
+        starter.planStart();
+    }
+
     /** Gives all jobs back, because this node holds no shard any more; see {@link Placer#close}. */
     void returnAll() {
         ImmutableList<PlacedJob> givenBack = ImmutableList.copyOf(jobs.values());
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/Placer.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/Placer.java
@@ -148,6 +148,11 @@
         jobs.originLost(origin);
     }
 
+    /** Notes that a node was heard, so that it still has open here what it has not withdrawn. */
+    public void originHeard(NodeId origin) {
+        jobs.originHeard(origin);
+    }
+
     /** Looks for runs that stall, and compares the speeds of endpoints; to be called a few times a second. */
     public void review() {
         shards.endpoints().forEach(HeldEndpoint::restartOverdueRuns);
@@ -225,6 +230,11 @@
             jobs.requeue(job);
         }
 
+        @Override
+        public void awaitOrigin(PlacedTask task) {
+            jobs.awaitOrigin(task);
+        }
+
         @Override
         public void capacityReleased(PlacedJob job) {
             jobs.capacityReleased(job);
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RunEnds.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RunEnds.java
@@ -28,6 +28,16 @@
         events.ended(endpoint, reservation, kind);
     }
 
+    /** Ends one run as the endpoint lists it. */
+    void endAsListed(Reservation reservation, EndKind kind) {
+        if (kind == EndKind.LAPSED) {
+            room.release(reservation);
+            events.lapsedUnnoticed(endpoint, reservation);
+        } else {
+            end(reservation, kind);
+        }
+    }
+
     /** Ends the runs that are certainly over because a list does not contain them; follows the progress of the rest. */
     void processList(Map<TaskRun, Integer> percentByRun, long sentAtMillis, StallDetector stalls) {
         lapsedUnreachable.clear();
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RunResults.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RunResults.java
@@ -62,6 +62,23 @@
         host.capacityReleased(job);
     }
 
+    /**
+     * {@inheritDoc}
+     *
+     * <p>Most likely this node was suspended for longer than a lease. Guards against a task that runs twice: the node
+     * of its job may have taken this one for lost and offered the job elsewhere, so the task starts again only after
+     * that node was heard.
+     */
+    @Override
+    public void lapsedUnnoticed(HeldEndpoint endpoint, Reservation reservation) {
+        PlacedTask task = reservation.task();
+        boolean isOpen = !host.closed() && !task.job().over() && task.holds(reservation);
+        if (isOpen) {
+            host.awaitOrigin(task);
+        }
+        ended(endpoint, reservation, EndKind.LAPSED);
+    }
+
     @Override
     public void crashed(HeldEndpoint endpoint, PlacedTask task) {
         task.crashed();
@@ -159,6 +176,9 @@
         /** A task of the job has to be started again. */
         void requeue(PlacedJob job);
 
+        /** A task is not to start before the node of its job was heard. */
+        void awaitOrigin(PlacedTask task);
+
         /** A run of the job takes no room any more. */
         void capacityReleased(PlacedJob job);
 
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/Heartbeats.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/Heartbeats.java
@@ -47,6 +47,13 @@
         return pools.neighbours(ownDomain);
     }
 
+    /** Returns the last status of every reachable neighbour. */
+    public ImmutableList<NodeStatus> presentNeighbours() {
+        return peers.present().stream()
+                .filter(peer -> neighbours().contains(peer.domain()))
+                .collect(ImmutableList.toImmutableList());
+    }
+
     /**
      * Records which shards this node holds, and which of its pool have no holder.
      *
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/ShardOwnership.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/ShardOwnership.java
@@ -115,6 +115,11 @@
         heldShards().forEach(shard -> placer.orElseThrow().update(shard, endpoints.withDeparted(shard)));
     }
 
+    /** Notes that a node was heard. */
+    public void nodeHeard(NodeId node) {
+        placer.ifPresent(current -> current.originHeard(node));
+    }
+
     /** Ends the jobs of a node that is gone. */
     public void nodeLost(NodeId node) {
         placer.ifPresent(current -> current.originLost(node));
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/IgnoredEvents.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/IgnoredEvents.java
@@ -7,6 +7,9 @@
     @Override
     public void ended(HeldEndpoint endpoint, Reservation reservation, EndKind kind) {}
 
+    @Override
+    public void lapsedUnnoticed(HeldEndpoint endpoint, Reservation reservation) {}
+
     @Override
     public void crashed(HeldEndpoint endpoint, PlacedTask task) {}
 
