--- /dev/null
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/FakeCluster.java
@@ -0,0 +1,94 @@
+package org.tarragonarch.core.cluster;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import org.tarragonarch.core.placing.FakeEndpoint;
+import org.tarragonarch.core.placing.FakeOrders;
+import org.tarragonarch.core.placing.Ledger;
+import org.tarragonarch.core.placing.VirtualTimers;
+import org.tarragonarch.core.shard.EndpointList;
+import org.tarragonarch.core.shard.ShardPools;
+import org.tarragonarch.model.id.Address;
+import org.tarragonarch.model.id.EndpointId;
+import org.tarragonarch.model.id.FailureDomain;
+import org.tarragonarch.model.id.NodeId;
+import org.tarragonarch.model.id.Region;
+import org.tarragonarch.model.report.Member;
+import org.tarragonarch.model.task.EndpointEntry;
+import org.tarragonarch.model.task.EndpointOrders;
+import org.tarragonarch.model.task.JobId;
+import org.tarragonarch.model.task.JobRequest;
+import org.tarragonarch.model.task.JobService;
+import org.tarragonarch.model.task.QueueCatalog;
+import org.tarragonarch.model.task.QueueDefinition;
+import org.tarragonarch.model.task.Resources;
+import org.tarragonarch.model.task.TaskStep;
+import org.tarragonarch.model.task.Timers;
+
+/**
+ * Nodes and endpoints of two failure domains of one region, each a pool of its own, on virtual time. Each endpoint has
+ * room for two tasks of 3 s.
+ */
+final class FakeCluster {
+    static final FailureDomain HOBART = FailureDomain.of("hobart");
+    static final FailureDomain LAUNCESTON = FailureDomain.of("launceston");
+    private static final long RUN_MILLIS = 3_000;
+    private static final long DEADLINE_MILLIS = 8_000;
+    private static final long TASK_MILLI_CORES = 7_000;
+    private static final Resources CAPACITY = new Resources(16_000, 32_768, 0);
+    private static final Region REGION = Region.of("south");
+    private static final QueueDefinition QUEUE = new QueueDefinition("checks", "h", "/p/", "board", 0, 3, 1.6, 60);
+
+    /** Enough for a pool per domain; they serve no queue, so nobody polls them. */
+    private static final int OTHER_ENDPOINTS = 100;
+
+    final VirtualTimers timers = new VirtualTimers();
+    final Ledger ledger = new Ledger();
+    final FakeConnections connections = new FakeConnections(timers);
+    final FakeOrders orders = new FakeOrders(timers, TASK_MILLI_CORES);
+    private final EndpointList listed = new EndpointList();
+
+    FakeCluster() {
+        for (int number = 0; number < OTHER_ENDPOINTS; number++) {
+            list("other-" + number, "other", HOBART);
+        }
+    }
+
+    static QueueCatalog catalog(long version) {
+        return QueueCatalog.of(version, ImmutableList.of(QUEUE));
+    }
+
+    FakeEndpoint addEndpoint(String name, FailureDomain domain) {
+        FakeEndpoint endpoint = new FakeEndpoint(timers, ledger, CAPACITY.milliCores());
+        endpoint.runsFor(RUN_MILLIS);
+        orders.add(EndpointId.of(name), endpoint);
+        list(name, QUEUE.service(), domain);
+        return endpoint;
+    }
+
+    private void list(String name, String service, FailureDomain domain) {
+        Address address = new Address("10.0.1.1", 80);
+        listed.listed(new EndpointEntry(EndpointId.of(name), service, address, domain, false, CAPACITY, false));
+    }
+
+    /**
+     * Adds a node, which is not started yet.
+     *
+     * @param way its way to the endpoints
+     * @param clock its steady clock
+     */
+    FakeNode addNode(String name, int number, FailureDomain domain, int milliCores, EndpointOrders way, Timers clock) {
+        Member self = new Member(NodeId.of(name), domain, new Address("10.0.0." + number, 7_000), milliCores);
+        ShardPools pools = new ShardPools(ImmutableMap.of(HOBART, REGION, LAUNCESTON, REGION), listed);
+        FakeNode node = new FakeNode(self, pools, listed, way, clock, connections);
+        connections.add(node);
+        return node;
+    }
+
+    /** Submits a job through a node. */
+    JobService.Submission submit(FakeNode node, int job, int tasks) {
+        TaskStep step = new TaskStep(tasks, new Resources(TASK_MILLI_CORES, 64, 0), RUN_MILLIS);
+        JobRequest request = new JobRequest(new JobId(String.format("%016x", job)), "x", step);
+        return node.coordinator().router().submit(QUEUE, request, DEADLINE_MILLIS, reply -> {});
+    }
+}
