--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/EndpointList.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/EndpointList.java
@@ -163,7 +163,7 @@
     }
 
     /** Returns whether the list is all that the store had at this time or later, on the steady clock. */
-    public boolean isReadSince(long millis) {
+    boolean isReadSince(long millis) {
         return currentAsOfMillis.isPresent() && currentAsOfMillis.getAsLong() >= millis;
     }
 
@@ -210,7 +210,7 @@
         return ImmutableList.<EndpointEntry>builder()
                 .addAll(of(domain))
                 .addAll(departed.entries().stream()
-                        .filter(entry -> entry.domain().equals(domain))
+                        .filter(entry -> isIn(domain, entry))
                         .map(EndpointEntry::asDraining)
                         .iterator())
                 .build();
@@ -220,11 +220,16 @@
     public ImmutableList<EndpointEntry> of(FailureDomain domain) {
         boolean isDrained = drained.contains(domain);
         return entries.values().stream()
-                .filter(entry -> entry.domain().equals(domain) && services.contains(entry.service()))
+                .filter(entry -> isIn(domain, entry))
                 .map(entry -> isDrained ? entry.asDraining() : entry)
                 .collect(ImmutableList.toImmutableList());
     }
 
+    /** Returns whether the endpoint is one of the failure domain, and works for a service that there is. */
+    private boolean isIn(FailureDomain domain, EndpointEntry entry) {
+        return entry.domain().equals(domain) && services.contains(entry.service());
+    }
+
     /** Returns how many endpoints there are in these failure domains together. */
     public int countIn(Set<FailureDomain> domains) {
         int count = 0;
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/shard/EndpointListTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/shard/EndpointListTest.java
@@ -77,6 +77,15 @@
         assertEquals(list.withDeparted(HOBART), ImmutableList.of());
     }
 
+    /** Guards against a holder that calls endpoints of a service that nobody knows. */
+    @Test
+    public void testWithDeparted_unknownService() {
+        EndpointList list = list();
+        list.listed(entry("w", "unknown"));
+        list.unlisted(EndpointId.of("w"), 100);
+        assertEquals(list.withDeparted(HOBART), ImmutableList.of());
+    }
+
     /** Guards against an endpoint that is back and gets nothing, or is held twice. */
     @Test
     public void testWithDeparted_listedAgain() {
