Hold departed endpoints only where the shard was claimed a short while ago

A holder that had read an endpoint kept it for 15 s after its entry was gone, and called it every 0.64 s by a new connection while it did not answer. Nothing of an earlier holder can be on it.

--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/ShardOwnership.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/ShardOwnership.java
@@ -17,6 +17,7 @@
 import org.tarragonarch.model.id.FailureDomain;
 import org.tarragonarch.model.id.NodeId;
 import org.tarragonarch.model.report.HeldShard;
+import org.tarragonarch.model.task.EndpointEntry;
 import org.tarragonarch.model.task.EndpointOrders;
 import org.tarragonarch.model.task.FencingToken;
 import org.tarragonarch.model.task.JobId;
@@ -112,7 +113,16 @@
     public void endpointsChanged() {
         pools.review();
         steadyLists.update(pools.shards(), timers.nowMillis());
-        heldShards().forEach(shard -> placer.orElseThrow().update(shard, endpoints.withDeparted(shard)));
+        heldShards().forEach(shard -> placer.orElseThrow().update(shard, mayRun(shard)));
+    }
+
+    /**
+     * Returns the endpoints on which something may run: those that are listed, and in the first seconds after the claim
+     * those that departed. What departs later was read since the claim: nothing of an earlier holder runs there.
+     */
+    private ImmutableList<EndpointEntry> mayRun(FailureDomain shard) {
+        boolean isNew = timers.nowMillis() - claimedAtMillis.get(shard) < DepartedEndpoints.DEPARTED_MILLIS;
+        return isNew ? endpoints.withDeparted(shard) : endpoints.of(shard);
     }
 
     /** Notes that a node was heard. */
@@ -189,7 +199,7 @@
             placer = Optional.of(new Placer(settings, orders, timers, relay, runTimes, this::isWhole));
         }
         claimedAtMillis.put(shard, timers.nowMillis());
-        placer.get().open(shard, token, endpoints.withDeparted(shard));
+        placer.get().open(shard, token, mayRun(shard));
         heldChanged();
         events.claimed(shard, token, endpoints.of(shard).size());
     }
