Match each verdict to the offer that it answers

What callers saw: nothing yet; the postmortem of tasks that run twice lists it as suspected. A job could be offered elsewhere while its holder ran it, and so run twice. Cause: a verdict named the job only. One that was delayed, on an offer that the origin had taken for lost, was taken for the verdict on the next offer of the same job to the same holder. Change: offers are numbered by their origin (OfferNumber, increasing over restarts), verdicts carry the number (JobVerdict), and the origin ignores a verdict on any offer but the current one. The holder keeps the last offer of each job with its verdict beyond the holding of shards (ReceivedOffers), so that an offer that comes again gets the same one. Shown by JobRouterTest#testSettled_lateVerdictOnEarlierOffer: with the comparison of numbers left out the job goes to a second holder (expected 2 offers, found 3).

--- a/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/ModelNode.java
+++ b/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/ModelNode.java
@@ -14,8 +14,8 @@
 import org.tarragonarch.model.report.Member;
 import org.tarragonarch.model.report.NodeStatus;
 import org.tarragonarch.model.task.JobId;
+import org.tarragonarch.model.task.JobVerdict;
 import org.tarragonarch.model.task.Offer;
-import org.tarragonarch.model.task.Verdict;
 
 /** One incarnation of a node: the core's coordinator with simulated links to its peers and to the endpoints. */
 final class ModelNode implements PeerSender {
@@ -157,7 +157,7 @@
 
     @Override
     public void sendOffer(NodeId to, Offer offer) {
-        if (!cluster.deliver(this, to, peer -> peer.coordinator.offerReceived(offer))) {
+        if (!cluster.deliver(this, to, peer -> peer.coordinator.originMessages().offerReceived(offer))) {
             timers.schedule(
                     0, () -> coordinator.router().offerNotSent(to, offer.job().id()));
         }
@@ -165,11 +165,11 @@
 
     @Override
     public void sendWithdrawal(NodeId to, JobId job) {
-        cluster.deliver(this, to, peer -> peer.coordinator.withdrawalReceived(id, job));
+        cluster.deliver(this, to, peer -> peer.coordinator.originMessages().withdrawalReceived(id, job));
     }
 
     @Override
-    public void sendVerdict(NodeId to, JobId job, Verdict verdict, long retryMillis) {
-        cluster.deliver(this, to, peer -> peer.coordinator.router().settled(id, job, verdict, retryMillis));
+    public void sendVerdict(NodeId to, JobVerdict verdict) {
+        cluster.deliver(this, to, peer -> peer.coordinator.router().settled(id, verdict));
     }
 }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/Coordinator.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/Coordinator.java
@@ -26,11 +26,8 @@
 import org.tarragonarch.model.report.Member;
 import org.tarragonarch.model.report.NodeStatus;
 import org.tarragonarch.model.task.EndpointOrders;
-import org.tarragonarch.model.task.JobId;
-import org.tarragonarch.model.task.Offer;
 import org.tarragonarch.model.task.QueueCatalog;
 import org.tarragonarch.model.task.Timers;
-import org.tarragonarch.model.task.Verdict;
 
 /**
  * Coordinates one node with its peers: holds shards, offers its clients' jobs to holders, and sends its status.
@@ -48,7 +45,7 @@
     private final HolderElection election;
     private final ShardOwnership ownership;
     private final StatusSender statusSender;
-    private final HolderEvents events;
+    private final OriginMessages originMessages;
     private final JobRouter router;
     private ImmutableSet<FailureDomain> neighbourDomains;
 
@@ -79,9 +76,12 @@
         this.election = new HolderElection(self.node(), self.domain(), ip, self.milliCores(), peers, pools);
         this.heartbeats = new Heartbeats(peers, pools, self.domain());
         this.statusSender = new StatusSender(self, heartbeats, this::held, sender, timers);
-        this.events =
-                new HolderEvents(self.node(), peers, sender, statusSender, this::router, this::holdersChanged, log);
+        long maxRunMillisAfterLoss = PeerTable.DETECTION_SKEW_MILLIS + placing.leaseExpiry();
+        ReceivedOffers offers = new ReceivedOffers(timers, maxRunMillisAfterLoss);
+        HolderEvents events = new HolderEvents(
+                self.node(), peers, sender, statusSender, offers, this::router, this::holdersChanged, log);
         this.ownership = new ShardOwnership(pools, election, endpoints, placing, orders, timers, wallMillis, events);
+        this.originMessages = new OriginMessages(ownership, offers, events);
         this.neighbourDomains = heartbeats.neighbourDomains();
         KnownHolders holders = new KnownHolders(
                 self,
@@ -91,8 +91,9 @@
                 heartbeats,
                 sender,
                 timers,
+                originMessages::offerReceived,
                 domain -> drained().contains(domain));
-        this.router = new JobRouter(holders, timers, PeerTable.DETECTION_SKEW_MILLIS + placing.leaseExpiry(), log);
+        this.router = new JobRouter(holders, timers, maxRunMillisAfterLoss, wallMillis.getAsLong(), log);
     }
 
     /** Returns the table of peers. */
@@ -100,6 +101,11 @@
         return peers;
     }
 
+    /** Returns the handler of the messages of origins that have offered jobs to this node. */
+    public OriginMessages originMessages() {
+        return originMessages;
+    }
+
     /** Returns the router of the jobs of this node's clients. */
     public JobRouter router() {
         return router;
@@ -219,25 +225,6 @@
         }
     }
 
-    /** Handles a peer's offer; returns the job to its origin if this node holds no shards. */
-    public void offerReceived(Offer offer) {
-        ownership
-                .placer()
-                .ifPresentOrElse(
-                        placer -> placer.offer(offer),
-                        () -> events.settled(offer.origin(), offer.job().id(), Verdict.RETURNED, 0));
-    }
-
-    /** Ends the jobs offered by a peer, except those that are still open there. */
-    public void openJobsReceived(NodeId origin, ImmutableSet<JobId> open) {
-        ownership.placer().ifPresent(placer -> placer.retain(origin, open));
-    }
-
-    /** Ends a job that a peer has withdrawn. */
-    public void withdrawalReceived(NodeId origin, JobId job) {
-        ownership.placer().ifPresent(placer -> placer.withdraw(origin, job));
-    }
-
     /** Releases every shard and claims none from now on, because this node is about to stop. */
     public void leave() {
         statusSender.markLeaving();
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/HolderEvents.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/HolderEvents.java
@@ -11,6 +11,7 @@
 import org.tarragonarch.model.id.NodeId;
 import org.tarragonarch.model.task.FencingToken;
 import org.tarragonarch.model.task.JobId;
+import org.tarragonarch.model.task.JobVerdict;
 import org.tarragonarch.model.task.Verdict;
 
 /** Forwards events of the shards that this node holds to peers, to this node's own router and to an observer. */
@@ -19,12 +20,14 @@
     private final PeerTable peers;
     private final PeerSender sender;
     private final StatusSender statusSender;
+    private final ReceivedOffers offers;
     private final Supplier<JobRouter> router;
     private final Runnable holdersChanged;
 
     /**
      * Creates the events of one node.
      *
+     * @param offers the offers that this node has received as a holder
      * @param router returns the router of the jobs of this node's clients
      * @param holdersChanged callback run after this node has lost a shard to another holder
      */
@@ -33,6 +36,7 @@
             PeerTable peers,
             PeerSender sender,
             StatusSender statusSender,
+            ReceivedOffers offers,
             Supplier<JobRouter> router,
             Runnable holdersChanged,
             ShardObserver observer) {
@@ -41,6 +45,7 @@
         this.peers = peers;
         this.sender = sender;
         this.statusSender = statusSender;
+        this.offers = offers;
         this.router = router;
         this.holdersChanged = holdersChanged;
     }
@@ -52,10 +57,15 @@
 
     @Override
     public void settled(NodeId origin, JobId job, Verdict verdict, long retryMillis) {
+        offers.settle(origin, job, verdict, retryMillis).ifPresent(settled -> sendVerdict(origin, settled));
+    }
+
+    /** Sends a verdict to the origin of the job, which may be this node. */
+    void sendVerdict(NodeId origin, JobVerdict verdict) {
         if (origin.equals(self)) {
-            router.get().settled(origin, job, verdict, retryMillis);
+            router.get().settled(origin, verdict);
         } else {
-            sender.sendVerdict(origin, job, verdict, retryMillis);
+            sender.sendVerdict(origin, verdict);
         }
     }
 
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/KnownHolders.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/KnownHolders.java
@@ -3,6 +3,7 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
 import java.util.Comparator;
+import java.util.function.Consumer;
 import java.util.function.Predicate;
 import org.tarragonarch.core.routing.Holder;
 import org.tarragonarch.core.routing.HolderCapacity;
@@ -28,12 +29,14 @@
     private final Heartbeats heartbeats;
     private final PeerSender sender;
     private final Timers timers;
+    private final Consumer<Offer> ownOffers;
     private final Predicate<FailureDomain> isDrained;
     private final NeighbourCapacity neighbourCapacity;
 
     /**
      * Creates the view of one node.
      *
+     * @param ownOffers receives the offers to this node itself
      * @param isDrained returns whether operators have drained a failure domain
      */
     KnownHolders(
@@ -44,6 +47,7 @@
             Heartbeats heartbeats,
             PeerSender sender,
             Timers timers,
+            Consumer<Offer> ownOffers,
             Predicate<FailureDomain> isDrained) {
         this.self = self;
         this.peers = peers;
@@ -52,6 +56,7 @@
         this.heartbeats = heartbeats;
         this.sender = sender;
         this.timers = timers;
+        this.ownOffers = ownOffers;
         this.isDrained = isDrained;
         this.neighbourCapacity = new NeighbourCapacity(self.domain(), peers, pools, timers, isDrained);
     }
@@ -141,7 +146,7 @@
             sender.sendOffer(holder.node(), offer);
             return;
         }
-        ownership.placer().ifPresent(placer -> placer.offer(offer));
+        ownOffers.accept(offer);
     }
 
     @Override
--- /dev/null
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/OriginMessages.java
@@ -0,0 +1,49 @@
+package org.tarragonarch.core.cluster;
+
+import com.google.common.collect.ImmutableSet;
+import org.tarragonarch.core.shard.ShardOwnership;
+import org.tarragonarch.model.id.NodeId;
+import org.tarragonarch.model.task.JobId;
+import org.tarragonarch.model.task.Offer;
+import org.tarragonarch.model.task.Verdict;
+
+/** Handles the messages of origins at a holder: offers of jobs, and what becomes of these at their origins. */
+public final class OriginMessages {
+    private final ShardOwnership ownership;
+    private final ReceivedOffers offers;
+    private final HolderEvents events;
+
+    OriginMessages(ShardOwnership ownership, ReceivedOffers offers, HolderEvents events) {
+        this.ownership = ownership;
+        this.offers = offers;
+        this.events = events;
+    }
+
+    /**
+     * Handles an offer; returns the job to its origin if this node holds no shards.
+     *
+     * <p>An offer that was settled before gets the same verdict again.
+     */
+    public void offerReceived(Offer offer) {
+        offers.record(offer)
+                .ifPresentOrElse(verdict -> events.sendVerdict(offer.origin(), verdict), () -> place(offer));
+    }
+
+    private void place(Offer offer) {
+        ownership
+                .placer()
+                .ifPresentOrElse(
+                        placer -> placer.offer(offer),
+                        () -> events.settled(offer.origin(), offer.job().id(), Verdict.RETURNED, 0));
+    }
+
+    /** Ends the jobs offered by a peer, except those that are still open there. */
+    public void openJobsReceived(NodeId origin, ImmutableSet<JobId> open) {
+        ownership.placer().ifPresent(placer -> placer.retain(origin, open));
+    }
+
+    /** Ends a job that a peer has withdrawn. */
+    public void withdrawalReceived(NodeId origin, JobId job) {
+        ownership.placer().ifPresent(placer -> placer.withdraw(origin, job));
+    }
+}
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/PeerSender.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/PeerSender.java
@@ -5,8 +5,8 @@
 import org.tarragonarch.model.id.NodeId;
 import org.tarragonarch.model.report.NodeStatus;
 import org.tarragonarch.model.task.JobId;
+import org.tarragonarch.model.task.JobVerdict;
 import org.tarragonarch.model.task.Offer;
-import org.tarragonarch.model.task.Verdict;
 
 /** Sends messages to the other nodes; each message arrives once or not at all. */
 public interface PeerSender {
@@ -26,5 +26,5 @@
     void sendWithdrawal(NodeId to, JobId job);
 
     /** Sends the verdict on a job to the node that offered it. */
-    void sendVerdict(NodeId to, JobId job, Verdict verdict, long retryMillis);
+    void sendVerdict(NodeId to, JobVerdict verdict);
 }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/routing/JobPlacement.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/routing/JobPlacement.java
@@ -16,14 +16,22 @@
     private final JobTable jobs;
     private final Timers timers;
     private final long maxRunMillisAfterLoss;
+    private final OfferNumbers numbers;
     private final RoutingObserver observer;
 
     /** Creates the placement of one node's jobs; see {@link JobRouter#JobRouter} for the parameters. */
-    JobPlacement(Holders holders, JobTable jobs, Timers timers, long maxRunMillisAfterLoss, RoutingObserver observer) {
+    JobPlacement(
+            Holders holders,
+            JobTable jobs,
+            Timers timers,
+            long maxRunMillisAfterLoss,
+            OfferNumbers numbers,
+            RoutingObserver observer) {
         this.holders = holders;
         this.jobs = jobs;
         this.timers = timers;
         this.maxRunMillisAfterLoss = maxRunMillisAfterLoss;
+        this.numbers = numbers;
         this.observer = observer;
     }
 
@@ -67,7 +75,15 @@
         }
         job.sinceLossMillis(timers.nowMillis()).ifPresent(ago -> observer.offeredAgain(job.id(), to.node(), ago));
         job.markOfferedTo(to);
-        holders.offer(to, job.offer(holders.ownNode(), timers.nowMillis(), maxRunMillisAfterLoss, terms, toOwnDomain));
+        holders.offer(
+                to,
+                job.offer(
+                        holders.ownNode(),
+                        numbers.next(),
+                        timers.nowMillis(),
+                        maxRunMillisAfterLoss,
+                        terms,
+                        toOwnDomain));
     }
 
     /** Offers a job elsewhere after its holder could not start it at once. */
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/routing/JobRouter.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/routing/JobRouter.java
@@ -13,6 +13,7 @@
 import org.tarragonarch.model.task.JobReply;
 import org.tarragonarch.model.task.JobRequest;
 import org.tarragonarch.model.task.JobService;
+import org.tarragonarch.model.task.JobVerdict;
 import org.tarragonarch.model.task.QueueDefinition;
 import org.tarragonarch.model.task.Timers;
 import org.tarragonarch.model.task.Verdict;
@@ -43,14 +44,17 @@
      *
      * @param maxRunMillisAfterLoss the longest time that runs continue after this node has detected the loss of their
      *     holder, in milliseconds; the holder may renew their leases until it detects the loss of this node
+     * @param startMillis the time of day in milliseconds since 1970, from which the offers are numbered
      * @param observer observer of jobs that are offered to other failure domains, lost or offered again
      */
-    public JobRouter(Holders holders, Timers timers, long maxRunMillisAfterLoss, RoutingObserver observer) {
+    public JobRouter(
+            Holders holders, Timers timers, long maxRunMillisAfterLoss, long startMillis, RoutingObserver observer) {
         this.holders = checkNotNull(holders, "holders");
         this.timers = checkNotNull(timers, "timers");
         this.jobs = new JobTable(timers);
         this.observer = checkNotNull(observer, "observer");
-        this.placement = new JobPlacement(holders, jobs, timers, maxRunMillisAfterLoss, observer);
+        OfferNumbers numbers = new OfferNumbers(startMillis);
+        this.placement = new JobPlacement(holders, jobs, timers, maxRunMillisAfterLoss, numbers, observer);
     }
 
     /** Accepts a job; see {@link JobService#submit}. */
@@ -82,9 +86,11 @@
         return true;
     }
 
-    /** Handles a holder's verdict; the verdict of a node that is not the present holder of the job is ignored. */
-    public void settled(NodeId from, JobId id, Verdict verdict, long retryMillis) {
-        jobs.find(id).filter(job -> job.isHeldBy(from)).ifPresent(job -> settled(job, verdict, retryMillis));
+    /** Handles a holder's verdict; one that does not answer the current offer of the job is ignored. */
+    public void settled(NodeId from, JobVerdict verdict) {
+        jobs.find(verdict.job())
+                .filter(job -> job.isAnsweredBy(from, verdict))
+                .ifPresent(job -> settled(job, verdict.verdict(), verdict.retryMillis()));
     }
 
     private void settled(OpenJob job, Verdict verdict, long retryMillis) {
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/routing/OpenJob.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/routing/OpenJob.java
@@ -15,7 +15,9 @@
 import org.tarragonarch.model.task.JobId;
 import org.tarragonarch.model.task.JobReply;
 import org.tarragonarch.model.task.JobRequest;
+import org.tarragonarch.model.task.JobVerdict;
 import org.tarragonarch.model.task.Offer;
+import org.tarragonarch.model.task.OfferNumber;
 import org.tarragonarch.model.task.OfferTerms;
 import org.tarragonarch.model.task.QueueDefinition;
 
@@ -36,6 +38,7 @@
     private Optional<FormerHolders.FormerHolder> formerHolder = Optional.empty();
     private ImmutableSet<FailureDomain> shardsWithPossibleRuns = ImmutableSet.of();
     private final ImmediateStartOffers immediateStartOffers;
+    private Optional<OfferNumber> currentOffer = Optional.empty();
     private boolean mayHaveRun;
     private long lostAtMillis;
     private long soonestRetryMillis = Long.MAX_VALUE;
@@ -80,12 +83,19 @@
     }
 
     /**
-     * Returns an offer of this job.
+     * Returns an offer of this job, which supersedes its earlier ones.
      *
      * @param maxRunMillisAfterLoss the longest time that runs of a lost holder continue, in milliseconds
      * @param toOwnDomain whether the offer goes to the holder of this node's own failure domain
      */
-    Offer offer(NodeId own, long nowMillis, long maxRunMillisAfterLoss, OfferTerms terms, boolean toOwnDomain) {
+    Offer offer(
+            NodeId own,
+            OfferNumber number,
+            long nowMillis,
+            long maxRunMillisAfterLoss,
+            OfferTerms terms,
+            boolean toOwnDomain) {
+        currentOffer = Optional.of(number);
         EarlierRuns earlierRuns = lostHolder
                 .filter(lost -> lostAtMillis + maxRunMillisAfterLoss > nowMillis)
                 .map(lost -> new EarlierRuns(lostAtMillis + maxRunMillisAfterLoss - nowMillis, shardsWithPossibleRuns))
@@ -94,6 +104,7 @@
                 request,
                 queue,
                 own,
+                number,
                 ageMillis(nowMillis),
                 deadlineAtMillis - nowMillis,
                 earlierRuns,
@@ -144,6 +155,11 @@
         return holder.filter(current -> current.node().equals(node)).isPresent();
     }
 
+    /** Returns whether a node's verdict answers the current offer of this job, rather than an earlier one. */
+    boolean isAnsweredBy(NodeId node, JobVerdict verdict) {
+        return isHeldBy(node) && currentOffer.filter(verdict.offer()::equals).isPresent();
+    }
+
     void markOfferedTo(Holder next) {
         formerHolder = Optional.empty();
         holder = Optional.of(next);
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/CoordinatorTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/CoordinatorTest.java
@@ -115,7 +115,7 @@
         test.listEndpoints(10);
         test.coordinator.review(true);
         assertEquals(test.coordinator.heldShardCount(), 1);
-        test.coordinator.offerReceived(offerOf("b"));
+        test.coordinator.originMessages().offerReceived(offerOf("b"));
         test.sent.clear();
         test.coordinator.leave();
         assertEquals(test.coordinator.heldShardCount(), 0);
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/FakeNode.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/FakeNode.java
@@ -12,10 +12,10 @@
 import org.tarragonarch.model.report.NodeStatus;
 import org.tarragonarch.model.task.EndpointOrders;
 import org.tarragonarch.model.task.JobId;
+import org.tarragonarch.model.task.JobVerdict;
 import org.tarragonarch.model.task.Offer;
 import org.tarragonarch.model.task.QueueCatalog;
 import org.tarragonarch.model.task.Timers;
-import org.tarragonarch.model.task.Verdict;
 
 /** A coordinator driven as by the real node: periodic reviews, losses of peers and received messages. */
 final class FakeNode implements PeerSender {
@@ -111,7 +111,8 @@
     /** Returns the first frame on a connection to the peer, which lists this node's jobs that are open there. */
     FakeConnections.Frame firstFrame(NodeId peer) {
         ImmutableSet<JobId> open = coordinator.router().openJobsAt(peer);
-        return new FakeConnections.Frame(receiver -> receiver.coordinator.openJobsReceived(id, open), () -> {});
+        return new FakeConnections.Frame(
+                receiver -> receiver.coordinator.originMessages().openJobsReceived(id, open), () -> {});
     }
 
     @Override
@@ -143,7 +144,7 @@
                 id,
                 to,
                 new FakeConnections.Frame(
-                        peer -> peer.coordinator.offerReceived(offer),
+                        peer -> peer.coordinator.originMessages().offerReceived(offer),
                         () -> coordinator.router().offerNotSent(to, offer.job().id())));
     }
 
@@ -151,15 +152,17 @@
     @Override
     public void sendWithdrawal(NodeId to, JobId job) {
         connections.send(
-                id, to, new FakeConnections.Frame(peer -> peer.coordinator.withdrawalReceived(id, job), () -> {}));
+                id,
+                to,
+                new FakeConnections.Frame(
+                        peer -> peer.coordinator.originMessages().withdrawalReceived(id, job), () -> {}));
     }
 
     @Override
-    public void sendVerdict(NodeId to, JobId job, Verdict verdict, long retryMillis) {
+    public void sendVerdict(NodeId to, JobVerdict verdict) {
         connections.reply(
                 id,
                 to,
-                new FakeConnections.Frame(
-                        peer -> peer.coordinator.router().settled(id, job, verdict, retryMillis), () -> {}));
+                new FakeConnections.Frame(peer -> peer.coordinator.router().settled(id, verdict), () -> {}));
     }
 }
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/RecordingPeerSender.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/RecordingPeerSender.java
@@ -6,8 +6,8 @@
 import org.tarragonarch.model.id.NodeId;
 import org.tarragonarch.model.report.NodeStatus;
 import org.tarragonarch.model.task.JobId;
+import org.tarragonarch.model.task.JobVerdict;
 import org.tarragonarch.model.task.Offer;
-import org.tarragonarch.model.task.Verdict;
 
 /** A sender that appends a line to a list for each message and delivers none. */
 final class RecordingPeerSender implements PeerSender {
@@ -43,7 +43,7 @@
     }
 
     @Override
-    public void sendVerdict(NodeId to, JobId job, Verdict verdict, long retryMillis) {
-        sent.add(verdict + " to " + to);
+    public void sendVerdict(NodeId to, JobVerdict verdict) {
+        sent.add(verdict.verdict() + " to " + to);
     }
 }
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/OfferAdmissionTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/OfferAdmissionTest.java
@@ -26,6 +26,7 @@
                 offer.job(),
                 offer.queue(),
                 offer.origin(),
+                offer.number(),
                 offer.ageMillis(),
                 offer.deadlineMillis(),
                 offer.earlierRuns(),
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/routing/DomainBalanceTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/routing/DomainBalanceTest.java
@@ -29,7 +29,7 @@
     private final FakeHolders holders = new FakeHolders();
     private final List<String> observed = new ArrayList<>();
     private final List<String> replies = new ArrayList<>();
-    private final JobRouter router = new JobRouter(holders, timers, 1_050, new RoutingObserver() {
+    private final JobRouter router = new JobRouter(holders, timers, 1_050, 0, new RoutingObserver() {
         @Override
         public void movedToNeighbour(JobId job, NodeId holder) {
             observed.add("moved to " + holder);
@@ -56,7 +56,7 @@
 
     private void settledNotAtOnce(String... nodes) {
         for (String node : nodes) {
-            router.settled(NodeId.of(node), JOB, Verdict.NOT_AT_ONCE, 0);
+            router.settled(NodeId.of(node), holders.verdictOn(JOB, Verdict.NOT_AT_ONCE, 0));
         }
     }
 
@@ -76,7 +76,7 @@
                 && test.holders.calls.get(2).endsWith("at once"));
         assertEquals(test.holders.calls.get(3), "offer a");
         assertEquals(test.observed.size(), 4, test.observed.toString());
-        test.router.settled(NodeId.of("a"), JOB, Verdict.DONE, 0);
+        test.router.settled(NodeId.of("a"), test.holders.verdictOn(JOB, Verdict.DONE, 0));
         assertEquals(test.replies, ImmutableList.of("DONE 0"));
     }
 
@@ -98,8 +98,8 @@
         test.holders.addNeighbour("b", "launceston", AMPLE_MILLI_CORES);
         test.submit(JOB);
         test.settledNotAtOnce("a", "b");
-        test.router.settled(NodeId.of("a"), JOB, Verdict.DECLINED, 300);
-        test.router.settled(NodeId.of("b"), JOB, Verdict.DECLINED, 200);
+        test.router.settled(NodeId.of("a"), test.holders.verdictOn(JOB, Verdict.DECLINED, 300));
+        test.router.settled(NodeId.of("b"), test.holders.verdictOn(JOB, Verdict.DECLINED, 200));
         assertEquals(test.holders.calls, ImmutableList.of("offer a at once", "offer b at once", "offer a", "offer b"));
         assertEquals(test.replies, ImmutableList.of("REFUSED 200"));
         assertEquals(test.observed, ImmutableList.of("moved to b", "back from b"));
@@ -171,7 +171,7 @@
         test.holders.addNeighbour("d", "burnie", 2 * AMPLE_MILLI_CORES);
         for (int job = 1; job <= 300; job++) {
             test.submit(id(job));
-            test.router.settled(NodeId.of("a"), id(job), Verdict.NOT_AT_ONCE, 0);
+            test.router.settled(NodeId.of("a"), test.holders.verdictOn(id(job), Verdict.NOT_AT_ONCE, 0));
         }
         Multiset<String> offers = HashMultiset.create(test.holders.calls);
         assertEquals(offers.count("offer a at once"), 300);
@@ -194,7 +194,7 @@
         test.holders.calls.clear();
         test.submit(JOB);
         assertEquals(test.holders.calls, ImmutableList.of("offer b"));
-        test.router.settled(NodeId.of("b"), JOB, Verdict.DECLINED, 200);
+        test.router.settled(NodeId.of("b"), test.holders.verdictOn(JOB, Verdict.DECLINED, 200));
         assertEquals(test.holders.calls.size(), 2, test.holders.calls.toString());
         assertTrue(test.holders.calls.get(1).startsWith("offer a"));
     }
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/routing/FakeHolders.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/routing/FakeHolders.java
@@ -11,8 +11,11 @@
 import org.tarragonarch.model.report.HeldShard;
 import org.tarragonarch.model.task.FencingToken;
 import org.tarragonarch.model.task.JobId;
+import org.tarragonarch.model.task.JobVerdict;
 import org.tarragonarch.model.task.Offer;
+import org.tarragonarch.model.task.OfferNumber;
 import org.tarragonarch.model.task.OfferTerms;
+import org.tarragonarch.model.task.Verdict;
 
 /** Configurable holders that record the calls they receive. */
 final class FakeHolders implements Holders {
@@ -27,6 +30,7 @@
     final List<HolderCapacity> neighboursWithRoom = new ArrayList<>();
     final List<String> calls = new ArrayList<>();
     final List<String> notStartedAtOnce = new ArrayList<>();
+    private final Map<JobId, OfferNumber> lastOffers = new HashMap<>();
 
     Holder add(String node, String shard, long term) {
         HeldShard held = new HeldShard(FailureDomain.of(shard), FencingToken.of(term, "10.0.0.1"), 1_000);
@@ -89,8 +93,14 @@
         return isHolderUnreachable;
     }
 
+    /** Returns a verdict on the last offer of a job. */
+    JobVerdict verdictOn(JobId job, Verdict verdict, long retryMillis) {
+        return new JobVerdict(job, lastOffers.getOrDefault(job, OfferNumber.of(0)), verdict, retryMillis);
+    }
+
     @Override
     public void offer(Holder holder, Offer offer) {
+        lastOffers.put(offer.job().id(), offer.number());
         calls.add("offer " + holder.node()
                 + (offer.terms() == OfferTerms.AT_ONCE ? " at once" : "")
                 + (offer.earlierRuns().isOver()
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/routing/JobRouterTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/routing/JobRouterTest.java
@@ -13,6 +13,7 @@
 import org.tarragonarch.model.task.JobId;
 import org.tarragonarch.model.task.JobRequest;
 import org.tarragonarch.model.task.JobService;
+import org.tarragonarch.model.task.JobVerdict;
 import org.tarragonarch.model.task.QueueDefinition;
 import org.tarragonarch.model.task.Resources;
 import org.tarragonarch.model.task.TaskStep;
@@ -26,7 +27,7 @@
 
     private final VirtualTimers timers = new VirtualTimers();
     private final FakeHolders holders = new FakeHolders();
-    private final JobRouter router = new JobRouter(holders, timers, 1_050, new RoutingObserver() {});
+    private final JobRouter router = new JobRouter(holders, timers, 1_050, 0, new RoutingObserver() {});
     private final List<String> replies = new ArrayList<>();
 
     private JobService.Submission submit(long deadlineMillis) {
@@ -60,7 +61,7 @@
     }
 
     private void settled(String holder, Verdict verdict, long retryMillis) {
-        router.settled(NodeId.of(holder), JOB, verdict, retryMillis);
+        router.settled(NodeId.of(holder), holders.verdictOn(JOB, verdict, retryMillis));
     }
 
     @Test
@@ -335,4 +336,18 @@
         test.router.giveUpAll();
         assertEquals(test.replies, ImmutableList.of("late REFUSED", "GIVEN_UP"));
     }
+
+    /** Guards against a job that is offered elsewhere, while it runs, by a late verdict on an earlier offer of it. */
+    @Test
+    public void testSettled_lateVerdictOnEarlierOffer() {
+        JobRouterTest test = offeredToTwo(5_000);
+        JobVerdict late = test.holders.verdictOn(JOB, Verdict.DECLINED, 300);
+        test.router.nodeLost(NodeId.of("a"));
+        test.timers.advance(1_050);
+        assertEquals(test.holders.calls, ImmutableList.of("offer a", "offer a"));
+        test.router.settled(NodeId.of("a"), late);
+        assertEquals(test.holders.calls, ImmutableList.of("offer a", "offer a"));
+        test.settled("a", Verdict.DONE, 0);
+        assertEquals(test.replies, ImmutableList.of("DONE"));
+    }
 }
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ClusterNode.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ClusterNode.java
@@ -29,8 +29,8 @@
 import org.tarragonarch.model.store.StoreTable;
 import org.tarragonarch.model.task.EndpointEntry;
 import org.tarragonarch.model.task.JobId;
+import org.tarragonarch.model.task.JobVerdict;
 import org.tarragonarch.model.task.Offer;
-import org.tarragonarch.model.task.Verdict;
 import org.tarragonarch.wire.CancelAsked;
 import org.tarragonarch.wire.ConfigurationAsked;
 import org.tarragonarch.wire.EndpointsAsked;
@@ -224,7 +224,7 @@
 
     @Override
     public void offerReceived(Offer offer) {
-        coordinator.offerReceived(offer);
+        coordinator.originMessages().offerReceived(offer);
     }
 
     @Override
@@ -233,18 +233,18 @@
     }
 
     @Override
-    public void verdictReceived(NodeId holder, JobId job, Verdict verdict, long retryMillis) {
-        coordinator.router().settled(holder, job, verdict, retryMillis);
+    public void verdictReceived(NodeId holder, JobVerdict verdict) {
+        coordinator.router().settled(holder, verdict);
     }
 
     @Override
     public void withdrawalReceived(NodeId peer, JobId job) {
-        coordinator.withdrawalReceived(peer, job);
+        coordinator.originMessages().withdrawalReceived(peer, job);
     }
 
     @Override
     public void openJobsReceived(NodeId peer, ImmutableSet<JobId> open) {
-        coordinator.openJobsReceived(peer, open);
+        coordinator.originMessages().openJobsReceived(peer, open);
     }
 
     @Override
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/PeerExchange.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/PeerExchange.java
@@ -19,8 +19,8 @@
 import org.tarragonarch.model.report.Member;
 import org.tarragonarch.model.report.NodeStatus;
 import org.tarragonarch.model.task.JobId;
+import org.tarragonarch.model.task.JobVerdict;
 import org.tarragonarch.model.task.Offer;
-import org.tarragonarch.model.task.Verdict;
 import org.tarragonarch.wire.CancelAnswered;
 import org.tarragonarch.wire.CancelAsked;
 import org.tarragonarch.wire.ConfigurationAsked;
@@ -130,8 +130,8 @@
     }
 
     @Override
-    public void sendVerdict(NodeId to, JobId job, Verdict verdict, long retryMillis) {
-        answer(to, new JobSettled(job, verdict, retryMillis));
+    public void sendVerdict(NodeId to, JobVerdict verdict) {
+        answer(to, new JobSettled(verdict));
     }
 
     /** Sends a frame to the incarnation of a node that sent the latest frame. */
@@ -148,7 +148,7 @@
         } else if (frame instanceof JobOffered offered) {
             handler.offerReceived(offered.offer());
         } else if (frame instanceof JobSettled settled) {
-            handler.verdictReceived(peer, settled.job(), settled.verdict(), settled.retryMillis());
+            handler.verdictReceived(peer, settled.verdict());
         } else if (frame instanceof JobWithdrawn withdrawn) {
             handler.withdrawalReceived(peer, withdrawn.job());
         } else if (frame instanceof OpenJobs open) {
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/PeerFrameHandler.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/PeerFrameHandler.java
@@ -7,8 +7,8 @@
 import org.tarragonarch.model.report.NodeStatus;
 import org.tarragonarch.model.task.EndpointEntry;
 import org.tarragonarch.model.task.JobId;
+import org.tarragonarch.model.task.JobVerdict;
 import org.tarragonarch.model.task.Offer;
-import org.tarragonarch.model.task.Verdict;
 
 /** Handles the frames that peers send to this node. */
 interface PeerFrameHandler {
@@ -23,7 +23,7 @@
     void offerUndelivered(NodeId peer, JobId job);
 
     /** Called when a holder sends its verdict on a job of this node's clients. */
-    void verdictReceived(NodeId holder, JobId job, Verdict verdict, long retryMillis);
+    void verdictReceived(NodeId holder, JobVerdict verdict);
 
     void withdrawalReceived(NodeId peer, JobId job);
 
--- a/tarragonarch-entry/src/test/java/org/tarragonarch/entry/cluster/PeerExchangeTest.java
+++ b/tarragonarch-entry/src/test/java/org/tarragonarch/entry/cluster/PeerExchangeTest.java
@@ -13,7 +13,9 @@
 import org.tarragonarch.model.report.NodeStatus;
 import org.tarragonarch.model.task.EndpointEntry;
 import org.tarragonarch.model.task.JobId;
+import org.tarragonarch.model.task.JobVerdict;
 import org.tarragonarch.model.task.Offer;
+import org.tarragonarch.model.task.OfferNumber;
 import org.tarragonarch.model.task.Verdict;
 import org.tarragonarch.wire.JobSettled;
 import org.tarragonarch.wire.JobWithdrawn;
@@ -37,7 +39,8 @@
     /** Guards against a verdict that is sent back to its holder, so that the two nodes exchange it endlessly. */
     @Test
     public void testReceived_verdict() {
-        exchange.received(PEER, Incarnation.of(1), new JobSettled(JOB, Verdict.DONE, 0));
+        exchange.received(
+                PEER, Incarnation.of(1), new JobSettled(new JobVerdict(JOB, OfferNumber.of(1), Verdict.DONE, 0)));
         assertEquals(calls, ImmutableList.of("verdict of peer DONE"));
     }
 
@@ -83,8 +86,8 @@
         }
 
         @Override
-        public void verdictReceived(NodeId holder, JobId job, Verdict verdict, long retryMillis) {
-            calls.add("verdict of " + holder + " " + verdict);
+        public void verdictReceived(NodeId holder, JobVerdict verdict) {
+            calls.add("verdict of " + holder + " " + verdict.verdict());
         }
 
         @Override
--- a/tarragonarch-model/src/main/java/org/tarragonarch/model/task/Offer.java
+++ b/tarragonarch-model/src/main/java/org/tarragonarch/model/task/Offer.java
@@ -10,6 +10,7 @@
  * @param job the job
  * @param queue the queue of the job
  * @param origin the node that has the client's connection
+ * @param number identifies the offer among those of the origin
  * @param ageMillis the time since the job reached the origin, in milliseconds
  * @param deadlineMillis how long the client still waits, in milliseconds
  * @param earlierRuns the runs of the job that a lost holder started and that may still be in progress
@@ -20,6 +21,7 @@
         JobRequest job,
         QueueDefinition queue,
         NodeId origin,
+        OfferNumber number,
         long ageMillis,
         long deadlineMillis,
         EarlierRuns earlierRuns,
@@ -30,11 +32,12 @@
         checkNotNull(job, "job");
         checkNotNull(queue, "queue");
         checkNotNull(origin, "origin");
+        checkNotNull(number, "number");
         checkNotNull(earlierRuns, "earlierRuns");
         checkNotNull(terms, "terms");
     }
 
-    /** Creates an offer of a job that may wait, from an origin in the holder's own failure domain. */
+    /** Creates the first offer of an origin, of a job that may wait, to the holder of the origin's failure domain. */
     public Offer(
             JobRequest job,
             QueueDefinition queue,
@@ -42,7 +45,7 @@
             long ageMillis,
             long deadlineMillis,
             EarlierRuns earlierRuns) {
-        this(job, queue, origin, ageMillis, deadlineMillis, earlierRuns, OfferTerms.MAY_WAIT, true);
+        this(job, queue, origin, OfferNumber.of(1), ageMillis, deadlineMillis, earlierRuns, OfferTerms.MAY_WAIT, true);
     }
 
     /** Returns the same offer after a wait in milliseconds, with age, deadline and earlier runs adjusted. */
@@ -51,6 +54,7 @@
                 job,
                 queue,
                 origin,
+                number,
                 ageMillis + millis,
                 deadlineMillis - millis,
                 earlierRuns.afterWait(millis),
--- a/tarragonarch-model/src/main/java/org/tarragonarch/model/task/Verdict.java
+++ b/tarragonarch-model/src/main/java/org/tarragonarch/model/task/Verdict.java
@@ -20,5 +20,19 @@
      * The job was not accepted because it could not start at once, as the terms of the offer require; no task was
      * started. It may be offered to the same holder again under other terms.
      */
-    NOT_AT_ONCE
+    NOT_AT_ONCE;
+
+    /**
+     * Returns what to answer in place of this verdict if the offer was received before, so that tasks of the job may
+     * have been started.
+     *
+     * <p>Guards against an origin that tells its client that a job has not run although tasks of it have.
+     */
+    public Verdict ofOfferReceivedBefore() {
+        return switch (this) {
+            case DECLINED, NOT_AT_ONCE -> EVICTED;
+            case RETURNED -> HOLD_LOST;
+            case DONE, FAILED, TOO_LATE, HOLD_LOST, EVICTED -> this;
+        };
+    }
 }
--- a/tarragonarch-wire/src/main/java/org/tarragonarch/wire/FrameCodec.java
+++ b/tarragonarch-wire/src/main/java/org/tarragonarch/wire/FrameCodec.java
@@ -1,6 +1,7 @@
 package org.tarragonarch.wire;
 
 import java.util.Optional;
+import org.tarragonarch.model.task.JobVerdict;
 
 /** Encodes and decodes frames, without the length field in front of each, which the channel handlers add and remove. */
 public final class FrameCodec {
@@ -40,10 +41,12 @@
         } else if (frame instanceof JobOffered offered) {
             OfferCodec.write(writer.writeInt(FrameType.JOB_OFFERED.number()), offered);
         } else if (frame instanceof JobSettled settled) {
+            JobVerdict verdict = settled.verdict();
             writer.writeInt(FrameType.JOB_SETTLED.number())
-                    .writeText(settled.job().value())
-                    .writeEnum(settled.verdict())
-                    .writeLong(settled.retryMillis());
+                    .writeText(verdict.job().value())
+                    .writeLong(verdict.offer().value())
+                    .writeEnum(verdict.verdict())
+                    .writeLong(verdict.retryMillis());
         } else if (frame instanceof JobWithdrawn withdrawn) {
             writer.writeInt(FrameType.JOB_WITHDRAWN.number())
                     .writeText(withdrawn.job().value());
--- a/tarragonarch-wire/src/main/java/org/tarragonarch/wire/FrameType.java
+++ b/tarragonarch-wire/src/main/java/org/tarragonarch/wire/FrameType.java
@@ -4,6 +4,8 @@
 import java.util.Optional;
 import org.tarragonarch.model.id.ConfigurationVersion;
 import org.tarragonarch.model.task.JobId;
+import org.tarragonarch.model.task.JobVerdict;
+import org.tarragonarch.model.task.OfferNumber;
 import org.tarragonarch.model.task.Verdict;
 
 /** The types of frame, each with its number on the wire and the decoder of its body. */
@@ -61,8 +63,9 @@
         @Override
         Frame read(FrameReader reader, Optional<Hello> sender) throws MalformedFrameException {
             JobId job = new JobId(reader.readText());
+            OfferNumber offer = OfferNumber.of(reader.readLong());
             Verdict verdict = reader.readEnum(Verdict.class);
-            return new JobSettled(job, verdict, reader.readLong());
+            return new JobSettled(new JobVerdict(job, offer, verdict, reader.readLong()));
         }
     },
     JOB_WITHDRAWN(10) {
--- a/tarragonarch-wire/src/main/java/org/tarragonarch/wire/JobSettled.java
+++ b/tarragonarch-wire/src/main/java/org/tarragonarch/wire/JobSettled.java
@@ -2,20 +2,16 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
-import org.tarragonarch.model.task.JobId;
-import org.tarragonarch.model.task.Verdict;
+import org.tarragonarch.model.task.JobVerdict;
 
 /**
  * The response to a {@link JobOffered}.
  *
- * @param job the job
  * @param verdict the holder's verdict
- * @param retryMillis the time until capacity is expected to be free, in milliseconds; 0 unless the job was declined
  */
-public record JobSettled(JobId job, Verdict verdict, long retryMillis) implements Frame {
-    /** Checks that the job and the verdict are not null. */
+public record JobSettled(JobVerdict verdict) implements Frame {
+    /** Checks that the verdict is not null. */
     public JobSettled {
-        checkNotNull(job, "job");
         checkNotNull(verdict, "verdict");
     }
 }
--- a/tarragonarch-wire/src/main/java/org/tarragonarch/wire/OfferCodec.java
+++ b/tarragonarch-wire/src/main/java/org/tarragonarch/wire/OfferCodec.java
@@ -7,6 +7,7 @@
 import org.tarragonarch.model.task.JobId;
 import org.tarragonarch.model.task.JobRequest;
 import org.tarragonarch.model.task.Offer;
+import org.tarragonarch.model.task.OfferNumber;
 import org.tarragonarch.model.task.OfferTerms;
 import org.tarragonarch.model.task.QueueDefinition;
 import org.tarragonarch.model.task.Resources;
@@ -22,6 +23,7 @@
     static void write(FrameWriter writer, JobOffered offered) {
         Offer offer = offered.offer();
         writer.writeText(offer.origin().value())
+                .writeLong(offer.number().value())
                 .writeLong(offer.ageMillis())
                 .writeLong(offer.deadlineMillis())
                 .writeLong(offer.earlierRuns().lastMillis())
@@ -34,6 +36,7 @@
 
     static JobOffered read(FrameReader reader) throws MalformedFrameException {
         NodeId origin = NodeId.of(reader.readText());
+        OfferNumber number = OfferNumber.of(reader.readLong());
         long age = reader.readLong();
         long deadline = reader.readLong();
         EarlierRuns earlierRuns = readEarlierRuns(reader);
@@ -41,7 +44,7 @@
         boolean fromOwnDomain = reader.readBoolean();
         JobRequest job = readJob(reader);
         QueueDefinition queue = readQueue(reader);
-        return new JobOffered(new Offer(job, queue, origin, age, deadline, earlierRuns, terms, fromOwnDomain));
+        return new JobOffered(new Offer(job, queue, origin, number, age, deadline, earlierRuns, terms, fromOwnDomain));
     }
 
     private static EarlierRuns readEarlierRuns(FrameReader reader) throws MalformedFrameException {
--- a/tarragonarch-wire/src/test/java/org/tarragonarch/wire/FilledFrames.java
+++ b/tarragonarch-wire/src/test/java/org/tarragonarch/wire/FilledFrames.java
@@ -33,7 +33,9 @@
 import org.tarragonarch.model.task.FencingToken;
 import org.tarragonarch.model.task.JobId;
 import org.tarragonarch.model.task.JobRequest;
+import org.tarragonarch.model.task.JobVerdict;
 import org.tarragonarch.model.task.Offer;
+import org.tarragonarch.model.task.OfferNumber;
 import org.tarragonarch.model.task.OfferTerms;
 import org.tarragonarch.model.task.QueueDefinition;
 import org.tarragonarch.model.task.Resources;
@@ -134,11 +136,12 @@
         QueueDefinition queue = new QueueDefinition("q1", "h1", "/p1/", "s2", 1, 2, 1.5, 34);
         JobRequest job = new JobRequest(JOB, "t2", new TaskStep(3, new Resources(35, 36, 4), 37));
         EarlierRuns earlier = new EarlierRuns(38, ImmutableSet.of(FailureDomain.of("d6")));
-        return new JobOffered(new Offer(job, queue, NodeId.of("n4"), 39, 40, earlier, terms, fromOwnDomain));
+        return new JobOffered(
+                new Offer(job, queue, NodeId.of("n4"), OfferNumber.of(42), 39, 40, earlier, terms, fromOwnDomain));
     }
 
     private static JobSettled settled(Verdict verdict) {
-        return new JobSettled(JOB, verdict, 41);
+        return new JobSettled(new JobVerdict(JOB, OfferNumber.of(43), verdict, 41));
     }
 
     private static EndpointEntry entry(boolean draining, boolean cold) {
--- a/tarragonarch-wire/src/test/java/org/tarragonarch/wire/PlacingSamples.java
+++ b/tarragonarch-wire/src/test/java/org/tarragonarch/wire/PlacingSamples.java
@@ -17,7 +17,9 @@
 import org.tarragonarch.model.task.FencingToken;
 import org.tarragonarch.model.task.JobId;
 import org.tarragonarch.model.task.JobRequest;
+import org.tarragonarch.model.task.JobVerdict;
 import org.tarragonarch.model.task.Offer;
+import org.tarragonarch.model.task.OfferNumber;
 import org.tarragonarch.model.task.OfferTerms;
 import org.tarragonarch.model.task.QueueDefinition;
 import org.tarragonarch.model.task.Resources;
@@ -49,7 +51,7 @@
                 new StatusFrame(leaving),
                 new JobOffered(offer()),
                 new JobOffered(offerAtOnce()),
-                new JobSettled(JOB, Verdict.DECLINED, 250),
+                new JobSettled(new JobVerdict(JOB, OfferNumber.of(9), Verdict.DECLINED, 250)),
                 new JobWithdrawn(JOB),
                 new CancelAsked(JOB),
                 new CancelAnswered(JOB, true),
@@ -71,6 +73,15 @@
 
     private static Offer offerAtOnce() {
         Offer offer = offer();
-        return new Offer(offer.job(), offer.queue(), NODE, 0, 1_500, EarlierRuns.NONE, OfferTerms.AT_ONCE, false);
+        return new Offer(
+                offer.job(),
+                offer.queue(),
+                NODE,
+                OfferNumber.of(9),
+                0,
+                1_500,
+                EarlierRuns.NONE,
+                OfferTerms.AT_ONCE,
+                false);
     }
 }
