--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/Coordinator.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/Coordinator.java
@@ -217,6 +217,18 @@
         }
     }
 
+    /**
+     * Handles the loss of a connection with a peer that is not lost itself.
+     *
+     * @return whether the other connections with the peer must be replaced too: this node and the peer exchange jobs,
+     *     and a connection may have become silent without having closed
+     */
+    public boolean connectionLost(NodeId peer) {
+        router.connectionLost(peer);
+        ownership.connectionLost(peer);
+        return ownership.isHolding() || peers.isReachableHolder(peer);
+    }
+
     /** Records the loss of a peer; a peer that held jobs of this node's clients is sent a status. */
     public void peerLost(NodeId peer) {
         ownership.nodeLost(peer);
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/OriginMessages.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/OriginMessages.java
@@ -37,9 +37,10 @@
                         () -> events.settled(offer.origin(), offer.job().id(), Verdict.RETURNED, 0));
     }
 
-    /** Ends the jobs offered by a peer, except those that are still open there. */
+    /** Ends the jobs offered by a peer, except those that are still open there, and continues these. */
     public void openJobsReceived(NodeId origin, ImmutableSet<JobId> open) {
         ownership.placer().ifPresent(placer -> placer.retain(origin, open));
+        ownership.messageReceivedFrom(origin);
     }
 
     /** Ends a job that a peer has withdrawn. */
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/CancellingJobs.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/CancellingJobs.java
@@ -71,14 +71,12 @@
         }
     }
 
-    /** Removes all eviction marks and returns their jobs. */
-    ImmutableList<PlacedJob> removeEvicted() {
-        ImmutableList<PlacedJob> jobs = afterwards.entrySet().stream()
-                .filter(entry -> entry.getValue().isEmpty())
-                .map(entry -> cancelling.get(entry.getKey()))
-                .collect(ImmutableList.toImmutableList());
+    /** Removes all eviction marks and returns the jobs without a deferred offer. */
+    ImmutableList<PlacedJob> removeWithoutOffer() {
         afterwards.values().removeIf(Optional::isEmpty);
-        return jobs;
+        return cancelling.values().stream()
+                .filter(job -> !afterwards.containsKey(job.id()))
+                .collect(ImmutableList.toImmutableList());
     }
 
     /** Removes the eviction mark of a job that holds no capacity; returns whether it had one. */
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/JobLifecycle.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/JobLifecycle.java
@@ -3,7 +3,6 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
 import java.util.HashMap;
-import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Set;
 import org.tarragonarch.core.share.PoolShares;
@@ -28,7 +27,7 @@
     private final PlacerListener listener;
     private final Map<JobId, PlacedJob> jobs = new HashMap<>();
     private final CancellingJobs cancelling = new CancellingJobs();
-    private final Set<PlacedTask> awaitingOrigin = new LinkedHashSet<>();
+    private final TasksAwaitingOrigin awaitingOrigin = new TasksAwaitingOrigin();
     private final CompletionEstimator estimator;
     private final OfferAdmission admission;
     private final RecoveringJobs recovering;
@@ -111,29 +110,32 @@
 
     /** Keeps a task from starting until a message from the origin of its job arrives. */
     void awaitOrigin(PlacedTask task) {
-        task.markUnresolved();
         awaitingOrigin.add(task);
     }
 
+    /** Keeps the waiting tasks of an origin from starting until a message from it arrives on a new connection. */
+    void connectionLost(NodeId origin) {
+        jobs.values().stream()
+                .filter(job -> job.origin().equals(origin))
+                .flatMap(job -> job.tasks().stream())
+                .filter(PlacedTask::isWaiting)
+                .forEach(awaitingOrigin::add);
+    }
+
     /** Releases the tasks that wait for a message from this origin. */
     void messageReceivedFrom(NodeId origin) {
-        if (awaitingOrigin.isEmpty()) {
-            return;
-        }
-        for (PlacedTask task : ImmutableList.copyOf(awaitingOrigin)) {
-            PlacedJob job = task.job();
-            if (job.isOver()) {
-                awaitingOrigin.remove(task);
-            } else if (job.origin().equals(origin)) {
-                awaitingOrigin.remove(task);
-                task.markResolved();
-                requeue(job);
-            }
+        ImmutableSet<PlacedJob> released = awaitingOrigin.release(origin);
+        if (!released.isEmpty()) {
+            released.forEach(this::requeue);
+            starter.scheduleStart();
         }
-        starter.scheduleStart();
     }
 
-    /** Returns all jobs to their origins, because this node no longer holds a shard; see {@link Placer#close}. */
+    /**
+     * Returns all jobs to their origins, because this node no longer holds a shard; see {@link Placer#close}.
+     *
+     * <p>A job that is being stopped is returned too: its origin may have lost the connection, and offer it again.
+     */
     void returnAll() {
         ImmutableList<PlacedJob> returned = ImmutableList.copyOf(jobs.values());
         returned.forEach(this::forget);
@@ -141,7 +143,7 @@
             boolean mayRun = job.wasStarted() || job.hasUnresolvedTasks();
             listener.settled(job.origin(), job.id(), mayRun ? Verdict.HOLD_LOST : Verdict.RETURNED, 0);
         }
-        for (PlacedJob job : cancelling.removeEvicted()) {
+        for (PlacedJob job : cancelling.removeWithoutOffer()) {
             listener.settled(job.origin(), job.id(), Verdict.HOLD_LOST, 0);
         }
         for (Offer offer : cancelling.removeDeferred()) {
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/Placer.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/Placer.java
@@ -150,6 +150,16 @@
         jobs.originLost(origin);
     }
 
+    /**
+     * Keeps the waiting tasks of an origin from starting until the next message from it arrives.
+     *
+     * <p>Guards against a task that runs twice: the origin may have closed the connection because it took this node for
+     * lost, and the first message on the next one tells which of its jobs are still open here.
+     */
+    public void connectionLost(NodeId origin) {
+        jobs.connectionLost(origin);
+    }
+
     /** Records a message from a node, which shows that it still has open every job that it has not withdrawn. */
     public void messageReceivedFrom(NodeId origin) {
         jobs.messageReceivedFrom(origin);
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/routing/JobRouter.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/routing/JobRouter.java
@@ -14,6 +14,7 @@
 import org.tarragonarch.model.task.JobRequest;
 import org.tarragonarch.model.task.JobService;
 import org.tarragonarch.model.task.JobVerdict;
+import org.tarragonarch.model.task.Offer;
 import org.tarragonarch.model.task.QueueDefinition;
 import org.tarragonarch.model.task.Timers;
 import org.tarragonarch.model.task.Verdict;
@@ -113,14 +114,43 @@
         }
     }
 
-    /** Offers a job elsewhere after an offer of it was certainly not sent. */
+    /**
+     * Offers a job elsewhere after its offer was certainly not sent. An offer that was sent before, and could only not
+     * be sent again, is left to the next connection.
+     */
     public void offerNotSent(NodeId to, JobId id) {
         jobs.find(id).filter(job -> job.isHeldBy(to)).ifPresent(job -> {
-            job.markOfferNotSent();
-            placement.placeOrRefuse(job);
+            if (job.lastOffer().wasSentOnce()) {
+                job.markReturned();
+                placement.placeOrRefuse(job);
+            } else {
+                job.lastOffer().markMayBeLost();
+            }
         });
     }
 
+    /** Records that offers to a node, and verdicts on them, may have been lost with a connection. */
+    public void connectionLost(NodeId node) {
+        jobs.heldBy(node).forEach(job -> job.lastOffer().markMayBeLost());
+    }
+
+    /**
+     * Returns the offers that may have been lost with a connection, to be sent to the node on a new connection.
+     *
+     * <p>The holder continues a job that it has, repeats a verdict that it has given, and otherwise places the job.
+     */
+    public ImmutableList<Offer> offersToSendAgain(NodeId node) {
+        ImmutableList<Offer> offers = jobs.heldBy(node).stream()
+                .map(OpenJob::lastOffer)
+                .filter(SentOffer::mayBeLost)
+                .map(offer -> offer.sendAgain(timers.nowMillis()))
+                .collect(ImmutableList.toImmutableList());
+        if (!offers.isEmpty()) {
+            observer.offersSentAgain(node, offers.size());
+        }
+        return offers;
+    }
+
     /**
      * Handles the loss of a node; returns whether it held jobs of this node's clients.
      *
@@ -129,8 +159,7 @@
      * there.
      */
     public boolean nodeLost(NodeId node) {
-        ImmutableList<OpenJob> lost =
-                jobs.all().stream().filter(job -> job.isHeldBy(node)).collect(ImmutableList.toImmutableList());
+        ImmutableList<OpenJob> lost = jobs.heldBy(node);
         lost.forEach(placement::handleHolderLost);
         return !lost.isEmpty();
     }
@@ -167,10 +196,7 @@
 
     /** Returns the open jobs whose present holder is the given node, as far as this node knows. */
     public ImmutableSet<JobId> openJobsAt(NodeId holder) {
-        return jobs.all().stream()
-                .filter(job -> job.isHeldBy(holder))
-                .map(OpenJob::id)
-                .collect(ImmutableSet.toImmutableSet());
+        return jobs.heldBy(holder).stream().map(OpenJob::id).collect(ImmutableSet.toImmutableSet());
     }
 
     /** Returns whether any job has no holder. */
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/routing/JobTable.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/routing/JobTable.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
+import org.tarragonarch.model.id.NodeId;
 import org.tarragonarch.model.task.JobId;
 import org.tarragonarch.model.task.JobOutcome;
 import org.tarragonarch.model.task.JobProgress;
@@ -49,6 +50,11 @@
         return ImmutableList.copyOf(open.values());
     }
 
+    /** Returns the open jobs whose present holder is the given node, in order of arrival. */
+    ImmutableList<OpenJob> heldBy(NodeId node) {
+        return open.values().stream().filter(job -> job.isHeldBy(node)).collect(ImmutableList.toImmutableList());
+    }
+
     /** Answers a job and closes it. */
     void answer(OpenJob job, JobReply reply) {
         open.remove(job.id());
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/routing/OpenJob.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/routing/OpenJob.java
@@ -38,7 +38,7 @@
     private Optional<FormerHolders.FormerHolder> formerHolder = Optional.empty();
     private ImmutableSet<FailureDomain> shardsWithPossibleRuns = ImmutableSet.of();
     private final ImmediateStartOffers immediateStartOffers;
-    private Optional<OfferNumber> currentOffer = Optional.empty();
+    private Optional<SentOffer> lastOffer = Optional.empty();
     private boolean mayHaveRun;
     private long lostAtMillis;
     private long soonestRetryMillis = Long.MAX_VALUE;
@@ -95,12 +95,11 @@
             long maxRunMillisAfterLoss,
             OfferTerms terms,
             boolean toOwnDomain) {
-        currentOffer = Optional.of(number);
         EarlierRuns earlierRuns = lostHolder
                 .filter(lost -> lostAtMillis + maxRunMillisAfterLoss > nowMillis)
                 .map(lost -> new EarlierRuns(lostAtMillis + maxRunMillisAfterLoss - nowMillis, shardsWithPossibleRuns))
                 .orElse(EarlierRuns.NONE);
-        return new Offer(
+        Offer offer = new Offer(
                 request,
                 queue,
                 own,
@@ -110,6 +109,13 @@
                 earlierRuns,
                 terms,
                 toOwnDomain);
+        lastOffer = Optional.of(new SentOffer(offer, nowMillis));
+        return offer;
+    }
+
+    /** Returns the last offer; the job must have a holder. */
+    SentOffer lastOffer() {
+        return lastOffer.orElseThrow();
     }
 
     /**
@@ -155,9 +161,9 @@
         return holder.filter(current -> current.node().equals(node)).isPresent();
     }
 
-    /** Returns whether a node's verdict answers the current offer of this job, rather than an earlier one. */
+    /** Returns whether a node's verdict answers the last offer of this job, rather than an earlier one. */
     boolean isAnsweredBy(NodeId node, JobVerdict verdict) {
-        return isHeldBy(node) && currentOffer.filter(verdict.offer()::equals).isPresent();
+        return isHeldBy(node) && lastOffer().isAnsweredBy(verdict);
     }
 
     void markOfferedTo(Holder next) {
@@ -188,16 +194,11 @@
         holder = Optional.empty();
     }
 
-    /** Records that the offer was certainly not sent. */
-    void markOfferNotSent() {
-        holder = Optional.empty();
-    }
-
     /**
-     * Records that the holder returned the job without having started any of it.
+     * Records that the holder returned the job without having started any of it, or that the offer was not sent to it.
      *
-     * <p>The job is not offered to it again until holders change: a node that has released its shards still appears to
-     * hold them until its next status arrives.
+     * <p>The job is not offered to it again until holders change: a node that has released its shards, or has stopped,
+     * still appears to hold them until its next status arrives or its loss is detected.
      */
     void markReturned() {
         returnedBy = holder.map(Holder::node);
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/routing/RoutingObserver.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/routing/RoutingObserver.java
@@ -28,6 +28,9 @@
      */
     default void offeredAgain(JobId job, NodeId holder, long sinceLossMillis) {}
 
+    /** Called when offers that may have been lost with a connection are sent to a holder again. */
+    default void offersSentAgain(NodeId holder, int offers) {}
+
     /** Called when a job is withdrawn from its holder because no client waits for it. */
     default void clientsLeft(JobId job, NodeId holder) {}
 }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/PeerTable.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/PeerTable.java
@@ -41,19 +41,6 @@
     /** The time after which a peer that sends its status infrequently counts as lost; three missed and some slack. */
     public static final long DISTANT_SILENCE_MILLIS = 3 * DISTANT_PERIOD_MILLIS + 500;
 
-    /**
-     * The time within which the last statuses of peers must have arrived for their loss to count as simultaneous.
-     *
-     * <p>It consists of the longest period between two statuses and the time after which silence counts as a loss.
-     */
-    private static final long SIMULTANEOUS_LOSS_MILLIS = DISTANT_PERIOD_MILLIS + SILENCE_MILLIS;
-
-    /** A status that arrived this long after the last one of a silent holder was sent after the holder was lost. */
-    private static final long CONFIRMATION_MILLIS = 2 * STATUS_PERIOD_MILLIS;
-
-    /** The fewest simultaneous losses that indicate a partition rather than failures of single peers. */
-    private static final int PARTITION_MIN_PEERS = 3;
-
     private final Map<NodeId, LastStatus> peers = new TreeMap<>();
     private final Map<FailureDomain, FencingToken> highestTokens = new HashMap<>();
     private Optional<ImmutableList<NodeStatus>> holders = Optional.empty();
@@ -133,54 +120,25 @@
         return silent.build();
     }
 
-    /**
-     * Returns whether this node appears to be partitioned: no peer is reachable, and several fell silent together.
-     *
-     * <p>Several nodes rarely fail together, while a partitioned node loses all its peers at about the same time. Peers
-     * whose connections ended are not counted, since that indicates a killed process.
-     */
+    /** Returns whether this node appears to be partitioned; see {@link SilentPeers#isPartitioned}. */
     public boolean isPartitioned() {
-        return reachable().isEmpty() && countLastSilent(lost -> true) >= PARTITION_MIN_PEERS;
+        return reachable().isEmpty() && silentPeers().arePartition();
     }
 
-    /**
-     * Returns whether a holder fell silent and no reachable peer has sent a status since.
-     *
-     * <p>A partitioned node loses holders first, since their statuses are the most frequent. Peers that lose the holder
-     * too send a status at once, so a status received after the loss shows that this node is not partitioned.
-     */
+    /** Returns whether a holder fell silent and no reachable peer has sent a status since. */
     public boolean isHolderLossUnconfirmed() {
-        OptionalLong holderLastHeard = lastHeardMillis(
-                last -> last.fellSilent() && !last.status().shards().isEmpty());
-        OptionalLong peerLastHeard = lastHeardMillis(LastStatus::reachable);
-        return holderLastHeard.isPresent()
-                && peerLastHeard.isPresent()
-                && peerLastHeard.getAsLong() <= holderLastHeard.getAsLong() + CONFIRMATION_MILLIS;
+        return silentPeers().isHolderLossUnconfirmed();
     }
 
     /**
      * Returns whether a node of the failure domain is among the peers that fell silent last, at about the same time.
      */
     public boolean hasLastSilentPeerIn(FailureDomain domain) {
-        return countLastSilent(lost -> lost.status().domain().equals(domain)) > 0;
+        return silentPeers().hasLastOneIn(domain);
     }
 
-    /** Returns the number of matching peers among those that fell silent last, at about the same time. */
-    private long countLastSilent(Predicate<LastStatus> wanted) {
-        OptionalLong lastReceived = lastHeardMillis(LastStatus::fellSilent);
-        return peers.values().stream()
-                .filter(last -> last.fellSilent()
-                        && last.receivedAtMillis() >= lastReceived.orElseThrow() - SIMULTANEOUS_LOSS_MILLIS)
-                .filter(wanted)
-                .count();
-    }
-
-    /** Returns when the last status of the matching peers arrived, on the steady clock; empty if there is none. */
-    private OptionalLong lastHeardMillis(Predicate<LastStatus> wanted) {
-        return peers.values().stream()
-                .filter(wanted)
-                .mapToLong(LastStatus::receivedAtMillis)
-                .max();
+    private SilentPeers silentPeers() {
+        return new SilentPeers(peers.values());
     }
 
     /** Returns when the peer's last status arrived, on the steady clock; empty if there is none. */
@@ -189,6 +147,12 @@
         return last == null ? OptionalLong.empty() : OptionalLong.of(last.receivedAtMillis());
     }
 
+    /** Returns whether the peer is reachable and holds a shard. */
+    public boolean isReachableHolder(NodeId peer) {
+        LastStatus last = peers.get(peer);
+        return last != null && last.reachable() && !last.status().shards().isEmpty();
+    }
+
     /** Returns the last status of every reachable peer. */
     public ImmutableList<NodeStatus> reachable() {
         return statuses(last -> true);
@@ -269,13 +233,19 @@
     }
 
     private boolean isSilent(LastStatus last, long nowMillis) {
+        return frequentSilenceMillis(last, nowMillis) > SILENCE_MILLIS
+                || nowMillis - last.receivedAtMillis() > DISTANT_SILENCE_MILLIS;
+    }
+
+    /** Returns how long a peer has sent no status, in milliseconds; 0 if it need not send it frequently. */
+    private long frequentSilenceMillis(LastStatus last, long nowMillis) {
         if (!last.status().shards().isEmpty()) {
-            return nowMillis - last.receivedAtMillis() > SILENCE_MILLIS;
+            return nowMillis - last.receivedAtMillis();
         }
         if (expectsFrequent && shouldSendStatus(last.status())) {
-            return nowMillis - Math.max(last.receivedAtMillis(), frequentSinceMillis) > SILENCE_MILLIS;
+            return nowMillis - Math.max(last.receivedAtMillis(), frequentSinceMillis);
         }
-        return nowMillis - last.receivedAtMillis() > DISTANT_SILENCE_MILLIS;
+        return 0;
     }
 
     /** Returns whether the peer should send its status to this node, so that its silence indicates a loss. */
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/ShardOwnership.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/ShardOwnership.java
@@ -131,6 +131,11 @@
         placer.ifPresent(current -> current.messageReceivedFrom(node));
     }
 
+    /** Tells the placer that a connection with an origin was lost. */
+    public void connectionLost(NodeId node) {
+        placer.ifPresent(current -> current.connectionLost(node));
+    }
+
     /** Ends the jobs of an origin that was lost. */
     public void nodeLost(NodeId node) {
         placer.ifPresent(current -> current.originLost(node));
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/FakeCluster.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/FakeCluster.java
@@ -2,6 +2,7 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import java.util.function.Consumer;
 import org.tarragonarch.core.placing.FakeEndpoint;
 import org.tarragonarch.core.placing.FakeOrders;
 import org.tarragonarch.core.placing.Ledger;
@@ -17,6 +18,7 @@
 import org.tarragonarch.model.task.EndpointEntry;
 import org.tarragonarch.model.task.EndpointOrders;
 import org.tarragonarch.model.task.JobId;
+import org.tarragonarch.model.task.JobReply;
 import org.tarragonarch.model.task.JobRequest;
 import org.tarragonarch.model.task.JobService;
 import org.tarragonarch.model.task.QueueCatalog;
@@ -88,8 +90,13 @@
 
     /** Submits a job through a node. */
     JobService.Submission submit(FakeNode node, int job, int tasks) {
+        return submit(node, job, tasks, reply -> {});
+    }
+
+    /** Submits a job through a node for a client that handles the reply. */
+    JobService.Submission submit(FakeNode node, int job, int tasks, Consumer<JobReply> client) {
         TaskStep step = new TaskStep(tasks, new Resources(TASK_MILLI_CORES, 64, 0), RUN_MILLIS);
         JobRequest request = new JobRequest(new JobId(String.format("%016x", job)), "x", step);
-        return node.coordinator().router().submit(QUEUE, request, DEADLINE_MILLIS, reply -> {});
+        return node.coordinator().router().submit(QUEUE, request, DEADLINE_MILLIS, client);
     }
 }
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/FakeConnections.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/FakeConnections.java
@@ -15,14 +15,18 @@
  * Simulated connections between the nodes of a test that behave like the real transport: each node opens one to each
  * peer to which it sends, and every connection delivers in order.
  *
- * <p>A node is notified only when its last connection with a peer has closed.
+ * <p>A node is notified of each connection that closes. If that was the last one with a peer, the node reconnects, and
+ * is notified of the loss of the peer only if that fails.
  */
 final class FakeConnections {
     private static final long LATENCY_MILLIS = 1;
 
-    /** The real transport's first delay before it reconnects, in milliseconds. */
+    /** The real transport's delay before it reconnects after a failure, in milliseconds. */
     private static final long RECONNECT_MILLIS = 50;
 
+    /** The age of a connection after whose loss the real transport reconnects without a delay, in milliseconds. */
+    private static final long STABLE_MILLIS = 400;
+
     private final VirtualTimers timers;
     private final Map<NodeId, FakeNode> nodes = new LinkedHashMap<>();
     private final Map<Direction, Link> links = new HashMap<>();
@@ -42,15 +46,15 @@
 
     /** Sends on the sender's own connection to the peer, which is opened if necessary. */
     void send(NodeId from, NodeId to, Frame frame) {
-        link(from, to).send(frame);
+        execute(() -> link(from, to).send(frame));
     }
 
     /** Sends on any connection that is open at the sender; if there is none, the frame is lost. */
     void reply(NodeId from, NodeId to, Frame frame) {
-        connections.stream()
+        execute(() -> connections.stream()
                 .filter(connection -> connection.isOpenBetween(from, to))
                 .findFirst()
-                .ifPresent(connection -> connection.write(to, frame));
+                .ifPresent(connection -> connection.write(to, frame)));
     }
 
     /** Breaks the connection that one node has opened to another; frames in flight on it are lost. */
@@ -63,6 +67,12 @@
         link(from, to).connection.stalledUntilMillis = timers.nowMillis() + millis;
     }
 
+    /** Delays all frames on the present connection that one node has opened to another, and on those it opens later. */
+    void stallAll(NodeId from, NodeId to, long millis) {
+        stall(from, to, millis);
+        link(from, to).stalledUntilMillis = timers.nowMillis() + millis;
+    }
+
     /** Makes attempts to open a connection fail for the given time. */
     void refuseConnections(NodeId from, NodeId to, long millis) {
         link(from, to).refusedUntilMillis = timers.nowMillis() + millis;
@@ -70,28 +80,54 @@
 
     /** Closes a node's connections with a peer; the peer sees each close after the frames sent on it earlier. */
     void disconnect(NodeId node, NodeId peer) {
-        for (Connection connection : List.copyOf(connections)) {
-            if (connection.isOpenBetween(node, peer)) {
-                connection.deliver(peer, () -> connection.closeAt(peer));
-                connection.closeAt(node);
-            }
-        }
+        execute(() -> List.copyOf(connections).stream()
+                .filter(connection -> connection.isOpenBetween(node, peer))
+                .forEach(connection -> connection.closeFrom(node)));
+    }
+
+    /** Runs a task after the event at hand, like the real transport. */
+    private void execute(Runnable task) {
+        timers.schedule(0, task);
     }
 
     private Link link(NodeId from, NodeId to) {
         return links.computeIfAbsent(new Direction(from, to), Link::new);
     }
 
-    private void closed(Connection connection, NodeId node) {
+    private void closed(Connection connection, NodeId node, List<Connection> others) {
         NodeId peer = connection.otherThan(node);
         if (node.equals(connection.direction.from())) {
             link(node, peer).closed(connection);
         }
-        if (connections.stream().noneMatch(other -> other.isOpenBetween(node, peer))) {
-            nodes.get(node).disconnected(peer);
+        if (nodes.get(node).connectionLost(peer)) {
+            others.forEach(other -> other.closeFrom(node));
+        }
+        if (!isConnected(node, peer)) {
+            link(node, peer).reconnect();
         }
     }
 
+    private boolean isConnected(NodeId node, NodeId peer) {
+        return connections.stream().anyMatch(connection -> connection.isOpenBetween(node, peer));
+    }
+
+    /** Returns the other connections that a node has open with a peer from before the given one was replaced. */
+    private List<Connection> openedBeforeReplacementOf(Connection connection, NodeId node) {
+        List<Connection> others = new ArrayList<>();
+        boolean isLater = false;
+        for (Connection other : connections) {
+            if (other == connection) {
+                isLater = true;
+            } else if (other.isOpenBetween(node, connection.otherThan(node))) {
+                if (isLater && other.direction.equals(connection.direction)) {
+                    break;
+                }
+                others.add(other);
+            }
+        }
+        return others;
+    }
+
     /** The node that opens a connection, and its peer. */
     private record Direction(NodeId from, NodeId to) {}
 
@@ -109,7 +145,9 @@
         private final List<Frame> waiting = new ArrayList<>();
         private Connection connection;
         private boolean reconnectPending;
+        private boolean isPeerLost;
         private long refusedUntilMillis;
+        private long stalledUntilMillis;
 
         Link(Direction direction) {
             this.direction = direction;
@@ -127,10 +165,20 @@
         void closed(Connection closed) {
             if (connection == closed) {
                 connection = null;
-                connectLater();
+                if (timers.nowMillis() - closed.openedAtMillis > STABLE_MILLIS) {
+                    connectIfNeeded();
+                } else {
+                    connectLater();
+                }
             }
         }
 
+        /** Opens a connection even if no frame waits for one; the peer is lost if that fails. */
+        void reconnect() {
+            isPeerLost = true;
+            connectIfNeeded();
+        }
+
         private void connectLater() {
             reconnectPending = true;
             timers.schedule(RECONNECT_MILLIS, () -> {
@@ -140,20 +188,27 @@
         }
 
         private void connectIfNeeded() {
-            if (connection != null || reconnectPending || waiting.isEmpty()) {
+            if (connection != null || reconnectPending || waiting.isEmpty() && !isPeerLost) {
                 return;
             }
             List<Frame> frames = List.copyOf(waiting);
             waiting.clear();
+            FakeNode node = nodes.get(direction.from());
+            boolean wasLost = isPeerLost;
+            isPeerLost = false;
             if (timers.nowMillis() < refusedUntilMillis) {
-                frames.forEach(frame -> frame.undelivered().run());
                 connectLater();
+                frames.forEach(frame -> frame.undelivered().run());
+                if (wasLost && !isConnected(direction.from(), direction.to())) {
+                    node.disconnected(direction.to());
+                }
                 return;
             }
             connection = new Connection(direction);
+            connection.stalledUntilMillis = stalledUntilMillis;
             connections.add(connection);
             connection.open();
-            connection.write(direction.to(), nodes.get(direction.from()).firstFrame(direction.to()));
+            node.firstFrames(direction.to()).forEach(frame -> connection.write(direction.to(), frame));
             frames.forEach(frame -> connection.write(direction.to(), frame));
         }
     }
@@ -162,7 +217,9 @@
     private final class Connection {
         private final Direction direction;
         private final Set<NodeId> openAt = new HashSet<>();
+        private final long openedAtMillis = timers.nowMillis();
         private boolean broken;
+        private boolean hasDelivered;
         private long stalledUntilMillis;
 
         Connection(Direction direction) {
@@ -187,11 +244,33 @@
         void write(NodeId to, Frame frame) {
             deliver(to, () -> {
                 if (openAt.contains(to)) {
+                    closeEarlierIncoming(to);
                     frame.arrival().accept(nodes.get(to));
                 }
             });
         }
 
+        /** Closes the connections that the other end opened earlier, when it begins to send on this one. */
+        private void closeEarlierIncoming(NodeId node) {
+            if (hasDelivered || !node.equals(direction.to())) {
+                return;
+            }
+            hasDelivered = true;
+            List<Connection> earlier = connections.subList(0, connections.indexOf(this));
+            for (Connection other : List.copyOf(earlier)) {
+                if (other.direction.equals(direction) && other.openAt.contains(node)) {
+                    other.closeFrom(node);
+                }
+            }
+        }
+
+        /** Closes the connection at one end; the other end sees that after the frames sent earlier. */
+        void closeFrom(NodeId node) {
+            NodeId other = otherThan(node);
+            deliver(other, () -> closeAt(other));
+            closeAt(node);
+        }
+
         void deliver(NodeId to, Runnable arrival) {
             long millis = Math.max(LATENCY_MILLIS, stalledUntilMillis - timers.nowMillis());
             timers.schedule(millis, () -> {
@@ -208,8 +287,9 @@
         }
 
         void closeAt(NodeId node) {
+            List<Connection> others = openedBeforeReplacementOf(this, node);
             if (openAt.remove(node)) {
-                FakeConnections.this.closed(this, node);
+                FakeConnections.this.closed(this, node, others);
             }
         }
     }
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/FakeNode.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/FakeNode.java
@@ -1,5 +1,6 @@
 package org.tarragonarch.core.cluster;
 
+import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
 import org.tarragonarch.core.placing.PlacingSettings;
 import org.tarragonarch.core.shard.EndpointList;
@@ -73,7 +74,12 @@
         review();
     }
 
-    /** Handles the close of the last connection with a peer. */
+    /** Handles the close of a connection; returns whether the others with the same peer must be closed too. */
+    boolean connectionLost(NodeId peer) {
+        return coordinator.connectionLost(peer);
+    }
+
+    /** Handles the loss of a peer with which no connection is open and none can be opened. */
     void disconnected(NodeId peer) {
         if (coordinator.peers().recordConnectionLost(peer)) {
             lost(peer);
@@ -81,13 +87,15 @@
     }
 
     private void review() {
-        coordinator.peers().expire(timers.nowMillis()).forEach(this::lost);
+        coordinator.peers().expire(timers.nowMillis()).forEach(silent -> {
+            connections.disconnect(id, silent);
+            lost(silent);
+        });
         coordinator.review(isSettled());
         timers.schedule(PeerTable.STATUS_PERIOD_MILLIS / 2, this::review);
     }
 
     private void lost(NodeId peer) {
-        connections.disconnect(id, peer);
         coordinator.peerLost(peer);
         reviewShards();
     }
@@ -108,11 +116,17 @@
         coordinator.placeWaitingJobs();
     }
 
-    /** Returns the first frame on a connection to the peer, which lists this node's jobs that are open there. */
-    FakeConnections.Frame firstFrame(NodeId peer) {
+    /**
+     * Returns the first frames on a connection to the peer: a list of this node's jobs that are open there, and the
+     * offers that may have been lost.
+     */
+    ImmutableList<FakeConnections.Frame> firstFrames(NodeId peer) {
         ImmutableSet<JobId> open = coordinator.router().openJobsAt(peer);
-        return new FakeConnections.Frame(
-                receiver -> receiver.coordinator.originMessages().openJobsReceived(id, open), () -> {});
+        ImmutableList.Builder<FakeConnections.Frame> frames = ImmutableList.builder();
+        frames.add(new FakeConnections.Frame(
+                receiver -> receiver.coordinator.originMessages().openJobsReceived(id, open), () -> {}));
+        coordinator.router().offersToSendAgain(peer).forEach(offer -> frames.add(offered(peer, offer)));
+        return frames.build();
     }
 
     @Override
@@ -140,12 +154,13 @@
 
     @Override
     public void sendOffer(NodeId to, Offer offer) {
-        connections.send(
-                id,
-                to,
-                new FakeConnections.Frame(
-                        peer -> peer.coordinator.originMessages().offerReceived(offer),
-                        () -> coordinator.router().offerNotSent(to, offer.job().id())));
+        connections.send(id, to, offered(to, offer));
+    }
+
+    private FakeConnections.Frame offered(NodeId to, Offer offer) {
+        return new FakeConnections.Frame(
+                peer -> peer.coordinator.originMessages().offerReceived(offer),
+                () -> coordinator.router().offerNotSent(to, offer.job().id()));
     }
 
     /** Sends a withdrawal; as in the real node, an undelivered withdrawal is not retried. */
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/SeparatePoolsFixture.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/SeparatePoolsFixture.java
@@ -3,10 +3,12 @@
 import static org.tarragonarch.core.cluster.FakeCluster.HOBART;
 import static org.tarragonarch.core.cluster.FakeCluster.LAUNCESTON;
 
+import java.util.function.Consumer;
 import org.tarragonarch.core.placing.FakeEndpoint;
 import org.tarragonarch.core.placing.Ledger;
 import org.tarragonarch.core.placing.VirtualTimers;
 import org.tarragonarch.model.id.FailureDomain;
+import org.tarragonarch.model.task.JobReply;
 import org.tarragonarch.model.task.JobService;
 
 /**
@@ -59,4 +61,9 @@
     JobService.Submission submit(FakeNode node, int job, int tasks) {
         return cluster.submit(node, job, tasks);
     }
+
+    /** Submits a job through a node for a client that handles the reply. */
+    JobService.Submission submit(FakeNode node, int job, int tasks, Consumer<JobReply> client) {
+        return cluster.submit(node, job, tasks, client);
+    }
 }
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/routing/JobRouterTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/routing/JobRouterTest.java
@@ -5,6 +5,7 @@
 import static org.testng.Assert.assertTrue;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.Iterables;
 import java.util.ArrayList;
 import java.util.List;
 import org.tarragonarch.core.placing.VirtualTimers;
@@ -14,6 +15,7 @@
 import org.tarragonarch.model.task.JobRequest;
 import org.tarragonarch.model.task.JobService;
 import org.tarragonarch.model.task.JobVerdict;
+import org.tarragonarch.model.task.Offer;
 import org.tarragonarch.model.task.QueueDefinition;
 import org.tarragonarch.model.task.Resources;
 import org.tarragonarch.model.task.TaskStep;
@@ -350,4 +352,30 @@
         test.settled("a", Verdict.DONE, 0);
         assertEquals(test.replies, ImmutableList.of("DONE"));
     }
+
+    /** Guards against a job that waits until its deadline because its offer was lost with a connection. */
+    @Test
+    public void testConnectionLost_offerIsSentAgain() {
+        JobRouterTest test = offered(5_000);
+        assertEquals(test.router.offersToSendAgain(NodeId.of("a")), ImmutableList.of());
+        test.timers.advance(100);
+        test.router.connectionLost(NodeId.of("a"));
+        Offer again = Iterables.getOnlyElement(test.router.offersToSendAgain(NodeId.of("a")));
+        assertEquals(again.ageMillis(), 100);
+        assertEquals(again.deadlineMillis(), 4_900);
+        assertEquals(
+                again.number(), test.holders.verdictOn(JOB, Verdict.DONE, 0).offer());
+        assertEquals(test.router.offersToSendAgain(NodeId.of("a")), ImmutableList.of());
+    }
+
+    /** Guards against two runs of a job whose offer arrived although it could not be sent a second time. */
+    @Test
+    public void testOfferNotSent_afterItWasSentBefore() {
+        JobRouterTest test = offeredToTwo(5_000);
+        test.router.connectionLost(NodeId.of("a"));
+        test.router.offersToSendAgain(NodeId.of("a"));
+        test.router.offerNotSent(NodeId.of("a"), JOB);
+        assertEquals(test.holders.calls, ImmutableList.of("offer a"));
+        assertEquals(test.router.offersToSendAgain(NodeId.of("a")).size(), 1);
+    }
 }
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ClusterNode.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ClusterNode.java
@@ -18,7 +18,6 @@
 import org.tarragonarch.core.shard.PeerTable;
 import org.tarragonarch.core.shard.ShardPools;
 import org.tarragonarch.model.id.Address;
-import org.tarragonarch.model.id.ConfigurationVersion;
 import org.tarragonarch.model.id.Incarnation;
 import org.tarragonarch.model.id.NodeId;
 import org.tarragonarch.model.log.NodeEvent;
@@ -31,11 +30,7 @@
 import org.tarragonarch.model.task.JobId;
 import org.tarragonarch.model.task.JobVerdict;
 import org.tarragonarch.model.task.Offer;
-import org.tarragonarch.wire.CancelAsked;
-import org.tarragonarch.wire.ConfigurationAsked;
-import org.tarragonarch.wire.EndpointsAsked;
 import org.tarragonarch.wire.Hello;
-import org.tarragonarch.wire.NodesAsked;
 
 /**
  * A node on the users' platform.
@@ -65,6 +60,7 @@
     private final NodeMeters meters;
     private final Coordinator coordinator;
     private final PeerDiscovery discovery;
+    private final PeerRequests requests;
     private final EndpointRows endpointRows;
     private final RowStore store;
     private boolean leaving;
@@ -94,6 +90,7 @@
         this.store = new StoreClient(loop, settings.storeAddress());
         this.endpointRows = new EndpointRows(endpoints, coordinator::endpointsChanged, timers, log, meters);
         this.discovery = new PeerDiscovery(settings.member(), store, exchange, coordinator, timers, log);
+        this.requests = new PeerRequests(exchange, configuration, endpoints, discovery);
     }
 
     /** Opens the servers, those for clients last, and starts the work of the event loop. */
@@ -103,7 +100,7 @@
         NodeJobs jobs = new NodeJobs(
                 configuration,
                 coordinator.router(),
-                this::askPeersToCancel,
+                requests::askAllToCancel,
                 cancellations,
                 timers,
                 log,
@@ -166,6 +163,7 @@
 
     private void review() {
         for (NodeId silent : coordinator.peers().expire(timers.nowMillis())) {
+            exchange.disconnect(silent, "the peer was lost");
             handleLostPeer(silent, "silent");
         }
         coordinator.review(discovery.canClaimShards());
@@ -180,16 +178,8 @@
         }
     }
 
-    /** Asks every located node to cancel a job and returns how many nodes were asked. */
-    private int askPeersToCancel(JobId job) {
-        ImmutableList<Member> located = exchange.located();
-        located.forEach(peer -> exchange.send(peer.node(), new CancelAsked(job)));
-        return located.size();
-    }
-
     private void handleLostPeer(NodeId peer, String reason) {
         log.write(NodeEvent.PEER_LOST, "peer", peer, "reason", reason);
-        exchange.disconnect(peer, "the peer was lost");
         coordinator.peerLost(peer);
         reviewShards();
         endpointRows.adjustReads(coordinator.endpointListNeed());
@@ -201,20 +191,21 @@
         if (joined) {
             log.write(NodeEvent.PEER_JOINED, "peer", status.node(), "domain", status.domain());
         }
-        if (status.configurationVersion() > configuration.version()) {
-            ConfigurationVersion wanted = ConfigurationVersion.of(status.configurationVersion());
-            exchange.send(status.node(), new ConfigurationAsked(wanted));
-        }
-        if (endpoints.isEmpty() && joined) {
-            exchange.send(status.node(), new EndpointsAsked());
-        }
-        if (!discovery.isDirectoryComplete() && joined) {
-            exchange.send(status.node(), new NodesAsked());
-        }
+        requests.askSender(status, joined);
         reviewShards();
         coordinator.placeWaitingJobs();
     }
 
+    @Override
+    public boolean connectionLost(NodeId peer) {
+        return coordinator.connectionLost(peer);
+    }
+
+    @Override
+    public ImmutableList<Offer> offersToSendAgain(NodeId peer) {
+        return coordinator.router().offersToSendAgain(peer);
+    }
+
     @Override
     public void disconnected(NodeId peer) {
         if (coordinator.peers().recordConnectionLost(peer)) {
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/PeerExchange.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/PeerExchange.java
@@ -141,7 +141,7 @@
 
     @Override
     public void received(NodeId peer, Incarnation incarnation, Frame frame) {
-        incarnations.put(peer, incarnation);
+        recordIncarnation(peer, incarnation);
         if (frame instanceof StatusFrame status) {
             members.put(peer, status.status().member());
             handler.statusReceived(status.status());
@@ -172,9 +172,26 @@
         }
     }
 
+    /** Records the incarnation of a connected peer; the loss of an earlier one is reported first. */
+    private void recordIncarnation(NodeId peer, Incarnation incarnation) {
+        Incarnation before = incarnations.put(peer, incarnation);
+        if (before != null && !before.equals(incarnation)) {
+            handler.disconnected(peer);
+        }
+    }
+
+    @Override
+    public ImmutableList<Frame> firstFrames(NodeId peer, Incarnation incarnation) {
+        recordIncarnation(peer, incarnation);
+        ImmutableList.Builder<Frame> frames = ImmutableList.builder();
+        frames.add(new OpenJobs(handler.openJobsAt(peer)));
+        handler.offersToSendAgain(peer).stream().map(JobOffered::new).forEach(frames::add);
+        return frames.build();
+    }
+
     @Override
-    public Optional<Frame> firstFrame(NodeId peer) {
-        return Optional.of(new OpenJobs(handler.openJobsAt(peer)));
+    public boolean interrupted(NodeId peer, Incarnation incarnation) {
+        return incarnation.equals(incarnations.get(peer)) && handler.connectionLost(peer);
     }
 
     @Override
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/PeerFrameHandler.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/PeerFrameHandler.java
@@ -14,7 +14,14 @@
 interface PeerFrameHandler {
     void statusReceived(NodeStatus status);
 
-    /** Called when the last connection with the latest incarnation of a peer is closed. */
+    /**
+     * Called when a connection with the latest incarnation of a peer has closed.
+     *
+     * @return whether the other connections with the peer must be replaced too
+     */
+    boolean connectionLost(NodeId peer);
+
+    /** Called when the latest incarnation of a peer has no connection with this node and cannot be connected to. */
     void disconnected(NodeId peer);
 
     void offerReceived(Offer offer);
@@ -33,6 +40,9 @@
     /** Returns the jobs of this node's clients that are open at a peer. */
     ImmutableSet<JobId> openJobsAt(NodeId peer);
 
+    /** Returns the offers to send again to a peer on a new connection. */
+    ImmutableList<Offer> offersToSendAgain(NodeId peer);
+
     /** Cancels a job of this node and returns whether this node knew it. */
     boolean cancel(JobId job);
 
--- /dev/null
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/PeerRequests.java
@@ -0,0 +1,52 @@
+package org.tarragonarch.entry.cluster;
+
+import com.google.common.collect.ImmutableList;
+import org.tarragonarch.core.shard.EndpointList;
+import org.tarragonarch.model.id.ConfigurationVersion;
+import org.tarragonarch.model.report.Member;
+import org.tarragonarch.model.report.NodeStatus;
+import org.tarragonarch.model.task.JobId;
+import org.tarragonarch.wire.CancelAsked;
+import org.tarragonarch.wire.ConfigurationAsked;
+import org.tarragonarch.wire.EndpointsAsked;
+import org.tarragonarch.wire.NodesAsked;
+
+/** Asks peers for what this node lacks and the store has not given it. */
+final class PeerRequests {
+    private final PeerExchange exchange;
+    private final ConfigurationInForce configuration;
+    private final EndpointList endpoints;
+    private final PeerDiscovery discovery;
+
+    PeerRequests(
+            PeerExchange exchange,
+            ConfigurationInForce configuration,
+            EndpointList endpoints,
+            PeerDiscovery discovery) {
+        this.exchange = exchange;
+        this.configuration = configuration;
+        this.endpoints = endpoints;
+        this.discovery = discovery;
+    }
+
+    /** Asks every located node to cancel a job and returns how many nodes were asked. */
+    int askAllToCancel(JobId job) {
+        ImmutableList<Member> located = exchange.located();
+        located.forEach(peer -> exchange.send(peer.node(), new CancelAsked(job)));
+        return located.size();
+    }
+
+    /** Asks the sender of a status; for endpoints and nodes only if it has just become reachable. */
+    void askSender(NodeStatus status, boolean joined) {
+        if (status.configurationVersion() > configuration.version()) {
+            ConfigurationVersion wanted = ConfigurationVersion.of(status.configurationVersion());
+            exchange.send(status.node(), new ConfigurationAsked(wanted));
+        }
+        if (endpoints.isEmpty() && joined) {
+            exchange.send(status.node(), new EndpointsAsked());
+        }
+        if (!discovery.isDirectoryComplete() && joined) {
+            exchange.send(status.node(), new NodesAsked());
+        }
+    }
+}
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ShardLog.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ShardLog.java
@@ -101,6 +101,11 @@
         log.write(NodeEvent.JOB_OFFERED_AGAIN, "job", job, "holder", holder, "since-loss-ms", sinceLossMillis);
     }
 
+    @Override
+    public void offersSentAgain(NodeId holder, int offers) {
+        log.write(NodeEvent.OFFERS_SENT_AGAIN, "holder", holder, "offers", offers);
+    }
+
     @Override
     public void clientsLeft(JobId job, NodeId holder) {
         log.write(NodeEvent.JOB_CLIENTS_LEFT, "job", job, "holder", holder);
--- a/tarragonarch-entry/src/test/java/org/tarragonarch/entry/cluster/PeerExchangeTest.java
+++ b/tarragonarch-entry/src/test/java/org/tarragonarch/entry/cluster/PeerExchangeTest.java
@@ -6,17 +6,22 @@
 import com.google.common.collect.ImmutableSet;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Optional;
 import org.tarragonarch.model.id.Incarnation;
 import org.tarragonarch.model.id.NodeId;
 import org.tarragonarch.model.report.Member;
 import org.tarragonarch.model.report.NodeStatus;
+import org.tarragonarch.model.task.EarlierRuns;
 import org.tarragonarch.model.task.EndpointEntry;
 import org.tarragonarch.model.task.JobId;
+import org.tarragonarch.model.task.JobRequest;
 import org.tarragonarch.model.task.JobVerdict;
 import org.tarragonarch.model.task.Offer;
 import org.tarragonarch.model.task.OfferNumber;
+import org.tarragonarch.model.task.QueueDefinition;
+import org.tarragonarch.model.task.Resources;
+import org.tarragonarch.model.task.TaskStep;
 import org.tarragonarch.model.task.Verdict;
+import org.tarragonarch.wire.JobOffered;
 import org.tarragonarch.wire.JobSettled;
 import org.tarragonarch.wire.JobWithdrawn;
 import org.tarragonarch.wire.OpenJobs;
@@ -27,6 +32,9 @@
 public final class PeerExchangeTest {
     private static final NodeId PEER = NodeId.of("peer");
     private static final JobId JOB = new JobId("00000000000000aa");
+    private static final QueueDefinition QUEUE = new QueueDefinition("q", "h", "/p/", "s", 0, 3, 1.6, 60);
+    private static final JobRequest REQUEST = new JobRequest(JOB, "x", new TaskStep(1, new Resources(1, 1, 0), 60));
+    private static final Offer OFFER = new Offer(REQUEST, QUEUE, NodeId.of("own"), 0, 1_500, EarlierRuns.NONE);
 
     private final List<String> calls = new ArrayList<>();
     private final PeerExchange exchange = new PeerExchange(new RecordingHandler());
@@ -57,10 +65,33 @@
         assertEquals(calls, ImmutableList.of("open at peer [" + JOB + "]"));
     }
 
-    /** Guards against a connection on which a holder receives offers before the list of open jobs. */
+    /**
+     * Guards against a connection on which a holder receives offers before the list of open jobs, and against offers
+     * that stay lost with the connection before.
+     */
     @Test
-    public void testFirstFrame_openJobs() {
-        assertEquals(exchange.firstFrame(PEER), Optional.of(new OpenJobs(ImmutableSet.of(JOB))));
+    public void testFirstFrames_openJobsThenOffers() {
+        assertEquals(
+                exchange.firstFrames(PEER, Incarnation.of(1)),
+                ImmutableList.of(new OpenJobs(ImmutableSet.of(JOB)), new JobOffered(OFFER)));
+    }
+
+    /** Guards against a job that waits for a peer whose next incarnation knows nothing of it. */
+    @Test
+    public void testReceived_laterIncarnation() {
+        NodeId restarted = NodeId.of("restarted");
+        exchange.received(restarted, Incarnation.of(1), new JobWithdrawn(JOB));
+        exchange.received(restarted, Incarnation.of(2), new JobWithdrawn(JOB));
+        assertEquals(calls, ImmutableList.of("withdrawn by restarted", "disconnected", "withdrawn by restarted"));
+    }
+
+    /** Guards against offers that are sent to a restarted peer as if it had received them before. */
+    @Test
+    public void testFirstFrames_laterIncarnation() {
+        NodeId restarted = NodeId.of("restarted-again");
+        exchange.received(restarted, Incarnation.of(1), new JobWithdrawn(JOB));
+        exchange.firstFrames(restarted, Incarnation.of(2));
+        assertEquals(calls, ImmutableList.of("withdrawn by restarted-again", "disconnected"));
     }
 
     /** Records calls as text. */
@@ -70,6 +101,17 @@
             calls.add("status");
         }
 
+        @Override
+        public boolean connectionLost(NodeId peer) {
+            calls.add("connection lost");
+            return true;
+        }
+
+        @Override
+        public ImmutableList<Offer> offersToSendAgain(NodeId peer) {
+            return ImmutableList.of(OFFER);
+        }
+
         @Override
         public void disconnected(NodeId peer) {
             calls.add("disconnected");
--- a/tarragonarch-model/src/main/java/org/tarragonarch/model/log/NodeEvent.java
+++ b/tarragonarch-model/src/main/java/org/tarragonarch/model/log/NodeEvent.java
@@ -22,6 +22,8 @@
     JOB_HOLDER_LOST,
     /** A job whose holder was lost was offered again. */
     JOB_OFFERED_AGAIN,
+    /** Offers that may have been lost with a connection were sent to their holder again. */
+    OFFERS_SENT_AGAIN,
     /** No client waits for a job any more; it was withdrawn from its holder. */
     JOB_CLIENTS_LEFT,
     /** A holder recovered a job of an earlier holder; the line names the ground. */
--- a/tarragonarch-model/src/test/java/org/tarragonarch/model/log/OuterNamesTest.java
+++ b/tarragonarch-model/src/test/java/org/tarragonarch/model/log/OuterNamesTest.java
@@ -18,6 +18,7 @@
             "job-moved-back",
             "job-holder-lost",
             "job-offered-again",
+            "offers-sent-again",
             "job-clients-left",
             "job-recovered",
             "job-resubmitted",
--- a/tarragonarch-wire/src/main/java/org/tarragonarch/wire/PeerConnection.java
+++ b/tarragonarch-wire/src/main/java/org/tarragonarch/wire/PeerConnection.java
@@ -1,5 +1,6 @@
 package org.tarragonarch.wire;
 
+import com.google.common.collect.ImmutableList;
 import com.google.common.flogger.FluentLogger;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
@@ -131,12 +132,23 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext inactive) {
-        boolean last = registry.remove(this);
+        ImmutableList<PeerConnection> others = registry.openedBeforeReplacementOf(this);
+        boolean wasRegistered = registry.remove(this);
         queue.drain().forEach(this::returnUndelivered);
         owner.closed(this);
-        if (last) {
-            Hello closed = peerHello.orElseThrow();
-            listener.disconnected(closed.node(), closed.incarnation());
+        if (wasRegistered) {
+            handleInterruption(others);
+        }
+    }
+
+    private void handleInterruption(ImmutableList<PeerConnection> others) {
+        NodeId peer = peerHello.orElseThrow().node();
+        Incarnation run = peerHello.orElseThrow().incarnation();
+        if (listener.interrupted(peer, run)) {
+            others.forEach(other -> other.close("another connection with the peer was lost"));
+        }
+        if (registry.find(peer, run).isEmpty()) {
+            listener.disconnected(peer, run);
         }
     }
 
--- a/tarragonarch-wire/src/main/java/org/tarragonarch/wire/PeerLink.java
+++ b/tarragonarch-wire/src/main/java/org/tarragonarch/wire/PeerLink.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.Optional;
 import org.tarragonarch.model.id.Address;
+import org.tarragonarch.model.id.Incarnation;
 import org.tarragonarch.model.id.NodeId;
 
 /**
@@ -20,11 +21,13 @@
     private final PeerNetworkSettings settings;
     private final FrameQueue waiting;
     private Optional<PeerConnection> connection = Optional.empty();
+    private Optional<Incarnation> lastRun = Optional.empty();
     private boolean attempting;
     private boolean inBackoff;
     private boolean retired;
     private Duration backoff;
     private long lastUseNanos;
+    private long openedAtNanos;
 
     PeerLink(NodeId peer, Address address, PeerNetwork network, PeerNetworkSettings settings) {
         this.peer = peer;
@@ -58,6 +61,21 @@
         waiting.drain().forEach(this::returnUndelivered);
     }
 
+    /**
+     * Opens a connection even if there is nothing to send, because the last one with this incarnation has closed. If
+     * that fails, or another incarnation responds, the loss is reported.
+     *
+     * @return whether a connection will be attempted
+     */
+    boolean reconnect(Incarnation run) {
+        if (retired) {
+            return false;
+        }
+        lastRun = Optional.of(run);
+        connectIfNeeded();
+        return true;
+    }
+
     /** Closes the connection for good. */
     void retire(String reason) {
         retired = true;
@@ -75,11 +93,15 @@
         attempting = false;
         backoff = settings.firstBackoff();
         connection = Optional.of(opened);
+        openedAtNanos = System.nanoTime();
         if (retired) {
             opened.close("the link is retired");
             return;
         }
-        network.firstFrame(peer).ifPresent(opened::send);
+        Incarnation run = opened.peerHello().orElseThrow().incarnation();
+        lastRun.filter(last -> !last.equals(run)).ifPresent(last -> network.reportDisconnected(peer, last));
+        lastRun = Optional.empty();
+        network.firstFrames(peer, run).forEach(opened::send);
         waiting.drain().forEach(opened::send);
     }
 
@@ -89,12 +111,21 @@
             attemptFailed();
         } else if (connection.filter(current -> current == closed).isPresent()) {
             connection = Optional.empty();
-            retryLater();
+            boolean isStable =
+                    System.nanoTime() - openedAtNanos > settings.maxBackoff().toNanos();
+            if (isStable) {
+                connectIfNeeded();
+            } else {
+                retryLater();
+            }
         }
     }
 
     private void connectIfNeeded() {
-        if (connection.isPresent() || attempting || inBackoff || retired || waiting.isEmpty()) {
+        if (connection.isPresent() || attempting || inBackoff || retired) {
+            return;
+        }
+        if (waiting.isEmpty() && lastRun.isEmpty()) {
             return;
         }
         attempting = true;
@@ -108,8 +139,11 @@
 
     private void attemptFailed() {
         attempting = false;
+        Optional<Incarnation> lost = lastRun;
+        lastRun = Optional.empty();
         returnQueued();
         retryLater();
+        lost.ifPresent(run -> network.reportDisconnected(peer, run));
     }
 
     private void retryLater() {
--- a/tarragonarch-wire/src/main/java/org/tarragonarch/wire/PeerListener.java
+++ b/tarragonarch-wire/src/main/java/org/tarragonarch/wire/PeerListener.java
@@ -1,6 +1,6 @@
 package org.tarragonarch.wire;
 
-import java.util.Optional;
+import com.google.common.collect.ImmutableList;
 import org.tarragonarch.model.id.Incarnation;
 import org.tarragonarch.model.id.NodeId;
 
@@ -25,14 +25,26 @@
     default void undelivered(NodeId peer, Frame frame) {}
 
     /**
-     * Returns the frame to send before all others on a connection that this node has opened to the peer.
+     * Returns the frames to send before all others on a connection that this node has opened to the peer.
      *
      * <p>Called once for each connection, after the peer's hello has been checked.
      */
-    default Optional<Frame> firstFrame(NodeId peer) {
-        return Optional.empty();
+    default ImmutableList<Frame> firstFrames(NodeId peer, Incarnation run) {
+        return ImmutableList.of();
     }
 
-    /** Called when the last connection to an incarnation of the peer has closed. */
+    /**
+     * Called when a connection with the peer has closed, after its unsent frames were returned. Frames that either end
+     * has written to it may be lost.
+     *
+     * @return whether the other connections with the peer must be replaced too, because they may have become silent
+     */
+    default boolean interrupted(NodeId peer, Incarnation run) {
+        return false;
+    }
+
+    /**
+     * Called when the last connection to an incarnation of the peer has closed and this node could not open a new one.
+     */
     default void disconnected(NodeId peer, Incarnation run) {}
 }
--- a/tarragonarch-wire/src/main/java/org/tarragonarch/wire/PeerNetwork.java
+++ b/tarragonarch-wire/src/main/java/org/tarragonarch/wire/PeerNetwork.java
@@ -56,7 +56,8 @@
         this.listener = listener;
         this.settings = settings;
         this.registry = new PeerRegistry(own);
-        this.channels = new PeerChannels(group, own, registry, listener, settings);
+        this.channels =
+                new PeerChannels(group, own, registry, new ReconnectingListener(listener, this::reconnect), settings);
     }
 
     /**
@@ -193,8 +194,21 @@
         thread.schedule(task, wait.toMillis(), TimeUnit.MILLISECONDS);
     }
 
-    Optional<EncodedFrame> firstFrame(NodeId peer) {
-        return listener.firstFrame(peer).map(EncodedFrame::of);
+    ImmutableList<EncodedFrame> firstFrames(NodeId peer, Incarnation run) {
+        return listener.firstFrames(peer, run).stream().map(EncodedFrame::of).collect(ImmutableList.toImmutableList());
+    }
+
+    /** Reports the loss of an incarnation unless the peer has opened a connection itself. */
+    void reportDisconnected(NodeId peer, Incarnation run) {
+        if (registry.find(peer, run).isEmpty()) {
+            listener.disconnected(peer, run);
+        }
+    }
+
+    /** Starts to open a new connection to an incarnation of a peer; returns whether frames are sent to the peer. */
+    private boolean reconnect(NodeId peer, Incarnation run) {
+        PeerLink link = links.get(peer);
+        return link != null && link.reconnect(run);
     }
 
     void returnUndelivered(NodeId peer, EncodedFrame frame) {
@@ -279,15 +293,4 @@
     private static InetSocketAddress socketAddress(Address address) {
         return new InetSocketAddress(InetAddresses.forString(address.ip()), address.port());
     }
-
-    /** The owner of incoming connections, which does nothing: the other end reopens the connection when needed. */
-    private enum IncomingOwner implements ConnectionOwner {
-        INSTANCE;
-
-        @Override
-        public void opened(PeerConnection connection) {}
-
-        @Override
-        public void closed(PeerConnection connection) {}
-    }
 }
--- a/tarragonarch-wire/src/main/java/org/tarragonarch/wire/PeerRegistry.java
+++ b/tarragonarch-wire/src/main/java/org/tarragonarch/wire/PeerRegistry.java
@@ -75,11 +75,35 @@
         return ImmutableList.copyOf(open.get(peer));
     }
 
-    /** Removes a connection; returns whether it was the last one to its incarnation of the peer. */
+    /** Removes a connection; returns whether it was registered. */
     boolean remove(PeerConnection connection) {
         Optional<Hello> hello = connection.peerHello();
-        return hello.isPresent()
-                && open.remove(hello.get().node(), connection)
-                && find(hello.get().node(), hello.get().incarnation()).isEmpty();
+        return hello.isPresent() && open.remove(hello.get().node(), connection);
+    }
+
+    /**
+     * Returns the other connections with the same incarnation that were open before the given one was replaced.
+     *
+     * <p>The end that opened a connection replaces it by a later one, and both ends close what was open before that.
+     */
+    ImmutableList<PeerConnection> openedBeforeReplacementOf(PeerConnection connection) {
+        Optional<Hello> hello = connection.peerHello();
+        if (hello.isEmpty()) {
+            return ImmutableList.of();
+        }
+        ImmutableList.Builder<PeerConnection> others = ImmutableList.builder();
+        boolean isLater = false;
+        for (PeerConnection other : connectionsWith(hello.get().node())) {
+            boolean isReplacement = isLater && other.isIncoming() == connection.isIncoming();
+            if (isReplacement) {
+                break;
+            }
+            if (other == connection) {
+                isLater = true;
+            } else if (other.belongsTo(hello.get().incarnation())) {
+                others.add(other);
+            }
+        }
+        return others.build();
     }
 }
--- a/tarragonarch-wire/src/test/java/org/tarragonarch/wire/PeerReconnectTest.java
+++ b/tarragonarch-wire/src/test/java/org/tarragonarch/wire/PeerReconnectTest.java
@@ -98,6 +98,69 @@
         }
     }
 
+    /** Guards against frames that are written to a silent connection after another with the same peer was lost. */
+    @Test
+    public void testClosed_otherConnectionIsReplaced() throws Exception {
+        hobart.replacesOthers = true;
+        try (ServerSocket server = RawPeer.listen();
+                RawPeer incoming = RawPeer.connect(network.address()).send(PEER_HELLO, MARKER)) {
+            assertEquals(hobart.awaitReceived().frame(), MARKER);
+            network.send(DEVONPORT, RawPeer.addressOf(server), LATER);
+            try (RawPeer outgoing = RawPeer.accept(server).send(PEER_HELLO)) {
+                assertEquals(hobart.awaitConnectionEvent(), "connected to devonport-1 5");
+                assertEquals(firstFrame(server, outgoing), LATER);
+                incoming.close();
+                assertEquals(hobart.awaitConnectionEvent(), "interrupted devonport-1 5");
+                outgoing.hellosBeforeClose();
+            }
+        }
+    }
+
+    /** Guards against a live peer that counts as lost because every connection with it was reset. */
+    @Test
+    public void testClosed_peerIsConnectedToAgain() throws Exception {
+        try (ServerSocket server = RawPeer.listen()) {
+            network.send(DEVONPORT, RawPeer.addressOf(server), LATER);
+            RawPeer.accept(server).send(PEER_HELLO).close();
+            assertEquals(hobart.awaitConnectionEvent(), "connected to devonport-1 5");
+            assertEquals(hobart.awaitConnectionEvent(), "interrupted devonport-1 5");
+            try (RawPeer again = RawPeer.accept(server).send(PEER_HELLO)) {
+                assertEquals(hobart.awaitConnectionEvent(), "connected to devonport-1 5");
+                assertEquals(again.read(), Samples.HOBART);
+            }
+        }
+    }
+
+    /** Guards against a killed peer whose loss is not reported. */
+    @Test
+    public void testClosed_peerRefusesConnections() throws Exception {
+        try (ServerSocket server = RawPeer.listen()) {
+            network.send(DEVONPORT, RawPeer.addressOf(server), LATER);
+            RawPeer peer = RawPeer.accept(server).send(PEER_HELLO);
+            assertEquals(hobart.awaitConnectionEvent(), "connected to devonport-1 5");
+            server.close();
+            peer.close();
+            assertEquals(hobart.awaitConnectionEvent(), "interrupted devonport-1 5");
+            assertEquals(hobart.awaitConnectionEvent(), "disconnected devonport-1 5");
+        }
+    }
+
+    /** Guards against a restarted peer that is taken for the incarnation which had the jobs of this node. */
+    @Test
+    public void testClosed_laterIncarnationResponds() throws Exception {
+        try (ServerSocket server = RawPeer.listen()) {
+            network.send(DEVONPORT, RawPeer.addressOf(server), LATER);
+            RawPeer.accept(server).send(PEER_HELLO).close();
+            assertEquals(hobart.awaitConnectionEvent(), "connected to devonport-1 5");
+            assertEquals(hobart.awaitConnectionEvent(), "interrupted devonport-1 5");
+            try (RawPeer again = RawPeer.accept(server).send(Samples.hello("devonport-1", 6))) {
+                assertEquals(hobart.awaitConnectionEvent(), "disconnected devonport-1 5");
+                assertEquals(hobart.awaitConnectionEvent(), "connected to devonport-1 6");
+                assertEquals(again.read(), Samples.HOBART);
+            }
+        }
+    }
+
     /**
      * Disconnects the peer and waits until the network's thread has done so: the next task of the thread returns the
      * marker as undelivered. A frame that the disconnect returns before the marker is recorded again for the test.
--- a/tarragonarch-wire/src/test/java/org/tarragonarch/wire/RecordingListener.java
+++ b/tarragonarch-wire/src/test/java/org/tarragonarch/wire/RecordingListener.java
@@ -2,6 +2,7 @@
 
 import static org.testng.Assert.assertNotNull;
 
+import com.google.common.collect.ImmutableList;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -14,6 +15,10 @@
 
     private final BlockingQueue<Received> received = new LinkedBlockingQueue<>();
     private final BlockingQueue<Frame> undelivered = new LinkedBlockingQueue<>();
+    private final BlockingQueue<String> connectionEvents = new LinkedBlockingQueue<>();
+
+    /** Whether the other connections with a peer are replaced after one is lost. */
+    volatile boolean replacesOthers;
 
     /** A received frame with its sender. */
     record Received(NodeId peer, Incarnation run, Frame frame) {}
@@ -28,6 +33,30 @@
         undelivered.add(frame);
     }
 
+    @Override
+    public ImmutableList<Frame> firstFrames(NodeId peer, Incarnation run) {
+        connectionEvents.add("connected to " + peer + " " + run);
+        return ImmutableList.of();
+    }
+
+    @Override
+    public boolean interrupted(NodeId peer, Incarnation run) {
+        connectionEvents.add("interrupted " + peer + " " + run);
+        return replacesOthers;
+    }
+
+    @Override
+    public void disconnected(NodeId peer, Incarnation run) {
+        connectionEvents.add("disconnected " + peer + " " + run);
+    }
+
+    /** Returns the next connection that this node opened, or the next loss of a connection or of a peer. */
+    String awaitConnectionEvent() throws InterruptedException {
+        String next = connectionEvents.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+        assertNotNull(next, "no connection opened or lost");
+        return next;
+    }
+
     Received awaitReceived() throws InterruptedException {
         Received next = received.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS);
         assertNotNull(next, "no frame received");
