Give a job back to a lost holder that has returned

What callers saw: after both connections between a node and a holder went silent, each took the other for lost. A moment later they had new ones, but the job waited 1.35 s for the end of runs that the holder had stopped long before. Cause: to the job's node, a lost holder that is heard again was a stranger: only a successor under a newer token, or the end of the lease, counted. The holder itself knows every run that it has started. Change: a holder that still has a shard under the token of the offer may be offered the job at once. It continues the job, waits for the runs that it is stopping, or starts it afresh. Runs of a holder that was lost before that one keep their time (testNodeLost_returnedHolderHadJobOfEarlierLostHolder).

--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/JobLifecycle.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/JobLifecycle.java
@@ -131,11 +131,7 @@
         }
     }
 
-    /**
-     * Returns all jobs to their origins, because this node no longer holds a shard; see {@link Placer#close}.
-     *
-     * <p>A job that is being stopped is returned too: its origin may have lost the connection, and offer it again.
-     */
+    /** Returns all jobs to their origins, also those being stopped, which may be offered again; see {@link Placer#close}. */
     void returnAll() {
         ImmutableList<PlacedJob> returned = ImmutableList.copyOf(jobs.values());
         returned.forEach(this::forget);
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/routing/Holder.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/routing/Holder.java
@@ -44,6 +44,20 @@
         return lost.shards().stream().allMatch(this::holdsUnderNewerToken);
     }
 
+    /**
+     * Returns whether this is a holder that was considered lost and has kept a shard all the time. It knows every run
+     * that it has started.
+     */
+    boolean hasReturned(Holder lost) {
+        return node.equals(lost.node()) && lost.shards().stream().anyMatch(this::holdsUnderSameToken);
+    }
+
+    private boolean holdsUnderSameToken(HeldShard lost) {
+        return shards.stream()
+                .anyMatch(held ->
+                        held.domain().equals(lost.domain()) && held.token().equals(lost.token()));
+    }
+
     private boolean holdsUnderNewerToken(HeldShard lost) {
         return shards.stream()
                 .filter(held -> held.domain().equals(lost.domain()))
--- /dev/null
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/routing/HolderLoss.java
@@ -0,0 +1,18 @@
+package org.tarragonarch.core.routing;
+
+import com.google.common.collect.ImmutableSet;
+import org.tarragonarch.model.id.FailureDomain;
+
+/**
+ * The loss of the holder of a job.
+ *
+ * @param holder the lost holder
+ * @param shards the shards on which runs of the job may be
+ * @param atMillis the time of the loss on the steady clock
+ */
+record HolderLoss(Holder holder, ImmutableSet<FailureDomain> shards, long atMillis) {
+    /** Returns how long runs of the job may still continue, in milliseconds; 0 if they are over. */
+    long remainingRunMillis(long nowMillis, long maxRunMillisAfterLoss) {
+        return Math.max(0, atMillis + maxRunMillisAfterLoss - nowMillis);
+    }
+}
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/routing/OpenJob.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/routing/OpenJob.java
@@ -23,8 +23,6 @@
 
 /** A job of this node's clients that is not answered yet. */
 final class OpenJob {
-    private static final long LONG_AGO_MILLIS = Long.MIN_VALUE / 2;
-
     private final JobRequest request;
     private final QueueDefinition queue;
     private final long arrivedAtMillis;
@@ -32,15 +30,14 @@
     private final List<Consumer<JobReply>> clients = new ArrayList<>();
     private final Set<NodeId> declinedBy = new HashSet<>();
     private Optional<Holder> holder = Optional.empty();
-    private Optional<Holder> lostHolder = Optional.empty();
+    private Optional<HolderLoss> loss = Optional.empty();
+    private Optional<HolderLoss> lossBefore = Optional.empty();
     private Optional<NodeId> lastHolder = Optional.empty();
     private Optional<NodeId> returnedBy = Optional.empty();
     private Optional<FormerHolders.FormerHolder> formerHolder = Optional.empty();
-    private ImmutableSet<FailureDomain> shardsWithPossibleRuns = ImmutableSet.of();
     private final ImmediateStartOffers immediateStartOffers;
     private Optional<SentOffer> lastOffer = Optional.empty();
     private boolean mayHaveRun;
-    private long lostAtMillis;
     private long soonestRetryMillis = Long.MAX_VALUE;
 
     OpenJob(JobRequest request, QueueDefinition queue, long arrivedAtMillis, long deadlineAtMillis) {
@@ -95,9 +92,8 @@
             long maxRunMillisAfterLoss,
             OfferTerms terms,
             boolean toOwnDomain) {
-        EarlierRuns earlierRuns = lostHolder
-                .filter(lost -> lostAtMillis + maxRunMillisAfterLoss > nowMillis)
-                .map(lost -> new EarlierRuns(lostAtMillis + maxRunMillisAfterLoss - nowMillis, shardsWithPossibleRuns))
+        EarlierRuns earlierRuns = loss.filter(lost -> lost.remainingRunMillis(nowMillis, maxRunMillisAfterLoss) > 0)
+                .map(lost -> new EarlierRuns(lost.remainingRunMillis(nowMillis, maxRunMillisAfterLoss), lost.shards()))
                 .orElse(EarlierRuns.NONE);
         Offer offer = new Offer(
                 request,
@@ -166,7 +162,17 @@
         return isHeldBy(node) && lastOffer().isAnsweredBy(verdict);
     }
 
+    /**
+     * Records the next holder.
+     *
+     * <p>A lost holder that has returned knows what became of its own runs, so only those of earlier holders may still
+     * be in progress unnoticed.
+     */
     void markOfferedTo(Holder next) {
+        if (loss.filter(lost -> next.hasReturned(lost.holder())).isPresent()) {
+            loss = lossBefore;
+            lossBefore = Optional.empty();
+        }
         formerHolder = Optional.empty();
         holder = Optional.of(next);
         lastHolder = Optional.of(next.node());
@@ -186,11 +192,10 @@
      * @param shards the shards on which runs of the job may be
      */
     void markHolderLost(ImmutableSet<FailureDomain> shards, long nowMillis) {
-        shardsWithPossibleRuns = shards;
         declinedBy.clear();
         mayHaveRun = true;
-        lostAtMillis = nowMillis;
-        lostHolder = holder;
+        lossBefore = loss;
+        loss = holder.map(lost -> new HolderLoss(lost, shards, nowMillis));
         holder = Optional.empty();
     }
 
@@ -225,9 +230,8 @@
     void markEvicted() {
         holder.ifPresent(by -> declinedBy.add(by.node()));
         holder = Optional.empty();
-        lostHolder = Optional.empty();
-        shardsWithPossibleRuns = ImmutableSet.of();
-        lostAtMillis = LONG_AGO_MILLIS;
+        loss = Optional.empty();
+        lossBefore = Optional.empty();
         mayHaveRun = true;
     }
 
@@ -237,7 +241,7 @@
 
     /** Returns the time since the last holder was lost, in milliseconds; empty if none was lost. */
     OptionalLong sinceLossMillis(long nowMillis) {
-        return lostHolder.isPresent() ? OptionalLong.of(nowMillis - lostAtMillis) : OptionalLong.empty();
+        return loss.isPresent() ? OptionalLong.of(nowMillis - loss.get().atMillis()) : OptionalLong.empty();
     }
 
     /** Returns whether the job may be offered to the holder now. */
@@ -249,11 +253,13 @@
         if (declinedBy.contains(candidate.node()) || isReturnedBy(candidate) || mayRunElsewhere) {
             return false;
         }
-        if (!mayHaveRun || nowMillis >= lostAtMillis + maxRunMillisAfterLoss) {
+        if (loss.isEmpty() || loss.get().remainingRunMillis(nowMillis, maxRunMillisAfterLoss) == 0) {
             return true;
         }
-        return holders.hasNewestTokens(candidate, shardsWithPossibleRuns)
-                && lostHolder.filter(candidate::isSuccessorOf).isPresent();
+        Holder lost = loss.get().holder();
+        return candidate.hasReturned(lost)
+                || candidate.isSuccessorOf(lost)
+                        && holders.hasNewestTokens(candidate, loss.get().shards());
     }
 
     /** Returns whether the job may be offered to the holder later although it may not be now. */
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/routing/JobRouterTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/routing/JobRouterTest.java
@@ -353,6 +353,43 @@
         assertEquals(test.replies, ImmutableList.of("DONE"));
     }
 
+    /** Guards against a job that waits for the end of its runs although the lost holder has returned and knows them. */
+    @Test
+    public void testNodeLost_holderReturnsUnderSameToken() {
+        JobRouterTest test = offeredToTwo(5_000);
+        Holder holder = test.holders.holders.remove(0);
+        test.router.nodeLost(NodeId.of("a"));
+        test.timers.advance(100);
+        test.holders.holders.add(0, holder);
+        test.router.holdersChanged();
+        assertEquals(test.holders.calls, ImmutableList.of("offer a", "offer a"));
+        test.settled("a", Verdict.DECLINED, 300);
+        assertEquals(test.holders.calls, ImmutableList.of("offer a", "offer a", "offer b"));
+    }
+
+    /** Guards against a job that is said not to have run although the returned holder had started it. */
+    @Test
+    public void testNodeLost_returnedHolderDeclines() {
+        JobRouterTest test = offered(5_000);
+        test.router.nodeLost(NodeId.of("a"));
+        test.router.holdersChanged();
+        test.settled("a", Verdict.DECLINED, 300);
+        assertEquals(test.replies, ImmutableList.of("GIVEN_UP"));
+    }
+
+    /** Guards against two runs: a returned holder does not know the runs of the holder that was lost before it. */
+    @Test
+    public void testNodeLost_returnedHolderHadJobOfEarlierLostHolder() {
+        JobRouterTest test = offered(5_000);
+        test.holders.holders.clear();
+        test.router.nodeLost(NodeId.of("a"));
+        test.holders.add("b", "hobart", 2);
+        test.router.holdersChanged();
+        test.timers.advance(100);
+        test.router.nodeLost(NodeId.of("b"));
+        assertEquals(test.holders.calls, ImmutableList.of("offer a", "offer b over in 1050", "offer b over in 950"));
+    }
+
     /** Guards against a job that waits until its deadline because its offer was lost with a connection. */
     @Test
     public void testConnectionLost_offerIsSentAgain() {
