Replace the connections with a peer whose status is overdue

Cause: each node knows from its own timer only whether it hears the other. A node whose connection to a holder is silent still hears the holder by the holder's own connection, so it goes on sending offers into the silent one until the idle timeout, 6.8 s. The holder hears nothing, takes the node for lost after 0.7 s and ends its jobs, and tells nobody. Where the holder's connection is the silent one, the node loses a holder that is well. Change: a status that is expected every 0.2 s and is 0.4 s old is overdue. The node closes its connections with that peer once, and reconnects. A close that arrives over the one that is not silent makes the peer do the same, so each fault is seen by the end that hears, 0.3 s before either takes the other for lost. A peer that does not respond is lost after 0.7 s as before. The log says peer-overdue.

--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/JobLifecycle.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/JobLifecycle.java
@@ -131,7 +131,7 @@
         }
     }
 
-    /** Returns all jobs to their origins, also those being stopped, which may be offered again; see {@link Placer#close}. */
+    /** Returns all jobs to their origins, also those being stopped, which may be offered again. */
     void returnAll() {
         ImmutableList<PlacedJob> returned = ImmutableList.copyOf(jobs.values());
         returned.forEach(this::forget);
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/PeerTable.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/PeerTable.java
@@ -27,6 +27,12 @@
     /** The period at which a node sends its status to peers that need it frequently, in milliseconds. */
     public static final long STATUS_PERIOD_MILLIS = 200;
 
+    /**
+     * The time without a status after which the connections with a peer that sends it frequently are replaced, in
+     * milliseconds: they may have become silent. The peer then has time to connect before it counts as lost.
+     */
+    public static final long OVERDUE_MILLIS = 2 * STATUS_PERIOD_MILLIS;
+
     /**
      * The longest time between the moments at which two nodes detect that they have lost each other, in milliseconds.
      *
@@ -60,7 +66,8 @@
         status.shards().forEach(held -> recordClaim(held.domain(), held.token()));
         peers.put(
                 status.node(),
-                new LastStatus(status, nowMillis, joined ? nowMillis : before.reachableSinceMillis(), true, false));
+                new LastStatus(
+                        status, nowMillis, joined ? nowMillis : before.reachableSinceMillis(), true, false, false));
         return joined;
     }
 
@@ -105,6 +112,18 @@
         expectsFrequent = frequent;
     }
 
+    /** Returns the reachable peers whose frequent status is overdue, each once until its next status arrives. */
+    public ImmutableList<NodeId> takeOverdue(long nowMillis) {
+        ImmutableList.Builder<NodeId> overdue = ImmutableList.builder();
+        for (LastStatus last : ImmutableList.copyOf(peers.values())) {
+            if (last.reachable() && !last.overdue() && frequentSilenceMillis(last, nowMillis) > OVERDUE_MILLIS) {
+                peers.put(last.status().node(), last.asOverdue());
+                overdue.add(last.status().node());
+            }
+        }
+        return overdue.build();
+    }
+
     /** Marks peers that have been silent for too long as lost, and returns those whose status was expected. */
     public ImmutableList<NodeId> expire(long nowMillis) {
         ImmutableList.Builder<NodeId> silent = ImmutableList.builder();
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/FakeNode.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/FakeNode.java
@@ -87,6 +87,7 @@
     }
 
     private void review() {
+        coordinator.peers().takeOverdue(timers.nowMillis()).forEach(overdue -> connections.disconnect(id, overdue));
         coordinator.peers().expire(timers.nowMillis()).forEach(silent -> {
             connections.disconnect(id, silent);
             lost(silent);
--- a/tarragonarch-ctl/src/test/java/org/tarragonarch/ctl/explain/OuterNamesTest.java
+++ b/tarragonarch-ctl/src/test/java/org/tarragonarch/ctl/explain/OuterNamesTest.java
@@ -91,6 +91,7 @@
             "shard-resigned",
             "shard-fenced",
             "peer-joined",
+            "peer-overdue",
             "peer-lost",
             "store-lost",
             "store-rows-unusable",
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ClusterNode.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ClusterNode.java
@@ -162,6 +162,10 @@
     }
 
     private void review() {
+        for (NodeId overdue : coordinator.peers().takeOverdue(timers.nowMillis())) {
+            log.write(NodeEvent.PEER_OVERDUE, "peer", overdue);
+            exchange.disconnect(overdue, "its status is overdue");
+        }
         for (NodeId silent : coordinator.peers().expire(timers.nowMillis())) {
             exchange.disconnect(silent, "the peer was lost");
             handleLostPeer(silent, "silent");
--- a/tarragonarch-model/src/main/java/org/tarragonarch/model/log/NodeEvent.java
+++ b/tarragonarch-model/src/main/java/org/tarragonarch/model/log/NodeEvent.java
@@ -52,6 +52,8 @@
     SHARD_FENCED,
     /** A peer has become reachable. */
     PEER_JOINED,
+    /** A peer's status is overdue; the connections with it are replaced, since they may have become silent. */
+    PEER_OVERDUE,
     /** A peer is no longer reachable. */
     PEER_LOST,
     /** A table of the platform's store cannot be read. */
--- a/tarragonarch-model/src/test/java/org/tarragonarch/model/OuterNamesTest.java
+++ b/tarragonarch-model/src/test/java/org/tarragonarch/model/OuterNamesTest.java
@@ -100,6 +100,7 @@
                         "shard-resigned",
                         "shard-fenced",
                         "peer-joined",
+                        "peer-overdue",
                         "peer-lost",
                         "store-lost",
                         "store-rows-unusable",
