Count an endpoint whose entry was overwritten as departed

What callers saw: nothing yet; the postmortem of tasks that run twice lists it as suspected. A new holder could start a task again that still runs on an endpoint whose entry another program has written over and that cannot write its own. Change: an overwritten entry counts as departed until the endpoint restores its own. Shown by EndpointListTest#testInDomainWithDeparted_overwritten: without the change it finds no endpoint for one.

--- a/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/Cluster.java
+++ b/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/Cluster.java
@@ -70,7 +70,7 @@
                 false);
         double speed = shape.speeds().get(endpoints.size() % shape.speeds().size());
         endpoints.put(entry.id(), new ModelEndpoint(time, entry, domain, speed, taskProfiles));
-        endpointList.recordListed(entry);
+        endpointList.recordListed(entry, 0);
     }
 
     FailureDomain domain(int number) {
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/EndpointList.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/EndpointList.java
@@ -53,9 +53,9 @@
      * <p>An entry of an earlier incarnation than the latest known is dropped. An entry without a start time, for an
      * endpoint whose start time is known, comes from another writer and removes the endpoint from the list.
      */
-    public boolean recordListed(EndpointEntry entry) {
+    public boolean recordListed(EndpointEntry entry, long nowMillis) {
         if (incarnations.lacksKnownStart(entry.incarnation())) {
-            return recordOverwritten(entry.id());
+            return recordOverwritten(entry.id(), nowMillis);
         }
         return recordUnlessSuperseded(entry);
     }
@@ -104,11 +104,11 @@
      * Removes an endpoint whose entry another writer has overwritten; returns whether it was listed.
      *
      * <p>The entry no longer describes the endpoint, so no task starts there until the endpoint's next heartbeat
-     * restores its own entry.
+     * restores its own entry. Until then it counts as departed, since it may not reach the store and run on.
      */
-    public boolean recordOverwritten(EndpointId id) {
+    public boolean recordOverwritten(EndpointId id, long nowMillis) {
         missingUntilMillis.remove(id);
-        return entries.remove(id) != null;
+        return remove(id, nowMillis);
     }
 
     /** Replaces the whole list by the entries read from the store; returns whether it changed. */
@@ -116,7 +116,7 @@
         boolean changed = false;
         Set<EndpointId> missing = new HashSet<>(entries.keySet());
         for (EndpointEntry entry : listed) {
-            changed |= recordListed(entry);
+            changed |= recordListed(entry, nowMillis);
             missing.remove(entry.id());
         }
         for (EndpointId id : missing) {
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/CoordinatorTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/CoordinatorTest.java
@@ -78,14 +78,16 @@
         coordinator.applyConfiguration(QueueCatalog.of(1, ImmutableList.of(queue)));
         for (int i = 0; i < count; i++) {
             FailureDomain domain = i % 2 == 0 ? HOBART : LAUNCESTON;
-            endpoints.recordListed(new EndpointEntry(
-                    EndpointId.of("w-" + i),
-                    "board",
-                    new Address("10.0.1.1", 80),
-                    domain,
-                    false,
-                    new Resources(1, 1, 0),
-                    false));
+            endpoints.recordListed(
+                    new EndpointEntry(
+                            EndpointId.of("w-" + i),
+                            "board",
+                            new Address("10.0.1.1", 80),
+                            domain,
+                            false,
+                            new Resources(1, 1, 0),
+                            false),
+                    0);
         }
         coordinator.endpointsChanged();
     }
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/FakeCluster.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/FakeCluster.java
@@ -70,7 +70,8 @@
 
     private void list(String name, String service, FailureDomain domain) {
         Address address = new Address("10.0.1.1", 80);
-        listed.recordListed(new EndpointEntry(EndpointId.of(name), service, address, domain, false, CAPACITY, false));
+        listed.recordListed(
+                new EndpointEntry(EndpointId.of(name), service, address, domain, false, CAPACITY, false), 0);
     }
 
     /**
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/shard/EndpointListStabilityTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/shard/EndpointListStabilityTest.java
@@ -29,8 +29,8 @@
         EndpointList endpoints = new EndpointList();
         endpoints.setServices(ImmutableSet.of("s"));
         EndpointListStability stability = new EndpointListStability(endpoints);
-        endpoints.recordListed(entry("w-1"));
-        endpoints.recordListed(entry("w-2"));
+        endpoints.recordListed(entry("w-1"), 0);
+        endpoints.recordListed(entry("w-2"), 0);
         stability.update(SHARDS, 0);
         assertFalse(stability.isStable(HOBART, 1_900));
         assertTrue(stability.isStable(HOBART, 2_000));
@@ -38,10 +38,10 @@
         endpoints.recordUnlisted(EndpointId.of("w-2"), 10_000);
         stability.update(SHARDS, 10_000);
         assertFalse(stability.isStable(HOBART, 20_000));
-        endpoints.recordListed(entry("w-1"));
+        endpoints.recordListed(entry("w-1"), 0);
         stability.update(SHARDS, 20_000);
         assertFalse(stability.isStable(HOBART, 20_100));
-        endpoints.recordListed(entry("w-2"));
+        endpoints.recordListed(entry("w-2"), 0);
         stability.update(SHARDS, 21_500);
         assertTrue(stability.isStable(HOBART, 23_500));
     }
@@ -50,7 +50,7 @@
     public void testIsStable_storeUnreadable() {
         EndpointList endpoints = new EndpointList();
         endpoints.setServices(ImmutableSet.of("s"));
-        endpoints.recordListed(entry("w-1"));
+        endpoints.recordListed(entry("w-1"), 0);
         EndpointListStability stability = new EndpointListStability(endpoints);
         stability.update(SHARDS, 0);
         endpoints.recordStoreLost();
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/shard/EndpointListTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/shard/EndpointListTest.java
@@ -42,7 +42,7 @@
     @Test
     public void testRecordUnlisted_storeReadable() {
         EndpointList list = list();
-        list.recordListed(entry("w"));
+        list.recordListed(entry("w"), 0);
         assertTrue(list.recordUnlisted(EndpointId.of("w"), 100));
         assertTrue(list.isEmpty());
     }
@@ -51,13 +51,13 @@
     @Test
     public void testRecordUnlisted_afterOutage() {
         EndpointList list = list();
-        list.recordListed(entry("back"));
-        list.recordListed(entry("gone"));
+        list.recordListed(entry("back"), 0);
+        list.recordListed(entry("gone"), 0);
         list.recordStoreLost();
         list.recordStoreRegained(10_000);
         assertFalse(list.recordUnlisted(EndpointId.of("back"), 10_010));
         assertFalse(list.recordUnlisted(EndpointId.of("gone"), 10_010));
-        list.recordListed(entry("back"));
+        list.recordListed(entry("back"), 0);
         assertFalse(list.expire(12_000));
         assertEquals(list.inDomain(HOBART).size(), 2);
         assertTrue(list.expire(12_600));
@@ -68,7 +68,7 @@
     @Test
     public void testInDomainWithDeparted_removedEntry() {
         EndpointList list = list();
-        list.recordListed(entry("w"));
+        list.recordListed(entry("w"), 0);
         list.recordUnlisted(EndpointId.of("w"), 100);
         assertEquals(list.inDomain(HOBART), ImmutableList.of());
         assertEquals(
@@ -82,7 +82,7 @@
     @Test
     public void testInDomainWithDeparted_unknownService() {
         EndpointList list = list();
-        list.recordListed(entry("w", "unknown"));
+        list.recordListed(entry("w", "unknown"), 0);
         list.recordUnlisted(EndpointId.of("w"), 100);
         assertEquals(list.inDomainWithDeparted(HOBART), ImmutableList.of());
     }
@@ -91,9 +91,9 @@
     @Test
     public void testInDomainWithDeparted_listedAgain() {
         EndpointList list = list();
-        list.recordListed(entry("w"));
+        list.recordListed(entry("w"), 0);
         list.recordUnlisted(EndpointId.of("w"), 100);
-        list.recordListed(entry("w"));
+        list.recordListed(entry("w"), 0);
         assertEquals(list.inDomainWithDeparted(HOBART), ImmutableList.of(entry("w")));
     }
 
@@ -101,7 +101,7 @@
     @Test
     public void testInDomainWithDeparted_announced() {
         EndpointList list = list();
-        list.recordListed(entry("w").asDraining());
+        list.recordListed(entry("w").asDraining(), 0);
         list.recordUnlisted(EndpointId.of("w"), 100);
         assertEquals(list.inDomainWithDeparted(HOBART), ImmutableList.of());
     }
@@ -109,8 +109,8 @@
     @Test
     public void testRecordListed_sameEntryTwice() {
         EndpointList list = new EndpointList();
-        assertTrue(list.recordListed(entry("w")));
-        assertFalse(list.recordListed(entry("w")));
+        assertTrue(list.recordListed(entry("w"), 0));
+        assertFalse(list.recordListed(entry("w"), 0));
     }
 
     private static EndpointEntry started(long startedMillis) {
@@ -121,12 +121,12 @@
     @Test
     public void testRecordListed_earlierIncarnation() {
         EndpointList list = list();
-        assertTrue(list.recordListed(started(2_000)));
-        assertFalse(list.recordListed(started(1_000)));
+        assertTrue(list.recordListed(started(2_000), 0));
+        assertFalse(list.recordListed(started(1_000), 0));
         assertFalse(list.recordFromPeer(started(1_000)));
         assertFalse(list.replaceAll(ImmutableList.of(started(1_000)), 100));
         assertEquals(list.inDomain(HOBART), ImmutableList.of(started(2_000)));
-        assertTrue(list.recordListed(started(3_000)));
+        assertTrue(list.recordListed(started(3_000), 0));
         assertEquals(list.inDomain(HOBART), ImmutableList.of(started(3_000)));
     }
 
@@ -134,31 +134,50 @@
     @Test
     public void testRecordListed_earlierIncarnationWhileUnlisted() {
         EndpointList list = list();
-        list.recordListed(started(2_000));
+        list.recordListed(started(2_000), 0);
         list.recordUnlisted(EndpointId.of("w"), 100);
-        assertFalse(list.recordListed(started(1_000)));
+        assertFalse(list.recordListed(started(1_000), 0));
         assertTrue(list.isEmpty());
-        assertTrue(list.recordListed(started(2_000)));
+        assertTrue(list.recordListed(started(2_000), 0));
     }
 
     /** Guards against accepting an entry of another writer, which lacks the start time, as the endpoint's own. */
     @Test
     public void testRecordListed_withoutKnownStart() {
         EndpointList list = list();
-        list.recordListed(started(2_000));
-        assertTrue(list.recordListed(entry("w")));
+        list.recordListed(started(2_000), 0);
+        assertTrue(list.recordListed(entry("w"), 0));
         assertTrue(list.isEmpty());
-        assertTrue(list.recordListed(started(2_000)));
+        assertTrue(list.recordListed(started(2_000), 0));
         assertFalse(list.recordFromPeer(entry("w")));
         assertEquals(list.inDomain(HOBART), ImmutableList.of(started(2_000)));
     }
 
+    /** Guards against a task that runs twice on an endpoint whose entry is overwritten and which cannot restore it. */
+    @Test
+    public void testInDomainWithDeparted_overwritten() {
+        EndpointList list = list();
+        list.recordListed(started(2_000), 0);
+        list.recordOverwritten(EndpointId.of("w"), 100);
+        assertEquals(list.inDomain(HOBART), ImmutableList.of());
+        assertEquals(
+                list.inDomainWithDeparted(HOBART),
+                ImmutableList.of(started(2_000).asDraining()));
+        list.recordListed(started(2_000), 200);
+        list.replaceAll(ImmutableList.of(entry("w")), 300);
+        assertEquals(
+                list.inDomainWithDeparted(HOBART),
+                ImmutableList.of(started(2_000).asDraining()));
+        list.recordListed(started(2_000), 400);
+        assertEquals(list.inDomainWithDeparted(HOBART), ImmutableList.of(started(2_000)));
+    }
+
     /** Guards against using an endpoint whose entry, by another writer, names a service that is not configured. */
     @Test
     public void testInDomain_unknownService() {
         EndpointList list = list();
-        list.recordListed(entry("w"));
-        list.recordListed(entry("foreign", "elsewhere"));
+        list.recordListed(entry("w"), 0);
+        list.recordListed(entry("foreign", "elsewhere"), 0);
         assertEquals(list.inDomain(HOBART), ImmutableList.of(entry("w")));
         list.setServices(ImmutableSet.of("s", "elsewhere"));
         assertEquals(list.inDomain(HOBART).size(), 2);
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/shard/ShardPoolsTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/shard/ShardPoolsTest.java
@@ -27,8 +27,10 @@
         for (int i = from; i <= to; i++) {
             FailureDomain domain = i % 2 == 0 ? HOBART : LAUNCESTON;
             Resources capacity = new Resources(16_000, 32_768, 0);
-            endpoints.recordListed(new EndpointEntry(
-                    EndpointId.of("w-" + i), "s", new Address("10.0.0.1", 80), domain, false, capacity, false));
+            endpoints.recordListed(
+                    new EndpointEntry(
+                            EndpointId.of("w-" + i), "s", new Address("10.0.0.1", 80), domain, false, capacity, false),
+                    0);
         }
         pools.review();
     }
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/EndpointRows.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/EndpointRows.java
@@ -73,8 +73,7 @@
         for (StoreRow row : page.rows()) {
             Optional<EndpointEntry> entry = read(row);
             entry.ifPresent(entries::add);
-            changed |=
-                    entry.isEmpty() && id(row).map(endpoints::recordOverwritten).orElse(false);
+            changed |= entry.isEmpty() && id(row).map(this::overwritten).orElse(false);
         }
         changed |= endpoints.replaceAll(entries.build(), timers.nowMillis());
         if (changed) {
@@ -102,7 +101,11 @@
             return endpoints.recordUnlisted(id.get(), timers.nowMillis());
         }
         Optional<EndpointEntry> entry = read(row);
-        return entry.isPresent() ? endpoints.recordListed(entry.get()) : endpoints.recordOverwritten(id.get());
+        return entry.isPresent() ? endpoints.recordListed(entry.get(), timers.nowMillis()) : overwritten(id.get());
+    }
+
+    private boolean overwritten(EndpointId id) {
+        return endpoints.recordOverwritten(id, timers.nowMillis());
     }
 
     @Override
