Test a suspended origin whose client has submitted its job elsewhere

The postmortem of tasks that run twice lists as suspected that a node which resumes from a suspension offers a job that its client has sent again through another node. The run rules it out where the node reads the close of its client's connection before it has a new connection to the holder: no task runs twice, and the later submission runs on. The fake transport takes the time of a connect and of the hellos for that, as the real one does.

--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/SeparatePoolsTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/SeparatePoolsTest.java
@@ -196,6 +196,37 @@
         test.assertNeverTwoRuns();
     }
 
+    /**
+     * Guards against two runs of a job whose origin was suspended, and offers it again when it resumes, although its
+     * client has left and has submitted it through another node.
+     */
+    @Test
+    public void testOriginSuspended_clientHasSubmittedJobElsewhere() {
+        SeparatePoolsTest test = new SeparatePoolsTest();
+        SeparatePoolsFixture cluster = test.cluster;
+        test.job = cluster.submit(cluster.hobartNode, JOB, 1);
+        cluster.timers.advance(100);
+        for (FakeNode other : ImmutableList.of(cluster.hobartHolder, cluster.launcestonHolder)) {
+            cluster.connections.stall(cluster.hobartNode.id(), other.id(), SUSPENDED_MILLIS);
+            cluster.connections.stall(other.id(), cluster.hobartNode.id(), SUSPENDED_MILLIS);
+            cluster.connections.refuseConnections(other.id(), cluster.hobartNode.id(), SUSPENDED_MILLIS);
+        }
+        cluster.hobartMachine.suspend(SUSPENDED_MILLIS);
+        cluster.timers.advance(CLIENT_PAUSE_MILLIS);
+        assertEquals(cluster.hobartEndpoint.running(), 0);
+        cluster.submit(cluster.hobartHolder, FILLER, SeparatePoolsFixture.TASKS_PER_ENDPOINT);
+        cluster.timers.advance(50);
+        cluster.submit(cluster.hobartHolder, JOB, 1);
+        cluster.timers.advance(100);
+        assertEquals(cluster.launcestonEndpoint.running(), 1);
+        cluster.timers.advance(SUSPENDED_MILLIS - CLIENT_PAUSE_MILLIS - 150);
+        // A resumed node reads what has arrived, the close of its client's connection included, before it connects.
+        test.job.clientLeft();
+        cluster.timers.advance(1_000);
+        test.assertNeverTwoRuns();
+        assertEquals(cluster.launcestonEndpoint.running(), 1);
+    }
+
     /** Guards against a job that waits until its deadline because its offer was lost with the connection. */
     @Test
     public void testOffer_connectionBreaksUnderTheOffer() {
