Test a released shard whose next holder renews the lease of its runs

The postmortem of tasks that run twice suspects (H4) that a holder of several shards which gives up one starts its tasks elsewhere while the next holder's polls keep their runs alive. Two tests rule it out by a run: the shard is claimed at every 20 ms of 1.1 s after its release, with all stops of the next holder arriving, and with all lost for 2 s. The tasks start elsewhere each time (8 starts for 6 tasks), and none runs twice.

--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/PlacerHandOverTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/PlacerHandOverTest.java
@@ -43,6 +43,44 @@
         assertEquals(fixture.ledger.violations(), ImmutableList.of());
     }
 
+    /** Guards against tasks that start elsewhere while the next holder of their shard renews the lease of their runs. */
+    @Test
+    public void testRelease_nextHolderRenewsLeaseOfRuns() {
+        assertEquals(playReleases(0), ImmutableList.of());
+    }
+
+    /** The same, while the next holder's orders to stop these runs are lost. */
+    @Test
+    public void testRelease_nextHolderRenewsLeaseOfRunsAndStopsAreLost() {
+        assertEquals(playReleases(2_000), ImmutableList.of());
+    }
+
+    /** Releases one of two shards with runs, lets it be claimed after various times, and returns what ran twice. */
+    private static ImmutableList<String> playReleases(long stopsLostMillis) {
+        ImmutableList.Builder<String> broken = ImmutableList.builder();
+        for (long claimedAfterMillis = 0; claimedAfterMillis < 1_100; claimedAfterMillis += 20) {
+            PlacerFixture fixture = PlacerFixture.running(3, 500);
+            fixture.endpoint(3).runMillis = 5_000;
+            Placer placer = fixture.placerOfTwoShards(1, 3);
+            fixture.timers.advance(20);
+            placer.offer(PlacerFixture.firstOffer(1, 6, 500));
+            fixture.timers.advance(20);
+            assertEquals(fixture.endpoint(3).running(), 2);
+            placer.release(PlacerFixture.SECOND_SHARD);
+            fixture.timers.advance(claimedAfterMillis);
+            long lostUntilMillis = fixture.timers.nowMillis() + stopsLostMillis;
+            fixture.orders.stopFault =
+                    () -> fixture.timers.nowMillis() < lostUntilMillis ? FakeOrders.Fault.LOST : FakeOrders.Fault.NONE;
+            fixture.placerOfEndpoint(3, 2);
+            fixture.timers.advance(4_000);
+            assertEquals(fixture.ledger.starts(), 8);
+            if (!fixture.ledger.violations().isEmpty()) {
+                broken.add("claimed after " + claimedAfterMillis + " ms: " + fixture.ledger.violations());
+            }
+        }
+        return broken.build();
+    }
+
     /** The release of the last shard gives every job back to its origin, which offers it to the next holder. */
     @Test
     public void testRelease_lastShardGivesJobsBack() {
