Let the next holder of a released shard have a job of its own in the test of renewed leases

A holder renews the leases on an endpoint only while it has a run there, so the test without one showed too little. With a job offered to the next holder at each claim, and its stops lost for 2 s or not, no task runs twice: it starts nothing on an endpoint before the runs that nobody claimed are over.

--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/PlacerHandOverTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/PlacerHandOverTest.java
@@ -55,7 +55,10 @@
         assertEquals(playReleases(2_000), ImmutableList.of());
     }
 
-    /** Releases one of two shards with runs, lets it be claimed after various times, and returns what ran twice. */
+    /**
+     * Releases one of two shards with a run, lets another holder claim it after various times and offers that holder a
+     * job of its own; returns what ran twice.
+     */
     private static ImmutableList<String> playReleases(long stopsLostMillis) {
         ImmutableList.Builder<String> broken = ImmutableList.builder();
         for (long claimedAfterMillis = 0; claimedAfterMillis < 1_100; claimedAfterMillis += 20) {
@@ -63,17 +66,19 @@
             fixture.endpoint(3).runMillis = 5_000;
             Placer placer = fixture.placerOfTwoShards(1, 3);
             fixture.timers.advance(20);
-            placer.offer(PlacerFixture.firstOffer(1, 6, 500));
+            placer.offer(PlacerFixture.firstOffer(1, 5, 500));
             fixture.timers.advance(20);
-            assertEquals(fixture.endpoint(3).running(), 2);
+            assertEquals(fixture.endpoint(3).running(), 1);
             placer.release(PlacerFixture.SECOND_SHARD);
             fixture.timers.advance(claimedAfterMillis);
             long lostUntilMillis = fixture.timers.nowMillis() + stopsLostMillis;
             fixture.orders.stopFault =
                     () -> fixture.timers.nowMillis() < lostUntilMillis ? FakeOrders.Fault.LOST : FakeOrders.Fault.NONE;
-            fixture.placerOfEndpoint(3, 2);
+            Placer next = fixture.placerOfEndpoint(3, 2);
+            fixture.timers.advance(20);
+            next.offer(PlacerFixture.patientOffer(2, 1, 5_000));
             fixture.timers.advance(4_000);
-            assertEquals(fixture.ledger.starts(), 8);
+            assertEquals(fixture.ledger.starts(), 7);
             if (!fixture.ledger.violations().isEmpty()) {
                 broken.add("claimed after " + claimedAfterMillis + " ms: " + fixture.ledger.violations());
             }
