Give up a connection attempt whose hello is not answered

Cause: by reading, in the search for the same fault elsewhere. A connection that goes silent before the hellos were exchanged counted as an attempt under way until the idle timeout, 6.8 s, and all frames to that peer waited for it. Change: an attempt without a hello after two connect timeouts is closed, and its frames are returned as undelivered. Shown by PeerReconnectTest#testConnect_noHello, whose idle timeout is 60 s. The table of received offers keeps 16 s at 4,000 jobs a second, so that no offer is forgotten before its verdict.

--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/ReceivedOffers.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/ReceivedOffers.java
@@ -16,10 +16,10 @@
  *
  * <p>Offers are idempotent: one that its origin sends again, because it or the verdict may have been lost with a
  * connection, gets the same verdict again. The number of jobs is bounded: at 4,000 jobs per second, a holder remembers
- * those of the last 4 s.
+ * those of the last 16 s, which is longer than clients wait.
  */
 final class ReceivedOffers {
-    private static final int MAX_JOBS = 16_384;
+    private static final int MAX_JOBS = 65_536;
 
     private final Timers timers;
     private final long maxRunMillisAfterLoss;
--- a/tarragonarch-wire/src/main/java/org/tarragonarch/wire/PeerLink.java
+++ b/tarragonarch-wire/src/main/java/org/tarragonarch/wire/PeerLink.java
@@ -1,5 +1,6 @@
 package org.tarragonarch.wire;
 
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import java.time.Duration;
 import java.util.Optional;
@@ -22,6 +23,7 @@
     private final FrameQueue waiting;
     private Optional<PeerConnection> connection = Optional.empty();
     private Optional<Incarnation> lastRun = Optional.empty();
+    private Channel attemptedChannel;
     private boolean attempting;
     private boolean inBackoff;
     private boolean retired;
@@ -130,11 +132,20 @@
         }
         attempting = true;
         ChannelFuture attempt = network.connect(peer, address, this);
+        attemptedChannel = attempt.channel();
         attempt.addListener(done -> {
             if (!done.isSuccess() && attempting) {
                 attemptFailed();
             }
         });
+        network.schedule(settings.helloTimeout(), () -> closeUnlessOpened(attempt.channel()));
+    }
+
+    /** Closes a connection on which the peer has not responded, since it may have become silent during the attempt. */
+    private void closeUnlessOpened(Channel channel) {
+        if (attempting && channel == attemptedChannel) {
+            channel.close();
+        }
     }
 
     private void attemptFailed() {
--- a/tarragonarch-wire/src/main/java/org/tarragonarch/wire/PeerNetworkSettings.java
+++ b/tarragonarch-wire/src/main/java/org/tarragonarch/wire/PeerNetworkSettings.java
@@ -48,6 +48,11 @@
         checkArgument(maxConnections > 0, "maxConnections %s is not positive", maxConnections);
     }
 
+    /** Returns the time in which a peer must respond to a new connection by its hello. */
+    Duration helloTimeout() {
+        return connectTimeout.multipliedBy(2);
+    }
+
     private static void checkPositive(String name, Duration duration) {
         checkArgument(duration.toMillis() > 0, "%s is below a millisecond", name);
     }
--- a/tarragonarch-wire/src/test/java/org/tarragonarch/wire/PeerReconnectTest.java
+++ b/tarragonarch-wire/src/test/java/org/tarragonarch/wire/PeerReconnectTest.java
@@ -131,6 +131,18 @@
         }
     }
 
+    /** Guards against frames that wait for the idle timeout of a connection that became silent before the hello. */
+    @Test
+    public void testConnect_noHello() throws Exception {
+        try (ServerSocket server = RawPeer.listen()) {
+            network.send(DEVONPORT, RawPeer.addressOf(server), LATER);
+            try (RawPeer silent = RawPeer.accept(server)) {
+                silent.hellosBeforeClose();
+            }
+            assertEquals(hobart.awaitUndelivered(), LATER);
+        }
+    }
+
     /** Guards against a killed peer whose loss is not reported. */
     @Test
     public void testClosed_peerRefusesConnections() throws Exception {
