--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/PlacerHandOverTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/PlacerHandOverTest.java
@@ -43,7 +43,7 @@
         assertEquals(fixture.ledger.violations(), ImmutableList.of());
     }
 
-    /** Guards against tasks that start elsewhere while the next holder of their shard renews the lease of their runs. */
+    /** Guards against tasks that start elsewhere while the next holder of their shard renews their leases. */
     @Test
     public void testRelease_nextHolderRenewsLeaseOfRuns() {
         assertEquals(playReleases(0), ImmutableList.of());
