--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/FakeConnections.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/FakeConnections.java
@@ -60,14 +60,20 @@
                 .ifPresent(connection -> connection.write(to, frame)));
     }
 
-    /** Breaks the connection that one node has opened to another; frames in flight on it are lost. */
+    /** Breaks the connection that one node has opened to another, if any; frames in flight on it are lost. */
     void breakConnection(NodeId from, NodeId to) {
-        link(from, to).connection.breakNow();
+        Connection connection = link(from, to).connection;
+        if (connection != null) {
+            connection.breakNow();
+        }
     }
 
-    /** Delays all frames, in both directions, on the present connection that one node has opened to another. */
+    /** Delays all frames, in both directions, on the present connection that one node has opened to another, if any. */
     void stall(NodeId from, NodeId to, long millis) {
-        link(from, to).connection.stalledUntilMillis = timers.nowMillis() + millis;
+        Connection connection = link(from, to).connection;
+        if (connection != null) {
+            connection.stalledUntilMillis = timers.nowMillis() + millis;
+        }
     }
 
     /** Delays all frames on the present connection that one node has opened to another, and on those it opens later. */
