Leave recent connections alone when another with the same peer is lost

Cause: by reading. After a loss each end closes the other connections with the peer and opens its own again. Where the close of an old one arrived after the peer had reconnected already, the new one was closed with it, and the two ends replaced each other's connections some times before they settled. The rule that spared later connections of the same direction did not cover those of the other one. Change: a connection younger than 0.4 s is not replaced; one rule for that and for reconnecting at once.

--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/FakeConnections.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/FakeConnections.java
@@ -27,7 +27,7 @@
     /** The real transport's delay before it reconnects after a failure, in milliseconds. */
     private static final long RECONNECT_MILLIS = 50;
 
-    /** The age of a connection after whose loss the real transport reconnects without a delay, in milliseconds. */
+    /** The age from which the real transport takes a connection for stable, in milliseconds. */
     private static final long STABLE_MILLIS = 400;
 
     private final VirtualTimers timers;
@@ -103,13 +103,13 @@
         return links.computeIfAbsent(new Direction(from, to), Link::new);
     }
 
-    private void closed(Connection connection, NodeId node, List<Connection> others) {
+    private void closed(Connection connection, NodeId node) {
         NodeId peer = connection.otherThan(node);
         if (node.equals(connection.direction.from())) {
             link(node, peer).closed(connection);
         }
         if (nodes.get(node).connectionLost(peer)) {
-            others.forEach(other -> other.closeFrom(node));
+            stableConnections(node, peer).forEach(other -> other.closeFrom(node));
         }
         if (!isConnected(node, peer)) {
             link(node, peer).reconnect();
@@ -120,21 +120,12 @@
         return connections.stream().anyMatch(connection -> connection.isOpenBetween(node, peer));
     }
 
-    /** Returns the other connections that a node has open with a peer from before the given one was replaced. */
-    private List<Connection> openedBeforeReplacementOf(Connection connection, NodeId node) {
-        List<Connection> others = new ArrayList<>();
-        boolean isLater = false;
-        for (Connection other : connections) {
-            if (other == connection) {
-                isLater = true;
-            } else if (other.isOpenBetween(node, connection.otherThan(node))) {
-                if (isLater && other.direction.equals(connection.direction)) {
-                    break;
-                }
-                others.add(other);
-            }
-        }
-        return others;
+    /** Returns the connections that a node has had open with a peer for long enough not to be part of a replacement. */
+    private List<Connection> stableConnections(NodeId node, NodeId peer) {
+        return connections.stream()
+                .filter(connection -> connection.isOpenBetween(node, peer))
+                .filter(Connection::isStable)
+                .toList();
     }
 
     /** The node that opens a connection, and its peer. */
@@ -175,7 +166,7 @@
         void closed(Connection closed) {
             if (connection == closed) {
                 connection = null;
-                if (timers.nowMillis() - closed.openedAtMillis > STABLE_MILLIS) {
+                if (closed.isStable()) {
                     connectIfNeeded();
                 } else {
                     connectLater();
@@ -257,6 +248,10 @@
             deliver(direction.to(), () -> openAt.add(direction.to()));
         }
 
+        boolean isStable() {
+            return timers.nowMillis() - openedAtMillis > STABLE_MILLIS;
+        }
+
         boolean isOpenBetween(NodeId node, NodeId peer) {
             return openAt.contains(node)
                     && (node.equals(direction.from()) || node.equals(direction.to()))
@@ -313,9 +308,8 @@
         }
 
         void closeAt(NodeId node) {
-            List<Connection> others = openedBeforeReplacementOf(this, node);
             if (openAt.remove(node)) {
-                FakeConnections.this.closed(this, node, others);
+                FakeConnections.this.closed(this, node);
             }
         }
     }
--- a/tarragonarch-wire/src/main/java/org/tarragonarch/wire/PeerConnection.java
+++ b/tarragonarch-wire/src/main/java/org/tarragonarch/wire/PeerConnection.java
@@ -1,6 +1,5 @@
 package org.tarragonarch.wire;
 
-import com.google.common.collect.ImmutableList;
 import com.google.common.flogger.FluentLogger;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
@@ -11,6 +10,7 @@
 import io.netty.handler.timeout.IdleState;
 import io.netty.handler.timeout.IdleStateEvent;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import org.tarragonarch.model.id.Incarnation;
 import org.tarragonarch.model.id.NodeId;
 
@@ -24,6 +24,9 @@
 final class PeerConnection extends SimpleChannelInboundHandler<ByteBuf> {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
+    /** The age from which the loss of a connection is not taken for one of a series, in milliseconds. */
+    static final long STABLE_MILLIS = 400;
+
     private final Hello own;
     private final Optional<NodeId> expectedPeer;
     private final PeerRegistry registry;
@@ -33,6 +36,7 @@
     private ChannelHandlerContext context;
     private Optional<Hello> peerHello = Optional.empty();
     private boolean hasReceived;
+    private long openedAtNanos;
 
     /**
      * Creates one end of a connection.
@@ -78,6 +82,12 @@
         return context.channel().isOpen();
     }
 
+    /** Returns whether the connection has been open for long enough that its loss is not one of a series. */
+    boolean isStable() {
+        return peerHello.isPresent()
+                && System.nanoTime() - openedAtNanos > TimeUnit.MILLISECONDS.toNanos(STABLE_MILLIS);
+    }
+
     /** Queues a frame and writes it as soon as the channel is writable; the connection must be open. */
     void send(EncodedFrame frame) {
         queue.offer(frame).forEach(this::returnUndelivered);
@@ -132,20 +142,20 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext inactive) {
-        ImmutableList<PeerConnection> others = registry.openedBeforeReplacementOf(this);
         boolean wasRegistered = registry.remove(this);
         queue.drain().forEach(this::returnUndelivered);
         owner.closed(this);
         if (wasRegistered) {
-            handleInterruption(others);
+            handleInterruption();
         }
     }
 
-    private void handleInterruption(ImmutableList<PeerConnection> others) {
+    private void handleInterruption() {
         NodeId peer = peerHello.orElseThrow().node();
         Incarnation run = peerHello.orElseThrow().incarnation();
         if (listener.interrupted(peer, run)) {
-            others.forEach(other -> other.close("another connection with the peer was lost"));
+            registry.stableConnectionsBeside(this)
+                    .forEach(other -> other.close("another connection with the peer was lost"));
         }
         if (registry.find(peer, run).isEmpty()) {
             listener.disconnected(peer, run);
@@ -185,6 +195,7 @@
             return;
         }
         peerHello = Optional.of(received);
+        openedAtNanos = System.nanoTime();
         owner.opened(this);
     }
 
--- a/tarragonarch-wire/src/main/java/org/tarragonarch/wire/PeerLink.java
+++ b/tarragonarch-wire/src/main/java/org/tarragonarch/wire/PeerLink.java
@@ -29,7 +29,6 @@
     private boolean retired;
     private Duration backoff;
     private long lastUseNanos;
-    private long openedAtNanos;
 
     PeerLink(NodeId peer, Address address, PeerNetwork network, PeerNetworkSettings settings) {
         this.peer = peer;
@@ -95,7 +94,6 @@
         attempting = false;
         backoff = settings.firstBackoff();
         connection = Optional.of(opened);
-        openedAtNanos = System.nanoTime();
         if (retired) {
             opened.close("the link is retired");
             return;
@@ -113,9 +111,7 @@
             attemptFailed();
         } else if (connection.filter(current -> current == closed).isPresent()) {
             connection = Optional.empty();
-            boolean isStable =
-                    System.nanoTime() - openedAtNanos > settings.maxBackoff().toNanos();
-            if (isStable) {
+            if (closed.isStable()) {
                 connectIfNeeded();
             } else {
                 retryLater();
--- a/tarragonarch-wire/src/main/java/org/tarragonarch/wire/PeerRegistry.java
+++ b/tarragonarch-wire/src/main/java/org/tarragonarch/wire/PeerRegistry.java
@@ -82,28 +82,19 @@
     }
 
     /**
-     * Returns the other connections with the same incarnation that were open before the given one was replaced.
+     * Returns the other connections with the same incarnation that are not part of the replacement of a closed one.
      *
-     * <p>The end that opened a connection replaces it by a later one, and both ends close what was open before that.
+     * <p>Each end opens a new connection as soon as it sees one close, so a recent connection is not replaced again.
      */
-    ImmutableList<PeerConnection> openedBeforeReplacementOf(PeerConnection connection) {
-        Optional<Hello> hello = connection.peerHello();
+    ImmutableList<PeerConnection> stableConnectionsBeside(PeerConnection closed) {
+        Optional<Hello> hello = closed.peerHello();
         if (hello.isEmpty()) {
             return ImmutableList.of();
         }
-        ImmutableList.Builder<PeerConnection> others = ImmutableList.builder();
-        boolean isLater = false;
-        for (PeerConnection other : connectionsWith(hello.get().node())) {
-            boolean isReplacement = isLater && other.isIncoming() == connection.isIncoming();
-            if (isReplacement) {
-                break;
-            }
-            if (other == connection) {
-                isLater = true;
-            } else if (other.belongsTo(hello.get().incarnation())) {
-                others.add(other);
-            }
-        }
-        return others.build();
+        return open.get(hello.get().node()).stream()
+                .filter(other -> other != closed)
+                .filter(other -> other.belongsTo(hello.get().incarnation()))
+                .filter(PeerConnection::isStable)
+                .collect(ImmutableList.toImmutableList());
     }
 }
--- a/tarragonarch-wire/src/test/java/org/tarragonarch/wire/PeerReconnectTest.java
+++ b/tarragonarch-wire/src/test/java/org/tarragonarch/wire/PeerReconnectTest.java
@@ -109,6 +109,7 @@
             try (RawPeer outgoing = RawPeer.accept(server).send(PEER_HELLO)) {
                 assertEquals(hobart.awaitConnectionEvent(), "connected to devonport-1 5");
                 assertEquals(firstFrame(server, outgoing), LATER);
+                Thread.sleep(PeerConnection.STABLE_MILLIS + 1);
                 incoming.close();
                 assertEquals(hobart.awaitConnectionEvent(), "interrupted devonport-1 5");
                 outgoing.hellosBeforeClose();
