Wait for the status of a holder that says it has lost its shards

Cause: by reading. A holder that is lost and heard again under its token may have its jobs back at once. One that says of itself that it has lost its shards still shows them until its next status arrives, so its jobs went back to it, to be given back again, until then. Change: after such a verdict the job is not offered to that holder until holders change. Shown by JobRouterTest#testSettled_holdLostBeforeStatusOfHolder.

--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/routing/JobPlacement.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/routing/JobPlacement.java
@@ -108,6 +108,12 @@
         }
     }
 
+    /** Offers a job again after its holder has lost the shards; not to that holder until its status shows new ones. */
+    void handleHoldLost(OpenJob job) {
+        job.excludeHolder();
+        handleHolderLost(job);
+    }
+
     /**
      * Offers a job again after its holder was lost.
      *
@@ -130,7 +136,7 @@
      */
     void handleReturned(OpenJob job) {
         if (job.mayHaveRun()) {
-            handleHolderLost(job);
+            handleHoldLost(job);
             return;
         }
         job.markReturned();
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/routing/JobRouter.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/routing/JobRouter.java
@@ -104,7 +104,7 @@
             }
             case NOT_AT_ONCE -> placement.handleNotStartedAtOnce(job);
             case TOO_LATE -> jobs.answer(job, JobReply.of(JobOutcome.GIVEN_UP));
-            case HOLD_LOST -> placement.handleHolderLost(job);
+            case HOLD_LOST -> placement.handleHoldLost(job);
             case RETURNED -> placement.handleReturned(job);
             case EVICTED -> {
                 job.markEvicted();
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/routing/OpenJob.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/routing/OpenJob.java
@@ -206,10 +206,15 @@
      * still appears to hold them until its next status arrives or its loss is detected.
      */
     void markReturned() {
-        returnedBy = holder.map(Holder::node);
+        excludeHolder();
         holder = Optional.empty();
     }
 
+    /** Keeps the job from being offered to its present holder again until holders change. */
+    void excludeHolder() {
+        returnedBy = holder.map(Holder::node);
+    }
+
     /** Permits offers to the holder that returned the job, because holders have changed. */
     void holdersChanged() {
         returnedBy = Optional.empty();
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/routing/JobRouterTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/routing/JobRouterTest.java
@@ -367,6 +367,16 @@
         assertEquals(test.holders.calls, ImmutableList.of("offer a", "offer a", "offer b"));
     }
 
+    /** Guards against a job that is exchanged endlessly with a holder whose last status is older than its verdict. */
+    @Test
+    public void testSettled_holdLostBeforeStatusOfHolder() {
+        JobRouterTest test = offered(5_000);
+        test.settled("a", Verdict.HOLD_LOST, 0);
+        assertEquals(test.holders.calls, ImmutableList.of("offer a"));
+        test.router.holdersChanged();
+        assertEquals(test.holders.calls, ImmutableList.of("offer a", "offer a"));
+    }
+
     /** Guards against a job that is said not to have run although the returned holder had started it. */
     @Test
     public void testNodeLost_returnedHolderDeclines() {
