Replace recent connections too, and send again on one that stays

What callers would see: after several losses within some seconds a job of a node with a silent new connection was given up at its deadline. Cause: spared connections younger than 0.4 s. A new connection that goes silent at once was spared when the holder closed its own, which is the only sign that the node gets of it, and nothing gave a second one. Change: back to the rule by order, which replaces all connections but those opened after the replacement of the closed one. The frames to begin with go again on one that stays open so (PeerReconnectTest#testClosed_laterConnectionStaysOpen).

--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/FakeConnections.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/FakeConnections.java
@@ -103,13 +103,14 @@
         return links.computeIfAbsent(new Direction(from, to), Link::new);
     }
 
-    private void closed(Connection connection, NodeId node) {
+    private void closed(Connection connection, NodeId node, List<Connection> others) {
         NodeId peer = connection.otherThan(node);
         if (node.equals(connection.direction.from())) {
             link(node, peer).closed(connection);
         }
         if (nodes.get(node).connectionLost(peer)) {
-            stableConnections(node, peer).forEach(other -> other.closeFrom(node));
+            others.forEach(other -> other.closeFrom(node));
+            link(node, peer).sendFirstFrames();
         }
         if (!isConnected(node, peer)) {
             link(node, peer).reconnect();
@@ -120,12 +121,21 @@
         return connections.stream().anyMatch(connection -> connection.isOpenBetween(node, peer));
     }
 
-    /** Returns the connections that a node has had open with a peer for long enough not to be part of a replacement. */
-    private List<Connection> stableConnections(NodeId node, NodeId peer) {
-        return connections.stream()
-                .filter(connection -> connection.isOpenBetween(node, peer))
-                .filter(Connection::isStable)
-                .toList();
+    /** Returns the other connections that a node has open with a peer from before the given one was replaced. */
+    private List<Connection> openedBeforeReplacementOf(Connection connection, NodeId node) {
+        List<Connection> others = new ArrayList<>();
+        boolean isLater = false;
+        for (Connection other : connections) {
+            if (other == connection) {
+                isLater = true;
+            } else if (other.isOpenBetween(node, connection.otherThan(node))) {
+                if (isLater && other.direction.equals(connection.direction)) {
+                    break;
+                }
+                others.add(other);
+            }
+        }
+        return others;
     }
 
     /** The node that opens a connection, and its peer. */
@@ -217,12 +227,18 @@
             connection.stalledUntilMillis = stalledUntilMillis;
             connections.add(connection);
             connection.open();
-            nodes.get(direction.from())
-                    .firstFrames(direction.to())
-                    .forEach(frame -> connection.write(direction.to(), frame));
+            sendFirstFrames();
             takeWaiting().forEach(frame -> connection.write(direction.to(), frame));
         }
 
+        void sendFirstFrames() {
+            if (connection != null) {
+                nodes.get(direction.from())
+                        .firstFrames(direction.to())
+                        .forEach(frame -> connection.write(direction.to(), frame));
+            }
+        }
+
         private List<Frame> takeWaiting() {
             List<Frame> frames = List.copyOf(waiting);
             waiting.clear();
@@ -308,8 +324,9 @@
         }
 
         void closeAt(NodeId node) {
+            List<Connection> others = openedBeforeReplacementOf(this, node);
             if (openAt.remove(node)) {
-                FakeConnections.this.closed(this, node);
+                FakeConnections.this.closed(this, node, others);
             }
         }
     }
--- a/tarragonarch-wire/src/main/java/org/tarragonarch/wire/PeerConnection.java
+++ b/tarragonarch-wire/src/main/java/org/tarragonarch/wire/PeerConnection.java
@@ -1,5 +1,6 @@
 package org.tarragonarch.wire;
 
+import com.google.common.collect.ImmutableList;
 import com.google.common.flogger.FluentLogger;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
@@ -24,8 +25,8 @@
 final class PeerConnection extends SimpleChannelInboundHandler<ByteBuf> {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
-    /** The age from which the loss of a connection is not taken for one of a series, in milliseconds. */
-    static final long STABLE_MILLIS = 400;
+    /** The age from which a connection may be replaced without a delay, in milliseconds. */
+    private static final long STABLE_MILLIS = 400;
 
     private final Hello own;
     private final Optional<NodeId> expectedPeer;
@@ -82,7 +83,7 @@
         return context.channel().isOpen();
     }
 
-    /** Returns whether the connection has been open for long enough that its loss is not one of a series. */
+    /** Returns whether the connection was open for long enough that a new one can be opened without a delay. */
     boolean isStable() {
         return peerHello.isPresent()
                 && System.nanoTime() - openedAtNanos > TimeUnit.MILLISECONDS.toNanos(STABLE_MILLIS);
@@ -94,6 +95,14 @@
         flush();
     }
 
+    /** Sends the frames with which this node begins on a connection, or goes on after the loss of another one. */
+    void sendFirstFrames() {
+        Hello hello = peerHello.orElseThrow();
+        listener.firstFrames(hello.node(), hello.incarnation()).stream()
+                .map(EncodedFrame::of)
+                .forEach(this::send);
+    }
+
     /** Closes the connection and logs the reason. */
     void close(String reason) {
         if (context.channel().isOpen()) {
@@ -142,20 +151,21 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext inactive) {
+        ImmutableList<PeerConnection> others = registry.openedBeforeReplacementOf(this);
         boolean wasRegistered = registry.remove(this);
         queue.drain().forEach(this::returnUndelivered);
         owner.closed(this);
         if (wasRegistered) {
-            handleInterruption();
+            handleInterruption(others);
         }
     }
 
-    private void handleInterruption() {
+    private void handleInterruption(ImmutableList<PeerConnection> others) {
         NodeId peer = peerHello.orElseThrow().node();
         Incarnation run = peerHello.orElseThrow().incarnation();
         if (listener.interrupted(peer, run)) {
-            registry.stableConnectionsBeside(this)
-                    .forEach(other -> other.close("another connection with the peer was lost"));
+            others.forEach(other -> other.close("another connection with the peer was lost"));
+            registry.findOutgoing(peer, run).ifPresent(PeerConnection::sendFirstFrames);
         }
         if (registry.find(peer, run).isEmpty()) {
             listener.disconnected(peer, run);
--- a/tarragonarch-wire/src/main/java/org/tarragonarch/wire/PeerLink.java
+++ b/tarragonarch-wire/src/main/java/org/tarragonarch/wire/PeerLink.java
@@ -101,7 +101,7 @@
         Incarnation run = opened.peerHello().orElseThrow().incarnation();
         lastRun.filter(last -> !last.equals(run)).ifPresent(last -> network.reportDisconnected(peer, last));
         lastRun = Optional.empty();
-        network.firstFrames(peer, run).forEach(opened::send);
+        opened.sendFirstFrames();
         waiting.drain().forEach(opened::send);
     }
 
--- a/tarragonarch-wire/src/main/java/org/tarragonarch/wire/PeerListener.java
+++ b/tarragonarch-wire/src/main/java/org/tarragonarch/wire/PeerListener.java
@@ -27,7 +27,8 @@
     /**
      * Returns the frames to send before all others on a connection that this node has opened to the peer.
      *
-     * <p>Called once for each connection, after the peer's hello has been checked.
+     * <p>Called once for each connection, after the peer's hello has been checked, and again for one that stays open
+     * when another connection with the peer has closed and {@link #interrupted} has returned true.
      */
     default ImmutableList<Frame> firstFrames(NodeId peer, Incarnation run) {
         return ImmutableList.of();
--- a/tarragonarch-wire/src/main/java/org/tarragonarch/wire/PeerNetwork.java
+++ b/tarragonarch-wire/src/main/java/org/tarragonarch/wire/PeerNetwork.java
@@ -194,10 +194,6 @@
         thread.schedule(task, wait.toMillis(), TimeUnit.MILLISECONDS);
     }
 
-    ImmutableList<EncodedFrame> firstFrames(NodeId peer, Incarnation run) {
-        return listener.firstFrames(peer, run).stream().map(EncodedFrame::of).collect(ImmutableList.toImmutableList());
-    }
-
     /** Reports the loss of an incarnation unless the peer has opened a connection itself. */
     void reportDisconnected(NodeId peer, Incarnation run) {
         if (registry.find(peer, run).isEmpty()) {
--- a/tarragonarch-wire/src/main/java/org/tarragonarch/wire/PeerRegistry.java
+++ b/tarragonarch-wire/src/main/java/org/tarragonarch/wire/PeerRegistry.java
@@ -70,6 +70,14 @@
                 .findFirst();
     }
 
+    /** Returns the connection that this node has opened to exactly this incarnation, if it is open. */
+    Optional<PeerConnection> findOutgoing(NodeId peer, Incarnation run) {
+        return open.get(peer).stream()
+                .filter(connection -> connection.belongsTo(run))
+                .filter(connection -> !connection.isIncoming() && connection.isOpen())
+                .findFirst();
+    }
+
     /** Returns the open connections to the peer, oldest first. */
     ImmutableList<PeerConnection> connectionsWith(NodeId peer) {
         return ImmutableList.copyOf(open.get(peer));
@@ -82,19 +90,28 @@
     }
 
     /**
-     * Returns the other connections with the same incarnation that are not part of the replacement of a closed one.
+     * Returns the other connections with the same incarnation that were open before the given one was replaced.
      *
-     * <p>Each end opens a new connection as soon as it sees one close, so a recent connection is not replaced again.
+     * <p>The end that opened a connection replaces it by a later one, and both ends close what was open before that.
      */
-    ImmutableList<PeerConnection> stableConnectionsBeside(PeerConnection closed) {
-        Optional<Hello> hello = closed.peerHello();
+    ImmutableList<PeerConnection> openedBeforeReplacementOf(PeerConnection connection) {
+        Optional<Hello> hello = connection.peerHello();
         if (hello.isEmpty()) {
             return ImmutableList.of();
         }
-        return open.get(hello.get().node()).stream()
-                .filter(other -> other != closed)
-                .filter(other -> other.belongsTo(hello.get().incarnation()))
-                .filter(PeerConnection::isStable)
-                .collect(ImmutableList.toImmutableList());
+        ImmutableList.Builder<PeerConnection> others = ImmutableList.builder();
+        boolean isLater = false;
+        for (PeerConnection other : connectionsWith(hello.get().node())) {
+            boolean isReplacement = isLater && other.isIncoming() == connection.isIncoming();
+            if (isReplacement) {
+                break;
+            }
+            if (other == connection) {
+                isLater = true;
+            } else if (other.belongsTo(hello.get().incarnation())) {
+                others.add(other);
+            }
+        }
+        return others.build();
     }
 }
--- a/tarragonarch-wire/src/main/java/org/tarragonarch/wire/ReconnectingListener.java
+++ b/tarragonarch-wire/src/main/java/org/tarragonarch/wire/ReconnectingListener.java
@@ -1,5 +1,6 @@
 package org.tarragonarch.wire;
 
+import com.google.common.collect.ImmutableList;
 import java.util.function.BiPredicate;
 import org.tarragonarch.model.id.Incarnation;
 import org.tarragonarch.model.id.NodeId;
@@ -34,6 +35,11 @@
         listener.undelivered(peer, frame);
     }
 
+    @Override
+    public ImmutableList<Frame> firstFrames(NodeId peer, Incarnation run) {
+        return listener.firstFrames(peer, run);
+    }
+
     @Override
     public boolean interrupted(NodeId peer, Incarnation run) {
         return listener.interrupted(peer, run);
--- a/tarragonarch-wire/src/test/java/org/tarragonarch/wire/PeerReconnectTest.java
+++ b/tarragonarch-wire/src/test/java/org/tarragonarch/wire/PeerReconnectTest.java
@@ -109,7 +109,6 @@
             try (RawPeer outgoing = RawPeer.accept(server).send(PEER_HELLO)) {
                 assertEquals(hobart.awaitConnectionEvent(), "connected to devonport-1 5");
                 assertEquals(firstFrame(server, outgoing), LATER);
-                Thread.sleep(PeerConnection.STABLE_MILLIS + 1);
                 incoming.close();
                 assertEquals(hobart.awaitConnectionEvent(), "interrupted devonport-1 5");
                 outgoing.hellosBeforeClose();
@@ -117,6 +116,28 @@
         }
     }
 
+    /** Guards against frames that stay lost with a connection because one opened after its replacement stays open. */
+    @Test
+    public void testClosed_laterConnectionStaysOpen() throws Exception {
+        hobart.replacesOthers = true;
+        try (ServerSocket server = RawPeer.listen();
+                RawPeer replaced = RawPeer.connect(network.address()).send(PEER_HELLO, MARKER)) {
+            assertEquals(hobart.awaitReceived().frame(), MARKER);
+            try (RawPeer replacement = RawPeer.connect(network.address()).send(PEER_HELLO)) {
+                assertEquals(replacement.read(), Samples.HOBART);
+                network.send(DEVONPORT, RawPeer.addressOf(server), LATER);
+                try (RawPeer outgoing = RawPeer.accept(server).send(PEER_HELLO)) {
+                    assertEquals(hobart.awaitConnectionEvent(), "connected to devonport-1 5");
+                    assertEquals(firstFrame(server, outgoing), LATER);
+                    hobart.firstFrame = Optional.of(MARKER);
+                    replaced.close();
+                    assertEquals(hobart.awaitConnectionEvent(), "interrupted devonport-1 5");
+                    assertEquals(firstFrame(server, outgoing), MARKER);
+                }
+            }
+        }
+    }
+
     /** Guards against a live peer that counts as lost because every connection with it was reset. */
     @Test
     public void testClosed_peerIsConnectedToAgain() throws Exception {
--- a/tarragonarch-wire/src/test/java/org/tarragonarch/wire/RecordingListener.java
+++ b/tarragonarch-wire/src/test/java/org/tarragonarch/wire/RecordingListener.java
@@ -3,6 +3,7 @@
 import static org.testng.Assert.assertNotNull;
 
 import com.google.common.collect.ImmutableList;
+import java.util.Optional;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -20,6 +21,9 @@
     /** Whether the other connections with a peer are replaced after one is lost. */
     volatile boolean replacesOthers;
 
+    /** The frame to begin with on each connection. */
+    volatile Optional<Frame> firstFrame = Optional.empty();
+
     /** A received frame with its sender. */
     record Received(NodeId peer, Incarnation run, Frame frame) {}
 
@@ -36,7 +40,7 @@
     @Override
     public ImmutableList<Frame> firstFrames(NodeId peer, Incarnation run) {
         connectionEvents.add("connected to " + peer + " " + run);
-        return ImmutableList.of();
+        return firstFrame.map(ImmutableList::of).orElse(ImmutableList.of());
     }
 
     @Override
