--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/ConnectionFaultSweepTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/ConnectionFaultSweepTest.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Function;
 import org.tarragonarch.model.task.JobOutcome;
 import org.tarragonarch.model.task.JobReply;
 import org.testng.annotations.DataProvider;
@@ -120,53 +121,25 @@
 
     /** The nodes at the ends of a connection, as opened by the first one. */
     private enum ConnectionEnds {
-        NODE_TO_OWN_HOLDER {
-            @Override
-            FakeNode from(SeparatePoolsFixture cluster) {
-                return cluster.hobartNode;
-            }
+        NODE_TO_OWN_HOLDER(cluster -> cluster.hobartNode, cluster -> cluster.hobartHolder),
+        OWN_HOLDER_TO_NODE(cluster -> cluster.hobartHolder, cluster -> cluster.hobartNode),
+        NODE_TO_OTHER_HOLDER(cluster -> cluster.hobartNode, cluster -> cluster.launcestonHolder),
+        OTHER_HOLDER_TO_NODE(cluster -> cluster.launcestonHolder, cluster -> cluster.hobartNode);
 
-            @Override
-            FakeNode to(SeparatePoolsFixture cluster) {
-                return cluster.hobartHolder;
-            }
-        },
-        OWN_HOLDER_TO_NODE {
-            @Override
-            FakeNode from(SeparatePoolsFixture cluster) {
-                return cluster.hobartHolder;
-            }
-
-            @Override
-            FakeNode to(SeparatePoolsFixture cluster) {
-                return cluster.hobartNode;
-            }
-        },
-        NODE_TO_OTHER_HOLDER {
-            @Override
-            FakeNode from(SeparatePoolsFixture cluster) {
-                return cluster.hobartNode;
-            }
+        private final Function<SeparatePoolsFixture, FakeNode> from;
+        private final Function<SeparatePoolsFixture, FakeNode> to;
 
-            @Override
-            FakeNode to(SeparatePoolsFixture cluster) {
-                return cluster.launcestonHolder;
-            }
-        },
-        OTHER_HOLDER_TO_NODE {
-            @Override
-            FakeNode from(SeparatePoolsFixture cluster) {
-                return cluster.launcestonHolder;
-            }
-
-            @Override
-            FakeNode to(SeparatePoolsFixture cluster) {
-                return cluster.hobartNode;
-            }
-        };
+        ConnectionEnds(Function<SeparatePoolsFixture, FakeNode> from, Function<SeparatePoolsFixture, FakeNode> to) {
+            this.from = from;
+            this.to = to;
+        }
 
-        abstract FakeNode from(SeparatePoolsFixture cluster);
+        FakeNode from(SeparatePoolsFixture cluster) {
+            return from.apply(cluster);
+        }
 
-        abstract FakeNode to(SeparatePoolsFixture cluster);
+        FakeNode to(SeparatePoolsFixture cluster) {
+            return to.apply(cluster);
+        }
     }
 }
