List a holder that is fenced by a token which another node has released

Cause, by the log of one of them: two nodes that start at the same time claim a shard; the one that gives it up has used its token, the higher one, at an endpoint. The other keeps its own, and is fenced there by its first order. The test fails as the case is open; it is listed.

--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/CoordinatorTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/CoordinatorTest.java
@@ -240,6 +240,25 @@
         assertTrue(test.sent.contains("offer to b"), test.sent.toString());
     }
 
+    /** Guards against a holder that is fenced at its first order by a token which another node has used and released. */
+    @Test
+    public void testReview_otherNodeHasReleasedShardUnderHigherToken() {
+        CoordinatorTest test = new CoordinatorTest();
+        test.listEndpoints(MANY_ENDPOINTS);
+        test.coordinator.review(true);
+        assertEquals(test.coordinator.heldShardCount(), 1);
+        HeldShard claimed = new HeldShard(HOBART, FencingToken.of(1_000, "10.0.0.2"), 1);
+        test.coordinator.statusReceived(peerStatus(drained(7)).withShards(ImmutableList.of(claimed)));
+        test.coordinator.statusReceived(peerStatus(drained(7)));
+        test.timers.advance(4_000);
+        test.coordinator.review(true);
+        HeldShard held = test.coordinator.status().shards().stream()
+                .filter(shard -> shard.domain().equals(HOBART))
+                .findFirst()
+                .orElseThrow();
+        assertTrue(held.token().compareTo(claimed.token()) > 0, held.toString());
+    }
+
     private static Offer offerOf(String origin) {
         QueueDefinition queue = new QueueDefinition("checks", "h", "/p/", "board", 0, 3, 1.6, 60);
         TaskStep step = new TaskStep(1, new Resources(1, 1, 0), 60);
