--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/CoordinatorTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/CoordinatorTest.java
@@ -240,7 +240,7 @@
         assertTrue(test.sent.contains("offer to b"), test.sent.toString());
     }
 
-    /** Guards against a holder that is fenced at its first order by a token which another node has used and released. */
+    /** Guards against a holder that is fenced at its first order by a token that another node has released. */
     @Test
     public void testReview_otherNodeHasReleasedShardUnderHigherToken() {
         CoordinatorTest test = new CoordinatorTest();
