Claim a shard anew whose token another node has surpassed and released

Cause: two nodes that start together claim a shard each. The one that gives it up has used its token at an endpoint, and it is the higher one if the two claims fall into different tenths of a second. The other keeps its own and is fenced by its first order, 14 s later, with jobs under way. Change: a holder without jobs whose token is not the highest that any node has claimed, while no peer's last status has the shard, releases it and claims it again at once. A claim is above every claim that is known, ended ones included.

--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/ShardOwnership.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/ShardOwnership.java
@@ -87,6 +87,10 @@
                 resign(shard);
                 election.resignUnreachable(shard, timers.nowMillis());
                 changed = true;
+            } else if (election.isSuperseded(shard) && placer.orElseThrow().isIdle() && isListUsable()) {
+                resign(shard);
+                claim(shard);
+                changed = true;
             } else if (election.shouldClaim(shard, timers.nowMillis()) && isListUsable()) {
                 claim(shard);
                 changed = true;
