--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/ReceivedOffers.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/ReceivedOffers.java
@@ -62,7 +62,7 @@
         if (known == null || !known.origin().equals(origin) || known.verdict().isPresent()) {
             return Optional.empty();
         }
-        Verdict truthful = known.receivedBefore() ? verdict.ofOfferReceivedBefore() : verdict;
+        Verdict truthful = known.receivedBefore() ? verdict.afterPossibleStart() : verdict;
         Optional<JobVerdict> settled = Optional.of(new JobVerdict(job, known.number(), truthful, retryMillis));
         offers.replace(
                 job, new ReceivedOffer(origin, known.number(), known.receivedBefore(), settled, timers.nowMillis()));
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/routing/JobRouter.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/routing/JobRouter.java
@@ -115,8 +115,8 @@
     }
 
     /**
-     * Offers a job elsewhere after its offer was certainly not sent. An offer that was sent before, and could only not
-     * be sent again, is left to the next connection.
+     * Offers a job elsewhere after its offer was certainly not sent. If an earlier transmission of the offer may have
+     * arrived, the job stays with its holder, and the offer is sent again on the next connection.
      */
     public void offerNotSent(NodeId to, JobId id) {
         jobs.find(id).filter(job -> job.isHeldBy(to)).ifPresent(job -> {
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/routing/SentOffer.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/routing/SentOffer.java
@@ -32,7 +32,7 @@
         return mayBeLost;
     }
 
-    /** Returns whether a transmission of the offer that was certainly not sent was the only one. */
+    /** Returns whether the offer was transmitted only once, so that it has not arrived if that failed. */
     boolean wasSentOnce() {
         return !mayBeLost && !wasSentAgain;
     }
--- a/tarragonarch-model/src/main/java/org/tarragonarch/model/task/Verdict.java
+++ b/tarragonarch-model/src/main/java/org/tarragonarch/model/task/Verdict.java
@@ -23,12 +23,12 @@
     NOT_AT_ONCE;
 
     /**
-     * Returns what to answer in place of this verdict if the offer was received before, so that tasks of the job may
-     * have been started.
+     * Returns the verdict to give in place of this one if the offer was received before, so that tasks of the job may
+     * have been started and stopped.
      *
      * <p>Guards against an origin that tells its client that a job has not run although tasks of it have.
      */
-    public Verdict ofOfferReceivedBefore() {
+    public Verdict afterPossibleStart() {
         return switch (this) {
             case DECLINED, NOT_AT_ONCE -> EVICTED;
             case RETURNED -> HOLD_LOST;
