--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/CancellingJobs.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/CancellingJobs.java
@@ -26,10 +26,6 @@
         }
     }
 
-    boolean isEmpty() {
-        return cancelling.isEmpty();
-    }
-
     /** Marks a job for eviction: it is returned to its origin after its last run has ended. */
     void markEvicted(PlacedJob job) {
         afterwards.put(job.id(), Optional.empty());
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/JobLifecycle.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/JobLifecycle.java
@@ -53,10 +53,6 @@
         this.starter = new TaskStarter(shards, pending, poolShares, capacity, timers, this::giveUp);
     }
 
-    boolean isEmpty() {
-        return jobs.isEmpty() && cancelling.isEmpty();
-    }
-
     /** Admits or declines a job; see {@link Placer#offer}. */
     void offer(Offer offer) {
         PlacedJob known = jobs.get(offer.job().id());
@@ -170,6 +166,7 @@
         starter.scheduleStart();
     }
 
+    /** Starts pending tasks once the events at hand are processed. */
     void scheduleStart() {
         starter.scheduleStart();
     }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/Placer.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/Placer.java
@@ -88,11 +88,6 @@
         return shards.token(shard);
     }
 
-    /** Returns whether there are neither jobs nor runs of ended ones, so that a release of shards affects nobody. */
-    public boolean isIdle() {
-        return jobs.isEmpty();
-    }
-
     /** Returns the shards that are held. */
     public ImmutableSet<FailureDomain> shards() {
         return shards.domains();
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/HolderElection.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/HolderElection.java
@@ -187,15 +187,6 @@
         return other.get().held().token().compareTo(token) > 0;
     }
 
-    /**
-     * Returns whether this node holds the shard under a token that its endpoints may reject, because another node has
-     * claimed the shard under a higher one and has released it since.
-     */
-    public boolean isSuperseded(FailureDomain shard) {
-        FencingToken token = heldTokens.get(shard);
-        return token != null && peers.highestTerm(shard) == 0 && !peers.isHighestToken(shard, token);
-    }
-
     /** Returns whether a peer that has been reachable since this time is a better holder for the pool. */
     private boolean yieldsToCandidate(ImmutableSet<FailureDomain> pool, long sinceMillis) {
         for (NodeStatus peer : peers.reachableSince(sinceMillis)) {
@@ -223,7 +214,7 @@
      * @param wallMillis the time of day, in milliseconds since the epoch
      */
     public FencingToken claim(FailureDomain shard, long wallMillis) {
-        long known = Math.max(peers.highestClaimedTerm(shard), lastTerm.getOrDefault(shard, 0L));
+        long known = Math.max(peers.highestTerm(shard), lastTerm.getOrDefault(shard, 0L));
         long term = Math.max(known + 1, wallMillis / TERM_UNIT_MILLIS % Integer.MAX_VALUE);
         FencingToken token = FencingToken.of(term, ownIp);
         heldTokens.put(shard, token);
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/PeerTable.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/PeerTable.java
@@ -82,12 +82,6 @@
         return highest == null || token.compareTo(highest) >= 0;
     }
 
-    /** Returns the highest known term under which any node has ever claimed the shard; 0 if none has. */
-    long highestClaimedTerm(FailureDomain shard) {
-        FencingToken highest = highestTokens.get(shard);
-        return highest == null ? 0 : highest.term();
-    }
-
     /** Records that the last connection to the peer broke; returns whether the peer was reachable before. */
     public boolean recordConnectionLost(NodeId peer) {
         LastStatus known = peers.get(peer);
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/ShardOwnership.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/ShardOwnership.java
@@ -87,10 +87,6 @@
                 resign(shard);
                 election.resignUnreachable(shard, timers.nowMillis());
                 changed = true;
-            } else if (election.isSuperseded(shard) && placer.orElseThrow().isIdle() && isListUsable()) {
-                resign(shard);
-                claim(shard);
-                changed = true;
             } else if (election.shouldClaim(shard, timers.nowMillis()) && isListUsable()) {
                 claim(shard);
                 changed = true;
