--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/PeerTable.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/PeerTable.java
@@ -139,7 +139,7 @@
         return silent.build();
     }
 
-    /** Returns whether this node appears to be partitioned; see {@link SilentPeers#isPartitioned}. */
+    /** Returns whether this node appears to be partitioned; see {@link SilentPeers#arePartition}. */
     public boolean isPartitioned() {
         return reachable().isEmpty() && silentPeers().arePartition();
     }
