--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/Coordinator.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/Coordinator.java
@@ -5,7 +5,6 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
-import com.google.common.collect.Sets;
 import java.util.function.LongSupplier;
 import org.tarragonarch.core.placing.Placer;
 import org.tarragonarch.core.placing.PlacingSettings;
@@ -37,7 +36,6 @@
 public final class Coordinator {
     private final Member self;
     private final Timers timers;
-    private final ShardObserver log;
     private final PeerTable peers = new PeerTable();
     private final RemoteUsage remoteUsage = new RemoteUsage();
     private final EndpointList endpoints;
@@ -45,6 +43,7 @@
     private final HolderElection election;
     private final ShardOwnership ownership;
     private final StatusSender statusSender;
+    private final DomainDrains drains;
     private final OriginMessages originMessages;
     private final JobRouter router;
     private ImmutableSet<FailureDomain> neighbourDomains;
@@ -72,16 +71,19 @@
         this.endpoints = checkNotNull(endpoints, "endpoints");
         checkNotNull(sender, "sender");
         this.timers = checkNotNull(timers, "timers");
-        this.log = checkNotNull(log, "log");
+        checkNotNull(log, "log");
         this.election = new HolderElection(self.node(), self.domain(), ip, self.milliCores(), peers, pools);
         this.heartbeats = new Heartbeats(peers, pools, self.domain());
-        this.statusSender = new StatusSender(self, heartbeats, this::held, sender, timers);
-        long maxRunMillisAfterLoss = PeerTable.DETECTION_SKEW_MILLIS + placing.leaseExpiry();
-        ReceivedOffers offers = new ReceivedOffers(timers, maxRunMillisAfterLoss);
+        ReceivedEchoes echoes = new ReceivedEchoes(self.node(), timers, wallMillis.getAsLong(), log);
+        this.statusSender = new StatusSender(self, heartbeats, this::held, peers, echoes, sender, timers);
+        this.drains = new DomainDrains(statusSender, endpoints, log);
+        long maxRunMillisAfterContact = ReceivedEchoes.AUTHORITY_MILLIS + placing.leaseExpiry();
+        ReceivedOffers offers = new ReceivedOffers(timers, maxRunMillisAfterContact);
         HolderEvents events = new HolderEvents(
                 self.node(), peers, sender, statusSender, offers, this::router, this::holdersChanged, log);
-        this.ownership = new ShardOwnership(pools, election, endpoints, placing, orders, timers, wallMillis, events);
-        this.originMessages = new OriginMessages(ownership, offers, events);
+        this.ownership =
+                new ShardOwnership(pools, election, endpoints, placing, orders, timers, wallMillis, echoes, events);
+        this.originMessages = new OriginMessages(ownership, offers, echoes, events);
         this.neighbourDomains = heartbeats.neighbourDomains();
         KnownHolders holders = new KnownHolders(
                 self,
@@ -93,7 +95,7 @@
                 timers,
                 originMessages::offerReceived,
                 domain -> drained().contains(domain));
-        this.router = new JobRouter(holders, timers, maxRunMillisAfterLoss, wallMillis.getAsLong(), log);
+        this.router = new JobRouter(holders, timers, maxRunMillisAfterContact, wallMillis.getAsLong(), log);
     }
 
     /** Returns the table of peers. */
@@ -201,7 +203,7 @@
     public boolean statusReceived(NodeStatus received) {
         boolean joined = peers.recordStatus(received, timers.nowMillis());
         remoteUsage.statusReceived(received, timers.nowMillis());
-        ownership.messageReceivedFrom(received.node());
+        originMessages.statusReceived(received);
         if (joined) {
             statusSender.sendTo(received.node());
         }
@@ -261,25 +263,16 @@
      * @param source the origin of the reading, for the log: the store or a peer
      */
     public void drained(DrainedDomains reading, String source) {
-        DrainedDomains before = drained();
-        if (!reading.isNewerThan(before)) {
-            return;
-        }
-        statusSender.drained(reading);
-        if (reading.domains().equals(before.domains())) {
-            return;
+        if (drains.apply(reading, source)) {
+            endpointsChanged();
+            statusSender.sendNow();
+            router.holdersChanged();
         }
-        Sets.symmetricDifference(before.domains(), reading.domains())
-                .forEach(domain -> log.drainChanged(domain, reading.contains(domain), reading.version(), source));
-        endpoints.setDrainedDomains(reading.domains());
-        endpointsChanged();
-        statusSender.sendNow();
-        router.holdersChanged();
     }
 
     /** Returns the drained failure domains, as far as this node knows. */
     public DrainedDomains drained() {
-        return statusSender.drained();
+        return drains.known();
     }
 
     /** Returns this node's status. */
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/KnownHolders.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/KnownHolders.java
@@ -99,6 +99,11 @@
         return holder.holds(self.domain());
     }
 
+    @Override
+    public long lastContactMillis(Holder holder) {
+        return peers.lastStatusMillis(holder.node()).orElseGet(timers::nowMillis);
+    }
+
     /**
      * Returns all shards of the pools in which the holder had a shard.
      *
@@ -143,7 +148,7 @@
     public void offer(Holder holder, Offer offer) {
         if (!holder.node().equals(ownNode())) {
             neighbourCapacity.recordOffer(holder.node(), offer.job().milliCores());
-            sender.sendOffer(holder.node(), offer);
+            sender.sendOffer(holder.node(), offer.withLastStatus(peers.lastNumber(holder.node())));
             return;
         }
         ownOffers.accept(offer);
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/OriginMessages.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/OriginMessages.java
@@ -3,6 +3,7 @@
 import com.google.common.collect.ImmutableSet;
 import org.tarragonarch.core.shard.ShardOwnership;
 import org.tarragonarch.model.id.NodeId;
+import org.tarragonarch.model.report.NodeStatus;
 import org.tarragonarch.model.task.JobId;
 import org.tarragonarch.model.task.Offer;
 import org.tarragonarch.model.task.Verdict;
@@ -11,11 +12,13 @@
 public final class OriginMessages {
     private final ShardOwnership ownership;
     private final ReceivedOffers offers;
+    private final ReceivedEchoes echoes;
     private final HolderEvents events;
 
-    OriginMessages(ShardOwnership ownership, ReceivedOffers offers, HolderEvents events) {
+    OriginMessages(ShardOwnership ownership, ReceivedOffers offers, ReceivedEchoes echoes, HolderEvents events) {
         this.ownership = ownership;
         this.offers = offers;
+        this.echoes = echoes;
         this.events = events;
     }
 
@@ -25,6 +28,7 @@
      * <p>An offer that was settled before gets the same verdict again.
      */
     public void offerReceived(Offer offer) {
+        echoes.received(offer.origin(), offer.lastStatus());
         offers.record(offer)
                 .ifPresentOrElse(verdict -> events.sendVerdict(offer.origin(), verdict), () -> place(offer));
     }
@@ -37,6 +41,12 @@
                         () -> events.settled(offer.origin(), offer.job().id(), Verdict.RETURNED, 0));
     }
 
+    /** Continues the jobs that wait for a message from a peer. */
+    void statusReceived(NodeStatus status) {
+        echoes.received(status);
+        ownership.messageReceivedFrom(status.node());
+    }
+
     /** Ends the jobs offered by a peer, except those that are still open there, and continues these. */
     public void openJobsReceived(NodeId origin, ImmutableSet<JobId> open) {
         ownership.placer().ifPresent(placer -> placer.retain(origin, open));
--- /dev/null
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/ReceivedEchoes.java
@@ -0,0 +1,101 @@
+package org.tarragonarch.core.cluster;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import org.tarragonarch.core.placing.OriginAuthority;
+import org.tarragonarch.core.shard.PeerTable;
+import org.tarragonarch.core.shard.ShardObserver;
+import org.tarragonarch.model.id.NodeId;
+import org.tarragonarch.model.report.NodeStatus;
+import org.tarragonarch.model.report.StatusNumber;
+import org.tarragonarch.model.task.Timers;
+
+/**
+ * What the peers have received of this node's statuses, which gives this node authority over the jobs of these peers.
+ *
+ * <p>An origin takes this node for lost by the time of the last status that it has received. This node cannot infer
+ * that time from what it receives itself: a message may have waited in a connection, or come through while this node's
+ * own messages are lost. So each status is numbered, and peers return the number of the last one that they received.
+ */
+final class ReceivedEchoes implements OriginAuthority {
+    /** How long an origin waits for the next status before it takes this node for lost, in milliseconds. */
+    static final long AUTHORITY_MILLIS = PeerTable.SILENCE_MILLIS;
+
+    /** The difference at which two measurements of a stop of the clock indicate separate stops, in milliseconds. */
+    private static final long SEPARATE_STOP_MILLIS = 30;
+
+    private final NodeId self;
+    private final Timers timers;
+    private final ShardObserver observer;
+    private final Deque<SentStatus> sent = new ArrayDeque<>();
+    private final Map<NodeId, Long> confirmedAtMillis = new HashMap<>();
+    private long lastNumber;
+    private long stopSeenAtMillis = Long.MIN_VALUE;
+    private long stoppedMillis;
+
+    /**
+     * Creates the echoes of a node that has sent nothing.
+     *
+     * @param startMillis the time of day in milliseconds since 1970, from which the statuses are numbered
+     */
+    ReceivedEchoes(NodeId self, Timers timers, long startMillis, ShardObserver observer) {
+        this.self = checkNotNull(self, "self");
+        this.timers = checkNotNull(timers, "timers");
+        this.observer = checkNotNull(observer, "observer");
+        this.lastNumber = Math.max(0, startMillis);
+    }
+
+    /** Returns the number of a status that is about to be sent. */
+    StatusNumber next() {
+        long now = timers.nowMillis();
+        while (!sent.isEmpty() && sent.getFirst().atMillis() + AUTHORITY_MILLIS < now) {
+            sent.removeFirst();
+        }
+        lastNumber++;
+        sent.addLast(new SentStatus(lastNumber, now));
+        return StatusNumber.of(lastNumber);
+    }
+
+    /** Records what a peer's status says of the last status that it has received from this node. */
+    void received(NodeStatus status) {
+        received(status.node(), status.receivedFrom(self));
+    }
+
+    /** Records the number of the last status that a peer has received; one that is no longer known has no effect. */
+    void received(NodeId peer, StatusNumber number) {
+        for (SentStatus status : sent) {
+            if (status.number() == number.value()) {
+                confirmedAtMillis.merge(peer, status.atMillis(), Math::max);
+                return;
+            }
+        }
+    }
+
+    @Override
+    public long endsAtMillis(NodeId origin) {
+        if (origin.equals(self)) {
+            return Long.MAX_VALUE;
+        }
+        Long confirmed = confirmedAtMillis.get(origin);
+        return confirmed == null ? NEVER : confirmed + AUTHORITY_MILLIS;
+    }
+
+    @Override
+    public void clockStoodStill(long sinceMillis, long millis) {
+        boolean isSameStop = sinceMillis <= stopSeenAtMillis && millis <= stoppedMillis + SEPARATE_STOP_MILLIS;
+        if (!isSameStop) {
+            stopSeenAtMillis = timers.nowMillis();
+            stoppedMillis = millis;
+            sent.clear();
+            confirmedAtMillis.clear();
+            observer.clockStoodStill(millis);
+        }
+    }
+
+    /** A status that was sent, and when, on the steady clock. */
+    private record SentStatus(long number, long atMillis) {}
+}
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/StatusSender.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/StatusSender.java
@@ -4,6 +4,7 @@
 import com.google.common.collect.ImmutableSet;
 import java.util.function.Supplier;
 import org.tarragonarch.core.shard.Heartbeats;
+import org.tarragonarch.core.shard.PeerTable;
 import org.tarragonarch.model.id.FailureDomain;
 import org.tarragonarch.model.id.NodeId;
 import org.tarragonarch.model.report.DrainedDomains;
@@ -17,6 +18,8 @@
     private final Member self;
     private final Heartbeats heartbeats;
     private final Supplier<ImmutableList<HeldShard>> held;
+    private final PeerTable peers;
+    private final ReceivedEchoes echoes;
     private final PeerSender sender;
     private final Timers timers;
     private boolean isLeaving;
@@ -27,16 +30,21 @@
      * Creates the sender of a node that is not leaving and has read neither a configuration nor drained domains.
      *
      * @param held returns the shards that this node holds
+     * @param echoes numbers the statuses
      */
     StatusSender(
             Member self,
             Heartbeats heartbeats,
             Supplier<ImmutableList<HeldShard>> held,
+            PeerTable peers,
+            ReceivedEchoes echoes,
             PeerSender sender,
             Timers timers) {
         this.self = self;
         this.heartbeats = heartbeats;
         this.held = held;
+        this.peers = peers;
+        this.echoes = echoes;
         this.sender = sender;
         this.timers = timers;
     }
@@ -80,9 +88,14 @@
                 held.get());
     }
 
+    /** Returns the current status with the next number, to be sent. */
+    private NodeStatus numberedStatus() {
+        return status().withNumber(echoes.next(), peers.lastNumbersOfHolders());
+    }
+
     /** Sends the status to one peer. */
     void sendTo(NodeId peer) {
-        sender.sendStatus(peer, status());
+        sender.sendStatus(peer, numberedStatus());
     }
 
     /** Sends the status to the peers to which it is due. */
@@ -105,7 +118,7 @@
         if (audience == Heartbeats.Audience.NOBODY) {
             return;
         }
-        NodeStatus status = status();
+        NodeStatus status = numberedStatus();
         ImmutableSet<FailureDomain> neighbours = heartbeats.neighbourDomains();
         switch (audience) {
             case FREQUENT -> heartbeats.frequentRecipients().forEach(peer -> sender.sendStatus(peer, status));
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/EndpointClock.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/EndpointClock.java
@@ -11,15 +11,30 @@
 final class EndpointClock {
     private long clockMillis;
     private long takenAtMillis;
+    private long latestOffsetMillis;
     private boolean known;
 
-    /** Records the clock value of an answer; an empty value leaves the estimate as it is. */
-    void update(OptionalLong answer, long nowMillis) {
-        if (answer.isPresent()) {
-            clockMillis = answer.getAsLong();
-            takenAtMillis = nowMillis;
-            known = true;
+    /**
+     * Records the clock value of an answer; an empty value leaves the estimate as it is.
+     *
+     * @param sentAtMillis when the call was sent, on the steady clock of this node
+     * @return how long the steady clock certainly stood still since the answer before, in milliseconds; 0 if unknown
+     */
+    long update(OptionalLong answer, long sentAtMillis, long nowMillis) {
+        if (answer.isEmpty()) {
+            return 0;
         }
+        clockMillis = answer.getAsLong();
+        long stopped = known ? clockMillis - nowMillis - latestOffsetMillis : 0;
+        latestOffsetMillis = clockMillis - sentAtMillis;
+        takenAtMillis = nowMillis;
+        known = true;
+        return Math.max(0, stopped);
+    }
+
+    /** Returns when the last clock value arrived, on the steady clock of this node in milliseconds. */
+    long takenAtMillis() {
+        return takenAtMillis;
     }
 
     /** Returns whether any answer contained a clock value. */
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/EndpointLink.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/EndpointLink.java
@@ -20,22 +20,32 @@
  * <p>The clock value of an answer to an order is recorded before the answer is passed on.
  */
 final class EndpointLink {
+    /** Covers the rounding of two clocks to milliseconds. */
+    private static final long CLOCK_TOLERANCE_MILLIS = 5;
+
     private final FencingToken token;
     private final PlacingSettings settings;
     private final EndpointOrders orders;
     private final Timers timers;
+    private final OriginAuthority authority;
     private EndpointClock clock = new EndpointClock();
     private EndpointEntry entry;
     private int incarnationNumber;
     private long leaseExpiryMillis;
 
     EndpointLink(
-            EndpointEntry entry, FencingToken token, PlacingSettings settings, EndpointOrders orders, Timers timers) {
+            EndpointEntry entry,
+            FencingToken token,
+            PlacingSettings settings,
+            EndpointOrders orders,
+            Timers timers,
+            OriginAuthority authority) {
         this.entry = entry;
         this.token = token;
         this.settings = settings;
         this.orders = orders;
         this.timers = timers;
+        this.authority = authority;
     }
 
     EndpointEntry entry() {
@@ -70,9 +80,21 @@
         clock = new EndpointClock();
     }
 
-    /** Records the clock value of an answer with lists from the current incarnation; empty if the answer has none. */
-    void updateClock(OptionalLong clockMillis) {
-        clock.update(clockMillis, timers.nowMillis());
+    /**
+     * Records the clock value of an answer from the current incarnation; empty if the answer has none.
+     *
+     * @param sentAtMillis when the call was sent, on the steady clock
+     */
+    void updateClock(OptionalLong clockMillis, long sentAtMillis) {
+        long since = clock.takenAtMillis();
+        long stopped = clock.update(clockMillis, sentAtMillis, timers.nowMillis());
+        if (stopped > CLOCK_TOLERANCE_MILLIS) {
+            authority.clockStoodStill(since, stopped);
+        }
+    }
+
+    OriginAuthority authority() {
+        return authority;
     }
 
     PlacingSettings settings() {
@@ -92,13 +114,18 @@
         return leaseExpiryMillis;
     }
 
-    /** Sends an order to start a run, which also extends the lease of all runs on the endpoint. */
-    void start(TaskRun run, String specification, Consumer<OrderAnswer> reply) {
-        StartOrder order = new StartOrder(token, run, specification, extendLease());
+    /**
+     * Sends an order to start a run, which also extends the lease of all runs on the endpoint.
+     *
+     * @param authorityEndMillis until when this node may act for the runs on the endpoint, on the steady clock
+     */
+    void start(TaskRun run, String specification, long authorityEndMillis, Consumer<OrderAnswer> reply) {
+        StartOrder order = new StartOrder(token, run, specification, extendLease(authorityEndMillis));
         int sentTo = incarnationNumber;
+        long sentAt = timers.nowMillis();
         orders.start(entry, order, delivery(false), answer -> {
             if (sentTo == incarnationNumber) {
-                clock.update(answer.clockMillis(), timers.nowMillis());
+                updateClock(answer.clockMillis(), sentAt);
             }
             reply.accept(answer);
         });
@@ -112,9 +139,10 @@
      */
     void stop(TaskRun run, boolean fresh, Consumer<OrderAnswer> reply) {
         int sentTo = incarnationNumber;
+        long sentAt = timers.nowMillis();
         orders.stop(entry, token, run, delivery(fresh), answer -> {
             if (sentTo == incarnationNumber) {
-                clock.update(answer.clockMillis(), timers.nowMillis());
+                updateClock(answer.clockMillis(), sentAt);
                 reply.accept(answer);
             }
         });
@@ -136,9 +164,10 @@
      *
      * @param acknowledgedEnd the highest number of an end that need not be listed again
      * @param fresh whether to use a new connection, because the open ones may be dead
+     * @param authorityEndMillis until when this node may act for the runs on the endpoint, on the steady clock
      */
-    void renew(long acknowledgedEnd, boolean fresh, Consumer<PollAnswer> reply) {
-        OptionalLong until = OptionalLong.of(extendLease());
+    void renew(long acknowledgedEnd, boolean fresh, long authorityEndMillis, Consumer<PollAnswer> reply) {
+        OptionalLong until = OptionalLong.of(extendLease(authorityEndMillis));
         poll(new PollOrder(token, acknowledgedEnd, until, settings.pollWait()), fresh, reply);
     }
 
@@ -150,10 +179,13 @@
         return new Delivery(settings.answerTimeout(), fresh);
     }
 
-    /** Extends the lease from now and returns its expiry, in milliseconds on the endpoint's clock. */
-    private long extendLease() {
+    /**
+     * Extends the lease from now, or from the end of the authority if that is earlier, and returns its expiry, in
+     * milliseconds on the endpoint's clock.
+     */
+    private long extendLease(long authorityEndMillis) {
         long now = timers.nowMillis();
         leaseExpiryMillis = Math.max(leaseExpiryMillis, now + settings.leaseExpiry());
-        return clock.at(now) + settings.lease();
+        return Math.max(0, clock.at(Math.min(now, authorityEndMillis)) + settings.lease());
     }
 }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/ForwardingPlacementObserver.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/ForwardingPlacementObserver.java
@@ -45,6 +45,16 @@
         delegate.jobsNotOpen(origin, jobs);
     }
 
+    @Override
+    public void startsWithheld(NodeId origin, JobId job) {
+        delegate.startsWithheld(origin, job);
+    }
+
+    @Override
+    public void runsWithoutAuthority(NodeId origin, JobId job, int runs) {
+        delegate.runsWithoutAuthority(origin, job, runs);
+    }
+
     @Override
     public void shareLimited(ShareState state, boolean isLimited) {
         delegate.shareLimited(state, isLimited);
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/HeldEndpoint.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/HeldEndpoint.java
@@ -46,10 +46,10 @@
             ShareTally tally) {
         this.link = link;
         this.listener = listener;
-        this.reservedCapacity = new ReservedCapacity(link.entry().capacity(), tally);
+        this.reservedCapacity = new ReservedCapacity(link.entry().capacity(), tally, link.authority());
         Host host = new Host();
         this.ends = new RunEnds(link, reservedCapacity, this, listener);
-        this.poller = new RunListPoller(link, host);
+        this.poller = new RunListPoller(link, reservedCapacity, host);
         this.listedRuns = new ListedRuns(link, reservedCapacity, unanswered, poller, host);
         this.orders = new RunOrders(link, reservedCapacity, poller, unanswered, host);
         this.observations = new EndpointObservations(reservedCapacity, progress);
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/JobLifecycle.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/JobLifecycle.java
@@ -27,7 +27,7 @@
     private final PlacerListener listener;
     private final Map<JobId, PlacedJob> jobs = new HashMap<>();
     private final CancellingJobs cancelling = new CancellingJobs();
-    private final TasksAwaitingOrigin awaitingOrigin = new TasksAwaitingOrigin();
+    private final TasksAwaitingOrigin awaitingOrigin;
     private final CompletionEstimator estimator;
     private final OfferAdmission admission;
     private final RecoveringJobs recovering;
@@ -39,18 +39,20 @@
             PoolShares poolShares,
             PoolCapacity capacity,
             RunTimes runTimes,
+            TasksAwaitingOrigin awaitingOrigin,
             Timers timers,
             PlacerListener listener) {
         this.shards = shards;
         this.pending = pending;
         this.poolShares = poolShares;
         this.runTimes = runTimes;
+        this.awaitingOrigin = awaitingOrigin;
         this.timers = timers;
         this.listener = listener;
         this.estimator = new CompletionEstimator(shards.endpoints(), pending, poolShares);
         this.admission = new OfferAdmission(pending);
         this.recovering = new RecoveringJobs(shards, timers, listener, this::resume);
-        this.starter = new TaskStarter(shards, pending, poolShares, capacity, timers, this::giveUp);
+        this.starter = new TaskStarter(shards, pending, poolShares, capacity, awaitingOrigin, timers, this::giveUp);
     }
 
     /** Admits or declines a job; see {@link Placer#offer}. */
@@ -108,18 +110,14 @@
         return ended;
     }
 
-    /** Keeps a task from starting until a message from the origin of its job arrives. */
-    void awaitOrigin(PlacedTask task) {
-        awaitingOrigin.add(task);
-    }
-
     /** Keeps the waiting tasks of an origin from starting until a message from it arrives on a new connection. */
     void connectionLost(NodeId origin) {
-        jobs.values().stream()
-                .filter(job -> job.origin().equals(origin))
-                .flatMap(job -> job.tasks().stream())
-                .filter(PlacedTask::isWaiting)
-                .forEach(awaitingOrigin::add);
+        awaitingOrigin.addWaiting(jobs.values(), origin);
+    }
+
+    /** Stops the runs of jobs over which this node no longer has authority. */
+    void stopRunsWithoutAuthority() {
+        awaitingOrigin.stopRuns(jobs.values(), timers.nowMillis());
     }
 
     /** Releases the tasks that wait for a message from this origin. */
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacedShard.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacedShard.java
@@ -23,6 +23,7 @@
     private final PlacingSettings settings;
     private final EndpointOrders orders;
     private final Timers timers;
+    private final OriginAuthority authority;
     private final EndpointListener listener;
     private final ProgressReports progress;
     private final ShareTally tally = new ShareTally();
@@ -35,12 +36,14 @@
             PlacingSettings settings,
             EndpointOrders orders,
             Timers timers,
+            OriginAuthority authority,
             EndpointListener listener,
             ProgressReports progress) {
         this.token = token;
         this.settings = settings;
         this.orders = orders;
         this.timers = timers;
+        this.authority = authority;
         this.listener = listener;
         this.progress = progress;
         this.openedAtMillis = timers.nowMillis();
@@ -66,7 +69,7 @@
             ids.add(entry.id());
             HeldEndpoint known = endpoints.get(entry.id());
             if (known == null || known.isSucceededBy(entry)) {
-                EndpointLink link = new EndpointLink(entry, token, settings, orders, timers);
+                EndpointLink link = new EndpointLink(entry, token, settings, orders, timers, authority);
                 HeldEndpoint added = new HeldEndpoint(link, listener, progress, unanswered, tally);
                 endpoints.put(entry.id(), added);
                 added.open();
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacedTask.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacedTask.java
@@ -181,6 +181,11 @@
         return true;
     }
 
+    /** Returns whether the task has a run that was not ordered to stop. */
+    boolean shouldRun() {
+        return reservation.filter(Reservation::shouldRun).isPresent();
+    }
+
     /** Stops the current run, if any. */
     void stop() {
         endpoint.ifPresent(placed -> placed.stop(reservation.orElseThrow()));
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacementObserver.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacementObserver.java
@@ -35,6 +35,12 @@
     /** Jobs were ended because their origin no longer has them open at this holder. */
     default void jobsNotOpen(NodeId origin, int jobs) {}
 
+    /** The waiting tasks of a job are kept from starting because the authority over its origin's jobs has ended. */
+    default void startsWithheld(NodeId origin, JobId job) {}
+
+    /** Runs of a job were stopped because the authority over its origin's jobs has ended. */
+    default void runsWithoutAuthority(NodeId origin, JobId job, int runs) {}
+
     /** A share became limited by its allotment, or is no longer limited. */
     default void shareLimited(ShareState state, boolean isLimited) {}
 
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/Placer.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/Placer.java
@@ -40,12 +40,15 @@
     private final ProgressReports progress = new ProgressReports();
     private final JobLifecycle jobs;
     private final RunResults results;
+    private final OriginAuthority authority;
+    private final TasksAwaitingOrigin awaitingOrigin;
     private boolean closed;
 
     /**
      * Creates a placer that holds no shard yet.
      *
      * @param runTimes the recorded run times of every queue; outlives this placer
+     * @param authority until when this node may act for the jobs of an origin
      * @param hasCompleteList returns whether the list of endpoints of a shard is known to be complete
      */
     public Placer(
@@ -54,12 +57,15 @@
             Timers timers,
             PlacerListener listener,
             RunTimes runTimes,
+            OriginAuthority authority,
             Predicate<FailureDomain> hasCompleteList) {
         this.settings = checkNotNull(settings, "settings");
         this.orders = checkNotNull(orders, "orders");
         this.timers = checkNotNull(timers, "timers");
         this.listener = checkNotNull(listener, "listener");
         checkNotNull(runTimes, "runTimes");
+        this.authority = checkNotNull(authority, "authority");
+        this.awaitingOrigin = new TasksAwaitingOrigin(authority, listener);
         this.shards = new HeldShards(checkNotNull(hasCompleteList, "hasCompleteList"));
         PoolCapacity capacity = new PoolCapacity(shards.endpoints());
         PendingShares pending = new PendingShares();
@@ -68,7 +74,7 @@
                 shards.tallies(),
                 share -> pending.jobsOf(share).waitingMilliCores());
         this.shareReview = new ShareReview(poolShares, capacity, timers, listener);
-        this.jobs = new JobLifecycle(shards, pending, poolShares, capacity, runTimes, timers, listener);
+        this.jobs = new JobLifecycle(shards, pending, poolShares, capacity, runTimes, awaitingOrigin, timers, listener);
         this.results = new RunResults(runTimes, timers, listener, new Results());
     }
 
@@ -79,7 +85,7 @@
      */
     public void open(FailureDomain shard, FencingToken token, Collection<EndpointEntry> listed) {
         checkState(!closed && shards.find(shard).isEmpty(), "shard %s is already held, or the placer is closed", shard);
-        shards.add(shard, new PlacedShard(token, settings, orders, timers, results, progress));
+        shards.add(shard, new PlacedShard(token, settings, orders, timers, authority, results, progress));
         update(shard, listed);
     }
 
@@ -166,10 +172,11 @@
     }
 
     /**
-     * Restarts stalled runs and updates the states of shares and the speeds of endpoints; to be called a few times a
-     * second.
+     * Stops runs without authority, restarts stalled runs and updates the states of shares and the speeds of endpoints;
+     * to be called a few times a second.
      */
     public void review() {
+        jobs.stopRunsWithoutAuthority();
         shards.endpoints().forEach(HeldEndpoint::restartOverdueRuns);
         shareReview.review();
         shards.normalizeSpeeds();
@@ -247,7 +254,7 @@
 
         @Override
         public void awaitOrigin(PlacedTask task) {
-            jobs.awaitOrigin(task);
+            awaitingOrigin.add(task);
         }
 
         @Override
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/ReservedCapacity.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/ReservedCapacity.java
@@ -13,6 +13,7 @@
 final class ReservedCapacity {
     private final ShareTally tally;
     private final Map<TaskName, Reservation> reservations = new HashMap<>();
+    private final OriginAuthority authority;
     private Resources capacity;
     private Resources used = Resources.NONE;
     private Resources free;
@@ -21,10 +22,12 @@
      * Creates the capacity of an endpoint without reservations.
      *
      * @param tally counts the reserved capacity by share
+     * @param authority until when this node may act for the jobs whose runs have the reservations
      */
-    ReservedCapacity(Resources capacity, ShareTally tally) {
+    ReservedCapacity(Resources capacity, ShareTally tally, OriginAuthority authority) {
         this.capacity = capacity;
         this.tally = tally;
+        this.authority = authority;
         this.free = capacity;
     }
 
@@ -63,6 +66,18 @@
         return false;
     }
 
+    /**
+     * Returns until when this node may act for all runs on the endpoint, on the steady clock in milliseconds; runs that
+     * are being stopped count too.
+     */
+    long authorityEndMillis() {
+        long end = Long.MAX_VALUE;
+        for (Reservation reservation : reservations.values()) {
+            end = Math.min(end, authority.endsAtMillis(reservation.task().job().origin()));
+        }
+        return end;
+    }
+
     boolean contains(Reservation reservation) {
         return reservations.get(reservation.run().task()) == reservation;
     }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RunListPoller.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RunListPoller.java
@@ -22,6 +22,7 @@
     private static final long IDLE_ACKNOWLEDGEMENT_MILLIS = 500;
 
     private final EndpointLink link;
+    private final ReservedCapacity reserved;
     private final Host host;
     private long listedEnd;
     private long acknowledgedEnd;
@@ -31,8 +32,9 @@
     private boolean idleAcknowledgementScheduled;
     private long retryMillis;
 
-    RunListPoller(EndpointLink link, Host host) {
+    RunListPoller(EndpointLink link, ReservedCapacity reserved, Host host) {
         this.link = link;
+        this.reserved = reserved;
         this.host = host;
     }
 
@@ -99,7 +101,7 @@
         Call call = new Call(link.nowMillis(), link.incarnationNumber(), listedEnd);
         callInFlight = true;
         if (read && !silent && host.needsPolling()) {
-            link.renew(listedEnd, false, answer -> answered(answer, call));
+            link.renew(listedEnd, false, reserved.authorityEndMillis(), answer -> answered(answer, call));
         } else {
             link.list(listedEnd, silent || !read, answer -> answered(answer, call));
         }
@@ -140,7 +142,7 @@
         if (isCurrent(call)) {
             acknowledgedEnd = Math.max(acknowledgedEnd, call.acknowledgedEnd());
         }
-        link.updateClock(answer.clockMillis());
+        link.updateClock(answer.clockMillis(), call.sentAtMillis());
         for (TaskEnd end : answer.ended()) {
             if (end.number() > listedEnd) {
                 listedEnd = end.number();
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RunOrders.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RunOrders.java
@@ -44,7 +44,11 @@
         reserve(reservation);
         unanswered.add(link.incarnation().id(), run, link.nowMillis());
         int sentTo = link.incarnationNumber();
-        link.start(run, task.job().specification(), answer -> startAnswered(reservation, answer, sentTo));
+        link.start(
+                run,
+                task.job().specification(),
+                reserved.authorityEndMillis(),
+                answer -> startAnswered(reservation, answer, sentTo));
         poller.pollIfIdle();
     }
 
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/TaskStarter.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/TaskStarter.java
@@ -17,6 +17,7 @@
     private final PendingShares pending;
     private final PoolShares poolShares;
     private final PoolCapacity capacity;
+    private final TasksAwaitingOrigin awaitingOrigin;
     private final Timers timers;
     private final Consumer<PlacedJob> giveUp;
     private boolean scheduled;
@@ -32,12 +33,14 @@
             PendingShares pending,
             PoolShares poolShares,
             PoolCapacity capacity,
+            TasksAwaitingOrigin awaitingOrigin,
             Timers timers,
             Consumer<PlacedJob> giveUp) {
         this.shards = shards;
         this.pending = pending;
         this.poolShares = poolShares;
         this.capacity = capacity;
+        this.awaitingOrigin = awaitingOrigin;
         this.timers = timers;
         this.giveUp = giveUp;
     }
@@ -91,6 +94,10 @@
         if (job.isOver() || job.taskResources().milliCores() > largestFree) {
             return largestFree;
         }
+        if (!awaitingOrigin.checkMayStart(job, now)) {
+            pending.remove(job);
+            return largestFree;
+        }
         int waitingBefore = job.waitingTasks();
         if (startWaiting(job, order, now)) {
             pending.remove(job);
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/routing/Holders.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/routing/Holders.java
@@ -29,6 +29,9 @@
     /** Returns whether the holder holds the shard of this node's own failure domain. */
     boolean holdsOwnDomain(Holder holder);
 
+    /** Returns when this node last received a status of a holder, on the steady clock in milliseconds. */
+    long lastContactMillis(Holder holder);
+
     /**
      * Returns the shards on whose endpoints runs of a lost holder may be.
      *
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/routing/JobPlacement.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/routing/JobPlacement.java
@@ -15,7 +15,7 @@
     private final Holders holders;
     private final JobTable jobs;
     private final Timers timers;
-    private final long maxRunMillisAfterLoss;
+    private final long maxRunMillisAfterContact;
     private final OfferNumbers numbers;
     private final RoutingObserver observer;
 
@@ -24,13 +24,13 @@
             Holders holders,
             JobTable jobs,
             Timers timers,
-            long maxRunMillisAfterLoss,
+            long maxRunMillisAfterContact,
             OfferNumbers numbers,
             RoutingObserver observer) {
         this.holders = holders;
         this.jobs = jobs;
         this.timers = timers;
-        this.maxRunMillisAfterLoss = maxRunMillisAfterLoss;
+        this.maxRunMillisAfterContact = maxRunMillisAfterContact;
         this.numbers = numbers;
         this.observer = observer;
     }
@@ -45,14 +45,14 @@
     void place(OpenJob job) {
         long now = timers.nowMillis();
         ImmutableList<Holder> inOrder = holders.inPreferenceOrder();
-        Optional<Holder> atOnce = job.nextImmediateStartHolder(inOrder, holders, now, maxRunMillisAfterLoss);
+        Optional<Holder> atOnce = job.nextImmediateStartHolder(inOrder, holders, now, maxRunMillisAfterContact);
         if (atOnce.isPresent()) {
             offer(job, atOnce.get(), OfferTerms.AT_ONCE);
             return;
         }
         boolean anyAllowedLater = false;
         for (Holder candidate : inOrder) {
-            if (job.mayBeOfferedTo(candidate, holders, now, maxRunMillisAfterLoss)) {
+            if (job.mayBeOfferedTo(candidate, holders, now, maxRunMillisAfterContact)) {
                 offer(job, candidate, OfferTerms.MAY_WAIT);
                 return;
             }
@@ -81,7 +81,7 @@
                         holders.ownNode(),
                         numbers.next(),
                         timers.nowMillis(),
-                        maxRunMillisAfterLoss,
+                        maxRunMillisAfterContact,
                         terms,
                         toOwnDomain));
     }
@@ -111,7 +111,7 @@
     /** Offers a job again after its holder has lost the shards; not to that holder until its status shows new ones. */
     void handleHoldLost(OpenJob job) {
         job.excludeHolder();
-        handleHolderLost(job);
+        handleHolderLost(job, timers.nowMillis());
     }
 
     /**
@@ -120,11 +120,16 @@
      * <p>The job goes to a successor that finds its runs; to any other holder only once those runs are over.
      */
     void handleHolderLost(OpenJob job) {
+        handleHolderLost(job, job.holder().map(holders::lastContactMillis).orElseGet(timers::nowMillis));
+    }
+
+    private void handleHolderLost(OpenJob job, long lastContactMillis) {
         job.holder().ifPresent(lost -> observer.holderLost(job.id(), lost.node()));
         ImmutableSet<FailureDomain> shards =
                 job.holder().map(holders::shardsWithPossibleRuns).orElse(ImmutableSet.of());
-        job.markHolderLost(shards, timers.nowMillis());
-        timers.schedule(maxRunMillisAfterLoss, () -> placeIfWithoutHolder(job));
+        long now = timers.nowMillis();
+        job.markHolderLost(shards, now, lastContactMillis);
+        timers.schedule(lastContactMillis + maxRunMillisAfterContact - now, () -> placeIfWithoutHolder(job));
         place(job);
     }
 
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/routing/JobRouter.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/routing/JobRouter.java
@@ -43,19 +43,19 @@
     /**
      * Creates a router without jobs.
      *
-     * @param maxRunMillisAfterLoss the longest time that runs continue after this node has detected the loss of their
-     *     holder, in milliseconds; the holder may renew their leases until it detects the loss of this node
+     * @param maxRunMillisAfterContact the longest time that runs continue after this node last heard from their
+     *     holder, in milliseconds
      * @param startMillis the time of day in milliseconds since 1970, from which the offers are numbered
      * @param observer observer of jobs that are offered to other failure domains, lost or offered again
      */
     public JobRouter(
-            Holders holders, Timers timers, long maxRunMillisAfterLoss, long startMillis, RoutingObserver observer) {
+            Holders holders, Timers timers, long maxRunMillisAfterContact, long startMillis, RoutingObserver observer) {
         this.holders = checkNotNull(holders, "holders");
         this.timers = checkNotNull(timers, "timers");
         this.jobs = new JobTable(timers);
         this.observer = checkNotNull(observer, "observer");
         OfferNumbers numbers = new OfferNumbers(startMillis);
-        this.placement = new JobPlacement(holders, jobs, timers, maxRunMillisAfterLoss, numbers, observer);
+        this.placement = new JobPlacement(holders, jobs, timers, maxRunMillisAfterContact, numbers, observer);
     }
 
     /** Accepts a job; see {@link JobService#submit}. */
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/routing/OpenJob.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/routing/OpenJob.java
@@ -82,18 +82,20 @@
     /**
      * Returns an offer of this job, which supersedes its earlier ones.
      *
-     * @param maxRunMillisAfterLoss the longest time that runs of a lost holder continue, in milliseconds
+     * @param maxRunMillisAfterContact the longest time that runs continue after this node last heard from
+     *     their holder, in milliseconds
      * @param toOwnDomain whether the offer goes to the holder of this node's own failure domain
      */
     Offer offer(
             NodeId own,
             OfferNumber number,
             long nowMillis,
-            long maxRunMillisAfterLoss,
+            long maxRunMillisAfterContact,
             OfferTerms terms,
             boolean toOwnDomain) {
-        EarlierRuns earlierRuns = loss.filter(lost -> lost.remainingRunMillis(nowMillis, maxRunMillisAfterLoss) > 0)
-                .map(lost -> new EarlierRuns(lost.remainingRunMillis(nowMillis, maxRunMillisAfterLoss), lost.shards()))
+        EarlierRuns earlierRuns = loss.filter(lost -> lost.remainingRunMillis(nowMillis, maxRunMillisAfterContact) > 0)
+                .map(lost ->
+                        new EarlierRuns(lost.remainingRunMillis(nowMillis, maxRunMillisAfterContact), lost.shards()))
                 .orElse(EarlierRuns.NONE);
         Offer offer = new Offer(
                 request,
@@ -121,12 +123,12 @@
      * already late, which would lose the time of a round trip per offer.
      */
     Optional<Holder> nextImmediateStartHolder(
-            ImmutableList<Holder> inOrder, Holders holders, long nowMillis, long maxRunMillisAfterLoss) {
+            ImmutableList<Holder> inOrder, Holders holders, long nowMillis, long maxRunMillisAfterContact) {
         if (mayHaveRun || isLate(nowMillis)) {
             return Optional.empty();
         }
         return immediateStartOffers.next(
-                inOrder, holders, holder -> mayBeOfferedTo(holder, holders, nowMillis, maxRunMillisAfterLoss));
+                inOrder, holders, holder -> mayBeOfferedTo(holder, holders, nowMillis, maxRunMillisAfterContact));
     }
 
     private boolean isLate(long nowMillis) {
@@ -190,12 +192,13 @@
      * are certainly over.
      *
      * @param shards the shards on which runs of the job may be
+     * @param lastContactMillis when this node last heard from the holder, on the steady clock
      */
-    void markHolderLost(ImmutableSet<FailureDomain> shards, long nowMillis) {
+    void markHolderLost(ImmutableSet<FailureDomain> shards, long nowMillis, long lastContactMillis) {
         declinedBy.clear();
         mayHaveRun = true;
         lossBefore = loss;
-        loss = holder.map(lost -> new HolderLoss(lost, shards, nowMillis));
+        loss = holder.map(lost -> new HolderLoss(lost, shards, nowMillis, lastContactMillis));
         holder = Optional.empty();
     }
 
@@ -250,15 +253,15 @@
     }
 
     /** Returns whether the job may be offered to the holder now. */
-    boolean mayBeOfferedTo(Holder candidate, Holders holders, long nowMillis, long maxRunMillisAfterLoss) {
+    boolean mayBeOfferedTo(Holder candidate, Holders holders, long nowMillis, long maxRunMillisAfterContact) {
         boolean mayRunElsewhere = formerHolder
-                .filter(former -> nowMillis < former.closedAtMillis() + maxRunMillisAfterLoss)
+                .filter(former -> nowMillis < former.closedAtMillis() + maxRunMillisAfterContact)
                 .filter(former -> !former.node().equals(candidate.node()))
                 .isPresent();
         if (declinedBy.contains(candidate.node()) || isReturnedBy(candidate) || mayRunElsewhere) {
             return false;
         }
-        if (loss.isEmpty() || loss.get().remainingRunMillis(nowMillis, maxRunMillisAfterLoss) == 0) {
+        if (loss.isEmpty() || loss.get().remainingRunMillis(nowMillis, maxRunMillisAfterContact) == 0) {
             return true;
         }
         Holder lost = loss.get().holder();
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/ForwardingShardObserver.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/ForwardingShardObserver.java
@@ -31,6 +31,11 @@
         delegate.fenced(shard, token);
     }
 
+    @Override
+    public void clockStoodStill(long millis) {
+        delegate.clockStoodStill(millis);
+    }
+
     @Override
     public void drainChanged(FailureDomain domain, boolean isDrained, long version, String source) {
         delegate.drainChanged(domain, isDrained, version, source);
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/PeerTable.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/PeerTable.java
@@ -1,6 +1,7 @@
 package org.tarragonarch.core.shard;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
 import java.util.HashMap;
 import java.util.Map;
@@ -12,6 +13,7 @@
 import org.tarragonarch.model.id.NodeId;
 import org.tarragonarch.model.report.HeldShard;
 import org.tarragonarch.model.report.NodeStatus;
+import org.tarragonarch.model.report.StatusNumber;
 import org.tarragonarch.model.task.FencingToken;
 
 /** The last status of each peer, and which peers are reachable. */
@@ -33,14 +35,6 @@
      */
     public static final long OVERDUE_MILLIS = 2 * STATUS_PERIOD_MILLIS;
 
-    /**
-     * The longest time between the moments at which two nodes detect that they have lost each other, in milliseconds.
-     *
-     * <p>The last status of one may be a period older than that of the other, and each checks for silent peers twice a
-     * period.
-     */
-    public static final long DETECTION_SKEW_MILLIS = STATUS_PERIOD_MILLIS + STATUS_PERIOD_MILLIS / 2;
-
     /** The period at which a node sends its status to other peers, in milliseconds; see {@link Heartbeats}. */
     public static final long DISTANT_PERIOD_MILLIS = 2_000;
 
@@ -172,6 +166,23 @@
         return last != null && last.reachable() && !last.status().shards().isEmpty();
     }
 
+    /** Returns the numbers of the last statuses of the reachable peers that hold a shard. */
+    public ImmutableMap<NodeId, StatusNumber> lastNumbersOfHolders() {
+        ImmutableMap.Builder<NodeId, StatusNumber> numbers = ImmutableMap.builder();
+        for (LastStatus last : peers.values()) {
+            if (last.reachable() && !last.status().shards().isEmpty()) {
+                numbers.put(last.status().node(), last.status().number());
+            }
+        }
+        return numbers.build();
+    }
+
+    /** Returns the number of the last status of a peer. */
+    public StatusNumber lastNumber(NodeId peer) {
+        LastStatus last = peers.get(peer);
+        return last == null ? StatusNumber.NONE : last.status().number();
+    }
+
     /** Returns the last status of every reachable peer. */
     public ImmutableList<NodeStatus> reachable() {
         return statuses(last -> true);
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/ShardObserver.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/ShardObserver.java
@@ -20,6 +20,13 @@
     /** The endpoints of a shard obey a higher token than this node's. */
     default void fenced(FailureDomain shard, FencingToken token) {}
 
+    /**
+     * The clock of an endpoint shows that this node's steady clock stood still.
+     *
+     * @param millis how long at least, in milliseconds
+     */
+    default void clockStoodStill(long millis) {}
+
     /**
      * A failure domain was drained or undrained.
      *
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/ShardOwnership.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/ShardOwnership.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.function.LongSupplier;
 import org.tarragonarch.core.placing.ForwardingPlacementObserver;
+import org.tarragonarch.core.placing.OriginAuthority;
 import org.tarragonarch.core.placing.Placer;
 import org.tarragonarch.core.placing.PlacerListener;
 import org.tarragonarch.core.placing.PlacingSettings;
@@ -39,6 +40,7 @@
     private final EndpointOrders orders;
     private final Timers timers;
     private final LongSupplier wallMillis;
+    private final OriginAuthority authority;
     private final ShardOwnershipListener events;
     private final EndpointListStability listStability;
     private final Relay relay;
@@ -53,6 +55,7 @@
      *
      * @param pools all shards, grouped by holder
      * @param wallMillis the time of day in milliseconds, from which terms that increase over restarts are derived
+     * @param authority until when this node may act for the jobs of an origin
      */
     public ShardOwnership(
             ShardPools pools,
@@ -62,6 +65,7 @@
             EndpointOrders orders,
             Timers timers,
             LongSupplier wallMillis,
+            OriginAuthority authority,
             ShardOwnershipListener events) {
         this.pools = checkNotNull(pools, "pools");
         this.election = checkNotNull(election, "election");
@@ -70,6 +74,7 @@
         this.orders = checkNotNull(orders, "orders");
         this.timers = checkNotNull(timers, "timers");
         this.wallMillis = checkNotNull(wallMillis, "wallMillis");
+        this.authority = checkNotNull(authority, "authority");
         this.events = checkNotNull(events, "events");
         this.relay = new Relay(events);
         this.listStability = new EndpointListStability(endpoints);
@@ -202,7 +207,8 @@
     private void claim(FailureDomain shard) {
         FencingToken token = election.claim(shard, wallMillis.getAsLong());
         if (placer.isEmpty()) {
-            placer = Optional.of(new Placer(settings, orders, timers, relay, runTimes, this::isListComplete));
+            placer =
+                    Optional.of(new Placer(settings, orders, timers, relay, runTimes, authority, this::isListComplete));
         }
         claimedAtMillis.put(shard, timers.nowMillis());
         placer.get().open(shard, token, endpointsThatMayRunTasks(shard));
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/SeparatePoolsTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/SeparatePoolsTest.java
@@ -196,6 +196,46 @@
         test.assertNeverTwoRuns();
     }
 
+    /**
+     * Guards against a task that waits for capacity at a suspended holder, and that the holder starts when it resumes,
+     * although the job's origin has lost it and has offered the job elsewhere.
+     */
+    @Test
+    public void testHolderSuspended_capacityIsReleasedMeanwhile() {
+        SeparatePoolsTest test = new SeparatePoolsTest();
+        SeparatePoolsFixture cluster = test.cluster;
+        FakeNode holder = cluster.launcestonHolder;
+        test.separate(cluster.hobartNode, cluster.hobartHolder, SILENT_MILLIS);
+        test.breakBoth(cluster.hobartNode, cluster.hobartHolder);
+        cluster.timers.advance(200);
+        cluster.launcestonEndpoint.setRunMillis(SILENT_MILLIS);
+        cluster.submit(holder, FILLER, SeparatePoolsFixture.TASKS_PER_ENDPOINT);
+        cluster.timers.advance(100);
+        cluster.launcestonEndpoint.setRunMillis(SUSPENDED_MILLIS);
+        cluster.submit(cluster.hobartNode, JOB, 1);
+        cluster.timers.advance(100);
+        test.separate(cluster.hobartNode, holder, PERMANENT_STALL_MILLIS);
+        cluster.launcestonMachine.suspend(SUSPENDED_MILLIS);
+        cluster.timers.advance(SUSPENDED_MILLIS - 10);
+        assertEquals(cluster.hobartEndpoint.running(), 1);
+        assertEquals(cluster.launcestonEndpoint.running(), 0);
+        cluster.timers.advance(1_000);
+        test.assertNeverTwoRuns();
+    }
+
+    /** Makes the connections between two nodes silent, and refuses new ones for the given time. */
+    private void separate(FakeNode one, FakeNode other, long millis) {
+        cluster.connections.stall(one.id(), other.id(), PERMANENT_STALL_MILLIS);
+        cluster.connections.stall(other.id(), one.id(), PERMANENT_STALL_MILLIS);
+        cluster.connections.refuseConnections(one.id(), other.id(), millis);
+        cluster.connections.refuseConnections(other.id(), one.id(), millis);
+    }
+
+    private void breakBoth(FakeNode one, FakeNode other) {
+        cluster.connections.breakConnection(one.id(), other.id());
+        cluster.connections.breakConnection(other.id(), one.id());
+    }
+
     /**
      * Guards against two runs of a job whose origin was suspended, and offers it again when it resumes, although its
      * client has left and has submitted it through another node.
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/StatusSenderTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/StatusSenderTest.java
@@ -12,6 +12,7 @@
 import org.tarragonarch.core.shard.EndpointList;
 import org.tarragonarch.core.shard.Heartbeats;
 import org.tarragonarch.core.shard.PeerTable;
+import org.tarragonarch.core.shard.ShardObserver;
 import org.tarragonarch.core.shard.ShardPools;
 import org.tarragonarch.model.id.Address;
 import org.tarragonarch.model.id.FailureDomain;
@@ -32,8 +33,11 @@
     private StatusSender sender() {
         ShardPools pools = new ShardPools(ImmutableMap.of(HOBART, Region.of("south")), new EndpointList());
         Member self = new Member(NodeId.of("a"), HOBART, new Address("10.0.0.1", 7_000), 360);
-        Heartbeats heartbeats = new Heartbeats(new PeerTable(), pools, HOBART);
-        return new StatusSender(self, heartbeats, ImmutableList::of, new RecordingPeerSender(sent), timers);
+        PeerTable peers = new PeerTable();
+        Heartbeats heartbeats = new Heartbeats(peers, pools, HOBART);
+        ReceivedEchoes echoes = new ReceivedEchoes(self.node(), timers, 0, new ShardObserver() {});
+        return new StatusSender(
+                self, heartbeats, ImmutableList::of, peers, echoes, new RecordingPeerSender(sent), timers);
     }
 
     /** Guards against a second status in one period after a status was sent outside the period. */
--- /dev/null
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/EndpointClockTest.java
@@ -0,0 +1,55 @@
+package org.tarragonarch.core.placing;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+
+import java.util.OptionalLong;
+import org.testng.annotations.Test;
+
+public final class EndpointClockTest {
+    private static final long OFFSET_MILLIS = 70_000;
+
+    private final EndpointClock clock = new EndpointClock();
+
+    private long update(long endpointMillis, long sentAtMillis, long nowMillis) {
+        return clock.update(OptionalLong.of(endpointMillis), sentAtMillis, nowMillis);
+    }
+
+    @Test
+    public void testUpdate_noClockValue() {
+        EndpointClockTest test = new EndpointClockTest();
+        assertEquals(test.clock.update(OptionalLong.empty(), 0, 10), 0);
+        assertFalse(test.clock.isKnown());
+    }
+
+    @Test
+    public void testUpdate_firstAnswer() {
+        assertEquals(new EndpointClockTest().update(OFFSET_MILLIS, 0, 10), 0);
+    }
+
+    /** Guards against a slow call that passes for a suspension of this node. */
+    @Test
+    public void testUpdate_slowCalls() {
+        EndpointClockTest test = new EndpointClockTest();
+        test.update(OFFSET_MILLIS + 1, 0, 400);
+        assertEquals(test.update(OFFSET_MILLIS + 999, 500, 1_000), 0);
+        assertEquals(test.update(OFFSET_MILLIS + 1_001, 1_000, 1_600), 0);
+    }
+
+    /** Guards against a suspension that goes unnoticed because this node's clock stood still too. */
+    @Test
+    public void testUpdate_clockOfThisNodeStoodStill() {
+        EndpointClockTest test = new EndpointClockTest();
+        test.update(OFFSET_MILLIS + 5, 0, 10);
+        assertEquals(test.update(OFFSET_MILLIS + 920, 10, 20), 895);
+    }
+
+    /** Guards against an endpoint with a slow clock that hides a suspension later on. */
+    @Test
+    public void testUpdate_slowClockOfEndpoint() {
+        EndpointClockTest test = new EndpointClockTest();
+        test.update(OFFSET_MILLIS, 0, 0);
+        assertEquals(test.update(OFFSET_MILLIS + 9_800, 10_000, 10_000), 0);
+        assertEquals(test.update(OFFSET_MILLIS + 10_300, 10_010, 10_010), 490);
+    }
+}
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/EndpointObservationsTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/EndpointObservationsTest.java
@@ -15,7 +15,8 @@
     /** Guards against an incarnation that is ejected or considered slow because of the runs of an earlier one. */
     @Test
     public void testReset_clearsHealthAndSpeed() {
-        ReservedCapacity reserved = new ReservedCapacity(new Resources(16_000, 32_768, 0), new ShareTally());
+        ReservedCapacity reserved =
+                new ReservedCapacity(new Resources(16_000, 32_768, 0), new ShareTally(), new UnlimitedAuthority());
         EndpointObservations observations = new EndpointObservations(reserved, new ProgressReports());
         observations.health().eject(NOW_MILLIS, 10_000);
         observations.speed().record(100, 500);
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/JobLifecycleTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/JobLifecycleTest.java
@@ -30,7 +30,14 @@
         PoolShares poolShares = new PoolShares(SharePlan.NONE, shards.tallies(), share -> 0);
         PoolCapacity capacity = new PoolCapacity(shards.endpoints());
         return new JobLifecycle(
-                shards, pending, poolShares, capacity, new RunTimes(), timers, new RecordingListener(verdicts));
+                shards,
+                pending,
+                poolShares,
+                capacity,
+                new RunTimes(),
+                new TasksAwaitingOrigin(new UnlimitedAuthority(), new PlacementObserver() {}),
+                timers,
+                new RecordingListener(verdicts));
     }
 
     /** Guards against a client that retries at once, or only after its whole objective, while no endpoint is known. */
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/PendingJobsTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/PendingJobsTest.java
@@ -60,7 +60,12 @@
     static HeldEndpoint endpoint(PlacerFixture fixture, int index) {
         EndpointEntry entry = fixture.entries.get(index);
         EndpointLink link = new EndpointLink(
-                entry, FencingToken.of(1, "10.0.0.1"), PlacingSettings.of(1_000, 50), fixture.orders, fixture.timers);
+                entry,
+                FencingToken.of(1, "10.0.0.1"),
+                PlacingSettings.of(1_000, 50),
+                fixture.orders,
+                fixture.timers,
+                new UnlimitedAuthority());
         return new HeldEndpoint(
                 link, new NoOpEndpointListener(), new ProgressReports(), new UnansweredStarts(), new ShareTally());
     }
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/PlacerFixture.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/PlacerFixture.java
@@ -192,7 +192,8 @@
             }
         };
         PlacingSettings settings = PlacingSettings.of(1_000, 50).withShares(plan);
-        return new Placer(settings, orders, timers, listener, new RunTimes(), shard -> listsComplete);
+        return new Placer(
+                settings, orders, timers, listener, new RunTimes(), new UnlimitedAuthority(), shard -> listsComplete);
     }
 
     /** The last verdict on a job, its time and the retry time. */
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/StallDetectorTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/StallDetectorTest.java
@@ -81,7 +81,8 @@
         PlacedTask task = PendingJobsTest.job(1, 1).tasks().get(0);
         Reservation reservation =
                 new Reservation(task, task.allocateRun(), task.job().taskResources(), 0);
-        ReservedCapacity reserved = new ReservedCapacity(fixture.entries.get(0).capacity(), new ShareTally());
+        ReservedCapacity reserved =
+                new ReservedCapacity(fixture.entries.get(0).capacity(), new ShareTally(), new UnlimitedAuthority());
         reserved.reserve(reservation);
         task.setPlacement(endpoint, reservation);
         StallDetector detector = new StallDetector(reserved, new EndpointHealth(), new EndpointSpeed(), progress);
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/routing/DomainBalanceTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/routing/DomainBalanceTest.java
@@ -26,7 +26,7 @@
     private static final long AMPLE_MILLI_CORES = 1_000_000;
 
     private final VirtualTimers timers = new VirtualTimers();
-    private final FakeHolders holders = new FakeHolders();
+    private final FakeHolders holders = new FakeHolders(timers);
     private final List<String> observed = new ArrayList<>();
     private final List<String> replies = new ArrayList<>();
     private final JobRouter router = new JobRouter(holders, timers, 1_050, 0, new RoutingObserver() {
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/routing/FakeHolders.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/routing/FakeHolders.java
@@ -15,6 +15,7 @@
 import org.tarragonarch.model.task.Offer;
 import org.tarragonarch.model.task.OfferNumber;
 import org.tarragonarch.model.task.OfferTerms;
+import org.tarragonarch.model.task.Timers;
 import org.tarragonarch.model.task.Verdict;
 
 /** Configurable holders that record the calls they receive. */
@@ -31,6 +32,12 @@
     final List<String> calls = new ArrayList<>();
     final List<String> notStartedAtOnce = new ArrayList<>();
     private final Map<JobId, OfferNumber> lastOffers = new HashMap<>();
+    private final Timers timers;
+
+    /** Creates holders that are heard from until they are lost. */
+    FakeHolders(Timers timers) {
+        this.timers = timers;
+    }
 
     Holder add(String node, String shard, long term) {
         HeldShard held = new HeldShard(FailureDomain.of(shard), FencingToken.of(term, "10.0.0.1"), 1_000);
@@ -39,6 +46,11 @@
         return holder;
     }
 
+    @Override
+    public long lastContactMillis(Holder holder) {
+        return timers.nowMillis();
+    }
+
     @Override
     public ImmutableList<Holder> inPreferenceOrder() {
         return ImmutableList.copyOf(holders);
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/routing/JobRouterTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/routing/JobRouterTest.java
@@ -28,7 +28,7 @@
     private static final QueueDefinition QUEUE = new QueueDefinition("q", "h", "/p/", "s", 0, 3, 1.6, 60);
 
     private final VirtualTimers timers = new VirtualTimers();
-    private final FakeHolders holders = new FakeHolders();
+    private final FakeHolders holders = new FakeHolders(timers);
     private final JobRouter router = new JobRouter(holders, timers, 1_050, 0, new RoutingObserver() {});
     private final List<String> replies = new ArrayList<>();
 
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/shard/ListReadingNode.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/shard/ListReadingNode.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import org.tarragonarch.core.placing.PlacingSettings;
 import org.tarragonarch.core.placing.RecoveryGround;
+import org.tarragonarch.core.placing.UnlimitedAuthority;
 import org.tarragonarch.core.placing.VirtualTimers;
 import org.tarragonarch.model.id.EndpointId;
 import org.tarragonarch.model.id.NodeId;
@@ -62,6 +63,7 @@
                 orders,
                 timers,
                 timers::nowMillis,
+                new UnlimitedAuthority(),
                 new Events());
     }
 
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ShardLog.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ShardLog.java
@@ -131,6 +131,21 @@
         log.write(NodeEvent.JOBS_NOT_OPEN, "origin", origin, "jobs", jobs);
     }
 
+    @Override
+    public void startsWithheld(NodeId origin, JobId job) {
+        log.write(NodeEvent.STARTS_WITHHELD, "origin", origin, "job", job);
+    }
+
+    @Override
+    public void runsWithoutAuthority(NodeId origin, JobId job, int runs) {
+        log.write(NodeEvent.RUNS_WITHOUT_AUTHORITY, "origin", origin, "job", job, "runs", runs);
+    }
+
+    @Override
+    public void clockStoodStill(long millis) {
+        log.write(NodeEvent.CLOCK_STOOD_STILL, "millis", millis);
+    }
+
     @Override
     public void runEndedBadly(FailureDomain shard, TaskRun run, EndpointId endpoint, EndKind kind) {
         meters.runEndedBadly(kind);
--- a/tarragonarch-model/src/main/java/org/tarragonarch/model/log/NodeEvent.java
+++ b/tarragonarch-model/src/main/java/org/tarragonarch/model/log/NodeEvent.java
@@ -78,6 +78,12 @@
     ENDPOINT_ROW_UNREADABLE,
     /** A node's row in the store could not be read and was ignored. */
     NODE_ROW_UNREADABLE,
+    /** The tasks of a job wait until its origin has received a recent status of this node. */
+    STARTS_WITHHELD,
+    /** Runs of a job were stopped because its origin has received no recent status of this node. */
+    RUNS_WITHOUT_AUTHORITY,
+    /** The clock of an endpoint shows that the steady clock of this node stood still. */
+    CLOCK_STOOD_STILL,
     /** The node has begun to listen at its addresses. */
     NODE_STARTED,
     /** The node was asked to stop. */
--- a/tarragonarch-model/src/main/java/org/tarragonarch/model/task/Offer.java
+++ b/tarragonarch-model/src/main/java/org/tarragonarch/model/task/Offer.java
@@ -3,6 +3,7 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import org.tarragonarch.model.id.NodeId;
+import org.tarragonarch.model.report.StatusNumber;
 
 /**
  * A job that its origin offers to a holder for placement.
@@ -16,6 +17,7 @@
  * @param earlierRuns the runs of the job that a lost holder started and that may still be in progress
  * @param terms the condition under which the holder may accept the job
  * @param fromOwnDomain whether the origin is in a failure domain whose shard the holder has
+ * @param lastStatus the number of the last status that the origin has received from the holder
  */
 public record Offer(
         JobRequest job,
@@ -26,7 +28,8 @@
         long deadlineMillis,
         EarlierRuns earlierRuns,
         OfferTerms terms,
-        boolean fromOwnDomain) {
+        boolean fromOwnDomain,
+        StatusNumber lastStatus) {
     /** Checks that no component is null. */
     public Offer {
         checkNotNull(job, "job");
@@ -35,6 +38,31 @@
         checkNotNull(number, "number");
         checkNotNull(earlierRuns, "earlierRuns");
         checkNotNull(terms, "terms");
+        checkNotNull(lastStatus, "lastStatus");
+    }
+
+    /** Creates an offer of an origin that has received no status of the holder. */
+    public Offer(
+            JobRequest job,
+            QueueDefinition queue,
+            NodeId origin,
+            OfferNumber number,
+            long ageMillis,
+            long deadlineMillis,
+            EarlierRuns earlierRuns,
+            OfferTerms terms,
+            boolean fromOwnDomain) {
+        this(
+                job,
+                queue,
+                origin,
+                number,
+                ageMillis,
+                deadlineMillis,
+                earlierRuns,
+                terms,
+                fromOwnDomain,
+                StatusNumber.NONE);
     }
 
     /** Creates the first offer of an origin, of a job that may wait, to the holder of the origin's failure domain. */
@@ -59,6 +87,13 @@
                 deadlineMillis - millis,
                 earlierRuns.afterWait(millis),
                 terms,
-                fromOwnDomain);
+                fromOwnDomain,
+                lastStatus);
+    }
+
+    /** Returns the same offer with the number of the last status that the origin has received from the holder. */
+    public Offer withLastStatus(StatusNumber received) {
+        return new Offer(
+                job, queue, origin, number, ageMillis, deadlineMillis, earlierRuns, terms, fromOwnDomain, received);
     }
 }
--- a/tarragonarch-wire/src/main/java/org/tarragonarch/wire/Hello.java
+++ b/tarragonarch-wire/src/main/java/org/tarragonarch/wire/Hello.java
@@ -17,7 +17,7 @@
  */
 public record Hello(int protocolVersion, NodeId node, Incarnation incarnation, FailureDomain domain) implements Frame {
     /** The protocol version that this code implements; it must change with every change to the layout of a frame. */
-    public static final int PROTOCOL_VERSION = 6;
+    public static final int PROTOCOL_VERSION = 7;
 
     /** Checks that no component is null. */
     public Hello {
--- a/tarragonarch-wire/src/main/java/org/tarragonarch/wire/OfferCodec.java
+++ b/tarragonarch-wire/src/main/java/org/tarragonarch/wire/OfferCodec.java
@@ -3,6 +3,7 @@
 import com.google.common.collect.ImmutableSet;
 import org.tarragonarch.model.id.FailureDomain;
 import org.tarragonarch.model.id.NodeId;
+import org.tarragonarch.model.report.StatusNumber;
 import org.tarragonarch.model.task.EarlierRuns;
 import org.tarragonarch.model.task.JobId;
 import org.tarragonarch.model.task.JobRequest;
@@ -29,7 +30,9 @@
                 .writeLong(offer.earlierRuns().lastMillis())
                 .writeCount(offer.earlierRuns().shards().size());
         offer.earlierRuns().shards().forEach(shard -> writer.writeText(shard.value()));
-        writer.writeEnum(offer.terms()).writeBoolean(offer.fromOwnDomain());
+        writer.writeEnum(offer.terms())
+                .writeBoolean(offer.fromOwnDomain())
+                .writeLong(offer.lastStatus().value());
         writeJob(writer, offer.job());
         writeQueue(writer, offer.queue());
     }
@@ -42,9 +45,11 @@
         EarlierRuns earlierRuns = readEarlierRuns(reader);
         OfferTerms terms = reader.readEnum(OfferTerms.class);
         boolean fromOwnDomain = reader.readBoolean();
+        StatusNumber lastStatus = StatusNumber.of(reader.readLong());
         JobRequest job = readJob(reader);
         QueueDefinition queue = readQueue(reader);
-        return new JobOffered(new Offer(job, queue, origin, number, age, deadline, earlierRuns, terms, fromOwnDomain));
+        return new JobOffered(
+                new Offer(job, queue, origin, number, age, deadline, earlierRuns, terms, fromOwnDomain, lastStatus));
     }
 
     private static EarlierRuns readEarlierRuns(FrameReader reader) throws MalformedFrameException {
--- a/tarragonarch-wire/src/main/java/org/tarragonarch/wire/StatusCodec.java
+++ b/tarragonarch-wire/src/main/java/org/tarragonarch/wire/StatusCodec.java
@@ -1,12 +1,17 @@
 package org.tarragonarch.wire;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
+import java.util.LinkedHashMap;
+import java.util.Map;
 import org.tarragonarch.model.id.FailureDomain;
+import org.tarragonarch.model.id.NodeId;
 import org.tarragonarch.model.report.DrainedDomains;
 import org.tarragonarch.model.report.HeldShard;
 import org.tarragonarch.model.report.Member;
 import org.tarragonarch.model.report.NodeStatus;
+import org.tarragonarch.model.report.StatusNumber;
 import org.tarragonarch.model.share.ShareUse;
 import org.tarragonarch.model.task.FencingToken;
 
@@ -29,6 +34,8 @@
                     .writeLong(shard.freeMilliCores());
             writeUses(writer, shard.uses());
         }
+        writer.writeLong(status.number().value());
+        writeReceived(writer, status.received());
     }
 
     static NodeStatus read(FrameReader reader) throws MalformedFrameException {
@@ -45,6 +52,7 @@
             long free = reader.readLong();
             shards.add(new HeldShard(shard, token, free, readUses(reader)));
         }
+        StatusNumber number = StatusNumber.of(reader.readLong());
         return new NodeStatus(
                 member.node(),
                 member.domain(),
@@ -54,7 +62,24 @@
                 missesHolder,
                 version,
                 drained,
-                shards.build());
+                shards.build(),
+                number,
+                readReceived(reader));
+    }
+
+    private static void writeReceived(FrameWriter writer, ImmutableMap<NodeId, StatusNumber> received) {
+        writer.writeCount(received.size());
+        received.forEach((holder, number) -> writer.writeText(holder.value()).writeLong(number.value()));
+    }
+
+    private static ImmutableMap<NodeId, StatusNumber> readReceived(FrameReader reader) throws MalformedFrameException {
+        int count = reader.readCount();
+        Map<NodeId, StatusNumber> received = new LinkedHashMap<>();
+        for (int i = 0; i < count; i++) {
+            NodeId holder = NodeId.of(reader.readText());
+            received.put(holder, StatusNumber.of(reader.readLong()));
+        }
+        return ImmutableMap.copyOf(received);
     }
 
     /** Writes uses in whole cores: statuses go to all nodes, so they are short; uses are only shown to operators. */
--- a/tarragonarch-wire/src/test/java/org/tarragonarch/wire/FilledFrames.java
+++ b/tarragonarch-wire/src/test/java/org/tarragonarch/wire/FilledFrames.java
@@ -27,6 +27,7 @@
 import org.tarragonarch.model.report.NodePhase;
 import org.tarragonarch.model.report.NodeStatus;
 import org.tarragonarch.model.report.PeerReport;
+import org.tarragonarch.model.report.StatusNumber;
 import org.tarragonarch.model.share.ShareUse;
 import org.tarragonarch.model.task.EarlierRuns;
 import org.tarragonarch.model.task.EndpointEntry;
@@ -129,15 +130,26 @@
                 missesHolder,
                 33,
                 drained,
-                ImmutableList.of(shard));
+                ImmutableList.of(shard),
+                StatusNumber.of(44),
+                ImmutableMap.of(NodeId.of("n5"), StatusNumber.of(45), NodeId.of("n6"), StatusNumber.of(46)));
     }
 
     private static JobOffered offered(OfferTerms terms, boolean fromOwnDomain) {
         QueueDefinition queue = new QueueDefinition("q1", "h1", "/p1/", "s2", 1, 2, 1.5, 34);
         JobRequest job = new JobRequest(JOB, "t2", new TaskStep(3, new Resources(35, 36, 4), 37));
         EarlierRuns earlier = new EarlierRuns(38, ImmutableSet.of(FailureDomain.of("d6")));
-        return new JobOffered(
-                new Offer(job, queue, NodeId.of("n4"), OfferNumber.of(42), 39, 40, earlier, terms, fromOwnDomain));
+        return new JobOffered(new Offer(
+                job,
+                queue,
+                NodeId.of("n4"),
+                OfferNumber.of(42),
+                39,
+                40,
+                earlier,
+                terms,
+                fromOwnDomain,
+                StatusNumber.of(47)));
     }
 
     private static JobSettled settled(Verdict verdict) {
--- a/tarragonarch-wire/src/test/java/org/tarragonarch/wire/FrameCodecTest.java
+++ b/tarragonarch-wire/src/test/java/org/tarragonarch/wire/FrameCodecTest.java
@@ -61,18 +61,18 @@
         byte[] hello = new FrameWriter()
                 .writeInt(FrameType.HELLO.number())
                 .writeInt(0x7A66)
-                .writeInt(7)
+                .writeInt(8)
                 .writeBoolean(true)
                 .toByteArray();
         MalformedFrameException refusal =
                 expectThrows(MalformedFrameException.class, () -> FrameCodec.decode("peer", Optional.empty(), hello));
-        assertTrue(refusal.getMessage().contains("protocol version 7 instead of 6"), refusal.getMessage());
+        assertTrue(refusal.getMessage().contains("protocol version 8 instead of 7"), refusal.getMessage());
     }
 
     /** Guards against an allocation of two gigabytes for a string whose length a frame announces without the bytes. */
     @Test
     public void testDecode_hugeAnnouncedLength() {
-        byte[] huge = BaseEncoding.base16().decode("01CD7A6606DB7FFFFFFF");
+        byte[] huge = BaseEncoding.base16().decode("01CD7A6607DB7FFFFFFF");
         MalformedFrameException refusal =
                 expectThrows(MalformedFrameException.class, () -> FrameCodec.decode("peer", Optional.empty(), huge));
         assertTrue(refusal.getMessage().contains("0 bytes left"), refusal.getMessage());
@@ -97,7 +97,7 @@
 
     /** Guards against a changed layout, such as a new enum constant, under the same {@link Hello#PROTOCOL_VERSION}. */
     @Test
-    public void testEncode_layoutOfProtocolVersionSix() {
+    public void testEncode_layoutOfProtocolVersionSeven() {
         byte[] all = Samples.allFrames().stream().map(FrameCodec::encode).reduce(new byte[0], Bytes::concat);
         String enums = Arrays.toString(NodePhase.values())
                 + Arrays.toString(ProblemCode.values())
@@ -105,10 +105,10 @@
                 + Arrays.toString(AnswerOutcome.values())
                 + Arrays.toString(Verdict.values())
                 + Arrays.toString(OfferTerms.values());
-        assertEquals(Hello.PROTOCOL_VERSION, 6);
+        assertEquals(Hello.PROTOCOL_VERSION, 7);
         assertEquals(
                 Hashing.sha256().hashBytes(all).toString(),
-                "748c1381b61ef38bb17b39292e52e7fd0979c788d166c7a346fdf8e72784aeff");
+                "b32a85f18122e2208934f75fb1ef5e003adc818cab0e6b053d1768dbd7f3854a");
         assertEquals(
                 Hashing.sha256().hashUnencodedChars(enums).toString(),
                 "412647c0098ee69dd2b0211df024fa38d494de1b8d670e00179172a6c49bd5e2");
--- a/tarragonarch-wire/src/test/java/org/tarragonarch/wire/PlacingSamples.java
+++ b/tarragonarch-wire/src/test/java/org/tarragonarch/wire/PlacingSamples.java
@@ -1,6 +1,7 @@
 package org.tarragonarch.wire;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
 import org.tarragonarch.model.id.Address;
 import org.tarragonarch.model.id.EndpointId;
@@ -11,6 +12,7 @@
 import org.tarragonarch.model.report.HeldShard;
 import org.tarragonarch.model.report.Member;
 import org.tarragonarch.model.report.NodeStatus;
+import org.tarragonarch.model.report.StatusNumber;
 import org.tarragonarch.model.share.ShareUse;
 import org.tarragonarch.model.task.EarlierRuns;
 import org.tarragonarch.model.task.EndpointEntry;
@@ -39,8 +41,8 @@
         ShareUse use = new ShareUse(2, 96_000);
         HeldShard held = new HeldShard(SHARD, new FencingToken((1L << 53) + 1), 176_000, ImmutableList.of(use));
         DrainedDomains drained = new DrainedDomains((1L << 40) + 7, ImmutableSet.of(SHARD));
-        NodeStatus holding =
-                new NodeStatus(NODE, SHARD, ADDRESS, 750, false, true, 12, drained, ImmutableList.of(held));
+        NodeStatus holding = new NodeStatus(NODE, SHARD, ADDRESS, 750, false, true, 12, drained, ImmutableList.of(held))
+                .withNumber(StatusNumber.of(14), ImmutableMap.of(NodeId.of("front-launceston-1"), StatusNumber.of(15)));
         NodeStatus leaving =
                 new NodeStatus(NODE, SHARD, ADDRESS, 1_500, true, false, 0, DrainedDomains.UNREAD, ImmutableList.of());
         Resources capacity = new Resources(16_000, 32_768, 1);
