Return the numbers of statuses to holders only

Cause: a status to all nodes named the last status of every holder, which only these need, each time with a number of nine bytes. Change: a holder's status to all nodes leaves them out, and goes to the other holders once more with them. The numbers are the low 31 bits of a counter that starts at hundredths of a second of the time of day. Bytes were not measured.

--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/ReceivedEchoes.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/ReceivedEchoes.java
@@ -25,6 +25,9 @@
     /** How long an origin waits for the next status before it takes this node for lost, in milliseconds. */
     static final long AUTHORITY_MILLIS = PeerTable.SILENCE_MILLIS;
 
+    /** A node sends fewer than one status in this time on average, so that numbers of different processes differ. */
+    private static final long NUMBER_UNIT_MILLIS = 10;
+
     /** The difference at which two measurements of a stop of the clock indicate separate stops, in milliseconds. */
     private static final long SEPARATE_STOP_MILLIS = 30;
 
@@ -46,7 +49,7 @@
         this.self = checkNotNull(self, "self");
         this.timers = checkNotNull(timers, "timers");
         this.observer = checkNotNull(observer, "observer");
-        this.lastNumber = Math.max(0, startMillis);
+        this.lastNumber = startMillis / NUMBER_UNIT_MILLIS;
     }
 
     /** Returns the number of a status that is about to be sent. */
@@ -56,8 +59,9 @@
             sent.removeFirst();
         }
         lastNumber++;
-        sent.addLast(new SentStatus(lastNumber, now));
-        return StatusNumber.of(lastNumber);
+        StatusNumber number = StatusNumber.ofLowBits(lastNumber);
+        sent.addLast(new SentStatus(number, now));
+        return number;
     }
 
     /** Records what a peer's status says of the last status that it has received from this node. */
@@ -68,7 +72,7 @@
     /** Records the number of the last status that a peer has received; one that is no longer known has no effect. */
     void received(NodeId peer, StatusNumber number) {
         for (SentStatus status : sent) {
-            if (status.number() == number.value()) {
+            if (status.number().equals(number)) {
                 confirmedAtMillis.merge(peer, status.atMillis(), Math::max);
                 return;
             }
@@ -97,5 +101,5 @@
     }
 
     /** A status that was sent, and when, on the steady clock. */
-    private record SentStatus(long number, long atMillis) {}
+    private record SentStatus(StatusNumber number, long atMillis) {}
 }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/StatusSender.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/StatusSender.java
@@ -1,6 +1,7 @@
 package org.tarragonarch.core.cluster;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
 import java.util.function.Supplier;
 import org.tarragonarch.core.shard.Heartbeats;
@@ -126,7 +127,11 @@
                 sender.sendStatusToDomains(neighbours, status);
                 heartbeats.frequentRecipientsOutside(neighbours).forEach(peer -> sender.sendStatus(peer, status));
             }
-            case ALL -> sender.sendStatusToAll(status);
+            case ALL -> {
+                // Only holders need to know which of their statuses have arrived.
+                sender.sendStatusToAll(status.withNumber(status.number(), ImmutableMap.of()));
+                status.received().keySet().forEach(holder -> sender.sendStatus(holder, status));
+            }
             default -> throw new AssertionError(audience);
         }
     }
--- a/tarragonarch-model/src/main/java/org/tarragonarch/model/report/StatusNumber.java
+++ b/tarragonarch-model/src/main/java/org/tarragonarch/model/report/StatusNumber.java
@@ -3,11 +3,11 @@
 import static com.google.common.base.Preconditions.checkArgument;
 
 /**
- * Identifies a status among all statuses of a node.
+ * Identifies a status among the recent statuses of a node.
  *
- * @param value a number that is higher for each later status of the node, also after a restart
+ * @param value the number; consecutive statuses have consecutive numbers
  */
-public record StatusNumber(long value) {
+public record StatusNumber(int value) {
     /** The number that no status has. */
     public static final StatusNumber NONE = new StatusNumber(0);
 
@@ -17,12 +17,17 @@
     }
 
     /** Returns the status number with this value. */
-    public static StatusNumber of(long value) {
+    public static StatusNumber of(int value) {
         return new StatusNumber(value);
     }
 
+    /** Returns the status number with the low bits of a counter, which keeps it short in a frame. */
+    public static StatusNumber ofLowBits(long counter) {
+        return new StatusNumber((int) (counter & Integer.MAX_VALUE));
+    }
+
     @Override
     public String toString() {
-        return Long.toString(value);
+        return Integer.toString(value);
     }
 }
--- a/tarragonarch-wire/src/main/java/org/tarragonarch/wire/OfferCodec.java
+++ b/tarragonarch-wire/src/main/java/org/tarragonarch/wire/OfferCodec.java
@@ -32,7 +32,7 @@
         offer.earlierRuns().shards().forEach(shard -> writer.writeText(shard.value()));
         writer.writeEnum(offer.terms())
                 .writeBoolean(offer.fromOwnDomain())
-                .writeLong(offer.lastStatus().value());
+                .writeInt(offer.lastStatus().value());
         writeJob(writer, offer.job());
         writeQueue(writer, offer.queue());
     }
@@ -45,7 +45,7 @@
         EarlierRuns earlierRuns = readEarlierRuns(reader);
         OfferTerms terms = reader.readEnum(OfferTerms.class);
         boolean fromOwnDomain = reader.readBoolean();
-        StatusNumber lastStatus = StatusNumber.of(reader.readLong());
+        StatusNumber lastStatus = StatusNumber.of(reader.readInt());
         JobRequest job = readJob(reader);
         QueueDefinition queue = readQueue(reader);
         return new JobOffered(
--- a/tarragonarch-wire/src/main/java/org/tarragonarch/wire/StatusCodec.java
+++ b/tarragonarch-wire/src/main/java/org/tarragonarch/wire/StatusCodec.java
@@ -34,7 +34,7 @@
                     .writeLong(shard.freeMilliCores());
             writeUses(writer, shard.uses());
         }
-        writer.writeLong(status.number().value());
+        writer.writeInt(status.number().value());
         writeReceived(writer, status.received());
     }
 
@@ -52,7 +52,7 @@
             long free = reader.readLong();
             shards.add(new HeldShard(shard, token, free, readUses(reader)));
         }
-        StatusNumber number = StatusNumber.of(reader.readLong());
+        StatusNumber number = StatusNumber.of(reader.readInt());
         return new NodeStatus(
                 member.node(),
                 member.domain(),
@@ -69,7 +69,7 @@
 
     private static void writeReceived(FrameWriter writer, ImmutableMap<NodeId, StatusNumber> received) {
         writer.writeCount(received.size());
-        received.forEach((holder, number) -> writer.writeText(holder.value()).writeLong(number.value()));
+        received.forEach((holder, number) -> writer.writeText(holder.value()).writeInt(number.value()));
     }
 
     private static ImmutableMap<NodeId, StatusNumber> readReceived(FrameReader reader) throws MalformedFrameException {
@@ -77,7 +77,7 @@
         Map<NodeId, StatusNumber> received = new LinkedHashMap<>();
         for (int i = 0; i < count; i++) {
             NodeId holder = NodeId.of(reader.readText());
-            received.put(holder, StatusNumber.of(reader.readLong()));
+            received.put(holder, StatusNumber.of(reader.readInt()));
         }
         return ImmutableMap.copyOf(received);
     }
