Start no own task after a pause before what has arrived is read

What callers could see: two runs of one task. A node is suspended with jobs of its own clients; a client leaves meanwhile and submits its job through another node, which offers it elsewhere; the resumed node starts a waiting task of the job before it reads the close of the client's connection.

--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/Coordinator.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/Coordinator.java
@@ -39,6 +39,7 @@
     private final PeerTable peers = new PeerTable();
     private final RemoteUsage remoteUsage = new RemoteUsage();
     private final EndpointList endpoints;
+    private final ReceivedEchoes echoes;
     private final Heartbeats heartbeats;
     private final HolderElection election;
     private final ShardOwnership ownership;
@@ -74,7 +75,7 @@
         checkNotNull(log, "log");
         this.election = new HolderElection(self.node(), self.domain(), ip, self.milliCores(), peers, pools);
         this.heartbeats = new Heartbeats(peers, pools, self.domain());
-        ReceivedEchoes echoes = new ReceivedEchoes(self.node(), timers, wallMillis.getAsLong(), log);
+        this.echoes = new ReceivedEchoes(self.node(), timers, wallMillis.getAsLong(), log);
         this.statusSender = new StatusSender(self, heartbeats, this::held, peers, echoes, sender, timers);
         this.drains = new DomainDrains(statusSender, endpoints, log);
         long maxRunMillisAfterContact = ReceivedEchoes.AUTHORITY_MILLIS + placing.leaseExpiry();
@@ -167,6 +168,7 @@
         if (endpoints.expire(now)) {
             endpointsChanged();
         }
+        echoes.reviewed();
         ownership.messageReceivedFrom(self.node());
         ownership.reviewRuns();
         if (mayClaim) {
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/ReceivedEchoes.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/ReceivedEchoes.java
@@ -37,6 +37,8 @@
     private final Deque<SentStatus> sent = new ArrayDeque<>();
     private final Map<NodeId, Long> confirmedAtMillis = new HashMap<>();
     private long lastNumber;
+    private long reviewedAtMillis;
+    private boolean hasPaused;
     private long stopSeenAtMillis = Long.MIN_VALUE;
     private long stoppedMillis;
 
@@ -49,6 +51,7 @@
         this.self = checkNotNull(self, "self");
         this.timers = checkNotNull(timers, "timers");
         this.observer = checkNotNull(observer, "observer");
+        this.reviewedAtMillis = timers.nowMillis();
         this.lastNumber = startMillis / NUMBER_UNIT_MILLIS;
     }
 
@@ -79,10 +82,22 @@
         }
     }
 
+    /**
+     * Confirms the authority over this node's own jobs; to be called a few times a second.
+     *
+     * <p>Guards against a task that runs twice after a pause of this process: clients may have left and submitted their
+     * jobs elsewhere, and what arrived meanwhile is read before the next call.
+     */
+    void reviewed() {
+        long now = timers.nowMillis();
+        hasPaused = now - reviewedAtMillis > AUTHORITY_MILLIS;
+        reviewedAtMillis = now;
+    }
+
     @Override
     public long endsAtMillis(NodeId origin) {
         if (origin.equals(self)) {
-            return Long.MAX_VALUE;
+            return hasPaused ? NEVER : reviewedAtMillis + AUTHORITY_MILLIS;
         }
         Long confirmed = confirmedAtMillis.get(origin);
         return confirmed == null ? NEVER : confirmed + AUTHORITY_MILLIS;
@@ -96,6 +111,7 @@
             stoppedMillis = millis;
             sent.clear();
             confirmedAtMillis.clear();
+            hasPaused = true;
             observer.clockStoodStill(millis);
         }
     }
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/ReceivedEchoesTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/ReceivedEchoesTest.java
@@ -29,9 +29,31 @@
         return echoes.endsAtMillis(origin) >= timers.nowMillis();
     }
 
+    /** Guards against own tasks that start after a pause before the closes of clients' connections are read. */
     @Test
-    public void testEndsAtMillis_ownJobs() {
-        assertTrue(new ReceivedEchoesTest().hasAuthority(SELF));
+    public void testEndsAtMillis_ownJobsAfterPause() {
+        ReceivedEchoesTest test = new ReceivedEchoesTest();
+        test.echoes.reviewed();
+        assertTrue(test.hasAuthority(SELF));
+        test.timers.advance(ReceivedEchoes.AUTHORITY_MILLIS + 1);
+        assertFalse(test.hasAuthority(SELF));
+        test.echoes.reviewed();
+        assertFalse(test.hasAuthority(SELF));
+        test.timers.advance(100);
+        test.echoes.reviewed();
+        assertTrue(test.hasAuthority(SELF));
+    }
+
+    /** Guards against own tasks that start after a pause in which the steady clock stood still. */
+    @Test
+    public void testEndsAtMillis_ownJobsAfterClockStoodStill() {
+        ReceivedEchoesTest test = new ReceivedEchoesTest();
+        test.echoes.reviewed();
+        test.echoes.clockStoodStill(test.timers.nowMillis(), 900);
+        assertFalse(test.hasAuthority(SELF));
+        test.timers.advance(100);
+        test.echoes.reviewed();
+        assertTrue(test.hasAuthority(SELF));
     }
 
     @Test
