Offer jobs only to holders that were heard from recently

What callers could see: two runs of one task. An origin that was suspended resumes and offers a waiting job to the holder that it last knew; in the same millisecond its review takes that holder for lost, and since the last contact is long ago, the wait for the holder's runs is over already: the job goes to a second holder too. Both get the offer. Cause: the choice of a holder rests on the table of peers, which only a timer clears of silent ones. The fake transport returns queued frames when connections are closed, as the real one does.

--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/KnownHolders.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/KnownHolders.java
@@ -73,7 +73,9 @@
         if (!held.isEmpty()) {
             holders.add(new Holder(ownNode(), held));
         }
+        long heardSince = timers.nowMillis() - PeerTable.SILENCE_MILLIS;
         peers.holders().stream()
+                .filter(status -> peers.isHeardSince(status.node(), heardSince))
                 .map(status -> new Holder(status.node(), status.shards()))
                 .forEach(holders::add);
         Comparator<Holder> drainedLast =
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/FakeConnections.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/FakeConnections.java
@@ -87,11 +87,17 @@
         link(from, to).refusedUntilMillis = timers.nowMillis() + millis;
     }
 
-    /** Closes a node's connections with a peer; the peer sees each close after the frames sent on it earlier. */
+    /**
+     * Closes a node's connections with a peer, and returns the frames that wait for one as undelivered; the peer sees
+     * each close after the frames sent on it earlier.
+     */
     void disconnect(NodeId node, NodeId peer) {
-        execute(() -> List.copyOf(connections).stream()
-                .filter(connection -> connection.isOpenBetween(node, peer))
-                .forEach(connection -> connection.closeFrom(node)));
+        execute(() -> {
+            link(node, peer).takeWaiting().forEach(frame -> frame.undelivered().run());
+            List.copyOf(connections).stream()
+                    .filter(connection -> connection.isOpenBetween(node, peer))
+                    .forEach(connection -> connection.closeFrom(node));
+        });
     }
 
     /** Runs a task after the event at hand, like the real transport. */
