Let runs end before a client submits its job again elsewhere

What callers could see: two runs of one task. The origin of a job is suspended; its client leaves and submits the job again 1.3 s later through another node. The holder has stopped the runs by then, or cannot, because it is suspended too or does not reach the endpoint; the last lease that it gave lasts until 1.7 s after the sending of the last status that the origin returned. Cause: the bound of a lease was the end of the authority (0.7 s) and a whole lease (1 s). Change: no lease is extended past 1.25 s from the sending of that status. So an origin that has lost a holder offers its jobs elsewhere 1.3 s after the last status in place of 1.75 s.

--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/Coordinator.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/Coordinator.java
@@ -78,7 +78,7 @@
         this.echoes = new ReceivedEchoes(self.node(), timers, wallMillis.getAsLong(), log);
         this.statusSender = new StatusSender(self, heartbeats, this::held, peers, echoes, sender, timers);
         this.drains = new DomainDrains(statusSender, endpoints, log);
-        long maxRunMillisAfterContact = ReceivedEchoes.AUTHORITY_MILLIS + placing.leaseExpiry();
+        long maxRunMillisAfterContact = ReceivedEchoes.MAX_RUN_MILLIS + placing.leaseExpiry() - placing.lease();
         ReceivedOffers offers = new ReceivedOffers(timers, maxRunMillisAfterContact);
         HolderEvents events = new HolderEvents(
                 self.node(), peers, sender, statusSender, offers, this::router, this::holdersChanged, log);
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/ReceivedEchoes.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/ReceivedEchoes.java
@@ -25,6 +25,12 @@
     /** How long an origin waits for the next status before it takes this node for lost, in milliseconds. */
     static final long AUTHORITY_MILLIS = PeerTable.SILENCE_MILLIS;
 
+    /**
+     * How long runs may continue after the sending of the last status that their origin has returned, in milliseconds;
+     * shorter than the pause after which a client submits a job again.
+     */
+    static final long MAX_RUN_MILLIS = 1_250;
+
     /** A node sends fewer than one status in this time on average, so that numbers of different processes differ. */
     private static final long NUMBER_UNIT_MILLIS = 10;
 
@@ -94,6 +100,11 @@
         reviewedAtMillis = now;
     }
 
+    @Override
+    public long runsEndAtMillis(NodeId origin) {
+        return endsAtMillis(origin) + MAX_RUN_MILLIS - AUTHORITY_MILLIS;
+    }
+
     @Override
     public long endsAtMillis(NodeId origin) {
         if (origin.equals(self)) {
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/EndpointLink.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/EndpointLink.java
@@ -117,10 +117,10 @@
     /**
      * Sends an order to start a run, which also extends the lease of all runs on the endpoint.
      *
-     * @param authorityEndMillis until when this node may act for the runs on the endpoint, on the steady clock
+     * @param runsEndMillis until when the runs on the endpoint may continue, on the steady clock
      */
-    void start(TaskRun run, String specification, long authorityEndMillis, Consumer<OrderAnswer> reply) {
-        StartOrder order = new StartOrder(token, run, specification, extendLease(authorityEndMillis));
+    void start(TaskRun run, String specification, long runsEndMillis, Consumer<OrderAnswer> reply) {
+        StartOrder order = new StartOrder(token, run, specification, extendLease(runsEndMillis));
         int sentTo = incarnationNumber;
         long sentAt = timers.nowMillis();
         orders.start(entry, order, delivery(false), answer -> {
@@ -164,10 +164,10 @@
      *
      * @param acknowledgedEnd the highest number of an end that need not be listed again
      * @param fresh whether to use a new connection, because the open ones may be dead
-     * @param authorityEndMillis until when this node may act for the runs on the endpoint, on the steady clock
+     * @param runsEndMillis until when the runs on the endpoint may continue, on the steady clock
      */
-    void renew(long acknowledgedEnd, boolean fresh, long authorityEndMillis, Consumer<PollAnswer> reply) {
-        OptionalLong until = OptionalLong.of(extendLease(authorityEndMillis));
+    void renew(long acknowledgedEnd, boolean fresh, long runsEndMillis, Consumer<PollAnswer> reply) {
+        OptionalLong until = OptionalLong.of(extendLease(runsEndMillis));
         poll(new PollOrder(token, acknowledgedEnd, until, settings.pollWait()), fresh, reply);
     }
 
@@ -180,12 +180,12 @@
     }
 
     /**
-     * Extends the lease from now, or from the end of the authority if that is earlier, and returns its expiry, in
+     * Extends the lease, but not beyond the time until which the runs may continue, and returns its expiry, in
      * milliseconds on the endpoint's clock.
      */
-    private long extendLease(long authorityEndMillis) {
+    private long extendLease(long runsEndMillis) {
         long now = timers.nowMillis();
         leaseExpiryMillis = Math.max(leaseExpiryMillis, now + settings.leaseExpiry());
-        return Math.max(0, clock.at(Math.min(now, authorityEndMillis)) + settings.lease());
+        return Math.max(0, clock.at(Math.min(now + settings.lease(), runsEndMillis)));
     }
 }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/OriginAuthority.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/OriginAuthority.java
@@ -7,12 +7,15 @@
     /** The end of an authority that this node never had; leaves room for differences of times. */
     long NEVER = Long.MIN_VALUE / 2;
 
+    /** Returns until when tasks of an origin's jobs may start, on the steady clock in milliseconds. */
+    long endsAtMillis(NodeId origin);
+
     /**
-     * Returns when the authority over the jobs of an origin ends, on the steady clock in milliseconds.
+     * Returns until when runs of an origin's jobs may continue, on the steady clock in milliseconds.
      *
-     * <p>The origin offers a job to another node only when every lease that was extended until then has expired.
+     * <p>The origin, and a client that submits its job again through another node, count on this.
      */
-    long endsAtMillis(NodeId origin);
+    long runsEndAtMillis(NodeId origin);
 
     /**
      * Called when the clock of an endpoint shows that this node's steady clock stood still, so that any authority may
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/ReservedCapacity.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/ReservedCapacity.java
@@ -67,13 +67,14 @@
     }
 
     /**
-     * Returns until when this node may act for all runs on the endpoint, on the steady clock in milliseconds; runs that
-     * are being stopped count too.
+     * Returns until when all runs on the endpoint may continue, including those that are being stopped, on the steady
+     * clock in milliseconds.
      */
-    long authorityEndMillis() {
+    long runsEndMillis() {
         long end = Long.MAX_VALUE;
         for (Reservation reservation : reservations.values()) {
-            end = Math.min(end, authority.endsAtMillis(reservation.task().job().origin()));
+            end = Math.min(
+                    end, authority.runsEndAtMillis(reservation.task().job().origin()));
         }
         return end;
     }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RunListPoller.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RunListPoller.java
@@ -101,7 +101,7 @@
         Call call = new Call(link.nowMillis(), link.incarnationNumber(), listedEnd);
         callInFlight = true;
         if (read && !silent && host.needsPolling()) {
-            link.renew(listedEnd, false, reserved.authorityEndMillis(), answer -> answered(answer, call));
+            link.renew(listedEnd, false, reserved.runsEndMillis(), answer -> answered(answer, call));
         } else {
             link.list(listedEnd, silent || !read, answer -> answered(answer, call));
         }
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/UnlimitedAuthority.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/UnlimitedAuthority.java
@@ -12,6 +12,11 @@
         return Long.MAX_VALUE;
     }
 
+    @Override
+    public long runsEndAtMillis(NodeId origin) {
+        return Long.MAX_VALUE;
+    }
+
     @Override
     public void clockStoodStill(long sinceMillis, long stoppedMillis) {
         // The authority does not depend on the clock.
