Claim a shard anew, without a gap, whose token a released claim has surpassed

Cause: two nodes that start together claim a shard each. The one that gives it up, since the other is of the shard's failure domain, has used its token at the endpoints, and its token is the higher one if it claims in a later tenth of a second or has the higher address. The other keeps its own and is fenced by its first order, with jobs under way. Evidence: CoordinatorTest#testReview_otherNodeHasReleasedShardUnderHigherToken failed on every run. Change: a holder claims anew, above every claim that it knows of, ended ones included, once no peer has the shard (a peer that was lost with it may have it for 6.5 s more), while it has neither jobs nor runs that are being stopped. It holds the shard all the while, so that no status without it is sent, and reads the lists of its endpoints again, for what the other node has left there. Why it works: the other node claims only while it knows of no holder, and a claim anew needs a claim by another node that has ended; so each claim of another node causes one at most. A claim also comes above that of a killed node that has restarted without shards; before, only the last statuses counted. The core module verifies.

--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/CancellingJobs.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/CancellingJobs.java
@@ -20,6 +20,10 @@
     /** The action after the last run of a job: the offer to admit, or empty if the job is to be evicted. */
     private final Map<JobId, Optional<WaitingOffer>> afterwards = new HashMap<>();
 
+    boolean isEmpty() {
+        return cancelling.isEmpty();
+    }
+
     void add(PlacedJob job) {
         if (job.hasReservations()) {
             cancelling.put(job.id(), job);
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/JobLifecycle.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/JobLifecycle.java
@@ -55,6 +55,11 @@
         this.starter = new TaskStarter(shards, pending, poolShares, capacity, awaitingOrigin, timers, this::giveUp);
     }
 
+    /** Returns whether there are neither jobs nor runs of ended ones. */
+    boolean isEmpty() {
+        return jobs.isEmpty() && cancelling.isEmpty();
+    }
+
     /** Admits or declines a job; see {@link Placer#offer}. */
     void offer(Offer offer) {
         PlacedJob known = jobs.get(offer.job().id());
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/Placer.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/Placer.java
@@ -78,13 +78,20 @@
         this.results = new RunResults(runTimes, timers, listener, new Results());
     }
 
+    /** Returns whether there are neither jobs nor runs of ended ones, so that no run depends on a held token. */
+    public boolean isIdle() {
+        return jobs.isEmpty();
+    }
+
     /**
-     * Starts to hold a shard.
+     * Starts to hold a shard. If this placer is idle, the shard may be one that is held under a lower token: its
+     * endpoints are read again, because runs of another holder may have started there meanwhile.
      *
      * @param token the token under which this node holds the shard's endpoints
      */
     public void open(FailureDomain shard, FencingToken token, Collection<EndpointEntry> listed) {
-        checkState(!closed && shards.find(shard).isEmpty(), "shard %s is already held, or the placer is closed", shard);
+        checkState(!closed && (isIdle() || shards.find(shard).isEmpty()), "shard %s is in use, or all closed", shard);
+        shards.remove(shard).ifPresent(PlacedShard::close);
         shards.add(shard, new PlacedShard(token, settings, orders, timers, authority, results, progress));
         update(shard, listed);
     }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/HolderElection.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/HolderElection.java
@@ -153,6 +153,22 @@
                 || peers.holders().isEmpty();
     }
 
+    /**
+     * Returns whether this node holds the shard under a token that its endpoints may reject, because another node has
+     * claimed the shard under a higher one and no longer holds it.
+     *
+     * <p>A peer that was lost with the shard may still hold it, and serve other nodes, for {@value
+     * #ISOLATED_CLAIM_MILLIS} ms.
+     *
+     * @param nowMillis the steady clock
+     */
+    public boolean isSurpassed(FailureDomain shard, long nowMillis) {
+        FencingToken token = heldTokens.get(shard);
+        return token != null
+                && !peers.isHighestToken(shard, token)
+                && !peers.mayBeHeldByPeer(shard, nowMillis - ISOLATED_CLAIM_MILLIS);
+    }
+
     /**
      * Returns whether this node holds the shard but should release it to another.
      *
@@ -209,7 +225,7 @@
     }
 
     /**
-     * Claims the shard under a token higher than every known one.
+     * Claims the shard, which this node may hold under a lower token, under one that is higher than every known one.
      *
      * @param wallMillis the time of day, in milliseconds since the epoch
      */
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/PeerTable.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/PeerTable.java
@@ -198,14 +198,17 @@
         return statuses(last -> last.reachableSinceMillis() <= sinceMillis);
     }
 
-    /** Returns the highest term in the last statuses of all peers for the shard; 0 if none holds it. */
+    /** Returns the highest known term of a claim of the shard, including claims that have ended; 0 if there is none. */
     public long highestTerm(FailureDomain shard) {
-        long highest = 0;
-        for (LastStatus last : peers.values()) {
-            highest = Math.max(
-                    highest, last.held(shard).map(held -> held.token().term()).orElse(0L));
-        }
-        return highest;
+        FencingToken highest = highestTokens.get(shard);
+        return highest == null ? 0 : highest.term();
+    }
+
+    /** Returns whether a peer held the shard by its last status and is reachable or was at this time or later. */
+    public boolean mayBeHeldByPeer(FailureDomain shard, long sinceMillis) {
+        return peers.values().stream()
+                .filter(last -> last.reachable() || last.receivedAtMillis() >= sinceMillis)
+                .anyMatch(last -> last.held(shard).isPresent());
     }
 
     /**
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/ShardOwnership.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/ShardOwnership.java
@@ -92,7 +92,7 @@
                 resign(shard);
                 election.resignUnreachable(shard, timers.nowMillis());
                 changed = true;
-            } else if (election.shouldClaim(shard, timers.nowMillis()) && isListUsable()) {
+            } else if ((election.shouldClaim(shard, timers.nowMillis()) || shouldClaimAgain(shard)) && isListUsable()) {
                 claim(shard);
                 changed = true;
             }
@@ -100,6 +100,18 @@
         return changed;
     }
 
+    /**
+     * Returns whether a held shard must be claimed under a higher token.
+     *
+     * <p>The shard is held all the time: a status without it, sent between a release and the next claim, would make
+     * another node claim it, and the two would surpass each other's tokens in turn. While there are jobs, the present
+     * token is kept: it may be that of their runs.
+     */
+    private boolean shouldClaimAgain(FailureDomain shard) {
+        return election.isSurpassed(shard, timers.nowMillis())
+                && placer.orElseThrow().isIdle();
+    }
+
     private boolean isListUsable() {
         return !endpoints.isEmpty() && endpoints.isFresh(timers.nowMillis());
     }
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/FakeCluster.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/FakeCluster.java
@@ -28,8 +28,8 @@
 import org.tarragonarch.model.task.Timers;
 
 /**
- * Nodes and endpoints of two failure domains of one region, each a separate pool, on virtual time. Each endpoint has
- * capacity for two tasks of 3 s.
+ * Nodes and endpoints of two failure domains of one region, each a separate pool unless created by {@link #pooled}, on
+ * virtual time. Each endpoint has capacity for two tasks of 3 s.
  */
 final class FakeCluster {
     static final FailureDomain HOBART = FailureDomain.of("hobart");
@@ -51,11 +51,20 @@
     private final EndpointList listed = new EndpointList();
 
     FakeCluster() {
-        for (int number = 0; number < OTHER_ENDPOINTS; number++) {
+        this(OTHER_ENDPOINTS);
+    }
+
+    private FakeCluster(int otherEndpoints) {
+        for (int number = 0; number < otherEndpoints; number++) {
             list("other-" + number, "other", HOBART);
         }
     }
 
+    /** Returns a cluster in which the two failure domains form one pool. */
+    static FakeCluster pooled() {
+        return new FakeCluster(0);
+    }
+
     static QueueCatalog catalog(long version) {
         return QueueCatalog.of(version, ImmutableList.of(QUEUE));
     }
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/FakeNode.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/FakeNode.java
@@ -12,6 +12,7 @@
 import org.tarragonarch.model.report.Member;
 import org.tarragonarch.model.report.NodeStatus;
 import org.tarragonarch.model.task.EndpointOrders;
+import org.tarragonarch.model.task.FencingToken;
 import org.tarragonarch.model.task.JobId;
 import org.tarragonarch.model.task.JobVerdict;
 import org.tarragonarch.model.task.Offer;
@@ -28,7 +29,8 @@
     private final Timers timers;
     private final FakeConnections connections;
     private final Coordinator coordinator;
-    private final long startedAtMillis;
+    private final ClaimCounter claimCounter = new ClaimCounter();
+    private long startedAtMillis;
 
     FakeNode(
             Member self,
@@ -41,7 +43,6 @@
         this.domain = self.domain();
         this.timers = timers;
         this.connections = connections;
-        this.startedAtMillis = timers.nowMillis();
         this.coordinator = new Coordinator(
                 self,
                 self.address().ip(),
@@ -52,7 +53,7 @@
                 this,
                 timers,
                 timers::nowMillis,
-                new ShardObserver() {});
+                claimCounter);
     }
 
     NodeId id() {
@@ -69,7 +70,18 @@
                 .anyMatch(status -> status.node().equals(peer.id));
     }
 
+    /** Returns how often this node has claimed a shard. */
+    int claims() {
+        return claimCounter.claims;
+    }
+
+    /** Returns how often an endpoint has rejected this node's token. */
+    int fencings() {
+        return claimCounter.fencings;
+    }
+
     void start(QueueCatalog catalog) {
+        startedAtMillis = timers.nowMillis();
         coordinator.applyConfiguration(catalog);
         review();
     }
@@ -181,4 +193,20 @@
                 to,
                 new FakeConnections.Frame(peer -> peer.coordinator.router().settled(id, verdict), () -> {}));
     }
+
+    /** Counts the claims of this node and those that endpoints have ended. */
+    private static final class ClaimCounter implements ShardObserver {
+        private int claims;
+        private int fencings;
+
+        @Override
+        public void claimed(FailureDomain shard, FencingToken token, int endpoints) {
+            claims++;
+        }
+
+        @Override
+        public void fenced(FailureDomain shard, FencingToken token) {
+            fencings++;
+        }
+    }
 }
