--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/KnownHolders.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/KnownHolders.java
@@ -73,9 +73,8 @@
         if (!held.isEmpty()) {
             holders.add(new Holder(ownNode(), held));
         }
-        long heardSince = timers.nowMillis() - PeerTable.SILENCE_MILLIS;
         peers.holders().stream()
-                .filter(status -> peers.isHeardSince(status.node(), heardSince))
+                .filter(status -> isHeardRecently(status.node()))
                 .map(status -> new Holder(status.node(), status.shards()))
                 .forEach(holders::add);
         Comparator<Holder> drainedLast =
@@ -86,6 +85,11 @@
                 drainedLast.thenComparing(ownDomainFirst).thenComparing(mostFreeFirst), holders.build());
     }
 
+    /** Returns whether a peer sent its status recently; one that fell silent is lost at the next review. */
+    private boolean isHeardRecently(NodeId peer) {
+        return peers.lastStatusMillis(peer).orElseThrow() >= timers.nowMillis() - PeerTable.SILENCE_MILLIS;
+    }
+
     @Override
     public ImmutableList<HolderCapacity> neighboursWithCapacity(long milliCores) {
         return neighbourCapacity.holdersWithCapacity(milliCores);
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/PeerTable.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/PeerTable.java
@@ -177,11 +177,6 @@
         return numbers.build();
     }
 
-    /** Returns whether a status of the peer has arrived since this time, on the steady clock in milliseconds. */
-    public boolean isHeardSince(NodeId peer, long sinceMillis) {
-        return peers.containsKey(peer) && peers.get(peer).receivedAtMillis() >= sinceMillis;
-    }
-
     /** Returns the number of the last status of a peer. */
     public StatusNumber lastNumber(NodeId peer) {
         LastStatus last = peers.get(peer);
