Log an offer that was not sent

The only unlogged way is an offer that was certainly not sent. offer-not-sent names the job and the holder. Forwarding observers pass on the offers that are sent again, too, which none needed so far.

--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/routing/JobRouter.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/routing/JobRouter.java
@@ -121,6 +121,7 @@
     public void offerNotSent(NodeId to, JobId id) {
         jobs.find(id).filter(job -> job.isHeldBy(to)).ifPresent(job -> {
             if (job.lastOffer().wasSentOnce()) {
+                observer.offerNotSent(id, to);
                 placement.handleReturned(job);
             } else {
                 job.lastOffer().markMayBeLost();
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/routing/RoutingObserver.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/routing/RoutingObserver.java
@@ -31,6 +31,9 @@
     /** Called when offers that may have been lost with a connection are sent to a holder again. */
     default void offersSentAgain(NodeId holder, int offers) {}
 
+    /** Called when an offer was certainly not sent, so that its holder knows of no run by it. */
+    default void offerNotSent(JobId job, NodeId holder) {}
+
     /** Called when a job is withdrawn from its holder because no client waits for it. */
     default void clientsLeft(JobId job, NodeId holder) {}
 }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/ForwardingShardObserver.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/ForwardingShardObserver.java
@@ -61,6 +61,16 @@
         delegate.offeredAgain(job, holder, sinceLossMillis);
     }
 
+    @Override
+    public void offersSentAgain(NodeId holder, int offers) {
+        delegate.offersSentAgain(holder, offers);
+    }
+
+    @Override
+    public void offerNotSent(JobId job, NodeId holder) {
+        delegate.offerNotSent(job, holder);
+    }
+
     @Override
     public void clientsLeft(JobId job, NodeId holder) {
         delegate.clientsLeft(job, holder);
--- a/tarragonarch-ctl/src/test/java/org/tarragonarch/ctl/explain/OuterNamesTest.java
+++ b/tarragonarch-ctl/src/test/java/org/tarragonarch/ctl/explain/OuterNamesTest.java
@@ -77,6 +77,7 @@
             "job-holder-lost",
             "job-offered-again",
             "offers-sent-again",
+            "offer-not-sent",
             "job-clients-left",
             "job-recovered",
             "job-resubmitted",
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ShardLog.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ShardLog.java
@@ -106,6 +106,11 @@
         log.write(NodeEvent.OFFERS_SENT_AGAIN, "holder", holder, "offers", offers);
     }
 
+    @Override
+    public void offerNotSent(JobId job, NodeId holder) {
+        log.write(NodeEvent.OFFER_NOT_SENT, "job", job, "holder", holder);
+    }
+
     @Override
     public void clientsLeft(JobId job, NodeId holder) {
         log.write(NodeEvent.JOB_CLIENTS_LEFT, "job", job, "holder", holder);
--- a/tarragonarch-model/src/main/java/org/tarragonarch/model/log/NodeEvent.java
+++ b/tarragonarch-model/src/main/java/org/tarragonarch/model/log/NodeEvent.java
@@ -24,6 +24,8 @@
     JOB_OFFERED_AGAIN,
     /** Offers that may have been lost with a connection were sent to their holder again. */
     OFFERS_SENT_AGAIN,
+    /** The offer of a job was certainly not sent, because no connection with the holder could be opened. */
+    OFFER_NOT_SENT,
     /** No client waits for a job any more; it was withdrawn from its holder. */
     JOB_CLIENTS_LEFT,
     /** A holder recovered a job of an earlier holder; the line names the ground. */
