Count the time for which the steady clock stood still, and shorten the authority by just that

Cause: a stop was seen only by the clock of an endpoint, as accurately as a waiting poll allows, and was answered by forgetting all that was confirmed. Change: the time of day, which counts suspensions, is compared with the steady clock whenever the authority is asked for, and what an endpoint's clock shows beyond that is added. Confirmed times move back by the length of the stop. A step of the time of day costs the wait for the next status. Offers that are sent again on a new connection carry the number of the last status too, and an offer continues tasks that wait for its origin. The core module verifies.

--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/Coordinator.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/Coordinator.java
@@ -75,7 +75,7 @@
         checkNotNull(log, "log");
         this.election = new HolderElection(self.node(), self.domain(), ip, self.milliCores(), peers, pools);
         this.heartbeats = new Heartbeats(peers, pools, self.domain());
-        this.echoes = new ReceivedEchoes(self.node(), timers, wallMillis.getAsLong(), log);
+        this.echoes = new ReceivedEchoes(self.node(), timers, wallMillis, log);
         this.statusSender = new StatusSender(self, heartbeats, this::held, peers, echoes, sender, timers);
         this.drains = new DomainDrains(statusSender, endpoints, log);
         long maxRunMillisAfterContact = ReceivedEchoes.MAX_RUN_MILLIS + placing.leaseExpiry() - placing.lease();
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/KnownHolders.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/KnownHolders.java
@@ -16,6 +16,7 @@
 import org.tarragonarch.model.id.NodeId;
 import org.tarragonarch.model.report.HeldShard;
 import org.tarragonarch.model.report.Member;
+import org.tarragonarch.model.report.StatusNumber;
 import org.tarragonarch.model.task.JobId;
 import org.tarragonarch.model.task.Offer;
 import org.tarragonarch.model.task.Timers;
@@ -105,6 +106,11 @@
         return holder.holds(self.domain());
     }
 
+    @Override
+    public StatusNumber lastStatus(NodeId node) {
+        return peers.lastNumber(node);
+    }
+
     @Override
     public long lastContactMillis(Holder holder) {
         return peers.lastStatusMillis(holder.node()).orElseGet(timers::nowMillis);
@@ -154,7 +160,7 @@
     public void offer(Holder holder, Offer offer) {
         if (!holder.node().equals(ownNode())) {
             neighbourCapacity.recordOffer(holder.node(), offer.job().milliCores());
-            sender.sendOffer(holder.node(), offer.withLastStatus(peers.lastNumber(holder.node())));
+            sender.sendOffer(holder.node(), offer.withLastStatus(lastStatus(holder.node())));
             return;
         }
         ownOffers.accept(offer);
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/OriginMessages.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/OriginMessages.java
@@ -29,6 +29,7 @@
      */
     public void offerReceived(Offer offer) {
         echoes.received(offer.origin(), offer.lastStatus());
+        ownership.messageReceivedFrom(offer.origin());
         offers.record(offer)
                 .ifPresentOrElse(verdict -> events.sendVerdict(offer.origin(), verdict), () -> place(offer));
     }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/ReceivedEchoes.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/ReceivedEchoes.java
@@ -6,6 +6,7 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.LongSupplier;
 import org.tarragonarch.core.placing.OriginAuthority;
 import org.tarragonarch.core.shard.PeerTable;
 import org.tarragonarch.core.shard.ShardObserver;
@@ -20,6 +21,8 @@
  * <p>An origin takes this node for lost by the time of the last status that it has received. This node cannot infer
  * that time from what it receives itself: a message may have waited in a connection, or come through while this node's
  * own messages are lost. So each status is numbered, and peers return the number of the last one that they received.
+ *
+ * <p>The steady clock stands still while a VM is suspended. The time of day, or the clock of an endpoint, shows that.
  */
 final class ReceivedEchoes implements OriginAuthority {
     /** How long an origin waits for the next status before it takes this node for lost, in milliseconds. */
@@ -34,36 +37,64 @@
     /** A node sends fewer than one status in this time on average, so that numbers of different processes differ. */
     private static final long NUMBER_UNIT_MILLIS = 10;
 
-    /** The difference at which two measurements of a stop of the clock indicate separate stops, in milliseconds. */
+    /** Two measurements of a stop of the clock that differ by no more than this may be of the same stop. */
     private static final long SEPARATE_STOP_MILLIS = 30;
 
+    /** Covers the time between the readings of two clocks. */
+    private static final long READING_TOLERANCE_MILLIS = 20;
+
     private final NodeId self;
     private final Timers timers;
+    private final LongSupplier wallMillis;
     private final ShardObserver observer;
     private final Deque<SentStatus> sent = new ArrayDeque<>();
     private final Map<NodeId, Long> confirmedAtMillis = new HashMap<>();
     private long lastNumber;
     private long reviewedAtMillis;
     private boolean hasPaused;
-    private long stopSeenAtMillis = Long.MIN_VALUE;
+    private long wallOffsetMillis;
     private long stoppedMillis;
+    private long lastStopAtMillis = Long.MIN_VALUE;
+    private long lastStopMillis;
 
     /**
      * Creates the echoes of a node that has sent nothing.
      *
-     * @param startMillis the time of day in milliseconds since 1970, from which the statuses are numbered
+     * @param wallMillis the time of day in milliseconds since 1970, from which the statuses are numbered; it counts the
+     *     time for which a VM is suspended
      */
-    ReceivedEchoes(NodeId self, Timers timers, long startMillis, ShardObserver observer) {
+    ReceivedEchoes(NodeId self, Timers timers, LongSupplier wallMillis, ShardObserver observer) {
         this.self = checkNotNull(self, "self");
         this.timers = checkNotNull(timers, "timers");
+        this.wallMillis = checkNotNull(wallMillis, "wallMillis");
         this.observer = checkNotNull(observer, "observer");
         this.reviewedAtMillis = timers.nowMillis();
-        this.lastNumber = startMillis / NUMBER_UNIT_MILLIS;
+        this.wallOffsetMillis = wallMillis.getAsLong() - reviewedAtMillis;
+        this.lastNumber = wallMillis.getAsLong() / NUMBER_UNIT_MILLIS;
+    }
+
+    /** Returns the time in milliseconds on a clock that also counts the time for which the steady clock stood still. */
+    private long nowMillis() {
+        long steady = timers.nowMillis();
+        long offset = wallMillis.getAsLong() - steady;
+        long stopped = offset - wallOffsetMillis;
+        wallOffsetMillis = offset;
+        if (stopped > READING_TOLERANCE_MILLIS) {
+            recordStop(stopped, stopped);
+        }
+        return steady + stoppedMillis;
+    }
+
+    private void recordStop(long millis, long notYetCountedMillis) {
+        lastStopAtMillis = timers.nowMillis();
+        lastStopMillis = millis;
+        stoppedMillis += notYetCountedMillis;
+        observer.clockStoodStill(millis);
     }
 
     /** Returns the number of a status that is about to be sent. */
     StatusNumber next() {
-        long now = timers.nowMillis();
+        long now = nowMillis();
         while (!sent.isEmpty() && sent.getFirst().atMillis() + AUTHORITY_MILLIS < now) {
             sent.removeFirst();
         }
@@ -95,7 +126,7 @@
      * jobs elsewhere, and what arrived meanwhile is read before the next call.
      */
     void reviewed() {
-        long now = timers.nowMillis();
+        long now = nowMillis();
         hasPaused = now - reviewedAtMillis > AUTHORITY_MILLIS;
         reviewedAtMillis = now;
     }
@@ -107,26 +138,24 @@
 
     @Override
     public long endsAtMillis(NodeId origin) {
+        // Counts a stop of the clock that nothing has shown yet.
+        nowMillis();
         if (origin.equals(self)) {
-            return hasPaused ? NEVER : reviewedAtMillis + AUTHORITY_MILLIS;
+            return hasPaused ? NEVER : reviewedAtMillis + AUTHORITY_MILLIS - stoppedMillis;
         }
         Long confirmed = confirmedAtMillis.get(origin);
-        return confirmed == null ? NEVER : confirmed + AUTHORITY_MILLIS;
+        return confirmed == null ? NEVER : confirmed + AUTHORITY_MILLIS - stoppedMillis;
     }
 
     @Override
     public void clockStoodStill(long sinceMillis, long millis) {
-        boolean isSameStop = sinceMillis <= stopSeenAtMillis && millis <= stoppedMillis + SEPARATE_STOP_MILLIS;
-        if (!isSameStop) {
-            stopSeenAtMillis = timers.nowMillis();
-            stoppedMillis = millis;
-            sent.clear();
-            confirmedAtMillis.clear();
-            hasPaused = true;
-            observer.clockStoodStill(millis);
+        nowMillis();
+        long known = sinceMillis <= lastStopAtMillis ? lastStopMillis : 0;
+        if (millis > known + SEPARATE_STOP_MILLIS) {
+            recordStop(millis, millis - known);
         }
     }
 
-    /** A status that was sent, and when, on the steady clock. */
+    /** A status that was sent, and when, on the clock that also counts suspensions. */
     private record SentStatus(StatusNumber number, long atMillis) {}
 }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/routing/Holders.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/routing/Holders.java
@@ -4,6 +4,7 @@
 import com.google.common.collect.ImmutableSet;
 import org.tarragonarch.model.id.FailureDomain;
 import org.tarragonarch.model.id.NodeId;
+import org.tarragonarch.model.report.StatusNumber;
 import org.tarragonarch.model.task.JobId;
 import org.tarragonarch.model.task.Offer;
 
@@ -29,6 +30,9 @@
     /** Returns whether the holder holds the shard of this node's own failure domain. */
     boolean holdsOwnDomain(Holder holder);
 
+    /** Returns the number of the last status received of a node. */
+    StatusNumber lastStatus(NodeId node);
+
     /** Returns when this node last received a status of a holder, on the steady clock in milliseconds. */
     long lastContactMillis(Holder holder);
 
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/routing/JobRouter.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/routing/JobRouter.java
@@ -143,7 +143,7 @@
         ImmutableList<Offer> offers = jobs.heldBy(node).stream()
                 .map(OpenJob::lastOffer)
                 .filter(SentOffer::mayBeLost)
-                .map(offer -> offer.sendAgain(timers.nowMillis()))
+                .map(offer -> offer.sendAgain(timers.nowMillis()).withLastStatus(holders.lastStatus(node)))
                 .collect(ImmutableList.toImmutableList());
         if (!offers.isEmpty()) {
             observer.offersSentAgain(node, offers.size());
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/routing/FakeHolders.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/routing/FakeHolders.java
@@ -9,6 +9,7 @@
 import org.tarragonarch.model.id.FailureDomain;
 import org.tarragonarch.model.id.NodeId;
 import org.tarragonarch.model.report.HeldShard;
+import org.tarragonarch.model.report.StatusNumber;
 import org.tarragonarch.model.task.FencingToken;
 import org.tarragonarch.model.task.JobId;
 import org.tarragonarch.model.task.JobVerdict;
@@ -46,6 +47,11 @@
         return holder;
     }
 
+    @Override
+    public StatusNumber lastStatus(NodeId node) {
+        return StatusNumber.NONE;
+    }
+
     @Override
     public long lastContactMillis(Holder holder) {
         return timers.nowMillis();
