--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/KnownHolders.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/KnownHolders.java
@@ -16,6 +16,7 @@
 import org.tarragonarch.model.id.NodeId;
 import org.tarragonarch.model.report.HeldShard;
 import org.tarragonarch.model.report.Member;
+import org.tarragonarch.model.report.StatusNumber;
 import org.tarragonarch.model.task.JobId;
 import org.tarragonarch.model.task.Offer;
 import org.tarragonarch.model.task.Timers;
@@ -74,6 +75,7 @@
             holders.add(new Holder(ownNode(), held));
         }
         peers.holders().stream()
+                .filter(status -> isHeardRecently(status.node()))
                 .map(status -> new Holder(status.node(), status.shards()))
                 .forEach(holders::add);
         Comparator<Holder> drainedLast =
@@ -84,6 +86,11 @@
                 drainedLast.thenComparing(ownDomainFirst).thenComparing(mostFreeFirst), holders.build());
     }
 
+    /** Returns whether a peer sent its status recently; one that fell silent is lost at the next review. */
+    private boolean isHeardRecently(NodeId peer) {
+        return peers.lastStatusMillis(peer).orElseThrow() >= timers.nowMillis() - PeerTable.SILENCE_MILLIS;
+    }
+
     @Override
     public ImmutableList<HolderCapacity> neighboursWithCapacity(long milliCores) {
         return neighbourCapacity.holdersWithCapacity(milliCores);
@@ -99,6 +106,16 @@
         return holder.holds(self.domain());
     }
 
+    @Override
+    public StatusNumber lastStatus(NodeId node) {
+        return peers.lastNumber(node);
+    }
+
+    @Override
+    public long lastContactMillis(Holder holder) {
+        return peers.lastStatusMillis(holder.node()).orElseGet(timers::nowMillis);
+    }
+
     /**
      * Returns all shards of the pools in which the holder had a shard.
      *
@@ -143,7 +160,7 @@
     public void offer(Holder holder, Offer offer) {
         if (!holder.node().equals(ownNode())) {
             neighbourCapacity.recordOffer(holder.node(), offer.job().milliCores());
-            sender.sendOffer(holder.node(), offer);
+            sender.sendOffer(holder.node(), offer.withLastStatus(lastStatus(holder.node())));
             return;
         }
         ownOffers.accept(offer);
--- /dev/null
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/OriginAuthority.java
@@ -0,0 +1,28 @@
+package org.tarragonarch.core.placing;
+
+import org.tarragonarch.model.id.NodeId;
+
+/** Until when this node may start and continue the tasks of each origin's jobs. */
+public interface OriginAuthority {
+    /** The end of an authority that this node never had; leaves room for differences of times. */
+    long NEVER = Long.MIN_VALUE / 2;
+
+    /** Returns until when tasks of an origin's jobs may start, on the steady clock in milliseconds. */
+    long endsAtMillis(NodeId origin);
+
+    /**
+     * Returns until when runs of an origin's jobs may continue, on the steady clock in milliseconds.
+     *
+     * <p>The origin, and a client that submits its job again through another node, count on this.
+     */
+    long runsEndAtMillis(NodeId origin);
+
+    /**
+     * Called when the clock of an endpoint shows that this node's steady clock stood still, so that any authority may
+     * have ended already.
+     *
+     * @param sinceMillis when the clock of the endpoint was last read, on the steady clock
+     * @param stoppedMillis how long the steady clock stood still at least, in milliseconds
+     */
+    void clockStoodStill(long sinceMillis, long stoppedMillis);
+}
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/ReservedCapacity.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/ReservedCapacity.java
@@ -13,6 +13,7 @@
 final class ReservedCapacity {
     private final ShareTally tally;
     private final Map<TaskName, Reservation> reservations = new HashMap<>();
+    private final OriginAuthority authority;
     private Resources capacity;
     private Resources used = Resources.NONE;
     private Resources free;
@@ -21,10 +22,12 @@
      * Creates the capacity of an endpoint without reservations.
      *
      * @param tally counts the reserved capacity by share
+     * @param authority until when this node may act for the jobs whose runs have the reservations
      */
-    ReservedCapacity(Resources capacity, ShareTally tally) {
+    ReservedCapacity(Resources capacity, ShareTally tally, OriginAuthority authority) {
         this.capacity = capacity;
         this.tally = tally;
+        this.authority = authority;
         this.free = capacity;
     }
 
@@ -63,6 +66,19 @@
         return false;
     }
 
+    /**
+     * Returns until when all runs on the endpoint may continue, including those that are being stopped, on the steady
+     * clock in milliseconds.
+     */
+    long runsEndMillis() {
+        long end = Long.MAX_VALUE;
+        for (Reservation reservation : reservations.values()) {
+            end = Math.min(
+                    end, authority.runsEndAtMillis(reservation.task().job().origin()));
+        }
+        return end;
+    }
+
     boolean contains(Reservation reservation) {
         return reservations.get(reservation.run().task()) == reservation;
     }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/ForwardingShardObserver.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/ForwardingShardObserver.java
@@ -31,6 +31,11 @@
         delegate.fenced(shard, token);
     }
 
+    @Override
+    public void clockStoodStill(long millis) {
+        delegate.clockStoodStill(millis);
+    }
+
     @Override
     public void drainChanged(FailureDomain domain, boolean isDrained, long version, String source) {
         delegate.drainChanged(domain, isDrained, version, source);
@@ -56,6 +61,16 @@
         delegate.offeredAgain(job, holder, sinceLossMillis);
     }
 
+    @Override
+    public void offersSentAgain(NodeId holder, int offers) {
+        delegate.offersSentAgain(holder, offers);
+    }
+
+    @Override
+    public void offerNotSent(JobId job, NodeId holder) {
+        delegate.offerNotSent(job, holder);
+    }
+
     @Override
     public void clientsLeft(JobId job, NodeId holder) {
         delegate.clientsLeft(job, holder);
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/ShardOwnership.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/ShardOwnership.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.function.LongSupplier;
 import org.tarragonarch.core.placing.ForwardingPlacementObserver;
+import org.tarragonarch.core.placing.OriginAuthority;
 import org.tarragonarch.core.placing.Placer;
 import org.tarragonarch.core.placing.PlacerListener;
 import org.tarragonarch.core.placing.PlacingSettings;
@@ -39,6 +40,7 @@
     private final EndpointOrders orders;
     private final Timers timers;
     private final LongSupplier wallMillis;
+    private final OriginAuthority authority;
     private final ShardOwnershipListener events;
     private final EndpointListStability listStability;
     private final Relay relay;
@@ -53,6 +55,7 @@
      *
      * @param pools all shards, grouped by holder
      * @param wallMillis the time of day in milliseconds, from which terms that increase over restarts are derived
+     * @param authority until when this node may act for the jobs of an origin
      */
     public ShardOwnership(
             ShardPools pools,
@@ -62,6 +65,7 @@
             EndpointOrders orders,
             Timers timers,
             LongSupplier wallMillis,
+            OriginAuthority authority,
             ShardOwnershipListener events) {
         this.pools = checkNotNull(pools, "pools");
         this.election = checkNotNull(election, "election");
@@ -70,6 +74,7 @@
         this.orders = checkNotNull(orders, "orders");
         this.timers = checkNotNull(timers, "timers");
         this.wallMillis = checkNotNull(wallMillis, "wallMillis");
+        this.authority = checkNotNull(authority, "authority");
         this.events = checkNotNull(events, "events");
         this.relay = new Relay(events);
         this.listStability = new EndpointListStability(endpoints);
@@ -87,7 +92,7 @@
                 resign(shard);
                 election.resignUnreachable(shard, timers.nowMillis());
                 changed = true;
-            } else if (election.shouldClaim(shard, timers.nowMillis()) && isListUsable()) {
+            } else if ((election.shouldClaim(shard, timers.nowMillis()) || shouldClaimAgain(shard)) && isListUsable()) {
                 claim(shard);
                 changed = true;
             }
@@ -95,6 +100,18 @@
         return changed;
     }
 
+    /**
+     * Returns whether a held shard must be claimed under a higher token.
+     *
+     * <p>The shard is held all the time: a status without it, sent between a release and the next claim, would make
+     * another node claim it, and the two would surpass each other's tokens in turn. While there are jobs, the present
+     * token is kept: it may be that of their runs.
+     */
+    private boolean shouldClaimAgain(FailureDomain shard) {
+        return election.isSurpassed(shard, timers.nowMillis())
+                && placer.orElseThrow().isIdle();
+    }
+
     private boolean isListUsable() {
         return !endpoints.isEmpty() && endpoints.isFresh(timers.nowMillis());
     }
@@ -202,7 +219,8 @@
     private void claim(FailureDomain shard) {
         FencingToken token = election.claim(shard, wallMillis.getAsLong());
         if (placer.isEmpty()) {
-            placer = Optional.of(new Placer(settings, orders, timers, relay, runTimes, this::isListComplete));
+            placer =
+                    Optional.of(new Placer(settings, orders, timers, relay, runTimes, authority, this::isListComplete));
         }
         claimedAtMillis.put(shard, timers.nowMillis());
         placer.get().open(shard, token, endpointsThatMayRunTasks(shard));
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/routing/FakeHolders.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/routing/FakeHolders.java
@@ -9,12 +9,14 @@
 import org.tarragonarch.model.id.FailureDomain;
 import org.tarragonarch.model.id.NodeId;
 import org.tarragonarch.model.report.HeldShard;
+import org.tarragonarch.model.report.StatusNumber;
 import org.tarragonarch.model.task.FencingToken;
 import org.tarragonarch.model.task.JobId;
 import org.tarragonarch.model.task.JobVerdict;
 import org.tarragonarch.model.task.Offer;
 import org.tarragonarch.model.task.OfferNumber;
 import org.tarragonarch.model.task.OfferTerms;
+import org.tarragonarch.model.task.Timers;
 import org.tarragonarch.model.task.Verdict;
 
 /** Configurable holders that record the calls they receive. */
@@ -31,6 +33,12 @@
     final List<String> calls = new ArrayList<>();
     final List<String> notStartedAtOnce = new ArrayList<>();
     private final Map<JobId, OfferNumber> lastOffers = new HashMap<>();
+    private final Timers timers;
+
+    /** Creates holders that are heard from until they are lost. */
+    FakeHolders(Timers timers) {
+        this.timers = timers;
+    }
 
     Holder add(String node, String shard, long term) {
         HeldShard held = new HeldShard(FailureDomain.of(shard), FencingToken.of(term, "10.0.0.1"), 1_000);
@@ -39,6 +47,16 @@
         return holder;
     }
 
+    @Override
+    public StatusNumber lastStatus(NodeId node) {
+        return StatusNumber.NONE;
+    }
+
+    @Override
+    public long lastContactMillis(Holder holder) {
+        return timers.nowMillis();
+    }
+
     @Override
     public ImmutableList<Holder> inPreferenceOrder() {
         return ImmutableList.copyOf(holders);
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ShardLog.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ShardLog.java
@@ -106,6 +106,11 @@
         log.write(NodeEvent.OFFERS_SENT_AGAIN, "holder", holder, "offers", offers);
     }
 
+    @Override
+    public void offerNotSent(JobId job, NodeId holder) {
+        log.write(NodeEvent.OFFER_NOT_SENT, "job", job, "holder", holder);
+    }
+
     @Override
     public void clientsLeft(JobId job, NodeId holder) {
         log.write(NodeEvent.JOB_CLIENTS_LEFT, "job", job, "holder", holder);
@@ -131,6 +136,21 @@
         log.write(NodeEvent.JOBS_NOT_OPEN, "origin", origin, "jobs", jobs);
     }
 
+    @Override
+    public void startsWithheld(NodeId origin, JobId job) {
+        log.write(NodeEvent.STARTS_WITHHELD, "origin", origin, "job", job);
+    }
+
+    @Override
+    public void runsWithoutAuthority(NodeId origin, JobId job, int runs) {
+        log.write(NodeEvent.RUNS_WITHOUT_AUTHORITY, "origin", origin, "job", job, "runs", runs);
+    }
+
+    @Override
+    public void clockStoodStill(long millis) {
+        log.write(NodeEvent.CLOCK_STOOD_STILL, "millis", millis);
+    }
+
     @Override
     public void runEndedBadly(FailureDomain shard, TaskRun run, EndpointId endpoint, EndKind kind) {
         meters.runEndedBadly(kind);
