End a run whose stop stays unanswered before its client can come again

What callers could see: two runs of one task. A client leaves and submits its job again 1.3 s later through another node. All stops of the first run are lost, while polls of the same endpoint are answered. Cause: an endpoint has one lease for all that it runs. Polls extend it for the other runs there, and so for the withdrawn one, for as long as the stop stays unanswered. Change: while the stop of a run whose job has ended here is not answered, no lease on its endpoint goes past 1.2 s after the end of the job, and nothing new starts there from the moment at which its lease would be cut. An answered stop lifts both.

--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/EndpointChoice.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/EndpointChoice.java
@@ -71,7 +71,7 @@
         if (endpoint.reservedCapacity().isEmpty()) {
             return 0;
         }
-        boolean hostsSuspect = endpoint.hasSuspectTask();
+        boolean hostsSuspect = endpoint.reservedCapacity().hasSuspectTask();
         if (task.hasCrashed()) {
             return hostsSuspect ? 1 : 2;
         }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/HeldEndpoint.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/HeldEndpoint.java
@@ -151,11 +151,6 @@
         orders.reserve(Reservation.adopted(task, run, task.job().taskResources(), link.nowMillis()));
     }
 
-    /** Returns whether this endpoint runs a suspect task, that is, one that an endpoint has crashed while running. */
-    boolean hasSuspectTask() {
-        return reservedCapacity.hasSuspectTask();
-    }
-
     /** Returns whether the lists of the endpoint were ever read. */
     boolean hasAnswered() {
         return listedRuns.anyListRead();
@@ -176,6 +171,8 @@
                 && !closed
                 && !retired
                 && !entry().draining()
+                && reservedCapacity.stopsEndMillis()
+                        > nowMillis + link.settings().lease()
                 && !observations.health().isEjected(nowMillis)
                 && !(observations.health().isOnTrial() && !reservedCapacity.isEmpty());
     }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/Reservation.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/Reservation.java
@@ -21,6 +21,12 @@
         STOPPED
     }
 
+    /**
+     * How long the run may continue after its job has ended here if its stop is not answered: less than the 1.3 s after
+     * which a client that has left may have submitted the job again.
+     */
+    private static final long MAX_AFTER_JOB_MILLIS = 1_200;
+
     private final PlacedTask task;
     private final TaskRun run;
     private final Resources resources;
@@ -31,6 +37,7 @@
     private boolean listed;
     private EndKind endKindIfUnlisted = EndKind.LAPSED;
     private long uncertainUntilMillis = Long.MIN_VALUE;
+    private long runEndMillis = Long.MAX_VALUE;
     private boolean adopted;
     private int percent = -1;
     private long progressedAtMillis;
@@ -176,6 +183,19 @@
         return seen;
     }
 
+    /** Records that the job of the run has ended here, so that other nodes may start it. */
+    void markJobOver(long nowMillis) {
+        runEndMillis = Math.min(runEndMillis, nowMillis + MAX_AFTER_JOB_MILLIS);
+    }
+
+    /**
+     * Returns until when the run may continue, on the steady clock in milliseconds. A run whose stop was answered ends
+     * in any case.
+     */
+    long runEndMillis() {
+        return state == State.STOPPED ? Long.MAX_VALUE : runEndMillis;
+    }
+
     void markStopping() {
         state = State.STOPPING;
         settledAtMillis = Long.MAX_VALUE;
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/ReservedCapacity.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/ReservedCapacity.java
@@ -76,6 +76,21 @@
             end = Math.min(
                     end, authority.runsEndAtMillis(reservation.task().job().origin()));
         }
+        return Math.min(end, stopsEndMillis());
+    }
+
+    /**
+     * Returns until when runs may continue whose job has ended and whose stop is not answered, on the steady clock in
+     * milliseconds.
+     *
+     * <p>Guards against a run that continues for as long as polls extend the lease of other runs, while its job is
+     * started elsewhere.
+     */
+    long stopsEndMillis() {
+        long end = Long.MAX_VALUE;
+        for (Reservation reservation : reservations.values()) {
+            end = Math.min(end, reservation.runEndMillis());
+        }
         return end;
     }
 
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RunOrders.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RunOrders.java
@@ -60,6 +60,9 @@
 
     /** Stops a run; its capacity remains reserved until its end is certain. */
     void stop(Reservation reservation) {
+        if (reservation.task().job().isOver()) {
+            reservation.markJobOver(link.nowMillis());
+        }
         if (reservation.shouldRun()) {
             reservation.markStopping();
             sendStop(reservation, false);
