Bound the leases at an endpoint while a run there is neither adopted nor over

What callers could see: two runs of one task after a claim. The next holder adopts some runs of an endpoint and stops those that no job claims; the stops are lost. The polls for the adopted runs extend the lease of the others, and their origin has them started elsewhere once the leases of the lost holder are over. Change: while a run is neither adopted nor over, no lease goes past 1.2 s after the claim, or after its discovery if it is found later; the same for runs of late orders. 1.2 s leave the usual 120 ms of adoption and 50 ms of a stop without any cut, since adopted runs may have little lease left. Not closed: the bound counts from the claim of this holder. Not extending at all would end adopted runs after a silent loss. Measured: testClaim_stopsOfUnclaimedRunsAreLost fails on the commit before and passes now.

--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/EndpointHost.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/EndpointHost.java
@@ -5,6 +5,9 @@
     /** Returns whether no more calls are to be sent to the endpoint. */
     boolean isClosed();
 
+    /** Returns until when all runs on the endpoint may continue, on the steady clock in milliseconds. */
+    long runsEndMillis();
+
     /** Called when the endpoint rejects this holder's token because it has seen a higher one. */
     void endpointFenced();
 
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/HeldEndpoint.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/HeldEndpoint.java
@@ -49,7 +49,7 @@
         this.reservedCapacity = new ReservedCapacity(link.entry().capacity(), tally, link.authority());
         Host host = new Host();
         this.ends = new RunEnds(link, reservedCapacity, this, listener);
-        this.poller = new RunListPoller(link, reservedCapacity, host);
+        this.poller = new RunListPoller(link, host);
         this.listedRuns = new ListedRuns(link, reservedCapacity, unanswered, poller, host);
         this.orders = new RunOrders(link, reservedCapacity, poller, unanswered, host);
         this.observations = new EndpointObservations(reservedCapacity, progress);
@@ -169,8 +169,7 @@
                 && knowsAllRuns()
                 && !poller.isSilent()
                 && !closed
-                && !retired
-                && !entry().draining()
+                && !isLeaving()
                 && reservedCapacity.stopsEndMillis()
                         > nowMillis + link.settings().lease()
                 && !observations.health().isEjected(nowMillis)
@@ -179,10 +178,7 @@
 
     /** Returns whether the endpoint, if it were idle, could run a task of the service with the given needs. */
     boolean canHost(String service, Resources need) {
-        return !retired
-                && !entry().draining()
-                && entry().service().equals(service)
-                && need.fitsInto(entry().capacity());
+        return !isLeaving() && entry().service().equals(service) && need.fitsInto(entry().capacity());
     }
 
     /** Starts a run; the endpoint must accept it, see {@link #accepts}. */
@@ -205,13 +201,13 @@
         observations.recordOutcome(succeeded, link.nowMillis());
     }
 
-    private boolean leftAsPlanned() {
+    private boolean isLeaving() {
         return retired || entry().draining();
     }
 
     /** Switches to a later incarnation; see {@link RunEnds#endpointRestarted} for the runs of the earlier one. */
     private void switchIncarnation(EndpointEntry later) {
-        boolean leftAsPlanned = leftAsPlanned();
+        boolean leftAsPlanned = isLeaving();
         link.switchIncarnation(later);
         poller.reset();
         listedRuns.endpointRestarted();
@@ -228,6 +224,11 @@
             return closed;
         }
 
+        @Override
+        public long runsEndMillis() {
+            return Math.min(reservedCapacity.runsEndMillis(), listedRuns.runsEndMillis());
+        }
+
         @Override
         public boolean needsPolling() {
             return !reservedCapacity.isEmpty() || listedRuns.mayStartUnansweredRun();
@@ -271,7 +272,7 @@
         public void endpointGone() {
             closed = true;
             listedRuns.endpointGone();
-            ends.endpointGone(leftAsPlanned());
+            ends.endpointGone(isLeaving());
         }
 
         @Override
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/LateStarts.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/LateStarts.java
@@ -17,11 +17,15 @@
 final class LateStarts {
     private static final long UNANSWERED = Long.MAX_VALUE;
 
+    /** How long the runs may continue after the first stops: a lease and some resends. */
+    private static final long MAX_MILLIS = 1_200;
+
     private final EndpointLink link;
     private final RunListPoller poller;
     private final EndpointHost host;
     private final Map<TaskRun, Long> stoppedAtMillis = new LinkedHashMap<>();
     private boolean listScheduled;
+    private long runsEndMillis;
 
     LateStarts(EndpointLink link, RunListPoller poller, EndpointHost host) {
         this.link = link;
@@ -32,6 +36,7 @@
     /** Stops the given runs on a new incarnation, in place of the runs of the previous one. */
     void stop(Set<TaskRun> runs) {
         stoppedAtMillis.clear();
+        runsEndMillis = link.nowMillis() + MAX_MILLIS;
         runs.forEach(run -> stoppedAtMillis.put(run, UNANSWERED));
         runs.forEach(run -> sendStop(run, false));
     }
@@ -40,6 +45,11 @@
         return stoppedAtMillis.isEmpty();
     }
 
+    /** Returns until when runs that may be in progress may continue, on the steady clock in milliseconds. */
+    long runsEndMillis() {
+        return stoppedAtMillis.isEmpty() ? Long.MAX_VALUE : runsEndMillis;
+    }
+
     boolean contains(TaskRun run) {
         return stoppedAtMillis.containsKey(run);
     }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/ListedRuns.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/ListedRuns.java
@@ -51,6 +51,11 @@
         return recovered.isEmpty() && lateStarts.isEmpty();
     }
 
+    /** Returns until when runs that are not reserved may continue, on the steady clock in milliseconds. */
+    long runsEndMillis() {
+        return Math.min(recovered.runsEndMillis(), lateStarts.runsEndMillis());
+    }
+
     /** Returns whether the endpoint may still carry out a start order that it has not answered. */
     boolean mayStartUnansweredRun() {
         return unanswered.hasAny(link.incarnation().id(), link.nowMillis());
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RecoveredRuns.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RecoveredRuns.java
@@ -24,22 +24,40 @@
      */
     private static final long ADOPTION_MILLIS = 120;
 
+    /**
+     * How long the runs may continue after the claim, or after the discovery of one that is to be stopped. Longer than
+     * a lease by the time that it usually takes to stop the runs that no job adopts, so that the adopted ones go on.
+     */
+    private static final long MAX_MILLIS = 1_200;
+
     private final EndpointLink link;
     private final RunListPoller poller;
     private final EndpointHost host;
     private final Map<TaskRun, State> runs = new HashMap<>();
     private final Set<TaskName> doneTasks = new HashSet<>();
+    private long runsEndMillis;
 
     RecoveredRuns(EndpointLink link, RunListPoller poller, EndpointHost host) {
         this.link = link;
         this.poller = poller;
         this.host = host;
+        this.runsEndMillis = link.nowMillis() + MAX_MILLIS;
     }
 
     boolean isEmpty() {
         return runs.isEmpty();
     }
 
+    /**
+     * Returns until when runs may continue that are neither adopted nor over, on the steady clock in milliseconds.
+     *
+     * <p>Guards against a run that continues for as long as polls extend the lease of adopted runs: its origin starts
+     * the job elsewhere as soon as the leases of the earlier holder have expired.
+     */
+    long runsEndMillis() {
+        return runs.isEmpty() ? Long.MAX_VALUE : runsEndMillis;
+    }
+
     /**
      * Processes the listed runs that are not reserved.
      *
@@ -52,6 +70,9 @@
             if (firstList) {
                 runs.put(run, State.ADOPTABLE);
             } else if (!runs.containsKey(run)) {
+                if (runs.isEmpty()) {
+                    runsEndMillis = link.nowMillis() + MAX_MILLIS;
+                }
                 stop(run);
             }
         }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RunListPoller.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RunListPoller.java
@@ -22,7 +22,6 @@
     private static final long IDLE_ACKNOWLEDGEMENT_MILLIS = 500;
 
     private final EndpointLink link;
-    private final ReservedCapacity reserved;
     private final Host host;
     private long listedEnd;
     private long acknowledgedEnd;
@@ -32,9 +31,8 @@
     private boolean idleAcknowledgementScheduled;
     private long retryMillis;
 
-    RunListPoller(EndpointLink link, ReservedCapacity reserved, Host host) {
+    RunListPoller(EndpointLink link, Host host) {
         this.link = link;
-        this.reserved = reserved;
         this.host = host;
     }
 
@@ -101,7 +99,7 @@
         Call call = new Call(link.nowMillis(), link.incarnationNumber(), listedEnd);
         callInFlight = true;
         if (read && !silent && host.needsPolling()) {
-            link.renew(listedEnd, false, reserved.runsEndMillis(), answer -> answered(answer, call));
+            link.renew(listedEnd, false, host.runsEndMillis(), answer -> answered(answer, call));
         } else {
             link.list(listedEnd, silent || !read, answer -> answered(answer, call));
         }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RunOrders.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RunOrders.java
@@ -47,7 +47,7 @@
         link.start(
                 run,
                 task.job().specification(),
-                reserved.runsEndMillis(),
+                host.runsEndMillis(),
                 answer -> startAnswered(reservation, answer, sentTo));
         poller.pollIfIdle();
     }
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/LeaseLimitTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/LeaseLimitTest.java
@@ -10,9 +10,15 @@
 public final class LeaseLimitTest {
     private static final long RUN_MILLIS = 8_000;
 
+    /** Short enough that the job is in time for its client. */
+    private static final long ESTIMATE_MILLIS = 2_000;
+
     /** The time after which a client that has left may have submitted its job again. */
     private static final long CLIENT_ABSENT_MILLIS = 1_300;
 
+    /** The time after the loss of a holder after which an origin offers its jobs to any other. */
+    private static final long RUNS_OVER_MILLIS = 1_350;
+
     private static boolean runs(PlacerFixture fixture, int job) {
         return fixture.endpoint(1).runs().stream().anyMatch(run -> run.task().belongsTo(PlacerFixture.id(job)));
     }
@@ -76,4 +82,31 @@
         fixture.timers.advance(20);
         assertTrue(runs(fixture, 3));
     }
+
+    /** Guards against a run that no job adopts and that goes on with the lease of the adopted ones. */
+    @Test
+    public void testClaim_stopsOfUnclaimedRunsAreLost() {
+        PlacerFixture fixture = PlacerFixture.running(1, RUN_MILLIS);
+        Placer before = holderOfTwoRuns(fixture);
+        loseStops(fixture, 5_000);
+        before.close();
+        Placer next = fixture.placer(2);
+        next.offer(PlacerFixture.repeatedOffer(1, 1, ESTIMATE_MILLIS));
+        fixture.timers.advance(RUNS_OVER_MILLIS);
+        assertFalse(runs(fixture, 2));
+    }
+
+    /** Guards against adopted runs that lapse although the runs beside them were stopped in time. */
+    @Test
+    public void testClaim_adoptedRunsGoOnBesideStoppedOnes() {
+        PlacerFixture fixture = PlacerFixture.running(1, RUN_MILLIS);
+        Placer before = holderOfTwoRuns(fixture);
+        before.close();
+        Placer next = fixture.placer(2);
+        next.offer(PlacerFixture.repeatedOffer(1, 1, ESTIMATE_MILLIS));
+        fixture.timers.advance(RUNS_OVER_MILLIS);
+        assertTrue(runs(fixture, 1));
+        assertFalse(runs(fixture, 2));
+        assertEquals(fixture.ledger.starts(), 2);
+    }
 }
