Take an endpoint whose clock has started anew for restarted

What callers could see: two runs of one task, and endpoints over their capacity, where an endpoint restarts under its id and does not tell its start. A start order that was stopped on the earlier incarnation arrives late at the new one, which does not know the stop. Cause: only a start time told of a restart. The list's clock, which starts anew, was recorded and nothing else. Change: a list whose clock is below a value that had arrived before the list was asked for proves a later incarnation. A value of that incarnation in the answer to a start or a stop does not replace the known one, so that the next list proves it too. Known from no clock: an incarnation that was first heard when its clock had passed the last value of the earlier one. A rate would tell more often, but an endpoint whose clock stands still with its machine would be taken for restarted.

--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/EndpointClock.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/EndpointClock.java
@@ -15,13 +15,13 @@
     private boolean known;
 
     /**
-     * Records the clock value of an answer; an empty value leaves the estimate as it is.
+     * Records the clock value of an answer; one that is empty or of a later incarnation does not change the estimate.
      *
      * @param sentAtMillis when the call was sent, on the steady clock of this node
      * @return how long the steady clock certainly stood still since the answer before, in milliseconds; 0 if unknown
      */
     long update(OptionalLong answer, long sentAtMillis, long nowMillis) {
-        if (answer.isEmpty()) {
+        if (answer.isEmpty() || hasStartedAnew(answer, sentAtMillis)) {
             return 0;
         }
         clockMillis = answer.getAsLong();
@@ -32,6 +32,14 @@
         return Math.max(0, stopped);
     }
 
+    /**
+     * Returns whether the clock value of an answer proves that the endpoint has restarted: the call was sent after a
+     * higher value had arrived.
+     */
+    boolean hasStartedAnew(OptionalLong answer, long sentAtMillis) {
+        return known && sentAtMillis >= takenAtMillis && answer.orElse(clockMillis) < clockMillis;
+    }
+
     /** Returns when the last clock value arrived, on the steady clock of this node in milliseconds. */
     long takenAtMillis() {
         return takenAtMillis;
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/EndpointLink.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/EndpointLink.java
@@ -93,6 +93,11 @@
         }
     }
 
+    /** Returns whether the clock value of an answer proves that a later incarnation gave it. */
+    boolean isOfLaterIncarnation(OptionalLong clockMillis, long sentAtMillis) {
+        return clock.hasStartedAnew(clockMillis, sentAtMillis);
+    }
+
     OriginAuthority authority() {
         return authority;
     }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RunListPoller.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RunListPoller.java
@@ -136,7 +136,7 @@
     }
 
     private void takeLists(PollAnswer answer, Call call) {
-        followStart(answer);
+        followStart(answer, call);
         if (isCurrent(call)) {
             acknowledgedEnd = Math.max(acknowledgedEnd, call.acknowledgedEnd());
         }
@@ -156,12 +156,14 @@
     }
 
     /**
-     * Switches to a later incarnation if one answers. If the start time was unknown so far, the incarnation is kept,
-     * because nothing proves that another one answers; its ends are read again from number 1 in case one does.
+     * Switches to a later incarnation if one answers, as its start time or its clock shows. If the start time was
+     * unknown so far and the clock proves nothing, the incarnation is kept; its ends are read again from number 1 in
+     * case another one answers.
      */
-    private void followStart(PollAnswer answer) {
+    private void followStart(PollAnswer answer, Call call) {
         EndpointIncarnation answering = link.incarnation().withStart(answer.startedMillis());
-        if (answering.isLaterThan(link.incarnation())) {
+        if (answering.isLaterThan(link.incarnation())
+                || link.isOfLaterIncarnation(answer.clockMillis(), call.sentAtMillis())) {
             host.endpointRestarted(answering);
         } else if (answering.hasStart() && !link.incarnation().hasStart()) {
             link.recordStart(answer.startedMillis());
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/PlacerRestartTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/PlacerRestartTest.java
@@ -257,4 +257,21 @@
         assertEquals(fixture.badEnds, ImmutableList.of());
         assertUnbroken(fixture);
     }
+
+    /** Guards against a delayed order that a new incarnation carries out which does not tell its start time. */
+    @Test
+    public void testRestart_startNotTold() {
+        PlacerFixture fixture = PlacerFixture.running(2, 5_000);
+        Placer placer = opened(fixture);
+        int[] starts = {0};
+        fixture.orders.startFault = () -> starts[0]++ == 0 ? FakeOrders.Fault.DELAYED : FakeOrders.Fault.NONE;
+        placer.offer(PlacerFixture.patientOffer(1, 1, 5_000));
+        fixture.timers.advance(1_000);
+        assertEquals(fixture.ledger.starts(), 1);
+        fixture.endpoint(1).restartWithSameStart();
+        fixture.endpoint(2).restartWithSameStart();
+        fixture.timers.advance(15_000);
+        assertUnbroken(fixture);
+        assertEquals(fixture.verdicts, ImmutableList.of("origin-1 1 DONE"));
+    }
 }
