Stop late orders as soon as a restart is known, without waiting for a list

What callers could see: two runs of one task. An endpoint has restarted, its entry in the store says so, and no list of it arrives; a start order for the earlier incarnation arrives late and is carried out. Cause: the stops of such orders were sent when the first list of the new incarnation was read. Change: the stops are sent when the restart is known, and again only for runs that the first list finds without a reservation.

--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/LateStarts.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/LateStarts.java
@@ -33,12 +33,21 @@
         this.host = host;
     }
 
-    /** Stops the given runs on a new incarnation, in place of the runs of the previous one. */
-    void stop(Set<TaskRun> runs) {
+    /** Discards the runs, because the incarnation that might start them is over. */
+    void clear() {
         stoppedAtMillis.clear();
-        runsEndMillis = link.nowMillis() + MAX_MILLIS;
-        runs.forEach(run -> stoppedAtMillis.put(run, UNANSWERED));
-        runs.forEach(run -> sendStop(run, false));
+    }
+
+    /** Stops the given runs, except those that are being stopped already. */
+    void stop(Set<TaskRun> runs) {
+        if (stoppedAtMillis.isEmpty()) {
+            runsEndMillis = link.nowMillis() + MAX_MILLIS;
+        }
+        for (TaskRun run : runs) {
+            if (stoppedAtMillis.putIfAbsent(run, UNANSWERED) == null) {
+                sendStop(run, false);
+            }
+        }
     }
 
     boolean isEmpty() {
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/ListedRuns.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/ListedRuns.java
@@ -61,9 +61,16 @@
         return unanswered.hasAny(link.incarnation().id(), link.nowMillis());
     }
 
-    /** Discards the recovered runs of the previous incarnation. */
+    /** Discards the runs of the previous incarnation, and stops those that the current one may start by late orders. */
     void endpointRestarted() {
         recovered.clear();
+        lateStarts.clear();
+        stopLateStarts();
+    }
+
+    private void stopLateStarts() {
+        lateStarts.stop(ImmutableSet.copyOf(
+                unreserved(unanswered.runsAt(link.incarnation().id(), link.nowMillis()))));
     }
 
     /** Records that an endpoint with another id answers, so that nothing runs. */
@@ -95,11 +102,9 @@
     void processList(Set<TaskRun> running, long sentAtMillis, boolean firstList) {
         if (firstList) {
             readAgainIfReserved();
-            lateStarts.stop(ImmutableSet.copyOf(
-                    unreserved(unanswered.runsAt(link.incarnation().id(), link.nowMillis()))));
-        } else {
-            lateStarts.processList(running, sentAtMillis);
+            stopLateStarts();
         }
+        lateStarts.processList(running, sentAtMillis);
         if (mayStartUnansweredRun()) {
             running.forEach(run -> unanswered.recordListed(link.incarnation().id(), run));
         }
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/PlacerRestartTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/PlacerRestartTest.java
@@ -274,4 +274,21 @@
         assertUnbroken(fixture);
         assertEquals(fixture.verdicts, ImmutableList.of("origin-1 1 DONE"));
     }
+
+    /** Guards against a delayed order that a new incarnation carries out because no list of it has arrived yet. */
+    @Test
+    public void testRestart_knownByItsEntryOnly() {
+        PlacerFixture fixture = fixture(1, 5_000);
+        Placer placer = opened(fixture);
+        fixture.orders.startFault = () -> FakeOrders.Fault.DELAYED;
+        placer.offer(PlacerFixture.patientOffer(1, 1, 5_000));
+        placer.withdraw(PlacerFixture.ORIGIN, PlacerFixture.id(1));
+        fixture.timers.advance(500);
+        fixture.orders.pollFault = () -> FakeOrders.Fault.LOST;
+        fixture.endpoint(1).restart();
+        fixture.replaceIncarnation(1, SECOND_START_MILLIS);
+        placer.update(PlacerFixture.SHARD, fixture.entries);
+        fixture.timers.advance(4_000);
+        assertEquals(fixture.ledger.starts(), 0);
+    }
 }
