Recover a job once more after an adopted run has ended without success

What callers could see: two runs of one task after a claim. The earlier holder does not know of the claim yet, and the next one has not reached every endpoint. The run that the next holder has adopted ends; a poll of the earlier holder, waiting there since before the claim, is answered with that end, so it starts the task again at the endpoint that the next has not reached. The next holder starts it, too. Cause: a job counted as recovered once its runs were found; a failed, stopped or lost one was simply started again. Change: such a task waits as after the claim, until all lists are read or the earlier runs are over. If all lists are read already, it waits for nothing. A task that waits for a message of its origin goes on waiting for that.

--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/JobLifecycle.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/JobLifecycle.java
@@ -150,9 +150,9 @@
         }
     }
 
-    /** Lets jobs adopt the runs found on an endpoint whose run list was read for the first time. */
-    void adoptFrom(HeldEndpoint endpoint) {
-        recovering.adoptFrom(endpoint);
+    /** Returns the jobs that may have runs of an earlier holder under way. */
+    RecoveringJobs recovering() {
+        return recovering;
     }
 
     /**
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/Placer.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/Placer.java
@@ -259,6 +259,11 @@
             jobs.requeue(job);
         }
 
+        @Override
+        public void recoverAgain(PlacedJob job) {
+            jobs.recovering().addAgain(job);
+        }
+
         @Override
         public void awaitOrigin(PlacedTask task) {
             awaitingOrigin.add(task);
@@ -276,7 +281,7 @@
 
         @Override
         public void firstListRead(HeldEndpoint endpoint) {
-            jobs.adoptFrom(endpoint);
+            jobs.recovering().adoptFrom(endpoint);
         }
 
         @Override
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RecoveringJobs.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RecoveringJobs.java
@@ -1,6 +1,7 @@
 package org.tarragonarch.core.placing;
 
 import com.google.common.collect.ImmutableList;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -25,6 +26,9 @@
     private final PlacementObserver observer;
     private final Consumer<PlacedJob> recovered;
     private final Map<JobId, Recovery> recoveries = new LinkedHashMap<>();
+    /** The recoveries of jobs that have adopted runs, until the job ends. */
+    private final Map<JobId, Recovery> adopters = new HashMap<>();
+
     private boolean checkScheduled;
 
     /**
@@ -49,6 +53,25 @@
         scheduleCheck();
     }
 
+    /**
+     * Recovers a job once more, after an adopted run has ended without success.
+     *
+     * <p>Guards against a task that runs twice: a call of the earlier holder that was waiting at the endpoint may have
+     * been answered with this end, so that it has started the task again at an endpoint that this holder has not
+     * reached.
+     */
+    void addAgain(PlacedJob job) {
+        Recovery recovery = adopters.get(job.id());
+        if (job.isOver() || recovery == null) {
+            return;
+        }
+        recoveries.put(job.id(), recovery);
+        shards.endpoints().forEach(endpoint -> endpoint.adopt(job));
+        // The list that shows the end may also show a later run, which is processed after it.
+        timers.schedule(0, () -> check(job));
+        scheduleCheck();
+    }
+
     /** Lets the jobs adopt the runs found on an endpoint whose run list was read for the first time. */
     void adoptFrom(HeldEndpoint endpoint) {
         jobs().forEach(endpoint::adopt);
@@ -57,6 +80,7 @@
     /** Removes a job that has ended. */
     void remove(PlacedJob job) {
         recoveries.remove(job.id());
+        adopters.remove(job.id());
     }
 
     private void scheduleCheck() {
@@ -78,6 +102,9 @@
         if (ground.isPresent()) {
             recoveries.remove(job.id());
             job.markResolved();
+            if (job.hasProgress()) {
+                adopters.put(job.id(), recovery);
+            }
             long waited = timers.nowMillis() - recovery.offer().sinceMillis();
             observer.recovered(job.origin(), job.id(), ground.get(), waited);
             recovered.accept(job);
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RunResults.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RunResults.java
@@ -41,6 +41,7 @@
         if (!task.holds(reservation)) {
             return;
         }
+        boolean wasAdopted = markAdoptedUnresolved(reservation, kind);
         if (job.isOver()) {
             task.clearPlacement();
         } else if (kind == EndKind.DONE) {
@@ -62,9 +63,22 @@
             task.clearPlacement();
             retryOrFail(job, task);
         }
+        if (wasAdopted) {
+            host.recoverAgain(job);
+        }
         host.capacityReleased(job);
     }
 
+    /** Keeps the task of an adopted run that has ended without success from starting; returns whether it does. */
+    private static boolean markAdoptedUnresolved(Reservation reservation, EndKind kind) {
+        PlacedTask task = reservation.task();
+        boolean isLost = reservation.adopted() && kind != EndKind.DONE && !task.isUnresolved();
+        if (isLost) {
+            task.markUnresolved();
+        }
+        return isLost;
+    }
+
     /**
      * {@inheritDoc}
      *
@@ -180,6 +194,9 @@
         /** Queues the job again, because one of its tasks has to be started again. */
         void requeue(PlacedJob job);
 
+        /** Recovers a job once more, because an adopted run has ended without success. */
+        void recoverAgain(PlacedJob job);
+
         /** Delays the next start of a task until a message from the origin of its job has arrived. */
         void awaitOrigin(PlacedTask task);
 
