--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/FaultSeries.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/EndpointFaultSeries.java
@@ -31,7 +31,7 @@
  * once the client has come again; a job whose holder is lost is offered to the successor at once, and elsewhere only
  * once the lost holder's runs are over.
  */
-final class FaultSeries {
+final class EndpointFaultSeries {
     private static final int POOLS = 2;
     private static final int ENDPOINTS_PER_POOL = 2;
     private static final int FAULTS_MILLIS = 4_000;
@@ -71,7 +71,7 @@
      * @param events what may happen
      * @param ordersFail whether orders may be lost, late or unanswered
      */
-    FaultSeries(int seed, Set<FaultEvent> events, boolean ordersFail) {
+    EndpointFaultSeries(int seed, Set<FaultEvent> events, boolean ordersFail) {
         this.random = new Random(seed);
         this.events = ImmutableList.copyOf(events);
         this.ordersFail = ordersFail;
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/PlacerFaultSeriesTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/PlacerFaultSeriesTest.java
@@ -35,7 +35,7 @@
     public void testSeries_faultsOfEndpoints(String what, Set<FaultEvent> events, boolean ordersFail) {
         ImmutableList.Builder<String> failures = ImmutableList.builder();
         for (int seed = FIRST_SEED; seed < FIRST_SEED + SEEDS; seed++) {
-            ImmutableList<String> wrong = new FaultSeries(seed, events, ordersFail).play();
+            ImmutableList<String> wrong = new EndpointFaultSeries(seed, events, ordersFail).play();
             if (!wrong.isEmpty()) {
                 failures.add("seed " + seed + ": " + wrong);
             }
@@ -46,7 +46,7 @@
     /** Guards against a run that no holder adopts and whose lease three holders in series extend. */
     @Test
     public void testSeries_threeClaimsWhileStopsAreLost() {
-        ImmutableList<String> wrong = new FaultSeries(4515, ImmutableSet.of(FaultEvent.CLAIM), true).play();
+        ImmutableList<String> wrong = new EndpointFaultSeries(4515, ImmutableSet.of(FaultEvent.CLAIM), true).play();
         assertEquals(wrong, ImmutableList.of());
     }
 }
