--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/FakeCluster.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/FakeCluster.java
@@ -93,7 +93,7 @@
             String name, int number, FailureDomain domain, int milliCores, EndpointOrders orders, Timers clock) {
         Member self = new Member(NodeId.of(name), domain, new Address("10.0.0." + number, 7_000), milliCores);
         ShardPools pools = new ShardPools(ImmutableMap.of(HOBART, REGION, LAUNCESTON, REGION), listed);
-        FakeNode node = new FakeNode(self, pools, listed, orders, clock, connections);
+        FakeNode node = new FakeNode(self, pools, listed, orders, clock, timers::nowMillis, connections);
         connections.add(node);
         return node;
     }
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/FakeNode.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/FakeNode.java
@@ -2,6 +2,7 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
+import java.util.function.LongSupplier;
 import org.tarragonarch.core.placing.PlacingSettings;
 import org.tarragonarch.core.shard.EndpointList;
 import org.tarragonarch.core.shard.PeerTable;
@@ -38,6 +39,7 @@
             EndpointList endpoints,
             EndpointOrders orders,
             Timers timers,
+            LongSupplier wallMillis,
             FakeConnections connections) {
         this.id = self.node();
         this.domain = self.domain();
@@ -52,7 +54,7 @@
                 orders,
                 this,
                 timers,
-                timers::nowMillis,
+                wallMillis,
                 claimCounter);
     }
 
