--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RunListPoller.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RunListPoller.java
@@ -22,7 +22,6 @@
     private static final long IDLE_ACKNOWLEDGEMENT_MILLIS = 500;
 
     private final EndpointLink link;
-    private final ReservedCapacity reserved;
     private final Host host;
     private long listedEnd;
     private long acknowledgedEnd;
@@ -32,9 +31,8 @@
     private boolean idleAcknowledgementScheduled;
     private long retryMillis;
 
-    RunListPoller(EndpointLink link, ReservedCapacity reserved, Host host) {
+    RunListPoller(EndpointLink link, Host host) {
         this.link = link;
-        this.reserved = reserved;
         this.host = host;
     }
 
@@ -101,7 +99,7 @@
         Call call = new Call(link.nowMillis(), link.incarnationNumber(), listedEnd);
         callInFlight = true;
         if (read && !silent && host.needsPolling()) {
-            link.renew(listedEnd, false, reserved.runsEndMillis(), answer -> answered(answer, call));
+            link.renew(listedEnd, false, host.runsEndMillis(), answer -> answered(answer, call));
         } else {
             link.list(listedEnd, silent || !read, answer -> answered(answer, call));
         }
@@ -138,7 +136,7 @@
     }
 
     private void takeLists(PollAnswer answer, Call call) {
-        followStart(answer);
+        followStart(answer, call);
         if (isCurrent(call)) {
             acknowledgedEnd = Math.max(acknowledgedEnd, call.acknowledgedEnd());
         }
@@ -158,12 +156,14 @@
     }
 
     /**
-     * Switches to a later incarnation if one answers. If the start time was unknown so far, the incarnation is kept,
-     * because nothing proves that another one answers; its ends are read again from number 1 in case one does.
+     * Switches to a later incarnation if one answers, as its start time or its clock shows. If the start time was
+     * unknown so far and the clock proves nothing, the incarnation is kept; its ends are read again from number 1 in
+     * case another one answers.
      */
-    private void followStart(PollAnswer answer) {
+    private void followStart(PollAnswer answer, Call call) {
         EndpointIncarnation answering = link.incarnation().withStart(answer.startedMillis());
-        if (answering.isLaterThan(link.incarnation())) {
+        if (answering.isLaterThan(link.incarnation())
+                || link.isOfLaterIncarnation(answer.clockMillis(), call.sentAtMillis())) {
             host.endpointRestarted(answering);
         } else if (answering.hasStart() && !link.incarnation().hasStart()) {
             link.recordStart(answer.startedMillis());
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RunOrders.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RunOrders.java
@@ -47,7 +47,7 @@
         link.start(
                 run,
                 task.job().specification(),
-                reserved.runsEndMillis(),
+                host.runsEndMillis(),
                 answer -> startAnswered(reservation, answer, sentTo));
         poller.pollIfIdle();
     }
@@ -60,6 +60,9 @@
 
     /** Stops a run; its capacity remains reserved until its end is certain. */
     void stop(Reservation reservation) {
+        if (reservation.task().job().isOver()) {
+            reservation.markJobOver(link.nowMillis());
+        }
         if (reservation.shouldRun()) {
             reservation.markStopping();
             sendStop(reservation, false);
