--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/Coordinator.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/Coordinator.java
@@ -78,7 +78,7 @@
         this.echoes = new ReceivedEchoes(self.node(), timers, wallMillis, log);
         this.statusSender = new StatusSender(self, heartbeats, this::held, peers, echoes, sender, timers);
         this.drains = new DomainDrains(statusSender, endpoints, log);
-        long maxRunMillisAfterContact = ReceivedEchoes.MAX_RUN_MILLIS + placing.leaseExpiry() - placing.lease();
+        long maxRunMillisAfterContact = ReceivedEchoes.AUTHORITY_MILLIS + placing.leaseExpiry();
         ReceivedOffers offers = new ReceivedOffers(timers, maxRunMillisAfterContact);
         HolderEvents events = new HolderEvents(
                 self.node(), peers, sender, statusSender, offers, this::router, this::holdersChanged, log);
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/ReceivedEchoes.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/ReceivedEchoes.java
@@ -29,8 +29,9 @@
     static final long AUTHORITY_MILLIS = PeerTable.SILENCE_MILLIS;
 
     /**
-     * How long runs may continue after the sending of the last status that their origin has returned, in milliseconds;
-     * shorter than the pause after which a client submits a job again.
+     * How far the leases of runs are extended after the sending of the last status that their origin has returned, in
+     * milliseconds; shorter than the pause after which a client submits a job again. A run that starts on an endpoint
+     * with a longer lease has that lease.
      */
     static final long MAX_RUN_MILLIS = 1_250;
 
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/OriginAuthority.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/OriginAuthority.java
@@ -11,9 +11,7 @@
     long endsAtMillis(NodeId origin);
 
     /**
-     * Returns until when runs of an origin's jobs may continue, on the steady clock in milliseconds.
-     *
-     * <p>The origin, and a client that submits its job again through another node, count on this.
+     * Returns until when leases may be extended for runs of an origin's jobs, on the steady clock in milliseconds.
      */
     long runsEndAtMillis(NodeId origin);
 
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/FakeCluster.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/FakeCluster.java
@@ -2,6 +2,8 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.Maps;
 import java.util.function.Consumer;
 import org.tarragonarch.core.placing.FakeEndpoint;
 import org.tarragonarch.core.placing.FakeOrders;
@@ -28,14 +30,17 @@
 import org.tarragonarch.model.task.Timers;
 
 /**
- * Nodes and endpoints of two failure domains of one region, each a separate pool unless created by {@link #pooled}, on
- * virtual time. Each endpoint has capacity for two tasks of 3 s.
+ * Nodes and endpoints of up to three failure domains of one region, each a separate pool unless created by
+ * {@link #pooled}, on virtual time. Each endpoint has capacity for two tasks of 3 s.
  */
 final class FakeCluster {
     static final FailureDomain HOBART = FailureDomain.of("hobart");
     static final FailureDomain LAUNCESTON = FailureDomain.of("launceston");
+    static final FailureDomain DEVONPORT = FailureDomain.of("devonport");
     private static final long RUN_MILLIS = 3_000;
-    private static final long DEADLINE_MILLIS = 8_000;
+    /** The time in which a job must be answered, in milliseconds. */
+    static final long DEADLINE_MILLIS = 8_000;
+
     private static final long TASK_MILLI_CORES = 7_000;
     private static final Resources CAPACITY = new Resources(16_000, 32_768, 0);
     private static final Region REGION = Region.of("south");
@@ -49,12 +54,20 @@
     final FakeConnections connections = new FakeConnections(timers);
     final FakeOrders orders = new FakeOrders(timers, TASK_MILLI_CORES);
     private final EndpointList listed = new EndpointList();
+    private final ImmutableMap<FailureDomain, Region> regions;
 
+    /** Creates a cluster with two failure domains, without nodes. */
     FakeCluster() {
-        this(OTHER_ENDPOINTS);
+        this(ImmutableSet.of(HOBART, LAUNCESTON));
+    }
+
+    /** Creates a cluster with these failure domains, each a separate pool, without nodes. */
+    FakeCluster(ImmutableSet<FailureDomain> domains) {
+        this(domains, OTHER_ENDPOINTS);
     }
 
-    private FakeCluster(int otherEndpoints) {
+    private FakeCluster(ImmutableSet<FailureDomain> domains, int otherEndpoints) {
+        regions = Maps.toMap(domains, domain -> REGION);
         for (int number = 0; number < otherEndpoints; number++) {
             list("other-" + number, "other", HOBART);
         }
@@ -62,7 +75,7 @@
 
     /** Returns a cluster in which the two failure domains form one pool. */
     static FakeCluster pooled() {
-        return new FakeCluster(0);
+        return new FakeCluster(ImmutableSet.of(HOBART, LAUNCESTON), 0);
     }
 
     static QueueCatalog catalog(long version) {
@@ -91,9 +104,25 @@
      */
     FakeNode addNode(
             String name, int number, FailureDomain domain, int milliCores, EndpointOrders orders, Timers clock) {
+        return addNode(name, number, domain, milliCores, orders, clock, (source, event) -> event.run());
+    }
+
+    /** Adds a node on a machine that can be suspended, without starting it. */
+    FakeNode addNode(String name, int number, FailureDomain domain, int milliCores, SuspendableNode machine) {
+        return addNode(name, number, domain, milliCores, machine, machine, machine);
+    }
+
+    private FakeNode addNode(
+            String name,
+            int number,
+            FailureDomain domain,
+            int milliCores,
+            EndpointOrders orders,
+            Timers clock,
+            Inbox inbox) {
         Member self = new Member(NodeId.of(name), domain, new Address("10.0.0." + number, 7_000), milliCores);
-        ShardPools pools = new ShardPools(ImmutableMap.of(HOBART, REGION, LAUNCESTON, REGION), listed);
-        FakeNode node = new FakeNode(self, pools, listed, orders, clock, timers::nowMillis, connections);
+        ShardPools pools = new ShardPools(regions, listed);
+        FakeNode node = new FakeNode(self, pools, listed, orders, clock, timers::nowMillis, inbox, connections);
         connections.add(node);
         return node;
     }
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/FakeConnections.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/FakeConnections.java
@@ -27,6 +27,12 @@
     /** The real transport's delay before it reconnects after a failure, in milliseconds. */
     private static final long RECONNECT_MILLIS = 50;
 
+    /** The time after which the real transport gives up an attempt whose packets are lost, in milliseconds. */
+    private static final long CONNECT_TIMEOUT_MILLIS = 1_000;
+
+    /** The time in which the real transport expects the hello of a peer, in milliseconds. */
+    private static final long HELLO_TIMEOUT_MILLIS = 2_000;
+
     /** The age from which the real transport takes a connection for stable, in milliseconds. */
     private static final long STABLE_MILLIS = 400;
 
@@ -34,13 +40,37 @@
     private final Map<NodeId, FakeNode> nodes = new LinkedHashMap<>();
     private final Map<Direction, Link> links = new HashMap<>();
     private final List<Connection> connections = new ArrayList<>();
+    private final Map<Direction, Long> lostUntilMillis = new HashMap<>();
+    private final Set<NodeId> stopped = new HashSet<>();
+    private Consumer<String> observer = message -> {};
 
     FakeConnections(VirtualTimers timers) {
         this.timers = timers;
     }
 
+    /** Sets the observer of the messages on jobs that nodes send to each other. */
+    void setObserver(Consumer<String> messages) {
+        observer = messages;
+    }
+
+    /** Passes a message on a job to the observer. */
+    void observe(NodeId from, NodeId to, String message) {
+        observer.accept(from + " to " + to + ": " + message);
+    }
+
+    /** Adds a node, which replaces a stopped one with the same id. */
     void add(FakeNode node) {
         nodes.put(node.id(), node);
+        stopped.remove(node.id());
+    }
+
+    /** Breaks all connections of a killed node; new ones are refused until a node with its id is added. */
+    void stop(NodeId node) {
+        stopped.add(node);
+        links.keySet().removeIf(direction -> direction.from().equals(node));
+        List.copyOf(connections).stream()
+                .filter(connection -> connection.direction.isOf(node))
+                .forEach(Connection::breakNow);
     }
 
     Iterable<FakeNode> nodes() {
@@ -49,15 +79,17 @@
 
     /** Sends on the sender's own connection to the peer, which is opened if necessary. */
     void send(NodeId from, NodeId to, Frame frame) {
-        execute(() -> link(from, to).send(frame));
+        execute(from, () -> link(from, to).send(frame));
     }
 
     /** Sends on any connection that is open at the sender; if there is none, the frame is lost. */
     void reply(NodeId from, NodeId to, Frame frame) {
-        execute(() -> connections.stream()
-                .filter(connection -> connection.isOpenBetween(from, to))
-                .findFirst()
-                .ifPresent(connection -> connection.write(to, frame)));
+        execute(
+                from,
+                () -> connections.stream()
+                        .filter(connection -> connection.isOpenBetween(from, to))
+                        .findFirst()
+                        .ifPresent(connection -> connection.write(to, frame)));
     }
 
     /** Breaks the connection that one node has opened to another, if any; frames in flight on it are lost. */
@@ -92,7 +124,7 @@
      * each close after the frames sent on it earlier.
      */
     void disconnect(NodeId node, NodeId peer) {
-        execute(() -> {
+        execute(node, () -> {
             link(node, peer).takeWaiting().forEach(frame -> frame.undelivered().run());
             List.copyOf(connections).stream()
                     .filter(connection -> connection.isOpenBetween(node, peer))
@@ -100,9 +132,19 @@
         });
     }
 
-    /** Runs a task after the event at hand, like the real transport. */
-    private void execute(Runnable task) {
-        timers.schedule(0, task);
+    /** Loses all packets from one node to another for the given time; open connections send them again after it. */
+    void losePackets(NodeId from, NodeId to, long millis) {
+        lostUntilMillis.merge(new Direction(from, to), timers.nowMillis() + millis, Math::max);
+    }
+
+    private long lostUntilMillis(NodeId from, NodeId to) {
+        return lostUntilMillis.getOrDefault(new Direction(from, to), 0L);
+    }
+
+    /** Runs a task of a node after the event at hand, like the real transport. */
+    private void execute(NodeId at, Runnable task) {
+        Inbox inbox = nodes.get(at).inbox();
+        timers.schedule(0, () -> inbox.deliver(this, task));
     }
 
     private Link link(NodeId from, NodeId to) {
@@ -145,7 +187,11 @@
     }
 
     /** The node that opens a connection, and its peer. */
-    private record Direction(NodeId from, NodeId to) {}
+    private record Direction(NodeId from, NodeId to) {
+        boolean isOf(NodeId node) {
+            return node.equals(from) || node.equals(to);
+        }
+    }
 
     /**
      * A message from one node to another.
@@ -158,16 +204,19 @@
     /** One node's outgoing link to a peer: its open connection, if any, and the frames that wait for one. */
     private final class Link {
         private final Direction direction;
+        private final Inbox inbox;
         private final List<Frame> waiting = new ArrayList<>();
         private Connection connection;
         private boolean reconnectPending;
         private boolean connecting;
+        private int attempts;
         private boolean isPeerLost;
         private long refusedUntilMillis;
         private long stalledUntilMillis;
 
         Link(Direction direction) {
             this.direction = direction;
+            this.inbox = nodes.get(direction.from()).inbox();
         }
 
         void send(Frame frame) {
@@ -198,7 +247,7 @@
 
         private void connectLater() {
             reconnectPending = true;
-            timers.schedule(RECONNECT_MILLIS, () -> {
+            schedule(RECONNECT_MILLIS, () -> {
                 reconnectPending = false;
                 connectIfNeeded();
             });
@@ -208,12 +257,40 @@
             if (connection != null || connecting || reconnectPending || waiting.isEmpty() && !isPeerLost) {
                 return;
             }
-            if (timers.nowMillis() < refusedUntilMillis) {
+            if (timers.nowMillis() < refusedUntilMillis || stopped.contains(direction.to())) {
                 connectFailed();
                 return;
             }
             connecting = true;
-            timers.schedule(CONNECT_MILLIS, this::connected);
+            attempts++;
+            int attempt = attempts;
+            if (isLossy()) {
+                schedule(CONNECT_TIMEOUT_MILLIS, () -> attemptFailed(attempt));
+                return;
+            }
+            // The peer responds when it runs.
+            Inbox peer = nodes.get(direction.to()).inbox();
+            timers.schedule(
+                    CONNECT_MILLIS, () -> peer.deliver(this, () -> inbox.deliver(this, () -> connected(attempt))));
+            schedule(HELLO_TIMEOUT_MILLIS, () -> attemptFailed(attempt));
+        }
+
+        private boolean isLossy() {
+            long until = Math.max(
+                    lostUntilMillis(direction.from(), direction.to()),
+                    lostUntilMillis(direction.to(), direction.from()));
+            return timers.nowMillis() < until;
+        }
+
+        private void schedule(long millis, Runnable task) {
+            timers.schedule(millis, () -> inbox.deliver(this, task));
+        }
+
+        private void attemptFailed(int attempt) {
+            if (connecting && attempt == attempts) {
+                connecting = false;
+                connectFailed();
+            }
         }
 
         private void connectFailed() {
@@ -226,7 +303,10 @@
             }
         }
 
-        private void connected() {
+        private void connected(int attempt) {
+            if (!connecting || attempt != attempts) {
+                return;
+            }
             connecting = false;
             isPeerLost = false;
             connection = new Connection(direction);
@@ -260,6 +340,7 @@
         private boolean broken;
         private boolean hasDelivered;
         private long stalledUntilMillis;
+        private final Map<NodeId, Long> lastArrivalMillis = new HashMap<>();
 
         Connection(Direction direction) {
             this.direction = direction;
@@ -315,18 +396,24 @@
         }
 
         void deliver(NodeId to, Runnable arrival) {
-            long millis = Math.max(LATENCY_MILLIS, stalledUntilMillis - timers.nowMillis());
-            timers.schedule(millis, () -> {
+            long now = timers.nowMillis();
+            long heldUntil = Math.max(stalledUntilMillis, lostUntilMillis(otherThan(to), to));
+            long at = lastArrivalMillis.merge(to, Math.max(now + LATENCY_MILLIS, heldUntil), Math::max);
+            timers.schedule(at - now, () -> {
                 if (!broken) {
-                    arrival.run();
+                    nodes.get(to).inbox().deliver(this, arrival);
                 }
             });
         }
 
         void breakNow() {
             broken = true;
-            closeAt(direction.from());
-            closeAt(direction.to());
+            breakAt(direction.from());
+            breakAt(direction.to());
+        }
+
+        private void breakAt(NodeId node) {
+            nodes.get(node).inbox().deliver(this, () -> closeAt(node));
         }
 
         void closeAt(NodeId node) {
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/FakeNode.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/FakeNode.java
@@ -30,6 +30,7 @@
     private final Timers timers;
     private final FakeConnections connections;
     private final Coordinator coordinator;
+    private final Inbox inbox;
     private final ClaimCounter claimCounter = new ClaimCounter();
     private long startedAtMillis;
 
@@ -40,10 +41,12 @@
             EndpointOrders orders,
             Timers timers,
             LongSupplier wallMillis,
+            Inbox inbox,
             FakeConnections connections) {
         this.id = self.node();
         this.domain = self.domain();
         this.timers = timers;
+        this.inbox = inbox;
         this.connections = connections;
         this.coordinator = new Coordinator(
                 self,
@@ -62,6 +65,11 @@
         return id;
     }
 
+    /** Returns where frames and other events from outside arrive. */
+    Inbox inbox() {
+        return inbox;
+    }
+
     Coordinator coordinator() {
         return coordinator;
     }
@@ -173,6 +181,8 @@
     }
 
     private FakeConnections.Frame offered(NodeId to, Offer offer) {
+        connections.observe(
+                id, to, "offer " + offer.number() + " of " + offer.job().id() + " " + offer.terms());
         return new FakeConnections.Frame(
                 peer -> peer.coordinator.originMessages().offerReceived(offer),
                 () -> coordinator.router().offerNotSent(to, offer.job().id()));
@@ -181,6 +191,7 @@
     /** Sends a withdrawal; as in the real node, an undelivered withdrawal is not retried. */
     @Override
     public void sendWithdrawal(NodeId to, JobId job) {
+        connections.observe(id, to, "withdrawal of " + job);
         connections.send(
                 id,
                 to,
@@ -190,6 +201,7 @@
 
     @Override
     public void sendVerdict(NodeId to, JobVerdict verdict) {
+        connections.observe(id, to, verdict.toString());
         connections.reply(
                 id,
                 to,
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/SeparatePoolsFixture.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/SeparatePoolsFixture.java
@@ -58,7 +58,7 @@
     }
 
     private FakeNode addNode(String name, int number, FailureDomain domain, int milliCores, SuspendableNode machine) {
-        return cluster.addNode(name, number, domain, milliCores, machine, machine);
+        return cluster.addNode(name, number, domain, milliCores, machine);
     }
 
     /** Submits a job through a node. */
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/SuspendableNode.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/SuspendableNode.java
@@ -1,7 +1,12 @@
 package org.tarragonarch.core.cluster;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.Random;
 import java.util.function.Consumer;
 import org.tarragonarch.core.placing.VirtualTimers;
 import org.tarragonarch.model.task.Delivery;
@@ -15,36 +20,93 @@
 import org.tarragonarch.model.task.TaskRun;
 import org.tarragonarch.model.task.Timers;
 
-/** The clock and endpoint calls of a node that can be suspended; its steady clock stops while it is suspended. */
-final class SuspendableNode implements Timers, EndpointOrders {
+/**
+ * The clock, endpoint calls and inbox of a node that can be suspended and killed.
+ *
+ * <p>What arrives while the node is suspended waits. When it resumes, events of the same source stay in order.
+ */
+final class SuspendableNode implements Timers, EndpointOrders, Inbox {
     private final VirtualTimers real;
     private final EndpointOrders orders;
-    private final List<Runnable> pending = new ArrayList<>();
+    private final Random resumeOrder;
+    private final Map<Object, Deque<Runnable>> pending = new LinkedHashMap<>();
     private boolean suspended;
+    private boolean killed;
+    private SteadyClock clock = SteadyClock.STOPS;
     private long suspendedAtMillis;
     private long suspendedMillis;
+    private long lostMillis;
 
+    /** Creates a running node. */
     SuspendableNode(VirtualTimers real, EndpointOrders orders) {
+        this(real, orders, new Random(0));
+    }
+
+    /**
+     * Creates a running node.
+     *
+     * @param resumeOrder decides from which source the next event is handled when the node resumes
+     */
+    SuspendableNode(VirtualTimers real, EndpointOrders orders, Random resumeOrder) {
         this.real = real;
         this.orders = orders;
+        this.resumeOrder = resumeOrder;
     }
 
-    /** Suspends the node for the given time; answers that arrive meanwhile are delivered when it resumes. */
+    /** Suspends the node, whose steady clock stops, for the given time. */
     void suspend(long millis) {
+        suspend(millis, SteadyClock.STOPS);
+    }
+
+    /** Suspends the node for the given time, unless it is suspended already. */
+    void suspend(long millis, SteadyClock whileSuspended) {
+        if (suspended) {
+            return;
+        }
         suspended = true;
+        clock = whileSuspended;
         suspendedAtMillis = real.nowMillis();
-        real.schedule(millis, () -> {
-            suspended = false;
-            suspendedMillis += millis;
-            List<Runnable> due = List.copyOf(pending);
-            pending.clear();
-            due.forEach(Runnable::run);
-        });
+        real.schedule(millis, () -> resume(millis));
+    }
+
+    private void resume(long millis) {
+        suspended = false;
+        suspendedMillis += millis;
+        lostMillis += clock.lostMillis(millis);
+        List<Deque<Runnable>> sources = new ArrayList<>(pending.values());
+        pending.clear();
+        while (!sources.isEmpty()) {
+            int index = resumeOrder.nextInt(sources.size());
+            sources.get(index).removeFirst().run();
+            if (sources.get(index).isEmpty()) {
+                sources.remove(index);
+            }
+        }
+    }
+
+    /** Ends the node: nothing that arrives is handled from now on. */
+    void kill() {
+        killed = true;
+        pending.clear();
+    }
+
+    boolean isKilled() {
+        return killed;
+    }
+
+    boolean isSuspended() {
+        return suspended;
+    }
+
+    /** Returns how long the node was suspended, without a suspension that has not ended, in milliseconds. */
+    long suspendedMillis() {
+        return suspendedMillis;
     }
 
     @Override
     public long nowMillis() {
-        return (suspended ? suspendedAtMillis : real.nowMillis()) - suspendedMillis;
+        long realMillis = suspended && clock == SteadyClock.STOPS ? suspendedAtMillis : real.nowMillis();
+        return realMillis - lostMillis;
     }
 
     @Override
@@ -61,7 +123,7 @@
     private void runAt(long dueMillis, Runnable task) {
         real.schedule(
                 Math.max(0, dueMillis - nowMillis()),
-                () -> whenRunning(() -> {
+                () -> deliver(this, () -> {
                     if (nowMillis() < dueMillis) {
                         runAt(dueMillis, task);
                     } else {
@@ -70,27 +132,31 @@
                 }));
     }
 
-    private void whenRunning(Runnable task) {
+    @Override
+    public void deliver(Object source, Runnable event) {
+        if (killed) {
+            return;
+        }
         if (suspended) {
-            pending.add(task);
+            pending.computeIfAbsent(source, unused -> new ArrayDeque<>()).addLast(event);
         } else {
-            task.run();
+            event.run();
         }
     }
 
     @Override
     public void poll(EndpointEntry entry, PollOrder order, Delivery delivery, Consumer<PollAnswer> reply) {
-        orders.poll(entry, order, delivery, answer -> whenRunning(() -> reply.accept(answer)));
+        orders.poll(entry, order, delivery, answer -> deliver(reply, () -> reply.accept(answer)));
     }
 
     @Override
     public void start(EndpointEntry entry, StartOrder order, Delivery delivery, Consumer<OrderAnswer> reply) {
-        orders.start(entry, order, delivery, answer -> whenRunning(() -> reply.accept(answer)));
+        orders.start(entry, order, delivery, answer -> deliver(reply, () -> reply.accept(answer)));
     }
 
     @Override
     public void stop(
             EndpointEntry entry, FencingToken token, TaskRun run, Delivery delivery, Consumer<OrderAnswer> reply) {
-        orders.stop(entry, token, run, delivery, answer -> whenRunning(() -> reply.accept(answer)));
+        orders.stop(entry, token, run, delivery, answer -> deliver(reply, () -> reply.accept(answer)));
     }
 }
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/FakeEndpoint.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/FakeEndpoint.java
@@ -116,7 +116,7 @@
     }
 
     /** Ends all runs; a new incarnation under the same id has no state of the old one, and its clock starts lower. */
-    void restart() {
+    public void restart() {
         startedMillis++;
         restartWithSameStart();
     }
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/FakeOrders.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/FakeOrders.java
@@ -20,7 +20,7 @@
 /** Delivers orders to fake endpoints, with faults that a test can inject. */
 public final class FakeOrders implements EndpointOrders {
     /** A fault in the delivery of an order. */
-    enum Fault {
+    public enum Fault {
         /** The order and its answer arrive. */
         NONE,
         /** The order is lost. */
@@ -58,6 +58,11 @@
         endpoints.put(id, endpoint);
     }
 
+    /** Sets the fault of all calls to an endpoint from now on. */
+    public void setFault(EndpointId id, Fault fault) {
+        faults.put(id, fault);
+    }
+
     @Override
     public void poll(EndpointEntry entry, PollOrder order, Delivery delivery, Consumer<PollAnswer> reply) {
         Once<PollAnswer> once = new Once<>(reply);
