Don't take an endpoint for restarted by answers to two calls of one millisecond

What callers would have seen: two runs of one task. Cause: takes a clock value that is lower than an earlier one for a restart, if the call was sent at or after the arrival of the earlier one. Both times are whole milliseconds: a call sent before that arrival in the same millisecond passes, and on a path of 0.2 ms its clock value may be a millisecond lower. Change: the value must be lower by more than 10 ms. EndpointClockTest#testHasStartedAnew_callSentInTheMillisecondOfTheAnswer fails without it.

--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/EndpointClock.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/EndpointClock.java
@@ -9,6 +9,9 @@
  * by the transit time of the answer. A lease computed from it is therefore too short rather than too long.
  */
 final class EndpointClock {
+    /** Covers what the answers to two calls of one millisecond may differ by, in milliseconds. */
+    private static final long RESTART_TOLERANCE_MILLIS = 10;
+
     private long clockMillis;
     private long takenAtMillis;
     private long latestOffsetMillis;
@@ -34,10 +37,12 @@
 
     /**
      * Returns whether the clock value of an answer proves that the endpoint has restarted: the call was sent after a
-     * higher value had arrived.
+     * far higher value had arrived. Two calls of one millisecond may be answered in either order.
      */
     boolean hasStartedAnew(OptionalLong answer, long sentAtMillis) {
-        return known && sentAtMillis >= takenAtMillis && answer.orElse(clockMillis) < clockMillis;
+        return known
+                && sentAtMillis >= takenAtMillis
+                && answer.orElse(clockMillis) < clockMillis - RESTART_TOLERANCE_MILLIS;
     }
 
     /** Returns when the last clock value arrived, on the steady clock of this node in milliseconds. */
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/EndpointClockTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/EndpointClockTest.java
@@ -2,6 +2,7 @@
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
 
 import java.util.OptionalLong;
 import org.testng.annotations.Test;
@@ -52,4 +53,20 @@
         assertEquals(test.update(OFFSET_MILLIS + 9_800, 10_000, 10_000), 0);
         assertEquals(test.update(OFFSET_MILLIS + 10_300, 10_010, 10_010), 490);
     }
+
+    /** Guards against an endpoint that passes for restarted because two calls overlap within a millisecond. */
+    @Test
+    public void testHasStartedAnew_callSentInTheMillisecondOfTheAnswer() {
+        EndpointClockTest test = new EndpointClockTest();
+        test.update(OFFSET_MILLIS + 10, 8, 10);
+        assertFalse(test.clock.hasStartedAnew(OptionalLong.of(OFFSET_MILLIS + 9), 10));
+        assertFalse(test.clock.hasStartedAnew(OptionalLong.of(OFFSET_MILLIS + 9), 11));
+    }
+
+    @Test
+    public void testHasStartedAnew_clockIsFarBack() {
+        EndpointClockTest test = new EndpointClockTest();
+        test.update(OFFSET_MILLIS, 0, 10);
+        assertTrue(test.clock.hasStartedAnew(OptionalLong.of(5), 11));
+    }
 }
