Log on what ground a holder abandons a task, and crashes that are found later

From the lines so far, an answer FAILED after as many failed runs as the queue allows could not be told from one after crashed endpoints or an unreadable order: no line said that an endpoint lost in silence was found to have crashed, nor why the job was settled.

crash-confirmed and task-abandoned (ground, failed runs, crashes, lost runs, attempts allowed) say both, each with a meter; explain reads them. The verdicts are the same as before.

--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/EndpointListener.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/EndpointListener.java
@@ -10,8 +10,8 @@
     /** Called when the endpoint lists a run as lapsed that this holder has not ended; its capacity is released. */
     void runLapsedUnnoticed(HeldEndpoint endpoint, Reservation reservation);
 
-    /** Called when an endpoint whose silence ended a run of the task is found to have crashed. */
-    void crashConfirmed(HeldEndpoint endpoint, PlacedTask task);
+    /** Called when an endpoint whose silence ended the run is found to have crashed. */
+    void crashConfirmed(HeldEndpoint endpoint, Reservation reservation);
 
     /** Called when the endpoint has restarted under the same id, before its runs are ended. */
     void endpointRestarted(HeldEndpoint endpoint);
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/ForwardingPlacementObserver.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/ForwardingPlacementObserver.java
@@ -9,6 +9,7 @@
 import org.tarragonarch.model.id.NodeId;
 import org.tarragonarch.model.task.EndKind;
 import org.tarragonarch.model.task.JobId;
+import org.tarragonarch.model.task.TaskName;
 import org.tarragonarch.model.task.TaskRun;
 
 /** An observer that forwards every call to another observer. */
@@ -70,6 +71,16 @@
         delegate.runEndedBadly(shard, run, endpoint, kind);
     }
 
+    @Override
+    public void crashConfirmed(FailureDomain shard, TaskRun run, EndpointId endpoint) {
+        delegate.crashConfirmed(shard, run, endpoint);
+    }
+
+    @Override
+    public void taskAbandoned(TaskName task, AbandonGround ground, TaskEnds ends, int attempts) {
+        delegate.taskAbandoned(task, ground, ends, attempts);
+    }
+
     @Override
     public void endpointRestarted(FailureDomain shard, EndpointIncarnation later) {
         delegate.endpointRestarted(shard, later);
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacedTask.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacedTask.java
@@ -23,9 +23,7 @@
     private final PlacedJob job;
     private final TaskName name;
     private int nextRun;
-    private int failures;
-    private int crashes;
-    private int lostRuns;
+    private TaskEnds ends = TaskEnds.NONE;
     private boolean done;
     private int restarts;
     private boolean unresolved;
@@ -75,8 +73,9 @@
         }
     }
 
-    int failures() {
-        return failures;
+    /** Returns how the runs of the task have ended at this holder. */
+    TaskEnds ends() {
+        return ends;
     }
 
     boolean hasFailedAt(EndpointIncarnation candidate) {
@@ -119,37 +118,36 @@
     }
 
     void recordFailure(EndpointIncarnation at) {
-        failures++;
+        ends = ends.withFailure();
         lastFailedAt = Optional.of(at);
         clearPlacement();
     }
 
     /** Records that the endpoint of the current run was lost: it became silent or crashed. */
     void recordLostRun() {
-        lostRuns++;
+        ends = ends.withLostRun();
         clearPlacement();
     }
 
     /** Records that an endpoint crashed during a run of the task. */
     void recordCrash() {
-        crashes++;
+        ends = ends.withCrash();
     }
 
     /** Returns whether an endpoint has crashed during a run of the task, which may be the cause. */
     boolean hasCrashed() {
-        return crashes > 0;
+        return ends.crashes() > 0;
     }
 
-    /** Returns whether so many endpoints crashed during its runs that the task must not be started again. */
-    boolean hasCrashedTooOften() {
-        return crashes >= MAX_CRASHES;
-    }
-
-    /**
-     * Returns whether so many endpoints of its runs were lost that the task must not be started again; it may have run.
-     */
-    boolean wasLostTooOften() {
-        return lostRuns >= MAX_LOST_RUNS;
+    /** Returns why the task must not be started again; empty if it may. */
+    Optional<AbandonGround> abandonGround() {
+        if (ends.failures() >= job.queue().attempts()) {
+            return Optional.of(AbandonGround.ATTEMPTS_USED);
+        }
+        if (ends.crashes() >= MAX_CRASHES) {
+            return Optional.of(AbandonGround.ENDPOINTS_CRASHED);
+        }
+        return ends.lostRuns() >= MAX_LOST_RUNS ? Optional.of(AbandonGround.RUNS_LOST) : Optional.empty();
     }
 
     void markDone() {
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacementObserver.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacementObserver.java
@@ -7,6 +7,7 @@
 import org.tarragonarch.model.id.NodeId;
 import org.tarragonarch.model.task.EndKind;
 import org.tarragonarch.model.task.JobId;
+import org.tarragonarch.model.task.TaskName;
 import org.tarragonarch.model.task.TaskRun;
 
 /**
@@ -55,6 +56,17 @@
     /** A run ended without success. */
     default void runEndedBadly(FailureDomain shard, TaskRun run, EndpointId endpoint, EndKind kind) {}
 
+    /** An endpoint whose silence ended the run is found to have crashed. */
+    default void crashConfirmed(FailureDomain shard, TaskRun run, EndpointId endpoint) {}
+
+    /**
+     * A task of an open job is not started again, which settles the job.
+     *
+     * @param ends how its runs have ended here
+     * @param attempts the failed runs that its queue allows
+     */
+    default void taskAbandoned(TaskName task, AbandonGround ground, TaskEnds ends, int attempts) {}
+
     /** An endpoint has restarted under its id; the runs of its earlier incarnation are over. */
     default void endpointRestarted(FailureDomain shard, EndpointIncarnation later) {}
 }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RunEnds.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RunEnds.java
@@ -13,7 +13,7 @@
     private final ReservedCapacity reserved;
     private final HeldEndpoint endpoint;
     private final EndpointListener listener;
-    private final List<PlacedTask> lapsedWhileUnreachable = new ArrayList<>();
+    private final List<Reservation> lapsedWhileUnreachable = new ArrayList<>();
 
     RunEnds(EndpointLink link, ReservedCapacity reserved, HeldEndpoint endpoint, EndpointListener listener) {
         this.link = link;
@@ -74,7 +74,7 @@
         for (Reservation reservation : reserved.snapshot()) {
             if (reservation.isLapsed(link.leaseExpiryMillis(), link.nowMillis())) {
                 if (reservation.wasSeen() && reservation.endKindIfUnlisted() == EndKind.LAPSED) {
-                    lapsedWhileUnreachable.add(reservation.task());
+                    lapsedWhileUnreachable.add(reservation);
                 }
                 end(reservation, reservation.endKindIfUnlisted());
             }
@@ -119,7 +119,7 @@
 
     private void reportCrash(boolean leftAsPlanned) {
         if (!leftAsPlanned) {
-            lapsedWhileUnreachable.forEach(task -> listener.crashConfirmed(endpoint, task));
+            lapsedWhileUnreachable.forEach(reservation -> listener.crashConfirmed(endpoint, reservation));
         }
         lapsedWhileUnreachable.clear();
     }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RunResults.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RunResults.java
@@ -97,11 +97,14 @@
     }
 
     @Override
-    public void crashConfirmed(HeldEndpoint endpoint, PlacedTask task) {
+    public void crashConfirmed(HeldEndpoint endpoint, Reservation reservation) {
+        PlacedTask task = reservation.task();
         task.recordCrash();
         boolean isOpen = !host.isClosed() && !task.job().isOver() && !task.isDone();
-        if (isOpen && task.hasCrashedTooOften()) {
-            host.settle(task.job(), Verdict.FAILED);
+        if (isOpen) {
+            EndpointEntry entry = endpoint.entry();
+            listener.crashConfirmed(entry.domain(), reservation.run(), entry.id());
+            task.abandonGround().ifPresent(ground -> abandon(task, ground));
         }
     }
 
@@ -124,10 +127,11 @@
 
     @Override
     public void orderUnreadable(HeldEndpoint endpoint, Reservation reservation) {
-        PlacedJob job = reservation.task().job();
-        reservation.task().clearPlacement();
+        PlacedTask task = reservation.task();
+        PlacedJob job = task.job();
+        task.clearPlacement();
         if (!job.isOver()) {
-            host.settle(job, Verdict.FAILED);
+            abandon(task, AbandonGround.ORDER_UNREADABLE);
         }
         host.capacityReleased(job);
     }
@@ -174,13 +178,13 @@
     }
 
     private void retryOrFail(PlacedJob job, PlacedTask task) {
-        if (task.failures() >= job.queue().attempts() || task.hasCrashedTooOften()) {
-            host.settle(job, Verdict.FAILED);
-        } else if (task.wasLostTooOften()) {
-            host.settle(job, Verdict.TOO_LATE);
-        } else {
-            host.requeue(job);
-        }
+        task.abandonGround().ifPresentOrElse(ground -> abandon(task, ground), () -> host.requeue(job));
+    }
+
+    private void abandon(PlacedTask task, AbandonGround ground) {
+        PlacedJob job = task.job();
+        listener.taskAbandoned(task.name(), ground, task.ends(), job.queue().attempts());
+        host.settle(job, ground == AbandonGround.RUNS_LOST ? Verdict.TOO_LATE : Verdict.FAILED);
     }
 
     /** The placer that the runs belong to. */
--- /dev/null
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/TaskEnds.java
@@ -0,0 +1,32 @@
+package org.tarragonarch.core.placing;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+/**
+ * How the runs of a task have ended at one holder.
+ *
+ * @param failures the runs that ended as failed
+ * @param crashes the endpoints that crashed during a run of the task
+ * @param lostRuns the runs whose endpoint became silent or crashed; includes those of {@code crashes}
+ */
+public record TaskEnds(int failures, int crashes, int lostRuns) {
+    /** No run has ended. */
+    static final TaskEnds NONE = new TaskEnds(0, 0, 0);
+
+    /** Checks that no number is negative. */
+    public TaskEnds {
+        checkArgument(failures >= 0 && crashes >= 0 && lostRuns >= 0, "negative number of ends");
+    }
+
+    TaskEnds withFailure() {
+        return new TaskEnds(failures + 1, crashes, lostRuns);
+    }
+
+    TaskEnds withCrash() {
+        return new TaskEnds(failures, crashes + 1, lostRuns);
+    }
+
+    TaskEnds withLostRun() {
+        return new TaskEnds(failures, crashes, lostRuns + 1);
+    }
+}
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/NoOpEndpointListener.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/NoOpEndpointListener.java
@@ -11,7 +11,7 @@
     public void runLapsedUnnoticed(HeldEndpoint endpoint, Reservation reservation) {}
 
     @Override
-    public void crashConfirmed(HeldEndpoint endpoint, PlacedTask task) {}
+    public void crashConfirmed(HeldEndpoint endpoint, Reservation reservation) {}
 
     @Override
     public void startRefused(HeldEndpoint endpoint, Reservation reservation) {}
--- a/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/explain/EntryDescriptions.java
+++ b/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/explain/EntryDescriptions.java
@@ -14,6 +14,18 @@
             case JOB_MOVED_BACK ->
                 "received it back from %s, which could not start it at once".formatted(entry.text("holder"));
             case RUN_ENDED_BADLY -> badRun(entry);
+            case CRASH_CONFIRMED ->
+                "found that endpoint %s had crashed during run %d of task %s"
+                        .formatted(entry.text("endpoint"), entry.number("run"), entry.text("task"));
+            case TASK_ABANDONED ->
+                "started task %s no more on the ground %s: %d of %d allowed failures, %d crashes, %d lost runs"
+                        .formatted(
+                                entry.text("task"),
+                                entry.text("ground"),
+                                entry.number("failures"),
+                                entry.number("attempts"),
+                                entry.number("crashes"),
+                                entry.number("lost-runs"));
             case JOB_CANCELLED ->
                 entry.text("here").equals("true")
                         ? "cancelled the job for its client"
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/NodeMeters.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/NodeMeters.java
@@ -19,6 +19,7 @@
 import java.util.function.IntSupplier;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
+import org.tarragonarch.core.placing.AbandonGround;
 import org.tarragonarch.core.share.ShareState;
 import org.tarragonarch.core.speed.SpeedSummary;
 import org.tarragonarch.model.share.ShareId;
@@ -45,12 +46,15 @@
     private final PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
     private final Map<JobOutcome, Timer> answers = new EnumMap<>(JobOutcome.class);
     private final Map<EndKind, Counter> badRuns = new EnumMap<>(EndKind.class);
+    private final Map<AbandonGround, Counter> abandonedTasks = new EnumMap<>(AbandonGround.class);
     private final Map<StoreTable, Counter> failedStoreCalls = new EnumMap<>(StoreTable.class);
     private final Map<QueueLookup.Result, Counter> queuesNotFound = new EnumMap<>(QueueLookup.Result.class);
     private final Counter jobDeclined =
             Counter.builder("tarragonarch.jobs.declined").register(registry);
     private final Counter restartedEndpoints =
             Counter.builder("tarragonarch.endpoints.restarted").register(registry);
+    private final Counter crashConfirmed =
+            Counter.builder("tarragonarch.crashes.confirmed").register(registry);
     private final Counter jobMoved = Counter.builder("tarragonarch.jobs.moved").register(registry);
     private final Counter jobMovedBack =
             Counter.builder("tarragonarch.jobs.moved.back").register(registry);
@@ -73,6 +77,13 @@
                             .tag("how", label(kind))
                             .register(registry));
         }
+        for (AbandonGround ground : AbandonGround.values()) {
+            abandonedTasks.put(
+                    ground,
+                    Counter.builder("tarragonarch.tasks.abandoned")
+                            .tag("ground", label(ground))
+                            .register(registry));
+        }
         for (QueueLookup.Result result : EnumSet.complementOf(EnumSet.of(QueueLookup.Result.FOUND))) {
             queuesNotFound.put(
                     result,
@@ -176,6 +187,14 @@
         badRuns.get(kind).increment();
     }
 
+    void crashConfirmed() {
+        crashConfirmed.increment();
+    }
+
+    void taskAbandoned(AbandonGround ground) {
+        abandonedTasks.get(ground).increment();
+    }
+
     String scrape() {
         return registry.scrape();
     }
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ShardLog.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ShardLog.java
@@ -2,8 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import org.tarragonarch.core.placing.AbandonGround;
 import org.tarragonarch.core.placing.CompletionEstimate;
 import org.tarragonarch.core.placing.RecoveryGround;
+import org.tarragonarch.core.placing.TaskEnds;
 import org.tarragonarch.core.shard.ShardObserver;
 import org.tarragonarch.core.share.ShareState;
 import org.tarragonarch.model.id.EndpointId;
@@ -14,6 +16,7 @@
 import org.tarragonarch.model.task.EndKind;
 import org.tarragonarch.model.task.FencingToken;
 import org.tarragonarch.model.task.JobId;
+import org.tarragonarch.model.task.TaskName;
 import org.tarragonarch.model.task.TaskRun;
 
 /** Logs and counts the events of the shards that this node holds. */
@@ -168,6 +171,32 @@
                 kind);
     }
 
+    @Override
+    public void crashConfirmed(FailureDomain shard, TaskRun run, EndpointId endpoint) {
+        meters.crashConfirmed();
+        log.write(
+                NodeEvent.CRASH_CONFIRMED, "task", run.task(), "run", run.run(), "endpoint", endpoint, "shard", shard);
+    }
+
+    @Override
+    public void taskAbandoned(TaskName task, AbandonGround ground, TaskEnds ends, int attempts) {
+        meters.taskAbandoned(ground);
+        log.write(
+                NodeEvent.TASK_ABANDONED,
+                "task",
+                task,
+                "ground",
+                ground,
+                "attempts",
+                attempts,
+                "failures",
+                ends.failures(),
+                "crashes",
+                ends.crashes(),
+                "lost-runs",
+                ends.lostRuns());
+    }
+
     @Override
     public void endpointRestarted(FailureDomain shard, EndpointIncarnation later) {
         meters.endpointRestarted();
--- a/tarragonarch-model/src/main/java/org/tarragonarch/model/log/NodeEvent.java
+++ b/tarragonarch-model/src/main/java/org/tarragonarch/model/log/NodeEvent.java
@@ -40,6 +40,10 @@
     ENDPOINT_SPEED_CHANGED,
     /** A run ended without having completed its work. */
     RUN_ENDED_BADLY,
+    /** An endpoint whose silence ended a run is found to have crashed; the crash counts for the task of the run. */
+    CRASH_CONFIRMED,
+    /** A task is not started again, which settles its job; the line names the ground and how its runs have ended. */
+    TASK_ABANDONED,
     /** An endpoint restarted under the same id; its earlier runs have ended. */
     ENDPOINT_RESTARTED,
     /** A share began to need more capacity than its allotment; its jobs wait, and new ones are refused at admission. */
--- a/tarragonarch-model/src/test/java/org/tarragonarch/model/log/OuterNamesTest.java
+++ b/tarragonarch-model/src/test/java/org/tarragonarch/model/log/OuterNamesTest.java
@@ -27,6 +27,8 @@
             "jobs-not-open",
             "endpoint-speed-changed",
             "run-ended-badly",
+            "crash-confirmed",
+            "task-abandoned",
             "endpoint-restarted",
             "share-limited",
             "share-unlimited",
