--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/FakeEndpoint.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/FakeEndpoint.java
@@ -45,6 +45,7 @@
     boolean reportsNoProgress;
     private final Map<TaskRun, Long> startedAt = new HashMap<>();
     private boolean hasOtherId;
+    private boolean readsOrders = true;
     private long clockOffset = 77_000;
     private long startedMillis;
     private int restarts;
@@ -110,6 +111,11 @@
         startedMillis = millis;
     }
 
+    /** Makes the endpoint refuse every start from now on as one that it cannot read, or read them again. */
+    void setCanReadOrders(boolean canRead) {
+        readsOrders = canRead;
+    }
+
     /** Changes the capacity; runs in progress continue. */
     void resize(long milliCores) {
         capacity = milliCores;
@@ -212,6 +218,9 @@
     }
 
     private OrderResult startResult(StartOrder order) {
+        if (!readsOrders) {
+            return OrderResult.UNREADABLE;
+        }
         if (hasOtherId) {
             return OrderResult.OTHER_ENDPOINT;
         }
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/PlacerCrashTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/PlacerCrashTest.java
@@ -27,15 +27,6 @@
         return placer;
     }
 
-    private static int endpointThatRuns(PlacerFixture fixture) {
-        for (int number = 1; number <= fixture.entries.size(); number++) {
-            if (fixture.endpoint(number).running() > 0) {
-                return number;
-            }
-        }
-        throw new AssertionError("no endpoint runs anything");
-    }
-
     private static void crash(PlacerFixture fixture, int number) {
         fixture.endpoint(number).crash();
         fixture.timers.advance(20);
@@ -46,9 +37,9 @@
     public void testCrash_taskFailsAfterTwoCrashes() {
         PlacerFixture fixture = fixture(4);
         openedWithTask(fixture);
-        crash(fixture, endpointThatRuns(fixture));
+        crash(fixture, fixture.endpointThatRuns());
         assertEquals(fixture.verdicts, ImmutableList.of());
-        crash(fixture, endpointThatRuns(fixture));
+        crash(fixture, fixture.endpointThatRuns());
         assertEquals(fixture.verdicts, ImmutableList.of("origin-1 1 FAILED"));
         assertEquals(fixture.ledger.starts(), 2);
     }
@@ -61,10 +52,10 @@
         placer.offer(PlacerFixture.patientOffer(1, 1, RUN_MILLIS));
         placer.offer(PlacerFixture.patientOffer(2, 1, RUN_MILLIS));
         fixture.timers.advance(20);
-        int shared = endpointThatRuns(fixture);
+        int shared = fixture.endpointThatRuns();
         assertEquals(fixture.endpoint(shared).running(), 2);
         crash(fixture, shared);
-        int first = endpointThatRuns(fixture);
+        int first = fixture.endpointThatRuns();
         assertEquals(fixture.endpoint(first).running(), 1);
         crash(fixture, first);
         fixture.timers.advance(RUN_MILLIS);
@@ -78,8 +69,8 @@
     public void testCrash_otherTasksAvoidASuspect() {
         PlacerFixture fixture = fixture(4);
         Placer placer = openedWithTask(fixture);
-        crash(fixture, endpointThatRuns(fixture));
-        int suspect = endpointThatRuns(fixture);
+        crash(fixture, fixture.endpointThatRuns());
+        int suspect = fixture.endpointThatRuns();
         placer.offer(PlacerFixture.patientOffer(2, 1, RUN_MILLIS));
         fixture.timers.advance(20);
         assertEquals(fixture.endpoint(suspect).running(), 1);
@@ -90,14 +81,14 @@
     public void testCrash_silentEndpointReturnsWithAnotherId() {
         PlacerFixture fixture = fixture(4);
         openedWithTask(fixture);
-        int silent = endpointThatRuns(fixture);
+        int silent = fixture.endpointThatRuns();
         fixture.setFault(silent, FakeOrders.Fault.LOST);
         fixture.endpoint(silent).crash();
         fixture.timers.advance(LEASE_OVER_MILLIS);
         assertEquals(fixture.ledger.starts(), 2);
         fixture.setFault(silent, FakeOrders.Fault.NONE);
         fixture.timers.advance(700);
-        crash(fixture, endpointThatRuns(fixture));
+        crash(fixture, fixture.endpointThatRuns());
         assertEquals(fixture.verdicts, ImmutableList.of("origin-1 1 FAILED"));
         assertEquals(fixture.ledger.starts(), 2);
     }
@@ -108,7 +99,7 @@
         PlacerFixture fixture = fixture(4);
         Placer placer = openedWithTask(fixture);
         for (int replaced = 0; replaced < 2; replaced++) {
-            int number = endpointThatRuns(fixture);
+            int number = fixture.endpointThatRuns();
             EndpointEntry entry = fixture.entries.get(number - 1);
             fixture.entries.set(number - 1, entry.asDraining());
             placer.update(PlacerFixture.SHARD, fixture.entries);
@@ -124,7 +115,7 @@
         PlacerFixture fixture = fixture(6);
         openedWithTask(fixture);
         for (int vanished = 0; vanished < 4; vanished++) {
-            int number = endpointThatRuns(fixture);
+            int number = fixture.endpointThatRuns();
             fixture.setFault(number, FakeOrders.Fault.LOST);
             fixture.endpoint(number).crash();
             fixture.timers.advance(LEASE_OVER_MILLIS);
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/PlacerFixture.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/PlacerFixture.java
@@ -95,6 +95,21 @@
         return orders.endpoints.get(EndpointId.of("w-" + number));
     }
 
+    /** Returns whether any endpoint runs a task. */
+    boolean isAnyTaskRunning() {
+        return orders.endpoints.values().stream().anyMatch(endpoint -> endpoint.running() > 0);
+    }
+
+    /** Returns the number of the first endpoint that runs a task. */
+    int endpointThatRuns() {
+        for (int number = 1; number <= entries.size(); number++) {
+            if (endpoint(number).running() > 0) {
+                return number;
+            }
+        }
+        throw new AssertionError("no endpoint runs anything");
+    }
+
     void setFault(int number, FakeOrders.Fault fault) {
         orders.faults.put(EndpointId.of("w-" + number), fault);
     }
@@ -225,9 +240,15 @@
         return offer(number, tasks, estimateMillis, ORIGIN, true);
     }
 
-    /** Returns a job with a deadline of one minute. */
+    /** Returns a job with a deadline of one minute, of a queue that allows three failed runs of a task. */
     static Offer patientOffer(int number, int tasks, long estimateMillis) {
-        QueueDefinition queue = new QueueDefinition("checks", "h", "/p/", "board", 0, 3, 1.6, PATIENT_DEADLINE_MILLIS);
+        return patientOffer(number, tasks, estimateMillis, 3);
+    }
+
+    /** Returns a job with a deadline of one minute, of a queue that allows so many failed runs of a task. */
+    static Offer patientOffer(int number, int tasks, long estimateMillis, int attempts) {
+        QueueDefinition queue =
+                new QueueDefinition("checks", "h", "/p/", "board", 0, attempts, 1.6, PATIENT_DEADLINE_MILLIS);
         TaskStep step = new TaskStep(tasks, new Resources(TASK_MILLI_CORES, 64, 0), estimateMillis);
         JobRequest job = new JobRequest(id(number), "x", step);
         return new Offer(job, queue, ORIGIN, 0, PATIENT_DEADLINE_MILLIS, EarlierRuns.NONE);
