Answer a job as failed only after as many failed runs as its queue allows

Callers saw jobs shown as failed none of whose tasks had failed. A holder answered FAILED on three grounds besides the attempts: two endpoints that crashed under one task, found at once or after a silence, and an order that an endpoint could not read. None of them is an end of the task's work: they are suspicions, and the caller was told a fact.

Each ground names its verdict now; every one but the used up attempts is TOO_LATE, which tells the caller that the job may have run. The bounds are as before: two crashes, four lost runs.

--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RunResults.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RunResults.java
@@ -184,7 +184,7 @@
     private void abandon(PlacedTask task, AbandonGround ground) {
         PlacedJob job = task.job();
         listener.taskAbandoned(task.name(), ground, task.ends(), job.queue().attempts());
-        host.settle(job, ground == AbandonGround.RUNS_LOST ? Verdict.TOO_LATE : Verdict.FAILED);
+        host.settle(job, ground.verdict());
     }
 
     /** The placer that the runs belong to. */
