Count the crashes of a task across submissions of its job

A job with a task over the bound is answered at once, without a start.

Both new tests fail with the counts kept in the job only.

--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/HeldShards.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/HeldShards.java
@@ -14,6 +14,7 @@
 import org.tarragonarch.core.speed.EndpointSpeed;
 import org.tarragonarch.core.speed.PoolSpeeds;
 import org.tarragonarch.model.id.FailureDomain;
+import org.tarragonarch.model.task.EndpointEntry;
 import org.tarragonarch.model.task.FencingToken;
 import org.tarragonarch.model.task.JobId;
 
@@ -63,6 +64,18 @@
         Multimaps.asMap(byService).values().forEach(PoolSpeeds::normalize);
     }
 
+    /** Reports each endpoint whose speed class has changed. */
+    void reportSpeeds(PlacementObserver observer) {
+        for (HeldEndpoint endpoint : endpoints()) {
+            EndpointSpeed speed = endpoint.speed();
+            if (speed.isReportDue()) {
+                EndpointEntry entry = endpoint.entry();
+                observer.speedChanged(entry.domain(), entry.id(), speed.reportedSpeed(), speed.classSpeed());
+                speed.markReported();
+            }
+        }
+    }
+
     Optional<PlacedShard> remove(FailureDomain domain) {
         return Optional.ofNullable(shards.remove(domain));
     }
--- /dev/null
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/JobFactory.java
@@ -0,0 +1,46 @@
+package org.tarragonarch.core.placing;
+
+import org.tarragonarch.core.share.PoolShares;
+import org.tarragonarch.model.share.ShareId;
+import org.tarragonarch.model.task.Offer;
+import org.tarragonarch.model.task.TaskStep;
+import org.tarragonarch.model.task.Timers;
+
+/** Creates the jobs of one placer from their offers. */
+final class JobFactory {
+    private final RunTimes runTimes;
+    private final PoolShares poolShares;
+    private final RecentCrashes crashes;
+    private final Timers timers;
+
+    /**
+     * Creates a factory.
+     *
+     * @param runTimes the recorded run times, from which those of the tasks are expected
+     * @param crashes the endpoints that crashed under tasks of jobs that are submitted again
+     */
+    JobFactory(RunTimes runTimes, PoolShares poolShares, RecentCrashes crashes, Timers timers) {
+        this.runTimes = runTimes;
+        this.poolShares = poolShares;
+        this.crashes = crashes;
+        this.timers = timers;
+    }
+
+    /**
+     * Creates the job of an offer; none of its tasks has started.
+     *
+     * @param firstRun the number of the first run of each task
+     */
+    PlacedJob create(Offer offer, int firstRun) {
+        String queue = offer.queue().name();
+        TaskStep step = offer.job().step();
+        long expected = runTimes.expectedMillis(queue, step.estimateMillis());
+        double slowest = Math.max(1, runTimes.medianSlowestRatio(queue, step.count()));
+        JobTimes times = JobTimes.of(offer, expected, timers.nowMillis());
+        ShareId share =
+                poolShares.shareOf(offer.queue().service(), offer.queue().priority());
+        PlacedJob job = new PlacedJob(offer, firstRun, expected, slowest, times, share);
+        job.tasks().forEach(task -> task.recordCrashes(crashes.count(task.name())));
+        return job;
+    }
+}
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/JobLifecycle.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/JobLifecycle.java
@@ -4,13 +4,12 @@
 import com.google.common.collect.ImmutableSet;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.tarragonarch.core.share.PoolShares;
 import org.tarragonarch.model.id.NodeId;
-import org.tarragonarch.model.share.ShareId;
 import org.tarragonarch.model.task.JobId;
 import org.tarragonarch.model.task.Offer;
-import org.tarragonarch.model.task.TaskStep;
 import org.tarragonarch.model.task.Timers;
 import org.tarragonarch.model.task.Verdict;
 
@@ -21,8 +20,7 @@
 
     private final HeldShards shards;
     private final PendingShares pending;
-    private final PoolShares poolShares;
-    private final RunTimes runTimes;
+    private final JobFactory factory;
     private final Timers timers;
     private final PlacerListener listener;
     private final Map<JobId, PlacedJob> jobs = new HashMap<>();
@@ -38,14 +36,13 @@
             PendingShares pending,
             PoolShares poolShares,
             PoolCapacity capacity,
-            RunTimes runTimes,
+            JobFactory factory,
             TasksAwaitingOrigin awaitingOrigin,
             Timers timers,
             PlacerListener listener) {
         this.shards = shards;
         this.pending = pending;
-        this.poolShares = poolShares;
-        this.runTimes = runTimes;
+        this.factory = factory;
         this.awaitingOrigin = awaitingOrigin;
         this.timers = timers;
         this.listener = listener;
@@ -175,20 +172,16 @@
     }
 
     private void recoverOrAdmit(Offer offer, int firstRun) {
-        String queue = offer.queue().name();
-        TaskStep step = offer.job().step();
-        long expected = runTimes.expectedMillis(queue, step.estimateMillis());
-        double slowest = Math.max(1, runTimes.medianSlowestRatio(queue, step.count()));
-        JobTimes times = JobTimes.of(offer, expected, timers.nowMillis());
-        ShareId share =
-                poolShares.shareOf(offer.queue().service(), offer.queue().priority());
-        PlacedJob job = new PlacedJob(offer, firstRun, expected, slowest, times, share);
-        if (offer.earlierRuns().isOver()) {
+        PlacedJob job = factory.create(offer, firstRun);
+        Optional<PlacedTask> abandoned = job.taskToAbandon();
+        if (abandoned.isPresent()) {
+            abandon(abandoned.get(), abandoned.get().abandonGround().orElseThrow());
+        } else if (offer.earlierRuns().isOver()) {
             admit(job);
-            return;
+        } else {
+            jobs.put(job.id(), job);
+            recovering.add(job, offer);
         }
-        jobs.put(job.id(), job);
-        recovering.add(job, offer);
     }
 
     private void admit(PlacedJob job) {
@@ -280,6 +273,13 @@
         }
     }
 
+    /** Settles the job of a task that is not started again. */
+    void abandon(PlacedTask task, AbandonGround ground) {
+        PlacedJob job = task.job();
+        listener.taskAbandoned(task.name(), ground, task.ends(), job.queue().attempts());
+        settle(job, ground.verdict());
+    }
+
     /** Ends a job with a verdict. */
     void settle(PlacedJob job, Verdict verdict) {
         end(job);
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacedJob.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacedJob.java
@@ -112,6 +112,11 @@
         return tasks.stream().filter(task -> task.name().equals(name)).findFirst();
     }
 
+    /** Returns a task that must not be started again; empty if every task may. */
+    Optional<PlacedTask> taskToAbandon() {
+        return tasks.stream().filter(task -> task.abandonGround().isPresent()).findFirst();
+    }
+
     JobTimes times() {
         return times;
     }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacedTask.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacedTask.java
@@ -129,9 +129,9 @@
         clearPlacement();
     }
 
-    /** Records that an endpoint crashed during a run of the task. */
-    void recordCrash() {
-        ends = ends.withCrash();
+    /** Records that so many endpoints crashed during runs of the task. */
+    void recordCrashes(int more) {
+        ends = ends.withCrashes(more);
     }
 
     /** Returns whether an endpoint has crashed during a run of the task, which may be the cause. */
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/Placer.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/Placer.java
@@ -12,7 +12,6 @@
 import java.util.function.Predicate;
 import org.tarragonarch.core.share.PoolShares;
 import org.tarragonarch.core.share.ShareState;
-import org.tarragonarch.core.speed.EndpointSpeed;
 import org.tarragonarch.core.speed.SpeedSummary;
 import org.tarragonarch.model.id.FailureDomain;
 import org.tarragonarch.model.id.NodeId;
@@ -74,8 +73,10 @@
                 shards.tallies(),
                 share -> pending.jobsOf(share).waitingMilliCores());
         this.shareReview = new ShareReview(poolShares, capacity, timers, listener);
-        this.jobs = new JobLifecycle(shards, pending, poolShares, capacity, runTimes, awaitingOrigin, timers, listener);
-        this.results = new RunResults(runTimes, timers, listener, new Results());
+        RecentCrashes crashes = new RecentCrashes();
+        JobFactory factory = new JobFactory(runTimes, poolShares, crashes, timers);
+        this.jobs = new JobLifecycle(shards, pending, poolShares, capacity, factory, awaitingOrigin, timers, listener);
+        this.results = new RunResults(runTimes, crashes, timers, listener, new Results());
     }
 
     /** Returns whether there are neither jobs nor runs of ended ones, so that no run depends on a held token. */
@@ -187,7 +188,7 @@
         shards.endpoints().forEach(HeldEndpoint::restartOverdueRuns);
         shareReview.review();
         shards.normalizeSpeeds();
-        shards.endpoints().forEach(this::reportSpeed);
+        shards.reportSpeeds(listener);
         jobs.scheduleStart();
     }
 
@@ -228,15 +229,6 @@
         return shards.find(shard).filter(PlacedShard::isUnreachable).isPresent();
     }
 
-    private void reportSpeed(HeldEndpoint endpoint) {
-        EndpointSpeed speed = endpoint.speed();
-        if (speed.isReportDue()) {
-            EndpointEntry entry = endpoint.entry();
-            listener.speedChanged(entry.domain(), entry.id(), speed.reportedSpeed(), speed.classSpeed());
-            speed.markReported();
-        }
-    }
-
     /** Returns a summary of the speeds of all endpoints. */
     public SpeedSummary speeds() {
         return SpeedSummary.of(Iterables.transform(shards.endpoints(), HeldEndpoint::speed));
@@ -250,8 +242,13 @@
         }
 
         @Override
-        public void settle(PlacedJob job, Verdict verdict) {
-            jobs.settle(job, verdict);
+        public void finish(PlacedJob job) {
+            jobs.settle(job, Verdict.DONE);
+        }
+
+        @Override
+        public void abandon(PlacedTask task, AbandonGround ground) {
+            jobs.abandon(task, ground);
         }
 
         @Override
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RunResults.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RunResults.java
@@ -5,7 +5,6 @@
 import org.tarragonarch.model.task.EndKind;
 import org.tarragonarch.model.task.EndpointEntry;
 import org.tarragonarch.model.task.Timers;
-import org.tarragonarch.model.task.Verdict;
 
 /**
  * Processes the results of runs: records the health and speed of the endpoint, learns run times, and decides whether
@@ -13,12 +12,14 @@
  */
 final class RunResults implements EndpointListener {
     private final RunTimes runTimes;
+    private final RecentCrashes crashes;
     private final Timers timers;
     private final PlacerListener listener;
     private final Host host;
 
-    RunResults(RunTimes runTimes, Timers timers, PlacerListener listener, Host host) {
+    RunResults(RunTimes runTimes, RecentCrashes crashes, Timers timers, PlacerListener listener, Host host) {
         this.runTimes = runTimes;
+        this.crashes = crashes;
         this.timers = timers;
         this.listener = listener;
         this.host = host;
@@ -38,6 +39,9 @@
             EndpointEntry entry = endpoint.entry();
             listener.runEndedBadly(entry.domain(), reservation.run(), entry.id(), kind);
         }
+        if (kind == EndKind.CRASHED) {
+            recordCrash(task);
+        }
         if (!task.holds(reservation)) {
             return;
         }
@@ -47,21 +51,17 @@
         } else if (kind == EndKind.DONE) {
             learn(endpoint.speed(), reservation);
             if (job.recordFinished(task)) {
-                host.settle(job, Verdict.DONE);
+                host.finish(job);
             }
         } else if (kind.countsAsAttempt()) {
             task.recordFailure(endpoint.entry().incarnation());
-            retryOrFail(job, task);
-        } else if (kind == EndKind.CRASHED) {
-            task.recordCrash();
-            task.recordLostRun();
-            retryOrFail(job, task);
-        } else if (kind == EndKind.LAPSED) {
+            retryOrAbandon(job, task);
+        } else if (kind == EndKind.CRASHED || kind == EndKind.LAPSED) {
             task.recordLostRun();
-            retryOrFail(job, task);
+            retryOrAbandon(job, task);
         } else {
             task.clearPlacement();
-            retryOrFail(job, task);
+            retryOrAbandon(job, task);
         }
         if (wasAdopted) {
             host.recoverAgain(job);
@@ -99,15 +99,20 @@
     @Override
     public void crashConfirmed(HeldEndpoint endpoint, Reservation reservation) {
         PlacedTask task = reservation.task();
-        task.recordCrash();
+        recordCrash(task);
         boolean isOpen = !host.isClosed() && !task.job().isOver() && !task.isDone();
         if (isOpen) {
             EndpointEntry entry = endpoint.entry();
             listener.crashConfirmed(entry.domain(), reservation.run(), entry.id());
-            task.abandonGround().ifPresent(ground -> abandon(task, ground));
+            task.abandonGround().ifPresent(ground -> host.abandon(task, ground));
         }
     }
 
+    private void recordCrash(PlacedTask task) {
+        crashes.record(task.name());
+        task.recordCrashes(1);
+    }
+
     @Override
     public void endpointRestarted(HeldEndpoint endpoint) {
         EndpointEntry entry = endpoint.entry();
@@ -131,7 +136,7 @@
         PlacedJob job = task.job();
         task.clearPlacement();
         if (!job.isOver()) {
-            abandon(task, AbandonGround.ORDER_UNREADABLE);
+            host.abandon(task, AbandonGround.ORDER_UNREADABLE);
         }
         host.capacityReleased(job);
     }
@@ -177,14 +182,8 @@
         }
     }
 
-    private void retryOrFail(PlacedJob job, PlacedTask task) {
-        task.abandonGround().ifPresentOrElse(ground -> abandon(task, ground), () -> host.requeue(job));
-    }
-
-    private void abandon(PlacedTask task, AbandonGround ground) {
-        PlacedJob job = task.job();
-        listener.taskAbandoned(task.name(), ground, task.ends(), job.queue().attempts());
-        host.settle(job, ground.verdict());
+    private void retryOrAbandon(PlacedJob job, PlacedTask task) {
+        task.abandonGround().ifPresentOrElse(ground -> host.abandon(task, ground), () -> host.requeue(job));
     }
 
     /** The placer that the runs belong to. */
@@ -192,8 +191,11 @@
         /** Returns whether the placer is closed and has given back every job. */
         boolean isClosed();
 
-        /** Settles a job with a verdict. */
-        void settle(PlacedJob job, Verdict verdict);
+        /** Settles a job whose tasks are all done. */
+        void finish(PlacedJob job);
+
+        /** Settles the job of a task that is not started again. */
+        void abandon(PlacedTask task, AbandonGround ground);
 
         /** Queues the job again, because one of its tasks has to be started again. */
         void requeue(PlacedJob job);
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/TaskEnds.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/TaskEnds.java
@@ -5,9 +5,9 @@
 /**
  * How the runs of a task have ended at one holder.
  *
- * @param failures the runs that ended as failed
- * @param crashes the endpoints that crashed during a run of the task
- * @param lostRuns the runs whose endpoint became silent or crashed; includes those of {@code crashes}
+ * @param failures the runs that ended as failed since the job was offered
+ * @param crashes the endpoints that crashed during a run of the task, also before the job was submitted again
+ * @param lostRuns the runs whose endpoint became silent or crashed since the job was offered
  */
 public record TaskEnds(int failures, int crashes, int lostRuns) {
     /** No run has ended. */
@@ -22,8 +22,8 @@
         return new TaskEnds(failures + 1, crashes, lostRuns);
     }
 
-    TaskEnds withCrash() {
-        return new TaskEnds(failures, crashes + 1, lostRuns);
+    TaskEnds withCrashes(int more) {
+        return new TaskEnds(failures, crashes + more, lostRuns);
     }
 
     TaskEnds withLostRun() {
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/PlacerCrashTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/PlacerCrashTest.java
@@ -123,4 +123,39 @@
         assertEquals(fixture.verdicts, ImmutableList.of("origin-1 1 TOO_LATE"));
         assertEquals(fixture.ledger.starts(), 4);
     }
+
+    /** Guards against a task that crashes as many endpoints again each time its client submits its job. */
+    @Test
+    public void testOffer_abandonedJobIsSubmittedAgain() {
+        PlacerFixture fixture = fixture(6);
+        Placer placer = openedWithTask(fixture);
+        while (fixture.verdicts.isEmpty()) {
+            crash(fixture, fixture.endpointThatRuns());
+        }
+        int starts = fixture.ledger.starts();
+        placer.offer(PlacerFixture.patientOffer(1, 1, RUN_MILLIS));
+        fixture.timers.advance(20);
+        assertEquals(fixture.verdicts, ImmutableList.of("origin-1 1 TOO_LATE", "origin-1 1 TOO_LATE"));
+        assertEquals(fixture.ledger.starts(), starts);
+    }
+
+    /** Guards against crashes that are forgotten because the client left before the endpoint was found to be back. */
+    @Test
+    public void testOffer_crashIsFoundAfterItsClientHasLeft() {
+        PlacerFixture fixture = fixture(6);
+        Placer placer = openedWithTask(fixture);
+        for (int crashes = 0; crashes < 2; crashes++) {
+            int number = fixture.endpointThatRuns();
+            fixture.setFault(number, FakeOrders.Fault.LOST);
+            fixture.endpoint(number).crash();
+            fixture.timers.advance(LEASE_OVER_MILLIS);
+            placer.withdraw(PlacerFixture.ORIGIN, PlacerFixture.id(1));
+            fixture.setFault(number, FakeOrders.Fault.NONE);
+            fixture.timers.advance(700);
+            placer.offer(PlacerFixture.patientOffer(1, 1, RUN_MILLIS));
+            fixture.timers.advance(20);
+        }
+        assertEquals(fixture.verdicts, ImmutableList.of("origin-1 1 TOO_LATE"));
+        assertEquals(fixture.ledger.starts(), 4);
+    }
 }
