Judge a job that is submitted again by the attempts of its last submission

A holder that has a job already took over the origin of a repeated offer and kept the queue of the first one. Where a configuration raised the attempts in between, the job was answered FAILED after fewer failed runs than the configuration in force allows. Found by going through the ways to that answer; the new test saw the job failed after two runs in place of four.

--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/JobLifecycle.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/JobLifecycle.java
@@ -64,7 +64,7 @@
             if (!known.origin().equals(offer.origin())) {
                 listener.resubmitted(known.id(), known.origin(), offer.origin());
             }
-            known.updateOrigin(offer.origin());
+            known.resubmitted(offer);
             return;
         }
         if (!cancelling.defer(offer, timers.nowMillis())) {
@@ -276,7 +276,7 @@
     /** Settles the job of a task that is not started again. */
     void abandon(PlacedTask task, AbandonGround ground) {
         PlacedJob job = task.job();
-        listener.taskAbandoned(task.name(), ground, task.ends(), job.queue().attempts());
+        listener.taskAbandoned(task.name(), ground, task.ends(), job.attempts());
         settle(job, ground.verdict());
     }
 
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacedJob.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacedJob.java
@@ -45,6 +45,7 @@
     private final JobTimes times;
     private final ShareId share;
     private NodeId origin;
+    private int attempts;
     private Optional<PendingJobs> pending = Optional.empty();
     private int unfinished;
     private int waitingTasks;
@@ -60,6 +61,7 @@
     PlacedJob(Offer offer, int firstRun, long expectedRunMillis, double slowestFactor, JobTimes times, ShareId share) {
         this.offer = offer;
         this.origin = offer.origin();
+        this.attempts = offer.queue().attempts();
         this.expectedRunMillis = expectedRunMillis;
         this.slowestFactor = slowestFactor;
         this.times = times;
@@ -145,9 +147,20 @@
         return origin;
     }
 
-    /** Sets the origin after the client has resubmitted the job through another node. */
-    void updateOrigin(NodeId later) {
-        origin = later;
+    /**
+     * Takes over the origin and the attempts of an offer of this job after the client has submitted it again.
+     *
+     * <p>The configuration may have changed in between; the client is told that the job has failed by the attempts that
+     * are in force at its last submission.
+     */
+    void resubmitted(Offer later) {
+        origin = later.origin();
+        attempts = later.queue().attempts();
+    }
+
+    /** Returns the number of failed runs of one task after which the job has failed. */
+    int attempts() {
+        return attempts;
     }
 
     boolean isOver() {
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacedTask.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacedTask.java
@@ -141,7 +141,7 @@
 
     /** Returns why the task must not be started again; empty if it may. */
     Optional<AbandonGround> abandonGround() {
-        if (ends.failures() >= job.queue().attempts()) {
+        if (ends.failures() >= job.attempts()) {
             return Optional.of(AbandonGround.ATTEMPTS_USED);
         }
         if (ends.crashes() >= MAX_CRASHES) {
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/AbandonedTaskTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/AbandonedTaskTest.java
@@ -1,7 +1,10 @@
 package org.tarragonarch.core.placing;
 
+import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
 
+import com.google.common.collect.ImmutableList;
+import org.tarragonarch.model.task.EndKind;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -54,6 +57,21 @@
         assertNotFailed(fixture);
     }
 
+    /** Guards against a job that is answered as failed by attempts that were raised before it was submitted again. */
+    @Test
+    public void testOffer_attemptsAreRaisedBeforeTheJobIsSubmittedAgain() {
+        PlacerFixture fixture = PlacerFixture.running(2, 100);
+        fixture.endpoint(1).outcome = EndKind.FAILED;
+        fixture.endpoint(2).outcome = EndKind.FAILED;
+        Placer placer = fixture.openedPlacer(1);
+        placer.offer(PlacerFixture.patientOffer(1, 1, 100, 2));
+        fixture.timers.advance(20);
+        placer.offer(PlacerFixture.patientOffer(1, 1, 100, 4));
+        fixture.timers.advance(3_000);
+        assertEquals(fixture.verdicts, ImmutableList.of("origin-1 1 FAILED"));
+        assertEquals(fixture.badEnds.size(), 4);
+    }
+
     private static PlacerFixture offered(int attempts) {
         PlacerFixture fixture = PlacerFixture.running(6, RUN_MILLIS);
         offer(fixture, attempts);
