Explain jobs that were given up after crashes by the ground that the holder logged

explain called a job that was given up after crashes one whose tasks failed wherever they ran, and did not name an endpoint that fails all it runs where runs were lost elsewhere: it counted every bad end alike. It reads the ground of task-abandoned, and failed runs alone for an answer FAILED.

--- a/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/explain/Cause.java
+++ b/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/explain/Cause.java
@@ -16,6 +16,10 @@
     BAD_ENDPOINT("one endpoint did not do the work that it was given"),
     /** Runs failed on several endpoints. */
     BAD_WORK("its tasks failed wherever they ran"),
+    /** A task was not started again because the endpoints of its runs crashed or became silent. */
+    ENDPOINTS_LOST("endpoints crashed or fell silent while they ran a task of it, which was not started again"),
+    /** An endpoint could not read the order to start a task. */
+    ORDER_UNREADABLE("an endpoint could not read the order to start a task of it"),
     /** No holder had free capacity in time. */
     NO_ROOM("no holder had room for it in time"),
     /** No endpoint was available, and a failure domain was drained. */
--- a/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/explain/JobHistory.java
+++ b/tarragonarch-ctl/src/main/java/org/tarragonarch/ctl/explain/JobHistory.java
@@ -78,7 +78,7 @@
             case DONE -> Cause.SERVED;
             case CANCELLED -> Cause.CANCELLED;
             case REFUSED -> causeOfRefusal();
-            case FAILED -> failingEndpoints().size() == 1 ? Cause.BAD_ENDPOINT : Cause.BAD_WORK;
+            case FAILED -> causeOfFailure();
             case GIVEN_UP -> causeOfGiveUp();
         };
     }
@@ -98,6 +98,16 @@
                 .reduce((earlier, later) -> later);
     }
 
+    /** Returns the cause of used up attempts; runs that were lost with their endpoints have not failed. */
+    private Cause causeOfFailure() {
+        long endpoints = of(NodeEvent.RUN_ENDED_BADLY).stream()
+                .filter(entry -> entry.text("how").equals("FAILED"))
+                .map(entry -> entry.text("endpoint"))
+                .distinct()
+                .count();
+        return endpoints == 1 ? Cause.BAD_ENDPOINT : Cause.BAD_WORK;
+    }
+
     private Cause causeOfRefusal() {
         ImmutableList<LogEntry> declined = of(NodeEvent.JOB_DECLINED);
         if (declined.isEmpty()) {
@@ -111,6 +121,12 @@
     }
 
     private Cause causeOfGiveUp() {
+        Optional<LogEntry> abandoned = of(NodeEvent.TASK_ABANDONED).stream().findFirst();
+        if (abandoned.isPresent()) {
+            return abandoned.get().text("ground").equals("ORDER_UNREADABLE")
+                    ? Cause.ORDER_UNREADABLE
+                    : Cause.ENDPOINTS_LOST;
+        }
         if (allEntries.stream().anyMatch(this::isLossOfHolder)) {
             return Cause.HOLDER_LOST;
         }
--- a/tarragonarch-ctl/src/test/java/org/tarragonarch/ctl/explain/ExplanationTest.java
+++ b/tarragonarch-ctl/src/test/java/org/tarragonarch/ctl/explain/ExplanationTest.java
@@ -38,6 +38,31 @@
             "job":"d8b174c21d8c731b","queue":"board","outcome":"GIVEN_UP","tasks":3,"estimate-ms":80,"after-ms":2067,\
             "holder":"front-devonport-1","deadline-ms":2077,"configuration":12}
             """;
+    private static final String LOST_RUNS = """
+            {"time":"2026-05-04T12:00:27.992Z","node":"front-hobart-1","event":"run-ended-badly",\
+            "task":"bf61c57f187017c4.0.0.7","run":1,"endpoint":"i-634a3845e8","shard":"hobart","how":"CRASHED"}
+            {"time":"2026-05-04T12:00:28.682Z","node":"front-hobart-1","event":"run-ended-badly",\
+            "task":"bf61c57f187017c4.0.0.7","run":2,"endpoint":"i-82fa43702f","shard":"hobart","how":"LAPSED"}
+            """;
+    private static final String ABANDONED = LOST_RUNS + """
+            {"time":"2026-05-04T12:00:29.011Z","node":"front-hobart-1","event":"crash-confirmed",\
+            "task":"bf61c57f187017c4.0.0.7","run":2,"endpoint":"i-82fa43702f","shard":"hobart"}
+            {"time":"2026-05-04T12:00:29.011Z","node":"front-hobart-1","event":"task-abandoned",\
+            "task":"bf61c57f187017c4.0.0.7","ground":"ENDPOINTS_CRASHED","attempts":2,"failures":0,"crashes":2,\
+            "lost-runs":2}
+            {"time":"2026-05-04T12:00:29.012Z","node":"front-hobart-2","event":"job-answered","job":"bf61c57f187017c4",\
+            "queue":"board","outcome":"GIVEN_UP","tasks":10,"estimate-ms":20,"after-ms":1723,"holder":"front-hobart-1",\
+            "deadline-ms":1824,"configuration":12}
+            """;
+    private static final String FAILED = LOST_RUNS + """
+            {"time":"2026-05-04T12:00:28.711Z","node":"front-hobart-1","event":"run-ended-badly",\
+            "task":"bf61c57f187017c4.0.0.7","run":3,"endpoint":"i-0a44d1f2b3","shard":"hobart","how":"FAILED"}
+            {"time":"2026-05-04T12:00:28.740Z","node":"front-hobart-1","event":"run-ended-badly",\
+            "task":"bf61c57f187017c4.0.0.7","run":4,"endpoint":"i-0a44d1f2b3","shard":"hobart","how":"FAILED"}
+            {"time":"2026-05-04T12:00:28.741Z","node":"front-hobart-2","event":"job-answered","job":"bf61c57f187017c4",\
+            "queue":"board","outcome":"FAILED","tasks":10,"estimate-ms":20,"after-ms":1452,"holder":"front-hobart-1",\
+            "deadline-ms":1824,"configuration":12}
+            """;
     private static final String HOLDER_LOST = """
             {"time":"2026-05-04T12:00:34.132Z","node":"front-hobart-2","event":"peer-lost",\
             "peer":"front-devonport-2","reason":"silent"}
@@ -126,6 +151,24 @@
         assertEquals(explanation.toJson().path("endpoints").path(0).asText(), "i-1523651cc8");
     }
 
+    /** Guards against a 504 after crashes that is explained as bad work of the job. */
+    @Test
+    public void testLines_givenUpAfterCrashes() throws IOException {
+        Explanation explanation = explain("bf61c57f187017c4", ABANDONED);
+        assertEquals(explanation.lines().get(1), "cause: endpoints-lost, " + Cause.ENDPOINTS_LOST.meaning());
+        assertEquals(
+                explanation.lines().get(explanation.lines().size() - 2),
+                "  2026-05-04T12:00:29.011Z front-hobart-1 started task bf61c57f187017c4.0.0.7 no more"
+                        + " on the ground ENDPOINTS_CRASHED: 0 of 2 allowed failures, 2 crashes, 2 lost runs");
+    }
+
+    /** Guards against an endpoint that fails all it runs and is not named because runs were lost elsewhere. */
+    @Test
+    public void testLines_failedBesideLostRuns() throws IOException {
+        Explanation explanation = explain("bf61c57f187017c4", FAILED);
+        assertEquals(explanation.lines().get(1), "cause: bad-endpoint, " + Cause.BAD_ENDPOINT.meaning());
+    }
+
     /** Guards against a 504 before the deadline that the answering node's log does not explain. */
     @Test
     public void testLines_givenUpAfterHolderLoss() throws IOException {
--- a/tarragonarch-ctl/src/test/java/org/tarragonarch/ctl/explain/OuterNamesTest.java
+++ b/tarragonarch-ctl/src/test/java/org/tarragonarch/ctl/explain/OuterNamesTest.java
@@ -31,6 +31,9 @@
                         "holder-lost: the holder that had the job was lost, and nobody can say what of it ran",
                         "bad-endpoint: one endpoint did not do the work that it was given",
                         "bad-work: its tasks failed wherever they ran",
+                        "endpoints-lost: endpoints crashed or fell silent while they ran a task of it, which was not "
+                                + "started again",
+                        "order-unreadable: an endpoint could not read the order to start a task of it",
                         "no-room: no holder had room for it in time",
                         "drained: no holder had an endpoint that could take it, and a failure domain was drained",
                         "no-endpoints: no holder had an endpoint that could take it",
