Number a job's runs above those of orders that may still be carried out

A job that its client submits again got run numbers from 1. A start order of its earlier submission that was never answered may be carried out seconds later, also by a restarted endpoint; it is stopped there until then.

--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/HeldShards.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/HeldShards.java
@@ -85,6 +85,15 @@
         shards.clear();
     }
 
+    /** Returns the highest number of a run of the job that an unanswered order may still start; 0 if there is none. */
+    int lastUnansweredRun(JobId job) {
+        int last = 0;
+        for (PlacedShard shard : shards.values()) {
+            last = Math.max(last, shard.lastUnansweredRun(job));
+        }
+        return last;
+    }
+
     /** Returns whether any endpoint, if it were idle, could run a task of the job. */
     boolean canHost(PlacedJob job) {
         for (HeldEndpoint endpoint : endpoints()) {
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacedShard.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacedShard.java
@@ -90,6 +90,11 @@
         endpoints.values().forEach(HeldEndpoint::abandon);
     }
 
+    /** Returns the highest number of a run of the job that an unanswered order may still start; 0 if there is none. */
+    int lastUnansweredRun(JobId job) {
+        return unanswered.lastRunNumber(job, timers.nowMillis());
+    }
+
     /** Returns whether all lists were read and every run of the job in them is adopted or adoptable. */
     boolean hasOnlyAdoptableRuns(JobId job) {
         return endpoints.values().stream().allMatch(endpoint -> endpoint.hasOnlyAdoptableRuns(job));
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/Placer.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/Placer.java
@@ -74,7 +74,7 @@
                 share -> pending.jobsOf(share).waitingMilliCores());
         this.shareReview = new ShareReview(poolShares, capacity, timers, listener);
         RecentCrashes crashes = new RecentCrashes();
-        JobFactory factory = new JobFactory(runTimes, poolShares, crashes, timers);
+        JobFactory factory = new JobFactory(shards, runTimes, poolShares, crashes, timers);
         this.jobs = new JobLifecycle(shards, pending, poolShares, capacity, factory, awaitingOrigin, timers, listener);
         this.results = new RunResults(runTimes, crashes, timers, listener, new Results());
     }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/UnansweredStarts.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/UnansweredStarts.java
@@ -7,6 +7,7 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import org.tarragonarch.model.id.EndpointId;
+import org.tarragonarch.model.task.JobId;
 import org.tarragonarch.model.task.TaskRun;
 
 /**
@@ -83,6 +84,17 @@
                 .collect(ImmutableSet.toImmutableSet());
     }
 
+    /** Returns the highest number of a run of the job that an unanswered order may still start; 0 if there is none. */
+    int lastRunNumber(JobId job, long nowMillis) {
+        expire(nowMillis);
+        return orders.keySet().stream()
+                .map(Order::run)
+                .filter(run -> run.task().belongsTo(job))
+                .mapToInt(TaskRun::run)
+                .max()
+                .orElse(0);
+    }
+
     private void expire(long nowMillis) {
         Iterator<Map.Entry<Order, Sent>> oldestFirst = orders.entrySet().iterator();
         while (oldestFirst.hasNext()) {
