Abandon a task after three crashed endpoints in place of two

A sound task whose endpoints crash by chance twice was given up, and since the crashes count across submissions, stayed so until its client left.

--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacedTask.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacedTask.java
@@ -10,7 +10,7 @@
     /** Covers the run numbers that an earlier holder may have used since the offer was made. */
     private static final int SKIPPED_RUN_NUMBERS = 16;
 
-    private static final int MAX_CRASHES = 2;
+    private static final int MAX_CRASHES = 3;
 
     private static final int MAX_RESTARTS = 3;
 
