Send stops of recovered runs again like those of other runs

After a change of holder, no lease on an endpoint is extended before the stops of the runs that no job adopts are answered. A lost stop was sent again only 90 ms later (answer timeout and retry), so that a few lost ones used up the leases of the adopted runs beside. Now it is sent again after 15, 30, 60 and then each 80 ms, each by a new connection, as RunOrders does; the first answer counts.

LeaseLimitTest#testClaim_adoptedRunsGoOnAfterSomeLostStops failed before.

--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RecoveredRuns.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RecoveredRuns.java
@@ -143,13 +143,18 @@
 
     private void stop(TaskRun run) {
         runs.put(run, State.STOPPING);
-        sendStop(run, false);
+        sendStop(run, false, RunOrders.FIRST_RESEND_MILLIS);
     }
 
-    private void sendStop(TaskRun run, boolean fresh) {
-        if (isStopping(run)) {
-            link.stop(run, fresh, answer -> stopAnswered(run, answer));
-        }
+    /** Sends a stop, and again in parallel until one is answered: no lease is extended before. */
+    private void sendStop(TaskRun run, boolean fresh, long resendMillis) {
+        int sentTo = link.incarnationNumber();
+        link.stop(run, fresh, answer -> stopAnswered(run, answer));
+        link.timers().schedule(resendMillis, () -> {
+            if (sentTo == link.incarnationNumber() && isStopping(run)) {
+                sendStop(run, true, RunOrders.backedOff(resendMillis));
+            }
+        });
     }
 
     private boolean isStopping(TaskRun run) {
@@ -178,7 +183,9 @@
             }
             case FENCED -> host.endpointFenced();
             case OTHER_ENDPOINT -> host.endpointGone();
-            default -> link.timers().schedule(RunListPoller.FIRST_RETRY_MILLIS, () -> sendStop(run, true));
+            default -> {
+                // The stop is sent again in any case.
+            }
         }
     }
 
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RunOrders.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RunOrders.java
@@ -11,7 +11,7 @@
      * The time after which an unanswered list or stop call is sent again in parallel: a few round trips. Each is sent
      * on a new connection, and the first answer is used.
      */
-    private static final long FIRST_RESEND_MILLIS = 15;
+    static final long FIRST_RESEND_MILLIS = 15;
 
     /** The upper bound of the exponential backoff between two sends. */
     private static final long MAX_RESEND_MILLIS = 80;
@@ -163,7 +163,8 @@
         return !host.isClosed() && reserved.contains(reservation) && reservation.is(state);
     }
 
-    private static long backedOff(long millis) {
+    /** Returns the time from one send to the next, given the time before that one. */
+    static long backedOff(long millis) {
         return Math.min(MAX_RESEND_MILLIS, 2 * millis);
     }
 
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/LeaseLimitTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/LeaseLimitTest.java
@@ -180,6 +180,23 @@
         assertEquals(fixture.ledger.starts(), 2);
     }
 
+    /** Guards against adopted runs that lapse because the lost stops of the others are repeated only slowly. */
+    @Test
+    public void testClaim_adoptedRunsGoOnAfterSomeLostStops() {
+        PlacerFixture fixture = PlacerFixture.running(1, RUN_MILLIS);
+        holderOfTwoRuns(fixture).close();
+        int[] stops = {0};
+        fixture.orders.stopFault = () -> stops[0]++ < 2 ? FakeOrders.Fault.LOST : FakeOrders.Fault.NONE;
+        fixture.timers.advance(LEASE_LEFT_AFTER_CLOSE_MILLIS - UNCLAIMED_STOPPED_MILLIS - 50);
+        Placer next = fixture.placer(2);
+        fixture.timers.advance(10);
+        next.offer(PlacerFixture.repeatedOffer(1, 1, ESTIMATE_MILLIS));
+        fixture.timers.advance(1_500);
+        assertTrue(runs(fixture, 1));
+        assertFalse(runs(fixture, 2));
+        assertEquals(fixture.ledger.starts(), 2);
+    }
+
     /** Guards against a task that starts elsewhere before the lease of its adopted, never extended run has expired. */
     @Test
     public void testClaim_endpointFallsSilentBeforeLeasesAreExtended() {
