Count failed runs whose ends are listed late or to the next holder

A run that failed while its endpoint could not be reached ended as lapsed at the holder; when its end was listed later, it counted for nothing. So did failed runs that a next holder found in its first lists. A task was started after as many failed runs as its queue allows, and its caller waited for an answer that was known.

A failed run without a reservation is recorded in its task, or remembered until its job is offered (RecentEnds, the former RecentCrashes). Each run counts once however often it is listed, by its number.

--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/EndpointListener.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/EndpointListener.java
@@ -1,6 +1,7 @@
 package org.tarragonarch.core.placing;
 
 import org.tarragonarch.model.task.EndKind;
+import org.tarragonarch.model.task.TaskRun;
 
 /** Receives the events of a held endpoint. */
 interface EndpointListener {
@@ -10,6 +11,12 @@
     /** Called when the endpoint lists a run as lapsed that this holder has not ended; its capacity is released. */
     void runLapsedUnnoticed(HeldEndpoint endpoint, Reservation reservation);
 
+    /**
+     * Called when a failed run is listed that holds no capacity: its lease had expired here before its end was listed,
+     * or an earlier holder started it.
+     */
+    void failedRunListed(TaskRun run);
+
     /** Called when an endpoint whose silence ended the run is found to have crashed. */
     void crashConfirmed(HeldEndpoint endpoint, Reservation reservation);
 
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/HeldEndpoint.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/HeldEndpoint.java
@@ -242,7 +242,7 @@
         @Override
         public void runEnded(TaskEnd end) {
             listedRuns.processEnd(end);
-            reservedCapacity.find(end.run()).ifPresent(reservation -> ends.endAsListed(reservation, end.kind()));
+            ends.processListed(end);
         }
 
         @Override
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/JobFactory.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/JobFactory.java
@@ -11,7 +11,7 @@
     private final HeldShards shards;
     private final RunTimes runTimes;
     private final PoolShares poolShares;
-    private final RecentCrashes crashes;
+    private final RecentEnds recentEnds;
     private final Timers timers;
 
     /**
@@ -19,13 +19,13 @@
      *
      * @param shards the shards whose endpoints may still carry out unanswered orders of earlier submissions
      * @param runTimes the recorded run times, from which those of the tasks are expected
-     * @param crashes the endpoints that crashed under tasks of jobs that are submitted again
+     * @param recentEnds the ends of earlier runs that count against tasks of jobs that are submitted again
      */
-    JobFactory(HeldShards shards, RunTimes runTimes, PoolShares poolShares, RecentCrashes crashes, Timers timers) {
+    JobFactory(HeldShards shards, RunTimes runTimes, PoolShares poolShares, RecentEnds recentEnds, Timers timers) {
         this.shards = shards;
         this.runTimes = runTimes;
         this.poolShares = poolShares;
-        this.crashes = crashes;
+        this.recentEnds = recentEnds;
         this.timers = timers;
     }
 
@@ -48,7 +48,7 @@
         int firstUnused =
                 Math.max(firstRun, shards.lastUnansweredRun(offer.job().id()) + 1);
         PlacedJob job = new PlacedJob(offer, firstUnused, expected, slowest, times, share);
-        job.tasks().forEach(task -> task.recordCrashes(crashes.count(task.name())));
+        recentEnds.recordIn(job);
         return job;
     }
 }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/JobLifecycle.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/JobLifecycle.java
@@ -10,14 +10,12 @@
 import org.tarragonarch.model.id.NodeId;
 import org.tarragonarch.model.task.JobId;
 import org.tarragonarch.model.task.Offer;
+import org.tarragonarch.model.task.TaskRun;
 import org.tarragonarch.model.task.Timers;
 import org.tarragonarch.model.task.Verdict;
 
 /** The jobs of one placer, from their offer through admission or recovery to the verdict. */
 final class JobLifecycle {
-    /** The retry time where no endpoint can take the job: about the duration of a takeover or a restart. */
-    private static final long NO_ENDPOINT_RETRY_MILLIS = 1_000;
-
     private final HeldShards shards;
     private final PendingShares pending;
     private final JobFactory factory;
@@ -30,6 +28,7 @@
     private final OfferAdmission admission;
     private final RecoveringJobs recovering;
     private final TaskStarter starter;
+    private final JobRefusals refusals;
 
     JobLifecycle(
             HeldShards shards,
@@ -48,6 +47,7 @@
         this.listener = listener;
         this.estimator = new CompletionEstimator(shards.endpoints(), pending, poolShares);
         this.admission = new OfferAdmission(pending);
+        this.refusals = new JobRefusals(listener);
         this.recovering = new RecoveringJobs(shards, timers, listener, this::resume);
         this.starter = new TaskStarter(shards, pending, poolShares, capacity, awaitingOrigin, timers, this::giveUp);
     }
@@ -173,12 +173,10 @@
 
     private void recoverOrAdmit(Offer offer, int firstRun) {
         PlacedJob job = factory.create(offer, firstRun);
-        Optional<PlacedTask> abandoned = job.taskToAbandon();
-        if (abandoned.isPresent()) {
-            abandon(abandoned.get(), abandoned.get().abandonGround().orElseThrow());
-        } else if (offer.earlierRuns().isOver()) {
+        boolean isSettled = abandonIfDue(job);
+        if (!isSettled && offer.earlierRuns().isOver()) {
             admit(job);
-        } else {
+        } else if (!isSettled) {
             jobs.put(job.id(), job);
             recovering.add(job, offer);
         }
@@ -187,7 +185,7 @@
     private void admit(PlacedJob job) {
         CompletionEstimate estimate = estimator.estimate(job, timers.nowMillis());
         if (!admission.admit(job, estimate, timers.nowMillis())) {
-            refuse(job, estimate);
+            refusals.refuse(job, estimate);
             return;
         }
         jobs.put(job.id(), job);
@@ -199,10 +197,13 @@
     private void resume(PlacedJob job) {
         if (job.allFinished()) {
             settle(job, Verdict.DONE);
-        } else if (job.hasProgress()) {
+            return;
+        }
+        boolean isSettled = abandonIfDue(job);
+        if (!isSettled && job.hasProgress()) {
             requeue(job);
             starter.scheduleStart();
-        } else {
+        } else if (!isSettled) {
             jobs.remove(job.id());
             admit(job);
         }
@@ -233,7 +234,7 @@
         }
         if (!job.hasProgress()) {
             end(job);
-            decline(job, estimator.estimate(job, timers.nowMillis()));
+            refusals.decline(job, estimator.estimate(job, timers.nowMillis()));
             return;
         }
         end(job);
@@ -244,35 +245,34 @@
         }
     }
 
-    /** Settles a job that is not admitted; only one whose terms allow it to wait counts as declined. */
-    private void refuse(PlacedJob job, CompletionEstimate estimate) {
-        Verdict verdict = job.offer().terms().refusal();
-        if (verdict == Verdict.DECLINED) {
-            decline(job, estimate);
-        } else {
-            listener.settled(job.origin(), job.id(), verdict, 0);
-        }
-    }
-
-    private void decline(PlacedJob job, CompletionEstimate estimate) {
-        listener.declined(job.origin(), job.id(), estimate);
-        long retry = estimate.taskSlots() == 0 ? NO_ENDPOINT_RETRY_MILLIS : estimate.waitMillis();
-        listener.settled(job.origin(), job.id(), Verdict.DECLINED, retry);
-    }
-
     /** Ends a job whose answer would come too late; one that never started is declined, as it has not run. */
     private void giveUp(PlacedJob job) {
         if (job.wasStarted()) {
             settle(job, Verdict.TOO_LATE);
         } else {
             CompletionEstimate estimate = estimator.estimate(job, timers.nowMillis());
-            listener.declined(job.origin(), job.id(), estimate);
             end(job);
-            long retry = estimate.share().isPresent() ? estimate.waitMillis() : 0;
-            listener.settled(job.origin(), job.id(), Verdict.DECLINED, retry);
+            refusals.declineExpired(job, estimate);
         }
     }
 
+    /** Records a failed run that holds no capacity here any more, or that an earlier holder started. */
+    void recordFailedRun(TaskRun run) {
+        for (PlacedJob job : ImmutableList.copyOf(jobs.values())) {
+            if (run.task().belongsTo(job.id())) {
+                job.task(run.task()).ifPresent(task -> task.recordFailedRun(run));
+                abandonIfDue(job);
+            }
+        }
+    }
+
+    /** Settles a job with a task that must not be started again; returns whether there is one. */
+    private boolean abandonIfDue(PlacedJob job) {
+        Optional<PlacedTask> due = job.taskToAbandon();
+        due.ifPresent(task -> abandon(task, task.abandonGround().orElseThrow()));
+        return due.isPresent();
+    }
+
     /** Settles the job of a task that is not started again. */
     void abandon(PlacedTask task, AbandonGround ground) {
         PlacedJob job = task.job();
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/ListedRuns.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/ListedRuns.java
@@ -79,7 +79,7 @@
         poller.markRead();
     }
 
-    /** Processes the end of a run that is not reserved. */
+    /** Processes the end of a run. */
     void processEnd(TaskEnd end) {
         recovered.remove(end.run());
         unanswered.recordListed(link.incarnation().id(), end.run());
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacedJob.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacedJob.java
@@ -116,7 +116,9 @@
 
     /** Returns a task that must not be started again; empty if every task may. */
     Optional<PlacedTask> taskToAbandon() {
-        return tasks.stream().filter(task -> task.abandonGround().isPresent()).findFirst();
+        return tasks.stream()
+                .filter(task -> !task.isDone() && task.abandonGround().isPresent())
+                .findFirst();
     }
 
     JobTimes times() {
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacedTask.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacedTask.java
@@ -1,6 +1,8 @@
 package org.tarragonarch.core.placing;
 
+import java.util.HashSet;
 import java.util.Optional;
+import java.util.Set;
 import org.tarragonarch.model.id.EndpointIncarnation;
 import org.tarragonarch.model.task.TaskName;
 import org.tarragonarch.model.task.TaskRun;
@@ -23,6 +25,7 @@
     private final PlacedJob job;
     private final TaskName name;
     private int nextRun;
+    private final Set<Integer> failedRuns = new HashSet<>();
     private TaskEnds ends = TaskEnds.NONE;
     private boolean done;
     private int restarts;
@@ -117,12 +120,20 @@
         change(() -> reservation = Optional.empty());
     }
 
-    void recordFailure(EndpointIncarnation at) {
-        ends = ends.withFailure();
+    /** Records that the current run has failed. */
+    void recordFailure(TaskRun run, EndpointIncarnation at) {
+        recordFailedRun(run);
         lastFailedAt = Optional.of(at);
         clearPlacement();
     }
 
+    /** Records a failed run, which counts once however often it is listed. */
+    void recordFailedRun(TaskRun run) {
+        if (failedRuns.add(run.run())) {
+            ends = ends.withFailure();
+        }
+    }
+
     /** Records that the endpoint of the current run was lost: it became silent or crashed. */
     void recordLostRun() {
         ends = ends.withLostRun();
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/Placer.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/Placer.java
@@ -21,6 +21,7 @@
 import org.tarragonarch.model.task.FencingToken;
 import org.tarragonarch.model.task.JobId;
 import org.tarragonarch.model.task.Offer;
+import org.tarragonarch.model.task.TaskRun;
 import org.tarragonarch.model.task.Timers;
 import org.tarragonarch.model.task.Verdict;
 
@@ -73,10 +74,10 @@
                 shards.tallies(),
                 share -> pending.jobsOf(share).waitingMilliCores());
         this.shareReview = new ShareReview(poolShares, capacity, timers, listener);
-        RecentCrashes crashes = new RecentCrashes();
-        JobFactory factory = new JobFactory(shards, runTimes, poolShares, crashes, timers);
+        RecentEnds recentEnds = new RecentEnds();
+        JobFactory factory = new JobFactory(shards, runTimes, poolShares, recentEnds, timers);
         this.jobs = new JobLifecycle(shards, pending, poolShares, capacity, factory, awaitingOrigin, timers, listener);
-        this.results = new RunResults(runTimes, crashes, timers, listener, new Results());
+        this.results = new RunResults(runTimes, recentEnds, timers, listener, new Results());
     }
 
     /** Returns whether there are neither jobs nor runs of ended ones, so that no run depends on a held token. */
@@ -246,6 +247,11 @@
             jobs.settle(job, Verdict.DONE);
         }
 
+        @Override
+        public void recordFailedRun(TaskRun run) {
+            jobs.recordFailedRun(run);
+        }
+
         @Override
         public void abandon(PlacedTask task, AbandonGround ground) {
             jobs.abandon(task, ground);
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RunEnds.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RunEnds.java
@@ -3,8 +3,10 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.BooleanSupplier;
 import org.tarragonarch.model.task.EndKind;
+import org.tarragonarch.model.task.TaskEnd;
 import org.tarragonarch.model.task.TaskRun;
 
 /** Ends the reserved runs of one endpoint, including those that are certainly over although no list has their end. */
@@ -28,8 +30,17 @@
         listener.runEnded(endpoint, reservation, kind);
     }
 
-    /** Ends one run as the endpoint lists it. */
-    void endAsListed(Reservation reservation, EndKind kind) {
+    /** Processes a newly listed end of a run, which may hold no capacity. */
+    void processListed(TaskEnd end) {
+        Optional<Reservation> reservation = reserved.find(end.run());
+        if (reservation.isPresent()) {
+            endAsListed(reservation.get(), end.kind());
+        } else if (end.kind().countsAsAttempt()) {
+            listener.failedRunListed(end.run());
+        }
+    }
+
+    private void endAsListed(Reservation reservation, EndKind kind) {
         if (kind == EndKind.LAPSED) {
             reserved.release(reservation);
             listener.runLapsedUnnoticed(endpoint, reservation);
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RunResults.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RunResults.java
@@ -4,6 +4,7 @@
 import org.tarragonarch.model.id.FailureDomain;
 import org.tarragonarch.model.task.EndKind;
 import org.tarragonarch.model.task.EndpointEntry;
+import org.tarragonarch.model.task.TaskRun;
 import org.tarragonarch.model.task.Timers;
 
 /**
@@ -12,14 +13,14 @@
  */
 final class RunResults implements EndpointListener {
     private final RunTimes runTimes;
-    private final RecentCrashes crashes;
+    private final RecentEnds recentEnds;
     private final Timers timers;
     private final PlacerListener listener;
     private final Host host;
 
-    RunResults(RunTimes runTimes, RecentCrashes crashes, Timers timers, PlacerListener listener, Host host) {
+    RunResults(RunTimes runTimes, RecentEnds recentEnds, Timers timers, PlacerListener listener, Host host) {
         this.runTimes = runTimes;
-        this.crashes = crashes;
+        this.recentEnds = recentEnds;
         this.timers = timers;
         this.listener = listener;
         this.host = host;
@@ -54,7 +55,7 @@
                 host.finish(job);
             }
         } else if (kind.countsAsAttempt()) {
-            task.recordFailure(endpoint.entry().incarnation());
+            task.recordFailure(reservation.run(), endpoint.entry().incarnation());
             retryOrAbandon(job, task);
         } else if (kind == EndKind.CRASHED || kind == EndKind.LAPSED) {
             task.recordLostRun();
@@ -109,10 +110,18 @@
     }
 
     private void recordCrash(PlacedTask task) {
-        crashes.record(task.name());
+        recentEnds.recordCrash(task.name());
         task.recordCrashes(1);
     }
 
+    @Override
+    public void failedRunListed(TaskRun run) {
+        if (!host.isClosed()) {
+            recentEnds.recordFailedRun(run);
+            host.recordFailedRun(run);
+        }
+    }
+
     @Override
     public void endpointRestarted(HeldEndpoint endpoint) {
         EndpointEntry entry = endpoint.entry();
@@ -194,6 +203,9 @@
         /** Settles a job whose tasks are all done. */
         void finish(PlacedJob job);
 
+        /** Records a failed run that holds no capacity here any more, or that an earlier holder started. */
+        void recordFailedRun(TaskRun run);
+
         /** Settles the job of a task that is not started again. */
         void abandon(PlacedTask task, AbandonGround ground);
 
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/NoOpEndpointListener.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/NoOpEndpointListener.java
@@ -1,6 +1,7 @@
 package org.tarragonarch.core.placing;
 
 import org.tarragonarch.model.task.EndKind;
+import org.tarragonarch.model.task.TaskRun;
 
 /** A listener that ignores all events. */
 final class NoOpEndpointListener implements EndpointListener {
@@ -10,6 +11,9 @@
     @Override
     public void runLapsedUnnoticed(HeldEndpoint endpoint, Reservation reservation) {}
 
+    @Override
+    public void failedRunListed(TaskRun run) {}
+
     @Override
     public void crashConfirmed(HeldEndpoint endpoint, Reservation reservation) {}
 
