Count no crash for a run that its endpoint has never confirmed

Where another endpoint answers at an address (421), every reservation ended as crashed, also a start that this very answer refused and orders that were lost. The restart under the same id and the silence have always asked for a confirmed run.

A refused start goes back to the queue like any other; an unconfirmed one counts as lapsed.

Both new tests failed before: TOO_LATE in place of DONE, and an end CRASHED of a run that never started.

--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/Reservation.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/Reservation.java
@@ -119,10 +119,19 @@
      * @param untilMillis the latest expiry of the run's lease if the endpoint cannot be reached, on the steady clock
      */
     void markUncertainAfterRestart(EndKind kind, long untilMillis) {
-        endKindIfUnlisted = seen ? kind : EndKind.LAPSED;
+        endKindIfUnlisted = endKindIfOver(kind);
         uncertainUntilMillis = untilMillis;
     }
 
+    /**
+     * Returns the kind of the run's end if its endpoint has ended: lapsed if the endpoint never reported the run.
+     *
+     * @param kind the kind of the end of a run that was in progress
+     */
+    EndKind endKindIfOver(EndKind kind) {
+        return seen ? kind : EndKind.LAPSED;
+    }
+
     /** Returns the kind of the run's end if the run is over and no list contains its end. */
     EndKind endKindIfUnlisted() {
         return endKindIfUnlisted;
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RunEnds.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RunEnds.java
@@ -98,12 +98,15 @@
     }
 
     /**
-     * Ends all runs because an endpoint with another id answers.
+     * Ends all runs because an endpoint with another id answers. A run that no answer or list has confirmed may never
+     * have started, so it counts as lapsed.
      *
      * @param leftAsPlanned whether the endpoint was leaving, so that its tasks are not suspected of crashing it
      */
     void endpointGone(boolean leftAsPlanned) {
-        endAll(endKind(leftAsPlanned));
+        for (Reservation reservation : reserved.snapshot()) {
+            end(reservation, reservation.endKindIfOver(endKind(leftAsPlanned)));
+        }
         reportCrash(leftAsPlanned);
     }
 
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RunOrders.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RunOrders.java
@@ -94,7 +94,11 @@
             case DONE -> reservation.markRunning(link.nowMillis());
             case UNKNOWN -> startUnanswered(reservation);
             case FENCED -> host.endpointFenced();
-            case OTHER_ENDPOINT -> host.endpointGone();
+            case OTHER_ENDPOINT -> {
+                // The endpoint that answers has not carried out the order, so its predecessor did not crash under it.
+                releaseRefused(reservation);
+                host.endpointGone();
+            }
             case OLD_RUN -> {
                 reserved.release(reservation);
                 host.listener().startRefusedAsOld(host.endpoint(), reservation);
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/AbandonedTaskTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/AbandonedTaskTest.java
@@ -57,6 +57,35 @@
         assertNotFailed(fixture);
     }
 
+    /** Guards against a task that is abandoned after crashes of endpoints that refused to start it. */
+    @Test
+    public void testStart_refusedByReplacedEndpointsIsNoCrash() {
+        PlacerFixture fixture = PlacerFixture.running(5, RUN_MILLIS);
+        Placer placer = fixture.openedPlacer(1);
+        for (int number = 1; number < 5; number++) {
+            fixture.endpoint(number).crash();
+        }
+        placer.offer(PlacerFixture.patientOffer(1, 1, RUN_MILLIS));
+        fixture.timers.advance(RUN_MILLIS + 100);
+        assertEquals(fixture.verdicts, ImmutableList.of("origin-1 1 DONE"));
+        assertEquals(fixture.badEnds, ImmutableList.of());
+    }
+
+    /** Guards against a crash that counts for a task whose start the crashed endpoint has never answered. */
+    @Test
+    public void testStart_unansweredByACrashedEndpointIsNoCrash() {
+        PlacerFixture fixture = PlacerFixture.running(2, RUN_MILLIS);
+        Placer placer = fixture.openedPlacer(1);
+        fixture.orders.startFault = () -> FakeOrders.Fault.LOST;
+        placer.offer(PlacerFixture.patientOffer(1, 1, RUN_MILLIS));
+        fixture.orders.startFault = () -> FakeOrders.Fault.NONE;
+        fixture.timers.advance(10);
+        fixture.endpoint(1).crash();
+        fixture.endpoint(2).crash();
+        fixture.timers.advance(100);
+        assertEquals(fixture.badEnds, ImmutableList.of(EndKind.LAPSED));
+    }
+
     /** Guards against a job that is answered as failed by attempts that were raised before it was submitted again. */
     @Test
     public void testOffer_attemptsAreRaisedBeforeTheJobIsSubmittedAgain() {
