Keep one record of a task's ends over all submissions of its job

The counts that bound a task were copied into each submission's task, so a crash that was found while the job was open again counted for the earlier one only; lost runs counted from zero with each submission, and a task whose endpoints never came back took down four more each time; a claim of the same node forgot all; the record evicted the task that was hit first, not the one hit longest ago, and kept the rest for ever. A job whose later run was at work on a sound endpoint was given up as soon as earlier crashes were found, and one that a new holder could have found done was given up before it looked.

The submissions of a job share a record, kept for a minute after its last end by the node, whoever holds its shards. It bounds starts only: a run at work is finished, and a recovered job is judged when one of its tasks must start.

--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/JobFactory.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/JobFactory.java
@@ -48,7 +48,7 @@
         int firstUnused =
                 Math.max(firstRun, shards.lastUnansweredRun(offer.job().id()) + 1);
         PlacedJob job = new PlacedJob(offer, firstUnused, expected, slowest, times, share);
-        recentEnds.recordIn(job);
+        recentEnds.restoreIn(job);
         return job;
     }
 }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/JobLifecycle.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/JobLifecycle.java
@@ -10,7 +10,7 @@
 import org.tarragonarch.model.id.NodeId;
 import org.tarragonarch.model.task.JobId;
 import org.tarragonarch.model.task.Offer;
-import org.tarragonarch.model.task.TaskRun;
+import org.tarragonarch.model.task.TaskName;
 import org.tarragonarch.model.task.Timers;
 import org.tarragonarch.model.task.Verdict;
 
@@ -256,18 +256,16 @@
         }
     }
 
-    /** Records a failed run that holds no capacity here any more, or that an earlier holder started. */
-    void recordFailedRun(TaskRun run) {
-        for (PlacedJob job : ImmutableList.copyOf(jobs.values())) {
-            if (run.task().belongsTo(job.id())) {
-                job.task(run.task()).ifPresent(task -> task.recordFailedRun(run));
-                abandonIfDue(job);
-            }
-        }
+    /** Returns the task of this name of a job that is not settled; empty if there is none. */
+    Optional<PlacedTask> findOpen(TaskName name) {
+        return jobs.values().stream()
+                .filter(job -> name.belongsTo(job.id()))
+                .findFirst()
+                .flatMap(job -> job.task(name));
     }
 
-    /** Settles a job with a task that must not be started again; returns whether there is one. */
-    private boolean abandonIfDue(PlacedJob job) {
+    /** Settles a job with a waiting task that must not be started again; returns whether it has one. */
+    boolean abandonIfDue(PlacedJob job) {
         Optional<PlacedTask> due = job.taskToAbandon();
         due.ifPresent(task -> abandon(task, task.abandonGround().orElseThrow()));
         return due.isPresent();
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacedJob.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacedJob.java
@@ -114,10 +114,10 @@
         return tasks.stream().filter(task -> task.name().equals(name)).findFirst();
     }
 
-    /** Returns a task that must not be started again; empty if every task may. */
+    /** Returns a waiting task that must not be started again; empty if each of them may. */
     Optional<PlacedTask> taskToAbandon() {
         return tasks.stream()
-                .filter(task -> !task.isDone() && task.abandonGround().isPresent())
+                .filter(task -> task.isWaiting() && task.abandonGround().isPresent())
                 .findFirst();
     }
 
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacedTask.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacedTask.java
@@ -1,8 +1,6 @@
 package org.tarragonarch.core.placing;
 
-import java.util.HashSet;
 import java.util.Optional;
-import java.util.Set;
 import org.tarragonarch.model.id.EndpointIncarnation;
 import org.tarragonarch.model.task.TaskName;
 import org.tarragonarch.model.task.TaskRun;
@@ -25,8 +23,7 @@
     private final PlacedJob job;
     private final TaskName name;
     private int nextRun;
-    private final Set<Integer> failedRuns = new HashSet<>();
-    private TaskEnds ends = TaskEnds.NONE;
+    private TaskRecord record = new TaskRecord();
     private boolean done;
     private int restarts;
     private boolean unresolved;
@@ -78,7 +75,17 @@
 
     /** Returns how the runs of the task have ended at this holder. */
     TaskEnds ends() {
-        return ends;
+        return record.ends();
+    }
+
+    /** Returns the record of how the runs of the task have ended. */
+    TaskRecord record() {
+        return record;
+    }
+
+    /** Makes the task continue the record of an earlier submission of its job. */
+    void continueRecord(TaskRecord earlier) {
+        record = earlier;
     }
 
     boolean hasFailedAt(EndpointIncarnation candidate) {
@@ -122,36 +129,25 @@
 
     /** Records that the current run has failed. */
     void recordFailure(TaskRun run, EndpointIncarnation at) {
-        recordFailedRun(run);
+        record.addFailedRun(run.run());
         lastFailedAt = Optional.of(at);
         clearPlacement();
     }
 
-    /** Records a failed run, which counts once however often it is listed. */
-    void recordFailedRun(TaskRun run) {
-        if (failedRuns.add(run.run())) {
-            ends = ends.withFailure();
-        }
-    }
-
     /** Records that the endpoint of the current run was lost: it became silent or crashed. */
     void recordLostRun() {
-        ends = ends.withLostRun();
+        record.addLostRun();
         clearPlacement();
     }
 
-    /** Records that so many endpoints crashed during runs of the task. */
-    void recordCrashes(int more) {
-        ends = ends.withCrashes(more);
-    }
-
     /** Returns whether an endpoint has crashed during a run of the task, which may be the cause. */
     boolean hasCrashed() {
-        return ends.crashes() > 0;
+        return ends().crashes() > 0;
     }
 
     /** Returns why the task must not be started again; empty if it may. */
     Optional<AbandonGround> abandonGround() {
+        TaskEnds ends = ends();
         if (ends.failures() >= job.attempts()) {
             return Optional.of(AbandonGround.ATTEMPTS_USED);
         }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/Placer.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/Placer.java
@@ -21,9 +21,7 @@
 import org.tarragonarch.model.task.FencingToken;
 import org.tarragonarch.model.task.JobId;
 import org.tarragonarch.model.task.Offer;
-import org.tarragonarch.model.task.TaskRun;
 import org.tarragonarch.model.task.Timers;
-import org.tarragonarch.model.task.Verdict;
 
 /**
  * Places the tasks of jobs on the endpoints of the shards that this node holds, as one pool.
@@ -48,6 +46,7 @@
      * Creates a placer that holds no shard yet.
      *
      * @param runTimes the recorded run times of every queue; outlives this placer
+     * @param recentEnds the recent ends that count against tasks; outlives this placer
      * @param authority until when this node may act for the jobs of an origin
      * @param hasCompleteList returns whether the list of endpoints of a shard is known to be complete
      */
@@ -57,6 +56,7 @@
             Timers timers,
             PlacerListener listener,
             RunTimes runTimes,
+            RecentEnds recentEnds,
             OriginAuthority authority,
             Predicate<FailureDomain> hasCompleteList) {
         this.settings = checkNotNull(settings, "settings");
@@ -64,6 +64,7 @@
         this.timers = checkNotNull(timers, "timers");
         this.listener = checkNotNull(listener, "listener");
         checkNotNull(runTimes, "runTimes");
+        checkNotNull(recentEnds, "recentEnds");
         this.authority = checkNotNull(authority, "authority");
         this.awaitingOrigin = new TasksAwaitingOrigin(authority, listener);
         this.shards = new HeldShards(checkNotNull(hasCompleteList, "hasCompleteList"));
@@ -74,10 +75,9 @@
                 shards.tallies(),
                 share -> pending.jobsOf(share).waitingMilliCores());
         this.shareReview = new ShareReview(poolShares, capacity, timers, listener);
-        RecentEnds recentEnds = new RecentEnds();
         JobFactory factory = new JobFactory(shards, runTimes, poolShares, recentEnds, timers);
         this.jobs = new JobLifecycle(shards, pending, poolShares, capacity, factory, awaitingOrigin, timers, listener);
-        this.results = new RunResults(runTimes, recentEnds, timers, listener, new Results());
+        this.results = new RunResults(runTimes, recentEnds, timers, listener, jobs, new Results());
     }
 
     /** Returns whether there are neither jobs nor runs of ended ones, so that no run depends on a held token. */
@@ -242,51 +242,11 @@
             return closed;
         }
 
-        @Override
-        public void finish(PlacedJob job) {
-            jobs.settle(job, Verdict.DONE);
-        }
-
-        @Override
-        public void recordFailedRun(TaskRun run) {
-            jobs.recordFailedRun(run);
-        }
-
-        @Override
-        public void abandon(PlacedTask task, AbandonGround ground) {
-            jobs.abandon(task, ground);
-        }
-
-        @Override
-        public void requeue(PlacedJob job) {
-            jobs.requeue(job);
-        }
-
-        @Override
-        public void recoverAgain(PlacedJob job) {
-            jobs.recovering().addAgain(job);
-        }
-
         @Override
         public void awaitOrigin(PlacedTask task) {
             awaitingOrigin.add(task);
         }
 
-        @Override
-        public void capacityReleased(PlacedJob job) {
-            jobs.capacityReleased(job);
-        }
-
-        @Override
-        public void capacityAdded() {
-            jobs.scheduleStart();
-        }
-
-        @Override
-        public void firstListRead(HeldEndpoint endpoint) {
-            jobs.recovering().adoptFrom(endpoint);
-        }
-
         @Override
         public void shardFenced(FailureDomain shard) {
             token(shard).ifPresent(token -> {
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RunResults.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RunResults.java
@@ -1,11 +1,13 @@
 package org.tarragonarch.core.placing;
 
+import java.util.Optional;
 import org.tarragonarch.core.speed.EndpointSpeed;
 import org.tarragonarch.model.id.FailureDomain;
 import org.tarragonarch.model.task.EndKind;
 import org.tarragonarch.model.task.EndpointEntry;
 import org.tarragonarch.model.task.TaskRun;
 import org.tarragonarch.model.task.Timers;
+import org.tarragonarch.model.task.Verdict;
 
 /**
  * Processes the results of runs: records the health and speed of the endpoint, learns run times, and decides whether
@@ -16,13 +18,21 @@
     private final RecentEnds recentEnds;
     private final Timers timers;
     private final PlacerListener listener;
+    private final JobLifecycle jobs;
     private final Host host;
 
-    RunResults(RunTimes runTimes, RecentEnds recentEnds, Timers timers, PlacerListener listener, Host host) {
+    RunResults(
+            RunTimes runTimes,
+            RecentEnds recentEnds,
+            Timers timers,
+            PlacerListener listener,
+            JobLifecycle jobs,
+            Host host) {
         this.runTimes = runTimes;
         this.recentEnds = recentEnds;
         this.timers = timers;
         this.listener = listener;
+        this.jobs = jobs;
         this.host = host;
     }
 
@@ -50,24 +60,27 @@
         if (job.isOver()) {
             task.clearPlacement();
         } else if (kind == EndKind.DONE) {
+            recentEnds.discard(task);
             learn(endpoint.speed(), reservation);
             if (job.recordFinished(task)) {
-                host.finish(job);
+                jobs.settle(job, Verdict.DONE);
             }
         } else if (kind.countsAsAttempt()) {
             task.recordFailure(reservation.run(), endpoint.entry().incarnation());
+            recentEnds.keep(task);
             retryOrAbandon(job, task);
         } else if (kind == EndKind.CRASHED || kind == EndKind.LAPSED) {
             task.recordLostRun();
+            recentEnds.keep(task);
             retryOrAbandon(job, task);
         } else {
             task.clearPlacement();
             retryOrAbandon(job, task);
         }
         if (wasAdopted) {
-            host.recoverAgain(job);
+            jobs.recovering().addAgain(job);
         }
-        host.capacityReleased(job);
+        jobs.capacityReleased(job);
     }
 
     /** Keeps the task of an adopted run that has ended without success from starting; returns whether it does. */
@@ -101,24 +114,31 @@
     public void crashConfirmed(HeldEndpoint endpoint, Reservation reservation) {
         PlacedTask task = reservation.task();
         recordCrash(task);
-        boolean isOpen = !host.isClosed() && !task.job().isOver() && !task.isDone();
-        if (isOpen) {
-            EndpointEntry entry = endpoint.entry();
-            listener.crashConfirmed(entry.domain(), reservation.run(), entry.id());
-            task.abandonGround().ifPresent(ground -> host.abandon(task, ground));
-        }
+        EndpointEntry entry = endpoint.entry();
+        listener.crashConfirmed(entry.domain(), reservation.run(), entry.id());
     }
 
+    /** Counts a crash for a task, or for the one that has its name since its job was submitted again. */
     private void recordCrash(PlacedTask task) {
-        recentEnds.recordCrash(task.name());
-        task.recordCrashes(1);
+        Optional<PlacedTask> open = jobs.findOpen(task.name());
+        PlacedTask counted = open.orElse(task);
+        counted.record().addCrash();
+        recentEnds.keep(counted);
+        open.ifPresent(found -> jobs.abandonIfDue(found.job()));
     }
 
     @Override
     public void failedRunListed(TaskRun run) {
-        if (!host.isClosed()) {
+        if (host.isClosed()) {
+            return;
+        }
+        Optional<PlacedTask> open = jobs.findOpen(run.task());
+        if (open.isPresent()) {
+            open.get().record().addFailedRun(run.run());
+            recentEnds.keep(open.get());
+            jobs.abandonIfDue(open.get().job());
+        } else {
             recentEnds.recordFailedRun(run);
-            host.recordFailedRun(run);
         }
     }
 
@@ -145,19 +165,19 @@
         PlacedJob job = task.job();
         task.clearPlacement();
         if (!job.isOver()) {
-            host.abandon(task, AbandonGround.ORDER_UNREADABLE);
+            jobs.abandon(task, AbandonGround.ORDER_UNREADABLE);
         }
-        host.capacityReleased(job);
+        jobs.capacityReleased(job);
     }
 
     @Override
     public void firstListRead(HeldEndpoint endpoint) {
-        host.firstListRead(endpoint);
+        jobs.recovering().adoptFrom(endpoint);
     }
 
     @Override
     public void endpointUsable(HeldEndpoint endpoint) {
-        host.capacityAdded();
+        jobs.scheduleStart();
     }
 
     @Override
@@ -185,14 +205,14 @@
         if (task.holds(reservation)) {
             task.clearPlacement();
             if (!task.job().isOver()) {
-                host.requeue(task.job());
+                jobs.requeue(task.job());
             }
-            host.capacityReleased(task.job());
+            jobs.capacityReleased(task.job());
         }
     }
 
     private void retryOrAbandon(PlacedJob job, PlacedTask task) {
-        task.abandonGround().ifPresentOrElse(ground -> host.abandon(task, ground), () -> host.requeue(job));
+        task.abandonGround().ifPresentOrElse(ground -> jobs.abandon(task, ground), () -> jobs.requeue(job));
     }
 
     /** The placer that the runs belong to. */
@@ -200,33 +220,9 @@
         /** Returns whether the placer is closed and has given back every job. */
         boolean isClosed();
 
-        /** Settles a job whose tasks are all done. */
-        void finish(PlacedJob job);
-
-        /** Records a failed run that holds no capacity here any more, or that an earlier holder started. */
-        void recordFailedRun(TaskRun run);
-
-        /** Settles the job of a task that is not started again. */
-        void abandon(PlacedTask task, AbandonGround ground);
-
-        /** Queues the job again, because one of its tasks has to be started again. */
-        void requeue(PlacedJob job);
-
-        /** Recovers a job once more, because an adopted run has ended without success. */
-        void recoverAgain(PlacedJob job);
-
         /** Delays the next start of a task until a message from the origin of its job has arrived. */
         void awaitOrigin(PlacedTask task);
 
-        /** Called when the capacity of a run of the job was released. */
-        void capacityReleased(PlacedJob job);
-
-        /** Called when an endpoint may accept tasks that it did not accept before. */
-        void capacityAdded();
-
-        /** Called when the lists of an endpoint were read for the first time. */
-        void firstListRead(HeldEndpoint endpoint);
-
         /** Called when an endpoint of a shard rejects this holder's token because it has seen a higher one. */
         void shardFenced(FailureDomain shard);
     }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/ShardOwnership.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/shard/ShardOwnership.java
@@ -13,6 +13,7 @@
 import org.tarragonarch.core.placing.Placer;
 import org.tarragonarch.core.placing.PlacerListener;
 import org.tarragonarch.core.placing.PlacingSettings;
+import org.tarragonarch.core.placing.RecentEnds;
 import org.tarragonarch.core.placing.RunTimes;
 import org.tarragonarch.core.speed.SpeedSummary;
 import org.tarragonarch.model.id.FailureDomain;
@@ -45,6 +46,7 @@
     private final EndpointListStability listStability;
     private final Relay relay;
     private final RunTimes runTimes = new RunTimes();
+    private final RecentEnds recentEnds;
     private final Map<FailureDomain, Long> claimedAtMillis = new HashMap<>();
     private Optional<Placer> placer = Optional.empty();
     private ImmutableList<HeldShard> held = ImmutableList.of();
@@ -73,6 +75,7 @@
         this.settings = checkNotNull(settings, "settings");
         this.orders = checkNotNull(orders, "orders");
         this.timers = checkNotNull(timers, "timers");
+        this.recentEnds = new RecentEnds(timers);
         this.wallMillis = checkNotNull(wallMillis, "wallMillis");
         this.authority = checkNotNull(authority, "authority");
         this.events = checkNotNull(events, "events");
@@ -219,8 +222,8 @@
     private void claim(FailureDomain shard) {
         FencingToken token = election.claim(shard, wallMillis.getAsLong());
         if (placer.isEmpty()) {
-            placer =
-                    Optional.of(new Placer(settings, orders, timers, relay, runTimes, authority, this::isListComplete));
+            placer = Optional.of(
+                    new Placer(settings, orders, timers, relay, runTimes, recentEnds, authority, this::isListComplete));
         }
         claimedAtMillis.put(shard, timers.nowMillis());
         placer.get().open(shard, token, endpointsThatMayRunTasks(shard));
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/EndpointFaultSeries.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/EndpointFaultSeries.java
@@ -48,8 +48,8 @@
     /** The longest time from the origin's loss of a holder to the end of the job at that holder. */
     private static final int LOSS_SKEW_MILLIS = 300;
 
-    private static final long LEASE_EXPIRY_MILLIS =
-            PlacingSettings.of(1_000, 50).leaseExpiry();
+    private static final PlacingSettings SETTINGS = PlacingSettings.of(1_000, 50);
+    private static final long LEASE_EXPIRY_MILLIS = SETTINGS.leaseExpiry();
     private static final long RUNS_OVER_MILLIS = LOSS_SKEW_MILLIS + LEASE_EXPIRY_MILLIS;
     private static final NodeId ORIGIN = PlacerFixture.ORIGIN;
 
@@ -396,14 +396,9 @@
         Holder(Pool pool, long term) {
             this.pool = pool;
             this.token = FencingToken.of(term, "10.1.0." + (1 + pools.size()));
+            OriginAuthority authority = new UnlimitedAuthority();
             this.placer = new Placer(
-                    PlacingSettings.of(1_000, 50),
-                    orders,
-                    timers,
-                    this,
-                    new RunTimes(),
-                    new UnlimitedAuthority(),
-                    shard -> true);
+                    SETTINGS, orders, timers, this, new RunTimes(), new RecentEnds(timers), authority, shard -> true);
         }
 
         @Override
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/JobLifecycleTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/JobLifecycleTest.java
@@ -34,7 +34,7 @@
                 pending,
                 poolShares,
                 capacity,
-                new JobFactory(shards, new RunTimes(), poolShares, new RecentEnds(), timers),
+                new JobFactory(shards, new RunTimes(), poolShares, new RecentEnds(timers), timers),
                 new TasksAwaitingOrigin(new UnlimitedAuthority(), new PlacementObserver() {}),
                 timers,
                 new RecordingListener(verdicts));
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/PlacerCrashTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/PlacerCrashTest.java
@@ -13,6 +13,9 @@
     private static final long LEASE_OVER_MILLIS = 1_500;
     private static final int MAX_CRASHES = 3;
 
+    /** After three crashes a task may be started twice more. */
+    private static final int MAX_STARTS = 5;
+
     private static PlacerFixture fixture(int endpoints) {
         return PlacerFixture.running(endpoints, RUN_MILLIS);
     }
@@ -45,6 +48,8 @@
         crash(fixture, fixture.endpointThatRuns());
         assertEquals(fixture.verdicts, ImmutableList.of("origin-1 1 TOO_LATE"));
         assertEquals(fixture.ledger.starts(), MAX_CRASHES);
+        TaskEnds ends = new TaskEnds(0, MAX_CRASHES, MAX_CRASHES);
+        assertEquals(fixture.abandoned, ImmutableList.of("ENDPOINTS_CRASHED " + ends + " of 3"));
     }
 
     /** Guards against a sound task that is abandoned because two of its endpoints crashed by chance. */
@@ -176,4 +181,77 @@
         assertEquals(fixture.verdicts, ImmutableList.of("origin-1 1 TOO_LATE"));
         assertEquals(fixture.ledger.starts(), 2 * MAX_CRASHES);
     }
+
+    /** Guards against a crash that the open job does not count, because its client had submitted it before. */
+    @Test
+    public void testCrash_earlierOneIsFoundWhileTheJobIsOpenAgain() {
+        PlacerFixture fixture = fixture(6);
+        Placer placer = openedWithTask(fixture);
+        int silent = fixture.endpointThatRuns();
+        fixture.setFault(silent, FakeOrders.Fault.LOST);
+        fixture.endpoint(silent).crash();
+        fixture.timers.advance(LEASE_OVER_MILLIS);
+        placer.withdraw(PlacerFixture.ORIGIN, PlacerFixture.id(1));
+        fixture.timers.advance(100);
+        placer.offer(PlacerFixture.patientOffer(1, 1, RUN_MILLIS));
+        fixture.timers.advance(20);
+        fixture.setFault(silent, FakeOrders.Fault.NONE);
+        fixture.timers.advance(700);
+        assertEquals(fixture.confirmedCrashes.size(), 1);
+        crash(fixture, fixture.endpointThatRuns());
+        assertEquals(fixture.verdicts, ImmutableList.of());
+        crash(fixture, fixture.endpointThatRuns());
+        assertEquals(fixture.verdicts, ImmutableList.of("origin-1 1 TOO_LATE"));
+    }
+
+    /** Guards against a task that takes down endpoints for good, and as many again each time it is submitted. */
+    @Test
+    public void testOffer_endpointsOfTheTaskNeverReturn() {
+        PlacerFixture fixture = fixture(8);
+        Placer placer = opened(fixture);
+        for (int submissions = 0; submissions < 2; submissions++) {
+            placer.offer(PlacerFixture.patientOffer(1, 1, RUN_MILLIS));
+            fixture.timers.advance(20);
+            while (fixture.isAnyTaskRunning()) {
+                int number = fixture.endpointThatRuns();
+                fixture.setFault(number, FakeOrders.Fault.LOST);
+                crash(fixture, number);
+                fixture.timers.advance(LEASE_OVER_MILLIS);
+            }
+        }
+        assertTrue(fixture.ledger.starts() <= MAX_STARTS, fixture.ledger.starts() + " starts");
+    }
+
+    /** Guards against a job that is given up while its task is at work, because earlier endpoints are found crashed. */
+    @Test
+    public void testCrash_runAtWorkIsFinished() {
+        PlacerFixture fixture = fixture(6);
+        openedWithTask(fixture);
+        for (int lost = 0; lost < MAX_CRASHES; lost++) {
+            int number = fixture.endpointThatRuns();
+            fixture.setFault(number, FakeOrders.Fault.LOST);
+            fixture.endpoint(number).crash();
+            fixture.timers.advance(LEASE_OVER_MILLIS);
+        }
+        for (int number = 1; number <= fixture.entries.size(); number++) {
+            fixture.setFault(number, FakeOrders.Fault.NONE);
+        }
+        fixture.timers.advance(RUN_MILLIS);
+        assertEquals(fixture.confirmedCrashes.size(), MAX_CRASHES);
+        assertEquals(fixture.verdicts, ImmutableList.of("origin-1 1 DONE"));
+    }
+
+    /** Guards against a caller who can never have a job done whose endpoints crashed by chance. */
+    @Test
+    public void testOffer_crashesAreForgottenAfterAMinute() {
+        PlacerFixture fixture = fixture(6);
+        Placer placer = openedWithTask(fixture);
+        while (fixture.verdicts.isEmpty()) {
+            crash(fixture, fixture.endpointThatRuns());
+        }
+        fixture.timers.advance(60_000);
+        placer.offer(PlacerFixture.patientOffer(1, 1, RUN_MILLIS));
+        fixture.timers.advance(RUN_MILLIS + 100);
+        assertEquals(fixture.verdicts, ImmutableList.of("origin-1 1 TOO_LATE", "origin-1 1 DONE"));
+    }
 }
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/PlacerFixture.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/PlacerFixture.java
@@ -23,6 +23,7 @@
 import org.tarragonarch.model.task.Offer;
 import org.tarragonarch.model.task.QueueDefinition;
 import org.tarragonarch.model.task.Resources;
+import org.tarragonarch.model.task.TaskName;
 import org.tarragonarch.model.task.TaskRun;
 import org.tarragonarch.model.task.TaskStep;
 import org.tarragonarch.model.task.Verdict;
@@ -50,6 +51,8 @@
     final List<EndpointEntry> entries = new ArrayList<>();
     final List<CompletionEstimate> estimates = new ArrayList<>();
     final List<EndKind> badEnds = new ArrayList<>();
+    final List<String> confirmedCrashes = new ArrayList<>();
+    final List<String> abandoned = new ArrayList<>();
     final List<String> restarted = new ArrayList<>();
     final Map<JobId, Settled> settled = new HashMap<>();
     final List<String> limitChanges = new ArrayList<>();
@@ -201,6 +204,16 @@
                 badEnds.add(kind);
             }
 
+            @Override
+            public void crashConfirmed(FailureDomain shard, TaskRun run, EndpointId endpoint) {
+                confirmedCrashes.add(run + " at " + endpoint);
+            }
+
+            @Override
+            public void taskAbandoned(TaskName task, AbandonGround ground, TaskEnds ends, int attempts) {
+                abandoned.add(ground + " " + ends + " of " + attempts);
+            }
+
             @Override
             public void endpointRestarted(FailureDomain shard, EndpointIncarnation later) {
                 restarted.add(later.toString());
@@ -218,7 +231,14 @@
         };
         PlacingSettings settings = PlacingSettings.of(1_000, 50).withShares(plan);
         return new Placer(
-                settings, orders, timers, listener, new RunTimes(), new UnlimitedAuthority(), shard -> listsComplete);
+                settings,
+                orders,
+                timers,
+                listener,
+                new RunTimes(),
+                new RecentEnds(timers),
+                new UnlimitedAuthority(),
+                shard -> listsComplete);
     }
 
     /** The last verdict on a job, its time and the retry time. */
