Watch idle endpoints that may restart under their ids

What callers saw: an endpoint runs more than it has room for (21,000 of 16,000 thousandths of a core), so tasks of two holders disturb each other.

Traces, on, ms of virtual time (3848 is alike on both clocks): - 630 of NO_ENDPOINT_WIDE_CLOCK_STOPS: d claims w-1 under 25 at 2500; b, which d cannot reach, under 33 at 2594. Neither has a run there, so d calls nothing and does not learn that it is outranked. w-1 restarts at 2652. d starts a task at 3760 by its list of 2502, which the new incarnation accepts; b starts two at 4284 by its list of 2596. - 3848 of ALL_CLOCK_STOPS and ALL_CLOCK_GOES_ON: d holds w-1 under 39, b claims it under 40 at 4000. w-1 restarts at 4009, and answers the polls of both that wait. Both take these for the first list under their tokens, but the new incarnation has received no token. d starts two tasks at 4493, b one at 5690. - 9902 has the same course and passes on that code: d, outranking and suspended, starts by its list of 3102 at 7300, after b's runs have lapsed at 6528. It fails neither before nor after this commit.

Cause: a holder that is idle at an endpoint acts on a list of an earlier incarnation. Fencing and the list hold for one incarnation; nothing was in flight that would show the next one, and a poll that waited through the restart counted as a call to it. A start cannot name the incarnation.

Fix: where an endpoint has told its start or has restarted, a poll of 2 s is in flight from 50 ms after the last run, without a lease. A restart answers it or breaks it off; the list is read under the own token before anything starts, and the lower token is refused. The answer of a poll that waited is not the first list of a new incarnation. A start replaces the waiting poll by the usual one, so no first start takes longer. Endpoints that tell no start are called as before.

--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/EndpointLink.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/EndpointLink.java
@@ -63,6 +63,11 @@
         return incarnationNumber;
     }
 
+    /** Returns whether the endpoint reports when it started, or has restarted: it may restart under its id. */
+    boolean mayRestartUnderItsId() {
+        return incarnationNumber > 0 || incarnation().hasStart();
+    }
+
     /** Replaces the entry by a newer one of the same incarnation. */
     void update(EndpointEntry later) {
         entry = later.incarnation().hasStart() ? later : later.withIncarnation(entry.incarnation());
@@ -176,6 +181,16 @@
         poll(new PollOrder(token, acknowledgedEnd, until, settings.pollWait()), fresh, reply);
     }
 
+    /**
+     * Reads the lists without extending the lease; the endpoint answers at the next end of a run or after the wait.
+     *
+     * @param acknowledgedEnd the highest number of an end that need not be listed again
+     * @param waitMillis the maximum time for which the endpoint delays the answer, in milliseconds
+     */
+    void watch(long acknowledgedEnd, long waitMillis, Consumer<PollAnswer> reply) {
+        poll(new PollOrder(token, acknowledgedEnd, OptionalLong.empty(), waitMillis), false, reply);
+    }
+
     private void poll(PollOrder order, boolean fresh, Consumer<PollAnswer> reply) {
         orders.poll(entry, order, delivery(fresh), reply);
     }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RunListPoller.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RunListPoller.java
@@ -1,5 +1,6 @@
 package org.tarragonarch.core.placing;
 
+import java.util.Optional;
 import org.tarragonarch.model.id.EndpointIncarnation;
 import org.tarragonarch.model.task.OrderResult;
 import org.tarragonarch.model.task.PollAnswer;
@@ -10,7 +11,10 @@
  * Polls one endpoint for the lists of its running and ended runs.
  *
  * <p>While the endpoint has a run of this holder, one call is always in flight: it renews the lease, and is answered at
- * the next end of a run. An idle endpoint is polled only to acknowledge its last ends.
+ * the next end of a run. An idle endpoint is polled only to acknowledge its last ends, unless it may restart under its
+ * id: then a call is in flight too, which the endpoint answers late and a restart breaks off. Guards against a start by
+ * the lists of an earlier incarnation: the current one has forgotten this holder's token, and may run the tasks of
+ * another holder.
  */
 final class RunListPoller {
     /** The delay after two consecutive calls without an answer; after one, the next call is sent immediately. */
@@ -21,14 +25,22 @@
     /** Ends are acknowledged with the next call; an endpoint that becomes idle gets one more call after this time. */
     private static final long IDLE_ACKNOWLEDGEMENT_MILLIS = 500;
 
+    /** An endpoint is watched for a restart when it has been idle for this time: longer than most gaps between runs. */
+    private static final long WATCH_AFTER_IDLE_MILLIS = 50;
+
+    /** The maximum time for which an idle endpoint delays the answer to a poll that watches for its restart. */
+    private static final long WATCH_WAIT_MILLIS = 2_000;
+
     private final EndpointLink link;
     private final Host host;
     private long listedEnd;
     private long acknowledgedEnd;
     private boolean read;
     private boolean silent;
-    private boolean callInFlight;
+    private int sentPolls;
+    private Optional<PollCall> awaited = Optional.empty();
     private boolean idleAcknowledgementScheduled;
+    private boolean watchScheduled;
     private long retryMillis;
 
     RunListPoller(EndpointLink link, Host host) {
@@ -57,13 +69,13 @@
         acknowledgedEnd = 0;
         read = false;
         silent = false;
-        callInFlight = false;
+        awaited = Optional.empty();
         retryMillis = 0;
     }
 
-    /** Polls the endpoint unless a poll is in flight. */
+    /** Polls the endpoint unless a poll is in flight; one that only watches for a restart does not count. */
     void pollIfIdle() {
-        if (!host.isClosed() && !callInFlight) {
+        if (!host.isClosed() && awaited.filter(call -> !call.watches()).isEmpty()) {
             poll();
         }
     }
@@ -82,7 +94,7 @@
      * @param then called after the lists were processed, or when there is no usable answer
      */
     void readOnNewConnection(Runnable then) {
-        Call call = new Call(link.nowMillis(), link.incarnationNumber(), listedEnd);
+        PollCall call = newCall(PollCall.Kind.LIST);
         link.list(listedEnd, true, answer -> {
             if (host.isClosed()) {
                 return;
@@ -96,21 +108,44 @@
     }
 
     private void poll() {
-        Call call = new Call(link.nowMillis(), link.incarnationNumber(), listedEnd);
-        callInFlight = true;
         if (read && !silent && host.needsPolling()) {
+            PollCall call = await(PollCall.Kind.RENEWAL);
             link.renew(listedEnd, false, host.runsEndMillis(), answer -> answered(answer, call));
         } else {
+            PollCall call = await(PollCall.Kind.LIST);
             link.list(listedEnd, silent || !read, answer -> answered(answer, call));
         }
     }
 
-    /** Processes an answer to a poll; an answer to a call that was sent to an earlier incarnation is dropped. */
-    private void answered(PollAnswer answer, Call call) {
-        if (host.isClosed() || !isCurrent(call)) {
+    /** Watches an idle endpoint for its restart. */
+    private void watchIfIdle() {
+        watchScheduled = false;
+        if (!host.isClosed() && awaited.isEmpty() && read && !silent && !host.needsPolling()) {
+            PollCall call = await(PollCall.Kind.WATCH);
+            link.watch(listedEnd, WATCH_WAIT_MILLIS, answer -> answered(answer, call));
+        }
+    }
+
+    private PollCall await(PollCall.Kind kind) {
+        PollCall call = newCall(kind);
+        awaited = Optional.of(call);
+        return call;
+    }
+
+    private PollCall newCall(PollCall.Kind kind) {
+        sentPolls++;
+        return new PollCall(sentPolls, kind, link.nowMillis(), link.incarnationNumber(), listedEnd);
+    }
+
+    /**
+     * Processes an answer to a poll; an answer to a call that was sent to an earlier incarnation, or that another call
+     * has replaced, is dropped.
+     */
+    private void answered(PollAnswer answer, PollCall call) {
+        if (host.isClosed() || !awaited.equals(Optional.of(call))) {
             return;
         }
-        callInFlight = false;
+        awaited = Optional.empty();
         switch (answer.result()) {
             case DONE -> {
                 if (isStale(answer)) {
@@ -126,7 +161,7 @@
         }
     }
 
-    private boolean isCurrent(Call call) {
+    private boolean isCurrent(PollCall call) {
         return call.incarnationNumber() == link.incarnationNumber();
     }
 
@@ -135,8 +170,12 @@
         return link.incarnation().isLaterThan(link.incarnation().withStart(answer.startedMillis()));
     }
 
-    private void takeLists(PollAnswer answer, Call call) {
+    private void takeLists(PollAnswer answer, PollCall call) {
         followStart(answer, call);
+        if (!isCurrent(call) && call.waits()) {
+            // The call, and its token, may have reached the earlier incarnation only.
+            return;
+        }
         if (isCurrent(call)) {
             acknowledgedEnd = Math.max(acknowledgedEnd, call.acknowledgedEnd());
         }
@@ -160,7 +199,7 @@
      * unknown so far and the clock proves nothing, the incarnation is kept; its ends are read again from number 1 in
      * case another one answers.
      */
-    private void followStart(PollAnswer answer, Call call) {
+    private void followStart(PollAnswer answer, PollCall call) {
         EndpointIncarnation answering = link.incarnation().withStart(answer.startedMillis());
         if (answering.isLaterThan(link.incarnation())
                 || link.isOfLaterIncarnation(answer.clockMillis(), call.sentAtMillis())) {
@@ -184,15 +223,26 @@
     }
 
     private void pollAgain() {
-        if (host.needsPolling()) {
+        if (!read || host.needsPolling()) {
             // Processing the lists may already have sent the next call.
             pollIfIdle();
-        } else if (!host.hasRecoveredRuns() && acknowledgedEnd < listedEnd && !idleAcknowledgementScheduled) {
+        } else if (host.hasRecoveredRuns()) {
+            return;
+        } else if (link.mayRestartUnderItsId()) {
+            scheduleWatch();
+        } else if (acknowledgedEnd < listedEnd && !idleAcknowledgementScheduled) {
             idleAcknowledgementScheduled = true;
             link.timers().schedule(IDLE_ACKNOWLEDGEMENT_MILLIS, this::acknowledgeIfIdle);
         }
     }
 
+    private void scheduleWatch() {
+        if (!watchScheduled) {
+            watchScheduled = true;
+            link.timers().schedule(WATCH_AFTER_IDLE_MILLIS, this::watchIfIdle);
+        }
+    }
+
     private void acknowledgeIfIdle() {
         idleAcknowledgementScheduled = false;
         if (acknowledgedEnd < listedEnd) {
@@ -207,15 +257,6 @@
         retryMillis = Math.max(FIRST_RETRY_MILLIS, Math.min(LONGEST_RETRY_MILLIS, retryMillis * 2));
     }
 
-    /**
-     * A call to the endpoint.
-     *
-     * @param sentAtMillis when the call was sent, on the steady clock
-     * @param incarnationNumber the number of the incarnation that the call was sent to
-     * @param acknowledgedEnd the highest number of an end that need not be listed again
-     */
-    private record Call(long sentAtMillis, int incarnationNumber, long acknowledgedEnd) {}
-
     /** The endpoint that is polled. */
     interface Host extends EndpointHost {
         /** Returns whether the endpoint has a run of this holder, or may still carry out an order to start one. */
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/FaultSeriesRegressionTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/FaultSeriesRegressionTest.java
@@ -32,7 +32,9 @@
             {FaultSet.ALL_CLOCK_STOPS, 9_902},
             {FaultSet.ALL_CLOCK_GOES_ON, 3_848},
             {FaultSet.ALL_CLOCK_GOES_ON, 9_902},
-            {FaultSet.NO_ENDPOINT_WIDE_CLOCK_STOPS, 630}
+            {FaultSet.NO_ENDPOINT_WIDE_CLOCK_STOPS, 630},
+            {FaultSet.RESTARTS_CLOCK_STOPS, 13},
+            {FaultSet.RESTARTS_CLOCK_STOPS, 599}
         };
     }
 
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/FaultSet.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/FaultSet.java
@@ -26,6 +26,8 @@
             SteadyClock.STOPS, Kinds.without(Kinds.ALL, ImmutableSet.of(SeriesFault.ENDPOINT_WIDE))),
     /** All of the above, and endpoints that restart. */
     ALL_CLOCK_GOES_ON(SteadyClock.GOES_ON, Kinds.ALL),
+    /** Nodes apart, suspensions, clients and restarts: an endpoint with two holders forgets the higher token. */
+    RESTARTS_CLOCK_STOPS(SteadyClock.STOPS, Kinds.RESTARTS),
     /** Lost packets in one direction, and orders that arrive late, too. */
     LATE_CLOCK_STOPS(SteadyClock.STOPS, Kinds.LATE),
     /** Lost packets in one direction, and orders that arrive late, too. */
@@ -84,6 +86,11 @@
                 SeriesFault.ENDPOINT_WIDE);
         static final ImmutableSet<SeriesFault> CUTS_AND_CLIENTS = with(CUTS, SeriesFault.CLIENT_COMES_AGAIN);
         static final ImmutableSet<SeriesFault> ALL = with(CUTS_AND_CLIENTS, SeriesFault.ENDPOINT_RESTARTS);
+        static final ImmutableSet<SeriesFault> RESTARTS = ImmutableSet.of(
+                SeriesFault.NODES_APART,
+                SeriesFault.SUSPENDED,
+                SeriesFault.ENDPOINT_RESTARTS,
+                SeriesFault.CLIENT_COMES_AGAIN);
         static final ImmutableSet<SeriesFault> LATE =
                 with(CUTS_AND_CLIENTS, SeriesFault.ONE_WAY, SeriesFault.ORDERS_HELD);
         static final ImmutableSet<SeriesFault> NODES =
