Search of jobs under crashing endpoints and changing holders

Cause: no search held what clients are told against the ends that endpoints really had. The existing series check that no task runs twice and no job stays unanswered; a job answered as failed without a failed run passed them.

Change: CrashSeries plays eight jobs of sound, failing and crashing tasks on four nodes and eight endpoints of one pool. Endpoints crash under their ids or others, at random, several at once, because of a task, or behind a cut; lists are late, answers are lost, starts become known; nodes are killed, stopped and cut off; clients submit again after 1.3 s with other attempts. CrashChecks holds answers and starts against RunHistory, which observes the fake endpoints. Calls that wait at an endpoint that crashes are lost, and its entry is removed no earlier than three heartbeats after the crash, so that a holder learns of neither sooner than it could.

--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/ClusterLayout.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/ClusterLayout.java
@@ -21,6 +21,24 @@
             fixture.addNode("d", HOBART, 800);
         }
     },
+    /** Two nodes and four endpoints in each of two failure domains, which form one pool. */
+    POOLED(ImmutableSet.of(HOBART, LAUNCESTON), 10) {
+        @Override
+        FakeCluster cluster() {
+            return FakeCluster.pooled();
+        }
+
+        @Override
+        void build(FaultFixture fixture) {
+            for (int number = 1; number <= 8; number++) {
+                fixture.addEndpoint("w-" + number, number <= 4 ? HOBART : LAUNCESTON);
+            }
+            fixture.addNode("a", HOBART, 750);
+            fixture.addNode("b", HOBART, 900);
+            fixture.addNode("c", LAUNCESTON, 850);
+            fixture.addNode("d", LAUNCESTON, 800);
+        }
+    },
     /** Two nodes and two endpoints in each of three failure domains. */
     THREE_DOMAINS(ImmutableSet.of(HOBART, LAUNCESTON, DEVONPORT), 12) {
         @Override
@@ -53,6 +71,11 @@
         return domains;
     }
 
+    /** Returns the cluster without endpoints and nodes. */
+    FakeCluster cluster() {
+        return new FakeCluster(domains);
+    }
+
     /** Adds all endpoints and nodes. */
     abstract void build(FaultFixture fixture);
 }
--- /dev/null
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/CrashChecks.java
@@ -0,0 +1,120 @@
+package org.tarragonarch.core.cluster;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import java.util.function.ToLongFunction;
+import org.tarragonarch.model.task.EndKind;
+import org.tarragonarch.model.task.FencingToken;
+import org.tarragonarch.model.task.JobOutcome;
+import org.tarragonarch.model.task.TaskName;
+
+/** Holds what a client was told of its job, and the starts of its tasks, against how the runs really went. */
+final class CrashChecks {
+    /** The number of crashes after which starts of a task are counted. */
+    private static final int CRASHES = 3;
+
+    /** The number of starts after {@value #CRASHES} crashes that must not be reached. */
+    private static final int STARTS_AFTER_CRASHES = 3;
+
+    private final CrashFixture fixture;
+    private final RunHistory history;
+    private final CrashClient client;
+    private final ImmutableList.Builder<CrashViolation> found = ImmutableList.builder();
+
+    CrashChecks(CrashFixture fixture, CrashClient client) {
+        this.fixture = fixture;
+        this.history = fixture.history;
+        this.client = client;
+    }
+
+    /** Returns what was wrong with the job. */
+    ImmutableList<CrashViolation> violations() {
+        client.lateAnswers().forEach(late -> report(CrashRule.ANSWERS, "not answered in time: " + late));
+        client.submissions().stream()
+                .filter(submission -> submission.wasAnswered(JobOutcome.FAILED))
+                .forEach(this::checkFailed);
+        if (!client.isSatisfied()) {
+            report(CrashRule.ANSWERS, "never answered");
+        }
+        for (TaskName task : history.startedTasks(client.id())) {
+            checkAttempts(task);
+            checkCrashes(task);
+        }
+        return found.build();
+    }
+
+    private void report(CrashRule rule, String what) {
+        found.add(new CrashViolation(rule, "job " + client.id() + ": " + what));
+    }
+
+    private void checkFailed(CrashClient.Submission submission) {
+        long most = history.mostFailedRuns(client.id(), submission.repliedMillis());
+        int fewest = client.fewestAttempts(submission.repliedMillis());
+        if (most < fewest) {
+            report(CrashRule.ANSWERS, "answered FAILED after " + most + " failed runs of a task, attempts " + fewest);
+        }
+    }
+
+    /** Checks the starts of a task against the failed runs whose ends were acknowledged since the job was offered. */
+    private void checkAttempts(TaskName task) {
+        ImmutableList<RunExecution> runs = history.runsOf(task);
+        for (RunExecution start : runs) {
+            long offered = fixture.lastOfferMillis(client.id(), start.startedMillis());
+            ImmutableList<RunExecution> known = runs.stream()
+                    .filter(run -> run.startedMillis() >= offered)
+                    .filter(run -> run.failedAndAcknowledged(start.startedMillis()))
+                    .filter(run -> run.isAcknowledgedBy(start.token()))
+                    .collect(ImmutableList.toImmutableList());
+            checkAttempts(CrashRule.ATTEMPTS_READ_LATE, start, known.size());
+            checkAttempts(
+                    CrashRule.ATTEMPTS,
+                    start,
+                    known.stream().filter(run -> isReadBeforeNext(run, runs)).count());
+        }
+    }
+
+    private static boolean isReadBeforeNext(RunExecution run, ImmutableList<RunExecution> runs) {
+        int next = runs.indexOf(run) + 1;
+        return run.isAcknowledgedBy(run.token())
+                && (next == runs.size()
+                        || run.failedAndAcknowledged(runs.get(next).startedMillis()));
+    }
+
+    private void checkAttempts(CrashRule rule, RunExecution start, long failed) {
+        int attempts = client.mostAttempts(start.startedMillis());
+        if (failed >= attempts) {
+            report(rule, "started " + start.run() + " after " + failed + " failed runs, attempts " + attempts);
+        }
+    }
+
+    private void checkCrashes(TaskName task) {
+        if (fixture.conduct(task) != TaskConduct.CRASHES_ENDPOINTS) {
+            return;
+        }
+        ImmutableSet<FencingToken> holders =
+                history.runsOf(task).stream().map(RunExecution::token).collect(ImmutableSet.toImmutableSet());
+        checkStarts(
+                CrashRule.CRASHES_UNDER_ALL_HOLDERS,
+                task,
+                history.runsOf(task),
+                "by all of " + holders.size() + " holders");
+        for (FencingToken holder : holders) {
+            ImmutableList<RunExecution> runs = history.runsOf(task).stream()
+                    .filter(run -> run.token().equals(holder))
+                    .collect(ImmutableList.toImmutableList());
+            checkStarts(CrashRule.CRASHES, task, runs, "by " + holder);
+        }
+    }
+
+    private void checkStarts(CrashRule rule, TaskName task, ImmutableList<RunExecution> runs, String by) {
+        ToLongFunction<RunExecution> crashesBefore = start -> runs.stream()
+                .filter(run -> run.endedAs(EndKind.CRASHED, start.startedMillis()))
+                .count();
+        long starts = runs.stream()
+                .filter(start -> crashesBefore.applyAsLong(start) >= CRASHES)
+                .count();
+        if (starts >= STARTS_AFTER_CRASHES) {
+            report(rule, "started " + task + " " + starts + " times after " + CRASHES + " crashes " + by);
+        }
+    }
+}
--- /dev/null
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/CrashRule.java
@@ -0,0 +1,17 @@
+package org.tarragonarch.core.cluster;
+
+/** What must hold in a series of crashes. */
+enum CrashRule {
+    /** A job is answered in time, and as failed only after as many failed runs of a task as its queue allows. */
+    ANSWERS,
+    /** No task runs twice at the same time, and no endpoint is used beyond its capacity. */
+    RUNS,
+    /** No holder starts a task of which it has read as many failed runs as the queue allows, each before the next. */
+    ATTEMPTS,
+    /** The same with the failed runs that it has read late, or that an earlier holder has started. */
+    ATTEMPTS_READ_LATE,
+    /** No holder starts a task that crashes its endpoints three more times after three crashes. */
+    CRASHES,
+    /** All holders together start such a task less than three more times after three crashes. */
+    CRASHES_UNDER_ALL_HOLDERS
+}
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/FakeCluster.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/FakeCluster.java
@@ -41,7 +41,7 @@
     /** The time in which a job must be answered, in milliseconds. */
     static final long DEADLINE_MILLIS = 8_000;
 
-    private static final long TASK_MILLI_CORES = 7_000;
+    static final long TASK_MILLI_CORES = 7_000;
     private static final Resources CAPACITY = new Resources(16_000, 32_768, 0);
     private static final Region REGION = Region.of("south");
     private static final QueueDefinition QUEUE = new QueueDefinition("checks", "h", "/p/", "board", 0, 3, 1.6, 60);
@@ -83,13 +83,36 @@
     }
 
     FakeEndpoint addEndpoint(String name, FailureDomain domain) {
+        FakeEndpoint endpoint = addUnlistedEndpoint(name);
+        list(name, QUEUE.service(), domain);
+        return endpoint;
+    }
+
+    /** Adds an endpoint that is not listed yet. */
+    FakeEndpoint addUnlistedEndpoint(String name) {
         FakeEndpoint endpoint = new FakeEndpoint(timers, ledger, CAPACITY.milliCores());
         endpoint.setRunMillis(RUN_MILLIS);
         orders.add(EndpointId.of(name), endpoint);
-        list(name, QUEUE.service(), domain);
         return endpoint;
     }
 
+    /** Returns the listed endpoints that serve the queue. */
+    ImmutableList<EndpointEntry> listedEndpoints() {
+        return listed.all().stream()
+                .filter(entry -> entry.service().equals(QUEUE.service()))
+                .collect(ImmutableList.toImmutableList());
+    }
+
+    /** Lists an entry, which replaces an earlier one with its id. */
+    void list(EndpointEntry entry) {
+        listed.recordListed(entry, timers.nowMillis());
+    }
+
+    /** Removes an entry from the list. */
+    void unlist(EndpointId id) {
+        listed.recordUnlisted(id, timers.nowMillis());
+    }
+
     private void list(String name, String service, FailureDomain domain) {
         Address address = new Address("10.0.1.1", 80);
         listed.recordListed(
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/FakeConnections.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/FakeConnections.java
@@ -10,6 +10,7 @@
 import java.util.function.Consumer;
 import org.tarragonarch.core.placing.VirtualTimers;
 import org.tarragonarch.model.id.NodeId;
+import org.tarragonarch.model.task.Offer;
 
 /**
  * Simulated connections between the nodes of a test that behave like the real transport: each node opens one to each
@@ -43,6 +44,8 @@
     private final Map<Direction, Long> lostUntilMillis = new HashMap<>();
     private final Set<NodeId> stopped = new HashSet<>();
     private Consumer<String> observer = message -> {};
+    /** Receives the offers that nodes send to each other. */
+    Consumer<Offer> offerObserver = offer -> {};
 
     FakeConnections(VirtualTimers timers) {
         this.timers = timers;
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/FakeNode.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/FakeNode.java
@@ -181,6 +181,7 @@
     }
 
     private FakeConnections.Frame offered(NodeId to, Offer offer) {
+        connections.offerObserver.accept(offer);
         connections.observe(
                 id, to, "offer " + offer.number() + " of " + offer.job().id() + " " + offer.terms());
         return new FakeConnections.Frame(
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/FaultFixture.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/FaultFixture.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.function.Consumer;
 import org.tarragonarch.core.placing.FakeEndpoint;
 import org.tarragonarch.core.placing.VirtualTimers;
 import org.tarragonarch.model.id.EndpointId;
@@ -25,6 +26,7 @@
     private final List<FaultNode> nodes = new ArrayList<>();
     private final Map<EndpointId, FakeEndpoint> endpoints = new LinkedHashMap<>();
     private final List<SeriesClient> clients = new ArrayList<>();
+    private final List<Consumer<FaultNode>> killObservers = new ArrayList<>();
     private final List<String> events = new ArrayList<>();
     private long configurationVersion = 1;
 
@@ -35,7 +37,7 @@
      * @param seed decides what is drawn
      */
     FaultFixture(ClusterLayout layout, SteadyClock suspendedClock, long seed) {
-        this.cluster = new FakeCluster(layout.domains());
+        this.cluster = layout.cluster();
         this.suspendedClock = suspendedClock;
         this.random = new Random(seed);
         this.resumeOrder = new Random(seed);
@@ -50,6 +52,19 @@
         endpoints.put(EndpointId.of(name), cluster.addEndpoint(name, domain));
     }
 
+    /** Adds an endpoint that is not listed yet. */
+    FakeEndpoint addUnlistedEndpoint(String name) {
+        FakeEndpoint endpoint = cluster.addUnlistedEndpoint(name);
+        endpoints.put(EndpointId.of(name), endpoint);
+        return endpoint;
+    }
+
+    /** Tells all nodes that the list of endpoints has changed. */
+    void endpointsChanged() {
+        nodes.forEach(
+                node -> node.deliver(endpoints, () -> node.node().coordinator().endpointsChanged()));
+    }
+
     void addNode(String name, FailureDomain domain, int milliCores) {
         nodes.add(new FaultNode(cluster, name, nodes.size() + 1, domain, milliCores, resumeOrder, this::log));
     }
@@ -71,6 +86,12 @@
     /** Adds a client that is told when the node that it called is killed. */
     void addClient(SeriesClient client) {
         clients.add(client);
+        observeKills(client::nodeKilled);
+    }
+
+    /** Adds an observer of the nodes that are killed. */
+    void observeKills(Consumer<FaultNode> observer) {
+        killObservers.add(observer);
     }
 
     List<SeriesClient> clients() {
@@ -137,7 +158,7 @@
     /** Kills a node, whose clients notice that. */
     void kill(FaultNode node) {
         node.kill();
-        clients.forEach(client -> client.nodeKilled(node));
+        killObservers.forEach(observer -> observer.accept(node));
     }
 
     /** Starts a new incarnation of a killed node later. */
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/FailedAttemptsTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/FailedAttemptsTest.java
@@ -27,28 +27,19 @@
         return fixture;
     }
 
-    private static int endpointThatRuns(PlacerFixture fixture) {
-        for (int number = 1; number <= fixture.entries.size(); number++) {
-            if (fixture.endpoint(number).running() > 0) {
-                return number;
-            }
-        }
-        throw new AssertionError("no endpoint runs anything");
-    }
-
     private static void crash(PlacerFixture fixture) {
-        fixture.endpoint(endpointThatRuns(fixture)).crash();
+        fixture.endpoint(fixture.endpointThatRuns()).crash();
         fixture.timers.advance(20);
     }
 
     private static void restart(PlacerFixture fixture) {
         fixture.timers.advance(200);
-        fixture.endpoint(endpointThatRuns(fixture)).restart();
+        fixture.endpoint(fixture.endpointThatRuns()).restart();
         fixture.timers.advance(200);
     }
 
     private static void crashInSilence(PlacerFixture fixture) {
-        int number = endpointThatRuns(fixture);
+        int number = fixture.endpointThatRuns();
         fixture.setFault(number, FakeOrders.Fault.LOST);
         fixture.endpoint(number).crash();
         fixture.timers.advance(LEASE_OVER_MILLIS);
@@ -57,7 +48,7 @@
     }
 
     private static void fail(PlacerFixture fixture) {
-        int number = endpointThatRuns(fixture);
+        int number = fixture.endpointThatRuns();
         fixture.endpoint(number).outcome = EndKind.FAILED;
         fixture.timers.advance(RUN_MILLIS + 20);
         fixture.endpoint(number).outcome = EndKind.DONE;
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/FakeEndpoint.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/FakeEndpoint.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
+import java.util.function.Function;
 import java.util.function.ToLongFunction;
 import org.tarragonarch.model.task.EndKind;
 import org.tarragonarch.model.task.FencingToken;
@@ -39,6 +40,7 @@
     private long lastEnd;
     private long leaseUntil;
     EndKind outcome = EndKind.DONE;
+    private Function<TaskRun, EndKind> outcomeOf = run -> outcome;
     long runMillis = 60;
     ToLongFunction<TaskRun> runMillisOf = run -> runMillis;
     boolean stalls;
@@ -68,6 +70,12 @@
         runMillis = millis;
     }
 
+    /** Sets the run time of each run that starts from now on, in milliseconds, and how it ends after that time. */
+    public void setRuns(ToLongFunction<TaskRun> millis, Function<TaskRun, EndKind> ends) {
+        runMillisOf = millis;
+        outcomeOf = ends;
+    }
+
     long clockMillis() {
         return timers.nowMillis() + clockOffset;
     }
@@ -83,15 +91,14 @@
     }
 
     /** Returns the runs in progress. */
-    ImmutableList<TaskRun> runs() {
+    public ImmutableList<TaskRun> runs() {
         return ImmutableList.copyOf(running.keySet());
     }
 
     /** Ends all runs; from now on an endpoint with another id answers. */
-    void crash() {
+    public void crash() {
         hasOtherId = true;
-        running.keySet().forEach(run -> ledger.ended(run.task(), this));
-        running.clear();
+        crashRuns();
         List<Runnable> polls = new ArrayList<>(waitingPolls);
         waitingPolls.clear();
         polls.forEach(Runnable::run);
@@ -102,12 +109,13 @@
         return timers.nowMillis() - restartedAtMillis <= DETECTION_MILLIS;
     }
 
-    long startedMillis() {
+    /** Returns the start time that is reported; 0 if none is. */
+    public long startedMillis() {
         return startedMillis;
     }
 
     /** Makes the endpoint report a start time in its lists from now on. */
-    void reportStart(long millis) {
+    public void reportStart(long millis) {
         startedMillis = millis;
     }
 
@@ -128,9 +136,8 @@
     }
 
     /** Restarts like {@link #restart}, but the start time that is reported, or not reported, stays the same. */
-    void restartWithSameStart() {
-        running.keySet().forEach(run -> ledger.ended(run.task(), this));
-        running.clear();
+    public void restartWithSameStart() {
+        crashRuns();
         ends.clear();
         overUpTo.clear();
         token = 0;
@@ -144,6 +151,14 @@
         polls.forEach(Runnable::run);
     }
 
+    private void crashRuns() {
+        running.keySet().forEach(run -> {
+            ledger.ended(run.task(), this);
+            ledger.runs().ended(run, EndKind.CRASHED, this);
+        });
+        running.clear();
+    }
+
     /** Runs a task after the given time unless the endpoint restarts before. */
     private void after(long millis, Runnable task) {
         int restartsNow = restarts;
@@ -171,10 +186,11 @@
             started++;
             startedAt.put(order.run(), timers.nowMillis());
             ledger.started(order.run().task(), this);
+            ledger.runs().started(order.run(), order.token(), this);
             ledger.checkCapacity(
                     running.values().stream().mapToLong(Long::longValue).sum(), Math.max(limit, capacity));
             if (!stalls) {
-                after(runMillisOf.applyAsLong(order.run()), () -> end(order.run(), outcome));
+                after(runMillisOf.applyAsLong(order.run()), () -> end(order.run(), outcomeOf.apply(order.run())));
             }
         }
         return answer(result);
@@ -200,6 +216,9 @@
             return;
         }
         token = order.token().value();
+        ends.stream()
+                .filter(end -> end.number() <= order.acknowledgedEnd())
+                .forEach(end -> ledger.runs().acknowledged(end.run(), order.token(), this));
         ends.removeIf(end -> end.number() <= order.acknowledgedEnd());
         order.leaseUntilMillis().ifPresent(this::extend);
         if (!ends.isEmpty() || order.waitMillis() == 0) {
@@ -251,6 +270,7 @@
             return;
         }
         ledger.ended(run.task(), this);
+        ledger.runs().ended(run, kind, this);
         overUpTo.merge(run.task(), run.run(), Math::max);
         lastEnd++;
         ends.add(new TaskEnd(lastEnd, run, kind));
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/FakeOrders.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/FakeOrders.java
@@ -40,6 +40,7 @@
     Supplier<Fault> pollFault = () -> Fault.NONE;
     Supplier<Fault> stopFault = () -> Fault.NONE;
     long listMillis = ONE_WAY_MILLIS;
+    private final Map<EndpointId, Long> listMillisAt = new HashMap<>();
     private final VirtualTimers timers;
     private final long milliCores;
 
@@ -63,6 +64,16 @@
         faults.put(id, fault);
     }
 
+    /** Sets the time that the lists of an endpoint are on their way from now on, in milliseconds. */
+    public void setListMillis(EndpointId id, long millis) {
+        listMillisAt.put(id, millis);
+    }
+
+    /** Lets the lists of an endpoint arrive without delay from now on. */
+    public void clearListMillis(EndpointId id) {
+        listMillisAt.remove(id);
+    }
+
     @Override
     public void poll(EndpointEntry entry, PollOrder order, Delivery delivery, Consumer<PollAnswer> reply) {
         Once<PollAnswer> once = new Once<>(reply);
@@ -74,7 +85,7 @@
                     ONE_WAY_MILLIS,
                     () -> endpoints.get(entry.id()).poll(order, answer -> {
                         if (fault(entry) == Fault.NONE) {
-                            timers.schedule(listMillis, () -> once.give(answer));
+                            timers.schedule(listMillisAt.getOrDefault(entry.id(), listMillis), () -> once.give(answer));
                         }
                     }));
         }
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/Ledger.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/Ledger.java
@@ -12,6 +12,7 @@
     private final Map<TaskName, FakeEndpoint> running = new HashMap<>();
     private final List<String> violations = new ArrayList<>();
     private BiConsumer<String, FakeEndpoint> observer = (event, at) -> {};
+    private RunObserver runs = RunObserver.NONE;
     private int starts;
 
     /** Creates an empty ledger. */
@@ -22,6 +23,16 @@
         observer = events;
     }
 
+    /** Sets the observer of runs. */
+    public void setRunObserver(RunObserver observed) {
+        runs = observed;
+    }
+
+    /** Returns the observer of runs. */
+    RunObserver runs() {
+        return runs;
+    }
+
     void started(TaskName task, FakeEndpoint at) {
         starts++;
         observer.accept("started " + task, at);
