Rows of the series of crashes in which a rule is broken

(1) The end of a failed run that is read after its lease has expired counts as no attempt. (2) Nor do the failed ends that a next holder reads in its first lists, which counts only those that are done. (3) An endpoint that tells no start and restarts unnoticed numbers its ends from 1, and they are taken for read. (4) The next holder counts crashes from zero.

Change: a row for each in CrashSeriesRegressionTest, and for (1) and (2) a test each of one holder in FailedAttemptsTest. The rule on attempts is split by what the holder has read: at once, late, or of the runs of an earlier holder.

--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/CrashChecks.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/CrashChecks.java
@@ -16,6 +16,9 @@
     /** The number of starts after {@value #CRASHES} crashes that must not be reached. */
     private static final int STARTS_AFTER_CRASHES = 3;
 
+    /** A holder that reaches an endpoint acknowledges an end within this time, in milliseconds. */
+    private static final long READ_AT_ONCE_MILLIS = 100;
+
     private final CrashFixture fixture;
     private final RunHistory history;
     private final CrashClient client;
@@ -65,17 +68,23 @@
                     .filter(run -> run.failedAndAcknowledged(start.startedMillis()))
                     .filter(run -> run.isAcknowledgedBy(start.token()))
                     .collect(ImmutableList.toImmutableList());
-            checkAttempts(CrashRule.ATTEMPTS_READ_LATE, start, known.size());
+            long own = known.stream()
+                    .filter(run -> run.token().equals(start.token()))
+                    .count();
+            checkAttempts(CrashRule.ATTEMPTS_OF_ALL_HOLDERS, start, known.size());
+            checkAttempts(CrashRule.ATTEMPTS_READ_LATE, start, own);
             checkAttempts(
                     CrashRule.ATTEMPTS,
                     start,
-                    known.stream().filter(run -> isReadBeforeNext(run, runs)).count());
+                    known.stream().filter(run -> isReadInTime(run, runs)).count());
         }
     }
 
-    private static boolean isReadBeforeNext(RunExecution run, ImmutableList<RunExecution> runs) {
+    /** Returns whether the holder that started a run read its end at once, and before the task started again. */
+    private static boolean isReadInTime(RunExecution run, ImmutableList<RunExecution> runs) {
         int next = runs.indexOf(run) + 1;
         return run.isAcknowledgedBy(run.token())
+                && run.isAcknowledgedWithin(READ_AT_ONCE_MILLIS)
                 && (next == runs.size()
                         || run.failedAndAcknowledged(runs.get(next).startedMillis()));
     }
--- /dev/null
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/CrashSeriesRegressionTest.java
@@ -0,0 +1,89 @@
+package org.tarragonarch.core.cluster;
+
+import static org.testng.Assert.assertEquals;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Series of crashes in which a rule was broken. */
+public final class CrashSeriesRegressionTest {
+    private static void assertKept(CrashRule rule, boolean reportsStarts, long seed) {
+        ImmutableList<CrashViolation> violations =
+                new CrashSeries(reportsStarts, seed).violations(ImmutableSet.of(rule));
+        assertEquals(violations.toString(), "[]");
+    }
+
+    /** Returns series in which a run fails while no node reaches its endpoint. */
+    @DataProvider
+    public Object[] failuresReadLate() {
+        return new Object[] {49, 151, 237, 363};
+    }
+
+    /** Guards against a task that goes on after as many failed runs as its queue allows, some counted as lapsed. */
+    @Test(dataProvider = "failuresReadLate")
+    public void testAttempts_failedRunIsReadAfterItHasLapsed(long seed) {
+        assertKept(CrashRule.ATTEMPTS_READ_LATE, true, seed);
+    }
+
+    /** Returns series in which the next holder reads the ends of runs that the one before has started. */
+    @DataProvider
+    public Object[] failuresOfEarlierHolders() {
+        return new Object[] {239, 1_091, 1_491, 2_019};
+    }
+
+    /** Guards against a task that a next holder starts, although its endpoints list as many failed runs. */
+    @Test(dataProvider = "failuresOfEarlierHolders")
+    public void testAttempts_failedRunsAreListedToTheNextHolder(long seed) {
+        assertKept(CrashRule.ATTEMPTS_OF_ALL_HOLDERS, true, seed);
+    }
+
+    /** Returns series in which an endpoint restarts unnoticed and numbers its ends from 1 again. */
+    @DataProvider
+    public Object[] failuresAtUnnoticedIncarnations() {
+        return new Object[] {166, 208, 282};
+    }
+
+    /** Guards against failed runs that a holder takes for read, because the incarnation before has listed others. */
+    @Test(dataProvider = "failuresAtUnnoticedIncarnations")
+    public void testAttempts_endpointWithoutStartRestartsUnnoticed(long seed) {
+        assertKept(CrashRule.ATTEMPTS, false, seed);
+    }
+
+    /** Returns series in which endpoints without start times crash again before they have run for long. */
+    @DataProvider
+    public Object[] crashesOfUnnoticedIncarnations() {
+        return new Object[] {315, 2_017, 3_007};
+    }
+
+    /** Guards against crashes that a holder does not count, because it does not notice that the endpoint restarts. */
+    @Test(dataProvider = "crashesOfUnnoticedIncarnations")
+    public void testCrashes_endpointWithoutStartRestartsUnnoticed(long seed) {
+        assertKept(CrashRule.CRASHES, false, seed);
+    }
+
+    /** Returns series in which a job that crashes endpoints is submitted again after its holder is lost. */
+    @DataProvider
+    public Object[] crashesUnderSeveralHolders() {
+        return new Object[] {12, 44, 2, 7};
+    }
+
+    /** Guards against a task that crashes as many endpoints again under each holder. */
+    @Test(dataProvider = "crashesUnderSeveralHolders")
+    public void testCrashes_holdersChange(long seed) {
+        assertKept(CrashRule.CRASHES_UNDER_ALL_HOLDERS, true, seed);
+    }
+
+    /** Returns series in which two holders start runs at an endpoint that has restarted. */
+    @DataProvider
+    public Object[][] forgottenTokens() {
+        return new Object[][] {{true, 2_429}, {true, 2_682}, {false, 287}};
+    }
+
+    /** Guards against a holder that starts runs by an old list at an endpoint that obeys a lower token since. */
+    @Test(dataProvider = "forgottenTokens")
+    public void testRuns_endpointHasForgottenItsToken(boolean reportsStarts, long seed) {
+        assertKept(CrashRule.RUNS, reportsStarts, seed);
+    }
+}
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/RunExecution.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/RunExecution.java
@@ -64,6 +64,10 @@
         return endedAs(EndKind.FAILED, untilMillis) && acknowledgedMillis <= untilMillis;
     }
 
+    boolean isAcknowledgedWithin(long millis) {
+        return acknowledgedMillis - endedMillis <= millis;
+    }
+
     boolean isAcknowledgedBy(FencingToken holder) {
         return acknowledgedBy.filter(holder::equals).isPresent();
     }
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/FailedAttemptsTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/FailedAttemptsTest.java
@@ -121,4 +121,41 @@
         assertEquals(fixture.verdicts, FAILED);
         assertEquals(fixture.ledger.starts(), attempts + 1);
     }
+
+    /** Guards against a failed run that counts as no attempt, because its end is read after its lease has expired. */
+    @Test
+    public void testFailure_endIsReadAfterTheRunHasLapsed() {
+        PlacerFixture fixture = withTask(2);
+        fixture.timers.advance(RUN_MILLIS - 500);
+        int silent = fixture.endpointThatRuns();
+        fixture.endpoint(silent).outcome = EndKind.FAILED;
+        fixture.setFault(silent, FakeOrders.Fault.LOST);
+        fixture.timers.advance(LEASE_OVER_MILLIS);
+        fixture.setFault(silent, FakeOrders.Fault.NONE);
+        fixture.timers.advance(700);
+        fail(fixture);
+        assertEquals(fixture.verdicts, FAILED);
+        assertEquals(fixture.ledger.starts(), 2);
+    }
+
+    /** Guards against a next holder that starts a task, although its lists show as many failed runs. */
+    @Test
+    public void testFailure_endsAreListedToTheNextHolder() {
+        PlacerFixture fixture = PlacerFixture.running(8, RUN_MILLIS);
+        fixture.orders.endpoints.values().forEach(endpoint -> endpoint.outcome = EndKind.FAILED);
+        Placer first = fixture.openedPlacer(1);
+        first.offer(PlacerFixture.patientOffer(1, 1, RUN_MILLIS, 2));
+        fixture.timers.advance(20);
+        int unacknowledged = fixture.endpointThatRuns();
+        fixture.timers.advance(RUN_MILLIS);
+        fixture.setFault(unacknowledged, FakeOrders.Fault.LOST);
+        fixture.timers.advance(RUN_MILLIS - 40);
+        first.close();
+        fixture.timers.advance(40);
+        fixture.setFault(unacknowledged, FakeOrders.Fault.NONE);
+        assertEquals(fixture.ledger.starts(), 2);
+        fixture.openedPlacer(2).offer(PlacerFixture.patientOffer(1, 1, RUN_MILLIS, 2));
+        fixture.timers.advance(20);
+        assertEquals(fixture.ledger.starts(), 2);
+    }
 }
