Search for sound jobs that are given up, and rows on the bound of three

Cause: the search did not hold anything against jobs that are given up for good. In series with start times 70 of 6,009 sound jobs ended so although fewer than two endpoints had crashed under any of their tasks: the holder counts a start that is refused by another id as a crash under the task. And with a bound of three crashes the starts of a task after three crashes reach three under one holder, since crashes in silence are known late.

Change: rule SOUND_JOBS, rows for both, FailedAttemptsTest#testStart_refusedByAnotherEndpointIsNoCrash, which fails. Clients submit nine times, so that the last submissions come after the faults; this shifts what later submissions of a seed do, and rows are added for the present form beside the earlier ones.

Conclusion: a start that was refused should not count as a crash; the bound of three leaves no room for silent crashes.

--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/CrashChecks.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/CrashChecks.java
@@ -2,6 +2,7 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.Iterables;
 import java.util.function.ToLongFunction;
 import org.tarragonarch.model.task.EndKind;
 import org.tarragonarch.model.task.FencingToken;
@@ -19,12 +20,25 @@
     /** A holder that reaches an endpoint acknowledges an end within this time, in milliseconds. */
     private static final long READ_AT_ONCE_MILLIS = 100;
 
+    /** The number of crashes under a task from which on it may be given up as their cause. */
+    private static final int SUSPECTED_AFTER_CRASHES = 2;
+
+    /** The time until the last fault is over and its consequences are known, in milliseconds. */
+    private static final long CALM_AFTER_MILLIS = 6_000;
+
     private final CrashFixture fixture;
     private final RunHistory history;
     private final CrashClient client;
+    private final long faultsEndMillis;
     private final ImmutableList.Builder<CrashViolation> found = ImmutableList.builder();
 
-    CrashChecks(CrashFixture fixture, CrashClient client) {
+    /**
+     * Creates the checks of one job.
+     *
+     * @param faultsEndMillis when the last fault began
+     */
+    CrashChecks(CrashFixture fixture, CrashClient client, long faultsEndMillis) {
+        this.faultsEndMillis = faultsEndMillis;
         this.fixture = fixture;
         this.history = fixture.history;
         this.client = client;
@@ -39,6 +53,7 @@
         if (!client.isSatisfied()) {
             report(CrashRule.ANSWERS, "never answered");
         }
+        checkSound();
         for (TaskName task : history.startedTasks(client.id())) {
             checkAttempts(task);
             checkCrashes(task);
@@ -46,6 +61,19 @@
         return found.build();
     }
 
+    private void checkSound() {
+        boolean isSound = fixture.conduct(TaskName.of(client.id(), 0, 0)) == TaskConduct.SOUND;
+        long crashes = history.startedTasks(client.id()).stream()
+                .mapToLong(task -> history.countEnded(task, EndKind.CRASHED, Long.MAX_VALUE - 1))
+                .max()
+                .orElse(0);
+        CrashClient.Submission last = Iterables.getLast(client.submissions());
+        boolean isCalm = last.sentMillis() >= faultsEndMillis + CALM_AFTER_MILLIS;
+        if (isSound && crashes < SUSPECTED_AFTER_CRASHES && isCalm && !last.wasAnswered(JobOutcome.DONE)) {
+            report(CrashRule.SOUND_JOBS, "not done after " + crashes + " crashes under a task: " + last);
+        }
+    }
+
     private void report(CrashRule rule, String what) {
         found.add(new CrashViolation(rule, "job " + client.id() + ": " + what));
     }
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/CrashClient.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/CrashClient.java
@@ -20,7 +20,7 @@
     /** The time after which a client submits its job again, in milliseconds. */
     private static final long PAUSE_MILLIS = 1_300;
 
-    private static final int MAX_SUBMISSIONS = 7;
+    private static final int MAX_SUBMISSIONS = 9;
     private static final int MAX_ATTEMPTS = 4;
     private static final long ESTIMATE_MILLIS = 400;
 
@@ -192,6 +192,10 @@
             return !left && outcome.filter(given -> given == as).isPresent();
         }
 
+        long sentMillis() {
+            return sentMillis;
+        }
+
         long repliedMillis() {
             return repliedMillis;
         }
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/CrashRule.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/CrashRule.java
@@ -15,5 +15,7 @@
     /** No holder starts a task that crashes its endpoints three more times after three crashes. */
     CRASHES,
     /** All holders together start such a task less than three more times after three crashes. */
-    CRASHES_UNDER_ALL_HOLDERS
+    CRASHES_UNDER_ALL_HOLDERS,
+    /** After the faults, a sound job under none of whose tasks two endpoints crashed is done. */
+    SOUND_JOBS
 }
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/CrashSeries.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/CrashSeries.java
@@ -15,13 +15,14 @@
     /** The time in which jobs are submitted and faults occur, in milliseconds. */
     private static final int FAULTS_MILLIS = 6_000;
 
-    /** The time after the faults, in milliseconds: a client submits its job seven times within it. */
-    private static final long AFTERMATH_MILLIS = 70_000;
+    /** The time after the faults, in milliseconds: a client submits its job as often as it does within it. */
+    private static final long AFTERMATH_MILLIS = 90_000;
 
     private static final long STEP_MILLIS = 1_000;
 
     private final CrashFixture fixture;
     private final List<CrashClient> clients = new ArrayList<>();
+    private final long faultsEndMillis;
 
     /**
      * Plays the faults of a seed.
@@ -50,6 +51,7 @@
                 clients.get(random.nextInt(JOBS)).leave();
             }
         }
+        faultsEndMillis = fixture.faults.timers().nowMillis();
         long until = fixture.faults.timers().nowMillis() + AFTERMATH_MILLIS;
         fixture.faults.timers().advance(FAULTS_MILLIS);
         while (fixture.faults.timers().nowMillis() < until && !clients.stream().allMatch(CrashClient::isSatisfied)) {
@@ -84,7 +86,7 @@
                 .violations()
                 .forEach(violation -> found.add(new CrashViolation(CrashRule.RUNS, violation)));
         for (CrashClient client : clients) {
-            found.addAll(new CrashChecks(fixture, client).violations());
+            found.addAll(new CrashChecks(fixture, client, faultsEndMillis).violations());
         }
         return found.build();
     }
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/CrashSeriesRegressionTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/CrashSeriesRegressionTest.java
@@ -18,7 +18,7 @@
     /** Returns series in which a run fails while no node reaches its endpoint. */
     @DataProvider
     public Object[] failuresReadLate() {
-        return new Object[] {49, 151, 237, 363};
+        return new Object[] {49, 151, 212, 237, 306, 363, 721};
     }
 
     /** Guards against a task that goes on after as many failed runs as its queue allows, some counted as lapsed. */
@@ -30,7 +30,7 @@
     /** Returns series in which the next holder reads the ends of runs that the one before has started. */
     @DataProvider
     public Object[] failuresOfEarlierHolders() {
-        return new Object[] {239, 1_091, 1_491, 2_019};
+        return new Object[] {81, 239, 299, 511, 1_091, 1_491, 2_019};
     }
 
     /** Guards against a task that a next holder starts, although its endpoints list as many failed runs. */
@@ -42,7 +42,7 @@
     /** Returns series in which an endpoint restarts unnoticed and numbers its ends from 1 again. */
     @DataProvider
     public Object[] failuresAtUnnoticedIncarnations() {
-        return new Object[] {166, 208, 282};
+        return new Object[] {166, 208, 282, 2_005};
     }
 
     /** Guards against failed runs that a holder takes for read, because the incarnation before has listed others. */
@@ -54,7 +54,7 @@
     /** Returns series in which endpoints without start times crash again before they have run for long. */
     @DataProvider
     public Object[] crashesOfUnnoticedIncarnations() {
-        return new Object[] {315, 2_017, 3_007};
+        return new Object[] {92, 130, 167, 315, 2_017, 3_007};
     }
 
     /** Guards against crashes that a holder does not count, because it does not notice that the endpoint restarts. */
@@ -75,6 +75,30 @@
         assertKept(CrashRule.CRASHES_UNDER_ALL_HOLDERS, true, seed);
     }
 
+    /** Returns series in which endpoints crash silently under a task, so that its holder counts them late. */
+    @DataProvider
+    public Object[] silentCrashes() {
+        return new Object[] {694, 1_965, 2_922};
+    }
+
+    /** Guards against a task that crashes more endpoints, because earlier crashes under it are not known yet. */
+    @Test(dataProvider = "silentCrashes")
+    public void testCrashes_endpointsAreSilent(long seed) {
+        assertKept(CrashRule.CRASHES, true, seed);
+    }
+
+    /** Returns series in which idle endpoints crash and are sent tasks before their holder knows of it. */
+    @DataProvider
+    public Object[][] refusedStarts() {
+        return new Object[][] {{true, 326}, {true, 937}, {true, 1_583}, {true, 2_750}, {false, 937}};
+    }
+
+    /** Guards against a sound job that is given up for good, because starts that were refused count as crashes. */
+    @Test(dataProvider = "refusedStarts")
+    public void testSoundJobs_startsAreRefusedByOtherEndpoints(boolean reportsStarts, long seed) {
+        assertKept(CrashRule.SOUND_JOBS, reportsStarts, seed);
+    }
+
     /** Returns series in which two holders start runs at an endpoint that has restarted. */
     @DataProvider
     public Object[][] forgottenTokens() {
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/FailedAttemptsTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/FailedAttemptsTest.java
@@ -158,4 +158,18 @@
         fixture.timers.advance(20);
         assertEquals(fixture.ledger.starts(), 2);
     }
+
+    /** Guards against a job that is abandoned because idle endpoints crashed before its task was sent to them. */
+    @Test
+    public void testStart_refusedByAnotherEndpointIsNoCrash() {
+        PlacerFixture fixture = PlacerFixture.running(5, RUN_MILLIS);
+        Placer placer = fixture.openedPlacer(1);
+        for (int number = 1; number <= 4; number++) {
+            fixture.endpoint(number).crash();
+        }
+        placer.offer(PlacerFixture.patientOffer(1, 1, RUN_MILLIS));
+        fixture.timers.advance(RUN_MILLIS + 100);
+        assertEquals(fixture.verdicts, ImmutableList.of("origin-1 1 DONE"));
+        assertEquals(fixture.ledger.starts(), 1);
+    }
 }
