--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacedTask.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacedTask.java
@@ -10,7 +10,7 @@
     /** Covers the run numbers that an earlier holder may have used since the offer was made. */
     private static final int SKIPPED_RUN_NUMBERS = 16;
 
-    private static final int MAX_CRASHES = 2;
+    private static final int MAX_CRASHES = 3;
 
     private static final int MAX_RESTARTS = 3;
 
@@ -141,7 +141,7 @@
 
     /** Returns why the task must not be started again; empty if it may. */
     Optional<AbandonGround> abandonGround() {
-        if (ends.failures() >= job.queue().attempts()) {
+        if (ends.failures() >= job.attempts()) {
             return Optional.of(AbandonGround.ATTEMPTS_USED);
         }
         if (ends.crashes() >= MAX_CRASHES) {
