--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/HeldEndpoint.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/HeldEndpoint.java
@@ -218,7 +218,7 @@
     }
 
     /** Connects the parts of this endpoint with each other. */
-    private final class Host implements RunListPoller.Host, RunOrders.Host {
+    private final class Host implements RunListHost, RunOrders.Host {
         @Override
         public boolean isClosed() {
             return closed;
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RecentEnds.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RecentEnds.java
@@ -7,7 +7,6 @@
 import com.google.common.cache.CacheBuilder;
 import java.time.Duration;
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
 import org.tarragonarch.model.task.TaskName;
 import org.tarragonarch.model.task.TaskRun;
 import org.tarragonarch.model.task.Timers;
@@ -39,7 +38,7 @@
                 .ticker(new Ticker() {
                     @Override
                     public long read() {
-                        return TimeUnit.MILLISECONDS.toNanos(timers.nowMillis());
+                        return Duration.ofMillis(timers.nowMillis()).toNanos();
                     }
                 })
                 .build();
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RunListPoller.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RunListPoller.java
@@ -4,7 +4,6 @@
 import org.tarragonarch.model.id.EndpointIncarnation;
 import org.tarragonarch.model.task.OrderResult;
 import org.tarragonarch.model.task.PollAnswer;
-import org.tarragonarch.model.task.RunProgress;
 import org.tarragonarch.model.task.TaskEnd;
 
 /**
@@ -32,7 +31,7 @@
     private static final long WATCH_WAIT_MILLIS = 2_000;
 
     private final EndpointLink link;
-    private final Host host;
+    private final RunListHost host;
     private long listedEnd;
     private long acknowledgedEnd;
     private boolean read;
@@ -44,7 +43,7 @@
     private boolean watchScheduled;
     private long retryMillis;
 
-    RunListPoller(EndpointLink link, Host host) {
+    RunListPoller(EndpointLink link, RunListHost host) {
         this.link = link;
         this.host = host;
     }
@@ -282,32 +281,4 @@
         link.timers().schedule(retryMillis, this::pollIfIdle);
         retryMillis = Math.max(FIRST_RETRY_MILLIS, Math.min(LONGEST_RETRY_MILLIS, retryMillis * 2));
     }
-
-    /** The endpoint that is polled. */
-    interface Host extends EndpointHost {
-        /** Returns whether the endpoint has a run of this holder, or may still carry out an order to start one. */
-        boolean needsPolling();
-
-        /** Returns whether the endpoint has a run of an earlier holder. */
-        boolean hasRecoveredRuns();
-
-        /** Called for each newly listed end of a run. */
-        void runEnded(TaskEnd end);
-
-        /**
-         * Called when the lists were read, after {@link #runEnded} for each new end.
-         *
-         * @param running the runs in progress
-         * @param sentAtMillis when the call was sent, on the steady clock; a run that started later may be missing
-         * @param firstList whether these are the first lists of this incarnation
-         * @param wasSilent whether the previous call got no answer
-         */
-        void listsRead(Iterable<RunProgress> running, long sentAtMillis, boolean firstList, boolean wasSilent);
-
-        /** Called when a later incarnation answers, before its lists are processed. */
-        void endpointRestarted(EndpointIncarnation later);
-
-        /** Called when a poll got no usable answer. */
-        void pollUnanswered();
-    }
 }
