Failing test: a new holder is suspended before it stops a withdrawn run

Found by the search with two holders of restarted endpoints, in three failure domains. Restarts take no part in it.

Trace, ms of virtual time: n-1 runs job 6 on w-2, is suspended at 2478 for 2,740. Its client leaves n-2, the origin, at 2650; the withdrawal waits at n-1. n-2 claims the shard at 3200. Its first list shows the run, which no job adopts; it adopts another run there, and its poll at 3202 extends the one lease of the endpoint to 4201. It would stop the run at 3322, but is suspended at 3240 for 1,188. The client comes again through n-4 at 3950, as 1.3 s have passed; n-3 starts the task at 4033, 168 ms before the run on w-2 lapses at 4201.

Cause, as far as the trace shows: a claim may extend the lease of a run that no job adopts by 1 s, whenever its job was withdrawn. Same class as PlacerFaultSeriesTest#testSeries_threeClaimsWhileStopsAreLost. Here the claimant is the origin, which knows that the job was withdrawn.

--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/FaultSeriesRegressionTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/FaultSeriesRegressionTest.java
@@ -64,6 +64,16 @@
                 "[]");
     }
 
+    /** Guards against a withdrawn run whose lease a new holder extends before it is suspended and can stop the run. */
+    @Test
+    public void testJobs_newHolderIsSuspendedBeforeItStopsRuns() {
+        assertEquals(
+                new FaultSeries(FaultSet.RESTARTS_THREE_DOMAINS, 411)
+                        .violations()
+                        .toString(),
+                "[]");
+    }
+
     /** Returns series in which the only endpoint of a suspended holder, whose clock stops, restarts. */
     @DataProvider
     public Object[][] restartedEndpoints() {
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/FaultSet.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/FaultSet.java
@@ -38,6 +38,8 @@
     NODES_RESTART_THREE_DOMAINS(ClusterLayout.THREE_DOMAINS, SteadyClock.GOES_ON, Kinds.NODES),
     /** Nodes that end and start again, without restarts of endpoints, in three failure domains. */
     NODES_RESTART_THREE_DOMAINS_CLOCK_STOPS(ClusterLayout.THREE_DOMAINS, SteadyClock.STOPS, Kinds.NODES),
+    /** Nodes apart, suspensions, clients and restarts of endpoints, in three failure domains. */
+    RESTARTS_THREE_DOMAINS(ClusterLayout.THREE_DOMAINS, SteadyClock.GOES_ON, Kinds.RESTARTS),
     /** Every fault, in three failure domains. */
     EVERY_FAULT_THREE_DOMAINS(
             ClusterLayout.THREE_DOMAINS, SteadyClock.GOES_ON, ImmutableSet.copyOf(SeriesFault.values()));
