--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/CrashSeriesRegressionTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/CrashSeriesRegressionTest.java
@@ -110,4 +110,45 @@
     public void testRuns_endpointHasForgottenItsToken(boolean reportsStarts, long seed) {
         assertKept(CrashRule.RUNS, reportsStarts, seed);
     }
+
+    /** Returns series in which crashes or failed runs are not counted, although endpoints tell their start times. */
+    @DataProvider
+    public Object[][] uncountedEnds() {
+        return new Object[][] {
+            {CrashRule.CRASHES, 1_272},
+            {CrashRule.CRASHES, 1_687},
+            {CrashRule.CRASHES, 1_695},
+            {CrashRule.CRASHES, 2_486},
+            {CrashRule.ATTEMPTS_OF_ALL_HOLDERS, 2_450},
+            {CrashRule.ATTEMPTS_OF_ALL_HOLDERS, 3_016},
+            {CrashRule.ATTEMPTS_OF_ALL_HOLDERS, 4_589}
+        };
+    }
+
+    /** Guards against a task that goes on after its bound, because ends of its runs are not counted. */
+    @Test(dataProvider = "uncountedEnds")
+    public void testEnds_areNotCounted(CrashRule rule, long seed) {
+        assertKept(rule, true, seed);
+    }
+
+    /** Returns series in which endpoints that tell no start times restart. */
+    @DataProvider
+    public Object[][] endsWithoutStarts() {
+        return new Object[][] {
+            {CrashRule.CRASHES, 717},
+            {CrashRule.CRASHES, 962},
+            {CrashRule.CRASHES, 1_887},
+            {CrashRule.ATTEMPTS_READ_LATE, 1_088},
+            {CrashRule.ATTEMPTS_READ_LATE, 1_891},
+            {CrashRule.ATTEMPTS_READ_LATE, 2_611},
+            {CrashRule.SOUND_JOBS, 4_099},
+            {CrashRule.RUNS, 2_429}
+        };
+    }
+
+    /** Guards against the same, jobs given up for good and used up capacity where endpoints tell no start times. */
+    @Test(dataProvider = "endsWithoutStarts")
+    public void testEnds_areNotCountedWithoutStarts(CrashRule rule, long seed) {
+        assertKept(rule, false, seed);
+    }
 }
