Test of a blocked log: wait until the writer has taken its line

It counts on the writer having taken one line before the queue of 2,000 is full; where the log's thread is scheduled only after the 3,000 writes, that line is dropped too. The test waits for the writer to be blocked in its first line, and checks what it checked.

--- a/tarragonarch-entry/src/test/java/org/tarragonarch/entry/cluster/DecisionLogTest.java
+++ b/tarragonarch-entry/src/test/java/org/tarragonarch/entry/cluster/DecisionLogTest.java
@@ -41,7 +41,9 @@
         DecisionLog log = new DecisionLog("hobart-1", lines.print(), new TestClock(Duration.ofMillis(10)));
         CountDownLatch blocked = lines.block();
         log.start();
-        for (int i = 0; i < 3_000; i++) {
+        log.write(NodeEvent.JOB_ANSWERED, "job", 0);
+        lines.awaitBlockedWriter();
+        for (int i = 1; i < 3_000; i++) {
             log.write(NodeEvent.JOB_ANSWERED, "job", i);
         }
         assertTrue(log.droppedLines() >= 900, "dropped " + log.droppedLines());
@@ -90,6 +92,7 @@
     private static final class Lines extends OutputStream {
         private final ByteArrayOutputStream bytes = new ByteArrayOutputStream();
         private final CountDownLatch wanted;
+        private final CountDownLatch begun = new CountDownLatch(1);
         private CountDownLatch gate = new CountDownLatch(0);
 
         Lines(int wanted) {
@@ -105,6 +108,11 @@
             return gate;
         }
 
+        /** Waits until the writer has taken its first line from the queue. */
+        void awaitBlockedWriter() throws InterruptedException {
+            assertTrue(begun.await(10, TimeUnit.SECONDS), "nothing written");
+        }
+
         List<String> await() throws InterruptedException {
             assertTrue(wanted.await(10, TimeUnit.SECONDS), "missing lines: " + wanted.getCount());
             synchronized (this) {
@@ -114,6 +122,7 @@
 
         @Override
         public void write(int b) throws IOException {
+            begun.countDown();
             try {
                 gate.await();
             } catch (InterruptedException e) {
