--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/JobLifecycle.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/JobLifecycle.java
@@ -173,12 +173,11 @@
 
     private void recoverOrAdmit(Offer offer, int firstRun) {
         PlacedJob job = factory.create(offer, firstRun);
-        boolean isSettled = abandonIfDue(job);
-        if (!isSettled && offer.earlierRuns().isOver()) {
-            admit(job);
-        } else if (!isSettled) {
+        if (!offer.earlierRuns().isOver()) {
             jobs.put(job.id(), job);
             recovering.add(job, offer);
+        } else if (!abandonIfDue(job)) {
+            admit(job);
         }
     }
 
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/JobLifecycleTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/JobLifecycleTest.java
@@ -14,6 +14,7 @@
 import org.tarragonarch.model.task.EndKind;
 import org.tarragonarch.model.task.FencingToken;
 import org.tarragonarch.model.task.JobId;
+import org.tarragonarch.model.task.TaskName;
 import org.tarragonarch.model.task.TaskRun;
 import org.tarragonarch.model.task.Verdict;
 import org.testng.annotations.Test;
@@ -22,6 +23,7 @@
 public final class JobLifecycleTest {
     private final VirtualTimers timers = new VirtualTimers();
     private final List<String> verdicts = new ArrayList<>();
+    private final RecentEnds recentEnds = new RecentEnds(timers);
     private final JobLifecycle jobs = jobs();
 
     private JobLifecycle jobs() {
@@ -34,7 +36,7 @@
                 pending,
                 poolShares,
                 capacity,
-                new JobFactory(shards, new RunTimes(), poolShares, new RecentEnds(timers), timers),
+                new JobFactory(shards, new RunTimes(), poolShares, recentEnds, timers),
                 new TasksAwaitingOrigin(new UnlimitedAuthority(), new PlacementObserver() {}),
                 timers,
                 new RecordingListener(verdicts));
@@ -70,6 +72,20 @@
         assertEquals(test.verdicts, ImmutableList.of());
     }
 
+    /** Guards against a job that is answered as failed before the next holder has found what is left of its runs. */
+    @Test
+    public void testOffer_attemptsUsedWhileEarlierRunsAreUnresolved() {
+        JobLifecycleTest test = new JobLifecycleTest();
+        TaskName task = TaskName.of(PlacerFixture.id(1), 0, 0);
+        for (int run = 1; run <= 3; run++) {
+            test.recentEnds.recordFailedRun(new TaskRun(task, run));
+        }
+        test.jobs.offer(PlacerFixture.repeatedOffer(1, 2, 60));
+        assertEquals(test.verdicts, ImmutableList.of());
+        test.timers.advance(2_000);
+        assertEquals(test.verdicts, ImmutableList.of("FAILED, retry after 0 ms"));
+    }
+
     /** Records verdicts. */
     private record RecordingListener(List<String> verdicts) implements PlacerListener {
         @Override
