Look up whether a task has crashed an endpoint without a summary of its ends

The choice of an endpoint asks this for each run on each candidate, at each start, and since tasks share a record each question created a TaskEnds to read one number of it. The record answers itself now. Not measured.

--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacedTask.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacedTask.java
@@ -142,7 +142,7 @@
 
     /** Returns whether an endpoint has crashed during a run of the task, which may be the cause. */
     boolean hasCrashed() {
-        return ends().crashes() > 0;
+        return record.hasCrash();
     }
 
     /** Returns why the task must not be started again; empty if it may. */
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/TaskRecord.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/TaskRecord.java
@@ -18,6 +18,11 @@
         return new TaskEnds(failedRuns.size(), crashes, lostRuns);
     }
 
+    /** Returns whether an endpoint has crashed during a run. */
+    boolean hasCrash() {
+        return crashes > 0;
+    }
+
     /** Records a failed run, which counts once however often it is listed. */
     void addFailedRun(int run) {
         failedRuns.add(run);
