Log how a cancellation was answered

Hypotheses, which the logs could not tell apart: - UNASKED: (1) the node that runs the job was never asked to cancel it; (2) it was asked and keeps nothing; (3) the holder starts the job although the node with the client's connection knows of the cancel. - LOST: (1) the call waits for a node that is gone; (2) the process ends although the call is pending; (3) the answer is written and lost with the connection.

Change: the line cancel-answered says whether the job was known, how many peers were asked, which had not answered, and after how long. Answers are counted by peer, so that two answers of one peer do not count as two.

--- a/tarragonarch-ctl/src/test/java/org/tarragonarch/ctl/explain/OuterNamesTest.java
+++ b/tarragonarch-ctl/src/test/java/org/tarragonarch/ctl/explain/OuterNamesTest.java
@@ -73,6 +73,7 @@
         return new Object[] {
             "job-answered",
             "job-cancelled",
+            "cancel-answered",
             "queue-unknown",
             "job-declined",
             "job-moved",
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ClusterNode.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ClusterNode.java
@@ -56,7 +56,7 @@
     private final EndpointList endpoints = new EndpointList();
     private final ConfigurationInForce configuration;
     private final PeerExchange exchange = new PeerExchange(this);
-    private final PeerCancellations cancellations = new PeerCancellations(timers);
+    private final PeerCancellations cancellations;
     private final NodeMeters meters;
     private final Coordinator coordinator;
     private final PeerDiscovery discovery;
@@ -68,6 +68,7 @@
     ClusterNode(ClusterSettings settings, DecisionLog log) {
         this.settings = settings;
         this.log = log;
+        this.cancellations = new PeerCancellations(timers, log);
         this.configuration =
                 new ConfigurationInForce(settings.configurationMillis(), timers, System::currentTimeMillis, log);
         this.meters = new NodeMeters(this::openJobs, log::droppedLines);
@@ -253,8 +254,8 @@
     }
 
     @Override
-    public void cancelAnswerReceived(JobId job, boolean known) {
-        cancellations.recordAnswer(job, known);
+    public void cancelAnswerReceived(NodeId peer, JobId job, boolean known) {
+        cancellations.recordAnswer(peer, job, known);
     }
 
     @Override
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/NodeJobs.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/NodeJobs.java
@@ -1,10 +1,11 @@
 package org.tarragonarch.entry.cluster;
 
 import com.google.common.base.Ascii;
+import com.google.common.collect.ImmutableSet;
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
-import java.util.function.ToIntFunction;
+import java.util.function.Function;
 import org.tarragonarch.core.routing.JobRouter;
 import org.tarragonarch.model.id.NodeId;
 import org.tarragonarch.model.log.NodeEvent;
@@ -24,7 +25,7 @@
 
     private final ConfigurationInForce configuration;
     private final JobRouter router;
-    private final ToIntFunction<JobId> askPeersToCancel;
+    private final Function<JobId, ImmutableSet<NodeId>> askPeersToCancel;
     private final PeerCancellations cancellations;
     private final Timers timers;
     private final DecisionLog log;
@@ -35,7 +36,7 @@
     NodeJobs(
             ConfigurationInForce configuration,
             JobRouter router,
-            ToIntFunction<JobId> askPeersToCancel,
+            Function<JobId, ImmutableSet<NodeId>> askPeersToCancel,
             PeerCancellations cancellations,
             Timers timers,
             DecisionLog log,
@@ -122,7 +123,7 @@
             known.accept(true);
             return;
         }
-        cancellations.start(job, askPeersToCancel.applyAsInt(job), known);
+        cancellations.start(job, askPeersToCancel.apply(job), known);
     }
 
     @Override
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/PeerExchange.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/PeerExchange.java
@@ -156,7 +156,7 @@
         } else if (frame instanceof CancelAsked asked) {
             network.reply(peer, incarnation, new CancelAnswered(asked.job(), handler.cancel(asked.job())));
         } else if (frame instanceof CancelAnswered answered) {
-            handler.cancelAnswerReceived(answered.job(), answered.known());
+            handler.cancelAnswerReceived(peer, answered.job(), answered.known());
         } else if (frame instanceof ConfigurationAsked) {
             network.reply(peer, incarnation, configuration());
         } else if (frame instanceof ConfigurationGiven given) {
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/PeerFrameHandler.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/PeerFrameHandler.java
@@ -46,7 +46,7 @@
     /** Cancels a job of this node and returns whether this node knew it. */
     boolean cancel(JobId job);
 
-    void cancelAnswerReceived(JobId job, boolean known);
+    void cancelAnswerReceived(NodeId peer, JobId job, boolean known);
 
     byte[] configurationText();
 
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/PeerRequests.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/PeerRequests.java
@@ -1,8 +1,10 @@
 package org.tarragonarch.entry.cluster;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
 import org.tarragonarch.core.shard.EndpointList;
 import org.tarragonarch.model.id.ConfigurationVersion;
+import org.tarragonarch.model.id.NodeId;
 import org.tarragonarch.model.report.Member;
 import org.tarragonarch.model.report.NodeStatus;
 import org.tarragonarch.model.task.JobId;
@@ -29,11 +31,11 @@
         this.discovery = discovery;
     }
 
-    /** Asks every located node to cancel a job and returns how many nodes were asked. */
-    int askAllToCancel(JobId job) {
+    /** Asks every located node to cancel a job and returns the nodes that were asked. */
+    ImmutableSet<NodeId> askAllToCancel(JobId job) {
         ImmutableList<Member> located = exchange.located();
         located.forEach(peer -> exchange.send(peer.node(), new CancelAsked(job)));
-        return located.size();
+        return located.stream().map(Member::node).collect(ImmutableSet.toImmutableSet());
     }
 
     /** Asks the sender of a status; for endpoints and nodes only if it has just become reachable. */
--- a/tarragonarch-entry/src/test/java/org/tarragonarch/entry/cluster/PeerExchangeTest.java
+++ b/tarragonarch-entry/src/test/java/org/tarragonarch/entry/cluster/PeerExchangeTest.java
@@ -154,7 +154,7 @@
         }
 
         @Override
-        public void cancelAnswerReceived(JobId job, boolean known) {
+        public void cancelAnswerReceived(NodeId peer, JobId job, boolean known) {
             calls.add("cancel answered");
         }
 
--- a/tarragonarch-model/src/main/java/org/tarragonarch/model/log/NodeEvent.java
+++ b/tarragonarch-model/src/main/java/org/tarragonarch/model/log/NodeEvent.java
@@ -10,6 +10,8 @@
     JOB_ANSWERED,
     /** A client cancelled its job. */
     JOB_CANCELLED,
+    /** A client was told whether the job that it cancelled was known; the line says which peers had not answered. */
+    CANCEL_ANSWERED,
     /** A client named a queue that the configuration in force does not have; it was refused or told to retry. */
     QUEUE_UNKNOWN,
     /** A holder did not accept a job, or returned it without having started any of it. */
--- a/tarragonarch-model/src/test/java/org/tarragonarch/model/OuterNamesTest.java
+++ b/tarragonarch-model/src/test/java/org/tarragonarch/model/OuterNamesTest.java
@@ -79,6 +79,7 @@
                 ImmutableSet.of(
                         "job-answered",
                         "job-cancelled",
+                        "cancel-answered",
                         "queue-unknown",
                         "job-declined",
                         "job-moved",
--- a/tarragonarch-model/src/test/java/org/tarragonarch/model/log/OuterNamesTest.java
+++ b/tarragonarch-model/src/test/java/org/tarragonarch/model/log/OuterNamesTest.java
@@ -12,6 +12,7 @@
     private static final ImmutableSet<String> WORDS = ImmutableSet.of(
             "job-answered",
             "job-cancelled",
+            "cancel-answered",
             "queue-unknown",
             "job-declined",
             "job-moved",
