Fake transport: give a restarted node links of its own

A fault drawn on a link of a node that was down created the link for the dead node, and the next incarnation sent all its frames into it: they were lost for good.

The links of a node are dropped when its next incarnation is added.

--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/FakeConnections.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/FakeConnections.java
@@ -65,6 +65,7 @@
     void add(FakeNode node) {
         nodes.put(node.id(), node);
         stopped.remove(node.id());
+        links.keySet().removeIf(direction -> direction.from().equals(node.id()));
     }
 
     /** Breaks all connections of a killed node; new ones are refused until a node with its id is added. */
