--- a/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/ModelNode.java
+++ b/tarragonarch-benchmark/src/main/java/org/tarragonarch/benchmark/experiment/ModelNode.java
@@ -6,6 +6,8 @@
 import org.tarragonarch.core.cluster.Coordinator;
 import org.tarragonarch.core.cluster.PeerSender;
 import org.tarragonarch.core.placing.PlacingSettings;
+import org.tarragonarch.core.routing.CancelSource;
+import org.tarragonarch.core.routing.CancelledJobs;
 import org.tarragonarch.core.shard.PeerTable;
 import org.tarragonarch.core.shard.ShardPools;
 import org.tarragonarch.model.id.Address;
@@ -52,6 +54,7 @@
                 this,
                 timers,
                 () -> TimeUnit.NANOSECONDS.toMillis(time.nowNanos()) + TimeUnit.HOURS.toMillis(1),
+                new CancelledJobs(timers, TimeUnit.MINUTES.toMillis(2)),
                 cluster.moveCount());
     }
 
@@ -172,4 +175,9 @@
     public void sendVerdict(NodeId to, JobVerdict verdict) {
         cluster.deliver(this, to, peer -> peer.coordinator.router().settled(id, verdict));
     }
+
+    @Override
+    public void sendCancellation(NodeId to, JobId job) {
+        cluster.deliver(this, to, peer -> peer.coordinator.router().cancel(job, CancelSource.PEER));
+    }
 }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/Coordinator.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/Coordinator.java
@@ -8,6 +8,7 @@
 import java.util.function.LongSupplier;
 import org.tarragonarch.core.placing.Placer;
 import org.tarragonarch.core.placing.PlacingSettings;
+import org.tarragonarch.core.routing.CancelledJobs;
 import org.tarragonarch.core.routing.JobRouter;
 import org.tarragonarch.core.shard.EndpointList;
 import org.tarragonarch.core.shard.Heartbeats;
@@ -55,6 +56,7 @@
      * @param ip this VM's IP address, which distinguishes its tokens from those of other nodes
      * @param endpoints the endpoints that the platform lists; call {@link #endpointsChanged} after each change
      * @param wallMillis the wall clock, from which terms are derived so that they increase across restarts
+     * @param cancelled the jobs that clients have cancelled, through whichever node
      * @param log observer of the shards and of the jobs placed on them
      */
     public Coordinator(
@@ -67,6 +69,7 @@
             PeerSender sender,
             Timers timers,
             LongSupplier wallMillis,
+            CancelledJobs cancelled,
             ShardObserver log) {
         this.self = checkNotNull(self, "self");
         this.endpoints = checkNotNull(endpoints, "endpoints");
@@ -97,7 +100,8 @@
                 timers,
                 originMessages::offerReceived,
                 domain -> drained().contains(domain));
-        this.router = new JobRouter(holders, timers, maxRunMillisAfterContact, wallMillis.getAsLong(), log);
+        long startMillis = wallMillis.getAsLong();
+        this.router = new JobRouter(holders, timers, maxRunMillisAfterContact, startMillis, cancelled, log);
     }
 
     /** Returns the table of peers. */
@@ -137,11 +141,8 @@
 
     /** Returns how recent a list of endpoints this node needs. */
     public EndpointListNeed endpointListNeed() {
-        if (!ownership.isListReadSinceClaims()) {
-            return EndpointListNeed.NOW;
-        }
         boolean mayHold = ownership.isHolding() || heartbeats.isMissingHolder() || election.isSuccessor(self.domain());
-        return mayHold ? EndpointListNeed.OFTEN : EndpointListNeed.SELDOM;
+        return EndpointListNeed.of(ownership.isListReadSinceClaims(), mayHold);
     }
 
     /** Returns the failure domains whose nodes may succeed this node as a holder, or be succeeded by it. */
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/EndpointListNeed.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/EndpointListNeed.java
@@ -15,6 +15,19 @@
         this.isReadOften = often;
     }
 
+    /**
+     * Returns the need of a node.
+     *
+     * @param readSinceClaims whether the list was read since the node claimed its shards
+     * @param mayHold whether the node holds a shard, or may claim one soon
+     */
+    static EndpointListNeed of(boolean readSinceClaims, boolean mayHold) {
+        if (!readSinceClaims) {
+            return NOW;
+        }
+        return mayHold ? OFTEN : SELDOM;
+    }
+
     /** Returns whether the list is read at the short interval. */
     public boolean isReadOften() {
         return isReadOften;
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/HolderEvents.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/HolderEvents.java
@@ -69,6 +69,20 @@
         }
     }
 
+    /** Tells the origin of an offered job that a client has cancelled the job. */
+    void sendCancellation(NodeId origin, JobId job) {
+        sender.sendCancellation(origin, job);
+    }
+
+    /** Returns whether a client has cancelled the job recently. */
+    boolean isCancelled(JobId job) {
+        return router.get().isCancelled(job);
+    }
+
+    boolean isSelf(NodeId node) {
+        return node.equals(self);
+    }
+
     @Override
     public void claimed(FailureDomain shard, FencingToken token, int endpoints) {
         peers.recordClaim(shard, token);
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/OriginMessages.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/OriginMessages.java
@@ -1,10 +1,12 @@
 package org.tarragonarch.core.cluster;
 
 import com.google.common.collect.ImmutableSet;
+import java.util.Optional;
 import org.tarragonarch.core.shard.ShardOwnership;
 import org.tarragonarch.model.id.NodeId;
 import org.tarragonarch.model.report.NodeStatus;
 import org.tarragonarch.model.task.JobId;
+import org.tarragonarch.model.task.JobVerdict;
 import org.tarragonarch.model.task.Offer;
 import org.tarragonarch.model.task.Verdict;
 
@@ -25,13 +27,20 @@
     /**
      * Handles an offer; returns the job to its origin if this node holds no shards.
      *
-     * <p>An offer that was settled before gets the same verdict again.
+     * <p>An offer that was settled before gets the same verdict again. The origin of a cancelled job is told of the
+     * cancellation, which it has missed.
      */
     public void offerReceived(Offer offer) {
         echoes.received(offer.origin(), offer.lastStatus());
         ownership.messageReceivedFrom(offer.origin());
-        offers.record(offer)
-                .ifPresentOrElse(verdict -> events.sendVerdict(offer.origin(), verdict), () -> place(offer));
+        Optional<JobVerdict> given = offers.record(offer);
+        if (given.isPresent()) {
+            events.sendVerdict(offer.origin(), given.get());
+        } else if (events.isCancelled(offer.job().id())) {
+            events.sendCancellation(offer.origin(), offer.job().id());
+        } else {
+            place(offer);
+        }
     }
 
     private void place(Offer offer) {
@@ -58,4 +67,19 @@
     public void withdrawalReceived(NodeId origin, JobId job) {
         ownership.placer().ifPresent(placer -> placer.withdraw(origin, job));
     }
+
+    /**
+     * Ends a job of another origin that a client has cancelled, and tells the origin, which may have missed the
+     * cancellation.
+     *
+     * @return whether this node has received an offer of the job, without a verdict, from another origin
+     */
+    public boolean jobCancelled(JobId job) {
+        Optional<NodeId> origin = offers.originWithoutVerdict(job).filter(offering -> !events.isSelf(offering));
+        origin.ifPresent(offering -> {
+            withdrawalReceived(offering, job);
+            events.sendCancellation(offering, job);
+        });
+        return origin.isPresent();
+    }
 }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/PeerSender.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/PeerSender.java
@@ -27,4 +27,7 @@
 
     /** Sends the verdict on a job to the node that offered it. */
     void sendVerdict(NodeId to, JobVerdict verdict);
+
+    /** Tells a node that has offered a job that a client has cancelled it. */
+    void sendCancellation(NodeId to, JobId job);
 }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/ReceivedOffers.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/ReceivedOffers.java
@@ -52,6 +52,13 @@
         return Optional.empty();
     }
 
+    /** Returns the origin of the last offer of a job, unless this offer has a verdict. */
+    Optional<NodeId> originWithoutVerdict(JobId job) {
+        return Optional.ofNullable(offers.get(job))
+                .filter(known -> known.verdict().isEmpty())
+                .map(ReceivedOffer::origin);
+    }
+
     /**
      * Records the verdict on the last offer of a job; returns the verdict to send.
      *
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/routing/JobRouter.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/routing/JobRouter.java
@@ -37,6 +37,7 @@
     private final Timers timers;
     private final RoutingObserver observer;
     private final JobTable jobs;
+    private final CancelledJobs cancelled;
     private final JobPlacement placement;
     private boolean refusesNewJobs;
 
@@ -46,13 +47,20 @@
      * @param maxRunMillisAfterContact the longest time that runs continue after this node last heard from their
      *     holder, in milliseconds
      * @param startMillis the time of day in milliseconds since 1970, from which the offers are numbered
+     * @param cancelled the jobs that clients have cancelled, through whichever node
      * @param observer observer of jobs that are offered to other failure domains, lost or offered again
      */
     public JobRouter(
-            Holders holders, Timers timers, long maxRunMillisAfterContact, long startMillis, RoutingObserver observer) {
+            Holders holders,
+            Timers timers,
+            long maxRunMillisAfterContact,
+            long startMillis,
+            CancelledJobs cancelled,
+            RoutingObserver observer) {
         this.holders = checkNotNull(holders, "holders");
         this.timers = checkNotNull(timers, "timers");
         this.jobs = new JobTable(timers);
+        this.cancelled = checkNotNull(cancelled, "cancelled");
         this.observer = checkNotNull(observer, "observer");
         OfferNumbers numbers = new OfferNumbers(startMillis);
         this.placement = new JobPlacement(holders, jobs, timers, maxRunMillisAfterContact, numbers, observer);
@@ -66,6 +74,10 @@
             client.accept(given.get());
             return () -> {};
         }
+        if (cancelled.contains(request.id())) {
+            client.accept(JobReply.of(JobOutcome.CANCELLED));
+            return () -> {};
+        }
         Optional<OpenJob> known = jobs.find(request.id());
         if (known.isEmpty() && refusesNewJobs) {
             client.accept(JobReply.refused(NO_HOLDER_RETRY_MILLIS));
@@ -76,8 +88,27 @@
         return () -> clientLeft(job, client);
     }
 
-    /** Cancels a job; returns whether it was open, or its recent answer says that it was cancelled. */
-    public boolean cancel(JobId id) {
+    /**
+     * Cancels a job that this node's clients may have submitted or may submit again.
+     *
+     * @return whether it was open, or its recent answer says that it was cancelled
+     */
+    public boolean cancel(JobId id, CancelSource source) {
+        cancelled.add(id, source);
+        return close(id);
+    }
+
+    /** Returns whether a client has cancelled the job recently, through whichever node. */
+    public boolean isCancelled(JobId id) {
+        return cancelled.contains(id);
+    }
+
+    /** Returns the jobs whose cancellations of this source to repeat to a peer that may have missed them. */
+    public ImmutableList<JobId> latestCancelled(CancelSource source) {
+        return cancelled.latest(source);
+    }
+
+    private boolean close(JobId id) {
         Optional<OpenJob> job = jobs.find(id);
         if (job.isEmpty()) {
             return jobs.wasCancelled(id);
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/CoordinatorTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/CoordinatorTest.java
@@ -12,6 +12,7 @@
 import java.util.function.Consumer;
 import org.tarragonarch.core.placing.PlacingSettings;
 import org.tarragonarch.core.placing.VirtualTimers;
+import org.tarragonarch.core.routing.CancelledJobs;
 import org.tarragonarch.core.shard.EndpointList;
 import org.tarragonarch.core.shard.PeerTable;
 import org.tarragonarch.core.shard.ShardObserver;
@@ -71,6 +72,7 @@
                 new RecordingPeerSender(sent),
                 timers,
                 () -> 0,
+                new CancelledJobs(timers, 120_000),
                 new ShardObserver() {});
     }
 
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/FakeNode.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/FakeNode.java
@@ -2,8 +2,12 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
+import java.util.HashSet;
+import java.util.Set;
 import java.util.function.LongSupplier;
 import org.tarragonarch.core.placing.PlacingSettings;
+import org.tarragonarch.core.routing.CancelSource;
+import org.tarragonarch.core.routing.CancelledJobs;
 import org.tarragonarch.core.shard.EndpointList;
 import org.tarragonarch.core.shard.PeerTable;
 import org.tarragonarch.core.shard.ShardObserver;
@@ -25,6 +29,12 @@
     /** The time that a node waits for its peers' statuses after its start before it claims shards, in milliseconds. */
     private static final long DISCOVERY_MILLIS = 200;
 
+    /** How long a cancelled job stays cancelled, in milliseconds. */
+    private static final long CANCELLED_MILLIS = 120_000;
+
+    /** How long a node waits for the answers of peers that it has asked to cancel a job, in milliseconds. */
+    private static final long CANCEL_TIMEOUT_MILLIS = 400;
+
     private final NodeId id;
     private final FailureDomain domain;
     private final Timers timers;
@@ -32,6 +42,7 @@
     private final Coordinator coordinator;
     private final Inbox inbox;
     private final ClaimCounter claimCounter = new ClaimCounter();
+    private final CancellationRepeats repeats = new CancellationRepeats();
     private long startedAtMillis;
 
     FakeNode(
@@ -58,6 +69,7 @@
                 this,
                 timers,
                 wallMillis,
+                new CancelledJobs(timers, CANCELLED_MILLIS),
                 claimCounter);
     }
 
@@ -98,6 +110,7 @@
 
     /** Handles the close of a connection; returns whether the others with the same peer must be closed too. */
     boolean connectionLost(NodeId peer) {
+        repeats.connectionLost();
         return coordinator.connectionLost(peer);
     }
 
@@ -115,6 +128,9 @@
             lost(silent);
         });
         coordinator.review(isSettled());
+        for (NodeId holder : repeats.takeDue(coordinator.peers().holders(), timers.nowMillis())) {
+            repeatedCancellations().forEach(frame -> connections.send(id, holder, frame));
+        }
         timers.schedule(PeerTable.STATUS_PERIOD_MILLIS / 2, this::review);
     }
 
@@ -148,10 +164,28 @@
         ImmutableList.Builder<FakeConnections.Frame> frames = ImmutableList.builder();
         frames.add(new FakeConnections.Frame(
                 receiver -> receiver.coordinator.originMessages().openJobsReceived(id, open), () -> {}));
+        frames.addAll(repeatedCancellations());
         coordinator.router().offersToSendAgain(peer).forEach(offer -> frames.add(offered(peer, offer)));
         return frames.build();
     }
 
+    private ImmutableList<FakeConnections.Frame> repeatedCancellations() {
+        ImmutableList.Builder<FakeConnections.Frame> frames = ImmutableList.builder();
+        coordinator
+                .router()
+                .latestCancelled(CancelSource.CLIENT)
+                .forEach(job -> frames.add(cancellation(job, CancelSource.PEER)));
+        coordinator
+                .router()
+                .latestCancelled(CancelSource.PEER)
+                .forEach(job -> frames.add(cancellation(job, CancelSource.REPETITION)));
+        return frames.build();
+    }
+
+    private static FakeConnections.Frame cancellation(JobId job, CancelSource source) {
+        return new FakeConnections.Frame(receiver -> receiver.cancel(job, source), () -> {});
+    }
+
     @Override
     public void sendStatus(NodeId to, NodeStatus status) {
         connections.send(id, to, new FakeConnections.Frame(peer -> peer.received(status), () -> {}));
@@ -209,6 +243,60 @@
                 new FakeConnections.Frame(peer -> peer.coordinator.router().settled(id, verdict), () -> {}));
     }
 
+    @Override
+    public void sendCancellation(NodeId to, JobId job) {
+        connections.observe(id, to, "cancellation of " + job);
+        connections.reply(id, to, cancellation(job, CancelSource.PEER));
+    }
+
+    /**
+     * Cancels a job at this node, and asks every other node to cancel it, as for a client.
+     *
+     * @param acknowledged callback run when all others have answered, or when an answer is missing for too long
+     */
+    void cancelEverywhere(JobId job, Runnable acknowledged) {
+        cancel(job, CancelSource.CLIENT);
+        Set<NodeId> unanswered = new HashSet<>();
+        connections.nodes().forEach(node -> unanswered.add(node.id));
+        unanswered.remove(id);
+        timers.schedule(CANCEL_TIMEOUT_MILLIS, () -> {
+            if (!unanswered.isEmpty()) {
+                for (NodeId node : ImmutableList.copyOf(unanswered)) {
+                    connections.disconnect(id, node);
+                    askToCancel(node, job, () -> {});
+                }
+                acknowledged.run();
+            }
+        });
+        for (NodeId node : ImmutableList.copyOf(unanswered)) {
+            askToCancel(node, job, () -> {
+                if (unanswered.remove(node) && unanswered.isEmpty()) {
+                    acknowledged.run();
+                }
+            });
+        }
+    }
+
+    private void askToCancel(NodeId node, JobId job, Runnable answered) {
+        connections.observe(id, node, "cancellation of " + job);
+        FakeConnections.Frame answer = new FakeConnections.Frame(asking -> answered.run(), () -> {});
+        connections.send(
+                id,
+                node,
+                new FakeConnections.Frame(
+                        peer -> {
+                            peer.cancel(job, CancelSource.PEER);
+                            connections.reply(node, id, answer);
+                        },
+                        () -> {}));
+    }
+
+    /** Cancels a job at this node only. */
+    void cancel(JobId job, CancelSource source) {
+        coordinator.router().cancel(job, source);
+        coordinator.originMessages().jobCancelled(job);
+    }
+
     /** Counts the claims of this node and those that endpoints have ended. */
     private static final class ClaimCounter implements ShardObserver {
         private int claims;
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/FaultFixture.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/FaultFixture.java
@@ -11,6 +11,7 @@
 import org.tarragonarch.core.placing.VirtualTimers;
 import org.tarragonarch.model.id.EndpointId;
 import org.tarragonarch.model.id.FailureDomain;
+import org.tarragonarch.model.task.FencingToken;
 import org.tarragonarch.model.task.QueueCatalog;
 
 /** The cluster of a fault series, whose events are drawn at random and recorded. */
@@ -98,6 +99,14 @@
         return clients;
     }
 
+    /** Returns the node that holds shards under a token. */
+    FaultNode nodeOf(FencingToken token) {
+        return nodes.stream()
+                .filter(node -> token.toString().endsWith("/" + node.ip()))
+                .findFirst()
+                .orElseThrow();
+    }
+
     FaultNode drawNode() {
         return nodes.get(random.nextInt(nodes.size()));
     }
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/FaultNode.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/FaultNode.java
@@ -17,6 +17,7 @@
     private CutOrders orders;
     private SuspendableNode machine;
     private FakeNode node;
+    private long disturbedUntilMillis;
 
     /** Creates a node without starting it. */
     FaultNode(
@@ -60,6 +61,21 @@
         return machine.isSuspended();
     }
 
+    /** Records that the node, or its connections, are disturbed for a time from now on. */
+    void disturb(long millis) {
+        disturbedUntilMillis = Math.max(disturbedUntilMillis, cluster.timers.nowMillis() + millis);
+    }
+
+    /** Returns whether the node is up, and has been running undisturbed for the given time. */
+    boolean isUndisturbedFor(long millis) {
+        return isUp() && cluster.timers.nowMillis() >= disturbedUntilMillis + millis;
+    }
+
+    /** Returns the address under which the node holds shards. */
+    String ip() {
+        return "10.0.0." + number;
+    }
+
     /** Returns how long the present incarnation was suspended, in milliseconds. */
     long suspendedMillis() {
         return machine.suspendedMillis();
@@ -71,6 +87,7 @@
     }
 
     void suspend(long millis, SteadyClock clock) {
+        disturb(millis);
         machine.suspend(millis, clock);
         cluster.timers.schedule(millis, () -> log.accept(name + " runs"));
     }
@@ -87,6 +104,7 @@
 
     /** Starts a new incarnation of a node that has been killed. */
     void restart() {
+        disturb(0);
         create();
         start();
     }
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/RecordingPeerSender.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/RecordingPeerSender.java
@@ -46,4 +46,9 @@
     public void sendVerdict(NodeId to, JobVerdict verdict) {
         sent.add(verdict.verdict() + " to " + to);
     }
+
+    @Override
+    public void sendCancellation(NodeId to, JobId job) {
+        sent.add("cancellation to " + to);
+    }
 }
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/SeriesFault.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/SeriesFault.java
@@ -12,6 +12,7 @@
         String inject(FaultFixture fixture) {
             FaultNode from = fixture.drawNode();
             FaultNode to = fixture.drawOther(from);
+            disturb(from, to, 0);
             fixture.cluster.connections.breakConnection(id(from), id(to));
             return from + " to " + to;
         }
@@ -22,6 +23,7 @@
         String inject(FaultFixture fixture) {
             FaultNode from = fixture.drawNode();
             FaultNode to = fixture.drawOther(from);
+            disturb(from, to, 0);
             fixture.cluster.connections.stall(id(from), id(to), PERMANENT_MILLIS);
             return from + " to " + to;
         }
@@ -33,6 +35,7 @@
             FaultNode first = fixture.drawNode();
             FaultNode second = fixture.drawOther(first);
             long millis = fixture.drawMillis(100, 3_000);
+            disturb(first, second, millis);
             cut(fixture, first, second, millis);
             cut(fixture, second, first, millis);
             return first + " and " + second + " for " + millis;
@@ -50,6 +53,7 @@
             FaultNode from = fixture.drawNode();
             FaultNode to = fixture.drawOther(from);
             long millis = fixture.drawMillis(100, 3_000);
+            disturb(from, to, millis);
             fixture.cluster.connections.losePackets(id(from), id(to), millis);
             return from + " to " + to + " for " + millis;
         }
@@ -133,6 +137,7 @@
             if (fixture.upNodes() < MIN_NODES) {
                 return "none";
             }
+            node.disturb(0);
             node.deliver(this, () -> node.node().coordinator().leave());
             FakeNode leaving = node.node();
             fixture.timers().schedule(fixture.drawMillis(200, 1_500), () -> {
@@ -165,6 +170,11 @@
         return node.node().id();
     }
 
+    private static void disturb(FaultNode first, FaultNode second, long millis) {
+        first.disturb(millis);
+        second.disturb(millis);
+    }
+
     private static String cutOff(FaultFixture fixture, EndpointCut kind) {
         FaultNode node = fixture.drawNodeUp();
         EndpointId endpoint = fixture.drawEndpoint();
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/Ledger.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/Ledger.java
@@ -53,7 +53,8 @@
         }
     }
 
-    int starts() {
+    /** Returns the number of runs that have started. */
+    public int starts() {
         return starts;
     }
 
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/routing/DomainBalanceTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/routing/DomainBalanceTest.java
@@ -29,17 +29,18 @@
     private final FakeHolders holders = new FakeHolders(timers);
     private final List<String> observed = new ArrayList<>();
     private final List<String> replies = new ArrayList<>();
-    private final JobRouter router = new JobRouter(holders, timers, 1_050, 0, new RoutingObserver() {
-        @Override
-        public void movedToNeighbour(JobId job, NodeId holder) {
-            observed.add("moved to " + holder);
-        }
-
-        @Override
-        public void returnedByNeighbour(JobId job, NodeId holder) {
-            observed.add("back from " + holder);
-        }
-    });
+    private final JobRouter router =
+            new JobRouter(holders, timers, 1_050, 0, new CancelledJobs(timers, 120_000), new RoutingObserver() {
+                @Override
+                public void movedToNeighbour(JobId job, NodeId holder) {
+                    observed.add("moved to " + holder);
+                }
+
+                @Override
+                public void returnedByNeighbour(JobId job, NodeId holder) {
+                    observed.add("back from " + holder);
+                }
+            });
 
     private static JobId id(long number) {
         return new JobId(String.format("%016x", number));
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/routing/JobRouterTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/routing/JobRouterTest.java
@@ -29,7 +29,8 @@
 
     private final VirtualTimers timers = new VirtualTimers();
     private final FakeHolders holders = new FakeHolders(timers);
-    private final JobRouter router = new JobRouter(holders, timers, 1_050, 0, new RoutingObserver() {});
+    private final JobRouter router =
+            new JobRouter(holders, timers, 1_050, 0, new CancelledJobs(timers, 120_000), new RoutingObserver() {});
     private final List<String> replies = new ArrayList<>();
 
     private JobService.Submission submit(long deadlineMillis) {
@@ -318,8 +319,8 @@
     @Test
     public void testCancel() {
         JobRouterTest test = offered(2_000);
-        assertTrue(test.router.cancel(JOB));
-        assertFalse(test.router.cancel(new JobId("00000000000000bb")));
+        assertTrue(test.router.cancel(JOB, CancelSource.CLIENT));
+        assertFalse(test.router.cancel(new JobId("00000000000000bb"), CancelSource.CLIENT));
         assertEquals(test.replies, ImmutableList.of("CANCELLED"));
         assertEquals(test.holders.calls, ImmutableList.of("offer a", "withdraw a"));
     }
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/routing/UnsentOfferTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/routing/UnsentOfferTest.java
@@ -29,7 +29,8 @@
         FakeHolders holders = new FakeHolders(timers);
         holders.add("a", "hobart", 1);
         holders.add("b", "launceston", 1);
-        JobRouter router = new JobRouter(holders, timers, MAX_RUN_MILLIS, 0, new RoutingObserver() {});
+        JobRouter router = new JobRouter(
+                holders, timers, MAX_RUN_MILLIS, 0, new CancelledJobs(timers, 120_000), new RoutingObserver() {});
         JobRequest request = new JobRequest(JOB, "x", new TaskStep(2, new Resources(7_000, 64, 0), 60));
         router.submit(QUEUE, request, 5_000, reply -> {});
         router.nodeLost(RETURNED);
--- /dev/null
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/CancelRequests.java
@@ -0,0 +1,14 @@
+package org.tarragonarch.entry.cluster;
+
+import com.google.common.collect.ImmutableSet;
+import org.tarragonarch.model.id.NodeId;
+import org.tarragonarch.model.task.JobId;
+
+/** Sends the requests to cancel a job to other nodes. */
+interface CancelRequests {
+    /** Asks every located node to cancel a job and returns the nodes that were asked. */
+    ImmutableSet<NodeId> askAllToCancel(JobId job);
+
+    /** Asks a node that has not answered again, on a new connection, since the last one may be silent. */
+    void askAgainToCancel(NodeId peer, JobId job);
+}
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ClusterNode.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ClusterNode.java
@@ -10,10 +10,12 @@
 import org.tarragonarch.adapter.EndpointClient;
 import org.tarragonarch.adapter.HttpListeners;
 import org.tarragonarch.adapter.StoreClient;
+import org.tarragonarch.core.cluster.CancellationRepeats;
 import org.tarragonarch.core.cluster.Coordinator;
 import org.tarragonarch.core.follow.FollowPace;
 import org.tarragonarch.core.follow.TableFollower;
 import org.tarragonarch.core.placing.PlacingSettings;
+import org.tarragonarch.core.routing.CancelledJobs;
 import org.tarragonarch.core.shard.EndpointList;
 import org.tarragonarch.core.shard.PeerTable;
 import org.tarragonarch.core.shard.ShardPools;
@@ -56,7 +58,8 @@
     private final EndpointList endpoints = new EndpointList();
     private final ConfigurationInForce configuration;
     private final PeerExchange exchange = new PeerExchange(this);
-    private final PeerCancellations cancellations;
+    private final JobCancellations cancellations;
+    private final CancellationRepeats repeats = new CancellationRepeats();
     private final NodeMeters meters;
     private final Coordinator coordinator;
     private final PeerDiscovery discovery;
@@ -68,7 +71,6 @@
     ClusterNode(ClusterSettings settings, DecisionLog log) {
         this.settings = settings;
         this.log = log;
-        this.cancellations = new PeerCancellations(timers, log);
         this.configuration =
                 new ConfigurationInForce(settings.configurationMillis(), timers, System::currentTimeMillis, log);
         this.meters = new NodeMeters(this::openJobs, log::droppedLines);
@@ -84,6 +86,7 @@
                 exchange,
                 timers,
                 System::currentTimeMillis,
+                new CancelledJobs(timers, settings.cancelledMillis()),
                 new ShardLog(log, meters));
         meters.watchSpeeds(coordinator::speeds);
         meters.watchDrainedDomains(() -> coordinator.drained().domains().size());
@@ -92,6 +95,8 @@
         this.endpointRows = new EndpointRows(endpoints, coordinator::endpointsChanged, timers, log, meters);
         this.discovery = new PeerDiscovery(settings.member(), store, exchange, coordinator, timers, log);
         this.requests = new PeerRequests(exchange, configuration, endpoints, discovery);
+        PeerCancellations asked = new PeerCancellations(requests, timers, log);
+        this.cancellations = new JobCancellations(coordinator.router(), coordinator.originMessages(), asked, log);
     }
 
     /** Opens the servers, those for clients last, and starts the work of the event loop. */
@@ -99,15 +104,7 @@
         Incarnation incarnation = Incarnation.of(System.currentTimeMillis());
         exchange.open(group, settings.peerAddress(), Hello.of(settings.node(), incarnation, settings.domain()));
         NodeJobs jobs = new NodeJobs(
-                configuration,
-                coordinator.router(),
-                requests::askAllToCancel,
-                cancellations,
-                timers,
-                log,
-                meters,
-                this::ready,
-                () -> leaving);
+                configuration, coordinator.router(), cancellations, timers, log, meters, this::ready, () -> leaving);
         HttpListeners.openForReadiness(group, settings.readinessAddress(), jobs);
         HttpListeners.openForClients(group, settings.clientAddress(), jobs);
         Address pages = new Address(settings.ip(), settings.metricsPort());
@@ -174,6 +171,7 @@
         coordinator.review(discovery.canClaimShards());
         discovery.refresh();
         endpointRows.adjustReads(coordinator.endpointListNeed());
+        repeats.takeDue(coordinator.peers().holders(), timers.nowMillis()).forEach(exchange::repeatCancellations);
         timers.schedule(REVIEW_MILLIS, this::review);
     }
 
@@ -203,6 +201,7 @@
 
     @Override
     public boolean connectionLost(NodeId peer) {
+        repeats.connectionLost();
         return coordinator.connectionLost(peer);
     }
 
@@ -249,13 +248,8 @@
     }
 
     @Override
-    public boolean cancel(JobId job) {
-        return coordinator.router().cancel(job);
-    }
-
-    @Override
-    public void cancelAnswerReceived(NodeId peer, JobId job, boolean known) {
-        cancellations.recordAnswer(peer, job, known);
+    public CancelFrameHandler cancellations() {
+        return cancellations;
     }
 
     @Override
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ClusterSettings.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ClusterSettings.java
@@ -35,6 +35,7 @@
  * @param leaseMillis the longest lease that endpoints grant
  * @param stopMillis the longest time that an endpoint takes to stop a run
  * @param configurationMillis the time within which a confirmed configuration change must be in force
+ * @param cancelledMillis how long a cancelled job stays cancelled, so that its submission does not run it
  * @param shutdownMillis the time after a stop request at which the process is killed
  * @param shares the shares by which holders divide capacity among priorities
  */
@@ -53,11 +54,15 @@
         long leaseMillis,
         long stopMillis,
         long configurationMillis,
+        long cancelledMillis,
         long shutdownMillis,
         SharePlan shares) {
     /** The default time within which a configuration change is in force. */
     private static final long DEFAULT_CONFIGURATION_MILLIS = 2_000;
 
+    /** The default time for which a cancelled job stays cancelled. */
+    private static final long DEFAULT_CANCELLED_SECONDS = 120;
+
     /** About ten round trips to the store; a shorter time leaves none for a waiting call. */
     private static final long MIN_CONFIGURATION_MILLIS = 100;
 
@@ -112,6 +117,7 @@
         private long leaseMillis;
         private long stopMillis;
         private long configurationMillis = DEFAULT_CONFIGURATION_MILLIS;
+        private long cancelledSeconds = DEFAULT_CANCELLED_SECONDS;
         private long shutdownSeconds;
         private SharePlan shares = SharePlan.NONE;
 
@@ -147,6 +153,7 @@
                 case "lease-millis" -> leaseMillis = parser.getLongValue();
                 case "stop-millis" -> stopMillis = parser.getLongValue();
                 case "configuration-millis" -> configurationMillis = parser.getLongValue();
+                case "cancelled-seconds" -> cancelledSeconds = parser.getLongValue();
                 case "shares" -> shares = ShareSettingsReader.read(parser);
                 case "shutdown-seconds" -> shutdownSeconds = parser.getLongValue();
                 default -> throw new IOException("unknown key '" + key + "'");
@@ -169,6 +176,7 @@
                     positive("lease-millis", leaseMillis),
                     positive("stop-millis", stopMillis),
                     atLeast(MIN_CONFIGURATION_MILLIS, "configuration-millis", configurationMillis),
+                    positive("cancelled-seconds", cancelledSeconds) * MILLIS_PER_SECOND,
                     positive("shutdown-seconds", shutdownSeconds) * MILLIS_PER_SECOND,
                     shares);
         }
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/NodeJobs.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/NodeJobs.java
@@ -1,11 +1,9 @@
 package org.tarragonarch.entry.cluster;
 
 import com.google.common.base.Ascii;
-import com.google.common.collect.ImmutableSet;
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
-import java.util.function.Function;
 import org.tarragonarch.core.routing.JobRouter;
 import org.tarragonarch.model.id.NodeId;
 import org.tarragonarch.model.log.NodeEvent;
@@ -25,8 +23,7 @@
 
     private final ConfigurationInForce configuration;
     private final JobRouter router;
-    private final Function<JobId, ImmutableSet<NodeId>> askPeersToCancel;
-    private final PeerCancellations cancellations;
+    private final JobCancellations cancellations;
     private final Timers timers;
     private final DecisionLog log;
     private final NodeMeters meters;
@@ -36,8 +33,7 @@
     NodeJobs(
             ConfigurationInForce configuration,
             JobRouter router,
-            Function<JobId, ImmutableSet<NodeId>> askPeersToCancel,
-            PeerCancellations cancellations,
+            JobCancellations cancellations,
             Timers timers,
             DecisionLog log,
             NodeMeters meters,
@@ -45,7 +41,6 @@
             BooleanSupplier leaving) {
         this.configuration = configuration;
         this.router = router;
-        this.askPeersToCancel = askPeersToCancel;
         this.cancellations = cancellations;
         this.timers = timers;
         this.log = log;
@@ -117,13 +112,7 @@
 
     @Override
     public void cancel(JobId job, Consumer<Boolean> known) {
-        boolean here = router.cancel(job);
-        log.write(NodeEvent.JOB_CANCELLED, "job", job, "here", here);
-        if (here) {
-            known.accept(true);
-            return;
-        }
-        cancellations.start(job, askPeersToCancel.apply(job), known);
+        cancellations.cancel(job, known);
     }
 
     @Override
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/PeerCancellations.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/PeerCancellations.java
@@ -11,66 +11,84 @@
 import org.tarragonarch.model.task.JobId;
 import org.tarragonarch.model.task.Timers;
 
-/** Pending cancellations of jobs that this node does not have and asks its peers to cancel. */
+/**
+ * Cancellations that clients of this node have asked for and that other nodes have not all confirmed.
+ *
+ * <p>A client is answered once every peer has recorded the cancellation, so that it survives the loss of this node.
+ */
 final class PeerCancellations {
     /** Peers answer within a few milliseconds; one that misses this time is slow, paused or down. */
     private static final long ANSWER_TIMEOUT_MILLIS = 400;
 
+    private final CancelRequests requests;
     private final Timers timers;
     private final DecisionLog log;
     private final Map<JobId, Cancellation> cancellations = new HashMap<>();
 
-    PeerCancellations(Timers timers, DecisionLog log) {
+    PeerCancellations(CancelRequests requests, Timers timers, DecisionLog log) {
+        this.requests = requests;
         this.timers = timers;
         this.log = log;
     }
 
     /**
-     * Waits for the peers' answers.
+     * Asks every peer to cancel a job that this node has cancelled.
      *
-     * @param asked the peers that were asked
-     * @param known receives whether a peer knew the job
+     * @param here whether this node knew the job
+     * @param answer receives whether any node knew the job
      */
-    void start(JobId job, ImmutableSet<NodeId> asked, Consumer<Boolean> known) {
-        Cancellation cancellation = new Cancellation(job, asked, timers.nowMillis(), known);
+    void ask(JobId job, boolean here, Consumer<Boolean> answer) {
+        ImmutableSet<NodeId> asked = requests.askAllToCancel(job);
+        Cancellation cancellation = new Cancellation(job, here, asked, timers.nowMillis(), answer);
         if (asked.isEmpty()) {
-            answer(cancellation, false);
+            answer(cancellation);
             return;
         }
         cancellations.put(job, cancellation);
-        timers.schedule(ANSWER_TIMEOUT_MILLIS, () -> end(cancellation, false));
+        timers.schedule(ANSWER_TIMEOUT_MILLIS, () -> timedOut(cancellation));
     }
 
+    /** Records that a peer has cancelled a job. */
     void recordAnswer(NodeId peer, JobId job, boolean known) {
         Cancellation cancellation = cancellations.get(job);
         if (cancellation != null) {
+            cancellation.known |= known;
             cancellation.unanswered.remove(peer);
-            if (known || cancellation.unanswered.isEmpty()) {
-                end(cancellation, known);
+            if (cancellation.unanswered.isEmpty()) {
+                end(cancellation);
             }
         }
     }
 
-    private void end(Cancellation cancellation, boolean known) {
+    /** Answers the client. The peers that have not confirmed the cancellation are asked once more. */
+    private void timedOut(Cancellation cancellation) {
+        if (cancellations.get(cancellation.job) == cancellation) {
+            ImmutableSet.copyOf(cancellation.unanswered)
+                    .forEach(peer -> requests.askAgainToCancel(peer, cancellation.job));
+            end(cancellation);
+        }
+    }
+
+    private void end(Cancellation cancellation) {
         if (cancellations.remove(cancellation.job, cancellation)) {
-            answer(cancellation, known);
+            answer(cancellation);
         }
     }
 
-    private void answer(Cancellation cancellation, boolean known) {
+    private void answer(Cancellation cancellation) {
         log.write(
                 NodeEvent.CANCEL_ANSWERED,
                 "job",
                 cancellation.job,
                 "known",
-                known,
+                cancellation.known,
                 "asked",
                 cancellation.asked,
                 "unanswered",
                 cancellation.unanswered,
                 "after-ms",
                 timers.nowMillis() - cancellation.startedAtMillis);
-        cancellation.known.accept(known);
+        cancellation.answer.accept(cancellation.known);
     }
 
     /** A job that peers were asked to cancel, with the peers that have not answered. */
@@ -79,14 +97,17 @@
         private final int asked;
         private final Set<NodeId> unanswered;
         private final long startedAtMillis;
-        private final Consumer<Boolean> known;
+        private final Consumer<Boolean> answer;
+        private boolean known;
 
-        Cancellation(JobId job, ImmutableSet<NodeId> asked, long startedAtMillis, Consumer<Boolean> known) {
+        Cancellation(
+                JobId job, boolean known, ImmutableSet<NodeId> asked, long startedAtMillis, Consumer<Boolean> answer) {
             this.job = job;
+            this.known = known;
             this.asked = asked.size();
             this.unanswered = new HashSet<>(asked);
             this.startedAtMillis = startedAtMillis;
-            this.known = known;
+            this.answer = answer;
         }
     }
 }
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/PeerExchange.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/PeerExchange.java
@@ -5,9 +5,12 @@
 import io.netty.channel.EventLoopGroup;
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.tarragonarch.core.cluster.PeerSender;
+import org.tarragonarch.core.routing.CancelSource;
 import org.tarragonarch.core.shard.PeerTable;
 import org.tarragonarch.model.id.Address;
 import org.tarragonarch.model.id.ConfigurationVersion;
@@ -57,6 +60,9 @@
     private final PeerFrameHandler handler;
     private final Map<NodeId, Member> members = new HashMap<>();
     private final Map<NodeId, Incarnation> incarnations = new HashMap<>();
+    /** The peers whose last frame but for answers was a list of open jobs, or a cancellation directly after one. */
+    private final Set<NodeId> repeating = new HashSet<>();
+
     private PeerNetwork network;
 
     PeerExchange(PeerFrameHandler handler) {
@@ -90,6 +96,29 @@
                 .collect(ImmutableList.toImmutableList());
     }
 
+    /** Repeats the latest cancellations to a peer, as on a new connection. */
+    void repeatCancellations(NodeId peer) {
+        ImmutableList<Frame> frames = cancellationsAndOpenJobs(peer);
+        if (frames.size() > 1) {
+            frames.forEach(frame -> send(peer, frame));
+        }
+    }
+
+    /**
+     * Returns the list of open jobs, after the cancellations that this node's clients have asked for and before those
+     * that peers have asked for, which the receiver takes for repetitions.
+     */
+    private ImmutableList<Frame> cancellationsAndOpenJobs(NodeId peer) {
+        CancelFrameHandler cancellations = handler.cancellations();
+        ImmutableList.Builder<Frame> frames = ImmutableList.builder();
+        cancellations.toRepeat(CancelSource.CLIENT).stream()
+                .map(CancelAsked::new)
+                .forEach(frames::add);
+        frames.add(new OpenJobs(handler.openJobsAt(peer)));
+        cancellations.toRepeat(CancelSource.PEER).stream().map(CancelAsked::new).forEach(frames::add);
+        return frames.build();
+    }
+
     /** Closes all connections with an unreachable peer. */
     void disconnect(NodeId node, String reason) {
         network.disconnect(node, reason);
@@ -134,6 +163,11 @@
         answer(to, new JobSettled(verdict));
     }
 
+    @Override
+    public void sendCancellation(NodeId to, JobId job) {
+        answer(to, new CancelAsked(job));
+    }
+
     /** Sends a frame to the incarnation of a node that sent the latest frame. */
     private void answer(NodeId node, Frame frame) {
         Optional.ofNullable(incarnations.get(node)).ifPresent(incarnation -> network.reply(node, incarnation, frame));
@@ -142,6 +176,15 @@
     @Override
     public void received(NodeId peer, Incarnation incarnation, Frame frame) {
         recordIncarnation(peer, incarnation);
+        if (frame instanceof CancelAsked asked) {
+            network.reply(peer, incarnation, new CancelAnswered(asked.job(), cancel(peer, asked.job())));
+            return;
+        }
+        if (frame instanceof CancelAnswered answered) {
+            handler.cancellations().cancelled(peer, answered.job(), answered.known());
+            return;
+        }
+        repeating.remove(peer);
         if (frame instanceof StatusFrame status) {
             members.put(peer, status.status().member());
             handler.statusReceived(status.status());
@@ -152,11 +195,8 @@
         } else if (frame instanceof JobWithdrawn withdrawn) {
             handler.withdrawalReceived(peer, withdrawn.job());
         } else if (frame instanceof OpenJobs open) {
+            repeating.add(peer);
             handler.openJobsReceived(peer, open.jobs());
-        } else if (frame instanceof CancelAsked asked) {
-            network.reply(peer, incarnation, new CancelAnswered(asked.job(), handler.cancel(asked.job())));
-        } else if (frame instanceof CancelAnswered answered) {
-            handler.cancelAnswerReceived(peer, answered.job(), answered.known());
         } else if (frame instanceof ConfigurationAsked) {
             network.reply(peer, incarnation, configuration());
         } else if (frame instanceof ConfigurationGiven given) {
@@ -172,6 +212,11 @@
         }
     }
 
+    private boolean cancel(NodeId peer, JobId job) {
+        return handler.cancellations()
+                .cancel(job, repeating.contains(peer) ? CancelSource.REPETITION : CancelSource.PEER);
+    }
+
     /** Records the incarnation of a connected peer; the loss of an earlier one is reported first. */
     private void recordIncarnation(NodeId peer, Incarnation incarnation) {
         Incarnation before = incarnations.put(peer, incarnation);
@@ -184,7 +229,7 @@
     public ImmutableList<Frame> firstFrames(NodeId peer, Incarnation incarnation) {
         recordIncarnation(peer, incarnation);
         ImmutableList.Builder<Frame> frames = ImmutableList.builder();
-        frames.add(new OpenJobs(handler.openJobsAt(peer)));
+        frames.addAll(cancellationsAndOpenJobs(peer));
         handler.offersToSendAgain(peer).stream().map(JobOffered::new).forEach(frames::add);
         return frames.build();
     }
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/PeerFrameHandler.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/PeerFrameHandler.java
@@ -43,10 +43,8 @@
     /** Returns the offers to send again to a peer on a new connection. */
     ImmutableList<Offer> offersToSendAgain(NodeId peer);
 
-    /** Cancels a job of this node and returns whether this node knew it. */
-    boolean cancel(JobId job);
-
-    void cancelAnswerReceived(NodeId peer, JobId job, boolean known);
+    /** Returns the handler of the frames that cancel jobs. */
+    CancelFrameHandler cancellations();
 
     byte[] configurationText();
 
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/PeerRequests.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/PeerRequests.java
@@ -13,8 +13,8 @@
 import org.tarragonarch.wire.EndpointsAsked;
 import org.tarragonarch.wire.NodesAsked;
 
-/** Asks peers for what this node lacks and the store has not given it. */
-final class PeerRequests {
+/** Asks peers to cancel jobs, and for what this node lacks and the store has not given it. */
+final class PeerRequests implements CancelRequests {
     private final PeerExchange exchange;
     private final ConfigurationInForce configuration;
     private final EndpointList endpoints;
@@ -31,13 +31,19 @@
         this.discovery = discovery;
     }
 
-    /** Asks every located node to cancel a job and returns the nodes that were asked. */
-    ImmutableSet<NodeId> askAllToCancel(JobId job) {
+    @Override
+    public ImmutableSet<NodeId> askAllToCancel(JobId job) {
         ImmutableList<Member> located = exchange.located();
         located.forEach(peer -> exchange.send(peer.node(), new CancelAsked(job)));
         return located.stream().map(Member::node).collect(ImmutableSet.toImmutableSet());
     }
 
+    @Override
+    public void askAgainToCancel(NodeId peer, JobId job) {
+        exchange.disconnect(peer, "no answer to a cancellation");
+        exchange.send(peer, new CancelAsked(job));
+    }
+
     /** Asks the sender of a status; for endpoints and nodes only if it has just become reachable. */
     void askSender(NodeStatus status, boolean joined) {
         if (status.configurationVersion() > configuration.version()) {
--- a/tarragonarch-entry/src/test/java/org/tarragonarch/entry/cluster/ClusterNodeTest.java
+++ b/tarragonarch-entry/src/test/java/org/tarragonarch/entry/cluster/ClusterNodeTest.java
@@ -112,6 +112,26 @@
         awaitStatus(second, "a", 200);
     }
 
+    /** Guards against a cancelled job that runs because its submission arrives at another node. */
+    @Test
+    public void testCancel_submissionArrivesAtOtherNode() throws Exception {
+        store.configure(QUEUES.formatted(3, "a"));
+        ClusterSettings first = startNode("n1");
+        awaitReady(first);
+        ClusterSettings second = startNode("n2");
+        awaitReady(second);
+        awaitStatus(second, "a", 200);
+        HttpRequest cancel = HttpRequest.newBuilder(uri(first, "a", 5))
+                .DELETE()
+                .timeout(TIMEOUT)
+                .build();
+        assertEquals(client.send(cancel, HttpResponse.BodyHandlers.ofString()).statusCode(), 410);
+        int before = starts();
+        HttpResponse<String> answer = post(second, "a", 5);
+        assertEquals(answer.statusCode() + answer.body(), "200{\"State\":\"cancelled\"}");
+        assertEquals(starts(), before);
+    }
+
     @Test
     public void testSettings_configurationMillisTooShort() throws IOException {
         Path file = Files.createTempFile("settings", ".jsonc");
@@ -163,8 +183,7 @@
     }
 
     private HttpResponse<String> post(ClusterSettings node, String queue, int job) throws Exception {
-        URI uri = URI.create("http://" + node.clientAddress() + "/" + queue + "/" + String.format("%016x", job));
-        HttpRequest request = HttpRequest.newBuilder(uri)
+        HttpRequest request = HttpRequest.newBuilder(uri(node, queue, job))
                 .header("X-Deadline-Ms", "4000")
                 .timeout(TIMEOUT)
                 .POST(HttpRequest.BodyPublishers.ofString(JOB))
@@ -172,6 +191,10 @@
         return client.send(request, HttpResponse.BodyHandlers.ofString());
     }
 
+    private static URI uri(ClusterSettings node, String queue, int job) {
+        return URI.create("http://" + node.clientAddress() + "/" + queue + "/" + String.format("%016x", job));
+    }
+
     private static int status(HttpResponse<String> answer) {
         return answer.statusCode();
     }
--- a/tarragonarch-entry/src/test/java/org/tarragonarch/entry/cluster/PeerExchangeTest.java
+++ b/tarragonarch-entry/src/test/java/org/tarragonarch/entry/cluster/PeerExchangeTest.java
@@ -4,8 +4,14 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.ImmutableSetMultimap;
+import io.netty.channel.nio.NioEventLoopGroup;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.tarragonarch.core.routing.CancelSource;
+import org.tarragonarch.model.id.Address;
+import org.tarragonarch.model.id.FailureDomain;
 import org.tarragonarch.model.id.Incarnation;
 import org.tarragonarch.model.id.NodeId;
 import org.tarragonarch.model.report.Member;
@@ -21,6 +27,10 @@
 import org.tarragonarch.model.task.Resources;
 import org.tarragonarch.model.task.TaskStep;
 import org.tarragonarch.model.task.Verdict;
+import org.tarragonarch.wire.CancelAnswered;
+import org.tarragonarch.wire.CancelAsked;
+import org.tarragonarch.wire.Frame;
+import org.tarragonarch.wire.Hello;
 import org.tarragonarch.wire.JobOffered;
 import org.tarragonarch.wire.JobSettled;
 import org.tarragonarch.wire.JobWithdrawn;
@@ -32,6 +42,7 @@
 public final class PeerExchangeTest {
     private static final NodeId PEER = NodeId.of("peer");
     private static final JobId JOB = new JobId("00000000000000aa");
+    private static final JobId CANCELLED = new JobId("00000000000000bb");
     private static final QueueDefinition QUEUE = new QueueDefinition("q", "h", "/p/", "s", 0, 3, 1.6, 60);
     private static final JobRequest REQUEST = new JobRequest(JOB, "x", new TaskStep(1, new Resources(1, 1, 0), 60));
     private static final Offer OFFER = new Offer(REQUEST, QUEUE, NodeId.of("own"), 0, 1_500, EarlierRuns.NONE);
@@ -39,9 +50,12 @@
     private final List<String> calls = new ArrayList<>();
     private final PeerExchange exchange = new PeerExchange(new RecordingHandler());
 
+    private ImmutableSetMultimap<CancelSource, JobId> toRepeat = ImmutableSetMultimap.of();
+
     @BeforeMethod
     public void clearCalls() {
         calls.clear();
+        toRepeat = ImmutableSetMultimap.of();
     }
 
     /** Guards against a verdict that is sent back to its holder, so that the two nodes exchange it endlessly. */
@@ -76,6 +90,55 @@
                 ImmutableList.of(new OpenJobs(ImmutableSet.of(JOB)), new JobOffered(OFFER)));
     }
 
+    /** Guards against a peer that was down or cut off and runs a job that was cancelled meanwhile. */
+    @Test
+    public void testFirstFrames_cancellationsAreRepeatedBeforeOffers() {
+        JobId own = new JobId("00000000000000cc");
+        toRepeat = ImmutableSetMultimap.of(
+                CancelSource.PEER, CANCELLED, CancelSource.CLIENT, own, CancelSource.REPETITION, JOB);
+        assertEquals(
+                exchange.firstFrames(PEER, Incarnation.of(1)),
+                ImmutableList.of(
+                        new CancelAsked(own),
+                        new OpenJobs(ImmutableSet.of(JOB)),
+                        new CancelAsked(CANCELLED),
+                        new JobOffered(OFFER)));
+    }
+
+    /** Guards against a cancellation that is repeated from node to node for ever, or a new one that is not repeated. */
+    @Test
+    public void testReceived_cancellationsAfterOpenJobsAreRepetitions() throws Exception {
+        NioEventLoopGroup group = new NioEventLoopGroup(1);
+        try {
+            Hello own = Hello.of(NodeId.of("own"), Incarnation.of(1), FailureDomain.of("hobart"));
+            exchange.open(
+                    group, new Address("127.0.0.1", ArchiveWarmUp.freePorts(1).get(0)), own);
+            receive(new CancelAsked(CANCELLED));
+            receive(new OpenJobs(ImmutableSet.of()));
+            receive(new CancelAsked(CANCELLED));
+            receive(new CancelAnswered(JOB, false));
+            receive(new CancelAsked(JOB));
+            receive(new JobWithdrawn(JOB));
+            receive(new CancelAsked(CANCELLED));
+        } finally {
+            group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).awaitUninterruptibly();
+        }
+        assertEquals(
+                calls,
+                ImmutableList.of(
+                        "cancelled, PEER",
+                        "open at peer []",
+                        "cancelled, REPETITION",
+                        "cancel answered",
+                        "cancelled, REPETITION",
+                        "withdrawn by peer",
+                        "cancelled, PEER"));
+    }
+
+    private void receive(Frame frame) {
+        exchange.received(PEER, Incarnation.of(1), frame);
+    }
+
     /** Guards against a job that waits for a peer whose next incarnation knows nothing of it. */
     @Test
     public void testReceived_laterIncarnation() {
@@ -148,14 +211,8 @@
         }
 
         @Override
-        public boolean cancel(JobId job) {
-            calls.add("cancelled");
-            return false;
-        }
-
-        @Override
-        public void cancelAnswerReceived(NodeId peer, JobId job, boolean known) {
-            calls.add("cancel answered");
+        public CancelFrameHandler cancellations() {
+            return new RecordingCancelHandler();
         }
 
         @Override
@@ -188,4 +245,23 @@
             calls.add("nodes " + nodes);
         }
     }
+
+    /** Records calls as text. */
+    private final class RecordingCancelHandler implements CancelFrameHandler {
+        @Override
+        public boolean cancel(JobId job, CancelSource source) {
+            calls.add("cancelled, " + source);
+            return false;
+        }
+
+        @Override
+        public ImmutableList<JobId> toRepeat(CancelSource source) {
+            return toRepeat.get(source).asList();
+        }
+
+        @Override
+        public void cancelled(NodeId peer, JobId job, boolean known) {
+            calls.add("cancel answered");
+        }
+    }
 }
