Await no answer to a cancellation from a node that cannot be reached

Cause: a cancellation waits for an answer of every node that was ever located, and nodes are never forgotten.

Change: a peer that could not be reached (its connections closed and a new one fails, a request was not sent, or it did not answer within the timeout) is still asked, and its answer is not awaited until it is heard from again; a wait that is under way ends.

Tests: ClusterNodeTest#testCancel_afterRemovalOfNode failed on (the removed node was asked for 30 s), passes; PeerExchangeTest#testIsReachable_*, PeerCancellationsTest#testRecordUnreachable are new calls.

--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/CancelFrameHandler.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/CancelFrameHandler.java
@@ -15,4 +15,7 @@
 
     /** Called when a peer has cancelled a job that this node asked it to cancel. */
     void cancelled(NodeId peer, JobId job, boolean known);
+
+    /** Called when a peer cannot be reached, so that no answer from it is awaited. */
+    void unreachable(NodeId peer);
 }
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/CancelRequests.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/CancelRequests.java
@@ -6,9 +6,12 @@
 
 /** Sends the requests to cancel a job to other nodes. */
 interface CancelRequests {
-    /** Asks every located node to cancel a job and returns the nodes that were asked. */
+    /** Asks every located node to cancel a job and returns the nodes whose answers can be awaited. */
     ImmutableSet<NodeId> askAllToCancel(JobId job);
 
-    /** Asks a node that has not answered again, on a new connection, since the last one may be silent. */
+    /**
+     * Asks a node that has not answered again, on a new connection, since the last one may be silent. Its answers are
+     * not awaited until it is heard from.
+     */
     void askAgainToCancel(NodeId peer, JobId job);
 }
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/JobCancellations.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/JobCancellations.java
@@ -49,4 +49,9 @@
     public void cancelled(NodeId peer, JobId job, boolean known) {
         peers.recordAnswer(peer, job, known);
     }
+
+    @Override
+    public void unreachable(NodeId peer) {
+        peers.recordUnreachable(peer);
+    }
 }
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/PeerCancellations.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/PeerCancellations.java
@@ -1,5 +1,6 @@
 package org.tarragonarch.entry.cluster;
 
+import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -60,6 +61,15 @@
         }
     }
 
+    /** Ends the wait for a peer that cannot be reached. */
+    void recordUnreachable(NodeId peer) {
+        for (Cancellation cancellation : ImmutableList.copyOf(cancellations.values())) {
+            if (cancellation.unanswered.remove(peer) && cancellation.unanswered.isEmpty()) {
+                end(cancellation);
+            }
+        }
+    }
+
     /** Answers the client. The peers that have not confirmed the cancellation are asked once more. */
     private void timedOut(Cancellation cancellation) {
         if (cancellations.get(cancellation.job) == cancellation) {
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/PeerExchange.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/PeerExchange.java
@@ -63,6 +63,9 @@
     /** The peers whose last frame but for answers was a list of open jobs, or a cancellation directly after one. */
     private final Set<NodeId> repeating = new HashSet<>();
 
+    /** The peers that could not be reached and have sent nothing since; they may be gone for good. */
+    private final Set<NodeId> unreachable = new HashSet<>();
+
     private PeerNetwork network;
 
     PeerExchange(PeerFrameHandler handler) {
@@ -89,6 +92,17 @@
         return ImmutableList.copyOf(members.values());
     }
 
+    /** Returns whether a peer has been heard from since it could not be reached last, if ever it could not. */
+    boolean isReachable(NodeId peer) {
+        return !unreachable.contains(peer);
+    }
+
+    /** Records that a peer cannot be reached; ends the wait for its answers. */
+    void markUnreachable(NodeId peer) {
+        unreachable.add(peer);
+        handler.cancellations().unreachable(peer);
+    }
+
     /** Returns every other node of these failure domains whose address is known. */
     ImmutableList<Member> locatedIn(ImmutableSet<FailureDomain> domains) {
         return members.values().stream()
@@ -176,6 +190,7 @@
     @Override
     public void received(NodeId peer, Incarnation incarnation, Frame frame) {
         recordIncarnation(peer, incarnation);
+        unreachable.remove(peer);
         if (frame instanceof CancelAsked asked) {
             network.reply(peer, incarnation, new CancelAnswered(asked.job(), cancel(peer, asked.job())));
             return;
@@ -243,12 +258,15 @@
     public void undelivered(NodeId peer, Frame frame) {
         if (frame instanceof JobOffered offered) {
             handler.offerUndelivered(peer, offered.offer().job().id());
+        } else if (frame instanceof CancelAsked) {
+            markUnreachable(peer);
         }
     }
 
     @Override
     public void disconnected(NodeId peer, Incarnation incarnation) {
         if (incarnation.equals(incarnations.get(peer))) {
+            markUnreachable(peer);
             handler.disconnected(peer);
         }
     }
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/PeerRequests.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/PeerRequests.java
@@ -35,11 +35,12 @@
     public ImmutableSet<NodeId> askAllToCancel(JobId job) {
         ImmutableList<Member> located = exchange.located();
         located.forEach(peer -> exchange.send(peer.node(), new CancelAsked(job)));
-        return located.stream().map(Member::node).collect(ImmutableSet.toImmutableSet());
+        return located.stream().map(Member::node).filter(exchange::isReachable).collect(ImmutableSet.toImmutableSet());
     }
 
     @Override
     public void askAgainToCancel(NodeId peer, JobId job) {
+        exchange.markUnreachable(peer);
         exchange.disconnect(peer, "no answer to a cancellation");
         exchange.send(peer, new CancelAsked(job));
     }
--- a/tarragonarch-entry/src/test/java/org/tarragonarch/entry/cluster/ClusterNodeTest.java
+++ b/tarragonarch-entry/src/test/java/org/tarragonarch/entry/cluster/ClusterNodeTest.java
@@ -5,11 +5,14 @@
 import static org.testng.Assert.expectThrows;
 import static org.testng.Assert.fail;
 
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.io.PrintStream;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
@@ -37,10 +40,12 @@
     private final HttpClient client = HttpClient.newHttpClient();
     private final List<ClusterNode> nodes = new ArrayList<>();
     private final List<StandInEndpoint> endpoints = new ArrayList<>();
+    private ByteArrayOutputStream log;
     private StandInStore store;
 
     @BeforeMethod
     public void startPlatform() throws IOException {
+        log = new ByteArrayOutputStream();
         store = new StandInStore();
         for (int i = 1; i <= 2; i++) {
             StandInEndpoint endpoint = new StandInEndpoint();
@@ -121,17 +126,30 @@
         ClusterSettings second = startNode("n2");
         awaitReady(second);
         awaitStatus(second, "a", 200);
-        HttpRequest cancel = HttpRequest.newBuilder(uri(first, "a", 5))
-                .DELETE()
-                .timeout(TIMEOUT)
-                .build();
-        assertEquals(client.send(cancel, HttpResponse.BodyHandlers.ofString()).statusCode(), 410);
+        assertEquals(cancel(first, 5), 410);
         int before = starts();
         HttpResponse<String> answer = post(second, "a", 5);
         assertEquals(answer.statusCode() + answer.body(), "200{\"State\":\"cancelled\"}");
         assertEquals(starts(), before);
     }
 
+    /** Guards against cancellations that each wait for a node which was removed, until the timeout. */
+    @Test
+    public void testCancel_afterRemovalOfNode() throws Exception {
+        store.configure(QUEUES.formatted(3, "a"));
+        ClusterSettings first = startNode("n1");
+        awaitReady(first);
+        ClusterSettings second = startNode("n2");
+        awaitReady(second);
+        awaitStatus(first, "a", 200);
+        nodes.remove(1).abort();
+        long until = System.nanoTime() + TIMEOUT.toNanos();
+        for (int job = 5; !log.toString(StandardCharsets.UTF_8).contains("\"asked\":0"); job++) {
+            assertEquals(cancel(first, job), 410);
+            assertTrue(System.nanoTime() < until, "the removed node is asked each time");
+        }
+    }
+
     @Test
     public void testSettings_configurationMillisTooShort() throws IOException {
         Path file = Files.createTempFile("settings", ".jsonc");
@@ -173,7 +191,9 @@
                           "lease-millis": 1000, "stop-millis": 50, "shutdown-seconds": 6 }
                         """.formatted(name, ports.get(0), ports.get(1), ports.get(2), ports.get(3), store.address()));
             ClusterSettings settings = ClusterSettings.read(file);
-            ClusterNode node = new ClusterNode(settings, new DecisionLog(name, System.err));
+            DecisionLog decisions = new DecisionLog(name, new PrintStream(log));
+            decisions.start();
+            ClusterNode node = new ClusterNode(settings, decisions);
             nodes.add(node);
             node.start();
             return settings;
@@ -191,6 +211,14 @@
         return client.send(request, HttpResponse.BodyHandlers.ofString());
     }
 
+    private int cancel(ClusterSettings node, int job) throws Exception {
+        HttpRequest request = HttpRequest.newBuilder(uri(node, "a", job))
+                .DELETE()
+                .timeout(TIMEOUT)
+                .build();
+        return client.send(request, HttpResponse.BodyHandlers.ofString()).statusCode();
+    }
+
     private static URI uri(ClusterSettings node, String queue, int job) {
         return URI.create("http://" + node.clientAddress() + "/" + queue + "/" + String.format("%016x", job));
     }
--- a/tarragonarch-entry/src/test/java/org/tarragonarch/entry/cluster/PeerCancellationsTest.java
+++ b/tarragonarch-entry/src/test/java/org/tarragonarch/entry/cluster/PeerCancellationsTest.java
@@ -71,6 +71,15 @@
         assertEquals(calls.size(), 3);
     }
 
+    /** Guards against a client that waits for a node after that is known to be unreachable. */
+    @Test
+    public void testRecordUnreachable() {
+        cancel(false);
+        cancellations.recordAnswer(FIRST, JOB, false);
+        cancellations.recordUnreachable(SECOND);
+        assertEquals(calls, ImmutableList.of("asked all", "answered false"));
+    }
+
     @Test
     public void testAsk_noPeers() {
         peers = ImmutableSet.of();
--- a/tarragonarch-entry/src/test/java/org/tarragonarch/entry/cluster/PeerExchangeTest.java
+++ b/tarragonarch-entry/src/test/java/org/tarragonarch/entry/cluster/PeerExchangeTest.java
@@ -1,6 +1,8 @@
 package org.tarragonarch.entry.cluster;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
@@ -48,13 +50,14 @@
     private static final Offer OFFER = new Offer(REQUEST, QUEUE, NodeId.of("own"), 0, 1_500, EarlierRuns.NONE);
 
     private final List<String> calls = new ArrayList<>();
-    private final PeerExchange exchange = new PeerExchange(new RecordingHandler());
+    private PeerExchange exchange;
 
     private ImmutableSetMultimap<CancelSource, JobId> toRepeat = ImmutableSetMultimap.of();
 
     @BeforeMethod
-    public void clearCalls() {
+    public void createExchange() {
         calls.clear();
+        exchange = new PeerExchange(new RecordingHandler());
         toRepeat = ImmutableSetMultimap.of();
     }
 
@@ -139,6 +142,26 @@
         exchange.received(PEER, Incarnation.of(1), frame);
     }
 
+    /** Guards against clients that wait for the answers of a node that was removed, each for the full timeout. */
+    @Test
+    public void testIsReachable_untilDisconnected() {
+        assertTrue(exchange.isReachable(PEER));
+        exchange.received(PEER, Incarnation.of(1), new JobWithdrawn(JOB));
+        exchange.disconnected(PEER, Incarnation.of(1));
+        assertFalse(exchange.isReachable(PEER));
+        assertEquals(calls, ImmutableList.of("withdrawn by peer", "peer unreachable", "disconnected"));
+        exchange.received(PEER, Incarnation.of(2), new JobWithdrawn(JOB));
+        assertTrue(exchange.isReachable(PEER));
+    }
+
+    /** Guards against clients that wait for a node that was never reached: its row is older than this node. */
+    @Test
+    public void testIsReachable_frameUndelivered() {
+        exchange.undelivered(PEER, new CancelAsked(CANCELLED));
+        assertFalse(exchange.isReachable(PEER));
+        assertEquals(calls, ImmutableList.of("peer unreachable"));
+    }
+
     /** Guards against a job that waits for a peer whose next incarnation knows nothing of it. */
     @Test
     public void testReceived_laterIncarnation() {
@@ -263,5 +286,10 @@
         public void cancelled(NodeId peer, JobId job, boolean known) {
             calls.add("cancel answered");
         }
+
+        @Override
+        public void unreachable(NodeId peer) {
+            calls.add(peer + " unreachable");
+        }
     }
 }
