Answer pending cancellations before the process of a stopping node ends

Cause: NodeShutdown ends the process once new jobs are refused and no job is open, although calls wait for other nodes. Evidence: 138 lines job-cancelled, 118 cancel-answered, then node-stopped with open-jobs=0.

Change: the shutdown waits for pending cancellations as for open jobs; when the time is up, all are answered with what is known, and later ones at once. New jobs are refused from then on at the latest: where less than 3.3 s are given to end, one that arrived in the last 0.1 s was accepted and lost.

PeerCancellationsTest#testAnswerAll.

--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ClusterNode.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ClusterNode.java
@@ -58,6 +58,7 @@
     private final EndpointList endpoints = new EndpointList();
     private final ConfigurationInForce configuration;
     private final PeerExchange exchange = new PeerExchange(this);
+    private final PeerCancellations pendingCancellations;
     private final JobCancellations cancellations;
     private final CancellationRepeats repeats = new CancellationRepeats();
     private final NodeMeters meters;
@@ -95,8 +96,9 @@
         this.endpointRows = new EndpointRows(endpoints, coordinator::endpointsChanged, timers, log, meters);
         this.discovery = new PeerDiscovery(settings.member(), store, exchange, coordinator, timers, log);
         this.requests = new PeerRequests(exchange, configuration, endpoints, discovery);
-        PeerCancellations asked = new PeerCancellations(requests, timers, log);
-        this.cancellations = new JobCancellations(coordinator.router(), coordinator.originMessages(), asked, log);
+        this.pendingCancellations = new PeerCancellations(requests, timers, log);
+        this.cancellations =
+                new JobCancellations(coordinator.router(), coordinator.originMessages(), pendingCancellations, log);
     }
 
     /** Opens the servers, those for clients last, and starts the work of the event loop. */
@@ -122,7 +124,14 @@
             leaving = true;
             log.write(NodeEvent.NODE_LEAVING, "open-jobs", openJobs(), "shards", coordinator.heldShardCount());
             coordinator.leave();
-            new NodeShutdown(coordinator.router(), timers, log, settings.shutdownMillis()).run();
+            new NodeShutdown(
+                            coordinator.router(),
+                            pendingCancellations,
+                            timers,
+                            log,
+                            settings.shutdownMillis(),
+                            () -> Runtime.getRuntime().halt(0))
+                    .run();
         });
     }
 
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/NodeShutdown.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/NodeShutdown.java
@@ -6,7 +6,7 @@
 
 /**
  * The shutdown of a node that was asked to stop: accepts jobs until the balancer sends no more clients, finishes open
- * jobs, and ends the process before it would be killed.
+ * jobs and pending cancellations, and ends the process before it would be killed.
  */
 final class NodeShutdown {
     /** Time until the balancer drops the node: it checks once a second and drops a node after two failed checks. */
@@ -21,28 +21,39 @@
     /** Time before the process would be killed at which the node gives up the jobs that are still open. */
     private static final long LAST_ANSWERS_MILLIS = 500;
 
-    /** Interval between checks whether all jobs are answered. */
+    /** Interval between checks whether all clients are answered. */
     private static final long CHECK_MILLIS = 50;
 
     /** Time to send the last answers before the process ends. */
     private static final long SEND_MILLIS = 100;
 
     private final JobRouter router;
+    private final PeerCancellations cancellations;
     private final Timers timers;
     private final DecisionLog log;
     private final long shutdownMillis;
+    private final Runnable exit;
     private final long startedAtMillis;
 
     /**
      * Creates the shutdown of a node that starts to leave now.
      *
      * @param shutdownMillis the time from now until the process would be killed
+     * @param exit ends the process
      */
-    NodeShutdown(JobRouter router, Timers timers, DecisionLog log, long shutdownMillis) {
+    NodeShutdown(
+            JobRouter router,
+            PeerCancellations cancellations,
+            Timers timers,
+            DecisionLog log,
+            long shutdownMillis,
+            Runnable exit) {
         this.router = router;
+        this.cancellations = cancellations;
         this.timers = timers;
         this.log = log;
         this.shutdownMillis = shutdownMillis;
+        this.exit = exit;
         this.startedAtMillis = timers.nowMillis();
     }
 
@@ -51,7 +62,7 @@
         if (waited >= BALANCER_NOTICE_MILLIS + OPEN_CONNECTIONS_MILLIS) {
             router.refuseNewJobs();
         }
-        boolean idle = router.refusesNewJobs() && router.openJobs() == 0;
+        boolean idle = router.refusesNewJobs() && router.openJobs() == 0 && cancellations.isEmpty();
         if (idle || waited >= shutdownMillis - LAST_ANSWERS_MILLIS) {
             endProcess(waited);
         } else {
@@ -61,7 +72,9 @@
 
     private void endProcess(long waited) {
         log.write(NodeEvent.NODE_STOPPED, "open-jobs", router.openJobs(), "after-ms", waited);
+        router.refuseNewJobs();
         router.giveUpAll();
-        timers.schedule(SEND_MILLIS, () -> Runtime.getRuntime().halt(0));
+        cancellations.answerAll();
+        timers.schedule(SEND_MILLIS, exit);
     }
 }
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/PeerCancellations.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/PeerCancellations.java
@@ -25,6 +25,7 @@
     private final Timers timers;
     private final DecisionLog log;
     private final Map<JobId, Cancellation> cancellations = new HashMap<>();
+    private boolean answersAtOnce;
 
     PeerCancellations(CancelRequests requests, Timers timers, DecisionLog log) {
         this.requests = requests;
@@ -41,7 +42,7 @@
     void ask(JobId job, boolean here, Consumer<Boolean> answer) {
         ImmutableSet<NodeId> asked = requests.askAllToCancel(job);
         Cancellation cancellation = new Cancellation(job, here, asked, timers.nowMillis(), answer);
-        if (asked.isEmpty()) {
+        if (asked.isEmpty() || answersAtOnce) {
             answer(cancellation);
             return;
         }
@@ -61,6 +62,17 @@
         }
     }
 
+    /** Returns whether no client waits for an answer. */
+    boolean isEmpty() {
+        return cancellations.isEmpty();
+    }
+
+    /** Answers all clients, and from now on each at once, because this node is about to stop. */
+    void answerAll() {
+        answersAtOnce = true;
+        ImmutableList.copyOf(cancellations.values()).forEach(this::end);
+    }
+
     /** Ends the wait for a peer that cannot be reached. */
     void recordUnreachable(NodeId peer) {
         for (Cancellation cancellation : ImmutableList.copyOf(cancellations.values())) {
--- a/tarragonarch-entry/src/test/java/org/tarragonarch/entry/cluster/PeerCancellationsTest.java
+++ b/tarragonarch-entry/src/test/java/org/tarragonarch/entry/cluster/PeerCancellationsTest.java
@@ -1,6 +1,7 @@
 package org.tarragonarch.entry.cluster;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
@@ -80,6 +81,16 @@
         assertEquals(calls, ImmutableList.of("asked all", "answered false"));
     }
 
+    /** Guards against connections of a stopping node that close without an answer to cancellations. */
+    @Test
+    public void testAnswerAll() {
+        cancel(false);
+        cancellations.answerAll();
+        assertTrue(cancellations.isEmpty());
+        cancel(true);
+        assertEquals(calls, ImmutableList.of("asked all", "answered false", "asked all", "answered true"));
+    }
+
     @Test
     public void testAsk_noPeers() {
         peers = ImmutableSet.of();
