Answer each of two cancellations of one job at one node

Cause: PeerCancellations keeps one pending call for a job, and the second replaced the first.

Change: a later call joins the one that is pending, and both are answered when the peers have confirmed.

Test: PeerCancellationsTest#testAsk_twiceAtOnce fails without the change (the second call asks anew, the first answer is missing) and passes.

--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/PeerCancellations.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/PeerCancellations.java
@@ -2,8 +2,10 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
@@ -34,12 +36,19 @@
     }
 
     /**
-     * Asks every peer to cancel a job that this node has cancelled.
+     * Asks every peer to cancel a job that this node has cancelled. A call for a job about which the peers are being
+     * asked is answered with the call before it.
      *
      * @param here whether this node knew the job
      * @param answer receives whether any node knew the job
      */
     void ask(JobId job, boolean here, Consumer<Boolean> answer) {
+        Cancellation pending = cancellations.get(job);
+        if (pending != null) {
+            pending.known |= here;
+            pending.answers.add(answer);
+            return;
+        }
         ImmutableSet<NodeId> asked = requests.askAllToCancel(job);
         Cancellation cancellation = new Cancellation(job, here, asked, timers.nowMillis(), answer);
         if (asked.isEmpty() || answersAtOnce) {
@@ -110,7 +119,7 @@
                 cancellation.unanswered,
                 "after-ms",
                 timers.nowMillis() - cancellation.startedAtMillis);
-        cancellation.answer.accept(cancellation.known);
+        cancellation.answers.forEach(answer -> answer.accept(cancellation.known));
     }
 
     /** A job that peers were asked to cancel, with the peers that have not answered. */
@@ -119,7 +128,7 @@
         private final int asked;
         private final Set<NodeId> unanswered;
         private final long startedAtMillis;
-        private final Consumer<Boolean> answer;
+        private final List<Consumer<Boolean>> answers = new ArrayList<>();
         private boolean known;
 
         Cancellation(
@@ -129,7 +138,7 @@
             this.asked = asked.size();
             this.unanswered = new HashSet<>(asked);
             this.startedAtMillis = startedAtMillis;
-            this.answer = answer;
+            answers.add(answer);
         }
     }
 }
--- a/tarragonarch-entry/src/test/java/org/tarragonarch/entry/cluster/PeerCancellationsTest.java
+++ b/tarragonarch-entry/src/test/java/org/tarragonarch/entry/cluster/PeerCancellationsTest.java
@@ -81,6 +81,18 @@
         assertEquals(calls, ImmutableList.of("asked all", "answered false"));
     }
 
+    /** Guards against the first of two calls for one job that is never answered, because the second replaces it. */
+    @Test
+    public void testAsk_twiceAtOnce() {
+        cancel(false);
+        cancel(true);
+        cancellations.recordAnswer(FIRST, JOB, false);
+        cancellations.recordAnswer(SECOND, JOB, false);
+        assertEquals(calls, ImmutableList.of("asked all", "answered true", "answered true"));
+        timers.advance(TIMEOUT_MILLIS);
+        assertEquals(calls.size(), 3);
+    }
+
     /** Guards against connections of a stopping node that close without an answer to cancellations. */
     @Test
     public void testAnswerAll() {
