Tell the origin of a cancelled job once

Found by reading: two nodes that have each offered a job to the other, long ago, and without a verdict, answer the news of its cancellation with the same news, for ever. The offer of a cancelled job is now removed as its origin is told.

Test: CoordinatorTest#testJobCancelled_originIsToldOnce failed before (the second call told the origin again).

--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/OriginMessages.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/OriginMessages.java
@@ -72,10 +72,12 @@
      * Ends a job of another origin that a client has cancelled, and tells the origin, which may have missed the
      * cancellation.
      *
+     * <p>The origin is told once. Otherwise, two nodes that have offered the job to each other would do so forever.
+     *
      * @return whether this node has received an offer of the job, without a verdict, from another origin
      */
     public boolean jobCancelled(JobId job) {
-        Optional<NodeId> origin = offers.originWithoutVerdict(job).filter(offering -> !events.isSelf(offering));
+        Optional<NodeId> origin = offers.removeCancelled(job).filter(offering -> !events.isSelf(offering));
         origin.ifPresent(offering -> {
             withdrawalReceived(offering, job);
             events.sendCancellation(offering, job);
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/ReceivedOffers.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/ReceivedOffers.java
@@ -52,11 +52,12 @@
         return Optional.empty();
     }
 
-    /** Returns the origin of the last offer of a job, unless this offer has a verdict. */
-    Optional<NodeId> originWithoutVerdict(JobId job) {
-        return Optional.ofNullable(offers.get(job))
-                .filter(known -> known.verdict().isEmpty())
-                .map(ReceivedOffer::origin);
+    /** Removes the last offer of a cancelled job, unless it has a verdict; returns its origin. */
+    Optional<NodeId> removeCancelled(JobId job) {
+        Optional<ReceivedOffer> open = Optional.ofNullable(offers.get(job))
+                .filter(known -> known.verdict().isEmpty());
+        open.ifPresent(offer -> offers.remove(job));
+        return open.map(ReceivedOffer::origin);
     }
 
     /**
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/CoordinatorTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/CoordinatorTest.java
@@ -129,6 +129,20 @@
         assertEquals(test.sent.get(verdict - 1), "status to all, 0 shards, leaving");
     }
 
+    /** Guards against two nodes that have offered a job to each other and tell of its cancellation forever. */
+    @Test
+    public void testJobCancelled_originIsToldOnce() {
+        CoordinatorTest test = new CoordinatorTest();
+        test.listEndpoints(10);
+        test.coordinator.review(true);
+        Offer offer = offerOf("b");
+        test.coordinator.originMessages().offerReceived(offer);
+        test.sent.clear();
+        assertTrue(test.coordinator.originMessages().jobCancelled(offer.job().id()));
+        assertFalse(test.coordinator.originMessages().jobCancelled(offer.job().id()));
+        assertEquals(test.sent, ImmutableList.of("cancellation to b"));
+    }
+
     /** Guards against a holder that relies on a list that was read before it claimed the shard. */
     @Test
     public void testEndpointListNeed_claimed() {
