Keep cancellations in the store, so that they outlive a loss of all nodes

What callers would see: a cancelled job runs when a copy of its submission arrives after all nodes were lost at once.

Cause: the nodes' memory was the only place of a cancellation.

Change: CancellationRows. No claim of a shard and no job waits for the store.

The table is new; a node of the build before neither reads nor writes it, and its cancellations are not in it.

--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/CancelledJobTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/CancelledJobTest.java
@@ -25,6 +25,8 @@
     private FakeEndpoint endpoint;
     private FakeNode holder;
     private SuspendableNode holderMachine;
+    private SuspendableNode originMachine;
+    private SuspendableNode otherMachine;
     private FakeNode origin;
     private FakeNode other;
     private List<String> replies;
@@ -37,8 +39,10 @@
         replies = new ArrayList<>();
         holderMachine = machine();
         holder = cluster.addNode("a", 1, HOBART, 900, holderMachine);
-        origin = cluster.addNode("b", 2, HOBART, 800, machine());
-        other = cluster.addNode("c", 3, HOBART, 750, machine());
+        originMachine = machine();
+        origin = cluster.addNode("b", 2, HOBART, 800, originMachine);
+        otherMachine = machine();
+        other = cluster.addNode("c", 3, HOBART, 750, otherMachine);
         cluster.connections.nodes().forEach(node -> node.start(FakeCluster.catalog(1)));
         cluster.timers.advance(1_000);
         assertEquals(holder.coordinator().heldShardCount(), 1);
@@ -144,6 +148,24 @@
         assertCancelledWithoutRun(restarted);
     }
 
+    /** Guards against a cancelled job that runs after all nodes were lost at once. */
+    @Test
+    public void testOffer_allNodesHaveRestarted() {
+        other.cancelEverywhere(JOB, () -> {});
+        cluster.timers.advance(100);
+        killHolder();
+        originMachine.kill();
+        cluster.connections.stop(origin.id());
+        otherMachine.kill();
+        cluster.connections.stop(other.id());
+        cluster.timers.advance(1_500);
+        FakeNode restarted = cluster.addNode("a", 1, HOBART, 900, machine());
+        restarted.start(FakeCluster.catalog(1));
+        cluster.timers.advance(1_000);
+        assertEquals(restarted.coordinator().heldShardCount(), 1);
+        assertCancelledWithoutRun(restarted);
+    }
+
     private void killHolder() {
         holderMachine.kill();
         cluster.connections.stop(holder.id());
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/FakeCluster.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/FakeCluster.java
@@ -53,6 +53,7 @@
     final Ledger ledger = new Ledger();
     final FakeConnections connections = new FakeConnections(timers);
     final FakeOrders orders = new FakeOrders(timers, TASK_MILLI_CORES);
+    private final FakeCancellationRows cancellationRows = new FakeCancellationRows(timers);
     private final EndpointList listed = new EndpointList();
     private final ImmutableMap<FailureDomain, Region> regions;
 
@@ -145,7 +146,8 @@
             Inbox inbox) {
         Member self = new Member(NodeId.of(name), domain, new Address("10.0.0." + number, 7_000), milliCores);
         ShardPools pools = new ShardPools(regions, listed);
-        FakeNode node = new FakeNode(self, pools, listed, orders, clock, timers::nowMillis, inbox, connections);
+        FakeNode node = new FakeNode(
+                self, pools, listed, orders, clock, timers::nowMillis, inbox, connections, cancellationRows);
         connections.add(node);
         return node;
     }
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/FakeNode.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/FakeNode.java
@@ -39,6 +39,7 @@
     private final FailureDomain domain;
     private final Timers timers;
     private final FakeConnections connections;
+    private final FakeCancellationRows cancellationRows;
     private final Coordinator coordinator;
     private final Inbox inbox;
     private final ClaimCounter claimCounter = new ClaimCounter();
@@ -53,12 +54,14 @@
             Timers timers,
             LongSupplier wallMillis,
             Inbox inbox,
-            FakeConnections connections) {
+            FakeConnections connections,
+            FakeCancellationRows cancellationRows) {
         this.id = self.node();
         this.domain = self.domain();
         this.timers = timers;
         this.inbox = inbox;
         this.connections = connections;
+        this.cancellationRows = cancellationRows;
         this.coordinator = new Coordinator(
                 self,
                 self.address().ip(),
@@ -105,6 +108,9 @@
     void start(QueueCatalog catalog) {
         startedAtMillis = timers.nowMillis();
         coordinator.applyConfiguration(catalog);
+        timers.schedule(
+                FakeCancellationRows.CALL_MILLIS,
+                () -> cancellationRows.all().forEach(job -> cancel(job, CancelSource.REPETITION)));
         review();
     }
 
@@ -252,10 +258,11 @@
     /**
      * Cancels a job at this node, and asks every other node to cancel it, as for a client.
      *
-     * @param acknowledged callback run when all others have answered, or when an answer is missing for too long
+     * @param acknowledged callback run when all others and the store have answered, or one of them is late
      */
     void cancelEverywhere(JobId job, Runnable acknowledged) {
         cancel(job, CancelSource.CLIENT);
+        cancellationRows.add(job);
         Set<NodeId> unanswered = new HashSet<>();
         connections.nodes().forEach(node -> unanswered.add(node.id));
         unanswered.remove(id);
@@ -268,9 +275,16 @@
                 acknowledged.run();
             }
         });
+        boolean[] isStored = {false};
+        timers.schedule(FakeCancellationRows.CALL_MILLIS, () -> {
+            isStored[0] = true;
+            if (unanswered.isEmpty()) {
+                acknowledged.run();
+            }
+        });
         for (NodeId node : ImmutableList.copyOf(unanswered)) {
             askToCancel(node, job, () -> {
-                if (unanswered.remove(node) && unanswered.isEmpty()) {
+                if (unanswered.remove(node) && unanswered.isEmpty() && isStored[0]) {
                     acknowledged.run();
                 }
             });
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ClusterNode.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ClusterNode.java
@@ -58,7 +58,6 @@
     private final EndpointList endpoints = new EndpointList();
     private final ConfigurationInForce configuration;
     private final PeerExchange exchange = new PeerExchange(this);
-    private final PeerCancellations pendingCancellations;
     private final JobCancellations cancellations;
     private final CancellationRepeats repeats = new CancellationRepeats();
     private final NodeMeters meters;
@@ -67,6 +66,7 @@
     private final PeerRequests requests;
     private final EndpointRows endpointRows;
     private final RowStore store;
+    private final CancellationRows cancellationRows;
     private boolean leaving;
 
     ClusterNode(ClusterSettings settings, DecisionLog log) {
@@ -95,10 +95,11 @@
         this.store = new StoreClient(loop, settings.storeAddress());
         this.endpointRows = new EndpointRows(endpoints, coordinator::endpointsChanged, timers, log, meters);
         this.discovery = new PeerDiscovery(settings.member(), store, exchange, coordinator, timers, log);
-        this.requests = new PeerRequests(exchange, configuration, endpoints, discovery);
-        this.pendingCancellations = new PeerCancellations(requests, timers, log);
-        this.cancellations =
-                new JobCancellations(coordinator.router(), coordinator.originMessages(), pendingCancellations, log);
+        this.cancellationRows = new CancellationRows(
+                store, settings.node(), timers, System::currentTimeMillis, settings.cancelledMillis(), log);
+        this.requests = new PeerRequests(exchange, configuration, endpoints, discovery, cancellationRows);
+        PeerCancellations pending = new PeerCancellations(requests, timers, log);
+        this.cancellations = new JobCancellations(coordinator.router(), coordinator.originMessages(), pending, log);
     }
 
     /** Opens the servers, those for clients last, and starts the work of the event loop. */
@@ -126,7 +127,7 @@
             coordinator.leave();
             new NodeShutdown(
                             coordinator.router(),
-                            pendingCancellations,
+                            cancellations.pending(),
                             timers,
                             log,
                             settings.shutdownMillis(),
@@ -150,6 +151,7 @@
 
     private void startOnLoop() {
         discovery.start();
+        cancellationRows.start(cancellations::cancel);
         OperatorRows operatorRows = new OperatorRows(
                 configuration,
                 this::applyConfiguration,
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/JobCancellations.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/JobCancellations.java
@@ -34,6 +34,11 @@
         peers.ask(job, here, answer);
     }
 
+    /** Returns the cancellations whose clients wait for an answer. */
+    PeerCancellations pending() {
+        return peers;
+    }
+
     @Override
     public boolean cancel(JobId job, CancelSource source) {
         boolean isOwn = router.cancel(job, source);
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/PeerCancellations.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/PeerCancellations.java
@@ -15,9 +15,10 @@
 import org.tarragonarch.model.task.Timers;
 
 /**
- * Cancellations that clients of this node have asked for and that other nodes have not all confirmed.
+ * Cancellations that clients of this node have asked for and that the store and other nodes have not all confirmed.
  *
- * <p>A client is answered once every peer has recorded the cancellation, so that it survives the loss of this node.
+ * <p>A client is answered once the store and every peer have recorded the cancellation, so that it survives the loss of
+ * this node, and of all nodes.
  */
 final class PeerCancellations {
     /** Peers answer within a few milliseconds; one that misses this time is slow, paused or down. */
@@ -51,12 +52,13 @@
         }
         ImmutableSet<NodeId> asked = requests.askAllToCancel(job);
         Cancellation cancellation = new Cancellation(job, here, asked, timers.nowMillis(), answer);
-        if (asked.isEmpty() || answersAtOnce) {
-            answer(cancellation);
-            return;
-        }
         cancellations.put(job, cancellation);
-        timers.schedule(ANSWER_TIMEOUT_MILLIS, () -> timedOut(cancellation));
+        requests.store(job, () -> recordStored(cancellation));
+        if (answersAtOnce) {
+            end(cancellation);
+        } else {
+            timers.schedule(ANSWER_TIMEOUT_MILLIS, () -> timedOut(cancellation));
+        }
     }
 
     /** Records that a peer has cancelled a job. */
@@ -65,9 +67,7 @@
         if (cancellation != null) {
             cancellation.known |= known;
             cancellation.unanswered.remove(peer);
-            if (cancellation.unanswered.isEmpty()) {
-                end(cancellation);
-            }
+            endIfConfirmed(cancellation);
         }
     }
 
@@ -85,8 +85,8 @@
     /** Ends the wait for a peer that cannot be reached. */
     void recordUnreachable(NodeId peer) {
         for (Cancellation cancellation : ImmutableList.copyOf(cancellations.values())) {
-            if (cancellation.unanswered.remove(peer) && cancellation.unanswered.isEmpty()) {
-                end(cancellation);
+            if (cancellation.unanswered.remove(peer)) {
+                endIfConfirmed(cancellation);
             }
         }
     }
@@ -100,6 +100,17 @@
         }
     }
 
+    private void recordStored(Cancellation cancellation) {
+        cancellation.isStored = true;
+        endIfConfirmed(cancellation);
+    }
+
+    private void endIfConfirmed(Cancellation cancellation) {
+        if (cancellation.isStored && cancellation.unanswered.isEmpty()) {
+            end(cancellation);
+        }
+    }
+
     private void end(Cancellation cancellation) {
         if (cancellations.remove(cancellation.job, cancellation)) {
             answer(cancellation);
@@ -117,12 +128,14 @@
                 cancellation.asked,
                 "unanswered",
                 cancellation.unanswered,
+                "stored",
+                cancellation.isStored,
                 "after-ms",
                 timers.nowMillis() - cancellation.startedAtMillis);
         cancellation.answers.forEach(answer -> answer.accept(cancellation.known));
     }
 
-    /** A job that peers were asked to cancel, with the peers that have not answered. */
+    /** A job that is being cancelled, with the peers that have not answered. */
     private static final class Cancellation {
         private final JobId job;
         private final int asked;
@@ -130,6 +143,7 @@
         private final long startedAtMillis;
         private final List<Consumer<Boolean>> answers = new ArrayList<>();
         private boolean known;
+        private boolean isStored;
 
         Cancellation(
                 JobId job, boolean known, ImmutableSet<NodeId> asked, long startedAtMillis, Consumer<Boolean> answer) {
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/PeerRequests.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/PeerRequests.java
@@ -13,22 +13,25 @@
 import org.tarragonarch.wire.EndpointsAsked;
 import org.tarragonarch.wire.NodesAsked;
 
-/** Asks peers to cancel jobs, and for what this node lacks and the store has not given it. */
+/** Asks peers, and the store, to keep cancellations, and peers for what this node lacks. */
 final class PeerRequests implements CancelRequests {
     private final PeerExchange exchange;
     private final ConfigurationInForce configuration;
     private final EndpointList endpoints;
     private final PeerDiscovery discovery;
+    private final CancellationRows cancellations;
 
     PeerRequests(
             PeerExchange exchange,
             ConfigurationInForce configuration,
             EndpointList endpoints,
-            PeerDiscovery discovery) {
+            PeerDiscovery discovery,
+            CancellationRows cancellations) {
         this.exchange = exchange;
         this.configuration = configuration;
         this.endpoints = endpoints;
         this.discovery = discovery;
+        this.cancellations = cancellations;
     }
 
     @Override
@@ -38,6 +41,11 @@
         return located.stream().map(Member::node).filter(exchange::isReachable).collect(ImmutableSet.toImmutableSet());
     }
 
+    @Override
+    public void store(JobId job, Runnable stored) {
+        cancellations.add(job, stored);
+    }
+
     @Override
     public void askAgainToCancel(NodeId peer, JobId job) {
         exchange.markUnreachable(peer);
--- a/tarragonarch-entry/src/test/java/org/tarragonarch/entry/cluster/NodeShutdownTest.java
+++ b/tarragonarch-entry/src/test/java/org/tarragonarch/entry/cluster/NodeShutdownTest.java
@@ -118,6 +118,11 @@
             return ImmutableSet.of(NodeId.of("silent"));
         }
 
+        @Override
+        public void store(JobId job, Runnable stored) {
+            stored.run();
+        }
+
         @Override
         public void askAgainToCancel(NodeId peer, JobId job) {}
     }
--- a/tarragonarch-entry/src/test/java/org/tarragonarch/entry/cluster/PeerCancellationsTest.java
+++ b/tarragonarch-entry/src/test/java/org/tarragonarch/entry/cluster/PeerCancellationsTest.java
@@ -27,6 +27,8 @@
     private PeerCancellations cancellations;
     private ImmutableSet<NodeId> peers;
     private List<String> calls;
+    private boolean isStoreSlow;
+    private Runnable pendingWrite;
 
     /** Creates a node with two peers. */
     @BeforeMethod
@@ -36,6 +38,7 @@
         cancellations = new PeerCancellations(new RecordingRequests(), timers, log);
         peers = ImmutableSet.of(FIRST, SECOND);
         calls = new ArrayList<>();
+        isStoreSlow = false;
     }
 
     private void cancel(boolean here) {
@@ -52,6 +55,30 @@
         assertEquals(calls, ImmutableList.of("asked all", "answered true"));
     }
 
+    /** Guards against a client that is answered before the store knows of the cancellation, and all nodes are lost. */
+    @Test
+    public void testAsk_answeredWhenStored() {
+        isStoreSlow = true;
+        cancel(false);
+        cancellations.recordAnswer(FIRST, JOB, false);
+        cancellations.recordAnswer(SECOND, JOB, false);
+        assertEquals(calls, ImmutableList.of("asked all"));
+        pendingWrite.run();
+        assertEquals(calls, ImmutableList.of("asked all", "answered false"));
+    }
+
+    /** Guards against a client that waits for a store that does not answer. */
+    @Test
+    public void testAsk_storeDoesNotAnswer() {
+        isStoreSlow = true;
+        peers = ImmutableSet.of();
+        cancel(true);
+        timers.advance(TIMEOUT_MILLIS);
+        assertEquals(calls, ImmutableList.of("asked all", "answered true"));
+        pendingWrite.run();
+        assertEquals(calls.size(), 2);
+    }
+
     /** Guards against a job that another node has cancelled and that its client is told does not exist. */
     @Test
     public void testAsk_knownAtPeer() {
@@ -118,6 +145,15 @@
             return peers;
         }
 
+        @Override
+        public void store(JobId job, Runnable stored) {
+            if (isStoreSlow) {
+                pendingWrite = stored;
+            } else {
+                stored.run();
+            }
+        }
+
         @Override
         public void askAgainToCancel(NodeId peer, JobId job) {
             calls.add("asked " + peer + " again");
--- a/tarragonarch-model/src/main/java/org/tarragonarch/model/store/StoreTable.java
+++ b/tarragonarch-model/src/main/java/org/tarragonarch/model/store/StoreTable.java
@@ -7,5 +7,7 @@
     /** The entries of the endpoints, written by themselves. */
     ENDPOINTS,
     /** The addresses by which entry nodes find each other. */
-    NODES
+    NODES,
+    /** The jobs that clients have cancelled lately, written by the entry nodes. */
+    CANCELLATIONS
 }
