Keep clients that go on cancelling from delaying the end of a stopping node

Each call waits for the next write of the row in the store, so that there was always one pending.

Cause: NodeShutdown waited until no cancellation was pending, without a bound but the time of the kill.

Change: once no job is open, new cancellations are answered at once, while the peers and the store are still told. Those that were pending end within 400 ms, and then the process.

--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/NodeShutdown.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/NodeShutdown.java
@@ -62,8 +62,12 @@
         if (waited >= BALANCER_NOTICE_MILLIS + OPEN_CONNECTIONS_MILLIS) {
             router.refuseNewJobs();
         }
-        boolean idle = router.refusesNewJobs() && router.openJobs() == 0 && cancellations.isEmpty();
-        if (idle || waited >= shutdownMillis - LAST_ANSWERS_MILLIS) {
+        boolean isWithoutJobs = router.refusesNewJobs() && router.openJobs() == 0;
+        if (isWithoutJobs) {
+            // Clients that go on cancelling must not keep the process.
+            cancellations.answerNewAtOnce();
+        }
+        if (isWithoutJobs && cancellations.isEmpty() || waited >= shutdownMillis - LAST_ANSWERS_MILLIS) {
             endProcess(waited);
         } else {
             timers.schedule(CHECK_MILLIS, this::run);
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/PeerCancellations.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/PeerCancellations.java
@@ -76,9 +76,14 @@
         return cancellations.isEmpty();
     }
 
-    /** Answers all clients, and from now on each at once, because this node is about to stop. */
-    void answerAll() {
+    /** Answers new calls at once from now on, because this node is about to stop; the peers are still asked. */
+    void answerNewAtOnce() {
         answersAtOnce = true;
+    }
+
+    /** Answers all clients, and from now on each at once, because this node stops. */
+    void answerAll() {
+        answerNewAtOnce();
         ImmutableList.copyOf(cancellations.values()).forEach(this::end);
     }
 
--- a/tarragonarch-entry/src/test/java/org/tarragonarch/entry/cluster/NodeShutdownTest.java
+++ b/tarragonarch-entry/src/test/java/org/tarragonarch/entry/cluster/NodeShutdownTest.java
@@ -87,18 +87,33 @@
         assertEquals(events, ImmutableList.of("answered 1", "ended"));
     }
 
-    /** Guards against clients that cancel without end, whose last calls get no answer before the process is killed. */
+    /** Guards against clients that cancel without end, and whose last calls get no answer, or that keep the process. */
     @Test
-    public void testRun_cancellationsUntilTheProcessWouldBeKilled() {
+    public void testRun_cancellationsWithoutEnd() {
+        long startMillis = timers.nowMillis();
         stop(SHUTDOWN_MILLIS);
+        int sent = cancelUntilTheEnd();
+        assertEquals(events.size(), sent + 1);
+        long tookMillis = timers.nowMillis() - startMillis;
+        assertTrue(tookMillis <= IDLE_END_MILLIS + 400, "ended after " + tookMillis);
+    }
+
+    /** Guards against calls that get no answer because the process would be killed soon after the first of them. */
+    @Test
+    public void testRun_cancellationsUntilTheProcessWouldBeKilled() {
+        stop(700);
+        int sent = cancelUntilTheEnd();
+        assertEquals(events.size(), sent + 1);
+    }
+
+    private int cancelUntilTheEnd() {
         int sent = 0;
         while (!events.contains("ended")) {
             sent++;
             cancel(sent);
             timers.advance(20);
         }
-        assertEquals(events.size(), sent + 1);
-        assertTrue(timers.nowMillis() < 1_000 + SHUTDOWN_MILLIS, "ended at " + timers.nowMillis());
+        return sent;
     }
 
     /** Guards against a job that is accepted just before the process ends, where little time is given to end. */
