Fake store of cancellations: a restarted node reads its own row as its clients'

The product reads a node's own row as cancellations of its clients, which it repeats (CancellationRowsTest#testStart_afterLossOfAllNodes); the fake did not.

--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/CancelSeriesRegressionTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/CancelSeriesRegressionTest.java
@@ -16,6 +16,8 @@
             {FaultSet.NODES_RESTART, 2_081},
             {FaultSet.NODES_RESTART, 2_150},
             {FaultSet.NODES_RESTART, 4_291},
+            {FaultSet.NODES_RESTART, 10_097},
+            {FaultSet.NODES_RESTART, 10_620},
             {FaultSet.NODES_RESTART_THREE_DOMAINS, 164},
             {FaultSet.NODES_RESTART_THREE_DOMAINS, 750}
         };
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/FakeNode.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/FakeNode.java
@@ -108,9 +108,7 @@
     void start(QueueCatalog catalog) {
         startedAtMillis = timers.nowMillis();
         coordinator.applyConfiguration(catalog);
-        timers.schedule(
-                FakeCancellationRows.CALL_MILLIS,
-                () -> cancellationRows.all().forEach(job -> cancel(job, CancelSource.REPETITION)));
+        timers.schedule(FakeCancellationRows.CALL_MILLIS, () -> cancellationRows.read(id, this::cancel));
         review();
     }
 
@@ -262,7 +260,7 @@
      */
     void cancelEverywhere(JobId job, Runnable acknowledged) {
         cancel(job, CancelSource.CLIENT);
-        cancellationRows.add(job);
+        cancellationRows.add(id, job);
         Set<NodeId> unanswered = new HashSet<>();
         connections.nodes().forEach(node -> unanswered.add(node.id));
         unanswered.remove(id);
