Install the handler of the reload signal before anything else

Cause: ClusterMain installed the handler last; until then the Java virtual machine's own handler ends the process.

Change: ReloadSignal is installed by the first statement of main, and keeps a signal until there is something to reload.

--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ArchiveWarmUp.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ArchiveWarmUp.java
@@ -61,7 +61,7 @@
         try {
             Files.writeString(file, settings(name, platform, ports));
             ClusterSettings settings = ClusterSettings.read(file);
-            ClusterMain.start(file, settings, System.err);
+            ClusterMain.start(file, settings, ReloadSignal.install(), System.err);
             return settings;
         } finally {
             Files.deleteIfExists(file);
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ClusterMain.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ClusterMain.java
@@ -22,6 +22,7 @@
      * @param arguments one element, the path of the settings file
      */
     public static void main(String[] arguments) {
+        ReloadSignal reloads = ReloadSignal.install();
         if (arguments.length != 1) {
             System.err.println("usage: ClusterMain SETTINGS-FILE");
             System.exit(EXIT_USAGE);
@@ -30,7 +31,7 @@
         Path file = Path.of(arguments[0]);
         ClusterSettings settings = readOrExit(file);
         try {
-            ClusterNode node = start(file, settings, System.out);
+            ClusterNode node = start(file, settings, reloads, System.out);
             Runtime.getRuntime().addShutdownHook(new Thread(() -> leaveAndWait(node), "leave"));
         } catch (StepException e) {
             System.err.println(e.step().word() + " " + e.peer() + ": " + e.getMessage());
@@ -39,17 +40,19 @@
     }
 
     /**
-     * Starts a node in this process and installs the handler of the reload signal.
+     * Starts a node in this process.
      *
+     * @param reloads the signals at which the settings are read again
      * @param out the stream for the log
      * @throws StepException if a listening address cannot be bound
      */
-    static ClusterNode start(Path file, ClusterSettings settings, PrintStream out) throws StepException {
+    static ClusterNode start(Path file, ClusterSettings settings, ReloadSignal reloads, PrintStream out)
+            throws StepException {
         DecisionLog log = new DecisionLog(settings.node().value(), out);
         log.start();
         ClusterNode node = new ClusterNode(settings, log);
         node.start();
-        ReloadSignal.handle(() -> reload(file, settings, log));
+        reloads.setTask(() -> reload(file, settings, log));
         return node;
     }
 
