--- a/review/standin-2/LostCancellation.java
+++ b/review/standin-2/LostCancellation.java
@@ -13,7 +13,11 @@
     /** {@code cancel_ms} of the small sites. */
     private static final long CANCEL_MILLIS = 3_000;
 
-    public static void main(String[] arguments) throws Exception {
+    public static void main(String[] arguments) {
+        World.run(() -> play(arguments));
+    }
+
+    private static void play(String[] arguments) throws Exception {
         String trouble = System.getenv().getOrDefault("TROUBLE", "1");
         boolean storeFails = !trouble.equals("0") && !trouble.equals("power");
         boolean isLate = arguments[1].equals("late");
--- a/review/standin-2/Node.java
+++ b/review/standin-2/Node.java
@@ -80,15 +80,6 @@
         }
     }
 
-    /** Sends a signal other than KILL, such as STOP or CONT. */
-    void signal(String signal) throws IOException, InterruptedException {
-        new ProcessBuilder("kill", "-" + signal, String.valueOf(process.pid())).start().waitFor();
-    }
-
-    boolean isAlive() {
-        return process.isAlive();
-    }
-
     boolean isReady() {
         return Http.call(ready, "GET", "/readyz", "Host: " + ready + "\r\n", "", 500).status() == 200;
     }
--- a/review/standin-2/ShrunkRoom.java
+++ b/review/standin-2/ShrunkRoom.java
@@ -13,7 +13,11 @@
     private static final long AWAY_MILLIS = 9_000;
     private static final long SMALL = 32_000;
 
-    public static void main(String[] arguments) throws Exception {
+    public static void main(String[] arguments) {
+        World.run(() -> play(arguments));
+    }
+
+    private static void play(String[] arguments) throws Exception {
         boolean trouble = !System.getenv().getOrDefault("TROUBLE", "1").equals("0");
         try (World world = new World(Path.of(arguments[0]))) {
             world.addWorker("espoo-a", 64_000);
--- a/review/standin-2/World.java
+++ b/review/standin-2/World.java
@@ -1,3 +1,4 @@
+import java.io.File;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -10,6 +11,7 @@
     static final int BROKEN = 1;
     static final int COULD_NOT_RUN = 2;
 
+    private static final long TIME_LIMIT_MILLIS = 110_000;
     private static final String HOST = "novo13.example";
     private static final String PREFIX = "/gono990/";
 
@@ -24,7 +26,8 @@
         this.record = new Record(caseFolder.resolve("record.txt"));
         this.store = new Store(record);
         this.folder = Files.createTempDirectory("tarragonarch-review");
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> nodes.forEach(Node::kill)));
+        Runtime.getRuntime().addShutdownHook(new Thread(this::close));
+        Http.daemon(this::endAfterTimeLimit);
         store.put(
                 "op",
                 "config",
@@ -114,8 +117,34 @@
         System.exit(status);
     }
 
+    private void endAfterTimeLimit() {
+        Store.sleep(TIME_LIMIT_MILLIS);
+        end(COULD_NOT_RUN, "the case did not end in time");
+    }
+
+    /** Ends all processes and removes the temporary folder. */
     @Override
     public void close() {
         nodes.forEach(Node::kill);
+        File[] files = folder.toFile().listFiles();
+        for (File file : files == null ? new File[0] : files) {
+            file.delete();
+        }
+        folder.toFile().delete();
+    }
+
+    /** A case; it ends the script itself. */
+    interface Script {
+        void run() throws Exception;
+    }
+
+    /** Runs a case; an error means that it could not run. */
+    static void run(Script script) {
+        try {
+            script.run();
+        } catch (Exception e) {
+            e.printStackTrace();
+        }
+        System.exit(COULD_NOT_RUN);
     }
 }
