Show an outage after a loss of power that grows with machines ever removed

After 96 machines of one zone were replaced in turn, all machines lose power and come back. No job is served in the 16 s that follow, though machines, workers and store are up (RECOVER); each machine that was ever removed adds 0.2 s.

--- a/review/standin-2/World.java
+++ b/review/standin-2/World.java
@@ -7,18 +7,19 @@
 
 /** A small deployment: a store, workers, nodes, and the means to call the nodes as clients do. */
 final class World implements AutoCloseable {
+    static final String HOST = "novo13.example";
+    static final String PREFIX = "/gono990/";
     static final int HELD = 0;
     static final int BROKEN = 1;
     static final int COULD_NOT_RUN = 2;
 
     private static final long TIME_LIMIT_MILLIS = 110_000;
-    private static final String HOST = "novo13.example";
-    private static final String PREFIX = "/gono990/";
 
     final Record record;
     final Store store;
     final List<Worker> workers = new ArrayList<>();
     final List<Node> nodes = new ArrayList<>();
+    private final List<Node> removed = new ArrayList<>();
     final List<Store.Gate> gates = new ArrayList<>();
     private final Path folder;
 
@@ -42,10 +43,22 @@
     }
 
     void addNode(String zone, double cpuShare) throws IOException {
-        Store.Gate gate = store.new Gate();
         int number = nodes.size() + 1;
+        addNode("front-" + zone + "-" + number, zone, "127.0.0." + (number + 10), cpuShare);
+    }
+
+    void addNode(String name, String zone, String ip, double cpuShare) throws IOException {
+        Store.Gate gate = store.new Gate();
         gates.add(gate);
-        nodes.add(new Node("front-" + zone + "-" + number, zone, "127.0.0." + (number + 10), cpuShare, gate, folder, record));
+        nodes.add(new Node(name, zone, ip, cpuShare, gate, folder, record));
+    }
+
+    /** Starts a machine that is removed for good as soon as the store has its row. */
+    Node startForRemoval(String name, String zone, String ip, double cpuShare) throws IOException {
+        Node node = new Node(name, zone, ip, cpuShare, store.new Gate(), folder, record);
+        node.start();
+        removed.add(node);
+        return node;
     }
 
     void startAll() throws IOException {
@@ -126,6 +139,7 @@
     @Override
     public void close() {
         nodes.forEach(Node::kill);
+        removed.forEach(Node::kill);
         File[] files = folder.toFile().listFiles();
         for (File file : files == null ? new File[0] : files) {
             file.delete();
