Show no service for 19 s after a restart of nodes that replaced others

The case (review/11) shows that a node which starts waits 0.2 s for each node that ever ranked before it, also for those that were replaced for good: after 90 replacements and a kill of all processes nothing is served later than RecoverS.

--- a/review/harness-3/Cluster.java
+++ b/review/harness-3/Cluster.java
@@ -9,6 +9,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.IntFunction;
 import java.util.stream.Stream;
 
 /** A small deployment: a store, workers and three entry nodes, and the record of what happens. */
@@ -23,7 +25,8 @@
     private final Path folder;
     private final Record record;
     private final Store store;
-    private final List<Node> nodes = new ArrayList<>();
+    private final List<Node> nodes = new CopyOnWriteArrayList<>();
+    private int firstPort;
     private final Map<String, List<Long>> startsByTask = new HashMap<>();
     private final Map<String, String> runningAt = new HashMap<>();
     private final List<String> overlaps = new ArrayList<>();
@@ -116,12 +119,9 @@
     }
 
     /** Adds the nodes, each with its own address of the store, and starts them. */
-    void startNodes(java.util.function.IntFunction<String> storeAddress) throws IOException {
-        int firstPort = freePorts();
+    void startNodes(IntFunction<String> storeAddress) throws IOException {
         for (int i = 0; i < ZONES.length; i++) {
-            String ip = "127.0.0." + (11 + i);
-            nodes.add(new Node(
-                    "front-" + ZONES[i] + "-1", ZONES[i], ip, firstPort, root, folder, storeAddress.apply(i)));
+            addNode("front-" + ZONES[i] + "-1", ZONES[i], "127.0.0." + (11 + i), storeAddress.apply(i));
         }
         for (Node node : nodes) {
             node.start();
@@ -129,6 +129,25 @@
         }
     }
 
+    /** Adds a node without starting it. */
+    Node addNode(String name, String zone, String ip) throws IOException {
+        return addNode(name, zone, ip, store.address());
+    }
+
+    private Node addNode(String name, String zone, String ip, String storeAddress) throws IOException {
+        if (firstPort == 0) {
+            firstPort = freePorts();
+        }
+        Node node = new Node(name, zone, ip, firstPort, root, folder, storeAddress);
+        nodes.add(node);
+        return node;
+    }
+
+    /** Forgets a node that is gone for good. */
+    void remove(Node node) {
+        nodes.remove(node);
+    }
+
     /** Waits until every node says that it is ready. */
     void awaitReady(long millis) throws IOException {
         long until = System.nanoTime() + millis * 1_000_000;
