Compute leases from a lower bound of the endpoint's clock

An endpoint whose clock is 2% slow is idle for 20 s, gets a start and is cut off for 1.2 s. The holder counts the lease as over after 1.05 s and starts the task elsewhere; then the start arrives and is accepted.

Cause: EndpointClock.at carried the last answered clock forward at the rate of the node's own clock, so that the expiry in the order was 2% of the age of that answer too late, without bound. An idle endpoint without a start time is not polled, so the answer can be of any age.

Evidence: the late run lapsed 1.45 s after its order was sent, which is 1.02 s of lease at 2% plus 2% of the idle time. If the holder had counted from the wrong moment, or had sent the order once more with a new expiry, the lapse would not depend on the idle time, or would come a second after the end of the cut; it came 0.26 s after it.

Change: the expiry is computed from the lowest value that the clock can have. So that the assumed slowness does not use up the first lease after an idle time, the clock of an idle endpoint is read once in ten leases. The time until which runs may continue is converted by the same bound. The lease expiry is the lease divided by 0.98; with 1.02 it was 0.4 ms a second too short, which its margin covered.

The fake endpoint's clock can be slow now, as the real ones.

--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/EndpointClock.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/EndpointClock.java
@@ -3,12 +3,16 @@
 import java.util.OptionalLong;
 
 /**
- * An estimate of an endpoint's clock, taken from its last answer.
+ * A lower bound of an endpoint's clock, taken from its last answer.
  *
- * <p>The clock value of an answer is taken as of the arrival of the answer, so the estimate lags behind the true clock
- * by the transit time of the answer. A lease computed from it is therefore too short rather than too long.
+ * <p>The clock value of an answer is taken as of the arrival of the answer, and from then on the clock is assumed to be
+ * as slow as allowed. A lease computed from the bound is therefore too short rather than too long, and all the more so
+ * if the answer is old.
  */
 final class EndpointClock {
+    /** The lowest rate of an endpoint's clock, as a multiple of that of this node: endpoints may be slow by 2%. */
+    static final double SLOWEST_RATE = 0.98;
+
     /** Covers what the answers to two calls of one millisecond may differ by, in milliseconds. */
     private static final long RESTART_TOLERANCE_MILLIS = 10;
 
@@ -55,8 +59,12 @@
         return known;
     }
 
-    /** Returns the endpoint's clock, in milliseconds, at a time on the steady clock of this node. */
-    long at(long nowMillis) {
-        return clockMillis + (nowMillis - takenAtMillis);
+    /**
+     * Returns the lowest value that the endpoint's clock can have, in milliseconds.
+     *
+     * @param atMillis a time on the steady clock of this node, not before the last answer
+     */
+    long lowestAt(long atMillis) {
+        return clockMillis + (long) Math.floor((atMillis - takenAtMillis) * SLOWEST_RATE);
     }
 }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/EndpointLink.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/EndpointLink.java
@@ -101,6 +101,11 @@
         }
     }
 
+    /** Returns whether the last reading of the endpoint's clock should be replaced by a new one. */
+    boolean isClockOld() {
+        return timers.nowMillis() - clock.takenAtMillis() >= settings.maxClockAge();
+    }
+
     /** Returns whether the clock value of an answer proves that a later incarnation gave it. */
     boolean isOfLaterIncarnation(OptionalLong clockMillis, long sentAtMillis) {
         return clock.hasStartedAnew(clockMillis, sentAtMillis);
@@ -223,6 +228,7 @@
      */
     private long extendLease(long runsEndMillis) {
         recordLease();
-        return Math.max(0, clock.at(Math.min(timers.nowMillis() + settings.lease(), runsEndMillis)));
+        long expiryMillis = clock.lowestAt(timers.nowMillis()) + settings.lease();
+        return Math.max(0, Math.min(expiryMillis, clock.lowestAt(runsEndMillis)));
     }
 }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacingSettings.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/PlacingSettings.java
@@ -16,12 +16,15 @@
  * @param shares the division of capacity among priorities
  */
 public record PlacingSettings(long lease, long pollWait, long maxStopTime, long answerTimeout, SharePlan shares) {
-    /** The clocks of endpoints may be slow by 2%. */
-    private static final double SLOWEST_CLOCK = 1.02;
-
     /** Covers the transmission of an order and rounding. */
     private static final long CERTAINTY_MARGIN_MILLIS = 30;
 
+    /**
+     * An idle endpoint's clock is read once in this number of leases. The assumed slowness shortens the first lease
+     * after an idle time by a fifth at most.
+     */
+    private static final int LEASES_PER_CLOCK_READING = 10;
+
     /** The number of polls during a lease. */
     private static final int POLLS_PER_LEASE = 10;
 
@@ -59,6 +62,11 @@
      * another order renews it.
      */
     public long leaseExpiry() {
-        return Math.round(lease * SLOWEST_CLOCK) + CERTAINTY_MARGIN_MILLIS;
+        return Math.round(lease / EndpointClock.SLOWEST_RATE) + CERTAINTY_MARGIN_MILLIS;
+    }
+
+    /** Returns the age at which the last reading of an idle endpoint's clock is replaced by a new one. */
+    long maxClockAge() {
+        return lease * LEASES_PER_CLOCK_READING;
     }
 }
--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RunListPoller.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/placing/RunListPoller.java
@@ -32,6 +32,7 @@
 
     private final EndpointLink link;
     private final RunListHost host;
+    private final ClockReadings clockReadings;
     private long listedEnd;
     private long acknowledgedEnd;
     private boolean read;
@@ -46,6 +47,7 @@
     RunListPoller(EndpointLink link, RunListHost host) {
         this.link = link;
         this.host = host;
+        this.clockReadings = new ClockReadings(link, host, this::pollIfIdle);
     }
 
     /** Returns whether the lists of the current incarnation were read, so that its runs are known. */
@@ -255,9 +257,12 @@
             return;
         } else if (link.mayRestartUnderItsId()) {
             scheduleWatch();
-        } else if (acknowledgedEnd < listedEnd && !idleAcknowledgementScheduled) {
-            idleAcknowledgementScheduled = true;
-            link.timers().schedule(IDLE_ACKNOWLEDGEMENT_MILLIS, this::acknowledgeIfIdle);
+        } else {
+            clockReadings.schedule();
+            if (acknowledgedEnd < listedEnd && !idleAcknowledgementScheduled) {
+                idleAcknowledgementScheduled = true;
+                link.timers().schedule(IDLE_ACKNOWLEDGEMENT_MILLIS, this::acknowledgeIfIdle);
+            }
         }
     }
 
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/EndpointClockTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/EndpointClockTest.java
@@ -69,4 +69,13 @@
         test.update(OFFSET_MILLIS, 0, 10);
         assertTrue(test.clock.hasStartedAnew(OptionalLong.of(5), 11));
     }
+
+    /** Guards against a lease that is too long because the last answer of an endpoint with a slow clock is old. */
+    @Test
+    public void testLowestAt_slowClock() {
+        EndpointClockTest test = new EndpointClockTest();
+        test.update(OFFSET_MILLIS, 0, 10);
+        assertEquals(test.clock.lowestAt(10), OFFSET_MILLIS);
+        assertEquals(test.clock.lowestAt(20_010), OFFSET_MILLIS + 19_600);
+    }
 }
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/FakeEndpoint.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/FakeEndpoint.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
+import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.function.ToLongFunction;
 import org.tarragonarch.model.task.EndKind;
@@ -48,7 +49,7 @@
     private final Map<TaskRun, Long> startedAt = new HashMap<>();
     private boolean hasOtherId;
     private boolean readsOrders = true;
-    private long clockOffset = 77_000;
+    final FakeClock clock;
     private long startedMillis;
     private int restarts;
     private long restartedAtMillis = Long.MIN_VALUE / 2;
@@ -63,6 +64,7 @@
         this.timers = timers;
         this.ledger = ledger;
         this.capacity = capacity;
+        this.clock = new FakeClock(timers);
     }
 
     /** Sets the run time of tasks that start from now on, in milliseconds. */
@@ -76,10 +78,6 @@
         outcomeOf = ends;
     }
 
-    long clockMillis() {
-        return timers.nowMillis() + clockOffset;
-    }
-
     /** Returns how many runs were ever started. */
     int started() {
         return started;
@@ -145,7 +143,7 @@
         leaseUntil = 0;
         restarts++;
         restartedAtMillis = timers.nowMillis();
-        clockOffset = 5 - timers.nowMillis();
+        clock.set(5);
         List<Runnable> polls = new ArrayList<>(waitingPolls);
         waitingPolls.clear();
         polls.forEach(Runnable::run);
@@ -210,7 +208,7 @@
     }
 
     /** Answers immediately if an end is listed or no wait is requested, otherwise at the next end or after the wait. */
-    void poll(PollOrder order, java.util.function.Consumer<PollAnswer> reply) {
+    void poll(PollOrder order, Consumer<PollAnswer> reply) {
         if (hasOtherId || order.token().value() < token) {
             reply.accept(PollAnswer.failed(hasOtherId ? OrderResult.OTHER_ENDPOINT : OrderResult.FENCED));
             return;
@@ -247,7 +245,7 @@
             return OrderResult.FENCED;
         }
         token = order.token().value();
-        if (order.leaseUntilMillis() <= clockMillis()) {
+        if (order.leaseUntilMillis() <= clock.nowMillis()) {
             return OrderResult.TOO_LATE;
         }
         boolean old = order.run().run() <= overUpTo.getOrDefault(order.run().task(), 0);
@@ -255,12 +253,12 @@
     }
 
     private void extend(long until) {
-        leaseUntil = Math.max(leaseUntil, Math.min(until, clockMillis() + LONGEST_LEASE_MILLIS));
-        after(leaseUntil - clockMillis(), this::lapseIfOver);
+        leaseUntil = Math.max(leaseUntil, Math.min(until, clock.nowMillis() + LONGEST_LEASE_MILLIS));
+        after(clock.trueMillisUntil(leaseUntil), this::lapseIfOver);
     }
 
     private void lapseIfOver() {
-        if (clockMillis() >= leaseUntil) {
+        if (clock.nowMillis() >= leaseUntil) {
             ImmutableList.copyOf(running.keySet()).forEach(run -> end(run, EndKind.LAPSED));
         }
     }
@@ -288,13 +286,13 @@
     private PollAnswer lists() {
         return new PollAnswer(
                 OrderResult.DONE,
-                OptionalLong.of(clockMillis()),
+                OptionalLong.of(clock.nowMillis()),
                 running.keySet().stream().map(this::progress).collect(ImmutableList.toImmutableList()),
                 ImmutableList.copyOf(ends),
                 startedMillis);
     }
 
     private OrderAnswer answer(OrderResult result) {
-        return new OrderAnswer(result, OptionalLong.of(clockMillis()));
+        return new OrderAnswer(result, OptionalLong.of(clock.nowMillis()));
     }
 }
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/FakeOrders.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/placing/FakeOrders.java
@@ -27,18 +27,19 @@
         LOST,
         /** The order arrives, and its answer is lost. */
         ANSWER_LOST,
-        /** The order arrives three seconds later, and its answer is lost. */
+        /** The order arrives {@link #delayMillis} later, and its answer is lost. */
         DELAYED
     }
 
     private static final long ONE_WAY_MILLIS = 1;
-    private static final long DELAY_MILLIS = 3_000;
+    private static final long FIRST_DELAY_MILLIS = 3_000;
 
     final Map<EndpointId, FakeEndpoint> endpoints = new LinkedHashMap<>();
     final Map<EndpointId, Fault> faults = new HashMap<>();
     Supplier<Fault> startFault = () -> Fault.NONE;
     Supplier<Fault> pollFault = () -> Fault.NONE;
     Supplier<Fault> stopFault = () -> Fault.NONE;
+    long delayMillis = FIRST_DELAY_MILLIS;
     long listMillis = ONE_WAY_MILLIS;
     private final Map<EndpointId, Long> listMillisAt = new HashMap<>();
     private final VirtualTimers timers;
@@ -135,7 +136,7 @@
                     timers.schedule(ONE_WAY_MILLIS, () -> once.give(answer));
                 });
             case ANSWER_LOST -> timers.schedule(ONE_WAY_MILLIS, order::get);
-            case DELAYED -> timers.schedule(DELAY_MILLIS, () -> deliverDelayed(order, endpoint));
+            case DELAYED -> timers.schedule(delayMillis, () -> deliverDelayed(order, endpoint));
             case LOST -> {
                 // The order is not delivered.
             }
