Drop submissions whose client had left before they were read

A node that holds its zone's shard is frozen for 3.6 s. Its clients leave at their deadline and submit their jobs through other nodes, where they run. The node wakes, reads the old submissions and starts the tasks too.

Cause: a connection's last request and its end are read in different passes of the event loop, and a submission was passed on in the pass in which it was read. After a pause, with hundreds of connections to accept, the end is read some 0.1 to 0.5 s after the submission; meanwhile nothing tells a late submission from a new one.

Evidence: a task that ran twice was submitted to the frozen node 0.3 s after its freeze, and its client had left 1.9 s before the wake; the start came 0.29 s after it and was ended as stopped 0.36 s later, when the end was read. So it was neither a job that was open before the freeze nor an old offer of a peer.

--- a/tarragonarch-ctl/src/test/java/org/tarragonarch/ctl/explain/OuterNamesTest.java
+++ b/tarragonarch-ctl/src/test/java/org/tarragonarch/ctl/explain/OuterNamesTest.java
@@ -83,6 +83,7 @@
             "offers-sent-again",
             "offer-not-sent",
             "job-clients-left",
+            "submission-dropped",
             "job-recovered",
             "job-resubmitted",
             "origin-lost",
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/NodeJobs.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/NodeJobs.java
@@ -110,6 +110,11 @@
         });
     }
 
+    @Override
+    public void submissionDropped(JobId job) {
+        log.write(NodeEvent.SUBMISSION_DROPPED, "job", job);
+    }
+
     @Override
     public void cancel(JobId job, Consumer<Boolean> known) {
         cancellations.cancel(job, known);
--- a/tarragonarch-model/src/main/java/org/tarragonarch/model/log/NodeEvent.java
+++ b/tarragonarch-model/src/main/java/org/tarragonarch/model/log/NodeEvent.java
@@ -30,6 +30,8 @@
     OFFER_NOT_SENT,
     /** No client waits for a job any more; it was withdrawn from its holder. */
     JOB_CLIENTS_LEFT,
+    /** A job was not submitted, because its client had left before its request was read. */
+    SUBMISSION_DROPPED,
     /** A holder recovered a job of an earlier holder; the line names the ground. */
     JOB_RECOVERED,
     /** A client sent a job again, through another node, while the job is placed here. */
--- a/tarragonarch-model/src/main/java/org/tarragonarch/model/task/JobService.java
+++ b/tarragonarch-model/src/main/java/org/tarragonarch/model/task/JobService.java
@@ -16,6 +16,9 @@
      */
     Submission submit(QueueDefinition queue, JobRequest job, long deadlineMillis, Consumer<JobReply> reply);
 
+    /** Notifies that a job was not submitted, because its client had disconnected before its request was read. */
+    void submissionDropped(JobId job);
+
     /** Cancels a job at whichever node has it; the reply tells whether any node knew the job. */
     void cancel(JobId job, Consumer<Boolean> known);
 
