Ask peers for changed endpoints while the store turns a holder away

Cause: entries of endpoints reached a node from the store only; a peer's list was used by a node without any. A holder that is turned away goes by the entries that it had, for as long as that lasts.

Evidence: all starts came from the node that was turned away, before and after the change of capacity, so no other node placed the jobs by an old list; and no frame carried entries to a node that had some, so the holder had nothing to apply.

Change: a node that needs the list often, and has had none from the store for 1.4 s, asks one reachable peer after the other, every 0.9 s, for what has changed since the store's version that it knows, and applies answers of a later version. A peer that is asked reads the list at the short interval for a while. An asked peer that knows nothing newer sends no entries.

Frames: two new ones, EndpointChangesAsked and EndpointChangesGiven. A node of the build before closes a connection on which it gets a frame of an unknown type, and the two connect again; the version of the protocol stays, as the frames are sent only while the store does not answer a holder. No row changes.

ClusterNodeTest#testEndpoints_capacityShrinksWhileStoreTurnsHolderAway: without the question to the peers no job is refused in 30 s; with it, it passes. FrameBytesTest expects the two new types and has their bytes recorded; the bytes of the others are the same. PeerExchangeTest's handler has one method in place of two, which no test used.

--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/EndpointListNeed.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/EndpointListNeed.java
@@ -28,6 +28,11 @@
         return mayHold ? OFTEN : SELDOM;
     }
 
+    /** Returns this need, or {@link #OFTEN} if it is less. */
+    public EndpointListNeed atLeastOften() {
+        return this == SELDOM ? OFTEN : this;
+    }
+
     /** Returns whether the list is read at the short interval. */
     public boolean isReadOften() {
         return isReadOften;
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ClusterNode.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ClusterNode.java
@@ -12,6 +12,7 @@
 import org.tarragonarch.adapter.StoreClient;
 import org.tarragonarch.core.cluster.CancellationRepeats;
 import org.tarragonarch.core.cluster.Coordinator;
+import org.tarragonarch.core.cluster.EndpointListNeed;
 import org.tarragonarch.core.follow.FollowPace;
 import org.tarragonarch.core.follow.TableFollower;
 import org.tarragonarch.core.placing.PlacingSettings;
@@ -28,7 +29,6 @@
 import org.tarragonarch.model.report.NodeStatus;
 import org.tarragonarch.model.store.RowStore;
 import org.tarragonarch.model.store.StoreTable;
-import org.tarragonarch.model.task.EndpointEntry;
 import org.tarragonarch.model.task.JobId;
 import org.tarragonarch.model.task.JobVerdict;
 import org.tarragonarch.model.task.Offer;
@@ -181,11 +181,19 @@
         }
         coordinator.review(discovery.canClaimShards());
         discovery.refresh();
-        endpointRows.adjustReads(coordinator.endpointListNeed());
+        reviewEndpointReads();
         repeats.takeDue(coordinator.peers().holders(), timers.nowMillis()).forEach(exchange::repeatCancellations);
         timers.schedule(REVIEW_MILLIS, this::review);
     }
 
+    private void reviewEndpointReads() {
+        EndpointListNeed need = coordinator.endpointListNeed();
+        endpointRows.adjustReads(need);
+        endpointRows
+                .peerToAsk(need, coordinator.peers().reachable())
+                .ifPresent(peer -> exchange.send(peer, endpointExchange().question()));
+    }
+
     private void reviewShards() {
         if (discovery.canClaimShards()) {
             coordinator.reviewShards();
@@ -281,16 +289,8 @@
     }
 
     @Override
-    public ImmutableList<EndpointEntry> endpoints() {
-        return endpoints.all();
-    }
-
-    @Override
-    public void endpointsReceived(ImmutableList<EndpointEntry> given) {
-        if (endpoints.isEmpty()) {
-            given.forEach(endpoints::recordFromPeer);
-            coordinator.endpointsChanged();
-        }
+    public EndpointExchange endpointExchange() {
+        return endpointRows.exchange();
     }
 
     @Override
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/EndpointRows.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/EndpointRows.java
@@ -10,7 +10,9 @@
 import org.tarragonarch.core.follow.TableFollower;
 import org.tarragonarch.core.shard.EndpointList;
 import org.tarragonarch.model.id.EndpointId;
+import org.tarragonarch.model.id.NodeId;
 import org.tarragonarch.model.log.NodeEvent;
+import org.tarragonarch.model.report.NodeStatus;
 import org.tarragonarch.model.store.RowPage;
 import org.tarragonarch.model.store.RowStore;
 import org.tarragonarch.model.store.StoreRow;
@@ -35,6 +37,7 @@
 
     private final EndpointList endpoints;
     private final Runnable listChanged;
+    private final EndpointExchange exchange;
     private final Timers timers;
     private final DecisionLog log;
     private final NodeMeters meters;
@@ -45,6 +48,7 @@
         this.meters = meters;
         this.endpoints = endpoints;
         this.listChanged = listChanged;
+        this.exchange = new EndpointExchange(endpoints, listChanged, timers, log);
         this.timers = timers;
         this.log = log;
     }
@@ -56,8 +60,19 @@
         started.start();
     }
 
+    /** Returns the exchange of this list with peers. */
+    EndpointExchange exchange() {
+        return exchange;
+    }
+
+    /** Returns the peer to ask for the list now, because the store does not give it. */
+    Optional<NodeId> peerToAsk(EndpointListNeed need, ImmutableList<NodeStatus> reachable) {
+        return exchange.peerToAsk(need, sinceAnswerMillis(), reachable);
+    }
+
     /** Sets the pace of reads; if the list is needed now, reads at once unless a call is in progress. */
-    void adjustReads(EndpointListNeed need) {
+    void adjustReads(EndpointListNeed own) {
+        EndpointListNeed need = exchange.needWithPeers(own);
         follower.ifPresent(started -> {
             started.changePace(need.isReadOften() ? FREQUENT_PACE : INFREQUENT_PACE);
             if (need == EndpointListNeed.NOW) {
@@ -76,6 +91,7 @@
             changed |= entry.isEmpty() && id(row).map(this::overwritten).orElse(false);
         }
         changed |= endpoints.replaceAll(entries.build(), timers.nowMillis());
+        exchange.recordRead(page.version(), changed);
         if (changed) {
             listChanged.run();
         }
@@ -87,6 +103,7 @@
         for (StoreRow row : page.rows()) {
             changed |= changed(row);
         }
+        exchange.recordRead(page.version(), changed);
         if (changed) {
             listChanged.run();
         }
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/LoggedTable.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/LoggedTable.java
@@ -67,7 +67,8 @@
                 call.sinceAnswerMillis());
     }
 
-    private long sinceAnswerMillis() {
+    /** Returns the time since the store last answered for this table, in milliseconds. */
+    final long sinceAnswerMillis() {
         return timers.nowMillis() - answeredAtMillis;
     }
 }
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/PeerExchange.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/PeerExchange.java
@@ -28,6 +28,8 @@
 import org.tarragonarch.wire.CancelAsked;
 import org.tarragonarch.wire.ConfigurationAsked;
 import org.tarragonarch.wire.ConfigurationGiven;
+import org.tarragonarch.wire.EndpointChangesAsked;
+import org.tarragonarch.wire.EndpointChangesGiven;
 import org.tarragonarch.wire.EndpointsAsked;
 import org.tarragonarch.wire.EndpointsGiven;
 import org.tarragonarch.wire.Frame;
@@ -217,9 +219,16 @@
         } else if (frame instanceof ConfigurationGiven given) {
             given.canonicalText().ifPresent(text -> handler.configurationReceived(peer, text.bytes()));
         } else if (frame instanceof EndpointsAsked) {
-            network.reply(peer, incarnation, new EndpointsGiven(handler.endpoints()));
+            network.reply(
+                    peer,
+                    incarnation,
+                    new EndpointsGiven(handler.endpointExchange().all()));
         } else if (frame instanceof EndpointsGiven given) {
-            handler.endpointsReceived(given.endpoints());
+            handler.endpointExchange().receivedAll(given.endpoints());
+        } else if (frame instanceof EndpointChangesAsked asked) {
+            network.reply(peer, incarnation, handler.endpointExchange().answer(asked));
+        } else if (frame instanceof EndpointChangesGiven given) {
+            handler.endpointExchange().received(peer, given);
         } else if (frame instanceof NodesAsked) {
             network.reply(peer, incarnation, new NodesGiven(located()));
         } else if (frame instanceof NodesGiven given) {
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/PeerFrameHandler.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/PeerFrameHandler.java
@@ -5,7 +5,6 @@
 import org.tarragonarch.model.id.NodeId;
 import org.tarragonarch.model.report.Member;
 import org.tarragonarch.model.report.NodeStatus;
-import org.tarragonarch.model.task.EndpointEntry;
 import org.tarragonarch.model.task.JobId;
 import org.tarragonarch.model.task.JobVerdict;
 import org.tarragonarch.model.task.Offer;
@@ -52,9 +51,8 @@
 
     void configurationReceived(NodeId peer, byte[] text);
 
-    ImmutableList<EndpointEntry> endpoints();
-
-    void endpointsReceived(ImmutableList<EndpointEntry> endpoints);
+    /** Returns the list of endpoints, for the frames that exchange it. */
+    EndpointExchange endpointExchange();
 
     /** Called when a peer sends the nodes that it knows. */
     void nodesReceived(ImmutableList<Member> nodes);
--- a/tarragonarch-entry/src/test/java/org/tarragonarch/entry/cluster/ClusterNodeTest.java
+++ b/tarragonarch-entry/src/test/java/org/tarragonarch/entry/cluster/ClusterNodeTest.java
@@ -20,6 +20,7 @@
 import java.util.List;
 import org.tarragonarch.adapter.standin.StandInEndpoint;
 import org.tarragonarch.adapter.standin.StandInStore;
+import org.tarragonarch.adapter.standin.StandInStoreDoor;
 import org.tarragonarch.model.outcome.StepException;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -117,6 +118,26 @@
         awaitStatus(second, "a", 200);
     }
 
+    /** Guards against a holder that the store turns away, and that goes on by an endpoint's earlier capacity. */
+    @Test
+    public void testEndpoints_capacityShrinksWhileStoreTurnsHolderAway() throws Exception {
+        store.configure(QUEUES.formatted(3, "a"));
+        try (StandInStoreDoor door = new StandInStoreDoor(store)) {
+            ClusterSettings holder = startNode("n1", door.address());
+            awaitReady(holder);
+            ClusterSettings other = startNode("n2");
+            awaitReady(other);
+            awaitStatus(other, "a", 200);
+            door.turnAway();
+            for (int i = 0; i < endpoints.size(); i++) {
+                String entry = endpoints.get(i).entry("board", "hobart");
+                store.register("i-" + (i + 1), entry.replace("16000", "6000"));
+            }
+            awaitStatus(other, "a", 503);
+            assertEquals(status(post(holder, "a", 77)), 503);
+        }
+    }
+
     /** Guards against a cancelled job that runs because its submission arrives at another node. */
     @Test
     public void testCancel_submissionArrivesAtOtherNode() throws Exception {
@@ -178,6 +199,10 @@
     }
 
     private ClusterSettings startNode(String name) throws IOException, StepException {
+        return startNode(name, store.address());
+    }
+
+    private ClusterSettings startNode(String name, String storeAddress) throws IOException, StepException {
         Path file = Files.createTempFile(name, ".jsonc");
         List<Integer> ports = ArchiveWarmUp.freePorts(PORTS_PER_NODE);
         try {
@@ -189,7 +214,7 @@
                           "readiness-address": "127.0.0.1:%d", "store-address": "%s",
                           "processor-share": 1.0, "processor-speed": 1,
                           "lease-millis": 1000, "stop-millis": 50, "shutdown-seconds": 6 }
-                        """.formatted(name, ports.get(0), ports.get(1), ports.get(2), ports.get(3), store.address()));
+                        """.formatted(name, ports.get(0), ports.get(1), ports.get(2), ports.get(3), storeAddress));
             ClusterSettings settings = ClusterSettings.read(file);
             DecisionLog decisions = new DecisionLog(name, new PrintStream(log));
             decisions.start();
--- a/tarragonarch-entry/src/test/java/org/tarragonarch/entry/cluster/PeerExchangeTest.java
+++ b/tarragonarch-entry/src/test/java/org/tarragonarch/entry/cluster/PeerExchangeTest.java
@@ -19,7 +19,6 @@
 import org.tarragonarch.model.report.Member;
 import org.tarragonarch.model.report.NodeStatus;
 import org.tarragonarch.model.task.EarlierRuns;
-import org.tarragonarch.model.task.EndpointEntry;
 import org.tarragonarch.model.task.JobId;
 import org.tarragonarch.model.task.JobRequest;
 import org.tarragonarch.model.task.JobVerdict;
@@ -254,13 +253,8 @@
         }
 
         @Override
-        public ImmutableList<EndpointEntry> endpoints() {
-            return ImmutableList.of();
-        }
-
-        @Override
-        public void endpointsReceived(ImmutableList<EndpointEntry> endpoints) {
-            calls.add("endpoints");
+        public EndpointExchange endpointExchange() {
+            throw new UnsupportedOperationException();
         }
 
         @Override
--- a/tarragonarch-model/src/main/java/org/tarragonarch/model/log/NodeEvent.java
+++ b/tarragonarch-model/src/main/java/org/tarragonarch/model/log/NodeEvent.java
@@ -74,6 +74,8 @@
     STORE_CALL_FAILED,
     /** The table can be read again. */
     STORE_REGAINED,
+    /** Entries of endpoints were received from a peer, because the store did not give them. */
+    ENDPOINTS_FROM_PEER,
     /** A configuration has come into force at this node. */
     CONFIGURATION_IN_FORCE,
     /** A configuration could not be read; the previous one remains in force. */
--- a/tarragonarch-model/src/test/java/org/tarragonarch/model/OuterNamesTest.java
+++ b/tarragonarch-model/src/test/java/org/tarragonarch/model/OuterNamesTest.java
@@ -111,6 +111,7 @@
                         "store-rows-unusable",
                         "store-call-failed",
                         "store-regained",
+                        "endpoints-from-peer",
                         "configuration-in-force",
                         "configuration-unreadable",
                         "domain-drained",
--- a/tarragonarch-wire/src/main/java/org/tarragonarch/wire/EndpointsCodec.java
+++ b/tarragonarch-wire/src/main/java/org/tarragonarch/wire/EndpointsCodec.java
@@ -8,13 +8,17 @@
 import org.tarragonarch.model.task.EndpointEntry;
 import org.tarragonarch.model.task.Resources;
 
-/** Reads and writes the body of an {@link EndpointsGiven}. */
+/** Reads and writes the entries of endpoints in frames. */
 final class EndpointsCodec {
     private EndpointsCodec() {}
 
     static void write(FrameWriter writer, EndpointsGiven given) {
-        writer.writeCount(given.endpoints().size());
-        for (EndpointEntry entry : given.endpoints()) {
+        writeEntries(writer, given.endpoints());
+    }
+
+    static void writeEntries(FrameWriter writer, ImmutableList<EndpointEntry> entries) {
+        writer.writeCount(entries.size());
+        for (EndpointEntry entry : entries) {
             writer.writeText(entry.id().value())
                     .writeLong(entry.incarnation().startedMillis())
                     .writeText(entry.service())
@@ -30,6 +34,10 @@
     }
 
     static EndpointsGiven read(FrameReader reader) throws MalformedFrameException {
+        return new EndpointsGiven(readEntries(reader));
+    }
+
+    static ImmutableList<EndpointEntry> readEntries(FrameReader reader) throws MalformedFrameException {
         int count = reader.readCount();
         ImmutableList.Builder<EndpointEntry> entries = ImmutableList.builder();
         for (int i = 0; i < count; i++) {
@@ -43,6 +51,6 @@
             boolean cold = reader.readBoolean();
             entries.add(new EndpointEntry(incarnation, service, address, domain, draining, capacity, cold));
         }
-        return new EndpointsGiven(entries.build());
+        return entries.build();
     }
 }
--- a/tarragonarch-wire/src/main/java/org/tarragonarch/wire/Frame.java
+++ b/tarragonarch-wire/src/main/java/org/tarragonarch/wire/Frame.java
@@ -16,6 +16,8 @@
                 CancelAnswered,
                 EndpointsAsked,
                 EndpointsGiven,
+                EndpointChangesAsked,
+                EndpointChangesGiven,
                 NodesAsked,
                 NodesGiven,
                 OpenJobs {}
--- a/tarragonarch-wire/src/main/java/org/tarragonarch/wire/FrameCodec.java
+++ b/tarragonarch-wire/src/main/java/org/tarragonarch/wire/FrameCodec.java
@@ -61,6 +61,11 @@
             writer.writeInt(FrameType.ENDPOINTS_ASKED.number());
         } else if (frame instanceof EndpointsGiven given) {
             EndpointsCodec.write(writer.writeInt(FrameType.ENDPOINTS_GIVEN.number()), given);
+        } else if (frame instanceof EndpointChangesAsked asked) {
+            writer.writeInt(FrameType.ENDPOINT_CHANGES_ASKED.number()).writeLong(asked.sinceVersion());
+        } else if (frame instanceof EndpointChangesGiven given) {
+            writer.writeInt(FrameType.ENDPOINT_CHANGES_GIVEN.number()).writeLong(given.version());
+            EndpointsCodec.writeEntries(writer, given.changed());
         } else if (frame instanceof NodesAsked) {
             writer.writeInt(FrameType.NODES_ASKED.number());
         } else if (frame instanceof NodesGiven given) {
--- a/tarragonarch-wire/src/main/java/org/tarragonarch/wire/FrameType.java
+++ b/tarragonarch-wire/src/main/java/org/tarragonarch/wire/FrameType.java
@@ -121,6 +121,18 @@
             }
             return new OpenJobs(jobs.build());
         }
+    },
+    ENDPOINT_CHANGES_ASKED(18) {
+        @Override
+        Frame read(FrameReader reader, Optional<Hello> sender) throws MalformedFrameException {
+            return new EndpointChangesAsked(reader.readLong());
+        }
+    },
+    ENDPOINT_CHANGES_GIVEN(19) {
+        @Override
+        Frame read(FrameReader reader, Optional<Hello> sender) throws MalformedFrameException {
+            return new EndpointChangesGiven(reader.readLong(), EndpointsCodec.readEntries(reader));
+        }
     };
 
     private final int number;
--- a/tarragonarch-wire/src/test/java/org/tarragonarch/wire/FilledFrames.java
+++ b/tarragonarch-wire/src/test/java/org/tarragonarch/wire/FilledFrames.java
@@ -87,6 +87,8 @@
         frames.put("cancel-answered/unknown", new CancelAnswered(JOB, false));
         frames.put("endpoints-asked", new EndpointsAsked());
         frames.put("endpoints-given", new EndpointsGiven(ImmutableList.of(entry(true, false), entry(false, true))));
+        frames.put("endpoint-changes-asked", new EndpointChangesAsked(4_711));
+        frames.put("endpoint-changes-given", new EndpointChangesGiven(4_712, ImmutableList.of(entry(true, false))));
         frames.put("nodes-asked", new NodesAsked());
         frames.put(
                 "nodes-given",
--- a/tarragonarch-wire/src/test/java/org/tarragonarch/wire/FrameBytesTest.java
+++ b/tarragonarch-wire/src/test/java/org/tarragonarch/wire/FrameBytesTest.java
@@ -87,7 +87,7 @@
     /** Guards against a frame type without recorded bytes, and against a changed type number. */
     @Test
     public void testNumber_everyTypeIsRecorded() throws Exception {
-        ImmutableSet<Integer> numbers = IntStream.rangeClosed(1, 17).boxed().collect(ImmutableSet.toImmutableSet());
+        ImmutableSet<Integer> numbers = IntStream.rangeClosed(1, 19).boxed().collect(ImmutableSet.toImmutableSet());
         ImmutableSet.Builder<Integer> covered = ImmutableSet.builder();
         for (String hex : expected().values()) {
             covered.add((int) HEX.decode(hex)[0]);
