Bound the time that a started node waits for others before it claims

Cause: a started node waits 200 ms for each located node that ranks before it, and the rows of nodes that are gone for good are never removed. The wait ends early only when all located nodes have sent a status.

Evidence: all nodes became ready at the same moment, 18.9 s after the start with 90 rows; 18.2 s is the wait for 90 nodes. The other explanations, connection attempts or reading the directory, would not give 0.2 s a row.

Change: the wait is at most 2 s. What it guards against, a small VM that claims before a slower and larger one has been heard of, is covered as long as a node is heard of within 2 s; then only the highest-ranked reachable candidate claims.

DiscoveryTest#testClaimDelayMillis_manyNodesAreGoneForGood: 200,200 ms before.

--- a/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/Discovery.java
+++ b/tarragonarch-core/src/main/java/org/tarragonarch/core/cluster/Discovery.java
@@ -18,6 +18,12 @@
      */
     private static final long LISTEN_MILLIS = 200;
 
+    /**
+     * The longest wait, in milliseconds, however many nodes are known. A node that lives has sent its status by then;
+     * those that have not may be gone for good. Of the others, the highest-ranked one claims.
+     */
+    private static final long LONGEST_LISTEN_MILLIS = 2_000;
+
     private Discovery() {}
 
     /**
@@ -25,12 +31,12 @@
      *
      * <p>The delay grows with the number of higher-ranked nodes. Guards against a small VM that starts slowly, claims
      * before it has read the holder's first status, and takes all endpoints from a node that carries several times its
-     * load.
+     * load. The delay is bounded, because nothing removes the nodes that are gone for good from those that are located.
      *
      * @param located every other known node of the pool
      */
     public static long claimDelayMillis(Member own, ImmutableList<Member> located) {
-        return LISTEN_MILLIS * (1 + higherRanked(own, located));
+        return Math.min(LONGEST_LISTEN_MILLIS, LISTEN_MILLIS * (1 + higherRanked(own, located)));
     }
 
     /**
--- a/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/DiscoveryTest.java
+++ b/tarragonarch-core/src/test/java/org/tarragonarch/core/cluster/DiscoveryTest.java
@@ -5,6 +5,7 @@
 import static org.testng.Assert.assertTrue;
 
 import com.google.common.collect.ImmutableList;
+import java.util.stream.IntStream;
 import org.tarragonarch.model.id.Address;
 import org.tarragonarch.model.id.FailureDomain;
 import org.tarragonarch.model.id.NodeId;
@@ -82,4 +83,13 @@
         assertEquals(Discovery.claimDelayMillis(large, ImmutableList.of(member(A), member(B))), 200);
         assertEquals(Discovery.claimDelayMillis(member(B), both), 600);
     }
+
+    /** Guards against a restart after which nobody is served for 200 ms for each machine that was ever replaced. */
+    @Test
+    public void testClaimDelayMillis_manyNodesAreGoneForGood() {
+        ImmutableList<Member> gone = IntStream.range(0, 1_000)
+                .mapToObj(number -> member(NodeId.of("a-" + number)))
+                .collect(ImmutableList.toImmutableList());
+        assertEquals(Discovery.claimDelayMillis(member(B), gone), 2_000);
+    }
 }
