Give peers the entries that a first reading of the store confirmed

Asked by a holder that the store turns away, it answered with its version and no entries, and the holder took its old entries for those of that version.

A whole reading records each entry as of its version. EndpointExchangeTest#testAnswer_storeConfirmsEntriesOfPeer fails if a whole reading that changes nothing records the version alone, as before.

--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/EndpointExchange.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/EndpointExchange.java
@@ -44,8 +44,13 @@
         this.log = log;
     }
 
-    /** Records that the list was read from the store as of a version. */
-    void recordRead(long version, boolean changed) {
+    /** Records that the whole list was read from the store as of a version. */
+    void recordRead(long version) {
+        changes.update(endpoints.all(), version);
+    }
+
+    /** Records that the changes up to a version were read from the store. */
+    void recordFollowed(long version, boolean changed) {
         if (changed) {
             changes.update(endpoints.all(), version);
         } else {
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/EndpointRows.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/EndpointRows.java
@@ -91,7 +91,7 @@
             changed |= entry.isEmpty() && id(row).map(this::overwritten).orElse(false);
         }
         changed |= endpoints.replaceAll(entries.build(), timers.nowMillis());
-        exchange.recordRead(page.version(), changed);
+        exchange.recordRead(page.version());
         if (changed) {
             listChanged.run();
         }
@@ -103,7 +103,7 @@
         for (StoreRow row : page.rows()) {
             changed |= changed(row);
         }
-        exchange.recordRead(page.version(), changed);
+        exchange.recordFollowed(page.version(), changed);
         if (changed) {
             listChanged.run();
         }
