Ignore start times of the future in entries of endpoints

Cause: the entry counts as a later incarnation, so that the endpoint's own entries are dropped as those of an earlier one. Start times are compared with each other, never with the time of day.

Change: a start time more than a minute ahead is ignored. An entry without the start that is known comes from another writer and removes the endpoint until its next heartbeat; an endpoint whose clock is ahead is used as one without a start time.

EndpointRowsTest#testChanged_overwrittenByEntryThatStartsInTheFuture and #testChanged_endpointStartsInTheFuture failed before.

--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ClusterNode.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/ClusterNode.java
@@ -93,7 +93,8 @@
         meters.watchDrainedDomains(() -> coordinator.drained().domains().size());
         meters.watchShares(settings.shares(), coordinator::shareStates, coordinator::remoteUsageByPriority);
         this.store = new StoreClient(loop, settings.storeAddress());
-        this.endpointRows = new EndpointRows(endpoints, coordinator::endpointsChanged, timers, log, meters);
+        this.endpointRows = new EndpointRows(
+                endpoints, coordinator::endpointsChanged, timers, System::currentTimeMillis, log, meters);
         this.discovery = new PeerDiscovery(settings.member(), store, exchange, coordinator, timers, log);
         this.cancellationRows = new CancellationRows(
                 store, settings.node(), timers, System::currentTimeMillis, settings.cancelledMillis(), log);
@@ -189,9 +190,7 @@
     private void reviewEndpointReads() {
         EndpointListNeed need = coordinator.endpointListNeed();
         endpointRows.adjustReads(need);
-        endpointRows
-                .peerToAsk(need, coordinator.peers().reachable())
-                .ifPresent(peer -> exchange.send(peer, endpointExchange().question()));
+        endpointRows.askPeerIfOld(need, coordinator.peers().reachable(), exchange::send);
     }
 
     private void reviewShards() {
--- a/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/EndpointRows.java
+++ b/tarragonarch-entry/src/main/java/org/tarragonarch/entry/cluster/EndpointRows.java
@@ -2,6 +2,8 @@
 
 import com.google.common.collect.ImmutableList;
 import java.util.Optional;
+import java.util.function.BiConsumer;
+import java.util.function.LongSupplier;
 import org.tarragonarch.adapter.EndpointBody;
 import org.tarragonarch.adapter.UnreadableBodyException;
 import org.tarragonarch.core.cluster.EndpointListNeed;
@@ -10,6 +12,7 @@
 import org.tarragonarch.core.follow.TableFollower;
 import org.tarragonarch.core.shard.EndpointList;
 import org.tarragonarch.model.id.EndpointId;
+import org.tarragonarch.model.id.EndpointIncarnation;
 import org.tarragonarch.model.id.NodeId;
 import org.tarragonarch.model.log.NodeEvent;
 import org.tarragonarch.model.report.NodeStatus;
@@ -19,6 +22,7 @@
 import org.tarragonarch.model.store.StoreTable;
 import org.tarragonarch.model.task.EndpointEntry;
 import org.tarragonarch.model.task.Timers;
+import org.tarragonarch.wire.Frame;
 
 /** Copies the endpoint rows of the store into the endpoint list; skips and logs unreadable rows. */
 final class EndpointRows extends LoggedTable {
@@ -35,21 +39,37 @@
      */
     private static final FollowPace INFREQUENT_PACE = FollowPace.periodic(3_600);
 
+    /** How far the time of day of an endpoint's VM may be ahead of this node's, in milliseconds. */
+    private static final long MAX_CLOCK_DIFFERENCE_MILLIS = 60_000;
+
     private final EndpointList endpoints;
     private final Runnable listChanged;
     private final EndpointExchange exchange;
     private final Timers timers;
+    private final LongSupplier wallMillis;
     private final DecisionLog log;
     private final NodeMeters meters;
     private Optional<TableFollower> follower = Optional.empty();
 
-    EndpointRows(EndpointList endpoints, Runnable listChanged, Timers timers, DecisionLog log, NodeMeters meters) {
+    /**
+     * Creates rows that are not read yet.
+     *
+     * @param wallMillis the time of day in milliseconds since 1970, to compare the start times of endpoints with
+     */
+    EndpointRows(
+            EndpointList endpoints,
+            Runnable listChanged,
+            Timers timers,
+            LongSupplier wallMillis,
+            DecisionLog log,
+            NodeMeters meters) {
         super(StoreTable.ENDPOINTS, timers, log, meters);
         this.meters = meters;
         this.endpoints = endpoints;
         this.listChanged = listChanged;
         this.exchange = new EndpointExchange(endpoints, listChanged, timers, log);
         this.timers = timers;
+        this.wallMillis = wallMillis;
         this.log = log;
     }
 
@@ -65,9 +85,10 @@
         return exchange;
     }
 
-    /** Returns the peer to ask for the list now, because the store does not give it. */
-    Optional<NodeId> peerToAsk(EndpointListNeed need, ImmutableList<NodeStatus> reachable) {
-        return exchange.peerToAsk(need, sinceAnswerMillis(), reachable);
+    /** Asks a peer for changed entries if this node needs the list often and the store has not given it for a while. */
+    void askPeerIfOld(EndpointListNeed need, ImmutableList<NodeStatus> reachable, BiConsumer<NodeId, Frame> sender) {
+        exchange.peerToAsk(need, sinceAnswerMillis(), reachable)
+                .ifPresent(peer -> sender.accept(peer, exchange.question()));
     }
 
     /** Sets the pace of reads; if the list is needed now, reads at once unless a call is in progress. */
@@ -145,13 +166,25 @@
 
     private Optional<EndpointEntry> read(StoreRow row) {
         try {
-            return Optional.of(EndpointBody.read(row.key(), row.value()));
+            return Optional.of(withPossibleStart(EndpointBody.read(row.key(), row.value())));
         } catch (UnreadableBodyException e) {
             unreadable(row, e);
             return Optional.empty();
         }
     }
 
+    /**
+     * Returns the entry, without its start time if that is in the future.
+     *
+     * <p>Guards against an entry of another writer that would count as a later incarnation than the endpoint's own
+     * entries until then.
+     */
+    private EndpointEntry withPossibleStart(EndpointEntry entry) {
+        boolean isPossible =
+                entry.incarnation().startedMillis() <= wallMillis.getAsLong() + MAX_CLOCK_DIFFERENCE_MILLIS;
+        return isPossible ? entry : entry.withIncarnation(EndpointIncarnation.ofUnknownStart(entry.id()));
+    }
+
     private Optional<EndpointId> id(StoreRow row) {
         try {
             return Optional.of(EndpointBody.readId(row.key()));
--- a/tarragonarch-entry/src/test/java/org/tarragonarch/entry/cluster/EndpointRowsTest.java
+++ b/tarragonarch-entry/src/test/java/org/tarragonarch/entry/cluster/EndpointRowsTest.java
@@ -30,7 +30,8 @@
         DecisionLog log = new DecisionLog("n", new PrintStream(new ByteArrayOutputStream()));
         meters = new NodeMeters(() -> 0, () -> 0);
         changes = 0;
-        rows = new EndpointRows(endpoints, () -> changes++, new SettableTimers(), log, meters);
+        rows = new EndpointRows(
+                endpoints, () -> changes++, new SettableTimers(), System::currentTimeMillis, log, meters);
     }
 
     private static StoreRow row(String key, String value) {
@@ -85,6 +86,26 @@
         assertEquals(listed(), ImmutableList.of("w-1"));
     }
 
+    /** Guards against an endpoint that is lost for good to another program's entry with a start time of the future. */
+    @Test
+    public void testChanged_overwrittenByEntryThatStartsInTheFuture() {
+        String started = "{\"born\":1700000000000," + GOOD.substring(1);
+        rows.rowsChanged(page(row("w-1", started)));
+        rows.rowsChanged(page(row("w-1", started.replace("1700000000000", "9223372036854775807"))));
+        assertEquals(listed(), ImmutableList.of());
+        rows.rowsChanged(page(row("w-1", started)));
+        assertEquals(listed(), ImmutableList.of("w-1"));
+        assertEquals(endpoints.all().get(0).incarnation().startedMillis(), 1_700_000_000_000L);
+    }
+
+    /** Guards against an endpoint that is not used because the clock of its machine is ahead. */
+    @Test
+    public void testChanged_endpointStartsInTheFuture() {
+        rows.rowsChanged(page(row("w-1", "{\"born\":4000000000000," + GOOD.substring(1))));
+        assertEquals(listed(), ImmutableList.of("w-1"));
+        assertEquals(endpoints.all().get(0).incarnation().hasStart(), false);
+    }
+
     @Test
     public void testReplaced_skipsForeignRows() {
         rows.tableReplaced(page(row("", GOOD), row("w-1", GOOD), row("w-2", "\u0000"), row("w-3", "{}")));
